--- /dev/null
+++ b/chestnutfall/caller_edge/caller_app.py
@@ -0,0 +1,243 @@
+"""The HTTP application for callers."""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+from collections.abc import AsyncGenerator, Iterator
+from contextlib import contextmanager
+
+from aiohttp import web
+from opentelemetry import trace
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+from ..clock import Clock
+from ..control.claim import ClaimStatus
+from ..engine_edge import AnswerEvent
+from ..membership import SiteAgent
+from ..observability import Metrics
+from ..plain_edge import PlainProxy
+from ..requests import CallerRequest, Executed, Refusal
+from ..routing import ClaimDesk, Dispatcher
+from .caller_limits import CallerLimits
+from .error_body import error_headers, error_text
+from .request_parser import parse_request
+
+log = logging.getLogger(__name__)
+MAX_BODY_BYTES = 2 * 1024 * 1024
+BODY_MS = 10_000
+_STARTED = web.RequestKey("started", web.StreamResponse)
+_PROPAGATOR = TraceContextTextMapPropagator()
+
+
+class CallerApp:
+    """Authenticates, admits and answers callers."""
+
+    def __init__(
+        self,
+        agent: SiteAgent,
+        dispatcher: Dispatcher,
+        claims: ClaimDesk,
+        plain: PlainProxy,
+        limits: CallerLimits,
+        clock: Clock,
+        metrics: Metrics,
+        tracer: trace.Tracer,
+    ) -> None:
+        self._agent = agent
+        self._dispatcher = dispatcher
+        self._claims = claims
+        self._plain = plain
+        self._limits = limits
+        self._clock = clock
+        self._metrics = metrics
+        self._tracer = tracer
+        self.ready = True
+        self.refusing = False
+        self.in_progress = 0
+
+    def build(self) -> web.Application:
+        """The aiohttp application."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_get("/healthz", self._healthz)
+        app.router.add_get("/readyz", self._readyz)
+        app.router.add_get("/v1/models", self._models)
+        app.router.add_post("/v1/chat/completions", self._complete)
+        app.router.add_post("/v1/completions", self._complete)
+        app.router.add_route("*", "/{tail:.*}", self._other)
+        return app
+
+    async def _healthz(self, request: web.Request) -> web.Response:
+        return web.json_response({"status": "ok"})
+
+    async def _readyz(self, request: web.Request) -> web.Response:
+        ready = self.ready and self._agent.in_force()
+        body = {"ready": ready, "revision": self._agent.revision}
+        return web.json_response(body, status=200 if ready else 503)
+
+    async def _models(self, request: web.Request) -> web.StreamResponse:
+        request_id = ""
+        try:
+            name = self._authenticate(request)
+        except Refusal as refusal:
+            return self._refused(refusal, request_id)
+        cfg = self._agent.config
+        caller = cfg.callers[name]
+        models = (
+            {"id": f"{adapter_name}@{version}", "object": "model", "owned_by": adapter.service}
+            for adapter_name, adapter in sorted(cfg.adapters.items())
+            if caller.may_use_adapter(adapter_name)
+            for version in adapter.versions
+        )
+        return web.json_response({"object": "list", "data": list(models)})
+
+    async def _other(self, request: web.Request) -> web.StreamResponse:
+        try:
+            caller = self._authenticate(request)
+            with self._counted(caller):
+                body = await self._body(request)
+                return await self._plain.answer(request, caller, body)
+        except Refusal as refusal:
+            return self._refused(refusal, "")
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        span = self._tracer.start_span("entry", context=_PROPAGATOR.extract(request.headers))
+        headers: dict[str, str] = {}
+        _PROPAGATOR.inject(headers, trace.set_span_in_context(span))
+        request_id = ""
+        try:
+            caller = self._authenticate(request)
+            with self._counted(caller):
+                body = await self._body(request)
+                req = parse_request(
+                    self._agent.config,
+                    caller,
+                    request.path,
+                    request.headers,
+                    body,
+                    self._clock.now_ms(),
+                    headers,
+                )
+                request_id = req.request_id
+                span.set_attribute("model", req.model)
+                span.set_attribute("request_id", request_id)
+                return await self._run(request, req)
+        except Refusal as refusal:
+            span.set_attribute("refused", refusal.code)
+            started = request.get(_STARTED)
+            return self._refused(refusal, request_id) if started is None else started
+        finally:
+            span.end()
+
+    # Admission
+
+    def _authenticate(self, request: web.Request) -> str:
+        if self.refusing:
+            raise Refusal(503, "draining", "this host is shutting down", retry_after_ms=1000)
+        # A gateway that is cut off may act on a grant that was revoked. Refusing is the truthful
+        # answer once the lease is over; within it an election goes unnoticed by callers.
+        if not self._agent.in_force():
+            message = "the configuration in force can't be confirmed"
+            raise Refusal(503, "configuration_unconfirmed", message, retry_after_ms=1000)
+        kind, _, key = request.headers.get("Authorization", "").partition(" ")
+        caller = self._agent.config.caller_by_key(key.strip()) if kind == "Bearer" else None
+        if caller is None:
+            raise Refusal(401, "invalid_key", "a known bearer key is needed")
+        return caller
+
+    @contextmanager
+    def _counted(self, caller: str) -> Iterator[None]:
+        with self._limits.admitted(caller, self._agent.config.callers[caller]):
+            self.in_progress += 1
+            try:
+                yield
+            finally:
+                self.in_progress -= 1
+
+    async def _body(self, request: web.Request) -> bytes:
+        try:
+            # A body that trickles in would hold its place for ever.
+            return await self._clock.within_ms(BODY_MS, request.read())
+        except web.HTTPRequestEntityTooLarge as exc:
+            raise Refusal(413, "body_too_large", f"at most {MAX_BODY_BYTES} bytes") from exc
+        except TimeoutError as exc:
+            raise Refusal(408, "body_too_slow", f"no whole body within {BODY_MS} ms") from exc
+
+    # Answers
+
+    async def _run(self, request: web.Request, req: CallerRequest) -> web.StreamResponse:
+        if not req.claim_key:
+            return await self._answer(request, req)
+        digest = hashlib.sha256(req.path.encode() + b"\0" + req.body).hexdigest()
+        retention_ms = self._agent.config.limits.claim_retention_ms
+        with self._tracer.start_span("claim", context=_PROPAGATOR.extract(req.trace)):
+            await self._claims.take(req.caller, req.claim_key, digest, req.request_id, retention_ms)
+        status: ClaimStatus | None = ClaimStatus.UNKNOWN
+        try:
+            resp = await self._answer(request, req)
+            status = ClaimStatus.DONE
+            return resp
+        except Refusal as refusal:
+            if refusal.executed is Executed.NO:
+                status = None
+            raise
+        finally:
+            self._claims.end(req.caller, req.claim_key, req.request_id, status)
+
+    async def _answer(self, request: web.Request, req: CallerRequest) -> web.StreamResponse:
+        events = self._dispatcher.answer(req)
+        try:
+            first = await anext(events)
+            if req.stream:
+                return await self._stream(request, req, first, events)
+            return web.Response(
+                body=first.data,
+                content_type="application/json",
+                headers={"X-Request-Id": req.request_id, "X-Executed": "yes"},
+            )
+        finally:
+            await events.aclose()
+
+    async def _stream(
+        self,
+        request: web.Request,
+        req: CallerRequest,
+        first: AnswerEvent,
+        events: AsyncGenerator[AnswerEvent, None],
+    ) -> web.StreamResponse:
+        resp = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                "Cache-Control": "no-cache",
+                "X-Request-Id": req.request_id,
+            }
+        )
+        await resp.prepare(request)
+        try:
+            await resp.write(_event(first))
+            async for event in events:
+                await resp.write(_event(event))
+            await resp.write_eof()
+        except Refusal as refusal:
+            # Ending the transfer in the usual way here would make a short answer look whole. The
+            # error event is for clients that read it, the broken transfer for all the others.
+            await resp.write(b"data: " + error_text(refusal, req.request_id).encode() + b"\n\n")
+            self._metrics.count(f"broken_streams.{refusal.code}")
+            if request.transport is not None:
+                request.transport.close()
+            request[_STARTED] = resp
+            raise
+        return resp
+
+    def _refused(self, refusal: Refusal, request_id: str) -> web.StreamResponse:
+        self._metrics.count(f"refused.{refusal.code}")
+        return web.Response(
+            status=refusal.status,
+            text=error_text(refusal, request_id),
+            content_type="application/json",
+            headers=error_headers(refusal),
+        )
+
+
+def _event(event: AnswerEvent) -> bytes:
+    return b"data: " + event.data + b"\n\n"
--- /dev/null
+++ b/chestnutfall/caller_edge/request_parser.py
@@ -0,0 +1,125 @@
+"""From an HTTP request to a checked `CallerRequest`."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from collections.abc import Mapping
+from typing import Any
+
+from ..config import Adapter, Caller, PriorityClass, TypedConfig
+from ..findings import read_json_text
+from ..requests import CallerRequest, Refusal
+
+MAX_KEY_CHARS = 255
+
+
+def parse_request(
+    cfg: TypedConfig,
+    caller_name: str,
+    path: str,
+    headers: Mapping[str, str],
+    body: bytes,
+    now_ms: int,
+    trace: dict[str, str],
+) -> CallerRequest:
+    """Check `body` and `headers` against the configuration.
+
+    Raises
+    ------
+    Refusal
+        When anything is malformed, unknown or not granted.
+    """
+    caller = cfg.callers[caller_name]
+    fields = _fields(body)
+    adapter_name, version = _adapter_and_version(cfg, caller, fields.get("model"))
+    adapter = cfg.adapters[adapter_name]
+    model = adapter.engine_name(adapter_name, version)
+    stream = fields.get("stream", False)
+    if not isinstance(stream, bool):
+        raise Refusal(400, "bad_request", "`stream` must be true or false")
+    claim_key = headers.get("Idempotency-Key", "")
+    if len(claim_key) > MAX_KEY_CHARS:
+        raise Refusal(400, "bad_idempotency_key", f"at most {MAX_KEY_CHARS} characters")
+    non_idempotent = _non_idempotent(adapter, headers, claim_key)
+    service = cfg.services[adapter.service]
+    if non_idempotent and not claim_key and service.key_required:
+        raise Refusal(400, "idempotency_key_required", "this adapter needs an Idempotency-Key")
+    return CallerRequest(
+        uuid.uuid4().hex,
+        caller_name,
+        adapter.service,
+        path,
+        model,
+        json.dumps({**fields, "model": model}).encode(),
+        stream,
+        _priority(headers, caller),
+        non_idempotent,
+        claim_key,
+        now_ms + _wait_ms(headers, cfg.limits.request_ms),
+        service.silent_ms,
+        trace,
+    )
+
+
+def _fields(body: bytes) -> dict[str, Any]:
+    parsed = read_json_text(body, "body")
+    if parsed.is_error():
+        raise Refusal(400, "bad_json", "; ".join(str(finding) for finding in parsed.error))
+    if not isinstance(parsed.ok, dict):
+        raise Refusal(400, "bad_request", "the body must be a JSON object")
+    return parsed.ok
+
+
+def _adapter_and_version(cfg: TypedConfig, caller: Caller, model: Any) -> tuple[str, str]:
+    if not isinstance(model, str) or not model:
+        raise Refusal(400, "bad_request", "`model` must be a string like adapter@version")
+    name, _, version = model.partition("@")
+    # An adapter that is not granted is answered like one that does not exist, so that names
+    # can't be probed.
+    adapter = cfg.adapters.get(name)
+    if adapter is None or not caller.may_use_adapter(name):
+        raise Refusal(404, "model_not_found", f"no model {model!r} for this caller")
+    if not version and adapter.default_version is None:
+        message = f"{name!r} names no version; use one of {_models(name, adapter)}"
+        raise Refusal(400, "version_required", message)
+    version = version or str(adapter.default_version)
+    version, _, digest = version.partition("+")
+    if version not in adapter.versions:
+        message = f"no version {version!r}; there are {_models(name, adapter)}"
+        raise Refusal(404, "model_not_found", message)
+    if digest and adapter.engine_name(name, version) != model:
+        raise Refusal(404, "model_not_found", f"{name}@{version} has another content digest")
+    return name, version
+
+
+def _models(name: str, adapter: Adapter) -> list[str]:
+    return [f"{name}@{version}" for version in adapter.versions]
+
+
+def _non_idempotent(adapter: Adapter, headers: Mapping[str, str], claim_key: str) -> bool:
+    marked = headers.get("X-Non-Idempotent", "").lower() == "true"
+    return adapter.non_idempotent or marked or bool(claim_key)
+
+
+def _priority(headers: Mapping[str, str], caller: Caller) -> PriorityClass:
+    asked = headers.get("X-Priority")
+    if asked is None:
+        return caller.highest_class
+    try:
+        wanted = PriorityClass(asked)
+    except ValueError as exc:
+        allowed = [kind.value for kind in PriorityClass]
+        raise Refusal(400, "bad_priority", f"{asked!r} is none of {allowed}") from exc
+    if wanted.rank < caller.highest_class.rank:
+        raise Refusal(403, "priority_forbidden", f"at most {caller.highest_class.value}")
+    return wanted
+
+
+def _wait_ms(headers: Mapping[str, str], longest_ms: int) -> int:
+    asked = headers.get("X-Timeout-Ms")
+    if asked is None:
+        return longest_ms
+    if not asked.isdigit() or not 0 < int(asked) <= longest_ms:
+        raise Refusal(400, "bad_timeout", f"X-Timeout-Ms must be 1 to {longest_ms}")
+    return int(asked)
--- /dev/null
+++ b/chestnutfall/clock/__init__.py
@@ -0,0 +1,9 @@
+"""Time in milliseconds, behind one small type."""
+
+from __future__ import annotations
+
+from .clock import Clock
+from .manual_clock import ManualClock
+from .system_clock import SystemClock
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
--- /dev/null
+++ b/chestnutfall/clock/system_clock.py
@@ -0,0 +1,28 @@
+"""The machine's clock."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from .clock import Clock
+
+T = TypeVar("T")
+
+
+class SystemClock(Clock):
+    """Time since boot, suspended time included."""
+
+    def now_ms(self) -> int:
+        # CLOCK_MONOTONIC stands still while a host is suspended. Symptom: a lease that ran out
+        # during the pause still looks valid on waking. CLOCK_BOOTTIME counts the pause.
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+    async def sleep_ms(self, ms: float) -> None:
+        await asyncio.sleep(max(ms, 0) / 1000)
+
+    async def within_ms(self, ms: float, work: Coroutine[Any, Any, T]) -> T:
+        async with asyncio.timeout(max(ms, 0) / 1000):
+            return await work
--- /dev/null
+++ b/chestnutfall/consensus/__init__.py
@@ -0,0 +1,29 @@
+"""A replicated log: elections, leader lease, replication, snapshots, membership."""
+
+from __future__ import annotations
+
+from .entry import Entry
+from .errors import Busy, LeadershipLost, NotLeader, StorageFailed
+from .member import Member
+from .replica import Replica
+from .snapshot import Snapshot
+from .state_machine import StateMachine
+from .storage import Storage, Stored
+from .timing import Timing
+from .transport import Transport
+
+__all__ = [
+    "Busy",
+    "Entry",
+    "LeadershipLost",
+    "Member",
+    "NotLeader",
+    "Replica",
+    "Snapshot",
+    "StateMachine",
+    "Storage",
+    "StorageFailed",
+    "Stored",
+    "Timing",
+    "Transport",
+]
--- /dev/null
+++ b/chestnutfall/consensus/raft_log.py
@@ -0,0 +1,117 @@
+"""The part of the log that is held in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .entry import Entry
+from .member import Member
+from .snapshot import Snapshot
+
+ENTRY_OVERHEAD_BYTES = 32
+
+
+class RaftLog:
+    """Entries after a base, and the membership they imply.
+
+    The base trails the snapshot by some entries, so that a follower that is a little behind
+    needs no whole snapshot.
+    """
+
+    def __init__(self, snapshot: Snapshot, entries: Iterable[Entry]) -> None:
+        self.reset(snapshot)
+        for entry in entries:
+            if entry.index > snapshot.index:
+                self.append(entry)
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Forget every entry; the log starts after `snapshot`."""
+        self.snapshot = snapshot
+        self._base_index = snapshot.index
+        self._base_term = snapshot.term
+        self._entries: list[Entry] = []
+        self._memberships: list[tuple[int, tuple[Member, ...]]] = []
+
+    @property
+    def base_index(self) -> int:
+        """Index before the first entry held."""
+        return self._base_index
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self._base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self._base_term
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """The newest membership, committed or not."""
+        return self._memberships[-1][1] if self._memberships else self.snapshot.members
+
+    @property
+    def members_index(self) -> int:
+        """Index of the entry that gave the newest membership."""
+        return self._memberships[-1][0] if self._memberships else self.snapshot.index
+
+    def term_at(self, index: int) -> int | None:
+        """Term of the entry at `index`; None when it is not held."""
+        if index == self._base_index:
+            return self._base_term
+        offset = index - self._base_index - 1
+        return self._entries[offset].term if 0 <= offset < len(self._entries) else None
+
+    def entry_at(self, index: int) -> Entry:
+        """The entry at `index`, which must be held."""
+        return self._entries[index - self._base_index - 1]
+
+    def append(self, entry: Entry) -> None:
+        """Add the next entry."""
+        if entry.index != self.last_index + 1:
+            raise ValueError(f"entry {entry.index} does not follow {self.last_index}")
+        self._entries.append(entry)
+        if entry.members is not None:
+            self._memberships.append((entry.index, entry.members))
+
+    def truncate(self, index: int) -> None:
+        """Forget the entry at `index` and all behind it."""
+        del self._entries[index - self._base_index - 1 :]
+        while self._memberships and self._memberships[-1][0] >= index:
+            self._memberships.pop()
+
+    def after(self, index: int, max_bytes: int) -> tuple[Entry, ...]:
+        """Entries behind `index`, at least one if there is one, up to about `max_bytes`."""
+        chosen: list[Entry] = []
+        size = 0
+        for entry in self._entries[index - self._base_index :]:
+            size += len(entry.data) + ENTRY_OVERHEAD_BYTES
+            if chosen and size > max_bytes:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def unsnapshotted(self) -> tuple[Entry, ...]:
+        """Entries behind the snapshot."""
+        return tuple(self._entries[self.snapshot.index - self._base_index :])
+
+    def members_at(self, index: int) -> tuple[Member, ...]:
+        """The membership as of entry `index`."""
+        found = self.snapshot.members
+        for at, members in self._memberships:
+            if at <= index:
+                found = members
+        return found
+
+    def compact(self, snapshot: Snapshot, keep: int) -> None:
+        """Take `snapshot` as the state at its index, keeping `keep` entries before it."""
+        base_index = max(self._base_index, snapshot.index - keep)
+        base_term = self.term_at(base_index)
+        assert base_term is not None
+        del self._entries[: base_index - self._base_index]
+        self._base_index = base_index
+        self._base_term = base_term
+        self.snapshot = snapshot
+        self._memberships = [item for item in self._memberships if item[0] > snapshot.index]
--- /dev/null
+++ b/chestnutfall/consensus/replica.py
@@ -0,0 +1,545 @@
+"""One replica of the log.
+
+The algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote, a leader lease, leadership
+transfer and membership changes of one replica at a time (Ongaro's thesis, chapters 4, 6 and 9).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from enum import Enum
+from typing import Any
+
+from ..clock import Clock
+from .entry import Entry
+from .errors import Busy, LeadershipLost, NotLeader
+from .journal import Journal
+from .member import Member
+from .messages import (
+    AppendReply,
+    AppendRequest,
+    SnapshotRequest,
+    TakeOver,
+    VoteReply,
+    VoteRequest,
+    WrongReplica,
+)
+from .progress import Progress
+from .raft_log import RaftLog
+from .snapshot import Snapshot
+from .state_machine import StateMachine
+from .storage import HardState, Record, Storage, Stored, Truncate
+from .timing import Timing
+from .transport import Transport
+
+MAX_WAITING = 4096
+MAX_BATCH_BYTES = 256 * 1024
+SNAPSHOT_EVERY = 4000
+KEEP_ENTRIES = 1000
+
+
+class Role(Enum):
+    """What a replica is doing in its term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Replica:
+    """Elections, replication and the state machine of one replica."""
+
+    def __init__(
+        self,
+        replica_id: str,
+        storage: Storage,
+        machine: StateMachine,
+        transport: Transport,
+        clock: Clock,
+        rng: random.Random,
+        timing: Timing,
+        snapshot_every: int = SNAPSHOT_EVERY,
+    ) -> None:
+        self.replica_id = replica_id
+        self.machine = machine
+        self.clock = clock
+        self.timing = timing
+        self.transport = transport
+        self._storage = storage
+        self._rng = rng
+        self._snapshot_every = snapshot_every
+        self.role = Role.FOLLOWER
+        self.leader_id = ""
+        self.progress = Progress()
+        self._term_start = 0
+        self._transferring = False
+        self._campaigning = False
+        self._waiters: dict[int, asyncio.Future[Any]] = {}
+        self._peers: dict[str, tuple[Member, asyncio.Task[None], asyncio.Event]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # Life
+
+    def start(self) -> None:
+        """Read the stored state and begin to take part."""
+        stored = self._storage.load()
+        self.term = stored.hard_state.term
+        self.voted_for = stored.hard_state.voted_for
+        self.log = RaftLog(stored.snapshot, stored.entries)
+        self.machine.restore(stored.snapshot.data)
+        self.commit_index = self.applied_index = stored.snapshot.index
+        self.journal = Journal(self._storage)
+        # A restarted follower has forgotten whether it heard from a leader just before.
+        # Symptom: its vote elects a second leader inside the first one's lease. So it counts
+        # its own start as such a moment and votes for nobody during one election timeout.
+        self._heard_leader_ms = self.clock.now_ms()
+        self._restart_election_timer()
+        self._spawn(self.journal.run())
+        self._spawn(self._watch_leader())
+
+    async def stop(self) -> None:
+        """Stop all tasks at once; nothing is handed over."""
+        self._step_down()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _spawn(self, work: Any) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # What others ask of this replica
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """The newest membership in the log."""
+        return self.log.members
+
+    def can_decide(self) -> bool:
+        """Whether this is the only leader now and has applied all that earlier ones committed."""
+        return (
+            self.role is Role.LEADER
+            and not self._transferring
+            and self.applied_index >= self._term_start
+            and self.clock.now_ms() < self._lease_until_ms()
+        )
+
+    async def propose(self, data: bytes) -> Any:
+        """Commit `data` and return what the state machine made of it.
+
+        Raises
+        ------
+        NotLeader, Busy
+            Nothing was proposed.
+        LeadershipLost
+            The command may or may not be committed later.
+        """
+        self._check_can_propose()
+        return await self._append_and_wait(Entry(self.log.last_index + 1, self.term, data))
+
+    async def change_members(self, members: tuple[Member, ...]) -> None:
+        """Commit a membership that differs from the present one in one replica.
+
+        Raises
+        ------
+        ValueError
+            When it differs in more, an earlier change is not committed, a learner to be
+            promoted lags behind, or the leader would remove itself.
+        """
+        self._check_can_propose()
+        self._check_members(members)
+        entry = Entry(self.log.last_index + 1, self.term, members=members)
+        await self._append_and_wait(entry)
+
+    def _check_can_propose(self) -> None:
+        if not self.can_decide():
+            raise NotLeader(self.leader_id)
+        if len(self._waiters) >= MAX_WAITING:
+            raise Busy(f"{len(self._waiters)} proposals are waiting")
+
+    def _check_members(self, members: tuple[Member, ...]) -> None:
+        # Two changes under way may leave two majorities without a common voter. Symptom: two
+        # leaders in one term. One committed change at a time keeps every two majorities joined.
+        if self.log.members_index > self.commit_index:
+            raise ValueError("the membership change before this one is not committed yet")
+        changed = set(members) ^ set(self.members)
+        if len({member.replica_id for member in changed}) != 1:
+            raise ValueError("a membership change adds, removes or promotes exactly one replica")
+        if not any(member.replica_id == self.replica_id and member.voter for member in members):
+            raise ValueError("the leader can't remove itself; move leadership first")
+        present = {member.replica_id: member for member in self.members}
+        for member in members:
+            before = present.get(member.replica_id)
+            if member.voter and (before is None or not before.voter):
+                self._check_caught_up(member)
+
+    def _check_caught_up(self, member: Member) -> None:
+        # A new voter with an empty log counts for the quorum but can't help to commit. Symptom:
+        # one more lost host right after a repair stops every change.
+        if self.progress.match(member.replica_id) < self.commit_index:
+            raise ValueError(f"{member.replica_id} has not caught up; it stays a learner")
+
+    async def _append_and_wait(self, entry: Entry) -> Any:
+        fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._waiters[entry.index] = fut
+        self._append_as_leader(entry)
+        return await fut
+
+    async def hand_over(self) -> None:
+        """Move leadership to the most advanced follower before a graceful stop."""
+        if self.role is not Role.LEADER:
+            return
+        # The successor may be elected inside our lease, so we stop deciding for good first:
+        # a transfer message that is delivered late can still take effect.
+        self._transferring = True
+        others = [m for m in self.members if m.voter and m.replica_id != self.replica_id]
+        if others:
+            target = max(others, key=lambda member: self.progress.match(member.replica_id))
+            await self._wait_for_match(target.replica_id)
+            msg = TakeOver(target.replica_id, self.replica_id, self.term)
+            try:
+                await self.transport.call(target, msg, self.timing.call_ms)
+            except ConnectionError:
+                pass
+        self._step_down()
+
+    async def _wait_for_match(self, replica_id: str) -> None:
+        for _ in range(10):
+            if self.progress.match(replica_id) >= self.log.last_index:
+                return
+            await self.clock.sleep_ms(self.timing.call_ms / 10)
+
+    # Messages from other replicas
+
+    async def handle(self, msg: Any) -> Any:
+        """Answer a message of another replica."""
+        if msg.to != self.replica_id:
+            return WrongReplica(self.replica_id)
+        match msg:
+            case VoteRequest():
+                return await self._on_vote(msg)
+            case AppendRequest():
+                return await self._on_append(msg)
+            case SnapshotRequest():
+                return await self._on_snapshot(msg)
+            case TakeOver():
+                if msg.term == self.term and self._is_voter():
+                    self._spawn(self._campaign(transfer=True))
+                return VoteReply(self.term, True)
+            case _:
+                raise ValueError(f"unexpected message {type(msg).__name__}")
+
+    async def _on_vote(self, req: VoteRequest) -> VoteReply:
+        ours = (self.log.last_term, self.log.last_index)
+        up_to_date = (req.last_term, req.last_index) >= ours
+        # A replica that was cut off must not depose a leader the others still follow, and the
+        # leader's lease relies on it: nobody is elected while a majority has heard from it.
+        if self._follows_leader() and not req.transfer:
+            return VoteReply(self.term, False)
+        if req.pre:
+            return VoteReply(self.term, up_to_date and req.term > self.term)
+        if req.term > self.term:
+            self._adopt_term(req.term)
+        granted = req.term == self.term and up_to_date and self.voted_for in ("", req.sender)
+        if granted:
+            self.voted_for = req.sender
+            self._restart_election_timer()
+        await self.journal.write([HardState(self.term, self.voted_for)])
+        still = self.term == req.term and self.voted_for == req.sender
+        return VoteReply(self.term, granted and still)
+
+    def _follows_leader(self) -> bool:
+        if self.role is Role.LEADER:
+            return self.clock.now_ms() < self._lease_until_ms()
+        return self.clock.now_ms() < self._heard_leader_ms + self.timing.election_min_ms
+
+    async def _on_append(self, req: AppendRequest) -> AppendReply:
+        if req.term < self.term:
+            return AppendReply(self.term, False, 0)
+        records = self._follow(req.sender, req.term)
+        # Everything up to the base is committed and so equal on every replica.
+        beyond_base = req.prev_index > self.log.base_index
+        if beyond_base and self.log.term_at(req.prev_index) != req.prev_term:
+            await self.journal.write(records)
+            return AppendReply(self.term, False, self._agreed_before(req.prev_index))
+        records.extend(self._merge(req.entries))
+        await self.journal.write(records)
+        matched = req.prev_index + len(req.entries)
+        if self.term == req.term:
+            self._commit_to(min(req.commit, matched))
+        return AppendReply(self.term, True, matched)
+
+    def _agreed_before(self, index: int) -> int:
+        """Guess the last index that agrees: skip the whole term that does not."""
+        if index > self.log.last_index:
+            return self.log.last_index
+        index -= 1
+        term = self.log.term_at(index)
+        while index > self.commit_index and self.log.term_at(index) == term:
+            index -= 1
+        return index
+
+    def _merge(self, entries: tuple[Entry, ...]) -> list[Record]:
+        records: list[Record] = []
+        for entry in entries:
+            if entry.index <= self.log.base_index:
+                continue
+            held = self.log.term_at(entry.index)
+            if held == entry.term:
+                continue
+            if held is not None:
+                if entry.index <= self.commit_index:
+                    raise AssertionError(f"committed entry {entry.index} would be replaced")
+                self.log.truncate(entry.index)
+                records.append(Truncate(entry.index))
+            self.log.append(entry)
+            records.append(entry)
+        return records
+
+    async def _on_snapshot(self, req: SnapshotRequest) -> AppendReply:
+        if req.term < self.term:
+            return AppendReply(self.term, False, 0)
+        records: list[Record | Stored] = list(self._follow(req.sender, req.term))
+        snapshot = req.snapshot
+        if snapshot.index > self.commit_index:
+            self.log.reset(snapshot)
+            self.machine.restore(snapshot.data)
+            self.commit_index = self.applied_index = snapshot.index
+            records.append(self._stored())
+        await self.journal.write(records)
+        return AppendReply(self.term, True, snapshot.index)
+
+    # Roles
+
+    def _follow(self, leader_id: str, term: int) -> list[Record]:
+        records: list[Record] = []
+        if term > self.term:
+            self._adopt_term(term)
+            records.append(HardState(self.term, self.voted_for))
+        elif self.role is not Role.FOLLOWER:
+            self._step_down()
+        self.leader_id = leader_id
+        self._heard_leader_ms = self.clock.now_ms()
+        self._restart_election_timer()
+        return records
+
+    def _adopt_term(self, term: int) -> None:
+        self.term = term
+        self.voted_for = ""
+        self.leader_id = ""
+        self._step_down()
+
+    def _step_down(self) -> None:
+        self.role = Role.FOLLOWER
+        self._transferring = False
+        for _, task, _ in self._peers.values():
+            task.cancel()
+        self._peers.clear()
+        waiters, self._waiters = self._waiters, {}
+        for fut in waiters.values():
+            if not fut.done():
+                fut.set_exception(LeadershipLost("another leader may commit it"))
+                fut.exception()
+
+    def _is_voter(self) -> bool:
+        return any(m.replica_id == self.replica_id and m.voter for m in self.members)
+
+    def _restart_election_timer(self) -> None:
+        wait_ms = self._rng.randint(self.timing.election_min_ms, self.timing.election_max_ms)
+        self._election_due_ms = self.clock.now_ms() + wait_ms
+
+    async def _watch_leader(self) -> None:
+        while True:
+            wait_ms = self._election_due_ms - self.clock.now_ms()
+            if wait_ms > 0:
+                await self.clock.sleep_ms(wait_ms)
+                continue
+            self._restart_election_timer()
+            if self.role is Role.LEADER:
+                if self.clock.now_ms() > self._lease_until_ms() + self.timing.election_max_ms:
+                    self._step_down()
+            elif self._is_voter():
+                await self._campaign(transfer=False)
+
+    async def _campaign(self, transfer: bool) -> None:
+        if self._campaigning or self.role is Role.LEADER:
+            return
+        self._campaigning = True
+        try:
+            # Asking first without raising the term keeps a replica that can't win from deposing
+            # a leader when its partition heals.
+            if not transfer and not await self._collect_votes(self.term + 1, True, False):
+                return
+            self.term += 1
+            self.voted_for = self.replica_id
+            self.leader_id = ""
+            self.role = Role.CANDIDATE
+            term = self.term
+            await self.journal.write([HardState(term, self.voted_for)])
+            won = await self._collect_votes(term, False, transfer)
+            if won and self.term == term and self.role is Role.CANDIDATE:
+                self._lead()
+        finally:
+            self._campaigning = False
+
+    async def _collect_votes(self, term: int, pre: bool, transfer: bool) -> bool:
+        voters = [member for member in self.members if member.voter]
+        last_index, last_term = self.log.last_index, self.log.last_term
+
+        async def ask(member: Member) -> bool:
+            if member.replica_id == self.replica_id:
+                return True
+            req = VoteRequest(
+                member.replica_id, self.replica_id, term, last_index, last_term, pre, transfer
+            )
+            try:
+                reply = await self.transport.call(member, req, self.timing.call_ms)
+            except ConnectionError:
+                return False
+            if not isinstance(reply, VoteReply):
+                return False
+            if reply.term > self.term:
+                self._adopt_term(reply.term)
+                self.journal.write([HardState(self.term, self.voted_for)])
+            return reply.granted
+
+        votes = 0
+        tasks = [asyncio.ensure_future(ask(member)) for member in voters]
+        try:
+            for done in asyncio.as_completed(tasks):
+                votes += await done
+                if votes > len(voters) // 2:
+                    return True
+            return False
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    def _lead(self) -> None:
+        self.role = Role.LEADER
+        self.leader_id = self.replica_id
+        self.progress = Progress()
+        self._term_start = self.log.last_index + 1
+        self._append_as_leader(Entry(self._term_start, self.term))
+
+    # Replication by the leader
+
+    def _lease_until_ms(self) -> int:
+        self.progress.answered(self.replica_id, self.clock.now_ms())
+        return self.progress.quorum_answered_ms(self.members) + self.timing.lease_ms
+
+    def _append_as_leader(self, entry: Entry) -> None:
+        self.log.append(entry)
+        term = self.term
+
+        def synced(fut: asyncio.Future[None]) -> None:
+            if fut.cancelled() or fut.exception() is not None:
+                return
+            if self.role is Role.LEADER and self.term == term:
+                self.progress.matched(self.replica_id, entry.index)
+                self._advance_commit()
+
+        self.journal.write([entry]).add_done_callback(synced)
+        self._match_peers_to_members()
+        for _, _, wake in self._peers.values():
+            wake.set()
+
+    def _match_peers_to_members(self) -> None:
+        wanted = {m.replica_id: m for m in self.members if m.replica_id != self.replica_id}
+        for replica_id, (member, task, _) in list(self._peers.items()):
+            known = wanted.get(replica_id)
+            if known is None or known.address != member.address:
+                task.cancel()
+                del self._peers[replica_id]
+        for replica_id, member in wanted.items():
+            if replica_id not in self._peers:
+                wake = asyncio.Event()
+                task = self._spawn(self._replicate_to(member, self.term, wake))
+                self._peers[replica_id] = (member, task, wake)
+
+    async def _replicate_to(self, member: Member, term: int, wake: asyncio.Event) -> None:
+        next_index = self.log.last_index + 1
+        while self.role is Role.LEADER and self.term == term:
+            wake.clear()
+            sent_ms = self.clock.now_ms()
+            try:
+                reply = await self.transport.call(
+                    member, self._next_message(member, next_index), self.timing.call_ms
+                )
+            except ConnectionError:
+                await self.clock.sleep_ms(self.timing.heartbeat_ms)
+                continue
+            if not isinstance(reply, AppendReply) or reply.term < term:
+                await self.clock.sleep_ms(self.timing.heartbeat_ms)
+                continue
+            if reply.term > self.term:
+                self._adopt_term(reply.term)
+                self.journal.write([HardState(self.term, self.voted_for)])
+                return
+            self.progress.answered(member.replica_id, sent_ms)
+            if reply.ok:
+                next_index = reply.match_index + 1
+                self.progress.matched(member.replica_id, reply.match_index)
+                self._advance_commit()
+            else:
+                next_index = max(1, min(next_index - 1, reply.match_index + 1))
+            if next_index > self.log.last_index:
+                await self._wait_for_entries(wake)
+
+    def _next_message(self, member: Member, next_index: int) -> AppendRequest | SnapshotRequest:
+        prev_term = self.log.term_at(next_index - 1)
+        if prev_term is None:
+            return SnapshotRequest(member.replica_id, self.replica_id, self.term, self.log.snapshot)
+        entries = self.log.after(next_index - 1, MAX_BATCH_BYTES)
+        return AppendRequest(
+            member.replica_id,
+            self.replica_id,
+            self.term,
+            next_index - 1,
+            prev_term,
+            entries,
+            self.commit_index,
+        )
+
+    async def _wait_for_entries(self, wake: asyncio.Event) -> None:
+        try:
+            await self.clock.within_ms(self.timing.heartbeat_ms, wake.wait())
+        except TimeoutError:
+            return
+
+    # Commit and apply
+
+    def _advance_commit(self) -> None:
+        index = self.progress.quorum_match(self.members)
+        # An entry of an earlier term on a majority may still be replaced by a later leader; it
+        # counts as committed only below one of our own term (Raft paper, section 5.4.2).
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self._commit_to(index)
+
+    def _commit_to(self, index: int) -> None:
+        self.commit_index = max(self.commit_index, min(index, self.log.last_index))
+        while self.applied_index < self.commit_index:
+            self.applied_index += 1
+            entry = self.log.entry_at(self.applied_index)
+            outcome = self.machine.apply(entry.index, entry.data) if entry.data else None
+            waiter = self._waiters.pop(entry.index, None)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(outcome)
+        if self.applied_index - self.log.snapshot.index >= self._snapshot_every:
+            self._take_snapshot()
+
+    def _take_snapshot(self) -> None:
+        index = self.applied_index
+        term = self.log.term_at(index)
+        assert term is not None
+        members = self.log.members_at(index)
+        self.log.compact(Snapshot(index, term, members, self.machine.dump()), KEEP_ENTRIES)
+        self.journal.write([self._stored()])
+
+    def _stored(self) -> Stored:
+        hard_state = HardState(self.term, self.voted_for)
+        return Stored(hard_state, self.log.snapshot, self.log.unsnapshotted())
--- /dev/null
+++ b/chestnutfall/control/control_state.py
@@ -0,0 +1,192 @@
+"""The state machine of the replicated log."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from ..config import LayeredConfig, SiteConfig
+from ..consensus import StateMachine
+from .audit_record import FIRST_HASH, AuditRecord
+from .claim import Claim, ClaimStatus
+from .commands import (
+    COMMAND_CODEC,
+    AdvanceTime,
+    AssignEngines,
+    ChangeConfig,
+    Changed,
+    ClaimHeld,
+    ClaimTaken,
+    Conflict,
+    Done,
+    EndClaim,
+    EndPermit,
+    NoPermit,
+    PermitTaken,
+    TakeClaim,
+    TakePermit,
+)
+from .ownership import Ownership
+
+
+@dataclass(slots=True)
+class _Dump:
+    """Everything that a snapshot holds."""
+
+    layers: dict[str, Any] = field(default_factory=dict)
+    audit: list[AuditRecord] = field(default_factory=list)
+    claims: list[tuple[str, str, Claim]] = field(default_factory=list)
+    owners: list[Ownership] = field(default_factory=list)
+    permits: dict[str, str] = field(default_factory=dict)
+    time_ms: int = 0
+
+
+class ControlState(StateMachine):
+    """Configuration with its audit, claims, ownership and permits.
+
+    Attributes
+    ----------
+    layers : LayeredConfig
+        Configuration as accepted.
+    sites : dict of str to SiteConfig
+        What is in force at each data centre.
+    audit : list of AuditRecord
+        Every accepted change; the revision is its number.
+    claims : dict
+        Claims by caller and key.
+    owners : dict of str to Ownership
+        Owner of each engine.
+    permits : dict of str to str
+        Session by permit.
+    time_ms : int
+        Log time, which never runs faster than real time.
+    """
+
+    def __init__(self) -> None:
+        self._take(_Dump())
+
+    def _take(self, dump: _Dump) -> None:
+        self.layers = LayeredConfig(dump.layers)
+        self.sites = {site: SiteConfig(site, self.layers) for site in self.layers.sites}
+        self.audit = dump.audit
+        self._changes = {record.change.change_id: record for record in dump.audit}
+        self.claims = {(caller, key): claim for caller, key, claim in dump.claims}
+        self.owners = {ownership.engine: ownership for ownership in dump.owners}
+        self.permits = dump.permits
+        self.time_ms = dump.time_ms
+
+    def restore(self, data: bytes) -> None:
+        self._take(msgspec.msgpack.decode(data, type=_Dump) if data else _Dump())
+
+    def dump(self) -> bytes:
+        claims = [(caller, key, claim) for (caller, key), claim in self.claims.items()]
+        owners = list(self.owners.values())
+        dump = _Dump(self.layers.layers, self.audit, claims, owners, self.permits, self.time_ms)
+        return msgspec.msgpack.encode(dump)
+
+    @property
+    def revision(self) -> int:
+        """Number of the newest accepted change; 0 before the first."""
+        return len(self.audit)
+
+    @property
+    def chain_hash(self) -> str:
+        """Hash of the newest audit record."""
+        return self.audit[-1].chain_hash if self.audit else FIRST_HASH
+
+    def change_made_by(self, change_id: str) -> AuditRecord | None:
+        """The accepted change with this id."""
+        return self._changes.get(change_id)
+
+    def apply(self, index: int, data: bytes) -> Any:
+        match COMMAND_CODEC.decode(data):
+            case ChangeConfig() as change:
+                return self._change_config(change)
+            case TakeClaim() as take:
+                return self._take_claim(take)
+            case EndClaim() as end:
+                return self._end_claim(end)
+            case AssignEngines(owners):
+                for engine, owner in owners:
+                    self.owners[engine] = Ownership(engine, owner, index)
+                return Done()
+            case TakePermit() as permit:
+                return self._take_permit(permit)
+            case EndPermit(permit_id):
+                self.permits.pop(permit_id, None)
+                return Done()
+            case AdvanceTime(ms):
+                self._advance_time(ms)
+                return Done()
+            case unknown:
+                raise ValueError(f"unknown command {unknown!r}")
+
+    def _change_config(self, change: ChangeConfig) -> Changed | Conflict:
+        # An operator whose answer was lost sends the change again; by then another may have been
+        # accepted. Symptom without this: the first is reported as beaten although it is in force.
+        made = self._changes.get(change.change_id)
+        if made is not None:
+            return Changed(made.revision)
+        if change.from_revision != self.revision:
+            return self._conflict(change.from_revision)
+        record = AuditRecord.following(self.chain_hash, self.revision + 1, change)
+        self.audit.append(record)
+        self._changes[change.change_id] = record
+        touched = self.layers.apply(json.loads(change.patches))
+        for site in self.layers.sites:
+            if site in self.sites:
+                self.sites[site].update(self.layers, touched)
+            else:
+                self.sites[site] = SiteConfig(site, self.layers)
+        for site in set(self.sites) - set(self.layers.sites):
+            del self.sites[site]
+        return Changed(record.revision)
+
+    def _conflict(self, from_revision: int) -> Conflict:
+        beaten_by = min(max(from_revision, 0), self.revision - 1)
+        if beaten_by < 0:
+            return Conflict(0, "", "")
+        change = self.audit[beaten_by].change
+        return Conflict(self.revision, change.change_id, change.operator)
+
+    def _take_claim(self, take: TakeClaim) -> ClaimTaken | ClaimHeld:
+        claim = self.claims.get((take.caller, take.key))
+        if claim is not None and claim.attempt_id != take.attempt_id:
+            return ClaimHeld(claim)
+        if claim is None:
+            self.claims[take.caller, take.key] = Claim(
+                take.attempt_id,
+                take.session,
+                take.body_digest,
+                ClaimStatus.RUNNING,
+                self.time_ms + take.retention_ms,
+            )
+        return ClaimTaken()
+
+    def _end_claim(self, end: EndClaim) -> Done:
+        place = (end.caller, end.key)
+        claim = self.claims.get(place)
+        if claim is None or claim.attempt_id != end.attempt_id:
+            return Done()
+        if end.status is None:
+            del self.claims[place]
+        else:
+            self.claims[place] = Claim(
+                claim.attempt_id, claim.session, claim.body_digest, end.status, claim.expires_ms
+            )
+        return Done()
+
+    def _take_permit(self, take: TakePermit) -> PermitTaken | NoPermit:
+        if take.permit_id not in self.permits and len(self.permits) >= take.at_once:
+            return NoPermit()
+        self.permits[take.permit_id] = take.session
+        return PermitTaken()
+
+    def _advance_time(self, ms: int) -> None:
+        self.time_ms += ms
+        expired = [at for at, claim in self.claims.items() if claim.expires_ms <= self.time_ms]
+        for place in expired:
+            del self.claims[place]
--- /dev/null
+++ b/chestnutfall/control/leader_duties.py
@@ -0,0 +1,182 @@
+"""What the leading controller does besides answering."""
+
+from __future__ import annotations
+
+import logging
+
+from ..clock import Clock
+from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
+from .commands import COMMAND_CODEC, AdvanceTime, AssignEngines, Command, EndPermit
+from .control_state import ControlState
+from .directory import Directory
+from .load_budget import LoadBudget
+from .messages import EngineSeen, GatewayAddress, Heartbeat
+from .owner_plan import plan_owners
+from .sessions import Session, Sessions
+
+log = logging.getLogger(__name__)
+TICK_MS = 200
+ADVANCE_TIME_MS = 30_000
+PERMIT_LEASE_MS = 20_000
+
+
+class LeaderDuties:
+    """Sessions, ownership, permit leases and log time, while this replica leads."""
+
+    def __init__(self, replica: Replica, state: ControlState, clock: Clock) -> None:
+        self._replica = replica
+        self._state = state
+        self._clock = clock
+        self._term = -1
+        self.directory = Directory()
+
+    async def run(self) -> None:
+        """Do what is due, again and again."""
+        while True:
+            await self._clock.sleep_ms(TICK_MS)
+            if not self.in_force():
+                continue
+            try:
+                await self._tick()
+            except (NotLeader, Busy, LeadershipLost, StorageFailed) as exc:
+                log.info("control: duties interrupted: %s", exc)
+
+    def in_force(self) -> bool:
+        """Whether this replica decides; begins a new term of duties when it has just won."""
+        if not self._replica.can_decide():
+            return False
+        if self._term != self._replica.term:
+            self._begin()
+        return True
+
+    def _begin(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._term = self._replica.term
+        self._sessions = Sessions(now_ms, {one.owner for one in self._state.owners.values()})
+        self._budget = LoadBudget(self._clock)
+        self._give_up: set[str] = set()
+        self._permits_seen_ms: dict[str, int] = {}
+        self._advanced_ms = now_ms
+        self._versions = 0
+        self.directory = Directory(f"{self._term}.0", tuple(self._state.owners.values()))
+        log.info("control: %s leads in term %d", self._replica.replica_id, self._term)
+
+    # Sessions
+
+    def renew(self, heartbeat: Heartbeat) -> None:
+        """Renew a session and take over what it reports."""
+        new = not self._sessions.knows_engines_of(heartbeat.session)
+        self._sessions.renew(heartbeat, self._clock.now_ms())
+        if new:
+            self._refresh_directory()
+
+    def is_over(self, session: str) -> bool:
+        """Whether a gateway's session ended for certain."""
+        return self._sessions.is_over(session, self._clock.now_ms())
+
+    def heard_sessions(self) -> list[Session]:
+        """Sessions not over, oldest lease included."""
+        return [one for one in self._sessions.all() if one.heartbeat is not None]
+
+    def live_engines(self) -> tuple[EngineSeen, ...]:
+        """Upstreams that announce themselves to at least one live gateway."""
+        now_ms = self._clock.now_ms()
+        seen = {one.name: one for live in self._sessions.live(now_ms) for one in live.engines}
+        return tuple(seen[name] for name in sorted(seen))
+
+    # Permits
+
+    def take_load_token(self, per_s: float) -> bool:
+        """Take one load out of the rate."""
+        return self._budget.take(per_s)
+
+    def return_load_token(self) -> None:
+        """Return a load that was not permitted."""
+        self._budget.give_back()
+
+    # Ownership
+
+    def give_up(self, session: str) -> tuple[str, ...]:
+        """Engines that `session` shall stop acting for."""
+        owners = self._state.owners
+        return tuple(sorted(e for e in self._give_up if e in owners and owners[e].owner == session))
+
+    async def _tick(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._sessions.forget_over(now_ms)
+        await self._plan_owners(now_ms)
+        self._refresh_directory()
+        await self._end_old_permits(now_ms)
+        await self._advance_time(now_ms)
+
+    async def _plan_owners(self, now_ms: int) -> None:
+        willing = [
+            live.session
+            for live in self._sessions.live(now_ms)
+            if live.heartbeat is not None and not live.heartbeat.leaving
+        ]
+        engines = [one.name for one in self.live_engines() if self._is_engine(one.service)]
+        present = {engine: one.owner for engine, one in self._state.owners.items()}
+        plan = plan_owners(engines, willing, present)
+        moves = [(e, new) for e, new in plan.items() if present.get(e) != new]
+        self._give_up &= {engine for engine, _ in moves}
+        ready = [(e, new) for e, new in moves if self._may_move(e, present.get(e), now_ms)]
+        if not ready:
+            return
+        await self._commit(AssignEngines(tuple(ready)))
+        self._give_up -= {engine for engine, _ in ready}
+        log.info("control: owners changed: %s", ready)
+
+    def _is_engine(self, service: str) -> bool:
+        for site in self._state.sites.values():
+            return bool(site.entries.get("services", {}).get(service, {}).get("kind") == "engine")
+        return False
+
+    def _may_move(self, engine: str, owner: str | None, now_ms: int) -> bool:
+        # Two gateways that both act for one engine evict each other's adapters. So an engine
+        # moves only when its owner's lease is over for certain, or the owner was told to give it
+        # up and has said since that it does not act for it.
+        if owner is None or self._sessions.is_over(owner, now_ms):
+            return True
+        session = self._sessions.get(owner)
+        if session is None or session.heartbeat is None:
+            return False
+        if engine in self._give_up and engine not in session.heartbeat.acting:
+            return True
+        self._give_up.add(engine)
+        return False
+
+    def _refresh_directory(self) -> None:
+        live = self._sessions.live(self._clock.now_ms())
+        gateways = tuple(
+            sorted(
+                (GatewayAddress(s.session, s.heartbeat.address) for s in live if s.heartbeat),
+                key=lambda one: one.session,
+            )
+        )
+        owners = tuple(self._state.owners.values())
+        if (owners, gateways) == (self.directory.owners, self.directory.gateways):
+            return
+        self._versions += 1
+        self.directory = Directory(f"{self._term}.{self._versions}", owners, gateways)
+
+    async def _end_old_permits(self, now_ms: int) -> None:
+        for permit_id in self._state.permits:
+            self._permits_seen_ms.setdefault(permit_id, now_ms)
+        for permit_id, seen_ms in list(self._permits_seen_ms.items()):
+            if permit_id not in self._state.permits:
+                del self._permits_seen_ms[permit_id]
+            elif now_ms > seen_ms + PERMIT_LEASE_MS:
+                await self._commit(EndPermit(permit_id))
+
+    async def _advance_time(self, now_ms: int) -> None:
+        # Claims expire by the time that leaders have measured, not by a wall clock that can jump.
+        # Symptom of a jump: a claim is forgotten early and the request runs twice. Time between
+        # two leaders is not counted, so log time can only be slow and claims last longer.
+        passed_ms = now_ms - self._advanced_ms
+        if passed_ms >= ADVANCE_TIME_MS:
+            self._advanced_ms = now_ms
+            await self._commit(AdvanceTime(passed_ms))
+
+    async def _commit(self, command: Command) -> None:
+        await self._replica.propose(COMMAND_CODEC.encode(command))
--- /dev/null
+++ b/chestnutfall/engine_edge/__init__.py
@@ -0,0 +1,21 @@
+"""How gateways talk to engines: one port, and an adapter for each dialect."""
+
+from __future__ import annotations
+
+from .answer_event import AnswerEvent
+from .engine_api import EngineApi
+from .engine_request import EngineRequest
+from .engine_state import EngineState
+from .errors import EngineBroken, EngineRefused
+from .order import Order, OrderKind
+
+__all__ = [
+    "AnswerEvent",
+    "EngineApi",
+    "EngineBroken",
+    "EngineRefused",
+    "EngineRequest",
+    "EngineState",
+    "Order",
+    "OrderKind",
+]
--- /dev/null
+++ b/chestnutfall/engine_edge/http_engine_api.py
@@ -0,0 +1,186 @@
+"""Engines that speak the OpenAI API, with server-sent events."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncGenerator, AsyncIterator
+from typing import Any
+
+import aiohttp
+
+from .answer_event import AnswerEvent
+from .engine_api import EngineApi
+from .engine_request import EngineRequest
+from .engine_state import EngineState
+from .errors import EngineBroken, EngineRefused
+from .order import Order
+
+CONNECT_MS = 500
+IDLE_CONNECTION_S = 2.0
+MAX_EVENT_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+ATTEMPT_HEADER = "X-Request-Id"
+PRIORITY_HEADER = "X-Priority"
+_DONE = b"[DONE]"
+_NO_FAULT_CLIENT = (400, 413, 422)
+
+
+class HttpEngineApi(EngineApi):
+    """One pool of connections to all engines.
+
+    A connection goes back to the pool only after its answer was read to the end (aiohttp closes
+    it otherwise), so no answer can be read by the request after it.
+    """
+
+    def __init__(self) -> None:
+        self._pool = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S),
+            auto_decompress=False,
+            trust_env=False,
+        )
+        self._fresh = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            auto_decompress=False,
+            trust_env=False,
+        )
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._pool.close()
+        await self._fresh.close()
+
+    async def run(self, address: str, req: EngineRequest) -> AsyncGenerator[AnswerEvent, None]:
+        session = self._fresh if req.fresh_connection else self._pool
+        headers = {
+            ATTEMPT_HEADER: req.attempt_id,
+            PRIORITY_HEADER: str(req.priority),
+            "Content-Type": "application/json",
+            **req.trace,
+        }
+        call = session.post(
+            f"http://{address}{req.path}",
+            data=req.body,
+            headers=headers,
+            timeout=_timeout(req.silent_ms),
+        )
+        async for event in _answer(call, req.stream):
+            yield event
+
+    async def resume(
+        self, address: str, req: EngineRequest, after: int
+    ) -> AsyncGenerator[AnswerEvent, None]:
+        call = self._fresh.get(
+            f"http://{address}/v1/runs/{req.attempt_id}",
+            headers={"Last-Event-ID": str(after)},
+            timeout=_timeout(req.silent_ms),
+        )
+        async for event in _answer(call, req.stream):
+            yield event
+
+    async def cancel(self, address: str, attempt_id: str) -> None:
+        try:
+            url = f"http://{address}/v1/runs/{attempt_id}"
+            async with self._fresh.delete(url, timeout=_timeout(CONNECT_MS)):
+                pass
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+
+    async def state(self, address: str, timeout_ms: float) -> EngineState:
+        found = await self._json("GET", f"http://{address}/v1/state", None, timeout_ms)
+        return EngineState(
+            str(found["incarnation"]),
+            int(found["slots"]),
+            dict(found["adapters"]),
+            dict(found["running"]),
+        )
+
+    async def order(self, address: str, order: Order, timeout_ms: float) -> str:
+        body = {"kind": order.kind.value, "epoch": order.epoch, "adapter": order.adapter}
+        found = await self._json("POST", f"http://{address}/v1/orders", body, timeout_ms)
+        return str(found["outcome"])
+
+    async def _json(self, method: str, url: str, body: Any, timeout_ms: float) -> Any:
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+        try:
+            async with self._fresh.request(method, url, json=body, timeout=timeout) as resp:
+                return await resp.json()
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
+            raise ConnectionError(f"{url}: {exc!r}") from exc
+
+
+def _timeout(silent_ms: float) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=None, sock_connect=CONNECT_MS / 1000, sock_read=silent_ms / 1000
+    )
+
+
+async def _answer(call: Any, stream: bool) -> AsyncGenerator[AnswerEvent, None]:
+    try:
+        async with call as resp:
+            if resp.status != 200:
+                await _raise_refusal(resp)
+            if stream:
+                async for event in _stream_events(resp.content.iter_any()):
+                    yield event
+            else:
+                yield AnswerEvent(1, await _whole_body(resp), last=True)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        raise EngineRefused("engine_unreachable", f"no connection: {exc}") from exc
+    except TimeoutError as exc:
+        raise EngineBroken("engine_silent", "the engine fell silent") from exc
+    except (aiohttp.ClientError, OSError) as exc:
+        raise EngineBroken("engine_connection_lost", f"connection lost: {exc!r}") from exc
+
+
+async def _raise_refusal(resp: aiohttp.ClientResponse) -> None:
+    try:
+        error = json.loads(await resp.content.read(MAX_EVENT_BYTES))["error"]
+        code, message, ran = str(error["code"]), str(error["message"]), error.get("ran", True)
+    except (ValueError, KeyError, TypeError):
+        code, message, ran = "engine_error", f"status {resp.status}", True
+    # Only the engine's own word that nothing ran counts; a bare 500 may follow half a run.
+    if ran is False or resp.status in _NO_FAULT_CLIENT:
+        raise EngineRefused(code, message, final=resp.status in _NO_FAULT_CLIENT)
+    raise EngineBroken(code, message)
+
+
+async def _whole_body(resp: aiohttp.ClientResponse) -> bytes:
+    body = bytearray()
+    async for chunk in resp.content.iter_any():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            raise EngineBroken("engine_answer_too_large", f"more than {MAX_ANSWER_BYTES} bytes")
+    return bytes(body)
+
+
+async def _stream_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[AnswerEvent]:
+    """Cut a byte stream into server-sent events; it ends with the `[DONE]` event or breaks."""
+    rest = b""
+    async for chunk in chunks:
+        *events, rest = (rest + chunk).split(b"\n\n")
+        for text in events:
+            event = _parse_event(text)
+            if event is not None:
+                yield event
+        if len(rest) > MAX_EVENT_BYTES:
+            raise EngineBroken("engine_event_too_large", f"more than {MAX_EVENT_BYTES} bytes")
+    # A stream that ends without its end mark is not followed here; the caller of this sees that
+    # no event was the last one.
+
+
+def _parse_event(text: bytes) -> AnswerEvent | None:
+    number = 0
+    data = b""
+    for line in text.split(b"\n"):
+        if line.startswith(b"data:"):
+            data = line[5:].lstrip()
+        elif line.startswith(b"id:"):
+            digits = line[3:].strip()
+            number = int(digits) if digits.isdigit() else 0
+    return AnswerEvent(number, data, last=data == _DONE) if data else None
+
+
+async def drain(events: AsyncGenerator[AnswerEvent, None]) -> None:
+    """Close a generator that was left early."""
+    await asyncio.shield(events.aclose())
--- /dev/null
+++ b/chestnutfall/findings/finding.py
@@ -0,0 +1,31 @@
+"""One thing wrong in a document."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """A rule that a document breaks, and where.
+
+    Attributes
+    ----------
+    file : str
+        The file, or another name of the document.
+    pointer : str
+        JSON pointer (RFC 6901) of the value; empty for the whole document.
+    rule : str
+        What is wrong and what is allowed.
+    found : str
+        The value found, shortened.
+    """
+
+    file: str
+    pointer: str
+    rule: str
+    found: str = ""
+
+    def __str__(self) -> str:
+        found = f"; found {self.found}" if self.found else ""
+        return f"{self.file}#{self.pointer}: {self.rule}{found}"
--- /dev/null
+++ b/chestnutfall/membership/announce_app.py
@@ -0,0 +1,54 @@
+"""The HTTP application that upstreams announce themselves to."""
+
+from __future__ import annotations
+
+import hmac
+
+from aiohttp import web
+from pydantic import TypeAdapter
+
+from ..config.typed_config import key_hash
+from ..findings import read_json_text, to_typed
+from .announcement import Announcement
+from .site_agent import SiteAgent
+from .upstream_registry import UpstreamRegistry
+
+MAX_BODY_BYTES = 16 * 1024
+_ANNOUNCEMENT = TypeAdapter(Announcement)
+
+
+class AnnounceApp:
+    """Takes announcements that carry the key of their service."""
+
+    def __init__(self, agent: SiteAgent, registry: UpstreamRegistry) -> None:
+        self._agent = agent
+        self._registry = registry
+
+    def build(self) -> web.Application:
+        """The aiohttp application."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_post("/v1/announcements", self._announce)
+        return app
+
+    async def _announce(self, request: web.Request) -> web.Response:
+        parsed = read_json_text(await request.read(), "announcement").bind(
+            lambda value: to_typed(_ANNOUNCEMENT, value, "announcement")
+        )
+        if parsed.is_error():
+            return _refused(400, "; ".join(str(finding) for finding in parsed.error))
+        announcement = parsed.ok
+        if not self._is_genuine(announcement.service, request.headers.get("Authorization", "")):
+            return _refused(401, "the key is not that of the service")
+        problem = self._registry.hear(announcement)
+        return _refused(409, problem) if problem else web.json_response({"heard": True})
+
+    def _is_genuine(self, service: str, header: str) -> bool:
+        known = self._agent.config.services.get(service)
+        if known is None:
+            return False
+        key = header.removeprefix("Bearer ")
+        return hmac.compare_digest(key_hash(key), known.announce_key_sha256)
+
+
+def _refused(status: int, message: str) -> web.Response:
+    return web.json_response({"heard": False, "message": message}, status=status)
--- /dev/null
+++ b/chestnutfall/membership/site_agent.py
@@ -0,0 +1,193 @@
+"""The gateway's session with the controllers."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable, Iterable
+
+from ..clock import Clock
+from ..config import LayeredConfig, SiteConfig, TypedConfig
+from ..control.control_client import ControlClient, NoController
+from ..control.messages import (
+    ConfigDelta,
+    ConfigFull,
+    EngineSeen,
+    GatewayAddress,
+    Heartbeat,
+    HeartbeatReply,
+)
+from ..control.ownership import Ownership
+from .upstream_registry import UpstreamRegistry
+
+log = logging.getLogger(__name__)
+HEARTBEAT_MS = 250
+HEARTBEAT_DEADLINE_MS = 2000
+NOTHING_APPLIED = -1
+
+
+class SiteAgent:
+    """Keeps configuration, ownership and the session lease of one gateway.
+
+    Attributes
+    ----------
+    config : TypedConfig
+        Configuration in force at this data centre.
+    revision : int
+        Its revision; -1 before the first.
+    owners : dict of str to Ownership
+        Owner of each engine.
+    gateways : dict of str to GatewayAddress
+        Live gateways by session.
+    """
+
+    def __init__(
+        self,
+        session: str,
+        address: str,
+        site: str,
+        client: ControlClient,
+        registry: UpstreamRegistry,
+        clock: Clock,
+        config_lease_ms: int,
+    ) -> None:
+        self.session = session
+        self.config = TypedConfig()
+        self.revision = NOTHING_APPLIED
+        self.owners: dict[str, Ownership] = {}
+        self.gateways: dict[str, GatewayAddress] = {}
+        self.leaving = False
+        self.acting: Callable[[], Iterable[str]] = tuple
+        self.on_change: Callable[[], None] = lambda: None
+        self._address = address
+        self._site = site
+        self._client = client
+        self._registry = registry
+        self._clock = clock
+        self._config_lease_ms = config_lease_ms
+        self._layers = LayeredConfig()
+        self._merged = SiteConfig(site, self._layers)
+        self._confirmed_ms: int | None = None
+        self._lease_until_ms = 0
+        self._ownership_version = ""
+        self._give_up: frozenset[str] = frozenset()
+        self._sent_engines: tuple[EngineSeen, ...] | None = None
+
+    # What the rest of the gateway asks
+
+    def in_force(self) -> bool:
+        """Whether a quorum confirmed this configuration within `config_lease_ms`.
+
+        Nothing is served before the first confirmation: a restarted gateway must not act on
+        what it remembers.
+        """
+        if self._confirmed_ms is None:
+            return False
+        return self._clock.now_ms() < self._confirmed_ms + self._config_lease_ms
+
+    def may_act_for(self, engine: str) -> int | None:
+        """Epoch under which this gateway may act for `engine` now; None when it may not."""
+        owner = self.owners.get(engine)
+        if owner is None or owner.owner != self.session or engine in self._give_up:
+            return None
+        if self.leaving or self._clock.now_ms() >= self._lease_until_ms:
+            return None
+        return owner.epoch
+
+    def has_session(self) -> bool:
+        """Whether the session's lease is valid."""
+        return self._clock.now_ms() < self._lease_until_ms
+
+    # The session
+
+    async def run(self) -> None:
+        """Send heartbeats for ever."""
+        while True:
+            await self.beat()
+            await self._clock.sleep_ms(HEARTBEAT_MS)
+
+    async def beat(self) -> None:
+        """Send one heartbeat and take over the answer."""
+        sent_ms = self._clock.now_ms()
+        heartbeat = self._heartbeat()
+        try:
+            reply = await self._client.ask(heartbeat, HEARTBEAT_DEADLINE_MS)
+        except NoController as exc:
+            log.warning("session: no controller answers: %s", exc)
+            # The next leader may be a new one that has no list of engines from us.
+            self._sent_engines = None
+            return
+        if not isinstance(reply, HeartbeatReply):
+            log.error("session: refused: %s", reply)
+            return
+        self._take_reply(reply, sent_ms)
+
+    def _heartbeat(self) -> Heartbeat:
+        engines = tuple(
+            sorted(
+                (
+                    EngineSeen(u.name, u.announcement.incarnation, u.announcement.service)
+                    for u in self._registry.serving()
+                ),
+                key=lambda seen: seen.name,
+            )
+        )
+        changed = engines != self._sent_engines
+        self._sent_engines = engines
+        digest = self._merged.digest if self.revision >= 0 else ""
+        return Heartbeat(
+            self.session,
+            self._address,
+            self._site,
+            self.revision,
+            digest,
+            engines if changed else None,
+            tuple(self.acting()),
+            self.leaving,
+            self._ownership_version,
+        )
+
+    def _take_reply(self, reply: HeartbeatReply, sent_ms: int) -> None:
+        if reply.revision < self.revision:
+            # A replica that lags behind, or a cluster that lost data. An accepted revision never
+            # reverts: we keep ours and stop serving when its confirmation runs out.
+            log.error("config: ignored revision %d, %d is applied", reply.revision, self.revision)
+            return
+        if reply.full is not None:
+            self._apply_full(reply.full)
+        for delta in reply.deltas:
+            self._apply_delta(delta)
+        if reply.owners is not None:
+            # A leader that is new to us has no list of our engines yet.
+            if reply.ownership_version.split(".")[0] != self._ownership_version.split(".")[0]:
+                self._sent_engines = None
+            self.owners = {one.engine: one for one in reply.owners}
+            self.gateways = {one.session: one for one in reply.gateways or ()}
+            self._ownership_version = reply.ownership_version
+        self._give_up = frozenset(reply.give_up)
+        # The lease counts from when we sent: the controller heard us later than that.
+        self._lease_until_ms = sent_ms + reply.lease_ms
+        if self.revision == reply.revision:
+            if self._merged.digest == reply.digest:
+                self._confirmed_ms = sent_ms
+            else:
+                log.error("config: digest differs at revision %d", self.revision)
+        self.on_change()
+
+    def _apply_full(self, full: ConfigFull) -> None:
+        self._layers = LayeredConfig(json.loads(full.layers))
+        self._merged = SiteConfig(self._site, self._layers)
+        self.config = TypedConfig()
+        self.config.update(self._merged.entries, self._layers.names(self._site))
+        self.revision = full.revision
+        log.info("config: revision %d applied as a whole", self.revision)
+
+    def _apply_delta(self, delta: ConfigDelta) -> None:
+        # Deltas may come twice or with a gap; only the next one fits.
+        if delta.revision != self.revision + 1:
+            return
+        touched = self._layers.apply(json.loads(delta.patches))
+        self._merged.update(self._layers, touched)
+        self.config.update(self._merged.entries, touched)
+        self.revision = delta.revision
+        log.info("config: revision %d applied", self.revision)
--- /dev/null
+++ b/chestnutfall/operators/__init__.py
@@ -0,0 +1,8 @@
+"""The operators' command line."""
+
+from __future__ import annotations
+
+from .exit_code import ExitCode
+from .operator_session import OperatorSession
+
+__all__ = ["ExitCode", "OperatorSession"]
--- /dev/null
+++ b/chestnutfall/operators/config_commands.py
@@ -0,0 +1,179 @@
+"""`chestnutfallctl config ...`"""
+
+from __future__ import annotations
+
+import argparse
+import json
+from pathlib import Path
+from typing import Any
+
+from ..config import BASE_LAYER, merge_diff, site_layer
+from ..control.audit_record import FIRST_HASH, AuditRecord
+from ..findings import read_json
+from .exit_code import ExitCode
+from .operator_session import CommandFailed, OperatorSession
+from .output import show
+
+
+def read_files(base: Path, overlays: Path | None) -> dict[str, Any]:
+    """Read the base file and `SITE.json` for each overlay; all findings at once."""
+    files = {BASE_LAYER: base}
+    for path in sorted(overlays.glob("*.json")) if overlays else ():
+        files[site_layer(path.stem)] = path
+    layers: dict[str, Any] = {}
+    findings: list[str] = []
+    for layer, path in files.items():
+        parsed = read_json(path)
+        if parsed.is_error():
+            findings.extend(map(str, parsed.error))
+        elif not isinstance(parsed.ok, dict):
+            findings.append(f"{path}#: must be an object of sections")
+        else:
+            layers[layer] = parsed.ok
+    if findings:
+        raise CommandFailed(ExitCode.REFUSED, "\n".join(findings))
+    return layers
+
+
+def patches_between(before: dict[str, Any], after: dict[str, Any]) -> dict[str, Any]:
+    """The change that makes layers `before` into `after`."""
+    patches: dict[str, Any] = {}
+    for layer in sorted({*before, *after}):
+        old, new = before.get(layer, {}), after.get(layer, {})
+        patch = _base_patch(old, new) if layer == BASE_LAYER else _overlay_patch(old, new)
+        if patch:
+            patches[layer] = patch
+    return patches
+
+
+def _base_patch(old: dict[str, Any], new: dict[str, Any]) -> dict[str, Any]:
+    patch = {s: merge_diff(old.get(s, {}), new.get(s, {})) for s in sorted({*old, *new})}
+    return {section: entries for section, entries in patch.items() if entries}
+
+
+def _overlay_patch(old: dict[str, Any], new: dict[str, Any]) -> dict[str, Any]:
+    patch: dict[str, Any] = {}
+    for section in sorted({*old, *new}):
+        before, after = old.get(section, {}), new.get(section, {})
+        changed = {
+            n: after.get(n, {}) for n in {*before, *after} if before.get(n, {}) != after.get(n, {})
+        }
+        if changed:
+            patch[section] = changed
+    return patch
+
+
+async def check(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Validate files against what is in force, without changing it."""
+    revision, before = await session.layers()
+    patches = patches_between(before, read_files(args.base, args.overlays))
+    await session.change(patches, revision, "", None, dry_run=True)
+    print(f"valid; {len(patches)} layers would change from revision {revision}")
+    return ExitCode.OK
+
+
+async def diff(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Show the change that the files would make."""
+    revision, before = await session.layers()
+    patches = patches_between(before, read_files(args.base, args.overlays))
+    print(json.dumps({"from_revision": revision, "patches": patches}, indent=2))
+    return ExitCode.OK
+
+
+async def apply(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Make the files the configuration."""
+    revision, before = await session.layers()
+    patches = patches_between(before, read_files(args.base, args.overlays))
+    if not patches:
+        print(f"nothing to change; revision {revision} is the same")
+        return ExitCode.OK
+    return await make_change(session, args, patches, revision)
+
+
+async def make_change(
+    session: OperatorSession, args: argparse.Namespace, patches: dict[str, Any], revision: int
+) -> int:
+    """Check, make and if asked wait for a change."""
+    if args.from_revision is not None:
+        revision = args.from_revision
+    if args.dry_run:
+        await session.change(patches, revision, args.note, None, dry_run=True)
+        print(json.dumps({"from_revision": revision, "patches": patches}, indent=2))
+        return ExitCode.OK
+    made = await session.change(patches, revision, args.note, args.change_id, dry_run=False)
+    print(f"revision {made} accepted")
+    if not args.wait:
+        return ExitCode.OK
+    missing = await session.wait_in_force(made, args.wait_ms)
+    for line in missing:
+        print(f"not in force: {line}")
+    if not missing:
+        print(f"revision {made} in force at every live gateway")
+    return ExitCode.NOT_IN_FORCE if missing else ExitCode.OK
+
+
+async def show_config(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Print the layers, or what is in force at one site."""
+    if args.site:
+        view = await session.site(args.site)
+        document = json.loads(view.document)
+        print(
+            json.dumps(
+                {"revision": view.revision, "digest": view.digest, "in_force": document}, indent=2
+            )
+        )
+    else:
+        revision, layers = await session.layers()
+        print(json.dumps({"revision": revision, "layers": layers}, indent=2))
+    return ExitCode.OK
+
+
+async def history(session: OperatorSession, args: argparse.Namespace) -> int:
+    """List accepted changes."""
+    records = (await session.audit(args.after)).records
+    rows = (
+        (
+            r.revision,
+            r.change.at_ms,
+            r.change.operator,
+            r.change.from_revision,
+            r.change.note,
+            r.change.patches if args.patches else "",
+            r.chain_hash[:16],
+        )
+        for r in records
+    )
+    columns = ("revision", "at ms", "operator", "from", "note", "patches", "hash")
+    show(args.json, records, columns, rows)
+    return ExitCode.OK
+
+
+async def verify(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Prove that the audit's chain is whole and in force on every live gateway."""
+    status = await session.status()
+    problems = list(_chain_problems((await session.audit(0)).records))
+    for gateway in status.gateways:
+        if gateway.revision != status.revision or gateway.digest != gateway.expected_digest:
+            problems.append(
+                f"{gateway.session}: revision {gateway.revision}, digest {gateway.digest[:16]}, "
+                f"expected {status.revision}, {gateway.expected_digest[:16]}"
+            )
+        if gateway.heard_ms_ago > args.silent_ms:
+            problems.append(f"{gateway.session}: did not answer for {gateway.heard_ms_ago} ms")
+    rows = ((g.session, g.site, g.revision, g.digest[:16], g.heard_ms_ago) for g in status.gateways)
+    columns = ("gateway", "data centre", "revision", "digest", "heard ms ago")
+    show(args.json, status.gateways, columns, rows)
+    for problem in problems:
+        print(f"problem: {problem}")
+    return ExitCode.NOT_IN_FORCE if problems else ExitCode.OK
+
+
+def _chain_problems(records: tuple[AuditRecord, ...]) -> list[str]:
+    problems = []
+    previous = FIRST_HASH
+    for number, record in enumerate(records, start=1):
+        genuine = record.is_genuine() and record.previous_hash == previous
+        if not genuine or record.revision != number:
+            problems.append(f"audit record {number} does not fit the chain")
+        previous = record.chain_hash
+    return problems
--- /dev/null
+++ b/chestnutfall/operators/entry_commands.py
@@ -0,0 +1,108 @@
+"""`chestnutfallctl adapter|caller|upstream ...`: small changes of single entries."""
+
+from __future__ import annotations
+
+import argparse
+from typing import Any
+
+from ..config import BASE_LAYER
+from ..config.caller import ALL
+from .config_commands import make_change
+from .exit_code import ExitCode
+from .operator_session import CommandFailed, OperatorSession
+from .output import show
+
+
+async def _patch_base(
+    session: OperatorSession, args: argparse.Namespace, section: str, name: str, entry: Any
+) -> int:
+    revision, _ = await session.layers()
+    return await make_change(session, args, {BASE_LAYER: {section: {name: entry}}}, revision)
+
+
+async def _base_entry(session: OperatorSession, section: str, name: str) -> dict[str, Any]:
+    _, layers = await session.layers()
+    entry = layers[BASE_LAYER].get(section, {}).get(name)
+    if entry is None:
+        known = ", ".join(sorted(layers[BASE_LAYER].get(section, {}))[:20])
+        raise CommandFailed(ExitCode.REFUSED, f"no {name!r} in {section}; there are: {known}")
+    found: dict[str, Any] = entry
+    return found
+
+
+async def adapter_create(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Create an adapter with its first version."""
+    _, layers = await session.layers()
+    if args.name in layers[BASE_LAYER].get("adapters", {}):
+        raise CommandFailed(ExitCode.REFUSED, f"{args.name} exists; use add-version")
+    entry = {
+        "service": args.service,
+        "versions": {args.version: args.digest},
+        "non_idempotent": args.non_idempotent,
+    }
+    return await _patch_base(session, args, "adapters", args.name, entry)
+
+
+async def adapter_add_version(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Add a version to an adapter."""
+    await _base_entry(session, "adapters", args.name)
+    entry: dict[str, Any] = {"versions": {args.version: args.digest}}
+    if args.default:
+        entry["default_version"] = args.version
+    return await _patch_base(session, args, "adapters", args.name, entry)
+
+
+async def adapter_retire(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Retire one version, or the whole adapter."""
+    await _base_entry(session, "adapters", args.name)
+    entry = {"versions": {args.version: None}} if args.version else None
+    return await _patch_base(session, args, "adapters", args.name, entry)
+
+
+async def adapter_list(session: OperatorSession, args: argparse.Namespace) -> int:
+    """List adapters of the base."""
+    _, layers = await session.layers()
+    adapters = layers[BASE_LAYER].get("adapters", {})
+    rows = ((n, a["service"], ", ".join(a["versions"])) for n, a in sorted(adapters.items()))
+    show(args.json, adapters, ("adapter", "service", "versions"), rows)
+    return ExitCode.OK
+
+
+async def caller_grant(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Let a caller reach adapters."""
+    caller = await _base_entry(session, "callers", args.name)
+    adapters = sorted({*caller.get("adapters", []), *args.adapters})
+    return await _patch_base(session, args, "callers", args.name, {"adapters": adapters})
+
+
+async def caller_revoke(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Take adapters away from a caller."""
+    caller = await _base_entry(session, "callers", args.name)
+    granted = caller.get("adapters", [])
+    if ALL in granted and ALL not in args.adapters:
+        message = f"{args.name} may reach every adapter; revoke '*' and grant the others"
+        raise CommandFailed(ExitCode.REFUSED, message)
+    adapters = [name for name in granted if name not in args.adapters]
+    return await _patch_base(session, args, "callers", args.name, {"adapters": adapters})
+
+
+async def upstream_list(session: OperatorSession, args: argparse.Namespace) -> int:
+    """List upstreams that announce themselves, with their owners."""
+    status = await session.status()
+    owners = {one.engine: one for one in status.owners}
+    rows = (
+        (
+            (e.name, e.service, e.incarnation[:12], owners[e.name].owner, owners[e.name].epoch)
+            if e.name in owners
+            else (e.name, e.service, e.incarnation[:12], "", "")
+        )
+        for e in status.engines
+    )
+    columns = ("upstream", "service", "incarnation", "owner", "epoch")
+    show(args.json, status.engines, columns, rows)
+    return ExitCode.OK
+
+
+async def upstream_drain(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Send an upstream no new work, or (`--undo`) send it work again."""
+    return await _patch_base(session, args, "upstreams", args.name, {"drain": not args.undo})
--- /dev/null
+++ b/chestnutfall/operators/host_commands.py
@@ -0,0 +1,70 @@
+"""`chestnutfallctl status|host ...`"""
+
+from __future__ import annotations
+
+import argparse
+
+from ..clock import SystemClock
+from ..consensus import Member
+from ..consensus.messages import TakeOver, WrongReplica
+from ..control.rpc_transport import RpcTransport
+from ..wire import TlsFiles
+from .exit_code import ExitCode
+from .operator_session import OperatorSession
+from .output import show
+
+IDENTIFY_MS = 2000
+
+
+async def status(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Show the office at a glance."""
+    view = await session.status()
+    rows = [
+        ("leader", view.leader),
+        ("term", view.term),
+        ("committed entries", view.commit_index),
+        ("configuration revision", view.revision),
+        ("audit hash", view.chain_hash),
+        ("claims remembered", view.claims),
+        ("loads permitted now", view.permits),
+        ("controllers", len(view.members)),
+        ("gateways", len(view.gateways)),
+        ("upstreams", len(view.engines)),
+        ("time", SystemClock().now_ms()),
+    ]
+    show(args.json, view, ("what", "value"), rows)
+    return ExitCode.OK
+
+
+async def host_list(session: OperatorSession, args: argparse.Namespace) -> int:
+    """List controllers and gateways."""
+    view = await session.status()
+    rows = [
+        (m.replica_id, "voter" if m.voter else "learner", m.address, m.match_index, m.heard_ms_ago)
+        for m in view.members
+    ]
+    rows += [
+        (g.session, f"gateway, {g.site}", g.address, g.revision, g.heard_ms_ago)
+        for g in view.gateways
+    ]
+    columns = ("host", "role", "address", "log index or revision", "heard ms ago")
+    show(args.json, {"controllers": view.members, "gateways": view.gateways}, columns, rows)
+    return ExitCode.OK
+
+
+async def host_identify(address: str, tls: TlsFiles | None) -> int:
+    """Print the identity of the controller at an address."""
+    transport = RpcTransport(tls)
+    msg = TakeOver("", "", 0)
+    reply = await transport.call(Member("", address), msg, IDENTIFY_MS)
+    await transport.close()
+    if isinstance(reply, WrongReplica):
+        print(reply.replica_id)
+    return ExitCode.OK
+
+
+async def host_change(session: OperatorSession, args: argparse.Namespace) -> int:
+    """Add a controller as learner, promote it, or remove one."""
+    await session.member(args.action, args.replica_id, getattr(args, "address", "") or "")
+    print(f"{args.action} of {args.replica_id} is in the log")
+    return ExitCode.OK
--- /dev/null
+++ b/chestnutfall/operators/output.py
@@ -0,0 +1,24 @@
+"""Tables for people, JSON for scripts."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+
+def show(as_json: bool, value: Any, columns: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
+    """Print `value` as JSON, or `rows` as a table."""
+    if as_json:
+        print(json.dumps(msgspec.to_builtins(value), indent=2, sort_keys=True))
+        return
+    table = Table(*columns)
+    for row in rows:
+        table.add_row(*(str(cell) for cell in row))
+    width = None if sys.stdout.isatty() else 160
+    Console(width=width).print(table)
--- /dev/null
+++ b/chestnutfall/ownership/__init__.py
@@ -0,0 +1,27 @@
+"""What the owning gateway of an engine decides: tickets, pins, loads and evictions."""
+
+from __future__ import annotations
+
+from .engine_owner import EngineOwner
+from .messages import (
+    TICKET_CODEC,
+    EngineView,
+    Hello,
+    TicketEnd,
+    TicketGrant,
+    TicketRefusal,
+    TicketRequest,
+)
+from .owner_desk import OwnerDesk
+
+__all__ = [
+    "TICKET_CODEC",
+    "EngineOwner",
+    "EngineView",
+    "Hello",
+    "OwnerDesk",
+    "TicketEnd",
+    "TicketGrant",
+    "TicketRefusal",
+    "TicketRequest",
+]
--- /dev/null
+++ b/chestnutfall/ownership/engine_owner.py
@@ -0,0 +1,368 @@
+"""The one gateway that decides for an engine."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterator
+
+from ..clock import Clock
+from ..config import TypedConfig
+from ..engine_edge import EngineApi, EngineState, Order, OrderKind
+from ..membership import UpstreamRegistry
+from ..observability import Metrics
+from .load_failures import LoadFailures
+from .load_permits import LoadPermits
+from .messages import (
+    LAST_DISPATCH_MS,
+    EngineView,
+    TicketEnd,
+    TicketGrant,
+    TicketRefusal,
+    TicketRequest,
+)
+from .slot import Slot
+from .waiting import Waiting
+
+log = logging.getLogger(__name__)
+REFRESH_MS = 250
+LOADING_POLL_MS = 25
+LOAD_TIMEOUT_MS = 15_000
+STATE_TIMEOUT_MS = 500
+ORDER_TIMEOUT_MS = 500
+RETRY_MS = 1000
+
+
+class EngineOwner:
+    """Slots, queue and loads of one engine, while this gateway owns it."""
+
+    def __init__(
+        self,
+        engine: str,
+        may_act: Callable[[], int | None],
+        registry: UpstreamRegistry,
+        api: EngineApi,
+        permits: LoadPermits,
+        config: Callable[[], TypedConfig],
+        clock: Clock,
+        metrics: Metrics,
+        is_gone: Callable[[str], bool],
+    ) -> None:
+        self.engine = engine
+        self._may_act = may_act
+        self._registry = registry
+        self._api = api
+        self._permits = permits
+        self._config = config
+        self._clock = clock
+        self._metrics = metrics
+        self._is_gone = is_gone
+        self._slots: dict[str, Slot] = {}
+        self._slot_count = 0
+        self._incarnation = ""
+        self._queue: list[Waiting] = []
+        self._failures = LoadFailures()
+        self._loads: dict[str, asyncio.Task[None]] = {}
+        self._permit_ends: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Take over the engine, then keep what is known of it fresh."""
+        try:
+            while True:
+                await self._refresh()
+                self._pump()
+                await self._clock.sleep_ms(REFRESH_MS)
+        finally:
+            for waiting in self._queue:
+                waiting.refuse("owner_changed", 0)
+            self._queue.clear()
+
+    async def close(self) -> None:
+        """Wait for orders in progress, so that none is sent after the hand-over."""
+        loads = list(self._loads.values())
+        for task in loads:
+            task.cancel()
+        await asyncio.gather(*loads, return_exceptions=True)
+
+    # Tickets
+
+    async def acquire(self, req: TicketRequest, session: str) -> TicketGrant | TicketRefusal:
+        """Wait for a ticket, at most as long as the entry waits."""
+        limits = self._config().limits
+        if len(self._queue) >= limits.queue_per_engine and not self._shed_for(req):
+            return TicketRefusal(req.attempt_id, "queue_full", RETRY_MS)
+        fut: asyncio.Future[TicketGrant | TicketRefusal] = (
+            asyncio.get_running_loop().create_future()
+        )
+        waiting = Waiting(req, session, self._clock.now_ms(), fut)
+        self._queue.append(waiting)
+        self._pump()
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            # The entry is gone; a ticket granted in this very moment would pin for ever.
+            self.end(TicketEnd(req.attempt_id))
+            raise
+        finally:
+            if waiting in self._queue:
+                self._queue.remove(waiting)
+
+    def end(self, msg: TicketEnd) -> None:
+        """Unpin what the ticket pinned, or drop its request from the queue."""
+        for waiting in self._queue:
+            if waiting.req.attempt_id == msg.attempt_id:
+                waiting.refuse("withdrawn", 0)
+        for slot in self._slots.values():
+            slot.pins.pop(msg.attempt_id, None)
+        self._pump()
+
+    def view(self) -> EngineView:
+        """What entry gateways need to choose an engine."""
+        ready = tuple(s.adapter for s in self._slots.values() if s.takes_work)
+        return EngineView(self.engine, ready, self._running(), len(self._queue))
+
+    def _running(self) -> int:
+        return sum(len(slot.pins) for slot in self._slots.values())
+
+    def _shed_for(self, req: TicketRequest) -> bool:
+        """Refuse the last of the least urgent requests, if it is less urgent than `req`."""
+        last = max(self._queue, key=lambda one: (one.req.rank, one.since_ms))
+        if last.req.rank <= req.rank:
+            return False
+        last.refuse("queue_full", RETRY_MS)
+        self._queue.remove(last)
+        return True
+
+    # Decisions
+
+    def _pump(self) -> None:
+        """Grant, refuse or start a load for whatever waits."""
+        now_ms = self._clock.now_ms()
+        self._queue = [waiting for waiting in self._queue if not waiting.fut.done()]
+        if self._may_act() is None:
+            self._refuse_all("owner_changed", 0)
+            return
+        if not self._registry.takes_work(self.engine):
+            self._refuse_all("engine_leaving", 0)
+            return
+        for waiting in self._by_urgency(now_ms):
+            self._decide(waiting, now_ms)
+
+    def _refuse_all(self, code: str, retry_after_ms: int) -> None:
+        for waiting in self._queue:
+            waiting.refuse(code, retry_after_ms)
+
+    def _by_urgency(self, now_ms: int) -> Iterator[Waiting]:
+        aging_ms = self._config().policy.aging_ms
+        yield from sorted(self._queue, key=lambda waiting: waiting.rank(now_ms, aging_ms))
+
+    def _decide(self, waiting: Waiting, now_ms: int) -> None:
+        adapter = waiting.req.adapter
+        if waiting.is_late(now_ms):
+            waiting.refuse("no_capacity_in_time", RETRY_MS)
+            return
+        backoff_ms = self._failures.wait_ms(adapter, now_ms)
+        slot = self._slots.get(adapter)
+        if slot is None and backoff_ms > 0:
+            waiting.refuse("adapter_load_failed", backoff_ms)
+        elif slot is None:
+            waiting.needed_load = True
+            self._make_room_and_load(waiting, now_ms)
+        elif slot.takes_work:
+            self._grant(waiting, slot, now_ms)
+        else:
+            waiting.needed_load = True
+
+    def _grant(self, waiting: Waiting, slot: Slot, now_ms: int) -> None:
+        if self._running() >= self._config().limits.running_per_engine:
+            return
+        slot.pins[waiting.req.attempt_id] = waiting.session
+        slot.used_ms = now_ms
+        stalled_ms = now_ms - waiting.since_ms if waiting.needed_load else 0
+        if waiting.needed_load:
+            self._metrics.timing("load_stall_ms", stalled_ms)
+        waiting.fut.set_result(TicketGrant(waiting.req.attempt_id, stalled_ms))
+
+    def _make_room_and_load(self, waiting: Waiting, now_ms: int) -> None:
+        if not self._slot_count:
+            return
+        victim: Slot | None = None
+        taken = sum(not slot.leaving for slot in self._slots.values())
+        if taken >= self._slot_count:
+            victim = self._victim(now_ms)
+            if victim is None:
+                self._close_one(waiting, now_ms)
+                return
+            victim.leaving = True
+        adapter = waiting.req.adapter
+        self._slots[adapter] = Slot(adapter, False, now_ms)
+        task = asyncio.ensure_future(self._load(adapter, victim))
+        self._loads[adapter] = task
+        task.add_done_callback(lambda _: self._loads.pop(adapter, None))
+
+    def _victim(self, now_ms: int) -> Slot | None:
+        """The least recently used slot that nothing pins, one closed for this first."""
+        free = (slot for slot in self._slots.values() if slot.is_evictable(now_ms))
+        return min(free, key=lambda slot: (not slot.closing, slot.used_ms), default=None)
+
+    def _close_one(self, waiting: Waiting, now_ms: int) -> None:
+        # Under steady load a hot adapter always has a ticket out, and a request for a cold one
+        # would wait for ever. After a while one slot takes no new work until it can be evicted.
+        if now_ms - waiting.since_ms < self._config().policy.drain_after_ms:
+            return
+        if any(slot.closing for slot in self._slots.values()):
+            return
+        ready = [slot for slot in self._slots.values() if slot.ready]
+        if ready:
+            min(ready, key=lambda slot: (len(slot.pins), slot.used_ms)).closing = True
+
+    # Loads
+
+    async def _load(self, adapter: str, victim: Slot | None) -> None:
+        permit_id: str | None = None
+        loaded = False
+        try:
+            permit_id = await self._wait_for_permit(adapter)
+            if permit_id is not None and (victim is None or await self._evict(victim)):
+                loaded = await self._load_and_wait(adapter)
+        finally:
+            if not loaded:
+                self._slots.pop(adapter, None)
+            if victim is not None:
+                victim.leaving = victim.closing = False
+            if permit_id is not None:
+                self._end_permit(permit_id)
+        self._pump()
+
+    def _end_permit(self, permit_id: str) -> None:
+        task = asyncio.ensure_future(self._permits.end(permit_id))
+        self._permit_ends.add(task)
+        task.add_done_callback(self._permit_ends.discard)
+
+    async def _wait_for_permit(self, adapter: str) -> str | None:
+        while any(waiting.req.adapter == adapter for waiting in self._queue):
+            permit_id = await self._permits.take()
+            if permit_id is not None:
+                return permit_id
+        return None
+
+    async def _evict(self, victim: Slot) -> bool:
+        """Unload `victim`, unless the engine itself says that it is in use."""
+        address = self._address()
+        if address is None or victim.pins:
+            return False
+        try:
+            # A gateway that vanished may still have a request running that no ticket shows any
+            # more. Symptom of evicting then: an answer breaks off. The engine's own fresh report
+            # decides; together with the wait after a take-over nothing can be on its way to it.
+            state = await self._api.state(address, STATE_TIMEOUT_MS)
+            if victim.adapter in state.running.values() or victim.pins:
+                victim.inherited_until_ms = self._clock.now_ms() + REFRESH_MS
+                return False
+            if not await self._order(OrderKind.UNLOAD, victim.adapter):
+                return False
+        except ConnectionError as exc:
+            log.warning("owner: eviction on %s not confirmed: %s", self.engine, exc)
+            return False
+        self._slots.pop(victim.adapter, None)
+        self._metrics.count("evictions")
+        return True
+
+    async def _load_and_wait(self, adapter: str) -> bool:
+        started_ms = self._clock.now_ms()
+        try:
+            if not await self._order(OrderKind.LOAD, adapter):
+                return False
+            outcome = await self._wait_until_loaded(adapter)
+        except ConnectionError as exc:
+            log.warning("owner: load on %s not confirmed: %s", self.engine, exc)
+            return False
+        now_ms = self._clock.now_ms()
+        if outcome != "ready":
+            self._failures.failed(adapter, now_ms, self._config().policy.load_backoff_ms)
+            self._metrics.count("load_failures")
+            log.warning("owner: load of %s on %s failed: %s", adapter, self.engine, outcome)
+            return False
+        self._failures.loaded(adapter)
+        self._metrics.timing("load_ms", now_ms - started_ms)
+        slot = self._slots.get(adapter)
+        if slot is None:
+            return False
+        slot.ready = True
+        return True
+
+    async def _wait_until_loaded(self, adapter: str) -> str:
+        end_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
+        while self._clock.now_ms() < end_ms:
+            address = self._address()
+            if address is None:
+                return "engine gone"
+            state = await self._api.state(address, STATE_TIMEOUT_MS)
+            outcome = state.adapters.get(adapter, "missing")
+            if outcome != "loading":
+                return outcome
+            await self._clock.sleep_ms(LOADING_POLL_MS)
+        return "timeout"
+
+    async def _order(self, kind: OrderKind, adapter: str) -> bool:
+        # A paused owner can resume after its successor took over and still send this order.
+        # Symptom: an adapter vanishes from an engine that is using it. Engines that check compare
+        # the epoch with the newest they have seen; for the others the lease is read directly
+        # before sending, and a successor waits for lease plus order deadline.
+        epoch = self._may_act()
+        address = self._address()
+        if epoch is None or address is None:
+            return False
+        outcome = await self._api.order(address, Order(kind, epoch, adapter), ORDER_TIMEOUT_MS)
+        if outcome != "accepted":
+            log.warning("owner: %s refused %s of %s: %s", self.engine, kind, adapter, outcome)
+        return outcome == "accepted"
+
+    def _address(self) -> str | None:
+        upstream = self._registry.get(self.engine)
+        return None if upstream is None else upstream.address
+
+    # What the engine says
+
+    async def _refresh(self) -> None:
+        address = self._address()
+        if address is None:
+            return
+        asked_ms = self._clock.now_ms()
+        try:
+            state = await self._api.state(address, STATE_TIMEOUT_MS)
+        except ConnectionError:
+            return
+        if state.incarnation != self._incarnation:
+            self._take_over(state, asked_ms)
+        self._slot_count = state.slots
+        self._match_slots(state)
+        self._end_orphans(state, asked_ms)
+
+    def _take_over(self, state: EngineState, now_ms: int) -> None:
+        """Start from what an engine holds: after a change of owner, or its restart."""
+        first = not self._incarnation
+        self._incarnation = state.incarnation
+        inherited_until_ms = now_ms + LAST_DISPATCH_MS if first else 0
+        self._slots = {
+            adapter: Slot(adapter, True, now_ms, inherited_until_ms)
+            for adapter, status in state.adapters.items()
+            if status == "ready"
+        }
+        log.info("owner: took over %s with %s", self.engine, sorted(self._slots))
+
+    def _match_slots(self, state: EngineState) -> None:
+        for adapter, slot in list(self._slots.items()):
+            if slot.ready and state.adapters.get(adapter) != "ready" and not slot.leaving:
+                del self._slots[adapter]
+        for adapter, status in state.adapters.items():
+            if adapter not in self._slots and status == "ready":
+                self._slots[adapter] = Slot(adapter, True, self._clock.now_ms())
+
+    def _end_orphans(self, state: EngineState, asked_ms: int) -> None:
+        """Unpin tickets of gateways that are gone, once the engine shows that none runs."""
+        for slot in self._slots.values():
+            for attempt_id, session in list(slot.pins.items()):
+                if self._is_gone(session) and attempt_id not in state.running:
+                    if asked_ms >= slot.used_ms + LAST_DISPATCH_MS:
+                        del slot.pins[attempt_id]
--- /dev/null
+++ b/chestnutfall/ownership/owner_desk.py
@@ -0,0 +1,106 @@
+"""All engines that this gateway owns."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterator
+
+from ..clock import Clock
+from ..engine_edge import EngineApi
+from ..membership import SiteAgent, UpstreamRegistry
+from ..observability import Metrics
+from .engine_owner import EngineOwner
+from .load_permits import LoadPermits
+from .messages import EngineView, TicketEnd, TicketGrant, TicketRefusal, TicketRequest
+
+log = logging.getLogger(__name__)
+
+
+class OwnerDesk:
+    """Starts and ends an `EngineOwner` for each engine as ownership changes."""
+
+    def __init__(
+        self,
+        agent: SiteAgent,
+        registry: UpstreamRegistry,
+        api: EngineApi,
+        permits: LoadPermits,
+        clock: Clock,
+        metrics: Metrics,
+        is_gone: Callable[[str], bool],
+    ) -> None:
+        self._agent = agent
+        self._registry = registry
+        self._api = api
+        self._permits = permits
+        self._clock = clock
+        self._metrics = metrics
+        self._is_gone = is_gone
+        self._owners: dict[str, tuple[int, EngineOwner, asyncio.Task[None]]] = {}
+        self._closing: dict[str, asyncio.Task[None]] = {}
+
+    def acting(self) -> Iterator[str]:
+        """Engines we act for, those being handed over included."""
+        yield from sorted({*self._owners, *self._closing})
+
+    def match_ownership(self) -> None:
+        """Begin and end owners so that they match what the controllers say."""
+        for engine, (epoch, owner, task) in list(self._owners.items()):
+            if self._agent.may_act_for(engine) != epoch:
+                task.cancel()
+                del self._owners[engine]
+                self._close(engine, owner)
+        for engine in self._agent.owners:
+            may_act = self._agent.may_act_for(engine)
+            if may_act is not None and engine not in self._owners and engine not in self._closing:
+                self._begin(engine, may_act)
+
+    def _begin(self, engine: str, epoch: int) -> None:
+        def still_ours() -> int | None:
+            return epoch if self._agent.may_act_for(engine) == epoch else None
+
+        owner = EngineOwner(
+            engine,
+            still_ours,
+            self._registry,
+            self._api,
+            self._permits,
+            lambda: self._agent.config,
+            self._clock,
+            self._metrics,
+            self._is_gone,
+        )
+        self._owners[engine] = (epoch, owner, asyncio.ensure_future(owner.run()))
+        log.info("owner: acting for %s in epoch %d", engine, epoch)
+
+    def _close(self, engine: str, owner: EngineOwner) -> None:
+        task = asyncio.ensure_future(owner.close())
+        self._closing[engine] = task
+        task.add_done_callback(lambda _: self._closing.pop(engine, None))
+        log.info("owner: no longer acting for %s", engine)
+
+    async def acquire(self, req: TicketRequest, session: str) -> TicketGrant | TicketRefusal:
+        """Ask the owner of `req.engine` for a ticket."""
+        found = self._owners.get(req.engine)
+        if found is None:
+            return TicketRefusal(req.attempt_id, "not_owner", 0)
+        return await found[1].acquire(req, session)
+
+    def end(self, msg: TicketEnd) -> None:
+        """End a ticket, whichever engine it is for."""
+        for _, owner, _ in self._owners.values():
+            owner.end(msg)
+
+    def views(self) -> Iterator[EngineView]:
+        """Yield what entry gateways need to know."""
+        for _, owner, _ in self._owners.values():
+            yield owner.view()
+
+    async def close(self) -> None:
+        """Stop acting for every engine."""
+        for engine, (_, owner, task) in list(self._owners.items()):
+            task.cancel()
+            del self._owners[engine]
+            self._close(engine, owner)
+        await asyncio.gather(*self._closing.values(), return_exceptions=True)
--- /dev/null
+++ b/chestnutfall/ownership/waiting.py
@@ -0,0 +1,33 @@
+"""A request that waits for a ticket."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from .messages import TicketGrant, TicketRefusal, TicketRequest
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A request in an engine's queue."""
+
+    req: TicketRequest
+    session: str
+    since_ms: int
+    fut: asyncio.Future[TicketGrant | TicketRefusal]
+    needed_load: bool = False
+
+    def rank(self, now_ms: int, aging_ms: int) -> tuple[int, int]:
+        """Sort key: class lifted by one for each `aging_ms` waited, then arrival."""
+        lifted = self.req.rank - (now_ms - self.since_ms) // aging_ms
+        return max(lifted, 0), self.since_ms
+
+    def is_late(self, now_ms: int) -> bool:
+        """Whether it has waited as long as it may."""
+        return now_ms >= self.since_ms + self.req.wait_ms
+
+    def refuse(self, code: str, retry_after_ms: int) -> None:
+        """Answer that there is no ticket."""
+        if not self.fut.done():
+            self.fut.set_result(TicketRefusal(self.req.attempt_id, code, retry_after_ms))
--- /dev/null
+++ b/chestnutfall/peers/peer_links.py
@@ -0,0 +1,84 @@
+"""Links to all other gateways, and the short way to our own engines."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+from ..clock import Clock
+from ..membership import SiteAgent
+from ..ownership import (
+    EngineView,
+    OwnerDesk,
+    TicketEnd,
+    TicketGrant,
+    TicketRefusal,
+    TicketRequest,
+)
+from ..wire import TlsFiles
+from .peer_link import PeerLink
+
+
+class PeerLinks:
+    """Asks whichever gateway owns an engine."""
+
+    def __init__(
+        self, agent: SiteAgent, desk: OwnerDesk, clock: Clock, tls: TlsFiles | None
+    ) -> None:
+        self._agent = agent
+        self._desk = desk
+        self._clock = clock
+        self._tls = tls
+        self._links: dict[str, tuple[PeerLink, asyncio.Task[None]]] = {}
+
+    def match_gateways(self) -> None:
+        """Open and close links so that there is one to each other live gateway."""
+        wanted = {
+            session: gateway.address
+            for session, gateway in self._agent.gateways.items()
+            if session != self._agent.session
+        }
+        for session, (link, task) in list(self._links.items()):
+            if wanted.get(session) != link.address:
+                task.cancel()
+                del self._links[session]
+        for session, address in wanted.items():
+            if session not in self._links:
+                link = PeerLink(self._agent.session, address, self._clock, self._tls)
+                self._links[session] = (link, asyncio.ensure_future(link.run()))
+
+    async def acquire(self, req: TicketRequest) -> TicketGrant | TicketRefusal:
+        """Ask the owner of `req.engine` for a ticket."""
+        owner = self._agent.owners.get(req.engine)
+        if owner is None:
+            return TicketRefusal(req.attempt_id, "no_owner", 0)
+        if owner.owner == self._agent.session:
+            return await self._acquire_here(req)
+        found = self._links.get(owner.owner)
+        if found is None:
+            return TicketRefusal(req.attempt_id, "owner_unreachable", 0)
+        return await found[0].acquire(req)
+
+    async def _acquire_here(self, req: TicketRequest) -> TicketGrant | TicketRefusal:
+        return await self._desk.acquire(req, self._agent.session)
+
+    def end(self, engine: str, attempt_id: str) -> None:
+        """Give a ticket back to the engine's owner."""
+        msg = TicketEnd(attempt_id)
+        owner = self._agent.owners.get(engine)
+        if owner is None or owner.owner == self._agent.session:
+            self._desk.end(msg)
+        elif owner.owner in self._links:
+            self._links[owner.owner][0].end(msg)
+
+    def views(self) -> Iterator[EngineView]:
+        """Yield the newest view of every engine that has a reachable owner."""
+        yield from self._desk.views()
+        for link, _ in self._links.values():
+            yield from link.views.values()
+
+    async def close(self) -> None:
+        """Close every link."""
+        for _, task in self._links.values():
+            task.cancel()
+        await asyncio.gather(*(task for _, task in self._links.values()), return_exceptions=True)
--- /dev/null
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -0,0 +1,176 @@
+"""Routes calls to plain services by path."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from ..config import Caller, Service
+from ..control.claim import ClaimStatus
+from ..membership import SiteAgent, Upstream, UpstreamRegistry
+from ..observability import Metrics
+from ..requests import Executed, Refusal
+from ..routing.claim_desk import ClaimDesk
+
+CONNECT_S = 0.5
+MAX_ATTEMPTS = 3
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_HOP_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "host",
+        "idempotency-key",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class PlainProxy:
+    """Relays one call to one upstream of the service that its path names.
+
+    An answer is read whole before its first byte goes to the caller, so that a caller gets all
+    of it or a refusal.
+    """
+
+    def __init__(
+        self,
+        agent: SiteAgent,
+        registry: UpstreamRegistry,
+        claims: ClaimDesk,
+        metrics: Metrics,
+        data_centre: str,
+    ) -> None:
+        self._agent = agent
+        self._registry = registry
+        self._claims = claims
+        self._metrics = metrics
+        self._data_centre = data_centre
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            auto_decompress=False,
+            trust_env=False,
+        )
+        self._turn = 0
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._session.close()
+
+    async def answer(self, request: web.Request, caller_name: str, body: bytes) -> web.Response:
+        """Run the call.
+
+        Raises
+        ------
+        Refusal
+            When no whole answer could be had.
+        """
+        name, service = self._service(request.path, self._agent.config.callers[caller_name])
+        key = request.headers.get("Idempotency-Key", "")
+        once = request.method in service.non_idempotent_methods or bool(key)
+        if once and service.key_required and not key:
+            raise Refusal(400, "idempotency_key_required", "this call needs an Idempotency-Key")
+        if not key:
+            return await self._relay(request, name, service, body, once)
+        return await self._relay_claimed(request, name, service, body, caller_name, key)
+
+    def _service(self, path: str, caller: Caller) -> tuple[str, Service]:
+        for name, service in self._agent.config.services.items():
+            inside = path == service.path or path.startswith(service.path.rstrip("/") + "/")
+            if service.kind == "plain" and inside and caller.may_use_service(name):
+                return name, service
+        raise Refusal(404, "not_found", f"no service at {path} for this caller")
+
+    async def _relay_claimed(
+        self,
+        request: web.Request,
+        name: str,
+        service: Service,
+        body: bytes,
+        caller: str,
+        key: str,
+    ) -> web.Response:
+        attempt_id = uuid.uuid4().hex
+        what = f"{request.method} {request.path_qs}".encode() + b"\0" + body
+        retention_ms = self._agent.config.limits.claim_retention_ms
+        digest = hashlib.sha256(what).hexdigest()
+        await self._claims.take(caller, key, digest, attempt_id, retention_ms)
+        status: ClaimStatus | None = ClaimStatus.UNKNOWN
+        try:
+            resp = await self._relay(request, name, service, body, once=True)
+            status = ClaimStatus.DONE
+            return resp
+        except Refusal as refusal:
+            if refusal.executed is Executed.NO:
+                status = None
+            raise
+        finally:
+            self._claims.end(caller, key, attempt_id, status)
+
+    async def _relay(
+        self, request: web.Request, name: str, service: Service, body: bytes, once: bool
+    ) -> web.Response:
+        tried: set[str] = set()
+        executed = Executed.NO
+        message = "no upstream announces itself"
+        for _ in range(MAX_ATTEMPTS):
+            upstream = self._choose(name, tried)
+            if upstream is None:
+                break
+            tried.add(upstream.name)
+            try:
+                return await self._call(request, upstream, service, body)
+            except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+                message = f"no connection to {upstream.name}: {exc}"
+            except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+                message = f"{upstream.name} broke off: {exc!r}"
+                executed = Executed.UNKNOWN
+                if once:
+                    break
+            self._metrics.count("plain.retries")
+        status = 503 if executed is Executed.NO else 502
+        wait_ms = 1000 if executed is Executed.NO or not once else None
+        raise Refusal(status, "service_unavailable", message, executed, wait_ms)
+
+    def _choose(self, service: str, tried: set[str]) -> Upstream | None:
+        found = [up for up in self._registry.serving(service) if up.name not in tried]
+        near = [up for up in found if up.announcement.data_centre == self._data_centre]
+        choices = sorted(near or found, key=lambda up: up.name)
+        if not choices:
+            return None
+        self._turn += 1
+        return choices[self._turn % len(choices)]
+
+    async def _call(
+        self, request: web.Request, upstream: Upstream, service: Service, body: bytes
+    ) -> web.Response:
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_S, sock_read=service.silent_ms / 1000
+        )
+        call = self._session.request(
+            request.method,
+            f"http://{upstream.address}{request.path_qs}",
+            data=body,
+            headers=_passed_on(request.headers),
+            timeout=timeout,
+            allow_redirects=False,
+        )
+        async with call as resp:
+            answer = await resp.content.read(MAX_ANSWER_BYTES)
+            if not resp.content.at_eof():
+                raise aiohttp.ClientPayloadError("the answer is too large")
+            return web.Response(status=resp.status, body=answer, headers=_passed_on(resp.headers))
+
+
+def _passed_on(headers: Any) -> dict[str, str]:
+    return {name: value for name, value in headers.items() if name.lower() not in _HOP_HEADERS}
--- /dev/null
+++ b/chestnutfall/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the programs."""
--- /dev/null
+++ b/chestnutfall/programs/controller.py
@@ -0,0 +1,118 @@
+"""`chestnutfall-controller`: one replica of the office's state."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import uuid
+from pathlib import Path
+from typing import Any
+
+from ..clock import SystemClock
+from ..consensus import Member, Replica, Timing
+from ..consensus.disk_folder import DiskFolder, FolderInUse
+from ..consensus.file_storage import FileStorage
+from ..consensus.frame import CorruptFile
+from ..consensus.messages import CONSENSUS_CODEC
+from ..control import ControlState
+from ..control.control_client import METHOD as CONTROL_METHOD
+from ..control.control_service import ControlService
+from ..control.leader_duties import LeaderDuties
+from ..control.messages import CONTROL_CODEC
+from ..control.rpc_transport import METHOD as CONSENSUS_METHOD
+from ..control.rpc_transport import RpcTransport
+from ..observability import start_logs
+from ..settings import ControllerSettings
+from ..wire import RpcServer
+from .runner import load_settings, parser, run
+
+log = logging.getLogger(__name__)
+IDENTITY_NAME = "identity"
+EXIT_STORAGE = 3
+
+
+def main() -> None:
+    """Parse the command line and run one controller until SIGTERM."""
+    cli = parser(
+        "chestnutfall-controller",
+        "Keeps one replica of the configuration, ownership and claims of an office.",
+    )
+    cli.add_argument(
+        "--bootstrap",
+        action="store_true",
+        help="make the first replica of a new office from `first_members`; the data folder must "
+        "be empty. Never use it for a host that lost its disk: add that one as a new member.",
+    )
+    args = cli.parse_args()
+    settings = load_settings(ControllerSettings, args)
+    start_logs(settings.observability.log_level, "controller", settings.name)
+    run(lambda stop: _serve(settings, args.bootstrap, stop))
+
+
+async def _serve(settings: ControllerSettings, bootstrap: bool, stop: asyncio.Event) -> int:
+    try:
+        folder = DiskFolder(Path(settings.data_folder))
+        storage = FileStorage(folder)
+        replica_id = await _identity(settings, bootstrap, folder, storage)
+    except (FolderInUse, FileExistsError, CorruptFile, OSError) as exc:
+        log.error("storage: %s", exc)
+        return EXIT_STORAGE
+    clock = SystemClock()
+    state = ControlState()
+    tls = settings.tls.files() if settings.tls else None
+    transport = RpcTransport(tls)
+    replica = Replica(replica_id, storage, state, transport, clock, random.Random(), Timing())
+    try:
+        replica.start()
+    except CorruptFile as exc:
+        log.error("storage: %s", exc)
+        return EXIT_STORAGE
+    duties = LeaderDuties(replica, state, clock)
+    service = ControlService(replica, state, duties, clock, settings.admin_key_sha256)
+    server = RpcServer(settings.listen, tls)
+
+    async def on_consensus(msg: Any, context: Any) -> Any:
+        return await replica.handle(msg)
+
+    async def on_control(msg: Any, context: Any) -> Any:
+        return await service.handle(msg)
+
+    server.add_unary(CONSENSUS_METHOD, CONSENSUS_CODEC, on_consensus)
+    server.add_unary(CONTROL_METHOD, CONTROL_CODEC, on_control)
+    await server.start()
+    log.info("control: %s listens on %s", replica_id, settings.listen)
+    duties_task = asyncio.ensure_future(duties.run())
+    replica.journal.failed.add_done_callback(lambda _: stop.set())
+    await stop.wait()
+    failed = replica.journal.failed.done()
+    if failed:
+        log.error("storage: the disk failed, stopping: %s", replica.journal.failed.result())
+    else:
+        await replica.hand_over()
+    duties_task.cancel()
+    await server.stop()
+    await replica.stop()
+    await transport.close()
+    folder.close()
+    return EXIT_STORAGE if failed else 0
+
+
+async def _identity(
+    settings: ControllerSettings, bootstrap: bool, folder: DiskFolder, storage: FileStorage
+) -> str:
+    if bootstrap:
+        members = tuple(Member(one.name, one.address) for one in settings.first_members)
+        await storage.bootstrap(members)
+        await folder.replace(IDENTITY_NAME, settings.name.encode())
+    if IDENTITY_NAME not in folder.names():
+        # A host that lost its disk has also lost its votes. Symptom if it came back under its
+        # old identity: it votes a second time in one term and two leaders are elected.
+        fresh = f"{settings.name}-{uuid.uuid4().hex[:8]}"
+        await folder.replace(IDENTITY_NAME, fresh.encode())
+        log.warning("control: empty data folder, waiting to be added as %s", fresh)
+    return folder.read(IDENTITY_NAME).decode()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chestnutfall/programs/engine.py
@@ -0,0 +1,72 @@
+"""`chestnutfall-engine`: a small stand-in engine."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from ..settings import EngineSettings
+from ..settings.address import split_address
+from ..standin.announcer import Announcer
+from ..standin.engine_app import EngineApp
+from ..standin.engine_core import EngineCore
+from .runner import load_settings, parser, run
+
+
+def main() -> None:
+    """Parse the command line and run one stand-in engine until SIGTERM."""
+    cli = parser("chestnutfall-engine", "Stands in for a model engine with few adapter slots.")
+    settings = load_settings(EngineSettings, cli.parse_args())
+    run(lambda stop: _serve(settings, stop))
+
+
+async def _serve(settings: EngineSettings, stop: asyncio.Event) -> int:
+    core = EngineCore(
+        settings.slots,
+        settings.load_ms,
+        settings.step_ms,
+        settings.batch,
+        settings.fencing == "checked",
+    )
+    app = EngineApp(core)
+
+    def announcement() -> dict[str, Any]:
+        return {
+            "name": settings.name,
+            "service": settings.service,
+            "data_centre": settings.data_centre,
+            "address": settings.listen,
+            "incarnation": core.incarnation,
+            "ttl_ms": settings.ttl_ms,
+            "state": "leaving" if app.leaving else "serving",
+            "fencing": settings.fencing,
+            "slots": settings.slots,
+            "running": len(core.running()),
+        }
+
+    runner = web.AppRunner(app.build(), handler_cancellation=False, access_log=None)
+    await runner.setup()
+    ip, port = split_address(settings.listen)
+    await web.TCPSite(runner, ip, port).start()
+    announcer = Announcer(settings.announce_to, settings.announce_key_file, announcement)
+    tasks = [
+        asyncio.ensure_future(core.step_forever()),
+        asyncio.ensure_future(announcer.run(settings.announce_ms)),
+    ]
+    await stop.wait()
+    app.leaving = True
+    async with aiohttp.ClientSession(trust_env=False) as session:
+        await announcer.once(session)
+    while core.running():
+        await asyncio.sleep(0.02)
+    for task in tasks:
+        task.cancel()
+    await runner.cleanup()
+    return 0
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chestnutfall/programs/plain.py
@@ -0,0 +1,63 @@
+"""`chestnutfall-plain`: a small stand-in for a plain service."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections import Counter
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from ..settings import PlainSettings
+from ..settings.address import split_address
+from ..standin.announcer import Announcer
+from .runner import load_settings, parser, run
+
+
+def main() -> None:
+    """Parse the command line and run one stand-in service until SIGTERM."""
+    cli = parser("chestnutfall-plain", "Stands in for a plain service; it counts its calls.")
+    settings = load_settings(PlainSettings, cli.parse_args())
+    run(lambda stop: _serve(settings, stop))
+
+
+async def _serve(settings: PlainSettings, stop: asyncio.Event) -> int:
+    incarnation = uuid.uuid4().hex
+    calls: Counter[str] = Counter()
+
+    async def answer(request: web.Request) -> web.Response:
+        calls[f"{request.method} {request.path}"] += 1
+        body = {"service": settings.name, "path": request.path, "calls": calls}
+        return web.json_response(body)
+
+    def announcement() -> dict[str, Any]:
+        return {
+            "name": settings.name,
+            "service": settings.service,
+            "data_centre": settings.data_centre,
+            "address": settings.listen,
+            "incarnation": incarnation,
+            "ttl_ms": 1500,
+            "state": "leaving" if stop.is_set() else "serving",
+        }
+
+    app = web.Application()
+    app.router.add_route("*", "/{tail:.*}", answer)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    ip, port = split_address(settings.listen)
+    await web.TCPSite(runner, ip, port).start()
+    announcer = Announcer(settings.announce_to, settings.announce_key_file, announcement)
+    task = asyncio.ensure_future(announcer.run(500))
+    await stop.wait()
+    async with aiohttp.ClientSession(trust_env=False) as session:
+        await announcer.once(session)
+    task.cancel()
+    await runner.cleanup()
+    return 0
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chestnutfall/routing/dispatcher.py
@@ -0,0 +1,245 @@
+"""Runs a request: ticket, dispatch, checks, resume, retry."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncGenerator
+from typing import NoReturn
+
+from opentelemetry import trace
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+from ..clock import Clock
+from ..engine_edge import AnswerEvent, EngineApi, EngineBroken, EngineRefused, EngineRequest
+from ..engine_edge.answer_checks import in_order, own_answer
+from ..membership import SiteAgent, Upstream, UpstreamRegistry
+from ..observability import Metrics
+from ..ownership import TicketGrant, TicketRefusal, TicketRequest
+from ..peers import PeerLinks
+from ..requests import CallerRequest, Executed, Refusal
+from .engine_choice import engine_candidates
+from .retry_budget import RetryBudget
+
+MAX_ATTEMPTS = 4
+MAX_RESUMES = 3
+BACKOFF_MS = 50
+OWNER_WAIT_MS = 5000
+OWNER_POLL_MS = 100
+RETRY_AFTER_MS = 1000
+_OWNER_CODES = frozenset(
+    {"no_owner", "not_owner", "owner_changed", "owner_unreachable", "owner_silent"}
+)
+_PROPAGATOR = TraceContextTextMapPropagator()
+
+
+class Dispatcher:
+    """Runs requests on engines, one attempt after another."""
+
+    def __init__(
+        self,
+        agent: SiteAgent,
+        registry: UpstreamRegistry,
+        links: PeerLinks,
+        api: EngineApi,
+        clock: Clock,
+        metrics: Metrics,
+        tracer: trace.Tracer,
+        rng: random.Random,
+        data_centre: str,
+    ) -> None:
+        self._agent = agent
+        self._registry = registry
+        self._links = links
+        self._api = api
+        self._clock = clock
+        self._metrics = metrics
+        self._tracer = tracer
+        self._rng = rng
+        self._data_centre = data_centre
+        self._budget = RetryBudget()
+        self._cancels: set[asyncio.Task[None]] = set()
+
+    async def answer(self, req: CallerRequest) -> AsyncGenerator[AnswerEvent, None]:
+        """Yield the answer's events; the last one is yielded only when the answer is whole.
+
+        Raises
+        ------
+        Refusal
+            When the answer could not be had, or breaks off after events were yielded.
+        """
+        self._budget.earn()
+        executed = Executed.NO
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            started = False
+            try:
+                async for event in self._attempt(req, f"{req.request_id}-{attempt}"):
+                    started = True
+                    yield event
+                return
+            except EngineRefused as exc:
+                failure: EngineRefused | EngineBroken = exc
+                if exc.final:
+                    raise Refusal(400, exc.code, str(exc), executed) from exc
+            except EngineBroken as exc:
+                failure = exc
+                executed = Executed.YES if started else Executed.UNKNOWN
+                self._metrics.count(f"broken.{exc.code}")
+                if started or req.non_idempotent:
+                    raise Refusal(502, exc.code, str(exc), executed) from exc
+            await self._before_retry(req, attempt, failure, executed)
+        raise AssertionError("the last attempt returns or raises")
+
+    async def _before_retry(
+        self,
+        req: CallerRequest,
+        attempt: int,
+        failure: EngineRefused | EngineBroken,
+        executed: Executed,
+    ) -> None:
+        wait_ms = self._rng.uniform(0.5, 1.5) * BACKOFF_MS * 2**attempt
+        late = self._clock.now_ms() + wait_ms >= req.deadline_ms
+        if attempt == MAX_ATTEMPTS or late or not self._budget.spend():
+            retry_after_ms = (
+                RETRY_AFTER_MS if not req.non_idempotent or executed is Executed.NO else None
+            )
+            raise Refusal(502, failure.code, str(failure), executed, retry_after_ms)
+        self._metrics.count("retries")
+        await self._clock.sleep_ms(wait_ms)
+
+    async def _attempt(
+        self, req: CallerRequest, attempt_id: str
+    ) -> AsyncGenerator[AnswerEvent, None]:
+        parent = _PROPAGATOR.extract(req.trace)
+        with self._tracer.start_span("admission", context=parent) as span:
+            engine = await self._ticket(req, attempt_id)
+            span.set_attribute("engine", engine.name)
+        span = self._tracer.start_span("dispatch", context=parent)
+        try:
+            # A gateway that was frozen may have lost its session since it was given the ticket;
+            # the owner no longer counts on it then and may have evicted the adapter.
+            if not self._agent.has_session():
+                raise EngineRefused("session_lost", "this gateway lost its session")
+            headers: dict[str, str] = {}
+            _PROPAGATOR.inject(headers, trace.set_span_in_context(span, parent))
+            async for event in self._run(engine, self._engine_request(req, attempt_id, headers)):
+                yield event
+        finally:
+            span.end()
+            self._links.end(engine.name, attempt_id)
+
+    def _engine_request(
+        self, req: CallerRequest, attempt_id: str, headers: dict[str, str]
+    ) -> EngineRequest:
+        # A pooled connection may have gone silent while it was idle. A request lost on it could
+        # have run as far as we know, and could not be repeated; a connection made for it that
+        # fails proves that it did not run.
+        return EngineRequest(
+            attempt_id,
+            req.path,
+            req.model,
+            req.body,
+            req.stream,
+            req.priority.rank,
+            req.non_idempotent,
+            req.silent_ms,
+            headers,
+        )
+
+    async def _run(self, engine: Upstream, req: EngineRequest) -> AsyncGenerator[AnswerEvent, None]:
+        whole = False
+        seen = 0
+        resumes = 0
+        events = self._api.run(engine.address, req)
+        try:
+            while not whole:
+                try:
+                    async for event in self._checked(events, req, seen):
+                        seen = event.number or seen
+                        whole = event.last
+                        yield event
+                except (EngineBroken, EngineRefused) as exc:
+                    if resumes == 0 and seen == 0 and isinstance(exc, EngineRefused):
+                        raise
+                    resumes += 1
+                    if resumes > MAX_RESUMES or not _may_resume(exc, req, seen):
+                        self._raise_broken(exc)
+                    self._metrics.count("resumes")
+                    await self._clock.sleep_ms(BACKOFF_MS * resumes)
+                    events = self._api.resume(engine.address, req, seen)
+        finally:
+            if not whole:
+                self._cancel(engine, req.attempt_id)
+
+    def _checked(
+        self, events: AsyncGenerator[AnswerEvent, None], req: EngineRequest, seen: int
+    ) -> AsyncGenerator[AnswerEvent, None]:
+        own = own_answer(events, req.attempt_id, req.model)
+        return in_order(own, seen, lambda: self._metrics.count("events_dropped"))
+
+    @staticmethod
+    def _raise_broken(exc: EngineBroken | EngineRefused) -> NoReturn:
+        if isinstance(exc, EngineBroken):
+            raise exc
+        # A refusal to resume says nothing of the first dispatch, which may have run.
+        raise EngineBroken(exc.code, str(exc)) from exc
+
+    def _cancel(self, engine: Upstream, attempt_id: str) -> None:
+        """Free the engine's place in the background; the caller may be gone already."""
+        task = asyncio.ensure_future(self._api.cancel(engine.address, attempt_id))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    # Tickets
+
+    async def _ticket(self, req: CallerRequest, attempt_id: str) -> Upstream:
+        asked_ms = self._clock.now_ms()
+        while True:
+            refusal = TicketRefusal(attempt_id, "no_engine", RETRY_AFTER_MS)
+            for engine in self._candidates(req):
+                outcome = await self._ask(req, attempt_id, engine)
+                if isinstance(outcome, TicketGrant):
+                    return engine
+                refusal = outcome
+                if outcome.code not in _OWNER_CODES:
+                    break
+            waited_ms = self._clock.now_ms() - asked_ms
+            # An engine is without an owner only for the seconds in which it moves; anything else
+            # is final, and the caller is told at once when to come back.
+            moving = refusal.code in _OWNER_CODES or refusal.code == "no_engine"
+            late = self._clock.now_ms() + OWNER_POLL_MS >= req.deadline_ms
+            if not moving or waited_ms > OWNER_WAIT_MS or late or not self._any_engine(req):
+                self._metrics.count(f"refused.{refusal.code}")
+                message = f"no engine took the request: {refusal.code}"
+                wait_ms = refusal.retry_after_ms or RETRY_AFTER_MS
+                raise Refusal(503, refusal.code, message, Executed.NO, wait_ms)
+            await self._clock.sleep_ms(OWNER_POLL_MS)
+
+    def _any_engine(self, req: CallerRequest) -> bool:
+        return any(True for _ in self._registry.serving(req.service))
+
+    def _candidates(self, req: CallerRequest) -> list[Upstream]:
+        found = engine_candidates(
+            self._registry.serving(req.service),
+            self._links.views(),
+            req.model,
+            self._data_centre,
+            self._agent.config.limits.running_per_engine,
+        )
+        return list(found)
+
+    async def _ask(
+        self, req: CallerRequest, attempt_id: str, engine: Upstream
+    ) -> TicketGrant | TicketRefusal:
+        wait_ms = max(req.deadline_ms - self._clock.now_ms(), 0)
+        ticket = TicketRequest(attempt_id, engine.name, req.model, req.priority.rank, wait_ms)
+        return await self._links.acquire(ticket)
+
+
+def _may_resume(exc: EngineBroken | EngineRefused, req: EngineRequest, seen: int) -> bool:
+    """Whether the same run may be asked for the rest of its answer.
+
+    That never starts a second run: an engine that does not hold the attempt refuses.
+    """
+    wrong = exc.code in ("wrong_answer", "wrong_model", "bad_answer", "run_unknown", "run_failed")
+    return req.stream and seen > 0 and not wrong
--- /dev/null
+++ b/chestnutfall/routing/engine_choice.py
@@ -0,0 +1,55 @@
+"""Which engine to ask for a ticket."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+import mmh3
+
+from ..membership import Upstream
+from ..ownership import EngineView
+
+LOAD_COST = 1.5
+"""Loading an adapter costs as much as this many full batches ahead."""
+DISTANCE_COST = 0.1
+_HASH_RANGE = float(1 << 64)
+HASH_COST = 0.5
+
+
+def engine_candidates(
+    upstreams: Iterable[Upstream],
+    views: Iterable[EngineView],
+    adapter: str,
+    data_centre: str,
+    batch: int,
+) -> Iterator[Upstream]:
+    """Yield engines that may run `adapter`, best first.
+
+    Parameters
+    ----------
+    upstreams : iterable of Upstream
+        Serving engines of the service.
+    views : iterable of EngineView
+        What owners publish; engines without a view can't give tickets.
+    batch : int
+        Requests that one engine runs at once.
+    """
+    by_engine = {view.engine: view for view in views}
+    scored = [
+        (_cost(by_engine[up.name], up, adapter, data_centre, batch), up.name, up)
+        for up in upstreams
+        if up.name in by_engine
+    ]
+    yield from (up for _, _, up in sorted(scored, key=lambda item: item[:2]))
+
+
+def _cost(view: EngineView, up: Upstream, adapter: str, data_centre: str, batch: int) -> float:
+    cost = (view.running + view.waiting) / batch
+    if adapter not in view.ready:
+        # Entries that miss at the same moment should load on the same engine: the hash gives
+        # each adapter a preferred one that all of them agree on.
+        preference: int = mmh3.hash64(f"{adapter}|{view.engine}", signed=False)[0]
+        cost += LOAD_COST + HASH_COST * preference / _HASH_RANGE
+    if up.announcement.data_centre != data_centre:
+        cost += DISTANCE_COST
+    return cost
--- /dev/null
+++ b/chestnutfall/settings/reading.py
@@ -0,0 +1,18 @@
+"""From a settings file to a checked data class."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TypeVar
+
+from expression import Result
+from pydantic import TypeAdapter
+
+from ..findings import Finding, read_json, to_typed
+
+T = TypeVar("T")
+
+
+def read_settings(kind: type[T], path: Path) -> Result[T, list[Finding]]:
+    """Read the settings file at `path` as a `kind`; all findings at once."""
+    return read_json(path).bind(lambda value: to_typed(TypeAdapter(kind), value, str(path)))
--- /dev/null
+++ b/chestnutfall/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems: engines and a plain service."""
--- /dev/null
+++ b/chestnutfall/standin/engine_app.py
@@ -0,0 +1,150 @@
+"""HTTP face of the stand-in engine."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from aiohttp import web
+
+from .engine_core import EngineCore
+from .run import Run
+
+DEFAULT_TOKENS = 16
+
+
+class EngineApp:
+    """OpenAI API with run ids, orders, reports, and a page to script faults."""
+
+    def __init__(self, core: EngineCore) -> None:
+        self._core = core
+        self.leaving = False
+
+    def build(self) -> web.Application:
+        """The aiohttp application."""
+        app = web.Application()
+        app.router.add_post("/v1/chat/completions", self._complete)
+        app.router.add_post("/v1/completions", self._complete)
+        app.router.add_get("/v1/runs/{attempt_id}", self._resume)
+        app.router.add_delete("/v1/runs/{attempt_id}", self._cancel)
+        app.router.add_get("/v1/state", self._state)
+        app.router.add_post("/v1/orders", self._order)
+        app.router.add_post("/standin/faults", self._faults)
+        app.router.add_get("/standin/counts", self._counts)
+        return app
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        model = str(body["model"])
+        if self._core.adapters.get(model) != "ready":
+            return _error(404, "adapter_not_loaded", f"{model} is not loaded", ran=False)
+        attempt_id = request.headers["X-Request-Id"]
+        run = Run(
+            attempt_id,
+            model,
+            request.path,
+            int(request.headers.get("X-Priority", "1")),
+            int(body.get("max_tokens") or DEFAULT_TOKENS),
+        )
+        self._core.start_run(run)
+        if self._core.take_fault("silent"):
+            await asyncio.sleep(3600)
+        if self._core.take_fault("reset") and request.transport is not None:
+            request.transport.abort()
+        if body.get("stream"):
+            return await self._stream(request, run, 0)
+        while not run.done and not run.cancelled:
+            run.changed.clear()
+            await run.changed.wait()
+        if run.cancelled:
+            return _error(500, "run_cancelled", "the run was cancelled", ran=True)
+        wrong = self._core.take_fault("wrong_model")
+        answer = run.whole("another@1+0" if wrong else model)
+        if self._core.take_fault("wrong_answer"):
+            answer["id"] = "cmpl-somebody-else"
+        if self._core.take_fault("short_answer"):
+            return await _cut_short(request, json.dumps(answer).encode())
+        return web.json_response(answer)
+
+    async def _stream(self, request: web.Request, run: Run, after: int) -> web.StreamResponse:
+        resp = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await resp.prepare(request)
+        sent = after
+        while True:
+            while sent < len(run.events):
+                data = self._faulty(run.events[sent])
+                sent += 1
+                if sent == 3 and self._core.take_fault("short_answer"):
+                    return resp
+                if sent == 3 and self._core.take_fault("gap"):
+                    continue
+                await resp.write(b"id: %d\ndata: %s\n\n" % (sent, data))
+                if sent == 3 and self._core.take_fault("duplicate"):
+                    await resp.write(b"id: %d\ndata: %s\n\n" % (sent, data))
+                if sent == 3 and self._core.take_fault("mid_reset") and request.transport:
+                    request.transport.abort()
+                if sent == 3 and self._core.take_fault("mid_silent"):
+                    await asyncio.sleep(3600)
+            if run.done:
+                return resp
+            if run.cancelled:
+                if request.transport is not None:
+                    request.transport.abort()
+                return resp
+            run.changed.clear()
+            await run.changed.wait()
+
+    def _faulty(self, data: bytes) -> bytes:
+        if data != b"[DONE]" and self._core.take_fault("wrong_model"):
+            return json.dumps(json.loads(data) | {"model": "another@1+0"}).encode()
+        if data != b"[DONE]" and self._core.take_fault("wrong_answer"):
+            return json.dumps(json.loads(data) | {"id": "cmpl-somebody-else"}).encode()
+        return data
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        run = self._core.runs.get(request.match_info["attempt_id"])
+        if run is None or run.cancelled:
+            return _error(404, "run_unknown", "no such run", ran=False)
+        return await self._stream(request, run, int(request.headers.get("Last-Event-ID", "0")))
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        self._core.cancel(request.match_info["attempt_id"])
+        return web.Response(status=204)
+
+    async def _state(self, request: web.Request) -> web.Response:
+        core = self._core
+        return web.json_response(
+            {
+                "incarnation": core.incarnation,
+                "slots": core.slots,
+                "adapters": core.adapters,
+                "running": core.running(),
+            }
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        outcome = self._core.order(body["kind"], int(body["epoch"]), body["adapter"])
+        return web.json_response({"outcome": outcome})
+
+    async def _faults(self, request: web.Request) -> web.Response:
+        self._core.faults.update(await request.json())
+        return web.json_response(dict(self._core.faults))
+
+    async def _counts(self, request: web.Request) -> web.Response:
+        return web.json_response(dict(self._core.counts))
+
+
+def _error(status: int, code: str, message: str, ran: bool) -> web.Response:
+    body: dict[str, Any] = {"error": {"code": code, "message": message, "ran": ran}}
+    return web.json_response(body, status=status)
+
+
+async def _cut_short(request: web.Request, body: bytes) -> web.StreamResponse:
+    resp = web.StreamResponse(headers={"Content-Length": str(len(body))})
+    await resp.prepare(request)
+    await resp.write(body[: len(body) // 2])
+    if request.transport is not None:
+        request.transport.close()
+    return resp
--- /dev/null
+++ b/chestnutfall/standin/engine_core.py
@@ -0,0 +1,123 @@
+"""Slots, batch and fencing of the stand-in engine."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections import Counter
+
+from .run import Run
+
+KEEP_RUNS = 512
+
+
+class EngineCore:
+    """A continuous batch over a few adapter slots.
+
+    It obeys: an unload of an adapter in use breaks the runs on it, so that an eviction that
+    should not have been ordered can be seen.
+    """
+
+    def __init__(self, slots: int, load_ms: int, step_ms: int, batch: int, checked: bool) -> None:
+        self.incarnation = uuid.uuid4().hex
+        self.slots = slots
+        self.load_ms = load_ms
+        self.step_ms = step_ms
+        self.batch = batch
+        self.adapters: dict[str, str] = {}
+        self.runs: dict[str, Run] = {}
+        self.epoch = 0
+        self.counts: Counter[str] = Counter()
+        self.faults: Counter[str] = Counter()
+        self._checked = checked
+        self._loads: set[asyncio.Task[None]] = set()
+        self._work = asyncio.Event()
+
+    def take_fault(self, name: str) -> bool:
+        """Whether the scripted fault `name` is due; counts it down."""
+        if self.faults[name] <= 0:
+            return False
+        self.faults[name] -= 1
+        return True
+
+    def order(self, kind: str, epoch: int, adapter: str) -> str:
+        """Obey an order, or say why not."""
+        if self._checked and epoch < self.epoch:
+            self.counts["stale_orders"] += 1
+            return "stale_epoch"
+        self.epoch = max(self.epoch, epoch)
+        if kind == "unload":
+            return self._unload(adapter)
+        return self._load(adapter)
+
+    def _unload(self, adapter: str) -> str:
+        self.adapters.pop(adapter, None)
+        for run in self.runs.values():
+            if run.adapter == adapter and not run.done:
+                self.counts["evicted_while_serving"] += 1
+                run.cancelled = True
+                run.changed.set()
+        return "accepted"
+
+    def _load(self, adapter: str) -> str:
+        if self.adapters.get(adapter) in ("ready", "loading"):
+            return "accepted"
+        self.adapters.pop(adapter, None)
+        if len(self.adapters) >= self.slots:
+            return "no_free_slot"
+        self.adapters[adapter] = "loading"
+        task = asyncio.ensure_future(self._finish_load(adapter))
+        self._loads.add(task)
+        task.add_done_callback(self._loads.discard)
+        return "accepted"
+
+    async def _finish_load(self, adapter: str) -> None:
+        await asyncio.sleep(self.load_ms / 1000)
+        self.counts["loads"] += 1
+        if self.take_fault("load_failure"):
+            self.adapters.pop(adapter, None)
+        elif adapter in self.adapters:
+            self.adapters[adapter] = "ready"
+
+    def start_run(self, run: Run) -> None:
+        """Take a run into the batch."""
+        self.counts["runs"] += 1
+        while len(self.runs) >= KEEP_RUNS:
+            oldest = next((key for key, old in self.runs.items() if old.done), None)
+            if oldest is None:
+                break
+            del self.runs[oldest]
+        self.runs[run.attempt_id] = run
+        self._work.set()
+
+    def cancel(self, attempt_id: str) -> None:
+        """End a run early."""
+        run = self.runs.get(attempt_id)
+        if run is not None and not run.done:
+            self.counts["cancelled"] += 1
+            run.cancelled = True
+            run.changed.set()
+
+    def running(self) -> dict[str, str]:
+        """Adapter by attempt id of runs not ended."""
+        return {
+            run.attempt_id: run.adapter
+            for run in self.runs.values()
+            if not run.done and not run.cancelled
+        }
+
+    async def step_forever(self) -> None:
+        """Generate one token for each run in the batch, step after step."""
+        while True:
+            active = [run for run in self.runs.values() if not run.done and not run.cancelled]
+            if not active:
+                self._work.clear()
+                await self._work.wait()
+                continue
+            await asyncio.sleep(self.step_ms / 1000)
+            active.sort(key=lambda run: run.priority)
+            for run in active[: self.batch]:
+                if not run.cancelled:
+                    run.step()
+            self.counts["steps"] += 1
+            self.counts["step_tokens"] += min(len(active), self.batch)
--- /dev/null
+++ b/chestnutfall/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; `python -m chestnutfall.tests` runs them and the properties."""
--- /dev/null
+++ b/chestnutfall/wire/codec.py
@@ -0,0 +1,42 @@
+"""Tagged unions of frozen data classes as msgpack."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+
+class Codec:
+    """Encode and decode any message of one closed union.
+
+    A message is `[name, fields]`; a name or field type outside the union is refused, so that
+    a peer of another version fails loudly instead of being half understood.
+    """
+
+    def __init__(self, *types: type) -> None:
+        self._decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {
+            kind.__name__: msgspec.msgpack.Decoder(kind) for kind in types
+        }
+        self._encoder = msgspec.msgpack.Encoder()
+        self._envelope = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+
+    def encode(self, msg: Any) -> bytes:
+        """Return the bytes of `msg`."""
+        return self._encoder.encode((type(msg).__name__, msg))
+
+    def decode(self, data: bytes) -> Any:
+        """Return the message in `data`.
+
+        Raises
+        ------
+        ValueError
+            When the bytes are not a message of this union.
+        """
+        try:
+            name, fields = self._envelope.decode(data)
+            return self._decoders[name].decode(fields)
+        except KeyError as exc:
+            raise ValueError(f"unknown message {exc}; known: {sorted(self._decoders)}") from exc
+        except msgspec.MsgspecError as exc:
+            raise ValueError(f"not a message of this union: {exc}") from exc
--- /dev/null
+++ b/chestnutfall/wire/rpc_channel.py
@@ -0,0 +1,88 @@
+"""A client connection to one of our own processes."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import Any
+
+import grpc
+
+from .codec import Codec
+from .tls_files import TlsFiles
+
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+_OPTIONS = (
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.keepalive_time_ms", 2000),
+    ("grpc.keepalive_timeout_ms", 1000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 500),
+    ("grpc.use_local_subchannel_pool", 1),
+)
+
+
+class RpcChannel:
+    """Unary calls and message streams to `address`, an IP and port."""
+
+    def __init__(self, address: str, codec: Codec, tls: TlsFiles | None = None) -> None:
+        self.address = address
+        self._codec = codec
+        self._tls = tls
+        self._open()
+
+    def _open(self) -> None:
+        target = f"ipv4:{self.address}"
+        if self._tls is None:
+            self._channel = grpc.aio.insecure_channel(target, options=_OPTIONS)
+        else:
+            # Certificates name the office, not the IP of each host.
+            options = (*_OPTIONS, ("grpc.ssl_target_name_override", "chestnutfall"))
+            creds = self._tls.channel_credentials()
+            self._channel = grpc.aio.secure_channel(target, creds, options=options)
+        self._calls: dict[str, Any] = {}
+
+    async def call(self, method: str, msg: Any, timeout_ms: float) -> Any:
+        """Send `msg` and return the answer.
+
+        Raises
+        ------
+        ConnectionError
+            When there is no answer within `timeout_ms`; the call may or may not have been run.
+        """
+        if method not in self._calls:
+            self._calls[method] = self._channel.unary_unary(
+                f"/chestnutfall/{method}",
+                request_serializer=self._codec.encode,
+                response_deserializer=self._codec.decode,
+            )
+        try:
+            return await self._calls[method](msg, timeout=timeout_ms / 1000)
+        except grpc.aio.AioRpcError as exc:
+            if exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                await self._reopen()
+            raise ConnectionError(f"{self.address}: {exc.code().name} {exc.details()}") from exc
+
+    def stream(self, method: str) -> Any:
+        """Open a stream of messages in both directions."""
+        return self._channel.stream_stream(
+            f"/chestnutfall/{method}",
+            request_serializer=self._codec.encode,
+            response_deserializer=self._codec.decode,
+        )()
+
+    async def _reopen(self) -> None:
+        # Something between two hosts can forget a connection: it stays open and silent for good
+        # while new ones work. Symptom: every call times out although the peer is well. A timed
+        # out call costs little, so each of them gets the next call a fresh connection.
+        old = self._channel
+        self._open()
+        with contextlib.suppress(Exception):
+            await old.close(grace=1.0)
+
+    async def close(self) -> None:
+        """Close the connection; calls in progress fail."""
+        await self._channel.close()
--- /dev/null
+++ b/chestnutfall/wire/rpc_server.py
@@ -0,0 +1,67 @@
+"""The listening side of our own processes."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import grpc
+
+from .codec import Codec
+from .rpc_channel import MAX_MESSAGE_BYTES
+from .tls_files import TlsFiles
+
+MAX_CONCURRENT_CALLS = 4096
+Handler = Callable[[Any, Any], Awaitable[Any]]
+_OPTIONS = (
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.keepalive_time_ms", 2000),
+    ("grpc.keepalive_timeout_ms", 1000),
+    ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
+    ("grpc.http2.max_ping_strikes", 0),
+)
+
+
+class RpcServer:
+    """Serve unary methods and streams on one address."""
+
+    def __init__(self, address: str, tls: TlsFiles | None = None) -> None:
+        self._server = grpc.aio.server(
+            options=_OPTIONS, maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS
+        )
+        if tls is None:
+            self.port = self._server.add_insecure_port(address)
+        else:
+            self.port = self._server.add_secure_port(address, tls.server_credentials())
+
+    def add_unary(self, method: str, codec: Codec, handler: Handler) -> None:
+        """Answer `method` by `handler(msg, context)`."""
+        self._add(
+            method,
+            grpc.unary_unary_rpc_method_handler(
+                handler, request_deserializer=codec.decode, response_serializer=codec.encode
+            ),
+        )
+
+    def add_stream(self, method: str, codec: Codec, handler: Any) -> None:
+        """Answer `method` by the async generator `handler(messages, context)`."""
+        self._add(
+            method,
+            grpc.stream_stream_rpc_method_handler(
+                handler, request_deserializer=codec.decode, response_serializer=codec.encode
+            ),
+        )
+
+    def _add(self, method: str, handler: Any) -> None:
+        handlers = grpc.method_handlers_generic_handler("chestnutfall", {method: handler})
+        self._server.add_generic_rpc_handlers((handlers,))
+
+    async def start(self) -> None:
+        """Begin to accept calls."""
+        await self._server.start()
+
+    async def stop(self, grace_ms: float = 500) -> None:
+        """Stop accepting, give calls in progress `grace_ms`, then close."""
+        await self._server.stop(grace_ms / 1000)
--- /dev/null
+++ b/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Property tests (Hypothesis)."""
