Prove the replicated log, storage and control state under faults

Found on the way: a replica whose election task died of an unexpected error stayed half alive. Cause: an exception left the task unobserved. Every task's end is now watched and the process stops.

--- a/chestnutfall/consensus/journal.py
+++ b/chestnutfall/consensus/journal.py
@@ -21,7 +21,6 @@
         self._pending: list[Record | Stored] = []
         self._synced: asyncio.Future[None] | None = None
         self._wake = asyncio.Event()
-        self.failed: asyncio.Future[OSError] = asyncio.get_running_loop().create_future()
 
     def write(self, records: Iterable[Record | Stored] = ()) -> asyncio.Future[None]:
         """Queue `records`; the future ends when they and all before them are synced."""
@@ -45,7 +44,7 @@
                 # sync then reports success. Symptom: an acknowledged entry is missing after a
                 # restart. So nothing is retried: the replica stops and is read back from disk.
                 self._fail(exc, synced)
-                return
+                raise
             if synced is not None and not synced.done():
                 synced.set_result(None)
 
@@ -61,8 +60,6 @@
             await self._storage.append(tuple(records))
 
     def _fail(self, exc: OSError, synced: asyncio.Future[None] | None) -> None:
-        if not self.failed.done():
-            self.failed.set_result(exc)
         for fut in (synced, self._synced):
             if fut is not None and not fut.done():
                 fut.set_exception(StorageFailed(str(exc)))
--- a/chestnutfall/consensus/replica.py
+++ b/chestnutfall/consensus/replica.py
@@ -60,6 +60,7 @@
         rng: random.Random,
         timing: Timing,
         snapshot_every: int = SNAPSHOT_EVERY,
+        keep_entries: int = KEEP_ENTRIES,
     ) -> None:
         self.replica_id = replica_id
         self.machine = machine
@@ -69,6 +70,7 @@
         self._storage = storage
         self._rng = rng
         self._snapshot_every = snapshot_every
+        self._keep_entries = keep_entries
         self.role = Role.FOLLOWER
         self.leader_id = ""
         self.progress = Progress()
@@ -90,6 +92,7 @@
         self.machine.restore(stored.snapshot.data)
         self.commit_index = self.applied_index = stored.snapshot.index
         self.journal = Journal(self._storage)
+        self.failed: asyncio.Future[BaseException] = asyncio.get_running_loop().create_future()
         # A restarted follower has forgotten whether it heard from a leader just before.
         # Symptom: its vote elects a second leader inside the first one's lease. So it counts
         # its own start as such a moment and votes for nobody during one election timeout.
@@ -109,9 +112,17 @@
     def _spawn(self, work: Any) -> asyncio.Task[None]:
         task: asyncio.Task[None] = asyncio.ensure_future(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._task_ended)
         return task
 
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        # A replica whose election or journal task died would answer as if it were well and never
+        # campaign again. Its process stops instead and is restarted.
+        self._tasks.discard(task)
+        if not task.cancelled() and (exc := task.exception()) is not None:
+            if not self.failed.done():
+                self.failed.set_result(exc)
+
     # What others ask of this replica
 
     @property
@@ -537,7 +548,8 @@
         term = self.log.term_at(index)
         assert term is not None
         members = self.log.members_at(index)
-        self.log.compact(Snapshot(index, term, members, self.machine.dump()), KEEP_ENTRIES)
+        snapshot = Snapshot(index, term, members, self.machine.dump())
+        self.log.compact(snapshot, self._keep_entries)
         self.journal.write([self._stored()])
 
     def _stored(self) -> Stored:
--- a/chestnutfall/programs/controller.py
+++ b/chestnutfall/programs/controller.py
@@ -83,11 +83,11 @@
     await server.start()
     log.info("control: %s listens on %s", replica_id, settings.listen)
     duties_task = asyncio.ensure_future(duties.run())
-    replica.journal.failed.add_done_callback(lambda _: stop.set())
+    replica.failed.add_done_callback(lambda _: stop.set())
     await stop.wait()
-    failed = replica.journal.failed.done()
+    failed = replica.failed.done()
     if failed:
-        log.error("storage: the disk failed, stopping: %s", replica.journal.failed.result())
+        log.error("control: stopping, this replica failed: %r", replica.failed.result())
     else:
         await replica.hand_over()
     duties_task.cancel()
--- /dev/null
+++ b/chestnutfall/tests/fakes/fake_network.py
@@ -0,0 +1,90 @@
+"""Calls between replicas that can be cut, delayed, doubled and lost."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from ...clock import ManualClock
+from ...consensus import Member, StorageFailed, Transport
+from ...consensus.messages import CONSENSUS_CODEC
+from .node_clock import NodeClock
+
+Handler = Callable[[Any], Awaitable[Any]]
+MAX_DELAY_MS = 20
+
+
+class FakeNetwork:
+    """Connects replicas by address; cuts are in one direction."""
+
+    def __init__(self, clock: ManualClock, rng: random.Random) -> None:
+        self.cuts: set[tuple[str, str]] = set()
+        self.doubling = 0.1
+        self._clock = clock
+        self._rng = rng
+        self._handlers: dict[str, tuple[Handler, NodeClock]] = {}
+        self._doubles: set[asyncio.Future[Any]] = set()
+
+    def connect(self, address: str, handler: Handler, clock: NodeClock) -> None:
+        """Let `handler` answer at `address`."""
+        self._handlers[address] = (handler, clock)
+
+    def disconnect(self, address: str) -> None:
+        """Nobody answers at `address`."""
+        self._handlers.pop(address, None)
+
+    def transport(self, own_address: str, clock: NodeClock) -> Transport:
+        """The transport of the replica at `own_address`."""
+        return _FakeTransport(self, own_address, clock)
+
+    async def carry(self, sender: str, receiver: str, msg: Any) -> Any:
+        """Take `msg` there and the answer back, as bytes; may never return."""
+        data = CONSENSUS_CODEC.encode(msg)
+        await self._hop(sender, receiver)
+        if self._rng.random() < self.doubling:
+            double = asyncio.ensure_future(self._late_double(receiver, data))
+            self._doubles.add(double)
+            double.add_done_callback(self._doubles.discard)
+        reply = await self._deliver(receiver, data)
+        await self._hop(receiver, sender)
+        return CONSENSUS_CODEC.decode(reply)
+
+    async def _late_double(self, receiver: str, data: bytes) -> None:
+        await self._clock.sleep_ms(self._rng.choice([1, 50, 700]))
+        try:
+            await self._deliver(receiver, data)
+        except ConnectionError:
+            return
+
+    async def _deliver(self, receiver: str, data: bytes) -> bytes:
+        if receiver not in self._handlers:
+            raise ConnectionError(f"nobody at {receiver}")
+        handler, clock = self._handlers[receiver]
+        await clock.while_running()
+        try:
+            return CONSENSUS_CODEC.encode(await handler(CONSENSUS_CODEC.decode(data)))
+        except StorageFailed as exc:
+            raise ConnectionError(str(exc)) from exc
+
+    async def _hop(self, sender: str, receiver: str) -> None:
+        await self._clock.sleep_ms(self._rng.randint(0, MAX_DELAY_MS))
+        if (sender, receiver) in self.cuts:
+            await asyncio.get_running_loop().create_future()
+
+
+class _FakeTransport(Transport):
+    def __init__(self, network: FakeNetwork, address: str, clock: NodeClock) -> None:
+        self._network = network
+        self._address = address
+        self._clock = clock
+
+    async def call(self, member: Member, msg: Any, timeout_ms: float) -> Any:
+        work = self._network.carry(self._address, member.address, msg)
+        try:
+            reply = await self._clock.within_ms(timeout_ms, work)
+        except TimeoutError as exc:
+            raise ConnectionError(str(exc)) from exc
+        await self._clock.while_running()
+        return reply
