Prove serving, at most once, ownership and configuration under faults

Real gateways' decisions run before fake engines on a manual clock, with the real control service on a real replica behind a line that can fail.

Cause: many callers await one shared sync future, and cancelling one of them cancelled it for all; the leader's link task ended silently. Ruled out: the network fake, a lost wake-up.

--- a/chestnutfall/caller_edge/caller_app.py
+++ b/chestnutfall/caller_edge/caller_app.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import logging
 from collections.abc import AsyncGenerator, Iterator
 from contextlib import contextmanager
@@ -12,13 +11,12 @@
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 from ..clock import Clock
-from ..control.claim import ClaimStatus
 from ..engine_edge import AnswerEvent
 from ..membership import SiteAgent
 from ..observability import Metrics
 from ..plain_edge import PlainProxy
-from ..requests import CallerRequest, Executed, Refusal
-from ..routing import ClaimDesk, Dispatcher
+from ..requests import CallerRequest, Refusal
+from ..routing import ClaimDesk, Dispatcher, WantedClaim, digest_of
 from .caller_limits import CallerLimits
 from .error_body import error_headers, error_text
 from .request_parser import parse_request
@@ -168,21 +166,17 @@
     async def _run(self, request: web.Request, req: CallerRequest) -> web.StreamResponse:
         if not req.claim_key:
             return await self._answer(request, req)
-        digest = hashlib.sha256(req.path.encode() + b"\0" + req.body).hexdigest()
-        retention_ms = self._agent.config.limits.claim_retention_ms
-        with self._tracer.start_span("claim", context=_PROPAGATOR.extract(req.trace)):
-            await self._claims.take(req.caller, req.claim_key, digest, req.request_id, retention_ms)
-        status: ClaimStatus | None = ClaimStatus.UNKNOWN
-        try:
-            resp = await self._answer(request, req)
-            status = ClaimStatus.DONE
-            return resp
-        except Refusal as refusal:
-            if refusal.executed is Executed.NO:
-                status = None
-            raise
-        finally:
-            self._claims.end(req.caller, req.claim_key, req.request_id, status)
+        wanted = WantedClaim(
+            req.caller,
+            req.claim_key,
+            digest_of(req.path, req.body),
+            req.request_id,
+            self._agent.config.limits.claim_retention_ms,
+        )
+        span = self._tracer.start_span("claim", context=_PROPAGATOR.extract(req.trace))
+        async with self._claims.held(wanted):
+            span.end()
+            return await self._answer(request, req)
 
     async def _answer(self, request: web.Request, req: CallerRequest) -> web.StreamResponse:
         events = self._dispatcher.answer(req)
--- a/chestnutfall/consensus/journal.py
+++ b/chestnutfall/consensus/journal.py
@@ -28,7 +28,10 @@
         if self._synced is None:
             self._synced = asyncio.get_running_loop().create_future()
             self._wake.set()
-        return self._synced
+        # Many callers wait for one sync. Cancelling one of them (a call that ran into its
+        # deadline) would cancel the future that all of them wait for. Symptom: a campaign or a
+        # leader's link to a healthy follower ends without a word. The shield keeps it theirs.
+        return asyncio.shield(self._synced)
 
     async def run(self) -> None:
         """Write batch after batch; ends only by cancellation or a failing disk."""
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import uuid
 from typing import Any
 
@@ -10,11 +9,10 @@
 from aiohttp import web
 
 from ..config import Caller, Service
-from ..control.claim import ClaimStatus
 from ..membership import SiteAgent, Upstream, UpstreamRegistry
 from ..observability import Metrics
 from ..requests import Executed, Refusal
-from ..routing.claim_desk import ClaimDesk
+from ..routing import ClaimDesk, WantedClaim, digest_of
 
 CONNECT_S = 0.5
 MAX_ATTEMPTS = 3
@@ -100,22 +98,15 @@
         caller: str,
         key: str,
     ) -> web.Response:
-        attempt_id = uuid.uuid4().hex
-        what = f"{request.method} {request.path_qs}".encode() + b"\0" + body
-        retention_ms = self._agent.config.limits.claim_retention_ms
-        digest = hashlib.sha256(what).hexdigest()
-        await self._claims.take(caller, key, digest, attempt_id, retention_ms)
-        status: ClaimStatus | None = ClaimStatus.UNKNOWN
-        try:
-            resp = await self._relay(request, name, service, body, once=True)
-            status = ClaimStatus.DONE
-            return resp
-        except Refusal as refusal:
-            if refusal.executed is Executed.NO:
-                status = None
-            raise
-        finally:
-            self._claims.end(caller, key, attempt_id, status)
+        wanted = WantedClaim(
+            caller,
+            key,
+            digest_of(f"{request.method} {request.path_qs}", body),
+            uuid.uuid4().hex,
+            self._agent.config.limits.claim_retention_ms,
+        )
+        async with self._claims.held(wanted):
+            return await self._relay(request, name, service, body, once=True)
 
     async def _relay(
         self, request: web.Request, name: str, service: Service, body: bytes, once: bool
--- a/chestnutfall/routing/claim_desk.py
+++ b/chestnutfall/routing/claim_desk.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from ..control.claim import ClaimStatus
 from ..control.commands import ClaimHeld, ClaimTaken, EndClaim, TakeClaim
 from ..control.control_client import ControlClient, NoController
 from ..requests import Executed, Refusal
+from .wanted_claim import WantedClaim
 
 log = logging.getLogger(__name__)
 CLAIM_DEADLINE_MS = 2500
@@ -24,9 +27,28 @@
         self._session = session
         self._ending: set[asyncio.Task[None]] = set()
 
-    async def take(
-        self, caller: str, key: str, body_digest: str, attempt_id: str, retention_ms: int
-    ) -> None:
+    @asynccontextmanager
+    async def held(self, wanted: WantedClaim) -> AsyncIterator[None]:
+        """Hold a claim for the one run inside the context, and record how it ended.
+
+        Raises
+        ------
+        Refusal
+            From `take`, before anything runs.
+        """
+        await self.take(wanted)
+        status: ClaimStatus | None = ClaimStatus.UNKNOWN
+        try:
+            yield
+            status = ClaimStatus.DONE
+        except Refusal as refusal:
+            if refusal.executed is Executed.NO:
+                status = None
+            raise
+        finally:
+            self.end(wanted, status)
+
+    async def take(self, wanted: WantedClaim) -> None:
         """Return when the claim is committed.
 
         Raises
@@ -34,13 +56,20 @@
         Refusal
             When another attempt holds it, or no quorum confirmed it; nothing was run.
         """
-        msg = TakeClaim(caller, key, body_digest, attempt_id, self._session, retention_ms)
+        msg = TakeClaim(
+            wanted.caller,
+            wanted.key,
+            wanted.body_digest,
+            wanted.attempt_id,
+            self._session,
+            wanted.retention_ms,
+        )
         try:
             reply = await self._client.ask(msg, CLAIM_DEADLINE_MS)
         except (NoController, asyncio.CancelledError) as exc:
             # The claim may have been committed although no answer came. Nothing was dispatched,
             # so it is released; until that is through a repeat is told that the state is unknown.
-            self.end(caller, key, attempt_id, None)
+            self.end(wanted, None)
             if isinstance(exc, asyncio.CancelledError):
                 raise
             raise Refusal(
@@ -54,13 +83,15 @@
             case ClaimTaken():
                 return
             case ClaimHeld(claim):
-                raise _held(claim.status, claim.body_digest == body_digest)
+                raise _held(claim.status, claim.body_digest == wanted.body_digest)
             case _:
                 raise Refusal(400, "bad_idempotency_key", str(reply))
 
-    def end(self, caller: str, key: str, attempt_id: str, status: ClaimStatus | None) -> None:
+    def end(self, wanted: WantedClaim, status: ClaimStatus | None) -> None:
         """Record how the attempt ended, in the background; None releases the claim."""
-        task = asyncio.ensure_future(self._end(EndClaim(caller, key, attempt_id, status)))
+        task = asyncio.ensure_future(
+            self._end(EndClaim(wanted.caller, wanted.key, wanted.attempt_id, status))
+        )
         self._ending.add(task)
         task.add_done_callback(self._ending.discard)
 
--- /dev/null
+++ b/chestnutfall/tests/fakes/fake_control.py
@@ -0,0 +1,76 @@
+"""The real control service on one real replica, reached through a line that can fail."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from ...clock import Clock
+from ...config.typed_config import key_hash
+from ...control import ControlState
+from ...control.control_client import ControlClient, NoController
+from ...control.control_service import ControlService
+from ...control.leader_duties import LeaderDuties
+from ...control.messages import CONTROL_CODEC, ApplyChange, OutcomeUnknown, TryElsewhere
+from .fake_cluster import FakeCluster
+
+ADMIN_KEY = "admin key"
+RETRY_MS = 60
+
+
+class FakeControl:
+    """Controllers of an office."""
+
+    def __init__(self, seed: int) -> None:
+        self.cluster = FakeCluster(seed, ("a",), ControlState)
+        self.clock = self.cluster.clock
+
+    async def start(self) -> None:
+        """Elect and begin the duties of the leader."""
+        await self.cluster.bootstrap()
+        replica = await self.cluster.leader()
+        assert isinstance(replica.machine, ControlState)
+        self.state = replica.machine
+        self.duties = LeaderDuties(replica, self.state, self.cluster.clocks["a"])
+        self.service = ControlService(
+            replica, self.state, self.duties, self.cluster.clocks["a"], key_hash(ADMIN_KEY)
+        )
+        self._duties_task = asyncio.ensure_future(self.duties.run())
+
+    async def change(self, patches: dict[str, Any], from_revision: int | None = None) -> Any:
+        """Make an operator's change."""
+        revision = self.state.revision if from_revision is None else from_revision
+        change_id = f"change {revision} {self.clock.now_ms()}"
+        msg = ApplyChange(ADMIN_KEY, change_id, revision, json.dumps(patches), "", False)
+        task = asyncio.ensure_future(self.service.handle(msg))
+        await self.clock.advance(50)
+        return await task
+
+    async def stop(self) -> None:
+        """End everything."""
+        self._duties_task.cancel()
+        await self.cluster.stop()
+
+
+class FakeControlClient(ControlClient):
+    """A client whose line to the controllers can be cut or lose answers."""
+
+    def __init__(self, control: FakeControl, clock: Clock) -> None:
+        super().__init__(["a"], clock)
+        self._control = control
+        self.cut = False
+        self.lose_answers = False
+
+    async def ask(self, msg: Any, within_ms: float) -> Any:
+        end_ms = self._clock.now_ms() + within_ms
+        while self._clock.now_ms() < end_ms:
+            await self._clock.sleep_ms(1)
+            if not self.cut:
+                sent = CONTROL_CODEC.decode(CONTROL_CODEC.encode(msg))
+                reply = await self._control.service.handle(sent)
+                reply = CONTROL_CODEC.decode(CONTROL_CODEC.encode(reply))
+                if not self.lose_answers and not isinstance(reply, TryElsewhere | OutcomeUnknown):
+                    return reply
+            await self._clock.sleep_ms(RETRY_MS)
+        raise NoController("cut off")
--- /dev/null
+++ b/chestnutfall/tests/test_configuration_in_force.py
@@ -0,0 +1,115 @@
+"""An accepted configuration is in force everywhere within seconds and never reverts.
+
+An auditor reads a grant as revoked while an entry host still honours it. Hosts are cut off, restart
+or get an answer from a controller that lags behind.
+"""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from ..config import BASE_LAYER
+from ..control.commands import Changed, Conflict
+from ..control.messages import HeartbeatReply, Refused
+from .fakes.fake_office import SITE, FakeOffice
+
+
+def _grant(*adapters: str) -> dict[str, Any]:
+    return {BASE_LAYER: {"callers": {"ana": {"adapters": list(adapters)}}}}
+
+
+class ConfigurationInForceTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.office = FakeOffice()
+        await self.office.start(gateways=9, engines=1)
+
+    async def asyncTearDown(self) -> None:
+        await self.office.stop()
+
+    async def test_change_is_in_force_at_nine_gateways_within_a_second(self) -> None:
+        self.assertEqual(await self.office.control.change(_grant("a1")), Changed(2))
+        await self.office.clock.advance(1000)
+        for gateway in self.office.gateways.values():
+            self.assertEqual(gateway.agent.revision, 2)
+            self.assertFalse(gateway.agent.config.callers["ana"].may_use_adapter("a2"))
+
+    async def test_of_two_racing_changes_one_wins_and_the_other_is_told_by_whom(self) -> None:
+        await self.office.control.change(_grant("a1"), 1)
+        beaten = await self.office.control.change(_grant("a2"), 1)
+        self.assertIsInstance(beaten, Conflict)
+        self.assertEqual((beaten.revision, beaten.operator), (2, "admin"))
+
+    async def test_nothing_is_half_accepted(self) -> None:
+        bad = {
+            BASE_LAYER: {
+                "adapters": {"new": {"service": "redactor-ia", "versions": {"1": "short"}}},
+                "callers": {"ana": {"adapters": ["missing"]}},
+            },
+            "site:elsewhere": {"limits": {"default": {"request_ms": 0}}},
+        }
+        refused = await self.office.control.change(bad)
+        self.assertIsInstance(refused, Refused)
+        text = "\n".join(refused.reasons)
+        for place in ("/adapters/new", "/callers/ana/adapters", "site:elsewhere"):
+            self.assertIn(place, text)
+        self.assertEqual(self.office.control.state.revision, 1)
+
+    async def test_digest_of_an_accepted_version_can_not_change(self) -> None:
+        other = {"versions": {"1": "sha256:" + "cd" * 32}}
+        refused = await self.office.control.change({BASE_LAYER: {"adapters": {"a1": other}}})
+        self.assertIsInstance(refused, Refused)
+        self.assertIn("can't change", refused.reasons[0])
+
+    async def test_gateway_that_is_cut_off_refuses_when_its_lease_is_over(self) -> None:
+        # Its grant may have been revoked meanwhile; for the length of an election it goes on.
+        gateway = self.office.gateway(0)
+        gateway.client.cut = True
+        await self.office.clock.advance(2500)
+        self.assertTrue(gateway.agent.in_force())
+        await self.office.clock.advance(4000)
+        self.assertFalse(gateway.agent.in_force())
+        gateway.client.cut = False
+        await self.office.clock.advance(2500)
+        self.assertTrue(gateway.agent.in_force())
+
+    async def test_gateway_serves_nothing_before_its_first_confirmation(self) -> None:
+        gateway = self.office.add_gateway("entry-new")
+        gateway.client.cut = True
+        await self.office.clock.advance(5000)
+        self.assertFalse(gateway.agent.in_force())
+        gateway.client.cut = False
+        await self.office.clock.advance(3000)
+        self.assertTrue(gateway.agent.in_force())
+
+    async def test_older_revision_is_never_applied(self) -> None:
+        # A controller that lost data, or lags, answers with an older revision.
+        await self.office.control.change(_grant("a1"))
+        await self.office.clock.advance(1000)
+        agent = self.office.gateway(0).agent
+        old_reply = HeartbeatReply(1500, 1, "", (), None, "0.1", (), (), ())
+        agent._take_reply(old_reply, self.office.clock.now_ms())
+        self.assertEqual(agent.revision, 2)
+        self.assertFalse(agent.config.callers["ana"].may_use_adapter("a2"))
+
+    async def test_wrong_content_is_found_by_its_digest_and_fetched_anew(self) -> None:
+        agent = self.office.gateway(0).agent
+        layers = {BASE_LAYER: {"callers": {"ana": {"adapters": []}}}}
+        agent._merged.update(type(agent._layers)(layers), [("callers", "ana")])
+        await self.office.clock.advance(1000)
+        self.assertEqual(agent._merged.digest, self.office.control.state.sites[SITE].digest)
+        self.assertTrue(agent.in_force())
+
+    async def test_gaps_and_doubles_of_deltas_do_no_harm(self) -> None:
+        gateway = self.office.gateway(0)
+        gateway.client.cut = True
+        for number in range(1, 6):
+            await self.office.control.change(_grant(f"a{number}"))
+        gateway.client.cut = False
+        gateway.client.lose_answers = True
+        await self.office.clock.advance(500)
+        gateway.client.lose_answers = False
+        await self.office.clock.advance(2500)
+        self.assertEqual(gateway.agent.revision, 6)
+        self.assertTrue(gateway.agent.config.callers["ana"].may_use_adapter("a5"))
+        self.assertTrue(gateway.agent.in_force())
