--- a/chestnutfall/operators/config_commands.py
+++ b/chestnutfall/operators/config_commands.py
@@ -4,6 +4,8 @@
 
 import argparse
 import json
+import sys
+import uuid
 from pathlib import Path
 from typing import Any
 
@@ -67,7 +69,7 @@
     """Validate files against what is in force, without changing it."""
     revision, before = await session.layers()
     patches = patches_between(before, read_files(args.base, args.overlays))
-    await session.change(patches, revision, "", None, dry_run=True)
+    await session.change(patches, revision, "", "", dry_run=True)
     print(f"valid; {len(patches)} layers would change from revision {revision}")
     return ExitCode.OK
 
@@ -97,10 +99,12 @@
     if args.from_revision is not None:
         revision = args.from_revision
     if args.dry_run:
-        await session.change(patches, revision, args.note, None, dry_run=True)
+        await session.change(patches, revision, args.note, "", dry_run=True)
         print(json.dumps({"from_revision": revision, "patches": patches}, indent=2))
         return ExitCode.OK
-    made = await session.change(patches, revision, args.note, args.change_id, dry_run=False)
+    change_id = args.change_id or uuid.uuid4().hex
+    print(f"change id {change_id}", file=sys.stderr)
+    made = await session.change(patches, revision, args.note, change_id, dry_run=False)
     print(f"revision {made} accepted")
     if not args.wait:
         return ExitCode.OK
--- a/chestnutfall/operators/operator_session.py
+++ b/chestnutfall/operators/operator_session.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import json
-import sys
-import uuid
 from typing import Any
 
 from ..clock import Clock
@@ -80,7 +78,7 @@
         patches: dict[str, Any],
         from_revision: int,
         note: str,
-        change_id: str | None,
+        change_id: str,
         dry_run: bool,
     ) -> int:
         """Make a change and return its revision.
@@ -90,9 +88,6 @@
         CommandFailed
             When it is refused, beaten by another, or its outcome is unknown.
         """
-        change_id = change_id or uuid.uuid4().hex
-        if not dry_run:
-            print(f"change id {change_id}", file=sys.stderr)
         msg = ApplyChange(self._key, change_id, from_revision, json.dumps(patches), note, dry_run)
         reply = await self._ask(msg)
         match reply:
--- /dev/null
+++ b/chestnutfall/tests/process_office.py
@@ -0,0 +1,239 @@
+"""A small office of real processes, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from ..clock import SystemClock
+from ..config.typed_config import key_hash
+from ..control.control_client import ControlClient
+from ..operators import OperatorSession
+
+SITE = "nodo-centro"
+KEYS = {"admin": "admin key", "caller": "caller key", "engines": "engine key", "plain": "plain key"}
+DEADLINE_S = 30.0
+DIGESTS = {"1": "sha256:" + "11" * 32, "2": "sha256:" + "22" * 32}
+
+
+def free_address() -> str:
+    """An address that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def wait_until(what: str, condition: Callable[[], bool]) -> None:
+    """Wait until `condition` holds."""
+    end = time.monotonic() + DEADLINE_S
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise AssertionError(f"{what} did not happen")
+
+
+class ProcessOffice:
+    """Controllers, gateways, an engine and a plain service as processes."""
+
+    def __init__(self, controllers: int = 3, gateways: int = 2, engines: int = 1) -> None:
+        self._temporary = TemporaryDirectory()
+        self.folder = Path(self._temporary.name)
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.controllers = [free_address() for _ in range(controllers)]
+        self.gateways = [free_address() for _ in range(gateways)]
+        self._announce = [free_address() for _ in range(gateways)]
+        self.engines = [free_address() for _ in range(engines)]
+        self.plain = free_address()
+        self.engine_settings: dict[str, Any] = {"load_ms": 50, "step_ms": 10}
+        self.limits: dict[str, Any] = {}
+        for name, key in KEYS.items():
+            (self.folder / f"{name}.key").write_text(key)
+
+    def start(self) -> None:
+        """Start everything and wait until all gateways are ready."""
+        for number in range(len(self.controllers)):
+            self.start_controller(number, "--bootstrap")
+        self.configure()
+        for number in range(len(self.gateways)):
+            self.start_gateway(number)
+        for number, address in enumerate(self.engines):
+            self._start_upstream("engine", f"engine-{number}", "redactor-ia", address)
+        self._start_upstream("plain", "plain-0", "permisos", self.plain)
+        for number in range(len(self.gateways)):
+            wait_until(f"gateway {number} ready", lambda n=number: self.is_ready(n))  # type: ignore[misc]
+        wait_until("an answer", lambda: self.post(0, "tejas@1")[0] == 200)
+
+    def _start(self, program: str, name: str, settings: dict[str, Any], *options: str) -> None:
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        command = [sys.executable, "-m", f"chestnutfall.programs.{program}", "--settings"]
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [*command, str(path), *options], stderr=log, stdout=log
+            )
+
+    def start_controller(self, number: int, *options: str) -> None:
+        """Start a controller on its data folder."""
+        members = [{"name": f"c{n}", "address": a} for n, a in enumerate(self.controllers)]
+        settings = {
+            "name": f"c{number}",
+            "listen": self.controllers[number],
+            "data_folder": str(self.folder / f"data-{number}"),
+            "first_members": members,
+            "admin_key_sha256": key_hash(KEYS["admin"]),
+        }
+        self._start("controller", f"c{number}", settings, *options)
+
+    def start_gateway(self, number: int) -> None:
+        """Start a gateway."""
+        settings = {
+            "name": f"g{number}",
+            "data_centre": SITE,
+            "listen": self.gateways[number],
+            "peer_listen": free_address(),
+            "announce_listen": self._announce[number],
+            "controllers": self.controllers,
+            "not_ready_ms": 300,
+            "observability": {"trace_file": str(self.folder / "traces.jsonl")},
+        }
+        self._start("gateway", f"g{number}", settings)
+
+    def _start_upstream(self, program: str, name: str, service: str, address: str) -> None:
+        settings: dict[str, Any] = {
+            "name": name,
+            "service": service,
+            "data_centre": SITE,
+            "listen": address,
+            "announce_to": self._announce,
+            "announce_key_file": str(
+                self.folder / ("engines.key" if program == "engine" else "plain.key")
+            ),
+        }
+        if program == "engine":
+            settings |= {"base_model": "base", **self.engine_settings}
+        self._start(program, name, settings)
+
+    def configure(self) -> None:
+        """Make the first configuration."""
+        versions = {"service": "redactor-ia", "versions": DIGESTS}
+        base = {
+            "sites": {SITE: {}},
+            "services": {
+                "redactor-ia": {"kind": "engine", "announce_key_sha256": key_hash("engine key")},
+                "permisos": {
+                    "kind": "plain",
+                    "path": "/permisos",
+                    "announce_key_sha256": key_hash("plain key"),
+                },
+            },
+            "adapters": {"tejas": versions, "una-vez": {**versions, "non_idempotent": True}},
+            "callers": {
+                "ana": {
+                    "key_sha256": key_hash(KEYS["caller"]),
+                    "adapters": ["*"],
+                    "services": ["permisos"],
+                    "rate_per_s": 10_000,
+                    "concurrency": 1000,
+                }
+            },
+            "limits": {"default": self.limits},
+        }
+
+        async def change() -> None:
+            async with self.operator() as session:
+                await session.change({"base": base}, 0, "first", "first", False)
+
+        asyncio.run(change())
+
+    def operator(self) -> _Operator:
+        """A context with an operator's session."""
+        return _Operator(self.controllers)
+
+    def signal(self, name: str, signum: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self.processes[name].send_signal(signum)
+
+    def wait_exit(self, name: str) -> int:
+        """Wait for a process to end and return its exit code."""
+        return self.processes.pop(name).wait(timeout=DEADLINE_S)
+
+    def log(self, name: str) -> str:
+        """What a process has logged."""
+        return (self.folder / f"{name}.log").read_text("utf-8")
+
+    def is_ready(self, gateway: int) -> bool:
+        """Whether a gateway says that it is ready."""
+        try:
+            return self._open(urllib.request.Request(self.url(gateway, "/readyz")))[0] == 200
+        except OSError:
+            return False
+
+    def url(self, gateway: int, path: str) -> str:
+        """URL of a path at a gateway."""
+        return f"http://{self.gateways[gateway]}{path}"
+
+    def post(self, gateway: int, model: str, **headers: str) -> tuple[int, dict[str, Any]]:
+        """Ask for a short completion; return status and body."""
+        body = json.dumps({"model": model, "max_tokens": 4, "prompt": "roof"}).encode()
+        return self.request(gateway, "/v1/completions", body, **headers)
+
+    def request(
+        self, gateway: int, path: str, body: bytes | None, **headers: str
+    ) -> tuple[int, dict[str, Any]]:
+        """Send a request as the caller; return status and JSON body."""
+        req = urllib.request.Request(self.url(gateway, path), data=body)
+        req.add_header("Authorization", f"Bearer {KEYS['caller']}")
+        for name, value in headers.items():
+            req.add_header(name.replace("_", "-"), value)
+        status, text = self._open(req)
+        return status, json.loads(text)
+
+    @staticmethod
+    def _open(req: urllib.request.Request) -> tuple[int, bytes]:
+        opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+        try:
+            with opener.open(req, timeout=DEADLINE_S) as resp:
+                return resp.status, resp.read()
+        except urllib.error.HTTPError as exc:
+            return exc.code, exc.read()
+
+    def engine_counts(self, number: int = 0) -> dict[str, int]:
+        """What an engine has counted."""
+        url = f"http://{self.engines[number]}/standin/counts"
+        counts: dict[str, int] = json.loads(self._open(urllib.request.Request(url))[1])
+        return counts
+
+    def stop(self) -> None:
+        """End every process."""
+        for process in self.processes.values():
+            os.kill(process.pid, signal.SIGCONT)
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self._temporary.cleanup()
+
+
+class _Operator:
+    def __init__(self, controllers: list[str]) -> None:
+        self._controllers = controllers
+
+    async def __aenter__(self) -> OperatorSession:
+        clock = SystemClock()
+        self._client = ControlClient(self._controllers, clock)
+        return OperatorSession(self._client, KEYS["admin"], clock)
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self._client.close()
--- a/chestnutfall/tests/test_at_most_once.py
+++ b/chestnutfall/tests/test_at_most_once.py
@@ -1,7 +1,7 @@
 """Non-idempotent requests run at most once, whatever is lost on the way.
 
 A household gets two estimates. The caller repeats a request whose answer it did not get, through
-another gateway, while the first run goes on, after a restart, or while controllers are out of reach.
+another gateway, while the first run goes on, after a restart, or while no controller answers.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/chestnutfall/tests/test_processes.py
@@ -0,0 +1,227 @@
+"""The programs as processes, with signals.
+
+What the parts promise under a manual clock must hold for the programs that are started in earnest:
+controllers that are killed and frozen, gateways that are told to stop, settings that are wrong.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import unittest
+from typing import ClassVar
+
+import openai
+
+from ..operators import OperatorSession
+from ..operators.operator_session import CommandFailed
+from .process_office import KEYS, ProcessOffice, wait_until
+
+
+class OfficeTest(unittest.TestCase):
+    office: ClassVar[ProcessOffice]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.office = ProcessOffice()
+        try:
+            cls.office.start()
+        except BaseException:
+            cls.office.stop()
+            raise
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        cls.office.stop()
+
+    def test_the_usual_client_works_unchanged(self) -> None:
+        client = openai.OpenAI(
+            base_url=self.office.url(0, "/v1"), api_key=KEYS["caller"], max_retries=0
+        )
+        messages = [{"role": "user", "content": "roof"}]
+        models = {model.id for model in client.models.list()}
+        self.assertEqual(models, {"tejas@1", "tejas@2", "una-vez@1", "una-vez@2"})
+        for version in ("1", "2"):
+            model = f"tejas@{version}"
+            whole = client.chat.completions.create(
+                model=model, messages=messages, max_tokens=4  # type: ignore[arg-type]
+            )
+            self.assertTrue(whole.model.startswith(f"{model}+"))
+            self.assertIn(whole.model, whole.choices[0].message.content or "")
+            stream = client.chat.completions.create(
+                model=model, messages=messages, max_tokens=4, stream=True  # type: ignore[arg-type]
+            )
+            text = "".join(chunk.choices[0].delta.content or "" for chunk in stream)
+            self.assertEqual(text, "w1 w2 w3 w4 ")
+
+    def test_repeat_through_another_gateway_does_not_run_again(self) -> None:
+        runs = self.office.engine_counts()["runs"]
+        first = self.office.post(0, "una-vez@1", Idempotency_Key="k1")
+        self.assertEqual(first[0], 200)
+        status, body = self.office.post(1, "una-vez@1", Idempotency_Key="k1")
+        self.assertEqual((status, body["error"]["executed"]), (409, "yes"))
+        self.assertEqual(self.office.engine_counts()["runs"], runs + 1)
+
+    def test_plain_service_is_reached_by_its_path(self) -> None:
+        status, body = self.office.request(0, "/permisos/7", None)
+        self.assertEqual((status, body["path"]), (200, "/permisos/7"))
+        status, _ = self.office.request(0, "/permisos-otros/7", None)
+        self.assertEqual(status, 404)
+
+    def test_bad_requests_get_clear_errors(self) -> None:
+        cases = [
+            (b"{", "bad_json"),
+            (b'{"model": "a", "model": "b"}', "bad_json"),
+            (b"[" * 100_000, "bad_json"),
+            (b'{"model": "tejas"}', "version_required"),
+            (b'{"model": "tejas@9"}', "model_not_found"),
+            (b'{"model": "tejas@1+0000000000000000"}', "model_not_found"),
+            (b'{"model": 7}', "bad_request"),
+            (b'{"model": "tejas@1", "stream": 1}', "bad_request"),
+            (b" " * (2 * 1024 * 1024 + 1), "body_too_large"),
+        ]
+        for body, code in cases:
+            with self.subTest(code=code, body=body[:20]):
+                status, answer = self.office.request(0, "/v1/completions", body)
+                self.assertGreaterEqual(status, 400)
+                self.assertEqual(answer["error"]["code"], code)
+                self.assertEqual(answer["error"]["executed"], "no")
+
+    def test_unknown_key_is_refused(self) -> None:
+        status, answer = self.office.request(0, "/v1/models", None, Authorization="Bearer x")
+        self.assertEqual((status, answer["error"]["code"]), (401, "invalid_key"))
+
+    def test_no_io_uring_and_no_child_process(self) -> None:
+        for name, process in self.office.processes.items():
+            with self.subTest(process=name):
+                fds = f"/proc/{process.pid}/fd"
+                links = [_link(f"{fds}/{fd}") for fd in os.listdir(fds)]
+                self.assertFalse([link for link in links if "io_uring" in link])
+                for task in os.listdir(f"/proc/{process.pid}/task"):
+                    with open(f"/proc/{process.pid}/task/{task}/children") as file:
+                        self.assertEqual(file.read().strip(), "")
+
+    def test_announcement_of_a_stranger_is_refused(self) -> None:
+        announcement = {
+            "name": "engine-0",
+            "service": "redactor-ia",
+            "data_centre": "x",
+            "address": "127.0.0.1:1",
+            "incarnation": "x",
+            "ttl_ms": 1000,
+        }
+        for key, status in (("wrong", 401), (KEYS["engines"], 409)):
+            conn = http.client.HTTPConnection(*self.office._announce[0].split(":"))
+            headers = {"Authorization": f"Bearer {key}"}
+            conn.request("POST", "/v1/announcements", json.dumps(announcement), headers)
+            self.assertEqual(conn.getresponse().status, status)
+            conn.close()
+
+
+class DrainTest(unittest.TestCase):
+    def test_graceful_stop_cuts_off_no_stream(self) -> None:
+        # A gateway is told to stop while a stream runs through it: the stream ends whole, new
+        # requests are told that nothing ran, the engine it owned goes on with another owner.
+        office = ProcessOffice(controllers=1, gateways=2)
+        try:
+            office.start()
+            conn = http.client.HTTPConnection(*office.gateways[0].split(":"), timeout=30)
+            body = {"model": "tejas@1", "stream": True, "max_tokens": 300}
+            headers = {"Authorization": f"Bearer {KEYS['caller']}"}
+            conn.request("POST", "/v1/completions", json.dumps(body), headers)
+            resp = conn.getresponse()
+            first = resp.readline()
+            office.signal("g0", signal.SIGTERM)
+            wait_until("not ready", lambda: not office.is_ready(0))
+            rest = resp.read()
+            self.assertTrue((first + rest).rstrip().endswith(b"data: [DONE]"))
+            self.assertEqual((first + rest).count(b"data: {"), 300)
+            self.assertEqual(office.wait_exit("g0"), 0)
+            wait_until("the other gateway serves", lambda: office.post(1, "tejas@2")[0] == 200)
+            self.assertNotIn("evicted_while_serving", office.engine_counts())
+        finally:
+            office.stop()
+
+
+class ControllersTest(unittest.TestCase):
+    def test_every_acknowledged_change_survives_kills_and_freezes(self) -> None:
+        # Operators change the configuration while the leader is killed, the next one frozen, and
+        # at last all three are killed. What was answered "accepted" is there afterwards, in order.
+        office = ProcessOffice(controllers=3, gateways=0, engines=0)
+        try:
+            for number in range(3):
+                office.start_controller(number, "--bootstrap")
+            office.configure()
+            accepted = asyncio.run(self._change_under_faults(office))
+            for number in range(3):
+                office.signal(f"c{number}", signal.SIGKILL)
+                office.wait_exit(f"c{number}")
+            for number in range(3):
+                office.start_controller(number)
+            notes = asyncio.run(self._notes(office))
+            self.assertGreater(len(accepted), 50)
+            self.assertEqual([note for note in notes if note in accepted], accepted)
+            self.assertEqual(len(notes), len(set(notes)))
+        finally:
+            office.stop()
+
+    async def _change_under_faults(self, office: ProcessOffice) -> list[str]:
+        accepted = []
+        async with office.operator() as session:
+            for number in range(80):
+                if number == 20:
+                    killed = (await session.status()).leader
+                    office.signal(killed, signal.SIGKILL)
+                    office.wait_exit(killed)
+                if number == 40:
+                    office.start_controller(int(killed[1:]))
+                if number == 50:
+                    frozen = (await session.status()).leader
+                    office.signal(frozen, signal.SIGSTOP)
+                if number == 70:
+                    office.signal(frozen, signal.SIGCONT)
+                if await self._one_change(session, number):
+                    accepted.append(f"change {number}")
+        return accepted
+
+    async def _one_change(self, session: OperatorSession, number: int) -> bool:
+        patch = {"base": {"limits": {"default": {"request_ms": 1000 + number}}}}
+        try:
+            revision, _ = await session.layers()
+            await session.change(patch, revision, f"change {number}", f"id {number}", False)
+        except CommandFailed:
+            return False
+        return True
+
+    async def _notes(self, office: ProcessOffice) -> list[str]:
+        async with office.operator() as session:
+            return [record.change.note for record in (await session.audit(0)).records]
+
+
+class SettingsTest(unittest.TestCase):
+    def test_wrong_settings_are_all_printed_and_exit_2(self) -> None:
+        for program in ("gateway", "controller", "engine", "plain"):
+            with self.subTest(program=program):
+                command = [sys.executable, "-m", f"chestnutfall.programs.{program}"]
+                done = subprocess.run(
+                    [*command, "--settings", "/dev/stdin"],
+                    input='{"name": "Bad Name", "listen": "localhost:1", "x": 1}',
+                    capture_output=True,
+                    text=True,
+                    check=False,
+                )
+                self.assertEqual(done.returncode, 2)
+                self.assertIn("/listen", done.stderr)
+                self.assertIn("/x", done.stderr)
+
+
+def _link(path: str) -> str:
+    try:
+        return os.readlink(path)
+    except OSError:
+        return ""
--- a/properties/mutant_list.py
+++ b/properties/mutant_list.py
@@ -351,8 +351,8 @@
     Mutant(
         "dead gateway's run called running",
         _SERVICE,
-        "            if claim.status is ClaimStatus.RUNNING and self._duties.is_over(claim.session):",
-        "            if False:",
+        "            if claim.status is ClaimStatus.RUNNING and self._duties.is_over(",
+        "            if False and self._duties.is_over(",
         _ONCE_TEST,
     ),
     Mutant(
--- a/properties/test_serving.py
+++ b/properties/test_serving.py
@@ -1,8 +1,8 @@
 """Tickets, pins, loads and ownership under every mix of faults.
 
 A caller's answer breaks off because its adapter was evicted under it, or comes from another one;
-two gateways decide for one engine at the same time. Requests for more adapters than slots come while
-gateways die, freeze and lose their lines, and engines restart empty or leave.
+two gateways decide for one engine at the same time. Requests for more adapters than slots come
+while gateways die, freeze and lose their lines, and engines restart empty.
 """
 
 from __future__ import annotations
