--- /dev/null
+++ b/chestnutfall/consensus/campaign.py
@@ -0,0 +1,46 @@
+"""Asking for votes."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from .member import Member
+from .messages import VoteReply, VoteRequest
+
+if TYPE_CHECKING:
+    from .replica import Replica
+
+
+async def collect_votes(replica: Replica, term: int, pre: bool, transfer: bool) -> bool:
+    """Whether a majority of the voters would elect, or (not `pre`) elects, `replica` in `term`."""
+    voters = [member for member in replica.members if member.voter]
+    last_index, last_term = replica.log.last_index, replica.log.last_term
+
+    async def ask(member: Member) -> bool:
+        if member.replica_id == replica.replica_id:
+            return True
+        req = VoteRequest(
+            member.replica_id, replica.replica_id, term, last_index, last_term, pre, transfer
+        )
+        try:
+            reply = await replica.transport.call(member, req, replica.timing.call_ms)
+        except ConnectionError:
+            return False
+        if not isinstance(reply, VoteReply):
+            return False
+        if reply.term > replica.term:
+            replica.learn_term(reply.term)
+        return reply.granted
+
+    votes = 0
+    tasks = [asyncio.ensure_future(ask(member)) for member in voters]
+    try:
+        for done in asyncio.as_completed(tasks):
+            votes += await done
+            if votes > len(voters) // 2:
+                return True
+        return False
+    finally:
+        for task in tasks:
+            task.cancel()
--- a/chestnutfall/consensus/journal.py
+++ b/chestnutfall/consensus/journal.py
@@ -31,7 +31,9 @@
         # Many callers wait for one sync. Cancelling one of them (a call that ran into its
         # deadline) would cancel the future that all of them wait for. Symptom: a campaign or a
         # leader's link to a healthy follower ends without a word. The shield keeps it theirs.
-        return asyncio.shield(self._synced)
+        mine = asyncio.shield(self._synced)
+        mine.add_done_callback(_mark_seen)
+        return mine
 
     async def run(self) -> None:
         """Write batch after batch; ends only by cancellation or a failing disk."""
@@ -67,3 +69,9 @@
             if fut is not None and not fut.done():
                 fut.set_exception(StorageFailed(str(exc)))
                 fut.exception()
+
+
+def _mark_seen(fut: asyncio.Future[None]) -> None:
+    """Keep asyncio from reporting a failure that `run` reports already."""
+    if not fut.cancelled():
+        fut.exception()
--- a/chestnutfall/consensus/replica.py
+++ b/chestnutfall/consensus/replica.py
@@ -12,9 +12,11 @@
 from typing import Any
 
 from ..clock import Clock
+from .campaign import collect_votes
 from .entry import Entry
-from .errors import Busy, LeadershipLost, NotLeader
+from .errors import Busy, NotLeader
 from .journal import Journal
+from .leadership import Leadership
 from .member import Member
 from .messages import (
     AppendReply,
@@ -34,7 +36,6 @@
 from .transport import Transport
 
 MAX_WAITING = 4096
-MAX_BATCH_BYTES = 256 * 1024
 SNAPSHOT_EVERY = 4000
 KEEP_ENTRIES = 1000
 
@@ -73,12 +74,8 @@
         self._keep_entries = keep_entries
         self.role = Role.FOLLOWER
         self.leader_id = ""
-        self.progress = Progress()
-        self._term_start = 0
-        self._transferring = False
+        self.leadership: Leadership | None = None
         self._campaigning = False
-        self._waiters: dict[int, asyncio.Future[Any]] = {}
-        self._peers: dict[str, tuple[Member, asyncio.Task[None], asyncio.Event]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     # Life
@@ -98,8 +95,8 @@
         # its own start as such a moment and votes for nobody during one election timeout.
         self._heard_leader_ms = self.clock.now_ms()
         self._restart_election_timer()
-        self._spawn(self.journal.run())
-        self._spawn(self._watch_leader())
+        self.spawn(self.journal.run())
+        self.spawn(self._watch_leader())
 
     async def stop(self) -> None:
         """Stop all tasks at once; nothing is handed over."""
@@ -109,7 +106,8 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _spawn(self, work: Any) -> asyncio.Task[None]:
+    def spawn(self, work: Any) -> asyncio.Task[None]:
+        """Run `work` as a task of this replica's life."""
         task: asyncio.Task[None] = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._task_ended)
@@ -132,11 +130,12 @@
 
     def can_decide(self) -> bool:
         """Whether this is the only leader now and has applied all that earlier ones committed."""
+        leadership = self.leadership
         return (
-            self.role is Role.LEADER
-            and not self._transferring
-            and self.applied_index >= self._term_start
-            and self.clock.now_ms() < self._lease_until_ms()
+            leadership is not None
+            and not leadership.handing_over
+            and self.applied_index >= leadership.start_index
+            and self.clock.now_ms() < leadership.lease_until_ms()
         )
 
     async def propose(self, data: bytes) -> Any:
@@ -149,8 +148,9 @@
         LeadershipLost
             The command may or may not be committed later.
         """
-        self._check_can_propose()
-        return await self._append_and_wait(Entry(self.log.last_index + 1, self.term, data))
+        leadership = self._leadership_for_proposal()
+        entry = Entry(self.log.last_index + 1, self.term, data)
+        return await leadership.append_and_wait(entry)
 
     async def change_members(self, members: tuple[Member, ...]) -> None:
         """Commit a membership that differs from the present one in one replica.
@@ -161,16 +161,22 @@
             When it differs in more, an earlier change is not committed, a learner to be
             promoted lags behind, or the leader would remove itself.
         """
-        self._check_can_propose()
+        leadership = self._leadership_for_proposal()
         self._check_members(members)
         entry = Entry(self.log.last_index + 1, self.term, members=members)
-        await self._append_and_wait(entry)
+        await leadership.append_and_wait(entry)
 
-    def _check_can_propose(self) -> None:
-        if not self.can_decide():
+    def _leadership_for_proposal(self) -> Leadership:
+        if self.leadership is None or not self.can_decide():
             raise NotLeader(self.leader_id)
-        if len(self._waiters) >= MAX_WAITING:
-            raise Busy(f"{len(self._waiters)} proposals are waiting")
+        if len(self.leadership.waiters) >= MAX_WAITING:
+            raise Busy(f"{len(self.leadership.waiters)} proposals are waiting")
+        return self.leadership
+
+    @property
+    def progress(self) -> Progress:
+        """What this replica as leader knows of the others; empty when it does not lead."""
+        return self.leadership.progress if self.leadership is not None else Progress()
 
     def _check_members(self, members: tuple[Member, ...]) -> None:
         # Two changes under way may leave two majorities without a common voter. Symptom: two
@@ -194,35 +200,11 @@
         if self.progress.match(member.replica_id) < self.commit_index:
             raise ValueError(f"{member.replica_id} has not caught up; it stays a learner")
 
-    async def _append_and_wait(self, entry: Entry) -> Any:
-        fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        self._waiters[entry.index] = fut
-        self._append_as_leader(entry)
-        return await fut
-
     async def hand_over(self) -> None:
         """Move leadership to the most advanced follower before a graceful stop."""
-        if self.role is not Role.LEADER:
-            return
-        # The successor may be elected inside our lease, so we stop deciding for good first:
-        # a transfer message that is delivered late can still take effect.
-        self._transferring = True
-        others = [m for m in self.members if m.voter and m.replica_id != self.replica_id]
-        if others:
-            target = max(others, key=lambda member: self.progress.match(member.replica_id))
-            await self._wait_for_match(target.replica_id)
-            msg = TakeOver(target.replica_id, self.replica_id, self.term)
-            try:
-                await self.transport.call(target, msg, self.timing.call_ms)
-            except ConnectionError:
-                pass
-        self._step_down()
-
-    async def _wait_for_match(self, replica_id: str) -> None:
-        for _ in range(10):
-            if self.progress.match(replica_id) >= self.log.last_index:
-                return
-            await self.clock.sleep_ms(self.timing.call_ms / 10)
+        if self.leadership is not None:
+            await self.leadership.ask_successor()
+            self._step_down()
 
     # Messages from other replicas
 
@@ -239,7 +221,7 @@
                 return await self._on_snapshot(msg)
             case TakeOver():
                 if msg.term == self.term and self._is_voter():
-                    self._spawn(self._campaign(transfer=True))
+                    self.spawn(self._campaign(transfer=True))
                 return VoteReply(self.term, True)
             case _:
                 raise ValueError(f"unexpected message {type(msg).__name__}")
@@ -264,8 +246,8 @@
         return VoteReply(self.term, granted and still)
 
     def _follows_leader(self) -> bool:
-        if self.role is Role.LEADER:
-            return self.clock.now_ms() < self._lease_until_ms()
+        if self.leadership is not None:
+            return self.clock.now_ms() < self.leadership.lease_until_ms()
         return self.clock.now_ms() < self._heard_leader_ms + self.timing.election_min_ms
 
     async def _on_append(self, req: AppendRequest) -> AppendReply:
@@ -281,7 +263,7 @@
         await self.journal.write(records)
         matched = req.prev_index + len(req.entries)
         if self.term == req.term:
-            self._commit_to(min(req.commit, matched))
+            self.commit_to(min(req.commit, matched))
         return AppendReply(self.term, True, matched)
 
     def _agreed_before(self, index: int) -> int:
@@ -346,15 +328,9 @@
 
     def _step_down(self) -> None:
         self.role = Role.FOLLOWER
-        self._transferring = False
-        for _, task, _ in self._peers.values():
-            task.cancel()
-        self._peers.clear()
-        waiters, self._waiters = self._waiters, {}
-        for fut in waiters.values():
-            if not fut.done():
-                fut.set_exception(LeadershipLost("another leader may commit it"))
-                fut.exception()
+        leadership, self.leadership = self.leadership, None
+        if leadership is not None:
+            leadership.end()
 
     def _is_voter(self) -> bool:
         return any(m.replica_id == self.replica_id and m.voter for m in self.members)
@@ -370,8 +346,9 @@
                 await self.clock.sleep_ms(wait_ms)
                 continue
             self._restart_election_timer()
-            if self.role is Role.LEADER:
-                if self.clock.now_ms() > self._lease_until_ms() + self.timing.election_max_ms:
+            if self.leadership is not None:
+                lost_ms = self.leadership.lease_until_ms() + self.timing.election_max_ms
+                if self.clock.now_ms() > lost_ms:
                     self._step_down()
             elif self._is_voter():
                 await self._campaign(transfer=False)
@@ -383,7 +360,7 @@
         try:
             # Asking first without raising the term keeps a replica that can't win from deposing
             # a leader when its partition heals.
-            if not transfer and not await self._collect_votes(self.term + 1, True, False):
+            if not transfer and not await collect_votes(self, self.term + 1, True, False):
                 return
             self.term += 1
             self.voted_for = self.replica_id
@@ -391,158 +368,40 @@
             self.role = Role.CANDIDATE
             term = self.term
             await self.journal.write([HardState(term, self.voted_for)])
-            won = await self._collect_votes(term, False, transfer)
+            won = await collect_votes(self, term, False, transfer)
             if won and self.term == term and self.role is Role.CANDIDATE:
-                self._lead()
+                self.role = Role.LEADER
+                self.leader_id = self.replica_id
+                self.leadership = Leadership(self)
+                self.leadership.begin()
         finally:
             self._campaigning = False
 
-    async def _collect_votes(self, term: int, pre: bool, transfer: bool) -> bool:
-        voters = [member for member in self.members if member.voter]
-        last_index, last_term = self.log.last_index, self.log.last_term
-
-        async def ask(member: Member) -> bool:
-            if member.replica_id == self.replica_id:
-                return True
-            req = VoteRequest(
-                member.replica_id, self.replica_id, term, last_index, last_term, pre, transfer
-            )
-            try:
-                reply = await self.transport.call(member, req, self.timing.call_ms)
-            except ConnectionError:
-                return False
-            if not isinstance(reply, VoteReply):
-                return False
-            if reply.term > self.term:
-                self._adopt_term(reply.term)
-                self.journal.write([HardState(self.term, self.voted_for)])
-            return reply.granted
-
-        votes = 0
-        tasks = [asyncio.ensure_future(ask(member)) for member in voters]
-        try:
-            for done in asyncio.as_completed(tasks):
-                votes += await done
-                if votes > len(voters) // 2:
-                    return True
-            return False
-        finally:
-            for task in tasks:
-                task.cancel()
-
-    def _lead(self) -> None:
-        self.role = Role.LEADER
-        self.leader_id = self.replica_id
-        self.progress = Progress()
-        self._term_start = self.log.last_index + 1
-        self._append_as_leader(Entry(self._term_start, self.term))
-
-    # Replication by the leader
-
-    def _lease_until_ms(self) -> int:
-        self.progress.answered(self.replica_id, self.clock.now_ms())
-        return self.progress.quorum_answered_ms(self.members) + self.timing.lease_ms
-
-    def _append_as_leader(self, entry: Entry) -> None:
-        self.log.append(entry)
-        term = self.term
-
-        def synced(fut: asyncio.Future[None]) -> None:
-            if fut.cancelled() or fut.exception() is not None:
-                return
-            if self.role is Role.LEADER and self.term == term:
-                self.progress.matched(self.replica_id, entry.index)
-                self._advance_commit()
-
-        self.journal.write([entry]).add_done_callback(synced)
-        self._match_peers_to_members()
-        for _, _, wake in self._peers.values():
-            wake.set()
-
-    def _match_peers_to_members(self) -> None:
-        wanted = {m.replica_id: m for m in self.members if m.replica_id != self.replica_id}
-        for replica_id, (member, task, _) in list(self._peers.items()):
-            known = wanted.get(replica_id)
-            if known is None or known.address != member.address:
-                task.cancel()
-                del self._peers[replica_id]
-        for replica_id, member in wanted.items():
-            if replica_id not in self._peers:
-                wake = asyncio.Event()
-                task = self._spawn(self._replicate_to(member, self.term, wake))
-                self._peers[replica_id] = (member, task, wake)
-
-    async def _replicate_to(self, member: Member, term: int, wake: asyncio.Event) -> None:
-        next_index = self.log.last_index + 1
-        while self.role is Role.LEADER and self.term == term:
-            wake.clear()
-            sent_ms = self.clock.now_ms()
-            try:
-                reply = await self.transport.call(
-                    member, self._next_message(member, next_index), self.timing.call_ms
-                )
-            except ConnectionError:
-                await self.clock.sleep_ms(self.timing.heartbeat_ms)
-                continue
-            if not isinstance(reply, AppendReply) or reply.term < term:
-                await self.clock.sleep_ms(self.timing.heartbeat_ms)
-                continue
-            if reply.term > self.term:
-                self._adopt_term(reply.term)
-                self.journal.write([HardState(self.term, self.voted_for)])
-                return
-            self.progress.answered(member.replica_id, sent_ms)
-            if reply.ok:
-                next_index = reply.match_index + 1
-                self.progress.matched(member.replica_id, reply.match_index)
-                self._advance_commit()
-            else:
-                next_index = max(1, min(next_index - 1, reply.match_index + 1))
-            if next_index > self.log.last_index:
-                await self._wait_for_entries(wake)
-
-    def _next_message(self, member: Member, next_index: int) -> AppendRequest | SnapshotRequest:
-        prev_term = self.log.term_at(next_index - 1)
-        if prev_term is None:
-            return SnapshotRequest(member.replica_id, self.replica_id, self.term, self.log.snapshot)
-        entries = self.log.after(next_index - 1, MAX_BATCH_BYTES)
-        return AppendRequest(
-            member.replica_id,
-            self.replica_id,
-            self.term,
-            next_index - 1,
-            prev_term,
-            entries,
-            self.commit_index,
-        )
-
-    async def _wait_for_entries(self, wake: asyncio.Event) -> None:
-        try:
-            await self.clock.within_ms(self.timing.heartbeat_ms, wake.wait())
-        except TimeoutError:
-            return
+    def learn_term(self, term: int) -> None:
+        """Follow a later term that another replica answered with."""
+        self._adopt_term(term)
+        self.journal.write([HardState(self.term, self.voted_for)])
 
     # Commit and apply
 
-    def _advance_commit(self) -> None:
-        index = self.progress.quorum_match(self.members)
-        # An entry of an earlier term on a majority may still be replaced by a later leader; it
-        # counts as committed only below one of our own term (Raft paper, section 5.4.2).
-        if index > self.commit_index and self.log.term_at(index) == self.term:
-            self._commit_to(index)
-
-    def _commit_to(self, index: int) -> None:
+    def commit_to(self, index: int) -> None:
+        """Take every entry up to `index` as committed and apply it."""
         self.commit_index = max(self.commit_index, min(index, self.log.last_index))
         while self.applied_index < self.commit_index:
             self.applied_index += 1
             entry = self.log.entry_at(self.applied_index)
             outcome = self.machine.apply(entry.index, entry.data) if entry.data else None
-            waiter = self._waiters.pop(entry.index, None)
-            if waiter is not None and not waiter.done():
-                waiter.set_result(outcome)
+            self._tell_waiter(entry.index, outcome)
         if self.applied_index - self.log.snapshot.index >= self._snapshot_every:
             self._take_snapshot()
 
+    def _tell_waiter(self, index: int, outcome: Any) -> None:
+        if self.leadership is None:
+            return
+        waiter = self.leadership.waiters.pop(index, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(outcome)
+
     def _take_snapshot(self) -> None:
         index = self.applied_index
         term = self.log.term_at(index)
--- a/chestnutfall/tests/test_replica.py
+++ b/chestnutfall/tests/test_replica.py
@@ -146,10 +146,12 @@
         pending = asyncio.ensure_future(self.leader.propose(b"earlier"))
         await self.cluster.clock.advance(20)
         index = self.leader.log.last_index
-        self.leader.term += 1
+        leadership = self.leader.leadership
+        assert leadership is not None
+        leadership.term += 1
         for name in self.cluster.names:
-            self.leader.progress.matched(name, index)
-        self.leader._advance_commit()
+            leadership.progress.matched(name, index)
+        leadership.advance_commit()
         self.assertLess(self.leader.commit_index, index)
         pending.cancel()
 
--- a/properties/mutant_list.py
+++ b/properties/mutant_list.py
@@ -27,7 +27,7 @@
     Mutant(
         "leader decides without lease",
         _REPLICA,
-        "            and self.clock.now_ms() < self._lease_until_ms()\n        )",
+        "            and self.clock.now_ms() < leadership.lease_until_ms()\n        )",
         "        )",
         _REPLICA_TEST,
     ),
@@ -48,8 +48,8 @@
     Mutant(
         "no pre-vote",
         _REPLICA,
-        "            if not transfer and not await self._collect_votes(",
-        "            if False and not await self._collect_votes(",
+        "            if not transfer and not await collect_votes(",
+        "            if False and not await collect_votes(",
         _REPLICA_TEST,
     ),
     Mutant(
@@ -69,8 +69,8 @@
     ),
     Mutant(
         "old term's majority counts as committed",
-        _REPLICA,
-        " and self.log.term_at(index) == self.term:",
+        "chestnutfall/consensus/leadership.py",
+        " and replica.log.term_at(index) == self.term:",
         ":",
         _REPLICA_TEST,
     ),
@@ -168,8 +168,8 @@
     Mutant(
         "callers share one cancellable sync",
         "chestnutfall/consensus/journal.py",
-        "        return asyncio.shield(self._synced)",
-        "        return self._synced",
+        "        mine = asyncio.shield(self._synced)",
+        "        mine = self._synced",
         _REPLICA_TEST,
     ),
     Mutant(
