--- a/chestnutfall/caller_edge/caller_app.py
+++ b/chestnutfall/caller_edge/caller_app.py
@@ -23,7 +23,7 @@
 
 log = logging.getLogger(__name__)
 MAX_BODY_BYTES = 2 * 1024 * 1024
-BODY_MS = 10_000
+BODY_MS = 5000
 _STARTED = web.RequestKey("started", web.StreamResponse)
 _PROPAGATOR = TraceContextTextMapPropagator()
 
--- a/chestnutfall/tests/test_processes.py
+++ b/chestnutfall/tests/test_processes.py
@@ -92,6 +92,19 @@
                 self.assertEqual(answer["error"]["code"], code)
                 self.assertEqual(answer["error"]["executed"], "no")
 
+    def test_body_that_trickles_in_is_given_up(self) -> None:
+        # A caller sends its headers and then nothing; others are served meanwhile.
+        conn = http.client.HTTPConnection(*self.office.gateways[0].split(":"), timeout=30)
+        conn.putrequest("POST", "/v1/completions")
+        conn.putheader("Authorization", f"Bearer {KEYS['caller']}")
+        conn.putheader("Content-Length", "100")
+        conn.endheaders(b"{")
+        self.assertEqual(self.office.post(0, "tejas@1")[0], 200)
+        resp = conn.getresponse()
+        self.assertEqual(resp.status, 408)
+        self.assertEqual(json.loads(resp.read())["error"]["executed"], "no")
+        conn.close()
+
     def test_unknown_key_is_refused(self) -> None:
         status, answer = self.office.request(0, "/v1/models", None, Authorization="Bearer x")
         self.assertEqual((status, answer["error"]["code"]), (401, "invalid_key"))
--- a/chestnutfall/tests/test_request_faults.py
+++ b/chestnutfall/tests/test_request_faults.py
@@ -158,6 +158,26 @@
         req = self.entry.request("a2@1")
         self._assert_whole(await self.office.finish(self.entry.answer(req)), req.model)
 
+    async def test_engine_that_restarts_empty_is_loaded_again(self) -> None:
+        # The adapter is gone with the engine's old process, and the owner still counts on it.
+        for pause_ms in (0, 300, 3000):
+            with self.subTest(pause_ms=pause_ms):
+                for engine, _ in self.office.announced.values():
+                    engine.restart_empty()
+                await self.office.clock.advance(pause_ms)
+                req = self.entry.request("a1@1")
+                self._assert_whole(await self.office.finish(self.entry.answer(req)), req.model)
+
+    async def test_gateway_without_a_session_dispatches_nothing(self) -> None:
+        # It was frozen between its ticket and the dispatch; the owner does not count on it now.
+        self.entry.agent._lease_until_ms = 0
+        self.entry.client.cut = True
+        owner = self.office.other(self.entry)
+        self.assertTrue(owner.agent.has_session())
+        refusal = await self._refusal("a1@1")
+        self.assertIs(refusal.executed, Executed.NO)
+        self.assertEqual(self._runs(), [])
+
     async def test_order_whose_answer_was_lost_is_found_out_from_the_engine(self) -> None:
         self._fault_everywhere("order_lost")
         req = self.entry.request("a1@1")
