--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,9 @@
 	.venv/bin/black --check --quiet .
 	.venv/bin/ruff check .
 	.venv/bin/mypy
+
+bench: .venv/ready
+	$(PY) -m benchmarks.overhead
+	$(PY) -m benchmarks.idle
+	$(PY) -m benchmarks.slopes
+	$(PY) -m benchmarks.control
--- a/chestnutfall/programs/controller.py
+++ b/chestnutfall/programs/controller.py
@@ -102,14 +102,18 @@
     settings: ControllerSettings, bootstrap: bool, folder: DiskFolder, storage: FileStorage
 ) -> str:
     if bootstrap:
+        if not storage.is_empty:
+            raise FileExistsError("--bootstrap is for an empty data folder")
         members = tuple(Member(one.name, one.address) for one in settings.first_members)
-        await storage.bootstrap(members)
         await folder.replace(IDENTITY_NAME, settings.name.encode())
-    if IDENTITY_NAME not in folder.names():
+        await storage.bootstrap(members)
+    elif storage.is_empty:
         # A host that lost its disk has also lost its votes. Symptom if it came back under its
-        # old identity: it votes a second time in one term and two leaders are elected.
+        # old identity: it votes a second time in one term and two leaders are elected. An
+        # identity without a log beside it counts as lost too.
         fresh = f"{settings.name}-{uuid.uuid4().hex[:8]}"
         await folder.replace(IDENTITY_NAME, fresh.encode())
+        await storage.bootstrap(())
         log.warning("control: empty data folder, waiting to be added as %s", fresh)
     return folder.read(IDENTITY_NAME).decode()
 
--- a/chestnutfall/tests/fakes/fake_engine.py
+++ b/chestnutfall/tests/fakes/fake_engine.py
@@ -29,7 +29,7 @@
 
     `faults` names what goes wrong next, each once: `unreachable`, `reset` (after the request was
     taken), `silent`, `wrong_model`, `wrong_answer`, `short`, `duplicate`, `gap`, `mid_reset`,
-    `mixed_up` (one event is of another answer), `load_failure`, `order_lost`.
+    `mid_silent`, `mixed_up` (one event is of another answer), `load_failure`, `order_lost`.
     """
 
     def __init__(self, clock: Clock, slots: int = 2, checked: bool = True) -> None:
@@ -103,6 +103,9 @@
                 raise EngineBroken("engine_connection_lost", "gone")
             if number == 3 and engine.take("mid_reset"):
                 raise EngineBroken("engine_connection_lost", "reset")
+            if number == 3 and engine.take("mid_silent"):
+                await engine.clock.sleep_ms(req.silent_ms)
+                raise EngineBroken("engine_silent", "silent")
             if number == 3 and engine.take("short"):
                 return
             if number == 3 and engine.take("gap"):
--- a/chestnutfall/tests/process_office.py
+++ b/chestnutfall/tests/process_office.py
@@ -162,6 +162,14 @@
         """A context with an operator's session."""
         return _Operator(self.controllers)
 
+    def ctl(self, *args: str) -> subprocess.CompletedProcess[str]:
+        """Run one command of the operators' tool."""
+        path = self.folder / "operator.json"
+        settings = {"controllers": self.controllers, "key_file": str(self.folder / "admin.key")}
+        path.write_text(json.dumps(settings))
+        command = [sys.executable, "-m", "chestnutfall.programs.ctl", "--settings", str(path)]
+        return subprocess.run([*command, *args], capture_output=True, text=True, check=False)
+
     def signal(self, name: str, signum: signal.Signals) -> None:
         """Send a signal to a process."""
         self.processes[name].send_signal(signum)
--- a/chestnutfall/tests/test_processes.py
+++ b/chestnutfall/tests/test_processes.py
@@ -10,6 +10,7 @@
 import http.client
 import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -161,7 +162,100 @@
             office.stop()
 
 
+class OperatorTest(unittest.TestCase):
+    office: ClassVar[ProcessOffice]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.office = ProcessOffice(controllers=1, gateways=2)
+        try:
+            cls.office.start()
+        except BaseException:
+            cls.office.stop()
+            raise
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        cls.office.stop()
+
+    def _ctl(self, code: int, *args: str) -> str:
+        done = self.office.ctl(*args)
+        self.assertEqual(done.returncode, code, done.stdout + done.stderr)
+        return done.stdout
+
+    def test_adapter_from_creation_to_retirement(self) -> None:
+        digest = "sha256:" + "ef" * 32
+        create = ["adapter", "create", "nuevo", "--service", "redactor-ia", "--version", "1"]
+        shown = self._ctl(0, *create, "--digest", digest, "--dry-run")
+        self.assertIn("nuevo", shown)
+        self.assertEqual(self.office.post(1, "nuevo@1")[0], 404)
+        self._ctl(0, *create, "--digest", digest, "--wait")
+        self.assertEqual(self.office.post(1, "nuevo@1")[0], 200)
+        self._ctl(2, *create, "--digest", digest)
+        self._ctl(2, "adapter", "add-version", "nuevo", "--version", "2", "--digest", "short")
+        self.assertIn("nuevo", self._ctl(0, "adapter", "list"))
+        self._ctl(0, "adapter", "retire", "nuevo", "--wait")
+        self.assertEqual(self.office.post(1, "nuevo@1")[0], 404)
+
+    def test_racing_change_is_told_what_beat_it(self) -> None:
+        grant = ["caller", "grant", "ana", "tejas", "--from-revision", "0"]
+        done = self.office.ctl(*grant)
+        self.assertEqual(done.returncode, 3)
+        self.assertIn("(first)", done.stderr)
+
+    def test_change_that_is_sent_again_has_one_effect(self) -> None:
+        again = ["upstream", "drain", "engine-9", "--change-id", "same"]
+        first = self._ctl(0, *again)
+        self.assertEqual(self._ctl(0, *again), first)
+
+    def test_auditor_reads_what_is_in_force(self) -> None:
+        history = json.loads(self._ctl(0, "--json", "audit"))
+        self.assertEqual(history[0]["change"]["operator"], "admin")
+        self._ctl(0, "config", "verify", "--silent-ms", "20000")
+        in_force = json.loads(self._ctl(0, "config", "show", "--site", "nodo-centro"))
+        self.assertIn("tejas", in_force["in_force"]["adapters"])
+        self._ctl(0, "status")
+        self._ctl(0, "upstream", "list")
+
+
 class ControllersTest(unittest.TestCase):
+    def test_host_that_lost_its_disk_is_replaced_and_a_second_one_may_die(self) -> None:
+        # A disk is lost and the host comes back empty, under a new identity. It is added, caught
+        # up, promoted; the lost identity is removed. Then another host dies: nothing is lost.
+        office = ProcessOffice(controllers=3, gateways=0, engines=0)
+        try:
+            for number in range(3):
+                office.start_controller(number, "--bootstrap")
+            office.configure()
+            office.signal("c2", signal.SIGKILL)
+            office.wait_exit("c2")
+            shutil.rmtree(office.folder / "data-2")
+            office.start_controller(2)
+            fresh = self._identity(office, office.controllers[2])
+            self.assertTrue(fresh.startswith("c2-"))
+            self.assertEqual(office.ctl("host", "add", fresh, office.controllers[2]).returncode, 0)
+            promote = ("host", "promote", fresh)
+            wait_until("promotion", lambda: office.ctl(*promote).returncode == 0)
+            self.assertEqual(office.ctl("host", "remove", "c2").returncode, 0)
+            office.signal("c1", signal.SIGKILL)
+            office.wait_exit("c1")
+            drain = office.ctl("upstream", "drain", "engine-1")
+            self.assertEqual(drain.returncode, 0, drain.stderr)
+            self.assertIn("accepted", drain.stdout)
+        finally:
+            office.stop()
+
+    def _identity(self, office: ProcessOffice, address: str) -> str:
+        found: list[str] = []
+
+        def identified() -> bool:
+            done = office.ctl("host", "identify", address)
+            found.append(done.stdout.strip())
+            return done.returncode == 0 and bool(found[-1])
+
+        wait_until("an identity", identified)
+        return found[-1]
+
     def test_every_acknowledged_change_survives_kills_and_freezes(self) -> None:
         # Operators change the configuration while the leader is killed, the next one frozen, and
         # at last all three are killed. What was answered "accepted" is there afterwards, in order.
--- a/chestnutfall/tests/test_request_faults.py
+++ b/chestnutfall/tests/test_request_faults.py
@@ -12,7 +12,7 @@
 from ..requests import Executed, Refusal
 from .fakes.fake_office import FakeOffice
 
-RESUMED = ("mid_reset", "short", "gap")
+RESUMED = ("mid_reset", "mid_silent", "short", "gap")
 REPEATED = ("unreachable", "reset", "silent", "wrong_model", "wrong_answer")
 
 
--- /dev/null
+++ b/chestnutfall/tests/test_wire.py
@@ -0,0 +1,83 @@
+"""Messages and connections between our own processes.
+
+A stranger, or a process of another office, takes part; or a damaged message is half understood.
+"""
+
+from __future__ import annotations
+
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ..consensus.messages import CONSENSUS_CODEC, VoteReply
+from ..control.commands import COMMAND_CODEC, AdvanceTime
+from ..control.messages import CONTROL_CODEC
+from ..ownership import TICKET_CODEC
+from ..wire import Codec, RpcChannel, RpcServer, TlsFiles
+from ..wire.authority import Authority
+
+
+class CodecTest(unittest.TestCase):
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_a_message_or_refused(self, data: bytes) -> None:
+        for codec in (CONSENSUS_CODEC, CONTROL_CODEC, COMMAND_CODEC, TICKET_CODEC):
+            self._decode(codec, data)
+
+    @given(st.integers(0, 30), st.integers(0, 255))
+    def test_damaged_messages_are_refused_or_well_typed(self, at: int, value: int) -> None:
+        data = bytearray(COMMAND_CODEC.encode(AdvanceTime(1234)))
+        data[at % len(data)] = value
+        found = self._decode(COMMAND_CODEC, bytes(data))
+        self.assertIsInstance(found, AdvanceTime | None)
+
+    def _decode(self, codec: Codec, data: bytes) -> Any:
+        try:
+            return codec.decode(data)
+        except ValueError:
+            return None
+
+
+class MutualTlsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.temporary = TemporaryDirectory()
+        self.folder = Path(self.temporary.name)
+        self.office = Authority("office")
+        self.files = self.office.issue(self.folder, "server")
+        self.server = RpcServer("127.0.0.1:0", self.files)
+        self.server.add_unary("Echo", CONSENSUS_CODEC, _echo)
+        await self.server.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.server.stop(0)
+        self.temporary.cleanup()
+
+    async def _call(self, files: TlsFiles | None) -> Any:
+        channel = RpcChannel(f"127.0.0.1:{self.server.port}", CONSENSUS_CODEC, files)
+        try:
+            return await channel.call("Echo", VoteReply(1, True), 3000)
+        finally:
+            await channel.close()
+
+    async def test_only_processes_of_this_office_are_answered(self) -> None:
+        client = self.office.issue(self.folder, "client")
+        self.assertEqual(await self._call(client), VoteReply(1, True))
+        stranger = Authority("elsewhere").issue(self.folder, "stranger")
+        mixed = TlsFiles(stranger.key_file, stranger.cert_file, client.ca_file)
+        for files in (None, stranger, mixed):
+            with self.subTest(files=files), self.assertRaises(ConnectionError):
+                await self._call(files)
+
+    async def test_renewed_files_are_used_without_a_restart(self) -> None:
+        # The authority is replaced; a client that trusts only the new one must get an answer.
+        renewed = Authority("renewed")
+        renewed.issue(self.folder, "server")
+        client = renewed.issue(self.folder, "client")
+        self.assertEqual(await self._call(client), VoteReply(1, True))
+
+
+async def _echo(msg: Any, context: Any) -> Any:
+    return msg
