Move loads out of the engine's owner; mend two faults found by reading

An engine that refuses a load was asked again at once, each time with a permit of the office; it now waits for a fresh look. A report that was on its way while a load ended dropped the new slot with its pins; such a report no longer changes slots. Both have a test that fails without the change (properties.mutants: 'refused load tried again at once', 'late report taken for news').

--- a/chestnutfall/ownership/engine_owner.py
+++ b/chestnutfall/ownership/engine_owner.py
@@ -8,9 +8,10 @@
 
 from ..clock import Clock
 from ..config import TypedConfig
-from ..engine_edge import EngineApi, EngineState, Order, OrderKind
+from ..engine_edge import EngineApi, EngineState
 from ..membership import UpstreamRegistry
 from ..observability import Metrics
+from .adapter_loader import STATE_TIMEOUT_MS, AdapterLoader, LoadOutcome
 from .load_failures import LoadFailures
 from .load_permits import LoadPermits
 from .messages import (
@@ -27,10 +28,6 @@
 log = logging.getLogger(__name__)
 REFRESH_MS = 1000
 LOOK_MS = 250
-LOADING_POLL_MS = 25
-LOAD_TIMEOUT_MS = 15_000
-STATE_TIMEOUT_MS = 500
-ORDER_TIMEOUT_MS = 500
 RETRY_MS = 1000
 
 
@@ -55,7 +52,6 @@
         self._may_act = may_act
         self._registry = registry
         self._api = api
-        self._permits = permits
         self._config = config
         self._clock = clock
         self._metrics = metrics
@@ -66,7 +62,9 @@
         self._queue: list[Waiting] = []
         self._failures = LoadFailures()
         self._loads: dict[str, asyncio.Task[None]] = {}
-        self._permit_ends: set[asyncio.Task[None]] = set()
+        self._no_loads_before_ms = 0
+        self._changed_ms = 0
+        self._loader = AdapterLoader(engine, may_act, registry, api, permits, clock, metrics)
 
     async def run(self) -> None:
         """Take over the engine, then keep what is known of it fresh."""
@@ -197,7 +195,7 @@
         waiting.fut.set_result(TicketGrant(waiting.req.attempt_id, stalled_ms))
 
     def _make_room_and_load(self, waiting: Waiting, now_ms: int) -> None:
-        if not self._slot_count:
+        if not self._slot_count or now_ms < self._no_loads_before_ms:
             return
         victim: Slot | None = None
         taken = sum(not slot.leaving for slot in self._slots.values())
@@ -232,124 +230,57 @@
     # Loads
 
     async def _load(self, adapter: str, victim: Slot | None) -> None:
-        permit_id: str | None = None
-        loaded = False
+        outcome = LoadOutcome.NOT_STARTED
         try:
-            permit_id = await self._wait_for_permit(adapter)
-            if permit_id is not None and (victim is None or await self._evict(victim)):
-                loaded = await self._load_and_wait(adapter)
+            outcome = await self._loader.load(
+                adapter, victim, lambda: self._is_wanted(adapter), self._forget
+            )
         finally:
-            if not loaded:
-                self._slots.pop(adapter, None)
+            self._take_outcome(adapter, outcome)
             if victim is not None:
                 victim.leaving = victim.closing = False
-            if permit_id is not None:
-                self._end_permit(permit_id)
         self._pump()
 
-    def _end_permit(self, permit_id: str) -> None:
-        task = asyncio.ensure_future(self._permits.end(permit_id))
-        self._permit_ends.add(task)
-        task.add_done_callback(self._permit_ends.discard)
-
-    async def _wait_for_permit(self, adapter: str) -> str | None:
-        while any(waiting.req.adapter == adapter for waiting in self._queue):
-            permit_id = await self._permits.take()
-            if permit_id is not None:
-                return permit_id
-        return None
-
-    async def _evict(self, victim: Slot) -> bool:
-        """Unload `victim`, unless the engine itself says that it is in use."""
-        address = self._address()
-        if address is None or victim.pins:
-            return False
-        try:
-            # A gateway that vanished may still have a request running that no ticket shows any
-            # more. Symptom of evicting then: an answer breaks off. The engine's own fresh report
-            # decides; together with the wait after a take-over nothing can be on its way to it.
-            state = await self._api.state(address, STATE_TIMEOUT_MS)
-            if victim.adapter in state.running.values() or victim.pins:
-                victim.inherited_until_ms = self._clock.now_ms() + LOOK_MS
-                return False
-            if not await self._order(OrderKind.UNLOAD, victim.adapter):
-                return False
-        except ConnectionError as exc:
-            log.warning("owner: eviction on %s not confirmed: %s", self.engine, exc)
-            return False
-        self._slots.pop(victim.adapter, None)
-        self._metrics.count("evictions")
-        return True
+    def _is_wanted(self, adapter: str) -> bool:
+        return any(waiting.req.adapter == adapter for waiting in self._queue)
 
-    async def _load_and_wait(self, adapter: str) -> bool:
-        started_ms = self._clock.now_ms()
-        try:
-            if not await self._order(OrderKind.LOAD, adapter):
-                return False
-            outcome = await self._wait_until_loaded(adapter)
-        except ConnectionError as exc:
-            log.warning("owner: load on %s not confirmed: %s", self.engine, exc)
-            return False
+    def _forget(self, slot: Slot) -> None:
+        self._changed_ms = self._clock.now_ms()
+        self._slots.pop(slot.adapter, None)
+
+    def _take_outcome(self, adapter: str, outcome: LoadOutcome) -> None:
         now_ms = self._clock.now_ms()
-        if outcome != "ready":
-            self._failures.failed(adapter, now_ms, self._config().policy.load_backoff_ms)
-            self._metrics.count("load_failures")
-            log.warning("owner: load of %s on %s failed: %s", adapter, self.engine, outcome)
-            return False
-        self._failures.loaded(adapter)
-        self._metrics.timing("load_ms", now_ms - started_ms)
+        self._changed_ms = now_ms
         slot = self._slots.get(adapter)
-        if slot is None:
-            return False
-        slot.ready = True
-        return True
-
-    async def _wait_until_loaded(self, adapter: str) -> str:
-        end_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
-        while self._clock.now_ms() < end_ms:
-            address = self._address()
-            if address is None:
-                return "engine gone"
-            state = await self._api.state(address, STATE_TIMEOUT_MS)
-            outcome = state.adapters.get(adapter, "missing")
-            if outcome != "loading":
-                return outcome
-            await self._clock.sleep_ms(LOADING_POLL_MS)
-        return "timeout"
-
-    async def _order(self, kind: OrderKind, adapter: str) -> bool:
-        # A paused owner can resume after its successor took over and still send this order.
-        # Symptom: an adapter vanishes from an engine that is using it. Engines that check compare
-        # the epoch with the newest they have seen; for the others the lease is read directly
-        # before sending, and a successor waits for lease plus order deadline.
-        epoch = self._may_act()
-        address = self._address()
-        if epoch is None or address is None:
-            return False
-        outcome = await self._api.order(address, Order(kind, epoch, adapter), ORDER_TIMEOUT_MS)
-        if outcome != "accepted":
-            log.warning("owner: %s refused %s of %s: %s", self.engine, kind, adapter, outcome)
-        return outcome == "accepted"
-
-    def _address(self) -> str | None:
-        upstream = self._registry.get(self.engine)
-        return None if upstream is None else upstream.address
+        if outcome is LoadOutcome.LOADED and slot is not None:
+            self._failures.loaded(adapter)
+            slot.ready = True
+            return
+        self._slots.pop(adapter, None)
+        if outcome is LoadOutcome.FAILED:
+            self._failures.failed(adapter, now_ms, self._config().policy.load_backoff_ms)
+        else:
+            # The engine refused, or could not be asked. Trying again at once would spend the
+            # office's permits in a tight loop; a fresh look at the engine comes first.
+            self._no_loads_before_ms = now_ms + REFRESH_MS
 
     # What the engine says
 
     async def _refresh(self) -> None:
-        address = self._address()
-        if address is None:
+        upstream = self._registry.get(self.engine)
+        if upstream is None:
             return
         asked_ms = self._clock.now_ms()
         try:
-            state = await self._api.state(address, STATE_TIMEOUT_MS)
+            state = await self._api.state(upstream.address, STATE_TIMEOUT_MS)
         except ConnectionError:
             return
         if state.incarnation != self._incarnation:
             self._take_over(state, asked_ms)
         self._slot_count = state.slots
-        self._match_slots(state)
+        # A load or eviction that ended while the report was on its way is not in it yet.
+        if asked_ms > self._changed_ms:
+            self._match_slots(state)
         self._end_orphans(state, asked_ms)
 
     def _take_over(self, state: EngineState, now_ms: int) -> None:
--- a/chestnutfall/tests/fakes/fake_engine.py
+++ b/chestnutfall/tests/fakes/fake_engine.py
@@ -43,6 +43,7 @@
         self.ran: list[str] = []
         self.evicted_while_serving = 0
         self.loads = 0
+        self.refused_orders = 0
         self.epoch = 0
         self.faults: Counter[str] = Counter()
         self.reachable = True
@@ -135,9 +136,12 @@
 
     async def state(self, address: str, timeout_ms: float) -> EngineState:
         engine = self._engine(address)
-        return EngineState(
+        state = EngineState(
             engine.incarnation, engine.slots, dict(engine.adapters), dict(engine.running)
         )
+        if engine.take("slow_state"):
+            await engine.clock.sleep_ms(400)
+        return state
 
     async def order(self, address: str, order: Order, timeout_ms: float) -> str:
         engine = self._engine(address)
@@ -152,6 +156,7 @@
                 del engine.running[run]
         elif order.adapter not in engine.adapters:
             if len(engine.adapters) >= engine.slots:
+                engine.refused_orders += 1
                 return "no_free_slot"
             engine.adapters[order.adapter] = "loading"
             asyncio.ensure_future(_load(engine, order.adapter))  # noqa: RUF006
--- a/chestnutfall/tests/test_ownership.py
+++ b/chestnutfall/tests/test_ownership.py
@@ -74,7 +74,7 @@
         self.assertEqual(held, {})
         acting = owner.desk._owners["engine-0"][1]
         owner.clock.thaw()
-        self.assertFalse(await acting._order(OrderKind.LOAD, "a1@1"))
+        self.assertFalse(await acting._loader.order(OrderKind.LOAD, "a1@1"))
         await self.office.clock.advance(20)
         self.assertEqual(self.engine.adapters, {})
         await self.office.clock.advance(4000)
@@ -183,6 +183,31 @@
         for task in tasks:
             await self.office.done(task)
 
+    async def test_engine_that_refuses_a_load_does_not_spend_the_offices_permits(self) -> None:
+        # The only slot is taken by a load that nobody of us ordered. Trying again and again would
+        # leave no permit for the office's other engines.
+        self.engine.adapters["unknown@1+00"] = "loading"
+        waiting = self._start(self.office.owner(), "a1@1")
+        await self.office.clock.advance(5000)
+        self.assertIn(self.engine.refused_orders, range(3, 8))
+        self.engine.adapters.clear()
+        self.assertEqual((await self.office.done(waiting))[-1], b"[DONE]")
+
+    async def test_late_report_does_not_unload_what_was_loaded_meanwhile(self) -> None:
+        # A report is on its way while a load ends. Read as news, it would drop the slot and with
+        # it the pins of tickets granted since.
+        owner = self.office.owner()
+        acting = owner.desk._owners["engine-0"][1]
+        first = self._start(owner, "a1@1")
+        await self.office.clock.advance(100)
+        self.engine.tokens = 100
+        self.engine.faults["slow_state"] = 1
+        late = asyncio.ensure_future(acting._refresh())
+        await self.office.clock.advance(420)
+        self.assertTrue(late.done())
+        self.assertEqual(len(acting.view().ready), 1)
+        await self.office.done(first)
+
     async def test_urgent_goes_first_and_the_lowest_class_is_shed_when_full(self) -> None:
         limits = {"limits": {"default": {"queue_per_engine": 2, "running_per_engine": 1}}}
         await self.office.control.change(
--- a/properties/mutant_list.py
+++ b/properties/mutant_list.py
@@ -10,6 +10,7 @@
 _STATE_TEST = "properties.test_control_state"
 _STORAGE_TEST = "chestnutfall.tests.test_file_storage"
 _OWNER = "chestnutfall/ownership/engine_owner.py"
+_LOADER = "chestnutfall/ownership/adapter_loader.py"
 _DISPATCHER = "chestnutfall/routing/dispatcher.py"
 _CHECKS = "chestnutfall/engine_edge/answer_gate.py"
 _AGENT = "chestnutfall/membership/site_agent.py"
@@ -174,9 +175,9 @@
     ),
     Mutant(
         "eviction without asking the engine",
-        _OWNER,
-        "            if victim.adapter in state.running.values() or victim.pins:",
-        "            if victim.pins:",
+        _LOADER,
+        "        if victim.adapter in state.running.values() or victim.pins:",
+        "        if victim.pins:",
         _OWNERSHIP_TEST,
     ),
     Mutant(
@@ -188,7 +189,7 @@
     ),
     Mutant(
         "order sent without a look at the lease",
-        _OWNER,
+        _LOADER,
         "        epoch = self._may_act()\n        address = self._address()\n        if epoch",
         "        epoch = self._may_act() or 1\n        address = self._address()\n        if epoch",
         _OWNERSHIP_TEST,
@@ -361,4 +362,18 @@
         "    if False:",
         _ONCE_TEST,
     ),
+    Mutant(
+        "refused load tried again at once",
+        _OWNER,
+        "            self._no_loads_before_ms = now_ms + REFRESH_MS",
+        "            pass",
+        _OWNERSHIP_TEST,
+    ),
+    Mutant(
+        "late report taken for news",
+        _OWNER,
+        "        if asked_ms > self._changed_ms:",
+        "        if True:",
+        _OWNERSHIP_TEST,
+    ),
 )
