--- a/chestnutfall/tests/process_office.py
+++ b/chestnutfall/tests/process_office.py
@@ -21,6 +21,8 @@
 from ..config.typed_config import key_hash
 from ..control.control_client import ControlClient
 from ..operators import OperatorSession
+from ..wire import TlsFiles
+from ..wire.authority import Authority
 
 SITE = "nodo-centro"
 KEYS = {"admin": "admin key", "caller": "caller key", "engines": "engine key", "plain": "plain key"}
@@ -48,9 +50,12 @@
 class ProcessOffice:
     """Controllers, gateways, an engine and a plain service as processes."""
 
-    def __init__(self, controllers: int = 3, gateways: int = 2, engines: int = 1) -> None:
+    def __init__(
+        self, controllers: int = 3, gateways: int = 2, engines: int = 1, tls: bool = False
+    ) -> None:
         self._temporary = TemporaryDirectory()
         self.folder = Path(self._temporary.name)
+        self._authority = Authority("office") if tls else None
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.controllers = [free_address() for _ in range(controllers)]
         self.gateways = [free_address() for _ in range(gateways)]
@@ -94,9 +99,16 @@
             "data_folder": str(self.folder / f"data-{number}"),
             "first_members": members,
             "admin_key_sha256": key_hash(KEYS["admin"]),
+            "tls": self._tls(f"c{number}"),
         }
         self._start("controller", f"c{number}", settings, *options)
 
+    def _tls(self, name: str) -> dict[str, str] | None:
+        if self._authority is None:
+            return None
+        files = self._authority.issue(self.folder, name)
+        return {"key_file": files.key_file, "cert_file": files.cert_file, "ca_file": files.ca_file}
+
     def start_gateway(self, number: int) -> None:
         """Start a gateway."""
         settings = {
@@ -107,6 +119,7 @@
             "announce_listen": self._announce[number],
             "controllers": self.controllers,
             "not_ready_ms": 300,
+            "tls": self._tls(f"g{number}"),
             "observability": {"trace_file": str(self.folder / "traces.jsonl")},
         }
         self._start("gateway", f"g{number}", settings)
@@ -160,7 +173,8 @@
 
     def operator(self) -> _Operator:
         """A context with an operator's session."""
-        return _Operator(self.controllers)
+        files = self._authority.issue(self.folder, "operator") if self._authority else None
+        return _Operator(self.controllers, files)
 
     def ctl(self, *args: str) -> subprocess.CompletedProcess[str]:
         """Run one command of the operators' tool."""
@@ -235,12 +249,13 @@
 
 
 class _Operator:
-    def __init__(self, controllers: list[str]) -> None:
+    def __init__(self, controllers: list[str], tls: TlsFiles | None) -> None:
         self._controllers = controllers
+        self._tls = tls
 
     async def __aenter__(self) -> OperatorSession:
         clock = SystemClock()
-        self._client = ControlClient(self._controllers, clock)
+        self._client = ControlClient(self._controllers, clock, self._tls)
         return OperatorSession(self._client, KEYS["admin"], clock)
 
     async def __aexit__(self, *exc: object) -> None:
--- a/chestnutfall/tests/test_processes.py
+++ b/chestnutfall/tests/test_processes.py
@@ -24,12 +24,15 @@
 from .process_office import KEYS, ProcessOffice, wait_until
 
 
-class OfficeTest(unittest.TestCase):
+class _OfficeCase(unittest.TestCase):
+    """Tests that share one office, which they leave as they found it."""
+
     office: ClassVar[ProcessOffice]
+    controllers = 3
 
     @classmethod
     def setUpClass(cls) -> None:
-        cls.office = ProcessOffice()
+        cls.office = ProcessOffice(cls.controllers, gateways=2)
         try:
             cls.office.start()
         except BaseException:
@@ -40,6 +43,8 @@
     def tearDownClass(cls) -> None:
         cls.office.stop()
 
+
+class OfficeTest(_OfficeCase):
     def test_the_usual_client_works_unchanged(self) -> None:
         client = openai.OpenAI(
             base_url=self.office.url(0, "/v1"), api_key=KEYS["caller"], max_retries=0
@@ -162,21 +167,8 @@
             office.stop()
 
 
-class OperatorTest(unittest.TestCase):
-    office: ClassVar[ProcessOffice]
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        cls.office = ProcessOffice(controllers=1, gateways=2)
-        try:
-            cls.office.start()
-        except BaseException:
-            cls.office.stop()
-            raise
-
-    @classmethod
-    def tearDownClass(cls) -> None:
-        cls.office.stop()
+class OperatorTest(_OfficeCase):
+    controllers = 1
 
     def _ctl(self, code: int, *args: str) -> str:
         done = self.office.ctl(*args)
@@ -218,6 +210,20 @@
         self._ctl(0, "upstream", "list")
 
 
+class TlsTest(unittest.TestCase):
+    def test_office_serves_over_mutual_tls_and_answers_no_plain_text(self) -> None:
+        # All our processes prove themselves to each other; a tool without a certificate reads
+        # nothing from the controllers, whatever key it has.
+        office = ProcessOffice(controllers=1, gateways=2, tls=True)
+        try:
+            office.start()
+            for number in range(2):
+                self.assertEqual(office.post(number, "tejas@2")[0], 200)
+            self.assertEqual(office.ctl("status").returncode, 4)
+        finally:
+            office.stop()
+
+
 class ControllersTest(unittest.TestCase):
     def test_host_that_lost_its_disk_is_replaced_and_a_second_one_may_die(self) -> None:
         # A disk is lost and the host comes back empty, under a new identity. It is added, caught
--- a/properties/mutant_list.py
+++ b/properties/mutant_list.py
@@ -260,7 +260,7 @@
     Mutant(
         "caller that leaves keeps its place",
         _DISPATCHER,
-        "            if not whole:\n                self._cancel(engine, req.attempt_id)",
+        "            if not gate.whole:\n                self._cancel(engine, req.attempt_id)",
         "            pass",
         _FAULTS_TEST,
     ),
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -1,8 +1,8 @@
 """Shows that each proof fails without its safeguard.
 
-`python -m properties.mutants` takes one safeguard out of a copy of the tree at a time, runs the test
-that is to prove it, and prints whether that test failed. The table in docs/PROMISES.md comes from
-here. Options: a part of a mutant's name runs only the ones that match.
+`python -m properties.mutants` takes one safeguard out of a copy of the tree at a time, runs the
+test that is to prove it, and prints whether that test failed. The table in docs/PROMISES.md comes
+from here. Options: a part of a mutant's name runs only the ones that match.
 """
 
 from __future__ import annotations
