Hold the load rate in every window; prove retention and rate

A second's worth of saved-up tokens let ten loads start within a second. The bucket now holds one. The property fails with a bucket that saves up or that a new leader starts full; retention is proved by log time over 160 s.

--- a/chestnutfall/control/load_budget.py
+++ b/chestnutfall/control/load_budget.py
@@ -4,6 +4,8 @@
 
 from ..clock import Clock
 
+MAX_TOKENS = 1.0
+
 
 class LoadBudget:
     """A token bucket that starts empty.
@@ -22,8 +24,8 @@
         now_ms = self._clock.now_ms()
         self._tokens += (now_ms - self._filled_ms) * per_s / 1000
         self._filled_ms = now_ms
-        # One second's worth at most: an idle hour must not let a storm burst through.
-        self._tokens = min(self._tokens, max(per_s, 1.0))
+        # Saved-up tokens would let a burst through after an idle hour, on top of the rate.
+        self._tokens = min(self._tokens, MAX_TOKENS)
         if self._tokens < 1:
             return False
         self._tokens -= 1
--- a/chestnutfall/tests/test_at_most_once.py
+++ b/chestnutfall/tests/test_at_most_once.py
@@ -9,6 +9,7 @@
 import asyncio
 import unittest
 
+from ..control.commands import TakeClaim
 from ..requests import Executed, Refusal
 from .fakes.fake_office import FakeGateway, FakeOffice
 
@@ -86,6 +87,17 @@
         claims = replica.machine.claims  # type: ignore[attr-defined]
         self.assertIn(("ana", "estimate-1"), claims)
 
+    async def test_claim_is_kept_for_its_retention_and_not_for_ever(self) -> None:
+        # A claim that is forgotten early lets a late repeat run; one that stays fills the memory.
+        take = TakeClaim("ana", "old", "digest", "attempt", self.first.session, 100_000)
+        await self.office.finish(self.first.client.ask(take, 5000))
+        claims = self.office.control.state.claims
+        for second in range(160):
+            if second < 100:
+                self.assertIn(("ana", "old"), claims)
+            await self.office.clock.advance(1000)
+        self.assertNotIn(("ana", "old"), claims)
+
     async def test_no_claim_no_run(self) -> None:
         # The controllers are out of reach. The caller is told at once that nothing ran and when
         # to come back, and then the same request runs.
--- a/properties/mutant_list.py
+++ b/properties/mutant_list.py
@@ -397,4 +397,25 @@
         "    for section, name in places:",
         _CONFIG_TEST,
     ),
+    Mutant(
+        "claims forgotten early",
+        "chestnutfall/control/leader_duties.py",
+        "            await self._commit(AdvanceTime(passed_ms))",
+        "            await self._commit(AdvanceTime(2 * passed_ms))",
+        _ONCE_TEST,
+    ),
+    Mutant(
+        "new leader starts with a full budget",
+        "chestnutfall/control/load_budget.py",
+        "        self._tokens = 0.0",
+        "        self._tokens = 1.0",
+        "properties.test_load_budget",
+    ),
+    Mutant(
+        "budget saved up while idle",
+        "chestnutfall/control/load_budget.py",
+        "        self._tokens = min(self._tokens, MAX_TOKENS)",
+        "        pass",
+        "properties.test_load_budget",
+    ),
 )
