Never call a request not run after an attempt that may have run

What a caller saw: 503 with executed: no, although its first attempt broke off after the engine had taken it. Cause: the refusal came from the search for a ticket for the repeat, which knows nothing of the attempt before. Found by reading the dispatcher; the stateful property had not met that order of events in 40 examples. The new test failed before ('no' is not 'unknown') and passes now; its mutant fails.

--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -82,6 +82,11 @@
                     started = True
                     yield events
                 return
+            except Refusal as refusal:
+                # No ticket for a repeat proves nothing about the attempt before it.
+                if executed is Executed.NO:
+                    raise
+                raise _as_executed(refusal, executed) from refusal
             except EngineRefused as exc:
                 failure: EngineRefused | EngineBroken = exc
                 if exc.final:
@@ -246,6 +251,10 @@
         return await self._links.acquire(ticket)
 
 
+def _as_executed(refusal: Refusal, executed: Executed) -> Refusal:
+    return Refusal(refusal.status, refusal.code, refusal.message, executed, refusal.retry_after_ms)
+
+
 def _may_resume(exc: EngineBroken | EngineRefused, req: EngineRequest, seen: int) -> bool:
     """Whether the same run may be asked for the rest of its answer.
 
--- a/chestnutfall/tests/test_request_faults.py
+++ b/chestnutfall/tests/test_request_faults.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from ..requests import Executed, Refusal
@@ -118,6 +119,21 @@
         refusal = await self._refusal("a1@1")
         self.assertIs(refusal.executed, Executed.UNKNOWN)
 
+    async def test_refused_repeat_does_not_hide_that_the_first_attempt_may_have_run(self) -> None:
+        # The first attempt breaks off after the engine took it; when it is to be repeated no
+        # engine takes work any more. Nothing ran of the second, but of the request it may have.
+        self._fault_everywhere("reset")
+        answer = asyncio.ensure_future(self.entry.answer(self.entry.request("a1@1")))
+        while not self._runs():
+            await self.office.clock.advance(1)
+        for name, (engine, _) in list(self.office.announced.items()):
+            self.office.announced[name] = (engine, "leaving")
+        for gateway in self.office.gateways.values():
+            gateway.registry.is_drained = lambda name: True
+        with self.assertRaises(Refusal) as caught:
+            await self.office.done(answer)
+        self.assertIs(caught.exception.executed, Executed.UNKNOWN)
+
     async def test_stream_that_can_not_be_resumed_breaks_visibly(self) -> None:
         # The engine restarts empty after some events: the rest of the answer is gone. What came
         # must not look like the whole answer, and the request must not run again.
--- a/properties/mutant_list.py
+++ b/properties/mutant_list.py
@@ -418,4 +418,11 @@
         "        pass",
         "properties.test_load_budget",
     ),
+    Mutant(
+        "refused repeat hides a broken attempt",
+        _DISPATCHER,
+        "                raise _as_executed(refusal, executed) from refusal",
+        "                raise",
+        _FAULTS_TEST,
+    ),
 )
