--- a/chestnutfall/caller_edge/error_body.py
+++ b/chestnutfall/caller_edge/error_body.py
@@ -6,7 +6,7 @@
 import math
 from typing import Any
 
-from ..requests import Executed, Refusal
+from ..requests import Refusal
 
 _TYPES = {400: "invalid_request_error", 401: "authentication_error", 403: "permission_error"}
 
@@ -36,8 +36,9 @@
     headers = {"X-Executed": refusal.executed.value}
     if refusal.retry_after_ms is not None:
         headers["Retry-After"] = str(max(math.ceil(refusal.retry_after_ms / 1000), 1))
-    # The usual client repeats requests on 409, 429 and 5xx by itself. When the request may have
-    # run, that would run it twice without the caller's knowledge.
-    if refusal.executed is not Executed.NO or refusal.retry_after_ms is None:
+    # The usual client repeats requests on 409, 429 and 5xx by itself. A non-idempotent request
+    # that may have run would run twice without its caller's knowledge; such refusals, and those
+    # that a repeat can't help, carry no time to come back.
+    if refusal.retry_after_ms is None:
         headers["x-should-retry"] = "false"
     return headers
--- a/properties/test_serving.py
+++ b/properties/test_serving.py
@@ -109,6 +109,13 @@
         else:
             gateway.links.cut = not gateway.links.cut
 
+    @rule(at=engine_number)
+    def leave_or_return_engine(self, at: int) -> None:
+        name = f"engine-{at}"
+        engine, state = self.office.announced[name]
+        other = "serving" if state == "leaving" else "leaving"
+        self.office.announced[name] = (engine, other)
+
     @rule(at=engine_number)
     def restart_engine(self, at: int) -> None:
         self.office.engine(at).restart_empty()
@@ -173,8 +180,9 @@
                 await self._kill_or_restart(at)
             gateway.clock.thaw()
             gateway.client.cut = gateway.links.cut = False
-        for engine, _ in self.office.announced.values():
+        for name, (engine, _) in list(self.office.announced.items()):
             engine.faults.clear()
+            self.office.announced[name] = (engine, "serving")
         await self._advance(15_000)
         gateway = self.office.gateway(0)
         await self.office.finish(gateway.answer(gateway.request("a5@1")))
