End the claim's span when it is refused; look services up once

Found by reading the whole change. When the claim moved into ClaimDesk.held its span was ended only if the claim was taken, so a refused one never reached the trace; the span is a context again, ended either way. The check of an adapter's service listed all engine services for each adapter although only a finding needs the list.

--- a/chestnutfall/caller_edge/caller_app.py
+++ b/chestnutfall/caller_edge/caller_app.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
+from contextlib import AsyncExitStack, contextmanager
 
 from aiohttp import web
 from opentelemetry import trace
@@ -173,9 +173,9 @@
             req.request_id,
             self._agent.config.limits.claim_retention_ms,
         )
-        span = self._tracer.start_span("claim", context=_PROPAGATOR.extract(req.trace))
-        async with self._claims.held(wanted):
-            span.end()
+        async with AsyncExitStack() as stack:
+            with self._tracer.start_span("claim", context=_PROPAGATOR.extract(req.trace)):
+                await stack.enter_async_context(self._claims.held(wanted))
             return await self._answer(request, req)
 
     async def _answer(self, request: web.Request, req: CallerRequest) -> web.StreamResponse:
--- a/chestnutfall/config/validation.py
+++ b/chestnutfall/config/validation.py
@@ -75,9 +75,10 @@
 def _adapter_findings(
     site: str, pointer: str, adapter: Adapter, entries: Entries
 ) -> Iterator[Finding]:
-    engines = [n for n, raw in entries.get("services", {}).items() if _get(raw, "kind") == "engine"]
-    if adapter.service not in engines:
-        rule = f"must name an engine service; allowed: {sorted(engines)}"
+    services = entries.get("services", {})
+    if _get(services.get(adapter.service), "kind") != "engine":
+        engines = sorted(name for name, raw in services.items() if _get(raw, "kind") == "engine")
+        rule = f"must name an engine service; allowed: {engines}"
         yield Finding(site, f"{pointer}/service", rule, adapter.service)
     if adapter.default_version is not None and adapter.default_version not in adapter.versions:
         rule = f"must be one of the versions {sorted(adapter.versions)}"
