--- a/chestnutfall/consensus/replica.py
+++ b/chestnutfall/consensus/replica.py
@@ -128,6 +128,12 @@
         """The newest membership in the log."""
         return self.log.members
 
+    def leader_silent_ms(self) -> int:
+        """How long nothing was heard from a leader; 0 for the leader itself."""
+        if self.leadership is not None:
+            return 0
+        return self.clock.now_ms() - self._heard_leader_ms
+
     def can_decide(self) -> bool:
         """Whether this is the only leader now and has applied all that earlier ones committed."""
         leadership = self.leadership
--- a/chestnutfall/control/commands.py
+++ b/chestnutfall/control/commands.py
@@ -10,6 +10,7 @@
 
 from ..wire import Codec
 from .claim import Claim, ClaimStatus
+from .upstream_record import UpstreamRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,12 +125,95 @@
     ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class PutDocument:
+    """Put a whole configuration document in force; `content` is compressed."""
+
+    version: int
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentStored:
+    """A document of this version is in force; what was sent is it, or older."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class VersionTaken:
+    """Nothing was changed: this version is in force with other content."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class AddUpstream:
+    """A new incarnation of an upstream announced itself."""
+
+    record: UpstreamRecord
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLeaves:
+    """An incarnation takes no new work any more."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetUpstream:
+    """An incarnation was silent for so long that its record is dropped."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class NameVersion:
+    """Requests for an adapter (or, with an empty name, a base model) get this version or newer."""
+
+    model: str
+    adapter: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class CompleteGroup:
+    """The group has as many voters as the tolerated losses need; it may acknowledge."""
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """The command has no further outcome."""
 
 
-Command = ChangeConfig | TakeClaim | EndClaim | AssignEngines | TakePermit | EndPermit | AdvanceTime
+Command = (
+    ChangeConfig
+    | TakeClaim
+    | EndClaim
+    | AssignEngines
+    | TakePermit
+    | EndPermit
+    | AdvanceTime
+    | PutDocument
+    | AddUpstream
+    | UpstreamLeaves
+    | ForgetUpstream
+    | NameVersion
+    | CompleteGroup
+)
 COMMAND_CODEC = Codec(
-    ChangeConfig, TakeClaim, EndClaim, AssignEngines, TakePermit, EndPermit, AdvanceTime
+    ChangeConfig,
+    TakeClaim,
+    EndClaim,
+    AssignEngines,
+    TakePermit,
+    EndPermit,
+    AdvanceTime,
+    PutDocument,
+    AddUpstream,
+    UpstreamLeaves,
+    ForgetUpstream,
+    NameVersion,
+    CompleteGroup,
 )
--- a/chestnutfall/control/control_state.py
+++ b/chestnutfall/control/control_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -14,22 +15,31 @@
 from .claim import Claim, ClaimStatus
 from .commands import (
     COMMAND_CODEC,
+    AddUpstream,
     AdvanceTime,
     AssignEngines,
     ChangeConfig,
     Changed,
     ClaimHeld,
     ClaimTaken,
+    Command,
+    CompleteGroup,
     Conflict,
     Done,
     EndClaim,
     EndPermit,
+    ForgetUpstream,
+    NameVersion,
     NoPermit,
     PermitTaken,
+    PutDocument,
     TakeClaim,
     TakePermit,
+    UpstreamLeaves,
 )
+from .document_slot import DocumentSlot
 from .ownership import Ownership
+from .upstream_roster import UpstreamRoster
 
 
 @dataclass(slots=True)
@@ -42,6 +52,10 @@
     owners: list[Ownership] = field(default_factory=list)
     permits: dict[str, str] = field(default_factory=dict)
     time_ms: int = 0
+    document: DocumentSlot = field(default_factory=DocumentSlot)
+    roster: UpstreamRoster = field(default_factory=UpstreamRoster)
+    versions: list[tuple[str, str, int]] = field(default_factory=list)
+    group_complete: bool = False
 
 
 class ControlState(StateMachine):
@@ -63,9 +77,20 @@
         Session by permit.
     time_ms : int
         Log time, which never runs faster than real time.
+    document : DocumentSlot
+        Whole configuration document, beside the layers.
+    roster : UpstreamRoster
+        Upstreams that announced themselves to the controllers.
+    versions : dict
+        Newest version named, by base model and adapter.
+    group_complete : bool
+        Whether the group ever had all the voters it needs.
+    on_apply : callable
+        Told after each command; must not fail.
     """
 
     def __init__(self) -> None:
+        self.on_apply: Callable[[Command], None] = lambda command: None
         self._take(_Dump())
 
     def _take(self, dump: _Dump) -> None:
@@ -77,6 +102,10 @@
         self.owners = {ownership.engine: ownership for ownership in dump.owners}
         self.permits = dump.permits
         self.time_ms = dump.time_ms
+        self.document = dump.document
+        self.roster = dump.roster
+        self.versions = {(model, adapter): v for model, adapter, v in dump.versions}
+        self.group_complete = dump.group_complete
 
     def restore(self, data: bytes) -> None:
         self._take(msgspec.msgpack.decode(data, type=_Dump) if data else _Dump())
@@ -84,7 +113,18 @@
     def dump(self) -> bytes:
         claims = [(caller, key, claim) for (caller, key), claim in self.claims.items()]
         owners = list(self.owners.values())
-        dump = _Dump(self.layers.layers, self.audit, claims, owners, self.permits, self.time_ms)
+        dump = _Dump(
+            self.layers.layers,
+            self.audit,
+            claims,
+            owners,
+            self.permits,
+            self.time_ms,
+            self.document,
+            self.roster,
+            [(model, adapter, version) for (model, adapter), version in self.versions.items()],
+            self.group_complete,
+        )
         return msgspec.msgpack.encode(dump)
 
     @property
@@ -102,7 +142,13 @@
         return self._changes.get(change_id)
 
     def apply(self, index: int, data: bytes) -> Any:
-        match COMMAND_CODEC.decode(data):
+        command = COMMAND_CODEC.decode(data)
+        outcome = self._apply(index, command)
+        self.on_apply(command)
+        return outcome
+
+    def _apply(self, index: int, command: Command) -> Any:
+        match command:
             case ChangeConfig() as change:
                 return self._change_config(change)
             case TakeClaim() as take:
@@ -121,6 +167,24 @@
             case AdvanceTime(ms):
                 self._advance_time(ms)
                 return Done()
+            case PutDocument() as put:
+                return self.document.put(put)
+            case AddUpstream(record):
+                self.roster.add(record)
+                return Done()
+            case UpstreamLeaves(instance):
+                self.roster.mark_leaving(instance)
+                return Done()
+            case ForgetUpstream(instance):
+                self.roster.forget(instance)
+                return Done()
+            case NameVersion(model, adapter, version):
+                held = self.versions.get((model, adapter), 0)
+                self.versions[model, adapter] = max(held, version)
+                return Done()
+            case CompleteGroup():
+                self.group_complete = True
+                return Done()
             case unknown:
                 raise ValueError(f"unknown command {unknown!r}")
 
--- /dev/null
+++ b/chestnutfall/control/upstream_roster.py
@@ -0,0 +1,49 @@
+"""Every upstream incarnation that announced itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from .upstream_record import UpstreamRecord
+
+MAX_TOMBSTONES = 4096
+"""A delayed announcement is minutes old at most; 4,096 departures cover a busy day's hours."""
+
+
+@dataclass(slots=True)
+class UpstreamRoster:
+    """Records by instance, and the instances that are gone for good.
+
+    Attributes
+    ----------
+    tombstones : dict of str to None
+        Instances that left, oldest first.
+    """
+
+    records: dict[str, UpstreamRecord] = field(default_factory=dict)
+    tombstones: dict[str, None] = field(default_factory=dict)
+
+    def add(self, record: UpstreamRecord) -> None:
+        """Take a new incarnation, unless it left before."""
+        # An announcement can be held up on its way until after its sender left. Symptom: new
+        # work for an upstream that said it takes none. The tombstone outlives such a delay.
+        if record.instance in self.tombstones:
+            return
+        known = self.records.get(record.instance)
+        if known is None or not known.leaving:
+            self.records[record.instance] = record
+
+    def mark_leaving(self, instance: str) -> None:
+        """Note that `instance` takes no new work, for good."""
+        self._bury(instance)
+        if instance in self.records:
+            self.records[instance] = replace(self.records[instance], leaving=True)
+
+    def forget(self, instance: str) -> None:
+        """Drop a record that was silent for long."""
+        self.records.pop(instance, None)
+
+    def _bury(self, instance: str) -> None:
+        self.tombstones[instance] = None
+        while len(self.tombstones) > MAX_TOMBSTONES:
+            del self.tombstones[next(iter(self.tombstones))]
--- /dev/null
+++ b/chestnutfall/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""What the leading controller does for gateways and upstreams."""
--- /dev/null
+++ b/chestnutfall/coordination/controller_run.py
@@ -0,0 +1,210 @@
+"""The life of one controller: its replica, and what it does for the others."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import uuid
+from pathlib import Path
+from typing import Any
+
+from ..clock import Clock
+from ..consensus import Member, Replica, Timing
+from ..consensus.disk_folder import DiskFolder
+from ..consensus.file_storage import FileStorage
+from ..consensus.frame import CorruptFile
+from ..consensus.messages import CONSENSUS_CODEC
+from ..control import ControlState
+from ..control.rpc_transport import METHOD as CONSENSUS_METHOD
+from ..control.rpc_transport import RpcTransport
+from ..observability.histograms import Histograms
+from ..routes import DocumentCodec
+from ..settings.fleet_settings import FleetSettings
+from ..wire import RpcServer
+from .engine_control import EngineControl
+from .fleet_leader import FleetLeader
+from .group_joiner import GroupJoiner
+from .group_keeper import GroupKeeper
+from .messages import FLEET_CODEC
+from .relay_desk import METHOD as RELAY_METHOD
+from .relay_desk import RelayDesk
+from .relay_messages import RELAY_CODEC, Unavailable
+from .session_server import METHOD as FLEET_METHOD
+from .session_server import SessionServer
+
+log = logging.getLogger(__name__)
+IDENTITY_NAME = "identity"
+RESTART_MS = 400
+"""A full or failing disk stays so for seconds; reading it back twice a second is often enough."""
+SNAPSHOT_EVERY = 500
+KEEP_ENTRIES = 200
+"""Documents of some 30 KB each: 700 entries stay below 25 MB of memory and disk."""
+
+
+class DeskInUse:
+    """The desk of the replica that runs now; there is none while the disk is read back."""
+
+    def __init__(self) -> None:
+        self.present: RelayDesk | None = None
+
+    async def ask(self, msg: Any) -> Any:
+        """Ask the present desk."""
+        if self.present is None:
+            return Unavailable()
+        return await self.present.ask(msg)
+
+
+class ControllerRun:
+    """Runs a replica on the host's disk, again and again if the disk fails."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        codec: DocumentCodec,
+        engines: EngineControl,
+        clock: Clock,
+        metrics: Histograms,
+    ) -> None:
+        self._settings = settings
+        self._codec = codec
+        self._engines = engines
+        self._clock = clock
+        self._metrics = metrics
+        self._replica: Replica | None = None
+        self._joiner: GroupJoiner | None = None
+        self.desk = DeskInUse()
+
+    def use_settings(self, settings: FleetSettings) -> None:
+        """Take changed settings."""
+        self._settings = settings
+        if self._joiner is not None:
+            self._joiner.first_addresses = settings.controllers
+
+    def refresh_gauges(self) -> None:
+        """Bring the gauges up to date."""
+        if self._replica is None:
+            return
+        self._metrics.gauge("leads", self._replica.can_decide())
+        self._metrics.gauge("term", self._replica.term)
+        self._metrics.gauge("commit_index", self._replica.commit_index)
+        self._metrics.gauge("members", len(self._replica.members))
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Take part until `stop`."""
+        while not stop.is_set():
+            try:
+                await self._run_once(stop)
+            except (CorruptFile, OSError) as exc:
+                log.error("storage: %s", exc)
+            if not stop.is_set():
+                await self._clock.sleep_ms(RESTART_MS)
+
+    async def _run_once(self, stop: asyncio.Event) -> None:
+        folder = DiskFolder(Path(self._settings.data_folder))
+        try:
+            storage = FileStorage(folder)
+            replica_id = await self._identity(folder, storage)
+            await self._serve(replica_id, storage, stop)
+        finally:
+            folder.close()
+
+    async def _identity(self, folder: DiskFolder, storage: FileStorage) -> str:
+        """This disk's identity; an empty disk gets a new one."""
+        if not storage.is_empty:
+            return folder.read(IDENTITY_NAME).decode()
+        own = self._settings.peer_address
+        founders = tuple(Member(_founder_id(one), one) for one in self._settings.controllers)
+        if self._settings.first_start and any(one.address == own for one in founders):
+            # All founders know the same first addresses, so each can write down the same first
+            # membership without a word to the others.
+            await folder.replace(IDENTITY_NAME, _founder_id(own).encode())
+            await storage.bootstrap(founders)
+            log.info("group: founded with %s", [one.address for one in founders])
+            return _founder_id(own)
+        # A host that lost its disk has also lost its votes. Symptom if it came back under its
+        # old identity: it votes a second time in one term and two leaders are elected.
+        fresh = f"{self._settings.name}-{uuid.uuid4().hex[:8]}"
+        await folder.replace(IDENTITY_NAME, fresh.encode())
+        await storage.bootstrap(())
+        log.info("group: empty disk, joins as %s", fresh)
+        return fresh
+
+    async def _serve(self, replica_id: str, storage: FileStorage, stop: asyncio.Event) -> None:
+        settings, clock = self._settings, self._clock
+        state = ControlState()
+        transport = RpcTransport(None)
+        replica = Replica(
+            replica_id,
+            storage,
+            state,
+            transport,
+            clock,
+            random.Random(),
+            Timing(),
+            SNAPSHOT_EVERY,
+            KEEP_ENTRIES,
+        )
+        replica.start()
+        leader = FleetLeader(
+            replica, state, self._codec, self._engines, clock, settings.heartbeat_ms
+        )
+        keeper = GroupKeeper(replica, state, clock, settings.tolerated_losses)
+        desk = RelayDesk(replica, state, leader, keeper, clock)
+        joiner = GroupJoiner(replica, desk, clock, settings.peer_address, settings.controllers)
+        server = _server(settings.peer_address, replica, leader, desk, clock)
+        await server.start()
+        log.info("replica: started id=%s index=%d", replica_id, replica.log.last_index)
+        work = [asyncio.ensure_future(one.run()) for one in (leader, keeper, joiner)]
+        self._replica, self._joiner, self.desk.present = replica, joiner, desk
+        try:
+            await _first_of(stop, replica.failed)
+            if not replica.failed.done():
+                await replica.hand_over()
+        finally:
+            self._replica = self._joiner = self.desk.present = None
+            for task in work:
+                task.cancel()
+            await asyncio.gather(*work, return_exceptions=True)
+            await server.stop(200)
+            await replica.stop()
+            await desk.close()
+            await transport.close()
+        if replica.failed.done():
+            log.error("replica: failed id=%s: %r", replica_id, replica.failed.result())
+
+
+def _founder_id(address: str) -> str:
+    return f"founder-{address}"
+
+
+def _server(
+    address: str, replica: Replica, leader: FleetLeader, desk: RelayDesk, clock: Clock
+) -> RpcServer:
+    server = RpcServer(address)
+
+    async def on_consensus(msg: Any, context: Any) -> Any:
+        return await replica.handle(msg)
+
+    async def on_relay(msg: Any, context: Any) -> Any:
+        return await desk.answer(msg)
+
+    server.add_unary(CONSENSUS_METHOD, CONSENSUS_CODEC, on_consensus)
+    server.add_unary(RELAY_METHOD, RELAY_CODEC, on_relay)
+    server.add_stream(FLEET_METHOD, FLEET_CODEC, SessionServer(replica, leader, clock).serve)
+    return server
+
+
+async def _first_of(stop: asyncio.Event, failed: asyncio.Future[BaseException]) -> None:
+    either = asyncio.Event()
+    failed.add_done_callback(lambda _: either.set())
+    stopping = asyncio.ensure_future(_pass_on(stop, either))
+    try:
+        await either.wait()
+    finally:
+        stopping.cancel()
+
+
+async def _pass_on(event: asyncio.Event, other: asyncio.Event) -> None:
+    await event.wait()
+    other.set()
--- /dev/null
+++ b/chestnutfall/coordination/engine_control.py
@@ -0,0 +1,47 @@
+"""Port to the engines for orders and reports."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from enum import Enum
+
+from ..placement import EngineReport, LoadAdapter, LoadModel, UnloadAdapter
+
+
+class OrderResult(Enum):
+    """What an engine made of an order."""
+
+    TAKEN = "taken"
+    HOLDS_ALREADY = "holds_already"
+    CONFLICT = "conflict"
+    """Another order is under way, or orders were taken that the sender does not know of."""
+    FENCED = "fenced"
+    """It saw a newer fencing token."""
+    REPLACED = "replaced"
+    """Another incarnation has the address."""
+    UNKNOWN = "unknown"
+    """No clear answer; it may still be carried out, seconds later."""
+
+
+class EngineControl(ABC):
+    """Orders to engines, each with the fencing token of the holder."""
+
+    @abstractmethod
+    async def order(
+        self,
+        address: str,
+        order: LoadAdapter | UnloadAdapter | LoadModel,
+        fencing_token: int,
+        orders_taken: int,
+    ) -> OrderResult:
+        """Give an order that holds only if the engine took exactly `orders_taken` before."""
+
+    @abstractmethod
+    async def report(self, address: str, instance: str) -> EngineReport:
+        """Ask what an engine holds.
+
+        Raises
+        ------
+        ConnectionError
+            When there is no answer in time, or another incarnation answers.
+        """
--- /dev/null
+++ b/chestnutfall/coordination/engine_orders.py
@@ -0,0 +1,129 @@
+"""Orders to one engine, one after the other."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from ..clock import Clock
+from ..placement import LoadAdapter, LoadModel, Placer, UnloadAdapter
+from .engine_control import EngineControl, OrderResult
+
+log = logging.getLogger(__name__)
+REPORT_RETRY_MS = 500
+"""Reports lag by some 100 ms and each costs a probe; an engine that is out of step is rare."""
+SETTLE_MS = 300
+"""A report shows an engine as it was some 100 ms ago; an older one would miss the last order."""
+
+
+class EngineOrders:
+    """The task that orders for one engine while this controller leads.
+
+    Every order names how many the engine took before it. An order whose answer was lost and that
+    is carried out seconds later then no longer fits and is refused, so it can't load one adapter
+    more than fits or drop one that is in use.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        address: str,
+        control: EngineControl,
+        placer: Placer,
+        clock: Clock,
+        fencing_token: int,
+        may_order: Callable[[], bool],
+        on_change: Callable[[], None],
+    ) -> None:
+        self.instance = instance
+        self.address = address
+        self._control = control
+        self._placer = placer
+        self._clock = clock
+        self._fencing_token = fencing_token
+        self._may_order = may_order
+        self._on_change = on_change
+        self._queue: asyncio.Queue[LoadAdapter | UnloadAdapter | LoadModel | None] = asyncio.Queue()
+        self._orders_taken = 0
+        self._ordered_ms = 0
+        self._fenced = False
+
+    def give(self, order: LoadAdapter | UnloadAdapter | LoadModel) -> None:
+        """Queue an order."""
+        self._queue.put_nowait(order)
+
+    def resync(self) -> None:
+        """Read the engine's report before the next order."""
+        self._queue.put_nowait(None)
+
+    async def run(self) -> None:
+        """Carry out orders until cancelled."""
+        await self._read_report()
+        while True:
+            order = await self._queue.get()
+            engine = self._placer.engines.get(self.instance)
+            if engine is None:
+                return
+            if not engine.synced:
+                self._drop(order)
+                await self._read_report()
+            elif order is not None:
+                await self._carry_out(order)
+            self._on_change()
+
+    def _drop(self, order: LoadAdapter | UnloadAdapter | LoadModel | None) -> None:
+        if order is not None:
+            self._placer.order_failed(order)
+        while not self._queue.empty():
+            queued = self._queue.get_nowait()
+            if queued is not None:
+                self._placer.order_failed(queued)
+
+    async def _carry_out(self, order: LoadAdapter | UnloadAdapter | LoadModel) -> None:
+        if self._fenced or not self._may_order():
+            self._placer.order_failed(order)
+            return
+        self._ordered_ms = self._clock.now_ms()
+        result = await self._control.order(
+            self.address, order, self._fencing_token, self._orders_taken
+        )
+        log.info(
+            "order: instance=%s order=%s token=%d taken=%d result=%s ms=%d",
+            self.instance,
+            order,
+            self._fencing_token,
+            self._orders_taken,
+            result.value,
+            self._clock.now_ms() - self._ordered_ms,
+        )
+        match result:
+            case OrderResult.TAKEN:
+                self._orders_taken += 1
+            case OrderResult.HOLDS_ALREADY if isinstance(order, UnloadAdapter):
+                self._orders_taken += 1
+            case OrderResult.HOLDS_ALREADY:
+                pass
+            case OrderResult.FENCED:
+                # A newer leader orders here. Repeating the order with our token can't succeed.
+                self._fenced = True
+                self._placer.order_failed(order)
+            case _:
+                self._placer.order_failed(order)
+                self.resync()
+
+    async def _read_report(self) -> None:
+        while True:
+            wait_ms = self._ordered_ms + SETTLE_MS - self._clock.now_ms()
+            if wait_ms > 0:
+                await self._clock.sleep_ms(wait_ms)
+            try:
+                report = await self._control.report(self.address, self.instance)
+            except ConnectionError as exc:
+                log.warning("orders: instance=%s no report: %s", self.instance, exc)
+                await self._clock.sleep_ms(REPORT_RETRY_MS)
+                continue
+            self._orders_taken = report.orders_taken
+            self._placer.engine_reported(self.instance, report)
+            self._on_change()
+            return
--- /dev/null
+++ b/chestnutfall/coordination/fleet_leader.py
@@ -0,0 +1,78 @@
+"""One term of leading after another."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from ..clock import Clock
+from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
+from ..control import ControlState
+from ..control.commands import Command
+from ..routes import DocumentCodec
+from .engine_control import EngineControl
+from .leader_term import LeaderTerm
+
+log = logging.getLogger(__name__)
+LOOK_MS = 20
+"""How soon a new leader begins to serve; small beside an election."""
+
+
+class FleetLeader:
+    """Starts a `LeaderTerm` whenever this controller leads.
+
+    Attributes
+    ----------
+    term : LeaderTerm or None
+        The present one.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        state: ControlState,
+        codec: DocumentCodec,
+        control: EngineControl,
+        clock: Clock,
+        heartbeat_ms: int,
+    ) -> None:
+        self._replica = replica
+        self._state = state
+        self._codec = codec
+        self._control = control
+        self._clock = clock
+        self._heartbeat_ms = heartbeat_ms
+        self.term: LeaderTerm | None = None
+        state.on_apply = self._on_apply
+
+    def _on_apply(self, command: Command) -> None:
+        if self.term is not None:
+            self.term.on_apply(command)
+
+    def leading(self) -> LeaderTerm | None:
+        """The present term, if this controller is certain to lead."""
+        return self.term if self.term is not None and self.term.leads() else None
+
+    async def run(self) -> None:
+        """Watch for the beginning of each term, until cancelled."""
+        while True:
+            if not self._replica.can_decide():
+                await self._clock.sleep_ms(LOOK_MS)
+                continue
+            self.term = LeaderTerm(
+                self._replica,
+                self._state,
+                self._codec,
+                self._control,
+                self._clock,
+                self._heartbeat_ms,
+            )
+            log.info("leader: begins term=%d", self.term.term)
+            try:
+                await self.term.run()
+            except (NotLeader, Busy, LeadershipLost, StorageFailed) as exc:
+                log.warning("leader: term=%d interrupted: %r", self.term.term, exc)
+            finally:
+                log.info("leader: ended term=%d", self.term.term)
+                self.term = None
+            await asyncio.sleep(0)
--- /dev/null
+++ b/chestnutfall/coordination/group_joiner.py
@@ -0,0 +1,60 @@
+"""Asking to be a member of the group."""
+
+from __future__ import annotations
+
+from ..clock import Clock
+from ..consensus import Replica
+from ..consensus.replica import Role
+from .relay_desk import RelayDesk
+from .relay_messages import Accepted, JoinGroup
+
+ASK_MS = 500
+CONTACT_MS = 1_500
+"""A member that heard from no leader for this long may have been replaced meanwhile."""
+
+
+class GroupJoiner:
+    """Asks to be added while this controller is no member, or hears from no leader.
+
+    Attributes
+    ----------
+    first_addresses : tuple of str
+        Controllers that the settings name.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        desk: RelayDesk,
+        clock: Clock,
+        address: str,
+        first_addresses: tuple[str, ...],
+    ) -> None:
+        self._replica = replica
+        self._desk = desk
+        self._clock = clock
+        self._address = address
+        self.first_addresses = first_addresses
+
+    async def run(self) -> None:
+        """Ask one controller after another, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(ASK_MS)
+            if self._is_in():
+                continue
+            known = [member.address for member in self._replica.members]
+            addresses = [
+                one
+                for one in dict.fromkeys((*self.first_addresses, *known))
+                if one != self._address
+            ]
+            for address in addresses:
+                msg = JoinGroup(self._replica.replica_id, self._address)
+                if isinstance(await self._desk.ask_at(address, msg), Accepted):
+                    break
+
+    def _is_in(self) -> bool:
+        if self._replica.role is Role.LEADER:
+            return True
+        members = {member.replica_id for member in self._replica.members}
+        return self._replica.replica_id in members and self._replica.leader_silent_ms() < CONTACT_MS
--- /dev/null
+++ b/chestnutfall/coordination/leader_term.py
@@ -0,0 +1,278 @@
+"""What a controller does for gateways and upstreams during one term of leading."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Iterator
+
+from ..clock import Clock
+from ..consensus import Replica
+from ..control import ControlState
+from ..control.commands import (
+    COMMAND_CODEC,
+    AddUpstream,
+    Command,
+    ForgetUpstream,
+    NameVersion,
+    PutDocument,
+    UpstreamLeaves,
+)
+from ..control.upstream_record import UpstreamRecord
+from ..placement import (
+    AdapterName,
+    Decision,
+    Grant,
+    Placer,
+    PlaceRequest,
+    Reject,
+    RunOutcome,
+)
+from ..routes import DocumentCodec, RouteTable
+from .document_box import unpack
+from .engine_control import EngineControl
+from .engine_orders import EngineOrders
+from .gateway_session import GatewaySession
+from .messages import FleetView, NotLeading, NotPlaced, Placed, PutInForce, Release, Withdraw
+from .relay_messages import Announce, Depart
+from .upstream_watch import UpstreamWatch
+
+log = logging.getLogger(__name__)
+BUSY_TICK_MS = 8
+"""A request that waits for a load is granted at most this late."""
+IDLE_TICK_MS = 100
+
+
+class LeaderTerm:
+    """Sessions of gateways, liveness of upstreams, placement and orders."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        state: ControlState,
+        codec: DocumentCodec,
+        control: EngineControl,
+        clock: Clock,
+        heartbeat_ms: int,
+    ) -> None:
+        self.term = replica.term
+        self._replica = replica
+        self._state = state
+        self._codec = codec
+        self._control = control
+        self._clock = clock
+        self._placer = Placer(clock)
+        self._watch = UpstreamWatch(clock, heartbeat_ms)
+        self._sessions: set[GatewaySession] = set()
+        self._session_of: dict[str, GatewaySession] = {}
+        self._orders: dict[str, tuple[EngineOrders, asyncio.Task[None]]] = {}
+        self._view = FleetView((), 0, ())
+        self._table: RouteTable | None = None
+        self._wake = asyncio.Event()
+
+    # Life
+
+    async def run(self) -> None:
+        """Work until cancelled or the leadership is lost."""
+        self._read_document()
+        for (model, adapter), version in self._state.versions.items():
+            self._placer.name_version(AdapterName(model, adapter), version)
+        try:
+            while self.leads():
+                await self._forget_silent()
+                self._match_roster()
+                self._carry_out_decisions()
+                await self._until_next_tick()
+        finally:
+            self._end()
+
+    def leads(self) -> bool:
+        """Whether this controller still is the only leader."""
+        return self._replica.term == self.term and self._replica.can_decide()
+
+    async def _until_next_tick(self) -> None:
+        tick_ms = BUSY_TICK_MS if self._placer.waiting else IDLE_TICK_MS
+        with contextlib.suppress(TimeoutError):
+            await self._clock.within_ms(tick_ms, self._wake.wait())
+        self._wake.clear()
+
+    def _end(self) -> None:
+        for _, task in self._orders.values():
+            task.cancel()
+        for session in self._sessions:
+            session.send(NotLeading(""))
+            session.send(None)
+
+    def on_apply(self, command: Command) -> None:
+        """Take a committed command."""
+        match command:
+            case PutDocument():
+                self._read_document()
+                for session in self._sessions:
+                    session.send(self._in_force())
+            case NameVersion(model, adapter, version):
+                self._placer.name_version(AdapterName(model, adapter), version)
+            case _:
+                pass
+        self._wake.set()
+
+    def _read_document(self) -> None:
+        if self._state.document.version >= 0:
+            self._table = RouteTable(self._codec.decode(unpack(self._state.document.content)))
+
+    def _in_force(self) -> PutInForce:
+        return PutInForce(self._state.document.version, self._state.document.content)
+
+    # Gateways
+
+    def join(self, session: GatewaySession, document_version: int) -> None:
+        """Begin to serve a gateway."""
+        self._sessions.add(session)
+        if self._state.document.version > document_version:
+            session.send(self._in_force())
+        session.send(self._view)
+        self._match_roster()
+
+    def part(self, session: GatewaySession) -> None:
+        """End a gateway's session and free what it held."""
+        self._sessions.discard(session)
+        for ticket in session.tickets:
+            self._placer.withdraw(ticket)
+            self._session_of.pop(ticket, None)
+        self._match_roster()
+
+    def take(self, session: GatewaySession, msg: PlaceRequest | Release | Withdraw) -> None:
+        """Take a message of a gateway."""
+        match msg:
+            case PlaceRequest():
+                session.tickets.add(msg.ticket)
+                self._session_of[msg.ticket] = session
+                self._placer.submit(msg)
+            case Release(ticket, outcome, lag_ms):
+                self._take_release(ticket, RunOutcome(outcome), lag_ms)
+                self._drop_ticket(ticket)
+            case Withdraw(ticket):
+                self._placer.withdraw(ticket)
+                self._drop_ticket(ticket)
+        self._wake.set()
+
+    def _take_release(self, ticket: str, outcome: RunOutcome, lag_ms: float) -> None:
+        if outcome is RunOutcome.UNREACHABLE:
+            self._watch.unreachable(self._placer.instance_of(ticket))
+        self._placer.release(ticket, outcome, lag_ms)
+
+    def _drop_ticket(self, ticket: str) -> None:
+        session = self._session_of.pop(ticket, None)
+        if session is not None:
+            session.tickets.discard(ticket)
+
+    # Upstreams
+
+    async def announce(self, msg: Announce) -> None:
+        """Take an announcement; what is new in it is committed first."""
+        record = msg.record
+        known = self._state.roster.records.get(record.instance)
+        if record.instance in self._state.roster.tombstones:
+            return
+        if known is None:
+            await self._commit(AddUpstream(record))
+            log.info("upstream: joined %s", record)
+        if record.leaving and (known is None or not known.leaving):
+            await self._leave(record.instance, "announced")
+        if self._watch.heard(record.instance, msg.number):
+            self._match_roster()
+            self._note_holdings(msg)
+
+    async def depart(self, msg: Depart) -> None:
+        """Take a departure."""
+        if msg.instance not in self._state.roster.tombstones:
+            await self._leave(msg.instance, "departed")
+
+    async def _leave(self, instance: str, reason: str) -> None:
+        await self._commit(UpstreamLeaves(instance))
+        log.info("upstream: leaving instance=%s reason=%s", instance, reason)
+        self._match_roster()
+
+    def _note_holdings(self, msg: Announce) -> None:
+        engine = self._placer.engines.get(msg.record.instance)
+        if engine is None or msg.holds is None or engine.models:
+            return
+        engine.models = dict(msg.holds.models)
+
+    async def _commit(self, command: Command) -> None:
+        await self._replica.propose(COMMAND_CODEC.encode(command))
+
+    async def _forget_silent(self) -> None:
+        for instance in list(self._watch.forgettable(self._state.roster.records.values())):
+            await self._commit(ForgetUpstream(instance))
+
+    def _match_roster(self) -> None:
+        """Bring placement, orders and gateways to the upstreams that serve now."""
+        serving = sorted(
+            self._watch.serving(self._state.roster.records.values()), key=lambda one: one.instance
+        )
+        controllers = tuple(member.address for member in self._replica.members)
+        view = FleetView(tuple(serving), len(self._sessions), controllers)
+        if view != self._view:
+            self._view = view
+            for session in self._sessions:
+                session.send(view)
+        self._match_engines(serving)
+
+    def _match_engines(self, serving: list[UpstreamRecord]) -> None:
+        wanted = {record.instance: record for record in self._engines_of(serving)}
+        for instance in set(self._orders) - set(wanted):
+            self._orders.pop(instance)[1].cancel()
+            self._placer.engine_down(instance)
+        for instance, record in wanted.items():
+            if instance not in self._orders:
+                self._start_orders(record)
+
+    def _engines_of(self, serving: list[UpstreamRecord]) -> Iterator[UpstreamRecord]:
+        for record in serving:
+            spec = self._table.services.get(record.service) if self._table else None
+            if spec is not None and spec.engine is not None:
+                self._placer.engine_up(
+                    record.instance, record.service, record.data_centre, spec.engine
+                )
+                yield record
+
+    def _start_orders(self, record: UpstreamRecord) -> None:
+        orders = EngineOrders(
+            record.instance,
+            record.address,
+            self._control,
+            self._placer,
+            self._clock,
+            self.term,
+            self.leads,
+            self._wake.set,
+        )
+        self._orders[record.instance] = (orders, asyncio.ensure_future(orders.run()))
+
+    # Decisions
+
+    def _carry_out_decisions(self) -> None:
+        for decision in self._placer.decide():
+            self._carry_out(decision)
+        for instance in self._placer.unsynced():
+            if instance in self._orders:
+                self._orders[instance][0].resync()
+
+    def _carry_out(self, decision: Decision) -> None:
+        match decision:
+            case Grant(ticket, instance, version):
+                self._tell(ticket, Placed(ticket, instance, version))
+            case Reject(ticket, reason, retry_after_ms):
+                log.info("place: ticket=%s rejected reason=%s", ticket, reason)
+                self._tell(ticket, NotPlaced(ticket, reason, retry_after_ms))
+                self._drop_ticket(ticket)
+            case order:
+                if order.instance in self._orders:
+                    self._orders[order.instance][0].give(order)
+
+    def _tell(self, ticket: str, msg: Placed | NotPlaced) -> None:
+        session = self._session_of.get(ticket)
+        if session is not None:
+            session.send(msg)
--- /dev/null
+++ b/chestnutfall/coordination/messages.py
@@ -0,0 +1,105 @@
+"""The closed union of messages between a gateway and the leading controller."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..control.upstream_record import UpstreamRecord
+from ..placement import PlaceRequest
+from ..wire import Codec
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayHello:
+    """The first message of a gateway's stream: who it is and which document it holds."""
+
+    gateway: str
+    data_centre: str
+    document_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotLeading:
+    """This controller can't serve the stream; `leader` is an address, or empty if unknown."""
+
+    leader: str
+
+
+@dataclass(frozen=True, slots=True)
+class PutInForce:
+    """A configuration document, compressed as the log holds it."""
+
+    version: int
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """Upstreams that take work, and who else is there.
+
+    Attributes
+    ----------
+    upstreams : tuple of UpstreamRecord
+        Every upstream that may get new work.
+    gateways : int
+        Gateways with a stream to the leader.
+    controllers : tuple of str
+        Addresses of all controllers.
+    """
+
+    upstreams: tuple[UpstreamRecord, ...]
+    gateways: int
+    controllers: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Pulse:
+    """Nothing is new; the sender is there and, from the controller, still leads."""
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """A request may go to an engine, which holds its adapter at `version`; 0 is any."""
+
+    ticket: str
+    instance: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotPlaced:
+    """A request gets no engine; when its caller may come back."""
+
+    ticket: str
+    reason: str
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """A placed request ended; `outcome` is a value of RunOutcome."""
+
+    ticket: str
+    outcome: str
+    lag_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """A request is not wanted any more."""
+
+    ticket: str
+
+
+FLEET_CODEC = Codec(
+    FleetView,
+    GatewayHello,
+    NotLeading,
+    NotPlaced,
+    Placed,
+    PlaceRequest,
+    Pulse,
+    PutInForce,
+    Release,
+    Withdraw,
+)
--- /dev/null
+++ b/chestnutfall/coordination/relay_desk.py
@@ -0,0 +1,121 @@
+"""Calls from outside, answered by whichever controller leads."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+from ..clock import Clock
+from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
+from ..control import ControlState
+from ..control.commands import COMMAND_CODEC, NameVersion, PutDocument, VersionTaken
+from ..wire import RpcChannel
+from .fleet_leader import FleetLeader
+from .group_keeper import GroupKeeper
+from .leader_term import LeaderTerm
+from .relay_messages import (
+    RELAY_CODEC,
+    Accepted,
+    Announce,
+    Depart,
+    HeldDocument,
+    JoinGroup,
+    ReadDocument,
+    Rejected,
+    StoreDocument,
+    StoreVersion,
+    Unavailable,
+)
+
+log = logging.getLogger(__name__)
+METHOD = "Relay"
+RELAY_MS = 800
+"""Callers give up after a second; they learn sooner that they must ask elsewhere."""
+
+
+class RelayDesk:
+    """Answers on the leader; passes on to it from any other controller."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        state: ControlState,
+        leader: FleetLeader,
+        keeper: GroupKeeper,
+        clock: Clock,
+    ) -> None:
+        self._replica = replica
+        self._state = state
+        self._leader = leader
+        self._keeper = keeper
+        self._clock = clock
+        self._channels: dict[str, RpcChannel] = {}
+
+    async def ask(self, msg: Any) -> Any:
+        """Answer `msg` here if this controller leads, else ask the leader once."""
+        if self._leader.leading() is not None:
+            return await self.answer(msg)
+        for member in self._replica.members:
+            if member.replica_id == self._replica.leader_id != self._replica.replica_id:
+                return await self.ask_at(member.address, msg)
+        return Unavailable()
+
+    async def ask_at(self, address: str, msg: Any) -> Any:
+        """Ask the controller at `address`."""
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._channels[address] = RpcChannel(address, RELAY_CODEC)
+        try:
+            return await channel.call(METHOD, msg, RELAY_MS)
+        except ConnectionError as exc:
+            log.warning("relay: %s to %s failed: %s", type(msg).__name__, address, exc)
+            return Unavailable()
+
+    async def answer(self, msg: Any) -> Any:
+        """Answer `msg` on the leader; on any other replica say where to ask."""
+        term = self._leader.leading()
+        if term is None:
+            return Unavailable(self._replica.leader_id)
+        try:
+            return await self._answer(term, msg)
+        except (NotLeader, Busy, LeadershipLost, StorageFailed) as exc:
+            log.warning("relay: %s has no clear outcome: %r", type(msg).__name__, exc)
+            return Unavailable()
+
+    async def _answer(self, term: LeaderTerm, msg: Any) -> Any:
+        match msg:
+            case JoinGroup():
+                self._keeper.wants_to_join(msg)
+                return Accepted()
+            case Announce():
+                await term.announce(msg)
+                return Accepted()
+            case Depart():
+                await term.depart(msg)
+                return Accepted()
+            case _ if not self._state.group_complete:
+                # With fewer voters than the tolerated losses need, what is acknowledged now
+                # could be lost with them.
+                return Unavailable()
+            case StoreDocument(version, content):
+                return await self._store(version, content)
+            case StoreVersion(model, adapter, version):
+                command = NameVersion(model, adapter, version)
+                await self._replica.propose(COMMAND_CODEC.encode(command))
+                return Accepted()
+            case ReadDocument():
+                return HeldDocument(self._state.document.version, self._state.document.content)
+            case _:
+                return Rejected(f"{type(msg).__name__} is not a call")
+
+    async def _store(self, version: int, content: bytes) -> Accepted | Rejected:
+        outcome = await self._replica.propose(COMMAND_CODEC.encode(PutDocument(version, content)))
+        if isinstance(outcome, VersionTaken):
+            return Rejected(f"version {outcome.version} is in force with other content")
+        log.info("document: version=%d held=%d", version, outcome.version)
+        return Accepted()
+
+    async def close(self) -> None:
+        """Close every channel."""
+        for channel in self._channels.values():
+            await channel.close()
--- /dev/null
+++ b/chestnutfall/coordination/session_server.py
@@ -0,0 +1,68 @@
+"""The controller's side of a gateway's stream."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+from ..clock import Clock
+from ..consensus import Replica
+from ..placement import PlaceRequest
+from .fleet_leader import FleetLeader
+from .gateway_session import GatewaySession
+from .messages import GatewayHello, NotLeading, Pulse, Release, Withdraw
+
+METHOD = "Fleet"
+PULSE_MS = 300
+"""A gateway takes a stream that is silent three times as long for dead."""
+
+
+class SessionServer:
+    """Serves each gateway's stream by one task."""
+
+    def __init__(self, replica: Replica, leader: FleetLeader, clock: Clock) -> None:
+        self._replica = replica
+        self._leader = leader
+        self._clock = clock
+
+    def leader_address(self) -> str:
+        """Where the leader listens, as far as this replica knows."""
+        for member in self._replica.members:
+            if member.replica_id == self._replica.leader_id != self._replica.replica_id:
+                return member.address
+        return ""
+
+    async def serve(self, messages: AsyncIterator[Any], context: Any) -> AsyncIterator[Any]:
+        """Answer one stream until either side ends it or the leadership is lost."""
+        hello = await anext(messages)
+        term = self._leader.leading()
+        if term is None or not isinstance(hello, GatewayHello):
+            yield NotLeading(self.leader_address())
+            return
+        session = GatewaySession(hello.gateway, hello.data_centre)
+        term.join(session, hello.document_version)
+        reader = asyncio.ensure_future(self._read(messages, term, session))
+        try:
+            while True:
+                try:
+                    msg = await self._clock.within_ms(PULSE_MS, session.out.get())
+                except TimeoutError:
+                    # A leader that was cut off must not keep its gateways: they would miss
+                    # changes that the others accept.
+                    msg = Pulse() if term.leads() else None
+                if msg is None:
+                    return
+                yield msg
+        finally:
+            reader.cancel()
+            term.part(session)
+
+    @staticmethod
+    async def _read(messages: AsyncIterator[Any], term: Any, session: GatewaySession) -> None:
+        try:
+            async for msg in messages:
+                if isinstance(msg, PlaceRequest | Release | Withdraw):
+                    term.take(session, msg)
+        finally:
+            session.send(None)
--- /dev/null
+++ b/chestnutfall/forwarding/drain.py
@@ -0,0 +1,50 @@
+"""Leaving without cutting anything off."""
+
+from __future__ import annotations
+
+import logging
+from abc import ABC, abstractmethod
+
+from ..clock import Clock
+
+log = logging.getLogger(__name__)
+UNTIL_BALANCED_MS = 3_200
+"""A balancer that asks every second takes a host out after two misses; a second to spare."""
+LAST_MOMENT_MS = 600
+"""Left of the grace time for closing connections and ending."""
+POLL_MS = 20
+
+
+class Drainable(ABC):
+    """What accepts callers and can stop step by step."""
+
+    @abstractmethod
+    def calls_in_progress(self) -> int:
+        """Requests without their final answer."""
+
+    @abstractmethod
+    def announce_leaving(self) -> None:
+        """Say "not ready", and tell clients to leave their connections."""
+
+    @abstractmethod
+    async def stop_accepting(self) -> None:
+        """Take no new connection, and close those without a request."""
+
+
+async def drain(entry: Drainable, clock: Clock, grace_ms: int) -> None:
+    """Finish every request in progress, as far as the grace time allows."""
+    asked_ms = clock.now_ms()
+    last_ms = asked_ms + grace_ms - LAST_MOMENT_MS
+    log.info("drain: begins with %d calls in progress", entry.calls_in_progress())
+    entry.announce_leaving()
+    # The balancer still sends new connections until it has seen us not ready. Refusing them
+    # would fail callers for nothing, so they are served.
+    await clock.sleep_ms(min(UNTIL_BALANCED_MS, grace_ms - LAST_MOMENT_MS))
+    await entry.stop_accepting()
+    while entry.calls_in_progress() and clock.now_ms() < last_ms:
+        await clock.sleep_ms(POLL_MS)
+    log.info(
+        "drain: ends after ms=%d with %d calls in progress",
+        clock.now_ms() - asked_ms,
+        entry.calls_in_progress(),
+    )
--- /dev/null
+++ b/chestnutfall/forwarding/engine_places.py
@@ -0,0 +1,113 @@
+"""Places on engines, given by the leading controller."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..coordination.messages import NotPlaced, Placed, Release, Withdraw
+from ..placement import AdapterName, PlaceRequest, RunOutcome
+from .fleet_client import FleetClient, LeaderLost
+from .place import NoPlace, Place, Places, Wanted
+from .upstream_answer import UpstreamLoad
+
+log = logging.getLogger(__name__)
+REMEMBERED = 20_000
+"""Adapters whose last engine is remembered, about 4 MB."""
+LEADERLESS_WAIT_MS = 1_500
+"""An election takes about a second; a request waits this long for it if it has the time."""
+RETRY_MS = 800
+
+
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    """Where an adapter was last."""
+
+    instance: str
+    version: int
+
+
+class EnginePlaces(Places):
+    """Asks the leader; without one, goes where the adapter was last.
+
+    Sending on memory is safe: an engine that no longer holds the adapter, or another version of
+    it, refuses and runs nothing.
+    """
+
+    def __init__(self, fleet: FleetClient, clock: Clock, gateway: str, data_centre: str) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._gateway = gateway
+        self._data_centre = data_centre
+        self._numbers = itertools.count()
+        self._seen: OrderedDict[AdapterName, _Seen] = OrderedDict()
+
+    async def take(self, wanted: Wanted) -> Place:
+        give_up_ms = min(self._clock.now_ms() + LEADERLESS_WAIT_MS, wanted.until_ms)
+        while True:
+            req = self._request(wanted)
+            try:
+                answer = await self._ask(req)
+            except LeaderLost:
+                place = self._from_memory(req)
+                if place is not None:
+                    return place
+                wait_ms = give_up_ms - self._clock.now_ms()
+                if wait_ms <= 0 or not await self._fleet.until_connected(wait_ms):
+                    raise NoPlace("no_leader", RETRY_MS) from None
+                continue
+            if isinstance(answer, NotPlaced):
+                raise NoPlace(answer.reason, answer.retry_after_ms)
+            upstream = self._fleet.upstream(answer.instance)
+            if upstream is not None:
+                self._remember(req.adapter, answer)
+                return Place(req.ticket, upstream, answer.version)
+            self._fleet.tell(Release(req.ticket, RunOutcome.WITHDRAWN.value, 0.0))
+
+    async def _ask(self, req: PlaceRequest) -> Placed | NotPlaced:
+        try:
+            return await self._fleet.place(req)
+        except LeaderLost:
+            raise
+        except BaseException:
+            # The client left, or its time is over; a place kept for it would stay taken.
+            self._fleet.tell(Withdraw(req.ticket))
+            raise
+
+    def give_back(
+        self, place: Place, outcome: RunOutcome, lag_ms: float, load: UpstreamLoad | None
+    ) -> None:
+        self._fleet.tell(Release(place.ticket, outcome.value, lag_ms))
+
+    def _request(self, wanted: Wanted) -> PlaceRequest:
+        call, now_ms = wanted.call, self._clock.now_ms()
+        return PlaceRequest(
+            f"{self._gateway}/{next(self._numbers)}",
+            wanted.service.name,
+            call.adapter or AdapterName("", ""),
+            call.prompt_tokens,
+            call.output_tokens,
+            call.parts,
+            wanted.route.rank,
+            max(call.arrived_ms + wanted.route.objective_ms - now_ms, 0),
+            max(wanted.until_ms - now_ms, 0),
+            self._data_centre,
+            wanted.avoid,
+        )
+
+    def _remember(self, adapter: AdapterName, answer: Placed) -> None:
+        self._seen[adapter] = _Seen(answer.instance, answer.version)
+        self._seen.move_to_end(adapter)
+        while len(self._seen) > REMEMBERED:
+            self._seen.popitem(last=False)
+
+    def _from_memory(self, req: PlaceRequest) -> Place | None:
+        seen = self._seen.get(req.adapter)
+        upstream = self._fleet.upstream(seen.instance) if seen is not None else None
+        if seen is None or upstream is None or upstream.instance in req.avoid:
+            return None
+        log.info("place: ticket=%s from memory instance=%s", req.ticket, seen.instance)
+        return Place(req.ticket, upstream, seen.version)
--- /dev/null
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -0,0 +1,226 @@
+"""The gateway's stream to the leading controller."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import AsyncIterator, Callable, Iterable
+from typing import Any
+
+import grpc
+
+from ..clock import Clock
+from ..control.upstream_record import UpstreamRecord
+from ..coordination.document_box import unpack
+from ..coordination.messages import (
+    FLEET_CODEC,
+    FleetView,
+    GatewayHello,
+    NotLeading,
+    NotPlaced,
+    Placed,
+    Pulse,
+    PutInForce,
+)
+from ..coordination.session_server import METHOD, PULSE_MS
+from ..placement import PlaceRequest
+from ..routes import DocumentCodec, RouteTable
+from ..wire import RpcChannel
+
+log = logging.getLogger(__name__)
+SILENT_MS = 3 * PULSE_MS
+RETRY_MS = 60
+CLOSE_S = 0.2
+
+
+class LeaderLost(ConnectionError):
+    """There is no stream to a leader now; the request was not placed."""
+
+
+class FleetClient:
+    """Follows the leader, keeps what it tells, and asks it for places.
+
+    What was told last stays in use while no leader can be reached.
+
+    Attributes
+    ----------
+    table : RouteTable or None
+        Routes in force here; None before the first document.
+    connected : bool
+        Whether a stream to a leader is up.
+    """
+
+    def __init__(
+        self,
+        gateway: str,
+        data_centre: str,
+        controllers: tuple[str, ...],
+        codec: DocumentCodec,
+        clock: Clock,
+    ) -> None:
+        self._gateway = gateway
+        self._data_centre = data_centre
+        self._first = controllers
+        self._codec = codec
+        self._clock = clock
+        self.table: RouteTable | None = None
+        self.connected = False
+        self.on_connected: Callable[[], None] = lambda: None
+        self._view = FleetView((), 1, ())
+        self._by_service: dict[str, tuple[UpstreamRecord, ...]] = {}
+        self._out: asyncio.Queue[Any] = asyncio.Queue()
+        self._asked: dict[str, asyncio.Future[Placed | NotPlaced]] = {}
+        self._up = asyncio.Event()
+
+    def use_controllers(self, controllers: tuple[str, ...]) -> None:
+        """Take the controllers that changed settings name."""
+        self._first = controllers
+
+    # What is known
+
+    @property
+    def version(self) -> int:
+        """Version of the document in force here; -1 before the first."""
+        return self.table.document.version if self.table is not None else -1
+
+    @property
+    def gateways(self) -> int:
+        """Gateways there are, as far as is known."""
+        return max(self._view.gateways, 1)
+
+    def upstreams(self, service: str) -> Iterable[UpstreamRecord]:
+        """Upstreams of a service that take work."""
+        return self._by_service.get(service, ())
+
+    def upstream(self, instance: str) -> UpstreamRecord | None:
+        """The upstream that takes work under this instance."""
+        return next((one for one in self._view.upstreams if one.instance == instance), None)
+
+    # Asking
+
+    def tell(self, msg: Any) -> None:
+        """Send a message that needs no answer; it is dropped without a leader."""
+        if self.connected:
+            self._out.put_nowait(msg)
+
+    async def place(self, req: PlaceRequest) -> Placed | NotPlaced:
+        """Ask for a place.
+
+        Raises
+        ------
+        LeaderLost
+        """
+        if not self.connected:
+            raise LeaderLost("no leader")
+        fut: asyncio.Future[Placed | NotPlaced] = asyncio.get_running_loop().create_future()
+        self._asked[req.ticket] = fut
+        self._out.put_nowait(req)
+        try:
+            return await fut
+        finally:
+            self._asked.pop(req.ticket, None)
+
+    async def until_connected(self, within_ms: float) -> bool:
+        """Wait for a leader; False when there is none in time."""
+        with contextlib.suppress(TimeoutError):
+            await self._clock.within_ms(within_ms, self._up.wait())
+        return self.connected
+
+    # The stream
+
+    async def run(self) -> None:
+        """Find the leader and follow it, until cancelled."""
+        turn = 0
+        hint = ""
+        while True:
+            known = list(dict.fromkeys((*self._first, *self._view.controllers)))
+            address = hint or known[turn % len(known)]
+            turn += 1
+            hint = await self._follow(address)
+            if not hint:
+                await self._clock.sleep_ms(RETRY_MS)
+
+    async def _follow(self, address: str) -> str:
+        """Serve one stream to its end; the address of the leader if that was told."""
+        # A connection made for each stream can't be one that something between us forgot.
+        channel = RpcChannel(address, FLEET_CODEC)
+        stream = channel.stream(METHOD)
+        writer = asyncio.ensure_future(self._write(stream))
+        hint = ""
+        try:
+            async for msg in self._read(stream):
+                if isinstance(msg, NotLeading):
+                    hint = msg.leader
+                    break
+                self._take(msg, address)
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError, TimeoutError) as exc:
+            log.info("leader: address=%s stream ended: %s", address, _short(exc))
+        finally:
+            self._lose(address)
+            writer.cancel()
+            stream.cancel()
+            with contextlib.suppress(Exception):
+                await self._clock.within_ms(CLOSE_S * 1000, channel.close())
+        return hint
+
+    async def _write(self, stream: Any) -> None:
+        self._out = asyncio.Queue()
+        try:
+            hello = GatewayHello(self._gateway, self._data_centre, self.version)
+            await stream.write(hello)
+            while True:
+                await stream.write(await self._out.get())
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
+            log.debug("leader: writing ended: %s", _short(exc))
+
+    async def _read(self, stream: Any) -> AsyncIterator[Any]:
+        while True:
+            msg = await self._clock.within_ms(SILENT_MS, stream.read())
+            if msg is grpc.aio.EOF:
+                return
+            yield msg
+
+    def _take(self, msg: Any, address: str) -> None:
+        match msg:
+            case PutInForce(version, content) if version > self.version:
+                self.table = RouteTable(self._codec.decode(unpack(content)))
+                log.info("document: in force version=%d from=%s", version, address)
+            case FleetView():
+                self._take_view(msg)
+                if not self.connected:
+                    self._join(address)
+            case Placed(ticket) | NotPlaced(ticket):
+                fut = self._asked.get(ticket)
+                if fut is not None and not fut.done():
+                    fut.set_result(msg)
+            case Pulse() | PutInForce():
+                pass
+
+    def _take_view(self, view: FleetView) -> None:
+        self._view = view
+        by_service: dict[str, list[UpstreamRecord]] = {}
+        for one in view.upstreams:
+            by_service.setdefault(one.service, []).append(one)
+        self._by_service = {service: tuple(found) for service, found in by_service.items()}
+
+    def _join(self, address: str) -> None:
+        self.connected = True
+        self._up.set()
+        log.info("leader: connected address=%s", address)
+        self.on_connected()
+
+    def _lose(self, address: str) -> None:
+        if self.connected:
+            log.warning("leader: lost address=%s waiting=%d", address, len(self._asked))
+        self.connected = False
+        self._up.clear()
+        for fut in self._asked.values():
+            if not fut.done():
+                fut.set_exception(LeaderLost(address))
+
+
+def _short(exc: BaseException) -> str:
+    if isinstance(exc, grpc.aio.AioRpcError):
+        return f"{exc.code().name} {exc.details()}"
+    return repr(exc)
--- /dev/null
+++ b/chestnutfall/forwarding/forwarder.py
@@ -0,0 +1,209 @@
+"""Runs a client's call: route, place, sends, repeats, and its one final answer."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+from typing import assert_never
+
+from ..clock import Clock
+from ..observability.histograms import Histograms
+from ..requests import Executed
+from ..routes import Route, RouteTable, ServiceSpec
+from .call import Call
+from .caller_reply import CallerReply
+from .place import NoPlace, Place, Places, Wanted
+from .progress import Progress
+from .send_result import Delivered, Failed, Lost, Refused, SendResult
+from .sender import Sender
+from .shared_retry_budget import RetryBounds, SharedRetryBudget
+
+log = logging.getLogger(__name__)
+MAX_SENDS = 6
+"""Refused sends cost little, but each counts as a repeat for the upstream that refuses."""
+NOT_READY_RETRY_MS = 500
+BROKEN_RETRY_MS = 500
+FINAL_MARGIN_MS = 15
+"""The final answer still has to reach the client before its time is over."""
+
+
+class Forwarder:
+    """Takes each call to one final answer."""
+
+    def __init__(
+        self,
+        table: Callable[[], RouteTable | None],
+        gateways: Callable[[], int],
+        engine_places: Places,
+        plain_places: Places,
+        sender: Sender,
+        bounds: RetryBounds,
+        clock: Clock,
+        metrics: Histograms,
+        rng: random.Random,
+    ) -> None:
+        self._table = table
+        self._gateways = gateways
+        self._engine_places = engine_places
+        self._plain_places = plain_places
+        self._sender = sender
+        self._bounds = bounds
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
+        self._budgets: dict[str, SharedRetryBudget] = {}
+
+    async def serve(self, call: Call, reply: CallerReply) -> None:
+        """Answer `call` by `reply`."""
+        table = self._table()
+        if table is None:
+            await self._refuse(call, reply, 503, "no_document", Executed.NO, NOT_READY_RETRY_MS)
+            return
+        route = table.match(call.host, call.path)
+        if route is None:
+            await self._refuse(call, reply, 404, "no_route", Executed.NO, None)
+            return
+        service = table.services[route.service_for(self._rng.random())]
+        budget = self._budget(service.name)
+        budget.note_request()
+        until_ms = min(call.deadline_ms, call.arrived_ms + route.timeout_ms) - FINAL_MARGIN_MS
+        progress = Progress(call, until_ms, budget, last_event=call.resume_after)
+        left_ms = until_ms - self._clock.now_ms()
+        try:
+            await self._clock.within_ms(left_ms, self._run(progress, route, service, reply))
+        except TimeoutError:
+            await self._give_up(progress, reply, 504, "out_of_time", None)
+
+    def _budget(self, service: str) -> SharedRetryBudget:
+        if service not in self._budgets:
+            self._budgets[service] = SharedRetryBudget(self._bounds, self._clock)
+        return self._budgets[service]
+
+    async def _run(
+        self, progress: Progress, route: Route, service: ServiceSpec, reply: CallerReply
+    ) -> None:
+        places = self._plain_places if service.engine is None else self._engine_places
+        while True:
+            wanted = Wanted(progress.call, route, service, tuple(progress.avoid), progress.until_ms)
+            try:
+                place = await places.take(wanted)
+            except NoPlace as exc:
+                await self._give_up(progress, reply, 503, exc.reason, exc.retry_after_ms)
+                return
+            progress.sends += 1
+            result = await self._sender.send(progress, route, place, places, reply)
+            self._log_send(progress, route, place, result)
+            if await self._is_final(progress, route, place, reply, result):
+                return
+
+    async def _is_final(
+        self,
+        progress: Progress,
+        route: Route,
+        place: Place,
+        reply: CallerReply,
+        result: SendResult,
+    ) -> bool:
+        """Give the final answer, or prepare the next send and return False."""
+        match result:
+            case Delivered():
+                self._metrics.observe("answer_ms", self._clock.now_ms() - progress.call.arrived_ms)
+                return True
+            case Refused(code):
+                if self._may_repeat(progress):
+                    progress.avoid.append(place.upstream.instance)
+                    return False
+                await self._give_up(progress, reply, 503, code, BROKEN_RETRY_MS)
+            case Lost(code):
+                progress.runs += 1
+                progress.avoid.append(place.upstream.instance)
+                # Non-idempotent: never repeated once bytes may have reached the upstream. It may
+                # have run, and a second run would send its caller two results.
+                if self._may_run_again(progress, route) and self._may_repeat(progress):
+                    return False
+                await self._give_up(progress, reply, 502, code, None)
+            case Failed(status, headers, body):
+                progress.runs += 1
+                progress.avoid.append(place.upstream.instance)
+                if (
+                    status >= 500
+                    and self._may_run_again(progress, route)
+                    and self._may_repeat(progress)
+                ):
+                    return False
+                if progress.started:
+                    await self._give_up(progress, reply, 502, "upstream_failed", None)
+                else:
+                    await reply.whole(status, headers, body)
+            case _:
+                assert_never(result)
+        return True
+
+    def _may_run_again(self, progress: Progress, route: Route) -> bool:
+        return route.kind.idempotent and progress.runs < route.attempts
+
+    def _may_repeat(self, progress: Progress) -> bool:
+        if progress.sends >= MAX_SENDS or self._clock.now_ms() >= progress.until_ms:
+            return False
+        if progress.budget.spend(self._gateways()):
+            return True
+        self._metrics.count("repeats_over_budget")
+        return False
+
+    async def _give_up(
+        self,
+        progress: Progress,
+        reply: CallerReply,
+        status: int,
+        reason: str,
+        retry_after_ms: int | None,
+    ) -> None:
+        call = progress.call
+        if progress.started:
+            log.info("call: id=%s broken off reason=%s", call.request_id, reason)
+            self._metrics.count("broken_off")
+            reply.break_off()
+            return
+        # A refusal that says "not run" must hold for every send, not just for the last one.
+        # Symptom otherwise: the caller repeats a request whose first send did run.
+        executed = Executed.UNKNOWN if progress.runs else Executed.NO
+        if status == 503 and executed is not Executed.NO:
+            status = 502
+        if status == 504 and progress.sends == 0:
+            status = 503
+        await self._refuse(call, reply, status, reason, executed, retry_after_ms)
+
+    async def _refuse(
+        self,
+        call: Call,
+        reply: CallerReply,
+        status: int,
+        reason: str,
+        executed: Executed,
+        retry_after_ms: int | None,
+    ) -> None:
+        log.info(
+            "call: id=%s refused status=%d reason=%s executed=%s ms=%d",
+            call.request_id,
+            status,
+            reason,
+            executed.value,
+            self._clock.now_ms() - call.arrived_ms,
+        )
+        self._metrics.count(f"refused_{reason}")
+        await reply.refuse(status, reason, retry_after_ms)
+
+    def _log_send(self, progress: Progress, route: Route, place: Place, result: SendResult) -> None:
+        code = getattr(result, "code", getattr(result, "status", ""))
+        log.info(
+            "call: id=%s route=%s send=%d instance=%s version=%d result=%s %s ms=%d",
+            progress.call.request_id,
+            route.name,
+            progress.sends,
+            place.upstream.instance,
+            place.version,
+            type(result).__name__,
+            code,
+            self._clock.now_ms() - progress.call.arrived_ms,
+        )
--- /dev/null
+++ b/chestnutfall/forwarding/place.py
@@ -0,0 +1,68 @@
+"""An upstream chosen for one send."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from ..control.upstream_record import UpstreamRecord
+from ..placement import RunOutcome
+from ..routes import Route, ServiceSpec
+from .call import Call
+from .upstream_answer import UpstreamLoad
+
+
+class NoPlace(Exception):
+    """No upstream can take the request in time; nothing ran."""
+
+    def __init__(self, reason: str, retry_after_ms: int) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """The upstream, and the version of the adapter that it must hold; 0 is any."""
+
+    ticket: str
+    upstream: UpstreamRecord
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a place is wanted for.
+
+    Attributes
+    ----------
+    avoid : tuple of str
+        Instances that failed this call before.
+    until_ms : int
+        Clock time after which the answer is worth nothing.
+    """
+
+    call: Call
+    route: Route
+    service: ServiceSpec
+    avoid: tuple[str, ...]
+    until_ms: int
+
+
+class Places(ABC):
+    """Chooses upstreams for calls, and learns from how they end."""
+
+    @abstractmethod
+    async def take(self, wanted: Wanted) -> Place:
+        """Choose an upstream.
+
+        Raises
+        ------
+        NoPlace
+        """
+
+    @abstractmethod
+    def give_back(
+        self, place: Place, outcome: RunOutcome, lag_ms: float, load: UpstreamLoad | None
+    ) -> None:
+        """Tell how the send ended."""
--- /dev/null
+++ b/chestnutfall/forwarding/plain_places.py
@@ -0,0 +1,100 @@
+"""Choosing among upstreams that all can do the same."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from ..clock import Clock
+from ..control.upstream_record import UpstreamRecord
+from ..placement import RunOutcome
+from ..placement.engine_health import EngineHealth
+from .place import NoPlace, Place, Places, Wanted
+from .upstream_answer import UpstreamLoad
+
+BUSY_COST_MS = 20.0
+"""One more request at an upstream makes the next wait about a short request's time."""
+OTHER_DATA_CENTRE_MS = 6.0
+"""Round trip to another data centre, and its traffic, which costs money."""
+AVOIDED_MS = 10_000.0
+LOAD_FRESH_MS = 250
+"""A load that an upstream told is old after about ten short requests."""
+RETRY_MS = 300
+
+
+@dataclass(slots=True)
+class _Known:
+    """What this gateway knows of one upstream."""
+
+    health: EngineHealth = field(default_factory=EngineHealth)
+    own: int = 0
+    others: float = 0.0
+    places: int = 1
+    told_ms: int = -LOAD_FRESH_MS
+
+
+class PlainPlaces(Places):
+    """Least loaded by own count and by what upstreams told, near ones first."""
+
+    def __init__(
+        self,
+        upstreams: Callable[[str], Iterable[UpstreamRecord]],
+        clock: Clock,
+        data_centre: str,
+    ) -> None:
+        self._upstreams = upstreams
+        self._clock = clock
+        self._data_centre = data_centre
+        self._known: dict[str, _Known] = {}
+        self._numbers = itertools.count()
+
+    async def take(self, wanted: Wanted) -> Place:
+        upstreams = list(self._upstreams(wanted.service.name))
+        if not upstreams:
+            raise NoPlace("no_upstream", RETRY_MS)
+        chosen = min(upstreams, key=lambda one: self._cost_ms(one, wanted.avoid))
+        known = self._of(chosen)
+        if known.health.is_shunned(self._clock.now_ms()) and chosen.instance in wanted.avoid:
+            raise NoPlace("unreachable", RETRY_MS)
+        known.own += 1
+        return Place(f"plain-{next(self._numbers)}", chosen, 0)
+
+    def give_back(
+        self, place: Place, outcome: RunOutcome, lag_ms: float, load: UpstreamLoad | None
+    ) -> None:
+        known = self._of(place.upstream)
+        known.own -= 1
+        now_ms = self._clock.now_ms()
+        known.health.note(outcome, now_ms)
+        if outcome is RunOutcome.DONE:
+            known.health.note_lag(lag_ms, now_ms)
+        if load is not None:
+            known.others = max(load.running + load.waiting - known.own - 1, 0)
+            known.places = max(load.places, 1)
+            known.told_ms = now_ms
+
+    def _of(self, upstream: UpstreamRecord) -> _Known:
+        if upstream.instance not in self._known:
+            self._forget_absent(upstream.service)
+            self._known[upstream.instance] = _Known()
+        return self._known[upstream.instance]
+
+    def _forget_absent(self, service: str) -> None:
+        present = {one.instance for one in self._upstreams(service)}
+        for instance, known in list(self._known.items()):
+            if instance not in present and not known.own and len(self._known) > 64:
+                del self._known[instance]
+
+    def _cost_ms(self, upstream: UpstreamRecord, avoid: tuple[str, ...]) -> float:
+        known = self._of(upstream)
+        now_ms = self._clock.now_ms()
+        busy = float(known.own)
+        if now_ms - known.told_ms < LOAD_FRESH_MS:
+            busy += known.others
+        cost_ms = BUSY_COST_MS * busy / known.places + known.health.cost_ms(now_ms)
+        if upstream.data_centre != self._data_centre:
+            cost_ms += OTHER_DATA_CENTRE_MS
+        if upstream.instance in avoid or known.health.is_shunned(now_ms):
+            cost_ms += AVOIDED_MS
+        return cost_ms
--- /dev/null
+++ b/chestnutfall/forwarding/sender.py
@@ -0,0 +1,161 @@
+"""One send of a call to the upstream chosen for it."""
+
+from __future__ import annotations
+
+from ..clock import Clock
+from ..observability.histograms import Histograms
+from ..placement import RunOutcome
+from ..routes import Route
+from .caller_reply import CallerReply
+from .event_splitter import EventSplitter
+from .forwarded_call import ForwardedCall
+from .patience import first_byte_ms, pause_ms
+from .place import Place, Places
+from .progress import Progress
+from .send_result import Delivered, Failed, Lost, Refused, SendResult
+from .upstream_answer import NotRun, UpstreamAnswer, UpstreamLoad
+from .upstream_api import AnswerLost, NotSent, UpstreamApi
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+PAST_DEADLINE_MS = 1_000
+"""Longer than the call itself may take, so that its own deadline ends it first."""
+_OUTCOMES = {
+    NotRun.FULL: RunOutcome.FULL,
+    NotRun.REPLACED: RunOutcome.REPLACED,
+    NotRun.ABSENT: RunOutcome.ABSENT,
+}
+
+
+class Sender:
+    """Sends, relays what comes back, and tells the place how it ended."""
+
+    def __init__(self, api: UpstreamApi, clock: Clock, metrics: Histograms) -> None:
+        self._api = api
+        self._clock = clock
+        self._metrics = metrics
+
+    async def send(
+        self, progress: Progress, route: Route, place: Place, places: Places, reply: CallerReply
+    ) -> SendResult:
+        """Send the call once."""
+        sending = _Sending(self._clock, progress, route, place, reply)
+        outcome = RunOutcome.DONE
+        try:
+            async with self._api.send(sending.forwarded()) as answer:
+                result = await sending.relay(answer)
+            outcome = _outcome(answer, result)
+            return result
+        except NotSent:
+            outcome = RunOutcome.UNREACHABLE
+            return Refused("unreachable")
+        except AnswerLost as exc:
+            outcome = RunOutcome.BROKEN
+            return Lost(str(exc))
+        except TimeoutError:
+            outcome = RunOutcome.BROKEN
+            return Lost("silent")
+        finally:
+            places.give_back(place, outcome, sending.lag_ms, sending.load)
+
+
+class _Sending:
+    """The state of one send."""
+
+    def __init__(
+        self, clock: Clock, progress: Progress, route: Route, place: Place, reply: CallerReply
+    ) -> None:
+        self._clock = clock
+        self._progress = progress
+        self._route = route
+        self._place = place
+        self._reply = reply
+        self._sent_ms = clock.now_ms()
+        self.lag_ms = 0.0
+        self.load: UpstreamLoad | None = None
+
+    def forwarded(self) -> ForwardedCall:
+        return ForwardedCall(
+            self._progress.call,
+            self._place.upstream,
+            self._place.version,
+            self._route.rank,
+            max(self._progress.until_ms - self._sent_ms, 1),
+            self._progress.last_event,
+            # A kept connection can have gone silent or be closing. A request lost on it may have
+            # run for all we know, and only an idempotent one may be sent again.
+            fresh=not self._route.kind.idempotent,
+            silent_ms=self._silent_ms(),
+        )
+
+    async def relay(self, answer: UpstreamAnswer) -> SendResult:
+        self.load = answer.load
+        if answer.not_run is not None:
+            return Refused(answer.not_run.value)
+        if not answer.ok:
+            return Failed(answer.status, answer.headers, await _whole(answer))
+        if self._route.kind.streamed:
+            return await self._relay_events(answer)
+        body = await _whole(answer)
+        self._note_first_byte()
+        await self._reply.whole(answer.status, answer.headers, body)
+        return Delivered()
+
+    async def _relay_events(self, answer: UpstreamAnswer) -> SendResult:
+        if not self._progress.started:
+            await self._reply.start(answer.status, answer.headers)
+            self._progress.started = True
+        splitter = EventSplitter()
+        first = True
+        async for data in answer.body:
+            for event in splitter.feed(data):
+                if first:
+                    self._note_first_byte()
+                    first = False
+                if event.number is not None:
+                    if self._is_out_of_order(event.number):
+                        return Lost("event_missing")
+                    self._progress.last_event = event.number
+                await self._reply.write(event.data)
+        if not splitter.is_clean:
+            return Lost("cut_in_event")
+        await self._reply.finish()
+        return Delivered()
+
+    def _silent_ms(self) -> float:
+        """A hung upstream is left when another one may go on; otherwise time alone ends it."""
+        if not self._may_move():
+            return self._progress.until_ms - self._sent_ms + PAST_DEADLINE_MS
+        first_ms = first_byte_ms(self._route, self._progress.call)
+        return max(first_ms, pause_ms(self._route)) if self._route.kind.streamed else first_ms
+
+    def _may_move(self) -> bool:
+        return self._route.kind.idempotent and self._progress.runs + 1 < self._route.attempts
+
+    def _is_out_of_order(self, number: int) -> bool:
+        last = self._progress.last_event
+        return last is not None and number != last + 1
+
+    def _note_first_byte(self) -> None:
+        took_ms = self._clock.now_ms() - self._sent_ms
+        self.lag_ms = max(took_ms - self._route.objective_ms / 4, 0.0)
+
+
+async def _whole(answer: UpstreamAnswer) -> bytes:
+    body = bytearray()
+    async for data in answer.body:
+        body += data
+        if len(body) > MAX_ANSWER_BYTES:
+            raise AnswerLost("answer_too_large")
+    return bytes(body)
+
+
+def _outcome(answer: UpstreamAnswer, result: SendResult) -> RunOutcome:
+    if answer.not_run is not None:
+        return _OUTCOMES[answer.not_run]
+    match result:
+        case Failed(status=status) if status >= 500:
+            return RunOutcome.BROKEN
+        case Lost():
+            return RunOutcome.BROKEN
+        case _:
+            return RunOutcome.DONE
--- /dev/null
+++ b/chestnutfall/forwarding/shared_retry_budget.py
@@ -0,0 +1,50 @@
+"""How many repeats one gateway may send, so that all together stay below the bound."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from ..clock import Clock
+
+SAFETY = 0.7
+"""Part of the bound that is used: gateways' windows slide apart, and their number lags."""
+
+
+@dataclass(frozen=True, slots=True)
+class RetryBounds:
+    """Repeats allowed over all gateways: a part of the requests plus `slack`, in any window."""
+
+    ratio: float
+    slack: float
+    window_ms: int
+
+
+class SharedRetryBudget:
+    """A sliding window over this gateway's requests and repeats, for one service.
+
+    A gateway is allowed its share of the slack, and the ratio of its own requests. The sum over
+    all gateways then keeps the bound without a word between them.
+    """
+
+    def __init__(self, bounds: RetryBounds, clock: Clock) -> None:
+        self._bounds = bounds
+        self._clock = clock
+        self._requests: deque[int] = deque()
+        self._repeats: deque[int] = deque()
+
+    def note_request(self) -> None:
+        """Count a client's request."""
+        self._requests.append(self._clock.now_ms())
+
+    def spend(self, gateways: int) -> bool:
+        """Take one repeat; False when there is none left."""
+        now_ms = self._clock.now_ms()
+        for times in (self._requests, self._repeats):
+            while times and times[0] <= now_ms - self._bounds.window_ms:
+                times.popleft()
+        own = self._bounds.slack / max(gateways, 1) + self._bounds.ratio * len(self._requests)
+        if len(self._repeats) + 1 > SAFETY * own:
+            return False
+        self._repeats.append(now_ms)
+        return True
--- /dev/null
+++ b/chestnutfall/placement/__init__.py
@@ -0,0 +1,28 @@
+"""Which engine runs a request, and which adapters engines load for it.
+
+Plain data and a clock: nothing here touches a network.
+"""
+
+from __future__ import annotations
+
+from .adapter_name import AdapterName
+from .decisions import Decision, Grant, LoadAdapter, LoadModel, Reject, UnloadAdapter
+from .engine_report import EngineReport
+from .place_request import PlaceRequest, PromptPart
+from .placer import Placer
+from .run_outcome import RunOutcome
+
+__all__ = [
+    "AdapterName",
+    "Decision",
+    "EngineReport",
+    "Grant",
+    "LoadAdapter",
+    "LoadModel",
+    "PlaceRequest",
+    "Placer",
+    "PromptPart",
+    "Reject",
+    "RunOutcome",
+    "UnloadAdapter",
+]
--- /dev/null
+++ b/chestnutfall/placement/engine.py
@@ -0,0 +1,139 @@
+"""One engine, as placement sees it."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterator
+
+from ..routes import EngineSpec
+from .adapter_name import AdapterName
+from .engine_health import EngineHealth
+from .engine_report import EngineReport
+from .holding import Holding
+from .place_request import PlaceRequest
+from .prompt_cache import PromptCache
+
+READ_TOKENS_PER_MS = 40.0
+"""How fast an engine reads prompts: 44 tokens/ms alone, a little less beside running requests."""
+RECENT_PER_SLOT = 6
+"""Adapters an engine keeps in its own memory, for each place it has for them."""
+TRANSITS_PER_ENGINE = 4
+"""Loads that an engine takes at the same time."""
+KV_SHARE = 0.9
+"""Part of an engine's memory that running requests may fill; the rest keeps prefixes."""
+
+
+class Engine:
+    """What an engine holds and runs.
+
+    Attributes
+    ----------
+    models : dict of str to int
+        Version by base model held.
+    holdings : dict of AdapterName to Holding
+        Adapters held or in transit.
+    running : dict of str to PlaceRequest
+        Requests granted to it and not released.
+    loading_model : str
+        Base model on its way; empty when there is none.
+    synced : bool
+        Whether its report was read; before that nothing is ordered.
+    """
+
+    def __init__(self, instance: str, service: str, data_centre: str, spec: EngineSpec) -> None:
+        self.instance = instance
+        self.service = service
+        self.data_centre = data_centre
+        self.spec = spec
+        self.models: dict[str, int] = {}
+        self.holdings: dict[AdapterName, Holding] = {}
+        self.running: dict[str, PlaceRequest] = {}
+        self.loading_model = ""
+        self.synced = False
+        self.health = EngineHealth()
+        self.prompts = PromptCache(int(spec.kv_tokens * KV_SHARE))
+        self._kv_used = 0
+        self._read_until_ms = 0.0
+        self._recent: OrderedDict[AdapterName, None] = OrderedDict()
+
+    def take(self, report: EngineReport, now_ms: int, load_ms: float) -> None:
+        """Replace what is known of its contents, keeping who uses what."""
+        before = self.holdings
+        self.models = dict(report.models)
+        if self.loading_model in self.models:
+            self.loading_model = ""
+        self.holdings = {}
+        for name, version in report.adapters.items():
+            self.holdings[name] = Holding(version, now_ms, True)
+        for name, version in report.coming.items():
+            self.holdings[name] = Holding(version, int(now_ms + load_ms))
+        for name, old in before.items():
+            if name in self.holdings:
+                self.holdings[name].tickets = old.tickets
+                self.holdings[name].used_ms = old.used_ms
+                if name in report.coming:
+                    self.holdings[name].ready_ms = max(old.ready_ms, now_ms)
+        self.synced = True
+
+    # Room
+
+    def has_room(self, req: PlaceRequest) -> bool:
+        """Whether one more request could start at once."""
+        tokens = req.prompt_tokens + req.output_tokens
+        fits = self._kv_used + tokens <= self.spec.kv_tokens * KV_SHARE
+        return len(self.running) < self.spec.batch and (fits or not self.running)
+
+    def read_wait_ms(self, now_ms: int) -> float:
+        """How long the prompts before a new one still take to read."""
+        return max(self._read_until_ms - now_ms, 0.0)
+
+    def read_ms(self, req: PlaceRequest) -> float:
+        """How long this request's prompt takes to read."""
+        return self.prompts.missing_tokens(req) / READ_TOKENS_PER_MS
+
+    def start(self, req: PlaceRequest, now_ms: int) -> None:
+        """Count a request that is sent to it now."""
+        self._read_until_ms = max(self._read_until_ms, now_ms) + self.read_ms(req)
+        self.prompts.note(req)
+        self.running[req.ticket] = req
+        self._kv_used += req.prompt_tokens + req.output_tokens
+
+    def end(self, ticket: str) -> PlaceRequest | None:
+        """Stop counting a request."""
+        req = self.running.pop(ticket, None)
+        if req is not None:
+            self._kv_used -= req.prompt_tokens + req.output_tokens
+        return req
+
+    # Adapters
+
+    def in_transit(self, now_ms: int) -> int:
+        """Adapters that are on their way."""
+        return sum(1 for one in self.holdings.values() if one.ready_ms > now_ms)
+
+    def can_load_more(self, now_ms: int) -> bool:
+        """Whether it takes one more load now."""
+        return self.synced and self.in_transit(now_ms) < TRANSITS_PER_ENGINE
+
+    def has_free_slot(self) -> bool:
+        """Whether an adapter fits without an eviction."""
+        return len(self.holdings) < self.spec.adapter_slots
+
+    def evictable(self, now_ms: int) -> Iterator[AdapterName]:
+        """Adapters that nothing runs on or waits for."""
+        for name, holding in self.holdings.items():
+            if not holding.tickets and holding.ready_ms <= now_ms:
+                yield name
+
+    def held_recently(self, name: AdapterName) -> bool:
+        """Whether the engine probably still has a copy in its own memory."""
+        return name in self._recent
+
+    def note_dropped(self, name: AdapterName) -> None:
+        """Forget a holding; a copy stays in the engine's own memory for a while."""
+        self.holdings.pop(name, None)
+        self.prompts.drop(name)
+        self._recent[name] = None
+        self._recent.move_to_end(name)
+        while len(self._recent) > RECENT_PER_SLOT * self.spec.adapter_slots:
+            self._recent.popitem(last=False)
--- /dev/null
+++ b/chestnutfall/placement/holding.py
@@ -0,0 +1,30 @@
+"""An adapter on an engine, or on its way there."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Holding:
+    """One adapter of one engine.
+
+    Attributes
+    ----------
+    version : int
+        Version held or being loaded; 0 when only "the newest" is known.
+    ready_ms : int
+        Clock time at which it should be ready.
+    confirmed : bool
+        Whether a request ran on it, or the engine listed it.
+    tickets : set of str
+        Requests that run on it or wait for it; it is not evicted while there are any.
+    used_ms : int
+        When it was last wanted.
+    """
+
+    version: int
+    ready_ms: int
+    confirmed: bool = False
+    used_ms: int = 0
+    tickets: set[str] = field(default_factory=set)
--- /dev/null
+++ b/chestnutfall/placement/placer.py
@@ -0,0 +1,270 @@
+"""One queue before all engines, and their adapters."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from ..clock import Clock
+from ..routes import EngineSpec
+from .adapter_name import AdapterName
+from .choice import Surroundings, options
+from .decisions import Decision, Grant, LoadAdapter, LoadModel, Reject, UnloadAdapter
+from .demand import Demand
+from .engine import Engine
+from .engine_report import EngineReport
+from .holding import Holding
+from .load_timer import LoadTimer
+from .model_loads import ModelLoads, missing_model
+from .place_option import PlaceOption
+from .place_request import PlaceRequest
+from .run_outcome import RunOutcome
+from .waiting import Waiting
+
+TRANSITS_AT_FULL_SPEED = 24
+"""Adapter loads over all engines that don't slow each other down, as far as is known."""
+TOO_EARLY_MS = 40
+"""Wait after a request that came before its adapter; a sixth of a load."""
+LEAST_RETRY_MS = 250
+MOST_RETRY_MS = 4_000
+LEAST_RUN_MS = 60
+"""Even a short answer takes this long; with less time left a request can't be served."""
+
+
+class Placer:
+    """Places requests on engines and decides which adapters they load.
+
+    Nothing here sends: callers carry out what `decide` yields, and tell what became of it.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.engines: dict[str, Engine] = {}
+        self._waiting: dict[str, Waiting] = {}
+        self._places: dict[str, str] = {}
+        self._demand = Demand()
+        self._timer = LoadTimer()
+        self._model_loads = ModelLoads()
+        self._versions: dict[AdapterName, int] = {}
+        self._outdated: set[AdapterName] = set()
+
+    # Engines
+
+    def engine_up(self, instance: str, service: str, data_centre: str, spec: EngineSpec) -> None:
+        """Take a new engine, or the new figures of a known one."""
+        known = self.engines.get(instance)
+        if known is not None:
+            known.spec = spec
+            return
+        self.engines[instance] = Engine(instance, service, data_centre, spec)
+
+    def engine_down(self, instance: str) -> None:
+        """Give an engine no more work; whoever waits for its load is placed anew."""
+        engine = self.engines.pop(instance, None)
+        if engine is None:
+            return
+        for ticket in engine.running:
+            self._places.pop(ticket, None)
+        for waiting in self._waiting.values():
+            if waiting.instance == instance:
+                waiting.instance = ""
+
+    def engine_reported(self, instance: str, report: EngineReport) -> None:
+        """Take an engine's own report of its contents."""
+        engine = self.engines.get(instance)
+        if engine is None:
+            return
+        load_ms = self._timer.expected_ms(False, 0, 1)
+        engine.take(report, self._clock.now_ms(), load_ms)
+        self._outdated.update(name for name in engine.holdings if name in self._versions)
+        for waiting in self._waiting.values():
+            if waiting.instance == instance and waiting.req.adapter not in engine.holdings:
+                self._unassign(waiting)
+
+    def order_failed(self, order: LoadAdapter | UnloadAdapter | LoadModel) -> None:
+        """Note that an order did not certainly take effect; the engine's report is needed."""
+        engine = self.engines.get(order.instance)
+        if engine is None:
+            return
+        engine.synced = False
+        match order:
+            case LoadModel():
+                engine.loading_model = ""
+            case LoadAdapter(adapter=adapter):
+                engine.holdings.pop(adapter, None)
+                for waiting in self._waiting.values():
+                    if waiting.instance == order.instance and waiting.req.adapter == adapter:
+                        self._unassign(waiting)
+            case UnloadAdapter():
+                pass
+
+    def unsynced(self) -> Iterator[str]:
+        """Engines whose report must be read before anything is ordered."""
+        return (engine.instance for engine in self.engines.values() if not engine.synced)
+
+    def name_version(self, adapter: AdapterName, version: int) -> None:
+        """Requests get this version of the adapter or a newer one from now on."""
+        self._versions[adapter] = max(version, self._versions.get(adapter, 0))
+        self._outdated.add(adapter)
+
+    # Requests
+
+    def submit(self, req: PlaceRequest) -> None:
+        """Queue a request."""
+        now_ms = self._clock.now_ms()
+        self._demand.note(req.adapter, now_ms)
+        self._waiting[req.ticket] = Waiting(req, now_ms)
+
+    def withdraw(self, ticket: str) -> None:
+        """Drop a request, wherever it is."""
+        waiting = self._waiting.get(ticket)
+        if waiting is not None:
+            self._unassign(waiting)
+            del self._waiting[ticket]
+        self.release(ticket, RunOutcome.WITHDRAWN, 0.0)
+
+    def release(self, ticket: str, outcome: RunOutcome, lag_ms: float) -> None:
+        """Free a granted place; `lag_ms` tells how late the first event was."""
+        engine = self.engines.get(self._places.pop(ticket, ""))
+        req = engine.end(ticket) if engine is not None else None
+        if engine is None or req is None:
+            return
+        now_ms = self._clock.now_ms()
+        engine.health.note(outcome, now_ms)
+        if outcome is RunOutcome.DONE:
+            engine.health.note_lag(lag_ms, now_ms)
+        holding = engine.holdings.get(req.adapter)
+        if holding is None:
+            return
+        holding.tickets.discard(ticket)
+        match outcome:
+            case RunOutcome.NOT_READY:
+                self._timer.came_too_early()
+                holding.ready_ms = max(holding.ready_ms, now_ms + TOO_EARLY_MS)
+            case RunOutcome.ABSENT:
+                engine.holdings.pop(req.adapter)
+                engine.synced = False
+            case RunOutcome.DONE if not holding.confirmed:
+                holding.confirmed = True
+                self._timer.was_ready()
+            case _:
+                pass
+
+    def instance_of(self, ticket: str) -> str:
+        """The engine whose place the ticket holds; empty when it holds none."""
+        return self._places.get(ticket, "")
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._waiting)
+
+    # Decisions
+
+    def decide(self) -> Iterator[Decision]:
+        """Yield what is to be done now."""
+        now_ms = self._clock.now_ms()
+        yield from self._load_models(now_ms)
+        yield from self._replace_versions(now_ms)
+        full: set[str] = set()
+        for waiting in sorted(self._waiting.values(), key=lambda one: one.order):
+            yield from self._place(waiting, now_ms, full)
+
+    def _load_models(self, now_ms: int) -> Iterator[Decision]:
+        for engine in self.engines.values():
+            peers = [one for one in self.engines.values() if one.service == engine.service]
+            model = missing_model(engine, peers)
+            if model is not None and self._model_loads.may_start(engine.spec.loads_per_s, now_ms):
+                engine.loading_model = model
+                yield LoadModel(engine.instance, model)
+
+    def _replace_versions(self, now_ms: int) -> Iterator[Decision]:
+        for adapter in list(self._outdated):
+            version = self._versions[adapter]
+            behind = [
+                engine
+                for engine in self.engines.values()
+                if adapter in engine.holdings and engine.holdings[adapter].version < version
+            ]
+            if not behind:
+                self._outdated.discard(adapter)
+            for engine in behind:
+                if engine.can_load_more(now_ms):
+                    held = engine.holdings[adapter]
+                    held.version = version
+                    held.confirmed = False
+                    held.ready_ms = int(now_ms + self._load_ms(engine, adapter))
+                    yield LoadAdapter(engine.instance, adapter, version)
+
+    def _place(self, waiting: Waiting, now_ms: int, full: set[str]) -> Iterator[Decision]:
+        req = waiting.req
+        if now_ms + LEAST_RUN_MS > waiting.since_ms + req.wait_ms:
+            yield self._reject(waiting, "no_time_left")
+        elif waiting.instance:
+            yield from self._grant_when_ready(waiting, now_ms)
+        elif req.service not in full:
+            option = self._best(req, now_ms)
+            if option is not None:
+                yield from self._assign(waiting, option, now_ms)
+                yield from self._grant_when_ready(waiting, now_ms)
+            elif not any(e.has_room(req) for e in self._serving(req.service)):
+                full.add(req.service)
+
+    def _best(self, req: PlaceRequest, now_ms: int) -> PlaceOption | None:
+        in_transit = sum(engine.in_transit(now_ms) for engine in self.engines.values())
+        around = Surroundings(
+            now_ms,
+            self._demand,
+            self._timer,
+            in_transit,
+            TRANSITS_AT_FULL_SPEED,
+            self._versions.get(req.adapter, 0),
+        )
+        found = options(req, self._serving(req.service), around)
+        return min(found, key=lambda option: option.cost_ms, default=None)
+
+    def _serving(self, service: str) -> Iterator[Engine]:
+        return (engine for engine in self.engines.values() if engine.service == service)
+
+    def _assign(self, waiting: Waiting, option: PlaceOption, now_ms: int) -> Iterator[Decision]:
+        req, engine = waiting.req, option.engine
+        if option.victim is not None:
+            engine.note_dropped(option.victim)
+            yield UnloadAdapter(engine.instance, option.victim)
+        if option.load_ms is not None:
+            version = self._versions.get(req.adapter, 0)
+            engine.holdings[req.adapter] = Holding(version, int(now_ms + option.load_ms))
+            yield LoadAdapter(engine.instance, req.adapter, version)
+        waiting.instance = engine.instance
+        engine.start(req, now_ms)
+        if req.adapter.adapter:
+            holding = engine.holdings[req.adapter]
+            holding.tickets.add(req.ticket)
+            holding.used_ms = now_ms
+
+    def _unassign(self, waiting: Waiting) -> None:
+        engine = self.engines.get(waiting.instance)
+        waiting.instance = ""
+        if engine is None:
+            return
+        engine.end(waiting.req.ticket)
+        holding = engine.holdings.get(waiting.req.adapter)
+        if holding is not None:
+            holding.tickets.discard(waiting.req.ticket)
+
+    def _grant_when_ready(self, waiting: Waiting, now_ms: int) -> Iterator[Decision]:
+        engine = self.engines[waiting.instance]
+        holding = engine.holdings.get(waiting.req.adapter)
+        if holding is not None and holding.ready_ms > now_ms:
+            return
+        del self._waiting[waiting.req.ticket]
+        self._places[waiting.req.ticket] = engine.instance
+        yield Grant(waiting.req.ticket, engine.instance, holding.version if holding else 0)
+
+    def _reject(self, waiting: Waiting, reason: str) -> Reject:
+        self._unassign(waiting)
+        del self._waiting[waiting.req.ticket]
+        wait_ms = min(max(waiting.req.wait_ms // 4, LEAST_RETRY_MS), MOST_RETRY_MS)
+        return Reject(waiting.req.ticket, reason, wait_ms)
+
+    def _load_ms(self, engine: Engine, adapter: AdapterName) -> float:
+        return self._timer.expected_ms(engine.held_recently(adapter), 0, 1)
--- /dev/null
+++ b/chestnutfall/placement/run_outcome.py
@@ -0,0 +1,26 @@
+"""How a placed request ended, as far as it tells of the engine."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class RunOutcome(Enum):
+    """The closed set of outcomes."""
+
+    DONE = "done"
+    """Answered, or its caller left."""
+    FULL = "full"
+    """The engine refused it: no room."""
+    NOT_READY = "not_ready"
+    """The engine refused it: the adapter is still on its way."""
+    ABSENT = "absent"
+    """The engine refused it: it does not hold the adapter, or not that version."""
+    REPLACED = "replaced"
+    """Another incarnation answers at the engine's address."""
+    UNREACHABLE = "unreachable"
+    """No connection could be opened."""
+    BROKEN = "broken"
+    """The answer failed, broke off or never came."""
+    WITHDRAWN = "withdrawn"
+    """The gateway never used the place."""
--- /dev/null
+++ b/chestnutfall/platform/__init__.py
@@ -0,0 +1,5 @@
+"""The platform's names, formats and calls, translated to the product's types and back.
+
+Nothing here decides: what a call means, who may be told what and which answer is given belongs
+to the product. No other folder knows a name of the platform.
+"""
--- /dev/null
+++ b/chestnutfall/platform/call_reader.py
@@ -0,0 +1,74 @@
+"""From an HTTP request of a client to a call."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from ..forwarding.call import Call, Headers
+from ..placement import AdapterName, PromptPart
+from . import header_names as names
+
+NO_DEADLINE_MS = 3_600_000
+"""A client that names no deadline is bounded by its route's timeout."""
+
+
+def read_call(request: web.BaseRequest, body: bytes, arrived_ms: int) -> Call:
+    """Translate a request.
+
+    Raises
+    ------
+    ValueError
+        When a header of the platform is malformed.
+    """
+    target = request._message.path
+    headers = request.headers
+    prompt_tokens, output_tokens = _token_counts(headers.get(names.TOKEN_COUNTS, ""))
+    last_event = headers.get(names.LAST_EVENT)
+    return Call(
+        request_id=headers.get(names.REQUEST_ID, ""),
+        method=request.method,
+        target=target,
+        path=target.partition("?")[0],
+        host=headers.get("Host", "").partition(":")[0],
+        headers=_passed_on(request.raw_headers),
+        body=body,
+        arrived_ms=arrived_ms,
+        deadline_ms=arrived_ms + int(headers.get(names.DEADLINE, NO_DEADLINE_MS)),
+        adapter=_adapter(headers.get(names.MODEL)),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
+        parts=_parts(headers.get(names.PROMPT_PARTS, "")),
+        resume_after=int(last_event) if last_event is not None else None,
+    )
+
+
+def _passed_on(raw_headers: tuple[tuple[bytes, bytes], ...]) -> Headers:
+    decoded = (
+        (name.decode("latin-1"), value.decode("utf-8", "surrogateescape"))
+        for name, value in raw_headers
+    )
+    return tuple(
+        (name, value)
+        for name, value in decoded
+        if name.lower() not in names.CONNECTION_ONLY and name.lower() not in names.OURS
+    )
+
+
+def _adapter(text: str | None) -> AdapterName | None:
+    if text is None:
+        return None
+    model, _, adapter = text.partition("/")
+    return AdapterName(model, adapter)
+
+
+def _token_counts(text: str) -> tuple[int, int]:
+    """Tokens of the prompt, and most tokens generated."""
+    if not text:
+        return 0, 0
+    prompt, _, output = text.partition(",")
+    return int(prompt), int(output or 0)
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    pairs = (pair.partition(":") for pair in text.split(",") if pair)
+    return tuple(PromptPart(part_id.strip(), int(tokens)) for part_id, _, tokens in pairs)
--- /dev/null
+++ b/chestnutfall/platform/client_reply.py
@@ -0,0 +1,72 @@
+"""Answers to clients over HTTP."""
+
+from __future__ import annotations
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from ..forwarding.call import Headers
+from ..forwarding.caller_reply import CallerReply
+from . import header_names as names
+
+
+class ClientReply(CallerReply):
+    """One answer on the connection of `request`.
+
+    Attributes
+    ----------
+    response : web.StreamResponse or None
+        What was sent; None while nothing was.
+    closing : bool
+        Whether clients are told that this connection ends with the answer.
+    """
+
+    def __init__(self, request: web.BaseRequest, closing: bool) -> None:
+        self._request = request
+        self._closing = closing
+        self.response: web.StreamResponse | None = None
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        kept = _kept(headers)
+        await self._send(web.Response(status=status, headers=kept, body=body))
+
+    async def start(self, status: int, headers: Headers) -> None:
+        response = web.StreamResponse(status=status, headers=_kept(headers))
+        self._mark_closing(response)
+        self.response = response
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        assert self.response is not None
+        await self.response.write_eof()
+
+    def break_off(self) -> None:
+        # A chunked answer whose connection ends before the last chunk can't be taken for whole.
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def refuse(self, status: int, reason: str, retry_after_ms: int | None) -> None:
+        headers = {"Content-Type": "text/plain"}
+        if retry_after_ms is not None:
+            headers[names.RETRY_AFTER] = f"{retry_after_ms / 1000:g}"
+        await self._send(web.Response(status=status, headers=headers, text=reason))
+
+    async def _send(self, response: web.Response) -> None:
+        self._mark_closing(response)
+        self.response = response
+        await response.prepare(self._request)
+        await response.write_eof()
+
+    def _mark_closing(self, response: web.StreamResponse) -> None:
+        if self._closing:
+            response.force_close()
+
+
+def _kept(headers: Headers) -> CIMultiDict[str]:
+    return CIMultiDict(
+        (name, value) for name, value in headers if name.lower() not in names.CONNECTION_ONLY
+    )
--- /dev/null
+++ b/chestnutfall/platform/control_server.py
@@ -0,0 +1,112 @@
+"""Where operators and upstreams call a controller."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import Any
+
+from aiohttp import web
+
+from ..control.upstream_record import UpstreamRecord
+from ..coordination.controller_run import DeskInUse
+from ..coordination.document_box import pack, unpack
+from ..coordination.relay_messages import (
+    Accepted,
+    Announce,
+    Depart,
+    HeldDocument,
+    ReadDocument,
+    Rejected,
+    StoreDocument,
+    StoreVersion,
+    Unavailable,
+)
+from ..routes import DocumentCodec, UnreadableDocument, check_document
+from .engine_http import read_report
+from .listening import listen
+
+log = logging.getLogger(__name__)
+MAX_BODY_BYTES = 32 * 1024 * 1024
+INSTANCES = "/v1/instances/"
+
+
+class ControlServer:
+    """Translates each HTTP call to a message for the desk, and its answer back."""
+
+    def __init__(self, desk: DeskInUse, codec: DocumentCodec) -> None:
+        self._desk = desk
+        self._codec = codec
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, address: str) -> None:
+        """Begin to listen."""
+        self._runner = await listen(web.Server(self._on_call, access_log=None), address)
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _on_call(self, request: web.BaseRequest) -> web.Response:
+        body = await request.read()
+        instance = request.path.removeprefix(INSTANCES)
+        try:
+            match request.method, request.path:
+                case "GET", "/v1/config":
+                    return self._document(await self._desk.ask(ReadDocument()))
+                case "PUT", "/v1/config":
+                    return await self._put(body)
+                case "POST", "/v1/version-put":
+                    return _plain(await self._desk.ask(_version(json.loads(body))))
+                case "PUT", path if path.startswith(INSTANCES):
+                    return _plain(await self._desk.ask(_announce(instance, json.loads(body))))
+                case "DELETE", path if path.startswith(INSTANCES):
+                    return _plain(await self._desk.ask(Depart(instance)))
+                case _:
+                    return web.json_response({"error": "no such call"}, status=404)
+        except (ValueError, KeyError, TypeError) as exc:
+            log.warning("control: %s %s is malformed: %r", request.method, request.path, exc)
+            return web.json_response({"error": repr(exc)}, status=400)
+
+    async def _put(self, body: bytes) -> web.Response:
+        try:
+            document = self._codec.decode(body)
+            findings = list(check_document(document))
+        except UnreadableDocument as exc:
+            findings = exc.findings
+        if findings:
+            log.info("document: refused %s", "; ".join(map(str, findings[:5])))
+            return web.json_response({"findings": [str(one) for one in findings]}, status=400)
+        return _plain(await self._desk.ask(StoreDocument(document.version, pack(body))))
+
+    @staticmethod
+    def _document(answer: Any) -> web.Response:
+        match answer:
+            case HeldDocument(version, content) if version >= 0:
+                return web.Response(body=unpack(content), content_type="application/json")
+            case _:
+                return web.json_response({"error": "not known"}, status=503)
+
+
+def _plain(answer: Any) -> web.Response:
+    match answer:
+        case Accepted():
+            return web.json_response({})
+        case Rejected(reason):
+            return web.json_response({"error": reason}, status=409)
+        case Unavailable() | _:
+            return web.json_response({"error": "no leader"}, status=503)
+
+
+def _announce(instance: str, wire: dict[str, Any]) -> Announce:
+    record = UpstreamRecord(
+        instance, wire["service"], wire["addr"], wire["zone"], wire["state"] == "draining"
+    )
+    holds = read_report(wire) if "models" in wire else None
+    # Here "seq" counts the announcements of one incarnation.
+    return Announce(record, int(wire["seq"]), holds, int(wire.get("remaining_ms", -1)))
+
+
+def _version(wire: dict[str, Any]) -> StoreVersion:
+    return StoreVersion(wire["model"], wire.get("adapter", ""), int(wire["version"]))
--- /dev/null
+++ b/chestnutfall/platform/controller.py
@@ -0,0 +1,59 @@
+"""Program `chestnutfall.platform.controller`: one replica of the state, on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+
+from ..clock import SystemClock
+from ..coordination.controller_run import ControllerRun
+from ..observability.histograms import Histograms
+from ..observability.stdout_logs import StdoutHandler, start_stdout_logs
+from ..programs.runner import run
+from ..settings.fleet_settings import FleetSettings
+from .control_server import ControlServer
+from .document_json import DocumentJson
+from .engine_http import EngineHttp
+from .metrics_server import serve_metrics
+from .node_file import read_node_file
+from .settings_watch import SettingsWatch
+
+log = logging.getLogger(__name__)
+
+
+def main() -> None:
+    """Run one controller until SIGTERM."""
+    settings = read_node_file()
+    run(lambda stop: _serve(settings, stop))
+
+
+async def _serve(settings: FleetSettings, stop: asyncio.Event) -> int:
+    clock = SystemClock()
+    metrics = Histograms()
+    handler = StdoutHandler(clock, metrics)
+    start_stdout_logs("INFO", "controller", settings.name, handler)
+    codec = DocumentJson()
+    engines = EngineHttp(settings.name)
+    controller = ControllerRun(settings, codec, engines, clock, metrics)
+    server = ControlServer(controller.desk, codec)
+    watch = SettingsWatch(settings, clock, controller.use_settings)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, watch.look)
+    tasks = [asyncio.ensure_future(controller.run(stop)), asyncio.ensure_future(watch.run())]
+    exposed = await serve_metrics(
+        metrics, f"{settings.ip}:{settings.metrics_port}", controller.refresh_gauges
+    )
+    await server.start(settings.control_listen)
+    log.info("controller: started listen=%s", settings.control_listen)
+    await stop.wait()
+    await server.stop()
+    await tasks[0]
+    tasks[1].cancel()
+    await exposed.cleanup()
+    await engines.close()
+    log.info("controller: stopped")
+    return 0
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chestnutfall/platform/document_json.py
@@ -0,0 +1,151 @@
+"""Configuration documents as the platform's operators send them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..findings import Finding
+from ..routes import (
+    Document,
+    DocumentCodec,
+    DocumentLimits,
+    EngineSpec,
+    ModelSpec,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    UnreadableDocument,
+    WeightedService,
+)
+
+FILE = "document"
+
+
+class _Model(msgspec.Struct):
+    name: str
+    weights_mb: float
+    load_s: float
+    adapter_mb: float = 0.0
+
+
+class _Engine(msgspec.Struct):
+    slots: int  # requests in one batch
+    kv_capacity: int  # tokens
+    weights_mb: float  # memory for weights, not the size of one model
+    models: tuple[_Model, ...] = ()
+    adapter_slots: int = 0
+    loads_per_s: float = 1.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Target(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: int
+    slo_ms: int = 0
+    priority: int = 0
+    service: str = ""  # set when the route is not split
+    backends: tuple[_Target, ...] = ()  # services of a split route, not upstreams
+    attempts: int = 1
+    resumable: bool = False
+    gap_aim_ms: int = 0
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = DocumentLimits().max_header_bytes
+    max_body_bytes: int = DocumentLimits().max_body_bytes
+    header_timeout_ms: int = DocumentLimits().header_timeout_ms
+    idle_timeout_ms: int = DocumentLimits().idle_timeout_ms
+
+
+class _Document(msgspec.Struct):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_KINDS = {
+    "safe": RouteKind.IDEMPOTENT,
+    "unsafe": RouteKind.NON_IDEMPOTENT,
+    "stream": RouteKind.STREAM,
+}
+
+
+class DocumentJson(DocumentCodec):
+    """JSON documents."""
+
+    def __init__(self) -> None:
+        self._decoder = msgspec.json.Decoder(_Document)
+
+    def decode(self, content: bytes) -> Document:
+        try:
+            wire = self._decoder.decode(content)
+        except msgspec.MsgspecError as exc:
+            raise UnreadableDocument([Finding(FILE, "", str(exc))]) from exc
+        except UnicodeDecodeError as exc:
+            raise UnreadableDocument([Finding(FILE, "", f"not UTF-8: {exc}")]) from exc
+        return Document(
+            wire.version,
+            tuple(_route(at, route) for at, route in enumerate(wire.routes)),
+            tuple(_service(service) for service in wire.services),
+            DocumentLimits(
+                wire.limits.max_header_bytes,
+                wire.limits.max_body_bytes,
+                wire.limits.header_timeout_ms,
+                wire.limits.idle_timeout_ms,
+            ),
+        )
+
+
+def _route(at: int, wire: _Route) -> Route:
+    kind = _KINDS.get(wire.kind)
+    if kind is None:
+        rule = f"the kind must be one of {', '.join(_KINDS)}"
+        raise UnreadableDocument([Finding(FILE, f"/routes/{at}/kind", rule, wire.kind)])
+    if kind is RouteKind.STREAM and wire.resumable:
+        kind = RouteKind.RESUMABLE_STREAM
+    targets = tuple(WeightedService(one.service, one.weight) for one in wire.backends)
+    return Route(
+        wire.name,
+        wire.host,
+        wire.path_prefix,
+        kind,
+        wire.timeout_ms,
+        wire.slo_ms,
+        wire.priority,
+        targets or (WeightedService(wire.service, 1.0),),
+        wire.attempts,
+        wire.gap_aim_ms,
+    )
+
+
+def _service(wire: _Service) -> ServiceSpec:
+    engine = wire.engine
+    if engine is None:
+        return ServiceSpec(wire.name, wire.max_conns, None)
+    models = tuple(
+        ModelSpec(one.name, one.weights_mb, one.load_s * 1000, one.adapter_mb)
+        for one in engine.models
+    )
+    spec = EngineSpec(
+        engine.slots,
+        engine.kv_capacity,
+        models,
+        engine.weights_mb,
+        engine.adapter_slots,
+        engine.loads_per_s,
+    )
+    return ServiceSpec(wire.name, wire.max_conns, spec)
--- /dev/null
+++ b/chestnutfall/platform/engine_http.py
@@ -0,0 +1,104 @@
+"""Orders to engines and their reports over HTTP."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import aiohttp
+
+from ..coordination.engine_control import EngineControl, OrderResult
+from ..placement import AdapterName, EngineReport, LoadAdapter, LoadModel, UnloadAdapter
+from . import header_names as names
+
+CALL_S = 0.7
+"""An engine answers an order within some ms, or not at all."""
+_RESULTS = {
+    200: OrderResult.HOLDS_ALREADY,
+    202: OrderResult.TAKEN,
+    409: OrderResult.CONFLICT,
+    412: OrderResult.FENCED,
+    421: OrderResult.REPLACED,
+}
+
+
+class EngineHttp(EngineControl):
+    """Orders as JSON; `holder` is this host's name."""
+
+    def __init__(self, holder: str) -> None:
+        self._holder = holder
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=1.5),
+            timeout=aiohttp.ClientTimeout(total=CALL_S),
+            trust_env=False,
+        )
+
+    async def order(
+        self,
+        address: str,
+        order: LoadAdapter | UnloadAdapter | LoadModel,
+        fencing_token: int,
+        orders_taken: int,
+    ) -> OrderResult:
+        body = _order_body(order)
+        body |= {
+            "holder": self._holder,
+            "fencing_token": fencing_token,
+            "expect": orders_taken,  # how many orders the engine took, not an order's number
+        }
+        headers = {names.EXPECTED_INSTANCE: order.instance}
+        try:
+            call = self._session.post(f"http://{address}/v1/order", json=body, headers=headers)
+            async with call as resp:
+                return _RESULTS.get(resp.status, OrderResult.UNKNOWN)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return OrderResult.UNKNOWN
+
+    async def report(self, address: str, instance: str) -> EngineReport:
+        headers = {names.EXPECTED_INSTANCE: instance}
+        try:
+            async with self._session.get(f"http://{address}/v1/report", headers=headers) as resp:
+                if resp.status != 200:
+                    raise ConnectionError(f"{address}: report answered {resp.status}")
+                return read_report(await resp.json())
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as exc:
+            raise ConnectionError(f"{address}: {exc!r}") from exc
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._session.close()
+
+
+def _order_body(order: LoadAdapter | UnloadAdapter | LoadModel) -> dict[str, Any]:
+    match order:
+        case LoadModel(model=model):
+            return {"operation": "load", "model": model}
+        case UnloadAdapter(adapter=name):
+            return {"operation": "unload", "model": name.model, "adapter": name.adapter}
+        case LoadAdapter(adapter=name, version=version):
+            body: dict[str, Any] = {"operation": "load", "model": name.model}
+            body["adapter"] = name.adapter
+            if version:
+                body["version"] = version
+            return body
+
+
+def read_report(wire: dict[str, Any]) -> EngineReport:
+    """Translate what an engine says of itself, in a report or an announcement."""
+    models = {model["name"]: int(model["version"]) for model in wire.get("models", ())}
+    adapters = {
+        AdapterName(model["name"], name): version
+        for model in wire.get("models", ())
+        for name, version in map(_adapter, model.get("adapters", ()))
+    }
+    coming = {}
+    for text in wire.get("coming", ()):
+        model, _, adapter = text.partition("/")
+        name, version = _adapter(adapter)
+        coming[AdapterName(model, name)] = version
+    # "seq" counts accepted orders in a report, but announcements in an announcement.
+    return EngineReport(models, adapters, coming, int(wire.get("seq", 0)))
+
+
+def _adapter(text: str) -> tuple[str, int]:
+    name, _, version = text.partition("@")
+    return name, int(version or 0)
--- /dev/null
+++ b/chestnutfall/platform/gateway.py
@@ -0,0 +1,88 @@
+"""Program `chestnutfall.platform.gateway`: takes clients' requests on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import signal
+import uuid
+
+from ..clock import SystemClock
+from ..forwarding.drain import drain
+from ..forwarding.engine_places import EnginePlaces
+from ..forwarding.fleet_client import FleetClient
+from ..forwarding.forwarder import Forwarder
+from ..forwarding.plain_places import PlainPlaces
+from ..forwarding.sender import Sender
+from ..forwarding.shared_retry_budget import RetryBounds
+from ..observability.histograms import Histograms
+from ..observability.stdout_logs import StdoutHandler, start_stdout_logs
+from ..programs.runner import run
+from ..routes import DocumentLimits
+from ..settings.fleet_settings import FleetSettings
+from .document_json import DocumentJson
+from .entry_server import EntryServer
+from .metrics_server import serve_metrics
+from .node_file import read_node_file
+from .settings_watch import SettingsWatch
+from .upstream_http import UpstreamHttp
+
+log = logging.getLogger(__name__)
+
+
+def main() -> None:
+    """Run one gateway until SIGTERM, then drain."""
+    settings = read_node_file()
+    run(lambda stop: _serve(settings, stop))
+
+
+async def _serve(settings: FleetSettings, stop: asyncio.Event) -> int:
+    clock = SystemClock()
+    metrics = Histograms()
+    handler = StdoutHandler(clock, metrics)
+    start_stdout_logs("INFO", "gateway", settings.name, handler)
+    name = f"{settings.name}#{uuid.uuid4().hex[:6]}"
+    fleet = FleetClient(name, settings.data_centre, settings.controllers, DocumentJson(), clock)
+    api = UpstreamHttp()
+    forwarder = Forwarder(
+        lambda: fleet.table,
+        lambda: fleet.gateways,
+        EnginePlaces(fleet, clock, name, settings.data_centre),
+        PlainPlaces(fleet.upstreams, clock, settings.data_centre),
+        Sender(api, clock, metrics),
+        RetryBounds(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window_ms),
+        clock,
+        metrics,
+        random.Random(),
+    )
+
+    def limits() -> DocumentLimits:
+        return fleet.table.document.limits if fleet.table else DocumentLimits()
+
+    entry = EntryServer(forwarder, lambda: fleet.table is not None, limits, clock)
+
+    def refresh() -> None:
+        metrics.gauge("calls_in_progress", entry.calls_in_progress())
+        metrics.gauge("document_version", fleet.version)
+        metrics.gauge("connected", fleet.connected)
+
+    watch = SettingsWatch(settings, clock, lambda new: fleet.use_controllers(new.controllers))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, watch.look)
+    tasks = [asyncio.ensure_future(fleet.run()), asyncio.ensure_future(watch.run())]
+    exposed = await serve_metrics(metrics, f"{settings.ip}:{settings.metrics_port}", refresh)
+    await entry.start(settings.caller_listen, settings.ready_listen)
+    log.info("gateway: started name=%s listen=%s", name, settings.caller_listen)
+    await stop.wait()
+    await drain(entry, clock, settings.grace_ms)
+    await entry.stop()
+    for task in tasks:
+        task.cancel()
+    await exposed.cleanup()
+    await api.close()
+    log.info("gateway: stopped name=%s", name)
+    return 0
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chestnutfall/platform/node_file.py
@@ -0,0 +1,55 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from ..settings.address import split_address
+from ..settings.fleet_settings import FleetSettings
+
+PATH_VARIABLE = "CHESTNUTFALL_NODE_FILE"
+METRICS_PORT = 9464
+"""Fixed by the deploy file; 9464 is the usual port of Prometheus exporters."""
+
+
+def read_node_file() -> FleetSettings:
+    """Read the file that the platform names in the environment.
+
+    Raises
+    ------
+    KeyError, OSError, ValueError
+        When a field is missing, or the file can't be read.
+    """
+    path = Path(os.environ[PATH_VARIABLE])
+    return to_settings(tomllib.loads(path.read_text("utf-8")))
+
+
+def to_settings(node: dict[str, Any]) -> FleetSettings:
+    """Translate the fields of the file."""
+    listen, bounds = node["listen"], node["bounds"]
+    # "Internal ports" is a range; the system's own protocol needs one port of it.
+    peer_port = int(node["internal_ports"][0])
+    # "Seeds" are addresses of the operators' interface; our own protocol listens beside it.
+    seeds = [split_address(seed)[0] for seed in node["seeds"]]
+    return FleetSettings(
+        name=node["node_name"],
+        data_centre=node["zone"],
+        ip=node["ip"],
+        peer_port=peer_port,
+        metrics_port=METRICS_PORT,
+        controllers=tuple(f"{ip}:{peer_port}" for ip in seeds),
+        caller_listen=listen.get("front", ""),
+        ready_listen=listen.get("ready", ""),
+        control_listen=listen.get("control", ""),
+        first_start=bool(node["bootstrap"]),
+        data_folder=node.get("data_dir", ""),
+        tolerated_losses=int(node["tolerate"]["machines"]),
+        heartbeat_ms=int(node["heartbeat_ms"]),
+        grace_ms=int(bounds["grace_s"] * 1000),
+        repeat_ratio=float(bounds["retry_budget_ratio"]),
+        repeat_slack=float(bounds["budget_slack"]),
+        repeat_window_ms=int(bounds["budget_window_s"] * 1000),
+    )
--- /dev/null
+++ b/chestnutfall/platform/upstream_http.py
@@ -0,0 +1,118 @@
+"""Requests to upstreams over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from ..forwarding.forwarded_call import ForwardedCall
+from ..forwarding.upstream_answer import NotRun, UpstreamAnswer, UpstreamLoad
+from ..forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
+from . import header_names as names
+
+CONNECT_S = 0.4
+"""A connection takes some ms; a lost opening packet is sent again after a second, later than
+another upstream would have answered."""
+IDLE_CONNECTION_S = 1.5
+"""Upstreams close idle connections after whole seconds, the shortest after two."""
+EARLY_ANSWER_BYTES = 16 * 1024
+"""A longer body may still be on its way when the answer ends, so its connection is not kept."""
+_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+class UpstreamHttp(UpstreamApi):
+    """Two pools: kept connections, and those that serve one request."""
+
+    def __init__(self) -> None:
+        self._kept = _session(aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S))
+        self._fresh = _session(aiohttp.TCPConnector(limit=0, force_close=True))
+
+    @asynccontextmanager
+    async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
+        call = forwarded.call
+        session = self._fresh if forwarded.fresh else self._kept
+        request = session.request(
+            call.method,
+            URL(f"http://{forwarded.upstream.address}{call.target}", encoded=True),
+            data=call.body or None,
+            headers=_headers(forwarded),
+            skip_auto_headers=_AUTO_HEADERS,
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=CONNECT_S, sock_read=forwarded.silent_ms / 1000
+            ),
+        )
+        try:
+            async with request as resp:
+                if resp.headers.get(names.REQUEST_ID, call.request_id) != call.request_id:
+                    # An answer to an earlier request of this connection came late or twice.
+                    resp.close()
+                    raise AnswerLost("answer_of_another")
+                yield UpstreamAnswer(
+                    resp.status,
+                    tuple(resp.headers.items()),
+                    _not_run(resp, forwarded),
+                    _load(resp.headers.get(names.LOAD)),
+                    _body(resp),
+                )
+                if len(call.body) > EARLY_ANSWER_BYTES:
+                    resp.close()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise NotSent(str(exc)) from exc
+        except aiohttp.SocketTimeoutError as exc:
+            raise AnswerLost("silent") from exc
+        except (aiohttp.ClientError, OSError) as exc:
+            if isinstance(exc, NotSent | AnswerLost):
+                raise
+            raise AnswerLost(type(exc).__name__) from exc
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._kept.close()
+        await self._fresh.close()
+
+
+def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        trust_env=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        read_bufsize=2**18,
+    )
+
+
+def _headers(forwarded: ForwardedCall) -> CIMultiDict[str]:
+    headers: CIMultiDict[str] = CIMultiDict(forwarded.call.headers)
+    headers[names.DEADLINE] = str(forwarded.left_ms)
+    headers[names.EXPECTED_INSTANCE] = forwarded.upstream.instance
+    if forwarded.call.adapter is not None:
+        headers[names.RANK] = str(min(forwarded.rank, 9))
+        if forwarded.version:
+            headers[names.EXPECTED_VERSION] = str(forwarded.version)
+    if forwarded.resume_after is not None:
+        headers[names.LAST_EVENT] = str(forwarded.resume_after)
+    return headers
+
+
+def _not_run(resp: aiohttp.ClientResponse, forwarded: ForwardedCall) -> NotRun | None:
+    if resp.status == 421:
+        other = resp.headers.get(names.INSTANCE, forwarded.upstream.instance)
+        return NotRun.ABSENT if other == forwarded.upstream.instance else NotRun.REPLACED
+    return NotRun.FULL if names.NOT_EXECUTED in resp.headers else None
+
+
+def _load(text: str | None) -> UpstreamLoad | None:
+    if text is None:
+        return None
+    running, waiting, places = (int(figure) for figure in text.split(","))
+    return UpstreamLoad(running, waiting, places)
+
+
+async def _body(resp: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    async for data in resp.content.iter_any():
+        yield data
