Drain until quiet; tell a reset from the end of an answer

Cause: (1) the listening socket was closed 3.2 s after SIGTERM; requests that were on their way there were never answered. (2) libuv reports end of file when the last bytes and a reset come together, so the half answer of a crashed upstream, sent without a length, was delivered as whole. Ruled out for (2): aiohttp alone (a hook on connection_lost saw no error: exc=None, eof=False). Change: serve until nothing is in progress for 200 ms; ask the socket for its error at end of file.

--- a/chestnutfall/forwarding/drain.py
+++ b/chestnutfall/forwarding/drain.py
@@ -12,7 +12,9 @@
 """A balancer that asks every second takes a host out after two misses; a second to spare."""
 LAST_MOMENT_MS = 600
 """Left of the grace time for closing connections and ending."""
-POLL_MS = 20
+POLL_MS = 10
+QUIET_MS = 200
+"""A request that was sent before its client saw the last answer has arrived by then."""
 
 
 class Drainable(ABC):
@@ -26,10 +28,6 @@
     def announce_leaving(self) -> None:
         """Say "not ready", and tell clients to leave their connections."""
 
-    @abstractmethod
-    async def stop_accepting(self) -> None:
-        """Take no new connection, and close those without a request."""
-
 
 async def drain(entry: Drainable, clock: Clock, grace_ms: int) -> None:
     """Finish every request in progress, as far as the grace time allows."""
@@ -37,12 +35,17 @@
     last_ms = asked_ms + grace_ms - LAST_MOMENT_MS
     log.info("drain: begins with %d calls in progress", entry.calls_in_progress())
     entry.announce_leaving()
-    # The balancer still sends new connections until it has seen us not ready. Refusing them
-    # would fail callers for nothing, so they are served.
-    await clock.sleep_ms(min(UNTIL_BALANCED_MS, grace_ms - LAST_MOMENT_MS))
-    await entry.stop_accepting()
-    while entry.calls_in_progress() and clock.now_ms() < last_ms:
+    # The balancer still sends new connections until it has seen us not ready, and clients come
+    # back on kept ones. Refusing them would fail callers for nothing, so they are served, and
+    # told to leave their connections; the last moment without any call is the one to end at.
+    quiet_since_ms = clock.now_ms()
+    while clock.now_ms() < last_ms:
         await clock.sleep_ms(POLL_MS)
+        now_ms = clock.now_ms()
+        if entry.calls_in_progress():
+            quiet_since_ms = now_ms
+        elif now_ms >= asked_ms + UNTIL_BALANCED_MS and now_ms >= quiet_since_ms + QUIET_MS:
+            break
     log.info(
         "drain: ends after ms=%d with %d calls in progress",
         clock.now_ms() - asked_ms,
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -47,14 +47,6 @@
     def announce_leaving(self) -> None:
         self._leaving = True
 
-    async def stop_accepting(self) -> None:
-        if self._callers is None:
-            return
-        for site in list(self._callers.sites):
-            await site.stop()
-        if self._callers.server is not None:
-            self._callers.server.pre_shutdown()
-
     async def start(self, caller_address: str, ready_address: str) -> None:
         """Begin to listen."""
         calls = web.Server(
--- /dev/null
+++ b/chestnutfall/platform/reset_aware.py
@@ -0,0 +1,49 @@
+"""Connections on which a reset never looks like the end of an answer."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from functools import partial
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import set_exception
+
+
+class ResetAwareConnector(aiohttp.TCPConnector):
+    """A connector whose connections fail an open answer when they are reset."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        handler = partial(ResetAwareHandler, loop=asyncio.get_running_loop())
+        self._factory = handler  # type: ignore[assignment]
+
+
+class ResetAwareHandler(ResponseHandler):
+    """Fails the answer before aiohttp takes the end of the connection for its end.
+
+    An answer without a length ends with its connection. aiohttp does not ask how that ended, and
+    libuv reports "end of file" when the last bytes and a reset arrive together. Symptom: the
+    first half of a crashed upstream's answer is delivered as a whole one. The socket itself
+    still knows of the reset.
+    """
+
+    def eof_received(self) -> None:
+        transport = self.transport
+        sock = transport.get_extra_info("socket") if transport is not None else None
+        if sock is not None:
+            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                self._fail_open_answer(OSError(error, "reset"))
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if exc is not None:
+            self._fail_open_answer(exc)
+        super().connection_lost(exc)
+
+    def _fail_open_answer(self, exc: BaseException) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            set_exception(payload, aiohttp.ClientPayloadError(f"reset: {exc!r}"), exc)
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -13,6 +13,7 @@
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer, UpstreamLoad
 from ..forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
 from . import header_names as names
+from .reset_aware import ResetAwareConnector
 
 CONNECT_S = 0.4
 """A connection takes some ms; a lost opening packet is sent again after a second, later than
@@ -28,8 +29,9 @@
     """Two pools: kept connections, and those that serve one request."""
 
     def __init__(self) -> None:
-        self._kept = _session(aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S))
-        self._fresh = _session(aiohttp.TCPConnector(limit=0, force_close=True))
+        kept = ResetAwareConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
+        self._kept = _session(kept)
+        self._fresh = _session(ResetAwareConnector(limit=0, force_close=True))
 
     @asynccontextmanager
     async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
