--- /dev/null
+++ b/chestnutfall/tests/fakes/fake_upstreams.py
@@ -0,0 +1,120 @@
+"""Upstreams, places and a client's connection for tests of the forwarder."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+from ...control.upstream_record import UpstreamRecord
+from ...forwarding.call import Headers
+from ...forwarding.caller_reply import CallerReply
+from ...forwarding.forwarded_call import ForwardedCall
+from ...forwarding.place import NoPlace, Place, Places, Wanted
+from ...forwarding.upstream_answer import NotRun, UpstreamAnswer, UpstreamLoad
+from ...forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
+from ...placement import RunOutcome
+
+
+class ScriptedUpstreams(UpstreamApi):
+    """Answers each send by the next entry of a script, and notes the sends.
+
+    An entry is a tuple of chunks for a whole answer; a `Cut` breaks off after its chunks.
+    """
+
+    def __init__(self, *script: object) -> None:
+        self._script = list(script)
+        self.sends: list[ForwardedCall] = []
+
+    @asynccontextmanager
+    async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
+        self.sends.append(forwarded)
+        match self._script.pop(0):
+            case NotRun() as not_run:
+                yield UpstreamAnswer(503, (), not_run, None, _chunks(()))
+            case int() as status:
+                yield UpstreamAnswer(status, (), None, None, _chunks((b"failed",)))
+            case Cut(chunks):
+                yield UpstreamAnswer(200, (), None, None, _chunks(chunks, cut=True))
+            case tuple() as chunks:
+                yield UpstreamAnswer(200, (), None, None, _chunks(chunks))
+            case type() as error:
+                raise error("scripted")
+            case unknown:
+                raise AssertionError(unknown)
+
+
+class Cut(tuple[bytes, ...]):
+    """Chunks after which the connection is lost."""
+
+    __match_args__ = ("chunks",)
+
+    @property
+    def chunks(self) -> tuple[bytes, ...]:
+        return tuple(self)
+
+
+async def _chunks(chunks: tuple[bytes, ...], cut: bool = False) -> AsyncIterator[bytes]:
+    for chunk in chunks:
+        yield chunk
+    if cut:
+        raise AnswerLost("cut")
+
+
+class ListedPlaces(Places):
+    """Gives out instances in order, and notes how they ended."""
+
+    def __init__(self, *instances: str) -> None:
+        self._instances = list(instances)
+        self.outcomes: list[RunOutcome] = []
+        self.wanted: list[Wanted] = []
+
+    async def take(self, wanted: Wanted) -> Place:
+        self.wanted.append(wanted)
+        if not self._instances:
+            raise NoPlace("full", 700)
+        instance = self._instances.pop(0)
+        return Place(f"t-{instance}", UpstreamRecord(instance, "s", "127.0.0.1:1", "dc"), 0)
+
+    def give_back(
+        self, place: Place, outcome: RunOutcome, lag_ms: float, load: UpstreamLoad | None
+    ) -> None:
+        self.outcomes.append(outcome)
+
+
+class RecordedReply(CallerReply):
+    """What a client got."""
+
+    def __init__(self, on_write: Callable[[], None] = lambda: None) -> None:
+        self.status = 0
+        self.body = b""
+        self.retry_after_ms: int | None = None
+        self.ended = ""
+        self._on_write = on_write
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        self._end("whole")
+        self.status, self.body = status, body
+
+    async def start(self, status: int, headers: Headers) -> None:
+        self.status = status
+
+    async def write(self, data: bytes) -> None:
+        self.body += data
+        self._on_write()
+
+    async def finish(self) -> None:
+        self._end("whole")
+
+    def break_off(self) -> None:
+        self._end("broken off")
+
+    async def refuse(self, status: int, reason: str, retry_after_ms: int | None) -> None:
+        self._end("refused")
+        self.status, self.retry_after_ms = status, retry_after_ms
+
+    def _end(self, how: str) -> None:
+        assert not self.ended, f"{self.ended}, then {how}"
+        self.ended = how
+
+
+__all__ = ["AnswerLost", "Cut", "ListedPlaces", "NotSent", "RecordedReply", "ScriptedUpstreams"]
--- /dev/null
+++ b/chestnutfall/tests/test_fleet_parts.py
@@ -0,0 +1,144 @@
+"""Small parts of the fleet: budget of repeats, event splitting, roster, document slot, drain."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ..clock import ManualClock
+from ..control.commands import DocumentStored, PutDocument, VersionTaken
+from ..control.document_slot import DocumentSlot
+from ..control.upstream_record import UpstreamRecord
+from ..control.upstream_roster import UpstreamRoster
+from ..coordination.upstream_watch import UpstreamWatch
+from ..forwarding.drain import POLL_MS, QUIET_MS, Drainable, drain
+from ..forwarding.event_splitter import EventSplitter
+from ..forwarding.shared_retry_budget import RetryBounds, SharedRetryBudget
+
+BOUNDS = RetryBounds(0.2, 50, 10_000)
+
+
+class SharedRetryBudgetTest(unittest.IsolatedAsyncioTestCase):
+    @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 2_000)), max_size=60))
+    def test_all_gateways_together_keep_the_bound_in_every_window(
+        self, steps: list[tuple[int, int]]
+    ) -> None:
+        clock = ManualClock()
+        gateways = [SharedRetryBudget(BOUNDS, clock) for _ in range(4)]
+        requests: list[int] = []
+        repeats: list[int] = []
+        for gateway, wait_ms in steps:
+            clock._now_ms += wait_ms
+            gateways[gateway].note_request()
+            requests.append(clock.now_ms())
+            while gateways[gateway].spend(len(gateways)):
+                repeats.append(clock.now_ms())
+        for start_ms in repeats:
+            window = range(start_ms, start_ms + BOUNDS.window_ms)
+            allowed = BOUNDS.slack + BOUNDS.ratio * sum(
+                start_ms - BOUNDS.window_ms <= at < window.stop for at in requests
+            )
+            self.assertLessEqual(sum(at in window for at in repeats), 2 * allowed)
+
+    def test_nothing_is_left_when_the_share_is_spent(self) -> None:
+        budget = SharedRetryBudget(RetryBounds(0, 10, 1000), ManualClock())
+        self.assertEqual([budget.spend(2) for _ in range(4)], [True, True, True, False])
+
+
+class EventSplitterTest(unittest.TestCase):
+    @given(st.lists(st.integers(1, 40)))
+    def test_events_come_whole_however_the_bytes_are_cut(self, cuts: list[int]) -> None:
+        stream = b"".join(b"id: %d\ndata: event\n\n" % at for at in range(1, 6))
+        splitter, found, at = EventSplitter(), [], 0
+        for cut in [*cuts, len(stream)]:
+            found += splitter.feed(stream[at : at + cut])
+            at += cut
+        self.assertEqual([event.number for event in found], [1, 2, 3, 4, 5])
+        self.assertEqual(b"".join(event.data for event in found), stream)
+        self.assertTrue(splitter.is_clean)
+
+
+class UpstreamRosterTest(unittest.TestCase):
+    def test_an_announcement_that_was_held_up_does_not_bring_back_who_left(self) -> None:
+        roster = UpstreamRoster()
+        record = UpstreamRecord("i1", "s", "127.0.0.1:1", "dc")
+        roster.add(record)
+        roster.mark_leaving("i1")
+        roster.add(record)
+        self.assertTrue(roster.records["i1"].leaving)
+        roster.forget("i1")
+        roster.add(record)
+        self.assertEqual(roster.records, {})
+
+
+class UpstreamWatchTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_incarnation_heard_last_has_the_address(self) -> None:
+        clock = ManualClock()
+        watch = UpstreamWatch(clock, 1000)
+        old = UpstreamRecord("old", "s", "127.0.0.1:1", "dc")
+        new = UpstreamRecord("new", "other", "127.0.0.1:1", "dc")
+        watch.heard("old", 1)
+        await clock.advance(100)
+        watch.heard("new", 1)
+        self.assertEqual(list(watch.serving((old, new))), [new])
+        self.assertFalse(watch.heard("new", 0))
+
+    async def test_a_failed_connection_and_one_missing_heartbeat_make_it_silent(self) -> None:
+        clock = ManualClock()
+        watch = UpstreamWatch(clock, 1000)
+        record = UpstreamRecord("i1", "s", "127.0.0.1:1", "dc")
+        watch.heard("i1", 1)
+        watch.unreachable("i1")
+        self.assertEqual(list(watch.serving((record,))), [record])
+        await clock.advance(1600)
+        watch.unreachable("i1")
+        self.assertEqual(list(watch.serving((record,))), [])
+        watch.heard("i1", 2)
+        self.assertEqual(list(watch.serving((record,))), [record])
+
+
+class DocumentSlotTest(unittest.TestCase):
+    def test_the_highest_version_holds_and_a_resend_is_acknowledged(self) -> None:
+        slot = DocumentSlot()
+        self.assertEqual(slot.put(PutDocument(3, b"x")), DocumentStored(3))
+        self.assertEqual(slot.put(PutDocument(3, b"x")), DocumentStored(3))
+        self.assertEqual(slot.put(PutDocument(2, b"old")), DocumentStored(3))
+        self.assertEqual(slot.put(PutDocument(3, b"other")), VersionTaken(3))
+        self.assertEqual((slot.version, slot.content), (3, b"x"))
+
+
+class _Entry(Drainable):
+    """An entry whose calls end at given times."""
+
+    def __init__(self, clock: ManualClock, ends_ms: list[int]) -> None:
+        self._clock = clock
+        self._ends_ms = ends_ms
+        self.left = False
+
+    def calls_in_progress(self) -> int:
+        return sum(end > self._clock.now_ms() for end in self._ends_ms)
+
+    def announce_leaving(self) -> None:
+        self.left = True
+
+
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    async def _ended_ms(self, ends_ms: list[int]) -> int:
+        clock = ManualClock()
+        entry = _Entry(clock, ends_ms)
+        draining = asyncio.ensure_future(drain(entry, clock, 8_000))
+        while not draining.done():
+            await clock.advance(10)
+        self.assertTrue(entry.left)
+        return clock.now_ms()
+
+    async def test_it_serves_until_the_balancer_and_the_last_call_are_gone(self) -> None:
+        self.assertGreaterEqual(await self._ended_ms([]), 3_200)
+        ended_ms = await self._ended_ms([5_000])
+        self.assertGreaterEqual(ended_ms, 5_000 + QUIET_MS - POLL_MS)
+
+    async def test_it_ends_within_the_grace_time(self) -> None:
+        self.assertLess(await self._ended_ms([60_000]), 8_000)
--- /dev/null
+++ b/chestnutfall/tests/test_forwarder.py
@@ -0,0 +1,136 @@
+"""What a caller is told when sends are refused, lost, cut off or answered by a failure.
+
+A caller that reads "not run" sends its request again; if it did run, two results reach one
+household. A caller that reads a whole answer believes it. So every way in which a send can end
+is played at every position, and the final answer must be true of all sends together.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+import unittest
+from typing import Any
+
+from ..clock import ManualClock
+from ..forwarding.call import Call
+from ..forwarding.forwarder import Forwarder
+from ..forwarding.sender import Sender
+from ..forwarding.shared_retry_budget import RetryBounds
+from ..forwarding.upstream_answer import NotRun
+from ..observability.histograms import Histograms
+from ..routes import (
+    Document,
+    DocumentLimits,
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceSpec,
+    WeightedService,
+)
+from .fakes.fake_upstreams import (
+    AnswerLost,
+    Cut,
+    ListedPlaces,
+    NotSent,
+    RecordedReply,
+    ScriptedUpstreams,
+)
+
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+
+
+def _event(number: int) -> bytes:
+    return b"id: %d\ndata: x%d\n\n" % (number, number)
+
+
+class ForwarderTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.reply = RecordedReply()
+
+    async def _serve(
+        self, kind: RouteKind, script: tuple[Any, ...], attempts: int = 3, slack: float = 100
+    ) -> ScriptedUpstreams:
+        route = Route(
+            "r", "a.example", "/a/", kind, 4000, 500, 1, (WeightedService("s", 1),), attempts, 300
+        )
+        services = (ServiceSpec("s", 10, None),)
+        table = RouteTable(Document(1, (route,), services, DocumentLimits()))
+        self.upstreams = ScriptedUpstreams(*script)
+        self.places = ListedPlaces(*(f"i{at}" for at in range(len(script))))
+        metrics = Histograms()
+        forwarder = Forwarder(
+            lambda: table,
+            lambda: 1,
+            self.places,
+            self.places,
+            Sender(self.upstreams, self.clock, metrics),
+            RetryBounds(0.2, slack, 10_000),
+            self.clock,
+            metrics,
+            random.Random(1),
+        )
+        call = Call("id-1", "POST", "/a/x", "/a/x", "a.example", (), b"", 0, 4000)
+        await forwarder.serve(call, self.reply)
+        return self.upstreams
+
+    async def test_a_refused_send_goes_to_another_upstream(self) -> None:
+        for refusal in (*NotRun, NotSent):
+            with self.subTest(refusal):
+                self.reply = RecordedReply()
+                await self._serve(RouteKind.NON_IDEMPOTENT, (refusal, (b"answer",)))
+                self.assertEqual((self.reply.status, self.reply.body), (200, b"answer"))
+                self.assertEqual(self.places.wanted[1].avoid, ("i0",))
+
+    async def test_a_lost_answer_is_never_called_not_run(self) -> None:
+        for kind in (RouteKind.NON_IDEMPOTENT, RouteKind.STREAM):
+            for lost in (AnswerLost, Cut((b"hal",))):
+                with self.subTest(kind=kind, lost=lost):
+                    self.reply = RecordedReply()
+                    await self._serve(kind, (lost, (b"answer",)))
+                    self.assertEqual(len(self.upstreams.sends), 1)
+                    self.assertNotIn(self.reply.status, PROMISES_NOT_RUN)
+                    self.assertNotEqual(self.reply.ended, "whole")
+
+    async def test_a_refusal_after_a_lost_answer_does_not_hide_it(self) -> None:
+        await self._serve(RouteKind.IDEMPOTENT, (AnswerLost, NotRun.FULL))
+        self.assertEqual((self.reply.status, self.reply.retry_after_ms), (502, 700))
+
+    async def test_final_answers_are_true_of_all_sends(self) -> None:
+        ends = (NotRun.FULL, NotSent, AnswerLost, Cut((b"hal",)), 500)
+        for kind, *script in itertools.product(RouteKind, ends, ends):
+            with self.subTest(kind=kind, script=script):
+                self.reply = RecordedReply()
+                await self._serve(kind, tuple(script))
+                used = script[: len(self.upstreams.sends)]
+                ran = [end for end in used if not isinstance(end, NotRun) and end is not NotSent]
+                if ran:
+                    self.assertNotIn(self.reply.status, PROMISES_NOT_RUN)
+                if not kind.idempotent:
+                    self.assertLessEqual(len(ran), 1)
+                self.assertTrue(self.reply.ended)
+
+    async def test_an_idempotent_failure_is_repeated_within_the_route_s_attempts(self) -> None:
+        await self._serve(RouteKind.IDEMPOTENT, (500, AnswerLost, (b"late",)), attempts=2)
+        self.assertEqual(len(self.upstreams.sends), 2)
+        self.assertEqual(self.reply.status, 502)
+
+    async def test_no_repeat_without_budget(self) -> None:
+        await self._serve(RouteKind.IDEMPOTENT, (AnswerLost, (b"answer",)), slack=0)
+        self.assertEqual(len(self.upstreams.sends), 1)
+
+    async def test_a_cut_stream_is_resumed_behind_the_last_whole_event(self) -> None:
+        first = Cut((_event(1) + _event(2) + b"id: 3\nda",))
+        await self._serve(RouteKind.RESUMABLE_STREAM, (first, (_event(3), _event(4))))
+        self.assertEqual(self.upstreams.sends[1].resume_after, 2)
+        self.assertEqual(self.reply.body, b"".join(map(_event, (1, 2, 3, 4))))
+        self.assertEqual(self.reply.ended, "whole")
+
+    async def test_a_stream_with_a_missing_event_is_not_passed_on(self) -> None:
+        await self._serve(RouteKind.STREAM, ((_event(1), _event(3)),))
+        self.assertEqual((self.reply.body, self.reply.ended), (_event(1), "broken off"))
+
+    async def test_a_stream_that_ends_inside_an_event_is_not_whole(self) -> None:
+        await self._serve(RouteKind.STREAM, ((_event(1) + b"id: 2\n",),))
+        self.assertEqual((self.reply.body, self.reply.ended), (_event(1), "broken off"))
--- /dev/null
+++ b/chestnutfall/tests/test_reset_aware.py
@@ -0,0 +1,53 @@
+"""A caller is handed the first half of an answer as if it were whole.
+
+An upstream sends an answer without a length, crashes in the middle, and its last bytes arrive
+together with the reset. The event loop reports a plain end of file for that, and an answer without
+a length ends with its connection; so only the socket's own error tells the two apart.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import unittest
+
+import aiohttp
+import uvloop
+
+from ..platform.reset_aware import ResetAwareConnector
+
+HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+
+
+async def _serve_one(listener: socket.socket, reset: bool) -> None:
+    loop = asyncio.get_running_loop()
+    conn, _ = await loop.sock_accept(listener)
+    await loop.sock_recv(conn, 4096)
+    await loop.sock_sendall(conn, HEAD)
+    await asyncio.sleep(0.02)
+    await loop.sock_sendall(conn, b"first half")
+    if reset:
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    conn.close()
+
+
+async def _fetch(reset: bool) -> bytes:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setblocking(False)
+        served = asyncio.ensure_future(_serve_one(listener, reset))
+        port = listener.getsockname()[1]
+        async with aiohttp.ClientSession(connector=ResetAwareConnector()) as session:
+            async with session.get(f"http://127.0.0.1:{port}/") as resp:
+                body = await resp.read()
+        await served
+        return body
+
+
+class ResetAwareTest(unittest.TestCase):
+    def test_a_closed_connection_ends_an_answer_without_a_length(self) -> None:
+        self.assertEqual(uvloop.run(_fetch(reset=False)), b"first half")
+
+    def test_a_reset_connection_fails_it(self) -> None:
+        with self.assertRaises((aiohttp.ClientError, ConnectionError)):
+            uvloop.run(_fetch(reset=True))
