Repeat unanswered orders at once; never drop what may still be on its way

Cause: an order without an answer stopped its engine's loads for a second (700 ms wait, 300 ms until the report); an unload of an adapter still in transit is answered 200 but not counted, and from then on every order was refused and every report looked too old. Ruled out: too few places; the late orders themselves (their count no longer fits).

--- a/chestnutfall/coordination/controller_run.py
+++ b/chestnutfall/coordination/controller_run.py
@@ -37,6 +37,9 @@
 IDENTITY_NAME = "identity"
 RESTART_MS = 400
 """A full or failing disk stays so for seconds; reading it back twice a second is often enough."""
+TIMING = Timing(heartbeat_ms=60, election_min_ms=320, election_max_ms=560, call_ms=250)
+"""Controllers are some ms apart and spend under a tenth of a core, so five missed heartbeats mean
+a lost leader. Requests for adapters that no gateway remembers wait that long for the next one."""
 SNAPSHOT_EVERY = 500
 KEEP_ENTRIES = 200
 """Documents of some 30 KB each: 700 entries stay below 25 MB of memory and disk."""
@@ -141,7 +144,7 @@
             transport,
             clock,
             random.Random(),
-            Timing(),
+            TIMING,
             SNAPSHOT_EVERY,
             KEEP_ENTRIES,
         )
--- a/chestnutfall/coordination/engine_control.py
+++ b/chestnutfall/coordination/engine_control.py
@@ -33,8 +33,12 @@
         order: LoadAdapter | UnloadAdapter | LoadModel,
         fencing_token: int,
         orders_taken: int,
+        within_ms: float,
     ) -> OrderResult:
-        """Give an order that holds only if the engine took exactly `orders_taken` before."""
+        """Give an order that holds only if the engine took exactly `orders_taken` before.
+
+        Without an answer `within_ms` the result is UNKNOWN.
+        """
 
     @abstractmethod
     async def report(self, address: str, instance: str) -> EngineReport:
--- a/chestnutfall/coordination/engine_orders.py
+++ b/chestnutfall/coordination/engine_orders.py
@@ -14,10 +14,18 @@
 REPORT_RETRY_MS = 500
 """Reports lag by some 100 ms and each costs a probe; an engine that is out of step is rare."""
 BUSY_RETRY_MS = 25
-BUSY_RETRIES = 12
+MOST_RETRIES = 12
 """An engine takes four loads at a time; a load takes about 250 ms, so a place frees in a quarter
 of that on average, and surely within this many tries."""
-SETTLE_MS = 300
+DOUBTFUL_RETRIES = 3
+"""After an order without an answer "busy" is still likelier, but soon the report must tell."""
+ANSWER_FACTOR = 4
+FIRST_ANSWER_MS = 15.0
+ANSWER_WEIGHT = 0.1
+LEAST_ANSWER_MS = 25
+"""An answer that takes four times as long as usual, and longer than a stutter of either process,
+will not come; a second send does no harm, and a longer wait holds up all loads of the engine."""
+SETTLE_MS = 200
 """A report shows an engine as it was some 100 ms ago; an older one would miss the last order."""
 
 
@@ -50,9 +58,10 @@
         self._on_change = on_change
         self._queue: asyncio.Queue[LoadAdapter | UnloadAdapter | LoadModel | None] = asyncio.Queue()
         self._orders_taken = 0
-        self._ordered_ms = 0
+        self._ordered_ms = clock.now_ms() - SETTLE_MS
         self._fenced = False
         self._certain = False
+        self._answer_ms = FIRST_ANSWER_MS
 
     def give(self, order: LoadAdapter | UnloadAdapter | LoadModel) -> None:
         """Queue an order."""
@@ -108,23 +117,37 @@
                 self.resync()
 
     async def _send(self, order: LoadAdapter | UnloadAdapter | LoadModel) -> OrderResult:
-        """Give an order, again while the engine is merely busy with earlier ones."""
+        """Give an order, again while the engine is busy or leaves it without an answer."""
         result = await self._send_once(order)
-        for _ in range(BUSY_RETRIES):
-            # A conflict means "busy" or "you don't know of all orders". As long as every order
-            # since the report had a clear answer, it can only be the first; reading a report
-            # for it would stop this engine's loads for a third of a second.
-            if result is not OrderResult.CONFLICT or not self._certain or not self._may_order():
+        conflicts = 0
+        for _ in range(MOST_RETRIES):
+            if not self._may_order():
                 break
-            await self._clock.sleep_ms(BUSY_RETRY_MS)
+            match result:
+                case OrderResult.UNKNOWN:
+                    # The same order with the same count may be sent again at once: however many
+                    # of them arrive, and however late, the engine takes only one.
+                    self._certain = False
+                case OrderResult.CONFLICT if self._certain or conflicts < DOUBTFUL_RETRIES:
+                    # A conflict means "busy" or "you don't know of all orders". While every
+                    # order since the report had a clear answer it can only be the first;
+                    # reading a report for it would stop this engine's loads for a while.
+                    conflicts += 1
+                    await self._clock.sleep_ms(BUSY_RETRY_MS)
+                case _:
+                    break
             result = await self._send_once(order)
+        self._certain = self._certain or result is OrderResult.TAKEN
         return result
 
     async def _send_once(self, order: LoadAdapter | UnloadAdapter | LoadModel) -> OrderResult:
         self._ordered_ms = self._clock.now_ms()
+        within_ms = max(ANSWER_FACTOR * self._answer_ms, LEAST_ANSWER_MS)
         result = await self._control.order(
-            self.address, order, self._fencing_token, self._orders_taken
+            self.address, order, self._fencing_token, self._orders_taken, within_ms
         )
+        took_ms = self._clock.now_ms() - self._ordered_ms
+        self._answer_ms += ANSWER_WEIGHT * (took_ms - self._answer_ms)
         log.info(
             "order: instance=%s order=%s token=%d taken=%d result=%s ms=%d",
             self.instance,
@@ -132,11 +155,12 @@
             self._fencing_token,
             self._orders_taken,
             result.value,
-            self._clock.now_ms() - self._ordered_ms,
+            took_ms,
         )
         return result
 
     async def _read_report(self) -> None:
+        read_twice = False
         while True:
             wait_ms = self._ordered_ms + SETTLE_MS - self._clock.now_ms()
             if wait_ms > 0:
@@ -147,6 +171,13 @@
                 log.warning("orders: instance=%s no report: %s", self.instance, exc)
                 await self._clock.sleep_ms(REPORT_RETRY_MS)
                 continue
+            if report.orders_taken < self._orders_taken and not read_twice:
+                # It may be older than the last order, and show places that are taken as free.
+                # A second one that says the same is right: an unload that had nothing to drop
+                # is answered like one that was taken, but not counted.
+                read_twice = True
+                await self._clock.sleep_ms(SETTLE_MS)
+                continue
             self._orders_taken = report.orders_taken
             self._certain = True
             self._placer.engine_reported(self.instance, report)
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -15,8 +15,11 @@
 
 READ_TOKENS_PER_MS = 40.0
 """How fast an engine reads prompts: 44 tokens/ms alone, a little less beside running requests."""
-RECENT_PER_SLOT = 6
-"""Adapters an engine keeps in its own memory, for each place it has for them."""
+RECENT_PER_SLOT = 5
+"""Adapters an engine keeps in its own memory beyond those it holds, for each place for them."""
+UNSURE_MS = 500
+"""A load may take longer than expected. An order to drop an adapter that has not arrived does
+nothing, and the one that comes in its place would then be one too many."""
 TRANSITS_PER_ENGINE = 4
 """Loads that an engine takes at the same time."""
 KV_SHARE = 0.9
@@ -122,13 +125,18 @@
     def evictable(self, now_ms: int) -> Iterator[AdapterName]:
         """Adapters that nothing runs on or waits for."""
         for name, holding in self.holdings.items():
-            if not holding.tickets and holding.ready_ms <= now_ms:
+            sure_ms = holding.ready_ms + (0 if holding.confirmed else UNSURE_MS)
+            if not holding.tickets and sure_ms <= now_ms:
                 yield name
 
     def held_recently(self, name: AdapterName) -> bool:
         """Whether the engine probably still has a copy in its own memory."""
         return name in self._recent
 
+    def forget_copy(self, name: AdapterName) -> None:
+        """Note that the engine had no copy of an adapter in its own memory."""
+        self._recent.pop(name, None)
+
     def note_dropped(self, name: AdapterName) -> None:
         """Forget a holding; a copy stays in the engine's own memory for a while."""
         self.holdings.pop(name, None)
--- a/chestnutfall/placement/holding.py
+++ b/chestnutfall/placement/holding.py
@@ -19,6 +19,10 @@
         Whether a request ran on it, or the engine listed it.
     expected_ms : float
         How long its load was expected to take; 0 when it was there before.
+    from_memory : bool
+        Whether that expects a copy in the engine's own memory.
+    ordered_ms : int
+        When the engine took the order.
     was_early : bool
         Whether a request came before the load had ended.
     tickets : set of str
@@ -32,5 +36,7 @@
     confirmed: bool = False
     used_ms: int = 0
     expected_ms: float = 0.0
+    from_memory: bool = False
+    ordered_ms: int = 0
     was_early: bool = False
     tickets: set[str] = field(default_factory=set)
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -87,7 +87,8 @@
         engine = self.engines.get(order.instance)
         held = engine.holdings.get(order.adapter) if engine is not None else None
         if held is not None and held.expected_ms:
-            held.ready_ms = int(self._clock.now_ms() + held.expected_ms)
+            held.ordered_ms = self._clock.now_ms()
+            held.ready_ms = int(held.ordered_ms + held.expected_ms)
 
     def order_failed(self, order: LoadAdapter | UnloadAdapter | LoadModel) -> None:
         """Note that an order did not certainly take effect; the engine's report is needed."""
@@ -148,19 +149,31 @@
         unready = not holding.confirmed and now_ms < holding.ready_ms + LATE_LOAD_MS
         match outcome:
             case RunOutcome.ABSENT | RunOutcome.FULL if unready:
-                if not holding.was_early:
-                    self._timer.came_too_early()
-                holding.was_early = True
-                holding.ready_ms = max(holding.ready_ms, now_ms + TOO_EARLY_MS)
+                self._note_early(engine, req.adapter, holding, now_ms)
             case RunOutcome.ABSENT:
                 engine.holdings.pop(req.adapter)
                 engine.synced = False
             case RunOutcome.DONE if not holding.confirmed:
                 holding.confirmed = True
-                self._timer.was_ready()
+                if not holding.from_memory:
+                    self._timer.was_ready()
             case _:
                 pass
 
+    def _note_early(
+        self, engine: Engine, adapter: AdapterName, holding: Holding, now_ms: int
+    ) -> None:
+        due_ms = now_ms + TOO_EARLY_MS
+        if holding.from_memory:
+            # The engine had no copy any more; the load takes as long as any other.
+            engine.forget_copy(adapter)
+            due_ms = max(due_ms, int(holding.ordered_ms + self._timer.expected_ms(False, 0, 1)))
+            holding.from_memory = False
+        elif not holding.was_early:
+            self._timer.came_too_early()
+            holding.was_early = True
+        holding.ready_ms = max(holding.ready_ms, due_ms)
+
     def instance_of(self, ticket: str) -> str:
         """The engine whose place the ticket holds; empty when it holds none."""
         return self._places.get(ticket, "")
@@ -246,7 +259,11 @@
         if option.load_ms is not None:
             version = self._versions.get(req.adapter, 0)
             engine.holdings[req.adapter] = Holding(
-                version, int(now_ms + option.load_ms), expected_ms=option.load_ms
+                version,
+                int(now_ms + option.load_ms),
+                expected_ms=option.load_ms,
+                from_memory=engine.held_recently(req.adapter),
+                ordered_ms=now_ms,
             )
             yield LoadAdapter(engine.instance, req.adapter, version)
         waiting.instance = engine.instance
--- a/chestnutfall/platform/engine_http.py
+++ b/chestnutfall/platform/engine_http.py
@@ -10,8 +10,7 @@
 from ..placement import AdapterName, EngineReport, LoadAdapter, LoadModel, UnloadAdapter
 from . import header_names as names
 
-CALL_S = 0.7
-"""An engine answers an order within some ms, or not at all."""
+REPORT_S = 0.5
 _RESULTS = {
     200: OrderResult.HOLDS_ALREADY,
     202: OrderResult.TAKEN,
@@ -28,7 +27,7 @@
         self._holder = holder
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=1.5),
-            timeout=aiohttp.ClientTimeout(total=CALL_S),
+            timeout=aiohttp.ClientTimeout(total=REPORT_S),
             trust_env=False,
         )
 
@@ -38,6 +37,7 @@
         order: LoadAdapter | UnloadAdapter | LoadModel,
         fencing_token: int,
         orders_taken: int,
+        within_ms: float,
     ) -> OrderResult:
         body = _order_body(order)
         body |= {
@@ -47,7 +47,12 @@
         }
         headers = {names.EXPECTED_INSTANCE: order.instance}
         try:
-            call = self._session.post(f"http://{address}/v1/order", json=body, headers=headers)
+            call = self._session.post(
+                f"http://{address}/v1/order",
+                json=body,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=within_ms / 1000),
+            )
             async with call as resp:
                 return _RESULTS.get(resp.status, OrderResult.UNKNOWN)
         except (aiohttp.ClientError, TimeoutError, OSError):
--- /dev/null
+++ b/chestnutfall/tests/test_engine_orders.py
@@ -0,0 +1,123 @@
+"""Orders whose answers are lost and that engines carry out seconds later.
+
+Callers wait, and then get nothing: an engine that is told to load one adapter more than fits
+crashes with all its requests. The engine leaves an order unanswered, takes its repeat, and
+carries out the first one seconds later; every order names how many were taken before it, so the
+late one no longer fits.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from ..clock import ManualClock
+from ..coordination.engine_control import EngineControl, OrderResult
+from ..coordination.engine_orders import EngineOrders
+from ..placement import (
+    AdapterName,
+    EngineReport,
+    LoadAdapter,
+    LoadModel,
+    Placer,
+    UnloadAdapter,
+)
+from ..routes import EngineSpec, ModelSpec
+
+SPEC = EngineSpec(4, 100_000, (ModelSpec("base", 50, 1000, 1),), 60, 3, 5)
+
+
+class _LateEngine(EngineControl):
+    """Takes orders if their count fits; those listed in `unanswered` only later."""
+
+    def __init__(self) -> None:
+        self.taken: list[str] = []
+        self.calls = 0
+        self.unanswered: set[int] = set()
+        self.busy: set[int] = set()
+        self.taken_unanswered: set[int] = set()
+        self.late: list[tuple[str, int]] = []
+
+    async def order(
+        self,
+        address: str,
+        order: LoadAdapter | UnloadAdapter | LoadModel,
+        fencing_token: int,
+        orders_taken: int,
+        within_ms: float,
+    ) -> OrderResult:
+        self.calls += 1
+        assert isinstance(order, LoadAdapter)
+        if self.calls in self.taken_unanswered:
+            self.taken.append(order.adapter.adapter)
+            return OrderResult.UNKNOWN
+        if self.calls in self.unanswered:
+            self.late.append((order.adapter.adapter, orders_taken))
+            return OrderResult.UNKNOWN
+        if self.calls in self.busy or orders_taken != len(self.taken):
+            return OrderResult.CONFLICT
+        self.taken.append(order.adapter.adapter)
+        return OrderResult.TAKEN
+
+    async def report(self, address: str, instance: str) -> EngineReport:
+        held = {AdapterName("base", name): 1 for name in self.taken}
+        return EngineReport({"base": 1}, held, {}, len(self.taken))
+
+    def carry_out_late(self) -> None:
+        for name, orders_taken in self.late:
+            if orders_taken == len(self.taken):
+                self.taken.append(name)
+        self.late.clear()
+
+
+class EngineOrdersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.placer = Placer(self.clock)
+        self.placer.engine_up("i1", "s", "dc", SPEC)
+        self.engine = _LateEngine()
+        self.orders = EngineOrders(
+            "i1", "127.0.0.1:1", self.engine, self.placer, self.clock, 7, lambda: True, lambda: None
+        )
+        self.running = asyncio.ensure_future(self.orders.run())
+        await self.clock.advance(10)
+
+    async def asyncTearDown(self) -> None:
+        self.running.cancel()
+
+    def _load(self, name: str) -> None:
+        self.orders.give(LoadAdapter("i1", AdapterName("base", name), 0))
+
+    async def test_an_unanswered_order_is_repeated_and_runs_once(self) -> None:
+        self.engine.unanswered = {1, 2}
+        self._load("a1")
+        self._load("a2")
+        await self.clock.advance(100)
+        self.engine.carry_out_late()
+        self.assertEqual(self.engine.taken, ["a1", "a2"])
+
+    async def test_an_order_that_ran_without_an_answer_is_found_in_the_report(self) -> None:
+        self.engine.taken_unanswered = {1}
+        self._load("a1")
+        await self.clock.advance(1_000)
+        self._load("a2")
+        await self.clock.advance(1_000)
+        self.assertEqual(self.engine.taken, ["a1", "a2"])
+        self.assertIn(AdapterName("base", "a1"), self.placer.engines["i1"].holdings)
+        self.assertTrue(self.placer.engines["i1"].synced)
+
+    async def test_a_busy_engine_gets_the_order_again_without_a_report(self) -> None:
+        self.engine.busy = {1, 2, 3}
+        self._load("a1")
+        await self.clock.advance(200)
+        self.assertEqual(self.engine.taken, ["a1"])
+
+    async def test_a_count_that_was_too_high_is_corrected(self) -> None:
+        # Requests for all adapters but those on the engine wait until they are refused: the
+        # engine refuses every order, and its reports look older than the last one for ever.
+        self.orders._orders_taken = 5
+        self._load("a1")
+        await self.clock.advance(2_000)
+        self._load("a2")
+        await self.clock.advance(500)
+        self.assertEqual(self.engine.taken, ["a2"])
--- a/chestnutfall/tests/test_placer.py
+++ b/chestnutfall/tests/test_placer.py
@@ -149,6 +149,19 @@
         await office.pass_ms(300)
         self.assertIn("t1", office.granted)
 
+    async def test_an_adapter_that_may_still_be_on_its_way_is_not_evicted(self) -> None:
+        # An unload that has nothing to drop does nothing, and the load after it is one too many.
+        office = _Office("e1")
+        office.submit("t0", "a0")
+        office.decide()
+        await office.pass_ms(300)
+        office.release("t0", RunOutcome.WITHDRAWN)
+        office.submit("t1", "a1")
+        office.submit("t2", "a2")
+        office.submit("t3", "a3")
+        office.decide()
+        self.assertEqual([load.adapter.adapter for load in office.loads], ["a0", "a1", "a2"])
+
     async def test_waiting_requests_move_when_their_engine_goes(self) -> None:
         office = _Office("e1", "e2")
         office.submit("t1", "a1")
