--- /dev/null
+++ b/chestnutfall/tests/test_fleet_leader.py
@@ -0,0 +1,209 @@
+"""A gateway and a leading controller over the real replicated log, without a network.
+
+A contractor's urgent lookup goes to an engine that said a second ago that it leaves, or an auditor
+reads a configuration that is older than one already acknowledged. The leader commits departures
+and documents before it acknowledges them, and a leader that was cut off acknowledges nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+from ..control import ControlState
+from ..control.upstream_record import UpstreamRecord
+from ..coordination.document_box import pack, unpack
+from ..coordination.engine_control import EngineControl, OrderResult
+from ..coordination.fleet_leader import FleetLeader
+from ..coordination.gateway_session import GatewaySession
+from ..coordination.group_keeper import GroupKeeper
+from ..coordination.messages import FleetView, Placed, PutInForce, Release
+from ..coordination.relay_desk import RelayDesk
+from ..coordination.relay_messages import (
+    Accepted,
+    Announce,
+    Depart,
+    HeldDocument,
+    ReadDocument,
+    Rejected,
+    StoreDocument,
+    StoreVersion,
+    Unavailable,
+)
+from ..placement import AdapterName, EngineReport, LoadAdapter, PlaceRequest
+from ..platform.document_json import DocumentJson
+from .fakes import FakeCluster
+
+ENGINE = {
+    "slots": 4,
+    "kv_capacity": 100_000,
+    "weights_mb": 60,
+    "adapter_slots": 3,
+    "loads_per_s": 5,
+    "models": [{"name": "base", "weights_mb": 50, "load_s": 1}],
+}
+
+
+def _document(version: int, note: str = "") -> bytes:
+    service = {"name": "drafts", "max_conns": 9, "engine": ENGINE}
+    route = {"name": f"r{note}", "host": "a.example", "path_prefix": "/a/", "kind": "stream"}
+    route |= {"timeout_ms": 4000, "service": "drafts"}
+    document = {"version": version, "routes": [route], "services": [service]}
+    return json.dumps(document).encode()
+
+
+class _Engines(EngineControl):
+    """Takes every order, and notes its fencing token and its adapter."""
+
+    def __init__(self) -> None:
+        self.orders: list[tuple[int, Any]] = []
+
+    async def order(
+        self,
+        address: str,
+        order: Any,
+        fencing_token: int,
+        orders_taken: int,
+        within_ms: float,
+    ) -> OrderResult:
+        self.orders.append((fencing_token, order))
+        return OrderResult.TAKEN
+
+    async def report(self, address: str, instance: str) -> EngineReport:
+        return EngineReport({"base": 1}, {}, {}, 0)
+
+
+class FleetLeaderTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.cluster = FakeCluster(5, ("a", "b", "c"), ControlState)
+        await self.cluster.bootstrap()
+        self.engines = _Engines()
+        self.leaders: dict[str, FleetLeader] = {}
+        self.desks: dict[str, RelayDesk] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+        for name, replica in self.cluster.replicas.items():
+            state = replica.machine
+            assert isinstance(state, ControlState)
+            clock = self.cluster.clock
+            leader = FleetLeader(replica, state, DocumentJson(), self.engines, clock, 1000)
+            keeper = GroupKeeper(replica, state, clock, 1)
+            self.leaders[name] = leader
+            self.desks[name] = RelayDesk(replica, state, leader, keeper, clock)
+            self.tasks += [asyncio.ensure_future(one.run()) for one in (leader, keeper)]
+        self.name = (await self.cluster.leader()).replica_id
+        await self.cluster.clock.advance(500)
+
+    async def asyncTearDown(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await self.cluster.stop()
+
+    async def _ask(self, msg: Any, name: str = "") -> Any:
+        asked = asyncio.ensure_future(self.desks[name or self.name].answer(msg))
+        for _ in range(40):
+            await self.cluster.clock.advance(25)
+            if asked.done():
+                return asked.result()
+        asked.cancel()
+        return None
+
+    async def _announce(self, instance: str, number: int, leaving: bool = False) -> Any:
+        record = UpstreamRecord(instance, "drafts", f"127.0.0.1:{instance}", "dc", leaving)
+        holds = EngineReport({"base": 1}, {}, {}, 0)
+        return await self._ask(Announce(record, number, holds))
+
+    def _join(self, version: int = -1) -> GatewaySession:
+        session = GatewaySession("g1", "dc")
+        term = self.leaders[self.name].leading()
+        assert term is not None
+        term.join(session, version)
+        return session
+
+    @staticmethod
+    def _messages(session: GatewaySession, kind: type) -> list[Any]:
+        found = []
+        while not session.out.empty():
+            found.append(session.out.get_nowait())
+        return [msg for msg in found if isinstance(msg, kind)]
+
+    async def test_documents_are_acknowledged_once_committed_and_pushed(self) -> None:
+        session = self._join()
+        content = pack(_document(3))
+        self.assertEqual(await self._ask(StoreDocument(3, content)), Accepted())
+        self.assertEqual(self._messages(session, PutInForce), [PutInForce(3, content)])
+        self.assertEqual(await self._ask(StoreDocument(3, content)), Accepted())
+        self.assertEqual(await self._ask(StoreDocument(2, pack(_document(2)))), Accepted())
+        other = await self._ask(StoreDocument(3, pack(_document(3, "other"))))
+        self.assertIsInstance(other, Rejected)
+        held = await self._ask(ReadDocument())
+        self.assertIsInstance(held, HeldDocument)
+        self.assertEqual(unpack(held.content), _document(3))
+
+    async def test_a_leader_that_was_cut_off_acknowledges_and_reads_nothing(self) -> None:
+        await self._ask(StoreDocument(3, pack(_document(3))))
+        self.cluster.isolate(self.name)
+        await self.cluster.clock.advance(1_500)
+        for msg in (ReadDocument(), StoreDocument(4, pack(_document(4))), Depart("1")):
+            self.assertIsInstance(await self._ask(msg), Unavailable)
+
+    async def test_an_upstream_that_leaves_is_gone_from_every_view_before_the_answer(self) -> None:
+        await self._ask(StoreDocument(3, pack(_document(3))))
+        await self._announce("1", 1)
+        session = self._join()
+        views = self._messages(session, FleetView)
+        self.assertEqual([one.instance for one in views[-1].upstreams], ["1"])
+        self.assertEqual(await self._announce("1", 2, leaving=True), Accepted())
+        self.assertEqual(self._messages(session, FleetView)[-1].upstreams, ())
+        await self._announce("1", 1)
+        self.assertEqual(self._messages(session, FleetView), [])
+
+    async def test_a_successor_knows_who_left(self) -> None:
+        await self._ask(StoreDocument(3, pack(_document(3))))
+        await self._announce("1", 1)
+        self.assertEqual(await self._ask(Depart("1")), Accepted())
+        self.cluster.isolate(self.name)
+        old = self.name
+        while self.name == old:
+            await self.cluster.clock.advance(50)
+            self.name = next((n for n in self.cluster.deciding() if n != old), old)
+        await self.cluster.clock.advance(200)
+        session = self._join()
+        self.assertEqual(self._messages(session, FleetView)[-1].upstreams, ())
+
+    async def _place(self, session: GatewaySession, ticket: str) -> None:
+        term = self.leaders[self.name].leading()
+        assert term is not None
+        name = AdapterName("base", "a1")
+        term.take(session, PlaceRequest(ticket, "drafts", name, 10, 5, (), 1, 500, 4000, "dc"))
+
+    async def test_a_place_is_given_after_one_load_under_the_term_as_fencing_token(self) -> None:
+        await self._ask(StoreDocument(3, pack(_document(3))))
+        await self._announce("1", 1)
+        session = self._join()
+        await self.cluster.clock.advance(300)
+        await self._place(session, "t1")
+        await self._place(session, "t2")
+        await self.cluster.clock.advance(400)
+        placed = self._messages(session, Placed)
+        self.assertEqual([(one.ticket, one.instance) for one in placed], [("t1", "1"), ("t2", "1")])
+        term = self.cluster.replicas[self.name].term
+        self.assertEqual([token for token, _ in self.engines.orders], [term])
+        leading = self.leaders[self.name].leading()
+        assert leading is not None
+        leading.take(session, Release("t1", "done", 0.0))
+        self.assertEqual(session.tickets, {"t2"})
+
+    async def test_a_named_version_is_loaded_and_asked_for(self) -> None:
+        await self._ask(StoreDocument(3, pack(_document(3))))
+        await self._announce("1", 1)
+        self.assertEqual(await self._ask(StoreVersion("base", "a1", 4)), Accepted())
+        session = self._join()
+        await self.cluster.clock.advance(300)
+        await self._place(session, "t1")
+        await self.cluster.clock.advance(400)
+        self.assertEqual([one.version for one in self._messages(session, Placed)], [4])
+        self.assertIn(
+            LoadAdapter("1", AdapterName("base", "a1"), 4), [o for _, o in self.engines.orders]
+        )
