Tell gateways what engines hold; refuse hopeless requests at once

Cause: without a leader a gateway knew only the adapters that it had asked for itself (a ninth of them, or a ninetieth); requests waited in a queue that could not reach them. Ruled out: the leader's processor (0.6 of 2.58 cores at most). Change: changes of holdings go to all gateways every 100 ms; a queue longer than a request's time refuses it at once with the time to come back; a silent controller is left after 250 ms; a hung upstream counts as failed also when its caller leaves.

--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -34,7 +34,17 @@
 from .engine_control import EngineControl
 from .engine_orders import EngineOrders
 from .gateway_session import GatewaySession
-from .messages import FleetView, NotLeading, NotPlaced, Placed, PutInForce, Release, Withdraw
+from .messages import (
+    FleetView,
+    Held,
+    HoldingsChange,
+    NotLeading,
+    NotPlaced,
+    Placed,
+    PutInForce,
+    Release,
+    Withdraw,
+)
 from .relay_messages import Announce, Depart
 from .upstream_watch import UpstreamWatch
 
@@ -69,6 +79,7 @@
         self._orders: dict[str, tuple[EngineOrders, asyncio.Task[None]]] = {}
         self._view = FleetView((), 0, ())
         self._table: RouteTable | None = None
+        self._held: frozenset[Held] = frozenset()
         self._wake = asyncio.Event()
         self._roster_due_ms = clock.now_ms()
 
@@ -85,6 +96,7 @@
                     self._roster_due_ms = self._clock.now_ms() + IDLE_TICK_MS
                     await self._forget_silent()
                     self._match_roster()
+                    self._tell_holdings()
                 self._carry_out_decisions()
                 await self._until_next_tick()
         finally:
@@ -135,6 +147,7 @@
         if self._state.document.version > document_version:
             session.send(self._in_force())
         session.send(self._view)
+        session.send(HoldingsChange(True, tuple(self._held), ()))
         self._match_roster()
 
     def part(self, session: GatewaySession) -> None:
@@ -161,8 +174,12 @@
         self._wake.set()
 
     def _take_release(self, ticket: str, outcome: RunOutcome, lag_ms: float) -> None:
+        instance = self._placer.instance_of(ticket)
         if outcome is RunOutcome.UNREACHABLE:
-            self._watch.unreachable(self._placer.instance_of(ticket))
+            self._watch.unreachable(instance)
+        elif outcome is RunOutcome.DONE and instance:
+            # An engine that is cut off from the controllers, but not from the gateways, serves.
+            self._watch.answered(instance)
         self._placer.release(ticket, outcome, lag_ms)
 
     def _drop_ticket(self, ticket: str) -> None:
@@ -254,6 +271,17 @@
         )
         self._orders[record.instance] = (orders, asyncio.ensure_future(orders.run()))
 
+    def _tell_holdings(self) -> None:
+        """Tell gateways what engines hold, so that they can do without a leader for a while."""
+        held = frozenset(
+            Held(instance, name, version) for instance, name, version in self._placer.ready()
+        )
+        if held != self._held:
+            change = HoldingsChange(False, tuple(held - self._held), tuple(self._held - held))
+            self._held = held
+            for session in self._sessions:
+                session.send(change)
+
     # Decisions
 
     def _carry_out_decisions(self) -> None:
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from ..control.upstream_record import UpstreamRecord
-from ..placement import PlaceRequest
+from ..placement import AdapterName, PlaceRequest
 from ..wire import Codec
 
 
@@ -52,6 +52,24 @@
     controllers: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Held:
+    """An adapter that is ready on an engine."""
+
+    instance: str
+    adapter: AdapterName
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class HoldingsChange:
+    """What engines hold, as far as it changed; `whole` if it replaces all that was told."""
+
+    whole: bool
+    added: tuple[Held, ...]
+    dropped: tuple[Held, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Pulse:
     """Nothing is new; the sender is there and, from the controller, still leads."""
@@ -102,6 +120,7 @@
 FLEET_CODEC = Codec(
     FleetView,
     GatewayHello,
+    HoldingsChange,
     NotLeading,
     NotPlaced,
     Placed,
--- a/chestnutfall/coordination/upstream_watch.py
+++ b/chestnutfall/coordination/upstream_watch.py
@@ -34,6 +34,10 @@
         self._suspected.discard(instance)
         return True
 
+    def answered(self, instance: str) -> None:
+        """Note that a gateway got an answer; as good as an announcement."""
+        self._heard_ms[instance] = self._clock.now_ms()
+
     def unreachable(self, instance: str) -> None:
         """Note that a gateway could not open a connection."""
         if self._silent_ms(instance) > SUSPECT_AFTER_HEARTBEATS * self._heartbeat_ms:
--- a/chestnutfall/forwarding/engine_places.py
+++ b/chestnutfall/forwarding/engine_places.py
@@ -4,8 +4,7 @@
 
 import itertools
 import logging
-from collections import OrderedDict
-from dataclasses import dataclass
+from collections import Counter
 
 from ..clock import Clock
 from ..coordination.messages import NotPlaced, Placed, Release, Withdraw
@@ -15,23 +14,13 @@
 from .upstream_answer import UpstreamLoad
 
 log = logging.getLogger(__name__)
-REMEMBERED = 20_000
-"""Adapters whose last engine is remembered, about 4 MB."""
 LEADERLESS_WAIT_MS = 1_500
 """An election takes about a second; a request waits this long for it if it has the time."""
 RETRY_MS = 800
 
 
-@dataclass(frozen=True, slots=True)
-class _Seen:
-    """Where an adapter was last."""
-
-    instance: str
-    version: int
-
-
 class EnginePlaces(Places):
-    """Asks the leader; without one, goes where the adapter was last.
+    """Asks the leader; without one, goes where it last said that the adapter is.
 
     Sending on memory is safe: an engine that no longer holds the adapter, or another version of
     it, refuses and runs nothing.
@@ -43,7 +32,7 @@
         self._gateway = gateway
         self._data_centre = data_centre
         self._numbers = itertools.count()
-        self._seen: OrderedDict[AdapterName, _Seen] = OrderedDict()
+        self._without_leader: Counter[str] = Counter()
 
     async def take(self, wanted: Wanted) -> Place:
         give_up_ms = min(self._clock.now_ms() + LEADERLESS_WAIT_MS, wanted.until_ms)
@@ -63,7 +52,6 @@
                 raise NoPlace(answer.reason, answer.retry_after_ms)
             upstream = self._fleet.upstream(answer.instance)
             if upstream is not None:
-                self._remember(req.adapter, answer)
                 return Place(
                     req.ticket, upstream, answer.version, answer.queued_ms, answer.loading_ms
                 )
@@ -100,16 +88,18 @@
             wanted.avoid,
         )
 
-    def _remember(self, adapter: AdapterName, answer: Placed) -> None:
-        self._seen[adapter] = _Seen(answer.instance, answer.version)
-        self._seen.move_to_end(adapter)
-        while len(self._seen) > REMEMBERED:
-            self._seen.popitem(last=False)
-
     def _from_memory(self, req: PlaceRequest) -> Place | None:
-        seen = self._seen.get(req.adapter)
-        upstream = self._fleet.upstream(seen.instance) if seen is not None else None
-        if seen is None or upstream is None or upstream.instance in req.avoid:
+        """The least used engine that held the adapter when there was a leader."""
+        found = (
+            (held, upstream)
+            for held in self._fleet.holders(req.adapter)
+            if (upstream := self._fleet.upstream(held.instance)) is not None
+            and held.instance not in req.avoid
+        )
+        chosen = min(found, key=lambda one: self._without_leader[one[0].instance], default=None)
+        if chosen is None:
             return None
-        log.info("place: ticket=%s from memory instance=%s", req.ticket, seen.instance)
-        return Place(req.ticket, upstream, seen.version)
+        held, upstream = chosen
+        self._without_leader[held.instance] += 1
+        log.info("place: ticket=%s from memory instance=%s", req.ticket, held.instance)
+        return Place(req.ticket, upstream, held.version)
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -17,6 +17,8 @@
     FLEET_CODEC,
     FleetView,
     GatewayHello,
+    Held,
+    HoldingsChange,
     NotLeading,
     NotPlaced,
     Placed,
@@ -24,12 +26,15 @@
     PutInForce,
 )
 from ..coordination.session_server import METHOD, PULSE_MS
-from ..placement import PlaceRequest
+from ..placement import AdapterName, PlaceRequest
 from ..routes import DocumentCodec, RouteTable
 from ..wire import RpcChannel
+from .holders import Holders
 
 log = logging.getLogger(__name__)
 SILENT_MS = 3 * PULSE_MS
+FIRST_WORD_MS = 250
+"""A controller says at once whether it leads; one that is down or cut off says nothing."""
 RETRY_MS = 60
 CLOSE_S = 0.2
 
@@ -68,6 +73,7 @@
         self.connected = False
         self.on_connected: Callable[[], None] = lambda: None
         self._view = FleetView((), 1, ())
+        self._holders = Holders()
         self._by_service: dict[str, tuple[UpstreamRecord, ...]] = {}
         self._out: asyncio.Queue[Any] = asyncio.Queue()
         self._asked: dict[str, asyncio.Future[Placed | NotPlaced]] = {}
@@ -97,6 +103,10 @@
         """The upstream that takes work under this instance."""
         return next((one for one in self._view.upstreams if one.instance == instance), None)
 
+    def holders(self, adapter: AdapterName) -> Iterable[Held]:
+        """Engines that held an adapter when the leader last told."""
+        return self._holders.of(adapter)
+
     # Asking
 
     def tell(self, msg: Any) -> None:
@@ -175,8 +185,10 @@
             log.debug("leader: writing ended: %s", _short(exc))
 
     async def _read(self, stream: Any) -> AsyncIterator[Any]:
+        wait_ms = FIRST_WORD_MS
         while True:
-            msg = await self._clock.within_ms(SILENT_MS, stream.read())
+            msg = await self._clock.within_ms(wait_ms, stream.read())
+            wait_ms = SILENT_MS
             if msg is grpc.aio.EOF:
                 return
             yield msg
@@ -190,6 +202,8 @@
                 self._take_view(msg)
                 if not self.connected:
                     self._join(address)
+            case HoldingsChange():
+                self._holders.take(msg)
             case Placed(ticket) | NotPlaced(ticket):
                 fut = self._asked.get(ticket)
                 if fut is not None and not fut.done():
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -39,7 +39,7 @@
     ) -> SendResult:
         """Send the call once."""
         sending = _Sending(self._clock, progress, route, place, reply)
-        outcome = RunOutcome.DONE
+        outcome: RunOutcome | None = None
         try:
             async with self._api.send(sending.forwarded()) as answer:
                 result = await sending.relay(answer)
@@ -55,6 +55,8 @@
             outcome = RunOutcome.BROKEN
             return Lost("silent")
         finally:
+            if outcome is None:
+                outcome = sending.when_abandoned()
             places.give_back(place, outcome, sending.lag_ms, sending.load)
 
 
@@ -71,6 +73,7 @@
         self._reply = reply
         self._sent_ms = clock.now_ms()
         self.lag_ms = 0.0
+        self._answering = False
         self.load: UpstreamLoad | None = None
 
     def forwarded(self) -> ForwardedCall:
@@ -87,8 +90,17 @@
             silent_ms=self._silent_ms(),
         )
 
+    def when_abandoned(self) -> RunOutcome:
+        """What it tells of the upstream that nobody waits for the answer any more."""
+        # Only its own deadline ends the wait for an answer that may not be repeated. If that
+        # counted for nothing, a hung upstream would look as good as any other.
+        silent_ms = self._clock.now_ms() - self._sent_ms
+        hung = not self._answering and silent_ms > first_byte_ms(self._route, self._progress.call)
+        return RunOutcome.BROKEN if hung else RunOutcome.LEFT
+
     async def relay(self, answer: UpstreamAnswer) -> SendResult:
         self.load = answer.load
+        self._answering = True
         if answer.not_run is not None:
             return Refused(answer.not_run.value)
         if not answer.ok:
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -15,6 +15,7 @@
 from .holding import Holding
 from .load_timer import LoadTimer
 from .model_loads import ModelLoads, missing_model
+from .pace import Pace
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
 from .run_outcome import RunOutcome
@@ -44,6 +45,7 @@
         self._demand = Demand()
         self._timer = LoadTimer()
         self._model_loads = ModelLoads()
+        self._pace = Pace()
         self._versions: dict[AdapterName, int] = {}
         self._outdated: set[AdapterName] = set()
 
@@ -105,6 +107,14 @@
             case UnloadAdapter():
                 pass
 
+    def ready(self) -> Iterator[tuple[str, AdapterName, int]]:
+        """Adapters that are ready: instance, name and version."""
+        now_ms = self._clock.now_ms()
+        for engine in self.engines.values():
+            for name, held in engine.holdings.items():
+                if held.ready_ms <= now_ms:
+                    yield engine.instance, name, held.version
+
     def unsynced(self) -> Iterator[str]:
         """Engines whose report must be read before anything is ordered."""
         return (engine.instance for engine in self.engines.values() if not engine.synced)
@@ -189,8 +199,12 @@
         yield from self._load_models(now_ms)
         yield from self._replace_versions(now_ms)
         full: set[str] = set()
+        queues: dict[str, int] = {}
         for waiting in sorted(self._waiting.values(), key=lambda one: one.order):
             yield from self._place(waiting, now_ms, full)
+            if waiting.req.ticket in self._waiting and not waiting.instance:
+                ahead = queues[waiting.req.service] = queues.get(waiting.req.service, 0) + 1
+                yield from self._reject_if_hopeless(waiting, ahead, now_ms)
 
     def _load_models(self, now_ms: int) -> Iterator[Decision]:
         for engine in self.engines.values():
@@ -280,6 +294,7 @@
         if holding is not None and holding.ready_ms > now_ms:
             return
         del self._waiting[waiting.req.ticket]
+        self._pace.note(waiting.req.service, now_ms)
         self._places[waiting.req.ticket] = engine.instance
         yield Grant(
             waiting.req.ticket,
@@ -289,11 +304,22 @@
             now_ms - waiting.assigned_ms,
         )
 
-    def _reject(self, waiting: Waiting, reason: str) -> Reject:
+    def _reject_if_hopeless(self, waiting: Waiting, ahead: int, now_ms: int) -> Iterator[Decision]:
+        """Refuse a request at once if those before it take longer than it has time.
+
+        Holding it until its time is over would serve it no better, and cost its caller the time
+        to come back.
+        """
+        left_ms = waiting.since_ms + waiting.req.wait_ms - now_ms
+        queue_ms = self._pace.wait_ms(waiting.req.service, ahead, now_ms)
+        if queue_ms > left_ms:
+            yield self._reject(waiting, "queue_too_long", int(queue_ms))
+
+    def _reject(self, waiting: Waiting, reason: str, wait_ms: int = LEAST_RETRY_MS) -> Reject:
         self._unassign(waiting)
         del self._waiting[waiting.req.ticket]
-        wait_ms = min(max(waiting.req.wait_ms // 4, LEAST_RETRY_MS), MOST_RETRY_MS)
-        return Reject(waiting.req.ticket, reason, wait_ms)
+        retry_ms = min(max(wait_ms, LEAST_RETRY_MS), MOST_RETRY_MS)
+        return Reject(waiting.req.ticket, reason, retry_ms)
 
     def _load_ms(self, engine: Engine, adapter: AdapterName) -> float:
         return self._timer.expected_ms(engine.held_recently(adapter))
--- a/chestnutfall/placement/run_outcome.py
+++ b/chestnutfall/placement/run_outcome.py
@@ -9,7 +9,9 @@
     """The closed set of outcomes."""
 
     DONE = "done"
-    """Answered, or its caller left."""
+    """Answered."""
+    LEFT = "left"
+    """Its caller left, or its time was over, before that told anything of the engine."""
     FULL = "full"
     """The engine refused it: no room."""
     ABSENT = "absent"
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -15,7 +15,7 @@
 from . import header_names as names
 from .reset_aware import ResetAwareConnector
 
-CONNECT_S = 0.4
+CONNECT_S = 0.15
 """A connection takes some ms; a lost opening packet is sent again after a second, later than
 another upstream would have answered."""
 IDLE_CONNECTION_S = 1.5
