Let nothing run on an adapter whose order still waits

Cause: requests were granted when the load should have ended by its decision; behind unanswered orders it had not even been ordered, and engines refused them one after another (175 in 2 s). Change: a holding counts as on its way until the engine took its order.

--- a/chestnutfall/coordination/engine_orders.py
+++ b/chestnutfall/coordination/engine_orders.py
@@ -107,7 +107,8 @@
             case OrderResult.HOLDS_ALREADY if isinstance(order, UnloadAdapter):
                 self._orders_taken += 1
             case OrderResult.HOLDS_ALREADY:
-                pass
+                if isinstance(order, LoadAdapter):
+                    self._placer.order_taken(order)
             case OrderResult.FENCED:
                 # A newer leader orders here. Repeating the order with our token can't succeed.
                 self._fenced = True
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -302,6 +302,8 @@
             case order:
                 if order.instance in self._orders:
                     self._orders[order.instance][0].give(order)
+                else:
+                    self._placer.order_failed(order)
 
     def _tell(self, ticket: str, msg: Placed | NotPlaced) -> None:
         session = self._session_of.get(ticket)
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -116,7 +116,7 @@
 
     def in_transit(self, now_ms: int) -> int:
         """Adapters that are on their way."""
-        return sum(1 for one in self.holdings.values() if one.ready_ms > now_ms)
+        return sum(not one.is_ready(now_ms) for one in self.holdings.values())
 
     def can_load_more(self, now_ms: int) -> bool:
         """Whether it takes one more load now."""
@@ -130,7 +130,7 @@
         """Adapters that nothing runs on or waits for."""
         for name, holding in self.holdings.items():
             sure_ms = holding.ready_ms + (0 if holding.confirmed else UNSURE_MS)
-            if not holding.tickets and sure_ms <= now_ms:
+            if not holding.tickets and holding.ordered and sure_ms <= now_ms:
                 yield name
 
     def held_recently(self, name: AdapterName) -> bool:
--- a/chestnutfall/placement/holding.py
+++ b/chestnutfall/placement/holding.py
@@ -15,6 +15,9 @@
         Version held or being loaded; 0 when only "the newest" is known.
     ready_ms : int
         Clock time at which it should be ready.
+    ordered : bool
+        Whether the engine took the order for it; until then nothing can run on it, however long
+        the order waits behind others.
     confirmed : bool
         Whether a request ran on it, or the engine listed it.
     expected_ms : float
@@ -33,6 +36,7 @@
 
     version: int
     ready_ms: int
+    ordered: bool = True
     confirmed: bool = False
     used_ms: int = 0
     expected_ms: float = 0.0
@@ -40,3 +44,7 @@
     ordered_ms: int = 0
     was_early: bool = False
     tickets: set[str] = field(default_factory=set)
+
+    def is_ready(self, now_ms: int) -> bool:
+        """Whether requests may run on it."""
+        return self.ordered and self.ready_ms <= now_ms
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -83,7 +83,8 @@
         """Note that an engine began a load just now; a busy one begins later than ordered."""
         engine = self.engines.get(order.instance)
         held = engine.holdings.get(order.adapter) if engine is not None else None
-        if held is not None and held.expected_ms:
+        if held is not None and not held.ordered:
+            held.ordered = True
             held.ordered_ms = self._clock.now_ms()
             held.ready_ms = int(held.ordered_ms + held.expected_ms)
 
@@ -109,7 +110,7 @@
         now_ms = self._clock.now_ms()
         for engine in self.engines.values():
             for name, held in engine.holdings.items():
-                if held.ready_ms <= now_ms:
+                if held.is_ready(now_ms):
                     yield engine.instance, name, held.version
 
     def unsynced(self) -> Iterator[str]:
@@ -226,7 +227,7 @@
                     held = engine.holdings[adapter]
                     held.version = version
                     held.confirmed = False
-                    held.ordered_ms = now_ms
+                    held.ordered = False
                     held.expected_ms = self._load_ms(engine, adapter)
                     held.ready_ms = int(now_ms + held.expected_ms)
                     yield LoadAdapter(engine.instance, adapter, version)
@@ -264,7 +265,7 @@
                 int(now_ms + option.load_ms),
                 expected_ms=option.load_ms,
                 from_memory=engine.held_recently(req.adapter),
-                ordered_ms=now_ms,
+                ordered=False,
             )
             yield LoadAdapter(engine.instance, req.adapter, version)
         waiting.instance = engine.instance
@@ -288,7 +289,7 @@
     def _grant_when_ready(self, waiting: Waiting, now_ms: int) -> Iterator[Decision]:
         engine = self.engines[waiting.instance]
         holding = engine.holdings.get(waiting.req.adapter)
-        if holding is not None and holding.ready_ms > now_ms:
+        if holding is not None and not holding.is_ready(now_ms):
             return
         del self._waiting[waiting.req.ticket]
         self._pace.note(waiting.req.service, now_ms)
--- a/chestnutfall/tests/test_placer.py
+++ b/chestnutfall/tests/test_placer.py
@@ -50,6 +50,7 @@
         self.rejected: list[str] = []
         self.loads: list[LoadAdapter] = []
         self.adapters: dict[str, AdapterName] = {}
+        self.takes_orders = True
         for engine in engines:
             self.placer.engine_up(engine, "s", "dc", SPEC)
             self.placer.engine_reported(engine, EMPTY)
@@ -68,6 +69,8 @@
                     self.rejected.append(ticket)
                 case LoadAdapter(instance, adapter):
                     self.held[instance].add(adapter)
+                    if self.takes_orders:
+                        self.placer.order_taken(decision)
                     assert len(self.held[instance]) <= SLOTS, "more adapters than fit"
                     self.loads.append(decision)
                 case UnloadAdapter(instance, adapter):
@@ -115,6 +118,21 @@
         await office.pass_ms(40)
         self.assertEqual(office.granted["again"], first.instance)
 
+    async def test_nothing_runs_on_an_adapter_whose_order_still_waits(self) -> None:
+        # An engine leaves orders unanswered, and those behind them wait for a second. Requests
+        # that are sent when the load should have ended are refused one after another.
+        office = _Office("e1")
+        office.takes_orders = False
+        office.submit("t1", "a1")
+        office.decide()
+        await office.pass_ms(1_000)
+        self.assertEqual(office.granted, {})
+        office.placer.order_taken(office.loads[0])
+        await office.pass_ms(200)
+        self.assertEqual(office.granted, {})
+        await office.pass_ms(100)
+        self.assertEqual(office.granted, {"t1": "e1"})
+
     async def test_full_engines_make_requests_wait_by_urgency(self) -> None:
         office = _Office("e1")
         for at in range(SPEC.batch):
