Follow the word on who leads when joining the group

Cause: a host that lost its disk asked only the controllers that its settings name; none of them led or passed it on, so it never became a member. The next loss of disks took the majority, and the configuration could not be read any more. Ruled out: replacing silent voters (no membership change in the logs). Change: the answer names the leader's address, and the joiner goes on to it.

--- a/chestnutfall/coordination/controller_run.py
+++ b/chestnutfall/coordination/controller_run.py
@@ -194,7 +194,7 @@
 
     server.add_unary(CONSENSUS_METHOD, CONSENSUS_CODEC, on_consensus)
     server.add_unary(RELAY_METHOD, RELAY_CODEC, on_relay)
-    server.add_stream(FLEET_METHOD, FLEET_CODEC, SessionServer(replica, leader, clock).serve)
+    server.add_stream(FLEET_METHOD, FLEET_CODEC, SessionServer(desk, leader, clock).serve)
     return server
 
 
--- a/chestnutfall/coordination/group_joiner.py
+++ b/chestnutfall/coordination/group_joiner.py
@@ -6,7 +6,7 @@
 from ..consensus import Replica
 from ..consensus.replica import Role
 from .relay_desk import RelayDesk
-from .relay_messages import Accepted, JoinGroup
+from .relay_messages import Accepted, JoinGroup, Unavailable
 
 ASK_MS = 500
 CONTACT_MS = 1_500
@@ -43,16 +43,21 @@
             if self._is_in():
                 continue
             known = [member.address for member in self._replica.members]
-            addresses = [
-                one
-                for one in dict.fromkeys((*self.first_addresses, *known))
-                if one != self._address
-            ]
-            for address in addresses:
-                msg = JoinGroup(self._replica.replica_id, self._address)
-                if isinstance(await self._desk.ask_at(address, msg), Accepted):
+            for address in dict.fromkeys((*self.first_addresses, *known)):
+                if address != self._address and await self._ask(address):
                     break
 
+    async def _ask(self, address: str) -> bool:
+        """Ask one controller, and the leader that it knows; whether one of them agreed."""
+        msg = JoinGroup(self._replica.replica_id, self._address)
+        answer = await self._desk.ask_at(address, msg)
+        # The settings name only some of the controllers. Symptom if their word on who leads were
+        # not followed: a host that lost its disk never joins while another one leads, and the
+        # next loss takes the majority with it.
+        if isinstance(answer, Unavailable) and answer.leader not in ("", self._address):
+            answer = await self._desk.ask_at(answer.leader, msg)
+        return isinstance(answer, Accepted)
+
     def _is_in(self) -> bool:
         if self._replica.role is Role.LEADER:
             return True
--- a/chestnutfall/coordination/relay_desk.py
+++ b/chestnutfall/coordination/relay_desk.py
@@ -55,10 +55,15 @@
         """Answer `msg` here if this controller leads, else ask the leader once."""
         if self._leader.leading() is not None:
             return await self.answer(msg)
+        address = self.leader_address()
+        return await self.ask_at(address, msg) if address else Unavailable()
+
+    def leader_address(self) -> str:
+        """Where another controller leads, as far as this one knows; empty if it does not."""
         for member in self._replica.members:
             if member.replica_id == self._replica.leader_id != self._replica.replica_id:
-                return await self.ask_at(member.address, msg)
-        return Unavailable()
+                return member.address
+        return ""
 
     async def ask_at(self, address: str, msg: Any) -> Any:
         """Ask the controller at `address`."""
@@ -75,7 +80,7 @@
         """Answer `msg` on the leader; on any other replica say where to ask."""
         term = self._leader.leading()
         if term is None:
-            return Unavailable(self._replica.leader_id)
+            return Unavailable(self.leader_address())
         try:
             return await self._answer(term, msg)
         except (NotLeader, Busy, LeadershipLost, StorageFailed) as exc:
--- a/chestnutfall/coordination/relay_messages.py
+++ b/chestnutfall/coordination/relay_messages.py
@@ -88,7 +88,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Unavailable:
-    """Nothing is known of the outcome, or nothing was done; ask again."""
+    """Nothing is known of the outcome, or nothing was done; ask again, at `leader` if it is set."""
 
     leader: str = ""
 
--- a/chestnutfall/coordination/session_server.py
+++ b/chestnutfall/coordination/session_server.py
@@ -7,11 +7,11 @@
 from typing import Any
 
 from ..clock import Clock
-from ..consensus import Replica
 from ..placement import PlaceRequest
 from .fleet_leader import FleetLeader
 from .gateway_session import GatewaySession
 from .messages import GatewayHello, NotLeading, Pulse, Release, Withdraw
+from .relay_desk import RelayDesk
 
 METHOD = "Fleet"
 PULSE_MS = 150
@@ -22,24 +22,17 @@
 class SessionServer:
     """Serves each gateway's stream by one task."""
 
-    def __init__(self, replica: Replica, leader: FleetLeader, clock: Clock) -> None:
-        self._replica = replica
+    def __init__(self, desk: RelayDesk, leader: FleetLeader, clock: Clock) -> None:
+        self._desk = desk
         self._leader = leader
         self._clock = clock
 
-    def leader_address(self) -> str:
-        """Where the leader listens, as far as this replica knows."""
-        for member in self._replica.members:
-            if member.replica_id == self._replica.leader_id != self._replica.replica_id:
-                return member.address
-        return ""
-
     async def serve(self, messages: AsyncIterator[Any], context: Any) -> AsyncIterator[Any]:
         """Answer one stream until either side ends it or the leadership is lost."""
         hello = await anext(messages)
         term = self._leader.leading()
         if term is None or not isinstance(hello, GatewayHello):
-            yield NotLeading(self.leader_address())
+            yield NotLeading(self._desk.leader_address())
             return
         session = GatewaySession(hello.gateway, hello.data_centre)
         term.join(session, hello.document_version)
