--- /dev/null
+++ b/chestnutfall/platform/standin/client.py
@@ -0,0 +1,76 @@
+"""A client of the platform that keeps its connections."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import aiohttp
+
+from .. import header_names as names
+from .operator import HOST
+from .upstream import EVENTS, MODEL, answer_body, stream_event
+
+DEADLINE_MS = 2_500
+NOT_RUN = (408, 421, 429, 503)
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What a client saw of one request.
+
+    Attributes
+    ----------
+    status : int
+        0 when the connection ended without an answer.
+    whole : bool
+        Whether the answer ended as complete.
+    right : bool
+        Whether all that came is a beginning of the one right answer.
+    """
+
+    request_id: str
+    route: str
+    status: int
+    whole: bool
+    right: bool
+
+    @property
+    def says_not_run(self) -> bool:
+        """Whether the answer promises that the request did not run."""
+        return self.status in NOT_RUN
+
+
+class StandInClient:
+    """Sends requests to gateways on kept connections."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=4))
+
+    async def send(self, gateway: str, route: str) -> Seen:
+        """Send one request and read its answer."""
+        request_id = f"{self._rng.randrange(16**16):016x}"
+        headers = {"Host": HOST, names.REQUEST_ID: request_id, names.DEADLINE: str(DEADLINE_MS)}
+        streamed = route in ("draft", "long")
+        expected = answer_body(request_id)
+        if streamed:
+            headers[names.MODEL] = f"{MODEL}/a{self._rng.randrange(12)}"
+            headers[names.TOKEN_COUNTS] = "100,40"
+            expected = b"".join(stream_event(request_id, at + 1) for at in range(EVENTS))
+        body = bytearray()
+        status = 0
+        try:
+            url = f"http://{gateway}/{route}/x"
+            async with self._session.post(url, headers=headers, data=b"photo") as resp:
+                status = resp.status
+                async for data in resp.content.iter_any():
+                    body += data
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            right = status != 200 or expected.startswith(bytes(body))
+            return Seen(request_id, route, status, False, right)
+        return Seen(request_id, route, status, True, status != 200 or bytes(body) == expected)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._session.close()
--- /dev/null
+++ b/chestnutfall/platform/standin/operator.py
@@ -0,0 +1,74 @@
+"""Operators of the platform: documents, and what they may read back."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import Any
+
+import aiohttp
+
+from .upstream import ADAPTER_SLOTS, BATCH, MODEL
+
+HOST = "office.example"
+ENGINES = "drafts"
+PLAIN = "counter"
+
+
+def document(version: int) -> bytes:
+    """A valid document; every version is different."""
+    engine = {
+        "slots": BATCH,
+        "kv_capacity": 100_000,
+        "weights_mb": 60,
+        "adapter_slots": ADAPTER_SLOTS,
+        "loads_per_s": 5,
+        "models": [{"name": MODEL, "weights_mb": 50, "load_s": 1}],
+    }
+    common = {"host": HOST, "timeout_ms": 3000, "slo_ms": 300, "gap_aim_ms": 300, "attempts": 2}
+    routes = [
+        common | {"name": "once", "path_prefix": "/once/", "kind": "unsafe", "service": PLAIN},
+        common | {"name": "again", "path_prefix": "/again/", "kind": "safe", "service": PLAIN},
+        common | {"name": "draft", "path_prefix": "/draft/", "kind": "stream", "service": ENGINES},
+        common
+        | {"name": "long", "path_prefix": "/long/", "kind": "stream", "service": ENGINES}
+        | {"resumable": True},
+        common
+        | {"name": f"v{version}", "path_prefix": f"/v{version}/", "kind": "safe"}
+        | {"service": PLAIN},
+    ]
+    services: list[dict[str, Any]] = [{"name": ENGINES, "engine": engine}, {"name": PLAIN}]
+    return json.dumps({"version": version, "routes": routes, "services": services}).encode()
+
+
+class StandInOperator:
+    """Sends documents to any controller and reads them back."""
+
+    def __init__(self, addresses: list[str], rng: random.Random) -> None:
+        self._addresses = addresses
+        self._rng = rng
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.5))
+
+    async def put(self, version: int) -> bool:
+        """Send a document once; whether it was acknowledged."""
+        try:
+            call = self._session.put(self._url(), data=document(version))
+            async with call as resp:
+                return resp.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    async def read(self) -> int | None:
+        """The version that some controller reads back; None without an answer."""
+        try:
+            async with self._session.get(self._url()) as resp:
+                return int((await resp.json())["version"]) if resp.status == 200 else None
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+
+    def _url(self) -> str:
+        return f"http://{self._rng.choice(self._addresses)}/v1/config"
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._session.close()
--- /dev/null
+++ b/chestnutfall/platform/standin/upstream.py
@@ -0,0 +1,193 @@
+"""An upstream of the platform: engine or plain service."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import random
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from .. import header_names as names
+from ..listening import listen
+from .run_book import RunBook
+
+MODEL = "base"
+ADAPTER_SLOTS = 4
+BATCH = 8
+LOAD_S = 0.05
+HEARTBEAT_S = 0.4
+EVENTS = 4
+ANSWER_BYTES = 400
+
+
+def answer_body(request_id: str) -> bytes:
+    """The one right answer to a plain request."""
+    return (request_id.encode() * (ANSWER_BYTES // 8 + 1))[:ANSWER_BYTES]
+
+
+def stream_event(request_id: str, number: int) -> bytes:
+    """Event `number` of the one right answer to a streamed request."""
+    return b"id: %d\ndata: %s.%d\n\n" % (number, request_id.encode(), number)
+
+
+class StandInUpstream:
+    """Runs requests, takes orders, and announces itself.
+
+    Attributes
+    ----------
+    address : str
+        Where it listens itself.
+    announced : str
+        Address that it announces; that of a relay before it.
+    """
+
+    def __init__(
+        self, service: str, is_engine: bool, book: RunBook, rng: random.Random, control: list[str]
+    ) -> None:
+        self.service = service
+        self.instance = f"i-{rng.randrange(16**8):08x}"
+        self.announced = ""
+        self.address = ""
+        self._is_engine = is_engine
+        self._book = book
+        self._rng = rng
+        self._control = control
+        self._numbers = itertools.count(1)
+        self._taken = 0
+        self._fence = 0
+        self._adapters: dict[str, int] = {}
+        self._coming: dict[str, int] = {}
+        self._running: list[str] = []
+        self._beating: asyncio.Task[None] | None = None
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port of its own."""
+        self._runner = await listen(web.Server(self._on_call, access_log=None), "127.0.0.1:0")
+        port = self._runner.addresses[0][1]
+        self.address = f"127.0.0.1:{port}"
+
+    def announce(self) -> None:
+        """Begin to announce itself."""
+        self._beating = asyncio.ensure_future(self._beat())
+
+    async def stop(self) -> None:
+        """End at once, whatever runs."""
+        if self._beating is not None:
+            self._beating.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _beat(self) -> None:
+        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1)) as session:
+            while True:
+                await self._beat_once(session)
+                await asyncio.sleep(HEARTBEAT_S)
+
+    async def _beat_once(self, session: aiohttp.ClientSession) -> None:
+        for address in self._rng.sample(self._control, len(self._control)):
+            url = f"http://{address}/v1/instances/{self.instance}"
+            try:
+                async with session.put(url, json=self._description()) as resp:
+                    if resp.status == 200:
+                        return
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                continue
+
+    def _description(self) -> dict[str, Any]:
+        told: dict[str, Any] = {
+            "service": self.service,
+            "addr": self.announced,
+            "zone": "dc",
+            "state": "ready",
+            "seq": next(self._numbers),
+        }
+        if self._is_engine:
+            told["models"] = self._models()
+        return told
+
+    def _models(self) -> list[dict[str, Any]]:
+        held = [f"{name}@{version}" for name, version in self._adapters.items()]
+        return [{"name": MODEL, "version": 1, "adapters": held}]
+
+    # Calls
+
+    async def _on_call(self, request: web.BaseRequest) -> web.StreamResponse:
+        expected = request.headers.get(names.EXPECTED_INSTANCE, self.instance)
+        if expected != self.instance:
+            return web.Response(status=421, headers={names.INSTANCE: self.instance})
+        match request.method, request.path:
+            case "GET", "/v1/report":
+                coming = [f"{MODEL}/{name}@{v}" for name, v in self._coming.items()]
+                told = {"models": self._models(), "seq": self._taken, "coming": coming}
+                return web.json_response(told)
+            case "POST", "/v1/order":
+                return await self._order(json.loads(await request.read()))
+            case _:
+                return await self._run(request)
+
+    async def _order(self, order: dict[str, Any]) -> web.Response:
+        if order["fencing_token"] < self._fence:
+            return web.Response(status=412)
+        self._fence = order["fencing_token"]
+        if order["expect"] != self._taken:
+            return web.Response(status=409)
+        name = order.get("adapter", "")
+        if order["operation"] == "unload":
+            if name in self._running:
+                self._book.note_wrong(f"{self.instance}: {name} was evicted while it served")
+            known = self._adapters.pop(name, None) is not None
+            self._taken += known
+            return web.Response(status=200)
+        if name in self._adapters:
+            return web.Response(status=200)
+        if len(self._adapters) + len(self._coming) >= ADAPTER_SLOTS:
+            self._book.note_wrong(f"{self.instance}: ordered to hold more than fits")
+        self._taken += 1
+        self._coming[name] = order.get("version", 1)
+        asyncio.get_running_loop().call_later(LOAD_S, self._arrive, name)
+        return web.Response(status=202)
+
+    def _arrive(self, name: str) -> None:
+        if name in self._coming:
+            self._adapters[name] = self._coming.pop(name)
+
+    async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
+        await request.read()
+        request_id = request.headers[names.REQUEST_ID]
+        name = request.headers.get(names.MODEL, "").partition("/")[2]
+        if self._is_engine and name not in self._adapters:
+            return self._answer(request_id, 421, {names.INSTANCE: self.instance})
+        if len(self._running) >= BATCH:
+            return self._answer(request_id, 503, {names.NOT_EXECUTED: "1"})
+        self._running.append(name)
+        self._book.note_run(request_id)
+        try:
+            await asyncio.sleep(self._rng.uniform(0.002, 0.03))
+            if not self._is_engine:
+                return self._answer(request_id, 200, {}, answer_body(request_id))
+            return await self._stream(request, request_id)
+        finally:
+            self._running.remove(name)
+
+    @staticmethod
+    def _answer(
+        request_id: str, status: int, headers: dict[str, str], body: bytes = b""
+    ) -> web.Response:
+        return web.Response(
+            status=status, headers={names.REQUEST_ID: request_id, **headers}, body=body
+        )
+
+    async def _stream(self, request: web.BaseRequest, request_id: str) -> web.StreamResponse:
+        after = int(request.headers.get(names.LAST_EVENT, "0"))
+        response = web.StreamResponse(headers={names.REQUEST_ID: request_id})
+        await response.prepare(request)
+        for number in range(after + 1, EVENTS + 1):
+            await response.write(stream_event(request_id, number))
+            await asyncio.sleep(0.01)
+        await response.write_eof()
+        return response
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,49 @@
+"""`python -m soak --seed N --minutes M`: play seeds until the time is over."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from .soak_run import SoakRun
+
+
+def main() -> int:
+    """Play seeds and print a report of each; 1 if a promise was broken."""
+    cli = argparse.ArgumentParser(prog="soak", description=__doc__)
+    cli.add_argument("--seed", type=int, default=1, help="first seed")
+    cli.add_argument("--seeds", type=int, default=1, help="seeds to play, one after another")
+    cli.add_argument("--minutes", type=float, default=0.3, help="time under faults of each seed")
+    cli.add_argument("--keep", type=Path, help="folder for the logs of seeds that fail")
+    args = cli.parse_args()
+    # Broken connections are what this is about; the stand-ins' tracebacks of them say nothing.
+    logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
+    failed = []
+    for seed in range(args.seed, args.seed + args.seeds):
+        if not _play(seed, args.minutes * 60, args.keep):
+            failed.append(seed)
+    print(f"soak: {args.seeds} seeds, {len(failed)} with a broken promise {failed or ''}")
+    return 1 if failed else 0
+
+
+def _play(seed: int, length_s: float, keep: Path | None) -> bool:
+    began = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+        verdict = asyncio.run(SoakRun(seed, length_s, Path(folder)).run())
+        if verdict.broken and keep is not None:
+            keep.mkdir(parents=True, exist_ok=True)
+            for log in Path(folder).glob("*/log"):
+                (keep / f"seed{seed}-{log.parent.name}.log").write_bytes(log.read_bytes())
+    print(f"seed {seed}: {time.monotonic() - began:.0f} s")
+    for line in verdict.lines():
+        print(f"  {line}")
+    return not verdict.broken
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/fault_plan.py
@@ -0,0 +1,43 @@
+"""Random faults, one after another and overlapping."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+KINDS = (
+    "kill_controller",
+    "pause_controller",
+    "wipe_controller",
+    "restart_controller",
+    "kill_gateway",
+    "pause_gateway",
+    "restart_gateway",
+    "reload_gateway",
+    "delay_upstream",
+    "reset_upstream",
+    "silence_answers",
+    "silence_upstream",
+    "reset_connections",
+    "kill_all_controllers",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault: when it begins, how long it lasts, and on which of its kind it falls."""
+
+    kind: str
+    at_s: float
+    for_s: float
+    target: int
+
+
+def plan_faults(rng: random.Random, length_s: float) -> Iterator[Fault]:
+    """Yield faults until `length_s`; about every third overlaps the one before it."""
+    at_s = 0.5
+    while at_s < length_s:
+        for_s = rng.uniform(0.3, 2.0)
+        yield Fault(rng.choice(KINDS), at_s, for_s, rng.randrange(16))
+        at_s += rng.uniform(0.2, 1.2) if rng.random() < 0.33 else for_s + rng.uniform(0.5, 2.5)
--- /dev/null
+++ b/soak/office.py
@@ -0,0 +1,88 @@
+"""An office of real daemons and stand-in upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from pathlib import Path
+
+from chestnutfall.platform.standin.node_writer import NodePlan, Ports
+from chestnutfall.platform.standin.operator import ENGINES, PLAIN
+from chestnutfall.platform.standin.run_book import RunBook
+from chestnutfall.platform.standin.upstream import StandInUpstream
+
+from .daemon import Daemon
+from .relay import Relay
+
+CONTROLLERS = 3
+GATEWAYS = 3
+UPSTREAMS = ((ENGINES, True), (ENGINES, True), (ENGINES, True), (PLAIN, False), (PLAIN, False))
+
+
+class Office:
+    """Everything that one soak run starts."""
+
+    def __init__(self, folder: Path, rng: random.Random) -> None:
+        self._rng = rng
+        self.book = RunBook()
+        net = f"127.{rng.randrange(20, 120)}.{rng.randrange(1, 250)}"
+        self._ports = Ports(*_free_ports(4))
+        ips = [f"{net}.{at + 1}" for at in range(CONTROLLERS)]
+        seeds = tuple(ips)
+        self.controllers = [
+            Daemon(
+                "chestnutfall.platform.controller",
+                folder / f"c{at}",
+                NodePlan(ip, f"c{at}", str(folder / f"c{at}" / "data"), seeds, True),
+                self._ports,
+            )
+            for at, ip in enumerate(ips)
+        ]
+        self.gateways = [
+            Daemon(
+                "chestnutfall.platform.gateway",
+                folder / f"g{at}",
+                NodePlan(f"{net}.{at + 101}", f"g{at}", "", seeds, True),
+                self._ports,
+            )
+            for at in range(GATEWAYS)
+        ]
+        self.control_addresses = [f"{ip}:{self._ports.control}" for ip in ips]
+        self.upstreams: list[StandInUpstream] = []
+        self.relays: list[Relay] = []
+
+    def front(self, gateway: Daemon) -> str:
+        """Where clients reach a gateway."""
+        return f"{gateway.plan.ip}:{self._ports.front}"
+
+    async def start(self) -> None:
+        """Start every daemon and upstream."""
+        await asyncio.gather(*(one.start(True) for one in (*self.controllers, *self.gateways)))
+        for service, is_engine in UPSTREAMS:
+            await self._add_upstream(service, is_engine)
+
+    async def _add_upstream(self, service: str, is_engine: bool) -> None:
+        upstream = StandInUpstream(service, is_engine, self.book, self._rng, self.control_addresses)
+        await upstream.start()
+        relay = Relay(upstream.address)
+        await relay.start()
+        upstream.announced = relay.address
+        upstream.announce()
+        self.upstreams.append(upstream)
+        self.relays.append(relay)
+
+    async def stop(self) -> None:
+        """End everything that was started, by its own handle."""
+        for relay in self.relays:
+            await relay.stop()
+        await asyncio.gather(*(one.stop() for one in self.upstreams))
+        await asyncio.gather(*(one.kill() for one in (*self.controllers, *self.gateways)))
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
--- /dev/null
+++ b/soak/soak_run.py
@@ -0,0 +1,146 @@
+"""One seeded run: an office, load, faults, and the judgement."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from pathlib import Path
+
+from chestnutfall.platform.standin.client import Seen, StandInClient
+from chestnutfall.platform.standin.operator import StandInOperator
+
+from .fault_plan import plan_faults
+from .faults import Faults
+from .office import Office
+from .verdict import Verdict
+
+CLIENTS = 6
+ROUTES = ("once", "again", "draft", "long")
+ONCE_ROUTES = ("once", "draft")
+RECOVERY_S = 8.0
+LATE_S = 2.0
+"""Time in which a request that was called not run could still run, if the promise were false."""
+
+
+class SoakRun:
+    """Plays one seed and checks the promises from what clients and upstreams see."""
+
+    def __init__(self, seed: int, length_s: float, folder: Path) -> None:
+        self._rng = random.Random(seed)
+        self._length_s = length_s
+        self._office = Office(folder, self._rng)
+        self._seen: list[Seen] = []
+        self._acknowledged = 0
+        self.verdict = Verdict()
+
+    async def run(self) -> Verdict:
+        """Play and judge."""
+        operator = StandInOperator(self._office.control_addresses, self._rng)
+        client = StandInClient(self._rng)
+        try:
+            await self._office.start()
+            await self._until_in_force(operator)
+            await self._until_served(client)
+            await self._under_faults(operator, client)
+            await self._after_faults(operator, client)
+        finally:
+            await client.close()
+            await operator.close()
+            await self._office.stop()
+        self._judge()
+        return self.verdict
+
+    async def _until_in_force(self, operator: StandInOperator) -> None:
+        for _ in range(100):
+            if await operator.put(1):
+                self._acknowledged = 1
+                return
+            await asyncio.sleep(0.1)
+        raise RuntimeError("the first document was not acknowledged within 10 s")
+
+    async def _until_served(self, client: StandInClient) -> None:
+        for gateway in self._office.gateways:
+            for route in ROUTES:
+                for _ in range(100):
+                    seen = await client.send(self._office.front(gateway), route)
+                    if seen.status == 200:
+                        break
+                    await asyncio.sleep(0.1)
+                else:
+                    raise RuntimeError(f"{gateway.plan.name} did not serve {route} in time")
+
+    async def _under_faults(self, operator: StandInOperator, client: StandInClient) -> None:
+        faults = Faults(self._office)
+        load = [asyncio.ensure_future(self._load(client)) for _ in range(CLIENTS)]
+        load.append(asyncio.ensure_future(self._operate(operator)))
+        played = []
+        now_s = 0.0
+        for fault in plan_faults(self._rng, self._length_s):
+            await asyncio.sleep(fault.at_s - now_s)
+            now_s = fault.at_s
+            self.verdict.counts[f"fault {fault.kind}"] += 1
+            played.append(asyncio.ensure_future(faults.play(fault)))
+        await asyncio.gather(*played)
+        for task in load:
+            task.cancel()
+        await asyncio.gather(*load, return_exceptions=True)
+        self.verdict.note(
+            faults.unfinished_drains > 0, f"{faults.unfinished_drains} drains took too long"
+        )
+
+    async def _load(self, client: StandInClient) -> None:
+        while True:
+            gateway = self._office.front(self._rng.choice(self._office.gateways))
+            seen = await client.send(gateway, self._rng.choice(ROUTES))
+            self._seen.append(seen)
+            self.verdict.counts[f"status {seen.status}{'' if seen.whole else ' cut'}"] += 1
+            await asyncio.sleep(self._rng.uniform(0.0, 0.05))
+
+    async def _operate(self, operator: StandInOperator) -> None:
+        version = 1
+        while True:
+            version += self._rng.randrange(1, 4)
+            if await operator.put(version):
+                self._acknowledged = version
+            floor = self._acknowledged
+            read = await operator.read()
+            older = read is not None and read < floor
+            self.verdict.note(older, f"read version {read} after {floor} was acknowledged")
+            await asyncio.sleep(0.15)
+
+    async def _after_faults(self, operator: StandInOperator, client: StandInClient) -> None:
+        read = None
+        for _ in range(int(RECOVERY_S * 10)):
+            read = await operator.read()
+            if read is not None:
+                break
+            await asyncio.sleep(0.1)
+        lost = read is None or read < self._acknowledged
+        self.verdict.note(lost, f"at the end: read {read}, acknowledged {self._acknowledged}")
+        for gateway in self._office.gateways:
+            served = await self._is_served(client, self._office.front(gateway))
+            self.verdict.note(not served, f"{gateway.plan.name} does not serve after the faults")
+        await asyncio.sleep(LATE_S)
+
+    async def _is_served(self, client: StandInClient, gateway: str) -> bool:
+        for _ in range(int(RECOVERY_S * 5)):
+            seen = [await client.send(gateway, route) for route in ROUTES]
+            if all(one.status == 200 for one in seen):
+                return True
+            await asyncio.sleep(0.2)
+        return False
+
+    def _judge(self) -> None:
+        book = self._office.book
+        for finding in book.wrong:
+            self.verdict.note(True, finding)
+        for seen in self._seen:
+            runs = book.runs[seen.request_id]
+            what = f"{seen.route} {seen.request_id} status {seen.status}, {runs} runs"
+            self.verdict.note(not seen.right, f"wrong bytes: {what}")
+            once = seen.route in ONCE_ROUTES
+            self.verdict.note(once and runs > 1, f"ran more than once: {what}")
+            self.verdict.note(seen.says_not_run and runs > 0, f"called not run: {what}")
+        answered = sum(seen.status == 200 and seen.whole for seen in self._seen)
+        self.verdict.counts["answered"] = answered
+        self.verdict.note(answered == 0, "nothing was answered")
