Check field types; tell holdings in groups; count held adapters as wanted

Change: types of the API's fields are checked by name; holdings are grouped by engine, told every 300 ms; adapters that a report lists count as asked for once.

--- a/chestnutfall/caller_edge/request_parser.py
+++ b/chestnutfall/caller_edge/request_parser.py
@@ -10,6 +10,7 @@
 from ..config import Adapter, Caller, PriorityClass, TypedConfig
 from ..findings import read_json_text
 from ..requests import CallerRequest, Refusal
+from .field_types import check_field_types
 
 MAX_KEY_CHARS = 255
 
@@ -38,6 +39,7 @@
     stream = fields.get("stream", False)
     if not isinstance(stream, bool):
         raise Refusal(400, "bad_request", "`stream` must be true or false")
+    check_field_types(path, fields)
     claim_key = headers.get("Idempotency-Key", "")
     if len(claim_key) > MAX_KEY_CHARS:
         raise Refusal(400, "bad_idempotency_key", f"at most {MAX_KEY_CHARS} characters")
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -34,10 +34,10 @@
 from .engine_control import EngineControl
 from .engine_orders import EngineOrders
 from .gateway_session import GatewaySession
+from .holdings_diff import holdings_change
 from .messages import (
     FleetView,
     Held,
-    HoldingsChange,
     NotLeading,
     NotPlaced,
     Placed,
@@ -52,6 +52,8 @@
 BUSY_TICK_MS = 8
 """A request that waits for a load is granted at most this late."""
 IDLE_TICK_MS = 100
+HOLDINGS_MS = 300
+"""Gateways need it only while no leader can be reached; more often costs their links more."""
 
 
 class LeaderTerm:
@@ -81,7 +83,7 @@
         self._table: RouteTable | None = None
         self._held: frozenset[Held] = frozenset()
         self._wake = asyncio.Event()
-        self._roster_due_ms = clock.now_ms()
+        self._roster_due_ms = self._holdings_due_ms = clock.now_ms()
 
     # Life
 
@@ -96,6 +98,8 @@
                     self._roster_due_ms = self._clock.now_ms() + IDLE_TICK_MS
                     await self._forget_silent()
                     self._match_roster()
+                if self._clock.now_ms() >= self._holdings_due_ms:
+                    self._holdings_due_ms = self._clock.now_ms() + HOLDINGS_MS
                     self._tell_holdings()
                 self._carry_out_decisions()
                 await self._until_next_tick()
@@ -147,7 +151,7 @@
         if self._state.document.version > document_version:
             session.send(self._in_force())
         session.send(self._view)
-        session.send(HoldingsChange(True, tuple(self._held), ()))
+        session.send(holdings_change(True, self._held))
         self._match_roster()
 
     def part(self, session: GatewaySession) -> None:
@@ -277,7 +281,7 @@
             Held(instance, name, version) for instance, name, version in self._placer.ready()
         )
         if held != self._held:
-            change = HoldingsChange(False, tuple(held - self._held), tuple(self._held - held))
+            change = holdings_change(False, held - self._held, self._held - held)
             self._held = held
             for session in self._sessions:
                 session.send(change)
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -61,13 +61,25 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class EngineHoldings:
+    """What changed on one engine and base model: versions by adapter added, adapters dropped.
+
+    Grouped, since names of engines and models would be most of what goes to every gateway.
+    """
+
+    instance: str
+    model: str
+    added: dict[str, int]
+    dropped: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class HoldingsChange:
     """What engines hold, as far as it changed; `whole` if it replaces all that was told."""
 
     whole: bool
-    added: tuple[Held, ...]
-    dropped: tuple[Held, ...]
+    engines: tuple[EngineHoldings, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/forwarding/holders.py
+++ b/chestnutfall/forwarding/holders.py
@@ -18,17 +18,19 @@
         """Apply a change."""
         if change.whole:
             self._held.clear()
-        for held in change.dropped:
-            self._drop(held)
-        for held in change.added:
-            self._held.setdefault(held.adapter, {})[held.instance] = held
+        for engine in change.engines:
+            for name in engine.dropped:
+                self._drop(engine.instance, AdapterName(engine.model, name))
+            for name, version in engine.added.items():
+                held = Held(engine.instance, AdapterName(engine.model, name), version)
+                self._held.setdefault(held.adapter, {})[held.instance] = held
 
     def of(self, adapter: AdapterName) -> Iterable[Held]:
         """Engines that hold `adapter`."""
         return self._held.get(adapter, {}).values()
 
-    def _drop(self, held: Held) -> None:
-        engines = self._held.get(held.adapter, {})
-        engines.pop(held.instance, None)
+    def _drop(self, instance: str, adapter: AdapterName) -> None:
+        engines = self._held.get(adapter, {})
+        engines.pop(instance, None)
         if not engines:
-            self._held.pop(held.adapter, None)
+            self._held.pop(adapter, None)
--- a/chestnutfall/placement/demand.py
+++ b/chestnutfall/placement/demand.py
@@ -25,6 +25,15 @@
         if len(self._counts) > MAX_ADAPTERS:
             self._thin_out(now_ms)
 
+    def note_held(self, adapter: AdapterName, now_ms: int) -> None:
+        """Count an adapter that an engine was found to hold; someone wanted it not long ago.
+
+        A new leader knows of no request yet. Without this it evicts popular adapters and rare
+        ones alike for the first requests that it sees.
+        """
+        if adapter not in self._counts:
+            self._counts[adapter] = (1.0, now_ms)
+
     def level(self, adapter: AdapterName, now_ms: int) -> float:
         """Decayed number of requests."""
         count, at_ms = self._counts.get(adapter, (0.0, now_ms))
--- a/chestnutfall/placement/load_timer.py
+++ b/chestnutfall/placement/load_timer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-START_MS = 250.0
+START_MS = 290.0
 """First guess; a wrong one is corrected within some tens of loads."""
 LEAST_MS = 20.0
 MOST_MS = 5_000.0
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -74,6 +74,8 @@
         if engine is None:
             return
         engine.take(report, self._clock.now_ms())
+        for name in engine.holdings:
+            self._demand.note_held(name, self._clock.now_ms())
         self._outdated.update(name for name in engine.holdings if name in self._versions)
         for waiting in self._waiting.values():
             if waiting.instance == instance and waiting.req.adapter not in engine.holdings:
--- /dev/null
+++ b/chestnutfall/tests/test_field_types.py
@@ -0,0 +1,51 @@
+"""A chat request whose `messages` is a string is answered as if it were right.
+
+The engine gets what it can't read, and the caller a draft of nothing. Wrong types must be refused
+with the field's name, before anything is placed.
+"""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from ..caller_edge.field_types import check_field_types
+from ..requests import Refusal
+
+CHAT = "/v1/chat/completions"
+COMPLETION = "/v1/completions"
+MESSAGE = {"role": "user", "content": "roof"}
+
+
+class FieldTypesTest(unittest.TestCase):
+    def test_right_types_pass(self) -> None:
+        parts = [{"role": "user", "content": [{"type": "text", "text": "roof"}]}]
+        check_field_types(CHAT, {"messages": [MESSAGE], "temperature": 0, "stop": ["x"]})
+        check_field_types(CHAT, {"messages": parts, "max_tokens": None})
+        check_field_types(COMPLETION, {"prompt": "roof", "max_tokens": 4, "stop": "x"})
+        check_field_types(COMPLETION, {"prompt": [1, 2], "custom": object()})
+
+    def test_wrong_types_are_refused_by_name(self) -> None:
+        wrong: tuple[tuple[str, str, Any], ...] = (
+            (CHAT, "messages", "roof"),
+            (CHAT, "messages", []),
+            (CHAT, "messages", ["roof"]),
+            (CHAT, "messages", [{"content": "roof"}]),
+            (COMPLETION, "prompt", 3),
+            (COMPLETION, "max_tokens", "4"),
+            (COMPLETION, "max_tokens", True),
+            (COMPLETION, "max_tokens", 0),
+            (COMPLETION, "temperature", "hot"),
+            (COMPLETION, "stop", 5),
+        )
+        for path, name, value in wrong:
+            with self.subTest(name=name, value=value), self.assertRaises(Refusal) as raised:
+                fields = {"messages": [MESSAGE], "prompt": "roof"} | {name: value}
+                check_field_types(path, fields)
+            self.assertEqual(raised.exception.status, 400)
+            self.assertIn(f"`{name}`", raised.exception.message)
+
+    def test_what_the_path_needs_must_be_there(self) -> None:
+        for path in (CHAT, COMPLETION):
+            with self.subTest(path), self.assertRaises(Refusal):
+                check_field_types(path, {})
--- a/chestnutfall/tests/test_fleet_parts.py
+++ b/chestnutfall/tests/test_fleet_parts.py
@@ -13,10 +13,14 @@
 from ..control.document_slot import DocumentSlot
 from ..control.upstream_record import UpstreamRecord
 from ..control.upstream_roster import UpstreamRoster
+from ..coordination.holdings_diff import holdings_change
+from ..coordination.messages import Held
 from ..coordination.upstream_watch import UpstreamWatch
 from ..forwarding.drain import POLL_MS, QUIET_MS, Drainable, drain
 from ..forwarding.event_splitter import EventSplitter
+from ..forwarding.holders import Holders
 from ..forwarding.shared_retry_budget import RetryBounds, SharedRetryBudget
+from ..placement import AdapterName
 
 BOUNDS = RetryBounds(0.2, 50, 10_000)
 
@@ -100,6 +104,20 @@
         self.assertEqual(list(watch.serving((record,))), [record])
 
 
+class HoldersTest(unittest.TestCase):
+    @given(st.lists(st.sets(st.integers(0, 5)), min_size=1, max_size=8))
+    def test_gateways_know_what_the_leader_told(self, steps: list[set[int]]) -> None:
+        holders = Holders()
+        before: frozenset[Held] = frozenset()
+        for at, step in enumerate(steps):
+            now = frozenset(Held(f"i{n % 2}", AdapterName("m", f"a{n}"), at) for n in step)
+            holders.take(holdings_change(at == 0, now - before, before - now))
+            before = now
+            for n in range(6):
+                expected = {held for held in now if held.adapter.adapter == f"a{n}"}
+                self.assertEqual(set(holders.of(AdapterName("m", f"a{n}"))), expected)
+
+
 class DocumentSlotTest(unittest.TestCase):
     def test_the_highest_version_holds_and_a_resend_is_acknowledged(self) -> None:
         slot = DocumentSlot()
