Load nothing before a used adapter is dropped

Cause: an engine lets an adapter's last requests end before it drops it (202, not 200). The load behind that order could be one too many, and engines crash on it. Change: after such an answer, reports are read until the adapter is gone.

--- a/chestnutfall/coordination/engine_orders.py
+++ b/chestnutfall/coordination/engine_orders.py
@@ -26,6 +26,8 @@
 LEAST_ANSWER_MS = 25
 """An answer that takes four times as long as usual, and longer than a stutter of either process,
 will not come; a second send does no harm, and a longer wait holds up all loads of the engine."""
+DROP_POLLS = 20
+"""Four seconds; most requests end within one."""
 SETTLE_MS = 200
 """A report shows an engine as it was some 100 ms ago; an older one would miss the last order."""
 
@@ -104,6 +106,8 @@
                 self._orders_taken += 1
                 if isinstance(order, LoadAdapter):
                     self._placer.order_taken(order)
+                elif isinstance(order, UnloadAdapter):
+                    await self._until_dropped(order)
             case OrderResult.HOLDS_ALREADY if isinstance(order, UnloadAdapter):
                 self._orders_taken += 1
             case OrderResult.HOLDS_ALREADY:
@@ -161,6 +165,27 @@
         )
         return result
 
+    async def _until_dropped(self, order: UnloadAdapter) -> None:
+        """Wait for an engine that lets the adapter's last requests end before it drops it.
+
+        Requests that an earlier leader placed, or that a gateway sent without one, are not known
+        here. The load behind this order would be one too many while the adapter still has its
+        place, and an engine that is told to hold too much crashes.
+        """
+        for _ in range(DROP_POLLS):
+            await self._clock.sleep_ms(SETTLE_MS)
+            try:
+                report = await self._control.report(self.address, self.instance)
+            except ConnectionError as exc:
+                log.warning("orders: instance=%s no report: %s", self.instance, exc)
+                continue
+            if order.adapter not in report.adapters:
+                return
+        log.warning("orders: instance=%s still holds %s", self.instance, order.adapter)
+        self._certain = False
+        self._placer.order_failed(order)
+        self.resync()
+
     async def _read_report(self) -> None:
         read_twice = False
         while True:
