--- a/chestnutfall/forwarding/engine_places.py
+++ b/chestnutfall/forwarding/engine_places.py
@@ -86,7 +86,6 @@
             max(wanted.until_ms - now_ms, 0),
             self._data_centre,
             wanted.avoid,
-            self._fleet.last_on(call.adapter) if call.adapter else "",
         )
 
     def _from_memory(self, req: PlaceRequest) -> Place | None:
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -107,10 +107,6 @@
         """Engines that held an adapter when the leader last told."""
         return self._holders.of(adapter)
 
-    def last_on(self, adapter: AdapterName) -> str:
-        """The engine that probably has a copy of an adapter that none holds."""
-        return self._holders.last_on(adapter)
-
     # Asking
 
     def tell(self, msg: Any) -> None:
--- a/chestnutfall/placement/choice.py
+++ b/chestnutfall/placement/choice.py
@@ -78,12 +78,11 @@
         return None
     if not engine.can_load_more(around.now_ms):
         return None
-    # A new leader has no memory of its own; the gateways' word saves it a load from the store.
-    recent = engine.held_recently(req.adapter) or req.last_on == engine.instance
+    recent = engine.held_recently(req.adapter)
     load_ms = engine.loads.expected_ms(recent)
     cost_ms = _cost_ms(req, engine, prefixes, around) + load_ms + (0.0 if recent else STORE_MS)
     if engine.has_free_slot():
-        return PlaceOption(engine, cost_ms, load_ms, recent)
+        return PlaceOption(engine, cost_ms, load_ms)
     victims = [
         (around.demand.per_s(name, around.now_ms), name) for name in engine.evictable(around.now_ms)
     ]
@@ -91,7 +90,7 @@
         return None
     per_s, victim = min(victims, key=lambda one: one[0])
     regret_ms = load_ms * min(per_s * MISS_HORIZON_S, 1.0)
-    return PlaceOption(engine, cost_ms + regret_ms, load_ms, recent, victim)
+    return PlaceOption(engine, cost_ms + regret_ms, load_ms, victim)
 
 
 def _cost_ms(req: PlaceRequest, engine: Engine, prefixes: Prefixes, around: Surroundings) -> float:
--- a/chestnutfall/placement/place_option.py
+++ b/chestnutfall/placement/place_option.py
@@ -18,8 +18,6 @@
         Expected time to the first event, and what the choice costs others.
     load_ms : float or None
         Expected time of the load it needs; None when the adapter is there or on its way.
-    recent : bool
-        Whether that load is expected to come from the engine's own memory.
     victim : AdapterName or None
         Adapter that makes room.
     """
@@ -27,5 +25,4 @@
     engine: Engine
     cost_ms: float
     load_ms: float | None = None
-    recent: bool = False
     victim: AdapterName | None = None
--- a/chestnutfall/placement/place_request.py
+++ b/chestnutfall/placement/place_request.py
@@ -35,9 +35,6 @@
         Time left until the first event is late, and until the caller gives up.
     avoid : tuple of str
         Instances that failed this request before.
-    last_on : str
-        Instance that held the adapter last, as far as the gateway was told; it probably still
-        has a copy in its own memory.
     """
 
     ticket: str
@@ -51,4 +48,3 @@
     wait_ms: int
     data_centre: str
     avoid: tuple[str, ...] = ()
-    last_on: str = ""
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -266,7 +266,7 @@
                 version,
                 int(now_ms + option.load_ms),
                 expected_ms=option.load_ms,
-                from_memory=option.recent,
+                from_memory=engine.held_recently(req.adapter),
                 ordered=False,
             )
             yield LoadAdapter(engine.instance, req.adapter, version)
