--- /dev/null
+++ b/chestnutfall/tests/test_places.py
@@ -0,0 +1,155 @@
+"""Where calls go when there is no leader, and which plain upstream gets one.
+
+A contractor's lookup waits behind a hung upstream, or a draft is refused in the second in which the
+controllers elect a leader although an engine with its adapter stands ready.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from ..clock import ManualClock
+from ..control.upstream_record import UpstreamRecord
+from ..coordination.messages import Held, NotPlaced, Placed, Release, Withdraw
+from ..forwarding.call import Call
+from ..forwarding.engine_places import LEADERLESS_WAIT_MS, EnginePlaces
+from ..forwarding.fleet_client import FleetClient, LeaderLost
+from ..forwarding.place import NoPlace, Place, Wanted
+from ..forwarding.plain_places import PlainPlaces
+from ..forwarding.upstream_answer import UpstreamLoad
+from ..placement import AdapterName, PlaceRequest, RunOutcome
+from ..routes import Route, RouteKind, ServiceSpec, WeightedService
+
+NAME = AdapterName("base", "a1")
+ROUTE = Route("r", "h", "/", RouteKind.STREAM, 4000, 500, 1, (WeightedService("s", 1),), 2)
+
+
+def _upstream(instance: str, data_centre: str = "dc") -> UpstreamRecord:
+    return UpstreamRecord(instance, "s", f"127.0.0.1:{instance}", data_centre)
+
+
+def _wanted(avoid: tuple[str, ...] = (), until_ms: int = 4000) -> Wanted:
+    call = Call("id", "POST", "/x", "/x", "h", (), b"", 0, until_ms, NAME)
+    return Wanted(call, ROUTE, ServiceSpec("s", 9, None), avoid, until_ms)
+
+
+class _Fleet(FleetClient):
+    """A fleet whose leader answers from a script."""
+
+    def __init__(self, clock: ManualClock, *answers: Placed | NotPlaced | None) -> None:
+        self._clock = clock
+        self._answers = list(answers)
+        self._up = asyncio.Event()
+        self.connected = False
+        self.known = {one.instance: one for one in (_upstream("1"), _upstream("2"))}
+        self.held: list[Held] = []
+        self.told: list[object] = []
+
+    async def place(self, req: PlaceRequest) -> Placed | NotPlaced:
+        answer = self._answers.pop(0) if self._answers else None
+        if answer is None:
+            raise LeaderLost("scripted")
+        return answer
+
+    def tell(self, msg: object) -> None:
+        self.told.append(msg)
+
+    def upstream(self, instance: str) -> UpstreamRecord | None:
+        return self.known.get(instance)
+
+    def holders(self, adapter: AdapterName) -> list[Held]:
+        return [held for held in self.held if held.adapter == adapter]
+
+
+class EnginePlacesTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+
+    def _places(self, fleet: _Fleet) -> EnginePlaces:
+        return EnginePlaces(fleet, self.clock, "g", "dc")
+
+    async def test_without_a_leader_the_adapter_s_last_holders_are_used_in_turn(self) -> None:
+        fleet = _Fleet(self.clock)
+        fleet.held = [Held("1", NAME, 3), Held("2", NAME, 3), Held("gone", NAME, 3)]
+        places = self._places(fleet)
+        taken = [await places.take(_wanted()) for _ in range(4)]
+        self.assertEqual(sorted(one.upstream.instance for one in taken), ["1", "1", "2", "2"])
+        self.assertEqual({one.version for one in taken}, {3})
+        avoiding = await places.take(_wanted(avoid=("1",)))
+        self.assertEqual(avoiding.upstream.instance, "2")
+
+    async def test_without_leader_and_holder_it_waits_for_the_next_leader(self) -> None:
+        fleet = _Fleet(self.clock, None, Placed("t", "1", 2, 0, 0))
+        taking = asyncio.ensure_future(self._places(fleet).take(_wanted()))
+        await self.clock.advance(300)
+        self.assertFalse(taking.done())
+        fleet.connected = True
+        fleet._up.set()
+        await self.clock.settle()
+        self.assertEqual((await taking).upstream.instance, "1")
+
+    async def test_it_is_refused_when_no_leader_comes(self) -> None:
+        taking = asyncio.ensure_future(self._places(_Fleet(self.clock)).take(_wanted()))
+        await self.clock.advance(LEADERLESS_WAIT_MS + 10)
+        with self.assertRaises(NoPlace) as raised:
+            await taking
+        self.assertGreater(raised.exception.retry_after_ms, 0)
+
+    async def test_a_place_on_an_engine_that_left_is_given_back(self) -> None:
+        fleet = _Fleet(self.clock, Placed("t", "gone", 2, 0, 0), Placed("t", "1", 2, 0, 0))
+        taken = await self._places(fleet).take(_wanted())
+        self.assertEqual(taken.upstream.instance, "1")
+        self.assertEqual([type(msg) for msg in fleet.told], [Release])
+
+    async def test_a_caller_that_leaves_withdraws_its_request(self) -> None:
+        class _Silent(_Fleet):
+            async def place(self, req: PlaceRequest) -> Placed | NotPlaced:
+                return await asyncio.get_running_loop().create_future()
+
+        fleet = _Silent(self.clock)
+        taking = asyncio.ensure_future(self._places(fleet).take(_wanted()))
+        await self.clock.settle()
+        taking.cancel()
+        await asyncio.gather(taking, return_exceptions=True)
+        self.assertEqual([type(msg) for msg in fleet.told], [Withdraw])
+
+
+class PlainPlacesTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.upstreams = [_upstream("1"), _upstream("2")]
+        self.places = PlainPlaces(lambda service: self.upstreams, self.clock, "dc")
+
+    async def _take(self) -> Place:
+        return await self.places.take(_wanted())
+
+    async def test_calls_spread_over_equal_upstreams(self) -> None:
+        taken = [(await self._take()).upstream.instance for _ in range(4)]
+        self.assertEqual(sorted(taken), ["1", "1", "2", "2"])
+
+    async def test_a_load_that_others_made_counts(self) -> None:
+        first = await self._take()
+        told = UpstreamLoad(running=5, waiting=3, places=6)
+        self.places.give_back(first, RunOutcome.DONE, 0.0, told)
+        self.assertNotEqual((await self._take()).upstream.instance, first.upstream.instance)
+
+    async def test_an_upstream_that_fails_is_left_and_tried_again_later(self) -> None:
+        failing = (await self._take()).upstream.instance
+        for _ in range(4):
+            place = Place("x", _upstream(failing), 0)
+            self.places._of(place.upstream).own += 1
+            self.places.give_back(place, RunOutcome.BROKEN, 0.0, None)
+        taken = {(await self._take()).upstream.instance for _ in range(5)}
+        self.assertNotIn(failing, taken)
+        await self.clock.advance(30_000)
+        self.assertIn(failing, {(await self._take()).upstream.instance for _ in range(12)})
+
+    async def test_near_upstreams_go_first(self) -> None:
+        self.upstreams = [_upstream("far", "other"), _upstream("near")]
+        self.assertEqual((await self._take()).upstream.instance, "near")
+
+    async def test_without_upstreams_it_is_refused(self) -> None:
+        self.upstreams = []
+        with self.assertRaises(NoPlace):
+            await self._take()
--- /dev/null
+++ b/chestnutfall/tests/test_platform.py
@@ -0,0 +1,169 @@
+"""The platform's headers, reports and settings, translated."""
+
+from __future__ import annotations
+
+import asyncio
+import tomllib
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import aiohttp
+from aiohttp import web
+from yarl import URL
+
+from ..clock import SystemClock
+from ..control.upstream_record import UpstreamRecord
+from ..forwarding.call import Call
+from ..forwarding.forwarded_call import ForwardedCall
+from ..forwarding.upstream_answer import NotRun, UpstreamLoad
+from ..forwarding.upstream_api import AnswerLost, NotSent
+from ..placement import AdapterName, PromptPart
+from ..platform.call_reader import read_call
+from ..platform.engine_http import read_report
+from ..platform.listening import listen
+from ..platform.node_file import to_settings
+from ..platform.standin.node_writer import NodePlan, Ports, write_node_file
+from ..platform.upstream_http import UpstreamHttp
+
+HEADERS = {
+    "Host": "a.example",
+    "X-Request-Id": "id-1",
+    "X-Deadline-Ms": "900",
+    "X-Model": "base/a1",
+    "X-Token-Counts": "1460,80",
+    "X-Prompt-Prefix": "5c:800,91:410",
+    "X-Hold": "h-1",
+    "Kv-From": "127.0.0.1:1/x",
+    "X-Custom": "kept",
+}
+
+
+class CallReaderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_headers_become_fields_and_ours_are_not_passed_on(self) -> None:
+        calls: list[Call] = []
+
+        async def on_call(request: web.BaseRequest) -> web.Response:
+            calls.append(read_call(request, await request.read(), 1000))
+            return web.Response()
+
+        runner = await listen(web.Server(on_call), "127.0.0.1:0")
+        port = runner.addresses[0][1]
+        async with aiohttp.ClientSession() as session:
+            url = URL(f"http://127.0.0.1:{port}/a/x?y=%2F", encoded=True)
+            await session.post(url, headers=HEADERS, data=b"body")
+        await runner.cleanup()
+        call = calls[0]
+        self.assertEqual((call.method, call.target, call.path), ("POST", "/a/x?y=%2F", "/a/x"))
+        self.assertEqual((call.host, call.body, call.deadline_ms), ("a.example", b"body", 1900))
+        self.assertEqual(call.adapter, AdapterName("base", "a1"))
+        self.assertEqual((call.prompt_tokens, call.output_tokens), (1460, 80))
+        self.assertEqual(call.parts, (PromptPart("5c", 800), PromptPart("91", 410)))
+        passed = {name.lower() for name, _ in call.headers}
+        self.assertIn("x-custom", passed)
+        self.assertIn("x-model", passed)
+        self.assertFalse(passed & {"x-hold", "kv-from", "x-deadline-ms", "content-length"})
+
+
+class ReportTest(unittest.TestCase):
+    def test_models_adapters_and_transits(self) -> None:
+        report = read_report(
+            {
+                "models": [{"name": "base", "version": 2, "adapters": ["a1@3"]}],
+                "coming": ["base/a2@4"],
+                "seq": 7,
+            }
+        )
+        self.assertEqual(report.models, {"base": 2})
+        self.assertEqual(report.adapters, {AdapterName("base", "a1"): 3})
+        self.assertEqual(report.coming, {AdapterName("base", "a2"): 4})
+        self.assertEqual(report.orders_taken, 7)
+
+
+class NodeFileTest(unittest.TestCase):
+    def test_a_written_node_file_is_understood(self) -> None:
+        plan = NodePlan("127.0.0.9", "c1", "/data", ("127.0.0.9", "127.0.0.8"), True)
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "node.toml"
+            write_node_file(path, plan, Ports(1, 2, 3, 4))
+            settings = to_settings(tomllib.loads(path.read_text("utf-8")))
+        self.assertEqual(settings.controllers, ("127.0.0.9:4", "127.0.0.8:4"))
+        self.assertEqual(settings.control_listen, "127.0.0.9:3")
+        self.assertEqual((settings.tolerated_losses, settings.grace_ms), (1, 8000))
+
+
+class UpstreamHttpTest(unittest.IsolatedAsyncioTestCase):
+    """What upstreams answer, and what may be concluded from it."""
+
+    async def asyncSetUp(self) -> None:
+        self.status = 200
+        self.headers: dict[str, str] = {}
+        self.seen: list[web.BaseRequest] = []
+        self.runner = await listen(web.Server(self._on_call), "127.0.0.1:0")
+        self.port = self.runner.addresses[0][1]
+        self.api = UpstreamHttp()
+
+    async def asyncTearDown(self) -> None:
+        await self.api.close()
+        await self.runner.cleanup()
+
+    async def _on_call(self, request: web.BaseRequest) -> web.Response:
+        self.seen.append(request)
+        headers = {"X-Request-Id": "id-1", "X-Instance-Load": "2,1,6"} | self.headers
+        return web.Response(status=self.status, headers=headers, body=b"answer")
+
+    def _forwarded(self, port: int = 0) -> ForwardedCall:
+        now_ms = SystemClock().now_ms()
+        call = Call(
+            "id-1", "GET", "/a/x?y=%2F", "/a/x", "a.example", (("X-Custom", "kept"),), b"",
+            now_ms, now_ms + 1000, AdapterName("base", "a1"),
+        )  # fmt: skip
+        upstream = UpstreamRecord("i1", "s", f"127.0.0.1:{port or self.port}", "dc")
+        return ForwardedCall(call, upstream, 3, 1, 700, 5, True, 500)
+
+    async def _send(self) -> tuple[int, NotRun | None, UpstreamLoad | None, bytes]:
+        async with self.api.send(self._forwarded()) as answer:
+            body = b"".join([data async for data in answer.body])
+            return answer.status, answer.not_run, answer.load, body
+
+    async def test_the_request_arrives_unchanged_with_what_the_engine_must_know(self) -> None:
+        found = await self._send()
+        self.assertEqual(found, (200, None, UpstreamLoad(2, 1, 6), b"answer"))
+        request = self.seen[0]
+        self.assertEqual(request._message.path, "/a/x?y=%2F")
+        expected = {
+            "X-Custom": "kept",
+            "X-Expect-Instance": "i1",
+            "X-Expect-Version": "3",
+            "X-Request-Priority": "1",
+            "X-Deadline-Ms": "700",
+            "Last-Event-Id": "5",
+        }
+        self.assertEqual({name: request.headers[name] for name in expected}, expected)
+        self.assertNotIn("User-Agent", request.headers)
+
+    async def test_proofs_of_not_having_run(self) -> None:
+        cases = (
+            (503, {"X-Not-Executed": "1"}, NotRun.FULL),
+            (421, {"X-Instance-Id": "i2"}, NotRun.REPLACED),
+            (421, {"X-Instance-Id": "i1"}, NotRun.ABSENT),
+            (503, {}, None),
+            (500, {}, None),
+        )
+        for self.status, self.headers, expected in cases:
+            with self.subTest(status=self.status, headers=self.headers):
+                self.assertEqual((await self._send())[1], expected)
+
+    async def test_an_answer_to_another_request_is_lost(self) -> None:
+        self.headers = {"X-Request-Id": "id-2"}
+        with self.assertRaises(AnswerLost):
+            await self._send()
+
+    async def test_a_refused_connection_proves_that_nothing_ran(self) -> None:
+        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        with self.assertRaises(NotSent):
+            async with self.api.send(self._forwarded(port)):
+                pass
