Split the placer's upkeep and the leader's engine desk; drop unused fields

Fields that nothing read are gone; the first byte's time is in the metrics; a resync is queued once.

--- a/chestnutfall/coordination/controller_run.py
+++ b/chestnutfall/coordination/controller_run.py
@@ -26,11 +26,10 @@
 from .fleet_leader import FleetLeader
 from .group_joiner import GroupJoiner
 from .group_keeper import GroupKeeper
-from .messages import FLEET_CODEC
+from .messages import FLEET_CODEC, FLEET_METHOD
 from .relay_desk import METHOD as RELAY_METHOD
 from .relay_desk import RelayDesk
 from .relay_messages import RELAY_CODEC, Unavailable
-from .session_server import METHOD as FLEET_METHOD
 from .session_server import SessionServer
 
 log = logging.getLogger(__name__)
--- /dev/null
+++ b/chestnutfall/coordination/engine_desk.py
@@ -0,0 +1,86 @@
+"""The engines that this controller orders for during one term."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..control.upstream_record import UpstreamRecord
+from ..placement import LoadAdapter, LoadModel, Placer, UnloadAdapter
+from ..routes import EngineSpec
+from .engine_control import EngineControl
+from .engine_orders import EngineOrders
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRecord:
+    """An engine that serves, and what its service says of it."""
+
+    record: UpstreamRecord
+    spec: EngineSpec
+
+
+class EngineDesk:
+    """One task of orders for each engine, as engines come and go."""
+
+    def __init__(
+        self,
+        placer: Placer,
+        control: EngineControl,
+        clock: Clock,
+        fencing_token: int,
+        may_order: Callable[[], bool],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._placer = placer
+        self._control = control
+        self._clock = clock
+        self._fencing_token = fencing_token
+        self._may_order = may_order
+        self._on_change = on_change
+        self._orders: dict[str, tuple[EngineOrders, asyncio.Task[None]]] = {}
+
+    def match(self, engines: Iterable[EngineRecord]) -> None:
+        """Bring placement and tasks to the engines that serve now."""
+        wanted = {engine.record.instance: engine for engine in engines}
+        for instance in set(self._orders) - set(wanted):
+            self._orders.pop(instance)[1].cancel()
+            self._placer.engine_down(instance)
+        for instance, engine in wanted.items():
+            record = engine.record
+            self._placer.engine_up(instance, record.service, record.data_centre, engine.spec)
+            if instance not in self._orders:
+                self._start(record)
+
+    def _start(self, record: UpstreamRecord) -> None:
+        orders = EngineOrders(
+            record.instance,
+            record.address,
+            self._control,
+            self._placer,
+            self._clock,
+            self._fencing_token,
+            self._may_order,
+            self._on_change,
+        )
+        self._orders[record.instance] = (orders, asyncio.ensure_future(orders.run()))
+
+    def give(self, order: LoadAdapter | UnloadAdapter | LoadModel) -> None:
+        """Queue an order; one for an engine that just left has failed."""
+        if order.instance in self._orders:
+            self._orders[order.instance][0].give(order)
+        else:
+            self._placer.order_failed(order)
+
+    def resync(self) -> None:
+        """Have reports read where placement is not sure of an engine's contents."""
+        for instance in self._placer.unsynced():
+            if instance in self._orders:
+                self._orders[instance][0].resync()
+
+    def close(self) -> None:
+        """End every task; nothing more is ordered under this term."""
+        for _, task in self._orders.values():
+            task.cancel()
--- a/chestnutfall/coordination/engine_orders.py
+++ b/chestnutfall/coordination/engine_orders.py
@@ -63,6 +63,7 @@
         self._orders_taken = 0
         self._ordered_ms = clock.now_ms() - SETTLE_MS
         self._fenced = False
+        self._resync_queued = False
         self._certain = False
         self._answer_ms = FIRST_ANSWER_MS
 
@@ -72,13 +73,17 @@
 
     def resync(self) -> None:
         """Read the engine's report before the next order."""
-        self._queue.put_nowait(None)
+        if not self._resync_queued:
+            self._resync_queued = True
+            self._queue.put_nowait(None)
 
     async def run(self) -> None:
         """Carry out orders until cancelled."""
         await self._read_report()
         while True:
             order = await self._queue.get()
+            if order is None:
+                self._resync_queued = False
             engine = self._placer.engines.get(self.instance)
             if engine is None:
                 return
@@ -94,6 +99,8 @@
             self._placer.order_failed(order)
         while not self._queue.empty():
             queued = self._queue.get_nowait()
+            if queued is None:
+                self._resync_queued = False
             if queued is not None:
                 self._placer.order_failed(queued)
 
--- a/chestnutfall/coordination/gateway_session.py
+++ b/chestnutfall/coordination/gateway_session.py
@@ -15,9 +15,8 @@
         Requests of this gateway that wait for an engine or hold a place.
     """
 
-    def __init__(self, gateway: str, data_centre: str) -> None:
+    def __init__(self, gateway: str) -> None:
         self.gateway = gateway
-        self.data_centre = data_centre
         self.tickets: set[str] = set()
         self.out: asyncio.Queue[Any] = asyncio.Queue()
 
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -32,7 +32,7 @@
 from ..routes import DocumentCodec, RouteTable
 from .document_box import unpack
 from .engine_control import EngineControl
-from .engine_orders import EngineOrders
+from .engine_desk import EngineDesk, EngineRecord
 from .gateway_session import GatewaySession
 from .holdings_diff import holdings_change
 from .messages import (
@@ -72,17 +72,18 @@
         self._replica = replica
         self._state = state
         self._codec = codec
-        self._control = control
         self._clock = clock
         self._placer = Placer(clock)
         self._watch = UpstreamWatch(clock, heartbeat_ms)
         self._sessions: set[GatewaySession] = set()
         self._session_of: dict[str, GatewaySession] = {}
-        self._orders: dict[str, tuple[EngineOrders, asyncio.Task[None]]] = {}
         self._view = FleetView((), 0, ())
         self._table: RouteTable | None = None
-        self._held: frozenset[Held] = frozenset()
         self._wake = asyncio.Event()
+        self._engines = EngineDesk(
+            self._placer, control, clock, self.term, self.leads, self._wake.set
+        )
+        self._held: frozenset[Held] = frozenset()
         self._roster_due_ms = self._holdings_due_ms = clock.now_ms()
 
     # Life
@@ -117,8 +118,7 @@
         self._wake.clear()
 
     def _end(self) -> None:
-        for _, task in self._orders.values():
-            task.cancel()
+        self._engines.close()
         for session in self._sessions:
             session.send(NotLeading(""))
             session.send(None)
@@ -242,38 +242,13 @@
             self._view = view
             for session in self._sessions:
                 session.send(view)
-        self._match_engines(serving)
-
-    def _match_engines(self, serving: list[UpstreamRecord]) -> None:
-        wanted = {record.instance: record for record in self._engines_of(serving)}
-        for instance in set(self._orders) - set(wanted):
-            self._orders.pop(instance)[1].cancel()
-            self._placer.engine_down(instance)
-        for instance, record in wanted.items():
-            if instance not in self._orders:
-                self._start_orders(record)
-
-    def _engines_of(self, serving: list[UpstreamRecord]) -> Iterator[UpstreamRecord]:
+        self._engines.match(self._engines_of(serving))
+
+    def _engines_of(self, serving: list[UpstreamRecord]) -> Iterator[EngineRecord]:
         for record in serving:
             spec = self._table.services.get(record.service) if self._table else None
             if spec is not None and spec.engine is not None:
-                self._placer.engine_up(
-                    record.instance, record.service, record.data_centre, spec.engine
-                )
-                yield record
-
-    def _start_orders(self, record: UpstreamRecord) -> None:
-        orders = EngineOrders(
-            record.instance,
-            record.address,
-            self._control,
-            self._placer,
-            self._clock,
-            self.term,
-            self.leads,
-            self._wake.set,
-        )
-        self._orders[record.instance] = (orders, asyncio.ensure_future(orders.run()))
+                yield EngineRecord(record, spec.engine)
 
     def _tell_holdings(self) -> None:
         """Tell gateways what engines hold, so that they can do without a leader for a while."""
@@ -291,9 +266,7 @@
     def _carry_out_decisions(self) -> None:
         for decision in self._placer.decide():
             self._carry_out(decision)
-        for instance in self._placer.unsynced():
-            if instance in self._orders:
-                self._orders[instance][0].resync()
+        self._engines.resync()
 
     def _carry_out(self, decision: Decision) -> None:
         match decision:
@@ -304,10 +277,7 @@
                 self._tell(ticket, NotPlaced(ticket, reason, retry_after_ms))
                 self._drop_ticket(ticket)
             case order:
-                if order.instance in self._orders:
-                    self._orders[order.instance][0].give(order)
-                else:
-                    self._placer.order_failed(order)
+                self._engines.give(order)
 
     def _tell(self, ticket: str, msg: Placed | NotPlaced) -> None:
         session = self._session_of.get(ticket)
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -8,13 +8,17 @@
 from ..placement import AdapterName, PlaceRequest
 from ..wire import Codec
 
+FLEET_METHOD = "Fleet"
+PULSE_MS = 150
+"""A gateway takes a stream that is silent three times as long for dead. By then a successor of a
+leader that froze or was cut off is elected, so requests don't wait for both in a row."""
+
 
 @dataclass(frozen=True, slots=True)
 class GatewayHello:
     """The first message of a gateway's stream: who it is and which document it holds."""
 
     gateway: str
-    data_centre: str
     document_version: int
 
 
--- a/chestnutfall/coordination/session_server.py
+++ b/chestnutfall/coordination/session_server.py
@@ -10,14 +10,9 @@
 from ..placement import PlaceRequest
 from .fleet_leader import FleetLeader
 from .gateway_session import GatewaySession
-from .messages import GatewayHello, NotLeading, Pulse, Release, Withdraw
+from .messages import PULSE_MS, GatewayHello, NotLeading, Pulse, Release, Withdraw
 from .relay_desk import RelayDesk
 
-METHOD = "Fleet"
-PULSE_MS = 150
-"""A gateway takes a stream that is silent three times as long for dead. By then a successor of a
-leader that froze or was cut off is elected, so requests don't wait for both in a row."""
-
 
 class SessionServer:
     """Serves each gateway's stream by one task."""
@@ -34,7 +29,7 @@
         if term is None or not isinstance(hello, GatewayHello):
             yield NotLeading(self._desk.leader_address())
             return
-        session = GatewaySession(hello.gateway, hello.data_centre)
+        session = GatewaySession(hello.gateway)
         term.join(session, hello.document_version)
         reader = asyncio.ensure_future(self._read(messages, term, session))
         try:
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -15,6 +15,8 @@
 from ..coordination.document_box import unpack
 from ..coordination.messages import (
     FLEET_CODEC,
+    FLEET_METHOD,
+    PULSE_MS,
     FleetView,
     GatewayHello,
     Held,
@@ -25,7 +27,6 @@
     Pulse,
     PutInForce,
 )
-from ..coordination.session_server import METHOD, PULSE_MS
 from ..placement import AdapterName, PlaceRequest
 from ..routes import DocumentCodec, RouteTable
 from ..wire import RpcChannel
@@ -59,13 +60,11 @@
     def __init__(
         self,
         gateway: str,
-        data_centre: str,
         controllers: tuple[str, ...],
         codec: DocumentCodec,
         clock: Clock,
     ) -> None:
         self._gateway = gateway
-        self._data_centre = data_centre
         self._first = controllers
         self._codec = codec
         self._clock = clock
@@ -155,7 +154,7 @@
         """Serve one stream to its end; the address of the leader if that was told."""
         # A connection made for each stream can't be one that something between us forgot.
         channel = RpcChannel(address, FLEET_CODEC)
-        stream = channel.stream(METHOD)
+        stream = channel.stream(FLEET_METHOD)
         writer = asyncio.ensure_future(self._write(stream))
         hint = ""
         try:
@@ -177,7 +176,7 @@
     async def _write(self, stream: Any) -> None:
         self._out = asyncio.Queue()
         try:
-            hello = GatewayHello(self._gateway, self._data_centre, self.version)
+            hello = GatewayHello(self._gateway, self.version)
             await stream.write(hello)
             while True:
                 await stream.write(await self._out.get())
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -57,6 +57,8 @@
         finally:
             if outcome is None:
                 outcome = sending.when_abandoned()
+            if sending.first_byte_ms is not None:
+                self._metrics.observe("first_byte_ms", sending.first_byte_ms)
             places.give_back(place, outcome, sending.lag_ms, sending.load)
 
 
@@ -73,6 +75,7 @@
         self._reply = reply
         self._sent_ms = clock.now_ms()
         self.lag_ms = 0.0
+        self.first_byte_ms: int | None = None
         self._answering = False
         self.load: UpstreamLoad | None = None
 
@@ -148,8 +151,8 @@
         return last is not None and number != last + 1
 
     def _note_first_byte(self) -> None:
-        took_ms = self._clock.now_ms() - self._sent_ms
-        self.lag_ms = max(took_ms - self._route.objective_ms / 4, 0.0)
+        self.first_byte_ms = self._clock.now_ms() - self._sent_ms
+        self.lag_ms = max(self.first_byte_ms - self._route.objective_ms / 4, 0.0)
 
 
 async def _whole(answer: UpstreamAnswer) -> bytes:
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -76,7 +76,6 @@
         for name, old in before.items():
             if name in self.holdings:
                 self.holdings[name].tickets = old.tickets
-                self.holdings[name].used_ms = old.used_ms
                 if name in report.coming:
                     self.holdings[name].ready_ms = max(old.ready_ms, now_ms)
         self.synced = True
--- a/chestnutfall/placement/holding.py
+++ b/chestnutfall/placement/holding.py
@@ -30,15 +30,12 @@
         Whether a request came before the load had ended.
     tickets : set of str
         Requests that run on it or wait for it; it is not evicted while there are any.
-    used_ms : int
-        When it was last wanted.
     """
 
     version: int
     ready_ms: int
     ordered: bool = True
     confirmed: bool = False
-    used_ms: int = 0
     expected_ms: float = 0.0
     from_memory: bool = False
     ordered_ms: int = 0
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -13,11 +13,11 @@
 from .engine import Engine
 from .engine_report import EngineReport
 from .holding import Holding
-from .model_loads import ModelLoads, missing_model
 from .pace import Pace
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
 from .run_outcome import RunOutcome
+from .upkeep import Upkeep
 from .waiting import Waiting
 
 LATE_LOAD_MS = 1_500
@@ -42,10 +42,8 @@
         self._waiting: dict[str, Waiting] = {}
         self._places: dict[str, str] = {}
         self._demand = Demand()
-        self._model_loads = ModelLoads()
+        self._upkeep = Upkeep()
         self._pace = Pace()
-        self._versions: dict[AdapterName, int] = {}
-        self._outdated: set[AdapterName] = set()
 
     # Engines
 
@@ -76,7 +74,7 @@
         engine.take(report, self._clock.now_ms())
         for name in engine.holdings:
             self._demand.note_held(name, self._clock.now_ms())
-        self._outdated.update(name for name in engine.holdings if name in self._versions)
+        self._upkeep.look_at(engine)
         for waiting in self._waiting.values():
             if waiting.instance == instance and waiting.req.adapter not in engine.holdings:
                 self._unassign(waiting)
@@ -121,8 +119,7 @@
 
     def name_version(self, adapter: AdapterName, version: int) -> None:
         """Requests get this version of the adapter or a newer one from now on."""
-        self._versions[adapter] = max(version, self._versions.get(adapter, 0))
-        self._outdated.add(adapter)
+        self._upkeep.name_version(adapter, version)
 
     # Requests
 
@@ -196,8 +193,7 @@
     def decide(self) -> Iterator[Decision]:
         """Yield what is to be done now."""
         now_ms = self._clock.now_ms()
-        yield from self._load_models(now_ms)
-        yield from self._replace_versions(now_ms)
+        yield from self._upkeep.decide(self.engines.values(), now_ms)
         full: set[str] = set()
         queues: dict[str, int] = {}
         for waiting in sorted(self._waiting.values(), key=lambda one: one.order(now_ms)):
@@ -206,34 +202,6 @@
                 ahead = queues[waiting.req.service] = queues.get(waiting.req.service, 0) + 1
                 yield from self._reject_if_hopeless(waiting, ahead, now_ms)
 
-    def _load_models(self, now_ms: int) -> Iterator[Decision]:
-        for engine in self.engines.values():
-            peers = [one for one in self.engines.values() if one.service == engine.service]
-            model = missing_model(engine, peers)
-            if model is not None and self._model_loads.may_start(engine.spec.loads_per_s, now_ms):
-                engine.loading_model = model
-                yield LoadModel(engine.instance, model)
-
-    def _replace_versions(self, now_ms: int) -> Iterator[Decision]:
-        for adapter in list(self._outdated):
-            version = self._versions[adapter]
-            behind = [
-                engine
-                for engine in self.engines.values()
-                if adapter in engine.holdings and engine.holdings[adapter].version < version
-            ]
-            if not behind:
-                self._outdated.discard(adapter)
-            for engine in behind:
-                if engine.can_load_more(now_ms):
-                    held = engine.holdings[adapter]
-                    held.version = version
-                    held.confirmed = False
-                    held.ordered = False
-                    held.expected_ms = self._load_ms(engine, adapter)
-                    held.ready_ms = int(now_ms + held.expected_ms)
-                    yield LoadAdapter(engine.instance, adapter, version)
-
     def _place(self, waiting: Waiting, now_ms: int, full: set[str]) -> Iterator[Decision]:
         req = waiting.req
         if now_ms + LEAST_RUN_MS > waiting.since_ms + req.wait_ms:
@@ -261,7 +229,7 @@
             engine.note_dropped(option.victim)
             yield UnloadAdapter(engine.instance, option.victim)
         if option.load_ms is not None:
-            version = self._versions.get(req.adapter, 0)
+            version = self._upkeep.wanted_version(req.adapter)
             engine.holdings[req.adapter] = Holding(
                 version,
                 int(now_ms + option.load_ms),
@@ -276,7 +244,6 @@
         if req.adapter.adapter:
             holding = engine.holdings[req.adapter]
             holding.tickets.add(req.ticket)
-            holding.used_ms = now_ms
 
     def _unassign(self, waiting: Waiting) -> None:
         engine = self.engines.get(waiting.instance)
@@ -320,6 +287,3 @@
         del self._waiting[waiting.req.ticket]
         retry_ms = min(max(wait_ms, LEAST_RETRY_MS), MOST_RETRY_MS)
         return Reject(waiting.req.ticket, reason, retry_ms)
-
-    def _load_ms(self, engine: Engine, adapter: AdapterName) -> float:
-        return engine.loads.expected_ms(engine.held_recently(adapter))
--- a/chestnutfall/platform/document_json.py
+++ b/chestnutfall/platform/document_json.py
@@ -24,8 +24,6 @@
 class _Model(msgspec.Struct):
     name: str
     weights_mb: float
-    load_s: float
-    adapter_mb: float = 0.0
 
 
 class _Engine(msgspec.Struct):
@@ -39,7 +37,6 @@
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: int = 0
     engine: _Engine | None = None
 
 
@@ -135,11 +132,8 @@
 def _service(wire: _Service) -> ServiceSpec:
     engine = wire.engine
     if engine is None:
-        return ServiceSpec(wire.name, wire.max_conns, None)
-    models = tuple(
-        ModelSpec(one.name, one.weights_mb, one.load_s * 1000, one.adapter_mb)
-        for one in engine.models
-    )
+        return ServiceSpec(wire.name, None)
+    models = tuple(ModelSpec(one.name, one.weights_mb) for one in engine.models)
     spec = EngineSpec(
         engine.slots,
         engine.kv_capacity,
@@ -148,4 +142,4 @@
         engine.adapter_slots,
         engine.loads_per_s,
     )
-    return ServiceSpec(wire.name, wire.max_conns, spec)
+    return ServiceSpec(wire.name, spec)
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -43,7 +43,7 @@
     handler = StdoutHandler(clock, metrics)
     start_stdout_logs("INFO", "gateway", settings.name, handler)
     name = f"{settings.name}#{uuid.uuid4().hex[:6]}"
-    fleet = FleetClient(name, settings.data_centre, settings.controllers, DocumentJson(), clock)
+    fleet = FleetClient(name, settings.controllers, DocumentJson(), clock)
     api = UpstreamHttp()
     forwarder = Forwarder(
         lambda: fleet.table,
--- a/chestnutfall/routes/engine_spec.py
+++ b/chestnutfall/routes/engine_spec.py
@@ -31,7 +31,3 @@
     weights_mb: float
     adapter_slots: int
     loads_per_s: float
-
-    def model(self, name: str) -> ModelSpec | None:
-        """The model by this name."""
-        return next((model for model in self.models if model.name == name), None)
--- a/chestnutfall/routes/model_spec.py
+++ b/chestnutfall/routes/model_spec.py
@@ -7,9 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ModelSpec:
-    """One base model: its weights in MB, and how long a load from the store takes in ms."""
+    """One base model, and the size of its weights in MB."""
 
     name: str
     weights_mb: float
-    load_ms: float
-    adapter_mb: float
--- a/chestnutfall/routes/service_spec.py
+++ b/chestnutfall/routes/service_spec.py
@@ -12,5 +12,4 @@
     """One service; `engine` is None for plain services."""
 
     name: str
-    max_connections: int
     engine: EngineSpec | None
--- a/chestnutfall/tests/test_engine_orders.py
+++ b/chestnutfall/tests/test_engine_orders.py
@@ -24,7 +24,7 @@
 )
 from ..routes import EngineSpec, ModelSpec
 
-SPEC = EngineSpec(4, 100_000, (ModelSpec("base", 50, 1000, 1),), 60, 3, 5)
+SPEC = EngineSpec(4, 100_000, (ModelSpec("base", 50),), 60, 3, 5)
 
 
 class _LateEngine(EngineControl):
--- a/chestnutfall/tests/test_fleet_leader.py
+++ b/chestnutfall/tests/test_fleet_leader.py
@@ -115,7 +115,7 @@
         return await self._ask(Announce(record, number, holds))
 
     def _join(self, version: int = -1) -> GatewaySession:
-        session = GatewaySession("g1", "dc")
+        session = GatewaySession("g1")
         term = self.leaders[self.name].leading()
         assert term is not None
         term.join(session, version)
--- a/chestnutfall/tests/test_forwarder.py
+++ b/chestnutfall/tests/test_forwarder.py
@@ -55,7 +55,7 @@
         route = Route(
             "r", "a.example", "/a/", kind, 4000, 500, 1, (WeightedService("s", 1),), attempts, 300
         )
-        services = (ServiceSpec("s", 10, None),)
+        services = (ServiceSpec("s", None),)
         table = RouteTable(Document(1, (route,), services, DocumentLimits()))
         self.upstreams = ScriptedUpstreams(*script)
         self.places = ListedPlaces(*(f"i{at}" for at in range(len(script))))
--- a/chestnutfall/tests/test_placer.py
+++ b/chestnutfall/tests/test_placer.py
@@ -30,7 +30,7 @@
 
 MODEL = "base"
 SLOTS = 3
-SPEC = EngineSpec(4, 100_000, (ModelSpec(MODEL, 50, 1000, 1),), 60, SLOTS, 5)
+SPEC = EngineSpec(4, 100_000, (ModelSpec(MODEL, 50),), 60, SLOTS, 5)
 EMPTY = EngineReport({MODEL: 1}, {}, {}, 0)
 
 
--- a/chestnutfall/tests/test_places.py
+++ b/chestnutfall/tests/test_places.py
@@ -31,7 +31,7 @@
 
 def _wanted(avoid: tuple[str, ...] = (), until_ms: int = 4000) -> Wanted:
     call = Call("id", "POST", "/x", "/x", "h", (), b"", 0, until_ms, NAME)
-    return Wanted(call, ROUTE, ServiceSpec("s", 9, None), avoid, until_ms)
+    return Wanted(call, ROUTE, ServiceSpec("s", None), avoid, until_ms)
 
 
 class _Fleet(FleetClient):
