--- a/chestnutfall/caller_edge/field_types.py
+++ b/chestnutfall/caller_edge/field_types.py
@@ -31,12 +31,11 @@
     Refusal
         When a field has a wrong type; names it and what is allowed.
     """
-    needed = _MESSAGES if path.endswith(CHAT_SUFFIX) else _PROMPT
-    if fields.get(needed.name) is None:
-        raise Refusal(
-            400, "bad_request", f"`{needed.name}` is missing; it must be {needed.allowed}"
-        )
-    for rule in (needed, *_OPTIONAL):
+    is_chat = path.endswith(CHAT_SUFFIX)
+    # A completion without a prompt is a request of the API: the engine begins a new text.
+    if is_chat and fields.get(_MESSAGES.name) is None:
+        raise Refusal(400, "bad_request", f"`messages` is missing; it must be {_MESSAGES.allowed}")
+    for rule in (_MESSAGES if is_chat else _PROMPT, *_OPTIONAL):
         value = fields.get(rule.name)
         if value is not None and not rule.allows(value):
             message = f"`{rule.name}` must be {rule.allowed}; found {type(value).__name__}"
