Refuse requests that come late to a leaving gateway

Ruled out: new connections (the balancer had taken the host out). Change: three seconds after SIGTERM, when the balancer has looked away, further requests get a 503 with the time to come back, and earlier ones end.

--- a/chestnutfall/forwarding/drain.py
+++ b/chestnutfall/forwarding/drain.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 
 log = logging.getLogger(__name__)
-UNTIL_BALANCED_MS = 3_200
+UNTIL_BALANCED_MS = 3_000
 """A balancer that asks every second takes a host out after two misses; a second to spare."""
 LAST_MOMENT_MS = 600
 """Left of the grace time for closing connections and ending."""
@@ -28,6 +28,10 @@
     def announce_leaving(self) -> None:
         """Say "not ready", and tell clients to leave their connections."""
 
+    @abstractmethod
+    def refuse_new(self) -> None:
+        """Refuse further requests, truthfully and with the time to come back."""
+
 
 async def drain(entry: Drainable, clock: Clock, grace_ms: int) -> None:
     """Finish every request in progress, as far as the grace time allows."""
@@ -39,9 +43,15 @@
     # back on kept ones. Refusing them would fail callers for nothing, so they are served, and
     # told to leave their connections; the last moment without any call is the one to end at.
     quiet_since_ms = clock.now_ms()
+    refusing = False
     while clock.now_ms() < last_ms:
         await clock.sleep_ms(POLL_MS)
         now_ms = clock.now_ms()
+        if not refusing and now_ms >= asked_ms + UNTIL_BALANCED_MS:
+            # A client can come back on a connection that was idle all the while. Its request may
+            # take longer than the grace time has left, and would be cut off half way.
+            refusing = True
+            entry.refuse_new()
         if entry.calls_in_progress():
             quiet_since_ms = now_ms
         elif now_ms >= asked_ms + UNTIL_BALANCED_MS and now_ms >= quiet_since_ms + QUIET_MS:
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -19,6 +19,8 @@
 log = logging.getLogger(__name__)
 KEEPALIVE_S = 75.0
 """Longer than clients keep a connection idle, so that none is closed as a request crosses."""
+LEAVING_RETRY_MS = 50
+"""Another gateway takes the request at once; only this one is leaving."""
 READY_PATH = "/v1/ready"
 
 
@@ -38,6 +40,7 @@
         self._clock = clock
         self._in_progress = 0
         self._leaving = False
+        self._refusing = False
         self._callers: web.ServerRunner | None = None
         self._balancer: web.ServerRunner | None = None
 
@@ -47,6 +50,9 @@
     def announce_leaving(self) -> None:
         self._leaving = True
 
+    def refuse_new(self) -> None:
+        self._refusing = True
+
     async def start(self, caller_address: str, ready_address: str) -> None:
         """Begin to listen."""
         calls = web.Server(
@@ -83,6 +89,10 @@
         body = await self._read_body(request)
         if body is None:
             return web.Response(status=413)
+        if self._refusing:
+            await reply.refuse(503, "leaving", LEAVING_RETRY_MS)
+            assert reply.response is not None
+            return reply.response
         try:
             call = read_call(request, body, arrived_ms)
         except ValueError as exc:
