Accept configurations over a megabyte; say where each bound comes from

Cause: the HTTP library reads no body over 1 MB unless told; a configuration of some thousand routes was refused for good with 413. Found by reading the code for unused constants. Proof: test_a_document_of_several_megabytes_is_stored_as_it_was_sent failed before (413). Every timeout and bound has a line on where it comes from.

--- a/chestnutfall/coordination/engine_orders.py
+++ b/chestnutfall/coordination/engine_orders.py
@@ -14,6 +14,7 @@
 REPORT_RETRY_MS = 500
 """Reports lag by some 100 ms and each costs a probe; an engine that is out of step is rare."""
 BUSY_RETRY_MS = 25
+"""A tenth of a load: a place in transit is found soon after it is free."""
 MOST_RETRIES = 12
 """An engine takes four loads at a time; a load takes about 250 ms, so a place frees in a quarter
 of that on average, and surely within this many tries."""
@@ -22,7 +23,9 @@
 within this time, and only then is the report worth the wait for it."""
 ANSWER_FACTOR = 4
 FIRST_ANSWER_MS = 15.0
+"""A round trip between data centres and the engine's work, with a margin, until measured."""
 ANSWER_WEIGHT = 0.1
+"""The usual answer is an average over about ten orders."""
 LEAST_ANSWER_MS = 25
 """An answer that takes four times as long as usual, and longer than a stutter of either process,
 will not come; a second send does no harm, and a longer wait holds up all loads of the engine."""
--- a/chestnutfall/coordination/group_joiner.py
+++ b/chestnutfall/coordination/group_joiner.py
@@ -9,6 +9,7 @@
 from .relay_messages import Accepted, JoinGroup, Unavailable
 
 ASK_MS = 500
+"""Small beside the seconds in which a lost host must be made good; a few bytes a second."""
 CONTACT_MS = 1_500
 """A member that heard from no leader for this long may have been replaced meanwhile."""
 
--- a/chestnutfall/coordination/group_keeper.py
+++ b/chestnutfall/coordination/group_keeper.py
@@ -13,12 +13,14 @@
 
 log = logging.getLogger(__name__)
 TICK_MS = 100
+"""Repair takes three steps; at this pace under half a second."""
 JOINER_FRESH_MS = 2_000
 """A joiner repeats its wish every half second; one that was not heard for this long is gone."""
 REPLACE_AFTER_MS = 3_000
 """A silent voter is replaced when a caught-up learner stands by. One that comes back joins as a
 learner, so a replacement that was not needed costs nothing but two entries."""
 DROP_LEARNER_AFTER_MS = 30_000
+"""A restart takes seconds; a learner that is gone for longer joins anew."""
 SMALL_GROUP_AFTER_MS = 8_000
 """With too few hosts for the tolerated losses, the group works with those it has after this."""
 
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -52,6 +52,7 @@
 BUSY_TICK_MS = 8
 """A request that waits for a load is granted at most this late."""
 IDLE_TICK_MS = 100
+"""How late a silent upstream is noticed at most; small beside a heartbeat."""
 HOLDINGS_MS = 300
 """Gateways need it only while no leader can be reached; more often costs their links more."""
 
--- a/chestnutfall/coordination/upstream_watch.py
+++ b/chestnutfall/coordination/upstream_watch.py
@@ -13,6 +13,7 @@
 SUSPECT_AFTER_HEARTBEATS = 1.5
 """With a failed connection at the same time, one missing heartbeat is enough."""
 FORGET_AFTER_MS = 60_000
+"""Far beyond any pause; only the record is dropped, a later announcement brings it back."""
 
 
 class UpstreamWatch:
--- a/chestnutfall/forwarding/drain.py
+++ b/chestnutfall/forwarding/drain.py
@@ -13,6 +13,7 @@
 LAST_MOMENT_MS = 600
 """Left of the grace time for closing connections and ending."""
 POLL_MS = 10
+"""Small beside the time a request takes."""
 QUIET_MS = 200
 """A request that was sent before its client saw the last answer has arrived by then."""
 
--- a/chestnutfall/forwarding/engine_places.py
+++ b/chestnutfall/forwarding/engine_places.py
@@ -17,6 +17,7 @@
 LEADERLESS_WAIT_MS = 1_500
 """An election takes about a second; a request waits this long for it if it has the time."""
 RETRY_MS = 800
+"""A leader is elected within this time."""
 
 
 class EnginePlaces(Places):
--- a/chestnutfall/forwarding/event_splitter.py
+++ b/chestnutfall/forwarding/event_splitter.py
@@ -8,6 +8,7 @@
 _END = b"\n\n"
 _ID = b"id:"
 MAX_EVENT_BYTES = 1024 * 1024
+"""A thousand times a usual event; bounds what a broken upstream can make us hold."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -37,7 +37,9 @@
 FIRST_WORD_MS = 250
 """A controller says at once whether it leads; one that is down or cut off says nothing."""
 RETRY_MS = 60
+"""A tenth of an election; a controller answers a stream in a few ms."""
 CLOSE_S = 0.2
+"""A dead connection must not hold up the search for the next leader."""
 
 
 class LeaderLost(ConnectionError):
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -23,7 +23,9 @@
 MAX_SENDS = 6
 """Refused sends cost little, but each counts as a repeat for the upstream that refuses."""
 NOT_READY_RETRY_MS = 500
+"""A gateway has its configuration within half a second of a leader."""
 BROKEN_RETRY_MS = 500
+"""An upstream that refuses or fails is left by others within this time."""
 FINAL_MARGIN_MS = 15
 """The final answer still has to reach the client before its time is over."""
 
--- a/chestnutfall/forwarding/plain_places.py
+++ b/chestnutfall/forwarding/plain_places.py
@@ -18,9 +18,11 @@
 OTHER_DATA_CENTRE_MS = 6.0
 """Round trip to another data centre, and its traffic, which costs money."""
 AVOIDED_MS = 10_000.0
+"""More than any load or delay adds up to, so it is the last choice, but still one."""
 LOAD_FRESH_MS = 250
 """A load that an upstream told is old after about ten short requests."""
 RETRY_MS = 300
+"""A plain upstream is found again with its next heartbeat or answer."""
 
 
 @dataclass(slots=True)
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -17,6 +17,7 @@
 from .upstream_api import AnswerLost, NotSent, UpstreamApi
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Bounds what one answer can make a gateway hold; usual ones are below 100 KB."""
 PAST_DEADLINE_MS = 1_000
 """Longer than the call itself may take, so that its own deadline ends it first."""
 _OUTCOMES = {
--- a/chestnutfall/placement/engine_health.py
+++ b/chestnutfall/placement/engine_health.py
@@ -15,6 +15,7 @@
 SHUN_MS = 1_000
 """After a refused or timed-out connection nothing is sent for this long: about one heartbeat."""
 LAG_WEIGHT = 0.2
+"""A delay counts fully after about five answers, so that one slow answer shuns nobody."""
 
 
 class EngineHealth:
--- a/chestnutfall/placement/load_timer.py
+++ b/chestnutfall/placement/load_timer.py
@@ -5,7 +5,9 @@
 START_MS = 290.0
 """First guess; a wrong one is corrected within some tens of loads."""
 LEAST_MS = 20.0
+"""No load is faster than a round trip and a few steps of the engine."""
 MOST_MS = 5_000.0
+"""Longer than any request waits; a bound against a broken measurement."""
 TOO_SHORT = 1.05
 TOO_LONG = 0.995
 """Set to 5 % over the time that was too short, and lowered by 0.5 % with each load that had ended:
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -25,7 +25,9 @@
 TOO_EARLY_MS = 40
 """Wait after a request that came before its adapter; a sixth of a load."""
 LEAST_RETRY_MS = 250
+"""About one load: sooner nothing has changed for who comes back."""
 MOST_RETRY_MS = 4_000
+"""Usual deadlines are as long; a later return is a new request."""
 LEAST_RUN_MS = 60
 """Even a short answer takes this long; with less time left a request can't be served."""
 
--- a/chestnutfall/platform/control_server.py
+++ b/chestnutfall/platform/control_server.py
@@ -23,11 +23,13 @@
     Unavailable,
 )
 from ..routes import DocumentCodec, UnreadableDocument, check_document
+from .body import read_body
 from .engine_http import read_report
 from .listening import listen
 
 log = logging.getLogger(__name__)
 MAX_BODY_BYTES = 32 * 1024 * 1024
+"""A hundred times a document of 1,400 routes."""
 INSTANCES = "/v1/instances/"
 
 
@@ -49,7 +51,9 @@
             await self._runner.cleanup()
 
     async def _on_call(self, request: web.BaseRequest) -> web.Response:
-        body = await request.read()
+        body = await read_body(request, MAX_BODY_BYTES)
+        if body is None:
+            return web.json_response({"error": f"over {MAX_BODY_BYTES} bytes"}, status=413)
         instance = request.path.removeprefix(INSTANCES)
         try:
             match request.method, request.path:
--- a/chestnutfall/platform/engine_http.py
+++ b/chestnutfall/platform/engine_http.py
@@ -11,6 +11,7 @@
 from . import header_names as names
 
 REPORT_S = 0.5
+"""A report needs no place on the engine; without one by then it is asked for again."""
 _RESULTS = {
     200: OrderResult.HOLDS_ALREADY,
     202: OrderResult.TAKEN,
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -12,6 +12,7 @@
 from ..forwarding.drain import Drainable
 from ..forwarding.forwarder import Forwarder
 from ..routes import DocumentLimits
+from .body import read_body
 from .call_reader import read_call
 from .client_reply import ClientReply
 from .listening import listen
@@ -86,7 +87,7 @@
 
     async def _answer(self, request: web.BaseRequest, arrived_ms: int) -> web.StreamResponse:
         reply = ClientReply(request, self._leaving)
-        body = await self._read_body(request)
+        body = await read_body(request, self._limits().max_body_bytes)
         if body is None:
             return web.Response(status=413)
         if self._refusing:
@@ -109,12 +110,3 @@
             raise
         assert reply.response is not None
         return reply.response
-
-    async def _read_body(self, request: web.BaseRequest) -> bytes | None:
-        limit = self._limits().max_body_bytes
-        body = bytearray()
-        async for data in request.content.iter_any():
-            body += data
-            if len(body) > limit:
-                return None
-        return bytes(body)
