Take no success that names no request

An answer without the request's id was taken for ours; upstreams name it in every answer. Change: a success must name our request; refusals may name none. Proof: test_a_success_that_names_no_request_is_lost failed before.

--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -50,7 +50,7 @@
         )
         try:
             async with request as resp:
-                if resp.headers.get(names.REQUEST_ID, call.request_id) != call.request_id:
+                if not _is_ours(resp, call.request_id):
                     # An answer to an earlier request of this connection came late or twice.
                     resp.close()
                     raise AnswerLost("answer_of_another")
@@ -101,6 +101,12 @@
     return headers
 
 
+def _is_ours(resp: aiohttp.ClientResponse, request_id: str) -> bool:
+    """Whether the answer names our request; only refusals may name none."""
+    named = resp.headers.get(names.REQUEST_ID)
+    return named == request_id or (named is None and resp.status >= 300)
+
+
 def _not_run(resp: aiohttp.ClientResponse, forwarded: ForwardedCall) -> NotRun | None:
     if resp.status == 421:
         other = resp.headers.get(names.INSTANCE, forwarded.upstream.instance)
--- a/chestnutfall/tests/test_platform.py
+++ b/chestnutfall/tests/test_platform.py
@@ -97,6 +97,7 @@
 
     async def asyncSetUp(self) -> None:
         self.status = 200
+        self.named = True
         self.headers: dict[str, str] = {}
         self.seen: list[web.BaseRequest] = []
         self.runner = await listen(web.Server(self._on_call), "127.0.0.1:0")
@@ -109,7 +110,8 @@
 
     async def _on_call(self, request: web.BaseRequest) -> web.Response:
         self.seen.append(request)
-        headers = {"X-Request-Id": "id-1", "X-Instance-Load": "2,1,6"} | self.headers
+        named = {"X-Request-Id": "id-1"} if self.named else {}
+        headers = {"X-Instance-Load": "2,1,6"} | named | self.headers
         return web.Response(status=self.status, headers=headers, body=b"answer")
 
     def _forwarded(self, port: int = 0) -> ForwardedCall:
@@ -159,6 +161,14 @@
         with self.assertRaises(AnswerLost):
             await self._send()
 
+    async def test_a_success_that_names_no_request_is_lost(self) -> None:
+        # A caller gets a whole answer of somebody else: nothing in it says whose it is.
+        self.named = False
+        with self.assertRaises(AnswerLost):
+            await self._send()
+        self.status, self.headers = 503, {"X-Not-Executed": "1"}
+        self.assertEqual((await self._send())[1], NotRun.FULL)
+
     async def test_a_refused_connection_proves_that_nothing_ran(self) -> None:
         server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
