--- a/soak/daemon.py
+++ b/soak/daemon.py
@@ -31,10 +31,18 @@
         self._folder = folder
         self._ports = ports
         self._process: asyncio.subprocess.Process | None = None
+        self._starting = asyncio.Lock()
         folder.mkdir(parents=True, exist_ok=True)
 
     async def start(self, first_start: bool) -> None:
-        """Start the process; its output goes to a file in its folder."""
+        """Start the process unless it runs; its output goes to a file in its folder."""
+        # Two faults may overlap on one daemon. A second process would outlive the run, since
+        # only the last one that was started is known by its handle.
+        async with self._starting:
+            if not self.is_running:
+                await self._start(first_start)
+
+    async def _start(self, first_start: bool) -> None:
         plan = NodePlan(
             self.plan.ip, self.plan.name, self.plan.data_folder, self.plan.seeds, first_start
         )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -49,7 +49,7 @@
             case "kill_gateway":
                 await gateway.kill()
                 await asyncio.sleep(fault.for_s)
-                await self._start_once(gateway)
+                await gateway.start(False)
             case "pause_gateway":
                 await self._pause(gateway, fault.for_s)
             case "restart_gateway":
@@ -82,13 +82,7 @@
         if not await daemon.ended(GRACE_S):
             self.unfinished_drains += 1
             await daemon.kill()
-        await self._start_once(daemon)
-
-    @staticmethod
-    async def _start_once(daemon: Daemon) -> None:
-        # Two faults may overlap on one daemon; only one of them may start it again.
-        if not daemon.is_running:
-            await daemon.start(False)
+        await daemon.start(False)
 
     async def _harm(self, fault: Fault, harm: Harm) -> None:
         relay = self._office.relays[fault.target % len(self._office.relays)]
