Start the platform's programs without the libraries of the others

Cause: importing any module of observability imported statsd and OpenTelemetry, which the deploy list leaves out on purpose. On a clean host neither program would start. Found: reading the change once more; a bare environment with deploy/requirements.txt alone said "No module named 'statsd'" for both programs, and imports both now. Change: observability re-exports nothing; each importer names its module. No behaviour changes.

--- a/chestnutfall/caller_edge/caller_app.py
+++ b/chestnutfall/caller_edge/caller_app.py
@@ -13,7 +13,7 @@
 from ..clock import Clock
 from ..engine_edge import AnswerEvent, Batches
 from ..membership import SiteAgent
-from ..observability import Metrics
+from ..observability.metrics import Metrics
 from ..plain_edge import PlainProxy
 from ..requests import CallerRequest, Refusal
 from ..routing import ClaimDesk, Dispatcher, WantedClaim, digest_of
--- a/chestnutfall/observability/__init__.py
+++ b/chestnutfall/observability/__init__.py
@@ -1,9 +1,5 @@
-"""Logs, metrics and traces."""
+"""Logs, metrics and traces.
 
-from __future__ import annotations
-
-from .json_logs import start_logs
-from .metrics import Metrics
-from .tracing import start_tracing
-
-__all__ = ["Metrics", "start_logs", "start_tracing"]
+Nothing is re-exported: each output needs a library of its own, and a program that uses one of them
+must start without the libraries of the others.
+"""
--- a/chestnutfall/ownership/adapter_loader.py
+++ b/chestnutfall/ownership/adapter_loader.py
@@ -10,7 +10,7 @@
 from ..clock import Clock
 from ..engine_edge import EngineApi, Order, OrderKind
 from ..membership import UpstreamRegistry
-from ..observability import Metrics
+from ..observability.metrics import Metrics
 from .load_permits import LoadPermits
 from .slot import Slot
 
--- a/chestnutfall/ownership/engine_owner.py
+++ b/chestnutfall/ownership/engine_owner.py
@@ -10,7 +10,7 @@
 from ..config import TypedConfig
 from ..engine_edge import EngineApi, EngineState
 from ..membership import UpstreamRegistry
-from ..observability import Metrics
+from ..observability.metrics import Metrics
 from .adapter_loader import STATE_TIMEOUT_MS, AdapterLoader, LoadOutcome
 from .load_failures import LoadFailures
 from .load_permits import LoadPermits
--- a/chestnutfall/ownership/owner_desk.py
+++ b/chestnutfall/ownership/owner_desk.py
@@ -10,7 +10,7 @@
 from ..clock import Clock
 from ..engine_edge import EngineApi
 from ..membership import SiteAgent, UpstreamRegistry
-from ..observability import Metrics
+from ..observability.metrics import Metrics
 from .engine_owner import EngineOwner
 from .load_permits import LoadPermits
 from .messages import EngineView, TicketEnd, TicketGrant, TicketRefusal, TicketRequest
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -10,7 +10,7 @@
 
 from ..config import Caller, Service
 from ..membership import SiteAgent, Upstream, UpstreamRegistry
-from ..observability import Metrics
+from ..observability.metrics import Metrics
 from ..requests import Executed, Refusal
 from ..routing import ClaimDesk, WantedClaim, digest_of
 
--- a/chestnutfall/programs/controller.py
+++ b/chestnutfall/programs/controller.py
@@ -22,7 +22,7 @@
 from ..control.messages import CONTROL_CODEC
 from ..control.rpc_transport import METHOD as CONSENSUS_METHOD
 from ..control.rpc_transport import RpcTransport
-from ..observability import start_logs
+from ..observability.json_logs import start_logs
 from ..settings import ControllerSettings
 from ..wire import RpcServer
 from .runner import load_settings, parser, run
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -15,7 +15,9 @@
 from ..engine_edge.http_engine_api import HttpEngineApi
 from ..membership import SiteAgent, UpstreamRegistry
 from ..membership.announce_app import AnnounceApp
-from ..observability import Metrics, start_logs, start_tracing
+from ..observability.json_logs import start_logs
+from ..observability.metrics import Metrics
+from ..observability.tracing import start_tracing
 from ..ownership import TICKET_CODEC, OwnerDesk
 from ..ownership.load_permits import ControllerPermits
 from ..peers import PeerLinks, PeerServer
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -19,7 +19,7 @@
     EngineRequest,
 )
 from ..membership import SiteAgent, Upstream, UpstreamRegistry
-from ..observability import Metrics
+from ..observability.metrics import Metrics
 from ..ownership import TicketGrant, TicketRefusal, TicketRequest
 from ..peers import PeerLinks
 from ..requests import CallerRequest, Executed, Refusal
--- a/chestnutfall/tests/fakes/fake_office.py
+++ b/chestnutfall/tests/fakes/fake_office.py
@@ -14,7 +14,7 @@
 from ...config import BASE_LAYER
 from ...config.typed_config import key_hash
 from ...membership import Announcement, SiteAgent, UpstreamRegistry
-from ...observability import Metrics
+from ...observability.metrics import Metrics
 from ...ownership import OwnerDesk
 from ...ownership.load_permits import ControllerPermits
 from ...requests import CallerRequest
