Make prefixes, windows and messages once

One sliding window instead of four loops over a deque; the placer's decisions go to gateways as they are instead of being copied into two messages of the same fields; what placement holds ready is a type instead of a bare tuple. On the way of each request: a prompt's prefixes are made once instead of at each look at the queue and again at its start, and an upstream is looked up instead of searched for. A document that changes nothing is not read again.

--- a/chestnutfall/coordination/holdings_diff.py
+++ b/chestnutfall/coordination/holdings_diff.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterable
 
-from .messages import EngineHoldings, Held, HoldingsChange
+from ..placement import Held
+from .messages import EngineHoldings, HoldingsChange
 
 
 def holdings_change(
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -24,6 +24,7 @@
     AdapterName,
     Decision,
     Grant,
+    Held,
     Placer,
     PlaceRequest,
     Reject,
@@ -37,10 +38,7 @@
 from .holdings_diff import holdings_change
 from .messages import (
     FleetView,
-    Held,
     NotLeading,
-    NotPlaced,
-    Placed,
     PutInForce,
     Release,
     Withdraw,
@@ -141,8 +139,12 @@
         self._wake.set()
 
     def _read_document(self) -> None:
-        if self._state.document.version >= 0:
-            self._table = RouteTable(self._codec.decode(unpack(self._state.document.content)))
+        held = self._state.document
+        known = self._table.document.version if self._table is not None else -1
+        # A document that is sent again, or an older one, changes nothing; reading one of some
+        # thousand routes takes milliseconds in which nothing is placed.
+        if held.version > known:
+            self._table = RouteTable(self._codec.decode(unpack(held.content)))
 
     def _tell_document(self) -> None:
         """Send the newest document to every gateway, at most once in `DOCUMENT_MS`."""
@@ -268,9 +270,7 @@
 
     def _tell_holdings(self) -> None:
         """Tell gateways what engines hold, so that they can do without a leader for a while."""
-        held = frozenset(
-            Held(instance, name, version) for instance, name, version in self._placer.ready()
-        )
+        held = frozenset(self._placer.ready())
         if held != self._held:
             change = holdings_change(False, held - self._held, self._held - held)
             self._held = held
@@ -286,16 +286,16 @@
 
     def _carry_out(self, decision: Decision) -> None:
         match decision:
-            case Grant(ticket, instance, version, queued_ms, loading_ms):
-                self._tell(ticket, Placed(ticket, instance, version, queued_ms, loading_ms))
-            case Reject(ticket, reason, retry_after_ms):
+            case Grant():
+                self._tell(decision)
+            case Reject(ticket, reason):
                 log.info("place: ticket=%s rejected reason=%s", ticket, reason)
-                self._tell(ticket, NotPlaced(ticket, reason, retry_after_ms))
+                self._tell(decision)
                 self._drop_ticket(ticket)
             case order:
                 self._engines.give(order)
 
-    def _tell(self, ticket: str, msg: Placed | NotPlaced) -> None:
-        session = self._session_of.get(ticket)
+    def _tell(self, decision: Grant | Reject) -> None:
+        session = self._session_of.get(decision.ticket)
         if session is not None:
-            session.send(msg)
+            session.send(decision)
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from ..control.upstream_record import UpstreamRecord
-from ..placement import AdapterName, PlaceRequest
+from ..placement import Grant, PlaceRequest, Reject
 from ..wire import Codec
 
 FLEET_METHOD = "Fleet"
@@ -56,15 +56,6 @@
     controllers: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Held:
-    """An adapter that is ready on an engine."""
-
-    instance: str
-    adapter: AdapterName
-    version: int
-
-
 @dataclass(frozen=True, slots=True)
 class EngineHoldings:
     """What changed on one engine and base model: versions by adapter added, adapters dropped.
@@ -91,32 +82,6 @@
     """Nothing is new; the sender is there and, from the controller, still leads."""
 
 
-@dataclass(frozen=True, slots=True)
-class Placed:
-    """A request may go to an engine, which holds its adapter at `version`; 0 is any.
-
-    Attributes
-    ----------
-    queued_ms, loading_ms : int
-        How long it waited for a place, and then for the adapter; for the logs.
-    """
-
-    ticket: str
-    instance: str
-    version: int
-    queued_ms: int
-    loading_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class NotPlaced:
-    """A request gets no engine; when its caller may come back."""
-
-    ticket: str
-    reason: str
-    retry_after_ms: int
-
-
 @dataclass(frozen=True, slots=True)
 class Release:
     """A placed request ended; `outcome` is a value of RunOutcome."""
@@ -136,10 +101,10 @@
 FLEET_CODEC = Codec(
     FleetView,
     GatewayHello,
+    Grant,
     HoldingsChange,
     NotLeading,
-    NotPlaced,
-    Placed,
+    Reject,
     PlaceRequest,
     Pulse,
     PutInForce,
--- a/chestnutfall/forwarding/engine_places.py
+++ b/chestnutfall/forwarding/engine_places.py
@@ -7,8 +7,8 @@
 from collections import Counter
 
 from ..clock import Clock
-from ..coordination.messages import NotPlaced, Placed, Release, Withdraw
-from ..placement import AdapterName, PlaceRequest, RunOutcome
+from ..coordination.messages import Release, Withdraw
+from ..placement import AdapterName, Grant, PlaceRequest, Reject, RunOutcome
 from .fleet_client import FleetClient, LeaderLost
 from .place import NoPlace, Place, Places, Wanted
 from .upstream_answer import UpstreamLoad
@@ -49,7 +49,7 @@
                 if wait_ms <= 0 or not await self._fleet.until_connected(wait_ms):
                     raise NoPlace("no_leader", RETRY_MS) from None
                 continue
-            if isinstance(answer, NotPlaced):
+            if isinstance(answer, Reject):
                 raise NoPlace(answer.reason, answer.retry_after_ms)
             upstream = self._fleet.upstream(answer.instance)
             if upstream is not None:
@@ -58,7 +58,7 @@
                 )
             self._fleet.tell(Release(req.ticket, RunOutcome.WITHDRAWN.value, 0.0))
 
-    async def _ask(self, req: PlaceRequest) -> Placed | NotPlaced:
+    async def _ask(self, req: PlaceRequest) -> Grant | Reject:
         try:
             return await self._fleet.place(req)
         except LeaderLost:
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -19,15 +19,12 @@
     PULSE_MS,
     FleetView,
     GatewayHello,
-    Held,
     HoldingsChange,
     NotLeading,
-    NotPlaced,
-    Placed,
     Pulse,
     PutInForce,
 )
-from ..placement import AdapterName, PlaceRequest
+from ..placement import AdapterName, Grant, Held, PlaceRequest, Reject
 from ..routes import DocumentCodec, RouteTable
 from ..wire import RpcChannel
 from .holders import Holders
@@ -74,9 +71,10 @@
         self.connected = False
         self._view = FleetView((), 1, ())
         self._holders = Holders()
+        self._by_instance: dict[str, UpstreamRecord] = {}
         self._by_service: dict[str, tuple[UpstreamRecord, ...]] = {}
         self._out: asyncio.Queue[Any] = asyncio.Queue()
-        self._asked: dict[str, asyncio.Future[Placed | NotPlaced]] = {}
+        self._asked: dict[str, asyncio.Future[Grant | Reject]] = {}
         self._up = asyncio.Event()
 
     def use_controllers(self, controllers: tuple[str, ...]) -> None:
@@ -101,7 +99,7 @@
 
     def upstream(self, instance: str) -> UpstreamRecord | None:
         """The upstream that takes work under this instance."""
-        return next((one for one in self._view.upstreams if one.instance == instance), None)
+        return self._by_instance.get(instance)
 
     def holders(self, adapter: AdapterName) -> Iterable[Held]:
         """Engines that held an adapter when the leader last told."""
@@ -114,7 +112,7 @@
         if self.connected:
             self._out.put_nowait(msg)
 
-    async def place(self, req: PlaceRequest) -> Placed | NotPlaced:
+    async def place(self, req: PlaceRequest) -> Grant | Reject:
         """Ask for a place.
 
         Raises
@@ -123,7 +121,7 @@
         """
         if not self.connected:
             raise LeaderLost("no leader")
-        fut: asyncio.Future[Placed | NotPlaced] = asyncio.get_running_loop().create_future()
+        fut: asyncio.Future[Grant | Reject] = asyncio.get_running_loop().create_future()
         self._asked[req.ticket] = fut
         self._out.put_nowait(req)
         try:
@@ -204,7 +202,7 @@
                     self._join(address)
             case HoldingsChange():
                 self._holders.take(msg)
-            case Placed(ticket) | NotPlaced(ticket):
+            case Grant(ticket) | Reject(ticket):
                 fut = self._asked.get(ticket)
                 if fut is not None and not fut.done():
                     fut.set_result(msg)
@@ -213,6 +211,7 @@
 
     def _take_view(self, view: FleetView) -> None:
         self._view = view
+        self._by_instance = {one.instance: one for one in view.upstreams}
         by_service: dict[str, list[UpstreamRecord]] = {}
         for one in view.upstreams:
             by_service.setdefault(one.service, []).append(one)
--- a/chestnutfall/forwarding/holders.py
+++ b/chestnutfall/forwarding/holders.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable
 
-from ..coordination.messages import Held, HoldingsChange
-from ..placement import AdapterName
+from ..coordination.messages import HoldingsChange
+from ..placement import AdapterName, Held
 
 
 class Holders:
--- a/chestnutfall/forwarding/shared_retry_budget.py
+++ b/chestnutfall/forwarding/shared_retry_budget.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass
 
-from ..clock import Clock
+from ..clock import Clock, SlidingWindow
 
 SAFETY = 0.7
 """Part of the bound that is used: gateways' windows slide apart, and their number lags."""
@@ -30,21 +29,19 @@
     def __init__(self, bounds: RetryBounds, clock: Clock) -> None:
         self._bounds = bounds
         self._clock = clock
-        self._requests: deque[int] = deque()
-        self._repeats: deque[int] = deque()
+        self._requests = SlidingWindow(bounds.window_ms)
+        self._repeats = SlidingWindow(bounds.window_ms)
 
     def note_request(self) -> None:
         """Count a client's request."""
-        self._requests.append(self._clock.now_ms())
+        self._requests.note(self._clock.now_ms())
 
     def spend(self, gateways: int) -> bool:
         """Take one repeat; False when there is none left."""
         now_ms = self._clock.now_ms()
-        for times in (self._requests, self._repeats):
-            while times and times[0] <= now_ms - self._bounds.window_ms:
-                times.popleft()
-        own = self._bounds.slack / max(gateways, 1) + self._bounds.ratio * len(self._requests)
-        if len(self._repeats) + 1 > SAFETY * own:
+        requests = self._requests.count(now_ms)
+        own = self._bounds.slack / max(gateways, 1) + self._bounds.ratio * requests
+        if self._repeats.count(now_ms) + 1 > SAFETY * own:
             return False
-        self._repeats.append(now_ms)
+        self._repeats.note(now_ms)
         return True
--- a/chestnutfall/placement/__init__.py
+++ b/chestnutfall/placement/__init__.py
@@ -8,6 +8,7 @@
 from .adapter_name import AdapterName
 from .decisions import Decision, Grant, LoadAdapter, LoadModel, Order, Reject, UnloadAdapter
 from .engine_report import EngineReport
+from .held import Held
 from .place_request import PlaceRequest, PromptPart
 from .placer import Placer
 from .run_outcome import RunOutcome
@@ -17,6 +18,7 @@
     "Decision",
     "EngineReport",
     "Grant",
+    "Held",
     "LoadAdapter",
     "LoadModel",
     "Order",
--- a/chestnutfall/placement/choice.py
+++ b/chestnutfall/placement/choice.py
@@ -9,7 +9,7 @@
 from .engine import Engine
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
-from .prompt_cache import Prefixes, prefixes_of
+from .prompt_cache import Prefixes
 
 RUNNING_COST_MS = 2.0
 """A request beside others gets its first event later: an engine's step grows with its batch, and
@@ -23,8 +23,6 @@
 paid for. An engine that held the adapter recently is worth waiting this much for."""
 MISS_HORIZON_S = 3.0
 """An evicted adapter is charged the loads it will need within this time."""
-
-
 SURE_MS = 60.0
 """A holder that is this good is taken without weighing loads elsewhere: a load costs 25 ms at the
 least, and most requests find such a holder. Saves four fifths of the time of a choice."""
@@ -39,11 +37,10 @@
 
 
 def best_option(
-    req: PlaceRequest, engines: Iterable[Engine], around: Surroundings
+    req: PlaceRequest, prefixes: Prefixes, engines: Iterable[Engine], around: Surroundings
 ) -> PlaceOption | None:
     """The cheapest way to place `req` now; None when no engine can take it."""
     able = [engine for engine in engines if _may_take(req, engine, around)]
-    prefixes = prefixes_of(req)
     held = _cheapest(_as_it_is(req, engine, prefixes, around) for engine in able)
     if held is not None and held.cost_ms <= SURE_MS:
         return held
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -12,7 +12,7 @@
 from .holding import Holding
 from .load_timer import LoadTimer
 from .place_request import PlaceRequest
-from .prompt_cache import Prefixes, PromptCache, prefixes_of
+from .prompt_cache import Prefixes, PromptCache
 
 READ_TOKENS_PER_MS = 40.0
 """How fast an engine reads prompts: 44 tokens/ms alone, a little less beside running requests."""
@@ -96,9 +96,8 @@
         """How long this request's prompt takes to read."""
         return self.prompts.missing_tokens(req.prompt_tokens, prefixes) / READ_TOKENS_PER_MS
 
-    def start(self, req: PlaceRequest, now_ms: int) -> None:
+    def start(self, req: PlaceRequest, prefixes: Prefixes, now_ms: int) -> None:
         """Count a request that is sent to it now."""
-        prefixes = prefixes_of(req)
         self._read_until_ms = max(self._read_until_ms, now_ms) + self.read_ms(req, prefixes)
         self.prompts.note(prefixes)
         self.running[req.ticket] = req
--- /dev/null
+++ b/chestnutfall/placement/held.py
@@ -0,0 +1,16 @@
+"""An adapter that requests may run on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .adapter_name import AdapterName
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """An adapter that is ready on an engine."""
+
+    instance: str
+    adapter: AdapterName
+    version: int
--- a/chestnutfall/placement/model_loads.py
+++ b/chestnutfall/placement/model_loads.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterable
 
+from ..clock import SlidingWindow
 from .engine import Engine
 
 WINDOW_MS = 5_000
@@ -15,15 +15,13 @@
     """Loads from the weight store over all engines, under its rate."""
 
     def __init__(self) -> None:
-        self._started_ms: deque[int] = deque()
+        self._started = SlidingWindow(WINDOW_MS)
 
     def may_start(self, per_s: float, now_ms: int) -> bool:
         """Whether one more load keeps the rate; counts it if so."""
-        while self._started_ms and self._started_ms[0] <= now_ms - WINDOW_MS:
-            self._started_ms.popleft()
-        if len(self._started_ms) >= max(per_s * WINDOW_MS / 1000, 1):
+        if self._started.count(now_ms) >= max(per_s * WINDOW_MS / 1000, 1):
             return False
-        self._started_ms.append(now_ms)
+        self._started.note(now_ms)
         return True
 
 
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -12,6 +12,7 @@
 from .demand import Demand
 from .engine import Engine
 from .engine_report import EngineReport
+from .held import Held
 from .holding import Holding
 from .pace import Pace
 from .place_option import PlaceOption
@@ -107,13 +108,13 @@
             case UnloadAdapter():
                 pass
 
-    def ready(self) -> Iterator[tuple[str, AdapterName, int]]:
-        """Adapters that are ready: instance, name and version."""
+    def ready(self) -> Iterator[Held]:
+        """Adapters that requests may run on now."""
         now_ms = self._clock.now_ms()
         for engine in self.engines.values():
             for name, held in engine.holdings.items():
                 if held.is_ready(now_ms):
-                    yield engine.instance, name, held.version
+                    yield Held(engine.instance, name, held.version)
 
     def unsynced(self) -> Iterator[str]:
         """Engines whose report must be read before anything is ordered."""
@@ -211,16 +212,17 @@
         elif waiting.instance:
             yield from self._grant_when_ready(waiting, now_ms)
         elif req.service not in full:
-            option = self._best(req, now_ms)
+            option = self._best(waiting, now_ms)
             if option is not None:
                 yield from self._assign(waiting, option, now_ms)
                 yield from self._grant_when_ready(waiting, now_ms)
             elif not any(e.has_room(req) for e in self._serving(req.service)):
                 full.add(req.service)
 
-    def _best(self, req: PlaceRequest, now_ms: int) -> PlaceOption | None:
+    def _best(self, waiting: Waiting, now_ms: int) -> PlaceOption | None:
         around = Surroundings(now_ms, self._demand)
-        return best_option(req, self._serving(req.service), around)
+        engines = self._serving(waiting.req.service)
+        return best_option(waiting.req, waiting.prefixes, engines, around)
 
     def _serving(self, service: str) -> Iterator[Engine]:
         return (engine for engine in self.engines.values() if engine.service == service)
@@ -242,10 +244,9 @@
             yield LoadAdapter(engine.instance, req.adapter, version)
         waiting.instance = engine.instance
         waiting.assigned_ms = now_ms
-        engine.start(req, now_ms)
+        engine.start(req, waiting.prefixes, now_ms)
         if req.adapter.adapter:
-            holding = engine.holdings[req.adapter]
-            holding.tickets.add(req.ticket)
+            engine.holdings[req.adapter].tickets.add(req.ticket)
 
     def _unassign(self, waiting: Waiting) -> None:
         engine = self.engines.get(waiting.instance)
--- a/chestnutfall/placement/waiting.py
+++ b/chestnutfall/placement/waiting.py
@@ -2,19 +2,32 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .place_request import PlaceRequest
+from .prompt_cache import Prefixes, prefixes_of
 
 
 @dataclass(slots=True)
 class Waiting:
-    """A request in the queue; `instance` is the engine that loads its adapter, if any."""
+    """A request in the queue.
+
+    Attributes
+    ----------
+    instance : str
+        Engine that loads its adapter; empty while there is none.
+    prefixes : Prefixes
+        Its prompt's prefixes, made once: the queue is looked at again every few ms.
+    """
 
     req: PlaceRequest
     since_ms: int
     instance: str = ""
     assigned_ms: int = 0
+    prefixes: Prefixes = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.prefixes = prefixes_of(self.req)
 
     def order(self, now_ms: int) -> tuple[int, bool, int]:
         """Most urgent first, then who can still be in time, then first come.
--- a/chestnutfall/tests/test_fleet_leader.py
+++ b/chestnutfall/tests/test_fleet_leader.py
@@ -19,7 +19,7 @@
 from ..coordination.fleet_leader import FleetLeader
 from ..coordination.gateway_session import GatewaySession
 from ..coordination.group_keeper import GroupKeeper
-from ..coordination.messages import FleetView, Placed, PutInForce, Release
+from ..coordination.messages import FleetView, PutInForce, Release
 from ..coordination.relay_desk import RelayDesk
 from ..coordination.relay_messages import (
     Accepted,
@@ -32,7 +32,7 @@
     StoreVersion,
     Unavailable,
 )
-from ..placement import AdapterName, EngineReport, LoadAdapter, PlaceRequest
+from ..placement import AdapterName, EngineReport, Grant, LoadAdapter, PlaceRequest
 from ..platform.document_json import DocumentJson
 from .fakes import FakeCluster
 
@@ -201,7 +201,7 @@
         await self._place(session, "t1")
         await self._place(session, "t2")
         await self.cluster.clock.advance(400)
-        placed = self._messages(session, Placed)
+        placed = self._messages(session, Grant)
         self.assertEqual([(one.ticket, one.instance) for one in placed], [("t1", "1"), ("t2", "1")])
         term = self.cluster.replicas[self.name].term
         self.assertEqual([token for token, _ in self.engines.orders], [term])
@@ -218,7 +218,7 @@
         await self.cluster.clock.advance(300)
         await self._place(session, "t1")
         await self.cluster.clock.advance(400)
-        self.assertEqual([one.version for one in self._messages(session, Placed)], [4])
+        self.assertEqual([one.version for one in self._messages(session, Grant)], [4])
         self.assertIn(
             LoadAdapter("1", AdapterName("base", "a1"), 4), [o for _, o in self.engines.orders]
         )
--- a/chestnutfall/tests/test_fleet_parts.py
+++ b/chestnutfall/tests/test_fleet_parts.py
@@ -14,13 +14,12 @@
 from ..control.upstream_record import UpstreamRecord
 from ..control.upstream_roster import UpstreamRoster
 from ..coordination.holdings_diff import holdings_change
-from ..coordination.messages import Held
 from ..coordination.upstream_watch import UpstreamWatch
 from ..forwarding.drain import POLL_MS, QUIET_MS, UNTIL_BALANCED_MS, Drainable, drain
 from ..forwarding.event_splitter import EventSplitter
 from ..forwarding.holders import Holders
 from ..forwarding.shared_retry_budget import RetryBounds, SharedRetryBudget
-from ..placement import AdapterName
+from ..placement import AdapterName, Held
 
 BOUNDS = RetryBounds(0.2, 50, 10_000)
 
--- a/chestnutfall/tests/test_places.py
+++ b/chestnutfall/tests/test_places.py
@@ -11,14 +11,14 @@
 
 from ..clock import ManualClock
 from ..control.upstream_record import UpstreamRecord
-from ..coordination.messages import Held, NotPlaced, Placed, Release, Withdraw
+from ..coordination.messages import Release, Withdraw
 from ..forwarding.call import Call
 from ..forwarding.engine_places import LEADERLESS_WAIT_MS, EnginePlaces
 from ..forwarding.fleet_client import FleetClient, LeaderLost
 from ..forwarding.place import NoPlace, Place, Wanted
 from ..forwarding.plain_places import PlainPlaces
 from ..forwarding.upstream_answer import UpstreamLoad
-from ..placement import AdapterName, PlaceRequest, RunOutcome
+from ..placement import AdapterName, Grant, Held, PlaceRequest, Reject, RunOutcome
 from ..routes import Route, RouteKind, ServiceSpec, WeightedService
 
 NAME = AdapterName("base", "a1")
@@ -37,7 +37,7 @@
 class _Fleet(FleetClient):
     """A fleet whose leader answers from a script."""
 
-    def __init__(self, clock: ManualClock, *answers: Placed | NotPlaced | None) -> None:
+    def __init__(self, clock: ManualClock, *answers: Grant | Reject | None) -> None:
         self._clock = clock
         self._answers = list(answers)
         self._up = asyncio.Event()
@@ -46,7 +46,7 @@
         self.held: list[Held] = []
         self.told: list[object] = []
 
-    async def place(self, req: PlaceRequest) -> Placed | NotPlaced:
+    async def place(self, req: PlaceRequest) -> Grant | Reject:
         answer = self._answers.pop(0) if self._answers else None
         if answer is None:
             raise LeaderLost("scripted")
@@ -80,7 +80,7 @@
         self.assertEqual(avoiding.upstream.instance, "2")
 
     async def test_without_leader_and_holder_it_waits_for_the_next_leader(self) -> None:
-        fleet = _Fleet(self.clock, None, Placed("t", "1", 2, 0, 0))
+        fleet = _Fleet(self.clock, None, Grant("t", "1", 2, 0, 0))
         taking = asyncio.ensure_future(self._places(fleet).take(_wanted()))
         await self.clock.advance(300)
         self.assertFalse(taking.done())
@@ -97,14 +97,14 @@
         self.assertGreater(raised.exception.retry_after_ms, 0)
 
     async def test_a_place_on_an_engine_that_left_is_given_back(self) -> None:
-        fleet = _Fleet(self.clock, Placed("t", "gone", 2, 0, 0), Placed("t", "1", 2, 0, 0))
+        fleet = _Fleet(self.clock, Grant("t", "gone", 2, 0, 0), Grant("t", "1", 2, 0, 0))
         taken = await self._places(fleet).take(_wanted())
         self.assertEqual(taken.upstream.instance, "1")
         self.assertEqual([type(msg) for msg in fleet.told], [Release])
 
     async def test_a_caller_that_leaves_withdraws_its_request(self) -> None:
         class _Silent(_Fleet):
-            async def place(self, req: PlaceRequest) -> Placed | NotPlaced:
+            async def place(self, req: PlaceRequest) -> Grant | Reject:
                 return await asyncio.get_running_loop().create_future()
 
         fleet = _Silent(self.clock)
