Refuse calls of a leaving gateway in the forwarder, not in the adapter

The refusal stood in platform/, which decides nothing, and left no log line and no count. It is the forwarder's now, beside its other refusals: same status and time to come back, with the line that every decision on a request owes. The health of plain services and engines is named for both.

--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -26,6 +26,8 @@
 """A gateway has its configuration within half a second of a leader."""
 BROKEN_RETRY_MS = 500
 """An upstream that refuses or fails is left by others within this time."""
+LEAVING_RETRY_MS = 50
+"""Another gateway takes the request at once; only this one is leaving."""
 FINAL_MARGIN_MS = 15
 """The final answer still has to reach the client before its time is over."""
 
@@ -55,9 +57,17 @@
         self._metrics = metrics
         self._rng = rng
         self._budgets: dict[str, SharedRetryBudget] = {}
+        self._refusing = False
+
+    def refuse_new(self) -> None:
+        """Refuse every call from now on; this gateway is about to end."""
+        self._refusing = True
 
     async def serve(self, call: Call, reply: CallerReply) -> None:
         """Answer `call` by `reply`."""
+        if self._refusing:
+            await self._refuse(call, reply, 503, "leaving", Executed.NO, LEAVING_RETRY_MS)
+            return
         table = self._table()
         if table is None:
             await self._refuse(call, reply, 503, "no_document", Executed.NO, NOT_READY_RETRY_MS)
--- a/chestnutfall/forwarding/plain_places.py
+++ b/chestnutfall/forwarding/plain_places.py
@@ -9,7 +9,7 @@
 from ..clock import Clock
 from ..control.upstream_record import UpstreamRecord
 from ..placement import RunOutcome
-from ..placement.engine_health import EngineHealth
+from ..placement.upstream_health import UpstreamHealth
 from .place import NoPlace, Place, Places, Wanted
 from .upstream_answer import UpstreamLoad
 
@@ -29,7 +29,7 @@
 class _Known:
     """What this gateway knows of one upstream."""
 
-    health: EngineHealth = field(default_factory=EngineHealth)
+    health: UpstreamHealth = field(default_factory=UpstreamHealth)
     own: int = 0
     others: float = 0.0
     places: int = 1
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -7,12 +7,12 @@
 
 from ..routes import EngineSpec
 from .adapter_name import AdapterName
-from .engine_health import EngineHealth
 from .engine_report import EngineReport
 from .holding import Holding
 from .load_timer import LoadTimer
 from .place_request import PlaceRequest
 from .prompt_cache import Prefixes, PromptCache
+from .upstream_health import UpstreamHealth
 
 READ_TOKENS_PER_MS = 40.0
 """How fast an engine reads prompts: 44 tokens/ms alone, a little less beside running requests."""
@@ -54,7 +54,7 @@
         self.running: dict[str, PlaceRequest] = {}
         self.loading_model = ""
         self.synced = False
-        self.health = EngineHealth()
+        self.health = UpstreamHealth()
         self.loads = LoadTimer()
         self.prompts = PromptCache(int(spec.kv_tokens * KV_SHARE))
         self._kv_used = 0
--- a/chestnutfall/placement/engine_health.py
+++ b/chestnutfall/placement/upstream_health.py
@@ -1,4 +1,4 @@
-"""How well an engine answered lately."""
+"""How well an upstream answered lately."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 FAILURE_WEIGHT = 0.25
 """Two failures in a row weigh almost half; three successes forgive most of one."""
 HALF_LIFE_MS = 1_500
-"""An engine without work can't prove itself, so time forgives: it is tried again in seconds."""
+"""An upstream without work can't prove itself, so time forgives: it is tried again in seconds."""
 FAILURE_COST_MS = 2_000
 """A failed run costs its caller a second attempt or the answer; as much as waiting two seconds."""
 SHUN_MS = 1_000
@@ -18,7 +18,7 @@
 """A delay counts fully after about five answers, so that one slow answer shuns nobody."""
 
 
-class EngineHealth:
+class UpstreamHealth:
     """Failures and delays, decaying with time."""
 
     def __init__(self) -> None:
--- a/chestnutfall/platform/call_reader.py
+++ b/chestnutfall/platform/call_reader.py
@@ -20,7 +20,7 @@
     ValueError
         When a header of the platform is malformed.
     """
-    target = request._message.path
+    target = request.raw_path
     headers = request.headers
     prompt_tokens, output_tokens = _token_counts(headers.get(names.TOKEN_COUNTS, ""))
     last_event = headers.get(names.LAST_EVENT)
--- a/chestnutfall/platform/client_reply.py
+++ b/chestnutfall/platform/client_reply.py
@@ -17,11 +17,10 @@
     ----------
     response : web.StreamResponse or None
         What was sent; None while nothing was.
-    closing : bool
-        Whether clients are told that this connection ends with the answer.
     """
 
     def __init__(self, request: web.BaseRequest, closing: bool) -> None:
+        """Answer `request`; if `closing`, tell its client to leave the connection."""
         self._request = request
         self._closing = closing
         self.response: web.StreamResponse | None = None
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -20,8 +20,6 @@
 log = logging.getLogger(__name__)
 KEEPALIVE_S = 75.0
 """Longer than clients keep a connection idle, so that none is closed as a request crosses."""
-LEAVING_RETRY_MS = 50
-"""Another gateway takes the request at once; only this one is leaving."""
 READY_PATH = "/v1/ready"
 
 
@@ -41,7 +39,6 @@
         self._clock = clock
         self._in_progress = 0
         self._leaving = False
-        self._refusing = False
         self._callers: web.ServerRunner | None = None
         self._balancer: web.ServerRunner | None = None
 
@@ -52,7 +49,7 @@
         self._leaving = True
 
     def refuse_new(self) -> None:
-        self._refusing = True
+        self._forwarder.refuse_new()
 
     async def start(self, caller_address: str, ready_address: str) -> None:
         """Begin to listen."""
@@ -90,10 +87,6 @@
         body = await read_body(request, self._limits().max_body_bytes)
         if body is None:
             return web.Response(status=413)
-        if self._refusing:
-            await reply.refuse(503, "leaving", LEAVING_RETRY_MS)
-            assert reply.response is not None
-            return reply.response
         try:
             call = read_call(request, body, arrived_ms)
         except ValueError as exc:
--- a/chestnutfall/tests/test_forwarder.py
+++ b/chestnutfall/tests/test_forwarder.py
@@ -48,6 +48,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         self.reply = RecordedReply()
+        self.leaving = False
 
     async def _serve(
         self, kind: RouteKind, script: tuple[Any, ...], attempts: int = 3, slack: float = 100
@@ -72,6 +73,8 @@
             random.Random(1),
         )
         call = Call("id-1", "POST", "/a/x", "/a/x", "a.example", (), b"", 0, 4000)
+        if self.leaving:
+            forwarder.refuse_new()
         await forwarder.serve(call, self.reply)
         return self.upstreams
 
@@ -83,6 +86,12 @@
                 self.assertEqual((self.reply.status, self.reply.body), (200, b"answer"))
                 self.assertEqual(self.places.wanted[1].avoid, ("i0",))
 
+    async def test_a_leaving_gateway_refuses_before_anything_runs(self) -> None:
+        self.leaving = True
+        await self._serve(RouteKind.NON_IDEMPOTENT, ((b"answer",),))
+        self.assertEqual((self.reply.status, self.upstreams.sends), (503, []))
+        self.assertIsNotNone(self.reply.retry_after_ms)
+
     async def test_a_lost_answer_is_never_called_not_run(self) -> None:
         for kind in (RouteKind.NON_IDEMPOTENT, RouteKind.STREAM):
             for lost in (AnswerLost, Cut((b"hal",))):
--- a/chestnutfall/tests/test_platform.py
+++ b/chestnutfall/tests/test_platform.py
@@ -132,7 +132,7 @@
         found = await self._send()
         self.assertEqual(found, (200, None, UpstreamLoad(2, 1, 6), b"answer"))
         request = self.seen[0]
-        self.assertEqual(request._message.path, "/a/x?y=%2F")
+        self.assertEqual(request.raw_path, "/a/x?y=%2F")
         expected = {
             "X-Custom": "kept",
             "X-Expect-Instance": "i1",
