--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -35,6 +35,7 @@
 from .engine_control import EngineControl
 from .engine_desk import EngineDesk, EngineRecord
 from .gateway_session import GatewaySession
+from .gateway_sessions import GatewaySessions
 from .holdings_diff import holdings_change
 from .messages import (
     FleetView,
@@ -76,8 +77,7 @@
         self._clock = clock
         self._placer = Placer(clock)
         self._watch = UpstreamWatch(clock, heartbeat_ms)
-        self._sessions: set[GatewaySession] = set()
-        self._session_of: dict[str, GatewaySession] = {}
+        self._sessions = GatewaySessions()
         self._view = FleetView((), 0, ())
         self._table: RouteTable | None = None
         self._wake = asyncio.Event()
@@ -123,9 +123,7 @@
 
     def _end(self) -> None:
         self._engines.close()
-        for session in self._sessions:
-            session.send(NotLeading(""))
-            session.send(None)
+        self._sessions.tell_all(NotLeading(""), None)
 
     def on_apply(self, command: Command) -> None:
         """Take a committed command."""
@@ -155,8 +153,7 @@
             return
         self._told_version = self._state.document.version
         self._document_due_ms = now_ms + DOCUMENT_MS
-        for session in self._sessions:
-            session.send(self._in_force())
+        self._sessions.tell_all(self._in_force())
 
     def _in_force(self) -> PutInForce:
         return PutInForce(self._state.document.version, self._state.document.content)
@@ -174,25 +171,22 @@
 
     def part(self, session: GatewaySession) -> None:
         """End a gateway's session and free what it held."""
-        self._sessions.discard(session)
-        for ticket in session.tickets:
+        for ticket in self._sessions.remove(session):
             self._placer.withdraw(ticket)
-            self._session_of.pop(ticket, None)
         self._match_roster()
 
     def take(self, session: GatewaySession, msg: PlaceRequest | Release | Withdraw) -> None:
         """Take a message of a gateway."""
         match msg:
             case PlaceRequest():
-                session.tickets.add(msg.ticket)
-                self._session_of[msg.ticket] = session
+                self._sessions.hold(msg.ticket, session)
                 self._placer.submit(msg)
             case Release(ticket, outcome, lag_ms):
                 self._take_release(ticket, RunOutcome(outcome), lag_ms)
-                self._drop_ticket(ticket)
+                self._sessions.free(ticket)
             case Withdraw(ticket):
                 self._placer.withdraw(ticket)
-                self._drop_ticket(ticket)
+                self._sessions.free(ticket)
         self._wake.set()
 
     def _take_release(self, ticket: str, outcome: RunOutcome, lag_ms: float) -> None:
@@ -204,11 +198,6 @@
             self._watch.answered(instance)
         self._placer.release(ticket, outcome, lag_ms)
 
-    def _drop_ticket(self, ticket: str) -> None:
-        session = self._session_of.pop(ticket, None)
-        if session is not None:
-            session.tickets.discard(ticket)
-
     # Upstreams
 
     async def announce(self, msg: Announce) -> None:
@@ -258,8 +247,7 @@
         view = FleetView(tuple(serving), len(self._sessions), controllers)
         if view != self._view:
             self._view = view
-            for session in self._sessions:
-                session.send(view)
+            self._sessions.tell_all(view)
         self._engines.match(self._engines_of(serving))
 
     def _engines_of(self, serving: list[UpstreamRecord]) -> Iterator[EngineRecord]:
@@ -272,10 +260,8 @@
         """Tell gateways what engines hold, so that they can do without a leader for a while."""
         held = frozenset(self._placer.ready())
         if held != self._held:
-            change = holdings_change(False, held - self._held, self._held - held)
+            self._sessions.tell_all(holdings_change(False, held - self._held, self._held - held))
             self._held = held
-            for session in self._sessions:
-                session.send(change)
 
     # Decisions
 
@@ -286,16 +272,11 @@
 
     def _carry_out(self, decision: Decision) -> None:
         match decision:
-            case Grant():
-                self._tell(decision)
+            case Grant(ticket):
+                self._sessions.tell(ticket, decision)
             case Reject(ticket, reason):
                 log.info("place: ticket=%s rejected reason=%s", ticket, reason)
-                self._tell(decision)
-                self._drop_ticket(ticket)
+                self._sessions.tell(ticket, decision)
+                self._sessions.free(ticket)
             case order:
                 self._engines.give(order)
-
-    def _tell(self, decision: Grant | Reject) -> None:
-        session = self._session_of.get(decision.ticket)
-        if session is not None:
-            session.send(decision)
