Hold calls while a gateway starts; keep following the leader whatever comes

Cause: after a power loss of all hosts gateways are back half a second before the controllers lead. Ruled out: a shorter election (the third controller had been up for 0.4 s, one election timeout). Change: in its first 1.5 s a gateway holds calls until it has a document; any later it is cut off, and refuses at once as before. A call's log line names its adapter. Also: an unexpected exception ended the task that follows the leader without a word; it is logged and the task goes on. Tests: test_forwarder.

--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -31,6 +31,7 @@
 from .holders import Holders
 from .leader_patience import LeaderPatience
 from .recent_gateways import RecentGateways
+from .route_source import RouteSource
 
 log = logging.getLogger(__name__)
 SILENT_MS = 3 * PULSE_MS
@@ -46,15 +47,13 @@
     """There is no stream to a leader now; the request was not placed."""
 
 
-class FleetClient:
+class FleetClient(RouteSource):
     """Follows the leader, keeps what it tells, and asks it for places.
 
     What was told last stays in use while no leader can be reached.
 
     Attributes
     ----------
-    table : RouteTable or None
-        Routes in force here; None before the first document.
     connected : bool
         Whether a stream to a leader is up.
     """
@@ -70,7 +69,6 @@
         self._first = controllers
         self._codec = codec
         self._clock = clock
-        self.table: RouteTable | None = None
         self.connected = False
         self._view = FleetView((), ())
         self._gateways = RecentGateways(clock)
@@ -81,6 +79,7 @@
         self._out: asyncio.Queue[Any] = asyncio.Queue()
         self._asked: dict[str, asyncio.Future[Grant | Reject]] = {}
         self._up = asyncio.Event()
+        self._has_table = asyncio.Event()
 
     def use_controllers(self, controllers: tuple[str, ...]) -> None:
         """Take the controllers that changed settings name."""
@@ -110,6 +109,11 @@
         """Engines that held an adapter when the leader last told."""
         return self._holders.of(adapter)
 
+    async def until_table(self, within_ms: float) -> RouteTable | None:
+        with contextlib.suppress(TimeoutError):
+            await self._clock.within_ms(within_ms, self._has_table.wait())
+        return self.table
+
     # Asking
 
     def tell(self, msg: Any) -> None:
@@ -150,7 +154,13 @@
             known = list(dict.fromkeys((*self._first, *self._view.controllers)))
             address = hint or known[turn % len(known)]
             turn += 1
-            hint = await self._follow(address)
+            try:
+                hint = await self._follow(address)
+            except Exception:
+                # Nobody waits for this task. If one strange message or an error of the RPC
+                # library ended it, the gateway would stay without a leader until its restart.
+                log.exception("leader: address=%s following failed", address)
+                hint = ""
             if not hint:
                 await self._clock.sleep_ms(RETRY_MS)
 
@@ -207,6 +217,7 @@
         match msg:
             case PutInForce(version, content) if version > self.version:
                 self.table = RouteTable(self._codec.decode(unpack(content)))
+                self._has_table.set()
                 log.info("document: in force version=%d from=%s", version, address)
             case FleetView():
                 self._take_view(msg)
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from .caller_reply import CallerReply
 from .place import NoPlace, Place, Places, Wanted
 from .progress import Progress
+from .route_source import RouteSource
 from .send_result import Delivered, Failed, Lost, Refused, SendResult
 from .sender import Sender
 from .shared_retry_budget import RetryBounds, SharedRetryBudget
@@ -24,6 +25,9 @@
 """Refused sends cost little, but each counts as a repeat for the upstream that refuses."""
 NOT_READY_RETRY_MS = 500
 """A gateway has its configuration within half a second of a leader."""
+STARTING_MS = 1_500
+"""After all hosts lost power, controllers start together with the gateways, and lead within half a
+second of that. A gateway without a document any later than this is cut off from them."""
 BROKEN_RETRY_MS = 500
 """An upstream that refuses or fails is left by others within this time."""
 LEAVING_RETRY_MS = 50
@@ -37,7 +41,7 @@
 
     def __init__(
         self,
-        table: Callable[[], RouteTable | None],
+        routes: RouteSource,
         gateways: Callable[[], int],
         engine_places: Places,
         plain_places: Places,
@@ -47,7 +51,7 @@
         metrics: Histograms,
         rng: random.Random,
     ) -> None:
-        self._table = table
+        self._routes = routes
         self._gateways = gateways
         self._engine_places = engine_places
         self._plain_places = plain_places
@@ -58,6 +62,7 @@
         self._rng = rng
         self._budgets: dict[str, SharedRetryBudget] = {}
         self._refusing = False
+        self._starting_until_ms = clock.now_ms() + STARTING_MS
 
     def refuse_new(self) -> None:
         """Refuse every call from now on; this gateway is about to end."""
@@ -68,7 +73,7 @@
         if self._refusing:
             await self._refuse(call, reply, 503, "leaving", Executed.NO, LEAVING_RETRY_MS)
             return
-        table = self._table()
+        table = self._routes.table or await self._first_table(call)
         if table is None:
             await self._refuse(call, reply, 503, "no_document", Executed.NO, NOT_READY_RETRY_MS)
             return
@@ -87,6 +92,15 @@
         except TimeoutError:
             await self._give_up(progress, reply, 504, "out_of_time", None)
 
+    async def _first_table(self, call: Call) -> RouteTable | None:
+        """Wait for the first document while this gateway starts.
+
+        Refused at once, every caller of the first moment comes back half a second later, all of
+        them at once, and late. Held, they are served as soon as the document is here: MEASURED
+        """
+        left_ms = min(self._starting_until_ms, call.deadline_ms) - self._clock.now_ms()
+        return await self._routes.until_table(left_ms) if left_ms > 0 else None
+
     def _budget(self, service: str) -> SharedRetryBudget:
         if service not in self._budgets:
             self._budgets[service] = SharedRetryBudget(self._bounds, self._clock)
@@ -209,10 +223,11 @@
     def _log_send(self, progress: Progress, route: Route, place: Place, result: SendResult) -> None:
         code = getattr(result, "code", getattr(result, "status", ""))
         log.info(
-            "call: id=%s route=%s send=%d instance=%s version=%d queued=%d loading=%d "
+            "call: id=%s route=%s adapter=%s send=%d instance=%s version=%d queued=%d loading=%d "
             "result=%s %s ms=%d",
             progress.call.request_id,
             route.name,
+            progress.call.adapter.adapter if progress.call.adapter else "",
             progress.sends,
             place.upstream.instance,
             place.version,
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -46,7 +46,7 @@
     fleet = FleetClient(name, settings.controllers, DocumentJson(), clock)
     api = UpstreamHttp()
     forwarder = Forwarder(
-        lambda: fleet.table,
+        fleet,
         lambda: fleet.gateways,
         EnginePlaces(fleet, clock, name, settings.data_centre),
         PlainPlaces(fleet.upstreams, clock, settings.data_centre),
--- a/chestnutfall/tests/fakes/fake_upstreams.py
+++ b/chestnutfall/tests/fakes/fake_upstreams.py
@@ -5,14 +5,34 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
+from ...clock import Clock
 from ...control.upstream_record import UpstreamRecord
 from ...forwarding.call import Headers
 from ...forwarding.caller_reply import CallerReply
 from ...forwarding.forwarded_call import ForwardedCall
 from ...forwarding.place import NoPlace, Place, Places, Wanted
+from ...forwarding.route_source import RouteSource
 from ...forwarding.upstream_answer import NotRun, UpstreamAnswer, UpstreamLoad
 from ...forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
 from ...placement import RunOutcome
+from ...routes import RouteTable
+
+
+class FixedRoutes(RouteSource):
+    """Routes that are in force from a given moment on."""
+
+    def __init__(self, table: RouteTable, clock: Clock, from_ms: int = 0) -> None:
+        self._clock = clock
+        self._later = table
+        self._from_ms = from_ms
+        self.table = table if from_ms <= clock.now_ms() else None
+
+    async def until_table(self, within_ms: float) -> RouteTable | None:
+        wait_ms = self._from_ms - self._clock.now_ms()
+        await self._clock.sleep_ms(min(wait_ms, within_ms))
+        if wait_ms <= within_ms:
+            self.table = self._later
+        return self.table
 
 
 class ScriptedUpstreams(UpstreamApi):
@@ -117,4 +137,12 @@
         self.ended = how
 
 
-__all__ = ["AnswerLost", "Cut", "ListedPlaces", "NotSent", "RecordedReply", "ScriptedUpstreams"]
+__all__ = [
+    "AnswerLost",
+    "Cut",
+    "FixedRoutes",
+    "ListedPlaces",
+    "NotSent",
+    "RecordedReply",
+    "ScriptedUpstreams",
+]
--- a/chestnutfall/tests/test_forwarder.py
+++ b/chestnutfall/tests/test_forwarder.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import random
 import unittest
@@ -31,6 +32,7 @@
 from .fakes.fake_upstreams import (
     AnswerLost,
     Cut,
+    FixedRoutes,
     ListedPlaces,
     NotSent,
     RecordedReply,
@@ -49,6 +51,7 @@
         self.clock = ManualClock()
         self.reply = RecordedReply()
         self.leaving = False
+        self.routes_from_ms = 0
 
     async def _serve(
         self, kind: RouteKind, script: tuple[Any, ...], attempts: int = 3, slack: float = 100
@@ -62,7 +65,7 @@
         self.places = ListedPlaces(*(f"i{at}" for at in range(len(script))))
         metrics = Histograms()
         forwarder = Forwarder(
-            lambda: table,
+            FixedRoutes(table, self.clock, self.routes_from_ms),
             lambda: 1,
             self.places,
             self.places,
@@ -75,9 +78,25 @@
         call = Call("id-1", "POST", "/a/x", "/a/x", "a.example", (), b"", 0, 4000)
         if self.leaving:
             forwarder.refuse_new()
-        await forwarder.serve(call, self.reply)
+        served = asyncio.ensure_future(forwarder.serve(call, self.reply))
+        for _ in range(self.routes_from_ms // 100 + 1):
+            await self.clock.advance(100)
+        await served
         return self.upstreams
 
+    async def test_a_call_that_comes_while_the_gateway_starts_is_held_and_served(self) -> None:
+        # All hosts lost power. Gateways are back half a second before the controllers have a
+        # leader; whoever is refused then comes back late, together with everyone else.
+        self.routes_from_ms = 600
+        await self._serve(RouteKind.NON_IDEMPOTENT, ((b"whole",),))
+        self.assertEqual((self.reply.status, self.reply.body), (200, b"whole"))
+
+    async def test_a_call_to_a_gateway_that_stays_without_routes_is_refused(self) -> None:
+        self.routes_from_ms = 60_000
+        upstreams = await self._serve(RouteKind.NON_IDEMPOTENT, ((b"whole",),))
+        self.assertEqual((self.reply.status, upstreams.sends), (503, []))
+        self.assertIsNotNone(self.reply.retry_after_ms)
+
     async def test_a_refused_send_goes_to_another_upstream(self) -> None:
         for refusal in (*NotRun, NotSent):
             with self.subTest(refusal):
--- a/chestnutfall/tests/test_soak.py
+++ b/chestnutfall/tests/test_soak.py
@@ -17,6 +17,14 @@
 
 LENGTH_S = 6.0
 SEED = 1
+LINES = 60
+
+
+def _print_logs(folder: Path) -> None:
+    """Show what the daemons wrote last; the folder is gone with the test."""
+    for log in sorted(folder.rglob("log")):
+        print(f"--- {log.parent.name}")
+        print("\n".join(log.read_text("utf-8").splitlines()[-LINES:]))
 
 
 class SoakTest(unittest.TestCase):
@@ -24,5 +32,7 @@
         logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
         with tempfile.TemporaryDirectory(prefix="soak-") as folder:
             verdict = asyncio.run(SoakRun(SEED, LENGTH_S, Path(folder)).run())
+            if verdict.broken:
+                _print_logs(Path(folder))
         self.assertEqual(verdict.broken, [])
         self.assertGreater(verdict.counts["answered"], 0)
