Place first who can be in time, wait for copies, judge late ones by their own pace

Cause: places for adapters bind. Ruled out: places for requests (217 of 448 taken on average), the weight store (38 of 112 loads on their way). Change: (a) order by whether a first event in time is still possible, loads included; (b) a request waits for its copy while a load elsewhere would still be in time; (c) an engine is shunned after two failed connections in a row; (d) late requests are judged by the pace of late ones, and a pace counts from its first grant.

--- a/chestnutfall/placement/choice.py
+++ b/chestnutfall/placement/choice.py
@@ -24,6 +24,11 @@
 paid for. An engine that held the adapter recently is worth waiting this much for."""
 MISS_HORIZON_S = 3.0
 """An evicted adapter is charged the loads it will need within this time."""
+FIRST_EVENT_MS = 100.0
+"""From a place on an engine with its adapter to the first event at the caller: 70 ms as a median
+and 30 for a longer batch or a busy gateway."""
+MARGIN_MS = 40.0
+"""A place elsewhere may be taken when the wait for a copy is over; another falls idle by then."""
 SURE_MS = 60.0
 """A holder that is this good is taken without weighing loads elsewhere: a load costs 25 ms at the
 least, and most requests find such a holder. Saves four fifths of the time of a choice."""
@@ -62,15 +67,61 @@
         self._now_ms = now_ms
         self._busy_ms = {one.instance: self._busy_of(one) for one in self._engines}
         self._loaders: dict[str, _Loader] | None = None
-
-    def best(self, req: PlaceRequest, prefixes: Prefixes) -> PlaceOption | None:
-        """The cheapest way to place `req` now; None when no engine can take it."""
+        self._names: set[AdapterName] | None = None
+        loads = (one.loads.expected_ms(recent=False) for one in self._engines)
+        self._load_ms = min(loads, default=0.0)
+
+    def best(
+        self, req: PlaceRequest, prefixes: Prefixes, objective_ms: float
+    ) -> PlaceOption | None:
+        """The cheapest way to place `req` now; None when it has to wait.
+
+        Parameters
+        ----------
+        objective_ms : float
+            Time left until its first event is late.
+        """
         held = _cheapest(self._as_they_are(req, prefixes))
         if held is not None and held.cost_ms <= SURE_MS:
             return held
         loaded = _cheapest(self._with_load(req)) if req.adapter.adapter else None
+        if held is None and loaded is not None and self._may_wait(req, loaded, objective_ms):
+            return None
         return _cheapest(one for one in (held, loaded) if one is not None)
 
+    def _may_wait(self, req: PlaceRequest, loaded: PlaceOption, objective_ms: float) -> bool:
+        """Whether to wait for an engine that has the adapter or a copy of it.
+
+        Such an engine is full for some ten ms only: one of its 16 requests ends every 25 ms, an
+        adapter falls idle every 90. A load elsewhere takes ten times as long as one from a copy,
+        takes a place there from another adapter, and is paid for. So it waits as long as a load
+        elsewhere would still be in time. MEASURED
+        """
+        if loaded.load_ms is None or loaded.engine.held_recently(req.adapter):
+            return False
+        spare_ms = objective_ms - loaded.load_ms - FIRST_EVENT_MS - MARGIN_MS
+        return spare_ms > 0 and any(
+            req.adapter in engine.holdings or engine.held_recently(req.adapter)
+            for engine in self._engines
+            if req.adapter.model in engine.models and engine.instance not in req.avoid
+        )
+
+    def can_be_in_time(self, req: PlaceRequest, objective_ms: float) -> bool:
+        """Whether the first event could come within `objective_ms` if it had a place now."""
+        spare_ms = objective_ms - FIRST_EVENT_MS
+        if spare_ms < 0 or spare_ms >= self._load_ms:
+            return spare_ms >= 0
+        return not req.adapter.adapter or req.adapter in self._at_hand()
+
+    def _at_hand(self) -> set[AdapterName]:
+        """Adapters that an engine holds, loads or has a copy of."""
+        if self._names is None:
+            self._names = set().union(
+                *(engine.holdings for engine in self._engines),
+                *(engine.recent for engine in self._engines),
+            )
+        return self._names
+
     def has_room(self, req: PlaceRequest) -> bool:
         """Whether any engine could start one more request."""
         return any(engine.has_room(req) for engine in self._engines)
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from ..routes import EngineSpec
 from .adapter_name import AdapterName
@@ -23,6 +23,10 @@
 nothing, and the one that comes in its place would then be one too many."""
 TRANSITS_PER_ENGINE = 4
 """Loads that an engine takes at the same time."""
+CONNECTION_STRIKES = 2
+"""On links that lose a few packets in a hundred, each engine has some failed connections a second
+beside many good ones; shunned at the first one, a quarter of the engines stands idle. A host that
+is down fails all connections, so that the second one comes some ms after the first."""
 KV_SHARE = 0.9
 """Part of an engine's memory that running requests may fill; the rest keeps prefixes."""
 
@@ -54,7 +58,7 @@
         self.running: dict[str, PlaceRequest] = {}
         self.loading_model = ""
         self.synced = False
-        self.health = UpstreamHealth()
+        self.health = UpstreamHealth(CONNECTION_STRIKES)
         self.loads = LoadTimer()
         self.prompts = PromptCache(int(spec.kv_tokens * KV_SHARE))
         self._kv_used = 0
@@ -135,6 +139,11 @@
         """Whether the engine probably still has a copy in its own memory."""
         return name in self._recent
 
+    @property
+    def recent(self) -> Iterable[AdapterName]:
+        """Adapters of which it probably has a copy in its own memory."""
+        return self._recent
+
     def forget_copy(self, name: AdapterName) -> None:
         """Note that the engine had no copy of an adapter in its own memory."""
         self._recent.pop(name, None)
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterator
 
 from ..clock import Clock
 from ..routes import EngineSpec
 from .adapter_name import AdapterName
-from .choice import Choice
 from .decisions import Decision, Grant, LoadAdapter, LoadModel, Order, Reject, UnloadAdapter
 from .demand import Demand
 from .engine import Engine
@@ -19,6 +17,7 @@
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
 from .run_outcome import RunOutcome
+from .service_round import ServiceRound
 from .upkeep import Upkeep
 from .waiting import Waiting
 
@@ -198,37 +197,31 @@
         """Yield what is to be done now."""
         now_ms = self._clock.now_ms()
         yield from self._upkeep.decide(self.engines.values(), now_ms)
-        choices: dict[str, Choice] = {}
-        full: set[str] = set()
-        queues: Counter[str] = Counter()
-        for waiting in sorted(self._waiting.values(), key=lambda one: one.order(now_ms)):
-            service = waiting.req.service
-            if service not in choices:
-                choices[service] = Choice(self._serving(service), self._demand, now_ms)
-            yield from self._place(waiting, now_ms, choices[service], full)
-            if waiting.req.ticket in self._waiting and not waiting.instance:
-                queues[service] += 1
-                yield from self._reject_if_hopeless(waiting, queues[service], now_ms)
-
-    def _place(
-        self, waiting: Waiting, now_ms: int, choice: Choice, full: set[str]
-    ) -> Iterator[Decision]:
-        req = waiting.req
-        if now_ms + LEAST_RUN_MS > waiting.since_ms + req.wait_ms:
+        rounds = {
+            service: ServiceRound(service, self._serving(service), self._demand, self._pace, now_ms)
+            for service in {waiting.req.service for waiting in self._waiting.values()}
+        }
+        in_order = sorted(
+            self._waiting.values(), key=lambda one: rounds[one.req.service].order(one)
+        )
+        for waiting in in_order:
+            yield from self._place(waiting, rounds[waiting.req.service], now_ms)
+
+    def _place(self, waiting: Waiting, now: ServiceRound, now_ms: int) -> Iterator[Decision]:
+        if now_ms + LEAST_RUN_MS > waiting.since_ms + waiting.req.wait_ms:
             yield self._reject(waiting, "no_time_left")
         elif waiting.instance:
             yield from self._grant_when_ready(waiting, now_ms)
-        elif req.service not in full:
-            option = choice.best(req, waiting.prefixes)
-            if option is not None:
-                yield from self._assign(waiting, option, now_ms)
-                yield from self._grant_when_ready(waiting, now_ms)
-                choice.changed(option.engine)
-            elif not choice.has_room(req):
-                full.add(req.service)
-
-    def _serving(self, service: str) -> Iterator[Engine]:
-        return (engine for engine in self.engines.values() if engine.service == service)
+        elif (option := now.best(waiting)) is not None:
+            self._pace.note(waiting.req.service, now.can_be_in_time(waiting), now_ms)
+            yield from self._assign(waiting, option, now_ms)
+            yield from self._grant_when_ready(waiting, now_ms)
+            now.choice.changed(option.engine)
+        else:
+            yield from self._reject_if_hopeless(waiting, now.queue_ms(waiting), now_ms)
+
+    def _serving(self, service: str) -> list[Engine]:
+        return [engine for engine in self.engines.values() if engine.service == service]
 
     def _assign(self, waiting: Waiting, option: PlaceOption, now_ms: int) -> Iterator[Decision]:
         req, engine = waiting.req, option.engine
@@ -267,7 +260,6 @@
         if holding is not None and not holding.is_ready(now_ms):
             return
         del self._waiting[waiting.req.ticket]
-        self._pace.note(waiting.req.service, now_ms)
         self._places[waiting.req.ticket] = engine.instance
         yield Grant(
             waiting.req.ticket,
@@ -277,14 +269,15 @@
             now_ms - waiting.assigned_ms,
         )
 
-    def _reject_if_hopeless(self, waiting: Waiting, ahead: int, now_ms: int) -> Iterator[Decision]:
+    def _reject_if_hopeless(
+        self, waiting: Waiting, queue_ms: float, now_ms: int
+    ) -> Iterator[Decision]:
         """Refuse a request at once if those before it take longer than it has time.
 
         Holding it until its time is over would serve it no better, and cost its caller the time
         to come back.
         """
         left_ms = waiting.since_ms + waiting.req.wait_ms - now_ms
-        queue_ms = self._pace.wait_ms(waiting.req.service, ahead, now_ms)
         if queue_ms > left_ms:
             yield self._reject(waiting, "queue_too_long", int(queue_ms))
 
--- /dev/null
+++ b/chestnutfall/placement/service_round.py
@@ -0,0 +1,56 @@
+"""One service's queue and engines during one round of decisions."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from .choice import Choice
+from .demand import Demand
+from .engine import Engine
+from .pace import Pace
+from .place_option import PlaceOption
+from .waiting import Waiting
+
+
+class ServiceRound:
+    """Who goes first, who can be placed, and how long the rest waits.
+
+    Attributes
+    ----------
+    choice : Choice
+        The service's engines.
+    """
+
+    def __init__(
+        self, service: str, engines: Sequence[Engine], demand: Demand, pace: Pace, now_ms: int
+    ) -> None:
+        self.choice = Choice(engines, demand, now_ms)
+        self._now_ms = now_ms
+        self._full = False
+        self._queue_ms = 0.0
+        self._step_ms = pace.step_ms(service, len(engines), now_ms)
+        self._late_step_ms = pace.late_step_ms(service, len(engines), now_ms)
+
+    def can_be_in_time(self, waiting: Waiting) -> bool:
+        """Whether its first event could be in time if it had a place now."""
+        return self.choice.can_be_in_time(waiting.req, waiting.objective_ms(self._now_ms))
+
+    def order(self, waiting: Waiting) -> tuple[int, bool, int]:
+        """Sort key: who goes first."""
+        return waiting.order(self.can_be_in_time(waiting))
+
+    def best(self, waiting: Waiting) -> PlaceOption | None:
+        """The best place for a request now; None when it has to wait."""
+        if self._full:
+            return None
+        objective_ms = waiting.objective_ms(self._now_ms)
+        option = self.choice.best(waiting.req, waiting.prefixes, objective_ms)
+        # What one request finds full is not tried for each one behind it.
+        self._full = option is None and not self.choice.has_room(waiting.req)
+        return option
+
+    def queue_ms(self, waiting: Waiting) -> float:
+        """How long a request that found no place waits behind those before it in this round."""
+        in_time = self.can_be_in_time(waiting)
+        self._queue_ms += self._step_ms if in_time else self._late_step_ms
+        return self._queue_ms
--- a/chestnutfall/placement/upstream_health.py
+++ b/chestnutfall/placement/upstream_health.py
@@ -13,15 +13,23 @@
 FAILURE_COST_MS = 2_000
 """A failed run costs its caller a second attempt or the answer; as much as waiting two seconds."""
 SHUN_MS = 1_000
-"""After a refused or timed-out connection nothing is sent for this long: about one heartbeat."""
+"""After refused or timed-out connections nothing is sent for this long: about one heartbeat."""
 LAG_WEIGHT = 0.2
 """A delay counts fully after about five answers, so that one slow answer shuns nobody."""
 
 
 class UpstreamHealth:
-    """Failures and delays, decaying with time."""
+    """Failures and delays, decaying with time.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    strikes : int
+        Failed connections in a row, without an answer between them, after which nothing is sent.
+    """
+
+    def __init__(self, strikes: int = 1) -> None:
+        self._strikes = strikes
+        self._failed_connections = 0
         self._failure = 0.0
         self._lag_ms = 0.0
         self._at_ms = 0
@@ -35,11 +43,16 @@
         """Take an outcome in."""
         self._decay(now_ms)
         match outcome:
-            case RunOutcome.UNREACHABLE | RunOutcome.REPLACED:
+            case RunOutcome.UNREACHABLE:
+                self._failed_connections += 1
+                if self._failed_connections >= self._strikes:
+                    self._shunned_until_ms = now_ms + SHUN_MS
+            case RunOutcome.REPLACED:
                 self._shunned_until_ms = now_ms + SHUN_MS
             case RunOutcome.BROKEN:
                 self._failure += FAILURE_WEIGHT * (1 - self._failure)
             case RunOutcome.DONE:
+                self._failed_connections = 0
                 self._failure -= FAILURE_WEIGHT * self._failure
             case _:
                 pass
--- a/chestnutfall/placement/waiting.py
+++ b/chestnutfall/placement/waiting.py
@@ -29,11 +29,14 @@
     def __post_init__(self) -> None:
         self.prefixes = prefixes_of(self.req)
 
-    def order(self, now_ms: int) -> tuple[int, bool, int]:
+    def objective_ms(self, now_ms: int) -> int:
+        """Time left until its first event is late; negative when it is."""
+        return self.since_ms + self.req.objective_ms - now_ms
+
+    def order(self, in_time: bool) -> tuple[int, bool, int]:
         """Most urgent first, then who can still be in time, then first come.
 
         When more arrive than can be placed, first come alone serves everyone late. Those that
-        are late already lose little by waiting on, and are refused once they have no hope.
+        will be late anyway lose little by waiting on, and are refused once they have no hope.
         """
-        is_late = now_ms > self.since_ms + self.req.objective_ms
-        return self.req.rank, is_late, self.since_ms
+        return self.req.rank, not in_time, self.since_ms
--- a/chestnutfall/tests/test_choice.py
+++ b/chestnutfall/tests/test_choice.py
@@ -11,8 +11,16 @@
 from unittest import mock
 
 from ..clock import ManualClock
-from ..placement import AdapterName, EngineReport, LoadAdapter, Placer, PlaceRequest
-from ..placement.engine import Engine
+from ..placement import (
+    AdapterName,
+    EngineReport,
+    LoadAdapter,
+    Placer,
+    PlaceRequest,
+    RunOutcome,
+)
+from ..placement.engine import CONNECTION_STRIKES, Engine
+from ..placement.upstream_health import UpstreamHealth
 from ..routes import EngineSpec, ModelSpec
 
 MODEL = "base"
@@ -59,3 +67,67 @@
             placer.submit(_request(f"t{number}", f"a{number}", "dc0"))
         loads = [one for one in placer.decide() if isinstance(one, LoadAdapter)]
         self.assertEqual(len({load.instance for load in loads}), ENGINES)
+
+    def test_a_request_waits_a_moment_for_the_engine_that_has_a_copy(self) -> None:
+        # Places for adapters are all in use. Whoever goes to another engine at once loads for ten
+        # times as long there, and takes the place that the next one needs.
+        clock = ManualClock()
+        placer = _placer(clock)
+        busy = placer.engines["e0"]
+        busy.note_dropped(AdapterName(MODEL, "a0"))
+        with mock.patch.object(Engine, "can_load_more", lambda one, now_ms: one is not busy):
+            placer.submit(_request("t0", "a0"))
+            self.assertEqual(list(placer.decide()), [])
+            clock._now_ms += 20
+            self.assertEqual(list(placer.decide()), [])
+        loads = [one for one in placer.decide() if isinstance(one, LoadAdapter)]
+        self.assertEqual([load.instance for load in loads], ["e0"])
+
+    def test_it_waits_no_longer_than_a_load_elsewhere_is_still_in_time(self) -> None:
+        clock = ManualClock()
+        placer = _placer(clock)
+        busy = placer.engines["e0"]
+        busy.note_dropped(AdapterName(MODEL, "a0"))
+        with mock.patch.object(Engine, "can_load_more", lambda one, now_ms: one is not busy):
+            placer.submit(_request("t0", "a0"))
+            self.assertEqual(list(placer.decide()), [])
+            clock._now_ms += 100
+            loads = [one for one in placer.decide() if isinstance(one, LoadAdapter)]
+        self.assertEqual(len(loads), 1)
+        self.assertNotEqual(loads[0].instance, "e0")
+
+    def test_who_will_be_late_anyway_steps_back_before_it_is(self) -> None:
+        # One place for an adapter is left. The first in the queue waited for so long that its
+        # load would end too late; served first, both would be late.
+        clock = ManualClock()
+        placer = Placer(clock)
+        spec = EngineSpec(16, 200_000, (ModelSpec(MODEL, 50),), 60, 1, 30)
+        placer.engine_up("e0", "s", "dc0", spec)
+        placer.engine_reported("e0", EngineReport({MODEL: 1}, {}, {}, 0))
+        engine = placer.engines["e0"]
+        with mock.patch.object(Engine, "can_load_more", lambda one, now_ms: False):
+            placer.submit(_request("early", "a0"))
+            clock._now_ms += 300
+            self.assertEqual(list(placer.decide()), [])
+        placer.submit(_request("fresh", "a1"))
+        loads = [one for one in placer.decide() if isinstance(one, LoadAdapter)]
+        self.assertEqual([load.adapter.adapter for load in loads], ["a1"])
+        self.assertEqual(len(engine.running), 1)
+
+
+class StrikesTest(unittest.TestCase):
+    def test_a_link_that_loses_some_packets_leaves_an_engine_in_use(self) -> None:
+        # A few connections in a hundred fail beside many answers. Shunned for each of them, a
+        # quarter of the engines stands idle while requests wait for the others.
+        health = UpstreamHealth(CONNECTION_STRIKES)
+        for now_ms in range(0, 1_000, 100):
+            health.note(RunOutcome.UNREACHABLE, now_ms)
+            self.assertFalse(health.is_shunned(now_ms))
+            health.note(RunOutcome.DONE, now_ms)
+
+    def test_an_engine_that_is_down_is_shunned_at_the_second_failure(self) -> None:
+        health = UpstreamHealth(CONNECTION_STRIKES)
+        health.note(RunOutcome.DONE, 0)
+        for now_ms in (10, 20):
+            health.note(RunOutcome.UNREACHABLE, now_ms)
+        self.assertTrue(health.is_shunned(20))
