--- a/chestnutfall/coordination/engine_orders.py
+++ b/chestnutfall/coordination/engine_orders.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..placement import EngineReport, LoadAdapter, Order, Placer, UnloadAdapter
+from .answer_timer import AnswerTimer
 from .engine_control import EngineControl, OrderResult
 
 log = logging.getLogger(__name__)
@@ -21,14 +22,6 @@
 DOUBTFUL_RETRIES = 9
 """After an order without an answer "busy" is still likelier; a busy engine has a place again
 within this time, and only then is the report worth the wait for it."""
-ANSWER_FACTOR = 4
-FIRST_ANSWER_MS = 15.0
-"""A round trip between data centres and the engine's work, with a margin, until measured."""
-ANSWER_WEIGHT = 0.1
-"""The usual answer is an average over about ten orders."""
-LEAST_ANSWER_MS = 25
-"""An answer that takes four times as long as usual, and longer than a stutter of either process,
-will not come; a second send does no harm, and a longer wait holds up all loads of the engine."""
 DROP_POLLS = 20
 """Four seconds; most requests end within one."""
 SETTLE_MS = 200
@@ -68,7 +61,7 @@
         self._fenced = False
         self._resync_queued = False
         self._certain = False
-        self._answer_ms = FIRST_ANSWER_MS
+        self._timer = AnswerTimer()
 
     def give(self, order: Order) -> None:
         """Queue an order."""
@@ -164,12 +157,18 @@
 
     async def _send_once(self, order: Order) -> OrderResult:
         self._ordered_ms = self._clock.now_ms()
-        within_ms = max(ANSWER_FACTOR * self._answer_ms, LEAST_ANSWER_MS)
         result = await self._control.order(
-            self.address, order, self._fencing_token, self._orders_taken, within_ms
+            self.address,
+            order,
+            self._fencing_token,
+            self._orders_taken,
+            self._timer.wait_ms,
         )
         took_ms = self._clock.now_ms() - self._ordered_ms
-        self._answer_ms += ANSWER_WEIGHT * (took_ms - self._answer_ms)
+        if result is OrderResult.UNKNOWN:
+            self._timer.unanswered()
+        else:
+            self._timer.answered(took_ms)
         log.info(
             "order: instance=%s order=%s token=%d taken=%d result=%s ms=%d",
             self.instance,
--- /dev/null
+++ b/chestnutfall/tests/test_answer_timer.py
@@ -0,0 +1,35 @@
+"""An engine that leaves a part of its orders unanswered and carries them out late.
+
+Callers wait for loads that nobody orders: the wait for each answer grows with every one that does
+not come, until the orders of that engine stand still.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from ..coordination.answer_timer import FACTOR, LEAST_MS, AnswerTimer
+
+USUAL_MS = 5.0
+
+
+class AnswerTimerTest(unittest.TestCase):
+    def test_lost_answers_hardly_lengthen_the_wait(self) -> None:
+        for lost_of_ten in (3, 5):
+            with self.subTest(lost_of_ten):
+                timer = AnswerTimer()
+                for at in range(200):
+                    if at % 10 < lost_of_ten:
+                        timer.unanswered()
+                    else:
+                        timer.answered(USUAL_MS)
+                self.assertLess(timer.wait_ms, 3 * FACTOR * USUAL_MS)
+
+    def test_a_slower_engine_is_waited_for(self) -> None:
+        timer = AnswerTimer()
+        for _ in range(50):
+            timer.answered(USUAL_MS)
+        self.assertEqual(timer.wait_ms, LEAST_MS)
+        for _ in range(60):
+            timer.unanswered()
+        self.assertGreater(timer.wait_ms, 200)
