--- a/chestnutfall/placement/service_round.py
+++ b/chestnutfall/placement/service_round.py
@@ -28,6 +28,7 @@
         self._now_ms = now_ms
         self._full = False
         self._queue_ms = 0.0
+        self._late = 0
         self._step_ms = pace.step_ms(service, len(engines), now_ms)
         self._late_step_ms = pace.late_step_ms(service, len(engines), now_ms)
 
@@ -36,8 +37,10 @@
         return self.choice.can_be_in_time(waiting.req, waiting.objective_ms(self._now_ms))
 
     def order(self, waiting: Waiting) -> tuple[int, bool, int]:
-        """Sort key: who goes first."""
-        return waiting.order(self.can_be_in_time(waiting))
+        """Sort key: who goes first. To be asked once for each waiting request."""
+        in_time = self.can_be_in_time(waiting)
+        self._late += not in_time
+        return waiting.order(in_time)
 
     def best(self, waiting: Waiting) -> PlaceOption | None:
         """The best place for a request now; None when it has to wait."""
@@ -51,6 +54,14 @@
 
     def queue_ms(self, waiting: Waiting) -> float:
         """How long a request that found no place waits behind those before it in this round."""
-        in_time = self.can_be_in_time(waiting)
-        self._queue_ms += self._step_ms if in_time else self._late_step_ms
-        return self._queue_ms
+        if not self.can_be_in_time(waiting):
+            self._queue_ms += self._late_step_ms
+            return self._queue_ms
+        before_ms = self._queue_ms
+        self._queue_ms += self._step_ms
+        left_ms = waiting.objective_ms(self._now_ms) - before_ms
+        if self.choice.can_be_in_time(waiting.req, left_ms):
+            return before_ms
+        # Its turn comes too late, so that it will stand behind those that are late already. Known
+        # at once, its caller is told at once, and not after a tenth of a second of waiting.
+        return before_ms + (self._late + 1) * self._late_step_ms
--- a/chestnutfall/tests/test_choice.py
+++ b/chestnutfall/tests/test_choice.py
@@ -17,6 +17,7 @@
     LoadAdapter,
     Placer,
     PlaceRequest,
+    Reject,
     RunOutcome,
 )
 from ..placement.engine import CONNECTION_STRIKES, Engine
@@ -115,6 +116,32 @@
         self.assertEqual(len(engine.running), 1)
 
 
+class HopeTest(unittest.TestCase):
+    def test_who_will_be_late_and_then_not_served_is_refused_at_once(self) -> None:
+        # Half of the engines are gone, and the others start ten requests a second. A caller whose
+        # turn comes after its objective, behind others that are late already, would wait for
+        # seconds until it gives up.
+        clock = ManualClock()
+        placer = Placer(clock)
+        placer.engine_up("e0", "s", "dc0", SPEC)
+        placer.engine_reported("e0", EngineReport({MODEL: 1}, {}, {}, 0))
+        with mock.patch.object(Engine, "can_load_more", lambda one, now_ms: False):
+            for number in range(8):
+                placer.submit(_short(f"late{number}"))
+            clock._now_ms += 450
+            list(placer.decide())
+            for number in range(4):
+                placer.submit(_short(f"fresh{number}"))
+            rejected = [one.ticket for one in placer.decide() if isinstance(one, Reject)]
+        self.assertIn("fresh3", rejected)
+        self.assertNotIn("fresh0", rejected)
+
+
+def _short(ticket: str) -> PlaceRequest:
+    name = AdapterName(MODEL, ticket)
+    return PlaceRequest(ticket, "s", name, 600, 60, (), 1, 500, 4_000, "dc0")
+
+
 class StrikesTest(unittest.TestCase):
     def test_a_link_that_loses_some_packets_leaves_an_engine_in_use(self) -> None:
         # A few connections in a hundred fail beside many answers. Shunned for each of them, a
