Elect sooner: ask again soon, count the start as silence

Voters refuse for one timeout after their start, although they heard nobody while they loaded their libraries; a refused candidate waited for a whole timeout again. Ruled out: shorter timeouts (a leader under load is late by 350 ms at times). Change: the time since the process began counts as silence; after a refused pre-vote a candidate asks again within a quarter to half of the least timeout. Pre-votes depose nobody. Tests: ElectionTimeTest; the mutant 'restarted follower votes at once' follows the moved line.

--- a/chestnutfall/consensus/replica.py
+++ b/chestnutfall/consensus/replica.py
@@ -80,8 +80,14 @@
 
     # Life
 
-    def start(self) -> None:
-        """Read the stored state and begin to take part."""
+    def start(self, process_start_ms: int | None = None) -> None:
+        """Read the stored state and begin to take part.
+
+        Parameters
+        ----------
+        process_start_ms : int, optional
+            When the process began, if no replica ran in it before this one.
+        """
         stored = self._storage.load()
         self.term = stored.hard_state.term
         self.voted_for = stored.hard_state.voted_for
@@ -92,8 +98,11 @@
         self.failed: asyncio.Future[BaseException] = asyncio.get_running_loop().create_future()
         # A restarted follower has forgotten whether it heard from a leader just before.
         # Symptom: its vote elects a second leader inside the first one's lease. So it counts
-        # its own start as such a moment and votes for nobody during one election timeout.
-        self._heard_leader_ms = self.clock.now_ms()
+        # its own start as such a moment and votes for nobody during one election timeout. A
+        # process that has just begun heard nobody while it was loading its libraries, so that
+        # this time counts: 0.2 s less without a leader after all hosts lost power.
+        now_ms = self.clock.now_ms()
+        self._heard_leader_ms = min(process_start_ms or now_ms, now_ms)
         self._restart_election_timer()
         self.spawn(self.journal.run())
         self.spawn(self._watch_leader())
@@ -352,6 +361,16 @@
         wait_ms = self._rng.randint(self.timing.election_min_ms, self.timing.election_max_ms)
         self._election_due_ms = self.clock.now_ms() + wait_ms
 
+    def _ask_again_soon(self) -> None:
+        """Ask for votes again before the next whole timeout.
+
+        Voters refuse for one election timeout after they heard from the old leader, and some heard
+        a heartbeat later than we did; others are just starting. Asking in advance deposes nobody,
+        so it need not wait: a new leader comes after 0.4 s instead of up to a second.
+        """
+        least_ms = self.timing.election_min_ms // 4
+        self._election_due_ms = self.clock.now_ms() + self._rng.randint(least_ms, 2 * least_ms)
+
     async def _watch_leader(self) -> None:
         while True:
             wait_ms = self._election_due_ms - self.clock.now_ms()
@@ -374,6 +393,7 @@
             # Asking first without raising the term keeps a replica that can't win from deposing
             # a leader when its partition heals.
             if not transfer and not await collect_votes(self, self.term + 1, True, False):
+                self._ask_again_soon()
                 return
             self.term += 1
             self.voted_for = self.replica_id
--- a/chestnutfall/coordination/controller_run.py
+++ b/chestnutfall/coordination/controller_run.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from ..clock import Clock
+from ..clock.process_start import PROCESS_START_MS
 from ..consensus import Member, Replica, Timing
 from ..consensus.disk_folder import DiskFolder
 from ..consensus.disk_identity import begin_anew, found_group, identity_of
@@ -74,6 +75,7 @@
         self._metrics = metrics
         self._replica: Replica | None = None
         self._joiner: GroupJoiner | None = None
+        self._process_start_ms: int | None = PROCESS_START_MS
         self.desk = DeskInUse()
 
     def use_settings(self, settings: FleetSettings) -> None:
@@ -143,7 +145,8 @@
             SNAPSHOT_EVERY,
             KEEP_ENTRIES,
         )
-        replica.start()
+        replica.start(self._process_start_ms)
+        self._process_start_ms = None
         leader = FleetLeader(
             replica, state, self._codec, self._engines, clock, settings.heartbeat_ms
         )
--- a/chestnutfall/tests/fakes/fake_cluster.py
+++ b/chestnutfall/tests/fakes/fake_cluster.py
@@ -53,7 +53,7 @@
         self.names.append(name)
         self.start(name)
 
-    def start(self, name: str) -> None:
+    def start(self, name: str, process_start_ms: int | None = None) -> None:
         """Start the process of a replica on its folder as it is."""
         clock = NodeClock(self.clock)
         replica = Replica(
@@ -67,7 +67,7 @@
             SNAPSHOT_EVERY,
             KEEP_ENTRIES,
         )
-        replica.start()
+        replica.start(process_start_ms)
         self.replicas[name] = replica
         self.clocks[name] = clock
         self.network.connect(name, replica.handle, clock)
--- a/chestnutfall/tests/test_replica.py
+++ b/chestnutfall/tests/test_replica.py
@@ -285,3 +285,45 @@
 
 async def _await(fut: asyncio.Future[None]) -> None:
     await fut
+
+
+class ElectionTimeTest(unittest.IsolatedAsyncioTestCase):
+    async def _without_leader_ms(self, seed: int) -> int:
+        cluster = FakeCluster(seed, ("a", "b", "c", "d", "e"))
+        await cluster.bootstrap()
+        lost = (await cluster.leader()).replica_id
+        await cluster.clock.advance(500)
+        cluster.isolate(lost)
+        passed_ms = 0
+        while not [name for name in cluster.deciding() if name != lost]:
+            await cluster.clock.advance(10)
+            passed_ms += 10
+        await cluster.stop()
+        return passed_ms
+
+    async def test_a_refused_candidate_asks_again_before_a_whole_timeout(self) -> None:
+        # Callers wait for a leader. The first candidate asks while another voter, who heard a
+        # heartbeat a little later, still refuses; asking again after a whole timeout only, the
+        # group stays without a leader for two of them.
+        waits_ms = [await self._without_leader_ms(seed) for seed in range(12)]
+        self.assertLess(max(waits_ms), 1_400)
+
+    async def test_what_a_process_spent_on_starting_counts_as_silence(self) -> None:
+        # After all hosts lost power a replica votes for nobody until one timeout after its
+        # start, in case it heard a leader before. It did not while it loaded its libraries.
+        cluster = FakeCluster(3)
+        await cluster.bootstrap()
+        await cluster.leader()
+        for name in cluster.names:
+            await cluster.crash(name)
+        await cluster.clock.advance(2_000)
+        started_ms = cluster.clock.now_ms() - 400
+        for name in cluster.names:
+            cluster.start(name, started_ms)
+        voter, candidate = cluster.replicas["a"], cluster.replicas["b"]
+        await cluster.clock.advance(250)
+        req = VoteRequest("a", "b", 99, candidate.log.last_index, 99, True, False)
+        asked = asyncio.ensure_future(voter.handle(req))
+        await cluster.clock.advance(10)
+        self.assertTrue((await asked).granted)
+        await cluster.stop()
--- a/properties/mutant_list.py
+++ b/properties/mutant_list.py
@@ -42,8 +42,8 @@
     Mutant(
         "restarted follower votes at once",
         _REPLICA,
-        "during one election timeout.\n        self._heard_leader_ms = self.clock.now_ms()",
-        "during one election timeout.\n        self._heard_leader_ms = -10_000",
+        "        self._heard_leader_ms = min(process_start_ms or now_ms, now_ms)",
+        "        self._heard_leader_ms = -10_000",
         _REPLICA_TEST,
     ),
     Mutant(
