--- a/chestnutfall/coordination/group_joiner.py
+++ b/chestnutfall/coordination/group_joiner.py
@@ -4,7 +4,7 @@
 
 from ..clock import Clock
 from ..consensus import Replica
-from ..consensus.replica import Role
+from ..consensus.role import Role
 from .relay_desk import RelayDesk
 from .relay_messages import Accepted, JoinGroup, Unavailable
 
--- a/chestnutfall/tests/fakes/fake_cluster.py
+++ b/chestnutfall/tests/fakes/fake_cluster.py
@@ -9,7 +9,7 @@
 from ...clock import ManualClock
 from ...consensus import Member, Replica, StateMachine, Timing
 from ...consensus.file_storage import FileStorage
-from ...consensus.replica import Role
+from ...consensus.role import Role
 from .fake_folder import FakeFolder
 from .fake_network import FakeNetwork
 from .node_clock import NodeClock
--- a/chestnutfall/tests/test_choice.py
+++ b/chestnutfall/tests/test_choice.py
@@ -44,6 +44,15 @@
     return placer
 
 
+def _busy_with_a_copy() -> tuple[ManualClock, Placer, Engine]:
+    """A clock, a placer, and the one engine that has a copy of adapter a0."""
+    clock = ManualClock()
+    placer = _placer(clock)
+    busy = placer.engines["e0"]
+    busy.note_dropped(AdapterName(MODEL, "a0"))
+    return clock, placer, busy
+
+
 class ChoiceTest(unittest.TestCase):
     def test_a_round_looks_at_an_engine_once_however_many_requests_wait(self) -> None:
         # An outage of the controllers ends; everyone wants another adapter than the engines hold.
@@ -72,10 +81,7 @@
     def test_a_request_waits_a_moment_for_the_engine_that_has_a_copy(self) -> None:
         # Places for adapters are all in use. Whoever goes to another engine at once loads for ten
         # times as long there, and takes the place that the next one needs.
-        clock = ManualClock()
-        placer = _placer(clock)
-        busy = placer.engines["e0"]
-        busy.note_dropped(AdapterName(MODEL, "a0"))
+        clock, placer, busy = _busy_with_a_copy()
         with mock.patch.object(Engine, "can_load_more", lambda one, now_ms: one is not busy):
             placer.submit(_request("t0", "a0"))
             self.assertEqual(list(placer.decide()), [])
@@ -85,10 +91,7 @@
         self.assertEqual([load.instance for load in loads], ["e0"])
 
     def test_it_waits_no_longer_than_a_load_elsewhere_is_still_in_time(self) -> None:
-        clock = ManualClock()
-        placer = _placer(clock)
-        busy = placer.engines["e0"]
-        busy.note_dropped(AdapterName(MODEL, "a0"))
+        clock, placer, busy = _busy_with_a_copy()
         with mock.patch.object(Engine, "can_load_more", lambda one, now_ms: one is not busy):
             placer.submit(_request("t0", "a0"))
             self.assertEqual(list(placer.decide()), [])
--- a/properties/mutant_list.py
+++ b/properties/mutant_list.py
@@ -5,6 +5,8 @@
 from .mutant import Mutant
 
 _REPLICA = "chestnutfall/consensus/replica.py"
+_ELECTION = "chestnutfall/consensus/election.py"
+_FOLLOWER = "chestnutfall/consensus/follower.py"
 _STATE = "chestnutfall/control/control_state.py"
 _REPLICA_TEST = "chestnutfall.tests.test_replica"
 _STATE_TEST = "properties.test_control_state"
@@ -20,6 +22,7 @@
 _FAULTS_TEST = "chestnutfall.tests.test_request_faults"
 _OWNERSHIP_TEST = "chestnutfall.tests.test_ownership"
 _CONFIG_TEST = "chestnutfall.tests.test_configuration_in_force"
+_CHOICE_TEST = "chestnutfall.tests.test_choice"
 _ONCE_TEST = "chestnutfall.tests.test_at_most_once"
 _LEASE = "        if self.leaving or self._clock.now_ms() >= self._lease_until_ms:"
 _SERVING_STATE = '        return heard and self.announcement.state == "serving"'
@@ -34,38 +37,38 @@
     ),
     Mutant(
         "votes although it hears a leader",
-        _REPLICA,
+        _ELECTION,
         "        if self._follows_leader() and not req.transfer:",
         "        if False:",
         _REPLICA_TEST,
     ),
     Mutant(
         "restarted follower votes at once",
-        _REPLICA,
+        _ELECTION,
         "        self._heard_leader_ms = min(process_start_ms or now_ms, now_ms)",
         "        self._heard_leader_ms = -10_000",
         _REPLICA_TEST,
     ),
     Mutant(
         "no pre-vote",
-        _REPLICA,
-        "            if not transfer and not await collect_votes(",
-        "            if False and not await collect_votes(",
+        _ELECTION,
+        "        if not transfer and not await collect_votes(",
+        "        if False and not await collect_votes(",
         _REPLICA_TEST,
     ),
     Mutant(
         "vote not stored before it is given",
-        _REPLICA,
-        "        await self.journal.write([HardState(self.term, self.voted_for)])\n"
+        _ELECTION,
+        "        await replica.journal.write([HardState(replica.term, replica.voted_for)])\n"
         "        still = ",
         "        still = ",
         _REPLICA_TEST,
     ),
     Mutant(
         "append acknowledged before it is synced",
-        _REPLICA,
-        "        await self.journal.write(records)\n        matched =",
-        "        self.journal.write(records)\n        matched =",
+        _FOLLOWER,
+        "        await replica.journal.write(records)\n        matched =",
+        "        replica.journal.write(records)\n        matched =",
         _REPLICA_TEST,
     ),
     Mutant(
@@ -77,7 +80,7 @@
     ),
     Mutant(
         "vote for a shorter log",
-        _REPLICA,
+        _ELECTION,
         "        up_to_date = (req.last_term, req.last_index) >= ours",
         "        up_to_date = bool(ours)",
         _REPLICA_TEST,
@@ -425,4 +428,88 @@
         "                raise",
         _FAULTS_TEST,
     ),
+    Mutant(
+        "start of the process does not count as silence",
+        _ELECTION,
+        "        self._heard_leader_ms = min(process_start_ms or now_ms, now_ms)",
+        "        self._heard_leader_ms = now_ms",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "refused candidate waits a whole timeout",
+        _ELECTION,
+        "            self._ask_again_soon()\n",
+        "",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "first word awaited equally long each time",
+        "chestnutfall/forwarding/leader_patience.py",
+        "min(2 * self.wait_ms(address), MOST_MS)",
+        "FIRST_MS",
+        "chestnutfall.tests.test_leader_rush",
+    ),
+    Mutant(
+        "new leader's count of gateways taken at its word",
+        "chestnutfall/forwarding/recent_gateways.py",
+        "        if gateways >= self._most or now_ms - self._told_ms > REMEMBERED_MS:",
+        "        if True:",
+        "chestnutfall.tests.test_leader_rush",
+    ),
+    Mutant(
+        "calls refused while the gateway starts",
+        "chestnutfall/forwarding/forwarder.py",
+        "self._routes.table or await self._first_table(call)",
+        "self._routes.table",
+        "chestnutfall.tests.test_forwarder",
+    ),
+    Mutant(
+        "lost answer counts with the time waited for it",
+        "chestnutfall/coordination/answer_timer.py",
+        "UNANSWERED_FACTOR * self._usual_ms",
+        "self.wait_ms",
+        "chestnutfall.tests.test_answer_timer",
+    ),
+    Mutant(
+        "no wait for a copy",
+        "chestnutfall/placement/choice.py",
+        "        if held is None and loaded is not None and self._may_wait(",
+        "        if False and loaded is not None and self._may_wait(",
+        _CHOICE_TEST,
+    ),
+    Mutant(
+        "first come first served, late or not",
+        "chestnutfall/placement/waiting.py",
+        "        return not in_time, self.req.rank, self.since_ms",
+        "        return False, self.req.rank, self.since_ms",
+        _CHOICE_TEST,
+    ),
+    Mutant(
+        "shunned at the first failed connection",
+        "chestnutfall/placement/upstream_health.py",
+        "                if self._failed_connections >= self._strikes:",
+        "                if True:",
+        _CHOICE_TEST,
+    ),
+    Mutant(
+        "what a round gave an engine is not counted in it",
+        "chestnutfall/placement/placer.py",
+        "            now.choice.changed(option.engine)\n",
+        "",
+        _CHOICE_TEST,
+    ),
+    Mutant(
+        "late requests judged by the pace of others",
+        "chestnutfall/placement/pace.py",
+        "        return _step_ms(self._late.get(service), LATE_PER_ENGINE_S",
+        "        return _step_ms(self._in_time.get(service), LATE_PER_ENGINE_S",
+        "chestnutfall.tests.test_pace",
+    ),
+    Mutant(
+        "pace of a new leader counted over the whole window",
+        "chestnutfall/placement/pace.py",
+        "        span_ms = min(max(now_ms - self._since_ms, SPAN_MS), WINDOW_MS)",
+        "        span_ms = WINDOW_MS",
+        "chestnutfall.tests.test_pace",
+    ),
 )
