--- /dev/null
+++ b/chestnutfall/coordination/gateway_news.py
@@ -0,0 +1,101 @@
+"""What the leader tells every gateway, and how often."""
+
+from __future__ import annotations
+
+from ..clock import Clock
+from ..control.control_state import ControlState
+from ..placement import Held, Placer
+from .gateway_session import GatewaySession
+from .gateway_sessions import GatewaySessions
+from .holdings_diff import holdings_change
+from .messages import FleetView, GatewayCount, PutInForce
+
+DOCUMENT_MS = 200
+"""A tenth of the time in which a change has to be in force."""
+HOLDINGS_MS = 300
+"""Gateways need it only while no leader can be reached; more often costs their links more."""
+MORE_GATEWAYS_MS = 100
+"""Small beside the windows in which repeats are counted."""
+FEWER_GATEWAYS_MS = 1_000
+"""Fewer gateways only make the others bolder with repeats, so that news can wait."""
+
+
+class GatewayNews:
+    """Document, upstreams, holdings and number of gateways, as told last."""
+
+    def __init__(
+        self, sessions: GatewaySessions, state: ControlState, placer: Placer, clock: Clock
+    ) -> None:
+        self._sessions = sessions
+        self._state = state
+        self._placer = placer
+        self._clock = clock
+        self._view = FleetView((), ())
+        self._held: frozenset[Held] = frozenset()
+        self._all_held = holdings_change(True, ())
+        self._gateways = 0
+        self._document_version = state.document.version
+        now_ms = clock.now_ms()
+        self._document_due_ms = self._holdings_due_ms = now_ms
+        self._more_due_ms = self._fewer_due_ms = now_ms
+
+    def greet(self, session: GatewaySession, document_version: int) -> None:
+        """Tell a gateway that has just come everything; it holds `document_version`."""
+        # The short messages first: a gateway takes a leader that says nothing for dead.
+        session.send(self._view)
+        session.send(GatewayCount(max(len(self._sessions), self._gateways)))
+        if self._state.document.version > document_version:
+            session.send(self._in_force())
+        session.send(self._all_held)
+
+    def tell_view(self, view: FleetView) -> None:
+        """Tell which upstreams serve now, at once if that changed."""
+        if view != self._view:
+            self._view = view
+            self._sessions.tell_all(view)
+
+    def tell_what_is_due(self) -> None:
+        """Tell what changed and was not told lately."""
+        self._tell_document()
+        self._tell_gateways()
+        self._tell_holdings()
+
+    def _tell_document(self) -> None:
+        # Operators may send many versions a second. Sent one by one they queue up on the links
+        # of many gateways, and the last is in force late; only the newest one matters.
+        now_ms = self._clock.now_ms()
+        version = self._state.document.version
+        if version == self._document_version or now_ms < self._document_due_ms:
+            return
+        self._document_version = version
+        self._document_due_ms = now_ms + DOCUMENT_MS
+        self._sessions.tell_all(self._in_force())
+
+    def _in_force(self) -> PutInForce:
+        return PutInForce(self._state.document.version, self._state.document.content)
+
+    def _tell_gateways(self) -> None:
+        # Told at once to all of them, each one that comes or goes costs as many messages as there
+        # are gateways. Symptom: after an outage some dozen gateways that wait too shortly for the
+        # leader's first word come and go all the time, which is what keeps that word from coming.
+        now_ms = self._clock.now_ms()
+        gateways = len(self._sessions)
+        due_ms = self._more_due_ms if gateways > self._gateways else self._fewer_due_ms
+        if gateways == self._gateways or now_ms < due_ms:
+            return
+        self._gateways = gateways
+        self._more_due_ms = now_ms + MORE_GATEWAYS_MS
+        self._fewer_due_ms = now_ms + FEWER_GATEWAYS_MS
+        self._sessions.tell_all(GatewayCount(gateways))
+
+    def _tell_holdings(self) -> None:
+        # Gateways do without a leader for a while by what they know of the engines.
+        now_ms = self._clock.now_ms()
+        if now_ms < self._holdings_due_ms:
+            return
+        self._holdings_due_ms = now_ms + HOLDINGS_MS
+        held = frozenset(self._placer.ready())
+        if held != self._held:
+            self._sessions.tell_all(holdings_change(False, held - self._held, self._held - held))
+            self._held = held
+            self._all_held = holdings_change(True, held)
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -24,7 +24,6 @@
     AdapterName,
     Decision,
     Grant,
-    Held,
     Placer,
     PlaceRequest,
     Reject,
@@ -34,14 +33,12 @@
 from .document_box import unpack
 from .engine_control import EngineControl
 from .engine_desk import EngineDesk, EngineRecord
+from .gateway_news import GatewayNews
 from .gateway_session import GatewaySession
 from .gateway_sessions import GatewaySessions
-from .holdings_diff import holdings_change
 from .messages import (
     FleetView,
-    GatewayCount,
     NotLeading,
-    PutInForce,
     Release,
     Withdraw,
 )
@@ -53,12 +50,6 @@
 """A request that waits for a load is granted at most this late."""
 IDLE_TICK_MS = 100
 """How late a silent upstream is noticed at most; small beside a heartbeat."""
-DOCUMENT_MS = 200
-"""A tenth of the time in which a change has to be in force."""
-HOLDINGS_MS = 300
-"""Gateways need it only while no leader can be reached; more often costs their links more."""
-FEWER_GATEWAYS_MS = 1_000
-"""Fewer gateways only make the others bolder with repeats, so that news can wait."""
 
 
 class LeaderTerm:
@@ -81,18 +72,13 @@
         self._placer = Placer(clock)
         self._watch = UpstreamWatch(clock, heartbeat_ms)
         self._sessions = GatewaySessions()
-        self._view = FleetView((), ())
-        self._told_gateways = 0
+        self._news = GatewayNews(self._sessions, state, self._placer, clock)
         self._table: RouteTable | None = None
         self._wake = asyncio.Event()
         self._engines = EngineDesk(
             self._placer, control, clock, self.term, self.leads, self._wake.set
         )
-        self._held: frozenset[Held] = frozenset()
-        self._all_held = holdings_change(True, ())
-        self._told_version = state.document.version
-        self._document_due_ms = clock.now_ms()
-        self._roster_due_ms = self._holdings_due_ms = self._fewer_due_ms = clock.now_ms()
+        self._roster_due_ms = clock.now_ms()
 
     # Life
 
@@ -103,15 +89,11 @@
             self._placer.name_version(AdapterName(model, adapter), version)
         try:
             while self.leads():
-                self._tell_document()
+                self._news.tell_what_is_due()
                 if self._clock.now_ms() >= self._roster_due_ms:
                     self._roster_due_ms = self._clock.now_ms() + IDLE_TICK_MS
                     await self._forget_silent()
                     self._match_roster()
-                    self._tell_gateways()
-                if self._clock.now_ms() >= self._holdings_due_ms:
-                    self._holdings_due_ms = self._clock.now_ms() + HOLDINGS_MS
-                    self._tell_holdings()
                 self._carry_out_decisions()
                 await self._until_next_tick()
         finally:
@@ -150,31 +132,12 @@
         if held.version > known:
             self._table = RouteTable(self._codec.decode(unpack(held.content)))
 
-    def _tell_document(self) -> None:
-        """Send the newest document to every gateway, at most once in `DOCUMENT_MS`."""
-        # Operators may send many versions a second. Sent one by one they queue up on the links
-        # of many gateways, and the last is in force late; only the newest one matters.
-        now_ms = self._clock.now_ms()
-        if self._told_version == self._state.document.version or now_ms < self._document_due_ms:
-            return
-        self._told_version = self._state.document.version
-        self._document_due_ms = now_ms + DOCUMENT_MS
-        self._sessions.tell_all(self._in_force())
-
-    def _in_force(self) -> PutInForce:
-        return PutInForce(self._state.document.version, self._state.document.content)
-
     # Gateways
 
     def join(self, session: GatewaySession, document_version: int) -> None:
         """Begin to serve a gateway."""
         self._sessions.add(session)
-        # The short messages first: a gateway takes a leader that says nothing for dead.
-        session.send(self._view)
-        session.send(GatewayCount(max(len(self._sessions), self._told_gateways)))
-        if self._state.document.version > document_version:
-            session.send(self._in_force())
-        session.send(self._all_held)
+        self._news.greet(session, document_version)
 
     def part(self, session: GatewaySession) -> None:
         """End a gateway's session and free what it held."""
@@ -250,39 +213,15 @@
             self._watch.serving(self._state.roster.records.values()), key=lambda one: one.instance
         )
         controllers = tuple(member.address for member in self._replica.members)
-        view = FleetView(tuple(serving), controllers)
-        if view != self._view:
-            self._view = view
-            self._sessions.tell_all(view)
+        self._news.tell_view(FleetView(tuple(serving), controllers))
         self._engines.match(self._engines_of(serving))
 
-    def _tell_gateways(self) -> None:
-        """Tell how many gateways there are, at most at each look at the roster."""
-        # Told at once to all of them, each one that comes or goes costs as many messages as there
-        # are gateways. Symptom: after an outage some dozen gateways that wait too shortly for the
-        # leader's first word come and go all the time, which is what keeps that word from coming.
-        now_ms = self._clock.now_ms()
-        gateways = len(self._sessions)
-        if gateways > self._told_gateways or now_ms >= self._fewer_due_ms:
-            self._fewer_due_ms = now_ms + FEWER_GATEWAYS_MS
-            if gateways != self._told_gateways:
-                self._told_gateways = gateways
-                self._sessions.tell_all(GatewayCount(gateways))
-
     def _engines_of(self, serving: list[UpstreamRecord]) -> Iterator[EngineRecord]:
         for record in serving:
             spec = self._table.services.get(record.service) if self._table else None
             if spec is not None and spec.engine is not None:
                 yield EngineRecord(record, spec.engine)
 
-    def _tell_holdings(self) -> None:
-        """Tell gateways what engines hold, so that they can do without a leader for a while."""
-        held = frozenset(self._placer.ready())
-        if held != self._held:
-            self._sessions.tell_all(holdings_change(False, held - self._held, self._held - held))
-            self._held = held
-            self._all_held = holdings_change(True, held)
-
     # Decisions
 
     def _carry_out_decisions(self) -> None:
