--- a/chestnutfall/forwarding/engine_places.py
+++ b/chestnutfall/forwarding/engine_places.py
@@ -51,7 +51,7 @@
                 continue
             if isinstance(answer, Reject):
                 raise NoPlace(answer.reason, answer.retry_after_ms)
-            upstream = self._fleet.upstream(answer.instance)
+            upstream = self._fleet.knowledge.upstream(answer.instance)
             if upstream is not None:
                 return Place(
                     req.ticket, upstream, answer.version, answer.queued_ms, answer.loading_ms
@@ -93,8 +93,8 @@
         """The least used engine that held the adapter when there was a leader."""
         found = (
             (held, upstream)
-            for held in self._fleet.holders(req.adapter)
-            if (upstream := self._fleet.upstream(held.instance)) is not None
+            for held in self._fleet.knowledge.holders(req.adapter)
+            if (upstream := self._fleet.knowledge.upstream(held.instance)) is not None
             and held.instance not in req.avoid
         )
         chosen = min(found, key=lambda one: self._without_leader[one[0].instance], default=None)
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -5,33 +5,25 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator
 from typing import Any
 
 import grpc
 
 from ..clock import Clock
-from ..control.upstream_record import UpstreamRecord
-from ..coordination.document_box import unpack
 from ..coordination.messages import (
     FLEET_CODEC,
     FLEET_METHOD,
     PULSE_MS,
     FleetView,
-    GatewayCount,
     GatewayHello,
-    HoldingsChange,
     NotLeading,
     Pulse,
-    PutInForce,
 )
-from ..placement import AdapterName, Grant, Held, PlaceRequest, Reject
-from ..routes import DocumentCodec, RouteTable
+from ..placement import Grant, PlaceRequest, Reject
 from ..wire import RpcChannel
-from .holders import Holders
+from .fleet_knowledge import FleetKnowledge
 from .leader_patience import LeaderPatience
-from .recent_gateways import RecentGateways
-from .route_source import RouteSource
 
 log = logging.getLogger(__name__)
 SILENT_MS = 3 * PULSE_MS
@@ -47,13 +39,13 @@
     """There is no stream to a leader now; the request was not placed."""
 
 
-class FleetClient(RouteSource):
-    """Follows the leader, keeps what it tells, and asks it for places.
-
-    What was told last stays in use while no leader can be reached.
+class FleetClient:
+    """Follows the leader and asks it for places.
 
     Attributes
     ----------
+    knowledge : FleetKnowledge
+        What the leader told last.
     connected : bool
         Whether a stream to a leader is up.
     """
@@ -62,58 +54,23 @@
         self,
         gateway: str,
         controllers: tuple[str, ...],
-        codec: DocumentCodec,
+        knowledge: FleetKnowledge,
         clock: Clock,
     ) -> None:
         self._gateway = gateway
         self._first = controllers
-        self._codec = codec
+        self.knowledge = knowledge
         self._clock = clock
         self.connected = False
-        self._view = FleetView((), ())
-        self._gateways = RecentGateways(clock)
         self._patience = LeaderPatience()
-        self._holders = Holders()
-        self._by_instance: dict[str, UpstreamRecord] = {}
-        self._by_service: dict[str, tuple[UpstreamRecord, ...]] = {}
         self._out: asyncio.Queue[Any] = asyncio.Queue()
         self._asked: dict[str, asyncio.Future[Grant | Reject]] = {}
         self._up = asyncio.Event()
-        self._has_table = asyncio.Event()
 
     def use_controllers(self, controllers: tuple[str, ...]) -> None:
         """Take the controllers that changed settings name."""
         self._first = controllers
 
-    # What is known
-
-    @property
-    def version(self) -> int:
-        """Version of the document in force here; -1 before the first."""
-        return self.table.document.version if self.table is not None else -1
-
-    @property
-    def gateways(self) -> int:
-        """Gateways there are, as far as is known."""
-        return self._gateways.present
-
-    def upstreams(self, service: str) -> Iterable[UpstreamRecord]:
-        """Upstreams of a service that take work."""
-        return self._by_service.get(service, ())
-
-    def upstream(self, instance: str) -> UpstreamRecord | None:
-        """The upstream that takes work under this instance."""
-        return self._by_instance.get(instance)
-
-    def holders(self, adapter: AdapterName) -> Iterable[Held]:
-        """Engines that held an adapter when the leader last told."""
-        return self._holders.of(adapter)
-
-    async def until_table(self, within_ms: float) -> RouteTable | None:
-        with contextlib.suppress(TimeoutError):
-            await self._clock.within_ms(within_ms, self._has_table.wait())
-        return self.table
-
     # Asking
 
     def tell(self, msg: Any) -> None:
@@ -151,7 +108,7 @@
         turn = 0
         hint = ""
         while True:
-            known = list(dict.fromkeys((*self._first, *self._view.controllers)))
+            known = list(dict.fromkeys((*self._first, *self.knowledge.controllers)))
             address = hint or known[turn % len(known)]
             turn += 1
             try:
@@ -195,7 +152,7 @@
     async def _write(self, stream: Any) -> None:
         self._out = asyncio.Queue()
         try:
-            hello = GatewayHello(self._gateway, self.version)
+            hello = GatewayHello(self._gateway, self.knowledge.version)
             await stream.write(hello)
             while True:
                 await stream.write(await self._out.get())
@@ -215,32 +172,16 @@
 
     def _take(self, msg: Any, address: str) -> None:
         match msg:
-            case PutInForce(version, content) if version > self.version:
-                self.table = RouteTable(self._codec.decode(unpack(content)))
-                self._has_table.set()
-                log.info("document: in force version=%d from=%s", version, address)
-            case FleetView():
-                self._take_view(msg)
-                if not self.connected:
-                    self._join(address)
-            case GatewayCount(gateways):
-                self._gateways.tell(gateways)
-            case HoldingsChange():
-                self._holders.take(msg)
             case Grant(ticket) | Reject(ticket):
                 fut = self._asked.get(ticket)
                 if fut is not None and not fut.done():
                     fut.set_result(msg)
-            case Pulse() | PutInForce():
+            case Pulse():
                 pass
-
-    def _take_view(self, view: FleetView) -> None:
-        self._view = view
-        self._by_instance = {one.instance: one for one in view.upstreams}
-        by_service: dict[str, list[UpstreamRecord]] = {}
-        for one in view.upstreams:
-            by_service.setdefault(one.service, []).append(one)
-        self._by_service = {service: tuple(found) for service, found in by_service.items()}
+            case news:
+                self.knowledge.take(news)
+                if isinstance(news, FleetView) and not self.connected:
+                    self._join(address)
 
     def _join(self, address: str) -> None:
         self.connected = True
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -12,6 +12,7 @@
 from ..forwarding.drain import drain
 from ..forwarding.engine_places import EnginePlaces
 from ..forwarding.fleet_client import FleetClient
+from ..forwarding.fleet_knowledge import FleetKnowledge
 from ..forwarding.forwarder import Forwarder
 from ..forwarding.plain_places import PlainPlaces
 from ..forwarding.sender import Sender
@@ -43,13 +44,14 @@
     metrics = Histograms()
     start_logs("INFO", "gateway", settings.name, StdoutHandler(clock, metrics))
     name = f"{settings.name}#{uuid.uuid4().hex[:6]}"
-    fleet = FleetClient(name, settings.controllers, DocumentJson(), clock)
+    known = FleetKnowledge(DocumentJson(), clock)
+    fleet = FleetClient(name, settings.controllers, known, clock)
     api = UpstreamHttp()
     forwarder = Forwarder(
-        fleet,
-        lambda: fleet.gateways,
+        known,
+        lambda: known.gateways,
         EnginePlaces(fleet, clock, name, settings.data_centre),
-        PlainPlaces(fleet.upstreams, clock, settings.data_centre),
+        PlainPlaces(known.upstreams, clock, settings.data_centre),
         Sender(api, clock, metrics),
         RetryBounds(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window_ms),
         clock,
@@ -58,13 +60,13 @@
     )
 
     def limits() -> DocumentLimits:
-        return fleet.table.document.limits if fleet.table else DocumentLimits()
+        return known.table.document.limits if known.table else DocumentLimits()
 
-    entry = EntryServer(forwarder, lambda: fleet.table is not None, limits, clock)
+    entry = EntryServer(forwarder, lambda: known.table is not None, limits, clock)
 
     def refresh() -> None:
         metrics.gauge("calls_in_progress", entry.calls_in_progress())
-        metrics.gauge("document_version", fleet.version)
+        metrics.gauge("document_version", known.version)
         metrics.gauge("connected", fleet.connected)
 
     watch = SettingsWatch(settings, clock, lambda new: fleet.use_controllers(new.controllers))
--- a/chestnutfall/tests/test_places.py
+++ b/chestnutfall/tests/test_places.py
@@ -11,14 +11,17 @@
 
 from ..clock import ManualClock
 from ..control.upstream_record import UpstreamRecord
-from ..coordination.messages import Release, Withdraw
+from ..coordination.holdings_diff import holdings_change
+from ..coordination.messages import FleetView, Release, Withdraw
 from ..forwarding.call import Call
 from ..forwarding.engine_places import LEADERLESS_WAIT_MS, EnginePlaces
 from ..forwarding.fleet_client import FleetClient, LeaderLost
+from ..forwarding.fleet_knowledge import FleetKnowledge
 from ..forwarding.place import NoPlace, Place, Wanted
 from ..forwarding.plain_places import PlainPlaces
 from ..forwarding.upstream_answer import UpstreamLoad
 from ..placement import AdapterName, Grant, Held, PlaceRequest, Reject, RunOutcome
+from ..platform.document_json import DocumentJson
 from ..routes import Route, RouteKind, ServiceSpec, WeightedService
 
 NAME = AdapterName("base", "a1")
@@ -35,17 +38,18 @@
 
 
 class _Fleet(FleetClient):
-    """A fleet whose leader answers from a script."""
+    """A fleet of engines 1 and 2, whose leader answers from a script."""
 
     def __init__(self, clock: ManualClock, *answers: Grant | Reject | None) -> None:
-        self._clock = clock
+        knowledge = FleetKnowledge(DocumentJson(), clock)
+        knowledge.take(FleetView((_upstream("1"), _upstream("2")), ()))
+        super().__init__("g", (), knowledge, clock)
         self._answers = list(answers)
-        self._up = asyncio.Event()
-        self.connected = False
-        self.known = {one.instance: one for one in (_upstream("1"), _upstream("2"))}
-        self.held: list[Held] = []
         self.told: list[object] = []
 
+    def hold(self, *held: Held) -> None:
+        self.knowledge.take(holdings_change(True, held))
+
     async def place(self, req: PlaceRequest) -> Grant | Reject:
         answer = self._answers.pop(0) if self._answers else None
         if answer is None:
@@ -55,12 +59,6 @@
     def tell(self, msg: object) -> None:
         self.told.append(msg)
 
-    def upstream(self, instance: str) -> UpstreamRecord | None:
-        return self.known.get(instance)
-
-    def holders(self, adapter: AdapterName) -> list[Held]:
-        return [held for held in self.held if held.adapter == adapter]
-
 
 class EnginePlacesTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
@@ -71,7 +69,7 @@
 
     async def test_without_a_leader_the_adapter_s_last_holders_are_used_in_turn(self) -> None:
         fleet = _Fleet(self.clock)
-        fleet.held = [Held("1", NAME, 3), Held("2", NAME, 3), Held("gone", NAME, 3)]
+        fleet.hold(Held("1", NAME, 3), Held("2", NAME, 3), Held("gone", NAME, 3))
         places = self._places(fleet)
         taken = [await places.take(_wanted()) for _ in range(4)]
         self.assertEqual(sorted(one.upstream.instance for one in taken), ["1", "1", "2", "2"])
