Count no request as queued that waits for its load

Found by reading: late requests that have their place already and wait for a load were counted among the late ones in the queue, and others refused for them. Test: test_who_waits_for_a_load_holds_up_nobody failed before.

--- a/chestnutfall/placement/service_round.py
+++ b/chestnutfall/placement/service_round.py
@@ -39,7 +39,8 @@
     def order(self, waiting: Waiting) -> tuple[bool, int, int]:
         """Sort key: who goes first. To be asked once for each waiting request."""
         in_time = self.can_be_in_time(waiting)
-        self._late += not in_time
+        # Who waits for a load has its place already and holds up nobody.
+        self._late += not in_time and not waiting.instance
         return waiting.order(in_time)
 
     def best(self, waiting: Waiting) -> PlaceOption | None:
--- a/chestnutfall/tests/test_choice.py
+++ b/chestnutfall/tests/test_choice.py
@@ -132,9 +132,26 @@
         self.assertIn("fresh3", rejected)
         self.assertNotIn("fresh0", rejected)
 
-
-def _short(ticket: str) -> PlaceRequest:
-    name = AdapterName(MODEL, ticket)
+    def test_who_waits_for_a_load_holds_up_nobody(self) -> None:
+        # Engines that load slowly for a moment have many requests wait for their loads; counted
+        # as a queue, they would have everyone else refused.
+        clock = ManualClock()
+        placer = Placer(clock)
+        spec = EngineSpec(64, 200_000, (ModelSpec(MODEL, 50),), 60, 16, 30)
+        placer.engine_up("e0", "s", "dc0", spec)
+        placer.engine_reported("e0", EngineReport({MODEL: 1}, {}, {}, 0))
+        for number in range(40):
+            placer.submit(_short(f"loading{number % 4}-{number}", f"a{number % 4}"))
+        list(placer.decide())
+        clock._now_ms += 450
+        for number in range(30):
+            placer.submit(_short(f"fresh{number}"))
+        rejected = [one.ticket for one in placer.decide() if isinstance(one, Reject)]
+        self.assertEqual(rejected, [])
+
+
+def _short(ticket: str, adapter: str = "") -> PlaceRequest:
+    name = AdapterName(MODEL, adapter or ticket)
     return PlaceRequest(ticket, "s", name, 600, 60, (), 1, 500, 4_000, "dc0")
 
 
