--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,4 @@
 	$(PY) -m benchmarks.idle
 	$(PY) -m benchmarks.slopes
 	$(PY) -m benchmarks.control
+	$(PY) -m benchmarks.placement
