--- a/chestnutfall/consensus/election.py
+++ b/chestnutfall/consensus/election.py
@@ -30,7 +30,7 @@
         # Symptom: its vote elects a second leader inside the first one's lease. So it counts
         # its own start as such a moment and votes for nobody during one election timeout. A
         # process that has just begun heard nobody while it was loading its libraries, so that
-        # this time counts: 0.2 s less without a leader after all hosts lost power.
+        # this time counts too; it is 0.2 s for a controller (`python -X importtime`).
         now_ms = self._replica.clock.now_ms()
         self._heard_leader_ms = min(process_start_ms or now_ms, now_ms)
         self._restart_timer()
@@ -81,7 +81,8 @@
 
         Voters refuse for one election timeout after they heard from the old leader, and some heard
         a heartbeat later than we did; others are just starting. Asking in advance deposes nobody,
-        so it need not wait: a new leader comes after 0.4 s instead of up to a second.
+        so it need not wait: of 12 elections of the fake cluster the longest took 1.2 s instead of
+        1.5 s, with timeouts of 0.6 to 1 s; the usual one took 0.7 s either way.
         """
         least_ms = self._replica.timing.election_min_ms // 4
         wait_ms = self._rng.randint(least_ms, 2 * least_ms)
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -96,9 +96,8 @@
         """Wait for the first document while this gateway starts.
 
         Refused at once, every caller of the first moment comes back half a second later, all of
-        them at once, and late. Held, they are served as soon as the document is here: after
-        one outage of 87 gateways 282 refusals became 4, and the seconds that follow kept 0.94 of
-        their worth instead of 0.84.
+        them at once, and late. Held, they are served as soon as the document is here: of 282
+        refusals after one outage of 87 gateways 4 were left.
         """
         left_ms = min(self._starting_until_ms, call.deadline_ms) - self._clock.now_ms()
         return await self._routes.until_table(left_ms) if left_ms > 0 else None
