Tell an engine's starts apart by name and start; read what upstreams say strictly

Cause: an engine may start again under the name that it had. Its announcements counted anew were dropped as late ones, so it was never heard again, and its orders were counted on from the life before. Entries of other writers could reach the roster, or take an address. Change: an incarnation is name and start from the adapter inwards; a later start outlives the ones before in the log; a report of another start is no report; announcements, departures and reports are decoded as typed, bounded structures; entries of services that no document names get no address.

--- a/chestnutfall/control/upstream_roster.py
+++ b/chestnutfall/control/upstream_roster.py
@@ -27,12 +27,29 @@
         """Take a new incarnation, unless it left before."""
         # An announcement can be held up on its way until after its sender left. Symptom: new
         # work for an upstream that said it takes none. The tombstone outlives such a delay.
-        if record.instance in self.tombstones:
+        if record.instance in self.tombstones or self.is_outlived(record):
             return
+        for earlier in self._lives(record.announced_name):
+            if earlier.started_ms < record.started_ms:
+                # The restart forgot all that the life before held. Work for that life would
+                # be refused by an engine that looks like the right one.
+                self._bury(earlier.instance)
+                self.forget(earlier.instance)
         known = self.records.get(record.instance)
         if known is None or not known.leaving:
             self.records[record.instance] = record
 
+    def is_outlived(self, record: UpstreamRecord) -> bool:
+        """Whether a later start of the same upstream is known."""
+        return any(one.started_ms > record.started_ms for one in self._lives(record.announced_name))
+
+    def newest_life(self, name: str) -> UpstreamRecord | None:
+        """The latest start known of the upstream that announces itself as `name`."""
+        return max(self._lives(name), key=lambda one: one.started_ms, default=None)
+
+    def _lives(self, name: str) -> list[UpstreamRecord]:
+        return [one for one in self.records.values() if one.announced_name == name]
+
     def mark_leaving(self, instance: str) -> None:
         """Note that `instance` takes no new work, for good."""
         self._bury(instance)
--- a/chestnutfall/coordination/engine_control.py
+++ b/chestnutfall/coordination/engine_control.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from enum import Enum
 
+from ..control.upstream_record import UpstreamRecord
 from ..placement import EngineReport, Order
 
 
@@ -29,7 +30,7 @@
     @abstractmethod
     async def order(
         self,
-        address: str,
+        engine: UpstreamRecord,
         order: Order,
         fencing_token: int,
         orders_taken: int,
@@ -41,7 +42,7 @@
         """
 
     @abstractmethod
-    async def report(self, address: str, instance: str) -> EngineReport:
+    async def report(self, engine: UpstreamRecord) -> EngineReport:
         """Ask what an engine holds.
 
         Raises
--- a/chestnutfall/coordination/engine_desk.py
+++ b/chestnutfall/coordination/engine_desk.py
@@ -57,8 +57,7 @@
 
     def _start(self, record: UpstreamRecord) -> None:
         orders = EngineOrders(
-            record.instance,
-            record.address,
+            record,
             self._control,
             self._placer,
             self._clock,
--- a/chestnutfall/coordination/engine_orders.py
+++ b/chestnutfall/coordination/engine_orders.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from ..clock import Clock
+from ..control.upstream_record import UpstreamRecord
 from ..placement import EngineReport, LoadAdapter, Order, UnloadAdapter
 from ..placement.placer import Placer
 from .answer_timer import AnswerTimer
@@ -39,8 +40,7 @@
 
     def __init__(
         self,
-        instance: str,
-        address: str,
+        record: UpstreamRecord,
         control: EngineControl,
         placer: Placer,
         clock: Clock,
@@ -48,8 +48,8 @@
         may_order: Callable[[], bool],
         on_change: Callable[[], None],
     ) -> None:
-        self.instance = instance
-        self.address = address
+        self.instance = record.instance
+        self._record = record
         self._control = control
         self._placer = placer
         self._clock = clock
@@ -159,7 +159,7 @@
     async def _send_once(self, order: Order) -> OrderResult:
         self._ordered_ms = self._clock.now_ms()
         result = await self._control.order(
-            self.address,
+            self._record,
             order,
             self._fencing_token,
             self._orders_taken,
@@ -200,10 +200,17 @@
 
     async def _report(self) -> EngineReport | None:
         try:
-            return await self._control.report(self.address, self.instance)
+            report = await self._control.report(self._record)
         except ConnectionError as exc:
             log.warning("orders: instance=%s no report: %s", self.instance, exc)
             return None
+        if report.started_ms != self._record.started_ms:
+            # It restarted under its name and has not announced that yet. Its contents are not
+            # those that were ordered, and its count of orders began again: taken for the old
+            # one's, one load too many could be ordered, which crashes it.
+            log.info("orders: instance=%s restarted at %d", self.instance, report.started_ms)
+            return None
+        return report
 
     async def _read_report(self) -> None:
         read_twice = False
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -19,7 +19,7 @@
     UpstreamLeaves,
 )
 from ..control.control_state import ControlState
-from ..control.upstream_record import UpstreamRecord
+from ..control.upstream_record import UpstreamRecord, incarnation
 from ..placement import AdapterName, Decision, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.placer import Placer
 from ..routes import DocumentCodec, RouteTable
@@ -165,8 +165,12 @@
     async def announce(self, msg: Announce) -> None:
         """Take an announcement; what is new in it is committed first."""
         record = msg.record
-        known = self._state.roster.records.get(record.instance)
-        if record.instance in self._state.roster.tombstones:
+        roster = self._state.roster
+        known = roster.records.get(record.instance)
+        if record.instance in roster.tombstones or roster.is_outlived(record):
+            return
+        if known is None and not self._is_named_service(record.service):
+            log.info("upstream: ignored %s: no such service", record)
             return
         if known is None:
             await self._commit(AddUpstream(record))
@@ -179,8 +183,22 @@
 
     async def depart(self, msg: Depart) -> None:
         """Take a departure."""
-        if msg.instance not in self._state.roster.tombstones:
-            await self._leave(msg.instance, "departed")
+        instance = self._departing(msg)
+        if instance not in self._state.roster.tombstones:
+            await self._leave(instance, "departed")
+
+    def _departing(self, msg: Depart) -> str:
+        """The incarnation that a departure is about."""
+        newest = self._state.roster.newest_life(msg.name)
+        # Where it does not say which of its starts leaves, the latest is meant: an engine that
+        # is told that it may go gets no new work, whatever else arrives late.
+        if msg.started_ms or newest is None:
+            return incarnation(msg.name, msg.started_ms)
+        return newest.instance
+
+    def _is_named_service(self, service: str) -> bool:
+        """Whether the document in force names the service; true while there is no document."""
+        return self._table is None or service in self._table.services
 
     async def _leave(self, instance: str, reason: str) -> None:
         await self._commit(UpstreamLeaves(instance))
@@ -202,9 +220,13 @@
 
     def _match_roster(self) -> None:
         """Bring placement, orders and gateways to the upstreams that serve now."""
-        serving = sorted(
-            self._watch.serving(self._state.roster.records.values()), key=lambda one: one.instance
+        # An entry of a service that nobody named must not take the address of one that serves.
+        named = (
+            record
+            for record in self._state.roster.records.values()
+            if self._is_named_service(record.service)
         )
+        serving = sorted(self._watch.serving(named), key=lambda one: one.instance)
         controllers = tuple(member.address for member in self._replica.members)
         self._news.tell_view(FleetView(tuple(serving), controllers))
         self._engines.match(self._engines_of(serving))
--- a/chestnutfall/coordination/relay_messages.py
+++ b/chestnutfall/coordination/relay_messages.py
@@ -49,9 +49,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Depart:
-    """An upstream leaves."""
+    """An upstream leaves.
 
-    instance: str
+    Attributes
+    ----------
+    name : str
+        Name that it announced.
+    started_ms : int
+        Unix time of the start that leaves; 0 where it tells none.
+    """
+
+    name: str
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/placement/engine_report.py
+++ b/chestnutfall/placement/engine_report.py
@@ -21,9 +21,12 @@
         Version of each adapter in transit to it.
     orders_taken : int
         Number of orders that it accepted since its start.
+    started_ms : int
+        Unix time of that start; 0 where it tells none.
     """
 
     models: dict[str, int]
     adapters: dict[AdapterName, int]
     coming: dict[AdapterName, int]
     orders_taken: int
+    started_ms: int = 0
--- a/chestnutfall/platform/control_server.py
+++ b/chestnutfall/platform/control_server.py
@@ -8,13 +8,10 @@
 
 from aiohttp import web
 
-from ..control.upstream_record import UpstreamRecord
 from ..coordination.controller_run import DeskInUse
 from ..coordination.document_box import pack, unpack
 from ..coordination.relay_messages import (
     Accepted,
-    Announce,
-    Depart,
     HeldDocument,
     ReadDocument,
     Rejected,
@@ -24,13 +21,15 @@
 )
 from ..routes import DocumentCodec, UnreadableDocument, check_document
 from .body import read_body
-from .engine_http import read_report
 from .listening import listen
+from .upstream_json import read_announcement, read_departure
 
 log = logging.getLogger(__name__)
 MAX_BODY_BYTES = 32 * 1024 * 1024
 """A hundred times a document of 1,400 routes."""
 INSTANCES = "/v1/instances/"
+MOST_REASON = 300
+"""Characters of a reason or path in a log line; what others send may have any length."""
 
 
 class ControlServer:
@@ -64,14 +63,16 @@
                 case "POST", "/v1/version-put":
                     return _plain(await self._desk.ask(_version(json.loads(body))))
                 case "PUT", path if path.startswith(INSTANCES):
-                    return _plain(await self._desk.ask(_announce(instance, json.loads(body))))
+                    return _plain(await self._desk.ask(read_announcement(instance, body)))
                 case "DELETE", path if path.startswith(INSTANCES):
-                    return _plain(await self._desk.ask(Depart(instance)))
+                    return _plain(await self._desk.ask(read_departure(instance, body)))
                 case _:
                     return web.json_response({"error": "no such call"}, status=404)
         except (ValueError, KeyError, TypeError) as exc:
-            log.warning("control: %s %s is malformed: %r", request.method, request.path, exc)
-            return web.json_response({"error": repr(exc)}, status=400)
+            reason = repr(exc)[:MOST_REASON]
+            path = request.path[:MOST_REASON]
+            log.warning("control: %s %s is malformed: %s", request.method, path, reason)
+            return web.json_response({"error": reason}, status=400)
 
     async def _put(self, body: bytes) -> web.Response:
         try:
@@ -103,14 +104,5 @@
             return web.json_response({"error": "no leader"}, status=503)
 
 
-def _announce(instance: str, wire: dict[str, Any]) -> Announce:
-    record = UpstreamRecord(
-        instance, wire["service"], wire["addr"], wire["zone"], wire["state"] == "draining"
-    )
-    holds = read_report(wire) if "models" in wire else None
-    # Here "seq" counts the announcements of one incarnation.
-    return Announce(record, int(wire["seq"]), holds)
-
-
 def _version(wire: dict[str, Any]) -> StoreVersion:
     return StoreVersion(wire["model"], wire.get("adapter", ""), int(wire["version"]))
--- a/chestnutfall/platform/engine_http.py
+++ b/chestnutfall/platform/engine_http.py
@@ -6,9 +6,11 @@
 
 import aiohttp
 
+from ..control.upstream_record import UpstreamRecord
 from ..coordination.engine_control import EngineControl, OrderResult
-from ..placement import AdapterName, EngineReport, LoadAdapter, LoadModel, Order, UnloadAdapter
+from ..placement import EngineReport, LoadAdapter, LoadModel, Order, UnloadAdapter
 from . import header_names as names
+from .upstream_json import UnreadableUpstream, read_report
 
 REPORT_S = 0.5
 """A report needs no place on the engine; without one by then it is asked for again."""
@@ -34,7 +36,7 @@
 
     async def order(
         self,
-        address: str,
+        engine: UpstreamRecord,
         order: Order,
         fencing_token: int,
         orders_taken: int,
@@ -46,10 +48,10 @@
             "fencing_token": fencing_token,
             "expect": orders_taken,  # how many orders the engine took, not an order's number
         }
-        headers = {names.EXPECTED_INSTANCE: order.instance}
+        headers = {names.EXPECTED_INSTANCE: engine.announced_name}
         try:
             call = self._session.post(
-                f"http://{address}/v1/order",
+                f"http://{engine.address}/v1/order",
                 json=body,
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(total=within_ms / 1000),
@@ -59,15 +61,16 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return OrderResult.UNKNOWN
 
-    async def report(self, address: str, instance: str) -> EngineReport:
-        headers = {names.EXPECTED_INSTANCE: instance}
+    async def report(self, engine: UpstreamRecord) -> EngineReport:
+        headers = {names.EXPECTED_INSTANCE: engine.announced_name}
+        url = f"http://{engine.address}/v1/report"
         try:
-            async with self._session.get(f"http://{address}/v1/report", headers=headers) as resp:
+            async with self._session.get(url, headers=headers) as resp:
                 if resp.status != 200:
-                    raise ConnectionError(f"{address}: report answered {resp.status}")
-                return read_report(await resp.json())
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as exc:
-            raise ConnectionError(f"{address}: {exc!r}") from exc
+                    raise ConnectionError(f"{engine.address}: report answered {resp.status}")
+                return read_report(await resp.read())
+        except (aiohttp.ClientError, TimeoutError, UnreadableUpstream) as exc:
+            raise ConnectionError(f"{engine.address}: {exc!r}") from exc
 
     async def close(self) -> None:
         """Close every connection."""
@@ -86,25 +89,3 @@
             if version:
                 body["version"] = version
             return body
-
-
-def read_report(wire: dict[str, Any]) -> EngineReport:
-    """Translate what an engine says of itself, in a report or an announcement."""
-    models = {model["name"]: int(model["version"]) for model in wire.get("models", ())}
-    adapters = {
-        AdapterName(model["name"], name): version
-        for model in wire.get("models", ())
-        for name, version in map(_adapter, model.get("adapters", ()))
-    }
-    coming = {}
-    for text in wire.get("coming", ()):
-        model, _, adapter = text.partition("/")
-        name, version = _adapter(adapter)
-        coming[AdapterName(model, name)] = version
-    # "seq" counts accepted orders in a report, but announcements in an announcement.
-    return EngineReport(models, adapters, coming, int(wire.get("seq", 0)))
-
-
-def _adapter(text: str) -> tuple[str, int]:
-    name, _, version = text.partition("@")
-    return name, int(version or 0)
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import random
+import time
 from typing import Any
 
 import aiohttp
@@ -57,6 +58,7 @@
         self._rng = rng
         self._control = control
         self._numbers = itertools.count(1)
+        self._started_ms = time.time_ns() // 1_000_000
         self._taken = 0
         self._fence = 0
         self._adapters: dict[str, int] = {}
@@ -106,6 +108,7 @@
             "zone": "dc",
             "state": "ready",
             "seq": next(self._numbers),
+            "born": self._started_ms,
         }
         if self._is_engine:
             told["models"] = self._models()
@@ -125,7 +128,7 @@
             case "GET", "/v1/report":
                 coming = [f"{MODEL}/{name}@{v}" for name, v in self._coming.items()]
                 told = {"models": self._models(), "seq": self._taken, "coming": coming}
-                return web.json_response(told)
+                return web.json_response(told | {"born": self._started_ms})
             case "POST", "/v1/order":
                 return await self._order(json.loads(await request.read()))
             case _:
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -91,7 +91,7 @@
 def _headers(forwarded: ForwardedCall) -> CIMultiDict[str]:
     headers: CIMultiDict[str] = CIMultiDict(forwarded.call.headers)
     headers[names.DEADLINE] = str(forwarded.left_ms)
-    headers[names.EXPECTED_INSTANCE] = forwarded.upstream.instance
+    headers[names.EXPECTED_INSTANCE] = forwarded.upstream.announced_name
     if forwarded.call.adapter is not None:
         headers[names.RANK] = str(min(forwarded.rank, 9))
         if forwarded.version:
@@ -109,8 +109,9 @@
 
 def _not_run(resp: aiohttp.ClientResponse, forwarded: ForwardedCall) -> NotRun | None:
     if resp.status == 421:
-        other = resp.headers.get(names.INSTANCE, forwarded.upstream.instance)
-        return NotRun.ABSENT if other == forwarded.upstream.instance else NotRun.REPLACED
+        expected = forwarded.upstream.announced_name
+        other = resp.headers.get(names.INSTANCE, expected)
+        return NotRun.ABSENT if other == expected else NotRun.REPLACED
     return NotRun.FULL if names.NOT_EXECUTED in resp.headers else None
 
 
--- a/chestnutfall/tests/fakes/taking_engines.py
+++ b/chestnutfall/tests/fakes/taking_engines.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from ...control.upstream_record import UpstreamRecord
 from ...coordination.engine_control import EngineControl, OrderResult
 from ...placement import EngineReport
 
@@ -16,7 +17,7 @@
 
     async def order(
         self,
-        address: str,
+        engine: UpstreamRecord,
         order: Any,
         fencing_token: int,
         orders_taken: int,
@@ -25,5 +26,5 @@
         self.orders.append((fencing_token, order))
         return OrderResult.TAKEN
 
-    async def report(self, address: str, instance: str) -> EngineReport:
+    async def report(self, engine: UpstreamRecord) -> EngineReport:
         return EngineReport({"base": 1}, {}, {}, 0)
--- a/chestnutfall/tests/test_engine_orders.py
+++ b/chestnutfall/tests/test_engine_orders.py
@@ -12,6 +12,7 @@
 import unittest
 
 from ..clock import ManualClock
+from ..control.upstream_record import UpstreamRecord
 from ..coordination.engine_control import EngineControl, OrderResult
 from ..coordination.engine_orders import EngineOrders
 from ..placement import AdapterName, EngineReport, LoadAdapter, LoadModel, UnloadAdapter
@@ -31,12 +32,13 @@
         self.busy: set[int] = set()
         self.taken_unanswered: set[int] = set()
         self.unloading = ""
+        self.started_ms = 0
         self.too_many = False
         self.late: list[tuple[str, int]] = []
 
     async def order(
         self,
-        address: str,
+        engine: UpstreamRecord,
         order: LoadAdapter | UnloadAdapter | LoadModel,
         fencing_token: int,
         orders_taken: int,
@@ -61,9 +63,9 @@
         self.taken.append(order.adapter.adapter)
         return OrderResult.TAKEN
 
-    async def report(self, address: str, instance: str) -> EngineReport:
+    async def report(self, engine: UpstreamRecord) -> EngineReport:
         held = {AdapterName("base", name): 1 for name in (*self.taken, self.unloading)}
-        return EngineReport({"base": 1}, held, {}, len(self.taken))
+        return EngineReport({"base": 1}, held, {}, len(self.taken), self.started_ms)
 
     def carry_out_late(self) -> None:
         for name, orders_taken in self.late:
@@ -78,8 +80,9 @@
         self.placer = Placer(self.clock)
         self.placer.engine_up("i1", "s", "dc", SPEC)
         self.engine = _LateEngine()
+        record = UpstreamRecord("i1", "s", "127.0.0.1:1", "dc")
         self.orders = EngineOrders(
-            "i1", "127.0.0.1:1", self.engine, self.placer, self.clock, 7, lambda: True, lambda: None
+            record, self.engine, self.placer, self.clock, 7, lambda: True, lambda: None
         )
         self.running = asyncio.ensure_future(self.orders.run())
         await self.clock.advance(10)
@@ -124,6 +127,17 @@
         await self.clock.advance(500)
         self.assertEqual(self.engine.taken, ["a2"])
 
+    async def test_nothing_is_ordered_by_the_report_of_a_later_life(self) -> None:
+        # The engine crashed and started again under its name; nobody announced that yet. Its
+        # report shows free places under a count that began anew, and orders that are counted
+        # on from there would be those of somebody who does not know what it holds.
+        self.engine.started_ms = 5
+        self.placer.engines["i1"].synced = False
+        self._load("a1")
+        await self.clock.advance(2_000)
+        self.assertEqual(self.engine.taken, [])
+        self.assertFalse(self.placer.engines["i1"].synced)
+
     async def test_nothing_is_loaded_before_a_used_adapter_is_dropped(self) -> None:
         # An engine crashes with all its requests: it was told to hold one adapter too many. It
         # lets the last requests of an adapter end before it drops it; the leader did not know
--- a/chestnutfall/tests/test_fleet_leader.py
+++ b/chestnutfall/tests/test_fleet_leader.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from ..control.control_state import ControlState
-from ..control.upstream_record import UpstreamRecord
+from ..control.upstream_record import UpstreamRecord, incarnation
 from ..coordination.document_box import pack, unpack
 from ..coordination.fleet_leader import FleetLeader
 from ..coordination.gateway_session import GatewaySession
@@ -88,8 +88,17 @@
         asked.cancel()
         return None
 
-    async def _announce(self, instance: str, number: int, leaving: bool = False) -> Any:
-        record = UpstreamRecord(instance, "drafts", f"127.0.0.1:{instance}", "dc", leaving)
+    async def _announce(
+        self,
+        name: str,
+        number: int,
+        leaving: bool = False,
+        started_ms: int = 0,
+        service: str = "drafts",
+    ) -> Any:
+        instance = incarnation(name, started_ms)
+        address = f"127.0.0.1:{name}"
+        record = UpstreamRecord(instance, service, address, "dc", leaving, name, started_ms)
         holds = EngineReport({"base": 1}, {}, {}, 0)
         return await self._ask(Announce(record, number, holds))
 
@@ -153,6 +162,40 @@
         await self._announce("1", 1)
         self.assertEqual(self._messages(session, FleetView), [])
 
+    async def test_an_engine_that_restarts_under_its_name_serves_again(self) -> None:
+        # The engine crashes, and its next life counts its announcements anew. Taken for the life
+        # before it would never be heard again, and its requests would go to adapters that it
+        # does not hold any more. A late announcement of the life before changes nothing.
+        await self._ask(StoreDocument(3, pack(_document(3))))
+        await self._announce("1", 50, started_ms=1_000)
+        session = self._join()
+        await self._announce("1", 1, started_ms=2_000)
+        await self._announce("1", 51, started_ms=1_000)
+        await self.cluster.clock.advance(300)
+        told = self._messages(session, FleetView)[-1].upstreams
+        self.assertEqual([one.instance for one in told], ["1~2000"])
+
+    async def test_a_departure_without_a_start_is_that_of_the_latest(self) -> None:
+        await self._ask(StoreDocument(3, pack(_document(3))))
+        await self._announce("1", 1, started_ms=1_000)
+        await self._announce("1", 1, started_ms=2_000)
+        session = self._join()
+        self.assertEqual(await self._ask(Depart("1")), Accepted())
+        await self._announce("1", 2, started_ms=2_000)
+        self.assertEqual(self._messages(session, FleetView)[-1].upstreams, ())
+
+    async def test_an_entry_of_an_unknown_service_takes_no_address(self) -> None:
+        # Another writer announces the address of an engine that serves, under a service that no
+        # document names. Heard last, it would have the address, and the engine no work.
+        await self._ask(StoreDocument(3, pack(_document(3))))
+        await self._announce("1", 1)
+        session = self._join()
+        record = UpstreamRecord("ghost", "nowhere", "127.0.0.1:1", "dc")
+        self.assertEqual(await self._ask(Announce(record, 1, None)), Accepted())
+        await self.cluster.clock.advance(300)
+        told = self._messages(session, FleetView)[-1].upstreams
+        self.assertEqual([one.instance for one in told], ["1"])
+
     async def test_a_successor_knows_who_left(self) -> None:
         await self._ask(StoreDocument(3, pack(_document(3))))
         await self._announce("1", 1)
--- a/chestnutfall/tests/test_fleet_parts.py
+++ b/chestnutfall/tests/test_fleet_parts.py
@@ -76,6 +76,26 @@
         roster.add(record)
         self.assertEqual(roster.records, {})
 
+    def test_a_restart_under_the_same_name_replaces_the_life_before(self) -> None:
+        # Requests go to an engine that holds nothing any more and refuses them one by one, or a
+        # late announcement of the life before takes the engine's place back.
+        roster = UpstreamRoster()
+        before = UpstreamRecord("i1~1", "s", "127.0.0.1:1", "dc", False, "i1", 1)
+        after = UpstreamRecord("i1~2", "s", "127.0.0.1:1", "dc", False, "i1", 2)
+        roster.add(before)
+        roster.add(after)
+        self.assertTrue(roster.is_outlived(before))
+        roster.add(before)
+        self.assertEqual(list(roster.records.values()), [after])
+        self.assertEqual(roster.newest_life("i1"), after)
+
+    def test_an_announcement_that_tells_no_start_does_not_replace_one_that_does(self) -> None:
+        roster = UpstreamRoster()
+        known = UpstreamRecord("i1~1", "s", "127.0.0.1:1", "dc", False, "i1", 1)
+        roster.add(known)
+        roster.add(UpstreamRecord("i1", "other", "127.0.0.1:9", "dc", False, "i1", 0))
+        self.assertEqual(list(roster.records.values()), [known])
+
 
 class UpstreamWatchTest(unittest.IsolatedAsyncioTestCase):
     async def test_the_incarnation_heard_last_has_the_address(self) -> None:
--- a/chestnutfall/tests/test_platform.py
+++ b/chestnutfall/tests/test_platform.py
@@ -20,7 +20,6 @@
 from ..forwarding.upstream_api import AnswerLost, NotSent
 from ..placement import AdapterName, PromptPart
 from ..platform.call_reader import read_call
-from ..platform.engine_http import read_report
 from ..platform.listening import listen
 from ..platform.node_file import to_settings
 from ..platform.standin.node_writer import NodePlan, Ports, write_node_file
@@ -65,21 +64,6 @@
         self.assertFalse(passed & {"x-hold", "kv-from", "x-deadline-ms", "content-length"})
 
 
-class ReportTest(unittest.TestCase):
-    def test_models_adapters_and_transits(self) -> None:
-        report = read_report(
-            {
-                "models": [{"name": "base", "version": 2, "adapters": ["a1@3"]}],
-                "coming": ["base/a2@4"],
-                "seq": 7,
-            }
-        )
-        self.assertEqual(report.models, {"base": 2})
-        self.assertEqual(report.adapters, {AdapterName("base", "a1"): 3})
-        self.assertEqual(report.coming, {AdapterName("base", "a2"): 4})
-        self.assertEqual(report.orders_taken, 7)
-
-
 class NodeFileTest(unittest.TestCase):
     def test_a_written_node_file_is_understood(self) -> None:
         plan = NodePlan("127.0.0.9", "c1", "/data", ("127.0.0.9", "127.0.0.8"), True)
