Pace the reading of prompts by the pause objectives of the streams that run

Cause: engines read prompts between the tokens of the streams that they run. Placement knew no pauses, and took 40 tokens a ms for every engine (these read 19). Change: an engine gets no more reading in any window of its tightest pause objective than leaves time for the next event; prompts wait by their turn, long ones are not passed by. The pace of reading is a running median over the answers of the service, slowness is learned for each engine. A wait for a place ends when the caller leaves.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -125,7 +125,7 @@
             next_ms += rng.expovariate(per_s / 1000)
         while ending and ending[0][0] <= now_ms:
             _, ticket, outcome = heapq.heappop(ending)
-            placer.release(ticket, outcome, 0.0)
+            placer.release(ticket, outcome)
         decisions = list(placer.decide())
         took_s = time.process_time() - begin
         spent_s += took_s
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -22,6 +22,7 @@
 from ..control.upstream_record import UpstreamRecord, incarnation
 from ..placement import AdapterName, Decision, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.placer import Placer
+from ..placement.run_times import RunTimes
 from ..routes import DocumentCodec, RouteTable
 from .document_box import unpack
 from .engine_control import EngineControl
@@ -143,22 +144,22 @@
             case PlaceRequest():
                 self._sessions.hold(msg.ticket, session)
                 self._placer.submit(msg)
-            case Release(ticket, outcome, lag_ms):
-                self._take_release(ticket, RunOutcome(outcome), lag_ms)
+            case Release(ticket, outcome, times):
+                self._take_release(ticket, RunOutcome(outcome), times)
                 self._sessions.free(ticket)
             case Withdraw(ticket):
                 self._placer.withdraw(ticket)
                 self._sessions.free(ticket)
         self._wake.set()
 
-    def _take_release(self, ticket: str, outcome: RunOutcome, lag_ms: float) -> None:
+    def _take_release(self, ticket: str, outcome: RunOutcome, times: RunTimes) -> None:
         instance = self._placer.instance_of(ticket)
         if outcome is RunOutcome.UNREACHABLE:
             self._watch.unreachable(instance)
         elif outcome is RunOutcome.DONE and instance:
             # An engine that is cut off from the controllers, but not from the gateways, serves.
             self._watch.answered(instance)
-        self._placer.release(ticket, outcome, lag_ms)
+        self._placer.release(ticket, outcome, times)
 
     # Upstreams
 
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -6,6 +6,7 @@
 
 from ..control.upstream_record import UpstreamRecord
 from ..placement import Grant, PlaceRequest, Reject
+from ..placement.run_times import NO_TIMES, RunTimes
 from ..wire import Codec
 
 FLEET_METHOD = "Fleet"
@@ -92,7 +93,7 @@
 
     ticket: str
     outcome: str
-    lag_ms: float
+    times: RunTimes = NO_TIMES
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/forwarding/engine_places.py
+++ b/chestnutfall/forwarding/engine_places.py
@@ -9,6 +9,8 @@
 from ..clock import Clock
 from ..coordination.messages import Release, Withdraw
 from ..placement import AdapterName, Grant, PlaceRequest, Reject, RunOutcome
+from ..placement.run_times import RunTimes
+from . import patience
 from .fleet_client import FleetClient, LeaderLost
 from .place import NoPlace, Place, Places, Wanted
 from .upstream_answer import UpstreamLoad
@@ -56,7 +58,7 @@
                 return Place(
                     req.ticket, upstream, answer.version, answer.queued_ms, answer.loading_ms
                 )
-            self._fleet.tell(Release(req.ticket, RunOutcome.WITHDRAWN.value, 0.0))
+            self._fleet.tell(Release(req.ticket, RunOutcome.WITHDRAWN.value))
 
     async def _ask(self, req: PlaceRequest) -> Grant | Reject:
         try:
@@ -69,9 +71,9 @@
             raise
 
     def give_back(
-        self, place: Place, outcome: RunOutcome, lag_ms: float, load: UpstreamLoad | None
+        self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
     ) -> None:
-        self._fleet.tell(Release(place.ticket, outcome.value, lag_ms))
+        self._fleet.tell(Release(place.ticket, outcome.value, times))
 
     def _request(self, wanted: Wanted) -> PlaceRequest:
         call, now_ms = wanted.call, self._clock.now_ms()
@@ -84,9 +86,10 @@
             call.parts,
             wanted.route.rank,
             max(call.arrived_ms + wanted.route.objective_ms - now_ms, 0),
-            max(wanted.until_ms - now_ms, 0),
+            max(min(wanted.until_ms, _caller_leaves_ms(wanted)) - now_ms, 0),
             self._data_centre,
             wanted.avoid,
+            wanted.route.pause_objective_ms,
         )
 
     def _from_memory(self, req: PlaceRequest) -> Place | None:
@@ -104,3 +107,10 @@
         self._without_leader[held.instance] += 1
         log.info("place: ticket=%s from memory instance=%s", req.ticket, held.instance)
         return Place(req.ticket, upstream, held.version)
+
+
+def _caller_leaves_ms(wanted: Wanted) -> int:
+    """Clock time at which the caller leaves unless the answer has begun."""
+    if not wanted.route.kind.streamed or wanted.started:
+        return wanted.until_ms
+    return int(wanted.call.arrived_ms + patience.caller_ms(wanted.route))
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -112,15 +112,23 @@
     ) -> None:
         places = self._plain_places if service.engine is None else self._engine_places
         while True:
-            wanted = Wanted(progress.call, route, service, tuple(progress.avoid), progress.until_ms)
+            wanted = Wanted(
+                progress.call,
+                route,
+                service,
+                tuple(progress.avoid),
+                progress.until_ms,
+                progress.started,
+            )
             try:
                 place = await places.take(wanted)
             except NoPlace as exc:
                 await self._give_up(progress, reply, 503, exc.reason, exc.retry_after_ms)
                 return
             progress.sends += 1
+            sent_ms = self._clock.now_ms()
             result = await self._sender.send(progress, route, place, places, reply)
-            self._log_send(progress, route, place, result)
+            self._log_send(progress, route, place, sent_ms, result)
             if await self._is_final(progress, route, place, reply, result):
                 return
 
@@ -221,11 +229,13 @@
         self._metrics.count(f"refused_{reason}")
         await reply.refuse(status, reason, retry_after_ms)
 
-    def _log_send(self, progress: Progress, route: Route, place: Place, result: SendResult) -> None:
+    def _log_send(
+        self, progress: Progress, route: Route, place: Place, sent_ms: int, result: SendResult
+    ) -> None:
         code = getattr(result, "code", getattr(result, "status", ""))
         log.info(
             "call: id=%s route=%s adapter=%s send=%d instance=%s version=%d queued=%d loading=%d "
-            "result=%s %s first=%d pause=%d ms=%d",
+            "sent=%d result=%s %s first=%d pause=%d ms=%d",
             progress.call.request_id,
             route.name,
             progress.call.adapter.adapter if progress.call.adapter else "",
@@ -234,6 +244,7 @@
             place.version,
             place.queued_ms,
             place.loading_ms,
+            sent_ms - progress.call.arrived_ms,
             type(result).__name__,
             code,
             progress.first_ms,
--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -7,6 +7,7 @@
 
 from ..control.upstream_record import UpstreamRecord
 from ..placement import RunOutcome
+from ..placement.run_times import RunTimes
 from ..routes import Route, ServiceSpec
 from .call import Call
 from .upstream_answer import UpstreamLoad
@@ -48,6 +49,8 @@
         Instances that failed this call before.
     until_ms : int
         Clock time after which the answer is worth nothing.
+    started : bool
+        Whether the caller has the beginning of its answer.
     """
 
     call: Call
@@ -55,6 +58,7 @@
     service: ServiceSpec
     avoid: tuple[str, ...]
     until_ms: int
+    started: bool = False
 
 
 class Places(ABC):
@@ -71,6 +75,6 @@
 
     @abstractmethod
     def give_back(
-        self, place: Place, outcome: RunOutcome, lag_ms: float, load: UpstreamLoad | None
+        self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
     ) -> None:
         """Tell how the send ended."""
--- a/chestnutfall/forwarding/plain_places.py
+++ b/chestnutfall/forwarding/plain_places.py
@@ -9,6 +9,7 @@
 from ..clock import Clock
 from ..control.upstream_record import UpstreamRecord
 from ..placement import RunOutcome
+from ..placement.run_times import RunTimes
 from ..placement.upstream_health import UpstreamHealth
 from .place import NoPlace, Place, Places, Wanted
 from .upstream_answer import UpstreamLoad
@@ -63,14 +64,14 @@
         return Place(f"plain-{next(self._numbers)}", chosen, 0)
 
     def give_back(
-        self, place: Place, outcome: RunOutcome, lag_ms: float, load: UpstreamLoad | None
+        self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
     ) -> None:
         known = self._of(place.upstream)
         known.own -= 1
         now_ms = self._clock.now_ms()
         known.health.note(outcome, now_ms)
         if outcome is RunOutcome.DONE:
-            known.health.note_lag(lag_ms, now_ms)
+            known.health.note_lag(times.lag_ms, now_ms)
         if load is not None:
             known.others = max(load.running + load.waiting - known.own - 1, 0)
             known.places = max(load.places, 1)
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -30,6 +30,8 @@
         Longest time between two parts of its answer.
     avoid : list of str
         Instances that failed it.
+    gaps_ms : list of int
+        Each time between two parts of its answer.
     """
 
     call: Call
@@ -42,6 +44,7 @@
     first_ms: int = -1
     pause_ms: int = 0
     avoid: list[str] = field(default_factory=list)
+    gaps_ms: list[int] = field(default_factory=list)
     _part_ms: int = 0
 
     def note_part(self, now_ms: int) -> None:
@@ -50,4 +53,5 @@
             self.first_ms = now_ms - self.call.arrived_ms
         else:
             self.pause_ms = max(self.pause_ms, now_ms - self._part_ms)
+            self.gaps_ms.append(now_ms - self._part_ms)
         self._part_ms = now_ms
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import statistics
+
 from ..clock import Clock
 from ..observability.histograms import Histograms
 from ..placement import RunOutcome
+from ..placement.run_times import RunTimes
 from ..routes import Route
 from .caller_reply import CallerReply
 from .event_splitter import EventSplitter
@@ -60,7 +63,7 @@
                 outcome = sending.when_abandoned()
             if sending.first_byte_ms is not None:
                 self._metrics.observe("first_byte_ms", sending.first_byte_ms)
-            places.give_back(place, outcome, sending.lag_ms, sending.load)
+            places.give_back(place, outcome, sending.times(), sending.load)
 
 
 class _Sending:
@@ -75,7 +78,7 @@
         self._place = place
         self._reply = reply
         self._sent_ms = clock.now_ms()
-        self.lag_ms = 0.0
+        self._lag_ms = 0.0
         self.first_byte_ms: int | None = None
         self._answering = False
         self.load: UpstreamLoad | None = None
@@ -94,6 +97,12 @@
             silent_ms=self._silent_ms(),
         )
 
+    def times(self) -> RunTimes:
+        """How fast the upstream answered."""
+        gaps_ms = self._progress.gaps_ms
+        gap_ms = statistics.median(gaps_ms) if gaps_ms else 0.0
+        return RunTimes(self.first_byte_ms or 0.0, self._lag_ms, gap_ms)
+
     def when_abandoned(self) -> RunOutcome:
         """What it tells of the upstream that nobody waits for the answer any more."""
         # Only its own deadline ends the wait for an answer that may not be repeated. If that
@@ -153,7 +162,7 @@
 
     def _note_first_byte(self) -> None:
         self.first_byte_ms = self._clock.now_ms() - self._sent_ms
-        self.lag_ms = max(self.first_byte_ms - self._route.objective_ms / 4, 0.0)
+        self._lag_ms = max(self.first_byte_ms - self._route.objective_ms / 4, 0.0)
 
 
 async def _whole(answer: UpstreamAnswer) -> bytes:
--- a/chestnutfall/placement/choice.py
+++ b/chestnutfall/placement/choice.py
@@ -7,7 +7,7 @@
 
 from .adapter_name import AdapterName
 from .demand import Demand
-from .engine import READ_TOKENS_PER_MS, Engine
+from .engine import Engine
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
 from .prompt_cache import Prefixes
@@ -81,10 +81,11 @@
         objective_ms : float
             Time left until its first event is late.
         """
-        held = _cheapest(self._as_they_are(req, prefixes))
+        in_time = self.can_be_in_time(req, objective_ms)
+        held = _cheapest(self._as_they_are(req, prefixes, in_time))
         if held is not None and held.cost_ms <= SURE_MS:
             return held
-        loaded = _cheapest(self._with_load(req)) if req.adapter.adapter else None
+        loaded = _cheapest(self._with_load(req, in_time)) if req.adapter.adapter else None
         if held is None and loaded is not None and self._may_wait(req, loaded, objective_ms):
             return None
         return _cheapest(one for one in (held, loaded) if one is not None)
@@ -134,28 +135,32 @@
             self._loaders.pop(engine.instance, None)
             self._loaders.update(self._loaders_among([engine]))
 
-    def _as_they_are(self, req: PlaceRequest, prefixes: Prefixes) -> Iterator[PlaceOption]:
+    def _as_they_are(
+        self, req: PlaceRequest, prefixes: Prefixes, in_time: bool
+    ) -> Iterator[PlaceOption]:
         """Engines that hold the adapter or load it already."""
         name = req.adapter
         for engine in self._engines:
             held = engine.holdings.get(name)
             if held is None and name.adapter:
                 continue
-            if not _may_take(req, engine):
+            if not _may_take(req, engine) or not engine.takes_more_reading(in_time):
                 continue
             wait_ms = max(held.ready_ms - self._now_ms, 0) if held is not None else 0
             cost_ms = self._cost_ms(req, engine) + engine.read_ms(req, prefixes)
             yield PlaceOption(engine, cost_ms + wait_ms)
 
-    def _with_load(self, req: PlaceRequest) -> Iterator[PlaceOption]:
+    def _with_load(self, req: PlaceRequest, in_time: bool) -> Iterator[PlaceOption]:
         if self._loaders is None:
             self._loaders = dict(self._loaders_among(self._engines))
-        # An engine drops an adapter's prompts with it, so the whole prompt is read.
-        read_ms = req.prompt_tokens / READ_TOKENS_PER_MS
         for loader in self._loaders.values():
             engine = loader.engine
             if req.adapter in engine.holdings or not _may_take(req, engine):
                 continue
+            if not engine.takes_more_reading(in_time):
+                continue
+            # An engine drops an adapter's prompts with it, so the whole prompt is read.
+            read_ms = req.prompt_tokens * engine.reading.ms_per_token
             recent = engine.held_recently(req.adapter)
             load_ms = engine.loads.expected_ms(recent)
             cost_ms = self._cost_ms(req, engine) + read_ms + load_ms * (1 + loader.misses)
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterable, Iterator
 
 from ..routes import EngineSpec
@@ -12,10 +12,21 @@
 from .load_timer import LoadTimer
 from .place_request import PlaceRequest
 from .prompt_cache import Prefixes, PromptCache
+from .read_pace import ReadPace
+from .read_schedule import ReadSchedule, ReadWindow
+from .run_times import RunTimes
 from .upstream_health import UpstreamHealth
 
-READ_TOKENS_PER_MS = 40.0
-"""How fast an engine reads prompts: 44 tokens/ms alone, a little less beside running requests."""
+GAP_WEIGHT = 0.1
+"""The usual time between two events is that of the last ten streams."""
+GAP_MS = 40.0
+"""The same before a stream ended: some steps of a large model."""
+GAPS_KEPT = 1.5
+"""Usual gaps that are kept free of reading in each pause objective: one for the event, and half of
+one for steps that take longer beside more streams."""
+LEAST_READ_PART = 0.3
+"""Part of a pause objective that reading gets even where the gaps between events leave less; an
+engine that never reads serves nobody."""
 RECENT_PER_SLOT = 5
 """Adapters an engine keeps in its own memory beyond those it holds, for each place for them."""
 UNSURE_MS = 500
@@ -48,7 +59,9 @@
         Whether its report was read; before that nothing is ordered.
     """
 
-    def __init__(self, instance: str, service: str, data_centre: str, spec: EngineSpec) -> None:
+    def __init__(
+        self, instance: str, service: str, data_centre: str, spec: EngineSpec, pace: ReadPace
+    ) -> None:
         self.instance = instance
         self.service = service
         self.data_centre = data_centre
@@ -61,8 +74,10 @@
         self.health = UpstreamHealth(CONNECTION_STRIKES)
         self.loads = LoadTimer()
         self.prompts = PromptCache(int(spec.kv_tokens * KV_SHARE))
+        self.reading = ReadSchedule(pace)
+        self._gap_ms = GAP_MS
+        self._pauses: Counter[int] = Counter()
         self._kv_used = 0
-        self._read_until_ms = 0.0
         self._recent: OrderedDict[AdapterName, None] = OrderedDict()
 
     def take(self, report: EngineReport, now_ms: int) -> None:
@@ -93,27 +108,63 @@
         return len(self.running) < self.spec.batch and (fits or not self.running)
 
     def read_wait_ms(self, now_ms: int) -> float:
-        """How long the prompts before a new one still take to read."""
-        return max(self._read_until_ms - now_ms, 0.0)
+        """How long a new prompt waits for those before it."""
+        return self.reading.wait_ms(self._read_window(), now_ms)
 
     def read_ms(self, req: PlaceRequest, prefixes: Prefixes) -> float:
         """How long this request's prompt takes to read."""
-        return self.prompts.missing_tokens(req.prompt_tokens, prefixes) / READ_TOKENS_PER_MS
-
-    def start(self, req: PlaceRequest, prefixes: Prefixes, now_ms: int) -> None:
-        """Count a request that is sent to it now."""
-        self._read_until_ms = max(self._read_until_ms, now_ms) + self.read_ms(req, prefixes)
+        tokens = self.prompts.missing_tokens(req.prompt_tokens, prefixes)
+        return tokens * self.reading.ms_per_token
+
+    def takes_more_reading(self, in_time: bool) -> bool:
+        """Whether one more prompt may queue for this engine.
+
+        One window's reading ahead keeps the engine busy while adapters load; who queues here can't
+        go to an engine that is free sooner. Who will be late does not hold up others.
+        """
+        window = self._read_window()
+        if window is None:
+            return True
+        return self.reading.reserved_ms() <= (window.budget_ms if in_time else 0.0)
+
+    def may_read(self, ticket: str, now_ms: int) -> bool:
+        """Whether the streams that run here bear the reading of this request now."""
+        return self.reading.fits(ticket, self._read_window(), now_ms)
+
+    def _read_window(self) -> ReadWindow | None:
+        tightest_ms = min(self._pauses, default=0)
+        if not tightest_ms:
+            return None
+        free_ms = max(tightest_ms - GAPS_KEPT * self._gap_ms, LEAST_READ_PART * tightest_ms)
+        return ReadWindow(tightest_ms, free_ms)
+
+    def start(self, req: PlaceRequest, prefixes: Prefixes) -> None:
+        """Count a request that will be sent to it."""
+        tokens = self.prompts.missing_tokens(req.prompt_tokens, prefixes)
+        self.reading.reserve(req.ticket, tokens)
         self.prompts.note(prefixes)
         self.running[req.ticket] = req
         self._kv_used += req.prompt_tokens + req.output_tokens
+        if req.pause_objective_ms:
+            self._pauses[req.pause_objective_ms] += 1
 
     def end(self, ticket: str) -> PlaceRequest | None:
         """Stop counting a request."""
         req = self.running.pop(ticket, None)
+        self.reading.cancel(ticket)
         if req is not None:
             self._kv_used -= req.prompt_tokens + req.output_tokens
+            if req.pause_objective_ms:
+                self._pauses[req.pause_objective_ms] -= 1
+                self._pauses += Counter()
         return req
 
+    def learn(self, ticket: str, times: RunTimes) -> None:
+        """Take in how fast it answered a request that is still counted."""
+        self.reading.learn(ticket, times.first_ms)
+        if times.gap_ms > 0:
+            self._gap_ms += GAP_WEIGHT * (times.gap_ms - self._gap_ms)
+
     # Adapters
 
     def in_transit(self, now_ms: int) -> int:
--- a/chestnutfall/placement/place_request.py
+++ b/chestnutfall/placement/place_request.py
@@ -35,6 +35,8 @@
         Time left until the first event is late, and until the caller gives up.
     avoid : tuple of str
         Instances that failed this request before.
+    pause_objective_ms : int
+        Longest pause between two events that is still on time; 0 where there is none.
     """
 
     ticket: str
@@ -48,3 +50,4 @@
     wait_ms: int
     data_centre: str
     avoid: tuple[str, ...] = ()
+    pause_objective_ms: int = 0
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -16,7 +16,9 @@
 from .pace import Pace
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
+from .read_pace import ReadPace
 from .run_outcome import RunOutcome
+from .run_times import NO_TIMES, RunTimes
 from .service_round import ServiceRound
 from .upkeep import Upkeep
 from .waiting import Waiting
@@ -47,6 +49,8 @@
         self._demand = Demand()
         self._upkeep = Upkeep()
         self._pace = Pace()
+        self._read_pace: dict[str, ReadPace] = {}
+        self._reading_full: set[str] = set()
 
     # Engines
 
@@ -56,7 +60,8 @@
         if known is not None:
             known.spec = spec
             return
-        self.engines[instance] = Engine(instance, service, data_centre, spec)
+        pace = self._read_pace.setdefault(service, ReadPace())
+        self.engines[instance] = Engine(instance, service, data_centre, spec, pace)
 
     def engine_down(self, instance: str) -> None:
         """Give an engine no more work; whoever waits for its load is placed anew."""
@@ -138,18 +143,20 @@
         if waiting is not None:
             self._unassign(waiting)
             del self._waiting[ticket]
-        self.release(ticket, RunOutcome.WITHDRAWN, 0.0)
+        self.release(ticket, RunOutcome.WITHDRAWN)
 
-    def release(self, ticket: str, outcome: RunOutcome, lag_ms: float) -> None:
-        """Free a granted place; `lag_ms` tells how late the first event was."""
+    def release(self, ticket: str, outcome: RunOutcome, times: RunTimes = NO_TIMES) -> None:
+        """Free a granted place."""
         engine = self.engines.get(self._places.pop(ticket, ""))
+        if engine is not None and outcome is RunOutcome.DONE:
+            engine.learn(ticket, times)
         req = engine.end(ticket) if engine is not None else None
         if engine is None or req is None:
             return
         now_ms = self._clock.now_ms()
         engine.health.note(outcome, now_ms)
         if outcome is RunOutcome.DONE:
-            engine.health.note_lag(lag_ms, now_ms)
+            engine.health.note_lag(times.lag_ms, now_ms)
         holding = engine.holdings.get(req.adapter)
         if holding is None:
             return
@@ -196,6 +203,7 @@
     def decide(self) -> Iterator[Decision]:
         """Yield what is to be done now."""
         now_ms = self._clock.now_ms()
+        self._reading_full.clear()
         yield from self._upkeep.decide(self.engines.values(), now_ms)
         rounds = {
             service: ServiceRound(service, self._serving(service), self._demand, self._pace, now_ms)
@@ -240,7 +248,7 @@
             yield LoadAdapter(engine.instance, req.adapter, version)
         waiting.instance = engine.instance
         waiting.assigned_ms = now_ms
-        engine.start(req, waiting.prefixes, now_ms)
+        engine.start(req, waiting.prefixes)
         if req.adapter.adapter:
             engine.holdings[req.adapter].tickets.add(req.ticket)
 
@@ -259,6 +267,9 @@
         holding = engine.holdings.get(waiting.req.adapter)
         if holding is not None and not holding.is_ready(now_ms):
             return
+        if not self._may_read(engine, waiting.req.ticket, now_ms):
+            return
+        engine.reading.send(waiting.req.ticket, now_ms)
         del self._waiting[waiting.req.ticket]
         self._places[waiting.req.ticket] = engine.instance
         yield Grant(
@@ -269,6 +280,17 @@
             now_ms - waiting.assigned_ms,
         )
 
+    def _may_read(self, engine: Engine, ticket: str, now_ms: int) -> bool:
+        """Whether the engine reads this prompt now, and none of those before it waits."""
+        # Whoever comes behind a long prompt that waits, and is short, would take what becomes
+        # free, again and again; the long one would never be read.
+        if engine.instance in self._reading_full:
+            return False
+        if engine.may_read(ticket, now_ms):
+            return True
+        self._reading_full.add(engine.instance)
+        return False
+
     def _reject_if_hopeless(
         self, waiting: Waiting, queue_ms: float, now_ms: int
     ) -> Iterator[Decision]:
--- /dev/null
+++ b/chestnutfall/placement/read_schedule.py
@@ -0,0 +1,123 @@
+"""Prompts that one engine reads and will read."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from .read_pace import ReadPace
+
+SLOWER = 1.1
+"""Each answer that came later than expected of this engine makes it slower by this factor, each
+that came sooner faster: one that turns eight times as slow is known after twenty answers."""
+MOST_SLOWNESS = 16.0
+"""Slower than that it gets no more work anyway."""
+AS_USUAL = 1.5
+"""Engines up to this slowness tell of their kind; the others have a trouble of their own."""
+LONGEST_WINDOW_MS = 10_000
+"""No pause objective is longer; what was sent before that is forgotten."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """A prompt that was sent to the engine."""
+
+    at_ms: int
+    read_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReadWindow:
+    """How much reading the streams of an engine bear.
+
+    An engine reads prompts between the tokens of the streams that it runs, and these pause
+    meanwhile. A stream whose engine reads no more than `budget_ms` in any `length_ms` has the time
+    for its next event in each of them, so that its pause stays below `length_ms`.
+    """
+
+    length_ms: float
+    budget_ms: float
+
+
+class ReadSchedule:
+    """What was sent lately, and what waits to be sent.
+
+    Attributes
+    ----------
+    slowness : float
+        How much slower than others of its service the engine reads; 1 at least.
+    """
+
+    def __init__(self, pace: ReadPace) -> None:
+        self.slowness = 1.0
+        self._pace = pace
+        self._sent: deque[_Sent] = deque()
+        self._waiting: dict[str, float] = {}
+        self._ahead_tokens: dict[str, float] = {}
+        self._until_ms = 0.0
+
+    @property
+    def ms_per_token(self) -> float:
+        """How long this engine reads one token."""
+        return self._pace.ms_per_token * self.slowness
+
+    def reserve(self, ticket: str, tokens: float) -> None:
+        """Note a prompt that will be sent when its adapter is there and its turn has come."""
+        self._waiting[ticket] = tokens
+
+    def cancel(self, ticket: str) -> None:
+        """Forget a request that ended, or that will not be sent."""
+        self._waiting.pop(ticket, None)
+        self._ahead_tokens.pop(ticket, None)
+
+    def fits(self, ticket: str, window: ReadWindow | None, now_ms: int) -> bool:
+        """Whether a reserved prompt may be sent now."""
+        if window is None:
+            return True
+        lately_ms = self._lately_ms(window, now_ms)
+        # One that is longer than the budget by itself goes when nothing else was read.
+        return not lately_ms or lately_ms + self._reserved_ms(ticket) <= window.budget_ms
+
+    def send(self, ticket: str, now_ms: int) -> None:
+        """Note that a reserved prompt is sent now."""
+        tokens = self._waiting.pop(ticket, 0.0)
+        read_ms = tokens * self.ms_per_token
+        begin_ms = max(self._until_ms, now_ms)
+        self._ahead_tokens[ticket] = tokens + (begin_ms - now_ms) / self.ms_per_token
+        self._until_ms = begin_ms + read_ms
+        self._sent.append(_Sent(now_ms, read_ms))
+        while self._sent[0].at_ms < now_ms - LONGEST_WINDOW_MS:
+            self._sent.popleft()
+
+    def learn(self, ticket: str, first_ms: float) -> None:
+        """Take in when the first event of a sent prompt came."""
+        tokens = self._ahead_tokens.get(ticket)
+        if tokens is None or first_ms <= 0:
+            return
+        factor = SLOWER if first_ms > self._pace.expected_ms(tokens) * self.slowness else 1 / SLOWER
+        self.slowness = min(max(self.slowness * factor, 1.0), MOST_SLOWNESS)
+        if self.slowness <= AS_USUAL:
+            self._pace.note(tokens, first_ms)
+
+    def reserved_ms(self) -> float:
+        """Reading of all prompts that wait to be sent."""
+        return sum(self._waiting.values()) * self.ms_per_token
+
+    def wait_ms(self, window: ReadWindow | None, now_ms: int) -> float:
+        """How long one more prompt would wait until it is read."""
+        under_way_ms = max(self._until_ms - now_ms, 0.0)
+        if window is None:
+            return under_way_ms + self.reserved_ms()
+        over_ms = self._lately_ms(window, now_ms) + self.reserved_ms() - window.budget_ms
+        return max(under_way_ms, over_ms * window.length_ms / window.budget_ms)
+
+    def _reserved_ms(self, ticket: str) -> float:
+        return self._waiting.get(ticket, 0.0) * self.ms_per_token
+
+    def _lately_ms(self, window: ReadWindow, now_ms: int) -> float:
+        lately_ms = 0.0
+        for sent in reversed(self._sent):
+            if sent.at_ms <= now_ms - window.length_ms:
+                break
+            lately_ms += sent.read_ms
+        return lately_ms
--- a/chestnutfall/tests/fakes/fake_upstreams.py
+++ b/chestnutfall/tests/fakes/fake_upstreams.py
@@ -15,6 +15,7 @@
 from ...forwarding.upstream_answer import NotRun, UpstreamAnswer, UpstreamLoad
 from ...forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
 from ...placement import RunOutcome
+from ...placement.run_times import RunTimes
 from ...routes import RouteTable
 
 
@@ -96,7 +97,7 @@
         return Place(f"t-{instance}", UpstreamRecord(instance, "s", "127.0.0.1:1", "dc"), 0)
 
     def give_back(
-        self, place: Place, outcome: RunOutcome, lag_ms: float, load: UpstreamLoad | None
+        self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
     ) -> None:
         self.outcomes.append(outcome)
 
--- a/chestnutfall/tests/test_fleet_leader.py
+++ b/chestnutfall/tests/test_fleet_leader.py
@@ -229,7 +229,7 @@
         self.assertEqual([token for token, _ in self.engines.orders], [term])
         leading = self.leaders[self.name].leading()
         assert leading is not None
-        leading.take(session, Release("t1", "done", 0.0))
+        leading.take(session, Release("t1", "done"))
         self.assertEqual(session.tickets, {"t2"})
 
     async def test_a_named_version_is_loaded_and_asked_for(self) -> None:
--- a/chestnutfall/tests/test_placer.py
+++ b/chestnutfall/tests/test_placer.py
@@ -86,7 +86,7 @@
 
     def release(self, ticket: str, outcome: RunOutcome = RunOutcome.DONE) -> None:
         self.granted.pop(ticket)
-        self.placer.release(ticket, outcome, 0.0)
+        self.placer.release(ticket, outcome)
 
 
 class PlacerTest(unittest.IsolatedAsyncioTestCase):
--- a/chestnutfall/tests/test_places.py
+++ b/chestnutfall/tests/test_places.py
@@ -21,6 +21,7 @@
 from ..forwarding.plain_places import PlainPlaces
 from ..forwarding.upstream_answer import UpstreamLoad
 from ..placement import AdapterName, Grant, Held, PlaceRequest, Reject, RunOutcome
+from ..placement.run_times import NO_TIMES
 from ..platform.document_json import DocumentJson
 from ..routes import Route, RouteKind, ServiceSpec, WeightedService
 
@@ -129,7 +130,7 @@
     async def test_a_load_that_others_made_counts(self) -> None:
         first = await self._take()
         told = UpstreamLoad(running=5, waiting=3, places=6)
-        self.places.give_back(first, RunOutcome.DONE, 0.0, told)
+        self.places.give_back(first, RunOutcome.DONE, NO_TIMES, told)
         self.assertNotEqual((await self._take()).upstream.instance, first.upstream.instance)
 
     async def test_an_upstream_that_fails_is_left_and_tried_again_later(self) -> None:
@@ -137,7 +138,7 @@
         for _ in range(4):
             place = Place("x", _upstream(failing), 0)
             self.places._of(place.upstream).own += 1
-            self.places.give_back(place, RunOutcome.BROKEN, 0.0, None)
+            self.places.give_back(place, RunOutcome.BROKEN, NO_TIMES, None)
         taken = {(await self._take()).upstream.instance for _ in range(5)}
         self.assertNotIn(failing, taken)
         await self.clock.advance(30_000)
