Replace an adapter's version when it is asked for, not while requests run on it

Cause: a new version was ordered at once on each engine that held an older one. Change: a holding of an older version takes no request and is the first to be dropped; it is replaced in its place when a request asks for it and nothing runs on it. Reading is also judged by when the engine reads, not by when a prompt was sent (a long prompt held up others).

--- a/chestnutfall/placement/choice.py
+++ b/chestnutfall/placement/choice.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 
 from .adapter_name import AdapterName
 from .demand import Demand
 from .engine import Engine
+from .holding import Holding
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
 from .prompt_cache import Prefixes
+from .wanted_versions import WantedVersions
 
 RUNNING_COST_MS = 2.0
 """A request beside others gets its first event later: an engine's step grows with its batch, and
@@ -61,7 +63,15 @@
     time a request before, 0.5 ms after.
     """
 
-    def __init__(self, engines: Iterable[Engine], demand: Demand, now_ms: int) -> None:
+    def __init__(
+        self,
+        engines: Collection[Engine],
+        demand: Demand,
+        versions: WantedVersions,
+        now_ms: int,
+    ) -> None:
+        self.engines = len(engines)
+        self._versions = versions
         self._engines = [one for one in engines if not one.health.is_shunned(now_ms)]
         self._demand = demand
         self._now_ms = now_ms
@@ -103,7 +113,7 @@
             return False
         spare_ms = objective_ms - loaded.load_ms - FIRST_EVENT_MS - MARGIN_MS
         return spare_ms > 0 and any(
-            req.adapter in engine.holdings or engine.held_recently(req.adapter)
+            self._holds(engine, req.adapter) or engine.held_recently(req.adapter)
             for engine in self._engines
             if req.adapter.model in engine.models and engine.instance not in req.avoid
         )
@@ -140,9 +150,10 @@
     ) -> Iterator[PlaceOption]:
         """Engines that hold the adapter or load it already."""
         name = req.adapter
+        version = self._versions.of(name)
         for engine in self._engines:
             held = engine.holdings.get(name)
-            if held is None and name.adapter:
+            if name.adapter and (held is None or held.version < version):
                 continue
             if not _may_take(req, engine) or not engine.takes_more_reading(in_time):
                 continue
@@ -155,18 +166,40 @@
             self._loaders = dict(self._loaders_among(self._engines))
         for loader in self._loaders.values():
             engine = loader.engine
-            if req.adapter in engine.holdings or not _may_take(req, engine):
+            if not _may_take(req, engine):
                 continue
+            victim, misses = loader.victim, loader.misses
+            held = engine.holdings.get(req.adapter)
+            if held is not None:
+                # An older version. It is replaced in its place, but not while requests run on it:
+                # the engine would let these end first, and refuse every other load meanwhile.
+                # Symptom: no adapter gets to that engine for seconds after a version was named.
+                if not self._is_outdated(req.adapter, held) or not held.is_idle(self._now_ms):
+                    continue
+                victim, misses = None, 0.0
             if not engine.takes_more_reading(in_time):
                 continue
             # An engine drops an adapter's prompts with it, so the whole prompt is read.
             read_ms = req.prompt_tokens * engine.reading.ms_per_token
             recent = engine.held_recently(req.adapter)
             load_ms = engine.loads.expected_ms(recent)
-            cost_ms = self._cost_ms(req, engine) + read_ms + load_ms * (1 + loader.misses)
+            cost_ms = self._cost_ms(req, engine) + read_ms + load_ms * (1 + misses)
             if not recent:
                 cost_ms += STORE_MS
-            yield PlaceOption(engine, cost_ms, load_ms, loader.victim)
+            yield PlaceOption(engine, cost_ms, load_ms, victim)
+
+    def _holds(self, engine: Engine, name: AdapterName) -> bool:
+        held = engine.holdings.get(name)
+        return held is not None and not self._is_outdated(name, held)
+
+    def _is_outdated(self, name: AdapterName, held: Holding) -> bool:
+        return held.version < self._versions.of(name)
+
+    def _loads_missed(self, engine: Engine, name: AdapterName) -> float:
+        """Loads that an adapter will soon need again if this engine drops it, 1 at most."""
+        if self._is_outdated(name, engine.holdings[name]):
+            return 0.0
+        return min(self._demand.per_s(name, self._now_ms) * MISS_HORIZON_S, 1.0)
 
     def _loaders_among(self, engines: Iterable[Engine]) -> Iterator[tuple[str, _Loader]]:
         for engine in engines:
@@ -176,12 +209,12 @@
                 yield engine.instance, _Loader(engine, None, 0.0)
                 continue
             victims = [
-                (self._demand.per_s(name, self._now_ms), name)
+                (self._loads_missed(engine, name), self._demand.level(name, self._now_ms), name)
                 for name in engine.evictable(self._now_ms)
             ]
             if victims:
-                per_s, victim = min(victims, key=lambda one: one[0])
-                yield engine.instance, _Loader(engine, victim, min(per_s * MISS_HORIZON_S, 1.0))
+                misses, _, victim = min(victims)
+                yield engine.instance, _Loader(engine, victim, misses)
 
     def _busy_of(self, engine: Engine) -> float:
         cost_ms = engine.read_wait_ms(self._now_ms) + engine.health.cost_ms(self._now_ms)
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -29,9 +29,6 @@
 engine that never reads serves nobody."""
 RECENT_PER_SLOT = 5
 """Adapters an engine keeps in its own memory beyond those it holds, for each place for them."""
-UNSURE_MS = 500
-"""A load may take longer than expected. An order to drop an adapter that has not arrived does
-nothing, and the one that comes in its place would then be one too many."""
 TRANSITS_PER_ENGINE = 4
 """Loads that an engine takes at the same time."""
 CONNECTION_STRIKES = 2
@@ -89,7 +86,7 @@
             self.loading_model = ""
         self.holdings = {}
         for name, version in report.adapters.items():
-            self.holdings[name] = Holding(version, now_ms, True)
+            self.holdings[name] = Holding(version, now_ms, confirmed=True)
         for name, version in report.coming.items():
             self.holdings[name] = Holding(version, int(now_ms + load_ms), ordered_ms=now_ms)
         for name, old in before.items():
@@ -181,10 +178,7 @@
 
     def evictable(self, now_ms: int) -> Iterator[AdapterName]:
         """Adapters that nothing runs on or waits for."""
-        for name, holding in self.holdings.items():
-            sure_ms = holding.ready_ms + (0 if holding.confirmed else UNSURE_MS)
-            if not holding.tickets and holding.ordered and sure_ms <= now_ms:
-                yield name
+        return (name for name, holding in self.holdings.items() if holding.is_idle(now_ms))
 
     def held_recently(self, name: AdapterName) -> bool:
         """Whether the engine probably still has a copy in its own memory."""
--- a/chestnutfall/placement/holding.py
+++ b/chestnutfall/placement/holding.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass, field
 
+UNSURE_MS = 500
+"""How much longer than expected a load may take; more than half of a usual one."""
+
 
 @dataclass(slots=True)
 class Holding:
@@ -42,6 +45,15 @@
     was_early: bool = False
     tickets: set[str] = field(default_factory=set)
 
+    def is_idle(self, now_ms: int) -> bool:
+        """Whether nothing runs on it or waits for it, and it is certainly there.
+
+        A load may take longer than expected. An order to drop or replace an adapter that has not
+        arrived does nothing, and the one that comes in its place would then be one too many.
+        """
+        sure_ms = self.ready_ms + (0 if self.confirmed else UNSURE_MS)
+        return not self.tickets and self.ordered and sure_ms <= now_ms
+
     def is_ready(self, now_ms: int) -> bool:
         """Whether requests may run on it."""
         return self.ordered and self.ready_ms <= now_ms
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -7,6 +7,7 @@
 from ..clock import Clock
 from ..routes import EngineSpec
 from .adapter_name import AdapterName
+from .choice import Choice
 from .decisions import Decision, Grant, LoadAdapter, LoadModel, Order, Reject, UnloadAdapter
 from .demand import Demand
 from .engine import Engine
@@ -22,6 +23,7 @@
 from .service_round import ServiceRound
 from .upkeep import Upkeep
 from .waiting import Waiting
+from .wanted_versions import WantedVersions
 
 LATE_LOAD_MS = 1_500
 """An adapter that is absent this soon after it should be there is late, not lost."""
@@ -48,6 +50,7 @@
         self._places: dict[str, str] = {}
         self._demand = Demand()
         self._upkeep = Upkeep()
+        self._versions = WantedVersions()
         self._pace = Pace()
         self._read_pace: dict[str, ReadPace] = {}
         self._reading_full: set[str] = set()
@@ -82,7 +85,6 @@
         engine.take(report, self._clock.now_ms())
         for name in engine.holdings:
             self._demand.note_held(name, self._clock.now_ms())
-        self._upkeep.look_at(engine)
         for waiting in self._waiting.values():
             if waiting.instance == instance and waiting.req.adapter not in engine.holdings:
                 self._unassign(waiting)
@@ -118,7 +120,7 @@
         now_ms = self._clock.now_ms()
         for engine in self.engines.values():
             for name, held in engine.holdings.items():
-                if held.is_ready(now_ms):
+                if held.is_ready(now_ms) and held.version >= self._versions.of(name):
                     yield Held(engine.instance, name, held.version)
 
     def unsynced(self) -> Iterator[str]:
@@ -127,7 +129,7 @@
 
     def name_version(self, adapter: AdapterName, version: int) -> None:
         """Requests get this version of the adapter or a newer one from now on."""
-        self._upkeep.name_version(adapter, version)
+        self._versions.name(adapter, version)
 
     # Requests
 
@@ -206,7 +208,7 @@
         self._reading_full.clear()
         yield from self._upkeep.decide(self.engines.values(), now_ms)
         rounds = {
-            service: ServiceRound(service, self._serving(service), self._demand, self._pace, now_ms)
+            service: ServiceRound(service, self._choice(service, now_ms), self._pace, now_ms)
             for service in {waiting.req.service for waiting in self._waiting.values()}
         }
         in_order = sorted(
@@ -216,6 +218,7 @@
             yield from self._place(waiting, rounds[waiting.req.service], now_ms)
 
     def _place(self, waiting: Waiting, now: ServiceRound, now_ms: int) -> Iterator[Decision]:
+        self._leave_outdated(waiting)
         if now_ms + LEAST_RUN_MS > waiting.since_ms + waiting.req.wait_ms:
             yield self._reject(waiting, "no_time_left")
         elif waiting.instance:
@@ -228,8 +231,16 @@
         else:
             yield from self._reject_if_hopeless(waiting, now.queue_ms(waiting), now_ms)
 
-    def _serving(self, service: str) -> list[Engine]:
-        return [engine for engine in self.engines.values() if engine.service == service]
+    def _leave_outdated(self, waiting: Waiting) -> None:
+        """Place a request anew whose adapter got a newer version while it waited."""
+        engine = self.engines.get(waiting.instance)
+        held = engine.holdings.get(waiting.req.adapter) if engine is not None else None
+        if held is not None and held.version < self._versions.of(waiting.req.adapter):
+            self._unassign(waiting)
+
+    def _choice(self, service: str, now_ms: int) -> Choice:
+        engines = [engine for engine in self.engines.values() if engine.service == service]
+        return Choice(engines, self._demand, self._versions, now_ms)
 
     def _assign(self, waiting: Waiting, option: PlaceOption, now_ms: int) -> Iterator[Decision]:
         req, engine = waiting.req, option.engine
@@ -237,7 +248,7 @@
             engine.note_dropped(option.victim)
             yield UnloadAdapter(engine.instance, option.victim)
         if option.load_ms is not None:
-            version = self._upkeep.wanted_version(req.adapter)
+            version = self._versions.of(req.adapter)
             engine.holdings[req.adapter] = Holding(
                 version,
                 int(now_ms + option.load_ms),
--- a/chestnutfall/placement/read_schedule.py
+++ b/chestnutfall/placement/read_schedule.py
@@ -19,11 +19,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Sent:
-    """A prompt that was sent to the engine."""
+class _Read:
+    """When the engine reads a prompt that was sent to it."""
 
-    at_ms: int
-    read_ms: float
+    begin_ms: float
+    end_ms: float
+
+    def after_ms(self, start_ms: float) -> float:
+        """How much of it comes after `start_ms`."""
+        return max(self.end_ms - max(self.begin_ms, start_ms), 0.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +55,7 @@
     def __init__(self, pace: ReadPace) -> None:
         self.slowness = 1.0
         self._pace = pace
-        self._sent: deque[_Sent] = deque()
+        self._reads: deque[_Read] = deque()
         self._waiting: dict[str, float] = {}
         self._ahead_tokens: dict[str, float] = {}
         self._until_ms = 0.0
@@ -74,9 +78,11 @@
         """Whether a reserved prompt may be sent now."""
         if window is None:
             return True
-        lately_ms = self._lately_ms(window, now_ms)
+        read_ms = self._waiting.get(ticket, 0.0) * self.ms_per_token
+        begin_ms = max(self._until_ms, now_ms)
+        before_ms = self._after_ms(begin_ms + read_ms - window.length_ms)
         # One that is longer than the budget by itself goes when nothing else was read.
-        return not lately_ms or lately_ms + self._reserved_ms(ticket) <= window.budget_ms
+        return before_ms <= 0 or before_ms + read_ms <= window.budget_ms
 
     def send(self, ticket: str, now_ms: int) -> None:
         """Note that a reserved prompt is sent now."""
@@ -85,9 +91,9 @@
         begin_ms = max(self._until_ms, now_ms)
         self._ahead_tokens[ticket] = tokens + (begin_ms - now_ms) / self.ms_per_token
         self._until_ms = begin_ms + read_ms
-        self._sent.append(_Sent(now_ms, read_ms))
-        while self._sent[0].at_ms < now_ms - LONGEST_WINDOW_MS:
-            self._sent.popleft()
+        self._reads.append(_Read(begin_ms, self._until_ms))
+        while self._reads[0].end_ms < now_ms - LONGEST_WINDOW_MS:
+            self._reads.popleft()
 
     def learn(self, ticket: str, first_ms: float) -> None:
         """Take in when the first event of a sent prompt came."""
@@ -108,16 +114,15 @@
         under_way_ms = max(self._until_ms - now_ms, 0.0)
         if window is None:
             return under_way_ms + self.reserved_ms()
-        over_ms = self._lately_ms(window, now_ms) + self.reserved_ms() - window.budget_ms
+        lately_ms = self._after_ms(max(self._until_ms, now_ms) - window.length_ms)
+        over_ms = lately_ms + self.reserved_ms() - window.budget_ms
         return max(under_way_ms, over_ms * window.length_ms / window.budget_ms)
 
-    def _reserved_ms(self, ticket: str) -> float:
-        return self._waiting.get(ticket, 0.0) * self.ms_per_token
-
-    def _lately_ms(self, window: ReadWindow, now_ms: int) -> float:
-        lately_ms = 0.0
-        for sent in reversed(self._sent):
-            if sent.at_ms <= now_ms - window.length_ms:
+    def _after_ms(self, start_ms: float) -> float:
+        """Reading that was sent and comes after `start_ms`."""
+        read_ms = 0.0
+        for read in reversed(self._reads):
+            if read.end_ms <= start_ms:
                 break
-            lately_ms += sent.read_ms
-        return lately_ms
+            read_ms += read.after_ms(start_ms)
+        return read_ms
--- a/chestnutfall/placement/service_round.py
+++ b/chestnutfall/placement/service_round.py
@@ -2,11 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-
 from .choice import Choice
-from .demand import Demand
-from .engine import Engine
 from .pace import Pace
 from .place_option import PlaceOption
 from .waiting import Waiting
@@ -21,16 +17,14 @@
         The service's engines.
     """
 
-    def __init__(
-        self, service: str, engines: Sequence[Engine], demand: Demand, pace: Pace, now_ms: int
-    ) -> None:
-        self.choice = Choice(engines, demand, now_ms)
+    def __init__(self, service: str, choice: Choice, pace: Pace, now_ms: int) -> None:
+        self.choice = choice
         self._now_ms = now_ms
         self._full = False
         self._queue_ms = 0.0
         self._late = 0
-        self._step_ms = pace.step_ms(service, len(engines), now_ms)
-        self._late_step_ms = pace.late_step_ms(service, len(engines), now_ms)
+        self._step_ms = pace.step_ms(service, choice.engines, now_ms)
+        self._late_step_ms = pace.late_step_ms(service, choice.engines, now_ms)
 
     def can_be_in_time(self, waiting: Waiting) -> bool:
         """Whether its first event could be in time if it had a place now."""
--- a/chestnutfall/tests/test_reading.py
+++ b/chestnutfall/tests/test_reading.py
@@ -16,6 +16,7 @@
 
 from ..clock import ManualClock
 from ..placement import AdapterName, EngineReport, Grant, PlaceRequest, RunOutcome
+from ..placement.engine import GAP_MS
 from ..placement.placer import Placer
 from ..placement.read_pace import MS_PER_TOKEN, ReadPace
 from ..placement.read_schedule import ReadSchedule, ReadWindow
@@ -56,9 +57,14 @@
             self.placer.submit(_request(f"t{number}", tokens))
         self._play(2_000)
         self.assertGreater(len(self.sent), 15)
+        reads: list[tuple[float, float]] = []
         for at_ms, _ in self.sent:
-            window = [one for one, _ in self.sent if at_ms <= one < at_ms + PAUSE_MS]
-            self.assertLess(len(window) * tokens * MS_PER_TOKEN, PAUSE_MS)
+            begin_ms = max(at_ms, reads[-1][1]) if reads else at_ms
+            reads.append((begin_ms, begin_ms + tokens * MS_PER_TOKEN))
+        for _, end_ms in reads:
+            start_ms = end_ms - PAUSE_MS
+            read_ms = sum(max(min(e, end_ms) - max(b, start_ms), 0) for b, e in reads)
+            self.assertLess(read_ms, PAUSE_MS - GAP_MS)
 
     def test_without_a_pause_objective_all_are_sent_at_once(self) -> None:
         for number in range(20):
@@ -136,4 +142,6 @@
             schedule.reserve(f"t{number}", 100 / MS_PER_TOKEN)
             schedule.send(f"t{number}", 0)
         self.assertAlmostEqual(schedule.wait_ms(window, 0), 300)
-        self.assertTrue(schedule.fits("t3", window, 300))
+        schedule.reserve("t3", 100 / MS_PER_TOKEN)
+        self.assertFalse(schedule.fits("t3", window, 300))
+        self.assertTrue(schedule.fits("t3", window, 400))
