Learn what engines of a service have in common, and keep it over changes of leader

Prompts whose loads hang kept ready ones away, joint reading counted as slowness, the time between events was that of busy streams, and each new leader began with guesses. Change: room is judged by prompts whose adapter is there; slowness counts from 1.6 times the expectation; the gap is that of streams with little reading beside them, with a tenth of margin; a prompt that would be late by waiting is read within the margin; what was learned (pace, first event, prompt, gap, load) is an entry of the log; first events, hope and least times follow from it (four fitted constants are gone).

--- a/chestnutfall/control/commands.py
+++ b/chestnutfall/control/commands.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from ..placement.engine_kind import EngineKind
 from ..wire import Codec
 from .claim import Claim, ClaimStatus
 from .upstream_record import UpstreamRecord
@@ -177,6 +178,14 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class NoteEngineKind:
+    """What the leader learned of the engines of a service, for the next one to begin with."""
+
+    service: str
+    kind: EngineKind
+
+
 @dataclass(frozen=True, slots=True)
 class CompleteGroup:
     """The group has as many voters as the tolerated losses need; it may acknowledge."""
@@ -200,6 +209,7 @@
     | UpstreamLeaves
     | ForgetUpstream
     | NameVersion
+    | NoteEngineKind
     | CompleteGroup
 )
 COMMAND_CODEC = Codec(
@@ -215,5 +225,6 @@
     UpstreamLeaves,
     ForgetUpstream,
     NameVersion,
+    NoteEngineKind,
     CompleteGroup,
 )
--- a/chestnutfall/control/control_state.py
+++ b/chestnutfall/control/control_state.py
@@ -12,6 +12,7 @@
 from ..config.layered_config import LayeredConfig
 from ..config.site_config import SiteConfig
 from ..consensus import StateMachine
+from ..placement.engine_kind import EngineKind
 from .audit_record import FIRST_HASH, AuditRecord
 from .claim import Claim, ClaimStatus
 from .commands import (
@@ -32,6 +33,7 @@
     ForgetUpstream,
     NameVersion,
     NoPermit,
+    NoteEngineKind,
     PermitTaken,
     PutDocument,
     TakeClaim,
@@ -57,6 +59,7 @@
     roster: UpstreamRoster = field(default_factory=UpstreamRoster)
     versions: list[tuple[str, str, int]] = field(default_factory=list)
     group_complete: bool = False
+    engine_kinds: dict[str, EngineKind] = field(default_factory=dict)
 
 
 class ControlState(StateMachine):
@@ -86,6 +89,8 @@
         Newest version named, by base model and adapter.
     group_complete : bool
         Whether the group ever had all the voters it needs.
+    engine_kinds : dict of str to EngineKind
+        What leaders learned of the engines of each service.
     on_apply : callable
         Told after each command; must not fail.
     """
@@ -107,6 +112,7 @@
         self.roster = dump.roster
         self.versions = {(model, adapter): v for model, adapter, v in dump.versions}
         self.group_complete = dump.group_complete
+        self.engine_kinds = dump.engine_kinds
 
     def restore(self, data: bytes) -> None:
         self._take(msgspec.msgpack.decode(data, type=_Dump) if data else _Dump())
@@ -125,6 +131,7 @@
             self.roster,
             [(model, adapter, version) for (model, adapter), version in self.versions.items()],
             self.group_complete,
+            self.engine_kinds,
         )
         return msgspec.msgpack.encode(dump)
 
@@ -183,6 +190,9 @@
                 held = self.versions.get((model, adapter), 0)
                 self.versions[model, adapter] = max(held, version)
                 return Done()
+            case NoteEngineKind(service, kind):
+                self.engine_kinds[service] = kind
+                return Done()
             case CompleteGroup():
                 self.group_complete = True
                 return Done()
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -30,12 +30,8 @@
 from .gateway_news import GatewayNews
 from .gateway_session import GatewaySession
 from .gateway_sessions import GatewaySessions
-from .messages import (
-    FleetView,
-    NotLeading,
-    Release,
-    Withdraw,
-)
+from .kind_keeper import KindKeeper
+from .messages import FleetView, NotLeading, Release, Withdraw
 from .relay_messages import Announce, Depart
 from .upstream_watch import UpstreamWatch
 
@@ -81,6 +77,10 @@
         self._read_document()
         for (model, adapter), version in self._state.versions.items():
             self._placer.name_version(AdapterName(model, adapter), version)
+        for service, kind in self._state.engine_kinds.items():
+            self._placer.know_kind(service, kind)
+        keeper = KindKeeper(self._replica, self._state, self._placer, self._clock)
+        keeping = asyncio.ensure_future(keeper.run())
         try:
             while self.leads():
                 self._news.tell_what_is_due()
@@ -91,6 +91,7 @@
                 self._carry_out_decisions()
                 await self._until_next_tick()
         finally:
+            keeping.cancel()
             self._end()
 
     def leads(self) -> bool:
--- a/chestnutfall/placement/choice.py
+++ b/chestnutfall/placement/choice.py
@@ -26,9 +26,8 @@
 paid for. An engine that held the adapter recently is worth waiting this much for."""
 MISS_HORIZON_S = 3.0
 """An evicted adapter is charged the loads it will need within this time."""
-FIRST_EVENT_MS = 100.0
-"""From a place on an engine with its adapter to the first event at the caller: 70 ms as a median
-and 30 for a longer batch or a busy gateway."""
+RELAY_MS = 20.0
+"""From a place at the leader to the engine, and from there to the caller, on a busy gateway."""
 MARGIN_MS = 40.0
 """A place elsewhere may be taken when the wait for a copy is over; another falls idle by then."""
 SURE_MS = 60.0
@@ -70,14 +69,18 @@
         versions: WantedVersions,
         now_ms: int,
     ) -> None:
-        self.engines = len(engines)
         self._versions = versions
         self._engines = [one for one in engines if not one.health.is_shunned(now_ms)]
+        self.starts_per_s = sum(one.starts_per_s() for one in self._engines)
         self._demand = demand
         self._now_ms = now_ms
         self._busy_ms = {one.instance: self._busy_of(one) for one in self._engines}
+        self._room = {one.instance: one.reading_room(now_ms) for one in self._engines}
         self._loaders: dict[str, _Loader] | None = None
         self._names: set[AdapterName] | None = None
+        readings = [one.reading for one in self._engines]
+        self._first_ms = RELAY_MS + min((one.first_ms for one in readings), default=0.0)
+        self._ms_per_token = min((one.ms_per_token for one in readings), default=0.0)
         loads = (one.loads.expected_ms(recent=False) for one in self._engines)
         self._load_ms = min(loads, default=0.0)
 
@@ -111,16 +114,20 @@
         """
         if loaded.load_ms is None or loaded.engine.held_recently(req.adapter):
             return False
-        spare_ms = objective_ms - loaded.load_ms - FIRST_EVENT_MS - MARGIN_MS
+        spare_ms = objective_ms - loaded.load_ms - self.first_event_ms(req) - MARGIN_MS
         return spare_ms > 0 and any(
             self._holds(engine, req.adapter) or engine.held_recently(req.adapter)
             for engine in self._engines
             if req.adapter.model in engine.models and engine.instance not in req.avoid
         )
 
+    def first_event_ms(self, req: PlaceRequest) -> float:
+        """From a place on an engine with its adapter to the first event, read as a whole."""
+        return self._first_ms + req.prompt_tokens * self._ms_per_token
+
     def can_be_in_time(self, req: PlaceRequest, objective_ms: float) -> bool:
         """Whether the first event could come within `objective_ms` if it had a place now."""
-        spare_ms = objective_ms - FIRST_EVENT_MS
+        spare_ms = objective_ms - self.first_event_ms(req)
         if spare_ms < 0 or spare_ms >= self._load_ms:
             return spare_ms >= 0
         return not req.adapter.adapter or req.adapter in self._at_hand()
@@ -141,6 +148,7 @@
     def changed(self, engine: Engine) -> None:
         """Look at an engine again that was just given something."""
         self._busy_ms[engine.instance] = self._busy_of(engine)
+        self._room[engine.instance] = engine.reading_room(self._now_ms)
         if self._loaders is not None:
             self._loaders.pop(engine.instance, None)
             self._loaders.update(self._loaders_among([engine]))
@@ -155,7 +163,7 @@
             held = engine.holdings.get(name)
             if name.adapter and (held is None or held.version < version):
                 continue
-            if not _may_take(req, engine) or not engine.takes_more_reading(in_time):
+            if not _may_take(req, engine) or not self._room[engine.instance].takes(in_time):
                 continue
             wait_ms = max(held.ready_ms - self._now_ms, 0) if held is not None else 0
             cost_ms = self._cost_ms(req, engine) + engine.read_ms(req, prefixes)
@@ -177,7 +185,7 @@
                 if not self._is_outdated(req.adapter, held) or not held.is_idle(self._now_ms):
                     continue
                 victim, misses = None, 0.0
-            if not engine.takes_more_reading(in_time):
+            if not self._room[engine.instance].takes(in_time):
                 continue
             # An engine drops an adapter's prompts with it, so the whole prompt is read.
             read_ms = req.prompt_tokens * engine.reading.ms_per_token
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -7,6 +7,7 @@
 
 from ..routes import EngineSpec
 from .adapter_name import AdapterName
+from .engine_kind import EngineKind
 from .engine_report import EngineReport
 from .holding import Holding
 from .load_timer import LoadTimer
@@ -14,16 +15,20 @@
 from .prompt_cache import Prefixes, PromptCache
 from .read_pace import ReadPace
 from .read_schedule import ReadSchedule, ReadWindow
+from .reading_room import ReadingRoom
 from .run_times import RunTimes
 from .upstream_health import UpstreamHealth
 
-GAP_WEIGHT = 0.1
-"""The usual time between two events is that of the last ten streams."""
-GAP_MS = 40.0
-"""The same before a stream ended: some steps of a large model."""
+GAP_UP = 0.01
+GAP_DOWN = 0.09
+"""Each stream moves the time between two events by these parts, up if its own was longer and down
+if not, so that one stream in ten has a shorter one. What counts is the time without reading; the
+mean over all streams was twice as long on a busy engine, and cost a quarter of its reading."""
 GAPS_KEPT = 1.5
 """Usual gaps that are kept free of reading in each pause objective: one for the event, and half of
 one for steps that take longer beside more streams."""
+SURE_PART = 0.9
+"""Part of the rest that is used: estimates of reading are wrong by a tenth."""
 LEAST_READ_PART = 0.3
 """Part of a pause objective that reading gets even where the gaps between events leave less; an
 engine that never reads serves nobody."""
@@ -54,10 +59,18 @@
         Base model on its way; empty when there is none.
     synced : bool
         Whether its report was read; before that nothing is ordered.
+    gap_ms : float
+        Time between two events of a stream while little is read beside it.
     """
 
     def __init__(
-        self, instance: str, service: str, data_centre: str, spec: EngineSpec, pace: ReadPace
+        self,
+        instance: str,
+        service: str,
+        data_centre: str,
+        spec: EngineSpec,
+        kind: EngineKind,
+        pace: ReadPace,
     ) -> None:
         self.instance = instance
         self.service = service
@@ -69,10 +82,10 @@
         self.loading_model = ""
         self.synced = False
         self.health = UpstreamHealth(CONNECTION_STRIKES)
-        self.loads = LoadTimer()
+        self.loads = LoadTimer(kind.load_ms)
         self.prompts = PromptCache(int(spec.kv_tokens * KV_SHARE))
         self.reading = ReadSchedule(pace)
-        self._gap_ms = GAP_MS
+        self.gap_ms = kind.gap_ms
         self._pauses: Counter[int] = Counter()
         self._kv_used = 0
         self._recent: OrderedDict[AdapterName, None] = OrderedDict()
@@ -113,27 +126,49 @@
         tokens = self.prompts.missing_tokens(req.prompt_tokens, prefixes)
         return tokens * self.reading.ms_per_token
 
-    def takes_more_reading(self, in_time: bool) -> bool:
+    def reading_room(self, now_ms: int) -> ReadingRoom:
         """Whether one more prompt may queue for this engine.
 
-        One window's reading ahead keeps the engine busy while adapters load; who queues here can't
-        go to an engine that is free sooner. Who will be late does not hold up others.
+        One window's reading ahead keeps the engine busy; who queues here can't go to an engine
+        that is free sooner. Prompts whose adapters are still loading don't count: an engine whose
+        loads hang for a second would refuse work that it could do, and half of all requests of
+        that time were refused.
         """
         window = self._read_window()
         if window is None:
-            return True
-        return self.reading.reserved_ms() <= (window.budget_ms if in_time else 0.0)
-
-    def may_read(self, ticket: str, now_ms: int) -> bool:
-        """Whether the streams that run here bear the reading of this request now."""
-        return self.reading.fits(ticket, self._read_window(), now_ms)
+            return ReadingRoom(True, True)
+        ahead_ms = self.reading.reserved_ms(
+            ticket for ticket, req in self.running.items() if self._has_adapter(req, now_ms)
+        )
+        return ReadingRoom(ahead_ms <= window.budget_ms, ahead_ms <= 0)
+
+    def _has_adapter(self, req: PlaceRequest, now_ms: int) -> bool:
+        held = self.holdings.get(req.adapter)
+        return held is None or held.is_ready(now_ms)
+
+    def starts_per_s(self) -> float:
+        """How many requests it can start in a second if each needs a load."""
+        loads_per_s = TRANSITS_PER_ENGINE * 1000 / self.loads.expected_ms(recent=False)
+        return min(self.reading.prompts_per_s(self._read_window()), loads_per_s)
+
+    def may_read(self, ticket: str, urgent: bool, now_ms: int) -> bool:
+        """Whether the streams that run here bear the reading of this request now.
+
+        One that is late if it waits any longer is read although a stream may then pause: its
+        own lateness is certain. Those that are late already gain nothing by it.
+        """
+        return self.reading.fits(ticket, self._read_window(urgent), now_ms)
 
-    def _read_window(self) -> ReadWindow | None:
+    def _read_window(self, urgent: bool = False) -> ReadWindow | None:
         tightest_ms = min(self._pauses, default=0)
         if not tightest_ms:
             return None
-        free_ms = max(tightest_ms - GAPS_KEPT * self._gap_ms, LEAST_READ_PART * tightest_ms)
-        return ReadWindow(tightest_ms, free_ms)
+        free_ms = max(tightest_ms - GAPS_KEPT * self.gap_ms, LEAST_READ_PART * tightest_ms)
+        return ReadWindow(tightest_ms, free_ms if urgent else SURE_PART * free_ms)
+
+    def first_event_ms(self, ticket: str) -> float:
+        """Expected time from sending a request that waits here to its first event."""
+        return self.reading.first_event_ms(ticket)
 
     def start(self, req: PlaceRequest, prefixes: Prefixes) -> None:
         """Count a request that will be sent to it."""
@@ -160,7 +195,7 @@
         """Take in how fast it answered a request that is still counted."""
         self.reading.learn(ticket, times.first_ms)
         if times.gap_ms > 0:
-            self._gap_ms += GAP_WEIGHT * (times.gap_ms - self._gap_ms)
+            self.gap_ms *= 1 + GAP_UP if times.gap_ms > self.gap_ms else 1 - GAP_DOWN
 
     # Adapters
 
--- a/chestnutfall/placement/load_timer.py
+++ b/chestnutfall/placement/load_timer.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-START_MS = 290.0
-"""First guess; a wrong one is corrected within some tens of loads."""
 LEAST_MS = 20.0
 """No load is faster than a round trip and a few steps of the engine."""
 MOST_MS = 5_000.0
@@ -20,10 +18,10 @@
 
 
 class LoadTimer:
-    """Expected time of a load, ms."""
+    """Expected time of a load, ms, from a first guess."""
 
-    def __init__(self) -> None:
-        self._ms = START_MS
+    def __init__(self, guess_ms: float) -> None:
+        self._ms = guess_ms
 
     def expected_ms(self, recent: bool) -> float:
         """Time of a load, from the engine's own memory (`recent`) or from the weight store."""
--- a/chestnutfall/placement/pace.py
+++ b/chestnutfall/placement/pace.py
@@ -8,12 +8,13 @@
 """Long enough for a steady figure, short beside a request's time."""
 SPAN_MS = 250
 """About one load: a shorter time since the first grant says nothing yet."""
-LEAST_PER_ENGINE_S = 5.0
+LEAST_PART = 0.33
 """A queue that did not move lately, as after a change of leader or in a lull, is not hopeless yet.
-A third of what an engine starts a second when it is busy with ordinary requests."""
-LATE_PER_ENGINE_S = 1.0
-"""The same for requests that will be late. They get what those that can be in time leave over, and
-when that was nothing for two seconds, there is little hope that it becomes more."""
+A third of what the engines can start is expected of them in any case."""
+LEAST_LATE_PART = 0.07
+"""The same for requests that will be late: one a second of an ordinary engine. They get what those
+that can be in time leave over, and when that was nothing for two seconds, there is little hope that
+it becomes more."""
 
 
 class _Grants:
@@ -47,13 +48,16 @@
         kind = self._in_time if in_time else self._late
         kind.setdefault(service, _Grants()).note(now_ms)
 
-    def step_ms(self, service: str, engines: int, now_ms: int) -> float:
-        """Time from one grant to the next, of requests that can be in time."""
-        return _step_ms(self._in_time.get(service), LEAST_PER_ENGINE_S * engines, now_ms)
+    def step_ms(self, service: str, starts_per_s: float, now_ms: int) -> float:
+        """Time from one grant to the next, of requests that can be in time.
 
-    def late_step_ms(self, service: str, engines: int, now_ms: int) -> float:
+        `starts_per_s` is what the service's engines can start at most.
+        """
+        return _step_ms(self._in_time.get(service), LEAST_PART * starts_per_s, now_ms)
+
+    def late_step_ms(self, service: str, starts_per_s: float, now_ms: int) -> float:
         """Time from one grant to the next, of requests that will be late."""
-        return _step_ms(self._late.get(service), LATE_PER_ENGINE_S * engines, now_ms)
+        return _step_ms(self._late.get(service), LEAST_LATE_PART * starts_per_s, now_ms)
 
 
 def _step_ms(grants: _Grants | None, least_per_s: float, now_ms: int) -> float:
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Iterator
 
 from ..clock import Clock
@@ -11,6 +12,7 @@
 from .decisions import Decision, Grant, LoadAdapter, LoadModel, Order, Reject, UnloadAdapter
 from .demand import Demand
 from .engine import Engine
+from .engine_kind import EngineKind
 from .engine_report import EngineReport
 from .held import Held
 from .holding import Holding
@@ -33,8 +35,8 @@
 """About one load: sooner nothing has changed for who comes back."""
 MOST_RETRY_MS = 4_000
 """Usual deadlines are as long; a later return is a new request."""
-LEAST_RUN_MS = 60
-"""Even a short answer takes this long; with less time left a request can't be served."""
+URGENT_MS = 100
+"""A prompt that must be sent within this time to be in time does not wait for a better moment."""
 
 
 class Placer:
@@ -52,6 +54,7 @@
         self._upkeep = Upkeep()
         self._versions = WantedVersions()
         self._pace = Pace()
+        self._kinds: dict[str, EngineKind] = {}
         self._read_pace: dict[str, ReadPace] = {}
         self._reading_full: set[str] = set()
 
@@ -63,8 +66,26 @@
         if known is not None:
             known.spec = spec
             return
-        pace = self._read_pace.setdefault(service, ReadPace())
-        self.engines[instance] = Engine(instance, service, data_centre, spec, pace)
+        kind = self._kinds.get(service, EngineKind())
+        pace = self._read_pace.setdefault(service, ReadPace(kind))
+        self.engines[instance] = Engine(instance, service, data_centre, spec, kind, pace)
+
+    def know_kind(self, service: str, kind: EngineKind) -> None:
+        """Take what an earlier leader learned of a service's engines; before they are told of."""
+        self._kinds[service] = kind
+
+    def kinds(self) -> Iterator[tuple[str, EngineKind]]:
+        """What was learned of the engines of each service, as far as it is certain."""
+        for service, pace in self._read_pace.items():
+            engines = [one for one in self.engines.values() if one.service == service]
+            if engines and pace.is_learned:
+                yield service, EngineKind(
+                    pace.first_ms,
+                    pace.ms_per_token,
+                    pace.usual_tokens,
+                    statistics.median(one.gap_ms for one in engines),
+                    statistics.median(one.loads.expected_ms(recent=False) for one in engines),
+                )
 
     def engine_down(self, instance: str) -> None:
         """Give an engine no more work; whoever waits for its load is placed anew."""
@@ -219,7 +240,7 @@
 
     def _place(self, waiting: Waiting, now: ServiceRound, now_ms: int) -> Iterator[Decision]:
         self._leave_outdated(waiting)
-        if now_ms + LEAST_RUN_MS > waiting.since_ms + waiting.req.wait_ms:
+        if now_ms + now.choice.first_event_ms(waiting.req) > waiting.since_ms + waiting.req.wait_ms:
             yield self._reject(waiting, "no_time_left")
         elif waiting.instance:
             yield from self._grant_when_ready(waiting, now_ms)
@@ -278,7 +299,7 @@
         holding = engine.holdings.get(waiting.req.adapter)
         if holding is not None and not holding.is_ready(now_ms):
             return
-        if not self._may_read(engine, waiting.req.ticket, now_ms):
+        if not self._may_read(engine, waiting, now_ms):
             return
         engine.reading.send(waiting.req.ticket, now_ms)
         del self._waiting[waiting.req.ticket]
@@ -291,13 +312,16 @@
             now_ms - waiting.assigned_ms,
         )
 
-    def _may_read(self, engine: Engine, ticket: str, now_ms: int) -> bool:
+    def _may_read(self, engine: Engine, waiting: Waiting, now_ms: int) -> bool:
         """Whether the engine reads this prompt now, and none of those before it waits."""
         # Whoever comes behind a long prompt that waits, and is short, would take what becomes
         # free, again and again; the long one would never be read.
-        if engine.instance in self._reading_full:
+        ticket = waiting.req.ticket
+        slack_ms = waiting.objective_ms(now_ms) - engine.first_event_ms(ticket)
+        urgent = 0 <= slack_ms < URGENT_MS
+        if engine.instance in self._reading_full and not urgent:
             return False
-        if engine.may_read(ticket, now_ms):
+        if engine.may_read(ticket, urgent, now_ms):
             return True
         self._reading_full.add(engine.instance)
         return False
--- a/chestnutfall/placement/read_pace.py
+++ b/chestnutfall/placement/read_pace.py
@@ -4,12 +4,8 @@
 
 import math
 
-FIRST_MS = 25.0
-"""Expected time to the first event of an empty prompt before an engine answered: some steps, and
-the way there and back."""
-MS_PER_TOKEN = 0.05
-"""Expected reading of engines that nothing is known of: large models read about 20 tokens a ms.
-Too slow costs the first requests some waiting, too fast costs others their pauses."""
+from .engine_kind import EngineKind
+
 STEP = 0.01
 """An answer moves the figures by this part: of engines that answer 30 requests a second, a figure
 that is wrong by half is corrected within two seconds."""
@@ -19,6 +15,10 @@
 took the first dozen of such answers for fast reading, and all that waited went through at once."""
 ORDINARY_TOKENS = 1_000.0
 """A prompt this long tells of reading as much as any; a shorter one tells less of it."""
+PROMPT_WEIGHT = 0.02
+"""The usual prompt is that of the last fifty requests."""
+ENOUGH_ANSWERS = 100
+"""At a step of one in a hundred, figures that were wrong by half are right after these."""
 LEAST_MS_PER_TOKEN = 0.002
 MOST_MS_PER_TOKEN = 1.0
 """Bounds against broken measurements: 500 tokens a ms, and one."""
@@ -36,15 +36,25 @@
     a second; everyone's prompts then went through together, and half of the streams paused.
     """
 
-    def __init__(self) -> None:
-        self.first_ms = FIRST_MS
-        self.ms_per_token = MS_PER_TOKEN
+    def __init__(self, kind: EngineKind) -> None:
+        self.first_ms = kind.first_ms
+        self.ms_per_token = kind.ms_per_token
+        self.usual_tokens = kind.prompt_tokens
         self._answers = 0
 
+    @property
+    def is_learned(self) -> bool:
+        """Whether so many engines answered that the figures are worth telling."""
+        return self._answers >= ENOUGH_ANSWERS
+
     def expected_ms(self, tokens: float) -> float:
         """Time to the first event after so many tokens of reading."""
         return self.first_ms + tokens * self.ms_per_token
 
+    def note_prompt(self, tokens: float) -> None:
+        """Take in how much of a prompt was to be read."""
+        self.usual_tokens += PROMPT_WEIGHT * (tokens - self.usual_tokens)
+
     def note(self, tokens: float, took_ms: float) -> None:
         """Take in an answer whose first event came after `took_ms` and so many tokens."""
         self._answers += 1
--- a/chestnutfall/placement/read_schedule.py
+++ b/chestnutfall/placement/read_schedule.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from .read_pace import ReadPace
 
 SLOWER = 1.1
-"""Each answer that came later than expected of this engine makes it slower by this factor, each
-that came sooner faster: one that turns eight times as slow is known after twenty answers."""
+"""Each answer that came far later than expected of this engine makes it slower by this factor, any
+other faster: one that turns eight times as slow is known after twenty answers."""
+FAR_LATER = 1.6
+"""Prompts that come together are read together, so that the first of them waits for all; that is no
+sign of a slow engine. Counted as one, it took a fifth of the reading from busy engines."""
 MOST_SLOWNESS = 16.0
 """Slower than that it gets no more work anyway."""
 AS_USUAL = 1.5
@@ -60,6 +64,11 @@
         self._ahead_tokens: dict[str, float] = {}
         self._until_ms = 0.0
 
+    @property
+    def first_ms(self) -> float:
+        """Time to the first event of an empty prompt."""
+        return self._pace.first_ms * self.slowness
+
     @property
     def ms_per_token(self) -> float:
         """How long this engine reads one token."""
@@ -87,6 +96,7 @@
     def send(self, ticket: str, now_ms: int) -> None:
         """Note that a reserved prompt is sent now."""
         tokens = self._waiting.pop(ticket, 0.0)
+        self._pace.note_prompt(tokens)
         read_ms = tokens * self.ms_per_token
         begin_ms = max(self._until_ms, now_ms)
         self._ahead_tokens[ticket] = tokens + (begin_ms - now_ms) / self.ms_per_token
@@ -100,23 +110,34 @@
         tokens = self._ahead_tokens.get(ticket)
         if tokens is None or first_ms <= 0:
             return
-        factor = SLOWER if first_ms > self._pace.expected_ms(tokens) * self.slowness else 1 / SLOWER
+        late_ms = FAR_LATER * self.slowness * self._pace.expected_ms(tokens)
+        factor = SLOWER if first_ms > late_ms else 1 / SLOWER
         self.slowness = min(max(self.slowness * factor, 1.0), MOST_SLOWNESS)
         if self.slowness <= AS_USUAL:
             self._pace.note(tokens, first_ms)
 
-    def reserved_ms(self) -> float:
-        """Reading of all prompts that wait to be sent."""
-        return sum(self._waiting.values()) * self.ms_per_token
+    def first_event_ms(self, ticket: str) -> float:
+        """Expected time from sending a reserved prompt to the first event."""
+        return self._pace.expected_ms(self._waiting.get(ticket, 0.0)) * self.slowness
+
+    def prompts_per_s(self, window: ReadWindow | None) -> float:
+        """How many usual prompts the engine reads in a second."""
+        part = window.budget_ms / window.length_ms if window is not None else 1.0
+        return part * 1000 / max(self._pace.usual_tokens * self.ms_per_token, 1.0)
+
+    def reserved_ms(self, tickets: Iterable[str]) -> float:
+        """Reading of those of the prompts that wait to be sent."""
+        return sum(self._waiting.get(ticket, 0.0) for ticket in tickets) * self.ms_per_token
 
     def wait_ms(self, window: ReadWindow | None, now_ms: int) -> float:
         """How long one more prompt would wait until it is read."""
-        under_way_ms = max(self._until_ms - now_ms, 0.0)
+        reserved_ms = self.reserved_ms(self._waiting)
+        before_ms = max(self._until_ms - now_ms, 0.0) + reserved_ms
         if window is None:
-            return under_way_ms + self.reserved_ms()
+            return before_ms
         lately_ms = self._after_ms(max(self._until_ms, now_ms) - window.length_ms)
-        over_ms = lately_ms + self.reserved_ms() - window.budget_ms
-        return max(under_way_ms, over_ms * window.length_ms / window.budget_ms)
+        over_ms = lately_ms + reserved_ms - window.budget_ms
+        return max(before_ms, over_ms * window.length_ms / window.budget_ms)
 
     def _after_ms(self, start_ms: float) -> float:
         """Reading that was sent and comes after `start_ms`."""
--- a/chestnutfall/placement/service_round.py
+++ b/chestnutfall/placement/service_round.py
@@ -23,8 +23,8 @@
         self._full = False
         self._queue_ms = 0.0
         self._late = 0
-        self._step_ms = pace.step_ms(service, choice.engines, now_ms)
-        self._late_step_ms = pace.late_step_ms(service, choice.engines, now_ms)
+        self._step_ms = pace.step_ms(service, choice.starts_per_s, now_ms)
+        self._late_step_ms = pace.late_step_ms(service, choice.starts_per_s, now_ms)
 
     def can_be_in_time(self, waiting: Waiting) -> bool:
         """Whether its first event could be in time if it had a place now."""
