--- a/chestnutfall/coordination/engine_orders.py
+++ b/chestnutfall/coordination/engine_orders.py
@@ -26,6 +26,8 @@
 within this time, and only then is the report worth the wait for it."""
 DROP_POLLS = 20
 """Four seconds; most requests end within one."""
+STRAY_MS = 15_000
+"""Orders without an answer were seen to be carried out up to twelve seconds later."""
 SETTLE_MS = 200
 """A report shows an engine as it was some 100 ms ago; an older one would miss the last order."""
 
@@ -63,6 +65,8 @@
         self._resync_queued = False
         self._certain = False
         self._timer = AnswerTimer()
+        self._unanswered_at = -1
+        self._unanswered_ms = 0
 
     def give(self, order: Order) -> None:
         """Queue an order."""
@@ -110,6 +114,7 @@
         match await self._send(order):
             case OrderResult.TAKEN:
                 self._orders_taken += 1
+                self._tell_stray()
                 await self._note_taken(order, OrderResult.TAKEN)
             case OrderResult.HOLDS_ALREADY:
                 self._orders_taken += isinstance(order, UnloadAdapter)
@@ -168,6 +173,8 @@
         took_ms = self._clock.now_ms() - self._ordered_ms
         if result is OrderResult.UNKNOWN:
             self._timer.unanswered()
+            self._unanswered_at = max(self._unanswered_at, self._orders_taken)
+            self._unanswered_ms = self._clock.now_ms()
         else:
             self._timer.answered(took_ms)
         log.info(
@@ -198,6 +205,18 @@
         self._placer.order_failed(order)
         self.resync()
 
+    def _tell_stray(self) -> None:
+        """Keep a place free while an unanswered order may still fit the engine's count.
+
+        Some orders are answered as taken and not counted. Those after them name a count that the
+        engine reaches only later, and one of these that was left unanswered is carried out just
+        then: one adapter too many on a full engine, which crashes with all its requests.
+        """
+        engine = self._placer.engines.get(self.instance)
+        if engine is not None:
+            recent = self._clock.now_ms() - self._unanswered_ms < STRAY_MS
+            engine.has_stray_order = recent and self._unanswered_at > self._orders_taken
+
     async def _report(self) -> EngineReport | None:
         try:
             report = await self._control.report(self._record)
@@ -232,5 +251,6 @@
             self._orders_taken = report.orders_taken
             self._certain = True
             self._placer.engine_reported(self.instance, report)
+            self._tell_stray()
             self._on_change()
             return
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -59,6 +59,8 @@
         Base model on its way; empty when there is none.
     synced : bool
         Whether its report was read; before that nothing is ordered.
+    has_stray_order : bool
+        Whether it may still carry out an order that we gave up; one place is left for that.
     gap_ms : float
         Time between two events of a stream while little is read beside it.
     """
@@ -81,6 +83,7 @@
         self.running: dict[str, PlaceRequest] = {}
         self.loading_model = ""
         self.synced = False
+        self.has_stray_order = False
         self.health = UpstreamHealth(CONNECTION_STRIKES)
         self.loads = LoadTimer(kind.load_ms)
         self.prompts = PromptCache(int(spec.kv_tokens * KV_SHARE))
@@ -205,11 +208,13 @@
 
     def can_load_more(self, now_ms: int) -> bool:
         """Whether it takes one more load now."""
+        if self.has_stray_order and len(self.holdings) >= self.spec.adapter_slots:
+            return False
         return self.synced and self.in_transit(now_ms) < TRANSITS_PER_ENGINE
 
     def has_free_slot(self) -> bool:
         """Whether an adapter fits without an eviction."""
-        return len(self.holdings) < self.spec.adapter_slots
+        return len(self.holdings) + self.has_stray_order < self.spec.adapter_slots
 
     def evictable(self, now_ms: int) -> Iterator[AdapterName]:
         """Adapters that nothing runs on or waits for."""
--- a/chestnutfall/tests/test_engine_orders.py
+++ b/chestnutfall/tests/test_engine_orders.py
@@ -16,6 +16,7 @@
 from ..coordination.engine_control import EngineControl, OrderResult
 from ..coordination.engine_orders import EngineOrders
 from ..placement import AdapterName, EngineReport, LoadAdapter, LoadModel, UnloadAdapter
+from ..placement.holding import Holding
 from ..placement.placer import Placer
 from ..routes import EngineSpec, ModelSpec
 
@@ -127,6 +128,32 @@
         await self.clock.advance(500)
         self.assertEqual(self.engine.taken, ["a2"])
 
+    async def test_an_unanswered_order_under_too_high_a_count_keeps_a_place_free(self) -> None:
+        # An order was answered as taken and not counted. The next one, under a count that the
+        # engine has not reached, is left unanswered, and is carried out when the count is: one
+        # adapter too many, unless a place was left for it.
+        self.orders._orders_taken = 2
+        self.engine.unanswered = {1}
+        self._load("late")
+        await self.clock.advance(2_000)
+        engine = self.placer.engines["i1"]
+        self.assertTrue(engine.has_stray_order)
+        self.assertFalse(self._takes_loads(SPEC.adapter_slots))
+        self._load("a1")
+        await self.clock.advance(100)
+        self.assertTrue(engine.has_stray_order)
+        self._load("a2")
+        await self.clock.advance(100)
+        self.assertFalse(engine.has_stray_order)
+        self.assertTrue(self._takes_loads(SPEC.adapter_slots))
+
+    def _takes_loads(self, held: int) -> bool:
+        engine = self.placer.engines["i1"]
+        now_ms = self.clock.now_ms()
+        names = [AdapterName("base", f"held{number}") for number in range(held)]
+        engine.holdings = {name: Holding(1, now_ms, confirmed=True) for name in names}
+        return engine.can_load_more(now_ms)
+
     async def test_nothing_is_ordered_by_the_report_of_a_later_life(self) -> None:
         # The engine crashed and started again under its name; nobody announced that yet. Its
         # report shows free places under a count that began anew, and orders that are counted
