--- a/chestnutfall/coordination/kind_keeper.py
+++ b/chestnutfall/coordination/kind_keeper.py
@@ -32,7 +32,7 @@
         """Look again and again, until cancelled."""
         while True:
             await self._clock.sleep_ms(LOOK_MS)
-            for service, kind in list(self._placer.kinds()):
+            for service, kind in list(self._placer.kinds.learned(self._placer.engines.values())):
                 known = self._state.engine_kinds.get(service)
                 if known is None or kind.has_moved_from(known):
                     await self._commit(NoteEngineKind(service, kind))
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -78,7 +78,7 @@
         for (model, adapter), version in self._state.versions.items():
             self._placer.name_version(AdapterName(model, adapter), version)
         for service, kind in self._state.engine_kinds.items():
-            self._placer.know_kind(service, kind)
+            self._placer.kinds.know(service, kind)
         keeper = KindKeeper(self._replica, self._state, self._placer, self._clock)
         keeping = asyncio.ensure_future(keeper.run())
         try:
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -229,6 +229,17 @@
         """Adapters of which it probably has a copy in its own memory."""
         return self._recent
 
+    def begin_load(self, name: AdapterName, version: int, load_ms: float, now_ms: int) -> None:
+        """Note that it will be ordered to load an adapter, or another version of one it holds."""
+        self.prompts.drop(name)
+        self.holdings[name] = Holding(
+            version,
+            int(now_ms + load_ms),
+            expected_ms=load_ms,
+            from_memory=self.held_recently(name),
+            ordered=False,
+        )
+
     def forget_copy(self, name: AdapterName) -> None:
         """Note that the engine had no copy of an adapter in its own memory."""
         self._recent.pop(name, None)
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import statistics
 from collections.abc import Iterator
 
 from ..clock import Clock
@@ -12,14 +11,14 @@
 from .decisions import Decision, Grant, LoadAdapter, LoadModel, Order, Reject, UnloadAdapter
 from .demand import Demand
 from .engine import Engine
-from .engine_kind import EngineKind
 from .engine_report import EngineReport
 from .held import Held
-from .holding import Holding
+from .kinds import Kinds
 from .pace import Pace
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
-from .read_pace import ReadPace
+from .reading_turns import ReadingTurns
+from .run_end import note_end
 from .run_outcome import RunOutcome
 from .run_times import NO_TIMES, RunTimes
 from .service_round import ServiceRound
@@ -27,36 +26,36 @@
 from .waiting import Waiting
 from .wanted_versions import WantedVersions
 
-LATE_LOAD_MS = 1_500
-"""An adapter that is absent this soon after it should be there is late, not lost."""
-TOO_EARLY_MS = 40
-"""Wait after a request that came before its adapter; a sixth of a load."""
 LEAST_RETRY_MS = 250
 """About one load: sooner nothing has changed for who comes back."""
 MOST_RETRY_MS = 4_000
 """Usual deadlines are as long; a later return is a new request."""
-URGENT_MS = 100
-"""A prompt that must be sent within this time to be in time does not wait for a better moment."""
 
 
 class Placer:
     """Places requests on engines and decides which adapters they load.
 
     Nothing here sends: callers carry out what `decide` yields, and tell what became of it.
+
+    Attributes
+    ----------
+    engines : dict of str to Engine
+        Engines by instance.
+    kinds : Kinds
+        What was learned of the engines of each service.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self.engines: dict[str, Engine] = {}
+        self.kinds = Kinds()
         self._waiting: dict[str, Waiting] = {}
         self._places: dict[str, str] = {}
         self._demand = Demand()
         self._upkeep = Upkeep()
         self._versions = WantedVersions()
         self._pace = Pace()
-        self._kinds: dict[str, EngineKind] = {}
-        self._read_pace: dict[str, ReadPace] = {}
-        self._reading_full: set[str] = set()
+        self._turns = ReadingTurns()
 
     # Engines
 
@@ -66,27 +65,9 @@
         if known is not None:
             known.spec = spec
             return
-        kind = self._kinds.get(service, EngineKind())
-        pace = self._read_pace.setdefault(service, ReadPace(kind))
+        kind, pace = self.kinds.of(service), self.kinds.pace_of(service)
         self.engines[instance] = Engine(instance, service, data_centre, spec, kind, pace)
 
-    def know_kind(self, service: str, kind: EngineKind) -> None:
-        """Take what an earlier leader learned of a service's engines; before they are told of."""
-        self._kinds[service] = kind
-
-    def kinds(self) -> Iterator[tuple[str, EngineKind]]:
-        """What was learned of the engines of each service, as far as it is certain."""
-        for service, pace in self._read_pace.items():
-            engines = [one for one in self.engines.values() if one.service == service]
-            if engines and pace.is_learned:
-                yield service, EngineKind(
-                    pace.first_ms,
-                    pace.ms_per_token,
-                    pace.usual_tokens,
-                    statistics.median(one.gap_ms for one in engines),
-                    statistics.median(one.loads.expected_ms(recent=False) for one in engines),
-                )
-
     def engine_down(self, instance: str) -> None:
         """Give an engine no more work; whoever waits for its load is placed anew."""
         engine = self.engines.pop(instance, None)
@@ -176,41 +157,7 @@
         req = engine.end(ticket) if engine is not None else None
         if engine is None or req is None:
             return
-        now_ms = self._clock.now_ms()
-        engine.health.note(outcome, now_ms)
-        if outcome is RunOutcome.DONE:
-            engine.health.note_lag(times.lag_ms, now_ms)
-        holding = engine.holdings.get(req.adapter)
-        if holding is None:
-            return
-        holding.tickets.discard(ticket)
-        unready = not holding.confirmed and now_ms < holding.ready_ms + LATE_LOAD_MS
-        match outcome:
-            case RunOutcome.ABSENT | RunOutcome.FULL if unready:
-                self._note_early(engine, req.adapter, holding, now_ms)
-            case RunOutcome.ABSENT:
-                engine.holdings.pop(req.adapter)
-                engine.synced = False
-            case RunOutcome.DONE if not holding.confirmed:
-                holding.confirmed = True
-                if not holding.from_memory:
-                    engine.loads.was_ready()
-            case _:
-                pass
-
-    def _note_early(
-        self, engine: Engine, adapter: AdapterName, holding: Holding, now_ms: int
-    ) -> None:
-        due_ms = now_ms + TOO_EARLY_MS
-        if holding.from_memory:
-            # The engine had no copy any more; the load takes as long as any other.
-            engine.forget_copy(adapter)
-            due_ms = max(due_ms, int(holding.ordered_ms + engine.loads.expected_ms(recent=False)))
-            holding.from_memory = False
-        elif not holding.was_early:
-            engine.loads.came_too_early(now_ms - holding.ordered_ms)
-            holding.was_early = True
-        holding.ready_ms = max(holding.ready_ms, due_ms)
+        note_end(engine, req, outcome, times, self._clock.now_ms())
 
     def instance_of(self, ticket: str) -> str:
         """The engine whose place the ticket holds; empty when it holds none."""
@@ -226,7 +173,7 @@
     def decide(self) -> Iterator[Decision]:
         """Yield what is to be done now."""
         now_ms = self._clock.now_ms()
-        self._reading_full.clear()
+        self._turns.begin_round()
         yield from self._upkeep.decide(self.engines.values(), now_ms)
         rounds = {
             service: ServiceRound(service, self._choice(service, now_ms), self._pace, now_ms)
@@ -270,13 +217,7 @@
             yield UnloadAdapter(engine.instance, option.victim)
         if option.load_ms is not None:
             version = self._versions.of(req.adapter)
-            engine.holdings[req.adapter] = Holding(
-                version,
-                int(now_ms + option.load_ms),
-                expected_ms=option.load_ms,
-                from_memory=engine.held_recently(req.adapter),
-                ordered=False,
-            )
+            engine.begin_load(req.adapter, version, option.load_ms, now_ms)
             yield LoadAdapter(engine.instance, req.adapter, version)
         waiting.instance = engine.instance
         waiting.assigned_ms = now_ms
@@ -299,7 +240,7 @@
         holding = engine.holdings.get(waiting.req.adapter)
         if holding is not None and not holding.is_ready(now_ms):
             return
-        if not self._may_read(engine, waiting, now_ms):
+        if not self._turns.may_read(engine, waiting, now_ms):
             return
         engine.reading.send(waiting.req.ticket, now_ms)
         del self._waiting[waiting.req.ticket]
@@ -312,20 +253,6 @@
             now_ms - waiting.assigned_ms,
         )
 
-    def _may_read(self, engine: Engine, waiting: Waiting, now_ms: int) -> bool:
-        """Whether the engine reads this prompt now, and none of those before it waits."""
-        # Whoever comes behind a long prompt that waits, and is short, would take what becomes
-        # free, again and again; the long one would never be read.
-        ticket = waiting.req.ticket
-        slack_ms = waiting.objective_ms(now_ms) - engine.first_event_ms(ticket)
-        urgent = 0 <= slack_ms < URGENT_MS
-        if engine.instance in self._reading_full and not urgent:
-            return False
-        if engine.may_read(ticket, urgent, now_ms):
-            return True
-        self._reading_full.add(engine.instance)
-        return False
-
     def _reject_if_hopeless(
         self, waiting: Waiting, queue_ms: float, now_ms: int
     ) -> Iterator[Decision]:
--- /dev/null
+++ b/properties/ablations.py
@@ -0,0 +1,78 @@
+"""What each mechanism is worth: the bench's days without it, one mechanism at a time.
+
+`python -m properties.ablations BENCH SITE --days a,b --seeds 1,2` takes one mechanism out of a copy
+of the tree at a time, plays the days there without charging processor time, and prints the mean
+`worth`, its spread, and the difference to the whole. BENCH is the bench's program.
+"""
+
+from __future__ import annotations
+
+import argparse
+import re
+import shutil
+import statistics
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from .ablation_list import ABLATIONS
+from .mutant import Mutant
+
+ROOT = Path(__file__).resolve().parents[1]
+WORTH = re.compile(r"^worth (-?[0-9.]+) = ", re.MULTILINE)
+_IGNORED = shutil.ignore_patterns(".git", ".venv", ".demo", "__pycache__", ".*_cache")
+
+
+def _tree(folder: Path, name: str, ablation: Mutant | None) -> Path:
+    tree = folder / re.sub(r"[^a-z0-9]+", "-", name)
+    if not tree.exists():
+        shutil.copytree(ROOT, tree, ignore=_IGNORED)
+    if ablation is not None:
+        path = tree / ablation.file
+        source = path.read_text("utf-8")
+        path.write_text(source.replace(ablation.safeguard, ablation.without), "utf-8")
+    return tree
+
+
+def _play(bench: str, tree: Path, site: str, day: str, seed: str, name: str) -> float | None:
+    command = [bench, "run", site, day, "--seed", seed, "--no-cpu", "--jobs", "1"]
+    command += ["--why", f"Ablation: {name}"]
+    done = subprocess.run(command, cwd=tree, capture_output=True, text=True, check=False)
+    found = WORTH.search(done.stdout)
+    return float(found.group(1)) if found else None
+
+
+def main() -> int:
+    """Print one row for the whole and for each mechanism."""
+    cli = argparse.ArgumentParser(prog="ablations", description=__doc__)
+    cli.add_argument("bench")
+    cli.add_argument("site")
+    cli.add_argument("--days", default="trouble-1,scale-1,trouble-2,scale-2,trouble-3")
+    cli.add_argument("--seeds", default="21")
+    cli.add_argument("--folder", type=Path, required=True, help="where the copies are made")
+    cli.add_argument("--at-once", type=int, default=4)
+    cli.add_argument("--only", default="", help="part of a mechanism's name")
+    args = cli.parse_args()
+    chosen = [None, *(one for one in ABLATIONS if args.only in one.name)]
+    whole = 0.0
+    for ablation in chosen:
+        name = ablation.name if ablation is not None else "whole"
+        tree = _tree(args.folder, name, ablation)
+        subprocess.run([args.bench, "build"], cwd=tree, capture_output=True, check=False)
+        games = [(day, seed) for seed in args.seeds.split(",") for day in args.days.split(",")]
+        with ThreadPoolExecutor(args.at_once) as pool:
+            played = list(
+                pool.map(lambda game: _play(args.bench, tree, args.site, *game, name), games)
+            )
+        worths = [worth for worth in played if worth is not None]
+        mean = statistics.mean(worths) if worths else float("nan")
+        whole = mean if ablation is None else whole
+        spread = statistics.stdev(worths) if len(worths) > 1 else 0.0
+        row = f"| {name} | {mean:.3f} | {mean - whole:+.3f} | {spread:.3f} | {len(worths)} |"
+        print(row, flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/properties/mutant_list.py
+++ b/properties/mutant_list.py
@@ -23,6 +23,7 @@
 _OWNERSHIP_TEST = "chestnutfall.tests.test_ownership"
 _CONFIG_TEST = "chestnutfall.tests.test_configuration_in_force"
 _CHOICE_TEST = "chestnutfall.tests.test_choice"
+_READING_TEST = "chestnutfall.tests.test_reading"
 _ONCE_TEST = "chestnutfall.tests.test_at_most_once"
 _LEASE = "        if self.leaving or self._clock.now_ms() >= self._lease_until_ms:"
 _SERVING_STATE = '        return heard and self.announcement.state == "serving"'
@@ -501,8 +502,8 @@
     Mutant(
         "late requests judged by the pace of others",
         "chestnutfall/placement/pace.py",
-        "        return _step_ms(self._late.get(service), LATE_PER_ENGINE_S",
-        "        return _step_ms(self._in_time.get(service), LATE_PER_ENGINE_S",
+        "        return _step_ms(self._late.get(service), LEAST_LATE_PART",
+        "        return _step_ms(self._in_time.get(service), LEAST_LATE_PART",
         "chestnutfall.tests.test_pace",
     ),
     Mutant(
@@ -512,4 +513,74 @@
         "        span_ms = WINDOW_MS",
         "chestnutfall.tests.test_pace",
     ),
+    Mutant(
+        "reading is not paced",
+        "chestnutfall/placement/read_schedule.py",
+        "        return before_ms <= 0 or before_ms + read_ms <= window.budget_ms",
+        "        return True",
+        _READING_TEST,
+    ),
+    Mutant(
+        "short prompts pass long ones by",
+        "chestnutfall/placement/reading_turns.py",
+        "        self._full.add(engine.instance)\n",
+        "",
+        _READING_TEST,
+    ),
+    Mutant(
+        "prompts whose adapters load take the reading of others",
+        "chestnutfall/placement/engine.py",
+        "        return held is None or held.is_ready(now_ms)",
+        "        return True",
+        _READING_TEST,
+    ),
+    Mutant(
+        "the pace of reading is not learned",
+        "chestnutfall/placement/read_pace.py",
+        "        self.ms_per_token = min(max(slope, LEAST_MS_PER_TOKEN), MOST_MS_PER_TOKEN)\n",
+        "",
+        _READING_TEST,
+    ),
+    Mutant(
+        "slow engines read like others",
+        "chestnutfall/placement/read_schedule.py",
+        "        self.slowness = min(max(self.slowness * factor, 1.0), MOST_SLOWNESS)\n",
+        "",
+        _READING_TEST,
+    ),
+    Mutant(
+        "a new leader begins with guesses",
+        "chestnutfall/coordination/leader_term.py",
+        "            self._placer.kinds.know(service, kind)\n",
+        "            pass\n",
+        "chestnutfall.tests.test_fleet_leader",
+    ),
+    Mutant(
+        "a restart under the same name is the life before",
+        "chestnutfall/control/upstream_record.py",
+        '    return f"{name}~{started_ms}" if started_ms else name',
+        "    return name",
+        "chestnutfall.tests.test_fleet_leader",
+    ),
+    Mutant(
+        "entries of services that nobody named are kept",
+        "chestnutfall/coordination/leader_term.py",
+        "        return self._table is None or service in self._table.services",
+        "        return True",
+        "chestnutfall.tests.test_fleet_leader",
+    ),
+    Mutant(
+        "the report of another life is taken",
+        "chestnutfall/coordination/engine_orders.py",
+        "        if report.started_ms != self._record.started_ms:",
+        "        if False:",
+        "chestnutfall.tests.test_engine_orders",
+    ),
+    Mutant(
+        "no place is kept for stray orders",
+        "chestnutfall/placement/engine.py",
+        "        if self.has_stray_order and len(self.holdings) >= self.spec.adapter_slots:",
+        "        if False:",
+        "chestnutfall.tests.test_engine_orders",
+    ),
 )
