--- a/chestnutfall/tests/test_reading.py
+++ b/chestnutfall/tests/test_reading.py
@@ -75,8 +75,9 @@
         self.assertEqual(len(self.sent), 20)
 
     def test_a_long_prompt_does_not_starve_behind_short_ones(self) -> None:
-        # What becomes free of a window is never enough for the long one as long as those that
-        # come later and need less may take it.
+        # What becomes free of a window is not enough for the long one as long as those that came
+        # later and need less take it; it would be read when no more of them may queue, a tenth of
+        # a second later.
         self.placer.submit(_request("first", 2_000))
         self._play(STEP_MS)
         self.placer.submit(_request("long", 4_000))
@@ -84,7 +85,7 @@
             self.placer.submit(_request(f"short{number}", 400))
             self._play(self.clock._now_ms + 2 * STEP_MS)
         at_ms = {ticket: at for at, ticket in self.sent}
-        self.assertLess(at_ms["long"], 400)
+        self.assertLess(at_ms["long"], 250)
 
     def test_a_prompt_longer_than_any_window_is_read_when_nothing_else_is(self) -> None:
         self.placer.submit(_request("huge", 50_000))
