--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -31,6 +31,7 @@
 )
 from chestnutfall.placement.place_request import PromptPart
 from chestnutfall.placement.placer import Placer
+from chestnutfall.placement.run_times import RunTimes
 from chestnutfall.routes import EngineSpec, ModelSpec
 
 MODEL = "base"
@@ -46,6 +47,8 @@
 """Mean time of an answer on its engine."""
 FIRST_MS = 45
 """From a grant to the first event."""
+GAP_MS = 20
+"""Between two events."""
 COLD_MS, WARM_MS = 288, 29
 COPIES = 40
 """Adapters that an engine keeps in its own memory beyond those it holds."""
@@ -125,7 +128,7 @@
             next_ms += rng.expovariate(per_s / 1000)
         while ending and ending[0][0] <= now_ms:
             _, ticket, outcome = heapq.heappop(ending)
-            placer.release(ticket, outcome)
+            placer.release(ticket, outcome, RunTimes(FIRST_MS, 0.0, GAP_MS))
         decisions = list(placer.decide())
         took_s = time.process_time() - begin
         spent_s += took_s
