--- a/chestnutfall/placement/reading_turns.py
+++ b/chestnutfall/placement/reading_turns.py
@@ -25,7 +25,7 @@
         slack_ms = waiting.objective_ms(now_ms) - engine.first_event_ms(ticket)
         urgent = 0 <= slack_ms < URGENT_MS
         # Whoever comes behind a long prompt that waits, and is short, would take what becomes
-        # free, again and again; the long one would never be read.
+        # free. The long one would be read a tenth of a second later, when no more may queue.
         if engine.instance in self._full and not urgent:
             return False
         if engine.may_read(ticket, urgent, now_ms):
