Give each run of the soak and of the process tests addresses of its own

Change: addresses follow from the process; ports are taken in turn below those of outgoing connections.

--- a/chestnutfall/tests/process_office.py
+++ b/chestnutfall/tests/process_office.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
 import json
 import os
 import signal
@@ -30,11 +32,24 @@
 DIGESTS = {"1": "sha256:" + "11" * 32, "2": "sha256:" + "22" * 32}
 
 
+FIRST_PORT, PORTS = 10_000, 20_000
+"""Below the ports that the system gives to outgoing connections, 32,768 and more by default."""
+_ports = itertools.count(os.getpid() * 61)
+
+
 def free_address() -> str:
-    """An address that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """An address that nobody listens on, and that nobody gets until it is used.
+
+    A port that the system names as free may be given to the next connection on this host before
+    it is used: a program of a test then can't listen, and a run beside another run of the tests
+    fails before its first test. Each process takes its own ports in turn instead.
+    """
+    for number in _ports:
+        port = FIRST_PORT + number % PORTS
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
+    raise AssertionError("there are always more ports to try")
 
 
 def wait_until(what: str, condition: Callable[[], bool]) -> None:
--- a/soak/office.py
+++ b/soak/office.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import socket
 from pathlib import Path
@@ -25,8 +26,10 @@
 
     def __init__(self, folder: Path, rng: random.Random) -> None:
         self._rng = rng
+        # Two draws that earlier runs spent on addresses: seeds that ever failed play as they did.
+        rng.randrange(20, 120), rng.randrange(1, 250)
         self.book = RunBook()
-        net = f"127.{rng.randrange(20, 120)}.{rng.randrange(1, 250)}"
+        net = _own_net()
         self._ports = Ports(*_free_ports(4))
         ips = [f"{net}.{at + 1}" for at in range(CONTROLLERS)]
         seeds = tuple(ips)
@@ -80,6 +83,16 @@
         await asyncio.gather(*(one.kill() for one in (*self.controllers, *self.gateways)))
 
 
+def _own_net() -> str:
+    """Addresses that no other run on this host has.
+
+    Taken from the seed, two runs of one seed at the same time had the same addresses, and the
+    daemons of one answered the clients of the other.
+    """
+    pid = os.getpid()
+    return f"127.{20 + (pid >> 8) % 100}.{pid % 256}"
+
+
 def _free_ports(count: int) -> list[int]:
     sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
     ports = [one.getsockname()[1] for one in sockets]
