Say once when a version is outdated and when an upstream is gone; look at less each round

Found on reading the change again: the check for an older version stood four times, tombstone and later start were checked together in two places, and each announcement looked through all records for a later start although a listed incarnation has none. Upkeep held nothing but the loads of models. The lag of a first event was kept beside the time that it follows from. Room for reading looked at all running requests instead of those that wait. Behaviour is unchanged: the same tests, one of them by the new name of the check.

--- a/chestnutfall/control/upstream_roster.py
+++ b/chestnutfall/control/upstream_roster.py
@@ -27,7 +27,7 @@
         """Take a new incarnation, unless it left before."""
         # An announcement can be held up on its way until after its sender left. Symptom: new
         # work for an upstream that said it takes none. The tombstone outlives such a delay.
-        if record.instance in self.tombstones or self.is_outlived(record):
+        if self.is_gone(record):
             return
         for earlier in self._lives(record.announced_name):
             if earlier.started_ms < record.started_ms:
@@ -39,9 +39,14 @@
         if known is None or not known.leaving:
             self.records[record.instance] = record
 
-    def is_outlived(self, record: UpstreamRecord) -> bool:
-        """Whether a later start of the same upstream is known."""
-        return any(one.started_ms > record.started_ms for one in self._lives(record.announced_name))
+    def is_gone(self, record: UpstreamRecord) -> bool:
+        """Whether this incarnation left, or a later start of the same upstream is known."""
+        if record.instance in self.tombstones:
+            return True
+        # One that is still listed has no later start: that one would have replaced it.
+        return record.instance not in self.records and any(
+            one.started_ms > record.started_ms for one in self._lives(record.announced_name)
+        )
 
     def newest_life(self, name: str) -> UpstreamRecord | None:
         """The latest start known of the upstream that announces itself as `name`."""
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -168,9 +168,9 @@
         """Take an announcement; what is new in it is committed first."""
         record = msg.record
         roster = self._state.roster
-        known = roster.records.get(record.instance)
-        if record.instance in roster.tombstones or roster.is_outlived(record):
+        if roster.is_gone(record):
             return
+        known = roster.records.get(record.instance)
         if known is None and not self._is_named_service(record.service):
             log.info("upstream: ignored %s: no such service", record)
             return
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -78,7 +78,6 @@
         self._place = place
         self._reply = reply
         self._sent_ms = clock.now_ms()
-        self._lag_ms = 0.0
         self.first_byte_ms: int | None = None
         self._answering = False
         self.load: UpstreamLoad | None = None
@@ -101,7 +100,9 @@
         """How fast the upstream answered."""
         gaps_ms = self._progress.gaps_ms
         gap_ms = statistics.median(gaps_ms) if gaps_ms else 0.0
-        return RunTimes(self.first_byte_ms or 0.0, self._lag_ms, gap_ms)
+        first_ms = self.first_byte_ms or 0.0
+        lag_ms = max(first_ms - self._route.objective_ms / 4, 0.0)
+        return RunTimes(first_ms, lag_ms, gap_ms)
 
     def when_abandoned(self) -> RunOutcome:
         """What it tells of the upstream that nobody waits for the answer any more."""
@@ -162,7 +163,6 @@
 
     def _note_first_byte(self) -> None:
         self.first_byte_ms = self._clock.now_ms() - self._sent_ms
-        self._lag_ms = max(self.first_byte_ms - self._route.objective_ms / 4, 0.0)
 
 
 async def _whole(answer: UpstreamAnswer) -> bytes:
--- a/chestnutfall/placement/choice.py
+++ b/chestnutfall/placement/choice.py
@@ -8,7 +8,6 @@
 from .adapter_name import AdapterName
 from .demand import Demand
 from .engine import Engine
-from .holding import Holding
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
 from .prompt_cache import Prefixes
@@ -158,10 +157,9 @@
     ) -> Iterator[PlaceOption]:
         """Engines that hold the adapter or load it already."""
         name = req.adapter
-        version = self._versions.of(name)
         for engine in self._engines:
             held = engine.holdings.get(name)
-            if name.adapter and (held is None or held.version < version):
+            if name.adapter and (held is None or self._versions.is_outdated(name, held)):
                 continue
             if not _may_take(req, engine) or not self._room[engine.instance].takes(in_time):
                 continue
@@ -182,7 +180,9 @@
                 # An older version. It is replaced in its place, but not while requests run on it:
                 # the engine would let these end first, and refuse every other load meanwhile.
                 # Symptom: no adapter gets to that engine for seconds after a version was named.
-                if not self._is_outdated(req.adapter, held) or not held.is_idle(self._now_ms):
+                if not self._versions.is_outdated(req.adapter, held) or not held.is_idle(
+                    self._now_ms
+                ):
                     continue
                 victim, misses = None, 0.0
             if not self._room[engine.instance].takes(in_time):
@@ -198,14 +198,11 @@
 
     def _holds(self, engine: Engine, name: AdapterName) -> bool:
         held = engine.holdings.get(name)
-        return held is not None and not self._is_outdated(name, held)
-
-    def _is_outdated(self, name: AdapterName, held: Holding) -> bool:
-        return held.version < self._versions.of(name)
+        return held is not None and not self._versions.is_outdated(name, held)
 
     def _loads_missed(self, engine: Engine, name: AdapterName) -> float:
         """Loads that an adapter will soon need again if this engine drops it, 1 at most."""
-        if self._is_outdated(name, engine.holdings[name]):
+        if self._versions.is_outdated(name, engine.holdings[name]):
             return 0.0
         return min(self._demand.per_s(name, self._now_ms) * MISS_HORIZON_S, 1.0)
 
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -142,7 +142,9 @@
         if window is None:
             return ReadingRoom(True, True)
         ahead_ms = self.reading.reserved_ms(
-            ticket for ticket, req in self.running.items() if self._has_adapter(req, now_ms)
+            ticket
+            for ticket in self.reading.waiting
+            if self._has_adapter(self.running[ticket], now_ms)
         )
         return ReadingRoom(ahead_ms <= window.budget_ms, ahead_ms <= 0)
 
@@ -170,10 +172,6 @@
         free_ms = max(tightest_ms - GAPS_KEPT * self.gap_ms, LEAST_READ_PART * tightest_ms)
         return ReadWindow(tightest_ms, free_ms if urgent else SURE_PART * free_ms)
 
-    def first_event_ms(self, ticket: str) -> float:
-        """Expected time from sending a request that waits here to its first event."""
-        return self.reading.first_event_ms(ticket)
-
     def start(self, req: PlaceRequest, prefixes: Prefixes) -> None:
         """Count a request that will be sent to it."""
         tokens = self.prompts.missing_tokens(req.prompt_tokens, prefixes)
--- a/chestnutfall/placement/model_loads.py
+++ b/chestnutfall/placement/model_loads.py
@@ -1,10 +1,11 @@
-"""Which base model an engine should load, and when it may."""
+"""Loads of base models on empty engines, which no request asks for."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Iterator
 
 from ..clock import SlidingWindow
+from .decisions import LoadModel
 from .engine import Engine
 
 WINDOW_MS = 5_000
@@ -17,7 +18,16 @@
     def __init__(self) -> None:
         self._started = SlidingWindow(WINDOW_MS)
 
-    def may_start(self, per_s: float, now_ms: int) -> bool:
+    def decide(self, engines: Collection[Engine], now_ms: int) -> Iterator[LoadModel]:
+        """Yield the loads that are due."""
+        for engine in engines:
+            peers = (one for one in engines if one.service == engine.service)
+            model = _missing_model(engine, peers)
+            if model is not None and self._may_start(engine.spec.loads_per_s, now_ms):
+                engine.loading_model = model
+                yield LoadModel(engine.instance, model)
+
+    def _may_start(self, per_s: float, now_ms: int) -> bool:
         """Whether one more load keeps the rate; counts it if so."""
         if self._started.count(now_ms) >= max(per_s * WINDOW_MS / 1000, 1):
             return False
@@ -25,7 +35,7 @@
         return True
 
 
-def missing_model(engine: Engine, peers: Iterable[Engine]) -> str | None:
+def _missing_model(engine: Engine, peers: Iterable[Engine]) -> str | None:
     """The model that an idle engine should load: the one that fewest others hold."""
     if engine.models or engine.loading_model or not engine.synced:
         return None
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -14,6 +14,7 @@
 from .engine_report import EngineReport
 from .held import Held
 from .kinds import Kinds
+from .model_loads import ModelLoads
 from .pace import Pace
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
@@ -22,7 +23,6 @@
 from .run_outcome import RunOutcome
 from .run_times import NO_TIMES, RunTimes
 from .service_round import ServiceRound
-from .upkeep import Upkeep
 from .waiting import Waiting
 from .wanted_versions import WantedVersions
 
@@ -52,7 +52,7 @@
         self._waiting: dict[str, Waiting] = {}
         self._places: dict[str, str] = {}
         self._demand = Demand()
-        self._upkeep = Upkeep()
+        self._model_loads = ModelLoads()
         self._versions = WantedVersions()
         self._pace = Pace()
         self._turns = ReadingTurns()
@@ -122,7 +122,7 @@
         now_ms = self._clock.now_ms()
         for engine in self.engines.values():
             for name, held in engine.holdings.items():
-                if held.is_ready(now_ms) and held.version >= self._versions.of(name):
+                if held.is_ready(now_ms) and not self._versions.is_outdated(name, held):
                     yield Held(engine.instance, name, held.version)
 
     def unsynced(self) -> Iterator[str]:
@@ -174,7 +174,7 @@
         """Yield what is to be done now."""
         now_ms = self._clock.now_ms()
         self._turns.begin_round()
-        yield from self._upkeep.decide(self.engines.values(), now_ms)
+        yield from self._model_loads.decide(self.engines.values(), now_ms)
         rounds = {
             service: ServiceRound(service, self._choice(service, now_ms), self._pace, now_ms)
             for service in {waiting.req.service for waiting in self._waiting.values()}
@@ -203,7 +203,7 @@
         """Place a request anew whose adapter got a newer version while it waited."""
         engine = self.engines.get(waiting.instance)
         held = engine.holdings.get(waiting.req.adapter) if engine is not None else None
-        if held is not None and held.version < self._versions.of(waiting.req.adapter):
+        if held is not None and self._versions.is_outdated(waiting.req.adapter, held):
             self._unassign(waiting)
 
     def _choice(self, service: str, now_ms: int) -> Choice:
--- a/chestnutfall/placement/read_schedule.py
+++ b/chestnutfall/placement/read_schedule.py
@@ -62,6 +62,11 @@
         """How long this engine reads one token."""
         return self._pace.ms_per_token * self.slowness
 
+    @property
+    def waiting(self) -> Iterable[str]:
+        """Tickets of the prompts that wait to be sent."""
+        return self._waiting
+
     def reserve(self, ticket: str, tokens: float) -> None:
         """Note a prompt that will be sent when its adapter is there and its turn has come."""
         self._waiting[ticket] = tokens
@@ -114,7 +119,7 @@
         return part * 1000 / max(self._pace.usual_tokens * self.ms_per_token, 1.0)
 
     def reserved_ms(self, tickets: Iterable[str]) -> float:
-        """Reading of those of the prompts that wait to be sent."""
+        """Reading of those among the prompts that wait to be sent."""
         return sum(self._waiting.get(ticket, 0.0) for ticket in tickets) * self.ms_per_token
 
     def wait_ms(self, window: ReadWindow | None, now_ms: int) -> float:
--- a/chestnutfall/placement/reading_turns.py
+++ b/chestnutfall/placement/reading_turns.py
@@ -22,7 +22,7 @@
     def may_read(self, engine: Engine, waiting: Waiting, now_ms: int) -> bool:
         """Whether the engine reads this prompt now; to be asked in the order of the queue."""
         ticket = waiting.req.ticket
-        slack_ms = waiting.objective_ms(now_ms) - engine.first_event_ms(ticket)
+        slack_ms = waiting.objective_ms(now_ms) - engine.reading.first_event_ms(ticket)
         urgent = 0 <= slack_ms < URGENT_MS
         # Whoever comes behind a long prompt that waits, and is short, would take what becomes
         # free. The long one would be read a tenth of a second later, when no more may queue.
--- a/chestnutfall/placement/wanted_versions.py
+++ b/chestnutfall/placement/wanted_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .adapter_name import AdapterName
+from .holding import Holding
 
 
 class WantedVersions:
@@ -18,3 +19,7 @@
     def of(self, adapter: AdapterName) -> int:
         """The newest version named; 0 when none was, and any will do."""
         return self._versions.get(adapter, 0)
+
+    def is_outdated(self, adapter: AdapterName, held: Holding) -> bool:
+        """Whether a newer version than the one that an engine holds was named."""
+        return held.version < self.of(adapter)
--- a/chestnutfall/tests/test_fleet_parts.py
+++ b/chestnutfall/tests/test_fleet_parts.py
@@ -84,7 +84,7 @@
         after = UpstreamRecord("i1~2", "s", "127.0.0.1:1", "dc", False, "i1", 2)
         roster.add(before)
         roster.add(after)
-        self.assertTrue(roster.is_outlived(before))
+        self.assertTrue(roster.is_gone(before))
         roster.add(before)
         self.assertEqual(list(roster.records.values()), [after])
         self.assertEqual(roster.newest_life("i1"), after)
