--- a/properties/ablations.py
+++ b/properties/ablations.py
@@ -9,7 +9,6 @@
 
 import argparse
 import re
-import shutil
 import statistics
 import subprocess
 import sys
@@ -18,20 +17,15 @@
 
 from .ablation_list import ABLATIONS
 from .mutant import Mutant
+from .mutated_tree import mutated_tree
 
-ROOT = Path(__file__).resolve().parents[1]
 WORTH = re.compile(r"^worth (-?[0-9.]+) = ", re.MULTILINE)
-_IGNORED = shutil.ignore_patterns(".git", ".venv", ".demo", "__pycache__", ".*_cache")
 
 
 def _tree(folder: Path, name: str, ablation: Mutant | None) -> Path:
     tree = folder / re.sub(r"[^a-z0-9]+", "-", name)
     if not tree.exists():
-        shutil.copytree(ROOT, tree, ignore=_IGNORED)
-    if ablation is not None:
-        path = tree / ablation.file
-        source = path.read_text("utf-8")
-        path.write_text(source.replace(ablation.safeguard, ablation.without), "utf-8")
+        mutated_tree(tree, ablation)
     return tree
 
 
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import shutil
 import subprocess
 import sys
 import tempfile
@@ -16,22 +15,19 @@
 
 from .mutant import Mutant
 from .mutant_list import MUTANTS
+from .mutated_tree import NotApplicable, mutated_tree
 
-ROOT = Path(__file__).resolve().parents[1]
 TIMEOUT_S = 90
 AT_ONCE = 4
-_IGNORED = shutil.ignore_patterns(".git", ".venv", ".demo", "__pycache__", ".*_cache")
 
 
 def _result(mutant: Mutant) -> str:
     with tempfile.TemporaryDirectory() as folder:
         tree = Path(folder) / "tree"
-        shutil.copytree(ROOT, tree, ignore=_IGNORED)
-        path = tree / mutant.file
-        source = path.read_text("utf-8")
-        if source.count(mutant.safeguard) != 1:
-            return "NOT APPLICABLE: the safeguard's text is not there exactly once"
-        path.write_text(source.replace(mutant.safeguard, mutant.without), "utf-8")
+        try:
+            mutated_tree(tree, mutant)
+        except NotApplicable as exc:
+            return f"NOT APPLICABLE: {exc}"
         return _run(tree, mutant.test)
 
 
