Take the pause objectives of an engine into a type of their own

placement.engine did two jobs: contents, and how much reading its streams bear. engine.py goes from 254 to 228 lines; behaviour and tests are unchanged.

--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 
 from ..routes import EngineSpec
@@ -11,28 +11,15 @@
 from .engine_report import EngineReport
 from .holding import Holding
 from .load_timer import LoadTimer
+from .pause_budget import PauseBudget
 from .place_request import PlaceRequest
 from .prompt_cache import Prefixes, PromptCache
 from .read_pace import ReadPace
 from .read_schedule import ReadSchedule
-from .read_window import ReadWindow
 from .reading_room import ReadingRoom
 from .run_times import RunTimes
 from .upstream_health import UpstreamHealth
 
-GAP_UP = 0.01
-GAP_DOWN = 0.09
-"""Each stream moves the time between two events by these parts, up if its own was longer and down
-if not, so that one stream in ten has a shorter one. What counts is the time without reading; the
-mean over all streams was twice as long on a busy engine, and cost a fifth of its reading."""
-GAPS_KEPT = 1.5
-"""Usual gaps that are kept free of reading in each pause objective: one for the event, and half of
-one for steps that take longer beside more streams."""
-SURE_PART = 0.9
-"""Part of the rest that is used: estimates of reading are wrong by a tenth."""
-LEAST_READ_PART = 0.3
-"""Part of a pause objective that reading gets even where the gaps between events leave less; an
-engine that never reads serves nobody."""
 RECENT_PER_SLOT = 5
 """Adapters an engine keeps in its own memory beyond those it holds, for each place for them."""
 TRANSITS_PER_ENGINE = 4
@@ -62,8 +49,8 @@
         Whether its report was read; before that nothing is ordered.
     has_stray_order : bool
         Whether it may still carry out an order that we gave up; one place is left for that.
-    gap_ms : float
-        Time between two events of a stream while little is read beside it.
+    pauses : PauseBudget
+        How much reading the streams that run here bear.
     """
 
     def __init__(
@@ -89,8 +76,7 @@
         self.loads = LoadTimer(kind.load_ms)
         self.prompts = PromptCache(int(spec.kv_tokens * KV_SHARE))
         self.reading = ReadSchedule(pace)
-        self.gap_ms = kind.gap_ms
-        self._pauses: Counter[int] = Counter()
+        self.pauses = PauseBudget(kind.gap_ms)
         self._kv_used = 0
         self._recent: OrderedDict[AdapterName, None] = OrderedDict()
 
@@ -123,7 +109,7 @@
 
     def read_wait_ms(self, now_ms: int) -> float:
         """How long a new prompt waits for those before it."""
-        return self.reading.wait_ms(self._read_window(), now_ms)
+        return self.reading.wait_ms(self.pauses.window(), now_ms)
 
     def read_ms(self, req: PlaceRequest, prefixes: Prefixes) -> float:
         """How long this request's prompt takes to read."""
@@ -138,7 +124,7 @@
         loads hang for a second would refuse work that it could do. Of about 7,800 requests of four
         days with trouble 221 were refused for a queue without hope instead of 454.
         """
-        window = self._read_window()
+        window = self.pauses.window()
         if window is None:
             return ReadingRoom(True, True)
         ahead_ms = self.reading.reserved_ms(
@@ -155,7 +141,7 @@
     def starts_per_s(self) -> float:
         """How many requests it can start in a second if each needs a load."""
         loads_per_s = TRANSITS_PER_ENGINE * 1000 / self.loads.expected_ms(recent=False)
-        return min(self.reading.prompts_per_s(self._read_window()), loads_per_s)
+        return min(self.reading.prompts_per_s(self.pauses.window()), loads_per_s)
 
     def may_read(self, ticket: str, urgent: bool, now_ms: int) -> bool:
         """Whether the streams that run here bear the reading of this request now.
@@ -163,14 +149,7 @@
         One that is late if it waits any longer is read although a stream may then pause: its
         own lateness is certain. Those that are late already gain nothing by it.
         """
-        return self.reading.fits(ticket, self._read_window(urgent), now_ms)
-
-    def _read_window(self, urgent: bool = False) -> ReadWindow | None:
-        tightest_ms = min(self._pauses, default=0)
-        if not tightest_ms:
-            return None
-        free_ms = max(tightest_ms - GAPS_KEPT * self.gap_ms, LEAST_READ_PART * tightest_ms)
-        return ReadWindow(tightest_ms, free_ms if urgent else SURE_PART * free_ms)
+        return self.reading.fits(ticket, self.pauses.window(urgent), now_ms)
 
     def start(self, req: PlaceRequest, prefixes: Prefixes) -> None:
         """Count a request that will be sent to it."""
@@ -179,8 +158,7 @@
         self.prompts.note(prefixes)
         self.running[req.ticket] = req
         self._kv_used += req.prompt_tokens + req.output_tokens
-        if req.pause_objective_ms:
-            self._pauses[req.pause_objective_ms] += 1
+        self.pauses.add(req.pause_objective_ms)
 
     def end(self, ticket: str) -> PlaceRequest | None:
         """Stop counting a request."""
@@ -188,16 +166,13 @@
         self.reading.cancel(ticket)
         if req is not None:
             self._kv_used -= req.prompt_tokens + req.output_tokens
-            if req.pause_objective_ms:
-                self._pauses[req.pause_objective_ms] -= 1
-                self._pauses += Counter()
+            self.pauses.remove(req.pause_objective_ms)
         return req
 
     def learn(self, ticket: str, times: RunTimes) -> None:
         """Take in how fast it answered a request that is still counted."""
         self.reading.learn(ticket, times.first_ms)
-        if times.gap_ms > 0:
-            self.gap_ms *= 1 + GAP_UP if times.gap_ms > self.gap_ms else 1 - GAP_DOWN
+        self.pauses.learn(times.gap_ms)
 
     # Adapters
 
--- a/chestnutfall/placement/kinds.py
+++ b/chestnutfall/placement/kinds.py
@@ -38,6 +38,6 @@
                     pace.first_ms,
                     pace.ms_per_token,
                     pace.usual_tokens,
-                    statistics.median(one.gap_ms for one in own),
+                    statistics.median(one.pauses.gap_ms for one in own),
                     statistics.median(one.loads.expected_ms(recent=False) for one in own),
                 )
