Send a call that came before its adapter to the same engine again

Cause: a place is given at the expected end of a load, and about one load in ten takes some ms longer. Ruled out: that the adapter is lost on that engine (a second refusal there leaves it; without a leader it is left at once). Change: Progress tells engines that failed from those that lacked the adapter once.

--- a/chestnutfall/forwarding/engine_places.py
+++ b/chestnutfall/forwarding/engine_places.py
@@ -44,7 +44,7 @@
             try:
                 answer = await self._ask(req)
             except LeaderLost:
-                place = self._from_memory(req)
+                place = self._from_memory(req, wanted.too_early)
                 if place is not None:
                     return place
                 wait_ms = give_up_ms - self._clock.now_ms()
@@ -92,13 +92,16 @@
             wanted.route.pause_objective_ms,
         )
 
-    def _from_memory(self, req: PlaceRequest) -> Place | None:
-        """The least used engine that held the adapter when there was a leader."""
+    def _from_memory(self, req: PlaceRequest, lacking: tuple[str, ...]) -> Place | None:
+        """The least used engine that held the adapter when there was a leader.
+
+        Not one of those that turned out to lack it: nobody loads it there now.
+        """
         found = (
             (held, upstream)
             for held in self._fleet.knowledge.holders(req.adapter)
             if (upstream := self._fleet.knowledge.upstream(held.instance)) is not None
-            and held.instance not in req.avoid
+            and held.instance not in (*req.avoid, *lacking)
         )
         chosen = min(found, key=lambda one: self._without_leader[one[0].instance], default=None)
         if chosen is None:
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -19,6 +19,7 @@
 from .send_result import Delivered, Failed, Lost, Refused, SendResult
 from .sender import Sender
 from .shared_retry_budget import RetryBounds, SharedRetryBudget
+from .upstream_answer import NotRun
 
 log = logging.getLogger(__name__)
 MAX_SENDS = 6
@@ -119,6 +120,7 @@
                 tuple(progress.avoid),
                 progress.until_ms,
                 progress.started,
+                tuple(progress.too_early),
             )
             try:
                 place = await places.take(wanted)
@@ -147,7 +149,8 @@
                 return True
             case Refused(code):
                 if self._may_repeat(progress):
-                    progress.avoid.append(place.upstream.instance)
+                    too_early = code == NotRun.ABSENT.value
+                    progress.note_refusal(place.upstream.instance, too_early)
                     return False
                 await self._give_up(progress, reply, 503, code, BROKEN_RETRY_MS)
             case Lost(code):
--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -47,6 +47,8 @@
     ----------
     avoid : tuple of str
         Instances that failed this call before.
+    too_early : tuple of str
+        Instances that it came to before its adapter was there.
     until_ms : int
         Clock time after which the answer is worth nothing.
     started : bool
@@ -59,6 +61,7 @@
     avoid: tuple[str, ...]
     until_ms: int
     started: bool = False
+    too_early: tuple[str, ...] = ()
 
 
 class Places(ABC):
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -33,6 +33,8 @@
         Longest time between two parts of its answer.
     avoid : list of str
         Instances that failed it.
+    too_early : list of str
+        Instances that it came to before its adapter was there.
     gaps_ms : list of int
         The first `MOST_GAPS` times between two parts of its answer.
     """
@@ -47,9 +49,23 @@
     first_ms: int = -1
     pause_ms: int = 0
     avoid: list[str] = field(default_factory=list)
+    too_early: list[str] = field(default_factory=list)
     gaps_ms: list[int] = field(default_factory=list)
     _part_ms: int = 0
 
+    def note_refusal(self, instance: str, came_too_early: bool) -> None:
+        """Note that an upstream refused it, so that nothing ran.
+
+        The adapter that one engine lacks is nearly always on its way there. Placed elsewhere, the
+        call waits for a second load, which takes the place of another adapter and is paid for;
+        placed there again, it waits for the rest of the first. An engine that refuses it for that
+        twice is left: its load was lost.
+        """
+        if came_too_early and instance not in self.too_early:
+            self.too_early.append(instance)
+        else:
+            self.avoid.append(instance)
+
     def note_part(self, now_ms: int) -> None:
         """Note that a part of the answer goes to the client."""
         if self.first_ms < 0:
--- a/chestnutfall/tests/test_placer.py
+++ b/chestnutfall/tests/test_placer.py
@@ -217,6 +217,24 @@
         for engine in office.placer.engines.values():
             self.assertLess(engine.loads.expected_ms(recent=False), 320)
 
+    async def test_a_request_that_came_too_early_waits_for_the_load_that_is_under_way(self) -> None:
+        # A draft is sent when its adapter should be there, and refused, since the load takes some
+        # ms longer. Placed anew it waits a second whole load, on an engine that gives up another
+        # adapter for it; with many engines that is nearly every time.
+        for engines in (2, 30):
+            with self.subTest(engines=engines):
+                office = _Office(*(f"e{at}" for at in range(engines)))
+                office.submit("t1", "a1")
+                office.decide()
+                await office.pass_ms(300)
+                before = office.granted["t1"]
+                office.release("t1", RunOutcome.ABSENT)
+                office.submit("t2", "a1")
+                office.decide()
+                await office.pass_ms(100)
+                self.assertEqual(office.granted["t2"], before)
+                self.assertEqual(len(office.loads), 1)
+
     async def test_waiting_requests_move_when_their_engine_goes(self) -> None:
         office = _Office("e1", "e2")
         office.submit("t1", "a1")
--- a/chestnutfall/tests/test_places.py
+++ b/chestnutfall/tests/test_places.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import unittest
 
 from ..clock import ManualClock
@@ -78,6 +79,14 @@
         avoiding = await places.take(_wanted(avoid=("1",)))
         self.assertEqual(avoiding.upstream.instance, "2")
 
+    async def test_without_a_leader_an_engine_that_lacks_the_adapter_is_not_asked_again(self) -> None:
+        fleet = _Fleet(self.clock)
+        fleet.hold(Held("1", NAME, 3), Held("2", NAME, 3))
+        places = self._places(fleet)
+        wanted = dataclasses.replace(_wanted(), too_early=("1",))
+        taken = [await places.take(wanted) for _ in range(3)]
+        self.assertEqual({one.upstream.instance for one in taken}, {"2"})
+
     async def test_without_leader_and_holder_it_waits_for_the_next_leader(self) -> None:
         fleet = _Fleet(self.clock, None, Grant("t", "1", 2, 0, 0))
         taking = asyncio.ensure_future(self._places(fleet).take(_wanted()))
