--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -228,7 +228,7 @@
         code = getattr(result, "code", getattr(result, "status", ""))
         log.info(
             "call: id=%s route=%s adapter=%s send=%d instance=%s version=%d queued=%d loading=%d "
-            "sent=%d result=%s %s first=%d pause=%d ms=%d",
+            "sent=%d result=%s %s first=%d pause=%d tokens=%d ms=%d",
             progress.call.request_id,
             route.name,
             progress.call.adapter.adapter if progress.call.adapter else "",
@@ -242,5 +242,6 @@
             code,
             progress.first_ms,
             progress.pause_ms,
+            progress.call.prompt_tokens,
             self._clock.now_ms() - progress.call.arrived_ms,
         )
