--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -30,11 +30,11 @@
 beside many good ones; shunned at the first one, a quarter of the engines stands idle. A host that
 is down fails all connections, so that the second one comes some ms after the first."""
 OVERBOOKED = 2
-"""Requests that an engine is given at most, for each one that it runs at once. One that waits for its
-adapter needs no place in the batch, and by the time the adapter is there some of the others have
-ended. With places held for it all the while, engines stand half idle when adapters bind: 16 engines
-of 8 places each, 260 requests a second of which a third need a load, had 73 % of first events in
-time, and 97 % since (`benchmarks.placement --engines 16 --batch 8 --places 7`)."""
+"""Requests that an engine is given at most, for each one that it runs at once. One that waits for
+its adapter needs no place in the batch, and by the time the adapter is there some of the others
+have ended. With places held for it all the while, engines stand half idle when adapters bind: of
+16 engines of 8 places each, at 260 requests a second of which a third need a load, 73 % of first
+events were in time, and 97 % since (`benchmarks.placement --engines 16 --batch 8 --places 7`)."""
 KV_SHARE = 0.9
 """Part of an engine's memory that running requests may fill; the rest keeps prefixes."""
 
