--- a/properties/ablation_list.py
+++ b/properties/ablation_list.py
@@ -17,6 +17,9 @@
         "first come first served, late or not",
         "no wait for a copy",
         "shunned at the first failed connection",
+        "who comes before its adapter is placed elsewhere",
+        "each engine learns alone how long loads take",
+        "requests whose adapters load take places of the batch",
     }
 )
 """Mutants that take out a mechanism that is meant to pay, not a promise."""
