--- a/chestnutfall/coordination/engine_control.py
+++ b/chestnutfall/coordination/engine_control.py
@@ -13,7 +13,9 @@
     """What an engine made of an order."""
 
     TAKEN = "taken"
-    HOLDS_ALREADY = "holds_already"
+    """It will be carried out: a load is under way, or an adapter is dropped when its runs end."""
+    IN_EFFECT = "in_effect"
+    """What was ordered is so now: an idle adapter was dropped at once, or the engine held it."""
     CONFLICT = "conflict"
     """Another order is under way, or orders were taken that the sender does not know of."""
     FENCED = "fenced"
--- a/chestnutfall/coordination/engine_orders.py
+++ b/chestnutfall/coordination/engine_orders.py
@@ -116,9 +116,9 @@
                 self._orders_taken += 1
                 self._tell_stray()
                 await self._note_taken(order, OrderResult.TAKEN)
-            case OrderResult.HOLDS_ALREADY:
+            case OrderResult.IN_EFFECT:
                 self._orders_taken += isinstance(order, UnloadAdapter)
-                await self._note_taken(order, OrderResult.HOLDS_ALREADY)
+                await self._note_taken(order, OrderResult.IN_EFFECT)
             case OrderResult.FENCED:
                 # A newer leader orders here. Repeating the order with our token can't succeed.
                 self._fenced = True
--- a/chestnutfall/platform/engine_http.py
+++ b/chestnutfall/platform/engine_http.py
@@ -15,7 +15,7 @@
 REPORT_S = 0.5
 """A report needs no place on the engine; without one by then it is asked for again."""
 _RESULTS = {
-    200: OrderResult.HOLDS_ALREADY,
+    200: OrderResult.IN_EFFECT,
     202: OrderResult.TAKEN,
     409: OrderResult.CONFLICT,
     412: OrderResult.FENCED,
