--- a/properties/ablation_list.py
+++ b/properties/ablation_list.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .mutant import Mutant
-from .mutant_list import MUTANTS
+from .safeguards import MUTANTS
 
 _PLACEMENT = "chestnutfall/placement"
 _PROVED = frozenset(
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -14,8 +14,8 @@
 from pathlib import Path
 
 from .mutant import Mutant
-from .mutant_list import MUTANTS
 from .mutated_tree import NotApplicable, mutated_tree
+from .safeguards import MUTANTS
 
 TIMEOUT_S = 90
 AT_ONCE = 4
--- /dev/null
+++ b/properties/safeguards/__init__.py
@@ -0,0 +1,19 @@
+"""Every safeguard that has a proof, by subject."""
+
+from __future__ import annotations
+
+from .caller_mutants import CALLER_MUTANTS
+from .consensus_mutants import CONSENSUS_MUTANTS
+from .control_mutants import CONTROL_MUTANTS
+from .fleet_mutants import FLEET_MUTANTS
+from .placement_mutants import PLACEMENT_MUTANTS
+
+MUTANTS = (
+    *CONSENSUS_MUTANTS,
+    *CONTROL_MUTANTS,
+    *CALLER_MUTANTS,
+    *PLACEMENT_MUTANTS,
+    *FLEET_MUTANTS,
+)
+
+__all__ = ["MUTANTS"]
--- /dev/null
+++ b/properties/safeguards/consensus_mutants.py
@@ -0,0 +1,141 @@
+"""Safeguards of the replicated log."""
+
+from __future__ import annotations
+
+from ..mutant import Mutant
+
+_REPLICA = "chestnutfall/consensus/replica.py"
+_ELECTION = "chestnutfall/consensus/election.py"
+_FOLLOWER = "chestnutfall/consensus/follower.py"
+_REPLICA_TEST = "chestnutfall.tests.test_replica"
+_STORAGE_TEST = "chestnutfall.tests.test_file_storage"
+
+CONSENSUS_MUTANTS = (
+    Mutant(
+        "leader decides without lease",
+        _REPLICA,
+        "            and self.clock.now_ms() < leadership.lease_until_ms()\n        )",
+        "        )",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "votes although it hears a leader",
+        _ELECTION,
+        "        if self._follows_leader() and not req.transfer:",
+        "        if False:",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "restarted follower votes at once",
+        _ELECTION,
+        "        self._heard_leader_ms = min(process_start_ms or now_ms, now_ms)",
+        "        self._heard_leader_ms = -10_000",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "no pre-vote",
+        _ELECTION,
+        "        if not transfer and not await collect_votes(",
+        "        if False and not await collect_votes(",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "vote not stored before it is given",
+        _ELECTION,
+        "        await replica.journal.write([HardState(replica.term, replica.voted_for)])\n"
+        "        still = ",
+        "        still = ",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "append acknowledged before it is synced",
+        _FOLLOWER,
+        "        await replica.journal.write(records)\n        matched =",
+        "        replica.journal.write(records)\n        matched =",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "old term's majority counts as committed",
+        "chestnutfall/consensus/leadership.py",
+        " and replica.log.term_at(index) == self.term:",
+        ":",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "vote for a shorter log",
+        _ELECTION,
+        "        up_to_date = (req.last_term, req.last_index) >= ours",
+        "        up_to_date = bool(ours)",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "failing sync is retried",
+        "chestnutfall/consensus/journal.py",
+        "                self._fail(exc, synced)\n                raise",
+        "                pass",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "new disk answers to the old identity",
+        _REPLICA,
+        "        if msg.to != self.replica_id:",
+        "        if False:",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "learner promoted before it caught up",
+        _REPLICA,
+        "                self._check_caught_up(member)",
+        "                pass",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "two membership changes at once",
+        _REPLICA,
+        "        if self.log.members_index > self.commit_index:",
+        "        if False:",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "damage in the middle taken for a torn tail",
+        "chestnutfall/consensus/frame.py",
+        "    for later in range(at + 1, len(data) - _HEAD.size):",
+        "    for later in range(0):",
+        _STORAGE_TEST,
+    ),
+    Mutant(
+        "torn tail not cut",
+        "chestnutfall/consensus/file_storage.py",
+        "            self._folder.cut(name, whole)",
+        "            pass",
+        _STORAGE_TEST,
+    ),
+    Mutant(
+        "second process on a data folder",
+        "chestnutfall/consensus/disk_folder.py",
+        "            fcntl.flock(self._lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)",
+        "            pass",
+        _STORAGE_TEST,
+    ),
+    Mutant(
+        "callers share one cancellable sync",
+        "chestnutfall/consensus/journal.py",
+        "        mine = asyncio.shield(self._synced)",
+        "        mine = self._synced",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "start of the process does not count as silence",
+        _ELECTION,
+        "        self._heard_leader_ms = min(process_start_ms or now_ms, now_ms)",
+        "        self._heard_leader_ms = now_ms",
+        _REPLICA_TEST,
+    ),
+    Mutant(
+        "refused candidate waits a whole timeout",
+        _ELECTION,
+        "            self._ask_again_soon()\n",
+        "",
+        _REPLICA_TEST,
+    ),
+)
--- /dev/null
+++ b/properties/safeguards/control_mutants.py
@@ -0,0 +1,113 @@
+"""Safeguards of what controllers decide and of configuration."""
+
+from __future__ import annotations
+
+from ..mutant import Mutant
+
+_STATE = "chestnutfall/control/control_state.py"
+_STATE_TEST = "properties.test_control_state"
+_SERVICE = "chestnutfall/control/control_service.py"
+_OWNERSHIP_TEST = "chestnutfall.tests.test_ownership"
+_CONFIG_TEST = "chestnutfall.tests.test_configuration_in_force"
+_ONCE_TEST = "chestnutfall.tests.test_at_most_once"
+
+CONTROL_MUTANTS = (
+    Mutant(
+        "no compare-and-set",
+        _STATE,
+        "        if change.from_revision != self.revision:",
+        "        if False:",
+        _STATE_TEST,
+    ),
+    Mutant(
+        "resent change not recognised",
+        _STATE,
+        "        if made is not None:\n            return Changed(made.revision)",
+        "        pass",
+        _STATE_TEST,
+    ),
+    Mutant(
+        "claim given to a second attempt",
+        _STATE,
+        "        if claim is not None and claim.attempt_id != take.attempt_id:",
+        "        if False:",
+        _STATE_TEST,
+    ),
+    Mutant(
+        "another attempt releases the claim",
+        _STATE,
+        "        if claim is None or claim.attempt_id != end.attempt_id:",
+        "        if claim is None:",
+        _STATE_TEST,
+    ),
+    Mutant(
+        "more loads than permitted",
+        _STATE,
+        " and len(self.permits) >= take.at_once:",
+        " and False:",
+        _STATE_TEST,
+    ),
+    Mutant(
+        "engine moves although its owner acts",
+        "chestnutfall/control/leader_duties.py",
+        "        if owner is None or self._sessions.is_over(owner, now_ms):",
+        "        if True:",
+        _OWNERSHIP_TEST,
+    ),
+    Mutant(
+        "wrong content not found by its digest",
+        _SERVICE,
+        "        if behind == 0 and msg.digest == site.digest:",
+        "        if behind == 0:",
+        _CONFIG_TEST,
+    ),
+    Mutant(
+        "accepted digest changed",
+        "chestnutfall/config/validation.py",
+        "    findings.extend(_kept_digests(site, entries, before, places))",
+        "    pass",
+        _CONFIG_TEST,
+    ),
+    Mutant(
+        "dead gateway's run called running",
+        _SERVICE,
+        "            if claim.status is ClaimStatus.RUNNING and self._duties.is_over(",
+        "            if False and self._duties.is_over(",
+        _ONCE_TEST,
+    ),
+    Mutant(
+        "what refers to a changed entry not looked at",
+        "chestnutfall/config/validation.py",
+        "    for section, name in _with_referrers(entries, places):",
+        "    for section, name in places:",
+        _CONFIG_TEST,
+    ),
+    Mutant(
+        "claims forgotten early",
+        "chestnutfall/control/leader_duties.py",
+        "            await self._commit(AdvanceTime(passed_ms))",
+        "            await self._commit(AdvanceTime(2 * passed_ms))",
+        _ONCE_TEST,
+    ),
+    Mutant(
+        "new leader starts with a full budget",
+        "chestnutfall/control/load_budget.py",
+        "        self._tokens = 0.0",
+        "        self._tokens = 1.0",
+        "properties.test_load_budget",
+    ),
+    Mutant(
+        "budget saved up while idle",
+        "chestnutfall/control/load_budget.py",
+        "        self._tokens = min(self._tokens, MAX_TOKENS)",
+        "        pass",
+        "properties.test_load_budget",
+    ),
+    Mutant(
+        "a restart under the same name is the life before",
+        "chestnutfall/control/upstream_record.py",
+        '    return f"{name}~{started_ms}" if started_ms else name',
+        "    return name",
+        "chestnutfall.tests.test_fleet_leader",
+    ),
+)
--- /dev/null
+++ b/properties/safeguards/placement_mutants.py
@@ -0,0 +1,123 @@
+"""Safeguards of the placement of requests and adapters."""
+
+from __future__ import annotations
+
+from ..mutant import Mutant
+
+_CHOICE_TEST = "chestnutfall.tests.test_choice"
+_READING_TEST = "chestnutfall.tests.test_reading"
+
+PLACEMENT_MUTANTS = (
+    Mutant(
+        "no wait for a copy",
+        "chestnutfall/placement/choice.py",
+        "        if held is None and loaded is not None and self._may_wait(",
+        "        if False and loaded is not None and self._may_wait(",
+        _CHOICE_TEST,
+    ),
+    Mutant(
+        "first come first served, late or not",
+        "chestnutfall/placement/waiting.py",
+        "        return not in_time, self.req.rank, self.since_ms",
+        "        return False, self.req.rank, self.since_ms",
+        _CHOICE_TEST,
+    ),
+    Mutant(
+        "shunned at the first failed connection",
+        "chestnutfall/placement/upstream_health.py",
+        "                if self._failed_connections >= self._strikes:",
+        "                if True:",
+        _CHOICE_TEST,
+    ),
+    Mutant(
+        "what a round gave an engine is not counted in it",
+        "chestnutfall/placement/placer.py",
+        "            now.choice.changed(option.engine)\n",
+        "",
+        _CHOICE_TEST,
+    ),
+    Mutant(
+        "late requests judged by the pace of others",
+        "chestnutfall/placement/pace.py",
+        "        return _step_ms(self._late.get(service), LEAST_LATE_PART",
+        "        return _step_ms(self._in_time.get(service), LEAST_LATE_PART",
+        "chestnutfall.tests.test_pace",
+    ),
+    Mutant(
+        "pace of a new leader counted over the whole window",
+        "chestnutfall/placement/pace.py",
+        "        span_ms = min(max(now_ms - self._since_ms, SPAN_MS), WINDOW_MS)",
+        "        span_ms = WINDOW_MS",
+        "chestnutfall.tests.test_pace",
+    ),
+    Mutant(
+        "reading is not paced",
+        "chestnutfall/placement/read_schedule.py",
+        "        return before_ms <= 0 or before_ms + read_ms <= window.budget_ms",
+        "        return True",
+        _READING_TEST,
+    ),
+    Mutant(
+        "short prompts pass long ones by",
+        "chestnutfall/placement/reading_turns.py",
+        "        self._full.add(engine.instance)\n",
+        "",
+        _READING_TEST,
+    ),
+    Mutant(
+        "prompts whose adapters load take the reading of others",
+        "chestnutfall/placement/engine.py",
+        "        return held is None or held.is_ready(now_ms)",
+        "        return True",
+        _READING_TEST,
+    ),
+    Mutant(
+        "the pace of reading is not learned",
+        "chestnutfall/placement/read_pace.py",
+        "        self.ms_per_token = min(max(slope, LEAST_MS_PER_TOKEN), MOST_MS_PER_TOKEN)\n",
+        "",
+        _READING_TEST,
+    ),
+    Mutant(
+        "slow engines read like others",
+        "chestnutfall/placement/read_schedule.py",
+        "        self.slowness = min(max(self.slowness * factor, 1.0), MOST_SLOWNESS)\n",
+        "",
+        _READING_TEST,
+    ),
+    Mutant(
+        "no place is kept for stray orders",
+        "chestnutfall/placement/engine.py",
+        "        if self.has_stray_order and len(self.holdings) >= self.spec.adapter_slots:",
+        "        if False:",
+        "chestnutfall.tests.test_engine_orders",
+    ),
+    Mutant(
+        "one late engine delays the loads of all",
+        "chestnutfall/placement/load_floor.py",
+        "WITNESSES = 2",
+        "WITNESSES = 1",
+        "chestnutfall.tests.test_load_timer",
+    ),
+    Mutant(
+        "each engine learns alone how long loads take",
+        "chestnutfall/placement/load_floor.py",
+        "        return max(own_ms, self._all_ms)",
+        "        return own_ms",
+        "chestnutfall.tests.test_load_timer",
+    ),
+    Mutant(
+        "an engine is sent more than its batch",
+        "chestnutfall/placement/placer.py",
+        "        if not engine.has_batch_place() or not self._turns",
+        "        if not self._turns",
+        "chestnutfall.tests.test_placer",
+    ),
+    Mutant(
+        "requests whose adapters load take places of the batch",
+        "chestnutfall/placement/engine.py",
+        "OVERBOOKED = 2\n",
+        "OVERBOOKED = 1\n",
+        "chestnutfall.tests.test_placer",
+    ),
+)
