--- /dev/null
+++ b/benchmarks/sample_state.py
@@ -0,0 +1,48 @@
+"""Configurations and claims of a given size, for the slopes."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import Any
+
+from chestnutfall.config.layered_config import BASE_LAYER
+from chestnutfall.config.typed_config import key_hash
+from chestnutfall.control.commands import COMMAND_CODEC, ChangeConfig, TakeClaim
+from chestnutfall.control.control_state import ControlState
+
+ADAPTERS = (3_000, 30_000, 120_000)
+SITE = "site"
+
+
+def base_layer(adapters: int, sites: int = 1) -> dict[str, Any]:
+    rng = random.Random(1)
+    return {
+        "sites": {SITE if number == 0 else f"{SITE}-{number}": {} for number in range(sites)},
+        "services": {"redactor": {"kind": "engine", "announce_key_sha256": key_hash("key")}},
+        "adapters": {
+            f"oficina-{number % 300}-tarea-{number}": {
+                "service": "redactor",
+                "versions": {str(v): f"sha256:{rng.getrandbits(256):064x}" for v in range(1, 3)},
+            }
+            for number in range(adapters)
+        },
+    }
+
+
+def change(number: int, patch: Any, revision: int) -> bytes:
+    return COMMAND_CODEC.encode(
+        ChangeConfig(f"change {number}", "ana", revision, json.dumps({BASE_LAYER: patch}), "", 0)
+    )
+
+
+def state_of(adapters: int, sites: int = 1) -> ControlState:
+    state = ControlState()
+    state.apply(1, change(0, base_layer(adapters, sites), 0))
+    return state
+
+
+def claim(number: int) -> bytes:
+    attempt = f"{number:032x}"
+    take = TakeClaim("contratista", attempt, "ab" * 32, attempt, "entry-1#abcdef", 86_400_000)
+    return COMMAND_CODEC.encode(take)
