Forget a busy store within a second; give each gateway a chance of a repeat

Change: a load 15 % longer than expected is that of a busy store and remembered for 1 s (StoreTimes: two floors); a gateway's share is rounded up by a chance of its own, so that two hundred have their part of the slack together. Tests: test_load_timer, test_repeats, a mutant each.

--- a/chestnutfall/forwarding/repeats.py
+++ b/chestnutfall/forwarding/repeats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Awaitable, Callable
 
 from ..clock import Clock
@@ -26,11 +27,13 @@
         gateways: Callable[[], int],
         borrow: Callable[[str], Awaitable[bool]],
         clock: Clock,
+        rng: random.Random,
     ) -> None:
         self._bounds = bounds
         self._gateways = gateways
         self._borrow = borrow
         self._clock = clock
+        self._rng = rng
         self._own: dict[str, SharedRetryBudget] = {}
 
     def note_request(self, service: str) -> None:
@@ -53,5 +56,5 @@
 
     def _of(self, service: str) -> SharedRetryBudget:
         if service not in self._own:
-            self._own[service] = SharedRetryBudget(self._bounds, self._clock)
+            self._own[service] = SharedRetryBudget(self._bounds, self._clock, self._rng)
         return self._own[service]
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -10,7 +10,6 @@
 from .engine_kind import EngineKind
 from .engine_report import EngineReport
 from .holding import Holding
-from .load_floor import LoadFloor
 from .load_timer import LoadTimer
 from .pause_budget import PauseBudget
 from .place_request import PlaceRequest
@@ -19,6 +18,7 @@
 from .read_schedule import ReadSchedule
 from .reading_room import ReadingRoom
 from .run_times import RunTimes
+from .store_times import StoreTimes
 from .upstream_health import UpstreamHealth
 
 RECENT_PER_SLOT = 5
@@ -68,7 +68,7 @@
         spec: EngineSpec,
         kind: EngineKind,
         pace: ReadPace,
-        floor: LoadFloor,
+        store: StoreTimes,
     ) -> None:
         self.instance = instance
         self.service = service
@@ -81,7 +81,7 @@
         self.synced = False
         self.has_stray_order = False
         self.health = UpstreamHealth(CONNECTION_STRIKES)
-        self.loads = LoadTimer(instance, kind.load_ms, floor)
+        self.loads = LoadTimer(instance, kind.load_ms, store)
         self.prompts = PromptCache(int(spec.kv_tokens * KV_SHARE))
         self.reading = ReadSchedule(pace)
         self.pauses = PauseBudget(kind.gap_ms)
--- a/chestnutfall/placement/kinds.py
+++ b/chestnutfall/placement/kinds.py
@@ -7,8 +7,8 @@
 
 from .engine import Engine
 from .engine_kind import EngineKind
-from .load_floor import LoadFloor
 from .read_pace import ReadPace
+from .store_times import StoreTimes
 
 
 class Kinds:
@@ -17,7 +17,7 @@
     def __init__(self) -> None:
         self._known: dict[str, EngineKind] = {}
         self._paces: dict[str, ReadPace] = {}
-        self._load_floors: dict[str, LoadFloor] = {}
+        self._store_times: dict[str, StoreTimes] = {}
 
     def know(self, service: str, kind: EngineKind) -> None:
         """Take what an earlier leader learned, before the service's engines are told of."""
@@ -31,9 +31,9 @@
         """How fast the service's engines read; they share it."""
         return self._paces.setdefault(service, ReadPace(self.of(service)))
 
-    def load_floor_of(self, service: str) -> LoadFloor:
+    def store_times_of(self, service: str) -> StoreTimes:
         """How long loads of the service's engines take at least; they share it."""
-        return self._load_floors.setdefault(service, LoadFloor())
+        return self._store_times.setdefault(service, StoreTimes())
 
     def learned(self, engines: Collection[Engine]) -> Iterator[tuple[str, EngineKind]]:
         """What is known by now of each service, as far as it is certain."""
--- a/chestnutfall/placement/load_floor.py
+++ b/chestnutfall/placement/load_floor.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-REMEMBERED_MS = 5_000
-"""A store that was busy is tried for shorter loads again after this time; until then its engines
-together send some tens of requests that would come too early otherwise."""
 WITNESSES = 2
 """One engine that carries out an order late says nothing of the store that all load from."""
 
@@ -16,9 +13,15 @@
     finds it out by a request that comes too early, and again whenever its own estimate fell below
     it. With 31 engines, four loads a second on each (`test_load_timer`), 54 requests came too early
     in five seconds when each engine had nothing but its own estimate, and two with this floor.
+
+    Parameters
+    ----------
+    remembered_ms : int
+        Shorter loads are tried again after this time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, remembered_ms: int) -> None:
+        self._remembered_ms = remembered_ms
         self._all_ms = 0.0
         self._seen: dict[str, tuple[float, int]] = {}
 
@@ -36,7 +39,7 @@
         """Drop what was seen too long ago."""
         if not self._seen:
             return
-        since_ms = now_ms - REMEMBERED_MS
+        since_ms = now_ms - self._remembered_ms
         self._seen = {name: seen for name, seen in self._seen.items() if seen[1] > since_ms}
         longest = sorted((after_ms for after_ms, _ in self._seen.values()), reverse=True)
         self._all_ms = longest[WITNESSES - 1] if len(longest) >= WITNESSES else 0.0
--- a/chestnutfall/placement/load_timer.py
+++ b/chestnutfall/placement/load_timer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .load_floor import LoadFloor
+from .store_times import StoreTimes
 
 LEAST_MS = 20.0
 """No load is faster than a round trip and a few steps of the engine."""
@@ -15,6 +15,8 @@
 """Lowered by 2 % with each load that had ended. Every ms above the truth is waited for by all who
 wait for a load, a third of the requests where many adapters share few places; a guess that is a
 sixth too long is right after eight loads, where a step of 0.5 % took 31."""
+USUAL_PART = 1.15
+"""A load that takes so much longer than expected is one from a busy store."""
 PLAUSIBLE = 1.5
 """A load that is still not there after this many times the estimate never began, or was undone."""
 RECENT_PART = 0.1
@@ -28,18 +30,19 @@
     ----------
     instance : str
         The engine.
-    floor : LoadFloor
+    store : StoreTimes
         What all engines of its service found together.
     """
 
-    def __init__(self, instance: str, guess_ms: float, floor: LoadFloor) -> None:
+    def __init__(self, instance: str, guess_ms: float, store: StoreTimes) -> None:
         self._instance = instance
         self._ms = guess_ms
-        self._floor = floor
+        self._store = store
 
     def expected_ms(self, recent: bool) -> float:
         """Time of a load, from the engine's own memory (`recent`) or from the weight store."""
-        from_store_ms = max(self._ms, self._least_ms())
+        busy_ms = TOO_SHORT * self._store.busy.least_ms(self._instance)
+        from_store_ms = max(self._ms, self._least_ms(), busy_ms)
         return max(from_store_ms * RECENT_PART, LEAST_MS) if recent else from_store_ms
 
     def came_too_early(self, after_ms: float, now_ms: int) -> None:
@@ -48,14 +51,18 @@
         Many loads that were ordered under one estimate tell this at the same time. Their own age
         counts, so that together they raise it no further than one of them.
         """
-        if after_ms <= PLAUSIBLE * self.expected_ms(recent=False):
-            self._floor.note(self._instance, min(after_ms, MOST_MS), now_ms)
-            self._ms = max(self._ms, self._least_ms())
+        if after_ms > PLAUSIBLE * self.expected_ms(recent=False):
+            return
+        is_usual = after_ms <= USUAL_PART * max(self._ms, self._least_ms())
+        floor = self._store.usual if is_usual else self._store.busy
+        floor.note(self._instance, min(after_ms, MOST_MS), now_ms)
+        self._ms = max(self._ms, self._least_ms())
 
     def was_ready(self, now_ms: int) -> None:
         """A load had ended when its first request came."""
-        self._floor.forget_old(now_ms)
+        self._store.usual.forget_old(now_ms)
+        self._store.busy.forget_old(now_ms)
         self._ms = max(self._ms * TOO_LONG, self._least_ms())
 
     def _least_ms(self) -> float:
-        return max(TOO_SHORT * self._floor.least_ms(self._instance), LEAST_MS)
+        return max(TOO_SHORT * self._store.usual.least_ms(self._instance), LEAST_MS)
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -66,8 +66,8 @@
             known.spec = spec
             return
         kind, pace = self.kinds.of(service), self.kinds.pace_of(service)
-        floor = self.kinds.load_floor_of(service)
-        self.engines[instance] = Engine(instance, service, data_centre, spec, kind, pace, floor)
+        store = self.kinds.store_times_of(service)
+        self.engines[instance] = Engine(instance, service, data_centre, spec, kind, pace, store)
 
     def engine_down(self, instance: str) -> None:
         """Give an engine no more work; whoever waits for its load is placed anew."""
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -47,15 +47,16 @@
     known = FleetKnowledge(DocumentJson(), clock)
     fleet = FleetClient(name, settings.controllers, known, clock)
     api = UpstreamHttp()
+    rng = random.Random()
     forwarder = Forwarder(
         known,
-        Repeats(settings.repeats, lambda: known.gateways, fleet.borrow_repeat, clock),
+        Repeats(settings.repeats, lambda: known.gateways, fleet.borrow_repeat, clock, rng),
         EnginePlaces(fleet, clock, name, settings.data_centre),
         PlainPlaces(known.upstreams, clock, settings.data_centre),
         Sender(api, clock, metrics),
         clock,
         metrics,
-        random.Random(),
+        rng,
     )
 
     def limits() -> DocumentLimits:
--- a/chestnutfall/tests/test_forwarder.py
+++ b/chestnutfall/tests/test_forwarder.py
@@ -50,6 +50,7 @@
 class ForwarderTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.clock = ManualClock()
+        self.rng = random.Random(1)
         self.reply = RecordedReply()
         self.leaving = False
         self.routes_from_ms = 0
@@ -75,13 +76,19 @@
         metrics = Histograms()
         forwarder = Forwarder(
             FixedRoutes(table, self.clock, self.routes_from_ms),
-            Repeats(RepeatBounds(0.2, slack, 10_000), lambda: 1, self._borrow, self.clock),
+            Repeats(
+                RepeatBounds(0.2, slack, 10_000),
+                lambda: 1,
+                self._borrow,
+                self.clock,
+                self.rng,
+            ),
             self.places,
             self.places,
             Sender(self.upstreams, self.clock, metrics),
             self.clock,
             metrics,
-            random.Random(1),
+            self.rng,
         )
         call = Call("id-1", "POST", "/a/x", "/a/x", "a.example", (), b"", 0, 4000)
         if self.leaving:
--- a/chestnutfall/tests/test_load_timer.py
+++ b/chestnutfall/tests/test_load_timer.py
@@ -10,8 +10,8 @@
 import random
 import unittest
 
-from ..placement.load_floor import REMEMBERED_MS, LoadFloor
 from ..placement.load_timer import LoadTimer
+from ..placement.store_times import BUSY_MS, USUAL_MS, StoreTimes
 
 LOADS_PER_S = 4
 """Of each engine."""
@@ -22,8 +22,8 @@
 
     def __init__(self, engines: int, guess_ms: float = 290.0) -> None:
         self._rng = random.Random(3)
-        floor = LoadFloor()
-        self.timers = [LoadTimer(f"e{at}", guess_ms, floor) for at in range(engines)]
+        store = StoreTimes()
+        self.timers = [LoadTimer(f"e{at}", guess_ms, store) for at in range(engines)]
         self.now_ms = 0
         self.load_ms = 250.0
         self.early = self.loads = 0
@@ -69,10 +69,22 @@
         store.play(4_000)
         self.assertGreater(store.timers[0].expected_ms(recent=False), 490)
         store.load_ms = 250.0
-        store.play(REMEMBERED_MS + 8_000)
+        store.play(USUAL_MS + 8_000)
         longest_ms = max(one.expected_ms(recent=False) for one in store.timers)
         self.assertLess(longest_ms, 290)
 
+    def test_many_loads_at_once_are_waited_for_only_while_they_last(self) -> None:
+        # All hosts lost power. In the first tenth of a second a hundred loads begin together and
+        # take half as long again as one alone; those that begin a second later do not.
+        store = _Store(31)
+        store.play(5_000)
+        for timer in store.timers[:8]:
+            timer.came_too_early(340.0, store.now_ms)
+        self.assertGreater(store.timers[20].expected_ms(recent=False), 340)
+        store.play(BUSY_MS + 200)
+        longest_ms = max(one.expected_ms(recent=False) for one in store.timers)
+        self.assertLess(longest_ms, 270)
+
     def test_one_engine_that_is_late_by_itself_delays_no_other(self) -> None:
         store = _Store(31)
         store.play(5_000)
--- a/chestnutfall/tests/test_repeats.py
+++ b/chestnutfall/tests/test_repeats.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import unittest
 
 from hypothesis import given
@@ -31,8 +32,10 @@
     def __init__(self, gateways: int, bounds: RepeatBounds = BOUNDS) -> None:
         self.clock = ManualClock()
         self._bounds = bounds
+        rng = random.Random(1)
         self.gateways = [
-            Repeats(bounds, lambda: gateways, self._borrow, self.clock) for _ in range(gateways)
+            Repeats(bounds, lambda: gateways, self._borrow, self.clock, rng)
+            for _ in range(gateways)
         ]
         self.change_leader()
 
@@ -111,6 +114,16 @@
                 got = await fleet.repeats_of(0, 400, busy=True)
                 self.assertLessEqual(got, (1 - POOL_PART) * 430 / gateways)
 
+    async def test_without_a_leader_two_hundred_gateways_have_their_share_together(self) -> None:
+        # All hosts lost power. Drafts come before their adapters, and no gateway may send them
+        # again: the share of each is less than one repeat.
+        for gateways in (9, 200, 410):
+            with self.subTest(gateways=gateways):
+                fleet = _Fleet(gateways, RepeatBounds(0.0, 430, 10_000))
+                got = sum([await fleet.repeats_of(at, 60) for at in range(gateways)])
+                self.assertGreater(got, 0.85 * SAFETY * (1 - POOL_PART) * 430)
+                self.assertLess(got, (1 - POOL_PART) * 430)
+
     async def test_repeats_of_one_service_take_nothing_from_another(self) -> None:
         fleet = _Fleet(1, RepeatBounds(0.0, 40, 10_000))
         await fleet.repeats_of(0, 50)
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -117,4 +117,11 @@
         "        if False:",
         "chestnutfall.tests.test_forwarder",
     ),
+    Mutant(
+        "shares of less than one repeat are none",
+        "chestnutfall/forwarding/shared_retry_budget.py",
+        "SAFETY * own + self._chance:",
+        "SAFETY * own:",
+        "chestnutfall.tests.test_repeats",
+    ),
 )
--- a/properties/safeguards/placement_mutants.py
+++ b/properties/safeguards/placement_mutants.py
@@ -120,4 +120,11 @@
         "OVERBOOKED = 1\n",
         "chestnutfall.tests.test_placer",
     ),
+    Mutant(
+        "a busy store is remembered like a usual one",
+        "chestnutfall/placement/load_timer.py",
+        "        floor = self._store.usual if is_usual else self._store.busy",
+        "        floor = self._store.usual",
+        "chestnutfall.tests.test_load_timer",
+    ),
 )
