Say in a call's log line which content it has

A call's id is new with each attempt of its caller, so that the lines of one content at many gateways could not be brought together: the hypotheses 'nothing remembers a request' and 'a bystander' could be told apart only by the luck of a rare prompt length. The digest of caller, path and body is the same at every gateway. Claims use the same digest, moved to requests. Tests: forwarder, at-most-once, 24 passed.

--- a/chestnutfall/caller_edge/caller_app.py
+++ b/chestnutfall/caller_edge/caller_app.py
@@ -15,8 +15,8 @@
 from ..membership import SiteAgent
 from ..observability.metrics import Metrics
 from ..plain_edge import PlainProxy
-from ..requests import CallerRequest, Refusal
-from ..routing import ClaimDesk, Dispatcher, WantedClaim, digest_of
+from ..requests import CallerRequest, Refusal, digest_of
+from ..routing import ClaimDesk, Dispatcher, WantedClaim
 from .caller_limits import CallerLimits
 from .error_body import error_headers, error_text
 from .request_parser import parse_request
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 
 from ..clock import Clock
 from ..observability.histograms import Histograms
-from ..requests import Executed
+from ..requests import Executed, fingerprint_of
 from ..routes import Route, RouteTable, ServiceSpec
 from .call import Call
 from .caller_reply import CallerReply
@@ -82,7 +82,8 @@
         service = table.services[route.service_for(self._rng.random())]
         self._repeats.note_request(service.name)
         until_ms = min(call.deadline_ms, call.arrived_ms + route.timeout_ms) - FINAL_MARGIN_MS
-        progress = Progress(call, until_ms, service.name, last_event=call.resume_after)
+        fingerprint = fingerprint_of(call.host, f"{call.method} {call.target}", call.body)
+        progress = Progress(call, until_ms, service.name, fingerprint, last_event=call.resume_after)
         left_ms = until_ms - self._clock.now_ms()
         try:
             await self._clock.within_ms(left_ms, self._run(progress, route, service, reply))
@@ -234,9 +235,10 @@
     ) -> None:
         code = getattr(result, "code", getattr(result, "status", ""))
         log.info(
-            "call: id=%s route=%s adapter=%s send=%d instance=%s version=%d queued=%d loading=%d "
-            "sent=%d result=%s %s first=%d pause=%d tokens=%d ms=%d",
+            "call: id=%s content=%s route=%s adapter=%s send=%d instance=%s version=%d "
+            "queued=%d loading=%d sent=%d result=%s %s first=%d pause=%d tokens=%d ms=%d",
             progress.call.request_id,
+            progress.fingerprint,
             route.name,
             progress.call.adapter.adapter if progress.call.adapter else "",
             progress.sends,
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -20,6 +20,8 @@
         Clock time by which it must have its final answer.
     service : str
         The service that it goes to.
+    fingerprint : str
+        The same for each call with this content, at any gateway.
     sends : int
         Sends so far.
     runs : int
@@ -43,6 +45,7 @@
     call: Call
     until_ms: int
     service: str
+    fingerprint: str = ""
     sends: int = 0
     runs: int = 0
     started: bool = False
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -12,8 +12,8 @@
 from ..config.service import Service
 from ..membership import SiteAgent, Upstream, UpstreamRegistry
 from ..observability.metrics import Metrics
-from ..requests import Executed, Refusal
-from ..routing import ClaimDesk, WantedClaim, digest_of
+from ..requests import Executed, Refusal, digest_of
+from ..routing import ClaimDesk, WantedClaim
 
 CONNECT_S = 0.5
 MAX_ATTEMPTS = 3
--- a/chestnutfall/requests/__init__.py
+++ b/chestnutfall/requests/__init__.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from .caller_request import CallerRequest
+from .digest import digest_of, fingerprint_of
 from .executed import Executed
 from .refusal import Refusal
 
-__all__ = ["CallerRequest", "Executed", "Refusal"]
+__all__ = ["CallerRequest", "Executed", "Refusal", "digest_of", "fingerprint_of"]
--- a/chestnutfall/routing/__init__.py
+++ b/chestnutfall/routing/__init__.py
@@ -6,13 +6,12 @@
 from .dispatcher import Dispatcher
 from .engine_choice import engine_candidates
 from .retry_budget import RetryBudget
-from .wanted_claim import WantedClaim, digest_of
+from .wanted_claim import WantedClaim
 
 __all__ = [
     "ClaimDesk",
     "Dispatcher",
     "RetryBudget",
     "WantedClaim",
-    "digest_of",
     "engine_candidates",
 ]
--- a/chestnutfall/routing/wanted_claim.py
+++ b/chestnutfall/routing/wanted_claim.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass
 
 
@@ -13,7 +12,7 @@
     Attributes
     ----------
     body_digest : str
-        Digest of what was asked, from `digest_of`.
+        Digest of what was asked, from `requests.digest_of`.
     attempt_id : str
         Chosen by the gateway for this attempt alone.
     """
@@ -23,8 +22,3 @@
     body_digest: str
     attempt_id: str
     retention_ms: int
-
-
-def digest_of(place: str, body: bytes) -> str:
-    """Digest of a request: where it goes, and its body."""
-    return hashlib.sha256(place.encode() + b"\0" + body).hexdigest()
--- a/chestnutfall/tests/fakes/fake_office.py
+++ b/chestnutfall/tests/fakes/fake_office.py
@@ -17,8 +17,8 @@
 from ...observability.metrics import Metrics
 from ...ownership import OwnerDesk
 from ...ownership.load_permits import ControllerPermits
-from ...requests import CallerRequest
-from ...routing import ClaimDesk, Dispatcher, WantedClaim, digest_of
+from ...requests import CallerRequest, digest_of
+from ...routing import ClaimDesk, Dispatcher, WantedClaim
 from .fake_control import FakeControl, FakeControlClient
 from .fake_engine import FakeEngine, FakeEngines
 from .fake_links import FakeLinks
