Show with our own stand-ins that one request ends upstream after upstream

Stand-in upstreams now end under such a request and come back under a new name; relays before them refuse connections meanwhile.

--- a/chestnutfall/platform/standin/client.py
+++ b/chestnutfall/platform/standin/client.py
@@ -48,7 +48,7 @@
         self._rng = rng
         self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=4))
 
-    async def send(self, gateway: str, route: str) -> Seen:
+    async def send(self, gateway: str, route: str, content: bytes = b"photo") -> Seen:
         """Send one request and read its answer."""
         request_id = f"{self._rng.randrange(16**16):016x}"
         headers = {"Host": HOST, names.REQUEST_ID: request_id, names.DEADLINE: str(DEADLINE_MS)}
@@ -62,7 +62,7 @@
         status = 0
         try:
             url = f"http://{gateway}/{route}/x"
-            async with self._session.post(url, headers=headers, data=b"photo") as resp:
+            async with self._session.post(url, headers=headers, data=content) as resp:
                 status = resp.status
                 async for data in resp.content.iter_any():
                     body += data
--- a/chestnutfall/platform/standin/run_book.py
+++ b/chestnutfall/platform/standin/run_book.py
@@ -8,9 +8,10 @@
 
 @dataclass(slots=True)
 class RunBook:
-    """Runs by request id, over all upstreams."""
+    """Runs by request id, and ends of upstreams by the body that ended them."""
 
     runs: Counter[str] = field(default_factory=Counter)
+    ends: Counter[bytes] = field(default_factory=Counter)
     wrong: list[str] = field(default_factory=list)
 
     def note_run(self, request_id: str) -> None:
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -7,6 +7,7 @@
 import json
 import random
 import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import aiohttp
@@ -23,6 +24,10 @@
 HEARTBEAT_S = 0.4
 EVENTS = 4
 ANSWER_BYTES = 400
+FATAL_BODY = b"fatal"
+"""A request whose body begins so ends each upstream that runs it."""
+DOWN_S = 0.4
+"""How long an upstream that ended is gone; one heartbeat."""
 
 
 def answer_body(request_id: str) -> bytes:
@@ -44,6 +49,8 @@
         Where it listens itself.
     announced : str
         Address that it announces; that of a relay before it.
+    on_end, on_start : callable
+        Told when a request ends it, and when it is back under a new name.
     """
 
     def __init__(
@@ -65,26 +72,58 @@
         self._coming: dict[str, int] = {}
         self._going: set[str] = set()
         self._running: list[str] = []
+        self._ids = random.Random(self.instance)
+        self.on_end: Callable[[], None] = lambda: None
+        self.on_start: Callable[[], Awaitable[None]] = _nothing
+        self._ending: asyncio.Task[None] | None = None
+        self._server: web.Server | None = None
         self._beating: asyncio.Task[None] | None = None
         self._runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
         """Listen on a free port of its own."""
-        self._runner = await listen(web.Server(self._on_call, access_log=None), "127.0.0.1:0")
+        await self._listen("127.0.0.1:0")
+        assert self._runner is not None
         port = self._runner.addresses[0][1]
         self.address = f"127.0.0.1:{port}"
 
+    async def _listen(self, address: str) -> None:
+        self._server = web.Server(self._on_call, access_log=None)
+        self._runner = await listen(self._server, address)
+
     def announce(self) -> None:
         """Begin to announce itself."""
         self._beating = asyncio.ensure_future(self._beat())
 
     async def stop(self) -> None:
         """End at once, whatever runs."""
+        if self._ending is not None:
+            self._ending.cancel()
+        await self._close()
+
+    async def _close(self) -> None:
         if self._beating is not None:
             self._beating.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def _end_and_restart(self) -> None:
+        """End as a process does that crashes, and be back later, empty and under a new name."""
+        self.on_end()
+        for conn in self._server.connections if self._server is not None else ():
+            if conn.transport is not None:
+                conn.transport.abort()
+        await self._close()
+        await asyncio.sleep(DOWN_S)
+        self.instance = f"i-{self._ids.randrange(16**8):08x}"
+        self._started_ms = time.time_ns() // 1_000_000
+        self._taken = self._fence = 0
+        self._adapters, self._coming, self._going, self._running = {}, {}, set(), []
+        await self._listen(self.address)
+        await self.on_start()
+        self._ending = None
+        self.announce()
+
     async def _beat(self) -> None:
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1)) as session:
             while True:
@@ -163,6 +202,8 @@
         return web.Response(status=200)
 
     def _end_run(self, name: str) -> None:
+        if name not in self._running:
+            return  # it began before the last restart
         self._running.remove(name)
         if name in self._going and name not in self._running:
             self._going.discard(name)
@@ -173,7 +214,7 @@
             self._adapters[name] = self._coming.pop(name)
 
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
-        await request.read()
+        body = await request.read()
         request_id = request.headers[names.REQUEST_ID]
         name = request.headers.get(names.MODEL, "").partition("/")[2]
         if self._is_engine and name not in self._adapters:
@@ -182,6 +223,9 @@
             return self._answer(request_id, 503, {names.NOT_EXECUTED: "1"})
         self._running.append(name)
         self._book.note_run(request_id)
+        if body.startswith(FATAL_BODY) and self._ending is None:
+            self._book.ends[body] += 1
+            self._ending = asyncio.ensure_future(self._end_and_restart())
         try:
             await asyncio.sleep(self._rng.uniform(0.002, 0.03))
             if not self._is_engine:
@@ -211,3 +255,7 @@
             await asyncio.sleep(0.01)
         await response.write_eof()
         return response
+
+
+async def _nothing() -> None:
+    """Do nothing."""
--- a/chestnutfall/tests/fakes/fake_engine.py
+++ b/chestnutfall/tests/fakes/fake_engine.py
@@ -22,6 +22,10 @@
 TOKENS = 6
 TOKEN_MS = 10
 LOAD_MS = 200
+DOWN_MS = 500
+"""How long an engine that a request ended is gone."""
+FATAL_TEXT = b"fatal"
+"""A request that contains it ends each engine that runs it."""
 
 
 class FakeEngine:
@@ -48,6 +52,7 @@
         self.faults: Counter[str] = Counter()
         self.reachable = True
         self.tokens = TOKENS
+        self.ends = 0
 
     def take(self, fault: str) -> bool:
         """Whether `fault` is due."""
@@ -56,6 +61,14 @@
         self.faults[fault] -= 1
         return True
 
+    async def end_and_restart(self) -> None:
+        """End as a process does that crashes, and be back later."""
+        self.ends += 1
+        self.reachable = False
+        self.restart_empty()
+        await self.clock.sleep_ms(DOWN_MS)
+        self.reachable = True
+
     def restart_empty(self) -> None:
         """The process is new and holds nothing."""
         self.incarnation += "+"
@@ -87,6 +100,9 @@
         engine.ran.append(req.attempt_id)
         engine.running[req.attempt_id] = req.model
         engine.events[req.attempt_id] = _events(engine, req)
+        if FATAL_TEXT in req.body:
+            asyncio.ensure_future(engine.end_and_restart())  # noqa: RUF006
+            raise EngineBroken("engine_connection_lost", "reset")
         if engine.take("reset"):
             raise EngineBroken("engine_connection_lost", "reset")
         if engine.take("silent"):
--- a/soak/office.py
+++ b/soak/office.py
@@ -71,6 +71,7 @@
         relay = Relay(upstream.address)
         await relay.start()
         upstream.announced = relay.address
+        upstream.on_end, upstream.on_start = relay.refuse, relay.start
         upstream.announce()
         self.upstreams.append(upstream)
         self.relays.append(relay)
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -26,15 +26,22 @@
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self.harm = Harm.NONE
-        self.address = ""
+        self.address = "127.0.0.1:0"
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._on_connection, "127.0.0.1", 0)
+        """Listen on a free port; on the same one again after `refuse`."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._on_connection, host, int(port))
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
+    def refuse(self) -> None:
+        """Close the port and every connection, as a host does whose process ended."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+
     def reset_all(self) -> None:
         """Reset every open connection."""
         for writer in list(self._open):
@@ -42,9 +49,7 @@
 
     async def stop(self) -> None:
         """Close everything."""
-        if self._server is not None:
-            self._server.close()
-        self.reset_all()
+        self.refuse()
 
     async def _on_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
