Refuse, at every gateway, a request that ended three upstreams

Cause: a request was remembered for the length of one call only. Its next copy has a new id, and each gateway took it for new; upstreams were blamed for ending, requests never. Class: a fault that travels with the request, met by safeguards that know upstreams only. Ruled out: our repeats alone (16 calls for 25 ends), and a bystander (the same content on each engine that ended).

Change: a request is known by caller, path and body. Gateways report answers that break off, with whether the upstream's port was closed just after; the leader commits each end of a process with what it was running; the request in three ends, and in more than each request beside it, is quarantined in the replicated log and told to every gateway, which refuse it before anything runs: 503, not run, with the time to come back. A whole answer clears a request of everything. Both dialects and plain services have it; a new leader and restarted gateways hold it.

--- a/chestnutfall/control/commands.py
+++ b/chestnutfall/control/commands.py
@@ -191,6 +191,29 @@
     """The group has as many voters as the tolerated losses need; it may acknowledge."""
 
 
+@dataclass(frozen=True, slots=True)
+class NoteUpstreamEnd:
+    """An upstream ended while it ran requests with these fingerprints, or some more of them."""
+
+    instance: str
+    suspects: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ClearSuspect:
+    """An upstream answered the request with this fingerprint in full."""
+
+    fingerprint: str
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetCrashes:
+    """Ends of upstreams, and quarantines of requests, are old enough to be dropped."""
+
+    instances: tuple[str, ...]
+    fingerprints: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """The command has no further outcome."""
@@ -211,6 +234,9 @@
     | NameVersion
     | NoteEngineKind
     | CompleteGroup
+    | NoteUpstreamEnd
+    | ClearSuspect
+    | ForgetCrashes
 )
 COMMAND_CODEC = Codec(
     ChangeConfig,
@@ -227,4 +253,7 @@
     NameVersion,
     NoteEngineKind,
     CompleteGroup,
+    NoteUpstreamEnd,
+    ClearSuspect,
+    ForgetCrashes,
 )
--- a/chestnutfall/control/control_service.py
+++ b/chestnutfall/control/control_service.py
@@ -19,6 +19,7 @@
     COMMAND_CODEC,
     ClaimHeld,
     Command,
+    Done,
     EndClaim,
     EndPermit,
     NoPermit,
@@ -26,6 +27,7 @@
     TakePermit,
 )
 from .control_state import ControlState
+from .crash_messages import AnsweredRun, BrokenRun, SuspectRequests
 from .leader_duties import LeaderDuties
 from .messages import (
     ApplyChange,
@@ -83,6 +85,9 @@
                 return await self._commit(msg)
             case TakePermit():
                 return await self._on_permit(msg)
+            case BrokenRun() | AnsweredRun():
+                self._duties.crashes.take(msg)
+                return Done()
             case ApplyChange() | Read() | ChangeMember():
                 return await self._operators.answer(msg)
             case _:
@@ -112,8 +117,13 @@
             None if known else directory.owners,
             None if known else directory.gateways,
             self._duties.give_up(msg.session),
+            self._suspects_after(msg.suspects_known),
         )
 
+    def _suspects_after(self, known: int) -> SuspectRequests | None:
+        crashes = self._state.crashes
+        return crashes.suspects() if crashes.changes != max(known, 0) else None
+
     def _what_is_missing(
         self, msg: Heartbeat, site: SiteConfig
     ) -> tuple[tuple[ConfigDelta, ...], ConfigFull | None]:
--- a/chestnutfall/control/control_state.py
+++ b/chestnutfall/control/control_state.py
@@ -24,22 +24,26 @@
     Changed,
     ClaimHeld,
     ClaimTaken,
+    ClearSuspect,
     Command,
     CompleteGroup,
     Conflict,
     Done,
     EndClaim,
     EndPermit,
+    ForgetCrashes,
     ForgetUpstream,
     NameVersion,
     NoPermit,
     NoteEngineKind,
+    NoteUpstreamEnd,
     PermitTaken,
     PutDocument,
     TakeClaim,
     TakePermit,
     UpstreamLeaves,
 )
+from .crash_ledger import CrashLedger
 from .document_slot import DocumentSlot
 from .ownership import Ownership
 from .upstream_roster import UpstreamRoster
@@ -60,6 +64,7 @@
     versions: list[tuple[str, str, int]] = field(default_factory=list)
     group_complete: bool = False
     engine_kinds: dict[str, EngineKind] = field(default_factory=dict)
+    crashes: CrashLedger = field(default_factory=CrashLedger)
 
 
 class ControlState(StateMachine):
@@ -91,6 +96,8 @@
         Whether the group ever had all the voters it needs.
     engine_kinds : dict of str to EngineKind
         What leaders learned of the engines of each service.
+    crashes : CrashLedger
+        Requests that upstreams were running when they ended.
     on_apply : callable
         Told after each command; must not fail.
     """
@@ -113,6 +120,7 @@
         self.versions = {(model, adapter): v for model, adapter, v in dump.versions}
         self.group_complete = dump.group_complete
         self.engine_kinds = dump.engine_kinds
+        self.crashes = dump.crashes
 
     def restore(self, data: bytes) -> None:
         self._take(msgspec.msgpack.decode(data, type=_Dump) if data else _Dump())
@@ -132,6 +140,7 @@
             [(model, adapter, version) for (model, adapter), version in self.versions.items()],
             self.group_complete,
             self.engine_kinds,
+            self.crashes,
         )
         return msgspec.msgpack.encode(dump)
 
@@ -196,6 +205,15 @@
             case CompleteGroup():
                 self.group_complete = True
                 return Done()
+            case NoteUpstreamEnd(instance, suspects):
+                self.crashes.note_end(instance, suspects)
+                return Done()
+            case ClearSuspect(fingerprint):
+                self.crashes.clear(fingerprint)
+                return Done()
+            case ForgetCrashes(instances, fingerprints):
+                self.crashes.forget(instances, fingerprints)
+                return Done()
             case unknown:
                 raise ValueError(f"unknown command {unknown!r}")
 
--- a/chestnutfall/control/leader_duties.py
+++ b/chestnutfall/control/leader_duties.py
@@ -8,6 +8,7 @@
 from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
 from .commands import COMMAND_CODEC, AdvanceTime, AssignEngines, Command, EndPermit
 from .control_state import ControlState
+from .crash_keeper import CrashKeeper
 from .directory import Directory
 from .load_budget import LoadBudget
 from .messages import EngineSeen, GatewayAddress, Heartbeat
@@ -56,6 +57,7 @@
         self._budget = LoadBudget(self._clock)
         self._give_up: set[str] = set()
         self._permits_seen_ms: dict[str, int] = {}
+        self.crashes = CrashKeeper(self._replica, self._state, self._clock)
         self._advanced_ms = now_ms
         self._versions = 0
         self.directory = Directory(f"{self._term}.0", tuple(self._state.owners.values()))
@@ -108,6 +110,7 @@
         self._refresh_directory()
         await self._end_old_permits(now_ms)
         await self._advance_time(now_ms)
+        await self.crashes.look()
 
     async def _plan_owners(self, now_ms: int) -> None:
         willing = [
--- a/chestnutfall/control/messages.py
+++ b/chestnutfall/control/messages.py
@@ -19,6 +19,7 @@
     TakeClaim,
     TakePermit,
 )
+from .crash_messages import NO_SUSPECTS, AnsweredRun, BrokenRun, SuspectRequests
 from .ownership import Ownership
 
 
@@ -51,8 +52,10 @@
         Engines this gateway acts for as owner.
     leaving : bool
         Whether it wants no engine any more.
-    ownership_version : int
+    ownership_version : str
         Newest ownership it knows.
+    suspects_known : int
+        Newest change of the suspect requests that it knows; -1 before the first.
     """
 
     session: str
@@ -64,6 +67,7 @@
     acting: tuple[str, ...]
     leaving: bool
     ownership_version: str
+    suspects_known: int = NO_SUSPECTS.changes
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +108,8 @@
         Whole ownership and live gateways; None when the sender knows `ownership_version`.
     give_up : tuple of str
         Engines the sender shall stop acting for.
+    suspects : SuspectRequests or None
+        Requests that may end upstreams; None when the sender knows them.
     """
 
     lease_ms: int
@@ -115,6 +121,7 @@
     owners: tuple[Ownership, ...] | None
     gateways: tuple[GatewayAddress, ...] | None
     give_up: tuple[str, ...]
+    suspects: SuspectRequests | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,8 +234,10 @@
 
 
 CONTROL_CODEC = Codec(
+    AnsweredRun,
     ApplyChange,
     AuditView,
+    BrokenRun,
     ChangeMember,
     Changed,
     ClaimHeld,
--- a/chestnutfall/coordination/gateway_news.py
+++ b/chestnutfall/coordination/gateway_news.py
@@ -4,6 +4,7 @@
 
 from ..clock import Clock
 from ..control.control_state import ControlState
+from ..control.crash_messages import NO_SUSPECTS
 from ..placement import Held
 from ..placement.placer import Placer
 from .gateway_session import GatewaySession
@@ -36,6 +37,7 @@
         self._told: frozenset[Held] = frozenset()
         self._all_told = holdings_change(True, ())
         self._gateways = 0
+        self._suspects = NO_SUSPECTS
         self._document_version = state.document.version
         now_ms = clock.now_ms()
         self._document_due_ms = self._holdings_due_ms = now_ms
@@ -50,6 +52,8 @@
             session.send(self._in_force())
         if self._told:
             session.send(self._all_told)
+        if self._state.crashes.changes:
+            session.send(self._state.crashes.suspects())
 
     def tell_view(self, view: FleetView) -> None:
         """Tell which upstreams serve now, at once if that changed."""
@@ -61,6 +65,7 @@
         """Tell what changed and was not told lately."""
         self._tell_document()
         self._tell_gateways()
+        self._tell_suspects()
         self._tell_holdings()
 
     def _tell_document(self) -> None:
@@ -91,6 +96,18 @@
         self._fewer_due_ms = now_ms + FEWER_GATEWAYS_MS
         self._sessions.tell_all(GatewayCount(gateways))
 
+    def _tell_suspects(self) -> None:
+        # A request that ends what runs it takes an upstream with each call that is on its way
+        # before every gateway knows of it; so this waits for nothing else.
+        crashes = self._state.crashes
+        if crashes.changes == self._suspects.changes:
+            return
+        suspects = crashes.suspects()
+        told = (self._suspects.watched, self._suspects.quarantined)
+        self._suspects = suspects
+        if (suspects.watched, suspects.quarantined) != told:
+            self._sessions.tell_all(suspects)
+
     def _tell_holdings(self) -> None:
         # Gateways do without a leader for a while by what they know of the engines. Where adapters
         # outnumber places, most of them come and go within two seconds, and telling each gateway
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -19,6 +19,8 @@
     UpstreamLeaves,
 )
 from ..control.control_state import ControlState
+from ..control.crash_keeper import CrashKeeper
+from ..control.crash_messages import AnsweredRun, BrokenRun, CrashReport
 from ..control.upstream_record import UpstreamRecord, incarnation
 from ..placement import AdapterName, Decision, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.placer import Placer
@@ -65,6 +67,7 @@
         self._placer = Placer(clock)
         self._watch = UpstreamWatch(clock, heartbeat_ms)
         self._repeats = RepeatPool(repeats, clock)
+        self._crashes = CrashKeeper(replica, state, clock)
         self._sessions = GatewaySessions()
         self._news = GatewayNews(self._sessions, state, self._placer, clock)
         self._table: RouteTable | None = None
@@ -84,7 +87,7 @@
         for service, kind in self._state.engine_kinds.items():
             self._placer.kinds.know(service, kind)
         keeper = KindKeeper(self._replica, self._state, self._placer, self._clock)
-        keeping = asyncio.ensure_future(keeper.run())
+        keeping = [asyncio.ensure_future(one.run()) for one in (keeper, self._crashes)]
         try:
             while self.leads():
                 self._news.tell_what_is_due()
@@ -95,7 +98,8 @@
                 self._carry_out_decisions()
                 await self._until_next_tick()
         finally:
-            keeping.cancel()
+            for task in keeping:
+                task.cancel()
             self._end()
 
     def leads(self) -> bool:
@@ -144,7 +148,9 @@
             self._placer.withdraw(ticket)
 
     def take(
-        self, session: GatewaySession, msg: PlaceRequest | Release | Withdraw | AskRepeat
+        self,
+        session: GatewaySession,
+        msg: PlaceRequest | Release | Withdraw | AskRepeat | CrashReport,
     ) -> None:
         """Take a message of a gateway."""
         match msg:
@@ -153,6 +159,9 @@
                 given = self.leads() and self._repeats.take(service)
                 session.send(AnswerRepeat(number, given))
                 return
+            case BrokenRun() | AnsweredRun():
+                self._crashes.take(msg)
+                return
             case PlaceRequest():
                 self._sessions.hold(msg.ticket, session)
                 self._placer.submit(msg)
@@ -188,6 +197,7 @@
         if known is None:
             await self._commit(AddUpstream(record))
             log.info("upstream: joined %s", record)
+            self._crashes.replaced(record.address, record.instance)
         if record.leaving and (known is None or not known.leaving):
             await self._leave(record.instance, "announced")
         if self._watch.heard(record.instance, msg.number):
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from ..control.crash_messages import AnsweredRun, BrokenRun, SuspectRequests
 from ..control.upstream_record import UpstreamRecord
 from ..placement import Grant, PlaceRequest, Reject
 from ..placement.run_times import NO_TIMES, RunTimes
@@ -126,8 +127,10 @@
 
 
 FLEET_CODEC = Codec(
+    AnsweredRun,
     AnswerRepeat,
     AskRepeat,
+    BrokenRun,
     FleetView,
     GatewayCount,
     GatewayHello,
@@ -139,5 +142,6 @@
     Pulse,
     PutInForce,
     Release,
+    SuspectRequests,
     Withdraw,
 )
--- a/chestnutfall/coordination/session_server.py
+++ b/chestnutfall/coordination/session_server.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..consensus import Replica
+from ..control.crash_messages import CrashReport
 from ..placement import PlaceRequest
 from .fleet_leader import FleetLeader
 from .gateway_session import GatewaySession
@@ -51,7 +52,7 @@
     async def _read(messages: AsyncIterator[Any], term: Any, session: GatewaySession) -> None:
         try:
             async for msg in messages:
-                if isinstance(msg, PlaceRequest | Release | Withdraw | AskRepeat):
+                if isinstance(msg, PlaceRequest | Release | Withdraw | AskRepeat | CrashReport):
                     term.take(session, msg)
         finally:
             session.send(None)
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -6,12 +6,14 @@
 import contextlib
 import itertools
 import logging
-from collections.abc import AsyncIterator
+from collections import deque
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import grpc
 
 from ..clock import Clock
+from ..control.crash_messages import CrashReport, SuspectRequests
 from ..coordination.messages import (
     FLEET_CODEC,
     FLEET_METHOD,
@@ -36,6 +38,10 @@
 """A tenth of an election; a controller answers a stream in a few ms."""
 REPEAT_MS = 100
 """The leader answers at once; a repeat that waits longer for it comes too late to help."""
+MOST_REPORTS = 256
+"""More answers than one gateway has in progress when several upstreams end."""
+REPORT_AGAIN_MS = 10_000
+"""Longer than two elections in a row; the leader takes a report that it knows for the same."""
 CLOSE_S = 0.2
 """A dead connection must not hold up the search for the next leader."""
 
@@ -53,6 +59,8 @@
         What the leader told last.
     connected : bool
         Whether a stream to a leader is up.
+    on_suspects : callable
+        Told which requests may end upstreams.
     """
 
     def __init__(
@@ -72,6 +80,8 @@
         self._asked: dict[str | int, asyncio.Future[Any]] = {}
         self._numbers = itertools.count()
         self._up = asyncio.Event()
+        self._reports: deque[tuple[int, CrashReport]] = deque(maxlen=MOST_REPORTS)
+        self.on_suspects: Callable[[SuspectRequests], None] = lambda suspects: None
 
     def use_controllers(self, controllers: tuple[str, ...]) -> None:
         """Take the controllers that changed settings name."""
@@ -84,6 +94,11 @@
         if self.connected:
             self._out.put_nowait(msg)
 
+    def report(self, msg: CrashReport) -> None:
+        """Send a report, and once more to a leader that may not have heard of it."""
+        self._reports.append((self._clock.now_ms(), msg))
+        self.tell(msg)
+
     async def place(self, req: PlaceRequest) -> Grant | Reject:
         """Ask for a place.
 
@@ -204,6 +219,8 @@
                     fut.set_result(msg)
             case Pulse():
                 pass
+            case SuspectRequests():
+                self.on_suspects(msg)
             case news:
                 self.knowledge.take(news)
                 if isinstance(news, FleetView) and not self.connected:
@@ -213,6 +230,11 @@
         self.connected = True
         self._up.set()
         log.info("leader: connected address=%s", address)
+        # The leader before may have ended with these, or they came while there was none.
+        oldest_ms = self._clock.now_ms() - REPORT_AGAIN_MS
+        for at_ms, msg in self._reports:
+            if at_ms >= oldest_ms:
+                self.tell(msg)
 
     def _lose(self, address: str) -> None:
         if self.connected:
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -8,6 +8,11 @@
 
 from ..clock import Clock
 from ..observability.histograms import Histograms
+from ..placement import RunOutcome
+from ..placement.run_times import NO_TIMES
+from ..quarantine import RequestQuarantine
+from ..quarantine.request_quarantine import REASON as QUARANTINED
+from ..quarantine.request_quarantine import RETRY_MS as QUARANTINE_RETRY_MS
 from ..requests import Executed, fingerprint_of
 from ..routes import Route, RouteTable, ServiceSpec
 from .call import Call
@@ -47,6 +52,7 @@
         engine_places: Places,
         plain_places: Places,
         sender: Sender,
+        quarantine: RequestQuarantine,
         clock: Clock,
         metrics: Histograms,
         rng: random.Random,
@@ -56,6 +62,7 @@
         self._engine_places = engine_places
         self._plain_places = plain_places
         self._sender = sender
+        self._quarantine = quarantine
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
@@ -104,7 +111,7 @@
         self, progress: Progress, route: Route, service: ServiceSpec, reply: CallerReply
     ) -> None:
         places = self._plain_places if service.engine is None else self._engine_places
-        while True:
+        while not await self._is_quarantined(progress, reply):
             wanted = Wanted(
                 progress.call,
                 route,
@@ -119,6 +126,10 @@
             except NoPlace as exc:
                 await self._give_up(progress, reply, 503, exc.reason, exc.retry_after_ms)
                 return
+            # It may have waited for an adapter, and another copy of it ended the third upstream.
+            if await self._is_quarantined(progress, reply):
+                places.give_back(place, RunOutcome.WITHDRAWN, NO_TIMES, None)
+                return
             progress.sends += 1
             sent_ms = self._clock.now_ms()
             result = await self._sender.send(progress, route, place, places, reply)
@@ -126,6 +137,13 @@
             if await self._is_final(progress, route, place, reply, result):
                 return
 
+    async def _is_quarantined(self, progress: Progress, reply: CallerReply) -> bool:
+        """Give the final answer if the call must not be sent, or sent again."""
+        if not self._quarantine.holds(progress.fingerprint):
+            return False
+        await self._give_up(progress, reply, 503, QUARANTINED, QUARANTINE_RETRY_MS)
+        return True
+
     async def _is_final(
         self,
         progress: Progress,
@@ -137,6 +155,7 @@
         """Give the final answer, or prepare the next send and return False."""
         match result:
             case Delivered():
+                self._quarantine.answered(progress.fingerprint)
                 self._metrics.observe("answer_ms", self._clock.now_ms() - progress.call.arrived_ms)
                 return True
             case Refused(code):
@@ -151,6 +170,8 @@
             case Lost(code):
                 progress.runs += 1
                 progress.avoid.append(place.upstream.instance)
+                upstream = place.upstream
+                self._quarantine.broke(progress.fingerprint, upstream.instance, upstream.address)
                 # Non-idempotent: never repeated once bytes may have reached the upstream. It may
                 # have run, and a second run would send its caller two results.
                 is_silent = code == SILENT
@@ -162,6 +183,7 @@
             case Failed(status, headers, body):
                 progress.runs += 1
                 progress.avoid.append(place.upstream.instance)
+                self._quarantine.answered(progress.fingerprint)
                 if (
                     status >= 500
                     and self._may_run_again(progress, route)
--- a/chestnutfall/membership/site_agent.py
+++ b/chestnutfall/membership/site_agent.py
@@ -11,6 +11,7 @@
 from ..config.site_config import SiteConfig
 from ..config.typed_config import TypedConfig
 from ..control.control_client import ControlClient, NoController
+from ..control.crash_messages import NO_SUSPECTS, SuspectRequests
 from ..control.messages import (
     ConfigDelta,
     ConfigFull,
@@ -41,6 +42,8 @@
         Owner of each engine.
     gateways : dict of str to GatewayAddress
         Live gateways by session.
+    on_suspects : callable
+        Told which requests may end upstreams.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         self.leaving = False
         self.acting: Callable[[], Iterable[str]] = tuple
         self.on_change: Callable[[], None] = lambda: None
+        self.on_suspects: Callable[[SuspectRequests], None] = lambda suspects: None
         self._address = address
         self._site = site
         self._client = client
@@ -72,6 +76,7 @@
         self._confirmed_ms: int | None = None
         self._lease_until_ms = 0
         self._ownership_version = ""
+        self._suspects_known = NO_SUSPECTS.changes
         self._give_up: frozenset[str] = frozenset()
         self._sent_engines: tuple[EngineSeen, ...] | None = None
 
@@ -147,6 +152,7 @@
             tuple(self.acting()),
             self.leaving,
             self._ownership_version,
+            self._suspects_known,
         )
 
     def _take_reply(self, reply: HeartbeatReply, sent_ms: int) -> None:
@@ -166,6 +172,9 @@
             self.owners = {one.engine: one for one in reply.owners}
             self.gateways = {one.session: one for one in reply.gateways or ()}
             self._ownership_version = reply.ownership_version
+        if reply.suspects is not None:
+            self._suspects_known = reply.suspects.changes
+            self.on_suspects(reply.suspects)
         self._give_up = frozenset(reply.give_up)
         # The lease counts from when we sent: the controller heard us later than that.
         self._lease_until_ms = sent_ms + reply.lease_ms
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -12,7 +12,8 @@
 from ..config.service import Service
 from ..membership import SiteAgent, Upstream, UpstreamRegistry
 from ..observability.metrics import Metrics
-from ..requests import Executed, Refusal, digest_of
+from ..quarantine import RequestQuarantine
+from ..requests import Executed, Refusal, digest_of, fingerprint_of
 from ..routing import ClaimDesk, WantedClaim
 
 CONNECT_S = 0.5
@@ -47,12 +48,14 @@
         agent: SiteAgent,
         registry: UpstreamRegistry,
         claims: ClaimDesk,
+        quarantine: RequestQuarantine,
         metrics: Metrics,
         data_centre: str,
     ) -> None:
         self._agent = agent
         self._registry = registry
         self._claims = claims
+        self._quarantine = quarantine
         self._metrics = metrics
         self._data_centre = data_centre
         self._session = aiohttp.ClientSession(
@@ -79,9 +82,19 @@
         once = request.method in service.non_idempotent_methods or bool(key)
         if once and service.key_required and not key:
             raise Refusal(400, "idempotency_key_required", "this call needs an Idempotency-Key")
+        place = f"{request.method} {request.path_qs}"
+        fingerprint = fingerprint_of(caller_name, place, body)
         if not key:
-            return await self._relay(request, name, service, body, once)
-        return await self._relay_claimed(request, name, service, body, caller_name, key)
+            return await self._relay(request, name, service, body, fingerprint, once)
+        wanted = WantedClaim(
+            caller_name,
+            key,
+            digest_of(place, body),
+            uuid.uuid4().hex,
+            self._agent.config.limits.claim_retention_ms,
+        )
+        async with self._claims.held(wanted):
+            return await self._relay(request, name, service, body, fingerprint, once=True)
 
     def _service(self, path: str, caller: Caller) -> tuple[str, Service]:
         for name, service in self._agent.config.services.items():
@@ -90,43 +103,35 @@
                 return name, service
         raise Refusal(404, "not_found", f"no service at {path} for this caller")
 
-    async def _relay_claimed(
+    async def _relay(
         self,
         request: web.Request,
         name: str,
         service: Service,
         body: bytes,
-        caller: str,
-        key: str,
-    ) -> web.Response:
-        wanted = WantedClaim(
-            caller,
-            key,
-            digest_of(f"{request.method} {request.path_qs}", body),
-            uuid.uuid4().hex,
-            self._agent.config.limits.claim_retention_ms,
-        )
-        async with self._claims.held(wanted):
-            return await self._relay(request, name, service, body, once=True)
-
-    async def _relay(
-        self, request: web.Request, name: str, service: Service, body: bytes, once: bool
+        fingerprint: str,
+        once: bool,
     ) -> web.Response:
         tried: set[str] = set()
         executed = Executed.NO
         message = "no upstream announces itself"
         for _ in range(MAX_ATTEMPTS):
+            self._quarantine.check(fingerprint, executed)
             upstream = self._choose(name, tried)
             if upstream is None:
                 break
             tried.add(upstream.name)
             try:
-                return await self._call(request, upstream, service, body)
+                answer = await self._call(request, upstream, service, body)
+                self._quarantine.answered(fingerprint)
+                return answer
             except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
                 message = f"no connection to {upstream.name}: {exc}"
             except (aiohttp.ClientError, TimeoutError, OSError) as exc:
                 message = f"{upstream.name} broke off: {exc!r}"
                 executed = Executed.UNKNOWN
+                instance = f"{upstream.name}/{upstream.announcement.incarnation}"
+                self._quarantine.broke(fingerprint, instance, upstream.address)
                 if once:
                     break
             self._metrics.count("plain.retries")
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -21,6 +21,7 @@
 from ..observability.json_logs import start_logs
 from ..observability.stdout_logs import StdoutHandler
 from ..programs.event_loop import run
+from ..quarantine import RequestQuarantine, refuses_connections
 from ..routes import DocumentLimits
 from ..settings.fleet_settings import FleetSettings
 from .document_json import DocumentJson
@@ -46,6 +47,8 @@
     name = f"{settings.name}#{uuid.uuid4().hex[:6]}"
     known = FleetKnowledge(DocumentJson(), clock)
     fleet = FleetClient(name, settings.controllers, known, clock)
+    quarantine = RequestQuarantine(fleet.report, refuses_connections)
+    fleet.on_suspects = quarantine.take
     api = UpstreamHttp()
     rng = random.Random()
     forwarder = Forwarder(
@@ -54,6 +57,7 @@
         EnginePlaces(fleet, clock, name, settings.data_centre),
         PlainPlaces(known.upstreams, clock, settings.data_centre),
         Sender(api, clock, metrics),
+        quarantine,
         clock,
         metrics,
         rng,
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -23,6 +23,7 @@
 from ..peers import PeerLinks, PeerServer
 from ..peers.peer_server import METHOD as TICKETS_METHOD
 from ..plain_edge import PlainProxy
+from ..quarantine import ReportLine, RequestQuarantine, refuses_connections
 from ..routing import ClaimDesk, Dispatcher
 from ..settings.gateway_settings import GatewaySettings
 from ..wire import RpcServer
@@ -81,14 +82,18 @@
         self._peer_server = PeerServer(self._desk, self._clock)
         self._links = PeerLinks(self._agent, self._desk, self._clock, tls)
         self._claims = ClaimDesk(self._client, session)
+        reports = ReportLine(self._client)
+        quarantine = RequestQuarantine(reports.tell, refuses_connections)
+        self._agent.on_suspects = quarantine.take
         self._plain = PlainProxy(
-            self._agent, self._registry, self._claims, metrics, settings.data_centre
+            self._agent, self._registry, self._claims, quarantine, metrics, settings.data_centre
         )
         dispatcher = Dispatcher(
             self._agent,
             self._registry,
             self._links,
             self._api,
+            quarantine,
             self._clock,
             metrics,
             tracer,
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 from typing import NoReturn
 
@@ -22,10 +23,12 @@
 from ..observability.metrics import Metrics
 from ..ownership import TicketGrant, TicketRefusal, TicketRequest
 from ..peers import PeerLinks
-from ..requests import CallerRequest, Executed, Refusal
+from ..quarantine import RequestQuarantine
+from ..requests import CallerRequest, Executed, Refusal, fingerprint_of
 from .engine_choice import engine_candidates
 from .retry_budget import RetryBudget
 
+log = logging.getLogger(__name__)
 MAX_ATTEMPTS = 4
 MAX_RESUMES = 3
 BACKOFF_MS = 50
@@ -47,6 +50,7 @@
         registry: UpstreamRegistry,
         links: PeerLinks,
         api: EngineApi,
+        quarantine: RequestQuarantine,
         clock: Clock,
         metrics: Metrics,
         tracer: trace.Tracer,
@@ -57,6 +61,7 @@
         self._registry = registry
         self._links = links
         self._api = api
+        self._quarantine = quarantine
         self._clock = clock
         self._metrics = metrics
         self._tracer = tracer
@@ -75,12 +80,16 @@
         """
         self._budget.earn()
         executed = Executed.NO
+        fingerprint = fingerprint_of(req.caller, req.path, req.body)
         for attempt in range(1, MAX_ATTEMPTS + 1):
+            self._quarantine.check(fingerprint, executed)
             started = False
             try:
-                async for events in self._attempt(req, f"{req.request_id}-{attempt}"):
+                attempt_id = f"{req.request_id}-{attempt}"
+                async for events in self._attempt(req, attempt_id, fingerprint):
                     started = True
                     yield events
+                self._quarantine.answered(fingerprint)
                 return
             except Refusal as refusal:
                 # No ticket for a repeat proves nothing about the attempt before it.
@@ -117,13 +126,15 @@
         self._metrics.count("retries")
         await self._clock.sleep_ms(wait_ms)
 
-    async def _attempt(self, req: CallerRequest, attempt_id: str) -> Batches:
+    async def _attempt(self, req: CallerRequest, attempt_id: str, fingerprint: str) -> Batches:
         parent = _PROPAGATOR.extract(req.trace)
         with self._tracer.start_span("admission", context=parent) as span:
             engine = await self._ticket(req, attempt_id)
             span.set_attribute("engine", engine.name)
         span = self._tracer.start_span("dispatch", context=parent)
         try:
+            # It waited for its ticket, and another copy of it may have ended the third engine.
+            self._quarantine.check(fingerprint)
             # A gateway that was frozen may have lost its session since it was given the ticket;
             # the owner no longer counts on it then and may have evicted the adapter.
             if not self._agent.has_session():
@@ -132,6 +143,17 @@
             _PROPAGATOR.inject(headers, trace.set_span_in_context(span, parent))
             async for events in self._run(engine, self._engine_request(req, attempt_id, headers)):
                 yield events
+        except EngineBroken as exc:
+            instance = f"{engine.name}/{engine.announcement.incarnation}"
+            log.info(
+                "dispatch: id=%s content=%s instance=%s broke: %s",
+                attempt_id,
+                fingerprint,
+                instance,
+                exc.code,
+            )
+            self._quarantine.broke(fingerprint, instance, engine.address)
+            raise
         finally:
             span.end()
             self._links.end(engine.name, attempt_id)
--- a/chestnutfall/tests/fakes/fake_engine.py
+++ b/chestnutfall/tests/fakes/fake_engine.py
@@ -91,6 +91,10 @@
             raise ConnectionError(f"no way to {address}")
         return engine
 
+    async def refuses_connections(self, address: str) -> bool:
+        """Whether the engine's process is gone."""
+        return not self.by_address[address].reachable
+
     async def run(self, address: str, req: EngineRequest) -> Batches:
         engine = self.by_address[address]
         if not engine.reachable or engine.take("unreachable"):
--- a/chestnutfall/tests/fakes/fake_office.py
+++ b/chestnutfall/tests/fakes/fake_office.py
@@ -17,6 +17,7 @@
 from ...observability.metrics import Metrics
 from ...ownership import OwnerDesk
 from ...ownership.load_permits import ControllerPermits
+from ...quarantine import ReportLine, RequestQuarantine
 from ...requests import CallerRequest, digest_of
 from ...routing import ClaimDesk, Dispatcher, WantedClaim
 from .fake_control import FakeControl, FakeControlClient
@@ -55,11 +56,15 @@
         )
         self.links = FakeLinks(self.agent, self.desk, self.clock, lambda: office.by_session())
         self.claims = ClaimDesk(self.client, self.session)
+        reports = ReportLine(self.client)
+        self.quarantine = RequestQuarantine(reports.tell, office.engines.refuses_connections)
+        self.agent.on_suspects = self.quarantine.take
         self.dispatcher = Dispatcher(
             self.agent,
             self.registry,
             self.links,
             office.engines,
+            self.quarantine,
             self.clock,
             self.metrics,
             trace.get_tracer("test"),
--- a/chestnutfall/tests/test_forwarder.py
+++ b/chestnutfall/tests/test_forwarder.py
@@ -14,12 +14,14 @@
 from typing import Any
 
 from ..clock import ManualClock
+from ..control.crash_messages import CrashReport
 from ..forwarding.call import Call
 from ..forwarding.forwarder import Forwarder
 from ..forwarding.repeats import Repeats
 from ..forwarding.sender import Sender
 from ..forwarding.upstream_answer import NotRun
 from ..observability.histograms import Histograms
+from ..quarantine import RequestQuarantine
 from ..routes import (
     Document,
     DocumentLimits,
@@ -57,6 +59,11 @@
         self.same_place = False
         self.leader_gives = False
         self.has_other = True
+        self.reports: list[CrashReport] = []
+        self.quarantine = RequestQuarantine(self.reports.append, self._refuses_connections)
+
+    async def _refuses_connections(self, address: str) -> bool:
+        return True
 
     async def _borrow(self, service: str) -> bool:
         return self.leader_gives
@@ -86,6 +93,7 @@
             self.places,
             self.places,
             Sender(self.upstreams, self.clock, metrics),
+            self.quarantine,
             self.clock,
             metrics,
             self.rng,
