Count overlapping ends once, and try a quarantined request again after a minute

Cause: counted one by one, the ends of a rack that loses power would quarantine the requests that everybody sends all the time, with nobody left to answer them and clear them (shown by test_a_rack_that_ends_under_a_usual_lookup_counts_once). A run counts now only if it began after the request's last end; what ends upstreams by itself does so again after each end. The first quarantine lasts one minute, each further one ten times as long, at the first end after it. A run whose end overlaps still explains the end, so that those beside it aren't blamed.

--- a/chestnutfall/control/broken_upstream.py
+++ b/chestnutfall/control/broken_upstream.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from .broken_span import BrokenSpan
+
 MOST_FINGERPRINTS = 256
 """More than an upstream runs at once, its queue included."""
 
@@ -18,23 +21,28 @@
         When the first answer broke off.
     ended_ms : int or None
         When it was known that its process ended; None while it may only have dropped connections.
-    untold, told : dict of str to None
-        Fingerprints of broken runs that are not, and are, in the log.
+    untold : dict of str to BrokenSpan
+        Requests that it was running and that are not in the log yet, by fingerprint.
+    told : set of str
+        Fingerprints of those that are.
     """
 
     address: str
     since_ms: int
     ended_ms: int | None = None
-    untold: dict[str, None] = field(default_factory=dict)
-    told: dict[str, None] = field(default_factory=dict)
+    untold: dict[str, BrokenSpan] = field(default_factory=dict)
+    told: set[str] = field(default_factory=set)
 
-    def add(self, fingerprint: str) -> None:
+    def add(self, fingerprint: str, began_ms: int, broke_ms: int) -> None:
         """Take a broken run."""
-        if fingerprint not in self.told and len(self.untold) < MOST_FINGERPRINTS:
-            self.untold[fingerprint] = None
+        known = self.untold.get(fingerprint)
+        if known is not None:
+            self.untold[fingerprint] = known.with_run(began_ms, broke_ms)
+        elif fingerprint not in self.told and len(self.untold) < MOST_FINGERPRINTS:
+            self.untold[fingerprint] = BrokenSpan(began_ms, broke_ms)
 
-    def note_told(self, fingerprints: tuple[str, ...]) -> None:
+    def note_told(self, fingerprints: Iterable[str]) -> None:
         """Take that these are in the log."""
         for fingerprint in fingerprints:
             self.untold.pop(fingerprint, None)
-            self.told[fingerprint] = None
+            self.told.add(fingerprint)
--- a/chestnutfall/control/commands.py
+++ b/chestnutfall/control/commands.py
@@ -193,10 +193,17 @@
 
 @dataclass(frozen=True, slots=True)
 class NoteUpstreamEnd:
-    """An upstream ended while it ran requests with these fingerprints, or some more of them."""
+    """An upstream ended while it ran requests with these fingerprints, or some more of them.
+
+    Attributes
+    ----------
+    overlapping : tuple of str
+        Those for which it counts as one with another upstream's end.
+    """
 
     instance: str
     suspects: tuple[str, ...]
+    overlapping: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/control/control_state.py
+++ b/chestnutfall/control/control_state.py
@@ -205,8 +205,8 @@
             case CompleteGroup():
                 self.group_complete = True
                 return Done()
-            case NoteUpstreamEnd(instance, suspects):
-                self.crashes.note_end(instance, suspects)
+            case NoteUpstreamEnd(instance, suspects, overlapping):
+                self.crashes.note_end(instance, suspects, overlapping)
                 return Done()
             case ClearSuspect(fingerprint):
                 self.crashes.clear(fingerprint)
--- a/chestnutfall/control/crash_keeper.py
+++ b/chestnutfall/control/crash_keeper.py
@@ -7,6 +7,7 @@
 
 from ..clock import Clock
 from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
+from .broken_span import BrokenSpan
 from .broken_upstream import BrokenUpstream
 from .commands import COMMAND_CODEC, ClearSuspect, Command, ForgetCrashes, NoteUpstreamEnd
 from .control_state import ControlState
@@ -24,14 +25,10 @@
 """Several data centres of upstreams; each takes some KB for ten seconds."""
 REMEMBER_ENDS_MS = 3_600_000
 """A request that comes back less than hourly ends too little to be told from chance."""
-QUARANTINE_MS = 600_000
-"""Ten minutes: whoever was refused without cause, or whose upstreams were repaired, is served again
-then. What still ends upstreams has taken one more."""
-LONGER_EACH_TIME = 4
-"""From ten minutes to an hour, three and eleven: six upstreams in a day, a third of an ordinary
-day's losses at the size we design for."""
-LONGEST_MS = 24 * 3_600_000
-"""Nothing is refused for longer on what was seen a day ago."""
+MOST_LAST_ENDS = 8_192
+"""Requests that were running when upstreams ended lately; some 150 bytes each."""
+JITTER_MS = 5
+"""Reports of two gateways take ways to the leader that differ by some milliseconds."""
 
 
 class CrashKeeper:
@@ -49,6 +46,7 @@
         self._clock = clock
         self._broken: dict[str, BrokenUpstream] = {}
         self._answered: dict[str, None] = {}
+        self._last_end_ms: dict[str, int] = {}
         # Ages count from when this leader first saw an entry, by its own clock: a quarantine
         # may last longer over a change of leader, never shorter.
         self._ends_seen_ms: dict[str, int] = {}
@@ -93,7 +91,8 @@
                 return
             broken = BrokenUpstream(report.address, self._clock.now_ms())
             self._broken[report.instance] = broken
-        broken.add(report.fingerprint)
+        now_ms = self._clock.now_ms()
+        broken.add(report.fingerprint, now_ms - report.began_ago_ms, now_ms - report.broke_ago_ms)
         if report.refuses:
             self._note_ended(report.instance, broken, "refuses connections")
 
@@ -111,16 +110,43 @@
                 await self._commit_end(instance, broken)
 
     async def _commit_end(self, instance: str, broken: BrokenUpstream) -> None:
-        suspects = tuple(broken.untold)
-        if not suspects:
-            return
+        runs = dict(broken.untold)
+        suspects = tuple(one for one, run in runs.items() if self._counts(one, run))
+        overlapping = tuple(one for one in runs if one not in suspects)
+        if runs:
+            await self._commit_runs(NoteUpstreamEnd(instance, suspects, overlapping))
+        broken.note_told(runs)
+        for fingerprint, run in runs.items():
+            self._note_last_end(fingerprint, run.broke_ms)
+
+    async def _commit_runs(self, end: NoteUpstreamEnd) -> None:
         before = set(self._state.crashes.quarantined)
-        await self._commit(NoteUpstreamEnd(instance, suspects))
-        broken.note_told(suspects)
-        log.info("crashes: instance=%s ended under contents=%s", instance, ",".join(suspects))
+        await self._commit(end)
+        log.info(
+            "crashes: instance=%s ended under contents=%s overlapping=%s",
+            end.instance,
+            ",".join(end.suspects),
+            ",".join(end.overlapping),
+        )
         for fingerprint in set(self._state.crashes.quarantined) - before:
             log.warning("crashes: quarantined content=%s", fingerprint)
 
+    def _counts(self, fingerprint: str, run: BrokenSpan) -> bool:
+        """Whether a run began after the request met its last end.
+
+        A rack that loses power ends many upstreams under the few requests that everybody sends
+        all the time. Counted one by one, these were quarantined at once: the most usual requests
+        of all. What ends upstreams by itself does so again after each end.
+        """
+        last_ms = self._last_end_ms.get(fingerprint)
+        return last_ms is None or run.began_ms >= last_ms - JITTER_MS
+
+    def _note_last_end(self, fingerprint: str, broke_ms: int) -> None:
+        last_ms = self._last_end_ms.pop(fingerprint, broke_ms)
+        self._last_end_ms[fingerprint] = max(last_ms, broke_ms)
+        if len(self._last_end_ms) > MOST_LAST_ENDS:
+            del self._last_end_ms[next(iter(self._last_end_ms))]
+
     async def _commit_answers(self) -> None:
         for fingerprint in list(self._answered):
             await self._commit(ClearSuspect(fingerprint))
@@ -131,7 +157,7 @@
         crashes = self._state.crashes
         ends = self._older(self._ends_seen_ms, crashes.ends, lambda _: REMEMBER_ENDS_MS)
         quarantines = self._older(
-            self._quarantines_seen_ms, crashes.quarantined, self._quarantine_ms
+            self._quarantines_seen_ms, crashes.quarantined, crashes.quarantine_ms
         )
         if ends or quarantines:
             await self._commit(ForgetCrashes(ends, quarantines))
@@ -147,9 +173,5 @@
             seen_ms.setdefault(name, now_ms)
         return tuple(name for name, since_ms in seen_ms.items() if now_ms > since_ms + age_ms(name))
 
-    def _quarantine_ms(self, fingerprint: str) -> int:
-        times = self._state.crashes.offences.get(fingerprint, 1)
-        return int(min(QUARANTINE_MS * LONGER_EACH_TIME ** (times - 1), LONGEST_MS))
-
     async def _commit(self, command: Command) -> None:
         await self._replica.propose(COMMAND_CODEC.encode(command))
--- a/chestnutfall/control/crash_ledger.py
+++ b/chestnutfall/control/crash_ledger.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
-from .crash_messages import SuspectRequests
+from .crash_messages import QuarantinedRequest, SuspectRequests
+from .upstream_end import EXPLAINED, UpstreamEnd
 
 ENDS_TO_QUARANTINE = 3
 """A request that was resumed once may meet two ends by chance, one on each of its upstreams. Each
@@ -17,10 +19,16 @@
 by now each of them is worth less than the next upstream."""
 ENDS_TO_WATCH = 2
 """One end more and it may be quarantined: from here on an answer anywhere must be known."""
+QUARANTINE_MS = 60_000
+"""Whoever was refused without cause, since all upstreams of a service ended one after the other
+under what everybody asks for, is served again within a minute."""
+LONGER_EACH_TIME = 10
+"""One minute, ten, a hundred, then a day: what does end upstreams takes about five more on the
+first day, a third of an ordinary day's losses at the size we design for."""
+LONGEST_MS = 24 * 3_600_000
+"""Nothing is refused for longer on what was seen a day ago."""
 MOST_ENDS = 512
 """A month of ordinary losses; with the bound on requests this keeps the ledger under 5 MB."""
-MOST_SUSPECTS = 256
-"""More than an upstream runs at once, its queue included."""
 MOST_QUARANTINED = 1_024
 MOST_WATCHED = 256
 """Gateways are told whole lists: under 50 KB, and in practice a few lines."""
@@ -39,8 +47,8 @@
 
     Attributes
     ----------
-    ends : dict of str to tuple of str
-        Fingerprints by the incarnation that ended; empty once one of them explains it.
+    ends : dict of str to UpstreamEnd
+        By the incarnation that ended, oldest first.
     quarantined : dict of str to None
         Fingerprints that no gateway sends, oldest first.
     offences : dict of str to int
@@ -49,25 +57,27 @@
         Counts the commands that changed something.
     """
 
-    ends: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    ends: dict[str, UpstreamEnd] = field(default_factory=dict)
     quarantined: dict[str, None] = field(default_factory=dict)
     offences: dict[str, int] = field(default_factory=dict)
     changes: int = 0
 
-    def note_end(self, instance: str, suspects: Iterable[str]) -> None:
-        """Take that an upstream ended while it ran `suspects`, or some more of these."""
-        known = self.ends.get(instance)
-        if known == ():
+    def note_end(
+        self, instance: str, suspects: Iterable[str], overlapping: Iterable[str] = ()
+    ) -> None:
+        """Take that an upstream ended while it ran these requests, or some more of them."""
+        end = self.ends.get(instance, UpstreamEnd())
+        if end.explained:
             return
         self.changes += 1
-        both = tuple(dict.fromkeys((*(known or ()), *suspects)))[:MOST_SUSPECTS]
-        self.ends[instance] = both
+        end = self.ends[instance] = end.with_more(suspects, overlapping)
         _drop_oldest(self.ends, MOST_ENDS)
         # What was on its way when a quarantine began, or comes after it, may end one upstream
         # more. If the requests beside it were blamed for that, they would come ever nearer to a
         # quarantine of their own; and if it had three ends free each time, it would take three.
-        offenders = [one for one in both if one in self.offences]
-        for fingerprint in offenders or self._to_blame(both):
+        ran = (*end.suspects, *end.overlapping)
+        offenders = [one for one in ran if one in self.offences]
+        for fingerprint in offenders or self._to_blame(end):
             self._quarantine(fingerprint)
 
     def clear(self, fingerprint: str) -> None:
@@ -75,12 +85,9 @@
         self.changes += 1
         self.quarantined.pop(fingerprint, None)
         self.offences.pop(fingerprint, None)
-        for instance, suspects in list(self.ends.items()):
-            left = tuple(one for one in suspects if one != fingerprint)
-            if left:
-                self.ends[instance] = left
-            elif suspects:
-                del self.ends[instance]
+        for instance, end in self.ends.items():
+            if end.ran(fingerprint):
+                self.ends[instance] = end.without(fingerprint)
 
     def forget(self, instances: Iterable[str], fingerprints: Iterable[str]) -> None:
         """Drop ends and quarantines that are old."""
@@ -93,21 +100,31 @@
     def blames(self, fingerprint: str) -> bool:
         """Whether an answer to the request would change anything."""
         return fingerprint in self.offences or any(
-            fingerprint in suspects for suspects in self.ends.values()
+            end.ran(fingerprint) for end in self.ends.values()
         )
 
     def suspects(self) -> SuspectRequests:
         """What gateways must know."""
-        ends = Counter(one for suspects in self.ends.values() for one in suspects)
-        watched = (one for one, count in ends.most_common(MOST_WATCHED) if count >= ENDS_TO_WATCH)
-        return SuspectRequests(self.changes, tuple(watched), tuple(self.quarantined))
-
-    def _to_blame(self, suspects: tuple[str, ...]) -> list[str]:
+        ends = Counter(one for end in self.ends.values() for one in end.suspects)
+        near = (one for one, count in ends.most_common() if count >= ENDS_TO_WATCH)
+        # One whose quarantine is over is held again at its next end, whoever causes that, unless
+        # it is known that it was answered meanwhile.
+        paroled = (one for one in reversed(self.offences) if one not in self.quarantined)
+        watched = itertools.islice(itertools.chain(near, paroled), MOST_WATCHED)
+        quarantined = (QuarantinedRequest(one, self.quarantine_ms(one)) for one in self.quarantined)
+        return SuspectRequests(self.changes, tuple(watched), tuple(quarantined))
+
+    def quarantine_ms(self, fingerprint: str) -> int:
+        """How long a quarantine lasts that begins with the last offence."""
+        times = max(self.offences.get(fingerprint, 1), 1)
+        return int(min(QUARANTINE_MS * LONGER_EACH_TIME ** (times - 1), LONGEST_MS))
+
+    def _to_blame(self, end: UpstreamEnd) -> list[str]:
         """Those of the requests of one end that are to be quarantined now."""
-        wanted = set(suspects)
-        ends = Counter(one for ended in self.ends.values() for one in ended if one in wanted)
+        wanted = set(end.suspects)
+        ends = Counter(one for end in self.ends.values() for one in end.suspects if one in wanted)
         most = max(ends.values(), default=0)
-        blamed = [one for one in suspects if most and ends[one] == most]
+        blamed = [one for one in end.suspects if ends[one] == most]
         # A tie is left open: the request beside the guilty one was resumed with it from engine to
         # engine, and only one of the two is in the next end.
         sure = most >= ENDS_TO_QUARANTINE and len(blamed) == 1
@@ -119,9 +136,9 @@
             self.offences[fingerprint] = self.offences.get(fingerprint, 0) + 1
         _drop_oldest(self.quarantined, MOST_QUARANTINED)
         _drop_oldest(self.offences, MOST_OFFENDERS)
-        for instance, suspects in self.ends.items():
-            if fingerprint in suspects:
-                self.ends[instance] = ()
+        for instance, end in self.ends.items():
+            if end.ran(fingerprint):
+                self.ends[instance] = EXPLAINED
 
 
 def _drop_oldest(entries: dict[str, Any], most: int) -> None:
--- a/chestnutfall/control/crash_messages.py
+++ b/chestnutfall/control/crash_messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,12 +19,21 @@
         Where that one listened.
     refuses : bool
         Whether its port was closed just after, so that its process has ended.
+    began_ago_ms, broke_ago_ms : int
+        How long before this report the request was sent there, and its answer broke off.
     """
 
     fingerprint: str
     instance: str
     address: str
     refuses: bool
+    began_ago_ms: int
+    broke_ago_ms: int
+
+    def later(self, by_ms: int) -> BrokenRun:
+        """The same report, sent `by_ms` later."""
+        began_ago_ms = self.began_ago_ms + by_ms
+        return replace(self, began_ago_ms=began_ago_ms, broke_ago_ms=self.broke_ago_ms + by_ms)
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +43,14 @@
     fingerprint: str
 
 
+@dataclass(frozen=True, slots=True)
+class QuarantinedRequest:
+    """A request that no gateway sends, and the time after which it may be tried again."""
+
+    fingerprint: str
+    retry_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class SuspectRequests:
     """What gateways must know of requests that may end upstreams.
@@ -44,13 +61,13 @@
         Counts the changes; tells a newer word from an older one.
     watched : tuple of str
         Fingerprints of which gateways tell each whole answer.
-    quarantined : tuple of str
-        Fingerprints that no gateway sends.
+    quarantined : tuple of QuarantinedRequest
+        Requests that no gateway sends.
     """
 
     changes: int
     watched: tuple[str, ...]
-    quarantined: tuple[str, ...]
+    quarantined: tuple[QuarantinedRequest, ...]
 
 
 NO_SUSPECTS = SuspectRequests(-1, (), ())
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -13,7 +13,7 @@
 import grpc
 
 from ..clock import Clock
-from ..control.crash_messages import CrashReport, SuspectRequests
+from ..control.crash_messages import BrokenRun, CrashReport, SuspectRequests
 from ..coordination.messages import (
     FLEET_CODEC,
     FLEET_METHOD,
@@ -231,10 +231,11 @@
         self._up.set()
         log.info("leader: connected address=%s", address)
         # The leader before may have ended with these, or they came while there was none.
-        oldest_ms = self._clock.now_ms() - REPORT_AGAIN_MS
+        now_ms = self._clock.now_ms()
+        oldest_ms = now_ms - REPORT_AGAIN_MS
         for at_ms, msg in self._reports:
             if at_ms >= oldest_ms:
-                self.tell(msg)
+                self.tell(msg.later(now_ms - at_ms) if isinstance(msg, BrokenRun) else msg)
 
     def _lose(self, address: str) -> None:
         if self.connected:
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -12,7 +12,6 @@
 from ..placement.run_times import NO_TIMES
 from ..quarantine import RequestQuarantine
 from ..quarantine.request_quarantine import REASON as QUARANTINED
-from ..quarantine.request_quarantine import RETRY_MS as QUARANTINE_RETRY_MS
 from ..requests import Executed, fingerprint_of
 from ..routes import Route, RouteTable, ServiceSpec
 from .call import Call
@@ -134,14 +133,15 @@
             sent_ms = self._clock.now_ms()
             result = await self._sender.send(progress, route, place, places, reply)
             self._log_send(progress, route, place, sent_ms, result)
-            if await self._is_final(progress, route, place, reply, result):
+            if await self._is_final(progress, route, place, sent_ms, reply, result):
                 return
 
     async def _is_quarantined(self, progress: Progress, reply: CallerReply) -> bool:
         """Give the final answer if the call must not be sent, or sent again."""
-        if not self._quarantine.holds(progress.fingerprint):
+        retry_ms = self._quarantine.retry_ms(progress.fingerprint)
+        if retry_ms is None:
             return False
-        await self._give_up(progress, reply, 503, QUARANTINED, QUARANTINE_RETRY_MS)
+        await self._give_up(progress, reply, 503, QUARANTINED, retry_ms)
         return True
 
     async def _is_final(
@@ -149,6 +149,7 @@
         progress: Progress,
         route: Route,
         place: Place,
+        sent_ms: int,
         reply: CallerReply,
         result: SendResult,
     ) -> bool:
@@ -171,7 +172,9 @@
                 progress.runs += 1
                 progress.avoid.append(place.upstream.instance)
                 upstream = place.upstream
-                self._quarantine.broke(progress.fingerprint, upstream.instance, upstream.address)
+                self._quarantine.broke(
+                    progress.fingerprint, upstream.instance, upstream.address, sent_ms
+                )
                 # Non-idempotent: never repeated once bytes may have reached the upstream. It may
                 # have run, and a second run would send its caller two results.
                 is_silent = code == SILENT
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -8,6 +8,7 @@
 import aiohttp
 from aiohttp import web
 
+from ..clock import Clock
 from ..config.caller import Caller
 from ..config.service import Service
 from ..membership import SiteAgent, Upstream, UpstreamRegistry
@@ -49,6 +50,7 @@
         registry: UpstreamRegistry,
         claims: ClaimDesk,
         quarantine: RequestQuarantine,
+        clock: Clock,
         metrics: Metrics,
         data_centre: str,
     ) -> None:
@@ -56,6 +58,7 @@
         self._registry = registry
         self._claims = claims
         self._quarantine = quarantine
+        self._clock = clock
         self._metrics = metrics
         self._data_centre = data_centre
         self._session = aiohttp.ClientSession(
@@ -121,6 +124,7 @@
             if upstream is None:
                 break
             tried.add(upstream.name)
+            began_ms = self._clock.now_ms()
             try:
                 answer = await self._call(request, upstream, service, body)
                 self._quarantine.answered(fingerprint)
@@ -131,7 +135,7 @@
                 message = f"{upstream.name} broke off: {exc!r}"
                 executed = Executed.UNKNOWN
                 instance = f"{upstream.name}/{upstream.announcement.incarnation}"
-                self._quarantine.broke(fingerprint, instance, upstream.address)
+                self._quarantine.broke(fingerprint, instance, upstream.address, began_ms)
                 if once:
                     break
             self._metrics.count("plain.retries")
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -47,7 +47,7 @@
     name = f"{settings.name}#{uuid.uuid4().hex[:6]}"
     known = FleetKnowledge(DocumentJson(), clock)
     fleet = FleetClient(name, settings.controllers, known, clock)
-    quarantine = RequestQuarantine(fleet.report, refuses_connections)
+    quarantine = RequestQuarantine(fleet.report, refuses_connections, clock)
     fleet.on_suspects = quarantine.take
     api = UpstreamHttp()
     rng = random.Random()
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -83,10 +83,16 @@
         self._links = PeerLinks(self._agent, self._desk, self._clock, tls)
         self._claims = ClaimDesk(self._client, session)
         reports = ReportLine(self._client)
-        quarantine = RequestQuarantine(reports.tell, refuses_connections)
+        quarantine = RequestQuarantine(reports.tell, refuses_connections, self._clock)
         self._agent.on_suspects = quarantine.take
         self._plain = PlainProxy(
-            self._agent, self._registry, self._claims, quarantine, metrics, settings.data_centre
+            self._agent,
+            self._registry,
+            self._claims,
+            quarantine,
+            self._clock,
+            metrics,
+            settings.data_centre,
         )
         dispatcher = Dispatcher(
             self._agent,
--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -6,9 +6,8 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-from ..control.crash_keeper import QUARANTINE_MS
+from ..clock import Clock
 from ..control.crash_messages import (
-    NO_SUSPECTS,
     AnsweredRun,
     BrokenRun,
     CrashReport,
@@ -17,8 +16,6 @@
 from ..requests import Executed, Refusal
 
 log = logging.getLogger(__name__)
-RETRY_MS = QUARANTINE_MS
-"""Sooner the same request meets the same refusal."""
 REASON = "ended_its_upstreams"
 
 
@@ -42,32 +39,28 @@
         self,
         tell: Callable[[CrashReport], None],
         refuses_connections: Callable[[str], Awaitable[bool]],
+        clock: Clock,
     ) -> None:
+        self._clock = clock
         self._tell = tell
         self._refuses_connections = refuses_connections
-        self._changes = NO_SUSPECTS.changes
         self._to_tell: set[str] = set()
-        self._quarantined: frozenset[str] = frozenset()
+        self._retry_ms: dict[str, int] = {}
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._reports: set[asyncio.Task[None]] = set()
 
-    @property
-    def changes(self) -> int:
-        """Which word of the controllers is known here; -1 before the first."""
-        return self._changes
-
     def take(self, suspects: SuspectRequests) -> None:
         """Take the controllers' word."""
-        new = set(suspects.quarantined) - self._quarantined
-        if new:
-            log.info("quarantine: holds contents=%s", ",".join(sorted(new)))
-        self._changes = suspects.changes
-        self._quarantined = frozenset(suspects.quarantined)
-        self._to_tell = {*suspects.watched, *suspects.quarantined}
+        known = self._retry_ms
+        self._retry_ms = {one.fingerprint: one.retry_ms for one in suspects.quarantined}
+        self._to_tell = {*suspects.watched, *self._retry_ms}
+        for fingerprint in self._retry_ms.keys() ^ known.keys():
+            word = "holds" if fingerprint in self._retry_ms else "ended for"
+            log.info("quarantine: %s content=%s", word, fingerprint)
 
-    def holds(self, fingerprint: str) -> bool:
-        """Whether the request must not be sent."""
-        return fingerprint in self._quarantined
+    def retry_ms(self, fingerprint: str) -> int | None:
+        """When to come back with a request that must not be sent; None if it may be sent."""
+        return self._retry_ms.get(fingerprint)
 
     def check(self, fingerprint: str, executed: Executed = Executed.NO) -> None:
         """Refuse a request that must not be sent, or sent again.
@@ -77,16 +70,16 @@
         Refusal
             With what is known of the sends before.
         """
-        if not self.holds(fingerprint):
+        retry_ms = self.retry_ms(fingerprint)
+        if retry_ms is None:
             return
-        sent_before = executed is not Executed.NO
         message = "upstreams ended each time they ran this request; it is not sent any more"
-        status = 502 if sent_before else 503
-        raise Refusal(status, REASON, message, executed, None if sent_before else RETRY_MS)
+        status = 503 if executed is Executed.NO else 502
+        raise Refusal(status, REASON, message, executed, retry_ms)
 
-    def broke(self, fingerprint: str, instance: str, address: str) -> None:
+    def broke(self, fingerprint: str, instance: str, address: str, began_ms: int) -> None:
         """Note that an answer broke off; whether the upstream ended is found out beside."""
-        task = asyncio.ensure_future(self._report(fingerprint, instance, address))
+        task = asyncio.ensure_future(self._report(fingerprint, instance, address, began_ms))
         self._reports.add(task)
         task.add_done_callback(self._reports.discard)
 
@@ -96,9 +89,13 @@
             self._to_tell.discard(fingerprint)
             self._tell(AnsweredRun(fingerprint))
 
-    async def _report(self, fingerprint: str, instance: str, address: str) -> None:
+    async def _report(self, fingerprint: str, instance: str, address: str, began_ms: int) -> None:
+        broke_ms = self._clock.now_ms()
         refuses = await self._has_ended(address)
-        self._tell(BrokenRun(fingerprint, instance, address, refuses))
+        now_ms = self._clock.now_ms()
+        self._tell(
+            BrokenRun(fingerprint, instance, address, refuses, now_ms - began_ms, now_ms - broke_ms)
+        )
 
     async def _has_ended(self, address: str) -> bool:
         """Ask the port once for all answers that break off together."""
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -132,6 +132,7 @@
             engine = await self._ticket(req, attempt_id)
             span.set_attribute("engine", engine.name)
         span = self._tracer.start_span("dispatch", context=parent)
+        began_ms = self._clock.now_ms()
         try:
             # It waited for its ticket, and another copy of it may have ended the third engine.
             self._quarantine.check(fingerprint)
@@ -152,7 +153,7 @@
                 instance,
                 exc.code,
             )
-            self._quarantine.broke(fingerprint, instance, engine.address)
+            self._quarantine.broke(fingerprint, instance, engine.address, began_ms)
             raise
         finally:
             span.end()
--- a/chestnutfall/tests/fakes/fake_office.py
+++ b/chestnutfall/tests/fakes/fake_office.py
@@ -57,7 +57,9 @@
         self.links = FakeLinks(self.agent, self.desk, self.clock, lambda: office.by_session())
         self.claims = ClaimDesk(self.client, self.session)
         reports = ReportLine(self.client)
-        self.quarantine = RequestQuarantine(reports.tell, office.engines.refuses_connections)
+        self.quarantine = RequestQuarantine(
+            reports.tell, office.engines.refuses_connections, self.clock
+        )
         self.agent.on_suspects = self.quarantine.take
         self.dispatcher = Dispatcher(
             self.agent,
--- a/chestnutfall/tests/fakes/fake_upstreams.py
+++ b/chestnutfall/tests/fakes/fake_upstreams.py
@@ -87,11 +87,14 @@
     def __init__(self, *instances: str) -> None:
         self._instances = list(instances)
         self.has_other = True
+        self.on_take: Callable[[], None] = lambda: None
+        self.on_give_back: Callable[[], None] = lambda: None
         self.outcomes: list[RunOutcome] = []
         self.wanted: list[Wanted] = []
 
     async def take(self, wanted: Wanted) -> Place:
         self.wanted.append(wanted)
+        self.on_take()
         if not self._instances:
             raise NoPlace("full", 700)
         instance = self._instances.pop(0)
@@ -102,6 +105,7 @@
         self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
     ) -> None:
         self.outcomes.append(outcome)
+        self.on_give_back()
 
 
 class RecordedReply(CallerReply):
--- /dev/null
+++ b/chestnutfall/tests/test_crash_keeper.py
@@ -0,0 +1,222 @@
+"""From what gateways see of broken answers to a quarantine that all of them keep.
+
+A request ends engine after engine while gateways come and go and the leader changes; callers of
+other requests lose their engines each time. Two of its ends are seen by one leader and the third
+by the next, each through another gateway. And a rack that loses power ends many upstreams under
+the lookups that everybody sends, which must not be refused for it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+from ..control.control_state import ControlState
+from ..control.crash_keeper import COLLECT_MS, LOOK_MS, CrashKeeper
+from ..control.crash_ledger import QUARANTINE_MS
+from ..control.crash_messages import AnsweredRun, BrokenRun, SuspectRequests
+from ..coordination.fleet_leader import FleetLeader
+from ..coordination.gateway_session import GatewaySession
+from ..platform.document_json import DocumentJson
+from .fakes import FakeCluster
+from .fakes.taking_engines import TakingEngines
+from .test_fleet_leader import REPEATS
+
+KNOWN_MS = 1_000
+"""A third of the time after which a gateway must know."""
+RUN_MS = 70
+
+
+def _broken(fingerprint: str, number: int, refuses: bool = True, age_ms: int = 5) -> BrokenRun:
+    address = f"127.0.0.1:{9000 + number}"
+    return BrokenRun(fingerprint, f"i{number}", address, refuses, RUN_MS + age_ms, age_ms)
+
+
+class _ClusterCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.cluster = FakeCluster(5, ("a", "b", "c"), ControlState)
+        await self.cluster.bootstrap()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.name = (await self.cluster.leader()).replica_id
+
+    async def asyncTearDown(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await self.cluster.stop()
+
+    def _state(self) -> ControlState:
+        machine = self.cluster.replicas[self.name].machine
+        assert isinstance(machine, ControlState)
+        return machine
+
+
+class CrashKeeperTest(_ClusterCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        replica = self.cluster.replicas[self.name]
+        self.keeper = CrashKeeper(replica, self._state(), self.cluster.clock)
+        self.tasks.append(asyncio.ensure_future(self.keeper.run()))
+
+    async def _pass(self, ms: int = COLLECT_MS + 4 * LOOK_MS) -> None:
+        for _ in range(ms // LOOK_MS):
+            await self.cluster.clock.advance(LOOK_MS)
+
+    def _quarantined(self) -> set[str]:
+        return set(self._state().crashes.quarantined)
+
+    async def test_broken_connections_to_a_process_that_lives_blame_nobody(self) -> None:
+        for number in range(9):
+            self.keeper.take(_broken("usual", number, refuses=False))
+            await self._pass()
+        self.assertEqual(self._state().crashes.ends, {})
+
+    async def test_another_incarnation_at_its_address_shows_that_it_ended(self) -> None:
+        # It was back before the gateway looked at its port.
+        for number in range(3):
+            self.keeper.take(_broken("fatal", number, refuses=False))
+            self.keeper.replaced(f"127.0.0.1:{9000 + number}", f"new-{number}")
+            await self._pass()
+        self.assertEqual(self._quarantined(), {"fatal"})
+
+    async def test_a_bystander_that_is_reported_first_is_not_held_instead(self) -> None:
+        for number in range(3):
+            self.keeper.take(_broken("beside", number))
+            await self._pass(COLLECT_MS // 2)
+            self.keeper.take(_broken("fatal", number, age_ms=COLLECT_MS // 2))
+            if number == 1:
+                await self._pass()
+                self.keeper.take(AnsweredRun("beside"))
+            await self._pass()
+        self.assertEqual(self._quarantined(), {"fatal"})
+
+    async def test_a_rack_that_ends_under_a_usual_lookup_counts_once(self) -> None:
+        for number in range(20):
+            self.keeper.take(_broken("usual", number))
+        await self._pass(20 * LOOK_MS + COLLECT_MS)
+        self.assertEqual(len(self._state().crashes.ends), 20)
+        self.assertEqual(self._quarantined(), set())
+        # Its callers repeat it at once, and one more upstream ends that had nothing to do with it.
+        self.keeper.take(_broken("usual", 20))
+        await self._pass()
+        self.assertEqual(self._quarantined(), set())
+
+    async def test_copies_one_after_the_other_count_each(self) -> None:
+        for number in range(3):
+            self.keeper.take(_broken("fatal", number))
+            await self.cluster.clock.advance(RUN_MS)
+        await self._pass()
+        self.assertEqual(self._quarantined(), {"fatal"})
+
+    async def test_a_quarantine_ends(self) -> None:
+        for number in range(3):
+            self.keeper.take(_broken("fatal", number))
+            await self._pass()
+        self.assertEqual(self._quarantined(), {"fatal"})
+        for _ in range(QUARANTINE_MS // 1000 + 2):
+            await self.cluster.clock.advance(1000)
+        self.assertEqual(self._quarantined(), set())
+        self.keeper.take(_broken("fatal", 7))
+        await self._pass()
+        self.assertEqual(self._quarantined(), {"fatal"})
+
+    async def test_what_could_not_be_committed_is_committed_later(self) -> None:
+        for number in range(3):
+            self.keeper.take(_broken("fatal", number))
+            await self.cluster.clock.advance(RUN_MS)
+        self.cluster.isolate(self.name)
+        await self._pass(600)
+        self.cluster.network.cuts.clear()
+        # The leader may have lost its term; its reports are not lost with one refused commit.
+        self.keeper._replica = await self.cluster.leader()
+        self.name = self.keeper._replica.replica_id
+        self.keeper._state = self._state()
+        await self._pass(600)
+        self.assertEqual(self._quarantined(), {"fatal"})
+
+
+class SharedQuarantineTest(_ClusterCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.leaders: dict[str, FleetLeader] = {}
+        for name, replica in self.cluster.replicas.items():
+            state = replica.machine
+            assert isinstance(state, ControlState)
+            leader = FleetLeader(
+                replica, state, DocumentJson(), TakingEngines(), self.cluster.clock, 1000, REPEATS
+            )
+            self.leaders[name] = leader
+            self.tasks.append(asyncio.ensure_future(leader.run()))
+        await self._advance(500)
+
+    async def _advance(self, ms: int) -> None:
+        for _ in range(ms // 25):
+            await self.cluster.clock.advance(25)
+
+    def _join(self, gateways: int) -> list[GatewaySession]:
+        term = self.leaders[self.name].leading()
+        assert term is not None
+        sessions = [GatewaySession(f"g{number}") for number in range(gateways)]
+        for session in sessions:
+            term.join(session, -1)
+        return sessions
+
+    def _tell(self, session: GatewaySession, report: Any) -> None:
+        term = self.leaders[self.name].leading()
+        assert term is not None
+        term.take(session, report)
+
+    @staticmethod
+    def _held(session: GatewaySession) -> set[str]:
+        held: set[str] = set()
+        while not session.out.empty():
+            msg = session.out.get_nowait()
+            if isinstance(msg, SuspectRequests):
+                held = {one.fingerprint for one in msg.quarantined}
+        return held
+
+    async def test_every_gateway_knows_however_many_there_are(self) -> None:
+        for gateways in (9, 91, 195, 410):
+            with self.subTest(gateways):
+                sessions = self._join(gateways)
+                fatal = f"fatal-{gateways}"
+                for number in range(3):
+                    report = _broken(fatal, gateways * 10 + number)
+                    self._tell(sessions[number * (gateways // 3)], report)
+                    await self._advance(RUN_MS + 30)
+                await self._advance(KNOWN_MS)
+                self.assertEqual([fatal in self._held(one) for one in sessions], [True] * gateways)
+
+    async def test_ends_before_and_after_a_change_of_leader_count_together(self) -> None:
+        (first,) = self._join(1)
+        for number in range(2):
+            self._tell(first, _broken("fatal", number))
+            await self._advance(KNOWN_MS)
+        await self.cluster.crash(self.name)
+        self.name = (await self.cluster.leader()).replica_id
+        await self._advance(500)
+        (second,) = self._join(1)
+        self._tell(second, _broken("fatal", 2))
+        await self._advance(KNOWN_MS)
+        self.assertEqual(self._held(second), {"fatal"})
+        # A gateway that has just started is told at once.
+        (third,) = self._join(1)
+        self.assertEqual(self._held(third), {"fatal"})
+
+    async def test_a_report_told_again_to_a_new_leader_is_the_same_end(self) -> None:
+        (first,) = self._join(1)
+        for _ in range(5):
+            self._tell(first, _broken("usual", 1))
+            await self._advance(KNOWN_MS)
+        self.assertEqual(self._held(first), set())
+
+    async def test_an_answer_anywhere_ends_the_quarantine(self) -> None:
+        sessions = self._join(2)
+        for number in range(3):
+            self._tell(sessions[0], _broken("usual", number))
+            await self._advance(KNOWN_MS)
+        self.assertEqual(self._held(sessions[1]), {"usual"})
+        self._tell(sessions[1], AnsweredRun("usual"))
+        await self._advance(KNOWN_MS)
+        self.assertEqual([self._held(one) for one in sessions], [set(), set()])
+        self.assertEqual(self._state().crashes.offences, {})
--- /dev/null
+++ b/chestnutfall/tests/test_crash_ledger.py
@@ -0,0 +1,136 @@
+"""Who is to blame when upstreams end under several requests at once.
+
+A quick estimate is refused though it never hurt an engine: it was on three engines when another
+request ended them, and both were counted alike. Or nothing is refused, since a usual request that
+is on every engine was in as many ends as the guilty one. The first that is in three ends, and in
+more than each request beside it, explains them; whoever is answered is cleared.
+"""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from ..control.commands import COMMAND_CODEC, ClearSuspect, ForgetCrashes, NoteUpstreamEnd
+from ..control.control_state import ControlState
+from ..control.crash_ledger import (
+    LONGER_EACH_TIME,
+    LONGEST_MS,
+    MOST_ENDS,
+    MOST_OFFENDERS,
+    MOST_QUARANTINED,
+    MOST_WATCHED,
+    QUARANTINE_MS,
+    CrashLedger,
+)
+
+
+class CrashLedgerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = CrashLedger()
+        self.ends = 0
+
+    def _end(self, *suspects: str) -> None:
+        self.ends += 1
+        self.ledger.note_end(f"i{self.ends}", suspects)
+
+    def _quarantined(self) -> set[str]:
+        return set(self.ledger.quarantined)
+
+    def test_the_third_end_quarantines(self) -> None:
+        for times in (1, 2):
+            self._end("fatal", f"other-{times}")
+            self.assertEqual(self._quarantined(), set())
+        self._end("fatal")
+        self.assertEqual(self._quarantined(), {"fatal"})
+
+    def test_those_beside_it_are_cleared_of_its_ends(self) -> None:
+        # It was resumed beside the fatal one twice. When its own upstream is lost much later,
+        # that is the first end that counts.
+        self._end("fatal", "beside")
+        self._end("fatal", "beside")
+        self._end("fatal")
+        self._end("beside")
+        self._end("beside")
+        self.assertEqual(self._quarantined(), {"fatal"})
+
+    def test_what_was_on_its_way_at_the_quarantine_blames_nobody_else(self) -> None:
+        for _ in range(3):
+            self._end("fatal")
+        for _ in range(5):
+            self._end("fatal", "beside")
+        self.assertEqual(self._quarantined(), {"fatal"})
+        # Reports of one end that come one after the other are one end.
+        self.ledger.note_end("i8", ("late report",))
+        self.assertFalse(self.ledger.blames("late report"))
+
+    def test_an_end_that_overlaps_with_another_explains_but_does_not_count(self) -> None:
+        for times in range(6):
+            self.ledger.note_end(f"o{times}", ("beside",) if times < 2 else (), ("fatal",))
+        self.assertEqual(self._quarantined(), set())
+        for _ in range(3):
+            self._end("fatal")
+        self.assertEqual(self._quarantined(), {"fatal"})
+        self.assertFalse(self.ledger.blames("beside"))
+
+    def test_a_tie_is_left_to_the_next_end(self) -> None:
+        for _ in range(3):
+            self._end("fatal", "resumed with it")
+        self.assertEqual(self._quarantined(), set())
+        self._end("fatal")
+        self.assertEqual(self._quarantined(), {"fatal"})
+
+    def test_two_that_share_every_end_are_both_held_in_the_end(self) -> None:
+        for _ in range(4):
+            self._end("one", "two")
+        self.assertEqual(self._quarantined(), set())
+        self._end("one", "two")
+        self.assertEqual(self._quarantined(), {"one", "two"})
+
+    def test_an_answer_clears(self) -> None:
+        self._end("usual", "fatal")
+        self._end("usual", "fatal")
+        self.assertIn("usual", self.ledger.suspects().watched)
+        self.ledger.clear("usual")
+        self._end("usual", "fatal")
+        self.assertEqual(self._quarantined(), {"fatal"})
+        self.ledger.clear("fatal")
+        self.assertEqual((self._quarantined(), self.ledger.offences), (set(), {}))
+
+    def test_after_a_quarantine_one_end_is_enough_and_it_lasts_longer(self) -> None:
+        for _ in range(3):
+            self._end("fatal")
+        lasts_ms = []
+        for _ in range(4):
+            lasts_ms.append(self.ledger.quarantine_ms("fatal"))
+            self.ledger.forget((), ("fatal",))
+            self.assertEqual(self._quarantined(), set())
+            self._end("fatal", "beside")
+            self.assertEqual(self._quarantined(), {"fatal"})
+        self.assertEqual(lasts_ms[:2], [QUARANTINE_MS, QUARANTINE_MS * LONGER_EACH_TIME])
+        self.assertEqual(lasts_ms[-1], min(QUARANTINE_MS * LONGER_EACH_TIME**3, LONGEST_MS))
+
+    def test_memory_is_bounded(self) -> None:
+        rng = random.Random(1)
+        for number in range(3 * MOST_OFFENDERS):
+            request = f"r{number // 3}"
+            self._end(request, *(f"x{rng.randrange(9**9)}" for _ in range(3)))
+        self.assertLessEqual(len(self.ledger.ends), MOST_ENDS)
+        self.assertLessEqual(len(self.ledger.quarantined), MOST_QUARANTINED)
+        self.assertLessEqual(len(self.ledger.offences), MOST_OFFENDERS)
+        self.assertLessEqual(len(self.ledger.suspects().watched), MOST_WATCHED)
+
+    def test_a_snapshot_keeps_it(self) -> None:
+        state = ControlState()
+        commands = (
+            *(NoteUpstreamEnd(f"i{at}", ("fatal", "beside" * at)) for at in range(3)),
+            NoteUpstreamEnd("i4", ("other",)),
+            ClearSuspect("nobody"),
+            ForgetCrashes(("i0",), ()),
+        )
+        for index, command in enumerate(commands):
+            state.apply(index, COMMAND_CODEC.encode(command))
+        other = ControlState()
+        other.restore(state.dump())
+        self.assertEqual(other.crashes, state.crashes)
+        self.assertEqual(set(other.crashes.quarantined), {"fatal"})
--- a/chestnutfall/tests/test_forwarder.py
+++ b/chestnutfall/tests/test_forwarder.py
@@ -14,14 +14,22 @@
 from typing import Any
 
 from ..clock import ManualClock
-from ..control.crash_messages import CrashReport
+from ..control.crash_messages import (
+    AnsweredRun,
+    BrokenRun,
+    CrashReport,
+    QuarantinedRequest,
+    SuspectRequests,
+)
 from ..forwarding.call import Call
 from ..forwarding.forwarder import Forwarder
 from ..forwarding.repeats import Repeats
 from ..forwarding.sender import Sender
 from ..forwarding.upstream_answer import NotRun
 from ..observability.histograms import Histograms
+from ..placement import RunOutcome
 from ..quarantine import RequestQuarantine
+from ..requests import fingerprint_of
 from ..routes import (
     Document,
     DocumentLimits,
@@ -59,12 +67,18 @@
         self.same_place = False
         self.leader_gives = False
         self.has_other = True
+        self.while_placed = self.while_broken = self._nothing
         self.reports: list[CrashReport] = []
-        self.quarantine = RequestQuarantine(self.reports.append, self._refuses_connections)
+        self.quarantine = RequestQuarantine(
+            self.reports.append, self._refuses_connections, self.clock
+        )
 
     async def _refuses_connections(self, address: str) -> bool:
         return True
 
+    def _nothing(self) -> None:
+        """Nothing happens meanwhile."""
+
     async def _borrow(self, service: str) -> bool:
         return self.leader_gives
 
@@ -80,6 +94,8 @@
         instances = (f"i{0 if self.same_place else at}" for at in range(len(script)))
         self.places = ListedPlaces(*instances)
         self.places.has_other = self.has_other
+        self.places.on_take = self.while_placed
+        self.places.on_give_back = self.while_broken
         metrics = Histograms()
         forwarder = Forwarder(
             FixedRoutes(table, self.clock, self.routes_from_ms),
@@ -120,6 +136,44 @@
         self.assertEqual((self.reply.status, upstreams.sends), (503, []))
         self.assertIsNotNone(self.reply.retry_after_ms)
 
+    def _hold(self) -> None:
+        fingerprint = fingerprint_of("a.example", "POST /a/x", b"")
+        held = (QuarantinedRequest(fingerprint, 60_000),)
+        self.quarantine.take(SuspectRequests(1, (), held))
+
+    async def test_a_quarantined_call_is_refused_at_once_and_not_run(self) -> None:
+        self._hold()
+        for kind in RouteKind:
+            with self.subTest(kind):
+                self.reply = RecordedReply()
+                upstreams = await self._serve(kind, ((b"answer",),))
+                self.assertEqual((self.reply.status, upstreams.sends), (503, []))
+                self.assertEqual(self.reply.retry_after_ms, 60_000)
+
+    async def test_a_call_that_is_quarantined_while_it_waits_gives_its_place_back(self) -> None:
+        self.while_placed = self._hold
+        upstreams = await self._serve(RouteKind.NON_IDEMPOTENT, ((b"answer",),))
+        self.assertEqual((self.reply.status, upstreams.sends), (503, []))
+        self.assertEqual(self.places.outcomes, [RunOutcome.WITHDRAWN])
+
+    async def test_a_call_that_ended_an_upstream_is_not_called_not_run(self) -> None:
+        # It ran once before the quarantine. A caller who reads "not run" would ask again.
+        self.while_broken = self._hold
+        upstreams = await self._serve(RouteKind.IDEMPOTENT, (AnswerLost, (b"answer",)))
+        self.assertEqual(len(upstreams.sends), 1)
+        self.assertNotIn(self.reply.status, PROMISES_NOT_RUN)
+        self.assertEqual(self.reply.status, 502)
+
+    async def test_answers_that_break_off_are_reported_and_whole_ones_if_watched(self) -> None:
+        fingerprint = fingerprint_of("a.example", "POST /a/x", b"")
+        self.quarantine.take(SuspectRequests(1, (fingerprint,), ()))
+        await self._serve(RouteKind.IDEMPOTENT, (AnswerLost, (b"answer",)))
+        await self.clock.advance(1)
+        broken, answered = sorted(self.reports, key=lambda one: type(one).__name__, reverse=True)
+        self.assertEqual(answered, AnsweredRun(fingerprint))
+        assert isinstance(broken, BrokenRun)
+        self.assertEqual((broken.fingerprint, broken.instance), (fingerprint, "i0"))
+
     async def test_a_refused_send_goes_to_another_upstream(self) -> None:
         for refusal in (NotRun.FULL, NotRun.REPLACED, NotSent):
             with self.subTest(refusal):
--- /dev/null
+++ b/chestnutfall/tests/test_request_quarantine.py
@@ -0,0 +1,91 @@
+"""What a gateway tells of broken answers, and what it tells callers of quarantined requests.
+
+When an engine ends, dozens of answers break off at one gateway at once; each of them asking the
+port would be a rush of connections on a host that has just come back. A caller who is refused
+must know whether the request ran, and when it is worth coming back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from ..clock import ManualClock
+from ..control.crash_messages import (
+    AnsweredRun,
+    BrokenRun,
+    CrashReport,
+    QuarantinedRequest,
+    SuspectRequests,
+)
+from ..quarantine import RequestQuarantine, refuses_connections
+from ..requests import Executed, Refusal, fingerprint_of
+
+
+class RequestQuarantineTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.reports: list[CrashReport] = []
+        self.asked: list[str] = []
+        self.quarantine = RequestQuarantine(self.reports.append, self._refuses, self.clock)
+
+    async def _refuses(self, address: str) -> bool:
+        self.asked.append(address)
+        await self.clock.sleep_ms(10)
+        return address.endswith("1")
+
+    async def test_answers_that_break_off_together_ask_the_port_once(self) -> None:
+        for number in range(40):
+            self.quarantine.broke(f"r{number}", "i1", "127.0.0.1:1", -70)
+        self.quarantine.broke("r40", "i2", "127.0.0.1:2", -70)
+        await self.clock.advance(10)
+        self.assertEqual(sorted(self.asked), ["127.0.0.1:1", "127.0.0.1:2"])
+        self.assertEqual(len(self.reports), 41)
+        self.assertIn(BrokenRun("r0", "i1", "127.0.0.1:1", True, 80, 10), self.reports)
+        self.assertIn(BrokenRun("r40", "i2", "127.0.0.1:2", False, 80, 10), self.reports)
+
+    async def test_the_port_is_asked_again_for_a_later_break(self) -> None:
+        for _ in range(2):
+            self.quarantine.broke("r", "i1", "127.0.0.1:1", 0)
+            await self.clock.advance(10)
+        self.assertEqual(len(self.asked), 2)
+
+    def test_only_answers_to_watched_requests_are_told_and_once(self) -> None:
+        held = QuarantinedRequest("held", 60_000)
+        self.quarantine.take(SuspectRequests(4, ("watched",), (held,)))
+        for fingerprint in ("usual", "watched", "watched", "held"):
+            self.quarantine.answered(fingerprint)
+        self.assertEqual(self.reports, [AnsweredRun("watched"), AnsweredRun("held")])
+
+    def test_refusals_say_what_is_known(self) -> None:
+        self.quarantine.take(SuspectRequests(4, (), (QuarantinedRequest("held", 60_000),)))
+        self.quarantine.check("usual")
+        for executed, status in ((Executed.NO, 503), (Executed.UNKNOWN, 502)):
+            with self.subTest(executed), self.assertRaises(Refusal) as caught:
+                self.quarantine.check("held", executed)
+            self.assertEqual(caught.exception.status, status)
+            self.assertIs(caught.exception.executed, executed)
+            self.assertEqual(caught.exception.retry_after_ms, 60_000)
+        self.quarantine.take(SuspectRequests(5, (), ()))
+        self.quarantine.check("held")
+
+    def test_one_caller_s_request_says_nothing_of_another_s(self) -> None:
+        asked = {
+            fingerprint_of(caller, place, body)
+            for caller in ("ana", "ben")
+            for place in ("POST /a", "POST /b")
+            for body in (b"roof", b"tiles")
+        }
+        self.assertEqual(len(asked), 8)
+        # A path that is no text reaches us with its odd bytes escaped.
+        self.assertEqual(len(fingerprint_of("ana", "GET /\udcff", b"")), 32)
+
+
+class PortCheckTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_closed_port_shows_that_the_process_ended(self) -> None:
+        server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        self.assertFalse(await refuses_connections(f"{host}:{port}"))
+        server.close()
+        await server.wait_closed()
+        self.assertTrue(await refuses_connections(f"{host}:{port}"))
