Give an upstream that ended no work until it is heard again

Gateways report closed ports anyway; the same report takes the engine out of placement until its next heartbeat.

--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -161,6 +161,7 @@
                 return
             case BrokenRun() | AnsweredRun():
                 self._crashes.take(msg)
+                self._leave_if_ended(msg)
                 return
             case PlaceRequest():
                 self._sessions.hold(msg.ticket, session)
@@ -173,6 +174,12 @@
                 self._sessions.free(ticket)
         self._wake.set()
 
+    def _leave_if_ended(self, report: CrashReport) -> None:
+        if isinstance(report, BrokenRun) and report.refuses:
+            self._watch.ended(report.instance)
+            self._roster_due_ms = self._clock.now_ms()
+            self._wake.set()
+
     def _take_release(self, ticket: str, outcome: RunOutcome, times: RunTimes) -> None:
         instance = self._placer.instance_of(ticket)
         if outcome is RunOutcome.UNREACHABLE:
--- a/chestnutfall/coordination/upstream_watch.py
+++ b/chestnutfall/coordination/upstream_watch.py
@@ -44,6 +44,16 @@
         if self._silent_ms(instance) > SUSPECT_AFTER_HEARTBEATS * self._heartbeat_ms:
             self._suspected.add(instance)
 
+    def ended(self, instance: str) -> None:
+        """Note that answers broke off there and its port was closed just after.
+
+        Its process is gone for seconds, and it was heard a moment ago. Symptom while it still
+        counts as serving: half of the requests that the ended engine's callers repeat are sent
+        to closed ports, and others wait for an adapter that nobody loads any more. A process that
+        is there after all says so with its next heartbeat.
+        """
+        self._suspected.add(instance)
+
     def serving(self, records: Iterable[UpstreamRecord]) -> Iterator[UpstreamRecord]:
         """Yield the upstreams that may get new work, one for each address.
 
--- a/chestnutfall/tests/test_fleet_leader.py
+++ b/chestnutfall/tests/test_fleet_leader.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from ..control.control_state import ControlState
+from ..control.crash_messages import BrokenRun
 from ..control.upstream_record import UpstreamRecord, incarnation
 from ..coordination.document_box import pack, unpack
 from ..coordination.fleet_leader import FleetLeader
@@ -126,6 +127,27 @@
             found.append(session.out.get_nowait())
         return [msg for msg in found if isinstance(msg, kind)]
 
+    async def test_an_engine_that_ended_gets_no_more_work_until_it_is_heard_again(self) -> None:
+        # Answers broke off and its port is closed. Others that ask for its adapters must not be
+        # sent there for the seconds in which its last heartbeat still counts.
+        await self._ask(StoreDocument(3, pack(_document(3))))
+        for name in ("e1", "e2"):
+            await self._announce(name, 1)
+        session = self._join()
+        term = self.leaders[self.name].leading()
+        assert term is not None
+        views = self._messages(session, FleetView)
+        for refuses, serving in ((False, {"e1", "e2"}), (True, {"e2"})):
+            with self.subTest(refuses):
+                term.take(session, BrokenRun("r", "e1", "127.0.0.1:e1", refuses, 90, 5))
+                await self.cluster.clock.advance(25)
+                await self.cluster.clock.advance(25)
+                views = self._messages(session, FleetView) or views
+                self.assertEqual({one.instance for one in views[-1].upstreams}, serving)
+        await self._announce("e1", 2)
+        views = self._messages(session, FleetView)
+        self.assertEqual({one.instance for one in views[-1].upstreams}, {"e1", "e2"})
+
     async def test_documents_are_acknowledged_once_committed_and_pushed(self) -> None:
         session = self._join()
         content = pack(_document(3))
