Show that the HTTP client sends a broken request again by itself

GET, PUT and DELETE run twice at an upstream that breaks their connection, whatever their route says.

--- a/chestnutfall/tests/test_platform.py
+++ b/chestnutfall/tests/test_platform.py
@@ -82,6 +82,8 @@
     async def asyncSetUp(self) -> None:
         self.status = 200
         self.named = True
+        self.aborts = False
+        self.method = "GET"
         self.headers: dict[str, str] = {}
         self.seen: list[web.BaseRequest] = []
         self.runner = await listen(web.Server(self._on_call), "127.0.0.1:0")
@@ -94,6 +96,8 @@
 
     async def _on_call(self, request: web.BaseRequest) -> web.Response:
         self.seen.append(request)
+        if self.aborts and request.transport is not None:
+            request.transport.abort()
         named = {"X-Request-Id": "id-1"} if self.named else {}
         headers = {"X-Instance-Load": "2,1,6"} | named | self.headers
         return web.Response(status=self.status, headers=headers, body=b"answer")
@@ -101,7 +105,7 @@
     def _forwarded(self, port: int = 0) -> ForwardedCall:
         now_ms = SystemClock().now_ms()
         call = Call(
-            "id-1", "GET", "/a/x?y=%2F", "/a/x", "a.example", (("X-Custom", "kept"),), b"",
+            "id-1", self.method, "/a/x?y=%2F", "/a/x", "a.example", (("X-Custom", "kept"),), b"",
             now_ms, now_ms + 1000, AdapterName("base", "a1"),
         )  # fmt: skip
         upstream = UpstreamRecord("i1", "s", f"127.0.0.1:{port or self.port}", "dc")
@@ -140,6 +144,17 @@
             with self.subTest(status=self.status, headers=self.headers):
                 self.assertEqual((await self._send())[1], expected)
 
+    async def test_a_request_whose_connection_breaks_is_sent_once(self) -> None:
+        # A household gets two permits. The upstream runs the request and its connection breaks;
+        # the HTTP client sends it again without a word, since by its method it could be.
+        self.aborts = True
+        for self.method in ("GET", "PUT", "DELETE", "POST"):
+            with self.subTest(self.method):
+                self.seen.clear()
+                with self.assertRaises(AnswerLost):
+                    await self._send()
+                self.assertEqual(len(self.seen), 1)
+
     async def test_an_answer_to_another_request_is_lost(self) -> None:
         self.headers = {"X-Request-Id": "id-2"}
         with self.assertRaises(AnswerLost):
