Send each request once: switch off the HTTP client's own repeats

Cause: aiohttp sends GET, PUT and DELETE again when their connection breaks, on kept and on fresh connections. A request of a route that runs at most once ran twice, repeats escaped the budget, and a request whose second send met a closed port was taken for one that never ran. Class: a repeat by a layer that knows neither route nor budget. One way to make such sessions now serves the platform's path, plain services and the OpenAI path.

--- a/chestnutfall/control/broken_upstream.py
+++ b/chestnutfall/control/broken_upstream.py
@@ -7,6 +7,8 @@
 
 from .broken_span import BrokenSpan
 
+TOGETHER_MS = 1_000
+"""A process that ends breaks all its answers off at once; gateways that are busy see it late."""
 MOST_FINGERPRINTS = 256
 """More than an upstream runs at once, its queue included."""
 
@@ -17,8 +19,8 @@
 
     Attributes
     ----------
-    since_ms : int
-        When the first answer broke off.
+    last_ms : int
+        When the last report came.
     ended_ms : int or None
         When it was known that its process ended; None while it may only have dropped connections.
     untold : dict of str to BrokenSpan
@@ -28,13 +30,18 @@
     """
 
     address: str
-    since_ms: int
+    last_ms: int
     ended_ms: int | None = None
     untold: dict[str, BrokenSpan] = field(default_factory=dict)
     told: set[str] = field(default_factory=set)
 
     def add(self, fingerprint: str, began_ms: int, broke_ms: int) -> None:
-        """Take a broken run."""
+        """Take a broken run; forget those that broke off long before it."""
+        self.untold = {
+            one: span
+            for one, span in self.untold.items()
+            if span.broke_ms >= broke_ms - TOGETHER_MS
+        }
         known = self.untold.get(fingerprint)
         if known is not None:
             self.untold[fingerprint] = known.with_run(began_ms, broke_ms)
--- a/chestnutfall/control/crash_keeper.py
+++ b/chestnutfall/control/crash_keeper.py
@@ -91,7 +91,7 @@
                 return
             broken = BrokenUpstream(report.address, self._clock.now_ms())
             self._broken[report.instance] = broken
-        now_ms = self._clock.now_ms()
+        now_ms = broken.last_ms = self._clock.now_ms()
         broken.add(report.fingerprint, now_ms - report.began_ago_ms, now_ms - report.broke_ago_ms)
         if report.refuses:
             self._note_ended(report.instance, broken, "refuses connections")
@@ -104,7 +104,7 @@
     async def _commit_ends(self) -> None:
         now_ms = self._clock.now_ms()
         for instance, broken in list(self._broken.items()):
-            if now_ms > broken.since_ms + BROKEN_FOR_MS:
+            if now_ms > broken.last_ms + BROKEN_FOR_MS:
                 del self._broken[instance]
             elif broken.ended_ms is not None and now_ms >= broken.ended_ms + COLLECT_MS:
                 await self._commit_end(instance, broken)
--- a/chestnutfall/engine_edge/http_engine_api.py
+++ b/chestnutfall/engine_edge/http_engine_api.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from ..wire.single_send_session import single_send_session
 from .answer_event import AnswerEvent
 from .answer_gate import DONE
 from .engine_api import Batches, EngineApi
@@ -33,16 +34,10 @@
     """
 
     def __init__(self) -> None:
-        self._pool = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S),
-            auto_decompress=False,
-            trust_env=False,
-        )
-        self._fresh = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            auto_decompress=False,
-            trust_env=False,
+        self._pool = single_send_session(
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
         )
+        self._fresh = single_send_session(aiohttp.TCPConnector(limit=0, force_close=True))
 
     async def close(self) -> None:
         """Close every connection."""
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -16,6 +16,7 @@
 from ..quarantine import RequestQuarantine
 from ..requests import Executed, Refusal, digest_of, fingerprint_of
 from ..routing import ClaimDesk, WantedClaim
+from ..wire.single_send_session import single_send_session
 
 CONNECT_S = 0.5
 MAX_ATTEMPTS = 3
@@ -61,11 +62,7 @@
         self._clock = clock
         self._metrics = metrics
         self._data_centre = data_centre
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            auto_decompress=False,
-            trust_env=False,
-        )
+        self._session = single_send_session(aiohttp.TCPConnector(limit=0, force_close=True))
         self._turn = 0
 
     async def close(self) -> None:
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -12,6 +12,7 @@
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer, UpstreamLoad
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
+from ..wire.single_send_session import single_send_session
 from . import header_names as names
 from .reset_aware import ResetAwareConnector
 
@@ -79,13 +80,7 @@
 
 
 def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        connector=connector,
-        auto_decompress=False,
-        trust_env=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        read_bufsize=2**18,
-    )
+    return single_send_session(connector, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=2**18)
 
 
 def _headers(forwarded: ForwardedCall) -> CIMultiDict[str]:
--- a/chestnutfall/tests/test_crash_keeper.py
+++ b/chestnutfall/tests/test_crash_keeper.py
@@ -71,6 +71,17 @@
             await self._pass()
         self.assertEqual(self._state().crashes.ends, {})
 
+    async def test_answers_that_broke_off_long_before_the_end_are_not_blamed(self) -> None:
+        # An upstream spoils an answer now and then; one second and more later it ends under
+        # another request, three times over.
+        for number in range(3):
+            self.keeper.take(_broken("spoiled", number, refuses=False))
+            await self._pass(1_200)
+            self.keeper.take(_broken("fatal", number))
+            await self._pass()
+        self.assertEqual(self._quarantined(), {"fatal"})
+        self.assertEqual(self._state().crashes.suspects().watched, ())
+
     async def test_another_incarnation_at_its_address_shows_that_it_ended(self) -> None:
         # It was back before the gateway looked at its port.
         for number in range(3):
--- /dev/null
+++ b/chestnutfall/tests/test_plain_proxy.py
@@ -0,0 +1,125 @@
+"""A plain service's calls that end each upstream that runs them, on the product's own interface.
+
+A lookup that ends its upstream is repeated on the next one; its caller sends it again. Once the
+controllers hold it to blame it is refused before anything runs, and a call that had begun by then
+is told that it may have run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
+
+from ..config.layered_config import BASE_LAYER
+from ..config.typed_config import key_hash
+from ..control.crash_messages import (
+    AnsweredRun,
+    BrokenRun,
+    CrashReport,
+    QuarantinedRequest,
+    SuspectRequests,
+)
+from ..membership import Announcement
+from ..observability.metrics import Metrics
+from ..plain_edge import PlainProxy
+from ..quarantine import RequestQuarantine
+from ..requests import Executed, Refusal, fingerprint_of
+from .fakes.fake_office import SITE, FakeOffice
+
+FATAL = b"fatal"
+SERVICE = {"kind": "plain", "path": "/counter", "announce_key_sha256": key_hash("counter")}
+
+
+class PlainProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.office = FakeOffice()
+        await self.office.start(gateways=1)
+        callers = {"ana": {"services": ["counter"]}}
+        await self.office.control.change(
+            {BASE_LAYER: {"services": {"counter": SERVICE}, "callers": callers}}
+        )
+        await self.office.clock.advance(1000)
+        self.gateway = self.office.gateway()
+        self.reports: list[CrashReport] = []
+        self.quarantine = RequestQuarantine(self.reports.append, self._refuses, self.office.clock)
+        self.on_break = lambda: None
+        self.ran: list[bytes] = []
+        self.runners = [await self._start(f"counter-{number}") for number in range(2)]
+        self.proxy = PlainProxy(
+            self.gateway.agent,
+            self.gateway.registry,
+            self.gateway.claims,
+            self.quarantine,
+            self.office.clock,
+            Metrics(None, "gateway"),
+            SITE,
+        )
+
+    async def asyncTearDown(self) -> None:
+        await self.proxy.close()
+        for runner in self.runners:
+            await runner.cleanup()
+        await self.office.stop()
+
+    async def _refuses(self, address: str) -> bool:
+        return True
+
+    async def _start(self, name: str) -> web.ServerRunner:
+        runner = web.ServerRunner(web.Server(self._run))
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        address = f"127.0.0.1:{runner.addresses[0][1]}"
+        announced = Announcement(name, "counter", SITE, address, "first", 2000)
+        self.gateway.registry.hear(announced)
+        return runner
+
+    async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        self.ran.append(body)
+        if body == FATAL and request.transport is not None:
+            request.transport.abort()
+            self.on_break()
+        return web.Response(body=b"answer")
+
+    async def _answer(self, body: bytes) -> web.Response:
+        return await self.proxy.answer(make_mocked_request("PUT", "/counter/x"), "ana", body)
+
+    async def _refused(self) -> Refusal:
+        with self.assertRaises(Refusal) as caught:
+            await self._answer(FATAL)
+        for _ in range(10):  # the reports are sent beside the answer
+            await asyncio.sleep(0)
+        return caught.exception
+
+    def _hold(self) -> None:
+        held = QuarantinedRequest(fingerprint_of("ana", "PUT /counter/x", FATAL), 60_000)
+        self.quarantine.take(SuspectRequests(1, (), (held,)))
+
+    async def test_broken_calls_are_reported_with_their_upstream(self) -> None:
+        refusal = await self._refused()
+        self.assertEqual((refusal.status, refusal.executed), (502, Executed.UNKNOWN))
+        told = {one.instance for one in self.reports if isinstance(one, BrokenRun)}
+        self.assertEqual(told, {"counter-0/first", "counter-1/first"})
+
+    async def test_a_quarantined_call_is_not_run_and_others_are(self) -> None:
+        self._hold()
+        refusal = await self._refused()
+        self.assertEqual((refusal.status, refusal.executed), (503, Executed.NO))
+        self.assertEqual(refusal.retry_after_ms, 60_000)
+        self.assertEqual((await self._answer(b"usual")).body, b"answer")
+        self.assertEqual(self.ran, [b"usual"])
+
+    async def test_a_call_that_broke_off_before_the_quarantine_may_have_run(self) -> None:
+        self.on_break = self._hold
+        refusal = await self._refused()
+        self.assertEqual((refusal.status, refusal.executed), (502, Executed.UNKNOWN))
+        self.assertEqual(len(self.ran), 1)
+
+    async def test_an_answer_to_a_watched_call_is_told(self) -> None:
+        watched = fingerprint_of("ana", "PUT /counter/x", b"usual")
+        self.quarantine.take(SuspectRequests(1, (watched,), ()))
+        await self._answer(b"usual")
+        self.assertEqual(self.reports, [AnsweredRun(watched)])
