Prove each safeguard of the quarantine by a mutant

15 mutants, none survives (one did until the test of a bystander that is reported first played the case without an answer). Properties of the ledger: what ends each upstream is held after five ends at most, and nobody who is answered between two ends is.

--- a/chestnutfall/tests/test_crash_keeper.py
+++ b/chestnutfall/tests/test_crash_keeper.py
@@ -91,14 +91,15 @@
         self.assertEqual(self._quarantined(), {"fatal"})
 
     async def test_a_bystander_that_is_reported_first_is_not_held_instead(self) -> None:
+        # It was resumed beside the fatal one each time, and its gateway is the quicker one.
         for number in range(3):
             self.keeper.take(_broken("beside", number))
             await self._pass(COLLECT_MS // 2)
             self.keeper.take(_broken("fatal", number, age_ms=COLLECT_MS // 2))
-            if number == 1:
-                await self._pass()
-                self.keeper.take(AnsweredRun("beside"))
             await self._pass()
+        self.assertEqual(self._quarantined(), set())
+        self.keeper.take(_broken("fatal", 3))
+        await self._pass()
         self.assertEqual(self._quarantined(), {"fatal"})
 
     async def test_a_rack_that_ends_under_a_usual_lookup_counts_once(self) -> None:
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -7,6 +7,7 @@
 from .control_mutants import CONTROL_MUTANTS
 from .fleet_mutants import FLEET_MUTANTS
 from .placement_mutants import PLACEMENT_MUTANTS
+from .quarantine_mutants import QUARANTINE_MUTANTS
 
 MUTANTS = (
     *CONSENSUS_MUTANTS,
@@ -14,6 +15,7 @@
     *CALLER_MUTANTS,
     *PLACEMENT_MUTANTS,
     *FLEET_MUTANTS,
+    *QUARANTINE_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
--- /dev/null
+++ b/properties/safeguards/quarantine_mutants.py
@@ -0,0 +1,118 @@
+"""Safeguards against requests that end the upstreams that run them."""
+
+from __future__ import annotations
+
+from ..mutant import Mutant
+
+_LEDGER = "chestnutfall.tests.test_crash_ledger"
+_KEEPER = "chestnutfall.tests.test_crash_keeper"
+_FORWARDER = "chestnutfall.tests.test_forwarder"
+
+QUARANTINE_MUTANTS = (
+    Mutant(
+        "quarantined calls are sent",
+        "chestnutfall/forwarding/forwarder.py",
+        "        if retry_ms is None:\n            return False\n",
+        "        if True:\n            return False\n",
+        _FORWARDER,
+    ),
+    Mutant(
+        "no look at the quarantine after the wait for a place",
+        "chestnutfall/forwarding/forwarder.py",
+        "            if await self._is_quarantined(progress, reply):\n"
+        "                places.give_back",
+        "            if False:\n                places.give_back",
+        _FORWARDER,
+    ),
+    Mutant(
+        "every broken connection counts as an end",
+        "chestnutfall/control/crash_keeper.py",
+        "        if report.refuses:\n",
+        "        if True:\n",
+        _KEEPER,
+    ),
+    Mutant(
+        "another incarnation shows nothing",
+        "chestnutfall/control/crash_keeper.py",
+        "            if broken.address == address and broken_instance != instance:\n",
+        "            if False:\n",
+        _KEEPER,
+    ),
+    Mutant(
+        "overlapping ends count each",
+        "chestnutfall/control/crash_keeper.py",
+        "        return last_ms is None or run.began_ms >= last_ms - JITTER_MS\n",
+        "        return True\n",
+        _KEEPER,
+    ),
+    Mutant(
+        "blamed by the first report alone",
+        "chestnutfall/control/crash_keeper.py",
+        "now_ms >= broken.ended_ms + COLLECT_MS",
+        "now_ms >= broken.ended_ms",
+        _KEEPER,
+    ),
+    Mutant(
+        "old breaks are blamed for an end",
+        "chestnutfall/control/broken_upstream.py",
+        "            if span.broke_ms >= broke_ms - TOGETHER_MS\n",
+        "            if True\n",
+        _KEEPER,
+    ),
+    Mutant(
+        "explained ends stay with those beside",
+        "chestnutfall/control/crash_ledger.py",
+        "                self.ends[instance] = EXPLAINED\n",
+        "                pass\n",
+        _LEDGER,
+    ),
+    Mutant(
+        "a tie holds everybody",
+        "chestnutfall/control/crash_ledger.py",
+        "most >= ENDS_TO_QUARANTINE and len(blamed) == 1",
+        "most >= ENDS_TO_QUARANTINE",
+        _LEDGER,
+    ),
+    Mutant(
+        "an offender gets three ends again",
+        "chestnutfall/control/crash_ledger.py",
+        "        for fingerprint in offenders or self._to_blame(end):\n",
+        "        for fingerprint in self._to_blame(end):\n",
+        _LEDGER,
+    ),
+    Mutant(
+        "an answer clears nothing",
+        "chestnutfall/control/crash_ledger.py",
+        "                self.ends[instance] = end.without(fingerprint)\n",
+        "                pass\n",
+        _LEDGER,
+    ),
+    Mutant(
+        "a gateway that joins is not told of quarantines",
+        "chestnutfall/coordination/gateway_news.py",
+        "        if self._state.crashes.changes:\n",
+        "        if False:\n",
+        _KEEPER,
+    ),
+    Mutant(
+        "an ended upstream serves until its heartbeat is late",
+        "chestnutfall/coordination/upstream_watch.py",
+        '        """\n        self._suspected.add(instance)\n\n    def serving',
+        '        """\n\n    def serving',
+        "chestnutfall.tests.test_fleet_leader",
+    ),
+    Mutant(
+        "quarantined completions are sent",
+        "chestnutfall/quarantine/request_quarantine.py",
+        "        if retry_ms is None:\n            return\n",
+        "        return\n",
+        "chestnutfall.tests.test_fatal_completions",
+    ),
+    Mutant(
+        "the HTTP client repeats by itself",
+        "chestnutfall/wire/single_send_session.py",
+        "    session._retry_connection = False\n",
+        "",
+        "chestnutfall.tests.test_platform",
+    ),
+)
