--- a/chestnutfall/tests/fault_matrix.py
+++ b/chestnutfall/tests/fault_matrix.py
@@ -31,6 +31,7 @@
     "wrong model",
     "short answer",
     "stale owner",
+    "fatal request",
 )
 
 _REQ = "test_request_faults.RequestFaultTest."
@@ -39,12 +40,14 @@
 _CFG = "test_configuration_in_force.ConfigurationInForceTest."
 _PROC = "test_processes."
 _LINK = "test_peer_link.PeerLinkTest."
+_FATAL = "test_fatal_completions.FatalCompletionTest.test_no_gateway_sends_what_ended_three_engines"
 
 _NO_UPSTREAM = "no engine is involved yet"
 _NO_OWNER = "no owner is involved yet"
 _NO_ANSWER = "no engine has answered yet"
 _ONE_CONN = "one TCP connection delivers bytes once and in order"
 _NOT_LOADING = "the adapter is loaded by now"
+_NOT_RUN = "no engine runs it yet"
 _LOCAL = "works on memory of this process only"
 
 Cell = str
@@ -62,6 +65,7 @@
         "wrong model": _PROC + "OfficeTest.test_bad_requests_get_clear_errors",
         "short answer": _NO_ANSWER,
         "stale owner": _NO_OWNER,
+        "fatal request": _NOT_RUN,
     },
     "authenticate": {
         "crash": "the caller's connection breaks; nothing was run for it",
@@ -76,6 +80,7 @@
         "wrong model": _PROC + "OfficeTest.test_bad_requests_get_clear_errors",
         "short answer": _NO_ANSWER,
         "stale owner": _CFG + "test_older_revision_is_never_applied",
+        "fatal request": _NOT_RUN,
     },
     "claim": {
         "crash": _ONCE + "test_repeat_after_the_gateway_died_is_told_that_nothing_is_known",
@@ -93,6 +98,7 @@
         "short answer": _NO_ANSWER,
         "stale owner": "test_replica.ReplicaTest."
         "test_isolated_leader_stops_deciding_before_a_successor_can",
+        "fatal request": _NOT_RUN,
     },
     "ticket": {
         "crash": _OWN + "test_tickets_of_a_dead_gateway_are_freed_when_nothing_of_it_runs",
@@ -107,6 +113,7 @@
         "wrong model": "a ticket names the exact adapter; the engine is asked under that name",
         "short answer": _NO_ANSWER,
         "stale owner": _OWN + "test_owner_that_was_frozen_sends_no_order_when_it_wakes",
+        "fatal request": _NOT_RUN,
     },
     "load": {
         "crash": _OWN + "test_new_owner_does_not_evict_what_an_old_ticket_uses",
@@ -121,6 +128,7 @@
         "wrong model": "an order names adapter, version and content digest",
         "short answer": _NO_ANSWER,
         "stale owner": _OWN + "test_engine_that_checks_refuses_an_old_epoch",
+        "fatal request": _NOT_RUN,
     },
     "dispatch": {
         "crash": _ONCE + "test_repeat_after_the_gateway_died_is_told_that_nothing_is_known",
@@ -135,6 +143,7 @@
         "wrong model": "an engine without that exact name refuses",
         "short answer": _NO_ANSWER,
         "stale owner": _REQ + "test_gateway_without_a_session_dispatches_nothing",
+        "fatal request": _FATAL,
     },
     "first byte": {
         "crash": _ONCE + "test_repeat_after_the_gateway_died_is_told_that_nothing_is_known",
@@ -149,6 +158,7 @@
         "wrong model": _REQ + "test_non_idempotent_requests_are_never_dispatched_twice",
         "short answer": _REQ + "test_broken_streams_are_resumed_without_a_second_run",
         "stale owner": _OWN + "test_new_owner_does_not_evict_what_an_old_ticket_uses",
+        "fatal request": _FATAL,
     },
     "mid-stream": {
         "crash": _ONCE + "test_repeat_after_the_gateway_died_is_told_that_nothing_is_known",
@@ -163,6 +173,7 @@
         "wrong model": _REQ + "test_event_of_another_answer_is_never_passed_on",
         "short answer": _REQ + "test_broken_streams_are_resumed_without_a_second_run",
         "stale owner": _OWN + "test_new_owner_does_not_evict_what_an_old_ticket_uses",
+        "fatal request": _FATAL,
     },
     "last byte": {
         "crash": _ONCE + "test_repeat_after_the_gateway_died_is_told_that_nothing_is_known",
@@ -177,6 +188,7 @@
         "wrong model": _REQ + "test_event_of_another_answer_is_never_passed_on",
         "short answer": _REQ + "test_broken_streams_are_resumed_without_a_second_run",
         "stale owner": _OWN + "test_new_owner_does_not_evict_what_an_old_ticket_uses",
+        "fatal request": _FATAL,
     },
     "release": {
         "crash": _OWN + "test_tickets_of_a_dead_gateway_are_freed_when_nothing_of_it_runs",
@@ -192,6 +204,7 @@
         "wrong model": "the answer is over",
         "short answer": "the answer is over",
         "stale owner": _OWN + "test_new_owner_does_not_evict_what_an_old_ticket_uses",
+        "fatal request": "the answer is over",
     },
     "hand-over": {
         "crash": _OWN + "test_new_owner_does_not_evict_what_an_old_ticket_uses",
@@ -206,6 +219,7 @@
         "wrong model": "ownership does not touch names",
         "short answer": _PROC + "DrainTest.test_graceful_stop_cuts_off_no_stream",
         "stale owner": _OWN + "test_owner_that_leaves_hands_over_at_once",
+        "fatal request": "an engine that ended gets an owner like any that restarts empty",
     },
 }
 
