--- a/chestnutfall/control/control_state.py
+++ b/chestnutfall/control/control_state.py
@@ -14,7 +14,8 @@
 from ..consensus import StateMachine
 from ..placement.engine_kind import EngineKind
 from .audit_record import FIRST_HASH, AuditRecord
-from .claim import Claim, ClaimStatus
+from .claim import Claim
+from .claim_book import ClaimBook
 from .commands import (
     COMMAND_CODEC,
     AddUpstream,
@@ -22,8 +23,6 @@
     AssignEngines,
     ChangeConfig,
     Changed,
-    ClaimHeld,
-    ClaimTaken,
     ClearSuspect,
     Command,
     CompleteGroup,
@@ -78,7 +77,7 @@
         What is in force at each data centre.
     audit : list of AuditRecord
         Every accepted change; the revision is its number.
-    claims : dict
+    claims : ClaimBook
         Claims by caller and key.
     owners : dict of str to Ownership
         Owner of each engine.
@@ -111,7 +110,7 @@
         self.sites = {site: SiteConfig(site, self.layers) for site in self.layers.sites}
         self.audit = dump.audit
         self._changes = {record.change.change_id: record for record in dump.audit}
-        self.claims = {(caller, key): claim for caller, key, claim in dump.claims}
+        self.claims = ClaimBook(dump.claims)
         self.owners = {ownership.engine: ownership for ownership in dump.owners}
         self.permits = dump.permits
         self.time_ms = dump.time_ms
@@ -126,12 +125,11 @@
         self._take(msgspec.msgpack.decode(data, type=_Dump) if data else _Dump())
 
     def dump(self) -> bytes:
-        claims = [(caller, key, claim) for (caller, key), claim in self.claims.items()]
         owners = list(self.owners.values())
         dump = _Dump(
             self.layers.layers,
             self.audit,
-            claims,
+            list(self.claims.entries()),
             owners,
             self.permits,
             self.time_ms,
@@ -169,9 +167,10 @@
             case ChangeConfig() as change:
                 return self._change_config(change)
             case TakeClaim() as take:
-                return self._take_claim(take)
+                return self.claims.take(take, self.time_ms)
             case EndClaim() as end:
-                return self._end_claim(end)
+                self.claims.end(end)
+                return Done()
             case AssignEngines(owners):
                 for engine, owner in owners:
                     self.owners[engine] = Ownership(engine, owner, index)
@@ -245,33 +244,6 @@
         change = self.audit[beaten_by].change
         return Conflict(self.revision, change.change_id, change.operator)
 
-    def _take_claim(self, take: TakeClaim) -> ClaimTaken | ClaimHeld:
-        claim = self.claims.get((take.caller, take.key))
-        if claim is not None and claim.attempt_id != take.attempt_id:
-            return ClaimHeld(claim)
-        if claim is None:
-            self.claims[take.caller, take.key] = Claim(
-                take.attempt_id,
-                take.session,
-                take.body_digest,
-                ClaimStatus.RUNNING,
-                self.time_ms + take.retention_ms,
-            )
-        return ClaimTaken()
-
-    def _end_claim(self, end: EndClaim) -> Done:
-        place = (end.caller, end.key)
-        claim = self.claims.get(place)
-        if claim is None or claim.attempt_id != end.attempt_id:
-            return Done()
-        if end.status is None:
-            del self.claims[place]
-        else:
-            self.claims[place] = Claim(
-                claim.attempt_id, claim.session, claim.body_digest, end.status, claim.expires_ms
-            )
-        return Done()
-
     def _take_permit(self, take: TakePermit) -> PermitTaken | NoPermit:
         if take.permit_id not in self.permits and len(self.permits) >= take.at_once:
             return NoPermit()
@@ -280,6 +252,4 @@
 
     def _advance_time(self, ms: int) -> None:
         self.time_ms += ms
-        expired = [at for at, claim in self.claims.items() if claim.expires_ms <= self.time_ms]
-        for place in expired:
-            del self.claims[place]
+        self.claims.expire(self.time_ms)
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from typing import assert_never
 
@@ -16,16 +15,17 @@
 from ..routes import Route, RouteTable, ServiceSpec
 from .call import Call
 from .caller_reply import CallerReply
+from .final_answers import FinalAnswers
 from .place import NoPlace, Place, Places, Wanted
 from .progress import Progress
 from .repeats import Repeats
 from .route_source import RouteSource
+from .send_log import log_send
 from .send_result import Delivered, Failed, Lost, Refused, SendResult
 from .sender import Sender
 from .upstream_answer import NotRun
 from .upstream_api import SILENT
 
-log = logging.getLogger(__name__)
 MAX_SENDS = 6
 """Refused sends cost little, but each counts as a repeat for the upstream that refuses."""
 NOT_READY_RETRY_MS = 500
@@ -64,6 +64,7 @@
         self._quarantine = quarantine
         self._clock = clock
         self._metrics = metrics
+        self._answers = FinalAnswers(clock, metrics)
         self._rng = rng
         self._refusing = False
         self._starting_until_ms = clock.now_ms() + STARTING_MS
@@ -75,15 +76,17 @@
     async def serve(self, call: Call, reply: CallerReply) -> None:
         """Answer `call` by `reply`."""
         if self._refusing:
-            await self._refuse(call, reply, 503, "leaving", Executed.NO, LEAVING_RETRY_MS)
+            await self._answers.refuse(call, reply, 503, "leaving", Executed.NO, LEAVING_RETRY_MS)
             return
         table = self._routes.table or await self._first_table(call)
         if table is None:
-            await self._refuse(call, reply, 503, "no_document", Executed.NO, NOT_READY_RETRY_MS)
+            await self._answers.refuse(
+                call, reply, 503, "no_document", Executed.NO, NOT_READY_RETRY_MS
+            )
             return
         route = table.match(call.host, call.path)
         if route is None:
-            await self._refuse(call, reply, 404, "no_route", Executed.NO, None)
+            await self._answers.refuse(call, reply, 404, "no_route", Executed.NO, None)
             return
         service = table.services[route.service_for(self._rng.random())]
         self._repeats.note_request(service.name)
@@ -94,7 +97,7 @@
         try:
             await self._clock.within_ms(left_ms, self._run(progress, route, service, reply))
         except TimeoutError:
-            await self._give_up(progress, reply, 504, "out_of_time", None)
+            await self._answers.give_up(progress, reply, 504, "out_of_time", None)
 
     async def _first_table(self, call: Call) -> RouteTable | None:
         """Wait for the first document while this gateway starts.
@@ -123,7 +126,7 @@
             try:
                 place = await places.take(wanted)
             except NoPlace as exc:
-                await self._give_up(progress, reply, 503, exc.reason, exc.retry_after_ms)
+                await self._answers.give_up(progress, reply, 503, exc.reason, exc.retry_after_ms)
                 return
             # It may have waited for an adapter, and another copy of it ended the third upstream.
             if await self._is_quarantined(progress, reply):
@@ -132,7 +135,7 @@
             progress.sends += 1
             sent_ms = self._clock.now_ms()
             result = await self._sender.send(progress, route, place, places, reply)
-            self._log_send(progress, route, place, sent_ms, result)
+            log_send(progress, route, place, sent_ms, self._clock.now_ms(), result)
             if await self._is_final(progress, route, place, sent_ms, reply, result):
                 return
 
@@ -141,7 +144,7 @@
         retry_ms = self._quarantine.retry_ms(progress.fingerprint)
         if retry_ms is None:
             return False
-        await self._give_up(progress, reply, 503, QUARANTINED, retry_ms)
+        await self._answers.give_up(progress, reply, 503, QUARANTINED, retry_ms)
         return True
 
     async def _is_final(
@@ -167,7 +170,7 @@
                     too_early = code == NotRun.ABSENT.value
                     progress.note_refusal(place.upstream.instance, too_early)
                     return False
-                await self._give_up(progress, reply, 503, code, BROKEN_RETRY_MS)
+                await self._answers.give_up(progress, reply, 503, code, BROKEN_RETRY_MS)
             case Lost(code):
                 progress.runs += 1
                 progress.avoid.append(place.upstream.instance)
@@ -182,7 +185,7 @@
                     progress, upstream_is_busy=is_silent
                 ):
                     return False
-                await self._give_up(progress, reply, 502, code, None)
+                await self._answers.give_up(progress, reply, 502, code, None)
             case Failed(status, headers, body):
                 progress.runs += 1
                 progress.avoid.append(place.upstream.instance)
@@ -194,7 +197,7 @@
                 ):
                     return False
                 if progress.started:
-                    await self._give_up(progress, reply, 502, "upstream_failed", None)
+                    await self._answers.give_up(progress, reply, 502, "upstream_failed", None)
                 else:
                     await reply.whole(status, headers, body)
             case _:
@@ -211,71 +214,3 @@
             return True
         self._metrics.count("repeats_over_budget")
         return False
-
-    async def _give_up(
-        self,
-        progress: Progress,
-        reply: CallerReply,
-        status: int,
-        reason: str,
-        retry_after_ms: int | None,
-    ) -> None:
-        call = progress.call
-        if progress.started:
-            log.info("call: id=%s broken off reason=%s", call.request_id, reason)
-            self._metrics.count("broken_off")
-            reply.break_off()
-            return
-        # A refusal that says "not run" must hold for every send, not just for the last one.
-        # Symptom otherwise: the caller repeats a request whose first send did run.
-        executed = Executed.UNKNOWN if progress.runs else Executed.NO
-        if status == 503 and executed is not Executed.NO:
-            status = 502
-        if status == 504 and progress.sends == 0:
-            status = 503
-        await self._refuse(call, reply, status, reason, executed, retry_after_ms)
-
-    async def _refuse(
-        self,
-        call: Call,
-        reply: CallerReply,
-        status: int,
-        reason: str,
-        executed: Executed,
-        retry_after_ms: int | None,
-    ) -> None:
-        log.info(
-            "call: id=%s refused status=%d reason=%s executed=%s ms=%d",
-            call.request_id,
-            status,
-            reason,
-            executed.value,
-            self._clock.now_ms() - call.arrived_ms,
-        )
-        self._metrics.count(f"refused_{reason}")
-        await reply.refuse(status, reason, retry_after_ms)
-
-    def _log_send(
-        self, progress: Progress, route: Route, place: Place, sent_ms: int, result: SendResult
-    ) -> None:
-        code = getattr(result, "code", getattr(result, "status", ""))
-        log.info(
-            "call: id=%s content=%s route=%s adapter=%s send=%d instance=%s version=%d "
-            "queued=%d loading=%d sent=%d result=%s %s first=%d pause=%d tokens=%d ms=%d",
-            progress.call.request_id,
-            progress.fingerprint,
-            route.name,
-            progress.call.adapter.adapter if progress.call.adapter else "",
-            progress.sends,
-            place.upstream.instance,
-            place.version,
-            place.queued_ms,
-            place.loading_ms,
-            sent_ms - progress.call.arrived_ms,
-            type(result).__name__,
-            code,
-            progress.first_ms,
-            progress.pause_ms,
-            progress.call.prompt_tokens,
-            self._clock.now_ms() - progress.call.arrived_ms,
-        )
--- /dev/null
+++ b/chestnutfall/forwarding/send_log.py
@@ -0,0 +1,49 @@
+"""The log line of one send."""
+
+from __future__ import annotations
+
+import logging
+
+from ..routes import Route
+from .place import Place
+from .progress import Progress
+from .send_result import Delivered, Failed, Lost, Refused, SendResult
+
+log = logging.getLogger(__name__)
+
+
+def log_send(
+    progress: Progress, route: Route, place: Place, sent_ms: int, now_ms: int, result: SendResult
+) -> None:
+    """Write what became of a send that began at `sent_ms`."""
+    call = progress.call
+    log.info(
+        "call: id=%s content=%s route=%s adapter=%s send=%d instance=%s version=%d "
+        "queued=%d loading=%d sent=%d result=%s %s first=%d pause=%d tokens=%d ms=%d",
+        call.request_id,
+        progress.fingerprint,
+        route.name,
+        call.adapter.adapter if call.adapter else "",
+        progress.sends,
+        place.upstream.instance,
+        place.version,
+        place.queued_ms,
+        place.loading_ms,
+        sent_ms - call.arrived_ms,
+        type(result).__name__,
+        _code(result),
+        progress.first_ms,
+        progress.pause_ms,
+        call.prompt_tokens,
+        now_ms - call.arrived_ms,
+    )
+
+
+def _code(result: SendResult) -> str:
+    match result:
+        case Refused(code) | Lost(code):
+            return code
+        case Failed(status):
+            return str(status)
+        case Delivered():
+            return ""
--- /dev/null
+++ b/chestnutfall/routing/tickets.py
@@ -0,0 +1,88 @@
+"""Asking owners of engines for a ticket."""
+
+from __future__ import annotations
+
+from ..clock import Clock
+from ..membership import SiteAgent, Upstream, UpstreamRegistry
+from ..observability.metrics import Metrics
+from ..ownership import TicketGrant, TicketRefusal, TicketRequest
+from ..peers import PeerLinks
+from ..requests import CallerRequest, Executed, Refusal
+from .engine_choice import engine_candidates
+
+OWNER_WAIT_MS = 5000
+OWNER_POLL_MS = 100
+RETRY_AFTER_MS = 1000
+_OWNER_CODES = frozenset(
+    {"no_owner", "not_owner", "owner_changed", "owner_unreachable", "owner_silent"}
+)
+
+
+class Tickets:
+    """Chooses an engine for an attempt and gets its owner's word for it."""
+
+    def __init__(
+        self,
+        agent: SiteAgent,
+        registry: UpstreamRegistry,
+        links: PeerLinks,
+        clock: Clock,
+        metrics: Metrics,
+        data_centre: str,
+    ) -> None:
+        self._agent = agent
+        self._registry = registry
+        self._links = links
+        self._clock = clock
+        self._metrics = metrics
+        self._data_centre = data_centre
+
+    async def acquire(self, req: CallerRequest, attempt_id: str) -> Upstream:
+        """Return the engine whose owner gave a ticket.
+
+        Raises
+        ------
+        Refusal
+            When no engine takes the request in time; nothing ran.
+        """
+        asked_ms = self._clock.now_ms()
+        while True:
+            refusal = TicketRefusal(attempt_id, "no_engine", RETRY_AFTER_MS)
+            for engine in self._candidates(req):
+                outcome = await self._ask(req, attempt_id, engine)
+                if isinstance(outcome, TicketGrant):
+                    return engine
+                refusal = outcome
+                if outcome.code not in _OWNER_CODES:
+                    break
+            waited_ms = self._clock.now_ms() - asked_ms
+            # An engine is without an owner only for the seconds in which it moves; anything else
+            # is final, and the caller is told at once when to come back.
+            moving = refusal.code in _OWNER_CODES or refusal.code == "no_engine"
+            late = self._clock.now_ms() + OWNER_POLL_MS >= req.deadline_ms
+            if not moving or waited_ms > OWNER_WAIT_MS or late or not self._any_engine(req):
+                self._metrics.count(f"refused.{refusal.code}")
+                message = f"no engine took the request: {refusal.code}"
+                wait_ms = refusal.retry_after_ms or RETRY_AFTER_MS
+                raise Refusal(503, refusal.code, message, Executed.NO, wait_ms)
+            await self._clock.sleep_ms(OWNER_POLL_MS)
+
+    def _any_engine(self, req: CallerRequest) -> bool:
+        return any(True for _ in self._registry.serving(req.service))
+
+    def _candidates(self, req: CallerRequest) -> list[Upstream]:
+        found = engine_candidates(
+            self._registry.serving(req.service),
+            self._links.views(),
+            req.model,
+            self._data_centre,
+            self._agent.config.limits.running_per_engine,
+        )
+        return list(found)
+
+    async def _ask(
+        self, req: CallerRequest, attempt_id: str, engine: Upstream
+    ) -> TicketGrant | TicketRefusal:
+        wait_ms = max(req.deadline_ms - self._clock.now_ms(), 0)
+        ticket = TicketRequest(attempt_id, engine.name, req.model, req.priority.rank, wait_ms)
+        return await self._links.acquire(ticket)
--- a/properties/safeguards/control_mutants.py
+++ b/properties/safeguards/control_mutants.py
@@ -5,6 +5,7 @@
 from ..mutant import Mutant
 
 _STATE = "chestnutfall/control/control_state.py"
+_CLAIMS = "chestnutfall/control/claim_book.py"
 _STATE_TEST = "properties.test_control_state"
 _SERVICE = "chestnutfall/control/control_service.py"
 _OWNERSHIP_TEST = "chestnutfall.tests.test_ownership"
@@ -28,14 +29,14 @@
     ),
     Mutant(
         "claim given to a second attempt",
-        _STATE,
+        _CLAIMS,
         "        if claim is not None and claim.attempt_id != take.attempt_id:",
         "        if False:",
         _STATE_TEST,
     ),
     Mutant(
         "another attempt releases the claim",
-        _STATE,
+        _CLAIMS,
         "        if claim is None or claim.attempt_id != end.attempt_id:",
         "        if claim is None:",
         _STATE_TEST,
