--- a/chestnutfall/tests/test_crash_keeper.py
+++ b/chestnutfall/tests/test_crash_keeper.py
@@ -12,12 +12,15 @@
 import unittest
 from typing import Any
 
+from ..clock import ManualClock
 from ..control.control_state import ControlState
 from ..control.crash_keeper import COLLECT_MS, LOOK_MS, CrashKeeper
 from ..control.crash_ledger import QUARANTINE_MS
 from ..control.crash_messages import AnsweredRun, BrokenRun, SuspectRequests
 from ..coordination.fleet_leader import FleetLeader
 from ..coordination.gateway_session import GatewaySession
+from ..forwarding.fleet_client import REPORT_AGAIN_MS, FleetClient
+from ..forwarding.fleet_knowledge import FleetKnowledge
 from ..platform.document_json import DocumentJson
 from .fakes import FakeCluster
 from .fakes.taking_engines import TakingEngines
@@ -232,3 +235,19 @@
         await self._advance(KNOWN_MS)
         self.assertEqual([self._held(one) for one in sessions], [set(), set()])
         self.assertEqual(self._state().crashes.offences, {})
+
+
+class ReportsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_reports_from_the_time_without_a_leader_reach_the_next_one(self) -> None:
+        # An engine ends while the leader does too. The gateway's report must not be lost with the
+        # stream, and must say how long ago that was when the next leader reads it.
+        clock = ManualClock()
+        client = FleetClient("g", (), FleetKnowledge(DocumentJson(), clock), clock)
+        client.report(_broken("old", 1))
+        await clock.advance(REPORT_AGAIN_MS)
+        client.report(_broken("fatal", 2))
+        client.report(AnsweredRun("usual"))
+        await clock.advance(1_500)
+        client._join("127.0.0.1:1")
+        told = [client._out.get_nowait() for _ in range(client._out.qsize())]
+        self.assertEqual(told, [_broken("fatal", 2, age_ms=1_505), AnsweredRun("usual")])
