--- a/chestnutfall/standin/engine_app.py
+++ b/chestnutfall/standin/engine_app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 from typing import Any
 
 from aiohttp import web
@@ -12,6 +13,9 @@
 from .run import Run
 
 DEFAULT_TOKENS = 16
+FATAL_PROMPT = "a fatal one"
+"""Ends each engine that runs it, as an input does that a real engine does not bear."""
+FATAL_EXIT = 70
 
 
 class EngineApp:
@@ -48,6 +52,8 @@
             int(body.get("max_tokens") or DEFAULT_TOKENS),
         )
         self._core.start_run(run)
+        if body.get("prompt") == FATAL_PROMPT:
+            os._exit(FATAL_EXIT)
         if self._core.take_fault("silent"):
             await asyncio.sleep(3600)
         if self._core.take_fault("reset") and request.transport is not None:
--- a/chestnutfall/tests/process_office.py
+++ b/chestnutfall/tests/process_office.py
@@ -89,8 +89,8 @@
         self.configure()
         for number in range(len(self.gateways)):
             self.start_gateway(number)
-        for number, address in enumerate(self.engines):
-            self._start_upstream("engine", f"engine-{number}", "redactor-ia", address)
+        for number in range(len(self.engines)):
+            self.start_engine(number)
         self._start_upstream("plain", "plain-0", "permisos", self.plain)
         for number in range(len(self.gateways)):
             wait_until(f"gateway {number} ready", lambda n=number: self.is_ready(n))  # type: ignore[misc]
@@ -139,6 +139,10 @@
         }
         self._start("gateway", f"g{number}", settings)
 
+    def start_engine(self, number: int) -> None:
+        """Start an engine."""
+        self._start_upstream("engine", f"engine-{number}", "redactor-ia", self.engines[number])
+
     def _start_upstream(self, program: str, name: str, service: str, address: str) -> None:
         settings: dict[str, Any] = {
             "name": name,
@@ -222,9 +226,11 @@
         """URL of a path at a gateway."""
         return f"http://{self.gateways[gateway]}{path}"
 
-    def post(self, gateway: int, model: str, **headers: str) -> tuple[int, dict[str, Any]]:
+    def post(
+        self, gateway: int, model: str, prompt: str = "roof", **headers: str
+    ) -> tuple[int, dict[str, Any]]:
         """Ask for a short completion; return status and body."""
-        body = json.dumps({"model": model, "max_tokens": 4, "prompt": "roof"}).encode()
+        body = json.dumps({"model": model, "max_tokens": 4, "prompt": prompt}).encode()
         return self.request(gateway, "/v1/completions", body, **headers)
 
     def request(
