--- a/chestnutfall/forwarding/send_log.py
+++ b/chestnutfall/forwarding/send_log.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from ..limits.limit_word import limit_text
 from ..routes import Route
 from .place import Place
 from .progress import Progress
@@ -19,7 +20,7 @@
     call = progress.call
     log.info(
         "call: id=%s content=%s route=%s organisation=%s adapter=%s send=%d instance=%s version=%d "
-        "queued=%d loading=%d sent=%d result=%s %s first=%d pause=%d tokens=%d ms=%d",
+        "queued=%d loading=%d sent=%d result=%s %s first=%d pause=%d tokens=%d limit=%s ms=%d",
         call.request_id,
         progress.fingerprint,
         route.name,
@@ -36,6 +37,7 @@
         progress.first_ms,
         progress.pause_ms,
         call.prompt_tokens,
+        limit_text(progress.limit),
         now_ms - call.arrived_ms,
     )
 
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -5,6 +5,7 @@
 import statistics
 
 from ..clock import Clock
+from ..limits import Unnamed
 from ..observability.histograms import Histograms
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
@@ -42,6 +43,7 @@
         self, progress: Progress, route: Route, place: Place, places: Places, reply: CallerReply
     ) -> SendResult:
         """Send the call once."""
+        progress.limit = Unnamed()
         sending = _Sending(self._clock, progress, route, place, reply)
         outcome: RunOutcome | None = None
         try:
@@ -115,6 +117,7 @@
 
     async def relay(self, answer: UpstreamAnswer) -> SendResult:
         self.load = answer.load
+        self._progress.limit = answer.limit
         self._answering = True
         if answer.not_run is not None:
             return Refused(answer.not_run.value)
--- a/chestnutfall/forwarding/upstream_answer.py
+++ b/chestnutfall/forwarding/upstream_answer.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from ..limits import LimitWord
 from .call import Headers
 
 
@@ -36,6 +37,8 @@
         Set when the upstream proved that nothing ran.
     load : UpstreamLoad or None
         Its load, if it tells.
+    limit : LimitWord
+        What it says of the requests a second that it takes.
     body : async iterator of bytes
         Raises AnswerLost when it breaks off.
     """
@@ -44,6 +47,7 @@
     headers: Headers
     not_run: NotRun | None
     load: UpstreamLoad | None
+    limit: LimitWord
     body: AsyncIterator[bytes]
 
     @property
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -12,6 +12,7 @@
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer, UpstreamLoad
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
+from ..limits import read_limit
 from ..wire.single_send_session import single_send_session
 from . import header_names as names
 from .reset_aware import ResetAwareConnector
@@ -60,6 +61,7 @@
                     tuple(resp.headers.items()),
                     _not_run(resp, forwarded),
                     _load(resp.headers.get(names.LOAD)),
+                    read_limit(resp.headers.get(names.REQUEST_LIMIT)),
                     _body(resp),
                 )
                 if len(call.body) > EARLY_ANSWER_BYTES:
--- a/chestnutfall/tests/fakes/fake_upstreams.py
+++ b/chestnutfall/tests/fakes/fake_upstreams.py
@@ -14,6 +14,7 @@
 from ...forwarding.route_source import RouteSource
 from ...forwarding.upstream_answer import NotRun, UpstreamAnswer, UpstreamLoad
 from ...forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
+from ...limits import Unnamed
 from ...placement import RunOutcome
 from ...placement.run_times import RunTimes
 from ...quota.messages import AnswerQuota, UsedQuota
@@ -53,13 +54,13 @@
         self.sends.append(forwarded)
         match self._script.pop(0):
             case NotRun() as not_run:
-                yield UpstreamAnswer(503, (), not_run, None, _chunks(()))
+                yield UpstreamAnswer(503, (), not_run, None, Unnamed(), _chunks(()))
             case int() as status:
-                yield UpstreamAnswer(status, (), None, None, _chunks((b"failed",)))
+                yield UpstreamAnswer(status, (), None, None, Unnamed(), _chunks((b"failed",)))
             case Cut(chunks):
-                yield UpstreamAnswer(200, (), None, None, _chunks(chunks, cut=True))
+                yield UpstreamAnswer(200, (), None, None, Unnamed(), _chunks(chunks, cut=True))
             case tuple() as chunks:
-                yield UpstreamAnswer(200, (), None, None, _chunks(chunks))
+                yield UpstreamAnswer(200, (), None, None, Unnamed(), _chunks(chunks))
             case type() as error:
                 raise error("scripted")
             case unknown:
