Show with our own stand-ins that upstreams that name a limit get as much as before

Real programs, three gateways: an engine and a plain upstream of which each named 12 requests a second got more in 4 s than 1.5 times that + 5.

--- a/chestnutfall/platform/standin/run_book.py
+++ b/chestnutfall/platform/standin/run_book.py
@@ -15,6 +15,10 @@
     ----------
     organisations : dict of str to str
         Whose request each was, as its upstream was told.
+    moments : dict of str to list of float
+        When requests of each organisation ran, in seconds.
+    arrivals : dict of str to list of float
+        When requests came to each upstream, in seconds, also those that it refused.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -22,6 +26,7 @@
     wrong: list[str] = field(default_factory=list)
     organisations: dict[str, str] = field(default_factory=dict)
     moments: dict[str, list[float]] = field(default_factory=dict)
+    arrivals: dict[str, list[float]] = field(default_factory=dict)
 
     def note_run(self, request_id: str, organisation: str) -> None:
         """Count a run."""
@@ -29,16 +34,29 @@
         self.organisations[request_id] = organisation
         self.moments.setdefault(organisation, []).append(time.monotonic())
 
+    def note_arrival(self, instance: str) -> None:
+        """Count a request that came to an upstream."""
+        self.arrivals.setdefault(instance, []).append(time.monotonic())
+
     def most_in_window(self, organisation: str, window_s: float) -> int:
         """Most runs of an organisation in any window."""
-        moments = self.moments.get(organisation, [])
-        first = most = 0
-        for last, at_s in enumerate(moments):
-            while moments[first] <= at_s - window_s:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
+        return most_in_window(self.moments.get(organisation, []), window_s)
+
+    def most_arrivals(self, instance: str, window_s: float, from_s: float) -> int:
+        """Most requests that came to an upstream in any window that ends at `from_s` or later."""
+        late = [at_s for at_s in self.arrivals.get(instance, []) if at_s > from_s - window_s]
+        return most_in_window(late, window_s)
 
     def note_wrong(self, finding: str) -> None:
         """Note a broken promise that an upstream saw."""
         self.wrong.append(finding)
+
+
+def most_in_window(moments: list[float], window_s: float) -> int:
+    """Most of some moments, in their order, that lie in one window."""
+    first = most = 0
+    for last, at_s in enumerate(moments):
+        while moments[first] <= at_s - window_s:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -51,6 +51,8 @@
         Address that it announces; that of a relay before it.
     on_end, on_start : callable
         Told when a request ends it, and when it is back under a new name.
+    limit : str or None
+        What its answers say of the requests a second that it takes; None for nothing.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self._ids = random.Random(self.instance)
         self.on_end: Callable[[], None] = lambda: None
         self.on_start: Callable[[], Awaitable[None]] = _nothing
+        self.limit: str | None = None
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
         self._beating: asyncio.Task[None] | None = None
@@ -216,6 +219,7 @@
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
         request_id = request.headers[names.REQUEST_ID]
+        self._book.note_arrival(self.instance)
         name = request.headers.get(names.MODEL, "").partition("/")[2]
         if self._is_engine and name not in self._adapters:
             return self._answer(request_id, 421, {names.INSTANCE: self.instance})
@@ -236,19 +240,22 @@
         finally:
             self._end_run(name)
 
-    @staticmethod
     def _answer(
-        request_id: str, status: int, headers: dict[str, str], body: bytes = b""
+        self, request_id: str, status: int, headers: dict[str, str], body: bytes = b""
     ) -> web.Response:
-        return web.Response(
-            status=status, headers={names.REQUEST_ID: request_id, **headers}, body=body
-        )
+        return web.Response(status=status, headers=self._headers(request_id) | headers, body=body)
+
+    def _headers(self, request_id: str) -> dict[str, str]:
+        headers = {names.REQUEST_ID: request_id}
+        if self.limit is not None:
+            headers[names.REQUEST_LIMIT] = self.limit
+        return headers
 
     async def _stream(
         self, request: web.BaseRequest, request_id: str, name: str
     ) -> web.StreamResponse:
         after = int(request.headers.get(names.LAST_EVENT, "0"))
-        response = web.StreamResponse(headers={names.REQUEST_ID: request_id})
+        response = web.StreamResponse(headers=self._headers(request_id))
         await response.prepare(request)
         for number in range(after + 1, EVENTS + 1):
             if name not in self._adapters:
--- /dev/null
+++ b/chestnutfall/tests/test_named_limits.py
@@ -0,0 +1,77 @@
+"""Upstreams that say how many requests a second they take, before the real programs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import tempfile
+import unittest
+from pathlib import Path
+
+from soak.office import Office
+
+from ..platform.standin.client import StandInClient
+from ..platform.standin.operator import ENGINES, PLAIN, StandInOperator
+from ..platform.standin.upstream import StandInUpstream
+
+CLIENTS = 12
+LIMIT_PER_S = 12.0
+SETTLE_S = 3.0
+"""Time that everybody has to learn of a limit."""
+PLAYED_S = 9.0
+WINDOW_S = 4.0
+OVER = 1.5
+SLACK = 5
+LEAST_PART = 0.5
+"""Of what a limit allows, while callers ask for far more; the rest is what a slow machine costs."""
+
+
+class NamedLimitTest(unittest.TestCase):
+    # Guards against upstreams that name a limit and get as many requests as before.
+    def test_upstreams_get_what_they_say_they_take(self) -> None:
+        logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
+        with tempfile.TemporaryDirectory(prefix="limits-") as folder:
+            asyncio.run(self._play(Path(folder)))
+
+    async def _play(self, folder: Path) -> None:
+        rng = random.Random(4)
+        self.office = Office(folder, rng)
+        operator = StandInOperator(self.office.control_addresses, rng)
+        client = StandInClient(rng)
+        try:
+            await self.office.start()
+            while not await operator.put(1):
+                await asyncio.sleep(0.1)
+            load = [asyncio.ensure_future(self._load(client, rng)) for _ in range(CLIENTS)]
+            await asyncio.sleep(SETTLE_S)
+            limited = [self._first(ENGINES), self._first(PLAIN)]
+            for upstream in limited:
+                upstream.limit = f"{LIMIT_PER_S}"
+            named_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(PLAYED_S)
+            for task in load:
+                task.cancel()
+            for upstream in limited:
+                with self.subTest(upstream.service):
+                    self._check(upstream, named_s + SETTLE_S)
+        finally:
+            await client.close()
+            await operator.close()
+            await self.office.stop()
+
+    def _first(self, service: str) -> StandInUpstream:
+        return next(one for one in self.office.upstreams if one.service == service)
+
+    async def _load(self, client: StandInClient, rng: random.Random) -> None:
+        while True:
+            gateway = self.office.front(rng.choice(self.office.gateways))
+            await client.send(gateway, rng.choice(("draft", "long", "again", "once")))
+            await asyncio.sleep(rng.uniform(0.0, 0.04))
+
+    def _check(self, upstream: StandInUpstream, settled_s: float) -> None:
+        arrivals = self.office.book.arrivals[upstream.instance]
+        most = self.office.book.most_arrivals(upstream.instance, WINDOW_S, settled_s)
+        self.assertLessEqual(most, OVER * WINDOW_S * LIMIT_PER_S + SLACK)
+        used = sum(at_s >= settled_s for at_s in arrivals)
+        self.assertGreaterEqual(used, LEAST_PART * LIMIT_PER_S * (PLAYED_S - SETTLE_S))
