Send upstreams that name a limit no more than that, from all gateways together

What callers saw: upstreams in need, which said how much they take, got all of it and more. Cause: nothing read the limit; gateways relayed it as any header, and placement knew no rate.

The leader, who places every request on an engine, keeps one bucket for each upstream that names a limit. What answers say comes to it at their first byte; of two that crossed, the lower one holds. For plain upstreams, which gateways choose by themselves, a send to a limited one is asked for.

--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -14,6 +14,8 @@
 from ..control.crash_keeper import CrashKeeper
 from ..control.crash_messages import AnsweredRun, BrokenRun, CrashReport
 from ..control.upstream_record import UpstreamRecord
+from ..limits.limit_book import LimitBook
+from ..limits.messages import AskTurn, HeardLimit
 from ..placement import AdapterName, Decision, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.placer import Placer
 from ..placement.run_times import RunTimes
@@ -29,6 +31,7 @@
 from .gateway_session import GatewaySession
 from .gateway_sessions import GatewaySessions
 from .kind_keeper import KindKeeper
+from .limit_desk import LimitDesk
 from .messages import (
     AnswerRepeat,
     AskRepeat,
@@ -67,11 +70,13 @@
         self._state = state
         self._codec = codec
         self._clock = clock
-        self._placer = Placer(clock)
+        limits = LimitBook(clock)
+        self._placer = Placer(clock, limits)
         self._repeats = RepeatPool(repeats, clock)
         self._quotas = QuotaLedger(quotas, clock)
         self._crashes = CrashKeeper(replica, state, clock)
         self._sessions = GatewaySessions()
+        self._limits = LimitDesk(limits, self._placer, self._sessions, clock)
         self._news = GatewayNews(self._sessions, state, self._placer, self._quotas, clock)
         self._table: RouteTable | None = None
         self._wake = asyncio.Event()
@@ -116,7 +121,8 @@
         return self._replica.term == self.term and self._replica.can_decide()
 
     async def _until_next_tick(self) -> None:
-        tick_ms = BUSY_TICK_MS if self._placer.waiting else IDLE_TICK_MS
+        waiting = self._placer.waiting or self._limits.waiting
+        tick_ms = BUSY_TICK_MS if waiting else IDLE_TICK_MS
         tick_ms = min(tick_ms, max(self._upstreams.due_in_ms(), 1))
         with contextlib.suppress(TimeoutError):
             await self._clock.within_ms(tick_ms, self._wake.wait())
@@ -153,11 +159,13 @@
         """Begin to serve a gateway."""
         self._sessions.add(session)
         self._news.greet(session, document_version)
+        self._limits.greet(session)
 
     def part(self, session: GatewaySession) -> None:
         """End a gateway's session and free what it held."""
         for ticket in self._sessions.remove(session):
             self._placer.withdraw(ticket)
+        self._limits.part(session)
 
     def take(self, session: GatewaySession, msg: GatewayMessage) -> None:
         """Take a message of a gateway."""
@@ -180,6 +188,10 @@
                     self._quotas.charge(use.organisation, use.units)
                 self._news.tell_quotas()
                 return
+            case HeardLimit():
+                self._limits.hear(session, msg)
+            case AskTurn():
+                self._limits.ask(session, msg)
             case BrokenRun() | AnsweredRun():
                 self._crashes.take(msg)
                 self._leave_if_ended(msg)
@@ -234,6 +246,7 @@
         self._news.tell_upstreams(serving)
         self._news.tell_controllers(tuple(member.address for member in self._replica.members))
         self._engines.match(self._engines_of(serving))
+        self._limits.use(serving)
 
     def _engines_of(self, serving: list[UpstreamRecord]) -> Iterator[EngineRecord]:
         for record in serving:
@@ -246,6 +259,7 @@
     def _carry_out_decisions(self) -> None:
         for decision in self._placer.decide():
             self._carry_out(decision)
+        self._limits.carry_out()
         self._engines.resync()
 
     def _carry_out(self, decision: Decision) -> None:
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -6,6 +6,7 @@
 
 from ..control.crash_messages import AnsweredRun, BrokenRun, SuspectRequests
 from ..control.upstream_record import UpstreamRecord
+from ..limits.messages import AnswerTurn, AskTurn, HeardLimit, LimitsInForce
 from ..placement import Grant, PlaceRequest, Reject
 from ..placement.run_times import NO_TIMES, RunTimes
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, UsedQuota, WasShort
@@ -160,6 +161,8 @@
     | Withdraw
     | AskRepeat
     | AskQuota
+    | AskTurn
+    | HeardLimit
     | UsedQuota
     | WasShort
     | BrokenRun
@@ -171,14 +174,18 @@
     AnsweredRun,
     AnswerQuota,
     AnswerRepeat,
+    AnswerTurn,
     AskQuota,
     AskRepeat,
+    AskTurn,
     BrokenRun,
     Controllers,
     GatewayCount,
     GatewayHello,
     Grant,
+    HeardLimit,
     HoldingsChange,
+    LimitsInForce,
     NotLeading,
     Reject,
     PlaceRequest,
--- a/chestnutfall/forwarding/engine_places.py
+++ b/chestnutfall/forwarding/engine_places.py
@@ -12,6 +12,7 @@
 from ..placement.run_times import RunTimes
 from . import patience
 from .fleet_client import FleetClient, LeaderLost
+from .known_limits import KnownLimits
 from .place import NoPlace, Place, Places, Wanted
 from .upstream_answer import UpstreamLoad
 
@@ -29,8 +30,16 @@
     it, refuses and runs nothing.
     """
 
-    def __init__(self, fleet: FleetClient, clock: Clock, gateway: str, data_centre: str) -> None:
+    def __init__(
+        self,
+        fleet: FleetClient,
+        limits: KnownLimits,
+        clock: Clock,
+        gateway: str,
+        data_centre: str,
+    ) -> None:
         self._fleet = fleet
+        self._limits = limits
         self._clock = clock
         self._gateway = gateway
         self._data_centre = data_centre
@@ -96,7 +105,8 @@
     def _from_memory(self, req: PlaceRequest, lacking: tuple[str, ...]) -> Place | None:
         """The least used engine that held the adapter when there was a leader.
 
-        Not one of those that turned out to lack it: nobody loads it there now.
+        Not one of those that turned out to lack it: nobody loads it there now. One that names a
+        limit gets no more than this gateway's share.
         """
         found = (
             (held, upstream)
@@ -104,13 +114,12 @@
             if (upstream := self._fleet.knowledge.upstream(held.instance)) is not None
             and held.instance not in (*req.avoid, *lacking)
         )
-        chosen = min(found, key=lambda one: self._without_leader[one[0].instance], default=None)
-        if chosen is None:
-            return None
-        held, upstream = chosen
-        self._without_leader[held.instance] += 1
-        log.info("place: ticket=%s from memory instance=%s", req.ticket, held.instance)
-        return Place(req.ticket, upstream, held.version)
+        for held, upstream in sorted(found, key=lambda one: self._without_leader[one[0].instance]):
+            if self._limits.may_send_alone(held.instance):
+                self._without_leader[held.instance] += 1
+                log.info("place: ticket=%s from memory instance=%s", req.ticket, held.instance)
+                return Place(req.ticket, upstream, held.version)
+        return None
 
 
 def _caller_leaves_ms(wanted: Wanted) -> int:
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -24,6 +24,7 @@
     Pulse,
     UpstreamsPart,
 )
+from ..limits.messages import AnswerTurn, AskTurn, HeardLimit, LimitsInForce
 from ..placement import Grant, PlaceRequest, Reject
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, WasShort
 from ..wire import RpcChannel
@@ -41,6 +42,8 @@
 """A tenth of an election; a controller answers a stream in a few ms."""
 REPEAT_MS = 100
 """The leader answers at once; a repeat that waits longer for it comes too late to help."""
+TURN_MS = 100
+"""The same for a turn at an upstream, beyond the time that the call may wait for it."""
 CLOSE_S = 0.2
 """A dead connection must not hold up the search for the next leader."""
 
@@ -64,6 +67,10 @@
         Told which organisations are short of their quota.
     was_short : callable
         What to tell a new leader of those that were.
+    on_limits : callable
+        Told which upstreams name limits.
+    limits_again : callable
+        What to tell a new leader of those that do.
     """
 
     def __init__(
@@ -88,6 +95,8 @@
         self.on_suspects: Callable[[SuspectRequests], None] = lambda suspects: None
         self.on_quotas: Callable[[QuotaNews], None] = lambda news: None
         self.was_short: Callable[[], WasShort] = lambda: WasShort(())
+        self.on_limits: Callable[[LimitsInForce], None] = lambda limits: None
+        self.limits_again: Callable[[], tuple[HeardLimit, ...]] = lambda: ()
 
     def use_controllers(self, controllers: tuple[str, ...]) -> None:
         """Take the controllers that changed settings name."""
@@ -124,7 +133,25 @@
             return False
         return answer.given
 
-    async def ask_numbered(self, question: Callable[[int], AskRepeat | AskQuota]) -> Any:
+    async def ask_turn(
+        self, service: str, avoid: tuple[str, ...], organisation: str, rank: int, wait_ms: int
+    ) -> AnswerTurn:
+        """Ask for a send to an upstream of a plain service that names a limit.
+
+        Raises
+        ------
+        LeaderLost
+        """
+        asking = self.ask_numbered(
+            lambda number: AskTurn(number, service, avoid, organisation, rank, wait_ms)
+        )
+        try:
+            answer: AnswerTurn = await self._clock.within_ms(wait_ms + TURN_MS, asking)
+        except TimeoutError as exc:
+            raise LeaderLost("no answer for a turn") from exc
+        return answer
+
+    async def ask_numbered(self, question: Callable[[int], AskRepeat | AskQuota | AskTurn]) -> Any:
         """Ask a question that is named by a number, and wait for its answer.
 
         Raises
@@ -134,7 +161,7 @@
         number = next(self._numbers)
         return await self._ask(number, question(number))
 
-    async def _ask(self, key: str | int, msg: PlaceRequest | AskRepeat | AskQuota) -> Any:
+    async def _ask(self, key: str | int, msg: PlaceRequest | AskRepeat | AskQuota | AskTurn) -> Any:
         """Send a message and wait for the answer that names `key`.
 
         Raises
@@ -218,6 +245,8 @@
             await stream.write(hello)
             if was_short.organisations:
                 await stream.write(was_short)
+            for heard in self.limits_again():
+                await stream.write(heard)
             while True:
                 await stream.write(await self._out.get())
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
@@ -237,7 +266,7 @@
 
     def _take(self, msg: Any, address: str) -> None:
         match msg:
-            case Grant(key) | Reject(key) | AnswerRepeat(key) | AnswerQuota(key):
+            case Grant(key) | Reject(key) | AnswerRepeat(key) | AnswerQuota(key) | AnswerTurn(key):
                 fut = self._asked.get(key)
                 if fut is not None and not fut.done():
                     fut.set_result(msg)
@@ -247,6 +276,8 @@
                 self.on_suspects(msg)
             case QuotaNews():
                 self.on_quotas(msg)
+            case LimitsInForce():
+                self.on_limits(msg)
             case news:
                 self.knowledge.take(news)
                 is_whole = isinstance(news, UpstreamsPart) and news.complete
--- a/chestnutfall/forwarding/plain_places.py
+++ b/chestnutfall/forwarding/plain_places.py
@@ -12,6 +12,8 @@
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
 from ..placement.upstream_health import UpstreamHealth
+from .known_limits import KnownLimits
+from .limited_turns import AskForTurn, LimitedTurns
 from .place import NoPlace, Place, Places, Wanted
 from .upstream_answer import UpstreamLoad
 
@@ -47,11 +49,15 @@
     def __init__(
         self,
         upstreams: Callable[[str], Sequence[UpstreamRecord]],
+        limits: KnownLimits,
+        ask_turn: AskForTurn,
         clock: Clock,
         data_centre: str,
         rng: random.Random,
     ) -> None:
         self._upstreams = upstreams
+        self._limits = limits
+        self._turns = LimitedTurns(limits, ask_turn, clock)
         self._clock = clock
         self._data_centre = data_centre
         self._rng = rng
@@ -62,7 +68,11 @@
         upstreams = self._weighed(self._upstreams(wanted.service.name))
         if not upstreams:
             raise NoPlace("no_upstream", RETRY_MS)
-        chosen = min(upstreams, key=lambda one: self._cost_ms(one, wanted.avoid))
+        by_cost = sorted(upstreams, key=lambda one: self._cost_ms(one, wanted.avoid))
+        chosen = by_cost[0]
+        if self._limits.per_s(chosen.instance) is not None:
+            can_take = [one for one in by_cost if self._can_take(one, wanted.avoid)]
+            chosen = await self._turns.choose(wanted, can_take or by_cost, self._upstreams)
         known = self._of(chosen)
         if known.health.is_shunned(self._clock.now_ms()) and chosen.instance in wanted.avoid:
             raise NoPlace("unreachable", RETRY_MS)
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -13,6 +13,7 @@
 from .caller_reply import CallerReply
 from .event_splitter import EventSplitter
 from .forwarded_call import ForwardedCall
+from .known_limits import KnownLimits
 from .patience import first_byte_ms, pause_ms
 from .place import Place, Places
 from .progress import Progress
@@ -34,8 +35,11 @@
 class Sender:
     """Sends, relays what comes back, and tells the place how it ended."""
 
-    def __init__(self, api: UpstreamApi, clock: Clock, metrics: Histograms) -> None:
+    def __init__(
+        self, api: UpstreamApi, limits: KnownLimits, clock: Clock, metrics: Histograms
+    ) -> None:
         self._api = api
+        self._limits = limits
         self._clock = clock
         self._metrics = metrics
 
@@ -48,6 +52,7 @@
         outcome: RunOutcome | None = None
         try:
             async with self._api.send(sending.forwarded()) as answer:
+                self._hear_limit(place, answer, sending.sent_ms)
                 result = await sending.relay(answer)
             outcome = _outcome(answer, result)
             return result
@@ -67,6 +72,11 @@
                 self._metrics.observe("first_byte_ms", sending.first_byte_ms)
             places.give_back(place, outcome, sending.times(), sending.load)
 
+    def _hear_limit(self, place: Place, answer: UpstreamAnswer, sent_ms: int) -> None:
+        # Another incarnation at the same address speaks for itself.
+        if answer.not_run is not NotRun.REPLACED:
+            self._limits.hear(place.upstream.instance, answer.limit, sent_ms, answer.ok)
+
 
 class _Sending:
     """The state of one send."""
@@ -79,7 +89,7 @@
         self._route = route
         self._place = place
         self._reply = reply
-        self._sent_ms = clock.now_ms()
+        self.sent_ms = clock.now_ms()
         self.first_byte_ms: int | None = None
         self._answering = False
         self.load: UpstreamLoad | None = None
@@ -90,7 +100,7 @@
             self._place.upstream,
             self._place.version,
             self._route.rank,
-            max(self._progress.until_ms - self._sent_ms, 1),
+            max(self._progress.until_ms - self.sent_ms, 1),
             self._progress.last_event,
             # A kept connection can have gone silent or be closing. A request lost on it may have
             # run for all we know, and only an idempotent one may be sent again.
@@ -111,7 +121,7 @@
         """What it tells of the upstream that nobody waits for the answer any more."""
         # Only its own deadline ends the wait for an answer that may not be repeated. If that
         # counted for nothing, a hung upstream would look as good as any other.
-        silent_ms = self._clock.now_ms() - self._sent_ms
+        silent_ms = self._clock.now_ms() - self.sent_ms
         hung = not self._answering and silent_ms > first_byte_ms(self._route, self._progress.call)
         return RunOutcome.BROKEN if hung else RunOutcome.LEFT
 
@@ -154,7 +164,7 @@
     def _silent_ms(self) -> float:
         """A hung upstream is left when another one may go on; otherwise time alone ends it."""
         if not self._may_move():
-            return self._progress.until_ms - self._sent_ms + PAST_DEADLINE_MS
+            return self._progress.until_ms - self.sent_ms + PAST_DEADLINE_MS
         first_ms = first_byte_ms(self._route, self._progress.call)
         return max(first_ms, pause_ms(self._route)) if self._route.kind.streamed else first_ms
 
@@ -171,7 +181,7 @@
         return last is not None and number != last + 1
 
     def _note_first_byte(self) -> None:
-        self.first_byte_ms = self._clock.now_ms() - self._sent_ms
+        self.first_byte_ms = self._clock.now_ms() - self.sent_ms
 
 
 async def _whole(answer: UpstreamAnswer) -> bytes:
--- a/chestnutfall/placement/choice.py
+++ b/chestnutfall/placement/choice.py
@@ -63,6 +63,13 @@
     of_all : int or None
         How many engines there are, where `engines` are only some of them.
 
+    Attributes
+    ----------
+    starts_per_s : float
+        Requests that all engines together can start in a second.
+    limit_per_s : float or None
+        Requests that they say they take, if each of them says so.
+
     What does not depend on the request is worked out once a round and engine. After an outage
     some hundred requests wait, and looking at every engine for each of them in each round takes
     the leader longer than its rounds are apart: answers to gateways then come late, and the
@@ -82,6 +89,8 @@
         self._engines = [one for one in engines if not one.health.is_shunned(now_ms)]
         part = len(engines) / of_all if of_all else 1.0
         self.starts_per_s = sum(one.starts_per_s() for one in self._engines) / part
+        limits = [one.limit.per_s for one in self._engines]
+        self.limit_per_s = None if None in limits else sum(one or 0.0 for one in limits) / part
         self._demand = demand
         self._now_ms = now_ms
         self._busy_ms = {one.instance: self._busy_of(one) for one in self._engines}
@@ -128,7 +137,9 @@
         return spare_ms > 0 and any(
             self._holds(engine, req.adapter) or engine.held_recently(req.adapter)
             for engine in self._engines
-            if req.adapter.model in engine.models and engine.instance not in req.avoid
+            if req.adapter.model in engine.models
+            and engine.instance not in req.avoid
+            and engine.send_wait_ms(self._now_ms) <= spare_ms
         )
 
     def first_event_ms(self, req: PlaceRequest) -> float:
@@ -153,7 +164,10 @@
 
     def has_room(self, req: PlaceRequest) -> bool:
         """Whether any engine could start one more request."""
-        return any(engine.has_room(req) for engine in self._engines)
+        return any(
+            engine.has_room(req) and not engine.send_wait_ms(self._now_ms)
+            for engine in self._engines
+        )
 
     def changed(self, engine: Engine) -> None:
         """Look at an engine again that was just given something."""
@@ -172,7 +186,7 @@
             held = engine.holdings.get(name)
             if name.adapter and (held is None or self._versions.is_outdated(name, held)):
                 continue
-            if not _may_take(req, engine) or not self._room[engine.instance].takes(in_time):
+            if not self._may_take(req, engine) or not self._room[engine.instance].takes(in_time):
                 continue
             wait_ms = max(held.ready_ms - self._now_ms, 0) if held is not None else 0
             cost_ms = self._cost_ms(req, engine) + engine.read_ms(req, prefixes)
@@ -183,7 +197,7 @@
             self._loaders = dict(self._loaders_among(self._engines))
         for loader in self._loaders.values():
             engine = loader.engine
-            if not _may_take(req, engine):
+            if not self._may_take(req, engine):
                 continue
             victim, misses = loader.victim, loader.misses
             held = engine.holdings.get(req.adapter)
@@ -208,6 +222,10 @@
                 cost_ms += STORE_MS
             yield PlaceOption(engine, cost_ms, load_ms, victim)
 
+    def _may_take(self, req: PlaceRequest, engine: Engine) -> bool:
+        usable = not req.adapter.model or req.adapter.model in engine.models
+        return usable and engine.has_room(req) and not engine.send_wait_ms(self._now_ms)
+
     def _holds(self, engine: Engine, name: AdapterName) -> bool:
         held = engine.holdings.get(name)
         return held is not None and not self._versions.is_outdated(name, held)
@@ -251,10 +269,5 @@
     return engine.beyond_batch * BEYOND_BATCH_MS
 
 
-def _may_take(req: PlaceRequest, engine: Engine) -> bool:
-    usable = not req.adapter.model or req.adapter.model in engine.models
-    return usable and engine.has_room(req)
-
-
 def _cheapest(options: Iterable[PlaceOption]) -> PlaceOption | None:
     return min(options, key=lambda option: option.cost_ms, default=None)
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 
+from ..limits.upstream_limit import UpstreamLimit
 from ..routes import EngineSpec
 from .adapter_name import AdapterName
 from .engine_kind import EngineKind
@@ -56,6 +57,8 @@
         Whether its report was read; before that nothing is ordered.
     has_stray_order : bool
         Whether it may still carry out an order that we gave up; one place is left for that.
+    limit : UpstreamLimit
+        How many requests a second it says that it takes.
     pauses : PauseBudget
         How much reading the streams that run here bear.
     """
@@ -69,6 +72,7 @@
         kind: EngineKind,
         pace: ReadPace,
         store: StoreTimes,
+        limit: UpstreamLimit,
     ) -> None:
         self.instance = instance
         self.service = service
@@ -80,6 +84,7 @@
         self.loading_model = ""
         self.synced = False
         self.has_stray_order = False
+        self.limit = limit
         self.health = UpstreamHealth(CONNECTION_STRIKES)
         self.loads = LoadTimer(instance, kind.load_ms, store)
         self.prompts = PromptCache(int(spec.kv_tokens * KV_SHARE))
@@ -115,6 +120,10 @@
         fits = self._kv_used + tokens <= self.spec.kv_tokens * KV_SHARE
         return len(self.running) < OVERBOOKED * self.spec.batch and (fits or not self.running)
 
+    def send_wait_ms(self, now_ms: int) -> int:
+        """Time until it may be sent one more request than those that wait here already."""
+        return self.limit.wait_ms(self.reading.waiting_count, now_ms)
+
     def has_batch_place(self) -> bool:
         """Whether one of the requests that wait here may be sent now."""
         return len(self.running) - self.reading.waiting_count < self.spec.batch
@@ -158,7 +167,8 @@
     def starts_per_s(self) -> float:
         """How many requests it can start in a second if each needs a load."""
         loads_per_s = TRANSITS_PER_ENGINE * 1000 / self.loads.expected_ms(recent=False)
-        return min(self.reading.prompts_per_s(self.pauses.window()), loads_per_s)
+        starts_per_s = min(self.reading.prompts_per_s(self.pauses.window()), loads_per_s)
+        return min(starts_per_s, self.limit.per_s or starts_per_s)
 
     def may_read(self, ticket: str, urgent: bool, now_ms: int) -> bool:
         """Whether the streams that run here bear the reading of this request now.
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -5,6 +5,9 @@
 from collections.abc import Iterator
 
 from ..clock import Clock
+from ..limits.limit_book import LimitBook
+from ..quota.fair_share import FairShare
+from ..quota.return_times import MOST_WAIT_MS, ReturnTimes
 from ..routes import EngineSpec
 from .adapter_name import AdapterName
 from .choice import Choice
@@ -12,7 +15,6 @@
 from .demand import Demand
 from .engine import Engine
 from .engine_report import EngineReport
-from .fair_share import FairShare
 from .held import Held
 from .holder_index import HolderIndex
 from .kinds import Kinds
@@ -48,8 +50,9 @@
         What was learned of the engines of each service.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, limits: LimitBook | None = None) -> None:
         self._clock = clock
+        self._limits = limits or LimitBook(clock)
         self.engines: dict[str, Engine] = {}
         self.kinds = Kinds()
         self._index = HolderIndex(self.engines)
@@ -62,6 +65,7 @@
         self._pace = Pace()
         self._shares = FairShare()
         self._turns = ReadingTurns()
+        self._return_times = ReturnTimes()
 
     # Engines
 
@@ -73,7 +77,10 @@
             return
         kind, pace = self.kinds.of(service), self.kinds.pace_of(service)
         store = self.kinds.store_times_of(service)
-        self.engines[instance] = Engine(instance, service, data_centre, spec, kind, pace, store)
+        limit = self._limits.of(instance)
+        self.engines[instance] = Engine(
+            instance, service, data_centre, spec, kind, pace, store, limit
+        )
 
     def engine_down(self, instance: str) -> None:
         """Give an engine no more work; whoever waits for its load is placed anew."""
@@ -99,6 +106,12 @@
             if waiting.instance == instance and waiting.req.adapter not in engine.holdings:
                 self._unassign(waiting)
 
+    def limit_changed(self, instance: str) -> None:
+        """Place anew who waits for an engine that now takes fewer requests, or more."""
+        for waiting in self._waiting.values():
+            if waiting.instance == instance:
+                self._unassign(waiting)
+
     def order_taken(self, order: LoadAdapter) -> None:
         """Note that an engine began a load just now; a busy one begins later than ordered."""
         engine = self.engines.get(order.instance)
@@ -194,7 +207,7 @@
     def _place(self, waiting: Waiting, now: ServiceRound, now_ms: int) -> Iterator[Decision]:
         self._leave_outdated(waiting)
         if now_ms + now.choice.first_event_ms(waiting.req) > waiting.since_ms + waiting.req.wait_ms:
-            yield self._reject(waiting, "no_time_left")
+            yield self._reject_late(waiting, now, now_ms)
         elif waiting.instance:
             yield from self._grant_when_ready(waiting, now_ms)
         elif (option := now.best(waiting)) is not None:
@@ -203,7 +216,7 @@
             yield from self._grant_when_ready(waiting, now_ms)
             now.choice.changed(option.engine)
         else:
-            yield from self._reject_if_hopeless(waiting, now.queue_ms(waiting), now_ms)
+            yield from self._reject_if_hopeless(waiting, now, now_ms)
 
     def _leave_outdated(self, waiting: Waiting) -> None:
         """Place a request anew whose adapter got a newer version while it waited."""
@@ -254,9 +267,12 @@
         holding = engine.holdings.get(waiting.req.adapter)
         if holding is not None and not holding.is_ready(now_ms):
             return
+        if engine.limit.wait_ms(0, now_ms):
+            return
         if not engine.has_batch_place() or not self._turns.may_read(engine, waiting, now_ms):
             return
         engine.reading.send(waiting.req.ticket, now_ms)
+        engine.limit.note_sent(now_ms)
         del self._waiting[waiting.req.ticket]
         self._places[waiting.req.ticket] = engine.instance
         yield Grant(
@@ -268,19 +284,42 @@
         )
 
     def _reject_if_hopeless(
-        self, waiting: Waiting, queue_ms: float, now_ms: int
+        self, waiting: Waiting, now: ServiceRound, now_ms: int
     ) -> Iterator[Decision]:
         """Refuse a request at once if those before it take longer than it has time.
 
         Holding it until its time is over would serve it no better, and cost its caller the time
         to come back.
         """
-        left_ms = waiting.since_ms + waiting.req.wait_ms - now_ms
-        if queue_ms > left_ms:
+        queue_ms = now.queue_ms(waiting)
+        if queue_ms <= waiting.since_ms + waiting.req.wait_ms - now_ms:
+            return
+        if now.limit_step_ms is None:
             yield self._reject(waiting, "queue_too_long", int(queue_ms))
-
-    def _reject(self, waiting: Waiting, reason: str, wait_ms: int = LEAST_RETRY_MS) -> Reject:
+            return
+        yield self._reject_limited(waiting, queue_ms, now.limit_step_ms, now_ms)
+
+    def _reject_late(self, waiting: Waiting, now: ServiceRound, now_ms: int) -> Reject:
+        if now.limit_step_ms is None:
+            return self._reject(waiting, "no_time_left")
+        return self._reject_limited(waiting, now.limit_step_ms, now.limit_step_ms, now_ms)
+
+    def _reject_limited(
+        self, waiting: Waiting, queue_ms: float, step_ms: float, now_ms: int
+    ) -> Reject:
+        """Refuse a request that all engines together don't take: not one of them is free sooner."""
+        service = waiting.req.service
+        retry_ms = self._return_times.wait_ms(service, queue_ms, step_ms, now_ms)
+        return self._reject(waiting, "limited", retry_ms, MOST_WAIT_MS)
+
+    def _reject(
+        self,
+        waiting: Waiting,
+        reason: str,
+        wait_ms: int = LEAST_RETRY_MS,
+        most_ms: int = MOST_RETRY_MS,
+    ) -> Reject:
         self._unassign(waiting)
         del self._waiting[waiting.req.ticket]
-        retry_ms = min(max(wait_ms, LEAST_RETRY_MS), MOST_RETRY_MS)
+        retry_ms = min(max(wait_ms, LEAST_RETRY_MS), most_ms)
         return Reject(waiting.req.ticket, reason, retry_ms)
--- a/chestnutfall/placement/service_round.py
+++ b/chestnutfall/placement/service_round.py
@@ -15,6 +15,8 @@
     ----------
     choice : Choice
         The service's engines.
+    limit_step_ms : float or None
+        Time from one send to the next that they take, if each of them names a limit.
     """
 
     def __init__(self, service: str, choice: Choice, pace: Pace, now_ms: int) -> None:
@@ -23,8 +25,14 @@
         self._full = False
         self._queue_ms = 0.0
         self._late = 0
+        per_s = choice.limit_per_s
+        self.limit_step_ms = 1000 / per_s if per_s else None
         self._step_ms = pace.step_ms(service, choice.starts_per_s, now_ms)
         self._late_step_ms = pace.late_step_ms(service, choice.starts_per_s, now_ms)
+        if self.limit_step_ms is not None:
+            # What was granted in the last seconds says nothing of a limit that was just named.
+            self._step_ms = max(self._step_ms, self.limit_step_ms)
+            self._late_step_ms = max(self._late_step_ms, self.limit_step_ms)
 
     def can_be_in_time(self, waiting: Waiting) -> bool:
         """Whether its first event could be in time if it had a place now."""
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -16,10 +16,12 @@
 from ..forwarding.fleet_client import FleetClient
 from ..forwarding.fleet_knowledge import FleetKnowledge
 from ..forwarding.forwarder import Forwarder
+from ..forwarding.known_limits import KnownLimits
 from ..forwarding.leader_quota_line import LeaderQuotaLine
 from ..forwarding.plain_places import PlainPlaces
 from ..forwarding.repeats import Repeats
 from ..forwarding.sender import Sender
+from ..forwarding.turn_line import turn_line
 from ..observability.histograms import Histograms
 from ..observability.json_logs import start_logs
 from ..observability.stdout_logs import StdoutHandler
@@ -57,13 +59,17 @@
     rng = random.Random()
     quotas = QuotaDesk(LeaderQuotaLine(fleet), lambda: known.gateways, settings.quotas, clock, rng)
     fleet.on_quotas, fleet.was_short = quotas.take, quotas.was_short
+    upstream_limits = KnownLimits(fleet.tell, lambda: known.gateways, clock, rng)
+    fleet.on_limits, fleet.limits_again = upstream_limits.take, upstream_limits.again
     forwarder = Forwarder(
         known,
         Admission(quotas),
         Repeats(settings.repeats, lambda: known.gateways, fleet.borrow_repeat, clock, rng),
-        EnginePlaces(fleet, clock, name, settings.data_centre),
-        PlainPlaces(known.upstreams, clock, settings.data_centre, rng),
-        Sender(api, clock, metrics),
+        EnginePlaces(fleet, upstream_limits, clock, name, settings.data_centre),
+        PlainPlaces(
+            known.upstreams, upstream_limits, turn_line(fleet), clock, settings.data_centre, rng
+        ),
+        Sender(api, upstream_limits, clock, metrics),
         quarantine,
         clock,
         metrics,
@@ -79,6 +85,7 @@
         metrics.gauge("calls_in_progress", entry.calls_in_progress())
         metrics.gauge("document_version", known.version)
         metrics.gauge("connected", fleet.connected)
+        metrics.gauge("limited_upstreams", len(upstream_limits))
         for figure, value in FLEET_CODEC.traffic.figures():
             metrics.total(figure, value)
 
--- a/chestnutfall/quota/quota_ledger.py
+++ b/chestnutfall/quota/quota_ledger.py
@@ -8,6 +8,7 @@
 from ..routes import Organisation
 from ..settings.quota_bounds import QuotaBounds
 from .messages import AnswerQuota, QuotaLevel, QuotaNews
+from .return_times import ReturnTimes
 from .token_bucket import TokenBucket
 
 START_PART = 0.25
@@ -19,8 +20,6 @@
 """Gateways follow a new leader within this time; what a later one remembers is old."""
 PLENTY_PART = 0.9
 """Well above `SHORT_PART`, so that organisations near their limit don't change all the time."""
-MOST_WAIT_MS = 10_000
-"""Nobody plans further ahead; a longer wait only says that far too much is asked."""
 
 
 class QuotaLedger:
@@ -35,7 +34,7 @@
         self._bounds = bounds
         self._clock = clock
         self._buckets: dict[str, TokenBucket] = {}
-        self._promised_ms: dict[str, int] = {}
+        self._return_times = ReturnTimes()
         self._short: set[str] = set()
         self._told: frozenset[str] = frozenset()
         self._emptied: set[str] = set()
@@ -47,7 +46,7 @@
         for name in self._buckets.keys() - limited.keys():
             del self._buckets[name]
             self._short.discard(name)
-            self._promised_ms.pop(name, None)
+            self._return_times.forget(name)
         for name, organisation in limited.items():
             self._use_one(name, organisation)
 
@@ -95,16 +94,10 @@
             bucket.take(units, now_ms)
             self._note(organisation, bucket)
             return AnswerQuota(number, True)
-        return AnswerQuota(number, False, self._wait_ms(organisation, bucket, units, now_ms))
-
-    def _wait_ms(self, organisation: str, bucket: TokenBucket, units: float, now_ms: int) -> int:
-        # Each that is refused is told a moment of its own. Told the same one, all would come back
-        # together, and most of them would be refused again.
-        free_ms = now_ms + bucket.until_ms(min(units, bucket.size), now_ms)
-        start_ms = max(free_ms, self._promised_ms.get(organisation, 0))
-        start_ms = min(start_ms, now_ms + MOST_WAIT_MS)
-        self._promised_ms[organisation] = start_ms + int(units * 1000 / bucket.per_s)
-        return start_ms - now_ms
+        free_ms = bucket.until_ms(min(units, bucket.size), now_ms)
+        step_ms = units * 1000 / bucket.per_s
+        wait_ms = self._return_times.wait_ms(organisation, free_ms, step_ms, now_ms)
+        return AnswerQuota(number, False, wait_ms)
 
     def _note(self, name: str, bucket: TokenBucket) -> None:
         if bucket.level(self._clock.now_ms()) < SHORT_PART * bucket.size:
@@ -131,7 +124,7 @@
             bucket = self._buckets[name]
             if bucket.level(now_ms) >= PLENTY_PART * bucket.size:
                 self._short.discard(name)
-                self._promised_ms.pop(name, None)
+                self._return_times.forget(name)
         short = frozenset(self._short)
         added, dropped = short - self._told, self._told - short
         self._told = short
--- a/chestnutfall/tests/test_fair_share.py
+++ b/chestnutfall/tests/test_fair_share.py
@@ -15,8 +15,8 @@
 
 from ..clock import ManualClock
 from ..placement import AdapterName, Grant, PlaceRequest, RunOutcome
-from ..placement.fair_share import FairShare
 from ..placement.placer import Placer
+from ..quota.fair_share import FairShare
 from ..routes import EngineSpec
 
 OFFICES, PER_S, HOT_TIMES = 8, 16, 15
--- a/chestnutfall/tests/test_forwarder.py
+++ b/chestnutfall/tests/test_forwarder.py
@@ -53,6 +53,7 @@
     ScriptedQuotaLine,
     ScriptedUpstreams,
 )
+from .fakes.limit_parts import known_limits
 
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 
@@ -117,7 +118,7 @@
             ),
             self.places,
             self.places,
-            Sender(self.upstreams, self.clock, metrics),
+            Sender(self.upstreams, known_limits(self.clock), self.clock, metrics),
             self.quarantine,
             self.clock,
             metrics,
--- a/chestnutfall/tests/test_organisations.py
+++ b/chestnutfall/tests/test_organisations.py
@@ -48,6 +48,7 @@
     ScriptedQuotaLine,
     ScriptedUpstreams,
 )
+from .fakes.limit_parts import known_limits
 
 PERMITS = {"name": "permits", "api_keys": ["key-of-permits"], "priority": 0}
 BOOKINGS: dict[str, Any] = {"name": "bookings", "api_keys": ["key-of-bookings", "second-key"]}
@@ -173,7 +174,7 @@
             Repeats(bounds, lambda: 1, self._borrow, self.clock, rng),
             self.places,
             self.places,
-            Sender(self.upstreams, self.clock, self.metrics),
+            Sender(self.upstreams, known_limits(self.clock), self.clock, self.metrics),
             RequestQuarantine(lambda report: None, self._refuses, self.clock),
             self.clock,
             self.metrics,
--- a/chestnutfall/tests/test_places.py
+++ b/chestnutfall/tests/test_places.py
@@ -26,6 +26,7 @@
 from ..placement.run_times import NO_TIMES
 from ..platform.document_json import DocumentJson
 from ..routes import Route, RouteKind, ServiceSpec, WeightedService
+from .fakes.limit_parts import ScriptedTurns, known_limits
 
 NAME = AdapterName("base", "a1")
 ROUTE = Route("r", "h", "/", RouteKind.STREAM, 4000, 500, 1, (WeightedService("s", 1),), 2)
@@ -68,7 +69,7 @@
         self.clock = ManualClock()
 
     def _places(self, fleet: _Fleet) -> EnginePlaces:
-        return EnginePlaces(fleet, self.clock, "g", "dc")
+        return EnginePlaces(fleet, known_limits(self.clock), self.clock, "g", "dc")
 
     async def test_without_a_leader_the_adapter_s_last_holders_are_used_in_turn(self) -> None:
         fleet = _Fleet(self.clock)
@@ -131,7 +132,12 @@
         self.clock = ManualClock()
         self.upstreams = [_upstream("1"), _upstream("2")]
         self.places = PlainPlaces(
-            lambda service: self.upstreams, self.clock, "dc", random.Random(1)
+            lambda service: self.upstreams,
+            known_limits(self.clock),
+            ScriptedTurns().ask,
+            self.clock,
+            "dc",
+            random.Random(1),
         )
 
     async def _take(self) -> Place:
--- a/properties/safeguards/quota_mutants.py
+++ b/properties/safeguards/quota_mutants.py
@@ -46,8 +46,8 @@
     ),
     Mutant(
         "all that are refused come back at one moment",
-        "chestnutfall/quota/quota_ledger.py",
-        "start_ms + int(units * 1000 / bucket.per_s)",
+        "chestnutfall/quota/return_times.py",
+        "start_ms + int(step_ms)",
         "start_ms",
         _QUOTAS,
     ),
