Tell callers that limited engines refuse when one is free, and compare three ways to keep a limit

The wait told grew with the pace of late calls, up to ten seconds for the tenth caller; it is the time of those kept in the queue now, each with a moment of its own. An answer that came within the millisecond of the one before counted as older than it.

--- /dev/null
+++ b/benchmarks/limits.py
@@ -0,0 +1,87 @@
+"""Three ways in which gateways can keep a limit that an upstream names, by load and number.
+
+The pattern: callers ask for eight times what the upstream takes, through all gateways evenly or
+through one in ten. Asked: the leader counts every send. Shares: each gateway has an equal part.
+Alone: each gateway keeps the limit by itself. Time is simulated.
+
+Columns: gateways, where callers come in, way; part of the limit that is used; most requests in 4 s,
+as a part of what may come.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+from collections import deque
+from collections.abc import Callable
+
+from chestnutfall.clock import ManualClock
+from chestnutfall.limits.lone_sends import LoneSends
+from chestnutfall.limits.upstream_limit import UpstreamLimit
+from chestnutfall.platform.standin.limit_history import OVER, SLACK, WINDOW_MS
+
+STEP_MS = 5
+LOAD = 8.0
+MaySend = Callable[[int], bool]
+
+
+def _asked(clock: ManualClock, per_s: float, gateways: int, rng: random.Random) -> MaySend:
+    limit = UpstreamLimit()
+    limit.take_word(per_s, 0, 0, 0)
+
+    def may_send(gateway: int) -> bool:
+        if limit.wait_ms(0, clock.now_ms()):
+            return False
+        limit.note_sent(clock.now_ms())
+        return True
+
+    return may_send
+
+
+def _shares(clock: ManualClock, per_s: float, gateways: int, rng: random.Random) -> MaySend:
+    shares = [LoneSends(lambda: gateways, clock, rng, 1.0) for _ in range(gateways)]
+    return lambda gateway: shares[gateway].take("i", per_s)
+
+
+def _alone(clock: ManualClock, per_s: float, gateways: int, rng: random.Random) -> MaySend:
+    own = [_asked(clock, per_s, gateways, rng) for _ in range(gateways)]
+    return lambda gateway: own[gateway](gateway)
+
+
+WAYS = {"asked": _asked, "shares": _shares, "alone": _alone}
+
+
+def play(way: str, gateways: int, callers_at: int, per_s: float, seconds: int) -> str:
+    """One line of the table."""
+    clock, rng = ManualClock(), random.Random(7)
+    may_send = WAYS[way](clock, per_s, gateways, rng)
+    window: deque[int] = deque()
+    sent = most = 0
+    for now_ms in range(0, seconds * 1000, STEP_MS):
+        clock._now_ms = now_ms
+        if rng.random() < LOAD * per_s * STEP_MS / 1000 and may_send(rng.randrange(callers_at)):
+            sent += 1
+            window.append(now_ms)
+        while window and window[0] <= now_ms - WINDOW_MS:
+            window.popleft()
+        most = max(most, len(window))
+    allowed = OVER * per_s * WINDOW_MS / 1000 + SLACK
+    where = "all" if callers_at == gateways else f"{callers_at}"
+    return f"{gateways:8d} {where:>5} {way:>7} {sent / per_s / seconds:6.3f} {most / allowed:6.3f}"
+
+
+def main() -> None:
+    """Print the table."""
+    cli = argparse.ArgumentParser(prog="limits", description=__doc__)
+    cli.add_argument("--per-s", type=float, default=7.0)
+    cli.add_argument("--seconds", type=int, default=60)
+    args = cli.parse_args()
+    print("gateways    at     way   used   most")
+    for gateways in (9, 91, 195, 410):
+        for callers_at in (gateways, max(gateways // 10, 1)):
+            for way in WAYS:
+                print(play(way, gateways, callers_at, args.per_s, args.seconds))
+
+
+if __name__ == "__main__":
+    main()
--- a/chestnutfall/limits/latest_word.py
+++ b/chestnutfall/limits/latest_word.py
@@ -27,7 +27,7 @@
 
     def take(self, per_s: float | None, asked_ms: float, heard_ms: float) -> bool:
         """Take in what an answer said; whether the limit changed by it."""
-        if self.asked_ms >= heard_ms:
+        if self.asked_ms > heard_ms:
             return False
         crossed = asked_ms < self.heard_ms
         if crossed and _or_none(per_s) > _or_none(self.per_s):
--- a/chestnutfall/placement/choice.py
+++ b/chestnutfall/placement/choice.py
@@ -169,6 +169,11 @@
             for engine in self._engines
         )
 
+    def next_send_ms(self) -> int:
+        """Time until one of the engines takes a request by its limit."""
+        waits_ms = (one.limit.wait_ms(0, self._now_ms) for one in self._engines)
+        return min(waits_ms, default=0)
+
     def changed(self, engine: Engine) -> None:
         """Look at an engine again that was just given something."""
         self._busy_ms[engine.instance] = self._busy_of(engine)
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -293,23 +293,24 @@
         """
         queue_ms = now.queue_ms(waiting)
         if queue_ms <= waiting.since_ms + waiting.req.wait_ms - now_ms:
+            now.kept += 1
             return
         if now.limit_step_ms is None:
             yield self._reject(waiting, "queue_too_long", int(queue_ms))
             return
-        yield self._reject_limited(waiting, queue_ms, now.limit_step_ms, now_ms)
+        yield self._reject_limited(waiting, now.limit_step_ms, now, now_ms)
 
     def _reject_late(self, waiting: Waiting, now: ServiceRound, now_ms: int) -> Reject:
         if now.limit_step_ms is None:
             return self._reject(waiting, "no_time_left")
-        return self._reject_limited(waiting, now.limit_step_ms, now.limit_step_ms, now_ms)
+        return self._reject_limited(waiting, now.limit_step_ms, now, now_ms)
 
     def _reject_limited(
-        self, waiting: Waiting, queue_ms: float, step_ms: float, now_ms: int
+        self, waiting: Waiting, step_ms: float, now: ServiceRound, now_ms: int
     ) -> Reject:
         """Refuse a request that all engines together don't take: not one of them is free sooner."""
-        service = waiting.req.service
-        retry_ms = self._return_times.wait_ms(service, queue_ms, step_ms, now_ms)
+        free_ms = now.choice.next_send_ms() + now.kept * step_ms
+        retry_ms = self._return_times.wait_ms(waiting.req.service, free_ms, step_ms, now_ms)
         return self._reject(waiting, "limited", retry_ms, MOST_WAIT_MS)
 
     def _reject(
--- a/chestnutfall/placement/service_round.py
+++ b/chestnutfall/placement/service_round.py
@@ -17,12 +17,15 @@
         The service's engines.
     limit_step_ms : float or None
         Time from one send to the next that they take, if each of them names a limit.
+    kept : int
+        Requests that stay in the queue, of those looked at so far.
     """
 
     def __init__(self, service: str, choice: Choice, pace: Pace, now_ms: int) -> None:
         self.choice = choice
         self._now_ms = now_ms
         self._full = False
+        self.kept = 0
         self._queue_ms = 0.0
         self._late = 0
         per_s = choice.limit_per_s
--- /dev/null
+++ b/chestnutfall/tests/test_limited_placement.py
@@ -0,0 +1,123 @@
+"""Placement on engines that name limits: who goes elsewhere, who waits, who is refused."""
+
+from __future__ import annotations
+
+import unittest
+
+from ..clock import ManualClock
+from ..limits.limit_book import LimitBook
+from ..limits.messages import HeardLimit
+from ..placement import (
+    AdapterName,
+    EngineReport,
+    Grant,
+    LoadAdapter,
+    PlaceRequest,
+    Reject,
+    RunOutcome,
+)
+from ..placement.placer import Placer
+from ..routes import EngineSpec, ModelSpec
+
+SPEC = EngineSpec(16, 1_000_000, (ModelSpec("base", 50),), 60, 4, 5)
+STEP_MS = 8
+
+
+class LimitedPlacementTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock(60_000)
+        self.book = LimitBook(self.clock)
+        self.placer = Placer(self.clock, self.book)
+        self.granted: dict[str, str] = {}
+        self.rejected: dict[str, Reject] = {}
+        self.loads: list[LoadAdapter] = []
+
+    def _engine(self, name: str, *adapters: str) -> None:
+        self.placer.engine_up(name, "s", "dc", SPEC)
+        held = {AdapterName("base", adapter): 1 for adapter in adapters}
+        self.placer.engine_reported(name, EngineReport({"base": 1}, held, {}, 0))
+
+    def _limit(self, name: str, per_s: float | None) -> None:
+        self.book.hear(HeardLimit(name, per_s, 0), counts_sends=True)
+        self.placer.limit_changed(name)
+
+    def _submit(self, ticket: str, adapter: str, wait_ms: int = 4_000) -> None:
+        name = AdapterName("base", adapter)
+        self.placer.submit(PlaceRequest(ticket, "s", name, 100, 10, (), 1, 500, wait_ms, "dc"))
+
+    def _pass_ms(self, ms: int) -> None:
+        for _ in range(ms // STEP_MS):
+            self.clock._now_ms += STEP_MS
+            for decision in self.placer.decide():
+                match decision:
+                    case Grant(ticket, instance):
+                        self.granted[ticket] = instance
+                        self.placer.release(ticket, RunOutcome.DONE)
+                    case Reject(ticket):
+                        self.rejected[ticket] = decision
+                    case LoadAdapter():
+                        self.loads.append(decision)
+                        self.placer.order_taken(decision)
+                    case _:
+                        pass
+
+    # Guards against calls that wait for a limited engine which others could replace in time.
+    def test_a_popular_adapter_of_a_limited_engine_is_loaded_elsewhere(self) -> None:
+        self._engine("e1", "a1")
+        self._engine("e2")
+        self._limit("e1", 1.0)
+        for at in range(60):
+            self._submit(f"t{at}", "a1")
+            self._pass_ms(48)
+        self._pass_ms(1_000)
+        self.assertEqual([one.instance for one in self.loads], ["e2"])
+        self.assertEqual(len(self.granted), 60)
+        self.assertLessEqual(list(self.granted.values()).count("e1"), 5)
+
+    # Guards against calls that were assigned to an engine before it named its limit.
+    def test_calls_that_wait_for_a_load_keep_a_limit_that_comes_meanwhile(self) -> None:
+        self._engine("e1")
+        self._engine("e2", "a1")
+        self._limit("e2", 1.0)
+        for at in range(12):
+            self._submit(f"t{at}", "a2")
+        self._pass_ms(STEP_MS)
+        loading = self.loads[0].instance
+        self._limit(loading, 2.0)
+        self._pass_ms(1_000)
+        self.assertLessEqual(list(self.granted.values()).count(loading), 3)
+
+    # Guards against waits in vain: what was granted before a limit says nothing of the time after.
+    def test_when_all_are_limited_hopeless_calls_are_refused_at_once(self) -> None:
+        self._engine("e1", "a1")
+        for at in range(200):
+            self._submit(f"before{at}", "a1")
+            self._pass_ms(STEP_MS)
+        self.assertEqual(len(self.granted), 200)
+        self._limit("e1", 2.0)
+        for at in range(40):
+            self._submit(f"after{at}", "a1", wait_ms=2_000)
+        self._pass_ms(STEP_MS)
+        self.assertGreaterEqual(len(self.rejected), 35)
+        self.assertEqual({one.reason for one in self.rejected.values()}, {"limited"})
+
+    # Guards against refused callers who all come back at one moment, or before there is room.
+    def test_each_refused_call_is_told_a_moment_of_its_own(self) -> None:
+        self._engine("e1", "a1")
+        self._limit("e1", 5.0)
+        for at in range(40):
+            self._submit(f"t{at}", "a1", wait_ms=1_000)
+        self._pass_ms(STEP_MS)
+        waits_ms = sorted(one.retry_after_ms for one in self.rejected.values())
+        self.assertEqual(len(set(waits_ms)), len(waits_ms))
+        self.assertGreaterEqual(waits_ms[0], 200)
+        self.assertLessEqual(waits_ms[-1], 10_000)
+
+    def test_a_limit_above_the_work_changes_nothing(self) -> None:
+        self._engine("e1", "a1")
+        self._limit("e1", 500.0)
+        for at in range(100):
+            self._submit(f"t{at}", "a1")
+            self._pass_ms(STEP_MS)
+        self._pass_ms(STEP_MS)
+        self.assertEqual(len(self.granted), 100)
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -6,6 +6,7 @@
 from .consensus_mutants import CONSENSUS_MUTANTS
 from .control_mutants import CONTROL_MUTANTS
 from .fleet_mutants import FLEET_MUTANTS
+from .limit_mutants import LIMIT_MUTANTS
 from .placement_mutants import PLACEMENT_MUTANTS
 from .quarantine_mutants import QUARANTINE_MUTANTS
 from .quota_mutants import QUOTA_MUTANTS
@@ -18,6 +19,7 @@
     *FLEET_MUTANTS,
     *QUARANTINE_MUTANTS,
     *QUOTA_MUTANTS,
+    *LIMIT_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
--- /dev/null
+++ b/properties/safeguards/limit_mutants.py
@@ -0,0 +1,138 @@
+"""Safeguards of the limits that upstreams name."""
+
+from __future__ import annotations
+
+from ..mutant import Mutant
+
+_PARTS = "chestnutfall.tests.test_limit_parts"
+_TOGETHER = "chestnutfall.tests.test_limits_together.LimitsTogetherTest"
+_COMPLETIONS = "chestnutfall.tests.test_limited_completions"
+
+LIMIT_MUTANTS = (
+    Mutant(
+        "the answer that came last holds",
+        "chestnutfall/limits/latest_word.py",
+        "        crossed = asked_ms < self.heard_ms",
+        "        crossed = False",
+        _PARTS,
+    ),
+    Mutant(
+        "what was heard long ago is taken for new",
+        "chestnutfall/limits/latest_word.py",
+        "        if self.asked_ms > heard_ms:",
+        "        if False:",
+        _PARTS,
+    ),
+    Mutant(
+        "a new limit begins with a full burst",
+        "chestnutfall/limits/upstream_limit.py",
+        "TokenBucket(per_s, size, level, now_ms)",
+        "TokenBucket(per_s, size, size, now_ms)",
+        _PARTS,
+    ),
+    Mutant(
+        "a lower limit begins with what the higher one left",
+        "chestnutfall/limits/upstream_limit.py",
+        "        if falls:",
+        "        if False:",
+        f"{_TOGETHER}.test_limits_that_fall_to_a_third_and_rise_again",
+    ),
+    Mutant(
+        "an upstream that takes nothing is never asked again",
+        "chestnutfall/limits/upstream_limit.py",
+        "LEAST_PER_S = 0.2",
+        "LEAST_PER_S = 1e-9",
+        f"{_TOGETHER}.test_an_upstream_that_took_nothing_is_found_when_it_takes_work_again",
+    ),
+    Mutant(
+        "engines are granted without regard to their limit",
+        "chestnutfall/placement/placer.py",
+        "        if engine.limit.wait_ms(0, now_ms):\n            return\n",
+        "",
+        "chestnutfall.tests.test_limited_placement",
+    ),
+    Mutant(
+        "calls are kept for engines that take none soon",
+        "chestnutfall/placement/choice.py",
+        "usable and engine.has_room(req) and not engine.send_wait_ms(self._now_ms)",
+        "usable and engine.has_room(req)",
+        f"{_TOGETHER}.test_any_number_of_gateways_keeps_a_limit_and_uses_it",
+    ),
+    Mutant(
+        "a new leader is not told of limits",
+        "chestnutfall/limits/known_limits.py",
+        "        return tuple(_as_heard(name, word, now_ms) for name, word in self._words.items())",
+        "        return ()",
+        f"{_TOGETHER}.test_leaders_that_change_just_after_a_limit_was_named_and_again",
+    ),
+    Mutant(
+        "gateways without a leader send as they like",
+        "chestnutfall/limits/known_limits.py",
+        "        return per_s is None or self._lone.take(instance, per_s)",
+        "        return True",
+        f"{_TOGETHER}.test_gateways_without_a_leader_keep_a_limit_together",
+    ),
+    Mutant(
+        "each gateway without a leader has the whole limit",
+        "chestnutfall/limits/lone_sends.py",
+        "self._part * max(per_s, LEAST_PER_S) / max(self._gateways(), 1)",
+        "max(per_s, LEAST_PER_S)",
+        f"{_TOGETHER}.test_gateways_that_are_cut_off_keep_a_limit_with_the_others",
+    ),
+    Mutant(
+        "a gateway that missed the end of a limit is not told",
+        "chestnutfall/coordination/limit_desk.py",
+        "        if holds_per_s is None and heard.per_s is not None:",
+        "        if False:",
+        "chestnutfall.tests.test_limit_desk",
+    ),
+    Mutant(
+        "limits are not told to other gateways",
+        "chestnutfall/coordination/limit_desk.py",
+        "            self._sessions.tell_all(LimitsInForce(tuple(changed), tuple(ended)))",
+        "            pass",
+        "chestnutfall.tests.test_limit_desk",
+    ),
+    Mutant(
+        "plain upstreams are chosen without a turn",
+        "chestnutfall/forwarding/plain_places.py",
+        "        if self._limits.per_s(chosen.instance) is not None:",
+        "        if False:",
+        f"{_TOGETHER}.test_any_number_of_gateways_keeps_a_limit_and_uses_it",
+    ),
+    Mutant(
+        "turns go by arrival, whosever calls they are",
+        "chestnutfall/limits/plain_turns.py",
+        "        return self.asked.rank, self.tag, self.since_ms",
+        "        return self.asked.rank, 0.0, self.since_ms",
+        f"{_TOGETHER}.test_organisations_share_what_limited_upstreams_allow",
+    ),
+    Mutant(
+        "what was granted lately tells how fast limited engines go on",
+        "chestnutfall/placement/service_round.py",
+        "            self._step_ms = max(self._step_ms, self.limit_step_ms)",
+        "            pass",
+        "chestnutfall.tests.test_limited_placement",
+    ),
+    Mutant(
+        "owners give tickets without regard to the limit",
+        "chestnutfall/ownership/engine_owner.py",
+        "        if self._sends.wait_ms(0):\n            return\n",
+        "",
+        _COMPLETIONS,
+    ),
+    Mutant(
+        "the next owner is not told of the limit",
+        "chestnutfall/ownership/engine_owner.py",
+        "        if req.limit is not None:",
+        "        if False:",
+        _COMPLETIONS,
+    ),
+    Mutant(
+        "plain services are called by turns whatever they take",
+        "chestnutfall/plain_edge/plain_proxy.py",
+        "            if self._limits.may_send_alone(up.instance):",
+        "            if True:",
+        "chestnutfall.tests.test_plain_proxy",
+    ),
+)
