Count the end of an upstream that is back before its port was asked

On the product's own interface only a closed port proved an end, and a process that is started again at once has it open before a busy gateway asks. Another incarnation at the address proves it now, as on the platform; tests fail without it.

--- a/chestnutfall/membership/upstream_registry.py
+++ b/chestnutfall/membership/upstream_registry.py
@@ -13,10 +13,17 @@
 
 
 class UpstreamRegistry:
-    """Upstreams by name; silent ones drop out of `serving` when their TTL is over."""
+    """Upstreams by name; silent ones drop out of `serving` when their TTL is over.
+
+    Attributes
+    ----------
+    on_replaced : callable
+        Told the address and the new instance when an upstream is another process than before.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self.is_drained: Callable[[str], bool] = lambda name: False
+        self.on_replaced: Callable[[str, str], None] = lambda address, instance: None
         self._clock = clock
         self._upstreams: dict[str, Upstream] = {}
 
@@ -37,7 +44,10 @@
             self._forget(now_ms)
             if len(self._upstreams) >= MAX_UPSTREAMS:
                 return f"more than {MAX_UPSTREAMS} upstreams"
-        self._upstreams[announcement.name] = Upstream(announcement, now_ms)
+        upstream = Upstream(announcement, now_ms)
+        self._upstreams[announcement.name] = upstream
+        if known is not None and known.instance != upstream.instance:
+            self.on_replaced(known.address, upstream.instance)
         return None
 
     def _forget(self, now_ms: int) -> None:
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -91,6 +91,7 @@
         reports = ReportLine(self._client)
         quarantine = RequestQuarantine(reports.tell, refuses_connections, self._clock)
         self._agent.on_suspects = quarantine.take
+        self._registry.on_replaced = quarantine.replaced
         limits = KnownLimits(self._hear_limit, self._gateways, self._clock, random.Random(), WHOLE)
         self._plain = PlainProxy(
             self._agent,
--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from ..clock import Clock
 from ..control.crash_messages import (
@@ -17,6 +19,25 @@
 
 log = logging.getLogger(__name__)
 REASON = "ended_its_upstreams"
+REMEMBERED_MS = 5_000
+"""A process is started again within this time; later the end may have had another reason."""
+MOST_REMEMBERED = 1_024
+"""Answers that break off within that time; what one upstream runs, several times over."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Broken:
+    """An answer that broke off."""
+
+    fingerprint: str
+    instance: str
+    address: str
+    began_ms: int
+    broke_ms: int
+
+    def is_other(self, address: str, instance: str) -> bool:
+        """Whether it is of another instance at the same address."""
+        return self.address == address and self.instance != instance
 
 
 class RequestQuarantine:
@@ -48,6 +69,8 @@
         self._retry_ms: dict[str, int] = {}
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._reports: set[asyncio.Task[None]] = set()
+        self._asking: set[_Broken] = set()
+        self._still_open: deque[_Broken] = deque(maxlen=MOST_REMEMBERED)
 
     def take(self, suspects: SuspectRequests) -> None:
         """Take the controllers' word."""
@@ -79,7 +102,8 @@
 
     def broke(self, fingerprint: str, instance: str, address: str, began_ms: int) -> None:
         """Note that an answer broke off; whether the upstream ended is found out beside."""
-        task = asyncio.ensure_future(self._report(fingerprint, instance, address, began_ms))
+        broken = _Broken(fingerprint, instance, address, began_ms, self._clock.now_ms())
+        task = asyncio.ensure_future(self._report(broken))
         self._reports.add(task)
         task.add_done_callback(self._reports.discard)
 
@@ -89,12 +113,42 @@
             self._to_tell.discard(fingerprint)
             self._tell(AnsweredRun(fingerprint))
 
-    async def _report(self, fingerprint: str, instance: str, address: str, began_ms: int) -> None:
-        broke_ms = self._clock.now_ms()
-        refuses = await self._has_ended(address)
+    def replaced(self, address: str, instance: str) -> None:
+        """Take that `instance` listens at `address` now, so that another one has ended.
+
+        A process that is started again at once has its port open before a busy gateway asks.
+        """
+        self._asking -= {one for one in self._asking if one.is_other(address, instance)}
+        oldest_ms = self._clock.now_ms() - REMEMBERED_MS
+        remembered = [one for one in self._still_open if one.broke_ms >= oldest_ms]
+        self._still_open.clear()
+        for one in remembered:
+            if one.is_other(address, instance):
+                self._tell_ended(one, ended=True)
+            else:
+                self._still_open.append(one)
+
+    async def _report(self, broken: _Broken) -> None:
+        self._asking.add(broken)
+        refuses = await self._has_ended(broken.address)
+        ended = refuses or broken not in self._asking
+        self._asking.discard(broken)
+        if not ended:
+            self._still_open.append(broken)
+        self._tell_ended(broken, ended)
+
+    def _tell_ended(self, broken: _Broken, ended: bool) -> None:
         now_ms = self._clock.now_ms()
+        began_ago_ms, broke_ago_ms = now_ms - broken.began_ms, now_ms - broken.broke_ms
         self._tell(
-            BrokenRun(fingerprint, instance, address, refuses, now_ms - began_ms, now_ms - broke_ms)
+            BrokenRun(
+                broken.fingerprint,
+                broken.instance,
+                broken.address,
+                ended,
+                began_ago_ms,
+                broke_ago_ms,
+            )
         )
 
     async def _has_ended(self, address: str) -> bool:
--- a/chestnutfall/tests/fakes/fake_office.py
+++ b/chestnutfall/tests/fakes/fake_office.py
@@ -62,6 +62,7 @@
             reports.tell, office.engines.refuses_connections, self.clock
         )
         self.agent.on_suspects = self.quarantine.take
+        self.registry.on_replaced = self.quarantine.replaced
         self.limits = KnownLimits(
             lambda heard: self.links.hear_limit(heard.instance.partition("/")[0], heard),
             lambda: len(self.agent.gateways),
--- a/chestnutfall/tests/test_request_quarantine.py
+++ b/chestnutfall/tests/test_request_quarantine.py
@@ -19,6 +19,7 @@
     SuspectRequests,
 )
 from ..quarantine import RequestQuarantine, refuses_connections
+from ..quarantine.request_quarantine import REMEMBERED_MS
 from ..requests import Executed, Refusal, fingerprint_of
 
 
@@ -44,6 +45,32 @@
         self.assertIn(BrokenRun("r0", "i1", "127.0.0.1:1", True, 80, 10), self.reports)
         self.assertIn(BrokenRun("r40", "i2", "127.0.0.1:2", False, 80, 10), self.reports)
 
+    # Guards against an end that nobody counts: the process was back before its port was asked.
+    async def test_an_upstream_that_is_back_under_another_life_has_ended(self) -> None:
+        self.quarantine.broke("r", "i/first", "127.0.0.1:2", -70)
+        await self.clock.advance(10)
+        self.assertEqual(self.reports, [BrokenRun("r", "i/first", "127.0.0.1:2", False, 80, 10)])
+        await self.clock.advance(500)
+        self.quarantine.replaced("127.0.0.1:2", "i/second")
+        self.assertEqual(
+            self.reports[1:], [BrokenRun("r", "i/first", "127.0.0.1:2", True, 580, 510)]
+        )
+        self.quarantine.replaced("127.0.0.1:2", "i/third")
+        self.assertEqual(len(self.reports), 2)
+
+    async def test_an_upstream_that_is_back_while_its_port_is_asked_has_ended(self) -> None:
+        self.quarantine.broke("r", "i/first", "127.0.0.1:2", -70)
+        await self.clock.settle()
+        self.quarantine.replaced("127.0.0.1:2", "i/second")
+        await self.clock.advance(10)
+        self.assertEqual(self.reports, [BrokenRun("r", "i/first", "127.0.0.1:2", True, 80, 10)])
+
+    async def test_a_life_that_begins_long_after_a_broken_answer_proves_nothing(self) -> None:
+        self.quarantine.broke("r", "i/first", "127.0.0.1:2", 0)
+        await self.clock.advance(REMEMBERED_MS + 20)
+        self.quarantine.replaced("127.0.0.1:2", "i/second")
+        self.assertEqual(len(self.reports), 1)
+
     async def test_the_port_is_asked_again_for_a_later_break(self) -> None:
         for _ in range(2):
             self.quarantine.broke("r", "i1", "127.0.0.1:1", 0)
