Wait for an answer through each gateway before an office of processes counts as started

Only the first was waited for, and a gateway that is ready refuses at once while it has not heard of an engine. The test's own assertion stays.

--- a/chestnutfall/limits/known_limits.py
+++ b/chestnutfall/limits/known_limits.py
@@ -70,9 +70,9 @@
                 log.warning(
                     "limit: instance=%s unreadable %r, a number is expected", instance, text
                 )
-                self._unreadable = {**self._unreadable, instance: text}
+                self._unreadable[instance] = text
                 if len(self._unreadable) > MOST_LIMITS:
-                    self._unreadable = {}
+                    self._unreadable.pop(next(iter(self._unreadable)))
             case _:
                 pass
 
--- a/chestnutfall/tests/process_office.py
+++ b/chestnutfall/tests/process_office.py
@@ -94,7 +94,9 @@
         self._start_upstream("plain", "plain-0", "permisos", self.plain)
         for number in range(len(self.gateways)):
             wait_until(f"gateway {number} ready", lambda n=number: self.is_ready(n))  # type: ignore[misc]
-        wait_until("an answer", lambda: self.post(0, "tejas@1")[0] == 200)
+        # A gateway that is ready may not have heard of the engine yet.
+        for number in range(len(self.gateways)):
+            wait_until("an answer", lambda n=number: self.post(n, "tejas@1")[0] == 200)  # type: ignore[misc]
 
     def _start(self, program: str, name: str, settings: dict[str, Any], *options: str) -> None:
         path = self.folder / f"{name}.json"
