--- a/chestnutfall/tests/fault_matrix.py
+++ b/chestnutfall/tests/fault_matrix.py
@@ -32,6 +32,7 @@
     "short answer",
     "stale owner",
     "fatal request",
+    "named limit",
 )
 
 _REQ = "test_request_faults.RequestFaultTest."
@@ -40,6 +41,7 @@
 _CFG = "test_configuration_in_force.ConfigurationInForceTest."
 _PROC = "test_processes."
 _LINK = "test_peer_link.PeerLinkTest."
+_LIMIT = "test_limited_completions.LimitedCompletionTest."
 _FATAL = "test_fatal_completions.FatalCompletionTest.test_no_gateway_sends_what_ended_three_engines"
 
 _NO_UPSTREAM = "no engine is involved yet"
@@ -66,6 +68,7 @@
         "short answer": _NO_ANSWER,
         "stale owner": _NO_OWNER,
         "fatal request": _NOT_RUN,
+        "named limit": _NO_UPSTREAM,
     },
     "authenticate": {
         "crash": "the caller's connection breaks; nothing was run for it",
@@ -81,6 +84,7 @@
         "short answer": _NO_ANSWER,
         "stale owner": _CFG + "test_older_revision_is_never_applied",
         "fatal request": _NOT_RUN,
+        "named limit": _NO_UPSTREAM,
     },
     "claim": {
         "crash": _ONCE + "test_repeat_after_the_gateway_died_is_told_that_nothing_is_known",
@@ -99,6 +103,7 @@
         "stale owner": "test_replica.ReplicaTest."
         "test_isolated_leader_stops_deciding_before_a_successor_can",
         "fatal request": _NOT_RUN,
+        "named limit": _NO_UPSTREAM,
     },
     "ticket": {
         "crash": _OWN + "test_tickets_of_a_dead_gateway_are_freed_when_nothing_of_it_runs",
@@ -114,6 +119,8 @@
         "short answer": _NO_ANSWER,
         "stale owner": _OWN + "test_owner_that_was_frozen_sends_no_order_when_it_wakes",
         "fatal request": _NOT_RUN,
+        "named limit": _LIMIT
+        + "test_where_all_are_limited_they_are_used_and_the_rest_is_told_at_once",
     },
     "load": {
         "crash": _OWN + "test_new_owner_does_not_evict_what_an_old_ticket_uses",
@@ -129,6 +136,7 @@
         "short answer": _NO_ANSWER,
         "stale owner": _OWN + "test_engine_that_checks_refuses_an_old_epoch",
         "fatal request": _NOT_RUN,
+        "named limit": "orders are no requests; who waits for the load gets a ticket by the limit",
     },
     "dispatch": {
         "crash": _ONCE + "test_repeat_after_the_gateway_died_is_told_that_nothing_is_known",
@@ -144,6 +152,7 @@
         "short answer": _NO_ANSWER,
         "stale owner": _REQ + "test_gateway_without_a_session_dispatches_nothing",
         "fatal request": _FATAL,
+        "named limit": _LIMIT + "test_one_of_two_engines_gets_what_it_says_it_takes",
     },
     "first byte": {
         "crash": _ONCE + "test_repeat_after_the_gateway_died_is_told_that_nothing_is_known",
@@ -159,6 +168,7 @@
         "short answer": _REQ + "test_broken_streams_are_resumed_without_a_second_run",
         "stale owner": _OWN + "test_new_owner_does_not_evict_what_an_old_ticket_uses",
         "fatal request": _FATAL,
+        "named limit": _LIMIT + "test_a_limit_that_ended_holds_nobody_back",
     },
     "mid-stream": {
         "crash": _ONCE + "test_repeat_after_the_gateway_died_is_told_that_nothing_is_known",
@@ -174,6 +184,7 @@
         "short answer": _REQ + "test_broken_streams_are_resumed_without_a_second_run",
         "stale owner": _OWN + "test_new_owner_does_not_evict_what_an_old_ticket_uses",
         "fatal request": _FATAL,
+        "named limit": _LIMIT + "test_a_resumed_run_counts_as_a_request",
     },
     "last byte": {
         "crash": _ONCE + "test_repeat_after_the_gateway_died_is_told_that_nothing_is_known",
@@ -189,6 +200,7 @@
         "short answer": _REQ + "test_broken_streams_are_resumed_without_a_second_run",
         "stale owner": _OWN + "test_new_owner_does_not_evict_what_an_old_ticket_uses",
         "fatal request": _FATAL,
+        "named limit": "the first byte named it already",
     },
     "release": {
         "crash": _OWN + "test_tickets_of_a_dead_gateway_are_freed_when_nothing_of_it_runs",
@@ -205,6 +217,7 @@
         "short answer": "the answer is over",
         "stale owner": _OWN + "test_new_owner_does_not_evict_what_an_old_ticket_uses",
         "fatal request": "the answer is over",
+        "named limit": "the answer is over",
     },
     "hand-over": {
         "crash": _OWN + "test_new_owner_does_not_evict_what_an_old_ticket_uses",
@@ -220,6 +233,7 @@
         "short answer": _PROC + "DrainTest.test_graceful_stop_cuts_off_no_stream",
         "stale owner": _OWN + "test_owner_that_leaves_hands_over_at_once",
         "fatal request": "an engine that ended gets an owner like any that restarts empty",
+        "named limit": _LIMIT + "test_the_next_owner_knows_the_limit",
     },
 }
 
--- a/chestnutfall/tests/test_limited_completions.py
+++ b/chestnutfall/tests/test_limited_completions.py
@@ -89,6 +89,15 @@
         late = sum(at_ms > named_ms + 14_000 for at_ms in self.office.engine().arrivals)
         self.assertGreater(late, 0)
 
+    # Guards against resumed runs that come on top of a limit.
+    async def test_a_resumed_run_counts_as_a_request(self) -> None:
+        await self.office.start(gateways=2, engines=1)
+        await self._load(1_000)
+        self.office.engine().faults["mid_reset"] = 1_000
+        self._name(0)
+        await self._load(9_000)
+        self._check(0)
+
     # Guards against a limit that stays after the engine stopped naming it.
     async def test_a_limit_that_ended_holds_nobody_back(self) -> None:
         await self.office.start(gateways=2, engines=1)
--- a/properties/safeguards/limit_mutants.py
+++ b/properties/safeguards/limit_mutants.py
@@ -128,6 +128,13 @@
         "        if False:",
         _COMPLETIONS,
     ),
+    Mutant(
+        "runs that are resumed come on top of the limit",
+        "chestnutfall/routing/dispatcher.py",
+        "                    self._links.note_resume(engine.name)\n",
+        "",
+        _COMPLETIONS,
+    ),
     Mutant(
         "plain services are called by turns whatever they take",
         "chestnutfall/plain_edge/plain_proxy.py",
