--- a/chestnutfall/ownership/engine_owner.py
+++ b/chestnutfall/ownership/engine_owner.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from ..clock import Clock
 from ..config.typed_config import TypedConfig
@@ -25,6 +25,7 @@
     TicketRequest,
 )
 from .slot import Slot
+from .ticket_queue import FULL, FULL_RETRY_MS, TicketQueue
 from .waiting import Waiting
 
 log = logging.getLogger(__name__)
@@ -63,7 +64,7 @@
         self._slots: dict[str, Slot] = {}
         self._slot_count = 0
         self._incarnation = ""
-        self._queue: list[Waiting] = []
+        self._queue = TicketQueue()
         self._failures = LoadFailures()
         self._loads: dict[str, asyncio.Task[None]] = {}
         self._no_loads_before_ms = 0
@@ -79,9 +80,8 @@
                 self._pump()
                 await self._until_refresh_is_due()
         finally:
-            for waiting in self._queue:
-                waiting.refuse("owner_changed", 0)
-            self._queue.clear()
+            self._queue.refuse_all("owner_changed", 0)
+            self._queue.drop_answered()
 
     async def _until_refresh_is_due(self) -> None:
         """Wait, shorter when the engine was not reached or announces a new incarnation."""
@@ -113,18 +113,18 @@
         limits = self._config().limits
         if req.limit is not None:
             self.hear(req.limit)
-        ahead = sum(one.req.rank <= req.rank for one in self._queue)
+        ahead = self._queue.before(req.rank)
         refusal = self._sends.refusal(req, ahead, is_full=False)
         if refusal is not None:
             return refusal
-        if len(self._queue) >= limits.queue_per_engine and not self._shed_for(req):
-            full = TicketRefusal(req.attempt_id, "queue_full", RETRY_MS)
+        if len(self._queue) >= limits.queue_per_engine and not self._queue.shed_for(req):
+            full = TicketRefusal(req.attempt_id, FULL, FULL_RETRY_MS)
             return self._sends.refusal(req, ahead, is_full=True) or full
         fut: asyncio.Future[TicketGrant | TicketRefusal] = (
             asyncio.get_running_loop().create_future()
         )
         waiting = Waiting(req, session, self._clock.now_ms(), fut)
-        self._queue.append(waiting)
+        self._queue.add(waiting)
         self._pump()
         try:
             return await fut
@@ -133,14 +133,11 @@
             self.end(TicketEnd(req.attempt_id))
             raise
         finally:
-            if waiting in self._queue:
-                self._queue.remove(waiting)
+            self._queue.remove(waiting)
 
     def end(self, msg: TicketEnd) -> None:
         """Unpin what the ticket pinned, or drop its request from the queue."""
-        for waiting in self._queue:
-            if waiting.req.attempt_id == msg.attempt_id:
-                waiting.refuse("withdrawn", 0)
+        self._queue.withdraw(msg.attempt_id)
         for slot in self._slots.values():
             slot.pins.pop(msg.attempt_id, None)
         self._pump()
@@ -163,39 +160,22 @@
     def _running(self) -> int:
         return sum(len(slot.pins) for slot in self._slots.values())
 
-    def _shed_for(self, req: TicketRequest) -> bool:
-        """Refuse the last of the least urgent requests, if it is less urgent than `req`."""
-        last = max(self._queue, key=lambda one: (one.req.rank, one.since_ms))
-        if last.req.rank <= req.rank:
-            return False
-        last.refuse("queue_full", RETRY_MS)
-        self._queue.remove(last)
-        return True
-
     # Decisions
 
     def _pump(self) -> None:
         """Grant, refuse or start a load for whatever waits."""
         now_ms = self._clock.now_ms()
         self._on_view()
-        self._queue = [waiting for waiting in self._queue if not waiting.fut.done()]
+        self._queue.drop_answered()
         if self._may_act() is None:
-            self._refuse_all("owner_changed", 0)
+            self._queue.refuse_all("owner_changed", 0)
             return
         if not self._registry.takes_work(self.engine):
-            self._refuse_all("engine_leaving", 0)
+            self._queue.refuse_all("engine_leaving", 0)
             return
-        for waiting in self._by_urgency(now_ms):
+        for waiting in self._queue.by_urgency(now_ms, self._config().policy.aging_ms):
             self._decide(waiting, now_ms)
 
-    def _refuse_all(self, code: str, retry_after_ms: int) -> None:
-        for waiting in self._queue:
-            waiting.refuse(code, retry_after_ms)
-
-    def _by_urgency(self, now_ms: int) -> Iterator[Waiting]:
-        aging_ms = self._config().policy.aging_ms
-        yield from sorted(self._queue, key=lambda waiting: waiting.rank(now_ms, aging_ms))
-
     def _decide(self, waiting: Waiting, now_ms: int) -> None:
         adapter = waiting.req.adapter
         if waiting.is_late(now_ms):
@@ -267,7 +247,7 @@
         outcome = LoadOutcome.NOT_STARTED
         try:
             outcome = await self._loader.load(
-                adapter, victim, lambda: self._is_wanted(adapter), self._forget
+                adapter, victim, lambda: self._queue.wants(adapter), self._forget
             )
         finally:
             self._take_outcome(adapter, outcome)
@@ -275,9 +255,6 @@
                 victim.leaving = victim.closing = False
         self._pump()
 
-    def _is_wanted(self, adapter: str) -> bool:
-        return any(waiting.req.adapter == adapter for waiting in self._queue)
-
     def _forget(self, slot: Slot) -> None:
         self._changed_ms = self._clock.now_ms()
         self._slots.pop(slot.adapter, None)
