Draw among engines whose reports are known

A new leader before thousands of engines has few of their reports in its first seconds, and an engine without one takes no load; of 64 drawn by chance among 1,000 none may be of use, as the test shows with 5 reports. Small sites look at all engines as before.

--- a/chestnutfall/placement/weighed_engines.py
+++ b/chestnutfall/placement/weighed_engines.py
@@ -21,6 +21,8 @@
 
     What matters are engines that have an adapter which waits for a place. The others are drawn anew
     in each round, so that a request which found no place in one is tried elsewhere in the next.
+    They are drawn among those whose reports are known: a new leader before thousands of engines has
+    few reports in its first seconds, and an engine without one takes no load.
     """
 
     def __init__(self, index: HolderIndex) -> None:
@@ -31,7 +33,11 @@
         """Choose among `engines`, all of one service, for the adapters that are wanted."""
         if len(engines) <= MOST_WEIGHED:
             return engines
-        chosen = {one.instance: one for one in self._rng.sample(engines, DRAWN)}
+        known = [one for one in engines if one.synced]
+        drawn_from = known if len(known) >= DRAWN else engines
+        chosen = {one.instance: one for one in self._rng.sample(drawn_from, DRAWN)}
+        if drawn_from is engines:
+            chosen.update((one.instance, one) for one in known)
         service = engines[0].service
         for name in wanted:
             if name.adapter:
--- a/chestnutfall/tests/test_weighed_engines.py
+++ b/chestnutfall/tests/test_weighed_engines.py
@@ -43,6 +43,20 @@
             granted = [one.instance for one in decisions if isinstance(one, Grant)]
             self.assertEqual(granted, [f"e{at}"])
 
+    # Guards against a new leader that looks only at engines which it knows nothing of yet.
+    def test_a_new_leader_uses_the_engines_whose_reports_it_has(self) -> None:
+        for reports in (5, 60, 200):
+            with self.subTest(reports):
+                placer = Placer(self.clock)
+                for at in range(ENGINES):
+                    placer.engine_up(f"e{at}", "s", "dc", SPEC)
+                for at in range(reports):
+                    report = EngineReport({"base": 1}, {}, {}, 0)
+                    placer.engine_reported(f"e{at * 5}", report)
+                placer.submit(_request("t", "rare"))
+                loads = [one for one in placer.decide() if isinstance(one, LoadAdapter)]
+                self.assertEqual(len(loads), 1)
+
     def test_a_load_that_has_just_begun_is_not_begun_again(self) -> None:
         for ticket in ("t1", "t2", "t3"):
             self.placer.submit(_request(ticket, "wanted"))
