Forget moments of a sliding window also while nobody counts them

Found on reading the change again: a leader notes each send to each engine, and counts them only when the engine names a limit. What is counted is the same.

--- a/chestnutfall/tests/test_limit_parts.py
+++ b/chestnutfall/tests/test_limit_parts.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ..clock import ManualClock
+from ..clock import ManualClock, SlidingWindow
 from ..limits import Named, Unnamed, Unreadable, read_limit
 from ..limits.latest_word import LatestWord
 from ..limits.limit_book import MOST_ABSENT, LimitBook
@@ -106,6 +106,14 @@
         self.assertEqual(limit.named_per_s, 0.0)
         self.assertLessEqual(limit.wait_ms(0, 0), 2_000 / LEAST_PER_S)
 
+    # Guards against a leader whose memory grows with every send to upstreams that name no limit.
+    def test_sends_of_long_ago_are_forgotten_also_while_there_is_no_limit(self) -> None:
+        window = SlidingWindow(RECENT_MS)
+        for now_ms in range(0, 100_000, 10):
+            window.note(now_ms)
+        self.assertLessEqual(len(window), RECENT_MS // 10 + 1)
+        self.assertEqual(window.count(99_990), RECENT_MS // 10)
+
     def test_without_a_limit_nobody_waits(self) -> None:
         limit = UpstreamLimit()
         self.assertEqual(limit.wait_ms(1_000, 0), 0)
--- a/properties/safeguards/limit_mutants.py
+++ b/properties/safeguards/limit_mutants.py
@@ -135,6 +135,13 @@
         "",
         _COMPLETIONS,
     ),
+    Mutant(
+        "moments are forgotten only when they are counted",
+        "chestnutfall/clock/sliding_window.py",
+        "        self._forget_old(now_ms)\n        self._moments_ms.append(now_ms)",
+        "        self._moments_ms.append(now_ms)",
+        _PARTS,
+    ),
     Mutant(
         "plain services are called by turns whatever they take",
         "chestnutfall/plain_edge/plain_proxy.py",
