Say once how old words become moments, how windows are counted, and when nobody is free

Ages of a heard limit were worked out in the leader's book and in the owner's, a window's count stood in the stand-ins' book twice, two waits stood in three modules, and the queue of turns was worked out anew for each caller after nothing was free.

--- a/chestnutfall/forwarding/engine_places.py
+++ b/chestnutfall/forwarding/engine_places.py
@@ -19,7 +19,7 @@
 log = logging.getLogger(__name__)
 LEADERLESS_WAIT_MS = 1_500
 """An election takes about a second; a request waits this long for it if it has the time."""
-RETRY_MS = 800
+NO_LEADER_RETRY_MS = 800
 """A leader is elected within this time."""
 
 
@@ -58,7 +58,7 @@
                     return place
                 wait_ms = give_up_ms - self._clock.now_ms()
                 if wait_ms <= 0 or not await self._fleet.until_connected(wait_ms):
-                    raise NoPlace("no_leader", RETRY_MS) from None
+                    raise NoPlace("no_leader", NO_LEADER_RETRY_MS) from None
                 continue
             if isinstance(answer, Reject):
                 raise NoPlace(answer.reason, answer.retry_after_ms)
--- a/chestnutfall/forwarding/limited_turns.py
+++ b/chestnutfall/forwarding/limited_turns.py
@@ -8,6 +8,8 @@
 from ..control.upstream_record import UpstreamRecord
 from ..limits.known_limits import KnownLimits
 from ..limits.messages import AnswerTurn
+from ..limits.plain_turns import NO_UPSTREAM_MS
+from .engine_places import NO_LEADER_RETRY_MS
 from .fleet_client import LeaderLost
 from .place import NoPlace, Wanted
 
@@ -15,10 +17,6 @@
 """Asks the leader for a send, which may wait for so many ms; raises LeaderLost."""
 WAIT_PART = 0.5
 """Part of a call's time in which it may wait for its turn; the rest is for the run."""
-NO_LEADER_RETRY_MS = 800
-"""A leader is elected within this time."""
-GONE_RETRY_MS = 300
-"""Only this gateway knows nothing of the upstream yet, or nothing any more."""
 
 
 class LimitedTurns:
@@ -67,7 +65,7 @@
             if one.instance == answer.instance:
                 return one
         if free is None:
-            raise NoPlace("no_upstream", GONE_RETRY_MS)
+            raise NoPlace("no_upstream", NO_UPSTREAM_MS)
         return free
 
     def _alone(self, can_take: Sequence[UpstreamRecord]) -> UpstreamRecord:
--- a/chestnutfall/forwarding/plain_places.py
+++ b/chestnutfall/forwarding/plain_places.py
@@ -10,6 +10,7 @@
 from ..clock import Clock
 from ..control.upstream_record import UpstreamRecord
 from ..limits.known_limits import KnownLimits
+from ..limits.plain_turns import NO_UPSTREAM_MS
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
 from ..placement.upstream_health import UpstreamHealth
@@ -28,8 +29,6 @@
 MOST_WEIGHED = 24
 """Upstreams that one choice looks at. The best of so many drawn by chance is nearly as good as the
 best of all, and a gateway before a thousand upstreams takes as long as before a few."""
-RETRY_MS = 300
-"""A plain upstream is found again with its next heartbeat or answer."""
 
 
 @dataclass(slots=True)
@@ -67,7 +66,7 @@
     async def take(self, wanted: Wanted) -> Place:
         upstreams = self._weighed(self._upstreams(wanted.service.name))
         if not upstreams:
-            raise NoPlace("no_upstream", RETRY_MS)
+            raise NoPlace("no_upstream", NO_UPSTREAM_MS)
         by_cost = sorted(upstreams, key=lambda one: self._cost_ms(one, wanted.avoid))
         chosen = by_cost[0]
         if self._limits.per_s(chosen.instance) is not None:
@@ -75,7 +74,7 @@
             chosen = await self._turns.choose(wanted, can_take or by_cost, self._upstreams)
         known = self._of(chosen)
         if known.health.is_shunned(self._clock.now_ms()) and chosen.instance in wanted.avoid:
-            raise NoPlace("unreachable", RETRY_MS)
+            raise NoPlace("unreachable", NO_UPSTREAM_MS)
         known.own += 1
         has_other = any(self._can_take(one, wanted.avoid) for one in upstreams if one is not chosen)
         return Place(f"plain-{next(self._numbers)}", chosen, 0, has_other=has_other)
--- a/chestnutfall/limits/latest_word.py
+++ b/chestnutfall/limits/latest_word.py
@@ -30,7 +30,7 @@
         if self.asked_ms > heard_ms:
             return False
         crossed = asked_ms < self.heard_ms
-        if crossed and _or_none(per_s) > _or_none(self.per_s):
+        if crossed and _as_number(per_s) > _as_number(self.per_s):
             return False
         changed = per_s != self.per_s
         self.per_s = per_s
@@ -39,5 +39,5 @@
         return changed
 
 
-def _or_none(per_s: float | None) -> float:
+def _as_number(per_s: float | None) -> float:
     return math.inf if per_s is None else per_s
--- a/chestnutfall/limits/limit_book.py
+++ b/chestnutfall/limits/limit_book.py
@@ -36,12 +36,9 @@
 
     def hear(self, heard: HeardLimit, counts_sends: bool) -> bool:
         """Take in what an answer said; whether a limit changed by it."""
-        now_ms = self._clock.now_ms()
         limit = self.of(heard.instance, counts_sends)
         before = limit.named_per_s
-        changed = limit.take_word(
-            heard.per_s, now_ms - heard.asked_ago_ms, now_ms - heard.heard_ago_ms, now_ms
-        )
+        changed = limit.hear(heard, self._clock.now_ms())
         if changed:
             self.changes += 1
             log.info(
--- a/chestnutfall/limits/plain_turns.py
+++ b/chestnutfall/limits/plain_turns.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Generic, TypeVar
@@ -98,16 +99,17 @@
     def _due_of(self, service: str) -> Iterator[Turn[Gateway]]:
         now_ms = self._clock.now_ms()
         limits = {one: self._book.of(one, counts_sends=False) for one in self._serving(service)}
+        in_order = deque(sorted(self._queues[service], key=lambda one: one.order))
+        while in_order and (instance := _free(in_order[0].asked.avoid, limits, now_ms)):
+            waiting = in_order.popleft()
+            limits[instance].note_sent(now_ms)
+            self._shares[service].served(waiting.tag)
+            yield Turn(waiting.gateway, AnswerTurn(waiting.asked.number, instance))
+        # What one call finds taken is taken for all behind it, and nothing more is sent.
+        queue = _Queue.before(limits.values(), now_ms)
         left: list[_Waiting[Gateway]] = []
-        for waiting in sorted(self._queues[service], key=lambda one: one.order):
+        for waiting in in_order:
             asked = waiting.asked
-            instance = _free(asked.avoid, limits, now_ms)
-            if instance:
-                limits[instance].note_sent(now_ms)
-                self._shares[service].served(waiting.tag)
-                yield Turn(waiting.gateway, AnswerTurn(asked.number, instance))
-                continue
-            queue = _Queue.before(limits.values(), now_ms)
             wait_ms = queue.first_ms + len(left) * queue.step_ms
             has_time = now_ms + wait_ms <= waiting.since_ms + asked.wait_ms
             if has_time and len(left) < MOST_WAITING:
--- a/chestnutfall/limits/upstream_limit.py
+++ b/chestnutfall/limits/upstream_limit.py
@@ -7,6 +7,7 @@
 from ..clock import SlidingWindow
 from ..quota.token_bucket import TokenBucket
 from .latest_word import LatestWord
+from .messages import HeardLimit
 
 RECENT_MS = 1_000
 """Sends of this time are counted against a new or lower limit."""
@@ -42,6 +43,11 @@
         """The same as the upstream named it, which may be nothing at all."""
         return self._word.per_s
 
+    def hear(self, heard: HeardLimit, now_ms: int) -> bool:
+        """Take in what a gateway heard; whether the limit changed by it."""
+        asked_ms, heard_ms = now_ms - heard.asked_ago_ms, now_ms - heard.heard_ago_ms
+        return self.take_word(heard.per_s, asked_ms, heard_ms, now_ms)
+
     def take_word(self, per_s: float | None, asked_ms: float, heard_ms: float, now_ms: int) -> bool:
         """Take in what an answer said; whether the limit changed by it."""
         if not self._word.take(per_s, asked_ms, heard_ms):
--- a/chestnutfall/ownership/engine_sends.py
+++ b/chestnutfall/ownership/engine_sends.py
@@ -22,9 +22,7 @@
 
     def hear(self, heard: HeardLimit) -> bool:
         """Take in what an answer said; whether the limit changed by it."""
-        now_ms = self._clock.now_ms()
-        asked_ms, heard_ms = now_ms - heard.asked_ago_ms, now_ms - heard.heard_ago_ms
-        return self._limit.take_word(heard.per_s, asked_ms, heard_ms, now_ms)
+        return self._limit.hear(heard, self._clock.now_ms())
 
     def sent(self) -> None:
         """Count a request."""
--- a/chestnutfall/platform/standin/limit_history.py
+++ b/chestnutfall/platform/standin/limit_history.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from itertools import pairwise
 
+from .run_book import window_counts
+
 WINDOW_MS = 4_000
 SETTLE_MS = 3_000
 """Time that everybody has to learn of a first limit."""
@@ -57,10 +59,6 @@
     def excesses(self, arrivals: Sequence[float]) -> Iterator[Excess]:
         """Yield windows with too many of the requests that came since the first limit."""
         moments = [at_ms for at_ms in arrivals if at_ms >= self.began_ms]
-        first = 0
-        for last, end_ms in enumerate(moments):
-            while moments[first] <= end_ms - WINDOW_MS:
-                first += 1
-            got = last - first + 1
+        for end_ms, got in window_counts(moments, WINDOW_MS):
             if end_ms >= self.began_ms + SETTLE_MS and got > self.allowed(end_ms):
                 yield Excess(end_ms, got, self.allowed(end_ms))
--- a/chestnutfall/platform/standin/run_book.py
+++ b/chestnutfall/platform/standin/run_book.py
@@ -4,9 +4,19 @@
 
 import time
 from collections import Counter
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 
+def window_counts(moments: Sequence[float], length: float) -> Iterator[tuple[float, int]]:
+    """Yield each moment, in their order, and how many lie in the window that ends there."""
+    first = 0
+    for last, end in enumerate(moments):
+        while moments[first] <= end - length:
+            first += 1
+        yield end, last - first + 1
+
+
 @dataclass(slots=True)
 class RunBook:
     """Runs by request id, and ends of upstreams by the body that ended them.
@@ -40,13 +50,8 @@
 
     def most_in_window(self, organisation: str, window_s: float) -> int:
         """Most runs of an organisation in any window."""
-        moments = self.moments.get(organisation, [])
-        first = most = 0
-        for last, at_s in enumerate(moments):
-            while moments[first] <= at_s - window_s:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
+        counts = window_counts(self.moments.get(organisation, []), window_s)
+        return max((count for _, count in counts), default=0)
 
     def note_wrong(self, finding: str) -> None:
         """Note a broken promise that an upstream saw."""
