Read all that upstreams say of themselves at the edges, and count headers that nobody reads

Limit, backoff, leaving and load are read strictly into one type by each dialect's edge, and call: lines say backoff= and leaving=. Nothing is decided by them yet. A malformed load ended its call with an exception; it is none now. A header that no part reads is counted by its name and logged once, 64 names at most, without its value.

--- a/chestnutfall/engine_edge/engine_request.py
+++ b/chestnutfall/engine_edge/engine_request.py
@@ -5,13 +5,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..limits import LimitWord
+from ..signals import UpstreamSignals
 
-OnLimit = Callable[[LimitWord, bool], None]
-"""Told what an answer says of its engine's limit, and whether the answer is a success."""
+OnSignals = Callable[[UpstreamSignals, bool], None]
+"""Told what an answer says of its engine, and whether the answer is a success."""
 
 
-def _ignore(word: LimitWord, succeeded: bool) -> None:
+def _ignore(signals: UpstreamSignals, succeeded: bool) -> None:
     """Take no notice."""
 
 
@@ -35,8 +35,8 @@
         How long the engine may be silent.
     trace : dict
         W3C trace context headers.
-    on_limit : callable
-        Told what each answer to it says of its engine's limit.
+    on_signals : callable
+        Told what each answer to it says of its engine.
     """
 
     attempt_id: str
@@ -48,4 +48,4 @@
     fresh_connection: bool
     silent_ms: int
     trace: dict[str, str]
-    on_limit: OnLimit = _ignore
+    on_signals: OnSignals = _ignore
--- a/chestnutfall/engine_edge/http_engine_api.py
+++ b/chestnutfall/engine_edge/http_engine_api.py
@@ -7,7 +7,8 @@
 
 import aiohttp
 
-from ..limits import LIMIT_HEADER, read_limit
+from ..signals import UnreadHeaders, read_signals
+from ..signals.own_headers import OWN_SIGNALS
 from ..wire.single_send_session import single_send_session
 from .answer_event import AnswerEvent
 from .answer_gate import DONE
@@ -34,7 +35,8 @@
     it otherwise), so no answer can be read by the request after it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, unread: UnreadHeaders) -> None:
+        self._unread = unread
         self._pool = single_send_session(
             aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
         )
@@ -59,7 +61,7 @@
             headers=headers,
             timeout=_timeout(req.silent_ms),
         )
-        return _answer(call, req)
+        return _answer(call, req, self._unread)
 
     def resume(self, address: str, req: EngineRequest, after: int) -> Batches:
         call = self._fresh.get(
@@ -67,7 +69,7 @@
             headers={"Last-Event-ID": str(after)},
             timeout=_timeout(req.silent_ms),
         )
-        return _answer(call, req)
+        return _answer(call, req, self._unread)
 
     async def cancel(self, address: str, attempt_id: str) -> None:
         try:
@@ -108,10 +110,11 @@
     )
 
 
-async def _answer(call: Any, req: EngineRequest) -> Batches:
+async def _answer(call: Any, req: EngineRequest, unread: UnreadHeaders) -> Batches:
     try:
         async with call as resp:
-            req.on_limit(read_limit(resp.headers.get(LIMIT_HEADER)), resp.status == 200)
+            unread.note("engine", resp.headers)
+            req.on_signals(read_signals(resp.status, resp.headers, OWN_SIGNALS), resp.status == 200)
             if resp.status != 200:
                 await _raise_refusal(resp)
             if not req.stream:
--- a/chestnutfall/forwarding/engine_places.py
+++ b/chestnutfall/forwarding/engine_places.py
@@ -11,10 +11,10 @@
 from ..limits.known_limits import KnownLimits
 from ..placement import AdapterName, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.run_times import RunTimes
+from ..signals import UpstreamLoad
 from . import patience
 from .fleet_client import FleetClient, LeaderLost
 from .place import NoPlace, Place, Places, Wanted
-from .upstream_answer import UpstreamLoad
 
 log = logging.getLogger(__name__)
 LEADERLESS_WAIT_MS = 1_500
--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -9,8 +9,8 @@
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
 from ..routes import Route, ServiceSpec
+from ..signals import UpstreamLoad
 from .call import Call
-from .upstream_answer import UpstreamLoad
 
 
 class NoPlace(Exception):
--- a/chestnutfall/forwarding/plain_places.py
+++ b/chestnutfall/forwarding/plain_places.py
@@ -14,9 +14,9 @@
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
 from ..placement.upstream_health import UpstreamHealth
+from ..signals import UpstreamLoad
 from .limited_turns import AskForTurn, LimitedTurns
 from .place import NoPlace, Place, Places, Wanted
-from .upstream_answer import UpstreamLoad
 
 BUSY_COST_MS = 20.0
 """One more request at an upstream makes the next wait about a short request's time."""
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from ..limits import LimitWord, Unnamed
+from ..signals import NO_SIGNALS, UpstreamSignals
 from .call import Call
 
 MOST_GAPS = 256
@@ -43,8 +43,8 @@
         Instances that failed it.
     too_early : list of str
         Instances that it came to before its adapter was there.
-    limit : LimitWord
-        What the last answer said of its upstream's limit.
+    signals : UpstreamSignals
+        What the last answer said of its upstream.
     gaps_ms : list of int
         The first `MOST_GAPS` times between two parts of its answer.
     """
@@ -63,7 +63,7 @@
     pause_ms: int = 0
     avoid: list[str] = field(default_factory=list)
     too_early: list[str] = field(default_factory=list)
-    limit: LimitWord = field(default_factory=Unnamed)
+    signals: UpstreamSignals = NO_SIGNALS
     gaps_ms: list[int] = field(default_factory=list)
     _part_ms: int = 0
 
--- a/chestnutfall/forwarding/send_log.py
+++ b/chestnutfall/forwarding/send_log.py
@@ -6,6 +6,7 @@
 
 from ..limits.limit_word import limit_text
 from ..routes import Route
+from ..signals.backoff_word import backoff_text
 from .place import Place
 from .progress import Progress
 from .send_result import Delivered, Failed, Lost, Refused, SendResult
@@ -20,7 +21,8 @@
     call = progress.call
     log.info(
         "call: id=%s content=%s route=%s organisation=%s adapter=%s send=%d instance=%s version=%d "
-        "queued=%d loading=%d sent=%d result=%s %s first=%d pause=%d tokens=%d limit=%s ms=%d",
+        "queued=%d loading=%d sent=%d result=%s %s first=%d pause=%d tokens=%d limit=%s "
+        "backoff=%s leaving=%d ms=%d",
         call.request_id,
         progress.fingerprint,
         route.name,
@@ -37,7 +39,9 @@
         progress.first_ms,
         progress.pause_ms,
         call.prompt_tokens,
-        limit_text(progress.limit),
+        limit_text(progress.signals.limit),
+        backoff_text(progress.signals.backoff),
+        progress.signals.leaving,
         now_ms - call.arrived_ms,
     )
 
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -5,12 +5,12 @@
 import statistics
 
 from ..clock import Clock
-from ..limits import Unnamed
 from ..limits.known_limits import KnownLimits
 from ..observability.histograms import Histograms
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
 from ..routes import Route
+from ..signals import NO_SIGNALS, UpstreamLoad
 from .caller_reply import CallerReply
 from .event_splitter import EventSplitter
 from .forwarded_call import ForwardedCall
@@ -18,7 +18,7 @@
 from .place import Place, Places
 from .progress import Progress
 from .send_result import Delivered, Failed, Lost, Refused, SendResult
-from .upstream_answer import NotRun, UpstreamAnswer, UpstreamLoad
+from .upstream_answer import NotRun, UpstreamAnswer
 from .upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -47,7 +47,7 @@
         self, progress: Progress, route: Route, place: Place, places: Places, reply: CallerReply
     ) -> SendResult:
         """Send the call once."""
-        progress.limit = Unnamed()
+        progress.signals = NO_SIGNALS
         sending = _Sending(self._clock, progress, route, place, reply)
         outcome: RunOutcome | None = None
         try:
@@ -75,7 +75,7 @@
     def _hear_limit(self, place: Place, answer: UpstreamAnswer, sent_ms: int) -> None:
         # Another incarnation at the same address speaks for itself.
         if answer.not_run is not NotRun.REPLACED:
-            self._limits.hear(place.upstream.instance, answer.limit, sent_ms, answer.ok)
+            self._limits.hear(place.upstream.instance, answer.signals.limit, sent_ms, answer.ok)
 
 
 class _Sending:
@@ -126,8 +126,8 @@
         return RunOutcome.BROKEN if hung else RunOutcome.LEFT
 
     async def relay(self, answer: UpstreamAnswer) -> SendResult:
-        self.load = answer.load
-        self._progress.limit = answer.limit
+        self.load = answer.signals.load
+        self._progress.signals = answer.signals
         self._answering = True
         if answer.not_run is not None:
             return Refused(answer.not_run.value)
--- a/chestnutfall/forwarding/upstream_answer.py
+++ b/chestnutfall/forwarding/upstream_answer.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..limits import LimitWord
+from ..signals import UpstreamSignals
 from .call import Headers
 
 
@@ -18,15 +18,6 @@
     ABSENT = "absent"
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamLoad:
-    """Requests that an upstream runs, those that wait there, and its places."""
-
-    running: int
-    waiting: int
-    places: int
-
-
 @dataclass(frozen=True, slots=True)
 class UpstreamAnswer:
     """Status, headers and the body as it comes.
@@ -35,10 +26,8 @@
     ----------
     not_run : NotRun or None
         Set when the upstream proved that nothing ran.
-    load : UpstreamLoad or None
-        Its load, if it tells.
-    limit : LimitWord
-        What it says of the requests a second that it takes.
+    signals : UpstreamSignals
+        What it says of itself.
     body : async iterator of bytes
         Raises AnswerLost when it breaks off.
     """
@@ -46,8 +35,7 @@
     status: int
     headers: Headers
     not_run: NotRun | None
-    load: UpstreamLoad | None
-    limit: LimitWord
+    signals: UpstreamSignals
     body: AsyncIterator[bytes]
 
     @property
--- a/chestnutfall/limits/__init__.py
+++ b/chestnutfall/limits/__init__.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from .limit_word import LIMIT_HEADER, LimitWord, Named, Unnamed, Unreadable, read_limit
+from .limit_word import LimitWord, Named, Unnamed, Unreadable, read_limit
 
-__all__ = ["LIMIT_HEADER", "LimitWord", "Named", "Unnamed", "Unreadable", "read_limit"]
+__all__ = ["LimitWord", "Named", "Unnamed", "Unreadable", "read_limit"]
--- a/chestnutfall/limits/limit_word.py
+++ b/chestnutfall/limits/limit_word.py
@@ -25,8 +25,6 @@
     text: str
 
 
-LIMIT_HEADER = "X-Requests-Per-Second"
-"""Header of the product's own interface to upstreams."""
 LimitWord = Named | Unnamed | Unreadable
 MOST_TEXT = 40
 """Characters of something unreadable that are kept; it goes into logs."""
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -11,13 +11,14 @@
 from ..clock import Clock
 from ..config.caller import Caller
 from ..config.service import Service
-from ..limits import LIMIT_HEADER, read_limit
 from ..limits.known_limits import KnownLimits
 from ..membership import SiteAgent, Upstream, UpstreamRegistry
 from ..observability.metrics import Metrics
 from ..quarantine import RequestQuarantine
 from ..requests import Executed, Refusal, digest_of, fingerprint_of
 from ..routing import ClaimDesk, WantedClaim
+from ..signals import UnreadHeaders, read_signals
+from ..signals.own_headers import OWN_SIGNALS
 from ..wire.single_send_session import single_send_session
 
 CONNECT_S = 0.5
@@ -68,6 +69,7 @@
         self._data_centre = data_centre
         self._session = single_send_session(aiohttp.TCPConnector(limit=0, force_close=True))
         self._turn = 0
+        self._unread = UnreadHeaders(OWN_SIGNALS.all, metrics.count)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -178,8 +180,9 @@
         )
         sent_ms = self._clock.now_ms()
         async with call as resp:
-            word = read_limit(resp.headers.get(LIMIT_HEADER))
-            self._limits.hear(upstream.instance, word, sent_ms, resp.status < 300)
+            self._unread.note(upstream.announcement.service, resp.headers)
+            signals = read_signals(resp.status, resp.headers, OWN_SIGNALS)
+            self._limits.hear(upstream.instance, signals.limit, sent_ms, resp.status < 300)
             answer = await resp.content.read(MAX_ANSWER_BYTES)
             if not resp.content.at_eof():
                 raise aiohttp.ClientPayloadError("the answer is too large")
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -30,6 +30,8 @@
 from ..quota.quota_desk import QuotaDesk
 from ..routes import DocumentLimits
 from ..settings.fleet_settings import FleetSettings
+from ..signals import UnreadHeaders
+from . import header_names as names
 from .document_json import DocumentJson
 from .entry_server import EntryServer
 from .metrics_server import serve_metrics
@@ -55,7 +57,7 @@
     fleet = FleetClient(name, settings.controllers, known, clock)
     quarantine = RequestQuarantine(fleet.report, refuses_connections, clock)
     fleet.on_suspects = quarantine.take
-    api = UpstreamHttp()
+    api = UpstreamHttp(UnreadHeaders(names.ANSWERED, metrics.count))
     rng = random.Random()
     quotas = QuotaDesk(LeaderQuotaLine(fleet), lambda: known.gateways, settings.quotas, clock, rng)
     fleet.on_quotas, fleet.was_short = quotas.take, quotas.was_short
--- a/chestnutfall/platform/header_names.py
+++ b/chestnutfall/platform/header_names.py
@@ -15,9 +15,12 @@
 INSTANCE = "X-Instance-Id"
 LOAD = "X-Instance-Load"
 REQUEST_LIMIT = "Server-Limit"
+LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
 KEY = "X-Api-Key"
 ORGANISATION = "X-Tenant"
+STAMP = "X-Response-Stamp"
+WEIGHT_VERSIONS = "X-Weight-Versions"
 
 CONNECTION_ONLY = frozenset(
     {
@@ -55,3 +58,15 @@
 )
 """Headers that only the system sets towards an engine, and the key, which ends here; a client's own
 are not passed on."""
+
+ANSWERED = (
+    REQUEST_ID,
+    NOT_EXECUTED,
+    INSTANCE,
+    LOAD,
+    REQUEST_LIMIT,
+    LEAVING,
+    STAMP,
+    WEIGHT_VERSIONS,
+)
+"""Headers of answers that we read, and the two that are for clients alone."""
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -10,9 +10,9 @@
 from yarl import URL
 
 from ..forwarding.forwarded_call import ForwardedCall
-from ..forwarding.upstream_answer import NotRun, UpstreamAnswer, UpstreamLoad
+from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
-from ..limits import read_limit
+from ..signals import SignalHeaders, UnreadHeaders, read_signals
 from ..wire.single_send_session import single_send_session
 from . import header_names as names
 from .reset_aware import ResetAwareConnector
@@ -24,13 +24,15 @@
 """Upstreams close idle connections after whole seconds, the shortest after two."""
 EARLY_ANSWER_BYTES = 16 * 1024
 """A longer body may still be on its way when the answer ends, so its connection is not kept."""
+_SIGNALS = SignalHeaders(names.REQUEST_LIMIT, names.LEAVING, names.LOAD)
 _AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
 class UpstreamHttp(UpstreamApi):
     """Two pools: kept connections, and those that serve one request."""
 
-    def __init__(self) -> None:
+    def __init__(self, unread: UnreadHeaders) -> None:
+        self._unread = unread
         kept = ResetAwareConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
         self._kept = _session(kept)
         self._fresh = _session(ResetAwareConnector(limit=0, force_close=True))
@@ -56,12 +58,12 @@
                     # An answer to an earlier request of this connection came late or twice.
                     resp.close()
                     raise AnswerLost("answer_of_another")
+                self._unread.note(forwarded.upstream.service, resp.headers)
                 yield UpstreamAnswer(
                     resp.status,
                     tuple(resp.headers.items()),
                     _not_run(resp, forwarded),
-                    _load(resp.headers.get(names.LOAD)),
-                    read_limit(resp.headers.get(names.REQUEST_LIMIT)),
+                    read_signals(resp.status, resp.headers, _SIGNALS),
                     _body(resp),
                 )
                 if len(call.body) > EARLY_ANSWER_BYTES:
@@ -114,13 +116,6 @@
     return NotRun.FULL if names.NOT_EXECUTED in resp.headers else None
 
 
-def _load(text: str | None) -> UpstreamLoad | None:
-    if text is None:
-        return None
-    running, waiting, places = (int(figure) for figure in text.split(","))
-    return UpstreamLoad(running, waiting, places)
-
-
 async def _body(resp: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     async for data in resp.content.iter_any():
         yield data
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -12,7 +12,7 @@
 from ..caller_edge import CallerApp, CallerLimits, ControlQuotaLine
 from ..clock import SystemClock
 from ..control.control_client import ControlClient
-from ..engine_edge.http_engine_api import HttpEngineApi
+from ..engine_edge.http_engine_api import ATTEMPT_HEADER, HttpEngineApi
 from ..limits.known_limits import KnownLimits
 from ..limits.messages import HeardLimit
 from ..membership import SiteAgent, UpstreamRegistry
@@ -30,6 +30,8 @@
 from ..routing import ClaimDesk, Dispatcher
 from ..settings.gateway_settings import GatewaySettings
 from ..settings.quota_bounds import OFFICE
+from ..signals import UnreadHeaders
+from ..signals.own_headers import OWN_SIGNALS
 from ..wire import RpcServer
 from ..wire.http_listener import listen
 from .event_loop import run
@@ -74,7 +76,7 @@
             self._clock,
             settings.config_lease_ms,
         )
-        self._api = HttpEngineApi()
+        self._api = HttpEngineApi(UnreadHeaders((*OWN_SIGNALS.all, ATTEMPT_HEADER), metrics.count))
         permits = ControllerPermits(self._client, session, self._clock)
         self._desk = OwnerDesk(
             self._agent,
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -19,13 +19,13 @@
     EngineRefused,
     EngineRequest,
 )
-from ..limits import LimitWord
 from ..limits.known_limits import KnownLimits
 from ..membership import SiteAgent, Upstream, UpstreamRegistry
 from ..observability.metrics import Metrics
 from ..peers import PeerLinks
 from ..quarantine import RequestQuarantine
 from ..requests import CallerRequest, Executed, Refusal, fingerprint_of
+from ..signals import UpstreamSignals
 from .retry_budget import RetryBudget
 from .tickets import RETRY_AFTER_MS, Tickets
 
@@ -161,8 +161,8 @@
     ) -> EngineRequest:
         sent_ms = self._clock.now_ms()
 
-        def on_limit(word: LimitWord, succeeded: bool) -> None:
-            self._limits.hear(engine.instance, word, sent_ms, succeeded)
+        def on_signals(signals: UpstreamSignals, succeeded: bool) -> None:
+            self._limits.hear(engine.instance, signals.limit, sent_ms, succeeded)
 
         # A pooled connection may have gone silent while it was idle. A request lost on it could
         # have run as far as we know, and could not be repeated; a connection made for it that
@@ -177,7 +177,7 @@
             req.non_idempotent,
             req.silent_ms,
             headers,
-            on_limit,
+            on_signals,
         )
 
     async def _run(self, engine: Upstream, req: EngineRequest) -> Batches:
--- /dev/null
+++ b/chestnutfall/signals/__init__.py
@@ -0,0 +1,22 @@
+"""What upstreams say of themselves in their answers: limit, backoff, leaving, load."""
+
+from __future__ import annotations
+
+from .backoff_word import AskedBackoff, BackoffWord, NoBackoff, UnreadableBackoff
+from .read_signals import SignalHeaders, read_signals
+from .unread_headers import UnreadHeaders
+from .upstream_load import UpstreamLoad
+from .upstream_signals import NO_SIGNALS, UpstreamSignals
+
+__all__ = [
+    "NO_SIGNALS",
+    "AskedBackoff",
+    "BackoffWord",
+    "NoBackoff",
+    "SignalHeaders",
+    "UnreadHeaders",
+    "UnreadableBackoff",
+    "UpstreamLoad",
+    "UpstreamSignals",
+    "read_signals",
+]
--- /dev/null
+++ b/chestnutfall/signals/own_headers.py
@@ -0,0 +1,9 @@
+"""Signals on the product's own interface to upstreams."""
+
+from __future__ import annotations
+
+from .read_signals import SignalHeaders
+
+OWN_SIGNALS = SignalHeaders(
+    limit="X-Requests-Per-Second", leaving="X-Upstream-Leaving", load="X-Upstream-Load"
+)
--- a/chestnutfall/tests/fakes/fake_engine.py
+++ b/chestnutfall/tests/fakes/fake_engine.py
@@ -19,6 +19,7 @@
     OrderKind,
 )
 from ...limits import read_limit
+from ...signals import UpstreamSignals
 
 TOKENS = 6
 TOKEN_MS = 10
@@ -124,7 +125,7 @@
         events = engine.events[req.attempt_id]
         incarnation = engine.incarnation
         await engine.clock.sleep_ms(engine.head_ms)
-        req.on_limit(read_limit(engine.limit), True)
+        req.on_signals(UpstreamSignals(read_limit(engine.limit)), True)
         for number in range(after + 1, len(events) + 1):
             await engine.clock.sleep_ms(TOKEN_MS)
             if engine.incarnation != incarnation or req.attempt_id not in engine.running:
--- a/chestnutfall/tests/fakes/fake_upstreams.py
+++ b/chestnutfall/tests/fakes/fake_upstreams.py
@@ -12,14 +12,14 @@
 from ...forwarding.forwarded_call import ForwardedCall
 from ...forwarding.place import NoPlace, Place, Places, Wanted
 from ...forwarding.route_source import RouteSource
-from ...forwarding.upstream_answer import NotRun, UpstreamAnswer, UpstreamLoad
+from ...forwarding.upstream_answer import NotRun, UpstreamAnswer
 from ...forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
-from ...limits import Unnamed
 from ...placement import RunOutcome
 from ...placement.run_times import RunTimes
 from ...quota.messages import AnswerQuota, UsedQuota
 from ...quota.quota_line import NoKeeper, QuotaLine
 from ...routes import RouteTable
+from ...signals import NO_SIGNALS, UpstreamLoad
 
 
 class FixedRoutes(RouteSource):
@@ -54,13 +54,13 @@
         self.sends.append(forwarded)
         match self._script.pop(0):
             case NotRun() as not_run:
-                yield UpstreamAnswer(503, (), not_run, None, Unnamed(), _chunks(()))
+                yield UpstreamAnswer(503, (), not_run, NO_SIGNALS, _chunks(()))
             case int() as status:
-                yield UpstreamAnswer(status, (), None, None, Unnamed(), _chunks((b"failed",)))
+                yield UpstreamAnswer(status, (), None, NO_SIGNALS, _chunks((b"failed",)))
             case Cut(chunks):
-                yield UpstreamAnswer(200, (), None, None, Unnamed(), _chunks(chunks, cut=True))
+                yield UpstreamAnswer(200, (), None, NO_SIGNALS, _chunks(chunks, cut=True))
             case tuple() as chunks:
-                yield UpstreamAnswer(200, (), None, None, Unnamed(), _chunks(chunks))
+                yield UpstreamAnswer(200, (), None, NO_SIGNALS, _chunks(chunks))
             case type() as error:
                 raise error("scripted")
             case unknown:
--- a/chestnutfall/tests/fakes/limit_office.py
+++ b/chestnutfall/tests/fakes/limit_office.py
@@ -22,7 +22,6 @@
 from ...forwarding.place import NoPlace, Wanted
 from ...forwarding.plain_places import PlainPlaces
 from ...forwarding.turn_line import turn_line
-from ...forwarding.upstream_answer import UpstreamLoad
 from ...limits import read_limit
 from ...limits.known_limits import KnownLimits
 from ...limits.limit_book import LimitBook
@@ -42,6 +41,7 @@
 from ...placement.run_times import RunTimes
 from ...platform.document_json import DocumentJson
 from ...routes import EngineSpec, ModelSpec, Route, RouteKind, ServiceSpec, WeightedService
+from ...signals import UpstreamLoad
 
 STEP_MS = 8
 HEAD_MS = 20
--- a/chestnutfall/tests/test_http_engine_api.py
+++ b/chestnutfall/tests/test_http_engine_api.py
@@ -15,6 +15,7 @@
 
 from ..engine_edge import AnswerGate, EngineBroken, EngineRefused, EngineRequest, Order, OrderKind
 from ..engine_edge.http_engine_api import HttpEngineApi
+from ..signals import UnreadHeaders
 from ..standin.engine_app import EngineApp
 from ..standin.engine_core import EngineCore
 from .process_office import free_address
@@ -31,7 +32,7 @@
         await web.TCPSite(self.runner, "127.0.0.1", 0).start()
         self.address = f"127.0.0.1:{self.runner.addresses[0][1]}"
         self.steps = asyncio.ensure_future(self.core.step_forever())
-        self.api = HttpEngineApi()
+        self.api = HttpEngineApi(UnreadHeaders((), lambda name: None))
 
     async def asyncTearDown(self) -> None:
         self.steps.cancel()
--- a/chestnutfall/tests/test_places.py
+++ b/chestnutfall/tests/test_places.py
@@ -21,11 +21,11 @@
 from ..forwarding.fleet_knowledge import FleetKnowledge
 from ..forwarding.place import NoPlace, Place, Wanted
 from ..forwarding.plain_places import PlainPlaces
-from ..forwarding.upstream_answer import UpstreamLoad
 from ..placement import AdapterName, Grant, Held, PlaceRequest, Reject, RunOutcome
 from ..placement.run_times import NO_TIMES
 from ..platform.document_json import DocumentJson
 from ..routes import Route, RouteKind, ServiceSpec, WeightedService
+from ..signals import UpstreamLoad
 from .fakes.limit_parts import ScriptedTurns, known_limits
 
 NAME = AdapterName("base", "a1")
--- a/chestnutfall/tests/test_plain_proxy.py
+++ b/chestnutfall/tests/test_plain_proxy.py
@@ -23,12 +23,12 @@
     QuarantinedRequest,
     SuspectRequests,
 )
-from ..limits import LIMIT_HEADER
 from ..membership import Announcement
 from ..observability.metrics import Metrics
 from ..plain_edge import PlainProxy
 from ..quarantine import RequestQuarantine
 from ..requests import Executed, Refusal, fingerprint_of
+from ..signals.own_headers import OWN_SIGNALS
 from .fakes.fake_office import SITE, FakeOffice
 
 FATAL = b"fatal"
@@ -90,7 +90,7 @@
         self._announce()
 
     def _limit(self, text: str | None) -> None:
-        self.headers = {LIMIT_HEADER: text} if text is not None else {}
+        self.headers = {OWN_SIGNALS.limit: text} if text is not None else {}
 
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
--- a/chestnutfall/tests/test_platform.py
+++ b/chestnutfall/tests/test_platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import tomllib
 import unittest
+from collections import Counter
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -16,14 +17,17 @@
 from ..control.upstream_record import UpstreamRecord
 from ..forwarding.call import Call
 from ..forwarding.forwarded_call import ForwardedCall
-from ..forwarding.upstream_answer import NotRun, UpstreamLoad
+from ..forwarding.upstream_answer import NotRun
 from ..forwarding.upstream_api import AnswerLost, NotSent
+from ..limits import Named
 from ..placement import AdapterName, PromptPart
+from ..platform import header_names as names
 from ..platform.call_reader import read_call
 from ..platform.listening import listen
 from ..platform.node_file import to_settings
 from ..platform.standin.node_writer import NodePlan, Ports, write_node_file
 from ..platform.upstream_http import UpstreamHttp
+from ..signals import AskedBackoff, UnreadHeaders, UpstreamLoad, UpstreamSignals
 
 HEADERS = {
     "Host": "a.example",
@@ -88,7 +92,9 @@
         self.seen: list[web.BaseRequest] = []
         self.runner = await listen(web.Server(self._on_call), "127.0.0.1:0")
         self.port = self.runner.addresses[0][1]
-        self.api = UpstreamHttp()
+        self.counts: Counter[str] = Counter()
+        unread = UnreadHeaders(names.ANSWERED, lambda name: self.counts.update([name]))
+        self.api = UpstreamHttp(unread)
 
     async def asyncTearDown(self) -> None:
         await self.api.close()
@@ -114,7 +120,7 @@
     async def _send(self) -> tuple[int, NotRun | None, UpstreamLoad | None, bytes]:
         async with self.api.send(self._forwarded()) as answer:
             body = b"".join([data async for data in answer.body])
-            return answer.status, answer.not_run, answer.load, body
+            return answer.status, answer.not_run, answer.signals.load, body
 
     async def test_the_request_arrives_unchanged_with_what_the_engine_must_know(self) -> None:
         found = await self._send()
@@ -144,6 +150,21 @@
             with self.subTest(status=self.status, headers=self.headers):
                 self.assertEqual((await self._send())[1], expected)
 
+    async def test_what_an_answer_says_of_its_upstream(self) -> None:
+        self.status = 503
+        self.headers = {"Retry-After": "1.5", "Server-Leaving": "1", "Server-Limit": "4"}
+        async with self.api.send(self._forwarded()) as answer:
+            signals = answer.signals
+        said = UpstreamSignals(Named(4.0), AskedBackoff(1_500), True, UpstreamLoad(2, 1, 6))
+        self.assertEqual(signals, said)
+
+    # Guards against a new word of upstreams that nobody notices.
+    async def test_a_header_that_nobody_reads_is_counted_by_its_name(self) -> None:
+        self.headers = {"Server-Wish": "more", "X-Response-Stamp": "s", "X-Weight-Versions": "1"}
+        with self.assertLogs(level="WARNING"):
+            await self._send()
+        self.assertEqual(self.counts, {"unread_header_server_wish": 1})
+
     async def test_a_request_whose_connection_breaks_is_sent_once(self) -> None:
         # A household gets two permits. The upstream runs the request and its connection breaks;
         # the HTTP client sends it again without a word, since by its method it could be.
