--- /dev/null
+++ b/benchmarks/signals.py
@@ -0,0 +1,143 @@
+"""Real programs before upstreams that ask for time or leave: what they get, what callers get.
+
+`python -m benchmarks.signals --seeds 5 6` plays three gateways, three controllers, three engines
+and two plain upstreams with fourteen callers, and prints a row a play.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import statistics
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from chestnutfall.platform.standin.signal_history import Disobeyed
+from chestnutfall.platform.standin.upstream import StandInUpstream
+from chestnutfall.tests.signal_play import SignalPlay, ask_for_time
+
+BACKOFF_S = 3.0
+ASKED_FOR_S = 5.5
+LEFT_S = 6.0
+AFTER_S = 2.0
+KILL_EVERY_S = 0.5
+
+
+@dataclass(slots=True)
+class Spans:
+    """Moments of a play, in seconds: upstreams speak from `began` to `ended`."""
+
+    began_s: float = 0.0
+    ended_s: float = 0.0
+    restarts: list[asyncio.Task[None]] = field(default_factory=list)
+
+
+Choose = Callable[[SignalPlay], list[StandInUpstream]]
+
+
+def one_of_each(play: SignalPlay) -> list[StandInUpstream]:
+    """An engine and a plain upstream."""
+    return list(play.one_of_each())
+
+
+def everyone(play: SignalPlay) -> list[StandInUpstream]:
+    """All upstreams."""
+    return play.office.upstreams
+
+
+async def restart_controllers(play: SignalPlay) -> None:
+    """Kill and start the controllers in turn."""
+    for one in play.office.controllers:
+        await one.kill()
+        await one.start(False)
+        await asyncio.sleep(KILL_EVERY_S)
+
+
+def backing_off(choose: Choose, spans: Spans) -> Callable[[SignalPlay], Awaitable[None]]:
+    """Let some ask for time, take work again, and serve the time that is left."""
+
+    async def script(play: SignalPlay) -> None:
+        spans.began_s = time.monotonic()
+        await ask_for_time(choose(play), f"{BACKOFF_S:g}", ASKED_FOR_S)
+        spans.ended_s = time.monotonic()
+        await asyncio.sleep(BACKOFF_S + AFTER_S)
+
+    return script
+
+
+def leaving(
+    choose: Choose, spans: Spans, restarts: bool = False
+) -> Callable[[SignalPlay], Awaitable[None]]:
+    """Let some say that they leave, and go on to answer."""
+
+    async def script(play: SignalPlay) -> None:
+        spans.began_s = time.monotonic()
+        for one in choose(play):
+            one.leaving = True
+        if restarts:
+            await restart_controllers(play)
+        await asyncio.sleep(LEFT_S)
+        spans.ended_s = time.monotonic()
+
+    return script
+
+
+def most(found: list[Disobeyed]) -> int:
+    """Most requests that one gateway sent in one such time."""
+    return max((one.got for one in found), default=0)
+
+
+def row(name: str, seed: int, play: SignalPlay, spans: Spans) -> str:
+    """One line of the table."""
+    refused = play.refused(spans.began_s, spans.ended_s)
+    took_ms = sorted(1000 * seen.took_s for seen in refused)
+    told_s = [seen.retry_after_s or 0.0 for seen in refused]
+    told = f"{min(told_s):.2f} to {max(told_s):.2f}" if told_s else "-"
+    after_s = spans.ended_s + BACKOFF_S
+    silent = sum(one.seen.status == 0 for one in play.answers)
+    cells = (
+        name,
+        str(seed),
+        f"{play.served(spans.began_s, spans.ended_s):.3f}",
+        f"{play.served(after_s, after_s + AFTER_S):.3f}" if "time" in name else "-",
+        str(most(list(play.in_backoffs()))),
+        str(most(list(play.after_leaving()))),
+        str(len(refused)),
+        f"{statistics.median(took_ms):.0f}" if took_ms else "-",
+        told,
+        f"{silent} of {len(play.answers)}",
+    )
+    return f"| {' | '.join(cells)} |"
+
+
+def plays() -> list[tuple[str, Callable[[Spans], Callable[[SignalPlay], Awaitable[None]]]]]:
+    """All plays by name."""
+    return [
+        ("one of each asks for time", lambda spans: backing_off(one_of_each, spans)),
+        ("all ask for time", lambda spans: backing_off(everyone, spans)),
+        ("one of each leaves", lambda spans: leaving(one_of_each, spans)),
+        ("all leave", lambda spans: leaving(everyone, spans)),
+        ("one leaves, restarts", lambda spans: leaving(one_of_each, spans, restarts=True)),
+    ]
+
+
+def main() -> None:
+    """Play what is chosen."""
+    cli = argparse.ArgumentParser(description=__doc__)
+    cli.add_argument("--seeds", type=int, nargs="+", default=[5])
+    cli.add_argument("--play", default="", help="a part of the names of plays")
+    args = cli.parse_args()
+    print("| play | seed | served | after | in a time asked for | after leaving | refused | in ms |"
+          " told s | no answer |")  # fmt: skip
+    for name, make in plays():
+        if args.play not in name:
+            continue
+        for seed in args.seeds:
+            play, spans = SignalPlay(seed), Spans()
+            asyncio.run(play.run(make(spans)))
+            print(row(name, seed, play, spans), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/chestnutfall/platform/standin/client.py
+++ b/chestnutfall/platform/standin/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import time
 from dataclasses import dataclass
 
 import aiohttp
@@ -10,7 +11,7 @@
 from .. import header_names as names
 from .operator import HOST
 from .tenants import KEYS, STEADY
-from .upstream import EVENTS, MODEL, answer_body, stream_event
+from .upstream import ENTRY, EVENTS, MODEL, answer_body, stream_event
 
 DEADLINE_MS = 2_500
 NOT_RUN = (408, 421, 429, 503)
@@ -30,6 +31,10 @@
         Whether all that came is a beginning of the one right answer.
     organisation : str
         Whose key it bore.
+    retry_after_s : float or None
+        When it was told to come back.
+    took_s : float
+        From its sending to the end of its answer.
     """
 
     request_id: str
@@ -38,6 +43,8 @@
     whole: bool
     right: bool
     organisation: str = STEADY
+    retry_after_s: float | None = None
+    took_s: float = 0.0
 
     @property
     def says_not_run(self) -> bool:
@@ -60,6 +67,7 @@
         headers = {"Host": HOST, names.REQUEST_ID: request_id, names.DEADLINE: str(DEADLINE_MS)}
         headers[names.KEY] = KEYS[organisation]
         headers[names.ORGANISATION] = "claimed"
+        headers[ENTRY] = gateway
         streamed = route in ("draft", "long")
         expected = answer_body(request_id)
         if streamed:
@@ -68,18 +76,26 @@
             expected = b"".join(stream_event(request_id, at + 1) for at in range(EVENTS))
         body = bytearray()
         status = 0
+        retry_after_s: float | None = None
+        began_s = time.monotonic()
         try:
             url = f"http://{gateway}/{route}/x"
             async with self._session.post(url, headers=headers, data=content) as resp:
                 status = resp.status
+                retry_after_s = _seconds(resp.headers.get(names.RETRY_AFTER))
                 async for data in resp.content.iter_any():
                     body += data
         except (aiohttp.ClientError, TimeoutError, OSError):
             right = status != 200 or expected.startswith(bytes(body))
             return Seen(request_id, route, status, False, right, organisation)
         right = status != 200 or bytes(body) == expected
-        return Seen(request_id, route, status, True, right, organisation)
+        took_s = time.monotonic() - began_s
+        return Seen(request_id, route, status, True, right, organisation, retry_after_s, took_s)
 
     async def close(self) -> None:
         """Close every connection."""
         await self._session.close()
+
+
+def _seconds(text: str | None) -> float | None:
+    return float(text) if text is not None else None
--- a/chestnutfall/platform/standin/run_book.py
+++ b/chestnutfall/platform/standin/run_book.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
+from .signal_history import SignalHistory
+
 
 def window_counts(moments: Sequence[float], length: float) -> Iterator[tuple[float, int]]:
     """Yield each moment, in their order, and how many lie in the window that ends there."""
@@ -29,6 +31,8 @@
         When requests of each organisation ran, in seconds.
     arrivals : dict of str to list of float
         When requests came to each upstream, in seconds, also those that it refused.
+    signals : dict of str to SignalHistory
+        What each upstream asked of gateways.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -37,6 +41,7 @@
     organisations: dict[str, str] = field(default_factory=dict)
     moments: dict[str, list[float]] = field(default_factory=dict)
     arrivals: dict[str, list[float]] = field(default_factory=dict)
+    signals: dict[str, SignalHistory] = field(default_factory=dict)
 
     def note_run(self, request_id: str, organisation: str) -> None:
         """Count a run."""
@@ -44,9 +49,14 @@
         self.organisations[request_id] = organisation
         self.moments.setdefault(organisation, []).append(time.monotonic())
 
-    def note_arrival(self, instance: str) -> None:
+    def note_arrival(self, instance: str, gateway: str) -> None:
         """Count a request that came to an upstream."""
         self.arrivals.setdefault(instance, []).append(time.monotonic())
+        self.signals_of(instance).note_arrival(gateway)
+
+    def signals_of(self, instance: str) -> SignalHistory:
+        """What an upstream asked of gateways, begun if it asked nothing yet."""
+        return self.signals.setdefault(instance, SignalHistory())
 
     def most_in_window(self, organisation: str, window_s: float) -> int:
         """Most runs of an organisation in any window."""
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -26,6 +26,8 @@
 ANSWER_BYTES = 400
 FATAL_BODY = b"fatal"
 """A request whose body begins so ends each upstream that runs it."""
+ENTRY = "X-Entry"
+"""Header in which the stand-in client names the gateway that it calls."""
 DOWN_S = 0.4
 """How long an upstream that ended is gone; one heartbeat."""
 
@@ -53,6 +55,14 @@
         Told when a request ends it, and when it is back under a new name.
     limit : str or None
         What its answers say of the requests a second that it takes; None for nothing.
+    backoff : str or None
+        While it is set, every request is turned away with this Retry-After.
+    proves : bool
+        Whether refusals that ask for time say that nothing ran.
+    leaving : bool
+        Whether its answers say that it leaves.
+    drains : bool
+        Whether its announcements say so.
     """
 
     def __init__(
@@ -78,6 +88,10 @@
         self.on_end: Callable[[], None] = lambda: None
         self.on_start: Callable[[], Awaitable[None]] = _nothing
         self.limit: str | None = None
+        self.backoff: str | None = None
+        self.proves = True
+        self.leaving = False
+        self.drains = False
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
         self._beating: asyncio.Task[None] | None = None
@@ -148,7 +162,7 @@
             "service": self.service,
             "addr": self.announced,
             "zone": "dc",
-            "state": "ready",
+            "state": "draining" if self.drains else "ready",
             "seq": next(self._numbers),
             "born": self._started_ms,
         }
@@ -170,7 +184,8 @@
             case "GET", "/v1/report":
                 coming = [f"{MODEL}/{name}@{v}" for name, v in self._coming.items()]
                 told = {"models": self._models(), "seq": self._taken, "coming": coming}
-                return web.json_response(told | {"born": self._started_ms})
+                told |= {"born": self._started_ms}
+                return web.json_response(told, headers=self._says())
             case "POST", "/v1/order":
                 return await self._order(json.loads(await request.read()))
             case _:
@@ -219,7 +234,12 @@
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
         request_id = request.headers[names.REQUEST_ID]
-        self._book.note_arrival(self.instance)
+        gateway = request.headers.get(ENTRY, "")
+        self._book.note_arrival(self.instance, gateway)
+        if self.leaving:
+            self._book.signals_of(self.instance).note_left(gateway)
+        if self.backoff is not None:
+            return self._turn_away(request_id, gateway, self.backoff)
         name = request.headers.get(names.MODEL, "").partition("/")[2]
         if self._is_engine and name not in self._adapters:
             return self._answer(request_id, 421, {names.INSTANCE: self.instance})
@@ -245,11 +265,24 @@
     ) -> web.Response:
         return web.Response(status=status, headers=self._headers(request_id) | headers, body=body)
 
+    def _turn_away(self, request_id: str, gateway: str, backoff: str) -> web.Response:
+        headers = {names.RETRY_AFTER: backoff}
+        if self.proves:
+            headers[names.NOT_EXECUTED] = "1"
+        self._book.signals_of(self.instance).note_turned_away(gateway, float(backoff))
+        return self._answer(request_id, 503, headers)
+
     def _headers(self, request_id: str) -> dict[str, str]:
-        headers = {names.REQUEST_ID: request_id}
+        return {names.REQUEST_ID: request_id, **self._says()}
+
+    def _says(self) -> dict[str, str]:
+        """What every answer says of this upstream."""
+        says = {}
         if self.limit is not None:
-            headers[names.REQUEST_LIMIT] = self.limit
-        return headers
+            says[names.REQUEST_LIMIT] = self.limit
+        if self.leaving:
+            says[names.LEAVING] = "1"
+        return says
 
     async def _stream(
         self, request: web.BaseRequest, request_id: str, name: str
