Find out whether engines load fast what they held recently

Cause: an adapter that an engine held recently was always taken to load ten times as fast. One load in two must be fast now, or copies are taken for slow for ten seconds.

Ruled out: loads that began late, and the refusals of full engines (no such line in the logs).

--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -223,12 +223,12 @@
 
     def held_recently(self, name: AdapterName) -> bool:
         """Whether the engine probably still has a copy in its own memory."""
-        return name in self._recent
+        return name in self._recent and self.loads.trusts_copies
 
     @property
     def recent(self) -> Iterable[AdapterName]:
         """Adapters of which it probably has a copy in its own memory."""
-        return self._recent
+        return self._recent if self.loads.trusts_copies else ()
 
     def begin_load(self, name: AdapterName, version: int, load_ms: float, now_ms: int) -> None:
         """Note that it will be ordered to load an adapter, or another version of one it holds."""
--- a/chestnutfall/placement/load_timer.py
+++ b/chestnutfall/placement/load_timer.py
@@ -50,6 +50,18 @@
         from_store_ms = max(self.usual_ms, busy_ms)
         return max(from_store_ms * RECENT_PART, LEAST_MS) if recent else from_store_ms
 
+    @property
+    def trusts_copies(self) -> bool:
+        """Whether an adapter that the engine held recently is taken to load fast."""
+        return self._store.copies.holds
+
+    def copy_came(self, in_time: bool, now_ms: int) -> None:
+        """The first request after a load from a copy came when it had ended, or too early."""
+        if in_time:
+            self._store.copies.was_fast()
+        else:
+            self._store.copies.was_slow(now_ms)
+
     def came_too_early(self, after_ms: float, now_ms: int) -> None:
         """A load had not ended `after_ms` after its order.
 
@@ -67,6 +79,7 @@
         """A load had ended when its first request came."""
         self._store.usual.forget_old(now_ms)
         self._store.busy.forget_old(now_ms)
+        self._store.copies.forget_old(now_ms)
         self._ms = max(self._ms * TOO_LONG, self._least_ms())
 
     def _least_ms(self) -> float:
--- a/chestnutfall/placement/run_end.py
+++ b/chestnutfall/placement/run_end.py
@@ -38,7 +38,9 @@
             engine.synced = False
         case RunOutcome.DONE if not holding.confirmed:
             holding.confirmed = True
-            if not holding.from_memory:
+            if holding.from_memory:
+                engine.loads.copy_came(True, now_ms)
+            else:
                 engine.loads.was_ready(now_ms)
         case _:
             pass
@@ -50,6 +52,7 @@
     if holding.from_memory:
         # The engine had no copy any more; the load takes as long as any other.
         engine.forget_copy(adapter)
+        engine.loads.copy_came(False, now_ms)
         due_ms = max(due_ms, int(holding.ordered_ms + engine.loads.expected_ms(recent=False)))
         holding.from_memory = False
     elif not holding.was_early:
--- a/chestnutfall/placement/store_times.py
+++ b/chestnutfall/placement/store_times.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from .copy_trust import CopyTrust
 from .load_floor import LoadFloor
 
 USUAL_MS = 5_000
@@ -16,7 +17,8 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreTimes:
-    """Least times of loads, as they usually are and while the store is busy."""
+    """Least times of loads, as they usually are and while the store is busy; and copies."""
 
     usual: LoadFloor = field(default_factory=lambda: LoadFloor(USUAL_MS))
     busy: LoadFloor = field(default_factory=lambda: LoadFloor(BUSY_MS))
+    copies: CopyTrust = field(default_factory=CopyTrust)
--- a/chestnutfall/tests/test_load_timer.py
+++ b/chestnutfall/tests/test_load_timer.py
@@ -10,6 +10,7 @@
 import random
 import unittest
 
+from ..placement.copy_trust import AGAIN_MS
 from ..placement.load_timer import LoadTimer
 from ..placement.store_times import BUSY_MS, USUAL_MS, StoreTimes
 
@@ -104,3 +105,47 @@
         store.timers[0].came_too_early(370.0, store.now_ms)
         self.assertGreater(store.timers[0].expected_ms(recent=False), 370)
         self.assertLess(store.timers[1].expected_ms(recent=False), 270)
+
+
+class CopyTrustTest(unittest.TestCase):
+    """Adapters that come back to an engine which held them recently."""
+
+    def setUp(self) -> None:
+        self.timer = LoadTimer("e", 50.0, StoreTimes())
+        self.now_ms = 0
+
+    def _early(self, loads: int, copy_ms: float) -> int:
+        """How many first requests come too early, of loads from copies that take `copy_ms`."""
+        early = 0
+        for _ in range(loads):
+            self.now_ms += 50
+            if not self.timer.trusts_copies:
+                self.timer.was_ready(self.now_ms)
+                continue
+            in_time = self.timer.expected_ms(recent=True) >= copy_ms
+            early += not in_time
+            self.timer.copy_came(in_time, self.now_ms)
+        return early
+
+    # Guards against engines without fast copies, where each adapter that comes back costs a repeat
+    # and callers are refused while engines are idle.
+    def test_engines_whose_copies_are_not_fast_are_found_out(self) -> None:
+        self.assertLessEqual(self._early(1_000, copy_ms=50.0), 10)
+
+    def test_engines_whose_copies_are_fast_are_used_so(self) -> None:
+        self.assertEqual(self._early(1_000, copy_ms=5.0), 0)
+        self.assertTrue(self.timer.trusts_copies)
+
+    def test_a_copy_that_was_gone_ends_no_trust(self) -> None:
+        for _ in range(200):
+            self._early(1, copy_ms=50.0)
+            self._early(2, copy_ms=5.0)
+            self.assertTrue(self.timer.trusts_copies)
+
+    def test_it_is_tried_again_later(self) -> None:
+        self._early(10, copy_ms=50.0)
+        self.assertFalse(self.timer.trusts_copies)
+        self.now_ms += AGAIN_MS
+        self.timer.was_ready(self.now_ms + 1)
+        self.assertTrue(self.timer.trusts_copies)
+        self.assertEqual(self._early(100, copy_ms=5.0), 0)
