--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -24,6 +24,9 @@
 from ..routes import DocumentCodec, RouteTable
 from ..settings.quota_bounds import QuotaBounds
 from ..settings.repeat_bounds import RepeatBounds
+from ..signals.backoff_book import BackoffBook
+from ..signals.messages import HeardBackoff
+from .backoff_desk import BackoffDesk
 from .document_box import unpack
 from .engine_control import EngineControl
 from .engine_desk import EngineDesk, EngineRecord
@@ -70,13 +73,14 @@
         self._state = state
         self._codec = codec
         self._clock = clock
-        limits = LimitBook(clock)
-        self._placer = Placer(clock, limits)
+        limits, backoffs = LimitBook(clock), BackoffBook(clock)
+        self._placer = Placer(clock, limits, backoffs)
         self._repeats = RepeatPool(repeats, clock)
         self._quotas = QuotaLedger(quotas, clock)
         self._crashes = CrashKeeper(replica, state, clock)
         self._sessions = GatewaySessions()
-        self._limits = LimitDesk(limits, self._placer, self._sessions, clock)
+        self._limits = LimitDesk(limits, backoffs, self._placer, self._sessions, clock)
+        self._backoffs = BackoffDesk(backoffs, self._placer, self._sessions, clock)
         self._news = GatewayNews(self._sessions, state, self._placer, self._quotas, clock)
         self._table: RouteTable | None = None
         self._wake = asyncio.Event()
@@ -160,12 +164,14 @@
         self._sessions.add(session)
         self._news.greet(session, document_version)
         self._limits.greet(session)
+        self._backoffs.greet(session)
 
     def part(self, session: GatewaySession) -> None:
         """End a gateway's session and free what it held."""
         for ticket in self._sessions.remove(session):
             self._placer.withdraw(ticket)
         self._limits.part(session)
+        self._backoffs.part(session)
 
     def take(self, session: GatewaySession, msg: GatewayMessage) -> None:
         """Take a message of a gateway."""
@@ -190,6 +196,8 @@
                 return
             case HeardLimit():
                 self._limits.hear(session, msg)
+            case HeardBackoff():
+                self._backoffs.hear(session, msg)
             case AskTurn():
                 self._limits.ask(session, msg)
             case BrokenRun() | AnsweredRun():
@@ -247,6 +255,7 @@
         self._news.tell_controllers(tuple(member.address for member in self._replica.members))
         self._engines.match(self._engines_of(serving))
         self._limits.use(serving)
+        self._backoffs.use(serving)
 
     def _engines_of(self, serving: list[UpstreamRecord]) -> Iterator[EngineRecord]:
         for record in serving:
@@ -260,6 +269,7 @@
         for decision in self._placer.decide():
             self._carry_out(decision)
         self._limits.carry_out()
+        self._backoffs.carry_out()
         self._engines.resync()
 
     def _carry_out(self, decision: Decision) -> None:
--- a/chestnutfall/coordination/limit_desk.py
+++ b/chestnutfall/coordination/limit_desk.py
@@ -10,6 +10,7 @@
 from ..limits.messages import AskTurn, HeardLimit, LimitsInForce, RequestLimit
 from ..limits.plain_turns import PlainTurns
 from ..placement.placer import Placer
+from ..signals.backoff_book import BackoffBook
 from .gateway_session import GatewaySession
 from .gateway_sessions import GatewaySessions
 
@@ -24,7 +25,12 @@
     """
 
     def __init__(
-        self, book: LimitBook, placer: Placer, sessions: GatewaySessions, clock: Clock
+        self,
+        book: LimitBook,
+        backoffs: BackoffBook,
+        placer: Placer,
+        sessions: GatewaySessions,
+        clock: Clock,
     ) -> None:
         self._book = book
         self._placer = placer
@@ -32,7 +38,10 @@
         self._clock = clock
         self._serving: dict[str, list[str]] = {}
         self._turns: PlainTurns[GatewaySession] = PlainTurns(
-            book, lambda service: self._serving.get(service, []), clock
+            book,
+            lambda service: self._serving.get(service, []),
+            lambda session, instance: backoffs.may_send(session.gateway, instance),
+            clock,
         )
         self._told: dict[str, float] = {}
         self._told_changes = 0
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -10,6 +10,7 @@
 from ..placement import Grant, PlaceRequest, Reject
 from ..placement.run_times import NO_TIMES, RunTimes
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, UsedQuota, WasShort
+from ..signals.messages import BackoffHints, HeardBackoff
 from ..wire import Codec
 
 FLEET_METHOD = "Fleet"
@@ -162,6 +163,7 @@
     | AskRepeat
     | AskQuota
     | AskTurn
+    | HeardBackoff
     | HeardLimit
     | UsedQuota
     | WasShort
@@ -178,11 +180,13 @@
     AskQuota,
     AskRepeat,
     AskTurn,
+    BackoffHints,
     BrokenRun,
     Controllers,
     GatewayCount,
     GatewayHello,
     Grant,
+    HeardBackoff,
     HeardLimit,
     HoldingsChange,
     LimitsInForce,
--- /dev/null
+++ b/chestnutfall/forwarding/after_send.py
@@ -0,0 +1,162 @@
+"""What follows a send: the final answer, or another send."""
+
+from __future__ import annotations
+
+from typing import assert_never
+
+from ..clock import Clock
+from ..observability.histograms import Histograms
+from ..quarantine import RequestQuarantine
+from ..routes import Route
+from ..signals.known_signals import KnownSignals
+from .caller_reply import CallerReply
+from .final_answers import FinalAnswers
+from .place import BACKING_OFF, Place, Places
+from .progress import Progress
+from .repeats import Repeats
+from .send_result import Delivered, Failed, HeldBack, Lost, Refused, SendResult
+from .upstream_answer import NotRun
+from .upstream_api import SILENT
+
+MAX_SENDS = 6
+"""Refused sends cost little, but each counts as a repeat for the upstream that refuses."""
+BROKEN_RETRY_MS = 500
+"""An upstream that refuses or fails is left by others within this time."""
+
+
+class AfterSend:
+    """Ends a call after a send, or prepares the next one."""
+
+    def __init__(
+        self,
+        repeats: Repeats,
+        signals: KnownSignals,
+        quarantine: RequestQuarantine,
+        answers: FinalAnswers,
+        clock: Clock,
+        metrics: Histograms,
+    ) -> None:
+        self._repeats = repeats
+        self._signals = signals
+        self._quarantine = quarantine
+        self._answers = answers
+        self._clock = clock
+        self._metrics = metrics
+
+    async def is_final(
+        self,
+        progress: Progress,
+        route: Route,
+        place: Place,
+        places: Places,
+        sent_ms: int,
+        reply: CallerReply,
+        result: SendResult,
+    ) -> bool:
+        """Give the final answer, or prepare the next send and return False."""
+        match result:
+            case Delivered():
+                self._quarantine.answered(progress.fingerprint)
+                self._metrics.observe("answer_ms", self._clock.now_ms() - progress.call.arrived_ms)
+                return True
+            case HeldBack():
+                return await self._is_held_back_for_good(progress, places, reply)
+            case Refused(code):
+                return await self._after_refusal(progress, place, places, reply, code)
+            case Lost(code):
+                return await self._after_loss(progress, route, place, sent_ms, reply, code)
+            case Failed():
+                return await self._after_failure(progress, route, place, places, reply, result)
+        assert_never(result)
+
+    async def _is_held_back_for_good(
+        self, progress: Progress, places: Places, reply: CallerReply
+    ) -> bool:
+        # Nothing was sent, so that another place costs no repeat.
+        progress.refusals += 1
+        self._metrics.count("sends_held_back")
+        if progress.sends < MAX_SENDS:
+            return False
+        held_back_ms = places.held_back_ms(progress.service) or BROKEN_RETRY_MS
+        await self._back_off(progress, reply, held_back_ms)
+        return True
+
+    async def _back_off(self, progress: Progress, reply: CallerReply, held_back_ms: float) -> None:
+        retry_ms = self._signals.return_ms(progress.service, held_back_ms)
+        await self._answers.give_up(progress, reply, 503, BACKING_OFF, retry_ms)
+
+    async def _after_refusal(
+        self, progress: Progress, place: Place, places: Places, reply: CallerReply, code: str
+    ) -> bool:
+        progress.refusals += 1
+        held_back_ms = places.held_back_ms(progress.service)
+        if held_back_ms:
+            await self._back_off(progress, reply, held_back_ms)
+            return True
+        is_full = code == NotRun.FULL.value
+        # A full upstream that is the last of its service would refuse again at once.
+        is_useless = is_full and not place.has_other
+        if not is_useless and await self._may_repeat(progress, upstream_is_busy=is_full):
+            progress.note_refusal(place.upstream.instance, code == NotRun.ABSENT.value)
+            return False
+        await self._answers.give_up(progress, reply, 503, code, BROKEN_RETRY_MS)
+        return True
+
+    async def _after_loss(
+        self,
+        progress: Progress,
+        route: Route,
+        place: Place,
+        sent_ms: int,
+        reply: CallerReply,
+        code: str,
+    ) -> bool:
+        progress.runs += 1
+        upstream = place.upstream
+        progress.avoid.append(upstream.instance)
+        self._quarantine.broke(progress.fingerprint, upstream.instance, upstream.address, sent_ms)
+        # Non-idempotent: never repeated once bytes may have reached the upstream. It may have run,
+        # and a second run would send its caller two results.
+        if self._may_run_again(progress, route) and await self._may_repeat(
+            progress, upstream_is_busy=code == SILENT
+        ):
+            return False
+        await self._answers.give_up(progress, reply, 502, code, None)
+        return True
+
+    async def _after_failure(
+        self,
+        progress: Progress,
+        route: Route,
+        place: Place,
+        places: Places,
+        reply: CallerReply,
+        failed: Failed,
+    ) -> bool:
+        progress.runs += 1
+        progress.avoid.append(place.upstream.instance)
+        self._quarantine.answered(progress.fingerprint)
+        if (
+            failed.status >= 500
+            and self._may_run_again(progress, route)
+            and not places.held_back_ms(progress.service)
+            and await self._may_repeat(progress, upstream_is_busy=False)
+        ):
+            return False
+        if progress.started:
+            await self._answers.give_up(progress, reply, 502, "upstream_failed", None)
+        else:
+            await reply.whole(failed.status, failed.headers, failed.body)
+        return True
+
+    def _may_run_again(self, progress: Progress, route: Route) -> bool:
+        return route.kind.idempotent and progress.runs < route.attempts
+
+    async def _may_repeat(self, progress: Progress, upstream_is_busy: bool) -> bool:
+        if progress.sends >= MAX_SENDS or self._clock.now_ms() >= progress.until_ms:
+            return False
+        if await self._repeats.spend(progress.service, upstream_is_busy):
+            progress.holds_repeat = True
+            return True
+        self._metrics.count("repeats_over_budget")
+        return False
--- a/chestnutfall/forwarding/engine_places.py
+++ b/chestnutfall/forwarding/engine_places.py
@@ -8,13 +8,13 @@
 
 from ..clock import Clock
 from ..coordination.messages import Release, Withdraw
-from ..limits.known_limits import KnownLimits
 from ..placement import AdapterName, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.run_times import RunTimes
 from ..signals import UpstreamLoad
+from ..signals.known_signals import KnownSignals
 from . import patience
 from .fleet_client import FleetClient, LeaderLost
-from .place import NoPlace, Place, Places, Wanted
+from .place import BACKING_OFF, NoPlace, Place, Places, Wanted
 
 log = logging.getLogger(__name__)
 LEADERLESS_WAIT_MS = 1_500
@@ -33,13 +33,13 @@
     def __init__(
         self,
         fleet: FleetClient,
-        limits: KnownLimits,
+        signals: KnownSignals,
         clock: Clock,
         gateway: str,
         data_centre: str,
     ) -> None:
         self._fleet = fleet
-        self._limits = limits
+        self._signals = signals
         self._clock = clock
         self._gateway = gateway
         self._data_centre = data_centre
@@ -56,6 +56,7 @@
                 place = self._from_memory(req, wanted.too_early)
                 if place is not None:
                     return place
+                self._refuse_if_held_back(wanted.service.name)
                 wait_ms = give_up_ms - self._clock.now_ms()
                 if wait_ms <= 0 or not await self._fleet.until_connected(wait_ms):
                     raise NoPlace("no_leader", NO_LEADER_RETRY_MS) from None
@@ -69,6 +70,15 @@
                 )
             self._fleet.tell(Release(req.ticket, RunOutcome.WITHDRAWN.value))
 
+    def _refuse_if_held_back(self, service: str) -> None:
+        held_back_ms = self.held_back_ms(service)
+        if held_back_ms:
+            raise NoPlace(BACKING_OFF, self._signals.return_ms(service, held_back_ms))
+
+    def held_back_ms(self, service: str) -> float:
+        upstreams = self._fleet.knowledge.upstreams(service)
+        return self._signals.held_back_ms(one.instance for one in upstreams)
+
     async def _ask(self, req: PlaceRequest) -> Grant | Reject:
         try:
             return await self._fleet.place(req)
@@ -105,17 +115,18 @@
     def _from_memory(self, req: PlaceRequest, lacking: tuple[str, ...]) -> Place | None:
         """The least used engine that held the adapter when there was a leader.
 
-        Not one of those that turned out to lack it: nobody loads it there now. One that names a
-        limit gets no more than this gateway's share.
+        Not one of those that turned out to lack it: nobody loads it there now, nor one that wants
+        nothing. One that names a limit gets no more than this gateway's share.
         """
         found = (
             (held, upstream)
             for held in self._fleet.knowledge.holders(req.adapter)
             if (upstream := self._fleet.knowledge.upstream(held.instance)) is not None
             and held.instance not in (*req.avoid, *lacking)
+            and self._signals.may_send(held.instance)
         )
         for held, upstream in sorted(found, key=lambda one: self._without_leader[one[0].instance]):
-            if self._limits.may_send_alone(held.instance):
+            if self._signals.limits.may_send_alone(held.instance):
                 self._without_leader[held.instance] += 1
                 log.info("place: ticket=%s from memory instance=%s", req.ticket, held.instance)
                 return Place(req.ticket, upstream, held.version)
--- a/chestnutfall/forwarding/final_answers.py
+++ b/chestnutfall/forwarding/final_answers.py
@@ -41,7 +41,7 @@
         executed = Executed.UNKNOWN if progress.runs else Executed.NO
         if status == 503 and executed is not Executed.NO:
             status = 502
-        if status == 504 and progress.sends == 0:
+        if status == 504 and not progress.may_have_run:
             status = 503
         await self.refuse(call, reply, status, reason, executed, retry_after_ms)
 
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -27,6 +27,7 @@
 from ..limits.messages import AnswerTurn, AskTurn, HeardLimit, LimitsInForce
 from ..placement import Grant, PlaceRequest, Reject
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, WasShort
+from ..signals.messages import BackoffHints, HeardBackoff
 from ..wire import RpcChannel
 from .fleet_knowledge import FleetKnowledge
 from .leader_patience import LeaderPatience
@@ -69,8 +70,10 @@
         What to tell a new leader of those that were.
     on_limits : callable
         Told which upstreams name limits.
-    limits_again : callable
-        What to tell a new leader of those that do.
+    on_hints : callable
+        Told which plain upstreams asked other gateways for time.
+    heard_again : callable
+        What to tell a new leader of what upstreams said.
     """
 
     def __init__(
@@ -96,7 +99,8 @@
         self.on_quotas: Callable[[QuotaNews], None] = lambda news: None
         self.was_short: Callable[[], WasShort] = lambda: WasShort(())
         self.on_limits: Callable[[LimitsInForce], None] = lambda limits: None
-        self.limits_again: Callable[[], tuple[HeardLimit, ...]] = lambda: ()
+        self.on_hints: Callable[[BackoffHints], None] = lambda hints: None
+        self.heard_again: Callable[[], tuple[HeardLimit | HeardBackoff, ...]] = lambda: ()
 
     def use_controllers(self, controllers: tuple[str, ...]) -> None:
         """Take the controllers that changed settings name."""
@@ -245,7 +249,7 @@
             await stream.write(hello)
             if was_short.organisations:
                 await stream.write(was_short)
-            for heard in self.limits_again():
+            for heard in self.heard_again():
                 await stream.write(heard)
             while True:
                 await stream.write(await self._out.get())
@@ -278,6 +282,8 @@
                 self.on_quotas(msg)
             case LimitsInForce():
                 self.on_limits(msg)
+            case BackoffHints():
+                self.on_hints(msg)
             case news:
                 self.knowledge.take(news)
                 is_whole = isinstance(news, UpstreamsPart) and news.complete
@@ -288,6 +294,9 @@
         self.connected = True
         self._up.set()
         log.info("leader: connected address=%s", address)
+        # What answers said since the first words of this stream were written was told to nobody.
+        for heard in self.heard_again():
+            self.tell(heard)
         # The leader before may have ended with these, or they came while there was none.
         for report in self._reports.again():
             self.tell(report)
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -4,7 +4,6 @@
 
 import random
 from dataclasses import replace
-from typing import assert_never
 
 from ..clock import Clock
 from ..observability.histograms import Histograms
@@ -14,30 +13,26 @@
 from ..quarantine.request_quarantine import REASON as QUARANTINED
 from ..requests import Executed, fingerprint_of
 from ..routes import Route, RouteTable, ServiceSpec
+from ..signals.known_signals import KnownSignals
 from .admission import Admission, Admitted, NotAdmitted
+from .after_send import AfterSend
 from .call import Call
 from .caller_reply import CallerReply
 from .final_answers import FinalAnswers
 from .organisation_counts import OrganisationCounts
-from .place import NoPlace, Place, Places, Wanted
+from .place import NoPlace, Places, Wanted
 from .progress import Progress
 from .repeats import Repeats
 from .route_source import RouteSource
 from .send_log import log_send
-from .send_result import Delivered, Failed, Lost, Refused, SendResult
+from .send_result import HeldBack
 from .sender import Sender
-from .upstream_answer import NotRun
-from .upstream_api import SILENT
 
-MAX_SENDS = 6
-"""Refused sends cost little, but each counts as a repeat for the upstream that refuses."""
 NOT_READY_RETRY_MS = 500
 """A gateway has its configuration within half a second of a leader."""
 STARTING_MS = 1_500
 """After all hosts lost power, controllers start together with the gateways, and lead within half a
 second of that. A gateway without a document any later than this is cut off from them."""
-BROKEN_RETRY_MS = 500
-"""An upstream that refuses or fails is left by others within this time."""
 LEAVING_RETRY_MS = 50
 """Another gateway takes the request at once; only this one is leaving."""
 FINAL_MARGIN_MS = 15
@@ -55,6 +50,7 @@
         engine_places: Places,
         plain_places: Places,
         sender: Sender,
+        signals: KnownSignals,
         quarantine: RequestQuarantine,
         clock: Clock,
         metrics: Histograms,
@@ -70,6 +66,7 @@
         self._clock = clock
         self._metrics = metrics
         self._answers = FinalAnswers(clock, metrics)
+        self._after = AfterSend(repeats, signals, quarantine, self._answers, clock, metrics)
         self._counts = OrganisationCounts(metrics)
         self._rng = rng
         self._refusing = False
@@ -181,6 +178,8 @@
             try:
                 place = await places.take(wanted)
             except NoPlace as exc:
+                if progress.holds_repeat:
+                    self._repeats.give_back(progress.service)
                 await self._answers.give_up(progress, reply, 503, exc.reason, exc.retry_after_ms)
                 return
             # It may have waited for an adapter, and another copy of it ended the third upstream.
@@ -191,7 +190,9 @@
             sent_ms = self._clock.now_ms()
             result = await self._sender.send(progress, route, place, places, reply)
             log_send(progress, route, place, sent_ms, self._clock.now_ms(), result)
-            if await self._is_final(progress, route, place, sent_ms, reply, result):
+            if not isinstance(result, HeldBack):
+                progress.holds_repeat = False
+            if await self._after.is_final(progress, route, place, places, sent_ms, reply, result):
                 return
 
     async def _is_quarantined(self, progress: Progress, reply: CallerReply) -> bool:
@@ -201,72 +202,3 @@
             return False
         await self._answers.give_up(progress, reply, 503, QUARANTINED, retry_ms)
         return True
-
-    async def _is_final(
-        self,
-        progress: Progress,
-        route: Route,
-        place: Place,
-        sent_ms: int,
-        reply: CallerReply,
-        result: SendResult,
-    ) -> bool:
-        """Give the final answer, or prepare the next send and return False."""
-        match result:
-            case Delivered():
-                self._quarantine.answered(progress.fingerprint)
-                self._metrics.observe("answer_ms", self._clock.now_ms() - progress.call.arrived_ms)
-                return True
-            case Refused(code):
-                progress.refusals += 1
-                is_full = code == NotRun.FULL.value
-                # A full upstream that is the last of its service would refuse again at once.
-                is_useless = is_full and not place.has_other
-                if not is_useless and await self._may_repeat(progress, upstream_is_busy=is_full):
-                    too_early = code == NotRun.ABSENT.value
-                    progress.note_refusal(place.upstream.instance, too_early)
-                    return False
-                await self._answers.give_up(progress, reply, 503, code, BROKEN_RETRY_MS)
-            case Lost(code):
-                progress.runs += 1
-                progress.avoid.append(place.upstream.instance)
-                upstream = place.upstream
-                self._quarantine.broke(
-                    progress.fingerprint, upstream.instance, upstream.address, sent_ms
-                )
-                # Non-idempotent: never repeated once bytes may have reached the upstream. It may
-                # have run, and a second run would send its caller two results.
-                is_silent = code == SILENT
-                if self._may_run_again(progress, route) and await self._may_repeat(
-                    progress, upstream_is_busy=is_silent
-                ):
-                    return False
-                await self._answers.give_up(progress, reply, 502, code, None)
-            case Failed(status, headers, body):
-                progress.runs += 1
-                progress.avoid.append(place.upstream.instance)
-                self._quarantine.answered(progress.fingerprint)
-                if (
-                    status >= 500
-                    and self._may_run_again(progress, route)
-                    and await self._may_repeat(progress, upstream_is_busy=False)
-                ):
-                    return False
-                if progress.started:
-                    await self._answers.give_up(progress, reply, 502, "upstream_failed", None)
-                else:
-                    await reply.whole(status, headers, body)
-            case _:
-                assert_never(result)
-        return True
-
-    def _may_run_again(self, progress: Progress, route: Route) -> bool:
-        return route.kind.idempotent and progress.runs < route.attempts
-
-    async def _may_repeat(self, progress: Progress, upstream_is_busy: bool) -> bool:
-        if progress.sends >= MAX_SENDS or self._clock.now_ms() >= progress.until_ms:
-            return False
-        if await self._repeats.spend(progress.service, upstream_is_busy):
-            return True
-        self._metrics.count("repeats_over_budget")
-        return False
--- a/chestnutfall/forwarding/limited_turns.py
+++ b/chestnutfall/forwarding/limited_turns.py
@@ -6,9 +6,9 @@
 
 from ..clock import Clock
 from ..control.upstream_record import UpstreamRecord
-from ..limits.known_limits import KnownLimits
 from ..limits.messages import AnswerTurn
 from ..limits.plain_turns import NO_UPSTREAM_MS
+from ..signals.known_signals import KnownSignals
 from .engine_places import NO_LEADER_RETRY_MS
 from .fleet_client import LeaderLost
 from .place import NoPlace, Wanted
@@ -22,8 +22,8 @@
 class LimitedTurns:
     """Uses limited upstreams as far as all gateways together may, and others for the rest."""
 
-    def __init__(self, limits: KnownLimits, ask: AskForTurn, clock: Clock) -> None:
-        self._limits = limits
+    def __init__(self, signals: KnownSignals, ask: AskForTurn, clock: Clock) -> None:
+        self._limits = signals.limits
         self._ask = ask
         self._clock = clock
         self._none_before_ms: dict[str, int] = {}
--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -12,6 +12,9 @@
 from ..signals import UpstreamLoad
 from .call import Call
 
+BACKING_OFF = "backing_off"
+"""Why a call finds no place where each upstream asked for time, or leaves."""
+
 
 class NoPlace(Exception):
     """No upstream can take the request in time; nothing ran."""
@@ -82,6 +85,13 @@
         NoPlace
         """
 
+    @abstractmethod
+    def held_back_ms(self, service: str) -> float:
+        """Time until an upstream of a service takes work from this gateway; 0 if one does.
+
+        Endless if all of them leave.
+        """
+
     @abstractmethod
     def give_back(
         self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
--- a/chestnutfall/forwarding/plain_places.py
+++ b/chestnutfall/forwarding/plain_places.py
@@ -9,14 +9,14 @@
 
 from ..clock import Clock
 from ..control.upstream_record import UpstreamRecord
-from ..limits.known_limits import KnownLimits
 from ..limits.plain_turns import NO_UPSTREAM_MS
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
 from ..placement.upstream_health import UpstreamHealth
 from ..signals import UpstreamLoad
+from ..signals.known_signals import KnownSignals
 from .limited_turns import AskForTurn, LimitedTurns
-from .place import NoPlace, Place, Places, Wanted
+from .place import BACKING_OFF, NoPlace, Place, Places, Wanted
 
 BUSY_COST_MS = 20.0
 """One more request at an upstream makes the next wait about a short request's time."""
@@ -48,15 +48,15 @@
     def __init__(
         self,
         upstreams: Callable[[str], Sequence[UpstreamRecord]],
-        limits: KnownLimits,
+        signals: KnownSignals,
         ask_turn: AskForTurn,
         clock: Clock,
         data_centre: str,
         rng: random.Random,
     ) -> None:
         self._upstreams = upstreams
-        self._limits = limits
-        self._turns = LimitedTurns(limits, ask_turn, clock)
+        self._signals = signals
+        self._turns = LimitedTurns(signals, ask_turn, clock)
         self._clock = clock
         self._data_centre = data_centre
         self._rng = rng
@@ -64,12 +64,10 @@
         self._numbers = itertools.count()
 
     async def take(self, wanted: Wanted) -> Place:
-        upstreams = self._weighed(self._upstreams(wanted.service.name))
-        if not upstreams:
-            raise NoPlace("no_upstream", NO_UPSTREAM_MS)
+        upstreams = self._weighed(self._wanting(wanted.service.name))
         by_cost = sorted(upstreams, key=lambda one: self._cost_ms(one, wanted.avoid))
         chosen = by_cost[0]
-        if self._limits.per_s(chosen.instance) is not None:
+        if self._signals.limits.per_s(chosen.instance) is not None:
             can_take = [one for one in by_cost if self._can_take(one, wanted.avoid)]
             chosen = await self._turns.choose(wanted, can_take or by_cost, self._upstreams)
         known = self._of(chosen)
@@ -79,12 +77,33 @@
         has_other = any(self._can_take(one, wanted.avoid) for one in upstreams if one is not chosen)
         return Place(f"plain-{next(self._numbers)}", chosen, 0, has_other=has_other)
 
+    def _wanting(self, service: str) -> Sequence[UpstreamRecord]:
+        """Upstreams that take work from this gateway.
+
+        Raises
+        ------
+        NoPlace
+        """
+        upstreams = self._upstreams(service)
+        if not upstreams:
+            raise NoPlace("no_upstream", NO_UPSTREAM_MS)
+        wanting = [one for one in upstreams if self._signals.may_send(one.instance)]
+        if wanting:
+            return wanting
+        held_back_ms = self.held_back_ms(service)
+        raise NoPlace(BACKING_OFF, self._signals.return_ms(service, held_back_ms))
+
+    def held_back_ms(self, service: str) -> float:
+        return self._signals.held_back_ms(one.instance for one in self._upstreams(service))
+
     def _weighed(self, upstreams: Sequence[UpstreamRecord]) -> Sequence[UpstreamRecord]:
         if len(upstreams) <= MOST_WEIGHED:
             return upstreams
         return self._rng.sample(upstreams, MOST_WEIGHED)
 
     def _can_take(self, upstream: UpstreamRecord, avoid: tuple[str, ...]) -> bool:
+        if self._signals.backoffs.is_doubtful(upstream.instance):
+            return False
         shunned = self._of(upstream).health.is_shunned(self._clock.now_ms())
         return not shunned and upstream.instance not in avoid
 
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -45,6 +45,8 @@
         Instances that it came to before its adapter was there.
     signals : UpstreamSignals
         What the last answer said of its upstream.
+    holds_repeat : bool
+        Whether a repeat was taken for it that is not sent yet.
     gaps_ms : list of int
         The first `MOST_GAPS` times between two parts of its answer.
     """
@@ -64,6 +66,7 @@
     avoid: list[str] = field(default_factory=list)
     too_early: list[str] = field(default_factory=list)
     signals: UpstreamSignals = NO_SIGNALS
+    holds_repeat: bool = False
     gaps_ms: list[int] = field(default_factory=list)
     _part_ms: int = 0
 
--- a/chestnutfall/forwarding/repeats.py
+++ b/chestnutfall/forwarding/repeats.py
@@ -5,10 +5,13 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from ..clock import Clock
+from ..clock import Clock, SlidingWindow
 from ..settings.repeat_bounds import RepeatBounds
 from .shared_retry_budget import SharedRetryBudget
 
+UNUSED_MS = 1_000
+"""How long a repeat that was not sent may still be; it counts from when it was taken."""
+
 
 class Repeats:
     """This gateway's own share for each service, and beyond it what the leader gives.
@@ -35,11 +38,16 @@
         self._clock = clock
         self._rng = rng
         self._own: dict[str, SharedRetryBudget] = {}
+        self._unused: dict[str, SlidingWindow] = {}
 
     def note_request(self, service: str) -> None:
         """Count a client's request."""
         self._of(service).note_request()
 
+    def give_back(self, service: str) -> None:
+        """Take back a repeat that was not sent."""
+        self._unused.setdefault(service, SlidingWindow(UNUSED_MS)).note(self._clock.now_ms())
+
     async def spend(self, service: str, upstream_is_busy: bool) -> bool:
         """Take one repeat; False when there is none left.
 
@@ -48,6 +56,9 @@
         upstream_is_busy : bool
             Whether the send before ended because its upstream has too much to do.
         """
+        unused = self._unused.get(service)
+        if unused is not None and unused.take_oldest(self._clock.now_ms()):
+            return True
         if self._of(service).spend(self._gateways()):
             return True
         # When upstreams fail a part of what they run, each repeat helps its caller. When there are
--- a/chestnutfall/forwarding/send_log.py
+++ b/chestnutfall/forwarding/send_log.py
@@ -9,7 +9,7 @@
 from ..signals.backoff_word import backoff_text
 from .place import Place
 from .progress import Progress
-from .send_result import Delivered, Failed, Lost, Refused, SendResult
+from .send_result import Delivered, Failed, HeldBack, Lost, Refused, SendResult
 
 log = logging.getLogger(__name__)
 
@@ -52,5 +52,5 @@
             return code
         case Failed(status):
             return str(status)
-        case Delivered():
+        case Delivered() | HeldBack():
             return ""
--- a/chestnutfall/forwarding/send_result.py
+++ b/chestnutfall/forwarding/send_result.py
@@ -6,6 +6,9 @@
 
 from .call import Headers
 
+TURNED_AWAY = "turned_away"
+"""Code of a refusal by an upstream that asks this gateway for time."""
+
 
 @dataclass(frozen=True, slots=True)
 class Delivered:
@@ -19,6 +22,11 @@
     code: str
 
 
+@dataclass(frozen=True, slots=True)
+class HeldBack:
+    """Nothing was sent: the upstream wants no work from this gateway now."""
+
+
 @dataclass(frozen=True, slots=True)
 class Lost:
     """It may have run, and its answer is missing or cut off."""
@@ -35,4 +43,4 @@
     body: bytes
 
 
-SendResult = Delivered | Refused | Lost | Failed
+SendResult = Delivered | Refused | HeldBack | Lost | Failed
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -5,19 +5,19 @@
 import statistics
 
 from ..clock import Clock
-from ..limits.known_limits import KnownLimits
 from ..observability.histograms import Histograms
 from ..placement import RunOutcome
-from ..placement.run_times import RunTimes
+from ..placement.run_times import NO_TIMES, RunTimes
 from ..routes import Route
-from ..signals import NO_SIGNALS, UpstreamLoad
+from ..signals import NO_SIGNALS, AskedBackoff, UpstreamLoad
+from ..signals.known_signals import KnownSignals
 from .caller_reply import CallerReply
 from .event_splitter import EventSplitter
 from .forwarded_call import ForwardedCall
 from .patience import first_byte_ms, pause_ms
 from .place import Place, Places
 from .progress import Progress
-from .send_result import Delivered, Failed, Lost, Refused, SendResult
+from .send_result import TURNED_AWAY, Delivered, Failed, HeldBack, Lost, Refused, SendResult
 from .upstream_answer import NotRun, UpstreamAnswer
 from .upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 
@@ -36,23 +36,26 @@
     """Sends, relays what comes back, and tells the place how it ended."""
 
     def __init__(
-        self, api: UpstreamApi, limits: KnownLimits, clock: Clock, metrics: Histograms
+        self, api: UpstreamApi, signals: KnownSignals, clock: Clock, metrics: Histograms
     ) -> None:
         self._api = api
-        self._limits = limits
+        self._signals = signals
         self._clock = clock
         self._metrics = metrics
 
     async def send(
         self, progress: Progress, route: Route, place: Place, places: Places, reply: CallerReply
     ) -> SendResult:
-        """Send the call once."""
+        """Send the call once, unless its upstream has just said that it wants nothing."""
         progress.signals = NO_SIGNALS
+        if not self._signals.may_send(place.upstream.instance):
+            places.give_back(place, RunOutcome.WITHDRAWN, NO_TIMES, None)
+            return HeldBack()
         sending = _Sending(self._clock, progress, route, place, reply)
         outcome: RunOutcome | None = None
         try:
             async with self._api.send(sending.forwarded()) as answer:
-                self._hear_limit(place, answer, sending.sent_ms)
+                self._hear(place, answer, sending.sent_ms)
                 result = await sending.relay(answer)
             outcome = _outcome(answer, result)
             return result
@@ -72,10 +75,10 @@
                 self._metrics.observe("first_byte_ms", sending.first_byte_ms)
             places.give_back(place, outcome, sending.times(), sending.load)
 
-    def _hear_limit(self, place: Place, answer: UpstreamAnswer, sent_ms: int) -> None:
+    def _hear(self, place: Place, answer: UpstreamAnswer, sent_ms: int) -> None:
         # Another incarnation at the same address speaks for itself.
         if answer.not_run is not NotRun.REPLACED:
-            self._limits.hear(place.upstream.instance, answer.signals.limit, sent_ms, answer.ok)
+            self._signals.hear(place.upstream.instance, answer.signals, sent_ms, answer.ok)
 
 
 class _Sending:
@@ -130,7 +133,7 @@
         self._progress.signals = answer.signals
         self._answering = True
         if answer.not_run is not None:
-            return Refused(answer.not_run.value)
+            return Refused(_refusal(answer, answer.not_run))
         if not answer.ok:
             return Failed(answer.status, answer.headers, await _whole(answer))
         if self._route.kind.streamed:
@@ -193,7 +196,20 @@
     return bytes(body)
 
 
+def _asks_for_time(answer: UpstreamAnswer) -> bool:
+    """Whether the upstream that was meant turns this gateway away for some time."""
+    is_meant = answer.not_run is not NotRun.REPLACED
+    return is_meant and isinstance(answer.signals.backoff, AskedBackoff)
+
+
+def _refusal(answer: UpstreamAnswer, not_run: NotRun) -> str:
+    return TURNED_AWAY if _asks_for_time(answer) else not_run.value
+
+
 def _outcome(answer: UpstreamAnswer, result: SendResult) -> RunOutcome:
+    if _asks_for_time(answer):
+        # It is well, and is back at its own time: neither a failure nor a sign of how it loads.
+        return RunOutcome.TURNED_AWAY
     if answer.not_run is not None:
         return _OUTCOMES[answer.not_run]
     match result:
--- a/chestnutfall/limits/plain_turns.py
+++ b/chestnutfall/limits/plain_turns.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Generic, TypeVar
@@ -60,13 +59,20 @@
     ----------
     serving : callable
         Instances of a service that take work now.
+    may_send : callable
+        Whether an instance wants work from a gateway.
     """
 
     def __init__(
-        self, book: LimitBook, serving: Callable[[str], Sequence[str]], clock: Clock
+        self,
+        book: LimitBook,
+        serving: Callable[[str], Sequence[str]],
+        may_send: Callable[[Gateway, str], bool],
+        clock: Clock,
     ) -> None:
         self._book = book
         self._serving = serving
+        self._may_send = may_send
         self._clock = clock
         self._queues: dict[str, list[_Waiting[Gateway]]] = {}
         self._shares: dict[str, FairShare] = {}
@@ -99,14 +105,30 @@
     def _due_of(self, service: str) -> Iterator[Turn[Gateway]]:
         now_ms = self._clock.now_ms()
         limits = {one: self._book.of(one, counts_sends=False) for one in self._serving(service)}
-        in_order = deque(sorted(self._queues[service], key=lambda one: one.order))
-        while in_order and (instance := _free(in_order[0].asked.avoid, limits, now_ms)):
-            waiting = in_order.popleft()
+        free = {one: limit for one, limit in limits.items() if not limit.wait_ms(0, now_ms)}
+        in_order: list[_Waiting[Gateway]] = []
+        for waiting in sorted(self._queues[service], key=lambda one: one.order):
+            instance = self._best(waiting, free, now_ms) if free else ""
+            if not instance:
+                in_order.append(waiting)
+                continue
             limits[instance].note_sent(now_ms)
+            if limits[instance].wait_ms(0, now_ms):
+                del free[instance]
             self._shares[service].served(waiting.tag)
             yield Turn(waiting.gateway, AnswerTurn(waiting.asked.number, instance))
-        # What one call finds taken is taken for all behind it, and nothing more is sent.
-        queue = _Queue.before(limits.values(), now_ms)
+        yield from self._left_of(service, in_order, _Queue.before(limits.values(), now_ms), now_ms)
+
+    def _best(self, waiting: _Waiting[Gateway], free: dict[str, UpstreamLimit], now_ms: int) -> str:
+        """The upstream with most room, one that failed the call only if no other has any."""
+        wants = [one for one in free if self._may_send(waiting.gateway, one)]
+        avoid = waiting.asked.avoid
+        return max(wants, key=lambda one: _worth(one, free[one], avoid, now_ms), default="")
+
+    def _left_of(
+        self, service: str, in_order: list[_Waiting[Gateway]], queue: _Queue, now_ms: int
+    ) -> Iterator[Turn[Gateway]]:
+        """Keep those that can wait, and yield the others' answers."""
         left: list[_Waiting[Gateway]] = []
         for waiting in in_order:
             asked = waiting.asked
@@ -139,12 +161,6 @@
         return _Queue(min(limit.wait_ms(0, now_ms) for limit in limited), 1000 / per_s)
 
 
-def _free(avoid: tuple[str, ...], limits: dict[str, UpstreamLimit], now_ms: int) -> str:
-    """The upstream with most room, one that failed the call only if no other has any."""
-    free = [one for one, limit in limits.items() if not limit.wait_ms(0, now_ms)]
-    return max(free, key=lambda one: _worth(one, limits[one], avoid, now_ms), default="")
-
-
 def _worth(
     instance: str, limit: UpstreamLimit, avoid: tuple[str, ...], now_ms: int
 ) -> tuple[bool, bool, float]:
--- a/chestnutfall/placement/choice.py
+++ b/chestnutfall/placement/choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 
@@ -23,7 +24,8 @@
 OTHER_DATA_CENTRE_MS = 4.0
 """Round trip to another data centre, and its traffic, which costs money."""
 AVOIDED_MS = 5_000.0
-"""An engine that failed this very request before is the last choice, but still one."""
+"""An engine that failed this very request before, or would probably turn it away, is the last
+choice, but still one."""
 STORE_MS = 400.0
 """What a load from the weight store costs beyond its time: the store's bandwidth is shared and
 paid for. An engine that held the adapter recently is worth waiting this much for."""
@@ -88,8 +90,9 @@
         self._versions = versions
         self._engines = [one for one in engines if not one.health.is_shunned(now_ms)]
         part = len(engines) / of_all if of_all else 1.0
-        self.starts_per_s = sum(one.starts_per_s() for one in self._engines) / part
-        limits = [one.limit.per_s for one in self._engines]
+        wanting = [one for one in self._engines if not one.backoff.is_doubtful(now_ms)]
+        self.starts_per_s = sum(one.starts_per_s() for one in wanting) / part
+        limits = [one.limit.per_s for one in wanting]
         self.limit_per_s = None if None in limits else sum(one or 0.0 for one in limits) / part
         self._demand = demand
         self._now_ms = now_ms
@@ -140,6 +143,7 @@
             if req.adapter.model in engine.models
             and engine.instance not in req.avoid
             and engine.send_wait_ms(self._now_ms) <= spare_ms
+            and engine.backoff.back_ms(req.gateway, self._now_ms) <= spare_ms
         )
 
     def first_event_ms(self, req: PlaceRequest) -> float:
@@ -174,6 +178,20 @@
         waits_ms = (one.limit.wait_ms(0, self._now_ms) for one in self._engines)
         return min(waits_ms, default=0)
 
+    def back_ms(self, req: PlaceRequest) -> float:
+        """Time until the first engine wants requests of this one's gateway; 0 if one does."""
+        least_ms = math.inf
+        found = False
+        for engine in self._engines:
+            if not _is_usable(req, engine):
+                continue
+            back_ms = engine.backoff.back_ms(req.gateway, self._now_ms)
+            if not back_ms:
+                return 0.0
+            found = True
+            least_ms = min(least_ms, back_ms)
+        return least_ms if found else 0.0
+
     def changed(self, engine: Engine) -> None:
         """Look at an engine again that was just given something."""
         self._busy_ms[engine.instance] = self._busy_of(engine)
@@ -228,8 +246,11 @@
             yield PlaceOption(engine, cost_ms, load_ms, victim)
 
     def _may_take(self, req: PlaceRequest, engine: Engine) -> bool:
-        usable = not req.adapter.model or req.adapter.model in engine.models
-        return usable and engine.has_room(req) and not engine.send_wait_ms(self._now_ms)
+        if not _is_usable(req, engine) or not engine.has_room(req):
+            return False
+        if engine.backoff.wait_ms(req.gateway, self._now_ms):
+            return False
+        return not engine.send_wait_ms(self._now_ms)
 
     def _holds(self, engine: Engine, name: AdapterName) -> bool:
         held = engine.holdings.get(name)
@@ -265,11 +286,15 @@
         cost_ms = self._busy_ms[engine.instance]
         if engine.data_centre != req.data_centre:
             cost_ms += OTHER_DATA_CENTRE_MS
-        if engine.instance in req.avoid:
+        if engine.instance in req.avoid or engine.backoff.is_doubtful(self._now_ms):
             cost_ms += AVOIDED_MS
         return cost_ms
 
 
+def _is_usable(req: PlaceRequest, engine: Engine) -> bool:
+    return not req.adapter.model or req.adapter.model in engine.models
+
+
 def _batch_wait_ms(engine: Engine) -> float:
     return engine.beyond_batch * BEYOND_BATCH_MS
 
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -7,6 +7,7 @@
 
 from ..limits.upstream_limit import UpstreamLimit
 from ..routes import EngineSpec
+from ..signals.upstream_backoff import UpstreamBackoff
 from .adapter_name import AdapterName
 from .engine_kind import EngineKind
 from .engine_report import EngineReport
@@ -59,6 +60,8 @@
         Whether it may still carry out an order that we gave up; one place is left for that.
     limit : UpstreamLimit
         How many requests a second it says that it takes.
+    backoff : UpstreamBackoff
+        Which gateways it wants no request from.
     pauses : PauseBudget
         How much reading the streams that run here bear.
     """
@@ -73,6 +76,7 @@
         pace: ReadPace,
         store: StoreTimes,
         limit: UpstreamLimit,
+        backoff: UpstreamBackoff,
     ) -> None:
         self.instance = instance
         self.service = service
@@ -85,6 +89,7 @@
         self.synced = False
         self.has_stray_order = False
         self.limit = limit
+        self.backoff = backoff
         self.health = UpstreamHealth(CONNECTION_STRIKES)
         self.loads = LoadTimer(instance, kind.load_ms, store)
         self.prompts = PromptCache(int(spec.kv_tokens * KV_SHARE))
--- a/chestnutfall/placement/place_request.py
+++ b/chestnutfall/placement/place_request.py
@@ -22,7 +22,8 @@
     Attributes
     ----------
     ticket : str
-        Unique for each attempt to place; names the place until it is released.
+        Unique for each attempt to place; names the place until it is released. Begins with the
+        name of the gateway that sends the request, and a slash.
     adapter : AdapterName
         What the engine must hold.
     prompt_tokens, output_tokens : int
@@ -54,3 +55,8 @@
     avoid: tuple[str, ...] = ()
     pause_objective_ms: int = 0
     organisation: str = ""
+
+    @property
+    def gateway(self) -> str:
+        """Name of the gateway that sends the request."""
+        return self.ticket.rpartition("/")[0]
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -7,8 +7,8 @@
 from ..clock import Clock
 from ..limits.limit_book import LimitBook
 from ..quota.fair_share import FairShare
-from ..quota.return_times import MOST_WAIT_MS, ReturnTimes
 from ..routes import EngineSpec
+from ..signals.backoff_book import BackoffBook
 from .adapter_name import AdapterName
 from .choice import Choice
 from .decisions import Decision, Grant, LoadAdapter, LoadModel, Order, Reject, UnloadAdapter
@@ -23,6 +23,7 @@
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
 from .reading_turns import ReadingTurns
+from .refusals import Refusals
 from .run_end import note_end
 from .run_outcome import RunOutcome
 from .run_times import NO_TIMES, RunTimes
@@ -31,11 +32,6 @@
 from .wanted_versions import WantedVersions
 from .weighed_engines import WeighedEngines
 
-LEAST_RETRY_MS = 250
-"""About one load: sooner nothing has changed for who comes back."""
-MOST_RETRY_MS = 4_000
-"""Usual deadlines are as long; a later return is a new request."""
-
 
 class Placer:
     """Places requests on engines and decides which adapters they load.
@@ -50,9 +46,15 @@
         What was learned of the engines of each service.
     """
 
-    def __init__(self, clock: Clock, limits: LimitBook | None = None) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        limits: LimitBook | None = None,
+        backoffs: BackoffBook | None = None,
+    ) -> None:
         self._clock = clock
         self._limits = limits or LimitBook(clock)
+        self._backoffs = backoffs or BackoffBook(clock)
         self.engines: dict[str, Engine] = {}
         self.kinds = Kinds()
         self._index = HolderIndex(self.engines)
@@ -65,7 +67,7 @@
         self._pace = Pace()
         self._shares = FairShare()
         self._turns = ReadingTurns()
-        self._return_times = ReturnTimes()
+        self._refusals = Refusals(clock)
 
     # Engines
 
@@ -77,9 +79,9 @@
             return
         kind, pace = self.kinds.of(service), self.kinds.pace_of(service)
         store = self.kinds.store_times_of(service)
-        limit = self._limits.of(instance)
+        limit, backoff = self._limits.of(instance), self._backoffs.of(instance)
         self.engines[instance] = Engine(
-            instance, service, data_centre, spec, kind, pace, store, limit
+            instance, service, data_centre, spec, kind, pace, store, limit, backoff
         )
 
     def engine_down(self, instance: str) -> None:
@@ -176,6 +178,7 @@
         engine = self.engines.get(self._places.pop(ticket, ""))
         if engine is not None and outcome is RunOutcome.DONE:
             engine.learn(ticket, times)
+            engine.backoff.served(ticket)
         req = engine.end(ticket) if engine is not None else None
         if engine is None or req is None:
             return
@@ -206,8 +209,9 @@
 
     def _place(self, waiting: Waiting, now: ServiceRound, now_ms: int) -> Iterator[Decision]:
         self._leave_outdated(waiting)
+        self._leave_backing_off(waiting, now_ms)
         if now_ms + now.choice.first_event_ms(waiting.req) > waiting.since_ms + waiting.req.wait_ms:
-            yield self._reject_late(waiting, now, now_ms)
+            yield self._drop(waiting, self._refusals.late(waiting.req, now, now_ms))
         elif waiting.instance:
             yield from self._grant_when_ready(waiting, now_ms)
         elif (option := now.best(waiting)) is not None:
@@ -215,8 +219,8 @@
             yield from self._assign(waiting, option, now_ms)
             yield from self._grant_when_ready(waiting, now_ms)
             now.choice.changed(option.engine)
-        else:
-            yield from self._reject_if_hopeless(waiting, now, now_ms)
+        elif (refusal := self._refusals.if_hopeless(waiting, now, now_ms)) is not None:
+            yield self._drop(waiting, refusal)
 
     def _leave_outdated(self, waiting: Waiting) -> None:
         """Place a request anew whose adapter got a newer version while it waited."""
@@ -225,6 +229,12 @@
         if held is not None and self._versions.is_outdated(waiting.req.adapter, held):
             self._unassign(waiting)
 
+    def _leave_backing_off(self, waiting: Waiting, now_ms: int) -> None:
+        """Place a request anew whose engine asked for time while its adapter was on its way."""
+        engine = self.engines.get(waiting.instance)
+        if engine is not None and engine.backoff.wait_ms(waiting.req.gateway, now_ms):
+            self._unassign(waiting)
+
     def _waiting_services(self) -> set[str]:
         return {waiting.req.service for waiting in self._waiting.values()}
 
@@ -271,6 +281,7 @@
             return
         engine.reading.send(waiting.req.ticket, now_ms)
         engine.limit.note_sent(now_ms)
+        engine.backoff.note_sent(waiting.req.ticket, now_ms)
         del self._waiting[waiting.req.ticket]
         self._places[waiting.req.ticket] = engine.instance
         yield Grant(
@@ -281,44 +292,7 @@
             now_ms - waiting.assigned_ms,
         )
 
-    def _reject_if_hopeless(
-        self, waiting: Waiting, now: ServiceRound, now_ms: int
-    ) -> Iterator[Decision]:
-        """Refuse a request at once if those before it take longer than it has time.
-
-        Holding it until its time is over would serve it no better, and cost its caller the time
-        to come back.
-        """
-        queue_ms = now.queue_ms(waiting)
-        if queue_ms <= waiting.since_ms + waiting.req.wait_ms - now_ms:
-            now.kept += 1
-            return
-        if now.limit_step_ms is None:
-            yield self._reject(waiting, "queue_too_long", int(queue_ms))
-            return
-        yield self._reject_limited(waiting, now.limit_step_ms, now, now_ms)
-
-    def _reject_late(self, waiting: Waiting, now: ServiceRound, now_ms: int) -> Reject:
-        if now.limit_step_ms is None:
-            return self._reject(waiting, "no_time_left")
-        return self._reject_limited(waiting, now.limit_step_ms, now, now_ms)
-
-    def _reject_limited(
-        self, waiting: Waiting, step_ms: float, now: ServiceRound, now_ms: int
-    ) -> Reject:
-        """Refuse a request that all engines together don't take: not one of them is free sooner."""
-        free_ms = now.choice.next_send_ms() + now.kept * step_ms
-        retry_ms = self._return_times.wait_ms(waiting.req.service, free_ms, step_ms, now_ms)
-        return self._reject(waiting, "limited", retry_ms, MOST_WAIT_MS)
-
-    def _reject(
-        self,
-        waiting: Waiting,
-        reason: str,
-        wait_ms: int = LEAST_RETRY_MS,
-        most_ms: int = MOST_RETRY_MS,
-    ) -> Reject:
+    def _drop(self, waiting: Waiting, refusal: Reject) -> Reject:
         self._unassign(waiting)
         del self._waiting[waiting.req.ticket]
-        retry_ms = min(max(wait_ms, LEAST_RETRY_MS), most_ms)
-        return Reject(waiting.req.ticket, reason, retry_ms)
+        return refusal
--- a/chestnutfall/placement/run_outcome.py
+++ b/chestnutfall/placement/run_outcome.py
@@ -14,6 +14,8 @@
     """Its caller left, or its time was over, before that told anything of the engine."""
     FULL = "full"
     """The engine refused it: no room."""
+    TURNED_AWAY = "turned_away"
+    """The engine refused it, since it wants nothing from that gateway for some time."""
     ABSENT = "absent"
     """The engine refused it: it does not hold the adapter, or not that version."""
     REPLACED = "replaced"
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -31,6 +31,8 @@
 from ..routes import DocumentLimits
 from ..settings.fleet_settings import FleetSettings
 from ..signals import UnreadHeaders
+from ..signals.known_backoffs import KnownBackoffs
+from ..signals.known_signals import KnownSignals
 from . import header_names as names
 from .document_json import DocumentJson
 from .entry_server import EntryServer
@@ -62,16 +64,18 @@
     quotas = QuotaDesk(LeaderQuotaLine(fleet), lambda: known.gateways, settings.quotas, clock, rng)
     fleet.on_quotas, fleet.was_short = quotas.take, quotas.was_short
     upstream_limits = KnownLimits(fleet.tell, lambda: known.gateways, clock, rng)
-    fleet.on_limits, fleet.limits_again = upstream_limits.take, upstream_limits.again
+    backoffs = KnownBackoffs(fleet.tell, clock)
+    signals = KnownSignals(upstream_limits, backoffs, clock)
+    fleet.on_limits, fleet.on_hints = upstream_limits.take, backoffs.take_hints
+    fleet.heard_again = signals.again
     forwarder = Forwarder(
         known,
         Admission(quotas),
         Repeats(settings.repeats, lambda: known.gateways, fleet.borrow_repeat, clock, rng),
-        EnginePlaces(fleet, upstream_limits, clock, name, settings.data_centre),
-        PlainPlaces(
-            known.upstreams, upstream_limits, turn_line(fleet), clock, settings.data_centre, rng
-        ),
-        Sender(api, upstream_limits, clock, metrics),
+        EnginePlaces(fleet, signals, clock, name, settings.data_centre),
+        PlainPlaces(known.upstreams, signals, turn_line(fleet), clock, settings.data_centre, rng),
+        Sender(api, signals, clock, metrics),
+        signals,
         quarantine,
         clock,
         metrics,
@@ -88,6 +92,7 @@
         metrics.gauge("document_version", known.version)
         metrics.gauge("connected", fleet.connected)
         metrics.gauge("limited_upstreams", len(upstream_limits))
+        metrics.gauge("upstreams_backing_off", len(backoffs))
         for figure, value in FLEET_CODEC.traffic.figures():
             metrics.total(figure, value)
 
--- a/chestnutfall/platform/standin/client.py
+++ b/chestnutfall/platform/standin/client.py
@@ -35,6 +35,8 @@
         When it was told to come back.
     took_s : float
         From its sending to the end of its answer.
+    reason : str
+        Why it was refused.
     """
 
     request_id: str
@@ -45,6 +47,7 @@
     organisation: str = STEADY
     retry_after_s: float | None = None
     took_s: float = 0.0
+    reason: str = ""
 
     @property
     def says_not_run(self) -> bool:
@@ -90,7 +93,10 @@
             return Seen(request_id, route, status, False, right, organisation)
         right = status != 200 or bytes(body) == expected
         took_s = time.monotonic() - began_s
-        return Seen(request_id, route, status, True, right, organisation, retry_after_s, took_s)
+        reason = bytes(body).decode() if status in NOT_RUN else ""
+        return Seen(
+            request_id, route, status, True, right, organisation, retry_after_s, took_s, reason
+        )
 
     async def close(self) -> None:
         """Close every connection."""
--- a/chestnutfall/signals/__init__.py
+++ b/chestnutfall/signals/__init__.py
@@ -1,4 +1,4 @@
-"""What upstreams say of themselves in their answers: limit, backoff, leaving, load."""
+"""What upstreams say of themselves in their answers, and who may be sent work by that."""
 
 from __future__ import annotations
 
--- a/chestnutfall/tests/fakes/fake_upstreams.py
+++ b/chestnutfall/tests/fakes/fake_upstreams.py
@@ -90,6 +90,7 @@
     def __init__(self, *instances: str) -> None:
         self._instances = list(instances)
         self.has_other = True
+        self.held_ms = 0.0
         self.on_take: Callable[[], None] = lambda: None
         self.on_give_back: Callable[[], None] = lambda: None
         self.outcomes: list[RunOutcome] = []
@@ -104,6 +105,9 @@
         upstream = UpstreamRecord(instance, "s", "127.0.0.1:1", "dc")
         return Place(f"t-{instance}", upstream, 0, has_other=self.has_other)
 
+    def held_back_ms(self, service: str) -> float:
+        return self.held_ms
+
     def give_back(
         self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
     ) -> None:
@@ -146,6 +150,7 @@
         self.status = 0
         self.body = b""
         self.retry_after_ms: int | None = None
+        self.reason = ""
         self.ended = ""
         self._on_write = on_write
 
@@ -169,6 +174,7 @@
     async def refuse(self, status: int, reason: str, retry_after_ms: int | None) -> None:
         self._end("refused")
         self.status, self.retry_after_ms = status, retry_after_ms
+        self.reason = reason
 
     def _end(self, how: str) -> None:
         assert not self.ended, f"{self.ended}, then {how}"
--- a/chestnutfall/tests/fakes/limit_parts.py
+++ b/chestnutfall/tests/fakes/limit_parts.py
@@ -1,4 +1,4 @@
-"""A gateway's knowledge of limits, and a leader who gives turns, for tests."""
+"""A gateway's knowledge of what upstreams say, and a leader who gives turns, for tests."""
 
 from __future__ import annotations
 
@@ -9,6 +9,9 @@
 from ...forwarding.place import Wanted
 from ...limits.known_limits import KnownLimits
 from ...limits.messages import AnswerTurn, HeardLimit
+from ...signals.known_backoffs import KnownBackoffs
+from ...signals.known_signals import KnownSignals
+from ...signals.messages import HeardBackoff
 
 
 def known_limits(
@@ -19,6 +22,12 @@
     return KnownLimits(tell, lambda: gateways, clock, random.Random(seed))
 
 
+def known_signals(clock: Clock, told: list[HeardBackoff] | None = None) -> KnownSignals:
+    """What a gateway knows of upstreams; what it tells of backoffs is added to `told`."""
+    tell = told.append if told is not None else lambda heard: None
+    return KnownSignals(known_limits(clock), KnownBackoffs(tell, clock), clock)
+
+
 class ScriptedTurns:
     """A leader that gives the answers it is told to; there is none after the last one."""
 
--- /dev/null
+++ b/chestnutfall/tests/fakes/placing_leader.py
@@ -0,0 +1,136 @@
+"""A leading controller's part in placing calls, without a network."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from ...clock import Clock
+from ...control.upstream_record import UpstreamRecord
+from ...coordination.backoff_desk import BackoffDesk
+from ...coordination.gateway_session import GatewaySession
+from ...coordination.gateway_sessions import GatewaySessions
+from ...coordination.limit_desk import LimitDesk
+from ...coordination.messages import AnswerRepeat, AskRepeat, Release, Withdraw
+from ...limits.limit_book import LimitBook
+from ...limits.messages import AskTurn, HeardLimit
+from ...placement import (
+    EngineReport,
+    Grant,
+    LoadAdapter,
+    LoadModel,
+    Order,
+    PlaceRequest,
+    Reject,
+    RunOutcome,
+    UnloadAdapter,
+)
+from ...placement.placer import Placer
+from ...signals.backoff_book import BackoffBook
+from ...signals.messages import HeardBackoff
+from .named_upstream import ENGINES, SPEC, NamedUpstream
+
+
+class PlacingLeader:
+    """Places, turns and words of upstreams; it knows nothing of the leader before.
+
+    Parameters
+    ----------
+    upstreams : callable
+        All that serve.
+    on_order : callable
+        Told each order to an engine.
+    """
+
+    def __init__(
+        self,
+        upstreams: Callable[[], Iterable[NamedUpstream]],
+        on_order: Callable[[Order], None],
+        clock: Clock,
+    ) -> None:
+        self._upstreams = upstreams
+        self._on_order = on_order
+        book, backoffs = LimitBook(clock), BackoffBook(clock)
+        self._sessions = GatewaySessions()
+        self.placer = Placer(clock, book, backoffs)
+        self._limits = LimitDesk(book, backoffs, self.placer, self._sessions, clock)
+        self._backoffs = BackoffDesk(backoffs, self.placer, self._sessions, clock)
+        self._by_gateway: dict[str, GatewaySession] = {}
+        self.see()
+
+    def see(self) -> None:
+        """Take over which upstreams serve."""
+        upstreams = list(self._upstreams())
+        records = [one.record for one in upstreams]
+        for instance in set(self.placer.engines) - {one.instance for one in records}:
+            self.placer.engine_down(instance)
+        for one in upstreams:
+            if one.record.service == ENGINES and one.record.instance not in self.placer.engines:
+                self._begin(one.record, one)
+        self._limits.use(records)
+        self._backoffs.use(records)
+
+    def _begin(self, record: UpstreamRecord, engine: NamedUpstream) -> None:
+        self.placer.engine_up(record.instance, record.service, "dc", SPEC)
+        report = EngineReport({"base": 1}, dict(engine.holds), {}, 0)
+        self.placer.engine_reported(record.instance, report)
+
+    def join(self, name: str) -> None:
+        """Begin to serve a gateway."""
+        self._by_gateway[name] = session = GatewaySession(name)
+        self._sessions.add(session)
+        self._limits.greet(session)
+        self._backoffs.greet(session)
+
+    def part(self, name: str) -> None:
+        """End a gateway's session."""
+        session = self._by_gateway.pop(name, None)
+        if session is not None:
+            for ticket in self._sessions.remove(session):
+                self.placer.withdraw(ticket)
+            self._limits.part(session)
+            self._backoffs.part(session)
+
+    def take(self, name: str, msg: Any) -> None:
+        """Take a message of a gateway."""
+        session = self._by_gateway[name]
+        match msg:
+            case HeardLimit():
+                self._limits.hear(session, msg)
+            case HeardBackoff():
+                self._backoffs.hear(session, msg)
+            case AskTurn():
+                self._limits.ask(session, msg)
+            case AskRepeat(number):
+                session.send(AnswerRepeat(number, False))
+            case PlaceRequest():
+                self._sessions.hold(msg.ticket, session)
+                self.placer.submit(msg)
+            case Release(ticket, outcome, times):
+                self.placer.release(ticket, RunOutcome(outcome), times)
+                self._sessions.free(ticket)
+            case Withdraw(ticket):
+                self.placer.withdraw(ticket)
+                self._sessions.free(ticket)
+
+    def decide(self) -> None:
+        """Carry out what is due."""
+        for decision in self.placer.decide():
+            match decision:
+                case Grant(ticket):
+                    self._sessions.tell(ticket, decision)
+                case Reject(ticket):
+                    self._sessions.tell(ticket, decision)
+                    self._sessions.free(ticket)
+                case LoadAdapter():
+                    self.placer.order_taken(decision)
+                    self._on_order(decision)
+                case UnloadAdapter() | LoadModel():
+                    self._on_order(decision)
+        self._limits.carry_out()
+        self._backoffs.carry_out()
+
+    def out_of(self, name: str) -> list[Any]:
+        """Messages for a gateway."""
+        session = self._by_gateway[name]
+        return [session.out.get_nowait() for _ in range(session.out.qsize())]
--- /dev/null
+++ b/chestnutfall/tests/fakes/signal_office.py
@@ -0,0 +1,322 @@
+"""An office whose upstreams ask for time or leave, and calls through the real forwarder."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from ...clock import Clock
+from ...forwarding.admission import Admission
+from ...forwarding.call import Call
+from ...forwarding.forwarded_call import ForwardedCall
+from ...forwarding.forwarder import Forwarder
+from ...forwarding.repeats import Repeats
+from ...forwarding.sender import Sender
+from ...forwarding.upstream_answer import NotRun, UpstreamAnswer
+from ...forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
+from ...observability.histograms import Histograms
+from ...placement import AdapterName, LoadAdapter, Order, UnloadAdapter
+from ...quarantine import RequestQuarantine
+from ...quota.quota_desk import QuotaDesk
+from ...requests import key_digest
+from ...routes import (
+    Document,
+    DocumentLimits,
+    Organisation,
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceSpec,
+    WeightedService,
+)
+from ...settings.quota_bounds import OFFICE
+from ...settings.repeat_bounds import RepeatBounds
+from ...signals import AskedBackoff
+from .fake_upstreams import FixedRoutes, RecordedReply, ScriptedQuotaLine
+from .named_upstream import ADAPTERS, ENGINES, PLAIN, SPEC, Asked, NamedUpstream
+from .placing_gateway import PlacingGateway
+from .placing_office import DEADLINE_MS, PlacingOffice
+
+OBJECTIVE_MS = 500
+PAUSE_MS = 300
+HEAD_MS = 20
+RUN_MS = 60
+EVENTS = 3
+REFUSAL_MS = 2
+LOAD_MS = 50
+REPEATS = RepeatBounds(0.2, 50, 10_000)
+HOST = "a.example"
+ONCE = "once"
+"""A route to the plain service whose calls may not be repeated."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """What a caller got.
+
+    Attributes
+    ----------
+    sent_ms, took_ms : int
+        When it sent its call, and how long that took.
+    reason : str
+        Why it was refused; empty if it was not.
+    """
+
+    service: str
+    gateway: str
+    organisation: str
+    sent_ms: int
+    took_ms: int
+    status: int
+    reason: str
+    retry_after_ms: int | None
+
+
+class NamedApi(UpstreamApi):
+    """One gateway's line to all upstreams."""
+
+    def __init__(self, upstreams: dict[str, NamedUpstream], gateway: str, clock: Clock) -> None:
+        self._upstreams = upstreams
+        self._gateway = gateway
+        self._clock = clock
+        self.head_ms = HEAD_MS
+        self.cut_after = 0
+
+    @asynccontextmanager
+    async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
+        upstream = self._upstreams.get(forwarded.upstream.instance)
+        if upstream is None:
+            raise NotSent("gone")
+        now_ms = self._clock.now_ms()
+        upstream.arrivals.append((now_ms, self._gateway))
+        # What it says is decided when a request comes; its answers may overtake each other.
+        status = self._status(upstream, forwarded)
+        signals = upstream.signals(status)
+        not_run = None
+        if status == 421:
+            not_run = NotRun.ABSENT
+        elif status == 503 and upstream.proves:
+            not_run = NotRun.FULL
+        if upstream.leaving:
+            upstream.told.setdefault(self._gateway, now_ms)
+        if isinstance(signals.backoff, AskedBackoff):
+            upstream.asked.append(Asked(now_ms, self._gateway, signals.backoff.ms))
+        await self._clock.sleep_ms(self.head_ms if status == 200 else REFUSAL_MS)
+        upstream.running += status == 200
+        try:
+            body = self._events(upstream, forwarded) if forwarded.call.adapter else self._whole()
+            yield UpstreamAnswer(status, (), not_run, signals, body if status == 200 else _empty())
+        finally:
+            upstream.running -= status == 200
+
+    @staticmethod
+    def _status(upstream: NamedUpstream, forwarded: ForwardedCall) -> int:
+        if upstream.backoff is not None:
+            return upstream.turns_away_with
+        adapter = forwarded.call.adapter
+        return 421 if adapter is not None and adapter not in upstream.holds else 200
+
+    async def _events(
+        self, upstream: NamedUpstream, forwarded: ForwardedCall
+    ) -> AsyncIterator[bytes]:
+        after = forwarded.resume_after or 0
+        upstream.resumed += after > 0
+        for number in range(after + 1, EVENTS + 1):
+            if number > 1 and upstream.breaks_off:
+                raise AnswerLost("broken off")
+            yield b"id: %d\ndata: a\n\n" % number
+            await self._clock.sleep_ms(RUN_MS // EVENTS)
+
+    async def _whole(self) -> AsyncIterator[bytes]:
+        await self._clock.sleep_ms(RUN_MS)
+        yield b"whole"
+
+
+async def _empty() -> AsyncIterator[bytes]:
+    yield b""
+
+
+class SignalOffice(PlacingOffice):
+    """Calls from their arrival to their final answer.
+
+    Attributes
+    ----------
+    ended : list of Ended
+        What callers got.
+    adapters : list of str
+        What calls to engines ask for, at random.
+    metrics : Histograms
+        Counters of all gateways together.
+    """
+
+    def __init__(
+        self,
+        gateways: int,
+        engines: int = 3,
+        plain: int = 3,
+        seed: int = 1,
+        repeats: RepeatBounds = REPEATS,
+    ) -> None:
+        self.ended: list[Ended] = []
+        self.adapters = [f"a{at}" for at in range(ADAPTERS)]
+        self.metrics = Histograms()
+        self.apis: dict[str, NamedApi] = {}
+        self._forwarders: dict[str, Forwarder] = {}
+        self._bounds = repeats
+        self._numbers = 0
+        super().__init__(gateways, engines, plain, seed)
+
+    def _gateway(self, name: str) -> PlacingGateway:
+        gateway = super()._gateway(name)
+        rng = random.Random(name)
+        self.apis[name] = NamedApi(self.upstreams, name, self.clock)
+        self._forwarders[name] = Forwarder(
+            FixedRoutes(_table(), self.clock),
+            Admission(QuotaDesk(ScriptedQuotaLine(), lambda: 1, OFFICE, self.clock, rng)),
+            Repeats(
+                self._bounds,
+                lambda: len(self.gateways) or 1,
+                gateway.fleet.borrow_repeat,
+                self.clock,
+                rng,
+            ),
+            gateway.places[ENGINES],
+            gateway.places[PLAIN],
+            Sender(self.apis[name], gateway.signals, self.clock, self.metrics),
+            gateway.signals,
+            RequestQuarantine(lambda report: None, self._refuses, self.clock),
+            self.clock,
+            self.metrics,
+            rng,
+        )
+        return gateway
+
+    async def _refuses(self, address: str) -> bool:
+        return False
+
+    def on_order(self, order: Order) -> None:
+        """Carry out an order to an engine."""
+        engine = self.upstreams.get(order.instance)
+        match order:
+            case LoadAdapter(adapter=adapter, version=version) if engine is not None:
+                task = asyncio.ensure_future(self._load(engine, adapter, version))
+                self._calls.add(task)
+                task.add_done_callback(self._calls.discard)
+            case UnloadAdapter(adapter=adapter) if engine is not None:
+                engine.holds.pop(adapter, None)
+            case _:
+                pass
+
+    async def _load(self, engine: NamedUpstream, adapter: AdapterName, version: int) -> None:
+        await self.clock.sleep_ms(LOAD_MS)
+        engine.holds[adapter] = version
+
+    def see(self) -> None:
+        """Let everybody know which upstreams there are."""
+        if self.leader is not None:
+            self.leader.see()
+        for gateway in self.gateways.values():
+            gateway.see(self.upstreams.values())
+
+    def replace(self, instance: str, successor: str) -> NamedUpstream:
+        """Let another incarnation follow at the address of an upstream."""
+        old = self.upstreams.pop(instance)
+        record = dataclasses.replace(old.record, instance=successor)
+        self.upstreams[successor] = NamedUpstream(record)
+        self.see()
+        return self.upstreams[successor]
+
+    async def _call(self, service: str, gateway: PlacingGateway, organisation: str) -> None:
+        now_ms = self.clock.now_ms()
+        adapter = None
+        if service == ENGINES:
+            names = self.adapters
+            adapter = AdapterName("base", names[self.rng.randrange(len(names))])
+        path = f"/{service}/x"
+        self._numbers += 1
+        # Each call is one of its own, so that none is taken for a copy of another.
+        body = str(self._numbers).encode()
+        call = Call(
+            f"id-{self._numbers}",
+            "POST",
+            path,
+            path,
+            HOST,
+            (),
+            body,
+            now_ms,
+            now_ms + DEADLINE_MS,
+            adapter,
+            key_digest=key_digest(organisation) if organisation else None,
+        )
+        reply = RecordedReply()
+        await self._forwarders[gateway.name].serve(call, reply)
+        self.ended.append(
+            Ended(
+                service,
+                gateway.name,
+                organisation,
+                now_ms,
+                self.clock.now_ms() - now_ms,
+                reply.status,
+                reply.reason,
+                reply.retry_after_ms,
+            )
+        )
+
+    # What came of it
+
+    def of(self, service: str, from_ms: int = 0, until_ms: int = 2**62) -> list[Ended]:
+        """Calls to a service that were sent in a time."""
+        return [
+            one
+            for one in self.ended
+            if one.service == service and from_ms <= one.sent_ms < until_ms
+        ]
+
+    def served(self, service: str, from_ms: int = 0, until_ms: int = 2**62) -> float:
+        """Part of these that got a success."""
+        found = self.of(service, from_ms, until_ms)
+        return sum(one.status == 200 for one in found) / max(len(found), 1)
+
+    def disobeyed(self) -> list[str]:
+        """Requests within a time that an upstream had asked that gateway for, or after it left."""
+        found: list[str] = []
+        for upstream in self.upstreams.values():
+            found += _disobeyed(upstream)
+        return found
+
+
+def _disobeyed(upstream: NamedUpstream) -> Iterator[str]:
+    instance = upstream.record.instance
+    for asked in upstream.asked:
+        known_ms, until_ms = asked.at_ms + REFUSAL_MS, asked.at_ms + asked.for_ms
+        for at_ms, gateway in upstream.arrivals:
+            if gateway == asked.gateway and known_ms < at_ms < until_ms:
+                yield f"{instance}: {gateway} at {at_ms}, asked at {asked.at_ms}"
+    for gateway, told_ms in upstream.told.items():
+        for at_ms, by in upstream.arrivals:
+            if by == gateway and at_ms > told_ms + HEAD_MS:
+                yield f"{instance}: {gateway} at {at_ms}, told at {told_ms}"
+
+
+def _table() -> RouteTable:
+    def route(service: str, kind: RouteKind, path: str) -> Route:
+        targets = (WeightedService(service, 1),)
+        return Route(
+            path, HOST, f"/{path}/", kind, DEADLINE_MS, OBJECTIVE_MS, 1, targets, 2, PAUSE_MS, True
+        )
+
+    routes = (
+        route(ENGINES, RouteKind.RESUMABLE_STREAM, ENGINES),
+        route(PLAIN, RouteKind.IDEMPOTENT, PLAIN),
+        route(PLAIN, RouteKind.NON_IDEMPOTENT, ONCE),
+    )
+    services = (ServiceSpec(ENGINES, SPEC), ServiceSpec(PLAIN, None))
+    organisations = tuple(Organisation(name, (key_digest(name),)) for name in ("hot", "usual"))
+    limits = DocumentLimits()
+    return RouteTable(Document(1, routes, services, limits, organisations))
--- a/chestnutfall/tests/test_forwarder.py
+++ b/chestnutfall/tests/test_forwarder.py
@@ -53,7 +53,7 @@
     ScriptedQuotaLine,
     ScriptedUpstreams,
 )
-from .fakes.limit_parts import known_limits
+from .fakes.limit_parts import known_signals
 
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 
@@ -106,6 +106,7 @@
         self.places.on_take = self.while_placed
         self.places.on_give_back = self.while_broken
         metrics = Histograms()
+        self.signals = known_signals(self.clock)
         forwarder = Forwarder(
             FixedRoutes(table, self.clock, self.routes_from_ms),
             Admission(self._quotas()),
@@ -118,7 +119,8 @@
             ),
             self.places,
             self.places,
-            Sender(self.upstreams, known_limits(self.clock), self.clock, metrics),
+            Sender(self.upstreams, self.signals, self.clock, metrics),
+            self.signals,
             self.quarantine,
             self.clock,
             metrics,
--- /dev/null
+++ b/chestnutfall/tests/test_leaving_together.py
@@ -0,0 +1,207 @@
+"""Upstreams that say in their answers that they leave, before gateways and their leader together.
+
+They go on to answer, and to announce themselves as ready. Symptom where their word is passed on and
+not obeyed: they get work until they end, and whatever runs there then is lost.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+from .fakes.named_upstream import ENGINES, PLAIN
+from .fakes.placing_office import STEP_MS
+from .fakes.signal_office import HEAD_MS, SignalOffice
+
+RATES = {ENGINES: 60.0, PLAIN: 60.0}
+AT_ONCE_MS = 5 * STEP_MS
+"""A refusal goes to the leader and back, and waits for its next look."""
+
+
+class LeavingTogetherTest(unittest.IsolatedAsyncioTestCase):
+    def _office(self, gateways: int = 3, engines: int = 3, plain: int = 3) -> SignalOffice:
+        office = SignalOffice(gateways, engines, plain)
+        self.addAsyncCleanup(office.stop)
+        return office
+
+    def _leave(self, office: SignalOffice, *instances: str) -> int:
+        """Let upstreams say that they leave; the present time."""
+        for instance in instances or tuple(office.upstreams):
+            office.upstreams[instance].leaving = True
+        return office.clock.now_ms()
+
+    def _check(self, office: SignalOffice, from_ms: int) -> None:
+        self.assertEqual(office.disobeyed(), [])
+        self.assertGreater(sum(len(one.told) for one in office.upstreams.values()), 0)
+        for service in RATES:
+            self.assertEqual(office.served(service, from_ms), 1.0)
+
+    # Guards against upstreams that leave and get work until they end.
+    async def test_any_number_of_gateways_obeys_and_callers_lose_nothing(self) -> None:
+        for gateways in (1, 9, 91, 195, 410):
+            with self.subTest(gateways=gateways):
+                office = self._office(gateways)
+                await office.play(500, RATES)
+                from_ms = self._leave(office, f"{ENGINES}-0", f"{PLAIN}-0")
+                await office.play(3_000, RATES)
+                self._check(office, from_ms)
+
+    # Guards against each gateway that has to find out by itself.
+    async def test_the_others_learn_of_it_and_prefer_others(self) -> None:
+        office = self._office(91)
+        await office.play(500, RATES)
+        from_ms = self._leave(office, f"{ENGINES}-0", f"{PLAIN}-0")
+        await office.play(4_000, RATES)
+        self._check(office, from_ms)
+        for instance in (f"{ENGINES}-0", f"{PLAIN}-0"):
+            late = [at for at, _ in office.upstreams[instance].arrivals if at > from_ms + 1_000]
+            self.assertEqual(late, [])
+
+    async def test_without_a_leader_each_gateway_obeys_by_itself(self) -> None:
+        office = self._office(3)
+        await office.play(500, RATES)
+        office.lose_leader()
+        from_ms = self._leave(office, f"{ENGINES}-0", f"{PLAIN}-0")
+        await office.play(2_000, RATES)
+        self._check(office, from_ms)
+
+    async def test_a_gateway_that_is_cut_off_obeys_by_itself(self) -> None:
+        office = self._office(3)
+        await office.play(500, RATES)
+        office.cut("g0")
+        from_ms = self._leave(office, f"{ENGINES}-0", f"{PLAIN}-0")
+        await office.play(2_000, RATES)
+        self._check(office, from_ms)
+
+    # Guards against a new leader that takes an upstream's announcements for its last word.
+    async def test_leaders_that_change_meanwhile(self) -> None:
+        office = self._office(9)
+        await office.play(500, RATES)
+        from_ms = self._leave(office, f"{ENGINES}-0", f"{PLAIN}-0")
+        for _ in range(4):
+            await office.play(300, RATES)
+            office.begin_leader()
+        await office.play(1_500, RATES)
+        self._check(office, from_ms)
+
+    # Guards against a word that is taken back by silence.
+    async def test_a_word_once_said_holds_for_that_incarnation(self) -> None:
+        office = self._office(3)
+        await office.play(500, RATES)
+        from_ms = self._leave(office, f"{ENGINES}-0", f"{PLAIN}-0")
+        await office.play(500, RATES)
+        for one in office.upstreams.values():
+            one.leaving = False
+        await office.play(3_000, RATES)
+        self._check(office, from_ms)
+
+    # Guards against a process that is new at an address and gets no work for what another said.
+    async def test_a_successor_at_the_same_address_gets_work(self) -> None:
+        office = self._office(3, engines=2, plain=2)
+        await office.play(500, RATES)
+        self._leave(office, f"{ENGINES}-0", f"{PLAIN}-0")
+        await office.play(500, RATES)
+        for service in RATES:
+            office.replace(f"{service}-0", f"{service}-new")
+        await office.play(1_500, RATES)
+        for service in RATES:
+            self.assertGreater(len(office.upstreams[f"{service}-new"].arrivals), 20)
+
+    # Guards against callers who wait in vain where nobody is left to serve them.
+    async def test_where_all_leave_callers_are_told_at_once_and_successors_serve_them(self) -> None:
+        office = self._office(3, engines=2, plain=2)
+        await office.play(500, RATES)
+        from_ms = self._leave(office)
+        await office.play(1_500, RATES)
+        self.assertEqual(office.disobeyed(), [])
+        for service in RATES:
+            # A gateway that was told nothing yet may still be served there.
+            refused = [one for one in office.of(service, from_ms) if one.status != 200]
+            self.assertGreater(len(refused), 50)
+            self.assertEqual({one.reason for one in refused}, {"backing_off"})
+            self.assertLessEqual(max(one.took_ms for one in refused), AT_ONCE_MS)
+            self.assertLessEqual(max(one.retry_after_ms or 0 for one in refused), 2_000)
+        for service in RATES:
+            for at in range(2):
+                office.replace(f"{service}-{at}", f"{service}-new-{at}")
+        there_ms = office.clock.now_ms()
+        await office.play(1_500, RATES)
+        for service in RATES:
+            self.assertGreaterEqual(office.served(service, there_ms), 0.99)
+
+    # Guards against callers of an adapter whose only holder leaves.
+    async def test_adapters_that_only_one_that_leaves_holds_are_loaded_elsewhere_at_once(
+        self,
+    ) -> None:
+        office = self._office(3, engines=2)
+        office.upstreams[f"{ENGINES}-1"].holds = {}
+        office.adapters = office.adapters[:4]  # an engine loads four at a time
+        office.begin_leader()
+        office.see()
+        await office.play(300, {ENGINES: 30.0})
+        from_ms = self._leave(office, f"{ENGINES}-0")
+        await office.play(1_500, {ENGINES: 30.0})
+        self._check_engines(office, from_ms)
+        self.assertEqual(set(office.upstreams[f"{ENGINES}-1"].holds), self._names(office))
+
+    def _names(self, office: SignalOffice) -> set[object]:
+        return set(list(office.upstreams[f"{ENGINES}-0"].holds)[:4])
+
+    def _check_engines(self, office: SignalOffice, from_ms: int) -> None:
+        self.assertEqual(office.disobeyed(), [])
+        found = office.of(ENGINES, from_ms)
+        self.assertEqual(office.served(ENGINES, from_ms), 1.0)
+        self.assertLess(max(one.took_ms for one in found), 500)
+
+    # Guards against calls that waited for an adapter there when the word came.
+    async def test_calls_that_wait_there_are_placed_elsewhere(self) -> None:
+        office = self._office(1, engines=2)
+        office.upstreams[f"{ENGINES}-0"].holds = dict(
+            list(office.upstreams[f"{ENGINES}-0"].holds.items())[:2]
+        )
+        office.upstreams[f"{ENGINES}-1"].holds = {}
+        office.begin_leader()
+        office.see()
+        office.adapters = ["a0"]
+        office.call(ENGINES, "g0")
+        await office.play(40, {})
+        office.adapters = ["a9", "a8"]
+        for _ in range(4):
+            office.call(ENGINES, "g0")
+        self._leave(office, f"{ENGINES}-0")
+        await office.play(1_500, {})
+        self.assertEqual(office.disobeyed(), [])
+        self.assertEqual({one.status for one in office.ended}, {200})
+
+    # Guards against streams that are broken off since their engine leaves.
+    async def test_open_streams_end_well(self) -> None:
+        office = self._office(3, engines=2)
+        await office.play(500, RATES)
+        office.apis["g0"].head_ms = 4 * HEAD_MS
+        before_ms = office.clock.now_ms()
+        await office.play(100, RATES)
+        self._leave(office, f"{ENGINES}-0", f"{PLAIN}-0")
+        await office.play(600, RATES)
+        for service in RATES:
+            self.assertEqual(office.served(service, before_ms), 1.0)
+
+    # Guards against resumed runs that go back to an engine that leaves.
+    async def test_runs_that_break_off_there_are_resumed_elsewhere(self) -> None:
+        office = self._office(2, engines=3)
+        await office.play(500, {ENGINES: 40.0})
+        from_ms = self._leave(office, f"{ENGINES}-0")
+        office.upstreams[f"{ENGINES}-0"].breaks_off = True
+        await office.play(1_500, {ENGINES: 40.0})
+        self.assertEqual(office.disobeyed(), [])
+        self.assertEqual(office.served(ENGINES, from_ms), 1.0)
+        self.assertGreater(sum(one.resumed for one in office.upstreams.values()), 0)
+
+    # Guards against a call that crossed the word and is taken for disobedience or lost.
+    async def test_calls_that_came_with_the_word_in_flight_are_served(self) -> None:
+        office = self._office(1, engines=2, plain=2)
+        for service in RATES:
+            for _ in range(6):
+                office.call(service, "g0")
+        self._leave(office, f"{ENGINES}-0", f"{PLAIN}-0")
+        await office.play(800, {})
+        self.assertEqual({one.status for one in office.ended}, {200})
+        self.assertEqual(office.disobeyed(), [])
--- a/chestnutfall/tests/test_limit_desk.py
+++ b/chestnutfall/tests/test_limit_desk.py
@@ -12,6 +12,7 @@
 from ..limits.limit_book import LimitBook
 from ..limits.messages import HeardLimit, LimitsInForce, RequestLimit
 from ..placement.placer import Placer
+from ..signals.backoff_book import BackoffBook
 
 
 class LimitDeskTest(unittest.TestCase):
@@ -20,7 +21,8 @@
         book = LimitBook(self.clock)
         self.sessions = GatewaySessions()
         placer = Placer(self.clock, book)
-        self.desk = LimitDesk(book, placer, self.sessions, self.clock)
+        backoffs = BackoffBook(self.clock)
+        self.desk = LimitDesk(book, backoffs, placer, self.sessions, self.clock)
         self.desk.use(
             [UpstreamRecord("i", "s", "1:1", "dc"), UpstreamRecord("j", "s", "1:2", "dc")]
         )
--- a/chestnutfall/tests/test_limit_parts.py
+++ b/chestnutfall/tests/test_limit_parts.py
@@ -143,7 +143,7 @@
         self.book = LimitBook(self.clock)
         self.serving = ["p0", "p1"]
         self.turns: PlainTurns[str] = PlainTurns(
-            self.book, lambda service: self.serving, self.clock
+            self.book, lambda service: self.serving, lambda gateway, one: True, self.clock
         )
         for instance in self.serving:
             self.book.hear(HeardLimit(instance, 5.0, 0), counts_sends=False)
--- a/chestnutfall/tests/test_organisations.py
+++ b/chestnutfall/tests/test_organisations.py
@@ -48,7 +48,7 @@
     ScriptedQuotaLine,
     ScriptedUpstreams,
 )
-from .fakes.limit_parts import known_limits
+from .fakes.limit_parts import known_signals
 
 PERMITS = {"name": "permits", "api_keys": ["key-of-permits"], "priority": 0}
 BOOKINGS: dict[str, Any] = {"name": "bookings", "api_keys": ["key-of-bookings", "second-key"]}
@@ -168,13 +168,15 @@
         self.places = ListedPlaces("i0", "i1")
         bounds = RepeatBounds(0.2, 100, 10_000)
         rng = random.Random(1)
+        signals = known_signals(self.clock)
         forwarder = Forwarder(
             FixedRoutes(table, self.clock),
             Admission(self.quotas),
             Repeats(bounds, lambda: 1, self._borrow, self.clock, rng),
             self.places,
             self.places,
-            Sender(self.upstreams, known_limits(self.clock), self.clock, self.metrics),
+            Sender(self.upstreams, signals, self.clock, self.metrics),
+            signals,
             RequestQuarantine(lambda report: None, self._refuses, self.clock),
             self.clock,
             self.metrics,
--- a/chestnutfall/tests/test_places.py
+++ b/chestnutfall/tests/test_places.py
@@ -26,7 +26,7 @@
 from ..platform.document_json import DocumentJson
 from ..routes import Route, RouteKind, ServiceSpec, WeightedService
 from ..signals import UpstreamLoad
-from .fakes.limit_parts import ScriptedTurns, known_limits
+from .fakes.limit_parts import ScriptedTurns, known_signals
 
 NAME = AdapterName("base", "a1")
 ROUTE = Route("r", "h", "/", RouteKind.STREAM, 4000, 500, 1, (WeightedService("s", 1),), 2)
@@ -69,7 +69,7 @@
         self.clock = ManualClock()
 
     def _places(self, fleet: _Fleet) -> EnginePlaces:
-        return EnginePlaces(fleet, known_limits(self.clock), self.clock, "g", "dc")
+        return EnginePlaces(fleet, known_signals(self.clock), self.clock, "g", "dc")
 
     async def test_without_a_leader_the_adapter_s_last_holders_are_used_in_turn(self) -> None:
         fleet = _Fleet(self.clock)
@@ -133,7 +133,7 @@
         self.upstreams = [_upstream("1"), _upstream("2")]
         self.places = PlainPlaces(
             lambda service: self.upstreams,
-            known_limits(self.clock),
+            known_signals(self.clock),
             ScriptedTurns().ask,
             self.clock,
             "dc",
