--- a/chestnutfall/clock/sliding_window.py
+++ b/chestnutfall/clock/sliding_window.py
@@ -27,12 +27,9 @@
         self._forget_old(now_ms)
         return len(self._moments_ms)
 
-    def take_oldest(self, now_ms: int) -> bool:
-        """Stop counting the oldest moment within the window; False where there is none."""
-        if not self.count(now_ms):
-            return False
+    def drop_oldest(self) -> None:
+        """Stop counting the oldest moment."""
         self._moments_ms.popleft()
-        return True
 
     def _forget_old(self, now_ms: int) -> None:
         while self._moments_ms and self._moments_ms[0] <= now_ms - self._length_ms:
--- a/chestnutfall/forwarding/after_send.py
+++ b/chestnutfall/forwarding/after_send.py
@@ -8,10 +8,11 @@
 from ..observability.histograms import Histograms
 from ..quarantine import RequestQuarantine
 from ..routes import Route
+from ..signals import BACKING_OFF
 from ..signals.known_signals import KnownSignals
 from .caller_reply import CallerReply
 from .final_answers import FinalAnswers
-from .place import BACKING_OFF, Place, Places
+from .place import Place, Places
 from .progress import Progress
 from .repeats import Repeats
 from .send_result import Delivered, Failed, HeldBack, Lost, Refused, SendResult
--- a/chestnutfall/forwarding/engine_places.py
+++ b/chestnutfall/forwarding/engine_places.py
@@ -10,11 +10,11 @@
 from ..coordination.messages import Release, Withdraw
 from ..placement import AdapterName, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.run_times import RunTimes
-from ..signals import UpstreamLoad
+from ..signals import BACKING_OFF, UpstreamLoad
 from ..signals.known_signals import KnownSignals
 from . import patience
 from .fleet_client import FleetClient, LeaderLost
-from .place import BACKING_OFF, NoPlace, Place, Places, Wanted
+from .place import NoPlace, Place, Places, Wanted
 
 log = logging.getLogger(__name__)
 LEADERLESS_WAIT_MS = 1_500
--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -12,9 +12,6 @@
 from ..signals import UpstreamLoad
 from .call import Call
 
-BACKING_OFF = "backing_off"
-"""Why a call finds no place where each upstream asked for time, or leaves."""
-
 
 class NoPlace(Exception):
     """No upstream can take the request in time; nothing ran."""
--- a/chestnutfall/forwarding/plain_places.py
+++ b/chestnutfall/forwarding/plain_places.py
@@ -13,10 +13,10 @@
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
 from ..placement.upstream_health import UpstreamHealth
-from ..signals import UpstreamLoad
+from ..signals import BACKING_OFF, UpstreamLoad
 from ..signals.known_signals import KnownSignals
 from .limited_turns import AskForTurn, LimitedTurns
-from .place import BACKING_OFF, NoPlace, Place, Places, Wanted
+from .place import NoPlace, Place, Places, Wanted
 
 BUSY_COST_MS = 20.0
 """One more request at an upstream makes the next wait about a short request's time."""
--- a/chestnutfall/forwarding/repeats.py
+++ b/chestnutfall/forwarding/repeats.py
@@ -48,6 +48,11 @@
         """Take back a repeat that was not sent."""
         self._unused.setdefault(service, SlidingWindow(UNUSED_MS)).note(self._clock.now_ms())
 
+    def unused(self, service: str) -> int:
+        """Repeats that were taken and not sent, and may still be."""
+        unused = self._unused.get(service)
+        return unused.count(self._clock.now_ms()) if unused is not None else 0
+
     async def spend(self, service: str, upstream_is_busy: bool) -> bool:
         """Take one repeat; False when there is none left.
 
@@ -56,8 +61,8 @@
         upstream_is_busy : bool
             Whether the send before ended because its upstream has too much to do.
         """
-        unused = self._unused.get(service)
-        if unused is not None and unused.take_oldest(self._clock.now_ms()):
+        if self.unused(service):
+            self._unused[service].drop_oldest()
             return True
         if self._of(service).spend(self._gateways()):
             return True
--- a/chestnutfall/membership/upstream_registry.py
+++ b/chestnutfall/membership/upstream_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 from ..clock import Clock
 from .announcement import Announcement
@@ -44,7 +45,7 @@
             self._forget(now_ms)
             if len(self._upstreams) >= MAX_UPSTREAMS:
                 return f"more than {MAX_UPSTREAMS} upstreams"
-        upstream = Upstream(announcement, now_ms)
+        upstream = Upstream(_sticky(known, announcement), now_ms)
         self._upstreams[announcement.name] = upstream
         if known is not None and known.instance != upstream.instance:
             self.on_replaced(known.address, upstream.instance)
@@ -72,3 +73,16 @@
         if upstream is None or self.is_drained(name):
             return False
         return upstream.takes_work(self._clock.now_ms())
+
+
+def _sticky(known: Upstream | None, announcement: Announcement) -> Announcement:
+    """The announcement, which can't take back that its process leaves.
+
+    An announcement made before that may come late, and the process would get new work until the
+    next one.
+    """
+    if known is None or known.announcement.state != "leaving":
+        return announcement
+    if known.announcement.incarnation != announcement.incarnation:
+        return announcement
+    return replace(announcement, state="leaving")
--- a/chestnutfall/ownership/__init__.py
+++ b/chestnutfall/ownership/__init__.py
@@ -5,6 +5,7 @@
 from .engine_owner import EngineOwner
 from .messages import (
     TICKET_CODEC,
+    EngineBackoff,
     EngineLimit,
     EngineView,
     Hello,
@@ -19,6 +20,7 @@
 
 __all__ = [
     "TICKET_CODEC",
+    "EngineBackoff",
     "EngineLimit",
     "EngineOwner",
     "EngineView",
--- a/chestnutfall/ownership/engine_owner.py
+++ b/chestnutfall/ownership/engine_owner.py
@@ -12,6 +12,7 @@
 from ..limits.messages import HeardLimit
 from ..membership import UpstreamRegistry
 from ..observability.metrics import Metrics
+from ..signals.messages import HeardBackoff
 from .adapter_loader import STATE_TIMEOUT_MS, AdapterLoader, LoadOutcome
 from .engine_sends import EngineSends
 from .load_failures import LoadFailures
@@ -147,6 +148,12 @@
         if heard.instance == f"{self.engine}/{self._incarnation}" and self._sends.hear(heard):
             self._pump()
 
+    def hear_backoff(self, heard: HeardBackoff) -> None:
+        """Take in what this engine asked of an entry; the others prefer other engines meanwhile."""
+        if heard.instance == f"{self.engine}/{self._incarnation}":
+            self._sends.hear_backoff(heard)
+            self._on_view()
+
     def note_resume(self) -> None:
         """Count that the engine was asked for the rest of a run."""
         self._sends.sent()
@@ -154,7 +161,7 @@
     def view(self) -> EngineView:
         """What entry gateways need to choose an engine."""
         ready = tuple(s.adapter for s in self._slots.values() if s.takes_work)
-        send_wait_ms = self._sends.wait_ms(len(self._queue))
+        send_wait_ms = max(self._sends.wait_ms(len(self._queue)), self._sends.backoff_ms())
         return EngineView(self.engine, ready, self._running(), len(self._queue), send_wait_ms)
 
     def _running(self) -> int:
--- a/chestnutfall/ownership/engine_sends.py
+++ b/chestnutfall/ownership/engine_sends.py
@@ -6,9 +6,12 @@
 from ..limits.messages import HeardLimit
 from ..limits.upstream_limit import UpstreamLimit
 from ..quota.return_times import ReturnTimes
+from ..signals.messages import HeardBackoff
 from .messages import TicketRefusal, TicketRequest
 
 LIMITED = "limited"
+LEAVING_MS = 600_000
+"""An engine that leaves is gone long before."""
 
 
 class EngineSends:
@@ -19,11 +22,21 @@
         self._clock = clock
         self._limit = UpstreamLimit()
         self._return_times = ReturnTimes()
+        self._backoff_until_ms = 0
 
     def hear(self, heard: HeardLimit) -> bool:
         """Take in what an answer said; whether the limit changed by it."""
         return self._limit.hear(heard, self._clock.now_ms())
 
+    def hear_backoff(self, heard: HeardBackoff) -> None:
+        """Take in that the engine asked an entry for time."""
+        left_ms = LEAVING_MS if heard.left_ms is None else heard.left_ms
+        self._backoff_until_ms = max(self._backoff_until_ms, self._clock.now_ms() + left_ms)
+
+    def backoff_ms(self) -> int:
+        """Time until nobody whom it asked for time is left."""
+        return max(self._backoff_until_ms - self._clock.now_ms(), 0)
+
     def sent(self) -> None:
         """Count a request."""
         self._limit.note_sent(self._clock.now_ms())
--- a/chestnutfall/ownership/messages.py
+++ b/chestnutfall/ownership/messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ..limits.messages import HeardLimit
+from ..signals.messages import HeardBackoff
 from ..wire import Codec
 
 LAST_DISPATCH_MS = 4000
@@ -80,6 +81,14 @@
     heard: HeardLimit
 
 
+@dataclass(frozen=True, slots=True)
+class EngineBackoff:
+    """What an answer to an entry asked of it, for `engine`."""
+
+    engine: str
+    heard: HeardBackoff
+
+
 @dataclass(frozen=True, slots=True)
 class ResumeSent:
     """The engine was asked for the rest of a run, which it counts as a request."""
@@ -98,7 +107,8 @@
     running, waiting : int
         Tickets out, and requests that wait for one.
     send_wait_ms : int
-        Time until the engine takes one more request than those that wait.
+        Time until the engine takes one more request than those that wait; also for who was not
+        asked for time, since it was asked of others.
     """
 
     engine: str
@@ -108,10 +118,11 @@
     send_wait_ms: int = 0
 
 
-OwnerNote = TicketEnd | EngineLimit | ResumeSent
+OwnerNote = TicketEnd | EngineLimit | EngineBackoff | ResumeSent
 """What an entry tells an owner without an answer."""
 
 TICKET_CODEC = Codec(
+    EngineBackoff,
     EngineLimit,
     EngineView,
     Hello,
--- a/chestnutfall/ownership/owner_desk.py
+++ b/chestnutfall/ownership/owner_desk.py
@@ -14,6 +14,7 @@
 from .engine_owner import EngineOwner
 from .load_permits import LoadPermits
 from .messages import (
+    EngineBackoff,
     EngineLimit,
     EngineView,
     OwnerNote,
@@ -106,6 +107,8 @@
                 self.end(msg)
             case EngineLimit(engine, heard) if engine in self._owners:
                 self._owners[engine][1].hear(heard)
+            case EngineBackoff(engine, asked) if engine in self._owners:
+                self._owners[engine][1].hear_backoff(asked)
             case ResumeSent(engine) if engine in self._owners:
                 self._owners[engine][1].note_resume()
             case _:
--- a/chestnutfall/peers/peer_links.py
+++ b/chestnutfall/peers/peer_links.py
@@ -9,6 +9,7 @@
 from ..limits.messages import HeardLimit
 from ..membership import SiteAgent
 from ..ownership import (
+    EngineBackoff,
     EngineLimit,
     EngineView,
     OwnerDesk,
@@ -19,6 +20,7 @@
     TicketRefusal,
     TicketRequest,
 )
+from ..signals.messages import HeardBackoff
 from ..wire import TlsFiles
 from .peer_link import PeerLink
 
@@ -76,6 +78,10 @@
         """Tell the engine's owner what an answer said of its limit."""
         self._tell(engine, EngineLimit(engine, heard))
 
+    def hear_backoff(self, engine: str, heard: HeardBackoff) -> None:
+        """Tell the engine's owner what an answer asked of this gateway."""
+        self._tell(engine, EngineBackoff(engine, heard))
+
     def note_resume(self, engine: str) -> None:
         """Tell the engine's owner that it was asked for the rest of a run."""
         self._tell(engine, ResumeSent(engine))
--- a/chestnutfall/peers/peer_server.py
+++ b/chestnutfall/peers/peer_server.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..ownership import (
+    EngineBackoff,
     EngineLimit,
     EngineView,
     Hello,
@@ -64,7 +65,7 @@
                         task = asyncio.ensure_future(self._acquire(msg, session, out))
                         waiting.add(task)
                         task.add_done_callback(waiting.discard)
-                    case TicketEnd() | EngineLimit() | ResumeSent():
+                    case TicketEnd() | EngineLimit() | EngineBackoff() | ResumeSent():
                         self._desk.take(msg)
         finally:
             # The stream is gone, so a ticket granted now would reach nobody and pin for nothing.
--- a/chestnutfall/placement/refusals.py
+++ b/chestnutfall/placement/refusals.py
@@ -4,13 +4,13 @@
 
 from ..clock import Clock
 from ..quota.return_times import MOST_WAIT_MS, ReturnTimes
+from ..signals import BACKING_OFF
 from ..signals.return_spread import ReturnSpread
 from .decisions import Reject
 from .place_request import PlaceRequest
 from .service_round import ServiceRound
 from .waiting import Waiting
 
-BACKING_OFF = "backing_off"
 LEAST_RETRY_MS = 250
 """About one load: sooner nothing has changed for who comes back."""
 MOST_RETRY_MS = 4_000
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -11,15 +11,16 @@
 from ..clock import Clock
 from ..config.caller import Caller
 from ..config.service import Service
-from ..limits.known_limits import KnownLimits
 from ..membership import SiteAgent, Upstream, UpstreamRegistry
 from ..observability.metrics import Metrics
 from ..quarantine import RequestQuarantine
 from ..requests import Executed, Refusal, digest_of, fingerprint_of
 from ..routing import ClaimDesk, WantedClaim
-from ..signals import UnreadHeaders, read_signals
+from ..signals import BACKING_OFF, UnreadHeaders, read_signals
+from ..signals.known_signals import KnownSignals
 from ..signals.own_headers import OWN_SIGNALS
 from ..wire.single_send_session import single_send_session
+from .plain_answer import EXECUTED_HEADER, PlainAnswer
 
 CONNECT_S = 0.5
 MAX_ATTEMPTS = 3
@@ -54,7 +55,7 @@
         registry: UpstreamRegistry,
         claims: ClaimDesk,
         quarantine: RequestQuarantine,
-        limits: KnownLimits,
+        signals: KnownSignals,
         clock: Clock,
         metrics: Metrics,
         data_centre: str,
@@ -63,13 +64,13 @@
         self._registry = registry
         self._claims = claims
         self._quarantine = quarantine
-        self._limits = limits
+        self._signals = signals
         self._clock = clock
         self._metrics = metrics
         self._data_centre = data_centre
         self._session = single_send_session(aiohttp.TCPConnector(limit=0, force_close=True))
         self._turn = 0
-        self._unread = UnreadHeaders(OWN_SIGNALS.all, metrics.count)
+        self._unread = UnreadHeaders((*OWN_SIGNALS.all, EXECUTED_HEADER), metrics.count)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -121,6 +122,7 @@
         tried: set[str] = set()
         executed = Executed.NO
         message = "no upstream announces itself"
+        refusal: web.Response | None = None
         for _ in range(MAX_ATTEMPTS):
             self._quarantine.check(fingerprint, executed)
             upstream = self._choose(name, tried)
@@ -131,7 +133,10 @@
             try:
                 answer = await self._call(request, upstream, service, body)
                 self._quarantine.answered(fingerprint)
-                return answer
+                if not answer.turned_away or (once and not answer.not_run):
+                    return answer.response
+                refusal = answer.response
+                executed = executed if answer.not_run else Executed.UNKNOWN
             except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
                 message = f"no connection to {upstream.name}: {exc}"
             except (aiohttp.ClientError, TimeoutError, OSError) as exc:
@@ -141,32 +146,49 @@
                 if once:
                     break
             self._metrics.count("plain.retries")
+        if refusal is not None:
+            return refusal
         status = 503 if executed is Executed.NO else 502
         wait_ms = 1000 if executed is Executed.NO or not once else None
         raise Refusal(status, "service_unavailable", message, executed, wait_ms)
 
     def _choose(self, service: str, tried: set[str]) -> Upstream | None:
-        found = [up for up in self._registry.serving(service) if up.name not in tried]
+        """The upstream whose turn it is; None if none is left to try.
+
+        Raises
+        ------
+        Refusal
+            When none of the service takes a call now.
+        """
+        serving = list(self._registry.serving(service))
+        untried = [up for up in serving if up.name not in tried]
+        # The call is sent to it at once, so that this is the last look at what it said.
+        found = [up for up in untried if self._signals.may_send(up.instance)]
         near = [up for up in found if up.announcement.data_centre == self._data_centre]
         choices = sorted(near or found, key=lambda up: up.name)
         self._turn += 1
         turn = self._turn % len(choices) if choices else 0
         in_turn = [*choices[turn:], *choices[:turn], *(up for up in found if up not in choices)]
         for up in in_turn:
-            if self._limits.may_send_alone(up.instance):
+            if self._signals.limits.may_send_alone(up.instance):
                 return up
-        if found and not tried:
-            raise self._all_limited(found)
+        if serving and not tried:
+            raise self._all_limited(found) if found else self._all_back_off(service, serving)
         return None
 
+    def _all_back_off(self, service: str, upstreams: list[Upstream]) -> Refusal:
+        held_back_ms = self._signals.held_back_ms(up.instance for up in upstreams)
+        wait_ms = self._signals.return_ms(service, held_back_ms)
+        return Refusal(503, BACKING_OFF, "no upstream wants calls now", Executed.NO, wait_ms)
+
     def _all_limited(self, upstreams: list[Upstream]) -> Refusal:
-        wait_ms = min(self._limits.lone_step_ms(up.instance) for up in upstreams)
+        wait_ms = min(self._signals.limits.lone_step_ms(up.instance) for up in upstreams)
         message = "each upstream takes no more requests than it gets"
         return Refusal(503, "limited", message, Executed.NO, int(wait_ms))
 
     async def _call(
         self, request: web.Request, upstream: Upstream, service: Service, body: bytes
-    ) -> web.Response:
+    ) -> PlainAnswer:
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_S, sock_read=service.silent_ms / 1000
         )
@@ -182,11 +204,14 @@
         async with call as resp:
             self._unread.note(upstream.announcement.service, resp.headers)
             signals = read_signals(resp.status, resp.headers, OWN_SIGNALS)
-            self._limits.hear(upstream.instance, signals.limit, sent_ms, resp.status < 300)
+            self._signals.hear(upstream.instance, signals, sent_ms, resp.status < 300)
             answer = await resp.content.read(MAX_ANSWER_BYTES)
             if not resp.content.at_eof():
                 raise aiohttp.ClientPayloadError("the answer is too large")
-            return web.Response(status=resp.status, body=answer, headers=_passed_on(resp.headers))
+            passed_on = _passed_on(resp.headers)
+            return PlainAnswer(
+                web.Response(status=resp.status, body=answer, headers=passed_on), signals
+            )
 
 
 def _passed_on(headers: Any) -> dict[str, str]:
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -31,6 +31,9 @@
 from ..settings.gateway_settings import GatewaySettings
 from ..settings.quota_bounds import OFFICE
 from ..signals import UnreadHeaders
+from ..signals.known_backoffs import KnownBackoffs
+from ..signals.known_signals import KnownSignals
+from ..signals.messages import HeardBackoff
 from ..signals.own_headers import OWN_SIGNALS
 from ..wire import RpcServer
 from ..wire.http_listener import listen
@@ -94,13 +97,15 @@
         quarantine = RequestQuarantine(reports.tell, refuses_connections, self._clock)
         self._agent.on_suspects = quarantine.take
         self._registry.on_replaced = quarantine.replaced
-        limits = KnownLimits(self._hear_limit, self._gateways, self._clock, random.Random(), WHOLE)
+        limits = KnownLimits(self._tell_limit, self._gateways, self._clock, random.Random(), WHOLE)
+        backoffs = KnownBackoffs(self._tell_backoff, self._clock)
+        signals = KnownSignals(limits, backoffs, self._clock)
         self._plain = PlainProxy(
             self._agent,
             self._registry,
             self._claims,
             quarantine,
-            limits,
+            signals,
             self._clock,
             metrics,
             settings.data_centre,
@@ -114,7 +119,7 @@
             self._links,
             self._api,
             quarantine,
-            limits,
+            signals,
             self._clock,
             metrics,
             tracer,
@@ -136,9 +141,12 @@
         self._agent.acting = self._desk.acting
         self._agent.on_change = self._on_change
 
-    def _hear_limit(self, heard: HeardLimit) -> None:
+    def _tell_limit(self, heard: HeardLimit) -> None:
         self._links.hear_limit(heard.instance.partition("/")[0], heard)
 
+    def _tell_backoff(self, heard: HeardBackoff) -> None:
+        self._links.hear_backoff(heard.instance.partition("/")[0], heard)
+
     def _gateways(self) -> int:
         return len(self._agent.gateways)
 
--- a/chestnutfall/programs/plain.py
+++ b/chestnutfall/programs/plain.py
@@ -10,8 +10,10 @@
 import aiohttp
 from aiohttp import web
 
+from ..plain_edge.plain_answer import EXECUTED_HEADER, NOT_RUN
 from ..settings.plain_settings import PlainSettings
 from ..standin.announcer import Announcer
+from ..standin.spoken_words import SpokenWords
 from ..wire.http_listener import listen
 from .event_loop import run
 from .runner import load_settings, parser
@@ -27,8 +29,12 @@
 async def _serve(settings: PlainSettings, stop: asyncio.Event) -> int:
     incarnation = uuid.uuid4().hex
     calls: Counter[str] = Counter()
+    words = SpokenWords()
 
     async def answer(request: web.Request) -> web.Response:
+        if words.turns_away():
+            headers = {EXECUTED_HEADER: NOT_RUN}
+            return web.json_response({"error": "asks for time"}, status=503, headers=headers)
         calls[f"{request.method} {request.path}"] += 1
         body = {"service": settings.name, "path": request.path, "calls": calls}
         return web.json_response(body)
@@ -45,6 +51,7 @@
         }
 
     app = web.Application()
+    words.attach(app)
     app.router.add_route("*", "/{tail:.*}", answer)
     runner = web.AppRunner(app, access_log=None)
     await listen(runner, settings.listen)
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from typing import NoReturn
 
@@ -19,13 +20,13 @@
     EngineRefused,
     EngineRequest,
 )
-from ..limits.known_limits import KnownLimits
 from ..membership import SiteAgent, Upstream, UpstreamRegistry
 from ..observability.metrics import Metrics
 from ..peers import PeerLinks
 from ..quarantine import RequestQuarantine
 from ..requests import CallerRequest, Executed, Refusal, fingerprint_of
-from ..signals import UpstreamSignals
+from ..signals import BACKING_OFF, UpstreamSignals
+from ..signals.known_signals import KnownSignals
 from .retry_budget import RetryBudget
 from .tickets import RETRY_AFTER_MS, Tickets
 
@@ -46,7 +47,7 @@
         links: PeerLinks,
         api: EngineApi,
         quarantine: RequestQuarantine,
-        limits: KnownLimits,
+        signals: KnownSignals,
         clock: Clock,
         metrics: Metrics,
         tracer: trace.Tracer,
@@ -57,12 +58,12 @@
         self._links = links
         self._api = api
         self._quarantine = quarantine
-        self._limits = limits
+        self._signals = signals
         self._clock = clock
         self._metrics = metrics
         self._tracer = tracer
         self._rng = rng
-        self._tickets = Tickets(agent, registry, links, limits, clock, metrics, data_centre)
+        self._tickets = Tickets(agent, registry, links, signals, clock, metrics, data_centre)
         self._budget = RetryBudget()
         self._cancels: set[asyncio.Task[None]] = set()
 
@@ -112,6 +113,7 @@
         failure: EngineRefused | EngineBroken,
         executed: Executed,
     ) -> None:
+        self._tickets.refuse_if_held_back(req, executed)
         wait_ms = self._rng.uniform(0.5, 1.5) * BACKOFF_MS * 2**attempt
         late = self._clock.now_ms() + wait_ms >= req.deadline_ms
         if attempt == MAX_ATTEMPTS or late or not self._budget.spend():
@@ -125,7 +127,7 @@
     async def _attempt(self, req: CallerRequest, attempt_id: str, fingerprint: str) -> Batches:
         parent = _PROPAGATOR.extract(req.trace)
         with self._tracer.start_span("admission", context=parent) as span:
-            engine = await self._tickets.acquire(req, attempt_id)
+            engine = await self._engine_for(req, attempt_id)
             span.set_attribute("engine", engine.name)
         span = self._tracer.start_span("dispatch", context=parent)
         began_ms = self._clock.now_ms()
@@ -156,13 +158,23 @@
             span.end()
             self._links.end(engine.name, attempt_id)
 
+    async def _engine_for(self, req: CallerRequest, attempt_id: str) -> Upstream:
+        """An engine that gave a ticket and wants the request."""
+        engine = await self._tickets.acquire(req, attempt_id)
+        while not self._signals.may_send(engine.instance):
+            # It asked for time while the ticket was waited for. Nothing was sent, so that another
+            # ticket costs no repeat.
+            self._links.end(engine.name, attempt_id)
+            engine = await self._tickets.acquire(req, attempt_id)
+        return engine
+
     def _engine_request(
         self, req: CallerRequest, engine: Upstream, attempt_id: str, headers: dict[str, str]
     ) -> EngineRequest:
         sent_ms = self._clock.now_ms()
 
         def on_signals(signals: UpstreamSignals, succeeded: bool) -> None:
-            self._limits.hear(engine.instance, signals.limit, sent_ms, succeeded)
+            self._signals.hear(engine.instance, signals, sent_ms, succeeded)
 
         # A pooled connection may have gone silent while it was idle. A request lost on it could
         # have run as far as we know, and could not be repeated; a connection made for it that
@@ -196,7 +208,7 @@
                     if resumes > MAX_RESUMES or not _may_resume(exc, req, gate.seen):
                         self._raise_broken(exc)
                     self._metrics.count("resumes")
-                    await self._clock.sleep_ms(BACKOFF_MS * resumes)
+                    await self._clock.sleep_ms(self._before_resume_ms(engine, req, resumes))
                     self._links.note_resume(engine.name)
                     batches = self._api.resume(engine.address, req, gate.seen)
         finally:
@@ -219,6 +231,23 @@
         if failure is not None:
             raise failure
 
+    def _before_resume_ms(self, engine: Upstream, req: EngineRequest, resumes: int) -> float:
+        """How long to wait with asking for the rest of a run.
+
+        An engine that leaves is asked: it has the run, and nobody else has it.
+
+        Raises
+        ------
+        EngineBroken
+            When it wants nothing for longer than it may be silent.
+        """
+        left_ms = self._signals.backoffs.left_ms(engine.instance)
+        if math.isinf(left_ms):
+            left_ms = 0.0
+        if left_ms > req.silent_ms:
+            raise EngineBroken(BACKING_OFF, "the engine wants nothing for longer than it may")
+        return max(left_ms, BACKOFF_MS * resumes)
+
     @staticmethod
     def _raise_broken(exc: EngineBroken | EngineRefused) -> NoReturn:
         if isinstance(exc, EngineBroken):
--- a/chestnutfall/routing/tickets.py
+++ b/chestnutfall/routing/tickets.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from ..clock import Clock
-from ..limits.known_limits import KnownLimits
 from ..membership import SiteAgent, Upstream, UpstreamRegistry
 from ..observability.metrics import Metrics
 from ..ownership import TicketGrant, TicketRefusal, TicketRequest
 from ..ownership.engine_sends import LIMITED
 from ..peers import PeerLinks
 from ..requests import CallerRequest, Executed, Refusal
+from ..signals import BACKING_OFF
+from ..signals.known_signals import KnownSignals
 from .engine_choice import engine_candidates
 
 OWNER_WAIT_MS = 5000
@@ -28,7 +29,7 @@
         agent: SiteAgent,
         registry: UpstreamRegistry,
         links: PeerLinks,
-        limits: KnownLimits,
+        signals: KnownSignals,
         clock: Clock,
         metrics: Metrics,
         data_centre: str,
@@ -36,7 +37,7 @@
         self._agent = agent
         self._registry = registry
         self._links = links
-        self._limits = limits
+        self._signals = signals
         self._clock = clock
         self._metrics = metrics
         self._data_centre = data_centre
@@ -51,6 +52,7 @@
         """
         asked_ms = self._clock.now_ms()
         while True:
+            self.refuse_if_held_back(req, Executed.NO)
             refusal = TicketRefusal(attempt_id, "no_engine", RETRY_AFTER_MS)
             for engine in self._candidates(req):
                 outcome = await self._ask(req, attempt_id, engine)
@@ -71,12 +73,30 @@
                 raise Refusal(503, refusal.code, message, Executed.NO, wait_ms)
             await self._clock.sleep_ms(OWNER_POLL_MS)
 
+    def refuse_if_held_back(self, req: CallerRequest, executed: Executed) -> None:
+        """Refuse a request at once if no engine of its service wants work from this gateway.
+
+        Raises
+        ------
+        Refusal
+            With what is known of the attempts before.
+        """
+        serving = self._registry.serving(req.service)
+        held_back_ms = self._signals.held_back_ms(one.instance for one in serving)
+        if not held_back_ms:
+            return
+        self._metrics.count(f"refused.{BACKING_OFF}")
+        status = 503 if executed is Executed.NO else 502
+        wait_ms = self._signals.return_ms(req.service, held_back_ms)
+        raise Refusal(status, BACKING_OFF, "no engine wants work now", executed, wait_ms)
+
     def _any_engine(self, req: CallerRequest) -> bool:
         return any(True for _ in self._registry.serving(req.service))
 
     def _candidates(self, req: CallerRequest) -> list[Upstream]:
+        serving = self._registry.serving(req.service)
         found = engine_candidates(
-            self._registry.serving(req.service),
+            (one for one in serving if self._signals.may_send(one.instance)),
             self._links.views(),
             req.model,
             self._data_centre,
@@ -88,7 +108,7 @@
         self, req: CallerRequest, attempt_id: str, engine: Upstream
     ) -> TicketGrant | TicketRefusal:
         wait_ms = max(req.deadline_ms - self._clock.now_ms(), 0)
-        limit = self._limits.heard(engine.instance)
+        limit = self._signals.limits.heard(engine.instance)
         ticket = TicketRequest(
             attempt_id, engine.name, req.model, req.priority.rank, wait_ms, limit
         )
--- a/chestnutfall/signals/__init__.py
+++ b/chestnutfall/signals/__init__.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from .backoff_word import AskedBackoff, BackoffWord, NoBackoff, UnreadableBackoff
+from .backoff_word import BACKING_OFF, AskedBackoff, BackoffWord, NoBackoff, UnreadableBackoff
 from .read_signals import SignalHeaders, read_signals
 from .unread_headers import UnreadHeaders
 from .upstream_load import UpstreamLoad
 from .upstream_signals import NO_SIGNALS, UpstreamSignals
 
 __all__ = [
+    "BACKING_OFF",
     "NO_SIGNALS",
     "AskedBackoff",
     "BackoffWord",
--- a/chestnutfall/signals/backoff_word.py
+++ b/chestnutfall/signals/backoff_word.py
@@ -8,6 +8,8 @@
 
 BACKOFF_HEADER = "Retry-After"
 """Standard HTTP, and the same in every dialect."""
+BACKING_OFF = "backing_off"
+"""Reason of a refusal where each upstream asked for time, or leaves."""
 TURNED_AWAY = frozenset({429, 503})
 """Answers whose Retry-After is about the upstream; with 3xx it is about the resource."""
 MOST_BACKOFF_MS = 86_400_000
--- a/chestnutfall/standin/engine_app.py
+++ b/chestnutfall/standin/engine_app.py
@@ -11,6 +11,7 @@
 
 from .engine_core import EngineCore
 from .run import Run
+from .spoken_words import SpokenWords
 
 DEFAULT_TOKENS = 16
 FATAL_PROMPT = "a fatal one"
@@ -23,6 +24,7 @@
 
     def __init__(self, core: EngineCore) -> None:
         self._core = core
+        self._words = SpokenWords()
         self.leaving = False
 
     def build(self) -> web.Application:
@@ -36,10 +38,13 @@
         app.router.add_post("/v1/orders", self._order)
         app.router.add_post("/standin/faults", self._faults)
         app.router.add_get("/standin/counts", self._counts)
+        self._words.attach(app)
         return app
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
+        if self._words.turns_away():
+            return _error(503, "overloaded", "asks for time", ran=False)
         model = str(body["model"])
         if self._core.adapters.get(model) != "ready":
             return _error(404, "adapter_not_loaded", f"{model} is not loaded", ran=False)
@@ -139,7 +144,7 @@
         return web.json_response(dict(self._core.faults))
 
     async def _counts(self, request: web.Request) -> web.Response:
-        return web.json_response(dict(self._core.counts))
+        return web.json_response(self._core.counts | {"turned_away": self._words.turned_away})
 
 
 def _error(status: int, code: str, message: str, ran: bool) -> web.Response:
--- a/chestnutfall/tests/fakes/fake_engine.py
+++ b/chestnutfall/tests/fakes/fake_engine.py
@@ -18,8 +18,8 @@
     Order,
     OrderKind,
 )
-from ...limits import read_limit
-from ...signals import UpstreamSignals
+from ...signals import UpstreamSignals, read_signals
+from ...signals.own_headers import OWN_SIGNALS
 
 TOKENS = 6
 TOKEN_MS = 10
@@ -56,6 +56,10 @@
         self.tokens = TOKENS
         self.ends = 0
         self.limit: str | None = None
+        self.backoff: str | None = None
+        self.leaving = False
+        self.turned_away: list[int] = []
+        self.resumed = 0
         self.arrivals: list[int] = []
         self.head_ms = 0
 
@@ -66,6 +70,14 @@
         self.faults[fault] -= 1
         return True
 
+    def signals(self, status: int) -> UpstreamSignals:
+        """What an answer with this status says."""
+        said = {OWN_SIGNALS.limit: self.limit, "Retry-After": self.backoff}
+        headers = {name: text for name, text in said.items() if text is not None}
+        if self.leaving:
+            headers[OWN_SIGNALS.leaving] = "1"
+        return read_signals(status, headers, OWN_SIGNALS)
+
     async def end_and_restart(self) -> None:
         """End as a process does that crashes, and be back later."""
         self.ends += 1
@@ -105,6 +117,10 @@
         if not engine.reachable or engine.take("unreachable"):
             raise EngineRefused("engine_unreachable", "no connection")
         engine.arrivals.append(engine.clock.now_ms())
+        if engine.backoff is not None:
+            engine.turned_away.append(engine.clock.now_ms())
+            req.on_signals(engine.signals(503), False)
+            raise EngineRefused("overloaded", "asks for time")
         if engine.adapters.get(req.model) != "ready":
             raise EngineRefused("adapter_not_loaded", "not loaded")
         engine.ran.append(req.attempt_id)
@@ -125,7 +141,7 @@
         events = engine.events[req.attempt_id]
         incarnation = engine.incarnation
         await engine.clock.sleep_ms(engine.head_ms)
-        req.on_signals(UpstreamSignals(read_limit(engine.limit)), True)
+        req.on_signals(engine.signals(200), True)
         for number in range(after + 1, len(events) + 1):
             await engine.clock.sleep_ms(TOKEN_MS)
             if engine.incarnation != incarnation or req.attempt_id not in engine.running:
@@ -154,6 +170,7 @@
         if not engine.reachable:
             raise EngineRefused("engine_unreachable", "no connection")
         engine.arrivals.append(engine.clock.now_ms())
+        engine.resumed += 1
         if req.attempt_id not in engine.running:
             raise EngineRefused("run_unknown", "no such run")
         async for event in self._events_after(engine, req, after):
--- a/chestnutfall/tests/fakes/fake_office.py
+++ b/chestnutfall/tests/fakes/fake_office.py
@@ -21,6 +21,8 @@
 from ...quarantine import ReportLine, RequestQuarantine
 from ...requests import CallerRequest, digest_of
 from ...routing import ClaimDesk, Dispatcher, WantedClaim
+from ...signals.known_backoffs import KnownBackoffs
+from ...signals.known_signals import KnownSignals
 from .fake_control import FakeControl, FakeControlClient
 from .fake_engine import FakeEngine, FakeEngines
 from .fake_links import FakeLinks
@@ -63,20 +65,25 @@
         )
         self.agent.on_suspects = self.quarantine.take
         self.registry.on_replaced = self.quarantine.replaced
-        self.limits = KnownLimits(
+        limits = KnownLimits(
             lambda heard: self.links.hear_limit(heard.instance.partition("/")[0], heard),
             lambda: len(self.agent.gateways),
             self.clock,
             random.Random(1),
             lone_part=1.0,
         )
+        backoffs = KnownBackoffs(
+            lambda heard: self.links.hear_backoff(heard.instance.partition("/")[0], heard),
+            self.clock,
+        )
+        self.signals = KnownSignals(limits, backoffs, self.clock)
         self.dispatcher = Dispatcher(
             self.agent,
             self.registry,
             self.links,
             office.engines,
             self.quarantine,
-            self.limits,
+            self.signals,
             self.clock,
             self.metrics,
             trace.get_tracer("test"),
--- a/chestnutfall/tests/fakes/fake_upstreams.py
+++ b/chestnutfall/tests/fakes/fake_upstreams.py
@@ -19,7 +19,7 @@
 from ...quota.messages import AnswerQuota, UsedQuota
 from ...quota.quota_line import NoKeeper, QuotaLine
 from ...routes import RouteTable
-from ...signals import NO_SIGNALS, UpstreamLoad
+from ...signals import NO_SIGNALS, UpstreamLoad, UpstreamSignals
 
 
 class FixedRoutes(RouteSource):
@@ -42,7 +42,8 @@
 class ScriptedUpstreams(UpstreamApi):
     """Answers each send by the next entry of a script, and notes the sends.
 
-    An entry is a tuple of chunks for a whole answer; a `Cut` breaks off after its chunks.
+    An entry is a tuple of chunks for a whole answer; a `Cut` breaks off after its chunks; an
+    UpstreamAnswer is given as it is.
     """
 
     def __init__(self, *script: object) -> None:
@@ -61,6 +62,8 @@
                 yield UpstreamAnswer(200, (), None, NO_SIGNALS, _chunks(chunks, cut=True))
             case tuple() as chunks:
                 yield UpstreamAnswer(200, (), None, NO_SIGNALS, _chunks(chunks))
+            case UpstreamAnswer() as answer:
+                yield answer
             case type() as error:
                 raise error("scripted")
             case unknown:
@@ -77,6 +80,12 @@
         return tuple(self)
 
 
+def answer_that_says(signals: UpstreamSignals, status: int = 503) -> UpstreamAnswer:
+    """An answer with a word of its upstream; 503 proves that nothing ran."""
+    not_run = NotRun.FULL if status == 503 else None
+    return UpstreamAnswer(status, (), not_run, signals, _chunks((b"said",)))
+
+
 async def _chunks(chunks: tuple[bytes, ...], cut: bool = False) -> AsyncIterator[bytes]:
     for chunk in chunks:
         yield chunk
@@ -98,11 +107,12 @@
 
     async def take(self, wanted: Wanted) -> Place:
         self.wanted.append(wanted)
-        self.on_take()
         if not self._instances:
             raise NoPlace("full", 700)
         instance = self._instances.pop(0)
         upstream = UpstreamRecord(instance, "s", "127.0.0.1:1", "dc")
+        # What happens while a place is on its way.
+        self.on_take()
         return Place(f"t-{instance}", upstream, 0, has_other=self.has_other)
 
     def held_back_ms(self, service: str) -> float:
@@ -190,4 +200,5 @@
     "RecordedReply",
     "ScriptedQuotaLine",
     "ScriptedUpstreams",
+    "answer_that_says",
 ]
--- a/chestnutfall/tests/process_office.py
+++ b/chestnutfall/tests/process_office.py
@@ -263,6 +263,12 @@
         counts: dict[str, int] = json.loads(self._open(urllib.request.Request(url))[1])
         return counts
 
+    def say(self, address: str, **headers: str) -> None:
+        """Let the answers of a stand-in say something; underscores stand for hyphens."""
+        words = {name.replace("_", "-"): text for name, text in headers.items()}
+        url = f"http://{address}/standin/words"
+        self._open(urllib.request.Request(url, json.dumps(words).encode()))
+
     def stop(self) -> None:
         """End every process."""
         for process in self.processes.values():
--- /dev/null
+++ b/chestnutfall/tests/test_backoff_completions.py
@@ -0,0 +1,181 @@
+"""Engines that ask for time or leave, on the product's own interface, through one office."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from ..requests import Executed, Refusal
+from .fakes.fake_engine import FakeEngine
+from .fakes.fake_office import FakeGateway, FakeOffice
+
+PAUSE_MS = 20
+SERVED = 0.98
+
+
+class BackoffCompletionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.office = FakeOffice()
+        self.refusals: list[Refusal] = []
+        self.refused_after_ms: list[int] = []
+        self.served = self.asked = 0
+        self.calls: set[asyncio.Task[None]] = set()
+
+    async def asyncTearDown(self) -> None:
+        for call in self.calls:
+            call.cancel()
+        await asyncio.gather(*self.calls, return_exceptions=True)
+        await self.office.stop()
+
+    async def _call(self, gateway: FakeGateway, adapter: str) -> None:
+        self.asked += 1
+        began_ms = self.office.clock.now_ms()
+        try:
+            await gateway.answer(gateway.request(adapter, "usual"))
+            self.served += 1
+        except Refusal as refusal:
+            self.refusals.append(refusal)
+            self.refused_after_ms.append(self.office.clock.now_ms() - began_ms)
+
+    def _begin(self, number: int, adapters: int = 2) -> None:
+        gateway = self.office.gateway(number % len(self.office.gateways))
+        if gateway.alive:
+            call = asyncio.ensure_future(self._call(gateway, f"a{number % adapters}@1"))
+            self.calls.add(call)
+            call.add_done_callback(self.calls.discard)
+
+    async def _load(self, ms: int) -> None:
+        for number in range(ms // PAUSE_MS):
+            self._begin(number)
+            await self.office.clock.advance(PAUSE_MS)
+
+    def _busiest(self) -> FakeEngine:
+        return max((self.office.engine(at) for at in range(2)), key=lambda one: len(one.arrivals))
+
+    def _check_one(self, engine: FakeEngine, for_ms: int) -> None:
+        """Whether each gateway was turned away once a time, and callers lost nothing."""
+        asked = [at_ms for at_ms in engine.turned_away]
+        rounds = -(-(self.office.clock.now_ms() - asked[0]) // for_ms)
+        # Calls that were on their way beside the first one come on top.
+        self.assertLessEqual(len(asked), 3 * rounds * len(self.office.gateways))
+        self.assertEqual(self.refusals, [])
+
+    # Guards against engines that ask a gateway for time and get its next completion at once.
+    async def test_one_of_two_engines_gets_its_time_and_callers_lose_nothing(self) -> None:
+        await self.office.start(gateways=3, engines=2)
+        await self._load(1_000)
+        engine = self._busiest()
+        engine.backoff = "2"
+        await self._load(5_000)
+        self._check_one(engine, 2_000)
+        engine.backoff = None
+        await self._load(3_000)
+        before = len(engine.arrivals)
+        await self._load(3_000)
+        self.assertGreater(len(engine.arrivals) - before, 0)
+
+    # Guards against callers who wait for their deadline while all engines want time.
+    async def test_where_all_ask_for_time_callers_are_told_at_once(self) -> None:
+        await self.office.start(gateways=2, engines=1)
+        await self._load(1_000)
+        self.office.engine().backoff = "3"
+        await self._load(200)
+        del self.refusals[:], self.refused_after_ms[:]
+        await self._load(1_000)
+        self.assertEqual({one.code for one in self.refusals}, {"backing_off"})
+        self.assertEqual({one.status for one in self.refusals}, {503})
+        self.assertEqual({one.executed for one in self.refusals}, {Executed.NO})
+        self.assertEqual(max(self.refused_after_ms), 0)
+        told_ms = [one.retry_after_ms or 0 for one in self.refusals]
+        self.assertGreaterEqual(min(told_ms), 3_000 - 1_200)
+        self.assertLessEqual(max(told_ms), 6_000)
+        self.office.engine().backoff = None
+        await self._load(2_200)
+        self.served = self.asked = 0
+        await self._load(2_000)
+        self.assertGreaterEqual(self.served, SERVED * self.asked - 5)
+
+    # Guards against a ticket that was given before its engine asked for time.
+    async def test_a_ticket_in_hand_is_not_used_when_its_engine_asked_for_time(self) -> None:
+        await self.office.start(gateways=1, engines=2)
+        await self._load(400)
+        engine = self._busiest()
+        arrivals = len(engine.arrivals)
+        gateway = self.office.gateway()
+        name = next(
+            up
+            for up in gateway.registry.serving()
+            if self.office.engines.by_address[up.address] is engine
+        )
+        acquire = gateway.links.acquire
+
+        async def acquire_late(req: object) -> object:
+            outcome = await acquire(req)  # type: ignore[arg-type]
+            gateway.signals.hear(name.instance, engine.signals(503), 0, succeeded=False)
+            return outcome
+
+        engine.backoff = "5"
+        gateway.links.acquire = acquire_late  # type: ignore[method-assign, assignment]
+        self._begin(0)
+        await self.office.clock.advance(3_000)
+        self.assertEqual(len(engine.arrivals), arrivals)
+        self.assertEqual((self.served, self.refusals), (self.asked, []))
+
+    # Guards against engines that say that they leave, announce themselves as ready, and get work.
+    async def test_an_engine_that_says_that_it_leaves_gets_nothing_more(self) -> None:
+        await self.office.start(gateways=3, engines=2)
+        await self._load(1_000)
+        engine = self._busiest()
+        engine.leaving = True
+        await self._load(400)
+        arrivals = len(engine.arrivals)
+        await self._load(4_000)
+        self.assertEqual(len(engine.arrivals), arrivals)
+        self.assertEqual((self.served, self.refusals), (self.asked - len(self.calls), []))
+
+    # Guards against a run that is lost since its engine leaves while its stream is broken.
+    async def test_a_run_is_resumed_at_an_engine_that_leaves(self) -> None:
+        await self.office.start(gateways=1, engines=1)
+        await self._load(400)
+        await self.office.clock.advance(2_000)  # all were served
+        engine = self.office.engine()
+        engine.leaving = True
+        engine.faults["mid_reset"] = 1
+        self._begin(0)
+        await self.office.clock.advance(2_000)
+        self.assertEqual(engine.resumed, 1)
+        self.assertEqual(self.refusals, [])
+
+    # Guards against a resumed run that comes within the time that its engine asked for.
+    async def test_a_run_is_resumed_when_the_time_is_over(self) -> None:
+        await self.office.start(gateways=1, engines=1)
+        await self._load(400)
+        await self.office.clock.advance(2_000)  # all were served
+        engine = self.office.engine()
+        gateway = self.office.gateway()
+        up = next(iter(gateway.registry.serving()))
+        engine.faults["mid_reset"] = 1
+        self._begin(0)
+        await self.office.clock.advance(10)
+        engine.backoff = "0.4"
+        gateway.signals.hear(up.instance, engine.signals(503), 0, succeeded=False)
+        asked_ms = self.office.clock.now_ms()
+        engine.backoff = None
+        await self.office.clock.advance(2_000)
+        self.assertEqual(engine.resumed, 1)
+        self.assertGreaterEqual(engine.arrivals[-1], asked_ms + 400)
+        self.assertEqual(self.refusals, [])
+
+    # Guards against a process that is new under a name and gets no work for what another said.
+    async def test_a_restarted_engine_gets_work(self) -> None:
+        await self.office.start(gateways=2, engines=1)
+        await self._load(400)
+        engine = self.office.engine()
+        engine.leaving = True
+        await self._load(400)
+        engine.leaving = False
+        engine.restart_empty()
+        await self._load(3_000)
+        self.served = self.asked = 0
+        await self._load(2_000)
+        self.assertGreaterEqual(self.served, SERVED * self.asked - 5)
--- a/chestnutfall/tests/test_forwarder.py
+++ b/chestnutfall/tests/test_forwarder.py
@@ -7,134 +7,32 @@
 
 from __future__ import annotations
 
-import asyncio
 import itertools
-import random
-import unittest
-from typing import Any
 
-from ..clock import ManualClock
 from ..control.crash_messages import (
     AnsweredRun,
     BrokenRun,
-    CrashReport,
     QuarantinedRequest,
     SuspectRequests,
 )
-from ..forwarding.admission import Admission
-from ..forwarding.call import Call
-from ..forwarding.forwarder import Forwarder
-from ..forwarding.repeats import Repeats
-from ..forwarding.sender import Sender
 from ..forwarding.upstream_answer import NotRun
-from ..observability.histograms import Histograms
 from ..placement import RunOutcome
-from ..quarantine import RequestQuarantine
-from ..quota.quota_desk import QuotaDesk
 from ..requests import fingerprint_of
 from ..routes import (
-    Document,
-    DocumentLimits,
-    Route,
     RouteKind,
-    RouteTable,
-    ServiceSpec,
-    WeightedService,
 )
-from ..settings.quota_bounds import STRICT
-from ..settings.repeat_bounds import RepeatBounds
 from .fakes.fake_upstreams import (
     AnswerLost,
     Cut,
-    FixedRoutes,
-    ListedPlaces,
     NotSent,
     RecordedReply,
-    ScriptedQuotaLine,
-    ScriptedUpstreams,
 )
-from .fakes.limit_parts import known_signals
+from .fakes.forwarder_case import ForwarderCase, event
 
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 
 
-def _event(number: int) -> bytes:
-    return b"id: %d\ndata: x%d\n\n" % (number, number)
-
-
-class ForwarderTest(unittest.IsolatedAsyncioTestCase):
-    def setUp(self) -> None:
-        self.clock = ManualClock()
-        self.rng = random.Random(1)
-        self.reply = RecordedReply()
-        self.leaving = False
-        self.routes_from_ms = 0
-        self.same_place = False
-        self.leader_gives = False
-        self.has_other = True
-        self.while_placed = self.while_broken = self._nothing
-        self.reports: list[CrashReport] = []
-        self.quarantine = RequestQuarantine(
-            self.reports.append, self._refuses_connections, self.clock
-        )
-
-    async def _refuses_connections(self, address: str) -> bool:
-        return True
-
-    def _nothing(self) -> None:
-        """Nothing happens meanwhile."""
-
-    async def _borrow(self, service: str) -> bool:
-        return self.leader_gives
-
-    def _quotas(self) -> QuotaDesk:
-        self.line = ScriptedQuotaLine()
-        return QuotaDesk(self.line, lambda: 1, STRICT, self.clock, self.rng)
-
-    async def _serve(
-        self, kind: RouteKind, script: tuple[Any, ...], attempts: int = 3, slack: float = 100
-    ) -> ScriptedUpstreams:
-        route = Route(
-            "r", "a.example", "/a/", kind, 4000, 500, 1, (WeightedService("s", 1),), attempts, 300
-        )
-        services = (ServiceSpec("s", None),)
-        table = RouteTable(Document(1, (route,), services, DocumentLimits()))
-        self.upstreams = ScriptedUpstreams(*script)
-        instances = (f"i{0 if self.same_place else at}" for at in range(len(script)))
-        self.places = ListedPlaces(*instances)
-        self.places.has_other = self.has_other
-        self.places.on_take = self.while_placed
-        self.places.on_give_back = self.while_broken
-        metrics = Histograms()
-        self.signals = known_signals(self.clock)
-        forwarder = Forwarder(
-            FixedRoutes(table, self.clock, self.routes_from_ms),
-            Admission(self._quotas()),
-            Repeats(
-                RepeatBounds(0.2, slack, 10_000),
-                lambda: 1,
-                self._borrow,
-                self.clock,
-                self.rng,
-            ),
-            self.places,
-            self.places,
-            Sender(self.upstreams, self.signals, self.clock, metrics),
-            self.signals,
-            self.quarantine,
-            self.clock,
-            metrics,
-            self.rng,
-        )
-        call = Call("id-1", "POST", "/a/x", "/a/x", "a.example", (), b"", 0, 4000)
-        if self.leaving:
-            forwarder.refuse_new()
-        served = asyncio.ensure_future(forwarder.serve(call, self.reply))
-        for _ in range(self.routes_from_ms // 100 + 1):
-            await self.clock.advance(100)
-        await served
-        return self.upstreams
-
+class ForwarderTest(ForwarderCase):
     async def test_a_call_that_comes_while_the_gateway_starts_is_held_and_served(self) -> None:
         # All hosts lost power. Gateways are back half a second before the controllers have a
         # leader; whoever is refused then comes back late, together with everyone else.
@@ -223,10 +121,10 @@
         # A place was given at the expected end of a load, which takes some ms longer. Sent to
         # another engine, the call would wait for a whole second load there.
         self.same_place = True
-        await self._serve(RouteKind.STREAM, (NotRun.ABSENT, NotRun.ABSENT, (_event(1),)))
+        await self._serve(RouteKind.STREAM, (NotRun.ABSENT, NotRun.ABSENT, (event(1),)))
         seen = [(one.avoid, one.too_early) for one in self.places.wanted]
         self.assertEqual(seen, [((), ()), ((), ("i0",)), (("i0",), ("i0",))])
-        self.assertEqual((self.reply.status, self.reply.body), (200, _event(1)))
+        self.assertEqual((self.reply.status, self.reply.body), (200, event(1)))
 
     async def test_a_leaving_gateway_refuses_before_anything_runs(self) -> None:
         self.leaving = True
@@ -272,16 +170,16 @@
         self.assertEqual(len(self.upstreams.sends), 1)
 
     async def test_a_cut_stream_is_resumed_behind_the_last_whole_event(self) -> None:
-        first = Cut((_event(1) + _event(2) + b"id: 3\nda",))
-        await self._serve(RouteKind.RESUMABLE_STREAM, (first, (_event(3), _event(4))))
+        first = Cut((event(1) + event(2) + b"id: 3\nda",))
+        await self._serve(RouteKind.RESUMABLE_STREAM, (first, (event(3), event(4))))
         self.assertEqual(self.upstreams.sends[1].resume_after, 2)
-        self.assertEqual(self.reply.body, b"".join(map(_event, (1, 2, 3, 4))))
+        self.assertEqual(self.reply.body, b"".join(map(event, (1, 2, 3, 4))))
         self.assertEqual(self.reply.ended, "whole")
 
     async def test_a_stream_with_a_missing_event_is_not_passed_on(self) -> None:
-        await self._serve(RouteKind.STREAM, ((_event(1), _event(3)),))
-        self.assertEqual((self.reply.body, self.reply.ended), (_event(1), "broken off"))
+        await self._serve(RouteKind.STREAM, ((event(1), event(3)),))
+        self.assertEqual((self.reply.body, self.reply.ended), (event(1), "broken off"))
 
     async def test_a_stream_that_ends_inside_an_event_is_not_whole(self) -> None:
-        await self._serve(RouteKind.STREAM, ((_event(1) + b"id: 2\n",),))
-        self.assertEqual((self.reply.body, self.reply.ended), (_event(1), "broken off"))
+        await self._serve(RouteKind.STREAM, ((event(1) + b"id: 2\n",),))
+        self.assertEqual((self.reply.body, self.reply.ended), (event(1), "broken off"))
--- a/chestnutfall/tests/test_leaving_together.py
+++ b/chestnutfall/tests/test_leaving_together.py
@@ -83,6 +83,17 @@
         await office.play(1_500, RATES)
         self._check(office, from_ms)
 
+    # Guards against a new leader that has to find out, or finds out by one gateway's calls only.
+    async def test_the_word_is_told_to_each_leader(self) -> None:
+        office = self._office(2, engines=2)
+        await office.play(500, {ENGINES: 40.0}, ["g0"])
+        self._leave(office, f"{ENGINES}-0")
+        await office.play(500, {ENGINES: 40.0}, ["g0"])
+        office.begin_leader()
+        before = len(office.upstreams[f"{ENGINES}-0"].arrivals)
+        await office.play(1_500, {ENGINES: 40.0}, ["g1"])
+        self.assertEqual(len(office.upstreams[f"{ENGINES}-0"].arrivals), before)
+
     # Guards against a word that is taken back by silence.
     async def test_a_word_once_said_holds_for_that_incarnation(self) -> None:
         office = self._office(3)
--- a/chestnutfall/tests/test_plain_proxy.py
+++ b/chestnutfall/tests/test_plain_proxy.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import unittest
+from dataclasses import replace
 
 from aiohttp import web
 from aiohttp.test_utils import make_mocked_request
@@ -50,6 +51,9 @@
         self.on_break = lambda: None
         self.ran: list[bytes] = []
         self.headers: dict[str, str] = {}
+        self.away: dict[str, str] = {}
+        self.turned_away: list[str] = []
+        self.ran_at: list[str] = []
         self.announced: list[Announcement] = []
         self.runners = [await self._start(f"counter-{number}") for number in range(2)]
         self.proxy = PlainProxy(
@@ -57,7 +61,7 @@
             self.gateway.registry,
             self.gateway.claims,
             self.quarantine,
-            self.gateway.limits,
+            self.gateway.signals,
             self.office.clock,
             Metrics(None, "gateway"),
             SITE,
@@ -73,7 +77,7 @@
         return True
 
     async def _start(self, name: str) -> web.ServerRunner:
-        runner = web.ServerRunner(web.Server(self._run))
+        runner = web.ServerRunner(web.Server(lambda request: self._run(request, name)))
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", 0).start()
         address = f"127.0.0.1:{runner.addresses[0][1]}"
@@ -92,9 +96,14 @@
     def _limit(self, text: str | None) -> None:
         self.headers = {OWN_SIGNALS.limit: text} if text is not None else {}
 
-    async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _run(self, request: web.BaseRequest, name: str) -> web.StreamResponse:
         body = await request.read()
+        if name in self.away:
+            self.turned_away.append(name)
+            headers = {"Retry-After": self.away[name], **self.headers}
+            return web.Response(status=503, headers=headers)
         self.ran.append(body)
+        self.ran_at.append(name)
         if body == FATAL and request.transport is not None:
             request.transport.abort()
             self.on_break()
@@ -172,3 +181,66 @@
         for _ in range(20):
             await self._answer(b"free")
         self.assertEqual(len(self.ran) - ran, 20)
+
+    # Guards against plain services that ask for time and get the next call at once.
+    async def test_one_that_asks_for_time_gets_it_and_callers_lose_nothing(self) -> None:
+        self.away = {"counter-0": "2"}
+        for _ in range(40):
+            self.assertEqual((await self._answer(b"more")).body, b"answer")
+            await self._pass_ms(100)
+        self.assertEqual(self.turned_away, ["counter-0"] * 2)
+        self.away = {}
+        await self._pass_ms(2_000)
+        self.ran_at.clear()
+        for _ in range(4):
+            await self._answer(b"more")
+        self.assertEqual(set(self.ran_at), {"counter-0", "counter-1"})
+
+    # Guards against a call that may not be repeated and is sent twice without a proof.
+    async def test_a_call_that_may_not_be_repeated_goes_on_only_after_a_proof(self) -> None:
+        for headers, runs in (({}, 0), ({"X-Executed": "no"}, 1)):
+            with self.subTest(headers):
+                self.ran.clear()
+                self.away, self.headers = {"counter-0": "0", "counter-1": "0"}, headers
+                request = make_mocked_request("POST", "/counter/x")
+                answer = await self.proxy.answer(request, "ana", b"once")
+                self.assertEqual(answer.status, 503)
+                self.assertEqual(len(self.turned_away), 1 + runs)
+                self.turned_away.clear()
+
+    # Guards against callers who are not told when all of a service want time.
+    async def test_where_all_ask_for_time_callers_are_told_at_once(self) -> None:
+        self.away = {"counter-0": "3", "counter-1": "3"}
+        self.assertEqual((await self._answer(b"first")).status, 503)
+        for _ in range(20):
+            await self._pass_ms(50)
+            with self.assertRaises(Refusal) as caught:
+                await self._answer(b"more")
+            refusal = caught.exception
+            self.assertEqual((refusal.status, refusal.code), (503, "backing_off"))
+            self.assertEqual(refusal.executed, Executed.NO)
+            self.assertTrue(1_900 <= (refusal.retry_after_ms or 0) <= 6_000)
+        self.assertEqual(len(self.turned_away), 2)
+
+    # Guards against plain services that say that they leave and get work all the same.
+    async def test_one_that_says_that_it_leaves_gets_nothing_more(self) -> None:
+        self.headers = {OWN_SIGNALS.leaving: "1"}
+        await self._answer(b"1")
+        self.headers = {}
+        for _ in range(6):
+            await self._answer(b"2")
+        self.assertEqual(len(self.ran), 7)
+        leaving = [one for one in self.announced if not self._may_send(one)]
+        self.assertEqual(len(leaving), 1)
+
+    def _may_send(self, announced: Announcement) -> bool:
+        return self.gateway.signals.may_send(f"{announced.name}/{announced.incarnation}")
+
+    # Guards against a word that is taken back by an announcement made before it.
+    async def test_an_upstream_that_announced_that_it_leaves_leaves_for_good(self) -> None:
+        first = self.announced[0]
+        self.gateway.registry.hear(replace(first, state="leaving"))
+        self.gateway.registry.hear(first)
+        self.assertFalse(self.gateway.registry.takes_work(first.name))
+        self.gateway.registry.hear(replace(first, incarnation="second"))
+        self.assertTrue(self.gateway.registry.takes_work(first.name))
--- a/chestnutfall/tests/test_processes.py
+++ b/chestnutfall/tests/test_processes.py
@@ -142,6 +142,46 @@
             conn.close()
 
 
+class WordsTest(unittest.TestCase):
+    """What upstreams say of themselves, to gateways that are processes."""
+
+    def setUp(self) -> None:
+        self.office = ProcessOffice(engines=2)
+        self.addCleanup(self.office.stop)
+        self.office.start()
+
+    def _ask(self, count: int = 12) -> None:
+        for number in range(count):
+            status, _ = self.office.post(number % 2, "tejas@1", prompt=f"roof {number}")
+            self.assertEqual(status, 200)
+
+    def _turned_away(self) -> int:
+        return sum(self.office.engine_counts(at)["turned_away"] for at in range(2))
+
+    # Guards against upstreams that ask for time, or leave, and get the next request at once.
+    def test_an_engine_and_a_plain_service_are_obeyed(self) -> None:
+        self.office.say(self.office.engines[0], Retry_After="600")
+        self._ask()
+        self.assertLessEqual(self._turned_away(), 2)
+        self.office.say(self.office.engines[0])
+        self.office.say(self.office.plain, Retry_After="600")
+        for number in range(6):
+            status, _ = self.office.request(number % 2, "/permisos/x", None)
+            self.assertEqual(status, 503)
+        self.office.say(self.office.plain)
+        status, body = self.office.request(0, "/permisos/x", None)
+        self.assertEqual((status, body["error"]["code"]), (503, "backing_off"))
+
+    # Guards against a new word of upstreams that nobody notices, and a secret in logs.
+    def test_a_header_that_nobody_reads_is_logged_by_its_name(self) -> None:
+        for address in self.office.engines:
+            self.office.say(address, X_New_Word="a secret")
+        self._ask(4)
+        logs = self.office.log("g0") + self.office.log("g1")
+        self.assertIn("x-new-word", logs)
+        self.assertNotIn("a secret", logs)
+
+
 class DrainTest(unittest.TestCase):
     def test_graceful_stop_cuts_off_no_stream(self) -> None:
         # A gateway is told to stop while a stream runs through it: the stream ends whole, new
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -10,6 +10,7 @@
 from .placement_mutants import PLACEMENT_MUTANTS
 from .quarantine_mutants import QUARANTINE_MUTANTS
 from .quota_mutants import QUOTA_MUTANTS
+from .signal_mutants import SIGNAL_MUTANTS
 
 MUTANTS = (
     *CONSENSUS_MUTANTS,
@@ -19,6 +20,7 @@
     *FLEET_MUTANTS,
     *QUARANTINE_MUTANTS,
     *QUOTA_MUTANTS,
+    *SIGNAL_MUTANTS,
     *LIMIT_MUTANTS,
 )
 
--- a/properties/safeguards/limit_mutants.py
+++ b/properties/safeguards/limit_mutants.py
@@ -54,8 +54,8 @@
     Mutant(
         "calls are kept for engines that take none soon",
         "chestnutfall/placement/choice.py",
-        "usable and engine.has_room(req) and not engine.send_wait_ms(self._now_ms)",
-        "usable and engine.has_room(req)",
+        "        return not engine.send_wait_ms(self._now_ms)",
+        "        return True",
         f"{_TOGETHER}.test_any_number_of_gateways_keeps_a_limit_and_uses_it",
     ),
     Mutant(
@@ -96,7 +96,7 @@
     Mutant(
         "plain upstreams are chosen without a turn",
         "chestnutfall/forwarding/plain_places.py",
-        "        if self._limits.per_s(chosen.instance) is not None:",
+        "        if self._signals.limits.per_s(chosen.instance) is not None:",
         "        if False:",
         f"{_TOGETHER}.test_any_number_of_gateways_keeps_a_limit_and_uses_it",
     ),
@@ -145,7 +145,7 @@
     Mutant(
         "plain services are called by turns whatever they take",
         "chestnutfall/plain_edge/plain_proxy.py",
-        "            if self._limits.may_send_alone(up.instance):",
+        "            if self._signals.limits.may_send_alone(up.instance):",
         "            if True:",
         "chestnutfall.tests.test_plain_proxy",
     ),
