--- /dev/null
+++ b/chestnutfall/tests/fakes/placement_case.py
@@ -0,0 +1,78 @@
+"""Placement alone: engines, requests and what is decided, without a network."""
+
+from __future__ import annotations
+
+import unittest
+
+from ...clock import ManualClock
+from ...limits.limit_book import LimitBook
+from ...limits.messages import HeardLimit
+from ...placement import (
+    AdapterName,
+    EngineReport,
+    Grant,
+    LoadAdapter,
+    PlaceRequest,
+    Reject,
+    RunOutcome,
+)
+from ...placement.placer import Placer
+from ...routes import EngineSpec, ModelSpec
+from ...signals.backoff_book import BackoffBook
+from ...signals.messages import HeardBackoff
+
+SPEC = EngineSpec(16, 1_000_000, (ModelSpec("base", 50),), 60, 4, 5)
+STEP_MS = 8
+
+
+class PlacementCase(unittest.TestCase):
+    """Requests that end at once, unless they are to run on.
+
+    Attributes
+    ----------
+    runs_on : bool
+        Whether granted requests keep their places.
+    """
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(60_000)
+        self.book = LimitBook(self.clock)
+        self.backoffs = BackoffBook(self.clock)
+        self.placer = Placer(self.clock, self.book, self.backoffs)
+        self.runs_on = False
+        self.granted: dict[str, str] = {}
+        self.rejected: dict[str, Reject] = {}
+        self.loads: list[LoadAdapter] = []
+
+    def _engine(self, name: str, *adapters: str) -> None:
+        self.placer.engine_up(name, "s", "dc", SPEC)
+        held = {AdapterName("base", adapter): 1 for adapter in adapters}
+        self.placer.engine_reported(name, EngineReport({"base": 1}, held, {}, 0))
+
+    def _limit(self, name: str, per_s: float | None) -> None:
+        self.book.hear(HeardLimit(name, per_s, 0), counts_sends=True)
+        self.placer.limit_changed(name)
+
+    def _back_off(self, name: str, gateway: str, left_ms: int | None) -> None:
+        self.backoffs.hear(gateway, HeardBackoff(name, left_ms))
+
+    def _submit(self, ticket: str, adapter: str, wait_ms: int = 4_000) -> None:
+        name = AdapterName("base", adapter)
+        self.placer.submit(PlaceRequest(ticket, "s", name, 100, 10, (), 1, 500, wait_ms, "dc"))
+
+    def _pass_ms(self, ms: int) -> None:
+        for _ in range(ms // STEP_MS):
+            self.clock._now_ms += STEP_MS
+            for decision in self.placer.decide():
+                match decision:
+                    case Grant(ticket, instance):
+                        self.granted[ticket] = instance
+                        if not self.runs_on:
+                            self.placer.release(ticket, RunOutcome.DONE)
+                    case Reject(ticket):
+                        self.rejected[ticket] = decision
+                    case LoadAdapter():
+                        self.loads.append(decision)
+                        self.placer.order_taken(decision)
+                    case _:
+                        pass
--- a/chestnutfall/tests/test_backoff_completions.py
+++ b/chestnutfall/tests/test_backoff_completions.py
@@ -4,8 +4,12 @@
 
 import asyncio
 import unittest
+from collections import Counter
+from typing import Any
 
+from ..ownership import TicketRequest
 from ..requests import Executed, Refusal
+from ..signals import UpstreamSignals
 from .fakes.fake_engine import FakeEngine
 from .fakes.fake_office import FakeGateway, FakeOffice
 
@@ -133,6 +137,26 @@
         self.assertEqual(len(engine.arrivals), arrivals)
         self.assertEqual((self.served, self.refusals), (self.asked - len(self.calls), []))
 
+    # Guards against tickets that are asked for again and again, of an owner that was told nothing.
+    async def test_an_engine_that_leaves_is_not_asked_for_whatever_its_owner_knows(self) -> None:
+        await self.office.start(gateways=1, engines=2)
+        await self._load(400)
+        gateway = self.office.gateway()
+        acquire, asked = gateway.links.acquire, Counter[str]()
+
+        async def counted(req: TicketRequest) -> Any:
+            asked.update([req.engine])
+            return await acquire(req)
+
+        gateway.links.acquire = counted  # type: ignore[method-assign, assignment]
+        gateway.links.hear_backoff = lambda engine, heard: None  # type: ignore[method-assign]
+        leaving = next(iter(gateway.registry.serving()))
+        word = UpstreamSignals(leaving=True)
+        gateway.signals.hear(leaving.instance, word, 0, succeeded=True)
+        await self._load(1_000)
+        self.assertEqual(asked[leaving.name], 0)
+        self.assertGreater(sum(asked.values()), 0)
+
     # Guards against a run that is lost since its engine leaves while its stream is broken.
     async def test_a_run_is_resumed_at_an_engine_that_leaves(self) -> None:
         await self.office.start(gateways=1, engines=1)
--- a/chestnutfall/tests/test_backoff_parts.py
+++ b/chestnutfall/tests/test_backoff_parts.py
@@ -58,9 +58,9 @@
         signals = known_signals(clock)
         last_ms = 0
         for wait_ms, ms in steps:
-            clock._now_ms += wait_ms
             signals.backoffs.hear("i", _asks(ms))
             last_ms = max(last_ms, clock.now_ms() + ms)
+            clock._now_ms += wait_ms
             self.assertEqual(signals.may_send("i"), clock.now_ms() >= last_ms)
 
     # Guards against an upstream that leaves and is sent work when a shorter time is over.
--- a/chestnutfall/tests/test_backoff_together.py
+++ b/chestnutfall/tests/test_backoff_together.py
@@ -354,3 +354,5 @@
         await office.play(4_000, {PLAIN: 30.0})
         self.assertEqual(office.disobeyed(), [])
         self.assertGreater(len(office.upstreams[f"{PLAIN}-0"].asked), 0)
+        # A turn that can't be used is one that somebody else does not get.
+        self.assertNotIn("sends_held_back", office.metrics.text())
--- a/chestnutfall/tests/test_limited_placement.py
+++ b/chestnutfall/tests/test_limited_placement.py
@@ -2,65 +2,10 @@
 
 from __future__ import annotations
 
-import unittest
+from .fakes.placement_case import STEP_MS, PlacementCase
 
-from ..clock import ManualClock
-from ..limits.limit_book import LimitBook
-from ..limits.messages import HeardLimit
-from ..placement import (
-    AdapterName,
-    EngineReport,
-    Grant,
-    LoadAdapter,
-    PlaceRequest,
-    Reject,
-    RunOutcome,
-)
-from ..placement.placer import Placer
-from ..routes import EngineSpec, ModelSpec
-
-SPEC = EngineSpec(16, 1_000_000, (ModelSpec("base", 50),), 60, 4, 5)
-STEP_MS = 8
-
-
-class LimitedPlacementTest(unittest.TestCase):
-    def setUp(self) -> None:
-        self.clock = ManualClock(60_000)
-        self.book = LimitBook(self.clock)
-        self.placer = Placer(self.clock, self.book)
-        self.granted: dict[str, str] = {}
-        self.rejected: dict[str, Reject] = {}
-        self.loads: list[LoadAdapter] = []
-
-    def _engine(self, name: str, *adapters: str) -> None:
-        self.placer.engine_up(name, "s", "dc", SPEC)
-        held = {AdapterName("base", adapter): 1 for adapter in adapters}
-        self.placer.engine_reported(name, EngineReport({"base": 1}, held, {}, 0))
-
-    def _limit(self, name: str, per_s: float | None) -> None:
-        self.book.hear(HeardLimit(name, per_s, 0), counts_sends=True)
-        self.placer.limit_changed(name)
-
-    def _submit(self, ticket: str, adapter: str, wait_ms: int = 4_000) -> None:
-        name = AdapterName("base", adapter)
-        self.placer.submit(PlaceRequest(ticket, "s", name, 100, 10, (), 1, 500, wait_ms, "dc"))
-
-    def _pass_ms(self, ms: int) -> None:
-        for _ in range(ms // STEP_MS):
-            self.clock._now_ms += STEP_MS
-            for decision in self.placer.decide():
-                match decision:
-                    case Grant(ticket, instance):
-                        self.granted[ticket] = instance
-                        self.placer.release(ticket, RunOutcome.DONE)
-                    case Reject(ticket):
-                        self.rejected[ticket] = decision
-                    case LoadAdapter():
-                        self.loads.append(decision)
-                        self.placer.order_taken(decision)
-                    case _:
-                        pass
 
+class LimitedPlacementTest(PlacementCase):
     # Guards against calls that wait for a limited engine which others could replace in time.
     def test_a_popular_adapter_of_a_limited_engine_is_loaded_elsewhere(self) -> None:
         self._engine("e1", "a1")
--- a/chestnutfall/tests/test_places.py
+++ b/chestnutfall/tests/test_places.py
@@ -25,7 +25,7 @@
 from ..placement.run_times import NO_TIMES
 from ..platform.document_json import DocumentJson
 from ..routes import Route, RouteKind, ServiceSpec, WeightedService
-from ..signals import UpstreamLoad
+from ..signals import UpstreamLoad, UpstreamSignals
 from .fakes.limit_parts import ScriptedTurns, known_signals
 
 NAME = AdapterName("base", "a1")
@@ -91,6 +91,16 @@
         taken = [await places.take(wanted) for _ in range(3)]
         self.assertEqual({one.upstream.instance for one in taken}, {"2"})
 
+    # Guards against a call that tries one engine after another that want nothing.
+    async def test_without_a_leader_an_engine_that_wants_nothing_is_not_chosen(self) -> None:
+        fleet = _Fleet(self.clock)
+        fleet.hold(Held("1", NAME, 3), Held("2", NAME, 3))
+        signals = known_signals(self.clock)
+        places = EnginePlaces(fleet, signals, self.clock, "g", "dc")
+        signals.hear("1", UpstreamSignals(leaving=True), 0, succeeded=True)
+        taken = [await places.take(_wanted()) for _ in range(4)]
+        self.assertEqual({one.upstream.instance for one in taken}, {"2"})
+
     async def test_without_leader_and_holder_it_waits_for_the_next_leader(self) -> None:
         fleet = _Fleet(self.clock, None, Grant("t", "1", 2, 0, 0))
         taking = asyncio.ensure_future(self._places(fleet).take(_wanted()))
--- a/properties/safeguards/signal_mutants.py
+++ b/properties/safeguards/signal_mutants.py
@@ -7,6 +7,7 @@
 _CHECK = "chestnutfall.tests.test_last_check.LastCheckTest"
 _PARTS = "chestnutfall.tests.test_backoff_parts"
 _READ = "chestnutfall.tests.test_signals"
+_PLACEMENT = "chestnutfall.tests.test_backoff_placement.BackoffPlacementTest"
 _TOGETHER = "chestnutfall.tests.test_backoff_together.BackoffTogetherTest"
 _LEAVING = "chestnutfall.tests.test_leaving_together.LeavingTogetherTest"
 _COMPLETIONS = "chestnutfall.tests.test_backoff_completions.BackoffCompletionTest"
@@ -42,7 +43,8 @@
         "chestnutfall/forwarding/engine_places.py",
         "            and self._signals.may_send(held.instance)\n",
         "",
-        f"{_TOGETHER}.test_without_a_leader_each_gateway_keeps_to_it",
+        "chestnutfall.tests.test_places.EnginePlacesTest"
+        ".test_without_a_leader_an_engine_that_wants_nothing_is_not_chosen",
     ),
     Mutant(
         "plain upstreams that want nothing are chosen",
@@ -70,7 +72,7 @@
         "chestnutfall/routing/tickets.py",
         "(one for one in serving if self._signals.may_send(one.instance)),",
         "serving,",
-        f"{_COMPLETIONS}.test_an_engine_that_says_that_it_leaves_gets_nothing_more",
+        f"{_COMPLETIONS}" ".test_an_engine_that_leaves_is_not_asked_for_whatever_its_owner_knows",
     ),
     Mutant(
         "a resumed run does not wait for the end of the time",
@@ -160,21 +162,21 @@
         "chestnutfall/placement/choice.py",
         "        if engine.backoff.wait_ms(req.gateway, self._now_ms):",
         "        if False:",
-        f"{_TOGETHER}.test_any_number_of_gateways_leaves_one_in_peace_and_callers_lose_nothing",
+        f"{_PLACEMENT}.test_a_gateway_that_was_asked_waits_rather_than_goes_there",
     ),
     Mutant(
         "calls that wait for a load keep an engine that asked for time",
         "chestnutfall/placement/placer.py",
         "        if engine is not None and engine.backoff.wait_ms(waiting.req.gateway, now_ms):",
         "        if False:",
-        f"{_TOGETHER}.test_calls_that_wait_for_a_load_are_placed_anew",
+        f"{_PLACEMENT}.test_who_waits_for_a_load_there_is_placed_anew",
     ),
     Mutant(
         "an upstream that turns one gateway away is as good as any for the others",
         "chestnutfall/signals/upstream_backoff.py",
         "        return now_ms < self._doubtful_until_ms",
         "        return False",
-        f"{_TOGETHER}.test_any_number_of_gateways_leaves_one_in_peace_and_callers_lose_nothing",
+        f"{_PLACEMENT}.test_others_prefer_other_engines_and_try_it_now_and_then",
     ),
     Mutant(
         "a try that was served frees nobody",
