Bound the wait for a leader's word about a quota

What a caller may have seen: no answer at all. The new test found no answer within 4 s before; the call passes by the gateway's own share or is refused in its time now.

--- a/benchmarks/signals.py
+++ b/benchmarks/signals.py
@@ -11,7 +11,7 @@
 import statistics
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from chestnutfall.platform.standin.signal_history import Disobeyed
 from chestnutfall.platform.standin.upstream import StandInUpstream
@@ -30,7 +30,6 @@
 
     began_s: float = 0.0
     ended_s: float = 0.0
-    restarts: list[asyncio.Task[None]] = field(default_factory=list)
 
 
 Choose = Callable[[SignalPlay], list[StandInUpstream]]
@@ -46,6 +45,10 @@
     return play.office.upstreams
 
 
+async def nothing() -> None:
+    """Do nothing beside the play."""
+
+
 async def restart_controllers(play: SignalPlay) -> None:
     """Kill and start the controllers in turn."""
     for one in play.office.controllers:
@@ -54,12 +57,16 @@
         await asyncio.sleep(KILL_EVERY_S)
 
 
-def backing_off(choose: Choose, spans: Spans) -> Callable[[SignalPlay], Awaitable[None]]:
+def backing_off(
+    choose: Choose, spans: Spans, restarts: bool = False
+) -> Callable[[SignalPlay], Awaitable[None]]:
     """Let some ask for time, take work again, and serve the time that is left."""
 
     async def script(play: SignalPlay) -> None:
         spans.began_s = time.monotonic()
+        beside = asyncio.ensure_future(restart_controllers(play) if restarts else nothing())
         await ask_for_time(choose(play), f"{BACKOFF_S:g}", ASKED_FOR_S)
+        await beside
         spans.ended_s = time.monotonic()
         await asyncio.sleep(BACKOFF_S + AFTER_S)
 
@@ -115,6 +122,7 @@
     """All plays by name."""
     return [
         ("one of each asks for time", lambda spans: backing_off(one_of_each, spans)),
+        ("one asks for time, restarts", lambda spans: backing_off(one_of_each, spans, True)),
         ("all ask for time", lambda spans: backing_off(everyone, spans)),
         ("one of each leaves", lambda spans: leaving(one_of_each, spans)),
         ("all leave", lambda spans: leaving(everyone, spans)),
@@ -137,6 +145,10 @@
             play, spans = SignalPlay(seed), Spans()
             asyncio.run(play.run(make(spans)))
             print(row(name, seed, play, spans), flush=True)
+            for one in play.answers:
+                if one.seen.status == 0:
+                    at_s = one.sent_s - spans.began_s
+                    print(f"no answer: sent {at_s:.2f} s, took {one.seen.took_s:.2f} s: {one.seen}")
 
 
 if __name__ == "__main__":
--- a/chestnutfall/platform/standin/client.py
+++ b/chestnutfall/platform/standin/client.py
@@ -90,7 +90,8 @@
                     body += data
         except (aiohttp.ClientError, TimeoutError, OSError):
             right = status != 200 or expected.startswith(bytes(body))
-            return Seen(request_id, route, status, False, right, organisation)
+            took_s = time.monotonic() - began_s
+            return Seen(request_id, route, status, False, right, organisation, None, took_s)
         right = status != 200 or bytes(body) == expected
         took_s = time.monotonic() - began_s
         reason = bytes(body).decode() if status in NOT_RUN else ""
--- a/chestnutfall/quota/quota_desk.py
+++ b/chestnutfall/quota/quota_desk.py
@@ -22,6 +22,8 @@
 """Small beside a window; a gateway that has little to tell sends five messages a second."""
 KEEPER_WAIT_MS = 1_500
 """An election takes about a second; a request waits this long for it if it has the time."""
+ANSWER_MS = 300
+"""A keeper answers at once; one that does not is left by its gateways soon after."""
 NO_KEEPER_RETRY_MS = 800
 """A leader is elected within this time."""
 MOST_SHARES = 4_096
@@ -114,7 +116,7 @@
             try:
                 await self._ask(charge)
                 return charge
-            except NoKeeper:
+            except (NoKeeper, TimeoutError):
                 if await self._passes_alone(charge, quota, give_up_ms):
                     return charge
 
@@ -150,7 +152,10 @@
             self.tell()
 
     async def _ask(self, charge: Charge) -> None:
-        answer = await self._line.ask_quota(charge.organisation, charge.units)
+        # A leader that is not sure that it still leads gives no answer, and may go on to lead.
+        # Symptom without a bound: the call waits until its caller leaves, and gets no answer.
+        asking = self._line.ask_quota(charge.organisation, charge.units)
+        answer = await self._clock.within_ms(ANSWER_MS, asking)
         self._heard_ms = self._clock.now_ms()
         if not answer.admitted:
             raise OverQuota(answer.retry_after_ms, sure=True)
--- a/chestnutfall/tests/fakes/fake_upstreams.py
+++ b/chestnutfall/tests/fakes/fake_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
@@ -130,6 +131,7 @@
 
     def __init__(self) -> None:
         self.keeps = True
+        self.silent = False
         self.answer = AnswerQuota(0, True)
         self.told: list[UsedQuota] = []
 
@@ -147,6 +149,8 @@
     async def ask_quota(self, organisation: str, units: float) -> AnswerQuota:
         if not self.keeps:
             raise NoKeeper("none")
+        if self.silent:
+            await asyncio.get_running_loop().create_future()
         return self.answer
 
     async def until_connected(self, within_ms: float) -> bool:
--- a/chestnutfall/tests/test_organisations.py
+++ b/chestnutfall/tests/test_organisations.py
@@ -149,6 +149,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         self.reply = RecordedReply()
+        self.within_ms = 100
         self.line = ScriptedQuotaLine()
         self.quotas = QuotaDesk(self.line, lambda: 1, STRICT, self.clock, random.Random(1))
         self.metrics = Histograms()
@@ -186,7 +187,8 @@
         if key is not None:
             call = replace(call, key_digest=key_digest(key))
         served = asyncio.ensure_future(forwarder.serve(call, self.reply))
-        await self.clock.advance(100)
+        await self.clock.advance(self.within_ms)
+        self.assertTrue(served.done(), f"no answer within {self.within_ms} ms")
         await served
         return self.upstreams
 
@@ -209,6 +211,15 @@
                 self.assertEqual((self.reply.status, self.places.wanted), (401, []))
         self.assertNotIn("taken-away", self.written.getvalue() + self.metrics.text())
 
+    # Guards against callers who get no answer at all, since a leader that is about to be left by
+    # its gateways answers no question about quotas.
+    async def test_a_leader_that_gives_no_answer_holds_up_nobody_beyond_its_time(self) -> None:
+        self.line.silent = True
+        self.quotas.take(QuotaNews(True, ("permits",)))
+        self.within_ms = 4_000
+        await self._serve(_document(LIMITED), "key-of-permits")
+        self.assertIn(self.reply.status, (200, 503))
+
     async def test_public_routes_and_offices_without_organisations_need_no_key(self) -> None:
         for content in (_document(PERMITS, public=True), _document()):
             for key in (None, "unknown"):
