Let upstreams of the soak ask for time and leave, in series and overlapping with its faults

Judged per gateway from what upstreams see: no more than two requests between half a second after a refusal that asks for time and its end, none later than 2 s after an answer that says that its upstream leaves; a restart, freeze or harmed line excuses.

--- a/chestnutfall/platform/standin/signal_history.py
+++ b/chestnutfall/platform/standin/signal_history.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -49,11 +50,20 @@
 
 @dataclass(slots=True)
 class SignalHistory:
-    """One incarnation of an upstream."""
+    """One incarnation of an upstream.
 
+    Attributes
+    ----------
+    address : str
+        Where gateways reach it.
+    left : dict of str to list of float
+        When each gateway had an answer that says that it leaves.
+    """
+
+    address: str = ""
     arrivals: list[Arrival] = field(default_factory=list)
     turned_away: list[TurnedAway] = field(default_factory=list)
-    left: dict[str, float] = field(default_factory=dict)
+    left: dict[str, list[float]] = field(default_factory=dict)
 
     def note_arrival(self, gateway: str) -> None:
         """Note a request."""
@@ -65,21 +75,21 @@
 
     def note_left(self, gateway: str) -> None:
         """Note an answer that said that it leaves."""
-        self.left.setdefault(gateway, time.monotonic())
+        self.left.setdefault(gateway, []).append(time.monotonic())
+
+    def within(self, gateway: str, from_s: float, until_s: float) -> int:
+        """Requests of a gateway that came in a time."""
+        return sum(from_s < one.at_s < until_s and one.gateway == gateway for one in self.arrivals)
 
     def in_backoffs(self) -> Iterator[Disobeyed]:
         """Yield for each refusal what came within the time that it asked for."""
         for one in self.turned_away:
-            from_s, until_s = one.at_s + SETTLE_S, one.at_s + one.backoff_s
-            got = sum(
-                from_s < arrival.at_s < until_s and arrival.gateway == one.gateway
-                for arrival in self.arrivals
-            )
+            until_s = one.at_s + one.backoff_s
+            got = self.within(one.gateway, one.at_s + SETTLE_S, until_s)
             yield Disobeyed(one.gateway, one.at_s, got)
 
     def after_leaving(self) -> Iterator[Disobeyed]:
         """Yield for each gateway that was told what came later than it may."""
-        for gateway, told_s in self.left.items():
-            from_s = told_s + DRAIN_S + SETTLE_S
-            got = sum(one.at_s > from_s and one.gateway == gateway for one in self.arrivals)
-            yield Disobeyed(gateway, told_s, got)
+        for gateway, moments_s in self.left.items():
+            got = self.within(gateway, moments_s[0] + DRAIN_S + SETTLE_S, math.inf)
+            yield Disobeyed(gateway, moments_s[0], got)
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -118,6 +118,12 @@
             self._ending.cancel()
         await self._close()
 
+    async def restart(self) -> None:
+        """End as a process does that leaves, and be back under a new name."""
+        if self._ending is None:
+            self._ending = asyncio.ensure_future(self._end_and_restart())
+        await asyncio.shield(self._ending)
+
     async def _close(self) -> None:
         if self._beating is not None:
             self._beating.cancel()
@@ -135,6 +141,7 @@
         self.instance = f"i-{self._ids.randrange(16**8):08x}"
         self._started_ms = time.time_ns() // 1_000_000
         self._taken = self._fence = 0
+        self.backoff, self.leaving, self.drains = None, False, False
         self._adapters, self._coming, self._going, self._running = {}, {}, set(), []
         await self._listen(self.address)
         await self.on_start()
@@ -236,8 +243,10 @@
         request_id = request.headers[names.REQUEST_ID]
         gateway = request.headers.get(ENTRY, "")
         self._book.note_arrival(self.instance, gateway)
+        history = self._book.signals_of(self.instance)
+        history.address = self.announced
         if self.leaving:
-            self._book.signals_of(self.instance).note_left(gateway)
+            history.note_left(gateway)
         if self.backoff is not None:
             return self._turn_away(request_id, gateway, self.backoff)
         name = request.headers.get(names.MODEL, "").partition("/")[2]
@@ -269,7 +278,7 @@
         headers = {names.RETRY_AFTER: backoff}
         if self.proves:
             headers[names.NOT_EXECUTED] = "1"
-        self._book.signals_of(self.instance).note_turned_away(gateway, float(backoff))
+        self._book.signals_of(self.instance).note_turned_away(gateway, _seconds(backoff))
         return self._answer(request_id, 503, headers)
 
     def _headers(self, request_id: str) -> dict[str, str]:
@@ -299,5 +308,13 @@
         return response
 
 
+def _seconds(text: str) -> float:
+    """A time that is asked for; 0 where it is none."""
+    try:
+        return max(float(text), 0.0)
+    except ValueError:
+        return 0.0
+
+
 async def _nothing() -> None:
     """Do nothing."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 import signal
 
 from .daemon import Daemon
+from .disturbances import Disturbances
 from .fault_plan import Fault
 from .office import Office
 from .relay import Harm
@@ -22,8 +23,9 @@
 class Faults:
     """Plays faults; never takes more controllers than the office tolerates."""
 
-    def __init__(self, office: Office) -> None:
+    def __init__(self, office: Office, disturbances: Disturbances) -> None:
         self._office = office
+        self._disturbances = disturbances
         self._controllers = asyncio.Lock()
         self.unfinished_drains = 0
 
@@ -46,20 +48,28 @@
                     await asyncio.gather(*(one.kill() for one in self._office.controllers))
                     await asyncio.gather(*(one.start(False) for one in self._office.controllers))
                     await asyncio.sleep(2.5)
+            case "kill_gateway" | "pause_gateway" | "restart_gateway":
+                with self._disturbances.on(self._office.front(gateway)):
+                    await self._disturb(gateway, fault)
+            case "reload_gateway":
+                gateway.signal(signal.SIGHUP)
+            case "reset_connections":
+                relay = self._office.relays[fault.target % len(self._office.relays)]
+                with self._disturbances.on(relay.address):
+                    relay.reset_all()
+            case kind:
+                await self._harm(fault, _HARMS[kind])
+
+    async def _disturb(self, gateway: Daemon, fault: Fault) -> None:
+        match fault.kind:
             case "kill_gateway":
                 await gateway.kill()
                 await asyncio.sleep(fault.for_s)
                 await gateway.start(False)
             case "pause_gateway":
                 await self._pause(gateway, fault.for_s)
-            case "restart_gateway":
+            case _:
                 await self._restart(gateway)
-            case "reload_gateway":
-                gateway.signal(signal.SIGHUP)
-            case "reset_connections":
-                self._office.relays[fault.target % len(self._office.relays)].reset_all()
-            case kind:
-                await self._harm(fault, _HARMS[kind])
 
     async def _replace(self, controller: Daemon, fault: Fault, wipe: bool) -> None:
         async with self._controllers:
@@ -86,8 +96,9 @@
 
     async def _harm(self, fault: Fault, harm: Harm) -> None:
         relay = self._office.relays[fault.target % len(self._office.relays)]
-        relay.harm = harm
-        await asyncio.sleep(fault.for_s)
-        relay.harm = Harm.NONE
-        if harm in (Harm.SILENCE, Harm.SILENCE_ANSWERS):
-            relay.reset_all()
+        with self._disturbances.on(relay.address):
+            relay.harm = harm
+            await asyncio.sleep(fault.for_s)
+            relay.harm = Harm.NONE
+            if harm in (Harm.SILENCE, Harm.SILENCE_ANSWERS):
+                relay.reset_all()
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -10,12 +10,14 @@
 from chestnutfall.platform.standin.operator import StandInOperator
 from chestnutfall.platform.standin.tenants import LEAVES_AT_VERSION
 
+from .disturbances import Disturbances
 from .fatal_requests import CONTENTS, LATER_ENDS, FatalRequests, NotServed
 from .fault_plan import plan_faults
 from .faults import Faults
 from .named_limits import NamedLimits
 from .office import Office
 from .organisations import Organisations
+from .spoken_words import SpokenWords
 from .verdict import Verdict
 
 CLIENTS = 6
@@ -37,10 +39,13 @@
         self._fatal_rng = random.Random(f"fatal {seed}")
         self._organisations_rng = random.Random(f"organisations {seed}")
         self._limits_rng = random.Random(f"limits {seed}")
+        self._words_rng = random.Random(f"words {seed}")
         self._folder = folder
         self._length_s = length_s
         self._office = Office(folder, self._rng)
         self._limits = NamedLimits(self._office)
+        self._disturbances = Disturbances()
+        self._words = SpokenWords(self._office, self._disturbances)
         self._seen: list[Seen] = []
         self._acknowledged = 0
         self.verdict = Verdict()
@@ -64,6 +69,7 @@
         organisations.judge_quota(self._office.book, self.verdict)
         organisations.judge_logs(self._folder, self.verdict)
         self._limits.judge(self._office.book, self.verdict)
+        self._words.judge(self.verdict)
         return self.verdict
 
     async def _until_in_force(self, operator: StandInOperator) -> None:
@@ -86,7 +92,7 @@
                     raise RuntimeError(f"{gateway.plan.name} did not serve {route} in time")
 
     async def _under_faults(self, operator: StandInOperator, client: StandInClient) -> None:
-        faults = Faults(self._office)
+        faults = Faults(self._office, self._disturbances)
         load = [asyncio.ensure_future(self._load(client)) for _ in range(CLIENTS)]
         load.append(asyncio.ensure_future(self._operate(operator)))
         fatal = FatalRequests(self._office, client)
@@ -96,6 +102,7 @@
         )
         load.append(asyncio.ensure_future(asking))
         load.append(asyncio.ensure_future(self._limits.now_and_then(self._limits_rng)))
+        load.append(asyncio.ensure_future(self._words.now_and_then(self._words_rng)))
         played = []
         now_s = 0.0
         for fault in plan_faults(self._rng, self._length_s):
