--- a/chestnutfall/placement/copy_trust.py
+++ b/chestnutfall/placement/copy_trust.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-WEIGHT = 0.2
-"""Four loads in a row that were not fast end the trust, and one that was does not restore it."""
-LEAST_PART = 0.5
-"""Part of the loads from copies that have to be fast. A request that comes before its adapter costs
-a repeat, and all loads at their full time cost less than every second one of those."""
+WEIGHT = 0.08
+LEAST_PART = 0.2
+"""Part of the loads from copies that have to be fast, over the last dozen: twenty in a row that
+were not end the trust. Where every third copy is gone, or the estimate is too short by a ms for a
+while, chance does not."""
 AGAIN_MS = 10_000
 """When it is tried again; engines that kept no copies for want of memory may keep some by then."""
 
