--- a/chestnutfall/placement/choice.py
+++ b/chestnutfall/placement/choice.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 
 from .adapter_name import AdapterName
+from .backing_off import BackingOff
 from .demand import Demand
 from .engine import Engine
 from .place_option import PlaceOption
@@ -90,7 +90,8 @@
         self._versions = versions
         self._engines = [one for one in engines if not one.health.is_shunned(now_ms)]
         part = len(engines) / of_all if of_all else 1.0
-        wanting = [one for one in self._engines if not one.backoff.is_doubtful(now_ms)]
+        self._backing_off = BackingOff(self._engines, now_ms)
+        wanting = [one for one in self._engines if not self._backing_off.is_doubtful(one)]
         self.starts_per_s = sum(one.starts_per_s() for one in wanting) / part
         limits = [one.limit.per_s for one in wanting]
         self.limit_per_s = None if None in limits else sum(one or 0.0 for one in limits) / part
@@ -143,7 +144,7 @@
             if req.adapter.model in engine.models
             and engine.instance not in req.avoid
             and engine.send_wait_ms(self._now_ms) <= spare_ms
-            and engine.backoff.back_ms(req.gateway, self._now_ms) <= spare_ms
+            and self._backing_off.may_send(req, engine)
         )
 
     def first_event_ms(self, req: PlaceRequest) -> float:
@@ -180,17 +181,11 @@
 
     def back_ms(self, req: PlaceRequest) -> float:
         """Time until the first engine wants requests of this one's gateway; 0 if one does."""
-        least_ms = math.inf
-        found = False
-        for engine in self._engines:
-            if not _is_usable(req, engine):
-                continue
-            back_ms = engine.backoff.back_ms(req.gateway, self._now_ms)
-            if not back_ms:
-                return 0.0
-            found = True
-            least_ms = min(least_ms, back_ms)
-        return least_ms if found else 0.0
+        if not self._backing_off:
+            return 0.0
+        model = req.adapter.model
+        usable = (one for one in self._engines if not model or model in one.models)
+        return self._backing_off.back_ms(req, usable)
 
     def changed(self, engine: Engine) -> None:
         """Look at an engine again that was just given something."""
@@ -246,11 +241,10 @@
             yield PlaceOption(engine, cost_ms, load_ms, victim)
 
     def _may_take(self, req: PlaceRequest, engine: Engine) -> bool:
-        if not _is_usable(req, engine) or not engine.has_room(req):
+        usable = not req.adapter.model or req.adapter.model in engine.models
+        if not usable or not engine.has_room(req) or engine.send_wait_ms(self._now_ms):
             return False
-        if engine.backoff.wait_ms(req.gateway, self._now_ms):
-            return False
-        return not engine.send_wait_ms(self._now_ms)
+        return self._backing_off.may_send(req, engine)
 
     def _holds(self, engine: Engine, name: AdapterName) -> bool:
         held = engine.holdings.get(name)
@@ -286,15 +280,11 @@
         cost_ms = self._busy_ms[engine.instance]
         if engine.data_centre != req.data_centre:
             cost_ms += OTHER_DATA_CENTRE_MS
-        if engine.instance in req.avoid or engine.backoff.is_doubtful(self._now_ms):
+        if engine.instance in req.avoid or self._backing_off.is_doubtful(engine):
             cost_ms += AVOIDED_MS
         return cost_ms
 
 
-def _is_usable(req: PlaceRequest, engine: Engine) -> bool:
-    return not req.adapter.model or req.adapter.model in engine.models
-
-
 def _batch_wait_ms(engine: Engine) -> float:
     return engine.beyond_batch * BEYOND_BATCH_MS
 
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -232,7 +232,9 @@
     def _leave_backing_off(self, waiting: Waiting, now_ms: int) -> None:
         """Place a request anew whose engine asked for time while its adapter was on its way."""
         engine = self.engines.get(waiting.instance)
-        if engine is not None and engine.backoff.wait_ms(waiting.req.gateway, now_ms):
+        if engine is None or not engine.backoff.is_active(now_ms):
+            return
+        if engine.backoff.wait_ms(waiting.req.gateway, now_ms):
             self._unassign(waiting)
 
     def _waiting_services(self) -> set[str]:
--- a/chestnutfall/signals/upstream_backoff.py
+++ b/chestnutfall/signals/upstream_backoff.py
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self._until_ms: dict[str, float] = {}
+        self._last_ms = -math.inf
         self._doubtful_until_ms = -math.inf
         self._probe = ""
         self._probe_due_ms = -math.inf
@@ -35,6 +36,7 @@
         if until_ms <= max(now_ms, self._until_ms.get(gateway, -math.inf)):
             return False
         self._until_ms[gateway] = until_ms
+        self._last_ms = max(self._last_ms, until_ms)
         if until_ms <= self._doubtful_until_ms:
             return False
         if not self.is_doubtful(now_ms):
@@ -50,6 +52,10 @@
         """Drop the word to a gateway that is gone."""
         self._until_ms.pop(gateway, None)
 
+    def is_active(self, now_ms: int) -> bool:
+        """Whether any gateway has to ask when it may send; hardly ever, and cheap to know."""
+        return now_ms < self._last_ms + RAMP_MS * RAMP_STEPS
+
     @property
     def doubtful_until_ms(self) -> float:
         """When all gateways may use it as ever."""
@@ -61,8 +67,6 @@
 
     def back_ms(self, gateway: str, now_ms: int) -> float:
         """Time until it probably takes work from a gateway; endless if it leaves."""
-        if not self._until_ms and not self.is_doubtful(now_ms):
-            return 0.0
         until_ms = max(self._until_ms.get(gateway, -math.inf), self._doubtful_until_ms)
         return max(until_ms - now_ms, 0.0)
 
--- a/properties/safeguards/limit_mutants.py
+++ b/properties/safeguards/limit_mutants.py
@@ -54,8 +54,8 @@
     Mutant(
         "calls are kept for engines that take none soon",
         "chestnutfall/placement/choice.py",
-        "        return not engine.send_wait_ms(self._now_ms)",
-        "        return True",
+        "not engine.has_room(req) or engine.send_wait_ms(self._now_ms):",
+        "not engine.has_room(req):",
         f"{_TOGETHER}.test_any_number_of_gateways_keeps_a_limit_and_uses_it",
     ),
     Mutant(
--- a/properties/safeguards/signal_mutants.py
+++ b/properties/safeguards/signal_mutants.py
@@ -160,14 +160,14 @@
     Mutant(
         "the leader places on engines that want nothing from that gateway",
         "chestnutfall/placement/choice.py",
-        "        if engine.backoff.wait_ms(req.gateway, self._now_ms):",
-        "        if False:",
+        "        return self._backing_off.may_send(req, engine)",
+        "        return True",
         f"{_PLACEMENT}.test_a_gateway_that_was_asked_waits_rather_than_goes_there",
     ),
     Mutant(
         "calls that wait for a load keep an engine that asked for time",
         "chestnutfall/placement/placer.py",
-        "        if engine is not None and engine.backoff.wait_ms(waiting.req.gateway, now_ms):",
+        "        if engine.backoff.wait_ms(waiting.req.gateway, now_ms):",
         "        if False:",
         f"{_PLACEMENT}.test_who_waits_for_a_load_there_is_placed_anew",
     ),
