--- a/chestnutfall/tests/test_quotas.py
+++ b/chestnutfall/tests/test_quotas.py
@@ -56,6 +56,10 @@
 
 
 class QuotaTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        # Its loop would keep the stack of each callback; that is most of the time here.
+        asyncio.get_running_loop().set_debug(False)
+
     async def _send(
         self, office: QuotaOffice, per_s: float, seconds: float, gateways: range, seed: int = 1
     ) -> tuple[int, int]:
