--- a/chestnutfall/tests/fault_matrix.py
+++ b/chestnutfall/tests/fault_matrix.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from .signal_faults import ASKS_FOR_TIME, SAYS_IT_LEAVES, SIGNAL_FAULTS
+
 STEPS = (
     "accept",
     "authenticate",
@@ -33,6 +35,8 @@
     "stale owner",
     "fatal request",
     "named limit",
+    ASKS_FOR_TIME,
+    SAYS_IT_LEAVES,
 )
 
 _REQ = "test_request_faults.RequestFaultTest."
@@ -254,7 +258,7 @@
 
 def cell(step: str, fault: str) -> Cell:
     """The test or reason for a fault at a step."""
-    return _DEFAULTS[step][fault]
+    return (_DEFAULTS[step] | SIGNAL_FAULTS[step])[fault]
 
 
 def is_test(text: Cell) -> bool:
