--- a/benchmarks/signals.py
+++ b/benchmarks/signals.py
@@ -15,7 +15,7 @@
 
 from chestnutfall.platform.standin.signal_history import Disobeyed
 from chestnutfall.platform.standin.upstream import StandInUpstream
-from chestnutfall.tests.signal_play import SignalPlay, ask_for_time
+from chestnutfall.tests.office_play import OfficePlay, ask_for_time
 
 BACKOFF_S = 3.0
 ASKED_FOR_S = 5.5
@@ -32,15 +32,15 @@
     ended_s: float = 0.0
 
 
-Choose = Callable[[SignalPlay], list[StandInUpstream]]
+Choose = Callable[[OfficePlay], list[StandInUpstream]]
 
 
-def one_of_each(play: SignalPlay) -> list[StandInUpstream]:
+def one_of_each(play: OfficePlay) -> list[StandInUpstream]:
     """An engine and a plain upstream."""
     return list(play.one_of_each())
 
 
-def everyone(play: SignalPlay) -> list[StandInUpstream]:
+def everyone(play: OfficePlay) -> list[StandInUpstream]:
     """All upstreams."""
     return play.office.upstreams
 
@@ -49,7 +49,7 @@
     """Do nothing beside the play."""
 
 
-async def restart_controllers(play: SignalPlay) -> None:
+async def restart_controllers(play: OfficePlay) -> None:
     """Kill and start the controllers in turn."""
     for one in play.office.controllers:
         await one.kill()
@@ -59,10 +59,10 @@
 
 def backing_off(
     choose: Choose, spans: Spans, restarts: bool = False
-) -> Callable[[SignalPlay], Awaitable[None]]:
+) -> Callable[[OfficePlay], Awaitable[None]]:
     """Let some ask for time, take work again, and serve the time that is left."""
 
-    async def script(play: SignalPlay) -> None:
+    async def script(play: OfficePlay) -> None:
         spans.began_s = time.monotonic()
         beside = asyncio.ensure_future(restart_controllers(play) if restarts else nothing())
         await ask_for_time(choose(play), f"{BACKOFF_S:g}", ASKED_FOR_S)
@@ -75,10 +75,10 @@
 
 def leaving(
     choose: Choose, spans: Spans, restarts: bool = False
-) -> Callable[[SignalPlay], Awaitable[None]]:
+) -> Callable[[OfficePlay], Awaitable[None]]:
     """Let some say that they leave, and go on to answer."""
 
-    async def script(play: SignalPlay) -> None:
+    async def script(play: OfficePlay) -> None:
         spans.began_s = time.monotonic()
         for one in choose(play):
             one.leaving = True
@@ -95,7 +95,7 @@
     return max((one.got for one in found), default=0)
 
 
-def row(name: str, seed: int, play: SignalPlay, spans: Spans) -> str:
+def row(name: str, seed: int, play: OfficePlay, spans: Spans) -> str:
     """One line of the table."""
     refused = play.refused(spans.began_s, spans.ended_s)
     took_ms = sorted(1000 * seen.took_s for seen in refused)
@@ -118,7 +118,7 @@
     return f"| {' | '.join(cells)} |"
 
 
-def plays() -> list[tuple[str, Callable[[Spans], Callable[[SignalPlay], Awaitable[None]]]]]:
+def plays() -> list[tuple[str, Callable[[Spans], Callable[[OfficePlay], Awaitable[None]]]]]:
     """All plays by name."""
     return [
         ("one of each asks for time", lambda spans: backing_off(one_of_each, spans)),
@@ -142,7 +142,7 @@
         if args.play not in name:
             continue
         for seed in args.seeds:
-            play, spans = SignalPlay(seed), Spans()
+            play, spans = OfficePlay(seed), Spans()
             asyncio.run(play.run(make(spans)))
             print(row(name, seed, play, spans), flush=True)
             for one in play.answers:
--- a/chestnutfall/tests/signal_play.py
+++ b/chestnutfall/tests/office_play.py
@@ -1,4 +1,4 @@
-"""The real programs before upstreams that ask for time or say that they leave."""
+"""The real programs before upstreams that say things of themselves."""
 
 from __future__ import annotations
 
@@ -32,20 +32,23 @@
 
 
 @dataclass(slots=True)
-class SignalPlay:
+class OfficePlay:
     """One play: callers in a loop, and a script of what upstreams say.
 
     Attributes
     ----------
+    callers : int
+        How many call at a time.
     answers : list of Answered
         What callers got.
     """
 
     seed: int
+    callers: int = CALLERS
     answers: list[Answered] = field(default_factory=list)
     office: Office = field(init=False)
 
-    async def run(self, script: Callable[[SignalPlay], Awaitable[None]]) -> None:
+    async def run(self, script: Callable[[OfficePlay], Awaitable[None]]) -> None:
         """Play `script` from the moment at which all is served."""
         logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
         rng = random.Random(self.seed)
@@ -57,7 +60,7 @@
                 await self.office.start()
                 while not await operator.put(1):
                     await asyncio.sleep(0.1)
-                load = [asyncio.ensure_future(self._call(client, rng)) for _ in range(CALLERS)]
+                load = [asyncio.ensure_future(self._call(client, rng)) for _ in range(self.callers)]
                 await asyncio.sleep(BEFORE_S)
                 await script(self)
                 for task in load:
--- a/chestnutfall/tests/test_backoff_completions.py
+++ b/chestnutfall/tests/test_backoff_completions.py
@@ -2,57 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
-import unittest
 from collections import Counter
 from typing import Any
 
 from ..ownership import TicketRequest
-from ..requests import Executed, Refusal
+from ..requests import Executed
 from ..signals import UpstreamSignals
+from .fakes.completion_case import CompletionCase
 from .fakes.fake_engine import FakeEngine
-from .fakes.fake_office import FakeGateway, FakeOffice
 
-PAUSE_MS = 20
 SERVED = 0.98
 
 
-class BackoffCompletionTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self) -> None:
-        self.office = FakeOffice()
-        self.refusals: list[Refusal] = []
-        self.refused_after_ms: list[int] = []
-        self.served = self.asked = 0
-        self.calls: set[asyncio.Task[None]] = set()
-
-    async def asyncTearDown(self) -> None:
-        for call in self.calls:
-            call.cancel()
-        await asyncio.gather(*self.calls, return_exceptions=True)
-        await self.office.stop()
-
-    async def _call(self, gateway: FakeGateway, adapter: str) -> None:
-        self.asked += 1
-        began_ms = self.office.clock.now_ms()
-        try:
-            await gateway.answer(gateway.request(adapter, "usual"))
-            self.served += 1
-        except Refusal as refusal:
-            self.refusals.append(refusal)
-            self.refused_after_ms.append(self.office.clock.now_ms() - began_ms)
-
-    def _begin(self, number: int, adapters: int = 2) -> None:
-        gateway = self.office.gateway(number % len(self.office.gateways))
-        if gateway.alive:
-            call = asyncio.ensure_future(self._call(gateway, f"a{number % adapters}@1"))
-            self.calls.add(call)
-            call.add_done_callback(self.calls.discard)
-
-    async def _load(self, ms: int) -> None:
-        for number in range(ms // PAUSE_MS):
-            self._begin(number)
-            await self.office.clock.advance(PAUSE_MS)
-
+class BackoffCompletionTest(CompletionCase):
     def _busiest(self) -> FakeEngine:
         return max((self.office.engine(at) for at in range(2)), key=lambda one: len(one.arrivals))
 
--- a/chestnutfall/tests/test_limited_completions.py
+++ b/chestnutfall/tests/test_limited_completions.py
@@ -2,47 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
-import unittest
-
 from ..platform.standin.limit_history import SETTLE_MS, LimitHistory
-from ..requests import Executed, Refusal
-from .fakes.fake_office import FakeOffice
+from ..requests import Executed
+from .fakes.completion_case import CompletionCase
 
 LIMIT_PER_S = 8.0
-PAUSE_MS = 20
 LEAST_PART = 0.8
 """Of what a limit allows, while callers ask for far more."""
 
 
-class LimitedCompletionTest(unittest.IsolatedAsyncioTestCase):
+class LimitedCompletionTest(CompletionCase):
     async def asyncSetUp(self) -> None:
-        self.office = FakeOffice()
-        self.refusals: list[Refusal] = []
+        await super().asyncSetUp()
         self.history = LimitHistory()
-        self.calls: set[asyncio.Task[None]] = set()
-
-    async def asyncTearDown(self) -> None:
-        for call in self.calls:
-            call.cancel()
-        await asyncio.gather(*self.calls, return_exceptions=True)
-        await self.office.stop()
-
-    async def _call(self, number: int) -> None:
-        gateway = self.office.gateway(number % len(self.office.gateways))
-        if not gateway.alive:
-            return
-        try:
-            await gateway.answer(gateway.request(f"a{number % 2}@1", "usual"))
-        except Refusal as refusal:
-            self.refusals.append(refusal)
-
-    async def _load(self, ms: int) -> None:
-        for number in range(ms // PAUSE_MS):
-            call = asyncio.ensure_future(self._call(number))
-            self.calls.add(call)
-            call.add_done_callback(self.calls.discard)
-            await self.office.clock.advance(PAUSE_MS)
 
     def _name(self, number: int, per_s: float = LIMIT_PER_S) -> int:
         """Let an engine name a limit; the present time."""
--- a/chestnutfall/tests/test_named_signals.py
+++ b/chestnutfall/tests/test_named_signals.py
@@ -7,7 +7,7 @@
 import unittest
 
 from ..platform.standin.signal_history import DRAIN_S, MOST_IN_BACKOFF, SETTLE_S
-from .signal_play import SignalPlay, ask_for_time
+from .office_play import OfficePlay, ask_for_time
 
 BACKOFF_S = 3.0
 ASKED_FOR_S = 5.5
@@ -19,9 +19,9 @@
 class NamedSignalTest(unittest.TestCase):
     # Guards against upstreams that ask a gateway for time and get its next request at once.
     def test_one_that_asks_for_time_gets_it_and_callers_lose_nothing(self) -> None:
-        play = SignalPlay(seed=5)
+        play = OfficePlay(seed=5)
 
-        async def script(play: SignalPlay) -> None:
+        async def script(play: OfficePlay) -> None:
             self.began_s = time.monotonic()
             await ask_for_time(list(play.one_of_each()), f"{BACKOFF_S:g}", ASKED_FOR_S)
             await asyncio.sleep(1.0)
@@ -32,9 +32,9 @@
 
     # Guards against callers who come back too soon while all want time.
     def test_where_all_ask_for_time_callers_are_told_when_to_come_back(self) -> None:
-        play = SignalPlay(seed=6)
+        play = OfficePlay(seed=6)
 
-        async def script(play: SignalPlay) -> None:
+        async def script(play: OfficePlay) -> None:
             self.began_s = time.monotonic()
             await ask_for_time(play.office.upstreams, f"{BACKOFF_S:g}", 1.0)
             self.ended_s = time.monotonic()
@@ -51,9 +51,9 @@
 
     # Guards against upstreams that say that they leave and get work all the same.
     def test_one_that_says_that_it_leaves_gets_nothing_more_and_callers_lose_nothing(self) -> None:
-        play = SignalPlay(seed=7)
+        play = OfficePlay(seed=7)
 
-        async def script(play: SignalPlay) -> None:
+        async def script(play: OfficePlay) -> None:
             self.began_s = time.monotonic()
             for one in play.one_of_each():
                 one.leaving = True
@@ -65,7 +65,7 @@
         self.assertGreaterEqual(play.served(self.began_s), SERVED)
         self.assertGreater(LEFT_PLAYED_S, DRAIN_S + SETTLE_S)
 
-    def _check_backoffs(self, play: SignalPlay) -> None:
+    def _check_backoffs(self, play: OfficePlay) -> None:
         asked = list(play.in_backoffs())
         self.assertGreater(len(asked), 0)
         self.assertEqual([one for one in asked if one.got > MOST_IN_BACKOFF], [])
