--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -88,6 +88,9 @@
         # An answer of another incarnation at the address says nothing about the selected upstream.
         if answer.not_run is not NotRun.REPLACED:
             self._signals.observe(place.upstream.instance, answer.signals, sent_ms, answer.ok)
+        load = answer.signals.load
+        if load is not None and load.has_unread_figures:
+            self._metrics.count("load_figures_unread")
 
 
 class _Sending:
--- a/chestnutfall/signals/read_signals.py
+++ b/chestnutfall/signals/read_signals.py
@@ -25,7 +25,8 @@
     leaving : str
         Says that the upstream is leaving.
     load : str
-        Reports an `UpstreamLoad`, as `RUNNING,WAITING,MAX_RUNNING`.
+        Reports an `UpstreamLoad`, as `RUNNING,WAITING,MAX_RUNNING` with an optional fourth figure:
+        how long work takes at this moment, in percent of the usual time.
     """
 
     limit: str
