--- a/chestnutfall/tests/test_signals.py
+++ b/chestnutfall/tests/test_signals.py
@@ -96,12 +96,20 @@
 
     # Guards against a malformed load that fails the call in whose answer it is.
     def test_a_malformed_load_is_none(self) -> None:
-        for text in ("", "1,2", "1,2,", "a,b,c", "a,2,3,4", "-1,0,6", "1, 2, 3", "9" * 400 + ",1,1"):
+        for text in (
+            "",
+            "1,2",
+            "1,2,",
+            "a,b,c",
+            "a,2,3,4",
+            "-1,0,6",
+            "1, 2, 3",
+            "9" * 400 + ",1,1",
+        ):
             with self.subTest(text[:10]):
                 found = read_signals(200, {"x-load": text}, NAMES)
                 self.assertEqual((found.load, found.limit), (None, UndeclaredLimit()))
 
-
     # Guards against an upstream whose whole load is ignored since it reports more than it used to.
     def test_a_load_with_further_figures_is_read(self) -> None:
         for text, found in (
