--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -25,7 +25,8 @@
 from ..peers import PeerLinks, PeerServer
 from ..peers.peer_server import METHOD as TICKETS_METHOD
 from ..plain_edge import PlainProxy
-from ..quarantine import ReportSender, RequestQuarantine, refuses_connections
+from ..quarantine import RequestQuarantine, refuses_connections
+from ..quarantine.report_sender import ReportSender
 from ..quota.quota_enforcer import QuotaEnforcer
 from ..routing import ClaimClient, Dispatcher
 from ..settings.gateway_settings import GatewaySettings
--- a/chestnutfall/tests/fakes/fake_office.py
+++ b/chestnutfall/tests/fakes/fake_office.py
@@ -18,7 +18,8 @@
 from ...observability.metrics import Metrics
 from ...ownership import EngineOwners
 from ...ownership.load_permits import ControllerPermits
-from ...quarantine import ReportSender, RequestQuarantine
+from ...quarantine import RequestQuarantine
+from ...quarantine.report_sender import ReportSender
 from ...requests import CallerRequest, digest_of
 from ...routing import ClaimClient, ClaimRequest, Dispatcher
 from ...signals.known_backoffs import KnownBackoffs
