Serve the platform's ports without aiohttp's applications

aiohttp.web imports applications, routing, files and web sockets, and ServerRunner does too; the platform's servers answer each request with one handler. Listener does the part of the runner that they need.

--- a/chestnutfall/platform/body.py
+++ b/chestnutfall/platform/body.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
 
 
-async def read_body(request: web.BaseRequest, max_bytes: int) -> bytes | None:
+async def read_body(request: BaseRequest, max_bytes: int) -> bytes | None:
     """Read the whole body of a request; None if it is longer than `max_bytes`."""
     # `request.read()` of aiohttp stops at 1 MB, whatever limit the server sets: a configuration
     # of a few thousand routes would always be rejected.
--- a/chestnutfall/platform/call_reader.py
+++ b/chestnutfall/platform/call_reader.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
 
 from ..forwarding.call import Call, Headers
 from ..placement import AdapterName, PromptPart
@@ -15,7 +15,7 @@
 """Longer than any key in use; a request with a longer one is malformed."""
 
 
-def read_call(request: web.BaseRequest, body: bytes, arrived_ms: int) -> Call:
+def read_call(request: BaseRequest, body: bytes, arrived_ms: int) -> Call:
     """Decode a request that arrived at `arrived_ms`.
 
     Raises
--- a/chestnutfall/platform/client_reply.py
+++ b/chestnutfall/platform/client_reply.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response, StreamResponse
 from multidict import CIMultiDict
 
 from ..forwarding.call import Headers
@@ -15,22 +16,22 @@
 
     Attributes
     ----------
-    response : web.StreamResponse or None
+    response : StreamResponse or None
         The response once its headers are being sent; None before.
     """
 
-    def __init__(self, request: web.BaseRequest, closing: bool) -> None:
+    def __init__(self, request: BaseRequest, closing: bool) -> None:
         """Answer `request`; if `closing`, close its connection after the answer."""
         self._request = request
         self._closing = closing
-        self.response: web.StreamResponse | None = None
+        self.response: StreamResponse | None = None
 
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         kept = _without_connection_headers(headers)
-        await self._send(web.Response(status=status, headers=kept, body=body))
+        await self._send(Response(status=status, headers=kept, body=body))
 
     async def start(self, status: int, headers: Headers) -> None:
-        response = web.StreamResponse(status=status, headers=_without_connection_headers(headers))
+        response = StreamResponse(status=status, headers=_without_connection_headers(headers))
         self._close_if_closing(response)
         self.response = response
         await response.prepare(self._request)
@@ -52,15 +53,15 @@
         headers = {"Content-Type": "text/plain"}
         if retry_after_ms is not None:
             headers[names.RETRY_AFTER] = f"{retry_after_ms / 1000:g}"
-        await self._send(web.Response(status=status, headers=headers, text=reason))
+        await self._send(Response(status=status, headers=headers, text=reason))
 
-    async def _send(self, response: web.Response) -> None:
+    async def _send(self, response: Response) -> None:
         self._close_if_closing(response)
         self.response = response
         await response.prepare(self._request)
         await response.write_eof()
 
-    def _close_if_closing(self, response: web.StreamResponse) -> None:
+    def _close_if_closing(self, response: StreamResponse) -> None:
         if self._closing:
             response.force_close()
 
--- a/chestnutfall/platform/control_server.py
+++ b/chestnutfall/platform/control_server.py
@@ -6,7 +6,9 @@
 import logging
 from typing import Any
 
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response, json_response
+from aiohttp.web_server import Server
 
 from ..coordination.controller_runner import CurrentRelay
 from ..coordination.document_compression import compress_document, decompress_document
@@ -21,7 +23,7 @@
 )
 from ..routes import DocumentCodec, UnreadableDocument, check_document
 from .body import read_body
-from .listening import listen
+from .listening import Listener, listen
 from .upstream_json import read_announcement, read_departure
 
 log = logging.getLogger(__name__)
@@ -44,13 +46,13 @@
     def __init__(self, relay: CurrentRelay, codec: DocumentCodec) -> None:
         self._relay = relay
         self._codec = codec
-        self._runner: web.ServerRunner | None = None
+        self._runner: Listener | None = None
         self._address = ""
 
     async def start(self, address: str) -> None:
         """Listen on `address`, which answers to heartbeats name as well."""
         self._address = address
-        server = web.Server(self._on_request, access_log=None, keepalive_timeout=IDLE_TIMEOUT_S)
+        server = Server(self._on_request, access_log=None, keepalive_timeout=IDLE_TIMEOUT_S)
         self._runner = await listen(server, address)
 
     async def stop(self) -> None:
@@ -58,10 +60,10 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def _on_request(self, request: web.BaseRequest) -> web.Response:
+    async def _on_request(self, request: BaseRequest) -> Response:
         body = await read_body(request, MAX_BODY_BYTES)
         if body is None:
-            return web.json_response({"error": f"over {MAX_BODY_BYTES} bytes"}, status=413)
+            return json_response({"error": f"over {MAX_BODY_BYTES} bytes"}, status=413)
         instance = request.path.removeprefix(INSTANCES_PATH)
         try:
             match request.method, request.path:
@@ -78,16 +80,16 @@
                 case "DELETE", path if path.startswith(INSTANCES_PATH):
                     return _empty_answer(await self._relay.ask(read_departure(instance, body)))
                 case _:
-                    return web.json_response({"error": "no such call"}, status=404)
+                    return json_response({"error": "no such call"}, status=404)
         except (ValueError, KeyError, TypeError) as exc:
             reason = repr(exc)[:MAX_REASON_CHARACTERS]
             path = request.path[:MAX_REASON_CHARACTERS]
             log.warning(
                 "control: %s %s is malformed, answered 400: %s", request.method, path, reason
             )
-            return web.json_response({"error": reason}, status=400)
+            return json_response({"error": reason}, status=400)
 
-    async def _put(self, body: bytes) -> web.Response:
+    async def _put(self, body: bytes) -> Response:
         try:
             document = self._codec.decode(body)
             findings = list(check_document(document))
@@ -95,37 +97,35 @@
             findings = exc.findings
         if findings:
             log.info("document: rejected, findings: %s", "; ".join(map(str, findings[:5])))
-            return web.json_response({"findings": [str(one) for one in findings]}, status=400)
+            return json_response({"findings": [str(one) for one in findings]}, status=400)
         return _empty_answer(
             await self._relay.ask(StoreDocument(document.version, compress_document(body)))
         )
 
-    def _heartbeat_answer(self, answer: Any) -> web.Response:
+    def _heartbeat_answer(self, answer: Any) -> Response:
         # Naming this controller keeps an upstream on it while it answers. If each heartbeat went to
         # a random controller, thousands of upstreams would hold a connection to every one of them.
         if isinstance(answer, Accepted):
-            return web.json_response({"heartbeat_url": self._address})
+            return json_response({"heartbeat_url": self._address})
         return _empty_answer(answer)
 
     @staticmethod
-    def _document_answer(answer: Any) -> web.Response:
+    def _document_answer(answer: Any) -> Response:
         match answer:
             case HeldDocument(version, content) if version >= 0:
-                return web.Response(
-                    body=decompress_document(content), content_type="application/json"
-                )
+                return Response(body=decompress_document(content), content_type="application/json")
             case _:
-                return web.json_response({"error": "not known"}, status=503)
+                return json_response({"error": "not known"}, status=503)
 
 
-def _empty_answer(answer: Any) -> web.Response:
+def _empty_answer(answer: Any) -> Response:
     match answer:
         case Accepted():
-            return web.json_response({})
+            return json_response({})
         case Rejected(reason):
-            return web.json_response({"error": reason}, status=409)
+            return json_response({"error": reason}, status=409)
         case Unavailable() | _:
-            return web.json_response({"error": "no leader"}, status=503)
+            return json_response({"error": "no leader"}, status=503)
 
 
 def _read_version(wire: dict[str, Any]) -> StoreVersion:
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -6,7 +6,9 @@
 import logging
 from collections.abc import Callable
 
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response, StreamResponse
+from aiohttp.web_server import Server
 
 from ..clock import Clock
 from ..forwarding.drain import Drainable
@@ -15,7 +17,7 @@
 from .body import read_body
 from .call_reader import read_call
 from .client_reply import ClientReply
-from .listening import listen
+from .listening import Listener, listen
 
 log = logging.getLogger(__name__)
 KEEPALIVE_S = 75.0
@@ -51,8 +53,8 @@
         self._clock = clock
         self._in_progress = 0
         self._leaving = False
-        self._caller_runner: web.ServerRunner | None = None
-        self._ready_runner: web.ServerRunner | None = None
+        self._caller_runner: Listener | None = None
+        self._ready_runner: Listener | None = None
 
     def calls_in_progress(self) -> int:
         return self._in_progress
@@ -65,7 +67,7 @@
 
     async def start(self, caller_address: str, ready_address: str) -> None:
         """Listen for clients and for the load balancer."""
-        caller_server = web.Server(
+        caller_server = Server(
             self._on_request,
             access_log=None,
             handler_cancellation=True,
@@ -74,9 +76,7 @@
             max_field_size=DocumentLimits().max_header_bytes,
         )
         self._caller_runner = await listen(caller_server, caller_address)
-        self._ready_runner = await listen(
-            web.Server(self._on_ready, access_log=None), ready_address
-        )
+        self._ready_runner = await listen(Server(self._on_ready, access_log=None), ready_address)
 
     async def stop(self) -> None:
         """Close every connection; called once no request is in progress."""
@@ -84,11 +84,11 @@
             if runner is not None:
                 await runner.cleanup()
 
-    async def _on_ready(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _on_ready(self, request: BaseRequest) -> StreamResponse:
         ready = request.path == READY_PATH and not self._leaving and self._is_ready()
-        return web.Response(status=200 if ready else 503)
+        return Response(status=200 if ready else 503)
 
-    async def _on_request(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _on_request(self, request: BaseRequest) -> StreamResponse:
         arrived_ms = self._clock.now_ms()
         self._in_progress += 1
         try:
@@ -96,16 +96,16 @@
         finally:
             self._in_progress -= 1
 
-    async def _answer(self, request: web.BaseRequest, arrived_ms: int) -> web.StreamResponse:
+    async def _answer(self, request: BaseRequest, arrived_ms: int) -> StreamResponse:
         reply = ClientReply(request, self._leaving)
         body = await read_body(request, self._limits().max_body_bytes)
         if body is None:
-            return web.Response(status=413)
+            return Response(status=413)
         try:
             call = read_call(request, body, arrived_ms)
         except ValueError as exc:
             log.info("call: answered 400, malformed header: %s", exc)
-            return web.Response(status=400)
+            return Response(status=400)
         try:
             await self._forwarder.serve(call, reply)
         except (ConnectionError, asyncio.CancelledError):
--- a/chestnutfall/platform/listening.py
+++ b/chestnutfall/platform/listening.py
@@ -2,17 +2,47 @@
 
 from __future__ import annotations
 
-from aiohttp import web
+import asyncio
 
-from ..wire.http_listener import listen as listen_on
+from aiohttp.web_server import Server
+
+from ..settings.host_port import split_address
 
 BACKLOG = 1024
 """Connections that may wait to be accepted. A load balancer that lost half of its hosts moves their
 clients to the other hosts within one second."""
+CLOSE_TIMEOUT_S = 60.0
+"""How long requests in progress may run after their listener is closed."""
+
+
+class Listener:
+    """A listening socket of an HTTP server.
+
+    It does the part of aiohttp's `ServerRunner` that a server without an application needs, since
+    importing that class imports aiohttp's application and routing as well.
+
+    Attributes
+    ----------
+    addresses : list of tuple
+        IP and port that it listens on, also when the address asked for any free port.
+    """
+
+    def __init__(self, server: Server, sockets: asyncio.Server) -> None:
+        self._server = server
+        self._sockets = sockets
+        self.addresses = [one.getsockname() for one in sockets.sockets]
+
+    async def cleanup(self) -> None:
+        """Stop listening, close idle connections, and wait for the requests in progress."""
+        self._sockets.close()
+        # Requests that have arrived start first; their connections would count as idle otherwise.
+        await asyncio.sleep(0)
+        self._server.pre_shutdown()
+        await self._server.shutdown(CLOSE_TIMEOUT_S)
 
 
-async def listen(server: web.Server, address: str) -> web.ServerRunner:
-    """Serve `server` on `address`, an IP and port, until the returned runner is cleaned up."""
-    runner = web.ServerRunner(server)
-    await listen_on(runner, address, BACKLOG)
-    return runner
+async def listen(server: Server, address: str) -> Listener:
+    """Serve `server` on `address`, an IP and port, until the returned listener is cleaned up."""
+    ip, port = split_address(address)
+    loop = asyncio.get_running_loop()
+    return Listener(server, await loop.create_server(server, ip, port, backlog=BACKLOG))
--- a/chestnutfall/platform/metrics_server.py
+++ b/chestnutfall/platform/metrics_server.py
@@ -4,22 +4,24 @@
 
 from collections.abc import Callable
 
-from aiohttp import web
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import Response
+from aiohttp.web_server import Server
 
 from ..observability.prometheus_metrics import PrometheusMetrics
-from .listening import listen
+from .listening import Listener, listen
 
 
 async def serve_metrics(
     metrics: PrometheusMetrics, address: str, refresh: Callable[[], None]
-) -> web.ServerRunner:
+) -> Listener:
     """Serve `metrics` as text on `address`, at any path.
 
     `refresh` is called before each answer, to update gauges.
     """
 
-    async def on_request(request: web.BaseRequest) -> web.Response:
+    async def on_request(request: BaseRequest) -> Response:
         refresh()
-        return web.Response(text=metrics.text())
+        return Response(text=metrics.text())
 
-    return await listen(web.Server(on_request, access_log=None), address)
+    return await listen(Server(on_request, access_log=None), address)
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from .. import header_names as names
-from ..listening import listen
+from ..listening import Listener, listen
 from .run_registry import RunRegistry
 
 MODEL = "base"
@@ -104,7 +104,7 @@
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
         self._announcing: asyncio.Task[None] | None = None
-        self._runner: web.ServerRunner | None = None
+        self._runner: Listener | None = None
 
     async def start(self) -> None:
         """Listen on a free port and set `address`; `announce` must be called separately."""
