--- a/chestnutfall/wire/codec.py
+++ b/chestnutfall/wire/codec.py
@@ -22,9 +22,8 @@
     """
 
     def __init__(self, *types: type) -> None:
-        self._decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {
-            kind.__name__: msgspec.msgpack.Decoder(kind) for kind in types
-        }
+        self._types = {kind.__name__: kind for kind in types}
+        self._decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self.traffic = Traffic()
         self._last: tuple[Any, bytes] = (None, b"")
@@ -51,10 +50,17 @@
         """
         try:
             name, fields = self._envelope.decode(data)
-            msg = self._decoders[name].decode(fields)
+            decoder = self._decoders.get(name) or self._add_decoder(name)
+            msg = decoder.decode(fields)
         except KeyError as exc:
-            raise ValueError(f"unknown message {exc}; known: {sorted(self._decoders)}") from exc
+            raise ValueError(f"unknown message {exc}; known: {sorted(self._types)}") from exc
         except msgspec.MsgspecError as exc:
             raise ValueError(f"not a message of this union: {exc}") from exc
         self.traffic.record_received(name, len(data))
         return msg
+
+    def _add_decoder(self, name: str) -> msgspec.msgpack.Decoder[Any]:
+        # A process receives half of a union at most, and a decoder takes as long to build as its
+        # data class: each one is built when its first message arrives.
+        self._decoders[name] = msgspec.msgpack.Decoder(self._types[name])
+        return self._decoders[name]
