Collect messages for some ms between the leader's rounds

Each message of a gateway woke a round, which looks at every engine and every waiting request: with 80 gateways and 820 calls a second some 1,600 rounds a second.

--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -45,6 +45,7 @@
 from .order_dispatcher import EngineRecord, OrderDispatcher
 from .relay_messages import Announce, Depart
 from .repeat_pool import RepeatPool
+from .round_pace import RoundPace
 from .upstream_tracker import UpstreamTracker
 
 log = logging.getLogger(__name__)
@@ -95,6 +96,7 @@
         )
         self._table: RouteTable | None = None
         self._wake = asyncio.Event()
+        self._pace = RoundPace(clock)
         self._engines = OrderDispatcher(
             self._placer, control, clock, self.term, self.leads, self._wake.set
         )
@@ -122,9 +124,11 @@
         tasks = [asyncio.ensure_future(one.run()) for one in (recorder, self._crashes)]
         try:
             while self.leads():
+                self._pace.begin()
                 self._broadcaster.send_due()
                 await self._upstreams.update_if_due()
                 self._carry_out_decisions()
+                self._pace.end()
                 await self._wait_for_tick()
         finally:
             for task in tasks:
@@ -141,6 +145,9 @@
         tick_ms = min(tick_ms, max(self._upstreams.due_in_ms(), 1))
         with contextlib.suppress(TimeoutError):
             await self._clock.within_ms(tick_ms, self._wake.wait())
+        pause_ms = self._pace.pause_ms()
+        if pause_ms:
+            await self._clock.sleep_ms(pause_ms)
         self._wake.clear()
 
     def _end(self) -> None:
--- a/chestnutfall/tests/test_leader_rush.py
+++ b/chestnutfall/tests/test_leader_rush.py
@@ -9,13 +9,21 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 from ..clock import ManualClock
 from ..control.control_state import ControlState
 from ..coordination.fleet_leader import FleetLeader
 from ..coordination.gateway_session import GatewaySession
 from ..coordination.leader_term import LeaderTerm
-from ..coordination.messages import FLEET_CODEC, Controllers, GatewayCount, UpstreamsPart
+from ..coordination.messages import (
+    FLEET_CODEC,
+    Controllers,
+    GatewayCount,
+    UpstreamsPart,
+    Withdraw,
+)
+from ..coordination.round_pace import MAX_PAUSE_MS, MIN_PAUSE_MS
 from ..forwarding.first_message_timeouts import (
     INITIAL_TIMEOUT_MS,
     MAX_TIMEOUT_MS,
@@ -86,6 +94,27 @@
         self.assertLess(len(FLEET_CODEC.encode(messages[0])), 1_000)
         self.assertTrue(any(isinstance(msg, UpstreamsPart) for msg in messages))
 
+    async def test_rounds_grow_with_time_and_not_with_messages(self) -> None:
+        """A round for each message took half of a core of a leader with 80 gateways."""
+        session = self._join(0)
+        await self.cluster.clock.advance(50)
+        with mock.patch.object(self.term._placer, "decide", return_value=()) as decide:
+            for at_ms in range(100):
+                for number in range(10):
+                    self.term.handle(session, Withdraw(f"t{at_ms}-{number}"))
+                await self.cluster.clock.advance(1)
+        self.assertGreaterEqual(decide.call_count, 100 // MAX_PAUSE_MS)
+        self.assertLessEqual(decide.call_count, 100 // MIN_PAUSE_MS + 1)
+
+    async def test_a_lone_message_is_decided_at_once(self) -> None:
+        """Collecting from the first message on would delay each request of a quiet second."""
+        session = self._join(0)
+        await self.cluster.clock.advance(50)
+        with mock.patch.object(self.term._placer, "decide", return_value=()) as decide:
+            self.term.handle(session, Withdraw("t"))
+            await self.cluster.clock.settle()
+            self.assertEqual(decide.call_count, 1)
+
     @staticmethod
     def _drain(session: GatewaySession) -> list[Any]:
         found = []
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -124,4 +124,18 @@
         "SAFETY_FACTOR * own:",
         "chestnutfall.tests.test_repeats",
     ),
+    Mutant(
+        "the leader decides anew for each message",
+        "chestnutfall/coordination/leader_term.py",
+        "        pause_ms = self._pace.pause_ms()\n",
+        "        pause_ms = 0\n",
+        "chestnutfall.tests.test_leader_rush",
+    ),
+    Mutant(
+        "messages get no time between long rounds",
+        "chestnutfall/coordination/round_pace.py",
+        "max(now_ms - self._began_ms, MIN_PAUSE_MS)",
+        "MIN_PAUSE_MS",
+        "chestnutfall.tests.test_round_pace",
+    ),
 )
