Look only at engines and requests that a decision can concern

A round tried each load on every engine, computed for each what it would evict, and decided anew about every request that only waits for its load. Now engines are tried by the least that a load costs there, evictions are determined when asked for, and requests whose adapter is being loaded are passed over until it is loaded, outdated, or their time is over. Figures of a service that only refusals need are computed by the first refusal.

--- a/chestnutfall/placement/demand.py
+++ b/chestnutfall/placement/demand.py
@@ -42,7 +42,7 @@
 
     def per_s(self, adapter: AdapterName, now_ms: int) -> float:
         """Requests a second, as if the level had been steady."""
-        return self.level(adapter, now_ms) * 693.0 / HALF_LIFE_MS
+        return level_per_s(self.level(adapter, now_ms))
 
     def _thin_out(self, now_ms: int) -> None:
         """Drop counts that decayed to almost nothing, or all if too many remain."""
@@ -52,3 +52,8 @@
             if self.level(adapter, now_ms) > _FORGET_BELOW
         }
         self._counts = kept if len(kept) <= MAX_ADAPTERS else {}
+
+
+def level_per_s(level: float) -> float:
+    """Requests a second of an adapter whose level has been steady."""
+    return level * 693.0 / HALF_LIFE_MS
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -15,7 +15,7 @@
 from .load_time_estimate import LoadTimeEstimate
 from .pause_budget import PauseBudget
 from .place_request import PlaceRequest
-from .prefill_room import PrefillRoom
+from .prefill_room import ANY_PREFILL_ROOM, PrefillRoom
 from .prefill_schedule import PrefillSchedule
 from .prefill_speed import PrefillSpeed
 from .prompt_cache import Prefixes, PromptCache
@@ -165,9 +165,11 @@
         do. Of about 7,800 requests during failures, 221 were refused because their queue was too
         long, instead of 454.
         """
+        if not self.prefill.waiting_count:
+            return ANY_PREFILL_ROOM
         window = self.pauses.window()
         if window is None:
-            return PrefillRoom(True, True)
+            return ANY_PREFILL_ROOM
         ahead_ms = self.prefill.reserved_ms(
             ticket
             for ticket in self.prefill.waiting
--- a/chestnutfall/placement/engine_selector.py
+++ b/chestnutfall/placement/engine_selector.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Iterator
-from dataclasses import dataclass
+from functools import cached_property
 
 from .active_backoffs import ActiveBackoffs
 from .adapter_name import AdapterName
 from .demand import Demand
 from .engine import Engine
+from .load_options import NO_EVICTION, LoadOptions
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
 from .prompt_cache import Prefixes
@@ -29,36 +30,19 @@
 STORE_COST_MS = 400.0
 """Cost of a load from the weight store beyond its time, as the store's bandwidth is shared and paid
 for. A request may wait this much longer for an engine that has a copy of the adapter."""
-RELOAD_HORIZON_S = 3.0
-"""An evicted adapter is charged for the loads that it is expected to need within this time."""
 RELAY_DELAY_MS = 20.0
 """From a grant at the leader to the engine, and from there to the caller, on a busy gateway."""
 WAIT_MARGIN_MS = 40.0
 """Time reserved for placing a request elsewhere after it waited in vain for an engine with a copy.
 The slot elsewhere may be taken by then, but another becomes idle within this time."""
+ROUNDING_MS = 1e-6
+"""More than the rounding errors of two sums of the same costs."""
 GOOD_ENOUGH_MS = 60.0
 """An engine that holds the adapter at this cost or less is taken without considering a load
 elsewhere, which takes 25 ms at least. Most requests find such an engine, which saves four fifths of
 the time of a choice."""
 
 
-@dataclass(frozen=True, slots=True)
-class _LoadOption:
-    """An engine that takes one more load, and what it evicts for it.
-
-    Attributes
-    ----------
-    victim : AdapterName or None
-        The adapter to evict; None when a slot is free.
-    reloads : float
-        Expected loads of the victim in the near future, at most 1.
-    """
-
-    engine: Engine
-    victim: AdapterName | None
-    reloads: float
-
-
 class EngineSelector:
     """Selects among the engines of one service during one decision round.
 
@@ -75,8 +59,6 @@
 
     Attributes
     ----------
-    starts_per_s : float
-        Requests a second that all engines of the service together can start.
     limit_per_s : float or None
         Sum of the engines' own limits, in requests a second; None unless each of them has a limit.
     """
@@ -91,23 +73,40 @@
     ) -> None:
         self._versions = versions
         self._engines = [one for one in engines if not one.health.is_ejected(now_ms)]
-        fraction = len(engines) / engine_count if engine_count else 1.0
+        self._fraction = len(engines) / engine_count if engine_count else 1.0
         self._backoffs = ActiveBackoffs(self._engines, now_ms)
-        accepting = [one for one in self._engines if not self._backoffs.probably_rejects(one)]
-        self.starts_per_s = sum(one.starts_per_s() for one in accepting) / fraction
-        limits = [one.limit.per_s for one in accepting]
-        self.limit_per_s = None if None in limits else sum(one or 0.0 for one in limits) / fraction
+        limits = [one.limit.per_s for one in self._accepting()]
+        limit_per_s = sum(one or 0.0 for one in limits) / self._fraction
+        self.limit_per_s = None if None in limits else limit_per_s
         self._demand = demand
         self._now_ms = now_ms
         self._engine_cost_ms = {one.instance: self._engine_cost_of(one) for one in self._engines}
         self._room = {one.instance: one.prefill_room(now_ms) for one in self._engines}
-        self._load_options: dict[str, _LoadOption] | None = None
         self._available: set[AdapterName] | None = None
         schedules = [one.prefill for one in self._engines]
         self._first_ms = RELAY_DELAY_MS + min((one.first_ms for one in schedules), default=0.0)
         self._ms_per_token = min((one.ms_per_token for one in schedules), default=0.0)
-        loads = (one.load_time.expected_ms(from_copy=False) for one in self._engines)
-        self._load_ms = min(loads, default=0.0)
+        self._load_ms: dict[str, tuple[float, float]] = {}
+
+    @cached_property
+    def starts_per_s(self) -> float:
+        """Requests a second that all engines of the service together can start."""
+        return sum(one.starts_per_s() for one in self._accepting()) / self._fraction
+
+    @cached_property
+    def _least_load_ms(self) -> float:
+        """Time of a load from the weight store on the engine where it takes least."""
+        loads_ms = (one.load_time.expected_ms(from_copy=False) for one in self._engines)
+        return min(loads_ms, default=0.0)
+
+    @cached_property
+    def _load_options(self) -> LoadOptions:
+        engines = ((one, self._least_cost_with_load_ms(one)) for one in self._engines)
+        return LoadOptions(engines, self._demand, self._versions, self._now_ms)
+
+    def _accepting(self) -> Iterator[Engine]:
+        """Yield the engines that would probably not reject a request."""
+        return (one for one in self._engines if not self._backoffs.probably_rejects(one))
 
     def best(
         self, req: PlaceRequest, prefixes: Prefixes, objective_ms: float
@@ -123,7 +122,7 @@
         held = _cheapest(self._options_without_load(req, prefixes, in_time))
         if held is not None and held.cost_ms <= GOOD_ENOUGH_MS:
             return held
-        loaded = _cheapest(self._options_with_load(req, in_time)) if req.adapter.adapter else None
+        loaded = self._best_with_load(req, in_time) if req.adapter.adapter else None
         if held is None and loaded is not None and self._may_wait(req, loaded, objective_ms):
             return None
         return _cheapest(one for one in (held, loaded) if one is not None)
@@ -156,7 +155,7 @@
     def can_be_in_time(self, req: PlaceRequest, objective_ms: float) -> bool:
         """Whether the first event could come within `objective_ms` if `req` were placed now."""
         spare_ms = objective_ms - self.first_event_ms(req)
-        if spare_ms < 0 or spare_ms >= self._load_ms:
+        if spare_ms < 0 or spare_ms >= self._least_load_ms:
             return spare_ms >= 0
         return not req.adapter.adapter or req.adapter in self._available_adapters()
 
@@ -193,9 +192,8 @@
         """Recompute the costs of an engine that was just given a request or a load."""
         self._engine_cost_ms[engine.instance] = self._engine_cost_of(engine)
         self._room[engine.instance] = engine.prefill_room(self._now_ms)
-        if self._load_options is not None:
-            self._load_options.pop(engine.instance, None)
-            self._load_options.update(self._load_options_among([engine]))
+        if "_load_options" in self.__dict__:
+            self._load_options.refresh(engine, self._least_cost_with_load_ms(engine))
 
     def _options_without_load(
         self, req: PlaceRequest, prefixes: Prefixes, in_time: bool
@@ -212,36 +210,73 @@
             cost_ms = self._cost_ms(req, engine) + engine.prefill_ms(req, prefixes)
             yield PlaceOption(engine, cost_ms + max(wait_ms, _batch_wait_ms(engine)))
 
-    def _options_with_load(self, req: PlaceRequest, in_time: bool) -> Iterator[PlaceOption]:
-        """Yield the engines that would have to load the adapter first."""
-        if self._load_options is None:
-            self._load_options = dict(self._load_options_among(self._engines))
-        for load_option in self._load_options.values():
-            engine = load_option.engine
-            if not self._may_take(req, engine):
-                continue
-            victim, reloads = load_option.victim, load_option.reloads
-            held = engine.holdings.get(req.adapter)
-            if held is not None:
-                # The engine holds an older version. It is replaced in its slot, but not while
-                # requests run on it: the engine would let these end first and refuse all other
-                # loads meanwhile, for seconds after a version is named.
-                if not self._versions.is_outdated(req.adapter, held) or not held.is_idle(
-                    self._now_ms
-                ):
-                    continue
-                victim, reloads = None, 0.0
-            if not self._room[engine.instance].admits(in_time):
-                continue
-            # An engine drops an adapter's cached prompts with it: all tokens need prefill.
-            prefill_ms = req.prompt_tokens * engine.prefill.ms_per_token
-            has_copy = engine.likely_has_copy(req.adapter)
-            load_ms = engine.load_time.expected_ms(has_copy)
-            cost_ms = self._cost_ms(req, engine) + prefill_ms + load_ms * reloads
-            cost_ms += max(load_ms, _batch_wait_ms(engine))
-            if not has_copy:
-                cost_ms += STORE_COST_MS
-            yield PlaceOption(engine, cost_ms, load_ms, victim)
+    def _best_with_load(self, req: PlaceRequest, in_time: bool) -> PlaceOption | None:
+        """Return the cheapest engine that would have to load the adapter first."""
+        least_prefill_ms = req.prompt_tokens * self._ms_per_token
+        best: tuple[tuple[float, int], PlaceOption] | None = None
+        for least_ms, order, engine in self._load_options.by_cost(req.adapter):
+            if best is not None and least_ms + least_prefill_ms > best[0][0] + ROUNDING_MS:
+                break
+            option = self._option_with_load(req, engine, in_time)
+            if option is not None and (best is None or (option.cost_ms, order) < best[0]):
+                best = (option.cost_ms, order), option
+        return best[1] if best is not None else None
+
+    def _option_with_load(
+        self, req: PlaceRequest, engine: Engine, in_time: bool
+    ) -> PlaceOption | None:
+        """Return the cost of a load of the adapter on `engine`; None if it can't take the request.
+
+        See Also
+        --------
+        _least_cost_with_load_ms : The part of the cost that is the same for all requests.
+        """
+        if not self._room[engine.instance].admits(in_time) or not self._may_take(req, engine):
+            return None
+        held = engine.holdings.get(req.adapter)
+        # The engine may hold an older version. It is replaced in its slot, but not while requests
+        # run on it: the engine would let these end first and refuse all other loads meanwhile, for
+        # seconds after a version is named.
+        if held is not None and (
+            not self._versions.is_outdated(req.adapter, held) or not held.is_idle(self._now_ms)
+        ):
+            return None
+        eviction = self._load_options.eviction(engine) if held is None else NO_EVICTION
+        if eviction is None:
+            return None
+        # An engine drops an adapter's cached prompts with it: all tokens need prefill.
+        prefill_ms = req.prompt_tokens * engine.prefill.ms_per_token
+        has_copy = engine.likely_has_copy(req.adapter)
+        load_ms = self._expected_load_ms(engine, has_copy)
+        cost_ms = self._cost_ms(req, engine) + prefill_ms + load_ms * eviction.reloads
+        cost_ms += max(load_ms, _batch_wait_ms(engine))
+        if not has_copy:
+            cost_ms += STORE_COST_MS
+        return PlaceOption(engine, cost_ms, load_ms, eviction.victim)
+
+    def _least_cost_with_load_ms(self, engine: Engine) -> float:
+        """Cost of a load from the store without prefill, reloads and what a request adds."""
+        load_ms = self._expected_load_ms(engine, False)
+        cost_ms = self._engine_cost_ms[engine.instance] + STORE_COST_MS
+        return cost_ms + max(load_ms, _batch_wait_ms(engine))
+
+    def _expected_load_ms(self, engine: Engine, from_copy: bool) -> float:
+        """Time of a load, computed once for each engine."""
+        if engine.instance not in self._load_ms:
+            expected = engine.load_time.expected_ms
+            self._load_ms[engine.instance] = expected(from_copy=False), expected(from_copy=True)
+        return self._load_ms[engine.instance][from_copy]
+
+    def _cost_with_load_ms(
+        self, req: PlaceRequest, engine: Engine, load_ms: float, reloads: float
+    ) -> float:
+        # An engine drops an adapter's cached prompts with it: all tokens need prefill.
+        prefill_ms = req.prompt_tokens * engine.prefill.ms_per_token
+        cost_ms = self._cost_ms(req, engine) + prefill_ms + load_ms * reloads
+        cost_ms += max(load_ms, _batch_wait_ms(engine))
+        if not engine.likely_has_copy(req.adapter):
+            cost_ms += STORE_COST_MS
+        return cost_ms
 
     def _may_take(self, req: PlaceRequest, engine: Engine) -> bool:
         """Whether models, room, limit and backoff of the engine allow the request."""
@@ -254,27 +289,6 @@
         held = engine.holdings.get(name)
         return held is not None and not self._versions.is_outdated(name, held)
 
-    def _expected_reloads(self, engine: Engine, name: AdapterName) -> float:
-        """Expected loads of an adapter in the near future if this engine evicts it, at most 1."""
-        if self._versions.is_outdated(name, engine.holdings[name]):
-            return 0.0
-        return min(self._demand.per_s(name, self._now_ms) * RELOAD_HORIZON_S, 1.0)
-
-    def _load_options_among(self, engines: Iterable[Engine]) -> Iterator[tuple[str, _LoadOption]]:
-        for engine in engines:
-            if not engine.can_load_more(self._now_ms):
-                continue
-            if engine.has_free_slot():
-                yield engine.instance, _LoadOption(engine, None, 0.0)
-                continue
-            victims = [
-                (self._expected_reloads(engine, name), self._demand.level(name, self._now_ms), name)
-                for name in engine.evictable(self._now_ms)
-            ]
-            if victims:
-                reloads, _, victim = min(victims)
-                yield engine.instance, _LoadOption(engine, victim, reloads)
-
     def _engine_cost_of(self, engine: Engine) -> float:
         cost_ms = engine.prefill_wait_ms(self._now_ms) + engine.health.cost_ms(self._now_ms)
         return cost_ms + RUNNING_COST_MS * len(engine.running)
--- a/chestnutfall/placement/load_time_estimate.py
+++ b/chestnutfall/placement/load_time_estimate.py
@@ -49,8 +49,13 @@
 
     def expected_ms(self, from_copy: bool) -> float:
         """Time of a load, from the engine's own copy (`from_copy`) or from the weight store."""
-        busy_ms = RAISE_FACTOR * self._store.busy.least_ms(self._instance)
-        from_store_ms = max(self.usual_ms, busy_ms)
+        # Called for each engine in each decision round, so it repeats the sum of `usual_ms`.
+        from_store_ms = max(
+            self._ms,
+            RAISE_FACTOR * self._store.usual.least_ms(self._instance),
+            RAISE_FACTOR * self._store.busy.least_ms(self._instance),
+            MIN_LOAD_MS,
+        )
         return max(from_store_ms * COPY_TIME_SHARE, MIN_LOAD_MS) if from_copy else from_store_ms
 
     @property
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -10,6 +10,7 @@
 from ..routes import EngineSpec
 from ..signals.backoff_registry import BackoffRegistry
 from .adapter_name import AdapterName
+from .awaited_load import only_awaits_load
 from .candidate_engines import CandidateEngines
 from .decisions import Decision, Grant, LoadAdapter, LoadModel, Order, Reject, UnloadAdapter
 from .demand import Demand
@@ -200,13 +201,17 @@
         now_ms = self._clock.now_ms()
         self._turns.begin_round()
         yield from self._model_loads.decide(self.engines.values(), now_ms)
-        rounds = {service: self._round(service, now_ms) for service in self._waiting_services()}
-        in_order = sorted(
-            self._waiting.values(), key=lambda one: rounds[one.req.service].sort_key(one)
-        )
+        to_decide = [one for one in self._waiting.values() if self._is_to_decide(one, now_ms)]
+        services = {one.req.service for one in to_decide}
+        rounds = {service: self._round(service, now_ms) for service in services}
+        in_order = sorted(to_decide, key=lambda one: rounds[one.req.service].sort_key(one))
         for waiting in in_order:
             yield from self._place(waiting, rounds[waiting.req.service], now_ms)
 
+    def _is_to_decide(self, waiting: WaitingRequest, now_ms: int) -> bool:
+        engine = self.engines.get(waiting.instance)
+        return not only_awaits_load(waiting, engine, self._versions, now_ms)
+
     def _place(
         self, waiting: WaitingRequest, service_round: ServiceRound, now_ms: int
     ) -> Iterator[Decision]:
@@ -248,9 +253,6 @@
         if engine.backoff.wait_ms(waiting.req.gateway, now_ms):
             self._unassign(waiting)
 
-    def _waiting_services(self) -> set[str]:
-        return {waiting.req.service for waiting in self._waiting.values()}
-
     def _round(self, service: str, now_ms: int) -> ServiceRound:
         engines = [engine for engine in self.engines.values() if engine.service == service]
         waiting = (one.req for one in self._waiting.values() if one.req.service == service)
--- a/chestnutfall/placement/prefill_room.py
+++ b/chestnutfall/placement/prefill_room.py
@@ -23,3 +23,6 @@
     def admits(self, in_time: bool) -> bool:
         """Whether one more prompt may queue, of a request that can be in time or of a late one."""
         return self.in_time if in_time else self.late
+
+
+ANY_PREFILL_ROOM = PrefillRoom(True, True)
--- a/chestnutfall/placement/service_round.py
+++ b/chestnutfall/placement/service_round.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import cached_property
+
 from .engine_selector import EngineSelector
 from .place_option import PlaceOption
 from .placement_rate import PlacementRate
@@ -33,14 +35,23 @@
         self._late = 0
         per_s = selector.limit_per_s
         self.limit_interval_ms = 1000 / per_s if per_s else None
-        self._interval_ms = placement_rate.interval_ms(service, selector.starts_per_s, now_ms)
-        self._late_interval_ms = placement_rate.late_interval_ms(
-            service, selector.starts_per_s, now_ms
-        )
-        if self.limit_interval_ms is not None:
-            # Recent placements may predate the engines' limits, and would give too high a rate.
-            self._interval_ms = max(self._interval_ms, self.limit_interval_ms)
-            self._late_interval_ms = max(self._late_interval_ms, self.limit_interval_ms)
+        self._service = service
+        self._placement_rate = placement_rate
+
+    @cached_property
+    def _interval_ms(self) -> float:
+        """Time from one placement to the next, for requests that can be in time."""
+        per_s = self.selector.starts_per_s
+        interval_ms = self._placement_rate.interval_ms(self._service, per_s, self._now_ms)
+        # Recent placements may predate the engines' limits, and would give too high a rate.
+        return max(interval_ms, self.limit_interval_ms or 0.0)
+
+    @cached_property
+    def _late_interval_ms(self) -> float:
+        """The same for requests that will be late."""
+        per_s = self.selector.starts_per_s
+        interval_ms = self._placement_rate.late_interval_ms(self._service, per_s, self._now_ms)
+        return max(interval_ms, self.limit_interval_ms or 0.0)
 
     def can_be_in_time(self, waiting: WaitingRequest) -> bool:
         """Whether the first event of a request could be in time if it were placed now."""
--- a/chestnutfall/placement/upstream_health.py
+++ b/chestnutfall/placement/upstream_health.py
@@ -71,6 +71,9 @@
         return self._failure * FAILURE_COST_MS + self._lag_ms
 
     def _decay(self, now_ms: int) -> None:
+        if not self._failure and not self._lag_ms:
+            self._at_ms = now_ms
+            return
         factor = math.exp2((self._at_ms - now_ms) / HALF_LIFE_MS)
         self._failure *= factor
         self._lag_ms *= factor
--- a/properties/safeguards/placement_mutants.py
+++ b/properties/safeguards/placement_mutants.py
@@ -127,4 +127,32 @@
         "        floor = self._store.usual",
         "chestnutfall.tests.test_load_time_estimate",
     ),
+    Mutant(
+        "requests that await their load are decided in each round",
+        "chestnutfall/placement/awaited_load.py",
+        "    has_time = left_ms >= RELAY_DELAY_MS + first_ms\n",
+        "    has_time = False\n",
+        "chestnutfall.tests.test_load_options",
+    ),
+    Mutant(
+        "requests that await their load are passed over past their time",
+        "chestnutfall/placement/awaited_load.py",
+        "    has_time = left_ms >= RELAY_DELAY_MS + first_ms\n",
+        "    has_time = True\n",
+        "chestnutfall.tests.test_load_options",
+    ),
+    Mutant(
+        "the search ends before the cheapest load",
+        "chestnutfall/placement/engine_selector.py",
+        "least_ms + least_prefill_ms > best[0][0] + ROUNDING_MS",
+        "least_ms + 2 * least_prefill_ms > best[0][0] + ROUNDING_MS",
+        "chestnutfall.tests.test_load_options",
+    ),
+    Mutant(
+        "each load is tried on every engine",
+        "chestnutfall/placement/engine_selector.py",
+        "least_ms + least_prefill_ms > best[0][0] + ROUNDING_MS",
+        "False",
+        "chestnutfall.tests.test_load_options",
+    ),
 )
