Write the events of a stream that arrived together at once

Each event was written by itself, and its number found by splitting all its lines. Events up to a missing one still reach the client before the run is resumed.

--- a/chestnutfall/forwarding/event_splitter.py
+++ b/chestnutfall/forwarding/event_splitter.py
@@ -7,6 +7,7 @@
 
 _END = b"\n\n"
 _ID = b"id:"
+_ID_LINE = b"\n" + _ID
 MAX_EVENT_BYTES = 1024 * 1024
 """Limit on the bytes held for one event, against a faulty upstream; a thousand times the size of a
 usual event."""
@@ -59,8 +60,10 @@
 
 
 def _number(text: bytes) -> int | None:
-    for line in text.split(b"\n"):
-        if line.startswith(_ID):
-            digits = line[len(_ID) :].strip()
-            return int(digits) if digits.isdigit() else None
-    return None
+    """Return the value of the first line that begins with `id:`, if it is numeric."""
+    if text.startswith(_ID):
+        value = text[len(_ID) :]
+    else:
+        _, _, value = text.partition(_ID_LINE)
+    digits = value.partition(b"\n")[0].strip()
+    return int(digits) if digits.isdigit() else None
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import statistics
+from collections.abc import Iterable
 
 from ..clock import Clock
 from ..observability.prometheus_metrics import PrometheusMetrics
@@ -13,7 +14,7 @@
 from ..signals.known_signals import KnownSignals
 from .answer_timeouts import first_byte_timeout_ms, pause_timeout_ms
 from .caller_reply import CallerReply
-from .event_splitter import EventSplitter
+from .event_splitter import EventSplitter, StreamEvent
 from .forwarded_call import ForwardedCall
 from .place import Place, UpstreamSelector
 from .progress import Progress
@@ -107,6 +108,7 @@
         self.sent_ms = clock.now_ms()
         self.first_byte_ms: int | None = None
         self._answering = False
+        self._misses_event = False
         self.load: UpstreamLoad | None = None
 
     def forwarded(self) -> ForwardedCall:
@@ -164,20 +166,33 @@
             self._progress.started = True
         splitter = EventSplitter()
         async for data in answer.body:
-            for event in splitter.feed(data):
-                if self.first_byte_ms is None:
-                    self._note_first_byte()
-                if event.number is not None:
-                    if self._is_out_of_order(event.number):
-                        return Lost("event_missing")
-                    self._progress.last_event = event.number
-                self._progress.note_part(self._clock.now_ms())
-                await self._reply.write(event.data)
+            in_order = self._take_in_order(splitter.feed(data))
+            if in_order:
+                # Events that arrived together go out together: a write for each would be a third
+                # of what an event costs.
+                await self._reply.write(b"".join(in_order))
+            if self._misses_event:
+                return Lost("event_missing")
         if not splitter.at_event_boundary:
             return Lost("cut_in_event")
         await self._reply.finish()
         return Delivered()
 
+    def _take_in_order(self, events: Iterable[StreamEvent]) -> list[bytes]:
+        """Return the events up to the first one that does not follow its predecessor."""
+        taken: list[bytes] = []
+        for event in events:
+            if self.first_byte_ms is None:
+                self._note_first_byte()
+            if event.number is not None:
+                if self._is_out_of_order(event.number):
+                    self._misses_event = True
+                    break
+                self._progress.last_event = event.number
+            self._progress.note_part(self._clock.now_ms())
+            taken.append(event.data)
+        return taken
+
     def _silent_ms(self) -> float:
         """Return how long the upstream may be silent before the answer counts as lost.
 
