--- a/chestnutfall/platform/reset_aware.py
+++ b/chestnutfall/platform/reset_aware.py
@@ -8,9 +8,10 @@
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 
+from .lazy_read_timeout import LazyReadTimeout
+
 
 class ResetAwareConnector(aiohttp.TCPConnector):
     """Connector whose connections fail an incomplete answer when they are reset.
@@ -24,7 +25,7 @@
         self._factory = handler  # type: ignore[assignment]
 
 
-class ResetAwareHandler(ResponseHandler):
+class ResetAwareHandler(LazyReadTimeout):
     """Fails an incomplete answer before aiohttp takes the end of the connection for its end.
 
     An answer without a length ends with its connection. aiohttp does not check how the connection
