--- a/chestnutfall/platform/node_file.py
+++ b/chestnutfall/platform/node_file.py
@@ -25,8 +25,29 @@
     KeyError, OSError, ValueError
         If a field is missing or invalid, or the file can't be read.
     """
-    path = Path(os.environ[PATH_VARIABLE])
-    return to_settings(tomllib.loads(path.read_text("utf-8")))
+    return parse(read_content())
+
+
+def read_content() -> str:
+    """Read the settings file as text.
+
+    Raises
+    ------
+    KeyError, OSError, ValueError
+        If its path is not set, or it can't be read.
+    """
+    return Path(os.environ[PATH_VARIABLE]).read_text("utf-8")
+
+
+def parse(content: str) -> FleetSettings:
+    """Decode the text of the file.
+
+    Raises
+    ------
+    KeyError, ValueError
+        If a field is missing or invalid.
+    """
+    return to_settings(tomllib.loads(content))
 
 
 def to_settings(node: dict[str, Any]) -> FleetSettings:
--- a/chestnutfall/platform/settings_watch.py
+++ b/chestnutfall/platform/settings_watch.py
@@ -7,7 +7,7 @@
 
 from ..clock import Clock
 from ..settings.fleet_settings import FleetSettings
-from .node_file import read_node_file
+from .node_file import parse, read_content
 
 log = logging.getLogger(__name__)
 POLL_INTERVAL_MS = 1_000
@@ -33,6 +33,7 @@
         self._settings = settings
         self._clock = clock
         self._on_change = on_change
+        self._content = ""
 
     async def run(self) -> None:
         """Poll the file until cancelled."""
@@ -43,11 +44,15 @@
     def reload(self) -> None:
         """Read the file now; if it can't be read, keep the settings in force."""
         try:
-            settings = read_node_file()
+            content = read_content()
+            if content == self._content:
+                return
+            settings = parse(content)
         except (KeyError, OSError, ValueError) as exc:
             # The platform may be writing the file at this moment; the next poll reads it again.
             log.warning("settings: file not readable, previous settings stay in force: %r", exc)
             return
+        self._content = content
         if settings != self._settings:
             log.info("settings: reloaded controllers=%s", settings.controllers)
             self._settings = settings
