--- a/chestnutfall/observability/json_logs.py
+++ b/chestnutfall/observability/json_logs.py
@@ -30,5 +30,9 @@
             static_fields={"program": program, "host": name},
         )
     )
+    # No line names its thread, process or place in the code; looking these up takes a quarter of
+    # the time of a line. The logging module documents these switches.
+    logging._srcfile = None
+    logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
     logging.basicConfig(level=level, handlers=[handler], force=True)
     logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -138,4 +138,32 @@
         "MIN_PAUSE_MS",
         "chestnutfall.tests.test_round_pace",
     ),
+    Mutant(
+        "the timer of a longer timeout is kept",
+        "chestnutfall/platform/lazy_read_timeout.py",
+        "if handle is None or handle.when() > self._read_deadline_s:",
+        "if handle is None:",
+        "chestnutfall.tests.test_relay_costs",
+    ),
+    Mutant(
+        "an upstream counts as silent by its first part",
+        "chestnutfall/platform/lazy_read_timeout.py",
+        "if self._loop.time() < self._read_deadline_s:",
+        "if False:",
+        "chestnutfall.tests.test_relay_costs",
+    ),
+    Mutant(
+        "events before a missing one are kept back",
+        "chestnutfall/forwarding/sender.py",
+        "            if in_order:\n",
+        "            if in_order and not self._misses_event:\n",
+        "chestnutfall.tests.test_relay_costs",
+    ),
+    Mutant(
+        "a settings file is passed over after one that was not readable",
+        "chestnutfall/platform/settings_watch.py",
+        "            settings = parse(content)\n",
+        "            self._content = content\n            settings = parse(content)\n",
+        "chestnutfall.tests.test_relay_costs",
+    ),
 )
