Give engines of every data centre an owner

Cause: LeaderDuties._is_engine returned inside its loop over data centres, so that only the first one's configuration counted. Change: any data centre that configures the service as one of engines counts; test_leader_duties failed before.

--- a/chestnutfall/control/leader_duties.py
+++ b/chestnutfall/control/leader_duties.py
@@ -152,9 +152,8 @@
         log.info("control: owners changed: %s", ready)
 
     def _is_engine(self, service: str) -> bool:
-        for site in self._state.sites.values():
-            return bool(site.entries.get("services", {}).get(service, {}).get("kind") == "engine")
-        return False
+        services = (site.entries.get("services", {}) for site in self._state.sites.values())
+        return any(one.get(service, {}).get("kind") == "engine" for one in services)
 
     def _may_move(self, engine: str, owner: str | None, now_ms: int) -> bool:
         # Two gateways that both act for one engine evict each other's adapters. An engine therefore
