Prove two safeguards by tests of their own

Cause: the mutant 'silent engine gets work' survived test_ownership, and 'another attempt releases the claim' was found by the examples that Hypothesis happens to draw. The ablation 'the hopeless wait' named a line that has moved. Change: test_upstream_registry for the first, an explicit example for the second, the ablation's line. Result: properties.mutants finds both.

--- a/properties/ablation_list.py
+++ b/properties/ablation_list.py
@@ -41,9 +41,9 @@
     ),
     Mutant(
         "the hopeless wait",
-        f"{_PLACEMENT}/placer.py",
-        "        if queue_ms > left_ms:",
-        "        if False:",
+        f"{_PLACEMENT}/refusals.py",
+        "        if queue_ms <= waiting.since_ms + req.wait_ms - now_ms:",
+        "        if True:",
         "",
     ),
     Mutant(
--- a/properties/safeguards/caller_mutants.py
+++ b/properties/safeguards/caller_mutants.py
@@ -84,7 +84,7 @@
         _UPSTREAM,
         _SERVING_STATE,
         '        return self.announcement.state == "serving"',
-        _OWNERSHIP_TEST,
+        "chestnutfall.tests.test_upstream_registry",
     ),
     Mutant(
         "non-idempotent request repeated",
--- a/properties/test_control_state.py
+++ b/properties/test_control_state.py
@@ -12,7 +12,7 @@
 import unittest
 from typing import Any
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from chestnutfall.config.content_digest import ContentDigest
@@ -170,6 +170,7 @@
 
 
 class ClaimTest(unittest.TestCase):
+    @example([("take", "attempt 1", 1), ("release", "attempt 2", 1), ("take", "attempt 3", 1)])
     @given(
         st.lists(
             st.tuples(
