Use one function for digests of keys, and let benchmarks.acceptance start

Cause: typed_config.key_hash and requests.key_digest were one function twice; benchmarks.acceptance imported a name that is gone.

--- a/benchmarks/acceptance.py
+++ b/benchmarks/acceptance.py
@@ -14,8 +14,8 @@
 from chestnutfall.config.layered_config import BASE_LAYER
 from chestnutfall.control.operator_service import OperatorService
 
+from .sample_state import state_of
 from .slope import fit
-from .slopes import _state
 
 SITES = 4
 ADAPTER_COUNTS = (3_000, 10_000, 30_000)
@@ -23,7 +23,7 @@
 
 
 def _validation_ms(adapters: int) -> float:
-    state = _state(adapters, SITES)
+    state = state_of(adapters, SITES)
     replica: Any = SimpleNamespace()
     operator_service = OperatorService(replica, state, replica, SystemClock(), "")
     version = {"versions": {"9": "sha256:" + "ab" * 32}}
--- a/benchmarks/message_slopes.py
+++ b/benchmarks/message_slopes.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from chestnutfall.clock import SystemClock
-from chestnutfall.config.typed_config import TypedConfig, key_hash
+from chestnutfall.config.typed_config import TypedConfig
 from chestnutfall.control.messages import CONTROL_CODEC, Heartbeat, HeartbeatReply
 from chestnutfall.membership import UpstreamRegistry
 from chestnutfall.membership.announce_app import AnnounceApp
@@ -23,6 +23,7 @@
     TicketRequest,
 )
 from chestnutfall.peers import PeerLink, PeerServer
+from chestnutfall.requests import key_digest
 from chestnutfall.wire import RpcChannel, RpcServer
 
 from .meter import cpu_us, loopback_bytes
@@ -168,7 +169,7 @@
     class Agent:
         config = TypedConfig()
 
-    service = {"kind": "engine", "announce_key_sha256": key_hash("key")}
+    service = {"kind": "engine", "announce_key_sha256": key_digest("key")}
     Agent.config.update({"services": {"redactor": service}}, [("services", "redactor")])
     app = AnnounceApp(Agent, UpstreamRegistry(SystemClock()))  # type: ignore[arg-type]
     runner = web.AppRunner(app.build(), access_log=None)
--- a/benchmarks/sample_state.py
+++ b/benchmarks/sample_state.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 from chestnutfall.config.layered_config import BASE_LAYER
-from chestnutfall.config.typed_config import key_hash
 from chestnutfall.control.commands import COMMAND_CODEC, ChangeConfig, TakeClaim
 from chestnutfall.control.control_state import ControlState
+from chestnutfall.requests import key_digest
 
 ADAPTERS = (3_000, 30_000, 120_000)
 SITE = "site"
@@ -20,7 +20,7 @@
     rng = random.Random(1)
     return {
         "sites": {SITE if number == 0 else f"{SITE}-{number}": {} for number in range(sites)},
-        "services": {"redactor": {"kind": "engine", "announce_key_sha256": key_hash("key")}},
+        "services": {"redactor": {"kind": "engine", "announce_key_sha256": key_digest("key")}},
         "adapters": {
             f"oficina-{number % 300}-tarea-{number}": {
                 "service": "redactor",
--- a/chestnutfall/config/typed_config.py
+++ b/chestnutfall/config/typed_config.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Iterable
 from typing import Any
 
 from pydantic import TypeAdapter
 
+from ..requests import key_digest
 from .adapter import Adapter
 from .caller import Caller
 from .limits import Limits
@@ -93,9 +93,4 @@
 
     def caller_by_key(self, key: str) -> str | None:
         """Return the name of the caller with this bearer key; None for an unknown key."""
-        return self._callers_by_key.get(key_hash(key))
-
-
-def key_hash(key: str) -> str:
-    """Return the SHA-256 of a key, in hexadecimal, as in the `key_sha256` of entries."""
-    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+        return self._callers_by_key.get(key_digest(key))
--- a/chestnutfall/control/operator_service.py
+++ b/chestnutfall/control/operator_service.py
@@ -12,11 +12,12 @@
 from ..config.layered_config import BASE_LAYER, LayeredConfig, check_patch, site_layer
 from ..config.operator import Operator, Role
 from ..config.site_config import SiteConfig
-from ..config.typed_config import ENTRY_TYPES, key_hash
+from ..config.typed_config import ENTRY_TYPES
 from ..config.validation import validate_site
 from ..consensus import Member, Replica
 from ..findings.finding import Finding
 from ..findings.json_document import read_json_text
+from ..requests import key_digest
 from .commands import COMMAND_CODEC, ChangeConfig, Changed, Conflict
 from .control_state import ControlState
 from .leader_duties import LeaderDuties
@@ -69,7 +70,7 @@
                 return await self._on_member(msg)
 
     def _operator(self, key: str) -> tuple[str, Role] | None:
-        hashed = key_hash(key)
+        hashed = key_digest(key)
         if hashed == self._admin_key_sha256:
             return "admin", Role.ADMIN
         raw = self._state.layers.layers[BASE_LAYER].get("operators", {})
--- a/chestnutfall/membership/announce_app.py
+++ b/chestnutfall/membership/announce_app.py
@@ -7,9 +7,9 @@
 from aiohttp import web
 from pydantic import TypeAdapter
 
-from ..config.typed_config import key_hash
 from ..findings.json_document import read_json_text
 from ..findings.typed_document import to_typed
+from ..requests import key_digest
 from .announcement import Announcement
 from .gateway_agent import GatewayAgent
 from .upstream_registry import UpstreamRegistry
@@ -54,7 +54,7 @@
         if known is None:
             return False
         key = header.removeprefix("Bearer ")
-        return hmac.compare_digest(key_hash(key), known.announce_key_sha256)
+        return hmac.compare_digest(key_digest(key), known.announce_key_sha256)
 
 
 def _refused(status: int, message: str) -> web.Response:
--- a/chestnutfall/operators/caller_commands.py
+++ b/chestnutfall/operators/caller_commands.py
@@ -6,7 +6,7 @@
 import getpass
 import sys
 
-from ..config.typed_config import key_hash
+from ..requests import key_digest
 from .entry_commands import base_entry, patch_base
 from .exit_code import ExitCode
 from .operator_session import CommandFailed, OperatorSession
@@ -36,7 +36,7 @@
     key = sys.stdin.readline().strip() if piped else getpass.getpass("new key: ")
     if not key:
         raise CommandFailed(ExitCode.REFUSED, "a key has at least one character; found none")
-    return await _change(session, args, {"key_sha256": key_hash(key)})
+    return await _change(session, args, {"key_sha256": key_digest(key)})
 
 
 async def caller_set_rate(session: OperatorSession, args: argparse.Namespace) -> int:
--- a/chestnutfall/tests/fakes/fake_control.py
+++ b/chestnutfall/tests/fakes/fake_control.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 from ...clock import Clock
-from ...config.typed_config import key_hash
 from ...control.control_client import ControlClient, NoController
 from ...control.control_service import ControlService
 from ...control.control_state import ControlState
 from ...control.leader_duties import LeaderDuties
 from ...control.messages import CONTROL_CODEC, ApplyChange, OutcomeUnknown, TryElsewhere
+from ...requests import key_digest
 from .fake_cluster import FakeCluster
 
 ADMIN_KEY = "admin key"
@@ -34,7 +34,7 @@
         self.state = replica.machine
         self.duties = LeaderDuties(replica, self.state, self.cluster.clocks["a"])
         self.service = ControlService(
-            replica, self.state, self.duties, self.cluster.clocks["a"], key_hash(ADMIN_KEY)
+            replica, self.state, self.duties, self.cluster.clocks["a"], key_digest(ADMIN_KEY)
         )
         self._duties_task = asyncio.ensure_future(self.duties.run())
 
--- a/chestnutfall/tests/fakes/fake_office.py
+++ b/chestnutfall/tests/fakes/fake_office.py
@@ -12,14 +12,13 @@
 
 from ...caller_edge.request_parser import parse_request
 from ...config.layered_config import BASE_LAYER
-from ...config.typed_config import key_hash
 from ...limits.known_limits import KnownLimits
 from ...membership import Announcement, GatewayAgent, UpstreamRegistry
 from ...observability.metrics import Metrics
 from ...ownership import EngineOwners
 from ...ownership.load_permits import ControllerPermits
 from ...quarantine import ReportSender, RequestQuarantine
-from ...requests import CallerRequest, digest_of
+from ...requests import CallerRequest, digest_of, key_digest
 from ...routing import ClaimClient, ClaimRequest, Dispatcher
 from ...signals.known_backoffs import KnownBackoffs
 from ...signals.known_signals import KnownSignals
@@ -258,12 +257,12 @@
                 "services": {
                     "redactor-ia": {
                         "kind": "engine",
-                        "announce_key_sha256": key_hash("engines"),
+                        "announce_key_sha256": key_digest("engines"),
                         "silent_ms": 1000,
                     }
                 },
                 "adapters": adapters,
-                "callers": {"ana": {"key_sha256": key_hash("ana"), "adapters": ["*"]}},
+                "callers": {"ana": {"key_sha256": key_digest("ana"), "adapters": ["*"]}},
             }
         }
 
--- a/chestnutfall/tests/process_office.py
+++ b/chestnutfall/tests/process_office.py
@@ -20,9 +20,9 @@
 from typing import Any
 
 from ..clock import SystemClock
-from ..config.typed_config import key_hash
 from ..control.control_client import ControlClient
 from ..operators import OperatorSession
+from ..requests import key_digest
 from ..wire import TlsFiles
 from ..wire.certificate_authority import CertificateAuthority
 
@@ -133,7 +133,7 @@
             "listen": self.controllers[number],
             "data_folder": str(self.folder / f"data-{number}"),
             "first_members": members,
-            "admin_key_sha256": key_hash(KEYS["admin"]),
+            "admin_key_sha256": key_digest(KEYS["admin"]),
             "tls": self._tls(f"c{number}"),
         }
         self._start("controller", f"c{number}", settings, *options)
@@ -184,17 +184,17 @@
         base = {
             "sites": {SITE: {}},
             "services": {
-                "redactor-ia": {"kind": "engine", "announce_key_sha256": key_hash("engine key")},
+                "redactor-ia": {"kind": "engine", "announce_key_sha256": key_digest("engine key")},
                 "permisos": {
                     "kind": "plain",
                     "path": "/permisos",
-                    "announce_key_sha256": key_hash("plain key"),
+                    "announce_key_sha256": key_digest("plain key"),
                 },
             },
             "adapters": {"tejas": versions, "una-vez": {**versions, "non_idempotent": True}},
             "callers": {
                 "ana": {
-                    "key_sha256": key_hash(KEYS["caller"]),
+                    "key_sha256": key_digest(KEYS["caller"]),
                     "adapters": ["*"],
                     "services": ["permisos"],
                     "rate_per_s": 10_000,
--- a/chestnutfall/tests/test_plain_proxy.py
+++ b/chestnutfall/tests/test_plain_proxy.py
@@ -16,7 +16,6 @@
 from aiohttp.test_utils import make_mocked_request
 
 from ..config.layered_config import BASE_LAYER
-from ..config.typed_config import key_hash
 from ..control.crash_messages import (
     AnsweredRun,
     BrokenRun,
@@ -28,12 +27,12 @@
 from ..observability.metrics import Metrics
 from ..plain_edge import PlainProxy
 from ..quarantine import RequestQuarantine
-from ..requests import Executed, Refusal, fingerprint_of
+from ..requests import Executed, Refusal, fingerprint_of, key_digest
 from ..signals.own_headers import OWN_SIGNALS
 from .fakes.fake_office import SITE, FakeOffice
 
 FATAL = b"fatal"
-SERVICE = {"kind": "plain", "path": "/counter", "announce_key_sha256": key_hash("counter")}
+SERVICE = {"kind": "plain", "path": "/counter", "announce_key_sha256": key_digest("counter")}
 
 
 class PlainProxyTest(unittest.IsolatedAsyncioTestCase):
