--- a/chestnutfall/placement/engine_selector.py
+++ b/chestnutfall/placement/engine_selector.py
@@ -276,17 +276,6 @@
             self._load_ms[engine.instance] = expected(from_copy=False), expected(from_copy=True)
         return self._load_ms[engine.instance][from_copy]
 
-    def _cost_with_load_ms(
-        self, req: PlaceRequest, engine: Engine, load_ms: float, reloads: float
-    ) -> float:
-        # An engine drops an adapter's cached prompts with it: all tokens need prefill.
-        prefill_ms = req.prompt_tokens * engine.prefill.ms_per_token
-        cost_ms = self._cost_ms(req, engine) + prefill_ms + load_ms * reloads
-        cost_ms += max(load_ms, _batch_wait_ms(engine))
-        if not engine.likely_has_copy(req.adapter):
-            cost_ms += STORE_COST_MS
-        return cost_ms
-
     def _may_take(self, req: PlaceRequest, engine: Engine) -> bool:
         """Whether models, room, limit and backoff of the engine allow the request."""
         usable = not req.adapter.model or req.adapter.model in engine.models
