--- a/chestnutfall/tests/test_deploy.py
+++ b/chestnutfall/tests/test_deploy.py
@@ -51,8 +51,9 @@
     event_loop_run(work)
 
 event_loop_run, event_loop.run = event_loop.run, run
-sys.modules["chestnutfall.platform.node_file"] = type(sys)("node_file")
-sys.modules["chestnutfall.platform.node_file"].read_node_file = lambda: None
+no_file = type(sys)("node_file")
+no_file.__getattr__ = lambda name: lambda: None
+sys.modules["chestnutfall.platform.node_file"] = no_file
 sys.argv = ["launch", sys.argv[1]]
 launch.main()
 """
@@ -122,7 +123,7 @@
     """
     role = program.rpartition(".")[2]
     command = [sys.executable, "-c", LAUNCH, role]
-    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    done = subprocess.run(command, cwd=ROOT, stdout=subprocess.PIPE, text=True, check=True)
     return tuple(done.stdout.splitlines())
 
 
