Read how many connections an upstream accepts

Cause: max_conns of a service was not decoded, so a gateway could not know its share of it. Change: ServiceSpec.max_connections. An unreadable limit counts as none, since documents with one were accepted before and must stay in force.

--- a/chestnutfall/platform/document_json.py
+++ b/chestnutfall/platform/document_json.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from ..findings.finding import Finding
@@ -47,6 +49,9 @@
 
     name: str
     engine: _Engine | None = None  # None for a service that is not model-serving
+    # Connections to one upstream, from all gateways together. Of any type, since documents with an
+    # unreadable limit were accepted before the limit was read, and must stay in force.
+    max_conns: Any = 0
 
 
 class _Target(msgspec.Struct):
@@ -179,7 +184,7 @@
 def _service(wire: _Service) -> ServiceSpec:
     engine = wire.engine
     if engine is None:
-        return ServiceSpec(wire.name, None)
+        return ServiceSpec(wire.name, None, _max_connections(wire))
     models = tuple(ModelSpec(one.name, one.weights_mb) for one in engine.models)
     spec = EngineSpec(
         engine.slots,
@@ -189,4 +194,11 @@
         engine.adapter_slots,
         engine.loads_per_s,
     )
-    return ServiceSpec(wire.name, spec)
+    return ServiceSpec(wire.name, spec, _max_connections(wire))
+
+
+def _max_connections(wire: _Service) -> int:
+    """Return the limit on connections to each upstream; 0 if it can't be read."""
+    limit = wire.max_conns
+    is_number = isinstance(limit, int) and not isinstance(limit, bool)
+    return max(limit, 0) if is_number else 0
--- a/chestnutfall/tests/test_routes.py
+++ b/chestnutfall/tests/test_routes.py
@@ -54,6 +54,23 @@
 
 
 class DocumentTest(unittest.TestCase):
+    def test_the_limit_on_connections_is_read(self) -> None:
+        # An unreadable limit was ignored before it was read; such a document must stay in force.
+        for written, read in (
+            (10, 10),
+            (0, 0),
+            (-1, 0),
+            ("ten", 0),
+            (None, 0),
+            (1.5, 0),
+            (True, 0),
+        ):
+            with self.subTest(written):
+                services = [SERVICE | {"max_conns": written}]
+                whole = json.loads(_document(_route("one", "/a/"))) | {"services": services}
+                document = DocumentJson().decode(json.dumps(whole).encode())
+                self.assertEqual(document.services[0].max_connections, read)
+
     def test_a_valid_document_has_no_findings(self) -> None:
         self.assertEqual(_findings(_document(_route("one", "/a/"))), [])
 
