Keep connections for calls that may run only once

Change: package connections decides by plain data and a clock which kept connection a send uses: idle well less than the upstream told, looked at right before the send (poll for data, end of file or reset), never one that served the same request, none of an upstream that lost an answer within 5 s, no more idle ones than this gateway's share of max_conns. platform/upstream_connector asks it; aiohttp's own pool stays empty. An extra answer to a former request is dropped and the awaited one read. A request that is not acknowledged within 150 ms makes the other connections doubtful. ForwardedCall.fresh becomes runs_once; ResetAwareConnector goes, its test plays the new connector. Ruled out: connections opened ahead cost as many handshakes as today; aiohttp's pool can't look before a send, keeps no request ids and knows one idle time for all. Also mended: a connection was kept after a body over 16 KiB, since resp.close() came after aiohttp had released it.

--- a/chestnutfall/forwarding/forwarded_call.py
+++ b/chestnutfall/forwarding/forwarded_call.py
@@ -22,8 +22,8 @@
         Time after which the answer is worthless to the client.
     resume_after : int or None
         Number of the last event that the client already has.
-    fresh : bool
-        Whether the send needs a new connection instead of a pooled one.
+    runs_once : bool
+        Whether the call may run only once, so that its loss can't be mended by a repeat.
     silent_ms : float
         How long the upstream may be silent before its answer counts as lost.
     organisation : str
@@ -36,6 +36,6 @@
     rank: int
     left_ms: int
     resume_after: int | None
-    fresh: bool
+    runs_once: bool
     silent_ms: float
     organisation: str = ""
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -117,9 +117,7 @@
             self._route.rank,
             max(self._progress.until_ms - self.sent_ms, 1),
             self._progress.last_event,
-            # A pooled connection may be dead or closing. A request lost on it may have run, and
-            # only an idempotent one may be sent again.
-            fresh=not self._route.kind.idempotent,
+            runs_once=not self._route.kind.idempotent,
             silent_ms=self._silent_ms(),
             organisation=self._progress.organisation,
         )
--- a/chestnutfall/forwarding/upstream_api.py
+++ b/chestnutfall/forwarding/upstream_api.py
@@ -23,6 +23,13 @@
 class UpstreamApi(ABC):
     """Sends calls to upstreams."""
 
+    def has_open_connection(self, instance: str) -> bool:
+        """Return whether a call to an upstream would find an open connection.
+
+        Where upstreams are equal otherwise, the open one costs no handshake.
+        """
+        return False
+
     @abstractmethod
     def send(self, forwarded: ForwardedCall) -> AbstractAsyncContextManager[UpstreamAnswer]:
         """Send a call and wait for the beginning of the answer.
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -7,8 +7,11 @@
 import random
 import signal
 import uuid
+from collections.abc import Callable
 
 from ..clock import SystemClock
+from ..connections import ConnectionPool
+from ..connections.connection_share import kept_connections
 from ..coordination.messages import FLEET_CODEC
 from ..forwarding.admission import Admission
 from ..forwarding.drain import drain
@@ -59,7 +62,8 @@
     fleet = FleetClient(name, settings.controllers, known, clock)
     quarantine = RequestQuarantine(fleet.report, refuses_connections, clock)
     fleet.on_suspects = quarantine.update
-    api = UpstreamHttp(UnreadHeaders(names.ANSWER_HEADERS, metrics.count))
+    pool = ConnectionPool(_kept_connections(known, settings.name), metrics.count, clock)
+    api = UpstreamHttp(UnreadHeaders(names.ANSWER_HEADERS, metrics.count), pool, clock)
     rng = random.Random()
     quotas = QuotaEnforcer(
         LeaderQuotaClient(fleet), lambda: known.gateways, settings.quotas, clock, rng
@@ -97,6 +101,7 @@
         metrics.gauge("connected", fleet.connected)
         metrics.gauge("limited_upstreams", len(upstream_limits))
         metrics.gauge("upstreams_backing_off", len(backoffs))
+        metrics.gauge("upstream_connections_idle", len(pool))
         for figure, value in FLEET_CODEC.traffic.counters():
             metrics.total(figure, value)
 
@@ -119,5 +124,16 @@
     return 0
 
 
+def _kept_connections(known: FleetKnowledge, gateway: str) -> Callable[[str, str], int]:
+    """Return the number of idle connections to keep to an upstream, by service and instance."""
+
+    def kept(service: str, instance: str) -> int:
+        spec = known.table.services.get(service) if known.table else None
+        limit = spec.max_connections if spec else 0
+        return kept_connections(limit, known.gateways, gateway, instance)
+
+    return kept
+
+
 if __name__ == "__main__":
     main()
--- a/chestnutfall/platform/reset_aware.py
+++ b/chestnutfall/platform/reset_aware.py
@@ -2,28 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
-from functools import partial
-from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 
 
-class ResetAwareConnector(aiohttp.TCPConnector):
-    """Connector whose connections fail an incomplete answer when they are reset.
-
-    It must be created in a running event loop. Parameters are those of `aiohttp.TCPConnector`.
-    """
-
-    def __init__(self, **options: Any) -> None:
-        super().__init__(**options)
-        handler = partial(ResetAwareHandler, loop=asyncio.get_running_loop())
-        self._factory = handler  # type: ignore[assignment]
-
-
 class ResetAwareHandler(ResponseHandler):
     """Fails an incomplete answer before aiohttp takes the end of the connection for its end.
 
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -9,43 +9,56 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from ..clock import Clock
+from ..connections import ConnectionNeed, ConnectionPool
+from ..connections.keep_alive_header import told_idle_ms
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 from ..signals import SignalHeaders, UnreadHeaders, read_signals
 from ..wire.single_send_session import single_send_session
 from . import header_names as names
-from .reset_aware import ResetAwareConnector
+from .upstream_connector import UpstreamConnector
+from .upstream_response import UpstreamResponse
+from .upstream_send import CURRENT_SEND, UpstreamSend
 
 CONNECT_TIMEOUT_S = 0.15
 """Opening a connection takes a few ms. A lost SYN is sent again only after a second; by then
 another upstream would have answered."""
-IDLE_TIMEOUT_S = 1.5
-"""Less than two seconds, the shortest time after which upstreams close idle connections."""
 MAX_BODY_FOR_REUSE_BYTES = 16 * 1024
 """Longest request body whose connection is kept: a longer one may not be sent entirely when the
 answer ends."""
+ANSWER_OF_ANOTHER = "answer_of_another"
+"""Code of an answer lost because another request's came instead."""
 _SIGNALS = SignalHeaders(names.REQUEST_LIMIT, names.LEAVING, names.LOAD)
 _AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
 class UpstreamHttp(UpstreamApi):
-    """Forwards requests over two pools: kept connections, and connections that serve one request.
+    """Forwards requests over kept connections, as far as the pool allows, and over new ones.
 
     `unread` counts headers of answers that the gateway does not know.
     """
 
-    def __init__(self, unread: UnreadHeaders) -> None:
+    def __init__(self, unread: UnreadHeaders, pool: ConnectionPool, clock: Clock) -> None:
         self._unread = unread
-        connector = ResetAwareConnector(limit=0, keepalive_timeout=IDLE_TIMEOUT_S)
-        self._kept_session = _new_session(connector)
-        self._single_use_session = _new_session(ResetAwareConnector(limit=0, force_close=True))
+        self._pool = pool
+        self._session = single_send_session(
+            UpstreamConnector(pool, clock),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            read_bufsize=2**18,
+            response_class=UpstreamResponse,
+        )
+
+    def has_open_connection(self, instance: str) -> bool:
+        return self._pool.has_open(instance)
 
     @asynccontextmanager
     async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
         call = forwarded.call
-        session = self._single_use_session if forwarded.fresh else self._kept_session
-        request = session.request(
+        send = _new_send(forwarded)
+        CURRENT_SEND.set(send)
+        request = self._session.request(
             call.method,
             URL(f"http://{forwarded.upstream.address}{call.target}", encoded=True),
             data=call.body or None,
@@ -58,37 +71,71 @@
         )
         try:
             async with request as resp:
-                if not _answers_request(resp, call.request_id):
-                    # A late or repeated answer to an earlier request on this connection.
-                    resp.close()
-                    raise AnswerLost("answer_of_another")
+                self._check_answer(resp, send)
                 self._unread.note(forwarded.upstream.service, resp.headers)
                 yield UpstreamAnswer(
                     resp.status,
                     tuple(resp.headers.items()),
                     _not_run(resp, forwarded),
                     read_signals(resp.status, resp.headers, _SIGNALS),
-                    _body(resp),
+                    self._body(resp, send),
                 )
-                if len(call.body) > MAX_BODY_FOR_REUSE_BYTES:
-                    resp.close()
+        except (NotSent, AnswerLost):
+            raise
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise NotSent(str(exc)) from exc
-        except aiohttp.SocketTimeoutError as exc:
-            raise AnswerLost(SILENT) from exc
         except (aiohttp.ClientError, OSError) as exc:
-            if isinstance(exc, NotSent | AnswerLost):
-                raise
-            raise AnswerLost(type(exc).__name__) from exc
+            if send.is_answered:
+                # Of the caller's connection, not of the upstream's.
+                raise AnswerLost(type(exc).__name__) from exc
+            raise self._lost(send, exc) from exc
+
+    def _check_answer(self, resp: aiohttp.ClientResponse, send: UpstreamSend) -> None:
+        """Note what an answer tells of its connection.
+
+        Raises
+        ------
+        AnswerLost
+            When it belongs to another request; its connection is closed.
+        """
+        send.is_answered = True
+        if not _answers_request(resp, send):
+            # A late or repeated answer to an earlier request on this connection.
+            resp.close()
+            raise self._lost(send, AnswerLost(ANSWER_OF_ANOTHER))
+        if send.extra_answers:
+            self._pool.note_doubtful(send.need, send.sent_ms, "extra answer")
+        self._pool.note_told(send.need, told_idle_ms(resp.headers.get("Keep-Alive")))
+
+    async def _body(self, resp: aiohttp.ClientResponse, send: UpstreamSend) -> AsyncIterator[bytes]:
+        try:
+            async for data in resp.content.iter_any():
+                yield data
+        except aiohttp.ClientError as exc:
+            raise self._lost(send, exc) from exc
+
+    def _lost(self, send: UpstreamSend, exc: Exception) -> AnswerLost:
+        """Note what a lost answer tells of its connection, and return it as a loss."""
+        if isinstance(exc, aiohttp.SocketTimeoutError):
+            # An upstream with a long queue is silent too; whether the connection is forgotten
+            # shows in the acknowledgement of the request.
+            return AnswerLost(SILENT)
+        reason = str(exc) if isinstance(exc, AnswerLost) else type(exc).__name__
+        if send.reused:
+            self._pool.note_doubtful(send.need, send.sent_ms, f"answer lost: {reason}")
+        elif isinstance(exc, aiohttp.ClientOSError) and not send.is_answered:
+            self._pool.note_reset(send.need, send.sent_ms)
+        return AnswerLost(reason)
 
     async def close(self) -> None:
         """Close every connection."""
-        await self._kept_session.close()
-        await self._single_use_session.close()
+        await self._session.close()
 
 
-def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    return single_send_session(connector, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=2**18)
+def _new_send(forwarded: ForwardedCall) -> UpstreamSend:
+    call, upstream = forwarded.call, forwarded.upstream
+    need = ConnectionNeed(upstream.instance, upstream.service, call.request_id, forwarded.runs_once)
+    return UpstreamSend(need, len(call.body) <= MAX_BODY_FOR_REUSE_BYTES)
 
 
 def _headers(forwarded: ForwardedCall) -> CIMultiDict[str]:
@@ -107,10 +154,16 @@
     return headers
 
 
-def _answers_request(resp: aiohttp.ClientResponse, request_id: str) -> bool:
-    """Whether an answer belongs to the request `request_id`; only a failure may name no request."""
+def _answers_request(resp: aiohttp.ClientResponse, send: UpstreamSend) -> bool:
+    """Whether an answer belongs to the request of a send; only a failure may name no request.
+
+    On a kept connection, such a failure may belong to an earlier request. A request that may run
+    once would then be called not run while it runs.
+    """
     named = resp.headers.get(names.REQUEST_ID)
-    return named == request_id or (named is None and resp.status >= 300)
+    if named is None:
+        return resp.status >= 300 and not (send.reused and send.need.runs_once)
+    return named == send.need.request_id
 
 
 def _not_run(resp: aiohttp.ClientResponse, forwarded: ForwardedCall) -> NotRun | None:
@@ -123,8 +176,3 @@
         other = resp.headers.get(names.INSTANCE, expected)
         return NotRun.ABSENT if other == expected else NotRun.REPLACED
     return NotRun.FULL if names.NOT_EXECUTED in resp.headers else None
-
-
-async def _body(resp: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    async for data in resp.content.iter_any():
-        yield data
--- a/chestnutfall/tests/test_platform.py
+++ b/chestnutfall/tests/test_platform.py
@@ -14,6 +14,7 @@
 from yarl import URL
 
 from ..clock import SystemClock
+from ..connections import ConnectionPool
 from ..control.upstream_record import UpstreamRecord
 from ..forwarding.call import Call
 from ..forwarding.forwarded_call import ForwardedCall
@@ -93,8 +94,9 @@
         self.runner = await listen(web.Server(self._on_call), "127.0.0.1:0")
         self.port = self.runner.addresses[0][1]
         self.counts: Counter[str] = Counter()
+        self.pool = ConnectionPool(lambda service, instance: 4, lambda name: None, SystemClock())
         unread = UnreadHeaders(names.ANSWER_HEADERS, lambda name: self.counts.update([name]))
-        self.api = UpstreamHttp(unread)
+        self.api = UpstreamHttp(unread, self.pool, SystemClock())
 
     async def asyncTearDown(self) -> None:
         await self.api.close()
--- a/chestnutfall/tests/test_reset_aware.py
+++ b/chestnutfall/tests/test_reset_aware.py
@@ -15,7 +15,10 @@
 import aiohttp
 import uvloop
 
-from ..platform.reset_aware import ResetAwareConnector
+from ..clock import ManualClock
+from ..connections import ConnectionNeed, ConnectionPool
+from ..platform.upstream_connector import UpstreamConnector
+from ..platform.upstream_send import CURRENT_SEND, UpstreamSend
 
 HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 
@@ -37,7 +40,10 @@
         listener.setblocking(False)
         served = asyncio.ensure_future(_serve_one(listener, reset))
         port = listener.getsockname()[1]
-        async with aiohttp.ClientSession(connector=ResetAwareConnector()) as session:
+        pool = ConnectionPool(lambda *_: 4, lambda _: None, ManualClock())
+        CURRENT_SEND.set(UpstreamSend(ConnectionNeed("i1", "s", "a", True), may_keep=True))
+        connector = UpstreamConnector(pool, ManualClock())
+        async with aiohttp.ClientSession(connector=connector) as session:
             async with session.get(f"http://127.0.0.1:{port}/") as resp:
                 body = await resp.read()
         await served
