--- a/chestnutfall/tests/fakes/scripted_server.py
+++ b/chestnutfall/tests/fakes/scripted_server.py
@@ -8,6 +8,9 @@
 
 KEEPS_TEN_S = "Keep-Alive: timeout=10\r\n"
 
+GIVE_UP_S = 5.0
+"""Ends a test whose client sends nothing; none waits that long otherwise."""
+
 
 class ScriptedServer:
     """Accepts connections in order; a test reads requests and writes answers.
@@ -33,13 +36,15 @@
 
     async def accept(self) -> socket.socket:
         """Wait for the next connection."""
-        conn, _ = await asyncio.get_running_loop().sock_accept(self._listener)
+        accepting = asyncio.get_running_loop().sock_accept(self._listener)
+        conn, _ = await asyncio.wait_for(accepting, GIVE_UP_S)
         self.conns.append(conn)
         return conn
 
     async def read(self, conn: socket.socket) -> bytes:
         """Wait for a request with a short body."""
-        return await asyncio.get_running_loop().sock_recv(conn, 65_536)
+        reading = asyncio.get_running_loop().sock_recv(conn, 65_536)
+        return await asyncio.wait_for(reading, GIVE_UP_S)
 
 
 def answer(request_id: str, body: str = "", status: int = 200, extra: str = KEEPS_TEN_S) -> bytes:
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .caller_mutants import CALLER_MUTANTS
+from .connection_mutants import CONNECTION_MUTANTS
 from .consensus_mutants import CONSENSUS_MUTANTS
 from .control_mutants import CONTROL_MUTANTS
 from .fleet_mutants import FLEET_MUTANTS
@@ -22,6 +23,7 @@
     *QUOTA_MUTANTS,
     *SIGNAL_MUTANTS,
     *LIMIT_MUTANTS,
+    *CONNECTION_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
