Close idle connections and repeat answers in the soak

Stand-in upstreams state Keep-Alive: timeout=2 and close idle connections; a soak run closes some at random moments and answers a request once more on others.

--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -15,6 +15,7 @@
 
 from .. import header_names as names
 from ..listening import listen
+from .idle_connections import IdleConnections
 from .run_registry import RunRegistry
 
 MODEL = "base"
@@ -28,6 +29,8 @@
 """A request whose body begins with it crashes each upstream that runs it."""
 ENTRY_HEADER = "X-Entry"
 """Header in which the stand-in client names the address of the gateway that it calls."""
+IDLE_S = 2
+"""Time after which idle connections are closed; stated in each answer."""
 DOWN_S = 0.4
 """Time from the end of an upstream to its restart; one heartbeat interval."""
 
@@ -67,6 +70,8 @@
         Whether its answers carry the header that it leaves.
     announces_draining : bool
         Whether its announcements have the state "draining".
+    idle : IdleConnections
+        Connections of gateways that wait for their next request.
     """
 
     def __init__(
@@ -101,6 +106,7 @@
         self.marks_not_executed = True
         self.leaving = False
         self.announces_draining = False
+        self.idle = IdleConnections()
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
         self._announcing: asyncio.Task[None] | None = None
@@ -114,7 +120,7 @@
         self.address = f"127.0.0.1:{port}"
 
     async def _listen(self, address: str) -> None:
-        self._server = web.Server(self._on_request, access_log=None)
+        self._server = web.Server(self._on_request, access_log=None, keepalive_timeout=IDLE_S)
         self._runner = await listen(self._server, address)
 
     def announce(self) -> None:
@@ -205,7 +211,8 @@
             case "POST", "/v1/order":
                 return await self._order(json.loads(await request.read()))
             case _:
-                return await self._run(request)
+                with self.idle.serving(request):
+                    return await self._run(request)
 
     async def _order(self, order: dict[str, Any]) -> web.Response:
         if order["fencing_token"] < self._newest_token:
@@ -291,7 +298,8 @@
         return self._answer(request_id, 503, headers)
 
     def _headers(self, request_id: str) -> dict[str, str]:
-        return {names.REQUEST_ID: request_id, **self._signal_headers()}
+        kept = {"Keep-Alive": f"timeout={IDLE_S}"}
+        return {names.REQUEST_ID: request_id, **kept, **self._signal_headers()}
 
     def _signal_headers(self) -> dict[str, str]:
         """Headers in which every answer signals the state of this upstream."""
--- /dev/null
+++ b/soak/connection_episodes.py
@@ -0,0 +1,40 @@
+"""Upstreams that misuse the connections that gateways keep to them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from .office import Office
+from .verdict import Verdict
+
+EXTRA_ANSWER_FRACTION = 0.2
+"""Fraction of the episodes in which an upstream answers a request once more."""
+
+
+class ConnectionEpisodes:
+    """Closes idle connections at random moments, also as requests go out, and sends extra answers.
+
+    What the clients and upstreams see is checked with all other requests: own bytes, at most one
+    run, and a true "not run".
+    """
+
+    def __init__(self, office: Office) -> None:
+        self._office = office
+        self._closed = self._extra_answers = 0
+
+    async def play_until_cancelled(self, rng: random.Random) -> None:
+        """Start an episode at a random upstream every few ms until cancelled."""
+        while True:
+            await asyncio.sleep(rng.uniform(0.005, 0.06))
+            upstream = rng.choice(self._office.upstreams)
+            if rng.random() < EXTRA_ANSWER_FRACTION:
+                body = b"x" * rng.randrange(600)
+                self._extra_answers += upstream.idle.answer_again(rng, body)
+            else:
+                self._closed += upstream.idle.close_one(rng)
+
+    def check(self, verdict: Verdict) -> None:
+        """Count what was played."""
+        verdict.counts["idle connections closed"] = self._closed
+        verdict.counts["extra answers"] = self._extra_answers
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -10,6 +10,7 @@
 from chestnutfall.platform.standin.operator import StandInOperator
 from chestnutfall.platform.standin.tenants import LEAVES_AT_VERSION
 
+from .connection_episodes import ConnectionEpisodes
 from .disturbances import Disturbances
 from .fatal_requests import CONTENTS, MAX_LATER_ENDS, FatalRequests, NotServed
 from .fault_injector import FaultInjector
@@ -52,10 +53,12 @@
         self._organisations_rng = random.Random(f"organisations {seed}")
         self._limits_rng = random.Random(f"limits {seed}")
         self._signals_rng = random.Random(f"words {seed}")
+        self._connections_rng = random.Random(f"connections {seed}")
         self._folder = folder
         self._length_s = length_s
         self._office = Office(folder, self._rng)
         self._limits = LimitEpisodes(self._office)
+        self._connections = ConnectionEpisodes(self._office)
         self._disturbances = Disturbances()
         self._signals = SignalEpisodes(self._office, self._disturbances)
         self._seen: list[ClientResult] = []
@@ -82,6 +85,7 @@
         organisations.check_logs(self._folder, self.verdict)
         self._limits.check(self._office.run_registry, self.verdict)
         self._signals.check(self.verdict)
+        self._connections.check(self.verdict)
         return self.verdict
 
     async def _wait_until_in_force(self, operator: StandInOperator) -> None:
@@ -115,6 +119,8 @@
         load.append(asyncio.ensure_future(organisation_load))
         load.append(asyncio.ensure_future(self._limits.play_until_cancelled(self._limits_rng)))
         load.append(asyncio.ensure_future(self._signals.play_until_cancelled(self._signals_rng)))
+        connections = self._connections.play_until_cancelled(self._connections_rng)
+        load.append(asyncio.ensure_future(connections))
         injected = []
         now_s = 0.0
         for fault in plan_faults(self._rng, self._length_s):
