Bound idle connections to all upstreams together

A gateway before 1,600 upstreams would keep up to 16 each, more than a small host has descriptors. The check for an acknowledgement waits 300 ms, past the first retransmission of a lossy link.

--- a/chestnutfall/connections/connection_pool.py
+++ b/chestnutfall/connections/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import logging
 from collections.abc import Callable, Iterable
 
@@ -14,6 +15,8 @@
 log = logging.getLogger(__name__)
 FORGET_MS = 60_000
 """What is known of an upstream is forgotten after this time without a request."""
+MAX_IDLE = 512
+"""Idle connections to all upstreams together; a small host has some 1,600 file descriptors."""
 MAX_REMEMBERED = 64
 """Upstreams that are remembered before unused ones are looked for."""
 UNACKNOWLEDGED_MS = 5_000
@@ -177,10 +180,15 @@
         self._log(need.instance, now_ms, "over the limit", len(removed))
 
     def sweep(self) -> None:
-        """Close the connections that have been idle for too long."""
+        """Close the connections that have been idle for too long, or that are too many."""
         now_ms = self._clock.now_ms()
         for upstream in self._upstreams.values():
             self._close(upstream.expire(now_ms))
+        surplus = len(self) - MAX_IDLE
+        if surplus > 0:
+            listed = ((idle, one) for one in self._upstreams.values() for idle in one)
+            oldest = heapq.nsmallest(surplus, listed, key=lambda found: found[0].since_ms)
+            self._close(idle for idle, upstream in oldest if upstream.remove(idle))
 
     def close(self) -> None:
         """Close all idle connections; later ones are closed instead of kept."""
--- a/chestnutfall/connections/upstream_connections.py
+++ b/chestnutfall/connections/upstream_connections.py
@@ -42,6 +42,9 @@
     def __len__(self) -> int:
         return len(self._idle)
 
+    def __iter__(self) -> Iterator[IdleConnection]:
+        return iter(self._idle)
+
     def has_usable(self, now_ms: int) -> bool:
         """Whether a request that may run once would find an open connection."""
         if not self._idle or self._is_suspect(now_ms):
--- a/chestnutfall/platform/upstream_connection.py
+++ b/chestnutfall/platform/upstream_connection.py
@@ -19,9 +19,9 @@
 from .reset_aware import ResetAwareHandler
 from .upstream_send import UpstreamSend
 
-ACKNOWLEDGED_WITHIN_S = 0.15
-"""Time after which the upstream's host should have acknowledged a request; a round trip takes a few
-ms. The same time as for opening a connection."""
+ACKNOWLEDGED_WITHIN_S = 0.3
+"""Time after which the upstream's host should have acknowledged a request. A round trip takes a few
+ms; a request that was lost on its way once is sent again after 0.2 s."""
 _ARRIVED = select.POLLIN | select.POLLPRI | select.POLLRDHUP
 
 
--- a/chestnutfall/tests/test_connection_pool.py
+++ b/chestnutfall/tests/test_connection_pool.py
@@ -10,6 +10,7 @@
 from ..connections.connection_pool import (
     FORGET_MS,
     LOG_EVERY_MS,
+    MAX_IDLE,
     MAX_REMEMBERED,
     OVER_LIMIT_RESET_MS,
 )
@@ -309,6 +310,16 @@
         self.assertTrue(conn.closed)
         self.assertEqual(self.count("closed_idle"), 1)
 
+    async def test_idle_connections_to_all_upstreams_are_bounded(self) -> None:
+        # Guards against a gateway that runs out of file descriptors where upstreams are many.
+        first = self.keep("first")
+        await self.clock.advance(1)
+        others = [self.keep(f"i{at}") for at in range(MAX_IDLE)]
+        self.pool.sweep()
+        self.assertEqual(len(self.pool), MAX_IDLE)
+        self.assertTrue(first.closed)
+        self.assertFalse(any(one.closed for one in others))
+
     async def test_upstreams_without_requests_are_forgotten(self) -> None:
         for at in range(3 * MAX_REMEMBERED):
             self.pool.note_told(_need(instance=f"i{at}"), TOLD_MS)
--- a/properties/safeguards/connection_mutants.py
+++ b/properties/safeguards/connection_mutants.py
@@ -113,6 +113,13 @@
         f"{_POOL_TEST}.ShareTest"
         ".test_a_reset_over_the_limit_closes_idle_connections_and_keeps_fewer",
     ),
+    Mutant(
+        "idle connections to all upstreams together are unbounded",
+        _POOL,
+        "        if surplus > 0:",
+        "        if False:",
+        f"{_POOL_TEST}.StateTest.test_idle_connections_to_all_upstreams_are_bounded",
+    ),
     Mutant(
         "bytes on an idle connection pass unnoticed",
         _CONNECTION,
