Measure kept connections; check no long body for acknowledgement

A body over 16 KiB may wait for an upstream that is slow to read; it would make the connection doubtful.

--- a/chestnutfall/platform/upstream_connection.py
+++ b/chestnutfall/platform/upstream_connection.py
@@ -46,7 +46,9 @@
         if idle is not None:
             send.reused = True
             self._former_ids = idle.request_ids
-            self._check = self._loop.call_later(ACKNOWLEDGED_WITHIN_S, self._check_acknowledged)
+            # A long body may wait for an upstream that is slow to read it.
+            if send.may_keep:
+                self._check = self._loop.call_later(ACKNOWLEDGED_WITHIN_S, self._check_acknowledged)
 
     def end_send(self) -> None:
         """Keep the connection for another send, or close it."""
--- a/chestnutfall/tests/test_upstream_connections.py
+++ b/chestnutfall/tests/test_upstream_connections.py
@@ -233,6 +233,18 @@
             await sending
         self.assertFalse(self.api.has_open_connection("i1"))
 
+    async def test_bytes_that_the_other_host_has_not_taken_are_counted(self) -> None:
+        conn = await self.exchange("a")
+        transport, _ = await asyncio.get_running_loop().create_connection(
+            asyncio.Protocol, *self.server.address.split(":")
+        )
+        self.assertEqual(upstream_connection._unacknowledged_bytes(transport), 0)
+        # The server reads nothing; what its buffers can't hold is not acknowledged.
+        transport.write(bytes(32 * 1024 * 1024))
+        self.assertGreater(upstream_connection._unacknowledged_bytes(transport), 0)
+        transport.abort()
+        conn.close()
+
 
 class ExtraAnswerTest(ConnectionCase):
     """An upstream answers a request twice, or answers another one."""
