Suspect an upstream after its second loss on a kept connection

Change: one loss closes the connections that are as old; a second within 5 s makes the upstream suspect. An extra or foreign answer still does so at once. Over the limit: reset within 10 ms.

--- a/chestnutfall/connections/connection_pool.py
+++ b/chestnutfall/connections/connection_pool.py
@@ -24,7 +24,7 @@
 CUT_OFF_UPSTREAMS = 2
 """Upstreams without acknowledgement from which on all others are doubtful. One alone has ended or
 is cut off by itself."""
-OVER_LIMIT_RESET_MS = 50
+OVER_LIMIT_RESET_MS = 10
 """A connection that is reset this soon after it was opened was over the upstream's limit; requests
 that an upstream runs and then breaks off mostly last longer."""
 LOG_EVERY_MS = 10_000
@@ -133,12 +133,21 @@
             idle.conn.close()
             self._count("upstream_connections_found_closed")
 
+    def note_lost(self, need: ConnectionNeed, sent_ms: int, reason: str) -> None:
+        """Note that a request sent on a kept connection at `sent_ms` lost its answer.
+
+        A host between the two ends that forgets connections forgets all that are as old, so the
+        next request on one of them would be lost as well.
+        """
+        now_ms = self._clock.now_ms()
+        doubtful = self._upstream(need, now_ms).note_lost(sent_ms, now_ms)
+        self._close(doubtful)
+        self._log(need.instance, now_ms, f"answer lost: {reason}", len(doubtful))
+
     def note_doubtful(self, need: ConnectionNeed, sent_ms: int, reason: str) -> None:
-        """Note that a kept connection didn't answer a request sent at `sent_ms` as it should.
+        """Note that the kept connections of an upstream are not to be trusted for a while.
 
-        A host between the two ends that forgets connections forgets all that are as old, and an
-        upstream that mixes up answers does so on all of them, so the next request would be lost
-        as well.
+        An upstream that mixes up answers does so on all of them.
         """
         now_ms = self._clock.now_ms()
         doubtful = self._upstream(need, now_ms).suspect(sent_ms, now_ms)
--- a/chestnutfall/connections/upstream_connections.py
+++ b/chestnutfall/connections/upstream_connections.py
@@ -9,8 +9,8 @@
 from .idle_time import IdleTime
 
 SUSPECT_MS = 5_000
-"""How long requests that may run once use new connections only, after one was lost on a kept one.
-Whatever forgot that connection may forget others, until its cause has passed."""
+"""How long requests that may run once use new connections only, once the upstream, or something on
+the way, was seen to misuse kept ones; and the time in which two losses are no chance."""
 OVER_LIMIT_MS = 10_000
 """How long fewer connections are kept after the upstream reset one over its limit."""
 MAX_HALVINGS = 4
@@ -36,6 +36,7 @@
         self.used_ms = now_ms
         self._idle: list[IdleConnection] = []
         self._suspect_until_ms = now_ms
+        self._lost_ms = now_ms - SUSPECT_MS
         self._over_limit_until_ms = now_ms
         self._halvings = 0
 
@@ -94,13 +95,27 @@
         self._idle = self._idle[len(expired) :]
         return expired
 
-    def suspect(self, sent_ms: int, now_ms: int) -> list[IdleConnection]:
-        """Remove and return the connections that may be lost like one on which a send was lost.
+    def note_lost(self, sent_ms: int, now_ms: int) -> list[IdleConnection]:
+        """Note that a send on a kept connection was lost; return those that may be lost like it.
 
-        These are the ones that have answered nothing since that send; a connection that answered
-        later is known to work.
+        One loss may be the request's own: an upstream also resets new connections. The second one
+        soon after makes the upstream suspect.
         """
+        if now_ms - self._lost_ms < SUSPECT_MS:
+            self._suspect_until_ms = now_ms + SUSPECT_MS
+        self._lost_ms = now_ms
+        return self._take_older(sent_ms)
+
+    def suspect(self, sent_ms: int, now_ms: int) -> list[IdleConnection]:
+        """Suspect the upstream; return the connections that are as old as a send at `sent_ms`."""
         self._suspect_until_ms = now_ms + SUSPECT_MS
+        return self._take_older(sent_ms)
+
+    def _take_older(self, sent_ms: int) -> list[IdleConnection]:
+        """Remove and return the connections that have answered nothing since `sent_ms`.
+
+        One that answered later is known to work.
+        """
         doubtful = [one for one in self._idle if one.since_ms <= sent_ms]
         self._idle = self._idle[len(doubtful) :]
         return doubtful
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -102,7 +102,9 @@
         if not _answers_request(resp, send):
             # A late or repeated answer to an earlier request on this connection.
             resp.close()
-            raise self._lost(send, AnswerLost(ANSWER_OF_ANOTHER))
+            if send.reused:
+                self._pool.note_doubtful(send.need, send.sent_ms, ANSWER_OF_ANOTHER)
+            raise AnswerLost(ANSWER_OF_ANOTHER)
         if send.extra_answers:
             self._pool.note_doubtful(send.need, send.sent_ms, "extra answer")
         self._pool.note_told(send.need, told_idle_ms(resp.headers.get("Keep-Alive")))
@@ -120,9 +122,9 @@
             # An upstream with a long queue is silent too; whether the connection is forgotten
             # shows in the acknowledgement of the request.
             return AnswerLost(SILENT)
-        reason = str(exc) if isinstance(exc, AnswerLost) else type(exc).__name__
+        reason = type(exc).__name__
         if send.reused:
-            self._pool.note_doubtful(send.need, send.sent_ms, f"answer lost: {reason}")
+            self._pool.note_lost(send.need, send.sent_ms, reason)
         elif isinstance(exc, aiohttp.ClientOSError) and not send.is_answered:
             self._pool.note_reset(send.need, send.sent_ms)
         return AnswerLost(reason)
--- a/properties/safeguards/connection_mutants.py
+++ b/properties/safeguards/connection_mutants.py
@@ -60,11 +60,19 @@
         f"{_POOL_TEST}.DoubtTest.test_a_lost_answer_closes_the_connections_that_are_as_old",
     ),
     Mutant(
-        "calls that may run once use kept connections right after a loss",
+        "calls that may run once use kept connections of an upstream that mixes up answers",
         _UPSTREAM,
-        "        self._suspect_until_ms = now_ms + SUSPECT_MS",
-        "        pass",
-        f"{_POOL_TEST}.DoubtTest",
+        "        self._suspect_until_ms = now_ms + SUSPECT_MS\n"
+        "        return self._take_older(sent_ms)\n",
+        "        return self._take_older(sent_ms)\n",
+        f"{_POOL_TEST}.DoubtTest" ".test_requests_that_may_run_once_open_connections_to_a_suspect",
+    ),
+    Mutant(
+        "an upstream that loses one request after the other is not suspect",
+        _UPSTREAM,
+        "        if now_ms - self._lost_ms < SUSPECT_MS:",
+        "        if False:",
+        f"{_POOL_TEST}.DoubtTest.test_a_second_loss_soon_after_makes_the_upstream_suspect",
     ),
     Mutant(
         "silence of two upstreams says nothing of the others",
@@ -160,7 +168,7 @@
     Mutant(
         "a lost answer on a kept connection says nothing of the others",
         _HTTP,
-        '            self._pool.note_doubtful(send.need, send.sent_ms, f"answer lost: {reason}")',
+        "            self._pool.note_lost(send.need, send.sent_ms, reason)",
         "            pass",
         f"{_SOCKET_TEST}.EndedTest.test_after_a_loss_the_next_request_opens_a_connection",
     ),
