Take a part of an answer that arrives as its read timer ends

Change: the time is kept beside the handle. The new test failed before with the same AttributeError.

--- a/chestnutfall/platform/lazy_read_timeout.py
+++ b/chestnutfall/platform/lazy_read_timeout.py
@@ -17,6 +17,7 @@
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         self._read_deadline_s = 0.0
+        self._timer_ends_s = 0.0
 
     def _reschedule_timeout(self) -> None:
         timeout_s = self._read_timeout
@@ -24,13 +25,14 @@
             self._drop_timeout()
             return
         self._read_deadline_s = self._loop.time() + timeout_s
-        handle = self._read_timeout_handle
         # An earlier timer is kept, and moved on when it ends; a later one would end too late.
-        if handle is None or handle.when() > self._read_deadline_s:
+        if self._read_timeout_handle is None or self._timer_ends_s > self._read_deadline_s:
             self._drop_timeout()
             self._start_timer()
 
     def _start_timer(self) -> None:
+        # Kept here, since the handle of a uvloop timer that is due at once does not tell it.
+        self._timer_ends_s = self._read_deadline_s
         self._read_timeout_handle = self._loop.call_at(self._read_deadline_s, self._on_timer)
 
     def _on_timer(self) -> None:
--- a/chestnutfall/tests/test_relay_costs.py
+++ b/chestnutfall/tests/test_relay_costs.py
@@ -13,6 +13,8 @@
 from typing import Any
 from unittest import mock
 
+import uvloop
+
 from ..platform.lazy_read_timeout import LazyReadTimeout
 from ..platform.node_file import PATH_VARIABLE, read_node_file
 from ..platform.settings_watch import SettingsWatch
@@ -92,6 +94,21 @@
         self.protocol.start_timeout()
         self.assertEqual(self.loop.timers[-1][0], TIMEOUT_S / 4)
 
+    # Guards against a request that ends with an internal error: uvloop runs a timer that is due
+    # within half a millisecond at once, and its handle does not tell when it ends.
+    def test_a_part_that_arrives_as_the_timer_ends_is_taken(self) -> None:
+        async def receive() -> BaseException | None:
+            protocol = LazyReadTimeout(asyncio.get_running_loop())
+            protocol.read_timeout = 0.0001
+            protocol.start_timeout()
+            protocol.read_timeout = TIMEOUT_S
+            protocol.start_timeout()
+            await asyncio.sleep(0)
+            protocol.close()
+            return protocol.exception()
+
+        self.assertIsNone(uvloop.run(receive()))
+
 
 class SettingsPollTest(unittest.TestCase):
     def test_an_unchanged_file_is_not_parsed_and_each_change_is_noticed(self) -> None:
