--- a/chestnutfall/connections/connection_pool.py
+++ b/chestnutfall/connections/connection_pool.py
@@ -186,7 +186,7 @@
         self._count("upstream_connections_over_cap")
         removed = self._upstream(need, now_ms).note_over_limit(now_ms)
         self._close(removed)
-        self._log(need.instance, now_ms, "over the limit", len(removed))
+        self._log(need.instance, now_ms, "reset at once", len(removed))
 
     def sweep(self) -> None:
         """Close the connections that have been idle for too long, or that are too many."""
