--- a/chestnutfall/platform/reset_aware.py
+++ b/chestnutfall/platform/reset_aware.py
@@ -5,11 +5,12 @@
 import socket
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 
+from .lazy_read_timeout import LazyReadTimeout
 
-class ResetAwareHandler(ResponseHandler):
+
+class ResetAwareHandler(LazyReadTimeout):
     """Fails an incomplete answer before aiohttp takes the end of the connection for its end.
 
     An answer without a length ends with its connection. aiohttp does not check how the connection
