Give out the room of plain services at the leader while it is short

Cause: calls queue at an upstream of a plain service in arrival order, whatever their rank, deadline or organisation; past its queue they come back not run. Change: gateways report upstreams with waiting calls; the leader declares the service short, and a turn then holds a place until EndTurn or its expiry. One queue for limits and room: in time first, rank, kinds and organisations by start tags, a floor for each kind. Without a leader gateways use drawn shares. Not measured yet.

--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from ..clock import Clock
+from ..concurrency.messages import EndTurn, RunningCalls, ShortageReport
 from ..consensus import Replica
 from ..control.commands import Command, NameVersion, PutDocument
 from ..control.control_state import ControlState
@@ -211,6 +212,10 @@
                 self._backoffs.record_backoff(session, msg)
             case AskTurn():
                 self._limits.queue_turn(session, msg)
+            case EndTurn():
+                self._limits.end_turn(session, msg)
+            case RunningCalls() | ShortageReport():
+                self._limits.record_room(session, msg)
             case BrokenRun() | AnsweredRun():
                 self._crashes.handle_report(msg)
                 self._note_process_end(msg)
--- a/chestnutfall/coordination/limit_coordinator.py
+++ b/chestnutfall/coordination/limit_coordinator.py
@@ -1,10 +1,11 @@
-"""Request limits that upstreams name, during one leader term."""
+"""Request limits and room of plain upstreams, during one leader term."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
 from ..clock import Clock
+from ..concurrency.messages import EndTurn, RunningCalls, ShortageReport
 from ..control.upstream_record import UpstreamRecord
 from ..limits.limit_registry import LimitRegistry
 from ..limits.messages import AskTurn, HeardLimit, LimitsInForce, RequestLimit
@@ -13,6 +14,7 @@
 from ..signals.backoff_registry import BackoffRegistry
 from .gateway_session import GatewaySession
 from .gateway_sessions import GatewaySessions
+from .room_broadcaster import RoomBroadcaster
 
 SEND_INTERVAL_MS = 100
 """Gateways need limits where they send without asking the leader; the first change is sent at
@@ -44,6 +46,7 @@
             lambda session, instance: backoffs.may_send(session.gateway, instance),
             clock,
         )
+        self._room = RoomBroadcaster(self._turns, sessions, clock)
         self._sent: dict[str, float] = {}
         self._sent_changes = 0
         self._due_ms = clock.now_ms()
@@ -77,6 +80,18 @@
         """Queue a call that waits for its turn."""
         self._turns.enqueue(asked, session)
 
+    def end_turn(self, session: GatewaySession, ended: EndTurn) -> None:
+        """Free the place of a call that ended, or drop one that no longer waits."""
+        self._turns.end_turn(session, ended)
+
+    def record_room(self, session: GatewaySession, report: RunningCalls | ShortageReport) -> None:
+        """Record what a gateway tells of the room of a plain service."""
+        match report:
+            case RunningCalls():
+                self._turns.note_running(session, report)
+            case ShortageReport():
+                self._turns.note_shortage(report)
+
     def remove_gateway(self, session: GatewaySession) -> None:
         """Drop the queued calls of a disconnected gateway."""
         self._turns.drop_gateway(session)
@@ -86,11 +101,13 @@
         limits = self._registry.in_force()
         if limits:
             session.send(LimitsInForce(limits))
+        self._room.send_initial_state(session)
 
     def send_due(self) -> None:
-        """Send the turns that are due, and changed limits."""
+        """Send the turns that are due, changed limits, and changes of room."""
         for turn in self._turns.due():
             turn.gateway.send(turn.answer)
+        self._room.send_due()
         self._send_changed()
 
     def _send_changed(self) -> None:
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from ..concurrency.messages import EndTurn, RoomInForce, RunningCalls, ShortageReport
 from ..control.crash_messages import AnsweredRun, BrokenRun, SuspectRequests
 from ..control.upstream_record import UpstreamRecord
 from ..limits.messages import AnswerTurn, AskTurn, HeardLimit, LimitsInForce
@@ -231,8 +232,11 @@
     | AskRepeat
     | AskQuota
     | AskTurn
+    | EndTurn
     | HeardBackoff
     | HeardLimit
+    | RunningCalls
+    | ShortageReport
     | UsedQuota
     | WasShort
     | BrokenRun
@@ -251,6 +255,7 @@
     BackoffHints,
     BrokenRun,
     Controllers,
+    EndTurn,
     GatewayCount,
     GatewayHello,
     Grant,
@@ -265,6 +270,9 @@
     PutInForce,
     QuotaNews,
     Release,
+    RoomInForce,
+    RunningCalls,
+    ShortageReport,
     SuspectRequests,
     UpstreamsChange,
     UpstreamsPart,
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -12,6 +12,7 @@
 import grpc
 
 from ..clock import Clock
+from ..concurrency.messages import EndTurn, RoomInForce, RunningCalls
 from ..control.crash_messages import CrashReport, SuspectRequests
 from ..coordination.messages import (
     FLEET_CODEC,
@@ -25,7 +26,7 @@
     UpstreamsPart,
 )
 from ..limits.messages import AnswerTurn, AskTurn, HeardLimit, LimitsInForce
-from ..placement import Grant, PlaceRequest, Reject
+from ..placement import Grant, PlaceRequest, Reject, RunOutcome
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, WasShort
 from ..signals.messages import BackoffHints, HeardBackoff
 from ..wire import RpcChannel
@@ -78,7 +79,10 @@
     on_hints : callable
         Called with the plain upstreams that asked other gateways to back off.
     signals_to_resend : callable
-        Returns the limits and backoffs received from upstreams, for a new leader.
+        Returns the limits and backoffs received from upstreams and the calls at services that are
+        short of room, for a new leader.
+    on_room : callable
+        Called with the services that are short of room.
     """
 
     def __init__(
@@ -105,7 +109,10 @@
         self.shortage_report: Callable[[], WasShort] = lambda: WasShort(())
         self.on_limits: Callable[[LimitsInForce], None] = lambda limits: None
         self.on_hints: Callable[[BackoffHints], None] = lambda hints: None
-        self.signals_to_resend: Callable[[], tuple[HeardLimit | HeardBackoff, ...]] = lambda: ()
+        self.signals_to_resend: Callable[
+            [], tuple[HeardLimit | HeardBackoff | RunningCalls, ...]
+        ] = lambda: ()
+        self.on_room: Callable[[RoomInForce], None] = lambda room: None
 
     def use_controllers(self, controllers: tuple[str, ...]) -> None:
         """Replace the configured controller addresses after a change of the settings."""
@@ -146,17 +153,13 @@
             return False
         return answer.given
 
-    async def ask_turn(
-        self, service: str, avoid: tuple[str, ...], organisation: str, rank: int, wait_ms: int
-    ) -> AnswerTurn:
-        """Ask for a turn to send to one of a plain service's rate-limited upstreams.
+    async def ask_turn(self, question: Callable[[int], AskTurn], wait_ms: int) -> AnswerTurn:
+        """Ask for a turn to send to one of a plain service's limited or full upstreams.
 
         Parameters
         ----------
-        avoid : tuple of str
-            Instances that failed the call before.
-        rank : int
-            Urgency, 0 is first.
+        question : callable
+            Makes the message from its number.
         wait_ms : int
             How long the call may wait for its turn.
 
@@ -165,16 +168,24 @@
         LeaderLost
             When there is no leader, or it does not answer in time.
         """
-        asking = self.ask_numbered(
-            lambda number: AskTurn(number, service, avoid, organisation, rank, wait_ms)
-        )
+        number = next(self._numbers)
+        asking = self._ask(number, question(number))
         try:
             answer: AnswerTurn = await self._clock.within_ms(wait_ms + TURN_TIMEOUT_MS, asking)
         except TimeoutError as exc:
+            self._withdraw_turn(number)
             raise LeaderLost("the leader did not answer a request for a turn in time") from exc
+        except asyncio.CancelledError:
+            # Without this, the turn of a call whose client has left would hold a place until it
+            # expires.
+            self._withdraw_turn(number)
+            raise
         return answer
 
-    async def ask_numbered(self, question: Callable[[int], AskRepeat | AskQuota | AskTurn]) -> Any:
+    def _withdraw_turn(self, number: int) -> None:
+        self.send(EndTurn(number, "", RunOutcome.WITHDRAWN.value))
+
+    async def ask_numbered(self, question: Callable[[int], AskRepeat | AskQuota]) -> Any:
         """Ask a question that is identified by a number, and return its answer.
 
         Parameters
@@ -312,6 +323,8 @@
                 self.on_limits(msg)
             case BackoffHints():
                 self.on_hints(msg)
+            case RoomInForce():
+                self.on_room(msg)
             case update:
                 self.knowledge.apply(update)
                 is_whole = isinstance(update, UpstreamsPart) and update.complete
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -178,6 +178,7 @@
                 progress.started,
                 tuple(progress.lacked_adapter),
                 progress.organisation,
+                progress.fingerprint,
             )
             try:
                 place = await selector.select(criteria)
--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -70,6 +70,8 @@
         Instances that refused this call once, since its adapter was not loaded yet.
     organisation : str
         Organisation that sent the call; empty if the route needs no key.
+    request : str
+        Digest of the call, the same when its client sends it again; empty if unknown.
     """
 
     call: Call
@@ -80,6 +82,7 @@
     started: bool = False
     lacked_adapter: tuple[str, ...] = ()
     organisation: str = ""
+    request: str = ""
 
 
 class UpstreamSelector(ABC):
--- a/chestnutfall/forwarding/plain_upstream_selector.py
+++ b/chestnutfall/forwarding/plain_upstream_selector.py
@@ -5,9 +5,13 @@
 import itertools
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..clock import Clock
+from ..concurrency.known_room import KnownRoom
+from ..concurrency.leaderless_room import LeaderlessRoom
+from ..concurrency.messages import EndTurn
+from ..concurrency.upstream_room import MAX_PLACES, SLOWDOWN_FRESH_MS
 from ..control.upstream_record import UpstreamRecord
 from ..limits.plain_send_queues import NO_UPSTREAM_RETRY_MS
 from ..placement import RunOutcome
@@ -17,9 +21,13 @@
 from ..signals.known_signals import KnownSignals
 from .limited_turns import AskForTurn, LimitedTurns
 from .place import NoPlace, Place, SelectionCriteria, UpstreamSelector
+from .room_turns import RoomTurns
 
-BUSY_COST_MS = 20.0
-"""Cost of each request in progress at an upstream, about the time of a short request."""
+CONNECT_COST_MS = 2.0
+"""Cost of an upstream to which no connection is open: a round trip, and work on both sides."""
+UNSAFE_FAILURE_WEIGHT = 4.0
+"""How much more failures count for a call that may run only once: its caller loses the answer,
+where another call costs a second send."""
 OTHER_DATA_CENTRE_MS = 6.0
 """Cost of another data centre: the round trip, and traffic that is paid for."""
 AVOIDED_MS = 10_000.0
@@ -44,6 +52,8 @@
         Requests of other gateways there, by the last reported load.
     slots : int
         Requests that it runs at once, as it last reported.
+    slowdown : float
+        How many times as long as usual its work takes, as it last reported.
     load_reported_ms : int
         Clock time of the last reported load.
     """
@@ -52,13 +62,51 @@
     own_requests: int = 0
     other_requests: float = 0.0
     slots: int = 1
-    load_reported_ms: int = -LOAD_FRESH_MS
+    slowdown: float = 1.0
+    load_reported_ms: int = -SLOWDOWN_FRESH_MS
+
+    def expected_ms(self, run_ms: float, now_ms: int) -> float:
+        """Time in which one more request is expected to end there.
+
+        Parameters
+        ----------
+        run_ms : float
+            Usual time of a request.
+        """
+        age_ms = now_ms - self.load_reported_ms
+        there = self.own_requests + (self.other_requests if age_ms < LOAD_FRESH_MS else 0.0)
+        slowdown = self.slowdown if age_ms < SLOWDOWN_FRESH_MS else 1.0
+        return run_ms * slowdown * (1 + there / self.slots)
+
+
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """A request that was sent.
+
+    Attributes
+    ----------
+    turn : int or None
+        Number of the turn that it holds at the leader.
+    """
+
+    sent_ms: int
+    turn: int | None
 
 
 class PlainUpstreamSelector(UpstreamSelector):
     """Selects the least loaded upstream and prefers the own data centre.
 
     The load is this gateway's requests in progress plus the load that the upstream last reported.
+    While a service is short of room, the leader selects the upstream of each call.
+
+    Parameters
+    ----------
+    room : KnownRoom, optional
+        Which services are short of room; none by default.
+    end_turn : callable
+        Tells the leader that a turn ended.
+    has_open : callable
+        Whether a connection to an instance is open and free.
     """
 
     def __init__(
@@ -69,10 +117,18 @@
         clock: Clock,
         data_centre: str,
         rng: random.Random,
+        room: KnownRoom | None = None,
+        end_turn: Callable[[EndTurn], None] = lambda ended: None,
+        has_open: Callable[[str], bool] = lambda instance: False,
     ) -> None:
         self._upstreams = upstreams
         self._signals = signals
         self._turns = LimitedTurns(signals, ask_turn, clock)
+        self._room = room or _never_short(clock, rng)
+        self._room_turns = RoomTurns(self._room, ask_turn, end_turn, clock, rng)
+        self._end_turn = end_turn
+        self._has_open = has_open
+        self._sent: dict[str, _Sent] = {}
         self._clock = clock
         self._data_centre = data_centre
         self._rng = rng
@@ -80,20 +136,42 @@
         self._numbers = itertools.count()
 
     async def select(self, criteria: SelectionCriteria) -> Place:
-        upstreams = self._sampled(self._accepting(criteria.service.name))
-        by_cost = sorted(upstreams, key=lambda one: self._cost_ms(one, criteria.avoid))
-        chosen = by_cost[0]
-        if self._signals.limits.per_s(chosen.instance) is not None:
+        service = criteria.service.name
+        upstreams = self._sampled(self._accepting(service))
+        by_cost = sorted(upstreams, key=lambda one: self._cost_ms(one, criteria))
+        chosen, turn = by_cost[0], None
+        if self._room.is_short(service):
+            chosen, turn = await self._choose_with_turn(criteria, by_cost)
+        elif self._signals.limits.per_s(chosen.instance) is not None:
             can_take = [one for one in by_cost if self._can_take(one, criteria.avoid)]
             chosen = await self._turns.choose(criteria, can_take or by_cost, self._upstreams)
         state = self._state_of(chosen)
-        if state.health.is_ejected(self._clock.now_ms()) and chosen.instance in criteria.avoid:
+        now_ms = self._clock.now_ms()
+        if state.health.is_ejected(now_ms) and chosen.instance in criteria.avoid:
+            self._give_back(turn, chosen.instance)
             raise NoPlace("unreachable", NO_UPSTREAM_RETRY_MS)
         state.own_requests += 1
+        self._room.started(service, chosen.instance)
         has_other = any(
             self._can_take(one, criteria.avoid) for one in upstreams if one is not chosen
         )
-        return Place(f"plain-{next(self._numbers)}", chosen, 0, has_other=has_other)
+        place = Place(f"plain-{next(self._numbers)}", chosen, 0, has_other=has_other)
+        self._sent[place.ticket] = _Sent(now_ms, turn)
+        return place
+
+    async def _choose_with_turn(
+        self, criteria: SelectionCriteria, by_cost: Sequence[UpstreamRecord]
+    ) -> tuple[UpstreamRecord, int | None]:
+        can_take = [one for one in by_cost if self._can_take(one, criteria.avoid)]
+        # The leader doesn't know which upstreams this gateway can't reach.
+        avoid = tuple(one.instance for one in by_cost if one not in can_take)
+        return await self._room_turns.choose(
+            replace(criteria, avoid=avoid), can_take or by_cost, self._upstreams
+        )
+
+    def _give_back(self, turn: int | None, instance: str) -> None:
+        if turn is not None:
+            self._end_turn(EndTurn(turn, instance, RunOutcome.WITHDRAWN.value))
 
     def _accepting(self, service: str) -> Sequence[UpstreamRecord]:
         """Return the upstreams that accept work from this gateway.
@@ -137,8 +215,21 @@
             state.health.note_lag(times.lag_ms, now_ms)
         if load is not None:
             state.other_requests = max(load.running + load.waiting - state.own_requests - 1, 0)
-            state.slots = max(load.max_running, 1)
+            state.slots = min(max(load.max_running, 1), MAX_PLACES)
+            state.slowdown = load.slowdown
             state.load_reported_ms = now_ms
+        self._end_send(place, outcome, load, now_ms)
+
+    def _end_send(
+        self, place: Place, outcome: RunOutcome, load: UpstreamLoad | None, now_ms: int
+    ) -> None:
+        sent = self._sent.pop(place.ticket, None)
+        if sent is None:
+            return
+        instance, run_ms = place.upstream.instance, float(now_ms - sent.sent_ms)
+        self._room.ended(place.upstream.service, instance, outcome, load, run_ms)
+        if sent.turn is not None:
+            self._end_turn(EndTurn(sent.turn, instance, outcome.value, run_ms, load))
 
     def _state_of(self, upstream: UpstreamRecord) -> _UpstreamState:
         if upstream.instance not in self._states:
@@ -152,15 +243,22 @@
             if instance not in present and not state.own_requests and len(self._states) > 64:
                 del self._states[instance]
 
-    def _cost_ms(self, upstream: UpstreamRecord, avoid: tuple[str, ...]) -> float:
+    def _cost_ms(self, upstream: UpstreamRecord, criteria: SelectionCriteria) -> float:
         state = self._state_of(upstream)
         now_ms = self._clock.now_ms()
-        busy = float(state.own_requests)
-        if now_ms - state.load_reported_ms < LOAD_FRESH_MS:
-            busy += state.other_requests
-        cost_ms = BUSY_COST_MS * busy / state.slots + state.health.cost_ms(now_ms)
+        avoid = criteria.avoid
+        weight = 1.0 if criteria.route.kind.idempotent else UNSAFE_FAILURE_WEIGHT
+        cost_ms = state.expected_ms(self._room.run_ms(upstream.service), now_ms)
+        cost_ms += weight * state.health.cost_ms(now_ms)
+        if not self._has_open(upstream.instance):
+            cost_ms += CONNECT_COST_MS
         if upstream.data_centre != self._data_centre:
             cost_ms += OTHER_DATA_CENTRE_MS
         if not self._can_take(upstream, avoid):
             cost_ms += AVOIDED_MS
         return cost_ms
+
+
+def _never_short(clock: Clock, rng: random.Random) -> KnownRoom:
+    """Room of a gateway whose leader gives out none."""
+    return KnownRoom(lambda report: None, LeaderlessRoom(lambda: 1, clock, rng), clock)
--- a/chestnutfall/limits/messages.py
+++ b/chestnutfall/limits/messages.py
@@ -4,6 +4,11 @@
 
 from dataclasses import dataclass
 
+LIMITED = "limited"
+"""Reason of a refusal where every upstream of the service declares a limit."""
+NO_ROOM = "no_room"
+"""Reason of a refusal where the upstreams of the service have no room in time."""
+
 
 @dataclass(frozen=True, slots=True)
 class HeardLimit:
@@ -63,6 +68,16 @@
         Urgency; 0 goes first.
     wait_ms : int
         How long the call can wait; 0 if another upstream would accept it at once.
+    left_ms : int
+        Time until the call's deadline; 0 if unknown.
+    objective_ms : int
+        Time until the call's latency objective; 0 if unknown.
+    kind : str
+        Kind of the call: the name of its route.
+    idempotent : bool
+        Whether the call may run twice.
+    request : str
+        Digest of the request, by which it is recognised when it comes back; empty if unknown.
     """
 
     number: int
@@ -71,6 +86,11 @@
     organisation: str
     rank: int
     wait_ms: int
+    left_ms: int = 0
+    objective_ms: int = 0
+    kind: str = ""
+    idempotent: bool = True
+    request: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,8 +103,14 @@
         Empty if no upstream accepts the call in time.
     retry_after_ms : int
         For a refused call, the time after which an upstream may accept it.
+    reason : str
+        For a refused call, what its service is short of.
+    held : bool
+        Whether the call holds a place there until its gateway sends an `EndTurn`.
     """
 
     number: int
     instance: str
     retry_after_ms: int = 0
+    reason: str = LIMITED
+    held: bool = False
--- a/chestnutfall/limits/plain_send_queues.py
+++ b/chestnutfall/limits/plain_send_queues.py
@@ -1,49 +1,31 @@
-"""Queues of calls to the limited upstreams of plain services, kept by the leader."""
+"""Queues of calls to the limited or full upstreams of plain services, kept by the leader."""
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
 from ..clock import Clock
-from ..quota.fair_share import FairShare
-from ..quota.retry_schedule import RetrySchedule
+from ..concurrency.messages import EndTurn, RunningCalls, ShortageReport
+from ..concurrency.pace import Pace
+from ..concurrency.return_book import ReturnBook
+from ..concurrency.room_queue import RefusedCall, RoomQueue
+from ..concurrency.service_room import ServiceRoom
+from ..concurrency.waiting_call import WaitingCall
 from .limit_registry import LimitRegistry
-from .messages import AnswerTurn, AskTurn
+from .messages import LIMITED, NO_ROOM, AnswerTurn, AskTurn
 from .upstream_limit import UpstreamLimit
 
 NO_UPSTREAM_RETRY_MS = 300
 """A plain upstream is found again with its next heartbeat or answer."""
-MAX_WAITING_CALLS = 4_096
-"""Calls that wait per service; more can't be served within any call's time."""
+NO_OBJECTIVE_MS = 3_600_000
+"""Stands for the objective of a call whose gateway states none."""
 
 
 Gateway = TypeVar("Gateway")
-"""Identifies one gateway; compared for equality."""
-
-
-@dataclass(frozen=True, slots=True)
-class _QueuedCall(Generic[Gateway]):
-    """A call that waits for a limited upstream.
-
-    Attributes
-    ----------
-    since_ms : int
-        Clock time at which it was queued.
-    tag : float
-        Its start tag from `FairShare`, which orders the calls of all organisations.
-    """
-
-    asked: AskTurn
-    gateway: Gateway
-    since_ms: int
-    tag: float
-
-    @property
-    def order(self) -> tuple[int, float, int]:
-        """Sort key: urgency, then the least served organisation, then time of arrival."""
-        return self.asked.rank, self.tag, self.since_ms
+"""Identifies one gateway; compared for equality, hashable."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +37,10 @@
 
 
 class PlainSendQueues(Generic[Gateway]):
-    """Decides which call goes next to the limited upstreams of each plain service.
+    """Decides which call goes next to the upstreams of each plain service.
+
+    A service has one queue for both of its shortages: upstreams that declare a limit, and
+    upstreams that have no room.
 
     Parameters
     ----------
@@ -76,9 +61,11 @@
         self._serving = serving
         self._may_send = may_send
         self._clock = clock
-        self._queues: dict[str, list[_QueuedCall[Gateway]]] = {}
-        self._shares: dict[str, FairShare] = {}
-        self._retry_schedule = RetrySchedule()
+        self._began_ms = clock.now_ms()
+        self._queues: dict[str, RoomQueue[Gateway]] = {}
+        self._rooms: dict[str, ServiceRoom[Gateway]] = {}
+        self._room_instances: dict[str, tuple[str, ...]] = {}
+        self._returns = ReturnBook()
 
     @property
     def waiting(self) -> int:
@@ -87,107 +74,204 @@
 
     def enqueue(self, asked: AskTurn, gateway: Gateway) -> None:
         """Queue a call; a later `due` yields its answer."""
-        queue = self._queues.setdefault(asked.service, [])
-        share = self._shares.setdefault(asked.service, FairShare())
-        tag = share.tag(asked.organisation, 1)
-        queue.append(_QueuedCall(asked, gateway, self._clock.now_ms(), tag))
+        now_ms = self._clock.now_ms()
+        run_ms = self._room(asked.service).run_ms if self._gives_room(asked.service) else 0.0
+        left_ms = min(float(asked.wait_ms), (asked.left_ms or math.inf) - run_ms)
+        in_time_ms = (asked.objective_ms or NO_OBJECTIVE_MS) - run_ms
+        returned = self._returns.claim(asked.request, now_ms)
+        call = WaitingCall(asked, gateway, now_ms, now_ms + in_time_ms, now_ms + left_ms, returned)
+        self._queues.setdefault(asked.service, RoomQueue()).push(call, now_ms)
+
+    def end_turn(self, gateway: Gateway, msg: EndTurn) -> None:
+        """Free the place of a call that ended, or drop one that no longer waits."""
+        now_ms = self._clock.now_ms()
+        if msg.instance:
+            for room in self._rooms.values():
+                room.end(gateway, msg, now_ms)
+            return
+        for queue in self._queues.values():
+            queue.remove_where(
+                lambda one: one.gateway == gateway and one.asked.number == msg.number
+            )
+        for room in self._rooms.values():
+            room.end(gateway, msg, now_ms)
+
+    def note_shortage(self, report: ShortageReport) -> None:
+        """Record that a gateway found an upstream without room."""
+        if self._serving(report.service):
+            self._room(report.service).note_shortage(report, self._clock.now_ms())
+
+    def note_running(self, gateway: Gateway, report: RunningCalls) -> None:
+        """Record the calls that a gateway has at a service that was short under the last leader."""
+        if self._serving(report.service):
+            room = self._room(report.service)
+            room.note_running(gateway, report.running, report.run_ms, self._clock.now_ms())
 
     def drop_gateway(self, gateway: Gateway) -> None:
         """Drop the calls of a gateway whose session ended."""
-        for service, queue in self._queues.items():
-            self._queues[service] = [one for one in queue if one.gateway != gateway]
+        for queue in self._queues.values():
+            queue.remove_where(lambda one: one.gateway == gateway)
+        for room in self._rooms.values():
+            room.drop_gateway(gateway, self._clock.now_ms())
 
     def due(self) -> Iterator[AddressedAnswer[Gateway]]:
         """Yield the answers that can be given now, and remove their calls from the queues."""
         for service in list(self._queues):
             yield from self._due_of(service)
-            if not self._queues[service]:
+        for service in [one for one in self._rooms if not self._serving(one)]:
+            del self._rooms[service], self._room_instances[service]
+        for service, room in self._rooms.items():
+            queue = self._queues.get(service)
+            room.note_use(len(queue) if queue is not None else 0, self._clock.now_ms())
+        # A queue's order lasts as long as its service is short; without calls it costs nothing.
+        for service in [one for one, queue in self._queues.items() if not len(queue)]:
+            if not self._is_short(service):
                 del self._queues[service]
 
+    def short_places(self) -> dict[str, dict[str, int]]:
+        """Places of the upstreams of each service that is short of room."""
+        now_ms = self._clock.now_ms()
+        return {
+            service: room.places(now_ms)
+            for service, room in self._rooms.items()
+            if room.shortage.short
+        }
+
+    def use(self, service: str) -> tuple[int, int, int]:
+        """Calls that wait, places that are held, and places of a service."""
+        queue = self._queues.get(service)
+        held, places = self._room(service).use(self._clock.now_ms())
+        return (len(queue) if queue is not None else 0), held, places
+
+    def _room(self, service: str) -> ServiceRoom[Gateway]:
+        if service not in self._rooms:
+            self._rooms[service] = ServiceRoom(self._began_ms)
+        instances = tuple(self._serving(service))
+        if self._room_instances.get(service) != instances:
+            self._room_instances[service] = instances
+            self._rooms[service].set_serving(instances)
+        return self._rooms[service]
+
+    def _is_short(self, service: str) -> bool:
+        room = self._rooms.get(service)
+        return room is not None and room.shortage.short
+
+    def _gives_room(self, service: str) -> bool:
+        # Gateways ask for turns until they hear that there is plenty again.
+        room = self._rooms.get(service)
+        return room is not None and room.shortage.was_short(self._clock.now_ms())
+
     def _due_of(self, service: str) -> Iterator[AddressedAnswer[Gateway]]:
+        queue = self._queues[service]
+        if not len(queue):
+            return
         now_ms = self._clock.now_ms()
         limits = {
             one: self._limits.ensure(one, counts_sends=False) for one in self._serving(service)
         }
-        free = {one: limit for one, limit in limits.items() if not limit.wait_ms(0, now_ms)}
-        in_order: list[_QueuedCall[Gateway]] = []
-        for waiting in sorted(self._queues[service], key=lambda one: one.order):
-            instance = self._best(waiting, free, now_ms) if free else ""
-            if not instance:
-                in_order.append(waiting)
-                continue
-            limits[instance].note_sent(now_ms)
-            if limits[instance].wait_ms(0, now_ms):
-                del free[instance]
-            self._shares[service].served(waiting.tag)
-            yield AddressedAnswer(waiting.gateway, AnswerTurn(waiting.asked.number, instance))
-        yield from self._keep_or_refuse(
-            service, in_order, _SendSchedule.of(limits.values(), now_ms), now_ms
+        room = self._room(service) if self._gives_room(service) else None
+        turns = _Turns(limits, room, self._may_send, now_ms)
+        while turns.any_free and (taken := queue.take(turns.choose)):
+            call, instance = taken
+            turns.give(call, instance)
+            answer = AnswerTurn(call.asked.number, instance, held=room is not None)
+            yield AddressedAnswer(call.gateway, answer)
+        reason = LIMITED if room is None else NO_ROOM
+        for refused in queue.refused(turns.pace(), now_ms):
+            yield AddressedAnswer(refused.call.gateway, self._refusal(service, refused, reason))
+
+    def _refusal(self, service: str, refused: RefusedCall[Gateway], reason: str) -> AnswerTurn:
+        asked = refused.call.asked
+        if not asked.wait_ms:
+            retry_ms = int(min(refused.wait_ms, NO_UPSTREAM_RETRY_MS))
+            return AnswerTurn(asked.number, "", retry_ms, reason)
+        flow = service, asked.kind, asked.organisation
+        retry_ms = self._returns.promise(
+            flow, asked.request, refused.excess_ms, refused.per_ms, self._clock.now_ms()
         )
+        return AnswerTurn(asked.number, "", retry_ms, reason)
 
-    def _best(
-        self, waiting: _QueuedCall[Gateway], free: dict[str, UpstreamLimit], now_ms: int
-    ) -> str:
-        """Return the upstream with most sends left; one that failed this call comes last.
 
-        Empty if the gateway may send to none of them.
-        """
-        allowed = [one for one in free if self._may_send(waiting.gateway, one)]
-        avoid = waiting.asked.avoid
-        return max(allowed, key=lambda one: _preference(one, free[one], avoid, now_ms), default="")
+class _Turns(Generic[Gateway]):
+    """The upstreams that take calls in one pass over a queue."""
 
-    def _keep_or_refuse(
+    def __init__(
         self,
-        service: str,
-        in_order: list[_QueuedCall[Gateway]],
-        schedule: _SendSchedule,
+        limits: dict[str, UpstreamLimit],
+        room: ServiceRoom[Gateway] | None,
+        may_send: Callable[[Gateway, str], bool],
         now_ms: int,
-    ) -> Iterator[AddressedAnswer[Gateway]]:
-        """Keep the calls that are expected to be sent in time, and yield refusals of the others."""
-        left: list[_QueuedCall[Gateway]] = []
-        for waiting in in_order:
-            asked = waiting.asked
-            wait_ms = schedule.first_ms + len(left) * schedule.interval_ms
-            has_time = now_ms + wait_ms <= waiting.since_ms + asked.wait_ms
-            if has_time and len(left) < MAX_WAITING_CALLS:
-                left.append(waiting)
-                continue
-            retry_ms = int(wait_ms)
-            if asked.wait_ms:
-                retry_ms = self._retry_schedule.wait_ms(
-                    service, wait_ms, schedule.interval_ms, now_ms
-                )
-            yield AddressedAnswer(waiting.gateway, AnswerTurn(asked.number, "", retry_ms))
-        self._queues[service] = left
+    ) -> None:
+        self._limits = limits
+        self._room = room
+        self._may_send = may_send
+        self._now_ms = now_ms
+        self._places: dict[str, float] = dict.fromkeys(limits, math.inf)
+        if room is not None:
+            self._places = dict(room.free(now_ms))
+        self._free = {
+            one for one, limit in limits.items() if one in self._places and self._may_go(limit)
+        }
 
+    @property
+    def any_free(self) -> bool:
+        """Whether any upstream takes a call now."""
+        return bool(self._free)
 
-@dataclass(frozen=True, slots=True)
-class _SendSchedule:
-    """When a service's limited upstreams accept the next sends.
+    def _may_go(self, limit: UpstreamLimit) -> bool:
+        return not limit.wait_ms(0, self._now_ms)
 
-    Attributes
-    ----------
-    first_ms : float
-        Time until the next send.
-    interval_ms : float
-        Mean time between later sends.
-    """
+    def choose(self, call: WaitingCall[Gateway]) -> str:
+        """Return the upstream that takes a call now; empty if there is none."""
+        allowed = [one for one in self._free if self._may_send(call.gateway, one)]
+        return min(allowed, key=lambda one: self._preference(one, call.asked), default="")
+
+    def _preference(self, instance: str, asked: AskTurn) -> tuple[bool, bool, float, str]:
+        """Sort key: not one that failed this call, the cheapest, the one with most sends left.
+
+        Gateways whose service has room send to upstreams without a limit on their own.
+        """
+        limit = self._limits[instance]
+        if self._room is None:
+            level = limit.level(self._now_ms)
+            return instance in asked.avoid, limit.per_s is None, -level, instance
+        cost_ms = self._room.cost_ms(instance, asked.idempotent, self._now_ms)
+        return instance in asked.avoid, False, cost_ms, instance
+
+    def give(self, call: WaitingCall[Gateway], instance: str) -> None:
+        """Count a call for the upstream that takes it."""
+        limit = self._limits[instance]
+        limit.note_sent(self._now_ms)
+        if self._room is not None:
+            asked = call.asked
+            left_ms = asked.left_ms or asked.wait_ms
+            self._room.give(call.gateway, asked.number, instance, left_ms, self._now_ms)
+            self._places[instance] -= 1
+        if self._places[instance] <= 0 or not self._may_go(limit):
+            self._free.discard(instance)
+
+    def pace(self) -> Pace:
+        """When the upstreams take the calls that are left."""
+        if not self._limits:
+            return Pace(NO_UPSTREAM_RETRY_MS, math.inf)
+        if self._room is None:
+            return _limit_pace(self._limits.values(), self._now_ms)
+        per_ms = {
+            one: min(rate, _per_ms(self._limits[one]))
+            for one, rate in self._room.per_ms(self._now_ms).items()
+        }
+        total = sum(per_ms.values())
+        return Pace(0.0 if self._free or not total else 1 / total, total)
 
-    first_ms: float
-    interval_ms: float
 
-    @staticmethod
-    def of(limits: Iterable[UpstreamLimit], now_ms: int) -> _SendSchedule:
-        """The schedule of some upstreams together; those without a limit don't count."""
-        limited = [limit for limit in limits if limit.per_s is not None]
-        if not limited:
-            return _SendSchedule(NO_UPSTREAM_RETRY_MS, 0)
-        per_s = sum(limit.per_s or 0.0 for limit in limited)
-        return _SendSchedule(min(limit.wait_ms(0, now_ms) for limit in limited), 1000 / per_s)
+def _limit_pace(limits: Iterable[UpstreamLimit], now_ms: int) -> Pace:
+    """The pace of upstreams of which some declare a limit; the others don't count."""
+    limited = [limit for limit in limits if limit.per_s is not None]
+    if not limited:
+        return Pace(NO_UPSTREAM_RETRY_MS, math.inf)
+    first_ms = min(limit.wait_ms(0, now_ms) for limit in limited)
+    return Pace(first_ms, sum(_per_ms(limit) for limit in limited))
 
 
-def _preference(
-    instance: str, limit: UpstreamLimit, avoid: tuple[str, ...], now_ms: int
-) -> tuple[bool, bool, float]:
-    # Gateways send to upstreams without a limit on their own, and ask here for the limited ones.
-    return instance not in avoid, limit.per_s is not None, limit.level(now_ms)
+def _per_ms(limit: UpstreamLimit) -> float:
+    return limit.per_s / 1000 if limit.per_s is not None else math.inf
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -9,6 +9,8 @@
 import uuid
 
 from ..clock import SystemClock
+from ..concurrency.known_room import KnownRoom
+from ..concurrency.leaderless_room import LeaderlessRoom
 from ..coordination.messages import FLEET_CODEC
 from ..forwarding.admission import Admission
 from ..forwarding.drain import drain
@@ -69,14 +71,26 @@
     backoffs = KnownBackoffs(fleet.send, clock)
     signals = KnownSignals(upstream_limits, backoffs, clock)
     fleet.on_limits, fleet.on_hints = upstream_limits.apply, backoffs.apply_hints
-    fleet.signals_to_resend = signals.reports_for_new_leader
+    room = KnownRoom(fleet.send, LeaderlessRoom(lambda: known.gateways, clock, rng), clock)
+    fleet.on_room = room.apply
+    fleet.signals_to_resend = lambda: (
+        *signals.reports_for_new_leader(),
+        *room.reports_for_new_leader(),
+    )
     forwarder = Forwarder(
         known,
         Admission(quotas),
         Repeats(settings.repeats, lambda: known.gateways, fleet.borrow_repeat, clock, rng),
         EngineUpstreamSelector(fleet, signals, clock, name, settings.data_centre),
         PlainUpstreamSelector(
-            known.upstreams, signals, leader_turn_client(fleet), clock, settings.data_centre, rng
+            known.upstreams,
+            signals,
+            leader_turn_client(fleet, clock),
+            clock,
+            settings.data_centre,
+            rng,
+            room,
+            fleet.send,
         ),
         Sender(api, signals, clock, metrics),
         signals,
@@ -97,6 +111,7 @@
         metrics.gauge("connected", fleet.connected)
         metrics.gauge("limited_upstreams", len(upstream_limits))
         metrics.gauge("upstreams_backing_off", len(backoffs))
+        metrics.gauge("services_short_of_room", len(room))
         for figure, value in FLEET_CODEC.traffic.counters():
             metrics.total(figure, value)
 
--- a/chestnutfall/quota/fair_share.py
+++ b/chestnutfall/quota/fair_share.py
@@ -38,3 +38,8 @@
     def served(self, tag: float) -> None:
         """Advance the virtual time to the tag of a request that is being served."""
         self._virtual_time = max(self._virtual_time, tag)
+
+    def cancel(self, organisation: str, tokens: int) -> None:
+        """Take back the cost of a tagged request that will not be served."""
+        if organisation in self._finish_tags:
+            self._finish_tags[organisation] -= max(tokens, 1)
--- a/chestnutfall/tests/fakes/placing_gateway.py
+++ b/chestnutfall/tests/fakes/placing_gateway.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Iterable
 
 from ...clock import Clock
+from ...concurrency.known_room import KnownRoom
+from ...concurrency.leaderless_room import LeaderlessRoom
 from ...coordination.holdings_diff import holdings_change
 from ...coordination.messages import UpstreamsChange
 from ...forwarding.engine_upstream_selector import EngineUpstreamSelector
@@ -49,11 +51,23 @@
         backoffs = KnownBackoffs(self.fleet.send, clock)
         self.signals = KnownSignals(limits, backoffs, clock)
         self.fleet.on_limits, self.fleet.on_hints = limits.apply, backoffs.apply_hints
-        self.fleet.signals_to_resend = self.signals.reports_for_new_leader
+        self.room = KnownRoom(self.fleet.send, LeaderlessRoom(gateways, clock, rng), clock)
+        self.fleet.on_room = self.room.apply
+        self.fleet.signals_to_resend = lambda: (
+            *self.signals.reports_for_new_leader(),
+            *self.room.reports_for_new_leader(),
+        )
         self.selectors: dict[str, UpstreamSelector] = {
             ENGINES: EngineUpstreamSelector(self.fleet, self.signals, clock, name, "dc"),
             PLAIN: PlainUpstreamSelector(
-                self.known.upstreams, self.signals, leader_turn_client(self.fleet), clock, "dc", rng
+                self.known.upstreams,
+                self.signals,
+                leader_turn_client(self.fleet, clock),
+                clock,
+                "dc",
+                rng,
+                self.room,
+                self.fleet.send,
             ),
         }
 
@@ -74,7 +88,7 @@
     def join(self, leader: PlacingLeader) -> None:
         """Connect to a leader."""
         leader.add_gateway(self.name)
-        for report in self.signals.reports_for_new_leader():
+        for report in self.fleet.signals_to_resend():
             leader.handle(self.name, report)
         self.fleet._on_connected("leader")
 
--- a/chestnutfall/tests/fakes/placing_leader.py
+++ b/chestnutfall/tests/fakes/placing_leader.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from ...clock import Clock
+from ...concurrency.messages import EndTurn, RunningCalls, ShortageReport
 from ...control.upstream_record import UpstreamRecord
 from ...coordination.backoff_coordinator import BackoffCoordinator
 from ...coordination.gateway_session import GatewaySession
@@ -103,6 +104,10 @@
                 self._backoffs.record_backoff(session, msg)
             case AskTurn():
                 self._limits.queue_turn(session, msg)
+            case EndTurn():
+                self._limits.end_turn(session, msg)
+            case RunningCalls() | ShortageReport():
+                self._limits.record_room(session, msg)
             case AskRepeat(number):
                 session.send(AnswerRepeat(number, False))
             case PlaceRequest():
