Measure the room of plain services in a simulated deployment

Cause: the first form halved the room at every start of a leader, held failures of the service itself for a faulty upstream, believed any number of places, and gave gateways without a leader shares that idled or added up to more than the room. Change: halve only after a shortage under the last leader; failures beyond the best upstream's; places proven by calls that wait; shares drawn for one run. A simulated deployment with the real selection and queues of gateways and leader.

--- a/chestnutfall/concurrency/leaderless_room.py
+++ b/chestnutfall/concurrency/leaderless_room.py
@@ -14,8 +14,6 @@
 DEVIATIONS = 3
 """Where shares are given by chance, their expected sum stays so many standard deviations below the
 room."""
-DRAW_INTERVAL_MS = 500
-"""How long a share that was drawn holds; several runs."""
 DRAIN_RUNS = 1.5
 """Usual runs for which nothing is sent after the leader is lost: by then the calls have ended to
 which it had given the whole room."""
@@ -67,15 +65,20 @@
         now_ms = self._clock.now_ms()
         if self._lost_ms is None or now_ms - self._lost_ms < DRAIN_RUNS * run_ms:
             return False
-        return running < self._share(service, places, now_ms)
+        return running < self._share(service, places, run_ms, now_ms)
 
-    def _share(self, service: str, places: int, now_ms: int) -> int:
+    def _share(self, service: str, places: int, run_ms: float, now_ms: int) -> int:
+        """Draw this gateway's share for the time of one run.
+
+        A share that held longer would idle where it is less than one place: few calls come to each
+        of many gateways. Calls wait for the next draw.
+        """
         until_ms, share = self._drawn.get(service, (now_ms, 0))
         if now_ms < until_ms:
             return share
         mean = shared_places(places) / max(self._gateways(), 1)
         share = int(mean) + (self._rng.random() < mean - int(mean))
-        self._drawn[service] = now_ms + DRAW_INTERVAL_MS, share
+        self._drawn[service] = now_ms + max(int(run_ms), 1), share
         return share
 
 
--- a/chestnutfall/concurrency/run_time.py
+++ b/chestnutfall/concurrency/run_time.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-WEIGHT = 0.05
-"""A change of the usual time counts in full after about forty calls."""
+WEIGHT = 0.02
+"""A change of the usual time counts in full after about a hundred calls."""
 MAX_RUN_MS = 60_000.0
 
 
@@ -42,6 +42,11 @@
         return self.mean_ms if self._known else 0.0
 
     @property
-    def cautious_ms(self) -> float:
+    def usual_ms(self) -> float:
         """Time in which most calls end."""
         return self.mean_ms + self._deviation_ms
+
+    @property
+    def long_ms(self) -> float:
+        """Time in which nearly all calls end."""
+        return self.mean_ms + 3 * self._deviation_ms
--- a/chestnutfall/concurrency/service_room.py
+++ b/chestnutfall/concurrency/service_room.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
+import itertools
+import math
 import statistics
 from collections.abc import Collection, Mapping
 from typing import Generic, TypeVar
 
 from ..placement import RunOutcome
-from ..placement.upstream_health import FAILURE_COST_MS
 from ..signals.upstream_load import UpstreamLoad
 from .messages import EndTurn, ShortageReport
 from .room_ledger import RoomLedger
 from .run_time import RunTime
 from .service_shortage import ServiceShortage
-from .upstream_room import UpstreamRoom
+from .upstream_room import UpstreamRoom, margin
 
 DEFAULT_RUN_MS = 50.0
 """Time of a call before one is known."""
@@ -22,14 +23,19 @@
 RUNS_TO_END = 3
 """Times the usual run after which calls of a gateway that can't be heard have ended."""
 NEW_TERM_MS = 500
-"""Time in which gateways join a new leader and say what they have running."""
+"""Time in which gateways join a new leader and say what they have running at services that were
+short under the last one."""
 NEW_TERM_FRACTION = 0.5
 """Part of the room given out until then."""
 FOREIGN_FRESH_MS = 300
 """How long calls count that nobody asked a turn for, as an upstream's load shows them."""
-UNSAFE_FAILURE_WEIGHT = 4.0
-"""How much more a failure counts for a call that may run only once: its caller loses the answer,
-where another call costs a second send."""
+MAX_UNSAFE_FAILURE = 0.25
+"""An upstream that fails so many more calls than the best one of its service gets none that may run
+only once: its caller would lose the answer, where another call is sent again."""
+FAILURE_COST_RUNS = 10.0
+"""Usual runs that a failed call costs its caller: the run, and another send behind others."""
+USE_INTERVAL_MS = 50
+"""How often it is checked whether there is plenty of room again."""
 
 Gateway = TypeVar("Gateway")
 
@@ -46,16 +52,21 @@
     def __init__(self, began_ms: int) -> None:
         self.shortage = ServiceShortage()
         self._began_ms = began_ms
+        self._was_short = False
         self._rooms: dict[str, UpstreamRoom] = {}
         self._foreign: dict[str, tuple[int, int]] = {}
         self._ledger: RoomLedger[Gateway] = RoomLedger()
         self._run_time = RunTime(DEFAULT_RUN_MS)
+        self._places: tuple[int, dict[str, int]] | None = None
+        self._use_noted_ms = began_ms
+        self._failed = itertools.count(-1, -1)
 
     # What is known
 
     def set_serving(self, instances: Collection[str]) -> None:
         """Set the upstreams that serve now."""
         present = set(instances)
+        self._places = None
         self._rooms = {
             one: self._rooms[one] if one in self._rooms else UpstreamRoom() for one in instances
         }
@@ -67,6 +78,7 @@
         room = self._rooms.get(report.instance)
         if room is None:
             return
+        self._places = None
         self._run_time.suggest(report.run_ms)
         if report.load is not None:
             room.note_load(report.load, now_ms)
@@ -87,21 +99,36 @@
             if one in self._rooms
         }
         self._ledger.set_running(gateway, bounded, now_ms + self._ends_within_ms())
+        self._was_short = True
         self.shortage.begin(now_ms)
 
     def places(self, now_ms: int) -> dict[str, int]:
         """Calls that each upstream runs at once; of those that report none, a typical number."""
+        if self._places is None or self._places[0] != now_ms:
+            self._places = now_ms, self._all_places(now_ms)
+        return self._places[1]
+
+    def _all_places(self, now_ms: int) -> dict[str, int]:
         known = {n: one.places(now_ms) for n, one in self._rooms.items() if one.known}
         typical = int(statistics.median(known.values())) if known else 1
-        return {name: known.get(name, typical) for name in self._rooms}
+        # An upstream that fails calls gets fewer of them.
+        return {
+            name: math.ceil(known.get(name, typical) * (1 - self.excess_failure(name, now_ms)))
+            for name in self._rooms
+        }
+
+    def excess_failure(self, instance: str, now_ms: int) -> float:
+        """How many more of its calls an upstream fails than the best one of its service."""
+        best = min(one.failures.at(now_ms) for one in self._rooms.values())
+        return self._rooms[instance].failures.at(now_ms) - best
 
     @property
-    def run_ms(self) -> float:
-        """Time in which most calls end."""
-        return self._run_time.cautious_ms
+    def run_time(self) -> RunTime:
+        """Times of calls at the upstreams, without the time in their queues."""
+        return self._run_time
 
     def _ends_within_ms(self) -> float:
-        return RUNS_TO_END * self.run_ms + CREDIT_SLACK_MS
+        return RUNS_TO_END * self._run_time.usual_ms
 
     # What is given out
 
@@ -115,26 +142,29 @@
     def free(self, now_ms: int) -> dict[str, int]:
         """Number of calls that may be sent to each upstream now, if any."""
         self._ledger.expire(now_ms)
-        starting = now_ms - self._began_ms < NEW_TERM_MS
+        starting = self._was_short and now_ms - self._began_ms < NEW_TERM_MS
         free: dict[str, int] = {}
         for name, places in self.places(now_ms).items():
             room = self._rooms[name]
             run_ms = self._run_time.mean_ms * room.slowdown(now_ms)
-            whole = places + room.margin(run_ms, now_ms)
+            whole = places + margin(places, run_ms)
             whole = int(whole * NEW_TERM_FRACTION) if starting else whole
             left = whole - self._ledger.used(name) - self._foreign_at(name, now_ms)
             if left > 0:
                 free[name] = left
         return free
 
-    def cost_ms(self, instance: str, idempotent: bool, now_ms: int) -> float:
+    def may_take(self, instance: str, idempotent: bool, now_ms: int) -> bool:
+        """Whether an upstream should get a call, as far as it fails more than others."""
+        return idempotent or self.excess_failure(instance, now_ms) <= MAX_UNSAFE_FAILURE
+
+    def cost_ms(self, instance: str, now_ms: int) -> float:
         """Expected time until a call at an upstream has its answer, failures included."""
         room = self._rooms[instance]
         there = self._ledger.used(instance) + self._foreign_at(instance, now_ms)
         run_ms = self._run_time.mean_ms * room.slowdown(now_ms)
-        busy_ms = run_ms * (1 + there / room.places(now_ms))
-        weight = 1.0 if idempotent else UNSAFE_FAILURE_WEIGHT
-        return busy_ms + weight * FAILURE_COST_MS * room.failure(now_ms)
+        failed_runs = FAILURE_COST_RUNS * self.excess_failure(instance, now_ms)
+        return run_ms * (1 + there / self.places(now_ms)[instance] + failed_runs)
 
     def give(
         self, gateway: Gateway, number: int, instance: str, left_ms: float, now_ms: int
@@ -147,13 +177,21 @@
         """Take back the place of a call, and learn from how it ended."""
         room = self._rooms.get(msg.instance)
         if room is not None:
+            self._places = None
             outcome = RunOutcome(msg.outcome)
             room.note_outcome(outcome, now_ms)
             if outcome is RunOutcome.DONE:
-                self._run_time.note(msg.run_ms)
+                # Where more calls are there than places, each one's time holds a wait.
+                there = max(self._ledger.used(msg.instance), 1)
+                self._run_time.note(msg.run_ms * min(room.places(now_ms) / there, 1.0))
             if msg.load is not None:
                 self._note_load(msg.instance, room, msg.load, now_ms)
         self._ledger.end(gateway, msg.number, msg.instance)
+        if room is not None and msg.outcome == RunOutcome.BROKEN.value:
+            # An upstream that fails calls at once would have free places all the time, and get
+            # most calls of a service that is short of room.
+            until_ms = now_ms + self._run_time.mean_ms
+            self._ledger.take(gateway, next(self._failed), msg.instance, until_ms)
 
     def _note_load(
         self, instance: str, room: UpstreamRoom, load: UpstreamLoad, now_ms: int
@@ -173,6 +211,9 @@
 
     def note_use(self, waiting: int, now_ms: int) -> None:
         """Decide whether the service has plenty of room again."""
+        if not self.shortage.short or now_ms - self._use_noted_ms < USE_INTERVAL_MS:
+            return
+        self._use_noted_ms = now_ms
         self._ledger.expire(now_ms)
         used = len(self._ledger) + sum(self._foreign_at(one, now_ms) for one in self._rooms)
         self.shortage.note_use(used, waiting, sum(self.places(now_ms).values()), now_ms)
--- a/chestnutfall/concurrency/upstream_room.py
+++ b/chestnutfall/concurrency/upstream_room.py
@@ -5,15 +5,16 @@
 import math
 
 from ..placement import RunOutcome
-from ..placement.upstream_health import FAILURE_COST_MS, UpstreamHealth
 from ..signals.upstream_load import UpstreamLoad
+from .failure_rate import FailureRate
 
 MAX_PLACES = 4_096
 """Bound against faulty reports; a larger room is never short."""
 SLOWDOWN_FRESH_MS = 500
 """Other work on an upstream's host comes and goes within about this time."""
-RUNNING_SEEN_MS = 5_000
-"""How long the most calls that were seen running at once prove that they can."""
+SEEN_MS = 5_000
+"""How long the most calls that were seen running prove that so many can, and calls that waited in
+spite of reported places that no more can."""
 HANDOVER_MS = 10.0
 """Time from the end of one call at an upstream to the arrival of the next one through the leader:
 four messages and the scheduling of three processes."""
@@ -28,20 +29,26 @@
 class UpstreamRoom:
     """Room of one upstream, from the loads that it reports and the calls that it refuses.
 
-    An upstream may report any number of places. More calls than it was ever seen to run are no
-    room if some wait there, and fewer places than it runs at once are too few.
+    An upstream may report any number of places. Fewer than it was seen to run at once are too few;
+    if calls wait there although it reports free places, it has only those that it was seen to use.
+
+    Attributes
+    ----------
+    failures : FailureRate
+        Recent part of failed calls.
     """
 
     def __init__(self) -> None:
+        self.failures = FailureRate()
         self._reported: int | None = None
-        self._is_full = False
         self._most_running = 0
-        self._most_running_ms = -RUNNING_SEEN_MS
+        self._most_running_ms = -SEEN_MS
+        self._proven: int | None = None
+        self._proven_ms = 0
         self._slowdown = 1.0
         self._slowdown_ms = -SLOWDOWN_FRESH_MS
         self._shed = 0.0
         self._shed_ms = 0
-        self._health = UpstreamHealth()
 
     @property
     def known(self) -> bool:
@@ -52,14 +59,15 @@
         """Record a load that the upstream reported."""
         self._reported = load.max_running
         self._slowdown, self._slowdown_ms = load.slowdown, now_ms
-        expired = now_ms - self._most_running_ms > RUNNING_SEEN_MS
+        expired = now_ms - self._most_running_ms > SEEN_MS
         if expired or load.running >= self._most_running:
             self._most_running, self._most_running_ms = load.running, now_ms
-        self._is_full = load.waiting > 0
+        if load.waiting > 0 and self._most_running < load.max_running:
+            self._proven, self._proven_ms = max(self._most_running, 1), now_ms
 
     def note_outcome(self, outcome: RunOutcome, now_ms: int) -> None:
         """Record how a call ended there."""
-        self._health.note(outcome, now_ms)
+        self.failures.note(outcome, now_ms)
         if outcome is RunOutcome.FULL:
             self._note_shed(now_ms)
 
@@ -67,36 +75,35 @@
         if self._shed and now_ms - self._shed_ms < SHED_INTERVAL_MS:
             return
         left = self.places(now_ms) * SHED_FACTOR
-        self._shed = max(self._learned() - left, 0.0)
+        self._shed = max(self._learned(now_ms) - left, 0.0)
         self._shed_ms = now_ms
 
     def places(self, now_ms: int) -> int:
-        """Calls that run there at once, less a part for those that it refuses or fails; at least 1.
-
-        An upstream that fails calls at once has free places all the time. Without that part it
-        would get most calls of a service that is short of room.
-        """
+        """Calls that run there at once, less a part for those that it refuses; at least 1."""
         recovered = (now_ms - self._shed_ms) / SHED_RECOVERY_MS
-        left = self._learned() - max(self._shed - recovered, 0.0)
-        return max(math.ceil(left * (1 - self.failure(now_ms))), 1)
+        return max(math.ceil(self._learned(now_ms) - max(self._shed - recovered, 0.0)), 1)
 
-    def _learned(self) -> int:
+    def _learned(self, now_ms: int) -> int:
         places = self._reported or 0
-        if self._is_full and self._most_running < places:
-            places = self._most_running
+        if self._proven is not None:
+            # More than was proven is tried again step by step.
+            steps = min((now_ms - self._proven_ms) // SEEN_MS, MAX_PLACES.bit_length())
+            places = min(places, self._proven << steps)
         return min(max(places, self._most_running, 1), MAX_PLACES)
 
-    def margin(self, run_ms: float, now_ms: int) -> int:
-        """Calls that may wait there, so that no place idles until the next one arrives."""
-        places = self.places(now_ms)
-        if run_ms <= 0:
-            return 1
-        return min(math.ceil(places * HANDOVER_MS / run_ms), places)
-
     def slowdown(self, now_ms: int) -> float:
         """How many times as long as usual calls take there; 1 if that is not known now."""
         return self._slowdown if now_ms - self._slowdown_ms < SLOWDOWN_FRESH_MS else 1.0
 
-    def failure(self, now_ms: int) -> float:
-        """Recent fraction of failed calls, from 0 to 1."""
-        return self._health.cost_ms(now_ms) / FAILURE_COST_MS
+
+def margin(places: int, run_ms: float) -> int:
+    """Calls that may wait at an upstream, so that no place idles until the next one arrives.
+
+    Parameters
+    ----------
+    run_ms : float
+        Time of a call there.
+    """
+    if run_ms <= 0:
+        return 1
+    return min(math.ceil(places * HANDOVER_MS / run_ms), places)
--- a/chestnutfall/concurrency/waiting_call.py
+++ b/chestnutfall/concurrency/waiting_call.py
@@ -11,9 +11,9 @@
 """Identifies one gateway; hashable."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class WaitingCall(Generic[Gateway]):
-    """A call that waits for its turn.
+    """A call that waits for its turn; compared by identity.
 
     Attributes
     ----------
--- a/chestnutfall/coordination/room_broadcaster.py
+++ b/chestnutfall/coordination/room_broadcaster.py
@@ -39,30 +39,32 @@
     def send_due(self) -> None:
         """Send what changed."""
         now_ms = self._clock.now_ms()
-        short = self._queues.short_places()
+        short = self._queues.short_services()
         if short and now_ms >= self._log_due_ms:
             self._log_due_ms = now_ms + LOG_INTERVAL_MS
             self._log(short)
         if now_ms < self._due_ms:
             return
-        ended = [service for service in self._sent if service not in short]
-        begun = {name: places for name, places in short.items() if name not in self._sent}
-        if not ended and not begun and now_ms < self._places_due_ms:
-            return
-        changed = {name: one for name, one in short.items() if self._sent.get(name) != one}
-        if not ended and not changed:
+        if short == self._sent.keys() and (not short or now_ms < self._places_due_ms):
             return
         self._due_ms, self._places_due_ms = now_ms + SEND_INTERVAL_MS, now_ms + PLACES_INTERVAL_MS
-        self._sent = short
-        for service, places in begun.items():
-            log.info("room: service=%s short=1 places=%d", service, sum(places.values()))
+        self._send({service: self._queues.places(service) for service in short})
+
+    def _send(self, short: dict[str, dict[str, int]]) -> None:
+        changed = {name: one for name, one in short.items() if self._sent.get(name) != one}
+        ended = [service for service in self._sent if service not in short]
+        for service, places in changed.items():
+            if service not in self._sent:
+                log.info("room: service=%s short=1 places=%d", service, sum(places.values()))
         for service in ended:
             log.info("room: service=%s short=0", service)
+        self._sent = short
         plenty = tuple(ServiceRoomState(service, False, {}) for service in ended)
-        self._sessions.broadcast(RoomInForce((*_states(changed), *plenty)))
+        if changed or ended:
+            self._sessions.broadcast(RoomInForce((*_states(changed), *plenty)))
 
-    def _log(self, short: dict[str, dict[str, int]]) -> None:
-        for service in short:
+    def _log(self, short: set[str]) -> None:
+        for service in sorted(short):
             waiting, held, places = self._queues.use(service)
             log.info(
                 "room: service=%s waiting=%d held=%d places=%d", service, waiting, held, places
--- a/chestnutfall/forwarding/leader_turn_client.py
+++ b/chestnutfall/forwarding/leader_turn_client.py
@@ -14,13 +14,14 @@
 
     async def ask(criteria: SelectionCriteria, wait_ms: int) -> AnswerTurn:
         return await fleet.ask_turn(
-            lambda number: _question(number, criteria, wait_ms, clock.now_ms()), wait_ms
+            lambda number: turn_question(number, criteria, wait_ms, clock.now_ms()), wait_ms
         )
 
     return ask
 
 
-def _question(number: int, criteria: SelectionCriteria, wait_ms: int, now_ms: int) -> AskTurn:
+def turn_question(number: int, criteria: SelectionCriteria, wait_ms: int, now_ms: int) -> AskTurn:
+    """Return the question for a turn of a call, which waits for it at most `wait_ms`."""
     route = criteria.route
     objective_ms = criteria.call.arrived_ms + route.objective_ms
     return AskTurn(
--- a/chestnutfall/forwarding/plain_upstream_selector.py
+++ b/chestnutfall/forwarding/plain_upstream_selector.py
@@ -124,7 +124,7 @@
         self._upstreams = upstreams
         self._signals = signals
         self._turns = LimitedTurns(signals, ask_turn, clock)
-        self._room = room or _never_short(clock, rng)
+        self._room = room if room is not None else _never_short(clock, rng)
         self._room_turns = RoomTurns(self._room, ask_turn, end_turn, clock, rng)
         self._end_turn = end_turn
         self._has_open = has_open
@@ -138,7 +138,10 @@
     async def select(self, criteria: SelectionCriteria) -> Place:
         service = criteria.service.name
         upstreams = self._sampled(self._accepting(service))
-        by_cost = sorted(upstreams, key=lambda one: self._cost_ms(one, criteria))
+        # In a fixed order, all gateways would send to the first of equal upstreams.
+        by_cost = sorted(
+            upstreams, key=lambda one: (self._cost_ms(one, criteria), self._rng.random())
+        )
         chosen, turn = by_cost[0], None
         if self._room.is_short(service):
             chosen, turn = await self._choose_with_turn(criteria, by_cost)
--- a/chestnutfall/limits/plain_send_queues.py
+++ b/chestnutfall/limits/plain_send_queues.py
@@ -75,9 +75,12 @@
     def enqueue(self, asked: AskTurn, gateway: Gateway) -> None:
         """Queue a call; a later `due` yields its answer."""
         now_ms = self._clock.now_ms()
-        run_ms = self._room(asked.service).run_ms if self._gives_room(asked.service) else 0.0
-        left_ms = min(float(asked.wait_ms), (asked.left_ms or math.inf) - run_ms)
-        in_time_ms = (asked.objective_ms or NO_OBJECTIVE_MS) - run_ms
+        usual_ms = long_ms = 0.0
+        if self._gives_room(asked.service):
+            run_time = self._room(asked.service).run_time
+            usual_ms, long_ms = run_time.usual_ms, run_time.long_ms
+        left_ms = min(float(asked.wait_ms), (asked.left_ms or math.inf) - long_ms)
+        in_time_ms = (asked.objective_ms or NO_OBJECTIVE_MS) - usual_ms
         returned = self._returns.claim(asked.request, now_ms)
         call = WaitingCall(asked, gateway, now_ms, now_ms + in_time_ms, now_ms + left_ms, returned)
         self._queues.setdefault(asked.service, RoomQueue()).push(call, now_ms)
@@ -128,14 +131,13 @@
             if not self._is_short(service):
                 del self._queues[service]
 
-    def short_places(self) -> dict[str, dict[str, int]]:
-        """Places of the upstreams of each service that is short of room."""
-        now_ms = self._clock.now_ms()
-        return {
-            service: room.places(now_ms)
-            for service, room in self._rooms.items()
-            if room.shortage.short
-        }
+    def short_services(self) -> set[str]:
+        """Services that are short of room."""
+        return {service for service, room in self._rooms.items() if room.shortage.short}
+
+    def places(self, service: str) -> dict[str, int]:
+        """Calls that each upstream of a service runs at once."""
+        return self._room(service).places(self._clock.now_ms())
 
     def use(self, service: str) -> tuple[int, int, int]:
         """Calls that wait, places that are held, and places of a service."""
@@ -223,9 +225,16 @@
 
     def choose(self, call: WaitingCall[Gateway]) -> str:
         """Return the upstream that takes a call now; empty if there is none."""
-        allowed = [one for one in self._free if self._may_send(call.gateway, one)]
+        allowed = [one for one in self._free if self._allows(one, call)]
         return min(allowed, key=lambda one: self._preference(one, call.asked), default="")
 
+    def _allows(self, instance: str, call: WaitingCall[Gateway]) -> bool:
+        if not self._may_send(call.gateway, instance):
+            return False
+        if self._room is None:
+            return True
+        return self._room.may_take(instance, call.asked.idempotent, self._now_ms)
+
     def _preference(self, instance: str, asked: AskTurn) -> tuple[bool, bool, float, str]:
         """Sort key: not one that failed this call, the cheapest, the one with most sends left.
 
@@ -235,7 +244,7 @@
         if self._room is None:
             level = limit.level(self._now_ms)
             return instance in asked.avoid, limit.per_s is None, -level, instance
-        cost_ms = self._room.cost_ms(instance, asked.idempotent, self._now_ms)
+        cost_ms = self._room.cost_ms(instance, self._now_ms)
         return instance in asked.avoid, False, cost_ms, instance
 
     def give(self, call: WaitingCall[Gateway], instance: str) -> None:
--- /dev/null
+++ b/chestnutfall/tests/fakes/room_office.py
@@ -0,0 +1,392 @@
+"""A simulated deployment of gateways, a leader and one plain service that is short of room."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from ...concurrency.known_room import KnownRoom
+from ...concurrency.leaderless_room import LeaderlessRoom
+from ...concurrency.messages import EndTurn, RoomInForce, RunningCalls, ShortageReport
+from ...control.upstream_record import UpstreamRecord
+from ...coordination.gateway_session import GatewaySession
+from ...coordination.gateway_sessions import GatewaySessions
+from ...coordination.room_broadcaster import RoomBroadcaster
+from ...forwarding.call import Call
+from ...forwarding.fleet_client import TURN_TIMEOUT_MS, LeaderLost
+from ...forwarding.leader_turn_client import turn_question
+from ...forwarding.place import NoPlace, Place, SelectionCriteria
+from ...forwarding.plain_upstream_selector import PlainUpstreamSelector
+from ...limits.known_limits import KnownLimits
+from ...limits.limit_registry import LimitRegistry
+from ...limits.messages import AnswerTurn, AskTurn
+from ...limits.plain_send_queues import PlainSendQueues
+from ...placement import RunOutcome
+from ...placement.run_times import NO_TIMES
+from ...routes import Route, RouteKind, ServiceSpec, WeightedService
+from ...signals.known_backoffs import KnownBackoffs
+from ...signals.known_signals import KnownSignals
+from .room_clock import Reply, RoomClock
+from .room_upstream import DONE, FULL, PLACES, WORK_MS, Answer, RoomUpstream
+
+SERVICE = "plain"
+HOP_MS = 1.0
+TICK_MS = 8
+OBJECTIVE_MS, TIMEOUT_MS, DEADLINE_MS = 300, 800, 1_500
+_OUTCOMES = {DONE: RunOutcome.DONE, FULL: RunOutcome.FULL}
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Calls of one kind and organisation that come at random.
+
+    Attributes
+    ----------
+    per_s : float
+        Calls per second.
+    rank : int
+        Urgency, 0 is first.
+    """
+
+    kind: str
+    per_s: float
+    organisation: str = "usual"
+    rank: int = 1
+    idempotent: bool = False
+
+    def route(self) -> Route:
+        """The route of these calls."""
+        kind = RouteKind.IDEMPOTENT if self.idempotent else RouteKind.NON_IDEMPOTENT
+        targets = (WeightedService(SERVICE, 1),)
+        attempts = 2 if self.idempotent else 1
+        return Route(
+            self.kind, "h", "/", kind, TIMEOUT_MS, OBJECTIVE_MS, self.rank, targets, attempts
+        )
+
+
+class _Line(GatewaySession):
+    """A session whose messages reach the gateway after a hop."""
+
+    def __init__(self, name: str, office: RoomOffice) -> None:
+        super().__init__(name)
+        self._office = office
+
+    def send(self, msg: Any) -> None:
+        self._office.to_gateway(self.gateway, msg)
+
+
+class RoomLeader:
+    """A leader's queues and what it tells gateways; begins without state."""
+
+    def __init__(self, office: RoomOffice) -> None:
+        self._office = office
+        limits = LimitRegistry(office.clock)
+        self.queues: PlainSendQueues[GatewaySession] = PlainSendQueues(
+            limits, lambda service: list(office.upstreams), lambda gateway, one: True, office.clock
+        )
+        self._sessions = GatewaySessions()
+        self._by_gateway: dict[str, GatewaySession] = {}
+        self.broadcaster = RoomBroadcaster(self.queues, self._sessions, office.clock)
+
+    def join(self, name: str) -> None:
+        self._by_gateway[name] = session = _Line(name, self._office)
+        self._sessions.add(session)
+        self.broadcaster.send_initial_state(session)
+
+    def remove(self, name: str) -> None:
+        session = self._by_gateway.pop(name, None)
+        if session is not None:
+            self._sessions.remove(session)
+            self.queues.drop_gateway(session)
+
+    def handle(self, name: str, msg: Any) -> None:
+        session = self._by_gateway.get(name)
+        if session is None:
+            return
+        match msg:
+            case AskTurn():
+                self.queues.enqueue(msg, session)
+            case EndTurn():
+                self.queues.end_turn(session, msg)
+            case RunningCalls():
+                self.queues.note_running(session, msg)
+            case ShortageReport():
+                self.queues.note_shortage(msg)
+        self.decide()
+
+    def decide(self) -> None:
+        for turn in self.queues.due():
+            turn.gateway.send(turn.answer)
+        self.broadcaster.send_due()
+
+    @property
+    def held(self) -> int:
+        """Places that it has given out."""
+        return self.queues.use(SERVICE)[1]
+
+
+class RoomGateway:
+    """A gateway's real selection of plain upstreams."""
+
+    def __init__(self, name: str, office: RoomOffice) -> None:
+        self.name = name
+        self._office = office
+        clock, rng = office.clock, random.Random(name)
+        limits = KnownLimits(lambda report: None, lambda: 1, clock, rng)
+        signals = KnownSignals(limits, KnownBackoffs(lambda report: None, clock), clock)
+        self.leaderless = LeaderlessRoom(lambda: len(office.gateways), clock, rng)
+        self.room = office.known_room(self)
+        self.selector = PlainUpstreamSelector(
+            lambda service: [one.record for one in office.upstreams.values()],
+            signals,
+            self._ask,
+            clock,
+            "dc",
+            rng,
+            self.room,
+            self.send,
+        )
+        self.connected = True
+        self._numbers = itertools.count()
+        self._asked: dict[int, Reply] = {}
+
+    def send(self, msg: Any) -> None:
+        """Send a message to the leader."""
+        if self.connected:
+            self._office.to_leader(self.name, msg)
+
+    async def _ask(self, criteria: SelectionCriteria, wait_ms: int) -> AnswerTurn:
+        if not self.connected:
+            raise LeaderLost("no leader")
+        number, reply = next(self._numbers), Reply(self._office.clock)
+        self._asked[number] = reply
+        self.send(turn_question(number, criteria, wait_ms, self._office.clock.now_ms()))
+        late = LeaderLost("not answered")
+        self._office.clock.at(wait_ms + TURN_TIMEOUT_MS, lambda: reply.set(None, late))
+        try:
+            answer: AnswerTurn = await reply
+        finally:
+            del self._asked[number]
+        return answer
+
+    def handle(self, msg: Any) -> None:
+        """Handle a message of the leader."""
+        match msg:
+            case AnswerTurn(number) if number in self._asked:
+                self._asked[number].set(msg)
+            case RoomInForce():
+                self.room.apply(msg)
+
+    def lose(self) -> None:
+        """Lose the leader."""
+        self.connected = False
+        for reply in list(self._asked.values()):
+            reply.set(None, LeaderLost("gone"))
+
+    def join(self, leader: RoomLeader) -> None:
+        """Connect to a leader."""
+        self.connected = True
+        leader.join(self.name)
+        for report in self.room.reports_for_new_leader():
+            self.send(report)
+
+
+class RoomOffice:
+    """Gateways, a replaceable leader, upstreams, and callers that come back when refused.
+
+    Attributes
+    ----------
+    results : Counter of (str, str, str)
+        Callers by kind, organisation and result: in_time, late, refused, failed.
+    messages : Counter of str
+        Messages between gateways and the leader by type.
+    most_held : int
+        Most places that the leader had given out at once.
+    most_there : int
+        Most calls at all upstreams at once.
+    deaf : set of str
+        Gateways whose messages don't reach the leader.
+    """
+
+    def __init__(self, gateways: int, upstreams: int = 4, seed: int = 1, callers: int = 1) -> None:
+        self.clock = RoomClock()
+        self.rng = random.Random(seed)
+        self.upstreams = {
+            f"u{at}": RoomUpstream(
+                UpstreamRecord(f"u{at}", SERVICE, f"1:{at}", "dc"), self.clock, self.rng
+            )
+            for at in range(upstreams)
+        }
+        self.results: Counter[tuple[str, str, str]] = Counter()
+        self.refusals: Counter[tuple[str, bool]] = Counter()
+        self.messages: Counter[str] = Counter()
+        self.deaf: set[str] = set()
+        self.most_held = self.most_there = 0
+        self.waits_ms: dict[str, list[int]] = {}
+        self.gateways: dict[str, RoomGateway] = {}
+        for at in range(gateways):
+            self.gateways[f"g{at}"] = RoomGateway(f"g{at}", self)
+        self.leader: RoomLeader | None = None
+        self._ids = itertools.count()
+        self._retries = callers
+        self.begin_leader()
+        self._tick()
+
+    def known_room(self, gateway: RoomGateway) -> KnownRoom:
+        """The room of a gateway; subclasses decide in other ways."""
+        return KnownRoom(gateway.send, gateway.leaderless, self.clock)
+
+    @property
+    def places(self) -> int:
+        """Requests that all upstreams run at once."""
+        return PLACES * len(self.upstreams)
+
+    @property
+    def there(self) -> int:
+        """Requests at all upstreams."""
+        return sum(one.running + len(one.queue) for one in self.upstreams.values())
+
+    # Leader
+
+    def begin_leader(self) -> None:
+        """Replace the leader by one without state."""
+        self.lose_leader()
+        self.leader = RoomLeader(self)
+        for gateway in self.gateways.values():
+            gateway.join(self.leader)
+
+    def lose_leader(self) -> None:
+        """Remove the leader."""
+        self.leader = None
+        for gateway in self.gateways.values():
+            gateway.lose()
+
+    def kill(self, name: str) -> None:
+        """End a gateway; its calls go on at their upstreams and nobody takes their answers."""
+        self.gateways.pop(name).lose()
+        if self.leader is not None:
+            self.leader.remove(name)
+
+    def to_leader(self, name: str, msg: Any) -> None:
+        self.messages[type(msg).__name__] += 1
+        leader = self.leader
+        if name not in self.deaf and leader is not None:
+            self.clock.at(HOP_MS, lambda: self.leader is leader and leader.handle(name, msg))
+
+    def to_gateway(self, name: str, msg: Any) -> None:
+        self.messages[type(msg).__name__] += 1
+        gateway = self.gateways.get(name)
+        if gateway is not None:
+            self.clock.at(HOP_MS, lambda: gateway.connected and gateway.handle(msg))
+
+    def _tick(self) -> None:
+        if self.leader is not None:
+            self.leader.decide()
+            self.most_held = max(self.most_held, self.leader.held)
+        self.most_there = max(self.most_there, self.there)
+        self.clock.at(TICK_MS, self._tick)
+
+    # Callers
+
+    def play(self, ms: int, loads: Iterable[Load]) -> None:
+        """Let calls come at random for `ms`."""
+        end_ms = self.clock.now_ms() + ms
+        for load in loads:
+            self._next_call(load, end_ms)
+        self.clock.advance(ms)
+
+    def drain(self) -> None:
+        """Let all calls end."""
+        self.clock.advance(DEADLINE_MS + 500)
+
+    def _next_call(self, load: Load, end_ms: int) -> None:
+        in_ms = self.rng.expovariate(load.per_s / 1000)
+        if self.clock.now_ms() + in_ms < end_ms:
+            self.clock.at(in_ms, lambda: self._call(load, end_ms))
+
+    def _call(self, load: Load, end_ms: int) -> None:
+        self._next_call(load, end_ms)
+        self.clock.start(self._caller(load))
+
+    async def _caller(self, load: Load) -> None:
+        began_ms, request = self.clock.now_ms(), f"{next(self._ids)}"
+        result, retry_ms = "refused", 0
+        for attempt in range(1 + self._retries):
+            gateway = self.rng.choice(list(self.gateways.values()))
+            left_ms = began_ms + DEADLINE_MS - self.clock.now_ms()
+            result, retry_ms = await self._serve(load, gateway, request, left_ms)
+            self.refusals[load.kind, attempt > 0] += result == "refused"
+            left_ms = began_ms + DEADLINE_MS - self.clock.now_ms()
+            if result != "refused" or attempt == self._retries or retry_ms > left_ms:
+                break
+            await self.clock.sleep_ms(retry_ms + self.rng.uniform(2, 6))
+        if result == "done":
+            took_ms = self.clock.now_ms() - began_ms
+            result = "in_time" if took_ms <= OBJECTIVE_MS else "late"
+        self.results[load.kind, load.organisation, result] += 1
+
+    async def _serve(
+        self, load: Load, gateway: RoomGateway, request: str, left_ms: int
+    ) -> tuple[str, int]:
+        now_ms = self.clock.now_ms()
+        until_ms = now_ms + min(TIMEOUT_MS, left_ms)
+        call = Call("id", "GET", "/", "/", "h", (), b"", now_ms, until_ms)
+        wanted = SelectionCriteria(call, load.route(), ServiceSpec(SERVICE, None), (), until_ms)
+        wanted = replace(wanted, organisation=load.organisation, request=request)
+        for send in range(2):
+            try:
+                place = await gateway.selector.select(wanted)
+            except NoPlace as exc:
+                return "refused", exc.retry_after_ms
+            self.waits_ms.setdefault(load.kind, []).append(self.clock.now_ms() - now_ms)
+            result = await self._send(place, gateway, until_ms)
+            may_repeat = load.idempotent or result == FULL
+            if result == DONE:
+                return "done", 0
+            if send or not may_repeat or self.clock.now_ms() >= until_ms:
+                return ("refused", 500) if result == FULL else ("failed", 0)
+            wanted = replace(wanted, avoid=(place.upstream.instance,))
+        return "failed", 0
+
+    async def _send(self, place: Place, gateway: RoomGateway, until_ms: int) -> str:
+        reply = Reply(self.clock)
+        upstream = self.upstreams[place.upstream.instance]
+        deliver = lambda answer: self.clock.at(HOP_MS, lambda: reply.set(answer))  # noqa: E731
+        self.clock.at(HOP_MS, lambda: upstream.receive(deliver))
+        self.clock.at(until_ms - self.clock.now_ms(), lambda: reply.set(("lost", None)))
+        answer: Answer = await reply
+        result, load = answer
+        if self.gateways.get(gateway.name) is gateway:
+            outcome = _OUTCOMES.get(result, RunOutcome.BROKEN)
+            outcome = RunOutcome.LEFT if result == "lost" else outcome
+            gateway.selector.release(place, outcome, NO_TIMES, load)
+        return result
+
+    # Results
+
+    def share(self, kind: str, result: str = "in_time", organisation: str = "") -> float:
+        """Fraction of the callers of a kind with a result."""
+        of = [
+            (key, count)
+            for key, count in self.results.items()
+            if key[0] == kind and organisation in ("", key[1])
+        ]
+        whole = sum(count for _, count in of)
+        return sum(count for key, count in of if key[2] == result) / max(whole, 1)
+
+    def per_s(self, kind: str, ms: int, organisation: str = "") -> float:
+        """Callers of a kind that were served, per second of `ms`."""
+        served = sum(
+            count
+            for key, count in self.results.items()
+            if key[0] == kind and organisation in ("", key[1]) and key[2] in ("in_time", "late")
+        )
+        return served * 1000 / ms
+
+
+ROOM_PER_S = PLACES * 1000 / WORK_MS
+"""Calls per second that one upstream runs."""
