Test what callers are served while a plain service is short of room

A simulated deployment of 1 to 410 gateways with the real selection and queues; the failures of gateways, leader, links and upstreams; the parts by themselves.

--- a/chestnutfall/concurrency/room_queue.py
+++ b/chestnutfall/concurrency/room_queue.py
@@ -12,8 +12,8 @@
 from .pace import Pace
 from .waiting_call import WaitingCall
 
-FLOOR_FRACTION = 0.1
-"""Part of the turns that each kind of calls with waiting ones gets, whatever its rank."""
+FLOOR_TURNS = 10
+"""A kind of calls with waiting ones gets a turn after so many of others, whatever its rank."""
 MAX_KINDS = 4
 """Kinds with a floor at one time, the first ones that wait; together they get less than half."""
 REJUDGE_INTERVAL_MS = 100
@@ -57,7 +57,7 @@
     def __init__(self) -> None:
         self._in_time: FairLane[Gateway] = FairLane()
         self._late: FairLane[Gateway] = FairLane()
-        self._owed: dict[str, float] = {}
+        self._others_turns: dict[str, int] = {}
         self._new: dict[int, tuple[FairLane[Gateway], WaitingCall[Gateway]]] = {}
         self._judged_ms = 0
 
@@ -97,7 +97,7 @@
         return None
 
     def _orders(self) -> Iterator[tuple[FairLane[Gateway], str | None]]:
-        for kind in [kind for kind, turns in self._owed.items() if turns >= 1]:
+        for kind in [kind for kind, turns in self._others_turns.items() if turns >= FLOOR_TURNS]:
             yield self._in_time, kind
             yield self._late, kind
         yield self._in_time, None
@@ -105,10 +105,8 @@
 
     def _note_served(self, served: str) -> None:
         waiting = sorted(self._in_time.kinds() | self._late.kinds())[:MAX_KINDS]
-        self._owed = {
-            kind: min(self._owed.get(kind, 0.0) + FLOOR_FRACTION, 1.0)
-            for kind in waiting
-            if kind != served
+        self._others_turns = {
+            kind: self._others_turns.get(kind, 0) + 1 for kind in waiting if kind != served
         }
 
     def refused(self, pace: Pace, now_ms: int) -> Iterator[RefusedCall[Gateway]]:
@@ -186,7 +184,7 @@
         if lane is self._late:
             left_per_ms -= self._in_time.demand_per_ms(now_ms)
         left_per_ms -= lane.more_urgent_per_ms(call.asked.rank, now_ms)
-        floor = FLOOR_FRACTION * all_per_ms if lane is self._in_time else 0.0
+        floor = all_per_ms / (FLOOR_TURNS + 1) if lane is self._in_time else 0.0
         kind_per_ms = fair_rate(
             max(left_per_ms, floor), lane.other_kinds_per_ms(call.group, now_ms)
         )
--- a/chestnutfall/concurrency/run_time.py
+++ b/chestnutfall/concurrency/run_time.py
@@ -10,36 +10,37 @@
 class RunTime:
     """Moving mean and mean deviation of the times of calls.
 
+    The first calls that end are the shortest, so the default counts like one of the first calls.
+
     Attributes
     ----------
     mean_ms : float
-        Mean time of a call; `default_ms` before the first one.
+        Mean time of a call; the default before the first one.
     """
 
     def __init__(self, default_ms: float = 0.0) -> None:
         self.mean_ms = default_ms
         self._deviation_ms = 0.0
-        self._known = False
+        self._calls = 0
 
     def note(self, run_ms: float) -> None:
         """Record the time of a call; a value that can't be one is ignored."""
         if not 0 < run_ms <= MAX_RUN_MS:
             return
-        if not self._known:
-            self.mean_ms, self._known = run_ms, True
-            return
-        self._deviation_ms += WEIGHT * (abs(run_ms - self.mean_ms) - self._deviation_ms)
-        self.mean_ms += WEIGHT * (run_ms - self.mean_ms)
+        self._calls += 1
+        weight = max(WEIGHT, 1 / (self._calls + 1))
+        self._deviation_ms += weight * (abs(run_ms - self.mean_ms) - self._deviation_ms)
+        self.mean_ms += weight * (run_ms - self.mean_ms)
 
     def suggest(self, run_ms: float) -> None:
         """Take a time that another process learned, unless there is one already."""
-        if not self._known:
+        if not self._calls:
             self.note(run_ms)
 
     @property
     def learned_ms(self) -> float:
         """The mean, or 0 before the first call."""
-        return self.mean_ms if self._known else 0.0
+        return self.mean_ms if self._calls else 0.0
 
     @property
     def usual_ms(self) -> float:
--- a/chestnutfall/tests/fakes/room_office.py
+++ b/chestnutfall/tests/fakes/room_office.py
@@ -31,7 +31,7 @@
 from ...signals.known_backoffs import KnownBackoffs
 from ...signals.known_signals import KnownSignals
 from .room_clock import Reply, RoomClock
-from .room_upstream import DONE, FULL, PLACES, WORK_MS, Answer, RoomUpstream
+from .room_upstream import DONE, FULL, PLACES, Answer, RoomUpstream
 
 SERVICE = "plain"
 HOP_MS = 1.0
@@ -202,14 +202,18 @@
     ----------
     results : Counter of (str, str, str)
         Callers by kind, organisation and result: in_time, late, refused, failed.
+    refusals : Counter of (str, bool)
+        Refusals by kind and whether the caller had been refused before.
+    at_gateway : Counter of (str, str, str)
+        Callers by kind, gateway that they asked first, and result.
     messages : Counter of str
         Messages between gateways and the leader by type.
     most_held : int
         Most places that the leader had given out at once.
     most_there : int
         Most calls at all upstreams at once.
-    deaf : set of str
-        Gateways whose messages don't reach the leader.
+    deaf, mute : set of str
+        Gateways whose messages don't reach the leader, and that the leader's don't reach.
     """
 
     def __init__(self, gateways: int, upstreams: int = 4, seed: int = 1, callers: int = 1) -> None:
@@ -223,8 +227,10 @@
         }
         self.results: Counter[tuple[str, str, str]] = Counter()
         self.refusals: Counter[tuple[str, bool]] = Counter()
+        self.at_gateway: Counter[tuple[str, str, str]] = Counter()
         self.messages: Counter[str] = Counter()
         self.deaf: set[str] = set()
+        self.mute: set[str] = set()
         self.most_held = self.most_there = 0
         self.waits_ms: dict[str, list[int]] = {}
         self.gateways: dict[str, RoomGateway] = {}
@@ -280,7 +286,7 @@
     def to_gateway(self, name: str, msg: Any) -> None:
         self.messages[type(msg).__name__] += 1
         gateway = self.gateways.get(name)
-        if gateway is not None:
+        if gateway is not None and name not in self.mute:
             self.clock.at(HOP_MS, lambda: gateway.connected and gateway.handle(msg))
 
     def _tick(self) -> None:
@@ -294,10 +300,14 @@
 
     def play(self, ms: int, loads: Iterable[Load]) -> None:
         """Let calls come at random for `ms`."""
+        self.begin_calls(ms, loads)
+        self.clock.advance(ms)
+
+    def begin_calls(self, ms: int, loads: Iterable[Load]) -> None:
+        """Let calls come at random while the clock advances by `ms`."""
         end_ms = self.clock.now_ms() + ms
         for load in loads:
             self._next_call(load, end_ms)
-        self.clock.advance(ms)
 
     def drain(self) -> None:
         """Let all calls end."""
@@ -314,9 +324,10 @@
 
     async def _caller(self, load: Load) -> None:
         began_ms, request = self.clock.now_ms(), f"{next(self._ids)}"
-        result, retry_ms = "refused", 0
+        result, retry_ms, first = "refused", 0, ""
         for attempt in range(1 + self._retries):
             gateway = self.rng.choice(list(self.gateways.values()))
+            first = first or gateway.name
             left_ms = began_ms + DEADLINE_MS - self.clock.now_ms()
             result, retry_ms = await self._serve(load, gateway, request, left_ms)
             self.refusals[load.kind, attempt > 0] += result == "refused"
@@ -328,6 +339,7 @@
             took_ms = self.clock.now_ms() - began_ms
             result = "in_time" if took_ms <= OBJECTIVE_MS else "late"
         self.results[load.kind, load.organisation, result] += 1
+        self.at_gateway[load.kind, first, result] += 1
 
     async def _serve(
         self, load: Load, gateway: RoomGateway, request: str, left_ms: int
@@ -386,7 +398,3 @@
             if key[0] == kind and organisation in ("", key[1]) and key[2] in ("in_time", "late")
         )
         return served * 1000 / ms
-
-
-ROOM_PER_S = PLACES * 1000 / WORK_MS
-"""Calls per second that one upstream runs."""
--- a/chestnutfall/tests/fakes/room_upstream.py
+++ b/chestnutfall/tests/fakes/room_upstream.py
@@ -13,6 +13,8 @@
 
 PLACES, QUEUE = 6, 24
 WORK_MS = 60.0
+ROOM_PER_S = PLACES * 1000 / WORK_MS
+"""Calls per second that one upstream runs."""
 FULL, DONE, FAILED = "full", "done", "failed"
 Answer = tuple[str, UpstreamLoad | None]
 
--- a/chestnutfall/tests/test_upstream_selectors.py
+++ b/chestnutfall/tests/test_upstream_selectors.py
@@ -10,8 +10,13 @@
 import dataclasses
 import random
 import unittest
+from collections.abc import Callable
 
 from ..clock import ManualClock
+from ..concurrency.known_room import KnownRoom
+from ..concurrency.leaderless_room import LeaderlessRoom
+from ..concurrency.messages import EndTurn, RoomInForce, ServiceRoomState
+from ..concurrency.upstream_room import SLOWDOWN_FRESH_MS
 from ..control.upstream_record import UpstreamRecord
 from ..coordination.holdings_diff import holdings_change
 from ..coordination.messages import Release, UpstreamsChange, Withdraw
@@ -21,6 +26,7 @@
 from ..forwarding.fleet_knowledge import FleetKnowledge
 from ..forwarding.place import NoPlace, Place, SelectionCriteria
 from ..forwarding.plain_upstream_selector import PlainUpstreamSelector
+from ..limits.messages import NO_ROOM, AnswerTurn
 from ..placement import AdapterName, Grant, PlaceRequest, ReadyAdapter, Reject, RunOutcome
 from ..placement.run_times import NO_TIMES
 from ..platform.document_json import DocumentJson
@@ -183,6 +189,76 @@
         await self.clock.advance(30_000)
         self.assertIn(failing, {(await self._take()).upstream.instance for _ in range(12)})
 
+    # Guards against work for an upstream whose host is busy with other work at this moment.
+    async def test_an_upstream_that_is_slow_now_is_left_for_half_a_second(self) -> None:
+        first = await self._take()
+        slow = first.upstream.instance
+        self.selector.release(first, RunOutcome.DONE, NO_TIMES, UpstreamLoad(1, 0, 6, 3.0))
+        self.assertNotIn(slow, {(await self._take()).upstream.instance for _ in range(2)})
+        await self.clock.advance(SLOWDOWN_FRESH_MS)
+        self.assertIn(slow, {(await self._take()).upstream.instance for _ in range(4)})
+
+    # Guards against new connections where another upstream serves as well on an open one.
+    async def test_where_the_cost_is_the_same_the_open_connection_is_used(self) -> None:
+        for open_to in ("1", "2"):
+            selector = self._selector(has_open=lambda instance, to=open_to: instance == to)
+            self.assertEqual((await selector.select(_criteria())).upstream.instance, open_to)
+
+    # Guards against all gateways sending to the first of several equal upstreams.
+    async def test_equal_upstreams_are_chosen_at_random(self) -> None:
+        taken = set()
+        for seed in range(10):
+            selector = self._selector(seed=seed)
+            taken.add((await selector.select(_criteria())).upstream.instance)
+        self.assertEqual(taken, {"1", "2"})
+
+    async def test_while_there_is_no_room_each_call_has_a_turn_and_ends_it(self) -> None:
+        turns = ScriptedTurns(
+            AnswerTurn(7, "2", held=True),
+            AnswerTurn(8, "gone", held=True),
+            AnswerTurn(9, "", 140, NO_ROOM),
+        )
+        ended: list[EndTurn] = []
+        selector = self._selector(turns=turns, room=self._short_room(), end_turn=ended.append)
+        place = await selector.select(_criteria(avoid=("2",)))
+        self.assertEqual(place.upstream.instance, "2")
+        await self.clock.advance(60)
+        load = UpstreamLoad(6, 1, 6)
+        selector.release(place, RunOutcome.DONE, NO_TIMES, load)
+        self.assertEqual(ended, [EndTurn(7, "2", "done", 60.0, load)])
+        with self.assertRaises(NoPlace):
+            await selector.select(_criteria())
+        self.assertEqual(ended[1], EndTurn(8, "gone", "withdrawn"))
+        with self.assertRaises(NoPlace) as raised:
+            await selector.select(_criteria())
+        self.assertEqual((raised.exception.reason, raised.exception.retry_after_ms), (NO_ROOM, 140))
+
+    def _short_room(self) -> KnownRoom:
+        leaderless = LeaderlessRoom(lambda: 1, self.clock, random.Random(1))
+        room = KnownRoom(lambda report: None, leaderless, self.clock)
+        room.apply(RoomInForce((ServiceRoomState("s", True, {"1": 6, "2": 6}),)))
+        return room
+
+    def _selector(
+        self,
+        turns: ScriptedTurns | None = None,
+        room: KnownRoom | None = None,
+        end_turn: Callable[[EndTurn], None] = lambda ended: None,
+        has_open: Callable[[str], bool] = lambda instance: False,
+        seed: int = 1,
+    ) -> PlainUpstreamSelector:
+        return PlainUpstreamSelector(
+            lambda service: self.upstreams,
+            known_signals(self.clock),
+            (turns or ScriptedTurns()).ask,
+            self.clock,
+            "dc",
+            random.Random(seed),
+            room,
+            end_turn,
+            has_open,
+        )
+
     async def test_near_upstreams_go_first(self) -> None:
         self.upstreams = [_upstream("far", "other"), _upstream("near")]
         self.assertEqual((await self._take()).upstream.instance, "near")
