--- a/chestnutfall/tests/fakes/room_upstream.py
+++ b/chestnutfall/tests/fakes/room_upstream.py
@@ -32,6 +32,8 @@
 
     Attributes
     ----------
+    work_ms : float
+        Mean time of a request.
     slowdown : float
         How many times as long work takes now.
     fail_fraction : float
@@ -46,6 +48,7 @@
         self.record = record
         self._clock = clock
         self._rng = rng
+        self.work_ms = WORK_MS
         self.slowdown = 1.0
         self.fail_fraction = 0.0
         self.told_places = PLACES
@@ -61,7 +64,7 @@
             self.shed += 1
             answer((FULL, self._load()))
             return
-        self.queue.append(_Run(self._rng.lognormvariate(-0.11, 0.47) * WORK_MS, answer))
+        self.queue.append(_Run(self._rng.lognormvariate(-0.11, 0.47) * self.work_ms, answer))
         self.most = max(self.most, self.running + len(self.queue))
         self._run_next()
 
--- a/chestnutfall/tests/test_plain_room.py
+++ b/chestnutfall/tests/test_plain_room.py
@@ -129,6 +129,17 @@
                 self.assertLessEqual(office.messages.total(), 3)
                 self.assertGreaterEqual(office.share("lookup"), 0.99)
 
+    # Guards against places that idle for a round trip to the leader after each call.
+    def test_short_calls_leave_no_place_idle(self) -> None:
+        office = RoomOffice(9, 1)
+        office.upstreams["u0"].work_ms = WORK_MS / 4
+        office.begin_calls(1_300, [Load("send", 6 * ROOM_PER_S)])
+        office.clock.advance(500)
+        before = office.upstreams["u0"].arrivals
+        office.clock.advance(800)
+        sent = office.upstreams["u0"].arrivals - before
+        self.assertGreaterEqual(sent, 0.9 * 0.8 * 4 * ROOM_PER_S)
+
     # Guards against room that depends on the number of gateways, and messages that grow with it.
     def test_any_number_of_gateways(self) -> None:
         for gateways in (1, 9, 410):
@@ -194,7 +205,7 @@
     # Guards against places that a killed gateway holds for ever.
     def test_a_gateway_killed_with_credits(self) -> None:
         office = self._short_office(9, 2_000)
-        for at in range(5):
+        for at in range(4, 9):
             office.kill(f"g{at}")
         office.clock.advance(600)
         before = sum(one.arrivals for one in office.upstreams.values())
--- a/chestnutfall/tests/test_room_parts.py
+++ b/chestnutfall/tests/test_room_parts.py
@@ -189,6 +189,13 @@
         self.assertEqual(refused, set(range(100 - len(refused), 100)))
         self.assertLessEqual(len(self.queue), 24)  # 240 ms at 0.1 calls per ms
 
+    # Guards against calls that are kept although those of others go between them.
+    def test_the_expected_wait_counts_what_others_ask_for(self) -> None:
+        for at in range(40):
+            self._push(_ask(at, organisation="o" if at % 2 else "p"))
+        list(self.queue.refused(Pace(0.0, 0.1), 0))
+        self.assertLessEqual(len(self.queue), 26)  # 240 ms at 0.1 calls per ms, one of each more
+
     def test_who_came_back_goes_before_newcomers(self) -> None:
         self._push(*(_ask(at) for at in range(5)))
         self._push(_ask(100), returned=True)
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -10,6 +10,7 @@
 from .placement_mutants import PLACEMENT_MUTANTS
 from .quarantine_mutants import QUARANTINE_MUTANTS
 from .quota_mutants import QUOTA_MUTANTS
+from .room_mutants import ROOM_MUTANTS
 from .signal_mutants import SIGNAL_MUTANTS
 
 MUTANTS = (
@@ -22,6 +23,7 @@
     *QUOTA_MUTANTS,
     *SIGNAL_MUTANTS,
     *LIMIT_MUTANTS,
+    *ROOM_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
--- a/properties/safeguards/limit_mutants.py
+++ b/properties/safeguards/limit_mutants.py
@@ -97,15 +97,15 @@
     Mutant(
         "plain upstreams are chosen without a turn",
         "chestnutfall/forwarding/plain_upstream_selector.py",
-        "        if self._signals.limits.per_s(chosen.instance) is not None:",
-        "        if False:",
+        "        elif self._signals.limits.per_s(chosen.instance) is not None:",
+        "        elif False:",
         f"{_TOGETHER_TEST}.test_any_number_of_gateways_keeps_a_limit_and_uses_it",
     ),
     Mutant(
         "turns go by arrival, whosever calls they are",
-        "chestnutfall/limits/plain_send_queues.py",
-        "        return self.asked.rank, self.tag, self.since_ms",
-        "        return self.asked.rank, 0.0, self.since_ms",
+        "chestnutfall/forwarding/leader_turn_client.py",
+        "        criteria.organisation,\n",
+        '        "",\n',
         f"{_TOGETHER_TEST}.test_organisations_share_what_limited_upstreams_allow",
     ),
     Mutant(
