--- a/chestnutfall/concurrency/service_room.py
+++ b/chestnutfall/concurrency/service_room.py
@@ -111,10 +111,15 @@
     def _all_places(self, now_ms: int) -> dict[str, int]:
         known = {n: one.places(now_ms) for n, one in self._rooms.items() if one.known}
         typical = int(statistics.median(known.values())) if known else 1
-        # An upstream that fails calls gets fewer of them.
+        # An upstream that fails calls, or is slow at this moment, gets fewer of them: others run
+        # them sooner, and where none has room more calls are in time if fewer run slowly.
         return {
-            name: math.ceil(known.get(name, typical) * (1 - self.excess_failure(name, now_ms)))
-            for name in self._rooms
+            name: math.ceil(
+                known.get(name, typical)
+                * (1 - self.excess_failure(name, now_ms))
+                / max(room.slowdown(now_ms), 1.0)
+            )
+            for name, room in self._rooms.items()
         }
 
     def excess_failure(self, instance: str, now_ms: int) -> float:
--- a/chestnutfall/concurrency/service_shortage.py
+++ b/chestnutfall/concurrency/service_shortage.py
@@ -6,14 +6,13 @@
 
 PRESSURE_FRESH_MS = 500
 """Calls that wait at an upstream are gone after a few runs."""
-SHORT_WAITING_FRACTION = 0.5
-"""The service is short if so many calls per place wait at its upstreams together. Fewer wait now
-and then where there is room, since calls come unevenly."""
+SHORT_WAITING_FRACTION = 1.0
+"""The service is short if so many calls per place wait at its upstreams together; the last of them
+waits for a whole run. Fewer wait now and then where there is room, since calls come unevenly."""
 PLENTY_USED_FRACTION = 0.75
 """Part of the room up to which gateways spread calls well enough by themselves."""
 PLENTY_MS = 2_000
 """Time with fewer calls than that, and none that waits, after which there is plenty again."""
-
 END_HEARD_MS = 1_000
 """Time within which all gateways hear that a shortage ended."""
 
