Let the soak flood a slow plain service; count a slowdown once

A learned run held the slowdown, which then counted again, and an upstream lost places for a slowdown that all upstreams of its service had. Change: runs are learned without the slowdown; places are divided by it as far as it is above the least of the service. The stand-in of a plain service has places and a queue and reports its load with four figures; the soak checks who is served and what upstreams refuse.

--- a/chestnutfall/concurrency/known_room.py
+++ b/chestnutfall/concurrency/known_room.py
@@ -140,7 +140,7 @@
         if service not in self._run_times:
             return  # no upstream of it has reported a load
         if outcome is RunOutcome.DONE:
-            self._run_times[service].note(run_ms)
+            self._run_times[service].note(run_ms / (load.slowdown if load is not None else 1.0))
         now_ms = self._clock.now_ms()
         if outcome is RunOutcome.FULL or (load is not None and shows_shortage(load)):
             self._pressure_ms[service] = now_ms
--- a/chestnutfall/concurrency/service_room.py
+++ b/chestnutfall/concurrency/service_room.py
@@ -98,7 +98,7 @@
             for one, count in running.items()
             if one in self._rooms
         }
-        self._ledger.set_running(gateway, bounded, now_ms + self._ends_within_ms())
+        self._ledger.set_running(gateway, bounded, now_ms + self._ends_within_ms(now_ms))
         self._was_short = True
         self.shortage.begin(now_ms)
 
@@ -111,17 +111,23 @@
     def _all_places(self, now_ms: int) -> dict[str, int]:
         known = {n: one.places(now_ms) for n, one in self._rooms.items() if one.known}
         typical = int(statistics.median(known.values())) if known else 1
-        # An upstream that fails calls, or is slow at this moment, gets fewer of them: others run
-        # them sooner, and where none has room more calls are in time if fewer run slowly.
+        # An upstream that fails more calls than others, or is slower than they are at this moment,
+        # gets fewer: others run them sooner, and more calls are in time if fewer run slowly.
+        least = self.least_slowdown(now_ms)
         return {
             name: math.ceil(
                 known.get(name, typical)
                 * (1 - self.excess_failure(name, now_ms))
-                / max(room.slowdown(now_ms), 1.0)
+                * least
+                / room.slowdown(now_ms)
             )
             for name, room in self._rooms.items()
         }
 
+    def least_slowdown(self, now_ms: int) -> float:
+        """How many times as long as usual calls take at the quickest upstream."""
+        return min((one.slowdown(now_ms) for one in self._rooms.values()), default=1.0)
+
     def excess_failure(self, instance: str, now_ms: int) -> float:
         """How many more of its calls an upstream fails than the best one of its service."""
         best = min(one.failures.at(now_ms) for one in self._rooms.values())
@@ -129,11 +135,12 @@
 
     @property
     def run_time(self) -> RunTime:
-        """Times of calls at the upstreams, without the time in their queues."""
+        """Times of calls at upstreams that aren't slowed, without the time in their queues."""
         return self._run_time
 
-    def _ends_within_ms(self) -> float:
-        return RUNS_TO_END * self._run_time.usual_ms
+    def _ends_within_ms(self, now_ms: int) -> float:
+        slowdown = max((one.slowdown(now_ms) for one in self._rooms.values()), default=1.0)
+        return RUNS_TO_END * self._run_time.usual_ms * slowdown
 
     # What is given out
 
@@ -186,9 +193,11 @@
             outcome = RunOutcome(msg.outcome)
             room.note_outcome(outcome, now_ms)
             if outcome is RunOutcome.DONE:
+                slowdown = msg.load.slowdown if msg.load is not None else room.slowdown(now_ms)
                 # Where more calls are there than places, each one's time holds a wait.
                 there = max(self._ledger.used(msg.instance), 1)
-                self._run_time.note(msg.run_ms * min(room.places(now_ms) / there, 1.0))
+                run_ms = msg.run_ms * min(room.places(now_ms) / there, 1.0)
+                self._run_time.note(run_ms / slowdown)
             if msg.load is not None:
                 self._note_load(msg.instance, room, msg.load, now_ms)
         self._ledger.end(gateway, msg.number, msg.instance)
@@ -212,7 +221,7 @@
 
     def drop_gateway(self, gateway: Gateway, now_ms: int) -> None:
         """Let the places of a gateway whose session ended expire when its calls have ended."""
-        self._ledger.shorten(gateway, now_ms + self._ends_within_ms())
+        self._ledger.shorten(gateway, now_ms + self._ends_within_ms(now_ms))
 
     def note_use(self, waiting: int, now_ms: int) -> None:
         """Decide whether the service has plenty of room again."""
--- a/chestnutfall/limits/plain_send_queues.py
+++ b/chestnutfall/limits/plain_send_queues.py
@@ -77,8 +77,10 @@
         now_ms = self._clock.now_ms()
         usual_ms = long_ms = 0.0
         if self._gives_room(asked.service):
-            run_time = self._room(asked.service).run_time
-            usual_ms, long_ms = run_time.usual_ms, run_time.long_ms
+            room = self._room(asked.service)
+            slowdown = room.least_slowdown(now_ms)
+            usual_ms = slowdown * room.run_time.usual_ms
+            long_ms = slowdown * room.run_time.long_ms
         left_ms = min(float(asked.wait_ms), (asked.left_ms or math.inf) - long_ms)
         in_time_ms = (asked.objective_ms or NO_OBJECTIVE_MS) - usual_ms
         returned = self._returns.claim(asked.request, now_ms)
--- a/chestnutfall/platform/standin/tenants.py
+++ b/chestnutfall/platform/standin/tenants.py
@@ -4,8 +4,13 @@
 
 from typing import Any
 
-STEADY, BUSY, LEAVING = "steady", "busy", "leaving"
-KEYS = {STEADY: "key-of-steady-4b1f", BUSY: "key-of-busy-77d0", LEAVING: "key-of-leaving-e93a"}
+STEADY, BUSY, LEAVING, FLOODING = "steady", "busy", "leaving", "flooding"
+KEYS = {
+    STEADY: "key-of-steady-4b1f",
+    BUSY: "key-of-busy-77d0",
+    LEAVING: "key-of-leaving-e93a",
+    FLOODING: "key-of-flooding-0c52",
+}
 LEAVES_AT_VERSION = 12
 """From this version of the document on, the key of `LEAVING` is not valid."""
 BUSY_PER_S = 10.0
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -15,6 +15,7 @@
 
 from .. import header_names as names
 from ..listening import listen
+from .room import NoRoom, StandInRoom
 from .run_registry import RunRegistry
 
 MODEL = "base"
@@ -67,6 +68,8 @@
         Whether its answers carry the header that it leaves.
     announces_draining : bool
         Whether its announcements have the state "draining".
+    room : StandInRoom
+        Places of an upstream of a plain service; a new one after each restart.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         self.marks_not_executed = True
         self.leaving = False
         self.announces_draining = False
+        self.room = StandInRoom()
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
         self._announcing: asyncio.Task[None] | None = None
@@ -152,6 +156,8 @@
         self._orders_taken = self._newest_token = 0
         self.backoff, self.leaving, self.announces_draining = None, False, False
         self._adapters, self._loading, self._unloading, self._running = {}, {}, set(), []
+        refused, self.room = self.room.refused, StandInRoom()
+        self.room.refused = refused
         await self._listen(self.address)
         await self.on_start()
         self._ending = None
@@ -261,22 +267,37 @@
         name = request.headers.get(names.MODEL, "").partition("/")[2]
         if self._is_engine and name not in self._adapters:
             return self._answer(request_id, 421, {names.INSTANCE: self.instance})
+        if not self._is_engine:
+            return await self._run_plain(request, request_id, body)
         if len(self._running) >= BATCH or name in self._unloading:
             return self._answer(request_id, 503, {names.NOT_EXECUTED: "1"})
         self._running.append(name)
+        self._note_run(request, request_id, body)
+        try:
+            await asyncio.sleep(self._rng.uniform(0.002, 0.03))
+            return await self._stream(request, request_id, name)
+        finally:
+            self._end_run(name)
+
+    async def _run_plain(
+        self, request: web.BaseRequest, request_id: str, body: bytes
+    ) -> web.StreamResponse:
+        room = self.room
+        try:
+            async with room.place():
+                self._note_run(request, request_id, body)
+                await asyncio.sleep(self._rng.uniform(0.002, 0.03) * room.slowdown)
+                return self._answer(request_id, 200, {}, answer_body(request_id))
+        except NoRoom:
+            return self._answer(request_id, 503, {names.NOT_EXECUTED: "1"})
+
+    def _note_run(self, request: web.BaseRequest, request_id: str, body: bytes) -> None:
         if names.KEY in request.headers:
             self._registry.note_violation(f"{self.instance}: got the key of {request_id}")
         self._registry.note_run(request_id, request.headers.get(names.ORGANISATION, ""))
         if body.startswith(FATAL_BODY) and self._ending is None:
             self._registry.ends[body] += 1
             self._ending = asyncio.ensure_future(self._end_and_restart())
-        try:
-            await asyncio.sleep(self._rng.uniform(0.002, 0.03))
-            if not self._is_engine:
-                return self._answer(request_id, 200, {}, answer_body(request_id))
-            return await self._stream(request, request_id, name)
-        finally:
-            self._end_run(name)
 
     def _answer(
         self, request_id: str, status: int, headers: dict[str, str], body: bytes = b""
@@ -300,6 +321,8 @@
             headers[names.REQUEST_LIMIT] = self.limit
         if self.leaving:
             headers[names.LEAVING] = "1"
+        if not self._is_engine:
+            headers[names.LOAD] = self.room.load()
         return headers
 
     async def _stream(
--- a/chestnutfall/tests/test_plain_room.py
+++ b/chestnutfall/tests/test_plain_room.py
@@ -103,6 +103,16 @@
         self.assertLess(in_time[0], 0.93)
         self.assertGreaterEqual(in_time[1], 0.96)
 
+    # Guards against a service that refuses nearly all since its upstreams tell of a slowdown.
+    def test_upstreams_that_are_all_slow(self) -> None:
+        office = self._office(9)
+        for one in office.upstreams.values():
+            one.work_ms, one.slowdown = WORK_MS / 6, 6.0
+        office.play(2_000, [LOOKUPS, SENDS])
+        office.drain()
+        self.assertGreaterEqual(office.share("lookup"), 0.95)
+        self.assertGreaterEqual(office.per_s("send", 2_000), 0.85 * (ROOM - LOOKUPS.per_s))
+
     # Guards against an upstream that fails calls at once, and so has room for more than others.
     def test_an_upstream_that_fails_calls_gets_no_unsafe_ones(self) -> None:
         office = RoomOffice(62, 4)
--- a/properties/safeguards/room_mutants.py
+++ b/properties/safeguards/room_mutants.py
@@ -139,7 +139,7 @@
     Mutant(
         "a new leader does not count the calls that run",
         _SERVICE,
-        "        self._ledger.set_running(gateway, bounded, now_ms + self._ends_within_ms())",
+        "        self._ledger.set_running(gateway, bounded, now_ms + self._ends_within_ms(now_ms))",
         "        pass",
         f"{_PARTS_TEST}.ServiceRoomTest",
     ),
@@ -167,10 +167,24 @@
     Mutant(
         "an upstream that is slow at this moment gets as many turns as others",
         _SERVICE,
-        "                / max(room.slowdown(now_ms), 1.0)",
-        "                / 1.0",
+        "                / room.slowdown(now_ms)\n            )",
+        "                / least\n            )",
         f"{_PARTS_TEST}.ServiceRoomTest",
     ),
+    Mutant(
+        "a slowdown of a whole service takes room from each upstream",
+        _SERVICE,
+        "        least = self.least_slowdown(now_ms)",
+        "        least = 1.0",
+        f"{_TOGETHER_TEST}.test_upstreams_that_are_all_slow",
+    ),
+    Mutant(
+        "a slowdown counts twice",
+        _SERVICE,
+        "                self._run_time.note(run_ms / slowdown)",
+        "                self._run_time.note(run_ms)",
+        f"{_TOGETHER_TEST}.test_upstreams_that_are_all_slow",
+    ),
     Mutant(
         "failures of a whole service take room from each upstream",
         _SERVICE,
@@ -181,8 +195,8 @@
     Mutant(
         "the wait at an upstream counts as its run",
         _SERVICE,
-        "                self._run_time.note(msg.run_ms * min(room.places(now_ms) / there, 1.0))",
-        "                self._run_time.note(msg.run_ms)",
+        "                run_ms = msg.run_ms * min(room.places(now_ms) / there, 1.0)",
+        "                run_ms = msg.run_ms",
         f"{_PARTS_TEST}.ServiceRoomTest",
     ),
     Mutant(
--- /dev/null
+++ b/soak/flood_episodes.py
@@ -0,0 +1,156 @@
+"""Floods of one organisation at a plain service that is slow, and checks of who is served."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+from chestnutfall.platform.standin.client import ClientResult, StandInClient
+from chestnutfall.platform.standin.operator import PLAIN
+from chestnutfall.platform.standin.tenants import FLOODING, STEADY
+
+from .disturbances import Disturbances
+from .office import Office
+from .verdict import Verdict
+
+SLOWDOWN = 6.0
+"""Upstreams run some 80 requests a second while they work so much slower."""
+FLOOD_INTERVAL_S = 0.008
+OTHERS_INTERVAL_S = 0.05
+EPISODE_S = 2.5
+SETTLE_S = 1.2
+"""Time in which the leader learns that the service is short of room."""
+MIN_REQUESTS = 8
+"""Requests of one kind and organisation from which some must be served."""
+MIN_SERVED_PART = 0.5
+"""Part of the requests of others that must be served where there was no fault at all."""
+MAX_REFUSED_PART = 0.1
+"""Part of the requests that upstreams may refuse for lack of room after `SETTLE_S`."""
+
+
+@dataclass(slots=True)
+class _Episode:
+    """What was seen in an episode without a fault of a gateway or an upstream.
+
+    Attributes
+    ----------
+    is_calm : bool
+        Whether there was no fault of a controller either.
+    refused : int
+        Requests that upstreams refused for lack of room after `SETTLE_S`.
+    """
+
+    is_calm: bool
+    sent: Counter[tuple[str, str]] = field(default_factory=Counter)
+    served: Counter[tuple[str, str]] = field(default_factory=Counter)
+    refused: int = 0
+
+
+class FloodEpisodes:
+    """Lets one organisation ask for more than a plain service can run, beside others."""
+
+    def __init__(self, office: Office, disturbances: Disturbances) -> None:
+        self._office = office
+        self._disturbances = disturbances
+        self._episodes: list[_Episode] = []
+        self._played = 0
+
+    async def play_until_cancelled(
+        self, client: StandInClient, rng: random.Random, seen: list[ClientResult]
+    ) -> None:
+        """Start one episode after another until cancelled; append each result to `seen`."""
+        while True:
+            await asyncio.sleep(rng.uniform(1.0, 4.0))
+            await self.play_episode(client, rng, seen)
+
+    async def play_episode(
+        self,
+        client: StandInClient,
+        rng: random.Random,
+        seen: list[ClientResult],
+        is_calm: bool = False,
+    ) -> None:
+        """Play one episode; append each result to `seen`.
+
+        Parameters
+        ----------
+        is_calm : bool
+            Whether no fault is injected meanwhile.
+        """
+        self._played += 1
+        episode = _Episode(is_calm)
+        began_s = time.monotonic()
+        plain = [one for one in self._office.upstreams if one.service == PLAIN]
+        for upstream in plain:
+            upstream.room.slowdown = SLOWDOWN
+        results: list[ClientResult] = []
+        loads = [
+            self._send_for(client, rng, results, FLOODING, "once", FLOOD_INTERVAL_S),
+            self._send_for(client, rng, results, STEADY, "once", OTHERS_INTERVAL_S),
+            self._send_for(client, rng, results, STEADY, "again", OTHERS_INTERVAL_S),
+        ]
+        try:
+            await asyncio.gather(self._count_refused(episode, began_s), *loads)
+        finally:
+            seen.extend(results)
+            for upstream in plain:
+                upstream.room.slowdown = 1.0
+        for result in results:
+            key = result.route, result.organisation
+            episode.sent[key] += 1
+            episode.served[key] += result.status == 200
+        if not self._was_disturbed(began_s):
+            self._episodes.append(episode)
+
+    async def _send_for(
+        self,
+        client: StandInClient,
+        rng: random.Random,
+        results: list[ClientResult],
+        organisation: str,
+        route: str,
+        interval_s: float,
+    ) -> None:
+        """Send requests at an interval, each without waiting for the answers before it."""
+        sends = []
+        for _ in range(int(EPISODE_S / interval_s)):
+            await asyncio.sleep(interval_s)
+            address = self._office.client_address(rng.choice(self._office.gateways))
+            send = client.send(address, route, organisation=organisation)
+            sends.append(asyncio.ensure_future(send))
+        results.extend(await asyncio.gather(*sends))
+
+    async def _count_refused(self, episode: _Episode, began_s: float) -> None:
+        await asyncio.sleep(SETTLE_S)
+        before = self._refused()
+        await asyncio.sleep(began_s + EPISODE_S - time.monotonic())
+        episode.refused = self._refused() - before
+
+    def _refused(self) -> int:
+        return sum(one.room.refused for one in self._office.upstreams)
+
+    def _was_disturbed(self, began_s: float) -> bool:
+        names = [self._office.client_address(one) for one in self._office.gateways]
+        names += [one.announced_address for one in self._office.upstreams]
+        now_s = time.monotonic()
+        return any(self._disturbances.overlaps(name, began_s, now_s) for name in names)
+
+    def check(self, verdict: Verdict) -> None:
+        """Note kinds and organisations that got nothing, and calls beyond the upstreams' room."""
+        verdict.counts["floods"] = self._played
+        verdict.counts["floods without a fault"] = len(self._episodes)
+        for episode in self._episodes:
+            for key, sent in episode.sent.items():
+                served = episode.served[key]
+                starved = sent >= MIN_REQUESTS and not served
+                if episode.is_calm and key[1] != FLOODING:
+                    starved = starved or served < MIN_SERVED_PART * sent
+                verdict.note_violation(starved, f"{served} of {sent} requests of {key} were served")
+            bound = MAX_REFUSED_PART * sum(episode.sent.values())
+            verdict.note_violation(
+                episode.refused > bound,
+                f"upstreams refused {episode.refused} of {sum(episode.sent.values())} for room",
+            )
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -14,6 +14,7 @@
 from .fatal_requests import CONTENTS, MAX_LATER_ENDS, FatalRequests, NotServed
 from .fault_injector import FaultInjector
 from .fault_plan import plan_faults
+from .flood_episodes import FloodEpisodes
 from .limit_episodes import LimitEpisodes
 from .office import Office
 from .organisation_load import OrganisationLoad
@@ -52,12 +53,14 @@
         self._organisations_rng = random.Random(f"organisations {seed}")
         self._limits_rng = random.Random(f"limits {seed}")
         self._signals_rng = random.Random(f"words {seed}")
+        self._floods_rng = random.Random(f"floods {seed}")
         self._folder = folder
         self._length_s = length_s
         self._office = Office(folder, self._rng)
         self._limits = LimitEpisodes(self._office)
         self._disturbances = Disturbances()
         self._signals = SignalEpisodes(self._office, self._disturbances)
+        self._floods = FloodEpisodes(self._office, self._disturbances)
         self._seen: list[ClientResult] = []
         self._acknowledged = 0  # latest document version whose storage was acknowledged
         self.verdict = Verdict()
@@ -82,6 +85,7 @@
         organisations.check_logs(self._folder, self.verdict)
         self._limits.check(self._office.run_registry, self.verdict)
         self._signals.check(self.verdict)
+        self._floods.check(self.verdict)
         return self.verdict
 
     async def _wait_until_in_force(self, operator: StandInOperator) -> None:
@@ -114,6 +118,8 @@
         )
         load.append(asyncio.ensure_future(organisation_load))
         load.append(asyncio.ensure_future(self._limits.play_until_cancelled(self._limits_rng)))
+        floods = self._floods.play_until_cancelled(client, self._floods_rng, self._seen)
+        load.append(asyncio.ensure_future(floods))
         load.append(asyncio.ensure_future(self._signals.play_until_cancelled(self._signals_rng)))
         injected = []
         now_s = 0.0
@@ -168,6 +174,7 @@
             self.verdict.note_violation(
                 not served, f"{gateway.plan.name} does not serve after the faults"
             )
+        await self._floods.play_episode(client, self._floods_rng, self._seen, is_calm=True)
         await self._check_revoked_key(client)
         await self._check_quarantine(FatalRequests(self._office, client))
         await asyncio.sleep(LATE_RUN_S)
