--- a/chestnutfall/concurrency/return_book.py
+++ b/chestnutfall/concurrency/return_book.py
@@ -6,7 +6,7 @@
 
 from ..quota.retry_schedule import MAX_WAIT_MS
 
-RETURN_FRACTION = 0.2
+RETURN_FRACTION = 0.1
 """Part of a flow's turns that is promised to callers that were refused. The rest is for new ones:
 if all were promised, each call would be served at its second attempt only, and late."""
 MAX_FLOWS = 4_096
--- a/properties/safeguards/room_mutants.py
+++ b/properties/safeguards/room_mutants.py
@@ -97,7 +97,7 @@
     Mutant(
         "all turns are promised to callers that were refused",
         "chestnutfall/concurrency/return_book.py",
-        "RETURN_FRACTION = 0.2",
+        "RETURN_FRACTION = 0.1",
         "RETURN_FRACTION = 5.0",
         f"{_TOGETHER_TEST}.test_who_comes_back_when_told_is_served",
     ),
