--- a/chestnutfall/concurrency/service_room.py
+++ b/chestnutfall/concurrency/service_room.py
@@ -111,17 +111,11 @@
     def _all_places(self, now_ms: int) -> dict[str, int]:
         known = {n: one.places(now_ms) for n, one in self._rooms.items() if one.known}
         typical = int(statistics.median(known.values())) if known else 1
-        # An upstream that fails more calls than others, or is slower than they are at this moment,
-        # gets fewer: others run them sooner, and more calls are in time if fewer run slowly.
-        least = self.least_slowdown(now_ms)
+        # An upstream that fails more calls than others gets fewer of them. One that is slow at this
+        # moment keeps its places, which others can't replace where all are in use.
         return {
-            name: math.ceil(
-                known.get(name, typical)
-                * (1 - self.excess_failure(name, now_ms))
-                * least
-                / room.slowdown(now_ms)
-            )
-            for name, room in self._rooms.items()
+            name: math.ceil(known.get(name, typical) * (1 - self.excess_failure(name, now_ms)))
+            for name in self._rooms
         }
 
     def least_slowdown(self, now_ms: int) -> float:
--- a/chestnutfall/concurrency/upstream_room.py
+++ b/chestnutfall/concurrency/upstream_room.py
@@ -15,9 +15,9 @@
 SEEN_MS = 5_000
 """How long the most calls that were seen running prove that so many can, and calls that waited in
 spite of reported places that no more can."""
-HANDOVER_MS = 10.0
+HANDOVER_MS = 15.0
 """Time from the end of one call at an upstream to the arrival of the next one through the leader:
-four messages and the scheduling of three processes."""
+four messages, the leader's pause between rounds, and the scheduling of three processes."""
 SHED_FACTOR = 0.7
 """Part of the room that is left after an upstream refused a call for lack of it."""
 SHED_INTERVAL_MS = 100
