--- a/chestnutfall/concurrency/service_room.py
+++ b/chestnutfall/concurrency/service_room.py
@@ -29,7 +29,7 @@
 """Part of the room given out until then."""
 FOREIGN_FRESH_MS = 300
 """How long calls count that nobody asked a turn for, as an upstream's load shows them."""
-MAX_UNSAFE_FAILURE = 0.25
+MAX_UNSAFE_FAILURE = 0.15
 """An upstream that fails so many more calls than the best one of its service gets none that may run
 only once: its caller would lose the answer, where another call is sent again."""
 FAILURE_COST_RUNS = 10.0
