--- a/benchmarks/room.py
+++ b/benchmarks/room.py
@@ -32,7 +32,9 @@
 from chestnutfall.concurrency.shortage_detector import shows_shortage
 from chestnutfall.placement import RunOutcome
 from chestnutfall.signals.upstream_load import UpstreamLoad
-from chestnutfall.tests.fakes.room_office import SERVICE, Load, RoomGateway, RoomOffice
+from chestnutfall.tests.fakes.room_gateway import RoomGateway
+from chestnutfall.tests.fakes.room_load import SERVICE, Load
+from chestnutfall.tests.fakes.room_office import RoomOffice
 from chestnutfall.tests.fakes.room_upstream import PLACES, ROOM_PER_S
 
 UPSTREAMS = 4
--- a/chestnutfall/forwarding/limited_turns.py
+++ b/chestnutfall/forwarding/limited_turns.py
@@ -7,7 +7,7 @@
 from ..clock import Clock
 from ..control.upstream_record import UpstreamRecord
 from ..limits.messages import AnswerTurn
-from ..limits.plain_send_queues import NO_UPSTREAM_RETRY_MS
+from ..limits.turn_round import NO_UPSTREAM_RETRY_MS
 from ..signals.known_signals import KnownSignals
 from .engine_upstream_selector import NO_LEADER_RETRY_MS
 from .fleet_client import LeaderLost
--- a/chestnutfall/forwarding/plain_upstream_selector.py
+++ b/chestnutfall/forwarding/plain_upstream_selector.py
@@ -5,22 +5,21 @@
 import itertools
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from ..clock import Clock
 from ..concurrency.known_room import KnownRoom
 from ..concurrency.leaderless_room import LeaderlessRoom
 from ..concurrency.messages import EndTurn
-from ..concurrency.upstream_room import MAX_PLACES, SLOWDOWN_FRESH_MS
 from ..control.upstream_record import UpstreamRecord
-from ..limits.plain_send_queues import NO_UPSTREAM_RETRY_MS
+from ..limits.turn_round import NO_UPSTREAM_RETRY_MS
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
-from ..placement.upstream_health import UpstreamHealth
 from ..signals import BACKING_OFF, UpstreamLoad
 from ..signals.known_signals import KnownSignals
 from .limited_turns import AskForTurn, LimitedTurns
 from .place import NoPlace, Place, SelectionCriteria, UpstreamSelector
+from .plain_upstream_state import PlainUpstreamState
 from .room_turns import RoomTurns
 
 CONNECT_COST_MS = 2.0
@@ -33,52 +32,11 @@
 AVOIDED_MS = 10_000.0
 """Cost of an upstream to avoid. More than any sum of load and delay, so that it is selected only as
 a last resort."""
-LOAD_FRESH_MS = 250
-"""How long a reported load counts; it is outdated after about ten short requests."""
 MAX_COMPARED = 24
 """Upstreams compared for one call. The best of a random sample of this size is nearly as good as
 the best of all, and the time per call stays the same for a thousand upstreams as for a few."""
 
 
-@dataclass(slots=True)
-class _UpstreamState:
-    """State of one upstream on this gateway.
-
-    Attributes
-    ----------
-    own_requests : int
-        Requests of this gateway in progress there.
-    other_requests : float
-        Requests of other gateways there, by the last reported load.
-    slots : int
-        Requests that it runs at once, as it last reported.
-    slowdown : float
-        How many times as long as usual its work takes, as it last reported.
-    load_reported_ms : int
-        Clock time of the last reported load.
-    """
-
-    health: UpstreamHealth = field(default_factory=UpstreamHealth)
-    own_requests: int = 0
-    other_requests: float = 0.0
-    slots: int = 1
-    slowdown: float = 1.0
-    load_reported_ms: int = -SLOWDOWN_FRESH_MS
-
-    def expected_ms(self, run_ms: float, now_ms: int) -> float:
-        """Time in which one more request is expected to end there.
-
-        Parameters
-        ----------
-        run_ms : float
-            Usual time of a request.
-        """
-        age_ms = now_ms - self.load_reported_ms
-        there = self.own_requests + (self.other_requests if age_ms < LOAD_FRESH_MS else 0.0)
-        slowdown = self.slowdown if age_ms < SLOWDOWN_FRESH_MS else 1.0
-        return run_ms * slowdown * (1 + there / self.slots)
-
-
 @dataclass(frozen=True, slots=True)
 class _Sent:
     """A request that was sent.
@@ -132,7 +90,7 @@
         self._clock = clock
         self._data_centre = data_centre
         self._rng = rng
-        self._states: dict[str, _UpstreamState] = {}
+        self._states: dict[str, PlainUpstreamState] = {}
         self._numbers = itertools.count()
 
     async def select(self, criteria: SelectionCriteria) -> Place:
@@ -217,10 +175,7 @@
         if outcome is RunOutcome.DONE:
             state.health.note_lag(times.lag_ms, now_ms)
         if load is not None:
-            state.other_requests = max(load.running + load.waiting - state.own_requests - 1, 0)
-            state.slots = min(max(load.max_running, 1), MAX_PLACES)
-            state.slowdown = load.slowdown
-            state.load_reported_ms = now_ms
+            state.note_load(load, now_ms)
         self._end_send(place, outcome, load, now_ms)
 
     def _end_send(
@@ -234,10 +189,10 @@
         if sent.turn is not None:
             self._end_turn(EndTurn(sent.turn, instance, outcome.value, run_ms, load))
 
-    def _state_of(self, upstream: UpstreamRecord) -> _UpstreamState:
+    def _state_of(self, upstream: UpstreamRecord) -> PlainUpstreamState:
         if upstream.instance not in self._states:
             self._forget_absent(upstream.service)
-            self._states[upstream.instance] = _UpstreamState()
+            self._states[upstream.instance] = PlainUpstreamState()
         return self._states[upstream.instance]
 
     def _forget_absent(self, service: str) -> None:
--- a/chestnutfall/forwarding/room_turns.py
+++ b/chestnutfall/forwarding/room_turns.py
@@ -10,7 +10,7 @@
 from ..concurrency.messages import EndTurn
 from ..control.upstream_record import UpstreamRecord
 from ..limits.messages import AnswerTurn
-from ..limits.plain_send_queues import NO_UPSTREAM_RETRY_MS
+from ..limits.turn_round import NO_UPSTREAM_RETRY_MS
 from ..placement import RunOutcome
 from .engine_upstream_selector import NO_LEADER_RETRY_MS
 from .fleet_client import LeaderLost
--- a/chestnutfall/tests/fakes/room_office.py
+++ b/chestnutfall/tests/fakes/room_office.py
@@ -6,210 +6,25 @@
 import random
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
 
 from ...concurrency.known_room import KnownRoom
-from ...concurrency.leaderless_room import LeaderlessRoom
-from ...concurrency.messages import EndTurn, RoomInForce, RunningCalls, ShortageReport
 from ...control.upstream_record import UpstreamRecord
-from ...coordination.gateway_session import GatewaySession
-from ...coordination.gateway_sessions import GatewaySessions
-from ...coordination.room_broadcaster import RoomBroadcaster
-from ...coordination.round_pace import RoundPace
 from ...forwarding.call import Call
-from ...forwarding.fleet_client import TURN_TIMEOUT_MS, LeaderLost
-from ...forwarding.leader_turn_client import turn_question
 from ...forwarding.place import NoPlace, Place, SelectionCriteria
-from ...forwarding.plain_upstream_selector import PlainUpstreamSelector
-from ...limits.known_limits import KnownLimits
-from ...limits.limit_registry import LimitRegistry
-from ...limits.messages import AnswerTurn, AskTurn
-from ...limits.plain_send_queues import PlainSendQueues
 from ...placement import RunOutcome
 from ...placement.run_times import NO_TIMES
-from ...routes import Route, RouteKind, ServiceSpec, WeightedService
-from ...signals.known_backoffs import KnownBackoffs
-from ...signals.known_signals import KnownSignals
+from ...routes import ServiceSpec
 from .room_clock import Reply, RoomClock
+from .room_gateway import RoomGateway
+from .room_leader import RoomLeader
+from .room_load import DEADLINE_MS, HOP_MS, OBJECTIVE_MS, SERVICE, TICK_MS, TIMEOUT_MS, Load
 from .room_upstream import DONE, FULL, PLACES, Answer, RoomUpstream
 
-SERVICE = "plain"
-HOP_MS = 1.0
-TICK_MS = 8
-OBJECTIVE_MS, TIMEOUT_MS, DEADLINE_MS = 300, 800, 1_500
 _OUTCOMES = {DONE: RunOutcome.DONE, FULL: RunOutcome.FULL}
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
-    """Calls of one kind and organisation that come at random.
-
-    Attributes
-    ----------
-    per_s : float
-        Calls per second.
-    rank : int
-        Urgency, 0 is first.
-    """
-
-    kind: str
-    per_s: float
-    organisation: str = "usual"
-    rank: int = 1
-    idempotent: bool = False
-
-    def route(self) -> Route:
-        """The route of these calls."""
-        kind = RouteKind.IDEMPOTENT if self.idempotent else RouteKind.NON_IDEMPOTENT
-        targets = (WeightedService(SERVICE, 1),)
-        attempts = 2 if self.idempotent else 1
-        return Route(
-            self.kind, "h", "/", kind, TIMEOUT_MS, OBJECTIVE_MS, self.rank, targets, attempts
-        )
-
-
-class _Line(GatewaySession):
-    """A session whose messages reach the gateway after a hop."""
-
-    def __init__(self, name: str, office: RoomOffice) -> None:
-        super().__init__(name)
-        self._office = office
-
-    def send(self, msg: Any) -> None:
-        self._office.to_gateway(self.gateway, msg)
-
-
-class RoomLeader:
-    """A leader's queues and what it tells gateways; begins without state."""
-
-    def __init__(self, office: RoomOffice) -> None:
-        self._office = office
-        limits = LimitRegistry(office.clock)
-        self.queues: PlainSendQueues[GatewaySession] = PlainSendQueues(
-            limits, lambda service: list(office.upstreams), lambda gateway, one: True, office.clock
-        )
-        self._pace = RoundPace(office.clock)
-        self._is_due = False
-        self._sessions = GatewaySessions()
-        self._by_gateway: dict[str, GatewaySession] = {}
-        self.broadcaster = RoomBroadcaster(self.queues, self._sessions, office.clock)
-
-    def join(self, name: str) -> None:
-        self._by_gateway[name] = session = _Line(name, self._office)
-        self._sessions.add(session)
-        self.broadcaster.send_initial_state(session)
-
-    def remove(self, name: str) -> None:
-        session = self._by_gateway.pop(name, None)
-        if session is not None:
-            self._sessions.remove(session)
-            self.queues.drop_gateway(session)
-
-    def handle(self, name: str, msg: Any) -> None:
-        session = self._by_gateway.get(name)
-        if session is None:
-            return
-        match msg:
-            case AskTurn():
-                self.queues.enqueue(msg, session)
-            case EndTurn():
-                self.queues.end_turn(session, msg)
-            case RunningCalls():
-                self.queues.note_running(session, msg)
-            case ShortageReport():
-                self.queues.note_shortage(msg)
-        self._decide_soon()
-
-    def _decide_soon(self) -> None:
-        """Decide after the pause since the last round."""
-        if not self._is_due:
-            self._is_due = True
-            self._office.clock.at(self._pace.pause_ms(), self.decide)
-
-    def decide(self) -> None:
-        """Give the turns and send the changes that are due."""
-        self._is_due = False
-        if self._office.leader is not self:
-            return
-        self._pace.begin()
-        for turn in self.queues.due():
-            turn.gateway.send(turn.answer)
-        self.broadcaster.send_due()
-        self._pace.end()
-
-    @property
-    def held(self) -> int:
-        """Places that it has given out."""
-        return self.queues.use(SERVICE)[1]
-
-
-class RoomGateway:
-    """A gateway's real selection of plain upstreams."""
-
-    def __init__(self, name: str, office: RoomOffice) -> None:
-        self.name = name
-        self._office = office
-        clock, rng = office.clock, random.Random(name)
-        limits = KnownLimits(lambda report: None, lambda: 1, clock, rng)
-        signals = KnownSignals(limits, KnownBackoffs(lambda report: None, clock), clock)
-        self.leaderless = LeaderlessRoom(lambda: len(office.gateways), clock, rng)
-        self.room = office.known_room(self)
-        self.selector = PlainUpstreamSelector(
-            lambda service: [one.record for one in office.upstreams.values()],
-            signals,
-            self._ask,
-            clock,
-            "dc",
-            rng,
-            self.room,
-            self.send,
-        )
-        self.connected = True
-        self._numbers = itertools.count()
-        self._asked: dict[int, Reply] = {}
-
-    def send(self, msg: Any) -> None:
-        """Send a message to the leader."""
-        if self.connected:
-            self._office.to_leader(self.name, msg)
-
-    async def _ask(self, criteria: SelectionCriteria, wait_ms: int) -> AnswerTurn:
-        if not self.connected:
-            raise LeaderLost("no leader")
-        number, reply = next(self._numbers), Reply(self._office.clock)
-        self._asked[number] = reply
-        self.send(turn_question(number, criteria, wait_ms, self._office.clock.now_ms()))
-        late = LeaderLost("not answered")
-        self._office.clock.at(wait_ms + TURN_TIMEOUT_MS, lambda: reply.set(None, late))
-        try:
-            answer: AnswerTurn = await reply
-        finally:
-            del self._asked[number]
-        return answer
-
-    def handle(self, msg: Any) -> None:
-        """Handle a message of the leader."""
-        match msg:
-            case AnswerTurn(number) if number in self._asked:
-                self._asked[number].set(msg)
-            case RoomInForce():
-                self.room.apply(msg)
-
-    def lose(self) -> None:
-        """Lose the leader."""
-        self.connected = False
-        for reply in list(self._asked.values()):
-            reply.set(None, LeaderLost("gone"))
-
-    def join(self, leader: RoomLeader) -> None:
-        """Connect to a leader."""
-        self.connected = True
-        leader.join(self.name)
-        for report in self.room.reports_for_new_leader():
-            self.send(report)
-
-
 class RoomOffice:
     """Gateways, a replaceable leader, upstreams, and callers that come back when refused.
 
@@ -296,13 +111,17 @@
         self.messages[type(msg).__name__] += 1
         leader = self.leader
         if name not in self.deaf and leader is not None:
-            self.clock.at(HOP_MS, lambda: self.leader is leader and leader.handle(name, msg))
+            self.clock.at(HOP_MS, lambda: self._deliver(leader, name, msg))
+
+    def _deliver(self, leader: RoomLeader, name: str, msg: Any) -> None:
+        if self.leader is leader:
+            leader.handle(name, msg)
 
     def to_gateway(self, name: str, msg: Any) -> None:
         self.messages[type(msg).__name__] += 1
         gateway = self.gateways.get(name)
         if gateway is not None and name not in self.mute:
-            self.clock.at(HOP_MS, lambda: gateway.connected and gateway.handle(msg))
+            self.clock.at(HOP_MS, lambda: gateway.handle(msg))
 
     def _tick(self) -> None:
         if self.leader is not None:
--- a/chestnutfall/tests/fakes/room_upstream.py
+++ b/chestnutfall/tests/fakes/room_upstream.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from ...control.upstream_record import UpstreamRecord
 from ...signals import UpstreamLoad
@@ -74,7 +75,7 @@
             self.running += 1
             fails = self._rng.random() < self.fail_fraction
             work_ms = 2.0 if fails else run.work_ms * self.slowdown
-            self._clock.at(work_ms, lambda run=run, fails=fails: self._end(run, fails))
+            self._clock.at(work_ms, partial(self._end, run, fails))
 
     def _end(self, run: _Run, fails: bool) -> None:
         load = self._load()
--- a/chestnutfall/tests/test_plain_room.py
+++ b/chestnutfall/tests/test_plain_room.py
@@ -7,7 +7,9 @@
 
 from ..concurrency.known_room import KnownRoom
 from ..concurrency.upstream_room import margin
-from .fakes.room_office import SERVICE, Load, RoomGateway, RoomOffice
+from .fakes.room_gateway import RoomGateway
+from .fakes.room_load import SERVICE, Load
+from .fakes.room_office import RoomOffice
 from .fakes.room_upstream import PLACES, ROOM_PER_S, WORK_MS
 
 UPSTREAMS = 2
--- a/properties/safeguards/room_mutants.py
+++ b/properties/safeguards/room_mutants.py
@@ -5,6 +5,8 @@
 from ..mutant import Mutant
 
 _PARTS_TEST = "chestnutfall.tests.test_room_parts"
+_QUEUE_TEST = "chestnutfall.tests.test_room_queue"
+_GATEWAY_TEST = "chestnutfall.tests.test_room_gateway"
 _TOGETHER_TEST = "chestnutfall.tests.test_plain_room.PlainRoomTest"
 _FAILURE_TEST = "chestnutfall.tests.test_plain_room.PlainRoomFailureTest"
 _SELECTOR_TEST = "chestnutfall.tests.test_upstream_selectors.PlainUpstreamSelectorTest"
@@ -43,7 +45,7 @@
         _QUEUE,
         "        lane = self._in_time if now_ms <= call.in_time_by_ms else self._late",
         "        lane = self._in_time",
-        f"{_PARTS_TEST}.RoomQueueTest",
+        f"{_QUEUE_TEST}.RoomQueueTest",
     ),
     Mutant(
         "a kind of calls keeps no floor",
@@ -57,56 +59,56 @@
         _QUEUE,
         "        if wait_ms <= left_ms * factor and ahead < MAX_WAITING_CALLS:",
         "        if ahead < MAX_WAITING_CALLS:",
-        f"{_PARTS_TEST}.RoomQueueTest",
+        f"{_QUEUE_TEST}.RoomQueueTest",
     ),
     Mutant(
         "the expected wait of a call leaves out what others ask for",
         _QUEUE,
         "        return fair_rate(kind_per_ms, others)",
         "        return all_per_ms",
-        f"{_PARTS_TEST}.RoomQueueTest",
+        f"{_QUEUE_TEST}.RoomQueueTest",
     ),
     Mutant(
         "organisations get turns by the number of their calls",
         _LANE,
         "            for flow in sorted(flows, key=lambda one: one.tag):",
         "            for flow in flows:",
-        f"{_PARTS_TEST}.RoomQueueTest",
+        f"{_QUEUE_TEST}.RoomQueueTest",
     ),
     Mutant(
         "kinds of calls get turns in order of arrival",
         _LANE,
         "key=lambda one: (one[0], self._groups[one].tag)):",
         "key=lambda one: one[0]):",
-        f"{_PARTS_TEST}.RoomQueueTest",
+        f"{_QUEUE_TEST}.RoomQueueTest",
     ),
     Mutant(
         "an organisation pays for calls that are refused",
         _LANE,
         "            group.share.cancel(organisation, 1)\n",
         "            pass\n",
-        f"{_PARTS_TEST}.RoomQueueTest",
+        f"{_QUEUE_TEST}.RoomQueueTest",
     ),
     Mutant(
         "who comes back when told is put behind newcomers",
         _LANE,
         "        if call.returned:",
         "        if False:",
-        f"{_PARTS_TEST}.RoomQueueTest",
+        f"{_QUEUE_TEST}.RoomQueueTest",
     ),
     Mutant(
         "all turns are promised to callers that were refused",
         "chestnutfall/concurrency/return_book.py",
         "RETURN_FRACTION = 0.1",
-        "RETURN_FRACTION = 5.0",
-        f"{_TOGETHER_TEST}.test_who_comes_back_when_told_is_served",
+        "RETURN_FRACTION = 1.0",
+        f"{_QUEUE_TEST}.ReturnBookTest",
     ),
     Mutant(
         "each refused caller gets the same time to come back",
         "chestnutfall/concurrency/return_book.py",
         "        self._next_ms[flow] = start_ms + min(step_ms, MAX_WAIT_MS)",
         "        self._next_ms[flow] = 0.0",
-        f"{_PARTS_TEST}.ReturnBookTest",
+        f"{_QUEUE_TEST}.ReturnBookTest",
     ),
     Mutant(
         "places never expire",
@@ -239,7 +241,7 @@
         _LEADERLESS,
         "        if self._lost_ms is None or now_ms - self._lost_ms < DRAIN_RUNS * run_ms:",
         "        if self._lost_ms is None:",
-        f"{_PARTS_TEST}.GatewayRoomTest",
+        f"{_GATEWAY_TEST}.GatewayRoomTest",
     ),
     Mutant(
         "each call waits for a leader that does not hear this gateway",
@@ -247,14 +249,14 @@
         "        return self._leaderless.lost_ms is None or self._clock.now_ms() >= "
         "self._ask_again_ms",
         "        return True",
-        f"{_PARTS_TEST}.GatewayRoomTest",
+        f"{_GATEWAY_TEST}.GatewayRoomTest",
     ),
     Mutant(
         "a cancelled call keeps its turn",
         "chestnutfall/forwarding/fleet_client.py",
         "            self._withdraw_turn(number)\n            raise\n",
         "            raise\n",
-        f"{_PARTS_TEST}.TurnQuestionTest",
+        f"{_GATEWAY_TEST}.TurnQuestionTest",
     ),
     Mutant(
         "the end of a call is not told",
@@ -265,7 +267,7 @@
     ),
     Mutant(
         "work goes to an upstream that is slow at this moment",
-        "chestnutfall/forwarding/plain_upstream_selector.py",
+        "chestnutfall/forwarding/plain_upstream_state.py",
         "        slowdown = self.slowdown if age_ms < SLOWDOWN_FRESH_MS else 1.0",
         "        slowdown = 1.0",
         f"{_SELECTOR_TEST}.test_an_upstream_that_is_slow_now_is_left_for_half_a_second",
--- a/properties/safeguards/signal_mutants.py
+++ b/properties/safeguards/signal_mutants.py
@@ -55,7 +55,7 @@
     ),
     Mutant(
         "turns are given at upstreams that want nothing from that gateway",
-        "chestnutfall/limits/plain_send_queues.py",
+        "chestnutfall/limits/turn_round.py",
         "        if not self._may_send(call.gateway, instance):",
         "        if False:",
         f"{_TOGETHER_TEST}.test_grants_at_limited_upstreams_skip_gateways_asked_for_backoff",
