Keep limits and shortages where leader and gateways disagree

Cause: without a leader a share of the room went past limits; a gateway that missed the end of a shortage asked for each call, and got them all sent to one upstream; a new leader that heard of a shortage before any upstream had announced itself forgot it, or began with one place for each; a held turn of the limited path was never ended. Change: shares keep to limits; questions for room say so and are answered with plenty where there is no shortage; the calls that run come with the places that were known; the limited path gives held turns back. The simulated leader uses the real coordinator.

--- a/chestnutfall/concurrency/known_room.py
+++ b/chestnutfall/concurrency/known_room.py
@@ -78,8 +78,10 @@
         """The calls at services that are short, for a leader that has just started its term."""
         self._leaderless.leader_found()
         return tuple(
-            RunningCalls(service, dict(self._running.get(service, {})), self._learned_ms(service))
-            for service in self._short
+            RunningCalls(
+                service, dict(self._running.get(service, {})), self._learned_ms(service), places
+            )
+            for service, places in self._short.items()
         )
 
     # Without a leader
--- a/chestnutfall/concurrency/messages.py
+++ b/chestnutfall/concurrency/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..signals.upstream_load import UpstreamLoad
 
@@ -63,11 +63,14 @@
         Number of calls by instance.
     run_ms : float
         Usual time of a call, as the gateway learned it; 0 if unknown.
+    places : dict of str to int
+        Places of each upstream, as the last leader told them.
     """
 
     service: str
     running: dict[str, int]
     run_ms: float = 0.0
+    places: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/concurrency/service_room.py
+++ b/chestnutfall/concurrency/service_room.py
@@ -5,12 +5,12 @@
 import itertools
 import math
 import statistics
-from collections.abc import Collection, Mapping
+from collections.abc import Collection
 from typing import Generic, TypeVar
 
 from ..placement import RunOutcome
 from ..signals.upstream_load import UpstreamLoad
-from .messages import EndTurn, ShortageReport
+from .messages import EndTurn, RunningCalls, ShortageReport
 from .room_ledger import RoomLedger
 from .run_time import RunTime
 from .service_shortage import ServiceShortage
@@ -27,6 +27,8 @@
 short under the last one."""
 NEW_TERM_FRACTION = 0.5
 """Part of the room given out until then."""
+MAX_REPORTED = 64
+"""Calls of one gateway at one upstream that are counted; bounds memory."""
 FOREIGN_FRESH_MS = 300
 """How long calls count that nobody asked a turn for, as an upstream's load shows them."""
 MAX_UNSAFE_FAILURE = 0.15
@@ -88,16 +90,17 @@
             room.note_outcome(RunOutcome.FULL, now_ms)
             self.shortage.begin(now_ms)
 
-    def note_running(
-        self, gateway: Gateway, running: Mapping[str, int], run_ms: float, now_ms: int
-    ) -> None:
-        """Record the calls that a gateway sent without a turn of this leader."""
-        self._run_time.suggest(run_ms)
-        bounded = {
-            one: min(count, self._rooms[one].places(now_ms))
-            for one, count in running.items()
-            if one in self._rooms
-        }
+    def note_running(self, gateway: Gateway, report: RunningCalls, now_ms: int) -> None:
+        """Record the calls that a gateway sent without a turn of this leader.
+
+        A new leader may not know yet which upstreams serve.
+        """
+        self._run_time.suggest(report.run_ms)
+        for instance, places in report.places.items():
+            if instance in self._rooms:
+                self._rooms[instance].suggest(places)
+        self._places = None
+        bounded = {one: min(count, MAX_REPORTED) for one, count in report.running.items()}
         self._ledger.set_running(gateway, bounded, now_ms + self._ends_within_ms(now_ms))
         self._was_short = True
         self.shortage.begin(now_ms)
--- a/chestnutfall/concurrency/upstream_room.py
+++ b/chestnutfall/concurrency/upstream_room.py
@@ -65,6 +65,11 @@
         if load.waiting > 0 and self._most_running < load.max_running:
             self._proven, self._proven_ms = max(self._most_running, 1), now_ms
 
+    def suggest(self, places: int) -> None:
+        """Take the places that the last leader knew, unless the upstream has reported a load."""
+        if self._reported is None:
+            self._reported = places
+
     def note_outcome(self, outcome: RunOutcome, now_ms: int) -> None:
         """Record how a call ended there."""
         self.failures.note(outcome, now_ms)
--- a/chestnutfall/coordination/limit_coordinator.py
+++ b/chestnutfall/coordination/limit_coordinator.py
@@ -5,10 +5,23 @@
 from collections.abc import Iterable
 
 from ..clock import Clock
-from ..concurrency.messages import EndTurn, RunningCalls, ShortageReport
+from ..concurrency.messages import (
+    EndTurn,
+    RoomInForce,
+    RunningCalls,
+    ServiceRoomState,
+    ShortageReport,
+)
 from ..control.upstream_record import UpstreamRecord
 from ..limits.limit_registry import LimitRegistry
-from ..limits.messages import AskTurn, HeardLimit, LimitsInForce, RequestLimit
+from ..limits.messages import (
+    PLENTY,
+    AnswerTurn,
+    AskTurn,
+    HeardLimit,
+    LimitsInForce,
+    RequestLimit,
+)
 from ..limits.plain_send_queues import PlainSendQueues
 from ..placement.placer import Placer
 from ..signals.backoff_registry import BackoffRegistry
@@ -78,6 +91,11 @@
 
     def queue_turn(self, session: GatewaySession, asked: AskTurn) -> None:
         """Queue a call that waits for its turn."""
+        if asked.for_room and not self._turns.gives_room(asked.service):
+            # The gateway missed that there is plenty again, or this leader heard of no shortage.
+            session.send(RoomInForce((ServiceRoomState(asked.service, False, {}),)))
+            session.send(AnswerTurn(asked.number, "", 0, PLENTY))
+            return
         self._turns.enqueue(asked, session)
 
     def end_turn(self, session: GatewaySession, ended: EndTurn) -> None:
--- a/chestnutfall/coordination/room_broadcaster.py
+++ b/chestnutfall/coordination/room_broadcaster.py
@@ -39,7 +39,13 @@
     def send_due(self) -> None:
         """Send what changed."""
         now_ms = self._clock.now_ms()
-        short = self._queues.short_services()
+        # A new leader may hear of a shortage before it knows the upstreams. Gateways keep the
+        # places that the last one told.
+        short = {
+            service
+            for service in self._queues.short_services()
+            if service in self._sent or self._queues.places(service)
+        }
         if short and now_ms >= self._log_due_ms:
             self._log_due_ms = now_ms + LOG_INTERVAL_MS
             self._log(short)
--- a/chestnutfall/forwarding/leader_turn_client.py
+++ b/chestnutfall/forwarding/leader_turn_client.py
@@ -36,4 +36,5 @@
         kind=route.name,
         idempotent=route.kind.idempotent,
         request=criteria.request,
+        for_room=criteria.needs_room,
     )
--- a/chestnutfall/forwarding/limited_turns.py
+++ b/chestnutfall/forwarding/limited_turns.py
@@ -5,9 +5,11 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from ..clock import Clock
+from ..concurrency.messages import EndTurn
 from ..control.upstream_record import UpstreamRecord
 from ..limits.messages import AnswerTurn
 from ..limits.turn_round import NO_UPSTREAM_RETRY_MS
+from ..placement import RunOutcome
 from ..signals.known_signals import KnownSignals
 from .engine_upstream_selector import NO_LEADER_RETRY_MS
 from .fleet_client import LeaderLost
@@ -25,9 +27,21 @@
 
     The leader gives out turns at limited upstreams. Calls without a turn go to an unlimited
     upstream if there is one.
+
+    Parameters
+    ----------
+    end_turn : callable
+        Tells the leader that a turn ended.
     """
 
-    def __init__(self, signals: KnownSignals, ask: AskForTurn, clock: Clock) -> None:
+    def __init__(
+        self,
+        signals: KnownSignals,
+        ask: AskForTurn,
+        clock: Clock,
+        end_turn: Callable[[EndTurn], None],
+    ) -> None:
+        self._end_turn = end_turn
         self._limits = signals.limits
         self._ask = ask
         self._clock = clock
@@ -67,6 +81,10 @@
             answer = await self._ask(criteria, wait_ms)
         except LeaderLost:
             return self._without_leader(can_take)
+        if answer.held:
+            # The service became short of room since this gateway last heard of it. The next load
+            # that the upstream reports counts the call.
+            self._end_turn(EndTurn(answer.number, answer.instance, RunOutcome.WITHDRAWN.value))
         if not answer.instance:
             self._no_turn_before_ms[service] = self._clock.now_ms() + answer.retry_after_ms
             if unlimited is None:
--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -72,6 +72,8 @@
         Organisation that sent the call; empty if the route needs no key.
     request : str
         Digest of the call, the same when its client sends it again; empty if unknown.
+    needs_room : bool
+        Whether the service is short of room, so that a turn has to hold a place.
     """
 
     call: Call
@@ -83,6 +85,7 @@
     lacked_adapter: tuple[str, ...] = ()
     organisation: str = ""
     request: str = ""
+    needs_room: bool = False
 
 
 class UpstreamSelector(ABC):
--- a/chestnutfall/forwarding/plain_upstream_selector.py
+++ b/chestnutfall/forwarding/plain_upstream_selector.py
@@ -81,9 +81,9 @@
     ) -> None:
         self._upstreams = upstreams
         self._signals = signals
-        self._turns = LimitedTurns(signals, ask_turn, clock)
+        self._turns = LimitedTurns(signals, ask_turn, clock, end_turn)
         self._room = room if room is not None else _never_short(clock, rng)
-        self._room_turns = RoomTurns(self._room, ask_turn, end_turn, clock, rng)
+        self._room_turns = RoomTurns(self._room, signals.limits, ask_turn, end_turn, clock, rng)
         self._end_turn = end_turn
         self._has_open = has_open
         self._sent: dict[str, _Sent] = {}
@@ -101,8 +101,9 @@
             upstreams, key=lambda one: (self._cost_ms(one, criteria), self._rng.random())
         )
         chosen, turn = by_cost[0], None
-        if self._room.is_short(service):
-            chosen, turn = await self._choose_with_turn(criteria, by_cost)
+        with_turn = await self._choose_with_turn(criteria, by_cost)
+        if with_turn is not None:
+            chosen, turn = with_turn
         elif self._signals.limits.per_s(chosen.instance) is not None:
             can_take = [one for one in by_cost if self._can_take(one, criteria.avoid)]
             chosen = await self._turns.choose(criteria, can_take or by_cost, self._upstreams)
@@ -122,7 +123,10 @@
 
     async def _choose_with_turn(
         self, criteria: SelectionCriteria, by_cost: Sequence[UpstreamRecord]
-    ) -> tuple[UpstreamRecord, int | None]:
+    ) -> tuple[UpstreamRecord, int | None] | None:
+        """Select the upstream if the service is short of room; None if it has plenty."""
+        if not self._room.is_short(criteria.service.name):
+            return None
         can_take = [one for one in by_cost if self._can_take(one, criteria.avoid)]
         # The leader doesn't know which upstreams this gateway can't reach.
         avoid = tuple(one.instance for one in by_cost if one not in can_take)
--- a/chestnutfall/forwarding/room_turns.py
+++ b/chestnutfall/forwarding/room_turns.py
@@ -4,12 +4,14 @@
 
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from ..clock import Clock
 from ..concurrency.known_room import KnownRoom
 from ..concurrency.messages import EndTurn
 from ..control.upstream_record import UpstreamRecord
-from ..limits.messages import AnswerTurn
+from ..limits.known_limits import KnownLimits
+from ..limits.messages import PLENTY, AnswerTurn
 from ..limits.turn_round import NO_UPSTREAM_RETRY_MS
 from ..placement import RunOutcome
 from .engine_upstream_selector import NO_LEADER_RETRY_MS
@@ -33,12 +35,14 @@
     def __init__(
         self,
         room: KnownRoom,
+        limits: KnownLimits,
         ask: AskForTurn,
         end_turn: Callable[[EndTurn], None],
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._room = room
+        self._limits = limits
         self._ask = ask
         self._end_turn = end_turn
         self._clock = clock
@@ -49,9 +53,11 @@
         criteria: SelectionCriteria,
         can_take: Sequence[UpstreamRecord],
         upstreams: Callable[[str], Sequence[UpstreamRecord]],
-    ) -> tuple[UpstreamRecord, int | None]:
+    ) -> tuple[UpstreamRecord, int | None] | None:
         """Select the upstream for a call; return it and the number of its turn, if it holds one.
 
+        Returns None if the service has plenty of room by now.
+
         Parameters
         ----------
         can_take : sequence of UpstreamRecord
@@ -65,24 +71,38 @@
             When the call can't be served in its time.
         """
         service = criteria.service.name
+        asking = replace(criteria, needs_room=True)
         began_ms = self._clock.now_ms()
         wait_until_ms = began_ms + WAIT_FRACTION * (criteria.until_ms - began_ms)
         while self._room.is_short(service):
             if self._room.asks_leader():
                 try:
-                    answer = await self._ask(criteria, self._left_ms(criteria))
+                    answer = await self._ask(asking, self._left_ms(criteria))
                 except LeaderLost:
                     self._room.unanswered()
                 else:
                     self._room.answered()
+                    if answer.reason == PLENTY:
+                        return None
                     return self._chosen(answer, upstreams(service))
             if self._room.may_send_without_leader(service):
-                # Every gateway sees the same loads. If all chose the best, it would get all calls.
-                return self._rng.choice(can_take), None
+                chosen = self._without_leader(can_take)
+                if chosen is not None:
+                    return chosen, None
             if self._clock.now_ms() >= wait_until_ms:
                 raise NoPlace("no_leader", NO_LEADER_RETRY_MS)
             await self._clock.sleep_ms(LEADERLESS_POLL_MS)
-        return can_take[0], None
+        return None
+
+    def _without_leader(self, can_take: Sequence[UpstreamRecord]) -> UpstreamRecord | None:
+        """Select an upstream that accepts one more request by its limit, if any.
+
+        Every gateway sees the same loads. If all chose the best upstream, it would get all calls.
+        """
+        for one in self._rng.sample(can_take, len(can_take)):
+            if self._limits.may_send_without_leader(one.instance):
+                return one
+        return None
 
     def _left_ms(self, criteria: SelectionCriteria) -> int:
         return max(criteria.until_ms - self._clock.now_ms(), 1)
--- a/chestnutfall/limits/messages.py
+++ b/chestnutfall/limits/messages.py
@@ -6,6 +6,8 @@
 
 LIMITED = "limited"
 """Reason of a refusal where every upstream of the service declares a limit."""
+PLENTY = "plenty"
+"""Reason of an answer without a turn where the service needs none, since it has room."""
 NO_ROOM = "no_room"
 """Reason of a refusal where the upstreams of the service have no room in time."""
 
@@ -78,6 +80,8 @@
         Whether the call may run twice.
     request : str
         Digest of the request, by which it is recognised when it comes back; empty if unknown.
+    for_room : bool
+        Whether the gateway asks since the service is short of room.
     """
 
     number: int
@@ -91,6 +95,7 @@
     kind: str = ""
     idempotent: bool = True
     request: str = ""
+    for_room: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/limits/plain_send_queues.py
+++ b/chestnutfall/limits/plain_send_queues.py
@@ -73,7 +73,7 @@
         """Queue a call; a later `due` yields its answer."""
         now_ms = self._clock.now_ms()
         usual_ms = long_ms = 0.0
-        if self._gives_room(asked.service):
+        if self.gives_room(asked.service):
             room = self._room(asked.service)
             slowdown = room.least_slowdown(now_ms)
             usual_ms = slowdown * room.run_time.usual_ms
@@ -105,9 +105,7 @@
 
     def note_running(self, gateway: Gateway, report: RunningCalls) -> None:
         """Record the calls that a gateway has at a service that was short under the last leader."""
-        if self._serving(report.service):
-            room = self._room(report.service)
-            room.note_running(gateway, report.running, report.run_ms, self._clock.now_ms())
+        self._room(report.service).note_running(gateway, report, self._clock.now_ms())
 
     def drop_gateway(self, gateway: Gateway) -> None:
         """Drop the calls of a gateway whose session ended."""
@@ -120,8 +118,7 @@
         """Yield the answers that can be given now, and remove their calls from the queues."""
         for service in list(self._queues):
             yield from self._due_of(service)
-        for service in [one for one in self._rooms if not self._serving(one)]:
-            del self._rooms[service], self._room_instances[service]
+        self._forget_absent()
         for service, room in self._rooms.items():
             queue = self._queues.get(service)
             room.note_use(len(queue) if queue is not None else 0, self._clock.now_ms())
@@ -130,6 +127,12 @@
             if not self._is_short(service):
                 del self._queues[service]
 
+    def _forget_absent(self) -> None:
+        """Drop the room of services that no upstream serves and no gateway holds for short."""
+        for service in [one for one in self._rooms if not self._serving(one)]:
+            if not self.gives_room(service):
+                del self._rooms[service], self._room_instances[service]
+
     def short_services(self) -> set[str]:
         """Services that are short of room."""
         return {service for service, room in self._rooms.items() if room.shortage.short}
@@ -157,7 +160,8 @@
         room = self._rooms.get(service)
         return room is not None and room.shortage.short
 
-    def _gives_room(self, service: str) -> bool:
+    def gives_room(self, service: str) -> bool:
+        """Whether turns for a service hold a place: while it is short, and for a moment after."""
         # Gateways ask for turns until they hear that there is plenty again.
         room = self._rooms.get(service)
         return room is not None and room.shortage.was_short(self._clock.now_ms())
@@ -170,7 +174,7 @@
         limits = {
             one: self._limits.ensure(one, counts_sends=False) for one in self._serving(service)
         }
-        room = self._room(service) if self._gives_room(service) else None
+        room = self._room(service) if self.gives_room(service) else None
         turns = TurnRound(limits, room, self._may_send, now_ms)
         while turns.any_free and (taken := queue.take(turns.choose)):
             call, instance = taken
--- a/chestnutfall/tests/fakes/room_leader.py
+++ b/chestnutfall/tests/fakes/room_leader.py
@@ -7,11 +7,12 @@
 from ...concurrency.messages import EndTurn, RunningCalls, ShortageReport
 from ...coordination.gateway_session import GatewaySession
 from ...coordination.gateway_sessions import GatewaySessions
-from ...coordination.room_broadcaster import RoomBroadcaster
+from ...coordination.limit_coordinator import LimitCoordinator
 from ...coordination.round_pace import RoundPace
 from ...limits.limit_registry import LimitRegistry
 from ...limits.messages import AskTurn
-from ...limits.plain_send_queues import PlainSendQueues
+from ...placement.placer import Placer
+from ...signals.backoff_registry import BackoffRegistry
 from .room_load import SERVICE
 
 if TYPE_CHECKING:
@@ -30,44 +31,51 @@
 
 
 class RoomLeader:
-    """A leader's queues and what it tells gateways; begins without state."""
+    """A leader's real queues and what it tells gateways; begins without state."""
 
     def __init__(self, office: RoomOffice) -> None:
         self._office = office
-        limits = LimitRegistry(office.clock)
-        self.queues: PlainSendQueues[GatewaySession] = PlainSendQueues(
-            limits, lambda service: list(office.upstreams), lambda gateway, one: True, office.clock
-        )
-        self._pace = RoundPace(office.clock)
+        clock = office.clock
+        limits, backoffs = LimitRegistry(clock), BackoffRegistry(clock)
+        self._pace = RoundPace(clock)
         self._is_due = False
         self._sessions = GatewaySessions()
+        self._coordinator = LimitCoordinator(
+            limits, backoffs, Placer(clock, limits), self._sessions, clock
+        )
+        self.queues = self._coordinator._turns
         self._by_gateway: dict[str, GatewaySession] = {}
-        self.broadcaster = RoomBroadcaster(self.queues, self._sessions, office.clock)
+        # Upstreams announce themselves after the first gateways have joined.
+        clock.at(20, self._set_serving)
+
+    def _set_serving(self) -> None:
+        self._coordinator.set_serving([one.record for one in self._office.upstreams.values()])
 
     def join(self, name: str) -> None:
+        """Open the session of a gateway."""
         self._by_gateway[name] = session = _Line(name, self._office)
         self._sessions.add(session)
-        self.broadcaster.send_initial_state(session)
+        self._coordinator.send_initial_state(session)
 
     def remove(self, name: str) -> None:
+        """End the session of a gateway."""
         session = self._by_gateway.pop(name, None)
         if session is not None:
             self._sessions.remove(session)
-            self.queues.drop_gateway(session)
+            self._coordinator.remove_gateway(session)
 
     def handle(self, name: str, msg: Any) -> None:
+        """Handle a message of a gateway that has a session."""
         session = self._by_gateway.get(name)
         if session is None:
             return
         match msg:
             case AskTurn():
-                self.queues.enqueue(msg, session)
+                self._coordinator.queue_turn(session, msg)
             case EndTurn():
-                self.queues.end_turn(session, msg)
-            case RunningCalls():
-                self.queues.note_running(session, msg)
-            case ShortageReport():
-                self.queues.note_shortage(msg)
+                self._coordinator.end_turn(session, msg)
+            case RunningCalls() | ShortageReport():
+                self._coordinator.record_room(session, msg)
         self._decide_soon()
 
     def _decide_soon(self) -> None:
@@ -82,9 +90,7 @@
         if self._office.leader is not self:
             return
         self._pace.begin()
-        for turn in self.queues.due():
-            turn.gateway.send(turn.answer)
-        self.broadcaster.send_due()
+        self._coordinator.send_due()
         self._pace.end()
 
     @property
--- a/chestnutfall/tests/test_room_gateway.py
+++ b/chestnutfall/tests/test_room_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 import unittest
 from typing import Any
@@ -23,16 +24,19 @@
 from ..concurrency.waiting_call import WaitingCall
 from ..coordination.gateway_session import GatewaySession
 from ..coordination.gateway_sessions import GatewaySessions
+from ..coordination.limit_coordinator import LimitCoordinator
 from ..coordination.messages import FLEET_CODEC
 from ..coordination.room_broadcaster import SEND_INTERVAL_MS, RoomBroadcaster
 from ..forwarding.fleet_client import TURN_TIMEOUT_MS, FleetClient, LeaderLost
 from ..forwarding.fleet_knowledge import FleetKnowledge
 from ..limits.limit_registry import LimitRegistry
-from ..limits.messages import NO_ROOM, AnswerTurn, AskTurn
+from ..limits.messages import NO_ROOM, PLENTY, AnswerTurn, AskTurn
 from ..limits.plain_send_queues import PlainSendQueues
 from ..placement import RunOutcome
+from ..placement.placer import Placer
 from ..platform.document_json import DocumentJson
 from ..signals import UpstreamLoad
+from ..signals.backoff_registry import BackoffRegistry
 
 FULL_LOAD = UpstreamLoad(6, 12, 6)
 ANY = Pace(0.0, 0.1)
@@ -127,8 +131,12 @@
     def setUp(self) -> None:
         self.clock = ManualClock(60_000)
         self.sessions = GatewaySessions()
+        self.serving = ["u"]
         self.queues: PlainSendQueues[GatewaySession] = PlainSendQueues(
-            LimitRegistry(self.clock), lambda service: ["u"], lambda gateway, one: True, self.clock
+            LimitRegistry(self.clock),
+            lambda service: self.serving,
+            lambda gateway, one: True,
+            self.clock,
         )
         self.broadcaster = RoomBroadcaster(self.queues, self.sessions, self.clock)
         self.session = GatewaySession("g")
@@ -155,6 +163,15 @@
         list(self.queues.due())
         self.assertEqual(self._received(), [RoomInForce((ServiceRoomState("s", False, {}),))])
 
+    # Guards against gateways that share no places after the next loss of their leader.
+    def test_a_shortage_without_known_upstreams_is_not_told(self) -> None:
+        self.serving.clear()
+        self.queues.note_running(self.session, RunningCalls("s", {"u": 1}, 60.0, {"u": 6}))
+        self.assertEqual(self._received(), [])
+        self.serving.append("u")
+        self.queues.note_running(self.session, RunningCalls("s", {"u": 1}, 60.0, {"u": 6}))
+        self.assertEqual(self._received(), [RoomInForce((ServiceRoomState("s", True, {"u": 6}),))])
+
     # Guards against a call that waits for room which its service can't have in its time.
     def test_a_call_without_room_is_told_when_to_come_back(self) -> None:
         self._report()
@@ -178,12 +195,27 @@
         self.assertEqual(self.queues.use("s"), (0, 0, 6))
         self.assertGreaterEqual(len(given), 6)
 
+    # Guards against a gateway that goes on asking for each call as it missed that there is plenty.
+    def test_a_question_for_room_without_a_shortage_is_answered_by_plenty(self) -> None:
+        limits = LimitRegistry(self.clock)
+        coordinator = LimitCoordinator(
+            limits,
+            BackoffRegistry(self.clock),
+            Placer(self.clock, limits),
+            self.sessions,
+            self.clock,
+        )
+        coordinator.queue_turn(self.session, dataclasses.replace(_ask(5), for_room=True))
+        received = [self.session.out.get_nowait() for _ in range(self.session.out.qsize())]
+        plenty = RoomInForce((ServiceRoomState("s", False, {}),))
+        self.assertEqual(received, [plenty, AnswerTurn(5, "", 0, PLENTY)])
+
     def test_messages_are_read_as_they_were_sent(self) -> None:
         for msg in (
             EndTurn(1, "u", "done", 60.5, UpstreamLoad(1, 2, 6, 2.5)),
             EndTurn(2, "", "withdrawn"),
             ShortageReport("s", "u", None, True),
-            RunningCalls("s", {"u": 2}, 60.0),
+            RunningCalls("s", {"u": 2}, 60.0, {"u": 6}),
             RoomInForce((ServiceRoomState("s", True, {"u": 6}),)),
             _ask(3),
             AnswerTurn(3, "u", held=True),
--- a/chestnutfall/tests/test_room_parts.py
+++ b/chestnutfall/tests/test_room_parts.py
@@ -6,6 +6,7 @@
 
 from ..concurrency.messages import (
     EndTurn,
+    RunningCalls,
     ShortageReport,
 )
 from ..concurrency.pace import Pace
@@ -151,10 +152,22 @@
     # Guards against giving out the whole room while calls of the last leader's turns run.
     def test_a_new_leader_begins_with_half_of_the_room(self) -> None:
         whole = self.room.free(0)["u"]
-        self.room.note_running("g", {"v": 2, "gone": 1}, 60.0, 1)
+        self.room.note_running("g", RunningCalls("s", {"v": 2, "gone": 1}, 60.0), 1)
         self.assertEqual(self.room.free(1), {"u": whole // 2, "v": whole // 2 - 2})
         self.assertEqual(self.room.free(NEW_TERM_MS)["u"], whole)
 
+    # Guards against a new leader that forgets a shortage, since no upstream has announced itself to
+    # it when gateways join, and then begins with one place for each upstream.
+    def test_a_new_leader_hears_of_a_shortage_before_it_knows_the_upstreams(self) -> None:
+        room: ServiceRoom[str] = ServiceRoom(0)
+        report = RunningCalls("s", {"u": 5, "gone": 1}, 60.0, {"u": 6, "v": 6})
+        room.note_running("g", report, 0)
+        room.set_serving(["u", "v"])
+        room.note_running("h", RunningCalls("s", {"u": 3}, 60.0, {"u": 6, "v": 6}), 0)
+        self.assertTrue(room.shortage.short)
+        self.assertEqual(room.places(1), {"u": 6, "v": 6})
+        self.assertEqual(list(room.free(1)), ["v"])
+
     # Guards against room that is given out although calls without a turn use it.
     def test_calls_without_a_turn_use_room(self) -> None:
         free = self.room.free(1)["u"]
--- a/chestnutfall/tests/test_upstream_selectors.py
+++ b/chestnutfall/tests/test_upstream_selectors.py
@@ -26,12 +26,14 @@
 from ..forwarding.fleet_knowledge import FleetKnowledge
 from ..forwarding.place import NoPlace, Place, SelectionCriteria
 from ..forwarding.plain_upstream_selector import PlainUpstreamSelector
-from ..limits.messages import NO_ROOM, AnswerTurn
+from ..limits import DeclaredLimit
+from ..limits.messages import NO_ROOM, PLENTY, AnswerTurn
 from ..placement import AdapterName, Grant, PlaceRequest, ReadyAdapter, Reject, RunOutcome
 from ..placement.run_times import NO_TIMES
 from ..platform.document_json import DocumentJson
 from ..routes import Route, RouteKind, ServiceSpec, WeightedService
 from ..signals import UpstreamLoad, UpstreamSignals
+from ..signals.known_signals import KnownSignals
 from .fakes.limit_parts import ScriptedTurns, known_signals
 
 NAME = AdapterName("base", "a1")
@@ -233,6 +235,29 @@
             await selector.select(_criteria())
         self.assertEqual((raised.exception.reason, raised.exception.retry_after_ms), (NO_ROOM, 140))
 
+    # Guards against requests beyond a limit from gateways that use their share of the room.
+    async def test_without_a_leader_a_share_of_the_room_keeps_to_limits(self) -> None:
+        signals = known_signals(self.clock)
+        for one in "12":
+            signals.limits.observe(one, DeclaredLimit(1.0), 0, succeeded=True)
+        selector = self._selector(room=self._short_room(), signals=signals)
+        sent = 0
+        for _ in range(40):
+            taking = asyncio.ensure_future(selector.select(_criteria(until_ms=10_000)))
+            await self.clock.advance(50)
+            if taking.done():
+                sent += 1
+                selector.release(taking.result(), RunOutcome.DONE, NO_TIMES, None)
+            taking.cancel()
+            await asyncio.gather(taking, return_exceptions=True)
+        self.assertLessEqual(sent, 4)  # half of two a second for two seconds, and one of each
+
+    # Guards against a call that goes nowhere, or past a limit, as a shortage ends while it asks.
+    async def test_a_service_that_has_plenty_by_now_is_used_as_usual(self) -> None:
+        turns = ScriptedTurns(AnswerTurn(7, "", 0, PLENTY))
+        selector = self._selector(turns=turns, room=self._short_room())
+        self.assertIn((await selector.select(_criteria())).upstream.instance, ("1", "2"))
+
     def _short_room(self) -> KnownRoom:
         leaderless = LeaderlessRoom(lambda: 1, self.clock, random.Random(1))
         room = KnownRoom(lambda report: None, leaderless, self.clock)
@@ -243,13 +268,14 @@
         self,
         turns: ScriptedTurns | None = None,
         room: KnownRoom | None = None,
+        signals: KnownSignals | None = None,
         end_turn: Callable[[EndTurn], None] = lambda ended: None,
         has_open: Callable[[str], bool] = lambda instance: False,
         seed: int = 1,
     ) -> PlainUpstreamSelector:
         return PlainUpstreamSelector(
             lambda service: self.upstreams,
-            known_signals(self.clock),
+            signals or known_signals(self.clock),
             (turns or ScriptedTurns()).ask,
             self.clock,
             "dc",
--- a/properties/ablation_list.py
+++ b/properties/ablation_list.py
@@ -20,6 +20,11 @@
         "who comes before its adapter is placed elsewhere",
         "each engine learns alone how long loads take",
         "requests whose adapters load take places of the batch",
+        "gateways never tell that a service is short of room",
+        "a kind of calls keeps no floor",
+        "calls wait for a turn that comes too late",
+        "who comes back when told is put behind newcomers",
+        "work goes to an upstream that is slow at this moment",
     }
 )
 """Names of the mutants that remove a performance mechanism and not a guarantee."""
--- a/properties/safeguards/room_mutants.py
+++ b/properties/safeguards/room_mutants.py
@@ -251,6 +251,27 @@
         "        return True",
         f"{_GATEWAY_TEST}.GatewayRoomTest",
     ),
+    Mutant(
+        "gateways that share the room without a leader exceed limits",
+        "chestnutfall/forwarding/room_turns.py",
+        "            if self._limits.may_send_without_leader(one.instance):",
+        "            if True:",
+        f"{_SELECTOR_TEST}.test_without_a_leader_a_share_of_the_room_keeps_to_limits",
+    ),
+    Mutant(
+        "a gateway that missed the end of a shortage asks for each call",
+        "chestnutfall/coordination/limit_coordinator.py",
+        "        if asked.for_room and not self._turns.gives_room(asked.service):",
+        "        if False:",
+        f"{_GATEWAY_TEST}.RoomMessagesTest",
+    ),
+    Mutant(
+        "a new leader begins without the places that the last one knew",
+        _SERVICE,
+        "                self._rooms[instance].suggest(places)",
+        "                pass",
+        f"{_PARTS_TEST}.ServiceRoomTest",
+    ),
     Mutant(
         "a cancelled call keeps its turn",
         "chestnutfall/forwarding/fleet_client.py",
