--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -70,6 +70,10 @@
         Instances that refused this call once, since its adapter was not loaded yet.
     organisation : str
         Organisation that sent the call; empty if the route needs no key.
+    request : str
+        Digest of the call, the same when its client sends it again; empty if unknown.
+    needs_room : bool
+        Whether the service is short of room, so that a turn has to hold a place.
     """
 
     call: Call
@@ -80,6 +84,8 @@
     started: bool = False
     lacked_adapter: tuple[str, ...] = ()
     organisation: str = ""
+    request: str = ""
+    needs_room: bool = False
 
 
 class UpstreamSelector(ABC):
--- a/chestnutfall/forwarding/plain_upstream_selector.py
+++ b/chestnutfall/forwarding/plain_upstream_selector.py
@@ -5,60 +5,66 @@
 import itertools
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
 
 from ..clock import Clock
+from ..concurrency.known_room import KnownRoom
+from ..concurrency.leaderless_room import LeaderlessRoom
+from ..concurrency.messages import EndTurn
 from ..control.upstream_record import UpstreamRecord
-from ..limits.plain_send_queues import NO_UPSTREAM_RETRY_MS
+from ..limits.turn_round import NO_UPSTREAM_RETRY_MS
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
-from ..placement.upstream_health import UpstreamHealth
 from ..signals import BACKING_OFF, UpstreamLoad
 from ..signals.known_signals import KnownSignals
 from .limited_turns import AskForTurn, LimitedTurns
 from .place import NoPlace, Place, SelectionCriteria, UpstreamSelector
-
-BUSY_COST_MS = 20.0
-"""Cost of each request in progress at an upstream, about the time of a short request."""
+from .plain_upstream_state import PlainUpstreamState
+from .room_turns import RoomTurns
+
+CONNECT_COST_MS = 2.0
+"""Cost of an upstream to which no connection is open: a round trip, and work on both sides."""
+UNSAFE_FAILURE_WEIGHT = 4.0
+"""How much more failures count for a call that may run only once: its caller loses the answer,
+where another call costs a second send."""
 OTHER_DATA_CENTRE_MS = 6.0
 """Cost of another data centre: the round trip, and traffic that is paid for."""
 AVOIDED_MS = 10_000.0
 """Cost of an upstream to avoid. More than any sum of load and delay, so that it is selected only as
 a last resort."""
-LOAD_FRESH_MS = 250
-"""How long a reported load counts; it is outdated after about ten short requests."""
 MAX_COMPARED = 24
 """Upstreams compared for one call. The best of a random sample of this size is nearly as good as
 the best of all, and the time per call stays the same for a thousand upstreams as for a few."""
 
 
-@dataclass(slots=True)
-class _UpstreamState:
-    """State of one upstream on this gateway.
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """A request that was sent.
 
     Attributes
     ----------
-    own_requests : int
-        Requests of this gateway in progress there.
-    other_requests : float
-        Requests of other gateways there, by the last reported load.
-    slots : int
-        Requests that it runs at once, as it last reported.
-    load_reported_ms : int
-        Clock time of the last reported load.
+    turn : int or None
+        Number of the turn that it holds at the leader.
     """
 
-    health: UpstreamHealth = field(default_factory=UpstreamHealth)
-    own_requests: int = 0
-    other_requests: float = 0.0
-    slots: int = 1
-    load_reported_ms: int = -LOAD_FRESH_MS
+    sent_ms: int
+    turn: int | None
 
 
 class PlainUpstreamSelector(UpstreamSelector):
     """Selects the least loaded upstream and prefers the own data centre.
 
     The load is this gateway's requests in progress plus the load that the upstream last reported.
+    While a service is short of room, the leader selects the upstream of each call.
+
+    Parameters
+    ----------
+    room : KnownRoom, optional
+        Which services are short of room; none by default.
+    end_turn : callable
+        Tells the leader that a turn ended.
+    has_open : callable
+        Whether a connection to an instance is open and free.
     """
 
     def __init__(
@@ -69,31 +75,68 @@
         clock: Clock,
         data_centre: str,
         rng: random.Random,
+        room: KnownRoom | None = None,
+        end_turn: Callable[[EndTurn], None] = lambda ended: None,
+        has_open: Callable[[str], bool] = lambda instance: False,
     ) -> None:
         self._upstreams = upstreams
         self._signals = signals
-        self._turns = LimitedTurns(signals, ask_turn, clock)
+        self._turns = LimitedTurns(signals, ask_turn, clock, end_turn)
+        self._room = room if room is not None else _never_short(clock, rng)
+        self._room_turns = RoomTurns(self._room, signals.limits, ask_turn, end_turn, clock, rng)
+        self._end_turn = end_turn
+        self._has_open = has_open
+        self._sent: dict[str, _Sent] = {}
         self._clock = clock
         self._data_centre = data_centre
         self._rng = rng
-        self._states: dict[str, _UpstreamState] = {}
+        self._states: dict[str, PlainUpstreamState] = {}
         self._numbers = itertools.count()
 
     async def select(self, criteria: SelectionCriteria) -> Place:
-        upstreams = self._sampled(self._accepting(criteria.service.name))
-        by_cost = sorted(upstreams, key=lambda one: self._cost_ms(one, criteria.avoid))
-        chosen = by_cost[0]
-        if self._signals.limits.per_s(chosen.instance) is not None:
+        service = criteria.service.name
+        upstreams = self._sampled(self._accepting(service))
+        # In a fixed order, all gateways would send to the first of equal upstreams.
+        by_cost = sorted(
+            upstreams, key=lambda one: (self._cost_ms(one, criteria), self._rng.random())
+        )
+        chosen, turn = by_cost[0], None
+        with_turn = await self._choose_with_turn(criteria, by_cost)
+        if with_turn is not None:
+            chosen, turn = with_turn
+        elif self._signals.limits.per_s(chosen.instance) is not None:
             can_take = [one for one in by_cost if self._can_take(one, criteria.avoid)]
             chosen = await self._turns.choose(criteria, can_take or by_cost, self._upstreams)
         state = self._state_of(chosen)
-        if state.health.is_ejected(self._clock.now_ms()) and chosen.instance in criteria.avoid:
+        now_ms = self._clock.now_ms()
+        if state.health.is_ejected(now_ms) and chosen.instance in criteria.avoid:
+            self._give_back(turn, chosen.instance)
             raise NoPlace("unreachable", NO_UPSTREAM_RETRY_MS)
         state.own_requests += 1
+        self._room.started(service, chosen.instance)
         has_other = any(
             self._can_take(one, criteria.avoid) for one in upstreams if one is not chosen
         )
-        return Place(f"plain-{next(self._numbers)}", chosen, 0, has_other=has_other)
+        place = Place(f"plain-{next(self._numbers)}", chosen, 0, has_other=has_other)
+        self._sent[place.ticket] = _Sent(now_ms, turn)
+        return place
+
+    async def _choose_with_turn(
+        self, criteria: SelectionCriteria, by_cost: Sequence[UpstreamRecord]
+    ) -> tuple[UpstreamRecord, int | None] | None:
+        """Select the upstream if the service is short of room; None if it has plenty."""
+        if not self._room.is_short(criteria.service.name):
+            return None
+        can_take = [one for one in by_cost if self._can_take(one, criteria.avoid)]
+        # The leader doesn't know which upstreams this gateway can't reach.
+        avoid = tuple(one.instance for one in by_cost if one not in can_take)
+        return await self._room_turns.choose(
+            replace(criteria, avoid=avoid), can_take or by_cost, self._upstreams
+        )
+
+    def _give_back(self, turn: int | None, instance: str) -> None:
+        if turn is not None:
+            self._end_turn(EndTurn(turn, instance, RunOutcome.WITHDRAWN.value))
 
     def _accepting(self, service: str) -> Sequence[UpstreamRecord]:
         """Return the upstreams that accept work from this gateway.
@@ -136,14 +179,24 @@
         if outcome is RunOutcome.DONE:
             state.health.note_lag(times.lag_ms, now_ms)
         if load is not None:
-            state.other_requests = max(load.running + load.waiting - state.own_requests - 1, 0)
-            state.slots = max(load.max_running, 1)
-            state.load_reported_ms = now_ms
+            state.note_load(load, now_ms)
+        self._end_send(place, outcome, load, now_ms)
 
-    def _state_of(self, upstream: UpstreamRecord) -> _UpstreamState:
+    def _end_send(
+        self, place: Place, outcome: RunOutcome, load: UpstreamLoad | None, now_ms: int
+    ) -> None:
+        sent = self._sent.pop(place.ticket, None)
+        if sent is None:
+            return
+        instance, run_ms = place.upstream.instance, float(now_ms - sent.sent_ms)
+        self._room.ended(place.upstream.service, instance, outcome, load, run_ms)
+        if sent.turn is not None:
+            self._end_turn(EndTurn(sent.turn, instance, outcome.value, run_ms, load))
+
+    def _state_of(self, upstream: UpstreamRecord) -> PlainUpstreamState:
         if upstream.instance not in self._states:
             self._forget_absent(upstream.service)
-            self._states[upstream.instance] = _UpstreamState()
+            self._states[upstream.instance] = PlainUpstreamState()
         return self._states[upstream.instance]
 
     def _forget_absent(self, service: str) -> None:
@@ -152,15 +205,22 @@
             if instance not in present and not state.own_requests and len(self._states) > 64:
                 del self._states[instance]
 
-    def _cost_ms(self, upstream: UpstreamRecord, avoid: tuple[str, ...]) -> float:
+    def _cost_ms(self, upstream: UpstreamRecord, criteria: SelectionCriteria) -> float:
         state = self._state_of(upstream)
         now_ms = self._clock.now_ms()
-        busy = float(state.own_requests)
-        if now_ms - state.load_reported_ms < LOAD_FRESH_MS:
-            busy += state.other_requests
-        cost_ms = BUSY_COST_MS * busy / state.slots + state.health.cost_ms(now_ms)
+        avoid = criteria.avoid
+        weight = 1.0 if criteria.route.kind.idempotent else UNSAFE_FAILURE_WEIGHT
+        cost_ms = state.expected_ms(self._room.run_ms(upstream.service), now_ms)
+        cost_ms += weight * state.health.cost_ms(now_ms)
+        if not self._has_open(upstream.instance):
+            cost_ms += CONNECT_COST_MS
         if upstream.data_centre != self._data_centre:
             cost_ms += OTHER_DATA_CENTRE_MS
         if not self._can_take(upstream, avoid):
             cost_ms += AVOIDED_MS
         return cost_ms
+
+
+def _never_short(clock: Clock, rng: random.Random) -> KnownRoom:
+    """Room of a gateway whose leader gives out none."""
+    return KnownRoom(lambda report: None, LeaderlessRoom(lambda: 1, clock, rng), clock)
