Split the long functions of the programs and state reasons plainly

Three programs set the variable that keeps libuv from io_uring, two with the reason; one function does it now.

--- a/chestnutfall/programs/certificates.py
+++ b/chestnutfall/programs/certificates.py
@@ -11,10 +11,9 @@
 def import_http_without_certificates() -> None:
     """Import aiohttp without letting it load the host's CA certificates.
 
-    On import, aiohttp reads all certificates of the host twice. This takes 60 of the 330 ms of
-    processor time that a gateway needs to start, even in programs that never open a TLS
-    connection outside the deployment. The environment variables are restored afterwards.
-    Connections that pass their own TLS context are not affected.
+    On import, aiohttp reads all certificates of the host twice. This delays the start also of
+    programs that never open a TLS connection to a host outside the deployment. The environment
+    variables are restored afterwards. Connections that pass their own TLS context are not affected.
 
     Call this before any other module imports aiohttp.
     """
--- a/chestnutfall/programs/command_line.py
+++ b/chestnutfall/programs/command_line.py
@@ -11,6 +11,7 @@
 
 T = TypeVar("T")
 EXIT_SETTINGS = 2
+"""Exit code of a program whose settings are invalid."""
 
 
 def make_parser(program: str, description: str) -> argparse.ArgumentParser:
--- a/chestnutfall/programs/controller.py
+++ b/chestnutfall/programs/controller.py
@@ -24,12 +24,13 @@
 from ..control.rpc_transport import RpcTransport
 from ..observability.json_logs import start_logs
 from ..settings.controller_settings import ControllerSettings
-from ..wire import RpcServer
+from ..wire import RpcServer, TlsFiles
 from .command_line import load_settings, make_parser
 from .event_loop import run
 
 log = logging.getLogger(__name__)
 EXIT_STORAGE = 3
+"""Exit code when the data folder can't be used, or the replica stopped because of a failure."""
 
 
 def main() -> None:
@@ -71,16 +72,7 @@
         return EXIT_STORAGE
     duties = LeaderDuties(replica, state, clock)
     service = ControlService(replica, state, duties, clock, settings.admin_key_sha256)
-    server = RpcServer(settings.listen, tls)
-
-    async def on_consensus(msg: Any, context: Any) -> Any:
-        return await replica.handle(msg)
-
-    async def on_control(msg: Any, context: Any) -> Any:
-        return await service.handle(msg)
-
-    server.add_unary(CONSENSUS_METHOD, CONSENSUS_CODEC, on_consensus)
-    server.add_unary(CONTROL_METHOD, CONTROL_CODEC, on_control)
+    server = _make_server(settings, tls, replica, service)
     await server.start()
     log.info("control: %s listens on %s", replica_id, settings.listen)
     duties_task = asyncio.ensure_future(duties.run())
@@ -99,6 +91,23 @@
     return EXIT_STORAGE if failed else 0
 
 
+def _make_server(
+    settings: ControllerSettings, tls: TlsFiles | None, replica: Replica, service: ControlService
+) -> RpcServer:
+    """Return a server, not yet started, for messages of other replicas and of control clients."""
+
+    async def on_consensus(msg: Any, context: Any) -> Any:
+        return await replica.handle(msg)
+
+    async def on_control(msg: Any, context: Any) -> Any:
+        return await service.handle(msg)
+
+    server = RpcServer(settings.listen, tls)
+    server.add_unary(CONSENSUS_METHOD, CONSENSUS_CODEC, on_consensus)
+    server.add_unary(CONTROL_METHOD, CONTROL_CODEC, on_control)
+    return server
+
+
 async def _load_or_create_identity(
     settings: ControllerSettings, bootstrap: bool, folder: DiskFolder, storage: FileStorage
 ) -> str:
--- a/chestnutfall/programs/ctl.py
+++ b/chestnutfall/programs/ctl.py
@@ -4,7 +4,6 @@
 
 import argparse
 import asyncio
-import os
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -23,6 +22,7 @@
 from ..operators.operator_session import CommandFailed
 from ..settings.operator_settings import OperatorSettings
 from ..settings.reading import read_settings
+from .event_loop import disable_io_uring
 
 Command = Callable[[OperatorSession, argparse.Namespace], Awaitable[int]]
 EXAMPLES = """examples:
@@ -44,8 +44,7 @@
         for finding in parsed.error:
             print(finding, file=sys.stderr)
         sys.exit(ExitCode.REFUSED)
-    # The hosts forbid io_uring.
-    os.environ["UV_USE_IO_URING"] = "0"
+    disable_io_uring()
     try:
         key = Path(parsed.ok.key_file).read_text(encoding="utf-8").strip()
         sys.exit(asyncio.run(_run(parsed.ok, key, args)))
--- a/chestnutfall/programs/engine.py
+++ b/chestnutfall/programs/engine.py
@@ -24,6 +24,21 @@
     run(lambda stop: _serve(settings, stop))
 
 
+def _announcement(settings: EngineSettings, core: EngineCore, leaving: bool) -> dict[str, Any]:
+    return {
+        "name": settings.name,
+        "service": settings.service,
+        "data_centre": settings.data_centre,
+        "address": settings.listen,
+        "incarnation": core.incarnation,
+        "ttl_ms": settings.ttl_ms,
+        "state": "leaving" if leaving else "serving",
+        "fencing": settings.fencing,
+        "slots": settings.slots,
+        "running": len(core.running()),
+    }
+
+
 async def _serve(settings: EngineSettings, stop: asyncio.Event) -> int:
     """Serve until `stop`, then announce the departure and finish the requests in progress."""
     core = EngineCore(
@@ -34,24 +49,13 @@
         settings.fencing == "checked",
     )
     app = EngineApp(core)
-
-    def announcement() -> dict[str, Any]:
-        return {
-            "name": settings.name,
-            "service": settings.service,
-            "data_centre": settings.data_centre,
-            "address": settings.listen,
-            "incarnation": core.incarnation,
-            "ttl_ms": settings.ttl_ms,
-            "state": "leaving" if app.leaving else "serving",
-            "fencing": settings.fencing,
-            "slots": settings.slots,
-            "running": len(core.running()),
-        }
-
     runner = web.AppRunner(app.build(), handler_cancellation=False, access_log=None)
     await listen(runner, settings.listen)
-    announcer = Announcer(settings.announce_to, settings.announce_key_file, announcement)
+    announcer = Announcer(
+        settings.announce_to,
+        settings.announce_key_file,
+        lambda: _announcement(settings, core, app.leaving),
+    )
     tasks = [
         asyncio.ensure_future(core.step_forever()),
         asyncio.ensure_future(announcer.run(settings.announce_ms)),
--- a/chestnutfall/programs/event_loop.py
+++ b/chestnutfall/programs/event_loop.py
@@ -10,6 +10,14 @@
 from collections.abc import Awaitable, Callable
 
 
+def disable_io_uring() -> None:
+    """Keep libuv from using io_uring, which the hosts forbid.
+
+    Call this before an event loop is created.
+    """
+    os.environ["UV_USE_IO_URING"] = "0"
+
+
 def run(work: Callable[[asyncio.Event], Awaitable[int]]) -> None:
     """Run a coroutine on uvloop and exit the process with the code that it returns.
 
@@ -18,8 +26,7 @@
     work : callable
         Gets an event that SIGTERM and SIGINT set, and returns the exit code of the process.
     """
-    # The hosts forbid io_uring; libuv opens a ring unless this is set before the loop is created.
-    os.environ["UV_USE_IO_URING"] = "0"
+    disable_io_uring()
     import uvloop
 
     async def main() -> int:
@@ -29,9 +36,8 @@
             loop.add_signal_handler(signum, stop.set)
         return await work(stop)
 
-    # Imported modules live as long as the process, so the collector need not traverse them. A
-    # full collection that does stops every request for 30 ms on a whole core, and for twice as
-    # long on half a core, with the modules of a platform gateway.
+    # Imported modules live as long as the process. Frozen, they are not traversed by full
+    # collections, each of which stops all requests until it ends.
     gc.freeze()
     gc.enable()
     sys.exit(uvloop.run(main()))
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -43,8 +43,9 @@
 
 log = logging.getLogger(__name__)
 POLL_MS = 50
+"""Interval of checks of the session's lease, and of the requests in progress while draining."""
 PLAIN_LIMIT_FRACTION = 1.0
-"""No leader counts the requests to plain upstreams, so the gateways share their whole limits."""
+"""The gateways share a plain upstream's whole limit, since no leader counts requests to it."""
 
 
 def main() -> None:
@@ -65,14 +66,13 @@
     def __init__(self, settings: GatewaySettings) -> None:
         self._settings = settings
         self._clock = SystemClock()
-        tls = settings.tls.files() if settings.tls else None
-        session = f"{settings.name}#{uuid.uuid4().hex[:12]}"
-        metrics = Metrics(settings.observability.statsd, "gateway")
-        tracer = start_tracing(settings.observability.trace_file, "gateway", settings.name)
-        self._client = ControlClient(settings.controllers, self._clock, tls)
+        self._tls = settings.tls.files() if settings.tls else None
+        self._metrics = Metrics(settings.observability.statsd, "gateway")
+        self._tracer = start_tracing(settings.observability.trace_file, "gateway", settings.name)
+        self._client = ControlClient(settings.controllers, self._clock, self._tls)
         self._registry = UpstreamRegistry(self._clock)
         self._agent = GatewayAgent(
-            session,
+            f"{settings.name}#{uuid.uuid4().hex[:12]}",
             settings.peer_listen,
             settings.data_centre,
             self._client,
@@ -80,24 +80,49 @@
             self._clock,
             settings.config_lease_ms,
         )
-        self._api = HttpEngineApi(UnreadHeaders((*OWN_SIGNALS.all, ATTEMPT_HEADER), metrics.count))
-        permits = ControllerPermits(self._client, session, self._clock)
-        self._engine_owners = EngineOwners(
+        unread = UnreadHeaders((*OWN_SIGNALS.all, ATTEMPT_HEADER), self._metrics.count)
+        self._api = HttpEngineApi(unread)
+        self._engine_owners = self._make_engine_owners()
+        self._peer_server = PeerServer(self._engine_owners, self._clock)
+        self._links = PeerLinks(self._agent, self._engine_owners, self._clock, self._tls)
+        self._claims = ClaimClient(self._client, self._agent.session)
+        quarantine = self._make_quarantine()
+        signals = self._make_signals()
+        self._plain = self._make_plain_proxy(quarantine, signals)
+        self._quotas = self._make_quota_enforcer()
+        self._app = CallerApp(
+            self._agent,
+            self._make_dispatcher(quarantine, signals),
+            self._claims,
+            self._plain,
+            CallerLimits(self._quotas, self._clock),
+            self._clock,
+            self._metrics,
+            self._tracer,
+        )
+        self._registry.is_drained = lambda name: self._agent.config.is_drained(name)
+        self._agent.acting = self._engine_owners.acting
+        self._agent.on_change = self._on_change
+
+    def _make_engine_owners(self) -> EngineOwners:
+        return EngineOwners(
             self._agent,
             self._registry,
             self._api,
-            permits,
+            ControllerPermits(self._client, self._agent.session, self._clock),
             self._clock,
-            metrics,
-            lambda other: self._is_gone(other),
+            self._metrics,
+            self._is_gone,
         )
-        self._peer_server = PeerServer(self._engine_owners, self._clock)
-        self._links = PeerLinks(self._agent, self._engine_owners, self._clock, tls)
-        self._claims = ClaimClient(self._client, session)
+
+    def _make_quarantine(self) -> RequestQuarantine:
         reports = ReportSender(self._client)
         quarantine = RequestQuarantine(reports.send, refuses_connections, self._clock)
         self._agent.on_suspects = quarantine.update
         self._registry.on_replaced = quarantine.note_replaced
+        return quarantine
+
+    def _make_signals(self) -> KnownSignals:
         limits = KnownLimits(
             self._report_limit,
             self._gateway_count,
@@ -105,24 +130,30 @@
             random.Random(),
             PLAIN_LIMIT_FRACTION,
         )
-        backoffs = KnownBackoffs(self._report_backoff, self._clock)
-        signals = KnownSignals(limits, backoffs, self._clock)
-        self._plain = PlainProxy(
+        return KnownSignals(limits, KnownBackoffs(self._report_backoff, self._clock), self._clock)
+
+    def _make_plain_proxy(self, quarantine: RequestQuarantine, signals: KnownSignals) -> PlainProxy:
+        return PlainProxy(
             self._agent,
             self._registry,
             self._claims,
             quarantine,
             signals,
             self._clock,
-            metrics,
-            settings.data_centre,
+            self._metrics,
+            self._settings.data_centre,
         )
-        quota_client = ControlQuotaClient(self._client, self._clock)
-        self._quotas = QuotaEnforcer(
-            quota_client, self._gateway_count, CALLER_QUOTA_BOUNDS, self._clock, random.Random()
+
+    def _make_quota_enforcer(self) -> QuotaEnforcer:
+        client = ControlQuotaClient(self._client, self._clock)
+        enforcer = QuotaEnforcer(
+            client, self._gateway_count, CALLER_QUOTA_BOUNDS, self._clock, random.Random()
         )
-        quota_client.on_quotas = self._quotas.apply
-        dispatcher = Dispatcher(
+        client.on_quotas = enforcer.apply
+        return enforcer
+
+    def _make_dispatcher(self, quarantine: RequestQuarantine, signals: KnownSignals) -> Dispatcher:
+        return Dispatcher(
             self._agent,
             self._registry,
             self._links,
@@ -130,25 +161,11 @@
             quarantine,
             signals,
             self._clock,
-            metrics,
-            tracer,
+            self._metrics,
+            self._tracer,
             random.Random(),
-            settings.data_centre,
+            self._settings.data_centre,
         )
-        self._app = CallerApp(
-            self._agent,
-            dispatcher,
-            self._claims,
-            self._plain,
-            CallerLimits(self._quotas, self._clock),
-            self._clock,
-            metrics,
-            tracer,
-        )
-        self._tls = tls
-        self._registry.is_drained = lambda name: self._agent.config.is_drained(name)
-        self._agent.acting = self._engine_owners.acting
-        self._agent.on_change = self._on_change
 
     def _report_limit(self, report: HeardLimit) -> None:
         self._links.report_limit(report.instance.partition("/")[0], report)
--- a/chestnutfall/programs/load.py
+++ b/chestnutfall/programs/load.py
@@ -4,7 +4,6 @@
 
 import argparse
 import json
-import os
 from pathlib import Path
 
 from rich.console import Console
@@ -12,13 +11,13 @@
 
 from ..load import LoadPlan, arrivals
 from ..load.load_client import LoadClient
+from .event_loop import disable_io_uring
 
 
 def main() -> None:
     """Parse the command line, send the load and print its report as a table or JSON."""
     args = _parser().parse_args()
-    # The hosts forbid io_uring; libuv opens a ring unless this is set before the loop is created.
-    os.environ["UV_USE_IO_URING"] = "0"
+    disable_io_uring()
     import uvloop
 
     key = args.key_file.read_text(encoding="utf-8").strip()
--- a/chestnutfall/programs/plain.py
+++ b/chestnutfall/programs/plain.py
@@ -18,6 +18,11 @@
 from .command_line import load_settings, make_parser
 from .event_loop import run
 
+TTL_MS = 1900
+"""How long an announcement holds."""
+ANNOUNCE_MS = 900
+"""Interval of announcements; the next one comes before the TTL ends even if one is lost."""
+
 
 def main() -> None:
     """Parse the command line and run one simulated upstream until SIGTERM or SIGINT."""
@@ -26,6 +31,18 @@
     run(lambda stop: _serve(settings, stop))
 
 
+def _announcement(settings: PlainSettings, incarnation: str, leaving: bool) -> dict[str, Any]:
+    return {
+        "name": settings.name,
+        "service": settings.service,
+        "data_centre": settings.data_centre,
+        "address": settings.listen,
+        "incarnation": incarnation,
+        "ttl_ms": TTL_MS,
+        "state": "leaving" if leaving else "serving",
+    }
+
+
 async def _serve(settings: PlainSettings, stop: asyncio.Event) -> int:
     """Serve until `stop`, then announce the departure.
 
@@ -44,24 +61,17 @@
         body = {"service": settings.name, "path": request.path, "calls": calls}
         return web.json_response(body)
 
-    def announcement() -> dict[str, Any]:
-        return {
-            "name": settings.name,
-            "service": settings.service,
-            "data_centre": settings.data_centre,
-            "address": settings.listen,
-            "incarnation": incarnation,
-            "ttl_ms": 1900,
-            "state": "leaving" if stop.is_set() else "serving",
-        }
-
     app = web.Application()
     signals.attach(app)
     app.router.add_route("*", "/{tail:.*}", answer)
     runner = web.AppRunner(app, access_log=None)
     await listen(runner, settings.listen)
-    announcer = Announcer(settings.announce_to, settings.announce_key_file, announcement)
-    task = asyncio.ensure_future(announcer.run(900))
+    announcer = Announcer(
+        settings.announce_to,
+        settings.announce_key_file,
+        lambda: _announcement(settings, incarnation, stop.is_set()),
+    )
+    task = asyncio.ensure_future(announcer.run(ANNOUNCE_MS))
     await stop.wait()
     async with aiohttp.ClientSession(trust_env=False) as session:
         await announcer.once(session)
