State units and limits of the operators' commands

The width of piped tables and the number of names in an error were bare figures, the time of `status` had no unit, and a local named `other` held a change id. Names and comments say so now; OperatorTest passes.

--- a/chestnutfall/operators/caller_commands.py
+++ b/chestnutfall/operators/caller_commands.py
@@ -14,7 +14,7 @@
 
 
 async def caller_list(session: OperatorSession, args: argparse.Namespace) -> int:
-    """List callers with their rate limits and the part of each that is left now."""
+    """List callers with their rate limits and the requests that each may send at once now."""
     view = await session.quotas()
     rows = ((one.name, one.per_s, f"{one.left:g}", one.short) for one in view.callers)
     columns = ("caller", "requests a second", "left at once", "asked for each")
--- a/chestnutfall/operators/entry_commands.py
+++ b/chestnutfall/operators/entry_commands.py
@@ -12,11 +12,20 @@
 from .operator_session import CommandFailed, OperatorSession
 from .output import show
 
+MAX_NAMES_SHOWN = 20
+"""Names that an error lists; a deployment may have thousands of adapters."""
+
 
 async def patch_base(
     session: OperatorSession, args: argparse.Namespace, section: str, name: str, entry: Any
 ) -> int:
-    """Merge `entry` into one entry of the base layer; None removes that entry."""
+    """Merge `entry` into one entry of the base layer; None removes that entry.
+
+    Returns
+    -------
+    int
+        Exit code of the command.
+    """
     revision, _ = await session.layers()
     return await make_change(session, args, {BASE_LAYER: {section: {name: entry}}}, revision)
 
@@ -32,7 +41,7 @@
     _, layers = await session.layers()
     entry = layers[BASE_LAYER].get(section, {}).get(name)
     if entry is None:
-        known = ", ".join(sorted(layers[BASE_LAYER].get(section, {}))[:20])
+        known = ", ".join(sorted(layers[BASE_LAYER].get(section, {}))[:MAX_NAMES_SHOWN])
         raise CommandFailed(ExitCode.REFUSED, f"no {name!r} in {section}; there are: {known}")
     found: dict[str, Any] = entry
     return found
--- a/chestnutfall/operators/host_commands.py
+++ b/chestnutfall/operators/host_commands.py
@@ -30,6 +30,7 @@
         ("controllers", len(view.members)),
         ("gateways", len(view.gateways)),
         ("upstreams", len(view.engines)),
+        # Of this host's clock: milliseconds since its boot.
         ("time", SystemClock().now_ms()),
     ]
     show(args.json, view, ("what", "value"), rows)
--- a/chestnutfall/operators/operator_session.py
+++ b/chestnutfall/operators/operator_session.py
@@ -128,10 +128,10 @@
         match reply:
             case Changed(revision):
                 return revision
-            case Conflict(revision, other, operator):
+            case Conflict(revision, accepted_id, operator):
                 raise CommandFailed(
                     ExitCode.CONFLICT,
-                    f"revision {from_revision} was changed by {operator} ({other}); "
+                    f"revision {from_revision} was changed by {operator} ({accepted_id}); "
                     f"the newest is {revision}; nothing of yours was accepted",
                 )
             case _:
--- a/chestnutfall/operators/output.py
+++ b/chestnutfall/operators/output.py
@@ -11,6 +11,9 @@
 from rich.console import Console
 from rich.table import Table
 
+WIDTH_WITHOUT_TERMINAL = 160
+"""Characters in a line of a table that is piped or written to a file."""
+
 
 def show(as_json: bool, value: Any, columns: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
     """Print the result of a command.
@@ -28,5 +31,6 @@
     table = Table(*columns)
     for row in rows:
         table.add_row(*(str(cell) for cell in row))
-    width = None if sys.stdout.isatty() else 160
+    # Without a terminal, rich would assume 80 columns and break the cells of wide tables.
+    width = None if sys.stdout.isatty() else WIDTH_WITHOUT_TERMINAL
     Console(width=width).print(table)
