--- a/chestnutfall/observability/json_logs.py
+++ b/chestnutfall/observability/json_logs.py
@@ -30,8 +30,8 @@
             static_fields={"program": program, "host": name},
         )
     )
-    # No line names its thread, process or place in the code; looking these up takes a quarter of
-    # the time of a line. The logging module documents these switches.
+    # No line names its thread, process or place in the code, so looking these up for each record
+    # would be wasted time. The logging module documents these switches.
     logging._srcfile = None
     logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
     logging.basicConfig(level=level, handlers=[handler], force=True)
--- a/chestnutfall/observability/stdout_logs.py
+++ b/chestnutfall/observability/stdout_logs.py
@@ -10,7 +10,10 @@
 from .prometheus_metrics import PrometheusMetrics
 
 MAX_LINES_PER_S = 400
-"""At its peak a gateway serves under 100 calls a second and logs two or three lines for each."""
+"""Lines beyond this are dropped unless they are warnings or errors.
+
+At its peak a gateway serves fewer than 100 calls a second and logs two or three lines for each.
+"""
 
 
 class StdoutHandler(logging.Handler):
@@ -18,8 +21,8 @@
 
     A reader of standard output that stops reading fills the pipe. A blocking write would then
     stop the event loop and so every request. Therefore the descriptor is set to non-blocking,
-    and a line that does not fit is dropped and counted as `log_lines_dropped`. Lines lost to
-    other errors are counted as `log_write_errors`.
+    and a line that does not fit is dropped and counted as `log_lines_dropped`, as are lines beyond
+    `MAX_LINES_PER_S`. Lines lost to other errors are counted as `log_write_errors`.
     """
 
     def __init__(self, clock: Clock, metrics: PrometheusMetrics) -> None:
