--- a/chestnutfall/load/load_client.py
+++ b/chestnutfall/load/load_client.py
@@ -13,6 +13,7 @@
 from .load_report import LoadReport
 
 END_OF_STREAM = b"data: [DONE]"
+"""Last event of a complete answer; without it the answer was cut off."""
 
 
 class LoadClient:
@@ -25,7 +26,7 @@
     model : str
         Model to ask for; `{}` is replaced by the number of the adapter.
     tokens : int
-        Most tokens of each answer.
+        Largest number of tokens of each answer.
 
     Attributes
     ----------
--- a/chestnutfall/load/load_report.py
+++ b/chestnutfall/load/load_report.py
@@ -8,6 +8,9 @@
 from hdrh.histogram import HdrHistogram
 
 MAX_LATENCY_US = 600_000_000
+"""Longest latency that the histograms hold: ten minutes."""
+SIGNIFICANT_DIGITS = 3
+"""Decimal digits to which the histograms keep a latency."""
 PERCENTILES = (50, 95, 99)
 
 
@@ -53,10 +56,10 @@
         }
 
 
-def _record(histograms: dict[str, HdrHistogram], name: str, ms: float) -> None:
-    if name not in histograms:
-        histograms[name] = HdrHistogram(1, MAX_LATENCY_US, 3)
-    histograms[name].record_value(max(int(ms * 1000), 1))
+def _record(histograms: dict[str, HdrHistogram], priority: str, ms: float) -> None:
+    if priority not in histograms:
+        histograms[priority] = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+    histograms[priority].record_value(max(int(ms * 1000), 1))
 
 
 def _percentiles(histogram: HdrHistogram) -> dict[str, float]:
