Say what the demo's constants and odd settings are for

The number of gateways stood in two scripts; caller.py takes that of make_office.py. The wait for spans, the overlay and the mix of fencing had no reason.

--- a/demo/caller.py
+++ b/demo/caller.py
@@ -12,11 +12,14 @@
 from pathlib import Path
 from typing import Any
 
-GATEWAYS = 9
+from make_office import GATEWAYS
+
 TRACE_WAIT_S = 5.0
+"""Gateways write spans some time after a request has ended."""
 
 
 def _call(key: str, url: str, body: dict[str, Any] | None, **headers: str) -> tuple[str, Any]:
+    """Send a POST request, or GET without a body; return the text and headers of the answer."""
     data = None if body is None else json.dumps(body).encode()
     request = urllib.request.Request(url, data=data)
     request.add_header("Authorization", f"Bearer {key}")
--- a/demo/make_office.py
+++ b/demo/make_office.py
@@ -13,10 +13,12 @@
 from typing import Any
 
 SITES = ("nodo-centro", "nodo-norte", "nodo-oeste")
+# office.sh starts as many processes of each kind.
 GATEWAYS = 9
 CONTROLLERS = 3
 ENGINES = 3
 DIGESTS = {version: hashlib.sha256(f"weights {version}".encode()).hexdigest() for version in "12"}
+"""Digest of the weights of each version."""
 
 
 def _write(path: Path, value: Any) -> None:
@@ -51,6 +53,7 @@
         {"controllers": controllers, "key_file": str(folder / "keys/admin")},
     )
     _write(folder / "base.json", _base(hashes))
+    # One site overrides a limit of the base layer, as an example of an overlay.
     overlay = {"limits": {"default": {"request_ms": 30_000}}}
     _write(folder / "overlays" / f"{SITES[1]}.json", overlay)
 
@@ -93,6 +96,7 @@
             "listen": f"127.0.3.{number}:9000",
             "announce_to": announce_to,
             "announce_key_file": str(folder / "keys/engines"),
+            # Engines that check fencing tokens, and some that ignore them.
             "fencing": "checked" if number % 2 else "ignored",
         }
         _write(folder / f"settings/engine-{number}.json", settings)
--- a/demo/office.sh
+++ b/demo/office.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Starts the small office of make_office.py, and stops all of it at the end.
+# Starts the small deployment of make_office.py, and stops all its processes at the end.
 # Usage: demo/office.sh up    until Ctrl-C
 #        demo/office.sh demo  send a few requests, then stop
 set -u
