Split the long benchmarks and state what their figures measure

Each size of change_slopes is measured by one function, without closures over loop variables. Constants have units and meanings, and admission calls organisations organisations.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -30,25 +30,26 @@
 
 REQUESTS = 20_000
 ORGANISATION_COUNTS = (1, 16, 10_000)
+# So large that every request is admitted.
 QUOTA = Quota(QuotaUnit.TOKENS, 1e9, 1e9, 200)
 BOUNDS = QuotaBounds(8_000, 0.1, 110_000)
 
 
-async def _admission_us(organisations: int) -> float:
-    """Return microseconds of processor time per admitted request."""
-    keys = [f"key-{number}" for number in range(organisations)]
-    tenants = tuple(
+async def _admission_us(count: int) -> float:
+    """Return processor time per admitted request, µs, with `count` organisations."""
+    keys = [f"key-{number}" for number in range(count)]
+    organisations = tuple(
         Organisation(f"office-{number}", (key_digest(key),), None, QUOTA)
         for number, key in enumerate(keys)
     )
     targets = (WeightedService("s", 1),)
     route = Route("r", "a.example", "/a/", RouteKind.STREAM, 4000, 500, 1, targets, 1)
-    table = RouteTable(Document(1, (route,), (), DocumentLimits(), tenants))
+    table = RouteTable(Document(1, (route,), (), DocumentLimits(), organisations))
     quota_client, clock = ScriptedQuotaClient(), SystemClock()
     admission = Admission(QuotaEnforcer(quota_client, lambda: 81, BOUNDS, clock, random.Random(1)))
     started_s = time.process_time()
     for number in range(REQUESTS):
-        digest = key_digest(keys[number % organisations])
+        digest = key_digest(keys[number % count])
         call = Call(
             "id", "GET", "/a/", "/a/", "a.example", (), b"", 0, 9, tokens=712, key_digest=digest
         )
@@ -60,8 +61,8 @@
 def main() -> None:
     """Print a line for each number of organisations."""
     print("organisations  us a request")
-    for organisations in ORGANISATION_COUNTS:
-        print(f"{organisations:13d} {asyncio.run(_admission_us(organisations)):13.1f}")
+    for count in ORGANISATION_COUNTS:
+        print(f"{count:13d} {asyncio.run(_admission_us(count)):13.1f}")
 
 
 if __name__ == "__main__":
--- a/benchmarks/change_slopes.py
+++ b/benchmarks/change_slopes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 from collections.abc import Callable
 from typing import Any
@@ -16,6 +17,9 @@
 from .sample_state import ADAPTERS, SITE, change, state_of
 from .slope import Slope, fit
 
+REPETITIONS = 200
+"""Changes over which the processor time of one is averaged."""
+
 
 def _mean_us(work: Callable[[], Any], times: int) -> float:
     """Return the mean processor time of one call, µs."""
@@ -25,49 +29,45 @@
     return (cpu_us() - before) / times
 
 
-def change_slopes() -> list[Slope]:
-    """Measure changes, validation and snapshots at each size of `ADAPTERS`."""
-    leader, gateway, whole, validating, dump, restore = [], [], [], [], [], []
-    for size in ADAPTERS:
-        state = state_of(size)
-        patch = {"adapters": {"oficina-0-tarea-0": {"versions": {"9": "sha256:" + "ab" * 32}}}}
-        numbers = iter(range(1, 10_000))
+def _measure(adapters: int) -> dict[str, float]:
+    """Return the processor time of each kind of work, µs, with `adapters` adapters present."""
+    state = state_of(adapters)
+    patch = {"adapters": {"oficina-0-tarea-0": {"versions": {"9": "sha256:" + "ab" * 32}}}}
+    numbers = itertools.count(1)
+
+    def change_state() -> None:
+        number = next(numbers)
+        state.apply(number + 1, change(number, patch, state.revision))
 
-        def one_change(state: ControlState = state, numbers: Any = numbers, p: Any = patch) -> None:
-            number = next(numbers)
-            state.apply(number + 1, change(number, p, state.revision))
+    controller_us = _mean_us(change_state, REPETITIONS)
+    layers = LayeredConfig(json.loads(json.dumps(state.layers.layers)))
+    site = SiteConfig(SITE, layers)
+    typed = TypedConfig()
+    names = list(layers.names(SITE))
+    whole_us = _mean_us(lambda: typed.update(site.entries, names), 1)
 
-        leader.append((size, _mean_us(one_change, 200)))
-        layers = LayeredConfig(json.loads(json.dumps(state.layers.layers)))
-        site = SiteConfig(SITE, layers)
-        typed = TypedConfig()
-        names = list(layers.names(SITE))
-        whole.append((size, _mean_us(lambda t=typed, s=site, n=names: t.update(s.entries, n), 1)))
+    def change_gateway() -> None:
+        touched = layers.apply({BASE_LAYER: patch})
+        site.update(layers, touched)
+        typed.update(site.entries, touched)
 
-        def one_delta(
-            layers: LayeredConfig = layers,
-            site: SiteConfig = site,
-            typed: TypedConfig = typed,
-            p: Any = patch,
-        ) -> None:
-            touched = layers.apply({BASE_LAYER: p})
-            site.update(layers, touched)
-            typed.update(site.entries, touched)
+    gateway_us = _mean_us(change_gateway, REPETITIONS)
+    validation_us = _mean_us(lambda: validate_site(SITE, site.entries, {}, names), 1)
+    data = state.dump()
+    return {
+        "a change applied by a controller (one site)": controller_us,
+        "a change applied by a gateway": gateway_us,
+        "a whole configuration taken over by a gateway": whole_us,
+        "validation of a whole new site": validation_us,
+        "snapshot written": _mean_us(state.dump, 1),
+        "snapshot read": _mean_us(lambda: ControlState().restore(data), 1),
+    }
 
-        gateway.append((size, _mean_us(one_delta, 200)))
-        entries = site.entries
-        validating.append(
-            (size, _mean_us(lambda e=entries, n=names: validate_site(SITE, e, {}, n), 1))
-        )
-        data = state.dump()
-        dump.append((size, _mean_us(lambda s=state: s.dump(), 1)))
-        restore.append((size, _mean_us(lambda d=data: ControlState().restore(d), 1)))
-    per = "µs per adapter present"
+
+def change_slopes() -> list[Slope]:
+    """Measure changes, validation and snapshots at each size of `ADAPTERS`."""
+    measured = {size: _measure(size) for size in ADAPTERS}
     return [
-        fit("a change applied by a controller (one site)", per, leader),
-        fit("a change applied by a gateway", per, gateway),
-        fit("a whole configuration taken over by a gateway", per, whole),
-        fit("validation of a whole new site", per, validating),
-        fit("snapshot written", per, dump),
-        fit("snapshot read", per, restore),
+        fit(what, "µs per adapter present", [(size, measured[size][what]) for size in ADAPTERS])
+        for what in measured[ADAPTERS[0]]
     ]
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -19,8 +19,11 @@
 from chestnutfall.tests.process_office import ProcessOffice
 
 ROUNDS = 5
+"""Losses of the leader by each signal."""
 CHANGES = 200
+"""Changes whose acknowledgement is timed."""
 IN_FORCE_CHANGES = 40
+"""Changes that are timed until every gateway has applied them."""
 
 
 async def _change(session: OperatorSession, revision: int, number: int) -> int:
--- a/benchmarks/dissemination.py
+++ b/benchmarks/dissemination.py
@@ -17,16 +17,20 @@
 from chestnutfall.coordination.upstream_views import UpstreamViews
 
 SIZES = ((30, 300), (100, 1_000), (300, 3_000), (410, 1_600), (1_000, 10_000))
+"""Numbers of gateways and of upstreams."""
 CHANGED_FRACTION_PER_S = 0.01
 """Fraction of the upstreams that start or stop per second, as while a service is replaced."""
 UPDATES_PER_S = 20
 """Most updates per second that the leader sends to each gateway."""
 LINK_BYTES_PER_MS = 625
+"""5 Mbit/s, for all traffic of a gateway."""
 STARTED_MS = 1_796_270_000_000
+"""Start of every upstream, as a Unix time."""
 SECONDS = 3
 
 
 def _record(number: int) -> UpstreamRecord:
+    # The multiplier is odd, so that names are distinct; they are in no order, as in a deployment.
     name = f"i-{number * 2_654_435_761 % 2**32:08x}"
     address = f"10.{number % 6}.{number // 250 % 250}.{number % 250}:8642"
     key = incarnation_key(name, STARTED_MS)
--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -13,6 +13,8 @@
 from .meter import cpu_us, loopback_bytes, resident_bytes
 
 SECONDS = 10
+START_S = 3
+"""The work of starting is not measured."""
 
 
 def main() -> None:
@@ -20,7 +22,7 @@
     office = ProcessOffice(controllers=3, gateways=9, engines=12)
     try:
         office.start()
-        time.sleep(3)
+        time.sleep(START_S)
         pids = {name: process.pid for name, process in office.processes.items()}
         before = {name: cpu_us(pid) for name, pid in pids.items()}
         before_bytes = loopback_bytes()
--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -25,7 +25,9 @@
 
 STEP_MS = 5
 DEMAND_RATIO = 8.0
+"""Requests that callers send, as a multiple of the limit."""
 MaySend = Callable[[int], bool]
+"""Decides whether the gateway of a number may send now, and counts the request if so."""
 
 
 def _counted_by_leader(
@@ -59,7 +61,15 @@
 
 
 def simulate(strategy: str, gateways: int, callers_at: int, per_s: float, seconds: int) -> str:
-    """Simulate one strategy and return a row of the table."""
+    """Simulate one strategy and return a row of the table.
+
+    Parameters
+    ----------
+    callers_at : int
+        Number of gateways that callers use.
+    per_s : float
+        Limit of the upstream, requests per second.
+    """
     clock, rng = ManualClock(), random.Random(7)
     may_send = STRATEGIES[strategy](clock, per_s, gateways, rng)
     window: deque[int] = deque()
--- a/benchmarks/memory_slopes.py
+++ b/benchmarks/memory_slopes.py
@@ -18,13 +18,14 @@
 
 
 def measurements() -> dict[str, Callable[[int], float]]:
-    """Return the measurements by name; each takes a size and returns bytes."""
+    """Return the measurements by name; each takes a number of objects and returns bytes."""
     return {"gateway": _gateway_memory, "controller": _controller_memory, "claims": _claim_memory}
 
 
 def _gateway_memory(adapters: int) -> float:
     base = base_layer(adapters)
     text = json.dumps({BASE_LAYER: base})
+    # The configuration is decoded after `before`, so that the growth holds all of it.
     del base
     before = resident_bytes()
     layers = LayeredConfig(json.loads(text))
--- a/benchmarks/meter.py
+++ b/benchmarks/meter.py
@@ -8,13 +8,16 @@
 
 
 def resident_bytes(pid: int | str = "self") -> int:
-    """Return the resident memory of a process, by default this one."""
+    """Return the resident memory of a process, by default of this one."""
     pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
     return pages * os.sysconf("SC_PAGE_SIZE")
 
 
 def cpu_us(pid: int | None = None) -> float:
-    """Return the processor time used so far; that of another process grows in steps of 10 ms."""
+    """Return the processor time of a process so far, µs; by default of this one.
+
+    The time of another process grows in steps of a clock tick, usually 10 ms.
+    """
     if pid is None:
         return time.process_time() * 1e6
     fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -25,7 +25,9 @@
 STREAMS = 100
 STEP_MS = 20
 TOKENS = (50, 100, 200)
+"""Lengths of the answers; their slope is the cost of one event."""
 ROUNDS = 1
+"""Alternations of direct streams and streams through the gateway, for each number of tokens."""
 
 
 @dataclass(slots=True)
@@ -66,6 +68,10 @@
 async def _run_streams(
     target: _Target, count: int, tokens: int, starts_s: float | None = None
 ) -> _Latencies:
+    """Run `count` streams of `tokens` tokens each and return their latencies.
+
+    Starts are spread over `starts_s`, by default so that about `STREAMS` streams run at once.
+    """
     times = _Latencies()
     start_gap_s = tokens * STEP_MS / STREAMS / 1000 if starts_s is None else starts_s / count
     connector = aiohttp.TCPConnector(limit=0)
--- a/benchmarks/sample_state.py
+++ b/benchmarks/sample_state.py
@@ -12,7 +12,9 @@
 from chestnutfall.requests import key_digest
 
 ADAPTERS = (3_000, 30_000, 120_000)
+"""Numbers of adapters at which slopes are measured."""
 SITE = "site"
+"""Name of the first data centre."""
 
 
 def base_layer(adapters: int, sites: int = 1) -> dict[str, Any]:
@@ -32,7 +34,7 @@
 
 
 def change(number: int, patch: Any, revision: int) -> bytes:
-    """Return the encoded command for a change of the base layer."""
+    """Return the encoded command that applies `patch` to the base layer; `number` makes its id."""
     return COMMAND_CODEC.encode(
         ChangeConfig(f"change {number}", "ana", revision, json.dumps({BASE_LAYER: patch}), "", 0)
     )
--- a/benchmarks/slope.py
+++ b/benchmarks/slope.py
@@ -20,6 +20,8 @@
         Slope and intercept.
     residual : float
         Largest distance of a point from the line, as a fraction of the largest value.
+    points : tuple of (int, float)
+        Size and value of each measurement.
     """
 
     what: str
@@ -44,5 +46,6 @@
     values = np.array([value for _, value in points])
     per_unit, fixed = np.polyfit(sizes, values, 1)
     max_distance = np.abs(values - (per_unit * sizes + fixed)).max()
+    # Values that are all zero must not divide by zero.
     residual = float(max_distance / max(abs(values).max(), 1e-12))
     return Slope(what, unit, float(per_unit), float(fixed), residual, tuple(points))
--- a/benchmarks/sparse.py
+++ b/benchmarks/sparse.py
@@ -26,6 +26,7 @@
 SECONDS = 5.0
 SERVER_START_S = 3.0
 RATES = (2.5, 20.0, 200.0)
+"""Calls per second; 2.5 is the rate of a gateway's heartbeats."""
 HEARTBEAT = Heartbeat(
     "entry-1#ab", "10.0.0.1:1", "nodo", 1, "ab" * 32, None, ("engine-1",), False, "1.1"
 )
@@ -53,7 +54,7 @@
 
 
 async def _cost_us(call: Callable[[], Awaitable[Any]], per_s: float) -> float:
-    """Return the mean processor time of a call at a rate."""
+    """Return the mean processor time of a call at a rate, µs."""
     await call()
     count = max(int(SECONDS * per_s), 1)
     before = cpu_us()
