--- a/properties/ablation_list.py
+++ b/properties/ablation_list.py
@@ -1,4 +1,4 @@
-"""Mechanisms that a single change of the source switches off, for `ablations`."""
+"""Performance mechanisms, each with the change of the source that switches it off."""
 
 from __future__ import annotations
 
--- a/properties/ablations.py
+++ b/properties/ablations.py
@@ -1,8 +1,9 @@
-"""What each mechanism is worth: the bench's days without it, one mechanism at a time.
+"""Measures what each mechanism adds to the result of simulated days.
 
-`python -m properties.ablations BENCH SITE --days a,b --seeds 1,2` takes one mechanism out of a copy
-of the tree at a time, plays the days there without charging processor time, and prints the mean
-`worth`, its spread, and the difference to the whole. BENCH is the bench's program.
+`python -m properties.ablations BENCH SITE --days a,b --seeds 1,2 --folder F` removes one mechanism
+at a time from a copy of the tree, plays the days there without charging processor time, and prints
+the mean `worth`, its difference from that of the unchanged tree, the standard deviation and the
+number of days that ended with a result. BENCH is the program that plays a day.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from .mutated_tree import mutated_tree
 
 WORTH = re.compile(r"^worth (-?[0-9.]+) = ", re.MULTILINE)
+"""Line of the bench's output with the result of a day."""
 
 
 def _tree(folder: Path, name: str, ablation: Mutant | None) -> Path:
@@ -30,6 +32,7 @@
 
 
 def _play(bench: str, tree: Path, site: str, day: str, seed: str, name: str) -> float | None:
+    """Play one day and return its `worth`; None if the day ended without a result."""
     command = [bench, "run", site, day, "--seed", seed, "--no-cpu", "--jobs", "1"]
     command += ["--why", f"Ablation: {name}"]
     done = subprocess.run(command, cwd=tree, capture_output=True, text=True, check=False)
--- a/properties/mutant.py
+++ b/properties/mutant.py
@@ -12,7 +12,7 @@
     Attributes
     ----------
     name : str
-        Fault that the change introduces, unique among the mutants.
+        Fault that the change introduces, unique among the mutants; `mutants` selects by it.
     file : str
         Source file, relative to the root of the repository.
     safeguard, without : str
--- a/properties/mutants.py
+++ b/properties/mutants.py
@@ -1,8 +1,8 @@
-"""Shows that each proof fails without its safeguard.
+"""Checks that the test of each safeguard fails without the safeguard.
 
-`python -m properties.mutants` takes one safeguard out of a copy of the tree at a time, runs the
-test that is to prove it, and prints whether that test failed. The table in docs/PROMISES.md comes
-from here. Options: a part of a mutant's name runs only the ones that match.
+`python -m properties.mutants` removes one safeguard at a time from a copy of the tree, runs its
+test there, and prints whether the test failed. docs/PROMISES.md holds the printed table. An
+argument selects the mutants whose names contain it.
 """
 
 from __future__ import annotations
@@ -20,9 +20,11 @@
 TIMEOUT_S = 90
 """Time after which a test that doesn't end counts as failed."""
 MAX_PARALLEL = 4
+"""Mutants whose tests run at once, each in a process."""
 
 
 def _result(mutant: Mutant) -> str:
+    """Return a sentence that begins with `fails` if the test detects the mutant."""
     with tempfile.TemporaryDirectory() as folder:
         tree = Path(folder) / "tree"
         try:
--- a/properties/mutated_tree.py
+++ b/properties/mutated_tree.py
@@ -1,4 +1,4 @@
-"""Copies of the repository with one change of the source."""
+"""Copies of the repository, each with one change of the source."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 from .mutant import Mutant
 
 ROOT = Path(__file__).resolve().parents[1]
+# Tests need none of these, and copying them takes time.
 _IGNORED = shutil.ignore_patterns(".git", ".venv", ".demo", "__pycache__", ".*_cache")
 
 
--- a/properties/safeguards/caller_mutants.py
+++ b/properties/safeguards/caller_mutants.py
@@ -1,4 +1,4 @@
-"""Mutants of the safeguards between callers and engines with the OpenAI API."""
+"""Mutants of the safeguards of requests with the OpenAI API, from the caller to the engine."""
 
 from __future__ import annotations
 
--- a/properties/safeguards/connection_mutants.py
+++ b/properties/safeguards/connection_mutants.py
@@ -1,4 +1,4 @@
-"""Mutants of the decisions about kept connections to upstreams."""
+"""Mutants of the safeguards of kept connections to upstreams."""
 
 from __future__ import annotations
 
--- a/properties/safeguards/consensus_mutants.py
+++ b/properties/safeguards/consensus_mutants.py
@@ -1,4 +1,4 @@
-"""Mutants that remove safeguards of the replicated log."""
+"""Mutants of the safeguards of the replicated log."""
 
 from __future__ import annotations
 
--- a/properties/test_load_budget.py
+++ b/properties/test_load_budget.py
@@ -1,8 +1,8 @@
 """The rate of loads from the weight store.
 
 If owners start more loads than the store allows, loads slow each other down or the store refuses
-them. That may happen after an idle hour, or when a new leader does not know which loads the
-previous one has just permitted.
+them. Both could happen after an idle hour, if the budget of that time were saved up, and under a
+new leader, which does not know the loads that the previous one has just permitted.
 """
 
 from __future__ import annotations
--- a/properties/test_serving.py
+++ b/properties/test_serving.py
@@ -20,8 +20,8 @@
 GATEWAYS = 3
 ENGINES = 2
 SLOTS = 2
-LOADS_PER_S = 5
 LOADS_AT_ONCE = 3
+"""Loads from the weight store that the default limits permit at once."""
 gateway_number = st.integers(0, GATEWAYS - 1)
 engine_number = st.integers(0, ENGINES - 1)
 adapter = st.sampled_from(["a0", "a1", "a2", "a3", "a4", "once"])
