Say what the soak's constants and checks mean

Some comments told how a value came about or left its meaning open: the bool of an upstream, polls, the wait after a restart, the reason of unused draws. Comments only; test_soak passes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m soak --seed N --minutes M`: play seeds until the time is over."""
+"""`python -m soak --seed N --seeds K --minutes M`: plays K seeds from N, each for M minutes."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
     cli.add_argument("--keep", type=Path, help="folder for the logs of seeds that fail")
     cli.add_argument("--regressions", action="store_true", help="play the seeds that ever failed")
     args = cli.parse_args()
-    # The faults break connections on purpose; tracebacks of that in the stand-ins are noise.
+    # The faults break connections on purpose, and aiohttp would log a traceback for each.
     logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
     plan = [(seed, args.minutes) for seed in range(args.seed, args.seed + args.seeds)]
     if args.regressions:
--- a/soak/connection_episodes.py
+++ b/soak/connection_episodes.py
@@ -15,8 +15,9 @@
 class ConnectionEpisodes:
     """Closes idle connections at random moments, also as requests go out, and sends extra answers.
 
-    What the clients and upstreams see is checked with all other requests: own bytes, at most one
-    run, and a true "not run".
+    `SoakRun` checks the effects with those of all other faults: each client gets the bytes of its
+    own answer, a non-idempotent request runs at most once, and one that was answered "not run" did
+    not run.
     """
 
     def __init__(self, office: Office) -> None:
@@ -35,6 +36,6 @@
                 self._closed += upstream.idle.close_one(rng)
 
     def check(self, verdict: Verdict) -> None:
-        """Count what was played."""
+        """Add the numbers of closed connections and extra answers to the counts."""
         verdict.counts["idle connections closed"] = self._closed
         verdict.counts["extra answers"] = self._extra_answers
--- a/soak/daemon.py
+++ b/soak/daemon.py
@@ -49,7 +49,8 @@
         Parameters
         ----------
         first_start : bool
-            Whether the settings allow it to found a group of controllers.
+            Whether the whole office starts for the first time, so that its controllers found a
+            group.
         """
         # Two faults may overlap on one daemon. Without the lock both could start a process, and
         # the first one would outlive the run because only the last handle is kept.
--- a/soak/fatal_requests.py
+++ b/soak/fatal_requests.py
@@ -11,7 +11,7 @@
 from .office import Office
 
 ENDS_BEFORE_REFUSAL = 3
-"""Upstreams that may crash before a request is refused: two may crash under one by chance."""
+"""Upstreams that crash before a request is refused; two may crash under a request by chance."""
 MAX_LATER_ENDS = 3
 """Further crashes that are tolerated after every gateway had time to learn of the quarantine."""
 QUARANTINE_DELAY_S = 3.0
@@ -20,6 +20,7 @@
 """Body by route: a resumable stream of an engine, and an idempotent call of a plain service."""
 SERVED_POLLS = 100
 POLL_S = 0.1
+"""Interval of requests to a gateway that does not serve yet; `SERVED_POLLS` of them are sent."""
 
 
 class NotServed(AssertionError):
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -25,7 +25,8 @@
     """Injects faults into an office and records those that affect gateways and upstreams.
 
     Faults of controllers run one at a time, so that a majority keeps running, except for
-    `kill_all_controllers`, which restarts all of them at once.
+    `kill_all_controllers`, which restarts all of them at once. After a restart, 2.5 s pass before
+    the next of these faults, so that the controller can start and rejoin the others.
 
     Attributes
     ----------
--- a/soak/fault_plan.py
+++ b/soak/fault_plan.py
@@ -35,7 +35,7 @@
     at_s, for_s : float
         Begin, from the start of the run, and duration. Faults without a duration ignore it.
     target : int
-        Number of the affected controller, gateway or relay, modulo how many there are.
+        Number of the affected controller, gateway or relay, modulo the number of these.
     """
 
     kind: str
--- a/soak/office.py
+++ b/soak/office.py
@@ -19,6 +19,7 @@
 CONTROLLERS = 3
 GATEWAYS = 3
 UPSTREAMS = ((ENGINES, True), (ENGINES, True), (ENGINES, True), (PLAIN, False), (PLAIN, False))
+"""Service of each upstream, and whether it is an engine."""
 
 
 class Office:
@@ -38,8 +39,8 @@
 
     def __init__(self, folder: Path, rng: random.Random) -> None:
         self._rng = rng
-        # Two unused draws. Addresses were once drawn here; without the draws, seeds that failed
-        # before would play differently.
+        # Two unused draws. Without them, the seeds in `REGRESSIONS` would play differently, since
+        # addresses were drawn here when they failed.
         rng.randrange(20, 120), rng.randrange(1, 250)
         self.run_registry = RunRegistry()
         network = _process_network()
--- a/soak/organisation_load.py
+++ b/soak/organisation_load.py
@@ -18,6 +18,7 @@
 """Interval between requests, at which the busy organisation asks for five times its quota."""
 ROUTE = "again"
 IN_FORCE_POLLS = 40
+"""Requests with a revoked key to each gateway, in which one must be refused."""
 POLL_S = 0.1
 
 
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -7,13 +7,14 @@
 from enum import Enum
 
 CHUNK_BYTES = 16 * 1024
+"""Largest number of bytes that are forwarded at once."""
 
 
 class ConnectionFault(Enum):
     """A fault that a relay injects.
 
     DELAY delays every chunk by 0.2 s, RESET resets new connections, SILENCE drops the bytes of both
-    directions, and SILENCE_ANSWERS drops those from the target only.
+    directions, and SILENCE_ANSWERS only those from the target.
     """
 
     NONE = "none"
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -25,11 +25,14 @@
 ROUTES = ("once", "again", "draft", "long")
 NON_IDEMPOTENT_ROUTES = ("once", "draft")
 FATAL_ROUNDS = 4
-"""Fatal requests to each gateway after the quarantine; without it each crashes two upstreams."""
+"""Fatal requests of each route to each gateway after the quarantine has begun.
+
+Without a quarantine each of them would crash two upstreams.
+"""
 RECOVERY_S = 8.0
 """Time in which the office must serve again after the last fault."""
 LATE_RUN_S = 2.0
-"""Wait for late runs of requests whose answers said that they did not run."""
+"""Time in which requests that were answered "not run" may still start, before runs are counted."""
 
 
 class SoakRun:
@@ -47,8 +50,8 @@
 
     def __init__(self, seed: int, length_s: float, folder: Path) -> None:
         self._rng = random.Random(seed)
-        # Generators of their own: with draws from `_rng`, seeds that failed before these parts were
-        # added would play differently.
+        # These parts have their own generators, since draws from `_rng` would change what the seeds
+        # in `REGRESSIONS` play.
         self._fatal_rng = random.Random(f"fatal {seed}")
         self._organisations_rng = random.Random(f"organisations {seed}")
         self._limits_rng = random.Random(f"limits {seed}")
@@ -62,7 +65,8 @@
         self._disturbances = Disturbances()
         self._signals = SignalEpisodes(self._office, self._disturbances)
         self._seen: list[ClientResult] = []
-        self._acknowledged = 0  # latest document version whose storage was acknowledged
+        # Latest version of the document whose storage was acknowledged.
+        self._acknowledged = 0
         self.verdict = Verdict()
 
     async def run(self) -> Verdict:
