Say in two errors of chestnutfallctl what happened

A gateway sends heartbeats and answers nothing, and 'nothing of yours' named neither the change nor its fate. No test or page quotes the old words; the change id stays in parentheses, as the test of a racing change asks. OperatorTest passes.

--- a/chestnutfall/operators/config_commands.py
+++ b/chestnutfall/operators/config_commands.py
@@ -198,7 +198,7 @@
                 f"expected {status.revision}, {gateway.expected_digest[:16]}"
             )
         if gateway.heard_ms_ago > args.silent_ms:
-            problems.append(f"{gateway.session}: did not answer for {gateway.heard_ms_ago} ms")
+            problems.append(f"{gateway.session}: no heartbeat for {gateway.heard_ms_ago} ms")
     rows = ((g.session, g.site, g.revision, g.digest[:16], g.heard_ms_ago) for g in status.gateways)
     columns = ("gateway", "data centre", "revision", "digest", "heard ms ago")
     show(args.json, status.gateways, columns, rows)
--- a/chestnutfall/operators/operator_session.py
+++ b/chestnutfall/operators/operator_session.py
@@ -131,8 +131,8 @@
             case Conflict(revision, accepted_id, operator):
                 raise CommandFailed(
                     ExitCode.CONFLICT,
-                    f"revision {from_revision} was changed by {operator} ({accepted_id}); "
-                    f"the newest is {revision}; nothing of yours was accepted",
+                    f"{operator} changed revision {from_revision} ({accepted_id}); "
+                    f"the newest revision is {revision}; this change was not accepted",
                 )
             case _:
                 raise CommandFailed(ExitCode.FAILED, f"unexpected answer {reply!r}")
