Serve classes of requests at engines with floors and free engines

Cause: one queue ordered by "can be in time" and rank. A prompt that was assigned in time and became late kept its engine, so that after a burst or an outage the engines' queues held late prompts and everything behind them was late too. Prompts already sent to an engine were not counted when "in time" was decided. A class behind one that exceeds the room by itself was served nearly nothing, and less urgent requests were promised the rate of all, held for seconds and refused. Long prompts spread over all engines.

Change, where a service has requests of more than one rank: a floor for each class; prompts that became late, or would be late on their engine, queue again; long prompts use half of the engines while short ones wait; expected waits by what more urgent classes leave; `classes:` log lines. A service with one rank decides as before.

Mutants: two follow their code ("late requests judged by the pace of others", "an engine is sent more than its batch"), six are new.

--- a/chestnutfall/placement/engine_selector.py
+++ b/chestnutfall/placement/engine_selector.py
@@ -79,6 +79,8 @@
         Requests a second that all engines of the service together can start.
     limit_per_s : float or None
         Sum of the engines' own limits, in requests a second; None unless each of them has a limit.
+    barred : Collection of str
+        Instances that the request of the next choice may not use.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self._now_ms = now_ms
         self._engine_cost_ms = {one.instance: self._engine_cost_of(one) for one in self._engines}
         self._room = {one.instance: one.prefill_room(now_ms) for one in self._engines}
+        self.barred: Collection[str] = ()
         self._load_options: dict[str, _LoadOption] | None = None
         self._available: set[AdapterName] | None = None
         schedules = [one.prefill for one in self._engines]
@@ -109,6 +112,11 @@
         loads = (one.load_time.expected_ms(from_copy=False) for one in self._engines)
         self._load_ms = min(loads, default=0.0)
 
+    @property
+    def engines(self) -> Collection[Engine]:
+        """Engines that the round considers."""
+        return self._engines
+
     def best(
         self, req: PlaceRequest, prefixes: Prefixes, objective_ms: float
     ) -> PlaceOption | None:
@@ -176,6 +184,19 @@
             for engine in self._engines
         )
 
+    def has_prefill_room(self, in_time: bool) -> bool:
+        """Whether any engine has time for one more prompt, of a request in time or a late one."""
+        return any(room.admits(in_time) for room in self._room.values())
+
+    def least_sent_ms(self) -> float:
+        """Time until an engine with time for one more prompt has processed those it was sent."""
+        sent_ms = (
+            engine.prefill.sent_ms(self._now_ms)
+            for engine in self._engines
+            if self._room[engine.instance].in_time
+        )
+        return min(sent_ms, default=0.0)
+
     def next_send_ms(self) -> int:
         """Time until the limit of at least one engine allows one more request."""
         waits_ms = (one.limit.wait_ms(0, self._now_ms) for one in self._engines)
@@ -248,6 +269,8 @@
         usable = not req.adapter.model or req.adapter.model in engine.models
         if not usable or not engine.has_room(req) or engine.send_wait_ms(self._now_ms):
             return False
+        if engine.instance in self.barred:
+            return False
         return self._backoffs.may_send(req, engine)
 
     def _holds(self, engine: Engine, name: AdapterName) -> bool:
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -21,10 +21,11 @@
 from .model_loads import ModelLoads
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
-from .placement_rate import PlacementRate
-from .prefill_turns import PrefillTurns
+from .prefill_turns import PrefillTurns, Turn
 from .ready_adapter import ReadyAdapter
 from .refusals import Refusals
+from .request_classes import RequestClasses
+from .request_order import in_order
 from .run_end import note_end
 from .run_outcome import RunOutcome
 from .run_times import NO_TIMES, RunTimes
@@ -64,7 +65,7 @@
         self._demand = Demand()
         self._model_loads = ModelLoads()
         self._versions = WantedVersions()
-        self._placement_rate = PlacementRate()
+        self._classes = RequestClasses()
         self._shares = FairShare()
         self._turns = PrefillTurns()
         self._refusals = Refusals(clock)
@@ -162,6 +163,7 @@
         """Queue a request."""
         now_ms = self._clock.now_ms()
         self._demand.note(req.adapter, now_ms)
+        self._classes.note_submitted(req, now_ms)
         tag = self._shares.tag(req.organisation, req.prompt_tokens + req.output_tokens)
         self._waiting[req.ticket] = WaitingRequest(req, now_ms, tag=tag)
 
@@ -199,12 +201,10 @@
         """Yield the grants, refusals and orders of one decision round."""
         now_ms = self._clock.now_ms()
         self._turns.begin_round()
+        self._classes.begin_round(self._waiting.values(), now_ms)
         yield from self._model_loads.decide(self.engines.values(), now_ms)
         rounds = {service: self._round(service, now_ms) for service in self._waiting_services()}
-        in_order = sorted(
-            self._waiting.values(), key=lambda one: rounds[one.req.service].sort_key(one)
-        )
-        for waiting in in_order:
+        for waiting in in_order(self._waiting.values(), rounds):
             yield from self._place(waiting, rounds[waiting.req.service], now_ms)
 
     def _place(
@@ -220,18 +220,17 @@
                 waiting, self._refusals.refuse_expired(waiting.req, service_round, now_ms)
             )
         elif waiting.instance:
-            yield from self._grant_when_ready(waiting, now_ms)
+            yield from self._grant_when_ready(waiting, service_round, now_ms)
         elif (option := service_round.best(waiting)) is not None:
-            self._placement_rate.note(
-                waiting.req.service, service_round.can_be_in_time(waiting), now_ms
-            )
-            yield from self._assign(waiting, option, now_ms)
-            yield from self._grant_when_ready(waiting, now_ms)
+            yield from self._assign(waiting, option, service_round, now_ms)
+            yield from self._grant_when_ready(waiting, service_round, now_ms)
             service_round.selector.refresh(option.engine)
         elif (
             refusal := self._refusals.refuse_unservable(waiting, service_round, now_ms)
         ) is not None:
             yield self._drop(waiting, refusal)
+        else:
+            self._classes.note_kept_waiting(waiting.req)
 
     def _unassign_if_outdated(self, waiting: WaitingRequest) -> None:
         """Place a request anew if its adapter got a newer version while it waited."""
@@ -258,10 +257,14 @@
         selector = EngineSelector(
             candidates, self._demand, self._versions, now_ms, engine_count=len(engines)
         )
-        return ServiceRound(service, selector, self._placement_rate, now_ms)
+        return self._classes.service_round(service, selector, now_ms)
 
     def _assign(
-        self, waiting: WaitingRequest, option: PlaceOption, now_ms: int
+        self,
+        waiting: WaitingRequest,
+        option: PlaceOption,
+        service_round: ServiceRound,
+        now_ms: int,
     ) -> Iterator[Decision]:
         req, engine = waiting.req, option.engine
         if option.victim is not None:
@@ -276,12 +279,15 @@
         waiting.instance = engine.instance
         waiting.assigned_ms = now_ms
         engine.start(req, waiting.prefixes)
+        in_time = service_round.can_be_in_time(waiting)
+        self._classes.note_assigned(waiting, engine, in_time, option.load_ms or 0.0, now_ms)
         if req.adapter.adapter:
             engine.holdings[req.adapter].tickets.add(req.ticket)
 
     def _unassign(self, waiting: WaitingRequest) -> None:
         engine = self.engines.get(waiting.instance)
         waiting.instance = ""
+        self._classes.note_unassigned(waiting.req.ticket)
         if engine is None:
             return
         engine.end(waiting.req.ticket)
@@ -289,13 +295,20 @@
         if holding is not None:
             holding.tickets.discard(waiting.req.ticket)
 
-    def _grant_when_ready(self, waiting: WaitingRequest, now_ms: int) -> Iterator[Decision]:
+    def _grant_when_ready(
+        self, waiting: WaitingRequest, service_round: ServiceRound, now_ms: int
+    ) -> Iterator[Decision]:
         engine = self.engines[waiting.instance]
         holding = engine.holdings.get(waiting.req.adapter)
         if holding is not None and not holding.is_ready(now_ms):
             return
-        if not engine.has_batch_place() or not self._turns.may_prefill(engine, waiting, now_ms):
+        turn = self._turns.turn(engine, waiting, service_round, now_ms)
+        if turn is not Turn.NOW:
+            if turn is Turn.ELSEWHERE:
+                self._unassign(waiting)
+            self._classes.note_kept_waiting(waiting.req)
             return
+        self._classes.note_granted(waiting, now_ms)
         engine.prefill.send(waiting.req.ticket, now_ms)
         engine.limit.note_sent(now_ms)
         engine.backoff.note_sent(waiting.req.ticket, now_ms)
@@ -312,4 +325,5 @@
     def _drop(self, waiting: WaitingRequest, refusal: Reject) -> Reject:
         self._unassign(waiting)
         del self._waiting[waiting.req.ticket]
+        self._classes.note_refused(waiting.req)
         return refusal
--- a/chestnutfall/placement/prefill_schedule.py
+++ b/chestnutfall/placement/prefill_schedule.py
@@ -120,6 +120,10 @@
         """Expected time from sending a reserved prompt to the first event."""
         return self._speed.expected_ms(self._waiting.get(ticket, 0.0)) * self.slowness
 
+    def sent_ms(self, now_ms: int) -> float:
+        """Time until the engine has processed the prompts that it was sent."""
+        return max(self._until_ms - now_ms, 0.0)
+
     def prompts_per_s(self, window: PrefillWindow | None) -> float:
         """Usual prompts that the engine can process in a second."""
         part = window.budget_ms / window.length_ms if window is not None else 1.0
--- a/chestnutfall/placement/waiting_request.py
+++ b/chestnutfall/placement/waiting_request.py
@@ -21,6 +21,8 @@
         there is none.
     assigned_ms : int
         Clock time of that assignment.
+    assigned_late : bool or None
+        Whether it could not be in time when it was assigned last; None before that.
     tag : float
         Start tag among all organisations' requests, from `FairShare`.
     prefixes : Prefixes
@@ -31,6 +33,7 @@
     since_ms: int
     instance: str = ""
     assigned_ms: int = 0
+    assigned_late: bool | None = None
     tag: float = 0.0
     prefixes: Prefixes = field(init=False)
 
--- a/properties/safeguards/placement_mutants.py
+++ b/properties/safeguards/placement_mutants.py
@@ -6,6 +6,7 @@
 
 _SELECTOR_TEST = "chestnutfall.tests.test_engine_selector"
 _PREFILL_TEST = "chestnutfall.tests.test_prefill"
+_CLASSES_TEST = "chestnutfall.tests.test_request_classes"
 
 PLACEMENT_MUTANTS = (
     Mutant(
@@ -39,8 +40,8 @@
     Mutant(
         "late requests judged by the pace of others",
         "chestnutfall/placement/placement_rate.py",
-        "        return _interval_ms(self._late.get(service), MIN_LATE_SHARE",
-        "        return _interval_ms(self._in_time.get(service), MIN_LATE_SHARE",
+        "        return _interval_ms(self._late.get(service), share",
+        "        return _interval_ms(self._in_time.get(service), share",
         "chestnutfall.tests.test_placement_rate",
     ),
     Mutant(
@@ -108,9 +109,9 @@
     ),
     Mutant(
         "an engine is sent more than its batch",
-        "chestnutfall/placement/placer.py",
-        "        if not engine.has_batch_place() or not self._turns",
-        "        if not self._turns",
+        "chestnutfall/placement/prefill_turns.py",
+        "        return engine.has_batch_place() and self._may_prefill(",
+        "        return self._may_prefill(",
         "chestnutfall.tests.test_placer",
     ),
     Mutant(
@@ -120,6 +121,48 @@
         "OVERSUBSCRIPTION = 1\n",
         "chestnutfall.tests.test_placer",
     ),
+    Mutant(
+        "a class that others exceed is owed nothing",
+        "chestnutfall/placement/class_floor.py",
+        "FLOOR = 0.6\n",
+        "FLOOR = 0.0\n",
+        _CLASSES_TEST,
+    ),
+    Mutant(
+        "long prompts use all engines while short ones wait",
+        "chestnutfall/placement/long_prompts.py",
+        "        if service not in self._services_short or",
+        "        if True or",
+        _CLASSES_TEST,
+    ),
+    Mutant(
+        "long prompts are held back while no short one waits",
+        "chestnutfall/placement/long_prompts.py",
+        "        if service not in self._services_short or",
+        "        if",
+        "chestnutfall.tests.test_class_parts",
+    ),
+    Mutant(
+        "prompts that became late keep their engines",
+        "chestnutfall/placement/prefill_turns.py",
+        "        return Turn.LATER if slack_ms >= 0 or waiting.assigned_late else Turn.ELSEWHERE",
+        "        return Turn.LATER",
+        "chestnutfall.tests.test_class_parts",
+    ),
+    Mutant(
+        "a prompt is sent behind a long one that makes it late",
+        "chestnutfall/placement/prefill_schedule.py",
+        "        return max(self._until_ms - now_ms, 0.0)",
+        "        return 0.0",
+        _CLASSES_TEST,
+    ),
+    Mutant(
+        "a less urgent class is promised the rate of all",
+        "chestnutfall/placement/placement_rate.py",
+        "    per_s -= sum(rate for other, rate in by_rank.items() if other < rank)\n",
+        "",
+        "chestnutfall.tests.test_class_parts",
+    ),
     Mutant(
         "a busy store is remembered like a usual one",
         "chestnutfall/placement/load_time_estimate.py",
