--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -8,6 +8,8 @@
 With `--limited N`, N engines declare a limit after the first three seconds; the last column is the
 number of requests sent to them, as a fraction of what they accept.
 
+With `--classes`, classes of requests compete for too little room instead; see `class_ways`.
+
 Columns: requests per second; fraction of them with the first event in time, late, and refused;
 grants that arrived before the adapter was loaded, and loads from the weight store, per request;
 processor ms per request; longest round of decisions in ms.
@@ -42,6 +44,8 @@
 from chestnutfall.placement.run_times import RunTimes
 from chestnutfall.routes import EngineSpec, ModelSpec
 
+from . import class_ways
+
 MODEL = "base"
 ADAPTERS = 10_000
 SKEW = 1.15
@@ -266,7 +270,11 @@
     cli.add_argument("--run-ms", type=int, default=RUN_MS, help="mean time of an answer")
     cli.add_argument("--limited", type=int, default=0, help="engines that name a limit")
     cli.add_argument("--limit", type=float, default=6.0, help="requests a second of each of them")
+    cli.add_argument("--classes", action="store_true", help="compare orders of several classes")
     args = cli.parse_args()
+    if args.classes:
+        class_ways.print_table()
+        return
     limits = EngineLimits(args.limited, args.limit)
     deployment = Deployment(args.engines, args.batch, args.places, args.run_ms)
     print(" per s  in time     late  refused    early  brought   cpu ms  longest     used")
