--- a/chestnutfall/placement/class_log.py
+++ b/chestnutfall/placement/class_log.py
@@ -18,7 +18,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RequestClass:
+class _RequestClass:
     """The requests of one service and rank."""
 
     service: str
@@ -32,9 +32,9 @@
     """
 
     def __init__(self) -> None:
-        self._in_time: Counter[RequestClass] = Counter()
-        self._late: Counter[RequestClass] = Counter()
-        self._refused: Counter[RequestClass] = Counter()
+        self._in_time: Counter[_RequestClass] = Counter()
+        self._late: Counter[_RequestClass] = Counter()
+        self._refused: Counter[_RequestClass] = Counter()
         self._due_ms = 0
 
     def note_granted(self, req: PlaceRequest, in_time: bool) -> None:
@@ -66,5 +66,5 @@
             counts.clear()
 
 
-def _class_of(req: PlaceRequest) -> RequestClass:
-    return RequestClass(req.service, min(req.rank, MAX_LOGGED_RANK))
+def _class_of(req: PlaceRequest) -> _RequestClass:
+    return _RequestClass(req.service, min(req.rank, MAX_LOGGED_RANK))
--- a/chestnutfall/tests/fakes/class_office.py
+++ b/chestnutfall/tests/fakes/class_office.py
@@ -4,7 +4,6 @@
 
 import heapq
 import random
-from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -152,7 +151,6 @@
         self._numbers = 0
         self._open = 0
         self.results: dict[str, ClassResult] = {}
-        self.returns: Counter[int] = Counter()
 
     def play(
         self, arrivals: Iterable[Arrivals], until_ms: int, from_ms: int = 0
--- a/chestnutfall/tests/test_class_parts.py
+++ b/chestnutfall/tests/test_class_parts.py
@@ -129,8 +129,8 @@
 
 class PlacementRateOfClassesTest(unittest.TestCase):
     def test_a_less_urgent_class_gets_what_the_more_urgent_leave(self) -> None:
-        # A hundred urgent requests a second take all room. A deferred one that is told the rate of
-        # all would be held until its caller gives up.
+        # A hundred urgent requests a second take all room. A deferred one that is judged by the
+        # rate of all would be held until its caller gives up.
         rate = PlacementRate()
         for now_ms in range(0, 4_000, 10):
             rate.note("s", True, now_ms, rank=0)
