--- a/chestnutfall/placement/engine_selector.py
+++ b/chestnutfall/placement/engine_selector.py
@@ -63,6 +63,8 @@
     ----------
     limit_per_s : float or None
         Sum of the engines' own limits, in requests a second; None unless each of them has a limit.
+    barred : Collection of str
+        Instances that the request of the next choice may not use.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         self.limit_per_s = None if None in limits else limit_per_s
         self._demand = demand
         self._now_ms = now_ms
+        self.barred: Collection[str] = ()
         self._standings: dict[str, tuple[float, PrefillRoom]] = {}
         self._available: set[AdapterName] | None = None
         schedules = [one.prefill for one in self._engines]
@@ -109,6 +112,11 @@
         """Yield the engines that would probably not reject a request."""
         return (one for one in self._engines if not self._backoffs.probably_rejects(one))
 
+    @property
+    def engines(self) -> Collection[Engine]:
+        """Engines that the round considers."""
+        return self._engines
+
     def best(
         self, req: PlaceRequest, prefixes: Prefixes, objective_ms: float
     ) -> PlaceOption | None:
@@ -176,6 +184,19 @@
             for engine in self._engines
         )
 
+    def has_prefill_room(self, in_time: bool) -> bool:
+        """Whether any engine has time for one more prompt, of a request in time or a late one."""
+        return any(self._standing(one)[1].admits(in_time) for one in self._engines)
+
+    def least_sent_ms(self) -> float:
+        """Time until an engine with time for one more prompt has processed those it was sent."""
+        sent_ms = (
+            engine.prefill.sent_ms(self._now_ms)
+            for engine in self._engines
+            if self._standing(engine)[1].in_time
+        )
+        return min(sent_ms, default=0.0)
+
     def next_send_ms(self) -> int:
         """Time until the limit of at least one engine allows one more request."""
         waits_ms = (one.limit.wait_ms(0, self._now_ms) for one in self._engines)
@@ -281,6 +302,8 @@
         usable = not req.adapter.model or req.adapter.model in engine.models
         if not usable or not engine.has_room(req) or engine.send_wait_ms(self._now_ms):
             return False
+        if engine.instance in self.barred:
+            return False
         return self._backoffs.may_send(req, engine)
 
     def _holds(self, engine: Engine, name: AdapterName) -> bool:
