Give each engine a speed of its own

Engines of one service differ in speed; placement held them equal apart from a slowness of at least 1 that rose by a fixed factor with late answers. Each engine now has an EngineSpeed: its usual ratio to the service's figures (first event against expected, gap against gap, a running median with bounded steps) times the slowdown that its answers report. Engine.slowness and Engine.expected_prefill_ms(tokens) are what other parts use.

--- a/chestnutfall/coordination/engine_kind_recorder.py
+++ b/chestnutfall/coordination/engine_kind_recorder.py
@@ -32,6 +32,7 @@
         """Check and commit the measurements periodically, until cancelled."""
         while True:
             await self._clock.sleep_ms(POLL_MS)
+            self._placer.kinds.review(self._placer.engines.values(), self._clock.now_ms())
             for service, kind in list(self._placer.kinds.learned(self._placer.engines.values())):
                 known = self._state.engine_kinds.get(service)
                 if known is None or kind.differs_from(known):
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 
@@ -11,6 +12,7 @@
 from .adapter_name import AdapterName
 from .engine_kind import EngineKind
 from .engine_report import EngineReport
+from .engine_speed import EngineSpeed
 from .holding import Holding
 from .load_time_estimate import LoadTimeEstimate
 from .pause_budget import PauseBudget
@@ -18,10 +20,12 @@
 from .prefill_room import PrefillRoom
 from .prefill_schedule import PrefillSchedule
 from .prefill_speed import PrefillSpeed
+from .prefill_window import PrefillWindow
 from .prompt_cache import Prefixes, PromptCache
 from .run_times import RunTimes
 from .store_times import StoreTimes
 from .upstream_health import UpstreamHealth
+from .usual_gap import UsualGap
 
 COPIES_PER_SLOT = 5
 """Adapters that an engine is expected to keep a copy of in its own memory, per adapter slot."""
@@ -69,6 +73,8 @@
         Expected time of an adapter load.
     prompt_cache : PromptCache
         Prompt prefixes that the engine probably has cached.
+    speed : EngineSpeed
+        How fast it works, compared with its service.
     prefill : PrefillSchedule
         Prompts that were sent, and prompts that wait to be sent.
     pauses : PauseBudget
@@ -86,6 +92,7 @@
         store: StoreTimes,
         limit: UpstreamLimit,
         backoff: UpstreamBackoff,
+        usual_gap: UsualGap | None = None,
     ) -> None:
         self.instance = instance
         self.service = service
@@ -102,8 +109,10 @@
         self.health = UpstreamHealth(CONNECTION_FAILURES_TO_EJECT)
         self.load_time = LoadTimeEstimate(instance, kind.load_ms, store)
         self.prompt_cache = PromptCache(int(spec.kv_tokens * KV_SHARE))
-        self.prefill = PrefillSchedule(speed)
-        self.pauses = PauseBudget(kind.gap_ms)
+        self.speed = EngineSpeed(kind.ratios.get(instance, 1.0))
+        self.prefill = PrefillSchedule(speed, self.speed)
+        self.pauses = PauseBudget(kind.gap_ms * self.speed.usual_factor)
+        self._usual_gap = usual_gap or UsualGap()
         self._kv_used = 0
         self._copies: OrderedDict[AdapterName, None] = OrderedDict()
 
@@ -147,14 +156,23 @@
         """Requests that have to end before one more can be sent."""
         return max(len(self.running) + 1 - self.spec.batch, 0)
 
+    @property
+    def slowness(self) -> float:
+        """How many times as long as on its service's engines work takes here at this moment."""
+        return self.speed.slowness
+
+    def expected_prefill_ms(self, tokens: float) -> float:
+        """Time that the prefill of so many tokens takes here, at the engine's speed now."""
+        return tokens * self.prefill.ms_per_token
+
     def prefill_wait_ms(self, now_ms: int) -> float:
         """Time that a new prompt waits for the prompts before it."""
-        return self.prefill.wait_ms(self.pauses.window(), now_ms)
+        return self.prefill.wait_ms(self._window(), now_ms)
 
     def prefill_ms(self, req: PlaceRequest, prefixes: Prefixes) -> float:
         """Time that this request's prefill takes, without the cached part of its prompt."""
         tokens = self.prompt_cache.missing_tokens(req.prompt_tokens, prefixes)
-        return tokens * self.prefill.ms_per_token
+        return self.expected_prefill_ms(tokens)
 
     def prefill_room(self, now_ms: int) -> PrefillRoom:
         """Whether one more prompt may queue for this engine.
@@ -165,7 +183,7 @@
         do. Of about 7,800 requests during failures, 221 were refused because their queue was too
         long, instead of 454.
         """
-        window = self.pauses.window()
+        window = self._window()
         if window is None:
             return PrefillRoom(True, True)
         ahead_ms = self.prefill.reserved_ms(
@@ -182,7 +200,7 @@
     def starts_per_s(self) -> float:
         """Requests a second that it can start if each needs a load."""
         loads_per_s = MAX_CONCURRENT_LOADS * 1000 / self.load_time.expected_ms(from_copy=False)
-        starts_per_s = min(self.prefill.prompts_per_s(self.pauses.window()), loads_per_s)
+        starts_per_s = min(self.prefill.prompts_per_s(self._window()), loads_per_s)
         return min(starts_per_s, self.limit.per_s or starts_per_s)
 
     def may_prefill(self, ticket: str, urgent: bool, now_ms: int) -> bool:
@@ -192,7 +210,11 @@
         the pause is only possible, the delay is certain. A request that is late already is not
         urgent, as it gains nothing.
         """
-        return self.prefill.fits(ticket, self.pauses.window(urgent), now_ms)
+        return self.prefill.fits(ticket, self._window(urgent), now_ms)
+
+    def _window(self, urgent: bool = False) -> PrefillWindow | None:
+        """Prefill that the running streams tolerate, with steps as long as they are now."""
+        return self.pauses.window(urgent, self.speed.reported)
 
     def start(self, req: PlaceRequest, prefixes: Prefixes) -> None:
         """Count a request that is assigned to this engine."""
@@ -212,10 +234,20 @@
             self.pauses.remove(req.pause_objective_ms)
         return req
 
-    def learn(self, ticket: str, times: RunTimes) -> None:
+    def learn(self, ticket: str, times: RunTimes, now_ms: int) -> None:
         """Update the estimates by the times of a request that is still counted."""
-        self.prefill.learn(ticket, times.first_ms)
+        ratios = [self.prefill.learn(ticket, times.first_ms)]
         self.pauses.learn(times.gap_ms)
+        # Times of an answer that began or ended while other work slowed the engine down, or that
+        # came over a failing link, say nothing about its usual speed.
+        if self.speed.refresh(now_ms) or self.health.is_failing(now_ms):
+            return
+        ratios.append(self._usual_gap.ratio(times.gap_ms))
+        if self.speed.is_typical:
+            self._usual_gap.note(times.gap_ms)
+        known = [ratio for ratio in ratios if ratio is not None]
+        if known:
+            self.speed.note_answer(math.prod(known) ** (1 / len(known)), now_ms)
 
     # Adapters
 
--- a/chestnutfall/placement/engine_kinds.py
+++ b/chestnutfall/placement/engine_kinds.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+import math
 import statistics
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 from .engine import Engine
 from .engine_kind import EngineKind
 from .prefill_speed import PrefillSpeed
 from .store_times import StoreTimes
+from .usual_gap import UsualGap
+
+MIN_RESCALE = 0.05
+"""Service figures are corrected when half of the engines differ from them by more than this part
+in the same direction."""
+MAX_RATIOS = 64
+"""Engines of a service whose own speeds are stored, those that differ most first."""
 
 
 class EngineKinds:
@@ -18,6 +26,7 @@
         self._known: dict[str, EngineKind] = {}
         self._speeds: dict[str, PrefillSpeed] = {}
         self._store_times: dict[str, StoreTimes] = {}
+        self._gaps: dict[str, UsualGap] = {}
 
     def restore(self, service: str, kind: EngineKind) -> None:
         """Set the figures that an earlier leader stored, before any engine is added."""
@@ -35,6 +44,30 @@
         """Return the load times that all engines of the service share."""
         return self._store_times.setdefault(service, StoreTimes())
 
+    def usual_gap_of(self, service: str) -> UsualGap:
+        """Return the usual gap between events, which all engines of the service share."""
+        return self._gaps.setdefault(service, UsualGap())
+
+    def review(self, engines: Collection[Engine], now_ms: int) -> None:
+        """Correct the speeds of engines and services by each other; called each second.
+
+        Ratios of engines that got no requests move back towards 1. If all engines of a service
+        became slower together, the service did: its figures change, and the ratios that grew
+        meanwhile are 1 again.
+        """
+        for engine in engines:
+            if not engine.running:
+                engine.speed.decay_if_idle(now_ms)
+        for service, speed in self._speeds.items():
+            own = [one for one in engines if one.service == service]
+            median = statistics.median(one.speed.usual for one in own) if own else 1.0
+            if abs(median - 1) <= MIN_RESCALE:
+                continue
+            speed.rescale(median)
+            self.usual_gap_of(service).rescale(median)
+            for engine in own:
+                engine.speed.rescale(1 / median, now_ms)
+
     def learned(self, engines: Collection[Engine]) -> Iterator[tuple[str, EngineKind]]:
         """Yield the figures of each service that has learned them from enough answers."""
         for service, speed in self._speeds.items():
@@ -48,4 +81,12 @@
                     # A store is busy for seconds only. If the time of a busy second were stored,
                     # the next leader would wait that long for each of its first loads.
                     statistics.median(one.load_time.usual_ms for one in own),
+                    _unusual_ratios(own),
                 )
+
+
+def _unusual_ratios(engines: Iterable[Engine]) -> dict[str, float]:
+    """Return the ratios of the engines that differ most from their service."""
+    unusual = [one for one in engines if one.speed.is_unusual]
+    unusual.sort(key=lambda one: abs(math.log(one.speed.usual)), reverse=True)
+    return {one.instance: round(one.speed.usual, 2) for one in unusual[:MAX_RATIOS]}
--- a/chestnutfall/placement/engine_selector.py
+++ b/chestnutfall/placement/engine_selector.py
@@ -99,6 +99,7 @@
         self.limit_per_s = None if None in limits else sum(one or 0.0 for one in limits) / fraction
         self._demand = demand
         self._now_ms = now_ms
+        self._slow_first_ms: dict[str, float] = {}
         self._engine_cost_ms = {one.instance: self._engine_cost_of(one) for one in self._engines}
         self._room = {one.instance: one.prefill_room(now_ms) for one in self._engines}
         self._load_options: dict[str, _LoadOption] | None = None
@@ -120,10 +121,12 @@
             Time left until its first event is late.
         """
         in_time = self.can_be_in_time(req, objective_ms)
-        held = _cheapest(self._options_without_load(req, prefixes, in_time))
+        held = _cheapest(self._options_without_load(req, prefixes, in_time, objective_ms))
         if held is not None and held.cost_ms <= GOOD_ENOUGH_MS:
             return held
-        loaded = _cheapest(self._options_with_load(req, in_time)) if req.adapter.adapter else None
+        loaded = None
+        if req.adapter.adapter:
+            loaded = _cheapest(self._options_with_load(req, in_time, objective_ms))
         if held is None and loaded is not None and self._may_wait(req, loaded, objective_ms):
             return None
         return _cheapest(one for one in (held, loaded) if one is not None)
@@ -198,7 +201,7 @@
             self._load_options.update(self._load_options_among([engine]))
 
     def _options_without_load(
-        self, req: PlaceRequest, prefixes: Prefixes, in_time: bool
+        self, req: PlaceRequest, prefixes: Prefixes, in_time: bool, objective_ms: float
     ) -> Iterator[PlaceOption]:
         """Yield the engines that hold the adapter or load it already."""
         name = req.adapter
@@ -209,10 +212,15 @@
             if not self._may_take(req, engine) or not self._room[engine.instance].admits(in_time):
                 continue
             wait_ms = max(held.ready_ms - self._now_ms, 0) if held is not None else 0
-            cost_ms = self._cost_ms(req, engine) + engine.prefill_ms(req, prefixes)
+            prefill_ms = engine.prefill_ms(req, prefixes)
+            if in_time and self._is_too_slow(engine, wait_ms + prefill_ms, objective_ms):
+                continue
+            cost_ms = self._cost_ms(req, engine) + prefill_ms
             yield PlaceOption(engine, cost_ms + max(wait_ms, _batch_wait_ms(engine)))
 
-    def _options_with_load(self, req: PlaceRequest, in_time: bool) -> Iterator[PlaceOption]:
+    def _options_with_load(
+        self, req: PlaceRequest, in_time: bool, objective_ms: float
+    ) -> Iterator[PlaceOption]:
         """Yield the engines that would have to load the adapter first."""
         if self._load_options is None:
             self._load_options = dict(self._load_options_among(self._engines))
@@ -234,9 +242,11 @@
             if not self._room[engine.instance].admits(in_time):
                 continue
             # An engine drops an adapter's cached prompts with it: all tokens need prefill.
-            prefill_ms = req.prompt_tokens * engine.prefill.ms_per_token
+            prefill_ms = engine.expected_prefill_ms(req.prompt_tokens)
             has_copy = engine.likely_has_copy(req.adapter)
             load_ms = engine.load_time.expected_ms(has_copy)
+            if in_time and self._is_too_slow(engine, load_ms + prefill_ms, objective_ms):
+                continue
             cost_ms = self._cost_ms(req, engine) + prefill_ms + load_ms * reloads
             cost_ms += max(load_ms, _batch_wait_ms(engine))
             if not has_copy:
@@ -276,8 +286,30 @@
                 yield engine.instance, _LoadOption(engine, victim, reloads)
 
     def _engine_cost_of(self, engine: Engine) -> float:
-        cost_ms = engine.prefill_wait_ms(self._now_ms) + engine.health.cost_ms(self._now_ms)
-        return cost_ms + RUNNING_COST_MS * len(engine.running)
+        wait_ms = engine.prefill_wait_ms(self._now_ms)
+        cost_ms = wait_ms + engine.health.cost_ms(self._now_ms)
+        slowness = engine.slowness
+        if slowness == 1:
+            self._slow_first_ms.pop(engine.instance, None)
+        else:
+            first_ms = engine.prefill.first_ms
+            cost_ms += first_ms - first_ms / slowness
+            self._slow_first_ms[engine.instance] = RELAY_DELAY_MS + wait_ms + first_ms
+        return cost_ms + RUNNING_COST_MS * slowness * len(engine.running)
+
+    def _is_too_slow(self, engine: Engine, prefill_ms: float, objective_ms: float) -> bool:
+        """Whether the first event would be late there because of the engine's own speed.
+
+        A request that can be in time elsewhere waits for that. Engines as fast as their service are
+        not looked at: whether these can be in time was decided for all of them together.
+
+        Parameters
+        ----------
+        prefill_ms : float
+            Time of the load that the request waits for, and of its own prefill.
+        """
+        slow_first_ms = self._slow_first_ms.get(engine.instance)
+        return slow_first_ms is not None and slow_first_ms + prefill_ms > objective_ms
 
     def _cost_ms(self, req: PlaceRequest, engine: Engine) -> float:
         """Expected time to the first event without prefill and load."""
--- a/chestnutfall/placement/pause_budget.py
+++ b/chestnutfall/placement/pause_budget.py
@@ -51,13 +51,19 @@
         if gap_ms > 0:
             self.gap_ms *= 1 + GAP_UP if gap_ms > self.gap_ms else 1 - GAP_DOWN
 
-    def window(self, urgent: bool = False) -> PrefillWindow | None:
+    def window(self, urgent: bool = False, slowdown: float = 1.0) -> PrefillWindow | None:
         """Return the prefill allowed within the tightest objective; None without any objective.
 
-        An `urgent` prompt may use the budget in full.
+        Parameters
+        ----------
+        urgent : bool
+            Whether the budget may be used in full.
+        slowdown : float
+            How many times as long as usual the steps of the engine take now.
         """
         tightest_ms = min(self._objectives, default=0)
         if not tightest_ms:
             return None
-        free_ms = max(tightest_ms - GAPS_KEPT * self.gap_ms, MIN_PREFILL_SHARE * tightest_ms)
+        kept_ms = GAPS_KEPT * self.gap_ms * slowdown
+        free_ms = max(tightest_ms - kept_ms, MIN_PREFILL_SHARE * tightest_ms)
         return PrefillWindow(tightest_ms, free_ms if urgent else BUDGET_SHARE * free_ms)
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -29,6 +29,7 @@
 from .run_outcome import RunOutcome
 from .run_times import NO_TIMES, RunTimes
 from .service_round import ServiceRound
+from .slowed_engines import SlowedEngines
 from .waiting_request import WaitingRequest
 from .wanted_versions import WantedVersions
 
@@ -44,6 +45,8 @@
         Engines by instance.
     kinds : EngineKinds
         Learned figures of the engines of each service.
+    slowed : SlowedEngines
+        Takes the slowdowns that engines report.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self._backoffs = backoffs or BackoffRegistry(clock)
         self.engines: dict[str, Engine] = {}
         self.kinds = EngineKinds()
+        self.slowed = SlowedEngines(self.engines)
         self._index = HolderIndex(self.engines)
         self._candidates = CandidateEngines(self._index)
         self._waiting: dict[str, WaitingRequest] = {}
@@ -81,7 +85,16 @@
         store = self.kinds.store_times_of(service)
         limit, backoff = self._limits.ensure(instance), self._backoffs.ensure(instance)
         self.engines[instance] = Engine(
-            instance, service, data_centre, spec, kind, speed, store, limit, backoff
+            instance,
+            service,
+            data_centre,
+            spec,
+            kind,
+            speed,
+            store,
+            limit,
+            backoff,
+            self.kinds.usual_gap_of(service),
         )
 
     def engine_down(self, instance: str) -> None:
@@ -177,7 +190,7 @@
         """Free a granted place after its request ended with `outcome`."""
         engine = self.engines.get(self._places.pop(ticket, ""))
         if engine is not None and outcome is RunOutcome.DONE:
-            engine.learn(ticket, times)
+            engine.learn(ticket, times, self._clock.now_ms())
             engine.backoff.served(ticket)
         req = engine.end(ticket) if engine is not None else None
         if engine is None or req is None:
@@ -199,6 +212,7 @@
         """Yield the grants, refusals and orders of one decision round."""
         now_ms = self._clock.now_ms()
         self._turns.begin_round()
+        self.slowed.refresh(now_ms)
         yield from self._model_loads.decide(self.engines.values(), now_ms)
         rounds = {service: self._round(service, now_ms) for service in self._waiting_services()}
         in_order = sorted(
--- a/chestnutfall/placement/prefill_schedule.py
+++ b/chestnutfall/placement/prefill_schedule.py
@@ -6,21 +6,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from .engine_speed import EngineSpeed
 from .prefill_speed import PrefillSpeed
 from .prefill_window import PrefillWindow
 
-SLOWNESS_FACTOR = 1.1
-"""Each answer that comes far later than expected of this engine raises its slowness by this factor,
-any other lowers it: an engine that turns eight times as slow is detected after twenty answers."""
-LATE_FACTOR = 1.6
-"""An answer counts as late beyond this many times the expected time. Prompts that arrive together
-are processed together, so that the first of them waits for all; counted as a sign of a slow engine,
-this gives busy engines a slowness of 1.1 to 1.3 and too little prefill."""
-MAX_SLOWNESS = 16.0
-"""An engine that is slower than this gets no more requests anyway."""
-MAX_NORMAL_SLOWNESS = 1.5
-"""Engines up to this slowness contribute to the speed of their service; slower ones have a problem
-of their own."""
 LONGEST_WINDOW_MS = 10_000
 """No pause objective is longer; prefills that ended earlier are forgotten."""
 
@@ -37,32 +26,50 @@
         return max(self.end_ms - max(self.begin_ms, start_ms), 0.0)
 
 
+@dataclass(frozen=True, slots=True)
+class _SentPrompt:
+    """A prompt that was sent to the engine.
+
+    Attributes
+    ----------
+    tokens : float
+        Tokens to process until its first event, with those of the prompts ahead of it.
+    slowed : bool
+        Whether the engine reported at that time that other work slows it down.
+    """
+
+    tokens: float
+    slowed: bool
+
+
 class PrefillSchedule:
     """Prompts sent recently, and prompts that wait to be sent.
 
-    Attributes
+    Parameters
     ----------
-    slowness : float
-        How many times slower than others of its service the engine is; at least 1.
+    speed : PrefillSpeed
+        Prefill speed of the service.
+    own : EngineSpeed or None
+        The engine's own speed compared with it; None for an engine that is equal.
     """
 
-    def __init__(self, speed: PrefillSpeed) -> None:
-        self.slowness = 1.0
+    def __init__(self, speed: PrefillSpeed, own: EngineSpeed | None = None) -> None:
+        self._own = own or EngineSpeed()
         self._speed = speed
         self._prefills: deque[_Prefill] = deque()
         self._waiting: dict[str, float] = {}
-        self._ahead_tokens: dict[str, float] = {}
+        self._sent: dict[str, _SentPrompt] = {}
         self._until_ms = 0.0
 
     @property
     def first_ms(self) -> float:
         """Time to the first event of an empty prompt."""
-        return self._speed.first_ms * self.slowness
+        return self._speed.first_ms * self._own.slowness
 
     @property
     def ms_per_token(self) -> float:
         """Prefill time of this engine for each token."""
-        return self._speed.ms_per_token * self.slowness
+        return self._speed.ms_per_token * self._own.slowness
 
     @property
     def waiting(self) -> Iterable[str]:
@@ -81,7 +88,7 @@
     def cancel(self, ticket: str) -> None:
         """Forget a request that ended, or that will not be sent."""
         self._waiting.pop(ticket, None)
-        self._ahead_tokens.pop(ticket, None)
+        self._sent.pop(ticket, None)
 
     def fits(self, ticket: str, window: PrefillWindow | None, now_ms: int) -> bool:
         """Whether a reserved prompt may be sent now."""
@@ -99,26 +106,33 @@
         self._speed.note_prompt(tokens)
         prefill_ms = tokens * self.ms_per_token
         begin_ms = max(self._until_ms, now_ms)
-        self._ahead_tokens[ticket] = tokens + (begin_ms - now_ms) / self.ms_per_token
+        ahead_tokens = (begin_ms - now_ms) / self.ms_per_token
+        self._sent[ticket] = _SentPrompt(tokens + ahead_tokens, self._own.reported > 1)
         self._until_ms = begin_ms + prefill_ms
         self._prefills.append(_Prefill(begin_ms, self._until_ms))
         while self._prefills[0].end_ms < now_ms - LONGEST_WINDOW_MS:
             self._prefills.popleft()
 
-    def learn(self, ticket: str, first_ms: float) -> None:
-        """Update slowness and speed by the time to the first event of a prompt that was sent."""
-        tokens = self._ahead_tokens.get(ticket)
-        if tokens is None or first_ms <= 0:
-            return
-        late_ms = LATE_FACTOR * self.slowness * self._speed.expected_ms(tokens)
-        factor = SLOWNESS_FACTOR if first_ms > late_ms else 1 / SLOWNESS_FACTOR
-        self.slowness = min(max(self.slowness * factor, 1.0), MAX_SLOWNESS)
-        if self.slowness <= MAX_NORMAL_SLOWNESS:
-            self._speed.note(tokens, first_ms)
+    def learn(self, ticket: str, first_ms: float) -> float | None:
+        """Update the service's speed by the time to the first event of a prompt that was sent.
+
+        Returns
+        -------
+        float or None
+            That time against the one expected of the service's engines; None where the time is
+            unknown or other work slowed the engine down.
+        """
+        sent = self._sent.get(ticket)
+        if sent is None or first_ms <= 0 or sent.slowed:
+            return None
+        ratio = first_ms / self._speed.expected_ms(sent.tokens)
+        if self._own.is_typical:
+            self._speed.note(sent.tokens, first_ms)
+        return ratio
 
     def first_event_ms(self, ticket: str) -> float:
         """Expected time from sending a reserved prompt to the first event."""
-        return self._speed.expected_ms(self._waiting.get(ticket, 0.0)) * self.slowness
+        return self._speed.expected_ms(self._waiting.get(ticket, 0.0)) * self._own.slowness
 
     def prompts_per_s(self, window: PrefillWindow | None) -> float:
         """Usual prompts that the engine can process in a second."""
--- a/chestnutfall/placement/prefill_speed.py
+++ b/chestnutfall/placement/prefill_speed.py
@@ -62,6 +62,11 @@
         """Time to the first event after a prefill of so many tokens."""
         return self.first_ms + tokens * self.ms_per_token
 
+    def rescale(self, factor: float) -> None:
+        """Multiply the times."""
+        self.ms_per_token = min(max(self.ms_per_token * factor, MIN_MS_PER_TOKEN), MAX_MS_PER_TOKEN)
+        self.first_ms = min(max(self.first_ms * factor, MIN_FIRST_MS), MAX_FIRST_MS)
+
     def note_prompt(self, tokens: float) -> None:
         """Record how many prompt tokens of a request need prefill."""
         self.usual_tokens += PROMPT_WEIGHT * (tokens - self.usual_tokens)
--- a/chestnutfall/placement/upstream_health.py
+++ b/chestnutfall/placement/upstream_health.py
@@ -60,6 +60,11 @@
             case _:
                 pass
 
+    def is_failing(self, now_ms: int) -> bool:
+        """Whether requests failed lately; its times tell little about its speed then."""
+        self._decay(now_ms)
+        return self._failure >= FAILURE_WEIGHT / 2
+
     def note_lag(self, lag_ms: float, now_ms: int) -> None:
         """Record how much later than expected a first event came."""
         self._decay(now_ms)
