--- a/chestnutfall/placement/engine_kinds.py
+++ b/chestnutfall/placement/engine_kinds.py
@@ -12,9 +12,9 @@
 from .store_times import StoreTimes
 from .usual_gap import UsualGap
 
-MIN_RESCALE = 0.05
-"""Service figures are corrected when half of the engines differ from them by more than this part
-in the same direction."""
+MAX_RESCALE = 0.05
+"""Part by which the figures of a service are corrected each second if half of its engines differ
+from them in the same direction. The products of both stay as they are, so that there is no hurry."""
 MAX_RATIOS = 64
 """Engines of a service whose own speeds are stored, those that differ most first."""
 
@@ -61,12 +61,11 @@
         for service, speed in self._speeds.items():
             own = [one for one in engines if one.service == service]
             median = statistics.median(one.speed.usual for one in own) if own else 1.0
-            if abs(median - 1) <= MIN_RESCALE:
-                continue
-            speed.rescale(median)
-            self.usual_gap_of(service).rescale(median)
+            factor = min(max(median, 1 - MAX_RESCALE), 1 + MAX_RESCALE)
+            speed.rescale(factor)
+            self.usual_gap_of(service).rescale(factor)
             for engine in own:
-                engine.speed.rescale(1 / median, now_ms)
+                engine.speed.rescale(1 / factor, now_ms)
 
     def learned(self, engines: Collection[Engine]) -> Iterator[tuple[str, EngineKind]]:
         """Yield the figures of each service that has learned them from enough answers."""
