Tell the leader what slows an engine down when its answer begins

The load that an answer tells was dropped with the release of its place. A gateway sends none to a leader of an earlier release, which would end the stream.

--- a/chestnutfall/coordination/gateway_broadcaster.py
+++ b/chestnutfall/coordination/gateway_broadcaster.py
@@ -47,7 +47,7 @@
         self._quotas = quotas
         self._clock = clock
         self._views = UpstreamViews()
-        self._controllers = Controllers(())
+        self._controllers = Controllers((), reads_loads=True)
         self._last_ready: frozenset[ReadyAdapter] = frozenset()
         self._sent: frozenset[ReadyAdapter] = frozenset()
         self._sent_whole = whole_holdings(())
@@ -82,7 +82,7 @@
     def send_controllers(self, addresses: tuple[str, ...]) -> None:
         """Send the addresses of the controllers if they changed."""
         if addresses != self._controllers.addresses:
-            self._controllers = Controllers(addresses)
+            self._controllers = Controllers(addresses, reads_loads=True)
             self._sessions.broadcast(self._controllers)
 
     def send_due(self) -> None:
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -25,6 +25,7 @@
 from ..settings.quota_bounds import QuotaBounds
 from ..settings.repeat_bounds import RepeatBounds
 from ..signals.backoff_registry import BackoffRegistry
+from ..signals.engine_loads import EngineLoads
 from ..signals.messages import HeardBackoff
 from .backoff_coordinator import BackoffCoordinator
 from .document_compression import decompress_document
@@ -212,6 +213,9 @@
                     self._quotas.charge(use.organisation, use.units)
                 self._broadcaster.send_quotas()
                 return
+            case EngineLoads(slowdowns):
+                self._placer.slowed.note_all(slowdowns)
+                return
             case HeardLimit():
                 self._limits.record_limit(session, msg)
             case HeardBackoff():
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -10,6 +10,7 @@
 from ..placement import Grant, PlaceRequest, Reject
 from ..placement.run_times import NO_TIMES, RunTimes
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, UsedQuota, WasShort
+from ..signals.engine_loads import EngineLoads
 from ..signals.messages import BackoffHints, HeardBackoff
 from ..wire import Codec
 
@@ -106,9 +107,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Controllers:
-    """Addresses of all controllers."""
+    """The controllers.
+
+    Attributes
+    ----------
+    addresses : tuple of str
+        Addresses of all of them.
+    reads_loads : bool
+        Whether the leader understands `EngineLoads`. One of an earlier release ends a stream with a
+        message that it doesn't know.
+    """
 
     addresses: tuple[str, ...]
+    reads_loads: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -231,6 +242,7 @@
     | AskRepeat
     | AskQuota
     | AskTurn
+    | EngineLoads
     | HeardBackoff
     | HeardLimit
     | UsedQuota
@@ -251,6 +263,7 @@
     BackoffHints,
     BrokenRun,
     Controllers,
+    EngineLoads,
     GatewayCount,
     GatewayHello,
     Grant,
--- a/chestnutfall/forwarding/engine_upstream_selector.py
+++ b/chestnutfall/forwarding/engine_upstream_selector.py
@@ -13,6 +13,7 @@
 from ..signals import BACKING_OFF, UpstreamLoad
 from ..signals.known_signals import KnownSignals
 from . import answer_timeouts
+from .engine_load_reports import EngineLoadReports
 from .fleet_client import FleetClient, LeaderLost
 from .place import NoPlace, Place, SelectionCriteria, UpstreamSelector
 
@@ -46,6 +47,7 @@
         self._data_centre = data_centre
         self._numbers = itertools.count()
         self._leaderless_sends: Counter[str] = Counter()
+        self._loads = EngineLoadReports(fleet.send, clock)
 
     async def select(self, criteria: SelectionCriteria) -> Place:
         give_up_ms = min(self._clock.now_ms() + LEADERLESS_WAIT_MS, criteria.until_ms)
@@ -91,6 +93,10 @@
             self._fleet.send(Withdraw(req.ticket))
             raise
 
+    def note_load(self, place: Place, load: UpstreamLoad) -> None:
+        if self._fleet.knowledge.leader_reads_loads:
+            self._loads.note(place.upstream.instance, load)
+
     def release(
         self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
     ) -> None:
--- a/chestnutfall/forwarding/fleet_knowledge.py
+++ b/chestnutfall/forwarding/fleet_knowledge.py
@@ -40,12 +40,15 @@
     ----------
     controllers : tuple of str
         Addresses of all controllers.
+    leader_reads_loads : bool
+        Whether the leader understands reports of engines' loads.
     """
 
     def __init__(self, codec: DocumentCodec, clock: Clock) -> None:
         self._codec = codec
         self._clock = clock
         self.controllers: tuple[str, ...] = ()
+        self.leader_reads_loads = False
         self._gateways = RecentGateways(clock)
         self._holders = Holders()
         self._upstreams = KnownUpstreams()
@@ -85,8 +88,9 @@
                 # A document sent by an earlier leader may arrive after a newer one.
                 if version > self.version:
                     self._put_in_force(version, content)
-            case Controllers(addresses):
+            case Controllers(addresses, reads_loads):
                 self.controllers = addresses
+                self.leader_reads_loads = reads_loads
             case UpstreamsPart() | UpstreamsChange():
                 self._upstreams.apply(update)
             case GatewayCount(gateways):
--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -105,6 +105,9 @@
         0 if one accepts work now or there is none; infinite if all of them are leaving.
         """
 
+    def note_load(self, place: Place, load: UpstreamLoad) -> None:  # noqa: B027
+        """Record the load that an answer reported when it began, long before the send ends."""
+
     @abstractmethod
     def release(
         self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -64,7 +64,7 @@
         outcome: RunOutcome | None = None
         try:
             async with self._api.send(sending.forwarded()) as answer:
-                self._record_signals(place, answer, sending.sent_ms)
+                self._record_signals(place, answer, sending.sent_ms, selector)
                 result = await sending.relay(answer)
             outcome = _outcome(answer, result)
             return result
@@ -84,11 +84,15 @@
                 self._metrics.observe("first_byte_ms", sending.first_byte_ms)
             selector.release(place, outcome, sending.times(), sending.load)
 
-    def _record_signals(self, place: Place, answer: UpstreamAnswer, sent_ms: int) -> None:
+    def _record_signals(
+        self, place: Place, answer: UpstreamAnswer, sent_ms: int, selector: UpstreamSelector
+    ) -> None:
+        load = answer.signals.load
         # An answer of another incarnation at the address says nothing about the selected upstream.
         if answer.not_run is not NotRun.REPLACED:
             self._signals.observe(place.upstream.instance, answer.signals, sent_ms, answer.ok)
-        load = answer.signals.load
+            if load is not None:
+                selector.note_load(place, load)
         if load is not None and load.has_unread_figures:
             self._metrics.count("load_figures_unread")
 
--- a/chestnutfall/placement/engine_kinds.py
+++ b/chestnutfall/placement/engine_kinds.py
@@ -14,7 +14,7 @@
 
 MAX_RESCALE = 0.05
 """Part by which the figures of a service are corrected each second if half of its engines differ
-from them in the same direction. The products of both stay as they are, so that there is no hurry."""
+from them in the same direction. What holds for an engine is the product, which stays the same."""
 MAX_RATIOS = 64
 """Engines of a service whose own speeds are stored, those that differ most first."""
 
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -60,7 +60,7 @@
         self._backoffs = backoffs or BackoffRegistry(clock)
         self.engines: dict[str, Engine] = {}
         self.kinds = EngineKinds()
-        self.slowed = SlowedEngines(self.engines)
+        self.slowed = SlowedEngines(self.engines, clock)
         self._index = HolderIndex(self.engines)
         self._candidates = CandidateEngines(self._index)
         self._waiting: dict[str, WaitingRequest] = {}
--- a/chestnutfall/placement/slowed_engines.py
+++ b/chestnutfall/placement/slowed_engines.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 
+from ..clock import Clock
 from .engine import Engine
 
 
@@ -13,16 +14,23 @@
     The cost of a decision round grows with the engines that are slowed down, not with all of them.
     """
 
-    def __init__(self, engines: Mapping[str, Engine]) -> None:
+    def __init__(self, engines: Mapping[str, Engine], clock: Clock) -> None:
         self._engines = engines
+        self._clock = clock
         self._slowed: set[str] = set()
 
-    def note(self, instance: str, slowdown: float, now_ms: int) -> None:
-        """Record how many times as long as usual an engine's work takes now, as it reported."""
-        engine = self._engines.get(instance)
-        if engine is not None:
-            engine.speed.note_report(slowdown, now_ms)
-            self._slowed.add(instance)
+    def __len__(self) -> int:
+        """Number of engines with a report that counted in the last decision round."""
+        return len(self._slowed)
+
+    def note_all(self, slowdowns: Mapping[str, float]) -> None:
+        """Record how many times as long as usual the work of engines takes now, by instance."""
+        now_ms = self._clock.now_ms()
+        for instance, slowdown in slowdowns.items():
+            engine = self._engines.get(instance)
+            if engine is not None:
+                engine.speed.note_report(slowdown, now_ms)
+                self._slowed.add(instance)
 
     def refresh(self, now_ms: int) -> None:
         """Drop the reports that no longer count; called before each decision round."""
--- a/chestnutfall/tests/fakes/uneven_engines.py
+++ b/chestnutfall/tests/fakes/uneven_engines.py
@@ -55,6 +55,7 @@
 STORED_COPIES = 40
 """Adapters that an engine keeps in memory after unloading them."""
 WAIT_MS = 5_000
+PAUSE_MS = 500
 REPORTED_FROM = 1.15
 """A slowdown below this is not reported."""
 
@@ -265,7 +266,8 @@
         )
         tokens = kind.shared_tokens + kind.own_tokens
         req = PlaceRequest(
-            f"g/{number}", "s", name, tokens, 70, parts, 0, kind.objective_ms, WAIT_MS, "dc", (), 500
+            f"g/{number}", "s", name, tokens, 70, parts, 0, kind.objective_ms, WAIT_MS, "dc",
+            pause_objective_ms=PAUSE_MS,
         )  # fmt: skip
         self._runs[req.ticket] = _Run(req, kind, now_ms)
         self.placer.submit(req)
@@ -360,4 +362,4 @@
 
 
 def _report(placer: Placer, instance: str, slowdown: float) -> None:
-    placer.slowed.note(instance, slowdown, placer._clock.now_ms())
+    placer.slowed.note_all({instance: slowdown})
