Expect a spell of other work to end; count pauses in the load model

Work that was booked at a reported slowdown for its whole length kept engines idle after the spell. It is now stretched for the time for which a report counts.

--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -163,7 +163,7 @@
 
     def expected_prefill_ms(self, tokens: float) -> float:
         """Time that the prefill of so many tokens takes here, at the engine's speed now."""
-        return tokens * self.prefill.ms_per_token
+        return self.prefill.prefill_ms(tokens)
 
     def prefill_wait_ms(self, now_ms: int) -> float:
         """Time that a new prompt waits for the prompts before it."""
--- a/chestnutfall/placement/engine_speed.py
+++ b/chestnutfall/placement/engine_speed.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from .reported_slowdown import ReportedSlowdown
+from .reported_slowdown import FRESH_MS, ReportedSlowdown
 
-MIN_STEP = 0.02
+MIN_STEP = 0.01
 MAX_STEP = 0.15
 """An answer moves the usual ratio by a part between these towards its own ratio, and never past it.
 A fourth of the answers may be misleading: cached prompts, lost packets, spells of other work."""
-STEP_GROWTH = 1.4
+STEP_GROWTH = 1.25
 """The step grows by this factor while answers agree on the direction, and is halved by one that
-doesn't: an engine that turns five times as slow is known after about a dozen answers, while
+doesn't: an engine that turns five times as slow is known after about twenty answers, while
 answers that scatter around the ratio move it by a few parts in a hundred."""
 MAX_RATIO = 16.0
 """A ratio beyond this is no speed: the answer was held up on its way, by a cut or lost packets."""
@@ -79,6 +79,15 @@
         """Whether the figures of the service may be learned from this engine."""
         return self.usual <= TYPICAL_WITHIN
 
+    def stretched_ms(self, work_ms: float) -> float:
+        """Time that work takes from now on if it usually takes `work_ms` on this engine.
+
+        A spell of other work is expected to end after the time for which a report counts.
+        """
+        if self.reported == 1:
+            return work_ms
+        return work_ms + min(work_ms * (self.reported - 1), FRESH_MS * (1 - 1 / self.reported))
+
     def note_answer(self, ratio: float, now_ms: int) -> None:
         """Update the usual ratio by that of one answer."""
         if not 1 / MAX_RATIO <= ratio <= MAX_RATIO or now_ms - self._noted_ms < TOGETHER_MS:
--- a/chestnutfall/placement/prefill_schedule.py
+++ b/chestnutfall/placement/prefill_schedule.py
@@ -68,8 +68,12 @@
 
     @property
     def ms_per_token(self) -> float:
-        """Prefill time of this engine for each token."""
-        return self._speed.ms_per_token * self._own.slowness
+        """Usual prefill time of this engine for each token."""
+        return self._speed.ms_per_token * self._own.usual_factor
+
+    def prefill_ms(self, tokens: float) -> float:
+        """Time that the prefill of so many tokens takes from now on."""
+        return self._own.stretched_ms(tokens * self.ms_per_token)
 
     @property
     def waiting(self) -> Iterable[str]:
@@ -94,7 +98,7 @@
         """Whether a reserved prompt may be sent now."""
         if window is None:
             return True
-        prefill_ms = self._waiting.get(ticket, 0.0) * self.ms_per_token
+        prefill_ms = self.prefill_ms(self._waiting.get(ticket, 0.0))
         begin_ms = max(self._until_ms, now_ms)
         before_ms = self._prefill_after_ms(begin_ms + prefill_ms - window.length_ms)
         # A prompt beyond the budget by itself is sent when the window has no other prefill.
@@ -104,7 +108,7 @@
         """Record that a reserved prompt is sent now."""
         tokens = self._waiting.pop(ticket, 0.0)
         self._speed.note_prompt(tokens)
-        prefill_ms = tokens * self.ms_per_token
+        prefill_ms = self.prefill_ms(tokens)
         begin_ms = max(self._until_ms, now_ms)
         ahead_tokens = (begin_ms - now_ms) / self.ms_per_token
         self._sent[ticket] = _SentPrompt(tokens + ahead_tokens, self._own.reported > 1)
@@ -132,7 +136,7 @@
 
     def first_event_ms(self, ticket: str) -> float:
         """Expected time from sending a reserved prompt to the first event."""
-        return self._speed.expected_ms(self._waiting.get(ticket, 0.0)) * self._own.slowness
+        return self.first_ms + self.prefill_ms(self._waiting.get(ticket, 0.0))
 
     def prompts_per_s(self, window: PrefillWindow | None) -> float:
         """Usual prompts that the engine can process in a second."""
@@ -141,7 +145,7 @@
 
     def reserved_ms(self, tickets: Iterable[str]) -> float:
         """Prefill time of those of `tickets` that wait to be sent."""
-        return sum(self._waiting.get(ticket, 0.0) for ticket in tickets) * self.ms_per_token
+        return self.prefill_ms(sum(self._waiting.get(ticket, 0.0) for ticket in tickets))
 
     def wait_ms(self, window: PrefillWindow | None, now_ms: int) -> float:
         """Time that one more prompt would wait until its prefill begins."""
--- a/chestnutfall/tests/fakes/uneven_engines.py
+++ b/chestnutfall/tests/fakes/uneven_engines.py
@@ -10,7 +10,7 @@
 import heapq
 import itertools
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -56,6 +56,8 @@
 """Adapters that an engine keeps in memory after unloading them."""
 WAIT_MS = 5_000
 PAUSE_MS = 500
+KEPT_MS = 10_000
+"""Prefill that ended earlier is forgotten; no stream lasts as long."""
 REPORTED_FROM = 1.15
 """A slowdown below this is not reported."""
 
@@ -115,7 +117,10 @@
     changes : dict of int to tuple
         Other speeds, by the time in ms from which they hold.
     adapters : int
-        Number of adapters, of a skewed popularity.
+        Number of adapters, of a skewed popularity. Engines that have slots for all hold all from
+        the beginning; others load them as requests come.
+    counted_from_ms : int
+        Outcomes of requests that arrive earlier are not counted.
     """
 
     speeds: tuple[float, ...]
@@ -123,6 +128,7 @@
     kinds: tuple[RequestKind, ...] = (SHORT, DEFERRED, LONG)
     seconds: int = 20
     adapters: int = 400
+    counted_from_ms: int = 0
     adapter_slots: int = 8
     batch: int = 12
     changes: dict[int, tuple[float, ...]] = field(default_factory=dict)
@@ -141,6 +147,20 @@
     ready_ms: dict[AdapterName, int] = field(default_factory=dict)
     copies: dict[AdapterName, None] = field(default_factory=dict)
     cached: set[tuple[str, AdapterName]] = field(default_factory=set)
+    prefills: deque[tuple[float, float]] = field(default_factory=deque)
+
+    def prefill(self, begin_ms: float, end_ms: float) -> None:
+        """Count the prefill of a prompt; one that follows another at once extends its span."""
+        if self.prefills and begin_ms <= self.prefills[-1][1]:
+            begin_ms = self.prefills.pop()[0]
+        self.prefills.append((begin_ms, end_ms))
+        while self.prefills[0][1] < end_ms - KEPT_MS:
+            self.prefills.popleft()
+
+    def longest_pause_ms(self, from_ms: float, to_ms: float) -> float:
+        """Longest span within which streams got no event, since prompts were processed."""
+        spans = (min(end, to_ms) - max(begin, from_ms) for begin, end in self.prefills)
+        return max(spans, default=0.0)
 
 
 @dataclass(slots=True)
@@ -164,7 +184,8 @@
     Attributes
     ----------
     outcomes : Counter
-        By name of the kind and "in time", "late" or "refused".
+        By name of the kind and "in time", "late" first event, "paused" for longer than the pause
+        objective after one in time, or "refused".
     given : list of Counter
         Requests sent to each engine, by second.
     """
@@ -181,9 +202,13 @@
         spec = EngineSpec(
             load.batch, 171_890, (ModelSpec(MODEL, 65_000),), 74_800, load.adapter_slots, 34
         )
-        for name in self._engines:
-            self.placer.engine_up(name, "s", "dc", spec)
-            self.placer.engine_reported(name, EngineReport({MODEL: 1}, {}, {}, 0))
+        names = [AdapterName(MODEL, f"a{number}") for number in range(load.adapters)]
+        held = names if len(names) <= load.adapter_slots else []
+        for instance, engine in self._engines.items():
+            engine.ready_ms = dict.fromkeys(held, 0)
+            self.placer.engine_up(instance, "s", "dc", spec)
+            report = EngineReport({MODEL: 1}, dict.fromkeys(held, 1), {}, 0)
+            self.placer.engine_reported(instance, report)
         self.outcomes: Counter[tuple[str, str]] = Counter()
         self.given: list[Counter[str]] = []
         self.firsts_ms: dict[str, list[float]] = {kind.name: [] for kind in load.kinds}
@@ -288,7 +313,11 @@
                 while len(engine.copies) > STORED_COPIES:
                     engine.copies.pop(next(iter(engine.copies)))
             case Reject(ticket):
-                self.outcomes[self._runs[ticket].kind.name, "refused"] += 1
+                self._count(self._runs[ticket], "refused")
+
+    def _count(self, run: _Run, outcome: str) -> None:
+        if run.since_ms >= self._load.counted_from_ms:
+            self.outcomes[run.kind.name, outcome] += 1
 
     def _begin_load(self, instance: str, adapter: AdapterName, now_ms: int) -> None:
         engine = self._engines[instance]
@@ -310,6 +339,7 @@
             engine.cached.add(key)
         begin_ms = max(arrived_ms, engine.busy_until_ms)
         engine.busy_until_ms = self._work(engine, begin_ms, tokens / TOKENS_PER_MS)
+        engine.prefill(begin_ms, engine.busy_until_ms)
         jitter = self._rng.lognormvariate(0, JITTER)
         first_ms = self._work(engine, engine.busy_until_ms, FIRST_MS * jitter) + LINK_MS
         first_ms += LOST_PACKET_MS if self._rng.random() < LOST_PACKETS else 0
@@ -318,7 +348,7 @@
         gap_ms = (end_ms - first_ms) / run.kind.events
         times = RunTimes(first_ms - now_ms - LINK_MS, 0.0, gap_ms)
         self._at(first_ms, lambda: self._begin_answer(run, instance, first_ms))
-        self._at(end_ms + LINK_MS, lambda: self._end(run, instance, times))
+        self._at(end_ms + LINK_MS, lambda: self._end(run, instance, first_ms, times))
 
     def _submit_again(self, run: _Run) -> None:
         self.placer.release(run.req.ticket, RunOutcome.ABSENT)
@@ -346,15 +376,19 @@
     def _begin_answer(self, run: _Run, instance: str, first_ms: float) -> None:
         waited_ms = first_ms + LINK_MS - run.since_ms
         self.firsts_ms[run.kind.name].append(waited_ms)
-        outcome = "in time" if waited_ms <= run.kind.objective_ms else "late"
-        self.outcomes[run.kind.name, outcome] += 1
+        if waited_ms > run.kind.objective_ms:
+            self._count(run, "late")
         slowdown = self._engines[instance].slowdown
         if slowdown >= REPORTED_FROM:
             delay_ms = LINK_MS + self._rng.uniform(0, 2 * REPORT_MS)
             self._at(first_ms + delay_ms, lambda: self._report(self.placer, instance, slowdown))
 
-    def _end(self, run: _Run, instance: str, times: RunTimes) -> None:
-        self._engines[instance].running -= 1
+    def _end(self, run: _Run, instance: str, first_ms: float, times: RunTimes) -> None:
+        engine = self._engines[instance]
+        engine.running -= 1
+        if first_ms + LINK_MS - run.since_ms <= run.kind.objective_ms:
+            pause_ms = engine.longest_pause_ms(first_ms, self._clock.now_ms())
+            self._count(run, "in time" if pause_ms <= PAUSE_MS else "paused")
         self.placer.release(run.req.ticket, RunOutcome.DONE, times)
 
     def _at(self, at_ms: float, call: Callable[[], None]) -> None:
