--- a/chestnutfall/coordination/controller_runner.py
+++ b/chestnutfall/coordination/controller_runner.py
@@ -87,6 +87,7 @@
         self._clock = clock
         self._metrics = metrics
         self._replica: Replica | None = None
+        self._leader: FleetLeader | None = None
         self._joiner: GroupJoiner | None = None
         self._process_start_ms: int | None = PROCESS_START_MS
         self.relay = CurrentRelay()
@@ -108,6 +109,9 @@
         self._metrics.gauge("term", self._replica.term)
         self._metrics.gauge("commit_index", self._replica.commit_index)
         self._metrics.gauge("members", len(self._replica.members))
+        term = self._leader.leading() if self._leader is not None else None
+        self._metrics.gauge("engines_slow", term.slow_engines if term is not None else 0)
+        self._metrics.gauge("engines_slowed_now", term.slowed_engines if term is not None else 0)
         for codec in (FLEET_CODEC, RELAY_CODEC, CONSENSUS_CODEC):
             for name, value in codec.traffic.counters():
                 self._metrics.total(name, value)
@@ -186,12 +190,13 @@
             asyncio.ensure_future(one.run()) for one in (leader, group, joiner, relay.heartbeats)
         ]
         self._replica, self._joiner, self.relay.present = replica, joiner, relay
+        self._leader = leader
         try:
             await _first_of(stop, replica.failed)
             if not replica.failed.done():
                 await replica.transfer_leadership()
         finally:
-            self._replica = self._joiner = self.relay.present = None
+            self._replica = self._leader = self._joiner = self.relay.present = None
             for task in work:
                 task.cancel()
             await asyncio.gather(*work, return_exceptions=True)
--- a/chestnutfall/coordination/engine_kind_recorder.py
+++ b/chestnutfall/coordination/engine_kind_recorder.py
@@ -9,6 +9,7 @@
 from ..control.commands import COMMAND_CODEC, NoteEngineKind
 from ..control.control_state import ControlState
 from ..placement.placer import Placer
+from .speed_log import SpeedLog
 
 log = logging.getLogger(__name__)
 POLL_MS = 1_000
@@ -27,13 +28,16 @@
         self._state = state
         self._placer = placer
         self._clock = clock
+        self._speeds = SpeedLog(clock)
 
     async def run(self) -> None:
         """Check and commit the measurements periodically, until cancelled."""
         while True:
             await self._clock.sleep_ms(POLL_MS)
-            self._placer.kinds.review(self._placer.engines.values(), self._clock.now_ms())
-            for service, kind in list(self._placer.kinds.learned(self._placer.engines.values())):
+            engines = self._placer.engines.values()
+            self._placer.kinds.review(engines, self._clock.now_ms())
+            self._speeds.update(engines)
+            for service, kind in list(self._placer.kinds.learned(engines)):
                 known = self._state.engine_kinds.get(service)
                 if known is None or kind.differs_from(known):
                     await self._commit(NoteEngineKind(service, kind))
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -237,6 +237,16 @@
                 self._sessions.release_ticket(ticket)
         self._wake.set()
 
+    @property
+    def slow_engines(self) -> int:
+        """Number of engines that usually differ from their service."""
+        return sum(one.speed.is_unusual for one in self._placer.engines.values())
+
+    @property
+    def slowed_engines(self) -> int:
+        """Number of engines that reported that other work slows them down now."""
+        return len(self._placer.slowed)
+
     def _note_process_end(self, report: CrashReport) -> None:
         if isinstance(report, BrokenRun) and report.refuses:
             self._upstreams.ended(report.instance)
--- a/chestnutfall/tests/test_engine_speed.py
+++ b/chestnutfall/tests/test_engine_speed.py
@@ -11,15 +11,18 @@
 import random
 import unittest
 from dataclasses import dataclass, replace
+from unittest import mock
 
 import msgspec
 
 from ..clock import ManualClock
-from ..placement import AdapterName, EngineReport, PlaceRequest, RunOutcome
+from ..coordination.speed_log import LASTS_MS, MAX_LINES, SpeedLog
+from ..placement import AdapterName, EngineReport, Grant, PlaceRequest, RunOutcome
 from ..placement.engine import Engine
 from ..placement.engine_kind import EngineKind
 from ..placement.engine_kinds import MAX_RATIOS
 from ..placement.engine_speed import EQUAL_WITHIN, TOGETHER_MS, EngineSpeed
+from ..placement.pause_budget import PauseBudget
 from ..placement.placer import Placer
 from ..placement.reported_slowdown import FRESH_MS, MAX_SLOWDOWN, ReportedSlowdown
 from ..placement.run_times import RunTimes
@@ -92,6 +95,12 @@
         self.assertFalse(self.speed.refresh(self.now_ms + FRESH_MS))
         self.assertAlmostEqual(self.speed.slowness, 2, delta=0.1)
 
+    def test_work_is_slowed_down_for_no_longer_than_a_report_counts(self) -> None:
+        self.assertEqual(self.speed.stretched_ms(2_000), 2_000)
+        self.speed.note_report(2.5, self.now_ms)
+        self.assertAlmostEqual(self.speed.stretched_ms(100), 250)
+        self.assertAlmostEqual(self.speed.stretched_ms(2_000), 2_000 + FRESH_MS * 0.6)
+
 
 class ReportedSlowdownTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -262,6 +271,82 @@
         self.assertLess(len(msgspec.msgpack.encode(kind)), 2_000)
 
 
+class SlowEngineChoiceTest(unittest.TestCase):
+    """What one slow engine of two is chosen for."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(60_000)
+        self.placer = Placer(self.clock)
+        for name in ("slow", "quick"):
+            self.placer.engine_up(name, "s", "dc", SPEC)
+            self.placer.engine_reported(name, EngineReport({MODEL: 1}, {NAME: 1}, {}, 0))
+        self.quick = self.placer.engines["quick"]
+        self.placer.slowed.note_all({"slow": 3.0})
+
+    def _place(self, ticket: str, tokens: int, objective_ms: int = 800) -> str:
+        """Return the engine that a request gets at once; empty if it waits."""
+        req = PlaceRequest(
+            ticket, "s", NAME, tokens, 60, (), 1, objective_ms, 9_000, "dc", (), 300
+        )  # fmt: skip
+        self.placer.submit(req)
+        found = [one for one in self.placer.decide() if isinstance(one, Grant)]
+        return next((one.instance for one in found if one.ticket == ticket), "")
+
+    def test_the_quick_engine_gets_the_first_of_equal_requests(self) -> None:
+        self.assertEqual(self._place("g/1", 600), "quick")
+
+    def test_a_long_prompt_waits_for_the_quick_engine_rather_than_be_late(self) -> None:
+        for number in range(2):
+            self.assertEqual(self._place(f"g/{number}", 4_000, 9_000), "quick" * (not number))
+        self.placer.withdraw("g/1")
+        with mock.patch.object(Engine, "has_room", lambda engine, req: engine is not self.quick):
+            self.assertEqual(self._place("long", 9_000), "")
+            self.assertEqual(self._place("short", 600), "slow")
+        self.clock._now_ms += 300
+        self.placer.release("g/0", RunOutcome.DONE)
+        self.assertIn("long", [one.ticket for one in self.placer.decide()])
+
+    def test_a_request_that_is_late_anyway_takes_the_slow_engine(self) -> None:
+        with mock.patch.object(Engine, "has_room", lambda engine, req: engine is not self.quick):
+            self.assertEqual(self._place("late", 9_000, 100), "slow")
+
+    def test_streams_on_a_slowed_engine_bear_less_prefill(self) -> None:
+        pauses = PauseBudget(40.0)
+        pauses.add(300)
+        usual, slowed = pauses.window(), pauses.window(slowdown=2.0)
+        assert usual is not None and slowed is not None
+        self.assertLess(slowed.budget_ms, usual.budget_ms)
+
+
+class SpeedLogTest(unittest.TestCase):
+    def test_it_logs_once_which_engine_is_slow_and_when_it_is_no_longer(self) -> None:
+        clock = ManualClock(60_000)
+        placer = Placer(clock)
+        for number in range(3 * MAX_LINES):
+            placer.engine_up(f"e{number}", "s", "dc", SPEC)
+        engines = placer.engines.values()
+        speeds = SpeedLog(clock)
+        with self.assertNoLogs("chestnutfall.coordination.speed_log"):
+            placer.engines["e0"].speed.rescale(2.0, clock.now_ms())
+            speeds.update(engines)
+        clock._now_ms += LASTS_MS
+        with self.assertLogs("chestnutfall.coordination.speed_log") as slow:
+            speeds.update(engines)
+            speeds.update(engines)
+        self.assertEqual(len(slow.output), 1)
+        self.assertIn("instance=e0 takes=2.00 times as long since_ms=60000", slow.output[0])
+        placer.engines["e0"].speed.rescale(0.5, clock.now_ms())
+        with self.assertLogs("chestnutfall.coordination.speed_log") as usual:
+            speeds.update(engines)
+        self.assertIn("instance=e0 as usual after ms=2000", usual.output[0])
+        for engine in engines:
+            engine.speed.rescale(3.0, clock.now_ms())
+        clock._now_ms += LASTS_MS
+        with self.assertLogs("chestnutfall.coordination.speed_log") as many:
+            speeds.update(engines)
+        self.assertEqual(len(many.output), MAX_LINES + 1)
+
+
 @dataclass(frozen=True, slots=True)
 class _EarlierKind:
     """`EngineKind` as earlier releases store and read it."""
--- a/chestnutfall/tests/test_fleet_leader.py
+++ b/chestnutfall/tests/test_fleet_leader.py
@@ -43,10 +43,12 @@
 from ..forwarding.known_upstreams import KnownUpstreams
 from ..placement import AdapterName, EngineReport, Grant, LoadAdapter, PlaceRequest
 from ..placement.engine_kind import EngineKind
+from ..placement.reported_slowdown import FRESH_MS
 from ..placement.run_times import RunTimes
 from ..platform.document_json import DocumentJson
 from ..settings.quota_bounds import STRICT_QUOTA_BOUNDS
 from ..settings.repeat_bounds import RepeatBounds
+from ..signals.engine_loads import EngineLoads
 from .fakes import FakeCluster
 from .fakes.accepting_engines import AcceptingEngines
 
@@ -285,6 +287,28 @@
         schedule = term._placer.engines["1"].prefill
         self.assertLess(schedule.ms_per_token, EngineKind().ms_per_token / 1.4)
 
+    # Guards against a leader that knows of no slowdown, or keeps one that is over.
+    async def test_reported_slowdowns_hold_for_a_moment_and_end_with_the_leader(self) -> None:
+        await self._ask(StoreDocument(3, compress_document(_document(3))))
+        await self._announce("1", 1)
+        await self.cluster.clock.advance(300)
+        session = self._join()
+        term = self.leaders[self.name].leading()
+        assert term is not None
+        term.handle(session, EngineLoads({"1": 2.5, "gone": 2.5}))
+        self.assertEqual(term._placer.engines["1"].slowness, 2.5)
+        self.assertEqual(term.slowed_engines, 1)
+        # The gateway's reports stop.
+        await self.cluster.clock.advance(FRESH_MS + 200)
+        self.assertEqual((term._placer.engines["1"].slowness, term.slowed_engines), (1, 0))
+        term.handle(session, EngineLoads({"1": 2.5}))
+        await self._depose()
+        successor = self.leaders[self.name].leading()
+        assert successor is not None
+        self.assertEqual(successor._placer.engines["1"].slowness, 1)
+        successor.handle(self._join(), EngineLoads({"1": 2.5}))
+        self.assertEqual(successor._placer.engines["1"].slowness, 2.5)
+
     async def _depose(self) -> None:
         """Cut off the leader and wait for the next one."""
         self.cluster.isolate(self.name)
