--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -16,6 +16,7 @@
 from .. import header_names as names
 from ..listening import Listener, listen
 from .run_registry import RunRegistry
+from .uneven_speed import UnevenSpeed
 
 MODEL = "base"
 ADAPTER_SLOTS = 4
@@ -65,6 +66,8 @@
         Whether these refusals carry the proof that the request did not run.
     leaving : bool
         Whether its answers carry the header that it leaves.
+    speed : UnevenSpeed or None
+        Speed of an engine, whose answers then report its load; None for one of the usual speed.
     announces_draining : bool
         Whether its announcements have the state "draining".
     """
@@ -100,6 +103,7 @@
         self.backoff: str | None = None
         self.marks_not_executed = True
         self.leaving = False
+        self.speed: UnevenSpeed | None = None
         self.announces_draining = False
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
@@ -271,7 +275,7 @@
             self._registry.ends[body] += 1
             self._ending = asyncio.ensure_future(self._end_and_restart())
         try:
-            await asyncio.sleep(self._rng.uniform(0.002, 0.03))
+            await self._work(self._rng.uniform(0.002, 0.03))
             if not self._is_engine:
                 return self._answer(request_id, 200, {}, answer_body(request_id))
             return await self._stream(request, request_id, name)
@@ -300,6 +304,8 @@
             headers[names.REQUEST_LIMIT] = self.limit
         if self.leaving:
             headers[names.LEAVING] = "1"
+        if self.speed is not None:
+            headers[names.LOAD] = self.speed.load(len(self._running), BATCH, time.monotonic())
         return headers
 
     async def _stream(
@@ -314,10 +320,16 @@
                     f"{self.instance}: {name} was evicted while it served"
                 )
             await response.write(stream_event(request_id, number))
-            await asyncio.sleep(0.01)
+            await self._work(0.01)
         await response.write_eof()
         return response
 
+    async def _work(self, work_s: float) -> None:
+        """Pass the time that work takes at the speed of this upstream."""
+        if self.speed is not None:
+            work_s = self.speed.stretched_s(work_s, time.monotonic())
+        await asyncio.sleep(work_s)
+
 
 def _seconds(text: str) -> float:
     """Parse a Retry-After in seconds; 0 if it is not a valid time."""
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -11,12 +11,14 @@
 from .quarantine_mutants import QUARANTINE_MUTANTS
 from .quota_mutants import QUOTA_MUTANTS
 from .signal_mutants import SIGNAL_MUTANTS
+from .speed_mutants import SPEED_MUTANTS
 
 MUTANTS = (
     *CONSENSUS_MUTANTS,
     *CONTROL_MUTANTS,
     *CALLER_MUTANTS,
     *PLACEMENT_MUTANTS,
+    *SPEED_MUTANTS,
     *FLEET_MUTANTS,
     *QUARANTINE_MUTANTS,
     *QUOTA_MUTANTS,
--- a/properties/safeguards/placement_mutants.py
+++ b/properties/safeguards/placement_mutants.py
@@ -81,8 +81,8 @@
     Mutant(
         "slow engines read like others",
         "chestnutfall/placement/prefill_schedule.py",
-        "        self.slowness = min(max(self.slowness * factor, 1.0), MAX_SLOWNESS)\n",
-        "",
+        "        return self._speed.ms_per_token * self._own.usual_factor",
+        "        return self._speed.ms_per_token",
         _PREFILL_TEST,
     ),
     Mutant(
--- a/soak/office.py
+++ b/soak/office.py
@@ -11,6 +11,7 @@
 from chestnutfall.platform.standin.node_writer import NodePlan, Ports
 from chestnutfall.platform.standin.operator import ENGINES, PLAIN
 from chestnutfall.platform.standin.run_registry import RunRegistry
+from chestnutfall.platform.standin.uneven_speed import UnevenSpeed
 from chestnutfall.platform.standin.upstream import StandInUpstream
 
 from .daemon import Daemon
@@ -18,6 +19,8 @@
 
 CONTROLLERS = 3
 GATEWAYS = 3
+SLOW_ENGINE = 4.0
+"""How many times as long the work of the first engine takes, beside spells of other work."""
 UPSTREAMS = ((ENGINES, True), (ENGINES, True), (ENGINES, True), (PLAIN, False), (PLAIN, False))
 
 
@@ -86,6 +89,8 @@
         relay = Relay(upstream.address)
         await relay.start()
         upstream.announced_address = relay.address
+        if is_engine:
+            upstream.speed = UnevenSpeed(upstream.instance, 1.0 if self.upstreams else SLOW_ENGINE)
         upstream.on_end, upstream.on_start = relay.refuse, relay.start
         upstream.announce()
         self.upstreams.append(upstream)
