Give tests of load options the objective and engines of different speeds

They set the slowness that was an attribute of the prefill schedule, and called methods that now take the time to the objective. The holder of the third test gets the usual speed: at 1.5 times as long it costs more than what is good enough without a search.

--- a/chestnutfall/tests/test_load_options.py
+++ b/chestnutfall/tests/test_load_options.py
@@ -25,6 +25,7 @@
 SLOTS = 4
 SPEC = EngineSpec(16, 200_000, (ModelSpec(MODEL, 50),), 60, SLOTS, 30)
 NOW_MS = 10_000
+OBJECTIVE_MS = 700.0
 _EVICTABLE = Engine.evictable
 
 
@@ -45,7 +46,7 @@
                 demand.note(name, clock.now_ms())
         placer.engine_reported(instance, EngineReport({MODEL: 1}, held, {}, 0))
         engine = placer.engines[instance]
-        engine.prefill.slowness = rng.choice((1.0, 1.0, 1.5, 4.0))
+        engine.speed.rescale(rng.choice((1.0, 1.0, 1.5, 4.0)), NOW_MS)
         for running in range(rng.randrange(14)):
             engine.start(_request(f"r{number}-{running}", "h"), ())
         if rng.random() < 0.1:
@@ -57,7 +58,7 @@
     options = [
         ((option.cost_ms, order), option)
         for _, order, engine in selector._load_options.by_cost(req.adapter)
-        if (option := selector._option_with_load(req, engine, True)) is not None
+        if (option := selector._option_with_load(req, engine, True, OBJECTIVE_MS)) is not None
     ]
     return min(options, key=lambda one: one[0])[1] if options else None
 
@@ -77,7 +78,7 @@
             req = _request("t", adapter, rng.choice((10, 600, 4_000)))
             for _ in range(4):
                 with self.subTest(case):
-                    found = selector._best_with_load(req, True)
+                    found = selector._best_with_load(req, True, OBJECTIVE_MS)
                     self.assertEqual(found, _exhaustive(selector, req))
                     if found is not None:
                         found.engine.start(_request(f"n{rng.random()}", "new"), ())
@@ -90,7 +91,8 @@
         selector = EngineSelector(list(placer.engines.values()), demand, WantedVersions(), NOW_MS)
         with mock.patch.object(Engine, "evictable", autospec=True) as looks:
             looks.side_effect = _EVICTABLE
-            self.assertIsNotNone(selector._best_with_load(_request("t", "new"), True))
+            found = selector._best_with_load(_request("t", "new"), True, OBJECTIVE_MS)
+            self.assertIsNotNone(found)
         self.assertLess(looks.call_count, ENGINES / 2)
 
     def test_a_request_whose_adapter_is_held_looks_at_its_holders_only(self) -> None:
@@ -98,6 +100,7 @@
         placer, _ = _full_engines(random.Random(3), self.clock)
         holder = placer.engines["e7"]
         holder.running.clear()
+        holder.speed.rescale(1 / holder.speed.usual, NOW_MS)
         placer.submit(_request("t", "h7-1"))
         with mock.patch.object(Engine, "prefill_wait_ms", autospec=True, return_value=0.0) as looks:
             self.assertEqual([one.instance for one in placer.decide()], ["e7"])
