--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -239,8 +239,8 @@
 
     @property
     def slow_engines(self) -> int:
-        """Number of engines that usually differ from their service."""
-        return sum(one.speed.is_unusual for one in self._placer.engines.values())
+        """Number of engines that are usually slower than their service."""
+        return sum(one.speed.is_slow for one in self._placer.engines.values())
 
     @property
     def slowed_engines(self) -> int:
--- a/chestnutfall/coordination/speed_log.py
+++ b/chestnutfall/coordination/speed_log.py
@@ -1,4 +1,4 @@
-"""Log lines about engines that are slower or faster than others of their service."""
+"""Log lines about engines that are slower than others of their service."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 
 log = logging.getLogger(__name__)
 LASTS_MS = 2_000
-"""An engine is logged when it differs for this long, so that a few late answers log nothing."""
+"""An engine is logged when it is slow for this long, so that a few late answers log nothing."""
 MAX_LINES = 8
 """Lines each time; when a whole data centre turns slow, the rest is counted."""
 
 
 class SpeedLog:
-    """Logs which engines differ from their service, since when, and when they no longer do."""
+    """Logs which engines are slower than their service, since when, and when they no longer are."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -245,7 +245,7 @@
         if self.speed.refresh(now_ms) or self.health.is_failing(now_ms):
             return
         ratios.append(self._usual_gap.ratio(times.gap_ms))
-        if self.speed.is_typical:
+        if not self.speed.is_slow:
             self._usual_gap.note(times.gap_ms)
         known = [ratio for ratio in ratios if ratio is not None]
         if known:
--- a/chestnutfall/placement/engine_kinds.py
+++ b/chestnutfall/placement/engine_kinds.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import statistics
 from collections.abc import Collection, Iterable, Iterator
 
@@ -16,7 +15,7 @@
 """Part by which the figures of a service are corrected each second if half of its engines differ
 from them in the same direction. What holds for an engine is the product, which stays the same."""
 MAX_RATIOS = 64
-"""Engines of a service whose own speeds are stored, those that differ most first."""
+"""Engines of a service whose own speeds are stored, the slowest first."""
 
 
 class EngineKinds:
@@ -80,12 +79,12 @@
                     # A store is busy for seconds only. If the time of a busy second were stored,
                     # the next leader would wait that long for each of its first loads.
                     statistics.median(one.load_time.usual_ms for one in own),
-                    _unusual_ratios(own),
+                    _slow_ratios(own),
                 )
 
 
-def _unusual_ratios(engines: Iterable[Engine]) -> dict[str, float]:
-    """Return the ratios of the engines that differ most from their service."""
-    unusual = [one for one in engines if one.speed.is_unusual]
-    unusual.sort(key=lambda one: abs(math.log(one.speed.usual)), reverse=True)
-    return {one.instance: round(one.speed.usual, 2) for one in unusual[:MAX_RATIOS]}
+def _slow_ratios(engines: Iterable[Engine]) -> dict[str, float]:
+    """Return the ratios of the slowest engines."""
+    slow = [one for one in engines if one.speed.is_slow]
+    slow.sort(key=lambda one: one.speed.usual, reverse=True)
+    return {one.instance: round(one.speed.usual, 2) for one in slow[:MAX_RATIOS]}
--- a/chestnutfall/placement/engine_speed.py
+++ b/chestnutfall/placement/engine_speed.py
@@ -15,11 +15,10 @@
 MAX_RATIO = 16.0
 """A ratio beyond this is no speed: the answer was held up on its way, by a cut or lost packets."""
 EQUAL_WITHIN = 1.25
-"""Up to this ratio, either way, an engine counts as equal to its service. Prompts that wait for one
-another make a busy engine seem slower by a tenth or two."""
-TYPICAL_WITHIN = 1.5
-"""Engines up to this ratio contribute to the figures of their service; slower ones have a problem
-of their own."""
+"""Up to this ratio an engine counts as equal to its service, and contributes to its figures. Prompts
+that wait for one another make a busy engine seem slower by a tenth or two. A faster one counts as
+equal, too: prompts that are processed together make a busy engine seem faster than expected, and it
+would attract more of them."""
 TOGETHER_MS = 10
 """Of answers that come within this time, one counts: after a cut, all that it held up come at
 once."""
@@ -51,7 +50,7 @@
     reported : float
         The reported slowdown alone; 1 where none is in force.
     slow_since_ms : int or None
-        Clock time since which the usual ratio is beyond `EQUAL_WITHIN`; None if it is not.
+        Clock time since which the usual ratio is above `EQUAL_WITHIN`; None if it is not.
     """
 
     def __init__(self, usual: float = 1.0) -> None:
@@ -66,18 +65,13 @@
 
     @property
     def usual_factor(self) -> float:
-        """The usual ratio; 1 where it is so near to 1 that the engine counts as equal."""
-        return self.usual if self.is_unusual else 1.0
+        """The usual ratio; 1 where the engine counts as equal."""
+        return self.usual if self.is_slow else 1.0
 
     @property
-    def is_unusual(self) -> bool:
-        """Whether the engine usually differs from its service."""
-        return not 1 / EQUAL_WITHIN <= self.usual <= EQUAL_WITHIN
-
-    @property
-    def is_typical(self) -> bool:
-        """Whether the figures of the service may be learned from this engine."""
-        return self.usual <= TYPICAL_WITHIN
+    def is_slow(self) -> bool:
+        """Whether the engine is usually slower than its service."""
+        return self.usual > EQUAL_WITHIN
 
     def stretched_ms(self, work_ms: float) -> float:
         """Time that work takes from now on if it usually takes `work_ms` on this engine.
@@ -126,7 +120,7 @@
     def _set_usual(self, usual: float, now_ms: int) -> None:
         self.usual = min(max(usual, 1 / MAX_RATIO), MAX_RATIO)
         self.slowness = self.usual_factor * self.reported
-        if not self.is_unusual:
+        if not self.is_slow:
             self.slow_since_ms = None
         elif self.slow_since_ms is None:
             self.slow_since_ms = now_ms
--- a/chestnutfall/placement/prefill_schedule.py
+++ b/chestnutfall/placement/prefill_schedule.py
@@ -130,7 +130,7 @@
         if sent is None or first_ms <= 0 or sent.slowed:
             return None
         ratio = first_ms / self._speed.expected_ms(sent.tokens)
-        if self._own.is_typical:
+        if not self._own.is_slow:
             self._speed.note(sent.tokens, first_ms)
         return ratio
 
