--- a/chestnutfall/placement/engine_speed.py
+++ b/chestnutfall/placement/engine_speed.py
@@ -15,10 +15,10 @@
 MAX_RATIO = 16.0
 """A ratio beyond this is no speed: the answer was held up on its way, by a cut or lost packets."""
 EQUAL_WITHIN = 1.25
-"""Up to this ratio an engine counts as equal to its service, and contributes to its figures. Prompts
-that wait for one another make a busy engine seem slower by a tenth or two. A faster one counts as
-equal, too: prompts that are processed together make a busy engine seem faster than expected, and it
-would attract more of them."""
+"""Up to this ratio an engine counts as equal to its service, and contributes to its figures.
+Prompts that wait for one another make a busy engine seem slower by a tenth or two. A faster one
+counts as equal, too: prompts that are processed together make a busy engine seem faster than
+expected, and it would attract more of them."""
 TOGETHER_MS = 10
 """Of answers that come within this time, one counts: after a cut, all that it held up come at
 once."""
