--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -26,6 +26,7 @@
 from ..settings.quota_bounds import QuotaBounds
 from ..settings.repeat_bounds import RepeatBounds
 from ..signals.backoff_registry import BackoffRegistry
+from ..signals.engine_loads import EngineLoads
 from ..signals.messages import HeardBackoff
 from .backoff_coordinator import BackoffCoordinator
 from .document_compression import decompress_document
@@ -213,6 +214,9 @@
                     self._quotas.charge(use.organisation, use.units)
                 self._broadcaster.send_quotas()
                 return
+            case EngineLoads(slowdowns):
+                self._placer.slowed.note_all(slowdowns)
+                return
             case HeardLimit():
                 self._limits.record_limit(session, msg)
             case HeardBackoff():
@@ -238,6 +242,16 @@
                 self._sessions.release_ticket(ticket)
         self._wake.set()
 
+    @property
+    def slow_engines(self) -> int:
+        """Number of engines that are usually slower than their service."""
+        return sum(one.speed.is_slow for one in self._placer.engines.values())
+
+    @property
+    def slowed_engines(self) -> int:
+        """Number of engines that reported that other work slows them down now."""
+        return len(self._placer.slowed)
+
     def _note_process_end(self, report: CrashReport) -> None:
         if isinstance(report, BrokenRun) and report.refuses:
             self._upstreams.ended(report.instance)
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -11,6 +11,7 @@
 from ..placement import Grant, PlaceRequest, Reject
 from ..placement.run_times import NO_TIMES, RunTimes
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, UsedQuota, WasShort
+from ..signals.engine_loads import EngineLoads
 from ..signals.messages import BackoffHints, HeardBackoff
 from ..wire import Codec
 
@@ -107,9 +108,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Controllers:
-    """Addresses of all controllers."""
+    """The controllers.
+
+    Attributes
+    ----------
+    addresses : tuple of str
+        Addresses of all of them.
+    reads_loads : bool
+        Whether the leader understands `EngineLoads`. One of an earlier release ends a stream with a
+        message that it doesn't know.
+    """
 
     addresses: tuple[str, ...]
+    reads_loads: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,6 +244,7 @@
     | AskQuota
     | AskTurn
     | EndTurn
+    | EngineLoads
     | HeardBackoff
     | HeardLimit
     | RunningCalls
@@ -256,6 +268,7 @@
     BrokenRun,
     Controllers,
     EndTurn,
+    EngineLoads,
     GatewayCount,
     GatewayHello,
     Grant,
--- a/chestnutfall/placement/engine_selector.py
+++ b/chestnutfall/placement/engine_selector.py
@@ -86,6 +86,7 @@
         self._now_ms = now_ms
         self.barred: Collection[str] = ()
         self._standings: dict[str, tuple[float, PrefillRoom]] = {}
+        self._slow_first_ms: dict[str, float] = {}
         self._available: set[AdapterName] | None = None
         schedules = [one.prefill for one in self._engines]
         self._first_ms = RELAY_DELAY_MS + min((one.first_ms for one in schedules), default=0.0)
@@ -128,10 +129,12 @@
             Time left until its first event is late.
         """
         in_time = self.can_be_in_time(req, objective_ms)
-        held = _cheapest(self._options_without_load(req, prefixes, in_time))
+        held = _cheapest(self._options_without_load(req, prefixes, in_time, objective_ms))
         if held is not None and held.cost_ms <= GOOD_ENOUGH_MS:
             return held
-        loaded = self._best_with_load(req, in_time) if req.adapter.adapter else None
+        loaded = None
+        if req.adapter.adapter:
+            loaded = self._best_with_load(req, in_time, objective_ms)
         if held is None and loaded is not None and self._may_wait(req, loaded, objective_ms):
             return None
         return _cheapest(one for one in (held, loaded) if one is not None)
@@ -226,7 +229,7 @@
             self._load_options.refresh(engine, self._least_cost_with_load_ms(engine))
 
     def _options_without_load(
-        self, req: PlaceRequest, prefixes: Prefixes, in_time: bool
+        self, req: PlaceRequest, prefixes: Prefixes, in_time: bool, objective_ms: float
     ) -> Iterator[PlaceOption]:
         """Yield the engines that hold the adapter or load it already."""
         name = req.adapter
@@ -237,23 +240,28 @@
             if not self._may_take(req, engine) or not self._standing(engine)[1].admits(in_time):
                 continue
             wait_ms = max(held.ready_ms - self._now_ms, 0) if held is not None else 0
-            cost_ms = self._cost_ms(req, engine) + engine.prefill_ms(req, prefixes)
+            prefill_ms = engine.prefill_ms(req, prefixes)
+            if in_time and self._is_too_slow(engine, wait_ms + prefill_ms, objective_ms):
+                continue
+            cost_ms = self._cost_ms(req, engine) + prefill_ms
             yield PlaceOption(engine, cost_ms + max(wait_ms, _batch_wait_ms(engine)))
 
-    def _best_with_load(self, req: PlaceRequest, in_time: bool) -> PlaceOption | None:
+    def _best_with_load(
+        self, req: PlaceRequest, in_time: bool, objective_ms: float
+    ) -> PlaceOption | None:
         """Return the cheapest engine that would have to load the adapter first."""
         least_prefill_ms = req.prompt_tokens * self._ms_per_token
         best: tuple[tuple[float, int], PlaceOption] | None = None
         for least_ms, order, engine in self._load_options.by_cost(req.adapter):
             if best is not None and least_ms + least_prefill_ms > best[0][0] + ROUNDING_MS:
                 break
-            option = self._option_with_load(req, engine, in_time)
+            option = self._option_with_load(req, engine, in_time, objective_ms)
             if option is not None and (best is None or (option.cost_ms, order) < best[0]):
                 best = (option.cost_ms, order), option
         return best[1] if best is not None else None
 
     def _option_with_load(
-        self, req: PlaceRequest, engine: Engine, in_time: bool
+        self, req: PlaceRequest, engine: Engine, in_time: bool, objective_ms: float
     ) -> PlaceOption | None:
         """Return the cost of a load of the adapter on `engine`; None if it can't take the request.
 
@@ -275,9 +283,11 @@
         if eviction is None:
             return None
         # An engine drops an adapter's cached prompts with it: all tokens need prefill.
-        prefill_ms = req.prompt_tokens * engine.prefill.ms_per_token
+        prefill_ms = engine.expected_prefill_ms(req.prompt_tokens)
         has_copy = engine.likely_has_copy(req.adapter)
         load_ms = self._expected_load_ms(engine, has_copy)
+        if in_time and self._is_too_slow(engine, load_ms + prefill_ms, objective_ms):
+            return None
         cost_ms = self._cost_ms(req, engine) + prefill_ms + load_ms * eviction.reloads
         cost_ms += max(load_ms, _batch_wait_ms(engine))
         if not has_copy:
@@ -315,11 +325,31 @@
         known = self._standings.get(engine.instance)
         if known is not None:
             return known
-        cost_ms = engine.prefill_wait_ms(self._now_ms) + engine.health.cost_ms(self._now_ms)
-        cost_ms += RUNNING_COST_MS * len(engine.running)
+        wait_ms = engine.prefill_wait_ms(self._now_ms)
+        slowness = engine.slowness
+        cost_ms = wait_ms + engine.health.cost_ms(self._now_ms)
+        cost_ms += RUNNING_COST_MS * slowness * len(engine.running)
+        if slowness != 1:
+            first_ms = engine.prefill.first_ms
+            cost_ms += first_ms - first_ms / slowness
+            self._slow_first_ms[engine.instance] = RELAY_DELAY_MS + wait_ms + first_ms
         self._standings[engine.instance] = cost_ms, engine.prefill_room(self._now_ms)
         return self._standings[engine.instance]
 
+    def _is_too_slow(self, engine: Engine, prefill_ms: float, objective_ms: float) -> bool:
+        """Whether the first event would be late there because of the engine's own speed.
+
+        A request that can be in time elsewhere waits for that. Engines as fast as their service are
+        not looked at: whether these can be in time was decided for all of them together.
+
+        Parameters
+        ----------
+        prefill_ms : float
+            Time of the load that the request waits for, and of its own prefill.
+        """
+        slow_first_ms = self._slow_first_ms.get(engine.instance)
+        return slow_first_ms is not None and slow_first_ms + prefill_ms > objective_ms
+
     def _cost_ms(self, req: PlaceRequest, engine: Engine) -> float:
         """Expected time to the first event without prefill and load."""
         cost_ms = self._standing(engine)[0]
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -18,6 +18,7 @@
 from .idle_connections import IdleConnections
 from .room import NoRoom, StandInRoom
 from .run_registry import RunRegistry
+from .uneven_speed import UnevenSpeed
 
 MODEL = "base"
 ADAPTER_SLOTS = 4
@@ -69,6 +70,8 @@
         Whether these refusals carry the proof that the request did not run.
     leaving : bool
         Whether its answers carry the header that it leaves.
+    speed : UnevenSpeed or None
+        Speed of an engine, whose answers then report its load; None for one of the usual speed.
     announces_draining : bool
         Whether its announcements have the state "draining".
     room : StandInRoom
@@ -108,6 +111,7 @@
         self.backoff: str | None = None
         self.marks_not_executed = True
         self.leaving = False
+        self.speed: UnevenSpeed | None = None
         self.announces_draining = False
         self.room = StandInRoom()
         self.idle = IdleConnections()
@@ -281,7 +285,7 @@
         self._running.append(name)
         self._note_run(request, request_id, body)
         try:
-            await asyncio.sleep(self._rng.uniform(0.002, 0.03))
+            await self._work(self._rng.uniform(0.002, 0.03))
             return await self._stream(request, request_id, name)
         finally:
             self._end_run(name)
@@ -331,6 +335,8 @@
             headers[names.LEAVING] = "1"
         if not self._is_engine:
             headers[names.LOAD] = self.room.load()
+        elif self.speed is not None:
+            headers[names.LOAD] = self.speed.load(len(self._running), BATCH, time.monotonic())
         return headers
 
     async def _stream(
@@ -345,10 +351,16 @@
                     f"{self.instance}: {name} was evicted while it served"
                 )
             await response.write(stream_event(request_id, number))
-            await asyncio.sleep(0.01)
+            await self._work(0.01)
         await response.write_eof()
         return response
 
+    async def _work(self, work_s: float) -> None:
+        """Pass the time that work takes at the speed of this upstream."""
+        if self.speed is not None:
+            work_s = self.speed.stretched_s(work_s, time.monotonic())
+        await asyncio.sleep(work_s)
+
 
 def _seconds(text: str) -> float:
     """Parse a Retry-After in seconds; 0 if it is not a valid time."""
