Survive SIGHUP while a program starts

Cause: until a program sets its handler, SIGHUP ends it without a log line. Change: the launcher ignores SIGHUP from its first line; the settings file is read after that. The soak starts programs by the launcher, as the deploy file does. Two mutants of the read timer follow its code.

--- a/chestnutfall/programs/launch.py
+++ b/chestnutfall/programs/launch.py
@@ -8,11 +8,15 @@
 
 import gc
 import importlib
+import signal
 import sys
 
 
 def main() -> None:
     """Run the program of `chestnutfall.platform` that the first argument names."""
+    # Until the program handles SIGHUP, the signal would end the process without a log line. The
+    # program reads the settings file after this, so that no change is missed.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # What the imports create lives as long as the process, so collections during them would free
     # nothing. `event_loop.run` enables the collector again.
     gc.disable()
--- a/chestnutfall/tests/test_deploy.py
+++ b/chestnutfall/tests/test_deploy.py
@@ -57,6 +57,19 @@
 sys.argv = ["launch", sys.argv[1]]
 launch.main()
 """
+SIGNALLED = """
+import os, signal, sys
+from chestnutfall.programs import launch
+
+class Program:
+    def main():
+        os.kill(os.getpid(), signal.SIGHUP)
+        print("started")
+
+sys.modules["chestnutfall.platform.gateway"] = Program
+sys.argv = ["launch", "gateway"]
+launch.main()
+"""
 NEVER_IMPORTED = (
     "aiohttp.web_app",
     "aiohttp.web_urldispatcher",
@@ -170,6 +183,13 @@
             with self.subTest(program):
                 self.assertEqual(_launch(program)[:3], (program, "False", "True"))
 
+    # Guards against a gateway that ends without a log line when its settings file changes while it
+    # starts: until the program handles SIGHUP, the signal ends the process.
+    def test_sighup_during_the_start_does_not_end_a_program(self) -> None:
+        command = [sys.executable, "-c", SIGNALLED]
+        done = subprocess.run(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
+        self.assertEqual((done.returncode, done.stdout), (0, "started\n"))
+
     def test_deploy_file_starts_each_program_without_site(self) -> None:
         """`site` searches the host's packages, which no program uses, at each start."""
         roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text("utf-8"))["roles"]
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -5,6 +5,13 @@
 from ..mutant import Mutant
 
 FLEET_MUTANTS = (
+    Mutant(
+        "SIGHUP ends a program that starts",
+        "chestnutfall/programs/launch.py",
+        "    signal.signal(signal.SIGHUP, signal.SIG_IGN)\n",
+        "",
+        "chestnutfall.tests.test_deploy",
+    ),
     Mutant(
         "first word awaited equally long each time",
         "chestnutfall/forwarding/first_message_timeouts.py",
@@ -141,8 +148,8 @@
     Mutant(
         "the timer of a longer timeout is kept",
         "chestnutfall/platform/lazy_read_timeout.py",
-        "if handle is None or handle.when() > self._read_deadline_s:",
-        "if handle is None:",
+        "if self._read_timeout_handle is None or self._timer_ends_s > self._read_deadline_s:",
+        "if self._read_timeout_handle is None:",
         "chestnutfall.tests.test_relay_costs",
     ),
     Mutant(
--- a/soak/daemon.py
+++ b/soak/daemon.py
@@ -13,6 +13,7 @@
 from chestnutfall.platform.standin.node_writer import NodePlan, Ports, write_node_file
 
 ROOT = Path(__file__).resolve().parents[1]
+LAUNCHER = "chestnutfall.programs.launch"
 
 
 class Daemon:
@@ -20,8 +21,8 @@
 
     Parameters
     ----------
-    module : str
-        Module that is started with `python -m`.
+    role : str
+        Program to start, through the launcher that the deploy file uses.
     folder : Path
         Folder for the settings file and the log.
 
@@ -33,10 +34,10 @@
         Whether the process is stopped by SIGSTOP.
     """
 
-    def __init__(self, module: str, folder: Path, plan: NodePlan, ports: Ports) -> None:
+    def __init__(self, role: str, folder: Path, plan: NodePlan, ports: Ports) -> None:
         self.plan = plan
         self.paused = False
-        self._module = module
+        self._role = role
         self._folder = folder
         self._ports = ports
         self._process: asyncio.subprocess.Process | None = None
@@ -66,7 +67,14 @@
         env = os.environ | {PATH_VARIABLE: str(self._folder / "node.toml")}
         with open(self._folder / "log", "ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", self._module, cwd=ROOT, env=env, stdout=log, stderr=log
+                sys.executable,
+                "-m",
+                LAUNCHER,
+                self._role,
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
             )
 
     @property
--- a/soak/office.py
+++ b/soak/office.py
@@ -52,7 +52,7 @@
         seeds = tuple(ips)
         self.controllers = [
             Daemon(
-                "chestnutfall.platform.controller",
+                "controller",
                 folder / f"c{at}",
                 NodePlan(ip, f"c{at}", str(folder / f"c{at}" / "data"), seeds, True),
                 self._ports,
@@ -61,7 +61,7 @@
         ]
         self.gateways = [
             Daemon(
-                "chestnutfall.platform.gateway",
+                "gateway",
                 folder / f"g{at}",
                 NodePlan(f"{network}.{at + 101}", f"g{at}", "", seeds, True),
                 self._ports,
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -22,4 +22,5 @@
     Regression(
         1, 0.1, "an upstream's 503 was passed on for a request that another one had run before"
     ),
+    Regression(11, 0.7, "SIGHUP ended a gateway that was just being started again"),
 )
