--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from ..concurrency.messages import EndTurn, RoomInForce, RunningCalls, ShortageReport
 from ..control.crash_messages import AnsweredRun, BrokenRun, SuspectRequests
 from ..control.upstream_record import UpstreamRecord
 from ..limits.messages import AnswerTurn, AskTurn, HeardLimit, LimitsInForce
@@ -243,8 +244,11 @@
     | AskQuota
     | AskTurn
     | EngineLoads
+    | EndTurn
     | HeardBackoff
     | HeardLimit
+    | RunningCalls
+    | ShortageReport
     | UsedQuota
     | WasShort
     | BrokenRun
@@ -264,6 +268,7 @@
     BrokenRun,
     Controllers,
     EngineLoads,
+    EndTurn,
     GatewayCount,
     GatewayHello,
     Grant,
@@ -278,6 +283,9 @@
     PutInForce,
     QuotaNews,
     Release,
+    RoomInForce,
+    RunningCalls,
+    ShortageReport,
     SuspectRequests,
     UpstreamsChange,
     UpstreamsPart,
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 
 from ..clock import SystemClock
+from ..concurrency.known_room import KnownRoom
+from ..concurrency.leaderless_room import LeaderlessRoom
 from ..connections import ConnectionPool
 from ..connections.connection_share import kept_connections
 from ..coordination.messages import FLEET_CODEC
@@ -73,14 +75,27 @@
     backoffs = KnownBackoffs(fleet.send, clock)
     signals = KnownSignals(upstream_limits, backoffs, clock)
     fleet.on_limits, fleet.on_hints = upstream_limits.apply, backoffs.apply_hints
-    fleet.signals_to_resend = signals.reports_for_new_leader
+    room = KnownRoom(fleet.send, LeaderlessRoom(lambda: known.gateways, clock, rng), clock)
+    fleet.on_room = room.apply
+    fleet.signals_to_resend = lambda: (
+        *signals.reports_for_new_leader(),
+        *room.reports_for_new_leader(),
+    )
     forwarder = Forwarder(
         known,
         Admission(quotas),
         Repeats(settings.repeats, lambda: known.gateways, fleet.borrow_repeat, clock, rng),
         EngineUpstreamSelector(fleet, signals, clock, name, settings.data_centre),
         PlainUpstreamSelector(
-            known.upstreams, signals, leader_turn_client(fleet), clock, settings.data_centre, rng
+            known.upstreams,
+            signals,
+            leader_turn_client(fleet, clock),
+            clock,
+            settings.data_centre,
+            rng,
+            room,
+            fleet.send,
+            api.has_open_connection,
         ),
         Sender(api, signals, clock, metrics),
         signals,
@@ -101,6 +116,7 @@
         metrics.gauge("connected", fleet.connected)
         metrics.gauge("limited_upstreams", len(upstream_limits))
         metrics.gauge("upstreams_backing_off", len(backoffs))
+        metrics.gauge("services_short_of_room", len(room))
         metrics.gauge("upstream_connections_idle", len(pool))
         for figure, value in FLEET_CODEC.traffic.counters():
             metrics.total(figure, value)
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -16,6 +16,7 @@
 from .. import header_names as names
 from ..listening import Listener, listen
 from .idle_connections import IdleConnections
+from .room import NoRoom, StandInRoom
 from .run_registry import RunRegistry
 from .uneven_speed import UnevenSpeed
 
@@ -73,6 +74,8 @@
         Speed of an engine, whose answers then report its load; None for one of the usual speed.
     announces_draining : bool
         Whether its announcements have the state "draining".
+    room : StandInRoom
+        Places of an upstream of a plain service; a new one after each restart.
     idle : IdleConnections
         Connections of gateways that wait for their next request.
     """
@@ -110,6 +113,7 @@
         self.leaving = False
         self.speed: UnevenSpeed | None = None
         self.announces_draining = False
+        self.room = StandInRoom()
         self.idle = IdleConnections()
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
@@ -162,6 +166,8 @@
         self._orders_taken = self._newest_token = 0
         self.backoff, self.leaving, self.announces_draining = None, False, False
         self._adapters, self._loading, self._unloading, self._running = {}, {}, set(), []
+        refused, self.room = self.room.refused, StandInRoom()
+        self.room.refused = refused
         await self._listen(self.address)
         await self.on_start()
         self._ending = None
@@ -272,22 +278,37 @@
         name = request.headers.get(names.MODEL, "").partition("/")[2]
         if self._is_engine and name not in self._adapters:
             return self._answer(request_id, 421, {names.INSTANCE: self.instance})
+        if not self._is_engine:
+            return await self._run_plain(request, request_id, body)
         if len(self._running) >= BATCH or name in self._unloading:
             return self._answer(request_id, 503, {names.NOT_EXECUTED: "1"})
         self._running.append(name)
+        self._note_run(request, request_id, body)
+        try:
+            await self._work(self._rng.uniform(0.002, 0.03))
+            return await self._stream(request, request_id, name)
+        finally:
+            self._end_run(name)
+
+    async def _run_plain(
+        self, request: web.BaseRequest, request_id: str, body: bytes
+    ) -> web.StreamResponse:
+        room = self.room
+        try:
+            async with room.place():
+                self._note_run(request, request_id, body)
+                await asyncio.sleep(self._rng.uniform(0.002, 0.03) * room.slowdown)
+                return self._answer(request_id, 200, {}, answer_body(request_id))
+        except NoRoom:
+            return self._answer(request_id, 503, {names.NOT_EXECUTED: "1"})
+
+    def _note_run(self, request: web.BaseRequest, request_id: str, body: bytes) -> None:
         if names.KEY in request.headers:
             self._registry.note_violation(f"{self.instance}: got the key of {request_id}")
         self._registry.note_run(request_id, request.headers.get(names.ORGANISATION, ""))
         if body.startswith(FATAL_BODY) and self._ending is None:
             self._registry.ends[body] += 1
             self._ending = asyncio.ensure_future(self._end_and_restart())
-        try:
-            await self._work(self._rng.uniform(0.002, 0.03))
-            if not self._is_engine:
-                return self._answer(request_id, 200, {}, answer_body(request_id))
-            return await self._stream(request, request_id, name)
-        finally:
-            self._end_run(name)
 
     def _answer(
         self, request_id: str, status: int, headers: dict[str, str], body: bytes = b""
@@ -312,8 +333,10 @@
             headers[names.REQUEST_LIMIT] = self.limit
         if self.leaving:
             headers[names.LEAVING] = "1"
-        if self.speed is not None:
+        if self._is_engine and self.speed is not None:
             headers[names.LOAD] = self.speed.load(len(self._running), BATCH, time.monotonic())
+        elif not self._is_engine:
+            headers[names.LOAD] = self.room.load()
         return headers
 
     async def _stream(
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -11,6 +11,7 @@
 from .placement_mutants import PLACEMENT_MUTANTS
 from .quarantine_mutants import QUARANTINE_MUTANTS
 from .quota_mutants import QUOTA_MUTANTS
+from .room_mutants import ROOM_MUTANTS
 from .signal_mutants import SIGNAL_MUTANTS
 from .speed_mutants import SPEED_MUTANTS
 
@@ -25,6 +26,7 @@
     *QUOTA_MUTANTS,
     *SIGNAL_MUTANTS,
     *LIMIT_MUTANTS,
+    *ROOM_MUTANTS,
     *CONNECTION_MUTANTS,
 )
 
