--- /dev/null
+++ b/chestnutfall/coordination/gateway_observations.py
@@ -0,0 +1,60 @@
+"""What gateways observe of upstreams, as far as it concerns all gateways."""
+
+from __future__ import annotations
+
+import logging
+
+from ..clock import Clock
+from ..control.crash_messages import BrokenRun, CrashReport
+from ..control.crash_monitor import CrashMonitor
+from ..placement import RunOutcome
+from ..placement.placer import Placer
+from ..placement.run_times import RunTimes
+from .upstream_tracker import UpstreamTracker
+
+log = logging.getLogger(__name__)
+
+
+class GatewayObservations:
+    """Passes the ends of sends to placement, and what they show of upstreams to the tracker."""
+
+    def __init__(
+        self, placer: Placer, upstreams: UpstreamTracker, crashes: CrashMonitor, clock: Clock
+    ) -> None:
+        self._placer = placer
+        self._upstreams = upstreams
+        self._crashes = crashes
+        self._clock = clock
+
+    def released(self, gateway: str, ticket: str, outcome: RunOutcome, times: RunTimes) -> None:
+        """Process the end of a send to an engine."""
+        instance = self._placer.instance_of(ticket)
+        if outcome is RunOutcome.UNREACHABLE:
+            self._upstreams.unreachable(instance, gateway)
+        elif outcome is RunOutcome.DONE and instance:
+            # An engine that gateways reach serves, even if it is cut off from the controllers.
+            self._upstreams.answered(instance)
+        self._release(gateway, instance, ticket, outcome, times)
+
+    def _release(
+        self, gateway: str, instance: str, ticket: str, outcome: RunOutcome, times: RunTimes
+    ) -> None:
+        was_ejected = self._is_ejected(instance)
+        self._placer.release(ticket, outcome, times)
+        if self._is_ejected(instance) and not was_ejected:
+            log.info(
+                "engine: ejected instance=%s gateway=%s outcome=%s",
+                instance,
+                gateway,
+                outcome.value,
+            )
+
+    def _is_ejected(self, instance: str) -> bool:
+        engine = self._placer.engines.get(instance)
+        return engine is not None and engine.health.is_ejected(self._clock.now_ms())
+
+    def reported(self, gateway: str, report: CrashReport) -> None:
+        """Process a report of a broken or a complete answer."""
+        self._crashes.handle_report(report)
+        if isinstance(report, BrokenRun) and report.refuses:
+            self._upstreams.ended(report.instance, gateway)
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -12,14 +12,13 @@
 from ..consensus import Replica
 from ..control.commands import Command, NameVersion, PutDocument
 from ..control.control_state import ControlState
-from ..control.crash_messages import AnsweredRun, BrokenRun, CrashReport
+from ..control.crash_messages import AnsweredRun, BrokenRun
 from ..control.crash_monitor import CrashMonitor
 from ..control.upstream_record import UpstreamRecord
 from ..limits.limit_registry import LimitRegistry
 from ..limits.messages import AskTurn, HeardLimit
 from ..placement import AdapterName, Decision, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.placer import Placer
-from ..placement.run_times import RunTimes
 from ..quota.messages import AskQuota, UsedQuota, WasShort
 from ..quota.quota_ledger import QuotaLedger
 from ..routes import DocumentCodec, RouteTable
@@ -33,6 +32,7 @@
 from .engine_control import EngineControl
 from .engine_kind_recorder import EngineKindRecorder
 from .gateway_broadcaster import GatewayBroadcaster
+from .gateway_observations import GatewayObservations
 from .gateway_session import GatewaySession
 from .gateway_sessions import GatewaySessions
 from .limit_coordinator import LimitCoordinator
@@ -112,6 +112,9 @@
             self._on_serving,
             self._wake.set,
         )
+        self._observations = GatewayObservations(
+            self._placer, self._upstreams, self._crashes, clock
+        )
 
     # Lifecycle
 
@@ -228,14 +231,13 @@
             case RunningCalls() | ShortageReport():
                 self._limits.record_room(session, msg)
             case BrokenRun() | AnsweredRun():
-                self._crashes.handle_report(msg)
-                self._note_process_end(msg)
+                self._observations.reported(session.gateway, msg)
                 return
             case PlaceRequest():
                 self._sessions.assign_ticket(msg.ticket, session)
                 self._placer.submit(msg)
             case Release(ticket, outcome, times):
-                self._on_release(ticket, RunOutcome(outcome), times)
+                self._observations.released(session.gateway, ticket, RunOutcome(outcome), times)
                 self._sessions.release_ticket(ticket)
             case Withdraw(ticket):
                 self._placer.withdraw(ticket)
@@ -252,19 +254,6 @@
         """Number of engines that reported that other work slows them down now."""
         return len(self._placer.slowed)
 
-    def _note_process_end(self, report: CrashReport) -> None:
-        if isinstance(report, BrokenRun) and report.refuses:
-            self._upstreams.ended(report.instance)
-
-    def _on_release(self, ticket: str, outcome: RunOutcome, times: RunTimes) -> None:
-        instance = self._placer.instance_of(ticket)
-        if outcome is RunOutcome.UNREACHABLE:
-            self._upstreams.unreachable(instance)
-        elif outcome is RunOutcome.DONE and instance:
-            # An engine that gateways reach serves, even if it is cut off from the controllers.
-            self._upstreams.answered(instance)
-        self._placer.release(ticket, outcome, times)
-
     # Upstreams
 
     async def announce(self, msg: Announce) -> None:
--- a/chestnutfall/coordination/upstream_liveness.py
+++ b/chestnutfall/coordination/upstream_liveness.py
@@ -45,20 +45,37 @@
         """Note an answer as a sign of life; unlike an announcement, it does not end a suspicion."""
         self._last_seen_ms[instance] = self._clock.now_ms()
 
-    def unreachable(self, instance: str) -> None:
-        """Suspect an upstream that a gateway could not reach, if a heartbeat is missing too."""
-        if self._silent_ms(instance) > SUSPECT_AFTER_HEARTBEATS * self._heartbeat_ms:
-            self._suspected.add(instance)
+    def unreachable(self, instance: str) -> bool:
+        """Suspect an upstream that a gateway could not reach, if a heartbeat is missing too.
 
-    def ended(self, instance: str) -> None:
+        Returns
+        -------
+        bool
+            Whether it was not suspected before and is now.
+        """
+        if self._silent_ms(instance) <= SUSPECT_AFTER_HEARTBEATS * self._heartbeat_ms:
+            return False
+        return self._suspect(instance)
+
+    def ended(self, instance: str) -> bool:
         """Suspect an upstream whose answers broke off and whose port was closed directly after.
 
         Its process is gone for seconds although its last heartbeat is recent. If it still counted
         as serving, half of the requests that its callers repeat would be sent to closed ports, and
         others would wait for an adapter that no engine loads. If the process is alive after all,
         its next heartbeat shows that.
+
+        Returns
+        -------
+        bool
+            Whether it was not suspected before and is now.
         """
+        return self._suspect(instance)
+
+    def _suspect(self, instance: str) -> bool:
+        is_new = instance not in self._suspected
         self._suspected.add(instance)
+        return is_new
 
     def serving(self, records: Iterable[UpstreamRecord]) -> Iterator[UpstreamRecord]:
         """Yield the upstreams that may get new work, at most one per address.
--- a/chestnutfall/coordination/upstream_tracker.py
+++ b/chestnutfall/coordination/upstream_tracker.py
@@ -102,7 +102,9 @@
             if self._is_configured_service(record.service)
         )
         serving = sorted(self._liveness.serving(configured), key=lambda one: one.instance)
-        self._serving = {one.instance for one in serving}
+        before, self._serving = self._serving, {one.instance for one in serving}
+        for instance in before - self._serving:
+            log.info("upstream: no longer serving instance=%s", instance)
         self._on_serving(serving)
 
     # Announcements and departures
@@ -159,14 +161,18 @@
 
     # Observations of gateways
 
-    def ended(self, instance: str) -> None:
+    def ended(self, instance: str, gateway: str) -> None:
         """Note that an answer broke off and the upstream's port was closed directly after."""
-        self._liveness.ended(instance)
+        if self._liveness.ended(instance):
+            log.info("upstream: suspected instance=%s gateway=%s how=ended", instance, gateway)
         self._update_now()
 
-    def unreachable(self, instance: str) -> None:
+    def unreachable(self, instance: str, gateway: str) -> None:
         """Note that a gateway could not connect to the upstream."""
-        self._liveness.unreachable(instance)
+        if self._liveness.unreachable(instance):
+            log.info(
+                "upstream: suspected instance=%s gateway=%s how=unreachable", instance, gateway
+            )
         self.update_soon()
 
     def answered(self, instance: str) -> None:
