--- a/chestnutfall/tests/office_scenario.py
+++ b/chestnutfall/tests/office_scenario.py
@@ -7,7 +7,7 @@
 import random
 import tempfile
 import time
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Collection, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -25,10 +25,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SentRequest:
-    """The outcome of a request, and the time in seconds at which it was sent."""
+    """The outcome of a request, when it was sent in seconds, and the IP of its gateway."""
 
     sent_s: float
     result: ClientResult
+    gateway: str = ""
 
 
 @dataclass(slots=True)
@@ -76,10 +77,10 @@
 
     async def _call(self, client: StandInClient, rng: random.Random) -> None:
         while True:
-            gateway = self.office.client_address(rng.choice(self.office.gateways))
+            gateway = rng.choice(self.office.gateways)
             sent_s = time.monotonic()
-            result = await client.send(gateway, rng.choice(ROUTES))
-            self.answers.append(SentRequest(sent_s, result))
+            result = await client.send(self.office.client_address(gateway), rng.choice(ROUTES))
+            self.answers.append(SentRequest(sent_s, result, gateway.plan.ip))
             await asyncio.sleep(rng.uniform(0.0, 0.04))
 
     def engine_and_plain(self) -> tuple[StandInUpstream, StandInUpstream]:
@@ -92,6 +93,13 @@
         sent = [one.result for one in self.answers if from_s <= one.sent_s < until_s]
         return sum(result.status == 200 and result.complete for result in sent) / max(len(sent), 1)
 
+    def success_ratio_at(self, gateways: Collection[str], from_s: float) -> float:
+        """Return the share of the requests sent to some gateways since `from_s` that succeeded."""
+        sent = [
+            one.result for one in self.answers if one.sent_s >= from_s and one.gateway in gateways
+        ]
+        return sum(result.status == 200 and result.complete for result in sent) / max(len(sent), 1)
+
     def refused(self, from_s: float, until_s: float) -> list[ClientResult]:
         """Return requests sent in a time span whose answer promises that they did not run."""
         sent = (one.result for one in self.answers if from_s <= one.sent_s < until_s)
--- a/soak/daemon.py
+++ b/soak/daemon.py
@@ -12,8 +12,10 @@
 from chestnutfall.platform.node_file import PATH_VARIABLE
 from chestnutfall.platform.standin.node_writer import NodePlan, Ports, write_node_file
 
+from .relay import CUT_FILE
+
 ROOT = Path(__file__).resolve().parents[1]
-LAUNCHER = "chestnutfall.programs.launch"
+LAUNCHERS = {"controller": "chestnutfall.programs.launch", "gateway": "soak.cut_off_launch"}
 
 
 class Daemon:
@@ -69,7 +71,7 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                LAUNCHER,
+                LAUNCHERS[self._role],
                 self._role,
                 cwd=ROOT,
                 env=env,
@@ -104,6 +106,14 @@
         await self.wait_ended(5)
         self.paused = False
 
+    def cut_links(self, mode: str) -> None:
+        """Let a gateway open no connection to upstreams; `mode` says how each try ends."""
+        (self._folder / CUT_FILE).write_text(mode)
+
+    def join_links(self) -> None:
+        """Let a gateway open connections to upstreams again."""
+        (self._folder / CUT_FILE).unlink(missing_ok=True)
+
     def wipe_disk(self) -> None:
         """Delete the data folder."""
         shutil.rmtree(self.plan.data_folder, ignore_errors=True)
--- a/soak/office.py
+++ b/soak/office.py
@@ -15,7 +15,7 @@
 from chestnutfall.platform.standin.upstream import StandInUpstream
 
 from .daemon import Daemon
-from .relay import Relay
+from .relay import ConnectionFault, Relay
 
 CONTROLLERS = 3
 GATEWAYS = 3
@@ -76,6 +76,28 @@
         """Return the address at which clients reach a gateway."""
         return f"{gateway.plan.ip}:{self._ports.front}"
 
+    def cut_off(self, gateway: Daemon, connections: ConnectionFault, new: str) -> None:
+        """Cut a gateway off from all upstreams.
+
+        Parameters
+        ----------
+        connections : ConnectionFault
+            What becomes of its open connections.
+        new : str
+            How each try to open another one ends.
+        """
+        gateway.cut_links(new)
+        for relay in self.relays:
+            relay.cut[gateway.plan.ip] = connections
+            if connections is ConnectionFault.RESET:
+                relay.reset_from(gateway.plan.ip)
+
+    def join(self, gateway: Daemon) -> None:
+        """End the cut of a gateway."""
+        gateway.join_links()
+        for relay in self.relays:
+            relay.cut.pop(gateway.plan.ip, None)
+
     async def start(self) -> None:
         """Start every daemon and upstream."""
         await asyncio.gather(*(one.start(True) for one in (*self.controllers, *self.gateways)))
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -8,6 +8,10 @@
 
 CHUNK_BYTES = 16 * 1024
 """Largest number of bytes that are forwarded at once."""
+CUT_FILE = "cut"
+"""File in a gateway's folder that keeps it from opening connections to upstreams."""
+UPSTREAM_HOST = "127.0.0.1"
+"""Address on which the relays of upstreams listen."""
 
 
 class ConnectionFault(Enum):
@@ -31,6 +35,8 @@
     ----------
     fault : ConnectionFault
         Fault that is applied now, also to open connections unless it is RESET.
+    cut : dict of str to ConnectionFault
+        Faults that are applied to the connections of single gateways, by their IP.
     address : str
         Address on which it listens, valid after `start`.
     """
@@ -39,7 +45,8 @@
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self.fault = ConnectionFault.NONE
-        self.address = "127.0.0.1:0"
+        self.cut: dict[str, ConnectionFault] = {}
+        self.address = f"{UPSTREAM_HOST}:0"
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
 
@@ -60,6 +67,12 @@
         for writer in list(self._open):
             writer.transport.abort()
 
+    def reset_from(self, ip: str) -> None:
+        """Reset every open connection of one gateway."""
+        for writer in list(self._open):
+            if writer.get_extra_info("peername")[0] == ip:
+                writer.transport.abort()
+
     async def stop(self) -> None:
         """Close the port and reset every connection."""
         self.refuse()
@@ -67,7 +80,8 @@
     async def _on_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.fault is ConnectionFault.RESET:
+        ip = writer.get_extra_info("peername")[0]
+        if ConnectionFault.RESET in (self.fault, self.cut.get(ip)):
             writer.transport.abort()
             return
         try:
@@ -77,18 +91,18 @@
             return
         self._open |= {writer, target_writer}
         directions = (
-            self._forward(reader, target_writer, False),
-            self._forward(target_reader, writer, True),
+            self._forward(reader, target_writer, ip, False),
+            self._forward(target_reader, writer, ip, True),
         )
         await asyncio.gather(*directions, return_exceptions=True)
         self._open -= {writer, target_writer}
 
     async def _forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_answer: bool
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ip: str, is_answer: bool
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
-                match self.fault:
+                match self.cut.get(ip, self.fault):
                     case ConnectionFault.DELAY:
                         await asyncio.sleep(0.2)
                     case ConnectionFault.SILENCE:
