Pass sends on through a gateway that reaches the upstream

What callers saw: gateways that lost their links to all upstreams refused their callers although other gateways served the same calls, and the others refused as well, since upstreams were taken for down.

Cause: a failure of one pair of ends was taken for one of the upstream. No path led round a cut; the leader dropped an upstream for all gateways when one gateway found its port closed, and ejected an engine after two connections that one gateway could not open; requests that ran there were quarantined.

A gateway alone in its fleet still believes its own link.

Without a network: test_paths; over real connections: test_helper_links.

FleetClient takes handlers by type of message in place of one attribute each.

--- a/chestnutfall/coordination/gateway_observations.py
+++ b/chestnutfall/coordination/gateway_observations.py
@@ -29,7 +29,7 @@
     def released(self, gateway: str, ticket: str, outcome: RunOutcome, times: RunTimes) -> None:
         """Process the end of a send to an engine."""
         instance = self._placer.instance_of(ticket)
-        if outcome is RunOutcome.UNREACHABLE:
+        if outcome in (RunOutcome.UNREACHABLE, RunOutcome.NO_PATH):
             self._upstreams.unreachable(instance, gateway)
         elif outcome is RunOutcome.DONE and instance:
             # An engine that gateways reach serves, even if it is cut off from the controllers.
--- a/chestnutfall/coordination/gateway_session.py
+++ b/chestnutfall/coordination/gateway_session.py
@@ -20,14 +20,19 @@
     ----------
     gateway : str
         Name of the gateway.
+    helper_address, data_centre : str
+        Where it takes calls of gateways that are cut off, and its data centre; empty if it takes
+        none.
     tickets : set of str
         Requests of this gateway that wait for placement or are placed on an engine.
     out : asyncio.Queue
         Messages to send before any bulk message; None ends the stream.
     """
 
-    def __init__(self, gateway: str) -> None:
+    def __init__(self, gateway: str, helper_address: str = "", data_centre: str = "") -> None:
         self.gateway = gateway
+        self.helper_address = helper_address
+        self.data_centre = data_centre
         self.tickets: set[str] = set()
         self.out: asyncio.Queue[Any] = asyncio.Queue()
         self._bulk: deque[Any] = deque()
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -17,6 +17,7 @@
 from ..control.upstream_record import UpstreamRecord
 from ..limits.limit_registry import LimitRegistry
 from ..limits.messages import AskTurn, HeardLimit
+from ..paths.leader_messages import CanHelp
 from ..placement import AdapterName, Decision, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.placer import Placer
 from ..quota.messages import AskQuota, UsedQuota, WasShort
@@ -35,6 +36,7 @@
 from .gateway_observations import GatewayObservations
 from .gateway_session import GatewaySession
 from .gateway_sessions import GatewaySessions
+from .helper_directory import HelperDirectory
 from .limit_coordinator import LimitCoordinator
 from .messages import (
     AnswerRepeat,
@@ -93,6 +95,7 @@
         self._sessions = GatewaySessions()
         self._limits = LimitCoordinator(limits, backoffs, self._placer, self._sessions, clock)
         self._backoffs = BackoffCoordinator(backoffs, self._placer, self._sessions, clock)
+        self._helpers = HelperDirectory(clock)
         self._broadcaster = GatewayBroadcaster(
             self._sessions, state, self._placer, self._quotas, clock
         )
@@ -131,6 +134,7 @@
             while self.leads():
                 self._pace.begin()
                 self._broadcaster.send_due()
+                self._helpers.send_due()
                 await self._upstreams.update_if_due()
                 self._carry_out_decisions()
                 self._pace.end()
@@ -185,6 +189,7 @@
     def add_gateway(self, session: GatewaySession, document_version: int) -> None:
         """Start to serve a gateway that holds `document_version`."""
         self._sessions.add(session)
+        self._helpers.add(session)
         self._broadcaster.send_initial_state(session, document_version)
         self._limits.send_initial_state(session)
         self._backoffs.send_initial_state(session)
@@ -193,6 +198,7 @@
         """End a gateway's session and free everything that it held."""
         for ticket in self._sessions.remove(session):
             self._placer.withdraw(ticket)
+        self._helpers.remove(session)
         self._limits.remove_gateway(session)
         self._backoffs.remove_gateway(session)
 
@@ -217,6 +223,9 @@
                     self._quotas.charge(use.organisation, use.units)
                 self._broadcaster.send_quotas()
                 return
+            case CanHelp():
+                self._helpers.record(session, msg)
+                return
             case EngineLoads(slowdowns):
                 self._placer.slowed.note_all(slowdowns)
                 return
@@ -244,6 +253,11 @@
                 self._sessions.release_ticket(ticket)
         self._wake.set()
 
+    @property
+    def cut_off_gateways(self) -> int:
+        """Number of gateways that can't send calls for others, mostly since they are cut off."""
+        return self._helpers.cut_off
+
     @property
     def slow_engines(self) -> int:
         """Number of engines that are usually slower than their service."""
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -8,6 +8,7 @@
 from ..control.crash_messages import AnsweredRun, BrokenRun, SuspectRequests
 from ..control.upstream_record import UpstreamRecord
 from ..limits.messages import AnswerTurn, AskTurn, HeardLimit, LimitsInForce
+from ..paths.leader_messages import CanHelp, HelperGateways
 from ..placement import Grant, PlaceRequest, Reject
 from ..placement.run_times import NO_TIMES, RunTimes
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, UsedQuota, WasShort
@@ -32,10 +33,15 @@
         Name of the gateway.
     document_version : int
         Version of the document that the gateway holds.
+    helper_address, data_centre : str
+        Where it takes calls of gateways that are cut off, and its data centre; empty if it takes
+        none.
     """
 
     gateway: str
     document_version: int
+    helper_address: str = ""
+    data_centre: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,6 +249,7 @@
     | AskRepeat
     | AskQuota
     | AskTurn
+    | CanHelp
     | EndTurn
     | EngineLoads
     | HeardBackoff
@@ -266,6 +273,7 @@
     AskTurn,
     BackoffHints,
     BrokenRun,
+    CanHelp,
     Controllers,
     EndTurn,
     EngineLoads,
@@ -274,6 +282,7 @@
     Grant,
     HeardBackoff,
     HeardLimit,
+    HelperGateways,
     HoldingsChange,
     LimitsInForce,
     NotLeading,
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -7,7 +7,7 @@
 import itertools
 import logging
 from collections.abc import AsyncIterator, Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import grpc
 
@@ -26,6 +26,7 @@
     UpstreamsPart,
 )
 from ..limits.messages import AnswerTurn, AskTurn, HeardLimit, LimitsInForce
+from ..paths.leader_messages import CanHelp, HelperGateways
 from ..placement import Grant, PlaceRequest, Reject, RunOutcome
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, WasShort
 from ..signals.messages import BackoffHints, HeardBackoff
@@ -55,6 +56,12 @@
 """Bounds the closing of a dead connection, which would delay the search for the next leader."""
 
 
+Update = TypeVar(
+    "Update", SuspectRequests, QuotaNews, LimitsInForce, BackoffHints, RoomInForce, HelperGateways
+)
+Resent = HeardLimit | HeardBackoff | RunningCalls | CanHelp
+
+
 class LeaderLost(ConnectionError):
     """There is no stream to a leader; the question was not answered."""
 
@@ -68,21 +75,17 @@
         Routes, upstreams and adapter holders as last received from a leader.
     connected : bool
         Whether there is a stream to a leader, and it has sent all upstreams.
-    on_suspects : callable
-        Called with the requests that may end upstreams.
-    on_quotas : callable
-        Called with the organisations that are short of quota.
     shortage_report : callable
         Returns the organisations that were short of quota, for a new leader.
-    on_limits : callable
-        Called with the rate limits that upstreams state.
-    on_hints : callable
-        Called with the plain upstreams that asked other gateways to back off.
     signals_to_resend : callable
-        Returns the limits and backoffs received from upstreams and the calls at services that are
-        short of room, for a new leader.
-    on_room : callable
-        Called with the services that are short of room.
+        Returns what this gateway knows of upstreams and a new leader does not: limits, backoffs,
+        running calls, and whether it can help others.
+
+    Parameters
+    ----------
+    helper_address, data_centre : str
+        Where this gateway takes calls of gateways that are cut off, and its data centre; empty if
+        it takes none.
     """
 
     def __init__(
@@ -91,8 +94,11 @@
         controllers: tuple[str, ...],
         knowledge: FleetKnowledge,
         clock: Clock,
+        helper_address: str = "",
+        data_centre: str = "",
     ) -> None:
         self._gateway = gateway
+        self._helper_address, self._data_centre = helper_address, data_centre
         self._configured = controllers
         self.knowledge = knowledge
         self._clock = clock
@@ -104,15 +110,13 @@
         self._numbers = itertools.count()
         self._connected_event = asyncio.Event()
         self._reports = RecentReports(clock)
-        self.on_suspects: Callable[[SuspectRequests], None] = lambda suspects: None
-        self.on_quotas: Callable[[QuotaNews], None] = lambda update: None
+        self._handlers: dict[type, Callable[[Any], None]] = {}
         self.shortage_report: Callable[[], WasShort] = lambda: WasShort(())
-        self.on_limits: Callable[[LimitsInForce], None] = lambda limits: None
-        self.on_hints: Callable[[BackoffHints], None] = lambda hints: None
-        self.signals_to_resend: Callable[
-            [], tuple[HeardLimit | HeardBackoff | RunningCalls, ...]
-        ] = lambda: ()
-        self.on_room: Callable[[RoomInForce], None] = lambda room: None
+        self.signals_to_resend: Callable[[], tuple[Resent, ...]] = lambda: ()
+
+    def on(self, kind: type[Update], handler: Callable[[Update], None]) -> None:
+        """Call `handler` with each message of this type from the leader."""
+        self._handlers[kind] = handler
 
     def use_controllers(self, controllers: tuple[str, ...]) -> None:
         """Replace the configured controller addresses after a change of the settings."""
@@ -282,7 +286,9 @@
         self._out = asyncio.Queue()
         try:
             shortage_report = self.shortage_report()
-            hello = GatewayHello(self._gateway, self.knowledge.version)
+            hello = GatewayHello(
+                self._gateway, self.knowledge.version, self._helper_address, self._data_centre
+            )
             await stream.write(hello)
             if shortage_report.organisations:
                 await stream.write(shortage_report)
@@ -315,16 +321,16 @@
                     fut.set_result(msg)
             case Pulse():
                 pass
-            case SuspectRequests():
-                self.on_suspects(msg)
-            case QuotaNews():
-                self.on_quotas(msg)
-            case LimitsInForce():
-                self.on_limits(msg)
-            case BackoffHints():
-                self.on_hints(msg)
-            case RoomInForce():
-                self.on_room(msg)
+            case (
+                SuspectRequests()
+                | QuotaNews()
+                | LimitsInForce()
+                | BackoffHints()
+                | RoomInForce()
+                | HelperGateways()
+            ):
+                if (handler := self._handlers.get(type(msg))) is not None:
+                    handler(msg)
             case update:
                 self.knowledge.apply(update)
                 is_whole = isinstance(update, UpstreamsPart) and update.complete
--- a/chestnutfall/forwarding/fleet_knowledge.py
+++ b/chestnutfall/forwarding/fleet_knowledge.py
@@ -72,6 +72,10 @@
         """Return the upstream with this instance id; None if it does not accept work."""
         return self._upstreams.get(instance)
 
+    def all_upstreams(self) -> Iterable[UpstreamRecord]:
+        """Return the upstreams of all services that accept work."""
+        return self._upstreams.all()
+
     def holders(self, adapter: AdapterName) -> Iterable[ReadyAdapter]:
         """Return the engines that hold an adapter, as last received from a leader."""
         return self._holders.of(adapter)
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import replace
 
 from ..clock import Clock
@@ -36,12 +37,22 @@
 gateway without a document after this time is cut off from the controllers."""
 LEAVING_RETRY_MS = 50
 """Retry delay while this gateway drains; another gateway serves the request at once."""
+NO_PATH_RETRY_MS = 500
+"""Retry delay while neither this gateway nor a helper reaches the service; links are tried again
+twice within it."""
 FINAL_MARGIN_MS = 15
 """Reserved for the final answer to reach the client before its deadline."""
 
 
 class Forwarder:
-    """Gives each call exactly one final answer."""
+    """Gives each call exactly one final answer.
+
+    Parameters
+    ----------
+    reaches : callable
+        Whether a send to a service may succeed; False while this gateway and its helpers are cut
+        off from all its upstreams.
+    """
 
     def __init__(
         self,
@@ -56,6 +67,7 @@
         clock: Clock,
         metrics: PrometheusMetrics,
         rng: random.Random,
+        reaches: Callable[[str], bool] = lambda service: True,
     ) -> None:
         self._routes = routes
         self._admission = admission
@@ -72,6 +84,7 @@
         )
         self._counts = OrganisationCounts(metrics)
         self._rng = rng
+        self._reaches = reaches
         self._refusing = False
         self._starting_until_ms = clock.now_ms() + STARTING_MS
 
@@ -181,6 +194,8 @@
                 progress.fingerprint,
             )
             try:
+                if not self._reaches(service.name):
+                    raise NoPlace("unreachable", NO_PATH_RETRY_MS)
                 place = await selector.select(criteria)
             except NoPlace as exc:
                 if progress.holds_repeat:
--- a/chestnutfall/forwarding/known_upstreams.py
+++ b/chestnutfall/forwarding/known_upstreams.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from ..control.upstream_record import UpstreamRecord
 from ..coordination.messages import UpstreamsChange, UpstreamsPart
@@ -29,6 +29,10 @@
         """Return the instance ids of all upstreams that accept work."""
         return set(self._current)
 
+    def all(self) -> Iterable[UpstreamRecord]:
+        """Return all upstreams that accept work."""
+        return self._current.values()
+
     def of(self, service: str) -> Sequence[UpstreamRecord]:
         """Return the upstreams of a service."""
         if self._by_service is None:
--- a/chestnutfall/forwarding/plain_upstream_selector.py
+++ b/chestnutfall/forwarding/plain_upstream_selector.py
@@ -175,7 +175,9 @@
         state = self._state_of(place.upstream)
         state.own_requests -= 1
         now_ms = self._clock.now_ms()
-        state.health.note(outcome, now_ms)
+        # For this gateway an upstream that it doesn't reach is as good as down.
+        no_path = outcome is RunOutcome.NO_PATH
+        state.health.note(RunOutcome.UNREACHABLE if no_path else outcome, now_ms)
         if outcome is RunOutcome.DONE:
             state.health.note_lag(times.lag_ms, now_ms)
         if load is not None:
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -28,6 +28,8 @@
         Organisation that sent the call; empty if the route needs no key.
     sends : int
         Sends so far, including one in progress.
+    helped : int
+        Sends that another gateway made for this one.
     refusals : int
         Sends of which it is proven that nothing ran.
     runs : int
@@ -58,6 +60,7 @@
     fingerprint: str = ""
     organisation: str = ""
     sends: int = 0
+    helped: int = 0
     refusals: int = 0
     runs: int = 0
     started: bool = False
--- a/chestnutfall/forwarding/send_log.py
+++ b/chestnutfall/forwarding/send_log.py
@@ -22,7 +22,7 @@
     log.info(
         "call: id=%s content=%s route=%s organisation=%s adapter=%s send=%d instance=%s version=%d "
         "queued=%d loading=%d sent=%d result=%s %s first=%d pause=%d tokens=%d limit=%s "
-        "backoff=%s leaving=%d ms=%d",
+        "backoff=%s leaving=%d helped=%d ms=%d",
         call.request_id,
         progress.fingerprint,
         route.name,
@@ -42,6 +42,7 @@
         limit_text(progress.signals.limit),
         backoff_text(progress.signals.backoff),
         progress.signals.leaving,
+        progress.helped,
         now_ms - call.arrived_ms,
     )
 
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -65,12 +65,13 @@
         outcome: RunOutcome | None = None
         try:
             async with self._api.send(sending.forwarded()) as answer:
+                progress.helped += answer.is_helped
                 self._record_signals(place, answer, sending.sent_ms, selector)
                 result = await sending.relay(answer)
             outcome = _outcome(answer, result)
             return result
-        except NotSent:
-            outcome = RunOutcome.UNREACHABLE
+        except NotSent as exc:
+            outcome = RunOutcome.UNREACHABLE if exc.is_confirmed else RunOutcome.NO_PATH
             return Refused("unreachable")
         except AnswerLost as exc:
             outcome = RunOutcome.BROKEN
--- a/chestnutfall/forwarding/upstream_answer.py
+++ b/chestnutfall/forwarding/upstream_answer.py
@@ -34,6 +34,8 @@
         Limit, backoff and load that the upstream reports.
     body : async iterator of bytes
         Raises AnswerLost when the answer breaks off.
+    is_helped : bool
+        Whether another gateway sent the request.
     """
 
     status: int
@@ -41,6 +43,7 @@
     not_run: NotRun | None
     signals: UpstreamSignals
     body: AsyncIterator[bytes]
+    is_helped: bool = False
 
     @property
     def ok(self) -> bool:
--- a/chestnutfall/forwarding/upstream_api.py
+++ b/chestnutfall/forwarding/upstream_api.py
@@ -5,15 +5,28 @@
 from abc import ABC, abstractmethod
 from contextlib import AbstractAsyncContextManager
 
+from ..signals import UpstreamSignals
+from .call import Headers
 from .forwarded_call import ForwardedCall
-from .upstream_answer import UpstreamAnswer
+from .upstream_answer import NotRun, UpstreamAnswer
 
 SILENT = "silent"
 """Code of an answer lost because the upstream was silent for too long."""
 
 
 class NotSent(ConnectionError):
-    """No connection could be opened; nothing ran."""
+    """No connection could be opened; nothing ran.
+
+    Attributes
+    ----------
+    is_confirmed : bool
+        Whether the upstream is down, as far as gateways can tell. Otherwise the link to it may be
+        at fault, and others may reach it.
+    """
+
+    def __init__(self, reason: str, is_confirmed: bool = False) -> None:
+        super().__init__(reason)
+        self.is_confirmed = is_confirmed
 
 
 class AnswerLost(ConnectionError):
@@ -30,6 +43,12 @@
         """
         return False
 
+    def interpret(
+        self, status: int, headers: Headers, forwarded: ForwardedCall
+    ) -> tuple[NotRun | None, UpstreamSignals]:
+        """Return whether an answer proves that nothing ran, and its signals."""
+        raise NotImplementedError
+
     @abstractmethod
     def send(self, forwarded: ForwardedCall) -> AbstractAsyncContextManager[UpstreamAnswer]:
         """Send a call and wait for the beginning of the answer.
--- /dev/null
+++ b/chestnutfall/paths/helper_links.py
@@ -0,0 +1,193 @@
+"""Connections to helpers, opened when they are needed."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from typing import Any
+
+import grpc
+
+from ..clock import Clock
+from ..forwarding.forwarded_call import ForwardedCall
+from ..forwarding.upstream_answer import UpstreamAnswer
+from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
+from ..wire import RpcChannel
+from .helper_api import HelperApi
+from .helper_service import as_sent
+from .messages import (
+    CHECK_METHOD,
+    HELP_CODEC,
+    HELP_METHOD,
+    AnswerBegins,
+    AnswerBroken,
+    AnswerEnds,
+    AnswerPart,
+    CheckPort,
+    NotSentByHelper,
+    PortChecked,
+    SendCall,
+)
+
+log = logging.getLogger(__name__)
+CONNECT_MS = 150
+"""Opening a connection takes a few ms; a host that is down never answers."""
+CHECK_MS = 600
+"""Longest wait for a port check: the helper tries the port and up to two others, 150 ms each."""
+HELPER_DELAY_MS = 250
+"""How much later than over an own link an answer may come: the helper's own try to connect, and two
+more hops."""
+IDLE_MS = 10_000
+"""A connection without a send for so long is closed."""
+
+
+class HelperLinks(HelperApi):
+    """Sends calls and port checks to helpers over gRPC.
+
+    Parameters
+    ----------
+    interpret : UpstreamApi
+        Reads the status and headers of upstreams' answers.
+    """
+
+    def __init__(self, interpret: UpstreamApi, clock: Clock) -> None:
+        self._interpret = interpret
+        self._clock = clock
+        self._channels: dict[str, RpcChannel] = {}
+        self._used_ms: dict[str, int] = {}
+        self._busy: Counter[str] = Counter()
+        self._closing: set[asyncio.Task[None]] = set()
+        self._sweeper: asyncio.Task[None] | None = None
+
+    @asynccontextmanager
+    async def send(
+        self, address: str, keys: tuple[str, ...], forwarded: ForwardedCall
+    ) -> AsyncIterator[UpstreamAnswer]:
+        channel = await self._connected(address)
+        stream = channel.stream(HELP_METHOD)
+        silent_ms = forwarded.silent_ms + HELPER_DELAY_MS
+        self._busy[address] += 1
+        try:
+            first = await self._exchange(stream, SendCall(keys, as_sent(forwarded)), silent_ms)
+            yield self._answer(stream, first, forwarded, silent_ms)
+        finally:
+            stream.cancel()
+            self._busy[address] -= 1
+            self._used_ms[address] = self._clock.now_ms()
+
+    async def _connected(self, address: str) -> RpcChannel:
+        """Return the channel to a helper, with a connection open.
+
+        Raises
+        ------
+        NotSent
+            When no connection could be opened.
+        """
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._channels[address] = RpcChannel(address, HELP_CODEC)
+            if self._sweeper is None or self._sweeper.done():
+                self._sweeper = asyncio.ensure_future(self._close_idle())
+        self._used_ms[address] = self._clock.now_ms()
+        try:
+            await self._clock.within_ms(CONNECT_MS, channel.wait_connected())
+        except TimeoutError as exc:
+            if not self._busy[address]:
+                self._close(address)
+            raise NotSent(f"helper {address} can't be reached") from exc
+        return channel
+
+    async def _exchange(self, stream: Any, msg: SendCall, silent_ms: float) -> Any:
+        """Ask a helper and return its first message.
+
+        Raises
+        ------
+        AnswerLost
+            When there is none: the helper may have sent the call.
+        """
+        try:
+            await stream.write(msg)
+            await stream.done_writing()
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
+            raise AnswerLost("helper_lost") from exc
+        return await self._read(stream, silent_ms)
+
+    async def _read(self, stream: Any, silent_ms: float) -> Any:
+        try:
+            msg = await self._clock.within_ms(silent_ms, stream.read())
+        except TimeoutError as exc:
+            raise AnswerLost(SILENT) from exc
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
+            raise AnswerLost("helper_lost") from exc
+        if msg is grpc.aio.EOF:
+            raise AnswerLost("helper_lost")
+        return msg
+
+    def _answer(
+        self, stream: Any, first: Any, forwarded: ForwardedCall, silent_ms: float
+    ) -> UpstreamAnswer:
+        match first:
+            case NotSentByHelper(reason, is_witness):
+                raise NotSent(reason, is_confirmed=is_witness)
+            case AnswerBroken(reason):
+                raise AnswerLost(reason)
+            case AnswerBegins(status, headers):
+                not_run, signals = self._interpret.interpret(status, headers, forwarded)
+                body = self._body(stream, silent_ms)
+                return UpstreamAnswer(status, headers, not_run, signals, body, is_helped=True)
+        raise AnswerLost("helper_protocol")
+
+    async def _body(self, stream: Any, silent_ms: float) -> AsyncIterator[bytes]:
+        while True:
+            match await self._read(stream, silent_ms):
+                case AnswerPart(data):
+                    yield data
+                case AnswerEnds():
+                    return
+                case AnswerBroken(reason):
+                    raise AnswerLost(reason)
+                case _:
+                    raise AnswerLost("helper_protocol")
+
+    async def refuses(self, address: str, keys: tuple[str, ...], port_address: str) -> bool | None:
+        try:
+            channel = await self._connected(address)
+            msg = await channel.call(CHECK_METHOD, CheckPort(keys, port_address), CHECK_MS)
+        except (NotSent, ConnectionError) as exc:
+            log.info("help: no answer about port %s from %s: %s", port_address, address, exc)
+            return None
+        return msg.refuses if isinstance(msg, PortChecked) else None
+
+    async def _close_idle(self) -> None:
+        while self._channels:
+            await self._clock.sleep_ms(IDLE_MS / 4)
+            oldest_ms = self._clock.now_ms() - IDLE_MS
+            for address in list(self._channels):
+                if not self._busy[address] and self._used_ms.get(address, 0) < oldest_ms:
+                    self._close(address)
+
+    def _close(self, address: str) -> None:
+        self._used_ms.pop(address, None)
+        self._busy.pop(address, None)
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            task = asyncio.ensure_future(_close_quietly(channel))
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for address in list(self._channels):
+            self._close(address)
+        await asyncio.gather(*self._closing)
+
+
+async def _close_quietly(channel: RpcChannel) -> None:
+    # Nothing waits for the end of a connection that is no longer used.
+    with suppress(Exception):
+        await channel.close()
--- /dev/null
+++ b/chestnutfall/paths/helper_service.py
@@ -0,0 +1,188 @@
+"""The helper's side: sends calls of gateways that are cut off."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from contextlib import AsyncExitStack
+from dataclasses import replace
+from typing import Any
+
+from ..clock import Clock
+from ..control.upstream_record import UpstreamRecord
+from ..forwarding.forwarded_call import ForwardedCall
+from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
+from ..forwarding.upstream_api import AnswerLost, NotSent
+from ..signals.known_signals import KnownSignals
+from .helped_upstream_api import HelpedUpstreamApi
+from .known_helpers import KnownHelpers
+from .messages import (
+    AnswerBegins,
+    AnswerBroken,
+    AnswerEnds,
+    AnswerPart,
+    CheckPort,
+    NotSentByHelper,
+    PortChecked,
+    SendCall,
+)
+
+log = logging.getLogger(__name__)
+MAX_HELPED = 256
+"""Calls of other gateways in progress at a time. Beyond it the helper refuses, so that its own
+callers keep their share of its processor, memory and connections."""
+SAME_MOMENT_MS = 50
+"""An upstream reached so shortly before counts as reached now."""
+MAX_OTHERS_TRIED = 2
+"""Other upstreams that a helper tries to reach before it says that one is down."""
+
+
+class HelperService:
+    """Sends calls for other gateways over this gateway's own links, never through a helper.
+
+    Places, repeats, quotas and deadlines were decided by the gateway that took the call. What only
+    the sender can know is checked here: whether the upstream accepts work from this gateway.
+
+    Parameters
+    ----------
+    upstream : callable
+        Returns the record of an instance; None if it does not accept work.
+    upstreams : callable
+        Returns the records of all upstreams.
+    opens, refuses : callable
+        Whether a connection to an address opens, or is refused.
+
+    Attributes
+    ----------
+    in_progress, sent : int
+        Calls of other gateways that are in progress, and that were sent since the start.
+    """
+
+    def __init__(
+        self,
+        api: HelpedUpstreamApi,
+        helpers: KnownHelpers,
+        signals: KnownSignals,
+        upstream: Callable[[str], UpstreamRecord | None],
+        upstreams: Callable[[], Iterable[UpstreamRecord]],
+        opens: Callable[[str], Awaitable[bool]],
+        refuses: Callable[[str], Awaitable[bool]],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._api = api
+        self._helpers = helpers
+        self._signals = signals
+        self._upstream = upstream
+        self._upstreams = upstreams
+        self._opens = opens
+        self._refuses = refuses
+        self._clock = clock
+        self._rng = rng
+        self._refusing = False
+        self._opened_ms = -SAME_MOMENT_MS - 1
+        self.in_progress = 0
+        self.sent = 0
+
+    def refuse_new(self) -> None:
+        """Send no further calls; called when this gateway is about to end."""
+        self._refusing = True
+
+    async def serve(self, messages: AsyncIterator[Any], context: Any) -> AsyncIterator[Any]:
+        """Serve one call of another gateway; the end of the stream cancels it."""
+        asked = await anext(messages)
+        if not isinstance(asked, SendCall):
+            return
+        refused = self._reason_to_refuse(asked)
+        if refused:
+            yield NotSentByHelper(refused)
+            return
+        self.in_progress += 1
+        try:
+            async for msg in self._send(asked.forwarded):
+                yield msg
+        finally:
+            self.in_progress -= 1
+
+    def _reason_to_refuse(self, asked: SendCall) -> str:
+        """Return why nothing is sent; empty if the call may be sent."""
+        instance = asked.forwarded.upstream.instance
+        known = self._upstream(instance)
+        if not self._helpers.accepts(asked.keys):
+            log.warning("help: refused, the key is of no leader of this fleet")
+            return "unknown_key"
+        if self._refusing:
+            return "leaving"
+        if self.in_progress >= MAX_HELPED:
+            return "helper_full"
+        if known is None or known.address != asked.forwarded.upstream.address:
+            return "unknown_upstream"
+        if not self._signals.may_send(instance):
+            return "held_back"
+        return ""
+
+    async def _send(self, forwarded: ForwardedCall) -> AsyncIterator[Any]:
+        sent_ms = self._clock.now_ms()
+        async with AsyncExitStack() as stack:
+            try:
+                answer = await self._api.send_directly(stack, forwarded)
+            except NotSent:
+                is_witness = await self._reaches_others(forwarded.upstream)
+                if is_witness:
+                    self._api.note_down(forwarded.upstream.instance)
+                yield NotSentByHelper("unreachable", is_witness)
+                return
+            except AnswerLost as exc:
+                yield AnswerBroken(str(exc))
+                return
+            self.sent += 1
+            self._note_signals(forwarded.upstream, answer, sent_ms)
+            # aiohttp's names of headers are a subclass of str, which the codec doesn't encode.
+            headers = tuple((str(name), value) for name, value in answer.headers)
+            yield AnswerBegins(answer.status, headers)
+            async for msg in _body_messages(answer):
+                yield msg
+
+    def _note_signals(self, upstream: UpstreamRecord, answer: UpstreamAnswer, sent_ms: int) -> None:
+        if answer.not_run is not NotRun.REPLACED:
+            self._signals.observe(upstream.instance, answer.signals, sent_ms, answer.ok)
+
+    async def check_port(self, asked: CheckPort, context: Any) -> PortChecked:
+        """Check a port for another gateway."""
+        if not self._helpers.accepts(asked.keys):
+            return PortChecked(False)
+        others = [one for one in self._upstreams() if one.address != asked.address]
+        refuses = await self._refuses(asked.address) and await self._opens_any(others)
+        return PortChecked(refuses)
+
+    async def _reaches_others(self, upstream: UpstreamRecord) -> bool:
+        return await self._opens_any(
+            [one for one in self._upstreams() if one.address != upstream.address]
+        )
+
+    async def _opens_any(self, upstreams: list[UpstreamRecord]) -> bool:
+        """Whether some other upstream is reached now; calls that end together share the check."""
+        if self._clock.now_ms() - self._opened_ms <= SAME_MOMENT_MS:
+            return True
+        drawn = self._rng.sample(upstreams, min(len(upstreams), MAX_OTHERS_TRIED))
+        for one in drawn:
+            if await self._opens(one.address):
+                self._opened_ms = self._clock.now_ms()
+                return True
+        return False
+
+
+async def _body_messages(answer: UpstreamAnswer) -> AsyncIterator[Any]:
+    try:
+        async for data in answer.body:
+            yield AnswerPart(data)
+    except AnswerLost as exc:
+        yield AnswerBroken(str(exc))
+        return
+    yield AnswerEnds()
+
+
+def as_sent(forwarded: ForwardedCall) -> ForwardedCall:
+    """Return a call as it goes to a helper; the digest of its key stays on the gateway."""
+    return replace(forwarded, call=replace(forwarded.call, key_digest=None))
--- /dev/null
+++ b/chestnutfall/paths/messages.py
@@ -0,0 +1,102 @@
+"""Messages about paths to upstreams: with the leader, and between gateways."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..forwarding.call import Headers
+from ..forwarding.forwarded_call import ForwardedCall
+from ..wire import Codec
+
+HELP_METHOD = "Help"
+CHECK_METHOD = "CheckPort"
+
+
+@dataclass(frozen=True, slots=True)
+class SendCall:
+    """A gateway asks a helper to send a call once to the upstream that it names.
+
+    Attributes
+    ----------
+    keys : tuple of str
+        Keys of the fleet that the asking gateway has from the last leaders.
+    """
+
+    keys: tuple[str, ...]
+    forwarded: ForwardedCall
+
+
+@dataclass(frozen=True, slots=True)
+class NotSentByHelper:
+    """Nothing was sent, so the call did not run.
+
+    Attributes
+    ----------
+    reason : str
+        Machine-readable cause.
+    is_witness : bool
+        Whether the helper could not reach the upstream while it reached another one.
+    """
+
+    reason: str
+    is_witness: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerBegins:
+    """Status and headers of the upstream's answer."""
+
+    status: int
+    headers: Headers
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerPart:
+    """Bytes of the answer's body."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEnds:
+    """The answer is complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerBroken:
+    """The call may have run, and its answer is missing or cut off."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class CheckPort:
+    """A gateway asks whether connections to an address are refused at a helper too."""
+
+    keys: tuple[str, ...]
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class PortChecked:
+    """Answer to a `CheckPort`.
+
+    Attributes
+    ----------
+    refuses : bool
+        Whether connections are refused there, while the helper reaches another upstream.
+    """
+
+    refuses: bool
+
+
+HELP_CODEC = Codec(
+    AnswerBegins,
+    AnswerBroken,
+    AnswerEnds,
+    AnswerPart,
+    CheckPort,
+    NotSentByHelper,
+    PortChecked,
+    SendCall,
+)
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -12,10 +12,11 @@
 from ..clock import Clock
 from ..connections import ConnectionNeed, ConnectionPool
 from ..connections.keep_alive_header import told_idle_ms
+from ..forwarding.call import Headers
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
-from ..signals import SignalHeaders, UnreadHeaders, read_signals
+from ..signals import SignalHeaders, UnreadHeaders, UpstreamSignals, read_signals
 from ..wire.single_send_session import single_send_session
 from . import header_names as names
 from .upstream_connector import UpstreamConnector
@@ -76,7 +77,7 @@
                 yield UpstreamAnswer(
                     resp.status,
                     tuple(resp.headers.items()),
-                    _not_run(resp, forwarded),
+                    _not_run(resp.status, resp.headers, forwarded),
                     read_signals(resp.status, resp.headers, _SIGNALS),
                     self._body(resp, send),
                 )
@@ -90,6 +91,12 @@
                 raise AnswerLost(type(exc).__name__) from exc
             raise self._lost(send, exc) from exc
 
+    def interpret(
+        self, status: int, headers: Headers, forwarded: ForwardedCall
+    ) -> tuple[NotRun | None, UpstreamSignals]:
+        by_name = CIMultiDict(headers)
+        return _not_run(status, by_name, forwarded), read_signals(status, by_name, _SIGNALS)
+
     def _check_answer(self, resp: aiohttp.ClientResponse, send: UpstreamSend) -> None:
         """Note what an answer tells of its connection.
 
@@ -168,13 +175,13 @@
     return named == send.need.request_id
 
 
-def _not_run(resp: aiohttp.ClientResponse, forwarded: ForwardedCall) -> NotRun | None:
+def _not_run(status: int, headers: Mapping[str, str], forwarded: ForwardedCall) -> NotRun | None:
     """Return the upstream's proof that it did not run the request, if the answer contains one.
 
     Status 421 comes from another incarnation, or from an engine without the adapter.
     """
-    if resp.status == 421:
+    if status == 421:
         expected = forwarded.upstream.announced_name
-        other = resp.headers.get(names.INSTANCE, expected)
+        other = headers.get(names.INSTANCE, expected)
         return NotRun.ABSENT if other == expected else NotRun.REPLACED
-    return NotRun.FULL if names.NOT_EXECUTED in resp.headers else None
+    return NotRun.FULL if names.NOT_EXECUTED in headers else None
--- a/chestnutfall/quarantine/port_check.py
+++ b/chestnutfall/quarantine/port_check.py
@@ -10,6 +10,18 @@
 """Several round trips between data centres; a host that is down or cut off never answers."""
 
 
+async def opens_connection(address: str) -> bool:
+    """Whether a connection to `address` opens in time; it is closed at once."""
+    host, port = split_address(address)
+    try:
+        _, writer = await asyncio.wait_for(asyncio.open_connection(host, port), ANSWER_S)
+    except (OSError, TimeoutError):
+        # The caller asks only whether it opens; the reason makes no difference.
+        return False
+    writer.close()
+    return True
+
+
 async def refuses_connections(address: str) -> bool:
     """Whether connections to `address` are refused, which shows that its process has ended.
 
--- a/chestnutfall/tests/fakes/placing_gateway.py
+++ b/chestnutfall/tests/fakes/placing_gateway.py
@@ -8,6 +8,7 @@
 from ...clock import Clock
 from ...concurrency.known_room import KnownRoom
 from ...concurrency.leaderless_room import LeaderlessRoom
+from ...concurrency.messages import RoomInForce
 from ...coordination.holdings_diff import holdings_change
 from ...coordination.messages import UpstreamsChange
 from ...forwarding.engine_upstream_selector import EngineUpstreamSelector
@@ -17,10 +18,12 @@
 from ...forwarding.place import UpstreamSelector
 from ...forwarding.plain_upstream_selector import PlainUpstreamSelector
 from ...limits.known_limits import KnownLimits
+from ...limits.messages import LimitsInForce
 from ...placement import ReadyAdapter
 from ...platform.document_json import DocumentJson
 from ...signals.known_backoffs import KnownBackoffs
 from ...signals.known_signals import KnownSignals
+from ...signals.messages import BackoffHints
 from .placing_leader import PlacingLeader
 from .signalling_upstream import ENGINES, PLAIN, SignallingUpstream
 
@@ -50,9 +53,10 @@
         limits = KnownLimits(self.fleet.send, gateways, clock, rng)
         backoffs = KnownBackoffs(self.fleet.send, clock)
         self.signals = KnownSignals(limits, backoffs, clock)
-        self.fleet.on_limits, self.fleet.on_hints = limits.apply, backoffs.apply_hints
+        self.fleet.on(LimitsInForce, limits.apply)
+        self.fleet.on(BackoffHints, backoffs.apply_hints)
         self.room = KnownRoom(self.fleet.send, LeaderlessRoom(gateways, clock, rng), clock)
-        self.fleet.on_room = self.room.apply
+        self.fleet.on(RoomInForce, self.room.apply)
         self.fleet.signals_to_resend = lambda: (
             *self.signals.reports_for_new_leader(),
             *self.room.reports_for_new_leader(),
