Keep upstreams up that bear few rejections

What callers saw: an upstream that says how many requests it can reject for want of room within a second ended when it had to reject more, and those that ran there were lost. It happened at changes of leader: a new leader took all places for free while requests of the last term still held them.

Cause: the signal was read by nobody, and what runs where lived in the leader's memory alone.

Mend: the signal is read strictly, known to all gateways and the leader. At engines that send it, the leader counts places whose request ended without an answer as taken for two seconds, stops for the rest of the second before the last rejection is used up, and a new leader begins with what gateways have running; until all have told, it uses a part of the batch and sends few at a time. Room of plain services is given out all the time, and no call waits there. Without a leader a gateway reuses only places that it had. Each gateway stops by itself, on both dialects, before it alone uses up the rejections. Engines without the signal are used as before.

--- a/chestnutfall/concurrency/service_room.py
+++ b/chestnutfall/concurrency/service_room.py
@@ -5,7 +5,8 @@
 import itertools
 import math
 import statistics
-from collections.abc import Collection
+from collections import deque
+from collections.abc import Collection, Mapping
 from typing import Generic, TypeVar
 
 from ..placement import RunOutcome
@@ -36,6 +37,10 @@
 only once: its caller would lose the answer, where another call is sent again."""
 FAILURE_COST_RUNS = 10.0
 """Usual runs that a failed call costs its caller: the run, and another send behind others."""
+REJECTION_WINDOW_MS = 1_000
+"""Upstreams that bear few rejections count them within a second."""
+REJECTION_RESERVE = 1
+"""Rejections kept back for calls that are on their way when one is rejected."""
 USE_INTERVAL_MS = 50
 """How often it is checked whether there is plenty of room again."""
 
@@ -59,6 +64,8 @@
         self._foreign: dict[str, tuple[int, int]] = {}
         self._ledger: RoomLedger[Gateway] = RoomLedger()
         self._run_time = RunTime(DEFAULT_RUN_MS)
+        self._rejections: Mapping[str, int] = {}
+        self._rejected_ms: dict[str, deque[int]] = {}
         self._places: tuple[int, dict[str, int]] | None = None
         self._use_noted_ms = began_ms
         self._failed = itertools.count(-1, -1)
@@ -75,6 +82,13 @@
         self._foreign = {name: one for name, one in self._foreign.items() if name in present}
         self._ledger.forget_absent(present)
 
+    def set_rejections(self, per_s: Mapping[str, int]) -> None:
+        """Set the upstreams that end if they reject more than so many calls within a second."""
+        self._rejections = per_s
+
+    def _bears_few(self) -> bool:
+        return any(room.known and name in self._rejections for name, room in self._rooms.items())
+
     def note_shortage(self, report: ShortageReport, now_ms: int) -> None:
         """Record that a gateway found an upstream without room."""
         room = self._rooms.get(report.instance)
@@ -156,13 +170,23 @@
         for name, places in self.places(now_ms).items():
             room = self._rooms[name]
             run_ms = self._run_time.mean_ms * room.slowdown(now_ms)
-            whole = places + margin(places, run_ms)
+            whole = places if name in self._rejections else places + margin(places, run_ms)
             whole = int(whole * NEW_TERM_FRACTION) if starting else whole
             left = whole - self._ledger.used(name) - self._foreign_at(name, now_ms)
-            if left > 0:
+            if left > 0 and self._leaves_rejections(name, now_ms):
                 free[name] = left
         return free
 
+    def _leaves_rejections(self, instance: str, now_ms: int) -> bool:
+        """Whether an upstream that bears few rejections has some left within this second."""
+        per_s = self._rejections.get(instance)
+        times = self._rejected_ms.get(instance)
+        if per_s is None or not times:
+            return True
+        while times and times[0] <= now_ms - REJECTION_WINDOW_MS:
+            times.popleft()
+        return not times or len(times) < max(per_s - REJECTION_RESERVE, 1)
+
     def may_take(self, instance: str, idempotent: bool, now_ms: int) -> bool:
         """Whether an upstream should get a call, as far as it fails more than others."""
         return idempotent or self.excess_failure(instance, now_ms) <= MAX_UNSAFE_FAILURE
@@ -189,6 +213,8 @@
             self._places = None
             outcome = RunOutcome(msg.outcome)
             room.note_outcome(outcome, now_ms)
+            if outcome is RunOutcome.FULL and msg.instance in self._rejections:
+                self._rejected_ms.setdefault(msg.instance, deque()).append(now_ms)
             if outcome is RunOutcome.DONE:
                 slowdown = msg.load.slowdown if msg.load is not None else room.slowdown(now_ms)
                 # Where more calls are there than places, each one's time holds a wait.
@@ -221,7 +247,13 @@
         self._ledger.shorten(gateway, now_ms + self._ends_within_ms(now_ms))
 
     def note_use(self, waiting: int, now_ms: int) -> None:
-        """Decide whether the service has plenty of room again."""
+        """Decide whether the service has plenty of room again.
+
+        Gateways that choose by themselves can't keep an upstream from rejecting calls, so the room
+        of a service is given out as long as one of its upstreams bears few rejections.
+        """
+        if self._bears_few():
+            self.shortage.begin(now_ms)
         if not self.shortage.short or now_ms - self._use_noted_ms < USE_INTERVAL_MS:
             return
         self._use_noted_ms = now_ms
--- a/chestnutfall/coordination/gateway_session.py
+++ b/chestnutfall/coordination/gateway_session.py
@@ -23,14 +23,26 @@
     helper_address, data_centre : str
         Where it takes calls of gateways that are cut off, and its data centre; empty if it takes
         none.
+    known_gateways : int
+        Number of gateways that it knew under the last leader; 0 if unknown.
+    has_told_running : bool
+        Whether it has told what it has running at upstreams that bear few rejections.
     tickets : set of str
         Requests of this gateway that wait for placement or are placed on an engine.
     out : asyncio.Queue
         Messages to send before any bulk message; None ends the stream.
     """
 
-    def __init__(self, gateway: str, helper_address: str = "", data_centre: str = "") -> None:
+    def __init__(
+        self,
+        gateway: str,
+        helper_address: str = "",
+        data_centre: str = "",
+        known_gateways: int = 0,
+    ) -> None:
         self.gateway = gateway
+        self.known_gateways = known_gateways
+        self.has_told_running = False
         self.helper_address = helper_address
         self.data_centre = data_centre
         self.tickets: set[str] = set()
--- a/chestnutfall/coordination/gateway_sessions.py
+++ b/chestnutfall/coordination/gateway_sessions.py
@@ -21,6 +21,10 @@
         """Start sending to a gateway."""
         self._sessions.add(session)
 
+    def count_told_running(self) -> int:
+        """Number of gateways that have told what they have running."""
+        return sum(session.has_told_running for session in self._sessions)
+
     def remove(self, session: GatewaySession) -> tuple[str, ...]:
         """Stop sending to a gateway, and return the tickets that it held."""
         self._sessions.discard(session)
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -27,7 +27,7 @@
 from ..settings.repeat_bounds import RepeatBounds
 from ..signals.backoff_registry import BackoffRegistry
 from ..signals.engine_loads import EngineLoads
-from ..signals.messages import HeardBackoff
+from ..signals.messages import HeardBackoff, HeardRejections
 from .backoff_coordinator import BackoffCoordinator
 from .document_compression import decompress_document
 from .engine_control import EngineControl
@@ -44,9 +44,11 @@
     GatewayMessage,
     NotLeading,
     Release,
+    RunningSends,
     Withdraw,
 )
 from .order_dispatcher import EngineRecord, OrderDispatcher
+from .rejection_coordinator import RejectionCoordinator
 from .relay_messages import Announce, Depart
 from .repeat_pool import RepeatPool
 from .round_pace import RoundPace
@@ -96,6 +98,9 @@
         self._limits = LimitCoordinator(limits, backoffs, self._placer, self._sessions, clock)
         self._backoffs = BackoffCoordinator(backoffs, self._placer, self._sessions, clock)
         self._helpers = HelperDirectory(clock)
+        self._rejections = RejectionCoordinator(
+            self._placer, self._limits.turns, self._sessions, clock
+        )
         self._broadcaster = GatewayBroadcaster(
             self._sessions, state, self._placer, self._quotas, clock
         )
@@ -190,6 +195,7 @@
         """Start to serve a gateway that holds `document_version`."""
         self._sessions.add(session)
         self._helpers.add(session)
+        self._rejections.add_gateway(session)
         self._broadcaster.send_initial_state(session, document_version)
         self._limits.send_initial_state(session)
         self._backoffs.send_initial_state(session)
@@ -199,6 +205,7 @@
         for ticket in self._sessions.remove(session):
             self._placer.withdraw(ticket)
         self._helpers.remove(session)
+        self._rejections.remove_gateway(session)
         self._limits.remove_gateway(session)
         self._backoffs.remove_gateway(session)
 
@@ -231,6 +238,10 @@
                 return
             case HeardLimit():
                 self._limits.record_limit(session, msg)
+            case HeardRejections():
+                self._rejections.record(msg)
+            case RunningSends():
+                self._rejections.adopt(session, msg)
             case HeardBackoff():
                 self._backoffs.record_backoff(session, msg)
             case AskTurn():
@@ -297,6 +308,7 @@
         )
         self._engines.set_engines(self._engines_of(serving))
         self._limits.set_serving(serving)
+        self._rejections.set_serving(serving)
         self._backoffs.set_serving(serving)
 
     def _engines_of(self, serving: list[UpstreamRecord]) -> Iterator[EngineRecord]:
--- a/chestnutfall/coordination/limit_coordinator.py
+++ b/chestnutfall/coordination/limit_coordinator.py
@@ -38,6 +38,11 @@
     """Collects limits from gateways, sends them to all, and schedules calls to plain upstreams.
 
     Limits of engines are enforced by placement, which grants each send to them.
+
+    Attributes
+    ----------
+    turns : PlainSendQueues
+        Queues of calls to plain services that are limited or short of room.
     """
 
     def __init__(
@@ -53,13 +58,13 @@
         self._sessions = sessions
         self._clock = clock
         self._serving: dict[str, list[str]] = {}
-        self._turns: PlainSendQueues[GatewaySession] = PlainSendQueues(
+        self.turns: PlainSendQueues[GatewaySession] = PlainSendQueues(
             registry,
             lambda service: self._serving.get(service, []),
             lambda session, instance: backoffs.may_send(session.gateway, instance),
             clock,
         )
-        self._room = RoomBroadcaster(self._turns, sessions, clock)
+        self._room = RoomBroadcaster(self.turns, sessions, clock)
         self._sent: dict[str, float] = {}
         self._sent_changes = 0
         self._due_ms = clock.now_ms()
@@ -67,7 +72,7 @@
     @property
     def waiting(self) -> int:
         """Number of calls that wait for their turn."""
-        return self._turns.waiting
+        return self.turns.waiting
 
     def set_serving(self, serving: Iterable[UpstreamRecord]) -> None:
         """Set the upstreams that serve now, and drop the limits of all others."""
@@ -91,28 +96,28 @@
 
     def queue_turn(self, session: GatewaySession, asked: AskTurn) -> None:
         """Queue a call that waits for its turn."""
-        if asked.for_room and not self._turns.gives_room(asked.service):
+        if asked.for_room and not self.turns.gives_room(asked.service):
             # The gateway missed that there is plenty again, or this leader heard of no shortage.
             session.send(RoomInForce((ServiceRoomState(asked.service, False, {}),)))
             session.send(AnswerTurn(asked.number, "", 0, PLENTY))
             return
-        self._turns.enqueue(asked, session)
+        self.turns.enqueue(asked, session)
 
     def end_turn(self, session: GatewaySession, ended: EndTurn) -> None:
         """Free the place of a call that ended, or drop one that no longer waits."""
-        self._turns.end_turn(session, ended)
+        self.turns.end_turn(session, ended)
 
     def record_room(self, session: GatewaySession, report: RunningCalls | ShortageReport) -> None:
         """Record what a gateway tells of the room of a plain service."""
         match report:
             case RunningCalls():
-                self._turns.note_running(session, report)
+                self.turns.note_running(session, report)
             case ShortageReport():
-                self._turns.note_shortage(report)
+                self.turns.note_shortage(report)
 
     def remove_gateway(self, session: GatewaySession) -> None:
         """Drop the queued calls of a disconnected gateway."""
-        self._turns.drop_gateway(session)
+        self.turns.drop_gateway(session)
 
     def send_initial_state(self, session: GatewaySession) -> None:
         """Send all limits to a gateway that has just connected."""
@@ -123,7 +128,7 @@
 
     def send_due(self) -> None:
         """Send the turns that are due, changed limits, and changes of room."""
-        for turn in self._turns.due():
+        for turn in self.turns.due():
             turn.gateway.send(turn.answer)
         self._room.send_due()
         self._send_changed()
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -13,7 +13,7 @@
 from ..placement.run_times import NO_TIMES, RunTimes
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, UsedQuota, WasShort
 from ..signals.engine_loads import EngineLoads
-from ..signals.messages import BackoffHints, HeardBackoff
+from ..signals.messages import BackoffHints, HeardBackoff, HeardRejections, RejectionsInForce
 from ..wire import Codec
 
 FLEET_METHOD = "Fleet"
@@ -36,12 +36,15 @@
     helper_address, data_centre : str
         Where it takes calls of gateways that are cut off, and its data centre; empty if it takes
         none.
+    known_gateways : int
+        Number of gateways that it knew under the last leader; 0 if there was none.
     """
 
     gateway: str
     document_version: int
     helper_address: str = ""
     data_centre: str = ""
+    known_gateways: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,6 +206,21 @@
     times: RunTimes = NO_TIMES
 
 
+@dataclass(frozen=True, slots=True)
+class RunningSend:
+    """A request that runs on an engine."""
+
+    req: PlaceRequest
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class RunningSends:
+    """All requests of a gateway that run on engines that bear few rejections, for a new leader."""
+
+    sends: tuple[RunningSend, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Withdraw:
     """A request is no longer wanted."""
@@ -254,7 +272,9 @@
     | EngineLoads
     | HeardBackoff
     | HeardLimit
+    | HeardRejections
     | RunningCalls
+    | RunningSends
     | ShortageReport
     | UsedQuota
     | WasShort
@@ -282,6 +302,7 @@
     Grant,
     HeardBackoff,
     HeardLimit,
+    HeardRejections,
     HelperGateways,
     HoldingsChange,
     LimitsInForce,
@@ -291,9 +312,11 @@
     Pulse,
     PutInForce,
     QuotaNews,
+    RejectionsInForce,
     Release,
     RoomInForce,
     RunningCalls,
+    RunningSends,
     ShortageReport,
     SuspectRequests,
     UpstreamsChange,
--- a/chestnutfall/coordination/session_server.py
+++ b/chestnutfall/coordination/session_server.py
@@ -28,7 +28,9 @@
         if term is None or not isinstance(hello, GatewayHello):
             yield NotLeading(self._replica.leader_address())
             return
-        session = GatewaySession(hello.gateway, hello.helper_address, hello.data_centre)
+        session = GatewaySession(
+            hello.gateway, hello.helper_address, hello.data_centre, hello.known_gateways
+        )
         term.add_gateway(session, hello.document_version)
         reader = asyncio.ensure_future(self._read(messages, term, session))
         try:
--- a/chestnutfall/forwarding/engine_upstream_selector.py
+++ b/chestnutfall/forwarding/engine_upstream_selector.py
@@ -16,6 +16,7 @@
 from .engine_load_reports import EngineLoadReports
 from .fleet_client import FleetClient, LeaderLost
 from .place import NoPlace, Place, SelectionCriteria, UpstreamSelector
+from .running_sends import RunningEngineSends
 
 log = logging.getLogger(__name__)
 LEADERLESS_WAIT_MS = 1_500
@@ -30,6 +31,11 @@
 
     The last known holders are safe to use: an engine that no longer holds the adapter, or holds
     another version of it, refuses the call and runs nothing.
+
+    Attributes
+    ----------
+    running : RunningEngineSends
+        Requests of this gateway that run on engines.
     """
 
     def __init__(
@@ -48,6 +54,7 @@
         self._numbers = itertools.count()
         self._leaderless_sends: Counter[str] = Counter()
         self._loads = EngineLoadReports(fleet.send, clock)
+        self.running = RunningEngineSends(signals.rejections, clock)
 
     async def select(self, criteria: SelectionCriteria) -> Place:
         give_up_ms = min(self._clock.now_ms() + LEADERLESS_WAIT_MS, criteria.until_ms)
@@ -58,16 +65,19 @@
             except LeaderLost:
                 place = self._from_last_holdings(req, criteria.lacked_adapter)
                 if place is not None:
+                    self.running.began(req, place.upstream.instance)
                     return place
                 self._refuse_if_held_back(criteria.service.name)
                 wait_ms = give_up_ms - self._clock.now_ms()
                 if wait_ms <= 0 or not await self._fleet.wait_for_leader(wait_ms):
                     raise NoPlace("no_leader", NO_LEADER_RETRY_MS) from None
                 continue
+            self.running.leader_found()
             if isinstance(answer, Reject):
                 raise NoPlace(answer.reason, answer.retry_after_ms)
             upstream = self._fleet.knowledge.upstream(answer.instance)
             if upstream is not None:
+                self.running.began(req, answer.instance)
                 return Place(
                     req.ticket, upstream, answer.version, answer.queued_ms, answer.loading_ms
                 )
@@ -100,6 +110,7 @@
     def release(
         self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
     ) -> None:
+        self.running.ended(place.ticket)
         self._fleet.send(Release(place.ticket, outcome.value, times))
 
     def _request(self, criteria: SelectionCriteria) -> PlaceRequest:
@@ -139,6 +150,8 @@
         for held, upstream in sorted(
             found, key=lambda one: self._leaderless_sends[one[0].instance]
         ):
+            if not self.running.may_send_without_leader(held.instance):
+                continue
             if self._signals.limits.may_send_without_leader(held.instance):
                 self._leaderless_sends[held.instance] += 1
                 log.info(
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -23,13 +23,14 @@
     GatewayHello,
     NotLeading,
     Pulse,
+    RunningSends,
     UpstreamsPart,
 )
 from ..limits.messages import AnswerTurn, AskTurn, HeardLimit, LimitsInForce
 from ..paths.leader_messages import CanHelp, HelperGateways
 from ..placement import Grant, PlaceRequest, Reject, RunOutcome
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, WasShort
-from ..signals.messages import BackoffHints, HeardBackoff
+from ..signals.messages import BackoffHints, HeardBackoff, HeardRejections, RejectionsInForce
 from ..wire import RpcChannel
 from .first_message_timeouts import FirstMessageTimeouts
 from .fleet_knowledge import FleetKnowledge
@@ -57,9 +58,16 @@
 
 
 Update = TypeVar(
-    "Update", SuspectRequests, QuotaNews, LimitsInForce, BackoffHints, RoomInForce, HelperGateways
+    "Update",
+    SuspectRequests,
+    QuotaNews,
+    LimitsInForce,
+    BackoffHints,
+    RoomInForce,
+    HelperGateways,
+    RejectionsInForce,
 )
-Resent = HeardLimit | HeardBackoff | RunningCalls | CanHelp
+Resent = HeardLimit | HeardBackoff | HeardRejections | RunningCalls | RunningSends | CanHelp
 
 
 class LeaderLost(ConnectionError):
@@ -287,7 +295,11 @@
         try:
             shortage_report = self.shortage_report()
             hello = GatewayHello(
-                self._gateway, self.knowledge.version, self._helper_address, self._data_centre
+                self._gateway,
+                self.knowledge.version,
+                self._helper_address,
+                self._data_centre,
+                self.knowledge.gateways,
             )
             await stream.write(hello)
             if shortage_report.organisations:
@@ -328,6 +340,7 @@
                 | BackoffHints()
                 | RoomInForce()
                 | HelperGateways()
+                | RejectionsInForce()
             ):
                 if (handler := self._handlers.get(type(msg))) is not None:
                     handler(msg)
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -92,7 +92,10 @@
         load = answer.signals.load
         # An answer of another incarnation at the address says nothing about the selected upstream.
         if answer.not_run is not NotRun.REPLACED:
-            self._signals.observe(place.upstream.instance, answer.signals, sent_ms, answer.ok)
+            rejected = answer.not_run is NotRun.FULL and not _asks_backoff(answer)
+            self._signals.observe(
+                place.upstream.instance, answer.signals, sent_ms, answer.ok, rejected
+            )
             if load is not None:
                 selector.note_load(place, load)
         if load is not None and load.has_unread_figures:
--- a/chestnutfall/limits/plain_send_queues.py
+++ b/chestnutfall/limits/plain_send_queues.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
@@ -63,6 +63,7 @@
         self._rooms: dict[str, ServiceRoom[Gateway]] = {}
         self._room_instances: dict[str, tuple[str, ...]] = {}
         self._returns = ReturnBook()
+        self._rejections: Mapping[str, int] = {}
 
     @property
     def waiting(self) -> int:
@@ -98,6 +99,20 @@
         for room in self._rooms.values():
             room.end(gateway, msg, now_ms)
 
+    def set_rejections(self, per_s: Mapping[str, int], services: Iterable[str]) -> None:
+        """Set the upstreams that end if they reject more than so many calls within a second.
+
+        Parameters
+        ----------
+        services : iterable of str
+            Their services.
+        """
+        self._rejections = per_s
+        for service in services:
+            self._room(service)
+        for room in self._rooms.values():
+            room.set_rejections(per_s)
+
     def note_shortage(self, report: ShortageReport) -> None:
         """Record that a gateway found an upstream without room."""
         if self._serving(report.service):
@@ -150,6 +165,7 @@
     def _room(self, service: str) -> ServiceRoom[Gateway]:
         if service not in self._rooms:
             self._rooms[service] = ServiceRoom(self._began_ms)
+            self._rooms[service].set_rejections(self._rejections)
         instances = tuple(self._serving(service))
         if self._room_instances.get(service) != instances:
             self._room_instances[service] = instances
--- a/chestnutfall/paths/helper_service.py
+++ b/chestnutfall/paths/helper_service.py
@@ -146,7 +146,8 @@
 
     def _note_signals(self, upstream: UpstreamRecord, answer: UpstreamAnswer, sent_ms: int) -> None:
         if answer.not_run is not NotRun.REPLACED:
-            self._signals.observe(upstream.instance, answer.signals, sent_ms, answer.ok)
+            rejected = answer.not_run is NotRun.FULL
+            self._signals.observe(upstream.instance, answer.signals, sent_ms, answer.ok, rejected)
 
     async def check_port(self, asked: CheckPort, context: Any) -> PortChecked:
         """Check a port for another gateway."""
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -22,6 +22,7 @@
 from .prefill_speed import PrefillSpeed
 from .prefill_window import PrefillWindow
 from .prompt_cache import Prefixes, PromptCache
+from .rejection_guard import RejectionGuard
 from .run_times import RunTimes
 from .store_times import StoreTimes
 from .upstream_health import UpstreamHealth
@@ -67,6 +68,8 @@
         Requests a second that the engine accepts.
     backoff : UpstreamBackoff
         Gateways that the engine asked to send nothing for a while.
+    rejections : RejectionGuard
+        How many rejections the engine bears, and what may run there unknown to this leader.
     health : UpstreamHealth
         Recent failures and delays.
     load_time : LoadTimeEstimate
@@ -106,6 +109,7 @@
         self.has_stray_order = False
         self.limit = limit
         self.backoff = backoff
+        self.rejections = RejectionGuard()
         self.health = UpstreamHealth(CONNECTION_FAILURES_TO_EJECT)
         self.load_time = LoadTimeEstimate(instance, kind.load_ms, store)
         self.prompt_cache = PromptCache(int(spec.kv_tokens * KV_SHARE))
@@ -147,9 +151,10 @@
         """Time until the engine's limit allows one more request after those that wait here."""
         return self.limit.wait_ms(self.prefill.waiting_count, now_ms)
 
-    def has_batch_place(self) -> bool:
+    def has_batch_place(self, now_ms: int) -> bool:
         """Whether one of the requests that wait here may be sent now."""
-        return len(self.running) - self.prefill.waiting_count < self.spec.batch
+        sent = len(self.running) - self.prefill.waiting_count
+        return sent < self.spec.batch and self.rejections.may_send(sent, self.spec.batch, now_ms)
 
     @property
     def beyond_batch(self) -> int:
@@ -227,6 +232,12 @@
         self._kv_used += req.prompt_tokens + req.output_tokens
         self.pauses.add(req.pause_objective_ms)
 
+    def adopt(self, req: PlaceRequest) -> None:
+        """Count a request that already runs here, placed without this leader."""
+        self.running[req.ticket] = req
+        self._kv_used += req.prompt_tokens + req.output_tokens
+        self.pauses.add(req.pause_objective_ms)
+
     def end(self, ticket: str) -> PlaceRequest | None:
         """Stop counting a request, and return it if it was counted."""
         req = self.running.pop(ticket, None)
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -200,6 +200,16 @@
             return
         note_end(engine, req, outcome, times, self._clock.now_ms())
 
+    def adopt(self, req: PlaceRequest, instance: str) -> None:
+        """Count a request that runs on an engine, placed by the last leader or without one."""
+        engine = self.engines.get(instance)
+        if engine is None or req.ticket in self._places or req.ticket in self._waiting:
+            return
+        engine.adopt(req)
+        self._places[req.ticket] = instance
+        if (holding := engine.holdings.get(req.adapter)) is not None:
+            holding.tickets.add(req.ticket)
+
     def instance_of(self, ticket: str) -> str:
         """The engine of the place that the ticket holds; empty when it holds none."""
         return self._places.get(ticket, "")
@@ -331,6 +341,7 @@
         engine.prefill.send(waiting.req.ticket, now_ms)
         engine.limit.note_sent(now_ms)
         engine.backoff.note_sent(waiting.req.ticket, now_ms)
+        engine.rejections.note_granted(now_ms)
         del self._waiting[waiting.req.ticket]
         self._places[waiting.req.ticket] = engine.instance
         yield Grant(
--- a/chestnutfall/placement/prefill_turns.py
+++ b/chestnutfall/placement/prefill_turns.py
@@ -59,7 +59,9 @@
     def _may_send(
         self, engine: Engine, waiting: WaitingRequest, slack_ms: float, now_ms: int
     ) -> bool:
-        return engine.has_batch_place() and self._may_prefill(engine, waiting, slack_ms, now_ms)
+        return engine.has_batch_place(now_ms) and self._may_prefill(
+            engine, waiting, slack_ms, now_ms
+        )
 
     def _may_prefill(
         self, engine: Engine, waiting: WaitingRequest, slack_ms: float, now_ms: int
--- a/chestnutfall/placement/run_end.py
+++ b/chestnutfall/placement/run_end.py
@@ -23,6 +23,13 @@
 ) -> None:
     """Update health, holdings and load times by a request that is no longer counted."""
     engine.health.note(outcome, now_ms)
+    match outcome:
+        case RunOutcome.FULL:
+            engine.rejections.note_rejected(now_ms)
+        case RunOutcome.LEFT | RunOutcome.BROKEN | RunOutcome.WITHDRAWN:
+            engine.rejections.note_uncertain_end(now_ms)
+        case _:
+            pass
     if outcome is RunOutcome.DONE:
         engine.health.note_lag(times.lag_ms, now_ms)
     holding = engine.holdings.get(req.adapter)
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -226,7 +226,8 @@
         async with call as resp:
             self._unread.note(upstream.announcement.service, resp.headers)
             signals = read_signals(resp.status, resp.headers, OWN_SIGNALS)
-            self._signals.observe(upstream.instance, signals, sent_ms, resp.status < 300)
+            rejected = resp.status == 503 and EXECUTED_HEADER in resp.headers
+            self._signals.observe(upstream.instance, signals, sent_ms, resp.status < 300, rejected)
             answer = await resp.content.read(MAX_ANSWER_BYTES)
             if not resp.content.at_eof():
                 raise aiohttp.ClientPayloadError("the answer is too large")
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -47,8 +47,9 @@
 from ..settings.fleet_settings import FleetSettings
 from ..signals import UnreadHeaders
 from ..signals.known_backoffs import KnownBackoffs
+from ..signals.known_rejections import KnownRejections
 from ..signals.known_signals import KnownSignals
-from ..signals.messages import BackoffHints
+from ..signals.messages import BackoffHints, RejectionsInForce
 from ..wire import RpcServer
 from . import header_names as names
 from .document_json import DocumentJson
@@ -97,7 +98,10 @@
     fleet.shortage_report = quotas.shortage_report
     upstream_limits = KnownLimits(fleet.send, lambda: known.gateways, clock, rng)
     backoffs = KnownBackoffs(fleet.send, clock)
-    signals = KnownSignals(upstream_limits, backoffs, clock)
+    rejections = KnownRejections(fleet.send, clock)
+    fleet.on(RejectionsInForce, rejections.apply)
+    signals = KnownSignals(upstream_limits, backoffs, clock, rejections)
+    engine_selector = EngineUpstreamSelector(fleet, signals, clock, name, settings.data_centre)
     fleet.on(LimitsInForce, upstream_limits.apply)
     fleet.on(BackoffHints, backoffs.apply_hints)
     room = KnownRoom(fleet.send, LeaderlessRoom(lambda: known.gateways, clock, rng), clock)
@@ -105,6 +109,7 @@
     fleet.signals_to_resend = lambda: (
         *signals.reports_for_new_leader(),
         *room.reports_for_new_leader(),
+        *engine_selector.running.reports_for_new_leader(),
         *(() if paths.can_help else (CanHelp(False),)),
     )
     helper = HelperService(
@@ -122,7 +127,7 @@
         known,
         Admission(quotas),
         Repeats(settings.repeats, lambda: known.gateways, fleet.borrow_repeat, clock, rng),
-        EngineUpstreamSelector(fleet, signals, clock, name, settings.data_centre),
+        engine_selector,
         PlainUpstreamSelector(
             known.upstreams,
             signals,
@@ -157,6 +162,7 @@
         metrics.gauge("connected", fleet.connected)
         metrics.gauge("limited_upstreams", len(upstream_limits))
         metrics.gauge("upstreams_backing_off", len(backoffs))
+        metrics.gauge("upstreams_bearing_few_rejections", len(rejections))
         metrics.gauge("services_short_of_room", len(room))
         metrics.gauge("upstream_connections_idle", len(pool))
         metrics.gauge("upstreams_cut_off", len(paths))
--- a/chestnutfall/platform/header_names.py
+++ b/chestnutfall/platform/header_names.py
@@ -19,6 +19,7 @@
 LOAD = "X-Instance-Load"
 REQUEST_LIMIT = "Server-Limit"  # requests a second that the upstream takes
 LEAVING = "Server-Leaving"
+REJECTION_LIMIT = "Server-Brittle"  # requests a second that it may reject for want of room
 RETRY_AFTER = "Retry-After"
 KEY = "X-Api-Key"
 ORGANISATION = "X-Tenant"  # name of the organisation, not its key
@@ -69,6 +70,7 @@
     LOAD,
     REQUEST_LIMIT,
     LEAVING,
+    REJECTION_LIMIT,
     STAMP,
     WEIGHT_VERSIONS,
 )
--- a/chestnutfall/platform/standin/run_registry.py
+++ b/chestnutfall/platform/standin/run_registry.py
@@ -42,6 +42,10 @@
         Times in seconds at which requests of each organisation ran.
     arrival_times_s : dict of str to list of float
         Times in seconds at which requests reached each upstream, refused ones included.
+    rejection_times_s : dict of str to list of float
+        Times in seconds at which each upstream rejected a request for want of room.
+    falls : list of str
+        Upstreams that crashed since they had to reject more than they bear.
     signals : dict of str to SignalHistory
         Signals that each upstream sent to gateways, and the requests that followed.
     """
@@ -52,6 +56,8 @@
     organisations: dict[str, str] = field(default_factory=dict)
     run_times_s: dict[str, list[float]] = field(default_factory=dict)
     arrival_times_s: dict[str, list[float]] = field(default_factory=dict)
+    rejection_times_s: dict[str, list[float]] = field(default_factory=dict)
+    falls: list[str] = field(default_factory=list)
     signals: dict[str, SignalHistory] = field(default_factory=dict)
 
     def note_run(self, request_id: str, organisation: str) -> None:
@@ -65,6 +71,19 @@
         self.arrival_times_s.setdefault(instance, []).append(time.monotonic())
         self.signals_of(instance).note_arrival(gateway)
 
+    def note_rejection(self, instance: str) -> int:
+        """Record that an upstream rejects a request for want of room.
+
+        Returns
+        -------
+        int
+            Number of its rejections within the last second, this one included.
+        """
+        now_s = time.monotonic()
+        times = self.rejection_times_s.setdefault(instance, [])
+        times.append(now_s)
+        return sum(one > now_s - 1.0 for one in times)
+
     def signals_of(self, instance: str) -> SignalHistory:
         """Return the history of an upstream; creates an empty one if there is none."""
         return self.signals.setdefault(instance, SignalHistory())
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -68,6 +68,9 @@
         While it is set, every request is refused with this Retry-After.
     marks_not_executed : bool
         Whether these refusals carry the proof that the request did not run.
+    rejections_per_s : int or None
+        Rejections for want of room that it bears within a second and names in its answers; with
+        one more it crashes. None for any number.
     leaving : bool
         Whether its answers carry the header that it leaves.
     speed : UnevenSpeed or None
@@ -110,6 +113,7 @@
         self.limit: str | None = None
         self.backoff: str | None = None
         self.marks_not_executed = True
+        self.rejections_per_s: int | None = None
         self.leaving = False
         self.speed: UnevenSpeed | None = None
         self.announces_draining = False
@@ -280,7 +284,9 @@
             return self._answer(request_id, 421, {names.INSTANCE: self.instance})
         if not self._is_engine:
             return await self._run_plain(request, request_id, body)
-        if len(self._running) >= BATCH or name in self._unloading:
+        if len(self._running) >= BATCH:
+            return self._reject(request_id)
+        if name in self._unloading:
             return self._answer(request_id, 503, {names.NOT_EXECUTED: "1"})
         self._running.append(name)
         self._note_run(request, request_id, body)
@@ -300,7 +306,16 @@
                 await asyncio.sleep(self._rng.uniform(0.002, 0.03) * room.slowdown)
                 return self._answer(request_id, 200, {}, answer_body(request_id))
         except NoRoom:
-            return self._answer(request_id, 503, {names.NOT_EXECUTED: "1"})
+            return self._reject(request_id)
+
+    def _reject(self, request_id: str) -> web.Response:
+        """Refuse a request for want of room; one too many ends a brittle upstream."""
+        rejections = self._registry.note_rejection(self.instance)
+        bears = self.rejections_per_s
+        if bears is not None and rejections > bears and self._ending is None:
+            self._registry.falls.append(self.instance)
+            self._ending = asyncio.ensure_future(self._end_and_restart())
+        return self._answer(request_id, 503, {names.NOT_EXECUTED: "1"})
 
     def _note_run(self, request: web.BaseRequest, request_id: str, body: bytes) -> None:
         if names.KEY in request.headers:
@@ -333,6 +348,8 @@
             headers[names.REQUEST_LIMIT] = self.limit
         if self.leaving:
             headers[names.LEAVING] = "1"
+        if self.rejections_per_s is not None:
+            headers[names.REJECTION_LIMIT] = str(self.rejections_per_s)
         if not self._is_engine:
             headers[names.LOAD] = self.room.load()
         elif self.speed is not None:
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -31,7 +31,7 @@
 answer ends."""
 ANSWER_OF_ANOTHER = "answer_of_another"
 """Code of an answer lost because another request's came instead."""
-_SIGNALS = SignalHeaders(names.REQUEST_LIMIT, names.LEAVING, names.LOAD)
+_SIGNALS = SignalHeaders(names.REQUEST_LIMIT, names.LEAVING, names.LOAD, names.REJECTION_LIMIT)
 _AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
--- a/chestnutfall/signals/known_signals.py
+++ b/chestnutfall/signals/known_signals.py
@@ -9,7 +9,8 @@
 from ..limits.known_limits import KnownLimits
 from ..limits.messages import HeardLimit
 from .known_backoffs import KnownBackoffs
-from .messages import HeardBackoff
+from .known_rejections import KnownRejections
+from .messages import HeardBackoff, HeardRejections
 from .retry_spread import RetrySpread
 from .upstream_signals import UpstreamSignals
 
@@ -23,15 +24,29 @@
         Requests per second that upstreams accept.
     backoffs : KnownBackoffs
         Upstreams that accept no requests for some time, or are leaving.
+    rejections : KnownRejections
+        Upstreams that bear few rejections; by default those that this gateway alone hears of.
     """
 
-    def __init__(self, limits: KnownLimits, backoffs: KnownBackoffs, clock: Clock) -> None:
+    def __init__(
+        self,
+        limits: KnownLimits,
+        backoffs: KnownBackoffs,
+        clock: Clock,
+        rejections: KnownRejections | None = None,
+    ) -> None:
         self.limits = limits
         self.backoffs = backoffs
+        self.rejections = rejections or KnownRejections(lambda report: None, clock)
         self._spread = RetrySpread(clock)
 
     def observe(
-        self, instance: str, signals: UpstreamSignals, sent_ms: int, succeeded: bool
+        self,
+        instance: str,
+        signals: UpstreamSignals,
+        sent_ms: int,
+        succeeded: bool,
+        rejected: bool = False,
     ) -> None:
         """Apply the signals of an answer.
 
@@ -41,9 +56,12 @@
             Clock time at which the request was sent.
         succeeded : bool
             Whether the answer is a success.
+        rejected : bool
+            Whether the answer rejects the request for want of room.
         """
         self.limits.observe(instance, signals.limit, sent_ms, succeeded)
         self.backoffs.observe(instance, signals)
+        self.rejections.observe(instance, signals.rejections, succeeded, rejected)
         if succeeded:
             self.backoffs.note_served(instance)
 
@@ -55,11 +73,15 @@
         were placed earlier, waited for an adapter, are repeated or are resumed would reach an
         upstream that has just asked for no requests.
         """
-        return not self.backoffs.left_ms(instance)
+        return not self.backoffs.left_ms(instance) and self.rejections.may_send(instance)
 
-    def reports_for_new_leader(self) -> tuple[HeardLimit | HeardBackoff, ...]:
+    def reports_for_new_leader(self) -> tuple[HeardLimit | HeardBackoff | HeardRejections, ...]:
         """Reports of all known signals, for a leader that has just started its term."""
-        return (*self.limits.reports_for_new_leader(), *self.backoffs.reports_for_new_leader())
+        return (
+            *self.limits.reports_for_new_leader(),
+            *self.backoffs.reports_for_new_leader(),
+            *self.rejections.reports_for_new_leader(),
+        )
 
     def held_back_ms(self, instances: Iterable[str]) -> float:
         """Time until the first of some upstreams accepts requests from this gateway.
--- a/chestnutfall/signals/messages.py
+++ b/chestnutfall/signals/messages.py
@@ -30,3 +30,24 @@
     """
 
     hints: tuple[HeardBackoff, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HeardRejections:
+    """How many rejections for want of room an upstream bears within a second.
+
+    Attributes
+    ----------
+    per_s : int or None
+        None for any number.
+    """
+
+    instance: str
+    per_s: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class RejectionsInForce:
+    """The leader's news of upstreams that bear few rejections, or any number again."""
+
+    upstreams: tuple[HeardRejections, ...]
--- a/chestnutfall/signals/own_headers.py
+++ b/chestnutfall/signals/own_headers.py
@@ -5,5 +5,8 @@
 from .read_signals import SignalHeaders
 
 OWN_SIGNALS = SignalHeaders(
-    limit="X-Requests-Per-Second", leaving="X-Upstream-Leaving", load="X-Upstream-Load"
+    limit="X-Requests-Per-Second",
+    leaving="X-Upstream-Leaving",
+    load="X-Upstream-Load",
+    rejections="X-Rejections-Per-Second",
 )
--- a/chestnutfall/signals/read_signals.py
+++ b/chestnutfall/signals/read_signals.py
@@ -7,6 +7,7 @@
 
 from ..limits import read_limit
 from .backoff_signal import BACKOFF_HEADER, read_backoff
+from .rejection_signal import read_rejections
 from .upstream_load import read_load
 from .upstream_signals import UpstreamSignals
 
@@ -27,16 +28,19 @@
     load : str
         Reports an `UpstreamLoad`, as `RUNNING,WAITING,MAX_RUNNING` with an optional fourth figure:
         how long work takes at this moment, in percent of the usual time.
+    rejections : str
+        Declares how many rejections the upstream bears within a second.
     """
 
     limit: str
     leaving: str
     load: str
+    rejections: str
 
     @property
     def all(self) -> tuple[str, ...]:
         """The names of all signal headers."""
-        return self.limit, self.leaving, self.load
+        return self.limit, self.leaving, self.load, self.rejections
 
 
 def read_signals(status: int, headers: Mapping[str, str], names: SignalHeaders) -> UpstreamSignals:
@@ -54,4 +58,5 @@
         read_backoff(status, headers.get(BACKOFF_HEADER), headers.get("Date")),
         headers.get(names.leaving, "").strip() == IS_LEAVING,
         read_load(headers.get(names.load)),
+        read_rejections(headers.get(names.rejections)),
     )
--- a/chestnutfall/signals/upstream_signals.py
+++ b/chestnutfall/signals/upstream_signals.py
@@ -6,6 +6,7 @@
 
 from ..limits import LimitSignal, UndeclaredLimit
 from .backoff_signal import BackoffSignal, NoBackoff
+from .rejection_signal import RejectionSignal, UndeclaredRejections
 from .upstream_load import UpstreamLoad
 
 
@@ -23,12 +24,15 @@
         Whether it is about to end and accepts no new work.
     load : UpstreamLoad or None
         Its load; None if the answer does not report it.
+    rejections : RejectionSignal
+        Rejections for want of room that it bears within a second.
     """
 
     limit: LimitSignal = field(default_factory=UndeclaredLimit)
     backoff: BackoffSignal = field(default_factory=NoBackoff)
     leaving: bool = False
     load: UpstreamLoad | None = None
+    rejections: RejectionSignal = field(default_factory=UndeclaredRejections)
 
 
 NO_SIGNALS = UpstreamSignals()
--- a/chestnutfall/tests/fakes/placing_gateway.py
+++ b/chestnutfall/tests/fakes/placing_gateway.py
@@ -22,8 +22,9 @@
 from ...placement import ReadyAdapter
 from ...platform.document_json import DocumentJson
 from ...signals.known_backoffs import KnownBackoffs
+from ...signals.known_rejections import KnownRejections
 from ...signals.known_signals import KnownSignals
-from ...signals.messages import BackoffHints
+from ...signals.messages import BackoffHints, RejectionsInForce
 from .placing_leader import PlacingLeader
 from .signalling_upstream import ENGINES, PLAIN, SignallingUpstream
 
@@ -52,7 +53,9 @@
         rng = random.Random(name)
         limits = KnownLimits(self.fleet.send, gateways, clock, rng)
         backoffs = KnownBackoffs(self.fleet.send, clock)
-        self.signals = KnownSignals(limits, backoffs, clock)
+        rejections = KnownRejections(self.fleet.send, clock)
+        self.fleet.on(RejectionsInForce, rejections.apply)
+        self.signals = KnownSignals(limits, backoffs, clock, rejections)
         self.fleet.on(LimitsInForce, limits.apply)
         self.fleet.on(BackoffHints, backoffs.apply_hints)
         self.room = KnownRoom(self.fleet.send, LeaderlessRoom(gateways, clock, rng), clock)
--- a/chestnutfall/tests/fakes/signalling_upstream.py
+++ b/chestnutfall/tests/fakes/signalling_upstream.py
@@ -12,7 +12,7 @@
 ADAPTERS = 6
 ENGINES, PLAIN = "engines", "plain"
 SPEC = EngineSpec(16, 1_000_000, (ModelSpec("base", 50),), 1_000, ADAPTERS, 5)
-_NAMES = SignalHeaders("limit", "leaving", "load")
+_NAMES = SignalHeaders("limit", "leaving", "load", "rejections")
 
 
 def all_adapters() -> dict[AdapterName, int]:
--- a/chestnutfall/tests/office_scenario.py
+++ b/chestnutfall/tests/office_scenario.py
@@ -42,6 +42,8 @@
     ----------
     callers : int
         Number of concurrent callers.
+    routes : tuple of str
+        Routes that they draw from.
     answers : list of SentRequest
         Outcomes of all requests that ended, in order.
     office : Office
@@ -50,6 +52,7 @@
 
     seed: int
     callers: int = CALLERS
+    routes: tuple[str, ...] = ROUTES
     answers: list[SentRequest] = field(default_factory=list)
     office: Office = field(init=False)
 
@@ -79,7 +82,7 @@
         while True:
             gateway = rng.choice(self.office.gateways)
             sent_s = time.monotonic()
-            result = await client.send(self.office.client_address(gateway), rng.choice(ROUTES))
+            result = await client.send(self.office.client_address(gateway), rng.choice(self.routes))
             self.answers.append(SentRequest(sent_s, result, gateway.plan.ip))
             await asyncio.sleep(rng.uniform(0.0, 0.04))
 
--- /dev/null
+++ b/chestnutfall/tests/test_rejecting_upstreams.py
@@ -0,0 +1,55 @@
+"""Upstreams that end when they have to reject too many requests, with the programs as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import unittest
+
+from ..platform.standin.operator import ENGINES, PLAIN
+from .office_scenario import OfficeScenario
+
+REJECTIONS_PER_S = 3
+CALLERS = 60
+"""Over twice the places of the engines and of the plain upstreams."""
+STREAMED, WHOLE = ("draft", "long"), ("again", "once")
+LOAD_S = 6.0
+
+
+class RejectingUpstreamTest(unittest.TestCase):
+    # Guards against engines that end since all gateways together send more than they have room for.
+    def test_engines_that_bear_few_rejections_stay_up_under_overload(self) -> None:
+        for seed in (61, 62):
+            with self.subTest(seed=seed):
+                self._check(OfficeScenario(seed, CALLERS, STREAMED), ENGINES, self._wait)
+
+    # Guards against plain upstreams that end for the same reason.
+    def test_plain_upstreams_that_bear_few_rejections_stay_up_under_overload(self) -> None:
+        self._check(OfficeScenario(63, CALLERS, WHOLE), PLAIN, self._wait)
+
+    # Guards against a new leader that gives out places that are still taken.
+    def test_engines_that_bear_few_rejections_stay_up_while_leaders_change(self) -> None:
+        for seed in (64, 65):
+            with self.subTest(seed=seed):
+                self._check(OfficeScenario(seed, CALLERS, STREAMED), ENGINES, self._end_controllers)
+
+    def _check(self, play: OfficeScenario, service: str, trouble: object) -> None:
+        async def script(play: OfficeScenario) -> None:
+            for one in play.office.upstreams:
+                if one.service == service:
+                    one.rejections_per_s = REJECTIONS_PER_S
+            await trouble(play)  # type: ignore[operator]
+
+        asyncio.run(play.run(script))
+        self.assertEqual(play.office.run_registry.falls, [])
+
+    async def _wait(self, play: OfficeScenario) -> None:
+        await asyncio.sleep(LOAD_S)
+
+    async def _end_controllers(self, play: OfficeScenario) -> None:
+        for one in play.office.controllers:
+            one.signal(signal.SIGKILL)
+            await one.wait_ended(5)
+            await asyncio.sleep(1.0)
+            await one.start(False)
+            await asyncio.sleep(1.5)
--- a/chestnutfall/tests/test_signals.py
+++ b/chestnutfall/tests/test_signals.py
@@ -23,7 +23,7 @@
 from ..signals.unread_headers import MAX_NAME_CHARS, MAX_NAMES
 from ..signals.upstream_load import MAX_SLOWDOWN, MIN_SLOWDOWN
 
-NAMES = SignalHeaders("x-limit", "x-leaving", "x-load")
+NAMES = SignalHeaders("x-limit", "x-leaving", "x-load", "x-rejections")
 DATE = "Thu, 03 Dec 2026 11:00:00 GMT"
 
 
