Send round a cut on the product's own interface too

What callers saw: a gateway whose links to engines or plain upstreams were cut refused completions and calls that other gateways served.

A closed port counts as an end only if a second gateway sees it closed. The two HTTP clients that stood beside each other are one.

--- a/chestnutfall/engine_edge/engine_api.py
+++ b/chestnutfall/engine_edge/engine_api.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import AsyncGenerator, Sequence
 
+from ..control.upstream_record import UpstreamRecord
 from .answer_event import AnswerEvent
 from .engine_request import EngineRequest
 from .engine_state import EngineState
@@ -17,11 +18,11 @@
 class EngineApi(ABC):
     """Calls from a gateway to engines.
 
-    In every method, `address` is the engine's IP and port.
+    State reads and orders go to `address`, the engine's IP and port.
     """
 
     @abstractmethod
-    def run(self, address: str, req: EngineRequest) -> Batches:
+    def run(self, engine: UpstreamRecord, req: EngineRequest) -> Batches:
         """Start a run of the request and yield the events of its answer as they arrive.
 
         Raises
@@ -33,7 +34,7 @@
         """
 
     @abstractmethod
-    def resume(self, address: str, req: EngineRequest, after: int) -> Batches:
+    def resume(self, engine: UpstreamRecord, req: EngineRequest, after: int) -> Batches:
         """Yield the events of the same run after number `after`, on a new connection.
 
         This never starts a run: an engine that does not know the attempt refuses with
@@ -41,7 +42,7 @@
         """
 
     @abstractmethod
-    async def cancel(self, address: str, attempt_id: str) -> None:
+    async def cancel(self, engine: UpstreamRecord, attempt_id: str) -> None:
         """Cancel a run whose answer is no longer wanted; errors are ignored."""
 
     @abstractmethod
--- a/chestnutfall/engine_edge/http_engine_api.py
+++ b/chestnutfall/engine_edge/http_engine_api.py
@@ -1,14 +1,19 @@
-"""HTTP client for engines with the OpenAI API and server-sent events."""
+"""Client for engines with the OpenAI API and server-sent events."""
 
 from __future__ import annotations
 
 import json
+import logging
+from contextlib import AbstractAsyncContextManager
 from typing import Any
 
 import aiohttp
 
-from ..signals import UnreadHeaders, read_signals
-from ..signals.own_headers import OWN_SIGNALS
+from ..control.upstream_record import UpstreamRecord
+from ..forwarding.call import Call
+from ..forwarding.forwarded_call import ForwardedCall
+from ..forwarding.upstream_answer import UpstreamAnswer
+from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 from ..wire.single_send_session import single_send_session
 from .answer_event import AnswerEvent
 from .answer_validator import DONE
@@ -18,7 +23,9 @@
 from .errors import EngineBroken, EngineRefused
 from .order import Order
 
-CONNECT_TIMEOUT_MS = 500
+log = logging.getLogger(__name__)
+CANCEL_MS = 500
+"""Longest wait for the answer to a cancellation, which nobody needs."""
 IDLE_CONNECTION_S = 2.0
 MAX_EVENT_BYTES = 1024 * 1024
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -29,55 +36,43 @@
 
 
 class HttpEngineApi(EngineApi):
-    """HTTP client with one pool of connections to all engines.
+    """Runs, resumes and cancels through an `UpstreamApi`; state reads and orders over a pool."""
 
-    A connection returns to the pool only after its answer was read to the end (aiohttp closes it
-    otherwise), so a later request on the connection cannot read the rest of an earlier answer.
-    """
-
-    def __init__(self, unread: UnreadHeaders) -> None:
-        self._unread = unread
+    def __init__(self, upstreams: UpstreamApi) -> None:
+        self._upstreams = upstreams
         self._pool = single_send_session(
             aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
         )
-        self._fresh = single_send_session(aiohttp.TCPConnector(limit=0, force_close=True))
 
     async def close(self) -> None:
-        """Close every connection."""
+        """Close the connections for state reads and orders."""
         await self._pool.close()
-        await self._fresh.close()
 
-    def run(self, address: str, req: EngineRequest) -> Batches:
-        session = self._fresh if req.fresh_connection else self._pool
+    def run(self, engine: UpstreamRecord, req: EngineRequest) -> Batches:
         headers = {
             ATTEMPT_HEADER: req.attempt_id,
             PRIORITY_HEADER: str(req.priority),
             "Content-Type": "application/json",
             **req.trace,
         }
-        call = session.post(
-            f"http://{address}{req.path}",
-            data=req.body,
-            headers=headers,
-            timeout=_timeout(req.silent_ms),
-        )
-        return _read_answer(call, req, self._unread)
-
-    def resume(self, address: str, req: EngineRequest, after: int) -> Batches:
-        call = self._fresh.get(
-            f"http://{address}/v1/runs/{req.attempt_id}",
-            headers={"Last-Event-ID": str(after)},
-            timeout=_timeout(req.silent_ms),
-        )
-        return _read_answer(call, req, self._unread)
-
-    async def cancel(self, address: str, attempt_id: str) -> None:
+        call = _call("POST", req.path, headers, req.attempt_id, req.body)
+        sent = _forwarded(call, engine, req.silent_ms, req.fresh_connection)
+        return _read_answer(self._upstreams.send(sent), req)
+
+    def resume(self, engine: UpstreamRecord, req: EngineRequest, after: int) -> Batches:
+        headers = {"Last-Event-ID": str(after)}
+        call = _call("GET", f"/v1/runs/{req.attempt_id}", headers, req.attempt_id)
+        sent = _forwarded(call, engine, req.silent_ms, True)
+        return _read_answer(self._upstreams.send(sent), req)
+
+    async def cancel(self, engine: UpstreamRecord, attempt_id: str) -> None:
+        call = _call("DELETE", f"/v1/runs/{attempt_id}", {}, attempt_id)
         try:
-            url = f"http://{address}/v1/runs/{attempt_id}"
-            async with self._fresh.delete(url, timeout=_timeout(CONNECT_TIMEOUT_MS)):
+            async with self._upstreams.send(_forwarded(call, engine, CANCEL_MS, True)):
                 pass
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            return
+        except (NotSent, AnswerLost) as exc:
+            # The engine ends the run by itself when its client does not come back.
+            log.debug("engine: cancel of %s failed: %s", attempt_id, exc)
 
     async def state(self, address: str, timeout_ms: float) -> EngineState:
         found = await self._request_json("GET", f"http://{address}/v1/state", None, timeout_ms)
@@ -104,56 +99,66 @@
             raise ConnectionError(f"{url}: {exc!r}") from exc
 
 
-def _timeout(silent_ms: float) -> aiohttp.ClientTimeout:
-    return aiohttp.ClientTimeout(
-        total=None, sock_connect=CONNECT_TIMEOUT_MS / 1000, sock_read=silent_ms / 1000
+def _call(
+    method: str, target: str, headers: dict[str, str], attempt_id: str, body: bytes = b""
+) -> Call:
+    return Call(attempt_id, method, target, target, "", tuple(headers.items()), body, 0, 0)
+
+
+def _forwarded(
+    call: Call, engine: UpstreamRecord, silent_ms: float, fresh_connection: bool
+) -> ForwardedCall:
+    return ForwardedCall(
+        call, engine, 0, 0, 0, None, runs_once=fresh_connection, silent_ms=silent_ms
     )
 
 
-async def _read_answer(call: Any, req: EngineRequest, unread: UnreadHeaders) -> Batches:
+async def _read_answer(
+    sending: AbstractAsyncContextManager[UpstreamAnswer], req: EngineRequest
+) -> Batches:
     try:
-        async with call as resp:
-            unread.note("engine", resp.headers)
-            req.on_signals(read_signals(resp.status, resp.headers, OWN_SIGNALS), resp.status == 200)
-            if resp.status != 200:
-                await _raise_refusal(resp)
+        async with sending as answer:
+            req.on_signals(answer.signals, answer.status == 200)
+            if answer.status != 200:
+                await _raise_refusal(answer)
             if not req.stream:
-                yield (AnswerEvent(1, await _read_body(resp), last=True),)
+                yield (AnswerEvent(1, await _read_body(answer, MAX_ANSWER_BYTES), last=True),)
                 return
             rest = b""
-            async for chunk in resp.content.iter_any():
+            async for chunk in answer.body:
                 *texts, rest = (rest + chunk).split(_EVENT_END)
                 if len(rest) > MAX_EVENT_BYTES:
                     raise EngineBroken("engine_event_too_large", f"over {MAX_EVENT_BYTES} bytes")
                 if texts:
                     yield [event for event in map(_parse_event, texts) if event is not None]
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
-        raise EngineRefused("engine_unreachable", f"no connection: {exc}") from exc
-    except TimeoutError as exc:
-        raise EngineBroken("engine_silent", "the engine fell silent") from exc
-    except (aiohttp.ClientError, OSError) as exc:
-        raise EngineBroken("engine_connection_lost", f"connection lost: {exc!r}") from exc
+    except NotSent as exc:
+        raise EngineRefused("engine_unreachable", str(exc)) from exc
+    except AnswerLost as exc:
+        if str(exc) == SILENT:
+            raise EngineBroken("engine_silent", "the engine fell silent") from exc
+        raise EngineBroken("engine_connection_lost", str(exc)) from exc
 
 
-async def _raise_refusal(resp: aiohttp.ClientResponse) -> None:
+async def _raise_refusal(answer: UpstreamAnswer) -> None:
+    status = answer.status
     try:
-        error = json.loads(await resp.content.read(MAX_EVENT_BYTES))["error"]
+        error = json.loads(await _read_body(answer, MAX_EVENT_BYTES))["error"]
         code, message, ran = str(error["code"]), str(error["message"]), error.get("ran", True)
     except (ValueError, KeyError, TypeError):
-        code, message, ran = "engine_error", f"status {resp.status}", True
+        code, message, ran = "engine_error", f"status {status}", True
     # Only the engine's own statement that nothing ran is a proof; a bare 500 may follow half a
     # run.
-    if ran is False or resp.status in _BAD_REQUEST_STATUSES:
-        raise EngineRefused(code, message, final=resp.status in _BAD_REQUEST_STATUSES)
+    if ran is False or status in _BAD_REQUEST_STATUSES:
+        raise EngineRefused(code, message, final=status in _BAD_REQUEST_STATUSES)
     raise EngineBroken(code, message)
 
 
-async def _read_body(resp: aiohttp.ClientResponse) -> bytes:
+async def _read_body(answer: UpstreamAnswer, max_bytes: int) -> bytes:
     body = bytearray()
-    async for chunk in resp.content.iter_any():
+    async for chunk in answer.body:
         body += chunk
-        if len(body) > MAX_ANSWER_BYTES:
-            raise EngineBroken("engine_answer_too_large", f"more than {MAX_ANSWER_BYTES} bytes")
+        if len(body) > max_bytes:
+            raise EngineBroken("engine_answer_too_large", f"more than {max_bytes} bytes")
     return bytes(body)
 
 
--- a/chestnutfall/membership/upstream.py
+++ b/chestnutfall/membership/upstream.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from ..control.upstream_record import UpstreamRecord
 from .announcement import Announcement
 
 
@@ -29,6 +30,12 @@
         """Name and incarnation, which together identify one process of the upstream."""
         return f"{self.name}/{self.announcement.incarnation}"
 
+    @property
+    def record(self) -> UpstreamRecord:
+        """The upstream as sends name it."""
+        told = self.announcement
+        return UpstreamRecord(self.instance, told.service, told.address, told.data_centre)
+
     def takes_work(self, now_ms: int) -> bool:
         """Whether the announcement is still valid and the upstream accepts new work."""
         is_current = now_ms < self.received_ms + self.announcement.ttl_ms
--- a/chestnutfall/paths/helper_links.py
+++ b/chestnutfall/paths/helper_links.py
@@ -15,7 +15,7 @@
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
-from ..wire import RpcChannel
+from ..wire import RpcChannel, TlsFiles
 from .helper_api import HelperApi
 from .helper_service import as_sent
 from .messages import (
@@ -51,11 +51,14 @@
     ----------
     interpret : UpstreamApi
         Reads the status and headers of upstreams' answers.
+    tls : TlsFiles or None
+        Certificates of this gateway, where gateways authenticate themselves.
     """
 
-    def __init__(self, interpret: UpstreamApi, clock: Clock) -> None:
+    def __init__(self, interpret: UpstreamApi, clock: Clock, tls: TlsFiles | None = None) -> None:
         self._interpret = interpret
         self._clock = clock
+        self._tls = tls
         self._channels: dict[str, RpcChannel] = {}
         self._used_ms: dict[str, int] = {}
         self._busy: Counter[str] = Counter()
@@ -88,7 +91,7 @@
         """
         channel = self._channels.get(address)
         if channel is None:
-            channel = self._channels[address] = RpcChannel(address, HELP_CODEC)
+            channel = self._channels[address] = RpcChannel(address, HELP_CODEC, self._tls)
             if self._sweeper is None or self._sweeper.done():
                 self._sweeper = asyncio.ensure_future(self._close_idle())
         self._used_ms[address] = self._clock.now_ms()
--- a/chestnutfall/paths/helper_service.py
+++ b/chestnutfall/paths/helper_service.py
@@ -4,7 +4,7 @@
 
 import logging
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Sequence
 from contextlib import AsyncExitStack
 from dataclasses import replace
 from typing import Any
@@ -16,7 +16,6 @@
 from ..forwarding.upstream_api import AnswerLost, NotSent
 from ..signals.known_signals import KnownSignals
 from .helped_upstream_api import HelpedUpstreamApi
-from .known_helpers import KnownHelpers
 from .messages import (
     AnswerBegins,
     AnswerBroken,
@@ -46,6 +45,8 @@
 
     Parameters
     ----------
+    accepts : callable
+        Whether a gateway with these keys belongs to the fleet.
     upstream : callable
         Returns the record of an instance; None if it does not accept work.
     upstreams : callable
@@ -62,7 +63,7 @@
     def __init__(
         self,
         api: HelpedUpstreamApi,
-        helpers: KnownHelpers,
+        accepts: Callable[[Sequence[str]], bool],
         signals: KnownSignals,
         upstream: Callable[[str], UpstreamRecord | None],
         upstreams: Callable[[], Iterable[UpstreamRecord]],
@@ -72,7 +73,7 @@
         rng: random.Random,
     ) -> None:
         self._api = api
-        self._helpers = helpers
+        self._accepts = accepts
         self._signals = signals
         self._upstream = upstream
         self._upstreams = upstreams
@@ -109,8 +110,8 @@
         """Return why nothing is sent; empty if the call may be sent."""
         instance = asked.forwarded.upstream.instance
         known = self._upstream(instance)
-        if not self._helpers.accepts(asked.keys):
-            log.warning("help: refused, the key is of no leader of this fleet")
+        if not self._accepts(asked.keys):
+            log.warning("help: refused, the key is not one of this fleet")
             return "unknown_key"
         if self._refusing:
             return "leaving"
@@ -151,7 +152,7 @@
 
     async def check_port(self, asked: CheckPort, context: Any) -> PortChecked:
         """Check a port for another gateway."""
-        if not self._helpers.accepts(asked.keys):
+        if not self._accepts(asked.keys):
             return PortChecked(False)
         others = [one for one in self._upstreams() if one.address != asked.address]
         refuses = await self._refuses(asked.address) and await self._opens_any(others)
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -5,24 +5,24 @@
 import uuid
 from typing import Any
 
-import aiohttp
 from aiohttp import web
 
 from ..clock import Clock
 from ..config.caller import Caller
 from ..config.service import Service
+from ..forwarding.call import Call
+from ..forwarding.forwarded_call import ForwardedCall
+from ..forwarding.upstream_answer import UpstreamAnswer
+from ..forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
 from ..membership import GatewayAgent, Upstream, UpstreamRegistry
 from ..observability.metrics import Metrics
 from ..quarantine import RequestQuarantine
 from ..requests import NOT_RUN_STATUSES, Executed, Refusal, digest_of, fingerprint_of
 from ..routing import ClaimClient, ClaimRequest
-from ..signals import BACKING_OFF, UnreadHeaders, read_signals
+from ..signals import BACKING_OFF
 from ..signals.known_signals import KnownSignals
-from ..signals.own_headers import OWN_SIGNALS
-from ..wire.single_send_session import single_send_session
-from .plain_answer import EXECUTED_HEADER, PlainAnswer
+from .plain_answer import EXECUTED_HEADER, EXECUTED_NO, PlainAnswer
 
-CONNECT_S = 0.5
 MAX_ATTEMPTS = 3
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _NOT_FORWARDED = frozenset(
@@ -59,6 +59,7 @@
         clock: Clock,
         metrics: Metrics,
         data_centre: str,
+        upstreams: UpstreamApi,
     ) -> None:
         self._agent = agent
         self._registry = registry
@@ -68,13 +69,8 @@
         self._clock = clock
         self._metrics = metrics
         self._data_centre = data_centre
-        self._session = single_send_session(aiohttp.TCPConnector(limit=0, force_close=True))
+        self._upstreams = upstreams
         self._round_robin = 0
-        self._unread = UnreadHeaders((*OWN_SIGNALS.all, EXECUTED_HEADER), metrics.count)
-
-    async def close(self) -> None:
-        """Close every connection."""
-        await self._session.close()
 
     async def answer(self, request: web.Request, caller_name: str, body: bytes) -> web.Response:
         """Relay one call and return the upstream's answer.
@@ -142,10 +138,10 @@
                 if not answer.turned_away or (at_most_once and not answer.not_run):
                     break
                 executed = executed if answer.not_run else Executed.UNKNOWN
-            except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            except NotSent as exc:
                 message = f"no connection to {upstream.name}: {exc}"
-            except (aiohttp.ClientError, TimeoutError, OSError) as exc:
-                message = f"{upstream.name} broke off: {exc!r}"
+            except AnswerLost as exc:
+                message = f"{upstream.name} broke off: {exc}"
                 executed, broke = Executed.UNKNOWN, True
                 self._quarantine.note_broken(
                     fingerprint, upstream.instance, upstream.address, began_ms
@@ -211,30 +207,31 @@
     async def _call(
         self, request: web.Request, upstream: Upstream, service: Service, body: bytes
     ) -> PlainAnswer:
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_S, sock_read=service.silent_ms / 1000
-        )
-        call = self._session.request(
-            request.method,
-            f"http://{upstream.address}{request.path_qs}",
-            data=body,
-            headers=_forwarded_headers(request.headers),
-            timeout=timeout,
-            allow_redirects=False,
+        headers = tuple(_forwarded_headers(request.headers).items())
+        target = request.path_qs
+        call = Call("", request.method, target, request.path, "", headers, body, 0, 0)
+        # A connection may have died while it was idle, and whether the call ran would be unknown.
+        sent = ForwardedCall(
+            call, upstream.record, 0, 0, 0, None, runs_once=True, silent_ms=service.silent_ms
         )
         sent_ms = self._clock.now_ms()
-        async with call as resp:
-            self._unread.note(upstream.announcement.service, resp.headers)
-            signals = read_signals(resp.status, resp.headers, OWN_SIGNALS)
-            rejected = resp.status == 503 and EXECUTED_HEADER in resp.headers
-            self._signals.observe(upstream.instance, signals, sent_ms, resp.status < 300, rejected)
-            answer = await resp.content.read(MAX_ANSWER_BYTES)
-            if not resp.content.at_eof():
-                raise aiohttp.ClientPayloadError("the answer is too large")
-            forwarded = _forwarded_headers(resp.headers)
-            return PlainAnswer(
-                web.Response(status=resp.status, body=answer, headers=forwarded), signals
-            )
+        async with self._upstreams.send(sent) as answer:
+            by_name = _forwarded_headers(dict(answer.headers))
+            rejected = answer.status == 503 and by_name.get(EXECUTED_HEADER) == EXECUTED_NO
+            succeeded = answer.status < 300
+            self._signals.observe(upstream.instance, answer.signals, sent_ms, succeeded, rejected)
+            data = await _read_whole(answer)
+            response = web.Response(status=answer.status, body=data, headers=by_name)
+            return PlainAnswer(response, answer.signals)
+
+
+async def _read_whole(answer: UpstreamAnswer) -> bytes:
+    body = bytearray()
+    async for data in answer.body:
+        body += data
+        if len(body) > MAX_ANSWER_BYTES:
+            raise AnswerLost("the answer is too large")
+    return bytes(body)
 
 
 def _forwarded_headers(headers: Any) -> dict[str, str]:
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -114,7 +114,7 @@
     )
     helper = HelperService(
         api,
-        helpers,
+        helpers.accepts,
         signals,
         known.upstream,
         known.all_upstreams,
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -12,20 +12,28 @@
 from ..caller_edge import CallerApp, CallerLimits, ControlQuotaClient
 from ..clock import SystemClock
 from ..control.control_client import ControlClient
+from ..control.upstream_record import UpstreamRecord
 from ..engine_edge.http_engine_api import ATTEMPT_HEADER, HttpEngineApi
+from ..engine_edge.own_upstream_http import OwnUpstreamHttp
 from ..limits.known_limits import KnownLimits
 from ..limits.messages import HeardLimit
 from ..membership import GatewayAgent, UpstreamRegistry
 from ..membership.announce_app import AnnounceApp
+from ..membership.peer_helpers import PeerHelpers
 from ..observability.json_logs import start_logs
 from ..observability.metrics import Metrics
 from ..observability.tracing import start_tracing
 from ..ownership import TICKET_CODEC, EngineOwners
 from ..ownership.load_permits import ControllerPermits
+from ..paths import HelpedUpstreamApi, HelperService, KnownHelpers, PathTable, PortWitness
+from ..paths.helper_links import HelperLinks
+from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD
 from ..peers import PeerLinks, PeerServer
 from ..peers.peer_server import METHOD as TICKETS_METHOD
 from ..plain_edge import PlainProxy
+from ..plain_edge.plain_answer import EXECUTED_HEADER
 from ..quarantine import RequestQuarantine, refuses_connections
+from ..quarantine.port_check import opens_connection
 from ..quarantine.report_sender import ReportSender
 from ..quota.quota_enforcer import QuotaEnforcer
 from ..routing import ClaimClient, Dispatcher
@@ -80,8 +88,22 @@
             self._clock,
             settings.config_lease_ms,
         )
-        unread = UnreadHeaders((*OWN_SIGNALS.all, ATTEMPT_HEADER), self._metrics.count)
-        self._api = HttpEngineApi(unread)
+        names = (*OWN_SIGNALS.all, ATTEMPT_HEADER, EXECUTED_HEADER)
+        unread = UnreadHeaders(names, self._metrics.count)
+        self._direct = OwnUpstreamHttp(unread)
+        self._helper_links = HelperLinks(self._direct, self._clock, self._tls)
+        self._helpers = KnownHelpers(self._clock, random.Random())
+        self._peer_helpers = PeerHelpers(self._agent, self._helpers)
+        self._upstreams = HelpedUpstreamApi(
+            self._direct,
+            self._helper_links,
+            self._helpers,
+            PathTable(self._clock),
+            opens_connection,
+            self._peer_helpers.is_alone,
+            self._clock,
+        )
+        self._api = HttpEngineApi(self._upstreams)
         self._engine_owners = self._make_engine_owners()
         self._peer_server = PeerServer(self._engine_owners, self._clock)
         self._links = PeerLinks(self._agent, self._engine_owners, self._clock, self._tls)
@@ -89,6 +111,7 @@
         quarantine = self._make_quarantine()
         signals = self._make_signals()
         self._plain = self._make_plain_proxy(quarantine, signals)
+        self._helper = self._make_helper(signals)
         self._quotas = self._make_quota_enforcer()
         self._app = CallerApp(
             self._agent,
@@ -117,7 +140,10 @@
 
     def _make_quarantine(self) -> RequestQuarantine:
         reports = ReportSender(self._client)
-        quarantine = RequestQuarantine(reports.send, refuses_connections, self._clock)
+        witness = PortWitness(
+            refuses_connections, self._helper_links, self._helpers, self._peer_helpers.is_alone
+        )
+        quarantine = RequestQuarantine(reports.send, witness.has_ended, self._clock)
         self._agent.on_suspects = quarantine.update
         self._registry.on_replaced = quarantine.note_replaced
         return quarantine
@@ -142,8 +168,27 @@
             self._clock,
             self._metrics,
             self._settings.data_centre,
+            self._upstreams,
         )
 
+    def _make_helper(self, signals: KnownSignals) -> HelperService:
+        return HelperService(
+            self._upstreams,
+            self._peer_helpers.accepts,
+            signals,
+            self._upstream_record,
+            lambda: [one.record for one in self._registry.serving()],
+            opens_connection,
+            refuses_connections,
+            self._clock,
+            random.Random(),
+        )
+
+    def _upstream_record(self, instance: str) -> UpstreamRecord | None:
+        found = (one for one in self._registry.serving() if one.instance == instance)
+        one = next(found, None)
+        return one.record if one is not None else None
+
     def _make_quota_enforcer(self) -> QuotaEnforcer:
         client = ControlQuotaClient(self._client, self._clock)
         enforcer = QuotaEnforcer(
@@ -179,6 +224,7 @@
     def _on_change(self) -> None:
         self._engine_owners.reconcile_ownership()
         self._links.update_links()
+        self._peer_helpers.update()
 
     def _is_gone(self, session: str) -> bool:
         """Whether a gateway has neither a controller session nor a stream to this gateway."""
@@ -190,6 +236,8 @@
         """Serve until `stop`, then drain; return the exit code of the process."""
         peers = RpcServer(self._settings.peer_listen, self._tls)
         peers.add_stream(TICKETS_METHOD, TICKET_CODEC, self._peer_server.serve)
+        peers.add_stream(HELP_METHOD, HELP_CODEC, self._helper.serve)
+        peers.add_unary(CHECK_METHOD, HELP_CODEC, self._helper.check_port)
         await peers.start()
         callers = web.AppRunner(
             self._app.build(), handler_cancellation=True, access_log=None, shutdown_timeout=1.0
@@ -210,7 +258,8 @@
         await self._links.close()
         await peers.stop()
         await self._api.close()
-        await self._plain.close()
+        await self._helper_links.close()
+        await self._direct.close()
         await self._client.close()
         log.info("gateway: %s stopped", self._settings.name)
         return 0
@@ -235,7 +284,8 @@
         self._app.ready = False
         await self._clock.sleep_ms(self._settings.not_ready_ms)
         self._app.refusing = True
-        while self._app.in_progress:
+        self._helper.refuse_new()
+        while self._app.in_progress or self._helper.in_progress:
             await self._clock.sleep_ms(POLL_MS)
         self._agent.leaving = True
         await self._engine_owners.close()
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -199,7 +199,7 @@
     async def _run(self, engine: Upstream, req: EngineRequest) -> Batches:
         validator = AnswerValidator(req.attempt_id, req.model)
         resumes = 0
-        batches = self._api.run(engine.address, req)
+        batches = self._api.run(engine.record, req)
         try:
             while not validator.whole:
                 try:
@@ -218,7 +218,7 @@
                     self._metrics.count("resumes")
                     await self._clock.sleep_ms(self._resume_wait_ms(engine, req, resumes))
                     self._links.report_resume(engine.name)
-                    batches = self._api.resume(engine.address, req, validator.last_number)
+                    batches = self._api.resume(engine.record, req, validator.last_number)
         finally:
             if validator.dropped:
                 self._metrics.count("events_dropped", validator.dropped)
@@ -265,7 +265,7 @@
 
     def _cancel(self, engine: Upstream, attempt_id: str) -> None:
         """Cancel the run on the engine in the background; the caller may be gone."""
-        task = asyncio.ensure_future(self._api.cancel(engine.address, attempt_id))
+        task = asyncio.ensure_future(self._api.cancel(engine.record, attempt_id))
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
--- a/chestnutfall/tests/fakes/fake_engine.py
+++ b/chestnutfall/tests/fakes/fake_engine.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 from ...clock import Clock
+from ...control.upstream_record import UpstreamRecord
 from ...engine_edge import (
     AnswerEvent,
     Batches,
@@ -128,7 +129,8 @@
         """Whether the engine's process is gone."""
         return not self.by_address[address].reachable
 
-    async def run(self, address: str, req: EngineRequest) -> Batches:
+    async def run(self, engine: UpstreamRecord, req: EngineRequest) -> Batches:
+        address = engine.address
         engine = self.by_address[address]
         if not engine.reachable or engine.take_fault("unreachable"):
             raise EngineRefused("engine_unreachable", "no connection")
@@ -181,7 +183,8 @@
             if number == 3 and engine.take_fault("duplicate"):
                 yield [AnswerEvent(number, data, last)]
 
-    async def resume(self, address: str, req: EngineRequest, after: int) -> Batches:
+    async def resume(self, engine: UpstreamRecord, req: EngineRequest, after: int) -> Batches:
+        address = engine.address
         engine = self.by_address[address]
         if not engine.reachable:
             raise EngineRefused("engine_unreachable", "no connection")
@@ -192,7 +195,8 @@
         async for event in self._events_after(engine, req, after):
             yield event
 
-    async def cancel(self, address: str, attempt_id: str) -> None:
+    async def cancel(self, engine: UpstreamRecord, attempt_id: str) -> None:
+        address = engine.address
         self.cancelled.append(attempt_id)
         self.by_address[address].running.pop(attempt_id, None)
 
--- a/chestnutfall/tests/fakes/path_office.py
+++ b/chestnutfall/tests/fakes/path_office.py
@@ -116,7 +116,7 @@
         records = {one.instance: one for one in office.upstreams}
         self.service = HelperService(
             self.api,
-            self.helpers,
+            self.helpers.accepts,
             self.signals,
             records.get,
             lambda: office.upstreams,
--- a/chestnutfall/tests/test_helper_links.py
+++ b/chestnutfall/tests/test_helper_links.py
@@ -76,7 +76,7 @@
         )
         self.service = HelperService(
             api,
-            helpers,
+            helpers.accepts,
             known_signals(clock),
             {UPSTREAM.instance: UPSTREAM}.get,
             lambda: [UPSTREAM],
--- a/chestnutfall/tests/test_http_engine_api.py
+++ b/chestnutfall/tests/test_http_engine_api.py
@@ -14,6 +14,7 @@
 
 from aiohttp import web
 
+from ..control.upstream_record import UpstreamRecord
 from ..engine_edge import (
     AnswerValidator,
     EngineBroken,
@@ -23,6 +24,7 @@
     OrderKind,
 )
 from ..engine_edge.http_engine_api import HttpEngineApi
+from ..engine_edge.own_upstream_http import OwnUpstreamHttp
 from ..signals import UnreadHeaders
 from ..standin.engine_app import EngineApp
 from ..standin.engine_core import EngineCore
@@ -40,13 +42,20 @@
         await web.TCPSite(self.runner, "127.0.0.1", 0).start()
         self.address = f"127.0.0.1:{self.runner.addresses[0][1]}"
         self.steps = asyncio.ensure_future(self.core.step_forever())
-        self.api = HttpEngineApi(UnreadHeaders((), lambda name: None))
+        self.upstreams = OwnUpstreamHttp(UnreadHeaders((), lambda name: None))
+        self.api = HttpEngineApi(self.upstreams)
 
     async def asyncTearDown(self) -> None:
         self.steps.cancel()
         await self.api.close()
+        await self.upstreams.close()
         await self.runner.cleanup()
 
+    @property
+    def engine(self) -> UpstreamRecord:
+        """The engine at the present address."""
+        return UpstreamRecord("engine/1", "redactor-ia", self.address, "dc")
+
     def _request(self, stream: bool = True, attempt_id: str = "attempt-1") -> EngineRequest:
         body = json.dumps({"model": MODEL, "stream": stream, "max_tokens": 5}).encode()
         return EngineRequest(attempt_id, "/v1/completions", MODEL, body, stream, 1, False, 300, {})
@@ -65,7 +74,7 @@
 
     async def _run(self, req: EngineRequest) -> list[bytes]:
         validator = AnswerValidator(req.attempt_id, req.model)
-        return await self._read(self.api.run(self.address, req), validator)
+        return await self._read(self.api.run(self.engine, req), validator)
 
     async def test_answers_come_whole(self) -> None:
         streamed = await self._run(self._request())
@@ -101,17 +110,15 @@
         validator = AnswerValidator(req.attempt_id, req.model)
         self.core.faults["mid_reset"] = 1
         with self.assertRaises(EngineBroken):
-            await self._read(self.api.run(self.address, req), validator)
-        rest = await self._read(
-            self.api.resume(self.address, req, validator.last_number), validator
-        )
+            await self._read(self.api.run(self.engine, req), validator)
+        rest = await self._read(self.api.resume(self.engine, req, validator.last_number), validator)
         self.assertEqual(rest[-1], b"[DONE]")
         self.assertEqual(self.core.counts["runs"], 1)
 
     async def test_resume_of_an_unknown_run_starts_nothing(self) -> None:
         with self.assertRaises(EngineRefused) as caught:
             req = self._request()
-            await self._read(self.api.resume(self.address, req, 2), AnswerValidator("x", MODEL))
+            await self._read(self.api.resume(self.engine, req, 2), AnswerValidator("x", MODEL))
         self.assertEqual(caught.exception.code, "run_unknown")
         self.assertEqual(self.core.counts["runs"], 0)
 
@@ -154,8 +161,8 @@
 
     async def test_cancel_ends_the_run(self) -> None:
         self.core.step_ms = 50
-        batches = self.api.run(self.address, self._request())
+        batches = self.api.run(self.engine, self._request())
         await anext(batches)
         await batches.aclose()
-        await self.api.cancel(self.address, "attempt-1")
+        await self.api.cancel(self.engine, "attempt-1")
         self.assertEqual(self.core.running(), {})
--- a/chestnutfall/tests/test_plain_proxy.py
+++ b/chestnutfall/tests/test_plain_proxy.py
@@ -23,11 +23,13 @@
     QuarantinedRequest,
     SuspectRequests,
 )
+from ..engine_edge.own_upstream_http import OwnUpstreamHttp
 from ..membership import Announcement
 from ..observability.metrics import Metrics
 from ..plain_edge import PlainProxy
 from ..quarantine import RequestQuarantine
 from ..requests import Executed, Refusal, fingerprint_of, key_digest
+from ..signals import UnreadHeaders
 from ..signals.own_headers import OWN_SIGNALS
 from .fakes.fake_office import SITE, FakeOffice
 
@@ -55,6 +57,7 @@
         self.served_by: list[str] = []
         self.announced: list[Announcement] = []
         self.runners = [await self._start(f"counter-{number}") for number in range(2)]
+        self.upstreams = OwnUpstreamHttp(UnreadHeaders((), lambda name: None))
         self.proxy = PlainProxy(
             self.gateway.agent,
             self.gateway.registry,
@@ -64,10 +67,11 @@
             self.office.clock,
             Metrics(None, "gateway"),
             SITE,
+            self.upstreams,
         )
 
     async def asyncTearDown(self) -> None:
-        await self.proxy.close()
+        await self.upstreams.close()
         for runner in self.runners:
             await runner.cleanup()
         await self.office.stop()
