Judge by gateway whether an engine can be reached

Failed connections are kept by engine and gateway.

Tests: test_engine_selector (its two on ejection now ask the class by gateway), test_gateway_observations, test_paths.

--- a/chestnutfall/coordination/gateway_observations.py
+++ b/chestnutfall/coordination/gateway_observations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 
 from ..clock import Clock
 from ..control.crash_messages import BrokenRun, CrashReport
@@ -13,6 +14,10 @@
 from .upstream_tracker import UpstreamTracker
 
 log = logging.getLogger(__name__)
+REPORT_DELAY_MS = 100
+"""An answer that ended before its engine did is reported so soon, on a busy gateway too."""
+MAX_ANSWERED = 8_192
+"""Engines of which the time of the last answer is kept."""
 
 
 class GatewayObservations:
@@ -25,6 +30,7 @@
         self._upstreams = upstreams
         self._crashes = crashes
         self._clock = clock
+        self._answered_ms: dict[str, int] = {}
 
     def released(self, gateway: str, ticket: str, outcome: RunOutcome, times: RunTimes) -> None:
         """Process the end of a send to an engine."""
@@ -34,6 +40,7 @@
         elif outcome is RunOutcome.DONE and instance:
             # An engine that gateways reach serves, even if it is cut off from the controllers.
             self._upstreams.answered(instance)
+            self._note_answered(instance)
         self._release(gateway, instance, ticket, outcome, times)
 
     def _release(
@@ -51,10 +58,28 @@
 
     def _is_ejected(self, instance: str) -> bool:
         engine = self._placer.engines.get(instance)
-        return engine is not None and engine.health.is_ejected(self._clock.now_ms())
+        return engine is not None and engine.is_ejected(self._clock.now_ms())
 
     def reported(self, gateway: str, report: CrashReport) -> None:
         """Process a report of a broken or a complete answer."""
+        if isinstance(report, BrokenRun) and report.refuses and self._has_answered_since(report):
+            log.info("crashes: no end of instance=%s, seen by gateway=%s", report.instance, gateway)
+            report = replace(report, refuses=False)
         self._crashes.handle_report(report)
         if isinstance(report, BrokenRun) and report.refuses:
             self._upstreams.ended(report.instance, gateway)
+
+    def _note_answered(self, instance: str) -> None:
+        self._answered_ms.pop(instance, None)
+        self._answered_ms[instance] = self._clock.now_ms()
+        if len(self._answered_ms) > MAX_ANSWERED:
+            del self._answered_ms[next(iter(self._answered_ms))]
+
+    def _has_answered_since(self, report: BrokenRun) -> bool:
+        """Whether any gateway had an answer of an engine well after one of its answers broke off.
+
+        Two gateways that are cut off see its port closed as well. If that counted, all gateways
+        would lose an engine that serves the others.
+        """
+        broke_ms = self._clock.now_ms() - report.broke_ago_ms
+        return self._answered_ms.get(report.instance, broke_ms) > broke_ms + REPORT_DELAY_MS
--- a/chestnutfall/paths/helped_upstream_api.py
+++ b/chestnutfall/paths/helped_upstream_api.py
@@ -109,19 +109,18 @@
         instance = forwarded.upstream.instance
         if self._paths.is_down(instance):
             raise NotSent(str(failure), is_confirmed=True) from failure
+        is_confirmed = self._is_alone()
         for address in self._helpers.candidates():
             try:
                 return await stack.enter_async_context(self._send_through(address, forwarded))
             except NotSent as exc:
                 failure = exc
-                if exc.is_confirmed:
-                    self._paths.note_down(instance)
-                    raise
-                self._helpers.note_failed(address)
-        if self._is_alone():
+                is_confirmed = is_confirmed or exc.is_confirmed
+                if not exc.is_confirmed:
+                    self._helpers.note_failed(address)
+        if is_confirmed:
             self._paths.note_down(instance)
-            raise NotSent(str(failure), is_confirmed=True) from failure
-        raise NotSent(str(failure)) from failure
+        raise NotSent(str(failure), is_confirmed) from failure
 
     @asynccontextmanager
     async def _send_through(
--- a/chestnutfall/paths/helper_api.py
+++ b/chestnutfall/paths/helper_api.py
@@ -29,4 +29,4 @@
 
     @abstractmethod
     async def refuses(self, address: str, keys: tuple[str, ...], port_address: str) -> bool | None:
-        """Return whether a port refuses the helper's connections; None without an answer."""
+        """Return whether a port refuses the helper's connections; None if that is not known."""
--- a/chestnutfall/paths/helper_service.py
+++ b/chestnutfall/paths/helper_service.py
@@ -153,10 +153,11 @@
     async def check_port(self, asked: CheckPort, context: Any) -> PortChecked:
         """Check a port for another gateway."""
         if not self._accepts(asked.keys):
-            return PortChecked(False)
-        others = [one for one in self._upstreams() if one.address != asked.address]
-        refuses = await self._refuses(asked.address) and await self._opens_any(others)
-        return PortChecked(refuses)
+            return PortChecked(None)
+        if await self._refuses(asked.address):
+            others = [one for one in self._upstreams() if one.address != asked.address]
+            return PortChecked(True if await self._opens_any(others) else None)
+        return PortChecked(False if await self._opens(asked.address) else None)
 
     async def _reaches_others(self, upstream: UpstreamRecord) -> bool:
         return await self._opens_any(
--- a/chestnutfall/paths/known_helpers.py
+++ b/chestnutfall/paths/known_helpers.py
@@ -14,8 +14,9 @@
 may follow one another within a second."""
 REST_MS = 1_000
 """Time for which a helper that failed is asked last."""
-MAX_ASKED = 2
-"""Helpers asked for one send. One that can't send has sent nothing, so a second costs only time."""
+MAX_ASKED = 3
+"""Helpers asked for one send, each time that one can't. An upstream may have lost its links to most
+gateways, and one that has sent nothing costs only time."""
 
 
 class KnownHelpers:
--- a/chestnutfall/paths/messages.py
+++ b/chestnutfall/paths/messages.py
@@ -83,11 +83,12 @@
 
     Attributes
     ----------
-    refuses : bool
-        Whether connections are refused there, while the helper reaches another upstream.
+    refuses : bool or None
+        Whether connections are refused there, while the helper reaches another upstream; False if
+        one opens, None if the helper can't tell.
     """
 
-    refuses: bool
+    refuses: bool | None
 
 
 HELP_CODEC = Codec(
--- a/chestnutfall/paths/port_witness.py
+++ b/chestnutfall/paths/port_witness.py
@@ -13,7 +13,8 @@
 
     A gateway that is cut off may get refusals from ports that are open to all others. If these
     counted as ends of processes, every gateway would lose all upstreams, and requests that were
-    running there would be quarantined. A helper that is cut off as well is no witness, and says so.
+    running there would be quarantined. A helper that is cut off as well is no witness, and says so;
+    one that connects proves the opposite, whatever the others see.
 
     Parameters
     ----------
@@ -41,8 +42,8 @@
             return False
         if self._is_alone():
             return True
-        for helper in self._helpers.candidates():
-            refuses = await self._helper_api.refuses(helper, self._helpers.keys, address)
-            if refuses is not None:
-                return refuses
-        return False
+        seen = [
+            await self._helper_api.refuses(helper, self._helpers.keys, address)
+            for helper in self._helpers.candidates()
+        ]
+        return True in seen and False not in seen
--- a/chestnutfall/placement/awaited_load.py
+++ b/chestnutfall/placement/awaited_load.py
@@ -18,7 +18,7 @@
     held = engine.holdings.get(waiting.req.adapter) if engine is not None else None
     if engine is None or held is None or held.is_ready(now_ms):
         return False
-    if engine.backoff.is_active(now_ms) or engine.health.is_ejected(now_ms):
+    if engine.backoff.is_active(now_ms) or engine.is_ejected(now_ms):
         return False
     # The least time to the first event of all engines is no longer than this engine's.
     first_ms = engine.prefill.first_ms + waiting.req.prompt_tokens * engine.prefill.ms_per_token
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -22,6 +22,7 @@
 from .prefill_speed import PrefillSpeed
 from .prefill_window import PrefillWindow
 from .prompt_cache import Prefixes, PromptCache
+from .reachability import Reachability
 from .rejection_guard import RejectionGuard
 from .run_times import RunTimes
 from .store_times import StoreTimes
@@ -32,10 +33,6 @@
 """Adapters that an engine is expected to keep a copy of in its own memory, per adapter slot."""
 MAX_CONCURRENT_LOADS = 4
 """Loads that an engine carries out at the same time."""
-CONNECTION_FAILURES_TO_EJECT = 2
-"""On links that lose a few packets in a hundred, each engine has some failed connections a second
-beside many good ones. Ejection at the first failure would leave a quarter of the engines idle. A
-host that is down fails all connections, so that its second failure follows within some ms."""
 OVERSUBSCRIPTION = 2
 """Requests assigned to an engine at most, for each one that it runs at once. A request that waits
 for its adapter needs no place in the batch, and some of the running ones end before the adapter is
@@ -70,6 +67,8 @@
         Gateways that the engine asked to send nothing for a while.
     rejections : RejectionGuard
         How many rejections the engine bears, and what may run there unknown to this leader.
+    reach : Reachability
+        Gateways that could not connect lately.
     health : UpstreamHealth
         Recent failures and delays.
     load_time : LoadTimeEstimate
@@ -110,7 +109,8 @@
         self.limit = limit
         self.backoff = backoff
         self.rejections = RejectionGuard()
-        self.health = UpstreamHealth(CONNECTION_FAILURES_TO_EJECT)
+        self.reach = Reachability()
+        self.health = UpstreamHealth()
         self.load_time = LoadTimeEstimate(instance, kind.load_ms, store)
         self.prompt_cache = PromptCache(int(spec.kv_tokens * KV_SHARE))
         self.speed = EngineSpeed(kind.ratios.get(instance, 1.0))
@@ -147,6 +147,10 @@
         fits = self._kv_used + tokens <= self.spec.kv_tokens * KV_SHARE
         return len(self.running) < OVERSUBSCRIPTION * self.spec.batch and (fits or not self.running)
 
+    def is_ejected(self, now_ms: int) -> bool:
+        """Whether nothing should be sent there now."""
+        return self.reach.is_down(now_ms) or self.health.is_ejected(now_ms)
+
     def send_wait_ms(self, now_ms: int) -> int:
         """Time until the engine's limit allows one more request after those that wait here."""
         return self.limit.wait_ms(self.prefill.waiting_count, now_ms)
--- a/chestnutfall/placement/engine_selector.py
+++ b/chestnutfall/placement/engine_selector.py
@@ -76,7 +76,7 @@
         engine_count: int | None = None,
     ) -> None:
         self._versions = versions
-        self._engines = [one for one in engines if not one.health.is_ejected(now_ms)]
+        self._engines = [one for one in engines if not one.is_ejected(now_ms)]
         self._fraction = len(engines) / engine_count if engine_count else 1.0
         self._backoffs = ActiveBackoffs(self._engines, now_ms)
         limits = [one.limit.per_s for one in self._accepting()]
@@ -355,7 +355,8 @@
         cost_ms = self._standing(engine)[0]
         if engine.data_centre != req.data_centre:
             cost_ms += OTHER_DATA_CENTRE_COST_MS
-        if engine.instance in req.avoid or self._backoffs.probably_rejects(engine):
+        is_cut = engine.reach.is_cut_from(req.gateway, self._now_ms)
+        if engine.instance in req.avoid or is_cut or self._backoffs.probably_rejects(engine):
             cost_ms += AVOIDED_COST_MS
         return cost_ms
 
--- a/chestnutfall/placement/run_end.py
+++ b/chestnutfall/placement/run_end.py
@@ -22,7 +22,15 @@
     engine: Engine, req: PlaceRequest, outcome: RunOutcome, times: RunTimes, now_ms: int
 ) -> None:
     """Update health, holdings and load times by a request that is no longer counted."""
-    engine.health.note(outcome, now_ms)
+    match outcome:
+        case RunOutcome.UNREACHABLE | RunOutcome.NO_PATH:
+            is_confirmed = outcome is RunOutcome.UNREACHABLE
+            engine.reach.note_failed(req.gateway, is_confirmed, now_ms)
+        case RunOutcome.DONE:
+            engine.reach.note_reached(req.gateway)
+            engine.health.note(outcome, now_ms)
+        case _:
+            engine.health.note(outcome, now_ms)
     match outcome:
         case RunOutcome.FULL:
             engine.rejections.note_rejected(now_ms)
--- a/chestnutfall/placement/upstream_health.py
+++ b/chestnutfall/placement/upstream_health.py
@@ -21,18 +21,9 @@
 
 
 class UpstreamHealth:
-    """Failures and delays of one upstream, decaying with time.
+    """Failures and delays of one upstream, decaying with time."""
 
-    Parameters
-    ----------
-    failures_to_eject : int
-        Failed connections in a row, without an answer between them, after which nothing is sent for
-        a while.
-    """
-
-    def __init__(self, failures_to_eject: int = 1) -> None:
-        self._failures_to_eject = failures_to_eject
-        self._failed_connections = 0
+    def __init__(self) -> None:
         self._failure = 0.0
         self._lag_ms = 0.0
         self._at_ms = 0
@@ -46,16 +37,11 @@
         """Record the outcome of a request."""
         self._decay(now_ms)
         match outcome:
-            case RunOutcome.UNREACHABLE:
-                self._failed_connections += 1
-                if self._failed_connections >= self._failures_to_eject:
-                    self._ejected_until_ms = now_ms + EJECTION_MS
-            case RunOutcome.REPLACED:
+            case RunOutcome.UNREACHABLE | RunOutcome.REPLACED:
                 self._ejected_until_ms = now_ms + EJECTION_MS
             case RunOutcome.BROKEN:
                 self._failure += FAILURE_WEIGHT * (1 - self._failure)
             case RunOutcome.DONE:
-                self._failed_connections = 0
                 self._failure -= FAILURE_WEIGHT * self._failure
             case _:
                 pass
