--- a/chestnutfall/paths/helper_service.py
+++ b/chestnutfall/paths/helper_service.py
@@ -92,7 +92,7 @@
 
     async def serve(self, messages: AsyncIterator[Any], context: Any) -> AsyncIterator[Any]:
         """Serve one call of another gateway; the end of the stream cancels it."""
-        asked = await anext(messages)
+        asked = await anext(messages, None)
         if not isinstance(asked, SendCall):
             return
         refused = self._reason_to_refuse(asked)
--- /dev/null
+++ b/soak/cut_episodes.py
@@ -0,0 +1,86 @@
+"""Gateways that lose their links to all upstreams, and a check that their callers are served."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from chestnutfall.platform.standin.client import ClientResult, StandInClient
+
+from .cut_off_launch import HANGING, REFUSED
+from .daemon import Daemon
+from .office import Office
+from .relay import ConnectionFault
+from .verdict import Verdict
+
+MODES = (
+    (ConnectionFault.RESET, REFUSED),
+    (ConnectionFault.SILENCE, HANGING),
+    (ConnectionFault.NONE, REFUSED),
+)
+"""What becomes of open connections, and how each try to open another one ends."""
+SETTLED_S = 2.0
+"""Time after which callers of a gateway that is cut off are served like others."""
+MIN_SHARE = 2 / 3
+CALLS = 30
+ROUTES = ("once", "again", "draft", "long")
+
+
+class CutEpisodes:
+    """Cuts one gateway at a time off from all upstreams, beside other faults."""
+
+    def __init__(self, office: Office) -> None:
+        self._office = office
+        self._cuts = 0
+
+    async def play_until_cancelled(self, rng: random.Random) -> None:
+        """Start one episode after another until cancelled."""
+        while True:
+            await asyncio.sleep(rng.uniform(1.0, 4.0))
+            with self._cut_off(rng.choice(self._office.gateways), rng):
+                await asyncio.sleep(rng.uniform(0.5, 3.0))
+
+    @contextmanager
+    def _cut_off(self, gateway: Daemon, rng: random.Random) -> Iterator[None]:
+        self._cuts += 1
+        try:
+            self._office.cut_off(gateway, *rng.choice(MODES))
+            yield
+        finally:
+            self._office.join(gateway)
+
+    async def check_calm(
+        self, client: StandInClient, rng: random.Random, seen: list[ClientResult], verdict: Verdict
+    ) -> None:
+        """Compare first tries at a gateway that is cut off with those at the others.
+
+        Called when no other fault is injected.
+        """
+        cut, *others = rng.sample(self._office.gateways, len(self._office.gateways))
+        with self._cut_off(cut, rng):
+            await asyncio.sleep(SETTLED_S)
+            at_cut = await self._served(client, [cut], rng, seen)
+            elsewhere = await self._served(client, others, rng, seen)
+        verdict.counts["gateways cut off"] = self._cuts
+        verdict.note_violation(
+            at_cut < MIN_SHARE * elsewhere,
+            f"{cut.plan.name} was cut off and served {at_cut} of {CALLS}, the others {elsewhere}",
+        )
+
+    async def _served(
+        self,
+        client: StandInClient,
+        gateways: list[Daemon],
+        rng: random.Random,
+        seen: list[ClientResult],
+    ) -> int:
+        results = [
+            await client.send(
+                self._office.client_address(gateways[number % len(gateways)]), rng.choice(ROUTES)
+            )
+            for number in range(CALLS)
+        ]
+        seen += results
+        return sum(one.status == 200 and one.complete for one in results)
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -11,6 +11,7 @@
 from chestnutfall.platform.standin.tenants import LEAVES_AT_VERSION
 
 from .connection_episodes import ConnectionEpisodes
+from .cut_episodes import CutEpisodes
 from .disturbances import Disturbances
 from .fatal_requests import CONTENTS, MAX_LATER_ENDS, FatalRequests, NotServed
 from .fault_injector import FaultInjector
@@ -19,6 +20,7 @@
 from .limit_episodes import LimitEpisodes
 from .office import Office
 from .organisation_load import OrganisationLoad
+from .rejection_episodes import RejectionEpisodes
 from .signal_episodes import SignalEpisodes
 from .verdict import Verdict
 
@@ -59,11 +61,15 @@
         self._signals_rng = random.Random(f"words {seed}")
         self._floods_rng = random.Random(f"floods {seed}")
         self._connections_rng = random.Random(f"connections {seed}")
+        self._cuts_rng = random.Random(f"cuts {seed}")
+        self._rejections_rng = random.Random(f"rejections {seed}")
         self._folder = folder
         self._length_s = length_s
         self._office = Office(folder, self._rng)
         self._limits = LimitEpisodes(self._office)
         self._connections = ConnectionEpisodes(self._office)
+        self._cuts = CutEpisodes(self._office)
+        self._rejections = RejectionEpisodes(self._office)
         self._disturbances = Disturbances()
         self._signals = SignalEpisodes(self._office, self._disturbances)
         self._floods = FloodEpisodes(self._office, self._disturbances)
@@ -94,6 +100,7 @@
         self._signals.check(self.verdict)
         self._floods.check(self.verdict)
         self._connections.check(self.verdict)
+        self._rejections.check(self.verdict)
         return self.verdict
 
     async def _wait_until_in_force(self, operator: StandInOperator) -> None:
@@ -131,6 +138,9 @@
         load.append(asyncio.ensure_future(self._signals.play_until_cancelled(self._signals_rng)))
         connections = self._connections.play_until_cancelled(self._connections_rng)
         load.append(asyncio.ensure_future(connections))
+        load.append(asyncio.ensure_future(self._cuts.play_until_cancelled(self._cuts_rng)))
+        rejections = self._rejections.play_until_cancelled(self._rejections_rng)
+        load.append(asyncio.ensure_future(rejections))
         injected = []
         now_s = 0.0
         for fault in plan_faults(self._rng, self._length_s):
@@ -185,6 +195,7 @@
                 not served, f"{gateway.plan.name} does not serve after the faults"
             )
         await self._floods.play_episode(client, self._floods_rng, self._seen, is_calm=True)
+        await self._cuts.check_calm(client, self._cuts_rng, self._seen, self.verdict)
         await self._check_revoked_key(client)
         await self._check_quarantine(FatalRequests(self._office, client))
         await asyncio.sleep(LATE_RUN_S)
