--- a/chestnutfall/tests/fakes/room_leader.py
+++ b/chestnutfall/tests/fakes/room_leader.py
@@ -43,7 +43,7 @@
         self._coordinator = LimitCoordinator(
             limits, backoffs, Placer(clock, limits), self._sessions, clock
         )
-        self.queues = self._coordinator._turns
+        self.queues = self._coordinator.turns
         self._by_gateway: dict[str, GatewaySession] = {}
         # Upstreams announce themselves after the first gateways have joined.
         clock.at(20, self._set_serving)
--- a/properties/safeguards/room_mutants.py
+++ b/properties/safeguards/room_mutants.py
@@ -261,7 +261,7 @@
     Mutant(
         "a gateway that missed the end of a shortage asks for each call",
         "chestnutfall/coordination/limit_coordinator.py",
-        "        if asked.for_room and not self._turns.gives_room(asked.service):",
+        "        if asked.for_room and not self.turns.gives_room(asked.service):",
         "        if False:",
         f"{_GATEWAY_TEST}.RoomMessagesTest",
     ),
