--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -8,6 +8,7 @@
 from .control_mutants import CONTROL_MUTANTS
 from .fleet_mutants import FLEET_MUTANTS
 from .limit_mutants import LIMIT_MUTANTS
+from .path_mutants import PATH_MUTANTS
 from .placement_mutants import PLACEMENT_MUTANTS
 from .quarantine_mutants import QUARANTINE_MUTANTS
 from .quota_mutants import QUOTA_MUTANTS
@@ -28,6 +29,7 @@
     *LIMIT_MUTANTS,
     *ROOM_MUTANTS,
     *CONNECTION_MUTANTS,
+    *PATH_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
--- a/properties/safeguards/caller_mutants.py
+++ b/properties/safeguards/caller_mutants.py
@@ -201,7 +201,7 @@
     Mutant(
         "drain does not wait for requests",
         "chestnutfall/programs/gateway.py",
-        "        while self._app.in_progress:",
+        "        while self._app.in_progress or self._helper.in_progress:",
         "        while False:",
         "chestnutfall.tests.test_processes.DrainTest",
     ),
--- a/properties/safeguards/limit_mutants.py
+++ b/properties/safeguards/limit_mutants.py
@@ -111,8 +111,8 @@
     Mutant(
         "what was granted lately tells how fast limited engines go on",
         "chestnutfall/placement/service_round.py",
-        "        return max(interval_ms, self.limit_interval_ms or 0.0)\n\n    @cached_property\n",
-        "        return interval_ms\n\n    @cached_property\n",
+        "        interval_ms = max(interval_ms, self.limit_interval_ms or 0.0)\n",
+        "",
         "chestnutfall.tests.test_limited_placement",
     ),
     Mutant(
--- /dev/null
+++ b/properties/safeguards/path_mutants.py
@@ -0,0 +1,178 @@
+"""Mutants of sends through other gateways, and of upstreams that bear few rejections."""
+
+from __future__ import annotations
+
+from ..mutant import Mutant
+
+_PATHS = "chestnutfall.tests.test_paths"
+_HELPED = f"{_PATHS}.HelpedSendTest"
+_DOWN = f"{_PATHS}.UpstreamDownTest"
+_OBSERVED = "chestnutfall.tests.test_gateway_observations"
+_REJECTIONS = "chestnutfall.tests.test_rejection_parts"
+_API = "chestnutfall/paths/helped_upstream_api.py"
+_SERVICE = "chestnutfall/paths/helper_service.py"
+_GUARD = "chestnutfall/placement/rejection_guard.py"
+
+PATH_MUTANTS = (
+    Mutant(
+        "a gateway that is cut off asks no helper",
+        _API,
+        "        for address in self._helpers.candidates():",
+        "        for address in ():",
+        f"{_HELPED}.test_calls_of_gateways_that_are_cut_off_are_sent_by_others",
+    ),
+    Mutant(
+        "a helper passes calls on to another helper",
+        _SERVICE,
+        "                answer = await self._api.send_directly(stack, forwarded)",
+        "                answer = await stack.enter_async_context(self._api.send(forwarded))",
+        f"{_HELPED}.test_a_call_is_passed_on_once_also_if_all_gateways_are_cut_off",
+    ),
+    Mutant(
+        "a helper sends for strangers",
+        _SERVICE,
+        "        if not self._accepts(asked.keys):\n            log",
+        "        if False:\n            log",
+        f"{_HELPED}.test_a_helper_sends_nothing_without_the_key_of_the_fleet",
+    ),
+    Mutant(
+        "a helper ignores what upstreams asked it",
+        _SERVICE,
+        "        if not self._signals.may_send(instance):",
+        "        if False:",
+        f"{_HELPED}.test_a_helper_obeys_the_signals_that_it_received",
+    ),
+    Mutant(
+        "a helper that leaves takes calls",
+        _SERVICE,
+        "        if self._refusing:",
+        "        if False:",
+        f"{_HELPED}.test_a_helper_that_is_full_or_leaving_refuses_as_not_sent",
+    ),
+    Mutant(
+        "a helper takes any number of calls",
+        _SERVICE,
+        "        if self.in_progress >= MAX_HELPED:",
+        "        if False:",
+        f"{_HELPED}.test_a_helper_that_is_full_or_leaving_refuses_as_not_sent",
+    ),
+    Mutant(
+        "a lost helper counts as not sent",
+        "chestnutfall/paths/helper_links.py",
+        '            raise AnswerLost("helper_lost") from exc\n        if msg is grpc.aio.EOF:',
+        '            raise NotSent("helper_lost") from exc\n        if msg is grpc.aio.EOF:',
+        "chestnutfall.tests.test_helper_links",
+    ),
+    Mutant(
+        "a link is never tried again",
+        _API,
+        "        if await self._opens(upstream.address):",
+        "        if False:",
+        f"{_HELPED}.test_after_a_cut_calls_go_over_the_own_link_at_once",
+    ),
+    Mutant(
+        "a helper that is cut off is a witness",
+        _SERVICE,
+        "            return PortChecked(True if await self._opens_any(others) else None)",
+        "            return PortChecked(True)",
+        f"{_DOWN}.test_a_port_that_only_gateways_that_are_cut_off_see_closed_is_no_end",
+    ),
+    Mutant(
+        "a closed port needs no witness",
+        "chestnutfall/paths/port_witness.py",
+        "        if self._is_alone():",
+        "        if True:",
+        f"{_DOWN}.test_a_port_that_only_gateways_that_are_cut_off_see_closed_is_no_end",
+    ),
+    Mutant(
+        "a gateway that opens the port disproves nothing",
+        "chestnutfall/paths/port_witness.py",
+        "        return True in seen and False not in seen",
+        "        return True in seen",
+        f"{_DOWN}.test_a_port_that_opens_for_any_gateway_is_no_end",
+    ),
+    Mutant(
+        "what one gateway can't reach is down for all",
+        "chestnutfall/placement/reachability.py",
+        "        self._confirmed += is_confirmed",
+        "        self._confirmed += 1",
+        f"{_OBSERVED}.GatewayObservationsTest",
+    ),
+    Mutant(
+        "an answer doesn't show that an engine is up",
+        "chestnutfall/placement/reachability.py",
+        "        self._confirmed = 0\n        self._down_until_ms = -1\n\n    def is_cut",
+        "\n    def is_cut",
+        f"{_OBSERVED}.GatewayObservationsTest",
+    ),
+    Mutant(
+        "an answer after the break doesn't disprove an end",
+        "chestnutfall/coordination/gateway_observations.py",
+        "            report = replace(report, refuses=False)",
+        "            pass",
+        f"{_OBSERVED}.GatewayObservationsTest",
+    ),
+    Mutant(
+        "gateways that are cut off are named as helpers",
+        "chestnutfall/paths/helper_ring.py",
+        "    able = [one for one in ring if one.can_help and one.address]",
+        "    able = [one for one in ring if one.address]",
+        _PATHS,
+    ),
+    Mutant(
+        "places that may still be in use are given away",
+        _GUARD,
+        "        return sent + len(self._uncertain_until_ms) < batch",
+        "        return sent < batch",
+        f"{_REJECTIONS}.RejectionGuardTest",
+    ),
+    Mutant(
+        "no rejection is kept back",
+        _GUARD,
+        "        if self._rejected_ms and len(self._rejected_ms) >= max(self.per_s - RESERVE, 1):",
+        "        if False:",
+        f"{_REJECTIONS}.RejectionGuardTest",
+    ),
+    Mutant(
+        "a new leader fills engines at once",
+        _GUARD,
+        "        if now_ms < self.careful_until_ms:",
+        "        if False:",
+        f"{_REJECTIONS}.RejectionGuardTest",
+    ),
+    Mutant(
+        "a new leader doesn't count what runs",
+        "chestnutfall/coordination/rejection_coordinator.py",
+        "            self._placer.adopt(one.req, one.instance)",
+        "            pass",
+        f"{_REJECTIONS}.NewLeaderTest",
+    ),
+    Mutant(
+        "without a leader gateways take any place",
+        "chestnutfall/forwarding/running_sends.py",
+        "        return self._counts[instance] < self._left[instance]",
+        "        return True",
+        f"{_REJECTIONS}.RunningSendsTest",
+    ),
+    Mutant(
+        "a gateway alone uses up an upstream's rejections",
+        "chestnutfall/signals/known_rejections.py",
+        "        return not times or len(times) < per_s",
+        "        return True",
+        f"{_REJECTIONS}.KnownRejectionsTest",
+    ),
+    Mutant(
+        "calls wait at plain upstreams that bear few rejections",
+        "chestnutfall/concurrency/service_room.py",
+        "places if name in self._rejections else places + margin(places, run_ms)",
+        "places + margin(places, run_ms)",
+        f"{_REJECTIONS}.PlainRoomTest",
+    ),
+    Mutant(
+        "plain upstreams that bear few rejections get calls after rejections",
+        "chestnutfall/concurrency/service_room.py",
+        "            if left > 0 and self._leaves_rejections(name, now_ms):",
+        "            if left > 0:",
+        f"{_REJECTIONS}.PlainRoomTest",
+    ),
+)
--- a/properties/safeguards/placement_mutants.py
+++ b/properties/safeguards/placement_mutants.py
@@ -25,9 +25,9 @@
     ),
     Mutant(
         "shunned at the first failed connection",
-        "chestnutfall/placement/upstream_health.py",
-        "                if self._failed_connections >= self._failures_to_eject:",
-        "                if True:",
+        "chestnutfall/placement/reachability.py",
+        "        if self._confirmed >= FAILURES_TO_EJECT:",
+        "        if self._confirmed:",
         _SELECTOR_TEST,
     ),
     Mutant(
@@ -110,7 +110,7 @@
     Mutant(
         "an engine is sent more than its batch",
         "chestnutfall/placement/prefill_turns.py",
-        "        return engine.has_batch_place() and self._may_prefill(",
+        "        return engine.has_batch_place(now_ms) and self._may_prefill(",
         "        return self._may_prefill(",
         "chestnutfall.tests.test_placer",
     ),
--- a/properties/safeguards/quarantine_mutants.py
+++ b/properties/safeguards/quarantine_mutants.py
@@ -97,8 +97,8 @@
     Mutant(
         "an ended upstream serves until its heartbeat is late",
         "chestnutfall/coordination/upstream_liveness.py",
-        '        """\n        self._suspected.add(instance)\n\n    def serving',
-        '        """\n\n    def serving',
+        "        is_new = instance not in self._suspected\n        self._suspected.add(instance)\n",
+        "        is_new = instance not in self._suspected\n",
         "chestnutfall.tests.test_fleet_leader",
     ),
     Mutant(
--- a/properties/safeguards/signal_mutants.py
+++ b/properties/safeguards/signal_mutants.py
@@ -144,9 +144,8 @@
     Mutant(
         "a new leader is not told what was heard before it",
         "chestnutfall/signals/known_signals.py",
-        "        return ("
-        "*self.limits.reports_for_new_leader(), *self.backoffs.reports_for_new_leader())",
-        "        return self.limits.reports_for_new_leader()",
+        "            *self.backoffs.reports_for_new_leader(),\n",
+        "",
         f"{_LEAVING_TEST}.test_each_new_leader_gets_the_reports",
     ),
     Mutant(
