--- a/chestnutfall/engine_edge/engine_request.py
+++ b/chestnutfall/engine_edge/engine_request.py
@@ -7,11 +7,12 @@
 
 from ..signals import UpstreamSignals
 
-OnSignals = Callable[[UpstreamSignals, bool], None]
-"""Receives the signals in an answer's headers, and whether the status is a success."""
+OnSignals = Callable[[UpstreamSignals, bool, bool], None]
+"""Receives the signals in an answer's headers, whether the status is a success, and whether the
+engine rejects the request for want of room."""
 
 
-def _ignore_signals(signals: UpstreamSignals, succeeded: bool) -> None:
+def _ignore_signals(signals: UpstreamSignals, succeeded: bool, rejected: bool) -> None:
     """Ignore the signals; the default of `EngineRequest.on_signals`."""
 
 
--- a/chestnutfall/engine_edge/http_engine_api.py
+++ b/chestnutfall/engine_edge/http_engine_api.py
@@ -14,6 +14,7 @@
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
+from ..signals import NoBackoff
 from ..wire.single_send_session import single_send_session
 from .answer_event import AnswerEvent
 from .answer_validator import DONE
@@ -118,7 +119,8 @@
 ) -> Batches:
     try:
         async with sending as answer:
-            req.on_signals(answer.signals, answer.status == 200)
+            rejected = answer.status == 503 and isinstance(answer.signals.backoff, NoBackoff)
+            req.on_signals(answer.signals, answer.status == 200, rejected)
             if answer.status != 200:
                 await _raise_refusal(answer)
             if not req.stream:
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -177,8 +177,8 @@
     ) -> EngineRequest:
         sent_ms = self._clock.now_ms()
 
-        def on_signals(signals: UpstreamSignals, succeeded: bool) -> None:
-            self._signals.observe(engine.instance, signals, sent_ms, succeeded)
+        def on_signals(signals: UpstreamSignals, succeeded: bool, rejected: bool) -> None:
+            self._signals.observe(engine.instance, signals, sent_ms, succeeded, rejected)
 
         # A pooled connection may have died while it was idle. A request lost on it may have run and
         # could not be repeated. A failure to open a new connection proves that the request did not
--- a/chestnutfall/tests/fakes/fake_engine.py
+++ b/chestnutfall/tests/fakes/fake_engine.py
@@ -137,7 +137,7 @@
         engine.arrivals.append(engine.clock.now_ms())
         if engine.backoff is not None:
             engine.turned_away.append(engine.clock.now_ms())
-            req.on_signals(engine.signals(503), False)
+            req.on_signals(engine.signals(503), False, False)
             raise EngineRefused("overloaded", "asks for backoff")
         if engine.adapters.get(req.model) != "ready":
             raise EngineRefused("adapter_not_loaded", "not loaded")
@@ -159,7 +159,7 @@
         events = engine.events[req.attempt_id]
         incarnation = engine.incarnation
         await engine.clock.sleep_ms(engine.head_ms)
-        req.on_signals(engine.signals(200), True)
+        req.on_signals(engine.signals(200), True, False)
         for number in range(after + 1, len(events) + 1):
             await engine.clock.sleep_ms(TOKEN_MS)
             if engine.incarnation != incarnation or req.attempt_id not in engine.running:
--- a/chestnutfall/tests/test_paths.py
+++ b/chestnutfall/tests/test_paths.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 import unittest
+from collections import Counter
 
 from ..clock import ManualClock
 from ..forwarding.upstream_api import AnswerLost, NotSent
@@ -263,6 +265,19 @@
         changed = [name for name, named in after.items() if before[name] != named]
         self.assertLessEqual(len(changed), HELPERS)
 
+    # Guards against a few helpers that would send the calls of most gateways that are cut off.
+    def test_gateways_that_are_cut_off_are_dealt_out_evenly(self) -> None:
+        for count in (9, 91, 195, 410):
+            cut = set(random.Random(count).sample(range(count), 2 * count // 3))
+            ring = [
+                RingGateway(f"g{at}", f"a{at}", f"dc{at % 3}", can_help=at not in cut)
+                for at in range(count)
+            ]
+            helpers = helpers_of_all(ring)
+            uses = Counter(address for at in cut for address in helpers[f"g{at}"])
+            mean = sum(uses.values()) / (count - len(cut))
+            self.assertLessEqual(max(uses.values()), 1.5 * mean)
+
     def test_gateways_that_are_cut_off_help_nobody_and_have_helpers(self) -> None:
         ring = [RingGateway(f"g{at}", f"a{at}", "dc", can_help=at >= 6) for at in range(9)]
         for named in helpers_of_all(ring).values():
