--- a/chestnutfall/tests/fakes/path_office.py
+++ b/chestnutfall/tests/fakes/path_office.py
@@ -47,6 +47,8 @@
         Gateways by number and instances that they do not reach.
     down : set of str
         Instances that no gateway reaches.
+    silent : set of str
+        Instances that run requests and never answer.
     lost : set of (int, int)
         Pairs of gateways of which the first one loses the answers of the second one.
     runs : Counter of str
@@ -60,6 +62,7 @@
         ]
         self.cut: set[tuple[int, str]] = set()
         self.down: set[str] = set()
+        self.silent: set[str] = set()
         self.lost: set[tuple[int, int]] = set()
         self.runs: Counter[str] = Counter()
         self.helped_sends = 0
@@ -150,6 +153,8 @@
         if not self._office.reaches(self._number, forwarded.upstream.address):
             raise NotSent("refused")
         self._office.runs[forwarded.call.request_id] += 1
+        if forwarded.upstream.instance in self._office.silent:
+            raise AnswerLost("silent")
         yield UpstreamAnswer(
             200, (("X-Made", "1"),), None, NO_SIGNALS, _body(forwarded.call.request_id)
         )
--- a/chestnutfall/tests/test_helper_links.py
+++ b/chestnutfall/tests/test_helper_links.py
@@ -7,6 +7,7 @@
 import unittest
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 from ..clock import SystemClock
 from ..control.upstream_record import UpstreamRecord
@@ -107,6 +108,16 @@
         self.assertEqual(self.direct.sends[0].call.body, b"body")
         self.assertEqual(self.service.in_progress, 0)
 
+    # Guards against a stream that starts again from its first event at another gateway.
+    async def test_a_resumed_stream_its_deadline_and_its_organisation_reach_the_upstream(
+        self,
+    ) -> None:
+        forwarded = replace(send_to(UPSTREAM), resume_after=7, left_ms=900, organisation="permits")
+        await self._send(forwarded)
+        sent = self.direct.sends[0]
+        self.assertEqual((sent.resume_after, sent.left_ms, sent.organisation), (7, 900, "permits"))
+        self.assertIsNone(sent.call.key_digest)
+
     # Guards against a helper that works on for a client that has left.
     async def test_a_client_that_leaves_ends_the_send_of_the_helper(self) -> None:
         self.direct.script = "hold"
--- a/chestnutfall/tests/test_paths.py
+++ b/chestnutfall/tests/test_paths.py
@@ -114,6 +114,16 @@
             await self.clock.advance(500)
             self.assertEqual(await self._send_all(office, 0, 10 * number), 3)
 
+    # Guards against an upstream that is taken for cut off since it was silent for a moment.
+    async def test_a_send_that_is_lost_is_not_passed_on_and_cuts_no_link(self) -> None:
+        office = self._office(3)
+        office.silent = {"i0"}
+        with self.assertRaises(AnswerLost):
+            await office.gateways[0].send(send_to(office.upstreams[0]))
+        self.assertEqual(office.helped_sends, 0)
+        self.assertFalse(office.gateways[0].paths.is_cut("i0"))
+        self.assertEqual(office.runs.total(), 1)
+
     # Guards against sends to an upstream that a gateway does not reach while it reaches others.
     async def test_one_link_that_is_cut_leaves_the_others_direct(self) -> None:
         office = self._office(3)
