--- a/chestnutfall/concurrency/waiting_call.py
+++ b/chestnutfall/concurrency/waiting_call.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from ..limits.messages import AskTurn
+from .turn_messages import AskTurn
 
 Gateway = TypeVar("Gateway")
 """Identifies one gateway; hashable."""
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -9,6 +9,7 @@
 
 from ..clock import Clock
 from ..concurrency.messages import EndTurn, RunningCalls, ShortageReport
+from ..concurrency.turn_messages import AskTurn
 from ..consensus import Replica
 from ..control.commands import Command, NameVersion, PutDocument
 from ..control.control_state import ControlState
@@ -16,7 +17,7 @@
 from ..control.crash_monitor import CrashMonitor
 from ..control.upstream_record import UpstreamRecord
 from ..limits.limit_registry import LimitRegistry
-from ..limits.messages import AskTurn, HeardLimit
+from ..limits.messages import HeardLimit
 from ..paths.leader_messages import CanHelp
 from ..placement import AdapterName, Decision, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.placer import Placer
--- a/chestnutfall/coordination/limit_coordinator.py
+++ b/chestnutfall/coordination/limit_coordinator.py
@@ -12,16 +12,10 @@
     ServiceRoomState,
     ShortageReport,
 )
+from ..concurrency.turn_messages import PLENTY, AnswerTurn, AskTurn
 from ..control.upstream_record import UpstreamRecord
 from ..limits.limit_registry import LimitRegistry
-from ..limits.messages import (
-    PLENTY,
-    AnswerTurn,
-    AskTurn,
-    HeardLimit,
-    LimitsInForce,
-    RequestLimit,
-)
+from ..limits.messages import HeardLimit, LimitsInForce, RequestLimit
 from ..limits.plain_send_queues import PlainSendQueues
 from ..placement.placer import Placer
 from ..signals.backoff_registry import BackoffRegistry
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 
 from ..concurrency.messages import EndTurn, RoomInForce, RunningCalls, ShortageReport
+from ..concurrency.turn_messages import AnswerTurn, AskTurn
 from ..control.crash_messages import AnsweredRun, BrokenRun, SuspectRequests
 from ..control.upstream_record import UpstreamRecord
-from ..limits.messages import AnswerTurn, AskTurn, HeardLimit, LimitsInForce
+from ..limits.messages import HeardLimit, LimitsInForce
 from ..paths.leader_messages import CanHelp, HelperGateways
 from ..placement import Grant, PlaceRequest, Reject
 from ..placement.run_times import NO_TIMES, RunTimes
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -13,6 +13,7 @@
 
 from ..clock import Clock
 from ..concurrency.messages import EndTurn, RoomInForce, RunningCalls
+from ..concurrency.turn_messages import AnswerTurn, AskTurn
 from ..control.crash_messages import CrashReport, SuspectRequests
 from ..coordination.messages import (
     FLEET_CODEC,
@@ -26,7 +27,7 @@
     RunningSends,
     UpstreamsPart,
 )
-from ..limits.messages import AnswerTurn, AskTurn, HeardLimit, LimitsInForce
+from ..limits.messages import HeardLimit, LimitsInForce
 from ..paths.leader_messages import CanHelp, HelperGateways
 from ..placement import Grant, PlaceRequest, Reject, RunOutcome
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, WasShort
--- a/chestnutfall/forwarding/leader_turn_client.py
+++ b/chestnutfall/forwarding/leader_turn_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..clock import Clock
-from ..limits.messages import AnswerTurn, AskTurn
+from ..concurrency.turn_messages import AnswerTurn, AskTurn
 from .fleet_client import FleetClient
 from .limited_turns import AskForTurn
 from .place import SelectionCriteria
--- a/chestnutfall/forwarding/limited_turns.py
+++ b/chestnutfall/forwarding/limited_turns.py
@@ -6,8 +6,8 @@
 
 from ..clock import Clock
 from ..concurrency.messages import EndTurn
+from ..concurrency.turn_messages import AnswerTurn
 from ..control.upstream_record import UpstreamRecord
-from ..limits.messages import AnswerTurn
 from ..limits.turn_round import NO_UPSTREAM_RETRY_MS
 from ..placement import RunOutcome
 from ..signals.known_signals import KnownSignals
--- a/chestnutfall/forwarding/room_turns.py
+++ b/chestnutfall/forwarding/room_turns.py
@@ -9,9 +9,9 @@
 from ..clock import Clock
 from ..concurrency.known_room import KnownRoom
 from ..concurrency.messages import EndTurn
+from ..concurrency.turn_messages import PLENTY, AnswerTurn
 from ..control.upstream_record import UpstreamRecord
 from ..limits.known_limits import KnownLimits
-from ..limits.messages import PLENTY, AnswerTurn
 from ..limits.turn_round import NO_UPSTREAM_RETRY_MS
 from ..placement import RunOutcome
 from .engine_upstream_selector import NO_LEADER_RETRY_MS
--- a/chestnutfall/limits/plain_send_queues.py
+++ b/chestnutfall/limits/plain_send_queues.py
@@ -12,9 +12,9 @@
 from ..concurrency.return_book import ReturnBook
 from ..concurrency.room_queue import RefusedCall, RoomQueue
 from ..concurrency.service_room import ServiceRoom
+from ..concurrency.turn_messages import LIMITED, NO_ROOM, AnswerTurn, AskTurn
 from ..concurrency.waiting_call import WaitingCall
 from .limit_registry import LimitRegistry
-from .messages import LIMITED, NO_ROOM, AnswerTurn, AskTurn
 from .turn_round import NO_UPSTREAM_RETRY_MS, TurnRound
 
 NO_OBJECTIVE_MS = 3_600_000
--- a/chestnutfall/limits/turn_round.py
+++ b/chestnutfall/limits/turn_round.py
@@ -8,8 +8,8 @@
 
 from ..concurrency.pace import Pace
 from ..concurrency.service_room import ServiceRoom
+from ..concurrency.turn_messages import AskTurn
 from ..concurrency.waiting_call import WaitingCall
-from .messages import AskTurn
 from .upstream_limit import UpstreamLimit
 
 NO_UPSTREAM_RETRY_MS = 300
--- a/chestnutfall/tests/fakes/limit_parts.py
+++ b/chestnutfall/tests/fakes/limit_parts.py
@@ -5,10 +5,11 @@
 import random
 
 from ...clock import Clock
+from ...concurrency.turn_messages import AnswerTurn
 from ...forwarding.fleet_client import LeaderLost
 from ...forwarding.place import SelectionCriteria
 from ...limits.known_limits import KnownLimits
-from ...limits.messages import AnswerTurn, HeardLimit
+from ...limits.messages import HeardLimit
 from ...signals.known_backoffs import KnownBackoffs
 from ...signals.known_signals import KnownSignals
 from ...signals.messages import HeardBackoff
--- a/chestnutfall/tests/fakes/placing_leader.py
+++ b/chestnutfall/tests/fakes/placing_leader.py
@@ -7,6 +7,7 @@
 
 from ...clock import Clock
 from ...concurrency.messages import EndTurn, RunningCalls, ShortageReport
+from ...concurrency.turn_messages import AskTurn
 from ...control.upstream_record import UpstreamRecord
 from ...coordination.backoff_coordinator import BackoffCoordinator
 from ...coordination.gateway_session import GatewaySession
@@ -14,7 +15,7 @@
 from ...coordination.limit_coordinator import LimitCoordinator
 from ...coordination.messages import AnswerRepeat, AskRepeat, Release, Withdraw
 from ...limits.limit_registry import LimitRegistry
-from ...limits.messages import AskTurn, HeardLimit
+from ...limits.messages import HeardLimit
 from ...placement import (
     EngineReport,
     Grant,
--- a/chestnutfall/tests/fakes/room_gateway.py
+++ b/chestnutfall/tests/fakes/room_gateway.py
@@ -8,12 +8,12 @@
 
 from ...concurrency.leaderless_room import LeaderlessRoom
 from ...concurrency.messages import RoomInForce
+from ...concurrency.turn_messages import AnswerTurn
 from ...forwarding.fleet_client import TURN_TIMEOUT_MS, LeaderLost
 from ...forwarding.leader_turn_client import turn_question
 from ...forwarding.place import SelectionCriteria
 from ...forwarding.plain_upstream_selector import PlainUpstreamSelector
 from ...limits.known_limits import KnownLimits
-from ...limits.messages import AnswerTurn
 from ...signals.known_backoffs import KnownBackoffs
 from ...signals.known_signals import KnownSignals
 from .room_clock import Reply
--- a/chestnutfall/tests/fakes/room_leader.py
+++ b/chestnutfall/tests/fakes/room_leader.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING, Any
 
 from ...concurrency.messages import EndTurn, RunningCalls, ShortageReport
+from ...concurrency.turn_messages import AskTurn
 from ...coordination.gateway_session import GatewaySession
 from ...coordination.gateway_sessions import GatewaySessions
 from ...coordination.limit_coordinator import LimitCoordinator
 from ...coordination.round_pace import RoundPace
 from ...limits.limit_registry import LimitRegistry
-from ...limits.messages import AskTurn
 from ...placement.placer import Placer
 from ...signals.backoff_registry import BackoffRegistry
 from .room_load import SERVICE
--- a/chestnutfall/tests/test_limit_parts.py
+++ b/chestnutfall/tests/test_limit_parts.py
@@ -8,11 +8,12 @@
 from hypothesis import strategies as st
 
 from ..clock import ManualClock, SlidingWindow
+from ..concurrency.turn_messages import AskTurn
 from ..limits import DeclaredLimit, UndeclaredLimit, UnreadableLimit, read_limit
 from ..limits.latest_limit import LatestLimit
 from ..limits.limit_registry import MAX_ABSENT_UPSTREAMS, LimitRegistry
 from ..limits.limit_signal import MAX_UNREADABLE_CHARS
-from ..limits.messages import AskTurn, HeardLimit, LimitsInForce, RequestLimit
+from ..limits.messages import HeardLimit, LimitsInForce, RequestLimit
 from ..limits.plain_send_queues import PlainSendQueues
 from ..limits.turn_round import NO_UPSTREAM_RETRY_MS
 from ..limits.upstream_limit import BURST_MS, MIN_PER_S, RECENT_MS, UpstreamLimit
--- a/chestnutfall/tests/test_room_gateway.py
+++ b/chestnutfall/tests/test_room_gateway.py
@@ -21,6 +21,7 @@
 from ..concurrency.pace import Pace
 from ..concurrency.service_shortage import PLENTY_MS
 from ..concurrency.shortage_detector import REPORT_INTERVAL_MS, ShortageDetector
+from ..concurrency.turn_messages import NO_ROOM, PLENTY, AnswerTurn, AskTurn
 from ..concurrency.waiting_call import WaitingCall
 from ..coordination.gateway_session import GatewaySession
 from ..coordination.gateway_sessions import GatewaySessions
@@ -30,7 +31,6 @@
 from ..forwarding.fleet_client import TURN_TIMEOUT_MS, FleetClient, LeaderLost
 from ..forwarding.fleet_knowledge import FleetKnowledge
 from ..limits.limit_registry import LimitRegistry
-from ..limits.messages import NO_ROOM, PLENTY, AnswerTurn, AskTurn
 from ..limits.plain_send_queues import PlainSendQueues
 from ..placement import RunOutcome
 from ..placement.placer import Placer
--- a/chestnutfall/tests/test_room_parts.py
+++ b/chestnutfall/tests/test_room_parts.py
@@ -14,9 +14,9 @@
 from ..concurrency.run_time import RunTime
 from ..concurrency.service_room import NEW_TERM_MS, ServiceRoom
 from ..concurrency.service_shortage import PLENTY_MS, ServiceShortage
+from ..concurrency.turn_messages import AskTurn
 from ..concurrency.upstream_room import MAX_PLACES, SEEN_MS, SLOWDOWN_FRESH_MS, UpstreamRoom
 from ..concurrency.waiting_call import WaitingCall
-from ..limits.messages import AskTurn
 from ..placement import RunOutcome
 from ..signals import UpstreamLoad
 
--- a/chestnutfall/tests/test_room_queue.py
+++ b/chestnutfall/tests/test_room_queue.py
@@ -9,8 +9,8 @@
 from ..concurrency.pace import Pace
 from ..concurrency.return_book import EARLY_MS, LATE_MS, MAX_PROMISES, ReturnBook
 from ..concurrency.room_queue import RoomQueue
+from ..concurrency.turn_messages import AskTurn
 from ..concurrency.waiting_call import WaitingCall
-from ..limits.messages import AskTurn
 from ..signals import UpstreamLoad
 
 FULL_LOAD = UpstreamLoad(6, 12, 6)
--- a/chestnutfall/tests/test_upstream_selectors.py
+++ b/chestnutfall/tests/test_upstream_selectors.py
@@ -16,6 +16,7 @@
 from ..concurrency.known_room import KnownRoom
 from ..concurrency.leaderless_room import LeaderlessRoom
 from ..concurrency.messages import EndTurn, RoomInForce, ServiceRoomState
+from ..concurrency.turn_messages import NO_ROOM, PLENTY, AnswerTurn
 from ..concurrency.upstream_room import SLOWDOWN_FRESH_MS
 from ..control.upstream_record import UpstreamRecord
 from ..coordination.holdings_diff import holdings_change
@@ -27,7 +28,6 @@
 from ..forwarding.place import NoPlace, Place, SelectionCriteria
 from ..forwarding.plain_upstream_selector import PlainUpstreamSelector
 from ..limits import DeclaredLimit
-from ..limits.messages import NO_ROOM, PLENTY, AnswerTurn
 from ..placement import AdapterName, Grant, PlaceRequest, ReadyAdapter, Reject, RunOutcome
 from ..placement.run_times import NO_TIMES
 from ..platform.document_json import DocumentJson
