--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -6,19 +6,14 @@
 import contextlib
 import itertools
 import logging
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from typing import Any, TypeVar
 
-import grpc
-
 from ..clock import Clock
 from ..concurrency.messages import EndTurn, RoomInForce, RunningCalls
 from ..concurrency.turn_messages import AnswerTurn, AskTurn
 from ..control.crash_messages import CrashReport, SuspectRequests
 from ..coordination.messages import (
-    FLEET_CODEC,
-    FLEET_METHOD,
-    PULSE_MS,
     AnswerRepeat,
     AskRepeat,
     GatewayHello,
@@ -32,30 +27,20 @@
 from ..placement import Grant, PlaceRequest, Reject, RunOutcome
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, WasShort
 from ..signals.messages import BackoffHints, HeardBackoff, HeardRejections, RejectionsInForce
-from ..wire import RpcChannel
-from .first_message_timeouts import FirstMessageTimeouts
 from .fleet_knowledge import FleetKnowledge
+from .leader_stream import LeaderStream, StreamListener
 from .recent_reports import RecentReports
 
 log = logging.getLogger(__name__)
-STREAM_TIMEOUT_MS = 3 * PULSE_MS
-"""A stream without any message for three pulses counts as dead."""
 ISOLATED_MS = 1_500
 """Time without any controller's message after which the gateway counts as isolated; enough to ask
 each of five controllers twice."""
-CONNECT_MS = 150
-"""Connecting takes a few ms; a host that is down or cut off never answers."""
-RETRY_MS = 60
-"""Delay before the next controller is tried: a tenth of an election, while a controller answers a
-stream within a few ms."""
 REPEAT_TIMEOUT_MS = 100
 """Longest wait for a repeat from the leader, which answers at once; a later repeat comes too late
 to help the client."""
 TURN_TIMEOUT_MS = 100
 """Longest wait for the leader's answer about a turn, beyond the time that the call may wait for the
 turn itself."""
-CLOSE_S = 0.2
-"""Bounds the closing of a dead connection, which would delay the search for the next leader."""
 
 
 Update = TypeVar(
@@ -75,7 +60,7 @@
     """There is no stream to a leader; the question was not answered."""
 
 
-class FleetClient:
+class FleetClient(StreamListener):
     """Finds the leading controller, exchanges messages with it and asks it for decisions.
 
     Attributes
@@ -113,7 +98,6 @@
         self._clock = clock
         self.connected = False
         self._answered_ms = clock.now_ms()
-        self._first_message_timeouts = FirstMessageTimeouts()
         self._out: asyncio.Queue[Any] = asyncio.Queue()
         self._pending: dict[str | int, asyncio.Future[Any]] = {}
         self._numbers = itertools.count()
@@ -247,92 +231,41 @@
 
     async def run(self) -> None:
         """Find the leader and stay connected to it, until cancelled."""
-        turn = 0
-        hint = ""
-        while True:
-            known = list(dict.fromkeys((*self._configured, *self.knowledge.controllers)))
-            address = hint or known[turn % len(known)]
-            turn += 1
-            try:
-                hint = await self._follow(address)
-            except Exception:
-                # No other task awaits this one. If an unexpected message or an error of the RPC
-                # library ended it, the gateway would stay without a leader until its restart.
-                log.exception("leader: address=%s stream failed unexpectedly", address)
-                hint = ""
-            if not hint:
-                await self._clock.sleep_ms(RETRY_MS)
-
-    async def _follow(self, address: str) -> str:
-        """Serve one stream until it ends; return the leader's address if the controller sent it."""
-        # Each stream gets a new connection, since a middlebox may have dropped an idle one.
-        channel = RpcChannel(address, FLEET_CODEC)
-        try:
-            await self._clock.within_ms(CONNECT_MS, channel.wait_connected())
-            return await self._serve_stream(address, channel.stream(FLEET_METHOD))
-        except (grpc.aio.AioRpcError, asyncio.InvalidStateError, TimeoutError) as exc:
-            log.info("leader: address=%s stream ended: %s", address, _describe(exc))
-            return ""
-        finally:
-            with contextlib.suppress(Exception):
-                await self._clock.within_ms(CLOSE_S * 1000, channel.close())
+        await LeaderStream(self, self._clock).run()
 
-    async def _serve_stream(self, address: str, stream: Any) -> str:
-        """Handle messages until the stream ends; return the leader's address if received."""
-        writer = asyncio.ensure_future(self._write(stream))
-        try:
-            async for msg in self._read(stream, address):
-                if isinstance(msg, NotLeading):
-                    return msg.leader
-                self._handle(msg, address)
-            return ""
-        finally:
-            self._on_lost(address)
-            writer.cancel()
-            stream.cancel()
+    @property
+    def controllers(self) -> list[str]:
+        """Addresses of all controllers known, without repeats."""
+        return list(dict.fromkeys((*self._configured, *self.knowledge.controllers)))
 
-    async def _write(self, stream: Any) -> None:
+    def on_opened(self) -> asyncio.Queue[Any]:
+        """Return the queue of messages for a new stream, with those for a new leader in it."""
         self._out = asyncio.Queue()
-        try:
-            shortage_report = self.shortage_report()
-            hello = GatewayHello(
+        self._out.put_nowait(
+            GatewayHello(
                 self._gateway,
                 self.knowledge.version,
                 self._helper_address,
                 self._data_centre,
                 self.knowledge.gateways,
             )
-            await stream.write(hello)
-            if shortage_report.organisations:
-                await stream.write(shortage_report)
-            for signal in self.signals_to_resend():
-                await stream.write(signal)
-            while True:
-                await stream.write(await self._out.get())
-        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
-            log.debug("leader: writing ended: %s", _describe(exc))
-
-    async def _read(self, stream: Any, address: str) -> AsyncIterator[Any]:
-        try:
-            msg = await self._clock.within_ms(
-                self._first_message_timeouts.timeout_ms(address), stream.read()
-            )
-        except TimeoutError:
-            self._first_message_timeouts.note_timeout(address)
-            raise
-        self._first_message_timeouts.note_message(address)
-        while msg is not grpc.aio.EOF:
-            self._answered_ms = self._clock.now_ms()
-            yield msg
-            msg = await self._clock.within_ms(STREAM_TIMEOUT_MS, stream.read())
+        )
+        shortage_report = self.shortage_report()
+        if shortage_report.organisations:
+            self._out.put_nowait(shortage_report)
+        for signal in self.signals_to_resend():
+            self._out.put_nowait(signal)
+        return self._out
 
-    def _handle(self, msg: Any, address: str) -> None:
+    def on_message(self, msg: Any, address: str) -> None:
+        """Handle a message of the controller at `address`."""
+        self._answered_ms = self._clock.now_ms()
         match msg:
             case Grant(key) | Reject(key) | AnswerRepeat(key) | AnswerQuota(key) | AnswerTurn(key):
                 fut = self._pending.get(key)
                 if fut is not None and not fut.done():
                     fut.set_result(msg)
-            case Pulse():
+            case Pulse() | NotLeading():
                 pass
             case (
                 SuspectRequests()
@@ -363,7 +296,8 @@
         for report in self._reports.to_resend():
             self.send(report)
 
-    def _on_lost(self, address: str) -> None:
+    def on_lost(self, address: str) -> None:
+        """Note that the stream ended; open questions get no answer."""
         if self.connected:
             log.warning("leader: lost address=%s waiting=%d", address, len(self._pending))
         self.connected = False
@@ -371,9 +305,3 @@
         for fut in self._pending.values():
             if not fut.done():
                 fut.set_exception(LeaderLost(address))
-
-
-def _describe(exc: BaseException) -> str:
-    if isinstance(exc, grpc.aio.AioRpcError):
-        return f"{exc.code().name} {exc.details()}"
-    return repr(exc)
--- a/chestnutfall/tests/fakes/placing_gateway.py
+++ b/chestnutfall/tests/fakes/placing_gateway.py
@@ -101,7 +101,7 @@
 
     def lose(self) -> None:
         """Lose the connection to the leader."""
-        self.fleet._on_lost("leader")
+        self.fleet.on_lost("leader")
 
     def exchange(self, leader: PlacingLeader) -> None:
         """Deliver the waiting messages in both directions."""
@@ -112,7 +112,7 @@
             self._send_all(leader)
         if leader.has_messages(self.name):
             for msg in leader.take_messages(self.name):
-                self.fleet._handle(msg, "leader")
+                self.fleet.on_message(msg, "leader")
 
     def _send_all(self, leader: PlacingLeader) -> None:
         while not self.fleet._out.empty():
--- a/chestnutfall/tests/test_repeats.py
+++ b/chestnutfall/tests/test_repeats.py
@@ -147,7 +147,7 @@
         questions = [self.client._out.get_nowait() for _ in asked]
         self.assertEqual({one.service for one in questions if isinstance(one, AskRepeat)}, {"s"})
         for question, granted in zip(reversed(questions), (True, False), strict=True):
-            self.client._handle(AnswerRepeat(question.number, granted), "address")
+            self.client.on_message(AnswerRepeat(question.number, granted), "address")
         self.assertEqual([await one for one in asked], [False, True])
 
     async def test_a_silent_leader_grants_nothing(self) -> None:
@@ -155,4 +155,4 @@
         asked = asyncio.ensure_future(self.client.borrow_repeat("s"))
         await self.clock.advance(REPEAT_TIMEOUT_MS + 1)
         self.assertFalse(await asked)
-        self.client._handle(AnswerRepeat(0, True), "address")
+        self.client.on_message(AnswerRepeat(0, True), "address")
