Hold a doubtful place only as long as its run can last

At engines that bear few rejections, each place whose request ended without an answer was held for two seconds.

--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -206,6 +206,7 @@
         if engine is None or req.ticket in self._places or req.ticket in self._waiting:
             return
         engine.adopt(req)
+        engine.rejections.note_granted(req.ticket, self._clock.now_ms())
         self._places[req.ticket] = instance
         if (holding := engine.holdings.get(req.adapter)) is not None:
             holding.tickets.add(req.ticket)
@@ -341,7 +342,7 @@
         engine.prefill.send(waiting.req.ticket, now_ms)
         engine.limit.note_sent(now_ms)
         engine.backoff.note_sent(waiting.req.ticket, now_ms)
-        engine.rejections.note_granted(now_ms)
+        engine.rejections.note_granted(waiting.req.ticket, now_ms)
         del self._waiting[waiting.req.ticket]
         self._places[waiting.req.ticket] = engine.instance
         yield Grant(
--- a/chestnutfall/placement/rejection_guard.py
+++ b/chestnutfall/placement/rejection_guard.py
@@ -5,13 +5,18 @@
 import heapq
 from collections import deque
 
+from .run_outcome import RunOutcome
+
 WINDOW_MS = 1_000
 """Engines count their rejections within a second."""
 RESERVE = 1
 """Rejections kept back for requests that are on their way when one is rejected."""
 UNCERTAIN_MS = 2_000
-"""How long a place whose request ended without an answer may still be in use: an engine that does
-not notice a closed connection works on until the answer would have been complete."""
+"""How long at most a place whose request ended without an answer may still be in use: an engine
+that does not notice a closed connection works on until the answer would have been complete."""
+LONGER_THAN_SEEN = 1.5
+"""A request is taken to end within so many times the longest of the recent ones."""
+RECENT_RUNS = 64
 GRANT_WINDOW_MS = 50
 """Time from a grant until its rejection would be known to the leader, on a busy gateway."""
 
@@ -36,23 +41,38 @@
         self.careful_fraction = 0.0
         self._rejected_ms: deque[int] = deque()
         self._granted_ms: deque[int] = deque()
+        self._granted: dict[str, int] = {}
+        self._run_ms: deque[int] = deque(maxlen=RECENT_RUNS)
         self._uncertain_until_ms: list[int] = []
 
-    def note_rejected(self, now_ms: int) -> None:
-        """Record a rejection: something runs there that this leader does not know of."""
+    def note_granted(self, ticket: str, now_ms: int) -> None:
+        """Record that a request is sent there, or was before this leader's term."""
         if self.per_s is not None:
-            self._rejected_ms.append(now_ms)
-            self._note_uncertain(now_ms + WINDOW_MS)
+            self._granted_ms.append(now_ms)
+            self._granted[ticket] = now_ms
 
-    def note_uncertain_end(self, now_ms: int) -> None:
-        """Record that a request ended without an answer, so that it may still run there."""
-        if self.per_s is not None:
-            self._note_uncertain(now_ms + UNCERTAIN_MS)
+    def note_end(self, ticket: str, outcome: RunOutcome, now_ms: int) -> None:
+        """Record how a request ended, and what that tells of the engine's room."""
+        granted_ms = self._granted.pop(ticket, None)
+        if self.per_s is None:
+            return
+        match outcome:
+            case RunOutcome.DONE if granted_ms is not None:
+                self._run_ms.append(now_ms - granted_ms)
+            case RunOutcome.FULL:
+                # Something runs there that this leader does not know of.
+                self._rejected_ms.append(now_ms)
+                self._note_uncertain(now_ms + WINDOW_MS)
+            case RunOutcome.LEFT | RunOutcome.BROKEN | RunOutcome.WITHDRAWN:
+                self._note_uncertain(self._may_run_until_ms(granted_ms, now_ms))
+            case _:
+                pass
 
-    def note_granted(self, now_ms: int) -> None:
-        """Record that a request is sent there."""
-        if self.per_s is not None:
-            self._granted_ms.append(now_ms)
+    def _may_run_until_ms(self, granted_ms: int | None, now_ms: int) -> int:
+        latest_ms = now_ms + UNCERTAIN_MS
+        if granted_ms is None or not self._run_ms:
+            return latest_ms
+        return min(granted_ms + int(LONGER_THAN_SEEN * max(self._run_ms)), latest_ms)
 
     def may_send(self, sent: int, batch: int, now_ms: int) -> bool:
         """Whether one more request finds room there, as far as that is known.
--- a/chestnutfall/placement/run_end.py
+++ b/chestnutfall/placement/run_end.py
@@ -31,13 +31,7 @@
             engine.health.note(outcome, now_ms)
         case _:
             engine.health.note(outcome, now_ms)
-    match outcome:
-        case RunOutcome.FULL:
-            engine.rejections.note_rejected(now_ms)
-        case RunOutcome.LEFT | RunOutcome.BROKEN | RunOutcome.WITHDRAWN:
-            engine.rejections.note_uncertain_end(now_ms)
-        case _:
-            pass
+    engine.rejections.note_end(req.ticket, outcome, now_ms)
     if outcome is RunOutcome.DONE:
         engine.health.note_lag(times.lag_ms, now_ms)
     holding = engine.holdings.get(req.adapter)
