--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -7,7 +7,6 @@
 import random
 import signal
 import uuid
-from collections.abc import Callable
 
 from ..clock import SystemClock
 from ..concurrency.known_room import KnownRoom
@@ -33,11 +32,15 @@
 from ..observability.json_logs import start_logs
 from ..observability.prometheus_metrics import PrometheusMetrics
 from ..observability.stdout_logs import StdoutHandler
-from ..paths import HelpedUpstreamApi, HelperService, KnownHelpers, PathTable, PortWitness
 from ..paths.drained_gateway import DrainedGateway
+from ..paths.helped_upstream_api import HelpedUpstreamApi
 from ..paths.helper_links import HelperLinks
+from ..paths.helper_service import HelperService
+from ..paths.known_helpers import KnownHelpers
 from ..paths.leader_messages import CanHelp, HelperGateways
 from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD
+from ..paths.path_table import PathTable
+from ..paths.port_witness import PortWitness
 from ..programs.event_loop import run
 from ..quarantine import RequestQuarantine, refuses_connections
 from ..quarantine.port_check import opens_connection
@@ -65,143 +68,206 @@
 def main() -> None:
     """Run one gateway until SIGTERM, then drain it; SIGHUP reloads the settings file."""
     settings = read_node_file()
-    run(lambda stop: _serve(settings, stop))
-
-
-async def _serve(settings: FleetSettings, stop: asyncio.Event) -> int:
-    clock = SystemClock()
-    metrics = PrometheusMetrics()
-    start_logs("INFO", "gateway", settings.name, StdoutHandler(clock, metrics))
-    name = f"{settings.name}#{uuid.uuid4().hex[:6]}"
-    known = FleetKnowledge(DocumentJson(), clock)
-    fleet = FleetClient(
-        name, settings.controllers, known, clock, settings.peer_address, settings.data_centre
-    )
-    pool = ConnectionPool(_kept_connections(known, settings.name), metrics.count, clock)
-    direct = UpstreamHttp(UnreadHeaders(names.ANSWER_HEADERS, metrics.count), pool, clock)
-    rng = random.Random()
-    paths, helpers, links = PathTable(clock), KnownHelpers(clock, rng), HelperLinks(direct, clock)
-    fleet.on(HelperGateways, helpers.apply)
-    paths.on_change = lambda can_help: fleet.send(CanHelp(can_help))
-
-    def is_alone() -> bool:
-        return known.gateways <= 1
-
-    api = HelpedUpstreamApi(direct, links, helpers, paths, opens_connection, is_alone, clock)
-    witness = PortWitness(refuses_connections, links, helpers, is_alone)
-    quarantine = RequestQuarantine(fleet.report, witness.has_ended, clock)
-    fleet.on(SuspectRequests, quarantine.update)
-    quotas = QuotaEnforcer(
-        LeaderQuotaClient(fleet), lambda: known.gateways, settings.quotas, clock, rng
-    )
-    fleet.on(QuotaNews, quotas.apply)
-    fleet.shortage_report = quotas.shortage_report
-    upstream_limits = KnownLimits(fleet.send, lambda: known.gateways, clock, rng)
-    backoffs = KnownBackoffs(fleet.send, clock)
-    rejections = KnownRejections(fleet.send, clock)
-    fleet.on(RejectionsInForce, rejections.apply)
-    signals = KnownSignals(upstream_limits, backoffs, clock, rejections)
-    engine_selector = EngineUpstreamSelector(fleet, signals, clock, name, settings.data_centre)
-    fleet.on(LimitsInForce, upstream_limits.apply)
-    fleet.on(BackoffHints, backoffs.apply_hints)
-    room = KnownRoom(fleet.send, LeaderlessRoom(lambda: known.gateways, clock, rng), clock)
-    fleet.on(RoomInForce, room.apply)
-    fleet.signals_to_resend = lambda: (
-        *signals.reports_for_new_leader(),
-        *room.reports_for_new_leader(),
-        *engine_selector.running.reports_for_new_leader(),
-        *(() if paths.can_help else (CanHelp(False),)),
-    )
-    helper = HelperService(
-        api,
-        helpers.accepts,
-        signals,
-        known.upstream,
-        known.all_upstreams,
-        opens_connection,
-        refuses_connections,
-        clock,
-        rng,
-    )
-    forwarder = Forwarder(
-        known,
-        Admission(quotas),
-        Repeats(settings.repeats, lambda: known.gateways, fleet.borrow_repeat, clock, rng),
-        engine_selector,
-        PlainUpstreamSelector(
-            known.upstreams,
-            signals,
-            leader_turn_client(fleet, clock),
-            clock,
+    run(lambda stop: _Gateway(settings).serve(stop))
+
+
+class _Gateway:
+    """Builds the components of one gateway and runs them."""
+
+    def __init__(self, settings: FleetSettings) -> None:
+        self._settings = settings
+        self._clock = SystemClock()
+        self._rng = random.Random()
+        self._metrics = PrometheusMetrics()
+        start_logs("INFO", "gateway", settings.name, StdoutHandler(self._clock, self._metrics))
+        self._name = f"{settings.name}#{uuid.uuid4().hex[:6]}"
+        self._known = FleetKnowledge(DocumentJson(), self._clock)
+        self._fleet = FleetClient(
+            self._name,
+            settings.controllers,
+            self._known,
+            self._clock,
+            settings.peer_address,
             settings.data_centre,
-            rng,
-            room,
-            fleet.send,
-            api.has_open_connection,
-        ),
-        Sender(api, signals, clock, metrics),
-        signals,
-        quarantine,
-        clock,
-        metrics,
-        rng,
-        lambda service: api.reaches_any(known.upstreams(service)),
-    )
-
-    def limits() -> DocumentLimits:
-        return known.table.document.limits if known.table else DocumentLimits()
-
-    entry = EntryServer(forwarder, lambda: known.table is not None, limits, clock)
-    helper_server = RpcServer(settings.peer_address)
-    helper_server.add_stream(HELP_METHOD, HELP_CODEC, helper.serve)
-    helper_server.add_unary(CHECK_METHOD, HELP_CODEC, helper.check_port)
-
-    def refresh_gauges() -> None:
-        metrics.gauge("calls_in_progress", entry.calls_in_progress())
-        metrics.gauge("document_version", known.version)
-        metrics.gauge("connected", fleet.connected)
-        metrics.gauge("limited_upstreams", len(upstream_limits))
-        metrics.gauge("upstreams_backing_off", len(backoffs))
-        metrics.gauge("upstreams_bearing_few_rejections", len(rejections))
-        metrics.gauge("services_short_of_room", len(room))
-        metrics.gauge("upstream_connections_idle", len(pool))
-        metrics.gauge("upstreams_cut_off", len(paths))
-        metrics.gauge("helpers", len(helpers))
-        metrics.total("sends_for_others", helper.sent)
+        )
+        self._make_upstreams()
+        self._make_signals()
+        self._quotas = self._make_quotas()
+        witness = PortWitness(refuses_connections, self._links, self._helpers, self._is_alone)
+        self._quarantine = RequestQuarantine(self._fleet.report, witness.has_ended, self._clock)
+        self._fleet.on(SuspectRequests, self._quarantine.update)
+        self._helper = self._make_helper()
+        self._entry = EntryServer(
+            self._make_forwarder(), lambda: self._known.table is not None, self._limits, self._clock
+        )
+
+    def _make_upstreams(self) -> None:
+        """Make what sends to upstreams, over the own links and through helpers."""
+        self._pool = ConnectionPool(self._kept_connections, self._metrics.count, self._clock)
+        unread = UnreadHeaders(names.ANSWER_HEADERS, self._metrics.count)
+        self._direct = UpstreamHttp(unread, self._pool, self._clock)
+        self._links = HelperLinks(self._direct, self._clock)
+        self._paths = PathTable(self._clock)
+        self._paths.on_change = lambda can_help: self._fleet.send(CanHelp(can_help))
+        self._helpers = KnownHelpers(self._clock, self._rng)
+        self._fleet.on(HelperGateways, self._helpers.apply)
+        self._api = HelpedUpstreamApi(
+            self._direct,
+            self._links,
+            self._helpers,
+            self._paths,
+            opens_connection,
+            self._is_alone,
+            self._clock,
+        )
+
+    def _make_signals(self) -> None:
+        """Make what keeps the signals of upstreams, and the selection of engines by them."""
+        fleet, clock = self._fleet, self._clock
+        self._upstream_limits = KnownLimits(fleet.send, self._gateways, clock, self._rng)
+        fleet.on(LimitsInForce, self._upstream_limits.apply)
+        self._backoffs = KnownBackoffs(fleet.send, clock)
+        fleet.on(BackoffHints, self._backoffs.apply_hints)
+        self._rejections = KnownRejections(fleet.send, clock)
+        fleet.on(RejectionsInForce, self._rejections.apply)
+        self._signals = KnownSignals(self._upstream_limits, self._backoffs, clock, self._rejections)
+        self._room = KnownRoom(fleet.send, LeaderlessRoom(self._gateways, clock, self._rng), clock)
+        fleet.on(RoomInForce, self._room.apply)
+        self._engine_selector = EngineUpstreamSelector(
+            fleet, self._signals, clock, self._name, self._settings.data_centre
+        )
+        fleet.signals_to_resend = lambda: (
+            *self._signals.reports_for_new_leader(),
+            *self._room.reports_for_new_leader(),
+            *self._engine_selector.running.reports_for_new_leader(),
+            *(() if self._paths.can_help else (CanHelp(False),)),
+        )
+
+    def _make_quotas(self) -> QuotaEnforcer:
+        quotas = QuotaEnforcer(
+            LeaderQuotaClient(self._fleet),
+            self._gateways,
+            self._settings.quotas,
+            self._clock,
+            self._rng,
+        )
+        self._fleet.on(QuotaNews, quotas.apply)
+        self._fleet.shortage_report = quotas.shortage_report
+        return quotas
+
+    def _make_helper(self) -> HelperService:
+        return HelperService(
+            self._api,
+            self._helpers.accepts,
+            self._signals,
+            self._known.upstream,
+            self._known.all_upstreams,
+            opens_connection,
+            refuses_connections,
+            self._clock,
+            self._rng,
+        )
+
+    def _make_forwarder(self) -> Forwarder:
+        repeats = Repeats(
+            self._settings.repeats,
+            self._gateways,
+            self._fleet.borrow_repeat,
+            self._clock,
+            self._rng,
+        )
+        return Forwarder(
+            self._known,
+            Admission(self._quotas),
+            repeats,
+            self._engine_selector,
+            self._make_plain_selector(),
+            Sender(self._api, self._signals, self._clock, self._metrics),
+            self._signals,
+            self._quarantine,
+            self._clock,
+            self._metrics,
+            self._rng,
+            lambda service: self._api.reaches_any(self._known.upstreams(service)),
+        )
+
+    def _make_plain_selector(self) -> PlainUpstreamSelector:
+        return PlainUpstreamSelector(
+            self._known.upstreams,
+            self._signals,
+            leader_turn_client(self._fleet, self._clock),
+            self._clock,
+            self._settings.data_centre,
+            self._rng,
+            self._room,
+            self._fleet.send,
+            self._api.has_open_connection,
+        )
+
+    def _gateways(self) -> int:
+        return self._known.gateways
+
+    def _is_alone(self) -> bool:
+        return self._known.gateways <= 1
+
+    def _limits(self) -> DocumentLimits:
+        return self._known.table.document.limits if self._known.table else DocumentLimits()
+
+    def _kept_connections(self, service: str, instance: str) -> int:
+        """Return the number of idle connections to keep to an upstream."""
+        spec = self._known.table.services.get(service) if self._known.table else None
+        limit = spec.max_connections if spec else 0
+        return kept_connections(limit, self._known.gateways, self._settings.name, instance)
+
+    def _refresh_gauges(self) -> None:
+        metrics = self._metrics
+        metrics.gauge("calls_in_progress", self._entry.calls_in_progress())
+        metrics.gauge("document_version", self._known.version)
+        metrics.gauge("connected", self._fleet.connected)
+        metrics.gauge("limited_upstreams", len(self._upstream_limits))
+        metrics.gauge("upstreams_backing_off", len(self._backoffs))
+        metrics.gauge("upstreams_bearing_few_rejections", len(self._rejections))
+        metrics.gauge("services_short_of_room", len(self._room))
+        metrics.gauge("upstream_connections_idle", len(self._pool))
+        metrics.gauge("upstreams_cut_off", len(self._paths))
+        metrics.gauge("helpers", len(self._helpers))
+        metrics.total("sends_for_others", self._helper.sent)
         for figure, value in FLEET_CODEC.traffic.counters():
             metrics.total(figure, value)
 
-    watch = SettingsWatch(settings, clock, lambda new: fleet.use_controllers(new.controllers))
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, watch.reload)
-    tasks = [asyncio.ensure_future(one.run()) for one in (fleet, watch, quotas)]
-    metrics_runner = await serve_metrics(
-        metrics, f"{settings.ip}:{settings.metrics_port}", refresh_gauges
-    )
-    await helper_server.start()
-    await entry.start(settings.caller_listen, settings.ready_listen)
-    log.info("gateway: started name=%s listen=%s", name, settings.caller_listen)
-    await stop.wait()
-    await drain(DrainedGateway(entry, helper, fleet.send), clock, settings.grace_ms)
-    await entry.stop()
-    await helper_server.stop()
-    for task in tasks:
-        task.cancel()
-    await metrics_runner.cleanup()
-    await links.close()
-    await direct.close()
-    log.info("gateway: stopped name=%s", name)
-    return 0
-
-
-def _kept_connections(known: FleetKnowledge, gateway: str) -> Callable[[str, str], int]:
-    """Return the number of idle connections to keep to an upstream, by service and instance."""
-
-    def kept(service: str, instance: str) -> int:
-        spec = known.table.services.get(service) if known.table else None
-        limit = spec.max_connections if spec else 0
-        return kept_connections(limit, known.gateways, gateway, instance)
+    async def serve(self, stop: asyncio.Event) -> int:
+        """Serve until `stop`, then drain; return the exit code of the process."""
+        settings, fleet = self._settings, self._fleet
+        watch = SettingsWatch(
+            settings, self._clock, lambda new: fleet.use_controllers(new.controllers)
+        )
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, watch.reload)
+        tasks = [asyncio.ensure_future(one.run()) for one in (fleet, watch, self._quotas)]
+        metrics_runner = await serve_metrics(
+            self._metrics, f"{settings.ip}:{settings.metrics_port}", self._refresh_gauges
+        )
+        helper_server = self._make_helper_server()
+        await helper_server.start()
+        await self._entry.start(settings.caller_listen, settings.ready_listen)
+        log.info("gateway: started name=%s listen=%s", self._name, settings.caller_listen)
+        await stop.wait()
+        drained = DrainedGateway(self._entry, self._helper, fleet.send)
+        await drain(drained, self._clock, settings.grace_ms)
+        await self._entry.stop()
+        await helper_server.stop()
+        for task in tasks:
+            task.cancel()
+        await metrics_runner.cleanup()
+        await self._links.close()
+        await self._direct.close()
+        log.info("gateway: stopped name=%s", self._name)
+        return 0
 
-    return kept
+    def _make_helper_server(self) -> RpcServer:
+        server = RpcServer(self._settings.peer_address)
+        server.add_stream(HELP_METHOD, HELP_CODEC, self._helper.serve)
+        server.add_unary(CHECK_METHOD, HELP_CODEC, self._helper.check_port)
+        return server
 
 
 if __name__ == "__main__":
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -25,9 +25,13 @@
 from ..observability.tracing import start_tracing
 from ..ownership import TICKET_CODEC, EngineOwners
 from ..ownership.load_permits import ControllerPermits
-from ..paths import HelpedUpstreamApi, HelperService, KnownHelpers, PathTable, PortWitness
+from ..paths.helped_upstream_api import HelpedUpstreamApi
 from ..paths.helper_links import HelperLinks
+from ..paths.helper_service import HelperService
+from ..paths.known_helpers import KnownHelpers
 from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD
+from ..paths.path_table import PathTable
+from ..paths.port_witness import PortWitness
 from ..peers import PeerLinks, PeerServer
 from ..peers.peer_server import METHOD as TICKETS_METHOD
 from ..plain_edge import PlainProxy
--- a/chestnutfall/tests/fakes/path_office.py
+++ b/chestnutfall/tests/fakes/path_office.py
@@ -14,9 +14,11 @@
 from ...forwarding.forwarded_call import ForwardedCall
 from ...forwarding.upstream_answer import UpstreamAnswer
 from ...forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
-from ...paths import HelpedUpstreamApi, HelperService, KnownHelpers, PathTable, PortWitness
+from ...paths.helped_upstream_api import HelpedUpstreamApi
 from ...paths.helper_api import HelperApi
 from ...paths.helper_ring import RingGateway, helpers_of_all
+from ...paths.helper_service import HelperService
+from ...paths.known_helpers import KnownHelpers
 from ...paths.leader_messages import HelperGateways
 from ...paths.messages import (
     HELP_CODEC,
@@ -26,6 +28,8 @@
     NotSentByHelper,
     SendCall,
 )
+from ...paths.path_table import PathTable
+from ...paths.port_witness import PortWitness
 from ...signals import NO_SIGNALS
 from .limit_parts import known_signals
 
--- a/chestnutfall/tests/test_helped_completions.py
+++ b/chestnutfall/tests/test_helped_completions.py
@@ -24,9 +24,12 @@
 from ..forwarding.upstream_api import NotSent
 from ..membership import GatewayAgent
 from ..membership.peer_helpers import PeerHelpers
-from ..paths import HelpedUpstreamApi, HelperService, KnownHelpers, PathTable
+from ..paths.helped_upstream_api import HelpedUpstreamApi
 from ..paths.helper_links import HelperLinks
+from ..paths.helper_service import HelperService
+from ..paths.known_helpers import KnownHelpers
 from ..paths.messages import HELP_CODEC, HELP_METHOD
+from ..paths.path_table import PathTable
 from ..signals import UnreadHeaders
 from ..standin.engine_app import EngineApp
 from ..standin.engine_core import EngineCore
--- a/chestnutfall/tests/test_helper_links.py
+++ b/chestnutfall/tests/test_helper_links.py
@@ -15,10 +15,13 @@
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
 from ..forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
-from ..paths import HelpedUpstreamApi, HelperService, KnownHelpers, PathTable
+from ..paths.helped_upstream_api import HelpedUpstreamApi
 from ..paths.helper_links import HelperLinks
+from ..paths.helper_service import HelperService
+from ..paths.known_helpers import KnownHelpers
 from ..paths.leader_messages import HelperGateways
 from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD
+from ..paths.path_table import PathTable
 from ..signals import NO_SIGNALS, UpstreamSignals
 from ..wire import RpcServer
 from .fakes.limit_parts import known_signals
