--- a/chestnutfall/paths/helped_upstream_api.py
+++ b/chestnutfall/paths/helped_upstream_api.py
@@ -13,7 +13,7 @@
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import NotSent, UpstreamApi
-from .helper_api import HelperApi
+from .helper_api import HelperApi, HelperUnusable
 from .known_helpers import KnownHelpers
 from .path_table import PathTable
 
@@ -116,7 +116,7 @@
             except NotSent as exc:
                 failure = exc
                 is_confirmed = is_confirmed or exc.is_confirmed
-                if not exc.is_confirmed:
+                if isinstance(exc, HelperUnusable):
                     self._helpers.note_failed(address)
         if is_confirmed:
             self._paths.note_down(instance)
--- a/chestnutfall/paths/helper_api.py
+++ b/chestnutfall/paths/helper_api.py
@@ -7,6 +7,20 @@
 
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import UpstreamAnswer
+from ..forwarding.upstream_api import NotSent
+from .messages import LEAVING, UNKNOWN_KEY, UNREACHABLE, NotSentByHelper
+
+
+class HelperUnusable(NotSent):
+    """A helper can't be reached, or sends nothing for this gateway whatever the upstream."""
+
+
+def not_sent(msg: NotSentByHelper) -> NotSent:
+    """Return the error for a helper's statement that it sent nothing."""
+    is_cut_off = msg.reason == UNREACHABLE and not msg.is_witness
+    if is_cut_off or msg.reason in (UNKNOWN_KEY, LEAVING):
+        return HelperUnusable(msg.reason)
+    return NotSent(msg.reason, is_confirmed=msg.is_witness)
 
 
 class HelperApi(ABC):
@@ -23,6 +37,8 @@
         NotSent
             When it is proven that nothing was sent; its `is_confirmed` says whether the helper
             could not reach the upstream while it reached another one.
+        HelperUnusable
+            The same, if another helper should be asked first next time.
         AnswerLost
             When the call may have run.
         """
--- a/chestnutfall/paths/helper_links.py
+++ b/chestnutfall/paths/helper_links.py
@@ -16,7 +16,7 @@
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 from ..wire import RpcChannel, TlsFiles
-from .helper_api import HelperApi
+from .helper_api import HelperApi, HelperUnusable, not_sent
 from .helper_service import as_sent
 from .messages import (
     CHECK_METHOD,
@@ -86,7 +86,7 @@
 
         Raises
         ------
-        NotSent
+        HelperUnusable
             When no connection could be opened.
         """
         channel = self._channels.get(address)
@@ -100,7 +100,7 @@
         except TimeoutError as exc:
             if not self._busy[address]:
                 self._close(address)
-            raise NotSent(f"helper {address} can't be reached") from exc
+            raise HelperUnusable(f"helper {address} can't be reached") from exc
         return channel
 
     async def _exchange(self, stream: Any, msg: SendCall, silent_ms: float) -> Any:
@@ -133,8 +133,8 @@
         self, stream: Any, first: Any, forwarded: ForwardedCall, silent_ms: float
     ) -> UpstreamAnswer:
         match first:
-            case NotSentByHelper(reason, is_witness):
-                raise NotSent(reason, is_confirmed=is_witness)
+            case NotSentByHelper():
+                raise not_sent(first)
             case AnswerBroken(reason):
                 raise AnswerLost(reason)
             case AnswerBegins(status, headers):
--- a/chestnutfall/paths/helper_service.py
+++ b/chestnutfall/paths/helper_service.py
@@ -17,6 +17,9 @@
 from ..signals.known_signals import KnownSignals
 from .helped_upstream_api import HelpedUpstreamApi
 from .messages import (
+    LEAVING,
+    UNKNOWN_KEY,
+    UNREACHABLE,
     AnswerBegins,
     AnswerBroken,
     AnswerEnds,
@@ -112,9 +115,9 @@
         known = self._upstream(instance)
         if not self._accepts(asked.keys):
             log.warning("help: refused, the key is not one of this fleet")
-            return "unknown_key"
+            return UNKNOWN_KEY
         if self._refusing:
-            return "leaving"
+            return LEAVING
         if self.in_progress >= MAX_HELPED:
             return "helper_full"
         if known is None or known.address != asked.forwarded.upstream.address:
@@ -132,7 +135,7 @@
                 is_witness = await self._reaches_others(forwarded.upstream)
                 if is_witness:
                     self._api.note_down(forwarded.upstream.instance)
-                yield NotSentByHelper("unreachable", is_witness)
+                yield NotSentByHelper(UNREACHABLE, is_witness)
                 return
             except AnswerLost as exc:
                 yield AnswerBroken(str(exc))
--- a/chestnutfall/paths/messages.py
+++ b/chestnutfall/paths/messages.py
@@ -10,6 +10,12 @@
 
 HELP_METHOD = "Help"
 CHECK_METHOD = "CheckPort"
+UNREACHABLE = "unreachable"
+"""Reason of a helper that can't connect to the upstream."""
+UNKNOWN_KEY = "unknown_key"
+"""Reason of a helper to which the asking gateway is a stranger."""
+LEAVING = "leaving"
+"""Reason of a helper that is about to end."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/tests/fakes/path_office.py
+++ b/chestnutfall/tests/fakes/path_office.py
@@ -15,7 +15,7 @@
 from ...forwarding.upstream_answer import UpstreamAnswer
 from ...forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
 from ...paths.helped_upstream_api import HelpedUpstreamApi
-from ...paths.helper_api import HelperApi
+from ...paths.helper_api import HelperApi, not_sent
 from ...paths.helper_ring import RingGateway, helpers_of_all
 from ...paths.helper_service import HelperService
 from ...paths.known_helpers import KnownHelpers
@@ -185,8 +185,8 @@
         if (self._number, helper) in self._office.lost:
             raise AnswerLost("helper_lost")
         match answers[0]:
-            case NotSentByHelper(reason, is_witness):
-                raise NotSent(reason, is_confirmed=is_witness)
+            case NotSentByHelper():
+                raise not_sent(answers[0])
             case AnswerBroken(reason):
                 raise AnswerLost(reason)
             case AnswerBegins(status, headers):
--- a/chestnutfall/tests/test_paths.py
+++ b/chestnutfall/tests/test_paths.py
@@ -153,6 +153,19 @@
                 await office.gateways[0].send(send_to(office.upstreams[0]))
             self.assertEqual(office.runs.total(), 0)
 
+    # Guards against calls that are refused since one upstream wants nothing from the helpers.
+    async def test_a_helper_that_may_not_send_to_one_upstream_is_asked_for_others(self) -> None:
+        office = self._office(2, 0)
+        for number in range(3):
+            await self._send_all(office, 0, 10 * number)
+        leaving = UpstreamSignals(leaving=True)
+        office.gateways[1].signals.observe("i0", leaving, 0, True)
+        with self.assertRaises(NotSent):
+            await office.gateways[0].send(send_to(office.upstreams[0], 100))
+        self.assertTrue(office.gateways[0].helpers.usable())
+        self.assertTrue(office.gateways[0].api.reaches_any(office.upstreams))
+        self.assertEqual(await self._send_all(office, 0, 200), 2)
+
     # Guards against a helper whose own callers lose their share, and one that ends midway.
     async def test_a_helper_that_is_full_or_leaving_refuses_as_not_sent(self) -> None:
         for prepare in (_fill, _leave):
--- a/properties/safeguards/path_mutants.py
+++ b/properties/safeguards/path_mutants.py
@@ -63,6 +63,13 @@
         '            raise NotSent("helper_lost") from exc\n        if msg is grpc.aio.EOF:',
         "chestnutfall.tests.test_helper_links",
     ),
+    Mutant(
+        "a helper that refuses one upstream is not asked for others",
+        _API,
+        "                if isinstance(exc, HelperUnusable):",
+        "                if not exc.is_confirmed:",
+        f"{_HELPED}.test_a_helper_that_may_not_send_to_one_upstream_is_asked_for_others",
+    ),
     Mutant(
         "a link is never tried again",
         _API,
