--- a/chestnutfall/tests/test_plain_proxy.py
+++ b/chestnutfall/tests/test_plain_proxy.py
@@ -9,8 +9,12 @@
 
 import asyncio
 import contextlib
+import random
 import unittest
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import replace
+from typing import cast
 
 from aiohttp import web
 from aiohttp.test_utils import make_mocked_request
@@ -24,8 +28,16 @@
     SuspectRequests,
 )
 from ..engine_edge.own_upstream_http import OwnUpstreamHttp
+from ..forwarding.forwarded_call import ForwardedCall
+from ..forwarding.upstream_answer import UpstreamAnswer
+from ..forwarding.upstream_api import NotSent, UpstreamApi
 from ..membership import Announcement
 from ..observability.metrics import Metrics
+from ..paths.helped_upstream_api import HelpedUpstreamApi
+from ..paths.helper_api import HelperApi
+from ..paths.known_helpers import KnownHelpers
+from ..paths.leader_messages import HelperGateways
+from ..paths.path_table import PathTable
 from ..plain_edge import PlainProxy
 from ..quarantine import RequestQuarantine
 from ..requests import Executed, Refusal, fingerprint_of, key_digest
@@ -57,7 +69,8 @@
         self.served_by: list[str] = []
         self.announced: list[Announcement] = []
         self.runners = [await self._start(f"counter-{number}") for number in range(2)]
-        self.upstreams = OwnUpstreamHttp(UnreadHeaders((), lambda name: None))
+        self.direct = OwnUpstreamHttp(UnreadHeaders((), lambda name: None))
+        self.upstreams = self._make_upstreams()
         self.proxy = PlainProxy(
             self.gateway.agent,
             self.gateway.registry,
@@ -71,11 +84,14 @@
         )
 
     async def asyncTearDown(self) -> None:
-        await self.upstreams.close()
+        await self.direct.close()
         for runner in self.runners:
             await runner.cleanup()
         await self.office.stop()
 
+    def _make_upstreams(self) -> UpstreamApi:
+        return self.direct
+
     async def _refuses(self, address: str) -> bool:
         return True
 
@@ -260,3 +276,49 @@
         self.assertFalse(self.gateway.registry.takes_work(first.name))
         self.gateway.registry.register(replace(first, incarnation="second"))
         self.assertTrue(self.gateway.registry.takes_work(first.name))
+
+
+class _CutLink(UpstreamApi):
+    """Opens no connection."""
+
+    @asynccontextmanager
+    async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
+        if forwarded:
+            raise NotSent("cut")
+        yield cast(UpstreamAnswer, None)
+
+
+class _OneHelper(HelperApi):
+    """A helper whose links are sound."""
+
+    def __init__(self, direct: UpstreamApi) -> None:
+        self._direct = direct
+
+    def send(
+        self, address: str, keys: tuple[str, ...], forwarded: ForwardedCall
+    ) -> AbstractAsyncContextManager[UpstreamAnswer]:
+        return self._direct.send(forwarded)
+
+    async def refuses(self, address: str, keys: tuple[str, ...], port_address: str) -> bool | None:
+        return None
+
+
+class CutOffPlainProxyTest(PlainProxyTest):
+    """The same calls at a gateway whose own links to all upstreams are cut."""
+
+    def _make_upstreams(self) -> UpstreamApi:
+        clock = self.office.clock
+        helpers = KnownHelpers(clock, random.Random(1))
+        helpers.apply(HelperGateways(("helper",), "key"))
+        return HelpedUpstreamApi(
+            _CutLink(),
+            _OneHelper(self.direct),
+            helpers,
+            PathTable(clock),
+            self._never_opens,
+            lambda: False,
+            clock,
+        )
+
+    async def _never_opens(self, address: str) -> bool:
+        return False
