Give gateways a second to hear a signal, and controllers time to rejoin in the soak

Two of three disks at once are more than the office tolerates; the injector waits until the group has the controller back.

--- a/chestnutfall/tests/test_rejecting_upstreams.py
+++ b/chestnutfall/tests/test_rejecting_upstreams.py
@@ -14,6 +14,8 @@
 """Over twice the places of the engines and of the plain upstreams."""
 STREAMED, WHOLE = ("draft", "long"), ("again", "once")
 LOAD_S = 6.0
+NAMED_S = 1.0
+"""A third of the time after which upstreams that name the signal may hold gateways to it."""
 
 
 class RejectingUpstreamTest(unittest.TestCase):
@@ -43,6 +45,7 @@
         await asyncio.sleep(LOAD_S)
 
     async def _end_controllers(self, play: OfficeScenario) -> None:
+        await asyncio.sleep(NAMED_S)
         for one in play.office.controllers:
             one.signal(signal.SIGKILL)
             await one.wait_ended(5)
--- a/soak/daemon.py
+++ b/soak/daemon.py
@@ -114,6 +114,10 @@
         """Let a gateway open connections to upstreams again."""
         (self._folder / CUT_FILE).unlink(missing_ok=True)
 
+    def log_text(self) -> str:
+        """Return the log over all starts."""
+        return (self._folder / "log").read_text("utf-8", errors="replace")
+
     def wipe_disk(self) -> None:
         """Delete the data folder."""
         shutil.rmtree(self.plan.data_folder, ignore_errors=True)
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 
 from .daemon import Daemon
@@ -11,6 +12,8 @@
 from .office import Office
 from .relay import ConnectionFault
 
+MEMBER_S = 20.0
+"""Longest wait for a controller that lost its disk to become a member again."""
 GRACE_S = 9.0
 """Time in which a daemon must end after SIGTERM."""
 _CONNECTION_FAULTS = {
@@ -90,6 +93,25 @@
             await asyncio.sleep(fault.for_s)
             await controller.start(False)
             await asyncio.sleep(2.5)
+            if wipe:
+                await self._wait_until_member(controller)
+
+    async def _wait_until_member(self, controller: Daemon) -> None:
+        """Wait until the others have taken in a controller that lost its disk.
+
+        On a busy host it takes seconds to start. If another one lost its disk before, two of three
+        would be lost at once, which is more than they tolerate.
+        """
+        for _ in range(int(MEMBER_S * 10)):
+            joining = re.findall(r"joining as ([\w-]+)", controller.log_text())
+            if joining and self._is_member(joining[-1]):
+                return
+            await asyncio.sleep(0.1)
+
+    def _is_member(self, replica: str) -> bool:
+        as_voter = rf"replica_id='{re.escape(replica)}', address='[^']*', voter=True"
+        taken_in = re.compile(rf"members become [^\n]*{as_voter}")
+        return any(taken_in.search(one.log_text()) for one in self._office.controllers)
 
     @staticmethod
     async def _pause(daemon: Daemon, for_s: float) -> None:
