Let the soak's gateways listen on ports that earlier connections had

Gateways of the soak connect to upstreams from their own loopback address since they can be cut off; a port of such a connection that was closed less than a minute ago refuses a listener (shown: EADDRINUSE, none with SO_REUSEADDR), and ports are drawn anew in each run.

--- a/soak/cut_off_launch.py
+++ b/soak/cut_off_launch.py
@@ -27,6 +27,18 @@
 _start_connection = connector.aiohappyeyeballs.start_connection
 
 
+def _reusable_socket(addr_info: Any) -> socket.socket:
+    """Create a socket whose port may be listened on soon after it is closed.
+
+    Otherwise a gateway of a later run, on the same address, can't listen on a port that one of
+    these connections had.
+    """
+    family, kind, protocol, _, _ = addr_info
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return sock
+
+
 class _CutLinks:
     """Replaces the ways in which a gateway opens connections."""
 
@@ -47,6 +59,7 @@
             await self._fail_if_cut()
             local = (socket.AF_INET, socket.SOCK_STREAM, 0, "", (self._ip, 0))
             options["local_addr_infos"] = [local]
+            options["socket_factory"] = _reusable_socket
         return await _start_connection(addr_infos=addr_infos, **options)
 
     async def _fail_if_cut(self) -> None:
