Keep the soak's gateways alive when SIGHUP comes during their start

Since gateways start through soak.cut_off_launch, asyncio and aiohttp were imported before SIGHUP was ignored: a signal 0.05 to 0.5 s after the start ended the process (exit -1, measured; programs.launch: at 0.05 s only). A daemon that ends stays down in the soak, which looks exactly like that.

A daemon that ended by itself is now a finding with its exit code, and a gateway that does not serve is named with what it answered, so that the next such failure tells its cause.

--- a/chestnutfall/tests/test_cut_off_gateways.py
+++ b/chestnutfall/tests/test_cut_off_gateways.py
@@ -6,8 +6,7 @@
 import time
 import unittest
 
-from soak.cut_off_launch import HANGING, REFUSED
-from soak.relay import ConnectionFault
+from soak.relay import HANGING, REFUSED, ConnectionFault
 
 from .office_scenario import OfficeScenario
 
--- a/soak/cut_episodes.py
+++ b/soak/cut_episodes.py
@@ -9,10 +9,9 @@
 
 from chestnutfall.platform.standin.client import ClientResult, StandInClient
 
-from .cut_off_launch import HANGING, REFUSED
 from .daemon import Daemon
 from .office import Office
-from .relay import ConnectionFault
+from .relay import HANGING, REFUSED, ConnectionFault
 from .verdict import Verdict
 
 MODES = (
--- a/soak/daemon.py
+++ b/soak/daemon.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import re
 import shutil
 import signal
 import sys
@@ -15,6 +16,7 @@
 from .relay import CUT_FILE
 
 ROOT = Path(__file__).resolve().parents[1]
+_ENDING_SIGNALS = (signal.SIGTERM, signal.SIGKILL)
 LAUNCHERS = {"controller": "chestnutfall.programs.launch", "gateway": "soak.cut_off_launch"}
 
 
@@ -34,11 +36,15 @@
         Address, name and data folder.
     paused : bool
         Whether the process is stopped by SIGSTOP.
+    own_ends : list of int
+        Exit codes of processes that ended without `kill` or SIGTERM, as far as it was noticed.
     """
 
     def __init__(self, role: str, folder: Path, plan: NodePlan, ports: Ports) -> None:
         self.plan = plan
         self.paused = False
+        self.own_ends: list[int] = []
+        self._end_expected = False
         self._role = role
         self._folder = folder
         self._ports = ports
@@ -62,6 +68,8 @@
                 await self._start(first_start)
 
     async def _start(self, first_start: bool) -> None:
+        self.note_own_end()
+        self._end_expected = False
         plan = NodePlan(
             self.plan.ip, self.plan.name, self.plan.data_folder, self.plan.seeds, first_start
         )
@@ -84,9 +92,35 @@
         """Whether the process was started and has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    def note_own_end(self) -> None:
+        """Record the exit code of a process that should run and does not, once."""
+        if self._process is None or self._process.returncode is None or self._end_expected:
+            return
+        self._end_expected = True
+        self.own_ends.append(self._process.returncode)
+
+    async def reload(self) -> None:
+        """Send SIGHUP; to a process that is being started, once its interpreter runs the launcher.
+
+        Before that, no program could keep the signal from ending the process.
+        """
+        while self.is_running and not self._survives_reload():
+            await asyncio.sleep(0.01)
+        self.signal(signal.SIGHUP)
+
+    def _survives_reload(self) -> bool:
+        assert self._process is not None
+        status = Path(f"/proc/{self._process.pid}/status")
+        masks = re.findall(
+            r"Sig(?:Ign|Cgt):\s*(\w+)", status.read_text() if status.exists() else ""
+        )
+        bit = 1 << (signal.SIGHUP - 1)
+        return any(int(mask, 16) & bit for mask in masks)
+
     def signal(self, signum: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
         if self._process is not None and self._process.returncode is None:
+            self._end_expected = self._end_expected or signum in _ENDING_SIGNALS
             self.paused = signum is signal.SIGSTOP or (self.paused and signum is not signal.SIGCONT)
             self._process.send_signal(signum)
 
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -66,7 +66,7 @@
                 with self._disturbances.recorded(self._office.client_address(gateway)):
                     await self._fault_gateway(gateway, fault)
             case "reload_gateway":
-                gateway.signal(signal.SIGHUP)
+                await gateway.reload()
             case "reset_connections":
                 relay = self._office.relays[fault.target % len(self._office.relays)]
                 with self._disturbances.recorded(relay.address):
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -10,6 +10,8 @@
 """Largest number of bytes that are forwarded at once."""
 CUT_FILE = "cut"
 """File in a gateway's folder that keeps it from opening connections to upstreams."""
+REFUSED, HANGING = "refused", "hanging"
+"""Contents of the file: new connections are refused, or never answered."""
 UPSTREAM_HOST = "127.0.0.1"
 """Address on which the relays of upstreams listen."""
 
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -178,7 +178,15 @@
             )
             await asyncio.sleep(0.15)
 
+    def _check_processes(self) -> None:
+        for daemon in (*self._office.controllers, *self._office.gateways):
+            daemon.note_own_end()
+            self.verdict.note_violation(
+                bool(daemon.own_ends), f"{daemon.plan.name} ended by itself: {daemon.own_ends}"
+            )
+
     async def _check_recovery(self, operator: StandInOperator, client: StandInClient) -> None:
+        self._check_processes()
         read = None
         for _ in range(int(RECOVERY_S * 10)):
             read = await operator.read()
@@ -190,9 +198,9 @@
             lost, f"at the end: read {read}, acknowledged {self._acknowledged}"
         )
         for gateway in self._office.gateways:
-            served = await self._is_served(client, self._office.client_address(gateway))
+            unserved = await self._unserved(client, self._office.client_address(gateway))
             self.verdict.note_violation(
-                not served, f"{gateway.plan.name} does not serve after the faults"
+                bool(unserved), f"{gateway.plan.name} does not serve after the faults: {unserved}"
             )
         await self._floods.play_episode(client, self._floods_rng, self._seen, is_calm=True)
         await self._cuts.check_calm(client, self._cuts_rng, self._seen, self.verdict)
@@ -220,13 +228,17 @@
                 more > MAX_LATER_ENDS, f"{route}: {more} upstreams more ended"
             )
 
-    async def _is_served(self, client: StandInClient, gateway: str) -> bool:
+    async def _unserved(self, client: StandInClient, gateway: str) -> str:
+        """Return what a gateway last answered on routes that it does not serve in time."""
+        unserved = ""
         for _ in range(int(RECOVERY_S * 5)):
             seen = [await client.send(gateway, route) for route in ROUTES]
-            if all(one.status == 200 for one in seen):
-                return True
+            failed = [f"{one.route} {one.status} {one.reason}" for one in seen if one.status != 200]
+            unserved = ", ".join(failed)
+            if not unserved:
+                break
             await asyncio.sleep(0.2)
-        return False
+        return unserved
 
     def _check_requests(self) -> None:
         run_registry = self._office.run_registry
