Forget rejections of plain upstreams that are gone

The leader kept the times of rejections of each plain upstream that bore few of them until its term ended, so one that was gone and back under its id got no call for the rest of the second, and memory grew with upstreams that came and went. They go with the upstream now. The test failed before.

--- a/chestnutfall/concurrency/service_room.py
+++ b/chestnutfall/concurrency/service_room.py
@@ -80,6 +80,7 @@
             one: self._rooms[one] if one in self._rooms else UpstreamRoom() for one in instances
         }
         self._foreign = {name: one for name, one in self._foreign.items() if name in present}
+        self._rejected_ms = {n: times for n, times in self._rejected_ms.items() if n in present}
         self._ledger.forget_absent(present)
 
     def set_rejections(self, per_s: Mapping[str, int]) -> None:
--- a/chestnutfall/tests/test_rejection_parts.py
+++ b/chestnutfall/tests/test_rejection_parts.py
@@ -293,6 +293,16 @@
         self.assertEqual(self.room.free(1_010), {})
         self.assertIn("u", self.room.free(2_000))
 
+    # Guards against an upstream that starts again and is left idle for rejections of before, and
+    # against the rejections of upstreams that are gone taking memory for a leader's whole term.
+    def test_rejections_of_an_upstream_that_is_gone_are_forgotten(self) -> None:
+        self.room.set_rejections({"u": 3})
+        for number in range(2):
+            self.room.end("g", EndTurn(number, "u", RunOutcome.FULL.value, 1.0, None), 1_000)
+        self.room.set_serving([])
+        self.room.set_serving(["u"])
+        self.assertIn("u", self.room.free(1_010))
+
 
 def _load() -> UpstreamLoad:
     return UpstreamLoad(0, 0, 6)
