Blame no request for the end of an upstream that rejected too many

By the logs (22:17:40 to 43) a plain upstream that bears 2 rejections a second ended 0.1 s after it had said so, since it rejected more; two more were ended by a fatal request. The most frequent innocent request was part of all three ends, the fatal one of two, so the innocent one was quarantined.

Cause: the end of an upstream counted as the work of what ran there, although the upstream had named another cause. A report says now that the upstream bears few rejections and has just rejected one; such an end implicates no request. A request that does end upstreams is found at those that rejected nothing (test). The tests failed before; both dialects and plain services report through the same part. An upstream that bears none at all ends with its first rejection, whose answer is lost with it: not covered.

--- a/chestnutfall/control/broken_upstream.py
+++ b/chestnutfall/control/broken_upstream.py
@@ -26,6 +26,8 @@
     ended_ms : int or None
         Clock time at which the end of its process was detected; None while it may only have dropped
         connections.
+    rejecting : bool
+        Whether it bears few rejections and had just rejected requests, which ends it by itself.
     uncommitted : dict of str to RunInterval
         Requests that it was running and that are not in the log yet, by fingerprint.
     committed : set of str
@@ -35,6 +37,7 @@
     address: str
     last_ms: int
     ended_ms: int | None = None
+    rejecting: bool = False
     uncommitted: dict[str, RunInterval] = field(default_factory=dict)
     committed: set[str] = field(default_factory=set)
 
--- a/chestnutfall/control/crash_messages.py
+++ b/chestnutfall/control/crash_messages.py
@@ -27,6 +27,9 @@
         Whether its port refused connections directly after, which shows that its process ended.
     began_ago_ms, broke_ago_ms : int
         Age of the start of the run and of the break, when the report is sent.
+    rejecting : bool
+        Whether the upstream bears few rejections, and rejected a request of this gateway within a
+        second before the break.
     """
 
     fingerprint: str
@@ -35,6 +38,7 @@
     refuses: bool
     began_ago_ms: int
     broke_ago_ms: int
+    rejecting: bool = False
 
     def delayed_by(self, by_ms: int) -> BrokenRun:
         """Return the report with ages for sending it `by_ms` later."""
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -102,6 +102,7 @@
             self._broken[report.instance] = broken
         now_ms = broken.last_ms = self._clock.now_ms()
         broken.add(report.fingerprint, now_ms - report.began_ago_ms, now_ms - report.broke_ago_ms)
+        broken.rejecting = broken.rejecting or report.rejecting
         if report.refuses:
             self._note_ended(report.instance, broken, "refuses connections")
 
@@ -120,6 +121,12 @@
 
     async def _commit_end(self, instance: str, broken: BrokenUpstream) -> None:
         runs = dict(broken.uncommitted)
+        # An overload ends one such upstream after the other while they all run the most frequent
+        # requests. One that ends upstreams by itself also does so where nothing was rejected.
+        if broken.rejecting:
+            log.info("crashes: instance=%s ended after rejections", instance)
+            broken.mark_committed(runs)
+            return
         suspects = tuple(one for one, run in runs.items() if self._is_separate_end(one, run))
         overlapping = tuple(one for one in runs if one not in suspects)
         if runs:
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -94,7 +94,9 @@
         self._make_signals()
         self._quotas = self._make_quotas()
         witness = PortWitness(refuses_connections, self._links, self._helpers, self._is_alone)
-        self._quarantine = RequestQuarantine(self._fleet.report, witness.has_ended, self._clock)
+        self._quarantine = RequestQuarantine(
+            self._fleet.report, witness.has_ended, self._clock, self._rejections.rejected_since
+        )
         self._fleet.on(SuspectRequests, self._quarantine.update)
         self._helper = self._make_helper()
         self._entry = EntryServer(
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -112,8 +112,8 @@
         self._peer_server = PeerServer(self._engine_owners, self._clock)
         self._links = PeerLinks(self._agent, self._engine_owners, self._clock, self._tls)
         self._claims = ClaimClient(self._client, self._agent.session)
-        quarantine = self._make_quarantine()
         signals = self._make_signals()
+        quarantine = self._make_quarantine(signals)
         self._plain = self._make_plain_proxy(quarantine, signals)
         self._helper = self._make_helper(signals)
         self._quotas = self._make_quota_enforcer()
@@ -142,12 +142,14 @@
             self._is_gone,
         )
 
-    def _make_quarantine(self) -> RequestQuarantine:
+    def _make_quarantine(self, signals: KnownSignals) -> RequestQuarantine:
         reports = ReportSender(self._client)
         witness = PortWitness(
             refuses_connections, self._helper_links, self._helpers, self._peer_helpers.is_alone
         )
-        quarantine = RequestQuarantine(reports.send, witness.has_ended, self._clock)
+        quarantine = RequestQuarantine(
+            reports.send, witness.has_ended, self._clock, signals.rejections.rejected_since
+        )
         self._agent.on_suspects = quarantine.update
         self._registry.on_replaced = quarantine.note_replaced
         return quarantine
--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -16,6 +16,7 @@
     SuspectRequests,
 )
 from ..requests import Executed, Refusal
+from ..signals.known_rejections import WINDOW_MS
 
 log = logging.getLogger(__name__)
 REASON = "ended_its_upstreams"
@@ -41,6 +42,8 @@
         Address of that upstream.
     began_ms, broke_ms : int
         Clock times at which the request was sent and its answer broke off.
+    rejecting : bool
+        Whether the upstream bears few rejections and had just rejected a request.
     """
 
     fingerprint: str
@@ -48,6 +51,7 @@
     address: str
     began_ms: int
     broke_ms: int
+    rejecting: bool
 
     def is_replaced_by(self, address: str, instance: str) -> bool:
         """Whether `instance` at `address` has replaced the upstream of this answer."""
@@ -68,6 +72,8 @@
         Delivers a report to the leader, now or once there is one.
     refuses_connections : callable
         Whether the process at an address has ended.
+    rejected_since : callable
+        Whether an upstream that bears few rejections has rejected a request since a clock time.
     """
 
     def __init__(
@@ -75,8 +81,10 @@
         send_report: Callable[[CrashReport], None],
         refuses_connections: Callable[[str], Awaitable[bool]],
         clock: Clock,
+        rejected_since: Callable[[str, int], bool] = lambda instance, since_ms: False,
     ) -> None:
         self._clock = clock
+        self._rejected_since = rejected_since
         self._send_report = send_report
         self._refuses_connections = refuses_connections
         self._unreported: set[str] = set()
@@ -127,7 +135,9 @@
         began_ms : int
             Clock time at which the request was sent.
         """
-        broken = _BrokenAnswer(fingerprint, instance, address, began_ms, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        rejecting = self._rejected_since(instance, now_ms - WINDOW_MS)
+        broken = _BrokenAnswer(fingerprint, instance, address, began_ms, now_ms, rejecting)
         task = asyncio.ensure_future(self._check_and_report(broken))
         self._reports.add(task)
         task.add_done_callback(self._reports.discard)
@@ -175,6 +185,7 @@
                 ended,
                 began_ago_ms,
                 broke_ago_ms,
+                broken.rejecting,
             )
         )
 
--- a/chestnutfall/signals/known_rejections.py
+++ b/chestnutfall/signals/known_rejections.py
@@ -103,6 +103,13 @@
             times.popleft()
         return not times or len(times) < per_s
 
+    def rejected_since(self, instance: str, since_ms: int) -> bool:
+        """Whether an upstream that bears few rejections rejected a request at `since_ms` or later.
+
+        Only requests of this gateway count.
+        """
+        return any(at_ms >= since_ms for at_ms in self._rejected_ms.get(instance, ()))
+
     def apply(self, update: RejectionsInForce) -> None:
         """Apply what the leader knows from all gateways."""
         for one in update.upstreams:
--- a/chestnutfall/tests/test_crash_monitor.py
+++ b/chestnutfall/tests/test_crash_monitor.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from typing import Any
 
 from ..clock import ManualClock
@@ -87,6 +88,22 @@
         self.assertEqual(self._quarantined(), {"fatal"})
         self.assertEqual(self._state().crashes.suspects().watched, ())
 
+    # Guards against frequent requests in quarantine when upstreams that bear few rejections end one
+    # after the other under overload: their callers would be refused for a minute.
+    async def test_an_upstream_that_ends_since_it_rejected_requests_implicates_none(self) -> None:
+        for number in range(9):
+            self.monitor.handle_report(_broken("usual", number))
+            self.monitor.handle_report(replace(_broken("other", number), rejecting=True))
+            await self._pass()
+        self.assertEqual(self._state().crashes.ends, {})
+
+    async def test_a_request_that_ends_upstreams_is_found_between_ends_by_rejections(self) -> None:
+        for number in range(6):
+            report = _broken("fatal", number)
+            self.monitor.handle_report(replace(report, rejecting=number % 2 == 0))
+            await self._pass()
+        self.assertEqual(self._quarantined(), {"fatal"})
+
     async def test_another_incarnation_at_the_address_shows_the_end(self) -> None:
         # The upstream was restarted before the gateway probed its port.
         for number in range(3):
--- a/chestnutfall/tests/test_request_quarantine.py
+++ b/chestnutfall/tests/test_request_quarantine.py
@@ -21,6 +21,9 @@
 from ..quarantine import RequestQuarantine, refuses_connections
 from ..quarantine.request_quarantine import REMEMBERED_MS
 from ..requests import Executed, Refusal, fingerprint_of
+from ..signals.known_rejections import WINDOW_MS, KnownRejections
+from ..signals.messages import HeardRejections, RejectionsInForce
+from ..signals.rejection_signal import DeclaredRejections
 
 
 class RequestQuarantineTest(unittest.IsolatedAsyncioTestCase):
@@ -73,6 +76,25 @@
         self.quarantine.note_replaced("127.0.0.1:2", "i/second")
         self.assertEqual(len(self.reports), 1)
 
+    # Guards against requests that are blamed for the end of an upstream that bears few rejections.
+    async def test_an_upstream_that_has_just_rejected_requests_is_reported_as_such(self) -> None:
+        rejections = KnownRejections(lambda report: None, self.clock)
+        self.quarantine = RequestQuarantine(
+            self.reports.append, self._refuses, self.clock, rejections.rejected_since
+        )
+        rejections.observe("i1", DeclaredRejections(3), False, True)
+        await self.clock.advance(WINDOW_MS)
+        self.quarantine.note_broken("r", "i1", "127.0.0.1:1", -70)
+        await self.clock.settle()
+        # The leader names no upstream that has ended.
+        rejections.apply(RejectionsInForce((HeardRejections("i1", None),)))
+        await self.clock.advance(10)
+        rejections.observe("i2", DeclaredRejections(3), False, True)
+        await self.clock.advance(WINDOW_MS + 1)
+        self.quarantine.note_broken("r", "i2", "127.0.0.1:1", -70)
+        await self.clock.advance(10)
+        self.assertEqual([one.rejecting for one in self.reports], [True, False])
+
     async def test_the_port_is_checked_again_for_a_later_break(self) -> None:
         for _ in range(2):
             self.quarantine.note_broken("r", "i1", "127.0.0.1:1", 0)
