--- a/chestnutfall/tests/test_crash_ledger.py
+++ b/chestnutfall/tests/test_crash_ledger.py
@@ -73,6 +73,26 @@
         self.assertEqual(self._quarantined(), {"fatal"})
         self.assertFalse(self.ledger.implicates("beside"))
 
+    # Guards against a request in quarantine that was answered in full between two ends: gateways
+    # send the reports of the last seconds again to a new leader.
+    def test_reports_sent_again_to_a_new_leader_blame_no_request_that_was_cleared(self) -> None:
+        for number in range(2):
+            self.ledger.note_end(f"i{number}", ("answered", "fatal"))
+        self.ledger.clear("answered")
+        for number in range(2):
+            self.ledger.note_end(f"i{number}", ("answered", "fatal"))
+        self.assertFalse(self.ledger.implicates("answered"))
+        self.ledger.note_end("i2", ("answered", "other"))
+        self.assertEqual(self._quarantined(), set())
+
+    # Guards against the same for one that was on several upstreams which ended together.
+    def test_reports_sent_again_to_a_new_leader_make_no_overlapping_end_count(self) -> None:
+        for number in range(5):
+            self.ledger.note_end(f"i{number}", ("usual",) if not number else (), ("usual",))
+        for number in range(5):
+            self.ledger.note_end(f"i{number}", ("usual",))
+        self.assertEqual(self._quarantined(), set())
+
     def test_a_tie_is_decided_by_the_next_end(self) -> None:
         for _ in range(3):
             self._end("fatal", "resumed with it")
