Run each test module in a process of its own, four at a time

Modules that start no programs now run four at a time, the others alone one after the other, as before. Hypothesis draws from the constants of the modules that are loaded: in processes of their own, modules have the same examples whichever others exist.

--- a/chestnutfall/tests/fakes/path_office.py
+++ b/chestnutfall/tests/fakes/path_office.py
@@ -51,6 +51,8 @@
         Gateways by number and instances that they do not reach.
     down : set of str
         Instances that no gateway reaches.
+    hanging_ms : int
+        Time that a try to connect over a link that is cut takes; 0 if it is refused at once.
     silent : set of str
         Instances that run requests and never answer.
     lost : set of (int, int)
@@ -66,6 +68,7 @@
         ]
         self.cut: set[tuple[int, str]] = set()
         self.down: set[str] = set()
+        self.hanging_ms = 0
         self.silent: set[str] = set()
         self.lost: set[tuple[int, int]] = set()
         self.runs: Counter[str] = Counter()
@@ -151,10 +154,14 @@
 
     def __init__(self, office: PathOffice, number: int) -> None:
         self._office, self._number = office, number
+        self.failed = 0
 
     @asynccontextmanager
     async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
         if not self._office.reaches(self._number, forwarded.upstream.address):
+            self.failed += 1
+            if self._office.hanging_ms:
+                await self._office.clock.sleep_ms(self._office.hanging_ms)
             raise NotSent("refused")
         self._office.runs[forwarded.call.request_id] += 1
         if forwarded.upstream.instance in self._office.silent:
--- /dev/null
+++ b/chestnutfall/tests/suite.py
@@ -0,0 +1,89 @@
+"""All test modules, each in a process of its own.
+
+Hypothesis draws examples from the constants of the modules that are loaded. A module that runs by
+itself has the same examples whichever others exist, and in whichever order they run.
+"""
+
+from __future__ import annotations
+
+import re
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+from .outcomes import Outcomes
+
+ROOT = Path(__file__).resolve().parents[2]
+FOLDERS = ("chestnutfall/tests", "properties")
+PARALLEL = 4
+"""Modules that run at once; each keeps about one core busy."""
+STARTS_PROGRAMS = re.compile(r"^from (soak\b|\.process_office|\.office_scenario)", re.MULTILINE)
+"""Imports of modules whose tests start programs, or listen on ports that were free a moment before.
+Such a module runs alone: a deployment uses all cores, and another module could take the port."""
+
+
+@dataclass(frozen=True, slots=True)
+class ModuleRun:
+    """The result of one module.
+
+    Attributes
+    ----------
+    output : str
+        What its tests printed.
+    took_s : float
+        Time from the start of its process to its end.
+    """
+
+    name: str
+    outcomes: Outcomes
+    output: str
+    took_s: float
+
+
+def run_all() -> Outcomes:
+    """Run all test modules, print a line for each, and the output of those that failed."""
+    outcomes = Outcomes()
+    for run in _run_modules(_modules()):
+        counts = f"{len(run.outcomes.passed)} passed, {len(run.outcomes.failed)} failed"
+        print(f"{run.name}: {counts}, {run.took_s:.1f} s", flush=True)
+        if run.outcomes.failed:
+            print(run.output, flush=True)
+        outcomes |= run.outcomes
+    return outcomes
+
+
+def _modules() -> list[Path]:
+    return [path for folder in FOLDERS for path in sorted((ROOT / folder).glob("test_*.py"))]
+
+
+def _run_modules(modules: Iterable[Path]) -> Iterator[ModuleRun]:
+    alone = [path for path in modules if STARTS_PROGRAMS.search(path.read_text("utf-8"))]
+    beside = [path for path in modules if path not in alone]
+    # The largest modules tend to take longest; begun first, they don't end last.
+    beside.sort(key=lambda path: -path.stat().st_size)
+    with ThreadPoolExecutor(PARALLEL) as pool:
+        yield from pool.map(_run, beside)
+    yield from map(_run, alone)
+
+
+def _run(path: Path) -> ModuleRun:
+    name = ".".join(path.relative_to(ROOT).with_suffix("").parts)
+    began_s = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="outcomes-") as folder:
+        file = Path(folder) / "outcomes.json"
+        command = [sys.executable, "-m", "chestnutfall.tests", "--outcomes", str(file), name]
+        done = subprocess.run(
+            command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, check=False
+        )
+        try:
+            outcomes = Outcomes.read(file)
+        except FileNotFoundError:
+            # The process ended in the middle of a test.
+            outcomes = Outcomes(failed=frozenset({f"{name} (exit code {done.returncode})"}))
+    output = done.stdout.decode("utf-8", "replace")
+    return ModuleRun(name, outcomes, output, time.monotonic() - began_s)
--- a/chestnutfall/tests/test_helper_links.py
+++ b/chestnutfall/tests/test_helper_links.py
@@ -9,6 +9,8 @@
 from contextlib import asynccontextmanager
 from dataclasses import replace
 
+from soak.relay import ConnectionFault, Relay
+
 from ..clock import SystemClock
 from ..control.upstream_record import UpstreamRecord
 from ..forwarding.call import Headers
@@ -30,6 +32,10 @@
 
 UPSTREAM = UpstreamRecord("i0", "s", "10.0.0.1:80", "dc")
 LONG_BODY = bytes(range(256)) * 4096
+SHORT_MS = 100.0
+"""A silence that ends a call within a test."""
+KEEPALIVE_MS = 10_000.0
+"""Longer than the keepalive between gateways takes to find a silent connection."""
 PARTS = (b"id: 1\r\n", LONG_BODY, b"\x00\xff end")
 
 
@@ -53,6 +59,8 @@
             raise NotSent("refused")
         if self.script == "lost":
             raise AnswerLost("reset")
+        if self.script == "mute":
+            await asyncio.sleep(60)
         status = 503 if self.script == "full" else 200
         try:
             yield UpstreamAnswer(status, (("X-Kept", "é"),), None, NO_SIGNALS, self._body())
@@ -140,6 +148,44 @@
         with self.assertRaises(AnswerLost):
             await sending
 
+    # Guards against a call that waits for a helper that freezes, and against "not run" for one that
+    # the helper may have sent before.
+    async def test_a_helper_that_freezes_leaves_the_outcome_unknown(self) -> None:
+        for script in ("mute", "hold"):
+            with self.subTest(script=script):
+                self.direct.script = script
+                with self.assertRaises(AnswerLost):
+                    await self._send(replace(send_to(UPSTREAM), silent_ms=SHORT_MS))
+                self.assertEqual(len(self.direct.sends), 1)
+                self.direct.sends.clear()
+
+    # Guards against a call that waits for a link between gateways that went silent midway.
+    async def test_a_link_to_the_helper_that_is_cut_midway_leaves_the_outcome_unknown(self) -> None:
+        self.direct.script = "hold"
+        relay = Relay(self.address)
+        await relay.start()
+        self.address = relay.address
+        sending = asyncio.ensure_future(self._send(replace(send_to(UPSTREAM), silent_ms=SHORT_MS)))
+        while not self.service.in_progress:
+            await asyncio.sleep(0.01)
+        relay.fault = ConnectionFault.SILENCE
+        with self.assertRaises(AnswerLost):
+            await sending
+        await relay.stop()
+
+    # Guards against calls that are lost on a connection to a helper that is silent for good.
+    async def test_a_helper_whose_connection_is_silent_is_found_out_and_not_asked(self) -> None:
+        relay = Relay(self.address)
+        await relay.start()
+        self.address = relay.address
+        await self._send()
+        relay.fault = ConnectionFault.SILENCE
+        with self.assertRaises(AnswerLost):
+            await self._send(replace(send_to(UPSTREAM), silent_ms=KEEPALIVE_MS))
+        with self.assertRaises(NotSent):
+            await self._send()
+        await relay.stop()
+
     async def test_a_loss_at_the_helper_is_a_loss_and_a_closed_port_is_not_sent(self) -> None:
         for script, error in (("lost", AnswerLost), ("cut", AnswerLost), ("closed", NotSent)):
             with self.subTest(script=script):
--- a/chestnutfall/tests/test_paths.py
+++ b/chestnutfall/tests/test_paths.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
 from collections import Counter
@@ -17,6 +18,8 @@
 from ..signals import AskedBackoff, UpstreamSignals
 from .fakes.path_office import PathOffice, send_to
 
+CONNECT_MS = 150
+"""Time after which a gateway gives a try to connect up."""
 CUTS = ((9, (0,)), (9, (0, 1, 2)), (9, tuple(range(8))), (91, tuple(range(60))))
 
 
@@ -93,6 +96,20 @@
         self.assertEqual(office.runs.total(), 1)
         self.assertEqual(office.helped_sends, 1)
 
+    # Guards against calls that each wait out a try to connect over a link that hangs.
+    async def test_one_call_waits_for_a_link_that_hangs_and_later_ones_do_not(self) -> None:
+        office = self._office(3, 0)
+        office.hanging_ms = CONNECT_MS
+        sending = asyncio.ensure_future(self._send_all(office, 0))
+        for _ in office.upstreams:
+            await self.clock.advance(CONNECT_MS)
+        self.assertEqual(await sending, 3)
+        began_ms = self.clock.now_ms()
+        for number in range(1, 20):
+            self.assertEqual(await self._send_all(office, 0, 10 * number), 3)
+        self.assertEqual(self.clock.now_ms(), began_ms)
+        self.assertEqual(office.gateways[0].direct.failed, len(office.upstreams))
+
     # Guards against a gateway that stays on helpers after its links are back, or floods them.
     async def test_after_a_cut_calls_go_over_the_own_link_at_once(self) -> None:
         office = self._office(3, 0)
