--- a/chestnutfall/placement/awaited_load.py
+++ b/chestnutfall/placement/awaited_load.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .engine import Engine
-from .engine_selector import RELAY_DELAY_MS
+from .engine_costs import RELAY_DELAY_MS
 from .waiting_request import WaitingRequest
 from .wanted_versions import WantedVersions
 
--- a/chestnutfall/placement/engine_selector.py
+++ b/chestnutfall/placement/engine_selector.py
@@ -9,30 +9,13 @@
 from .adapter_name import AdapterName
 from .demand import Demand
 from .engine import Engine
+from .engine_costs import STORE_COST_MS, EngineCosts, batch_wait_ms
 from .load_options import NO_EVICTION, LoadOptions
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
-from .prefill_room import PrefillRoom
 from .prompt_cache import Prefixes
 from .wanted_versions import WantedVersions
 
-RUNNING_COST_MS = 2.0
-"""Cost of each request that already runs: an engine's step grows with its batch, and prompts share
-the step. It also spreads requests over equally good engines."""
-BEYOND_BATCH_COST_MS = 200.0
-"""Cost of each running request that has to end first. It is several times the time between two ends
-at an engine with a small batch: more urgent requests may arrive meanwhile, and a request that is
-assigned can't move to another engine that has room sooner."""
-OTHER_DATA_CENTRE_COST_MS = 4.0
-"""Round trip to another data centre, and the price of its traffic."""
-AVOIDED_COST_MS = 5_000.0
-"""Makes an engine that failed this request before, or would probably reject it, the last choice,
-but keeps it possible."""
-STORE_COST_MS = 400.0
-"""Cost of a load from the weight store beyond its time, as the store's bandwidth is shared and paid
-for. A request may wait this much longer for an engine that has a copy of the adapter."""
-RELAY_DELAY_MS = 20.0
-"""From a grant at the leader to the engine, and from there to the caller, on a busy gateway."""
 WAIT_MARGIN_MS = 40.0
 """Time reserved for placing a request elsewhere after it waited in vain for an engine with a copy.
 The slot elsewhere may be taken by then, but another becomes idle within this time."""
@@ -47,13 +30,6 @@
 class EngineSelector:
     """Selects among the engines of one service during one decision round.
 
-    Costs that do not depend on the request are computed at most once for each round and engine, and
-    only for engines that some request could be placed on. After an
-    outage several hundred requests wait, and evaluating every engine for each of them would take
-    the leader longer than the interval between rounds (3.1 ms of processor time a request with 245
-    waiting, against 0.5 ms). Its answers would then be so late that gateways take the leader for
-    failed and leave it.
-
     Parameters
     ----------
     engine_count : int or None
@@ -85,13 +61,8 @@
         self._demand = demand
         self._now_ms = now_ms
         self.barred: Collection[str] = ()
-        self._standings: dict[str, tuple[float, PrefillRoom]] = {}
-        self._slow_first_ms: dict[str, float] = {}
         self._available: set[AdapterName] | None = None
-        schedules = [one.prefill for one in self._engines]
-        self._first_ms = RELAY_DELAY_MS + min((one.first_ms for one in schedules), default=0.0)
-        self._ms_per_token = min((one.ms_per_token for one in schedules), default=0.0)
-        self._load_ms: dict[str, tuple[float, float]] = {}
+        self._costs = EngineCosts(self._engines, self._backoffs, now_ms)
 
     @cached_property
     def starts_per_s(self) -> float:
@@ -106,7 +77,7 @@
 
     @cached_property
     def _load_options(self) -> LoadOptions:
-        engines = ((one, self._least_cost_with_load_ms(one)) for one in self._engines)
+        engines = ((one, self._costs.least_with_load_ms(one)) for one in self._engines)
         return LoadOptions(engines, self._demand, self._versions, self._now_ms)
 
     def _accepting(self) -> Iterator[Engine]:
@@ -162,7 +133,7 @@
 
     def first_event_ms(self, req: PlaceRequest) -> float:
         """Time from a grant to the first event, with the adapter loaded and nothing cached."""
-        return self._first_ms + req.prompt_tokens * self._ms_per_token
+        return self._costs.first_event_ms(req)
 
     def can_be_in_time(self, req: PlaceRequest, objective_ms: float) -> bool:
         """Whether the first event could come within `objective_ms` if `req` were placed now."""
@@ -189,14 +160,14 @@
 
     def has_prefill_room(self, in_time: bool) -> bool:
         """Whether any engine has time for one more prompt, of a request in time or a late one."""
-        return any(self._standing(one)[1].admits(in_time) for one in self._engines)
+        return any(self._costs.standing(one)[1].admits(in_time) for one in self._engines)
 
     def least_sent_ms(self) -> float:
         """Time until an engine with time for one more prompt has processed those it was sent."""
         sent_ms = (
             engine.prefill.sent_ms(self._now_ms)
             for engine in self._engines
-            if self._standing(engine)[1].in_time
+            if self._costs.standing(engine)[1].in_time
         )
         return min(sent_ms, default=0.0)
 
@@ -219,14 +190,14 @@
         Such a prompt is in these costs already, and its place in the queue is not given away again
         in the same round.
         """
-        self._standing(engine)
+        self._costs.standing(engine)
 
     def refresh(self, engine: Engine) -> None:
         """Recompute the costs of an engine that was just given a request or a load."""
-        self._standings.pop(engine.instance, None)
-        self._standing(engine)
+        self._costs.forget(engine)
+        self._costs.standing(engine)
         if "_load_options" in self.__dict__:
-            self._load_options.refresh(engine, self._least_cost_with_load_ms(engine))
+            self._load_options.refresh(engine, self._costs.least_with_load_ms(engine))
 
     def _options_without_load(
         self, req: PlaceRequest, prefixes: Prefixes, in_time: bool, objective_ms: float
@@ -237,20 +208,22 @@
             held = engine.holdings.get(name)
             if name.adapter and (held is None or self._versions.is_outdated(name, held)):
                 continue
-            if not self._may_take(req, engine) or not self._standing(engine)[1].admits(in_time):
+            if not self._may_take(req, engine) or not self._costs.standing(engine)[1].admits(
+                in_time
+            ):
                 continue
             wait_ms = max(held.ready_ms - self._now_ms, 0) if held is not None else 0
             prefill_ms = engine.prefill_ms(req, prefixes)
-            if in_time and self._is_too_slow(engine, wait_ms + prefill_ms, objective_ms):
+            if in_time and self._costs.is_too_slow(engine, wait_ms + prefill_ms, objective_ms):
                 continue
-            cost_ms = self._cost_ms(req, engine) + prefill_ms
-            yield PlaceOption(engine, cost_ms + max(wait_ms, _batch_wait_ms(engine)))
+            cost_ms = self._costs.cost_ms(req, engine) + prefill_ms
+            yield PlaceOption(engine, cost_ms + max(wait_ms, batch_wait_ms(engine)))
 
     def _best_with_load(
         self, req: PlaceRequest, in_time: bool, objective_ms: float
     ) -> PlaceOption | None:
         """Return the cheapest engine that would have to load the adapter first."""
-        least_prefill_ms = req.prompt_tokens * self._ms_per_token
+        least_prefill_ms = req.prompt_tokens * self._costs.ms_per_token
         best: tuple[tuple[float, int], PlaceOption] | None = None
         for least_ms, order, engine in self._load_options.by_cost(req.adapter):
             if best is not None and least_ms + least_prefill_ms > best[0][0] + ROUNDING_MS:
@@ -267,9 +240,9 @@
 
         See Also
         --------
-        _least_cost_with_load_ms : The part of the cost that is the same for all requests.
+        EngineCosts.least_with_load_ms : The part of the cost that is the same for all requests.
         """
-        if not self._standing(engine)[1].admits(in_time) or not self._may_take(req, engine):
+        if not self._costs.standing(engine)[1].admits(in_time) or not self._may_take(req, engine):
             return None
         held = engine.holdings.get(req.adapter)
         # The engine may hold an older version. It is replaced in its slot, but not while requests
@@ -285,28 +258,15 @@
         # An engine drops an adapter's cached prompts with it: all tokens need prefill.
         prefill_ms = engine.expected_prefill_ms(req.prompt_tokens)
         has_copy = engine.likely_has_copy(req.adapter)
-        load_ms = self._expected_load_ms(engine, has_copy)
-        if in_time and self._is_too_slow(engine, load_ms + prefill_ms, objective_ms):
+        load_ms = self._costs.expected_load_ms(engine, has_copy)
+        if in_time and self._costs.is_too_slow(engine, load_ms + prefill_ms, objective_ms):
             return None
-        cost_ms = self._cost_ms(req, engine) + prefill_ms + load_ms * eviction.reloads
-        cost_ms += max(load_ms, _batch_wait_ms(engine))
+        cost_ms = self._costs.cost_ms(req, engine) + prefill_ms + load_ms * eviction.reloads
+        cost_ms += max(load_ms, batch_wait_ms(engine))
         if not has_copy:
             cost_ms += STORE_COST_MS
         return PlaceOption(engine, cost_ms, load_ms, eviction.victim)
 
-    def _least_cost_with_load_ms(self, engine: Engine) -> float:
-        """Cost of a load from the store without prefill, reloads and what a request adds."""
-        load_ms = self._expected_load_ms(engine, False)
-        cost_ms = self._standing(engine)[0] + STORE_COST_MS
-        return cost_ms + max(load_ms, _batch_wait_ms(engine))
-
-    def _expected_load_ms(self, engine: Engine, from_copy: bool) -> float:
-        """Time of a load, computed once for each engine."""
-        if engine.instance not in self._load_ms:
-            expected = engine.load_time.expected_ms
-            self._load_ms[engine.instance] = expected(from_copy=False), expected(from_copy=True)
-        return self._load_ms[engine.instance][from_copy]
-
     def _may_take(self, req: PlaceRequest, engine: Engine) -> bool:
         """Whether models, room, limit and backoff of the engine allow the request."""
         usable = not req.adapter.model or req.adapter.model in engine.models
@@ -320,50 +280,6 @@
         held = engine.holdings.get(name)
         return held is not None and not self._versions.is_outdated(name, held)
 
-    def _standing(self, engine: Engine) -> tuple[float, PrefillRoom]:
-        """Return the part of an engine's cost that no request changes, and its prefill room."""
-        known = self._standings.get(engine.instance)
-        if known is not None:
-            return known
-        wait_ms = engine.prefill_wait_ms(self._now_ms)
-        slowness = engine.slowness
-        cost_ms = wait_ms + engine.health.cost_ms(self._now_ms)
-        cost_ms += RUNNING_COST_MS * slowness * len(engine.running)
-        if slowness != 1:
-            first_ms = engine.prefill.first_ms
-            cost_ms += first_ms - first_ms / slowness
-            self._slow_first_ms[engine.instance] = RELAY_DELAY_MS + wait_ms + first_ms
-        self._standings[engine.instance] = cost_ms, engine.prefill_room(self._now_ms)
-        return self._standings[engine.instance]
-
-    def _is_too_slow(self, engine: Engine, prefill_ms: float, objective_ms: float) -> bool:
-        """Whether the first event would be late there because of the engine's own speed.
-
-        A request that can be in time elsewhere waits for that. Engines as fast as their service are
-        not looked at: whether these can be in time was decided for all of them together.
-
-        Parameters
-        ----------
-        prefill_ms : float
-            Time of the load that the request waits for, and of its own prefill.
-        """
-        slow_first_ms = self._slow_first_ms.get(engine.instance)
-        return slow_first_ms is not None and slow_first_ms + prefill_ms > objective_ms
-
-    def _cost_ms(self, req: PlaceRequest, engine: Engine) -> float:
-        """Expected time to the first event without prefill and load."""
-        cost_ms = self._standing(engine)[0]
-        if engine.data_centre != req.data_centre:
-            cost_ms += OTHER_DATA_CENTRE_COST_MS
-        is_cut = engine.reach.is_cut_from(req.gateway, self._now_ms)
-        if engine.instance in req.avoid or is_cut or self._backoffs.probably_rejects(engine):
-            cost_ms += AVOIDED_COST_MS
-        return cost_ms
-
-
-def _batch_wait_ms(engine: Engine) -> float:
-    return engine.beyond_batch * BEYOND_BATCH_COST_MS
-
 
 def _cheapest(options: Iterable[PlaceOption]) -> PlaceOption | None:
     return min(options, key=lambda option: option.cost_ms, default=None)
--- a/chestnutfall/placement/prefill_turns.py
+++ b/chestnutfall/placement/prefill_turns.py
@@ -5,7 +5,7 @@
 from enum import Enum, auto
 
 from .engine import Engine
-from .engine_selector import RELAY_DELAY_MS
+from .engine_costs import RELAY_DELAY_MS
 from .service_round import ServiceRound
 from .waiting_request import WaitingRequest
 
--- a/chestnutfall/placement/service_round.py
+++ b/chestnutfall/placement/service_round.py
@@ -5,7 +5,8 @@
 from collections import Counter
 from collections.abc import Collection
 
-from .engine_selector import RELAY_DELAY_MS, EngineSelector
+from .engine_costs import RELAY_DELAY_MS
+from .engine_selector import EngineSelector
 from .long_prompts import LongPrompts
 from .place_option import PlaceOption
 from .placement_rate import PlacementRate
--- a/properties/ablation_list.py
+++ b/properties/ablation_list.py
@@ -53,7 +53,7 @@
     ),
     Mutant(
         "health of engines does not count",
-        f"{_PLACEMENT}/engine_selector.py",
+        f"{_PLACEMENT}/engine_costs.py",
         " + engine.health.cost_ms(self._now_ms)",
         "",
         "",
@@ -61,8 +61,8 @@
     Mutant(
         "loads from the store have no price",
         f"{_PLACEMENT}/engine_selector.py",
-        "                cost_ms += STORE_COST_MS\n",
-        "                pass\n",
+        "            cost_ms += STORE_COST_MS\n",
+        "            pass\n",
         "",
     ),
 )
--- a/properties/safeguards/placement_mutants.py
+++ b/properties/safeguards/placement_mutants.py
@@ -200,10 +200,10 @@
     ),
     Mutant(
         "each round looks at every engine",
-        "chestnutfall/placement/engine_selector.py",
+        "chestnutfall/placement/engine_costs.py",
         "        self._standings: dict[str, tuple[float, PrefillRoom]] = {}\n",
         "        self._standings: dict[str, tuple[float, PrefillRoom]] = {}\n"
-        "        _ = [one.prefill_wait_ms(now_ms) for one in self._engines]\n",
+        "        _ = [one.prefill_wait_ms(now_ms) for one in engines]\n",
         "chestnutfall.tests.test_load_options",
     ),
 )
--- a/properties/safeguards/quarantine_mutants.py
+++ b/properties/safeguards/quarantine_mutants.py
@@ -9,6 +9,34 @@
 _FORWARDER_TEST = "chestnutfall.tests.test_forwarder"
 
 QUARANTINE_MUTANTS = (
+    Mutant(
+        "an end by rejections is blamed on what ran",
+        "chestnutfall/control/crash_monitor.py",
+        "        if broken.rejecting:\n",
+        "        if False:\n",
+        _MONITOR_TEST,
+    ),
+    Mutant(
+        "rejections before an end are not reported",
+        "chestnutfall/quarantine/request_quarantine.py",
+        "        rejecting = self._rejected_since(instance, now_ms - WINDOW_MS)\n",
+        "        rejecting = False\n",
+        "chestnutfall.tests.test_request_quarantine",
+    ),
+    Mutant(
+        "a report that is sent again implicates a cleared request",
+        "chestnutfall/control/upstream_end.py",
+        "        known = {*self.suspects, *self.overlapping, *self.cleared}\n",
+        "        known = {*self.suspects, *self.overlapping}\n",
+        _LEDGER_TEST,
+    ),
+    Mutant(
+        "a report that is sent again makes an overlapping end count",
+        "chestnutfall/control/upstream_end.py",
+        "        known = {*self.suspects, *self.overlapping, *self.cleared}\n",
+        "        known = {*self.cleared}\n",
+        _LEDGER_TEST,
+    ),
     Mutant(
         "quarantined calls are sent",
         "chestnutfall/forwarding/forwarder.py",
--- a/properties/safeguards/room_mutants.py
+++ b/properties/safeguards/room_mutants.py
@@ -19,6 +19,13 @@
 _LEADERLESS = "chestnutfall/concurrency/leaderless_room.py"
 
 ROOM_MUTANTS = (
+    Mutant(
+        "rejections of an upstream that is gone count",
+        _SERVICE,
+        "for n, times in self._rejected_ms.items() if n in present}",
+        "for n, times in self._rejected_ms.items()}",
+        "chestnutfall.tests.test_rejection_parts",
+    ),
     Mutant(
         "gateways never tell that a service is short of room",
         _KNOWN,
--- a/properties/safeguards/speed_mutants.py
+++ b/properties/safeguards/speed_mutants.py
@@ -10,7 +10,7 @@
 _SPEED = "chestnutfall/placement/engine_speed.py"
 _REPORTED = "chestnutfall/placement/reported_slowdown.py"
 _KINDS = "chestnutfall/placement/engine_kinds.py"
-_SELECTOR = "chestnutfall/placement/engine_selector.py"
+_COSTS = "chestnutfall/placement/engine_costs.py"
 _REPORTS = "chestnutfall/forwarding/engine_load_reports.py"
 
 SPEED_MUTANTS = (
@@ -115,7 +115,7 @@
     ),
     Mutant(
         "a request takes a slow engine that begins it late",
-        _SELECTOR,
+        _COSTS,
         "        return slow_first_ms is not None and slow_first_ms + prefill_ms > objective_ms",
         "        return False",
         _SPEED_TEST,
