--- a/soak/flood_episodes.py
+++ b/soak/flood_episodes.py
@@ -41,12 +41,20 @@
         Whether there was no fault of a controller either.
     refused : int
         Requests that upstreams refused for lack of room after `SETTLE_S`.
+    reasons : Counter of tuple and str
+        How requests ended that were not served, by route and organisation.
     """
 
     is_calm: bool
     sent: Counter[tuple[str, str]] = field(default_factory=Counter)
     served: Counter[tuple[str, str]] = field(default_factory=Counter)
     refused: int = 0
+    reasons: Counter[tuple[tuple[str, str], str]] = field(default_factory=Counter)
+
+    def reasons_of(self, key: tuple[str, str]) -> str:
+        """Return how the requests of a route and organisation ended that were not served."""
+        counts = ((text, count) for (one, text), count in self.reasons.items() if one == key)
+        return ", ".join(f"{count} {text}" for text, count in counts)
 
 
 class FloodEpisodes:
@@ -102,6 +110,8 @@
             key = result.route, result.organisation
             episode.sent[key] += 1
             episode.served[key] += result.status == 200
+            if result.status != 200:
+                episode.reasons[key, f"{result.status} {result.reason}".strip()] += 1
         if not self._was_disturbed(began_s):
             self._episodes.append(episode)
 
@@ -148,7 +158,10 @@
                 starved = sent >= MIN_REQUESTS and not served
                 if episode.is_calm and key[1] != FLOODING:
                     starved = starved or served < MIN_SERVED_PART * sent
-                verdict.note_violation(starved, f"{served} of {sent} requests of {key} were served")
+                verdict.note_violation(
+                    starved,
+                    f"{served} of {sent} requests of {key} were served: {episode.reasons_of(key)}",
+                )
             bound = MAX_REFUSED_PART * sum(episode.sent.values())
             verdict.note_violation(
                 episode.refused > bound,
