Close connections between processes whose peer answers no ping within a second

TCP_USER_TIMEOUT, which gRPC sets to the keepalive timeout, covers a peer that acknowledges nothing; a firewall or relay that acknowledges and drops is not such a peer.

The timeout is set to the second that was meant, at both ends.

--- a/chestnutfall/wire/rpc_channel.py
+++ b/chestnutfall/wire/rpc_channel.py
@@ -17,6 +17,8 @@
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.keepalive_time_ms", 2000),
     ("grpc.keepalive_timeout_ms", 1000),
+    # A keepalive ping ends a connection only after this, which is a minute by default.
+    ("grpc.http2.ping_timeout_ms", 1000),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.initial_reconnect_backoff_ms", 100),
--- a/chestnutfall/wire/rpc_server.py
+++ b/chestnutfall/wire/rpc_server.py
@@ -19,6 +19,8 @@
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.keepalive_time_ms", 2000),
     ("grpc.keepalive_timeout_ms", 1000),
+    # A keepalive ping ends a connection only after this, which is a minute by default.
+    ("grpc.http2.ping_timeout_ms", 1000),
     ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
     ("grpc.http2.max_ping_strikes", 0),
 )
