--- a/chestnutfall/tests/office_scenario.py
+++ b/chestnutfall/tests/office_scenario.py
@@ -21,6 +21,8 @@
 CALLERS = 14
 ROUTES = ("draft", "long", "again", "once")
 BEFORE_S = 3.0
+START_S = 60.0
+"""Time within which a deployment serves after its start, on any host that runs the tests."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +59,7 @@
     office: Office = field(init=False)
 
     async def run(self, script: Callable[[OfficeScenario], Awaitable[None]]) -> None:
-        """Start everything, let callers send for `BEFORE_S`, and then run `script`."""
+        """Start everything, let callers send for `BEFORE_S` once all is served, and run `script`."""
         logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
         rng = random.Random(self.seed)
         with tempfile.TemporaryDirectory(prefix="signals-") as folder:
@@ -69,6 +71,7 @@
                 while not await operator.put(1):
                     await asyncio.sleep(0.1)
                 load = [asyncio.ensure_future(self._call(client, rng)) for _ in range(self.callers)]
+                await self._wait_until_served()
                 await asyncio.sleep(BEFORE_S)
                 await script(self)
                 for task in load:
@@ -78,6 +81,18 @@
                 await operator.close()
                 await self.office.stop()
 
+    async def _wait_until_served(self) -> None:
+        """Wait until each gateway has served each route; on a busy host programs start late."""
+        began_s = time.monotonic()
+        wanted = {(one.plan.ip, route) for one in self.office.gateways for route in self.routes}
+        while wanted - self._served():
+            if time.monotonic() - began_s > START_S:
+                raise RuntimeError(f"not served within {START_S} s: {wanted - self._served()}")
+            await asyncio.sleep(0.1)
+
+    def _served(self) -> set[tuple[str, str]]:
+        return {(one.gateway, one.result.route) for one in self.answers if one.result.status == 200}
+
     async def _call(self, client: StandInClient, rng: random.Random) -> None:
         while True:
             gateway = rng.choice(self.office.gateways)
