--- a/chestnutfall/tests/office_scenario.py
+++ b/chestnutfall/tests/office_scenario.py
@@ -59,7 +59,7 @@
     office: Office = field(init=False)
 
     async def run(self, script: Callable[[OfficeScenario], Awaitable[None]]) -> None:
-        """Start everything, let callers send for `BEFORE_S` once all is served, and run `script`."""
+        """Start everything, let callers send for `BEFORE_S` once served, and run `script`."""
         logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
         rng = random.Random(self.seed)
         with tempfile.TemporaryDirectory(prefix="signals-") as folder:
--- a/properties/safeguards/path_mutants.py
+++ b/properties/safeguards/path_mutants.py
@@ -14,6 +14,13 @@
 _GUARD = "chestnutfall/placement/rejection_guard.py"
 
 PATH_MUTANTS = (
+    Mutant(
+        "a silent connection between gateways stays open",
+        "chestnutfall/wire/rpc_channel.py",
+        '    ("grpc.http2.ping_timeout_ms", 1000),\n',
+        "",
+        "chestnutfall.tests.test_helper_links",
+    ),
     Mutant(
         "a gateway that is cut off asks no helper",
         _API,
