Let rejections explain an end only if they came right before it

An upstream that bears few rejections, rejected one, broke off an answer and ended seconds later under a request that does end upstreams counted as ended by its rejections, as the note stayed for ten seconds. It holds for the window in which breaks count as one end now. The test failed before.

--- a/chestnutfall/control/broken_upstream.py
+++ b/chestnutfall/control/broken_upstream.py
@@ -26,8 +26,9 @@
     ended_ms : int or None
         Clock time at which the end of its process was detected; None while it may only have dropped
         connections.
-    rejecting : bool
-        Whether it bears few rejections and had just rejected requests, which ends it by itself.
+    rejecting_until_ms : int or None
+        Clock time until which an end of its process is explained by requests that it rejected,
+        since it bears few rejections.
     uncommitted : dict of str to RunInterval
         Requests that it was running and that are not in the log yet, by fingerprint.
     committed : set of str
@@ -37,7 +38,7 @@
     address: str
     last_ms: int
     ended_ms: int | None = None
-    rejecting: bool = False
+    rejecting_until_ms: int | None = None
     uncommitted: dict[str, RunInterval] = field(default_factory=dict)
     committed: set[str] = field(default_factory=set)
 
@@ -57,6 +58,21 @@
         elif fingerprint not in self.committed and len(self.uncommitted) < MAX_SUSPECTS:
             self.uncommitted[fingerprint] = RunInterval(began_ms, broke_ms)
 
+    def note_rejecting(self, broke_ms: int) -> None:
+        """Note that it had just rejected requests when an answer broke off."""
+        until_ms = broke_ms + SAME_END_WINDOW_MS
+        self.rejecting_until_ms = max(self.rejecting_until_ms or until_ms, until_ms)
+
+    @property
+    def ended_by_rejections(self) -> bool:
+        """Whether rejections explain the end in which the uncommitted requests broke off."""
+        latest_ms = max((one.broke_ms for one in self.uncommitted.values()), default=None)
+        return (
+            self.rejecting_until_ms is not None
+            and latest_ms is not None
+            and latest_ms <= self.rejecting_until_ms
+        )
+
     def mark_committed(self, fingerprints: Iterable[str]) -> None:
         """Note that these requests are in the log now."""
         for fingerprint in fingerprints:
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -102,7 +102,8 @@
             self._broken[report.instance] = broken
         now_ms = broken.last_ms = self._clock.now_ms()
         broken.add(report.fingerprint, now_ms - report.began_ago_ms, now_ms - report.broke_ago_ms)
-        broken.rejecting = broken.rejecting or report.rejecting
+        if report.rejecting:
+            broken.note_rejecting(now_ms - report.broke_ago_ms)
         if report.refuses:
             self._note_ended(report.instance, broken, "refuses connections")
 
@@ -123,7 +124,7 @@
         runs = dict(broken.uncommitted)
         # An overload ends one such upstream after the other while they all run the most frequent
         # requests. One that ends upstreams by itself also does so where nothing was rejected.
-        if broken.rejecting:
+        if broken.ended_by_rejections:
             log.info("crashes: instance=%s ended after rejections", instance)
             broken.mark_committed(runs)
             return
--- a/chestnutfall/tests/test_crash_monitor.py
+++ b/chestnutfall/tests/test_crash_monitor.py
@@ -97,6 +97,15 @@
             await self._pass()
         self.assertEqual(self._state().crashes.ends, {})
 
+    async def test_rejections_long_before_the_end_explain_nothing(self) -> None:
+        for number in range(3):
+            spoiled = _broken("spoiled", number, refuses=False)
+            self.monitor.handle_report(replace(spoiled, rejecting=True))
+            await self._pass(1_200)
+            self.monitor.handle_report(_broken("fatal", number))
+            await self._pass()
+        self.assertEqual(self._quarantined(), {"fatal"})
+
     async def test_a_request_that_ends_upstreams_is_found_between_ends_by_rejections(self) -> None:
         for number in range(6):
             report = _broken("fatal", number)
--- a/properties/safeguards/quarantine_mutants.py
+++ b/properties/safeguards/quarantine_mutants.py
@@ -12,10 +12,17 @@
     Mutant(
         "an end by rejections is blamed on what ran",
         "chestnutfall/control/crash_monitor.py",
-        "        if broken.rejecting:\n",
+        "        if broken.ended_by_rejections:\n",
         "        if False:\n",
         _MONITOR_TEST,
     ),
+    Mutant(
+        "rejections of long ago explain an end",
+        "chestnutfall/control/broken_upstream.py",
+        "            and latest_ms <= self.rejecting_until_ms\n",
+        "",
+        _MONITOR_TEST,
+    ),
     Mutant(
         "rejections before an end are not reported",
         "chestnutfall/quarantine/request_quarantine.py",
