--- a/chestnutfall/tests/suite.py
+++ b/chestnutfall/tests/suite.py
@@ -58,7 +58,7 @@
 
 
 def _modules() -> list[Path]:
-    return [path for folder in FOLDERS for path in sorted((ROOT / folder).glob("test_*.py"))]
+    return [path for folder in FOLDERS for path in sorted((ROOT / folder).rglob("test_*.py"))]
 
 
 def _run_modules(modules: Iterable[Path]) -> Iterator[ModuleRun]:
