Hold the bytes of a cut in the soak's relay instead of dropping them

By the gateway's log the answer that was taken for the true one had none of the upstream's signals, as the stand-in's extra answers: the true answer had been dropped in a cut that hangs, and the connection lived on after the cut. TCP sends such bytes again or ends the connection. The relay holds them now, which also lets requests arrive that a gateway has given up on. The test failed before.

--- a/chestnutfall/tests/test_soak_parts.py
+++ b/chestnutfall/tests/test_soak_parts.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import subprocess
 import sys
 import unittest
 from pathlib import Path
 
+from soak.relay import ConnectionFault, Relay
+
 ROOT = Path(__file__).resolve().parents[2]
 SIGNALLED = """
 import os, signal, sys
@@ -41,3 +44,32 @@
             [sys.executable, "-c", code], cwd=ROOT, stdout=subprocess.PIPE, text=True
         )
         self.assertEqual(done.stdout, "False\n")
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a connection that lives on without the bytes of a cut, which TCP does not do: a
+    # gateway took an extra answer for the one that was dropped.
+    async def test_bytes_that_a_cut_held_up_arrive_after_it(self) -> None:
+        server = await asyncio.start_server(_echo, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        relay = Relay(f"127.0.0.1:{port}")
+        await relay.start()
+        host, _, relay_port = relay.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(relay_port))
+        ip = writer.get_extra_info("sockname")[0]
+        for number, cut in enumerate((ConnectionFault.NONE, ConnectionFault.SILENCE)):
+            relay.cut[ip] = cut
+            writer.write(b"%d" % number)
+        await asyncio.sleep(0.1)
+        relay.cut.pop(ip)
+        writer.write(b"2")
+        self.assertEqual(await asyncio.wait_for(reader.readexactly(3), 5), b"012")
+        writer.close()
+        await relay.stop()
+        server.close()
+
+
+async def _echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while data := await reader.read(100):
+        writer.write(data)
+    writer.close()
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -22,5 +22,11 @@
     Regression(
         1, 0.1, "an upstream's 503 was passed on for a request that another one had run before"
     ),
+    Regression(
+        1, 0.1, "a frequent request was quarantined for ends of upstreams that rejected too many"
+    ),
+    Regression(
+        7237, 0.12, "the relay dropped an answer in a cut and let its connection live on after it"
+    ),
     Regression(11, 0.7, "SIGHUP ended a gateway that was just being started again"),
 )
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -8,6 +8,8 @@
 
 CHUNK_BYTES = 16 * 1024
 """Largest number of bytes that are forwarded at once."""
+HELD_POLL_S = 0.02
+"""How often it is checked whether a cut has ended."""
 CUT_FILE = "cut"
 """File in a gateway's folder that keeps it from opening connections to upstreams."""
 REFUSED, HANGING = "refused", "hanging"
@@ -38,7 +40,8 @@
     fault : ConnectionFault
         Fault that is applied now, also to open connections unless it is RESET.
     cut : dict of str to ConnectionFault
-        Faults that are applied to the connections of single gateways, by their IP.
+        Faults that are applied to the connections of single gateways, by their IP. SILENCE holds
+        their bytes until it ends.
     address : str
         Address on which it listens, valid after `start`.
     """
@@ -99,11 +102,21 @@
         await asyncio.gather(*directions, return_exceptions=True)
         self._open -= {writer, target_writer}
 
+    async def _wait_while_held(self, ip: str) -> None:
+        """Wait until a gateway's connections no longer hang.
+
+        TCP sends bytes again that a cut held up. If they were dropped and the connection lived on,
+        a later answer on it would be taken for one whose bytes are missing.
+        """
+        while self.cut.get(ip) is ConnectionFault.SILENCE:
+            await asyncio.sleep(HELD_POLL_S)
+
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ip: str, is_answer: bool
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
+                await self._wait_while_held(ip)
                 match self.cut.get(ip, self.fault):
                     case ConnectionFault.DELAY:
                         await asyncio.sleep(0.2)
