--- a/soak/relay.py
+++ b/soak/relay.py
@@ -79,7 +79,8 @@
                 writer.transport.abort()
 
     async def stop(self) -> None:
-        """Close the port and reset every connection."""
+        """Close the port, end all cuts and reset every connection."""
+        self.cut.clear()
         self.refuse()
 
     async def _on_connection(
