Let the soak pass over floods of a service that takes no work

A kind is passed over only if each upstream of the service asked for no work during the flood and each request was refused as not run; all else counts as before.

--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -33,6 +33,10 @@
         finally:
             spans[index] = (began_s, time.monotonic())
 
+    def record(self, name: str, began_s: float, ended_s: float) -> None:
+        """Record a fault on a part whose end is known."""
+        self._spans.setdefault(name, []).append((began_s, ended_s))
+
     def overlaps(self, name: str, from_s: float, until_s: float) -> bool:
         """Return whether a fault on a part overlaps the period from `from_s` to `until_s`."""
         spans = self._spans.get(name, ())
--- a/soak/flood_episodes.py
+++ b/soak/flood_episodes.py
@@ -14,6 +14,7 @@
 
 from .disturbances import Disturbances
 from .office import Office
+from .signal_episodes import takes_no_work
 from .verdict import Verdict
 
 SLOWDOWN = 6.0
@@ -39,6 +40,8 @@
     ----------
     is_calm : bool
         Whether there was no fault of a controller either.
+    began_s, ended_s : float
+        Times of `time.monotonic`.
     refused : int
         Requests that upstreams refused for lack of room after `SETTLE_S`.
     reasons : Counter of tuple and str
@@ -46,6 +49,8 @@
     """
 
     is_calm: bool
+    began_s: float
+    ended_s: float = 0.0
     sent: Counter[tuple[str, str]] = field(default_factory=Counter)
     served: Counter[tuple[str, str]] = field(default_factory=Counter)
     refused: int = 0
@@ -89,8 +94,8 @@
             Whether no fault is injected meanwhile.
         """
         self._played += 1
-        episode = _Episode(is_calm)
         began_s = time.monotonic()
+        episode = _Episode(is_calm, began_s)
         plain = [one for one in self._office.upstreams if one.service == PLAIN]
         for upstream in plain:
             upstream.room.slowdown = SLOWDOWN
@@ -103,6 +108,7 @@
         try:
             await asyncio.gather(self._count_refused(episode, began_s), *loads)
         finally:
+            episode.ended_s = time.monotonic()
             seen.extend(results)
             for upstream in plain:
                 upstream.room.slowdown = 1.0
@@ -148,6 +154,17 @@
         now_s = time.monotonic()
         return any(self._disturbances.overlaps(name, began_s, now_s) for name in names)
 
+    def _was_refused_by_upstreams(self, episode: _Episode, key: tuple[str, str]) -> bool:
+        """Return whether no upstream took work, and all requests were refused as not run.
+
+        One upstream may be leaving while the other one asks for a backoff as long as the episode.
+        """
+        plain = [one for one in self._office.upstreams if one.service == PLAIN]
+        return all(
+            self._disturbances.overlaps(takes_no_work(one), episode.began_s, episode.ended_s)
+            for one in plain
+        ) and all(text.startswith("503") for one, text in episode.reasons if one == key)
+
     def check(self, verdict: Verdict) -> None:
         """Note kinds and organisations that got nothing, and calls beyond the upstreams' room."""
         verdict.counts["floods"] = self._played
@@ -156,6 +173,7 @@
             for key, sent in episode.sent.items():
                 served = episode.served[key]
                 starved = sent >= MIN_REQUESTS and not served
+                starved = starved and not self._was_refused_by_upstreams(episode, key)
                 if episode.is_calm and key[1] != FLOODING:
                     starved = starved or served < MIN_SERVED_PART * sent
                 verdict.note_violation(
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -28,5 +28,8 @@
     Regression(
         7237, 0.12, "the relay dropped an answer in a cut and let its connection live on after it"
     ),
+    Regression(
+        7320, 0.12, "the check took a plain service for starved that took no work: leaving, backoff"
+    ),
     Regression(11, 0.7, "SIGHUP ended a gateway that was just being started again"),
 )
--- a/soak/signal_episodes.py
+++ b/soak/signal_episodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Iterator
 
 from chestnutfall.platform.standin.signal_history import (
@@ -26,6 +27,11 @@
 """Fraction of the episodes in which an upstream leaves, unless one of its service already does."""
 
 
+def takes_no_work(upstream: StandInUpstream) -> str:
+    """Return the name of the periods in which an upstream asks for no requests."""
+    return f"takes no work: {upstream.announced_address}"
+
+
 class SignalEpisodes:
     """Plays overlapping episodes, each a backoff request or the departure of an upstream."""
 
@@ -73,6 +79,7 @@
             else f"{rng.uniform(0.3, 3.0):.2f}"
         )
         self._backoffs_requested += 1
+        began_s = time.monotonic()
         try:
             for one in upstreams:
                 one.backoff, one.marks_not_executed = text, rng.random() < 0.7
@@ -80,6 +87,8 @@
         finally:
             for one in upstreams:
                 one.backoff = None
+                ended_s = time.monotonic() + _seconds(text)
+                self._disturbances.record(takes_no_work(one), began_s, ended_s)
 
     async def _leave(self, upstream: StandInUpstream, rng: random.Random) -> None:
         self._departures += 1
@@ -87,8 +96,10 @@
         upstream.leaving, upstream.announces_draining = rng.choice(
             ((True, False), (False, True), (True, True))
         )
+        began_s = time.monotonic()
         await asyncio.sleep(rng.uniform(DRAIN_S + 1.0, DRAIN_S + 3.0))
         await upstream.restart()
+        self._disturbances.record(takes_no_work(upstream), began_s, time.monotonic())
 
     def check(self, verdict: Verdict) -> None:
         """Note each gateway that sent requests in spite of a backoff or a departure."""
@@ -128,3 +139,11 @@
         """
         answer = self._disturbances.overlaps(history.address, from_s - SETTLE_S, from_s + SETTLE_S)
         return answer or self._disturbances.overlaps(gateway, from_s, until_s)
+
+
+def _seconds(text: str) -> float:
+    """Parse a Retry-After; 0 for one that requests no backoff."""
+    try:
+        return max(float(text), 0.0)
+    except ValueError:
+        return 0.0
