Read the software version of upstreams and the attempt that a call resumes

Callers saw streams whose halves came from two software versions of an engine. Our logs could not tell whether this gateway or the caller went on with such a stream: no line named the version that an engine runs, nor the attempt that a call resumes. Both are read now, a record keeps the version that its incarnation announced (`build`), and the line of each send names them with the last event. Nothing is decided by them yet.

--- a/chestnutfall/control/upstream_record.py
+++ b/chestnutfall/control/upstream_record.py
@@ -33,6 +33,9 @@
     started_ms : int
         Start time in ms since 1970; 0 if the upstream reports none, and then each start has a new
         name.
+    build : str
+        Version of its software, as announced by this incarnation; empty if it names none. The
+        versions of models and adapters are others.
     """
 
     instance: str
@@ -42,6 +45,7 @@
     leaving: bool = False
     name: str = ""
     started_ms: int = 0
+    build: str = ""
 
     @property
     def announced_name(self) -> str:
--- a/chestnutfall/forwarding/call.py
+++ b/chestnutfall/forwarding/call.py
@@ -33,6 +33,9 @@
         Tokens of prompt and answer stated in the call; None if it states none.
     key_digest : str or None
         Digest of the call's API key; None without a key.
+    resumes : str
+        Id of the client's attempt that brought the first event of the stream which this call
+        resumes; empty if it names none.
     """
 
     request_id: str
@@ -51,3 +54,4 @@
     resume_after: int | None = None
     tokens: int | None = None
     key_digest: str | None = None
+    resumes: str = ""
--- a/chestnutfall/forwarding/send_log.py
+++ b/chestnutfall/forwarding/send_log.py
@@ -21,6 +21,7 @@
     call = progress.call
     log.info(
         "call: id=%s content=%s route=%s organisation=%s adapter=%s send=%d instance=%s version=%d "
+        "build=%s last_event=%s resumes=%s "
         "queued=%d loading=%d sent=%d result=%s %s first=%d pause=%d tokens=%d limit=%s "
         "backoff=%s leaving=%d helped=%d ms=%d",
         call.request_id,
@@ -31,6 +32,9 @@
         progress.sends,
         place.upstream.instance,
         place.version,
+        place.upstream.build,
+        "" if progress.last_event is None else progress.last_event,
+        call.resumes,
         place.queued_ms,
         place.loading_ms,
         sent_ms - call.arrived_ms,
--- a/chestnutfall/platform/call_reader.py
+++ b/chestnutfall/platform/call_reader.py
@@ -13,6 +13,8 @@
 """Used without the header; the timeout of the route then bounds the request."""
 MAX_KEY_CHARACTERS = 1_024
 """Longer than any key in use; a request with a longer one is malformed."""
+MAX_ID_CHARACTERS = 256
+"""Several times the longest id in use. A longer one names no attempt that is remembered."""
 
 
 def read_call(request: BaseRequest, body: bytes, arrived_ms: int) -> Call:
@@ -45,9 +47,20 @@
         resume_after=int(last_event) if last_event is not None else None,
         tokens=prompt_tokens + output_tokens if counts else None,
         key_digest=_key_digest(headers.getall(names.KEY, [])),
+        resumes=_resumed_attempt(headers.getall(names.RESUMES, [])),
     )
 
 
+def _resumed_attempt(named: list[str]) -> str:
+    """Return the attempt that a client names; empty unless it names exactly one.
+
+    A malformed name is no error of the request: its stream is one that began unknown to us.
+    """
+    if len(named) != 1 or len(named[0]) > MAX_ID_CHARACTERS:
+        return ""
+    return named[0].strip()
+
+
 def _key_digest(keys: list[str]) -> str | None:
     # Error messages must not contain a key, since they are logged.
     if len(keys) > 1:
--- a/chestnutfall/platform/header_names.py
+++ b/chestnutfall/platform/header_names.py
@@ -11,6 +11,7 @@
 TOKEN_COUNTS = "X-Token-Counts"  # PROMPT,OUTPUT: tokens of the prompt, most tokens to generate
 PROMPT_PARTS = "X-Prompt-Prefix"  # ID:TOKENS,... of all parts of the prompt, not only its prefix
 LAST_EVENT = "Last-Event-Id"  # last event that a client has, if it resumes a stream
+RESUMES = "Resumes"  # id of the client's attempt that brought the first event of that stream
 EXPECTED_INSTANCE = "X-Expect-Instance"
 EXPECTED_VERSION = "X-Expect-Version"  # of the adapter
 RANK = "X-Request-Priority"  # 0 is the most urgent, 9 the least
--- a/chestnutfall/platform/upstream_json.py
+++ b/chestnutfall/platform/upstream_json.py
@@ -62,6 +62,8 @@
     seq: _Count  # number of this announcement since its start, not orders as in a report
     models: _Models | None = None  # None for services that are not engines
     born: _Count = 0  # Unix time of its start in ms; 0 if not named
+    # Of its software, not of models or weights; empty if not named.
+    version: Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)] = ""
 
 
 class _Departure(msgspec.Struct):
@@ -91,6 +93,7 @@
         wire.state == "draining",
         name,
         wire.born,
+        wire.version,
     )
     if wire.models is None:
         return Announce(record, wire.seq, None)
--- a/chestnutfall/tests/test_platform.py
+++ b/chestnutfall/tests/test_platform.py
@@ -11,6 +11,8 @@
 
 import aiohttp
 from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
+from multidict import CIMultiDict
 from yarl import URL
 
 from ..clock import SystemClock
@@ -23,7 +25,7 @@
 from ..limits import DeclaredLimit
 from ..placement import AdapterName, PromptPart
 from ..platform import header_names as names
-from ..platform.call_reader import read_call
+from ..platform.call_reader import MAX_ID_CHARACTERS, read_call
 from ..platform.listening import listen
 from ..platform.node_file import to_settings
 from ..platform.standin.node_writer import NodePlan, Ports, write_node_file
@@ -68,6 +70,16 @@
         self.assertIn("x-model", passed)
         self.assertFalse(passed & {"x-hold", "kv-from", "x-deadline-ms", "content-length"})
 
+    def test_the_attempt_that_a_client_goes_on_with_is_read_if_it_names_one(self) -> None:
+        self.assertEqual(self._resumed("id-0"), "id-0")
+        for malformed in ((), ("",), ("id-0", "id-1"), ("x" * (MAX_ID_CHARACTERS + 1),)):
+            with self.subTest(named=malformed):
+                self.assertEqual(self._resumed(*malformed), "")
+
+    def _resumed(self, *named: str) -> str:
+        headers = CIMultiDict([("Host", "a.example"), *(("Resumes", one) for one in named)])
+        return read_call(make_mocked_request("POST", "/a/x", headers=headers), b"", 0).resumes
+
 
 class NodeFileTest(unittest.TestCase):
     def test_fields_of_the_node_file_become_settings(self) -> None:
--- a/chestnutfall/tests/test_upstream_json.py
+++ b/chestnutfall/tests/test_upstream_json.py
@@ -55,6 +55,10 @@
         holds = EngineReport({"base": 2}, {AdapterName("base", "a1"): 3}, {}, 0)
         self.assertEqual(_read(MESSAGE), Announce(record, 4, holds))
 
+    def test_the_version_of_the_software_is_read_and_may_be_missing(self) -> None:
+        self.assertEqual(_read(MESSAGE | {"version": "v1.2"}).record.build, "v1.2")
+        self.assertEqual(_read(MESSAGE).record.build, "")
+
     def test_missing_or_invalid_fields_are_rejected(self) -> None:
         for field in ("service", "addr", "zone", "state", "seq"):
             with self.subTest(missing=field), self.assertRaises(UnreadableUpstream):
@@ -67,6 +71,8 @@
             {"born": 1.5},
             {"born": "1000"},
             {"born": None},
+            {"version": 1},
+            {"version": "x" * (MAX_NAME_CHARACTERS + 1)},
             {"addr": "nowhere"},
             {"addr": ["127.0.0.1:1"]},
             {"service": "x" * (MAX_NAME_CHARACTERS + 1)},
