--- a/chestnutfall/platform/standin/client.py
+++ b/chestnutfall/platform/standin/client.py
@@ -11,7 +11,8 @@
 from .. import header_names as names
 from .operator import HOST
 from .tenants import KEYS, STEADY
-from .upstream import ENTRY_HEADER, EVENTS, MODEL, answer_body, stream_event
+from .stream_text import begins_stream, is_whole_stream
+from .upstream import ENTRY_HEADER, EVENTS, MODEL, answer_body
 
 DEADLINE_MS = 2_500
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -77,11 +78,9 @@
         headers[names.ORGANISATION] = "claimed"
         headers[ENTRY_HEADER] = gateway
         streamed = route in ("draft", "long")
-        expected = answer_body(request_id)
         if streamed:
             headers[names.MODEL] = f"{MODEL}/a{self._rng.randrange(12)}"
             headers[names.TOKEN_COUNTS] = "100,40"
-            expected = b"".join(stream_event(request_id, at + 1) for at in range(EVENTS))
         body = bytearray()
         status = 0
         retry_after_s: float | None = None
@@ -94,12 +93,16 @@
                 async for data in resp.content.iter_any():
                     body += data
         except (aiohttp.ClientError, TimeoutError, OSError):
-            correct = status != 200 or expected.startswith(bytes(body))
+            is_part = begins_stream if streamed else _begins_answer
+            correct = status != 200 or is_part(bytes(body), request_id)
             took_s = time.monotonic() - began_s
             return ClientResult(
                 request_id, route, status, False, correct, organisation, None, took_s
             )
-        correct = status != 200 or bytes(body) == expected
+        if streamed:
+            correct = status != 200 or is_whole_stream(bytes(body), request_id, EVENTS)
+        else:
+            correct = status != 200 or bytes(body) == answer_body(request_id)
         took_s = time.monotonic() - began_s
         reason = bytes(body).decode() if status in NOT_RUN_STATUSES else ""
         return ClientResult(
@@ -111,5 +114,10 @@
         await self._session.close()
 
 
+def _begins_answer(body: bytes, request_id: str) -> bool:
+    """Whether a body is the beginning of the only correct answer to a plain request."""
+    return answer_body(request_id).startswith(body)
+
+
 def _seconds(text: str | None) -> float | None:
     return float(text) if text is not None else None
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -18,6 +18,7 @@
 from .idle_connections import IdleConnections
 from .room import NoRoom, StandInRoom
 from .run_registry import RunRegistry
+from .stream_text import WrittenEvent
 from .uneven_speed import UnevenSpeed
 
 MODEL = "base"
@@ -42,11 +43,6 @@
     return (request_id.encode() * (ANSWER_BYTES // 8 + 1))[:ANSWER_BYTES]
 
 
-def stream_event(request_id: str, number: int) -> bytes:
-    """Return event `number`, from 1, of the only correct answer to a streamed request."""
-    return b"id: %d\ndata: %s.%d\n\n" % (number, request_id.encode(), number)
-
-
 class StandInUpstream:
     """Runs requests, carries out orders, and announces itself to controllers.
 
@@ -81,6 +77,13 @@
         Places of an upstream of a plain service; a new one after each restart.
     idle : IdleConnections
         Connections of gateways that wait for their next request.
+    build, next_build : str
+        Version of its software, which it announces and writes into each event, and the one that it
+        has after its next restart; empty for none.
+    events : int
+        Events of a whole stream.
+    break_share : float
+        Share of streams that it breaks off after one of their events.
     """
 
     def __init__(
@@ -119,6 +122,9 @@
         self.announces_draining = False
         self.room = StandInRoom()
         self.idle = IdleConnections()
+        self.build = self.next_build = ""
+        self.events = EVENTS
+        self.break_share = 0.0
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
         self._announcing: asyncio.Task[None] | None = None
@@ -167,6 +173,7 @@
         await asyncio.sleep(DOWN_S)
         self.instance = f"i-{self._instance_rng.randrange(16**8):08x}"
         self._started_ms = time.time_ns() // 1_000_000
+        self.build = self.next_build
         self._orders_taken = self._newest_token = 0
         self.backoff, self.leaving, self.announces_draining = None, False, False
         self._adapters, self._loading, self._unloading, self._running = {}, {}, set(), []
@@ -204,6 +211,8 @@
         }
         if self._is_engine:
             message["models"] = self._models()
+        if self.build:
+            message["version"] = self.build
         return message
 
     def _models(self) -> list[dict[str, Any]]:
@@ -360,18 +369,29 @@
         self, request: web.BaseRequest, request_id: str, name: str
     ) -> web.StreamResponse:
         after = int(request.headers.get(names.LAST_EVENT, "0"))
+        breaks_at = self._break_after(after)
+        build = self.build
         response = web.StreamResponse(headers=self._headers(request_id))
         await response.prepare(request)
-        for number in range(after + 1, EVENTS + 1):
+        for number in range(after + 1, self.events + 1):
             if name not in self._adapters:
                 self._registry.note_violation(
                     f"{self.instance}: {name} was evicted while it served"
                 )
-            await response.write(stream_event(request_id, number))
+            await response.write(WrittenEvent(number, request_id, build).encode())
             await self._work(0.01)
+            if number == breaks_at and request.transport is not None:
+                request.transport.abort()
+                return response
         await response.write_eof()
         return response
 
+    def _break_after(self, after: int) -> int | None:
+        """Draw the event after which a stream is broken off; None if it is not."""
+        if not self.break_share or self._rng.random() >= self.break_share:
+            return None
+        return self._rng.randrange(after + 1, self.events + 1)
+
     async def _work(self, work_s: float) -> None:
         """Pass the time that work takes at the speed of this upstream."""
         if self.speed is not None:
--- a/soak/office.py
+++ b/soak/office.py
@@ -6,6 +6,7 @@
 import os
 import random
 import socket
+from collections.abc import Sequence
 from pathlib import Path
 
 from chestnutfall.platform.standin.node_writer import NodePlan, Ports
@@ -38,10 +39,21 @@
         Addresses of the controllers for operators and announcements.
     upstreams, relays : list
         In the same order; empty before `start`.
+
+    Parameters
+    ----------
+    upstreams : sequence of tuple
+        Service of each upstream, and whether it is an engine.
     """
 
-    def __init__(self, folder: Path, rng: random.Random) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        rng: random.Random,
+        upstreams: Sequence[tuple[str, bool]] = UPSTREAMS,
+    ) -> None:
         self._rng = rng
+        self._plan = upstreams
         # Two unused draws. Without them, the seeds in `REGRESSIONS` would play differently, since
         # addresses were drawn here when they failed.
         rng.randrange(20, 120), rng.randrange(1, 250)
@@ -76,6 +88,10 @@
         """Return the address at which clients reach a gateway."""
         return f"{gateway.plan.ip}:{self._ports.front}"
 
+    def ready_url(self, gateway: Daemon) -> str:
+        """Return the URL that says whether a gateway is ready."""
+        return f"http://{gateway.plan.ip}:{self._ports.ready}/v1/ready"
+
     def cut_off(self, gateway: Daemon, connections: ConnectionFault, new: str) -> None:
         """Cut a gateway off from all upstreams.
 
@@ -98,16 +114,17 @@
         for relay in self.relays:
             relay.cut.pop(gateway.plan.ip, None)
 
-    async def start(self) -> None:
-        """Start every daemon and upstream."""
+    async def start(self, builds: Sequence[str] = ()) -> None:
+        """Start every daemon and upstream; `builds` are the versions of the first upstreams."""
         await asyncio.gather(*(one.start(True) for one in (*self.controllers, *self.gateways)))
-        for service, is_engine in UPSTREAMS:
-            await self._add_upstream(service, is_engine)
+        for at, (service, is_engine) in enumerate(self._plan):
+            await self._add_upstream(service, is_engine, builds[at] if at < len(builds) else "")
 
-    async def _add_upstream(self, service: str, is_engine: bool) -> None:
+    async def _add_upstream(self, service: str, is_engine: bool, build: str) -> None:
         upstream = StandInUpstream(
             service, is_engine, self.run_registry, self._rng, self.control_addresses
         )
+        upstream.build = upstream.next_build = build
         await upstream.start()
         relay = Relay(upstream.address)
         await relay.start()
