Compare with before the cut what gateways with sound links serve

The stand-in engines finish loads of adapters later than expected where all processors are taken; a call that comes too early is proven not run, and once the shared budget of repeats is used up it is refused. That holds before the cut as well, so it says nothing of gateways that help.

--- a/chestnutfall/tests/test_cut_off_gateways.py
+++ b/chestnutfall/tests/test_cut_off_gateways.py
@@ -10,7 +10,7 @@
 from soak.fault_injector import GRACE_S
 from soak.relay import HANGING, REFUSED, ConnectionFault
 
-from .office_scenario import OfficeScenario
+from .office_scenario import BEFORE_S, OfficeScenario
 
 SETTLED_S = 3.0
 """From then on callers of gateways that are cut off are served like others."""
@@ -19,6 +19,8 @@
 """A gateway serves again well within this time of its start, also on a busy host."""
 MIN_SHARE = 0.9
 MIN_SERVED_ELSEWHERE = 0.95
+"""Of the share served before the cut: on a host whose processors are all taken, loads of adapters
+end later than expected, and some calls are refused with and without a cut."""
 
 
 class CutOffGatewayTest(unittest.TestCase):
@@ -79,8 +81,9 @@
 
         asyncio.run(play.run(script))
         from_s = self.began_s + SETTLED_S
+        served_before = play.success_ratio(self.began_s - BEFORE_S, self.began_s)
         served = play.success_ratio_at(self.ips[:2], from_s)
         served_elsewhere = play.success_ratio_at(self.ips[2:], from_s)
-        failures = play.failures(from_s)
-        self.assertGreaterEqual(served_elsewhere, MIN_SERVED_ELSEWHERE, failures)
+        failures = f"{served_before:.3f} served before the cut; since: {play.failures(from_s)}"
+        self.assertGreaterEqual(served_elsewhere, MIN_SERVED_ELSEWHERE * served_before, failures)
         self.assertGreaterEqual(served, MIN_SHARE * served_elsewhere, failures)
