--- a/chestnutfall/control/upstream_record.py
+++ b/chestnutfall/control/upstream_record.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+ANONYMOUS = "@"
+"""Begins the build key of an upstream that names no version of its software."""
+
 
 def incarnation_key(name: str, started_ms: int) -> str:
     """Return the key of one start of an upstream; its name alone if it reports no start time."""
@@ -51,3 +54,8 @@
     def announced_name(self) -> str:
         """Name that the upstream announces itself with."""
         return self.name or self.instance
+
+    @property
+    def build_key(self) -> str:
+        """Identifies its software; one that names no version is like no other incarnation."""
+        return self.build or f"{ANONYMOUS}{self.instance}"
--- a/chestnutfall/coordination/gateway_broadcaster.py
+++ b/chestnutfall/coordination/gateway_broadcaster.py
@@ -76,7 +76,7 @@
 
     def send_upstreams(self, serving: Iterable[UpstreamRecord]) -> None:
         """Send the changes of the serving upstreams."""
-        for change in self._views.change_to(serving):
+        for change in self._views.change_to(serving, self._state.roster.mixed_services()):
             self._sessions.broadcast(change)
 
     def send_controllers(self, addresses: tuple[str, ...]) -> None:
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -23,6 +23,7 @@
 from ..placement.placer import Placer
 from ..quota.messages import AskQuota, UsedQuota, WasShort
 from ..quota.quota_ledger import QuotaLedger
+from ..resumption.messages import AskOrigin, HeardOrigins
 from ..routes import DocumentCodec, RouteTable
 from ..settings.quota_bounds import QuotaBounds
 from ..settings.repeat_bounds import RepeatBounds
@@ -44,11 +45,13 @@
     AskRepeat,
     GatewayMessage,
     NotLeading,
+    PlaceStream,
     Release,
     RunningSends,
     Withdraw,
 )
 from .order_dispatcher import EngineRecord, OrderDispatcher
+from .origin_coordinator import OriginCoordinator
 from .rejection_coordinator import RejectionCoordinator
 from .relay_messages import Announce, Depart
 from .repeat_pool import RepeatPool
@@ -102,6 +105,7 @@
         self._rejections = RejectionCoordinator(
             self._placer, self._limits.turns, self._sessions, clock
         )
+        self._origins = OriginCoordinator(self._placer, self._sessions, clock)
         self._broadcaster = GatewayBroadcaster(
             self._sessions, state, self._placer, self._quotas, clock
         )
@@ -155,7 +159,7 @@
         return self._replica.term == self.term and self._replica.is_active_leader()
 
     async def _wait_for_tick(self) -> None:
-        waiting = self._placer.waiting or self._limits.waiting
+        waiting = self._placer.waiting or self._limits.waiting or self._origins.waiting
         tick_ms = BUSY_TICK_MS if waiting else IDLE_TICK_MS
         tick_ms = min(tick_ms, max(self._upstreams.due_in_ms(), 1))
         with contextlib.suppress(TimeoutError):
@@ -197,6 +201,7 @@
         self._sessions.add(session)
         self._helpers.add(session)
         self._rejections.add_gateway(session)
+        self._origins.add_gateway(session)
         self._broadcaster.send_initial_state(session, document_version)
         self._limits.send_initial_state(session)
         self._backoffs.send_initial_state(session)
@@ -205,6 +210,8 @@
         """End a gateway's session and free everything that it held."""
         for ticket in self._sessions.remove(session):
             self._placer.withdraw(ticket)
+            self._origins.not_granted(ticket)
+        self._origins.remove_gateway(session)
         self._helpers.remove(session)
         self._rejections.remove_gateway(session)
         self._limits.remove_gateway(session)
@@ -231,6 +238,13 @@
                     self._quotas.charge(use.organisation, use.units)
                 self._broadcaster.send_quotas()
                 return
+            case AskOrigin():
+                # The successor of a leader that is cut off may know of other streams and builds.
+                if self.leads():
+                    self._origins.ask(session, msg)
+            case HeardOrigins():
+                self._origins.record(session, msg)
+                return
             case CanHelp():
                 self._helpers.record(session, msg)
                 return
@@ -257,11 +271,15 @@
             case PlaceRequest():
                 self._sessions.assign_ticket(msg.ticket, session)
                 self._placer.submit(msg)
+            case PlaceStream():
+                self._sessions.assign_ticket(msg.req.ticket, session)
+                self._origins.place(msg)
             case Release(ticket, outcome, times):
                 self._observations.released(session.gateway, ticket, RunOutcome(outcome), times)
                 self._sessions.release_ticket(ticket)
             case Withdraw(ticket):
                 self._placer.withdraw(ticket)
+                self._origins.not_granted(ticket)
                 self._sessions.release_ticket(ticket)
         self._wake.set()
 
@@ -303,6 +321,7 @@
 
     def _on_serving(self, serving: list[UpstreamRecord]) -> None:
         """Update gateways, placement and orders to the upstreams that serve now."""
+        self._origins.set_mixed(self._state.roster.mixed_services())
         self._broadcaster.send_upstreams(serving)
         self._broadcaster.send_controllers(
             tuple(member.address for member in self._replica.members)
@@ -325,14 +344,17 @@
             self._carry_out(decision)
         self._limits.send_due()
         self._backoffs.send_due()
+        self._origins.send_due()
         self._engines.resync()
 
     def _carry_out(self, decision: Decision) -> None:
         match decision:
             case Grant(ticket):
+                self._origins.granted(decision)
                 self._sessions.send_to_holder(ticket, decision)
             case Reject(ticket, reason):
                 log.info("place: ticket=%s rejected reason=%s", ticket, reason)
+                self._origins.not_granted(ticket)
                 self._sessions.send_to_holder(ticket, decision)
                 self._sessions.release_ticket(ticket)
             case order:
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -13,6 +13,7 @@
 from ..placement import Grant, PlaceRequest, Reject
 from ..placement.run_times import NO_TIMES, RunTimes
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, UsedQuota, WasShort
+from ..resumption.messages import AnswerOrigin, AskOrigin, HeardOrigins
 from ..signals.engine_loads import EngineLoads
 from ..signals.messages import BackoffHints, HeardBackoff, HeardRejections, RejectionsInForce
 from ..wire import Codec
@@ -90,11 +91,14 @@
         arrived.
     complete : bool
         Whether this is the last part.
+    mixed : tuple of str
+        Services that have had several builds lately.
     """
 
     content: bytes
     begins: bool
     complete: bool
+    mixed: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,11 +113,14 @@
         Instances that no longer serve.
     content : bytes
         Compressed records in place of `added` if there are many; otherwise empty.
+    mixed : tuple of str
+        Services that have had several builds lately, all of them.
     """
 
     added: tuple[UpstreamRecord, ...]
     dropped: tuple[str, ...]
     content: bytes = b""
+    mixed: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +195,29 @@
     """
 
 
+@dataclass(frozen=True, slots=True)
+class PlaceStream:
+    """A request for a place for a resumable stream of a service with several builds.
+
+    Attributes
+    ----------
+    attempt : str
+        Id of the client's attempt.
+    owner : str
+        Digest of its caller, path and body.
+    left_ms : int
+        Time until its client gives the stream up.
+    build_key : str
+        Software that the engine must run; empty for a stream that begins.
+    """
+
+    req: PlaceRequest
+    attempt: str
+    owner: str
+    left_ms: int
+    build_key: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Release:
     """A placed request ended.
@@ -263,8 +293,10 @@
 
 GatewayMessage = (
     PlaceRequest
+    | PlaceStream
     | Release
     | Withdraw
+    | AskOrigin
     | AskRepeat
     | AskQuota
     | AskTurn
@@ -273,6 +305,7 @@
     | EngineLoads
     | HeardBackoff
     | HeardLimit
+    | HeardOrigins
     | HeardRejections
     | RunningCalls
     | RunningSends
@@ -286,9 +319,11 @@
 
 FLEET_CODEC = Codec(
     AnsweredRun,
+    AnswerOrigin,
     AnswerQuota,
     AnswerRepeat,
     AnswerTurn,
+    AskOrigin,
     AskQuota,
     AskRepeat,
     AskTurn,
@@ -303,6 +338,7 @@
     Grant,
     HeardBackoff,
     HeardLimit,
+    HeardOrigins,
     HeardRejections,
     HelperGateways,
     HoldingsChange,
@@ -310,6 +346,7 @@
     NotLeading,
     Reject,
     PlaceRequest,
+    PlaceStream,
     Pulse,
     PutInForce,
     QuotaNews,
--- a/chestnutfall/coordination/order_dispatcher.py
+++ b/chestnutfall/coordination/order_dispatcher.py
@@ -51,7 +51,9 @@
             self._placer.engine_down(instance)
         for instance, engine in wanted.items():
             record = engine.record
-            self._placer.engine_up(instance, record.service, record.data_centre, engine.spec)
+            self._placer.engine_up(
+                instance, record.service, record.data_centre, engine.spec, record.build_key
+            )
             if instance not in self._orders:
                 self._start(record)
 
--- a/chestnutfall/coordination/upstream_tracker.py
+++ b/chestnutfall/coordination/upstream_tracker.py
@@ -73,7 +73,7 @@
         """Drop long silent upstreams and report the serving ones, if an update is due."""
         if self._clock.now_ms() < self._due_ms:
             return
-        for instance in list(self._liveness.long_silent(self._state.roster.records.values())):
+        for instance in list(self._liveness.long_silent(self._state.roster.all_known())):
             await self._commit(ForgetUpstream(instance))
         self._update_serving()
 
--- a/chestnutfall/coordination/upstream_views.py
+++ b/chestnutfall/coordination/upstream_views.py
@@ -24,9 +24,11 @@
 _DECODER = msgspec.msgpack.Decoder(tuple[UpstreamRecord, ...])
 
 
-def compress_part(records: Iterable[UpstreamRecord], begins: bool, complete: bool) -> UpstreamsPart:
+def compress_part(
+    records: Iterable[UpstreamRecord], begins: bool, complete: bool, mixed: tuple[str, ...] = ()
+) -> UpstreamsPart:
     """Build a message with a part of the whole list."""
-    return UpstreamsPart(_compress_records(records), begins, complete)
+    return UpstreamsPart(_compress_records(records), begins, complete, mixed)
 
 
 def part_records(part: UpstreamsPart) -> tuple[UpstreamRecord, ...]:
@@ -44,20 +46,30 @@
 
     def __init__(self) -> None:
         self._held: dict[str, UpstreamRecord] = {}
+        self._mixed: tuple[str, ...] = ()
         self._parts: tuple[UpstreamsPart, ...] = (compress_part((), True, True),)
         # Changes after `_parts` was built, and the number of records that they add.
         self._since: list[UpstreamsChange] = []
         self._records_since = 0
 
-    def change_to(self, serving: Iterable[UpstreamRecord]) -> Iterator[UpstreamsChange]:
-        """Set the upstreams that serve now, and yield the change to send to gateways, if any."""
+    def change_to(
+        self, serving: Iterable[UpstreamRecord], mixed: tuple[str, ...] = ()
+    ) -> Iterator[UpstreamsChange]:
+        """Set the upstreams that serve now, and yield the change to send to gateways, if any.
+
+        Parameters
+        ----------
+        mixed : tuple of str
+            Services that have had several builds lately.
+        """
         now = {one.instance: one for one in serving}
         dropped = tuple(instance for instance in self._held if instance not in now)
         added = tuple(one for one in now.values() if self._held.get(one.instance) != one)
         self._held = now
-        if not added and not dropped:
+        if not added and not dropped and mixed == self._mixed:
             return
-        change = _change(added, dropped)
+        self._mixed = mixed
+        change = _change(added, dropped, mixed)
         self._since.append(change)
         self._records_since += len(added)
         if len(self._since) > MAX_CHANGES:
@@ -75,17 +87,21 @@
         records = tuple(self._held.values())
         starts = range(0, max(len(records), 1), RECORDS_PER_PART)
         self._parts = tuple(
-            compress_part(records[at : at + RECORDS_PER_PART], at == 0, at == starts[-1])
+            compress_part(
+                records[at : at + RECORDS_PER_PART], at == 0, at == starts[-1], self._mixed
+            )
             for at in starts
         )
         self._since.clear()
         self._records_since = 0
 
 
-def _change(added: tuple[UpstreamRecord, ...], dropped: tuple[str, ...]) -> UpstreamsChange:
+def _change(
+    added: tuple[UpstreamRecord, ...], dropped: tuple[str, ...], mixed: tuple[str, ...]
+) -> UpstreamsChange:
     if len(added) <= MAX_UNCOMPRESSED_RECORDS:
-        return UpstreamsChange(added, dropped)
-    return UpstreamsChange((), dropped, _compress_records(added))
+        return UpstreamsChange(added, dropped, mixed=mixed)
+    return UpstreamsChange((), dropped, _compress_records(added), mixed)
 
 
 def added_records(change: UpstreamsChange) -> tuple[UpstreamRecord, ...]:
--- a/chestnutfall/engine_edge/own_upstream_http.py
+++ b/chestnutfall/engine_edge/own_upstream_http.py
@@ -8,11 +8,12 @@
 import aiohttp
 from multidict import CIMultiDict
 
+from ..forwarding.answer_head import AnswerHead
 from ..forwarding.call import Headers
 from ..forwarding.forwarded_call import ForwardedCall
-from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
+from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
-from ..signals import UnreadHeaders, UpstreamSignals, read_signals
+from ..signals import UnreadHeaders, read_signals
 from ..signals.own_headers import OWN_SIGNALS
 from ..wire.single_send_session import single_send_session
 
@@ -55,8 +56,8 @@
             async with request as resp:
                 self._unread.note(forwarded.upstream.service, resp.headers)
                 headers = tuple(resp.headers.items())
-                not_run, signals = self.interpret(resp.status, headers, forwarded)
-                yield UpstreamAnswer(resp.status, headers, not_run, signals, _body(resp))
+                head = self.interpret(resp.status, headers, forwarded)
+                yield UpstreamAnswer(resp.status, headers, head.not_run, head.signals, _body(resp))
         except (NotSent, AnswerLost):
             raise
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
@@ -66,11 +67,9 @@
         except (aiohttp.ClientError, OSError) as exc:
             raise AnswerLost(f"connection lost: {exc!r}") from exc
 
-    def interpret(
-        self, status: int, headers: Headers, forwarded: ForwardedCall
-    ) -> tuple[NotRun | None, UpstreamSignals]:
+    def interpret(self, status: int, headers: Headers, forwarded: ForwardedCall) -> AnswerHead:
         """Return the signals; who sent the call reads from the body whether it ran."""
-        return None, read_signals(status, CIMultiDict(headers), OWN_SIGNALS)
+        return AnswerHead(None, read_signals(status, CIMultiDict(headers), OWN_SIGNALS))
 
     async def close(self) -> None:
         """Close every connection."""
--- a/chestnutfall/forwarding/engine_upstream_selector.py
+++ b/chestnutfall/forwarding/engine_upstream_selector.py
@@ -7,9 +7,10 @@
 from collections import Counter
 
 from ..clock import Clock
-from ..coordination.messages import Release, Withdraw
+from ..coordination.messages import PlaceStream, Release, Withdraw
 from ..placement import AdapterName, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.run_times import RunTimes
+from ..routes import RouteKind
 from ..signals import BACKING_OFF, UpstreamLoad
 from ..signals.known_signals import KnownSignals
 from . import answer_timeouts
@@ -60,10 +61,11 @@
         give_up_ms = min(self._clock.now_ms() + LEADERLESS_WAIT_MS, criteria.until_ms)
         while True:
             req = self._request(criteria)
+            asked = _question(req, criteria, self._clock.now_ms())
             try:
-                answer = await self._ask(req)
+                answer = await self._ask(asked, req.ticket)
             except LeaderLost:
-                place = self._from_last_holdings(req, criteria.lacked_adapter)
+                place = self._from_last_holdings(req, criteria)
                 if place is not None:
                     self.running.began(req, place.upstream.instance)
                     return place
@@ -79,7 +81,12 @@
             if upstream is not None:
                 self.running.began(req, answer.instance)
                 return Place(
-                    req.ticket, upstream, answer.version, answer.queued_ms, answer.loading_ms
+                    req.ticket,
+                    upstream,
+                    answer.version,
+                    answer.queued_ms,
+                    answer.loading_ms,
+                    is_recorded=isinstance(asked, PlaceStream),
                 )
             self._fleet.send(Release(req.ticket, RunOutcome.WITHDRAWN.value))
 
@@ -92,15 +99,15 @@
         upstreams = self._fleet.knowledge.upstreams(service)
         return self._signals.held_back_ms(one.instance for one in upstreams)
 
-    async def _ask(self, req: PlaceRequest) -> Grant | Reject:
+    async def _ask(self, asked: PlaceRequest | PlaceStream, ticket: str) -> Grant | Reject:
         try:
-            return await self._fleet.place(req)
+            return await self._fleet.place(asked)
         except LeaderLost:
             raise
         except BaseException:
             # The client has disconnected or the call is out of time. Without this message the
             # leader would keep the engine's capacity reserved for the call.
-            self._fleet.send(Withdraw(req.ticket))
+            self._fleet.send(Withdraw(ticket))
             raise
 
     def note_load(self, place: Place, load: UpstreamLoad) -> None:
@@ -131,20 +138,21 @@
             criteria.organisation,
         )
 
-    def _from_last_holdings(
-        self, req: PlaceRequest, lacked_adapter: tuple[str, ...]
-    ) -> Place | None:
+    def _from_last_holdings(self, req: PlaceRequest, criteria: SelectionCriteria) -> Place | None:
         """Select the least used engine among the last known holders of the adapter.
 
-        Engines in `lacked_adapter` are skipped, since no engine loads adapters without a leader,
-        and so are engines that are backing off. An engine with a rate limit gets no more than this
-        gateway's share of it.
+        Engines that lacked the adapter are skipped, since no engine loads adapters without a
+        leader, and so are engines that are backing off. An engine with a rate limit gets no more
+        than this gateway's share of it.
         """
+        if criteria.needs_leader:
+            return None
         found = (
             (held, upstream)
             for held in self._fleet.knowledge.holders(req.adapter)
             if (upstream := self._fleet.knowledge.upstream(held.instance)) is not None
-            and held.instance not in (*req.avoid, *lacked_adapter)
+            and held.instance not in (*req.avoid, *criteria.lacked_adapter)
+            and criteria.allows(upstream)
             and self._signals.may_send(held.instance)
         )
         for held, upstream in sorted(
@@ -163,6 +171,19 @@
         return None
 
 
+def _question(
+    req: PlaceRequest, criteria: SelectionCriteria, now_ms: int
+) -> PlaceRequest | PlaceStream:
+    """Return the question for the leader, with what it has to know of a stream."""
+    is_resumable = criteria.route.kind is RouteKind.RESUMABLE_STREAM
+    if not criteria.is_mixed or not (is_resumable or criteria.origin):
+        return req
+    call = criteria.call
+    left_ms = max(call.deadline_ms - now_ms, 1)
+    build_key = criteria.origin.build_key if criteria.origin else ""
+    return PlaceStream(req, call.request_id, criteria.request, left_ms, build_key)
+
+
 def _caller_deadline_ms(criteria: SelectionCriteria) -> int:
     """Return the clock time at which the client disconnects if no answer has begun."""
     if not criteria.route.kind.streamed or criteria.started:
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -18,6 +18,7 @@
     AskRepeat,
     GatewayHello,
     NotLeading,
+    PlaceStream,
     Pulse,
     RunningSends,
     UpstreamsPart,
@@ -26,6 +27,8 @@
 from ..paths.leader_messages import CanHelp, HelperGateways
 from ..placement import Grant, PlaceRequest, Reject, RunOutcome
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, WasShort
+from ..resumption import StreamOrigin
+from ..resumption.messages import AnswerOrigin, AskOrigin, HeardOrigins
 from ..signals.messages import BackoffHints, HeardBackoff, HeardRejections, RejectionsInForce
 from .fleet_knowledge import FleetKnowledge
 from .leader_stream import LeaderStream, StreamListener
@@ -38,6 +41,8 @@
 REPEAT_TIMEOUT_MS = 100
 """Longest wait for a repeat from the leader, which answers at once; a later repeat comes too late
 to help the client."""
+ORIGIN_TIMEOUT_MS = 700
+"""Longest wait for the leader's answer about a stream; it may wait for other gateways before."""
 TURN_TIMEOUT_MS = 100
 """Longest wait for the leader's answer about a turn, beyond the time that the call may wait for the
 turn itself."""
@@ -53,7 +58,18 @@
     HelperGateways,
     RejectionsInForce,
 )
-Resent = HeardLimit | HeardBackoff | HeardRejections | RunningCalls | RunningSends | CanHelp
+Resent = (
+    HeardLimit
+    | HeardBackoff
+    | HeardRejections
+    | RunningCalls
+    | RunningSends
+    | CanHelp
+    | HeardOrigins
+)
+
+
+Question = PlaceRequest | PlaceStream | AskRepeat | AskQuota | AskTurn | AskOrigin
 
 
 class LeaderLost(ConnectionError):
@@ -73,7 +89,9 @@
         Returns the organisations that were short of quota, for a new leader.
     signals_to_resend : callable
         Returns what this gateway knows of upstreams and a new leader does not: limits, backoffs,
-        running calls, and whether it can help others.
+        running calls, streams, and whether it can help others.
+    on_knowledge : callable
+        Called after each change of `knowledge`.
 
     Parameters
     ----------
@@ -97,7 +115,7 @@
         self.knowledge = knowledge
         self._clock = clock
         self.connected = False
-        self._answered_ms = clock.now_ms()
+        self._answered_ms = self._lost_ms = clock.now_ms()
         self._out: asyncio.Queue[Any] = asyncio.Queue()
         self._pending: dict[str | int, asyncio.Future[Any]] = {}
         self._numbers = itertools.count()
@@ -106,6 +124,7 @@
         self._handlers: dict[type, Callable[[Any], None]] = {}
         self.shortage_report: Callable[[], WasShort] = lambda: WasShort(())
         self.signals_to_resend: Callable[[], tuple[Resent, ...]] = lambda: ()
+        self.on_knowledge: Callable[[], None] = lambda: None
 
     def on(self, kind: type[Update], handler: Callable[[Update], None]) -> None:
         """Call `handler` with each message of this type from the leader."""
@@ -127,7 +146,7 @@
         self._reports.note(msg)
         self.send(msg)
 
-    async def place(self, req: PlaceRequest) -> Grant | Reject:
+    async def place(self, asked: PlaceRequest | PlaceStream) -> Grant | Reject:
         """Ask the leader to select an engine for a call.
 
         Raises
@@ -135,9 +154,25 @@
         LeaderLost
             When there is no leader, or the stream ends before the answer.
         """
-        answer: Grant | Reject = await self._ask(req.ticket, req)
+        req = asked.req if isinstance(asked, PlaceStream) else asked
+        answer: Grant | Reject = await self._ask(req.ticket, asked)
         return answer
 
+    async def ask_origin(self, attempt: str, owner: str) -> StreamOrigin | None:
+        """Ask what a stream began on; None if no gateway that the leader reaches knows.
+
+        Raises
+        ------
+        LeaderLost
+            When there is no leader, or it does not answer in time.
+        """
+        asking = self.ask_numbered(lambda number: AskOrigin(number, attempt, owner))
+        try:
+            answer: AnswerOrigin = await self._clock.within_ms(ORIGIN_TIMEOUT_MS, asking)
+        except TimeoutError as exc:
+            raise LeaderLost("the leader did not answer a question in time") from exc
+        return answer.origin
+
     async def borrow_repeat(self, service: str) -> bool:
         """Ask for one repeat beyond this gateway's own share.
 
@@ -182,7 +217,9 @@
     def _withdraw_turn(self, number: int) -> None:
         self.send(EndTurn(number, "", RunOutcome.WITHDRAWN.value))
 
-    async def ask_numbered(self, question: Callable[[int], AskRepeat | AskQuota]) -> Any:
+    async def ask_numbered(
+        self, question: Callable[[int], AskRepeat | AskQuota | AskOrigin]
+    ) -> Any:
         """Ask a question that is identified by a number, and return its answer.
 
         Parameters
@@ -198,7 +235,7 @@
         number = next(self._numbers)
         return await self._ask(number, question(number))
 
-    async def _ask(self, key: str | int, msg: PlaceRequest | AskRepeat | AskQuota | AskTurn) -> Any:
+    async def _ask(self, key: str | int, msg: Question) -> Any:
         """Send a message and wait for the answer that carries `key`.
 
         Raises
@@ -216,6 +253,11 @@
         finally:
             self._pending.pop(key, None)
 
+    @property
+    def leaderless_ms(self) -> int:
+        """Time since the loss of the last leader; 0 while there is one."""
+        return 0 if self.connected else self._clock.now_ms() - self._lost_ms
+
     @property
     def isolated(self) -> bool:
         """Whether no controller, leading or not, has sent a message for `ISOLATED_MS`."""
@@ -261,7 +303,14 @@
         """Handle a message of the controller at `address`."""
         self._answered_ms = self._clock.now_ms()
         match msg:
-            case Grant(key) | Reject(key) | AnswerRepeat(key) | AnswerQuota(key) | AnswerTurn(key):
+            case (
+                Grant(key)
+                | Reject(key)
+                | AnswerRepeat(key)
+                | AnswerQuota(key)
+                | AnswerTurn(key)
+                | AnswerOrigin(key)
+            ):
                 fut = self._pending.get(key)
                 if fut is not None and not fut.done():
                     fut.set_result(msg)
@@ -280,6 +329,7 @@
                     handler(msg)
             case update:
                 self.knowledge.apply(update)
+                self.on_knowledge()
                 is_whole = isinstance(update, UpstreamsPart) and update.complete
                 if is_whole and not self.connected:
                     self._on_connected(address)
@@ -300,6 +350,7 @@
         """Note that the stream ended; open questions get no answer."""
         if self.connected:
             log.warning("leader: lost address=%s waiting=%d", address, len(self._pending))
+            self._lost_ms = self._clock.now_ms()
         self.connected = False
         self._connected_event.clear()
         for fut in self._pending.values():
--- a/chestnutfall/forwarding/fleet_knowledge.py
+++ b/chestnutfall/forwarding/fleet_knowledge.py
@@ -59,6 +59,11 @@
         """Version of the document in force on this gateway; -1 before the first one."""
         return self.table.document.version if self.table is not None else -1
 
+    @property
+    def mixed(self) -> frozenset[str]:
+        """Services that have had several builds lately."""
+        return self._upstreams.mixed
+
     @property
     def gateways(self) -> int:
         """Number of gateways that share budgets and limits, this one included."""
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -28,6 +28,7 @@
 from .send_log import log_send
 from .send_result import HeldBack
 from .sender import Sender
+from .stream_origins import StreamOrigins
 
 NOT_READY_RETRY_MS = 500
 """Retry delay without a document; a gateway has its document within half a second of a leader."""
@@ -63,6 +64,7 @@
         plain_selector: UpstreamSelector,
         sender: Sender,
         signals: KnownSignals,
+        origins: StreamOrigins,
         quarantine: RequestQuarantine,
         clock: Clock,
         metrics: PrometheusMetrics,
@@ -75,6 +77,7 @@
         self._engine_selector = engine_selector
         self._plain_selector = plain_selector
         self._sender = sender
+        self._origins = origins
         self._quarantine = quarantine
         self._clock = clock
         self._metrics = metrics
@@ -144,8 +147,8 @@
         holder = admitted.organisation
         if holder is not None and holder.rank is not None:
             route = replace(route, rank=holder.rank)
-        service = table.services[route.service_for(self._rng.random())]
-        self._repeats.note_request(service.name)
+        service = route.service_for(self._rng.random())
+        self._repeats.note_request(service)
         # Requests of different organisations are told apart even if they share a route: one that
         # ends upstreams must not quarantine an identical one of another organisation.
         caller = admitted.name or call.host
@@ -153,17 +156,19 @@
         progress = Progress(
             call,
             until_ms,
-            service.name,
+            service,
             fingerprint,
             admitted.name,
             last_event=call.resume_after,
+            streamed=route.kind.streamed,
         )
         left_ms = until_ms - self._clock.now_ms()
         try:
-            await self._clock.within_ms(left_ms, self._run(progress, route, service, reply))
+            await self._clock.within_ms(left_ms, self._run(progress, route, table, reply))
         except TimeoutError:
             await self._answers.give_up(progress, reply, 504, "out_of_time", None)
         finally:
+            self._origins.ended(progress)
             if not progress.may_have_run:
                 self._admission.refund(admitted)
 
@@ -178,25 +183,16 @@
         return await self._routes.wait_for_table(left_ms) if left_ms > 0 else None
 
     async def _run(
-        self, progress: Progress, route: Route, service: ServiceSpec, reply: CallerReply
+        self, progress: Progress, route: Route, table: RouteTable, reply: CallerReply
     ) -> None:
-        selector = self._plain_selector if service.engine is None else self._engine_selector
         while not await self._refuse_if_quarantined(progress, reply):
-            criteria = SelectionCriteria(
-                progress.call,
-                route,
-                service,
-                tuple(progress.avoid),
-                progress.until_ms,
-                progress.started,
-                tuple(progress.lacked_adapter),
-                progress.organisation,
-                progress.fingerprint,
-            )
             try:
+                await self._origins.find(progress, route)
+                service = table.services[progress.service]
+                selector = self._plain_selector if service.engine is None else self._engine_selector
                 if not self._reaches(service.name):
                     raise NoPlace("unreachable", NO_PATH_RETRY_MS)
-                place = await selector.select(criteria)
+                place = await selector.select(self._criteria(progress, route, service))
             except NoPlace as exc:
                 if progress.holds_repeat:
                     self._repeats.refund(progress.service)
@@ -218,6 +214,24 @@
             ):
                 return
 
+    def _criteria(
+        self, progress: Progress, route: Route, service: ServiceSpec
+    ) -> SelectionCriteria:
+        return SelectionCriteria(
+            progress.call,
+            route,
+            service,
+            tuple(progress.avoid),
+            progress.until_ms,
+            progress.started,
+            tuple(progress.lacked_adapter),
+            progress.organisation,
+            progress.fingerprint,
+            origin=self._origins.bound_to(progress),
+            is_mixed=self._origins.is_mixed(service.name),
+            needs_leader=progress.resumes and progress.origin is None,
+        )
+
     async def _refuse_if_quarantined(self, progress: Progress, reply: CallerReply) -> bool:
         """Refuse the call if it is quarantined; return whether it was refused."""
         retry_ms = self._quarantine.retry_ms(progress.fingerprint)
--- a/chestnutfall/forwarding/known_upstreams.py
+++ b/chestnutfall/forwarding/known_upstreams.py
@@ -14,12 +14,18 @@
 
     A new leader sends all upstreams in parts. Until the last part has arrived, the state from the
     previous leader stays in use.
+
+    Attributes
+    ----------
+    mixed : frozenset of str
+        Services that have had several builds lately.
     """
 
     def __init__(self) -> None:
         self._current: dict[str, UpstreamRecord] = {}
         self._incoming: dict[str, UpstreamRecord] = {}
         self._by_service: dict[str, list[UpstreamRecord]] | None = None
+        self.mixed: frozenset[str] = frozenset()
 
     def get(self, instance: str) -> UpstreamRecord | None:
         """Return the upstream with this instance id; None if it does not accept work."""
@@ -56,3 +62,4 @@
                     self._current.pop(instance, None)
                 self._current.update((one.instance, one) for one in added_records(update))
         self._by_service = None
+        self.mixed = frozenset(update.mixed)
--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -8,6 +8,7 @@
 from ..control.upstream_record import UpstreamRecord
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
+from ..resumption import StreamOrigin
 from ..routes import Route, ServiceSpec
 from ..signals import UpstreamLoad
 from .call import Call
@@ -44,6 +45,8 @@
         Time spent waiting for the engine and then for the adapter; for the logs.
     has_other : bool
         Whether another upstream of the service could take the call instead.
+    is_recorded : bool
+        Whether the leader has recorded what the call's stream begins on.
     """
 
     ticket: str
@@ -52,6 +55,7 @@
     queued_ms: int = 0
     loading_ms: int = 0
     has_other: bool = True
+    is_recorded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +78,12 @@
         Digest of the call, the same when its client sends it again; empty if unknown.
     needs_room : bool
         Whether the service is short of room, so that a turn has to hold a place.
+    origin : StreamOrigin or None
+        What the upstream must run, as the call goes on with a stream; None for any.
+    is_mixed : bool
+        Whether the service has had several builds lately.
+    needs_leader : bool
+        Whether only a leader may select, as without one it is not sure that any build will do.
     """
 
     call: Call
@@ -86,6 +96,13 @@
     organisation: str = ""
     request: str = ""
     needs_room: bool = False
+    origin: StreamOrigin | None = None
+    is_mixed: bool = False
+    needs_leader: bool = False
+
+    def allows(self, upstream: UpstreamRecord) -> bool:
+        """Whether an upstream runs what the call needs."""
+        return self.origin is None or self.origin.includes(upstream)
 
 
 class UpstreamSelector(ABC):
--- a/chestnutfall/forwarding/plain_upstream_selector.py
+++ b/chestnutfall/forwarding/plain_upstream_selector.py
@@ -15,6 +15,7 @@
 from ..limits.turn_round import NO_UPSTREAM_RETRY_MS
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
+from ..resumption import BEGIN_ANEW_MS, BUILD_GONE
 from ..signals import BACKING_OFF, UpstreamLoad
 from ..signals.known_signals import KnownSignals
 from .limited_turns import AskForTurn, LimitedTurns
@@ -95,7 +96,8 @@
 
     async def select(self, criteria: SelectionCriteria) -> Place:
         service = criteria.service.name
-        upstreams = self._sampled(self._accepting(service))
+        criteria = self._with_others_avoided(criteria)
+        upstreams = self._sampled(self._accepting(criteria))
         # In a fixed order, all gateways would send to the first of equal upstreams.
         by_cost = sorted(
             upstreams, key=lambda one: (self._cost_ms(one, criteria), self._rng.random())
@@ -129,26 +131,38 @@
             return None
         can_take = [one for one in by_cost if self._can_take(one, criteria.avoid)]
         # The leader doesn't know which upstreams this gateway can't reach.
-        avoid = tuple(one.instance for one in by_cost if one not in can_take)
+        avoid = (*criteria.avoid, *(one.instance for one in by_cost if one not in can_take))
         return await self._room_turns.choose(
             replace(criteria, avoid=avoid), can_take or by_cost, self._upstreams
         )
 
+    def _with_others_avoided(self, criteria: SelectionCriteria) -> SelectionCriteria:
+        """Avoid the upstreams that can't go on with a stream; the leader doesn't know of it."""
+        if criteria.origin is None:
+            return criteria
+        others = self._upstreams(criteria.service.name)
+        avoid = (one.instance for one in others if not criteria.allows(one))
+        return replace(criteria, avoid=(*criteria.avoid, *avoid))
+
     def _give_back(self, turn: int | None, instance: str) -> None:
         if turn is not None:
             self._end_turn(EndTurn(turn, instance, RunOutcome.WITHDRAWN.value))
 
-    def _accepting(self, service: str) -> Sequence[UpstreamRecord]:
+    def _accepting(self, criteria: SelectionCriteria) -> Sequence[UpstreamRecord]:
         """Return the upstreams that accept work from this gateway.
 
         Raises
         ------
         NoPlace
-            When there is none, or all of them are backing off.
+            When there is none, all of them are backing off, or none runs what a stream needs.
         """
+        service = criteria.service.name
         upstreams = self._upstreams(service)
         if not upstreams:
             raise NoPlace("no_upstream", NO_UPSTREAM_RETRY_MS)
+        upstreams = [one for one in upstreams if criteria.allows(one)]
+        if not upstreams:
+            raise NoPlace(BUILD_GONE, BEGIN_ANEW_MS)
         accepting = [one for one in upstreams if self._signals.may_send(one.instance)]
         if accepting:
             return accepting
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from ..resumption import StreamOrigin
 from ..signals import NO_SIGNALS, UpstreamSignals
 from .call import Call
 
@@ -52,6 +53,10 @@
         Whether a repeat was taken from the budget for a send that has not begun.
     gaps_ms : list of int
         The first `MAX_GAPS` times between two parts of the answer.
+    streamed : bool
+        Whether the answer is a stream.
+    origin : StreamOrigin or None
+        What wrote the events that the client has; None before the first, or if unknown.
     """
 
     call: Call
@@ -72,8 +77,15 @@
     signals: UpstreamSignals = NO_SIGNALS
     holds_repeat: bool = False
     gaps_ms: list[int] = field(default_factory=list)
+    streamed: bool = False
+    origin: StreamOrigin | None = None
     _last_part_ms: int = 0
 
+    @property
+    def resumes(self) -> bool:
+        """Whether the client has events of the stream, from this call or from an earlier one."""
+        return self.streamed and self.last_event is not None
+
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream may have begun to run the call, including the current send."""
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -19,6 +19,7 @@
 from .place import Place, UpstreamSelector
 from .progress import Progress
 from .send_result import TURNED_AWAY, Delivered, Failed, HeldBack, Lost, Refused, SendResult
+from .stream_origins import StreamOrigins
 from .upstream_answer import NotRun, UpstreamAnswer
 from .upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 
@@ -38,10 +39,16 @@
     """Sends a call, relays the answer to the client, and releases the place with the outcome."""
 
     def __init__(
-        self, api: UpstreamApi, signals: KnownSignals, clock: Clock, metrics: PrometheusMetrics
+        self,
+        api: UpstreamApi,
+        signals: KnownSignals,
+        origins: StreamOrigins,
+        clock: Clock,
+        metrics: PrometheusMetrics,
     ) -> None:
         self._api = api
         self._signals = signals
+        self._origins = origins
         self._clock = clock
         self._metrics = metrics
 
@@ -55,13 +62,15 @@
     ) -> SendResult:
         """Send the call once and relay the answer.
 
-        Nothing is sent if the upstream has started to back off since it was selected.
+        Nothing is sent if the upstream has started to back off since it was selected, or if it is
+        not known any more to run what the call's stream needs.
         """
         progress.signals = NO_SIGNALS
-        if not self._signals.may_send(place.upstream.instance):
+        may_send = self._signals.may_send(place.upstream.instance)
+        if not may_send or not self._origins.may_send(progress, place.upstream):
             selector.release(place, RunOutcome.WITHDRAWN, NO_TIMES, None)
             return HeldBack()
-        sending = _Sending(self._clock, progress, route, place, reply)
+        sending = _Sending(self._clock, progress, route, place, reply, self._origins)
         outcome: RunOutcome | None = None
         try:
             async with self._api.send(sending.forwarded()) as answer:
@@ -106,8 +115,15 @@
     """State of one send of a call to one upstream; `Progress` holds that of the whole call."""
 
     def __init__(
-        self, clock: Clock, progress: Progress, route: Route, place: Place, reply: CallerReply
+        self,
+        clock: Clock,
+        progress: Progress,
+        route: Route,
+        place: Place,
+        reply: CallerReply,
+        origins: StreamOrigins,
     ) -> None:
+        self._origins = origins
         self._clock = clock
         self._progress = progress
         self._route = route
@@ -159,6 +175,8 @@
         if not answer.ok:
             return Failed(answer.status, answer.headers, await _read_whole(answer))
         if self._route.kind.streamed:
+            if answer.written_by not in ("", self._place.upstream.announced_name):
+                return Lost("answer_of_another_instance")
             return await self._relay_events(answer)
         body = await _read_whole(answer)
         self._note_first_byte()
@@ -190,6 +208,8 @@
         for event in events:
             if self.first_byte_ms is None:
                 self._note_first_byte()
+                place = self._place
+                self._origins.began(self._progress, place.upstream, place.is_recorded)
             if event.number is not None:
                 if self._is_out_of_order(event.number):
                     self._misses_event = True
--- a/chestnutfall/forwarding/upstream_answer.py
+++ b/chestnutfall/forwarding/upstream_answer.py
@@ -36,6 +36,8 @@
         Raises AnswerLost when the answer breaks off.
     is_helped : bool
         Whether another gateway sent the request.
+    written_by : str
+        Announced name of the upstream that wrote the answer; empty if the answer names none.
     """
 
     status: int
@@ -44,6 +46,7 @@
     signals: UpstreamSignals
     body: AsyncIterator[bytes]
     is_helped: bool = False
+    written_by: str = ""
 
     @property
     def ok(self) -> bool:
--- a/chestnutfall/forwarding/upstream_api.py
+++ b/chestnutfall/forwarding/upstream_api.py
@@ -5,10 +5,10 @@
 from abc import ABC, abstractmethod
 from contextlib import AbstractAsyncContextManager
 
-from ..signals import UpstreamSignals
+from .answer_head import AnswerHead
 from .call import Headers
 from .forwarded_call import ForwardedCall
-from .upstream_answer import NotRun, UpstreamAnswer
+from .upstream_answer import UpstreamAnswer
 
 SILENT = "silent"
 """Code of an answer lost because the upstream was silent for too long."""
@@ -43,10 +43,8 @@
         """
         return False
 
-    def interpret(
-        self, status: int, headers: Headers, forwarded: ForwardedCall
-    ) -> tuple[NotRun | None, UpstreamSignals]:
-        """Return whether an answer proves that nothing ran, and its signals."""
+    def interpret(self, status: int, headers: Headers, forwarded: ForwardedCall) -> AnswerHead:
+        """Return what status and headers of an answer to a call say."""
         raise NotImplementedError
 
     @abstractmethod
--- a/chestnutfall/paths/helper_links.py
+++ b/chestnutfall/paths/helper_links.py
@@ -138,9 +138,16 @@
             case AnswerBroken(reason):
                 raise AnswerLost(reason)
             case AnswerBegins(status, headers):
-                not_run, signals = self._interpret.interpret(status, headers, forwarded)
-                body = self._body(stream, silent_ms)
-                return UpstreamAnswer(status, headers, not_run, signals, body, is_helped=True)
+                head = self._interpret.interpret(status, headers, forwarded)
+                return UpstreamAnswer(
+                    status,
+                    headers,
+                    head.not_run,
+                    head.signals,
+                    self._body(stream, silent_ms),
+                    is_helped=True,
+                    written_by=head.written_by,
+                )
         raise AnswerLost("helper_protocol")
 
     async def _body(self, stream: Any, silent_ms: float) -> AsyncIterator[bytes]:
--- a/chestnutfall/paths/helper_service.py
+++ b/chestnutfall/paths/helper_service.py
@@ -120,7 +120,8 @@
             return LEAVING
         if self.in_progress >= MAX_HELPED:
             return "helper_full"
-        if known is None or known.address != asked.forwarded.upstream.address:
+        wanted = asked.forwarded.upstream
+        if known is None or (known.address, known.build) != (wanted.address, wanted.build):
             return "unknown_upstream"
         if not self._signals.may_send(instance):
             return "held_back"
--- a/chestnutfall/placement/engine.py
+++ b/chestnutfall/placement/engine.py
@@ -81,6 +81,10 @@
         Prompts that were sent, and prompts that wait to be sent.
     pauses : PauseBudget
         How much prefill the running streams tolerate.
+    build_key : str
+        Identifies its software within its service.
+    reserved : int
+        Places that are better left to streams which only engines with this software can go on with.
     """
 
     def __init__(
@@ -95,8 +99,10 @@
         limit: UpstreamLimit,
         backoff: UpstreamBackoff,
         usual_gap: UsualGap | None = None,
+        build_key: str = "",
     ) -> None:
         self.instance = instance
+        self.build_key = build_key
         self.service = service
         self.data_centre = data_centre
         self.spec = spec
@@ -117,6 +123,7 @@
         self.prefill = PrefillSchedule(speed, self.speed)
         self.pauses = PauseBudget(kind.gap_ms * self.speed.usual_factor)
         self._usual_gap = usual_gap or UsualGap()
+        self.reserved = 0
         self._kv_used = 0
         self._copies: OrderedDict[AdapterName, None] = OrderedDict()
 
@@ -165,6 +172,11 @@
         """Requests that have to end before one more can be sent."""
         return max(len(self.running) + 1 - self.spec.batch, 0)
 
+    @property
+    def has_only_reserved_places(self) -> bool:
+        """Whether the places that are free are better left to others."""
+        return len(self.running) + 1 > self.spec.batch - self.reserved
+
     @property
     def slowness(self) -> float:
         """How many times as long as on its service's engines work takes here at this moment."""
--- a/chestnutfall/placement/engine_costs.py
+++ b/chestnutfall/placement/engine_costs.py
@@ -16,6 +16,9 @@
 """Cost of each running request that has to end first. It is several times the time between two ends
 at an engine with a small batch: more urgent requests may arrive meanwhile, and a request that is
 assigned can't move to another engine that has room sooner."""
+RESERVED_COST_MS = 100.0
+"""Cost of a reserved place: more than the load of other engines that have a place, less than a wait
+until a request ends, so that no place is idle while requests wait."""
 OTHER_DATA_CENTRE_COST_MS = 4.0
 """Round trip to another data centre, and the price of its traffic."""
 AVOIDED_COST_MS = 5_000.0
@@ -116,5 +119,7 @@
 
 
 def batch_wait_ms(engine: Engine) -> float:
-    """Cost of the requests that have to end before one more can start."""
-    return engine.beyond_batch * BEYOND_BATCH_COST_MS
+    """Cost of the requests that have to end before one more can start, or of a reserved place."""
+    if engine.beyond_batch:
+        return engine.beyond_batch * BEYOND_BATCH_COST_MS
+    return RESERVED_COST_MS if engine.has_only_reserved_places else 0.0
--- a/chestnutfall/placement/engine_selector.py
+++ b/chestnutfall/placement/engine_selector.py
@@ -41,6 +41,8 @@
         Sum of the engines' own limits, in requests a second; None unless each of them has a limit.
     barred : Collection of str
         Instances that the request of the next choice may not use.
+    is_known : bool
+        Whether there are engines at all, also such as nothing should be sent to now.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         engine_count: int | None = None,
     ) -> None:
         self._versions = versions
+        self.is_known = bool(engines)
         self._engines = [one for one in engines if not one.is_ejected(now_ms)]
         self._fraction = len(engines) / engine_count if engine_count else 1.0
         self._backoffs = ActiveBackoffs(self._engines, now_ms)
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -11,6 +11,7 @@
 from ..signals.backoff_registry import BackoffRegistry
 from .adapter_name import AdapterName
 from .awaited_load import only_awaits_load
+from .build_reservations import BuildReservations
 from .candidate_engines import CandidateEngines
 from .decisions import Decision, Grant, LoadAdapter, LoadModel, Order, Reject, UnloadAdapter
 from .demand import Demand
@@ -23,6 +24,7 @@
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
 from .prefill_turns import PrefillTurns, Turn
+from .queue import Queue
 from .ready_adapter import ReadyAdapter
 from .refusals import Refusals
 from .request_classes import RequestClasses
@@ -74,11 +76,26 @@
         self._shares = FairShare()
         self._turns = PrefillTurns()
         self._refusals = Refusals(clock)
+        self._reservations = BuildReservations()
+        self._rounds: dict[Queue, ServiceRound] = {}
 
     # Engines
 
-    def engine_up(self, instance: str, service: str, data_centre: str, spec: EngineSpec) -> None:
-        """Add a new engine, or replace the spec of a known one."""
+    def engine_up(
+        self,
+        instance: str,
+        service: str,
+        data_centre: str,
+        spec: EngineSpec,
+        build_key: str = "",
+    ) -> None:
+        """Add a new engine, or replace the spec of a known one.
+
+        Parameters
+        ----------
+        build_key : str
+            Identifies its software; only needed where a service has several.
+        """
         known = self.engines.get(instance)
         if known is not None:
             known.spec = spec
@@ -97,6 +114,7 @@
             limit,
             backoff,
             self.kinds.usual_gap_of(service),
+            build_key,
         )
 
     def engine_down(self, instance: str) -> None:
@@ -173,13 +191,21 @@
 
     # Requests
 
-    def submit(self, req: PlaceRequest) -> None:
-        """Queue a request."""
+    def submit(self, req: PlaceRequest, build_key: str = "") -> None:
+        """Queue a request.
+
+        Parameters
+        ----------
+        build_key : str
+            Software that the engine must run, as the request goes on with a stream; empty for any.
+        """
         now_ms = self._clock.now_ms()
+        if build_key:
+            self._reservations.note_submitted(Queue(req.service, build_key), now_ms)
         self._demand.note(req.adapter, now_ms)
         self._classes.note_submitted(req, now_ms)
         tag = self._shares.tag(req.organisation, req.prompt_tokens + req.output_tokens)
-        self._waiting[req.ticket] = WaitingRequest(req, now_ms, tag=tag)
+        self._waiting[req.ticket] = WaitingRequest(req, now_ms, tag=tag, build_key=build_key)
 
     def withdraw(self, ticket: str) -> None:
         """Drop a request, whether it waits or has a place."""
@@ -230,10 +256,10 @@
         self.slowed.refresh(now_ms)
         yield from self._model_loads.decide(self.engines.values(), now_ms)
         to_decide = [one for one in self._waiting.values() if self._is_to_decide(one, now_ms)]
-        services = {one.req.service for one in to_decide}
-        rounds = {service: self._round(service, now_ms) for service in services}
-        for waiting in in_order(to_decide, rounds):
-            yield from self._place(waiting, rounds[waiting.req.service], now_ms)
+        self._reservations.apply(self.engines.values(), now_ms)
+        self._rounds = {queue: self._round(queue, now_ms) for queue in {o.queue for o in to_decide}}
+        for waiting in in_order(to_decide, self._rounds):
+            yield from self._place(waiting, self._rounds[waiting.queue], now_ms)
 
     def _is_to_decide(self, waiting: WaitingRequest, now_ms: int) -> bool:
         engine = self.engines.get(waiting.instance)
@@ -244,7 +270,9 @@
     ) -> Iterator[Decision]:
         self._unassign_if_outdated(waiting)
         self._unassign_if_backing_off(waiting, now_ms)
-        if (
+        if waiting.build_key and not service_round.selector.is_known:
+            yield self._drop(waiting, self._refusals.refuse_without_build(waiting.req))
+        elif (
             now_ms + service_round.selector.first_event_ms(waiting.req)
             > waiting.since_ms + waiting.req.wait_ms
         ):
@@ -257,7 +285,7 @@
         elif (option := service_round.best(waiting)) is not None:
             yield from self._assign(waiting, option, service_round, now_ms)
             yield from self._grant_when_ready(waiting, service_round, now_ms)
-            service_round.selector.refresh(option.engine)
+            self._refresh(option.engine)
         elif (
             refusal := self._refusals.refuse_unservable(waiting, service_round, now_ms)
         ) is not None:
@@ -280,14 +308,24 @@
         if engine.backoff.wait_ms(waiting.req.gateway, now_ms):
             self._unassign(waiting)
 
-    def _round(self, service: str, now_ms: int) -> ServiceRound:
-        engines = [engine for engine in self.engines.values() if engine.service == service]
-        waiting = (one.req for one in self._waiting.values() if one.req.service == service)
+    def _refresh(self, engine: Engine) -> None:
+        """Recompute an engine's costs in each queue that it serves."""
+        for queue, service_round in self._rounds.items():
+            if queue.service == engine.service and queue.build_key in ("", engine.build_key):
+                service_round.selector.refresh(engine)
+
+    def _round(self, queue: Queue, now_ms: int) -> ServiceRound:
+        engines = [
+            engine
+            for engine in self.engines.values()
+            if engine.service == queue.service and queue.build_key in ("", engine.build_key)
+        ]
+        waiting = (one.req for one in self._waiting.values() if one.queue == queue)
         candidates = self._candidates.select(engines, {req.adapter for req in waiting})
         selector = EngineSelector(
             candidates, self._demand, self._versions, now_ms, engine_count=len(engines)
         )
-        return self._classes.service_round(service, selector, now_ms)
+        return self._classes.service_round(queue, selector, now_ms)
 
     def _assign(
         self,
--- a/chestnutfall/placement/refusals.py
+++ b/chestnutfall/placement/refusals.py
@@ -4,6 +4,7 @@
 
 from ..clock import Clock
 from ..quota.retry_schedule import MAX_WAIT_MS, RetrySchedule
+from ..resumption.refusals import BEGIN_ANEW_MS, BUILD_GONE
 from ..signals import BACKING_OFF
 from ..signals.retry_spread import RetrySpread
 from .decisions import Reject
@@ -28,6 +29,10 @@
         self._retry_schedule = RetrySchedule()
         self._spread = RetrySpread(clock)
 
+    def refuse_without_build(self, req: PlaceRequest) -> Reject:
+        """Refuse to go on with a stream whose build has no engine left; it can begin anew."""
+        return Reject(req.ticket, BUILD_GONE, BEGIN_ANEW_MS)
+
     def refuse_expired(self, req: PlaceRequest, service_round: ServiceRound, now_ms: int) -> Reject:
         """Refuse a request whose time is over."""
         backoff_ms = service_round.selector.unavailable_ms(req)
--- a/chestnutfall/placement/request_classes.py
+++ b/chestnutfall/placement/request_classes.py
@@ -11,6 +11,7 @@
 from .long_prompts import LongPrompts
 from .place_request import PlaceRequest
 from .placement_rate import PlacementRate
+from .queue import Queue
 from .service_round import ServiceRound
 from .waiting_request import WaitingRequest
 
@@ -33,11 +34,12 @@
         self._long_prompts.begin_round()
         self._log.write_due(waiting, now_ms)
 
-    def service_round(self, service: str, selector: EngineSelector, now_ms: int) -> ServiceRound:
-        """Return the round of one service, which orders its waiting requests."""
+    def service_round(self, queue: Queue, selector: EngineSelector, now_ms: int) -> ServiceRound:
+        """Return the round of one queue, which orders its waiting requests."""
+        service = queue.service
         long_prompts = self._long_prompts if self._floor.has_classes(service) else None
-        owed = self._floor.owed(service, now_ms)
-        return ServiceRound(service, selector, self._rate, long_prompts, owed, now_ms)
+        owed = {} if queue.build_key else self._floor.owed(service, now_ms)
+        return ServiceRound(queue.name, selector, self._rate, long_prompts, owed, now_ms)
 
     def note_submitted(self, req: PlaceRequest, now_ms: int) -> None:
         """Count a request that arrives."""
@@ -60,7 +62,7 @@
         self._long_prompts.note_assigned(req, engine, load_ms, now_ms)
         # One that lost its engine and gets another counts once.
         if waiting.assigned_late is None or waiting.assigned_late is in_time:
-            self._rate.note(req.service, in_time, now_ms, req.rank)
+            self._rate.note(waiting.queue.name, in_time, now_ms, req.rank)
         waiting.assigned_late = not in_time
 
     def note_unassigned(self, ticket: str) -> None:
--- a/chestnutfall/placement/waiting_request.py
+++ b/chestnutfall/placement/waiting_request.py
@@ -6,6 +6,7 @@
 
 from .place_request import PlaceRequest
 from .prompt_cache import Prefixes, prefixes_of
+from .queue import Queue
 
 
 @dataclass(slots=True)
@@ -25,8 +26,12 @@
         Whether it could not be in time when it was assigned last; None before that.
     tag : float
         Start tag among all organisations' requests, from `FairShare`.
+    build_key : str
+        Software that the engine must run, as the request goes on with a stream; empty for any.
     prefixes : Prefixes
         Prefixes of its prompt, computed once as the queue is processed every few ms.
+    queue : Queue
+        The queue that it waits in, by its service and the software that it needs.
     """
 
     req: PlaceRequest
@@ -35,10 +40,13 @@
     assigned_ms: int = 0
     assigned_late: bool | None = None
     tag: float = 0.0
+    build_key: str = ""
     prefixes: Prefixes = field(init=False)
+    queue: Queue = field(init=False)
 
     def __post_init__(self) -> None:
         self.prefixes = prefixes_of(self.req)
+        self.queue = Queue(self.req.service, self.build_key)
 
     def objective_ms(self, now_ms: int) -> int:
         """Time left until its first event is late; negative when it is."""
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -27,6 +27,7 @@
 from ..forwarding.plain_upstream_selector import PlainUpstreamSelector
 from ..forwarding.repeats import Repeats
 from ..forwarding.sender import Sender
+from ..forwarding.stream_origins import StreamOrigins
 from ..limits.known_limits import KnownLimits
 from ..limits.messages import LimitsInForce
 from ..observability.json_logs import start_logs
@@ -138,10 +139,13 @@
         self._engine_selector = EngineUpstreamSelector(
             fleet, self._signals, clock, self._name, self._settings.data_centre
         )
+        self._origins = StreamOrigins(fleet, clock)
+        fleet.on_knowledge = self._origins.update
         fleet.signals_to_resend = lambda: (
             *self._signals.reports_for_new_leader(),
             *self._room.reports_for_new_leader(),
             *self._engine_selector.running.reports_for_new_leader(),
+            *self._origins.reports_for_new_leader(),
             *(() if self._paths.can_help else (CanHelp(False),)),
         )
 
@@ -184,8 +188,9 @@
             repeats,
             self._engine_selector,
             self._make_plain_selector(),
-            Sender(self._api, self._signals, self._clock, self._metrics),
+            Sender(self._api, self._signals, self._origins, self._clock, self._metrics),
             self._signals,
+            self._origins,
             self._quarantine,
             self._clock,
             self._metrics,
@@ -233,6 +238,7 @@
         metrics.gauge("upstream_connections_idle", len(self._pool))
         metrics.gauge("upstreams_cut_off", len(self._paths))
         metrics.gauge("helpers", len(self._helpers))
+        metrics.gauge("streams_with_origin", len(self._origins))
         metrics.total("sends_for_others", self._helper.sent)
         for figure, value in FLEET_CODEC.traffic.counters():
             metrics.total(figure, value)
--- a/chestnutfall/platform/standin/client.py
+++ b/chestnutfall/platform/standin/client.py
@@ -10,8 +10,8 @@
 
 from .. import header_names as names
 from .operator import HOST
-from .tenants import KEYS, STEADY
 from .stream_text import begins_stream, is_whole_stream
+from .tenants import KEYS, STEADY
 from .upstream import ENTRY_HEADER, EVENTS, MODEL, answer_body
 
 DEADLINE_MS = 2_500
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -12,11 +12,12 @@
 from ..clock import Clock
 from ..connections import ConnectionNeed, ConnectionPool
 from ..connections.keep_alive_header import told_idle_ms
+from ..forwarding.answer_head import AnswerHead
 from ..forwarding.call import Headers
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
-from ..signals import SignalHeaders, UnreadHeaders, UpstreamSignals, read_signals
+from ..signals import SignalHeaders, UnreadHeaders, read_signals
 from ..wire.single_send_session import single_send_session
 from . import header_names as names
 from .upstream_connector import UpstreamConnector
@@ -74,12 +75,14 @@
             async with request as resp:
                 self._check_answer(resp, send)
                 self._unread.note(forwarded.upstream.service, resp.headers)
+                head = _head(resp.status, resp.headers, forwarded)
                 yield UpstreamAnswer(
                     resp.status,
                     tuple(resp.headers.items()),
-                    _not_run(resp.status, resp.headers, forwarded),
-                    read_signals(resp.status, resp.headers, _SIGNALS),
+                    head.not_run,
+                    head.signals,
                     self._body(resp, send),
+                    written_by=head.written_by,
                 )
         except (NotSent, AnswerLost):
             raise
@@ -91,11 +94,8 @@
                 raise AnswerLost(type(exc).__name__) from exc
             raise self._lost(send, exc) from exc
 
-    def interpret(
-        self, status: int, headers: Headers, forwarded: ForwardedCall
-    ) -> tuple[NotRun | None, UpstreamSignals]:
-        by_name = CIMultiDict(headers)
-        return _not_run(status, by_name, forwarded), read_signals(status, by_name, _SIGNALS)
+    def interpret(self, status: int, headers: Headers, forwarded: ForwardedCall) -> AnswerHead:
+        return _head(status, CIMultiDict(headers), forwarded)
 
     def _check_answer(self, resp: aiohttp.ClientResponse, send: UpstreamSend) -> None:
         """Note what an answer tells of its connection.
@@ -175,6 +175,14 @@
     return named == send.need.request_id
 
 
+def _head(status: int, headers: Mapping[str, str], forwarded: ForwardedCall) -> AnswerHead:
+    return AnswerHead(
+        _not_run(status, headers, forwarded),
+        read_signals(status, headers, _SIGNALS),
+        headers.get(names.INSTANCE, ""),
+    )
+
+
 def _not_run(status: int, headers: Mapping[str, str], forwarded: ForwardedCall) -> NotRun | None:
     """Return the upstream's proof that it did not run the request, if the answer contains one.
 
--- /dev/null
+++ b/chestnutfall/resumption/__init__.py
@@ -0,0 +1,16 @@
+"""Streams that go on after an interruption, and the software that began them."""
+
+from __future__ import annotations
+
+from .origin_book import OriginBook
+from .refusals import BEGIN_ANEW_MS, BUILD_GONE, STREAM_MOVED, UNKNOWN_STREAM
+from .stream_origin import StreamOrigin
+
+__all__ = [
+    "BEGIN_ANEW_MS",
+    "BUILD_GONE",
+    "STREAM_MOVED",
+    "UNKNOWN_STREAM",
+    "OriginBook",
+    "StreamOrigin",
+]
--- a/chestnutfall/tests/fakes/forwarder_case.py
+++ b/chestnutfall/tests/fakes/forwarder_case.py
@@ -38,6 +38,7 @@
     ScriptedUpstreams,
 )
 from .limit_parts import known_signals
+from .stream_origins import origins_of_one_build
 
 
 def event(number: int) -> bytes:
@@ -119,14 +120,16 @@
         self.repeats = Repeats(
             RepeatBounds(0.2, slack, 10_000), lambda: 1, self._borrow, self.clock, self.rng
         )
+        origins = origins_of_one_build(self.clock)
         forwarder = Forwarder(
             FixedRoutes(table, self.clock, self.routes_from_ms),
             Admission(self._quotas()),
             self.repeats,
             self.selector,
             self.selector,
-            Sender(self.upstreams, self.signals, self.clock, metrics),
+            Sender(self.upstreams, self.signals, origins, self.clock, metrics),
             self.signals,
+            origins,
             self.quarantine,
             self.clock,
             metrics,
--- a/chestnutfall/tests/fakes/placement_case.py
+++ b/chestnutfall/tests/fakes/placement_case.py
@@ -50,8 +50,8 @@
         self.rejected: dict[str, Reject] = {}
         self.loads: list[LoadAdapter] = []
 
-    def _engine(self, name: str, *adapters: str) -> None:
-        self.placer.engine_up(name, "s", "dc", SPEC)
+    def _engine(self, name: str, *adapters: str, build: str = "") -> None:
+        self.placer.engine_up(name, "s", "dc", SPEC, build)
         held = {AdapterName("base", adapter): 1 for adapter in adapters}
         self.placer.engine_reported(name, EngineReport({"base": 1}, held, {}, 0))
 
@@ -62,9 +62,10 @@
     def _back_off(self, name: str, gateway: str, left_ms: int | None) -> None:
         self.backoffs.update(gateway, HeardBackoff(name, left_ms))
 
-    def _submit(self, ticket: str, adapter: str, wait_ms: int = 4_000) -> None:
+    def _submit(self, ticket: str, adapter: str, wait_ms: int = 4_000, build: str = "") -> None:
         name = AdapterName("base", adapter)
-        self.placer.submit(PlaceRequest(ticket, "s", name, 100, 10, (), 1, 500, wait_ms, "dc"))
+        req = PlaceRequest(ticket, "s", name, 100, 10, (), 1, 500, wait_ms, "dc")
+        self.placer.submit(req, build)
 
     def _pass_ms(self, ms: int) -> None:
         for _ in range(ms // STEP_MS):
--- a/chestnutfall/tests/fakes/placing_gateway.py
+++ b/chestnutfall/tests/fakes/placing_gateway.py
@@ -9,6 +9,7 @@
 from ...concurrency.known_room import KnownRoom
 from ...concurrency.leaderless_room import LeaderlessRoom
 from ...concurrency.messages import RoomInForce
+from ...control.upstream_record import UpstreamRecord
 from ...coordination.holdings_diff import holdings_change
 from ...coordination.messages import UpstreamsChange
 from ...forwarding.engine_upstream_selector import EngineUpstreamSelector
@@ -17,6 +18,7 @@
 from ...forwarding.leader_turn_client import leader_turn_client
 from ...forwarding.place import UpstreamSelector
 from ...forwarding.plain_upstream_selector import PlainUpstreamSelector
+from ...forwarding.stream_origins import StreamOrigins
 from ...limits.known_limits import KnownLimits
 from ...limits.messages import LimitsInForce
 from ...placement import ReadyAdapter
@@ -26,7 +28,7 @@
 from ...signals.known_signals import KnownSignals
 from ...signals.messages import BackoffHints, RejectionsInForce
 from .placing_leader import PlacingLeader
-from .signalling_upstream import ENGINES, PLAIN, SignallingUpstream
+from .signalling_upstream import ENGINES, PLAIN, SignallingUpstream, mixed_services
 
 
 class PlacingGateway:
@@ -47,9 +49,10 @@
     ) -> None:
         self.name = name
         self.cut = self.frozen = False
+        self._seen: dict[tuple[str, str], UpstreamRecord] = {}
         self.known = FleetKnowledge(DocumentJson(), clock)
-        self.set_upstreams(upstreams)
         self.fleet = FleetClient(name, (), self.known, clock)
+        self.set_upstreams(upstreams)
         rng = random.Random(name)
         limits = KnownLimits(self.fleet.send, gateways, clock, rng)
         backoffs = KnownBackoffs(self.fleet.send, clock)
@@ -60,9 +63,12 @@
         self.fleet.on(BackoffHints, backoffs.apply_hints)
         self.room = KnownRoom(self.fleet.send, LeaderlessRoom(gateways, clock, rng), clock)
         self.fleet.on(RoomInForce, self.room.apply)
+        self.origins = StreamOrigins(self.fleet, clock)
+        self.fleet.on_knowledge = self.origins.update
         self.fleet.signals_to_resend = lambda: (
             *self.signals.reports_for_new_leader(),
             *self.room.reports_for_new_leader(),
+            *self.origins.reports_for_new_leader(),
         )
         self.selectors: dict[str, UpstreamSelector] = {
             ENGINES: EngineUpstreamSelector(self.fleet, self.signals, clock, name, "dc"),
@@ -83,7 +89,10 @@
         present = list(upstreams)
         records = tuple(one.record for one in present)
         gone = self.known._upstreams.instances() - {one.instance for one in records}
-        self.known.apply(UpstreamsChange(records, tuple(gone)))
+        for record in records:
+            self._seen.setdefault((record.instance, record.build), record)
+        mixed = mixed_services(self._seen.values())
+        self.known.apply(UpstreamsChange(records, tuple(gone), mixed=mixed))
         held = (
             ReadyAdapter(one.record.instance, name, version)
             for one in present
@@ -91,6 +100,7 @@
             for name, version in one.holds.items()
         )
         self.known.apply(holdings_change(True, held))
+        self.fleet.on_knowledge()
 
     def join(self, leader: PlacingLeader) -> None:
         """Connect to a leader."""
--- a/chestnutfall/tests/fakes/placing_leader.py
+++ b/chestnutfall/tests/fakes/placing_leader.py
@@ -13,7 +13,8 @@
 from ...coordination.gateway_session import GatewaySession
 from ...coordination.gateway_sessions import GatewaySessions
 from ...coordination.limit_coordinator import LimitCoordinator
-from ...coordination.messages import AnswerRepeat, AskRepeat, Release, Withdraw
+from ...coordination.messages import AnswerRepeat, AskRepeat, PlaceStream, Release, Withdraw
+from ...coordination.origin_coordinator import OriginCoordinator
 from ...limits.limit_registry import LimitRegistry
 from ...limits.messages import HeardLimit
 from ...placement import (
@@ -28,9 +29,10 @@
     UnloadAdapter,
 )
 from ...placement.placer import Placer
+from ...resumption.messages import AskOrigin, HeardOrigins
 from ...signals.backoff_registry import BackoffRegistry
 from ...signals.messages import HeardBackoff
-from .signalling_upstream import ENGINES, SPEC, SignallingUpstream
+from .signalling_upstream import ENGINES, SPEC, SignallingUpstream, mixed_services
 
 
 class PlacingLeader:
@@ -59,6 +61,7 @@
         self.placer = Placer(clock, limits, backoffs)
         self._limits = LimitCoordinator(limits, backoffs, self.placer, self._sessions, clock)
         self._backoffs = BackoffCoordinator(backoffs, self.placer, self._sessions, clock)
+        self.origins = OriginCoordinator(self.placer, self._sessions, clock)
         self._by_gateway: dict[str, GatewaySession] = {}
         self.update_upstreams()
 
@@ -71,11 +74,12 @@
         for one in upstreams:
             if one.record.service == ENGINES and one.record.instance not in self.placer.engines:
                 self._add_engine(one.record, one)
+        self.origins.set_mixed(mixed_services(records))
         self._limits.set_serving(records)
         self._backoffs.set_serving(records)
 
     def _add_engine(self, record: UpstreamRecord, engine: SignallingUpstream) -> None:
-        self.placer.engine_up(record.instance, record.service, "dc", SPEC)
+        self.placer.engine_up(record.instance, record.service, "dc", SPEC, record.build_key)
         report = EngineReport({"base": 1}, dict(engine.holds), {}, 0)
         self.placer.engine_reported(record.instance, report)
 
@@ -83,6 +87,7 @@
         """Open a session for a gateway and send it the initial state."""
         self._by_gateway[name] = session = GatewaySession(name)
         self._sessions.add(session)
+        self.origins.add_gateway(session)
         self._limits.send_initial_state(session)
         self._backoffs.send_initial_state(session)
 
@@ -92,6 +97,8 @@
         if session is not None:
             for ticket in self._sessions.remove(session):
                 self.placer.withdraw(ticket)
+                self.origins.not_granted(ticket)
+            self.origins.remove_gateway(session)
             self._limits.remove_gateway(session)
             self._backoffs.remove_gateway(session)
 
@@ -114,6 +121,13 @@
             case PlaceRequest():
                 self._sessions.assign_ticket(msg.ticket, session)
                 self.placer.submit(msg)
+            case PlaceStream():
+                self._sessions.assign_ticket(msg.req.ticket, session)
+                self.origins.place(msg)
+            case AskOrigin():
+                self.origins.ask(session, msg)
+            case HeardOrigins():
+                self.origins.record(session, msg)
             case Release(ticket, outcome, times):
                 self.placer.release(ticket, RunOutcome(outcome), times)
                 self._sessions.release_ticket(ticket)
@@ -126,8 +140,10 @@
         for decision in self.placer.decide():
             match decision:
                 case Grant(ticket):
+                    self.origins.granted(decision)
                     self._sessions.send_to_holder(ticket, decision)
                 case Reject(ticket):
+                    self.origins.not_granted(ticket)
                     self._sessions.send_to_holder(ticket, decision)
                     self._sessions.release_ticket(ticket)
                 case LoadAdapter():
@@ -137,6 +153,7 @@
                     self._on_order(decision)
         self._limits.send_due()
         self._backoffs.send_due()
+        self.origins.send_due()
 
     def has_messages(self, name: str) -> bool:
         """Return whether messages for a gateway are queued."""
--- a/chestnutfall/tests/fakes/signal_office.py
+++ b/chestnutfall/tests/fakes/signal_office.py
@@ -52,6 +52,8 @@
 HOST = "a.example"
 ONCE = "once"
 """A route to the plain service for calls that must not be repeated."""
+STREAMS = "streams"
+"""A route to the plain service for resumable streams."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +87,8 @@
     ----------
     head_ms : int
         Time from a send to the head of a success.
+    written_by : str or None
+        Upstream that answers claim to come from; None if they name none.
     """
 
     def __init__(
@@ -94,7 +98,7 @@
         self._gateway = gateway
         self._clock = clock
         self.head_ms = HEAD_MS
-        self.cut_after = 0
+        self.written_by: str | None = None
 
     @asynccontextmanager
     async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
@@ -120,11 +124,17 @@
         await self._clock.sleep_ms(self.head_ms if status == 200 else REFUSAL_MS)
         upstream.running += status == 200
         try:
-            body = self._events(upstream, forwarded) if forwarded.call.adapter else self._whole()
-            yield UpstreamAnswer(status, (), not_run, signals, body if status == 200 else _empty())
+            body = self._body(upstream, forwarded) if status == 200 else _empty()
+            yield UpstreamAnswer(
+                status, (), not_run, signals, body, written_by=self.written_by or ""
+            )
         finally:
             upstream.running -= status == 200
 
+    def _body(self, upstream: SignallingUpstream, forwarded: ForwardedCall) -> AsyncIterator[bytes]:
+        is_stream = forwarded.call.adapter or forwarded.call.path.startswith(f"/{STREAMS}/")
+        return self._events(upstream, forwarded) if is_stream else self._whole()
+
     @staticmethod
     def _status(upstream: SignallingUpstream, forwarded: ForwardedCall) -> int:
         if upstream.backoff is not None:
@@ -140,7 +150,7 @@
         for number in range(after + 1, EVENTS + 1):
             if number > 1 and upstream.breaks_off:
                 raise AnswerLost("broken off")
-            yield b"id: %d\ndata: a\n\n" % number
+            yield b"id: %d\ndata: %s\n\n" % (number, upstream.record.build.encode() or b"a")
             await self._clock.sleep_ms(RUN_MS // EVENTS)
 
     async def _whole(self) -> AsyncIterator[bytes]:
@@ -187,7 +197,7 @@
         rng = random.Random(name)
         self.apis[name] = SignallingApi(self.upstreams, name, self.clock)
         self._forwarders[name] = Forwarder(
-            FixedRoutes(_table(), self.clock),
+            FixedRoutes(self.table(), self.clock),
             Admission(
                 QuotaEnforcer(
                     ScriptedQuotaClient(), lambda: 1, CALLER_QUOTA_BOUNDS, self.clock, rng
@@ -202,8 +212,9 @@
             ),
             gateway.selectors[ENGINES],
             gateway.selectors[PLAIN],
-            Sender(self.apis[name], gateway.signals, self.clock, self.metrics),
+            Sender(self.apis[name], gateway.signals, gateway.origins, self.clock, self.metrics),
             gateway.signals,
+            gateway.origins,
             RequestQuarantine(lambda report: None, self._refuses, self.clock),
             self.clock,
             self.metrics,
@@ -211,6 +222,10 @@
         )
         return gateway
 
+    def table(self) -> RouteTable:
+        """Return the routes in force."""
+        return _table()
+
     async def _refuses(self, address: str) -> bool:
         return False
 
@@ -335,6 +350,7 @@
         route(ENGINES, RouteKind.RESUMABLE_STREAM, ENGINES),
         route(PLAIN, RouteKind.IDEMPOTENT, PLAIN),
         route(PLAIN, RouteKind.NON_IDEMPOTENT, ONCE),
+        route(PLAIN, RouteKind.RESUMABLE_STREAM, STREAMS),
     )
     services = (ServiceSpec(ENGINES, SPEC), ServiceSpec(PLAIN, None))
     organisations = tuple(Organisation(name, (key_digest(name),)) for name in ("hot", "usual"))
--- a/chestnutfall/tests/fakes/signalling_upstream.py
+++ b/chestnutfall/tests/fakes/signalling_upstream.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
 
 from ...control.upstream_record import UpstreamRecord
+from ...control.upstream_roster import UpstreamRoster
 from ...placement import AdapterName
 from ...routes import EngineSpec, ModelSpec
 from ...signals import SignalHeaders, UpstreamSignals, read_signals
@@ -20,6 +22,15 @@
     return {AdapterName("base", f"a{at}"): 1 for at in range(ADAPTERS)}
 
 
+def mixed_services(records: Iterable[UpstreamRecord]) -> tuple[str, ...]:
+    """Return the services whose upstreams have several builds."""
+    records = (replace(one, instance=f"{one.instance}/{one.build}", name="") for one in records)
+    roster = UpstreamRoster()
+    for record in records:
+        roster.add(record)
+    return roster.mixed_services()
+
+
 @dataclass(frozen=True, slots=True)
 class BackoffRequest:
     """A rejection that asked a gateway for a backoff of `for_ms`."""
--- a/chestnutfall/tests/test_helper_links.py
+++ b/chestnutfall/tests/test_helper_links.py
@@ -13,6 +13,7 @@
 
 from ..clock import SystemClock
 from ..control.upstream_record import UpstreamRecord
+from ..forwarding.answer_head import AnswerHead
 from ..forwarding.call import Headers
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
@@ -24,7 +25,7 @@
 from ..paths.leader_messages import HelperGateways
 from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD
 from ..paths.path_table import PathTable
-from ..signals import NO_SIGNALS, UpstreamSignals
+from ..signals import NO_SIGNALS
 from ..wire import RpcServer
 from .fakes.limit_parts import known_signals
 from .fakes.path_office import send_to
@@ -47,10 +48,8 @@
         self.sends: list[ForwardedCall] = []
         self.ended = asyncio.Event()
 
-    def interpret(
-        self, status: int, headers: Headers, forwarded: ForwardedCall
-    ) -> tuple[NotRun | None, UpstreamSignals]:
-        return NotRun.FULL if status == 503 else None, NO_SIGNALS
+    def interpret(self, status: int, headers: Headers, forwarded: ForwardedCall) -> AnswerHead:
+        return AnswerHead(NotRun.FULL if status == 503 else None, NO_SIGNALS)
 
     @asynccontextmanager
     async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
@@ -114,6 +113,12 @@
             self.assertTrue(answer.is_helped)
             return b"".join([data async for data in answer.body])
 
+    # Guards against a helper that knows of another build at an engine and sends a stream there.
+    async def test_a_call_for_an_upstream_of_another_build_is_not_sent(self) -> None:
+        with self.assertRaises(NotSent):
+            await self._send(send_to(replace(UPSTREAM, build="v2")))
+        self.assertEqual(self.direct.sends, [])
+
     async def test_an_answer_arrives_byte_for_byte(self) -> None:
         self.assertEqual(await self._send(), b"".join(PARTS))
         self.assertEqual(self.direct.sends[0].call.body, b"body")
--- a/chestnutfall/tests/test_organisations.py
+++ b/chestnutfall/tests/test_organisations.py
@@ -49,6 +49,7 @@
     ScriptedUpstreams,
 )
 from .fakes.limit_parts import known_signals
+from .fakes.stream_origins import origins_of_one_build
 
 PERMITS = {"name": "permits", "api_keys": ["key-of-permits"], "priority": 0}
 BOOKINGS: dict[str, Any] = {"name": "bookings", "api_keys": ["key-of-bookings", "second-key"]}
@@ -172,14 +173,16 @@
         bounds = RepeatBounds(0.2, 100, 10_000)
         rng = random.Random(1)
         signals = known_signals(self.clock)
+        origins = origins_of_one_build(self.clock)
         forwarder = Forwarder(
             FixedRoutes(table, self.clock),
             Admission(self.quotas),
             Repeats(bounds, lambda: 1, self._borrow, self.clock, rng),
             self.selector,
             self.selector,
-            Sender(self.upstreams, signals, self.clock, self.metrics),
+            Sender(self.upstreams, signals, origins, self.clock, self.metrics),
             signals,
+            origins,
             RequestQuarantine(lambda report: None, self._refuses, self.clock),
             self.clock,
             self.metrics,
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -15,6 +15,7 @@
 from .room_mutants import ROOM_MUTANTS
 from .signal_mutants import SIGNAL_MUTANTS
 from .speed_mutants import SPEED_MUTANTS
+from .stream_mutants import STREAM_MUTANTS
 
 MUTANTS = (
     *CONSENSUS_MUTANTS,
@@ -30,6 +31,7 @@
     *ROOM_MUTANTS,
     *CONNECTION_MUTANTS,
     *PATH_MUTANTS,
+    *STREAM_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
