Report and log the prompt parts of answers that broke off

Calls with one prompt part in common ended one engine after the other, and neither a log line nor a report named the parts of the calls that ran on an engine as it ended. Nothing is decided by them yet.

The stand-in's events are written and checked at the cost of before where an engine names no version: reading them took processor time from the stand-in engines, which run beside their clients.

--- a/chestnutfall/control/broken_upstream.py
+++ b/chestnutfall/control/broken_upstream.py
@@ -33,6 +33,8 @@
         Requests that it was running and that are not in the log yet, by fingerprint.
     committed : set of str
         Fingerprints of the requests that are in the log already.
+    parts : dict of str to tuple of str
+        Shared parts of the prompts of its broken runs, by fingerprint.
     """
 
     address: str
@@ -41,8 +43,11 @@
     rejecting_until_ms: int | None = None
     uncommitted: dict[str, RunInterval] = field(default_factory=dict)
     committed: set[str] = field(default_factory=set)
+    parts: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
-    def add(self, fingerprint: str, began_ms: int, broke_ms: int) -> None:
+    def add(
+        self, fingerprint: str, began_ms: int, broke_ms: int, parts: tuple[str, ...] = ()
+    ) -> None:
         """Add a broken run, and drop uncommitted ones that broke off long before it.
 
         At most `MAX_SUSPECTS` uncommitted requests are kept; further ones are ignored.
@@ -52,6 +57,8 @@
             for one, span in self.uncommitted.items()
             if span.broke_ms >= broke_ms - SAME_END_WINDOW_MS
         }
+        if parts and len(self.parts) < MAX_SUSPECTS:
+            self.parts[fingerprint] = parts
         known = self.uncommitted.get(fingerprint)
         if known is not None:
             self.uncommitted[fingerprint] = known.with_run(began_ms, broke_ms)
--- a/chestnutfall/control/crash_messages.py
+++ b/chestnutfall/control/crash_messages.py
@@ -30,6 +30,8 @@
     rejecting : bool
         Whether the upstream bears few rejections, and rejected a request of this gateway within a
         second before the break.
+    parts : tuple of str
+        Names of the shared parts of the request's prompt; see `part_keys`.
     """
 
     fingerprint: str
@@ -39,6 +41,7 @@
     began_ago_ms: int
     broke_ago_ms: int
     rejecting: bool = False
+    parts: tuple[str, ...] = ()
 
     def delayed_by(self, by_ms: int) -> BrokenRun:
         """Return the report with ages for sending it `by_ms` later."""
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -30,6 +30,7 @@
 """A request that causes an end less than once an hour can't be told from coincidence."""
 MAX_LAST_ENDS = 8_192
 """Requests that were running when upstreams ended recently; about 150 bytes each."""
+MAX_LOGGED_PARTS = 16
 REPORT_JITTER_MS = 5
 """Reports of two gateways reach the leader with delays that differ by some milliseconds."""
 
@@ -101,9 +102,10 @@
             broken = BrokenUpstream(report.address, self._clock.now_ms())
             self._broken[report.instance] = broken
         now_ms = broken.last_ms = self._clock.now_ms()
-        broken.add(report.fingerprint, now_ms - report.began_ago_ms, now_ms - report.broke_ago_ms)
+        broke_ms = now_ms - report.broke_ago_ms
+        broken.add(report.fingerprint, now_ms - report.began_ago_ms, broke_ms, report.parts)
         if report.rejecting:
-            broken.note_rejecting(now_ms - report.broke_ago_ms)
+            broken.note_rejecting(broke_ms)
         if report.refuses:
             self._note_ended(report.instance, broken, "refuses connections")
 
@@ -135,6 +137,13 @@
         broken.mark_committed(runs)
         for fingerprint, run in runs.items():
             self._note_last_end(fingerprint, run.broke_ms)
+            if fingerprint in broken.parts:
+                log.info(
+                    "crashes: instance=%s content=%s parts=%s",
+                    instance,
+                    fingerprint,
+                    ",".join(broken.parts[fingerprint][:MAX_LOGGED_PARTS]),
+                )
 
     async def _commit_runs(self, end: NoteUpstreamEnd) -> None:
         before = set(self._state.crashes.quarantined)
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from ..requests import part_keys
 from ..resumption import StreamOrigin
 from ..signals import NO_SIGNALS, UpstreamSignals
 from .call import Call
@@ -81,6 +82,11 @@
     origin: StreamOrigin | None = None
     _last_part_ms: int = 0
 
+    @property
+    def part_keys(self) -> tuple[str, ...]:
+        """Names of the shared parts of the call's prompt."""
+        return part_keys(self.organisation, (part.part_id for part in self.call.parts))
+
     @property
     def resumes(self) -> bool:
         """Whether the client has events of the stream, from this call or from an earlier one."""
--- a/chestnutfall/forwarding/result_handler.py
+++ b/chestnutfall/forwarding/result_handler.py
@@ -137,7 +137,7 @@
         upstream = place.upstream
         progress.avoid.append(upstream.instance)
         self._quarantine.note_broken(
-            progress.fingerprint, upstream.instance, upstream.address, sent_ms
+            progress.fingerprint, upstream.instance, upstream.address, sent_ms, progress.part_keys
         )
         # A non-idempotent call is never repeated once bytes may have reached the upstream: it may
         # have run, and a second run would give the client two results.
--- a/chestnutfall/platform/standin/stream_text.py
+++ b/chestnutfall/platform/standin/stream_text.py
@@ -6,6 +6,13 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
+
+def event_text(number: int, request_id: str, build: str = "") -> bytes:
+    """Return event `number`, from 1, as an engine writes it for a request."""
+    written_by = f"@{build}" if build else ""
+    return f"id: {number}\ndata: {number}.{request_id}{written_by}\n\n".encode()
+
+
 _EVENT = re.compile(rb"id: (\d+)\ndata: \d+\.(\w+)(?:@([^\n]*))?\n\n")
 
 
@@ -29,8 +36,7 @@
 
     def encode(self) -> bytes:
         """Return the event as it is sent."""
-        written_by = f"@{self.build}" if self.build else ""
-        return f"id: {self.number}\ndata: {self.number}.{self.request_id}{written_by}\n\n".encode()
+        return event_text(self.number, self.request_id, self.build)
 
 
 def read_events(data: bytes) -> Iterator[WrittenEvent]:
@@ -62,6 +68,9 @@
 
 def is_whole_stream(body: bytes, request_id: str, length: int) -> bool:
     """Whether a body is exactly one whole stream of `length` events."""
+    # Most engines name no build. Reading each event would take the processor that they run on.
+    if body == b"".join(event_text(at + 1, request_id) for at in range(length)):
+        return True
     events = list(read_events(body))
     written = b"".join(one.encode() for one in events)
     return len(events) == length and written == body and begins_stream(body, request_id)
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -18,7 +18,7 @@
 from .idle_connections import IdleConnections
 from .room import NoRoom, StandInRoom
 from .run_registry import RunRegistry
-from .stream_text import WrittenEvent
+from .stream_text import event_text
 from .uneven_speed import UnevenSpeed
 
 MODEL = "base"
@@ -378,7 +378,7 @@
                 self._registry.note_violation(
                     f"{self.instance}: {name} was evicted while it served"
                 )
-            await response.write(WrittenEvent(number, request_id, build).encode())
+            await response.write(event_text(number, request_id, build))
             await self._work(0.01)
             if number == breaks_at and request.transport is not None:
                 request.transport.abort()
--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -44,6 +44,8 @@
         Clock times at which the request was sent and its answer broke off.
     rejecting : bool
         Whether the upstream bears few rejections and had just rejected a request.
+    parts : tuple of str
+        Names of the shared parts of the request's prompt.
     """
 
     fingerprint: str
@@ -52,6 +54,7 @@
     began_ms: int
     broke_ms: int
     rejecting: bool
+    parts: tuple[str, ...]
 
     def is_replaced_by(self, address: str, instance: str) -> bool:
         """Whether `instance` at `address` has replaced the upstream of this answer."""
@@ -127,17 +130,26 @@
         status = 503 if executed is Executed.NO else 502
         raise Refusal(status, REASON, message, executed, retry_ms)
 
-    def note_broken(self, fingerprint: str, instance: str, address: str, began_ms: int) -> None:
+    def note_broken(
+        self,
+        fingerprint: str,
+        instance: str,
+        address: str,
+        began_ms: int,
+        parts: tuple[str, ...] = (),
+    ) -> None:
         """Report in the background that an answer broke off, and whether its upstream has ended.
 
         Parameters
         ----------
         began_ms : int
             Clock time at which the request was sent.
+        parts : tuple of str
+            Names of the shared parts of its prompt.
         """
         now_ms = self._clock.now_ms()
         rejecting = self._rejected_since(instance, now_ms - WINDOW_MS)
-        broken = _BrokenAnswer(fingerprint, instance, address, began_ms, now_ms, rejecting)
+        broken = _BrokenAnswer(fingerprint, instance, address, began_ms, now_ms, rejecting, parts)
         task = asyncio.ensure_future(self._check_and_report(broken))
         self._reports.add(task)
         task.add_done_callback(self._reports.discard)
@@ -186,6 +198,7 @@
                 began_ago_ms,
                 broke_ago_ms,
                 broken.rejecting,
+                broken.parts,
             )
         )
 
--- a/chestnutfall/requests/__init__.py
+++ b/chestnutfall/requests/__init__.py
@@ -6,6 +6,7 @@
 from .digest import digest_of, fingerprint_of
 from .executed import NOT_RUN_STATUSES, Executed
 from .key_digest import key_digest
+from .part_keys import part_keys
 from .refusal import Refusal
 
 __all__ = [
@@ -16,4 +17,5 @@
     "digest_of",
     "fingerprint_of",
     "key_digest",
+    "part_keys",
 ]
