--- a/chestnutfall/platform/standin/run_registry.py
+++ b/chestnutfall/platform/standin/run_registry.py
@@ -48,6 +48,12 @@
         Upstreams that crashed since they had to reject more than they bear.
     signals : dict of str to SignalHistory
         Signals that each upstream sent to gateways, and the requests that followed.
+    fatal_parts : set of str
+        Prompt parts that crash each engine that begins to write an answer on them.
+    fatal_arrival_times_s : list of float
+        Times in seconds at which requests with such a part reached engines.
+    fatal_end_times_s : list of float
+        Times in seconds at which engines crashed under such a part.
     """
 
     runs: Counter[str] = field(default_factory=Counter)
@@ -59,6 +65,9 @@
     rejection_times_s: dict[str, list[float]] = field(default_factory=dict)
     falls: list[str] = field(default_factory=list)
     signals: dict[str, SignalHistory] = field(default_factory=dict)
+    fatal_parts: set[str] = field(default_factory=set)
+    fatal_arrival_times_s: list[float] = field(default_factory=list)
+    fatal_end_times_s: list[float] = field(default_factory=list)
 
     def note_run(self, request_id: str, organisation: str) -> None:
         """Record that a request runs."""
--- a/chestnutfall/platform/standin/stream_caller.py
+++ b/chestnutfall/platform/standin/stream_caller.py
@@ -90,6 +90,16 @@
         return self.attempts[-1].whole
 
 
+@dataclass(frozen=True, slots=True)
+class _WantedStream:
+    """What each attempt of a client asks for."""
+
+    route: str
+    adapter: str
+    prompt: str
+    body: bytes
+
+
 class StreamCaller:
     """Sends requests for resumable streams, and takes up those that broke off or that it left.
 
@@ -113,41 +123,53 @@
             connector=aiohttp.TCPConnector(force_close=True, limit=0),
         )
 
-    async def stream(self, leaves_after: int | None = None, route: str = "long") -> StreamResult:
+    async def stream(
+        self, leaves_after: int | None = None, route: str = "long", parts: tuple[str, ...] = ()
+    ) -> StreamResult:
         """Get one stream, with up to `MAX_ATTEMPTS` attempts once it has begun.
 
         Parameters
         ----------
         leaves_after : int or None
             Number of events after which the client closes its first connection.
+        parts : tuple of str
+            Shared parts of its prompt; each request has one more of its own.
         """
-        adapter = f"a{self._rng.randrange(ADAPTERS)}"
-        result = StreamResult([await self._attempt(adapter, route, "", 0, leaves_after)])
+        wanted = self._draw_request(route, parts)
+        result = StreamResult([await self._attempt(wanted, "", 0, leaves_after)])
         if not result.began:
             return result
         first = result.attempts[0].request_id
         while not result.whole and len(result.attempts) < MAX_ATTEMPTS:
             last = result.events[-1].number
-            result.attempts.append(await self._attempt(adapter, route, first, last, None))
+            result.attempts.append(await self._attempt(wanted, first, last, None))
         return result
 
+    def _draw_request(self, route: str, parts: tuple[str, ...]) -> _WantedStream:
+        own = f"{self._rng.randrange(16**8):08x}"
+        prompt = ",".join(f"{part}:50" for part in (*parts, own)) if parts else ""
+        body = own.encode() if parts else b"photo"
+        return _WantedStream(route, f"a{self._rng.randrange(ADAPTERS)}", prompt, body)
+
     async def _attempt(
-        self, adapter: str, route: str, resumes: str, after: int, leaves_after: int | None
+        self, wanted: _WantedStream, resumes: str, after: int, leaves_after: int | None
     ) -> StreamAttempt:
         gateway = self._gateway()
         request_id = f"{self._rng.randrange(16**16):016x}"
         attempt = StreamAttempt(request_id, gateway, time.monotonic(), resumes, after)
         headers = {"Host": HOST, names.REQUEST_ID: request_id, names.DEADLINE: str(DEADLINE_MS)}
         headers |= {names.KEY: KEYS[STEADY], ENTRY_HEADER: gateway}
-        headers |= {names.MODEL: f"{MODEL}/{adapter}", names.TOKEN_COUNTS: "100,40"}
+        headers |= {names.MODEL: f"{MODEL}/{wanted.adapter}", names.TOKEN_COUNTS: "100,40"}
+        if wanted.prompt:
+            headers[names.PROMPT_PARTS] = wanted.prompt
         if resumes:
             headers[names.LAST_EVENT] = str(after)
             if self._names_attempt:
                 headers[names.RESUMES] = resumes
         body = bytearray()
         try:
-            url = f"http://{gateway}/{route}/x"
-            async with self._session.post(url, headers=headers, data=b"photo") as resp:
+            url = f"http://{gateway}/{wanted.route}/x"
+            async with self._session.post(url, headers=headers, data=wanted.body) as resp:
                 attempt.status = resp.status
                 async for data in resp.content.iter_any():
                     body += data
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -84,6 +84,8 @@
         Events of a whole stream.
     break_share : float
         Share of streams that it breaks off after one of their events.
+    down_s : float
+        Time from its end to its restart.
     """
 
     def __init__(
@@ -125,6 +127,7 @@
         self.build = self.next_build = ""
         self.events = EVENTS
         self.break_share = 0.0
+        self.down_s = DOWN_S
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
         self._announcing: asyncio.Task[None] | None = None
@@ -170,7 +173,7 @@
             if conn.transport is not None:
                 conn.transport.abort()
         await self._close()
-        await asyncio.sleep(DOWN_S)
+        await asyncio.sleep(self.down_s)
         self.instance = f"i-{self._instance_rng.randrange(16**8):08x}"
         self._started_ms = time.time_ns() // 1_000_000
         self.build = self.next_build
@@ -293,6 +296,8 @@
             return self._answer(request_id, 421, {names.INSTANCE: self.instance})
         if not self._is_engine:
             return await self._run_plain(request, request_id, body)
+        if self._has_fatal_part(request):
+            self._registry.fatal_arrival_times_s.append(time.monotonic())
         if len(self._running) >= BATCH:
             return self._reject(request_id)
         if name in self._unloading:
@@ -380,12 +385,24 @@
                 )
             await response.write(event_text(number, request_id, build))
             await self._work(0.01)
+            if self._has_fatal_part(request):
+                self._crash_under_part()
+                return response
             if number == breaks_at and request.transport is not None:
                 request.transport.abort()
                 return response
         await response.write_eof()
         return response
 
+    def _has_fatal_part(self, request: web.BaseRequest) -> bool:
+        parts = request.headers.get(names.PROMPT_PARTS, "").split(",")[:-1]
+        return any(part.partition(":")[0] in self._registry.fatal_parts for part in parts)
+
+    def _crash_under_part(self) -> None:
+        if self._ending is None:
+            self._registry.fatal_end_times_s.append(time.monotonic())
+            self._ending = asyncio.ensure_future(self._end_and_restart())
+
     def _break_after(self, after: int) -> int | None:
         """Draw the event after which a stream is broken off; None if it is not."""
         if not self.break_share or self._rng.random() >= self.break_share:
--- a/chestnutfall/tests/stream_scenario.py
+++ b/chestnutfall/tests/stream_scenario.py
@@ -42,6 +42,12 @@
         Software version of each engine.
     names_attempt : bool
         Whether callers name the attempt that brought the first event.
+    events : int
+        Events of a whole stream.
+    break_share : float
+        Share of the answers that engines break off.
+    parts : callable
+        Draws the shared parts of a prompt.
     results : list of StreamResult
         All streams that ended, in order.
     out : set of str
@@ -53,6 +59,9 @@
     seed: int
     builds: Sequence[str]
     names_attempt: bool = True
+    events: int = EVENTS
+    break_share: float = BREAK_SHARE
+    parts: Callable[[random.Random], tuple[str, ...]] = lambda rng: ()
     results: list[StreamResult] = field(default_factory=list)
     out: set[str] = field(default_factory=set)
     office: Office = field(init=False)
@@ -71,7 +80,7 @@
             try:
                 await self.office.start(self.builds)
                 for engine in self.engines:
-                    engine.events, engine.break_share = EVENTS, BREAK_SHARE
+                    engine.events, engine.break_share = self.events, self.break_share
                 while not await operator.put(1):
                     await asyncio.sleep(0.1)
                 load = [asyncio.ensure_future(self._call(caller, rng)) for _ in range(CALLERS)]
@@ -123,7 +132,8 @@
     async def _call(self, caller: StreamCaller, rng: random.Random) -> None:
         while True:
             leaves = rng.random() < LEAVING_SHARE
-            result = await caller.stream(rng.randrange(1, EVENTS) if leaves else None)
+            leaves_after = rng.randrange(1, self.events) if leaves else None
+            result = await caller.stream(leaves_after, parts=self.parts(rng))
             self.results.append(result)
             await asyncio.sleep(rng.uniform(0.0, 0.04))
 
@@ -143,11 +153,12 @@
     def taken_up(self) -> list[StreamAttempt]:
         """Attempts that took a stream up, with events still missing."""
         attempts = (attempt for one in self.results for attempt in one.resumed)
-        return [attempt for attempt in attempts if attempt.after < EVENTS]
+        return [attempt for attempt in attempts if attempt.after < self.events]
 
-    def share_that_begins(self) -> float:
-        """Return the share of new streams whose first attempt brings an event."""
-        return sum(one.began for one in self.results) / max(len(self.results), 1)
+    def share_that_begins(self, from_s: float = 0.0, until_s: float = float("inf")) -> float:
+        """Return the share of new streams, of a time span, whose first attempt brings an event."""
+        new = [one for one in self.results if from_s <= one.attempts[0].sent_s < until_s]
+        return sum(one.began for one in new) / max(len(new), 1)
 
     def share_that_goes_on(self) -> float:
         """Return the share of attempts to take a stream up that bring an event."""
