--- a/chestnutfall/control/broken_upstream.py
+++ b/chestnutfall/control/broken_upstream.py
@@ -65,6 +65,10 @@
         elif fingerprint not in self.committed and len(self.uncommitted) < MAX_SUSPECTS:
             self.uncommitted[fingerprint] = RunInterval(began_ms, broke_ms)
 
+    def uncommitted_parts(self) -> set[str]:
+        """Return the parts of the requests that are not in the log yet."""
+        return {part for one in self.uncommitted for part in self.parts.get(one, ())}
+
     def note_rejecting(self, broke_ms: int) -> None:
         """Note that it had just rejected requests when an answer broke off."""
         until_ms = broke_ms + SAME_END_WINDOW_MS
--- a/chestnutfall/control/commands.py
+++ b/chestnutfall/control/commands.py
@@ -11,6 +11,7 @@
 from ..placement.engine_kind import EngineKind
 from ..wire import Codec
 from .claim import Claim, ClaimStatus
+from .part_ledger import RunParts
 from .upstream_record import UpstreamRecord
 
 
@@ -253,11 +254,42 @@
         Fingerprints of the requests for which this end counts as a separate one.
     overlapping : tuple of str
         Fingerprints of the requests for which it counts as one with another upstream's end.
+    service : str
+        Service of the upstream; needed with `runs` only.
+    runs : tuple of RunParts
+        The requests with prompt parts that are suspect.
+    overlapping_parts : tuple of str
+        Parts for which the end counts as one with another upstream's end.
     """
 
     instance: str
     suspects: tuple[str, ...]
     overlapping: tuple[str, ...] = ()
+    service: str = ""
+    runs: tuple[RunParts, ...] = ()
+    overlapping_parts: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class HoldParts:
+    """Refuse all requests whose prompts have these parts together."""
+
+    parts: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ClearParts:
+    """Clear prompt parts, because an engine answered requests with them in full."""
+
+    parts: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetParts:
+    """Drop old ends by prompt parts, and end holds that are over, by their names."""
+
+    instances: tuple[str, ...]
+    names: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -306,6 +338,9 @@
     | NoteUpstreamEnd
     | ClearSuspect
     | ForgetCrashes
+    | HoldParts
+    | ClearParts
+    | ForgetParts
 )
 COMMAND_CODEC = Codec(
     ChangeConfig,
@@ -325,4 +360,7 @@
     NoteUpstreamEnd,
     ClearSuspect,
     ForgetCrashes,
+    HoldParts,
+    ClearParts,
+    ForgetParts,
 )
--- a/chestnutfall/control/control_state.py
+++ b/chestnutfall/control/control_state.py
@@ -23,6 +23,7 @@
     AssignEngines,
     ChangeConfig,
     Changed,
+    ClearParts,
     ClearSuspect,
     Command,
     CompleteGroup,
@@ -31,7 +32,9 @@
     EndClaim,
     EndPermit,
     ForgetCrashes,
+    ForgetParts,
     ForgetUpstream,
+    HoldParts,
     NameVersion,
     NoPermit,
     NoteEngineKind,
@@ -206,6 +209,19 @@
                 return Done()
             case NoteUpstreamEnd(instance, suspects, overlapping):
                 self.crashes.note_end(instance, suspects, overlapping)
+                if command.runs:
+                    self.crashes.note_parts(
+                        instance, command.service, command.runs, command.overlapping_parts
+                    )
+                return Done()
+            case HoldParts(parts):
+                self.crashes.hold_parts(parts)
+                return Done()
+            case ClearParts(parts):
+                self.crashes.clear_parts(parts)
+                return Done()
+            case ForgetParts(instances, names):
+                self.crashes.forget_parts(instances, names)
                 return Done()
             case ClearSuspect(fingerprint):
                 self.crashes.clear(fingerprint)
--- a/chestnutfall/control/crash_ledger.py
+++ b/chestnutfall/control/crash_ledger.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from .crash_messages import QuarantinedRequest, SuspectRequests
+from .part_ledger import PartLedger, RunParts
 from .upstream_end import EXPLAINED, UpstreamEnd
 
 ENDS_TO_QUARANTINE = 3
@@ -59,12 +60,15 @@
         How often a fingerprint was quarantined. Kept after the quarantine ended.
     changes : int
         Number of commands that changed the ledger.
+    parts : PartLedger
+        The same ends by the prompt parts that the upstreams were running.
     """
 
     ends: dict[str, UpstreamEnd] = field(default_factory=dict)
     quarantined: dict[str, None] = field(default_factory=dict)
     offences: dict[str, int] = field(default_factory=dict)
     changes: int = 0
+    parts: PartLedger = field(default_factory=PartLedger)
 
     def note_end(
         self, instance: str, suspects: Iterable[str], overlapping: Iterable[str] = ()
@@ -98,6 +102,30 @@
             if end.ran(fingerprint):
                 self.ends[instance] = end.without(fingerprint)
 
+    def note_parts(
+        self, instance: str, service: str, runs: Iterable[RunParts], overlapping: Iterable[str]
+    ) -> None:
+        """Record the suspect prompt parts of the requests that an upstream ran at its end."""
+        self.changes += 1
+        self.parts.note_end(instance, service, runs, overlapping)
+
+    def hold_parts(self, parts: tuple[str, ...]) -> None:
+        """Hold prompt parts; the ends that they explain are no evidence against requests."""
+        self.changes += 1
+        for instance in self.parts.hold(parts):
+            if instance in self.ends:
+                self.ends[instance] = EXPLAINED
+
+    def clear_parts(self, parts: Iterable[str]) -> None:
+        """Clear prompt parts, because requests with them were answered in full."""
+        self.changes += 1
+        self.parts.clear(parts)
+
+    def forget_parts(self, instances: Iterable[str], names: Iterable[str]) -> None:
+        """Drop old ends by prompt parts, and end holds."""
+        self.changes += 1
+        self.parts.forget(instances, names)
+
     def forget(self, instances: Iterable[str], fingerprints: Iterable[str]) -> None:
         """Drop old ends and quarantines."""
         self.changes += 1
@@ -121,7 +149,9 @@
         released = (one for one in reversed(self.offences) if one not in self.quarantined)
         watched = itertools.islice(itertools.chain(near, released), MAX_WATCHED)
         quarantined = (QuarantinedRequest(one, self.quarantine_ms(one)) for one in self.quarantined)
-        return SuspectRequests(self.changes, tuple(watched), tuple(quarantined))
+        return SuspectRequests(
+            self.changes, tuple(watched), tuple(quarantined), self.parts.quarantined()
+        )
 
     def quarantine_ms(self, fingerprint: str) -> int:
         """Return the duration of the quarantine that the latest offence of a request starts."""
--- a/chestnutfall/control/crash_messages.py
+++ b/chestnutfall/control/crash_messages.py
@@ -64,6 +64,14 @@
     retry_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class QuarantinedParts:
+    """Prompt parts that no request may have together, and when callers may retry one that has."""
+
+    parts: tuple[str, ...]
+    retry_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class SuspectRequests:
     """Requests that may end upstreams, as sent to gateways.
@@ -76,11 +84,14 @@
         Fingerprints for which gateways report each complete answer.
     quarantined : tuple of QuarantinedRequest
         Requests that gateways must not send.
+    parts : tuple of QuarantinedParts
+        Prompt parts for which gateways must not send requests.
     """
 
     changes: int
     watched: tuple[str, ...]
     quarantined: tuple[QuarantinedRequest, ...]
+    parts: tuple[QuarantinedParts, ...] = ()
 
 
 NO_SUSPECTS = SuspectRequests(-1, (), ())
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -3,14 +3,25 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Mapping
 
 from ..clock import Clock
 from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
+from ..placement.suspect_parts import SuspectParts
 from .broken_upstream import BrokenUpstream
-from .commands import COMMAND_CODEC, ClearSuspect, Command, ForgetCrashes, NoteUpstreamEnd
+from .commands import (
+    COMMAND_CODEC,
+    ClearParts,
+    ClearSuspect,
+    Command,
+    ForgetCrashes,
+    ForgetParts,
+    HoldParts,
+    NoteUpstreamEnd,
+)
 from .control_state import ControlState
 from .crash_messages import AnsweredRun, BrokenRun, CrashReport
+from .first_seen import FirstSeen
+from .part_monitor import PartMonitor
 from .run_interval import RunInterval
 
 log = logging.getLogger(__name__)
@@ -43,19 +54,30 @@
     directly after the break, or by another incarnation at the same address. The requests that were
     running are then committed to the log, so that the counts survive a change of leader and a
     restart of all hosts.
+
+    Parameters
+    ----------
+    suspect_parts : SuspectParts or None
+        What placement knows of suspect prompt parts; None where prompts have none.
     """
 
-    def __init__(self, replica: Replica, state: ControlState, clock: Clock) -> None:
+    def __init__(
+        self,
+        replica: Replica,
+        state: ControlState,
+        clock: Clock,
+        suspect_parts: SuspectParts | None = None,
+    ) -> None:
         self._replica = replica
         self._state = state
         self._clock = clock
         self._broken: dict[str, BrokenUpstream] = {}
         self._answered: dict[str, None] = {}
         self._last_end_ms: dict[str, int] = {}
-        # Ages count from when this leader first saw an entry, by its own clock. A change of leader
-        # can therefore prolong a quarantine, but never shorten it.
-        self._ends_seen_ms: dict[str, int] = {}
-        self._quarantines_seen_ms: dict[str, int] = {}
+        self._ends_seen, self._quarantines_seen = FirstSeen(clock), FirstSeen(clock)
+        if suspect_parts is None:
+            suspect_parts = SuspectParts()
+        self._parts = PartMonitor(state, suspect_parts, clock)
 
     def handle_report(self, report: CrashReport) -> None:
         """Process a gateway's report of a broken or a complete answer."""
@@ -108,11 +130,20 @@
             broken.note_rejecting(broke_ms)
         if report.refuses:
             self._note_ended(report.instance, broken, "refuses connections")
+        if broken.ended_ms is not None:
+            self._suspect_parts(report.instance, broken)
 
     def _note_ended(self, instance: str, broken: BrokenUpstream, how: str) -> None:
         if broken.ended_ms is None:
             broken.ended_ms = self._clock.now_ms()
             log.info("crashes: ended instance=%s how=%s", instance, how)
+            self._suspect_parts(instance, broken)
+
+    def _suspect_parts(self, instance: str, broken: BrokenUpstream) -> None:
+        if broken.ended_by_rejections:
+            return
+        for fingerprint in broken.uncommitted:
+            self._parts.run_ended(instance, broken.parts.get(fingerprint, ()))
 
     async def _commit_ends(self) -> None:
         now_ms = self._clock.now_ms()
@@ -132,9 +163,16 @@
             return
         suspects = tuple(one for one, run in runs.items() if self._is_separate_end(one, run))
         overlapping = tuple(one for one in runs if one not in suspects)
+        found, overlapping_parts = self._parts.runs(broken, runs)
         if runs:
-            await self._commit_runs(NoteUpstreamEnd(instance, suspects, overlapping))
+            record = self._state.roster.records.get(instance)
+            service = record.service if record is not None else ""
+            await self._commit_runs(
+                NoteUpstreamEnd(instance, suspects, overlapping, service, found, overlapping_parts)
+            )
         broken.mark_committed(runs)
+        self._parts.note_committed(found, runs)
+        await self._commit_hold(instance)
         for fingerprint, run in runs.items():
             self._note_last_end(fingerprint, run.broke_ms)
             if fingerprint in broken.parts:
@@ -157,6 +195,17 @@
         for fingerprint in set(self._state.crashes.quarantined) - before:
             log.warning("crashes: quarantined content=%s", fingerprint)
 
+    async def _commit_hold(self, instance: str) -> None:
+        parts = self._parts.to_hold(instance)
+        if parts is None:
+            return
+        await self._commit(HoldParts(parts))
+        self._parts.update_holds()
+        self._parts.drop_explained(
+            part for broken in self._broken.values() for part in broken.uncommitted_parts()
+        )
+        log.warning("crashes: held parts=%s after instance=%s", ",".join(parts), instance)
+
     def _is_separate_end(self, fingerprint: str, run: RunInterval) -> bool:
         """Whether the end counts as a separate one for the request.
 
@@ -179,28 +228,24 @@
             await self._commit(ClearSuspect(fingerprint))
             log.info("crashes: cleared content=%s after a complete answer", fingerprint)
             self._answered.pop(fingerprint, None)
+        cleared = self._parts.take_cleared()
+        if cleared:
+            await self._commit(ClearParts(cleared))
+            self._parts.update_holds()
+            log.info("crashes: cleared parts=%s after complete answers", ",".join(cleared))
 
     async def _commit_expiry(self) -> None:
         crashes = self._state.crashes
-        ends = self._older_than(
-            self._ends_seen_ms, crashes.ends, lambda _: UPSTREAM_END_RETENTION_MS
-        )
-        quarantines = self._older_than(
-            self._quarantines_seen_ms, crashes.quarantined, crashes.quarantine_ms
-        )
+        ends = self._ends_seen.older_than(crashes.ends, lambda _: UPSTREAM_END_RETENTION_MS)
+        quarantines = self._quarantines_seen.older_than(crashes.quarantined, crashes.quarantine_ms)
         if ends or quarantines:
             await self._commit(ForgetCrashes(ends, quarantines))
             log.info("crashes: dropped instances=%s contents=%s", ends, quarantines)
-
-    def _older_than(
-        self, seen_ms: dict[str, int], present: Mapping[str, object], age_ms: Callable[[str], int]
-    ) -> tuple[str, ...]:
-        now_ms = self._clock.now_ms()
-        for gone in seen_ms.keys() - present.keys():
-            del seen_ms[gone]
-        for name in present:
-            seen_ms.setdefault(name, now_ms)
-        return tuple(name for name, since_ms in seen_ms.items() if now_ms > since_ms + age_ms(name))
+        part_ends, holds = self._parts.expired()
+        if part_ends or holds:
+            await self._commit(ForgetParts(part_ends, holds))
+            self._parts.update_holds()
+            log.info("crashes: dropped instances=%s, held parts=%s", part_ends, holds)
 
     async def _commit(self, command: Command) -> None:
         await self._replica.propose(COMMAND_CODEC.encode(command))
--- /dev/null
+++ b/chestnutfall/control/part_blame.py
@@ -0,0 +1,68 @@
+"""Which parts of prompts are to blame for the ends of engines."""
+
+from __future__ import annotations
+
+from .part_ledger import PartEnd, PartLedger
+
+ENDS_TO_HOLD = 2
+"""Separate ends after which parts are held. Since requests with a suspect part run on one engine at
+a time, a second end under the same one is seldom a coincidence; each further one takes an engine
+from all other callers."""
+MIN_OTHER_ANSWERS = 3
+"""Answers without the parts between their first end and the hold. Where nothing is answered, the
+service as a whole fails, and a part that most requests have would be held for that."""
+
+
+def parts_to_hold(ledger: PartLedger, instance: str, other_answers: int) -> tuple[str, ...] | None:
+    """Return the parts that explain the end of `instance` and earlier ones; None if none do.
+
+    Parts are to blame together if the same requests have them: then nothing tells them apart, and
+    refusing only requests with all of them costs others nothing. What remains unclear is left to
+    the next end: the parts of different requests, and a single request that explains all ends.
+
+    Parameters
+    ----------
+    other_answers : int
+        Answers without the most suspect parts since their first end.
+    """
+    end = ledger.ends.get(instance)
+    if end is None:
+        return None
+    for offender in ledger.offenders():
+        # One that was held before needs no second end: it would take one engine more each time.
+        if any(offender <= set(run.parts) for run in end.runs):
+            return tuple(sorted(offender))
+    blamed = _most_suspect(ledger, end)
+    if not blamed or other_answers < MIN_OTHER_ANSWERS:
+        return None
+    return tuple(sorted(blamed))
+
+
+def most_suspect_parts(ledger: PartLedger, instance: str) -> frozenset[str]:
+    """Return the parts of one end that were in most separate ends, if the same requests have them.
+
+    Empty if there are fewer than `ENDS_TO_HOLD`, or different requests have them.
+    """
+    end = ledger.ends.get(instance)
+    return _most_suspect(ledger, end) if end is not None else frozenset()
+
+
+def _most_suspect(ledger: PartLedger, end: PartEnd) -> frozenset[str]:
+    counts = ledger.counts()
+    parts = [one for one in end.parts() if not _is_one_request(ledger, one)]
+    most = max((counts[part] for part in parts), default=0)
+    if most < ENDS_TO_HOLD:
+        return frozenset()
+    worst = {part for part in parts if counts[part] == most}
+    by_run = {frozenset(worst.intersection(run.parts)) for run in end.runs} - {frozenset()}
+    return next(iter(by_run)) if len(by_run) == 1 else frozenset()
+
+
+def _is_one_request(ledger: PartLedger, part: str) -> bool:
+    """Whether one request was in all ends with a part, so that it may be the cause by itself."""
+    requests = [
+        {run.fingerprint for run in end.runs if part in run.parts}
+        for end in ledger.ends.values()
+        if part in end.parts()
+    ]
+    return bool(set.intersection(*requests))
--- /dev/null
+++ b/chestnutfall/control/part_ledger.py
@@ -0,0 +1,189 @@
+"""Ends of engines by the prompt parts that they ran, and the parts that are held."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from .crash_messages import QuarantinedParts
+
+MAX_PART_ENDS = 64
+"""Ends that are kept; with `MAX_RUNS` of `MAX_KEYS` parts each, the ledger stays under 10 MB, and
+far under it, since parts that were answered in full are left out."""
+MAX_RUNS = 64
+"""Runs kept of one end; more than most engines run at once."""
+MAX_HELD = 256
+MAX_PART_OFFENDERS = 1_024
+HOLD_MS = 60_000
+"""Duration of the first hold. Parts that are held without cause are cleared by the first answer to
+a request that has only some of them, or after it."""
+HOLD_GROWTH_FACTOR = 10
+"""Holds last one minute, ten, a hundred, then a day: each costs one engine to find out."""
+MAX_HOLD_MS = 24 * 3_600_000
+
+
+@dataclass(frozen=True, slots=True)
+class RunParts:
+    """A request that an engine ran at its end, by its digest, and the suspect parts of it."""
+
+    fingerprint: str
+    parts: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PartEnd:
+    """The end of one engine.
+
+    Attributes
+    ----------
+    service : str
+        Service of the engine.
+    runs : tuple of RunParts
+        Requests that it ran.
+    overlapping : tuple of str
+        Parts for which the end is no further evidence, since it overlaps another one.
+    """
+
+    service: str = ""
+    runs: tuple[RunParts, ...] = ()
+    overlapping: tuple[str, ...] = ()
+
+    def parts(self) -> set[str]:
+        """Return the parts of all its requests."""
+        return {part for run in self.runs for part in run.parts}
+
+    def with_runs(self, runs: Iterable[RunParts], overlapping: Iterable[str]) -> PartEnd:
+        """Return the end with more requests; known ones stay as they are."""
+        known = {run.fingerprint for run in self.runs}
+        new = [run for run in runs if run.fingerprint not in known]
+        return replace(
+            self,
+            runs=(*self.runs, *new)[:MAX_RUNS],
+            overlapping=tuple(dict.fromkeys((*self.overlapping, *overlapping))),
+        )
+
+    def without(self, parts: set[str]) -> PartEnd:
+        """Return the end without some parts, and without requests that have no other ones."""
+        runs = (
+            RunParts(run.fingerprint, tuple(one for one in run.parts if one not in parts))
+            for run in self.runs
+        )
+        overlapping = tuple(one for one in self.overlapping if one not in parts)
+        left = tuple(run for run in runs if run.parts)
+        return replace(self, runs=left, overlapping=overlapping)
+
+
+@dataclass(slots=True)
+class PartLedger:
+    """Prompt parts under which engines ended, and the sets of them that are held.
+
+    Attributes
+    ----------
+    ends : dict of str to PartEnd
+        Ends by the incarnation that ended, oldest first.
+    held : dict of str to tuple of str
+        Parts that no request may have together, by the name of their set.
+    offences : dict of str to int
+        How often a set was held, by its name. Kept after the hold is over.
+    """
+
+    ends: dict[str, PartEnd] = field(default_factory=dict)
+    held: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    offences: dict[str, int] = field(default_factory=dict)
+
+    def note_end(
+        self, instance: str, service: str, runs: Iterable[RunParts], overlapping: Iterable[str]
+    ) -> None:
+        """Record that an engine of a service ended while it ran these requests."""
+        end = self.ends.get(instance, PartEnd(service)).with_runs(runs, overlapping)
+        if end.runs:
+            self.ends[instance] = end
+        _drop_oldest(self.ends, MAX_PART_ENDS)
+
+    def counts(self) -> Counter[str]:
+        """Return the number of separate ends by part."""
+        return Counter(
+            part for end in self.ends.values() for part in end.parts() - {*end.overlapping}
+        )
+
+    def hold(self, parts: tuple[str, ...]) -> tuple[str, ...]:
+        """Hold parts that no request may have together, and return the ends that they explain."""
+        name = _name(parts)
+        if name not in self.held:
+            self.held[name] = tuple(sorted(parts))
+            self.offences[name] = self.offences.get(name, 0) + 1
+        _drop_oldest(self.held, MAX_HELD)
+        _drop_oldest(self.offences, MAX_PART_OFFENDERS)
+        wanted = set(parts)
+        explained = tuple(one for one, end in self.ends.items() if wanted <= end.parts())
+        for instance in explained:
+            del self.ends[instance]
+        return explained
+
+    def clear(self, parts: Iterable[str]) -> None:
+        """Clear parts that were answered in full; what was held with them is held without."""
+        cleared = set(parts)
+        for instance, end in list(self.ends.items()):
+            self.ends[instance] = end.without(cleared)
+            if not self.ends[instance].runs:
+                del self.ends[instance]
+        for name in [one for one in self.offences if cleared & set(parts_of(one))]:
+            self._shrink(name, cleared)
+
+    def _shrink(self, name: str, cleared: set[str]) -> None:
+        left = tuple(part for part in parts_of(name) if part not in cleared)
+        times = self.offences.pop(name)
+        was_held = self.held.pop(name, None) is not None
+        if not left:
+            return
+        self.offences[_name(left)] = max(times, self.offences.get(_name(left), 0))
+        if was_held:
+            self.held[_name(left)] = left
+
+    def forget(self, instances: Iterable[str], names: Iterable[str]) -> None:
+        """Drop old ends, and end holds."""
+        for instance in instances:
+            self.ends.pop(instance, None)
+        for name in names:
+            self.held.pop(name, None)
+
+    def hold_ms(self, name: str) -> int:
+        """Return the duration of the hold that the latest offence of a set starts."""
+        times = max(self.offences.get(name, 1), 1)
+        return int(min(HOLD_MS * HOLD_GROWTH_FACTOR ** (times - 1), MAX_HOLD_MS))
+
+    def quarantined(self) -> tuple[QuarantinedParts, ...]:
+        """Return the parts that are held, for the gateways."""
+        return tuple(
+            QuarantinedParts(parts, self.hold_ms(name)) for name, parts in self.held.items()
+        )
+
+    def offenders(self) -> Iterator[frozenset[str]]:
+        """Yield the sets that were held before and are not now."""
+        for name in self.offences:
+            if name not in self.held:
+                yield frozenset(parts_of(name))
+
+    def suspects(self) -> set[str]:
+        """Return all parts that may end an engine: of ends, and of sets held now or before."""
+        named = {part for name in self.offences for part in parts_of(name)}
+        return named.union(*(end.parts() for end in self.ends.values()))
+
+
+_SEPARATOR = "\n"
+
+
+def _name(parts: Iterable[str]) -> str:
+    return _SEPARATOR.join(sorted(parts))
+
+
+def parts_of(name: str) -> list[str]:
+    """Return the parts of a set by its name."""
+    return name.split(_SEPARATOR)
+
+
+def _drop_oldest(entries: dict[str, Any], most: int) -> None:
+    while len(entries) > most:
+        del entries[next(iter(entries))]
--- /dev/null
+++ b/chestnutfall/control/part_monitor.py
@@ -0,0 +1,124 @@
+"""Prompt parts that may end engines, during one leader term."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from ..clock import Clock
+from ..placement.suspect_parts import ANY_SERVICE, SuspectParts
+from .broken_upstream import BrokenUpstream
+from .control_state import ControlState
+from .first_seen import FirstSeen
+from .part_blame import most_suspect_parts, parts_to_hold
+from .part_ledger import PartLedger, RunParts, parts_of
+from .run_interval import RunInterval
+
+END_RETENTION_MS = 3_600_000
+"""A part that causes an end less than once an hour can't be told from coincidence."""
+MAX_LAST_ENDS = 8_192
+"""Parts that engines ran at recent ends; about 150 bytes each."""
+REPORT_JITTER_MS = 5
+"""Reports of two gateways reach the leader with delays that differ by some milliseconds."""
+
+
+class PartMonitor:
+    """Passes the parts of ended engines to placement at once, and finds out which are to blame.
+
+    The ledger holds what was committed. Placement acts on an end before that, since each moment
+    may send another engine the same part.
+    """
+
+    def __init__(self, state: ControlState, suspects: SuspectParts, clock: Clock) -> None:
+        self._state = state
+        self._suspects = suspects
+        self._clock = clock
+        self._last_end_ms: dict[str, int] = {}
+        self._ends_seen, self._holds_seen = FirstSeen(clock), FirstSeen(clock)
+        for instance, end in self._ledger.ends.items():
+            suspects.suspect(end.parts(), end.service, instance, clock.now_ms())
+        for offender in self._ledger.offences:
+            suspects.suspect(parts_of(offender), ANY_SERVICE, "", clock.now_ms())
+        self.update_holds()
+
+    @property
+    def _ledger(self) -> PartLedger:
+        return self._state.crashes.parts
+
+    def run_ended(self, instance: str, parts: Iterable[str]) -> None:
+        """Suspect the parts of a request that ran on an upstream whose process ended.
+
+        An upstream that announced that it leaves ends for that reason.
+        """
+        record = self._state.roster.records.get(instance)
+        if record is None or not record.leaving:
+            service = record.service if record is not None else ANY_SERVICE
+            self._suspects.suspect(parts, service, instance, self._clock.now_ms())
+
+    def runs(
+        self, broken: BrokenUpstream, runs: Mapping[str, RunInterval]
+    ) -> tuple[tuple[RunParts, ...], tuple[str, ...]]:
+        """Return the requests of an end with the parts that are still suspect, and those parts for
+        which the end overlaps an earlier one.
+
+        An answer clears a part that many requests share within some ms, long before this is asked.
+        """
+        suspects = {
+            fingerprint: tuple(
+                part for part in broken.parts.get(fingerprint, ()) if self._is_suspect(part)
+            )
+            for fingerprint in runs
+        }
+        found = tuple(RunParts(one, parts) for one, parts in suspects.items() if parts)
+        began_ms: dict[str, int] = {}
+        for run in found:
+            for part in run.parts:
+                began = runs[run.fingerprint].began_ms
+                began_ms[part] = max(began_ms.get(part, began), began)
+        return found, tuple(
+            part for part, at_ms in began_ms.items() if not self._is_separate(part, at_ms)
+        )
+
+    def _is_suspect(self, part: str) -> bool:
+        return part in self._suspects
+
+    def _is_separate(self, part: str, began_ms: int) -> bool:
+        """Whether a run with the part began after the last end with it.
+
+        A rack that loses power ends many engines at once, all while they run the same parts.
+        """
+        last_ms = self._last_end_ms.get(part)
+        return last_ms is None or began_ms >= last_ms - REPORT_JITTER_MS
+
+    def note_committed(self, found: Iterable[RunParts], runs: Mapping[str, RunInterval]) -> None:
+        """Record when the parts of an end ran last."""
+        for run in found:
+            broke_ms = runs[run.fingerprint].broke_ms
+            for part in run.parts:
+                last_ms = self._last_end_ms.pop(part, broke_ms)
+                self._last_end_ms[part] = max(last_ms, broke_ms)
+        while len(self._last_end_ms) > MAX_LAST_ENDS:
+            del self._last_end_ms[next(iter(self._last_end_ms))]
+
+    def to_hold(self, instance: str) -> tuple[str, ...] | None:
+        """Return the parts to hold after the end of an upstream was committed; None if none."""
+        worst = most_suspect_parts(self._ledger, instance)
+        return parts_to_hold(self._ledger, instance, self._suspects.answers_since(worst))
+
+    def update_holds(self) -> None:
+        """Tell placement which parts are held now."""
+        quarantined = self._ledger.quarantined()
+        self._suspects.hold((one.parts, one.retry_ms) for one in quarantined)
+
+    def drop_explained(self, open_parts: Iterable[str]) -> None:
+        """Suspect no parts whose ends are explained, but those of ends that are not committed."""
+        self._suspects.keep(self._ledger.suspects().union(open_parts))
+
+    def take_cleared(self) -> tuple[str, ...]:
+        """Return the parts of the ledger that answers cleared since the last call."""
+        return tuple(sorted(self._suspects.take_cleared() & self._ledger.suspects()))
+
+    def expired(self) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        """Return the instances of old ends, and the names of holds that are over."""
+        ends = self._ends_seen.older_than(self._ledger.ends, lambda _: END_RETENTION_MS)
+        holds = self._holds_seen.older_than(self._ledger.held, self._ledger.hold_ms)
+        return ends, holds
--- a/chestnutfall/coordination/gateway_broadcaster.py
+++ b/chestnutfall/coordination/gateway_broadcaster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 from ..clock import Clock
 from ..control.control_state import ControlState
@@ -136,9 +137,9 @@
         if crashes.changes == self._suspects.changes:
             return
         suspects = crashes.suspects()
-        sent = (self._suspects.watched, self._suspects.quarantined)
+        sent = replace(self._suspects, changes=suspects.changes)
         self._suspects = suspects
-        if (suspects.watched, suspects.quarantined) != sent:
+        if suspects != sent:
             self._sessions.broadcast(suspects)
 
     def _send_holdings(self) -> None:
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -97,7 +97,7 @@
         self._placer = Placer(clock, limits, backoffs)
         self._repeats = RepeatPool(repeats, clock)
         self._quotas = QuotaLedger(quotas, clock)
-        self._crashes = CrashMonitor(replica, state, clock)
+        self._crashes = CrashMonitor(replica, state, clock, self._placer.suspects)
         self._sessions = GatewaySessions()
         self._limits = LimitCoordinator(limits, backoffs, self._placer, self._sessions, clock)
         self._backoffs = BackoffCoordinator(backoffs, self._placer, self._sessions, clock)
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 from ..observability.prometheus_metrics import PrometheusMetrics
 from ..placement import RunOutcome
 from ..placement.run_times import NO_TIMES
+from ..placement.suspect_parts import PART_ENDS_UPSTREAMS
 from ..quarantine import RequestQuarantine
 from ..quarantine.request_quarantine import REASON as QUARANTINED
 from ..requests import Executed, fingerprint_of
@@ -229,13 +230,16 @@
             progress.fingerprint,
             origin=self._origins.bound_to(progress),
             is_mixed=self._origins.is_mixed(service.name),
-            needs_leader=progress.resumes and progress.origin is None,
+            needs_leader=progress.ended_upstream or (progress.resumes and progress.origin is None),
         )
 
     async def _refuse_if_quarantined(self, progress: Progress, reply: CallerReply) -> bool:
         """Refuse the call if it is quarantined; return whether it was refused."""
-        retry_ms = self._quarantine.retry_ms(progress.fingerprint)
+        retry_ms, reason = self._quarantine.retry_ms(progress.fingerprint), QUARANTINED
+        if retry_ms is None and self._quarantine.holds_parts:
+            retry_ms = self._quarantine.parts_retry_ms(progress.part_keys)
+            reason = PART_ENDS_UPSTREAMS
         if retry_ms is None:
             return False
-        await self._answers.give_up(progress, reply, 503, QUARANTINED, retry_ms)
+        await self._answers.give_up(progress, reply, 503, reason, retry_ms)
         return True
--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -83,7 +83,8 @@
     is_mixed : bool
         Whether the service has had several builds lately.
     needs_leader : bool
-        Whether only a leader may select, as without one it is not sure that any build will do.
+        Whether only a leader may select, as without one it is not sure that any build will do, or
+        which other engines run what an engine ended under.
     """
 
     call: Call
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -56,6 +56,8 @@
         The first `MAX_GAPS` times between two parts of the answer.
     streamed : bool
         Whether the answer is a stream.
+    ended_upstream : bool
+        Whether an upstream ended while it ran the call.
     origin : StreamOrigin or None
         What wrote the events that the client has; None before the first, or if unknown.
     """
@@ -79,6 +81,7 @@
     holds_repeat: bool = False
     gaps_ms: list[int] = field(default_factory=list)
     streamed: bool = False
+    ended_upstream: bool = False
     origin: StreamOrigin | None = None
     _last_part_ms: int = 0
 
--- a/chestnutfall/forwarding/result_handler.py
+++ b/chestnutfall/forwarding/result_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import assert_never
 
 from ..clock import Clock
@@ -136,7 +137,7 @@
         progress.runs += 1
         upstream = place.upstream
         progress.avoid.append(upstream.instance)
-        self._quarantine.note_broken(
+        ending = self._quarantine.note_broken(
             progress.fingerprint, upstream.instance, upstream.address, sent_ms, progress.part_keys
         )
         # A non-idempotent call is never repeated once bytes may have reached the upstream: it may
@@ -144,6 +145,9 @@
         if self._may_run_again(progress, route) and await self._take_repeat(
             progress, upstream_is_busy=code == SILENT
         ):
+            # Sent at once, it may end the next engine before the leader knows what both ran.
+            if progress.part_keys:
+                progress.ended_upstream = await asyncio.shield(ending)
             return False
         await self._answers.give_up(progress, reply, 502, code, None)
         return True
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -34,6 +34,7 @@
 from .run_times import NO_TIMES, RunTimes
 from .service_round import ServiceRound
 from .slowed_engines import SlowedEngines
+from .suspect_parts import PART_ENDS_UPSTREAMS, SuspectParts
 from .waiting_request import WaitingRequest
 from .wanted_versions import WantedVersions
 
@@ -51,6 +52,8 @@
         Learned figures of the engines of each service.
     slowed : SlowedEngines
         Takes the slowdowns that engines report.
+    suspects : SuspectParts
+        Parts of prompts that may end the engines that write on them.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         self._turns = PrefillTurns()
         self._refusals = Refusals(clock)
         self._reservations = BuildReservations()
+        self.suspects = SuspectParts()
         self._rounds: dict[Queue, ServiceRound] = {}
 
     # Engines
@@ -218,12 +222,15 @@
     def release(self, ticket: str, outcome: RunOutcome, times: RunTimes = NO_TIMES) -> None:
         """Free a granted place after its request ended with `outcome`."""
         engine = self.engines.get(self._places.pop(ticket, ""))
+        self.suspects.ended(ticket)
         if engine is not None and outcome is RunOutcome.DONE:
             engine.learn(ticket, times, self._clock.now_ms())
             engine.backoff.served(ticket)
         req = engine.end(ticket) if engine is not None else None
         if engine is None or req is None:
             return
+        if outcome is RunOutcome.DONE and times.first_ms > 0:
+            self.suspects.answered(req)
         note_end(engine, req, outcome, times, self._clock.now_ms())
 
     def adopt(self, req: PlaceRequest, instance: str) -> None:
@@ -262,6 +269,8 @@
             yield from self._place(waiting, self._rounds[waiting.queue], now_ms)
 
     def _is_to_decide(self, waiting: WaitingRequest, now_ms: int) -> bool:
+        if not self.suspects.is_empty:
+            return True
         engine = self.engines.get(waiting.instance)
         return not only_awaits_load(waiting, engine, self._versions, now_ms)
 
@@ -270,8 +279,11 @@
     ) -> Iterator[Decision]:
         self._unassign_if_outdated(waiting)
         self._unassign_if_backing_off(waiting, now_ms)
+        self._unassign_if_suspect(waiting)
         if waiting.build_key and not service_round.selector.is_known:
             yield self._drop(waiting, self._refusals.refuse_without_build(waiting.req))
+        elif (held_ms := self._held_ms(waiting)) is not None:
+            yield self._drop(waiting, Reject(waiting.req.ticket, PART_ENDS_UPSTREAMS, held_ms))
         elif (
             now_ms + service_round.selector.first_event_ms(waiting.req)
             > waiting.since_ms + waiting.req.wait_ms
@@ -282,7 +294,7 @@
         elif waiting.instance:
             service_round.selector.keep(self.engines[waiting.instance])
             yield from self._grant_when_ready(waiting, service_round, now_ms)
-        elif (option := service_round.best(waiting)) is not None:
+        elif (option := self._best(waiting, service_round, now_ms)) is not None:
             yield from self._assign(waiting, option, service_round, now_ms)
             yield from self._grant_when_ready(waiting, service_round, now_ms)
             self._refresh(option.engine)
@@ -293,6 +305,29 @@
         else:
             self._classes.note_kept_waiting(waiting.req)
 
+    def _held_ms(self, waiting: WaitingRequest) -> int | None:
+        """Return the retry time of a request whose prompt parts are held, else None."""
+        if self.suspects.is_empty:
+            return None
+        return self.suspects.retry_ms(waiting.part_keys)
+
+    def _best(
+        self, waiting: WaitingRequest, service_round: ServiceRound, now_ms: int
+    ) -> PlaceOption | None:
+        """Return the best place now, apart from what other suspect parts may end."""
+        if self.suspects.is_empty:
+            return service_round.best(waiting)
+        engines = [one.instance for one in service_round.selector.engines]
+        barred = self.suspects.barred(waiting.part_keys, engines, now_ms)
+        return service_round.best(waiting, barred) if barred is not None else None
+
+    def _unassign_if_suspect(self, waiting: WaitingRequest) -> None:
+        """Place a request anew if its prompt got a suspect part while it waited."""
+        if self.suspects.is_empty or not waiting.instance:
+            return
+        if not self.suspects.is_placed(waiting.req.ticket, waiting.part_keys):
+            self._unassign(waiting)
+
     def _unassign_if_outdated(self, waiting: WaitingRequest) -> None:
         """Place a request anew if its adapter got a newer version while it waited."""
         engine = self.engines.get(waiting.instance)
@@ -346,6 +381,8 @@
         self._shares.served(waiting.tag)
         waiting.instance = engine.instance
         waiting.assigned_ms = now_ms
+        if not self.suspects.is_empty:
+            self.suspects.assigned(req.ticket, waiting.part_keys, engine.instance)
         engine.start(req, waiting.prefixes)
         in_time = service_round.can_be_in_time(waiting)
         self._classes.note_assigned(waiting, engine, in_time, option.load_ms or 0.0, now_ms)
@@ -355,6 +392,7 @@
     def _unassign(self, waiting: WaitingRequest) -> None:
         engine = self.engines.get(waiting.instance)
         waiting.instance = ""
+        self.suspects.ended(waiting.req.ticket)
         self._classes.note_unassigned(waiting.req.ticket)
         if engine is None:
             return
--- a/chestnutfall/placement/service_round.py
+++ b/chestnutfall/placement/service_round.py
@@ -97,19 +97,25 @@
         self._owed_tickets.add(waiting.req.ticket)
         return True
 
-    def best(self, waiting: WaitingRequest) -> PlaceOption | None:
-        """Return the best place for a request now; None when it has to wait."""
+    def best(self, waiting: WaitingRequest, barred: Collection[str] = ()) -> PlaceOption | None:
+        """Return the best place for a request now; None when it has to wait.
+
+        Parameters
+        ----------
+        barred : collection of str
+            Engines that it may not use.
+        """
         in_time = self.can_be_in_time(waiting)
         if self._full or in_time in self._without_prefill:
             return None
         if in_time and self._is_late_anywhere(waiting):
             return None
-        self.selector.barred = self._barred(waiting)
+        self.selector.barred = {*barred, *self._barred(waiting)}
         objective_ms = waiting.objective_ms(self._now_ms)
         option = self.selector.best(waiting.req, waiting.prefixes, objective_ms)
-        if option is None:
+        if option is None and not barred:
             self._note_shortage(waiting, in_time)
-        elif in_time and self._is_late_at(option, waiting):
+        elif option is not None and in_time and self._is_late_at(option, waiting):
             self._open_ms = None
             return None
         return option
--- /dev/null
+++ b/chestnutfall/placement/suspect_parts.py
@@ -0,0 +1,186 @@
+"""Parts of prompts that may end the engines that write on them, until they are answered."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+
+from ..requests import part_keys
+from .place_request import PlaceRequest
+
+PART_ENDS_UPSTREAMS = "part_ended_its_upstreams"
+"""Reason of a refusal of a request whose prompt has parts that are held."""
+CLEARING_MS = 60
+"""How long requests with a new suspect wait: by then a part that many requests share was answered
+by other engines, and those that are left can be told apart."""
+JUDGING_MS = 350
+"""How long they wait after a further end under a suspect: by then reports are collected, the end is
+committed, and the part is held if it is to blame."""
+MAX_SUSPECTS = 4_096
+"""Parts that are suspected at a time; about 400 bytes each."""
+
+
+ANY_SERVICE = ""
+
+
+@dataclass(slots=True)
+class _Suspicion:
+    """A part of the prompts that an engine ran when it ended.
+
+    Attributes
+    ----------
+    service : str
+        Service of the engine; `ANY_SERVICE` if it is not known any more.
+    instance : str
+        Engine that ended last.
+    placed_from_ms : int
+        Clock time from which requests with this part are placed.
+    answers : int
+        Answers of its service until then.
+    tickets : dict of str to str
+        Engine by request with this part that was placed since.
+    """
+
+    service: str
+    instance: str
+    placed_from_ms: int
+    answers: int
+    tickets: dict[str, str] = field(default_factory=dict)
+
+
+class SuspectParts:
+    """Lets requests that share a suspect part run on one engine at a time.
+
+    When an engine ends, each part of the prompts that it ran may be the cause. A part that ends
+    every engine is never answered in full; any answer in full clears all parts of its prompt. Until
+    a part is cleared, requests with it risk one engine only, and those with different suspects are
+    placed apart, so that the next end tells which of them is the cause. Sound requests lose
+    nothing: they run, and are cleared by their answers.
+
+    While no engine ends there are no suspects, and nothing is computed.
+    """
+
+    def __init__(self) -> None:
+        self._suspicions: dict[str, _Suspicion] = {}
+        self._held: dict[frozenset[str], int] = {}
+        self._tickets: dict[str, tuple[str, ...]] = {}
+        self._answers: Counter[str] = Counter()
+        self._cleared: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self._suspicions)
+
+    def __contains__(self, part: str) -> bool:
+        return part in self._suspicions
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no part is suspected or held."""
+        return not self._suspicions and not self._held
+
+    # What is suspected
+
+    def suspect(self, parts: Iterable[str], service: str, instance: str, now_ms: int) -> None:
+        """Suspect the parts of a prompt that an engine of `service` was running at its end."""
+        for part in parts:
+            known = self._suspicions.get(part)
+            if known is not None and known.instance != instance:
+                known.instance = instance
+                known.placed_from_ms = now_ms + JUDGING_MS
+            elif known is None and len(self._suspicions) < MAX_SUSPECTS:
+                self._suspicions[part] = _Suspicion(
+                    service, instance, now_ms + CLEARING_MS, self._answers[service]
+                )
+
+    def clear(self, parts: Iterable[str]) -> None:
+        """Suspect parts no longer."""
+        for part in parts:
+            self._suspicions.pop(part, None)
+
+    def keep(self, parts: Collection[str]) -> None:
+        """Suspect no others than these."""
+        self.clear([part for part in self._suspicions if part not in parts])
+
+    def hold(self, held: Iterable[tuple[Collection[str], int]]) -> None:
+        """Set the parts that no request may have together, with the retry time in ms of each."""
+        self._held = {frozenset(parts): retry_ms for parts, retry_ms in held}
+
+    def answered(self, req: PlaceRequest) -> None:
+        """Clear all parts of a request that an engine answered in full."""
+        self._answers.update((req.service, ANY_SERVICE))
+        if not self._suspicions:
+            return
+        cleared = self._suspects_of(keys_of(req))
+        self._cleared.update(cleared)
+        self.clear(cleared)
+
+    def take_cleared(self) -> set[str]:
+        """Return the parts that answers cleared since the last call."""
+        cleared, self._cleared = self._cleared, set()
+        return cleared
+
+    def answers_since(self, parts: Iterable[str]) -> int:
+        """Number of answers without any of these parts since the first end under each of them."""
+        known = [self._suspicions[part] for part in parts if part in self._suspicions]
+        return min((self._answers[one.service] - one.answers for one in known), default=0)
+
+    # Where requests may run
+
+    def retry_ms(self, keys: Collection[str]) -> int | None:
+        """Return the retry time of a request with these parts if it must not run, else None."""
+        found = [ms for parts, ms in self._held.items() if parts.issubset(keys)]
+        return max(found, default=None)
+
+    def barred(
+        self, keys: Collection[str], engines: Iterable[str], now_ms: int
+    ) -> Collection[str] | None:
+        """Return the engines that a request may not run on now; None if it may run on none.
+
+        Parameters
+        ----------
+        keys : collection of str
+            Parts of its prompt.
+        engines : iterable of str
+            All engines of its service.
+        """
+        suspicions = [self._suspicions[part] for part in self._suspects_of(keys)]
+        if not suspicions:
+            return ()
+        if any(now_ms < one.placed_from_ms for one in suspicions):
+            return None
+        runs_at = {instance for one in suspicions for instance in one.tickets.values()}
+        if len(runs_at) > 1:
+            return None
+        if runs_at:
+            return [one for one in engines if one not in runs_at]
+        at_risk = {at for one in self._suspicions.values() for at in one.tickets.values()}
+        has_other = any(one not in at_risk for one in engines)
+        return at_risk if has_other else ()
+
+    def is_placed(self, ticket: str, keys: Collection[str]) -> bool:
+        """Whether a request was assigned to its engine with all its suspects known."""
+        return set(self._suspects_of(keys)) <= set(self._tickets.get(ticket, ()))
+
+    def assigned(self, ticket: str, keys: Collection[str], instance: str) -> None:
+        """Record that a request will run on an engine."""
+        suspects = self._suspects_of(keys)
+        if not suspects:
+            return
+        self._tickets[ticket] = suspects
+        for part in suspects:
+            self._suspicions[part].tickets[ticket] = instance
+
+    def ended(self, ticket: str) -> None:
+        """Record that a request does not run any more, or lost its engine before it ran."""
+        for part in self._tickets.pop(ticket, ()):
+            if part in self._suspicions:
+                self._suspicions[part].tickets.pop(ticket, None)
+
+    def _suspects_of(self, keys: Iterable[str]) -> tuple[str, ...]:
+        return tuple(part for part in keys if part in self._suspicions)
+
+
+def keys_of(req: PlaceRequest) -> tuple[str, ...]:
+    """Return the names of the shared parts of a request's prompt."""
+    return part_keys(req.organisation, (part.part_id for part in req.parts))
--- a/chestnutfall/placement/waiting_request.py
+++ b/chestnutfall/placement/waiting_request.py
@@ -7,6 +7,7 @@
 from .place_request import PlaceRequest
 from .prompt_cache import Prefixes, prefixes_of
 from .queue import Queue
+from .suspect_parts import keys_of
 
 
 @dataclass(slots=True)
@@ -43,11 +44,19 @@
     build_key: str = ""
     prefixes: Prefixes = field(init=False)
     queue: Queue = field(init=False)
+    _part_keys: tuple[str, ...] | None = None
 
     def __post_init__(self) -> None:
         self.prefixes = prefixes_of(self.req)
         self.queue = Queue(self.req.service, self.build_key)
 
+    @property
+    def part_keys(self) -> tuple[str, ...]:
+        """Names of the shared parts of its prompt; computed when first asked for."""
+        if self._part_keys is None:
+            self._part_keys = keys_of(self.req)
+        return self._part_keys
+
     def objective_ms(self, now_ms: int) -> int:
         """Time left until its first event is late; negative when it is."""
         return self.since_ms + self.req.objective_ms - now_ms
--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass
 
 from ..clock import Clock
@@ -92,8 +92,9 @@
         self._refuses_connections = refuses_connections
         self._unreported: set[str] = set()
         self._retry_ms: dict[str, int] = {}
+        self._parts_retry_ms: dict[frozenset[str], int] = {}
         self._checks: dict[str, asyncio.Task[bool]] = {}
-        self._reports: set[asyncio.Task[None]] = set()
+        self._reports: set[asyncio.Task[bool]] = set()
         self._being_checked: set[_BrokenAnswer] = set()
         self._still_open: deque[_BrokenAnswer] = deque(maxlen=MAX_REMEMBERED)
 
@@ -105,6 +106,25 @@
         for fingerprint in self._retry_ms.keys() ^ known.keys():
             change = "holds" if fingerprint in self._retry_ms else "ended for"
             log.info("quarantine: %s content=%s", change, fingerprint)
+        known_parts = self._parts_retry_ms
+        self._parts_retry_ms = {frozenset(one.parts): one.retry_ms for one in suspects.parts}
+        for parts in self._parts_retry_ms.keys() ^ known_parts.keys():
+            change = "holds" if parts in self._parts_retry_ms else "ended for"
+            log.info("quarantine: %s parts=%s", change, ",".join(sorted(parts)))
+
+    @property
+    def holds_parts(self) -> bool:
+        """Whether any prompt parts are quarantined."""
+        return bool(self._parts_retry_ms)
+
+    def parts_retry_ms(self, parts: Collection[str]) -> int | None:
+        """Return the retry time of a request with these prompt parts; None if it may be sent.
+
+        Parts that are quarantined together are refused together only: a request with some of them
+        may be sound, and shows it by its answer.
+        """
+        found = [ms for held, ms in self._parts_retry_ms.items() if held.issubset(parts)]
+        return max(found, default=None)
 
     def retry_ms(self, fingerprint: str) -> int | None:
         """Return the retry time of a quarantined request, in ms; None if it may be sent."""
@@ -137,9 +157,11 @@
         address: str,
         began_ms: int,
         parts: tuple[str, ...] = (),
-    ) -> None:
+    ) -> asyncio.Task[bool]:
         """Report in the background that an answer broke off, and whether its upstream has ended.
 
+        Returns the task that finds out, and makes the report before it ends.
+
         Parameters
         ----------
         began_ms : int
@@ -153,6 +175,7 @@
         task = asyncio.ensure_future(self._check_and_report(broken))
         self._reports.add(task)
         task.add_done_callback(self._reports.discard)
+        return task
 
     def note_answered(self, fingerprint: str) -> None:
         """Report a whole answer to a watched or quarantined request, once after each `update`."""
@@ -177,7 +200,7 @@
             else:
                 self._still_open.append(one)
 
-    async def _check_and_report(self, broken: _BrokenAnswer) -> None:
+    async def _check_and_report(self, broken: _BrokenAnswer) -> bool:
         self._being_checked.add(broken)
         refuses = await self._has_ended(broken.address)
         ended = refuses or broken not in self._being_checked
@@ -185,6 +208,7 @@
         if not ended:
             self._still_open.append(broken)
         self._report_broken(broken, ended)
+        return ended
 
     def _report_broken(self, broken: _BrokenAnswer, ended: bool) -> None:
         now_ms = self._clock.now_ms()
--- a/chestnutfall/tests/fakes/forwarder_case.py
+++ b/chestnutfall/tests/fakes/forwarder_case.py
@@ -17,6 +17,7 @@
 from ...forwarding.repeats import Repeats
 from ...forwarding.sender import Sender
 from ...observability.prometheus_metrics import PrometheusMetrics
+from ...placement import PromptPart
 from ...quarantine import RequestQuarantine
 from ...quota.quota_enforcer import QuotaEnforcer
 from ...routes import (
@@ -67,6 +68,8 @@
         Called when an upstream is selected or released.
     reports : list of CrashReport
         Crash reports of the gateway.
+    parts : tuple of str
+        Ids of the parts of the prompt.
     """
 
     def setUp(self) -> None:
@@ -80,6 +83,7 @@
         self.has_other = True
         self.held_back_for_ms = 0.0
         self.on_selected = self.on_released = self._nothing
+        self.parts: tuple[str, ...] = ()
         self.reports: list[CrashReport] = []
         self.quarantine = RequestQuarantine(
             self.reports.append, self._refuses_connections, self.clock
@@ -135,7 +139,8 @@
             metrics,
             self.rng,
         )
-        call = Call("id-1", "POST", "/a/x", "/a/x", "a.example", (), b"", 0, 4000)
+        parts = tuple(PromptPart(name, 10) for name in self.parts)
+        call = Call("id-1", "POST", "/a/x", "/a/x", "a.example", (), b"", 0, 4000, parts=parts)
         if self.leaving:
             forwarder.refuse_new()
         served = asyncio.ensure_future(forwarder.serve(call, self.reply))
--- a/chestnutfall/tests/fakes/placement_case.py
+++ b/chestnutfall/tests/fakes/placement_case.py
@@ -13,6 +13,7 @@
     Grant,
     LoadAdapter,
     PlaceRequest,
+    PromptPart,
     Reject,
     RunOutcome,
 )
@@ -62,9 +63,17 @@
     def _back_off(self, name: str, gateway: str, left_ms: int | None) -> None:
         self.backoffs.update(gateway, HeardBackoff(name, left_ms))
 
-    def _submit(self, ticket: str, adapter: str, wait_ms: int = 4_000, build: str = "") -> None:
+    def _submit(
+        self,
+        ticket: str,
+        adapter: str,
+        wait_ms: int = 4_000,
+        build: str = "",
+        parts: tuple[str, ...] = (),
+    ) -> None:
         name = AdapterName("base", adapter)
-        req = PlaceRequest(ticket, "s", name, 100, 10, (), 1, 500, wait_ms, "dc")
+        prompt = tuple(PromptPart(part, 10) for part in (*parts, ticket) if parts)
+        req = PlaceRequest(ticket, "s", name, 100, 10, prompt, 1, 500, wait_ms, "dc")
         self.placer.submit(req, build)
 
     def _pass_ms(self, ms: int) -> None:
--- /dev/null
+++ b/chestnutfall/tests/part_scenario.py
@@ -0,0 +1,127 @@
+"""A scenario of the real programs with requests whose prompt parts end engines."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
+
+from ..platform.standin.stream_caller import StreamCaller
+from .stream_scenario import StreamScenario
+
+CALM_S = 2.0
+SETTLED_S = 3.0
+"""Time after the fifth end from which no more engine may end under the part."""
+FATAL, COMPANION = "dead0001", "dead0002"
+SECOND_PARTS = 200
+
+
+@dataclass(slots=True)
+class PartScenario:
+    """Sound callers, and from a moment on callers whose prompts have fatal parts.
+
+    Attributes
+    ----------
+    parts : tuple of str
+        Parts that the fatal requests have beside those of sound ones.
+    ends_leaders : bool
+        Whether controllers are killed in turn meanwhile.
+    fatal_callers : int
+        Number of callers of fatal requests.
+    pause_s : tuple of float
+        Shortest and longest time between two requests of such a caller.
+    down_s : float
+        Time from the end of an engine to its restart.
+    """
+
+    seed: int
+    engines: int
+    length_s: float
+    parts: tuple[str, ...] = (FATAL,)
+    ends_leaders: bool = False
+    fatal_callers: int = 2
+    pause_s: tuple[float, float] = (0.1, 0.5)
+    down_s: float = 1.5
+    began_s: float = 0.0
+    play: StreamScenario = field(init=False)
+
+    def run(self) -> None:
+        """Play it."""
+        builds = ("v1",) * self.engines
+        self.play = StreamScenario(self.seed, builds, break_share=0.0, parts=draw_sound_parts)
+        asyncio.run(self.play.run(self._script))
+
+    async def _script(self, play: StreamScenario) -> None:
+        await asyncio.sleep(CALM_S)
+        for engine in play.engines:
+            engine.down_s = self.down_s
+        self.began_s = time.monotonic()
+        play.office.run_registry.fatal_parts.add(FATAL)
+        rng = random.Random(self.seed)
+        caller = StreamCaller(rng, lambda: play.draw_gateway(rng))
+        fatal = [
+            asyncio.ensure_future(self._send_fatal(caller, rng)) for _ in range(self.fatal_callers)
+        ]
+        if self.ends_leaders:
+            await asyncio.sleep(CALM_S)
+            await _end_controllers(play)
+        left_s = self.began_s + self.length_s - time.monotonic()
+        await asyncio.sleep(max(left_s, 0.0))
+        for task in fatal:
+            task.cancel()
+        await asyncio.gather(*fatal, return_exceptions=True)
+        await caller.close()
+
+    async def _send_fatal(self, caller: StreamCaller, rng: random.Random) -> None:
+        while True:
+            await caller.stream(None, parts=(*draw_sound_parts(rng), *self.parts))
+            await asyncio.sleep(rng.uniform(*self.pause_s))
+
+    # What came of it
+
+    @property
+    def ends_s(self) -> list[float]:
+        """Times of the ends under the fatal part."""
+        return self.play.office.run_registry.fatal_end_times_s
+
+    @property
+    def settled_s(self) -> float:
+        """Time from which no more fatal request may reach an engine."""
+        return (self.ends_s[:5] or [self.began_s])[-1] + SETTLED_S
+
+    @property
+    def late_arrivals(self) -> int:
+        """Number of fatal requests that reached engines later than that."""
+        arrivals = self.play.office.run_registry.fatal_arrival_times_s
+        return sum(one > self.settled_s for one in arrivals)
+
+    @property
+    def share_before(self) -> float:
+        """Share of the sound requests that began at the first attempt, before the first fatal."""
+        return self.play.share_that_begins(until_s=self.began_s)
+
+    @property
+    def share_after(self) -> float:
+        """The same since `settled_s`."""
+        return self.play.share_that_begins(from_s=self.settled_s)
+
+    def describe(self) -> str:
+        """Return what happened, for messages."""
+        return (
+            f"{len(self.ends_s)} ends, {self.late_arrivals} later; of the sound "
+            f"{self.share_after:.3f} begin, {self.share_before:.3f} before, "
+            f"{self.play.share_that_begins(from_s=self.began_s):.3f} all the while"
+        )
+
+
+def draw_sound_parts(rng: random.Random) -> tuple[str, ...]:
+    """Draw the shared parts of a sound prompt."""
+    return f"aa{rng.randrange(3)}", f"bb{rng.randrange(SECOND_PARTS):03d}"
+
+
+async def _end_controllers(play: StreamScenario) -> None:
+    for controller in play.office.controllers:
+        await controller.kill()
+        await controller.start(False)
+        await asyncio.sleep(1.5)
--- a/chestnutfall/tests/stream_scenario.py
+++ b/chestnutfall/tests/stream_scenario.py
@@ -76,7 +76,7 @@
         with tempfile.TemporaryDirectory(prefix="streams-") as folder:
             self.office = Office(Path(folder), rng, plan)
             operator = StandInOperator(self.office.control_addresses, rng)
-            caller = StreamCaller(rng, lambda: self._draw_gateway(rng), self.names_attempt)
+            caller = StreamCaller(rng, lambda: self.draw_gateway(rng), self.names_attempt)
             try:
                 await self.office.start(self.builds)
                 for engine in self.engines:
@@ -101,7 +101,8 @@
         """The engines, in the order of `builds`."""
         return [one for one in self.office.upstreams if one.service == ENGINES]
 
-    def _draw_gateway(self, rng: random.Random) -> str:
+    def draw_gateway(self, rng: random.Random) -> str:
+        """Draw the address of a gateway that clients are sent to."""
         serving = [one for one in self.office.gateways if one.plan.name not in self.out]
         return self.office.client_address(rng.choice(serving))
 
--- /dev/null
+++ b/chestnutfall/tests/test_part_ledger.py
@@ -0,0 +1,169 @@
+"""Which prompt parts are blamed for the ends of engines, on plain data."""
+
+from __future__ import annotations
+
+import unittest
+
+from ..clock import ManualClock
+from ..control.commands import COMMAND_CODEC, ClearParts, ForgetParts, HoldParts, NoteUpstreamEnd
+from ..control.control_state import ControlState
+from ..control.crash_messages import QuarantinedParts
+from ..control.part_blame import MIN_OTHER_ANSWERS, parts_to_hold
+from ..control.part_ledger import HOLD_MS, MAX_HELD, MAX_PART_ENDS, PartLedger, RunParts
+from ..control.part_monitor import PartMonitor
+from ..placement.suspect_parts import SuspectParts
+
+MANY = MIN_OTHER_ANSWERS
+
+
+class PartBlameTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = PartLedger()
+
+    def _end(self, instance: str, overlapping: str = "", **runs: str) -> tuple[str, ...] | None:
+        found = [RunParts(name, tuple(parts.split())) for name, parts in runs.items()]
+        self.ledger.note_end(instance, "s", found, overlapping.split())
+        return parts_to_hold(self.ledger, instance, MANY)
+
+    def test_a_part_in_two_ends_of_different_requests_is_held(self) -> None:
+        self.assertIsNone(self._end("e1", r1="g b1", r2="b2"))
+        self.assertEqual(self._end("e2", r3="g b3", r4="b4"), ("g",))
+
+    def test_one_request_in_all_ends_explains_them(self) -> None:
+        self._end("e1", r1="g b1")
+        self.assertIsNone(self._end("e2", r1="g b1"))
+        self.assertEqual(self._end("e3", r2="g b2"), ("g",))
+
+    def test_ends_that_overlap_are_one(self) -> None:
+        self._end("e1", r1="g")
+        self.assertIsNone(self._end("e2", overlapping="g", r2="g"))
+
+    def test_parts_of_different_requests_are_left_to_the_next_end(self) -> None:
+        self._end("e1", r1="g", r2="c")
+        self.assertIsNone(self._end("e2", r3="g", r4="c"))
+        self.assertEqual(self._end("e3", r5="g"), ("g",))
+
+    def test_parts_of_the_same_requests_are_held_together(self) -> None:
+        self._end("e1", r1="g c")
+        self.assertEqual(self._end("e2", r2="g c"), ("c", "g"))
+
+    def test_nothing_is_held_where_nothing_else_is_answered(self) -> None:
+        self._end("e1", r1="g")
+        self._end("e2", r2="g")
+        self.assertIsNone(parts_to_hold(self.ledger, "e2", MANY - 1))
+
+    def test_parts_that_were_held_before_need_one_end(self) -> None:
+        self.ledger.hold(("g",))
+        self.assertIsNone(parts_to_hold(self.ledger, "e1", 0))
+        self.ledger.forget((), ("g",))
+        self.assertEqual(self._end("e1", r1="g b"), ("g",))
+        self.ledger.hold(("g",))
+        self.assertEqual(self.ledger.quarantined(), (QuarantinedParts(("g",), 10 * HOLD_MS),))
+
+
+class PartLedgerTest(unittest.TestCase):
+    def test_a_part_that_is_cleared_leaves_ends_and_sets(self) -> None:
+        ledger = PartLedger()
+        ledger.note_end("e1", "s", [RunParts("r1", ("b",)), RunParts("r2", ("b", "d"))], ())
+        ledger.hold(("c", "g"))
+        ledger.clear(["b", "c"])
+        self.assertEqual(ledger.ends["e1"].runs, (RunParts("r2", ("d",)),))
+        self.assertEqual(set(ledger.held.values()), {("g",)})
+        ledger.clear(["d", "g"])
+        self.assertEqual((ledger.ends, ledger.held, ledger.offences), ({}, {}, {}))
+
+    def test_a_hold_explains_its_ends(self) -> None:
+        ledger = PartLedger()
+        ledger.note_end("e1", "s", [RunParts("r1", ("g", "b"))], ())
+        ledger.note_end("e2", "s", [RunParts("r2", ("b",))], ())
+        self.assertEqual(ledger.hold(("g",)), ("e1",))
+        self.assertEqual(ledger.suspects(), {"g", "b"})
+        self.assertEqual(list(ledger.ends), ["e2"])
+
+    def test_a_repeated_report_is_the_same_end(self) -> None:
+        ledger = PartLedger()
+        for _ in range(3):
+            ledger.note_end("e1", "s", [RunParts("r1", ("g",))], ())
+        self.assertEqual((len(ledger.ends), ledger.counts()["g"]), (1, 1))
+
+    # Guards against memory that grows with parts that are new in each request.
+    def test_ends_and_holds_are_bounded(self) -> None:
+        ledger = PartLedger()
+        for at in range(2 * MAX_PART_ENDS):
+            ledger.note_end(f"e{at}", "s", [RunParts("r", (f"p{at}",))], ())
+        for at in range(2 * MAX_HELD):
+            ledger.hold((f"q{at}",))
+        self.assertEqual((len(ledger.ends), len(ledger.held)), (MAX_PART_ENDS, MAX_HELD))
+
+    # Guards against a hold that a restart of all controllers forgets.
+    def test_ends_and_holds_are_part_of_the_replicated_state(self) -> None:
+        state = ControlState()
+        runs = (RunParts("r1", ("g", "c")),)
+        commands = (
+            NoteUpstreamEnd("e1", ("r1",), (), "s", runs, ()),
+            HoldParts(("c", "g")),
+            NoteUpstreamEnd("e2", ("r2",), (), "s", (RunParts("r2", ("b",)),), ()),
+            ClearParts(("c",)),
+        )
+        for command in commands:
+            state.apply(0, COMMAND_CODEC.encode(command))
+        restored = ControlState()
+        restored.restore(state.dump())
+        parts = restored.crashes.parts
+        self.assertEqual(set(parts.held.values()), {("g",)})
+        self.assertEqual(list(parts.ends), ["e2"])
+        self.assertTrue(restored.crashes.ends["e1"].explained)
+        restored.apply(0, COMMAND_CODEC.encode(ForgetParts(("e2",), ("g",))))
+        self.assertEqual((parts.ends, parts.held, parts.offences), ({}, {}, {"g": 1}))
+
+
+class PartMonitorTest(unittest.TestCase):
+    # Guards against a new leader that begins without the evidence and the holds of the last one.
+    def test_a_new_leader_knows_what_is_suspect_and_held(self) -> None:
+        state = ControlState()
+        state.crashes.note_parts("e1", "s", [RunParts("r1", ("b",))], ())
+        state.crashes.hold_parts(("g",))
+        suspects = SuspectParts()
+        PartMonitor(state, suspects, ManualClock())
+        self.assertIn("b", suspects)
+        self.assertIn("g", suspects)
+        self.assertEqual(suspects.retry_ms({"g", "x"}), HOLD_MS)
+        self.assertIsNone(suspects.retry_ms({"b", "x"}))
+
+
+class SuspectPartsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.suspects = SuspectParts()
+        self.suspects.suspect(["g", "b"], "s", "e0", 0)
+        self.now_ms = 1_000
+
+    def _barred(self, *keys: str) -> set[str] | None:
+        barred = self.suspects.barred(keys, ["e1", "e2", "e3"], self.now_ms)
+        return set(barred) if barred is not None else None
+
+    def test_requests_with_a_suspect_part_share_one_engine(self) -> None:
+        self.assertEqual(self._barred("g"), set())
+        self.suspects.assigned("t1", ["g"], "e1")
+        self.assertEqual(self._barred("g"), {"e2", "e3"})
+        self.suspects.ended("t1")
+        self.assertEqual(self._barred("g"), set())
+
+    def test_different_suspects_run_apart_while_there_are_engines(self) -> None:
+        self.suspects.assigned("t1", ["g"], "e1")
+        self.assertEqual(self._barred("b"), {"e1"})
+        self.suspects.assigned("t2", ["b"], "e2")
+        self.assertIsNone(self._barred("g", "b"))
+        self.suspects.suspect(["c", "d"], "s", "e0", 0)
+        self.suspects.assigned("t3", ["c"], "e3")
+        self.assertEqual(self._barred("d"), set())
+
+    def test_requests_wait_until_common_parts_are_cleared_and_an_end_is_judged(self) -> None:
+        self.now_ms = 10
+        self.assertIsNone(self._barred("g"))
+        self.assertEqual(self._barred("other"), set())
+        self.now_ms = 100
+        self.assertEqual(self._barred("g"), set())
+        self.suspects.suspect(["g"], "s", "e1", 100)
+        self.now_ms = 200
+        self.assertIsNone(self._barred("g"))
+        self.assertEqual(self._barred("b"), set())
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -8,6 +8,7 @@
 from .control_mutants import CONTROL_MUTANTS
 from .fleet_mutants import FLEET_MUTANTS
 from .limit_mutants import LIMIT_MUTANTS
+from .part_mutants import PART_MUTANTS
 from .path_mutants import PATH_MUTANTS
 from .placement_mutants import PLACEMENT_MUTANTS
 from .quarantine_mutants import QUARANTINE_MUTANTS
@@ -32,6 +33,7 @@
     *CONNECTION_MUTANTS,
     *PATH_MUTANTS,
     *STREAM_MUTANTS,
+    *PART_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
--- /dev/null
+++ b/properties/safeguards/part_mutants.py
@@ -0,0 +1,148 @@
+"""Safeguards against prompt parts that end engines, and changes that remove them."""
+
+from __future__ import annotations
+
+from ..mutant import Mutant
+
+_FATAL = "chestnutfall.tests.test_suspect_parts.FatalPartTest."
+_HELD = "chestnutfall.tests.test_suspect_parts.HeldPartTest."
+_OTHER = "chestnutfall.tests.test_suspect_parts.OtherCauseTest."
+_PLACEMENT = "chestnutfall.tests.test_suspect_placement.SuspectPlacementTest."
+_SUSPECTS = "chestnutfall/placement/suspect_parts.py"
+_BLAME = "chestnutfall/control/part_blame.py"
+_MONITOR = "chestnutfall/control/part_monitor.py"
+_PLACER = "chestnutfall/placement/placer.py"
+_FORWARDER = "chestnutfall/forwarding/forwarder.py"
+
+PART_MUTANTS = (
+    Mutant(
+        "parts are never held",
+        "chestnutfall/control/crash_monitor.py",
+        "        if parts is None:\n            return\n",
+        "        if True:\n            return\n",
+        _FATAL + "test_requests_that_share_a_fatal_part_end_few_engines",
+    ),
+    Mutant(
+        "requests with a suspect part run on any number of engines",
+        _SUSPECTS,
+        "            return [one for one in engines if one not in runs_at]\n",
+        "            return ()\n",
+        _FATAL + "test_a_burst_of_twenty_within_a_second_ends_few_engines",
+    ),
+    Mutant(
+        "requests with a suspect part are placed before it can be cleared",
+        _SUSPECTS,
+        "        if any(now_ms < one.placed_from_ms for one in suspicions):\n",
+        "        if False:\n",
+        _HELD + "test_probing_back_after_a_hold_costs_one_engine_at_most",
+    ),
+    Mutant(
+        "answers clear no part",
+        _SUSPECTS,
+        "        self._cleared.update(cleared)\n        self.clear(cleared)\n",
+        "",
+        _OTHER + "test_parts_of_an_engine_that_ended_are_cleared_by_the_next_answers",
+    ),
+    Mutant(
+        "a request that waits keeps its engine when its part becomes suspect",
+        _PLACER,
+        "        if not self.suspects.is_placed(waiting.req.ticket, waiting.part_keys):\n",
+        "        if False:\n",
+        _PLACEMENT + "test_a_request_that_waits_for_its_adapter_moves_to_the_engine_at_risk",
+    ),
+    Mutant(
+        "a request that waits for its adapter is placed in spite of a hold",
+        _PLACER,
+        "        elif (held_ms := self._held_ms(waiting)) is not None:\n",
+        "        elif (held_ms := None) is not None:\n",
+        _HELD + "test_requests_that_wait_as_the_hold_begins_are_refused",
+    ),
+    Mutant(
+        "a gateway asks for a place in spite of a hold",
+        _FORWARDER,
+        "        if retry_ms is None and self._quarantine.holds_parts:\n",
+        "        if False:\n",
+        "chestnutfall.tests.test_held_parts.HeldPartsTest."
+        "test_a_call_with_held_parts_is_refused_before_it_asks_for_a_place",
+    ),
+    Mutant(
+        "a request is sent again before its engine's end is reported",
+        "chestnutfall/forwarding/result_handler.py",
+        "                progress.ended_upstream = await asyncio.shield(ending)\n",
+        "                progress.ended_upstream = False\n",
+        _HELD + "test_without_a_leader_a_request_is_not_sent_again_after_its_engine_ended",
+    ),
+    Mutant(
+        "equal parts of two organisations count as one",
+        "chestnutfall/requests/part_keys.py",
+        "f\"{quote(organisation, safe='')}/{_short(part_id)}\"",
+        'f"/{_short(part_id)}"',
+        _FATAL + "test_a_part_is_held_for_the_organisation_whose_requests_ended_engines",
+    ),
+    Mutant(
+        "the request's own part is one that others may share",
+        "chestnutfall/requests/part_keys.py",
+        "    shared = tuple(part_ids)[:-1]\n",
+        "    shared = tuple(part_ids)\n",
+        "chestnutfall.tests.test_part_keys.PartKeysTest.test_the_last_part_has_no_name",
+    ),
+    Mutant(
+        "what one request does is blamed on its parts",
+        _BLAME,
+        "    return bool(set.intersection(*requests))\n",
+        "    return False\n",
+        _OTHER + "test_a_request_that_ends_engines_by_itself_brings_no_part_into_disrepute",
+    ),
+    Mutant(
+        "a part of all prompts is held while nothing is answered",
+        _BLAME,
+        "    if not blamed or other_answers < MIN_OTHER_ANSWERS:\n",
+        "    if not blamed:\n",
+        _OTHER + "test_a_part_of_all_prompts_is_not_held_while_nothing_is_answered",
+    ),
+    Mutant(
+        "ends of many engines at one moment count as many under a part",
+        _MONITOR,
+        "        return last_ms is None or began_ms >= last_ms - REPORT_JITTER_MS\n",
+        "        return True\n",
+        _OTHER + "test_engines_that_end_together_implicate_no_part",
+    ),
+    Mutant(
+        "the end of an engine that leaves is blamed on what it ran",
+        _MONITOR,
+        "        if record is None or not record.leaving:\n",
+        "        if True:\n",
+        _OTHER + "test_an_engine_that_leaves_and_ends_implicates_no_part",
+    ),
+    Mutant(
+        "an offender needs as many ends again after its hold",
+        _BLAME,
+        "    for offender in ledger.offenders():\n",
+        "    for offender in ():\n",
+        _HELD + "test_probing_back_after_a_hold_costs_one_engine_at_most",
+    ),
+    Mutant(
+        "a part that is answered stays an offender",
+        "chestnutfall/control/part_ledger.py",
+        "            self._shrink(name, cleared)\n",
+        "            pass\n",
+        _HELD + "test_a_part_that_is_answered_after_its_hold_is_cleared",
+    ),
+    Mutant(
+        "a new leader holds nothing",
+        _MONITOR,
+        '            suspects.suspect(parts_of(offender), ANY_SERVICE, "", clock.now_ms())\n'
+        "        self.update_holds()\n",
+        "            pass\n",
+        "chestnutfall.tests.test_part_ledger.PartMonitorTest."
+        "test_a_new_leader_knows_what_is_suspect_and_held",
+    ),
+    Mutant(
+        "a prompt brings any number of parts",
+        "chestnutfall/requests/part_keys.py",
+        "    return tuple(dict.fromkeys(names))[:MAX_KEYS]\n",
+        "    return tuple(dict.fromkeys(names))\n",
+        "chestnutfall.tests.test_part_keys.PartKeysTest."
+        "test_names_are_bounded_in_number_and_length",
+    ),
+)
