Leave the sockets of HTTP clients to the event loop alone

Its log named the cause: 'File descriptor 27 is used by transport'. aiohttp opens a socket and hands it to the loop; a request that is cancelled or out of time in that moment has uvloop close the socket's number, and Python's socket object, kept by the frames of the failed request, closes it once more later. By then the number may belong to another connection, of a caller or an upstream.

HTTP clients open connections through the loop now, which closes them once.

--- a/chestnutfall/engine_edge/http_engine_api.py
+++ b/chestnutfall/engine_edge/http_engine_api.py
@@ -15,6 +15,7 @@
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 from ..signals import NoBackoff
+from ..wire.direct_connector import DirectConnector
 from ..wire.single_send_session import single_send_session
 from .answer_event import AnswerEvent
 from .answer_validator import DONE
@@ -42,7 +43,7 @@
     def __init__(self, upstreams: UpstreamApi) -> None:
         self._upstreams = upstreams
         self._pool = single_send_session(
-            aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
+            DirectConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
         )
 
     async def close(self) -> None:
--- a/chestnutfall/engine_edge/own_upstream_http.py
+++ b/chestnutfall/engine_edge/own_upstream_http.py
@@ -15,6 +15,7 @@
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 from ..signals import UnreadHeaders, read_signals
 from ..signals.own_headers import OWN_SIGNALS
+from ..wire.direct_connector import DirectConnector
 from ..wire.single_send_session import single_send_session
 
 CONNECT_TIMEOUT_MS = 500
@@ -32,9 +33,9 @@
     def __init__(self, unread: UnreadHeaders) -> None:
         self._unread = unread
         self._pool = single_send_session(
-            aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
+            DirectConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
         )
-        self._fresh = single_send_session(aiohttp.TCPConnector(limit=0, force_close=True))
+        self._fresh = single_send_session(DirectConnector(limit=0, force_close=True))
 
     @asynccontextmanager
     async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
--- a/chestnutfall/load/load_client.py
+++ b/chestnutfall/load/load_client.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from ..wire.direct_connector import DirectConnector
 from .arrival import Arrival
 from .load_report import LoadReport
 
@@ -45,7 +46,7 @@
         """Send every request when it is due, and return the report once all have ended."""
         started = time.monotonic()
         tasks = []
-        connector = aiohttp.TCPConnector(limit=0)
+        connector = DirectConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector, trust_env=False) as session:
             for number, arrival in enumerate(arrivals):
                 due_s = started + arrival.at_ms / 1000
--- a/chestnutfall/platform/engine_http.py
+++ b/chestnutfall/platform/engine_http.py
@@ -10,6 +10,7 @@
 from ..control.upstream_record import UpstreamRecord
 from ..coordination.engine_control import EngineControl, OrderResult
 from ..placement import EngineReport, LoadAdapter, LoadModel, Order, UnloadAdapter
+from ..wire.direct_connector import DirectConnector
 from . import header_names as names
 from .upstream_json import UnreadableUpstream, read_report
 
@@ -37,8 +38,8 @@
     def __init__(self, holder: str) -> None:
         self._holder = holder
         self._report_slots = asyncio.Semaphore(MAX_CONCURRENT_REPORTS)
-        self._report_session = _new_session(aiohttp.TCPConnector(limit=0, force_close=True))
-        self._order_session = _new_session(aiohttp.TCPConnector(limit=0, keepalive_timeout=1.5))
+        self._report_session = _new_session(DirectConnector(limit=0, force_close=True))
+        self._order_session = _new_session(DirectConnector(limit=0, keepalive_timeout=1.5))
 
     async def order(
         self,
@@ -86,7 +87,7 @@
         await self._order_session.close()
 
 
-def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+def _new_session(connector: DirectConnector) -> aiohttp.ClientSession:
     timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
     return aiohttp.ClientSession(connector=connector, timeout=timeout, trust_env=False)
 
--- a/chestnutfall/platform/upstream_connector.py
+++ b/chestnutfall/platform/upstream_connector.py
@@ -12,6 +12,7 @@
 
 from ..clock import Clock
 from ..connections import ConnectionPool
+from ..wire.direct_connector import DirectConnector
 from .upstream_connection import UpstreamConnection
 from .upstream_send import CURRENT_SEND
 
@@ -19,7 +20,7 @@
 """Time between two looks for connections that have been idle for too long."""
 
 
-class UpstreamConnector(aiohttp.TCPConnector):
+class UpstreamConnector(DirectConnector):
     """Connector whose connections are kept by a `ConnectionPool`; aiohttp's own pool stays empty.
 
     It must be created in a running event loop.
--- /dev/null
+++ b/chestnutfall/wire/direct_connector.py
@@ -0,0 +1,43 @@
+"""An aiohttp connector whose sockets belong to the event loop from the first moment."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+
+class DirectConnector(aiohttp.TCPConnector):
+    """Opens connections through the event loop instead of handing finished sockets to it.
+
+    aiohttp opens a socket itself and then gives it to the loop. If the request is cancelled or runs
+    out of time in between, uvloop closes the socket's number, and Python's socket object, which
+    still has it, closes it again later. By then the number may be that of another connection, which
+    is cut, or gets what was written for the first one. A socket that the loop opened is closed by
+    it alone, once.
+    """
+
+    async def _wrap_create_connection(
+        self,
+        *args: Any,
+        addr_infos: list[Any],
+        req: Any,
+        timeout: aiohttp.ClientTimeout,
+        client_error: type[Exception] = aiohttp.ClientConnectorError,
+        **kwargs: Any,
+    ) -> tuple[asyncio.Transport, ResponseHandler]:
+        ip, port = addr_infos[0][4][:2]
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                transport, protocol = await self.open_connection(*args, ip, port, **kwargs)
+                return transport, protocol
+        except OSError as exc:
+            if exc.errno is None and isinstance(exc, TimeoutError):
+                raise
+            raise client_error(req.connection_key, exc) from exc
+
+    async def open_connection(self, *args: Any, **kwargs: Any) -> Any:
+        """Open a connection; takes and returns what the event loop's function does."""
+        return await self._loop.create_connection(*args, **kwargs)
--- a/soak/cut_links.py
+++ b/soak/cut_links.py
@@ -8,31 +8,17 @@
 
 import asyncio
 import os
-import socket
 import tomllib
 from pathlib import Path
 from typing import Any
 
-from aiohttp import connector
-
 from chestnutfall.platform.node_file import PATH_VARIABLE
+from chestnutfall.wire.direct_connector import DirectConnector
 
 from .relay import CUT_FILE, REFUSED, UPSTREAM_HOST
 
 _open_connection = asyncio.open_connection
-_start_connection = connector.aiohappyeyeballs.start_connection
-
-
-def _reusable_socket(addr_info: Any) -> socket.socket:
-    """Create a socket whose port may be listened on soon after it is closed.
-
-    Otherwise a gateway of a later run, on the same address, can't listen on a port that one of
-    these connections had.
-    """
-    family, kind, protocol, _, _ = addr_info
-    sock = socket.socket(family, kind, protocol)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    return sock
+_open_for_http = DirectConnector.open_connection
 
 
 class _CutLinks:
@@ -49,14 +35,14 @@
             options["local_addr"] = (self._ip, 0)
         return await _open_connection(host, port, **options)
 
-    async def start_connection(self, *, addr_infos: Any, **options: Any) -> socket.socket:
-        """Stand in for the function with which aiohttp opens connections."""
-        if addr_infos[0][4][0] == UPSTREAM_HOST:
+    async def open_for_http(
+        self, connector: DirectConnector, factory: Any, host: str, port: int, **options: Any
+    ) -> Any:
+        """Stand in for the function with which HTTP clients open connections."""
+        if host == UPSTREAM_HOST:
             await self._fail_if_cut()
-            local = (socket.AF_INET, socket.SOCK_STREAM, 0, "", (self._ip, 0))
-            options["local_addr_infos"] = [local]
-            options["socket_factory"] = _reusable_socket
-        return await _start_connection(addr_infos=addr_infos, **options)
+            options["local_addr"] = (self._ip, 0)
+        return await _open_for_http(connector, factory, host, port, **options)
 
     async def _fail_if_cut(self) -> None:
         match self._file.read_text() if self._file.exists() else "":
@@ -72,4 +58,8 @@
     """Replace the ways in which this process opens connections."""
     links = _CutLinks(Path(os.environ[PATH_VARIABLE]))
     asyncio.open_connection = links.open_connection  # type: ignore[assignment]
-    connector.aiohappyeyeballs.start_connection = links.start_connection  # type: ignore[assignment]
+
+    async def open_for_http(connector: DirectConnector, *args: Any, **options: Any) -> Any:
+        return await links.open_for_http(connector, *args, **options)
+
+    DirectConnector.open_connection = open_for_http  # type: ignore[method-assign]
