Take only the connections that a gateway can serve

Each call waited for all others in the event loop, and connections waited 1.8 s more in the system's queue, of which the loop takes one a turn.

A gateway takes all connections that wait, and measures how long calls wait for their first turn of the loop. Once that stands above 15 ms for 0.3 s it closes new connections beyond a limit, unread, which callers may take to another gateway. The limit follows the delay, spreads what it allows over time, and goes by itself. Calls on open connections are never limited, the gateway stays ready, and nothing acts while connections are spread as usual. Both interfaces have it.

Model tests at 1.3, 3 and 5 times what a host can do, whole, a quarter and a ninth of a processor; 14 mutants.

--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -14,9 +14,11 @@
 from ..forwarding.drain import Drainable
 from ..forwarding.forwarder import Forwarder
 from ..routes import DocumentLimits
+from ..rush import ConnectionGate, GatedServer
 from .body import read_body
 from .call_reader import read_call
 from .client_reply import ClientReply
+from .gated_listening import GatedListener, listen_gated
 from .listening import Listener, listen
 
 log = logging.getLogger(__name__)
@@ -38,6 +40,8 @@
         Whether the gateway can serve clients.
     limits : callable
         Returns the limits in force for requests.
+    gate : ConnectionGate
+        Decides which new connections of clients are taken.
     """
 
     def __init__(
@@ -45,15 +49,17 @@
         forwarder: Forwarder,
         is_ready: Callable[[], bool],
         limits: Callable[[], DocumentLimits],
+        gate: ConnectionGate,
         clock: Clock,
     ) -> None:
         self._forwarder = forwarder
         self._is_ready = is_ready
         self._limits = limits
+        self._gate = gate
         self._clock = clock
         self._in_progress = 0
         self._leaving = False
-        self._caller_runner: Listener | None = None
+        self._caller_runner: GatedListener | None = None
         self._ready_runner: Listener | None = None
 
     def calls_in_progress(self) -> int:
@@ -67,15 +73,16 @@
 
     async def start(self, caller_address: str, ready_address: str) -> None:
         """Listen for clients and for the load balancer."""
-        caller_server = Server(
+        caller_server = GatedServer(
             self._on_request,
+            self._gate,
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_S,
             max_line_size=DocumentLimits().max_header_bytes,
             max_field_size=DocumentLimits().max_header_bytes,
         )
-        self._caller_runner = await listen(caller_server, caller_address)
+        self._caller_runner = listen_gated(caller_server, caller_address, self._gate)
         self._ready_runner = await listen(Server(self._on_ready, access_log=None), ready_address)
 
     async def stop(self) -> None:
--- /dev/null
+++ b/chestnutfall/platform/gated_listening.py
@@ -0,0 +1,34 @@
+"""Listening sockets of the platform's HTTP servers whose connections pass a gate."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from ..rush import Acceptor, ConnectionGate, GatedServer
+from ..settings.host_port import split_address
+from .listening import BACKLOG, CLOSE_TIMEOUT_S
+
+
+class GatedListener:
+    """A listening socket whose connections pass a gate."""
+
+    def __init__(self, server: GatedServer, acceptor: Acceptor) -> None:
+        self._server = server
+        self._acceptor = acceptor
+
+    async def cleanup(self) -> None:
+        """Stop listening, close idle connections, and wait for the requests in progress."""
+        await self._acceptor.close()
+        # Requests that have arrived start first; their connections would count as idle otherwise.
+        await asyncio.sleep(0)
+        self._server.pre_shutdown()
+        await self._server.shutdown(CLOSE_TIMEOUT_S)
+
+
+def listen_gated(server: GatedServer, address: str, gate: ConnectionGate) -> GatedListener:
+    """Serve `server` on `address` for the connections that `gate` admits."""
+    sock = socket.create_server(split_address(address), backlog=BACKLOG)
+    acceptor = Acceptor(sock, server, gate)
+    acceptor.start()
+    return GatedListener(server, acceptor)
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -48,6 +48,7 @@
 from ..quota.messages import QuotaNews
 from ..quota.quota_enforcer import QuotaEnforcer
 from ..routes import DocumentLimits
+from ..rush import ConnectionGate
 from ..settings.fleet_settings import FleetSettings
 from ..signals import UnreadHeaders
 from ..signals.known_backoffs import KnownBackoffs
@@ -101,7 +102,11 @@
         self._fleet.on(SuspectRequests, self._quarantine.update)
         self._helper = self._make_helper()
         self._entry = EntryServer(
-            self._make_forwarder(), lambda: self._known.table is not None, self._limits, self._clock
+            self._make_forwarder(),
+            lambda: self._known.table is not None,
+            self._limits,
+            ConnectionGate(self._clock, self._metrics.count),
+            self._clock,
         )
 
     def _make_upstreams(self) -> None:
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -41,6 +41,8 @@
 from ..quarantine.report_sender import ReportSender
 from ..quota.quota_enforcer import QuotaEnforcer
 from ..routing import ClaimClient, Dispatcher
+from ..rush import ConnectionGate
+from ..rush.gated_runner import GatedRunner, GatedSite
 from ..settings.gateway_settings import GatewaySettings
 from ..settings.quota_bounds import CALLER_QUOTA_BOUNDS
 from ..signals import UnreadHeaders
@@ -245,12 +247,17 @@
         peers.add_stream(HELP_METHOD, HELP_CODEC, self._helper.serve)
         peers.add_unary(CHECK_METHOD, HELP_CODEC, self._helper.check_port)
         await peers.start()
-        callers = web.AppRunner(
-            self._app.build(), handler_cancellation=True, access_log=None, shutdown_timeout=1.0
+        callers = GatedRunner(
+            self._app.build(),
+            ConnectionGate(self._clock, self._metrics.count),
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=1.0,
         )
         announced = web.AppRunner(AnnounceApp(self._agent, self._registry).build(), access_log=None)
         await listen(announced, self._settings.announce_listen)
-        await listen(callers, self._settings.listen)
+        await callers.setup()
+        await GatedSite(callers, self._settings.listen).start()
         log.info("gateway: %s listens on %s", self._settings.name, self._settings.listen)
         agent = asyncio.ensure_future(self._agent.run())
         lease_watch = asyncio.ensure_future(self._watch_leases())
--- /dev/null
+++ b/chestnutfall/rush/gated_server.py
@@ -0,0 +1,57 @@
+"""An aiohttp server that knows which calls are the first ones of their connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_request import BaseRequest
+from aiohttp.web_response import StreamResponse
+from aiohttp.web_server import Server
+
+from .connection_gate import ConnectionGate
+from .gated_connection import GatedConnection
+from .gated_request import GatedRequest
+from .opening import Opening
+
+
+class GatedServer(Server):
+    """Tells its gate of the calls, and of the ends of the connections that the gate admitted."""
+
+    def __init__(
+        self,
+        handler: Callable[[BaseRequest], Awaitable[StreamResponse]],
+        gate: ConnectionGate,
+        **options: Any,
+    ) -> None:
+        super().__init__(self._serve, **options)
+        self._handler = handler
+        self._gate = gate
+
+    def open(self, opening: Opening) -> GatedConnection:
+        """Return the protocol of a connection that the gate admitted."""
+        return GatedConnection(self._gate, opening, self, loop=self._loop, **self._kwargs)
+
+    async def _serve(self, request: BaseRequest) -> StreamResponse:
+        conn = request.protocol
+        assert isinstance(conn, GatedConnection)
+        self._gate.began(conn.opening)
+        try:
+            return await self._handler(request)
+        finally:
+            conn.end_opening()
+
+    def _make_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> GatedRequest:
+        return GatedRequest(message, payload, protocol, writer, task, self._loop)
--- a/chestnutfall/tests/office_scenario.py
+++ b/chestnutfall/tests/office_scenario.py
@@ -8,11 +8,11 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Collection, Iterator
+from collections.abc import Awaitable, Callable, Collection, Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from soak.office import Office
+from soak.office import UPSTREAMS, Office
 
 from ..platform.standin.client import ClientResult, StandInClient
 from ..platform.standin.operator import ENGINES, PLAIN, StandInOperator
@@ -47,6 +47,8 @@
         Number of concurrent callers.
     routes : tuple of str
         Routes that they draw from.
+    upstreams : sequence of tuple
+        Service of each upstream, and whether it is an engine.
     answers : list of SentRequest
         Outcomes of all requests that ended, in order.
     office : Office
@@ -56,6 +58,7 @@
     seed: int
     callers: int = CALLERS
     routes: tuple[str, ...] = ROUTES
+    upstreams: Sequence[tuple[str, bool]] = UPSTREAMS
     answers: list[SentRequest] = field(default_factory=list)
     office: Office = field(init=False)
 
@@ -64,7 +67,7 @@
         logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
         rng = random.Random(self.seed)
         with tempfile.TemporaryDirectory(prefix="signals-") as folder:
-            self.office = Office(Path(folder), rng)
+            self.office = Office(Path(folder), rng, self.upstreams)
             operator = StandInOperator(self.office.control_addresses, rng)
             client = StandInClient(rng)
             try:
--- a/chestnutfall/tests/suite.py
+++ b/chestnutfall/tests/suite.py
@@ -23,8 +23,7 @@
 PARALLEL = 4
 """Modules that run at once; each keeps about one core busy."""
 STARTS_PROGRAMS = re.compile(
-    r"^from (soak\b|\.process_office|\.office_scenario|\.stream_scenario|\.part_scenario)",
-    re.MULTILINE,
+    r"^from (soak\b|\.process_office|\.(office|stream|part|rush)_scenario)", re.MULTILINE
 )
 """Imports of modules whose tests start programs, or listen on ports that were free a moment before.
 Such a module runs alone: a deployment uses all cores, and another module could take the port."""
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -14,6 +14,7 @@
 from .quarantine_mutants import QUARANTINE_MUTANTS
 from .quota_mutants import QUOTA_MUTANTS
 from .room_mutants import ROOM_MUTANTS
+from .rush_mutants import RUSH_MUTANTS
 from .signal_mutants import SIGNAL_MUTANTS
 from .speed_mutants import SPEED_MUTANTS
 from .stream_mutants import STREAM_MUTANTS
@@ -34,6 +35,7 @@
     *PATH_MUTANTS,
     *STREAM_MUTANTS,
     *PART_MUTANTS,
+    *RUSH_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
--- /dev/null
+++ b/properties/safeguards/rush_mutants.py
@@ -0,0 +1,113 @@
+"""Safeguards of a gateway in a rush of connections, and changes that remove them."""
+
+from __future__ import annotations
+
+from ..mutant import Mutant
+
+_GATE = "chestnutfall/rush/connection_gate.py"
+_DELAY = "chestnutfall/rush/standing_delay.py"
+_ACCEPTOR = "chestnutfall/rush/acceptor.py"
+_GATED = "chestnutfall.tests.test_connection_gate.ConnectionGateTest."
+_STANDING = "chestnutfall.tests.test_connection_gate.StandingDelayTest."
+_TAKEN = "chestnutfall.tests.test_acceptor.AcceptorTest."
+
+RUSH_MUTANTS = (
+    Mutant(
+        "a gateway takes all connections",
+        _GATE,
+        "        if self._limit is not None and not self._has_room(now_ms, self._limit):\n",
+        "        if False:\n",
+        _GATED + "test_what_is_read_in_a_rush_is_served_in_time_on_hosts_of_any_size",
+    ),
+    Mutant(
+        "the limit never shrinks again",
+        _GATE,
+        "            self._shrink(now_ms, self._limit, delay_ms)\n",
+        "            pass\n",
+        _GATED + "test_what_is_read_in_a_rush_is_served_in_time_on_hosts_of_any_size",
+    ),
+    Mutant(
+        "calls of before the limit count against it",
+        _GATE,
+        "        if opening.accepted_ms >= self._shrunk_ms:\n",
+        "        if True:\n",
+        _GATED + "test_the_limit_does_not_fall_for_calls_that_were_taken_before_it",
+    ),
+    Mutant(
+        "connections are taken all at once",
+        _GATE,
+        "        return len(self._openings) < limit and self._pace.admits(now_ms, limit)\n",
+        "        return len(self._openings) < limit\n",
+        _GATED + "test_the_processor_is_used_while_calls_wait_for_upstreams",
+    ),
+    Mutant(
+        "the limit never grows",
+        _GATE,
+        "            self._limit += self._limit * GROWTH\n",
+        "            pass\n",
+        _GATED + "test_the_limit_follows_a_host_that_is_quicker_again",
+    ),
+    Mutant(
+        "the limit never ends",
+        _GATE,
+        "        elif now_ms - self._refused_ms > EASED_MS:\n            self._end()\n",
+        "",
+        _GATED + "test_the_limit_ends_by_itself",
+    ),
+    Mutant(
+        "connections are refused for calls on kept ones",
+        _GATE,
+        "            if is_late and self._firsts >= MIN_FIRST_SHARE * self._calls:\n",
+        "            if is_late:\n",
+        _GATED + "test_no_connection_is_refused_for_calls_on_kept_ones",
+    ),
+    Mutant(
+        "the limit falls to nothing",
+        _GATE,
+        "LEAST_LIMIT = 4\n",
+        "LEAST_LIMIT = 0\n",
+        _GATED + "test_some_are_taken_at_any_load",
+    ),
+    Mutant(
+        "connections without a call use the limit up",
+        _GATE,
+        "            if one.arrived_ms is not None or now_ms - one.accepted_ms <= UNUSED_MS\n",
+        "            if True\n",
+        _GATED + "test_connections_without_a_call_are_forgotten",
+    ),
+    Mutant(
+        "one long delay counts as a rush",
+        _DELAY,
+        "        if sum(span.length_ms for span in self._ended) < STANDING_MS",
+        "        if not self._ended",
+        _STANDING + "test_a_delay_stands_once_it_has_lasted",
+    ),
+    Mutant(
+        "one connection is taken a turn",
+        _ACCEPTOR,
+        "        for _ in range(MAX_PER_TURN):\n",
+        "        for _ in range(1):\n",
+        _TAKEN + "test_all_connections_that_wait_are_taken_at_once",
+    ),
+    Mutant(
+        "connections that are being taken are cut at the end",
+        _ACCEPTOR,
+        "        await asyncio.gather(*self._opening)\n",
+        "        for task in self._opening:\n            task.cancel()\n",
+        _TAKEN + "test_connections_that_were_taken_are_served_after_the_end_of_listening",
+    ),
+    Mutant(
+        "nothing is taken after a shortage",
+        _ACCEPTOR,
+        "                self._pause = self._loop.call_later(PAUSE_S, self.start)\n",
+        "",
+        _TAKEN + "test_connections_are_taken_again_after_a_shortage_of_the_host",
+    ),
+    Mutant(
+        "connections that end without a call stay counted",
+        "chestnutfall/rush/gated_connection.py",
+        "        self.end_opening()\n        super().connection_lost(exc)\n",
+        "        super().connection_lost(exc)\n",
+        _TAKEN + "test_a_connection_that_ends_without_a_call_is_no_longer_counted",
+    ),
+)
