Clear a frequent request by answers between two ends of upstreams

A report of a broken answer says how old the gateway's last whole answer to the same request is; one that came after the last end clears the request of the ends before. Why that is enough: what ends every upstream is never answered, so nothing fatal is cleared by it, and a frequent request is answered, and breaks off, at the same gateways. It costs nothing while nothing ends but a table of 1,024 answers a gateway.

The new test in test_crash_monitor failed before (it quarantined the usual request); one shows that an answer before an end clears nothing. Three mutants, all found. The time of the last end by key, which stood in two monitors, is a class of its own.

--- a/chestnutfall/control/broken_upstream.py
+++ b/chestnutfall/control/broken_upstream.py
@@ -45,9 +45,7 @@
     committed: set[str] = field(default_factory=set)
     parts: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
-    def add(
-        self, fingerprint: str, began_ms: int, broke_ms: int, parts: tuple[str, ...] = ()
-    ) -> None:
+    def add(self, fingerprint: str, run: RunInterval, parts: tuple[str, ...] = ()) -> None:
         """Add a broken run, and drop uncommitted ones that broke off long before it.
 
         At most `MAX_SUSPECTS` uncommitted requests are kept; further ones are ignored.
@@ -55,15 +53,15 @@
         self.uncommitted = {
             one: span
             for one, span in self.uncommitted.items()
-            if span.broke_ms >= broke_ms - SAME_END_WINDOW_MS
+            if span.broke_ms >= run.broke_ms - SAME_END_WINDOW_MS
         }
         if parts and len(self.parts) < MAX_SUSPECTS:
             self.parts[fingerprint] = parts
         known = self.uncommitted.get(fingerprint)
         if known is not None:
-            self.uncommitted[fingerprint] = known.with_run(began_ms, broke_ms)
+            self.uncommitted[fingerprint] = known.with_run(run)
         elif fingerprint not in self.committed and len(self.uncommitted) < MAX_SUSPECTS:
-            self.uncommitted[fingerprint] = RunInterval(began_ms, broke_ms)
+            self.uncommitted[fingerprint] = run
 
     def uncommitted_parts(self) -> set[str]:
         """Return the parts of the requests that are not in the log yet."""
--- a/chestnutfall/control/crash_messages.py
+++ b/chestnutfall/control/crash_messages.py
@@ -32,6 +32,8 @@
         second before the break.
     parts : tuple of str
         Names of the shared parts of the request's prompt; see `part_keys`.
+    answered_ago_ms : int or None
+        Age of this gateway's latest complete answer to the same request; None if it knows of none.
     """
 
     fingerprint: str
@@ -42,11 +44,17 @@
     broke_ago_ms: int
     rejecting: bool = False
     parts: tuple[str, ...] = ()
+    answered_ago_ms: int | None = None
 
     def delayed_by(self, by_ms: int) -> BrokenRun:
         """Return the report with ages for sending it `by_ms` later."""
-        began_ago_ms = self.began_ago_ms + by_ms
-        return replace(self, began_ago_ms=began_ago_ms, broke_ago_ms=self.broke_ago_ms + by_ms)
+        answered_ago_ms = self.answered_ago_ms
+        return replace(
+            self,
+            began_ago_ms=self.began_ago_ms + by_ms,
+            broke_ago_ms=self.broke_ago_ms + by_ms,
+            answered_ago_ms=None if answered_ago_ms is None else answered_ago_ms + by_ms,
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Mapping
 
 from ..clock import Clock
 from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
@@ -21,6 +22,7 @@
 from .control_state import ControlState
 from .crash_messages import AnsweredRun, BrokenRun, CrashReport
 from .first_seen import FirstSeen
+from .last_ends import LastEnds
 from .part_monitor import PartMonitor
 from .run_interval import RunInterval
 
@@ -39,11 +41,7 @@
 """Enough for the upstreams of several data centres; each entry takes some KB for ten seconds."""
 UPSTREAM_END_RETENTION_MS = 3_600_000
 """A request that causes an end less than once an hour can't be told from coincidence."""
-MAX_LAST_ENDS = 8_192
-"""Requests that were running when upstreams ended recently; about 150 bytes each."""
 MAX_LOGGED_PARTS = 16
-REPORT_JITTER_MS = 5
-"""Reports of two gateways reach the leader with delays that differ by some milliseconds."""
 
 
 class CrashMonitor:
@@ -73,7 +71,7 @@
         self._clock = clock
         self._broken: dict[str, BrokenUpstream] = {}
         self._answered: dict[str, None] = {}
-        self._last_end_ms: dict[str, int] = {}
+        self._last_ends = LastEnds()
         self._ends_seen, self._quarantines_seen = FirstSeen(clock), FirstSeen(clock)
         if suspect_parts is None:
             suspect_parts = SuspectParts()
@@ -124,10 +122,15 @@
             broken = BrokenUpstream(report.address, self._clock.now_ms())
             self._broken[report.instance] = broken
         now_ms = broken.last_ms = self._clock.now_ms()
-        broke_ms = now_ms - report.broke_ago_ms
-        broken.add(report.fingerprint, now_ms - report.began_ago_ms, broke_ms, report.parts)
+        answered_ago_ms = report.answered_ago_ms
+        run = RunInterval(
+            now_ms - report.began_ago_ms,
+            now_ms - report.broke_ago_ms,
+            None if answered_ago_ms is None else now_ms - answered_ago_ms,
+        )
+        broken.add(report.fingerprint, run, report.parts)
         if report.rejecting:
-            broken.note_rejecting(broke_ms)
+            broken.note_rejecting(run.broke_ms)
         if report.refuses:
             self._note_ended(report.instance, broken, "refuses connections")
         if broken.ended_ms is not None:
@@ -161,7 +164,10 @@
             log.info("crashes: instance=%s ended after rejections", instance)
             broken.mark_committed(runs)
             return
-        suspects = tuple(one for one, run in runs.items() if self._is_separate_end(one, run))
+        await self._clear_answered(runs)
+        suspects = tuple(
+            one for one, run in runs.items() if self._last_ends.is_separate(one, run.began_ms)
+        )
         overlapping = tuple(one for one in runs if one not in suspects)
         found, overlapping_parts = self._parts.runs(broken, runs)
         if runs:
@@ -174,7 +180,7 @@
         self._parts.note_committed(found, runs)
         await self._commit_hold(instance)
         for fingerprint, run in runs.items():
-            self._note_last_end(fingerprint, run.broke_ms)
+            self._last_ends.note(fingerprint, run.broke_ms)
             if fingerprint in broken.parts:
                 log.info(
                     "crashes: instance=%s content=%s parts=%s",
@@ -183,6 +189,23 @@
                     ",".join(broken.parts[fingerprint][:MAX_LOGGED_PARTS]),
                 )
 
+    async def _clear_answered(self, runs: Mapping[str, RunInterval]) -> None:
+        """Clear the requests that were answered in full after the last end that they were part of.
+
+        Gateways report answers to watched requests by themselves, but are told which these are only
+        after a second end. A frequent request may not be answered between that end and a third one.
+        """
+        for fingerprint, run in runs.items():
+            last_ms = self._last_ends.last_ms(fingerprint)
+            if last_ms is None or run.answered_ms is None or run.answered_ms <= last_ms:
+                continue
+            if self._state.crashes.implicates(fingerprint):
+                await self._clear(fingerprint)
+
+    async def _clear(self, fingerprint: str) -> None:
+        await self._commit(ClearSuspect(fingerprint))
+        log.info("crashes: cleared content=%s after a complete answer", fingerprint)
+
     async def _commit_runs(self, end: NoteUpstreamEnd) -> None:
         before = set(self._state.crashes.quarantined)
         await self._commit(end)
@@ -206,27 +229,9 @@
         )
         log.warning("crashes: held parts=%s after instance=%s", ",".join(parts), instance)
 
-    def _is_separate_end(self, fingerprint: str, run: RunInterval) -> bool:
-        """Whether the end counts as a separate one for the request.
-
-        It does if a run began after the previous end that the request was part of. A rack that
-        loses power ends many upstreams at once, all while they run the few most frequent requests.
-        If each of these ends counted, exactly the most frequent requests would be quarantined. A
-        request that does end upstreams does so again after each end.
-        """
-        last_ms = self._last_end_ms.get(fingerprint)
-        return last_ms is None or run.began_ms >= last_ms - REPORT_JITTER_MS
-
-    def _note_last_end(self, fingerprint: str, broke_ms: int) -> None:
-        last_ms = self._last_end_ms.pop(fingerprint, broke_ms)
-        self._last_end_ms[fingerprint] = max(last_ms, broke_ms)
-        if len(self._last_end_ms) > MAX_LAST_ENDS:
-            del self._last_end_ms[next(iter(self._last_end_ms))]
-
     async def _commit_answers(self) -> None:
         for fingerprint in list(self._answered):
-            await self._commit(ClearSuspect(fingerprint))
-            log.info("crashes: cleared content=%s after a complete answer", fingerprint)
+            await self._clear(fingerprint)
             self._answered.pop(fingerprint, None)
         cleared = self._parts.take_cleared()
         if cleared:
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -9,16 +9,13 @@
 from .broken_upstream import BrokenUpstream
 from .control_state import ControlState
 from .first_seen import FirstSeen
+from .last_ends import LastEnds
 from .part_blame import most_suspect_parts, parts_to_hold
 from .part_ledger import PartLedger, RunParts, parts_of
 from .run_interval import RunInterval
 
 END_RETENTION_MS = 3_600_000
 """A part that causes an end less than once an hour can't be told from coincidence."""
-MAX_LAST_ENDS = 8_192
-"""Parts that engines ran at recent ends; about 150 bytes each."""
-REPORT_JITTER_MS = 5
-"""Reports of two gateways reach the leader with delays that differ by some milliseconds."""
 
 
 class PartMonitor:
@@ -32,7 +29,7 @@
         self._state = state
         self._suspects = suspects
         self._clock = clock
-        self._last_end_ms: dict[str, int] = {}
+        self._last_ends = LastEnds()
         self._ends_seen, self._holds_seen = FirstSeen(clock), FirstSeen(clock)
         for instance, end in self._ledger.ends.items():
             suspects.suspect(end.parts(), end.service, instance, clock.now_ms())
@@ -75,29 +72,18 @@
                 began = runs[run.fingerprint].began_ms
                 began_ms[part] = max(began_ms.get(part, began), began)
         return found, tuple(
-            part for part, at_ms in began_ms.items() if not self._is_separate(part, at_ms)
+            part for part, at_ms in began_ms.items() if not self._last_ends.is_separate(part, at_ms)
         )
 
     def _is_suspect(self, part: str) -> bool:
         return part in self._suspects
 
-    def _is_separate(self, part: str, began_ms: int) -> bool:
-        """Whether a run with the part began after the last end with it.
-
-        A rack that loses power ends many engines at once, all while they run the same parts.
-        """
-        last_ms = self._last_end_ms.get(part)
-        return last_ms is None or began_ms >= last_ms - REPORT_JITTER_MS
-
     def note_committed(self, found: Iterable[RunParts], runs: Mapping[str, RunInterval]) -> None:
         """Record when the parts of an end ran last."""
         for run in found:
             broke_ms = runs[run.fingerprint].broke_ms
             for part in run.parts:
-                last_ms = self._last_end_ms.pop(part, broke_ms)
-                self._last_end_ms[part] = max(last_ms, broke_ms)
-        while len(self._last_end_ms) > MAX_LAST_ENDS:
-            del self._last_end_ms[next(iter(self._last_end_ms))]
+                self._last_ends.note(part, broke_ms)
 
     def to_hold(self, instance: str) -> tuple[str, ...] | None:
         """Return the parts to hold after the end of an upstream was committed; None if none."""
--- a/chestnutfall/control/run_interval.py
+++ b/chestnutfall/control/run_interval.py
@@ -15,11 +15,19 @@
         Start of the earliest run, by the leader's clock.
     broke_ms : int
         Latest time at which an answer broke off, by the leader's clock.
+    answered_ms : int or None
+        Latest time at which one of the reporting gateways got a complete answer to the request.
     """
 
     began_ms: int
     broke_ms: int
+    answered_ms: int | None = None
 
-    def with_run(self, began_ms: int, broke_ms: int) -> RunInterval:
+    def with_run(self, run: RunInterval) -> RunInterval:
         """Return the interval extended by one more run of the request."""
-        return RunInterval(min(self.began_ms, began_ms), max(self.broke_ms, broke_ms))
+        answered_ms = [one.answered_ms for one in (self, run) if one.answered_ms is not None]
+        return RunInterval(
+            min(self.began_ms, run.began_ms),
+            max(self.broke_ms, run.broke_ms),
+            max(answered_ms, default=None),
+        )
--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -26,6 +26,9 @@
 MAX_REMEMBERED = 1_024
 """Limit on the remembered broken answers; several times the requests that one upstream runs at
 once."""
+MAX_ANSWERED = 1_024
+"""Requests whose latest complete answer is remembered; more than a gateway answers between two ends
+of upstreams that follow each other closely."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +99,8 @@
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._reports: set[asyncio.Task[bool]] = set()
         self._being_checked: set[_BrokenAnswer] = set()
+        # Clock time of the latest complete answer by fingerprint, oldest first.
+        self._answered_ms: dict[str, int] = {}
         self._still_open: deque[_BrokenAnswer] = deque(maxlen=MAX_REMEMBERED)
 
     def update(self, suspects: SuspectRequests) -> None:
@@ -178,7 +183,14 @@
         return task
 
     def note_answered(self, fingerprint: str) -> None:
-        """Report a whole answer to a watched or quarantined request, once after each `update`."""
+        """Record a complete answer, and report it if the request is watched or quarantined.
+
+        It is reported once after each `update`.
+        """
+        self._answered_ms.pop(fingerprint, None)
+        self._answered_ms[fingerprint] = self._clock.now_ms()
+        if len(self._answered_ms) > MAX_ANSWERED:
+            del self._answered_ms[next(iter(self._answered_ms))]
         if fingerprint in self._unreported:
             self._unreported.discard(fingerprint)
             self._send_report(AnsweredRun(fingerprint))
@@ -213,6 +225,7 @@
     def _report_broken(self, broken: _BrokenAnswer, ended: bool) -> None:
         now_ms = self._clock.now_ms()
         began_ago_ms, broke_ago_ms = now_ms - broken.began_ms, now_ms - broken.broke_ms
+        answered_ms = self._answered_ms.get(broken.fingerprint)
         self._send_report(
             BrokenRun(
                 broken.fingerprint,
@@ -223,6 +236,7 @@
                 broke_ago_ms,
                 broken.rejecting,
                 broken.parts,
+                None if answered_ms is None else now_ms - answered_ms,
             )
         )
 
--- a/chestnutfall/tests/test_crash_monitor.py
+++ b/chestnutfall/tests/test_crash_monitor.py
@@ -24,6 +24,7 @@
 from ..forwarding.fleet_knowledge import FleetKnowledge
 from ..forwarding.recent_reports import RESEND_WITHIN_MS
 from ..platform.document_json import DocumentJson
+from ..quarantine import RequestQuarantine
 from ..settings.quota_bounds import STRICT_QUOTA_BOUNDS
 from .fakes import FakeCluster
 from .fakes.accepting_engines import AcceptingEngines
@@ -153,6 +154,38 @@
         await self._pass()
         self.assertEqual(self._quarantined(), {"fatal"})
 
+    async def _end(self, quarantine: RequestQuarantine, number: int, *ran: str) -> None:
+        began_ms = self.cluster.clock.now_ms() - RUN_MS
+        for one in ran:
+            quarantine.note_broken(one, f"i{number}", f"127.0.0.1:{9000 + number}", began_ms)
+        await self._pass()
+
+    def _gateway(self) -> RequestQuarantine:
+        async def refuses(address: str) -> bool:
+            return True
+
+        return RequestQuarantine(self.monitor.handle_report, refuses, self.cluster.clock)
+
+    # Guards against a frequent request that is refused for a minute: it runs on three upstreams as
+    # they end, is answered after the first of these ends, and by nobody after the second.
+    async def test_an_answer_after_an_end_clears_a_request_of_it(self) -> None:
+        gateway = self._gateway()
+        await self._end(gateway, 0, "usual")
+        gateway.note_answered("usual")
+        await self._end(gateway, 1, "usual", "fatal")
+        await self._end(gateway, 2, "usual", "fatal")
+        self.assertEqual(self._quarantined(), set())
+        await self._end(gateway, 3, "fatal")
+        self.assertEqual(self._quarantined(), {"fatal"})
+
+    async def test_an_answer_before_an_end_clears_no_request_of_it(self) -> None:
+        # A release of an upstream can make a request fatal that was answered until then.
+        gateway = self._gateway()
+        gateway.note_answered("fatal")
+        for number in range(3):
+            await self._end(gateway, number, "fatal")
+        self.assertEqual(self._quarantined(), {"fatal"})
+
     async def test_a_quarantine_ends(self) -> None:
         for number in range(3):
             self.monitor.handle_report(_broken("fatal", number))
--- a/chestnutfall/tests/test_request_quarantine.py
+++ b/chestnutfall/tests/test_request_quarantine.py
@@ -19,7 +19,7 @@
     SuspectRequests,
 )
 from ..quarantine import RequestQuarantine, refuses_connections
-from ..quarantine.request_quarantine import REMEMBERED_MS
+from ..quarantine.request_quarantine import MAX_ANSWERED, REMEMBERED_MS
 from ..requests import Executed, Refusal, fingerprint_of
 from ..signals.known_rejections import WINDOW_MS, KnownRejections
 from ..signals.messages import HeardRejections, RejectionsInForce
@@ -108,6 +108,28 @@
             self.quarantine.note_answered(fingerprint)
         self.assertEqual(self.reports, [AnsweredRun("watched"), AnsweredRun("held")])
 
+    async def test_a_broken_answer_is_reported_with_the_last_complete_one(self) -> None:
+        for fingerprint in ("usual", "other"):
+            self.quarantine.note_answered(fingerprint)
+        await self.clock.advance(300)
+        for fingerprint in ("usual", "never"):
+            self.quarantine.note_broken(fingerprint, "i1", "127.0.0.1:1", 230)
+        await self.clock.advance(10)
+        reports = {one.fingerprint: one for one in self.reports if isinstance(one, BrokenRun)}
+        self.assertEqual(reports["usual"].answered_ago_ms, 310)
+        self.assertEqual(reports["usual"].delayed_by(500).answered_ago_ms, 810)
+        self.assertIsNone(reports["never"].answered_ago_ms)
+        self.assertIsNone(reports["never"].delayed_by(500).answered_ago_ms)
+
+    async def test_the_oldest_complete_answers_are_forgotten(self) -> None:
+        for number in range(MAX_ANSWERED + 1):
+            self.quarantine.note_answered(f"r{number}")
+        for number in (0, MAX_ANSWERED):
+            self.quarantine.note_broken(f"r{number}", "i1", "127.0.0.1:1", -70)
+        await self.clock.advance(10)
+        ages = [one.answered_ago_ms for one in self.reports if isinstance(one, BrokenRun)]
+        self.assertEqual(ages, [None, 10])
+
     def test_refusals_say_what_is_known(self) -> None:
         self.quarantine.update(SuspectRequests(4, (), (QuarantinedRequest("held", 60_000),)))
         self.quarantine.check("usual")
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -102,7 +102,7 @@
     ),
     Mutant(
         "ends of many engines at one moment count as many under a part",
-        _MONITOR,
+        "chestnutfall/control/last_ends.py",
         "        return last_ms is None or began_ms >= last_ms - REPORT_JITTER_MS\n",
         "        return True\n",
         _OTHER + "test_engines_that_end_together_implicate_no_part",
--- a/properties/safeguards/quarantine_mutants.py
+++ b/properties/safeguards/quarantine_mutants.py
@@ -9,6 +9,27 @@
 _FORWARDER_TEST = "chestnutfall.tests.test_forwarder"
 
 QUARANTINE_MUTANTS = (
+    Mutant(
+        "an answer between two ends clears nothing",
+        "chestnutfall/control/crash_monitor.py",
+        "        await self._clear_answered(runs)\n",
+        "",
+        _MONITOR_TEST,
+    ),
+    Mutant(
+        "an answer before an end clears what ended it",
+        "chestnutfall/control/crash_monitor.py",
+        "run.answered_ms is None or run.answered_ms <= last_ms",
+        "run.answered_ms is None",
+        _MONITOR_TEST,
+    ),
+    Mutant(
+        "the last answer to a request is not reported with its break",
+        "chestnutfall/quarantine/request_quarantine.py",
+        "        self._answered_ms[fingerprint] = self._clock.now_ms()\n",
+        "        self._answered_ms.clear()\n",
+        "chestnutfall.tests.test_request_quarantine",
+    ),
     Mutant(
         "an end by rejections is blamed on what ran",
         "chestnutfall/control/crash_monitor.py",
@@ -75,8 +96,8 @@
     ),
     Mutant(
         "overlapping ends count each",
-        "chestnutfall/control/crash_monitor.py",
-        "        return last_ms is None or run.began_ms >= last_ms - REPORT_JITTER_MS\n",
+        "chestnutfall/control/last_ends.py",
+        "        return last_ms is None or began_ms >= last_ms - REPORT_JITTER_MS\n",
         "        return True\n",
         _MONITOR_TEST,
     ),
@@ -90,7 +111,7 @@
     Mutant(
         "old breaks are blamed for an end",
         "chestnutfall/control/broken_upstream.py",
-        "            if span.broke_ms >= broke_ms - SAME_END_WINDOW_MS\n",
+        "            if span.broke_ms >= run.broke_ms - SAME_END_WINDOW_MS\n",
         "            if True\n",
         _MONITOR_TEST,
     ),
