Clear no request by a status that says that it did not run

A request that ends every upstream that runs it was taken off the list of suspects, or out of its quarantine, as soon as an upstream turned it away with 503 and a Retry-After: each status that was no proven refusal counted as a complete answer. Its callers' next tries ended three upstreams more.

408, 421, 429 and 503 say that the request has not run, so they say nothing of what it does to an upstream. The new tests of both dialects failed before (408, 421, 429, 503; a plain service that backs off). Two mutants, both found.

--- a/chestnutfall/forwarding/result_handler.py
+++ b/chestnutfall/forwarding/result_handler.py
@@ -163,7 +163,8 @@
     ) -> bool:
         progress.runs += 1
         progress.avoid.append(place.upstream.instance)
-        self._quarantine.note_answered(progress.fingerprint)
+        if failed.status not in NOT_RUN_STATUSES:
+            self._quarantine.note_answered(progress.fingerprint)
         if (
             failed.status >= 500
             and self._may_run_again(progress, route)
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -133,8 +133,9 @@
             began_ms = self._clock.now_ms()
             try:
                 answer = await self._call(request, upstream, service, body)
-                self._quarantine.note_answered(fingerprint)
                 last_response = answer.response
+                if last_response.status not in NOT_RUN_STATUSES:
+                    self._quarantine.note_answered(fingerprint)
                 if not answer.turned_away or (at_most_once and not answer.not_run):
                     break
                 executed = executed if answer.not_run else Executed.UNKNOWN
--- a/chestnutfall/tests/test_forwarder.py
+++ b/chestnutfall/tests/test_forwarder.py
@@ -84,6 +84,17 @@
         assert isinstance(broken, BrokenRun)
         self.assertEqual((broken.fingerprint, broken.instance), (fingerprint, "i0"))
 
+    # Guards against a request that goes on to end upstreams, cleared by one that did not run it.
+    async def test_a_status_that_says_not_run_is_no_answer_to_a_watched_call(self) -> None:
+        fingerprint = fingerprint_of("a.example", "POST /a/x", b"")
+        for status in (*PROMISES_NOT_RUN, 500):
+            with self.subTest(status):
+                self.setUp()
+                self.quarantine.update(SuspectRequests(1, (fingerprint,), ()))
+                await self._serve(RouteKind.NON_IDEMPOTENT, (status,))
+                expected = [AnsweredRun(fingerprint)] if status == 500 else []
+                self.assertEqual(self.reports, expected)
+
     async def test_a_refused_send_goes_to_another_upstream(self) -> None:
         for refusal in (NotRun.FULL, NotRun.REPLACED, NotSent):
             with self.subTest(refusal):
--- a/chestnutfall/tests/test_plain_proxy.py
+++ b/chestnutfall/tests/test_plain_proxy.py
@@ -168,6 +168,14 @@
         await self._answer(b"usual")
         self.assertEqual(self.reports, [AnsweredRun(watched)])
 
+    # Guards against a call that goes on to end upstreams, cleared by one that did not run it.
+    async def test_a_call_that_was_turned_away_is_not_reported_as_answered(self) -> None:
+        watched = fingerprint_of("ana", "PUT /counter/x", b"usual")
+        self.quarantine.update(SuspectRequests(1, (watched,), ()))
+        self.retry_after_s = {"counter-0": "1", "counter-1": "1"}
+        self.assertEqual((await self._answer(b"usual")).status, 503)
+        self.assertEqual(self.reports, [])
+
     # Guards against calls over the rate limit that a plain service names.
     async def test_limited_upstreams_get_the_share_of_this_gateway_and_the_rest_is_refused(
         self,
--- a/properties/safeguards/quarantine_mutants.py
+++ b/properties/safeguards/quarantine_mutants.py
@@ -9,6 +9,20 @@
 _FORWARDER_TEST = "chestnutfall.tests.test_forwarder"
 
 QUARANTINE_MUTANTS = (
+    Mutant(
+        "a status that says not run clears a request",
+        "chestnutfall/forwarding/result_handler.py",
+        "        if failed.status not in NOT_RUN_STATUSES:\n",
+        "        if True:\n",
+        _FORWARDER_TEST,
+    ),
+    Mutant(
+        "a status that says not run clears a plain call",
+        "chestnutfall/plain_edge/plain_proxy.py",
+        "                if last_response.status not in NOT_RUN_STATUSES:\n",
+        "                if True:\n",
+        "chestnutfall.tests.test_plain_proxy",
+    ),
     Mutant(
         "an answer between two ends clears nothing",
         "chestnutfall/control/crash_monitor.py",
