Take no explained end for new evidence at a new leader

Cause, by its logs: gateways send the reports of the last ten seconds again to a new leader. A hold removed the ends that it explains, so the same ends came back as new ones, and each sound part of them needed only one more end under another fatal part. The same had been mended for whole requests; the gateways of our fakes sent no report again.

The new tests failed before (the sound part was held after one further end; the new leader suspected it). Three mutants, all found.

--- a/chestnutfall/control/part_ledger.py
+++ b/chestnutfall/control/part_ledger.py
@@ -87,21 +87,46 @@
         Parts that no request may have together, by the name of their set.
     offences : dict of str to int
         How often a set was held, by its name. Kept after the hold is over.
+    explained : dict of str to None
+        Incarnations whose ends are explained by a hold, oldest first.
+    cleared : dict of str to tuple of str
+        Parts that an incarnation ran at its end and that were cleared since, oldest first.
     """
 
     ends: dict[str, PartEnd] = field(default_factory=dict)
     held: dict[str, tuple[str, ...]] = field(default_factory=dict)
     offences: dict[str, int] = field(default_factory=dict)
+    explained: dict[str, None] = field(default_factory=dict)
+    cleared: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     def note_end(
         self, instance: str, service: str, runs: Iterable[RunParts], overlapping: Iterable[str]
     ) -> None:
         """Record that an engine of a service ended while it ran these requests."""
-        end = self.ends.get(instance, PartEnd(service)).with_runs(runs, overlapping)
+        end = self.ends.get(instance, PartEnd(service)).with_runs(
+            self._unexplained(instance, runs), overlapping
+        )
         if end.runs:
             self.ends[instance] = end
         _drop_oldest(self.ends, MAX_PART_ENDS)
 
+    def _unexplained(self, instance: str, runs: Iterable[RunParts]) -> Iterator[RunParts]:
+        for run in runs:
+            parts = self.unexplained(instance, run.parts)
+            if parts:
+                yield RunParts(run.fingerprint, parts)
+
+    def unexplained(self, instance: str, parts: Iterable[str]) -> tuple[str, ...]:
+        """Return the parts that may still be the cause of an end.
+
+        Gateways send the reports of the last seconds again to a new leader, also of ends whose
+        cause was found since.
+        """
+        if instance in self.explained:
+            return ()
+        cleared = self.cleared.get(instance, ())
+        return tuple(part for part in parts if part not in cleared)
+
     def counts(self) -> Counter[str]:
         """Return the number of separate ends by part."""
         return Counter(
@@ -120,18 +145,28 @@
         explained = tuple(one for one, end in self.ends.items() if wanted <= end.parts())
         for instance in explained:
             del self.ends[instance]
+            self.cleared.pop(instance, None)
+            self.explained[instance] = None
+        _drop_oldest(self.explained, MAX_PART_ENDS)
         return explained
 
     def clear(self, parts: Iterable[str]) -> None:
         """Clear parts that were answered in full; what was held with them is held without."""
         cleared = set(parts)
         for instance, end in list(self.ends.items()):
+            self._note_cleared(instance, cleared & end.parts())
             self.ends[instance] = end.without(cleared)
             if not self.ends[instance].runs:
                 del self.ends[instance]
         for name in [one for one in self.offences if cleared & set(parts_of(one))]:
             self._shrink(name, cleared)
 
+    def _note_cleared(self, instance: str, parts: set[str]) -> None:
+        if parts:
+            known = self.cleared.pop(instance, ())
+            self.cleared[instance] = tuple(sorted({*known, *parts}))
+        _drop_oldest(self.cleared, MAX_PART_ENDS)
+
     def _shrink(self, name: str, cleared: set[str]) -> None:
         left = tuple(part for part in parts_of(name) if part not in cleared)
         times = self.offences.pop(name)
@@ -146,6 +181,7 @@
         """Drop old ends, and end holds."""
         for instance in instances:
             self.ends.pop(instance, None)
+            self.cleared.pop(instance, None)
         for name in names:
             self.held.pop(name, None)
 
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -49,6 +49,7 @@
         record = self._state.roster.records.get(instance)
         if record is None or not record.leaving:
             service = record.service if record is not None else ANY_SERVICE
+            parts = self._ledger.unexplained(instance, parts)
             self._suspects.suspect(parts, service, instance, self._clock.now_ms())
 
     def runs(
--- a/chestnutfall/tests/fakes/placing_gateway.py
+++ b/chestnutfall/tests/fakes/placing_gateway.py
@@ -107,6 +107,8 @@
         leader.add_gateway(self.name)
         for report in self.fleet.signals_to_resend():
             leader.handle(self.name, report)
+        for crash in self.fleet._reports.to_resend():
+            leader.handle(self.name, crash)
         self.fleet._on_connected("leader")
 
     def lose(self) -> None:
--- a/chestnutfall/tests/test_part_ledger.py
+++ b/chestnutfall/tests/test_part_ledger.py
@@ -86,6 +86,27 @@
             ledger.note_end("e1", "s", [RunParts("r1", ("g",))], ())
         self.assertEqual((len(ledger.ends), ledger.counts()["g"]), (1, 1))
 
+    # Guards against a sound part that a new leader holds: reports of ends are sent to it again, of
+    # which it doesn't know that the fatal part beside the sound one was found.
+    def test_a_report_sent_again_is_no_evidence_once_its_end_is_explained(self) -> None:
+        ledger = PartLedger()
+        ledger.note_end("e1", "s", [RunParts("r1", ("g", "b"))], ())
+        ledger.hold(("g",))
+        ledger.note_end("e1", "s", [RunParts("r1", ("g", "b")), RunParts("r0", ("b",))], ())
+        ledger.note_end("e2", "s", [RunParts("r2", ("b",))], ())
+        self.assertIsNone(parts_to_hold(ledger, "e2", MANY))
+
+    def test_a_report_sent_again_implicates_no_part_that_was_cleared(self) -> None:
+        ledger = PartLedger()
+        for runs in (
+            [RunParts("r1", ("b",))],
+            [RunParts("r1", ("b",)), RunParts("r2", ("b", "d"))],
+        ):
+            ledger.note_end("e1", "s", runs, ())
+            ledger.clear(["b"])
+            ledger.note_end("e1", "s", runs, ())
+        self.assertEqual(ledger.counts(), {"d": 1})
+
     # Guards against memory that grows with parts that are new in each request.
     def test_ends_and_holds_are_bounded(self) -> None:
         ledger = PartLedger()
@@ -94,6 +115,15 @@
         for at in range(2 * MAX_HELD):
             ledger.hold((f"q{at}",))
         self.assertEqual((len(ledger.ends), len(ledger.held)), (MAX_PART_ENDS, MAX_HELD))
+        for at in range(2 * MAX_PART_ENDS):
+            ledger.note_end(f"f{at}", "s", [RunParts("r", ("c", "g"))], ())
+            ledger.clear(["c"])
+            ledger.hold(("g",))
+        self.assertEqual((len(ledger.cleared), len(ledger.explained)), (0, MAX_PART_ENDS))
+        for at in range(2 * MAX_PART_ENDS):
+            ledger.note_end(f"d{at}", "s", [RunParts("r", ("c", "d"))], ())
+        ledger.clear(["c"])
+        self.assertLessEqual(len(ledger.cleared), MAX_PART_ENDS)
 
     # Guards against a hold that a restart of all controllers forgets.
     def test_ends_and_holds_are_part_of_the_replicated_state(self) -> None:
@@ -118,6 +148,14 @@
 
 
 class PartMonitorTest(unittest.TestCase):
+    def test_a_new_leader_suspects_no_part_of_an_end_that_is_explained(self) -> None:
+        state = ControlState()
+        state.crashes.note_parts("e1", "s", [RunParts("r1", ("g", "b"))], ())
+        state.crashes.hold_parts(("g",))
+        suspects = SuspectParts()
+        PartMonitor(state, suspects, ManualClock()).run_ended("e1", ("g", "b"))
+        self.assertNotIn("b", suspects)
+
     # Guards against a new leader that begins without the evidence and the holds of the last one.
     def test_a_new_leader_knows_what_is_suspect_and_held(self) -> None:
         state = ControlState()
--- a/chestnutfall/tests/test_suspect_parts.py
+++ b/chestnutfall/tests/test_suspect_parts.py
@@ -241,6 +241,24 @@
         await self._play(6_000, script)
         self._assert_few_ends()
 
+    # Guards against callers who are refused for a sound part: a new leader gets the reports of ends
+    # again, of which the cause was found, and another fatal part comes beside the same sound one.
+    async def test_ends_of_a_found_part_implicate_no_other_part_at_a_new_leader(self) -> None:
+        self.office.fatal = {"fatal-0", "fatal-1"}
+        await self._play(1_000)
+        for first in ("rare", "a0"):
+            self.office.send(self._gateway(), (first, f"{first}-b", "fatal-0"))
+            await self._play(800)
+        self.assertEqual(self._held(), {("/fatal-0",)})
+        self.office.begin_leader()
+        await self._play(500)
+        self.office.send(self._gateway(), ("rare", "rare-c", "fatal-1"))
+        await self._play(800)
+        self.assertEqual(self._held(), {("/fatal-0",)})
+        sound = self.office.send(self._gateway(), ("rare", "rare-d"))
+        await self._play(500)
+        self.assertTrue(sound.served)
+
     # Guards against a request that ended its engine and is sent on to the next without a leader.
     async def test_without_a_leader_a_request_is_not_sent_again_after_its_engine_ended(
         self,
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -15,6 +15,27 @@
 _FORWARDER = "chestnutfall/forwarding/forwarder.py"
 
 PART_MUTANTS = (
+    Mutant(
+        "a report that is sent again implicates parts of an end that is explained",
+        "chestnutfall/control/part_ledger.py",
+        "        if instance in self.explained:\n",
+        "        if False:\n",
+        _HELD + "test_ends_of_a_found_part_implicate_no_other_part_at_a_new_leader",
+    ),
+    Mutant(
+        "a report that is sent again implicates parts that were cleared",
+        "chestnutfall/control/part_ledger.py",
+        "        return tuple(part for part in parts if part not in cleared)\n",
+        "        return tuple(parts)\n",
+        "chestnutfall.tests.test_part_ledger",
+    ),
+    Mutant(
+        "a new leader suspects the parts of an end that is explained",
+        "chestnutfall/control/part_monitor.py",
+        "            parts = self._ledger.unexplained(instance, parts)\n",
+        "",
+        "chestnutfall.tests.test_part_ledger",
+    ),
     Mutant(
         "parts are never held",
         "chestnutfall/control/crash_monitor.py",
