Let stand-in upstreams answer without a length, and reset what they break off

The users' upstreams may answer with neither a length nor chunks; such an answer is whole at an end of file and broken at a reset. The stand-ins knew neither: they framed every answer, and what they broke off ended with an end of file, since an aborted transport sends one. Plain services and engines write a share of their answers without an end now, and breaks, crashes and relays reset connections. The new test of the relay shows that a reset is passed on as one; with `abort` the client got an end of file.

The adapters of a stand-in engine and the orders that change them moved to a class of their own; what an order does is unchanged.

--- a/chestnutfall/platform/standin/client.py
+++ b/chestnutfall/platform/standin/client.py
@@ -9,10 +9,11 @@
 import aiohttp
 
 from .. import header_names as names
+from .adapter_store import MODEL
 from .operator import HOST
 from .stream_text import begins_stream, is_whole_stream
 from .tenants import KEYS, STEADY
-from .upstream import ENTRY_HEADER, EVENTS, MODEL, answer_body
+from .upstream import ENTRY_HEADER, EVENTS, answer_body
 
 DEADLINE_MS = 2_500
 NOT_RUN_STATUSES = (408, 421, 429, 503)
--- a/chestnutfall/platform/standin/operator.py
+++ b/chestnutfall/platform/standin/operator.py
@@ -8,8 +8,9 @@
 
 import aiohttp
 
+from .adapter_store import ADAPTER_SLOTS, MODEL
 from .tenants import tenants
-from .upstream import ADAPTER_SLOTS, BATCH, MODEL
+from .upstream import BATCH
 
 HOST = "office.example"
 ENGINES = "drafts"
--- a/chestnutfall/platform/standin/stream_caller.py
+++ b/chestnutfall/platform/standin/stream_caller.py
@@ -10,10 +10,11 @@
 import aiohttp
 
 from .. import header_names as names
+from .adapter_store import MODEL
 from .operator import HOST
 from .stream_text import WrittenEvent, is_in_order, read_events
 from .tenants import KEYS, STEADY
-from .upstream import ENTRY_HEADER, MODEL
+from .upstream import ENTRY_HEADER
 
 DEADLINE_MS = 4_000
 MAX_ATTEMPTS = 4
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -15,16 +15,16 @@
 
 from .. import header_names as names
 from ..listening import Listener, listen
+from .adapter_store import AdapterStore
 from .idle_connections import IdleConnections
+from .resets import reset
 from .room import NoRoom, StandInRoom
 from .run_registry import RunRegistry
 from .stream_text import event_text
 from .uneven_speed import UnevenSpeed
+from .unframed_answer import UnframedAnswer
 
-MODEL = "base"
-ADAPTER_SLOTS = 4
 BATCH = 8
-LOAD_S = 0.05
 HEARTBEAT_S = 0.4
 EVENTS = 4
 ANSWER_BYTES = 400
@@ -83,7 +83,10 @@
     events : int
         Events of a whole stream.
     break_share : float
-        Share of streams that it breaks off after one of their events.
+        Share of streams that it breaks off after one of their events, and of answers without an
+        end that it breaks off halfway.
+    unframed_share : float
+        Share of its answers that have neither a length nor chunks.
     down_s : float
         Time from its end to its restart.
     """
@@ -106,13 +109,10 @@
         self._control = control
         self._announcement_numbers = itertools.count(1)
         self._started_ms = time.time_ns() // 1_000_000
-        self._orders_taken = 0
-        self._newest_token = 0
-        self._adapters: dict[str, int] = {}
-        self._loading: dict[str, int] = {}
-        self._unloading: set[str] = set()
-        self._running: list[str] = []
+        self._adapters = self._new_store()
         self._instance_rng = random.Random(self.instance)
+        # Of its own: draws from `rng` would change what the seeds of a soak play.
+        self._rng_of_answers = random.Random(f"answers {self.instance}")
         self.on_end: Callable[[], None] = lambda: None
         self.on_start: Callable[[], Awaitable[None]] = _do_nothing
         self.limit: str | None = None
@@ -126,7 +126,7 @@
         self.idle = IdleConnections()
         self.build = self.next_build = ""
         self.events = EVENTS
-        self.break_share = 0.0
+        self.break_share = self.unframed_share = 0.0
         self.down_s = DOWN_S
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
@@ -171,15 +171,14 @@
         self.on_end()
         for conn in self._server.connections if self._server is not None else ():
             if conn.transport is not None:
-                conn.transport.abort()
+                reset(conn.transport)
         await self._close()
         await asyncio.sleep(self.down_s)
         self.instance = f"i-{self._instance_rng.randrange(16**8):08x}"
         self._started_ms = time.time_ns() // 1_000_000
         self.build = self.next_build
-        self._orders_taken = self._newest_token = 0
         self.backoff, self.leaving, self.announces_draining = None, False, False
-        self._adapters, self._loading, self._unloading, self._running = {}, {}, set(), []
+        self._adapters = self._new_store()
         refused, self.room = self.room.refused, StandInRoom()
         self.room.refused = refused
         await self._listen(self.address)
@@ -213,14 +212,15 @@
             "born": self._started_ms,
         }
         if self._is_engine:
-            message["models"] = self._models()
+            message["models"] = self._adapters.models()
         if self.build:
             message["version"] = self.build
         return message
 
-    def _models(self) -> list[dict[str, Any]]:
-        held = [f"{name}@{version}" for name, version in self._adapters.items()]
-        return [{"name": MODEL, "version": 1, "adapters": held}]
+    def _new_store(self) -> AdapterStore:
+        return AdapterStore(
+            lambda finding: self._registry.note_violation(f"{self.instance}: {finding}")
+        )
 
     # HTTP requests
 
@@ -230,56 +230,14 @@
             return web.Response(status=421, headers={names.INSTANCE: self.instance})
         match request.method, request.path:
             case "GET", "/v1/report":
-                coming = [f"{MODEL}/{name}@{v}" for name, v in self._loading.items()]
-                message = {"models": self._models(), "seq": self._orders_taken, "coming": coming}
-                message |= {"born": self._started_ms}
+                message = self._adapters.report() | {"born": self._started_ms}
                 return web.json_response(message, headers=self._signal_headers())
             case "POST", "/v1/order":
-                return await self._order(json.loads(await request.read()))
+                return web.Response(status=self._adapters.order(json.loads(await request.read())))
             case _:
                 with self.idle.serving(request):
                     return await self._run(request)
 
-    async def _order(self, order: dict[str, Any]) -> web.Response:
-        if order["fencing_token"] < self._newest_token:
-            return web.Response(status=412)
-        self._newest_token = order["fencing_token"]
-        if order["expect"] != self._orders_taken:
-            return web.Response(status=409)
-        name = order.get("adapter", "")
-        if order["operation"] == "unload":
-            return self._unload(name)
-        if name in self._adapters:
-            return web.Response(status=200)
-        if len(self._adapters) + len(self._loading) >= ADAPTER_SLOTS:
-            self._registry.note_violation(f"{self.instance}: ordered to hold more than fits")
-        self._orders_taken += 1
-        self._loading[name] = order.get("version", 1)
-        asyncio.get_running_loop().call_later(LOAD_S, self._finish_load, name)
-        return web.Response(status=202)
-
-    def _unload(self, name: str) -> web.Response:
-        if name not in self._adapters:
-            return web.Response(status=200)
-        self._orders_taken += 1
-        if name in self._running:
-            self._unloading.add(name)
-            return web.Response(status=202)
-        del self._adapters[name]
-        return web.Response(status=200)
-
-    def _end_run(self, name: str) -> None:
-        if name not in self._running:
-            return  # the run began before the last restart
-        self._running.remove(name)
-        if name in self._unloading and name not in self._running:
-            self._unloading.discard(name)
-            del self._adapters[name]
-
-    def _finish_load(self, name: str) -> None:
-        if name in self._loading:
-            self._adapters[name] = self._loading.pop(name)
-
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
         request_id = request.headers[names.REQUEST_ID]
@@ -292,23 +250,24 @@
         if self.backoff is not None:
             return self._refuse_for_backoff(request_id, gateway, self.backoff)
         name = request.headers.get(names.MODEL, "").partition("/")[2]
-        if self._is_engine and name not in self._adapters:
+        store = self._adapters
+        if self._is_engine and name not in store.versions:
             return self._answer(request_id, 421, {names.INSTANCE: self.instance})
         if not self._is_engine:
             return await self._run_plain(request, request_id, body)
         if self._has_fatal_part(request):
             self._registry.fatal_arrival_times_s.append(time.monotonic())
-        if len(self._running) >= BATCH:
+        if len(store.running) >= BATCH:
             return self._reject(request_id)
-        if name in self._unloading:
+        if store.is_leaving(name):
             return self._answer(request_id, 503, {names.NOT_EXECUTED: "1"})
-        self._running.append(name)
+        store.running.append(name)
         self._note_run(request, request_id, body)
         try:
             await self._work(self._rng.uniform(0.002, 0.03))
             return await self._stream(request, request_id, name)
         finally:
-            self._end_run(name)
+            store.end_run(name)
 
     async def _run_plain(
         self, request: web.BaseRequest, request_id: str, body: bytes
@@ -318,10 +277,23 @@
             async with room.place():
                 self._note_run(request, request_id, body)
                 await asyncio.sleep(self._rng.uniform(0.002, 0.03) * room.slowdown)
-                return self._answer(request_id, 200, {}, answer_body(request_id))
+                return await self._answer_plain(request, request_id)
         except NoRoom:
             return self._reject(request_id)
 
+    async def _answer_plain(self, request: web.BaseRequest, request_id: str) -> web.StreamResponse:
+        body = answer_body(request_id)
+        if self._rng_of_answers.random() >= self.unframed_share:
+            return self._answer(request_id, 200, {}, body)
+        answer = UnframedAnswer(self._headers(request_id))
+        await answer.prepare(request)
+        if self._break_after(0) is not None and request.transport is not None:
+            await answer.write(body[: len(body) // 2])
+            reset(request.transport)
+        else:
+            await answer.write_eof(body)
+        return answer
+
     def _reject(self, request_id: str) -> web.Response:
         """Refuse a request for want of room; one too many ends a brittle upstream."""
         rejections = self._registry.note_rejection(self.instance)
@@ -367,7 +339,9 @@
         if not self._is_engine:
             headers[names.LOAD] = self.room.load()
         elif self.speed is not None:
-            headers[names.LOAD] = self.speed.load(len(self._running), BATCH, time.monotonic())
+            headers[names.LOAD] = self.speed.load(
+                len(self._adapters.running), BATCH, time.monotonic()
+            )
         return headers
 
     async def _stream(
@@ -376,10 +350,12 @@
         after = int(request.headers.get(names.LAST_EVENT, "0"))
         breaks_at = self._break_after(after)
         build = self.build
-        response = web.StreamResponse(headers=self._headers(request_id))
+        is_unframed = self._rng_of_answers.random() < self.unframed_share
+        make = UnframedAnswer if is_unframed else web.StreamResponse
+        response = make(headers=self._headers(request_id))
         await response.prepare(request)
         for number in range(after + 1, self.events + 1):
-            if name not in self._adapters:
+            if name not in self._adapters.versions:
                 self._registry.note_violation(
                     f"{self.instance}: {name} was evicted while it served"
                 )
@@ -389,7 +365,7 @@
                 self._crash_under_part()
                 return response
             if number == breaks_at and request.transport is not None:
-                request.transport.abort()
+                reset(request.transport)
                 return response
         await response.write_eof()
         return response
@@ -405,9 +381,10 @@
 
     def _break_after(self, after: int) -> int | None:
         """Draw the event after which a stream is broken off; None if it is not."""
-        if not self.break_share or self._rng.random() >= self.break_share:
+        rng = self._rng_of_answers
+        if not self.break_share or rng.random() >= self.break_share:
             return None
-        return self._rng.randrange(after + 1, self.events + 1)
+        return rng.randrange(after + 1, self.events + 1)
 
     async def _work(self, work_s: float) -> None:
         """Pass the time that work takes at the speed of this upstream."""
--- a/chestnutfall/tests/test_soak_parts.py
+++ b/chestnutfall/tests/test_soak_parts.py
@@ -17,6 +17,7 @@
 from soak.signal_episodes import SignalEpisodes
 from soak.verdict import Verdict
 
+from ..platform.standin.resets import reset
 from ..platform.standin.signal_history import Arrival, BackoffRefusal
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -77,6 +78,21 @@
         await relay.stop()
         server.close()
 
+    # Guards against a gateway that is blamed for a part of an answer: an answer without a length is
+    # whole at an end of file, so what the stand-ins break off must be reset, also by a relay.
+    async def test_a_reset_is_passed_on_as_a_reset(self) -> None:
+        server = await asyncio.start_server(_write_and_reset, "127.0.0.1", 0)
+        relay = Relay(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        await relay.start()
+        host, _, port = relay.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.assertEqual(await asyncio.wait_for(reader.readexactly(4), 5), b"part")
+        with self.assertRaises(ConnectionResetError):
+            await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        await relay.stop()
+        server.close()
+
 
 class SignalEpisodesTest(unittest.TestCase):
     # Guards against a gateway that is blamed for requests that a cut of its links held up: they
@@ -95,6 +111,12 @@
         self.assertEqual(verdict.violations, ["i1: g1 sent 3 within 2.0 s that it asked for"])
 
 
+async def _write_and_reset(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"part")
+    await asyncio.sleep(0.05)
+    reset(writer.transport)
+
+
 async def _echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     while data := await reader.read(100):
         writer.write(data)
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -6,6 +6,8 @@
 import contextlib
 from enum import Enum
 
+from chestnutfall.platform.standin.resets import reset
+
 CHUNK_BYTES = 16 * 1024
 """Largest number of bytes that are forwarded at once."""
 HELD_POLL_S = 0.02
@@ -70,13 +72,13 @@
     def reset_all(self) -> None:
         """Reset every open connection."""
         for writer in list(self._open):
-            writer.transport.abort()
+            reset(writer.transport)
 
     def reset_from(self, ip: str) -> None:
         """Reset every open connection of one gateway."""
         for writer in list(self._open):
             if writer.get_extra_info("peername")[0] == ip:
-                writer.transport.abort()
+                reset(writer.transport)
 
     async def stop(self) -> None:
         """Close the port, end all cuts and reset every connection."""
@@ -88,12 +90,12 @@
     ) -> None:
         ip = writer.get_extra_info("peername")[0]
         if ConnectionFault.RESET in (self.fault, self.cut.get(ip)):
-            writer.transport.abort()
+            reset(writer.transport)
             return
         try:
             target_reader, target_writer = await asyncio.open_connection(*self._target)
         except OSError:
-            writer.transport.abort()
+            reset(writer.transport)
             return
         self._open |= {writer, target_writer}
         directions = (
@@ -130,7 +132,7 @@
                 writer.write(data)
                 await writer.drain()
         except OSError:
-            writer.transport.abort()
+            reset(writer.transport)
         finally:
             with contextlib.suppress(OSError, RuntimeError):
                 writer.close()
