Play software versions, fatal prompt parts and a rush in the soak

It judges, from what clients and upstreams see: streams of several versions or with a hole, the share that goes on, requests with a part that ended engines, the sound requests beside, and what is read in a rush at a gateway with a fifth of a processor.

--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -20,8 +20,11 @@
 from .limit_episodes import LimitEpisodes
 from .office import Office
 from .organisation_load import OrganisationLoad
+from .part_episodes import PartEpisodes
 from .rejection_episodes import RejectionEpisodes
+from .rush_episodes import RushEpisodes
 from .signal_episodes import SignalEpisodes
+from .stream_episodes import BUILDS, StreamEpisodes
 from .verdict import Verdict
 
 CLIENTS = 6
@@ -63,12 +66,18 @@
         self._connections_rng = random.Random(f"connections {seed}")
         self._cuts_rng = random.Random(f"cuts {seed}")
         self._rejections_rng = random.Random(f"rejections {seed}")
+        self._streams_rng = random.Random(f"streams {seed}")
+        self._parts_rng = random.Random(f"parts {seed}")
+        self._rushes_rng = random.Random(f"rushes {seed}")
         self._folder = folder
         self._length_s = length_s
         self._office = Office(folder, self._rng)
         self._limits = LimitEpisodes(self._office)
         self._connections = ConnectionEpisodes(self._office)
         self._rejections = RejectionEpisodes(self._office)
+        self._streams = StreamEpisodes(self._office)
+        self._parts = PartEpisodes(self._office)
+        self._rushes = RushEpisodes(self._office)
         self._disturbances = Disturbances()
         self._cuts = CutEpisodes(self._office, self._disturbances)
         self._signals = SignalEpisodes(self._office, self._disturbances)
@@ -83,7 +92,7 @@
         operator = StandInOperator(self._office.control_addresses, self._rng)
         client = StandInClient(self._rng)
         try:
-            await self._office.start()
+            await self._office.start(BUILDS)
             await self._wait_until_in_force(operator)
             await self._wait_until_served(client)
             await self._run_under_faults(operator, client)
@@ -101,6 +110,8 @@
         self._floods.check(self.verdict)
         self._connections.check(self.verdict)
         self._rejections.check(self.verdict)
+        self._streams.check(self.verdict)
+        self._rushes.check(self.verdict)
         return self.verdict
 
     async def _wait_until_in_force(self, operator: StandInOperator) -> None:
@@ -141,6 +152,10 @@
         load.append(asyncio.ensure_future(self._cuts.play_until_cancelled(self._cuts_rng)))
         rejections = self._rejections.play_until_cancelled(self._rejections_rng)
         load.append(asyncio.ensure_future(rejections))
+        self._streams.begin()
+        load.append(asyncio.ensure_future(self._streams.play_until_cancelled(self._streams_rng)))
+        load.append(asyncio.ensure_future(self._parts.play_until_cancelled(self._parts_rng)))
+        load.append(asyncio.ensure_future(self._rushes.play_until_cancelled(self._rushes_rng)))
         injected = []
         now_s = 0.0
         for fault in plan_faults(self._rng, self._length_s):
@@ -204,6 +219,9 @@
             )
         await self._floods.play_episode(client, self._floods_rng, self._seen, is_calm=True)
         await self._cuts.check_calm(client, self._cuts_rng, self._seen, self.verdict)
+        await self._streams.check_calm(self._streams_rng, self.verdict)
+        await self._parts.check_calm(self._parts_rng, self.verdict)
+        await self._rushes.check_calm(self._rushes_rng, self.verdict)
         await self._check_revoked_key(client)
         await self._check_quarantine(FatalRequests(self._office, client))
         await asyncio.sleep(LATE_RUN_S)
