--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -25,6 +25,13 @@
     Regression(
         1, 0.1, "a frequent request was quarantined for ends of upstreams that rejected too many"
     ),
+    Regression(
+        1, 0.1, "a frequent request was quarantined though it was answered between two ends"
+    ),
+    Regression(1, 0.1, "the check blamed a gateway for requests that a cut had held up"),
+    Regression(
+        1, 0.1, "a new leader took ends that a hold explains for new evidence against sound parts"
+    ),
     Regression(
         7237, 0.12, "the relay dropped an answer in a cut and let its connection live on after it"
     ),
