--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -13,13 +13,12 @@
 from .awaited_load import only_awaits_load
 from .build_reservations import BuildReservations
 from .candidate_engines import CandidateEngines
-from .decisions import Decision, Grant, LoadAdapter, LoadModel, Order, Reject, UnloadAdapter
+from .decisions import Decision, Grant, LoadAdapter, Order, Reject, UnloadAdapter
 from .demand import Demand
 from .engine import Engine
-from .engine_kinds import EngineKinds
 from .engine_report import EngineReport
 from .engine_selector import EngineSelector
-from .holder_index import HolderIndex
+from .engine_table import EngineTable
 from .model_loads import ModelLoads
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
@@ -34,6 +33,7 @@
 from .run_times import NO_TIMES, RunTimes
 from .service_round import ServiceRound
 from .slowed_engines import SlowedEngines
+from .stale_assignment import is_stale
 from .suspect_parts import PART_ENDS_UPSTREAMS, SuspectParts
 from .waiting_request import WaitingRequest
 from .wanted_versions import WantedVersions
@@ -63,18 +63,22 @@
         backoffs: BackoffRegistry | None = None,
     ) -> None:
         self._clock = clock
-        self._limits = limits or LimitRegistry(clock)
-        self._backoffs = backoffs or BackoffRegistry(clock)
-        self.engines: dict[str, Engine] = {}
-        self.kinds = EngineKinds()
+        self._demand = Demand()
+        self._versions = WantedVersions()
+        self._table = EngineTable(
+            clock,
+            limits or LimitRegistry(clock),
+            backoffs or BackoffRegistry(clock),
+            self._demand,
+            self._versions,
+        )
+        self.engines = self._table.by_instance
+        self.kinds = self._table.kinds
         self.slowed = SlowedEngines(self.engines, clock)
-        self._index = HolderIndex(self.engines)
-        self._candidates = CandidateEngines(self._index)
+        self._candidates = CandidateEngines(self._table.index)
         self._waiting: dict[str, WaitingRequest] = {}
         self._places: dict[str, str] = {}
-        self._demand = Demand()
         self._model_loads = ModelLoads()
-        self._versions = WantedVersions()
         self._classes = RequestClasses()
         self._shares = FairShare()
         self._turns = PrefillTurns()
@@ -100,26 +104,7 @@
         build_key : str
             Identifies its software; only needed where a service has several.
         """
-        known = self.engines.get(instance)
-        if known is not None:
-            known.spec = spec
-            return
-        kind, speed = self.kinds.of(service), self.kinds.prefill_speed_of(service)
-        store = self.kinds.store_times_of(service)
-        limit, backoff = self._limits.ensure(instance), self._backoffs.ensure(instance)
-        self.engines[instance] = Engine(
-            instance,
-            service,
-            data_centre,
-            spec,
-            kind,
-            speed,
-            store,
-            limit,
-            backoff,
-            self.kinds.usual_gap_of(service),
-            build_key,
-        )
+        self._table.add(instance, service, data_centre, spec, build_key)
 
     def engine_down(self, instance: str) -> None:
         """Remove an engine; requests that wait for its loads are placed anew."""
@@ -137,10 +122,7 @@
         engine = self.engines.get(instance)
         if engine is None:
             return
-        engine.apply_report(report, self._clock.now_ms())
-        for name in engine.holdings:
-            self._index.add(name, instance)
-            self._demand.note_held(name, self._clock.now_ms())
+        self._table.note_report(engine, report)
         for waiting in self._waiting.values():
             if waiting.instance == instance and waiting.req.adapter not in engine.holdings:
                 self._unassign(waiting)
@@ -153,41 +135,26 @@
 
     def order_taken(self, order: LoadAdapter) -> None:
         """Record that an engine accepted a load now, maybe some time after the order."""
-        engine = self.engines.get(order.instance)
-        held = engine.holdings.get(order.adapter) if engine is not None else None
-        if held is not None and not held.ordered:
-            held.ordered = True
-            held.ordered_ms = self._clock.now_ms()
-            held.ready_ms = int(held.ordered_ms + held.expected_ms)
+        self._table.note_taken(order)
 
     def order_failed(self, order: Order) -> None:
         """Record that an order may not have taken effect; the engine's report is needed next."""
         engine = self.engines.get(order.instance)
         if engine is None:
             return
-        engine.synced = False
-        match order:
-            case LoadModel():
-                engine.loading_model = ""
-            case LoadAdapter(adapter=adapter):
-                engine.holdings.pop(adapter, None)
-                for waiting in self._waiting.values():
-                    if waiting.instance == order.instance and waiting.req.adapter == adapter:
-                        self._unassign(waiting)
-            case UnloadAdapter():
-                pass
+        self._table.note_failed(engine, order)
+        if isinstance(order, LoadAdapter):
+            for waiting in self._waiting.values():
+                if (waiting.instance, waiting.req.adapter) == (order.instance, order.adapter):
+                    self._unassign(waiting)
 
     def ready(self) -> Iterator[ReadyAdapter]:
         """Adapters that requests may run on now."""
-        now_ms = self._clock.now_ms()
-        for engine in self.engines.values():
-            for name, held in engine.holdings.items():
-                if held.is_ready(now_ms) and not self._versions.is_outdated(name, held):
-                    yield ReadyAdapter(engine.instance, name, held.version)
+        return self._table.ready()
 
     def unsynced(self) -> Iterator[str]:
         """Engines whose report must be read before any load is ordered there."""
-        return (engine.instance for engine in self.engines.values() if not engine.synced)
+        return self._table.unsynced()
 
     def name_version(self, adapter: AdapterName, version: int) -> None:
         """Require this version of the adapter, or a newer one, for all requests from now on."""
@@ -277,9 +244,9 @@
     def _place(
         self, waiting: WaitingRequest, service_round: ServiceRound, now_ms: int
     ) -> Iterator[Decision]:
-        self._unassign_if_outdated(waiting)
-        self._unassign_if_backing_off(waiting, now_ms)
-        self._unassign_if_suspect(waiting)
+        engine = self.engines.get(waiting.instance)
+        if is_stale(waiting, engine, self._versions, self.suspects, now_ms):
+            self._unassign(waiting)
         if waiting.build_key and not service_round.selector.is_known:
             yield self._drop(waiting, self._refusals.refuse_without_build(waiting.req))
         elif (held_ms := self._held_ms(waiting)) is not None:
@@ -321,28 +288,6 @@
         barred = self.suspects.barred(waiting.part_keys, engines, now_ms)
         return service_round.best(waiting, barred) if barred is not None else None
 
-    def _unassign_if_suspect(self, waiting: WaitingRequest) -> None:
-        """Place a request anew if its prompt got a suspect part while it waited."""
-        if self.suspects.is_empty or not waiting.instance:
-            return
-        if not self.suspects.is_placed(waiting.req.ticket, waiting.part_keys):
-            self._unassign(waiting)
-
-    def _unassign_if_outdated(self, waiting: WaitingRequest) -> None:
-        """Place a request anew if its adapter got a newer version while it waited."""
-        engine = self.engines.get(waiting.instance)
-        held = engine.holdings.get(waiting.req.adapter) if engine is not None else None
-        if held is not None and self._versions.is_outdated(waiting.req.adapter, held):
-            self._unassign(waiting)
-
-    def _unassign_if_backing_off(self, waiting: WaitingRequest, now_ms: int) -> None:
-        """Place a request anew if its engine asked for backoff before it was sent."""
-        engine = self.engines.get(waiting.instance)
-        if engine is None or not engine.backoff.is_active(now_ms):
-            return
-        if engine.backoff.wait_ms(waiting.req.gateway, now_ms):
-            self._unassign(waiting)
-
     def _refresh(self, engine: Engine) -> None:
         """Recompute an engine's costs in each queue that it serves."""
         for queue, service_round in self._rounds.items():
@@ -376,7 +321,7 @@
         if option.load_ms is not None:
             version = self._versions.of(req.adapter)
             engine.begin_load(req.adapter, version, option.load_ms, now_ms)
-            self._index.add(req.adapter, engine.instance)
+            self._table.index.add(req.adapter, engine.instance)
             yield LoadAdapter(engine.instance, req.adapter, version)
         self._shares.served(waiting.tag)
         waiting.instance = engine.instance
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -66,9 +66,9 @@
     ),
     Mutant(
         "a request that waits keeps its engine when its part becomes suspect",
-        _PLACER,
-        "        if not self.suspects.is_placed(waiting.req.ticket, waiting.part_keys):\n",
-        "        if False:\n",
+        "chestnutfall/placement/stale_assignment.py",
+        "    return not suspects.is_placed(waiting.req.ticket, waiting.part_keys)\n",
+        "    return False\n",
         _PLACEMENT + "test_a_request_that_waits_for_its_adapter_moves_to_the_engine_at_risk",
     ),
     Mutant(
--- a/properties/safeguards/quarantine_mutants.py
+++ b/properties/safeguards/quarantine_mutants.py
@@ -47,8 +47,8 @@
     Mutant(
         "an end by rejections is blamed on what ran",
         "chestnutfall/control/crash_monitor.py",
-        "        if broken.ended_by_rejections:\n",
-        "        if False:\n",
+        "        if broken.ended_by_rejections:\n            log.info",
+        "        if False:\n            log.info",
         _MONITOR_TEST,
     ),
     Mutant(
@@ -132,8 +132,8 @@
     Mutant(
         "explained ends stay with those beside",
         "chestnutfall/control/crash_ledger.py",
-        "                self.ends[instance] = EXPLAINED\n",
-        "                pass\n",
+        "            if end.ran(fingerprint):\n                self.ends[instance] = EXPLAINED\n",
+        "            pass\n",
         _LEDGER_TEST,
     ),
     Mutant(
--- a/properties/safeguards/signal_mutants.py
+++ b/properties/safeguards/signal_mutants.py
@@ -14,28 +14,29 @@
 _PLAIN_TEST = "chestnutfall.tests.test_plain_proxy.PlainProxyTest"
 
 _SENDER = "chestnutfall/forwarding/sender.py"
-_SENDER_CHECK = "        if not self._signals.may_send(place.upstream.instance):"
+_SENDER_CHECK = "        may_send = self._signals.may_send(place.upstream.instance)\n"
 
 PATH_MUTANTS = (
     Mutant(
         "a first send is not checked",
         _SENDER,
         _SENDER_CHECK,
-        "        if False:",
+        "        may_send = True\n",
         f"{_CHECK_TEST}.test_a_first_send_goes_elsewhere_without_a_repeat",
     ),
     Mutant(
         "a repeat is not checked",
         _SENDER,
         _SENDER_CHECK,
-        "        if progress.sends == 1 and not self._signals.may_send(place.upstream.instance):",
+        "        may_send = progress.sends > 1 or self._signals.may_send("
+        "place.upstream.instance)\n",
         f"{_CHECK_TEST}.test_a_repeat_goes_elsewhere_and_counts_once",
     ),
     Mutant(
         "a resumed run is not checked",
         _SENDER,
         _SENDER_CHECK,
-        "        if not progress.started and not self._signals.may_send(place.upstream.instance):",
+        "        may_send = progress.started or self._signals.may_send(place.upstream.instance)\n",
         f"{_CHECK_TEST}.test_a_run_is_resumed_elsewhere",
     ),
     Mutant(
@@ -167,9 +168,9 @@
     ),
     Mutant(
         "calls that wait for a load keep an engine that asked for time",
-        "chestnutfall/placement/placer.py",
-        "        if engine.backoff.wait_ms(waiting.req.gateway, now_ms):",
-        "        if False:",
+        "chestnutfall/placement/stale_assignment.py",
+        "    if backoff.is_active(now_ms) and backoff.wait_ms(waiting.req.gateway, now_ms):\n",
+        "    if False:\n",
         f"{_PLACEMENT_TEST}.test_who_waits_for_a_load_there_is_placed_anew",
     ),
     Mutant(
