--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -242,7 +242,7 @@
                     heapq.heappush(ending, (end_ms, ticket, RunOutcome.DONE))
                 case LoadAdapter(instance, adapter):
                     engines.load(instance, adapter, now_ms)
-                    placer.order_taken(decision)
+                    placer.table.note_taken(decision)
                 case UnloadAdapter(instance, adapter):
                     engines.unload(instance, adapter)
                 case Reject():
--- a/chestnutfall/coordination/engine_orders.py
+++ b/chestnutfall/coordination/engine_orders.py
@@ -155,7 +155,7 @@
     async def _on_taken(self, order: Order, result: OrderResult) -> None:
         match order:
             case LoadAdapter():
-                self._placer.order_taken(order)
+                self._placer.table.note_taken(order)
             case UnloadAdapter() if result is OrderResult.TAKEN:
                 await self._wait_until_dropped(order)
             case _:
--- a/chestnutfall/coordination/gateway_broadcaster.py
+++ b/chestnutfall/coordination/gateway_broadcaster.py
@@ -152,7 +152,7 @@
         if now_ms < self._holdings_due_ms:
             return
         self._holdings_due_ms = now_ms + HOLDINGS_INTERVAL_MS
-        ready = frozenset(self._placer.ready())
+        ready = frozenset(self._placer.table.ready())
         lasting, self._last_ready = ready & self._last_ready, ready
         if lasting == self._sent:
             return
--- a/chestnutfall/coordination/order_dispatcher.py
+++ b/chestnutfall/coordination/order_dispatcher.py
@@ -78,7 +78,7 @@
 
     def resync(self) -> None:
         """Read the reports of the engines whose contents placement is not certain of."""
-        for instance in self._placer.unsynced():
+        for instance in self._placer.table.unsynced():
             if instance in self._orders:
                 self._orders[instance][0].resync()
 
--- a/chestnutfall/forwarding/engine_upstream_selector.py
+++ b/chestnutfall/forwarding/engine_upstream_selector.py
@@ -15,7 +15,8 @@
 from ..signals.known_signals import KnownSignals
 from . import answer_timeouts
 from .engine_load_reports import EngineLoadReports
-from .fleet_client import FleetClient, LeaderLost
+from .fleet_client import FleetClient
+from .leader_questions import LeaderLost
 from .place import NoPlace, Place, SelectionCriteria, UpstreamSelector
 from .running_sends import RunningEngineSends
 
@@ -101,7 +102,7 @@
 
     async def _ask(self, asked: PlaceRequest | PlaceStream, ticket: str) -> Grant | Reject:
         try:
-            return await self._fleet.place(asked)
+            return await self._fleet.questions.place(asked)
         except LeaderLost:
             raise
         except BaseException:
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -4,33 +4,30 @@
 
 import asyncio
 import contextlib
-import itertools
 import logging
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 from ..clock import Clock
-from ..concurrency.messages import EndTurn, RoomInForce, RunningCalls
-from ..concurrency.turn_messages import AnswerTurn, AskTurn
+from ..concurrency.messages import RoomInForce, RunningCalls
+from ..concurrency.turn_messages import AnswerTurn
 from ..control.crash_messages import CrashReport, SuspectRequests
 from ..coordination.messages import (
     AnswerRepeat,
-    AskRepeat,
     GatewayHello,
     NotLeading,
-    PlaceStream,
     Pulse,
     RunningSends,
     UpstreamsPart,
 )
 from ..limits.messages import HeardLimit, LimitsInForce
 from ..paths.leader_messages import CanHelp, HelperGateways
-from ..placement import Grant, PlaceRequest, Reject, RunOutcome
-from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, WasShort
-from ..resumption import StreamOrigin
-from ..resumption.messages import AnswerOrigin, AskOrigin, HeardOrigins
+from ..placement import Grant, Reject
+from ..quota.messages import AnswerQuota, QuotaNews, WasShort
+from ..resumption.messages import AnswerOrigin, HeardOrigins
 from ..signals.messages import BackoffHints, HeardBackoff, HeardRejections, RejectionsInForce
 from .fleet_knowledge import FleetKnowledge
+from .leader_questions import LeaderQuestions
 from .leader_stream import LeaderStream, StreamListener
 from .recent_reports import RecentReports
 
@@ -38,14 +35,6 @@
 ISOLATED_MS = 1_500
 """Time without any controller's message after which the gateway counts as isolated; enough to ask
 each of five controllers twice."""
-REPEAT_TIMEOUT_MS = 100
-"""Longest wait for a repeat from the leader, which answers at once; a later repeat comes too late
-to help the client."""
-ORIGIN_TIMEOUT_MS = 700
-"""Longest wait for the leader's answer about a stream; it may wait for other gateways before."""
-TURN_TIMEOUT_MS = 100
-"""Longest wait for the leader's answer about a turn, beyond the time that the call may wait for the
-turn itself."""
 
 
 Update = TypeVar(
@@ -69,15 +58,8 @@
 )
 
 
-Question = PlaceRequest | PlaceStream | AskRepeat | AskQuota | AskTurn | AskOrigin
-
-
-class LeaderLost(ConnectionError):
-    """There is no stream to a leader; the question was not answered."""
-
-
 class FleetClient(StreamListener):
-    """Finds the leading controller, exchanges messages with it and asks it for decisions.
+    """Finds the leading controller and exchanges messages with it.
 
     Attributes
     ----------
@@ -85,6 +67,8 @@
         Routes, upstreams and adapter holders as last received from a leader.
     connected : bool
         Whether there is a stream to a leader, and it has sent all upstreams.
+    questions : LeaderQuestions
+        Asks the leader for decisions.
     shortage_report : callable
         Returns the organisations that were short of quota, for a new leader.
     signals_to_resend : callable
@@ -117,8 +101,7 @@
         self.connected = False
         self._answered_ms = self._lost_ms = clock.now_ms()
         self._out: asyncio.Queue[Any] = asyncio.Queue()
-        self._pending: dict[str | int, asyncio.Future[Any]] = {}
-        self._numbers = itertools.count()
+        self.questions = LeaderQuestions(self, clock)
         self._connected_event = asyncio.Event()
         self._reports = RecentReports(clock)
         self._handlers: dict[type, Callable[[Any], None]] = {}
@@ -134,7 +117,7 @@
         """Replace the configured controller addresses after a change of the settings."""
         self._configured = controllers
 
-    # Messages and questions
+    # Messages
 
     def send(self, msg: Any) -> None:
         """Send a message that needs no answer; it is dropped while there is no leader."""
@@ -146,113 +129,6 @@
         self._reports.note(msg)
         self.send(msg)
 
-    async def place(self, asked: PlaceRequest | PlaceStream) -> Grant | Reject:
-        """Ask the leader to select an engine for a call.
-
-        Raises
-        ------
-        LeaderLost
-            When there is no leader, or the stream ends before the answer.
-        """
-        req = asked.req if isinstance(asked, PlaceStream) else asked
-        answer: Grant | Reject = await self._ask(req.ticket, asked)
-        return answer
-
-    async def ask_origin(self, attempt: str, owner: str) -> StreamOrigin | None:
-        """Ask what a stream began on; None if no gateway that the leader reaches knows.
-
-        Raises
-        ------
-        LeaderLost
-            When there is no leader, or it does not answer in time.
-        """
-        asking = self.ask_numbered(lambda number: AskOrigin(number, attempt, owner))
-        try:
-            answer: AnswerOrigin = await self._clock.within_ms(ORIGIN_TIMEOUT_MS, asking)
-        except TimeoutError as exc:
-            raise LeaderLost("the leader did not answer a question in time") from exc
-        return answer.origin
-
-    async def borrow_repeat(self, service: str) -> bool:
-        """Ask for one repeat beyond this gateway's own share.
-
-        Returns False if the leader gives none, there is no leader, or it does not answer in time.
-        """
-        asking = self.ask_numbered(lambda number: AskRepeat(number, service))
-        try:
-            answer: AnswerRepeat = await self._clock.within_ms(REPEAT_TIMEOUT_MS, asking)
-        except (LeaderLost, TimeoutError):
-            return False
-        return answer.given
-
-    async def ask_turn(self, question: Callable[[int], AskTurn], wait_ms: int) -> AnswerTurn:
-        """Ask for a turn to send to one of a plain service's limited or full upstreams.
-
-        Parameters
-        ----------
-        question : callable
-            Makes the message from its number.
-        wait_ms : int
-            How long the call may wait for its turn.
-
-        Raises
-        ------
-        LeaderLost
-            When there is no leader, or it does not answer in time.
-        """
-        number = next(self._numbers)
-        asking = self._ask(number, question(number))
-        try:
-            answer: AnswerTurn = await self._clock.within_ms(wait_ms + TURN_TIMEOUT_MS, asking)
-        except TimeoutError as exc:
-            self._withdraw_turn(number)
-            raise LeaderLost("the leader did not answer a request for a turn in time") from exc
-        except asyncio.CancelledError:
-            # Without this, the turn of a call whose client has left would hold a place until it
-            # expires.
-            self._withdraw_turn(number)
-            raise
-        return answer
-
-    def _withdraw_turn(self, number: int) -> None:
-        self.send(EndTurn(number, "", RunOutcome.WITHDRAWN.value))
-
-    async def ask_numbered(
-        self, question: Callable[[int], AskRepeat | AskQuota | AskOrigin]
-    ) -> Any:
-        """Ask a question that is identified by a number, and return its answer.
-
-        Parameters
-        ----------
-        question : callable
-            Makes the message from the number.
-
-        Raises
-        ------
-        LeaderLost
-            When there is no leader, or the stream ends before the answer.
-        """
-        number = next(self._numbers)
-        return await self._ask(number, question(number))
-
-    async def _ask(self, key: str | int, msg: Question) -> Any:
-        """Send a message and wait for the answer that carries `key`.
-
-        Raises
-        ------
-        LeaderLost
-            When there is no leader, or the stream ends before the answer.
-        """
-        if not self.connected:
-            raise LeaderLost("no stream to a leader")
-        fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        self._pending[key] = fut
-        self._out.put_nowait(msg)
-        try:
-            return await fut
-        finally:
-            self._pending.pop(key, None)
-
     @property
     def leaderless_ms(self) -> int:
         """Time since the loss of the last leader; 0 while there is one."""
@@ -311,9 +187,7 @@
                 | AnswerTurn(key)
                 | AnswerOrigin(key)
             ):
-                fut = self._pending.get(key)
-                if fut is not None and not fut.done():
-                    fut.set_result(msg)
+                self.questions.answer(key, msg)
             case Pulse() | NotLeading():
                 pass
             case (
@@ -349,10 +223,8 @@
     def on_lost(self, address: str) -> None:
         """Note that the stream ended; open questions get no answer."""
         if self.connected:
-            log.warning("leader: lost address=%s waiting=%d", address, len(self._pending))
+            log.warning("leader: lost address=%s waiting=%d", address, self.questions.waiting)
             self._lost_ms = self._clock.now_ms()
         self.connected = False
         self._connected_event.clear()
-        for fut in self._pending.values():
-            if not fut.done():
-                fut.set_exception(LeaderLost(address))
+        self.questions.fail(address)
--- a/chestnutfall/forwarding/leader_quota_client.py
+++ b/chestnutfall/forwarding/leader_quota_client.py
@@ -4,7 +4,8 @@
 
 from ..quota.messages import AnswerQuota, AskQuota, UsedQuota
 from ..quota.quota_client import NoQuotaLeader, QuotaClient
-from .fleet_client import FleetClient, LeaderLost
+from .fleet_client import FleetClient
+from .leader_questions import LeaderLost
 
 
 class LeaderQuotaClient(QuotaClient):
@@ -26,7 +27,7 @@
 
     async def ask_quota(self, organisation: str, units: float) -> AnswerQuota:
         try:
-            answer: AnswerQuota = await self._fleet.ask_numbered(
+            answer: AnswerQuota = await self._fleet.questions.ask_numbered(
                 lambda number: AskQuota(number, organisation, units)
             )
         except LeaderLost as exc:
--- a/chestnutfall/forwarding/leader_turn_client.py
+++ b/chestnutfall/forwarding/leader_turn_client.py
@@ -13,7 +13,7 @@
     """Return a function that asks for turns over the gateway's stream to the leader."""
 
     async def ask(criteria: SelectionCriteria, wait_ms: int) -> AnswerTurn:
-        return await fleet.ask_turn(
+        return await fleet.questions.ask_turn(
             lambda number: turn_question(number, criteria, wait_ms, clock.now_ms()), wait_ms
         )
 
--- a/chestnutfall/forwarding/limited_turns.py
+++ b/chestnutfall/forwarding/limited_turns.py
@@ -12,7 +12,7 @@
 from ..placement import RunOutcome
 from ..signals.known_signals import KnownSignals
 from .engine_upstream_selector import NO_LEADER_RETRY_MS
-from .fleet_client import LeaderLost
+from .leader_questions import LeaderLost
 from .place import NoPlace, SelectionCriteria
 
 AskForTurn = Callable[[SelectionCriteria, int], Awaitable[AnswerTurn]]
--- a/chestnutfall/forwarding/room_turns.py
+++ b/chestnutfall/forwarding/room_turns.py
@@ -15,7 +15,7 @@
 from ..limits.turn_round import NO_UPSTREAM_RETRY_MS
 from ..placement import RunOutcome
 from .engine_upstream_selector import NO_LEADER_RETRY_MS
-from .fleet_client import LeaderLost
+from .leader_questions import LeaderLost
 from .limited_turns import WAIT_FRACTION, AskForTurn
 from .place import NoPlace, SelectionCriteria
 
--- a/chestnutfall/forwarding/stream_origins.py
+++ b/chestnutfall/forwarding/stream_origins.py
@@ -13,7 +13,8 @@
 )
 from ..resumption.messages import HeardOrigin, HeardOrigins
 from ..routes import Route
-from .fleet_client import FleetClient, LeaderLost
+from .fleet_client import FleetClient
+from .leader_questions import LeaderLost
 from .place import NoPlace
 from .progress import Progress
 
@@ -139,11 +140,11 @@
         if known is not None:
             return known
         try:
-            return await self._fleet.ask_origin(attempt, progress.fingerprint)
+            return await self._fleet.questions.ask_origin(attempt, progress.fingerprint)
         except LeaderLost:
             await self._wait_for_leader(progress)
         try:
-            return await self._fleet.ask_origin(attempt, progress.fingerprint)
+            return await self._fleet.questions.ask_origin(attempt, progress.fingerprint)
         except LeaderLost as exc:
             raise NoPlace("no_leader", NO_LEADER_RETRY_MS) from exc
 
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -24,7 +24,6 @@
 from .place_request import PlaceRequest
 from .prefill_turns import PrefillTurns, Turn
 from .queue import Queue
-from .ready_adapter import ReadyAdapter
 from .refusals import Refusals
 from .request_classes import RequestClasses
 from .request_order import in_order
@@ -46,6 +45,8 @@
 
     Attributes
     ----------
+    table : EngineTable
+        The engines, and what their orders and reports make of them.
     engines : dict of str to Engine
         Engines by instance.
     kinds : EngineKinds
@@ -65,17 +66,17 @@
         self._clock = clock
         self._demand = Demand()
         self._versions = WantedVersions()
-        self._table = EngineTable(
+        self.table = EngineTable(
             clock,
             limits or LimitRegistry(clock),
             backoffs or BackoffRegistry(clock),
             self._demand,
             self._versions,
         )
-        self.engines = self._table.by_instance
-        self.kinds = self._table.kinds
+        self.engines = self.table.by_instance
+        self.kinds = self.table.kinds
         self.slowed = SlowedEngines(self.engines, clock)
-        self._candidates = CandidateEngines(self._table.index)
+        self._candidates = CandidateEngines(self.table.index)
         self._waiting: dict[str, WaitingRequest] = {}
         self._places: dict[str, str] = {}
         self._model_loads = ModelLoads()
@@ -104,7 +105,7 @@
         build_key : str
             Identifies its software; only needed where a service has several.
         """
-        self._table.add(instance, service, data_centre, spec, build_key)
+        self.table.add(instance, service, data_centre, spec, build_key)
 
     def engine_down(self, instance: str) -> None:
         """Remove an engine; requests that wait for its loads are placed anew."""
@@ -122,7 +123,7 @@
         engine = self.engines.get(instance)
         if engine is None:
             return
-        self._table.note_report(engine, report)
+        self.table.note_report(engine, report)
         for waiting in self._waiting.values():
             if waiting.instance == instance and waiting.req.adapter not in engine.holdings:
                 self._unassign(waiting)
@@ -133,29 +134,17 @@
             if waiting.instance == instance:
                 self._unassign(waiting)
 
-    def order_taken(self, order: LoadAdapter) -> None:
-        """Record that an engine accepted a load now, maybe some time after the order."""
-        self._table.note_taken(order)
-
     def order_failed(self, order: Order) -> None:
         """Record that an order may not have taken effect; the engine's report is needed next."""
         engine = self.engines.get(order.instance)
         if engine is None:
             return
-        self._table.note_failed(engine, order)
+        self.table.note_failed(engine, order)
         if isinstance(order, LoadAdapter):
             for waiting in self._waiting.values():
                 if (waiting.instance, waiting.req.adapter) == (order.instance, order.adapter):
                     self._unassign(waiting)
 
-    def ready(self) -> Iterator[ReadyAdapter]:
-        """Adapters that requests may run on now."""
-        return self._table.ready()
-
-    def unsynced(self) -> Iterator[str]:
-        """Engines whose report must be read before any load is ordered there."""
-        return self._table.unsynced()
-
     def name_version(self, adapter: AdapterName, version: int) -> None:
         """Require this version of the adapter, or a newer one, for all requests from now on."""
         self._versions.name(adapter, version)
@@ -321,7 +310,7 @@
         if option.load_ms is not None:
             version = self._versions.of(req.adapter)
             engine.begin_load(req.adapter, version, option.load_ms, now_ms)
-            self._table.index.add(req.adapter, engine.instance)
+            self.table.index.add(req.adapter, engine.instance)
             yield LoadAdapter(engine.instance, req.adapter, version)
         self._shares.served(waiting.tag)
         waiting.instance = engine.instance
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -183,7 +183,7 @@
         repeats = Repeats(
             self._settings.repeats,
             self._gateways,
-            self._fleet.borrow_repeat,
+            self._fleet.questions.borrow_repeat,
             self._clock,
             self._rng,
         )
--- a/chestnutfall/tests/fakes/limit_parts.py
+++ b/chestnutfall/tests/fakes/limit_parts.py
@@ -6,7 +6,7 @@
 
 from ...clock import Clock
 from ...concurrency.turn_messages import AnswerTurn
-from ...forwarding.fleet_client import LeaderLost
+from ...forwarding.leader_questions import LeaderLost
 from ...forwarding.place import SelectionCriteria
 from ...limits.known_limits import KnownLimits
 from ...limits.messages import HeardLimit
--- a/chestnutfall/tests/fakes/placement_case.py
+++ b/chestnutfall/tests/fakes/placement_case.py
@@ -89,6 +89,6 @@
                         self.rejected[ticket] = decision
                     case LoadAdapter():
                         self.loads.append(decision)
-                        self.placer.order_taken(decision)
+                        self.placer.table.note_taken(decision)
                     case _:
                         pass
--- a/chestnutfall/tests/fakes/placing_leader.py
+++ b/chestnutfall/tests/fakes/placing_leader.py
@@ -147,7 +147,7 @@
                     self._sessions.send_to_holder(ticket, decision)
                     self._sessions.release_ticket(ticket)
                 case LoadAdapter():
-                    self.placer.order_taken(decision)
+                    self.placer.table.note_taken(decision)
                     self._on_order(decision)
                 case UnloadAdapter() | LoadModel():
                     self._on_order(decision)
--- a/chestnutfall/tests/fakes/room_gateway.py
+++ b/chestnutfall/tests/fakes/room_gateway.py
@@ -9,7 +9,7 @@
 from ...concurrency.leaderless_room import LeaderlessRoom
 from ...concurrency.messages import RoomInForce
 from ...concurrency.turn_messages import AnswerTurn
-from ...forwarding.fleet_client import TURN_TIMEOUT_MS, LeaderLost
+from ...forwarding.leader_questions import TURN_TIMEOUT_MS, LeaderLost
 from ...forwarding.leader_turn_client import turn_question
 from ...forwarding.place import SelectionCriteria
 from ...forwarding.plain_upstream_selector import PlainUpstreamSelector
--- a/chestnutfall/tests/fakes/signal_office.py
+++ b/chestnutfall/tests/fakes/signal_office.py
@@ -206,7 +206,7 @@
             Repeats(
                 self._bounds,
                 lambda: len(self.gateways) or 1,
-                gateway.fleet.borrow_repeat,
+                gateway.fleet.questions.borrow_repeat,
                 self.clock,
                 rng,
             ),
--- a/chestnutfall/tests/fakes/uneven_engines.py
+++ b/chestnutfall/tests/fakes/uneven_engines.py
@@ -304,7 +304,7 @@
                 self._run(self._runs[ticket], instance, now_ms)
             case LoadAdapter(instance, adapter):
                 self._begin_load(instance, adapter, now_ms)
-                self.placer.order_taken(decision)
+                self.placer.table.note_taken(decision)
             case UnloadAdapter(instance, adapter):
                 engine = self._engines[instance]
                 engine.ready_ms.pop(adapter, None)
--- a/chestnutfall/tests/test_load_options.py
+++ b/chestnutfall/tests/test_load_options.py
@@ -123,7 +123,7 @@
         return load
 
     def test_it_needs_no_decision_until_the_adapter_is_loaded(self) -> None:
-        self.placer.order_taken(self._submit(wait_ms=4_000))
+        self.placer.table.note_taken(self._submit(wait_ms=4_000))
         with mock.patch("chestnutfall.placement.placer.EngineSelector") as made:
             for _ in range(5):
                 self.clock._now_ms += 4
@@ -140,7 +140,7 @@
         self.assertIsInstance(refusal, Reject)
 
     def test_it_is_placed_anew_when_a_newer_version_is_named(self) -> None:
-        self.placer.order_taken(self._submit(wait_ms=4_000))
+        self.placer.table.note_taken(self._submit(wait_ms=4_000))
         self.placer.name_version(AdapterName(MODEL, "a"), 7)
         self.clock._now_ms += 4
         self.assertEqual(list(self.placer.decide()), [])
--- a/chestnutfall/tests/test_placer.py
+++ b/chestnutfall/tests/test_placer.py
@@ -76,7 +76,7 @@
                 case LoadAdapter(instance, adapter):
                     self.held[instance].add(adapter)
                     if self.takes_orders:
-                        self.placer.order_taken(decision)
+                        self.placer.table.note_taken(decision)
                     assert len(self.held[instance]) <= SLOTS, "more adapters than fit"
                     self.loads.append(decision)
                 case UnloadAdapter(instance, adapter):
@@ -133,7 +133,7 @@
         harness.decide()
         await harness.pass_ms(1_000)
         self.assertEqual(harness.granted, {})
-        harness.placer.order_taken(harness.loads[0])
+        harness.placer.table.note_taken(harness.loads[0])
         await harness.pass_ms(200)
         self.assertEqual(harness.granted, {})
         await harness.pass_ms(100)
--- a/chestnutfall/tests/test_repeats.py
+++ b/chestnutfall/tests/test_repeats.py
@@ -17,8 +17,9 @@
 from ..clock import ManualClock
 from ..coordination.messages import AnswerRepeat, AskRepeat
 from ..coordination.repeat_pool import POOL_SHARE, SAFETY_FACTOR, RepeatPool
-from ..forwarding.fleet_client import REPEAT_TIMEOUT_MS, FleetClient
+from ..forwarding.fleet_client import FleetClient
 from ..forwarding.fleet_knowledge import FleetKnowledge
+from ..forwarding.leader_questions import REPEAT_TIMEOUT_MS
 from ..forwarding.repeats import Repeats
 from ..platform.document_json import DocumentJson
 from ..settings.repeat_bounds import RepeatBounds
@@ -138,11 +139,11 @@
         self.client = FleetClient("g", (), FleetKnowledge(DocumentJson(), self.clock), self.clock)
 
     async def test_without_a_leader_there_is_none(self) -> None:
-        self.assertFalse(await self.client.borrow_repeat("s"))
+        self.assertFalse(await self.client.questions.borrow_repeat("s"))
 
     async def test_each_answer_goes_to_its_own_question(self) -> None:
         self.client.connected = True
-        asked = [asyncio.ensure_future(self.client.borrow_repeat("s")) for _ in range(2)]
+        asked = [asyncio.ensure_future(self.client.questions.borrow_repeat("s")) for _ in range(2)]
         await self.clock.settle()
         questions = [self.client._out.get_nowait() for _ in asked]
         self.assertEqual({one.service for one in questions if isinstance(one, AskRepeat)}, {"s"})
@@ -152,7 +153,7 @@
 
     async def test_a_silent_leader_grants_nothing(self) -> None:
         self.client.connected = True
-        asked = asyncio.ensure_future(self.client.borrow_repeat("s"))
+        asked = asyncio.ensure_future(self.client.questions.borrow_repeat("s"))
         await self.clock.advance(REPEAT_TIMEOUT_MS + 1)
         self.assertFalse(await asked)
         self.client.on_message(AnswerRepeat(0, True), "address")
--- a/chestnutfall/tests/test_room_gateway.py
+++ b/chestnutfall/tests/test_room_gateway.py
@@ -28,8 +28,9 @@
 from ..coordination.limit_coordinator import LimitCoordinator
 from ..coordination.messages import FLEET_CODEC
 from ..coordination.room_broadcaster import SEND_INTERVAL_MS, RoomBroadcaster
-from ..forwarding.fleet_client import TURN_TIMEOUT_MS, FleetClient, LeaderLost
+from ..forwarding.fleet_client import FleetClient
 from ..forwarding.fleet_knowledge import FleetKnowledge
+from ..forwarding.leader_questions import TURN_TIMEOUT_MS, LeaderLost
 from ..limits.limit_registry import LimitRegistry
 from ..limits.plain_send_queues import PlainSendQueues
 from ..placement import RunOutcome
@@ -234,7 +235,7 @@
 
     # Guards against a place that is held until it expires since the client of its call left.
     async def test_a_call_that_is_cancelled_withdraws_its_question(self) -> None:
-        asking = asyncio.ensure_future(self.fleet.ask_turn(_ask, 800))
+        asking = asyncio.ensure_future(self.fleet.questions.ask_turn(_ask, 800))
         await self.clock.settle()
         asking.cancel()
         await asyncio.gather(asking, return_exceptions=True)
@@ -242,7 +243,7 @@
         self.assertEqual(ended, EndTurn(asked.number, "", "withdrawn"))
 
     async def test_a_question_without_an_answer_is_withdrawn(self) -> None:
-        asking = asyncio.ensure_future(self.fleet.ask_turn(_ask, 100))
+        asking = asyncio.ensure_future(self.fleet.questions.ask_turn(_ask, 100))
         await self.clock.advance(100 + TURN_TIMEOUT_MS)
         with self.assertRaises(LeaderLost):
             await asking
--- a/chestnutfall/tests/test_upstream_selectors.py
+++ b/chestnutfall/tests/test_upstream_selectors.py
@@ -10,7 +10,7 @@
 import dataclasses
 import random
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..clock import ManualClock
 from ..concurrency.known_room import KnownRoom
@@ -20,11 +20,12 @@
 from ..concurrency.upstream_room import SLOWDOWN_FRESH_MS
 from ..control.upstream_record import UpstreamRecord
 from ..coordination.holdings_diff import holdings_change
-from ..coordination.messages import Release, UpstreamsChange, Withdraw
+from ..coordination.messages import PlaceStream, Release, UpstreamsChange, Withdraw
 from ..forwarding.call import Call
 from ..forwarding.engine_upstream_selector import LEADERLESS_WAIT_MS, EngineUpstreamSelector
-from ..forwarding.fleet_client import FleetClient, LeaderLost
+from ..forwarding.fleet_client import FleetClient
 from ..forwarding.fleet_knowledge import FleetKnowledge
+from ..forwarding.leader_questions import LeaderLost, LeaderQuestions
 from ..forwarding.place import NoPlace, Place, SelectionCriteria
 from ..forwarding.plain_upstream_selector import PlainUpstreamSelector
 from ..limits import DeclaredLimit
@@ -49,6 +50,22 @@
     return SelectionCriteria(call, ROUTE, ServiceSpec("s", None), avoid, until_ms)
 
 
+class _Questions(LeaderQuestions):
+    """Questions for places that get scripted answers; None and the end mean that there is none."""
+
+    def __init__(
+        self, fleet: FleetClient, clock: ManualClock, answers: Iterable[Grant | Reject | None]
+    ) -> None:
+        super().__init__(fleet, clock)
+        self._answers = list(answers)
+
+    async def place(self, asked: PlaceRequest | PlaceStream) -> Grant | Reject:
+        answer = self._answers.pop(0) if self._answers else None
+        if answer is None:
+            raise LeaderLost("scripted")
+        return answer
+
+
 class _Fleet(FleetClient):
     """A client of a fleet with engines 1 and 2, whose leader answers from a script."""
 
@@ -56,18 +73,12 @@
         knowledge = FleetKnowledge(DocumentJson(), clock)
         knowledge.apply(UpstreamsChange((_upstream("1"), _upstream("2")), ()))
         super().__init__("g", (), knowledge, clock)
-        self._answers = list(answers)
+        self.questions = _Questions(self, clock, answers)
         self.sent: list[object] = []
 
     def hold(self, *held: ReadyAdapter) -> None:
         self.knowledge.apply(holdings_change(True, held))
 
-    async def place(self, req: PlaceRequest) -> Grant | Reject:
-        answer = self._answers.pop(0) if self._answers else None
-        if answer is None:
-            raise LeaderLost("scripted")
-        return answer
-
     def send(self, msg: object) -> None:
         self.sent.append(msg)
 
@@ -135,11 +146,12 @@
         self.assertEqual([type(msg) for msg in fleet.sent], [Release])
 
     async def test_a_caller_that_leaves_withdraws_its_request(self) -> None:
-        class _Silent(_Fleet):
-            async def place(self, req: PlaceRequest) -> Grant | Reject:
+        class _Silent(LeaderQuestions):
+            async def place(self, asked: PlaceRequest | PlaceStream) -> Grant | Reject:
                 return await asyncio.get_running_loop().create_future()
 
-        fleet = _Silent(self.clock)
+        fleet = _Fleet(self.clock)
+        fleet.questions = _Silent(fleet, self.clock)
         taking = asyncio.ensure_future(self._selector(fleet).select(_criteria()))
         await self.clock.settle()
         taking.cancel()
--- a/properties/safeguards/quota_mutants.py
+++ b/properties/safeguards/quota_mutants.py
@@ -117,7 +117,7 @@
     Mutant(
         "a load that has just begun is not found again",
         "chestnutfall/placement/placer.py",
-        "            self._table.index.add(req.adapter, engine.instance)\n",
+        "            self.table.index.add(req.adapter, engine.instance)\n",
         "            pass\n",
         "chestnutfall.tests.test_candidate_engines",
     ),
--- a/properties/safeguards/room_mutants.py
+++ b/properties/safeguards/room_mutants.py
@@ -281,7 +281,7 @@
     ),
     Mutant(
         "a cancelled call keeps its turn",
-        "chestnutfall/forwarding/fleet_client.py",
+        "chestnutfall/forwarding/leader_questions.py",
         "            self._withdraw_turn(number)\n            raise\n",
         "            raise\n",
         f"{_GATEWAY_TEST}.TurnQuestionTest",
