Run the tests of the product's own programs beside those without programs

The modules that wait for the product's own programs judge no share of what is served, and take ports that the system gives to no one else, so they run beside the modules on a manual clock, begun first.

--- a/chestnutfall/tests/suite.py
+++ b/chestnutfall/tests/suite.py
@@ -22,11 +22,12 @@
 FOLDERS = ("chestnutfall/tests", "properties")
 PARALLEL = 4
 """Modules that run at once; each keeps about one core busy."""
-STARTS_PROGRAMS = re.compile(
-    r"^from (soak\b|\.process_office|\.(office|stream|part|rush)_scenario)", re.MULTILINE
-)
-"""Imports of modules whose tests start programs, or listen on ports that were free a moment before.
-Such a module runs alone: a deployment uses all cores, and another module could take the port."""
+RUNS_ALONE = re.compile(r"^from (soak\b|\.(office|stream|part|rush)_scenario)", re.MULTILINE)
+"""Imports of modules whose tests judge what a deployment of real programs serves, or listen on
+ports that were free a moment before. Other modules would take processor time, or the port."""
+STARTS_PROGRAMS = re.compile(r"^from \.process_office", re.MULTILINE)
+"""Import of modules that wait for real programs, on ports that the system gives to no one else;
+they take longest and are begun first."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,10 +65,11 @@
 
 
 def _run_modules(modules: Iterable[Path]) -> Iterator[ModuleRun]:
-    alone = [path for path in modules if STARTS_PROGRAMS.search(path.read_text("utf-8"))]
-    beside = [path for path in modules if path not in alone]
+    sources = {path: path.read_text("utf-8") for path in modules}
+    alone = [path for path, source in sources.items() if RUNS_ALONE.search(source)]
+    beside = [path for path in sources if path not in alone]
     # The largest modules tend to take longest; begun first, they don't end last.
-    beside.sort(key=lambda path: -path.stat().st_size)
+    beside.sort(key=lambda path: (not STARTS_PROGRAMS.search(sources[path]), -len(sources[path])))
     with ThreadPoolExecutor(PARALLEL) as pool:
         yield from pool.map(_run, beside)
     yield from map(_run, alone)
