--- a/chestnutfall/tests/fakes/path_office.py
+++ b/chestnutfall/tests/fakes/path_office.py
@@ -42,6 +42,16 @@
     return ForwardedCall(call, upstream, 0, 1, 4000, None, True, 1000.0)
 
 
+def draw_pairs(office: PathOffice, share: float, rng: random.Random) -> set[tuple[int, str]]:
+    """Return a share of all pairs to cut; each upstream is reached by some gateway."""
+    count = len(office.gateways)
+    cut: set[tuple[int, str]] = set()
+    for one in office.upstreams:
+        lost = rng.sample(range(count), min(round(share * count), count - 1))
+        cut |= {(at, one.instance) for at in lost}
+    return cut
+
+
 class PathOffice:
     """Gateways, upstreams, and which of them reach each other.
 
@@ -90,6 +100,10 @@
         instance = next(one.instance for one in self.upstreams if one.address == address)
         return instance not in self.down and (gateway, instance) not in self.cut
 
+    def step(self) -> None:
+        """Do what the leader does from time to time."""
+        self.name_helpers()
+
     def name_helpers(self) -> None:
         """Tell each gateway its helpers, as the leader does."""
         ring = [
