Keep in the log which prompt parts were cleared before an end was stored

The first part of most prompts had been answered within milliseconds after each end, before the end was stored 150 ms later, so no stored end named it. The new leader got the reports of the last ten seconds again, suspected it anew at all four, and held it.

The stored end names the parts that were cleared by then as well, and they stay cleared for that end. That is enough, since a part that is not the cause of an end never becomes it.

One mutant, found.

--- a/chestnutfall/control/commands.py
+++ b/chestnutfall/control/commands.py
@@ -260,6 +260,8 @@
         The requests with prompt parts that are suspect.
     overlapping_parts : tuple of str
         Parts for which the end counts as one with another upstream's end.
+    cleared_parts : tuple of str
+        Parts that it ran too and that were cleared before this was stored.
     """
 
     instance: str
@@ -268,6 +270,7 @@
     service: str = ""
     runs: tuple[RunParts, ...] = ()
     overlapping_parts: tuple[str, ...] = ()
+    cleared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/control/control_state.py
+++ b/chestnutfall/control/control_state.py
@@ -213,6 +213,7 @@
                     self.crashes.note_parts(
                         instance, command.service, command.runs, command.overlapping_parts
                     )
+                self.crashes.parts.note_cleared(instance, command.cleared_parts)
                 return Done()
             case HoldParts(parts):
                 self.crashes.hold_parts(parts)
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -169,15 +169,23 @@
             one for one, run in runs.items() if self._last_ends.is_separate(one, run.began_ms)
         )
         overlapping = tuple(one for one in runs if one not in suspects)
-        found, overlapping_parts = self._parts.runs(broken, runs)
+        found = self._parts.findings(broken, runs)
         if runs:
             record = self._state.roster.records.get(instance)
             service = record.service if record is not None else ""
             await self._commit_runs(
-                NoteUpstreamEnd(instance, suspects, overlapping, service, found, overlapping_parts)
+                NoteUpstreamEnd(
+                    instance,
+                    suspects,
+                    overlapping,
+                    service,
+                    found.runs,
+                    found.overlapping,
+                    found.cleared,
+                )
             )
         broken.mark_committed(runs)
-        self._parts.note_committed(found, runs)
+        self._parts.note_committed(found.runs, runs)
         await self._commit_hold(instance)
         for fingerprint, run in runs.items():
             self._last_ends.note(fingerprint, run.broke_ms)
--- a/chestnutfall/control/part_ledger.py
+++ b/chestnutfall/control/part_ledger.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -14,6 +14,8 @@
 far under it, since parts that were answered in full are left out."""
 MAX_RUNS = 64
 """Runs kept of one end; more than most engines run at once."""
+MAX_CLEARED = 1_024
+"""Parts kept of one end that are not the cause; about 20 bytes each."""
 MAX_HELD = 256
 MAX_PART_OFFENDERS = 1_024
 HOLD_MS = 60_000
@@ -32,6 +34,25 @@
     parts: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PartFindings:
+    """What is known of the parts that an engine ran at its end, when the end is stored.
+
+    Attributes
+    ----------
+    runs : tuple of RunParts
+        Requests with parts that are suspect.
+    overlapping : tuple of str
+        Suspect parts for which the end overlaps an earlier one.
+    cleared : tuple of str
+        Parts that are not the cause.
+    """
+
+    runs: tuple[RunParts, ...]
+    overlapping: tuple[str, ...]
+    cleared: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class PartEnd:
     """The end of one engine.
@@ -90,7 +111,7 @@
     explained : dict of str to None
         Incarnations whose ends are explained by a hold, oldest first.
     cleared : dict of str to tuple of str
-        Parts that an incarnation ran at its end and that were cleared since, oldest first.
+        Parts that an incarnation ran at its end and that are not the cause, oldest first.
     """
 
     ends: dict[str, PartEnd] = field(default_factory=dict)
@@ -154,17 +175,18 @@
         """Clear parts that were answered in full; what was held with them is held without."""
         cleared = set(parts)
         for instance, end in list(self.ends.items()):
-            self._note_cleared(instance, cleared & end.parts())
+            self.note_cleared(instance, cleared & end.parts())
             self.ends[instance] = end.without(cleared)
             if not self.ends[instance].runs:
                 del self.ends[instance]
         for name in [one for one in self.offences if cleared & set(parts_of(one))]:
             self._shrink(name, cleared)
 
-    def _note_cleared(self, instance: str, parts: set[str]) -> None:
-        if parts:
+    def note_cleared(self, instance: str, parts: Collection[str]) -> None:
+        """Record that parts that an engine ran at its end are not the cause."""
+        if parts and instance not in self.explained:
             known = self.cleared.pop(instance, ())
-            self.cleared[instance] = tuple(sorted({*known, *parts}))
+            self.cleared[instance] = tuple(sorted({*known, *parts}))[:MAX_CLEARED]
         _drop_oldest(self.cleared, MAX_PART_ENDS)
 
     def _shrink(self, name: str, cleared: set[str]) -> None:
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -11,7 +11,7 @@
 from .first_seen import FirstSeen
 from .last_ends import LastEnds
 from .part_blame import most_suspect_parts, parts_to_hold
-from .part_ledger import PartLedger, RunParts, parts_of
+from .part_ledger import PartFindings, PartLedger, RunParts, parts_of
 from .run_interval import RunInterval
 
 END_RETENTION_MS = 3_600_000
@@ -52,11 +52,8 @@
             parts = self._ledger.unexplained(instance, parts)
             self._suspects.suspect(parts, service, instance, self._clock.now_ms())
 
-    def runs(
-        self, broken: BrokenUpstream, runs: Mapping[str, RunInterval]
-    ) -> tuple[tuple[RunParts, ...], tuple[str, ...]]:
-        """Return the requests of an end with the parts that are still suspect, and those parts for
-        which the end overlaps an earlier one.
+    def findings(self, broken: BrokenUpstream, runs: Mapping[str, RunInterval]) -> PartFindings:
+        """Return which parts of the requests of an end are still suspect, and which are not.
 
         An answer clears a part that many requests share within some ms, long before this is asked.
         """
@@ -72,9 +69,12 @@
             for part in run.parts:
                 began = runs[run.fingerprint].began_ms
                 began_ms[part] = max(began_ms.get(part, began), began)
-        return found, tuple(
+        overlapping = tuple(
             part for part, at_ms in began_ms.items() if not self._last_ends.is_separate(part, at_ms)
         )
+        all_parts = {part for one in runs for part in broken.parts.get(one, ())}
+        cleared = tuple(sorted(all_parts.difference(began_ms)))
+        return PartFindings(found, overlapping, cleared)
 
     def _is_suspect(self, part: str) -> bool:
         return part in self._suspects
--- a/chestnutfall/tests/test_suspect_parts.py
+++ b/chestnutfall/tests/test_suspect_parts.py
@@ -284,6 +284,25 @@
         self.assertEqual(self._held(), set())
 
     # Guards against parts that are blamed as engines end one after the other for another cause.
+    # Guards against callers of a popular part who are refused for a minute: a new leader gets the
+    # reports of ends again, and not which parts were answered before the ends were stored.
+    async def test_engines_that_ended_before_a_new_leader_implicate_no_part(self) -> None:
+        self.office.run_ms = 200
+        popular: list[PartCall] = []
+
+        def script(passed_ms: int) -> None:
+            if passed_ms % 16 == 0:
+                popular.append(self.office.send(self._gateway(), ("popular", f"p{len(popular)}")))
+            if passed_ms % 600 == 304 and passed_ms < 2_400:
+                self.office.end(self._engines()[0])
+            if passed_ms == 3_200:
+                self.office.begin_leader()
+
+        await self._play(7_000, script)
+        self.assertEqual(self._held(), set())
+        refused = [one for one in popular if one.reply.reason == PART_ENDS_UPSTREAMS]
+        self.assertEqual(refused, [])
+
     async def test_engines_that_end_in_turn_implicate_no_part(self) -> None:
         def script(passed_ms: int) -> None:
             if passed_ms % 400 == 200:
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -29,6 +29,13 @@
         "        return tuple(parts)\n",
         "chestnutfall.tests.test_part_ledger",
     ),
+    Mutant(
+        "the log does not keep which parts were cleared before an end was stored",
+        "chestnutfall/control/control_state.py",
+        "                self.crashes.parts.note_cleared(instance, command.cleared_parts)\n",
+        "",
+        _OTHER + "test_engines_that_ended_before_a_new_leader_implicate_no_part",
+    ),
     Mutant(
         "a new leader suspects the parts of an end that is explained",
         "chestnutfall/control/part_monitor.py",
