Tell a new leader which prompt parts were answered since engines ended

A new leader that comes while engines end one after the other held the first part of most prompts for a minute, 503 part_ended_its_upstreams: the new test, with ends that no leader stored, refused its callers before, at each of seven moments for the new leader's beginning.

Cause: only answers to requests that a leader placed itself clear parts. Those that run as it begins were placed by the last one or without any, so a part that runs everywhere was never answered as far as it knew, while its own requests waited for the ends to be judged.

A gateway tells of each part of a broken answer of its own that it answers later, with the age of the answer, and again to a new leader beside the reports of the ends. An end that is told of later than such an answer, and was before it, implicates the part no more. Why that is enough: what ends every engine is answered at no gateway. While nothing breaks off there is no message and nothing is computed.

Three mutants, all found.

--- a/chestnutfall/control/crash_messages.py
+++ b/chestnutfall/control/crash_messages.py
@@ -64,6 +64,26 @@
     fingerprint: str
 
 
+@dataclass(frozen=True, slots=True)
+class AnsweredParts:
+    """Report of a gateway: an engine answered a request in full whose prompt has these parts.
+
+    Only parts that a broken answer of this gateway had are reported, once after each.
+
+    Attributes
+    ----------
+    answered_ago_ms : int
+        Age of the answer, when the report is sent.
+    """
+
+    parts: tuple[str, ...]
+    answered_ago_ms: int = 0
+
+    def delayed_by(self, by_ms: int) -> AnsweredParts:
+        """Return the report with the age for sending it `by_ms` later."""
+        return replace(self, answered_ago_ms=self.answered_ago_ms + by_ms)
+
+
 @dataclass(frozen=True, slots=True)
 class QuarantinedRequest:
     """A request that gateways must not send, and the time after which callers may retry it."""
@@ -104,4 +124,4 @@
 
 NO_SUSPECTS = SuspectRequests(-1, (), ())
 """State of a gateway that has not received any suspects yet."""
-CrashReport = BrokenRun | AnsweredRun
+CrashReport = BrokenRun | AnsweredRun | AnsweredParts
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -20,7 +20,7 @@
     NoteUpstreamEnd,
 )
 from .control_state import ControlState
-from .crash_messages import AnsweredRun, BrokenRun, CrashReport
+from .crash_messages import AnsweredParts, AnsweredRun, BrokenRun, CrashReport
 from .first_seen import FirstSeen
 from .last_ends import LastEnds
 from .part_monitor import PartMonitor
@@ -82,6 +82,8 @@
         match report:
             case BrokenRun():
                 self._note_broken(report)
+            case AnsweredParts(parts, ago_ms):
+                self._parts.answered(parts, self._clock.now_ms() - ago_ms)
             case AnsweredRun(fingerprint):
                 if self._state.crashes.implicates(fingerprint):
                     self._answered[fingerprint] = None
@@ -145,8 +147,8 @@
     def _suspect_parts(self, instance: str, broken: BrokenUpstream) -> None:
         if broken.ended_by_rejections:
             return
-        for fingerprint in broken.uncommitted:
-            self._parts.run_ended(instance, broken.parts.get(fingerprint, ()))
+        for fingerprint, run in broken.uncommitted.items():
+            self._parts.run_ended(instance, broken.parts.get(fingerprint, ()), run.broke_ms)
 
     async def _commit_ends(self) -> None:
         now_ms = self._clock.now_ms()
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -10,6 +10,7 @@
 from .control_state import ControlState
 from .first_seen import FirstSeen
 from .last_ends import LastEnds
+from .latest_times import LatestTimes
 from .part_blame import most_suspect_parts, parts_to_hold
 from .part_ledger import PartFindings, PartLedger, RunParts, parts_of
 from .run_interval import RunInterval
@@ -30,6 +31,7 @@
         self._suspects = suspects
         self._clock = clock
         self._last_ends = LastEnds()
+        self._breaks, self._answers = LatestTimes(), LatestTimes()
         self._ends_seen, self._holds_seen = FirstSeen(clock), FirstSeen(clock)
         for instance, end in self._ledger.ends.items():
             suspects.suspect(end.parts(), end.service, instance, clock.now_ms())
@@ -41,17 +43,34 @@
     def _ledger(self) -> PartLedger:
         return self._state.crashes.parts
 
-    def run_ended(self, instance: str, parts: Iterable[str]) -> None:
+    def run_ended(self, instance: str, parts: Iterable[str], broke_ms: int) -> None:
         """Suspect the parts of a request that ran on an upstream whose process ended.
 
         An upstream that announced that it leaves ends for that reason.
+
+        Parameters
+        ----------
+        broke_ms : int
+            Clock time at which the request's answer broke off.
         """
         record = self._state.roster.records.get(instance)
         if record is None or not record.leaving:
             service = record.service if record is not None else ANY_SERVICE
             parts = self._ledger.unexplained(instance, parts)
+            parts = [one for one in parts if self._answers.last_ms(one) <= broke_ms]
+            self._breaks.note(parts, broke_ms)
             self._suspects.suspect(parts, service, instance, self._clock.now_ms())
 
+    def answered(self, parts: Iterable[str], answered_ms: int) -> None:
+        """Suspect the parts of an answered request no longer, unless they were in a later end.
+
+        The leader knows by itself of answers to requests that it placed. A gateway tells of others:
+        those placed by the last leader, or without one.
+        """
+        self._answers.note(parts, answered_ms)
+        later = [one for one in parts if self._breaks.last_ms(one) < answered_ms]
+        self._suspects.clear_answered(later)
+
     def findings(self, broken: BrokenUpstream, runs: Mapping[str, RunInterval]) -> PartFindings:
         """Return which parts of the requests of an end are still suspect, and which are not.
 
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -13,7 +13,7 @@
 from ..consensus import Replica
 from ..control.commands import Command, NameVersion, PutDocument
 from ..control.control_state import ControlState
-from ..control.crash_messages import AnsweredRun, BrokenRun
+from ..control.crash_messages import AnsweredParts, AnsweredRun, BrokenRun
 from ..control.crash_monitor import CrashMonitor
 from ..control.upstream_record import UpstreamRecord
 from ..limits.limit_registry import LimitRegistry
@@ -265,7 +265,7 @@
                 self._limits.end_turn(session, msg)
             case RunningCalls() | ShortageReport():
                 self._limits.record_room(session, msg)
-            case BrokenRun() | AnsweredRun():
+            case BrokenRun() | AnsweredRun() | AnsweredParts():
                 self._observations.reported(session.gateway, msg)
                 return
             case PlaceRequest():
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -6,7 +6,7 @@
 
 from ..concurrency.messages import EndTurn, RoomInForce, RunningCalls, ShortageReport
 from ..concurrency.turn_messages import AnswerTurn, AskTurn
-from ..control.crash_messages import AnsweredRun, BrokenRun, SuspectRequests
+from ..control.crash_messages import AnsweredParts, AnsweredRun, BrokenRun, SuspectRequests
 from ..control.upstream_record import UpstreamRecord
 from ..limits.messages import HeardLimit, LimitsInForce
 from ..paths.leader_messages import CanHelp, HelperGateways
@@ -313,11 +313,13 @@
     | UsedQuota
     | WasShort
     | BrokenRun
+    | AnsweredParts
     | AnsweredRun
 )
 """Messages that a gateway sends after its first one."""
 
 FLEET_CODEC = Codec(
+    AnsweredParts,
     AnsweredRun,
     AnswerOrigin,
     AnswerQuota,
--- a/chestnutfall/forwarding/recent_reports.py
+++ b/chestnutfall/forwarding/recent_reports.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from ..clock import Clock
-from ..control.crash_messages import MAX_REPORTS, BrokenRun, CrashReport
+from ..control.crash_messages import MAX_REPORTS, AnsweredParts, AnsweredRun, BrokenRun, CrashReport
 
 RESEND_WITHIN_MS = 10_000
 """How long reports are sent again. Longer than two elections in a row; a leader that already has a
@@ -30,4 +30,8 @@
         for at_ms, report in self._reports:
             if at_ms < now_ms - RESEND_WITHIN_MS:
                 continue
-            yield report.delayed_by(now_ms - at_ms) if isinstance(report, BrokenRun) else report
+            match report:
+                case BrokenRun() | AnsweredParts():
+                    yield report.delayed_by(now_ms - at_ms)
+                case AnsweredRun():
+                    yield report
--- a/chestnutfall/forwarding/result_handler.py
+++ b/chestnutfall/forwarding/result_handler.py
@@ -73,6 +73,9 @@
         match result:
             case Delivered():
                 self._quarantine.note_answered(progress.fingerprint)
+                # An answer without an event says nothing of what ends an engine that writes one.
+                if self._quarantine.awaits_parts and progress.last_event is not None:
+                    self._quarantine.note_parts_answered(progress.part_keys)
                 self._metrics.observe("answer_ms", self._clock.now_ms() - progress.call.arrived_ms)
                 return True
             case HeldBack():
--- a/chestnutfall/placement/suspect_parts.py
+++ b/chestnutfall/placement/suspect_parts.py
@@ -111,7 +111,11 @@
         self._answers.update((req.service, ANY_SERVICE))
         if not self._suspicions:
             return
-        cleared = self._suspects_of(keys_of(req))
+        self.clear_answered(keys_of(req))
+
+    def clear_answered(self, parts: Iterable[str]) -> None:
+        """Clear parts, since a request that has them was answered in full."""
+        cleared = self._suspects_of(parts)
         self._cleared.update(cleared)
         self.clear(cleared)
 
--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -5,11 +5,12 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from dataclasses import dataclass
 
 from ..clock import Clock
 from ..control.crash_messages import (
+    AnsweredParts,
     AnsweredRun,
     BrokenRun,
     CrashReport,
@@ -17,6 +18,7 @@
 )
 from ..requests import Executed, Refusal
 from ..signals.known_rejections import WINDOW_MS
+from .broken_parts import BrokenParts
 
 log = logging.getLogger(__name__)
 REASON = "ended_its_upstreams"
@@ -101,6 +103,7 @@
         self._being_checked: set[_BrokenAnswer] = set()
         # Clock time of the latest complete answer by fingerprint, oldest first.
         self._answered_ms: dict[str, int] = {}
+        self._broken_parts = BrokenParts(clock)
         self._still_open: deque[_BrokenAnswer] = deque(maxlen=MAX_REMEMBERED)
 
     def update(self, suspects: SuspectRequests) -> None:
@@ -174,6 +177,7 @@
         parts : tuple of str
             Names of the shared parts of its prompt.
         """
+        self._broken_parts.note_broken(parts)
         now_ms = self._clock.now_ms()
         rejecting = self._rejected_since(instance, now_ms - WINDOW_MS)
         broken = _BrokenAnswer(fingerprint, instance, address, began_ms, now_ms, rejecting, parts)
@@ -195,6 +199,17 @@
             self._unreported.discard(fingerprint)
             self._send_report(AnsweredRun(fingerprint))
 
+    @property
+    def awaits_parts(self) -> bool:
+        """Whether an answer to a request with certain prompt parts has to be reported."""
+        return bool(self._broken_parts)
+
+    def note_parts_answered(self, parts: Iterable[str]) -> None:
+        """Report those parts of an answered request that were in a broken answer before."""
+        answered = self._broken_parts.take_answered(parts)
+        if answered:
+            self._send_report(AnsweredParts(answered))
+
     def note_replaced(self, address: str, instance: str) -> None:
         """Record that `instance` now listens at `address`, so that its predecessor has ended.
 
--- a/chestnutfall/tests/test_request_quarantine.py
+++ b/chestnutfall/tests/test_request_quarantine.py
@@ -12,6 +12,7 @@
 
 from ..clock import ManualClock
 from ..control.crash_messages import (
+    AnsweredParts,
     AnsweredRun,
     BrokenRun,
     CrashReport,
@@ -19,6 +20,9 @@
     SuspectRequests,
 )
 from ..quarantine import RequestQuarantine, refuses_connections
+from ..quarantine.broken_parts import MAX_REMEMBERED as MAX_BROKEN_PARTS
+from ..quarantine.broken_parts import REMEMBERED_MS as BROKEN_PARTS_MS
+from ..quarantine.broken_parts import BrokenParts
 from ..quarantine.request_quarantine import MAX_ANSWERED, REMEMBERED_MS
 from ..requests import Executed, Refusal, fingerprint_of
 from ..signals.known_rejections import WINDOW_MS, KnownRejections
@@ -121,6 +125,26 @@
         self.assertIsNone(reports["never"].answered_ago_ms)
         self.assertIsNone(reports["never"].delayed_by(500).answered_ago_ms)
 
+    async def test_parts_of_broken_answers_are_reported_once_they_are_answered(self) -> None:
+        self.assertFalse(self.quarantine.awaits_parts)
+        self.quarantine.note_broken("r", "i1", "127.0.0.1:1", -70, ("g", "b"))
+        await self.clock.advance(10)
+        self.assertTrue(self.quarantine.awaits_parts)
+        for parts in (("b", "c"), ("b",), ("x",)):
+            self.quarantine.note_parts_answered(parts)
+        answered = [one for one in self.reports if isinstance(one, AnsweredParts)]
+        self.assertEqual(answered, [AnsweredParts(("b",))])
+        self.assertEqual(answered[0].delayed_by(40).answered_ago_ms, 40)
+        await self.clock.advance(BROKEN_PARTS_MS + 1)
+        self.quarantine.note_parts_answered(("g",))
+        self.assertFalse(self.quarantine.awaits_parts)
+        self.assertEqual(len(self.reports), 2)
+
+    def test_broken_parts_are_bounded(self) -> None:
+        broken = BrokenParts(self.clock)
+        broken.note_broken(f"p{number}" for number in range(MAX_BROKEN_PARTS + 1))
+        self.assertEqual(broken.take_answered(("p0", "p1")), ("p1",))
+
     async def test_the_oldest_complete_answers_are_forgotten(self) -> None:
         for number in range(MAX_ANSWERED + 1):
             self.quarantine.note_answered(f"r{number}")
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -29,6 +29,27 @@
         "        return tuple(parts)\n",
         "chestnutfall.tests.test_part_ledger",
     ),
+    Mutant(
+        "gateways don't tell which parts were answered",
+        "chestnutfall/forwarding/result_handler.py",
+        "                if self._quarantine.awaits_parts and progress.last_event is not None:\n",
+        "                if False:\n",
+        _OTHER + "test_engines_that_ended_without_a_leader_implicate_no_part",
+    ),
+    Mutant(
+        "an answer clears parts of later ends",
+        _MONITOR,
+        "        later = [one for one in parts if self._breaks.last_ms(one) < answered_ms]\n",
+        "        later = list(parts)\n",
+        "chestnutfall.tests.test_part_ledger",
+    ),
+    Mutant(
+        "an end that is told of after an answer implicates its parts",
+        _MONITOR,
+        "            parts = [one for one in parts if self._answers.last_ms(one) <= broke_ms]\n",
+        "            parts = list(parts)\n",
+        "chestnutfall.tests.test_part_ledger",
+    ),
     Mutant(
         "the log does not keep which parts were cleared before an end was stored",
         "chestnutfall/control/control_state.py",
