Send calls through a gateway that reaches the upstream in question

Cause: reachability was kept by gateway where it mattered most.

Gateways report which links are cut or back, the leader names for each cut link gateways that have reported no cut there, and the last one that served goes first. Cut links are tried one after the other until they are back, since calls that avoid them never would. A new leader is sent all cut links with the first messages; on the product's own interface heartbeats name them, and the list of gateways has them.

While no link is cut nothing is sent, opened or computed (a test).

--- a/chestnutfall/control/leader_duties.py
+++ b/chestnutfall/control/leader_duties.py
@@ -173,7 +173,11 @@
         live = self._sessions.live(self._clock.now_ms())
         gateways = tuple(
             sorted(
-                (GatewayAddress(s.session, s.heartbeat.address) for s in live if s.heartbeat),
+                (
+                    GatewayAddress(s.session, s.heartbeat.address, s.heartbeat.cut)
+                    for s in live
+                    if s.heartbeat
+                ),
                 key=lambda one: one.session,
             )
         )
--- a/chestnutfall/control/messages.py
+++ b/chestnutfall/control/messages.py
@@ -70,6 +70,8 @@
         Newest directory version that the gateway knows.
     suspects_known : int
         Newest change count of the suspect requests that the gateway knows; -1 before the first.
+    cut : tuple of str
+        Instances of upstreams that the gateway does not reach over its own links.
     """
 
     session: str
@@ -82,6 +84,7 @@
     leaving: bool
     ownership_version: str
     suspects_known: int = NO_SUSPECTS.changes
+    cut: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,10 +121,17 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayAddress:
-    """Address at which other gateways reach the gateway with this session."""
+    """Address at which other gateways reach the gateway with this session.
+
+    Attributes
+    ----------
+    cut : tuple of str
+        Instances of upstreams that it does not reach over its own links.
+    """
 
     session: str
     address: str
+    cut: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/coordination/controller_runner.py
+++ b/chestnutfall/coordination/controller_runner.py
@@ -113,6 +113,7 @@
         self._metrics.gauge("engines_slow", term.slow_engines if term is not None else 0)
         self._metrics.gauge("engines_slowed_now", term.slowed_engines if term is not None else 0)
         self._metrics.gauge("gateways_cut_off", term.cut_off_gateways if term is not None else 0)
+        self._metrics.gauge("links_cut", term.cut_links if term is not None else 0)
         for codec in (FLEET_CODEC, RELAY_CODEC, CONSENSUS_CODEC):
             for name, value in codec.traffic.counters():
                 self._metrics.total(name, value)
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -18,7 +18,7 @@
 from ..control.upstream_record import UpstreamRecord
 from ..limits.limit_registry import LimitRegistry
 from ..limits.messages import HeardLimit
-from ..paths.leader_messages import CanHelp
+from ..paths.leader_messages import CanHelp, LinkReport
 from ..placement import AdapterName, Decision, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.placer import Placer
 from ..quota.messages import AskQuota, UsedQuota, WasShort
@@ -40,6 +40,7 @@
 from .gateway_sessions import GatewaySessions
 from .helper_directory import HelperDirectory
 from .limit_coordinator import LimitCoordinator
+from .link_directory import LinkDirectory
 from .messages import (
     AnswerRepeat,
     AskRepeat,
@@ -102,6 +103,7 @@
         self._limits = LimitCoordinator(limits, backoffs, self._placer, self._sessions, clock)
         self._backoffs = BackoffCoordinator(backoffs, self._placer, self._sessions, clock)
         self._helpers = HelperDirectory(clock)
+        self._links = LinkDirectory(clock)
         self._rejections = RejectionCoordinator(
             self._placer, self._limits.turns, self._sessions, clock
         )
@@ -145,6 +147,7 @@
                 self._pace.begin()
                 self._broadcaster.send_due()
                 self._helpers.send_due()
+                self._links.send_due()
                 await self._upstreams.update_if_due()
                 self._carry_out_decisions()
                 self._pace.end()
@@ -200,6 +203,7 @@
         """Start to serve a gateway that holds `document_version`."""
         self._sessions.add(session)
         self._helpers.add(session)
+        self._links.add(session)
         self._rejections.add_gateway(session)
         self._origins.add_gateway(session)
         self._broadcaster.send_initial_state(session, document_version)
@@ -213,6 +217,7 @@
             self._origins.not_granted(ticket)
         self._origins.remove_gateway(session)
         self._helpers.remove(session)
+        self._links.remove(session)
         self._rejections.remove_gateway(session)
         self._limits.remove_gateway(session)
         self._backoffs.remove_gateway(session)
@@ -247,7 +252,10 @@
                 return
             case CanHelp():
                 self._helpers.record(session, msg)
+                self._links.record_leaving(session, msg)
                 return
+            case LinkReport():
+                self._links.record(session, msg)
             case EngineLoads(slowdowns):
                 self._placer.slowed.note_all(slowdowns)
                 return
@@ -288,6 +296,11 @@
         """Number of gateways that can't send calls for others, mostly since they are cut off."""
         return self._helpers.cut_off
 
+    @property
+    def cut_links(self) -> int:
+        """Number of pairs of a gateway and an upstream that don't reach each other."""
+        return self._links.cut_links
+
     @property
     def slow_engines(self) -> int:
         """Number of engines that are usually slower than their service."""
@@ -327,6 +340,7 @@
             tuple(member.address for member in self._replica.members)
         )
         self._engines.set_engines(self._engines_of(serving))
+        self._links.set_engines(self._placer.engines, (one.instance for one in serving))
         self._limits.set_serving(serving)
         self._rejections.set_serving(serving)
         self._backoffs.set_serving(serving)
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -9,7 +9,7 @@
 from ..control.crash_messages import AnsweredParts, AnsweredRun, BrokenRun, SuspectRequests
 from ..control.upstream_record import UpstreamRecord
 from ..limits.messages import HeardLimit, LimitsInForce
-from ..paths.leader_messages import CanHelp, HelperGateways
+from ..paths.leader_messages import CanHelp, HelperGateways, HelpersByUpstream, LinkReport
 from ..placement import Grant, PlaceRequest, Reject
 from ..placement.run_times import NO_TIMES, RunTimes
 from ..quota.messages import AnswerQuota, AskQuota, QuotaNews, UsedQuota, WasShort
@@ -301,6 +301,7 @@
     | AskQuota
     | AskTurn
     | CanHelp
+    | LinkReport
     | EndTurn
     | EngineLoads
     | HeardBackoff
@@ -332,6 +333,7 @@
     BackoffHints,
     BrokenRun,
     CanHelp,
+    LinkReport,
     Controllers,
     EndTurn,
     EngineLoads,
@@ -343,6 +345,7 @@
     HeardOrigins,
     HeardRejections,
     HelperGateways,
+    HelpersByUpstream,
     HoldingsChange,
     LimitsInForce,
     NotLeading,
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -21,7 +21,7 @@
     UpstreamsPart,
 )
 from ..limits.messages import HeardLimit, LimitsInForce
-from ..paths.leader_messages import CanHelp, HelperGateways
+from ..paths.leader_messages import CanHelp, HelperGateways, HelpersByUpstream, LinkReport
 from ..placement import Grant, Reject
 from ..quota.messages import AnswerQuota, QuotaNews, WasShort
 from ..resumption.messages import AnswerOrigin, HeardOrigins
@@ -45,6 +45,7 @@
     BackoffHints,
     RoomInForce,
     HelperGateways,
+    HelpersByUpstream,
     RejectionsInForce,
 )
 Resent = (
@@ -54,6 +55,7 @@
     | RunningCalls
     | RunningSends
     | CanHelp
+    | LinkReport
     | HeardOrigins
 )
 
@@ -197,6 +199,7 @@
                 | BackoffHints()
                 | RoomInForce()
                 | HelperGateways()
+                | HelpersByUpstream()
                 | RejectionsInForce()
             ):
                 if (handler := self._handlers.get(type(msg))) is not None:
--- a/chestnutfall/membership/gateway_agent.py
+++ b/chestnutfall/membership/gateway_agent.py
@@ -27,6 +27,8 @@
 HEARTBEAT_MS = 400
 HEARTBEAT_DEADLINE_MS = 2000
 NOTHING_APPLIED = -1
+MAX_CUT_LINKS = 1_024
+"""Cut links that a heartbeat names; about 30 bytes each."""
 
 
 class GatewayAgent:
@@ -61,6 +63,8 @@
     acting : callable
         Returns the engines that this gateway still acts for, also while it hands them over;
         sent with each heartbeat.
+    cut_links : callable
+        Returns the upstreams that this gateway does not reach; sent with each heartbeat.
     on_change : callable
         Called after each reply has been applied.
     on_suspects : callable
@@ -84,6 +88,7 @@
         self.gateways: dict[str, GatewayAddress] = {}
         self.leaving = False
         self.acting: Callable[[], Iterable[str]] = tuple
+        self.cut_links: Callable[[], Iterable[str]] = tuple
         self.on_change: Callable[[], None] = lambda: None
         self.on_suspects: Callable[[SuspectRequests], None] = lambda suspects: None
         self._address = address
@@ -178,6 +183,7 @@
             self.leaving,
             self._ownership_version,
             self._suspects_known,
+            tuple(self.cut_links())[:MAX_CUT_LINKS],
         )
 
     def _apply_reply(self, reply: HeartbeatReply, sent_ms: int) -> None:
--- a/chestnutfall/membership/peer_helpers.py
+++ b/chestnutfall/membership/peer_helpers.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Sequence
 
-from ..paths.helper_ring import RingGateway, helpers_of_all
+from ..paths.helper_ring import RingGateway, dealt_out, helpers_of_all, in_order
 from ..paths.known_helpers import KnownHelpers
-from ..paths.leader_messages import HelperGateways
+from ..paths.leader_messages import HelperGateways, HelpersByUpstream, UpstreamHelpers
 from .gateway_agent import GatewayAgent
 
 
@@ -20,6 +20,7 @@
     def __init__(self, agent: GatewayAgent, helpers: KnownHelpers) -> None:
         self._agent = agent
         self._helpers = helpers
+        self._named: set[str] = set()
 
     def update(self) -> None:
         """Name the helpers anew; called when the list of gateways has changed."""
@@ -28,6 +29,27 @@
         ]
         addresses = helpers_of_all(ring).get(self._agent.session, ())
         self._helpers.apply(HelperGateways(addresses, self._agent.session))
+        self._name_by_upstream()
+
+    def _name_by_upstream(self) -> None:
+        """Name those that reach each upstream that this gateway does not reach."""
+        gateways = self._agent.gateways
+        own = gateways.get(self._agent.session)
+        cut = own.cut if own is not None else ()
+        gone = tuple(self._named.difference(cut))
+        self._named = set(cut)
+        if not cut and not gone:
+            return
+        self._helpers.apply_links(
+            HelpersByUpstream(tuple(self._helpers_for(one) for one in cut), gone)
+        )
+
+    def _helpers_for(self, instance: str) -> UpstreamHelpers:
+        gateways = self._agent.gateways
+        ring = in_order(RingGateway(name, one.address, "") for name, one in gateways.items())
+        able = [one for one in ring if instance not in gateways[one.name].cut]
+        lost = [one for one in ring if instance in gateways[one.name].cut]
+        return UpstreamHelpers(instance, dealt_out(lost, able)[self._agent.session])
 
     def accepts(self, keys: Sequence[str]) -> bool:
         """Whether one of the keys is the session of a live gateway."""
--- a/chestnutfall/paths/drained_gateway.py
+++ b/chestnutfall/paths/drained_gateway.py
@@ -30,7 +30,7 @@
 
     def announce_leaving(self) -> None:
         self._server.announce_leaving()
-        self._send(CanHelp(False))
+        self._send(CanHelp(False, leaving=True))
 
     def refuse_new(self) -> None:
         self._server.refuse_new()
--- a/chestnutfall/paths/helped_upstream_api.py
+++ b/chestnutfall/paths/helped_upstream_api.py
@@ -13,7 +13,7 @@
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import NotSent, UpstreamApi
-from .helper_api import HelperApi, HelperUnusable
+from .helper_api import HelperApi, HelperUnusable, UpstreamNotReached
 from .known_helpers import KnownHelpers
 from .path_table import PathTable
 
@@ -62,12 +62,15 @@
         Without a link and without a helper, a call is refused at once instead of after it has tried
         one upstream after another.
         """
-        if self._helpers.usable():
-            return True
         upstreams = list(upstreams)
+        if not upstreams or any(self._may_reach(one.instance) for one in upstreams):
+            return True
         for one in upstreams:
             self._probe_if_due(one)
-        return not upstreams or any(not self._paths.is_cut(one.instance) for one in upstreams)
+        return False
+
+    def _may_reach(self, instance: str) -> bool:
+        return not self._paths.is_cut(instance) or self._helpers.usable(instance)
 
     @asynccontextmanager
     async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
@@ -110,14 +113,21 @@
         if self._paths.is_down(instance):
             raise NotSent(str(failure), is_confirmed=True) from failure
         is_confirmed = self._is_alone()
-        for address in self._helpers.candidates():
+        for address in self._helpers.candidates(instance):
             try:
-                return await stack.enter_async_context(self._send_through(address, forwarded))
-            except NotSent as exc:
+                answer = await stack.enter_async_context(self._send_through(address, forwarded))
+            except HelperUnusable as exc:
+                failure = exc
+                self._helpers.note_failed(address)
+            except UpstreamNotReached as exc:
                 failure = exc
                 is_confirmed = is_confirmed or exc.is_confirmed
-                if isinstance(exc, HelperUnusable):
-                    self._helpers.note_failed(address)
+                self._helpers.note_not_reached(address, instance)
+            except NotSent as exc:
+                failure = exc
+            else:
+                self._helpers.note_served(address, instance)
+                return answer
         if is_confirmed:
             self._paths.note_down(instance)
         raise NotSent(str(failure), is_confirmed) from failure
--- a/chestnutfall/paths/helper_api.py
+++ b/chestnutfall/paths/helper_api.py
@@ -15,12 +15,17 @@
     """A helper can't be reached, or sends nothing for this gateway whatever the upstream."""
 
 
+class UpstreamNotReached(NotSent):
+    """A helper does not reach the upstream."""
+
+
 def not_sent(msg: NotSentByHelper) -> NotSent:
     """Return the error for a helper's statement that it sent nothing."""
-    is_cut_off = msg.reason == UNREACHABLE and not msg.is_witness
-    if is_cut_off or msg.reason in (UNKNOWN_KEY, LEAVING):
+    if msg.reason in (UNKNOWN_KEY, LEAVING):
         return HelperUnusable(msg.reason)
-    return NotSent(msg.reason, is_confirmed=msg.is_witness)
+    if msg.reason == UNREACHABLE:
+        return UpstreamNotReached(msg.reason, is_confirmed=msg.is_witness)
+    return NotSent(msg.reason)
 
 
 class HelperApi(ABC):
@@ -37,8 +42,10 @@
         NotSent
             When it is proven that nothing was sent; its `is_confirmed` says whether the helper
             could not reach the upstream while it reached another one.
+        UpstreamNotReached
+            The same, if another helper should be asked first for this upstream.
         HelperUnusable
-            The same, if another helper should be asked first next time.
+            The same, if another helper should be asked first for each upstream.
         AnswerLost
             When the call may have run.
         """
--- a/chestnutfall/paths/helper_ring.py
+++ b/chestnutfall/paths/helper_ring.py
@@ -43,7 +43,7 @@
     changes those of a few others. Gateways that are cut off are dealt out evenly to the others, so
     that these get equal parts of their calls.
     """
-    ring = sorted(gateways, key=lambda one: (crc32(one.name.encode()), one.name))
+    ring = in_order(gateways)
     able = [one for one in ring if one.can_help and one.address]
     cut_off = [one for one in ring if not one.can_help]
     helpers = {one.name: _successors(able, place) for place, one in enumerate(able)}
@@ -52,6 +52,24 @@
     return helpers
 
 
+def dealt_out(
+    cut_off: Sequence[RingGateway], able: Sequence[RingGateway]
+) -> Mapping[str, tuple[str, ...]]:
+    """Return the helpers of gateways that are cut off, by name, dealt out evenly to them.
+
+    Parameters
+    ----------
+    cut_off, able : sequence of RingGateway
+        Both as `in_order` returns them, so that every process deals out the same.
+    """
+    return dict(_dealt_out(cut_off, able))
+
+
+def in_order(gateways: Iterable[RingGateway]) -> list[RingGateway]:
+    """Return gateways in an order that only their names decide."""
+    return sorted(gateways, key=lambda one: (crc32(one.name.encode()), one.name))
+
+
 def _successors(able: Sequence[RingGateway], place: int) -> tuple[str, ...]:
     count = len(able)
     gateway = able[place]
--- a/chestnutfall/paths/leader_messages.py
+++ b/chestnutfall/paths/leader_messages.py
@@ -1,4 +1,4 @@
-"""Messages about helpers between gateways and the leader."""
+"""Messages about links and helpers between gateways and the leader."""
 
 from __future__ import annotations
 
@@ -26,6 +26,56 @@
     """A gateway reports whether it can send calls for others.
 
     It can't while it is itself cut off from upstreams, or about to end.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether it is about to end, and helps with no upstream any more.
     """
 
     can: bool
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LinkReport:
+    """A gateway reports which upstreams it does not reach, and which of these it reaches again.
+
+    Attributes
+    ----------
+    cut, restored : tuple of str
+        Instances of upstreams.
+    """
+
+    cut: tuple[str, ...]
+    restored: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamHelpers:
+    """Gateways that reach an upstream, as far as the leader knows.
+
+    Attributes
+    ----------
+    addresses : tuple of str
+        Their addresses for the internal protocol; empty if no gateway reaches it.
+    """
+
+    instance: str
+    addresses: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HelpersByUpstream:
+    """The leader names the helpers for upstreams that this gateway does not reach.
+
+    Attributes
+    ----------
+    changed : tuple of UpstreamHelpers
+        Upstreams whose helpers are new or other ones.
+    gone : tuple of str
+        Instances that the leader names no helpers for any more.
+    """
+
+    changed: tuple[UpstreamHelpers, ...]
+    gone: tuple[str, ...] = ()
--- a/chestnutfall/paths/path_table.py
+++ b/chestnutfall/paths/path_table.py
@@ -49,12 +49,15 @@
     ----------
     on_change : callable
         Called with whether this gateway can send calls for others, when that changes.
+    on_link : callable
+        Called with an instance, and whether the link to it is cut, when that changes.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._paths: dict[str, _Path] = {}
         self.on_change: Callable[[bool], None] = lambda can_help: None
+        self.on_link: Callable[[str, bool], None] = lambda instance, is_cut: None
         self._can_help = True
 
     def __len__(self) -> int:
@@ -71,18 +74,40 @@
         path = self._paths.get(instance)
         return path is not None and path.is_cut
 
+    def cut_instances(self) -> list[str]:
+        """Return the upstreams that this gateway does not reach."""
+        return [instance for instance, path in self._paths.items() if path.is_cut]
+
+    def longest_untried(self) -> str | None:
+        """Return the upstream whose cut link was not tried for longest; None if none is cut."""
+        cut = ((path.tried_ms, one) for one, path in self._paths.items() if path.is_cut)
+        return min(cut, default=(0, None))[1]
+
+    def note_tried(self, instance: str) -> None:
+        """Record that a cut link is being tried."""
+        path, now_ms = self._paths[instance], self._clock.now_ms()
+        path.tried_ms, path.probe_ms = now_ms, now_ms + PROBE_INTERVAL_MS
+
+    def forget(self, instance: str) -> None:
+        """Drop an upstream that does not serve any more."""
+        self._paths.pop(instance, None)
+
     def note_reached(self, instance: str) -> None:
         """Record that a connection to an upstream opened, or that it answered."""
-        if self.is_cut(instance):
-            log.info("path: restored instance=%s", instance)
+        was_cut = self.is_cut(instance)
         self._note(instance, _Path(False, self._clock.now_ms()))
+        if was_cut:
+            log.info("path: restored instance=%s", instance)
+            self.on_link(instance, False)
 
     def note_failed(self, instance: str) -> None:
         """Record that a connection to an upstream could not be opened."""
-        if not self.is_cut(instance):
-            log.info("path: cut instance=%s", instance)
+        was_cut = self.is_cut(instance)
         now_ms = self._clock.now_ms()
         self._note(instance, _Path(True, now_ms, now_ms + PROBE_INTERVAL_MS))
+        if not was_cut:
+            log.info("path: cut instance=%s", instance)
+            self.on_link(instance, True)
 
     def note_down(self, instance: str) -> None:
         """Record that another gateway, which reaches other upstreams, does not reach this one.
@@ -104,8 +129,7 @@
         path, now_ms = self._paths.get(instance), self._clock.now_ms()
         if path is None or not path.is_cut or now_ms < path.probe_ms:
             return False
-        path.tried_ms = now_ms
-        path.probe_ms = now_ms + PROBE_INTERVAL_MS
+        self.note_tried(instance)
         return True
 
     def _note(self, instance: str, path: _Path) -> None:
--- a/chestnutfall/placement/reachability.py
+++ b/chestnutfall/placement/reachability.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from .upstream_health import EJECTION_MS
 
 FAILURES_TO_EJECT = 2
@@ -18,12 +20,21 @@
     A gateway that can't connect says something about its link. The engine gets no more of that
     gateway's requests for a while, and those of others as before. Only if the failure is confirmed
     by another gateway, and none has had an answer since, does it count as down.
+
+    Attributes
+    ----------
+    reported_cut : collection of str
+        Gateways that reported that they do not reach the engine.
+    is_reached_by_none : bool
+        Whether all gateways reported that.
     """
 
     def __init__(self) -> None:
         self._cut_until_ms: dict[str, int] = {}
         self._confirmed = 0
         self._down_until_ms = -1
+        self.reported_cut: Collection[str] = ()
+        self.is_reached_by_none = False
 
     def note_failed(self, gateway: str, is_confirmed: bool, now_ms: int) -> None:
         """Record that a gateway could not connect.
@@ -48,9 +59,9 @@
         self._down_until_ms = -1
 
     def is_cut_from(self, gateway: str, now_ms: int) -> bool:
-        """Whether a gateway could not connect lately."""
-        return now_ms < self._cut_until_ms.get(gateway, -1)
+        """Whether a gateway does not reach the engine, or could not connect lately."""
+        return gateway in self.reported_cut or now_ms < self._cut_until_ms.get(gateway, -1)
 
     def is_down(self, now_ms: int) -> bool:
         """Whether no gateway should be sent there."""
-        return now_ms < self._down_until_ms
+        return self.is_reached_by_none or now_ms < self._down_until_ms
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -38,7 +38,9 @@
 from ..paths.helper_links import HelperLinks
 from ..paths.helper_service import HelperService
 from ..paths.known_helpers import KnownHelpers
-from ..paths.leader_messages import CanHelp, HelperGateways
+from ..paths.leader_messages import CanHelp, HelperGateways, HelpersByUpstream
+from ..paths.link_prober import LinkProber
+from ..paths.link_reporter import LinkReporter, report_for_new_leader
 from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD
 from ..paths.path_table import PathTable
 from ..paths.port_witness import PortWitness
@@ -117,8 +119,10 @@
         self._links = HelperLinks(self._direct, self._clock)
         self._paths = PathTable(self._clock)
         self._paths.on_change = lambda can_help: self._fleet.send(CanHelp(can_help))
+        self._watch_links()
         self._helpers = KnownHelpers(self._clock, self._rng)
         self._fleet.on(HelperGateways, self._helpers.apply)
+        self._fleet.on(HelpersByUpstream, self._helpers.apply_links)
         self._api = HelpedUpstreamApi(
             self._direct,
             self._links,
@@ -129,6 +133,18 @@
             self._clock,
         )
 
+    def _watch_links(self) -> None:
+        """Report links to upstreams that fail, and try them until they are back."""
+        reporter = LinkReporter(self._fleet.send, self._clock)
+        prober = LinkProber(self._paths, self._known.upstream, opens_connection, self._clock)
+
+        def on_link(instance: str, is_cut: bool) -> None:
+            reporter.note(instance, is_cut)
+            if is_cut:
+                prober.begin()
+
+        self._paths.on_link = on_link
+
     def _make_signals(self) -> None:
         """Make what keeps the signals of upstreams, and the selection of engines by them."""
         fleet, clock = self._fleet, self._clock
@@ -152,6 +168,7 @@
             *self._engine_selector.running.reports_for_new_leader(),
             *self._origins.reports_for_new_leader(),
             *(() if self._paths.can_help else (CanHelp(False),)),
+            *report_for_new_leader(self._paths.cut_instances()),
         )
 
     def _make_quotas(self) -> QuotaEnforcer:
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -29,6 +29,7 @@
 from ..paths.helper_links import HelperLinks
 from ..paths.helper_service import HelperService
 from ..paths.known_helpers import KnownHelpers
+from ..paths.link_prober import LinkProber
 from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD
 from ..paths.path_table import PathTable
 from ..paths.port_witness import PortWitness
@@ -104,7 +105,7 @@
             self._direct,
             self._helper_links,
             self._helpers,
-            PathTable(self._clock),
+            self._make_paths(),
             opens_connection,
             self._peer_helpers.is_alone,
             self._clock,
@@ -179,6 +180,19 @@
             self._upstreams,
         )
 
+    def _make_paths(self) -> PathTable:
+        """Make the table of links, which are tried while they are cut and told to controllers."""
+        paths = PathTable(self._clock)
+        prober = LinkProber(paths, self._upstream_record, opens_connection, self._clock)
+
+        def on_link(instance: str, is_cut: bool) -> None:
+            if is_cut:
+                prober.begin()
+
+        paths.on_link = on_link
+        self._agent.cut_links = lambda: sorted(paths.cut_instances())
+        return paths
+
     def _make_helper(self, signals: KnownSignals) -> HelperService:
         return HelperService(
             self._upstreams,
--- a/chestnutfall/tests/fakes/path_office.py
+++ b/chestnutfall/tests/fakes/path_office.py
@@ -10,6 +10,8 @@
 
 from ...clock import Clock
 from ...control.upstream_record import UpstreamRecord
+from ...coordination.gateway_session import GatewaySession
+from ...coordination.link_directory import LinkDirectory
 from ...forwarding.call import Call
 from ...forwarding.forwarded_call import ForwardedCall
 from ...forwarding.upstream_answer import UpstreamAnswer
@@ -19,7 +21,9 @@
 from ...paths.helper_ring import RingGateway, helpers_of_all
 from ...paths.helper_service import HelperService
 from ...paths.known_helpers import KnownHelpers
-from ...paths.leader_messages import HelperGateways
+from ...paths.leader_messages import HelperGateways, LinkReport
+from ...paths.link_prober import LinkProber
+from ...paths.link_reporter import LinkReporter, report_for_new_leader
 from ...paths.messages import (
     HELP_CODEC,
     AnswerBegins,
@@ -69,6 +73,8 @@
         Pairs of gateways of which the first one loses the answers of the second one.
     runs : Counter of str
         Runs of each request id.
+    reports, named : int
+        Reports about links that reached the leader, and its messages about helpers for upstreams.
     """
 
     def __init__(self, gateways: int, clock: Clock, upstreams: int = 3) -> None:
@@ -84,8 +90,10 @@
         self.runs: Counter[str] = Counter()
         self.helped_sends = 0
         self.opened = 0
+        self.reports = self.named = 0
         self.gateways = [PathGateway(self, at) for at in range(gateways)]
         self.name_helpers()
+        self.begin_leader()
 
     def cut_off(self, *gateways: int) -> None:
         """Cut some gateways off from all upstreams."""
@@ -103,6 +111,38 @@
     def step(self) -> None:
         """Do what the leader does from time to time."""
         self.name_helpers()
+        self.links.send_due()
+        for session, gateway in zip(self.sessions, self.gateways, strict=True):
+            while not session.out.empty():
+                self.named += 1
+                gateway.helpers.apply_links(session.out.get_nowait())
+
+    def begin_leader(self) -> None:
+        """Let a leader begin that knows of no link; gateways report their own."""
+        self.links = LinkDirectory(self.clock)
+        self.sessions = [GatewaySession(f"g{at}", str(at)) for at in range(len(self.gateways))]
+        for session in self.sessions:
+            self.links.add(session)
+        for gateway in self.gateways:
+            for report in report_for_new_leader(gateway.paths.cut_instances()):
+                self.report(gateway.number, report)
+
+    def restart(self, gateway: int) -> None:
+        """Restart a gateway, which knows of no link and no helper then."""
+        self.links.remove(self.sessions[gateway])
+        self.gateways[gateway] = PathGateway(self, gateway)
+        self.sessions[gateway] = GatewaySession(f"g{gateway}", str(gateway))
+        self.links.add(self.sessions[gateway])
+        self.name_helpers()
+
+    def report(self, gateway: int, report: LinkReport) -> None:
+        """Report links of a gateway to the leader."""
+        self.reports += 1
+        self.links.record(self.sessions[gateway], report)
+
+    def record(self, instance: str) -> UpstreamRecord | None:
+        """Return the record of an instance."""
+        return next((one for one in self.upstreams if one.instance == instance), None)
 
     def name_helpers(self) -> None:
         """Tell each gateway its helpers, as the leader does."""
@@ -121,6 +161,9 @@
         self.office, self.number = office, number
         rng = random.Random(number)
         self.paths = PathTable(office.clock)
+        self._reporter = LinkReporter(lambda report: office.report(number, report), office.clock)
+        self._prober = LinkProber(self.paths, office.record, self._opens, office.clock)
+        self.paths.on_link = self._on_link
         self.helpers = KnownHelpers(office.clock, rng)
         self.direct = _DirectLinks(office, number)
         helper_api = _HelperLinks(office, number)
@@ -150,6 +193,11 @@
             rng,
         )
 
+    def _on_link(self, instance: str, is_cut: bool) -> None:
+        self._reporter.note(instance, is_cut)
+        if is_cut:
+            self._prober.begin()
+
     async def _opens(self, address: str) -> bool:
         self.office.opened += 1
         return self.office.reaches(self.number, address)
--- a/chestnutfall/tests/test_pairs.py
+++ b/chestnutfall/tests/test_pairs.py
@@ -13,7 +13,9 @@
 from collections import Counter
 
 from ..clock import ManualClock
+from ..coordination.link_directory import SEND_INTERVAL_MS
 from ..forwarding.upstream_api import NotSent
+from ..paths.known_helpers import KnownHelpers
 from .fakes.path_office import PathOffice, draw_pairs, send_to
 
 CONNECT_MS = 150
@@ -52,6 +54,85 @@
                 await self._play(office)
                 self._check(gateways)
 
+    # Guards against calls that are lost, or run twice, while a leader that knows of no link begins.
+    async def test_a_new_leader_names_helpers_by_upstream_at_once(self) -> None:
+        office = PathOffice(9, self.clock, UPSTREAMS)
+        office.cut = draw_pairs(office, 0.8, self.rng)
+        await self._play(office)
+        office.begin_leader()
+        for gateway in office.gateways:
+            gateway.helpers = KnownHelpers(self.clock, random.Random(gateway.number))
+            gateway.api._helpers = gateway.helpers
+        office.name_helpers()
+        await self.clock.advance(SEND_INTERVAL_MS)
+        office.step()
+        for at, one in enumerate(office.gateways):
+            for upstream in office.upstreams:
+                named = one.helpers.candidates(upstream.instance)
+                if (at, upstream.instance) in office.cut:
+                    reached = [office.reaches(int(name), upstream.address) for name in named]
+                    self.assertIn(True, reached)
+        self.assertEqual(set(office.runs.values()), {1})
+
+    # Guards against a gateway that starts while its links are cut and refuses its first calls.
+    async def test_a_gateway_that_restarts_while_cut_is_served(self) -> None:
+        office = PathOffice(9, self.clock, UPSTREAMS)
+        office.cut = draw_pairs(office, 0.8, self.rng)
+        await self._play(office)
+        office.restart(0)
+        self.sent.clear(), self.served.clear()
+        await self._play(office)
+        self._check(9)
+
+    # Guards against helpers that are named by links of a second ago while links come and go.
+    async def test_calls_are_served_while_pairs_are_drawn_anew(self) -> None:
+        office = PathOffice(9, self.clock, UPSTREAMS)
+        for _ in range(3):
+            office.cut = draw_pairs(office, 0.6, self.rng)
+            self.sent.clear(), self.served.clear()
+            await self._play(office)
+            self._check(9)
+
+    # Guards against gateways that stay on helpers, or are helped with less, after their links are
+    # back: no call may ever try a link that placement avoids.
+    async def test_links_that_are_back_are_found_without_calls(self) -> None:
+        office = PathOffice(9, self.clock, UPSTREAMS)
+        office.cut = draw_pairs(office, 0.8, self.rng)
+        await self._play(office)
+        office.join()
+        await self.clock.advance(1_000)
+        office.step()
+        self.assertEqual([len(one.paths) for one in office.gateways], [0] * 9)
+        self.assertEqual(office.links.cut_links, 0)
+        opened, helped = office.opened, office.helped_sends
+        await self._play(office)
+        self.assertEqual((office.opened, office.helped_sends), (opened, helped))
+
+    # Guards against reports, messages, connections and probes while all links hold.
+    async def test_nothing_is_sent_or_opened_while_no_link_is_cut(self) -> None:
+        office = PathOffice(9, self.clock, UPSTREAMS)
+        await self._play(office)
+        self.assertEqual((office.reports, office.opened, office.helped_sends), (0, 0, 0))
+        self.assertEqual(office.named, 0)
+
+    # Guards against calls that wait for one helper after another with an upstream that no gateway
+    # reaches, and against callers who come back to it before it is.
+    async def test_an_upstream_that_no_gateway_reaches_is_refused_at_once(self) -> None:
+        office = PathOffice(9, self.clock, UPSTREAMS)
+        office.hanging_ms = CONNECT_MS
+        lost = office.upstreams[0]
+        office.cut = {(at, lost.instance) for at in range(9)}
+        await self._play(office)
+        began_ms, helped = self.clock.now_ms(), office.helped_sends
+        for gateway in office.gateways:
+            self.assertFalse(gateway.api.reaches_any([lost]))
+            with self.assertRaises(NotSent):
+                await gateway.send(send_to(lost))
+        self.assertEqual((self.clock.now_ms(), office.helped_sends), (began_ms, helped))
+        office.join()
+        await self.clock.advance(1_000)
+        self.assertTrue(office.gateways[0].api.reaches_any([lost]))
+
     async def _play(self, office: PathOffice) -> None:
         number = 0
         for passed_ms in range(0, LENGTH_MS, STEP_MS):
--- a/properties/safeguards/path_mutants.py
+++ b/properties/safeguards/path_mutants.py
@@ -13,7 +13,81 @@
 _SERVICE = "chestnutfall/paths/helper_service.py"
 _GUARD = "chestnutfall/placement/rejection_guard.py"
 
+_PAIRS = "chestnutfall.tests.test_pairs.DrawnPairsTest"
+_LINKS = "chestnutfall.tests.test_link_directory"
+_DIRECTORY = "chestnutfall/coordination/link_directory.py"
+
 PATH_MUTANTS = (
+    Mutant(
+        "a helper that does not reach the upstream is asked",
+        "chestnutfall/paths/known_helpers.py",
+        "        return self._by_upstream.get(instance, self._addresses)\n",
+        "        return self._addresses\n",
+        f"{_PAIRS}.test_calls_go_through_a_gateway_that_reaches_the_upstream",
+    ),
+    Mutant(
+        "a link counts as cut after it is back, until a call tries it",
+        "chestnutfall/paths/link_prober.py",
+        "        if self._probing is None:\n",
+        "        if False:\n",
+        f"{_PAIRS}.test_links_that_are_back_are_found_without_calls",
+    ),
+    Mutant(
+        "a link that is back is not reported",
+        "chestnutfall/paths/path_table.py",
+        "            self.on_link(instance, False)\n",
+        "",
+        f"{_PAIRS}.test_links_that_are_back_are_found_without_calls",
+    ),
+    Mutant(
+        "a new leader is not told of cut links",
+        "chestnutfall/paths/link_reporter.py",
+        "    return (LinkReport(instances),) if instances else ()\n",
+        "    return ()\n",
+        f"{_PAIRS}.test_a_new_leader_names_helpers_by_upstream_at_once",
+    ),
+    Mutant(
+        "a gateway that is about to end is named as a helper",
+        _DIRECTORY,
+        "        if report.leaving and self._sessions.get(session):\n",
+        "        if False:\n",
+        _LINKS,
+    ),
+    Mutant(
+        "the links of a gateway that ended outlive it",
+        _DIRECTORY,
+        "            self._note(session, instance, is_cut=False)\n        for sent",
+        "            pass\n        for sent",
+        _LINKS,
+    ),
+    Mutant(
+        "the links of an upstream that is gone are kept",
+        _DIRECTORY,
+        "            del self._cut[instance], self._names[instance]\n",
+        "            pass\n",
+        _LINKS,
+    ),
+    Mutant(
+        "an engine that no gateway reaches is given requests",
+        "chestnutfall/placement/reachability.py",
+        "        return self.is_reached_by_none or now_ms < self._down_until_ms\n",
+        "        return now_ms < self._down_until_ms\n",
+        _LINKS,
+    ),
+    Mutant(
+        "placement does not know of cut links",
+        "chestnutfall/placement/reachability.py",
+        "        return gateway in self.reported_cut or now_ms",
+        "        return now_ms",
+        _LINKS,
+    ),
+    Mutant(
+        "gateways that know each other ask helpers that do not reach the upstream",
+        "chestnutfall/membership/peer_helpers.py",
+        "        able = [one for one in ring if instance not in gateways[one.name].cut]\n",
+        "        able = list(ring)\n",
+        "chestnutfall.tests.test_peer_helpers",
+    ),
     Mutant(
         "a silent connection between gateways stays open",
         "chestnutfall/wire/rpc_channel.py",
@@ -24,7 +98,7 @@
     Mutant(
         "a gateway that is cut off asks no helper",
         _API,
-        "        for address in self._helpers.candidates():",
+        "        for address in self._helpers.candidates(instance):",
         "        for address in ():",
         f"{_HELPED}.test_calls_of_gateways_that_are_cut_off_are_sent_by_others",
     ),
@@ -73,8 +147,9 @@
     Mutant(
         "a helper that refuses one upstream is not asked for others",
         _API,
-        "                if isinstance(exc, HelperUnusable):",
-        "                if not exc.is_confirmed:",
+        "            except NotSent as exc:\n                failure = exc\n            else:\n",
+        "            except NotSent as exc:\n                failure = exc\n"
+        "                self._helpers.note_failed(address)\n            else:\n",
         f"{_HELPED}.test_a_helper_that_may_not_send_to_one_upstream_is_asked_for_others",
     ),
     Mutant(
