Cut links pair by pair in the soak

Part of the episodes draw links by pair instead of whole gateways, each upstream with a gateway that reaches it, and each gateway has to serve 0.9 of its calls while nothing else is wrong.

--- a/soak/cut_episodes.py
+++ b/soak/cut_episodes.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 
 from chestnutfall.platform.standin.client import ClientResult, StandInClient
 
@@ -24,6 +24,12 @@
 SETTLED_S = 2.0
 """Time after which callers of a gateway that is cut off are served like others."""
 MIN_SHARE = 2 / 3
+PAIRS_PART = 0.4
+"""Part of the episodes in which links are cut pair by pair."""
+PAIRS_SHARE = 0.7
+"""Part of all links that is cut then; each upstream is reached by some gateway."""
+MIN_SHARE_OF_PAIRS = 0.9
+"""Part of the calls that each gateway must serve then."""
 CALLS = 30
 ROUTES = ("once", "again", "draft", "long")
 
@@ -41,11 +47,15 @@
         self._disturbances = disturbances
         self._cuts = 0
 
-    async def play_until_cancelled(self, rng: random.Random) -> None:
+    async def play_until_cancelled(self, rng: random.Random, pairs_rng: random.Random) -> None:
         """Start one episode after another until cancelled."""
         while True:
             await asyncio.sleep(rng.uniform(1.0, 4.0))
-            with self._cut_off(rng.choice(self._office.gateways), rng):
+            with (
+                self._cut_pairs(pairs_rng)
+                if pairs_rng.random() < PAIRS_PART
+                else self._cut_off(rng.choice(self._office.gateways), rng)
+            ):
                 await asyncio.sleep(rng.uniform(0.5, 3.0))
 
     @contextmanager
@@ -58,6 +68,31 @@
             finally:
                 self._office.join(gateway)
 
+    @contextmanager
+    def _cut_pairs(self, rng: random.Random) -> Iterator[None]:
+        """Cut links pair by pair; each upstream keeps the link of some gateway."""
+        self._cuts += 1
+        with ExitStack() as stack:
+            for gateway, relays in self._office.draw_pairs(rng, PAIRS_SHARE).items():
+                name = links_cut(self._office.client_address(gateway))
+                stack.enter_context(self._disturbances.recorded(name))
+                stack.callback(self._office.join, gateway)
+                self._office.cut_off(gateway, *rng.choice(MODES), relays)
+            yield
+
+    async def check_calm_pairs(
+        self, client: StandInClient, rng: random.Random, seen: list[ClientResult], verdict: Verdict
+    ) -> None:
+        """Check what each gateway serves while links are cut pair by pair."""
+        with self._cut_pairs(rng):
+            await asyncio.sleep(SETTLED_S)
+            for one in self._office.gateways:
+                served = await self._served(client, [one], rng, seen)
+                verdict.note_violation(
+                    served < MIN_SHARE_OF_PAIRS * CALLS,
+                    f"{one.plan.name} served {served} of {CALLS} while links were cut by pair",
+                )
+
     async def check_calm(
         self, client: StandInClient, rng: random.Random, seen: list[ClientResult], verdict: Verdict
     ) -> None:
--- a/soak/cut_links.py
+++ b/soak/cut_links.py
@@ -1,7 +1,8 @@
 """Links of a gateway to upstreams that can be cut from outside its process.
 
 The gateway connects to upstreams from its own loopback address, so that relays can tell gateways
-apart. While the file `cut` is in the folder of its settings, it opens no connection to an upstream.
+apart. While the file `cut` is in the folder of its settings, it opens no connection to the ports
+that the file names.
 """
 
 from __future__ import annotations
@@ -31,7 +32,7 @@
     async def open_connection(self, host: str, port: int, **options: Any) -> Any:
         """Stand in for `asyncio.open_connection`."""
         if host == UPSTREAM_HOST:
-            await self._fail_if_cut()
+            await self._fail_if_cut(port)
             options["local_addr"] = (self._ip, 0)
         return await _open_connection(host, port, **options)
 
@@ -40,18 +41,17 @@
     ) -> Any:
         """Stand in for the function with which HTTP clients open connections."""
         if host == UPSTREAM_HOST:
-            await self._fail_if_cut()
+            await self._fail_if_cut(port)
             options["local_addr"] = (self._ip, 0)
         return await _open_for_http(connector, factory, host, port, **options)
 
-    async def _fail_if_cut(self) -> None:
-        match self._file.read_text() if self._file.exists() else "":
-            case "":
-                pass
-            case mode if mode == REFUSED:
-                raise ConnectionRefusedError(111, "the link is cut")
-            case _:
-                await asyncio.sleep(3600)
+    async def _fail_if_cut(self, port: int) -> None:
+        mode, *ports = (self._file.read_text() if self._file.exists() else "").split() or [""]
+        if str(port) not in ports:
+            return
+        if mode == REFUSED:
+            raise ConnectionRefusedError(111, "the link is cut")
+        await asyncio.sleep(3600)
 
 
 def install() -> None:
--- a/soak/daemon.py
+++ b/soak/daemon.py
@@ -8,6 +8,7 @@
 import shutil
 import signal
 import sys
+from collections.abc import Iterable
 from pathlib import Path
 
 from chestnutfall.platform.node_file import PATH_VARIABLE
@@ -140,9 +141,15 @@
         await self.wait_ended(5)
         self.paused = False
 
-    def cut_links(self, mode: str) -> None:
-        """Let a gateway open no connection to upstreams; `mode` says how each try ends."""
-        (self._folder / CUT_FILE).write_text(mode)
+    def cut_links(self, mode: str, ports: Iterable[int]) -> None:
+        """Let a gateway open no connection to upstreams; `mode` says how each try ends.
+
+        Parameters
+        ----------
+        ports : iterable of int
+            Ports of the relays of these upstreams.
+        """
+        (self._folder / CUT_FILE).write_text(" ".join((mode, *map(str, ports))))
 
     def join_links(self) -> None:
         """Let a gateway open connections to upstreams again."""
--- a/soak/office.py
+++ b/soak/office.py
@@ -92,8 +92,14 @@
         """Return the URL that says whether a gateway is ready."""
         return f"http://{gateway.plan.ip}:{self._ports.ready}/v1/ready"
 
-    def cut_off(self, gateway: Daemon, connections: ConnectionFault, new: str) -> None:
-        """Cut a gateway off from all upstreams.
+    def cut_off(
+        self,
+        gateway: Daemon,
+        connections: ConnectionFault,
+        new: str,
+        relays: Sequence[Relay] | None = None,
+    ) -> None:
+        """Cut a gateway off from all upstreams, or from those of some relays.
 
         Parameters
         ----------
@@ -102,12 +108,22 @@
         new : str
             How each try to open another one ends.
         """
-        gateway.cut_links(new)
-        for relay in self.relays:
+        cut = self.relays if relays is None else relays
+        gateway.cut_links(new, (relay.port for relay in cut))
+        for relay in cut:
             relay.cut[gateway.plan.ip] = connections
             if connections is ConnectionFault.RESET:
                 relay.reset_from(gateway.plan.ip)
 
+    def draw_pairs(self, rng: random.Random, share: float) -> dict[Daemon, list[Relay]]:
+        """Draw a share of all links by pair; each upstream keeps the link of some gateway."""
+        drawn: dict[Daemon, list[Relay]] = {one: [] for one in self.gateways}
+        count = min(round(share * len(self.gateways)), len(self.gateways) - 1)
+        for relay in self.relays:
+            for gateway in rng.sample(self.gateways, count):
+                drawn[gateway].append(relay)
+        return drawn
+
     def join(self, gateway: Daemon) -> None:
         """End the cut of a gateway."""
         gateway.join_links()
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -13,9 +13,10 @@
 HELD_POLL_S = 0.02
 """How often it is checked whether a cut has ended."""
 CUT_FILE = "cut"
-"""File in a gateway's folder that keeps it from opening connections to upstreams."""
+"""File in a gateway's folder that keeps it from opening connections to upstreams: a mode, and the
+ports of their relays."""
 REFUSED, HANGING = "refused", "hanging"
-"""Contents of the file: new connections are refused, or never answered."""
+"""Modes: new connections are refused, or never answered."""
 UPSTREAM_HOST = "127.0.0.1"
 """Address on which the relays of upstreams listen."""
 
@@ -57,6 +58,11 @@
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
 
+    @property
+    def port(self) -> int:
+        """Port on which it listens."""
+        return int(self.address.rpartition(":")[2])
+
     async def start(self) -> None:
         """Listen on a free port, or on the previous one after `refuse`."""
         host, _, port = self.address.rpartition(":")
