--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -6,7 +6,6 @@
 import logging
 from collections import deque
 from collections.abc import Awaitable, Callable, Collection, Iterable
-from dataclasses import dataclass
 
 from ..clock import Clock
 from ..control.crash_messages import (
@@ -18,6 +17,7 @@
 )
 from ..requests import Executed, Refusal
 from ..signals.known_rejections import WINDOW_MS
+from .broken_answer import BrokenAnswer
 from .broken_parts import BrokenParts
 
 log = logging.getLogger(__name__)
@@ -33,39 +33,6 @@
 of upstreams that follow each other closely."""
 
 
-@dataclass(frozen=True, slots=True)
-class _BrokenAnswer:
-    """An answer that broke off.
-
-    Attributes
-    ----------
-    fingerprint : str
-        Digest of the request's caller, path and body.
-    instance : str
-        Incarnation of the upstream that ran the request.
-    address : str
-        Address of that upstream.
-    began_ms, broke_ms : int
-        Clock times at which the request was sent and its answer broke off.
-    rejecting : bool
-        Whether the upstream bears few rejections and had just rejected a request.
-    parts : tuple of str
-        Names of the shared parts of the request's prompt.
-    """
-
-    fingerprint: str
-    instance: str
-    address: str
-    began_ms: int
-    broke_ms: int
-    rejecting: bool
-    parts: tuple[str, ...]
-
-    def is_replaced_by(self, address: str, instance: str) -> bool:
-        """Whether `instance` at `address` has replaced the upstream of this answer."""
-        return self.address == address and self.instance != instance
-
-
 class RequestQuarantine:
     """Prevents a single request from ending one upstream after another.
 
@@ -100,11 +67,11 @@
         self._parts_retry_ms: dict[frozenset[str], int] = {}
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._reports: set[asyncio.Task[bool]] = set()
-        self._being_checked: set[_BrokenAnswer] = set()
+        self._being_checked: set[BrokenAnswer] = set()
         # Clock time of the latest complete answer by fingerprint, oldest first.
         self._answered_ms: dict[str, int] = {}
         self._broken_parts = BrokenParts(clock)
-        self._still_open: deque[_BrokenAnswer] = deque(maxlen=MAX_REMEMBERED)
+        self._still_open: deque[BrokenAnswer] = deque(maxlen=MAX_REMEMBERED)
 
     def update(self, suspects: SuspectRequests) -> None:
         """Replace the watched and quarantined requests by those received from the controllers."""
@@ -180,7 +147,7 @@
         self._broken_parts.note_broken(parts)
         now_ms = self._clock.now_ms()
         rejecting = self._rejected_since(instance, now_ms - WINDOW_MS)
-        broken = _BrokenAnswer(fingerprint, instance, address, began_ms, now_ms, rejecting, parts)
+        broken = BrokenAnswer(fingerprint, instance, address, began_ms, now_ms, rejecting, parts)
         task = asyncio.ensure_future(self._check_and_report(broken))
         self._reports.add(task)
         task.add_done_callback(self._reports.discard)
@@ -227,7 +194,7 @@
             else:
                 self._still_open.append(one)
 
-    async def _check_and_report(self, broken: _BrokenAnswer) -> bool:
+    async def _check_and_report(self, broken: BrokenAnswer) -> bool:
         self._being_checked.add(broken)
         refuses = await self._has_ended(broken.address)
         ended = refuses or broken not in self._being_checked
@@ -237,7 +204,7 @@
         self._report_broken(broken, ended)
         return ended
 
-    def _report_broken(self, broken: _BrokenAnswer, ended: bool) -> None:
+    def _report_broken(self, broken: BrokenAnswer, ended: bool) -> None:
         now_ms = self._clock.now_ms()
         began_ago_ms, broke_ago_ms = now_ms - broken.began_ms, now_ms - broken.broke_ms
         answered_ms = self._answered_ms.get(broken.fingerprint)
