Release requests whose ends a held prompt part explains

The ledger of whole requests had three ends and more under them 0.4 s before the part was held.

The hold explained the ends only as further evidence; what had been quarantined for them stayed so. The ledger keeps for which ends a request is quarantined, and a hold releases it if too few are left without an explanation, as if it had never been held. A request with ends of its own stays.

The new test failed before. Two mutants, both found.

--- a/chestnutfall/control/crash_ledger.py
+++ b/chestnutfall/control/crash_ledger.py
@@ -31,6 +31,8 @@
 """Evidence that is older than a day does not keep a request refused."""
 MAX_ENDS = 512
 """A month of ordinary losses; with `MAX_SUSPECTS` requests an end, the ledger stays under 5 MB."""
+MAX_EVIDENCE = 16
+"""Ends kept for a quarantined request; several times those that one takes."""
 MAX_QUARANTINED = 1_024
 MAX_WATCHED = 256
 """Gateways receive the whole lists: under 50 KB, and usually a few entries."""
@@ -58,6 +60,8 @@
         Fingerprints of the requests that gateways must not send, oldest first.
     offences : dict of str to int
         How often a fingerprint was quarantined. Kept after the quarantine ended.
+    evidence : dict of str to tuple of str
+        The latest ends for which a fingerprint is quarantined, by incarnation.
     changes : int
         Number of commands that changed the ledger.
     parts : PartLedger
@@ -67,6 +71,7 @@
     ends: dict[str, UpstreamEnd] = field(default_factory=dict)
     quarantined: dict[str, None] = field(default_factory=dict)
     offences: dict[str, int] = field(default_factory=dict)
+    evidence: dict[str, tuple[str, ...]] = field(default_factory=dict)
     changes: int = 0
     parts: PartLedger = field(default_factory=PartLedger)
 
@@ -96,7 +101,7 @@
     def clear(self, fingerprint: str) -> None:
         """Clear a request of all ends and of its quarantine, because it was answered in full."""
         self.changes += 1
-        self.quarantined.pop(fingerprint, None)
+        self._release(fingerprint)
         self.offences.pop(fingerprint, None)
         for instance, end in self.ends.items():
             if end.ran(fingerprint):
@@ -110,11 +115,21 @@
         self.parts.note_end(instance, service, runs, overlapping)
 
     def hold_parts(self, parts: tuple[str, ...]) -> None:
-        """Hold prompt parts; the ends that they explain are no evidence against requests."""
+        """Hold prompt parts; the ends that they explain are no evidence against requests.
+
+        A request that was resumed from one of these engines to the next may have been quarantined
+        for them before the part was found.
+        """
         self.changes += 1
-        for instance in self.parts.hold(parts):
+        explained = self.parts.hold(parts)
+        for instance in explained:
             if instance in self.ends:
                 self.ends[instance] = EXPLAINED
+        for fingerprint, instances in list(self.evidence.items()):
+            left = tuple(one for one in instances if one not in explained)
+            if left != instances and len(left) < ENDS_TO_QUARANTINE:
+                self._release(fingerprint)
+                self._drop_offence(fingerprint)
 
     def clear_parts(self, parts: Iterable[str]) -> None:
         """Clear prompt parts, because requests with them were answered in full."""
@@ -132,7 +147,7 @@
         for instance in instances:
             self.ends.pop(instance, None)
         for fingerprint in fingerprints:
-            self.quarantined.pop(fingerprint, None)
+            self._release(fingerprint)
 
     def implicates(self, fingerprint: str) -> bool:
         """Whether a complete answer to the request would change the ledger."""
@@ -174,11 +189,23 @@
         if fingerprint not in self.quarantined:
             self.quarantined[fingerprint] = None
             self.offences[fingerprint] = self.offences.get(fingerprint, 0) + 1
-        _drop_oldest(self.quarantined, MAX_QUARANTINED)
+        ran = [instance for instance, end in self.ends.items() if end.ran(fingerprint)]
+        known = self.evidence.get(fingerprint, ())
+        self.evidence[fingerprint] = (*known, *ran)[-MAX_EVIDENCE:]
+        for instance in ran:
+            self.ends[instance] = EXPLAINED
+        while len(self.quarantined) > MAX_QUARANTINED:
+            self._release(next(iter(self.quarantined)))
         _drop_oldest(self.offences, MAX_OFFENDERS)
-        for instance, end in self.ends.items():
-            if end.ran(fingerprint):
-                self.ends[instance] = EXPLAINED
+
+    def _release(self, fingerprint: str) -> None:
+        self.quarantined.pop(fingerprint, None)
+        self.evidence.pop(fingerprint, None)
+
+    def _drop_offence(self, fingerprint: str) -> None:
+        times = self.offences.pop(fingerprint, 0) - 1
+        if times > 0:
+            self.offences[fingerprint] = times
 
 
 def _drop_oldest(entries: dict[str, Any], most: int) -> None:
--- a/chestnutfall/tests/test_crash_ledger.py
+++ b/chestnutfall/tests/test_crash_ledger.py
@@ -23,6 +23,7 @@
     QUARANTINE_MS,
     CrashLedger,
 )
+from ..control.part_ledger import RunParts
 
 
 class CrashLedgerTest(unittest.TestCase):
@@ -107,6 +108,26 @@
         self._end("one", "two")
         self.assertEqual(self._quarantined(), {"one", "two"})
 
+    # Guards against a frequent request that is refused for a minute, since it was resumed from one
+    # engine to the next while others with a fatal prompt part ended them.
+    def test_ends_that_a_prompt_part_explains_are_no_evidence_against_a_request(self) -> None:
+        for _ in range(3):
+            self._end("beside")
+            self.ledger.note_parts(f"i{self.ends}", "s", [RunParts(f"r{self.ends}", ("g",))], ())
+        self.assertEqual(self._quarantined(), {"beside"})
+        self.ledger.hold_parts(("g",))
+        self.assertEqual((self._quarantined(), self.ledger.offences), (set(), {}))
+        self._end("beside")
+        self.assertEqual(self._quarantined(), set())
+
+    def test_a_request_with_ends_of_its_own_stays_quarantined(self) -> None:
+        for number in range(4):
+            self._end("fatal")
+            if number == 1:
+                self.ledger.note_parts("i2", "s", [RunParts("r", ("g",))], ())
+        self.ledger.hold_parts(("g",))
+        self.assertEqual(self._quarantined(), {"fatal"})
+
     def test_a_complete_answer_clears(self) -> None:
         self._end("usual", "fatal")
         self._end("usual", "fatal")
@@ -140,6 +161,7 @@
         self.assertLessEqual(len(self.ledger.ends), MAX_ENDS)
         self.assertLessEqual(len(self.ledger.quarantined), MAX_QUARANTINED)
         self.assertLessEqual(len(self.ledger.offences), MAX_OFFENDERS)
+        self.assertEqual(self.ledger.evidence.keys(), self.ledger.quarantined.keys())
         self.assertLessEqual(len(self.ledger.suspects().watched), MAX_WATCHED)
 
     def test_a_snapshot_keeps_the_ledger(self) -> None:
--- a/properties/safeguards/quarantine_mutants.py
+++ b/properties/safeguards/quarantine_mutants.py
@@ -9,6 +9,20 @@
 _FORWARDER_TEST = "chestnutfall.tests.test_forwarder"
 
 QUARANTINE_MUTANTS = (
+    Mutant(
+        "a request stays quarantined for ends that a prompt part explains",
+        "chestnutfall/control/crash_ledger.py",
+        "            if left != instances and len(left) < ENDS_TO_QUARANTINE:\n",
+        "            if False:\n",
+        _LEDGER_TEST,
+    ),
+    Mutant(
+        "a prompt part that explains one end releases a request that has others",
+        "chestnutfall/control/crash_ledger.py",
+        "            if left != instances and len(left) < ENDS_TO_QUARANTINE:\n",
+        "            if left != instances:\n",
+        _LEDGER_TEST,
+    ),
     Mutant(
         "a status that says not run clears a request",
         "chestnutfall/forwarding/result_handler.py",
@@ -132,8 +146,8 @@
     Mutant(
         "explained ends stay with those beside",
         "chestnutfall/control/crash_ledger.py",
-        "            if end.ran(fingerprint):\n                self.ends[instance] = EXPLAINED\n",
-        "            pass\n",
+        "        for instance in ran:\n            self.ends[instance] = EXPLAINED\n",
+        "",
         _LEDGER_TEST,
     ),
     Mutant(
