Decide by name which modules with real programs run beside other tests

The test now asks that those that judge run alone, and names the four that may run beside others, so that a new one fails until that is decided.

--- a/chestnutfall/tests/test_suite.py
+++ b/chestnutfall/tests/test_suite.py
@@ -10,7 +10,7 @@
 
 from .known_red import known_red, report
 from .outcomes import Outcomes
-from .suite import ROOT, STARTS_PROGRAMS
+from .suite import ROOT, RUNS_ALONE, STARTS_PROGRAMS
 
 
 def _report(outcomes: Outcomes, known: dict[str, str]) -> tuple[bool, list[str]]:
@@ -58,14 +58,20 @@
 
 
 class ModulesTest(unittest.TestCase):
-    # Guards against a deployment of processes beside other tests, which take its processor time.
-    def test_modules_that_start_programs_run_alone(self) -> None:
+    def setUp(self) -> None:
         tests = ROOT / "chestnutfall" / "tests"
-        alone = {
-            path.stem
-            for path in tests.glob("test_*.py")
-            if STARTS_PROGRAMS.search(path.read_text("utf-8"))
-        }
-        for name in ("test_soak", "test_processes", "test_named_signals", "test_fatal_processes"):
-            self.assertIn(name, alone)
-        self.assertNotIn("test_paths", alone)
+        self.sources = {path.stem: path.read_text("utf-8") for path in tests.glob("test_*.py")}
+        self.alone = {name for name, text in self.sources.items() if RUNS_ALONE.search(text)}
+
+    # Guards against a deployment of processes beside other tests, which take its processor time.
+    def test_modules_that_judge_what_programs_serve_run_alone(self) -> None:
+        for name in ("test_soak", "test_rush", "test_named_signals", "test_fatal_processes"):
+            self.assertIn(name, self.alone)
+        self.assertNotIn("test_paths", self.alone)
+
+    # Guards against a new module that starts programs and runs beside others without a decision:
+    # these judge no share of what is served, and wait for programs on ports of their own.
+    def test_only_certain_modules_with_programs_run_beside_others(self) -> None:
+        start = {name for name, text in self.sources.items() if STARTS_PROGRAMS.search(text)}
+        beside = {"test_control_server", "test_http_engine_api", "test_processes"}
+        self.assertEqual(start - self.alone, {*beside, "test_helped_completions"})
