--- a/chestnutfall/tests/test_soak_parts.py
+++ b/chestnutfall/tests/test_soak_parts.py
@@ -93,6 +93,27 @@
         await relay.stop()
         server.close()
 
+    # Guards against a gateway that is blamed for a part of an answer without a length: a silent
+    # connection drops its bytes, and passes no end of file on either.
+    async def test_a_silent_connection_passes_no_end_of_file_on(self) -> None:
+        server = await asyncio.start_server(_write_and_close, "127.0.0.1", 0)
+        relay = Relay(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        await relay.start()
+        host, _, port = relay.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.assertEqual(await asyncio.wait_for(reader.readexactly(4), 5), b"part")
+        relay.fault = ConnectionFault.SILENCE_ANSWERS
+        reading = asyncio.ensure_future(reader.read())
+        await asyncio.sleep(0.2)
+        self.assertFalse(reading.done())
+        relay.fault = ConnectionFault.NONE
+        relay.reset_all()
+        with self.assertRaises(ConnectionResetError):
+            await asyncio.wait_for(reading, 5)
+        writer.close()
+        await relay.stop()
+        server.close()
+
 
 class SignalEpisodesTest(unittest.TestCase):
     # Guards against a gateway that is blamed for requests that a cut of its links held up: they
@@ -117,6 +138,13 @@
     reset(writer.transport)
 
 
+async def _write_and_close(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"part")
+    await asyncio.sleep(0.05)
+    writer.write(b"rest")
+    writer.close()
+
+
 async def _echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     while data := await reader.read(100):
         writer.write(data)
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -120,23 +120,27 @@
         while self.cut.get(ip) is ConnectionFault.SILENCE:
             await asyncio.sleep(HELD_POLL_S)
 
+    def _is_silent(self, ip: str, is_answer: bool) -> bool:
+        """Whether bytes of a direction are dropped now."""
+        fault = self.cut.get(ip, self.fault)
+        is_half = fault is ConnectionFault.SILENCE_ANSWERS and is_answer
+        return fault is ConnectionFault.SILENCE or is_half
+
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, ip: str, is_answer: bool
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
                 await self._wait_while_held(ip)
-                match self.cut.get(ip, self.fault):
-                    case ConnectionFault.DELAY:
-                        await asyncio.sleep(0.2)
-                    case ConnectionFault.SILENCE:
-                        continue
-                    case ConnectionFault.SILENCE_ANSWERS if is_answer:
-                        continue
-                    case _:
-                        pass
+                if self._is_silent(ip, is_answer):
+                    continue
+                if self.cut.get(ip, self.fault) is ConnectionFault.DELAY:
+                    await asyncio.sleep(0.2)
                 writer.write(data)
                 await writer.drain()
+            # Passed on, the end of file would end an answer without a length whose rest was dropped.
+            while self._is_silent(ip, is_answer) and not writer.is_closing():
+                await asyncio.sleep(HELD_POLL_S)
         except OSError:
             reset(writer.transport)
         finally:
