Suspect a request less that was answered before its upstreams ended

Cause, by the logs: it ran on three engines that ended within 2.2 s. Two other causes had ended two of them each, so that it was in more ends than either. It could not be answered in between, as hardly an engine was up; it had been answered hundreds of times before.

A request that has one counts two ends less, so that one that was never answered is found first; a request that a release has made fatal is found two ends later. Requests that were never answered, which those that end upstreams mostly are, are found at the third end as before.

One mutant, found.

--- a/chestnutfall/control/commands.py
+++ b/chestnutfall/control/commands.py
@@ -262,6 +262,8 @@
         Parts for which the end counts as one with another upstream's end.
     cleared_parts : tuple of str
         Parts that it ran too and that were cleared before this was stored.
+    answered : tuple of str
+        Fingerprints of the requests that were answered in full at some time before.
     """
 
     instance: str
@@ -271,6 +273,7 @@
     runs: tuple[RunParts, ...] = ()
     overlapping_parts: tuple[str, ...] = ()
     cleared_parts: tuple[str, ...] = ()
+    answered: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/control/control_state.py
+++ b/chestnutfall/control/control_state.py
@@ -208,7 +208,7 @@
                 self.group_complete = True
                 return Done()
             case NoteUpstreamEnd(instance, suspects, overlapping):
-                self.crashes.note_end(instance, suspects, overlapping)
+                self.crashes.note_end(instance, suspects, overlapping, command.answered)
                 if command.runs:
                     self.crashes.note_parts(
                         instance, command.service, command.runs, command.overlapping_parts
--- a/chestnutfall/control/crash_ledger.py
+++ b/chestnutfall/control/crash_ledger.py
@@ -31,6 +31,12 @@
 """Evidence that is older than a day does not keep a request refused."""
 MAX_ENDS = 512
 """A month of ordinary losses; with `MAX_SUSPECTS` requests an end, the ledger stays under 5 MB."""
+ENDS_BY_CHANCE = 2
+"""Ends that a request may be part of without being suspect, if it was answered before. A frequent
+one runs on each engine, and where most of them end at once nobody answers it in between; one that a
+release has made fatal takes two engines more."""
+MAX_ANSWERED = 4_096
+"""Suspects that were answered before; about 150 bytes each."""
 MAX_EVIDENCE = 16
 """Ends kept for a quarantined request; several times those that one takes."""
 MAX_QUARANTINED = 1_024
@@ -62,6 +68,8 @@
         How often a fingerprint was quarantined. Kept after the quarantine ended.
     evidence : dict of str to tuple of str
         The latest ends for which a fingerprint is quarantined, by incarnation.
+    answered : dict of str to None
+        Suspects that were answered in full before an end.
     changes : int
         Number of commands that changed the ledger.
     parts : PartLedger
@@ -72,16 +80,28 @@
     quarantined: dict[str, None] = field(default_factory=dict)
     offences: dict[str, int] = field(default_factory=dict)
     evidence: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    answered: dict[str, None] = field(default_factory=dict)
     changes: int = 0
     parts: PartLedger = field(default_factory=PartLedger)
 
     def note_end(
-        self, instance: str, suspects: Iterable[str], overlapping: Iterable[str] = ()
+        self,
+        instance: str,
+        suspects: Iterable[str],
+        overlapping: Iterable[str] = (),
+        answered: Iterable[str] = (),
     ) -> None:
         """Record that an upstream ended while it ran these requests.
 
         May be called again for the same instance to add requests.
+
+        Parameters
+        ----------
+        answered : iterable of str
+            Those that were answered in full at some time before.
         """
+        self.answered.update(dict.fromkeys(answered))
+        _drop_oldest(self.answered, MAX_ANSWERED)
         end = self.ends.get(instance, UpstreamEnd())
         if end.explained:
             return
@@ -177,6 +197,7 @@
         """Return the requests of one end that have to be quarantined now."""
         wanted = set(end.suspects)
         ends = Counter(one for end in self.ends.values() for one in end.suspects if one in wanted)
+        ends.subtract(dict.fromkeys(wanted.intersection(self.answered), ENDS_BY_CHANCE))
         most = max(ends.values(), default=0)
         blamed = [one for one in end.suspects if ends[one] == most]
         # Below `ENDS_TO_QUARANTINE_TIED` ends, tied requests are not quarantined: an innocent one
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -184,6 +184,7 @@
                     found.runs,
                     found.overlapping,
                     found.cleared,
+                    tuple(one for one, run in runs.items() if run.answered_ms is not None),
                 )
             )
         broken.mark_committed(runs)
--- a/chestnutfall/tests/test_crash_ledger.py
+++ b/chestnutfall/tests/test_crash_ledger.py
@@ -14,6 +14,7 @@
 from ..control.commands import COMMAND_CODEC, ClearSuspect, ForgetCrashes, NoteUpstreamEnd
 from ..control.control_state import ControlState
 from ..control.crash_ledger import (
+    MAX_ANSWERED,
     MAX_ENDS,
     MAX_OFFENDERS,
     MAX_QUARANTINE_MS,
@@ -158,9 +159,11 @@
         for number in range(3 * MAX_OFFENDERS):
             request = f"r{number // 3}"
             self._end(request, *(f"x{rng.randrange(9**9)}" for _ in range(3)))
+            self.ledger.note_end("i0", (), (), (f"y{number}",))
         self.assertLessEqual(len(self.ledger.ends), MAX_ENDS)
         self.assertLessEqual(len(self.ledger.quarantined), MAX_QUARANTINED)
         self.assertLessEqual(len(self.ledger.offences), MAX_OFFENDERS)
+        self.assertEqual(len(self.ledger.answered), MAX_ANSWERED)
         self.assertEqual(self.ledger.evidence.keys(), self.ledger.quarantined.keys())
         self.assertLessEqual(len(self.ledger.suspects().watched), MAX_WATCHED)
 
--- a/properties/safeguards/quarantine_mutants.py
+++ b/properties/safeguards/quarantine_mutants.py
@@ -9,6 +9,13 @@
 _FORWARDER_TEST = "chestnutfall.tests.test_forwarder"
 
 QUARANTINE_MUTANTS = (
+    Mutant(
+        "a request that was answered before is blamed like a new one",
+        "chestnutfall/control/crash_ledger.py",
+        "        ends.subtract(dict.fromkeys(wanted.intersection(self.answered), ENDS_BY_CHANCE))",
+        "        pass",
+        _MONITOR_TEST,
+    ),
     Mutant(
         "a request stays quarantined for ends that a prompt part explains",
         "chestnutfall/control/crash_ledger.py",
