--- a/soak/part_episodes.py
+++ b/soak/part_episodes.py
@@ -30,10 +30,29 @@
         self._office = office
 
     async def play_until_cancelled(self, rng: random.Random) -> None:
-        """Play one episode after another until cancelled; what they cost isn't judged."""
+        """Send sound requests, and episodes of ones with a fatal part, until cancelled.
+
+        The part is the same in all episodes; what they cost isn't judged.
+        """
+        fatal = self._draw_fatal(rng)
+        caller = StreamCaller(rng, lambda: self._draw_gateway(rng))
+        sound = [self._send(caller, rng, (), float("inf"), []) for _ in range(SOUND_CALLERS)]
+        try:
+            await asyncio.gather(self._play_episodes(caller, rng, fatal), *sound)
+        finally:
+            await caller.close()
+
+    async def _play_episodes(self, caller: StreamCaller, rng: random.Random, fatal: str) -> None:
         while True:
             await asyncio.sleep(rng.uniform(1.0, 4.0))
-            await self._play(rng, rng.uniform(0.5, 2.0))
+            until_s = time.monotonic() + rng.uniform(0.5, 2.0)
+            sends = (self._send(caller, rng, (fatal,), until_s, []) for _ in range(FATAL_CALLERS))
+            await asyncio.gather(*sends)
+
+    def _draw_fatal(self, rng: random.Random) -> str:
+        fatal = f"{rng.randrange(16**8):08x}"
+        self._office.run_registry.fatal_parts.add(fatal)
+        return fatal
 
     async def check_calm(self, rng: random.Random, verdict: Verdict) -> None:
         """Check what an episode costs while no fault is injected."""
@@ -62,8 +81,7 @@
 
     async def _play(self, rng: random.Random, length_s: float) -> list[StreamResult]:
         """Return the sound requests of an episode."""
-        fatal = f"{rng.randrange(16**8):08x}"
-        self._office.run_registry.fatal_parts.add(fatal)
+        fatal = self._draw_fatal(rng)
         caller = StreamCaller(rng, lambda: self._draw_gateway(rng))
         until_s = time.monotonic() + length_s
         results: list[StreamResult] = []
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -138,7 +138,7 @@
                     await asyncio.sleep(0.2)
                 writer.write(data)
                 await writer.drain()
-            # Passed on, the end of file would end an answer without a length whose rest was dropped.
+            # Passed on, the end of file would end an answer without a length as whole.
             while self._is_silent(ip, is_answer) and not writer.is_closing():
                 await asyncio.sleep(HELD_POLL_S)
         except OSError:
