--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -32,6 +32,11 @@
     Regression(
         1, 0.1, "a new leader took ends that a hold explains for new evidence against sound parts"
     ),
+    Regression(
+        8004, 0.12, "a frequent request was quarantined for ends that others caused within seconds"
+    ),
+    Regression(8205, 0.12, "the same"),
+    Regression(8204, 0.12, "the relay ended an answer without a length while it dropped its bytes"),
     Regression(
         7237, 0.12, "the relay dropped an answer in a cut and let its connection live on after it"
     ),
