--- a/chestnutfall/control/crash_ledger.py
+++ b/chestnutfall/control/crash_ledger.py
@@ -33,7 +33,7 @@
 """A month of ordinary losses; with `MAX_SUSPECTS` requests an end, the ledger stays under 5 MB."""
 ENDS_BY_CHANCE = 2
 """Ends that a request may be part of without being suspect, if it was answered before. A frequent
-one runs on each engine, and where most of them end at once nobody answers it in between; one that a
+one runs on each engine, and where most of them end at once none answers it in between; one that a
 release has made fatal takes two engines more."""
 MAX_ANSWERED = 4_096
 """Suspects that were answered before; about 150 bytes each."""
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -203,7 +203,7 @@
     async def _clear_answered(self, runs: Mapping[str, RunInterval]) -> None:
         """Clear the requests that were answered in full after the last end that they were part of.
 
-        Gateways report answers to watched requests by themselves, but are told which these are only
+        Gateways report answers to watched requests by themselves, but learn which these are only
         after a second end. A frequent request may not be answered between that end and a third one.
         """
         for fingerprint, run in runs.items():
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -64,7 +64,7 @@
     def answered(self, parts: Iterable[str], answered_ms: int) -> None:
         """Suspect the parts of an answered request no longer, unless they were in a later end.
 
-        The leader knows by itself of answers to requests that it placed. A gateway tells of others:
+        The leader sees the answers to requests that it placed. Gateways report others:
         those placed by the last leader, or without one.
         """
         self._answers.note(parts, answered_ms)
--- a/chestnutfall/coordination/link_directory.py
+++ b/chestnutfall/coordination/link_directory.py
@@ -35,8 +35,9 @@
 class LinkDirectory:
     """Cut links by upstream and gateway, during one leader term.
 
-    A gateway that reports that it does not reach an upstream is told which others do. Each gateway
-    that has not reported the same counts as one that does: it reports as soon as it has tried.
+    A gateway that reports that it does not reach an upstream is sent the addresses of others that
+    do. Each gateway that has not reported the same counts as one of these: it reports as soon as it
+    has tried.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -70,7 +71,7 @@
         self._members_changed()
 
     def remove(self, session: GatewaySession) -> None:
-        """Remove a gateway whose session ended; it helps nobody any more."""
+        """Remove a gateway whose session ended, as a helper as well."""
         self._sessions.pop(session, None)
         for instance in list(self._cut):
             self._note(session, instance, is_cut=False)
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -181,7 +181,7 @@
         )
 
     def _make_paths(self) -> PathTable:
-        """Make the table of links, which are tried while they are cut and told to controllers."""
+        """Make the table of links, which are tried while they are cut and sent to controllers."""
         paths = PathTable(self._clock)
         prober = LinkProber(paths, self._upstream_record, opens_connection, self._clock)
 
--- a/chestnutfall/tests/test_crash_monitor.py
+++ b/chestnutfall/tests/test_crash_monitor.py
@@ -167,7 +167,7 @@
         return RequestQuarantine(self.monitor.handle_report, refuses, self.cluster.clock)
 
     # Guards against a frequent request that is refused for a minute: it runs on three upstreams as
-    # they end, is answered after the first of these ends, and by nobody after the second.
+    # they end, is answered after the first of these ends, and not after the second.
     async def test_an_answer_after_an_end_clears_a_request_of_it(self) -> None:
         gateway = self._gateway()
         await self._end(gateway, 0, "usual")
@@ -188,7 +188,7 @@
         self.assertEqual(self._quarantined(), {"fatal"})
 
     # Guards against a frequent request that is refused for a minute: most engines end within some
-    # seconds, for several causes, and nobody answers it in between.
+    # seconds, for several causes, and none answers it in between.
     async def test_a_request_that_was_answered_before_gives_way_to_a_new_one(self) -> None:
         gateway = self._gateway()
         gateway.note_answered("usual")
--- a/chestnutfall/tests/test_part_ledger.py
+++ b/chestnutfall/tests/test_part_ledger.py
@@ -148,8 +148,8 @@
 
 
 class PartMonitorTest(unittest.TestCase):
-    # Guards against popular parts that a new leader holds: gateways tell of ends again, and not all
-    # at the same moment as another one tells that the part was answered since.
+    # Guards against popular parts that a new leader holds: gateways report ends again, and not all
+    # at the same moment as another one reports that the part was answered since.
     def test_an_answer_that_a_gateway_tells_of_clears_parts_of_earlier_ends_only(self) -> None:
         for told_first in (True, False):
             with self.subTest(told_first):
