Let the leader hear which upstreams bear few rejections

Cause: KnownSignals took its KnownRejections with `rejections or KnownRejections(...)`. The class has __len__, so the one that was passed was empty, thus false, and replaced by one whose reports go nowhere. In the programs the leader never heard of such an upstream, and its RejectionGuard, the room of plain services and RunningEngineSends were never in force; only the count of each gateway was. Quarantine asked the unused object too.

Evidence: the scenario of the test, played with its rejections recorded. Beside ten busy processes 2 of 6 and 1 of 6 plays had 1 to 3 rejections within 20 ms (3 are borne, 4 are not); no log of a controller had a line on rejections.

Why it is enough: the object is replaced only if none was passed. A check of all sources finds each `given or Class()` whose class may be false while empty; it found this one place.

The scenario ends its callers also when its script fails; they printed 60 tracebacks.

--- a/chestnutfall/signals/known_signals.py
+++ b/chestnutfall/signals/known_signals.py
@@ -37,7 +37,9 @@
     ) -> None:
         self.limits = limits
         self.backoffs = backoffs
-        self.rejections = rejections or KnownRejections(lambda report: None, clock)
+        if rejections is None:
+            rejections = KnownRejections(lambda report: None, clock)
+        self.rejections = rejections
         self._spread = RetrySpread(clock)
 
     def observe(
--- a/chestnutfall/tests/office_scenario.py
+++ b/chestnutfall/tests/office_scenario.py
@@ -70,17 +70,20 @@
             self.office = Office(Path(folder), rng, self.upstreams)
             operator = StandInOperator(self.office.control_addresses, rng)
             client = StandInClient(rng)
+            load: list[asyncio.Future[None]] = []
             try:
                 await self.office.start()
                 while not await operator.put(1):
                     await asyncio.sleep(0.1)
-                load = [asyncio.ensure_future(self._call(client, rng)) for _ in range(self.callers)]
+                load += (
+                    asyncio.ensure_future(self._call(client, rng)) for _ in range(self.callers)
+                )
                 await self._wait_until_served()
                 await asyncio.sleep(BEFORE_S)
                 await script(self)
+            finally:
                 for task in load:
                     task.cancel()
-            finally:
                 await client.close()
                 await operator.close()
                 await self.office.stop()
--- a/chestnutfall/tests/test_rejecting_upstreams.py
+++ b/chestnutfall/tests/test_rejecting_upstreams.py
@@ -37,10 +37,18 @@
                 if one.service == service:
                     one.rejections_per_s = REJECTIONS_PER_S
             await trouble(play)  # type: ignore[operator]
+            self._check_leader_heard(play, service)
 
         asyncio.run(play.run(script))
         self.assertEqual(play.office.run_registry.falls, [])
 
+    def _check_leader_heard(self, play: OfficeScenario, service: str) -> None:
+        logs = "".join(one.log_text() for one in play.office.controllers)
+        for upstream in play.office.upstreams:
+            if upstream.service == service:
+                heard = f"rejections: instance={upstream.instance}"
+                self.assertTrue(heard in logs, f"no leader heard from {upstream.instance}")
+
     async def _wait(self, play: OfficeScenario) -> None:
         await asyncio.sleep(LOAD_S)
 
--- a/chestnutfall/tests/test_rejection_parts.py
+++ b/chestnutfall/tests/test_rejection_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 from ..clock import ManualClock
@@ -13,13 +14,16 @@
 from ..coordination.messages import RunningSend, RunningSends
 from ..coordination.rejection_coordinator import NEW_TERM_MS, RejectionCoordinator
 from ..forwarding.running_sends import REUSE_MS, RunningEngineSends
+from ..limits.known_limits import KnownLimits
 from ..limits.limit_registry import LimitRegistry
 from ..limits.plain_send_queues import PlainSendQueues
 from ..placement import AdapterName, PlaceRequest, RunOutcome
 from ..placement.placer import Placer
 from ..placement.rejection_guard import UNCERTAIN_MS, WINDOW_MS, RejectionGuard
 from ..routes import EngineSpec, ModelSpec
+from ..signals.known_backoffs import KnownBackoffs
 from ..signals.known_rejections import KnownRejections
+from ..signals.known_signals import KnownSignals
 from ..signals.messages import HeardRejections, RejectionsInForce
 from ..signals.rejection_signal import (
     DeclaredRejections,
@@ -28,6 +32,7 @@
     read_rejections,
 )
 from ..signals.upstream_load import UpstreamLoad
+from ..signals.upstream_signals import UpstreamSignals
 from .fakes.rejecting_office import RejectingOffice
 
 BATCH = 8
@@ -99,6 +104,21 @@
         self.assertIsNone(self.known.per_s("e"))
 
 
+class KnownSignalsTest(unittest.TestCase):
+    # Guards against a leader that never hears of an upstream, so that it limits nobody's requests.
+    def test_answers_are_reported_through_the_object_that_was_passed(self) -> None:
+        clock = ManualClock()
+        reports: list[HeardRejections] = []
+        known = KnownRejections(reports.append, clock)
+        limits = KnownLimits(lambda report: None, lambda: 1, clock, random.Random(1))
+        backoffs = KnownBackoffs(lambda report: None, clock)
+        signals = KnownSignals(limits, backoffs, clock, known)
+        answer = UpstreamSignals(rejections=DeclaredRejections(3))
+        signals.observe("e", answer, clock.now_ms(), succeeded=True)
+        self.assertEqual(reports, [HeardRejections("e", 3)])
+        self.assertEqual(known.per_s("e"), 3)
+
+
 class RejectionGuardTest(unittest.TestCase):
     def setUp(self) -> None:
         self.guard = RejectionGuard()
