Split the placer: waiting requests by engine, and the rounds of its queues

WaitingRequests finds the requests that wait for an engine without going through all of them at each report, failed order or change of limit, and QueueRounds makes and refreshes the rounds.

--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -12,18 +12,16 @@
 from .adapter_name import AdapterName
 from .awaited_load import only_awaits_load
 from .build_reservations import BuildReservations
-from .candidate_engines import CandidateEngines
 from .decisions import Decision, Grant, LoadAdapter, Order, Reject, UnloadAdapter
 from .demand import Demand
-from .engine import Engine
 from .engine_report import EngineReport
-from .engine_selector import EngineSelector
 from .engine_table import EngineTable
 from .model_loads import ModelLoads
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
 from .prefill_turns import PrefillTurns, Turn
 from .queue import Queue
+from .queue_rounds import QueueRounds
 from .refusals import Refusals
 from .request_classes import RequestClasses
 from .request_order import in_order
@@ -35,6 +33,7 @@
 from .stale_assignment import is_stale
 from .suspect_parts import PART_ENDS_UPSTREAMS, SuspectParts
 from .waiting_request import WaitingRequest
+from .waiting_requests import WaitingRequests
 from .wanted_versions import WantedVersions
 
 
@@ -76,8 +75,7 @@
         self.engines = self.table.by_instance
         self.kinds = self.table.kinds
         self.slowed = SlowedEngines(self.engines, clock)
-        self._candidates = CandidateEngines(self.table.index)
-        self._waiting: dict[str, WaitingRequest] = {}
+        self._waiting = WaitingRequests()
         self._places: dict[str, str] = {}
         self._model_loads = ModelLoads()
         self._classes = RequestClasses()
@@ -86,7 +84,7 @@
         self._refusals = Refusals(clock)
         self._reservations = BuildReservations()
         self.suspects = SuspectParts()
-        self._rounds: dict[Queue, ServiceRound] = {}
+        self._rounds = QueueRounds(self.table, self._demand, self._versions, self._classes)
 
     # Engines
 
@@ -114,9 +112,8 @@
             return
         for ticket in engine.running:
             self._places.pop(ticket, None)
-        for waiting in self._waiting.values():
-            if waiting.instance == instance:
-                waiting.instance = ""
+        for waiting in self._waiting.at(instance):
+            self._waiting.assign(waiting, "")
 
     def engine_reported(self, instance: str, report: EngineReport) -> None:
         """Apply an engine's own report of its contents."""
@@ -124,15 +121,14 @@
         if engine is None:
             return
         self.table.note_report(engine, report)
-        for waiting in self._waiting.values():
-            if waiting.instance == instance and waiting.req.adapter not in engine.holdings:
+        for waiting in self._waiting.at(instance):
+            if waiting.req.adapter not in engine.holdings:
                 self._unassign(waiting)
 
     def limit_changed(self, instance: str) -> None:
         """Place anew the requests that wait for an engine whose limit changed."""
-        for waiting in self._waiting.values():
-            if waiting.instance == instance:
-                self._unassign(waiting)
+        for waiting in self._waiting.at(instance):
+            self._unassign(waiting)
 
     def order_failed(self, order: Order) -> None:
         """Record that an order may not have taken effect; the engine's report is needed next."""
@@ -141,8 +137,8 @@
             return
         self.table.note_failed(engine, order)
         if isinstance(order, LoadAdapter):
-            for waiting in self._waiting.values():
-                if (waiting.instance, waiting.req.adapter) == (order.instance, order.adapter):
+            for waiting in self._waiting.at(order.instance):
+                if waiting.req.adapter == order.adapter:
                     self._unassign(waiting)
 
     def name_version(self, adapter: AdapterName, version: int) -> None:
@@ -165,14 +161,14 @@
         self._demand.note(req.adapter, now_ms)
         self._classes.note_submitted(req, now_ms)
         tag = self._shares.tag(req.organisation, req.prompt_tokens + req.output_tokens)
-        self._waiting[req.ticket] = WaitingRequest(req, now_ms, tag=tag, build_key=build_key)
+        self._waiting.add(WaitingRequest(req, now_ms, tag=tag, build_key=build_key))
 
     def withdraw(self, ticket: str) -> None:
         """Drop a request, whether it waits or has a place."""
         waiting = self._waiting.get(ticket)
         if waiting is not None:
             self._unassign(waiting)
-            del self._waiting[ticket]
+            self._waiting.remove(waiting)
         self.release(ticket, RunOutcome.WITHDRAWN)
 
     def release(self, ticket: str, outcome: RunOutcome, times: RunTimes = NO_TIMES) -> None:
@@ -215,14 +211,15 @@
         """Yield the grants, refusals and orders of one decision round."""
         now_ms = self._clock.now_ms()
         self._turns.begin_round()
-        self._classes.begin_round(self._waiting.values(), now_ms)
+        self._classes.begin_round(self._waiting, now_ms)
         self.slowed.refresh(now_ms)
         yield from self._model_loads.decide(self.engines.values(), now_ms)
-        to_decide = [one for one in self._waiting.values() if self._is_to_decide(one, now_ms)]
+        to_decide = [one for one in self._waiting if self._is_to_decide(one, now_ms)]
         self._reservations.apply(self.engines.values(), now_ms)
-        self._rounds = {queue: self._round(queue, now_ms) for queue in {o.queue for o in to_decide}}
-        for waiting in in_order(to_decide, self._rounds):
-            yield from self._place(waiting, self._rounds[waiting.queue], now_ms)
+        queues = {one.queue for one in to_decide}
+        rounds = self._rounds.begin(queues, self._waiting, now_ms)
+        for waiting in in_order(to_decide, rounds):
+            yield from self._place(waiting, rounds[waiting.queue], now_ms)
 
     def _is_to_decide(self, waiting: WaitingRequest, now_ms: int) -> bool:
         if not self.suspects.is_empty:
@@ -253,7 +250,7 @@
         elif (option := self._best(waiting, service_round, now_ms)) is not None:
             yield from self._assign(waiting, option, service_round, now_ms)
             yield from self._grant_when_ready(waiting, service_round, now_ms)
-            self._refresh(option.engine)
+            self._rounds.refresh(option.engine)
         elif (
             refusal := self._refusals.refuse_unservable(waiting, service_round, now_ms)
         ) is not None:
@@ -277,25 +274,6 @@
         barred = self.suspects.barred(waiting.part_keys, engines, now_ms)
         return service_round.best(waiting, barred) if barred is not None else None
 
-    def _refresh(self, engine: Engine) -> None:
-        """Recompute an engine's costs in each queue that it serves."""
-        for queue, service_round in self._rounds.items():
-            if queue.service == engine.service and queue.build_key in ("", engine.build_key):
-                service_round.selector.refresh(engine)
-
-    def _round(self, queue: Queue, now_ms: int) -> ServiceRound:
-        engines = [
-            engine
-            for engine in self.engines.values()
-            if engine.service == queue.service and queue.build_key in ("", engine.build_key)
-        ]
-        waiting = (one.req for one in self._waiting.values() if one.queue == queue)
-        candidates = self._candidates.select(engines, {req.adapter for req in waiting})
-        selector = EngineSelector(
-            candidates, self._demand, self._versions, now_ms, engine_count=len(engines)
-        )
-        return self._classes.service_round(queue, selector, now_ms)
-
     def _assign(
         self,
         waiting: WaitingRequest,
@@ -313,7 +291,7 @@
             self.table.index.add(req.adapter, engine.instance)
             yield LoadAdapter(engine.instance, req.adapter, version)
         self._shares.served(waiting.tag)
-        waiting.instance = engine.instance
+        self._waiting.assign(waiting, engine.instance)
         waiting.assigned_ms = now_ms
         if not self.suspects.is_empty:
             self.suspects.assigned(req.ticket, waiting.part_keys, engine.instance)
@@ -325,7 +303,7 @@
 
     def _unassign(self, waiting: WaitingRequest) -> None:
         engine = self.engines.get(waiting.instance)
-        waiting.instance = ""
+        self._waiting.assign(waiting, "")
         self.suspects.ended(waiting.req.ticket)
         self._classes.note_unassigned(waiting.req.ticket)
         if engine is None:
@@ -353,7 +331,7 @@
         engine.limit.note_sent(now_ms)
         engine.backoff.note_sent(waiting.req.ticket, now_ms)
         engine.rejections.note_granted(waiting.req.ticket, now_ms)
-        del self._waiting[waiting.req.ticket]
+        self._waiting.remove(waiting)
         self._places[waiting.req.ticket] = engine.instance
         yield Grant(
             waiting.req.ticket,
@@ -365,6 +343,6 @@
 
     def _drop(self, waiting: WaitingRequest, refusal: Reject) -> Reject:
         self._unassign(waiting)
-        del self._waiting[waiting.req.ticket]
+        self._waiting.remove(waiting)
         self._classes.note_refused(waiting.req)
         return refusal
--- a/chestnutfall/tests/test_load_options.py
+++ b/chestnutfall/tests/test_load_options.py
@@ -124,7 +124,7 @@
 
     def test_it_needs_no_decision_until_the_adapter_is_loaded(self) -> None:
         self.placer.table.note_taken(self._submit(wait_ms=4_000))
-        with mock.patch("chestnutfall.placement.placer.EngineSelector") as made:
+        with mock.patch("chestnutfall.placement.queue_rounds.EngineSelector") as made:
             for _ in range(5):
                 self.clock._now_ms += 4
                 self.assertEqual(list(self.placer.decide()), [])
@@ -144,4 +144,4 @@
         self.placer.name_version(AdapterName(MODEL, "a"), 7)
         self.clock._now_ms += 4
         self.assertEqual(list(self.placer.decide()), [])
-        self.assertEqual([one.instance for one in self.placer._waiting.values()], [""])
+        self.assertEqual([one.instance for one in self.placer._waiting], [""])
--- a/properties/safeguards/path_mutants.py
+++ b/properties/safeguards/path_mutants.py
@@ -264,4 +264,11 @@
         "            if left > 0:",
         f"{_REJECTIONS}.PlainRoomTest",
     ),
+    Mutant(
+        "the leader doesn't hear of upstreams that bear few rejections",
+        "chestnutfall/signals/known_signals.py",
+        "        if rejections is None:\n",
+        "        if not rejections:\n",
+        f"{_REJECTIONS}.KnownSignalsTest",
+    ),
 )
--- a/properties/safeguards/placement_mutants.py
+++ b/properties/safeguards/placement_mutants.py
@@ -33,7 +33,7 @@
     Mutant(
         "what a round gave an engine is not counted in it",
         "chestnutfall/placement/placer.py",
-        "            self._refresh(option.engine)\n",
+        "            self._rounds.refresh(option.engine)\n",
         "",
         _SELECTOR_TEST,
     ),
--- a/properties/safeguards/stream_mutants.py
+++ b/properties/safeguards/stream_mutants.py
@@ -133,9 +133,9 @@
     ),
     Mutant(
         "the leader places a stream on any build",
-        _PLACER,
-        '            if engine.service == queue.service and queue.build_key in ("", ',
-        "            if engine.service == queue.service and queue.build_key in (queue.build_key, ",
+        "chestnutfall/placement/queue_rounds.py",
+        '    return engine.service == queue.service and queue.build_key in ("", ',
+        "    return engine.service == queue.service and queue.build_key in (queue.build_key, ",
         _PLACEMENT + "test_a_stream_is_placed_on_its_build_only",
     ),
     Mutant(
