--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -11,8 +11,9 @@
 With `--classes`, classes of requests compete for too little room instead; see `class_ways`.
 
 Columns: requests per second; fraction of them with the first event in time, late, and refused;
-grants that arrived before the adapter was loaded, and loads from the weight store, per request;
-processor ms per request; longest round of decisions in ms.
+grants that arrived before the adapter was loaded, and loads from the weight store, per request; the
+fewest such loads with the memory of all engines as one store (Bélády); processor ms per request;
+longest round of decisions in ms.
 """
 
 from __future__ import annotations
@@ -45,6 +46,7 @@
 from chestnutfall.routes import EngineSpec, ModelSpec
 
 from . import class_ways
+from .belady import fewest_loads
 
 MODEL = "base"
 ADAPTERS = 10_000
@@ -127,6 +129,11 @@
     adapter_slots: int
     run_ms: int
 
+    @property
+    def adapters_in_memory(self) -> int:
+        """Adapters that all engines together can have without a load from the weight store."""
+        return self.engines * (self.adapter_slots + MAX_WARM_ADAPTERS)
+
     @property
     def spec(self) -> EngineSpec:
         """The capacity of each engine, as the service declares it."""
@@ -200,6 +207,7 @@
     refused: deque[tuple[float, str]] = deque()
     pending: dict[str, _PendingRequest] = {}
     outcomes: Counter[str] = Counter()
+    asked: list[AdapterName] = []
     total = 0
     spent_s = longest_ms = 0.0
     next_ms = 0.0
@@ -213,6 +221,7 @@
         while next_ms <= now_ms:
             req = traffic.draw(total)
             pending[req.ticket] = _PendingRequest(req, now_ms)
+            asked.append(req.adapter)
             total += 1
             placer.submit(req)
             next_ms += rng.expovariate(per_s / 1000)
@@ -253,9 +262,11 @@
     shares = " ".join(
         f"{outcomes[key] / total:8.3f}" for key in ("in time", "late", "refused", "early")
     )
-    cost = f"{engines.store_loads / total:8.3f} {spent_s * 1000 / total:8.3f} {longest_ms:8.1f}"
+    least = fewest_loads(asked, deployment.adapters_in_memory) / total
+    loads = f"{engines.store_loads / total:8.3f} {least:8.3f}"
+    cost = f"{spent_s * 1000 / total:8.3f} {longest_ms:8.1f}"
     used = limits.used(sent_to_limited, seconds - LIMITED_FROM_MS / 1000)
-    return f"{per_s:6d} {shares} {cost} {used:8.3f}"
+    return f"{per_s:6d} {shares} {loads} {cost} {used:8.3f}"
 
 
 def main() -> None:
@@ -277,7 +288,7 @@
         return
     limits = EngineLimits(args.limited, args.limit)
     deployment = Deployment(args.engines, args.batch, args.places, args.run_ms)
-    print(" per s  in time     late  refused    early  brought   cpu ms  longest     used")
+    print(" per s  in time     late  refused    early  brought    least   cpu ms  longest     used")
     for per_s in args.rates:
         print(simulate(deployment, limits, per_s, args.seconds, args.seed))
 
