--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -8,48 +8,35 @@
 from collections.abc import Iterator
 
 from ..clock import Clock
-from ..concurrency.messages import EndTurn, RunningCalls, ShortageReport
-from ..concurrency.turn_messages import AskTurn
 from ..consensus import Replica
 from ..control.commands import Command, NameVersion, PutDocument
 from ..control.control_state import ControlState
-from ..control.crash_messages import AnsweredParts, AnsweredRun, BrokenRun
 from ..control.crash_monitor import CrashMonitor
 from ..control.upstream_record import UpstreamRecord
 from ..limits.limit_registry import LimitRegistry
-from ..limits.messages import HeardLimit
-from ..paths.leader_messages import CanHelp, LinkReport
-from ..placement import AdapterName, Decision, Grant, PlaceRequest, Reject, RunOutcome
+from ..placement import AdapterName, Decision, Grant, Reject
 from ..placement.placer import Placer
-from ..quota.messages import AskQuota, UsedQuota, WasShort
 from ..quota.quota_ledger import QuotaLedger
-from ..resumption.messages import AskOrigin, HeardOrigins
 from ..routes import DocumentCodec, RouteTable
 from ..settings.quota_bounds import QuotaBounds
 from ..settings.repeat_bounds import RepeatBounds
 from ..signals.backoff_registry import BackoffRegistry
-from ..signals.engine_loads import EngineLoads
-from ..signals.messages import HeardBackoff, HeardRejections
 from .backoff_coordinator import BackoffCoordinator
 from .document_compression import decompress_document
 from .engine_control import EngineControl
 from .engine_kind_recorder import EngineKindRecorder
 from .gateway_broadcaster import GatewayBroadcaster
+from .gateway_duties import GatewayDuties
 from .gateway_observations import GatewayObservations
+from .gateway_parts import GatewayParts
 from .gateway_session import GatewaySession
 from .gateway_sessions import GatewaySessions
 from .helper_directory import HelperDirectory
 from .limit_coordinator import LimitCoordinator
 from .link_directory import LinkDirectory
 from .messages import (
-    AnswerRepeat,
-    AskRepeat,
     GatewayMessage,
     NotLeading,
-    PlaceStream,
-    Release,
-    RunningSends,
-    Withdraw,
 )
 from .order_dispatcher import EngineRecord, OrderDispatcher
 from .origin_coordinator import OriginCoordinator
@@ -96,7 +83,6 @@
         self._clock = clock
         limits, backoffs = LimitRegistry(clock), BackoffRegistry(clock)
         self._placer = Placer(clock, limits, backoffs)
-        self._repeats = RepeatPool(repeats, clock)
         self._quotas = QuotaLedger(quotas, clock)
         self._crashes = CrashMonitor(replica, state, clock, self._placer.suspects)
         self._sessions = GatewaySessions()
@@ -127,9 +113,21 @@
             self._on_serving,
             self._wake.set,
         )
-        self._observations = GatewayObservations(
-            self._placer, self._upstreams, self._crashes, clock
+        parts = GatewayParts(
+            self._placer,
+            self._sessions,
+            self._broadcaster,
+            RepeatPool(repeats, clock),
+            self._quotas,
+            self._origins,
+            self._helpers,
+            self._links,
+            self._limits,
+            self._backoffs,
+            self._rejections,
+            GatewayObservations(self._placer, self._upstreams, self._crashes, clock),
         )
+        self._gateways = GatewayDuties(parts, self.leads)
 
     # Lifecycle
 
@@ -201,95 +199,16 @@
 
     def add_gateway(self, session: GatewaySession, document_version: int) -> None:
         """Start to serve a gateway that holds `document_version`."""
-        self._sessions.add(session)
-        self._helpers.add(session)
-        self._links.add(session)
-        self._rejections.add_gateway(session)
-        self._origins.add_gateway(session)
-        self._broadcaster.send_initial_state(session, document_version)
-        self._limits.send_initial_state(session)
-        self._backoffs.send_initial_state(session)
+        self._gateways.add(session, document_version)
 
     def remove_gateway(self, session: GatewaySession) -> None:
         """End a gateway's session and free everything that it held."""
-        for ticket in self._sessions.remove(session):
-            self._placer.withdraw(ticket)
-            self._origins.not_granted(ticket)
-        self._origins.remove_gateway(session)
-        self._helpers.remove(session)
-        self._links.remove(session)
-        self._rejections.remove_gateway(session)
-        self._limits.remove_gateway(session)
-        self._backoffs.remove_gateway(session)
+        self._gateways.remove(session)
 
     def handle(self, session: GatewaySession, msg: GatewayMessage) -> None:
         """Process a message of a gateway."""
-        match msg:
-            case AskRepeat(number, service):
-                # A leader that is cut off may have a successor that grants repeats too.
-                given = self.leads() and self._repeats.take(service)
-                session.send(AnswerRepeat(number, given))
-                return
-            case AskQuota(number, organisation, units):
-                # A leader that is cut off does not answer, and its gateways soon leave it.
-                if self.leads():
-                    session.send(self._quotas.ask(number, organisation, units))
-                return
-            case WasShort(organisations):
-                self._quotas.note_short(organisations)
-                return
-            case UsedQuota(uses):
-                for use in uses:
-                    self._quotas.charge(use.organisation, use.units)
-                self._broadcaster.send_quotas()
-                return
-            case AskOrigin():
-                # The successor of a leader that is cut off may know of other streams and builds.
-                if self.leads():
-                    self._origins.ask(session, msg)
-            case HeardOrigins():
-                self._origins.record(session, msg)
-                return
-            case CanHelp():
-                self._helpers.record(session, msg)
-                self._links.record_leaving(session, msg)
-                return
-            case LinkReport():
-                self._links.record(session, msg)
-            case EngineLoads(slowdowns):
-                self._placer.slowed.note_all(slowdowns)
-                return
-            case HeardLimit():
-                self._limits.record_limit(session, msg)
-            case HeardRejections():
-                self._rejections.record(msg)
-            case RunningSends():
-                self._rejections.adopt(session, msg)
-            case HeardBackoff():
-                self._backoffs.record_backoff(session, msg)
-            case AskTurn():
-                self._limits.queue_turn(session, msg)
-            case EndTurn():
-                self._limits.end_turn(session, msg)
-            case RunningCalls() | ShortageReport():
-                self._limits.record_room(session, msg)
-            case BrokenRun() | AnsweredRun() | AnsweredParts():
-                self._observations.reported(session.gateway, msg)
-                return
-            case PlaceRequest():
-                self._sessions.assign_ticket(msg.ticket, session)
-                self._placer.submit(msg)
-            case PlaceStream():
-                self._sessions.assign_ticket(msg.req.ticket, session)
-                self._origins.place(msg)
-            case Release(ticket, outcome, times):
-                self._observations.released(session.gateway, ticket, RunOutcome(outcome), times)
-                self._sessions.release_ticket(ticket)
-            case Withdraw(ticket):
-                self._placer.withdraw(ticket)
-                self._origins.not_granted(ticket)
-                self._sessions.release_ticket(ticket)
-        self._wake.set()
+        if self._gateways.handle(session, msg):
+            self._wake.set()
 
     @property
     def cut_off_gateways(self) -> int:
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -70,9 +70,9 @@
     ),
     Mutant(
         "a leader that was cut off gives out repeats",
-        "chestnutfall/coordination/leader_term.py",
-        "                given = self.leads() and self._repeats.take(service)",
-        "                given = self._repeats.take(service)",
+        "chestnutfall/coordination/gateway_duties.py",
+        "                given = self._leads() and parts.repeats.take(service)",
+        "                given = parts.repeats.take(service)",
         "chestnutfall.tests.test_fleet_leader",
     ),
     Mutant(
