Show that a peak is not paid for long after it

Order between organisations: a model plays what comes after one of them sent fifteen times its usual.

--- a/chestnutfall/tests/test_fair_share.py
+++ b/chestnutfall/tests/test_fair_share.py
@@ -23,6 +23,9 @@
 ENGINES, BATCH, RUN_MS, OBJECTIVE_MS = 4, 4, 100, 500
 SPEC = EngineSpec(BATCH, 200_000, (), 0, 0, 1)
 SECONDS, STEP_MS = 20, 4
+PEAK_S = 5
+SHORT_PER_S = 22
+"""A tenth more of each organisation than there is room for."""
 
 
 def _in_time(busy: bool, separate: bool) -> list[float]:
@@ -60,7 +63,49 @@
     return [one / all_ for one, all_ in zip(good, asked, strict=True)]
 
 
+def _served_after_peak() -> list[float]:
+    """Return the share of each organisation's requests that begin after the busy one's peak."""
+    rng, clock = random.Random(3), ManualClock()
+    placer = Placer(clock)
+    for at in range(ENGINES):
+        placer.engine_up(f"e{at}", "s", "dc", SPEC)
+        placer.engines[f"e{at}"].synced = True
+    asked = [0] * ORGANISATIONS
+    served = [0] * ORGANISATIONS
+    counted: dict[str, int] = {}
+    ending: list[tuple[int, str]] = []
+    for now_ms in range(0, (PEAK_S + SECONDS) * 1000, STEP_MS):
+        clock._now_ms = now_ms
+        is_peak = now_ms < PEAK_S * 1000
+        for organisation in range(ORGANISATIONS):
+            is_busy = is_peak and organisation == ORGANISATIONS - 1
+            per_step = SHORT_PER_S * (BUSY_FACTOR if is_busy else 1) * STEP_MS / 1000
+            for at in range(int(per_step) + (rng.random() < per_step % 1)):
+                ticket = f"{organisation}-{now_ms}-{at}"
+                if not is_peak:
+                    asked[organisation] += 1
+                    counted[ticket] = organisation
+                name, adapter = f"office{organisation}", AdapterName("", "")
+                req = PlaceRequest(
+                    ticket, "s", adapter, 600, 60, (), 0, OBJECTIVE_MS, 4_000, "dc", (), 0, name
+                )
+                placer.submit(req)
+        while ending and ending[0][0] <= now_ms:
+            placer.release(heapq.heappop(ending)[1], RunOutcome.LEFT)
+        for decision in placer.decide():
+            if isinstance(decision, Grant):
+                heapq.heappush(ending, (now_ms + RUN_MS, decision.ticket))
+                if decision.ticket in counted:
+                    served[counted[decision.ticket]] += 1
+    return [one / all_ for one, all_ in zip(served, asked, strict=True)]
+
+
 class FairShareTest(unittest.TestCase):
+    # Guards against an organisation that pays for its peak long after, by requests refused then.
+    def test_after_its_peak_the_busy_one_is_served_like_the_others(self) -> None:
+        *others, busy = _served_after_peak()
+        self.assertGreaterEqual(busy, 0.9 * min(others))
+
     def test_other_organisations_keep_their_service_beside_the_busy_one(self) -> None:
         alone = _in_time(busy=False, separate=True)
         beside = _in_time(busy=True, separate=True)
