Hold a common prompt part only after more ends if it was answered before

Cause, by its logs: three engines ended within 3.3 s under one request without parts. One of three common first parts ran on each of them in another request. It was answered in full after the first end and cleared of that; ends two and three were enough to hold it, 2 ms after the request itself was quarantined for all three.

Such a part needs two ends more. One that ends engines is never answered in full, so that it is held after two ends as before, also beside a common one, which no longer hides it; one that a release makes fatal takes four engines more after its last answer.

--- a/chestnutfall/control/part_blame.py
+++ b/chestnutfall/control/part_blame.py
@@ -8,6 +8,9 @@
 """Separate ends after which parts are held. Since requests with a suspect part run on one engine at
 a time, a second end under the same one is seldom a coincidence; each further one takes an engine
 from all other callers."""
+ENDS_BY_CHANCE = 2
+"""Ends that a part may be in without being suspect, if it was answered in full after another end. A
+common one runs on most engines; one that a release has made fatal takes two engines more."""
 MIN_OTHER_ANSWERS = 3
 """Answers without the parts between their first end and the hold. Where nothing is answered, the
 service as a whole fails, and a part that most requests have would be held for that."""
@@ -49,6 +52,7 @@
 
 def _most_suspect(ledger: PartLedger, end: PartEnd) -> frozenset[str]:
     counts = ledger.counts()
+    counts.subtract(dict.fromkeys(ledger.answered_parts(), ENDS_BY_CHANCE))
     parts = [one for one in end.parts() if not _is_one_request(ledger, one)]
     most = max((counts[part] for part in parts), default=0)
     if most < ENDS_TO_HOLD:
--- a/chestnutfall/control/part_ledger.py
+++ b/chestnutfall/control/part_ledger.py
@@ -154,6 +154,10 @@
             part for end in self.ends.values() for part in end.parts() - {*end.overlapping}
         )
 
+    def answered_parts(self) -> set[str]:
+        """Return the parts that were in an end and are known not to be its cause."""
+        return set().union(*self.cleared.values())
+
     def hold(self, parts: tuple[str, ...]) -> tuple[str, ...]:
         """Hold parts that no request may have together, and return the ends that they explain."""
         name = _name(parts)
--- a/chestnutfall/tests/test_part_ledger.py
+++ b/chestnutfall/tests/test_part_ledger.py
@@ -47,6 +47,22 @@
         self._end("e1", r1="g c")
         self.assertEqual(self._end("e2", r2="g c"), ("c", "g"))
 
+    # Guards against a common part that is held since it ran where engines end for another cause.
+    def test_a_part_that_was_answered_before_is_held_after_more_ends(self) -> None:
+        self._end("e1", r1="c b1")
+        self.ledger.clear(("c",))
+        self.assertIsNone(self._end("e2", r2="c b2"))
+        self.assertIsNone(self._end("e3", r3="c b3"))
+        self.assertIsNone(self._end("e4", r4="c b4"))
+        self.assertEqual(self._end("e5", r5="c b5"), ("c",))
+
+    # Guards against a part that ends engines and is hidden by a common one beside it.
+    def test_a_part_beside_one_that_was_answered_is_held_by_itself(self) -> None:
+        self._end("e1", r1="c b1")
+        self.ledger.clear(("c",))
+        self._end("e2", r2="c g")
+        self.assertEqual(self._end("e3", r3="c g b3"), ("g",))
+
     def test_nothing_is_held_where_nothing_else_is_answered(self) -> None:
         self._end("e1", r1="g")
         self._end("e2", r2="g")
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -194,4 +194,11 @@
         "chestnutfall.tests.test_part_keys.PartKeysTest."
         "test_names_are_bounded_in_number_and_length",
     ),
+    Mutant(
+        "a part that was answered is blamed like one that never was",
+        "chestnutfall/control/part_blame.py",
+        "    counts.subtract(dict.fromkeys(ledger.answered_parts(), ENDS_BY_CHANCE))\n",
+        "",
+        "chestnutfall.tests.test_part_ledger",
+    ),
 )
