--- a/soak/cut_episodes.py
+++ b/soak/cut_episodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 
@@ -23,6 +24,7 @@
 """What becomes of open connections, and how each try to open another one ends."""
 SETTLED_S = 2.0
 """Time after which callers of a gateway that is cut off are served like others."""
+CALL_PAUSE_S = 0.05
 MIN_SHARE = 2 / 3
 PAIRS_PART = 0.4
 """Part of the episodes in which links are cut pair by pair."""
@@ -85,7 +87,9 @@
     ) -> None:
         """Check what each gateway serves while links are cut pair by pair."""
         with self._cut_pairs(rng):
-            await asyncio.sleep(SETTLED_S)
+            await asyncio.gather(
+                *(self._use(client, one, rng, seen) for one in self._office.gateways)
+            )
             for one in self._office.gateways:
                 served = await self._served(client, [one], rng, seen)
                 verdict.note_violation(
@@ -111,6 +115,20 @@
             f"{cut.plan.name} was cut off and served {at_cut} of {CALLS}, the others {elsewhere}",
         )
 
+    async def _use(
+        self,
+        client: StandInClient,
+        gateway: Daemon,
+        rng: random.Random,
+        seen: list[ClientResult],
+    ) -> None:
+        """Send calls to a gateway for `SETTLED_S`, in which it finds out which links are cut."""
+        until_s = time.monotonic() + SETTLED_S
+        while time.monotonic() < until_s:
+            address = self._office.client_address(gateway)
+            seen.append(await client.send(address, rng.choice(ROUTES)))
+            await asyncio.sleep(CALL_PAUSE_S)
+
     async def _served(
         self,
         client: StandInClient,
