Count a prompt part as answered only if an answer cleared it

The rule of two ends more for parts that were answered before took every part that was not suspect as an end was stored, which a new leader may also say of one that it has not heard of yet. A fatal part among those would take two engines more.

test_a_part_that_no_answer_cleared_is_held_after_two_ends failed before.

--- a/chestnutfall/control/part_blame.py
+++ b/chestnutfall/control/part_blame.py
@@ -52,7 +52,7 @@
 
 def _most_suspect(ledger: PartLedger, end: PartEnd) -> frozenset[str]:
     counts = ledger.counts()
-    counts.subtract(dict.fromkeys(ledger.answered_parts(), ENDS_BY_CHANCE))
+    counts.subtract(dict.fromkeys(ledger.answered, ENDS_BY_CHANCE))
     parts = [one for one in end.parts() if not _is_one_request(ledger, one)]
     most = max((counts[part] for part in parts), default=0)
     if most < ENDS_TO_HOLD:
--- a/chestnutfall/control/part_ledger.py
+++ b/chestnutfall/control/part_ledger.py
@@ -16,6 +16,8 @@
 """Runs kept of one end; more than most engines run at once."""
 MAX_CLEARED = 1_024
 """Parts kept of one end that are not the cause; about 20 bytes each."""
+MAX_ANSWERED = 1_024
+"""Answered parts that are kept; about 100 bytes each."""
 MAX_HELD = 256
 MAX_PART_OFFENDERS = 1_024
 HOLD_MS = 60_000
@@ -112,6 +114,8 @@
         Incarnations whose ends are explained by a hold, oldest first.
     cleared : dict of str to tuple of str
         Parts that an incarnation ran at its end and that are not the cause, oldest first.
+    answered : dict of str to None
+        Parts that were suspect and then answered in full, oldest first.
     """
 
     ends: dict[str, PartEnd] = field(default_factory=dict)
@@ -119,6 +123,7 @@
     offences: dict[str, int] = field(default_factory=dict)
     explained: dict[str, None] = field(default_factory=dict)
     cleared: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    answered: dict[str, None] = field(default_factory=dict)
 
     def note_end(
         self, instance: str, service: str, runs: Iterable[RunParts], overlapping: Iterable[str]
@@ -154,10 +159,6 @@
             part for end in self.ends.values() for part in end.parts() - {*end.overlapping}
         )
 
-    def answered_parts(self) -> set[str]:
-        """Return the parts that were in an end and are known not to be its cause."""
-        return set().union(*self.cleared.values())
-
     def hold(self, parts: tuple[str, ...]) -> tuple[str, ...]:
         """Hold parts that no request may have together, and return the ends that they explain."""
         name = _name(parts)
@@ -178,6 +179,8 @@
     def clear(self, parts: Iterable[str]) -> None:
         """Clear parts that were answered in full; what was held with them is held without."""
         cleared = set(parts)
+        self.answered.update(dict.fromkeys(sorted(cleared)))
+        _drop_oldest(self.answered, MAX_ANSWERED)
         for instance, end in list(self.ends.items()):
             self.note_cleared(instance, cleared & end.parts())
             self.ends[instance] = end.without(cleared)
--- a/chestnutfall/tests/test_part_ledger.py
+++ b/chestnutfall/tests/test_part_ledger.py
@@ -9,7 +9,14 @@
 from ..control.control_state import ControlState
 from ..control.crash_messages import QuarantinedParts
 from ..control.part_blame import MIN_OTHER_ANSWERS, parts_to_hold
-from ..control.part_ledger import HOLD_MS, MAX_HELD, MAX_PART_ENDS, PartLedger, RunParts
+from ..control.part_ledger import (
+    HOLD_MS,
+    MAX_ANSWERED,
+    MAX_HELD,
+    MAX_PART_ENDS,
+    PartLedger,
+    RunParts,
+)
 from ..control.part_monitor import PartMonitor
 from ..placement.suspect_parts import SuspectParts
 
@@ -56,6 +63,12 @@
         self.assertIsNone(self._end("e4", r4="c b4"))
         self.assertEqual(self._end("e5", r5="c b5"), ("c",))
 
+    # Guards against a fatal part that gets more engines since nobody suspected it at one end.
+    def test_a_part_that_no_answer_cleared_is_held_after_two_ends(self) -> None:
+        self.ledger.note_cleared("e1", ("g",))
+        self._end("e2", r2="g b2")
+        self.assertEqual(self._end("e3", r3="g b3"), ("g",))
+
     # Guards against a part that ends engines and is hidden by a common one beside it.
     def test_a_part_beside_one_that_was_answered_is_held_by_itself(self) -> None:
         self._end("e1", r1="c b1")
@@ -140,6 +153,8 @@
             ledger.note_end(f"d{at}", "s", [RunParts("r", ("c", "d"))], ())
         ledger.clear(["c"])
         self.assertLessEqual(len(ledger.cleared), MAX_PART_ENDS)
+        ledger.clear(f"a{at}" for at in range(2 * MAX_ANSWERED))
+        self.assertEqual(len(ledger.answered), MAX_ANSWERED)
 
     # Guards against a hold that a restart of all controllers forgets.
     def test_ends_and_holds_are_part_of_the_replicated_state(self) -> None:
@@ -158,6 +173,7 @@
         parts = restored.crashes.parts
         self.assertEqual(set(parts.held.values()), {("g",)})
         self.assertEqual(list(parts.ends), ["e2"])
+        self.assertEqual(list(parts.answered), ["c"])
         self.assertTrue(restored.crashes.ends["e1"].explained)
         restored.apply(0, COMMAND_CODEC.encode(ForgetParts(("e2",), ("g",))))
         self.assertEqual((parts.ends, parts.held, parts.offences), ({}, {}, {"g": 1}))
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -197,7 +197,7 @@
     Mutant(
         "a part that was answered is blamed like one that never was",
         "chestnutfall/control/part_blame.py",
-        "    counts.subtract(dict.fromkeys(ledger.answered_parts(), ENDS_BY_CHANCE))\n",
+        "    counts.subtract(dict.fromkeys(ledger.answered, ENDS_BY_CHANCE))\n",
         "",
         "chestnutfall.tests.test_part_ledger",
     ),
