Soak: a killed gateway's request isn't known to be unread

The check takes a connection that ended without an answer, and whose request no log names, for closed unread. By its logs a gateway was killed at that time: it may have sent the request on, and logs it only at its end. Its connections are left out; those that a living gateway closes are judged as before.

--- a/soak/rush_episodes.py
+++ b/soak/rush_episodes.py
@@ -13,6 +13,7 @@
     ConnectingClient,
 )
 
+from .disturbances import Disturbances
 from .office import Office
 from .processor_share import ProcessorShare
 from .verdict import Verdict
@@ -32,8 +33,9 @@
 class RushEpisodes:
     """Opens a connection for each of many requests, all at one gateway."""
 
-    def __init__(self, office: Office) -> None:
+    def __init__(self, office: Office, disturbances: Disturbances) -> None:
         self._office = office
+        self._disturbances = disturbances
         self._attempts: list[ConnectingAttempt] = []
 
     async def play_until_cancelled(self, rng: random.Random) -> None:
@@ -90,8 +92,17 @@
         for one in self._attempts:
             what = f"rushed {one.request_id} status {one.status}, {runs[one.request_id]} runs"
             verdict.note_violation(one.status == 200 and not one.whole, f"wrong bytes: {what}")
-            is_unread = one.status == UNREAD_STATUS and one.request_id not in logs
-            says_not_run = is_unread or one.status in NOT_RUN_STATUSES
+            says_not_run = self._is_unread(one, logs) or one.status in NOT_RUN_STATUSES
             verdict.note_violation(
                 says_not_run and runs[one.request_id] > 0, f"called not run: {what}"
             )
+
+    def _is_unread(self, attempt: ConnectingAttempt, logs: str) -> bool:
+        """Whether its gateway closed the connection by itself and logged nothing of the request.
+
+        One that is killed logs nothing of what it has sent on either.
+        """
+        until_s = attempt.sent_s + attempt.took_s
+        was_harmed = self._disturbances.overlaps(attempt.gateway, attempt.sent_s, until_s)
+        closed = attempt.status == UNREAD_STATUS and not was_harmed
+        return closed and attempt.request_id not in logs
