--- a/chestnutfall/tests/test_fair_share.py
+++ b/chestnutfall/tests/test_fair_share.py
@@ -28,13 +28,25 @@
 """A tenth more of each organisation than there is room for."""
 
 
-def _in_time(busy: bool, separate: bool) -> list[float]:
-    """Return the share of each organisation's requests that begin in time, the busy one last."""
-    rng, clock = random.Random(3), ManualClock()
+def _placer(clock: ManualClock) -> Placer:
     placer = Placer(clock)
     for at in range(ENGINES):
         placer.engine_up(f"e{at}", "s", "dc", SPEC)
         placer.engines[f"e{at}"].synced = True
+    return placer
+
+
+def _request(ticket: str, organisation: str) -> PlaceRequest:
+    adapter = AdapterName("", "")
+    return PlaceRequest(
+        ticket, "s", adapter, 600, 60, (), 0, OBJECTIVE_MS, 4_000, "dc", (), 0, organisation
+    )
+
+
+def _in_time(busy: bool, separate: bool) -> list[float]:
+    """Return the share of each organisation's requests that begin in time, the busy one last."""
+    rng, clock = random.Random(3), ManualClock()
+    placer = _placer(clock)
     rates = [PER_S] * (ORGANISATIONS - 1) + [PER_S * (BUSY_FACTOR if busy else 1)]
     asked = [0] * ORGANISATIONS
     good = [0] * ORGANISATIONS
@@ -47,12 +59,7 @@
                 ticket = f"{organisation}-{asked[organisation]}"
                 asked[organisation] += 1
                 since[ticket] = organisation, now_ms
-                name = f"office{organisation}" if separate else ""
-                adapter = AdapterName("", "")
-                req = PlaceRequest(
-                    ticket, "s", adapter, 600, 60, (), 0, OBJECTIVE_MS, 4_000, "dc", (), 0, name
-                )
-                placer.submit(req)
+                placer.submit(_request(ticket, f"office{organisation}" if separate else ""))
         while ending and ending[0][0] <= now_ms:
             placer.release(heapq.heappop(ending)[1], RunOutcome.LEFT)
         for decision in placer.decide():
@@ -66,10 +73,7 @@
 def _served_after_peak() -> list[float]:
     """Return the share of each organisation's requests that begin after the busy one's peak."""
     rng, clock = random.Random(3), ManualClock()
-    placer = Placer(clock)
-    for at in range(ENGINES):
-        placer.engine_up(f"e{at}", "s", "dc", SPEC)
-        placer.engines[f"e{at}"].synced = True
+    placer = _placer(clock)
     asked = [0] * ORGANISATIONS
     served = [0] * ORGANISATIONS
     counted: dict[str, int] = {}
@@ -85,11 +89,7 @@
                 if not is_peak:
                     asked[organisation] += 1
                     counted[ticket] = organisation
-                name, adapter = f"office{organisation}", AdapterName("", "")
-                req = PlaceRequest(
-                    ticket, "s", adapter, 600, 60, (), 0, OBJECTIVE_MS, 4_000, "dc", (), 0, name
-                )
-                placer.submit(req)
+                placer.submit(_request(ticket, f"office{organisation}"))
         while ending and ending[0][0] <= now_ms:
             placer.release(heapq.heappop(ending)[1], RunOutcome.LEFT)
         for decision in placer.decide():
