--- a/chestnutfall/paths/known_helpers.py
+++ b/chestnutfall/paths/known_helpers.py
@@ -17,6 +17,8 @@
 upstream only."""
 MAX_RESTS = 1_024
 """Pairs of helper and upstream that are kept; the oldest are dropped."""
+MAX_NAMED = 4_096
+"""Upstreams whose helpers are kept, as many as a leader names. One that ends takes nothing back."""
 MAX_SERVED = 4_096
 """Upstreams of which the helper that reached them last is kept."""
 MAX_ASKED = 3
@@ -55,9 +57,12 @@
     def apply_links(self, update: HelpersByUpstream) -> None:
         """Apply the helpers that the leader named for single upstreams."""
         for one in update.changed:
+            self._by_upstream.pop(one.instance, None)
             self._by_upstream[one.instance] = one.addresses
         for instance in update.gone:
             self._by_upstream.pop(instance, None)
+        while len(self._by_upstream) > MAX_NAMED:
+            del self._by_upstream[next(iter(self._by_upstream))]
 
     @property
     def keys(self) -> tuple[str, ...]:
