--- a/chestnutfall/ownership/engine_owner.py
+++ b/chestnutfall/ownership/engine_owner.py
@@ -15,6 +15,7 @@
 from ..signals.messages import HeardBackoff
 from .adapter_loader import STATE_TIMEOUT_MS, AdapterLoader, LoadOutcome
 from .engine_send_limit import EngineSendLimit
+from .engine_slots import EngineSlots
 from .load_failures import LoadFailures
 from .load_permits import LoadPermits
 from .messages import (
@@ -74,15 +75,12 @@
         self._config = config
         self._clock = clock
         self._metrics = metrics
-        self._is_gone = is_gone
-        self._slots: dict[str, Slot] = {}
-        self._slot_count = 0
+        self._slots = EngineSlots(clock, is_gone)
         self._incarnation = ""
         self._queue = TicketQueue()
         self._failures = LoadFailures()
         self._loads: dict[str, asyncio.Task[None]] = {}
         self._no_loads_before_ms = 0
-        self._changed_ms = 0
         self._send_limit = EngineSendLimit(engine, clock)
         self._loader = AdapterLoader(engine, current_epoch, registry, api, permits, clock, metrics)
 
@@ -156,8 +154,7 @@
     def end(self, msg: TicketEnd) -> None:
         """Remove the ticket's pin, or refuse its request if it still waits."""
         self._queue.withdraw(msg.attempt_id)
-        for slot in self._slots.values():
-            slot.pins.pop(msg.attempt_id, None)
+        self._slots.unpin(msg.attempt_id)
         self._process_queue()
 
     def note_limit(self, report: HeardLimit) -> None:
@@ -182,14 +179,16 @@
 
     def view(self) -> EngineView:
         """Return what entry gateways need to select an engine."""
-        ready = tuple(s.adapter for s in self._slots.values() if s.takes_work)
         send_wait_ms = max(
             self._send_limit.wait_ms(len(self._queue)), self._send_limit.backoff_ms()
         )
-        return EngineView(self.engine, ready, self._running(), len(self._queue), send_wait_ms)
-
-    def _running(self) -> int:
-        return sum(len(slot.pins) for slot in self._slots.values())
+        return EngineView(
+            self.engine,
+            self._slots.ready_adapters(),
+            self._slots.running(),
+            len(self._queue),
+            send_wait_ms,
+        )
 
     # Decisions
 
@@ -226,7 +225,7 @@
             waiting.needed_load = True
 
     def _grant(self, waiting: TicketWaiter, slot: Slot, now_ms: int) -> None:
-        if self._running() >= self._config().limits.running_per_engine:
+        if self._slots.running() >= self._config().limits.running_per_engine:
             return
         if self._send_limit.wait_ms(0):
             return
@@ -241,37 +240,27 @@
         waiting.fut.set_result(TicketGrant(waiting.req.attempt_id, stalled_ms))
 
     def _make_room_and_load(self, waiting: TicketWaiter, now_ms: int) -> None:
-        if not self._slot_count or now_ms < self._no_loads_before_ms:
+        if not self._slots.count or now_ms < self._no_loads_before_ms:
             return
         victim: Slot | None = None
-        taken = sum(not slot.evicting for slot in self._slots.values())
-        if taken >= self._slot_count:
-            victim = self._victim(now_ms)
+        if self._slots.is_full():
+            victim = self._slots.victim(now_ms)
             if victim is None:
                 self._drain_one_slot(waiting, now_ms)
                 return
             victim.evicting = True
         adapter = waiting.req.adapter
-        self._slots[adapter] = Slot(adapter, False, now_ms)
+        self._slots.begin_load(adapter, now_ms)
         task = asyncio.ensure_future(self._load(adapter, victim))
         self._loads[adapter] = task
         task.add_done_callback(lambda _: self._loads.pop(adapter, None))
 
-    def _victim(self, now_ms: int) -> Slot | None:
-        """Return the least recently used slot without pins, preferring draining ones."""
-        free = (slot for slot in self._slots.values() if slot.is_evictable(now_ms))
-        return min(free, key=lambda slot: (not slot.draining, slot.used_ms), default=None)
-
     def _drain_one_slot(self, waiting: TicketWaiter, now_ms: int) -> None:
         # Under steady load a popular adapter always has pins, and a request for another adapter
         # would wait for ever. After a while one slot accepts no new tickets until it is evicted.
         if now_ms - waiting.since_ms < self._config().policy.drain_after_ms:
             return
-        if any(slot.draining for slot in self._slots.values()):
-            return
-        ready = [slot for slot in self._slots.values() if slot.ready]
-        if ready:
-            min(ready, key=lambda slot: (len(slot.pins), slot.used_ms)).draining = True
+        self._slots.drain_one()
 
     # Loads
 
@@ -279,7 +268,7 @@
         outcome = LoadOutcome.NOT_STARTED
         try:
             outcome = await self._loader.load(
-                adapter, victim, lambda: self._queue.has_request_for(adapter), self._remove_slot
+                adapter, victim, lambda: self._queue.has_request_for(adapter), self._slots.remove
             )
         finally:
             self._apply_outcome(adapter, outcome)
@@ -287,19 +276,11 @@
                 victim.evicting = victim.draining = False
         self._process_queue()
 
-    def _remove_slot(self, slot: Slot) -> None:
-        self._changed_ms = self._clock.now_ms()
-        self._slots.pop(slot.adapter, None)
-
     def _apply_outcome(self, adapter: str, outcome: LoadOutcome) -> None:
         now_ms = self._clock.now_ms()
-        self._changed_ms = now_ms
-        slot = self._slots.get(adapter)
-        if outcome is LoadOutcome.LOADED and slot is not None:
+        if self._slots.end_load(adapter, outcome is LoadOutcome.LOADED):
             self._failures.loaded(adapter)
-            slot.ready = True
             return
-        self._slots.pop(adapter, None)
         if outcome is LoadOutcome.FAILED:
             self._failures.failed(adapter, now_ms, self._config().policy.load_backoff_ms)
         else:
@@ -320,37 +301,13 @@
             return
         if state.incarnation != self._incarnation:
             self._take_over(state, asked_ms)
-        self._slot_count = state.slots
-        # The report may lack a load or eviction that ended after it was requested.
-        if asked_ms > self._changed_ms:
-            self._sync_slots(state)
-        self._unpin_orphans(state, asked_ms)
+        self._slots.apply(state, asked_ms)
 
     def _take_over(self, state: EngineState, now_ms: int) -> None:
-        """Start from what the engine holds, after a change of owner or a restart of the engine."""
+        """Take over an engine, after a change of owner or a restart of the engine."""
         first = not self._incarnation
         self._incarnation = state.incarnation
         self._send_limit = EngineSendLimit(self.engine, self._clock)
         inherited_until_ms = now_ms + MAX_DISPATCH_DELAY_MS if first else 0
-        self._slots = {
-            adapter: Slot(adapter, True, now_ms, inherited_until_ms)
-            for adapter, status in state.adapters.items()
-            if status == "ready"
-        }
-        log.info("owner: took over %s with %s", self.engine, sorted(self._slots))
-
-    def _sync_slots(self, state: EngineState) -> None:
-        for adapter, slot in list(self._slots.items()):
-            if slot.ready and state.adapters.get(adapter) != "ready" and not slot.evicting:
-                del self._slots[adapter]
-        for adapter, status in state.adapters.items():
-            if adapter not in self._slots and status == "ready":
-                self._slots[adapter] = Slot(adapter, True, self._clock.now_ms())
-
-    def _unpin_orphans(self, state: EngineState, asked_ms: int) -> None:
-        """Remove pins of gateways that are gone, once the engine no longer reports their run."""
-        for slot in self._slots.values():
-            for attempt_id, session in list(slot.pins.items()):
-                if self._is_gone(session) and attempt_id not in state.running:
-                    if asked_ms >= slot.used_ms + MAX_DISPATCH_DELAY_MS:
-                        del slot.pins[attempt_id]
+        self._slots.take_over(state, now_ms, inherited_until_ms)
+        log.info("owner: took over %s with %s", self.engine, sorted(self._slots.ready_adapters()))
--- a/properties/safeguards/caller_mutants.py
+++ b/properties/safeguards/caller_mutants.py
@@ -5,6 +5,7 @@
 from ..mutant import Mutant
 
 _OWNER = "chestnutfall/ownership/engine_owner.py"
+_SLOTS = "chestnutfall/ownership/engine_slots.py"
 _LOADER = "chestnutfall/ownership/adapter_loader.py"
 _DISPATCHER = "chestnutfall/routing/dispatcher.py"
 _VALIDATOR = "chestnutfall/engine_edge/answer_validator.py"
@@ -46,7 +47,7 @@
     ),
     Mutant(
         "tickets of dead gateways pin for ever",
-        _OWNER,
+        _SLOTS,
         "                        del slot.pins[attempt_id]",
         "                        pass",
         _OWNERSHIP_TEST,
