--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -16,6 +16,7 @@
 from .demand import Demand
 from .engine_report import EngineReport
 from .engine_table import EngineTable
+from .granted_places import GrantedPlaces
 from .model_loads import ModelLoads
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
@@ -25,7 +26,6 @@
 from .refusals import Refusals
 from .request_classes import RequestClasses
 from .request_order import in_order
-from .run_end import note_end
 from .run_outcome import RunOutcome
 from .run_times import NO_TIMES, RunTimes
 from .service_round import ServiceRound
@@ -76,7 +76,6 @@
         self.kinds = self.table.kinds
         self.slowed = SlowedEngines(self.engines, clock)
         self._waiting = WaitingRequests()
-        self._places: dict[str, str] = {}
         self._model_loads = ModelLoads()
         self._classes = RequestClasses()
         self._shares = FairShare()
@@ -84,6 +83,7 @@
         self._refusals = Refusals(clock)
         self._reservations = BuildReservations()
         self.suspects = SuspectParts()
+        self._places = GrantedPlaces(self.engines, self.suspects, clock)
         self._rounds = QueueRounds(self.table, self._demand, self._versions, self._classes)
 
     # Engines
@@ -110,8 +110,7 @@
         engine = self.engines.pop(instance, None)
         if engine is None:
             return
-        for ticket in engine.running:
-            self._places.pop(ticket, None)
+        self._places.drop_engine(engine)
         for waiting in self._waiting.at(instance):
             self._waiting.assign(waiting, "")
 
@@ -173,32 +172,18 @@
 
     def release(self, ticket: str, outcome: RunOutcome, times: RunTimes = NO_TIMES) -> None:
         """Free a granted place after its request ended with `outcome`."""
-        engine = self.engines.get(self._places.pop(ticket, ""))
-        self.suspects.ended(ticket)
-        if engine is not None and outcome is RunOutcome.DONE:
-            engine.learn(ticket, times, self._clock.now_ms())
-            engine.backoff.served(ticket)
-        req = engine.end(ticket) if engine is not None else None
-        if engine is None or req is None:
-            return
-        if outcome is RunOutcome.DONE and times.first_ms > 0:
-            self.suspects.answered(req)
-        note_end(engine, req, outcome, times, self._clock.now_ms())
+        self._places.release(ticket, outcome, times)
 
     def adopt(self, req: PlaceRequest, instance: str) -> None:
         """Count a request that runs on an engine, placed by the last leader or without one."""
         engine = self.engines.get(instance)
         if engine is None or req.ticket in self._places or req.ticket in self._waiting:
             return
-        engine.adopt(req)
-        engine.rejections.note_granted(req.ticket, self._clock.now_ms())
-        self._places[req.ticket] = instance
-        if (holding := engine.holdings.get(req.adapter)) is not None:
-            holding.tickets.add(req.ticket)
+        self._places.adopt(req, engine)
 
     def instance_of(self, ticket: str) -> str:
         """The engine of the place that the ticket holds; empty when it holds none."""
-        return self._places.get(ticket, "")
+        return self._places.instance_of(ticket)
 
     @property
     def waiting(self) -> int:
@@ -327,12 +312,8 @@
             self._classes.note_kept_waiting(waiting.req)
             return
         self._classes.note_granted(waiting, now_ms)
-        engine.prefill.send(waiting.req.ticket, now_ms)
-        engine.limit.note_sent(now_ms)
-        engine.backoff.note_sent(waiting.req.ticket, now_ms)
-        engine.rejections.note_granted(waiting.req.ticket, now_ms)
         self._waiting.remove(waiting)
-        self._places[waiting.req.ticket] = engine.instance
+        self._places.note_granted(waiting.req.ticket, engine)
         yield Grant(
             waiting.req.ticket,
             engine.instance,
--- a/chestnutfall/tests/test_engine_speed.py
+++ b/chestnutfall/tests/test_engine_speed.py
@@ -167,11 +167,10 @@
         ticket = f"g/{self._number}"
         req = PlaceRequest(ticket, "s", NAME, tokens, 60, (), 1, 5_000, 9_000, "dc", (), 500)
         engine = self.placer.engines[name]
-        self.placer._places[ticket] = name
         engine.start(req, ())
         if slowdown != 1:
             self.placer.slowed.note_all({name: slowdown})
-        engine.prefill.send(ticket, self.clock.now_ms())
+        self.placer._places.note_granted(ticket, engine)
         first_ms = slowness * (25.0 + 0.05 * tokens)
         self.clock._now_ms += int(first_ms)
         self.placer.release(ticket, outcome, RunTimes(first_ms, 0.0, slowness * GAP_MS))
