Test that a stream outlives a silent second of its engine

Callers saw streams broken off and answers 502 while most engines of a service wrote nothing for 1 to 1.5 s and then went on.

Cause: a send is given up after 0.6 of the objective without a beginning, or three pause objectives between events, before it is known whether a repeat may be had. Without one the call ends, though its engine is alive.

--- /dev/null
+++ b/chestnutfall/tests/fakes/timed_upstreams.py
@@ -0,0 +1,172 @@
+"""Fake upstreams that write their answers at given times, and a selector among them."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Iterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from ...clock import Clock
+from ...control.upstream_record import UpstreamRecord
+from ...forwarding.forwarded_call import ForwardedCall
+from ...forwarding.place import NoPlace, Place, SelectionCriteria, UpstreamSelector
+from ...forwarding.upstream_answer import NotRun, UpstreamAnswer
+from ...forwarding.upstream_api import SILENT, AnswerLost, UpstreamApi
+from ...placement import RunOutcome
+from ...placement.run_times import RunTimes
+from ...signals import NO_SIGNALS, UpstreamLoad
+
+HANG = 1_000_000
+"""A wait that outlasts every call, in ms."""
+
+
+class Head:
+    """The status and headers of an answer, ahead of its first part."""
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """A failure with this status."""
+
+    status: int
+
+
+Step = int | bytes | Head | Status | NotRun | type[Exception]
+"""One step of an answer: an int is a wait in ms, bytes are a part, an exception ends it."""
+
+
+@dataclass(slots=True)
+class TimedSend:
+    """One send as its upstream saw it.
+
+    Attributes
+    ----------
+    ended_ms : int or None
+        Clock time of its end; None while it runs.
+    is_whole : bool
+        Whether the upstream wrote its whole answer.
+    """
+
+    instance: str
+    call: str
+    at_ms: int
+    resume_after: int | None
+    ended_ms: int | None = None
+    is_whole: bool = False
+
+
+class TimedUpstreams(UpstreamApi):
+    """Answers each send by the next script of its upstream, and records the sends.
+
+    Attributes
+    ----------
+    scripts : dict of str to list of sequence of Step
+        Scripts by instance; the last one of an instance serves all further sends.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.scripts: dict[str, list[Sequence[Step]]] = {}
+        self.sends: list[TimedSend] = []
+
+    def to(self, instance: str) -> list[TimedSend]:
+        """Return the sends to an upstream."""
+        return [one for one in self.sends if one.instance == instance]
+
+    @asynccontextmanager
+    async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
+        instance = forwarded.upstream.instance
+        scripts = self.scripts[instance]
+        steps = iter(scripts.pop(0) if len(scripts) > 1 else scripts[0])
+        sent = TimedSend(
+            instance, forwarded.call.request_id, self._clock.now_ms(), forwarded.resume_after
+        )
+        self.sends.append(sent)
+        try:
+            first = await self._next(steps, forwarded)
+            match first:
+                case NotRun():
+                    yield UpstreamAnswer(503, (), first, NO_SIGNALS, self._body(b"", steps, sent))
+                case Status(status):
+                    body = self._body(b"failed", iter(()), sent)
+                    yield UpstreamAnswer(status, (), None, NO_SIGNALS, body)
+                case _:
+                    part = first if isinstance(first, bytes) else b""
+                    body = self._body(part, steps, sent, forwarded)
+                    yield UpstreamAnswer(200, (("from", instance),), None, NO_SIGNALS, body)
+        finally:
+            sent.ended_ms = self._clock.now_ms()
+
+    async def _next(self, steps: Iterator[Step], forwarded: ForwardedCall) -> Step | None:
+        """Return the next step that is no wait; None at the end of the answer."""
+        for step in steps:
+            if isinstance(step, int):
+                await self._clock.sleep_ms(min(step, forwarded.silent_ms))
+                if step > forwarded.silent_ms:
+                    raise AnswerLost(SILENT)
+            elif isinstance(step, type):
+                raise step("scripted")
+            else:
+                return step
+        return None
+
+    async def _body(
+        self,
+        first: bytes,
+        steps: Iterator[Step],
+        sent: TimedSend,
+        forwarded: ForwardedCall | None = None,
+    ) -> AsyncIterator[bytes]:
+        if first:
+            yield first
+        while forwarded is not None and (step := await self._next(steps, forwarded)) is not None:
+            assert isinstance(step, bytes)
+            yield step
+        sent.is_whole = True
+
+
+class TimedSelector(UpstreamSelector):
+    """Selects the first upstream that a call may use, and records what it is asked.
+
+    Attributes
+    ----------
+    no_place : str
+        If set, calls that avoid an upstream get no place, for this reason.
+    delays_ms : list of int
+        How long the next selections take; the last one holds for all further ones.
+    outcomes : dict of str to list of RunOutcome
+        Ends of sends by instance.
+    """
+
+    def __init__(self, upstreams: Sequence[UpstreamRecord], clock: Clock) -> None:
+        self.upstreams = list(upstreams)
+        self._clock = clock
+        self._number = 0
+        self.no_place = ""
+        self.delays_ms = [0]
+        self.open_places = 0
+        self.criteria: list[SelectionCriteria] = []
+        self.outcomes: dict[str, list[RunOutcome]] = {}
+
+    async def select(self, criteria: SelectionCriteria) -> Place:
+        self.criteria.append(criteria)
+        delay_ms = self.delays_ms.pop(0) if len(self.delays_ms) > 1 else self.delays_ms[0]
+        if delay_ms:
+            await self._clock.sleep_ms(delay_ms)
+        if criteria.avoid and self.no_place:
+            raise NoPlace(self.no_place, 700)
+        for upstream in self.upstreams:
+            if upstream.instance not in criteria.avoid and criteria.allows(upstream):
+                self._number += 1
+                self.open_places += 1
+                return Place(f"t{self._number}", upstream, 0, has_other=len(self.upstreams) > 1)
+        raise NoPlace("full", 700)
+
+    def held_back_ms(self, service: str) -> float:
+        return 0.0
+
+    def release(
+        self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
+    ) -> None:
+        self.open_places -= 1
+        self.outcomes.setdefault(place.upstream.instance, []).append(outcome)
