Send a silent call elsewhere first, and give up none before

Callers saw started streams broken off, and answers 502, while most engines of a service were silent for 1 to 1.5 s and then went on.

Cause: silence ended a send by a read timeout, before it was known that a repeat could be had. Without budget, room, an engine of the stream's software version or a leader, the call ended though its engine was alive. The class: what is alive is let go before something better is to be had.

Change: silence ends no send. After the same times as before, the call looks for another upstream while its send goes on, and is sent there too; whichever has the next part of the answer first takes the claim on the reply, in one step, and the others are cancelled. Of a begun stream the silent run ends 300 ms after the second send at the latest; runs without an event go on until one begins. A repeat is spent once a place is there, and given back if nothing is sent. Where most upstreams are silent at once, calls wait (SilentUpstreams), and silence leaves a quarter of the budget to lost answers. A silent run that was overtaken is reported as an end only if its upstream has ended. The head of a stream goes out with its first event, so it is that of the engine which wrote it.

Progress.signals is now a field of the send; the fields of its log line are as before, with a new one, silent.

--- a/chestnutfall/forwarding/answer_timeouts.py
+++ b/chestnutfall/forwarding/answer_timeouts.py
@@ -1,4 +1,4 @@
-"""Timeouts for silent answers, of the gateway and of the clients that wait for them."""
+"""How long answers may be silent before another upstream is looked for, or clients leave."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 SLOW_PREFILL_TOKENS_PER_MS = 15.0
 """Prefill speed of a busy engine, about a third of its full speed."""
 PAUSE_FACTOR = 3
-"""Pause timeout in pause objectives. Pauses of a busy engine stay below twice the objective; a hung
-engine never ends its pause."""
+"""Longest usual pause in pause objectives. Pauses of a busy engine stay below twice the objective;
+those of a hung one never end."""
 OBJECTIVE_FRACTION = 0.6
-"""Fraction of the objective after which a silent send is given up, early enough for another
-upstream to answer within the objective."""
+"""Fraction of the objective after which a silent send is sent to another upstream too, early enough
+for it to answer within the objective."""
 CALLER_MIN_MS = 2_000
 CALLER_OBJECTIVES = 4
 CALLER_PAUSES = 8
@@ -25,10 +25,13 @@
 """
 
 
-def first_byte_timeout_ms(route: Route, call: Call) -> float:
-    """Return the longest wait for the beginning of an answer, in ms."""
+def patience_ms(route: Route, call: Call) -> float:
+    """Return how long an upstream may be silent before the call looks for another one, in ms."""
     prefill_ms = call.prompt_tokens / SLOW_PREFILL_TOKENS_PER_MS
-    return max(OBJECTIVE_FRACTION * route.objective_ms, MIN_TIMEOUT_MS) + prefill_ms
+    first_ms = max(OBJECTIVE_FRACTION * route.objective_ms, MIN_TIMEOUT_MS) + prefill_ms
+    if not route.kind.streamed:
+        return first_ms
+    return max(first_ms, PAUSE_FACTOR * route.pause_objective_ms, MIN_TIMEOUT_MS)
 
 
 def caller_timeout_ms(route: Route) -> float:
@@ -43,8 +46,3 @@
         CALLER_PAUSES * route.pause_objective_ms,
     )
     return longest_ms - CALLER_MARGIN_MS
-
-
-def pause_timeout_ms(route: Route) -> float:
-    """Return the longest pause between two events, in ms."""
-    return max(PAUSE_FACTOR * route.pause_objective_ms, MIN_TIMEOUT_MS)
--- /dev/null
+++ b/chestnutfall/forwarding/call_sends.py
@@ -0,0 +1,168 @@
+"""The sending of one call, to another upstream too while its upstream is silent."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import Any
+
+from ..routes import Route
+from .caller_reply import CallerReply
+from .live_sends import LiveSends
+from .other_place import OtherPlace
+from .place import Place, SelectionCriteria, UpstreamSelector
+from .progress import Progress
+from .relayed_send import RelayedSend
+from .reply_claim import ReplyClaim
+from .result_handler import MAX_SENDS
+from .send_log import log_send
+from .send_parts import SendParts
+from .send_result import HeldBack, SendResult
+
+OVERLAP_MS = 300
+"""How long the run of a begun stream goes on after another one was sent; by then that one was
+refused or is at work, and two engines must not work on a stream side by side."""
+
+
+class CallSends:
+    """Sends a call, and sends it to another upstream too while its upstream is silent.
+
+    A sound upstream may write nothing for a second or so. Its send ends only when another one has
+    the next part of the answer, or is at work on the rest of a stream; until then, whichever
+    answers first is relayed.
+
+    Parameters
+    ----------
+    criteria : callable
+        Returns what an upstream must meet for the call.
+    """
+
+    def __init__(
+        self,
+        parts: SendParts,
+        progress: Progress,
+        route: Route,
+        selector: UpstreamSelector,
+        reply: CallerReply,
+        criteria: Callable[[], SelectionCriteria],
+    ) -> None:
+        self._parts = parts
+        self._progress = progress
+        self._route = route
+        self._selector = selector
+        self._reply = reply
+        self._clock = parts.clock
+        self._claim = ReplyClaim(self._wake_up)
+        self._live = LiveSends(parts, progress, self._claim)
+        self._other = OtherPlace(
+            parts.repeats,
+            parts.quarantine,
+            parts.sender.silent,
+            criteria,
+            self._wake_up,
+            parts.clock,
+            parts.metrics,
+        )
+        self._wake: asyncio.Future[None] | None = None
+
+    async def run(self, place: Place) -> tuple[RelayedSend, SendResult]:
+        """Send the call to `place`, and return its last send with the result."""
+        may_move = place.has_other and self._may_add()
+        first = self._prepare(place)
+        sending, result = await (self._watch(first) if may_move else self._send_once(first))
+        if isinstance(result, HeldBack):
+            self._progress.holds_repeat = sending.took_repeat
+        return sending, result
+
+    def _prepare(self, place: Place) -> RelayedSend:
+        self._progress.sends += 1
+        sending = self._parts.sender.prepare(
+            self._progress, self._route, place, self._selector, self._reply, self._claim
+        )
+        self._progress.holds_repeat = False
+        return sending
+
+    async def _send_once(self, sending: RelayedSend) -> tuple[RelayedSend, SendResult]:
+        result = await self._parts.sender.send(sending)
+        log_send(sending, self._clock.now_ms(), result)
+        return sending, result
+
+    def _may_add(self) -> bool:
+        """Whether the call may be sent to one more upstream beside those that work on it."""
+        progress = self._progress
+        if not self._route.kind.idempotent or progress.sends >= MAX_SENDS:
+            return False
+        # Without the number of the last event, no other run could go on behind it.
+        if progress.started and (progress.last_event is None or len(self._live) > 1):
+            return False
+        return progress.runs + max(len(self._live), 1) < self._route.attempts
+
+    async def _watch(self, first: RelayedSend) -> tuple[RelayedSend, SendResult]:
+        self._live.start(first)
+        try:
+            while True:
+                await self._wait()
+                self._live.leave_losers()
+                last = self._live.take_ended()
+                if last is not None:
+                    self._other.note_last(last[0])
+                    return last
+                self._end_overlap()
+                self._send_too()
+        finally:
+            self._other.stop()
+            await self._live.end_all()
+            await self._other.close(first.selector)
+
+    def _end_overlap(self) -> None:
+        if not self._progress.started or len(self._live) == 1:
+            return
+        if self._clock.now_ms() >= self._live.sends[-1].sent_ms + OVERLAP_MS:
+            self._live.leave_older()
+
+    def _send_too(self) -> None:
+        """Look for another upstream, or send the call to the one that was found."""
+        other, sends = self._other, self._live.sends
+        if other.search is not None and other.search.done():
+            place = other.take(sends, self._may_add())
+            self._parts.origins.confirm(self._progress)
+            if place is not None:
+                self._progress.holds_repeat = True
+                self._live.start(self._prepare(place))
+                self._parts.metrics.count("silent_sends")
+        elif self._may_add() or other.search is not None:
+            other.update(sends)
+
+    async def _wait(self) -> None:
+        """Wait until a send or the search ends, a send is the first, or a time is reached."""
+        self._wake = asyncio.get_running_loop().create_future()
+        waits: set[asyncio.Future[Any]] = {self._wake, *self._live.tasks}
+        if self._other.search is not None:
+            waits.add(self._other.search)
+        due_ms = self._due_ms()
+        timer = None
+        if due_ms is not None:
+            timer = asyncio.ensure_future(self._clock.sleep_ms(due_ms - self._clock.now_ms()))
+            waits.add(timer)
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self._wake = None
+            if timer is not None:
+                timer.cancel()
+
+    def _wake_up(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+    def _due_ms(self) -> int | None:
+        """Return the clock time of the next decision; None if it only depends on the sends."""
+        now_ms, sends, due_ms = self._clock.now_ms(), self._live.sends, []
+        if self._progress.started and len(sends) > 1:
+            due_ms.append(sends[-1].sent_ms + OVERLAP_MS)
+        if self._may_add() and self._other.search is None:
+            usual_ms = math.ceil(sends[-1].usual_ms)
+            silent_ms = min(one.silent_ms for one in sends)
+            due_ms.append(max(now_ms + usual_ms - silent_ms, self._other.next_ms))
+        return min(due_ms, default=None)
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -5,29 +5,29 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 from ..clock import Clock
 from ..observability.prometheus_metrics import PrometheusMetrics
 from ..placement import RunOutcome
 from ..placement.run_times import NO_TIMES
-from ..placement.suspect_parts import PART_ENDS_UPSTREAMS
 from ..quarantine import RequestQuarantine
-from ..quarantine.request_quarantine import REASON as QUARANTINED
 from ..requests import Executed, fingerprint_of
 from ..routes import Route, RouteTable, ServiceSpec
 from ..signals.known_signals import KnownSignals
 from .admission import Admission, Admitted, NotAdmitted
 from .call import Call
+from .call_sends import CallSends
 from .caller_reply import CallerReply
 from .final_answers import FinalAnswers
 from .organisation_counts import OrganisationCounts
 from .place import NoPlace, SelectionCriteria, UpstreamSelector
 from .progress import Progress
+from .quarantine_hold import quarantine_hold
 from .repeats import Repeats
 from .result_handler import ResultHandler
 from .route_source import RouteSource
-from .send_log import log_send
-from .send_result import HeldBack
+from .send_parts import SendParts
 from .sender import Sender
 from .stream_origins import StreamOrigins
 
@@ -77,7 +77,6 @@
         self._repeats = repeats
         self._engine_selector = engine_selector
         self._plain_selector = plain_selector
-        self._sender = sender
         self._origins = origins
         self._quarantine = quarantine
         self._clock = clock
@@ -86,6 +85,9 @@
         self._result_handler = ResultHandler(
             repeats, signals, quarantine, self._answers, clock, metrics
         )
+        self._send_parts = SendParts(
+            sender, repeats, origins, quarantine, self._result_handler, clock, metrics
+        )
         self._counts = OrganisationCounts(metrics)
         self._rng = rng
         self._reaches = reaches
@@ -204,14 +206,11 @@
             if await self._refuse_if_quarantined(progress, reply):
                 selector.release(place, RunOutcome.WITHDRAWN, NO_TIMES, None)
                 return
-            progress.sends += 1
-            sent_ms = self._clock.now_ms()
-            result = await self._sender.send(progress, route, place, selector, reply)
-            log_send(progress, route, place, sent_ms, self._clock.now_ms(), result)
-            if not isinstance(result, HeldBack):
-                progress.holds_repeat = False
+            criteria = partial(self._criteria, progress, route, service)
+            sends = CallSends(self._send_parts, progress, route, selector, reply, criteria)
+            sending, result = await sends.run(place)
             if await self._result_handler.handle(
-                progress, route, place, selector, sent_ms, reply, result
+                progress, route, sending.place, selector, sending.sent_ms, reply, result
             ):
                 return
 
@@ -235,11 +234,9 @@
 
     async def _refuse_if_quarantined(self, progress: Progress, reply: CallerReply) -> bool:
         """Refuse the call if it is quarantined; return whether it was refused."""
-        retry_ms, reason = self._quarantine.retry_ms(progress.fingerprint), QUARANTINED
-        if retry_ms is None and self._quarantine.holds_parts:
-            retry_ms = self._quarantine.parts_retry_ms(progress.part_keys)
-            reason = PART_ENDS_UPSTREAMS
-        if retry_ms is None:
+        hold = quarantine_hold(self._quarantine, progress)
+        if hold is None:
             return False
+        retry_ms, reason = hold
         await self._answers.give_up(progress, reply, 503, reason, retry_ms)
         return True
--- /dev/null
+++ b/chestnutfall/forwarding/live_sends.py
@@ -0,0 +1,142 @@
+"""The sends of one call that are in progress, oldest first."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from ..placement import RunOutcome
+from ..placement.run_times import NO_TIMES
+from ..requests import NOT_RUN_STATUSES
+from .progress import Progress
+from .relayed_send import RelayedSend
+from .reply_claim import ReplyClaim
+from .send_log import log_send
+from .send_parts import SendParts
+from .send_result import Delivered, Failed, SendResult
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class _Live:
+    """A send and the task that runs it."""
+
+    sending: RelayedSend
+    task: asyncio.Task[SendResult]
+
+
+class LiveSends:
+    """Runs the sends of a call side by side, and ends those that others have overtaken."""
+
+    def __init__(self, parts: SendParts, progress: Progress, claim: ReplyClaim) -> None:
+        self._parts = parts
+        self._progress = progress
+        self._claim = claim
+        self._live: list[_Live] = []
+        self._left: list[_Live] = []
+
+    def __len__(self) -> int:
+        return len(self._live)
+
+    @property
+    def sends(self) -> list[RelayedSend]:
+        """The sends in progress."""
+        return [one.sending for one in self._live]
+
+    @property
+    def tasks(self) -> list[asyncio.Task[SendResult]]:
+        """The tasks that run them."""
+        return [one.task for one in self._live]
+
+    def start(self, sending: RelayedSend) -> None:
+        """Start a send; any of them may answer the client from now on."""
+        self._claim.open()
+        task = asyncio.ensure_future(self._parts.sender.send(sending))
+        self._live.append(_Live(sending, task))
+
+    def leave_losers(self) -> None:
+        """Cancel the other sends once one of them has the next part of the answer."""
+        if self._claim.is_open or len(self._live) == 1:
+            return
+        winner = next(one for one in self._live if self._claim.is_held_by(one.sending))
+        for one in list(self._live):
+            if one is not winner and not self._drop_if_ended(one):
+                self._leave(one, winner)
+
+    def leave_older(self) -> None:
+        """Cancel all sends but the newest."""
+        newest = self._live[-1]
+        for one in self._live[:-1]:
+            self._leave(one, newest)
+
+    def take_ended(self) -> tuple[RelayedSend, SendResult] | None:
+        """Drop the sends that ended; return the one that ends the call, or the last one left.
+
+        Raises what a send raised.
+        """
+        for one in [one for one in self._live if one.task.done()]:
+            result = one.task.result()
+            if self._is_answer(result) and self._claim.is_open:
+                self._claim.take(one.sending)
+                self.leave_losers()
+            if len(self._live) == 1:
+                log_send(one.sending, self._parts.clock.now_ms(), result)
+                return one.sending, result
+            self._drop(one, result)
+        return None
+
+    def _is_answer(self, result: SendResult) -> bool:
+        """Whether a result answers the client, whatever becomes of the other sends."""
+        match result:
+            case Delivered():
+                return True
+            case Failed(status):
+                is_final = status < 500 and status not in NOT_RUN_STATUSES
+                return is_final and not self._progress.started
+            case _:
+                return False
+
+    def _drop_if_ended(self, one: _Live) -> bool:
+        """Drop a send that ended by itself; return whether it did."""
+        if not one.task.done() or one.task.cancelled() or one.task.exception() is not None:
+            return False
+        self._drop(one, one.task.result())
+        return True
+
+    def _drop(self, one: _Live, result: SendResult) -> None:
+        log_send(one.sending, self._parts.clock.now_ms(), result)
+        self._live.remove(one)
+        self._parts.results.note_dropped(one.sending, result)
+
+    def _leave(self, one: _Live, winner: _Live) -> None:
+        """Cancel a send that another one has overtaken."""
+        one.task.cancel()
+        self._live.remove(one)
+        self._left.append(one)
+        self._parts.results.note_overtaken(one.sending)
+        self._parts.metrics.count("sends_overtaken")
+        log.info(
+            "call: id=%s overtaken send=%d instance=%s by=%s last_event=%s silent=%d",
+            self._progress.call.request_id,
+            one.sending.number,
+            one.sending.place.upstream.instance,
+            winner.sending.place.upstream.instance,
+            self._progress.last_event,
+            one.sending.silent_ms,
+        )
+
+    async def end_all(self) -> None:
+        """Cancel what still runs, and give back each place that no send gave back."""
+        ending = [*self._live, *self._left]
+        for one in ending:
+            one.task.cancel()
+        if ending:
+            await asyncio.wait({one.task for one in ending})
+        for one in ending:
+            # A task that is cancelled before its first step never runs.
+            if not one.sending.is_released:
+                one.sending.release(RunOutcome.WITHDRAWN, NO_TIMES)
+            if not one.task.cancelled():
+                one.task.exception()
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -6,7 +6,6 @@
 
 from ..requests import part_keys
 from ..resumption import StreamOrigin
-from ..signals import NO_SIGNALS, UpstreamSignals
 from .call import Call
 
 MAX_GAPS = 256
@@ -48,8 +47,6 @@
         Instances that failed the call.
     lacked_adapter : list of str
         Instances that refused the call once, since its adapter was not loaded yet.
-    signals : UpstreamSignals
-        Signals of the upstream in its last answer.
     holds_repeat : bool
         Whether a repeat was taken from the budget for a send that has not begun.
     gaps_ms : list of int
@@ -58,6 +55,8 @@
         Whether the answer is a stream.
     ended_upstream : bool
         Whether an upstream ended while it ran the call.
+    is_searched : bool
+        Whether another upstream was looked for beside one that is silent.
     origin : StreamOrigin or None
         What wrote the events that the client has; None before the first, or if unknown.
     """
@@ -77,11 +76,11 @@
     pause_ms: int = 0
     avoid: list[str] = field(default_factory=list)
     lacked_adapter: list[str] = field(default_factory=list)
-    signals: UpstreamSignals = NO_SIGNALS
     holds_repeat: bool = False
     gaps_ms: list[int] = field(default_factory=list)
     streamed: bool = False
     ended_upstream: bool = False
+    is_searched: bool = False
     origin: StreamOrigin | None = None
     _last_part_ms: int = 0
 
--- /dev/null
+++ b/chestnutfall/forwarding/relayed_send.py
@@ -0,0 +1,247 @@
+"""One send of a call to one upstream, and the relay of its answer."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Callable, Iterable
+
+from ..clock import Clock
+from ..placement import RunOutcome
+from ..placement.run_times import RunTimes
+from ..routes import Route
+from ..signals import NO_SIGNALS, UpstreamLoad, UpstreamSignals
+from .answer_timeouts import patience_ms
+from .caller_reply import CallerReply
+from .event_splitter import EventSplitter, StreamEvent
+from .forwarded_call import ForwardedCall
+from .place import Place, UpstreamSelector
+from .progress import Progress
+from .reply_claim import ReplyClaim
+from .send_result import TURNED_AWAY, Delivered, Failed, Lost, Refused, SendResult
+from .silent_upstreams import SilentUpstreams
+from .stream_origins import StreamOrigins
+from .upstream_answer import NotRun, UpstreamAnswer
+from .upstream_api import AnswerLost
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Limit on one buffered answer; usual ones are below 100 KB."""
+PAST_DEADLINE_MS = 1_000
+"""How much later than the call's deadline a silent connection counts as lost. The deadline ends the
+call first: silence alone is no reason to."""
+
+
+class RelayedSend:
+    """State of one send; `Progress` holds that of the whole call.
+
+    Attributes
+    ----------
+    number : int
+        Its number among the sends of the call.
+    sent_ms : int
+        Clock time at which it began.
+    first_byte_ms : int or None
+        Time from `sent_ms` to the first part of the answer.
+    signals : UpstreamSignals
+        Signals of the upstream in this answer.
+    is_sent : bool
+        Whether bytes may have reached the upstream.
+    is_released : bool
+        Whether its place was given back.
+    took_repeat : bool
+        Whether a repeat was taken from the budget for it.
+    on_heard : callable or None
+        Called at each part of the answer.
+    """
+
+    def __init__(
+        self,
+        progress: Progress,
+        route: Route,
+        place: Place,
+        selector: UpstreamSelector,
+        reply: CallerReply,
+        claim: ReplyClaim,
+        silent: SilentUpstreams,
+        origins: StreamOrigins,
+        clock: Clock,
+    ) -> None:
+        self.progress = progress
+        self.route = route
+        self.place = place
+        self.selector = selector
+        self._reply = reply
+        self._claim = claim
+        self._silent = silent
+        self._origins = origins
+        self._clock = clock
+        self.number = progress.sends
+        self.sent_ms = clock.now_ms()
+        self.first_byte_ms: int | None = None
+        self.signals: UpstreamSignals = NO_SIGNALS
+        self.is_sent = self.is_released = False
+        self.took_repeat = progress.holds_repeat
+        self.on_heard: Callable[[], None] | None = None
+        self._misses_event = False
+        self._waits_since_ms: int | None = self.sent_ms
+        self.load: UpstreamLoad | None = None
+
+    def forwarded(self) -> ForwardedCall:
+        """Return the call as it goes to the upstream now."""
+        left_ms = max(self.progress.until_ms - self._clock.now_ms(), 1)
+        return ForwardedCall(
+            self.progress.call,
+            self.place.upstream,
+            self.place.version,
+            self.route.rank,
+            left_ms,
+            self.progress.last_event,
+            runs_once=not self.route.kind.idempotent,
+            silent_ms=left_ms + PAST_DEADLINE_MS,
+            organisation=self.progress.organisation,
+        )
+
+    def begin(self) -> None:
+        """Record that the request goes out now."""
+        self.is_sent = True
+        upstream = self.place.upstream
+        self._silent.began(upstream.service, upstream.instance)
+
+    def release(self, outcome: RunOutcome, times: RunTimes) -> None:
+        """Give the place back."""
+        if self.is_sent:
+            self._silent.ended(self.place.upstream.instance, self.is_silent)
+        self.is_released = True
+        self.selector.release(self.place, outcome, times, self.load)
+
+    @property
+    def silent_ms(self) -> int:
+        """How long the upstream has been silent; 0 while a part is written to the client."""
+        since_ms = self._waits_since_ms
+        return 0 if since_ms is None else self._clock.now_ms() - since_ms
+
+    @property
+    def usual_ms(self) -> float:
+        """How long a sound upstream is usually silent at most."""
+        return patience_ms(self.route, self.progress.call)
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether the upstream has been silent for longer than a sound one usually is."""
+        return self.silent_ms >= self.usual_ms
+
+    def times(self) -> RunTimes:
+        """Return how fast the upstream answered."""
+        gaps_ms = self.progress.gaps_ms
+        gap_ms = statistics.median(gaps_ms) if gaps_ms else 0.0
+        first_ms = self.first_byte_ms or 0.0
+        lag_ms = max(first_ms - self.route.objective_ms / 4, 0.0)
+        return RunTimes(first_ms, lag_ms, gap_ms)
+
+    def outcome_if_abandoned(self) -> RunOutcome:
+        """Return the outcome for the upstream if the gateway stops waiting for the answer."""
+        # A silent send goes on until another one answers, or to the call's own deadline. If that
+        # counted as no failure, a hung upstream would look as good as any other.
+        return RunOutcome.BROKEN if self.is_silent else RunOutcome.LEFT
+
+    async def relay(self, answer: UpstreamAnswer) -> SendResult:
+        """Relay an answer that begins.
+
+        Raises
+        ------
+        ReplyTaken
+            When another send of the call answers the client.
+        """
+        self.load = answer.signals.load
+        self.signals = answer.signals
+        self._note_heard()
+        if answer.not_run is not None:
+            return Refused(_refusal(answer, answer.not_run))
+        if not answer.ok:
+            return Failed(answer.status, answer.headers, await self._read_whole(answer))
+        if self.route.kind.streamed:
+            if answer.written_by not in ("", self.place.upstream.announced_name):
+                return Lost("answer_of_another_instance")
+            return await self._relay_events(answer)
+        body = await self._read_whole(answer)
+        self._claim.take(self)
+        self._note_first_byte()
+        self.progress.note_part(self._clock.now_ms())
+        await self._reply.send_whole(answer.status, answer.headers, body)
+        return Delivered()
+
+    async def _relay_events(self, answer: UpstreamAnswer) -> SendResult:
+        splitter = EventSplitter()
+        async for data in answer.body:
+            self._note_heard()
+            in_order = self._take_in_order(splitter.feed(data))
+            if in_order:
+                # Events that arrived together go out together: a write for each would be a third
+                # of what an event costs.
+                await self._write(answer, b"".join(in_order))
+            if self._misses_event:
+                return Lost("event_missing")
+            self._waits_since_ms = self._clock.now_ms()
+        if not splitter.at_event_boundary:
+            return Lost("cut_in_event")
+        self._claim.take(self)
+        await self._start(answer)
+        await self._reply.finish()
+        return Delivered()
+
+    async def _write(self, answer: UpstreamAnswer, data: bytes) -> None:
+        self._waits_since_ms = None
+        await self._start(answer)
+        await self._reply.write(data)
+
+    async def _start(self, answer: UpstreamAnswer) -> None:
+        """Send the head to the client, once: that of the upstream which wrote the first event."""
+        if not self.progress.started:
+            self.progress.started = True
+            await self._reply.start(answer.status, answer.headers)
+
+    def _take_in_order(self, events: Iterable[StreamEvent]) -> list[bytes]:
+        """Return the events up to the first one that does not follow its predecessor."""
+        taken: list[bytes] = []
+        for event in events:
+            # Once another send has gone on, its events make those of this one look out of order.
+            self._claim.check(self)
+            if event.number is not None and self._is_out_of_order(event.number):
+                self._misses_event = True
+                break
+            self._claim.take(self)
+            if self.first_byte_ms is None:
+                self._note_first_byte()
+                # The leader may since have recorded what a later place runs.
+                is_recorded = self.place.is_recorded and not self.progress.is_searched
+                self._origins.began(self.progress, self.place.upstream, is_recorded)
+            if event.number is not None:
+                self.progress.last_event = event.number
+            self.progress.note_part(self._clock.now_ms())
+            taken.append(event.data)
+        return taken
+
+    def _is_out_of_order(self, number: int) -> bool:
+        last = self.progress.last_event
+        return last is not None and number != last + 1
+
+    async def _read_whole(self, answer: UpstreamAnswer) -> bytes:
+        body = bytearray()
+        async for data in answer.body:
+            self._note_heard()
+            body += data
+            if len(body) > MAX_ANSWER_BYTES:
+                raise AnswerLost("answer_too_large")
+        return bytes(body)
+
+    def _note_heard(self) -> None:
+        self._waits_since_ms = self._clock.now_ms()
+        self._silent.heard(self.place.upstream.instance)
+        if self.on_heard is not None:
+            self.on_heard()
+
+    def _note_first_byte(self) -> None:
+        self.first_byte_ms = self._clock.now_ms() - self.sent_ms
+
+
+def _refusal(answer: UpstreamAnswer, not_run: NotRun) -> str:
+    return TURNED_AWAY if answer.asks_backoff else not_run.value
--- a/chestnutfall/forwarding/repeats.py
+++ b/chestnutfall/forwarding/repeats.py
@@ -11,6 +11,9 @@
 
 UNSENT_LIFE_MS = 1_000
 """How long after it was taken a repeat that was not sent can still be used."""
+SILENCE_SHARE = 0.75
+"""Share of the budget up to which calls with a silent upstream may use it. The rest is left to
+calls that lost their answer: a silent upstream may still go on."""
 
 
 class Repeats:
@@ -71,6 +74,22 @@
         # upstreams, each repeat adds to the load that made it necessary.
         return not upstream_is_busy and await self._borrow(service)
 
+    def has_for_silence(self, service: str) -> bool:
+        """Whether `spend_for_silence` would take a repeat now."""
+        if self.unsent(service):
+            return True
+        return self._budget(service).allows(self._gateways(), SILENCE_SHARE)
+
+    def spend_for_silence(self, service: str) -> bool:
+        """Take one repeat for a call whose upstream is silent; return False if none is left.
+
+        The leader is not asked: silence comes from overload more often than from a failure.
+        """
+        if self.unsent(service):
+            self._unsent[service].drop_oldest()
+            return True
+        return self._budget(service).spend(self._gateways(), SILENCE_SHARE)
+
     def _budget(self, service: str) -> SharedRetryBudget:
         if service not in self._own:
             self._own[service] = SharedRetryBudget(self._bounds, self._clock, self._rng)
--- a/chestnutfall/forwarding/result_handler.py
+++ b/chestnutfall/forwarding/result_handler.py
@@ -16,8 +16,9 @@
 from .final_answers import FinalAnswers
 from .place import Place, UpstreamSelector
 from .progress import Progress
+from .relayed_send import RelayedSend
 from .repeats import Repeats
-from .send_result import Delivered, Failed, HeldBack, Lost, Refused, SendResult
+from .send_result import UNREACHABLE, Delivered, Failed, HeldBack, Lost, Refused, SendResult
 from .upstream_answer import NotRun
 from .upstream_api import SILENT
 
@@ -137,12 +138,7 @@
         reply: CallerReply,
         code: str,
     ) -> bool:
-        progress.runs += 1
-        upstream = place.upstream
-        progress.avoid.append(upstream.instance)
-        ending = self._quarantine.note_broken(
-            progress.fingerprint, upstream.instance, upstream.address, sent_ms, progress.part_keys
-        )
+        ending = self._note_loss(progress, place, sent_ms)
         # A non-idempotent call is never repeated once bytes may have reached the upstream: it may
         # have run, and a second run would give the client two results.
         if self._may_run_again(progress, route) and await self._take_repeat(
@@ -155,6 +151,65 @@
         await self._answers.give_up(progress, reply, 502, code, None)
         return True
 
+    def _note_loss(self, progress: Progress, place: Place, sent_ms: int) -> asyncio.Task[bool]:
+        upstream = place.upstream
+        progress.runs += 1
+        progress.avoid.append(upstream.instance)
+        return self._quarantine.note_broken(
+            progress.fingerprint, upstream.instance, upstream.address, sent_ms, progress.part_keys
+        )
+
+    def _note_failure(self, progress: Progress, place: Place, failed: Failed) -> None:
+        progress.runs += 1
+        progress.avoid.append(place.upstream.instance)
+        if failed.status not in NOT_RUN_STATUSES:
+            self._quarantine.note_answered(progress.fingerprint)
+
+    def note_dropped(self, sending: RelayedSend, result: SendResult) -> None:
+        """Record the result of a send while another one of its call goes on."""
+        progress, place = sending.progress, sending.place
+        match result:
+            case HeldBack():
+                self._note_not_sent(sending)
+            case Refused(code):
+                if code == UNREACHABLE:
+                    self._note_not_sent(sending)
+                else:
+                    progress.refusals += 1
+                progress.note_refusal(place.upstream.instance, code == NotRun.ABSENT.value)
+            case Lost():
+                self._note_loss(progress, place, sending.sent_ms)
+            case Failed():
+                self._note_failure(progress, place, result)
+            case Delivered():
+                raise AssertionError("a delivered answer ends its call")
+
+    def _note_not_sent(self, sending: RelayedSend) -> None:
+        sending.progress.refusals += 1
+        if sending.took_repeat:
+            self._repeats.refund(sending.progress.service)
+
+    def note_overtaken(self, sending: RelayedSend) -> None:
+        """Record that a send is cancelled, as another one of its call goes on with the answer.
+
+        The silence of its upstream alone is no sign that it has ended.
+        """
+        if not sending.is_sent:
+            self._note_not_sent(sending)
+            return
+        progress, upstream = sending.progress, sending.place.upstream
+        progress.runs += 1
+        if sending.is_silent:
+            progress.avoid.append(upstream.instance)
+            self._quarantine.note_broken(
+                progress.fingerprint,
+                upstream.instance,
+                upstream.address,
+                sending.sent_ms,
+                progress.part_keys,
+                is_silent=True,
+            )
+
     async def _handle_failure(
         self,
         progress: Progress,
@@ -164,10 +219,7 @@
         reply: CallerReply,
         failed: Failed,
     ) -> bool:
-        progress.runs += 1
-        progress.avoid.append(place.upstream.instance)
-        if failed.status not in NOT_RUN_STATUSES:
-            self._quarantine.note_answered(progress.fingerprint)
+        self._note_failure(progress, place, failed)
         if (
             failed.status >= 500
             and self._may_run_again(progress, route)
--- /dev/null
+++ b/chestnutfall/forwarding/send_parts.py
@@ -0,0 +1,26 @@
+"""What the sends of all calls of a gateway share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..clock import Clock
+from ..observability.prometheus_metrics import PrometheusMetrics
+from ..quarantine import RequestQuarantine
+from .repeats import Repeats
+from .result_handler import ResultHandler
+from .sender import Sender
+from .stream_origins import StreamOrigins
+
+
+@dataclass(frozen=True, slots=True)
+class SendParts:
+    """Collaborators of the sends of a call."""
+
+    sender: Sender
+    repeats: Repeats
+    origins: StreamOrigins
+    quarantine: RequestQuarantine
+    results: ResultHandler
+    clock: Clock
+    metrics: PrometheusMetrics
--- a/chestnutfall/forwarding/send_result.py
+++ b/chestnutfall/forwarding/send_result.py
@@ -8,6 +8,8 @@
 
 TURNED_AWAY = "turned_away"
 """Code of a refusal by an upstream that asks this gateway to back off."""
+UNREACHABLE = "unreachable"
+"""Code of a refusal: no connection to the upstream could be opened, so nothing was sent."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/forwarding/shared_retry_budget.py
+++ b/chestnutfall/forwarding/shared_retry_budget.py
@@ -31,8 +31,8 @@
         """Count a client's request."""
         self._requests.note(self._clock.now_ms())
 
-    def spend(self, gateways: int) -> bool:
-        """Take one repeat; return False if none is left.
+    def allows(self, gateways: int, share: float = 1.0) -> bool:
+        """Whether a repeat is left in a share of the budget.
 
         Parameters
         ----------
@@ -43,7 +43,12 @@
         requests = self._requests.count(now_ms)
         slack = (1 - POOL_SHARE) * self._bounds.slack / max(gateways, 1)
         own = slack + self._bounds.ratio * requests
-        if self._repeats.count(now_ms) + 1 > SAFETY_FACTOR * own + self._rounding_offset:
+        repeats = self._repeats.count(now_ms)
+        return repeats + 1 <= share * SAFETY_FACTOR * own + self._rounding_offset
+
+    def spend(self, gateways: int, share: float = 1.0) -> bool:
+        """Take one repeat; return False if none is left in a share of the budget."""
+        if not self.allows(gateways, share):
             return False
-        self._repeats.note(now_ms)
+        self._repeats.note(self._clock.now_ms())
         return True
--- /dev/null
+++ b/chestnutfall/forwarding/silent_upstreams.py
@@ -0,0 +1,167 @@
+"""Whether the silence of an upstream is its own, or that of its service or of this gateway."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..clock import Clock
+
+LASTING_MS = 2_000
+"""A sound upstream is silent for a second or so; one that is silent for longer hangs."""
+WINDOW_MS = 500
+"""Longest time in which another upstream must have been heard to count as speaking."""
+WINDOW_SHARE = 0.5
+"""That time as a share of the silence that it is compared with."""
+MIN_PAUSED = 2
+"""Other silent upstreams, of any service, that make a silence one of this gateway."""
+REMEMBERED_MS = 10_000
+"""How long the silence of an upstream without sends is remembered, and a spoken part."""
+MAX_IDLE = 256
+"""Upstreams without sends that are kept; more than a gateway hears of within the window."""
+SERVICE_SILENT = "service_silent"
+GATEWAY_SILENT = "gateway_silent"
+SERVICE_RESUMES = "service_resumes"
+"""Reasons to wait for a silent upstream."""
+SPELL_GAP_MS = 200
+"""A common silence that was not seen for so long is over."""
+
+
+@dataclass(slots=True)
+class _Upstream:
+    """What this gateway heard of one upstream.
+
+    Attributes
+    ----------
+    sends : int
+        Sends in progress.
+    quiet_since_ms : int or None
+        Clock time since which a send has waited and nothing was heard; None if none waits.
+    heard_ms : int
+        Clock time of the last part that it wrote.
+    ended_ms : int
+        Clock time at which the last send ended.
+    """
+
+    service: str
+    sends: int = 0
+    quiet_since_ms: int | None = None
+    heard_ms: int = -REMEMBERED_MS
+    ended_ms: int = 0
+
+    def quiet_ms(self, now_ms: int) -> int:
+        return 0 if self.quiet_since_ms is None else now_ms - self.quiet_since_ms
+
+
+@dataclass(slots=True)
+class _Spell:
+    """A time in which most upstreams of a service were silent, as far as calls asked.
+
+    Attributes
+    ----------
+    since_ms, last_ms : int
+        Clock times of the first and the last question that found it.
+    """
+
+    since_ms: int
+    last_ms: int
+
+
+class SilentUpstreams:
+    """Compares the upstreams that this gateway waits for.
+
+    If most of them are silent at once, the silence comes from what they share: the service, the
+    links or this gateway. Another send would meet the same silence, and one for each call would
+    spend the budget of repeats of the whole service within a second.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._upstreams: dict[str, _Upstream] = {}
+        self._spells: dict[str, _Spell] = {}
+
+    def __len__(self) -> int:
+        return len(self._upstreams)
+
+    def began(self, service: str, instance: str) -> None:
+        """Record the beginning of a send."""
+        now_ms = self._clock.now_ms()
+        known = self._upstreams.get(instance)
+        if known is None:
+            self._forget_idle(now_ms)
+            known = self._upstreams[instance] = _Upstream(service)
+        elif not known.sends and now_ms - known.ended_ms > REMEMBERED_MS:
+            known.quiet_since_ms = None
+        known.sends += 1
+        if known.quiet_since_ms is None:
+            known.quiet_since_ms = now_ms
+
+    def heard(self, instance: str) -> None:
+        """Record that an upstream wrote a part of an answer."""
+        known = self._upstreams.get(instance)
+        if known is not None:
+            known.heard_ms = known.quiet_since_ms = self._clock.now_ms()
+
+    def ended(self, instance: str, was_silent: bool) -> None:
+        """Record the end of a send.
+
+        Parameters
+        ----------
+        was_silent : bool
+            Whether the upstream had been silent for too long; its silence is then remembered.
+        """
+        known = self._upstreams[instance]
+        known.sends -= 1
+        known.ended_ms = self._clock.now_ms()
+        if not known.sends and not was_silent:
+            known.quiet_since_ms = None
+
+    def reason_to_wait(self, service: str, instance: str, silent_ms: float, usual_ms: float) -> str:
+        """Return why a call should wait for its silent upstream; empty if it should not.
+
+        Parameters
+        ----------
+        silent_ms : float
+            How long the call's upstream has been silent.
+        usual_ms : float
+            How long sound upstreams are silent at most, if they are not silent together.
+        """
+        now_ms = self._clock.now_ms()
+        reason = self._common_silence(service, instance, silent_ms)
+        spell = self._spells.get(service)
+        if reason:
+            if spell is None or now_ms - spell.last_ms > SPELL_GAP_MS:
+                spell = self._spells[service] = _Spell(now_ms, now_ms)
+            spell.last_ms = now_ms
+            return reason
+        # The first parts after a common silence come from some upstreams only.
+        if spell is not None and now_ms - spell.last_ms < min(
+            spell.last_ms - spell.since_ms, usual_ms
+        ):
+            return SERVICE_RESUMES
+        return ""
+
+    def _common_silence(self, service: str, instance: str, silent_ms: float) -> str:
+        """Return what is silent as a whole; empty if it is the upstream alone."""
+        now_ms = self._clock.now_ms()
+        window_ms = min(WINDOW_SHARE * silent_ms, WINDOW_MS)
+        others = [one for name, one in self._upstreams.items() if name != instance]
+        speaking = [one for one in others if now_ms - one.heard_ms <= window_ms]
+        paused = [
+            one for one in others if one.sends and window_ms <= one.quiet_ms(now_ms) < LASTING_MS
+        ]
+        if len(paused) >= MIN_PAUSED and not speaking:
+            return GATEWAY_SILENT
+        alike = [one for one in paused if one.service == service]
+        if not alike:
+            return ""
+        # One that hangs does not count, so that it keeps no other call from leaving it.
+        hangs = self._upstreams[instance].quiet_ms(now_ms) >= LASTING_MS
+        silent = len(alike) + (not hangs)
+        return SERVICE_SILENT if silent > sum(one.service == service for one in speaking) else ""
+
+    def _forget_idle(self, now_ms: int) -> None:
+        if len(self._upstreams) < MAX_IDLE:
+            return
+        for name, one in list(self._upstreams.items()):
+            if not one.sends and now_ms - one.ended_ms > REMEMBERED_MS:
+                del self._upstreams[name]
--- a/chestnutfall/forwarding/stream_origins.py
+++ b/chestnutfall/forwarding/stream_origins.py
@@ -70,6 +70,14 @@
             if not is_recorded:
                 self._fleet.send(HeardOrigins((heard,)))
 
+    def confirm(self, progress: Progress) -> None:
+        """Tell the leader again what a stream began on, after a further place was asked for.
+
+        The leader records what the place that it granted last runs, which may have been given back.
+        """
+        if progress.origin is not None and self.is_mixed(progress.origin.service):
+            self._fleet.send(HeardOrigins((self._note(progress, progress.origin),)))
+
     def ended(self, progress: Progress) -> None:
         """Forget that a call is in progress."""
         self._open.pop(id(progress), None)
--- a/chestnutfall/forwarding/upstream_answer.py
+++ b/chestnutfall/forwarding/upstream_answer.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..signals import UpstreamSignals
+from ..signals import AskedBackoff, UpstreamSignals
 from .call import Headers
 
 
@@ -52,3 +52,9 @@
     def ok(self) -> bool:
         """Whether the upstream answered with a 2xx status."""
         return 200 <= self.status < 300
+
+    @property
+    def asks_backoff(self) -> bool:
+        """Whether the selected upstream itself asks this gateway to back off."""
+        is_meant = self.not_run is not NotRun.REPLACED
+        return is_meant and isinstance(self.signals.backoff, AskedBackoff)
--- a/chestnutfall/quarantine/broken_answer.py
+++ b/chestnutfall/quarantine/broken_answer.py
@@ -23,6 +23,8 @@
         Whether the upstream bears few rejections and had just rejected a request.
     parts : tuple of str
         Names of the shared parts of the request's prompt.
+    is_silent : bool
+        Whether the answer was left since its upstream was silent, and may not have broken off.
     """
 
     fingerprint: str
@@ -32,6 +34,7 @@
     broke_ms: int
     rejecting: bool
     parts: tuple[str, ...]
+    is_silent: bool = False
 
     def is_replaced_by(self, address: str, instance: str) -> bool:
         """Whether `instance` at `address` has replaced the upstream of this answer."""
--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -132,10 +132,12 @@
         address: str,
         began_ms: int,
         parts: tuple[str, ...] = (),
+        is_silent: bool = False,
     ) -> asyncio.Task[bool]:
         """Report in the background that an answer broke off, and whether its upstream has ended.
 
-        Returns the task that finds out, and makes the report before it ends.
+        Returns the task that finds out, and makes the report before it ends. An answer that was
+        only silent is reported if its upstream has ended, now or soon after.
 
         Parameters
         ----------
@@ -147,7 +149,9 @@
         self._broken_parts.note_broken(parts)
         now_ms = self._clock.now_ms()
         rejecting = self._rejected_since(instance, now_ms - WINDOW_MS)
-        broken = BrokenAnswer(fingerprint, instance, address, began_ms, now_ms, rejecting, parts)
+        broken = BrokenAnswer(
+            fingerprint, instance, address, began_ms, now_ms, rejecting, parts, is_silent
+        )
         task = asyncio.ensure_future(self._check_and_report(broken))
         self._reports.add(task)
         task.add_done_callback(self._reports.discard)
@@ -196,12 +200,13 @@
 
     async def _check_and_report(self, broken: BrokenAnswer) -> bool:
         self._being_checked.add(broken)
-        refuses = await self._has_ended(broken.address)
+        refuses = await self.has_ended(broken.address)
         ended = refuses or broken not in self._being_checked
         self._being_checked.discard(broken)
         if not ended:
             self._still_open.append(broken)
-        self._report_broken(broken, ended)
+        if ended or not broken.is_silent:
+            self._report_broken(broken, ended)
         return ended
 
     def _report_broken(self, broken: BrokenAnswer, ended: bool) -> None:
@@ -222,8 +227,8 @@
             )
         )
 
-    async def _has_ended(self, address: str) -> bool:
-        """Check the port; answers that break off together share one check."""
+    async def has_ended(self, address: str) -> bool:
+        """Check the port of an upstream; answers that break off together share one check."""
         check = self._checks.get(address)
         if check is None:
             check = asyncio.ensure_future(self._refuses_connections(address))
--- /dev/null
+++ b/chestnutfall/tests/test_silent_upstreams.py
@@ -0,0 +1,177 @@
+"""Whether a silence is that of one upstream, of a service or of the gateway, without a network."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from ..clock import ManualClock
+from ..forwarding.repeats import SILENCE_SHARE, Repeats
+from ..forwarding.reply_claim import ReplyClaim, ReplyTaken
+from ..forwarding.silent_upstreams import (
+    GATEWAY_SILENT,
+    LASTING_MS,
+    MAX_IDLE,
+    REMEMBERED_MS,
+    SERVICE_RESUMES,
+    SERVICE_SILENT,
+    SilentUpstreams,
+)
+from ..settings.repeat_bounds import RepeatBounds
+
+USUAL_MS = 300
+
+
+class SilentUpstreamsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.silent = SilentUpstreams(self.clock)
+
+    async def _begin(self, *instances: str, service: str = "s") -> None:
+        for instance in instances:
+            self.silent.began(service, instance)
+
+    def _hear(self, *instances: str) -> None:
+        for instance in instances:
+            self.silent.heard(instance)
+
+    def _reason(self, instance: str = "i0", silent_ms: float = USUAL_MS) -> str:
+        return self.silent.reason_to_wait("s", instance, silent_ms, USUAL_MS)
+
+    async def test_a_call_leaves_the_one_upstream_that_is_silent(self) -> None:
+        await self._begin("i0", "i1", "i2")
+        await self.clock.advance(USUAL_MS)
+        self._hear("i1", "i2")
+        self.assertEqual(self._reason(), "")
+
+    async def test_a_call_leaves_the_only_upstream_that_it_knows(self) -> None:
+        await self._begin("i0")
+        await self.clock.advance(USUAL_MS)
+        self.assertEqual(self._reason(), "")
+
+    # Guards against a send for each call while the whole service is silent.
+    async def test_no_call_leaves_a_service_that_is_silent(self) -> None:
+        await self._begin("i0", "i1")
+        await self.clock.advance(USUAL_MS)
+        self.assertEqual(self._reason(), SERVICE_SILENT)
+
+    async def test_no_call_leaves_while_more_upstreams_are_silent_than_speak(self) -> None:
+        await self._begin("i0", "i1", "i2", "i3", "i4")
+        await self.clock.advance(USUAL_MS)
+        self._hear("i3", "i4")
+        self.assertEqual(self._reason(), SERVICE_SILENT)
+        self._hear("i2")
+        self.assertEqual(self._reason(), "")
+
+    # Guards against sends to all services while this gateway or its links are silent.
+    async def test_no_call_leaves_while_upstreams_of_several_services_are_silent(self) -> None:
+        await self._begin("i0")
+        await self._begin("o1", service="o")
+        await self._begin("p1", service="p")
+        await self.clock.advance(USUAL_MS)
+        self.assertEqual(self._reason(), GATEWAY_SILENT)
+        self._hear("o1")
+        self.assertEqual(self._reason(), "")
+
+    # Guards against a send for each call as the first upstreams of a silent service speak again.
+    async def test_the_end_of_a_common_silence_is_awaited(self) -> None:
+        await self._begin("i0", "i1", "i2")
+        await self.clock.advance(USUAL_MS)
+        while self.clock.now_ms() < 1_000:
+            self.assertTrue(self._reason(silent_ms=self.clock.now_ms()))
+            await self.clock.advance(50)
+        self._hear("i1", "i2")
+        self.assertEqual(self._reason(silent_ms=1_000), SERVICE_RESUMES)
+        await self.clock.advance(USUAL_MS)
+        self._hear("i1", "i2")
+        self.assertEqual(self._reason(silent_ms=1_000 + USUAL_MS), "")
+
+    # Guards against calls that are kept by upstreams that hang, however many they are.
+    async def test_upstreams_that_hang_keep_no_call_from_leaving(self) -> None:
+        await self._begin("i0", "i1", "i2")
+        await self.clock.advance(LASTING_MS - 1)
+        self.assertTrue(self._reason(silent_ms=LASTING_MS - 1))
+        await self.clock.advance(1 + USUAL_MS)
+        self.assertEqual(self._reason(silent_ms=LASTING_MS), "")
+
+    # Guards against a new call at a hung upstream that waits as if it had just fallen silent.
+    async def test_the_silence_of_an_upstream_outlasts_its_sends(self) -> None:
+        await self._begin("i0", "i1", "i2", "i3")
+        await self.clock.advance(LASTING_MS)
+        for instance in ("i0", "i1", "i2"):
+            self.silent.ended(instance, was_silent=True)
+        await self._begin("i0", "i1", "i2")
+        await self.clock.advance(USUAL_MS)
+        self._hear("i3")
+        self.assertEqual(self._reason(), "")
+
+    # Guards against an idle upstream that is taken for a hung one by a client that left.
+    async def test_a_short_send_leaves_no_silence_behind(self) -> None:
+        await self._begin("i1")
+        self.silent.ended("i1", was_silent=False)
+        await self.clock.advance(LASTING_MS)
+        await self._begin("i0", "i1")
+        await self.clock.advance(USUAL_MS)
+        self.assertEqual(self._reason(), SERVICE_SILENT)
+
+    # Guards against memory that grows with each upstream that ever was.
+    async def test_upstreams_that_are_gone_are_forgotten(self) -> None:
+        for number in range(4 * MAX_IDLE):
+            await self._begin(f"u{number}")
+            self.silent.ended(f"u{number}", was_silent=True)
+            await self.clock.advance(2 * REMEMBERED_MS // MAX_IDLE)
+        self.assertLessEqual(len(self.silent), MAX_IDLE)
+
+
+class SilenceShareTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against silence that takes the repeats of calls whose upstream has ended.
+    async def test_silence_leaves_a_part_of_the_budget_to_lost_answers(self) -> None:
+        clock = ManualClock()
+
+        async def borrow(service: str) -> bool:
+            return False
+
+        repeats = Repeats(RepeatBounds(0.2, 0, 10_000), lambda: 1, borrow, clock, random.Random(1))
+        for _ in range(1_000):
+            repeats.note_request("s")
+        for_silence = 0
+        while repeats.has_for_silence("s"):
+            self.assertTrue(repeats.spend_for_silence("s"))
+            for_silence += 1
+        self.assertFalse(repeats.spend_for_silence("s"))
+        for_losses = 0
+        while await repeats.spend("s", upstream_is_busy=False):
+            for_losses += 1
+        whole = for_silence + for_losses
+        self.assertLessEqual(for_silence, SILENCE_SHARE * whole + 1)
+        self.assertGreaterEqual(for_losses, (1 - SILENCE_SHARE) * whole - 1)
+
+    async def test_a_repeat_that_was_not_sent_is_used_first(self) -> None:
+        clock = ManualClock()
+
+        async def borrow(service: str) -> bool:
+            return False
+
+        repeats = Repeats(RepeatBounds(0.0, 0, 10_000), lambda: 1, borrow, clock, random.Random(0))
+        repeats._budget("s")._rounding_offset = 0.0
+        self.assertFalse(repeats.has_for_silence("s"))
+        repeats.refund("s")
+        self.assertTrue(repeats.spend_for_silence("s"))
+        self.assertFalse(repeats.spend_for_silence("s"))
+
+
+class ReplyClaimTest(unittest.TestCase):
+    # Guards against two sends that both write to one client.
+    def test_one_send_holds_the_claim_until_it_is_opened(self) -> None:
+        taken: list[int] = []
+        claim, first, second = ReplyClaim(lambda: taken.append(1)), object(), object()
+        claim.take(first)
+        claim.take(first)
+        with self.assertRaises(ReplyTaken):
+            claim.take(second)
+        self.assertTrue(claim.is_held_by(first))
+        claim.open()
+        claim.take(second)
+        with self.assertRaises(ReplyTaken):
+            claim.check(first)
+        self.assertEqual(len(taken), 2)
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -16,6 +16,7 @@
 from .room_mutants import ROOM_MUTANTS
 from .rush_mutants import RUSH_MUTANTS
 from .signal_mutants import SIGNAL_MUTANTS
+from .silence_mutants import SILENCE_MUTANTS
 from .speed_mutants import SPEED_MUTANTS
 from .stream_mutants import STREAM_MUTANTS
 
@@ -36,6 +37,7 @@
     *STREAM_MUTANTS,
     *PART_MUTANTS,
     *RUSH_MUTANTS,
+    *SILENCE_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -119,16 +119,16 @@
     ),
     Mutant(
         "the last upstream of a service is left when it is slow",
-        "chestnutfall/forwarding/sender.py",
-        "        if not self._place.has_other:",
-        "        if False:",
-        "chestnutfall.tests.test_forwarder",
+        "chestnutfall/forwarding/call_sends.py",
+        "        may_move = place.has_other and self._may_add()\n",
+        "        may_move = self._may_add()\n",
+        "chestnutfall.tests.test_silence.SilenceTest.test_the_only_upstream_is_waited_for",
     ),
     Mutant(
         "shares of less than one repeat are none",
         "chestnutfall/forwarding/shared_retry_budget.py",
-        "SAFETY_FACTOR * own + self._rounding_offset:",
-        "SAFETY_FACTOR * own:",
+        "SAFETY_FACTOR * own + self._rounding_offset\n",
+        "SAFETY_FACTOR * own\n",
         "chestnutfall.tests.test_repeats",
     ),
     Mutant(
@@ -161,7 +161,7 @@
     ),
     Mutant(
         "events before a missing one are kept back",
-        "chestnutfall/forwarding/sender.py",
+        "chestnutfall/forwarding/relayed_send.py",
         "            if in_order:\n",
         "            if in_order and not self._misses_event:\n",
         "chestnutfall.tests.test_relay_costs",
--- a/properties/safeguards/speed_mutants.py
+++ b/properties/safeguards/speed_mutants.py
@@ -130,7 +130,7 @@
     Mutant(
         "the load of an answer is not reported when it begins",
         "chestnutfall/forwarding/sender.py",
-        "                selector.note_load(place, load)",
+        "                sending.selector.note_load(place, load)",
         "                pass",
         _REPORTS_TEST,
     ),
--- a/properties/safeguards/stream_mutants.py
+++ b/properties/safeguards/stream_mutants.py
@@ -126,8 +126,8 @@
     ),
     Mutant(
         "an answer of another instance reaches the client",
-        "chestnutfall/forwarding/sender.py",
-        '            if answer.written_by not in ("", self._place.upstream.announced_name):\n',
+        "chestnutfall/forwarding/relayed_send.py",
+        '            if answer.written_by not in ("", self.place.upstream.announced_name):\n',
         "            if False:\n",
         _TESTS + "LastCheckTest.test_an_answer_of_another_instance_brings_no_event",
     ),
