Wake silent calls by one timer task for all of them

A task that sleeps for each call that may be sent twice cost as much as the rest of its sends. Alarms keeps the times in a heap and waits for the earliest one; ends of sends and of the search wake the call by callbacks.

The tests of silence on real connections show that the second send of a call has a connection, and a context, of its own.

--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 from collections.abc import Callable
-from typing import Any
 
 from ..routes import Route
 from .caller_reply import CallerReply
@@ -54,16 +53,8 @@
         self._reply = reply
         self._clock = parts.clock
         self._claim = ReplyClaim(self._wake_up)
-        self._live = LiveSends(parts, progress, self._claim)
-        self._other = OtherPlace(
-            parts.repeats,
-            parts.quarantine,
-            parts.sender.silent,
-            criteria,
-            self._wake_up,
-            parts.clock,
-            parts.metrics,
-        )
+        self._live = LiveSends(parts, progress, self._claim, self._wake_up)
+        self._other = OtherPlace(parts, criteria, self._wake_up)
         self._wake: asyncio.Future[None] | None = None
 
     async def run(self, place: Place) -> tuple[RelayedSend, SendResult]:
@@ -137,20 +128,16 @@
     async def _wait(self) -> None:
         """Wait until a send or the search ends, a send is the first, or a time is reached."""
         self._wake = asyncio.get_running_loop().create_future()
-        waits: set[asyncio.Future[Any]] = {self._wake, *self._live.tasks}
-        if self._other.search is not None:
-            waits.add(self._other.search)
         due_ms = self._due_ms()
-        timer = None
+        alarm = None
         if due_ms is not None:
-            timer = asyncio.ensure_future(self._clock.sleep_ms(due_ms - self._clock.now_ms()))
-            waits.add(timer)
+            alarm = self._parts.alarms.set(due_ms, self._wake_up)
         try:
-            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            await self._wake
         finally:
             self._wake = None
-            if timer is not None:
-                timer.cancel()
+            if alarm is not None:
+                alarm.cancel()
 
     def _wake_up(self) -> None:
         if self._wake is not None and not self._wake.done():
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 from ..routes import Route, RouteTable, ServiceSpec
 from ..signals.known_signals import KnownSignals
 from .admission import Admission, Admitted, NotAdmitted
+from .alarms import Alarms
 from .call import Call
 from .call_sends import CallSends
 from .caller_reply import CallerReply
@@ -86,7 +87,14 @@
             repeats, signals, quarantine, self._answers, clock, metrics
         )
         self._send_parts = SendParts(
-            sender, repeats, origins, quarantine, self._result_handler, clock, metrics
+            sender,
+            repeats,
+            origins,
+            quarantine,
+            self._result_handler,
+            Alarms(clock),
+            clock,
+            metrics,
         )
         self._counts = OrganisationCounts(metrics)
         self._rng = rng
--- a/chestnutfall/forwarding/live_sends.py
+++ b/chestnutfall/forwarding/live_sends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..placement import RunOutcome
@@ -28,12 +29,25 @@
 
 
 class LiveSends:
-    """Runs the sends of a call side by side, and ends those that others have overtaken."""
-
-    def __init__(self, parts: SendParts, progress: Progress, claim: ReplyClaim) -> None:
+    """Runs the sends of a call side by side, and ends those that others have overtaken.
+
+    Parameters
+    ----------
+    on_ended : callable
+        Called when a send has ended.
+    """
+
+    def __init__(
+        self,
+        parts: SendParts,
+        progress: Progress,
+        claim: ReplyClaim,
+        on_ended: Callable[[], None],
+    ) -> None:
         self._parts = parts
         self._progress = progress
         self._claim = claim
+        self._on_ended = on_ended
         self._live: list[_Live] = []
         self._left: list[_Live] = []
 
@@ -45,15 +59,11 @@
         """The sends in progress."""
         return [one.sending for one in self._live]
 
-    @property
-    def tasks(self) -> list[asyncio.Task[SendResult]]:
-        """The tasks that run them."""
-        return [one.task for one in self._live]
-
     def start(self, sending: RelayedSend) -> None:
         """Start a send; any of them may answer the client from now on."""
         self._claim.open()
         task = asyncio.ensure_future(self._parts.sender.send(sending))
+        task.add_done_callback(lambda _: self._on_ended())
         self._live.append(_Live(sending, task))
 
     def leave_losers(self) -> None:
--- a/chestnutfall/forwarding/other_place.py
+++ b/chestnutfall/forwarding/other_place.py
@@ -7,16 +7,12 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
-from ..clock import Clock
-from ..observability.prometheus_metrics import PrometheusMetrics
 from ..placement import RunOutcome
 from ..placement.run_times import NO_TIMES
-from ..quarantine import RequestQuarantine
 from .place import NoPlace, Place, SelectionCriteria, UpstreamSelector
 from .quarantine_hold import quarantine_hold
 from .relayed_send import RelayedSend
-from .repeats import Repeats
-from .silent_upstreams import SilentUpstreams
+from .send_parts import SendParts
 
 log = logging.getLogger(__name__)
 RECHECK_MS = 50
@@ -36,26 +32,22 @@
     criteria : callable
         Returns what the upstream must meet, except that it differs from the silent ones.
     wake_up : callable
-        Called when a send speaks while a search is under way.
+        Called when the search has ended, and when a send speaks meanwhile.
     """
 
     def __init__(
         self,
-        repeats: Repeats,
-        quarantine: RequestQuarantine,
-        silent: SilentUpstreams,
+        parts: SendParts,
         criteria: Callable[[], SelectionCriteria],
         wake_up: Callable[[], None],
-        clock: Clock,
-        metrics: PrometheusMetrics,
     ) -> None:
-        self._repeats = repeats
-        self._quarantine = quarantine
-        self._silent = silent
+        self._repeats = parts.repeats
+        self._quarantine = parts.quarantine
+        self._silent = parts.sender.silent
+        self._clock = parts.clock
+        self._metrics = parts.metrics
         self._criteria = criteria
         self._wake_up = wake_up
-        self._clock = clock
-        self._metrics = metrics
         self._reason = ""
         self._is_noted = False
         self.search: asyncio.Task[Place] | None = None
@@ -82,6 +74,7 @@
         self._note_silent(live[0])
         self._metrics.count("silent_searches")
         self.search = asyncio.ensure_future(self._select(live))
+        self.search.add_done_callback(lambda _: self._wake_up())
 
     def _reason_to_wait(self, live: Sequence[RelayedSend]) -> str:
         newest = live[-1]
--- a/chestnutfall/forwarding/send_parts.py
+++ b/chestnutfall/forwarding/send_parts.py
@@ -7,6 +7,7 @@
 from ..clock import Clock
 from ..observability.prometheus_metrics import PrometheusMetrics
 from ..quarantine import RequestQuarantine
+from .alarms import Alarms
 from .repeats import Repeats
 from .result_handler import ResultHandler
 from .sender import Sender
@@ -22,5 +23,6 @@
     origins: StreamOrigins
     quarantine: RequestQuarantine
     results: ResultHandler
+    alarms: Alarms
     clock: Clock
     metrics: PrometheusMetrics
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -287,4 +287,26 @@
         f"{_TESTS}.test_silence.SilenceTest."
         "test_a_silent_call_asks_for_a_place_at_a_bounded_rate",
     ),
+    Mutant(
+        "an earlier alarm waits for a later one",
+        f"{_FORWARDING}/alarms.py",
+        "        elif due_ms < self._until_ms:\n",
+        "        elif False:\n",
+        f"{_TESTS}.test_alarms",
+    ),
+    Mutant(
+        "the end of a send is not noticed",
+        _LIVE_SENDS,
+        "        task.add_done_callback(lambda _: self._on_ended())\n",
+        "",
+        f"{_TESTS}.test_silence.SilenceTest.test_a_stream_outlives_a_silent_second_without_budget",
+    ),
+    Mutant(
+        "the end of a search is not noticed",
+        _OTHER_PLACE,
+        "        self.search.add_done_callback(lambda _: self._wake_up())\n",
+        "",
+        f"{_TESTS}.test_second_sends.SecondSendTest."
+        "test_a_call_moves_to_another_upstream_as_soon_as_before",
+    ),
 )
