Tell a client that left apart from any lost connection

A reply to a client whose connection was closed raised aiohttp's ClientConnectionResetError, which is a ClientError and an OSError. The adapter of upstreams caught it inside `async with api.send()` and reported that the upstream had lost its answer: the relayed upstream counted as broken and the call was given up or sent again for a client that was gone.

ClientReply now raises CallerGone when a write fails on a transport that is closed and that it didn't close itself; CallerGone is no OSError, so nothing on the way can take it for an upstream's. CallerReply.is_gone says whether the client's transport is closed.

The test sends over a real connection that the client aborts. Without the conversion (mutant "client that left taken for a lost upstream") it fails: the raised error is ClientConnectionResetError.

--- a/chestnutfall/forwarding/caller_reply.py
+++ b/chestnutfall/forwarding/caller_reply.py
@@ -7,13 +7,24 @@
 from .call import Headers
 
 
+class CallerGone(Exception):
+    """The client's connection is closed, so that no more of the answer reaches it."""
+
+    # No `ConnectionError`: whoever handles those of upstreams must not take it for one of them.
+
+
 class CallerReply(ABC):
     """One answer on one client connection.
 
     An answer is either complete (`send_whole`), streamed (`start`, `write`, then `finish` or
-    `break_off`), or a refusal (`refuse`).
+    `break_off`), or a refusal (`refuse`). Each method that sends raises `CallerGone` when the
+    client's connection is closed.
     """
 
+    @abstractmethod
+    def is_gone(self) -> bool:
+        """Whether the client's connection is closed, other than by `break_off`."""
+
     @abstractmethod
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
--- a/chestnutfall/platform/client_reply.py
+++ b/chestnutfall/platform/client_reply.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from typing import Any
+
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 from multidict import CIMultiDict
 
 from ..forwarding.call import Headers
-from ..forwarding.caller_reply import CallerReply
+from ..forwarding.caller_reply import CallerGone, CallerReply
 from . import header_names as names
 
 
@@ -24,8 +27,13 @@
         """Answer `request`; if `closing`, close its connection after the answer."""
         self._request = request
         self._closing = closing
+        self._broken_off = False
         self.response: StreamResponse | None = None
 
+    def is_gone(self) -> bool:
+        transport = self._request.transport
+        return not self._broken_off and (transport is None or transport.is_closing())
+
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         kept = _without_connection_headers(headers)
         await self._send(Response(status=status, headers=kept, body=body))
@@ -34,17 +42,18 @@
         response = StreamResponse(status=status, headers=_without_connection_headers(headers))
         self._close_if_closing(response)
         self.response = response
-        await response.prepare(self._request)
+        await self._to_client(response.prepare(self._request))
 
     async def write(self, data: bytes) -> None:
         assert self.response is not None
-        await self.response.write(data)
+        await self._to_client(self.response.write(data))
 
     async def finish(self) -> None:
         assert self.response is not None
-        await self.response.write_eof()
+        await self._to_client(self.response.write_eof())
 
     def break_off(self) -> None:
+        self._broken_off = True
         # Without its last chunk, the client can't take a chunked answer for complete.
         if self._request.transport is not None:
             self._request.transport.abort()
@@ -58,8 +67,17 @@
     async def _send(self, response: Response) -> None:
         self._close_if_closing(response)
         self.response = response
-        await response.prepare(self._request)
-        await response.write_eof()
+        await self._to_client(response.prepare(self._request))
+        await self._to_client(response.write_eof())
+
+    async def _to_client(self, sending: Awaitable[Any]) -> None:
+        """Wait until bytes are handed to the client's connection."""
+        try:
+            await sending
+        except ConnectionError as exc:
+            if self.is_gone():
+                raise CallerGone("the client's connection is closed") from exc
+            raise
 
     def _close_if_closing(self, response: StreamResponse) -> None:
         if self._closing:
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -11,6 +11,7 @@
 from aiohttp.web_server import Server
 
 from ..clock import Clock
+from ..forwarding.caller_reply import CallerGone
 from ..forwarding.drain import Drainable
 from ..forwarding.forwarder import Forwarder
 from ..routes import DocumentLimits
@@ -115,6 +116,13 @@
             return Response(status=400)
         try:
             await self._forwarder.serve(call, reply)
+        except CallerGone:
+            log.info(
+                "call: id=%s client closed its connection ms=%d",
+                call.request_id,
+                self._clock.now_ms() - arrived_ms,
+            )
+            return reply.response or Response(status=503)
         except (ConnectionError, asyncio.CancelledError):
             log.info(
                 "call: id=%s client closed its connection ms=%d",
--- a/chestnutfall/tests/fakes/fake_upstreams.py
+++ b/chestnutfall/tests/fakes/fake_upstreams.py
@@ -177,8 +177,12 @@
         self.retry_after_ms: int | None = None
         self.reason = ""
         self.ended = ""
+        self.gone = False
         self._on_write = on_write
 
+    def is_gone(self) -> bool:
+        return self.gone
+
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         self._end("whole")
         self.status, self.body = status, body
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -6,6 +6,7 @@
 from .connection_mutants import CONNECTION_MUTANTS
 from .consensus_mutants import CONSENSUS_MUTANTS
 from .control_mutants import CONTROL_MUTANTS
+from .end_mutants import END_MUTANTS
 from .fleet_mutants import FLEET_MUTANTS
 from .limit_mutants import LIMIT_MUTANTS
 from .part_mutants import PART_MUTANTS
@@ -36,6 +37,7 @@
     *STREAM_MUTANTS,
     *PART_MUTANTS,
     *RUSH_MUTANTS,
+    *END_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
