Say in one place how each client's request ends

The log said "client closed its connection" of every ConnectionError and every CancelledError that came out of the forwarder, from an upstream, the leader's stream or a shared future as well. A raised error of any other type had no line of ours.

RequestEnd is the closed union of the ways out: answered, refused, broken off, client left, stopped. RequestEnds.run runs what answers a request, through an EndedReply that lets it end once, and writes one line and one count (ended_*) for it. "Client closed" is said only when the client's transport is closed and not by this gateway. What is raised besides is logged as `call: id=... fault=TYPE at=PLACE`, and still raised. 413, 400 and a client that leaves in its request pass through the same place.

A malformed chunk in a request is 400 now, not aiohttp's 500.

The test goes through all members of the union; RequestEnds is new, so on the old code it could only fail to import. Mutant: "end of the gateway called one of the client".

--- a/chestnutfall/forwarding/caller_reply.py
+++ b/chestnutfall/forwarding/caller_reply.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 
 from .call import Headers
+from .request_end import BrokenOff, Refused
 
 
 class CallerGone(Exception):
@@ -18,12 +19,13 @@
 
     An answer is either complete (`send_whole`), streamed (`start`, `write`, then `finish` or
     `break_off`), or a refusal (`refuse`). Each method that sends raises `CallerGone` when the
-    client's connection is closed.
+    client's connection is closed. A `send_whole`, `finish` or `refuse` that is cancelled goes on
+    by itself.
     """
 
     @abstractmethod
     def is_gone(self) -> bool:
-        """Whether the client's connection is closed, other than by `break_off`."""
+        """Whether the client's connection is closed, other than by this gateway."""
 
     @abstractmethod
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
@@ -42,9 +44,13 @@
         """End the streamed answer as complete."""
 
     @abstractmethod
-    def break_off(self) -> None:
+    def break_off(self, end: BrokenOff) -> None:
         """Close the connection so that the client sees the answer as incomplete."""
 
     @abstractmethod
-    async def refuse(self, status: int, reason: str, retry_after_ms: int | None) -> None:
-        """Send a refusal made by this gateway, with a retry time unless it is None."""
+    async def refuse(self, end: Refused) -> None:
+        """Send a refusal made by this gateway."""
+
+    @abstractmethod
+    async def delivered(self) -> None:
+        """Wait until the connection has taken an end whose sending was cancelled."""
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -13,17 +13,20 @@
 from ..placement.suspect_parts import PART_ENDS_UPSTREAMS
 from ..quarantine import RequestQuarantine
 from ..quarantine.request_quarantine import REASON as QUARANTINED
-from ..requests import Executed, fingerprint_of
+from ..requests import fingerprint_of
 from ..routes import Route, RouteTable, ServiceSpec
 from ..signals.known_signals import KnownSignals
 from .admission import Admission, Admitted, NotAdmitted
 from .call import Call
 from .caller_reply import CallerReply
+from .ended_reply import EndedReply
 from .final_answers import FinalAnswers
 from .organisation_counts import OrganisationCounts
 from .place import NoPlace, SelectionCriteria, UpstreamSelector
 from .progress import Progress
 from .repeats import Repeats
+from .request_end import Refused
+from .request_ends import RequestEnds
 from .result_handler import ResultHandler
 from .route_source import RouteSource
 from .send_log import log_send
@@ -82,7 +85,8 @@
         self._quarantine = quarantine
         self._clock = clock
         self._metrics = metrics
-        self._answers = FinalAnswers(clock, metrics)
+        self._answers = FinalAnswers()
+        self._ends = RequestEnds(clock, metrics)
         self._result_handler = ResultHandler(
             repeats, signals, quarantine, self._answers, clock, metrics
         )
@@ -97,43 +101,46 @@
         self._refusing = True
 
     async def serve(self, call: Call, reply: CallerReply) -> None:
-        """Process `call` and give its final answer through `reply`."""
+        """Process `call` and give its final answer through `reply`.
+
+        Only the cancellation of the task that calls this is raised.
+        """
+        await self._ends.run(
+            call.request_id, call.arrived_ms, reply, lambda answer: self._serve(call, answer)
+        )
+
+    async def _serve(self, call: Call, reply: EndedReply) -> None:
         if self._refusing:
-            await self._answers.refuse(call, reply, 503, "leaving", Executed.NO, LEAVING_RETRY_MS)
+            await reply.refuse(Refused(503, "leaving", retry_after_ms=LEAVING_RETRY_MS))
             return
         table = self._routes.table or await self._wait_for_first_table(call)
         if table is None:
-            await self._answers.refuse(
-                call, reply, 503, "no_document", Executed.NO, NOT_READY_RETRY_MS
-            )
+            await reply.refuse(Refused(503, "no_document", retry_after_ms=NOT_READY_RETRY_MS))
             return
         route = table.match(call.host, call.path)
         if route is None:
-            await self._answers.refuse(call, reply, 404, "no_route", Executed.NO, None)
+            await reply.refuse(Refused(404, "no_route"))
             return
         until_ms = min(call.deadline_ms, call.arrived_ms + route.timeout_ms) - FINAL_MARGIN_MS
         try:
             holder = self._admission.holder(call, table, route)
             admitted = await self._admission.charge(call, holder, until_ms)
         except NotAdmitted as exc:
-            await self._refuse(call, reply, table, exc)
+            await self._refuse(reply, table, exc)
             return
         self._counts.admitted(admitted)
         await self._serve_admitted(call, admitted, table, route, until_ms, reply)
 
-    async def _refuse(
-        self, call: Call, reply: CallerReply, table: RouteTable, refused: NotAdmitted
-    ) -> None:
+    async def _refuse(self, reply: CallerReply, table: RouteTable, refused: NotAdmitted) -> None:
         self._counts.refused(refused)
-        await self._answers.refuse(
-            call,
-            reply,
-            refused.status,
-            refused.reason,
-            Executed.NO,
-            refused.retry_after_ms,
-            refused.organisation,
-            table.document.version,
+        await reply.refuse(
+            Refused(
+                refused.status,
+                refused.reason,
+                retry_after_ms=refused.retry_after_ms,
+                organisation=refused.organisation,
+                version=table.document.version,
+            )
         )
 
     async def _serve_admitted(
@@ -143,7 +150,7 @@
         table: RouteTable,
         route: Route,
         until_ms: int,
-        reply: CallerReply,
+        reply: EndedReply,
     ) -> None:
         holder = admitted.organisation
         if holder is not None and holder.rank is not None:
@@ -163,6 +170,7 @@
             last_event=call.resume_after,
             streamed=route.kind.streamed,
         )
+        reply.progress = progress
         left_ms = until_ms - self._clock.now_ms()
         try:
             await self._clock.within_ms(left_ms, self._run(progress, route, table, reply))
--- a/chestnutfall/platform/client_reply.py
+++ b/chestnutfall/platform/client_reply.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp.web_request import BaseRequest
@@ -11,6 +11,7 @@
 
 from ..forwarding.call import Headers
 from ..forwarding.caller_reply import CallerGone, CallerReply
+from ..forwarding.request_end import BrokenOff, Refused
 from . import header_names as names
 
 
@@ -23,16 +24,27 @@
         The response once its headers are being sent; None before.
     """
 
-    def __init__(self, request: BaseRequest, closing: bool) -> None:
-        """Answer `request`; if `closing`, close its connection after the answer."""
+    def __init__(
+        self,
+        request: BaseRequest,
+        closing: bool,
+        is_stopping: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Answer `request`; if `closing`, close its connection after the answer.
+
+        `is_stopping` tells whether the server closes all connections.
+        """
         self._request = request
         self._closing = closing
+        self._is_stopping = is_stopping
         self._broken_off = False
         self.response: StreamResponse | None = None
 
     def is_gone(self) -> bool:
+        if self._broken_off or self._is_stopping():
+            return False
         transport = self._request.transport
-        return not self._broken_off and (transport is None or transport.is_closing())
+        return transport is None or transport.is_closing()
 
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         kept = _without_connection_headers(headers)
@@ -52,17 +64,20 @@
         assert self.response is not None
         await self._to_client(self.response.write_eof())
 
-    def break_off(self) -> None:
+    def break_off(self, end: BrokenOff) -> None:
         self._broken_off = True
         # Without its last chunk, the client can't take a chunked answer for complete.
         if self._request.transport is not None:
             self._request.transport.abort()
 
-    async def refuse(self, status: int, reason: str, retry_after_ms: int | None) -> None:
+    async def refuse(self, end: Refused) -> None:
         headers = {"Content-Type": "text/plain"}
-        if retry_after_ms is not None:
-            headers[names.RETRY_AFTER] = f"{retry_after_ms / 1000:g}"
-        await self._send(Response(status=status, headers=headers, text=reason))
+        if end.retry_after_ms is not None:
+            headers[names.RETRY_AFTER] = f"{end.retry_after_ms / 1000:g}"
+        await self._send(Response(status=end.status, headers=headers, text=end.reason))
+
+    async def delivered(self) -> None:
+        pass
 
     async def _send(self, response: Response) -> None:
         self._close_if_closing(response)
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -5,22 +5,31 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from functools import partial
 
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.web_protocol import RequestPayloadError
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 
 from ..clock import Clock
+from ..forwarding.call import Call
 from ..forwarding.caller_reply import CallerGone
 from ..forwarding.drain import Drainable
+from ..forwarding.ended_reply import EndedReply
 from ..forwarding.forwarder import Forwarder
+from ..forwarding.request_end import Refused
+from ..forwarding.request_ends import RequestEnds
 from ..routes import DocumentLimits
 from ..rush import ConnectionGate, GatedServer
+from . import header_names as names
 from .body import read_body
 from .call_reader import read_call
 from .client_reply import ClientReply
 from .gated_listening import GatedListener, listen_gated
 from .listening import Listener, listen
+from .unreadable_request import UnreadableRequest
 
 log = logging.getLogger(__name__)
 KEEPALIVE_S = 75.0
@@ -52,14 +61,17 @@
         limits: Callable[[], DocumentLimits],
         gate: ConnectionGate,
         clock: Clock,
+        ends: RequestEnds,
     ) -> None:
         self._forwarder = forwarder
         self._is_ready = is_ready
         self._limits = limits
         self._gate = gate
         self._clock = clock
+        self._ends = ends
         self._in_progress = 0
         self._leaving = False
+        self._stopping = False
         self._caller_runner: GatedListener | None = None
         self._ready_runner: Listener | None = None
 
@@ -88,6 +100,7 @@
 
     async def stop(self) -> None:
         """Close every connection; called once no request is in progress."""
+        self._stopping = True
         for runner in (self._caller_runner, self._ready_runner):
             if runner is not None:
                 await runner.cleanup()
@@ -105,30 +118,46 @@
             self._in_progress -= 1
 
     async def _answer(self, request: BaseRequest, arrived_ms: int) -> StreamResponse:
-        reply = ClientReply(request, self._leaving)
-        body = await read_body(request, self._limits().max_body_bytes)
-        if body is None:
-            return Response(status=413)
-        try:
-            call = read_call(request, body, arrived_ms)
-        except ValueError as exc:
-            log.info("call: answered 400, malformed header: %s", exc)
-            return Response(status=400)
+        reply = ClientReply(request, self._leaving, lambda: self._stopping)
         try:
+            call = await self._read(request, reply, arrived_ms)
+        except (Exception, asyncio.CancelledError) as exc:
+            request_id = request.headers.get(names.REQUEST_ID, "")
+            await self._ends.run(request_id, arrived_ms, reply, partial(_end_unread, exc))
+        else:
             await self._forwarder.serve(call, reply)
-        except CallerGone:
-            log.info(
-                "call: id=%s client closed its connection ms=%d",
-                call.request_id,
-                self._clock.now_ms() - arrived_ms,
-            )
-            return reply.response or Response(status=503)
-        except (ConnectionError, asyncio.CancelledError):
-            log.info(
-                "call: id=%s client closed its connection ms=%d",
-                call.request_id,
-                self._clock.now_ms() - arrived_ms,
-            )
+        return reply.response or Response(status=503)
+
+    async def _read(self, request: BaseRequest, reply: ClientReply, arrived_ms: int) -> Call:
+        """Read and decode a request.
+
+        Raises
+        ------
+        UnreadableRequest
+            When it is too long or breaks a protocol.
+        CallerGone
+            When the client closes its connection in its request.
+        """
+        max_bytes = self._limits().max_body_bytes
+        try:
+            body = await read_body(request, max_bytes)
+        except (RequestPayloadError, HttpProcessingError) as exc:
+            raise UnreadableRequest(400, "malformed_body", str(exc)) from exc
+        except ConnectionError as exc:
+            if reply.is_gone():
+                raise CallerGone("the client closed its connection in its request") from exc
             raise
-        assert reply.response is not None
-        return reply.response
+        if body is None:
+            raise UnreadableRequest(413, "body_too_large", f"body beyond {max_bytes} bytes")
+        try:
+            return read_call(request, body, arrived_ms)
+        except ValueError as exc:
+            raise UnreadableRequest(400, "malformed_header", f"malformed header: {exc}") from exc
+
+
+async def _end_unread(exc: BaseException, answer: EndedReply) -> None:
+    """End a request that could not be read."""
+    if not isinstance(exc, UnreadableRequest):
+        raise exc
+    log.info("call: not readable: %s", exc)
+    await answer.refuse(Refused(exc.status, exc.reason))
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -26,6 +26,7 @@
 from ..forwarding.leader_turn_client import leader_turn_client
 from ..forwarding.plain_upstream_selector import PlainUpstreamSelector
 from ..forwarding.repeats import Repeats
+from ..forwarding.request_ends import RequestEnds
 from ..forwarding.sender import Sender
 from ..forwarding.stream_origins import StreamOrigins
 from ..limits.known_limits import KnownLimits
@@ -109,6 +110,7 @@
             self._limits,
             ConnectionGate(self._clock, self._metrics.count),
             self._clock,
+            RequestEnds(self._clock, self._metrics),
         )
 
     def _make_upstreams(self) -> None:
--- a/chestnutfall/tests/fakes/fake_upstreams.py
+++ b/chestnutfall/tests/fakes/fake_upstreams.py
@@ -12,6 +12,7 @@
 from ...forwarding.caller_reply import CallerReply
 from ...forwarding.forwarded_call import ForwardedCall
 from ...forwarding.place import NoPlace, Place, SelectionCriteria, UpstreamSelector
+from ...forwarding.request_end import BrokenOff, Refused
 from ...forwarding.route_source import RouteSource
 from ...forwarding.upstream_answer import NotRun, UpstreamAnswer
 from ...forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
@@ -197,13 +198,17 @@
     async def finish(self) -> None:
         self._end("whole")
 
-    def break_off(self) -> None:
+    def break_off(self, end: BrokenOff) -> None:
         self._end("broken off")
+        self.reason = end.reason
 
-    async def refuse(self, status: int, reason: str, retry_after_ms: int | None) -> None:
+    async def refuse(self, end: Refused) -> None:
         self._end("refused")
-        self.status, self.retry_after_ms = status, retry_after_ms
-        self.reason = reason
+        self.status, self.retry_after_ms = end.status, end.retry_after_ms
+        self.reason = end.reason
+
+    async def delivered(self) -> None:
+        """Nothing is left to send: no method here waits."""
 
     def _end(self, how: str) -> None:
         assert not self.ended, f"{self.ended}, then {how}"
--- a/chestnutfall/tests/test_client_reply.py
+++ b/chestnutfall/tests/test_client_reply.py
@@ -11,6 +11,7 @@
 from aiohttp.web_server import Server
 
 from ..forwarding.caller_reply import CallerGone
+from ..forwarding.request_end import BrokenOff, Refused
 from ..platform.client_reply import ClientReply
 from ..platform.listening import listen
 
@@ -70,7 +71,7 @@
             await reply.send_whole(200, (), b"answer")
 
         async def refusal(reply: ClientReply) -> None:
-            await reply.refuse(503, "full", 500)
+            await reply.refuse(Refused(503, "full", retry_after_ms=500))
 
         for answer in (in_stream, at_the_end, whole, refusal):
             with self.subTest(answer.__name__):
@@ -83,7 +84,7 @@
     async def test_a_stream_that_was_broken_off_is_not_one_whose_client_left(self) -> None:
         async def broken_off(reply: ClientReply) -> None:
             await reply.start(200, ())
-            reply.break_off()
+            reply.break_off(BrokenOff("lost"))
             self.assertFalse(reply.is_gone())
 
         port = await self._serve(broken_off)
--- /dev/null
+++ b/chestnutfall/tests/test_request_ends.py
@@ -0,0 +1,103 @@
+"""How a client's request ends, and what the log and the metrics say of it."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import get_args
+
+from ..clock import ManualClock
+from ..forwarding.caller_reply import CallerGone
+from ..forwarding.ended_reply import EndedReply
+from ..forwarding.request_end import Answered, BrokenOff, CallerLeft, Refused, RequestEnd, Stopped
+from ..forwarding.request_ends import RequestEnds
+from ..observability.prometheus_metrics import PrometheusMetrics
+from ..requests import Executed
+from .fakes.fake_upstreams import RecordedReply
+
+Work = Callable[[EndedReply], Awaitable[None]]
+
+
+async def _answered(answer: EndedReply) -> None:
+    await answer.send_whole(200, (), b"answer")
+
+
+async def _streamed(answer: EndedReply) -> None:
+    await answer.start(200, ())
+    await answer.write(b"id: 1\n\n")
+    await answer.finish()
+
+
+async def _refused(answer: EndedReply) -> None:
+    await answer.refuse(Refused(503, "full", Executed.NO, 500, "o", 7))
+
+
+async def _broken_off(answer: EndedReply) -> None:
+    await answer.start(200, ())
+    answer.break_off(BrokenOff("silent"))
+
+
+async def _left(answer: EndedReply) -> None:
+    raise CallerGone
+
+
+async def _left_in_stream(answer: EndedReply) -> None:
+    await answer.start(200, ())
+    raise CallerGone
+
+
+async def _wait_for_ever(answer: EndedReply) -> None:
+    await asyncio.get_running_loop().create_future()
+
+
+class RequestEndsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock(10)
+        self.metrics = PrometheusMetrics()
+        self.reply = RecordedReply()
+        self.lines: list[str] = []
+
+    async def _run(self, work: Work, cancel: bool = False) -> None:
+        """Run `work` for the request `id-1`, and collect the log lines."""
+        ends = RequestEnds(self.clock, self.metrics)
+        with self.assertLogs("chestnutfall.forwarding.request_ends", "INFO") as logs:
+            task = asyncio.ensure_future(ends.run("id-1", 0, self.reply, work))
+            await self.clock.settle()
+            if cancel:
+                task.cancel()
+            await asyncio.wait({task})
+        self.lines = [record.getMessage() for record in logs.records]
+
+    # Guards against an end that is neither in the log nor counted, so that an operator can't tell
+    # a client that left from an end on the gateway's side.
+    async def test_every_way_to_end_has_one_log_line_and_a_count_of_its_own(self) -> None:
+        cases: tuple[tuple[type[RequestEnd], Work, bool, bool, str, str], ...] = (
+            (Answered, _answered, False, False, "answered status=200", "answered"),
+            (Answered, _streamed, False, False, "answered status=200", "answered"),
+            (
+                Refused,
+                _refused,
+                False,
+                False,
+                "refused status=503 reason=full executed=no organisation=o version=7 retry=500",
+                "refused",
+            ),
+            (BrokenOff, _broken_off, False, False, "broken off reason=silent", "broken_off"),
+            (CallerLeft, _left, False, False, "client closed its connection begun=0",
+             "client_closed"),
+            (CallerLeft, _left_in_stream, False, False, "client closed its connection begun=1",
+             "client_closed"),
+            (CallerLeft, _wait_for_ever, True, True, "client closed its connection begun=0",
+             "client_closed"),
+            (Stopped, _wait_for_ever, True, False, "ended as the gateway stops begun=0", "stopped"),
+        )  # fmt: skip
+        self.assertEqual({case[0] for case in cases}, set(get_args(RequestEnd)))
+        for _, work, cancel, gone, line, count in cases:
+            with self.subTest(line):
+                self.setUp()
+                self.reply.gone = gone
+                await self._run(work, cancel)
+                self.assertEqual(self.lines, [f"call: id=id-1 {line} ms=10"])
+                ended = [one for one in self.metrics.text().splitlines() if "_ended_" in one]
+                self.assertEqual(ended, [f"chestnutfall_ended_{count}_total 1"])
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -7,7 +7,17 @@
 _REPLY = "chestnutfall/platform/client_reply.py"
 _REPLY_TEST = "chestnutfall.tests.test_client_reply"
 
+_ENDED = "chestnutfall/forwarding/ended_reply.py"
+_ENDS_TEST = "chestnutfall.tests.test_request_ends"
+
 END_MUTANTS = (
+    Mutant(
+        "end of the gateway called one of the client",
+        _ENDED,
+        "        if self.is_gone():\n            self.note_gone()\n        elif self.end is None:",
+        "        if True:\n            self.note_gone()\n        elif self.end is None:",
+        _ENDS_TEST,
+    ),
     Mutant(
         "client that left taken for a lost upstream",
         _REPLY,
@@ -18,8 +28,8 @@
     Mutant(
         "stream that the gateway broke off taken for one whose client left",
         _REPLY,
-        "        return not self._broken_off and (transport",
-        "        return (transport",
+        "        if self._broken_off or self._is_stopping():",
+        "        if self._is_stopping():",
         _REPLY_TEST,
     ),
 )
