Answer a client whose call meets an error of ours

An error that nothing on a call's way expects left the forwarder as it was. In a trial on with the client alive: aiohttp's 500 for ConnectionError, KeyError and RuntimeError, its 504 for a TimeoutError, a connection closed without a byte for a CancelledError of an awaited future. 500 and 504 promise nothing, so that a client whose request may not be repeated gets no second try though nothing was sent. A TimeoutError of a part, with the call's time not up, was taken for the end of that time and answered without a time to come back.

RequestEnds.run ends each of them: 503 with a time to come back if nothing may have run, 502 if it may, a broken stream if one has begun, and nothing if the answer is on its way. A CancelledError is passed on only if the task itself is cancelled. Timeouts from inside a call are raised as InnerTimeout, so that only the call's own timeout is the end of its time. `executed` of a refusal takes the send in progress into account.

Four mutants.

--- a/chestnutfall/forwarding/faults.py
+++ b/chestnutfall/forwarding/faults.py
@@ -4,6 +4,19 @@
 
 import asyncio
 import traceback
+from collections.abc import Awaitable
+
+
+class InnerTimeout(Exception):
+    """Something that a call waited for timed out by itself, before the call's own time was up."""
+
+
+async def keep_timeouts_apart(work: Awaitable[None]) -> None:
+    """Run `work`, whose own timeouts are raised as `InnerTimeout`."""
+    try:
+        await work
+    except TimeoutError as exc:
+        raise InnerTimeout(str(exc)) from exc
 
 
 def is_cancelled() -> bool:
@@ -18,6 +31,7 @@
 
 def fault_text(fault: BaseException) -> str:
     """Describe an error by its type, the place that raised it, and its message."""
-    frames = traceback.extract_tb(fault.__traceback__)
+    raised = fault.__cause__ or fault
+    frames = traceback.extract_tb(raised.__traceback__)
     place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else "unknown"
-    return f"{type(fault).__name__} at={place} message={fault}"
+    return f"{type(raised).__name__} at={place} message={raised}"
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -20,6 +20,7 @@
 from .call import Call
 from .caller_reply import CallerReply
 from .ended_reply import EndedReply
+from .faults import keep_timeouts_apart
 from .final_answers import FinalAnswers
 from .organisation_counts import OrganisationCounts
 from .place import NoPlace, SelectionCriteria, UpstreamSelector
@@ -173,7 +174,8 @@
         reply.progress = progress
         left_ms = until_ms - self._clock.now_ms()
         try:
-            await self._clock.within_ms(left_ms, self._run(progress, route, table, reply))
+            run = keep_timeouts_apart(self._run(progress, route, table, reply))
+            await self._clock.within_ms(left_ms, run)
         except TimeoutError:
             await self._answers.give_up(progress, reply, 504, "out_of_time", None)
         finally:
--- a/chestnutfall/forwarding/request_ends.py
+++ b/chestnutfall/forwarding/request_ends.py
@@ -8,12 +8,18 @@
 
 from ..clock import Clock
 from ..observability.prometheus_metrics import PrometheusMetrics
+from ..requests import Executed
 from .caller_reply import CallerGone, CallerReply
 from .ended_reply import EndedReply
 from .faults import fault_text, is_cancelled
 from .request_end import Answered, BrokenOff, CallerLeft, Refused, RequestEnd, Stopped
 
 log = logging.getLogger(__name__)
+FAULT = "gateway_fault"
+"""Reason of an end after an error that nothing on the call's way expects."""
+FAULT_RETRY_MS = 500
+"""Retry delay after such an error of a request that didn't run. Another gateway may serve it at
+once, but one that fails every request must not be asked without a pause."""
 
 
 class RequestEnds:
@@ -37,25 +43,34 @@
         """
         answer = EndedReply(reply)
         try:
-            await work(answer)
+            await self._answer(request_id, answer, work)
         except CallerGone:
             answer.note_gone()
-        except asyncio.CancelledError as exc:
-            if is_cancelled():
-                answer.note_cancelled()
-                raise
-            await self._end_after_fault(request_id, answer, exc)
+        except asyncio.CancelledError:
+            answer.note_cancelled()
+            raise
         except Exception as exc:
-            await self._end_after_fault(request_id, answer, exc)
+            log.error("call: id=%s fault=%s", request_id, fault_text(exc))
+            answer.break_off(BrokenOff(FAULT))
         finally:
             if answer.end is not None:
                 self._note(request_id, arrived_ms, answer.end)
 
-    async def _end_after_fault(
-        self, request_id: str, answer: EndedReply, fault: BaseException
+    async def _answer(
+        self, request_id: str, answer: EndedReply, work: Callable[[EndedReply], Awaitable[None]]
     ) -> None:
-        log.error("call: id=%s fault=%s", request_id, fault_text(fault))
-        raise fault
+        try:
+            await work(answer)
+            if answer.end is None:
+                raise RuntimeError("the request was given no end")
+        except CallerGone:
+            raise
+        except (Exception, asyncio.CancelledError) as exc:
+            # Whoever awaits a cancelled future is raised the same error as by its own end.
+            if isinstance(exc, asyncio.CancelledError) and is_cancelled():
+                raise
+            log.error("call: id=%s fault=%s", request_id, fault_text(exc))
+            await answer.refuse(_refusal(answer))
 
     def _note(self, request_id: str, arrived_ms: int, end: RequestEnd) -> None:
         ms = self._clock.now_ms() - arrived_ms
@@ -83,6 +98,13 @@
                 )
 
 
+def _refusal(answer: EndedReply) -> Refused:
+    """Return the refusal of a request that met a fault of this gateway."""
+    if answer.may_have_run:
+        return Refused(502, FAULT, Executed.UNKNOWN)
+    return Refused(503, FAULT, Executed.NO, FAULT_RETRY_MS)
+
+
 def _log_refusal(request_id: str, end: Refused, ms: int) -> None:
     log.info(
         "call: id=%s refused status=%d reason=%s executed=%s organisation=%s version=%d "
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -8,6 +8,9 @@
 _REPLY_TEST = "chestnutfall.tests.test_client_reply"
 
 _ENDED = "chestnutfall/forwarding/ended_reply.py"
+_ENDS = "chestnutfall/forwarding/request_ends.py"
+_FORWARDER = "chestnutfall/forwarding/forwarder.py"
+_FAULTS_TEST = "chestnutfall.tests.test_call_faults"
 _ENDS_TEST = "chestnutfall.tests.test_request_ends"
 
 END_MUTANTS = (
@@ -32,4 +35,32 @@
         "        if self._is_stopping():",
         _REPLY_TEST,
     ),
+    Mutant(
+        "cancelled future taken for a cancelled request",
+        _ENDS,
+        "            if isinstance(exc, asyncio.CancelledError) and is_cancelled():",
+        "            if isinstance(exc, asyncio.CancelledError):",
+        _FAULTS_TEST,
+    ),
+    Mutant(
+        "fault after a send refused as not run",
+        _ENDS,
+        "    if answer.may_have_run:",
+        "    if False:",
+        _FAULTS_TEST,
+    ),
+    Mutant(
+        "timeout of a part taken for the end of the call's time",
+        _FORWARDER,
+        "            run = keep_timeouts_apart(self._run(progress, route, table, reply))",
+        "            run = self._run(progress, route, table, reply)",
+        _FAULTS_TEST,
+    ),
+    Mutant(
+        "second end after an answer",
+        _ENDED,
+        "        if self._begun:\n            self.break_off(BrokenOff(end.reason))",
+        "        if False:\n            self.break_off(BrokenOff(end.reason))",
+        _FAULTS_TEST,
+    ),
 )
