Keep a timeout in the last write from spoiling the answer

A call's time may be up while its client slowly reads the last part of the answer. The write was cancelled, which the HTTP library counts as not written: the client got the whole body twice on one connection (32,000,000 bytes for an answer of 16,000,000), or the refusal behind the answer.

The end of an answer is now sent by a task of its own that a cancellation doesn't reach. The request waits for it, for READ_WITHIN_MS at most beyond its time; a client that has read nothing of it by then is broken off as `not_read`, so that answers don't stay in memory for as long as clients like.

test_client_connections sends over real connections. Its other tests passed before and stay: a body that is too long gets its whole 413, also while the gateway stops; a client that leaves in its request counts as one that left; a cancelled shared future is a 503 on a connection that goes on; pipelined requests are answered in order.

--- a/chestnutfall/forwarding/ended_reply.py
+++ b/chestnutfall/forwarding/ended_reply.py
@@ -9,6 +9,8 @@
 from .progress import Progress
 from .request_end import Answered, BrokenOff, CallerLeft, Refused, RequestEnd, Stopped
 
+NOT_READ = "not_read"
+
 
 class EndedReply(CallerReply):
     """Passes an answer on to the client's connection, and lets it end in one way only.
@@ -21,6 +23,8 @@
     ----------
     end : RequestEnd or None
         How the request ended; None while it has not.
+    is_sending : bool
+        Whether the end is on its way; it still is after its sending was cancelled.
     progress : Progress or None
         State of the call once it is admitted; None before, when nothing was sent.
     """
@@ -30,6 +34,7 @@
         self._begun = False
         self._status = 0
         self.end: RequestEnd | None = None
+        self.is_sending = False
         self.progress: Progress | None = None
 
     @property
@@ -72,6 +77,11 @@
     async def delivered(self) -> None:
         await self._reply.delivered()
 
+    def note_unread(self) -> None:
+        """Break off an end that the client doesn't read."""
+        self.end = None
+        self.break_off(BrokenOff(NOT_READ))
+
     def note_cancelled(self) -> None:
         """Record that the request is cancelled, since its connection closed or is to be closed."""
         if self.is_gone():
@@ -88,8 +98,10 @@
         """Send the end of an answer; cancelled, it goes on and stays the end."""
         self._begun = True
         self.end = end
+        self.is_sending = True
         try:
             await sending
+            self.is_sending = False
         except CallerGone:
             self.note_gone()
             raise
--- a/chestnutfall/forwarding/request_ends.py
+++ b/chestnutfall/forwarding/request_ends.py
@@ -17,6 +17,9 @@
 log = logging.getLogger(__name__)
 FAULT = "gateway_fault"
 """Reason of an end after an error that nothing on the call's way expects."""
+READ_WITHIN_MS = 10_000
+"""Time to read the end of an answer beyond the call's own time. The answer stays in memory so long,
+and a client that hasn't read it by then has given up."""
 FAULT_RETRY_MS = 500
 """Retry delay after such an error of a request that didn't run. Another gateway may serve it at
 once, but one that fails every request must not be asked without a pause."""
@@ -44,6 +47,8 @@
         answer = EndedReply(reply)
         try:
             await self._answer(request_id, answer, work)
+            if answer.is_sending:
+                await self._wait_for_end(answer)
         except CallerGone:
             answer.note_gone()
         except asyncio.CancelledError:
@@ -56,6 +61,13 @@
             if answer.end is not None:
                 self._note(request_id, arrived_ms, answer.end)
 
+    async def _wait_for_end(self, answer: EndedReply) -> None:
+        """Wait until the client has read an end that the call's time was too short for."""
+        try:
+            await self._clock.within_ms(READ_WITHIN_MS, answer.delivered())
+        except TimeoutError:
+            answer.note_unread()
+
     async def _answer(
         self, request_id: str, answer: EndedReply, work: Callable[[EndedReply], Awaitable[None]]
     ) -> None:
--- a/chestnutfall/platform/client_reply.py
+++ b/chestnutfall/platform/client_reply.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from aiohttp.web_request import BaseRequest
@@ -38,6 +39,7 @@
         self._closing = closing
         self._is_stopping = is_stopping
         self._broken_off = False
+        self._ending: asyncio.Future[None] | None = None
         self.response: StreamResponse | None = None
 
     def is_gone(self) -> bool:
@@ -62,7 +64,7 @@
 
     async def finish(self) -> None:
         assert self.response is not None
-        await self._to_client(self.response.write_eof())
+        await self._send_end(self.response.write_eof())
 
     def break_off(self, end: BrokenOff) -> None:
         self._broken_off = True
@@ -77,13 +79,24 @@
         await self._send(Response(status=end.status, headers=headers, text=end.reason))
 
     async def delivered(self) -> None:
-        pass
+        if self._ending is not None:
+            await asyncio.shield(self._ending)
 
     async def _send(self, response: Response) -> None:
         self._close_if_closing(response)
         self.response = response
         await self._to_client(response.prepare(self._request))
-        await self._to_client(response.write_eof())
+        await self._send_end(response.write_eof())
+
+    async def _send_end(self, sending: Coroutine[Any, Any, None]) -> None:
+        """Send the end of an answer; it goes on by itself if this is cancelled.
+
+        A client that reads slowly makes it wait. aiohttp counts an end that is cancelled then as
+        not sent, and writes it a second time behind the first.
+        """
+        self._ending = asyncio.ensure_future(self._to_client(sending))
+        self._ending.add_done_callback(_take_error)
+        await asyncio.shield(self._ending)
 
     async def _to_client(self, sending: Awaitable[Any]) -> None:
         """Wait until bytes are handed to the client's connection."""
@@ -103,3 +116,9 @@
     return CIMultiDict(
         (name, value) for name, value in headers if name.lower() not in names.CONNECTION_ONLY
     )
+
+
+def _take_error(ending: asyncio.Future[None]) -> None:
+    """Take note of the error of an end that nothing waits for any more."""
+    if not ending.cancelled():
+        ending.exception()
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -105,6 +105,9 @@
             if runner is not None:
                 await runner.cleanup()
 
+    def _is_stopping(self) -> bool:
+        return self._stopping
+
     async def _on_ready(self, request: BaseRequest) -> StreamResponse:
         ready = request.path == READY_PATH and not self._leaving and self._is_ready()
         return Response(status=200 if ready else 503)
@@ -118,7 +121,7 @@
             self._in_progress -= 1
 
     async def _answer(self, request: BaseRequest, arrived_ms: int) -> StreamResponse:
-        reply = ClientReply(request, self._leaving, lambda: self._stopping)
+        reply = ClientReply(request, self._leaving, self._is_stopping)
         try:
             call = await self._read(request, reply, arrived_ms)
         except (Exception, asyncio.CancelledError) as exc:
@@ -152,7 +155,11 @@
         try:
             return read_call(request, body, arrived_ms)
         except ValueError as exc:
-            raise UnreadableRequest(400, "malformed_header", f"malformed header: {exc}") from exc
+            raise _malformed_header(exc) from exc
+
+
+def _malformed_header(exc: ValueError) -> UnreadableRequest:
+    return UnreadableRequest(400, "malformed_header", f"malformed header: {exc}")
 
 
 async def _end_unread(exc: BaseException, answer: EndedReply) -> None:
--- /dev/null
+++ b/chestnutfall/tests/test_client_connections.py
@@ -0,0 +1,154 @@
+"""Ends of requests as clients see them on their connections."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from ..clock import SystemClock
+from ..forwarding.call import Call
+from ..forwarding.ended_reply import EndedReply
+from ..forwarding.request_end import Refused
+from ..routes import DocumentLimits
+from .fakes.served_entry import ServedEntry, Work
+
+MAX_BODY_BYTES = 100_000
+HUGE = b"x" * 16_000_000
+"""More than the buffers of both ends of a connection hold."""
+LARGE = b"x" * 300_000
+"""More than a client's end of a connection holds at first."""
+SHORT_MS = 50
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def request(body: bytes = b"", *, version: str = "1.1", length: int | None = None) -> bytes:
+    """A client's request; `length` is that of the whole body if only a part is sent."""
+    size = len(body) if length is None else length
+    return (
+        f"POST /a/x HTTP/{version}\r\nHost: a.example\r\nX-Request-Id: id-1\r\n"
+        f"Content-Length: {size}\r\n\r\n"
+    ).encode() + body
+
+
+async def answer_whole(call: Call, answer: EndedReply) -> None:
+    await answer.send_whole(200, (), b"answer to " + call.body)
+
+
+class ClientConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    async def _start(self, work: Work) -> ServedEntry:
+        entry = ServedEntry(work, DocumentLimits(max_body_bytes=MAX_BODY_BYTES))
+        await entry.start()
+        self.addAsyncCleanup(entry.stop)
+        return entry
+
+    async def _cut_in_the_middle(self, work: Work) -> tuple[ServedEntry, bytes]:
+        """Give `work` a short time while the client does not read; return what it reads then."""
+        cut = asyncio.Event()
+
+        async def within_short_time(call: Call, answer: EndedReply) -> None:
+            try:
+                await SystemClock().within_ms(SHORT_MS, work(call, answer))
+            except TimeoutError:
+                cut.set()
+                await answer.refuse(Refused(504, "out_of_time"))
+
+        entry = await self._start(within_short_time)
+        reader, writer = await entry.connect()
+        writer.write(request().replace(b"\r\n", b"\r\nConnection: close\r\n", 1))
+        # The limit of the reader's buffer stops it.
+        await cut.wait()
+        got = await reader.read()
+        writer.close()
+        return entry, got
+
+    # Guards against an answer that its client reads slowly until the call's time is up: a refusal
+    # was written behind it on the same connection, or the rest of it was thrown away.
+    async def test_a_timeout_in_the_last_write_neither_spoils_nor_loses_the_answer(self) -> None:
+        async def whole(call: Call, answer: EndedReply) -> None:
+            await answer.send_whole(200, (), HUGE)
+
+        entry, got = await self._cut_in_the_middle(whole)
+        head, _, body = got.partition(b"\r\n\r\n")
+        self.assertEqual(head.split(b"\r\n")[0], b"HTTP/1.1 200 OK")
+        self.assertEqual((len(body), body == HUGE), (len(HUGE), True))
+        self.assertEqual(entry.ended("answered"), 1)
+
+    # Guards against a reset that destroys the refusal of a body that is too long: the gateway
+    # closes the connection while parts of the body are still unread.
+    async def test_a_body_that_is_too_long_gets_its_whole_refusal(self) -> None:
+        entry = await self._start(answer_whole)
+        reader, writer = await entry.connect()
+        writer.write(request(b"x" * MAX_BODY_BYTES * 50))
+        await writer.drain()
+        got = await reader.readuntil(b"body_too_large")
+        self.assertTrue(got.startswith(b"HTTP/1.1 413 "), got[:50])
+        self.assertEqual((entry.ended("refused"), entry.calls), (1, []))
+        writer.close()
+
+    # Guards against the same at the end of the process, which closes its connections at once.
+    async def test_a_stop_lets_a_client_that_still_sends_have_its_refusal(self) -> None:
+        entry = await self._start(answer_whole)
+        reader, writer = await entry.connect()
+        writer.write(request(b"x" * MAX_BODY_BYTES * 2, length=MAX_BODY_BYTES * 50))
+        await writer.drain()
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 413 "), head[:50])
+        entry.server.announce_leaving()
+        stopping = asyncio.ensure_future(entry.stop())
+        for _ in range(47):
+            writer.write(b"x" * MAX_BODY_BYTES)
+            await writer.drain()
+        self.assertEqual(await reader.readexactly(14), b"body_too_large")
+        writer.close()
+        await stopping
+
+    # Guards against a client that leaves in its request and is counted as an end of the gateway.
+    async def test_a_client_that_leaves_in_its_request_is_one_that_left(self) -> None:
+        entry = await self._start(answer_whole)
+        _, writer = await entry.connect()
+        writer.write(request(b"x", length=10))
+        await writer.drain()
+        while not entry.server.calls_in_progress():
+            await asyncio.sleep(0.001)
+        writer.transport.abort()
+        while entry.server.calls_in_progress():
+            await asyncio.sleep(0.001)
+        self.assertEqual(entry.ended("client_closed"), 1)
+
+    # Guards against a cancelled future that several calls await: the connections of all of them
+    # were closed without an answer. The connection serves the next request.
+    async def test_a_cancelled_future_leaves_the_connection_usable(self) -> None:
+        shared: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+        async def wait(call: Call, answer: EndedReply) -> None:
+            if call.body:
+                await answer_whole(call, answer)
+            else:
+                await SystemClock().within_ms(60_000, _await(shared))
+
+        entry = await self._start(wait)
+        reader, writer = await entry.connect()
+        writer.write(request())
+        while not entry.calls:
+            await asyncio.sleep(0.001)
+        shared.cancel()
+        got = await reader.readuntil(b"gateway_fault")
+        self.assertTrue(got.startswith(b"HTTP/1.1 503 "), got[:50])
+        writer.write(request(b"2"))
+        self.assertIn(b"200 OK", await reader.readuntil(b"answer to 2"))
+        self.assertEqual((entry.ended("refused"), entry.ended("answered")), (1, 1))
+        writer.close()
+
+    # Guards against pipelined requests that get each other's answers or none.
+    async def test_pipelined_requests_are_answered_in_order(self) -> None:
+        entry = await self._start(answer_whole)
+        reader, writer = await entry.connect()
+        writer.write(b"".join(request(b"%d;" % number) for number in range(20)))
+        for number in range(20):
+            got = await reader.readuntil(b"answer to %d;" % number)
+            self.assertEqual(got.count(b"answer to"), 1)
+        writer.close()
+
+
+async def _await(fut: asyncio.Future[None]) -> None:
+    await fut
--- a/chestnutfall/tests/test_request_ends.py
+++ b/chestnutfall/tests/test_request_ends.py
@@ -6,12 +6,13 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import get_args
+from unittest.mock import patch
 
 from ..clock import ManualClock
 from ..forwarding.caller_reply import CallerGone
 from ..forwarding.ended_reply import EndedReply
 from ..forwarding.request_end import Answered, BrokenOff, CallerLeft, Refused, RequestEnd, Stopped
-from ..forwarding.request_ends import RequestEnds
+from ..forwarding.request_ends import READ_WITHIN_MS, RequestEnds
 from ..observability.prometheus_metrics import PrometheusMetrics
 from ..requests import Executed
 from .fakes.fake_upstreams import RecordedReply
@@ -101,3 +102,30 @@
                 self.assertEqual(self.lines, [f"call: id=id-1 {line} ms=10"])
                 ended = [one for one in self.metrics.text().splitlines() if "_ended_" in one]
                 self.assertEqual(ended, [f"chestnutfall_ended_{count}_total 1"])
+
+    # Guards against an answer that stays in memory for as long as its client likes: the client
+    # reads nothing of it, and the call's time is up.
+    async def test_an_answer_that_is_not_read_is_broken_off(self) -> None:
+        unread: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+        async def never_read(*_: object) -> None:
+            await asyncio.shield(unread)
+
+        async def out_of_time(answer: EndedReply) -> None:
+            try:
+                await self.clock.within_ms(100, answer.send_whole(200, (), b"answer"))
+            except TimeoutError:
+                await answer.refuse(Refused(504, "out_of_time"))
+
+        with (
+            patch.object(self.reply, "send_whole", never_read),
+            patch.object(self.reply, "delivered", never_read),
+        ):
+            ends = RequestEnds(self.clock, self.metrics)
+            task = asyncio.ensure_future(ends.run("id-1", 0, self.reply, out_of_time))
+            await self.clock.advance(100 + READ_WITHIN_MS - 1)
+            self.assertEqual((self.reply.ended, task.done()), ("", False))
+            await self.clock.advance(1)
+            await task
+        self.assertEqual((self.reply.ended, self.reply.reason), ("broken off", "not_read"))
+        self.assertIn("chestnutfall_ended_broken_off_total 1", self.metrics.text())
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -11,6 +11,7 @@
 _ENDS = "chestnutfall/forwarding/request_ends.py"
 _FORWARDER = "chestnutfall/forwarding/forwarder.py"
 _FAULTS_TEST = "chestnutfall.tests.test_call_faults"
+_CONNECTIONS_TEST = "chestnutfall.tests.test_client_connections"
 _ENDS_TEST = "chestnutfall.tests.test_request_ends"
 
 END_MUTANTS = (
@@ -63,4 +64,18 @@
         "        if False:\n            self.break_off(BrokenOff(end.reason))",
         _FAULTS_TEST,
     ),
+    Mutant(
+        "last write cut by the end of the call's time",
+        _REPLY,
+        "        await self._send_end(response.write_eof())",
+        "        await self._to_client(response.write_eof())",
+        _CONNECTIONS_TEST,
+    ),
+    Mutant(
+        "answer kept for a client that does not read",
+        _ENDS,
+        "            await self._clock.within_ms(READ_WITHIN_MS, answer.delivered())",
+        "            await answer.delivered()",
+        _ENDS_TEST,
+    ),
 )
