Reset a connection whose cut answer would look whole

A client that speaks HTTP/1.0 gets a stream without chunks, whose end is the end of its connection. A stream that the gateway broke off ended with an orderly close, so that the part looked like a whole answer.

break_off resets the connection if the answer has neither chunks nor a length. The test reads such a stream over a real connection; before this it fails with "ConnectionResetError not raised".

--- a/chestnutfall/platform/client_reply.py
+++ b/chestnutfall/platform/client_reply.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -15,6 +17,9 @@
 from ..forwarding.request_end import BrokenOff, Refused
 from . import header_names as names
 
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER: what is unsent is dropped, and the peer gets a reset."""
+
 
 class ClientReply(CallerReply):
     """The answer to one HTTP request of a client.
@@ -68,9 +73,15 @@
 
     def break_off(self, end: BrokenOff) -> None:
         self._broken_off = True
-        # Without its last chunk, the client can't take a chunked answer for complete.
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        transport = self._request.transport
+        if transport is None:
+            return
+        # Without its last chunk, the client can't take a chunked answer for complete. The end of
+        # one with neither chunks nor a length is the end of its connection, unless it is a reset.
+        if self.response is not None and not _is_framed(self.response):
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
+        transport.abort()
 
     async def refuse(self, end: Refused) -> None:
         headers = {"Content-Type": "text/plain"}
@@ -112,6 +123,11 @@
             response.force_close()
 
 
+def _is_framed(response: StreamResponse) -> bool:
+    """Whether a client can tell from the bytes alone that the answer is incomplete."""
+    return "Transfer-Encoding" in response.headers or "Content-Length" in response.headers
+
+
 def _without_connection_headers(headers: Headers) -> CIMultiDict[str]:
     return CIMultiDict(
         (name, value) for name, value in headers if name.lower() not in names.CONNECTION_ONLY
--- a/chestnutfall/tests/test_client_connections.py
+++ b/chestnutfall/tests/test_client_connections.py
@@ -8,7 +8,7 @@
 from ..clock import SystemClock
 from ..forwarding.call import Call
 from ..forwarding.ended_reply import EndedReply
-from ..forwarding.request_end import Refused
+from ..forwarding.request_end import BrokenOff, Refused
 from ..routes import DocumentLimits
 from .fakes.served_entry import ServedEntry, Work
 
@@ -115,6 +115,25 @@
             await asyncio.sleep(0.001)
         self.assertEqual(entry.ended("client_closed"), 1)
 
+    # Guards against an answer cut off by the gateway that looks whole: without chunks, its end is
+    # the end of the connection.
+    async def test_a_broken_answer_without_chunks_ends_with_a_reset(self) -> None:
+        async def break_off(call: Call, answer: EndedReply) -> None:
+            await answer.start(200, ())
+            await answer.write(b"id: 1\n\n")
+            answer.break_off(BrokenOff("lost"))
+
+        entry = await self._start(break_off)
+        reader, writer = await entry.connect()
+        writer.write(request(version="1.0"))
+        with self.assertRaises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+        reader, writer = await entry.connect()
+        writer.write(request())
+        self.assertFalse((await reader.read()).endswith(LAST_CHUNK))
+        writer.close()
+
     # Guards against a cancelled future that several calls await: the connections of all of them
     # were closed without an answer. The connection serves the next request.
     async def test_a_cancelled_future_leaves_the_connection_usable(self) -> None:
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -78,4 +78,11 @@
         "            await answer.delivered()",
         _ENDS_TEST,
     ),
+    Mutant(
+        "cut answer without chunks looks whole",
+        _REPLY,
+        "        if self.response is not None and not _is_framed(self.response):",
+        "        if False:",
+        _CONNECTIONS_TEST,
+    ),
 )
