Refuse a request whose body does not come by its deadline

A request whose body stopped halfway was held until its client left: no route and no timeout is known before the body is whole. A malformed chunk that comes after the head is such a case too, since the HTTP library doesn't tell the reader of the body.

The test sends half a sized body, half a chunked one and a malformed chunk over real connections.

--- a/chestnutfall/platform/call_reader.py
+++ b/chestnutfall/platform/call_reader.py
@@ -39,7 +39,7 @@
         headers=_forwarded_headers(request.raw_headers),
         body=body,
         arrived_ms=arrived_ms,
-        deadline_ms=arrived_ms + int(headers.get(names.DEADLINE, DEFAULT_DEADLINE_MS)),
+        deadline_ms=arrived_ms + deadline_ms(request),
         adapter=_adapter(headers.get(names.MODEL)),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
@@ -51,6 +51,17 @@
     )
 
 
+def deadline_ms(request: BaseRequest) -> int:
+    """Return how long the client waits for its answer, from the arrival of its request.
+
+    Raises
+    ------
+    ValueError
+        If the header that states it is malformed.
+    """
+    return int(request.headers.get(names.DEADLINE, DEFAULT_DEADLINE_MS))
+
+
 def _resumed_attempt(named: list[str]) -> str:
     """Return the attempt that a client names; empty unless it names exactly one.
 
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -25,7 +25,7 @@
 from ..rush import ConnectionGate, GatedServer
 from . import header_names as names
 from .body import read_body
-from .call_reader import read_call
+from .call_reader import deadline_ms, read_call
 from .client_reply import ClientReply
 from .gated_listening import GatedListener, listen_gated
 from .listening import Listener, listen
@@ -143,7 +143,9 @@
         """
         max_bytes = self._limits().max_body_bytes
         try:
-            body = await read_body(request, max_bytes)
+            body = await self._clock.within_ms(_deadline_ms(request), read_body(request, max_bytes))
+        except TimeoutError as exc:
+            raise UnreadableRequest(408, "body_late", "no whole body before the deadline") from exc
         except (RequestPayloadError, HttpProcessingError) as exc:
             raise UnreadableRequest(400, "malformed_body", str(exc)) from exc
         except ConnectionError as exc:
@@ -158,6 +160,13 @@
             raise _malformed_header(exc) from exc
 
 
+def _deadline_ms(request: BaseRequest) -> int:
+    try:
+        return deadline_ms(request)
+    except ValueError as exc:
+        raise _malformed_header(exc) from exc
+
+
 def _malformed_header(exc: ValueError) -> UnreadableRequest:
     return UnreadableRequest(400, "malformed_header", f"malformed header: {exc}")
 
--- a/chestnutfall/tests/test_client_connections.py
+++ b/chestnutfall/tests/test_client_connections.py
@@ -102,6 +102,24 @@
         writer.close()
         await stopping
 
+    # Guards against a request that is held for ever: the rest of its body never comes, or breaks
+    # the protocol, which the HTTP library doesn't tell whoever reads the body.
+    async def test_a_body_that_does_not_come_is_refused_at_the_deadline(self) -> None:
+        head = b"POST /a/x HTTP/1.1\r\nHost: a.example\r\nX-Deadline-Ms: 50\r\n"
+        chunked, sized = b"Transfer-Encoding: chunked\r\n\r\n", b"Content-Length: 5\r\n\r\n"
+        for framing, rest in ((chunked, b"no size\r\n"), (chunked, b"2\r\nab\r\n"), (sized, b"ab")):
+            with self.subTest(rest):
+                entry = await self._start(answer_whole)
+                reader, writer = await entry.connect()
+                writer.write(head + framing)
+                while not entry.server.calls_in_progress():
+                    await asyncio.sleep(0.001)
+                writer.write(rest)
+                got = await reader.readuntil(b"body_late")
+                self.assertTrue(got.startswith(b"HTTP/1.1 408 "), got[:50])
+                self.assertEqual((entry.ended("refused"), entry.calls), (1, []))
+                writer.close()
+
     # Guards against a client that leaves in its request and is counted as an end of the gateway.
     async def test_a_client_that_leaves_in_its_request_is_one_that_left(self) -> None:
         entry = await self._start(answer_whole)
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -7,6 +7,7 @@
 _REPLY = "chestnutfall/platform/client_reply.py"
 _REPLY_TEST = "chestnutfall.tests.test_client_reply"
 
+_ENTRY = "chestnutfall/platform/entry_server.py"
 _ENDED = "chestnutfall/forwarding/ended_reply.py"
 _ENDS = "chestnutfall/forwarding/request_ends.py"
 _FORWARDER = "chestnutfall/forwarding/forwarder.py"
@@ -85,4 +86,12 @@
         "        if False:",
         _CONNECTIONS_TEST,
     ),
+    Mutant(
+        "request held for a body that does not come",
+        _ENTRY,
+        "            body = await self._clock.within_ms("
+        "_deadline_ms(request), read_body(request, max_bytes))",
+        "            body = await read_body(request, max_bytes)",
+        _CONNECTIONS_TEST,
+    ),
 )
