--- /dev/null
+++ b/chestnutfall/forwarding/faults.py
@@ -0,0 +1,37 @@
+"""Errors that a call meets on its way and that nothing there expects."""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+from collections.abc import Awaitable
+
+
+class InnerTimeout(Exception):
+    """Something that a call waited for timed out by itself, before the call's own time was up."""
+
+
+async def keep_timeouts_apart(work: Awaitable[None]) -> None:
+    """Run `work`, whose own timeouts are raised as `InnerTimeout`."""
+    try:
+        await work
+    except TimeoutError as exc:
+        raise InnerTimeout(str(exc)) from exc
+
+
+def is_cancelled() -> bool:
+    """Whether the running task is cancelled itself.
+
+    False if a `CancelledError` comes from something awaited that was cancelled, such as a future
+    that several calls share.
+    """
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
+def fault_text(fault: BaseException) -> str:
+    """Describe an error by its type, the place that raised it, and its message."""
+    raised = fault.__cause__ or fault
+    frames = traceback.extract_tb(raised.__traceback__)
+    place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else "unknown"
+    return f"{type(raised).__name__} at={place} message={raised}"
--- a/chestnutfall/platform/client_reply.py
+++ b/chestnutfall/platform/client_reply.py
@@ -2,14 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 from multidict import CIMultiDict
 
 from ..forwarding.call import Headers
-from ..forwarding.caller_reply import CallerReply
+from ..forwarding.caller_reply import CallerGone, CallerReply
+from ..forwarding.request_end import BrokenOff, Refused
 from . import header_names as names
 
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER: what is unsent is dropped, and the peer gets a reset."""
+
 
 class ClientReply(CallerReply):
     """The answer to one HTTP request of a client.
@@ -20,12 +30,29 @@
         The response once its headers are being sent; None before.
     """
 
-    def __init__(self, request: BaseRequest, closing: bool) -> None:
-        """Answer `request`; if `closing`, close its connection after the answer."""
+    def __init__(
+        self,
+        request: BaseRequest,
+        closing: bool,
+        is_stopping: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Answer `request`; if `closing`, close its connection after the answer.
+
+        `is_stopping` tells whether the server closes all connections.
+        """
         self._request = request
         self._closing = closing
+        self._is_stopping = is_stopping
+        self._broken_off = False
+        self._ending: asyncio.Future[None] | None = None
         self.response: StreamResponse | None = None
 
+    def is_gone(self) -> bool:
+        if self._broken_off or self._is_stopping():
+            return False
+        transport = self._request.transport
+        return transport is None or transport.is_closing()
+
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         kept = _without_connection_headers(headers)
         await self._send(Response(status=status, headers=kept, body=body))
@@ -34,39 +61,80 @@
         response = StreamResponse(status=status, headers=_without_connection_headers(headers))
         self._close_if_closing(response)
         self.response = response
-        await response.prepare(self._request)
+        await self._to_client(response.prepare(self._request))
 
     async def write(self, data: bytes) -> None:
         assert self.response is not None
-        await self.response.write(data)
+        await self._to_client(self.response.write(data))
 
     async def finish(self) -> None:
         assert self.response is not None
-        await self.response.write_eof()
-
-    def break_off(self) -> None:
-        # Without its last chunk, the client can't take a chunked answer for complete.
-        if self._request.transport is not None:
-            self._request.transport.abort()
-
-    async def refuse(self, status: int, reason: str, retry_after_ms: int | None) -> None:
+        await self._send_end(self.response.write_eof())
+
+    def break_off(self, end: BrokenOff) -> None:
+        self._broken_off = True
+        transport = self._request.transport
+        if transport is None:
+            return
+        # Without its last chunk, the client can't take a chunked answer for complete. The end of
+        # one with neither chunks nor a length is the end of its connection, unless it is a reset.
+        if self.response is not None and not _is_framed(self.response):
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
+        transport.abort()
+
+    async def refuse(self, end: Refused) -> None:
         headers = {"Content-Type": "text/plain"}
-        if retry_after_ms is not None:
-            headers[names.RETRY_AFTER] = f"{retry_after_ms / 1000:g}"
-        await self._send(Response(status=status, headers=headers, text=reason))
+        if end.retry_after_ms is not None:
+            headers[names.RETRY_AFTER] = f"{end.retry_after_ms / 1000:g}"
+        await self._send(Response(status=end.status, headers=headers, text=end.reason))
+
+    async def delivered(self) -> None:
+        if self._ending is not None:
+            await asyncio.shield(self._ending)
 
     async def _send(self, response: Response) -> None:
         self._close_if_closing(response)
         self.response = response
-        await response.prepare(self._request)
-        await response.write_eof()
+        await self._to_client(response.prepare(self._request))
+        await self._send_end(response.write_eof())
+
+    async def _send_end(self, sending: Coroutine[Any, Any, None]) -> None:
+        """Send the end of an answer; it goes on by itself if this is cancelled.
+
+        A client that reads slowly makes it wait. aiohttp counts an end that is cancelled then as
+        not sent, and writes it a second time behind the first.
+        """
+        self._ending = asyncio.ensure_future(self._to_client(sending))
+        self._ending.add_done_callback(_take_error)
+        await asyncio.shield(self._ending)
+
+    async def _to_client(self, sending: Awaitable[Any]) -> None:
+        """Wait until bytes are handed to the client's connection."""
+        try:
+            await sending
+        except ConnectionError as exc:
+            if self.is_gone():
+                raise CallerGone("the client's connection is closed") from exc
+            raise
 
     def _close_if_closing(self, response: StreamResponse) -> None:
         if self._closing:
             response.force_close()
 
 
+def _is_framed(response: StreamResponse) -> bool:
+    """Whether a client can tell from the bytes alone that the answer is incomplete."""
+    return "Transfer-Encoding" in response.headers or "Content-Length" in response.headers
+
+
 def _without_connection_headers(headers: Headers) -> CIMultiDict[str]:
     return CIMultiDict(
         (name, value) for name, value in headers if name.lower() not in names.CONNECTION_ONLY
     )
+
+
+def _take_error(ending: asyncio.Future[None]) -> None:
+    """Take note of the error of an end that nothing waits for any more."""
+    if not ending.cancelled():
+        ending.exception()
--- /dev/null
+++ b/properties/safeguards/end_mutants.py
@@ -0,0 +1,97 @@
+"""Mutants of the safeguards of how a client's request ends."""
+
+from __future__ import annotations
+
+from ..mutant import Mutant
+
+_REPLY = "chestnutfall/platform/client_reply.py"
+_REPLY_TEST = "chestnutfall.tests.test_client_reply"
+
+_ENTRY = "chestnutfall/platform/entry_server.py"
+_ENDED = "chestnutfall/forwarding/ended_reply.py"
+_ENDS = "chestnutfall/forwarding/request_ends.py"
+_FORWARDER = "chestnutfall/forwarding/forwarder.py"
+_FAULTS_TEST = "chestnutfall.tests.test_call_faults"
+_CONNECTIONS_TEST = "chestnutfall.tests.test_client_connections"
+_ENDS_TEST = "chestnutfall.tests.test_request_ends"
+
+END_MUTANTS = (
+    Mutant(
+        "end of the gateway called one of the client",
+        _ENDED,
+        "        if self.is_gone():\n            self.note_gone()\n        elif self.end is None:",
+        "        if True:\n            self.note_gone()\n        elif self.end is None:",
+        _ENDS_TEST,
+    ),
+    Mutant(
+        "client that left taken for a lost upstream",
+        _REPLY,
+        "            if self.is_gone():",
+        "            if False:",
+        _REPLY_TEST,
+    ),
+    Mutant(
+        "stream that the gateway broke off taken for one whose client left",
+        _REPLY,
+        "        if self._broken_off or self._is_stopping():",
+        "        if self._is_stopping():",
+        _REPLY_TEST,
+    ),
+    Mutant(
+        "cancelled future taken for a cancelled request",
+        _ENDS,
+        "            if isinstance(exc, asyncio.CancelledError) and is_cancelled():",
+        "            if isinstance(exc, asyncio.CancelledError):",
+        _FAULTS_TEST,
+    ),
+    Mutant(
+        "fault after a send refused as not run",
+        _ENDS,
+        "    if answer.may_have_run:",
+        "    if False:",
+        _FAULTS_TEST,
+    ),
+    Mutant(
+        "timeout of a part taken for the end of the call's time",
+        _FORWARDER,
+        "            run = keep_timeouts_apart(self._run(progress, route, table, reply))",
+        "            run = self._run(progress, route, table, reply)",
+        _FAULTS_TEST,
+    ),
+    Mutant(
+        "second end after an answer",
+        _ENDED,
+        "        if self._begun:\n            self.break_off(BrokenOff(end.reason))",
+        "        if False:\n            self.break_off(BrokenOff(end.reason))",
+        _FAULTS_TEST,
+    ),
+    Mutant(
+        "last write cut by the end of the call's time",
+        _REPLY,
+        "        await self._send_end(response.write_eof())",
+        "        await self._to_client(response.write_eof())",
+        _CONNECTIONS_TEST,
+    ),
+    Mutant(
+        "answer kept for a client that does not read",
+        _ENDS,
+        "            await self._clock.within_ms(READ_WITHIN_MS, answer.delivered())",
+        "            await answer.delivered()",
+        _ENDS_TEST,
+    ),
+    Mutant(
+        "cut answer without chunks looks whole",
+        _REPLY,
+        "        if self.response is not None and not _is_framed(self.response):",
+        "        if False:",
+        _CONNECTIONS_TEST,
+    ),
+    Mutant(
+        "request held for a body that does not come",
+        _ENTRY,
+        "            body = await self._clock.within_ms("
+        "_deadline_ms(request), read_body(request, max_bytes))",
+        "            body = await read_body(request, max_bytes)",
+        _CONNECTIONS_TEST,
+    ),
+)
