Name why each request of a caller ended

A request of the OpenAI dialect or of a plain service could end in five places: a refusal, aiohttp's own 500, a broken stream, a ConnectionError or a CancelledError that aiohttp takes for a client that left. Only the first and third were counted, none was logged, and an end on our side could not be told from one of the client's.

All of them now pass `RequestEnding`, whose closed union `RequestEnd` lists the reasons (answered, refused, broken_off, caller_left, cancelled, failed). Each end has one line (`end: id=... reason=...`) and one count (`ends.<reason>`); an error that no part expects is logged with its trace. `caller_left` is said only if the client's transport is closed, `cancelled` only if this task itself was cancelled. A response is written before its end is recorded, so a caller that leaves during the last write is seen. What callers get is as before.

--- a/chestnutfall/caller_edge/caller_app.py
+++ b/chestnutfall/caller_edge/caller_app.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import logging
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 
 from aiohttp import web
@@ -11,20 +10,20 @@
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 from ..clock import Clock
-from ..engine_edge import AnswerEvent, Batches
+from ..config.typed_config import TypedConfig
 from ..membership import GatewayAgent
 from ..observability.metrics import Metrics
 from ..plain_edge import PlainProxy
-from ..requests import CallerRequest, Refusal, digest_of
+from ..requests import CallerRequest, Executed, Refusal, digest_of
 from ..routing import ClaimClient, ClaimRequest, Dispatcher
+from .answer_stream import stream_answer
 from .caller_limits import CallerLimits
-from .error_body import error_headers, error_text
+from .request_ending import RequestEnding
 from .request_parser import parse_request
+from .request_progress import RequestProgress
 
-log = logging.getLogger(__name__)
 MAX_BODY_BYTES = 2 * 1024 * 1024
 BODY_TIMEOUT_MS = 5000
-_STARTED_STREAM = web.RequestKey("started", web.StreamResponse)
 _PROPAGATOR = TraceContextTextMapPropagator()
 
 
@@ -61,7 +60,7 @@
         self._plain = plain
         self._limits = limits
         self._clock = clock
-        self._metrics = metrics
+        self._ending = RequestEnding(clock, metrics)
         self._tracer = tracer
         self.ready = True
         self.refusing = False
@@ -87,37 +86,39 @@
         return web.json_response(body, status=200 if ready else 503)
 
     async def _models(self, request: web.Request) -> web.StreamResponse:
-        request_id = ""
-        try:
-            name = self._authenticate(request)
-        except Refusal as refusal:
-            return self._refusal_response(refusal, request_id)
-        cfg = self._agent.config
-        caller = cfg.callers[name]
-        models = (
-            {"id": f"{adapter_name}@{version}", "object": "model", "owned_by": adapter.service}
-            for adapter_name, adapter in sorted(cfg.adapters.items())
-            if caller.may_use_adapter(adapter_name)
-            for version in adapter.versions
-        )
-        return web.json_response({"object": "list", "data": list(models)})
+        async def work(progress: RequestProgress) -> web.StreamResponse:
+            cfg = self._agent.config
+            name = self._authenticate(request, progress)
+            return web.json_response({"object": "list", "data": _models_of(cfg, name)})
+
+        return await self._ending.serve(request, work)
 
     async def _call_plain_service(self, request: web.Request) -> web.StreamResponse:
-        try:
-            caller = self._authenticate(request)
+        async def work(progress: RequestProgress) -> web.StreamResponse:
+            caller = self._authenticate(request, progress)
             async with self._admitted(caller):
                 body = await self._read_body(request)
+                progress.executed = Executed.UNKNOWN
                 return await self._plain.answer(request, caller, body)
-        except Refusal as refusal:
-            return self._refusal_response(refusal, "")
+
+        return await self._ending.serve(request, work)
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         span = self._tracer.start_span("entry", context=_PROPAGATOR.extract(request.headers))
+        try:
+            return await self._ending.serve(
+                request, lambda progress: self._complete_in_span(request, progress, span)
+            )
+        finally:
+            span.end()
+
+    async def _complete_in_span(
+        self, request: web.Request, progress: RequestProgress, span: trace.Span
+    ) -> web.StreamResponse:
         headers: dict[str, str] = {}
         _PROPAGATOR.inject(headers, trace.set_span_in_context(span))
-        request_id = ""
         try:
-            caller = self._authenticate(request)
+            caller = self._authenticate(request, progress)
             async with self._admitted(caller):
                 body = await self._read_body(request)
                 req = parse_request(
@@ -129,20 +130,17 @@
                     self._clock.now_ms(),
                     headers,
                 )
-                request_id = req.request_id
+                progress.request_id = req.request_id
                 span.set_attribute("model", req.model)
-                span.set_attribute("request_id", request_id)
-                return await self._answer_with_claim(request, req)
+                span.set_attribute("request_id", req.request_id)
+                return await self._answer_with_claim(request, req, progress)
         except Refusal as refusal:
             span.set_attribute("refused", refusal.code)
-            started = request.get(_STARTED_STREAM)
-            return self._refusal_response(refusal, request_id) if started is None else started
-        finally:
-            span.end()
+            raise
 
     # Admission
 
-    def _authenticate(self, request: web.Request) -> str:
+    def _authenticate(self, request: web.Request, progress: RequestProgress) -> str:
         if self.refusing:
             raise Refusal(503, "draining", "this host is shutting down", retry_after_ms=1000)
         # A gateway that is cut off from the controllers may act on a grant that was revoked, so it
@@ -155,6 +153,7 @@
         caller = self._agent.config.caller_by_key(key.strip()) if kind == "Bearer" else None
         if caller is None:
             raise Refusal(401, "invalid_key", "a known bearer key is needed")
+        progress.caller = caller
         return caller
 
     @asynccontextmanager
@@ -181,10 +180,10 @@
     # Answers
 
     async def _answer_with_claim(
-        self, request: web.Request, req: CallerRequest
+        self, request: web.Request, req: CallerRequest, progress: RequestProgress
     ) -> web.StreamResponse:
         if not req.claim_key:
-            return await self._answer(request, req)
+            return await self._answer(request, req, progress)
         wanted = ClaimRequest(
             req.caller,
             req.claim_key,
@@ -195,14 +194,18 @@
         async with AsyncExitStack() as stack:
             with self._tracer.start_span("claim", context=_PROPAGATOR.extract(req.trace)):
                 await stack.enter_async_context(self._claims.held(wanted))
-            return await self._answer(request, req)
+            return await self._answer(request, req, progress)
 
-    async def _answer(self, request: web.Request, req: CallerRequest) -> web.StreamResponse:
+    async def _answer(
+        self, request: web.Request, req: CallerRequest, progress: RequestProgress
+    ) -> web.StreamResponse:
+        progress.executed = Executed.UNKNOWN
         batches = self._dispatcher.answer(req)
         try:
             first = await anext(batches)
+            progress.executed = Executed.YES
             if req.stream:
-                return await self._stream(request, req, first, batches)
+                return await stream_answer(request, progress, first, batches)
             return web.Response(
                 body=first[0].data,
                 content_type="application/json",
@@ -211,46 +214,12 @@
         finally:
             await batches.aclose()
 
-    async def _stream(
-        self,
-        request: web.Request,
-        req: CallerRequest,
-        first: Sequence[AnswerEvent],
-        batches: Batches,
-    ) -> web.StreamResponse:
-        resp = web.StreamResponse(
-            headers={
-                "Content-Type": "text/event-stream",
-                "Cache-Control": "no-cache",
-                "X-Request-Id": req.request_id,
-            }
-        )
-        await resp.prepare(request)
-        try:
-            await resp.write(_encode_events(first))
-            async for events in batches:
-                await resp.write(_encode_events(events))
-            await resp.write_eof()
-        except Refusal as refusal:
-            # A regular end of the transfer would make a truncated answer look complete. Clients
-            # that parse events see the error event; all others see the broken transfer.
-            await resp.write(b"data: " + error_text(refusal, req.request_id).encode() + b"\n\n")
-            self._metrics.count(f"broken_streams.{refusal.code}")
-            if request.transport is not None:
-                request.transport.close()
-            request[_STARTED_STREAM] = resp
-            raise
-        return resp
-
-    def _refusal_response(self, refusal: Refusal, request_id: str) -> web.StreamResponse:
-        self._metrics.count(f"refused.{refusal.code}")
-        return web.Response(
-            status=refusal.status,
-            text=error_text(refusal, request_id),
-            content_type="application/json",
-            headers=error_headers(refusal),
-        )
-
 
-def _encode_events(events: Sequence[AnswerEvent]) -> bytes:
-    return b"".join(b"data: " + event.data + b"\n\n" for event in events)
+def _models_of(cfg: TypedConfig, name: str) -> list[dict[str, str]]:
+    caller = cfg.callers[name]
+    return [
+        {"id": f"{adapter_name}@{version}", "object": "model", "owned_by": adapter.service}
+        for adapter_name, adapter in sorted(cfg.adapters.items())
+        if caller.may_use_adapter(adapter_name)
+        for version in adapter.versions
+    ]
--- /dev/null
+++ b/chestnutfall/caller_edge/request_ending.py
@@ -0,0 +1,155 @@
+"""The one place at which the requests of callers end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from ..clock import Clock
+from ..observability.metrics import Metrics
+from ..requests import Refusal
+from .error_body import error_headers, error_text
+from .request_end import (
+    Answered,
+    BrokenOff,
+    CallerLeft,
+    Cancelled,
+    Failed,
+    Refused,
+    RequestEnd,
+    reason_of,
+)
+from .request_progress import RequestProgress
+
+log = logging.getLogger(__name__)
+Work = Callable[[RequestProgress], Awaitable[web.StreamResponse]]
+"""Serves one request, and returns its response or raises."""
+
+
+class RequestEnding:
+    """Runs each request of a caller, writes what it still has to get, and records the end.
+
+    No request ends elsewhere: each end is a `RequestEnd` with one log line and one count.
+    """
+
+    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+        self._clock = clock
+        self._metrics = metrics
+
+    async def serve(self, request: web.Request, work: Work) -> web.StreamResponse:
+        """Run `work` and return the response, which has been written."""
+        progress = RequestProgress(self._clock.now_ms())
+        end = await _run(request, progress, work)
+        try:
+            resp = await self._write(request, progress, end)
+        except (Exception, asyncio.CancelledError) as exc:
+            self._record(request, progress, _end_after(exc, request, progress))
+            raise
+        self._record(request, progress, end)
+        return resp
+
+    async def _write(
+        self, request: web.Request, progress: RequestProgress, end: RequestEnd
+    ) -> web.StreamResponse:
+        match end:
+            case Answered(resp):
+                return await _write_response(request, resp)
+            case Refused(refusal):
+                self._metrics.count(f"refused.{refusal.code}")
+                return await _write_response(request, _error_response(refusal, progress))
+            case BrokenOff(refusal, stream):
+                self._metrics.count(f"broken_streams.{refusal.code}")
+                return await _break_off(request, progress, refusal, stream)
+            case CallerLeft(error) | Cancelled(error) | Failed(error):
+                raise error
+
+    def _record(self, request: web.Request, progress: RequestProgress, end: RequestEnd) -> None:
+        reason = reason_of(end)
+        self._metrics.count(f"ends.{reason}")
+        log.info(
+            "end: id=%s caller=%s path=%s reason=%s %s began=%s ms=%d",
+            progress.request_id,
+            progress.caller,
+            request.path,
+            reason,
+            _details(end, progress),
+            progress.stream is not None,
+            self._clock.now_ms() - progress.arrived_ms,
+            exc_info=end.error if isinstance(end, Failed) else None,
+        )
+
+
+async def _run(request: web.Request, progress: RequestProgress, work: Work) -> RequestEnd:
+    try:
+        return Answered(await work(progress))
+    except (Exception, asyncio.CancelledError) as exc:
+        return _end_after(exc, request, progress)
+
+
+def _end_after(exc: BaseException, request: web.Request, progress: RequestProgress) -> RequestEnd:
+    match exc:
+        case Refusal() if progress.stream is not None:
+            return BrokenOff(exc, progress.stream)
+        case Refusal():
+            return Refused(exc)
+        # Connections to engines, gateways and controllers raise the same errors, so only the state
+        # of the caller's transport shows that the caller has left.
+        case ConnectionError() | asyncio.CancelledError() if _is_closed(request):
+            return CallerLeft(exc)
+        case asyncio.CancelledError() if _is_cancelled():
+            return Cancelled(exc)
+        case _:
+            return Failed(exc)
+
+
+def _is_closed(request: web.Request) -> bool:
+    transport = request.transport
+    return transport is None or transport.is_closing()
+
+
+def _is_cancelled() -> bool:
+    """Whether this task was cancelled, and not only something that it waited for."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
+def _details(end: RequestEnd, progress: RequestProgress) -> str:
+    match end:
+        case Answered(resp):
+            return f"status={resp.status}"
+        case Refused(refusal):
+            executed = refusal.executed.value
+            return f"status={refusal.status} code={refusal.code} executed={executed}"
+        case BrokenOff(refusal, _):
+            return f"code={refusal.code} executed={refusal.executed.value}"
+        case CallerLeft(error) | Cancelled(error) | Failed(error):
+            return f"error={type(error).__name__} executed={progress.executed.value}"
+
+
+async def _write_response(request: web.Request, resp: web.StreamResponse) -> web.StreamResponse:
+    await resp.prepare(request)
+    await resp.write_eof()
+    return resp
+
+
+def _error_response(refusal: Refusal, progress: RequestProgress) -> web.Response:
+    return web.Response(
+        status=refusal.status,
+        text=error_text(refusal, progress.request_id),
+        content_type="application/json",
+        headers=error_headers(refusal),
+    )
+
+
+async def _break_off(
+    request: web.Request, progress: RequestProgress, refusal: Refusal, stream: web.StreamResponse
+) -> web.StreamResponse:
+    # A regular end of the transfer would make a truncated answer look complete. Clients that parse
+    # events see the error event; all others see the broken transfer.
+    await stream.write(b"data: " + error_text(refusal, progress.request_id).encode() + b"\n\n")
+    if request.transport is not None:
+        request.transport.close()
+    return stream
