Refuse requests that end by an unexpected error

Callers saw aiohttp's bare 500 without `executed`, an empty 500, or a connection that closed without a byte; a stream broke without its error event. Cause: whatever came out of a collaborator other than `Refusal` (ConnectionError of a link, OSError, KeyError, TimeoutError, a CancelledError of a future that was cancelled elsewhere) left the handler.

`RequestEnding` now turns it into a refusal `internal_error`: 503 if nothing was sent, 502 with `executed` unknown or yes otherwise, and for a stream that has begun the error event and the visible break. A CancelledError counts as ours only if this task was cancelled, as a client's only if its transport is closed. A write that fails since the client is gone is recorded once and not raised on, so it isn't logged a second time as an error of the server.

--- a/chestnutfall/caller_edge/request_ending.py
+++ b/chestnutfall/caller_edge/request_ending.py
@@ -10,7 +10,7 @@
 
 from ..clock import Clock
 from ..observability.metrics import Metrics
-from ..requests import Refusal
+from ..requests import Executed, Refusal
 from .error_body import error_headers, error_text
 from .request_end import (
     Answered,
@@ -25,6 +25,7 @@
 from .request_progress import RequestProgress
 
 log = logging.getLogger(__name__)
+INTERNAL_RETRY_MS = 1000
 Work = Callable[[RequestProgress], Awaitable[web.StreamResponse]]
 """Serves one request, and returns its response or raises."""
 
@@ -46,8 +47,9 @@
         try:
             resp = await self._write(request, progress, end)
         except (Exception, asyncio.CancelledError) as exc:
-            self._record(request, progress, _end_after(exc, request, progress))
-            raise
+            end = _end_after(exc, request, progress)
+            self._record(request, progress, end)
+            return _unwritten(end, progress, exc)
         self._record(request, progress, end)
         return resp
 
@@ -63,7 +65,10 @@
             case BrokenOff(refusal, stream):
                 self._metrics.count(f"broken_streams.{refusal.code}")
                 return await _break_off(request, progress, refusal, stream)
-            case CallerLeft(error) | Cancelled(error) | Failed(error):
+            case Failed():
+                refusal = _internal_refusal(progress.executed)
+                return await self._write(request, progress, _end_by(refusal, progress))
+            case CallerLeft(error) | Cancelled(error):
                 raise error
 
     def _record(self, request: web.Request, progress: RequestProgress, end: RequestEnd) -> None:
@@ -91,10 +96,8 @@
 
 def _end_after(exc: BaseException, request: web.Request, progress: RequestProgress) -> RequestEnd:
     match exc:
-        case Refusal() if progress.stream is not None:
-            return BrokenOff(exc, progress.stream)
         case Refusal():
-            return Refused(exc)
+            return _end_by(exc, progress)
         # Connections to engines, gateways and controllers raise the same errors, so only the state
         # of the caller's transport shows that the caller has left.
         case ConnectionError() | asyncio.CancelledError() if _is_closed(request):
@@ -105,6 +108,35 @@
             return Failed(exc)
 
 
+def _unwritten(
+    end: RequestEnd, progress: RequestProgress, exc: BaseException
+) -> web.StreamResponse:
+    match end:
+        case CallerLeft(ConnectionError()):
+            # aiohttp finds its transport closed and drops the response; raised, the error would be
+            # logged once more, as one of ours.
+            return progress.stream or web.Response()
+        case _:
+            raise exc
+
+
+def _end_by(refusal: Refusal, progress: RequestProgress) -> RequestEnd:
+    if progress.stream is None:
+        return Refused(refusal)
+    return BrokenOff(refusal, progress.stream)
+
+
+def _internal_refusal(executed: Executed) -> Refusal:
+    not_run = executed is Executed.NO
+    return Refusal(
+        503 if not_run else 502,
+        "internal_error",
+        "a part of the gateway failed",
+        executed,
+        INTERNAL_RETRY_MS if not_run else None,
+    )
+
+
 def _is_closed(request: web.Request) -> bool:
     transport = request.transport
     return transport is None or transport.is_closing()
--- a/chestnutfall/tests/test_completion_ends.py
+++ b/chestnutfall/tests/test_completion_ends.py
@@ -8,8 +8,26 @@
 
 import asyncio
 import json
+import unittest
+from typing import Any, get_args
 
+from aiohttp import web
+
+from ..caller_edge.request_end import (
+    Answered,
+    BrokenOff,
+    CallerLeft,
+    Cancelled,
+    Failed,
+    Refused,
+    RequestEnd,
+)
+from ..caller_edge.request_ending import RequestEnding
 from ..caller_edge.request_ending import log as ending_log
+from ..caller_edge.request_progress import RequestProgress
+from ..clock import ManualClock
+from ..observability.metrics import Metrics
+from ..requests import Executed, Refusal
 from .fakes.caller_edge_case import BROKEN, CallerEdgeCase
 
 
@@ -58,3 +76,94 @@
         self.assertEqual(self.ends(), {"caller_left": 1})
         self.assertEqual(self.gateway.quarantine._reports, set())
         self.assertEqual(self.metrics.counts["retries"], 0)
+
+
+class EndReasonTest(unittest.IsolatedAsyncioTestCase):
+    """One request for each kind of `RequestEnd`, at a real server."""
+
+    async def asyncSetUp(self) -> None:
+        self.metrics = Metrics(None, "gateway")
+        self.ending = RequestEnding(ManualClock(), self.metrics)
+        self.work: Any = None
+        app = web.Application()
+        app.router.add_get("/", self._serve)
+        self.runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+        self.port = self.runner.addresses[0][1]
+
+    async def asyncTearDown(self) -> None:
+        await self.runner.cleanup()
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        self.request = request
+        return await self.ending.serve(request, self.work)
+
+    async def _get(self) -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        got = await reader.read()
+        writer.close()
+        return got
+
+    async def _answer(self, progress: RequestProgress) -> web.StreamResponse:
+        return web.Response(text="whole")
+
+    async def _refuse(self, progress: RequestProgress) -> web.StreamResponse:
+        raise Refusal(429, "rate_limited", "over", Executed.NO, 1_000)
+
+    async def _break_off(self, progress: RequestProgress) -> web.StreamResponse:
+        progress.stream = web.StreamResponse()
+        await progress.stream.prepare(self.request)
+        await progress.stream.write(b"begun")
+        raise Refusal(502, "engine_connection_lost", "lost", Executed.YES)
+
+    async def _leave(self, progress: RequestProgress) -> web.StreamResponse:
+        assert self.request.transport is not None
+        self.request.transport.abort()
+        return web.Response(text="to nobody")
+
+    async def _cancel(self, progress: RequestProgress) -> web.StreamResponse:
+        task = asyncio.current_task()
+        assert task is not None
+        task.cancel()
+        await asyncio.sleep(0)
+        raise AssertionError("not cancelled")
+
+    async def _fail(self, progress: RequestProgress) -> web.StreamResponse:
+        raise KeyError("gone")
+
+    # Guards against an end without a line of the log, and against a reason that no test has seen.
+    async def test_each_reason_has_its_answer_its_line_and_its_count(self) -> None:
+        cases: dict[Any, tuple[Any, str, bytes]] = {
+            Answered: (self._answer, "answered", b"200 OK"),
+            Refused: (self._refuse, "refused", b"429"),
+            BrokenOff: (self._break_off, "broken_off", b"engine_connection_lost"),
+            CallerLeft: (self._leave, "caller_left", b""),
+            Cancelled: (self._cancel, "cancelled", b""),
+            Failed: (self._fail, "failed", b"503 Service Unavailable"),
+        }
+        self.assertEqual(set(cases), set(get_args(RequestEnd)))
+        for work, reason, seen in cases.values():
+            with self.subTest(reason), self.assertLogs(ending_log, "INFO") as logs:
+                self.work = work
+                got = await self._get()
+                self.assertIn(seen, got)
+                self.assertEqual(bool(got), bool(seen))
+                self.assertEqual(len(logs.output), 1)
+                self.assertIn(f"reason={reason} ", logs.output[0])
+                self.assertEqual(self.metrics.counts[f"ends.{reason}"], 1)
+
+    # Guards against "not run" for a request that an upstream may have run.
+    async def test_an_unexpected_error_is_refused_with_what_may_have_run(self) -> None:
+        for executed, status in ((Executed.NO, b" 503 "), (Executed.UNKNOWN, b" 502 ")):
+
+            async def fail(progress: RequestProgress, executed: Executed = executed) -> Any:
+                progress.executed = executed
+                raise ConnectionError("of a link to another gateway")
+
+            self.work = fail
+            got = await self._get()
+            self.assertIn(status, got)
+            self.assertIn(b"X-Executed: " + executed.value.encode(), got)
+        self.assertEqual(self.metrics.counts["ends.failed"], 2)
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -6,6 +6,7 @@
 from .connection_mutants import CONNECTION_MUTANTS
 from .consensus_mutants import CONSENSUS_MUTANTS
 from .control_mutants import CONTROL_MUTANTS
+from .end_mutants import END_MUTANTS
 from .fleet_mutants import FLEET_MUTANTS
 from .limit_mutants import LIMIT_MUTANTS
 from .part_mutants import PART_MUTANTS
@@ -25,6 +26,7 @@
     *CALLER_MUTANTS,
     *PLACEMENT_MUTANTS,
     *SPEED_MUTANTS,
+    *END_MUTANTS,
     *FLEET_MUTANTS,
     *QUARANTINE_MUTANTS,
     *QUOTA_MUTANTS,
--- /dev/null
+++ b/properties/safeguards/end_mutants.py
@@ -0,0 +1,39 @@
+"""Mutants of the safeguards of the ends of callers' requests with the OpenAI API."""
+
+from __future__ import annotations
+
+from ..mutant import Mutant
+
+_ENDING = "chestnutfall/caller_edge/request_ending.py"
+_ENDS_TEST = "chestnutfall.tests.test_completion_ends"
+
+END_MUTANTS = (
+    Mutant(
+        "caller blamed for the error of another connection",
+        _ENDING,
+        "        case ConnectionError() | asyncio.CancelledError() if _is_closed(request):",
+        "        case ConnectionError() | asyncio.CancelledError():",
+        _ENDS_TEST,
+    ),
+    Mutant(
+        "unexpected error ends without a refusal",
+        _ENDING,
+        "                refusal = _internal_refusal(progress.executed)",
+        "                raise end.error",
+        _ENDS_TEST,
+    ),
+    Mutant(
+        "unexpected error says not run of what may have run",
+        _ENDING,
+        "    not_run = executed is Executed.NO",
+        "    not_run = True",
+        _ENDS_TEST,
+    ),
+    Mutant(
+        "broken stream ends as a whole one",
+        _ENDING,
+        "    if request.transport is not None:\n        request.transport.close()",
+        "    await stream.write_eof()",
+        _ENDS_TEST,
+    ),
+)
