Answer 503 only for completions that did not run, else 502

A completion that no engine could be reached for ended, after its last attempt, with 502 and `executed: no`; its charge was kept as well, since the limits give it back for 503 alone. And one whose first attempt broke off and whose repeat got no ticket ended with the ticket's 503, which tells clients and proxies that it did not run, beside `executed: unknown`.

Cause: `_before_retry` had one status for both, and `_with_executed` corrected the statement, not the status. Both now follow `executed`.

Two tests of test_request_faults, made stricter by the status, failed before (`502 != 503`, `503 != 502`); 15 of 15 pass now. Two new mutants, both detected.

--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -24,7 +24,7 @@
 from ..observability.metrics import Metrics
 from ..peers import PeerLinks
 from ..quarantine import RequestQuarantine
-from ..requests import CallerRequest, Executed, Refusal, fingerprint_of
+from ..requests import NOT_RUN_STATUSES, CallerRequest, Executed, Refusal, fingerprint_of
 from ..signals import BACKING_OFF, UpstreamSignals
 from ..signals.known_signals import KnownSignals
 from .retry_budget import RetryBudget
@@ -123,7 +123,8 @@
             retry_after_ms = (
                 RETRY_AFTER_MS if not req.non_idempotent or executed is Executed.NO else None
             )
-            raise Refusal(502, failure.code, str(failure), executed, retry_after_ms)
+            status = 503 if executed is Executed.NO else 502
+            raise Refusal(status, failure.code, str(failure), executed, retry_after_ms)
         self._metrics.count("retries")
         await self._clock.sleep_ms(wait_ms)
 
@@ -271,7 +272,8 @@
 
 
 def _with_executed(refusal: Refusal, executed: Executed) -> Refusal:
-    return Refusal(refusal.status, refusal.code, refusal.message, executed, refusal.retry_after_ms)
+    status = 502 if refusal.status in NOT_RUN_STATUSES else refusal.status
+    return Refusal(status, refusal.code, refusal.message, executed, refusal.retry_after_ms)
 
 
 def _may_resume(exc: EngineBroken | EngineRefused, req: EngineRequest, seen: int) -> bool:
--- a/chestnutfall/tests/test_request_faults.py
+++ b/chestnutfall/tests/test_request_faults.py
@@ -114,6 +114,7 @@
         self._fault_everywhere("unreachable", 100)
         refusal = await self._refusal("a1@1")
         self.assertIs(refusal.executed, Executed.NO)
+        self.assertEqual(refusal.status, 503)
         self.assertEqual(self._runs(), [])
         self._fault_everywhere("unreachable", 0)
         self._fault_everywhere("reset", 100)
@@ -134,6 +135,7 @@
         with self.assertRaises(Refusal) as caught:
             await self.office.done(answer)
         self.assertIs(caught.exception.executed, Executed.UNKNOWN)
+        self.assertEqual(caught.exception.status, 502)
 
     async def test_stream_that_can_not_be_resumed_breaks_visibly(self) -> None:
         # The engine restarts empty after some events, so the rest of the answer is lost. The events
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -5,6 +5,8 @@
 from ..mutant import Mutant
 
 _ENDING = "chestnutfall/caller_edge/request_ending.py"
+_DISPATCHER = "chestnutfall/routing/dispatcher.py"
+_FAULTS_TEST = "chestnutfall.tests.test_request_faults"
 _ENDS_TEST = "chestnutfall.tests.test_completion_ends"
 
 END_MUTANTS = (
@@ -36,4 +38,18 @@
         "    await stream.write_eof()",
         _ENDS_TEST,
     ),
+    Mutant(
+        "status of a request that did not run for one that may have",
+        _DISPATCHER,
+        "    status = 502 if refusal.status in NOT_RUN_STATUSES else refusal.status",
+        "    status = refusal.status",
+        _FAULTS_TEST,
+    ),
+    Mutant(
+        "status of a request that may have run for one that did not",
+        _DISPATCHER,
+        "            status = 503 if executed is Executed.NO else 502",
+        "            status = 502",
+        _FAULTS_TEST,
+    ),
 )
