Repeat or refuse completions when a part of an attempt fails

An error of a collaborator inside an attempt (the link to an owner, the engine's client, signals: ConnectionError, OSError, RuntimeError, KeyError, TimeoutError, CancelledError of a shared future) passed the dispatcher by: a request of which nothing was sent got 502 `unknown`, and one that may be repeated got 502 instead of an answer.

An attempt now fails in its own terms: before the send as `EngineRefused`, after it as `EngineBroken`, both with code `internal_error`, logged with its trace.

Two new mutants, detected.

--- a/chestnutfall/caller_edge/request_ending.py
+++ b/chestnutfall/caller_edge/request_ending.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from ..clock import Clock
+from ..clock.cancelled import was_cancelled
 from ..observability.metrics import Metrics
 from ..requests import Executed, Refusal
 from .error_body import error_headers, error_text
@@ -102,7 +103,7 @@
         # of the caller's transport shows that the caller has left.
         case ConnectionError() | asyncio.CancelledError() if _is_closed(request):
             return CallerLeft(exc)
-        case asyncio.CancelledError() if _is_cancelled():
+        case asyncio.CancelledError() if was_cancelled():
             return Cancelled(exc)
         case _:
             return Failed(exc)
@@ -142,12 +143,6 @@
     return transport is None or transport.is_closing()
 
 
-def _is_cancelled() -> bool:
-    """Whether this task was cancelled, and not only something that it waited for."""
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 def _details(end: RequestEnd, progress: RequestProgress) -> str:
     match end:
         case Answered(resp):
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -4,16 +4,14 @@
 
 import asyncio
 import logging
-import math
 import random
-from typing import NoReturn
 
 from opentelemetry import trace
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 from ..clock import Clock
+from ..clock.cancelled import was_cancelled
 from ..engine_edge import (
-    AnswerValidator,
     Batches,
     EngineApi,
     EngineBroken,
@@ -25,16 +23,19 @@
 from ..peers import PeerLinks
 from ..quarantine import RequestQuarantine
 from ..requests import NOT_RUN_STATUSES, CallerRequest, Executed, Refusal, fingerprint_of
-from ..signals import BACKING_OFF, UpstreamSignals
+from ..signals import UpstreamSignals
 from ..signals.known_signals import KnownSignals
+from .engine_runs import EngineRuns
 from .retry_budget import RetryBudget
 from .tickets import RETRY_AFTER_MS, Tickets
 
 log = logging.getLogger(__name__)
 MAX_ATTEMPTS = 4
-MAX_RESUMES = 3
 BACKOFF_MS = 50
-"""Base of the delay before a retry, which doubles with each attempt, and before a resume."""
+"""Base of the delay before a retry, which doubles with each attempt."""
+INTERNAL_ERROR = "internal_error"
+NOT_SENT = "a part of the gateway failed before the request was sent"
+SENT = "a part of the gateway failed after the request was sent"
 _PROPAGATOR = TraceContextTextMapPropagator()
 
 
@@ -57,7 +58,7 @@
     ) -> None:
         self._agent = agent
         self._links = links
-        self._api = api
+        self._runs = EngineRuns(api, links, signals, clock, metrics)
         self._quarantine = quarantine
         self._signals = signals
         self._clock = clock
@@ -66,7 +67,6 @@
         self._rng = rng
         self._tickets = Tickets(agent, registry, links, signals, clock, metrics, data_centre)
         self._budget = RetryBudget()
-        self._cancels: set[asyncio.Task[None]] = set()
 
     async def answer(self, req: CallerRequest) -> Batches:
         """Run a request and yield the events of its answer.
@@ -131,7 +131,11 @@
     async def _attempt(self, req: CallerRequest, attempt_id: str, fingerprint: str) -> Batches:
         parent = _PROPAGATOR.extract(req.trace)
         with self._tracer.start_span("admission", context=parent) as span:
-            engine = await self._acquire_engine(req, attempt_id)
+            try:
+                engine = await self._acquire_engine(req, attempt_id)
+            except (Exception, asyncio.CancelledError) as exc:
+                _raise_expected(exc)
+                raise EngineRefused(INTERNAL_ERROR, NOT_SENT) from exc
             span.set_attribute("engine", engine.name)
         span = self._tracer.start_span("dispatch", context=parent)
         began_ms = self._clock.now_ms()
@@ -146,7 +150,7 @@
             headers: dict[str, str] = {}
             _PROPAGATOR.inject(headers, trace.set_span_in_context(span, parent))
             engine_req = self._engine_request(req, engine, attempt_id, headers)
-            async for events in self._run(engine, engine_req):
+            async for events in self._runs.run(engine, engine_req):
                 yield events
         except EngineBroken as exc:
             instance = engine.instance
@@ -159,6 +163,9 @@
             )
             self._quarantine.note_broken(fingerprint, instance, engine.address, began_ms)
             raise
+        except (Exception, asyncio.CancelledError) as exc:
+            _raise_expected(exc)
+            raise EngineBroken(INTERNAL_ERROR, SENT) from exc
         finally:
             span.end()
             self._links.release_ticket(engine.name, attempt_id)
@@ -197,89 +204,15 @@
             on_signals,
         )
 
-    async def _run(self, engine: Upstream, req: EngineRequest) -> Batches:
-        validator = AnswerValidator(req.attempt_id, req.model)
-        resumes = 0
-        batches = self._api.run(engine.record, req)
-        try:
-            while not validator.whole:
-                try:
-                    async for events in self._checked_batches(batches, validator):
-                        yield events
-                except (EngineBroken, EngineRefused) as exc:
-                    if (
-                        resumes == 0
-                        and validator.last_number == 0
-                        and isinstance(exc, EngineRefused)
-                    ):
-                        raise
-                    resumes += 1
-                    if resumes > MAX_RESUMES or not _may_resume(exc, req, validator.last_number):
-                        self._raise_broken(exc)
-                    self._metrics.count("resumes")
-                    await self._clock.sleep_ms(self._resume_wait_ms(engine, req, resumes))
-                    self._links.report_resume(engine.name)
-                    batches = self._api.resume(engine.record, req, validator.last_number)
-        finally:
-            if validator.dropped:
-                self._metrics.count("events_dropped", validator.dropped)
-            if not validator.whole:
-                self._cancel(engine, req.attempt_id)
-
-    @staticmethod
-    async def _checked_batches(batches: Batches, validator: AnswerValidator) -> Batches:
-        async for batch in batches:
-            events, failure = validator.accept(batch)
-            if events:
-                yield events
-            if failure is not None:
-                raise failure
-            if validator.whole:
-                return
-        failure = validator.check_end()
-        if failure is not None:
-            raise failure
-
-    def _resume_wait_ms(self, engine: Upstream, req: EngineRequest, resumes: int) -> float:
-        """Return how long to wait before resuming a run, in ms.
-
-        An engine that is leaving is asked without its backoff, since no other engine has the run.
 
-        Raises
-        ------
-        EngineBroken
-            When the engine backs off for longer than it may be silent.
-        """
-        left_ms = self._signals.backoffs.left_ms(engine.instance)
-        if math.isinf(left_ms):
-            left_ms = 0.0
-        if left_ms > req.silent_ms:
-            raise EngineBroken(BACKING_OFF, "the engine wants nothing for longer than it may")
-        return max(left_ms, BACKOFF_MS * resumes)
-
-    @staticmethod
-    def _raise_broken(exc: EngineBroken | EngineRefused) -> NoReturn:
-        if isinstance(exc, EngineBroken):
-            raise exc
-        # A refusal to resume says nothing about the first dispatch, which may have run.
-        raise EngineBroken(exc.code, str(exc)) from exc
-
-    def _cancel(self, engine: Upstream, attempt_id: str) -> None:
-        """Cancel the run on the engine in the background; the caller may be gone."""
-        task = asyncio.ensure_future(self._api.cancel(engine.record, attempt_id))
-        self._cancels.add(task)
-        task.add_done_callback(self._cancels.discard)
+def _raise_expected(exc: BaseException) -> None:
+    """Raise `exc` again unless it is an error that no part expects, which is logged."""
+    cancelled = isinstance(exc, asyncio.CancelledError) and was_cancelled()
+    if cancelled or isinstance(exc, Refusal | EngineRefused | EngineBroken):
+        raise exc
+    log.error("dispatch: an attempt failed", exc_info=exc)
 
 
 def _with_executed(refusal: Refusal, executed: Executed) -> Refusal:
     status = 502 if refusal.status in NOT_RUN_STATUSES else refusal.status
     return Refusal(status, refusal.code, refusal.message, executed, refusal.retry_after_ms)
-
-
-def _may_resume(exc: EngineBroken | EngineRefused, req: EngineRequest, seen: int) -> bool:
-    """Whether the run may be resumed to get the rest of its answer.
-
-    Resuming never starts a second run: an engine that does not hold the attempt refuses.
-    """
-    wrong = exc.code in ("wrong_answer", "wrong_model", "bad_answer", "run_unknown", "run_failed")
-    return req.stream and seen > 0 and not wrong
--- /dev/null
+++ b/chestnutfall/routing/engine_runs.py
@@ -0,0 +1,136 @@
+"""Runs of requests on engines: checks of the answers, and resumes."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import NoReturn
+
+from ..clock import Clock
+from ..engine_edge import (
+    AnswerValidator,
+    Batches,
+    EngineApi,
+    EngineBroken,
+    EngineRefused,
+    EngineRequest,
+)
+from ..membership import Upstream
+from ..observability.metrics import Metrics
+from ..peers import PeerLinks
+from ..signals import BACKING_OFF
+from ..signals.known_signals import KnownSignals
+
+MAX_RESUMES = 3
+RESUME_BACKOFF_MS = 50
+"""Delay before the first resume; each further one waits longer by as much."""
+
+
+class EngineRuns:
+    """Runs requests on engines, and resumes runs whose connection is lost."""
+
+    def __init__(
+        self,
+        api: EngineApi,
+        links: PeerLinks,
+        signals: KnownSignals,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._api = api
+        self._links = links
+        self._signals = signals
+        self._clock = clock
+        self._metrics = metrics
+        self._cancels: set[asyncio.Task[None]] = set()
+
+    async def run(self, engine: Upstream, req: EngineRequest) -> Batches:
+        """Run a request on an engine, and yield the checked events of its answer.
+
+        Raises
+        ------
+        EngineRefused
+            When the request provably did not run.
+        EngineBroken
+            When the answer broke off and can't be resumed.
+        """
+        validator = AnswerValidator(req.attempt_id, req.model)
+        resumes = 0
+        batches = self._api.run(engine.record, req)
+        try:
+            while not validator.whole:
+                try:
+                    async for events in self._checked_batches(batches, validator):
+                        yield events
+                except (EngineBroken, EngineRefused) as exc:
+                    if (
+                        resumes == 0
+                        and validator.last_number == 0
+                        and isinstance(exc, EngineRefused)
+                    ):
+                        raise
+                    resumes += 1
+                    if resumes > MAX_RESUMES or not _may_resume(exc, req, validator.last_number):
+                        self._raise_broken(exc)
+                    self._metrics.count("resumes")
+                    await self._clock.sleep_ms(self._resume_wait_ms(engine, req, resumes))
+                    self._links.report_resume(engine.name)
+                    batches = self._api.resume(engine.record, req, validator.last_number)
+        finally:
+            if validator.dropped:
+                self._metrics.count("events_dropped", validator.dropped)
+            if not validator.whole:
+                self._cancel(engine, req.attempt_id)
+
+    @staticmethod
+    async def _checked_batches(batches: Batches, validator: AnswerValidator) -> Batches:
+        async for batch in batches:
+            events, failure = validator.accept(batch)
+            if events:
+                yield events
+            if failure is not None:
+                raise failure
+            if validator.whole:
+                return
+        failure = validator.check_end()
+        if failure is not None:
+            raise failure
+
+    def _resume_wait_ms(self, engine: Upstream, req: EngineRequest, resumes: int) -> float:
+        """Return how long to wait before resuming a run, in ms.
+
+        An engine that is leaving is asked without its backoff, since no other engine has the run.
+
+        Raises
+        ------
+        EngineBroken
+            When the engine backs off for longer than it may be silent.
+        """
+        left_ms = self._signals.backoffs.left_ms(engine.instance)
+        if math.isinf(left_ms):
+            left_ms = 0.0
+        if left_ms > req.silent_ms:
+            raise EngineBroken(BACKING_OFF, "the engine wants nothing for longer than it may")
+        return max(left_ms, RESUME_BACKOFF_MS * resumes)
+
+    @staticmethod
+    def _raise_broken(exc: EngineBroken | EngineRefused) -> NoReturn:
+        if isinstance(exc, EngineBroken):
+            raise exc
+        # A refusal to resume says nothing about the first dispatch, which may have run.
+        raise EngineBroken(exc.code, str(exc)) from exc
+
+    def _cancel(self, engine: Upstream, attempt_id: str) -> None:
+        """Cancel the run on the engine in the background; the caller may be gone."""
+        task = asyncio.ensure_future(self._api.cancel(engine.record, attempt_id))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+
+def _may_resume(exc: EngineBroken | EngineRefused, req: EngineRequest, seen: int) -> bool:
+    """Whether the run may be resumed to get the rest of its answer.
+
+    Resuming never starts a second run: an engine that does not hold the attempt refuses.
+    """
+    wrong = exc.code in ("wrong_answer", "wrong_model", "bad_answer", "run_unknown", "run_failed")
+    return req.stream and seen > 0 and not wrong
--- a/chestnutfall/tests/test_completion_errors.py
+++ b/chestnutfall/tests/test_completion_errors.py
@@ -53,6 +53,33 @@
                 self._assert_refused(await self.finish(self.post()), 503, "no")
         self.assertEqual(self._runs(), 0)
 
+    # Guards against an error of a link to an owner that ends a request of which nothing was sent.
+    async def test_while_a_ticket_is_awaited(self) -> None:
+        for model in ("a1@1", "once@1"):
+            for error in ERRORS:
+                with self.subTest(error=error, model=model):
+                    acquire = self.gateway.links.acquire
+                    self.gateway.links.acquire = _raiser(error)  # type: ignore[method-assign]
+                    reply = await self.finish(self.post(model))
+                    self.gateway.links.acquire = acquire  # type: ignore[method-assign]
+                    self._assert_refused(reply, 503, "no")
+        self.assertEqual(self._runs(), 0)
+
+    # Guards against a request that is not repeated, or is repeated although it may run only once.
+    async def test_after_it_was_sent(self) -> None:
+        for model in ("a1@1", "once@1"):
+            for error in ERRORS:
+                with self.subTest(error=error, model=model):
+                    before = self._runs()
+                    self._fail_runs(error, after=0)
+                    reply = await self.finish(self.post(model))
+                    if model == "a1@1":
+                        self._assert_whole(reply)
+                    else:
+                        self._assert_refused(reply, 502, "unknown")
+                        self.assertEqual(json.loads(reply[1])["error"]["retry_after_ms"], None)
+                        self.assertEqual(self._runs(), before + 1)
+
     # Guards against "not run" for a request that ran each time.
     async def test_after_each_send(self) -> None:
         for error in ERRORS:
--- a/properties/safeguards/caller_mutants.py
+++ b/properties/safeguards/caller_mutants.py
@@ -7,6 +7,7 @@
 _OWNER = "chestnutfall/ownership/engine_owner.py"
 _LOADER = "chestnutfall/ownership/adapter_loader.py"
 _DISPATCHER = "chestnutfall/routing/dispatcher.py"
+_RUNS = "chestnutfall/routing/engine_runs.py"
 _VALIDATOR = "chestnutfall/engine_edge/answer_validator.py"
 _AGENT = "chestnutfall/membership/gateway_agent.py"
 _UPSTREAM = "chestnutfall/membership/upstream.py"
@@ -102,7 +103,7 @@
     ),
     Mutant(
         "caller that leaves keeps its place",
-        _DISPATCHER,
+        _RUNS,
         "            if not validator.whole:\n                self._cancel(engine, req.attempt_id)",
         "            pass",
         _FAULTS_TEST,
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -7,6 +7,7 @@
 _ENDING = "chestnutfall/caller_edge/request_ending.py"
 _DISPATCHER = "chestnutfall/routing/dispatcher.py"
 _FAULTS_TEST = "chestnutfall.tests.test_request_faults"
+_ERRORS_TEST = "chestnutfall.tests.test_completion_errors"
 _ENDS_TEST = "chestnutfall.tests.test_completion_ends"
 
 END_MUTANTS = (
@@ -52,4 +53,18 @@
         "            status = 502",
         _FAULTS_TEST,
     ),
+    Mutant(
+        "error before the send taken for one after it",
+        _DISPATCHER,
+        "                raise EngineRefused(INTERNAL_ERROR, NOT_SENT) from exc",
+        "                raise EngineBroken(INTERNAL_ERROR, NOT_SENT) from exc",
+        _ERRORS_TEST,
+    ),
+    Mutant(
+        "cancelled future ends the request that waits for it",
+        _DISPATCHER,
+        "    cancelled = isinstance(exc, asyncio.CancelledError) and was_cancelled()",
+        "    cancelled = isinstance(exc, asyncio.CancelledError)",
+        _ERRORS_TEST,
+    ),
 )
--- a/properties/safeguards/limit_mutants.py
+++ b/properties/safeguards/limit_mutants.py
@@ -131,7 +131,7 @@
     ),
     Mutant(
         "runs that are resumed come on top of the limit",
-        "chestnutfall/routing/dispatcher.py",
+        "chestnutfall/routing/engine_runs.py",
         "                    self._links.report_resume(engine.name)\n",
         "",
         _COMPLETIONS_TEST,
--- a/properties/safeguards/signal_mutants.py
+++ b/properties/safeguards/signal_mutants.py
@@ -78,14 +78,14 @@
     ),
     Mutant(
         "a resumed run does not wait for the end of the time",
-        "chestnutfall/routing/dispatcher.py",
-        "        return max(left_ms, BACKOFF_MS * resumes)",
-        "        return BACKOFF_MS * resumes",
+        "chestnutfall/routing/engine_runs.py",
+        "        return max(left_ms, RESUME_BACKOFF_MS * resumes)",
+        "        return RESUME_BACKOFF_MS * resumes",
         f"{_COMPLETIONS_TEST}.test_a_run_is_resumed_when_the_time_is_over",
     ),
     Mutant(
         "a run at an engine that leaves is given up",
-        "chestnutfall/routing/dispatcher.py",
+        "chestnutfall/routing/engine_runs.py",
         "        if math.isinf(left_ms):",
         "        if False:",
         f"{_COMPLETIONS_TEST}.test_a_run_is_resumed_at_an_engine_that_leaves",
