Release a claim that an unexpected error kept from being taken

Callers whose request with an Idempotency-Key met an error other than `NoController` while its claim was asked for were refused, rightly, since nothing had run; but each repeat then got 409 `request_running` until the claim's retention was over. Cause: only `NoController` and a cancellation released the claim, which may have been committed. Every error does now, and a CancelledError that isn't this task's own is refused like the others. A failure to record the end of an attempt is logged, whatever the error.

Before: 6 failures of test_while_a_claim_is_awaited (`(409, False) != (200, True)` for the repeat). Now 7 of 7 of test_completion_errors and 9 of 9 of test_at_most_once pass; one new mutant, detected.

--- a/chestnutfall/routing/claim_client.py
+++ b/chestnutfall/routing/claim_client.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from ..clock.cancelled import was_cancelled
 from ..control.claim import ClaimStatus
 from ..control.commands import ClaimHeld, ClaimTaken, EndClaim, TakeClaim
 from ..control.control_client import ControlClient, NoController
@@ -68,13 +69,15 @@
         )
         try:
             reply = await self._client.ask(msg, CLAIM_DEADLINE_MS)
-        except (NoController, asyncio.CancelledError) as exc:
+        except (Exception, asyncio.CancelledError) as exc:
             # The claim may have been committed although no answer came. Nothing was dispatched, so
             # it is released. Until the release is committed, a repeat gets the answer that the
             # state is unknown.
             self.end(req, None)
-            if isinstance(exc, asyncio.CancelledError):
+            if isinstance(exc, asyncio.CancelledError) and was_cancelled():
                 raise
+            if not isinstance(exc, NoController):
+                log.error("claims: a claim could not be taken", exc_info=exc)
             raise Refusal(
                 503,
                 "claim_unavailable",
@@ -101,10 +104,11 @@
     async def _end(self, msg: EndClaim) -> None:
         try:
             await self._client.ask(msg, END_DEADLINE_MS)
-        except NoController:
+        except Exception as exc:
             log.warning(
-                "claims: the end of attempt %s was not recorded, its state stays unknown",
+                "claims: the end of attempt %s was not recorded, its state stays unknown: %r",
                 msg.attempt_id,
+                exc,
             )
 
     async def close(self) -> None:
--- a/chestnutfall/tests/fakes/caller_edge_case.py
+++ b/chestnutfall/tests/fakes/caller_edge_case.py
@@ -48,6 +48,7 @@
 
     async def asyncSetUp(self) -> None:
         asyncio.get_running_loop().set_debug(False)
+        self._plain: list[Announcement] = []
         self.office = FakeOffice()
         await self.office.start(gateways=self.gateways, engines=self.engines)
         plain = {
@@ -125,6 +126,7 @@
 
     async def step(self) -> None:
         """Let one step of time pass, and the sockets take part in it."""
+        self._announce()
         await self.office.clock.advance(STEP_MS)
         await asyncio.sleep(NETWORK_S)
 
@@ -158,9 +160,15 @@
         }
 
     def announce_plain(self, *addresses: str) -> None:
-        """Announce upstreams of the plain service; they stay announced."""
-        for number, address in enumerate(addresses):
-            one = Announcement(f"counter-{number}", "counter", SITE, address, "first", 600_000)
+        """Announce upstreams of the plain service from now on."""
+        self._plain = [
+            Announcement(f"counter-{number}", "counter", SITE, address, "first", 2_000)
+            for number, address in enumerate(addresses)
+        ]
+        self._announce()
+
+    def _announce(self) -> None:
+        for one in self._plain:
             self.gateway.registry.register(one)
 
 
--- a/chestnutfall/tests/test_completion_errors.py
+++ b/chestnutfall/tests/test_completion_errors.py
@@ -53,6 +53,29 @@
                 self._assert_refused(await self.finish(self.post()), 503, "no")
         self.assertEqual(self._runs(), 0)
 
+    # Guards against an error of the control client that also leaves a claim behind for ever.
+    async def test_while_a_claim_is_awaited(self) -> None:
+        ask = self.gateway.client.ask
+        for number, error in enumerate(ERRORS):
+            with self.subTest(error=error):
+                key = {"Idempotency-Key": f"key-{number}"}
+                taken = []
+
+                async def ask_and_fail(
+                    msg: Any, ms: float, error: BaseException = error, taken: Any = taken
+                ) -> Any:
+                    reply = await ask(msg, ms)
+                    if type(msg).__name__ == "TakeClaim" and not taken:
+                        taken.append(msg)
+                        raise error
+                    return reply
+
+                self.gateway.client.ask = ask_and_fail  # type: ignore[method-assign]
+                reply = await self.finish(self.post(**key))
+                self._assert_refused(reply, 503, "no")
+                await self.office.clock.advance(1_000)
+                self._assert_whole(await self.finish(self.post(**key)))
+
     # Guards against an error of a link to an owner that ends a request of which nothing was sent.
     async def test_while_a_ticket_is_awaited(self) -> None:
         for model in ("a1@1", "once@1"):
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -67,4 +67,11 @@
         "    cancelled = isinstance(exc, asyncio.CancelledError)",
         _ERRORS_TEST,
     ),
+    Mutant(
+        "claim left behind by an unexpected error",
+        "chestnutfall/routing/claim_client.py",
+        "        except (Exception, asyncio.CancelledError) as exc:",
+        "        except (NoController, asyncio.CancelledError) as exc:",
+        _ERRORS_TEST,
+    ),
 )
