Repeat plain calls that a part of the gateway failed

Such an error now counts as an answer that is missing: the call goes to the next upstream if it may, else 502 with `executed: unknown`. It isn't reported as an end of the upstream. The sends move to `PlainCalls`, otherwise as they were.

--- /dev/null
+++ b/chestnutfall/plain_edge/plain_calls.py
@@ -0,0 +1,108 @@
+"""Calls to upstreams of plain services."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any
+
+from aiohttp import web
+
+from ..clock import Clock
+from ..clock.cancelled import was_cancelled
+from ..config.service import Service
+from ..forwarding.call import Call
+from ..forwarding.forwarded_call import ForwardedCall
+from ..forwarding.upstream_answer import UpstreamAnswer
+from ..forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
+from ..membership import Upstream
+from ..signals.known_signals import KnownSignals
+from .plain_answer import EXECUTED_HEADER, EXECUTED_NO, PlainAnswer
+
+log = logging.getLogger(__name__)
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_NOT_FORWARDED = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "host",
+        "idempotency-key",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class CallFailed(Exception):
+    """A part of the gateway failed during a call, which may have run."""
+
+
+class PlainCalls:
+    """Sends calls to upstreams, and notes the signals of their answers."""
+
+    def __init__(self, upstreams: UpstreamApi, signals: KnownSignals, clock: Clock) -> None:
+        self._upstreams = upstreams
+        self._signals = signals
+        self._clock = clock
+
+    async def call(
+        self, request: web.Request, upstream: Upstream, service: Service, body: bytes
+    ) -> PlainAnswer:
+        """Send a call to an upstream and return its whole answer.
+
+        Raises
+        ------
+        NotSent
+            When no connection could be opened.
+        AnswerLost
+            When the answer is missing or cut off.
+        CallFailed
+            When a part of the gateway failed.
+        """
+        try:
+            return await self._call(request, upstream, service, body)
+        except (NotSent, AnswerLost):
+            raise
+        except (Exception, asyncio.CancelledError) as exc:
+            if isinstance(exc, asyncio.CancelledError) and was_cancelled():
+                raise
+            log.error("plain: a call to %s failed", upstream.instance, exc_info=exc)
+            raise CallFailed("a part of the gateway failed") from exc
+
+    async def _call(
+        self, request: web.Request, upstream: Upstream, service: Service, body: bytes
+    ) -> PlainAnswer:
+        headers = tuple(_forwarded_headers(request.headers).items())
+        target = request.path_qs
+        call = Call("", request.method, target, request.path, "", headers, body, 0, 0)
+        # A connection may have died while it was idle, and whether the call ran would be unknown.
+        sent = ForwardedCall(
+            call, upstream.record, 0, 0, 0, None, runs_once=True, silent_ms=service.silent_ms
+        )
+        sent_ms = self._clock.now_ms()
+        async with self._upstreams.send(sent) as answer:
+            by_name = _forwarded_headers(dict(answer.headers))
+            rejected = answer.status == 503 and by_name.get(EXECUTED_HEADER) == EXECUTED_NO
+            succeeded = answer.status < 300
+            self._signals.observe(upstream.instance, answer.signals, sent_ms, succeeded, rejected)
+            data = await _read_whole(answer)
+            response = web.Response(status=answer.status, body=data, headers=by_name)
+            return PlainAnswer(response, answer.signals)
+
+
+async def _read_whole(answer: UpstreamAnswer) -> bytes:
+    body = bytearray()
+    async for data in answer.body:
+        body += data
+        if len(body) > MAX_ANSWER_BYTES:
+            raise AnswerLost("the answer is too large")
+    return bytes(body)
+
+
+def _forwarded_headers(headers: Any) -> dict[str, str]:
+    return {name: value for name, value in headers.items() if name.lower() not in _NOT_FORWARDED}
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 import uuid
-from typing import Any
 
 from aiohttp import web
 
 from ..clock import Clock
 from ..config.caller import Caller
 from ..config.service import Service
-from ..forwarding.call import Call
-from ..forwarding.forwarded_call import ForwardedCall
-from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
 from ..membership import GatewayAgent, Upstream, UpstreamRegistry
 from ..observability.metrics import Metrics
@@ -21,25 +17,9 @@
 from ..routing import ClaimClient, ClaimRequest
 from ..signals import BACKING_OFF
 from ..signals.known_signals import KnownSignals
-from .plain_answer import EXECUTED_HEADER, EXECUTED_NO, PlainAnswer
+from .plain_calls import CallFailed, PlainCalls
 
 MAX_ATTEMPTS = 3
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-_NOT_FORWARDED = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "host",
-        "idempotency-key",
-        "keep-alive",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 
 
 class PlainProxy:
@@ -69,7 +49,7 @@
         self._clock = clock
         self._metrics = metrics
         self._data_centre = data_centre
-        self._upstreams = upstreams
+        self._calls = PlainCalls(upstreams, signals, clock)
         self._round_robin = 0
 
     async def answer(self, request: web.Request, caller_name: str, body: bytes) -> web.Response:
@@ -132,7 +112,7 @@
             tried.add(upstream.name)
             began_ms = self._clock.now_ms()
             try:
-                answer = await self._call(request, upstream, service, body)
+                answer = await self._calls.call(request, upstream, service, body)
                 last_response = answer.response
                 if last_response.status not in NOT_RUN_STATUSES:
                     self._quarantine.note_answered(fingerprint)
@@ -149,6 +129,11 @@
                 )
                 if at_most_once:
                     break
+            except CallFailed as exc:
+                message = str(exc)
+                executed, broke = Executed.UNKNOWN, True
+                if at_most_once:
+                    break
             self._metrics.count("plain.retries")
         # An upstream's "not run" holds for that upstream alone: after an attempt that broke off,
         # the call may have run at another one.
@@ -204,36 +189,3 @@
         wait_ms = min(self._signals.limits.leaderless_interval_ms(up.instance) for up in upstreams)
         message = "each upstream takes no more requests than it gets"
         return Refusal(503, "limited", message, Executed.NO, int(wait_ms))
-
-    async def _call(
-        self, request: web.Request, upstream: Upstream, service: Service, body: bytes
-    ) -> PlainAnswer:
-        headers = tuple(_forwarded_headers(request.headers).items())
-        target = request.path_qs
-        call = Call("", request.method, target, request.path, "", headers, body, 0, 0)
-        # A connection may have died while it was idle, and whether the call ran would be unknown.
-        sent = ForwardedCall(
-            call, upstream.record, 0, 0, 0, None, runs_once=True, silent_ms=service.silent_ms
-        )
-        sent_ms = self._clock.now_ms()
-        async with self._upstreams.send(sent) as answer:
-            by_name = _forwarded_headers(dict(answer.headers))
-            rejected = answer.status == 503 and by_name.get(EXECUTED_HEADER) == EXECUTED_NO
-            succeeded = answer.status < 300
-            self._signals.observe(upstream.instance, answer.signals, sent_ms, succeeded, rejected)
-            data = await _read_whole(answer)
-            response = web.Response(status=answer.status, body=data, headers=by_name)
-            return PlainAnswer(response, answer.signals)
-
-
-async def _read_whole(answer: UpstreamAnswer) -> bytes:
-    body = bytearray()
-    async for data in answer.body:
-        body += data
-        if len(body) > MAX_ANSWER_BYTES:
-            raise AnswerLost("the answer is too large")
-    return bytes(body)
-
-
-def _forwarded_headers(headers: Any) -> dict[str, str]:
-    return {name: value for name, value in headers.items() if name.lower() not in _NOT_FORWARDED}
--- a/chestnutfall/tests/test_completion_errors.py
+++ b/chestnutfall/tests/test_completion_errors.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
 
 from ..engine_edge import Batches, EngineRequest
@@ -130,6 +132,18 @@
             await self.finish(self.post())
         self.assertEqual(broken, [])
 
+    # Guards against a plain call that ends without a refusal.
+    async def test_of_plain_calls(self) -> None:
+        self.announce_plain("127.0.0.1:1", "127.0.0.1:2")
+        for error in ERRORS:
+            for method in ("GET", "POST"):
+                with self.subTest(error=error, method=method):
+                    sent: list[str] = []
+                    self.upstreams.send = _failing_send(error, sent)  # type: ignore[method-assign]
+                    reply = await self.finish(self.send(method, "/counter/x"))
+                    self._assert_refused(reply, 502, "unknown")
+                    self.assertEqual(len(sent), 2 if method == "GET" else 1)
+
     def _fail_runs(self, error: BaseException, after: int, times: int = 1) -> None:
         """Let the next runs fail after some events; the engine has begun to run them."""
         engines, left = self.office.engines, [times]
@@ -145,3 +159,14 @@
                 yield events
 
         engines.run = fail  # type: ignore[method-assign]
+
+
+def _failing_send(error: BaseException, sent: list[str]) -> Any:
+    @asynccontextmanager
+    async def send(forwarded: Any) -> AsyncIterator[Any]:
+        sent.append(forwarded.upstream.instance)
+        if sent:
+            raise error
+        yield None
+
+    return send
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -74,4 +74,11 @@
         "        except (NoController, asyncio.CancelledError) as exc:",
         _ERRORS_TEST,
     ),
+    Mutant(
+        "plain call not repeated after an error of the gateway",
+        "chestnutfall/plain_edge/plain_calls.py",
+        '            raise CallFailed("a part of the gateway failed") from exc',
+        "            raise",
+        _ERRORS_TEST,
+    ),
 )
