Refuse requests whose caller goes while their body comes

A caller that is taken out of the configuration between the head and the end of the body of its request met a KeyError: aiohttp's bare 500 before the ends had one place, 503 `internal_error` since, with "come back" for a key that is gone, and for plain calls `executed: unknown`. The body may take 5 s and the rate's decision half a second more. Both edges look the caller up again and refuse with 401 `invalid_key` and `executed: no`, as at the head: what was revoked isn't served.

--- a/chestnutfall/caller_edge/caller_app.py
+++ b/chestnutfall/caller_edge/caller_app.py
@@ -14,7 +14,7 @@
 from ..membership import GatewayAgent
 from ..observability.metrics import Metrics
 from ..plain_edge import PlainProxy
-from ..requests import CallerRequest, Executed, Refusal, digest_of
+from ..requests import CallerRequest, Executed, Refusal, digest_of, unknown_key
 from ..routing import ClaimClient, ClaimRequest, Dispatcher
 from .answer_stream import stream_answer
 from .caller_limits import CallerLimits
@@ -152,7 +152,7 @@
         kind, _, key = request.headers.get("Authorization", "").partition(" ")
         caller = self._agent.config.caller_by_key(key.strip()) if kind == "Bearer" else None
         if caller is None:
-            raise Refusal(401, "invalid_key", "a known bearer key is needed")
+            raise unknown_key()
         progress.caller = caller
         return caller
 
--- a/chestnutfall/caller_edge/request_parser.py
+++ b/chestnutfall/caller_edge/request_parser.py
@@ -12,7 +12,7 @@
 from ..config.priority_class import PriorityClass
 from ..config.typed_config import TypedConfig
 from ..findings.json_document import read_json_text
-from ..requests import CallerRequest, Refusal
+from ..requests import CallerRequest, Refusal, unknown_key
 from .field_types import check_field_types
 
 MAX_KEY_CHARS = 255
@@ -46,7 +46,10 @@
     Refusal
         400, 403 or 404 when anything is malformed, unknown or not granted to the caller.
     """
-    caller = cfg.callers[caller_name]
+    # The caller was known when the request's head was read, and may have gone since.
+    caller = cfg.callers.get(caller_name)
+    if caller is None:
+        raise unknown_key()
     fields = _parse_fields(body)
     adapter_name, version = _adapter_and_version(cfg, caller, fields.get("model"))
     adapter = cfg.adapters[adapter_name]
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -13,7 +13,7 @@
 from ..membership import GatewayAgent, Upstream, UpstreamRegistry
 from ..observability.metrics import Metrics
 from ..quarantine import RequestQuarantine
-from ..requests import NOT_RUN_STATUSES, Executed, Refusal, digest_of, fingerprint_of
+from ..requests import NOT_RUN_STATUSES, Executed, Refusal, digest_of, fingerprint_of, unknown_key
 from ..routing import ClaimClient, ClaimRequest
 from ..signals import BACKING_OFF
 from ..signals.known_signals import KnownSignals
@@ -64,7 +64,11 @@
         Refusal
             When no upstream gave a complete answer; it says whether the call may have run.
         """
-        name, service = self._find_service(request.path, self._agent.config.callers[caller_name])
+        # The caller was known when the request's head was read, and may have gone since.
+        caller = self._agent.config.callers.get(caller_name)
+        if caller is None:
+            raise unknown_key()
+        name, service = self._find_service(request.path, caller)
         key = request.headers.get("Idempotency-Key", "")
         at_most_once = request.method in service.non_idempotent_methods or bool(key)
         if at_most_once and service.key_required and not key:
--- a/chestnutfall/requests/__init__.py
+++ b/chestnutfall/requests/__init__.py
@@ -8,6 +8,7 @@
 from .key_digest import key_digest
 from .part_keys import part_keys
 from .refusal import Refusal
+from .unknown_key import unknown_key
 
 __all__ = [
     "NOT_RUN_STATUSES",
@@ -18,4 +19,5 @@
     "fingerprint_of",
     "key_digest",
     "part_keys",
+    "unknown_key",
 ]
--- a/chestnutfall/tests/fakes/caller_edge_case.py
+++ b/chestnutfall/tests/fakes/caller_edge_case.py
@@ -173,6 +173,8 @@
 
 
 BROKEN = b"<broken>"
+Reply = tuple[int, bytes, dict[str, str]]
+"""Status, what came of the body, and headers of an answer."""
 
 
 async def _read(resp: aiohttp.ClientResponse) -> bytes:
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -81,4 +81,18 @@
         "            raise",
         _ERRORS_TEST,
     ),
+    Mutant(
+        "completion fails when its caller has gone meanwhile",
+        "chestnutfall/caller_edge/request_parser.py",
+        "        raise unknown_key()",
+        "        raise KeyError(caller_name)",
+        "chestnutfall.tests.test_completion_config",
+    ),
+    Mutant(
+        "plain call fails when its caller has gone meanwhile",
+        "chestnutfall/plain_edge/plain_proxy.py",
+        "            raise unknown_key()",
+        "            raise KeyError(caller_name)",
+        "chestnutfall.tests.test_completion_config",
+    ),
 )
