--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .caller_mutants import CALLER_MUTANTS
+from .completion_end_mutants import COMPLETION_END_MUTANTS
 from .connection_mutants import CONNECTION_MUTANTS
 from .consensus_mutants import CONSENSUS_MUTANTS
 from .control_mutants import CONTROL_MUTANTS
@@ -25,8 +26,10 @@
     *CONSENSUS_MUTANTS,
     *CONTROL_MUTANTS,
     *CALLER_MUTANTS,
+    *COMPLETION_END_MUTANTS,
     *PLACEMENT_MUTANTS,
     *SPEED_MUTANTS,
+    *END_MUTANTS,
     *FLEET_MUTANTS,
     *QUARANTINE_MUTANTS,
     *QUOTA_MUTANTS,
