Name a stream by its caller and attempt alone

What callers saw: a client that took a stream of a service with two software versions up with another body was refused, 503 unknown_stream.

Cause: the owner of a stream was the digest of caller, method, target and body, so each change of the body made the stream unknown.

Change: the owner is the digest of the caller: its organisation, else its host, told apart by kind. Body, query and path may differ; the service and the build are checked as before (stream_moved, build_gone). The book keeps streams by attempt and owner, so an attempt of another caller with the same id no longer takes the place of the first. Messages keep their form.

Evidence: test_a_stream_goes_on_with_another_body and test_attempts_of_two_callers_with_one_id_are_two_streams failed on the former code (35 run, 2 failed), all 35 pass now. OriginBook.drop had no caller. Mutants: three, each found.

--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -204,7 +204,7 @@
     attempt : str
         Id of the client's attempt.
     owner : str
-        Digest of its caller, path and body.
+        Digest of its caller; see `stream_owner`.
     left_ms : int
         Time until its client gives the stream up.
     build_key : str
--- a/chestnutfall/forwarding/engine_upstream_selector.py
+++ b/chestnutfall/forwarding/engine_upstream_selector.py
@@ -10,6 +10,7 @@
 from ..coordination.messages import PlaceStream, Release, Withdraw
 from ..placement import AdapterName, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.run_times import RunTimes
+from ..resumption import stream_owner
 from ..routes import RouteKind
 from ..signals import BACKING_OFF, UpstreamLoad
 from ..signals.known_signals import KnownSignals
@@ -182,7 +183,8 @@
     call = criteria.call
     left_ms = max(call.deadline_ms - now_ms, 1)
     build_key = criteria.origin.build_key if criteria.origin else ""
-    return PlaceStream(req, call.request_id, criteria.request, left_ms, build_key)
+    owner = stream_owner(criteria.organisation, call.host)
+    return PlaceStream(req, call.request_id, owner, left_ms, build_key)
 
 
 def _caller_deadline_ms(criteria: SelectionCriteria) -> int:
--- a/chestnutfall/forwarding/stream_origins.py
+++ b/chestnutfall/forwarding/stream_origins.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from ..clock import Clock
 from ..control.upstream_record import UpstreamRecord
 from ..resumption import (
@@ -10,6 +12,7 @@
     UNKNOWN_STREAM,
     OriginBook,
     StreamOrigin,
+    stream_owner,
 )
 from ..resumption.messages import HeardOrigin, HeardOrigins
 from ..routes import Route
@@ -77,8 +80,9 @@
     def _note(self, progress: Progress, origin: StreamOrigin) -> HeardOrigin:
         call = progress.call
         left_ms = max(call.deadline_ms - self._clock.now_ms(), 1)
-        self._book.note(call.request_id, progress.fingerprint, origin, left_ms)
-        return HeardOrigin(call.request_id, progress.fingerprint, origin, left_ms)
+        owner = stream_owner(progress.organisation, call.host)
+        self._book.note(call.request_id, owner, origin, left_ms)
+        return HeardOrigin(call.request_id, owner, origin, left_ms)
 
     def update(self) -> None:
         """Process a change of the services with several builds."""
@@ -101,8 +105,8 @@
         now_ms = self._clock.now_ms()
         known = self._book.current().items()
         heard = (
-            HeardOrigin(attempt, one.owner, one.origin, one.until_ms - now_ms)
-            for attempt, one in known
+            HeardOrigin(attempt, owner, one.origin, one.until_ms - now_ms)
+            for (attempt, owner), one in known
         )
         return HeardOrigins(tuple(heard), is_whole=True)
 
@@ -136,15 +140,28 @@
         # A stream of this call itself, the first event of which came from an unknown build.
         if not attempt or progress.started:
             return None
-        known = self._book.find(attempt, progress.fingerprint)
+        owner = stream_owner(progress.organisation, progress.call.host)
+        known = self._book.find(attempt, owner)
         if known is not None:
             return known
+        # A gateway that runs earlier software told the leader of it under the digest of the whole
+        # request. Both are asked at once, since a new leader keeps each question for a while.
+        owners = (owner, progress.fingerprint)
+        asked = (self._ask(progress, one) for one in owners)
+        answers = await asyncio.gather(*asked, return_exceptions=True)
+        for answer in answers:
+            if isinstance(answer, BaseException):
+                raise answer
+        return next((origin for origin in answers if isinstance(origin, StreamOrigin)), None)
+
+    async def _ask(self, progress: Progress, owner: str) -> StreamOrigin | None:
+        attempt = progress.call.resumes
         try:
-            return await self._fleet.questions.ask_origin(attempt, progress.fingerprint)
+            return await self._fleet.questions.ask_origin(attempt, owner)
         except LeaderLost:
             await self._wait_for_leader(progress)
         try:
-            return await self._fleet.questions.ask_origin(attempt, progress.fingerprint)
+            return await self._fleet.questions.ask_origin(attempt, owner)
         except LeaderLost as exc:
             raise NoPlace("no_leader", NO_LEADER_RETRY_MS) from exc
 
--- a/chestnutfall/resumption/__init__.py
+++ b/chestnutfall/resumption/__init__.py
@@ -5,6 +5,7 @@
 from .origin_book import OriginBook
 from .refusals import BEGIN_ANEW_MS, BUILD_GONE, STREAM_MOVED, UNKNOWN_STREAM
 from .stream_origin import StreamOrigin
+from .stream_owner import stream_owner
 
 __all__ = [
     "BEGIN_ANEW_MS",
@@ -13,4 +14,5 @@
     "UNKNOWN_STREAM",
     "OriginBook",
     "StreamOrigin",
+    "stream_owner",
 ]
--- a/chestnutfall/resumption/messages.py
+++ b/chestnutfall/resumption/messages.py
@@ -16,7 +16,8 @@
     attempt : str
         Id of the client's attempt that began it.
     owner : str
-        Digest of the caller, path and body of that attempt.
+        Digest of the caller; see `stream_owner`. Of gateways that run earlier software, digest of
+        the caller, path and body of that attempt.
     left_ms : int
         Time until its client gives it up.
     """
@@ -52,7 +53,7 @@
     attempt : str
         Attempt that the client names.
     owner : str
-        Digest of the caller, path and body of the call that takes it up.
+        Digest of the caller that takes it up.
     """
 
     number: int
--- a/chestnutfall/resumption/origin_book.py
+++ b/chestnutfall/resumption/origin_book.py
@@ -19,13 +19,10 @@
 
     Attributes
     ----------
-    owner : str
-        Digest of the caller, path and body of the attempt.
     until_ms : int
         Clock time from which nobody takes the stream up.
     """
 
-    owner: str
     origin: StreamOrigin
     until_ms: int
 
@@ -40,13 +37,13 @@
     def __init__(self, size: int, clock: Clock) -> None:
         self._size = size
         self._clock = clock
-        self._streams: OrderedDict[str, BegunStream] = OrderedDict()
+        self._streams: OrderedDict[tuple[str, str], BegunStream] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._streams)
 
     def note(self, attempt: str, owner: str, origin: StreamOrigin, left_ms: int) -> None:
-        """Record what an attempt's stream began on; of a repeated one the last counts.
+        """Record what the stream of an owner's attempt began on; of a repeated one the last counts.
 
         Parameters
         ----------
@@ -54,27 +51,25 @@
             Time until its client gives the stream up.
         """
         now_ms = self._clock.now_ms()
-        self._streams.pop(attempt, None)
+        # Attempts of two callers may bear the same id.
+        key = (attempt, owner)
+        self._streams.pop(key, None)
         until_ms = now_ms + min(left_ms, MAX_KEPT_MS)
-        self._streams[attempt] = BegunStream(owner, origin, until_ms)
+        self._streams[key] = BegunStream(origin, until_ms)
         while len(self._streams) > self._size or self._is_oldest_over(now_ms):
             self._streams.popitem(last=False)
 
     def find(self, attempt: str, owner: str) -> StreamOrigin | None:
         """Return the origin of an owner's stream; None if it is not known."""
-        known = self._streams.get(attempt)
-        if known is None or known.owner != owner or known.until_ms <= self._clock.now_ms():
+        known = self._streams.get((attempt, owner))
+        if known is None or known.until_ms <= self._clock.now_ms():
             return None
         return known.origin
 
-    def drop(self, attempt: str) -> None:
-        """Forget a stream, so that it counts as unknown."""
-        self._streams.pop(attempt, None)
-
-    def current(self) -> dict[str, BegunStream]:
-        """Return the streams that may still be taken up, by attempt."""
+    def current(self) -> dict[tuple[str, str], BegunStream]:
+        """Return the streams that may still be taken up, by attempt and owner."""
         now_ms = self._clock.now_ms()
-        return {name: one for name, one in self._streams.items() if one.until_ms > now_ms}
+        return {key: one for key, one in self._streams.items() if one.until_ms > now_ms}
 
     def _is_oldest_over(self, now_ms: int) -> bool:
         oldest = next(iter(self._streams.values()), None)
