Keep clients' connections as long as documents allow

What callers saw: a gateway closed each connection that had been idle for 75 s, whatever the document said. Clients go by idle_timeout_ms of the last document that they know, and use connections again for up to four fifths of it, so with a limit above 94 s a request could cross the close, and got neither an answer nor a refusal.

Cause: idle_timeout_ms and header_timeout_ms were decoded and used nowhere. Besides, aiohttp closes at its timer, and uvloop runs timers before it reads: after a long turn a request that had come in time was closed unread.

Change: KeptLimits has the limits in force and those that were in force since a minute before a connection became idle, of which the longest counts, and 2 s. GatedConnection asks it at each check, so that connections that are open follow, too. One that is due gets another read before it is closed. A head that has begun is no idleness; it has header_timeout_ms and 2 s. A request whose head is in is ended by neither.

Evidence: test_kept_connections on loopback sockets, the loop's time moved on by the test.

--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -14,7 +14,7 @@
 from ..forwarding.drain import Drainable
 from ..forwarding.forwarder import Forwarder
 from ..routes import DocumentLimits
-from ..rush import ConnectionGate, GatedServer
+from ..rush import ConnectionGate, GatedServer, KeptLimits
 from .body import read_body
 from .call_reader import read_call
 from .client_reply import ClientReply
@@ -22,9 +22,6 @@
 from .listening import Listener, listen
 
 log = logging.getLogger(__name__)
-KEEPALIVE_S = 75.0
-"""Longer than clients keep an idle connection; else the gateway could close one while a request is
-on its way."""
 READY_PATH = "/v1/ready"
 
 
@@ -42,6 +39,8 @@
         Returns the limits in force for requests.
     gate : ConnectionGate
         Decides which new connections of clients are taken.
+    kept : KeptLimits
+        How long clients may keep a connection without a request.
     """
 
     def __init__(
@@ -50,12 +49,14 @@
         is_ready: Callable[[], bool],
         limits: Callable[[], DocumentLimits],
         gate: ConnectionGate,
+        kept: KeptLimits,
         clock: Clock,
     ) -> None:
         self._forwarder = forwarder
         self._is_ready = is_ready
         self._limits = limits
         self._gate = gate
+        self._kept = kept
         self._clock = clock
         self._in_progress = 0
         self._leaving = False
@@ -76,9 +77,9 @@
         caller_server = GatedServer(
             self._on_request,
             self._gate,
+            self._kept,
             access_log=None,
             handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_S,
             max_line_size=DocumentLimits().max_header_bytes,
             max_field_size=DocumentLimits().max_header_bytes,
         )
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -50,7 +50,7 @@
 from ..quota.messages import QuotaNews
 from ..quota.quota_enforcer import QuotaEnforcer
 from ..routes import DocumentLimits
-from ..rush import ConnectionGate
+from ..rush import ConnectionGate, KeptLimits
 from ..settings.fleet_settings import FleetSettings
 from ..signals import UnreadHeaders
 from ..signals.known_backoffs import KnownBackoffs
@@ -94,6 +94,10 @@
             settings.peer_address,
             settings.data_centre,
         )
+        limits = DocumentLimits()
+        self._kept = KeptLimits(
+            limits.idle_timeout_ms, limits.header_timeout_ms, self._clock, self._metrics.count
+        )
         self._make_upstreams()
         self._make_signals()
         self._quotas = self._make_quotas()
@@ -108,6 +112,7 @@
             lambda: self._known.table is not None,
             self._limits,
             ConnectionGate(self._clock, self._metrics.count),
+            self._kept,
             self._clock,
         )
 
@@ -161,7 +166,7 @@
             fleet, self._signals, clock, self._name, self._settings.data_centre
         )
         self._origins = StreamOrigins(fleet, clock)
-        fleet.on_knowledge = self._origins.update
+        fleet.on_knowledge = self._on_knowledge
         fleet.signals_to_resend = lambda: (
             *self._signals.reports_for_new_leader(),
             *self._room.reports_for_new_leader(),
@@ -233,6 +238,11 @@
             self._api.has_open_connection,
         )
 
+    def _on_knowledge(self) -> None:
+        self._origins.update()
+        limits = self._limits()
+        self._kept.set(limits.idle_timeout_ms, limits.header_timeout_ms)
+
     def _gateways(self) -> int:
         return self._known.gateways
 
--- a/chestnutfall/rush/__init__.py
+++ b/chestnutfall/rush/__init__.py
@@ -3,5 +3,6 @@
 from .acceptor import Acceptor
 from .connection_gate import ConnectionGate
 from .gated_server import GatedServer
+from .kept_limits import KeptLimits
 
-__all__ = ["Acceptor", "ConnectionGate", "GatedServer"]
+__all__ = ["Acceptor", "ConnectionGate", "GatedServer", "KeptLimits"]
--- a/chestnutfall/rush/gated_server.py
+++ b/chestnutfall/rush/gated_server.py
@@ -17,25 +17,36 @@
 from .connection_gate import ConnectionGate
 from .gated_connection import GatedConnection
 from .gated_request import GatedRequest
+from .kept_limits import KeptLimits
 from .opening import Opening
 
 
 class GatedServer(Server):
-    """Tells its gate of the calls, and of the ends of the connections that the gate admitted."""
+    """Tells its gate of the calls, and of the ends of the connections that the gate admitted.
+
+    Parameters
+    ----------
+    kept : KeptLimits, optional
+        How long a connection may be without a request; by default aiohttp's option decides.
+    """
 
     def __init__(
         self,
         handler: Callable[[BaseRequest], Awaitable[StreamResponse]],
         gate: ConnectionGate,
+        kept: KeptLimits | None = None,
         **options: Any,
     ) -> None:
         super().__init__(self._serve, **options)
         self._handler = handler
         self._gate = gate
+        self._kept = kept
 
     def open(self, opening: Opening) -> GatedConnection:
         """Return the protocol of a connection that the gate admitted."""
-        return GatedConnection(self._gate, opening, self, loop=self._loop, **self._kwargs)
+        return GatedConnection(
+            self._gate, opening, self, self._kept, loop=self._loop, **self._kwargs
+        )
 
     async def _serve(self, request: BaseRequest) -> StreamResponse:
         conn = request.protocol
--- a/properties/safeguards/rush_mutants.py
+++ b/properties/safeguards/rush_mutants.py
@@ -9,6 +9,8 @@
 _ACCEPTOR = "chestnutfall/rush/acceptor.py"
 _GATED = "chestnutfall.tests.test_connection_gate.ConnectionGateTest."
 _STANDING = "chestnutfall.tests.test_connection_gate.StandingDelayTest."
+_CONNECTION = "chestnutfall/rush/gated_connection.py"
+_KEPT = "chestnutfall.tests.test_kept_connections."
 _TAKEN = "chestnutfall.tests.test_acceptor.AcceptorTest."
 
 RUSH_MUTANTS = (
@@ -110,4 +112,53 @@
         "        super().connection_lost(exc)\n",
         _TAKEN + "test_a_connection_that_ends_without_a_call_is_no_longer_counted",
     ),
+    Mutant(
+        "a former limit on idle connections is forgotten at once",
+        "chestnutfall/rush/former_limit.py",
+        "        self._former.append((self.value_ms, now_ms))\n",
+        "",
+        _KEPT + "IdleTest.test_a_shorter_limit_ends_no_connection_that_a_client_still_uses",
+    ),
+    Mutant(
+        "only the last of the former limits counts",
+        "chestnutfall/rush/former_limit.py",
+        "        while self._former and self._former[-1][0] <= self.value_ms:\n",
+        "        while self._former:\n",
+        _KEPT + "IdleTest.test_the_longest_of_several_former_limits_counts",
+    ),
+    Mutant(
+        "a connection keeps the limit of its opening",
+        _CONNECTION,
+        "        if now < due:\n",
+        "        if False:\n",
+        _KEPT + "IdleTest.test_a_longer_limit_holds_for_connections_that_are_open",
+    ),
+    Mutant(
+        "a connection that is due is closed with its request unread",
+        _CONNECTION,
+        "        elif not self._is_ending:\n",
+        "        elif False:\n",
+        _KEPT + "IdleTest.test_a_request_that_came_as_the_connection_falls_due_is_answered",
+    ),
+    Mutant(
+        "a head without an end holds its connection",
+        _CONNECTION,
+        "        if self._head_since is not None:\n            return",
+        "        if False:\n            return",
+        _KEPT + "SlowRequestTest.test_a_head_that_does_not_end_is_closed",
+    ),
+    Mutant(
+        "an empty line counts as the beginning of a head",
+        _CONNECTION,
+        '        elif self._head_since is None and data.strip(b"\\r\\n"):\n',
+        "        elif self._head_since is None:\n",
+        _KEPT + "SlowRequestTest.test_an_empty_line_is_no_head",
+    ),
+    Mutant(
+        "the limits end a request whose answer is awaited",
+        _CONNECTION,
+        " or not self._is_waiting:\n            return\n        now",
+        ":\n            return\n        now",
+        _KEPT + "SlowRequestTest.test_a_request_is_never_ended_by_the_limits",
+    ),
 )
