Let services that a document drops serve what came before

What callers saw: requests that had been read whole under the former document, and waited for a place at an engine of a service that the next one no longer names, were refused at once, 503 queue_too_long, with 1 to 4 s to wait. So were requests that came at gateways with the former document while the next one was on its way: a leader sends one document in 200 ms, and takes upstreams of dropped services away at once.

Cause: the leader counted only upstreams of services of its newest document as serving.

Change: RetiredServices keeps a dropped service for the longest timeout of its routes and 2 s, a minute at most. Gateways with the new document send nothing there. A service that comes back with the next document has its engines' state still. A new leader knows no retired service.

Evidence: test_document_changes, with the real forwarder, leader and replicated log on a manual clock: 16 kinds of change x 5 states of requests, and in series, taken back, in two versions at once, as the leader changes.

--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -17,7 +17,7 @@
 from ..placement import AdapterName, Decision, Grant, Reject
 from ..placement.placer import Placer
 from ..quota.quota_ledger import QuotaLedger
-from ..routes import DocumentCodec, RouteTable
+from ..routes import DocumentCodec, RouteTable, ServiceSpec
 from ..settings.quota_bounds import QuotaBounds
 from ..settings.repeat_bounds import RepeatBounds
 from ..signals.backoff_registry import BackoffRegistry
@@ -43,6 +43,7 @@
 from .rejection_coordinator import RejectionCoordinator
 from .relay_messages import Announce, Depart
 from .repeat_pool import RepeatPool
+from .retired_services import RetiredServices
 from .round_pace import RoundPace
 from .upstream_tracker import UpstreamTracker
 
@@ -98,6 +99,7 @@
             self._sessions, state, self._placer, self._quotas, clock
         )
         self._table: RouteTable | None = None
+        self._retired = RetiredServices(clock)
         self._wake = asyncio.Event()
         self._pace = RoundPace(clock)
         self._engines = OrderDispatcher(
@@ -191,7 +193,10 @@
         # A document that is stored again, or an older one, changes nothing. Decoding one of some
         # thousand routes takes milliseconds during which no request is placed.
         if held.version > known:
+            former = self._table
             self._table = RouteTable(self._codec.decode(decompress_document(held.content)))
+            if former is not None:
+                self._retired.note_change(former, self._table)
             self._quotas.apply_quotas(self._table.document.organisations)
             self._upstreams.update_soon()
 
@@ -242,8 +247,13 @@
         await self._upstreams.depart(msg)
 
     def _is_configured_service(self, service: str) -> bool:
-        """Whether the document in force contains the service; True while there is no document."""
-        return self._table is None or service in self._table.services
+        """Whether upstreams of a service may serve; True while there is no document."""
+        return self._table is None or self._service(service) is not None
+
+    def _service(self, name: str) -> ServiceSpec | None:
+        """Return a service of the document in force, or one that it has just dropped."""
+        spec = self._table.services.get(name) if self._table is not None else None
+        return spec if spec is not None else self._retired.get(name)
 
     def _note_models(self, msg: Announce) -> None:
         engine = self._placer.engines.get(msg.record.instance)
@@ -266,7 +276,7 @@
 
     def _engines_of(self, serving: list[UpstreamRecord]) -> Iterator[EngineRecord]:
         for record in serving:
-            spec = self._table.services.get(record.service) if self._table else None
+            spec = self._service(record.service)
             if spec is not None and spec.engine is not None:
                 yield EngineRecord(record, spec.engine)
 
--- /dev/null
+++ b/chestnutfall/tests/test_document_changes.py
@@ -0,0 +1,278 @@
+"""Changes of the document while requests are in progress, with a real leader and forwarder."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from ..clock import ManualClock
+from ..coordination.relay_messages import Accepted
+from ..coordination.retired_services import IN_FORCE_MS, RetiredServices
+from ..platform.document_json import DocumentJson
+from ..routes import RouteTable
+from .fakes.document_office import DocumentOffice
+from .fakes.document_parts import (
+    CHANGED,
+    CHANGED_PLAIN,
+    CHANGES,
+    KEPT,
+    KEPT_PLAIN,
+    KEY,
+    TIMEOUT_MS,
+    Document,
+    changed,
+    first_document,
+)
+
+PATHS = (CHANGED, KEPT, CHANGED_PLAIN, KEPT_PLAIN)
+ENDED_MS = 5_000
+"""Time within which each request ends."""
+SERIES_MS = (30, 300)
+"""Times between two documents: the second comes as the first is taken in, and after that."""
+LATER_REFUSALS = {
+    "routes are dropped": (404,),
+    "routes are dropped and their services go": (404,),
+    # Engines are known to take longer than that; others find out.
+    "timeouts are shorter": (503, 504),
+    "engines get fewer slots and less memory": (503,),
+    "keys and quotas change": (429,),
+}
+"""Refusals of requests that a change concerns and that are sent with the document or after it."""
+ASKS_QUOTA = ("waiting for a leader", "keys and quotas change")
+"""Requests whose quota is asked for after the document, and is used up then."""
+
+
+async def _read(office: DocumentOffice) -> None:
+    _begin_all(office)
+    await asyncio.sleep(0)
+
+
+async def _waiting_for_leader(office: DocumentOffice) -> None:
+    office.lose_leader()
+    await office.steps(700)
+    _begin_all(office)
+    await office.steps(20)
+
+
+async def _waiting_for_room(office: DocumentOffice) -> None:
+    await office.fill(CHANGED)
+    await office.fill(KEPT)
+    _begin_all(office)
+    await office.steps(30)
+
+
+async def _sent(office: DocumentOffice) -> None:
+    _begin_all(office)
+    await office.steps(50)
+
+
+async def _begun(office: DocumentOffice) -> None:
+    _begin_all(office)
+    while not all(office.replies[path].body for path in (CHANGED, KEPT)):
+        await office.steps(10)
+
+
+STATES: dict[str, Callable[[DocumentOffice], Awaitable[None]]] = {
+    "read": _read,
+    "waiting for a leader": _waiting_for_leader,
+    "waiting for room": _waiting_for_room,
+    "sent": _sent,
+    "begun": _begun,
+}
+
+
+def _begin_all(office: DocumentOffice, name: str = "") -> None:
+    for path in PATHS:
+        office.begin(path, f"{path}{name}", KEY)
+
+
+class _DocumentCase(unittest.IsolatedAsyncioTestCase):
+    async def _office(self) -> DocumentOffice:
+        office = DocumentOffice(first_document())
+        await office.start()
+        return office
+
+    async def _each_case(
+        self, play: Callable[[DocumentOffice, str], Awaitable[None]], states: tuple[str, ...]
+    ) -> None:
+        """Play each change for requests in each state."""
+        for state in states:
+            for change in CHANGES:
+                with self.subTest(f"{state}: {change}"):
+                    office = await self._office()
+                    try:
+                        await STATES[state](office)
+                        await play(office, change)
+                        await office.all_ended(ENDED_MS)
+                        self._assert_ended_well(office, state, change)
+                    finally:
+                        await office.stop()
+
+    def _assert_ended_well(self, office: DocumentOffice, state: str, change: str) -> None:
+        """Check that each request has its answer; later ones one that the document allows."""
+        for attempt, reply in office.replies.items():
+            is_later = "later" in attempt and attempt.startswith(_concerned_by(change))
+            refusals = LATER_REFUSALS.get(change, ()) if is_later else ()
+            if (state, change) == ASKS_QUOTA:
+                refusals = (429,)
+            wanted = "refused" if reply.status in refusals else "whole"
+            self.assertEqual(reply.ended, wanted, (attempt, reply.status, reply.reason))
+
+    def _next(self, office: DocumentOffice, change: str) -> Document:
+        return changed(office.document, CHANGES[change])
+
+
+class OneDocumentTest(_DocumentCase):
+    # Guards against a document that ends a request of a changed route, or of another one, which
+    # came before it: by a route, service, organisation or limit that is looked up anew.
+    async def test_each_change_leaves_requests_in_each_state(self) -> None:
+        async def play(office: DocumentOffice, change: str) -> None:
+            new = self._next(office, change)
+            if not any(office.replies[path].body for path in PATHS) and not office.arrivals(
+                KEPT_PLAIN
+            ):
+                office.put_in_force(new)
+            await office.store(new)
+            await office.steps(500)
+            self.assertEqual(office.gateway.known.version, new["version"])
+            _begin_all(office, " later")
+
+        await self._each_case(play, tuple(STATES))
+
+
+class SeriesTest(_DocumentCase):
+    # Guards against a document that comes as the one before is taken in: gateways get the second
+    # one late, while the leader has already dropped the upstreams that it no longer names.
+    async def test_a_change_soon_after_another(self) -> None:
+        for apart_ms in SERIES_MS:
+
+            async def play(office: DocumentOffice, change: str, apart_ms: int = apart_ms) -> None:
+                await self._store_apart(office, changed(office.document, _touch), apart_ms)
+                await self._store_apart(office, self._next(office, change), 300)
+
+            await self._each_case(play, ("waiting for room", "begun"))
+
+    # Guards against gateways that have the former document for a while, as the next one follows
+    # soon after it: what they send meanwhile finds no upstream.
+    async def test_requests_between_a_change_and_the_document(self) -> None:
+        async def play(office: DocumentOffice, change: str) -> None:
+            await office.store(changed(office.document, _touch))
+            stored = office.begin_store(self._next(office, change))
+            for at in range(4):
+                _begin_all(office, f" later {at}")
+                await office.steps(50)
+            self.assertEqual(stored.result(), Accepted())
+
+        await self._each_case(play, ("begun",))
+
+    # Guards against what is dropped by one document and comes back with the next.
+    async def test_a_change_that_is_taken_back(self) -> None:
+        for apart_ms in SERIES_MS:
+
+            async def play(office: DocumentOffice, change: str, apart_ms: int = apart_ms) -> None:
+                first = office.document
+                await self._store_apart(office, self._next(office, change), apart_ms)
+                version = {"version": office.document["version"] + 3}
+                await self._store_apart(office, first | version, 300)
+
+            await self._each_case(play, ("waiting for room", "begun"))
+
+    async def _store_apart(self, office: DocumentOffice, new: Document, apart_ms: int) -> None:
+        """Store a document, send requests, and let time pass until the next one."""
+        stored = office.begin_store(new)
+        _begin_all(office, f" later {new['version']}")
+        await office.steps(apart_ms)
+        while not stored.done():
+            await office.steps(10)
+        self.assertEqual(stored.result(), Accepted())
+
+    # Guards against the older of two documents that come together and is in force at the end.
+    async def test_two_versions_at_once(self) -> None:
+        for is_older_first in (True, False):
+
+            async def play(
+                office: DocumentOffice, change: str, is_older_first: bool = is_older_first
+            ) -> None:
+                older = changed(office.document, _touch)
+                newer = changed(older, CHANGES[change])
+                both = (older, newer) if is_older_first else (newer, older)
+                stored = [office.begin_store(one) for one in both]
+                await office.steps(500)
+                self.assertEqual([one.result() for one in stored], [Accepted(), Accepted()])
+                self.assertEqual(office.gateway.known.version, newer["version"])
+
+            await self._each_case(play, ("waiting for room", "begun"))
+
+
+class LeaderTest(_DocumentCase):
+    # Guards against a document that is half taken in as its leader is cut off.
+    async def test_a_change_as_the_leader_changes(self) -> None:
+        async def play(office: DocumentOffice, change: str) -> None:
+            new = self._next(office, change)
+            office.begin_store(new)
+            await office.steps(20)
+            office.lose_leader()
+            await office.steps(1_000)
+            await office.store(new)
+            await office.steps(500)
+            self.assertEqual(office.gateway.known.version, new["version"])
+
+        await self._each_case(play, ("sent", "begun"))
+
+
+class RetiredServicesTest(_DocumentCase):
+    # Guards against upstreams of a service that went which gateways know for ever.
+    async def test_a_service_that_went_ends_with_its_last_requests(self) -> None:
+        office = await self._office()
+        change = CHANGES["routes move and their services go"]
+        await office.store(changed(office.document, change))
+        await office.steps(1_000)
+        upstreams = office.gateway.known.upstreams
+        self.assertEqual([len(upstreams(path)) for path in PATHS], [1, 1, 1, 1])
+        await office.steps(IN_FORCE_MS + TIMEOUT_MS)
+        self.assertEqual([len(upstreams(path)) for path in PATHS], [0, 1, 0, 1])
+        await office.stop()
+
+    # Guards against services that are kept although no request could be on its way to them, and
+    # against what is kept for ever.
+    def test_what_is_kept_and_for_how_long(self) -> None:
+        clock = ManualClock()
+        retired = RetiredServices(clock)
+        table = _table(first_document())
+        for change, is_kept in (
+            ("routes move and their services go", True),
+            ("limits shrink", False),
+        ):
+            new = _table(changed(first_document(), CHANGES[change]))
+            retired.note_change(table, new)
+            self.assertEqual(retired.get(CHANGED) is not None, is_kept)
+            self.assertIsNone(retired.get(KEPT))
+        unused = changed(first_document(), CHANGES["routes move to another service"])
+        retired.note_change(
+            _table(unused), _table(changed(unused, CHANGES["routes move and their services go"]))
+        )
+        self.assertIsNone(retired.get(CHANGED))
+        for at in range(50):
+            doc = first_document()
+            doc["services"].append(doc["services"][0] | {"name": f"s{at}"})
+            doc["routes"].append(doc["routes"][0] | {"service": f"s{at}", "path_prefix": "/s/"})
+            retired.note_change(_table(doc), table)
+            clock._now_ms += 1_000
+        self.assertLessEqual(len(retired), (IN_FORCE_MS + TIMEOUT_MS) // 1_000 + 1)
+
+
+def _table(doc: Document) -> RouteTable:
+    return RouteTable(DocumentJson().decode(json.dumps(doc).encode()))
+
+
+def _concerned_by(change: str) -> tuple[str, ...]:
+    """Return the paths whose later requests a change may refuse."""
+    return PATHS if change == "keys and quotas change" else (CHANGED, CHANGED_PLAIN)
+
+
+def _touch(doc: dict[str, Any]) -> None:
+    """Change what concerns no request."""
+    doc["limits"]["max_body_bytes"] += 1
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -4,7 +4,23 @@
 
 from ..mutant import Mutant
 
+_DOCUMENTS = "chestnutfall.tests.test_document_changes."
+
 FLEET_MUTANTS = (
+    Mutant(
+        "a service that a document drops ends at once",
+        "chestnutfall/coordination/leader_term.py",
+        "                self._retired.note_change(former, self._table)\n",
+        "                pass\n",
+        _DOCUMENTS + "SeriesTest.test_requests_between_a_change_and_the_document",
+    ),
+    Mutant(
+        "a service that a document drops serves for ever",
+        "chestnutfall/coordination/retired_services.py",
+        "        return spec if until_ms > self._clock.now_ms() else None\n",
+        "        return spec\n",
+        _DOCUMENTS + "RetiredServicesTest.test_a_service_that_went_ends_with_its_last_requests",
+    ),
     Mutant(
         "SIGHUP ends a program that starts",
         "chestnutfall/programs/launch.py",
