--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -22,7 +22,7 @@
 from ..forwarding.request_end import Refused
 from ..forwarding.request_ends import RequestEnds
 from ..routes import DocumentLimits
-from ..rush import ConnectionGate, GatedServer
+from ..rush import ConnectionGate, GatedServer, KeptLimits
 from . import header_names as names
 from .body import read_body
 from .call_reader import deadline_ms, read_call
@@ -32,9 +32,6 @@
 from .unreadable_request import UnreadableRequest
 
 log = logging.getLogger(__name__)
-KEEPALIVE_S = 75.0
-"""Longer than clients keep an idle connection; else the gateway could close one while a request is
-on its way."""
 READY_PATH = "/v1/ready"
 
 
@@ -52,6 +49,8 @@
         Returns the limits in force for requests.
     gate : ConnectionGate
         Decides which new connections of clients are taken.
+    kept : KeptLimits
+        How long clients may keep a connection without a request.
     """
 
     def __init__(
@@ -60,6 +59,7 @@
         is_ready: Callable[[], bool],
         limits: Callable[[], DocumentLimits],
         gate: ConnectionGate,
+        kept: KeptLimits,
         clock: Clock,
         ends: RequestEnds,
     ) -> None:
@@ -67,6 +67,7 @@
         self._is_ready = is_ready
         self._limits = limits
         self._gate = gate
+        self._kept = kept
         self._clock = clock
         self._ends = ends
         self._in_progress = 0
@@ -89,9 +90,9 @@
         caller_server = GatedServer(
             self._on_request,
             self._gate,
+            self._kept,
             access_log=None,
             handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_S,
             max_line_size=DocumentLimits().max_header_bytes,
             max_field_size=DocumentLimits().max_header_bytes,
         )
