Let stand-ins fall silent for a while without a fault

A sound engine may write nothing for a second or so and go on. The stand-ins knew only faults: silent for ever, reset, slow. Now engines and plain upstreams of both dialects hold back what they write for a given time, accept connections and keep bytes meanwhile, and go on: of whole answers, before the head of a stream, between events, and after the first half of an event; runs go on or pause. It is asked for like the other faults (POST /standin/silence, Silence.begin), and the number of writes held back is counted by moment.

--- a/chestnutfall/platform/standin/run_registry.py
+++ b/chestnutfall/platform/standin/run_registry.py
@@ -30,6 +30,10 @@
 
     Attributes
     ----------
+    reached : dict of str to set of str
+        Upstreams that each request id reached.
+    broken_off : set of str
+        Request ids whose answers upstreams broke off, without a crash.
     runs : Counter of str
         Number of runs of each request id.
     ends : Counter of bytes
@@ -56,6 +60,8 @@
         Times in seconds at which engines crashed under such a part.
     """
 
+    reached: dict[str, set[str]] = field(default_factory=dict)
+    broken_off: set[str] = field(default_factory=set)
     runs: Counter[str] = field(default_factory=Counter)
     ends: Counter[bytes] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
@@ -75,8 +81,9 @@
         self.organisations[request_id] = organisation
         self.run_times_s.setdefault(organisation, []).append(time.monotonic())
 
-    def note_arrival(self, instance: str, gateway: str) -> None:
+    def note_arrival(self, instance: str, gateway: str, request_id: str = "") -> None:
         """Record that a request of `gateway` reached an upstream, whether or not it is refused."""
+        self.reached.setdefault(request_id, set()).add(instance)
         self.arrival_times_s.setdefault(instance, []).append(time.monotonic())
         self.signals_of(instance).note_arrival(gateway)
 
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -13,6 +13,7 @@
 import aiohttp
 from aiohttp import web
 
+from ...standin.silence import Silence, SilentMoment
 from .. import header_names as names
 from ..listening import Listener, listen
 from .adapter_store import AdapterStore
@@ -52,6 +53,8 @@
     ----------
     instance : str
         Name that it announces; a new one after each restart.
+    instances : list of str
+        All of these names.
     address : str
         Address at which it listens.
     announced_address : str
@@ -89,6 +92,8 @@
         Share of its answers that have neither a length nor chunks.
     down_s : float
         Time from its end to its restart.
+    silence : Silence
+        Times in which it writes nothing, though it is sound and announces itself.
     """
 
     def __init__(
@@ -103,6 +108,7 @@
         self.instance = f"i-{rng.randrange(16**8):08x}"
         self.announced_address = ""
         self.address = ""
+        self.instances = [self.instance]
         self._is_engine = is_engine
         self._registry = registry
         self._rng = rng
@@ -128,6 +134,7 @@
         self.events = EVENTS
         self.break_share = self.unframed_share = 0.0
         self.down_s = DOWN_S
+        self.silence = Silence()
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
         self._announcing: asyncio.Task[None] | None = None
@@ -175,10 +182,12 @@
         await self._close()
         await asyncio.sleep(self.down_s)
         self.instance = f"i-{self._instance_rng.randrange(16**8):08x}"
+        self.instances.append(self.instance)
         self._started_ms = time.time_ns() // 1_000_000
         self.build = self.next_build
         self.backoff, self.leaving, self.announces_draining = None, False, False
         self._adapters = self._new_store()
+        self.silence.end()
         refused, self.room = self.room.refused, StandInRoom()
         self.room.refused = refused
         await self._listen(self.address)
@@ -225,24 +234,35 @@
     # HTTP requests
 
     async def _on_request(self, request: web.BaseRequest) -> web.StreamResponse:
+        await self.silence.before_running()
         expected = request.headers.get(names.EXPECTED_INSTANCE, self.instance)
         if expected != self.instance:
-            return web.Response(status=421, headers={names.INSTANCE: self.instance})
+            return await self._held(web.Response(status=421, headers=self._own_name()))
         match request.method, request.path:
             case "GET", "/v1/report":
                 message = self._adapters.report() | {"born": self._started_ms}
-                return web.json_response(message, headers=self._signal_headers())
+                return await self._held(web.json_response(message, headers=self._signal_headers()))
             case "POST", "/v1/order":
-                return web.Response(status=self._adapters.order(json.loads(await request.read())))
+                status = self._adapters.order(json.loads(await request.read()))
+                return await self._held(web.Response(status=status))
             case _:
                 with self.idle.serving(request):
-                    return await self._run(request)
+                    return await self._held(await self._run(request))
+
+    async def _held(self, response: web.StreamResponse) -> web.StreamResponse:
+        """Hold back an answer that was not written yet while this upstream is silent."""
+        if not response.prepared:
+            await self.silence.before_writing(SilentMoment.WHOLE)
+        return response
+
+    def _own_name(self) -> dict[str, str]:
+        return {names.INSTANCE: self.instance}
 
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
         request_id = request.headers[names.REQUEST_ID]
         gateway = request.headers.get(ENTRY_HEADER, "")
-        self._registry.note_arrival(self.instance, gateway)
+        self._registry.note_arrival(self.instance, gateway, request_id)
         history = self._registry.signals_of(self.instance)
         history.address = self.announced_address
         if self.leaving:
@@ -252,7 +272,7 @@
         name = request.headers.get(names.MODEL, "").partition("/")[2]
         store = self._adapters
         if self._is_engine and name not in store.versions:
-            return self._answer(request_id, 421, {names.INSTANCE: self.instance})
+            return self._answer(request_id, 421, self._own_name())
         if not self._is_engine:
             return await self._run_plain(request, request_id, body)
         if self._has_fatal_part(request):
@@ -277,6 +297,7 @@
             async with room.place():
                 self._note_run(request, request_id, body)
                 await asyncio.sleep(self._rng.uniform(0.002, 0.03) * room.slowdown)
+                await self.silence.before_running()
                 return await self._answer_plain(request, request_id)
         except NoRoom:
             return self._reject(request_id)
@@ -286,9 +307,11 @@
         if self._rng_of_answers.random() >= self.unframed_share:
             return self._answer(request_id, 200, {}, body)
         answer = UnframedAnswer(self._headers(request_id))
+        await self.silence.before_writing(SilentMoment.HEAD)
         await answer.prepare(request)
         if self._break_after(0) is not None and request.transport is not None:
             await answer.write(body[: len(body) // 2])
+            self._registry.broken_off.add(request_id)
             reset(request.transport)
         else:
             await answer.write_eof(body)
@@ -353,23 +376,33 @@
         is_unframed = self._rng_of_answers.random() < self.unframed_share
         make = UnframedAnswer if is_unframed else web.StreamResponse
         response = make(headers=self._headers(request_id))
+        await self.silence.before_writing(SilentMoment.HEAD)
         await response.prepare(request)
         for number in range(after + 1, self.events + 1):
             if name not in self._adapters.versions:
                 self._registry.note_violation(
                     f"{self.instance}: {name} was evicted while it served"
                 )
-            await response.write(event_text(number, request_id, build))
+            await self._write_event(response, event_text(number, request_id, build))
             await self._work(0.01)
             if self._has_fatal_part(request):
                 self._crash_under_part()
                 return response
             if number == breaks_at and request.transport is not None:
+                self._registry.broken_off.add(request_id)
                 reset(request.transport)
                 return response
         await response.write_eof()
         return response
 
+    async def _write_event(self, response: web.StreamResponse, event: bytes) -> None:
+        first = self.silence.first_bytes(event)
+        if first:
+            await response.write(event[:first])
+        moment = SilentMoment.REST_OF_EVENT if first else SilentMoment.EVENT
+        await self.silence.before_writing(moment)
+        await response.write(event[first:])
+
     def _has_fatal_part(self, request: web.BaseRequest) -> bool:
         parts = request.headers.get(names.PROMPT_PARTS, "").split(",")[:-1]
         return any(part.partition(":")[0] in self._registry.fatal_parts for part in parts)
@@ -391,6 +424,7 @@
         if self.speed is not None:
             work_s = self.speed.stretched_s(work_s, time.monotonic())
         await asyncio.sleep(work_s)
+        await self.silence.before_running()
 
 
 def _seconds(text: str) -> float:
--- a/chestnutfall/programs/plain.py
+++ b/chestnutfall/programs/plain.py
@@ -14,6 +14,8 @@
 from ..settings.plain_settings import PlainSettings
 from ..standin.announcer import Announcer
 from ..standin.scripted_headers import ScriptedHeaders
+from ..standin.scripted_silence import ScriptedSilence
+from ..standin.silence import Silence
 from ..wire.http_listener import listen
 from .command_line import load_settings, make_parser
 from .event_loop import run
@@ -63,6 +65,7 @@
 
     app = web.Application()
     signals.attach(app)
+    ScriptedSilence(Silence()).attach(app)
     app.router.add_route("*", "/{tail:.*}", answer)
     runner = web.AppRunner(app, access_log=None)
     await listen(runner, settings.listen)
--- a/chestnutfall/standin/engine_app.py
+++ b/chestnutfall/standin/engine_app.py
@@ -12,6 +12,8 @@
 from .engine_core import EngineCore
 from .run import Run
 from .scripted_headers import ScriptedHeaders
+from .scripted_silence import ScriptedSilence
+from .silence import SilentMoment
 
 DEFAULT_TOKENS = 16
 """Tokens generated for a request without `max_tokens`."""
@@ -26,7 +28,8 @@
 
     `POST /standin/faults` adds faults by name, each with the number of times that it occurs:
     "silent", "reset", "wrong_model", "wrong_answer", "short_answer", and for streams "gap",
-    "duplicate", "mid_reset" and "mid_silent". The core adds "load_failure".
+    "duplicate", "mid_reset" and "mid_silent". The core adds "load_failure". `POST
+    /standin/silence` lets it fall silent for a time, which is no fault.
 
     Attributes
     ----------
@@ -51,6 +54,7 @@
         app.router.add_post("/standin/faults", self._faults)
         app.router.add_get("/standin/counts", self._counts)
         self._scripted_headers.attach(app)
+        ScriptedSilence(self._core.silence).attach(app)
         return app
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
@@ -92,6 +96,7 @@
 
     async def _stream(self, request: web.Request, run: Run, after: int) -> web.StreamResponse:
         resp = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await self._core.silence.before_writing(SilentMoment.HEAD)
         await resp.prepare(request)
         sent = after
         while True:
@@ -102,7 +107,7 @@
                     return resp
                 if sent == 3 and self._core.take_fault("gap"):
                     continue
-                await resp.write(b"id: %d\ndata: %s\n\n" % (sent, data))
+                await self._write_event(resp, b"id: %d\ndata: %s\n\n" % (sent, data))
                 if sent == 3 and self._core.take_fault("duplicate"):
                     await resp.write(b"id: %d\ndata: %s\n\n" % (sent, data))
                 if sent == 3 and self._core.take_fault("mid_reset") and request.transport:
@@ -118,6 +123,14 @@
             run.changed.clear()
             await run.changed.wait()
 
+    async def _write_event(self, resp: web.StreamResponse, event: bytes) -> None:
+        silence = self._core.silence
+        first = silence.first_bytes(event)
+        if first:
+            await resp.write(event[:first])
+        await silence.before_writing(SilentMoment.REST_OF_EVENT if first else SilentMoment.EVENT)
+        await resp.write(event[first:])
+
     def _with_fault(self, data: bytes) -> bytes:
         """Return an event, changed if a fault is due."""
         if data != b"[DONE]" and self._core.take_fault("wrong_model"):
@@ -158,7 +171,9 @@
 
     async def _counts(self, request: web.Request) -> web.Response:
         return web.json_response(
-            self._core.counts | {"turned_away": self._scripted_headers.refusals}
+            self._core.counts
+            | {"turned_away": self._scripted_headers.refusals}
+            | {f"held: {at.value}": count for at, count in self._core.silence.held.items()}
         )
 
 
--- a/chestnutfall/standin/engine_core.py
+++ b/chestnutfall/standin/engine_core.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 from .run import Run
+from .silence import Silence
 
 MAX_KEPT_RUNS = 512
 """Runs kept for resumption; the oldest ended runs are dropped first."""
@@ -39,6 +40,8 @@
         Number of events by kind, for tests.
     faults : Counter of str
         Scripted faults, each with the number of times that it still occurs.
+    silence : Silence
+        Times in which it writes nothing.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         self.epoch = 0
         self.counts: Counter[str] = Counter()
         self.faults: Counter[str] = Counter()
+        self.silence = Silence()
         self._checks_epochs = checks_epochs
         self._loads: set[asyncio.Task[None]] = set()
         self._has_work = asyncio.Event()
@@ -140,6 +144,7 @@
                 await self._has_work.wait()
                 continue
             await asyncio.sleep(self.step_ms / 1000)
+            await self.silence.before_running()
             active.sort(key=lambda run: run.priority)
             for run in active[: self.batch]:
                 if not run.cancelled:
