Let stand-in operators change each kind of setting, and clients keep time

Documents of the stand-in operator had one state; now a state of timeout, routes, weights, services, limits, connections, quota and organisations goes over into the next by a change of one kind. The first state is the document as before.

--- a/chestnutfall/platform/standin/connecting_client.py
+++ b/chestnutfall/platform/standin/connecting_client.py
@@ -29,6 +29,8 @@
         `NO_ANSWER_STATUS` if nothing had come by the deadline.
     whole : bool
         Whether its answer is the only correct one.
+    connected : bool
+        Whether there was a connection to send it on.
     """
 
     request_id: str
@@ -38,6 +40,11 @@
     status: int
     whole: bool = False
     reason: str = ""
+    connected: bool = True
+
+
+class _NotConnected(Exception):
+    """The gateway took no connection."""
 
 
 class ConnectingClient:
@@ -50,17 +57,21 @@
         """Send one request to the address `gateway` and read its answer."""
         request_id = f"{self._rng.randrange(16**16):016x}"
         sent_s = time.monotonic()
-        status, body = NO_ANSWER_STATUS, b""
+        status, body, connected = NO_ANSWER_STATUS, b"", True
         try:
             async with asyncio.timeout(DEADLINE_MS / 1000):
                 status, body = await _exchange(gateway, _request(request_id, gateway, route))
+        except _NotConnected:
+            status, connected = UNREAD_STATUS, False
         except TimeoutError:
             # What was not answered in time counts with its status.
             pass
         took_s = time.monotonic() - sent_s
         whole = status == 200 and body == answer_body(request_id)
         reason = "" if status == 200 else body.decode()
-        return ConnectingAttempt(request_id, gateway, sent_s, took_s, status, whole, reason)
+        return ConnectingAttempt(
+            request_id, gateway, sent_s, took_s, status, whole, reason, connected
+        )
 
 
 def _request(request_id: str, gateway: str, route: str) -> bytes:
@@ -80,16 +91,17 @@
 
 async def _exchange(gateway: str, request: bytes) -> tuple[int, bytes]:
     """Return status and body of the answer on a new connection."""
-    writer = None
     try:
         reader, writer = await asyncio.open_connection(*split_address(gateway))
+    except OSError as exc:
+        raise _NotConnected from exc
+    try:
         writer.write(request)
         answer = await reader.read()
     except OSError:
         return UNREAD_STATUS, b""
     finally:
-        if writer is not None:
-            writer.close()
+        writer.close()
     if not answer:
         return UNREAD_STATUS, b""
     head, _, body = answer.partition(b"\r\n\r\n")
--- /dev/null
+++ b/chestnutfall/platform/standin/document_change.py
@@ -0,0 +1,111 @@
+"""Changes of each kind that an operator makes to a document, one after another."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import Any
+
+DESK = "desk"
+"""A second plain service, which comes and goes."""
+SHIFTING = "shift"
+"""A route that is split between the plain services, moves, comes and goes."""
+SHORTEST_TIMEOUT_MS = 2_200
+SHORTEST_IDLE_MS = 1_000
+
+
+class ChangeKind(Enum):
+    """What differs between two versions of a document."""
+
+    TIMEOUT = "timeout"
+    ROUTE_MOVED = "route moved"
+    ROUTE_ADDED_OR_DROPPED = "route added or dropped"
+    WEIGHTS = "weights split"
+    WEIGHT_ZERO = "weight to 0"
+    IDLE_LIMIT = "idle limit"
+    HEADER_LIMITS = "header limits"
+    SERVICE_ADDED_OR_DROPPED = "service added or dropped"
+    CONNECTIONS = "connections to an upstream"
+    QUOTA = "quota"
+    ORGANISATION_ADDED_OR_DROPPED = "organisation added or dropped"
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentState:
+    """What the changes have made of a document.
+
+    Attributes
+    ----------
+    timeout_ms : int
+        Timeout of all routes.
+    desk_weight, plain_weight : float
+        Shares of the shifting route that go to `DESK` and to the other plain service.
+    has_shifting, has_desk : bool
+        Whether the document has that route, and that service.
+    max_conns : int
+        Connections to one upstream of each service; 0 for no limit.
+    guest_per_s : float
+        Quota of the organisation `GUEST`.
+    has_guest : bool
+        Whether the document has that organisation.
+    """
+
+    timeout_ms: int = 3_000
+    desk_weight: float = 0.0
+    plain_weight: float = 1.0
+    has_shifting: bool = False
+    has_desk: bool = False
+    idle_timeout_ms: int = 60_000
+    header_timeout_ms: int = 10_000
+    max_header_bytes: int = 16_384
+    max_conns: int = 0
+    guest_per_s: float = 50.0
+    has_guest: bool = False
+
+    def changed(self, kind: ChangeKind, rng: random.Random) -> DocumentState:
+        """Return a state that differs by one change of a kind."""
+        match kind:
+            case ChangeKind.TIMEOUT:
+                return replace(self, timeout_ms=rng.choice((SHORTEST_TIMEOUT_MS, 3_000, 5_000)))
+            case ChangeKind.ROUTE_MOVED:
+                to_desk = self.has_desk and not self.desk_weight
+                return self._weighted(float(to_desk), float(not to_desk))
+            case ChangeKind.ROUTE_ADDED_OR_DROPPED:
+                return replace(self, has_shifting=not self.has_shifting)
+            case ChangeKind.WEIGHTS:
+                share = rng.uniform(0.1, 0.9)
+                return self._weighted(share, 1 - share) if self.has_desk else self
+            case ChangeKind.WEIGHT_ZERO:
+                return self._weighted(0.0, 1.0)
+            case ChangeKind.IDLE_LIMIT:
+                idle_ms = rng.choice((SHORTEST_IDLE_MS, 2_500, 60_000))
+                return replace(self, idle_timeout_ms=idle_ms)
+            case ChangeKind.HEADER_LIMITS:
+                return replace(
+                    self,
+                    max_header_bytes=rng.choice((8_192, 16_384, 32_768)),
+                    header_timeout_ms=rng.choice((1_000, 10_000)),
+                )
+            case ChangeKind.SERVICE_ADDED_OR_DROPPED:
+                return replace(self._weighted(0.0, 1.0), has_desk=not self.has_desk)
+            case ChangeKind.CONNECTIONS:
+                return replace(self, max_conns=rng.choice((0, 30, 60)))
+            case ChangeKind.QUOTA:
+                return replace(self, guest_per_s=rng.choice((5.0, 20.0, 50.0)))
+            case ChangeKind.ORGANISATION_ADDED_OR_DROPPED:
+                return replace(self, has_guest=not self.has_guest)
+
+    def _weighted(self, desk: float, plain: float) -> DocumentState:
+        return replace(self, desk_weight=desk, plain_weight=plain)
+
+    def limits(self) -> dict[str, Any]:
+        """Return the limits of the document in its JSON form."""
+        return {
+            "idle_timeout_ms": self.idle_timeout_ms,
+            "header_timeout_ms": self.header_timeout_ms,
+            "max_header_bytes": self.max_header_bytes,
+        }
+
+
+INITIAL = DocumentState()
--- a/chestnutfall/platform/standin/operator.py
+++ b/chestnutfall/platform/standin/operator.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from .adapter_store import ADAPTER_SLOTS, MODEL
+from .document_change import DESK, INITIAL, SHIFTING, DocumentState
 from .tenants import tenants
 from .upstream import BATCH
 
@@ -17,7 +18,7 @@
 PLAIN = "counter"
 
 
-def document(version: int) -> bytes:
+def document(version: int, state: DocumentState = INITIAL) -> bytes:
     """Return a valid document; each version has a route of its own."""
     engine = {
         "slots": BATCH,
@@ -27,7 +28,8 @@
         "loads_per_s": 5,
         "models": [{"name": MODEL, "weights_mb": 50, "load_s": 1}],
     }
-    common = {"host": HOST, "timeout_ms": 3000, "slo_ms": 300, "gap_aim_ms": 300, "attempts": 2}
+    common = {"host": HOST, "timeout_ms": state.timeout_ms, "slo_ms": 300, "gap_aim_ms": 300}
+    common["attempts"] = 2
     routes = [
         common | {"name": "once", "path_prefix": "/once/", "kind": "unsafe", "service": PLAIN},
         common | {"name": "again", "path_prefix": "/again/", "kind": "safe", "service": PLAIN},
@@ -39,9 +41,27 @@
         | {"name": f"v{version}", "path_prefix": f"/v{version}/", "kind": "safe"}
         | {"service": PLAIN},
     ]
+    if state.has_shifting:
+        routes.append(_shifting(common, state))
     services: list[dict[str, Any]] = [{"name": ENGINES, "engine": engine}, {"name": PLAIN}]
-    whole = {"version": version, "routes": routes, "services": services}
-    return json.dumps(whole | {"tenants": tenants(version)}).encode()
+    services += [{"name": DESK}] * state.has_desk
+    for service in services:
+        service["max_conns"] = state.max_conns
+    whole = {"version": version, "routes": routes, "services": services, "limits": state.limits()}
+    whole["tenants"] = tenants(version, state.guest_per_s if state.has_guest else None)
+    return json.dumps(whole).encode()
+
+
+def _shifting(common: dict[str, Any], state: DocumentState) -> dict[str, Any]:
+    """Return the route that the changes split and move."""
+    weights = {PLAIN: state.plain_weight, DESK: state.desk_weight}
+    targets = [
+        {"service": name, "weight": weight}
+        for name, weight in weights.items()
+        if name != DESK or state.has_desk
+    ]
+    split = {"name": SHIFTING, "path_prefix": f"/{SHIFTING}/", "kind": "safe", "backends": targets}
+    return common | split
 
 
 class StandInOperator:
@@ -52,10 +72,10 @@
         self._rng = rng
         self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.5))
 
-    async def put(self, version: int) -> bool:
+    async def put(self, version: int, state: DocumentState = INITIAL) -> bool:
         """Send version `version` once, without a repeat; return whether it was acknowledged."""
         try:
-            call = self._session.put(self._url(), data=document(version))
+            call = self._session.put(self._url(), data=document(version, state))
             async with call as resp:
                 return resp.status == 200
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/chestnutfall/platform/standin/stream_caller.py
+++ b/chestnutfall/platform/standin/stream_caller.py
@@ -40,6 +40,10 @@
         Attempt that it named as the one that brought the first event; empty for a new stream.
     after : int
         Number of the last event that the client had before it.
+    left : bool
+        Whether the client closed the connection on purpose.
+    connected : bool
+        Whether there was a connection to send it on.
     """
 
     request_id: str
@@ -52,6 +56,8 @@
     whole: bool = False
     reason: str = ""
     took_s: float = 0.0
+    left: bool = False
+    connected: bool = True
 
 
 @dataclass(slots=True)
@@ -175,9 +181,12 @@
                 async for data in resp.content.iter_any():
                     body += data
                     if leaves_after is not None and _count(body) >= leaves_after:
+                        attempt.left = True
                         break
                 else:
                     attempt.whole = resp.status == 200
+        except aiohttp.ClientConnectorError:
+            attempt.connected = False
         except (aiohttp.ClientError, TimeoutError, OSError):
             # A broken answer is what this client is for; what came of it counts.
             pass
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -28,6 +28,7 @@
 BATCH = 8
 HEARTBEAT_S = 0.4
 EVENTS = 4
+EVENT_S = 0.01
 ANSWER_BYTES = 400
 FATAL_BODY = b"fatal"
 """A request whose body begins with it crashes each upstream that runs it."""
@@ -92,6 +93,8 @@
         Share of its answers that have neither a length nor chunks.
     down_s : float
         Time from its end to its restart.
+    event_s : float
+        Time from one event of a stream to the next, for an engine of the usual speed.
     silence : Silence
         Times in which it writes nothing, though it is sound and announces itself.
     """
@@ -135,6 +138,7 @@
         self.break_share = self.unframed_share = 0.0
         self.down_s = DOWN_S
         self.silence = Silence()
+        self.event_s = EVENT_S
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
         self._announcing: asyncio.Task[None] | None = None
@@ -384,7 +388,7 @@
                     f"{self.instance}: {name} was evicted while it served"
                 )
             await self._write_event(response, event_text(number, request_id, build))
-            await self._work(0.01)
+            await self._work(self.event_s)
             if self._has_fatal_part(request):
                 self._crash_under_part()
                 return response
