Let the soak play silence that is no fault, and judge each end

The soak asked of answers whether they are right, not whether there is one. Now it holds each end of a request, as its client saw it, against a typed list of causes: the client left; the gateway was killed, or stood still until the client left; it was not read; a connection to its upstream was harmed; that upstream ended, broke off or answered with a failure; the deadline. It prints how many ended by each.

In the end most upstreams are silent for 1 to 1.5 s under no other fault; then all processes, gateways too, are killed at one moment and one controller loses its disk, twice, with traffic before each, and what was acknowledged has to be there. A part of the soak that ends by itself is a finding: errors in load tasks were swallowed.

--- /dev/null
+++ b/chestnutfall/tests/test_end_judge.py
@@ -0,0 +1,160 @@
+"""The soak's judgement of why requests ended without an answer, or streams before their end."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from soak.cause import Cause
+from soak.disturbances import Disturbances
+from soak.end_judge import EndJudge
+from soak.harm import (
+    HELPERS,
+    LEADERS,
+    closed_idle,
+    ended,
+    gateway_killed,
+    gateway_paused,
+    gateway_restarted,
+    links_cut,
+    links_harmed,
+    silent,
+    slow,
+)
+from soak.request_end import Ending, RequestEnd
+from soak.send_log import SendLog
+from soak.verdict import Verdict
+
+from ..platform.standin.run_registry import RunRegistry
+
+GATEWAY, OTHER, UPSTREAM = "g:1", "g:2", "u:1"
+BROKEN = RequestEnd("a1", "long", GATEWAY, 100.0, 101.0, 2.5, Ending.BROKEN_OFF, 200)
+GIVEN_UP = replace(BROKEN, ending=Ending.REFUSED, status=502)
+UNANSWERED = replace(BROKEN, ending=Ending.NO_ANSWER, status=0)
+SEND = "call: id=a1 content=x instance=i1~17 version=1 result=Lost {code} first=1 helped={helped}\n"
+LEFT = "call: id=a1 client closed its connection ms=3\n"
+
+
+class EndJudgeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.disturbances = Disturbances()
+        self.registry = RunRegistry()
+        self.log = SEND.format(code="reset", helped=0)
+        self.limited: set[str] = set()
+
+    def _judge(self) -> EndJudge:
+        return EndJudge(
+            self.disturbances,
+            self.registry,
+            SendLog([self.log]),
+            {"i1": UPSTREAM},
+            self.limited,
+            (GATEWAY, OTHER),
+        )
+
+    def _findings(self, one: RequestEnd) -> list[str]:
+        verdict = Verdict()
+        self._judge().check([one], verdict)
+        return verdict.violations
+
+    def _cause(self, one: RequestEnd) -> Cause | None:
+        return self._judge().explain(one).cause
+
+    # Guards against an end that is excused though the soak did nothing that causes it.
+    def test_an_end_without_a_cause_is_a_finding(self) -> None:
+        for one in (BROKEN, GIVEN_UP, UNANSWERED, replace(GIVEN_UP, status=500)):
+            with self.subTest(one=one):
+                self.assertIn("what nothing explains ended 1 requests", self._findings(one)[0])
+
+    def test_answers_and_refusals_need_no_cause(self) -> None:
+        whole = replace(BROKEN, ending=Ending.WHOLE)
+        for one in (whole, *(replace(GIVEN_UP, status=status) for status in (404, 429, 503, 504))):
+            with self.subTest(one=one):
+                self.assertEqual(self._findings(one), [])
+
+    # Guards against a second of silence that ends requests of a sound upstream.
+    def test_an_end_beside_a_silence_is_a_finding_of_its_own(self) -> None:
+        silences = ((silent(UPSTREAM), 0), (silent(LEADERS), 0), (silent(HELPERS), 1))
+        told = {name: "a second of silence ended 1 requests" for name, _ in silences}
+        told[slow(UPSTREAM)] = "a slow upstream ended 1 requests"
+        for name, helped in (*silences, (slow(UPSTREAM), 0)):
+            for one in (BROKEN, GIVEN_UP):
+                with self.subTest(name=name, one=one):
+                    self.setUp()
+                    self.log = SEND.format(code="silent", helped=helped)
+                    self.disturbances.record(name, 100.2, 100.9)
+                    self.assertIn(told[name], self._findings(one)[0])
+
+    def test_each_cause_explains_an_end(self) -> None:
+        waited = replace(UNANSWERED, waited_out=True, ended_s=104.0)
+        harms = (
+            (gateway_killed(GATEWAY), BROKEN, Cause.GATEWAY_KILLED),
+            (gateway_killed(GATEWAY), UNANSWERED, Cause.GATEWAY_KILLED),
+            (gateway_paused(GATEWAY), waited, Cause.GATEWAY_PAUSED),
+            (links_cut(GATEWAY), BROKEN, Cause.CONNECTION_HARMED),
+            (links_harmed(UPSTREAM), GIVEN_UP, Cause.CONNECTION_HARMED),
+            (closed_idle(UPSTREAM), GIVEN_UP, Cause.CONNECTION_HARMED),
+            (ended(UPSTREAM), BROKEN, Cause.UPSTREAM_ENDED),
+        )
+        for name, one, cause in harms:
+            with self.subTest(name=name):
+                self.setUp()
+                self.disturbances.record(name, 100.2, 100.9)
+                self.assertIs(self._cause(one), cause)
+                self.assertEqual(self._findings(one), [])
+                self.setUp()
+                self.disturbances.record(name, 90.0, 91.0)
+                self.assertIsNone(self._cause(one))
+        self.assertIs(self._cause(replace(BROKEN, left=True)), Cause.CLIENT_LEFT)
+        self.assertIs(self._cause(replace(BROKEN, ended_s=102.5)), Cause.DEADLINE)
+        self.registry.broken_off.add("a1")
+        self.assertIs(self._cause(BROKEN), Cause.UPSTREAM_ENDED)
+
+    # Guards against a silence that is blamed for a refusal by which an upstream asked for time.
+    def test_a_refusal_by_upstreams_that_answered_is_explained_by_their_answers(self) -> None:
+        self.log = SEND.format(code="503", helped=0).replace("Lost", "Failed")
+        self.disturbances.record(silent(UPSTREAM), 100.2, 100.9)
+        self.assertIs(self._cause(GIVEN_UP), Cause.UPSTREAM_FAILED)
+
+    # Guards against a loss that is excused by a connection which the request wasn't sent on.
+    def test_an_idle_connection_explains_no_request_that_arrived_or_was_given_up(self) -> None:
+        self.disturbances.record(closed_idle(UPSTREAM), 100.5, 100.5)
+        self.registry.reached["a1"] = {"i1"}
+        self.assertIsNone(self._cause(GIVEN_UP))
+        self.registry.reached.clear()
+        self.log = SEND.format(code="silent", helped=0)
+        self.assertIsNone(self._cause(GIVEN_UP))
+
+    def test_a_helper_that_was_killed_explains_only_what_it_helped(self) -> None:
+        self.disturbances.record(gateway_killed(OTHER), 100.2, 100.9)
+        self.assertIsNone(self._cause(BROKEN))
+        self.log = SEND.format(code="helper_lost", helped=0)
+        self.assertIs(self._cause(BROKEN), Cause.GATEWAY_KILLED)
+
+    # Guards against a gateway that closes a connection whose request it has read.
+    def test_what_was_not_read_needs_a_reason_and_no_line_in_the_log(self) -> None:
+        kept = replace(UNANSWERED, idle_s=0.5)
+        self.log = ""
+        self.assertIsNone(self._cause(UNANSWERED))
+        self.assertIs(self._cause(replace(UNANSWERED, connected=False)), Cause.NOT_READ)
+        self.assertIs(self._cause(replace(kept, idle_s=1.0)), Cause.NOT_READ)
+        self.limited = {GATEWAY}
+        self.assertIs(self._cause(UNANSWERED), Cause.NOT_READ)
+        self.assertIsNone(self._cause(kept))
+        self.disturbances.record(gateway_restarted(GATEWAY), 100.2, 100.9)
+        self.assertIs(self._cause(kept), Cause.NOT_READ)
+        self.log = LEFT
+        self.assertIsNone(self._cause(kept))
+
+    def test_the_report_counts_the_ends_by_cause(self) -> None:
+        verdict = Verdict()
+        self.disturbances.record(gateway_killed(GATEWAY), 100.2, 100.9)
+        self._judge().check([BROKEN, BROKEN, UNANSWERED, GIVEN_UP], verdict)
+        self.assertEqual(
+            verdict.lines(),
+            [
+                "broken off: its gateway was killed: 2",
+                "no answer: its gateway was killed: 1",
+                "refused 502: its gateway was killed: 1",
+            ],
+        )
--- a/chestnutfall/tests/test_soak_parts.py
+++ b/chestnutfall/tests/test_soak_parts.py
@@ -10,8 +10,8 @@
 import unittest
 from pathlib import Path
 
-from soak.cut_episodes import links_cut
 from soak.disturbances import Disturbances
+from soak.harm import links_cut
 from soak.office import Office
 from soak.relay import ConnectionFault, Relay
 from soak.signal_episodes import SignalEpisodes
@@ -114,6 +114,23 @@
         await relay.stop()
         server.close()
 
+    # Guards against a silence that is a fault: what a held link delays is passed on, also an end.
+    async def test_a_held_link_passes_bytes_and_the_end_on_afterwards(self) -> None:
+        server = await asyncio.start_server(_write_and_close, "127.0.0.1", 0)
+        relay = Relay(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        await relay.start()
+        host, _, port = relay.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.assertEqual(await asyncio.wait_for(reader.readexactly(4), 5), b"part")
+        with relay.holding(writer.get_extra_info("sockname")[0]):
+            reading = asyncio.ensure_future(reader.read())
+            await asyncio.sleep(0.2)
+            self.assertFalse(reading.done())
+        self.assertEqual(await asyncio.wait_for(reading, 5), b"rest")
+        writer.close()
+        await relay.stop()
+        server.close()
+
 
 class SignalEpisodesTest(unittest.TestCase):
     # Guards against a gateway that is blamed for requests that a cut of its links held up: they
--- a/soak/connection_episodes.py
+++ b/soak/connection_episodes.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import random
+import time
 
+from .disturbances import Disturbances
+from .harm import closed_idle
 from .office import Office
 from .verdict import Verdict
 
@@ -20,8 +23,9 @@
     not run.
     """
 
-    def __init__(self, office: Office) -> None:
+    def __init__(self, office: Office, disturbances: Disturbances) -> None:
         self._office = office
+        self._disturbances = disturbances
         self._closed = self._extra_answers = 0
 
     async def play_until_cancelled(self, rng: random.Random) -> None:
@@ -29,6 +33,8 @@
         while True:
             await asyncio.sleep(rng.uniform(0.005, 0.06))
             upstream = rng.choice(self._office.upstreams)
+            now_s = time.monotonic()
+            self._disturbances.record(closed_idle(upstream.announced_address), now_s, now_s)
             if rng.random() < EXTRA_ANSWER_FRACTION:
                 body = b"x" * rng.randrange(600)
                 self._extra_answers += upstream.idle.answer_again(rng, body)
--- a/soak/cut_episodes.py
+++ b/soak/cut_episodes.py
@@ -12,6 +12,7 @@
 
 from .daemon import Daemon
 from .disturbances import Disturbances
+from .harm import links_cut
 from .office import Office
 from .relay import HANGING, REFUSED, ConnectionFault
 from .verdict import Verdict
@@ -36,11 +37,6 @@
 ROUTES = ("once", "again", "draft", "long")
 
 
-def links_cut(gateway_address: str) -> str:
-    """Return the name of the periods in which a gateway's links to upstreams are cut."""
-    return f"links cut: {gateway_address}"
-
-
 class CutEpisodes:
     """Cuts one gateway at a time off from all upstreams, beside other faults."""
 
--- a/soak/daemon.py
+++ b/soak/daemon.py
@@ -14,7 +14,7 @@
 from chestnutfall.platform.node_file import PATH_VARIABLE
 from chestnutfall.platform.standin.node_writer import NodePlan, Ports, write_node_file
 
-from .relay import CUT_FILE
+from .relay import CUT_FILE, PEERS_FILE
 
 ROOT = Path(__file__).resolve().parents[1]
 _ENDING_SIGNALS = (signal.SIGTERM, signal.SIGKILL)
@@ -151,6 +151,16 @@
         """
         (self._folder / CUT_FILE).write_text(" ".join((mode, *map(str, ports))))
 
+    def write_peers(self, addresses: str) -> None:
+        """Let a gateway reach other daemons through relays, from its next start on.
+
+        Parameters
+        ----------
+        addresses : str
+            JSON object with the address of a relay by that of its target.
+        """
+        (self._folder / PEERS_FILE).write_text(addresses)
+
     def join_links(self) -> None:
         """Let a gateway open connections to upstreams again."""
         (self._folder / CUT_FILE).unlink(missing_ok=True)
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import re
 import signal
+from contextlib import ExitStack
 
 from .daemon import Daemon
 from .disturbances import Disturbances
 from .fault_plan import Fault
+from .harm import gateway_killed, gateway_paused, gateway_restarted, links_harmed
+from .membership import joins, wait_until_member
 from .office import Office
 from .relay import ConnectionFault
 
-MEMBER_S = 20.0
-"""Longest wait for a controller that lost its disk to become a member again."""
 GRACE_S = 9.0
 """Time in which a daemon must end after SIGTERM."""
 _CONNECTION_FAULTS = {
@@ -69,24 +69,32 @@
                 await gateway.reload()
             case "reset_connections":
                 relay = self._office.relays[fault.target % len(self._office.relays)]
-                with self._disturbances.recorded(relay.address):
+                with (
+                    self._disturbances.recorded(relay.address),
+                    self._disturbances.recorded(links_harmed(relay.address)),
+                ):
                     relay.reset_all()
             case kind:
                 await self._fault_connections(fault, _CONNECTION_FAULTS[kind])
 
     async def _fault_gateway(self, gateway: Daemon, fault: Fault) -> None:
+        address = self._office.client_address(gateway)
         match fault.kind:
             case "kill_gateway":
-                await gateway.kill()
-                await asyncio.sleep(fault.for_s)
-                await gateway.start(False)
+                with self._disturbances.recorded(gateway_killed(address)):
+                    await gateway.kill()
+                    await asyncio.sleep(fault.for_s)
+                    await gateway.start(False)
             case "pause_gateway":
-                await self._pause(gateway, fault.for_s)
+                with self._disturbances.recorded(gateway_paused(address)):
+                    await self._pause(gateway, fault.for_s)
             case _:
-                await self._restart(gateway)
+                with self._disturbances.recorded(gateway_restarted(address)):
+                    await self._restart(gateway)
 
     async def _replace(self, controller: Daemon, fault: Fault, wipe: bool) -> None:
         async with self._controllers_lock:
+            joined = len(joins(controller))
             await controller.kill()
             if wipe:
                 controller.wipe_disk()
@@ -94,24 +102,7 @@
             await controller.start(False)
             await asyncio.sleep(2.5)
             if wipe:
-                await self._wait_until_member(controller)
-
-    async def _wait_until_member(self, controller: Daemon) -> None:
-        """Wait until the others have taken in a controller that lost its disk.
-
-        On a busy host it takes seconds to start. If another one lost its disk before, two of three
-        would be lost at once, which is more than they tolerate.
-        """
-        for _ in range(int(MEMBER_S * 10)):
-            joining = re.findall(r"joining as ([\w-]+)", controller.log_text())
-            if joining and self._is_member(joining[-1]):
-                return
-            await asyncio.sleep(0.1)
-
-    def _is_member(self, replica: str) -> bool:
-        as_voter = rf"replica_id='{re.escape(replica)}', address='[^']*', voter=True"
-        taken_in = re.compile(rf"members become [^\n]*{as_voter}")
-        return any(taken_in.search(one.log_text()) for one in self._office.controllers)
+                await wait_until_member(controller, self._office.controllers, joined)
 
     @staticmethod
     async def _pause(daemon: Daemon, for_s: float) -> None:
@@ -129,7 +120,11 @@
 
     async def _fault_connections(self, fault: Fault, connection_fault: ConnectionFault) -> None:
         relay = self._office.relays[fault.target % len(self._office.relays)]
-        with self._disturbances.recorded(relay.address):
+        with ExitStack() as stack:
+            stack.enter_context(self._disturbances.recorded(relay.address))
+            if connection_fault is not ConnectionFault.DELAY:
+                name = links_harmed(relay.address)
+                stack.enter_context(self._disturbances.recorded(name))
             relay.fault = connection_fault
             await asyncio.sleep(fault.for_s)
             relay.fault = ConnectionFault.NONE
--- a/soak/flood_episodes.py
+++ b/soak/flood_episodes.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections import Counter
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 
 from chestnutfall.platform.standin.client import ClientResult, StandInClient
@@ -13,6 +14,7 @@
 from chestnutfall.platform.standin.tenants import FLOODING, STEADY
 
 from .disturbances import Disturbances
+from .harm import silent, slow
 from .office import Office
 from .signal_episodes import takes_no_work
 from .verdict import Verdict
@@ -106,7 +108,11 @@
             self._send_for(client, rng, results, STEADY, "again", OTHERS_INTERVAL_S),
         ]
         try:
-            await asyncio.gather(self._count_refused(episode, began_s), *loads)
+            with ExitStack() as stack:
+                for upstream in plain:
+                    name = slow(upstream.announced_address)
+                    stack.enter_context(self._disturbances.recorded(name))
+                await asyncio.gather(self._count_refused(episode, began_s), *loads)
         finally:
             episode.ended_s = time.monotonic()
             seen.extend(results)
@@ -150,7 +156,8 @@
 
     def _was_disturbed(self, began_s: float) -> bool:
         names = [self._office.client_address(one) for one in self._office.gateways]
-        names += [one.announced_address for one in self._office.upstreams]
+        upstreams = [one.announced_address for one in self._office.upstreams]
+        names += (*upstreams, *map(silent, upstreams))
         now_s = time.monotonic()
         return any(self._disturbances.overlaps(name, began_s, now_s) for name in names)
 
--- a/soak/office.py
+++ b/soak/office.py
@@ -7,8 +7,10 @@
 import random
 import socket
 from collections.abc import Sequence
+from contextlib import ExitStack
 from pathlib import Path
 
+from chestnutfall.platform.standin.document_change import DESK
 from chestnutfall.platform.standin.node_writer import NodePlan, Ports
 from chestnutfall.platform.standin.operator import ENGINES, PLAIN
 from chestnutfall.platform.standin.run_registry import RunRegistry
@@ -16,6 +18,9 @@
 from chestnutfall.platform.standin.upstream import StandInUpstream
 
 from .daemon import Daemon
+from .disturbances import Disturbances
+from .harm import ended
+from .peer_links import PeerLinks
 from .relay import ConnectionFault, Relay
 
 CONTROLLERS = 3
@@ -39,6 +44,12 @@
         Addresses of the controllers for operators and announcements.
     upstreams, relays : list
         In the same order; empty before `start`.
+    desk : StandInUpstream
+        The only upstream of the service `DESK`, which no fault harms; it has no relay.
+    peer_links : PeerLinks
+        Links of gateways to controllers and to each other.
+    disturbances : Disturbances
+        Faults and other periods that checks ask for.
 
     Parameters
     ----------
@@ -81,6 +92,12 @@
             for at in range(GATEWAYS)
         ]
         self.control_addresses = [f"{ip}:{self._ports.control}" for ip in ips]
+        self.peer_links = PeerLinks(self.gateways, self.controllers, self._ports.internal)
+        self.disturbances = Disturbances()
+        # With a generator of its own: draws from `rng` would change what the seeds play.
+        self.desk = StandInUpstream(
+            DESK, False, self.run_registry, random.Random(DESK), self.control_addresses
+        )
         self.upstreams: list[StandInUpstream] = []
         self.relays: list[Relay] = []
 
@@ -132,7 +149,11 @@
 
     async def start(self, builds: Sequence[str] = ()) -> None:
         """Start every daemon and upstream; `builds` are the versions of the first upstreams."""
+        await self.peer_links.start()
         await asyncio.gather(*(one.start(True) for one in (*self.controllers, *self.gateways)))
+        await self.desk.start()
+        self.desk.announced_address = self.desk.address
+        self.desk.announce()
         for at, (service, is_engine) in enumerate(self._plan):
             await self._add_upstream(service, is_engine, builds[at] if at < len(builds) else "")
 
@@ -147,13 +168,34 @@
         upstream.announced_address = relay.address
         if is_engine:
             upstream.speed = UnevenSpeed(upstream.instance, 1.0 if self.upstreams else SLOW_ENGINE)
-        upstream.on_end, upstream.on_start = relay.refuse, relay.start
+        self._record_ends(upstream, relay)
         upstream.announce()
         self.upstreams.append(upstream)
         self.relays.append(relay)
 
+    def _record_ends(self, upstream: StandInUpstream, relay: Relay) -> None:
+        """Let the relay of an upstream refuse connections while it is down, and record when."""
+        periods = ExitStack()
+
+        def on_end() -> None:
+            periods.enter_context(self.disturbances.recorded(ended(relay.address)))
+            relay.refuse()
+
+        async def on_start() -> None:
+            await relay.start()
+            periods.close()
+
+        upstream.on_end, upstream.on_start = on_end, on_start
+
+    def upstream_addresses(self) -> dict[str, str]:
+        """Return the announced address of each upstream that there ever was, by its name."""
+        everyone = (*self.upstreams, self.desk)
+        return {name: one.announced_address for one in everyone for name in one.instances}
+
     async def stop(self) -> None:
         """Stop every relay, upstream and daemon that was started."""
+        await self.peer_links.stop()
+        await self.desk.stop()
         for relay in self.relays:
             await relay.stop()
         await asyncio.gather(*(one.stop() for one in self.upstreams))
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -43,5 +43,9 @@
     Regression(
         7320, 0.12, "the check took a plain service for starved that took no work: leaving, backoff"
     ),
+    Regression(
+        9101, 0.12, "lookups at plain upstreams that were silent for a second were answered 502"
+    ),
+    Regression(1, 0.1, "lookups at slow plain upstreams were given up, with no room elsewhere"),
     Regression(11, 0.7, "SIGHUP ended a gateway that was just being started again"),
 )
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+from collections import Counter
+from collections.abc import Iterator
 from enum import Enum
 
 from chestnutfall.platform.standin.resets import reset
@@ -15,12 +17,17 @@
 CUT_FILE = "cut"
 """File in a gateway's folder that keeps it from opening connections to upstreams: a mode, and the
 ports of their relays."""
+PEERS_FILE = "peers"
+"""File in a gateway's folder with the address of a relay for each daemon that it calls, as JSON."""
 REFUSED, HANGING = "refused", "hanging"
 """Modes: new connections are refused, or never answered."""
 UPSTREAM_HOST = "127.0.0.1"
 """Address on which the relays of upstreams listen."""
 
 
+EVERY_GATEWAY = ""
+
+
 class ConnectionFault(Enum):
     """A fault that a relay injects.
 
@@ -45,6 +52,9 @@
     cut : dict of str to ConnectionFault
         Faults that are applied to the connections of single gateways, by their IP. SILENCE holds
         their bytes until it ends.
+    held : Counter of str
+        Gateways, by their IP, whose bytes are held now and passed on afterwards, which is no fault:
+        nothing is dropped or reset. `EVERY_GATEWAY` stands for all.
     address : str
         Address on which it listens, valid after `start`.
     """
@@ -54,6 +64,7 @@
         self._target = (host, int(port))
         self.fault = ConnectionFault.NONE
         self.cut: dict[str, ConnectionFault] = {}
+        self.held: Counter[str] = Counter()
         self.address = f"{UPSTREAM_HOST}:0"
         self._server: asyncio.Server | None = None
         self._open: set[asyncio.StreamWriter] = set()
@@ -69,6 +80,15 @@
         self._server = await asyncio.start_server(self._on_connection, host, int(port))
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
+    @contextlib.contextmanager
+    def holding(self, ip: str = EVERY_GATEWAY) -> Iterator[None]:
+        """Hold the bytes of one gateway, or of all, for as long as the context lasts."""
+        self.held[ip] += 1
+        try:
+            yield
+        finally:
+            self.held[ip] -= 1
+
     def refuse(self) -> None:
         """Close the port and reset every connection, as when the target's process has ended."""
         if self._server is not None:
@@ -89,6 +109,7 @@
     async def stop(self) -> None:
         """Close the port, end all cuts and reset every connection."""
         self.cut.clear()
+        self.held.clear()
         self.refuse()
 
     async def _on_connection(
@@ -117,9 +138,15 @@
         TCP sends bytes again that a cut held up. If they were dropped and the connection lived on,
         a later answer on it would be taken for one whose bytes are missing.
         """
-        while self.cut.get(ip) is ConnectionFault.SILENCE:
+        while self._is_held(ip) or self.cut.get(ip) is ConnectionFault.SILENCE:
             await asyncio.sleep(HELD_POLL_S)
 
+    def _is_held(self, ip: str) -> bool:
+        return self.held[ip] > 0 or self.held[EVERY_GATEWAY] > 0
+
+    def _keeps_end(self, ip: str, is_answer: bool) -> bool:
+        return self._is_held(ip) or self._is_silent(ip, is_answer)
+
     def _is_silent(self, ip: str, is_answer: bool) -> bool:
         """Whether bytes of a direction are dropped now."""
         fault = self.cut.get(ip, self.fault)
@@ -139,9 +166,11 @@
                 writer.write(data)
                 await writer.drain()
             # Passed on, the end of file would end an answer without a length as whole.
-            while self._is_silent(ip, is_answer) and not writer.is_closing():
+            while self._keeps_end(ip, is_answer) and not writer.is_closing():
                 await asyncio.sleep(HELD_POLL_S)
         except OSError:
+            while self._is_held(ip) and not writer.is_closing():
+                await asyncio.sleep(HELD_POLL_S)
             reset(writer.transport)
         finally:
             with contextlib.suppress(OSError, RuntimeError):
--- /dev/null
+++ b/soak/request_checks.py
@@ -0,0 +1,51 @@
+"""Checks of all requests of a run by what clients got and upstreams ran."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from chestnutfall.platform.standin.client import ClientResult
+
+from .end_judge import EndJudge
+from .office import Office
+from .request_end import RequestEnd
+from .send_log import SendLog
+from .verdict import Verdict
+
+NON_IDEMPOTENT_ROUTES = ("once", "draft")
+LIMITED = "connections: limited"
+"""Logged by a gateway that closes new connections unread."""
+
+
+def check_answers(office: Office, seen: Iterable[ClientResult], verdict: Verdict) -> None:
+    """Note wrong bytes, second runs, and requests that ran though they were called not run."""
+    run_registry = office.run_registry
+    for finding in run_registry.violations:
+        verdict.note_violation(True, finding)
+    answered = 0
+    for one in seen:
+        answered += one.status == 200 and one.complete
+        runs = run_registry.runs[one.request_id]
+        what = f"{one.route} {one.request_id} status {one.status}, {runs} runs"
+        verdict.note_violation(not one.correct, f"wrong bytes: {what}")
+        runs_once = one.route in NON_IDEMPOTENT_ROUTES
+        verdict.note_violation(runs_once and runs > 1, f"ran more than once: {what}")
+        verdict.note_violation(one.says_not_run and runs > 0, f"called not run: {what}")
+        forwarded = run_registry.organisations.get(one.request_id, one.organisation)
+        verdict.note_violation(forwarded != one.organisation, f"told as one of {forwarded}: {what}")
+    verdict.counts["answered"] = answered
+    verdict.note_violation(answered == 0, "nothing was answered")
+
+
+def check_ends(office: Office, ends: Iterable[RequestEnd], verdict: Verdict) -> None:
+    """Note requests that ended without an answer, or streams before their end, for no cause."""
+    logs = {office.client_address(one): one.log_text() for one in office.gateways}
+    judge = EndJudge(
+        office.disturbances,
+        office.run_registry,
+        SendLog(logs.values()),
+        office.upstream_addresses(),
+        {address for address, text in logs.items() if LIMITED in text},
+        logs,
+    )
+    judge.check(ends, verdict)
--- a/soak/rush_episodes.py
+++ b/soak/rush_episodes.py
@@ -31,12 +31,18 @@
 
 
 class RushEpisodes:
-    """Opens a connection for each of many requests, all at one gateway."""
+    """Opens a connection for each of many requests, all at one gateway.
+
+    Attributes
+    ----------
+    attempts : list of ConnectingAttempt
+        All of them that ended.
+    """
 
     def __init__(self, office: Office, disturbances: Disturbances) -> None:
         self._office = office
         self._disturbances = disturbances
-        self._attempts: list[ConnectingAttempt] = []
+        self.attempts: list[ConnectingAttempt] = []
 
     async def play_until_cancelled(self, rng: random.Random) -> None:
         """Play one episode after another until cancelled; what is served isn't judged."""
@@ -72,7 +78,7 @@
         sends = (self._send(client, rng, gateway, until_s) for _ in range(CALLERS))
         results = await asyncio.gather(*sends)
         attempts = [one for each in results for one in each]
-        self._attempts += attempts
+        self.attempts += attempts
         return attempts
 
     async def _send(
@@ -88,8 +94,8 @@
         """Note wrong answers, and requests that ran though they were called not run or unread."""
         runs = self._office.run_registry.runs
         logs = "".join(one.log_text() for one in self._office.gateways)
-        verdict.counts["rushed requests"] = len(self._attempts)
-        for one in self._attempts:
+        verdict.counts["rushed requests"] = len(self.attempts)
+        for one in self.attempts:
             what = f"rushed {one.request_id} status {one.status}, {runs[one.request_id]} runs"
             verdict.note_violation(one.status == 200 and not one.whole, f"wrong bytes: {what}")
             says_not_run = self._is_unread(one, logs) or one.status in NOT_RUN_STATUSES
--- /dev/null
+++ b/soak/send_log.py
@@ -0,0 +1,72 @@
+"""The sends of each request, as gateways log them."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+_SEND = re.compile(
+    r"call: id=(\w+) [^\n]*? instance=([^\s~]+)\S* [^\n]*? result=(\w+) (\S*) first="
+    r"[^\n]*? helped=(\d+)"
+)
+_NAMED = re.compile(r"call: id=(\w+)")
+LOST = "Lost"
+SILENT = "silent"
+"""Code of a send that a gateway gave up since nothing came."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoggedSend:
+    """One send of a request.
+
+    Attributes
+    ----------
+    instance : str
+        Name that the upstream announced; gateways add the time of its start to it.
+    result, code : str
+        How it ended, in the gateway's terms; `code` may be empty.
+    helped : str
+        Number of sends of the request so far that a helper answered.
+    """
+
+    instance: str
+    result: str
+    code: str
+    helped: str = "0"
+
+    @property
+    def is_helped(self) -> bool:
+        """Whether a helper took part in it, or in an earlier send of the request."""
+        return self.helped != "0" or self.code.startswith("helper")
+
+    @property
+    def was_given_up(self) -> bool:
+        """Whether the gateway took the upstream for lost since it was silent."""
+        return (self.result, self.code) == (LOST, SILENT)
+
+
+class SendLog:
+    """What gateways logged of requests.
+
+    Parameters
+    ----------
+    logs : iterable of str
+        Logs of all gateways.
+    """
+
+    def __init__(self, logs: Iterable[str]) -> None:
+        self._sends: dict[str, list[LoggedSend]] = {}
+        self._named: set[str] = set()
+        for text in logs:
+            self._named.update(_NAMED.findall(text))
+            for request_id, *send in _SEND.findall(text):
+                self._sends.setdefault(request_id, []).append(LoggedSend(*send))
+
+    def was_read(self, request_id: str) -> bool:
+        """Return whether a gateway logged anything of a request."""
+        return request_id in self._named
+
+    def sends(self, request_id: str) -> list[LoggedSend]:
+        """Return the sends of a request that ended, in order."""
+        return self._sends.get(request_id, [])
--- a/soak/signal_episodes.py
+++ b/soak/signal_episodes.py
@@ -15,8 +15,8 @@
 )
 from chestnutfall.platform.standin.upstream import StandInUpstream
 
-from .cut_episodes import links_cut
 from .disturbances import NO_END_S, Disturbances
+from .harm import links_cut, links_held
 from .office import Office
 from .verdict import Verdict
 
@@ -115,7 +115,10 @@
             until_s = one.at_s + one.backoff_s
             got = history.count_between(one.gateway, one.at_s + SETTLE_S, until_s)
             # Requests that a cut held up arrive after it, and a helper may have got the refusal.
-            was_cut = self._disturbances.overlaps(links_cut(one.gateway), one.at_s, until_s)
+            was_cut = any(
+                self._disturbances.overlaps(name, one.at_s, until_s)
+                for name in (links_cut(one.gateway), links_held(one.gateway))
+            )
             is_excused = was_cut or self._is_explained_by_fault(
                 history, one.gateway, one.at_s, until_s
             )
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -4,16 +4,18 @@
 
 import asyncio
 import random
+from collections.abc import Coroutine, Iterator
 from pathlib import Path
+from typing import Any
 
 from chestnutfall.platform.standin.client import ClientResult, StandInClient
 from chestnutfall.platform.standin.operator import StandInOperator
 from chestnutfall.platform.standin.tenants import LEAVES_AT_VERSION
 
+from .configuration_changes import ConfigurationChanges
 from .connection_episodes import ConnectionEpisodes
 from .cut_episodes import CutEpisodes
-from .disturbances import Disturbances
-from .fatal_requests import CONTENTS, MAX_LATER_ENDS, FatalRequests, NotServed
+from .fatal_requests import FatalRequests
 from .fault_injector import FaultInjector
 from .fault_plan import plan_faults
 from .flood_episodes import FloodEpisodes
@@ -21,22 +23,19 @@
 from .office import Office
 from .organisation_load import OrganisationLoad
 from .part_episodes import PartEpisodes
+from .power_loss import PowerLoss
+from .recovery_checks import ROUTES, RecoveryChecks
 from .rejection_episodes import RejectionEpisodes
+from .request_checks import check_answers, check_ends
+from .request_end import RequestEnd, of_attempt, of_client, of_connecting
 from .rush_episodes import RushEpisodes
 from .signal_episodes import SignalEpisodes
+from .silence_episodes import SilenceEpisodes
 from .stream_episodes import BUILDS, StreamEpisodes
 from .verdict import Verdict
 
 CLIENTS = 6
-ROUTES = ("once", "again", "draft", "long")
-NON_IDEMPOTENT_ROUTES = ("once", "draft")
-FATAL_ROUNDS = 4
-"""Fatal requests of each route to each gateway after the quarantine has begun.
-
-Without a quarantine each of them would crash two upstreams.
-"""
-RECOVERY_S = 8.0
-"""Time in which the office must serve again after the last fault."""
+CALM_CLIENTS = 16
 LATE_RUN_S = 2.0
 """Time in which requests that were answered "not run" may still start, before runs are counted."""
 
@@ -70,39 +69,44 @@
         self._streams_rng = random.Random(f"streams {seed}")
         self._parts_rng = random.Random(f"parts {seed}")
         self._rushes_rng = random.Random(f"rushes {seed}")
+        self._silences_rng = random.Random(f"silences {seed}")
+        self._changes_rng = random.Random(f"changes {seed}")
+        self._power_rng = random.Random(f"power {seed}")
         self._folder = folder
         self._length_s = length_s
         self._office = Office(folder, self._rng)
+        self._disturbances = self._office.disturbances
         self._limits = LimitEpisodes(self._office)
-        self._connections = ConnectionEpisodes(self._office)
+        self._connections = ConnectionEpisodes(self._office, self._disturbances)
+        self._silences = SilenceEpisodes(self._office, self._disturbances)
+        self._power = PowerLoss(self._office, self._disturbances)
         self._rejections = RejectionEpisodes(self._office)
         self._streams = StreamEpisodes(self._office)
         self._parts = PartEpisodes(self._office)
-        self._disturbances = Disturbances()
         self._rushes = RushEpisodes(self._office, self._disturbances)
         self._cuts = CutEpisodes(self._office, self._disturbances)
         self._signals = SignalEpisodes(self._office, self._disturbances)
         self._floods = FloodEpisodes(self._office, self._disturbances)
         self._seen: list[ClientResult] = []
-        # Latest version of the document whose storage was acknowledged.
-        self._acknowledged = 0
         self.verdict = Verdict()
 
     async def run(self) -> Verdict:
         """Play the seed, check the guarantees and return the result; call it once."""
-        operator = StandInOperator(self._office.control_addresses, self._rng)
         client = StandInClient(self._rng)
+        self._operator = StandInOperator(self._office.control_addresses, self._rng)
+        self._changes = ConfigurationChanges(self._office, self._operator, self.verdict)
         try:
             await self._office.start(BUILDS)
-            await self._wait_until_in_force(operator)
+            await self._wait_until_in_force()
             await self._wait_until_served(client)
-            await self._run_under_faults(operator, client)
-            await self._check_recovery(operator, client)
+            await self._run_under_faults(client)
+            await self._check_recovery(client)
         finally:
             await client.close()
-            await operator.close()
+            await self._operator.close()
             await self._office.stop()
-        self._check_requests()
+        check_answers(self._office, self._seen, self.verdict)
+        check_ends(self._office, self._ends(), self.verdict)
         organisations = OrganisationLoad(self._office, client)
         organisations.check_quota(self._office.run_registry, self.verdict)
         organisations.check_logs(self._folder, self.verdict)
@@ -113,12 +117,13 @@
         self._rejections.check(self.verdict)
         self._streams.check(self.verdict)
         self._rushes.check(self.verdict)
+        self._silences.check(self.verdict)
+        self._changes.check(self.verdict)
         return self.verdict
 
-    async def _wait_until_in_force(self, operator: StandInOperator) -> None:
+    async def _wait_until_in_force(self) -> None:
         for _ in range(100):
-            if await operator.put(1):
-                self._acknowledged = 1
+            if await self._changes.put_first():
                 return
             await asyncio.sleep(0.1)
         raise RuntimeError("the first document was not acknowledged within 10 s")
@@ -134,30 +139,10 @@
                 else:
                     raise RuntimeError(f"{gateway.plan.name} did not serve {route} in time")
 
-    async def _run_under_faults(self, operator: StandInOperator, client: StandInClient) -> None:
+    async def _run_under_faults(self, client: StandInClient) -> None:
         injector = FaultInjector(self._office, self._disturbances)
-        load = [asyncio.ensure_future(self._send_load(client)) for _ in range(CLIENTS)]
-        load.append(asyncio.ensure_future(self._change_configuration(operator)))
-        fatal = FatalRequests(self._office, client)
-        load.append(asyncio.ensure_future(fatal.send_until_cancelled(self._fatal_rng, self._seen)))
-        organisation_load = OrganisationLoad(self._office, client).send_until_cancelled(
-            self._organisations_rng, self._seen
-        )
-        load.append(asyncio.ensure_future(organisation_load))
-        load.append(asyncio.ensure_future(self._limits.play_until_cancelled(self._limits_rng)))
-        floods = self._floods.play_until_cancelled(client, self._floods_rng, self._seen)
-        load.append(asyncio.ensure_future(floods))
-        load.append(asyncio.ensure_future(self._signals.play_until_cancelled(self._signals_rng)))
-        connections = self._connections.play_until_cancelled(self._connections_rng)
-        load.append(asyncio.ensure_future(connections))
-        cuts = self._cuts.play_until_cancelled(self._cuts_rng, self._pairs_rng)
-        load.append(asyncio.ensure_future(cuts))
-        rejections = self._rejections.play_until_cancelled(self._rejections_rng)
-        load.append(asyncio.ensure_future(rejections))
         self._streams.begin()
-        load.append(asyncio.ensure_future(self._streams.play_until_cancelled(self._streams_rng)))
-        load.append(asyncio.ensure_future(self._parts.play_until_cancelled(self._parts_rng)))
-        load.append(asyncio.ensure_future(self._rushes.play_until_cancelled(self._rushes_rng)))
+        load = [asyncio.ensure_future(one) for one in self._load(client)]
         injected = []
         now_s = 0.0
         for fault in plan_faults(self._rng, self._length_s):
@@ -166,13 +151,40 @@
             self.verdict.counts[f"fault {fault.kind}"] += 1
             injected.append(asyncio.ensure_future(injector.inject(fault)))
         await asyncio.gather(*injected)
-        for task in load:
-            task.cancel()
-        await asyncio.gather(*load, return_exceptions=True)
+        await self._end(load)
         self.verdict.note_violation(
             injector.unfinished_drains > 0, f"{injector.unfinished_drains} drains took too long"
         )
 
+    def _load(self, client: StandInClient) -> Iterator[Coroutine[Any, Any, None]]:
+        """Yield what goes on beside the planned faults."""
+        for _ in range(CLIENTS):
+            yield self._send_load(client)
+        yield self._changes.play_until_cancelled(self._changes_rng)
+        yield self._changes.send_until_cancelled(self._changes_rng, self._seen)
+        yield FatalRequests(self._office, client).send_until_cancelled(self._fatal_rng, self._seen)
+        yield OrganisationLoad(self._office, client).send_until_cancelled(
+            self._organisations_rng, self._seen
+        )
+        yield self._limits.play_until_cancelled(self._limits_rng)
+        yield self._floods.play_until_cancelled(client, self._floods_rng, self._seen)
+        yield self._signals.play_until_cancelled(self._signals_rng)
+        yield self._connections.play_until_cancelled(self._connections_rng)
+        yield self._cuts.play_until_cancelled(self._cuts_rng, self._pairs_rng)
+        yield self._rejections.play_until_cancelled(self._rejections_rng)
+        yield self._streams.play_until_cancelled(self._streams_rng)
+        yield self._parts.play_until_cancelled(self._parts_rng)
+        yield self._rushes.play_until_cancelled(self._rushes_rng)
+        yield self._silences.play_until_cancelled(self._silences_rng)
+
+    async def _end(self, load: list[asyncio.Task[None]]) -> None:
+        """End what goes on; note what has ended by itself, since it plays nothing any more."""
+        for task in load:
+            task.cancel()
+        for ended in await asyncio.gather(*load, return_exceptions=True):
+            by_itself = not isinstance(ended, asyncio.CancelledError)
+            self.verdict.note_violation(by_itself, f"a part of the soak ended: {ended!r}")
+
     async def _send_load(self, client: StandInClient) -> None:
         while True:
             gateway = self._office.client_address(self._rng.choice(self._office.gateways))
@@ -181,20 +193,6 @@
             self.verdict.counts[f"status {seen.status}{'' if seen.complete else ' cut'}"] += 1
             await asyncio.sleep(self._rng.uniform(0.0, 0.05))
 
-    async def _change_configuration(self, operator: StandInOperator) -> None:
-        version = 1
-        while True:
-            version += self._rng.randrange(1, 4)
-            if await operator.put(version):
-                self._acknowledged = version
-            floor = self._acknowledged
-            read = await operator.read()
-            is_stale = read is not None and read < floor
-            self.verdict.note_violation(
-                is_stale, f"read version {read} after {floor} was acknowledged"
-            )
-            await asyncio.sleep(0.15)
-
     def _check_processes(self) -> None:
         for daemon in (*self._office.controllers, *self._office.gateways):
             daemon.note_own_end()
@@ -202,80 +200,51 @@
                 bool(daemon.own_ends), f"{daemon.plan.name} ended by itself: {daemon.own_ends}"
             )
 
-    async def _check_recovery(self, operator: StandInOperator, client: StandInClient) -> None:
+    async def _check_recovery(self, client: StandInClient) -> None:
         self._check_processes()
-        read = None
-        for _ in range(int(RECOVERY_S * 10)):
-            read = await operator.read()
-            if read is not None:
-                break
-            await asyncio.sleep(0.1)
-        lost = read is None or read < self._acknowledged
-        self.verdict.note_violation(
-            lost, f"at the end: read {read}, acknowledged {self._acknowledged}"
-        )
-        for gateway in self._office.gateways:
-            unserved = await self._unserved(client, self._office.client_address(gateway))
-            self.verdict.note_violation(
-                bool(unserved), f"{gateway.plan.name} does not serve after the faults: {unserved}"
-            )
+        checks = RecoveryChecks(self._office, client, self.verdict)
+        await self._check_kept(checks, "after the faults")
         await self._floods.play_episode(client, self._floods_rng, self._seen, is_calm=True)
         await self._cuts.check_calm(client, self._cuts_rng, self._seen, self.verdict)
         await self._cuts.check_calm_pairs(client, self._pairs_rng, self._seen, self.verdict)
         await self._streams.check_calm(self._streams_rng, self.verdict)
+        await self._check_silence(client)
         await self._parts.check_calm(self._parts_rng, self.verdict)
         await self._rushes.check_calm(self._rushes_rng, self.verdict)
-        await self._check_revoked_key(client)
-        await self._check_quarantine(FatalRequests(self._office, client))
-        await asyncio.sleep(LATE_RUN_S)
-
-    async def _check_revoked_key(self, client: StandInClient) -> None:
-        if self._acknowledged >= LEAVES_AT_VERSION:
+        if self._changes.acknowledged >= LEAVES_AT_VERSION:
             await OrganisationLoad(self._office, client).check_revoked_key(self.verdict)
+        await checks.check_quarantine(self._seen)
+        await self._lose_power(client, checks)
+        await asyncio.sleep(LATE_RUN_S)
 
-    async def _check_quarantine(self, fatal: FatalRequests) -> None:
-        """Note fatal requests that gateways keep sending; called when no fault is injected."""
-        for route in CONTENTS:
-            try:
-                ends = await fatal.send_until_quarantined(route)
-                for _ in range(FATAL_ROUNDS):
-                    self._seen += await fatal.send_to_each_gateway(route)
-            except NotServed as exc:
-                self.verdict.note_violation(True, f"beside fatal requests: {exc}")
-                continue
-            self.verdict.counts[f"ended by {route}"] = fatal.ends(route)
-            more = fatal.ends(route) - ends
-            self.verdict.note_violation(
-                more > MAX_LATER_ENDS, f"{route}: {more} upstreams more ended"
-            )
+    async def _check_silence(self, client: StandInClient) -> None:
+        """Let most upstreams of a service be silent beside changes, under no fault."""
+        for upstream in self._office.upstreams:
+            upstream.unframed_share = 0.0
+        load = [asyncio.ensure_future(self._send_load(client)) for _ in range(CALM_CLIENTS)]
+        for one in (
+            self._changes.play_until_cancelled(self._changes_rng),
+            self._changes.send_until_cancelled(self._changes_rng, self._seen),
+            self._streams.play_until_cancelled(self._streams_rng),
+        ):
+            load.append(asyncio.ensure_future(one))
+        await self._silences.play_calm(self._silences_rng)
+        await self._end(load)
+
+    async def _lose_power(self, client: StandInClient, checks: RecoveryChecks) -> None:
+        load = [asyncio.ensure_future(self._send_load(client)) for _ in range(CLIENTS)]
+        await self._power.play_under_changes(
+            self._power_rng, self._changes, lambda moment: self._check_kept(checks, moment)
+        )
+        await self._end(load)
+        self._check_processes()
+        self.verdict.counts["losses of all power"] = self._power.losses
 
-    async def _unserved(self, client: StandInClient, gateway: str) -> str:
-        """Return what a gateway last answered on routes that it does not serve in time."""
-        unserved = ""
-        for _ in range(int(RECOVERY_S * 5)):
-            seen = [await client.send(gateway, route) for route in ROUTES]
-            failed = [f"{one.route} {one.status} {one.reason}" for one in seen if one.status != 200]
-            unserved = ", ".join(failed)
-            if not unserved:
-                break
-            await asyncio.sleep(0.2)
-        return unserved
+    async def _check_kept(self, checks: RecoveryChecks, moment: str) -> None:
+        await checks.check_document(self._operator, self._changes.acknowledged, moment)
+        await checks.check_served(moment)
 
-    def _check_requests(self) -> None:
-        run_registry = self._office.run_registry
-        for finding in run_registry.violations:
-            self.verdict.note_violation(True, finding)
-        for seen in self._seen:
-            runs = run_registry.runs[seen.request_id]
-            what = f"{seen.route} {seen.request_id} status {seen.status}, {runs} runs"
-            self.verdict.note_violation(not seen.correct, f"wrong bytes: {what}")
-            runs_once = seen.route in NON_IDEMPOTENT_ROUTES
-            self.verdict.note_violation(runs_once and runs > 1, f"ran more than once: {what}")
-            self.verdict.note_violation(seen.says_not_run and runs > 0, f"called not run: {what}")
-            forwarded = run_registry.organisations.get(seen.request_id, seen.organisation)
-            self.verdict.note_violation(
-                forwarded != seen.organisation, f"told as one of {forwarded}: {what}"
-            )
-        answered = sum(seen.status == 200 and seen.complete for seen in self._seen)
-        self.verdict.counts["answered"] = answered
-        self.verdict.note_violation(answered == 0, "nothing was answered")
+    def _ends(self) -> Iterator[RequestEnd]:
+        yield from map(of_client, self._seen)
+        yield from map(of_attempt, self._streams.attempts())
+        yield from map(of_connecting, self._rushes.attempts)
--- a/soak/stream_episodes.py
+++ b/soak/stream_episodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterator
 
 from chestnutfall.platform.standin.operator import ENGINES
 from chestnutfall.platform.standin.stream_caller import StreamAttempt, StreamCaller, StreamResult
@@ -82,6 +83,11 @@
             f"{gone_on:.2f} of {len(attempts)} streams go on, {begun:.2f} begin: {ends}",
         )
 
+    def attempts(self) -> Iterator[StreamAttempt]:
+        """Yield all attempts that ended."""
+        for one in self._results:
+            yield from one.attempts
+
     def check(self, verdict: Verdict) -> None:
         """Note streams of several versions, and streams with a hole."""
         verdict.counts["streams"] = len(self._results)
