--- a/chestnutfall/tests/test_standin_silence.py
+++ b/chestnutfall/tests/test_standin_silence.py
@@ -6,6 +6,7 @@
 import random
 import time
 import unittest
+from typing import Any
 
 import aiohttp
 from aiohttp.test_utils import TestClient, TestServer
@@ -103,7 +104,7 @@
                         self.assertEqual(held.replace(b"silent", b"plain"), whole)
                     stepping.cancel()
 
-    async def _stream(self, client: TestClient, name: str) -> bytes:
+    async def _stream(self, client: TestClient[Any, Any], name: str) -> bytes:
         body = {"model": "a", "prompt": "x", "stream": True, "max_tokens": 5}
         headers = {"X-Request-Id": name}
         async with client.post("/v1/completions", json=body, headers=headers) as resp:
