Check the soak's relays, power loss and documents by themselves

A revoked key is also checked after each loss of all power; a soak whose gateways log no sends, by which ends are told apart, is a finding; the changes begin with a document that has everything that they concern, so that none of them changes nothing.

--- a/chestnutfall/platform/standin/document_change.py
+++ b/chestnutfall/platform/standin/document_change.py
@@ -109,3 +109,5 @@
 
 
 INITIAL = DocumentState()
+WHOLE = DocumentState(has_shifting=True, has_desk=True, has_guest=True)
+"""Has everything that changes concern."""
--- a/chestnutfall/tests/test_soak_parts.py
+++ b/chestnutfall/tests/test_soak_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import subprocess
 import sys
@@ -10,13 +11,16 @@
 import unittest
 from pathlib import Path
 
+from soak.daemon import Daemon
 from soak.disturbances import Disturbances
 from soak.harm import links_cut
 from soak.office import Office
-from soak.relay import ConnectionFault, Relay
+from soak.power_loss import PowerLoss
+from soak.relay import PEERS_FILE, ConnectionFault, Relay
 from soak.signal_episodes import SignalEpisodes
 from soak.verdict import Verdict
 
+from ..platform.standin.node_writer import NodePlan
 from ..platform.standin.resets import reset
 from ..platform.standin.signal_history import Arrival, BackoffRefusal
 
@@ -132,6 +136,59 @@
         server.close()
 
 
+class PeerLinksTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a silence of a helper or leader that holds nothing, since gateways don't use
+    # the relays.
+    async def test_a_gateway_reaches_each_other_daemon_through_a_relay_of_its_own(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            office = Office(Path(folder), random.Random(1))
+            await office.peer_links.start()
+            files = [
+                json.loads((Path(folder) / f"g{at}" / PEERS_FILE).read_text()) for at in (0, 1)
+            ]
+            await office.peer_links.stop()
+        self.assertEqual([len(one) for one in files], [5, 5])
+        self.assertEqual(len({*files[0].values(), *files[1].values()}), 10)
+        for at, gateway in enumerate(office.gateways[:2]):
+            targets = {address.partition(":")[0] for address in files[at]}
+            everyone = {one.plan.ip for one in (*office.controllers, *office.gateways)}
+            self.assertEqual(targets, everyone - {gateway.plan.ip})
+
+
+class PowerLossTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a loss in which a process outlives the others and keeps what they lost.
+    async def test_all_processes_are_killed_before_one_disk_is_lost_and_any_starts(self) -> None:
+        done: list[tuple[str, str]] = []
+        with tempfile.TemporaryDirectory() as folder:
+            office = Office(Path(folder), random.Random(1))
+            office.controllers = [_RecordedDaemon(f"c{at}", done) for at in range(3)]
+            office.gateways = [_RecordedDaemon(f"g{at}", done) for at in range(3)]
+            joined = await PowerLoss(office, office.disturbances).play(random.Random(2))
+        whats = [what for what, _ in done]
+        self.assertEqual(whats, ["kill"] * 6 + ["wipe"] + ["start"] * 6)
+        self.assertEqual(len(joined), 1)
+
+
+class _RecordedDaemon(Daemon):
+    """Records what is done to it, and starts nothing."""
+
+    def __init__(self, name: str, done: list[tuple[str, str]]) -> None:
+        self.plan = NodePlan("127.0.0.1", name, "", (), False)
+        self._done = done
+
+    async def kill(self) -> None:
+        self._done.append(("kill", self.plan.name))
+
+    async def start(self, first_start: bool) -> None:
+        self._done.append(("start", self.plan.name))
+
+    def wipe_disk(self) -> None:
+        self._done.append(("wipe", self.plan.name))
+
+    def log_text(self) -> str:
+        return "joining as c0-1"
+
+
 class SignalEpisodesTest(unittest.TestCase):
     # Guards against a gateway that is blamed for requests that a cut of its links held up: they
     # were sent before the refusal, which reached it through a helper.
--- a/soak/configuration_changes.py
+++ b/soak/configuration_changes.py
@@ -10,6 +10,7 @@
 from chestnutfall.platform.standin.document_change import (
     SHIFTING,
     SHORTEST_IDLE_MS,
+    WHOLE,
     ChangeKind,
     DocumentState,
 )
@@ -45,7 +46,7 @@
         self._operator = operator
         self._verdict = verdict
         self._version = 1
-        self._state = DocumentState()
+        self._state = WHOLE
         self._played: Counter[ChangeKind] = Counter()
         self.acknowledged = 0
 
--- a/soak/recovery_checks.py
+++ b/soak/recovery_checks.py
@@ -6,9 +6,11 @@
 
 from chestnutfall.platform.standin.client import ClientResult, StandInClient
 from chestnutfall.platform.standin.operator import StandInOperator
+from chestnutfall.platform.standin.tenants import LEAVES_AT_VERSION
 
 from .fatal_requests import CONTENTS, MAX_LATER_ENDS, FatalRequests, NotServed
 from .office import Office
+from .organisation_load import OrganisationLoad
 from .verdict import Verdict
 
 ROUTES = ("once", "again", "draft", "long")
@@ -50,6 +52,11 @@
                 bool(unserved), f"{gateway.plan.name} does not serve {moment}: {unserved}"
             )
 
+    async def check_revoked_key(self, acknowledged: int) -> None:
+        """Note gateways that take a key which a version that is in force revoked."""
+        if acknowledged >= LEAVES_AT_VERSION:
+            await OrganisationLoad(self._office, self._client).check_revoked_key(self._verdict)
+
     async def _unserved(self, gateway: str) -> str:
         """Return what a gateway last answered on routes that it does not serve in time."""
         unserved = ""
--- a/soak/request_checks.py
+++ b/soak/request_checks.py
@@ -8,7 +8,7 @@
 
 from .end_judge import EndJudge
 from .office import Office
-from .request_end import RequestEnd
+from .request_end import Ending, RequestEnd
 from .send_log import SendLog
 from .verdict import Verdict
 
@@ -40,12 +40,19 @@
 def check_ends(office: Office, ends: Iterable[RequestEnd], verdict: Verdict) -> None:
     """Note requests that ended without an answer, or streams before their end, for no cause."""
     logs = {office.client_address(one): one.log_text() for one in office.gateways}
+    send_log = SendLog(logs.values())
+    all_ends = list(ends)
+    # Without its sends, no end could be told from one that a fault explains.
+    is_unread = not any(
+        send_log.sends(one.request_id) for one in all_ends if one.ending is Ending.WHOLE
+    )
+    verdict.note_violation(is_unread, "the logs of gateways name no send of an answered request")
     judge = EndJudge(
         office.disturbances,
         office.run_registry,
-        SendLog(logs.values()),
+        send_log,
         office.upstream_addresses(),
         {address for address, text in logs.items() if LIMITED in text},
         logs,
     )
-    judge.check(ends, verdict)
+    judge.check(all_ends, verdict)
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -10,7 +10,6 @@
 
 from chestnutfall.platform.standin.client import ClientResult, StandInClient
 from chestnutfall.platform.standin.operator import StandInOperator
-from chestnutfall.platform.standin.tenants import LEAVES_AT_VERSION
 
 from .configuration_changes import ConfigurationChanges
 from .connection_episodes import ConnectionEpisodes
@@ -211,8 +210,6 @@
         await self._check_silence(client)
         await self._parts.check_calm(self._parts_rng, self.verdict)
         await self._rushes.check_calm(self._rushes_rng, self.verdict)
-        if self._changes.acknowledged >= LEAVES_AT_VERSION:
-            await OrganisationLoad(self._office, client).check_revoked_key(self.verdict)
         await checks.check_quarantine(self._seen)
         await self._lose_power(client, checks)
         await asyncio.sleep(LATE_RUN_S)
@@ -243,6 +240,7 @@
     async def _check_kept(self, checks: RecoveryChecks, moment: str) -> None:
         await checks.check_document(self._operator, self._changes.acknowledged, moment)
         await checks.check_served(moment)
+        await checks.check_revoked_key(self._changes.acknowledged)
 
     def _ends(self) -> Iterator[RequestEnd]:
         yield from map(of_client, self._seen)
