Play fatal prompt parts while one controller after the other ends

The scenario killed controllers only two seconds after the first fatal request, when the part was held already, and restarted each at once. Now the first controller may end before the first fatal request, each stays away for a time, and the logs of all programs can be kept.

--- a/chestnutfall/tests/part_scenario.py
+++ b/chestnutfall/tests/part_scenario.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import time
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from ..platform.standin.stream_caller import StreamCaller
 from .stream_scenario import StreamScenario
@@ -27,6 +29,13 @@
         Parts that the fatal requests have beside those of sound ones.
     ends_leaders : bool
         Whether controllers are killed in turn meanwhile.
+    leaders_end_after_s : float
+        Time from the first fatal request to the end of the first controller; less than 0 if that
+        comes before.
+    leader_down_s, leader_up_s : float
+        Time from the end of a controller to its restart, and from then to the end of the next.
+    leader_ends : int
+        Number of ends of controllers; further ones than there are take them in turn again.
     fatal_callers : int
         Number of callers of fatal requests.
     pause_s : tuple of float
@@ -43,6 +52,11 @@
     fatal_callers: int = 2
     pause_s: tuple[float, float] = (0.1, 0.5)
     down_s: float = 1.5
+    leaders_end_after_s: float = CALM_S
+    leader_down_s: float = 0.0
+    leader_up_s: float = 1.5
+    leader_ends: int = 3
+    keep: Path | None = None
     began_s: float = 0.0
     play: StreamScenario = field(init=False)
 
@@ -50,9 +64,11 @@
         """Play it."""
         builds = ("v1",) * self.engines
         self.play = StreamScenario(self.seed, builds, break_share=0.0, parts=draw_sound_parts)
+        self.play.keep = self.keep
         asyncio.run(self.play.run(self._script))
 
     async def _script(self, play: StreamScenario) -> None:
+        leaders = asyncio.ensure_future(self._end_leaders(play))
         await asyncio.sleep(CALM_S)
         for engine in play.engines:
             engine.down_s = self.down_s
@@ -63,9 +79,7 @@
         fatal = [
             asyncio.ensure_future(self._send_fatal(caller, rng)) for _ in range(self.fatal_callers)
         ]
-        if self.ends_leaders:
-            await asyncio.sleep(CALM_S)
-            await _end_controllers(play)
+        await leaders
         left_s = self.began_s + self.length_s - time.monotonic()
         await asyncio.sleep(max(left_s, 0.0))
         for task in fatal:
@@ -78,6 +92,17 @@
             await caller.stream(None, parts=(*draw_sound_parts(rng), *self.parts))
             await asyncio.sleep(rng.uniform(*self.pause_s))
 
+    async def _end_leaders(self, play: StreamScenario) -> None:
+        if not self.ends_leaders:
+            return
+        await asyncio.sleep(CALM_S + self.leaders_end_after_s)
+        controllers = itertools.cycle(play.office.controllers)
+        for controller in itertools.islice(controllers, self.leader_ends):
+            await controller.kill()
+            await asyncio.sleep(self.leader_down_s)
+            await controller.start(False)
+            await asyncio.sleep(self.leader_up_s)
+
     # What came of it
 
     @property
@@ -118,10 +143,3 @@
 def draw_sound_parts(rng: random.Random) -> tuple[str, ...]:
     """Draw the shared parts of a sound prompt."""
     return f"aa{rng.randrange(3)}", f"bb{rng.randrange(SECOND_PARTS):03d}"
-
-
-async def _end_controllers(play: StreamScenario) -> None:
-    for controller in play.office.controllers:
-        await controller.kill()
-        await controller.start(False)
-        await asyncio.sleep(1.5)
--- a/chestnutfall/tests/stream_scenario.py
+++ b/chestnutfall/tests/stream_scenario.py
@@ -9,6 +9,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
+from contextlib import AbstractContextManager, nullcontext
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -52,6 +53,8 @@
         All streams that ended, in order.
     out : set of str
         Gateways that clients are not sent to, by name.
+    keep : Path or None
+        Folder for the settings and logs of all programs; None if they are not kept.
     office : Office
         The processes and upstreams; set once the scenario runs.
     """
@@ -64,6 +67,7 @@
     parts: Callable[[random.Random], tuple[str, ...]] = lambda rng: ()
     results: list[StreamResult] = field(default_factory=list)
     out: set[str] = field(default_factory=set)
+    keep: Path | None = None
     office: Office = field(init=False)
     _session: aiohttp.ClientSession = field(init=False)
 
@@ -73,7 +77,7 @@
         rng = random.Random(self.seed)
         plan = [(ENGINES, True)] * len(self.builds) + [(PLAIN, False)]
         self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1))
-        with tempfile.TemporaryDirectory(prefix="streams-") as folder:
+        with self._folder() as folder:
             self.office = Office(Path(folder), rng, plan)
             operator = StandInOperator(self.office.control_addresses, rng)
             caller = StreamCaller(rng, lambda: self.draw_gateway(rng), self.names_attempt)
@@ -96,6 +100,11 @@
                 await operator.close()
                 await self.office.stop()
 
+    def _folder(self) -> AbstractContextManager[str]:
+        if self.keep is None:
+            return tempfile.TemporaryDirectory(prefix="streams-")
+        return nullcontext(str(self.keep))
+
     @property
     def engines(self) -> list[StandInUpstream]:
         """The engines, in the order of `builds`."""
