Keep what a new leader knows of ends when reports come late

Callers saw: over changes of leader one prompt part ended seven engines instead of five at most.

Cause: a new leader gets the reports of the last ten seconds again, from each gateway as it connects, some 200 ms apart. The reports of the second gateway about ends that were stored already were judged once more: all but the last end now came before one that the leader had just processed, so they counted as overlapping it, and the part, which was evidence in each of them, in none any more. Which gateway connected first decided also for ends that nobody had stored.

A stored end now keeps a part as evidence, whatever comes later; whether ends overlap is found from the intervals of the runs, in any order, for parts and for requests. Eight intervals a key are kept.

The two tests of test_part_evidence fail on the code before (1 != 2 separate ends; nothing held).

--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -167,9 +167,7 @@
             broken.mark_committed(runs)
             return
         await self._clear_answered(runs)
-        suspects = tuple(
-            one for one, run in runs.items() if self._last_ends.is_separate(one, run.began_ms)
-        )
+        suspects = tuple(one for one, run in runs.items() if self._last_ends.is_separate(one, run))
         overlapping = tuple(one for one in runs if one not in suspects)
         found = self._parts.findings(broken, runs)
         if runs:
@@ -191,7 +189,7 @@
         self._parts.note_committed(found.runs, runs)
         await self._commit_hold(instance)
         for fingerprint, run in runs.items():
-            self._last_ends.note(fingerprint, run.broke_ms)
+            self._last_ends.note(fingerprint, run)
             if fingerprint in broken.parts:
                 log.info(
                     "crashes: instance=%s content=%s parts=%s",
--- a/chestnutfall/control/last_ends.py
+++ b/chestnutfall/control/last_ends.py
@@ -1,37 +1,46 @@
-"""When requests, or parts of prompts, were last running as an upstream ended."""
+"""When requests, or parts of prompts, were running as upstreams ended."""
 
 from __future__ import annotations
 
+from .run_interval import RunInterval
+
 MAX_LAST_ENDS = 8_192
-"""Keys that were running when upstreams ended recently; about 150 bytes each."""
+"""Keys that were running when upstreams ended recently; at most 1 KB each."""
+MAX_RUNS = 8
+"""Runs kept by key; a key that is part of more ends is quarantined or held."""
 REPORT_JITTER_MS = 5
 """Reports of two gateways reach the leader with delays that differ by some milliseconds."""
 
 
 class LastEnds:
-    """The time of the last end of an upstream by what was running there, for one leader term."""
+    """The last ends of upstreams by what was running there, for one leader term."""
 
     def __init__(self) -> None:
-        self._ended_ms: dict[str, int] = {}
+        self._runs: dict[str, tuple[RunInterval, ...]] = {}
 
-    def note(self, key: str, broke_ms: int) -> None:
+    def note(self, key: str, run: RunInterval) -> None:
         """Record that a run with this key broke off as its upstream ended."""
-        last_ms = self._ended_ms.pop(key, broke_ms)
-        self._ended_ms[key] = max(last_ms, broke_ms)
-        if len(self._ended_ms) > MAX_LAST_ENDS:
-            del self._ended_ms[next(iter(self._ended_ms))]
+        runs = (*self._runs.pop(key, ()), run)
+        self._runs[key] = runs[-MAX_RUNS:]
+        if len(self._runs) > MAX_LAST_ENDS:
+            del self._runs[next(iter(self._runs))]
 
     def last_ms(self, key: str) -> int | None:
         """Return the clock time of the last end; None if none is known."""
-        return self._ended_ms.get(key)
+        return max((run.broke_ms for run in self._runs.get(key, ())), default=None)
 
-    def is_separate(self, key: str, began_ms: int) -> bool:
-        """Whether an end counts as a separate one for a key whose latest run began at `began_ms`.
+    def is_separate(self, key: str, run: RunInterval) -> bool:
+        """Whether an end counts as a separate one for a key with this run.
 
-        It does if a run began after the previous end that the key was part of. A rack that loses
-        power ends many upstreams at once, all while they run the few most frequent requests. If
-        each of these ends counted, exactly the most frequent requests would be blamed. A request
-        that does end upstreams does so again after each end.
+        It does if the run overlaps with none that another end broke off. A rack that loses power
+        ends many upstreams at once, all while they run the few most frequent requests. If each of
+        these ends counted, exactly the most frequent requests would be blamed. A request that does
+        end upstreams does so again after each end. A new leader gets the reports of ends again from
+        each gateway as it connects, so a later end may be known before an earlier one.
         """
-        last_ms = self.last_ms(key)
-        return last_ms is None or began_ms >= last_ms - REPORT_JITTER_MS
+        known = self._runs.get(key, ())
+        return all(_is_after(run, one) or _is_after(one, run) for one in known)
+
+
+def _is_after(run: RunInterval, earlier: RunInterval) -> bool:
+    return run.began_ms >= earlier.broke_ms - REPORT_JITTER_MS
--- a/chestnutfall/control/part_ledger.py
+++ b/chestnutfall/control/part_ledger.py
@@ -78,13 +78,18 @@
         return {part for run in self.runs for part in run.parts}
 
     def with_runs(self, runs: Iterable[RunParts], overlapping: Iterable[str]) -> PartEnd:
-        """Return the end with more requests; known ones stay as they are."""
-        known = {run.fingerprint for run in self.runs}
+        """Return the end with more requests; known ones, and known parts, stay as they are.
+
+        A gateway that connects to a new leader late sends its report of an end that is stored by
+        then. To that leader the end may seem to overlap a later one.
+        """
+        known, known_parts = {run.fingerprint for run in self.runs}, self.parts()
         new = [run for run in runs if run.fingerprint not in known]
+        more = [part for part in overlapping if part not in known_parts]
         return replace(
             self,
             runs=(*self.runs, *new)[:MAX_RUNS],
-            overlapping=tuple(dict.fromkeys((*self.overlapping, *overlapping))),
+            overlapping=tuple(dict.fromkeys((*self.overlapping, *more))),
         )
 
     def without(self, parts: set[str]) -> PartEnd:
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -83,16 +83,12 @@
             for fingerprint in runs
         }
         found = tuple(RunParts(one, parts) for one, parts in suspects.items() if parts)
-        began_ms: dict[str, int] = {}
-        for run in found:
-            for part in run.parts:
-                began = runs[run.fingerprint].began_ms
-                began_ms[part] = max(began_ms.get(part, began), began)
+        by_part = _latest_runs(found, runs)
         overlapping = tuple(
-            part for part, at_ms in began_ms.items() if not self._last_ends.is_separate(part, at_ms)
+            part for part, run in by_part.items() if not self._last_ends.is_separate(part, run)
         )
         all_parts = {part for one in runs for part in broken.parts.get(one, ())}
-        cleared = tuple(sorted(all_parts.difference(began_ms)))
+        cleared = tuple(sorted(all_parts.difference(by_part)))
         return PartFindings(found, overlapping, cleared)
 
     def _is_suspect(self, part: str) -> bool:
@@ -100,10 +96,8 @@
 
     def note_committed(self, found: Iterable[RunParts], runs: Mapping[str, RunInterval]) -> None:
         """Record when the parts of an end ran last."""
-        for run in found:
-            broke_ms = runs[run.fingerprint].broke_ms
-            for part in run.parts:
-                self._last_ends.note(part, broke_ms)
+        for part, run in _latest_runs(found, runs).items():
+            self._last_ends.note(part, run)
 
     def to_hold(self, instance: str) -> tuple[str, ...] | None:
         """Return the parts to hold after the end of an upstream was committed; None if none."""
@@ -128,3 +122,17 @@
         ends = self._ends_seen.older_than(self._ledger.ends, lambda _: END_RETENTION_MS)
         holds = self._holds_seen.older_than(self._ledger.held, self._ledger.hold_ms)
         return ends, holds
+
+
+def _latest_runs(
+    found: Iterable[RunParts], runs: Mapping[str, RunInterval]
+) -> dict[str, RunInterval]:
+    """Return, by part, the latest start and the latest break of the requests that have it."""
+    by_part: dict[str, RunInterval] = {}
+    for request in found:
+        run = runs[request.fingerprint]
+        for part in request.parts:
+            known = by_part.get(part, run)
+            began_ms = max(known.began_ms, run.began_ms)
+            by_part[part] = RunInterval(began_ms, max(known.broke_ms, run.broke_ms))
+    return by_part
--- /dev/null
+++ b/chestnutfall/tests/test_part_evidence.py
@@ -0,0 +1,89 @@
+"""What is known of prompt parts that end engines, over changes of leader, without a network."""
+
+from __future__ import annotations
+
+import unittest
+
+from ..clock import ManualClock
+from ..control.control_state import ControlState
+from ..control.crash_messages import BrokenRun
+from ..control.crash_monitor import REPORT_COLLECTION_MS, CrashMonitor
+from ..control.part_blame import MIN_OTHER_ANSWERS
+from ..placement import AdapterName, PlaceRequest
+from ..placement.suspect_parts import SuspectParts
+from .fakes.part_office import AppliedLog
+
+RUN_MS = 30
+FATAL = "fatal"
+
+
+class _Term:
+    """A leader's crash monitor and its suspects, on the log that all leaders share."""
+
+    def __init__(self, state: ControlState, clock: ManualClock) -> None:
+        self.clock = clock
+        self.suspects = SuspectParts()
+        self.monitor = CrashMonitor(AppliedLog(state), state, clock, self.suspects)  # type: ignore[arg-type]
+
+    def report(self, end: str, request: str, broke_ms: int, *parts: str) -> None:
+        """Hear of a request that ran for `RUN_MS` until its engine ended."""
+        ago_ms = self.clock.now_ms() - broke_ms
+        address = f"{end}:1"
+        self.monitor.handle_report(
+            BrokenRun(request, end, address, True, ago_ms + RUN_MS, ago_ms, parts=parts)
+        )
+
+    def answer(self, times: int = MIN_OTHER_ANSWERS) -> None:
+        """Hear of answers to requests without any part."""
+        adapter = AdapterName("base", "a")
+        for _ in range(times):
+            self.suspects.answered(PlaceRequest("t", "", adapter, 1, 1, (), 0, 0, 0, "dc"))
+
+    async def judge(self) -> None:
+        """Let the reports be collected, and commit what is due."""
+        await self.clock.advance(REPORT_COLLECTION_MS)
+        await self.monitor.commit_due()
+
+
+class PartEvidenceTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.state = ControlState()
+        self.clock = ManualClock(60_000)
+
+    def _held(self) -> set[tuple[str, ...]]:
+        return set(self.state.crashes.parts.held.values())
+
+    def _begin_term(self) -> _Term:
+        return _Term(self.state, self.clock)
+
+    # Guards against a new leader that loses evidence: two gateways tell of the same ends again, one
+    # of them later, and each end but the last then seemed to overlap a later one.
+    async def test_reports_that_reach_a_new_leader_late_take_no_evidence_away(self) -> None:
+        ends_ms = {f"e{at}": 60_000 + 500 * at for at in range(2)}
+        term = self._begin_term()
+        for end, broke_ms in ends_ms.items():
+            await self.clock.advance(broke_ms - self.clock.now_ms())
+            term.report(end, "x", broke_ms, FATAL)
+            term.report(end, "y", broke_ms, FATAL)
+            await term.judge()
+        term = self._begin_term()
+        for request in ("x", "y"):
+            for end, broke_ms in ends_ms.items():
+                term.report(end, request, broke_ms, FATAL)
+            await term.judge()
+        term.answer()
+        term.report("e2", "z", self.clock.now_ms(), FATAL)
+        await term.judge()
+        self.assertEqual(self._held(), {(FATAL,)})
+
+    # Guards against evidence that depends on which gateway connects to a new leader first.
+    async def test_ends_that_are_told_of_in_any_order_count_as_separate(self) -> None:
+        for order in ("01", "10"):
+            with self.subTest(order):
+                self.state = ControlState()
+                term = self._begin_term()
+                now_ms = self.clock.now_ms()
+                for at in order:
+                    term.report(f"e{at}", f"r{at}", now_ms + 500 * int(at) - 1_000, FATAL)
+                    await term.judge()
+                self.assertEqual(self.state.crashes.parts.counts()[FATAL], 2)
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -7,6 +7,7 @@
 _FATAL = "chestnutfall.tests.test_suspect_parts.FatalPartTest."
 _HELD = "chestnutfall.tests.test_suspect_parts.HeldPartTest."
 _OTHER = "chestnutfall.tests.test_suspect_parts.OtherCauseTest."
+_EVIDENCE = "chestnutfall.tests.test_part_evidence.PartEvidenceTest."
 _PLACEMENT = "chestnutfall.tests.test_suspect_placement.SuspectPlacementTest."
 _SUSPECTS = "chestnutfall/placement/suspect_parts.py"
 _BLAME = "chestnutfall/control/part_blame.py"
@@ -29,6 +30,20 @@
         "        return tuple(parts)\n",
         "chestnutfall.tests.test_part_ledger",
     ),
+    Mutant(
+        "a report that reaches a new leader late takes evidence away",
+        "chestnutfall/control/part_ledger.py",
+        "        more = [part for part in overlapping if part not in known_parts]\n",
+        "        more = list(overlapping)\n",
+        _EVIDENCE + "test_reports_that_reach_a_new_leader_late_take_no_evidence_away",
+    ),
+    Mutant(
+        "an end that is told of after a later one overlaps it",
+        "chestnutfall/control/last_ends.py",
+        "_is_after(run, one) or _is_after(one, run)",
+        "_is_after(run, one)",
+        _EVIDENCE + "test_ends_that_are_told_of_in_any_order_count_as_separate",
+    ),
     Mutant(
         "gateways don't tell which parts were answered",
         "chestnutfall/forwarding/result_handler.py",
@@ -153,7 +168,7 @@
     Mutant(
         "ends of many engines at one moment count as many under a part",
         "chestnutfall/control/last_ends.py",
-        "        return last_ms is None or began_ms >= last_ms - REPORT_JITTER_MS\n",
+        "        return all(_is_after(run, one) or _is_after(one, run) for one in known)\n",
         "        return True\n",
         _OTHER + "test_engines_that_end_together_implicate_no_part",
     ),
--- a/properties/safeguards/quarantine_mutants.py
+++ b/properties/safeguards/quarantine_mutants.py
@@ -132,7 +132,7 @@
     Mutant(
         "overlapping ends count each",
         "chestnutfall/control/last_ends.py",
-        "        return last_ms is None or began_ms >= last_ms - REPORT_JITTER_MS\n",
+        "        return all(_is_after(run, one) or _is_after(one, run) for one in known)\n",
         "        return True\n",
         _MONITOR_TEST,
     ),
