Hold a part that is in all ends with two tied requests

Cause: where one request is in all ends with a part, it may be the cause itself, and the part is not held. The same was said of two requests that were both in all of them. Requests with a suspect part share an engine, so both are sent on together from engine to engine and by their callers, and nothing ever tells them apart; only after five ends were both quarantined, and the next pair began anew.

One of two requests as the only cause explains no more than the part that both have: the part is held at the third end. A part that was answered since the first end needs two more, so a sound request beside a fatal one with a common part is refused no earlier than before.

test_two_requests_in_all_ends_implicate_the_part_that_both_have fails on the code before.

--- a/chestnutfall/control/part_blame.py
+++ b/chestnutfall/control/part_blame.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from .part_ledger import PartEnd, PartLedger
 
 ENDS_TO_HOLD = 2
@@ -11,6 +13,10 @@
 ENDS_BY_CHANCE = 2
 """Ends that a part may be in without being suspect, if it was answered in full after another end. A
 common one runs on most engines; one that a release has made fatal takes two engines more."""
+ENDS_TO_HOLD_TIED = 3
+"""The same where several requests that have the part were in all ends. Either of them may be the
+cause by itself, but requests with a suspect part share an engine, so their next ends tell them no
+better apart. Two ends may be those of one request beside which another was sent on once."""
 MIN_OTHER_ANSWERS = 3
 """Answers without the parts between their first end and the hold. Where nothing is answered, the
 service as a whole fails, and a part that most requests have would be held for that."""
@@ -53,20 +59,23 @@
 def _most_suspect(ledger: PartLedger, end: PartEnd) -> frozenset[str]:
     counts = ledger.counts()
     counts.subtract(dict.fromkeys(ledger.answered, ENDS_BY_CHANCE))
-    parts = [one for one in end.parts() if not _is_one_request(ledger, one)]
-    most = max((counts[part] for part in parts), default=0)
-    if most < ENDS_TO_HOLD:
-        return frozenset()
-    worst = {part for part in parts if counts[part] == most}
+    needed = {part: _ends_to_hold(ledger, part) for part in end.parts()}
+    candidates = [part for part, ends in needed.items() if ends < math.inf]
+    most = max((counts[part] for part in candidates), default=0)
+    worst = {part for part in candidates if counts[part] == most >= needed[part]}
     by_run = {frozenset(worst.intersection(run.parts)) for run in end.runs} - {frozenset()}
     return next(iter(by_run)) if len(by_run) == 1 else frozenset()
 
 
-def _is_one_request(ledger: PartLedger, part: str) -> bool:
-    """Whether one request was in all ends with a part, so that it may be the cause by itself."""
+def _ends_to_hold(ledger: PartLedger, part: str) -> float:
+    """Return the separate ends after which a part is held, as far as requests tell."""
     requests = [
         {run.fingerprint for run in end.runs if part in run.parts}
         for end in ledger.ends.values()
         if part in end.parts()
     ]
-    return bool(set.intersection(*requests))
+    in_all = len(set.intersection(*requests))
+    if not in_all:
+        return ENDS_TO_HOLD
+    # One request that was in all ends may be the cause by itself.
+    return ENDS_TO_HOLD_TIED if in_all > 1 else math.inf
--- a/chestnutfall/tests/test_part_ledger.py
+++ b/chestnutfall/tests/test_part_ledger.py
@@ -41,6 +41,21 @@
         self.assertIsNone(self._end("e2", r1="g b1"))
         self.assertEqual(self._end("e3", r2="g b2"), ("g",))
 
+    # Guards against two callers whose requests are sent on together from engine to engine: neither
+    # was in more ends than the other, and each pair of them took five engines.
+    def test_two_requests_in_all_ends_implicate_the_part_that_both_have(self) -> None:
+        self._end("e1", r1="g b1", r2="g b2")
+        self.assertIsNone(self._end("e2", r1="g b1", r2="g b2"))
+        self.assertEqual(self._end("e3", r1="g b1", r2="g b2"), ("g",))
+
+    # Guards against a sound request that is refused since it ran beside a fatal one, and a part of
+    # both of them was answered since the first end.
+    def test_two_requests_in_all_ends_implicate_no_part_that_was_answered(self) -> None:
+        self._end("e1", r1="c b1", r2="c b2")
+        self.ledger.clear(("c",))
+        self.assertIsNone(self._end("e2", r1="c b1", r2="c b2"))
+        self.assertIsNone(self._end("e3", r1="c b1", r2="c b2"))
+
     def test_ends_that_overlap_are_one(self) -> None:
         self._end("e1", r1="g")
         self.assertIsNone(self._end("e2", overlapping="g", r2="g"))
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -154,10 +154,17 @@
     Mutant(
         "what one request does is blamed on its parts",
         _BLAME,
-        "    return bool(set.intersection(*requests))\n",
-        "    return False\n",
+        "    return ENDS_TO_HOLD_TIED if in_all > 1 else math.inf\n",
+        "    return ENDS_TO_HOLD_TIED if in_all > 1 else ENDS_TO_HOLD\n",
         _OTHER + "test_a_request_that_ends_engines_by_itself_brings_no_part_into_disrepute",
     ),
+    Mutant(
+        "a part is held only after many ends where two requests are in all of them",
+        _BLAME,
+        "    return ENDS_TO_HOLD_TIED if in_all > 1 else math.inf\n",
+        "    return math.inf\n",
+        "chestnutfall.tests.test_part_ledger",
+    ),
     Mutant(
         "a part of all prompts is held while nothing is answered",
         _BLAME,
