Place no suspect until it is known what broke its answer off

Cause: the gateway releases the place of a broken answer at once, and reports the end once it has looked at the engine's port, some 10 ms later and 150 ms at most. In between no request with the part ran anywhere as far as the leader knew, so the next one was placed on another engine.

A suspect whose answer broke off now waits 200 ms, by when the end is known and begins the wait for its judgement. Parts that are not suspect are placed as before, so resets of connections cost nothing.

test_no_suspect_is_placed_while_a_gateway_finds_out_what_ended fails without it (mutant).

--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -174,6 +174,8 @@
     def release(self, ticket: str, outcome: RunOutcome, times: RunTimes = NO_TIMES) -> None:
         """Free a granted place after its request ended with `outcome`."""
         engine = self.engines.get(self._places.pop(ticket, ""))
+        if outcome is RunOutcome.BROKEN:
+            self.suspects.broke(ticket, self._clock.now_ms())
         self.suspects.ended(ticket)
         if engine is not None and outcome is RunOutcome.DONE:
             engine.learn(ticket, times, self._clock.now_ms())
--- a/chestnutfall/placement/suspect_parts.py
+++ b/chestnutfall/placement/suspect_parts.py
@@ -17,6 +17,9 @@
 JUDGING_MS = 350
 """How long they wait after a further end under a suspect: by then reports are collected, the end is
 committed, and the part is held if it is to blame."""
+REPORTING_MS = 200
+"""How long they wait after an answer under a suspect broke off: by then the gateway has looked at
+the engine's port, and the leader knows whether the engine ended."""
 MAX_SUSPECTS = 4_096
 """Parts that are suspected at a time; about 400 bytes each."""
 
@@ -175,6 +178,16 @@
         for part in suspects:
             self._suspicions[part].tickets[ticket] = instance
 
+    def broke(self, ticket: str, now_ms: int) -> None:
+        """Place no request with the suspects of one that broke off until it is known what ended.
+
+        The gateway reports the broken answer at once, and the end of the engine once it has looked
+        at the port. A request that was placed in between ran on another engine.
+        """
+        for part in self._tickets.get(ticket, ()):
+            if (known := self._suspicions.get(part)) is not None:
+                known.placed_from_ms = max(known.placed_from_ms, now_ms + REPORTING_MS)
+
     def ended(self, ticket: str) -> None:
         """Record that a request does not run any more, or lost its engine before it ran."""
         for part in self._tickets.pop(ticket, ()):
--- a/chestnutfall/tests/test_suspect_placement.py
+++ b/chestnutfall/tests/test_suspect_placement.py
@@ -4,7 +4,7 @@
 
 from ..placement import RunOutcome
 from ..placement.run_times import RunTimes
-from ..placement.suspect_parts import CLEARING_MS, PART_ENDS_UPSTREAMS
+from ..placement.suspect_parts import CLEARING_MS, PART_ENDS_UPSTREAMS, REPORTING_MS
 from .fakes.placement_case import STEP_MS, PlacementCase
 
 ENGINES = 4
@@ -32,6 +32,21 @@
         self.assertEqual(len(at_risk), 1)
         self.assertEqual(len(set(self.granted.values())), ENGINES)
 
+    # Guards against a request that is placed on another engine after an answer broke off and before
+    # the gateway has looked at the port of the engine that ended.
+    def test_no_suspect_is_placed_while_a_gateway_finds_out_what_ended(self) -> None:
+        self._suspect("g")
+        self._submit("ran", "a1", parts=("g",))
+        self._pass_ms(CLEARING_MS + 2 * STEP_MS)
+        self.placer.release("ran", RunOutcome.BROKEN)
+        self._submit("next", "a1", parts=("g",))
+        self._submit("other", "a1", parts=("b",))
+        self._pass_ms(REPORTING_MS - STEP_MS)
+        self.assertIn("other", self.granted)
+        self.assertNotIn("next", self.granted)
+        self._pass_ms(2 * STEP_MS)
+        self.assertIn("next", self.granted)
+
     # Guards against two suspects on one engine, whose end then tells nothing about either.
     def test_different_suspects_are_placed_on_different_engines(self) -> None:
         self._suspect("g", "b", "c")
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -94,6 +94,13 @@
         "            return ()\n",
         _FATAL + "test_a_burst_of_twenty_within_a_second_ends_few_engines",
     ),
+    Mutant(
+        "a suspect is placed before it is known what ended",
+        _PLACER,
+        "            self.suspects.broke(ticket, self._clock.now_ms())\n",
+        "            pass\n",
+        _PLACEMENT + "test_no_suspect_is_placed_while_a_gateway_finds_out_what_ended",
+    ),
     Mutant(
         "requests with a suspect part are placed before it can be cleared",
         _SUSPECTS,
