Place no part while too little else is answered to judge it

Callers saw: more engines than needed ended where a leader had just begun, or with few callers.

Cause: a part is held only if three requests without it were answered since its first end, so that a service that fails as a whole holds nothing. A new leader begins to count at 0, and a service with few callers answers few. Requests with the part waited 350 ms for a judgement, and then ran on the next engine although two ends were stored already and the third answer was due any moment (ends are judged again every 50 ms for ten seconds).

Requests with the most suspect parts of an end, those that would be held, now wait until enough else is answered to judge it, one second at most from when this leader learned of the end. Any answer to a request with the part ends the wait, as it clears the part.

test_a_part_waits_until_enough_else_is_answered_to_judge_it fails on the code before (the part is placed after 350 ms).

--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -156,9 +156,9 @@
             if now_ms > broken.last_ms + BROKEN_RETENTION_MS:
                 del self._broken[instance]
             elif broken.ended_ms is not None and now_ms >= broken.ended_ms + REPORT_COLLECTION_MS:
-                await self._commit_end(instance, broken)
+                await self._commit_end(instance, broken, broken.ended_ms)
 
-    async def _commit_end(self, instance: str, broken: BrokenUpstream) -> None:
+    async def _commit_end(self, instance: str, broken: BrokenUpstream, ended_ms: int) -> None:
         runs = dict(broken.uncommitted)
         # An overload ends one such upstream after the other while they all run the most frequent
         # requests. One that ends upstreams by itself also does so where nothing was rejected.
@@ -187,7 +187,7 @@
             )
         broken.mark_committed(runs)
         self._parts.note_committed(found.runs, runs)
-        await self._commit_hold(instance)
+        await self._commit_hold(instance, ended_ms)
         for fingerprint, run in runs.items():
             self._last_ends.note(fingerprint, run)
             if fingerprint in broken.parts:
@@ -227,8 +227,8 @@
         for fingerprint in set(self._state.crashes.quarantined) - before:
             log.warning("crashes: quarantined content=%s", fingerprint)
 
-    async def _commit_hold(self, instance: str) -> None:
-        parts = self._parts.to_hold(instance)
+    async def _commit_hold(self, instance: str, ended_ms: int) -> None:
+        parts = self._parts.to_hold(instance, ended_ms)
         if parts is None:
             return
         await self._commit(HoldParts(parts))
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -17,6 +17,9 @@
 
 END_RETENTION_MS = 3_600_000
 """A part that causes an end less than once an hour can't be told from coincidence."""
+UNDECIDED_MS = 1_000
+"""How long requests with the most suspect parts of an end wait for other answers. A service that
+serves at all gives a few within this time, also to a new leader, which knows none of before."""
 
 
 class PartMonitor:
@@ -99,10 +102,21 @@
         for part, run in _latest_runs(found, runs).items():
             self._last_ends.note(part, run)
 
-    def to_hold(self, instance: str) -> tuple[str, ...] | None:
-        """Return the parts to hold after the end of an upstream was committed; None if none."""
+    def to_hold(self, instance: str, ended_ms: int) -> tuple[str, ...] | None:
+        """Return the parts to hold after the end of an upstream was committed; None if none.
+
+        Where too little else was answered to tell, requests with the most suspect parts wait.
+
+        Parameters
+        ----------
+        ended_ms : int
+            Clock time at which this leader learned of the end.
+        """
         worst = most_suspect_parts(self._ledger, instance)
-        return parts_to_hold(self._ledger, instance, self._suspects.answers_since(worst))
+        parts = parts_to_hold(self._ledger, instance, self._suspects.answers_since(worst))
+        if parts is None:
+            self._suspects.wait(worst, ended_ms + UNDECIDED_MS)
+        return parts
 
     def update_holds(self) -> None:
         """Tell placement which parts are held now."""
--- a/chestnutfall/placement/suspect_parts.py
+++ b/chestnutfall/placement/suspect_parts.py
@@ -96,6 +96,12 @@
                     service, instance, now_ms + CLEARING_MS, self._answers[service]
                 )
 
+    def wait(self, parts: Iterable[str], until_ms: int) -> None:
+        """Place no request with these suspects until a clock time, unless they are cleared."""
+        for part in self._suspects_of(parts):
+            known = self._suspicions[part]
+            known.placed_from_ms = max(known.placed_from_ms, until_ms)
+
     def clear(self, parts: Iterable[str]) -> None:
         """Suspect parts no longer."""
         for part in parts:
@@ -184,9 +190,7 @@
         The gateway reports the broken answer at once, and the end of the engine once it has looked
         at the port. A request that was placed in between ran on another engine.
         """
-        for part in self._tickets.get(ticket, ()):
-            if (known := self._suspicions.get(part)) is not None:
-                known.placed_from_ms = max(known.placed_from_ms, now_ms + REPORTING_MS)
+        self.wait(self._tickets.get(ticket, ()), now_ms + REPORTING_MS)
 
     def ended(self, ticket: str) -> None:
         """Record that a request does not run any more, or lost its engine before it ran."""
--- a/chestnutfall/tests/test_part_evidence.py
+++ b/chestnutfall/tests/test_part_evidence.py
@@ -9,8 +9,9 @@
 from ..control.crash_messages import BrokenRun
 from ..control.crash_monitor import REPORT_COLLECTION_MS, CrashMonitor
 from ..control.part_blame import MIN_OTHER_ANSWERS
+from ..control.part_monitor import UNDECIDED_MS
 from ..placement import AdapterName, PlaceRequest
-from ..placement.suspect_parts import SuspectParts
+from ..placement.suspect_parts import JUDGING_MS, SuspectParts
 from .fakes.part_office import AppliedLog
 
 RUN_MS = 30
@@ -87,3 +88,43 @@
                     term.report(f"e{at}", f"r{at}", now_ms + 500 * int(at) - 1_000, FATAL)
                     await term.judge()
                 self.assertEqual(self.state.crashes.parts.counts()[FATAL], 2)
+
+    # Guards against a part that gets a further engine, since a leader that has just begun, or has
+    # few callers, knew of too few answers to other requests to hold it after the last end.
+    async def test_a_part_waits_until_enough_else_is_answered_to_judge_it(self) -> None:
+        term = self._begin_term()
+        for at in range(2):
+            term.report(f"e{at}", f"r{at}", self.clock.now_ms(), FATAL)
+            await term.judge()
+        last_ms = self.clock.now_ms()
+        term = self._begin_term()
+        term.report("e1", "r1", last_ms, FATAL)
+        await term.judge()
+        self.assertEqual(self._held(), set())
+        await self.clock.advance(JUDGING_MS)
+        self.assertIsNone(term.suspects.barred([FATAL], ["e3"], self.clock.now_ms()))
+        term.answer()
+        await term.monitor.commit_due()
+        self.assertEqual(self._held(), {(FATAL,)})
+
+    # Guards against sound callers who wait for a judgement that a failed service can't give.
+    async def test_a_part_waits_for_other_answers_for_a_second_at_most(self) -> None:
+        term = self._begin_term()
+        for at in range(2):
+            term.report(f"e{at}", f"r{at}", self.clock.now_ms(), "sound")
+            await term.judge()
+        await self.clock.advance(UNDECIDED_MS + 1)
+        await term.monitor.commit_due()
+        self.assertEqual(term.suspects.barred(["sound"], ["e3"], self.clock.now_ms()), set())
+
+    # Guards against a part that waits for a judgement although a request with it was answered.
+    async def test_an_answer_ends_the_wait_for_other_answers(self) -> None:
+        term = self._begin_term()
+        for at in range(2):
+            term.report(f"e{at}", f"r{at}", self.clock.now_ms(), "sound")
+            await term.judge()
+        term.suspects.clear_answered(["sound"])
+        self.assertEqual(term.suspects.barred(["sound"], ["e3"], self.clock.now_ms()), ())
+        term.answer()
+        await term.monitor.commit_due()
+        self.assertEqual(self._held(), set())
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -44,6 +44,20 @@
         "_is_after(run, one)",
         _EVIDENCE + "test_ends_that_are_told_of_in_any_order_count_as_separate",
     ),
+    Mutant(
+        "requests run with parts that can't be judged yet",
+        _MONITOR,
+        "            self._suspects.wait(worst, ended_ms + UNDECIDED_MS)\n",
+        "            pass\n",
+        _EVIDENCE + "test_a_part_waits_until_enough_else_is_answered_to_judge_it",
+    ),
+    Mutant(
+        "parts that can't be judged wait without a bound",
+        _MONITOR,
+        "            self._suspects.wait(worst, ended_ms + UNDECIDED_MS)\n",
+        "            self._suspects.wait(worst, self._clock.now_ms() + UNDECIDED_MS)\n",
+        _EVIDENCE + "test_a_part_waits_for_other_answers_for_a_second_at_most",
+    ),
     Mutant(
         "gateways don't tell which parts were answered",
         "chestnutfall/forwarding/result_handler.py",
