Keep suspect parts at gateways and tell the next leader of them

Callers saw: while controllers were killed in turn, one part ended 6 and 7 engines, and with all controllers away as many as there were gateways that were sent it.

Cause: only the leader sees to it that requests with a suspect part risk one engine at a time. The moment it ends, each gateway sends what waited at it, and whatever comes, to the holders that it knew last: one more engine for each gateway and request. The next leader knows the ends that were stored; those of the last 200 ms, and which parts no answer had cleared, it hears of only from the gateways that saw the ends, one after the other, and places the first gateway's requests before.

Gateways are now told which parts are suspect (those that no answer cleared within 60 ms), and tell the next leader in their first message, with what they saw end themselves; it suspects them before it places anything. Without a leader a gateway sends no request with such a part: it waits 1.5 s for a leader and is refused as not run, as repeats of ended requests are already. Asked at the moment of the send, as a request may have waited at the lost leader. A part that this gateway had an answer to in the last ten seconds is sent on after one end, so that callers of common parts wait for nobody.

Both messages are known ones with a field more, which processes of an earlier release skip. Bounds: 512 parts told, 2,048 kept by a gateway, ten seconds.

The tests of test_unsettled_parts and those added to test_part_evidence and test_crash_monitor fail with the safeguards taken away (mutants). test_fatal_parts plays both with real programs and asks the logs whether the parts are wired.

--- a/chestnutfall/control/commands.py
+++ b/chestnutfall/control/commands.py
@@ -264,6 +264,9 @@
         Parts that it ran too and that were cleared before this was stored.
     answered : tuple of str
         Fingerprints of the requests that were answered in full at some time before.
+    unplaced : bool
+        Whether it ended before the term of the leader that stores it, so that no leader that knew
+        the ends before may have placed what it ran. Only the first command for it counts.
     """
 
     instance: str
@@ -274,6 +277,7 @@
     overlapping_parts: tuple[str, ...] = ()
     cleared_parts: tuple[str, ...] = ()
     answered: tuple[str, ...] = ()
+    unplaced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/control/control_state.py
+++ b/chestnutfall/control/control_state.py
@@ -211,7 +211,11 @@
                 self.crashes.note_end(instance, suspects, overlapping, command.answered)
                 if command.runs:
                     self.crashes.note_parts(
-                        instance, command.service, command.runs, command.overlapping_parts
+                        instance,
+                        command.service,
+                        command.runs,
+                        command.overlapping_parts,
+                        command.unplaced,
                     )
                 self.crashes.parts.note_cleared(instance, command.cleared_parts)
                 return Done()
--- a/chestnutfall/control/crash_ledger.py
+++ b/chestnutfall/control/crash_ledger.py
@@ -128,11 +128,16 @@
                 self.ends[instance] = end.without(fingerprint)
 
     def note_parts(
-        self, instance: str, service: str, runs: Iterable[RunParts], overlapping: Iterable[str]
+        self,
+        instance: str,
+        service: str,
+        runs: Iterable[RunParts],
+        overlapping: Iterable[str],
+        unplaced: bool = False,
     ) -> None:
         """Record the suspect prompt parts of the requests that an upstream ran at its end."""
         self.changes += 1
-        self.parts.note_end(instance, service, runs, overlapping)
+        self.parts.note_end(instance, service, runs, overlapping, unplaced)
 
     def hold_parts(self, parts: tuple[str, ...]) -> None:
         """Hold prompt parts; the ends that they explain are no evidence against requests.
--- a/chestnutfall/control/crash_messages.py
+++ b/chestnutfall/control/crash_messages.py
@@ -10,6 +10,9 @@
 """Reports that a gateway keeps; more than the answers it has in progress when several upstreams
 end."""
 
+MAX_SUSPECT_PARTS = 512
+"""Suspect prompt parts that gateways are told of, and tell a new leader of; 15 KB."""
+
 
 @dataclass(frozen=True, slots=True)
 class BrokenRun:
@@ -114,12 +117,16 @@
         Requests that gateways must not send.
     parts : tuple of QuarantinedParts
         Prompt parts for which gateways must not send requests.
+    suspect_parts : tuple of str
+        Prompt parts that may end engines and were not answered since. Requests that have one are
+        placed by a leader only. Not counted in `changes`.
     """
 
     changes: int
     watched: tuple[str, ...]
     quarantined: tuple[QuarantinedRequest, ...]
     parts: tuple[QuarantinedParts, ...] = ()
+    suspect_parts: tuple[str, ...] = ()
 
 
 NO_SUSPECTS = SuspectRequests(-1, (), ())
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from ..clock import Clock
 from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
@@ -70,6 +70,7 @@
         self._state = state
         self._clock = clock
         self._broken: dict[str, BrokenUpstream] = {}
+        self._began_ms = clock.now_ms()
         self._answered: dict[str, None] = {}
         self._last_ends = LastEnds()
         self._ends_seen, self._quarantines_seen = FirstSeen(clock), FirstSeen(clock)
@@ -88,6 +89,12 @@
                 if self._state.crashes.implicates(fingerprint):
                     self._answered[fingerprint] = None
 
+    def told_suspects(self, parts: Iterable[str]) -> None:
+        """Suspect the prompt parts that a gateway has from the last leader, or saw in an end."""
+        told = self._parts.told_suspects(parts)
+        if told:
+            log.info("crashes: told of suspect parts=%s", ",".join(told[:MAX_LOGGED_PARTS]))
+
     def address_reused(self, address: str, instance: str) -> None:
         """Note that `instance` listens at `address`, so any other incarnation there has ended."""
         for broken_instance, broken in self._broken.items():
@@ -183,6 +190,8 @@
                     found.overlapping,
                     found.cleared,
                     tuple(one for one, run in runs.items() if run.answered_ms is not None),
+                    # Without a leader, or under one that ended before it stored the end.
+                    all(run.broke_ms < self._began_ms for run in runs.values()),
                 )
             )
         broken.mark_committed(runs)
--- a/chestnutfall/control/part_blame.py
+++ b/chestnutfall/control/part_blame.py
@@ -13,10 +13,10 @@
 ENDS_BY_CHANCE = 2
 """Ends that a part may be in without being suspect, if it was answered in full after another end. A
 common one runs on most engines; one that a release has made fatal takes two engines more."""
-ENDS_TO_HOLD_TIED = 3
-"""The same where several requests that have the part were in all ends. Either of them may be the
-cause by itself, but requests with a suspect part share an engine, so their next ends tell them no
-better apart. Two ends may be those of one request beside which another was sent on once."""
+ENDS_TO_HOLD_UNSURE = 3
+"""The same where two ends tell less. If several requests that have the part were in all ends, each
+may be the cause by itself; but requests with a suspect part share an engine, so their next ends
+tell them no better apart. If no leader placed what ran, chance brings sound parts into two ends."""
 MIN_OTHER_ANSWERS = 3
 """Answers without the parts between their first end and the hold. Where nothing is answered, the
 service as a whole fails, and a part that most requests have would be held for that."""
@@ -69,13 +69,11 @@
 
 def _ends_to_hold(ledger: PartLedger, part: str) -> float:
     """Return the separate ends after which a part is held, as far as requests tell."""
-    requests = [
-        {run.fingerprint for run in end.runs if part in run.parts}
-        for end in ledger.ends.values()
-        if part in end.parts()
-    ]
+    ends = [end for end in ledger.ends.values() if part in end.parts()]
+    requests = [{run.fingerprint for run in end.runs if part in run.parts} for end in ends]
     in_all = len(set.intersection(*requests))
-    if not in_all:
-        return ENDS_TO_HOLD
-    # One request that was in all ends may be the cause by itself.
-    return ENDS_TO_HOLD_TIED if in_all > 1 else math.inf
+    if in_all == 1:
+        # That request may be the cause by itself.
+        return math.inf
+    is_unsure = in_all > 1 or any(end.unplaced for end in ends)
+    return ENDS_TO_HOLD_UNSURE if is_unsure else ENDS_TO_HOLD
--- a/chestnutfall/control/part_ledger.py
+++ b/chestnutfall/control/part_ledger.py
@@ -67,11 +67,14 @@
         Requests that it ran.
     overlapping : tuple of str
         Parts for which the end is no further evidence, since it overlaps another one.
+    unplaced : bool
+        Whether no leader that knew the ends before placed what it ran.
     """
 
     service: str = ""
     runs: tuple[RunParts, ...] = ()
     overlapping: tuple[str, ...] = ()
+    unplaced: bool = False
 
     def parts(self) -> set[str]:
         """Return the parts of all its requests."""
@@ -131,10 +134,15 @@
     answered: dict[str, None] = field(default_factory=dict)
 
     def note_end(
-        self, instance: str, service: str, runs: Iterable[RunParts], overlapping: Iterable[str]
+        self,
+        instance: str,
+        service: str,
+        runs: Iterable[RunParts],
+        overlapping: Iterable[str],
+        unplaced: bool = False,
     ) -> None:
         """Record that an engine of a service ended while it ran these requests."""
-        end = self.ends.get(instance, PartEnd(service)).with_runs(
+        end = self.ends.get(instance, PartEnd(service, unplaced=unplaced)).with_runs(
             self._unexplained(instance, runs), overlapping
         )
         if end.runs:
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -10,7 +10,7 @@
 from .control_state import ControlState
 from .first_seen import FirstSeen
 from .last_ends import LastEnds
-from .latest_times import LatestTimes
+from .latest_times import NEVER_MS, LatestTimes
 from .part_blame import most_suspect_parts, parts_to_hold
 from .part_ledger import PartFindings, PartLedger, RunParts, parts_of
 from .run_interval import RunInterval
@@ -64,6 +64,20 @@
             self._breaks.note(parts, broke_ms)
             self._suspects.suspect(parts, service, instance, self._clock.now_ms())
 
+    def told_suspects(self, parts: Iterable[str]) -> list[str]:
+        """Suspect what the last leader suspected, as a gateway tells; return what is new of it.
+
+        The report of the end may come later, or not at all if its gateway ended. A part of which an
+        answer is known is left out: the gateway may not have heard that it was cleared.
+        """
+        unknown = [
+            one
+            for one in parts
+            if one not in self._suspects and self._answers.last_ms(one) == NEVER_MS
+        ]
+        self._suspects.suspect(unknown, ANY_SERVICE, "", self._clock.now_ms())
+        return unknown
+
     def answered(self, parts: Iterable[str], answered_ms: int) -> None:
         """Suspect the parts of an answered request no longer, unless they were in a later end.
 
--- a/chestnutfall/coordination/gateway_broadcaster.py
+++ b/chestnutfall/coordination/gateway_broadcaster.py
@@ -7,7 +7,7 @@
 
 from ..clock import Clock
 from ..control.control_state import ControlState
-from ..control.crash_messages import NO_SUSPECTS
+from ..control.crash_messages import MAX_SUSPECT_PARTS, NO_SUSPECTS, SuspectRequests
 from ..control.upstream_record import UpstreamRecord
 from ..placement import ReadyAdapter
 from ..placement.placer import Placer
@@ -24,6 +24,9 @@
 """Gateways need holdings only while no leader is reachable; a shorter interval costs bandwidth."""
 MORE_GATEWAYS_INTERVAL_MS = 100
 """Short compared with the windows in which repeats are counted."""
+SUSPECT_PARTS_INTERVAL_MS = 100
+"""Gateways need suspect prompt parts only without a leader; parts come and go as they are
+answered."""
 FEWER_GATEWAYS_INTERVAL_MS = 1_000
 """Fewer gateways only allow each of the others more repeats, so this may be sent late."""
 
@@ -56,7 +59,7 @@
         self._suspects = NO_SUSPECTS
         self._document_version = state.document.version
         now_ms = clock.now_ms()
-        self._document_due_ms = self._holdings_due_ms = now_ms
+        self._document_due_ms = self._holdings_due_ms = self._suspect_parts_due_ms = now_ms
         self._more_due_ms = self._fewer_due_ms = now_ms
 
     def send_initial_state(self, session: GatewaySession, document_version: int) -> None:
@@ -72,8 +75,8 @@
             session.send(self._in_force())
         if self._sent:
             session.send_bulk(self._sent_whole)
-        if self._state.crashes.changes:
-            session.send(self._state.crashes.suspects())
+        if self._state.crashes.changes or self._suspects.suspect_parts:
+            session.send(self._suspects_with(self._suspects.suspect_parts))
 
     def send_upstreams(self, serving: Iterable[UpstreamRecord]) -> None:
         """Send the changes of the serving upstreams."""
@@ -133,15 +136,26 @@
     def _send_suspects(self) -> None:
         # This is sent without delay: a request that ends upstreams takes one with each send until
         # every gateway knows of it.
-        crashes = self._state.crashes
-        if crashes.changes == self._suspects.changes:
+        parts = self._due_suspect_parts()
+        is_known = self._state.crashes.changes == self._suspects.changes
+        if is_known and parts == self._suspects.suspect_parts:
             return
-        suspects = crashes.suspects()
+        suspects = self._suspects_with(parts)
         sent = replace(self._suspects, changes=suspects.changes)
         self._suspects = suspects
         if suspects != sent:
             self._sessions.broadcast(suspects)
 
+    def _due_suspect_parts(self) -> tuple[str, ...]:
+        now_ms = self._clock.now_ms()
+        if now_ms < self._suspect_parts_due_ms or self._placer.suspects.is_empty:
+            return self._suspects.suspect_parts if len(self._placer.suspects) else ()
+        self._suspect_parts_due_ms = now_ms + SUSPECT_PARTS_INTERVAL_MS
+        return self._placer.suspects.lasting(now_ms)[-MAX_SUSPECT_PARTS:]
+
+    def _suspects_with(self, parts: tuple[str, ...]) -> SuspectRequests:
+        return replace(self._state.crashes.suspects(), suspect_parts=parts)
+
     def _send_holdings(self) -> None:
         # Gateways use the holdings to work without a leader for a short time. Where adapters
         # outnumber slots, most holdings come and go within two seconds. Sending all of them was
--- a/chestnutfall/coordination/gateway_duties.py
+++ b/chestnutfall/coordination/gateway_duties.py
@@ -43,6 +43,7 @@
     def add(self, session: GatewaySession, document_version: int) -> None:
         """Start to serve a gateway that holds `document_version`."""
         parts = self._parts
+        parts.observations.told_suspects(session.suspect_parts)
         parts.sessions.add(session)
         parts.helpers.add(session)
         parts.links.add(session)
--- a/chestnutfall/coordination/gateway_observations.py
+++ b/chestnutfall/coordination/gateway_observations.py
@@ -60,6 +60,10 @@
         engine = self._placer.engines.get(instance)
         return engine is not None and engine.is_ejected(self._clock.now_ms())
 
+    def told_suspects(self, parts: tuple[str, ...]) -> None:
+        """Process the prompt parts that a gateway knows to be suspect."""
+        self._crashes.told_suspects(parts)
+
     def reported(self, gateway: str, report: CrashReport) -> None:
         """Process a report of a broken or a complete answer."""
         if isinstance(report, BrokenRun) and report.refuses and self._has_answered_since(report):
--- a/chestnutfall/coordination/gateway_session.py
+++ b/chestnutfall/coordination/gateway_session.py
@@ -25,6 +25,8 @@
         none.
     known_gateways : int
         Number of gateways that it knew under the last leader; 0 if unknown.
+    suspect_parts : tuple of str
+        Prompt parts that it knows to be suspect, as it connects.
     has_told_running : bool
         Whether it has told what it has running at upstreams that bear few rejections.
     tickets : set of str
@@ -39,9 +41,11 @@
         helper_address: str = "",
         data_centre: str = "",
         known_gateways: int = 0,
+        suspect_parts: tuple[str, ...] = (),
     ) -> None:
         self.gateway = gateway
         self.known_gateways = known_gateways
+        self.suspect_parts = suspect_parts
         self.has_told_running = False
         self.helper_address = helper_address
         self.data_centre = data_centre
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -40,6 +40,9 @@
         none.
     known_gateways : int
         Number of gateways that it knew under the last leader; 0 if there was none.
+    suspect_parts : tuple of str
+        Prompt parts that the last leader suspected to end engines, or that this gateway saw in an
+        end since. A leader suspects them before it places anything for this gateway.
     """
 
     gateway: str
@@ -47,6 +50,7 @@
     helper_address: str = ""
     data_centre: str = ""
     known_gateways: int = 0
+    suspect_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/coordination/session_server.py
+++ b/chestnutfall/coordination/session_server.py
@@ -29,7 +29,11 @@
             yield NotLeading(self._replica.leader_address())
             return
         session = GatewaySession(
-            hello.gateway, hello.helper_address, hello.data_centre, hello.known_gateways
+            hello.gateway,
+            hello.helper_address,
+            hello.data_centre,
+            hello.known_gateways,
+            hello.suspect_parts,
         )
         term.add_gateway(session, hello.document_version)
         reader = asyncio.ensure_future(self._read(messages, term, session))
--- a/chestnutfall/forwarding/engine_upstream_selector.py
+++ b/chestnutfall/forwarding/engine_upstream_selector.py
@@ -5,11 +5,13 @@
 import itertools
 import logging
 from collections import Counter
+from collections.abc import Callable, Collection
 
 from ..clock import Clock
 from ..coordination.messages import PlaceStream, Release, Withdraw
 from ..placement import AdapterName, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.run_times import RunTimes
+from ..placement.suspect_parts import keys_of
 from ..routes import RouteKind
 from ..signals import BACKING_OFF, UpstreamLoad
 from ..signals.known_signals import KnownSignals
@@ -38,6 +40,11 @@
     ----------
     running : RunningEngineSends
         Requests of this gateway that run on engines.
+    is_unsettled : callable
+        Whether one of these prompt parts may end engines; only a leader sees to it that requests
+        with such a part risk one engine at a time.
+    on_answered : callable
+        Called with the prompt parts of each request that an engine answered in full.
     """
 
     def __init__(
@@ -57,6 +64,8 @@
         self._leaderless_sends: Counter[str] = Counter()
         self._loads = EngineLoadReports(fleet.send, clock)
         self.running = RunningEngineSends(signals.rejections, clock)
+        self.is_unsettled: Callable[[Collection[str]], bool] = lambda parts: False
+        self.on_answered: Callable[[Collection[str]], None] = lambda parts: None
 
     async def select(self, criteria: SelectionCriteria) -> Place:
         give_up_ms = min(self._clock.now_ms() + LEADERLESS_WAIT_MS, criteria.until_ms)
@@ -118,7 +127,9 @@
     def release(
         self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
     ) -> None:
-        self.running.ended(place.ticket)
+        req = self.running.ended(place.ticket)
+        if req is not None and outcome is RunOutcome.DONE and times.first_ms > 0:
+            self.on_answered(keys_of(req))
         self._fleet.send(Release(place.ticket, outcome.value, times))
 
     def _request(self, criteria: SelectionCriteria) -> PlaceRequest:
@@ -146,8 +157,13 @@
         leader, and so are engines that are backing off. An engine with a rate limit gets no more
         than this gateway's share of it.
         """
+        # Asked now and not as the call began: it may have waited at a leader that is lost, since
+        # its parts were being judged.
         if criteria.needs_leader:
             return None
+        if self.is_unsettled(keys_of(req)):
+            log.info("place: ticket=%s waits for a leader, its parts are suspect", req.ticket)
+            return None
         found = (
             (held, upstream)
             for held in self._fleet.knowledge.holders(req.adapter)
--- a/chestnutfall/forwarding/fleet_client.py
+++ b/chestnutfall/forwarding/fleet_client.py
@@ -78,6 +78,8 @@
         running calls, streams, and whether it can help others.
     on_knowledge : callable
         Called after each change of `knowledge`.
+    suspect_parts : callable
+        Returns the prompt parts that a new leader has to suspect.
 
     Parameters
     ----------
@@ -110,6 +112,7 @@
         self.shortage_report: Callable[[], WasShort] = lambda: WasShort(())
         self.signals_to_resend: Callable[[], tuple[Resent, ...]] = lambda: ()
         self.on_knowledge: Callable[[], None] = lambda: None
+        self.suspect_parts: Callable[[], tuple[str, ...]] = lambda: ()
 
     def on(self, kind: type[Update], handler: Callable[[Update], None]) -> None:
         """Call `handler` with each message of this type from the leader."""
@@ -168,6 +171,7 @@
                 self._helper_address,
                 self._data_centre,
                 self.knowledge.gateways,
+                self.suspect_parts(),
             )
         )
         shortage_report = self.shortage_report()
--- a/chestnutfall/forwarding/running_sends.py
+++ b/chestnutfall/forwarding/running_sends.py
@@ -35,14 +35,15 @@
         self._running[req.ticket] = RunningSend(req, instance)
         self._counts[instance] += 1
 
-    def ended(self, ticket: str) -> None:
-        """Record the end of a request."""
+    def ended(self, ticket: str) -> PlaceRequest | None:
+        """Record the end of a request, and return it; None if it did not run."""
         send = self._running.pop(ticket, None)
         if send is None:
-            return
+            return None
         self._counts[send.instance] -= 1
         if not self._counts[send.instance]:
             del self._counts[send.instance]
+        return send.req
 
     def leader_found(self) -> None:
         """Forget what was reused; the leader counts again."""
--- a/chestnutfall/placement/suspect_parts.py
+++ b/chestnutfall/placement/suspect_parts.py
@@ -39,6 +39,8 @@
         Engine that ended last.
     placed_from_ms : int
         Clock time from which requests with this part are placed.
+    since_ms : int
+        Clock time at which it became suspect.
     answers : int
         Answers of its service until then.
     tickets : dict of str to str
@@ -48,6 +50,7 @@
     service: str
     instance: str
     placed_from_ms: int
+    since_ms: int
     answers: int
     tickets: dict[str, str] = field(default_factory=dict)
 
@@ -93,7 +96,7 @@
                 known.placed_from_ms = now_ms + JUDGING_MS
             elif known is None and len(self._suspicions) < MAX_SUSPECTS:
                 self._suspicions[part] = _Suspicion(
-                    service, instance, now_ms + CLEARING_MS, self._answers[service]
+                    service, instance, now_ms + CLEARING_MS, now_ms, self._answers[service]
                 )
 
     def wait(self, parts: Iterable[str], until_ms: int) -> None:
@@ -133,6 +136,11 @@
         cleared, self._cleared = self._cleared, set()
         return cleared
 
+    def lasting(self, now_ms: int) -> tuple[str, ...]:
+        """Return the parts that were not cleared at once, as common ones are; the latest last."""
+        oldest_ms = now_ms - CLEARING_MS
+        return tuple(part for part, one in self._suspicions.items() if one.since_ms <= oldest_ms)
+
     def answers_since(self, parts: Iterable[str]) -> int:
         """Number of answers without any of these parts since the first end under each of them."""
         known = [self._suspicions[part] for part in parts if part in self._suspicions]
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -102,6 +102,9 @@
             self._fleet.report, witness.has_ended, self._clock, self._rejections.rejected_since
         )
         self._fleet.on(SuspectRequests, self._quarantine.update)
+        self._fleet.suspect_parts = self._quarantine.unsettled.to_tell
+        self._engine_selector.is_unsettled = self._quarantine.unsettled.includes_any
+        self._engine_selector.on_answered = self._quarantine.unsettled.note_answer_times
         self._helper = self._make_helper()
         self._entry = EntryServer(
             self._make_forwarder(),
--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Awaitable, Callable, Collection, Iterable
+from collections.abc import Awaitable, Callable, Collection
 
 from ..clock import Clock
 from ..control.crash_messages import (
@@ -19,6 +19,7 @@
 from ..signals.known_rejections import WINDOW_MS
 from .broken_answer import BrokenAnswer
 from .broken_parts import BrokenParts
+from .unsettled_parts import UnsettledParts
 
 log = logging.getLogger(__name__)
 REASON = "ended_its_upstreams"
@@ -49,6 +50,11 @@
         Whether the process at an address has ended.
     rejected_since : callable
         Whether an upstream that bears few rejections has rejected a request since a clock time.
+
+    Attributes
+    ----------
+    unsettled : UnsettledParts
+        Prompt parts that may end engines.
     """
 
     def __init__(
@@ -71,6 +77,7 @@
         # Clock time of the latest complete answer by fingerprint, oldest first.
         self._answered_ms: dict[str, int] = {}
         self._broken_parts = BrokenParts(clock)
+        self.unsettled = UnsettledParts(clock)
         self._still_open: deque[BrokenAnswer] = deque(maxlen=MAX_REMEMBERED)
 
     def update(self, suspects: SuspectRequests) -> None:
@@ -86,6 +93,7 @@
         for parts in self._parts_retry_ms.keys() ^ known_parts.keys():
             change = "holds" if parts in self._parts_retry_ms else "ended for"
             log.info("quarantine: %s parts=%s", change, ",".join(sorted(parts)))
+        self.unsettled.replace_told(suspects.suspect_parts)
 
     @property
     def holds_parts(self) -> bool:
@@ -145,6 +153,7 @@
             Names of the shared parts of its prompt.
         """
         self._broken_parts.note_broken(parts)
+        self.unsettled.check_begins(parts)
         now_ms = self._clock.now_ms()
         rejecting = self._rejected_since(instance, now_ms - WINDOW_MS)
         broken = BrokenAnswer(fingerprint, instance, address, began_ms, now_ms, rejecting, parts)
@@ -169,13 +178,17 @@
     @property
     def awaits_parts(self) -> bool:
         """Whether an answer to a request with certain prompt parts has to be reported."""
-        return bool(self._broken_parts)
+        return bool(self._broken_parts) or self.unsettled.has_told
 
-    def note_parts_answered(self, parts: Iterable[str]) -> None:
-        """Report those parts of an answered request that were in a broken answer before."""
-        answered = self._broken_parts.take_answered(parts)
+    def note_parts_answered(self, parts: Collection[str]) -> None:
+        """Report those parts of an answered request that were in a broken answer before.
+
+        Also those that the leader suspects: the next one may have the suspicion from it.
+        """
+        suspected = self.unsettled.note_answered(parts)
+        answered = dict.fromkeys((*self._broken_parts.take_answered(parts), *suspected))
         if answered:
-            self._send_report(AnsweredParts(answered))
+            self._send_report(AnsweredParts(tuple(answered)))
 
     def note_replaced(self, address: str, instance: str) -> None:
         """Record that `instance` now listens at `address`, so that its predecessor has ended.
@@ -190,6 +203,7 @@
         self._still_open.clear()
         for one in remembered:
             if one.is_replaced_by(address, instance):
+                self.unsettled.note_ended(one.parts, one.began_ms)
                 self._report_broken(one, ended=True)
             else:
                 self._still_open.append(one)
@@ -199,6 +213,8 @@
         refuses = await self._has_ended(broken.address)
         ended = refuses or broken not in self._being_checked
         self._being_checked.discard(broken)
+        # Rejections explain the end of an upstream that bears few.
+        self.unsettled.check_ends(broken.parts, ended and not broken.rejecting, broken.began_ms)
         if not ended:
             self._still_open.append(broken)
         self._report_broken(broken, ended)
--- a/chestnutfall/tests/fakes/part_office.py
+++ b/chestnutfall/tests/fakes/part_office.py
@@ -10,9 +10,16 @@
 
 from ...clock import Clock
 from ...control.control_state import ControlState
-from ...control.crash_messages import AnsweredParts, AnsweredRun, BrokenRun, SuspectRequests
+from ...control.crash_messages import (
+    NO_SUSPECTS,
+    AnsweredParts,
+    AnsweredRun,
+    BrokenRun,
+    SuspectRequests,
+)
 from ...control.crash_monitor import POLL_MS, CrashMonitor
 from ...forwarding.call import Call
+from ...forwarding.engine_upstream_selector import EngineUpstreamSelector
 from ...forwarding.forwarded_call import ForwardedCall
 from ...forwarding.upstream_api import AnswerLost
 from ...placement import AdapterName, PromptPart
@@ -50,13 +57,18 @@
         self._office = office
         super().__init__(office.upstreams.values, office.on_order, office.clock)
         self._crashes_due_ms = 0
-        self._sent = -1
+        self._sent = NO_SUSPECTS
         log = AppliedLog(office.state)
         self.crashes = CrashMonitor(log, office.state, office.clock, self.placer.suspects)  # type: ignore[arg-type]
 
     def add_gateway(self, name: str) -> None:
+        self.crashes.told_suspects(self._office.gateways[name].fleet.suspect_parts())
         super().add_gateway(name)
-        self._by_gateway[name].send(self._office.state.crashes.suspects())
+        self._by_gateway[name].send(self._suspects())
+
+    def _suspects(self) -> SuspectRequests:
+        parts = self.placer.suspects.lasting(self._office.clock.now_ms())
+        return dataclasses.replace(self._office.state.crashes.suspects(), suspect_parts=parts)
 
     def handle(self, name: str, msg: Any) -> None:
         if isinstance(msg, BrokenRun | AnsweredRun | AnsweredParts):
@@ -72,10 +84,10 @@
         if now_ms >= self._crashes_due_ms:
             self._crashes_due_ms = now_ms + POLL_MS
             await self.crashes.commit_due()
-        crashes = self._office.state.crashes
-        if crashes.changes != self._sent:
-            self._sent = crashes.changes
-            self._sessions.broadcast(crashes.suspects())
+        suspects = self._suspects()
+        if suspects != self._sent:
+            self._sent = suspects
+            self._sessions.broadcast(suspects)
 
 
 class _FatalApi(SignallingApi):
@@ -173,6 +185,11 @@
         forwarder = self._forwarders[name]
         quarantine = RequestQuarantine(gateway.fleet.report, self._refuses, self.clock)
         gateway.fleet.on(SuspectRequests, quarantine.update)
+        gateway.fleet.suspect_parts = quarantine.unsettled.to_tell
+        selector = gateway.selectors[ENGINES]
+        assert isinstance(selector, EngineUpstreamSelector)
+        selector.is_unsettled = quarantine.unsettled.includes_any
+        selector.on_answered = quarantine.unsettled.note_answer_times
         forwarder._quarantine = forwarder._result_handler._quarantine = quarantine
         forwarder._sender._api = self.apis[name] = _FatalApi(self, name, self.clock)
         return gateway
--- a/chestnutfall/tests/part_scenario.py
+++ b/chestnutfall/tests/part_scenario.py
@@ -15,6 +15,8 @@
 CALM_S = 2.0
 SETTLED_S = 3.0
 """Time after the fifth end from which no more engine may end under the part."""
+KNOWN_S = 0.1
+"""Time after an end in which the leader is told of it; it stores it later."""
 FATAL, COMPANION = "dead0001", "dead0002"
 SECOND_PARTS = 200
 
@@ -34,6 +36,8 @@
         comes before.
     leader_down_s, leader_up_s : float
         Time from the end of a controller to its restart, and from then to the end of the next.
+    all_leaders_down_s : float
+        Time for which all controllers are away after the first end of an engine; 0 for none.
     leader_ends : int
         Number of ends of controllers; further ones than there are take them in turn again.
     fatal_callers : int
@@ -56,6 +60,7 @@
     leader_down_s: float = 0.0
     leader_up_s: float = 1.5
     leader_ends: int = 3
+    all_leaders_down_s: float = 0.0
     keep: Path | None = None
     began_s: float = 0.0
     play: StreamScenario = field(init=False)
@@ -80,6 +85,8 @@
             asyncio.ensure_future(self._send_fatal(caller, rng)) for _ in range(self.fatal_callers)
         ]
         await leaders
+        if self.all_leaders_down_s:
+            await self._end_all_controllers(play)
         left_s = self.began_s + self.length_s - time.monotonic()
         await asyncio.sleep(max(left_s, 0.0))
         for task in fatal:
@@ -103,6 +110,14 @@
             await controller.start(False)
             await asyncio.sleep(self.leader_up_s)
 
+    async def _end_all_controllers(self, play: StreamScenario) -> None:
+        while not self.ends_s:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(KNOWN_S)
+        await asyncio.gather(*(one.kill() for one in play.office.controllers))
+        await asyncio.sleep(self.all_leaders_down_s)
+        await asyncio.gather(*(one.start(False) for one in play.office.controllers))
+
     # What came of it
 
     @property
--- a/chestnutfall/tests/test_crash_monitor.py
+++ b/chestnutfall/tests/test_crash_monitor.py
@@ -16,7 +16,7 @@
 from ..clock import ManualClock
 from ..control.control_state import ControlState
 from ..control.crash_ledger import ENDS_BY_CHANCE, ENDS_TO_QUARANTINE, QUARANTINE_MS
-from ..control.crash_messages import AnsweredRun, BrokenRun, SuspectRequests
+from ..control.crash_messages import AnsweredParts, AnsweredRun, BrokenRun, SuspectRequests
 from ..control.crash_monitor import POLL_MS, REPORT_COLLECTION_MS, CrashMonitor
 from ..coordination.fleet_leader import FleetLeader
 from ..coordination.gateway_session import GatewaySession
@@ -272,6 +272,39 @@
                 quarantined = {one.fingerprint for one in msg.quarantined}
         return quarantined
 
+    @staticmethod
+    def _suspects_told_to(session: GatewaySession) -> set[str]:
+        suspects: set[str] = set()
+        while not session.out.empty():
+            msg = session.out.get_nowait()
+            if isinstance(msg, SuspectRequests):
+                suspects = set(msg.suspect_parts)
+        return suspects
+
+    # Guards against gateways that send a suspect part on without a leader, and a next leader that
+    # places it: its gateways tell it what the last one suspected.
+    async def test_suspect_parts_are_told_to_gateways_and_by_them_to_the_next_leader(self) -> None:
+        sessions = self._join(2)
+        self._report(sessions[0], replace(_broken("r", 1), parts=("/seen", "/answered")))
+        await self._advance(KNOWN_MS)
+        told = [self._suspects_told_to(one) for one in sessions]
+        self.assertEqual(told, [{"/seen", "/answered"}] * 2)
+        self._report(sessions[1], AnsweredParts(("/answered",)))
+        await self._advance(KNOWN_MS)
+        self.assertEqual([self._suspects_told_to(one) for one in sessions], [{"/seen"}] * 2)
+        (late,) = self._join(1)
+        self.assertEqual(self._suspects_told_to(late), {"/seen"})
+        await self.cluster.crash(self.name)
+        self.name = (await self.cluster.leader()).replica_id
+        await self._advance(500)
+        term = self.leaders[self.name].leading()
+        assert term is not None
+        (first,) = self._join(1)
+        await self._advance(KNOWN_MS)
+        term.add_gateway(GatewaySession("g9", suspect_parts=("/told", "/seen")), -1)
+        await self._advance(KNOWN_MS)
+        self.assertEqual(self._suspects_told_to(first), {"/seen", "/told"})
+
     async def test_every_gateway_receives_the_quarantine(self) -> None:
         for gateways in (9, 91, 195, 410):
             with self.subTest(gateways):
--- a/chestnutfall/tests/test_fatal_parts.py
+++ b/chestnutfall/tests/test_fatal_parts.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import tempfile
 import unittest
+from pathlib import Path
 
 from .part_scenario import COMPANION, FATAL, PartScenario
 
@@ -23,6 +25,27 @@
     def test_a_part_beside_the_fatal_one_and_a_change_of_leader_cost_no_more_engines(self) -> None:
         self._check(PartScenario(72, ENGINES, LENGTH_S, (COMPANION, FATAL), ends_leaders=True))
 
+    # Guards against evidence that is lost, and engines that end, as one leader follows the other
+    # before any of them has held the part.
+    def test_a_part_costs_no_more_engines_over_many_changes_of_leader(self) -> None:
+        scenario = PartScenario(121, ENGINES, LENGTH_S, ends_leaders=True)
+        scenario.leaders_end_after_s, scenario.leader_ends = -1.0, 4
+        scenario.leader_down_s, scenario.leader_up_s = 0.8, 1.0
+        self._check(scenario)
+
+    # Guards against gateways that send a part on while there is no leader, and a next leader that
+    # places it before it hears of the end. Asks the logs, since the parts may not be wired.
+    def test_a_part_costs_no_more_engines_without_any_controller(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            scenario = PartScenario(74, ENGINES, LENGTH_S, keep=Path(folder))
+            scenario.all_leaders_down_s = 2.0
+            self._check(scenario)
+            logs = {one.parent.name: one.read_text() for one in Path(folder).glob("*/log")}
+        gateways = "".join(log for name, log in logs.items() if name.startswith("g"))
+        controllers = "".join(log for name, log in logs.items() if name.startswith("c"))
+        self.assertIn("waits for a leader, its parts are suspect", gateways)
+        self.assertIn("crashes: told of suspect parts=", controllers)
+
     def _check(self, scenario: PartScenario) -> None:
         scenario.run()
         seen = scenario.describe()
--- a/chestnutfall/tests/test_part_evidence.py
+++ b/chestnutfall/tests/test_part_evidence.py
@@ -107,6 +107,21 @@
         await term.monitor.commit_due()
         self.assertEqual(self._held(), {(FATAL,)})
 
+    # Guards against a sound part that is held since chance brought it into two ends: of what ran at
+    # one of them, no leader had placed requests with suspect parts apart.
+    async def test_an_end_without_a_leader_needs_two_further_ones(self) -> None:
+        unplaced_ms = self.clock.now_ms()
+        await self.clock.advance(1_000)
+        term = self._begin_term()
+        term.report("e0", "r0", unplaced_ms, FATAL)
+        await term.judge()
+        for at, held in ((1, set()), (2, {(FATAL,)})):
+            term.answer()
+            await self.clock.advance(500)
+            term.report(f"e{at}", f"r{at}", self.clock.now_ms(), FATAL)
+            await term.judge()
+            self.assertEqual(self._held(), held)
+
     # Guards against sound callers who wait for a judgement that a failed service can't give.
     async def test_a_part_waits_for_other_answers_for_a_second_at_most(self) -> None:
         term = self._begin_term()
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -7,6 +7,7 @@
 _FATAL = "chestnutfall.tests.test_suspect_parts.FatalPartTest."
 _HELD = "chestnutfall.tests.test_suspect_parts.HeldPartTest."
 _OTHER = "chestnutfall.tests.test_suspect_parts.OtherCauseTest."
+_LEADERLESS = "chestnutfall.tests.test_unsettled_parts.LeaderlessPartTest."
 _EVIDENCE = "chestnutfall.tests.test_part_evidence.PartEvidenceTest."
 _PLACEMENT = "chestnutfall.tests.test_suspect_placement.SuspectPlacementTest."
 _SUSPECTS = "chestnutfall/placement/suspect_parts.py"
@@ -58,6 +59,50 @@
         "            self._suspects.wait(worst, self._clock.now_ms() + UNDECIDED_MS)\n",
         _EVIDENCE + "test_a_part_waits_for_other_answers_for_a_second_at_most",
     ),
+    Mutant(
+        "gateways send suspect parts on without a leader",
+        "chestnutfall/forwarding/engine_upstream_selector.py",
+        "        if self.is_unsettled(keys_of(req)):\n",
+        "        if False:\n",
+        _LEADERLESS + "test_what_the_leader_suspected_is_sent_by_no_gateway_without_one",
+    ),
+    Mutant(
+        "a gateway knows suspect parts from the leader only",
+        "chestnutfall/quarantine/unsettled_parts.py",
+        "        if ended:\n            self.note_ended(parts, began_ms)\n",
+        "",
+        _LEADERLESS + "test_a_part_that_ended_an_engine_without_a_leader_ends_no_other",
+    ),
+    Mutant(
+        "a new leader does not hear what the last one suspected",
+        "chestnutfall/coordination/gateway_duties.py",
+        "        parts.observations.told_suspects(session.suspect_parts)\n",
+        "",
+        "chestnutfall.tests.test_crash_monitor.SharedQuarantineTest."
+        "test_suspect_parts_are_told_to_gateways_and_by_them_to_the_next_leader",
+    ),
+    Mutant(
+        "callers of common parts wait for a leader after an end",
+        "chestnutfall/forwarding/engine_upstream_selector.py",
+        "            self.on_answered(keys_of(req))\n",
+        "            pass\n",
+        _LEADERLESS + "test_sound_requests_are_sent_without_a_leader_like_before",
+    ),
+    Mutant(
+        "an answer without a leader leaves a suspicion of the last one",
+        "chestnutfall/quarantine/unsettled_parts.py",
+        "                del self._told[part]\n                found.append(part)\n",
+        "                pass\n",
+        "chestnutfall.tests.test_unsettled_parts.UnsettledPartsTest."
+        "test_an_answer_settles_a_part_and_tells_of_what_the_leader_suspected",
+    ),
+    Mutant(
+        "ends that no leader placed count like others",
+        _BLAME,
+        "    is_unsure = in_all > 1 or any(end.unplaced for end in ends)\n",
+        "    is_unsure = in_all > 1\n",
+        "chestnutfall.tests.test_part_evidence",
+    ),
     Mutant(
         "gateways don't tell which parts were answered",
         "chestnutfall/forwarding/result_handler.py",
@@ -175,15 +220,15 @@
     Mutant(
         "what one request does is blamed on its parts",
         _BLAME,
-        "    return ENDS_TO_HOLD_TIED if in_all > 1 else math.inf\n",
-        "    return ENDS_TO_HOLD_TIED if in_all > 1 else ENDS_TO_HOLD\n",
+        "    if in_all == 1:\n",
+        "    if False:\n",
         _OTHER + "test_a_request_that_ends_engines_by_itself_brings_no_part_into_disrepute",
     ),
     Mutant(
         "a part is held only after many ends where two requests are in all of them",
         _BLAME,
-        "    return ENDS_TO_HOLD_TIED if in_all > 1 else math.inf\n",
-        "    return math.inf\n",
+        "    if in_all == 1:\n",
+        "    if in_all >= 1:\n",
         "chestnutfall.tests.test_part_ledger",
     ),
     Mutant(
--- a/properties/safeguards/quarantine_mutants.py
+++ b/properties/safeguards/quarantine_mutants.py
@@ -181,7 +181,7 @@
     Mutant(
         "a gateway that joins is not told of quarantines",
         "chestnutfall/coordination/gateway_broadcaster.py",
-        "        if self._state.crashes.changes:\n",
+        "        if self._state.crashes.changes or self._suspects.suspect_parts:\n",
         "        if False:\n",
         _MONITOR_TEST,
     ),
