Count an end under a part only if no answer came since

Cause: two engines ended 50 ms apart under the fatal part, each with requests of one common part beside it. What ran at an end is judged once it is stored, 150 ms later. The answers between the ends cleared the common part, the report of the second end made it suspect again, and so it counted at both. The fatal part had been in flight at both before either ended, so it counted as one end, and the common one, which a request had reached the second engine with in between, as two.

The time of each answer is kept while parts are suspect, and a part that was answered since a run broke off counts at that end no more. And until the leader knows of an end, requests with what ran there are placed on any engine: runs that began before that are of the same end under their part.

Both tests fail on the code before: ('/common',) is held.

--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -195,7 +195,7 @@
                 )
             )
         broken.mark_committed(runs)
-        self._parts.note_committed(found.runs, runs)
+        self._parts.note_committed(broken, found.runs, runs)
         await self._commit_hold(instance, ended_ms)
         for fingerprint, run in runs.items():
             self._last_ends.note(fingerprint, run)
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -17,6 +17,9 @@
 
 END_RETENTION_MS = 3_600_000
 """A part that causes an end less than once an hour can't be told from coincidence."""
+KNOWN_WITHIN_MS = 150
+"""Time after a break in which the leader learns whether the engine ended; a new leader, which is
+told again, learns of it later."""
 UNDECIDED_MS = 1_000
 """How long requests with the most suspect parts of an end wait for other answers. A service that
 serves at all gives a few within this time, also to a new leader, which knows none of before."""
@@ -95,12 +98,14 @@
         """
         suspects = {
             fingerprint: tuple(
-                part for part in broken.parts.get(fingerprint, ()) if self._is_suspect(part)
+                part
+                for part in broken.parts.get(fingerprint, ())
+                if self._is_suspect(part, run.broke_ms)
             )
-            for fingerprint in runs
+            for fingerprint, run in runs.items()
         }
         found = tuple(RunParts(one, parts) for one, parts in suspects.items() if parts)
-        by_part = _latest_runs(found, runs)
+        by_part = _latest_runs(found, runs, broken.ended_ms)
         overlapping = tuple(
             part for part, run in by_part.items() if not self._last_ends.is_separate(part, run)
         )
@@ -108,12 +113,20 @@
         cleared = tuple(sorted(all_parts.difference(by_part)))
         return PartFindings(found, overlapping, cleared)
 
-    def _is_suspect(self, part: str) -> bool:
-        return part in self._suspects
+    def _is_suspect(self, part: str, broke_ms: int) -> bool:
+        """Whether a part of a run that broke off was not answered since.
 
-    def note_committed(self, found: Iterable[RunParts], runs: Mapping[str, RunInterval]) -> None:
+        It may be suspect again by then, since another engine ended that ran it.
+        """
+        if part not in self._suspects or self._suspects.answered_since(part, broke_ms):
+            return False
+        return self._answers.last_ms(part) <= broke_ms
+
+    def note_committed(
+        self, broken: BrokenUpstream, found: Iterable[RunParts], runs: Mapping[str, RunInterval]
+    ) -> None:
         """Record when the parts of an end ran last."""
-        for part, run in _latest_runs(found, runs).items():
+        for part, run in _latest_runs(found, runs, broken.ended_ms).items():
             self._last_ends.note(part, run)
 
     def to_hold(self, instance: str, ended_ms: int) -> tuple[str, ...] | None:
@@ -153,14 +166,19 @@
 
 
 def _latest_runs(
-    found: Iterable[RunParts], runs: Mapping[str, RunInterval]
+    found: Iterable[RunParts], runs: Mapping[str, RunInterval], ended_ms: int | None
 ) -> dict[str, RunInterval]:
-    """Return, by part, the latest start and the latest break of the requests that have it."""
+    """Return, by part, the latest start and the latest break of the requests that have it.
+
+    Until the leader learned of the end at `ended_ms`, requests with the part went to any engine, as
+    they did before the break.
+    """
     by_part: dict[str, RunInterval] = {}
     for request in found:
         run = runs[request.fingerprint]
         for part in request.parts:
             known = by_part.get(part, run)
             began_ms = max(known.began_ms, run.began_ms)
-            by_part[part] = RunInterval(began_ms, max(known.broke_ms, run.broke_ms))
+            known_ms = min(ended_ms or run.broke_ms, run.broke_ms + KNOWN_WITHIN_MS)
+            by_part[part] = RunInterval(began_ms, max(known.broke_ms, run.broke_ms, known_ms))
     return by_part
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -184,7 +184,7 @@
         if engine is None or req is None:
             return
         if outcome is RunOutcome.DONE and times.first_ms > 0:
-            self.suspects.answered(req)
+            self.suspects.answered(req, self._clock.now_ms())
         note_end(engine, req, outcome, times, self._clock.now_ms())
 
     def adopt(self, req: PlaceRequest, instance: str) -> None:
--- a/chestnutfall/placement/suspect_parts.py
+++ b/chestnutfall/placement/suspect_parts.py
@@ -73,6 +73,8 @@
         self._tickets: dict[str, tuple[str, ...]] = {}
         self._answers: Counter[str] = Counter()
         self._cleared: set[str] = set()
+        # Clock time of the latest answer by part, oldest first; kept while there are suspects.
+        self._answered_ms: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._suspicions)
@@ -118,12 +120,22 @@
         """Set the parts that no request may have together, with the retry time in ms of each."""
         self._held = {frozenset(parts): retry_ms for parts, retry_ms in held}
 
-    def answered(self, req: PlaceRequest) -> None:
+    def answered(self, req: PlaceRequest, now_ms: int) -> None:
         """Clear all parts of a request that an engine answered in full."""
         self._answers.update((req.service, ANY_SERVICE))
         if not self._suspicions:
             return
-        self.clear_answered(keys_of(req))
+        parts = keys_of(req)
+        for part in parts:
+            self._answered_ms.pop(part, None)
+            self._answered_ms[part] = now_ms
+        while len(self._answered_ms) > MAX_SUSPECTS:
+            del self._answered_ms[next(iter(self._answered_ms))]
+        self.clear_answered(parts)
+
+    def answered_since(self, part: str, since_ms: int) -> bool:
+        """Whether a request with a part was answered after a clock time, while any was suspect."""
+        return self._answered_ms.get(part, since_ms) > since_ms
 
     def clear_answered(self, parts: Iterable[str]) -> None:
         """Clear parts, since a request that has them was answered in full."""
--- a/chestnutfall/tests/test_part_evidence.py
+++ b/chestnutfall/tests/test_part_evidence.py
@@ -10,7 +10,7 @@
 from ..control.crash_monitor import REPORT_COLLECTION_MS, CrashMonitor
 from ..control.part_blame import MIN_OTHER_ANSWERS
 from ..control.part_monitor import UNDECIDED_MS
-from ..placement import AdapterName, PlaceRequest
+from ..placement import AdapterName, PlaceRequest, PromptPart
 from ..placement.suspect_parts import JUDGING_MS, SuspectParts
 from .fakes.part_office import AppliedLog
 
@@ -26,19 +26,23 @@
         self.suspects = SuspectParts()
         self.monitor = CrashMonitor(AppliedLog(state), state, clock, self.suspects)  # type: ignore[arg-type]
 
-    def report(self, end: str, request: str, broke_ms: int, *parts: str) -> None:
-        """Hear of a request that ran for `RUN_MS` until its engine ended."""
+    def report(
+        self, end: str, request: str, broke_ms: int, *parts: str, run_ms: int = RUN_MS
+    ) -> None:
+        """Hear of a request that ran for a time until its engine ended."""
         ago_ms = self.clock.now_ms() - broke_ms
         address = f"{end}:1"
         self.monitor.handle_report(
-            BrokenRun(request, end, address, True, ago_ms + RUN_MS, ago_ms, parts=parts)
+            BrokenRun(request, end, address, True, ago_ms + run_ms, ago_ms, parts=parts)
         )
 
-    def answer(self, times: int = MIN_OTHER_ANSWERS) -> None:
-        """Hear of answers to requests without any part."""
+    def answer(self, *names: str, times: int = MIN_OTHER_ANSWERS) -> None:
+        """Hear of answers to requests with these shared parts."""
+        parts = tuple(PromptPart(name, 1) for name in (*names, "own"))
         adapter = AdapterName("base", "a")
         for _ in range(times):
-            self.suspects.answered(PlaceRequest("t", "", adapter, 1, 1, (), 0, 0, 0, "dc"))
+            req = PlaceRequest("t", "", adapter, 1, 1, parts, 0, 0, 0, "dc")
+            self.suspects.answered(req, self.clock.now_ms())
 
     async def judge(self) -> None:
         """Let the reports be collected, and commit what is due."""
@@ -122,6 +126,38 @@
             await term.judge()
             self.assertEqual(self._held(), held)
 
+    # Guards against a common part that is held for a minute: two engines ended under a fatal one
+    # within some ms, and an answer between them cleared the common one of the first end only.
+    async def test_an_answer_between_two_ends_clears_a_part_of_the_first(self) -> None:
+        term = self._begin_term()
+        first_ms = self.clock.now_ms()
+        await self.clock.advance(12)
+        term.report("e1", "x", first_ms, "/common", FATAL)
+        await self.clock.advance(20)
+        term.answer("common")
+        await term.monitor.commit_due()
+        await self.clock.advance(60)
+        term.report("e2", "s", self.clock.now_ms(), "/common")
+        term.report("e2", "y", self.clock.now_ms(), FATAL, run_ms=200)
+        term.answer()
+        await term.judge()
+        self.assertEqual(self._held(), set())
+        self.assertEqual(self.state.crashes.parts.counts()["/common"], 1)
+
+    # Guards against the same without an answer in between: until the leader knows of an end,
+    # requests with what ran there are placed on any engine.
+    async def test_ends_of_which_no_leader_knew_the_first_are_one_under_a_part(self) -> None:
+        term = self._begin_term()
+        first_ms = self.clock.now_ms()
+        await self.clock.advance(12)
+        term.report("e1", "x", first_ms, "/common", FATAL)
+        await self.clock.advance(40)
+        term.report("e2", "s", self.clock.now_ms(), "/common", run_ms=48)
+        term.report("e2", "y", self.clock.now_ms(), FATAL, run_ms=200)
+        term.answer()
+        await term.judge()
+        self.assertEqual(self._held(), set())
+
     # Guards against sound callers who wait for a judgement that a failed service can't give.
     async def test_a_part_waits_for_other_answers_for_a_second_at_most(self) -> None:
         term = self._begin_term()
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -103,6 +103,20 @@
         "    is_unsure = in_all > 1\n",
         "chestnutfall.tests.test_part_evidence",
     ),
+    Mutant(
+        "an answer between two ends clears a part of neither",
+        _MONITOR,
+        "        if part not in self._suspects or self._suspects.answered_since(part, broke_ms):\n",
+        "        if part not in self._suspects:\n",
+        _EVIDENCE + "test_an_answer_between_two_ends_clears_a_part_of_the_first",
+    ),
+    Mutant(
+        "an end that the leader did not know of yet is a separate one",
+        _MONITOR,
+        "max(known.broke_ms, run.broke_ms, known_ms)",
+        "max(known.broke_ms, run.broke_ms)",
+        _EVIDENCE + "test_ends_of_which_no_leader_knew_the_first_are_one_under_a_part",
+    ),
     Mutant(
         "gateways don't tell which parts were answered",
         "chestnutfall/forwarding/result_handler.py",
