--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from ..clock import Clock
 from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
@@ -70,6 +70,7 @@
         self._state = state
         self._clock = clock
         self._broken: dict[str, BrokenUpstream] = {}
+        self._began_ms = clock.now_ms()
         self._answered: dict[str, None] = {}
         self._last_ends = LastEnds()
         self._ends_seen, self._quarantines_seen = FirstSeen(clock), FirstSeen(clock)
@@ -88,6 +89,12 @@
                 if self._state.crashes.implicates(fingerprint):
                     self._answered[fingerprint] = None
 
+    def told_suspects(self, parts: Iterable[str]) -> None:
+        """Suspect the prompt parts that a gateway has from the last leader, or saw in an end."""
+        told = self._parts.told_suspects(parts)
+        if told:
+            log.info("crashes: told of suspect parts=%s", ",".join(told[:MAX_LOGGED_PARTS]))
+
     def address_reused(self, address: str, instance: str) -> None:
         """Note that `instance` listens at `address`, so any other incarnation there has ended."""
         for broken_instance, broken in self._broken.items():
@@ -156,9 +163,9 @@
             if now_ms > broken.last_ms + BROKEN_RETENTION_MS:
                 del self._broken[instance]
             elif broken.ended_ms is not None and now_ms >= broken.ended_ms + REPORT_COLLECTION_MS:
-                await self._commit_end(instance, broken)
+                await self._commit_end(instance, broken, broken.ended_ms)
 
-    async def _commit_end(self, instance: str, broken: BrokenUpstream) -> None:
+    async def _commit_end(self, instance: str, broken: BrokenUpstream, ended_ms: int) -> None:
         runs = dict(broken.uncommitted)
         # An overload ends one such upstream after the other while they all run the most frequent
         # requests. One that ends upstreams by itself also does so where nothing was rejected.
@@ -167,9 +174,7 @@
             broken.mark_committed(runs)
             return
         await self._clear_answered(runs)
-        suspects = tuple(
-            one for one, run in runs.items() if self._last_ends.is_separate(one, run.began_ms)
-        )
+        suspects = tuple(one for one, run in runs.items() if self._last_ends.is_separate(one, run))
         overlapping = tuple(one for one in runs if one not in suspects)
         found = self._parts.findings(broken, runs)
         if runs:
@@ -185,13 +190,15 @@
                     found.overlapping,
                     found.cleared,
                     tuple(one for one, run in runs.items() if run.answered_ms is not None),
+                    # Without a leader, or under one that ended before it stored the end.
+                    all(run.broke_ms < self._began_ms for run in runs.values()),
                 )
             )
         broken.mark_committed(runs)
-        self._parts.note_committed(found.runs, runs)
-        await self._commit_hold(instance)
+        self._parts.note_committed(broken, found.runs, runs)
+        await self._commit_hold(instance, ended_ms)
         for fingerprint, run in runs.items():
-            self._last_ends.note(fingerprint, run.broke_ms)
+            self._last_ends.note(fingerprint, run)
             if fingerprint in broken.parts:
                 log.info(
                     "crashes: instance=%s content=%s parts=%s",
@@ -229,8 +236,8 @@
         for fingerprint in set(self._state.crashes.quarantined) - before:
             log.warning("crashes: quarantined content=%s", fingerprint)
 
-    async def _commit_hold(self, instance: str) -> None:
-        parts = self._parts.to_hold(instance)
+    async def _commit_hold(self, instance: str, ended_ms: int) -> None:
+        parts = self._parts.to_hold(instance, ended_ms)
         if parts is None:
             return
         await self._commit(HoldParts(parts))
--- a/chestnutfall/control/part_ledger.py
+++ b/chestnutfall/control/part_ledger.py
@@ -67,24 +67,32 @@
         Requests that it ran.
     overlapping : tuple of str
         Parts for which the end is no further evidence, since it overlaps another one.
+    unplaced : bool
+        Whether no leader that knew the ends before placed what it ran.
     """
 
     service: str = ""
     runs: tuple[RunParts, ...] = ()
     overlapping: tuple[str, ...] = ()
+    unplaced: bool = False
 
     def parts(self) -> set[str]:
         """Return the parts of all its requests."""
         return {part for run in self.runs for part in run.parts}
 
     def with_runs(self, runs: Iterable[RunParts], overlapping: Iterable[str]) -> PartEnd:
-        """Return the end with more requests; known ones stay as they are."""
-        known = {run.fingerprint for run in self.runs}
+        """Return the end with more requests; known ones, and known parts, stay as they are.
+
+        A gateway that connects to a new leader late sends its report of an end that is stored by
+        then. To that leader the end may seem to overlap a later one.
+        """
+        known, known_parts = {run.fingerprint for run in self.runs}, self.parts()
         new = [run for run in runs if run.fingerprint not in known]
+        more = [part for part in overlapping if part not in known_parts]
         return replace(
             self,
             runs=(*self.runs, *new)[:MAX_RUNS],
-            overlapping=tuple(dict.fromkeys((*self.overlapping, *overlapping))),
+            overlapping=tuple(dict.fromkeys((*self.overlapping, *more))),
         )
 
     def without(self, parts: set[str]) -> PartEnd:
@@ -126,10 +134,15 @@
     answered: dict[str, None] = field(default_factory=dict)
 
     def note_end(
-        self, instance: str, service: str, runs: Iterable[RunParts], overlapping: Iterable[str]
+        self,
+        instance: str,
+        service: str,
+        runs: Iterable[RunParts],
+        overlapping: Iterable[str],
+        unplaced: bool = False,
     ) -> None:
         """Record that an engine of a service ended while it ran these requests."""
-        end = self.ends.get(instance, PartEnd(service)).with_runs(
+        end = self.ends.get(instance, PartEnd(service, unplaced=unplaced)).with_runs(
             self._unexplained(instance, runs), overlapping
         )
         if end.runs:
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -10,13 +10,19 @@
 from .control_state import ControlState
 from .first_seen import FirstSeen
 from .last_ends import LastEnds
-from .latest_times import LatestTimes
+from .latest_times import NEVER_MS, LatestTimes
 from .part_blame import most_suspect_parts, parts_to_hold
 from .part_ledger import PartFindings, PartLedger, RunParts, parts_of
 from .run_interval import RunInterval
 
 END_RETENTION_MS = 3_600_000
 """A part that causes an end less than once an hour can't be told from coincidence."""
+KNOWN_WITHIN_MS = 150
+"""Time after a break in which the leader learns whether the engine ended; a new leader, which is
+told again, learns of it later."""
+UNDECIDED_MS = 1_000
+"""How long requests with the most suspect parts of an end wait for other answers. A service that
+serves at all gives a few within this time, also to a new leader, which knows none of before."""
 
 
 class PartMonitor:
@@ -61,6 +67,20 @@
             self._breaks.note(parts, broke_ms)
             self._suspects.suspect(parts, service, instance, self._clock.now_ms())
 
+    def told_suspects(self, parts: Iterable[str]) -> list[str]:
+        """Suspect what the last leader suspected, as a gateway tells; return what is new of it.
+
+        The report of the end may come later, or not at all if its gateway ended. A part of which an
+        answer is known is left out: the gateway may not have heard that it was cleared.
+        """
+        unknown = [
+            one
+            for one in parts
+            if one not in self._suspects and self._answers.last_ms(one) == NEVER_MS
+        ]
+        self._suspects.suspect(unknown, ANY_SERVICE, "", self._clock.now_ms())
+        return unknown
+
     def answered(self, parts: Iterable[str], answered_ms: int) -> None:
         """Suspect the parts of an answered request no longer, unless they were in a later end.
 
@@ -78,37 +98,52 @@
         """
         suspects = {
             fingerprint: tuple(
-                part for part in broken.parts.get(fingerprint, ()) if self._is_suspect(part)
+                part
+                for part in broken.parts.get(fingerprint, ())
+                if self._is_suspect(part, run.broke_ms)
             )
-            for fingerprint in runs
+            for fingerprint, run in runs.items()
         }
         found = tuple(RunParts(one, parts) for one, parts in suspects.items() if parts)
-        began_ms: dict[str, int] = {}
-        for run in found:
-            for part in run.parts:
-                began = runs[run.fingerprint].began_ms
-                began_ms[part] = max(began_ms.get(part, began), began)
+        by_part = _latest_runs(found, runs, broken.ended_ms)
         overlapping = tuple(
-            part for part, at_ms in began_ms.items() if not self._last_ends.is_separate(part, at_ms)
+            part for part, run in by_part.items() if not self._last_ends.is_separate(part, run)
         )
         all_parts = {part for one in runs for part in broken.parts.get(one, ())}
-        cleared = tuple(sorted(all_parts.difference(began_ms)))
+        cleared = tuple(sorted(all_parts.difference(by_part)))
         return PartFindings(found, overlapping, cleared)
 
-    def _is_suspect(self, part: str) -> bool:
-        return part in self._suspects
+    def _is_suspect(self, part: str, broke_ms: int) -> bool:
+        """Whether a part of a run that broke off was not answered since.
 
-    def note_committed(self, found: Iterable[RunParts], runs: Mapping[str, RunInterval]) -> None:
+        It may be suspect again by then, since another engine ended that ran it.
+        """
+        if part not in self._suspects or self._suspects.answered_since(part, broke_ms):
+            return False
+        return self._answers.last_ms(part) <= broke_ms
+
+    def note_committed(
+        self, broken: BrokenUpstream, found: Iterable[RunParts], runs: Mapping[str, RunInterval]
+    ) -> None:
         """Record when the parts of an end ran last."""
-        for run in found:
-            broke_ms = runs[run.fingerprint].broke_ms
-            for part in run.parts:
-                self._last_ends.note(part, broke_ms)
+        for part, run in _latest_runs(found, runs, broken.ended_ms).items():
+            self._last_ends.note(part, run)
+
+    def to_hold(self, instance: str, ended_ms: int) -> tuple[str, ...] | None:
+        """Return the parts to hold after the end of an upstream was committed; None if none.
+
+        Where too little else was answered to tell, requests with the most suspect parts wait.
 
-    def to_hold(self, instance: str) -> tuple[str, ...] | None:
-        """Return the parts to hold after the end of an upstream was committed; None if none."""
+        Parameters
+        ----------
+        ended_ms : int
+            Clock time at which this leader learned of the end.
+        """
         worst = most_suspect_parts(self._ledger, instance)
-        return parts_to_hold(self._ledger, instance, self._suspects.answers_since(worst))
+        parts = parts_to_hold(self._ledger, instance, self._suspects.answers_since(worst))
+        if parts is None:
+            self._suspects.wait(worst, ended_ms + UNDECIDED_MS)
+        return parts
 
     def update_holds(self) -> None:
         """Tell placement which parts are held now."""
@@ -128,3 +163,22 @@
         ends = self._ends_seen.older_than(self._ledger.ends, lambda _: END_RETENTION_MS)
         holds = self._holds_seen.older_than(self._ledger.held, self._ledger.hold_ms)
         return ends, holds
+
+
+def _latest_runs(
+    found: Iterable[RunParts], runs: Mapping[str, RunInterval], ended_ms: int | None
+) -> dict[str, RunInterval]:
+    """Return, by part, the latest start and the latest break of the requests that have it.
+
+    Until the leader learned of the end at `ended_ms`, requests with the part went to any engine, as
+    they did before the break.
+    """
+    by_part: dict[str, RunInterval] = {}
+    for request in found:
+        run = runs[request.fingerprint]
+        for part in request.parts:
+            known = by_part.get(part, run)
+            began_ms = max(known.began_ms, run.began_ms)
+            known_ms = min(ended_ms or run.broke_ms, run.broke_ms + KNOWN_WITHIN_MS)
+            by_part[part] = RunInterval(began_ms, max(known.broke_ms, run.broke_ms, known_ms))
+    return by_part
--- a/chestnutfall/placement/granted_places.py
+++ b/chestnutfall/placement/granted_places.py
@@ -53,6 +53,8 @@
     def release(self, ticket: str, outcome: RunOutcome, times: RunTimes) -> None:
         """Free a place after its request ended with `outcome`."""
         engine = self._engines.get(self._instances.pop(ticket, ""))
+        if outcome is RunOutcome.BROKEN:
+            self._suspects.broke(ticket, self._clock.now_ms())
         self._suspects.ended(ticket)
         if engine is not None and outcome is RunOutcome.DONE:
             engine.learn(ticket, times, self._clock.now_ms())
@@ -61,7 +63,7 @@
         if engine is None or req is None:
             return
         if outcome is RunOutcome.DONE and times.first_ms > 0:
-            self._suspects.answered(req)
+            self._suspects.answered(req, self._clock.now_ms())
         note_end(engine, req, outcome, times, self._clock.now_ms())
 
     def drop_engine(self, engine: Engine) -> None:
--- a/chestnutfall/placement/suspect_parts.py
+++ b/chestnutfall/placement/suspect_parts.py
@@ -17,6 +17,9 @@
 JUDGING_MS = 350
 """How long they wait after a further end under a suspect: by then reports are collected, the end is
 committed, and the part is held if it is to blame."""
+REPORTING_MS = 200
+"""How long they wait after an answer under a suspect broke off: by then the gateway has looked at
+the engine's port, and the leader knows whether the engine ended."""
 MAX_SUSPECTS = 4_096
 """Parts that are suspected at a time; about 400 bytes each."""
 
@@ -36,6 +39,8 @@
         Engine that ended last.
     placed_from_ms : int
         Clock time from which requests with this part are placed.
+    since_ms : int
+        Clock time at which it became suspect.
     answers : int
         Answers of its service until then.
     tickets : dict of str to str
@@ -45,6 +50,7 @@
     service: str
     instance: str
     placed_from_ms: int
+    since_ms: int
     answers: int
     tickets: dict[str, str] = field(default_factory=dict)
 
@@ -67,6 +73,8 @@
         self._tickets: dict[str, tuple[str, ...]] = {}
         self._answers: Counter[str] = Counter()
         self._cleared: set[str] = set()
+        # Clock time of the latest answer by part, oldest first; kept while there are suspects.
+        self._answered_ms: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._suspicions)
@@ -90,9 +98,15 @@
                 known.placed_from_ms = now_ms + JUDGING_MS
             elif known is None and len(self._suspicions) < MAX_SUSPECTS:
                 self._suspicions[part] = _Suspicion(
-                    service, instance, now_ms + CLEARING_MS, self._answers[service]
+                    service, instance, now_ms + CLEARING_MS, now_ms, self._answers[service]
                 )
 
+    def wait(self, parts: Iterable[str], until_ms: int) -> None:
+        """Place no request with these suspects until a clock time, unless they are cleared."""
+        for part in self._suspects_of(parts):
+            known = self._suspicions[part]
+            known.placed_from_ms = max(known.placed_from_ms, until_ms)
+
     def clear(self, parts: Iterable[str]) -> None:
         """Suspect parts no longer."""
         for part in parts:
@@ -106,12 +120,22 @@
         """Set the parts that no request may have together, with the retry time in ms of each."""
         self._held = {frozenset(parts): retry_ms for parts, retry_ms in held}
 
-    def answered(self, req: PlaceRequest) -> None:
+    def answered(self, req: PlaceRequest, now_ms: int) -> None:
         """Clear all parts of a request that an engine answered in full."""
         self._answers.update((req.service, ANY_SERVICE))
         if not self._suspicions:
             return
-        self.clear_answered(keys_of(req))
+        parts = keys_of(req)
+        for part in parts:
+            self._answered_ms.pop(part, None)
+            self._answered_ms[part] = now_ms
+        while len(self._answered_ms) > MAX_SUSPECTS:
+            del self._answered_ms[next(iter(self._answered_ms))]
+        self.clear_answered(parts)
+
+    def answered_since(self, part: str, since_ms: int) -> bool:
+        """Whether a request with a part was answered after a clock time, while any was suspect."""
+        return self._answered_ms.get(part, since_ms) > since_ms
 
     def clear_answered(self, parts: Iterable[str]) -> None:
         """Clear parts, since a request that has them was answered in full."""
@@ -124,6 +148,11 @@
         cleared, self._cleared = self._cleared, set()
         return cleared
 
+    def lasting(self, now_ms: int) -> tuple[str, ...]:
+        """Return the parts that were not cleared at once, as common ones are; the latest last."""
+        oldest_ms = now_ms - CLEARING_MS
+        return tuple(part for part, one in self._suspicions.items() if one.since_ms <= oldest_ms)
+
     def answers_since(self, parts: Iterable[str]) -> int:
         """Number of answers without any of these parts since the first end under each of them."""
         known = [self._suspicions[part] for part in parts if part in self._suspicions]
@@ -175,6 +204,14 @@
         for part in suspects:
             self._suspicions[part].tickets[ticket] = instance
 
+    def broke(self, ticket: str, now_ms: int) -> None:
+        """Place no request with the suspects of one that broke off until it is known what ended.
+
+        The gateway reports the broken answer at once, and the end of the engine once it has looked
+        at the port. A request that was placed in between ran on another engine.
+        """
+        self.wait(self._tickets.get(ticket, ()), now_ms + REPORTING_MS)
+
     def ended(self, ticket: str) -> None:
         """Record that a request does not run any more, or lost its engine before it ran."""
         for part in self._tickets.pop(ticket, ()):
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -7,6 +7,8 @@
 _FATAL = "chestnutfall.tests.test_suspect_parts.FatalPartTest."
 _HELD = "chestnutfall.tests.test_suspect_parts.HeldPartTest."
 _OTHER = "chestnutfall.tests.test_suspect_parts.OtherCauseTest."
+_LEADERLESS = "chestnutfall.tests.test_unsettled_parts.LeaderlessPartTest."
+_EVIDENCE = "chestnutfall.tests.test_part_evidence.PartEvidenceTest."
 _PLACEMENT = "chestnutfall.tests.test_suspect_placement.SuspectPlacementTest."
 _SUSPECTS = "chestnutfall/placement/suspect_parts.py"
 _BLAME = "chestnutfall/control/part_blame.py"
@@ -29,6 +31,92 @@
         "        return tuple(parts)\n",
         "chestnutfall.tests.test_part_ledger",
     ),
+    Mutant(
+        "a report that reaches a new leader late takes evidence away",
+        "chestnutfall/control/part_ledger.py",
+        "        more = [part for part in overlapping if part not in known_parts]\n",
+        "        more = list(overlapping)\n",
+        _EVIDENCE + "test_reports_that_reach_a_new_leader_late_take_no_evidence_away",
+    ),
+    Mutant(
+        "an end that is told of after a later one overlaps it",
+        "chestnutfall/control/last_ends.py",
+        "_is_after(run, one) or _is_after(one, run)",
+        "_is_after(run, one)",
+        _EVIDENCE + "test_ends_that_are_told_of_in_any_order_count_as_separate",
+    ),
+    Mutant(
+        "requests run with parts that can't be judged yet",
+        _MONITOR,
+        "            self._suspects.wait(worst, ended_ms + UNDECIDED_MS)\n",
+        "            pass\n",
+        _EVIDENCE + "test_a_part_waits_until_enough_else_is_answered_to_judge_it",
+    ),
+    Mutant(
+        "parts that can't be judged wait without a bound",
+        _MONITOR,
+        "            self._suspects.wait(worst, ended_ms + UNDECIDED_MS)\n",
+        "            self._suspects.wait(worst, self._clock.now_ms() + UNDECIDED_MS)\n",
+        _EVIDENCE + "test_a_part_waits_for_other_answers_for_a_second_at_most",
+    ),
+    Mutant(
+        "gateways send suspect parts on without a leader",
+        "chestnutfall/forwarding/engine_upstream_selector.py",
+        "        if self.is_unsettled(keys_of(req)):\n",
+        "        if False:\n",
+        _LEADERLESS + "test_what_the_leader_suspected_is_sent_by_no_gateway_without_one",
+    ),
+    Mutant(
+        "a gateway knows suspect parts from the leader only",
+        "chestnutfall/quarantine/unsettled_parts.py",
+        "        if ended:\n            self.note_ended(parts, began_ms)\n",
+        "",
+        _LEADERLESS + "test_a_part_that_ended_an_engine_without_a_leader_ends_no_other",
+    ),
+    Mutant(
+        "a new leader does not hear what the last one suspected",
+        "chestnutfall/coordination/gateway_duties.py",
+        "        parts.observations.told_suspects(session.suspect_parts)\n",
+        "",
+        "chestnutfall.tests.test_crash_monitor.SharedQuarantineTest."
+        "test_suspect_parts_are_told_to_gateways_and_by_them_to_the_next_leader",
+    ),
+    Mutant(
+        "callers of common parts wait for a leader after an end",
+        "chestnutfall/forwarding/engine_upstream_selector.py",
+        "            self.on_answered(keys_of(req))\n",
+        "            pass\n",
+        _LEADERLESS + "test_sound_requests_are_sent_without_a_leader_like_before",
+    ),
+    Mutant(
+        "an answer without a leader leaves a suspicion of the last one",
+        "chestnutfall/quarantine/unsettled_parts.py",
+        "                del self._told[part]\n                found.append(part)\n",
+        "                pass\n",
+        "chestnutfall.tests.test_unsettled_parts.UnsettledPartsTest."
+        "test_an_answer_settles_a_part_and_tells_of_what_the_leader_suspected",
+    ),
+    Mutant(
+        "ends that no leader placed count like others",
+        _BLAME,
+        "    is_unsure = in_all > 1 or any(end.unplaced for end in ends)\n",
+        "    is_unsure = in_all > 1\n",
+        "chestnutfall.tests.test_part_evidence",
+    ),
+    Mutant(
+        "an answer between two ends clears a part of neither",
+        _MONITOR,
+        "        if part not in self._suspects or self._suspects.answered_since(part, broke_ms):\n",
+        "        if part not in self._suspects:\n",
+        _EVIDENCE + "test_an_answer_between_two_ends_clears_a_part_of_the_first",
+    ),
+    Mutant(
+        "an end that the leader did not know of yet is a separate one",
+        _MONITOR,
+        "max(known.broke_ms, run.broke_ms, known_ms)",
+        "max(known.broke_ms, run.broke_ms)",
+        _EVIDENCE + "test_ends_of_which_no_leader_knew_the_first_are_one_under_a_part",
+    ),
     Mutant(
         "gateways don't tell which parts were answered",
         "chestnutfall/forwarding/result_handler.py",
@@ -79,6 +167,13 @@
         "            return ()\n",
         _FATAL + "test_a_burst_of_twenty_within_a_second_ends_few_engines",
     ),
+    Mutant(
+        "a suspect is placed before it is known what ended",
+        _PLACER,
+        "            self.suspects.broke(ticket, self._clock.now_ms())\n",
+        "            pass\n",
+        _PLACEMENT + "test_no_suspect_is_placed_while_a_gateway_finds_out_what_ended",
+    ),
     Mutant(
         "requests with a suspect part are placed before it can be cleared",
         _SUSPECTS,
@@ -139,10 +234,17 @@
     Mutant(
         "what one request does is blamed on its parts",
         _BLAME,
-        "    return bool(set.intersection(*requests))\n",
-        "    return False\n",
+        "    if in_all == 1:\n",
+        "    if False:\n",
         _OTHER + "test_a_request_that_ends_engines_by_itself_brings_no_part_into_disrepute",
     ),
+    Mutant(
+        "a part is held only after many ends where two requests are in all of them",
+        _BLAME,
+        "    if in_all == 1:\n",
+        "    if in_all >= 1:\n",
+        "chestnutfall.tests.test_part_ledger",
+    ),
     Mutant(
         "a part of all prompts is held while nothing is answered",
         _BLAME,
@@ -153,7 +255,7 @@
     Mutant(
         "ends of many engines at one moment count as many under a part",
         "chestnutfall/control/last_ends.py",
-        "        return last_ms is None or began_ms >= last_ms - REPORT_JITTER_MS\n",
+        "        return all(_is_after(run, one) or _is_after(one, run) for one in known)\n",
         "        return True\n",
         _OTHER + "test_engines_that_end_together_implicate_no_part",
     ),
--- a/properties/safeguards/quarantine_mutants.py
+++ b/properties/safeguards/quarantine_mutants.py
@@ -132,7 +132,7 @@
     Mutant(
         "overlapping ends count each",
         "chestnutfall/control/last_ends.py",
-        "        return last_ms is None or began_ms >= last_ms - REPORT_JITTER_MS\n",
+        "        return all(_is_after(run, one) or _is_after(one, run) for one in known)\n",
         "        return True\n",
         _MONITOR_TEST,
     ),
@@ -181,7 +181,7 @@
     Mutant(
         "a gateway that joins is not told of quarantines",
         "chestnutfall/coordination/gateway_broadcaster.py",
-        "        if self._state.crashes.changes:\n",
+        "        if self._state.crashes.changes or self._suspects.suspect_parts:\n",
         "        if False:\n",
         _MONITOR_TEST,
     ),
