Linger on a connection that is closed behind its answer

A connection that is closed with bytes unread is reset, which destroys what the client hasn't received of its answer.

The gateway now ends its sending half, drops what still comes, and closes once the client has, after LINGER_MS or as the process ends. Answers that close no connection take the same way as before.

--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -28,6 +28,7 @@
 from .call_reader import deadline_ms, read_call
 from .client_reply import ClientReply
 from .gated_listening import GatedListener, listen_gated
+from .lingering_close import linger
 from .listening import Listener, listen
 from .unreadable_request import UnreadableRequest
 
@@ -116,9 +117,12 @@
         arrived_ms = self._clock.now_ms()
         self._in_progress += 1
         try:
-            return await self._answer(request, arrived_ms)
+            response = await self._answer(request, arrived_ms)
         finally:
             self._in_progress -= 1
+        if not response.keep_alive:
+            await linger(request, self._clock, self._is_stopping)
+        return response
 
     async def _answer(self, request: BaseRequest, arrived_ms: int) -> StreamResponse:
         reply = ClientReply(request, self._leaving, self._is_stopping)
--- a/chestnutfall/tests/test_client_connections.py
+++ b/chestnutfall/tests/test_client_connections.py
@@ -186,6 +186,36 @@
             self.assertEqual(got.count(b"answer to"), 1)
         writer.close()
 
+    # Guards against a last answer that a reset destroys: the gateway leaves and closes the
+    # connection behind it, and more requests of the client have come.
+    async def test_the_last_answer_before_a_close_is_whole_though_more_is_sent(self) -> None:
+        may_answer = asyncio.Event()
+
+        async def large(call: Call, answer: EndedReply) -> None:
+            await may_answer.wait()
+            await answer.send_whole(200, (), LARGE)
+
+        entry = await self._start(large)
+        entry.server.announce_leaving()
+        # It reads nothing while it sends more than the buffers of the connection hold.
+        reader, writer = await entry.connect(limit=1_024)
+        writer.write(request() + request(b"x" * 60_000) * 200)
+        await _until_blocked(writer)
+        may_answer.set()
+        await writer.drain()
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b"connection: close", head.lower())
+        self.assertEqual((len(await reader.read()), len(entry.calls)), (len(LARGE), 1))
+        writer.close()
+
+
+async def _until_blocked(writer: asyncio.StreamWriter) -> None:
+    """Wait until the other end reads no more."""
+    sizes = [0] * 20
+    while not sizes[0] == sizes[-1] > 0:
+        await asyncio.sleep(0.001)
+        sizes = [*sizes[1:], writer.transport.get_write_buffer_size()]
+
 
 async def _await(fut: asyncio.Future[None]) -> None:
     await fut
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -12,6 +12,7 @@
 _ENDS = "chestnutfall/forwarding/request_ends.py"
 _FORWARDER = "chestnutfall/forwarding/forwarder.py"
 _FAULTS_TEST = "chestnutfall.tests.test_call_faults"
+_LINGER = "chestnutfall/platform/lingering_close.py"
 _CONNECTIONS_TEST = "chestnutfall.tests.test_client_connections"
 _ENDS_TEST = "chestnutfall.tests.test_request_ends"
 
@@ -94,4 +95,18 @@
         "            body = await read_body(request, max_bytes)",
         _CONNECTIONS_TEST,
     ),
+    Mutant(
+        "connection closed with bytes unread",
+        _ENTRY,
+        "        if not response.keep_alive:",
+        "        if False:",
+        _CONNECTIONS_TEST,
+    ),
+    Mutant(
+        "lingering connection reads nothing",
+        _LINGER,
+        "    request.protocol.close()\n    transport.resume_reading()",
+        "    request.protocol.close()",
+        _CONNECTIONS_TEST,
+    ),
 )
