Let the line of the last send tell of a whole answer

A line more for each answered request doubled what a gateway logs, and beyond 400 lines a second a process drops what is no warning, refusals among them. The send's line (`result=Delivered` or `Failed`) has all of it; every answer is still counted, and one that its client finished reading after the call's time has a line of its own, since its send was cancelled and has none.

--- a/chestnutfall/forwarding/ended_reply.py
+++ b/chestnutfall/forwarding/ended_reply.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable
+from dataclasses import replace
 
 from .call import Headers
 from .caller_reply import CallerGone, CallerReply
@@ -77,6 +78,11 @@
     async def delivered(self) -> None:
         await self._reply.delivered()
 
+    def note_late(self) -> None:
+        """Record that the client read the end of its answer after the call's own time."""
+        if isinstance(self.end, Answered):
+            self.end = replace(self.end, is_late=True)
+
     def note_unread(self) -> None:
         """Break off an end that the client doesn't read."""
         self.end = None
--- a/chestnutfall/forwarding/request_end.py
+++ b/chestnutfall/forwarding/request_end.py
@@ -9,9 +9,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """The client's connection has taken the whole answer of an upstream, or its whole failure."""
+    """The client's connection has taken the whole answer of an upstream, or its whole failure.
+
+    `is_late` if it took the end of it only after the call's own time.
+    """
 
     status: int
+    is_late: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/forwarding/request_ends.py
+++ b/chestnutfall/forwarding/request_ends.py
@@ -26,7 +26,10 @@
 
 
 class RequestEnds:
-    """Lets each request of a client end in one way, with one log line and one count."""
+    """Lets each request of a client end in one way, with one log line and one count.
+
+    The line of a whole answer is that of its last send.
+    """
 
     def __init__(self, clock: Clock, metrics: PrometheusMetrics) -> None:
         self._clock = clock
@@ -65,6 +68,7 @@
         """Wait until the client has read an end that the call's time was too short for."""
         try:
             await self._clock.within_ms(READ_WITHIN_MS, answer.delivered())
+            answer.note_late()
         except TimeoutError:
             answer.note_unread()
 
@@ -87,9 +91,12 @@
     def _note(self, request_id: str, arrived_ms: int, end: RequestEnd) -> None:
         ms = self._clock.now_ms() - arrived_ms
         match end:
-            case Answered(status):
+            case Answered(status, is_late):
                 self._metrics.count("ended_answered")
-                log.info("call: id=%s answered status=%d ms=%d", request_id, status, ms)
+                # The line of its last send tells of any other answer; one more for each would
+                # use up the lines that a process may write.
+                if is_late:
+                    log.info("call: id=%s answered late status=%d ms=%d", request_id, status, ms)
             case Refused():
                 self._metrics.count("ended_refused")
                 self._metrics.count(f"refused_{end.reason}")
