Pass an encoded request body on as it came

A request with `Content-Encoding: gzip` reached upstreams with its body decoded and the header still there: other bytes than the client had sent, which their header called gzip. `br`, and a body that isn't what its header says, got the HTTP library's 400 though the gateway has nothing to decode.

The server of clients leaves bodies as they are. The test sends the three over real connections; before this it fails (body changed; 400).

--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -92,6 +92,8 @@
             self._gate,
             access_log=None,
             handler_cancellation=True,
+            # Upstreams get the bytes that the client sent, with its `Content-Encoding`.
+            auto_decompress=False,
             keepalive_timeout=KEEPALIVE_S,
             max_line_size=DocumentLimits().max_header_bytes,
             max_field_size=DocumentLimits().max_header_bytes,
--- a/chestnutfall/tests/test_client_connections.py
+++ b/chestnutfall/tests/test_client_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 import unittest
 
 from ..clock import SystemClock
@@ -120,6 +121,26 @@
                 self.assertEqual((entry.ended("refused"), entry.calls), (1, []))
                 writer.close()
 
+    # Guards against an upstream that runs other bytes than the client sent: the HTTP library
+    # decoded the body, and the header that names its encoding was passed on.
+    async def test_an_encoded_body_reaches_the_forwarder_as_it_is(self) -> None:
+        entry = await self._start(answer_whole)
+        for encoding, body in (
+            (b"gzip", gzip.compress(b"body")),
+            (b"gzip", b"none"),
+            (b"br", b"x"),
+        ):
+            with self.subTest(encoding=encoding, body=body):
+                reader, writer = await entry.connect()
+                encoded = b"\r\nContent-Encoding: " + encoding + b"\r\n"
+                writer.write(request(body).replace(b"\r\n", encoded, 1))
+                got = await reader.readuntil(b"\r\n")
+                self.assertIn(b" 200 ", got)
+                call = entry.calls[-1]
+                self.assertEqual(call.body, body)
+                self.assertIn(("Content-Encoding", encoding.decode()), call.headers)
+                writer.close()
+
     # Guards against a client that leaves in its request and is counted as an end of the gateway.
     async def test_a_client_that_leaves_in_its_request_is_one_that_left(self) -> None:
         entry = await self._start(answer_whole)
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -109,4 +109,11 @@
         "    request.protocol.close()",
         _CONNECTIONS_TEST,
     ),
+    Mutant(
+        "body decoded on its way",
+        _ENTRY,
+        "            auto_decompress=False,",
+        "            auto_decompress=True,",
+        _CONNECTIONS_TEST,
+    ),
 )
