Ask a client for its body if it waits to be asked

The low-level server of the HTTP library doesn't answer `Expect: 100-continue`, so that a client that waits for `100 Continue` before its body was held until one side gave up.

The server asks before it reads the body. The test's client waits over a real connection; before this it did not end.

--- a/chestnutfall/platform/client_reply.py
+++ b/chestnutfall/platform/client_reply.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+from aiohttp.http_writer import HttpVersion11
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 from multidict import CIMultiDict
@@ -17,6 +18,8 @@
 from ..forwarding.request_end import BrokenOff, Refused
 from . import header_names as names
 
+EXPECTS = "100-continue"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER: what is unsent is dropped, and the peer gets a reset."""
 
@@ -53,6 +56,17 @@
         transport = self._request.transport
         return transport is None or transport.is_closing()
 
+    async def ask_for_body(self) -> None:
+        """Tell a client that waits for it to send the body of its request."""
+        request = self._request
+        if (
+            request.version >= HttpVersion11
+            and request.headers.get("Expect", "").lower() == EXPECTS
+        ):
+            await self._to_client(request.writer.write(CONTINUE))
+            # The library takes what is written for a part of the answer.
+            request.writer.output_size = 0
+
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
         kept = _without_connection_headers(headers)
         await self._send(Response(status=status, headers=kept, body=body))
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -148,6 +148,7 @@
             When the client closes its connection in its request.
         """
         max_bytes = self._limits().max_body_bytes
+        await reply.ask_for_body()
         try:
             body = await self._clock.within_ms(_deadline_ms(request), read_body(request, max_bytes))
         except TimeoutError as exc:
--- a/chestnutfall/tests/test_client_connections.py
+++ b/chestnutfall/tests/test_client_connections.py
@@ -121,6 +121,19 @@
                 self.assertEqual((entry.ended("refused"), entry.calls), (1, []))
                 writer.close()
 
+    # Guards against a client that waits to be asked for its body until its deadline.
+    async def test_a_client_that_waits_to_be_asked_for_its_body_is_asked(self) -> None:
+        entry = await self._start(answer_whole)
+        reader, writer = await entry.connect()
+        writer.write(request(length=4).replace(b"\r\n", b"\r\nExpect: 100-continue\r\n", 1))
+        asked = await reader.readuntil(b"\r\n\r\n")
+        self.assertEqual(asked, b"HTTP/1.1 100 Continue\r\n\r\n")
+        writer.write(b"body")
+        got = await reader.readuntil(b"answer to body")
+        self.assertTrue(got.startswith(b"HTTP/1.1 200 "), got[:50])
+        self.assertNotIn("expect", {name.lower() for name, _ in entry.calls[0].headers})
+        writer.close()
+
     # Guards against an upstream that runs other bytes than the client sent: the HTTP library
     # decoded the body, and the header that names its encoding was passed on.
     async def test_an_encoded_body_reaches_the_forwarder_as_it_is(self) -> None:
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -116,4 +116,11 @@
         "            auto_decompress=True,",
         _CONNECTIONS_TEST,
     ),
+    Mutant(
+        "client never asked for its body",
+        _ENTRY,
+        "        await reply.ask_for_body()\n",
+        "",
+        _CONNECTIONS_TEST,
+    ),
 )
