--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -28,6 +28,7 @@
 from .call_reader import deadline_ms, read_call
 from .client_reply import ClientReply
 from .gated_listening import GatedListener, listen_gated
+from .lingering_close import linger
 from .listening import Listener, listen
 from .unreadable_request import UnreadableRequest
 
@@ -93,6 +94,8 @@
             self._kept,
             access_log=None,
             handler_cancellation=True,
+            # Upstreams get the bytes that the client sent, with its `Content-Encoding`.
+            auto_decompress=False,
             max_line_size=DocumentLimits().max_header_bytes,
             max_field_size=DocumentLimits().max_header_bytes,
         )
@@ -117,9 +120,12 @@
         arrived_ms = self._clock.now_ms()
         self._in_progress += 1
         try:
-            return await self._answer(request, arrived_ms)
+            response = await self._answer(request, arrived_ms)
         finally:
             self._in_progress -= 1
+        if not response.keep_alive:
+            await linger(request, self._clock, self._is_stopping)
+        return response
 
     async def _answer(self, request: BaseRequest, arrived_ms: int) -> StreamResponse:
         reply = ClientReply(request, self._leaving, self._is_stopping)
@@ -143,6 +149,7 @@
             When the client closes its connection in its request.
         """
         max_bytes = self._limits().max_body_bytes
+        await reply.ask_for_body()
         try:
             body = await self._clock.within_ms(_deadline_ms(request), read_body(request, max_bytes))
         except TimeoutError as exc:
--- a/chestnutfall/tests/test_client_connections.py
+++ b/chestnutfall/tests/test_client_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 import unittest
 
 from ..clock import SystemClock
@@ -120,6 +121,39 @@
                 self.assertEqual((entry.ended("refused"), entry.calls), (1, []))
                 writer.close()
 
+    # Guards against a client that waits to be asked for its body until its deadline.
+    async def test_a_client_that_waits_to_be_asked_for_its_body_is_asked(self) -> None:
+        entry = await self._start(answer_whole)
+        reader, writer = await entry.connect()
+        writer.write(request(length=4).replace(b"\r\n", b"\r\nExpect: 100-continue\r\n", 1))
+        asked = await reader.readuntil(b"\r\n\r\n")
+        self.assertEqual(asked, b"HTTP/1.1 100 Continue\r\n\r\n")
+        writer.write(b"body")
+        got = await reader.readuntil(b"answer to body")
+        self.assertTrue(got.startswith(b"HTTP/1.1 200 "), got[:50])
+        self.assertNotIn("expect", {name.lower() for name, _ in entry.calls[0].headers})
+        writer.close()
+
+    # Guards against an upstream that runs other bytes than the client sent: the HTTP library
+    # decoded the body, and the header that names its encoding was passed on.
+    async def test_an_encoded_body_reaches_the_forwarder_as_it_is(self) -> None:
+        entry = await self._start(answer_whole)
+        for encoding, body in (
+            (b"gzip", gzip.compress(b"body")),
+            (b"gzip", b"none"),
+            (b"br", b"x"),
+        ):
+            with self.subTest(encoding=encoding, body=body):
+                reader, writer = await entry.connect()
+                encoded = b"\r\nContent-Encoding: " + encoding + b"\r\n"
+                writer.write(request(body).replace(b"\r\n", encoded, 1))
+                got = await reader.readuntil(b"\r\n")
+                self.assertIn(b" 200 ", got)
+                call = entry.calls[-1]
+                self.assertEqual(call.body, body)
+                self.assertIn(("Content-Encoding", encoding.decode()), call.headers)
+                writer.close()
+
     # Guards against a client that leaves in its request and is counted as an end of the gateway.
     async def test_a_client_that_leaves_in_its_request_is_one_that_left(self) -> None:
         entry = await self._start(answer_whole)
@@ -186,6 +220,36 @@
             self.assertEqual(got.count(b"answer to"), 1)
         writer.close()
 
+    # Guards against a last answer that a reset destroys: the gateway leaves and closes the
+    # connection behind it, and more requests of the client have come.
+    async def test_the_last_answer_before_a_close_is_whole_though_more_is_sent(self) -> None:
+        may_answer = asyncio.Event()
+
+        async def large(call: Call, answer: EndedReply) -> None:
+            await may_answer.wait()
+            await answer.send_whole(200, (), LARGE)
+
+        entry = await self._start(large)
+        entry.server.announce_leaving()
+        # It reads nothing while it sends more than the buffers of the connection hold.
+        reader, writer = await entry.connect(limit=1_024)
+        writer.write(request() + request(b"x" * 60_000) * 200)
+        await _until_blocked(writer)
+        may_answer.set()
+        await writer.drain()
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b"connection: close", head.lower())
+        self.assertEqual((len(await reader.read()), len(entry.calls)), (len(LARGE), 1))
+        writer.close()
+
+
+async def _until_blocked(writer: asyncio.StreamWriter) -> None:
+    """Wait until the other end reads no more."""
+    sizes = [0] * 20
+    while not sizes[0] == sizes[-1] > 0:
+        await asyncio.sleep(0.001)
+        sizes = [*sizes[1:], writer.transport.get_write_buffer_size()]
+
 
 async def _await(fut: asyncio.Future[None]) -> None:
     await fut
--- a/properties/safeguards/caller_mutants.py
+++ b/properties/safeguards/caller_mutants.py
@@ -195,7 +195,7 @@
     ),
     Mutant(
         "late report taken for news",
-        _OWNER,
+        _SLOTS,
         "        if asked_ms > self._changed_ms:",
         "        if True:",
         _OWNERSHIP_TEST,
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -169,8 +169,8 @@
     ),
     Mutant(
         "a suspect is placed before it is known what ended",
-        _PLACER,
-        "            self.suspects.broke(ticket, self._clock.now_ms())\n",
+        "chestnutfall/placement/granted_places.py",
+        "            self._suspects.broke(ticket, self._clock.now_ms())\n",
         "            pass\n",
         _PLACEMENT + "test_no_suspect_is_placed_while_a_gateway_finds_out_what_ended",
     ),
