End the requests that still run at the end of the grace time

A request that was still running as the drain ended was waited for until the process was killed, and its client's connection closed without an answer.

The server now ends them before it closes its connections, in the time that the drain leaves for that: 503 `stopping` if nothing may have run, 502 if it may, a broken stream if one has begun.

The test stops a server with three such requests on real connections; before this the stop did not end.

--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -101,6 +101,10 @@
         """Refuse every call from now on; called when this gateway is about to end."""
         self._refusing = True
 
+    def end_running(self) -> None:
+        """End every call that is running; called as the process is about to end."""
+        self._ends.end_all()
+
     async def serve(self, call: Call, reply: CallerReply) -> None:
         """Process `call` and give its final answer through `reply`.
 
--- a/chestnutfall/forwarding/request_ends.py
+++ b/chestnutfall/forwarding/request_ends.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
 
 from ..clock import Clock
 from ..observability.prometheus_metrics import PrometheusMetrics
@@ -20,6 +22,10 @@
 READ_WITHIN_MS = 10_000
 """Time to read the end of an answer beyond the call's own time. The answer stays in memory so long,
 and a client that hasn't read it by then has given up."""
+STOPPING = "stopping"
+"""Reason of an end of a request that is still running as the process ends."""
+STOPPING_RETRY_MS = 50
+"""Retry delay of such a request that didn't run; another gateway serves it at once."""
 FAULT_RETRY_MS = 500
 """Retry delay after such an error of a request that didn't run. Another gateway may serve it at
 once, but one that fails every request must not be asked without a pause."""
@@ -34,6 +40,14 @@
     def __init__(self, clock: Clock, metrics: PrometheusMetrics) -> None:
         self._clock = clock
         self._metrics = metrics
+        self._running: set[asyncio.Task[Any]] = set()
+        self._stopping = False
+
+    def end_all(self) -> None:
+        """End all running requests with an answer; called as the process is about to end."""
+        self._stopping = True
+        for task in tuple(self._running):
+            task.cancel()
 
     async def run(
         self,
@@ -76,7 +90,8 @@
         self, request_id: str, answer: EndedReply, work: Callable[[EndedReply], Awaitable[None]]
     ) -> None:
         try:
-            await work(answer)
+            with self._counted_as_running():
+                await work(answer)
             if answer.end is None:
                 raise RuntimeError("the request was given no end")
         except CallerGone:
@@ -84,9 +99,22 @@
         except (Exception, asyncio.CancelledError) as exc:
             # Whoever awaits a cancelled future is raised the same error as by its own end.
             if isinstance(exc, asyncio.CancelledError) and is_cancelled():
-                raise
+                if not self._stopping or answer.is_gone():
+                    raise
+                await answer.refuse(_refusal(answer, STOPPING, STOPPING_RETRY_MS))
+                return
             log.error("call: id=%s fault=%s", request_id, fault_text(exc))
-            await answer.refuse(_refusal(answer))
+            await answer.refuse(_refusal(answer, FAULT, FAULT_RETRY_MS))
+
+    @contextmanager
+    def _counted_as_running(self) -> Iterator[None]:
+        task = asyncio.current_task()
+        assert task is not None
+        self._running.add(task)
+        try:
+            yield
+        finally:
+            self._running.discard(task)
 
     def _note(self, request_id: str, arrived_ms: int, end: RequestEnd) -> None:
         ms = self._clock.now_ms() - arrived_ms
@@ -117,11 +145,11 @@
                 )
 
 
-def _refusal(answer: EndedReply) -> Refused:
-    """Return the refusal of a request that met a fault of this gateway."""
+def _refusal(answer: EndedReply, reason: str, retry_after_ms: int) -> Refused:
+    """Return the refusal of a request that ends on this gateway's side, true of what ran."""
     if answer.may_have_run:
-        return Refused(502, FAULT, Executed.UNKNOWN)
-    return Refused(503, FAULT, Executed.NO, FAULT_RETRY_MS)
+        return Refused(502, reason, Executed.UNKNOWN)
+    return Refused(503, reason, Executed.NO, retry_after_ms)
 
 
 def _log_refusal(request_id: str, end: Refused, ms: int) -> None:
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -36,6 +36,10 @@
 KEEPALIVE_S = 75.0
 """Longer than clients keep an idle connection; else the gateway could close one while a request is
 on its way."""
+END_WITHIN_MS = 200
+"""Time for the ends of requests that are still in progress to reach their clients, a part of the
+time that the drain leaves for closing connections."""
+POLL_MS = 10
 READY_PATH = "/v1/ready"
 
 
@@ -102,7 +106,11 @@
         self._ready_runner = await listen(Server(self._on_ready, access_log=None), ready_address)
 
     async def stop(self) -> None:
-        """Close every connection; called once no request is in progress."""
+        """Close every connection; requests that are still in progress end before."""
+        self._forwarder.end_running()
+        until_ms = self._clock.now_ms() + END_WITHIN_MS
+        while self._in_progress and self._clock.now_ms() < until_ms:
+            await self._clock.sleep_ms(POLL_MS)
         self._stopping = True
         for runner in (self._caller_runner, self._ready_runner):
             if runner is not None:
--- a/chestnutfall/tests/fakes/served_entry.py
+++ b/chestnutfall/tests/fakes/served_entry.py
@@ -62,6 +62,10 @@
             call.request_id, call.arrived_ms, reply, lambda answer: self._work(call, answer)
         )
 
+    def end_running(self) -> None:
+        """As the forwarder does."""
+        self._ends.end_all()
+
     def refuse_new(self) -> None:
         """The scripted work decides itself what is refused."""
 
--- a/chestnutfall/tests/test_client_connections.py
+++ b/chestnutfall/tests/test_client_connections.py
@@ -9,6 +9,7 @@
 from ..clock import SystemClock
 from ..forwarding.call import Call
 from ..forwarding.ended_reply import EndedReply
+from ..forwarding.progress import Progress
 from ..forwarding.request_end import BrokenOff, Refused
 from ..routes import DocumentLimits
 from .fakes.served_entry import ServedEntry, Work
@@ -210,6 +211,34 @@
         self.assertEqual((entry.ended("refused"), entry.ended("answered")), (1, 1))
         writer.close()
 
+    # Guards against connections that are closed without an answer as the process is killed: their
+    # requests are still running at the end of the grace time.
+    async def test_requests_that_run_as_the_process_ends_are_given_an_end(self) -> None:
+        async def run(call: Call, answer: EndedReply) -> None:
+            answer.progress = Progress(call, 0, "s", sends=int(call.body == b"sent"))
+            if call.body == b"begun":
+                await answer.start(200, ())
+                await answer.write(b"id: 1\n\n")
+            await asyncio.get_running_loop().create_future()
+
+        entry = await self._start(run)
+        expected = {
+            b"waits": (b"HTTP/1.1 503 ", b"stopping"),
+            b"sent": (b"HTTP/1.1 502 ", b"stopping"),
+            b"begun": (b"HTTP/1.1 200 ", b"id: 1\n\n\r\n"),
+        }
+        connections = [await entry.connect() for _ in expected]
+        for (_, writer), body in zip(connections, expected, strict=True):
+            writer.write(request(body))
+        while len(entry.calls) < len(expected):
+            await asyncio.sleep(0.001)
+        await entry.stop()
+        for (reader, writer), (head, end) in zip(connections, expected.values(), strict=True):
+            got = await reader.read()
+            self.assertTrue(got.startswith(head) and got.endswith(end), got)
+            writer.close()
+        self.assertEqual((entry.ended("refused"), entry.ended("broken_off")), (2, 1))
+
     # Guards against pipelined requests that get each other's answers or none.
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
         entry = await self._start(answer_whole)
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -123,4 +123,11 @@
         "",
         _CONNECTIONS_TEST,
     ),
+    Mutant(
+        "running requests not ended before the process",
+        _ENTRY,
+        "        self._forwarder.end_running()\n",
+        "",
+        _CONNECTIONS_TEST,
+    ),
 )
