Tell selectors of a silent upstream while its send goes on

A silent send used to end, and its place was released as broken, so that the upstream got less new work from then on. Now that it goes on, the leader heard of a hung engine only once another one had begun the answer.

RelayedSend tells its selector once, as the search for another upstream begins, so not while most upstreams are silent together. A plain selector notes the failure; an engine's goes to the leader as SilentRun(ticket), which counts a failure, keeps the place and ejects nothing. The later end of such a send counts as LEFT, so that the silence counts once. A new message: restart all controllers before the first gateway.

A stream that a client takes up counts as begun for the overlap of two sends: its second send goes on behind an event as well. A call's own silent upstreams are no evidence of a common silence. ReplyClaim is now ReplyLock, since a claim is the right to run a request once.

--- a/chestnutfall/coordination/gateway_duties.py
+++ b/chestnutfall/coordination/gateway_duties.py
@@ -23,6 +23,7 @@
     PlaceStream,
     Release,
     RunningSends,
+    SilentRun,
     Withdraw,
 )
 
@@ -129,6 +130,9 @@
             case Release(ticket, outcome, times):
                 parts.observations.released(session.gateway, ticket, RunOutcome(outcome), times)
                 parts.sessions.release_ticket(ticket)
+            case SilentRun(ticket):
+                parts.placer.note_silent(ticket)
+                return False
             case Withdraw(ticket):
                 parts.placer.withdraw(ticket)
                 parts.origins.not_granted(ticket)
--- a/chestnutfall/coordination/messages.py
+++ b/chestnutfall/coordination/messages.py
@@ -237,6 +237,19 @@
     times: RunTimes = NO_TIMES
 
 
+@dataclass(frozen=True, slots=True)
+class SilentRun:
+    """The engine of a placed request is silent for longer than others; the request goes on.
+
+    Attributes
+    ----------
+    ticket : str
+        The request.
+    """
+
+    ticket: str
+
+
 @dataclass(frozen=True, slots=True)
 class RunningSend:
     """A request that runs on an engine."""
@@ -311,6 +324,7 @@
     | RunningCalls
     | RunningSends
     | ShortageReport
+    | SilentRun
     | UsedQuota
     | WasShort
     | BrokenRun
@@ -361,6 +375,7 @@
     RunningCalls,
     RunningSends,
     ShortageReport,
+    SilentRun,
     SuspectRequests,
     UpstreamsChange,
     UpstreamsPart,
--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -13,7 +13,7 @@
 from .place import Place, SelectionCriteria, UpstreamSelector
 from .progress import Progress
 from .relayed_send import RelayedSend
-from .reply_claim import ReplyClaim
+from .reply_lock import ReplyLock
 from .result_handler import MAX_SENDS
 from .send_log import log_send
 from .send_parts import SendParts
@@ -21,7 +21,7 @@
 
 OVERLAP_MS = 300
 """How long the run of a begun stream goes on after another one was sent; by then that one was
-refused or is at work, and two engines must not work on a stream side by side."""
+refused or is at work, and two engines must not work side by side on a stream that goes on."""
 
 
 class CallSends:
@@ -52,8 +52,8 @@
         self._selector = selector
         self._reply = reply
         self._clock = parts.clock
-        self._claim = ReplyClaim(self._wake_up)
-        self._live = LiveSends(parts, progress, self._claim, self._wake_up)
+        self._lock = ReplyLock(self._wake_up)
+        self._live = LiveSends(parts, progress, self._lock, self._wake_up)
         self._other = OtherPlace(parts, criteria, self._wake_up)
         self._wake: asyncio.Future[None] | None = None
 
@@ -69,7 +69,7 @@
     def _prepare(self, place: Place) -> RelayedSend:
         self._progress.sends += 1
         sending = self._parts.sender.prepare(
-            self._progress, self._route, place, self._selector, self._reply, self._claim
+            self._progress, self._route, place, self._selector, self._reply, self._lock
         )
         self._progress.holds_repeat = False
         return sending
@@ -85,7 +85,9 @@
         if not self._route.kind.idempotent or progress.sends >= MAX_SENDS:
             return False
         # Without the number of the last event, no other run could go on behind it.
-        if progress.started and (progress.last_event is None or len(self._live) > 1):
+        if progress.started and progress.last_event is None:
+            return False
+        if progress.resumes and len(self._live) > 1:
             return False
         return progress.runs + max(len(self._live), 1) < self._route.attempts
 
@@ -107,7 +109,7 @@
             await self._other.close(first.selector)
 
     def _end_overlap(self) -> None:
-        if not self._progress.started or len(self._live) == 1:
+        if not self._progress.resumes or len(self._live) == 1:
             return
         if self._clock.now_ms() >= self._live.sends[-1].sent_ms + OVERLAP_MS:
             self._live.leave_older()
@@ -146,7 +148,7 @@
     def _due_ms(self) -> int | None:
         """Return the clock time of the next decision; None if it only depends on the sends."""
         now_ms, sends, due_ms = self._clock.now_ms(), self._live.sends, []
-        if self._progress.started and len(sends) > 1:
+        if self._progress.resumes and len(sends) > 1:
             due_ms.append(sends[-1].sent_ms + OVERLAP_MS)
         if self._may_add() and self._other.search is None:
             usual_ms = math.ceil(sends[-1].usual_ms)
--- a/chestnutfall/forwarding/engine_upstream_selector.py
+++ b/chestnutfall/forwarding/engine_upstream_selector.py
@@ -7,7 +7,7 @@
 from collections import Counter
 
 from ..clock import Clock
-from ..coordination.messages import PlaceStream, Release, Withdraw
+from ..coordination.messages import PlaceStream, Release, SilentRun, Withdraw
 from ..placement import AdapterName, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.run_times import RunTimes
 from ..routes import RouteKind
@@ -115,6 +115,9 @@
         if self._fleet.knowledge.leader_reads_loads:
             self._loads.note(place.upstream.instance, load)
 
+    def note_silent(self, place: Place) -> None:
+        self._fleet.send(SilentRun(place.ticket))
+
     def release(
         self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
     ) -> None:
--- a/chestnutfall/forwarding/live_sends.py
+++ b/chestnutfall/forwarding/live_sends.py
@@ -12,7 +12,7 @@
 from ..requests import NOT_RUN_STATUSES
 from .progress import Progress
 from .relayed_send import RelayedSend
-from .reply_claim import ReplyClaim
+from .reply_lock import ReplyLock
 from .send_log import log_send
 from .send_parts import SendParts
 from .send_result import Delivered, Failed, SendResult
@@ -41,12 +41,12 @@
         self,
         parts: SendParts,
         progress: Progress,
-        claim: ReplyClaim,
+        lock: ReplyLock,
         on_ended: Callable[[], None],
     ) -> None:
         self._parts = parts
         self._progress = progress
-        self._claim = claim
+        self._lock = lock
         self._on_ended = on_ended
         self._live: list[_Live] = []
         self._left: list[_Live] = []
@@ -61,16 +61,16 @@
 
     def start(self, sending: RelayedSend) -> None:
         """Start a send; any of them may answer the client from now on."""
-        self._claim.open()
+        self._lock.release()
         task = asyncio.ensure_future(self._parts.sender.send(sending))
         task.add_done_callback(lambda _: self._on_ended())
         self._live.append(_Live(sending, task))
 
     def leave_losers(self) -> None:
         """Cancel the other sends once one of them has the next part of the answer."""
-        if self._claim.is_open or len(self._live) == 1:
+        if self._lock.is_free or len(self._live) == 1:
             return
-        winner = next(one for one in self._live if self._claim.is_held_by(one.sending))
+        winner = next(one for one in self._live if self._lock.is_held_by(one.sending))
         for one in list(self._live):
             if one is not winner and not self._drop_if_ended(one):
                 self._leave(one, winner)
@@ -88,8 +88,8 @@
         """
         for one in [one for one in self._live if one.task.done()]:
             result = one.task.result()
-            if self._is_answer(result) and self._claim.is_open:
-                self._claim.take(one.sending)
+            if self._is_answer(result) and self._lock.is_free:
+                self._lock.acquire(one.sending)
                 self.leave_losers()
             if len(self._live) == 1:
                 log_send(one.sending, self._parts.clock.now_ms(), result)
--- a/chestnutfall/forwarding/other_place.py
+++ b/chestnutfall/forwarding/other_place.py
@@ -72,6 +72,8 @@
             one.on_heard = self._wake_up
         live[0].progress.is_searched = True
         self._note_silent(live[0])
+        for one in live:
+            one.note_silent()
         self._metrics.count("silent_searches")
         self.search = asyncio.ensure_future(self._select(live))
         self.search.add_done_callback(lambda _: self._wake_up())
@@ -84,7 +86,10 @@
         if not self._repeats.has_for_silence(upstream.service):
             return "no_budget"
         return self._silent.reason_to_wait(
-            upstream.service, upstream.instance, newest.silent_ms, newest.usual_ms
+            upstream.service,
+            [one.place.upstream.instance for one in live],
+            newest.silent_ms,
+            newest.usual_ms,
         )
 
     async def _select(self, live: Sequence[RelayedSend]) -> Place:
--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -132,6 +132,9 @@
     def note_load(self, place: Place, load: UpstreamLoad) -> None:  # noqa: B027
         """Record the load that an answer reported when it began, long before the send ends."""
 
+    def note_silent(self, place: Place) -> None:  # noqa: B027
+        """Record that an upstream is silent for longer than others, while its send goes on."""
+
     @abstractmethod
     def release(
         self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
--- a/chestnutfall/forwarding/plain_upstream_selector.py
+++ b/chestnutfall/forwarding/plain_upstream_selector.py
@@ -183,6 +183,9 @@
         ejected = self._state_of(upstream).health.is_ejected(self._clock.now_ms())
         return not ejected and upstream.instance not in avoid
 
+    def note_silent(self, place: Place) -> None:
+        self._state_of(place.upstream).health.note(RunOutcome.BROKEN, self._clock.now_ms())
+
     def release(
         self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
     ) -> None:
--- a/chestnutfall/forwarding/relayed_send.py
+++ b/chestnutfall/forwarding/relayed_send.py
@@ -16,11 +16,11 @@
 from .forwarded_call import ForwardedCall
 from .place import Place, UpstreamSelector
 from .progress import Progress
-from .reply_claim import ReplyClaim
+from .reply_lock import ReplyLock
 from .send_result import TURNED_AWAY, Delivered, Failed, Lost, Refused, SendResult
 from .silent_upstreams import SilentUpstreams
 from .stream_origins import StreamOrigins
-from .upstream_answer import NotRun, UpstreamAnswer
+from .upstream_answer import UpstreamAnswer
 from .upstream_api import AnswerLost
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -60,7 +60,7 @@
         place: Place,
         selector: UpstreamSelector,
         reply: CallerReply,
-        claim: ReplyClaim,
+        lock: ReplyLock,
         silent: SilentUpstreams,
         origins: StreamOrigins,
         clock: Clock,
@@ -70,7 +70,7 @@
         self.place = place
         self.selector = selector
         self._reply = reply
-        self._claim = claim
+        self._lock = lock
         self._silent = silent
         self._origins = origins
         self._clock = clock
@@ -81,7 +81,7 @@
         self.is_sent = self.is_released = False
         self.took_repeat = progress.holds_repeat
         self.on_heard: Callable[[], None] | None = None
-        self._misses_event = False
+        self._is_noted = self._misses_event = False
         self._waits_since_ms: int | None = self.sent_ms
         self.load: UpstreamLoad | None = None
 
@@ -137,11 +137,17 @@
         lag_ms = max(first_ms - self.route.objective_ms / 4, 0.0)
         return RunTimes(first_ms, lag_ms, gap_ms)
 
+    def note_silent(self) -> None:
+        """Tell the selector of the upstream's silence, once, so that it gets less new work."""
+        if not self._is_noted:
+            self._is_noted = True
+            self.selector.note_silent(self.place)
+
     def outcome_if_abandoned(self) -> RunOutcome:
         """Return the outcome for the upstream if the gateway stops waiting for the answer."""
         # A silent send goes on until another one answers, or to the call's own deadline. If that
         # counted as no failure, a hung upstream would look as good as any other.
-        return RunOutcome.BROKEN if self.is_silent else RunOutcome.LEFT
+        return RunOutcome.BROKEN if self.is_silent and not self._is_noted else RunOutcome.LEFT
 
     async def relay(self, answer: UpstreamAnswer) -> SendResult:
         """Relay an answer that begins.
@@ -155,7 +161,7 @@
         self.signals = answer.signals
         self._note_heard()
         if answer.not_run is not None:
-            return Refused(_refusal(answer, answer.not_run))
+            return Refused(TURNED_AWAY if answer.asks_backoff else answer.not_run.value)
         if not answer.ok:
             return Failed(answer.status, answer.headers, await self._read_whole(answer))
         if self.route.kind.streamed:
@@ -163,7 +169,7 @@
                 return Lost("answer_of_another_instance")
             return await self._relay_events(answer)
         body = await self._read_whole(answer)
-        self._claim.take(self)
+        self._lock.acquire(self)
         self._note_first_byte()
         self.progress.note_part(self._clock.now_ms())
         await self._reply.send_whole(answer.status, answer.headers, body)
@@ -183,7 +189,7 @@
             self._waits_since_ms = self._clock.now_ms()
         if not splitter.at_event_boundary:
             return Lost("cut_in_event")
-        self._claim.take(self)
+        self._lock.acquire(self)
         await self._start(answer)
         await self._reply.finish()
         return Delivered()
@@ -204,11 +210,11 @@
         taken: list[bytes] = []
         for event in events:
             # Once another send has gone on, its events make those of this one look out of order.
-            self._claim.check(self)
+            self._lock.check(self)
             if event.number is not None and self._is_out_of_order(event.number):
                 self._misses_event = True
                 break
-            self._claim.take(self)
+            self._lock.acquire(self)
             if self.first_byte_ms is None:
                 self._note_first_byte()
                 # The leader may since have recorded what a later place runs.
@@ -241,7 +247,3 @@
 
     def _note_first_byte(self) -> None:
         self.first_byte_ms = self._clock.now_ms() - self.sent_ms
-
-
-def _refusal(answer: UpstreamAnswer, not_run: NotRun) -> str:
-    return TURNED_AWAY if answer.asks_backoff else not_run.value
--- a/chestnutfall/forwarding/reply_claim.py
+++ b/chestnutfall/forwarding/reply_lock.py
@@ -9,25 +9,25 @@
     """Another send of the same call answers the client; this one has nothing to say any more."""
 
 
-class ReplyClaim:
+class ReplyLock:
     """Held by the one send that may write to the client.
 
-    It is taken in the same step in which a part of an answer is found to be the next one, so that
-    no second send can find the same. Otherwise a client would get an event twice, or pieces of two
-    runs.
+    It is acquired in the same step in which a part of an answer is found to be the next one, so
+    that no second send can find the same. Otherwise a client would get an event twice, or pieces of
+    two runs.
 
     Parameters
     ----------
-    on_taken : callable
-        Called when a send takes the claim.
+    on_acquired : callable
+        Called when a send acquires the lock.
     """
 
-    def __init__(self, on_taken: Callable[[], None] = lambda: None) -> None:
-        self._on_taken = on_taken
+    def __init__(self, on_acquired: Callable[[], None] = lambda: None) -> None:
+        self._on_acquired = on_acquired
         self._holder: object | None = None
 
-    def open(self) -> None:
-        """Let any send take the claim, as the one that held it is silent."""
+    def release(self) -> None:
+        """Let any send acquire the lock, as the one that held it is silent."""
         self._holder = None
 
     def is_held_by(self, send: object) -> bool:
@@ -35,12 +35,12 @@
         return self._holder is send
 
     @property
-    def is_open(self) -> bool:
-        """Whether no send holds the claim."""
+    def is_free(self) -> bool:
+        """Whether no send holds the lock."""
         return self._holder is None
 
     def check(self, send: object) -> None:
-        """Make sure that no other send holds the claim.
+        """Make sure that no other send holds the lock.
 
         Raises
         ------
@@ -50,8 +50,8 @@
         if self._holder is not None and self._holder is not send:
             raise ReplyTaken
 
-    def take(self, send: object) -> None:
-        """Take the claim for a send.
+    def acquire(self, send: object) -> None:
+        """Acquire the lock for a send.
 
         Raises
         ------
@@ -61,4 +61,4 @@
         self.check(send)
         if self._holder is None:
             self._holder = send
-            self._on_taken()
+            self._on_acquired()
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -12,7 +12,7 @@
 from .place import Place, UpstreamSelector
 from .progress import Progress
 from .relayed_send import RelayedSend
-from .reply_claim import ReplyClaim
+from .reply_lock import ReplyLock
 from .send_result import UNREACHABLE, Failed, HeldBack, Lost, Refused, SendResult
 from .silent_upstreams import SilentUpstreams
 from .stream_origins import StreamOrigins
@@ -57,7 +57,7 @@
         place: Place,
         selector: UpstreamSelector,
         reply: CallerReply,
-        claim: ReplyClaim,
+        lock: ReplyLock,
     ) -> RelayedSend:
         """Return a send of the call to its place; nothing is sent yet."""
         return RelayedSend(
@@ -66,7 +66,7 @@
             place,
             selector,
             reply,
-            claim,
+            lock,
             self.silent,
             self._origins,
             self._clock,
--- a/chestnutfall/forwarding/silent_upstreams.py
+++ b/chestnutfall/forwarding/silent_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ..clock import Clock
@@ -115,18 +116,22 @@
         if not known.sends and not was_silent:
             known.quiet_since_ms = None
 
-    def reason_to_wait(self, service: str, instance: str, silent_ms: float, usual_ms: float) -> str:
-        """Return why a call should wait for its silent upstream; empty if it should not.
+    def reason_to_wait(
+        self, service: str, instances: Sequence[str], silent_ms: float, usual_ms: float
+    ) -> str:
+        """Return why a call should wait for its silent upstreams; empty if it should not.
 
         Parameters
         ----------
+        instances : sequence of str
+            The upstreams that work on the call, the newest last; they tell nothing of the others.
         silent_ms : float
-            How long the call's upstream has been silent.
+            How long the newest one has been silent.
         usual_ms : float
             How long sound upstreams are silent at most, if they are not silent together.
         """
         now_ms = self._clock.now_ms()
-        reason = self._common_silence(service, instance, silent_ms)
+        reason = self._common_silence(service, instances, silent_ms)
         spell = self._spells.get(service)
         if reason:
             if spell is None or now_ms - spell.last_ms > SPELL_GAP_MS:
@@ -140,11 +145,11 @@
             return SERVICE_RESUMES
         return ""
 
-    def _common_silence(self, service: str, instance: str, silent_ms: float) -> str:
+    def _common_silence(self, service: str, instances: Sequence[str], silent_ms: float) -> str:
         """Return what is silent as a whole; empty if it is the upstream alone."""
         now_ms = self._clock.now_ms()
         window_ms = min(WINDOW_SHARE * silent_ms, WINDOW_MS)
-        others = [one for name, one in self._upstreams.items() if name != instance]
+        others = [one for name, one in self._upstreams.items() if name not in instances]
         speaking = [one for one in others if now_ms - one.heard_ms <= window_ms]
         paused = [
             one for one in others if one.sends and window_ms <= one.quiet_ms(now_ms) < LASTING_MS
@@ -155,7 +160,7 @@
         if not alike:
             return ""
         # One that hangs does not count, so that it keeps no other call from leaving it.
-        hangs = self._upstreams[instance].quiet_ms(now_ms) >= LASTING_MS
+        hangs = self._upstreams[instances[-1]].quiet_ms(now_ms) >= LASTING_MS
         silent = len(alike) + (not hangs)
         return SERVICE_SILENT if silent > sum(one.service == service for one in speaking) else ""
 
--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -185,6 +185,12 @@
             self.suspects.answered(req)
         note_end(engine, req, outcome, times, self._clock.now_ms())
 
+    def note_silent(self, ticket: str) -> None:
+        """Count the silence of an engine as a failure; its request keeps its place."""
+        engine = self.engines.get(self._places.get(ticket, ""))
+        if engine is not None:
+            engine.health.note(RunOutcome.BROKEN, self._clock.now_ms())
+
     def adopt(self, req: PlaceRequest, instance: str) -> None:
         """Count a request that runs on an engine, placed by the last leader or without one."""
         engine = self.engines.get(instance)
--- a/chestnutfall/tests/fakes/placing_leader.py
+++ b/chestnutfall/tests/fakes/placing_leader.py
@@ -13,7 +13,14 @@
 from ...coordination.gateway_session import GatewaySession
 from ...coordination.gateway_sessions import GatewaySessions
 from ...coordination.limit_coordinator import LimitCoordinator
-from ...coordination.messages import AnswerRepeat, AskRepeat, PlaceStream, Release, Withdraw
+from ...coordination.messages import (
+    AnswerRepeat,
+    AskRepeat,
+    PlaceStream,
+    Release,
+    SilentRun,
+    Withdraw,
+)
 from ...coordination.origin_coordinator import OriginCoordinator
 from ...limits.limit_registry import LimitRegistry
 from ...limits.messages import HeardLimit
@@ -128,6 +135,8 @@
                 self.origins.ask(session, msg)
             case HeardOrigins():
                 self.origins.record(session, msg)
+            case SilentRun(ticket):
+                self.placer.note_silent(ticket)
             case Release(ticket, outcome, times):
                 self.placer.release(ticket, RunOutcome(outcome), times)
                 self._sessions.release_ticket(ticket)
--- a/chestnutfall/tests/fakes/timed_upstreams.py
+++ b/chestnutfall/tests/fakes/timed_upstreams.py
@@ -167,6 +167,8 @@
         How long the next selections take; the last one holds for all further ones.
     outcomes : dict of str to list of RunOutcome
         Ends of sends by instance.
+    noted_silent : list of str
+        Instances that were noted as silent while a send went on.
     """
 
     def __init__(self, upstreams: Sequence[UpstreamRecord], clock: Clock) -> None:
@@ -184,6 +186,7 @@
         self.open_places = 0
         self.criteria: list[SelectionCriteria] = []
         self.outcomes: dict[str, list[RunOutcome]] = {}
+        self.noted_silent: list[str] = []
 
     async def select(self, criteria: SelectionCriteria) -> Place:
         self.criteria.append(criteria)
@@ -214,6 +217,9 @@
     def held_back_ms(self, service: str) -> float:
         return 0.0
 
+    def note_silent(self, place: Place) -> None:
+        self.noted_silent.append(place.upstream.instance)
+
     def release(
         self, place: Place, outcome: RunOutcome, times: RunTimes, load: UpstreamLoad | None
     ) -> None:
--- a/chestnutfall/tests/test_upstream_selectors.py
+++ b/chestnutfall/tests/test_upstream_selectors.py
@@ -203,6 +203,14 @@
         await self.clock.advance(30_000)
         self.assertIn(failing, {(await self._take()).upstream.instance for _ in range(12)})
 
+    # Guards against calls for a hung upstream until the first one that waits there has moved.
+    async def test_an_upstream_that_is_silent_is_left_while_its_sends_go_on(self) -> None:
+        place = await self._take()
+        self.selector.note_silent(place)
+        taken = {(await self._take()).upstream.instance for _ in range(5)}
+        self.assertNotIn(place.upstream.instance, taken)
+        self.assertFalse(self.selector._state_of(place.upstream).health.is_ejected(0))
+
     # Guards against work for an upstream whose host is busy with other work at this moment.
     async def test_an_upstream_that_is_slow_now_is_left_for_half_a_second(self) -> None:
         first = await self._take()
