--- a/chestnutfall/paths/helper_api.py
+++ b/chestnutfall/paths/helper_api.py
@@ -10,6 +10,10 @@
 from ..forwarding.upstream_api import NotSent
 from .messages import LEAVING, UNKNOWN_KEY, UNREACHABLE, NotSentByHelper
 
+HELPER_SILENCE_MS = 2_000
+"""How long a gateway and its helper may leave a keepalive ping without an answer. A sound link may
+be silent for a second or so, and its end takes the answers of all calls on it."""
+
 
 class HelperUnusable(NotSent):
     """A helper can't be reached, or sends nothing for this gateway whatever the upstream."""
--- a/chestnutfall/paths/helper_links.py
+++ b/chestnutfall/paths/helper_links.py
@@ -16,7 +16,7 @@
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 from ..wire import RpcChannel, TlsFiles
-from .helper_api import HelperApi, HelperUnusable, not_sent
+from .helper_api import HELPER_SILENCE_MS, HelperApi, HelperUnusable, not_sent
 from .helper_service import as_sent
 from .messages import (
     CHECK_METHOD,
@@ -40,10 +40,16 @@
 HELPER_DELAY_MS = 250
 """How much later than over an own link an answer may come: the helper's own try to connect, and two
 more hops."""
+CLOSE_GRACE_S = 10.0
+"""Longest time for which the sends of a connection that is no longer used may go on."""
 IDLE_MS = 10_000
 """A connection without a send for so long is closed."""
 
 
+class _ConnectionLost(AnswerLost):
+    """The connection to a helper has ended, with all calls on it."""
+
+
 class HelperLinks(HelperApi):
     """Sends calls and port checks to helpers over gRPC.
 
@@ -76,6 +82,9 @@
         try:
             first = await self._exchange(stream, SendCall(keys, as_sent(forwarded)), silent_ms)
             yield self._answer(stream, first, forwarded, silent_ms)
+        except _ConnectionLost:
+            self._drop(address, channel)
+            raise
         finally:
             stream.cancel()
             self._busy[address] -= 1
@@ -91,7 +100,9 @@
         """
         channel = self._channels.get(address)
         if channel is None:
-            channel = self._channels[address] = RpcChannel(address, HELP_CODEC, self._tls)
+            channel = self._channels[address] = RpcChannel(
+                address, HELP_CODEC, self._tls, HELPER_SILENCE_MS
+            )
             if self._sweeper is None or self._sweeper.done():
                 self._sweeper = asyncio.ensure_future(self._close_idle())
         self._used_ms[address] = self._clock.now_ms()
@@ -115,7 +126,7 @@
             await stream.write(msg)
             await stream.done_writing()
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
-            raise AnswerLost("helper_lost") from exc
+            raise _ConnectionLost("helper_lost") from exc
         return await self._read(stream, silent_ms)
 
     async def _read(self, stream: Any, silent_ms: float) -> Any:
@@ -124,7 +135,7 @@
         except TimeoutError as exc:
             raise AnswerLost(SILENT) from exc
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
-            raise AnswerLost("helper_lost") from exc
+            raise _ConnectionLost("helper_lost") from exc
         if msg is grpc.aio.EOF:
             raise AnswerLost("helper_lost")
         return msg
@@ -182,11 +193,22 @@
     def _close(self, address: str) -> None:
         self._used_ms.pop(address, None)
         self._busy.pop(address, None)
-        channel = self._channels.pop(address, None)
+        channel = self._channels.get(address)
         if channel is not None:
-            task = asyncio.ensure_future(_close_quietly(channel))
-            self._closing.add(task)
-            task.add_done_callback(self._closing.discard)
+            self._drop(address, channel)
+
+    def _drop(self, address: str, channel: RpcChannel) -> None:
+        """Close a connection, so that the next send opens another one.
+
+        One that has ended looks open for some ms more, and a send would be lost on it. If only a
+        part of its sends was lost, the others go on.
+        """
+        if self._channels.get(address) is not channel:
+            return
+        del self._channels[address]
+        task = asyncio.ensure_future(_close_quietly(channel))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -200,4 +222,4 @@
 async def _close_quietly(channel: RpcChannel) -> None:
     # Nothing waits for the end of a connection that is no longer used.
     with suppress(Exception):
-        await channel.close()
+        await channel.close(CLOSE_GRACE_S)
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -35,6 +35,7 @@
 from ..observability.stdout_logs import StdoutHandler
 from ..paths.drained_gateway import DrainedGateway
 from ..paths.helped_upstream_api import HelpedUpstreamApi
+from ..paths.helper_api import HELPER_SILENCE_MS
 from ..paths.helper_links import HelperLinks
 from ..paths.helper_service import HelperService
 from ..paths.known_helpers import KnownHelpers
@@ -294,7 +295,7 @@
         return 0
 
     def _make_helper_server(self) -> RpcServer:
-        server = RpcServer(self._settings.peer_address)
+        server = RpcServer(self._settings.peer_address, max_silence_ms=HELPER_SILENCE_MS)
         server.add_stream(HELP_METHOD, HELP_CODEC, self._helper.serve)
         server.add_unary(CHECK_METHOD, HELP_CODEC, self._helper.check_port)
         return server
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -26,6 +26,7 @@
 from ..ownership import TICKET_CODEC, EngineOwners
 from ..ownership.load_permits import ControllerPermits
 from ..paths.helped_upstream_api import HelpedUpstreamApi
+from ..paths.helper_api import HELPER_SILENCE_MS
 from ..paths.helper_links import HelperLinks
 from ..paths.helper_service import HelperService
 from ..paths.known_helpers import KnownHelpers
@@ -256,7 +257,7 @@
 
     async def serve(self, stop: asyncio.Event) -> int:
         """Serve until `stop`, then drain; return the exit code of the process."""
-        peers = RpcServer(self._settings.peer_listen, self._tls)
+        peers = RpcServer(self._settings.peer_listen, self._tls, HELPER_SILENCE_MS)
         peers.add_stream(TICKETS_METHOD, TICKET_CODEC, self._peer_server.serve)
         peers.add_stream(HELP_METHOD, HELP_CODEC, self._helper.serve)
         peers.add_unary(CHECK_METHOD, HELP_CODEC, self._helper.check_port)
--- a/chestnutfall/wire/rpc_channel.py
+++ b/chestnutfall/wire/rpc_channel.py
@@ -8,6 +8,7 @@
 import grpc
 
 from .codec import Codec
+from .keepalive import MAX_SILENCE_MS, keepalive_options
 from .tls_files import TlsFiles
 
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
@@ -15,10 +16,6 @@
     ("grpc.enable_http_proxy", 0),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
-    ("grpc.keepalive_time_ms", 2000),
-    ("grpc.keepalive_timeout_ms", 1000),
-    # A keepalive ping ends a connection only after this, which is a minute by default.
-    ("grpc.http2.ping_timeout_ms", 1000),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.initial_reconnect_backoff_ms", 100),
@@ -31,10 +28,22 @@
     """Sends unary calls and opens message streams to `address`, an IP and port.
 
     The connection is opened on first use; with `tls` both sides authenticate themselves.
+
+    Parameters
+    ----------
+    max_silence_ms : int
+        How long the peer may leave a keepalive ping without an answer.
     """
 
-    def __init__(self, address: str, codec: Codec, tls: TlsFiles | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        codec: Codec,
+        tls: TlsFiles | None = None,
+        max_silence_ms: int = MAX_SILENCE_MS,
+    ) -> None:
         self.address = address
+        self._options = (*_OPTIONS, *keepalive_options(max_silence_ms))
         self._codec = codec
         self._tls = tls
         self._open()
@@ -42,10 +51,10 @@
     def _open(self) -> None:
         target = f"ipv4:{self.address}"
         if self._tls is None:
-            self._channel = grpc.aio.insecure_channel(target, options=_OPTIONS)
+            self._channel = grpc.aio.insecure_channel(target, options=self._options)
         else:
             # All certificates carry the same DNS name instead of the IP address of a host.
-            options = (*_OPTIONS, ("grpc.ssl_target_name_override", "chestnutfall"))
+            options = (*self._options, ("grpc.ssl_target_name_override", "chestnutfall"))
             creds = self._tls.channel_credentials()
             self._channel = grpc.aio.secure_channel(target, creds, options=options)
         self._calls: dict[str, Any] = {}
@@ -94,6 +103,6 @@
         with contextlib.suppress(Exception):
             await old.close(grace=1.0)
 
-    async def close(self) -> None:
-        """Close the connection; calls and streams in progress fail."""
-        await self._channel.close()
+    async def close(self, grace_s: float | None = None) -> None:
+        """Close the connection; calls and streams that are in progress after `grace_s` fail."""
+        await self._channel.close(grace_s)
--- a/chestnutfall/wire/rpc_server.py
+++ b/chestnutfall/wire/rpc_server.py
@@ -8,6 +8,7 @@
 import grpc
 
 from .codec import Codec
+from .keepalive import MAX_SILENCE_MS, keepalive_options
 from .rpc_channel import MAX_MESSAGE_BYTES
 from .tls_files import TlsFiles
 
@@ -17,10 +18,6 @@
     ("grpc.so_reuseport", 0),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
-    ("grpc.keepalive_time_ms", 2000),
-    ("grpc.keepalive_timeout_ms", 1000),
-    # A keepalive ping ends a connection only after this, which is a minute by default.
-    ("grpc.http2.ping_timeout_ms", 1000),
     ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
     ("grpc.http2.max_ping_strikes", 0),
 )
@@ -31,15 +28,26 @@
 
     With `tls` only clients with a certificate of the same authority are accepted.
 
+    Parameters
+    ----------
+    max_silence_ms : int
+        How long a client may leave a keepalive ping without an answer.
+
     Attributes
     ----------
     port : int
         Port that the server is bound to, also when `address` asked for any free port.
     """
 
-    def __init__(self, address: str, tls: TlsFiles | None = None) -> None:
+    def __init__(
+        self,
+        address: str,
+        tls: TlsFiles | None = None,
+        max_silence_ms: int = MAX_SILENCE_MS,
+    ) -> None:
         self._server = grpc.aio.server(
-            options=_OPTIONS, maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS
+            options=(*_OPTIONS, *keepalive_options(max_silence_ms)),
+            maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS,
         )
         if tls is None:
             self.port = self._server.add_insecure_port(address)
--- a/properties/safeguards/path_mutants.py
+++ b/properties/safeguards/path_mutants.py
@@ -140,10 +140,27 @@
     Mutant(
         "a lost helper counts as not sent",
         "chestnutfall/paths/helper_links.py",
-        '            raise AnswerLost("helper_lost") from exc\n        if msg is grpc.aio.EOF:',
+        '            raise _ConnectionLost("helper_lost") from exc\n'
+        "        if msg is grpc.aio.EOF:",
         '            raise NotSent("helper_lost") from exc\n        if msg is grpc.aio.EOF:',
         "chestnutfall.tests.test_helper_links",
     ),
+    Mutant(
+        "a connection to a helper that was lost is used once more",
+        "chestnutfall/paths/helper_links.py",
+        "            self._drop(address, channel)\n            raise\n",
+        "            raise\n",
+        "chestnutfall.tests.test_helper_links.HelperLinksTest."
+        "test_a_helper_whose_connection_is_silent_is_found_out_and_not_asked",
+    ),
+    Mutant(
+        "a silent second of the link to a helper ends its answers",
+        "chestnutfall/paths/helper_links.py",
+        "address, HELP_CODEC, self._tls, HELPER_SILENCE_MS",
+        "address, HELP_CODEC, self._tls",
+        "chestnutfall.tests.test_helper_links.HelperLinksTest."
+        "test_an_answer_outlives_a_silent_second_of_the_link_to_the_helper",
+    ),
     Mutant(
         "a helper that refuses one upstream is not asked for others",
         _API,
