--- a/chestnutfall/tests/test_second_send_bounds.py
+++ b/chestnutfall/tests/test_second_send_bounds.py
@@ -6,6 +6,7 @@
 from ..forwarding.call import Headers
 from ..forwarding.upstream_answer import NotRun
 from ..forwarding.upstream_api import AnswerLost, NotSent
+from ..placement import RunOutcome
 from ..requests import fingerprint_of
 from ..routes import RouteKind
 from ..signals import AskedBackoff, UpstreamSignals
@@ -35,6 +36,13 @@
                 self.assertEqual(len(self.upstreams.sends), 1)
                 self.assertNotIn(reply.status, PROMISES_NOT_RUN)
 
+    # Guards against a hung engine that looks as good as any other to calls that may run once.
+    async def test_a_call_that_waits_for_a_hung_engine_to_its_deadline_reports_it(self) -> None:
+        for kind in (RouteKind.STREAM, RouteKind.NON_IDEMPOTENT):
+            self._begin(HUNG, SOUND)
+            await self._serve(kind)
+            self.assertEqual(self.selector.outcomes, {"i0": [RunOutcome.BROKEN]})
+
     # Guards against more engines for one call than its route allows.
     async def test_silent_sends_keep_to_the_attempts_of_the_route(self) -> None:
         for attempts in (1, 2, 3):
--- a/chestnutfall/tests/test_second_sends.py
+++ b/chestnutfall/tests/test_second_sends.py
@@ -44,7 +44,9 @@
         for kind in (RESUMABLE, RouteKind.IDEMPOTENT):
             with self.subTest(kind):
                 self._begin(HUNG, SOUND)
-                reply = await self._serve(kind, for_ms=SILENT_MS + 100)
+                reply, served = self._call(kind)
+                await self.clock.advance(SILENT_MS + 100)
+                self.assertTrue(served.done())
                 self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
                 self.assertEqual([one.at_ms for one in self.upstreams.to("i1")], [SILENT_MS])
                 self.assertEqual(self.selector.noted_silent, ["i0"])
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -230,8 +230,8 @@
         "        return RunOutcome.BROKEN if self.is_silent and not self._is_noted else "
         "RunOutcome.LEFT\n",
         "        return RunOutcome.LEFT\n",
-        f"{_TESTS}.test_second_sends.SecondSendTest."
-        "test_a_call_moves_to_another_upstream_as_soon_as_before",
+        f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
+        "test_a_call_that_waits_for_a_hung_engine_to_its_deadline_reports_it",
     ),
     Mutant(
         "an upstream that was overtaken counts as broken",
@@ -301,7 +301,8 @@
         _LIVE_SENDS,
         "        task.add_done_callback(lambda _: self._on_ended())\n",
         "",
-        f"{_TESTS}.test_silence.SilenceTest.test_a_stream_outlives_a_silent_second_without_budget",
+        f"{_TESTS}.test_second_sends.SecondSendTest."
+        "test_a_call_moves_to_another_upstream_as_soon_as_before",
     ),
     Mutant(
         "the end of a search is not noticed",
