Compare silent upstreams by their own usual silence, and less often

A slow upstream of a service counted as silent beside another call's if it had written nothing for half of that call's patience, also where its own calls take longer as a rule; such a service kept its calls at a hung upstream. It is now compared with half of the usual silence of its own sends too. The new test fails with the comparison left out.

Each silent call compared all upstreams each 50 ms. What one call found of a service now holds for 20 ms for the others, and a call checks again after 100 ms. Cost was judged by the code; no figure was measured.

The mutant of the ping timeout follows its text to wire.keepalive.

--- a/chestnutfall/forwarding/other_place.py
+++ b/chestnutfall/forwarding/other_place.py
@@ -15,7 +15,7 @@
 from .send_parts import SendParts
 
 log = logging.getLogger(__name__)
-RECHECK_MS = 50
+RECHECK_MS = 100
 """Time until a call that should wait, or finds no repeat, checks again; it costs no message."""
 LOOK_AGAIN_MS = 250
 """Time until a call that got no place asks for one again; an upstream that ends its work has had
--- a/chestnutfall/forwarding/relayed_send.py
+++ b/chestnutfall/forwarding/relayed_send.py
@@ -104,12 +104,12 @@
         """Record that the request goes out now."""
         self.is_sent = True
         upstream = self.place.upstream
-        self._silent.began(upstream.service, upstream.instance)
+        self._silent.began(upstream.service, upstream.instance, self.usual_ms)
 
     def release(self, outcome: RunOutcome, times: RunTimes) -> None:
         """Give the place back."""
         if self.is_sent:
-            self._silent.ended(self.place.upstream.instance, self.is_silent)
+            self._silent.ended(self.place.upstream.instance, self.usual_ms, self.is_silent)
         self.is_released = True
         self.selector.release(self.place, outcome, times, self.load)
 
--- a/chestnutfall/forwarding/silent_upstreams.py
+++ b/chestnutfall/forwarding/silent_upstreams.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..clock import Clock
 
@@ -23,6 +23,9 @@
 GATEWAY_SILENT = "gateway_silent"
 SERVICE_RESUMES = "service_resumes"
 """Reasons to wait for a silent upstream."""
+VERDICT_MS = 20
+"""How long a common silence that one call found holds for the others, so that many silent calls do
+not each compare all upstreams."""
 SPELL_GAP_MS = 200
 """A common silence that was not seen for so long is over."""
 
@@ -33,8 +36,8 @@
 
     Attributes
     ----------
-    sends : int
-        Sends in progress.
+    usual_ms : list of float
+        How long it is silent at most for each send in progress, if it is sound.
     quiet_since_ms : int or None
         Clock time since which a send has waited and nothing was heard; None if none waits.
     heard_ms : int
@@ -44,7 +47,7 @@
     """
 
     service: str
-    sends: int = 0
+    usual_ms: list[float] = field(default_factory=list)
     quiet_since_ms: int | None = None
     heard_ms: int = -REMEMBERED_MS
     ended_ms: int = 0
@@ -52,6 +55,13 @@
     def quiet_ms(self, now_ms: int) -> int:
         return 0 if self.quiet_since_ms is None else now_ms - self.quiet_since_ms
 
+    def is_paused(self, window_ms: float, now_ms: int) -> bool:
+        """Whether it is silent, by itself or with others, and does not hang yet."""
+        if not self.usual_ms:
+            return False
+        least_ms = max(window_ms, WINDOW_SHARE * min(self.usual_ms))
+        return least_ms <= self.quiet_ms(now_ms) < LASTING_MS
+
 
 @dataclass(slots=True)
 class _Spell:
@@ -60,11 +70,14 @@
     Attributes
     ----------
     since_ms, last_ms : int
-        Clock times of the first and the last question that found it.
+        Clock times of the first and the last comparison that found it.
+    reason : str
+        What the last one found.
     """
 
     since_ms: int
     last_ms: int
+    reason: str
 
 
 class SilentUpstreams:
@@ -83,16 +96,22 @@
     def __len__(self) -> int:
         return len(self._upstreams)
 
-    def began(self, service: str, instance: str) -> None:
-        """Record the beginning of a send."""
+    def began(self, service: str, instance: str, usual_ms: float) -> None:
+        """Record the beginning of a send.
+
+        Parameters
+        ----------
+        usual_ms : float
+            How long the upstream is silent at most for this send, if it is sound.
+        """
         now_ms = self._clock.now_ms()
         known = self._upstreams.get(instance)
         if known is None:
             self._forget_idle(now_ms)
             known = self._upstreams[instance] = _Upstream(service)
-        elif not known.sends and now_ms - known.ended_ms > REMEMBERED_MS:
+        elif not known.usual_ms and now_ms - known.ended_ms > REMEMBERED_MS:
             known.quiet_since_ms = None
-        known.sends += 1
+        known.usual_ms.append(usual_ms)
         if known.quiet_since_ms is None:
             known.quiet_since_ms = now_ms
 
@@ -102,7 +121,7 @@
         if known is not None:
             known.heard_ms = known.quiet_since_ms = self._clock.now_ms()
 
-    def ended(self, instance: str, was_silent: bool) -> None:
+    def ended(self, instance: str, usual_ms: float, was_silent: bool) -> None:
         """Record the end of a send.
 
         Parameters
@@ -111,9 +130,9 @@
             Whether the upstream had been silent for too long; its silence is then remembered.
         """
         known = self._upstreams[instance]
-        known.sends -= 1
+        known.usual_ms.remove(usual_ms)
         known.ended_ms = self._clock.now_ms()
-        if not known.sends and not was_silent:
+        if not known.usual_ms and not was_silent:
             known.quiet_since_ms = None
 
     def reason_to_wait(
@@ -131,12 +150,14 @@
             How long sound upstreams are silent at most, if they are not silent together.
         """
         now_ms = self._clock.now_ms()
-        reason = self._common_silence(service, instances, silent_ms)
         spell = self._spells.get(service)
+        if spell is not None and now_ms - spell.last_ms < VERDICT_MS:
+            return spell.reason
+        reason = self._common_silence(service, instances, silent_ms)
         if reason:
             if spell is None or now_ms - spell.last_ms > SPELL_GAP_MS:
-                spell = self._spells[service] = _Spell(now_ms, now_ms)
-            spell.last_ms = now_ms
+                spell = self._spells[service] = _Spell(now_ms, now_ms, reason)
+            spell.last_ms, spell.reason = now_ms, reason
             return reason
         # The first parts after a common silence come from some upstreams only.
         if spell is not None and now_ms - spell.last_ms < min(
@@ -151,9 +172,7 @@
         window_ms = min(WINDOW_SHARE * silent_ms, WINDOW_MS)
         others = [one for name, one in self._upstreams.items() if name not in instances]
         speaking = [one for one in others if now_ms - one.heard_ms <= window_ms]
-        paused = [
-            one for one in others if one.sends and window_ms <= one.quiet_ms(now_ms) < LASTING_MS
-        ]
+        paused = [one for one in others if one.is_paused(window_ms, now_ms)]
         if len(paused) >= MIN_PAUSED and not speaking:
             return GATEWAY_SILENT
         alike = [one for one in paused if one.service == service]
@@ -168,5 +187,5 @@
         if len(self._upstreams) < MAX_IDLE:
             return
         for name, one in list(self._upstreams.items()):
-            if not one.sends and now_ms - one.ended_ms > REMEMBERED_MS:
+            if not one.usual_ms and now_ms - one.ended_ms > REMEMBERED_MS:
                 del self._upstreams[name]
--- a/chestnutfall/tests/test_silent_upstreams.py
+++ b/chestnutfall/tests/test_silent_upstreams.py
@@ -15,6 +15,7 @@
     REMEMBERED_MS,
     SERVICE_RESUMES,
     SERVICE_SILENT,
+    VERDICT_MS,
     SilentUpstreams,
 )
 from ..settings.repeat_bounds import RepeatBounds
@@ -29,7 +30,7 @@
 
     async def _begin(self, *instances: str, service: str = "s") -> None:
         for instance in instances:
-            self.silent.began(service, instance)
+            self.silent.began(service, instance, USUAL_MS)
 
     def _hear(self, *instances: str) -> None:
         for instance in instances:
@@ -60,9 +61,20 @@
         await self.clock.advance(USUAL_MS)
         self._hear("i3", "i4")
         self.assertEqual(self._reason(), SERVICE_SILENT)
+        await self.clock.advance(VERDICT_MS)
         self._hear("i2")
         self.assertEqual(self._reason(), "")
 
+    # Guards against calls that are kept by others whose upstreams take their usual time.
+    async def test_upstreams_that_are_no_longer_silent_than_usual_tell_nothing(self) -> None:
+        await self._begin("i0")
+        for number in range(1, 5):
+            self.silent.began("s", f"i{number}", 10 * USUAL_MS)
+        await self.clock.advance(USUAL_MS)
+        self.assertEqual(self._reason(), "")
+        await self.clock.advance(4 * USUAL_MS)
+        self.assertTrue(self._reason(silent_ms=5 * USUAL_MS))
+
     # Guards against a call that is kept by two hung upstreams, since it waits for both itself.
     async def test_the_call_s_own_upstreams_tell_nothing_of_the_others(self) -> None:
         await self._begin("i0", "i1")
@@ -76,6 +88,7 @@
         await self._begin("p1", service="p")
         await self.clock.advance(USUAL_MS)
         self.assertEqual(self._reason(), GATEWAY_SILENT)
+        await self.clock.advance(VERDICT_MS)
         self._hear("o1")
         self.assertEqual(self._reason(), "")
 
@@ -105,7 +118,7 @@
         await self._begin("i0", "i1", "i2", "i3")
         await self.clock.advance(LASTING_MS)
         for instance in ("i0", "i1", "i2"):
-            self.silent.ended(instance, was_silent=True)
+            self.silent.ended(instance, USUAL_MS, was_silent=True)
         await self._begin("i0", "i1", "i2")
         await self.clock.advance(USUAL_MS)
         self._hear("i3")
@@ -114,7 +127,7 @@
     # Guards against an idle upstream that is taken for a hung one by a client that left.
     async def test_a_short_send_leaves_no_silence_behind(self) -> None:
         await self._begin("i1")
-        self.silent.ended("i1", was_silent=False)
+        self.silent.ended("i1", USUAL_MS, was_silent=False)
         await self.clock.advance(LASTING_MS)
         await self._begin("i0", "i1")
         await self.clock.advance(USUAL_MS)
@@ -124,7 +137,7 @@
     async def test_upstreams_that_are_gone_are_forgotten(self) -> None:
         for number in range(4 * MAX_IDLE):
             await self._begin(f"u{number}")
-            self.silent.ended(f"u{number}", was_silent=True)
+            self.silent.ended(f"u{number}", USUAL_MS, was_silent=True)
             await self.clock.advance(2 * REMEMBERED_MS // MAX_IDLE)
         self.assertLessEqual(len(self.silent), MAX_IDLE)
 
--- a/properties/safeguards/path_mutants.py
+++ b/properties/safeguards/path_mutants.py
@@ -90,8 +90,8 @@
     ),
     Mutant(
         "a silent connection between gateways stays open",
-        "chestnutfall/wire/rpc_channel.py",
-        '    ("grpc.http2.ping_timeout_ms", 1000),\n',
+        "chestnutfall/wire/keepalive.py",
+        '        ("grpc.http2.ping_timeout_ms", max_silence_ms),\n',
         "",
         "chestnutfall.tests.test_helper_links",
     ),
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -184,8 +184,8 @@
     Mutant(
         "upstreams that hang keep calls from leaving",
         _SILENT_UPSTREAMS,
-        "window_ms <= one.quiet_ms(now_ms) < LASTING_MS\n",
-        "window_ms <= one.quiet_ms(now_ms)\n",
+        "        return least_ms <= self.quiet_ms(now_ms) < LASTING_MS\n",
+        "        return least_ms <= self.quiet_ms(now_ms)\n",
         f"{_TESTS}.test_silent_upstreams.SilentUpstreamsTest",
     ),
     Mutant(
@@ -342,4 +342,11 @@
         "if name != instances[-1]]\n",
         f"{_TESTS}.test_silent_upstreams",
     ),
+    Mutant(
+        "upstreams that take their usual time keep calls from leaving others",
+        _SILENT_UPSTREAMS,
+        "        least_ms = max(window_ms, WINDOW_SHARE * min(self.usual_ms))\n",
+        "        least_ms = window_ms\n",
+        f"{_TESTS}.test_silent_upstreams",
+    ),
 )
