--- a/chestnutfall/tests/test_silent_upstreams.py
+++ b/chestnutfall/tests/test_silent_upstreams.py
@@ -7,7 +7,7 @@
 
 from ..clock import ManualClock
 from ..forwarding.repeats import SILENCE_SHARE, Repeats
-from ..forwarding.reply_claim import ReplyClaim, ReplyTaken
+from ..forwarding.reply_lock import ReplyLock, ReplyTaken
 from ..forwarding.silent_upstreams import (
     GATEWAY_SILENT,
     LASTING_MS,
@@ -15,6 +15,7 @@
     REMEMBERED_MS,
     SERVICE_RESUMES,
     SERVICE_SILENT,
+    VERDICT_MS,
     SilentUpstreams,
 )
 from ..settings.repeat_bounds import RepeatBounds
@@ -29,14 +30,14 @@
 
     async def _begin(self, *instances: str, service: str = "s") -> None:
         for instance in instances:
-            self.silent.began(service, instance)
+            self.silent.began(service, instance, USUAL_MS)
 
     def _hear(self, *instances: str) -> None:
         for instance in instances:
             self.silent.heard(instance)
 
-    def _reason(self, instance: str = "i0", silent_ms: float = USUAL_MS) -> str:
-        return self.silent.reason_to_wait("s", instance, silent_ms, USUAL_MS)
+    def _reason(self, *instances: str, silent_ms: float = USUAL_MS) -> str:
+        return self.silent.reason_to_wait("s", instances or ("i0",), silent_ms, USUAL_MS)
 
     async def test_a_call_leaves_the_one_upstream_that_is_silent(self) -> None:
         await self._begin("i0", "i1", "i2")
@@ -60,9 +61,26 @@
         await self.clock.advance(USUAL_MS)
         self._hear("i3", "i4")
         self.assertEqual(self._reason(), SERVICE_SILENT)
+        await self.clock.advance(VERDICT_MS)
         self._hear("i2")
         self.assertEqual(self._reason(), "")
 
+    # Guards against calls that are kept by others whose upstreams take their usual time.
+    async def test_upstreams_that_are_no_longer_silent_than_usual_tell_nothing(self) -> None:
+        await self._begin("i0")
+        for number in range(1, 5):
+            self.silent.began("s", f"i{number}", 10 * USUAL_MS)
+        await self.clock.advance(USUAL_MS)
+        self.assertEqual(self._reason(), "")
+        await self.clock.advance(4 * USUAL_MS)
+        self.assertTrue(self._reason(silent_ms=5 * USUAL_MS))
+
+    # Guards against a call that is kept by two hung upstreams, since it waits for both itself.
+    async def test_the_call_s_own_upstreams_tell_nothing_of_the_others(self) -> None:
+        await self._begin("i0", "i1")
+        await self.clock.advance(USUAL_MS)
+        self.assertEqual(self._reason("i0", "i1"), "")
+
     # Guards against sends to all services while this gateway or its links are silent.
     async def test_no_call_leaves_while_upstreams_of_several_services_are_silent(self) -> None:
         await self._begin("i0")
@@ -70,6 +88,7 @@
         await self._begin("p1", service="p")
         await self.clock.advance(USUAL_MS)
         self.assertEqual(self._reason(), GATEWAY_SILENT)
+        await self.clock.advance(VERDICT_MS)
         self._hear("o1")
         self.assertEqual(self._reason(), "")
 
@@ -99,7 +118,7 @@
         await self._begin("i0", "i1", "i2", "i3")
         await self.clock.advance(LASTING_MS)
         for instance in ("i0", "i1", "i2"):
-            self.silent.ended(instance, was_silent=True)
+            self.silent.ended(instance, USUAL_MS, was_silent=True)
         await self._begin("i0", "i1", "i2")
         await self.clock.advance(USUAL_MS)
         self._hear("i3")
@@ -108,7 +127,7 @@
     # Guards against an idle upstream that is taken for a hung one by a client that left.
     async def test_a_short_send_leaves_no_silence_behind(self) -> None:
         await self._begin("i1")
-        self.silent.ended("i1", was_silent=False)
+        self.silent.ended("i1", USUAL_MS, was_silent=False)
         await self.clock.advance(LASTING_MS)
         await self._begin("i0", "i1")
         await self.clock.advance(USUAL_MS)
@@ -118,7 +137,7 @@
     async def test_upstreams_that_are_gone_are_forgotten(self) -> None:
         for number in range(4 * MAX_IDLE):
             await self._begin(f"u{number}")
-            self.silent.ended(f"u{number}", was_silent=True)
+            self.silent.ended(f"u{number}", USUAL_MS, was_silent=True)
             await self.clock.advance(2 * REMEMBERED_MS // MAX_IDLE)
         self.assertLessEqual(len(self.silent), MAX_IDLE)
 
@@ -160,18 +179,18 @@
         self.assertFalse(repeats.spend_for_silence("s"))
 
 
-class ReplyClaimTest(unittest.TestCase):
+class ReplyLockTest(unittest.TestCase):
     # Guards against two sends that both write to one client.
-    def test_one_send_holds_the_claim_until_it_is_opened(self) -> None:
+    def test_one_send_holds_the_lock_until_it_is_released(self) -> None:
         taken: list[int] = []
-        claim, first, second = ReplyClaim(lambda: taken.append(1)), object(), object()
-        claim.take(first)
-        claim.take(first)
+        lock, first, second = ReplyLock(lambda: taken.append(1)), object(), object()
+        lock.acquire(first)
+        lock.acquire(first)
         with self.assertRaises(ReplyTaken):
-            claim.take(second)
-        self.assertTrue(claim.is_held_by(first))
-        claim.open()
-        claim.take(second)
+            lock.acquire(second)
+        self.assertTrue(lock.is_held_by(first))
+        lock.release()
+        lock.acquire(second)
         with self.assertRaises(ReplyTaken):
-            claim.check(first)
+            lock.check(first)
         self.assertEqual(len(taken), 2)
