--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -4,6 +4,7 @@
 
 from .caller_mutants import CALLER_MUTANTS
 from .completion_end_mutants import COMPLETION_END_MUTANTS
+from .completion_silence_mutants import COMPLETION_SILENCE_MUTANTS
 from .connection_mutants import CONNECTION_MUTANTS
 from .consensus_mutants import CONSENSUS_MUTANTS
 from .control_mutants import CONTROL_MUTANTS
@@ -27,6 +28,7 @@
     *CONTROL_MUTANTS,
     *CALLER_MUTANTS,
     *COMPLETION_END_MUTANTS,
+    *COMPLETION_SILENCE_MUTANTS,
     *PLACEMENT_MUTANTS,
     *SPEED_MUTANTS,
     *FLEET_MUTANTS,
