Answer what has come before a server ends

What callers saw: at the end of a drain, a request that had come to a gateway, on a kept connection or on one that waited to be taken, ended without an answer. On kept connections it looked like a read one: the connection was closed in order, not reset.

Cause: aiohttp reads on from connections that it is about to close, and drops what it reads. The one turn of the event loop before that is too few: the socket is read after the turn. A listening socket that is closed resets the connections that wait at it.

--- a/chestnutfall/platform/gated_listening.py
+++ b/chestnutfall/platform/gated_listening.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 
 from ..rush import Acceptor, ConnectionGate, GatedServer
 from ..settings.host_port import split_address
-from .listening import BACKLOG, CLOSE_TIMEOUT_S
+from .listening import BACKLOG, end_connections
 
 
 class GatedListener:
@@ -20,10 +19,7 @@
     async def cleanup(self) -> None:
         """Stop listening, close idle connections, and wait for the requests in progress."""
         await self._acceptor.close()
-        # Requests that have arrived start first; their connections would count as idle otherwise.
-        await asyncio.sleep(0)
-        self._server.pre_shutdown()
-        await self._server.shutdown(CLOSE_TIMEOUT_S)
+        await end_connections(self._server)
 
 
 def listen_gated(server: GatedServer, address: str, gate: ConnectionGate) -> GatedListener:
--- a/chestnutfall/platform/listening.py
+++ b/chestnutfall/platform/listening.py
@@ -6,6 +6,7 @@
 
 from aiohttp.web_server import Server
 
+from ..rush.idle_connections import READ_S, pause_idle
 from ..settings.host_port import split_address
 
 BACKLOG = 1024
@@ -35,10 +36,16 @@
     async def cleanup(self) -> None:
         """Stop listening, close idle connections, and wait for the requests in progress."""
         self._sockets.close()
-        # Requests that have arrived start first; their connections would count as idle otherwise.
-        await asyncio.sleep(0)
-        self._server.pre_shutdown()
-        await self._server.shutdown(CLOSE_TIMEOUT_S)
+        await end_connections(self._server)
+
+
+async def end_connections(server: Server) -> None:
+    """Close the idle connections of a server, and wait for the requests in progress."""
+    # What has come is read first; its connections would count as idle otherwise.
+    await asyncio.sleep(READ_S)
+    pause_idle(server)
+    server.pre_shutdown()
+    await server.shutdown(CLOSE_TIMEOUT_S)
 
 
 async def listen(server: Server, address: str) -> Listener:
--- a/chestnutfall/rush/acceptor.py
+++ b/chestnutfall/rush/acceptor.py
@@ -45,7 +45,12 @@
         self._loop.add_reader(self._sock, self._take_all)
 
     async def close(self) -> None:
-        """Stop listening; connections that were taken are open when this returns."""
+        """Stop listening; connections that were taken are open when this returns.
+
+        Those that wait are taken first: the system resets them otherwise, whatever came on them.
+        """
+        if self._pause is None:
+            self._take_all()
         if self._pause is not None:
             self._pause.cancel()
         self._loop.remove_reader(self._sock)
--- a/chestnutfall/rush/gated_runner.py
+++ b/chestnutfall/rush/gated_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from typing import Any
 
@@ -13,6 +14,7 @@
 from .connection_gate import ConnectionGate
 from .gated_request import end_opening
 from .gated_server import GatedServer
+from .idle_connections import READ_S
 
 BACKLOG = 1024
 """Connections that may wait to be taken, as on the platform."""
@@ -61,6 +63,8 @@
     async def stop(self) -> None:
         if self._acceptor is not None:
             await self._acceptor.close()
+            # What has come is read first; its connections would count as idle otherwise.
+            await asyncio.sleep(READ_S)
         await super().stop()
 
 
--- a/chestnutfall/rush/gated_server.py
+++ b/chestnutfall/rush/gated_server.py
@@ -17,6 +17,7 @@
 from .connection_gate import ConnectionGate
 from .gated_connection import GatedConnection
 from .gated_request import GatedRequest
+from .idle_connections import pause_idle
 from .kept_limits import KeptLimits
 from .opening import Opening
 
@@ -48,6 +49,10 @@
             self._gate, opening, self, self._kept, loop=self._loop, **self._kwargs
         )
 
+    def pre_shutdown(self) -> None:
+        pause_idle(self)
+        super().pre_shutdown()
+
     async def _serve(self, request: BaseRequest) -> StreamResponse:
         conn = request.protocol
         assert isinstance(conn, GatedConnection)
--- a/chestnutfall/tests/test_kept_connections.py
+++ b/chestnutfall/tests/test_kept_connections.py
@@ -9,11 +9,15 @@
 
 from aiohttp import web
 from aiohttp.web_request import BaseRequest
+from aiohttp.web_server import Server
 
 from ..clock import ManualClock, SystemClock
+from ..platform.gated_listening import GatedListener, listen_gated
+from ..platform.listening import listen
 from ..rush import Acceptor, ConnectionGate, GatedServer, KeptLimits
 from ..rush.former_limit import LEARN_MS, FormerLimit
 from ..rush.gated_connection import GatedConnection
+from ..rush.gated_runner import GatedRunner, GatedSite
 from ..rush.kept_limits import MARGIN_MS
 from .fakes.shifted_loop import ShiftedLoop
 
@@ -211,6 +215,95 @@
         return conn
 
 
+class EndOfListeningTest(unittest.IsolatedAsyncioTestCase):
+    """A listener that ends as requests come, on connections of each kind."""
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        self.gate = ConnectionGate(SystemClock(), lambda name: None)
+
+    async def _answer(self, request: BaseRequest) -> web.Response:
+        await request.read()
+        return web.Response(text="ok")
+
+    def _client(self, address: tuple[str, int]) -> socket.socket:
+        client = socket.create_connection(address, HUNG_S)
+        self.addCleanup(client.close)
+        return client
+
+    async def _assert_answered(self, client: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        got = await loop.run_in_executor(None, client.recv, 1_000)
+        self.assertEqual(got[: len(ANSWER)], ANSWER)
+
+    async def _assert_answers_at_the_end(
+        self, listener: GatedListener | GatedRunner, address: tuple[str, int], has_new: bool = True
+    ) -> None:
+        kept = self._client(address)
+        kept.sendall(REQUEST)
+        await self._assert_answered(kept)
+        # No turn of the event loop comes between these requests and the end.
+        used = [kept, self._client(address)] if has_new else [kept]
+        for client in used:
+            client.sendall(REQUEST)
+        await listener.cleanup()
+        for client in used:
+            await self._assert_answered(client)
+
+    # Guards against requests that have come and are unread as a gateway ends, on connections that
+    # wait to be taken and on kept ones.
+    async def test_requests_that_have_come_are_answered_at_the_end(self) -> None:
+        server = GatedServer(self._answer, self.gate, access_log=None)
+        address = _free_address()
+        listener = listen_gated(server, f"{address[0]}:{address[1]}", self.gate)
+        await self._assert_answers_at_the_end(listener, address)
+
+    # Guards against the same at the product's own interface.
+    async def test_the_own_interface_answers_what_has_come(self) -> None:
+        for has_new in (True, False):
+            with self.subTest(has_new):
+                app = web.Application()
+                app.router.add_post("/x", self._answer)
+                runner = GatedRunner(app, self.gate, access_log=None)
+                await runner.setup()
+                address = _free_address()
+                await GatedSite(runner, f"{address[0]}:{address[1]}").start()
+                await self._assert_answers_at_the_end(runner, address, has_new)
+
+    # Guards against a request that comes after the last read and is dropped: its client has to
+    # learn from a reset that it was not read.
+    async def test_a_request_that_comes_too_late_is_reset(self) -> None:
+        server = GatedServer(self._answer, self.gate, access_log=None)
+        address = _free_address()
+        listener = listen_gated(server, f"{address[0]}:{address[1]}", self.gate)
+        kept = self._client(address)
+        kept.sendall(REQUEST)
+        await self._assert_answered(kept)
+        server.pre_shutdown()
+        kept.sendall(REQUEST)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        await listener.cleanup()
+        with self.assertRaises(ConnectionResetError):
+            kept.recv(1_000)
+
+    # Guards against the same at servers without a gate, on kept connections.
+    async def test_a_server_without_a_gate_answers_what_has_come_on_kept_connections(self) -> None:
+        listener = await listen(Server(self._answer, access_log=None), "127.0.0.1:0")
+        kept = self._client(listener.addresses[0])
+        kept.sendall(REQUEST)
+        await self._assert_answered(kept)
+        kept.sendall(REQUEST)
+        await listener.cleanup()
+        await self._assert_answered(kept)
+
+
+def _free_address() -> tuple[str, int]:
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address: tuple[str, int] = free.getsockname()
+        return address
+
+
 class FormerLimitTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock(10**6)
--- a/properties/safeguards/rush_mutants.py
+++ b/properties/safeguards/rush_mutants.py
@@ -112,6 +112,35 @@
         "        super().connection_lost(exc)\n",
         _TAKEN + "test_a_connection_that_ends_without_a_call_is_no_longer_counted",
     ),
+    Mutant(
+        "connections that wait as a gateway ends are reset",
+        _ACCEPTOR,
+        "        if self._pause is None:\n            self._take_all()\n",
+        "",
+        _KEPT + "EndOfListeningTest.test_requests_that_have_come_are_answered_at_the_end",
+    ),
+    Mutant(
+        "a gateway that ends does not read what has come",
+        "chestnutfall/platform/listening.py",
+        "    await asyncio.sleep(READ_S)\n",
+        "    await asyncio.sleep(0)\n",
+        _KEPT + "EndOfListeningTest."
+        "test_a_server_without_a_gate_answers_what_has_come_on_kept_connections",
+    ),
+    Mutant(
+        "a gateway of the own interface that ends does not read what has come",
+        "chestnutfall/rush/gated_runner.py",
+        "            await asyncio.sleep(READ_S)\n",
+        "",
+        _KEPT + "EndOfListeningTest.test_the_own_interface_answers_what_has_come",
+    ),
+    Mutant(
+        "a gateway that ends drops what it reads",
+        "chestnutfall/rush/idle_connections.py",
+        "            conn.transport.pause_reading()\n",
+        "            pass\n",
+        _KEPT + "EndOfListeningTest.test_a_request_that_comes_too_late_is_reset",
+    ),
     Mutant(
         "a former limit on idle connections is forgotten at once",
         "chestnutfall/rush/former_limit.py",
