Play document changes and refusals unread in real programs and sockets

test_a_request_that_has_come_before_the_refusal_is_reset_unread shows for the gate that a request is not read there, and that its client can tell. The gate sees new connections only; kept ones were tested already.

--- a/chestnutfall/platform/standin/operator.py
+++ b/chestnutfall/platform/standin/operator.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -17,8 +18,8 @@
 PLAIN = "counter"
 
 
-def document(version: int) -> bytes:
-    """Return a valid document; each version has a route of its own."""
+def document(version: int, change: Callable[[dict[str, Any]], None] = lambda whole: None) -> bytes:
+    """Return a valid document; each version has a route of its own. `change` is applied to it."""
     engine = {
         "slots": BATCH,
         "kv_capacity": 100_000,
@@ -41,7 +42,9 @@
     ]
     services: list[dict[str, Any]] = [{"name": ENGINES, "engine": engine}, {"name": PLAIN}]
     whole = {"version": version, "routes": routes, "services": services}
-    return json.dumps(whole | {"tenants": tenants(version)}).encode()
+    whole["tenants"] = tenants(version)
+    change(whole)
+    return json.dumps(whole).encode()
 
 
 class StandInOperator:
@@ -52,10 +55,18 @@
         self._rng = rng
         self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.5))
 
-    async def put(self, version: int) -> bool:
-        """Send version `version` once, without a repeat; return whether it was acknowledged."""
+    async def put(
+        self, version: int, change: Callable[[dict[str, Any]], None] = lambda whole: None
+    ) -> bool:
+        """Send version `version` once, without a repeat; return whether it was acknowledged.
+
+        Parameters
+        ----------
+        change : callable
+            Changes the usual document of this version.
+        """
         try:
-            call = self._session.put(self._url(), data=document(version))
+            call = self._session.put(self._url(), data=document(version, change))
             async with call as resp:
                 return resp.status == 200
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/chestnutfall/tests/test_acceptor.py
+++ b/chestnutfall/tests/test_acceptor.py
@@ -80,6 +80,20 @@
         self.assertEqual(ANSWER, await self._ask(*await self._connect()))
         await self.acceptor.close()
 
+    # Guards against a request that is read and gets no answer, or that its client takes for read:
+    # all of it has come before its connection is refused, and the reset says that it wasn't read.
+    async def test_a_request_that_has_come_before_the_refusal_is_reset_unread(self) -> None:
+        self.gate.is_open = False
+        with socket.create_connection(self.address, 5) as client:
+            client.sendall(REQUEST)
+            self.acceptor.start()
+            for _ in range(5):
+                await asyncio.sleep(0)
+            with self.assertRaises(ConnectionResetError):
+                client.recv(1_000)
+        self.assertEqual([], self.gate.begun)
+        await self.acceptor.close()
+
     # Guards against a rush that takes the connections of callers who have one.
     async def test_an_open_connection_is_served_while_none_is_admitted(self) -> None:
         self.acceptor.start()
