--- a/chestnutfall/tests/fakes/document_office.py
+++ b/chestnutfall/tests/fakes/document_office.py
@@ -25,6 +25,7 @@
 from ...forwarding.leader_quota_client import LeaderQuotaClient
 from ...forwarding.repeats import Repeats
 from ...forwarding.sender import Sender
+from ...forwarding.upstream_api import AnswerLost
 from ...observability.prometheus_metrics import PrometheusMetrics
 from ...placement import AdapterName, EngineReport
 from ...platform.document_json import DocumentJson
@@ -58,6 +59,8 @@
         for number in range((forwarded.resume_after or 0) + 1, EVENTS + 1):
             yield b"id: %d\ndata: a\n\n" % number
             await self._clock.sleep_ms(GAP_MS)
+            if upstream.breaks_off:
+                raise AnswerLost("broken off")
 
     async def _whole(self) -> AsyncIterator[bytes]:
         await self._clock.sleep_ms(WHOLE_MS)
@@ -67,6 +70,11 @@
 class DocumentOffice:
     """Runs calls through the real forwarder while documents come from the real leader.
 
+    Parameters
+    ----------
+    copies : int
+        Upstreams of each service.
+
     Attributes
     ----------
     document : dict
@@ -75,17 +83,18 @@
         The answers to the calls, by request id.
     """
 
-    def __init__(self, document: dict[str, Any]) -> None:
+    def __init__(self, document: dict[str, Any], copies: int = 1) -> None:
         asyncio.get_running_loop().set_debug(False)
         self.document = document
         self.replies: dict[str, RecordedReply] = {}
         self.cluster = FakeCluster(5, ("a", "b", "c"), ControlState)
         self.clock = self.cluster.clock
         self.upstreams = {
-            f"{service}-0": SignallingUpstream(
-                UpstreamRecord(f"{service}-0", service, f"127.0.0.1:{at}", "dc")
+            f"{service}-{copy}": SignallingUpstream(
+                UpstreamRecord(f"{service}-{copy}", service, f"127.0.0.1:{at}{copy}", "dc")
             )
             for at, service in enumerate((*ENGINE_SERVICES, *PLAIN_SERVICES))
+            for copy in range(copies)
         }
         self._leaders: dict[str, FleetLeader] = {}
         self._relays: dict[str, LeaderRelay] = {}
@@ -284,7 +293,8 @@
 
     def arrivals(self, service: str) -> int:
         """Return how many sends have come to a service."""
-        return len(self.upstreams[f"{service}-0"].arrivals)
+        upstreams = self.upstreams.values()
+        return sum(len(one.arrivals) for one in upstreams if one.record.service == service)
 
     async def fill(self, path: str) -> None:
         """Take all places of an engine service for a while."""
--- a/chestnutfall/tests/test_document_changes.py
+++ b/chestnutfall/tests/test_document_changes.py
@@ -142,6 +142,31 @@
 
         await self._each_case(play, tuple(STATES))
 
+    # Guards against a stream that breaks off at its engine and can't go on elsewhere, since a
+    # document has come meanwhile that its client knows nothing of.
+    async def test_a_stream_that_breaks_off_after_a_change_goes_on(self) -> None:
+        for change in CHANGES:
+            with self.subTest(change):
+                office = DocumentOffice(first_document(), copies=2)
+                try:
+                    await office.start()
+                    await _begun(office)
+                    await office.store(self._next(office, change))
+                    await office.steps(100)
+                    for upstream in office.upstreams.values():
+                        upstream.breaks_off = upstream.running > 0
+                    await office.steps(300)
+                    for upstream in office.upstreams.values():
+                        upstream.breaks_off = False
+                    await office.all_ended(ENDED_MS)
+                    for path in (CHANGED, KEPT):
+                        self.assertEqual(office.replies[path].ended, "whole")
+                        self.assertEqual(office.replies[path].body.count(b"id:"), 3)
+                        # One send more than for the first adapter load and for the stream.
+                        self.assertEqual(office.arrivals(path), 3)
+                finally:
+                    await office.stop()
+
 
 class SeriesTest(_DocumentCase):
     # Guards against a document that comes as the one before is taken in: gateways get the second
