Read heads as long as the document allows

What callers saw: a request whose head has a line of more than 16,384 bytes was answered 400, which clients take as final, also where max_header_bytes of the document allows it.

Cause: the limit of aiohttp's parser was the default, whatever the document said.

Change: connections that open get the limit in force, at least the default.

Evidence: LongHeadTest, with the real server on a loopback socket; with the former limit put back (the mutant) 60,000 bytes are answered 400 instead of 200.

--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -78,14 +78,19 @@
             self._on_request,
             self._gate,
             self._kept,
+            self._line_bytes,
             access_log=None,
             handler_cancellation=True,
-            max_line_size=DocumentLimits().max_header_bytes,
-            max_field_size=DocumentLimits().max_header_bytes,
         )
         self._caller_runner = listen_gated(caller_server, caller_address, self._gate)
         self._ready_runner = await listen(Server(self._on_ready, access_log=None), ready_address)
 
+    def _line_bytes(self) -> int:
+        """Return the longest line in the head of a request, on a connection that opens now."""
+        # A limit that shrinks stays as it was: a head that is refused as too long is never sent
+        # again, and clients go by the document that they know.
+        return max(self._limits().max_header_bytes, DocumentLimits().max_header_bytes)
+
     async def stop(self) -> None:
         """Close every connection; called once no request is in progress."""
         for runner in (self._caller_runner, self._ready_runner):
--- a/chestnutfall/rush/gated_server.py
+++ b/chestnutfall/rush/gated_server.py
@@ -29,6 +29,9 @@
     ----------
     kept : KeptLimits, optional
         How long a connection may be without a request; by default aiohttp's option decides.
+    line_bytes : callable, optional
+        Longest line in the head of a request on a connection that opens now; by default aiohttp's
+        options decide.
     """
 
     def __init__(
@@ -36,18 +39,21 @@
         handler: Callable[[BaseRequest], Awaitable[StreamResponse]],
         gate: ConnectionGate,
         kept: KeptLimits | None = None,
+        line_bytes: Callable[[], int] | None = None,
         **options: Any,
     ) -> None:
         super().__init__(self._serve, **options)
         self._handler = handler
         self._gate = gate
         self._kept = kept
+        self._line_bytes = line_bytes
 
     def open(self, opening: Opening) -> GatedConnection:
         """Return the protocol of a connection that the gate admitted."""
-        return GatedConnection(
-            self._gate, opening, self, self._kept, loop=self._loop, **self._kwargs
-        )
+        options = dict(self._kwargs)
+        if self._line_bytes is not None:
+            options["max_line_size"] = options["max_field_size"] = self._line_bytes()
+        return GatedConnection(self._gate, opening, self, self._kept, loop=self._loop, **options)
 
     def pre_shutdown(self) -> None:
         pause_idle(self)
--- a/chestnutfall/tests/test_kept_connections.py
+++ b/chestnutfall/tests/test_kept_connections.py
@@ -6,14 +6,20 @@
 import socket
 import unittest
 from collections import Counter
+from typing import cast
 
 from aiohttp import web
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_server import Server
 
 from ..clock import ManualClock, SystemClock
+from ..forwarding.call import Call
+from ..forwarding.caller_reply import CallerReply
+from ..forwarding.forwarder import Forwarder
+from ..platform.entry_server import EntryServer
 from ..platform.gated_listening import GatedListener, listen_gated
 from ..platform.listening import listen
+from ..routes import DocumentLimits
 from ..rush import Acceptor, ConnectionGate, GatedServer, KeptLimits
 from ..rush.former_limit import LEARN_MS, FormerLimit
 from ..rush.gated_connection import GatedConnection
@@ -215,6 +221,43 @@
         return conn
 
 
+class LongHeadTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.limits = DocumentLimits()
+        gate = ConnectionGate(SystemClock(), lambda name: None)
+        kept = KeptLimits(1_000, 1_000, SystemClock(), lambda name: None)
+        served = cast(Forwarder, _Served())
+        entry = EntryServer(served, lambda: True, lambda: self.limits, gate, kept, SystemClock())
+        self.address = _free_address()
+        await entry.start(f"127.0.0.1:{self.address[1]}", "127.0.0.1:0")
+        self.addAsyncCleanup(entry.stop)
+
+    async def _status(self, head_bytes: int) -> int:
+        """Return the status of the answer to a request with a header of this length."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        lines = f"GET /x HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: 500\r\nX-Long: {'a' * head_bytes}"
+        writer.write(f"{lines}\r\n\r\n".encode())
+        async with asyncio.timeout(HUNG_S):
+            return int((await reader.readline()).split()[1])
+
+    # Guards against heads that the document allows and that are refused for good, 400.
+    async def test_heads_are_as_long_as_the_document_allows(self) -> None:
+        self.limits = DocumentLimits(max_header_bytes=64_000)
+        self.assertEqual(await self._status(60_000), 200)
+        self.assertEqual(await self._status(70_000), 400)
+        # Clients that know the former document send heads of its length.
+        self.limits = DocumentLimits(max_header_bytes=100)
+        self.assertEqual(await self._status(10_000), 200)
+
+
+class _Served:
+    """A forwarder that answers each call with a success."""
+
+    async def serve(self, call: Call, reply: CallerReply) -> None:
+        await reply.send_whole(200, (), b"ok")
+
+
 class EndOfListeningTest(unittest.IsolatedAsyncioTestCase):
     """A listener that ends as requests come, on connections of each kind."""
 
--- a/properties/safeguards/rush_mutants.py
+++ b/properties/safeguards/rush_mutants.py
@@ -141,6 +141,13 @@
         "            pass\n",
         _KEPT + "EndOfListeningTest.test_a_request_that_comes_too_late_is_reset",
     ),
+    Mutant(
+        "heads have one limit, whatever the document says",
+        "chestnutfall/platform/entry_server.py",
+        "        return max(self._limits().max_header_bytes, DocumentLimits().max_header_bytes)\n",
+        "        return DocumentLimits().max_header_bytes\n",
+        _KEPT + "LongHeadTest.test_heads_are_as_long_as_the_document_allows",
+    ),
     Mutant(
         "a former limit on idle connections is forgotten at once",
         "chestnutfall/rush/former_limit.py",
