Keep the former document where a gateway can't read the next

What callers would see: while a document of a later release is in force, that this release of the gateway can't read, each request that waits for a place, a turn or a quota is refused, no_leader, and each stream to the leader ends as the document comes.

Cause: the decoder's exception came out of the message handler.

The next document that it can read is put in force. A *controller* of an earlier release has the same fault as leader (LeaderTerm._load_document), not mended.

Evidence: the test raises UnreadableDocument without the change (mutant).

--- a/chestnutfall/forwarding/fleet_knowledge.py
+++ b/chestnutfall/forwarding/fleet_knowledge.py
@@ -19,7 +19,7 @@
     UpstreamsPart,
 )
 from ..placement import AdapterName, ReadyAdapter
-from ..routes import DocumentCodec, RouteTable
+from ..routes import DocumentCodec, RouteTable, UnreadableDocument
 from .holders import Holders
 from .known_upstreams import KnownUpstreams
 from .recent_gateways import RecentGateways
@@ -108,6 +108,13 @@
                 self._holders.apply(update)
 
     def _put_in_force(self, version: int, content: bytes) -> None:
-        self.table = RouteTable(self._codec.decode(decompress_document(content)))
+        try:
+            document = self._codec.decode(decompress_document(content))
+        except UnreadableDocument as exc:
+            # Controllers of a later release may accept what this one can't read. An exception would
+            # end the stream to the leader, and each one after it, with all calls that wait for it.
+            log.error("document: unreadable version=%d stays=%d: %s", version, self.version, exc)
+            return
+        self.table = RouteTable(document)
         self._has_table.set()
         log.info("document: in force version=%d", version)
--- a/chestnutfall/tests/test_document_changes.py
+++ b/chestnutfall/tests/test_document_changes.py
@@ -167,6 +167,23 @@
                 finally:
                     await office.stop()
 
+    # Guards against a document of a later release that ends the stream to the leader, and with it
+    # each request that waits for a place, as long as it is in force.
+    async def test_a_document_that_can_not_be_read_leaves_the_former_one(self) -> None:
+        office = await self._office()
+        await _waiting_for_room(office)
+        new = changed(office.document, _touch)
+        new["routes"][0]["kind"] = "of a later release"
+        office.put_in_force(new)
+        self.assertTrue(office.gateway.fleet.connected)
+        _begin_all(office, " later")
+        await office.all_ended(ENDED_MS)
+        self.assertEqual({one.ended for one in office.replies.values()}, {"whole"})
+        self.assertEqual(office.gateway.known.version, office.document["version"])
+        office.put_in_force(changed(office.document, _touch))
+        self.assertGreater(office.gateway.known.version, office.document["version"])
+        await office.stop()
+
 
 class SeriesTest(_DocumentCase):
     # Guards against a document that comes as the one before is taken in: gateways get the second
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -14,6 +14,13 @@
         "                pass\n",
         _DOCUMENTS + "SeriesTest.test_requests_between_a_change_and_the_document",
     ),
+    Mutant(
+        "a document that can't be read ends the stream to the leader",
+        "chestnutfall/forwarding/fleet_knowledge.py",
+        "        except UnreadableDocument as exc:\n",
+        "        except ZeroDivisionError as exc:\n",
+        _DOCUMENTS + "OneDocumentTest.test_a_document_that_can_not_be_read_leaves_the_former_one",
+    ),
     Mutant(
         "a service that a document drops serves for ever",
         "chestnutfall/coordination/retired_services.py",
