Use upstreams that announced themselves before their service

What callers saw: requests on a route to a service that a document had just named were refused, 503 no_upstream, until each of its upstreams announced itself again.

Cause: announcements of services that no document named were dropped.

Evidence: the test fails without the change (mutant).

--- a/chestnutfall/coordination/upstream_tracker.py
+++ b/chestnutfall/coordination/upstream_tracker.py
@@ -18,6 +18,7 @@
 from ..control.crash_monitor import CrashMonitor
 from ..control.upstream_record import UpstreamRecord, incarnation_key
 from .relay_messages import Announce, Depart
+from .unconfigured_upstreams import UnconfiguredUpstreams
 from .upstream_liveness import UpstreamLiveness
 
 log = logging.getLogger(__name__)
@@ -64,6 +65,7 @@
         self._on_serving = on_serving
         self._wake = wake
         self._liveness = UpstreamLiveness(clock, heartbeat_ms)
+        self._unconfigured = UnconfiguredUpstreams(clock, heartbeat_ms)
         self._serving: set[str] = set()
         self._updated_ms = self._due_ms = clock.now_ms()
 
@@ -75,6 +77,8 @@
             return
         for instance in list(self._liveness.long_silent(self._state.roster.all_known())):
             await self._commit(ForgetUpstream(instance))
+        for msg in self._unconfigured.take(self._is_configured_service):
+            await self.announce(msg)
         self._update_serving()
 
     def due_in_ms(self) -> int:
@@ -124,6 +128,8 @@
         known = roster.records.get(record.instance)
         if known is None and not self._is_configured_service(record.service):
             log.info("upstream: ignored %s: no such service", record)
+            if not record.leaving:
+                self._unconfigured.note(msg)
             return False
         if known is None:
             await self._commit(AddUpstream(record))
--- a/chestnutfall/tests/fakes/document_office.py
+++ b/chestnutfall/tests/fakes/document_office.py
@@ -233,6 +233,18 @@
             msg = Announce(upstream.record, self._announced, holds)
             self._run(self._relays[leading[0]].answer(msg))
 
+    def add_upstream(self, service: str) -> None:
+        """Add an upstream, which announces itself from now on."""
+        record = UpstreamRecord(f"{service}-0", service, "127.0.0.1:99", "dc")
+        self.upstreams[record.instance] = SignallingUpstream(record)
+
+    async def announced(self) -> None:
+        """Let time pass until upstreams have just announced themselves."""
+        number = self._announced
+        while self._announced == number:
+            await self.steps(STEP_MS)
+        await self.steps(50)
+
     def lose_leader(self) -> None:
         """Cut the leader off from the others; the next one is elected as time passes."""
         leading = self._leading()
--- a/chestnutfall/tests/fakes/document_parts.py
+++ b/chestnutfall/tests/fakes/document_parts.py
@@ -12,6 +12,8 @@
 SLOTS = 8
 ENGINE_SERVICES = ("drafts", "sums")
 PLAIN_SERVICES = ("books", "bills")
+LATER = "later"
+"""A plain service that the first document doesn't name, whose upstreams are there."""
 TIMEOUT_MS = 4_000
 CHANGED, CHANGED_PLAIN = "drafts", "books"
 """Paths whose routes change; the other ones lead to services that stay as they are."""
@@ -110,6 +112,12 @@
     doc["routes"].append(doc["routes"][0] | new)
 
 
+def add_service(doc: Document) -> None:
+    """Name a service whose upstreams are there already, and lead a route to it."""
+    doc["services"].append({"name": LATER})
+    doc["routes"].append(_route(LATER, "unsafe"))
+
+
 def _engines(doc: Document, **values: Any) -> None:
     for one in doc["services"]:
         if one["name"] == CHANGED:
--- a/chestnutfall/tests/test_document_changes.py
+++ b/chestnutfall/tests/test_document_changes.py
@@ -9,8 +9,10 @@
 from typing import Any
 
 from ..clock import ManualClock
-from ..coordination.relay_messages import Accepted
+from ..control.upstream_record import UpstreamRecord
+from ..coordination.relay_messages import Accepted, Announce
 from ..coordination.retired_services import IN_FORCE_MS, RetiredServices
+from ..coordination.unconfigured_upstreams import MAX_KEPT, UnconfiguredUpstreams
 from ..platform.document_json import DocumentJson
 from ..routes import RouteTable
 from .fakes.document_office import DocumentOffice
@@ -21,8 +23,10 @@
     KEPT,
     KEPT_PLAIN,
     KEY,
+    LATER,
     TIMEOUT_MS,
     Document,
+    add_service,
     changed,
     first_document,
 )
@@ -30,6 +34,8 @@
 PATHS = (CHANGED, KEPT, CHANGED_PLAIN, KEPT_PLAIN)
 ENDED_MS = 5_000
 """Time within which each request ends."""
+TAKEN_IN_MS = 150
+"""Time in which a leader and a gateway take a document in; shorter than a heartbeat."""
 SERIES_MS = (30, 300)
 """Times between two documents: the second comes as the first is taken in, and after that."""
 LATER_REFUSALS = {
@@ -185,6 +191,36 @@
         await office.stop()
 
 
+class LaterServiceTest(_DocumentCase):
+    # Guards against requests on a new route that find no upstream until each has announced itself
+    # once more, since announcements of services that no document names were forgotten.
+    async def test_a_service_that_comes_has_its_upstreams_at_once(self) -> None:
+        office = await self._office()
+        office.add_upstream(LATER)
+        await office.announced()
+        await office.store(changed(office.document, add_service))
+        await office.steps(TAKEN_IN_MS)
+        reply = office.begin(LATER, "on the new route")
+        await office.all_ended(ENDED_MS)
+        self.assertEqual((reply.ended, reply.reason), ("whole", ""))
+        await office.stop()
+
+    # Guards against upstreams that are gone, and against memory for any number of them.
+    def test_announcements_are_kept_until_the_next_is_due(self) -> None:
+        clock = ManualClock()
+        kept = UnconfiguredUpstreams(clock, 500)
+        for at in range(MAX_KEPT + 5):
+            kept.note(Announce(UpstreamRecord(f"i{at}", LATER, "1:1", "dc"), 1, None))
+        self.assertEqual(len(kept), MAX_KEPT)
+        self.assertEqual(kept.take(lambda service: False), [])
+        clock._now_ms += 499
+        kept.note(Announce(UpstreamRecord("new", LATER, "1:1", "dc"), 1, None))
+        clock._now_ms += 1
+        taken = kept.take(lambda service: service == LATER)
+        self.assertEqual([msg.record.instance for msg in taken], ["new"])
+        self.assertEqual(len(kept), 0)
+
+
 class SeriesTest(_DocumentCase):
     # Guards against a document that comes as the one before is taken in: gateways get the second
     # one late, while the leader has already dropped the upstreams that it no longer names.
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -21,6 +21,13 @@
         "        except ZeroDivisionError as exc:\n",
         _DOCUMENTS + "OneDocumentTest.test_a_document_that_can_not_be_read_leaves_the_former_one",
     ),
+    Mutant(
+        "upstreams of a service that a document names later are forgotten",
+        "chestnutfall/coordination/upstream_tracker.py",
+        "                self._unconfigured.note(msg)\n",
+        "                pass\n",
+        _DOCUMENTS + "LaterServiceTest.test_a_service_that_comes_has_its_upstreams_at_once",
+    ),
     Mutant(
         "a service that a document drops serves for ever",
         "chestnutfall/coordination/retired_services.py",
