--- a/chestnutfall/platform/standin/operator.py
+++ b/chestnutfall/platform/standin/operator.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -18,8 +19,12 @@
 PLAIN = "counter"
 
 
-def document(version: int, state: DocumentState = INITIAL) -> bytes:
-    """Return a valid document; each version has a route of its own."""
+def document(
+    version: int,
+    state: DocumentState = INITIAL,
+    change: Callable[[dict[str, Any]], None] = lambda whole: None,
+) -> bytes:
+    """Return a valid document; each version has a route of its own. `change` is applied to it."""
     engine = {
         "slots": BATCH,
         "kv_capacity": 100_000,
@@ -49,6 +54,7 @@
         service["max_conns"] = state.max_conns
     whole = {"version": version, "routes": routes, "services": services, "limits": state.limits()}
     whole["tenants"] = tenants(version, state.guest_per_s if state.has_guest else None)
+    change(whole)
     return json.dumps(whole).encode()
 
 
@@ -72,10 +78,21 @@
         self._rng = rng
         self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.5))
 
-    async def put(self, version: int, state: DocumentState = INITIAL) -> bool:
-        """Send version `version` once, without a repeat; return whether it was acknowledged."""
+    async def put(
+        self,
+        version: int,
+        state: DocumentState = INITIAL,
+        change: Callable[[dict[str, Any]], None] = lambda whole: None,
+    ) -> bool:
+        """Send version `version` once, without a repeat; return whether it was acknowledged.
+
+        Parameters
+        ----------
+        change : callable
+            Changes the document of this version and state.
+        """
         try:
-            call = self._session.put(self._url(), data=document(version, state))
+            call = self._session.put(self._url(), data=document(version, state, change))
             async with call as resp:
                 return resp.status == 200
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/chestnutfall/tests/test_document_changes.py
+++ b/chestnutfall/tests/test_document_changes.py
@@ -9,8 +9,10 @@
 from typing import Any
 
 from ..clock import ManualClock
-from ..coordination.relay_messages import Accepted
+from ..control.upstream_record import UpstreamRecord
+from ..coordination.relay_messages import Accepted, Announce
 from ..coordination.retired_services import IN_FORCE_MS, RetiredServices
+from ..coordination.unconfigured_upstreams import MAX_KEPT, UnconfiguredUpstreams
 from ..platform.document_json import DocumentJson
 from ..routes import RouteTable
 from .fakes.document_office import DocumentOffice
@@ -21,8 +23,10 @@
     KEPT,
     KEPT_PLAIN,
     KEY,
+    LATER,
     TIMEOUT_MS,
     Document,
+    add_service,
     changed,
     first_document,
 )
@@ -30,6 +34,8 @@
 PATHS = (CHANGED, KEPT, CHANGED_PLAIN, KEPT_PLAIN)
 ENDED_MS = 5_000
 """Time within which each request ends."""
+TAKEN_IN_MS = 150
+"""Time in which a leader and a gateway take a document in; shorter than a heartbeat."""
 SERIES_MS = (30, 300)
 """Times between two documents: the second comes as the first is taken in, and after that."""
 LATER_REFUSALS = {
@@ -142,6 +148,78 @@
 
         await self._each_case(play, tuple(STATES))
 
+    # Guards against a stream that breaks off at its engine and can't go on elsewhere, since a
+    # document has come meanwhile that its client knows nothing of.
+    async def test_a_stream_that_breaks_off_after_a_change_goes_on(self) -> None:
+        for change in CHANGES:
+            with self.subTest(change):
+                office = DocumentOffice(first_document(), copies=2)
+                try:
+                    await office.start()
+                    await _begun(office)
+                    await office.store(self._next(office, change))
+                    await office.steps(100)
+                    for upstream in office.upstreams.values():
+                        upstream.breaks_off = upstream.running > 0
+                    await office.steps(300)
+                    for upstream in office.upstreams.values():
+                        upstream.breaks_off = False
+                    await office.all_ended(ENDED_MS)
+                    for path in (CHANGED, KEPT):
+                        self.assertEqual(office.replies[path].ended, "whole")
+                        self.assertEqual(office.replies[path].body.count(b"id:"), 3)
+                        # One send more than for the first adapter load and for the stream.
+                        self.assertEqual(office.arrivals(path), 3)
+                finally:
+                    await office.stop()
+
+    # Guards against a document of a later release that ends the stream to the leader, and with it
+    # each request that waits for a place, as long as it is in force.
+    async def test_a_document_that_can_not_be_read_leaves_the_former_one(self) -> None:
+        office = await self._office()
+        await _waiting_for_room(office)
+        new = changed(office.document, _touch)
+        new["routes"][0]["kind"] = "of a later release"
+        office.put_in_force(new)
+        self.assertTrue(office.gateway.fleet.connected)
+        _begin_all(office, " later")
+        await office.all_ended(ENDED_MS)
+        self.assertEqual({one.ended for one in office.replies.values()}, {"whole"})
+        self.assertEqual(office.gateway.known.version, office.document["version"])
+        office.put_in_force(changed(office.document, _touch))
+        self.assertGreater(office.gateway.known.version, office.document["version"])
+        await office.stop()
+
+
+class LaterServiceTest(_DocumentCase):
+    # Guards against requests on a new route that find no upstream until each has announced itself
+    # once more, since announcements of services that no document names were forgotten.
+    async def test_a_service_that_comes_has_its_upstreams_at_once(self) -> None:
+        office = await self._office()
+        office.add_upstream(LATER)
+        await office.announced()
+        await office.store(changed(office.document, add_service))
+        await office.steps(TAKEN_IN_MS)
+        reply = office.begin(LATER, "on the new route")
+        await office.all_ended(ENDED_MS)
+        self.assertEqual((reply.ended, reply.reason), ("whole", ""))
+        await office.stop()
+
+    # Guards against upstreams that are gone, and against memory for any number of them.
+    def test_announcements_are_kept_until_the_next_is_due(self) -> None:
+        clock = ManualClock()
+        kept = UnconfiguredUpstreams(clock, 500)
+        for at in range(MAX_KEPT + 5):
+            kept.note(Announce(UpstreamRecord(f"i{at}", LATER, "1:1", "dc"), 1, None))
+        self.assertEqual(len(kept), MAX_KEPT)
+        self.assertEqual(kept.take(lambda service: False), [])
+        clock._now_ms += 499
+        kept.note(Announce(UpstreamRecord("new", LATER, "1:1", "dc"), 1, None))
+        clock._now_ms += 1
+        taken = kept.take(lambda service: service == LATER)
+        self.assertEqual([msg.record.instance for msg in taken], ["new"])
+        self.assertEqual(len(kept), 0)
+
 
 class SeriesTest(_DocumentCase):
     # Guards against a document that comes as the one before is taken in: gateways get the second
