--- a/chestnutfall/control/commands.py
+++ b/chestnutfall/control/commands.py
@@ -11,7 +11,7 @@
 from ..placement.engine_kind import EngineKind
 from ..wire import Codec
 from .claim import Claim, ClaimStatus
-from .part_ledger import RunParts
+from .run_parts import RunParts
 from .upstream_record import UpstreamRecord
 
 
--- a/chestnutfall/control/crash_ledger.py
+++ b/chestnutfall/control/crash_ledger.py
@@ -9,7 +9,8 @@
 from typing import Any
 
 from .crash_messages import QuarantinedRequest, SuspectRequests
-from .part_ledger import PartLedger, RunParts
+from .part_ledger import PartLedger
+from .run_parts import RunParts
 from .upstream_end import EXPLAINED, UpstreamEnd
 
 ENDS_TO_QUARANTINE = 3
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -199,13 +199,7 @@
         await self._commit_hold(instance, ended_ms)
         for fingerprint, run in runs.items():
             self._last_ends.note(fingerprint, run)
-            if fingerprint in broken.parts:
-                log.info(
-                    "crashes: instance=%s content=%s parts=%s",
-                    instance,
-                    fingerprint,
-                    ",".join(broken.parts[fingerprint][:MAX_LOGGED_PARTS]),
-                )
+            _log_parts(instance, fingerprint, broken.parts.get(fingerprint, ()))
 
     async def _clear_answered(self, runs: Mapping[str, RunInterval]) -> None:
         """Clear the requests that were answered in full after the last end that they were part of.
@@ -272,3 +266,9 @@
 
     async def _commit(self, command: Command) -> None:
         await self._replica.propose(COMMAND_CODEC.encode(command))
+
+
+def _log_parts(instance: str, fingerprint: str, parts: tuple[str, ...]) -> None:
+    if parts:
+        named = ",".join(parts[:MAX_LOGGED_PARTS])
+        log.info("crashes: instance=%s content=%s parts=%s", instance, fingerprint, named)
--- a/chestnutfall/control/part_blame.py
+++ b/chestnutfall/control/part_blame.py
@@ -4,7 +4,8 @@
 
 import math
 
-from .part_ledger import PartEnd, PartLedger
+from .part_end import PartEnd
+from .part_ledger import PartLedger
 
 ENDS_TO_HOLD = 2
 """Separate ends after which parts are held. Since requests with a suspect part run on one engine at
--- a/chestnutfall/control/part_ledger.py
+++ b/chestnutfall/control/part_ledger.py
@@ -4,16 +4,16 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 from .crash_messages import QuarantinedParts
+from .part_end import PartEnd
+from .run_parts import RunParts
 
 MAX_PART_ENDS = 64
 """Ends that are kept; with `MAX_RUNS` of `MAX_KEYS` parts each, the ledger stays under 10 MB, and
 far under it, since parts that were answered in full are left out."""
-MAX_RUNS = 64
-"""Runs kept of one end; more than most engines run at once."""
 MAX_CLEARED = 1_024
 """Parts kept of one end that are not the cause; about 20 bytes each."""
 MAX_ANSWERED = 1_024
@@ -28,84 +28,6 @@
 MAX_HOLD_MS = 24 * 3_600_000
 
 
-@dataclass(frozen=True, slots=True)
-class RunParts:
-    """A request that an engine ran at its end, by its digest, and the suspect parts of it."""
-
-    fingerprint: str
-    parts: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class PartFindings:
-    """What is known of the parts that an engine ran at its end, when the end is stored.
-
-    Attributes
-    ----------
-    runs : tuple of RunParts
-        Requests with parts that are suspect.
-    overlapping : tuple of str
-        Suspect parts for which the end overlaps an earlier one.
-    cleared : tuple of str
-        Parts that are not the cause.
-    """
-
-    runs: tuple[RunParts, ...]
-    overlapping: tuple[str, ...]
-    cleared: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class PartEnd:
-    """The end of one engine.
-
-    Attributes
-    ----------
-    service : str
-        Service of the engine.
-    runs : tuple of RunParts
-        Requests that it ran.
-    overlapping : tuple of str
-        Parts for which the end is no further evidence, since it overlaps another one.
-    unplaced : bool
-        Whether no leader that knew the ends before placed what it ran.
-    """
-
-    service: str = ""
-    runs: tuple[RunParts, ...] = ()
-    overlapping: tuple[str, ...] = ()
-    unplaced: bool = False
-
-    def parts(self) -> set[str]:
-        """Return the parts of all its requests."""
-        return {part for run in self.runs for part in run.parts}
-
-    def with_runs(self, runs: Iterable[RunParts], overlapping: Iterable[str]) -> PartEnd:
-        """Return the end with more requests; known ones, and known parts, stay as they are.
-
-        A gateway that connects to a new leader late sends its report of an end that is stored by
-        then. To that leader the end may seem to overlap a later one.
-        """
-        known, known_parts = {run.fingerprint for run in self.runs}, self.parts()
-        new = [run for run in runs if run.fingerprint not in known]
-        more = [part for part in overlapping if part not in known_parts]
-        return replace(
-            self,
-            runs=(*self.runs, *new)[:MAX_RUNS],
-            overlapping=tuple(dict.fromkeys((*self.overlapping, *more))),
-        )
-
-    def without(self, parts: set[str]) -> PartEnd:
-        """Return the end without some parts, and without requests that have no other ones."""
-        runs = (
-            RunParts(run.fingerprint, tuple(one for one in run.parts if one not in parts))
-            for run in self.runs
-        )
-        overlapping = tuple(one for one in self.overlapping if one not in parts)
-        left = tuple(run for run in runs if run.parts)
-        return replace(self, runs=left, overlapping=overlapping)
-
-
 @dataclass(slots=True)
 class PartLedger:
     """Prompt parts under which engines ended, and the sets of them that are held.
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -12,8 +12,10 @@
 from .last_ends import LastEnds
 from .latest_times import NEVER_MS, LatestTimes
 from .part_blame import most_suspect_parts, parts_to_hold
-from .part_ledger import PartFindings, PartLedger, RunParts, parts_of
+from .part_findings import PartFindings
+from .part_ledger import PartLedger, parts_of
 from .run_interval import RunInterval
+from .run_parts import RunParts
 
 END_RETENTION_MS = 3_600_000
 """A part that causes an end less than once an hour can't be told from coincidence."""
--- a/chestnutfall/tests/test_crash_ledger.py
+++ b/chestnutfall/tests/test_crash_ledger.py
@@ -24,7 +24,7 @@
     QUARANTINE_MS,
     CrashLedger,
 )
-from ..control.part_ledger import RunParts
+from ..control.run_parts import RunParts
 
 
 class CrashLedgerTest(unittest.TestCase):
--- a/chestnutfall/tests/test_part_ledger.py
+++ b/chestnutfall/tests/test_part_ledger.py
@@ -15,9 +15,9 @@
     MAX_HELD,
     MAX_PART_ENDS,
     PartLedger,
-    RunParts,
 )
 from ..control.part_monitor import PartMonitor
+from ..control.run_parts import RunParts
 from ..placement.suspect_parts import SuspectParts
 
 MANY = MIN_OTHER_ANSWERS
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -33,7 +33,7 @@
     ),
     Mutant(
         "a report that reaches a new leader late takes evidence away",
-        "chestnutfall/control/part_ledger.py",
+        "chestnutfall/control/part_end.py",
         "        more = [part for part in overlapping if part not in known_parts]\n",
         "        more = list(overlapping)\n",
         _EVIDENCE + "test_reports_that_reach_a_new_leader_late_take_no_evidence_away",
