Connect gateways with suspect parts in one place

Three attributes and a handler were set one by one in the program and in the stand-in office, so one of them could be missing in the program unseen. One function sets all of them. A leader logs what it is told of suspects also where it knows it already.

--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from ..clock import Clock
 from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
@@ -42,6 +42,7 @@
 UPSTREAM_END_RETENTION_MS = 3_600_000
 """A request that causes an end less than once an hour can't be told from coincidence."""
 MAX_LOGGED_PARTS = 16
+MAX_LOGGED_SUSPECTS = 64
 
 
 class CrashMonitor:
@@ -89,11 +90,11 @@
                 if self._state.crashes.implicates(fingerprint):
                     self._answered[fingerprint] = None
 
-    def told_suspects(self, parts: Iterable[str]) -> None:
+    def told_suspects(self, parts: tuple[str, ...]) -> None:
         """Suspect the prompt parts that a gateway has from the last leader, or saw in an end."""
-        told = self._parts.told_suspects(parts)
-        if told:
-            log.info("crashes: told of suspect parts=%s", ",".join(told[:MAX_LOGGED_PARTS]))
+        if parts:
+            log.info("crashes: told of suspect parts=%s", ",".join(parts[:MAX_LOGGED_SUSPECTS]))
+        self._parts.told_suspects(parts)
 
     def address_reused(self, address: str, instance: str) -> None:
         """Note that `instance` listens at `address`, so any other incarnation there has ended."""
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -69,8 +69,8 @@
             self._breaks.note(parts, broke_ms)
             self._suspects.suspect(parts, service, instance, self._clock.now_ms())
 
-    def told_suspects(self, parts: Iterable[str]) -> list[str]:
-        """Suspect what the last leader suspected, as a gateway tells; return what is new of it.
+    def told_suspects(self, parts: Iterable[str]) -> None:
+        """Suspect what the last leader suspected, as a gateway tells that it does so.
 
         The report of the end may come later, or not at all if its gateway ended. A part of which an
         answer is known is left out: the gateway may not have heard that it was cleared.
@@ -81,7 +81,6 @@
             if one not in self._suspects and self._answers.last_ms(one) == NEVER_MS
         ]
         self._suspects.suspect(unknown, ANY_SERVICE, "", self._clock.now_ms())
-        return unknown
 
     def answered(self, parts: Iterable[str], answered_ms: int) -> None:
         """Suspect the parts of an answered request no longer, unless they were in a later end.
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -14,7 +14,6 @@
 from ..concurrency.messages import RoomInForce
 from ..connections import ConnectionPool
 from ..connections.connection_share import kept_connections
-from ..control.crash_messages import SuspectRequests
 from ..coordination.messages import FLEET_CODEC
 from ..forwarding.admission import Admission
 from ..forwarding.drain import drain
@@ -28,6 +27,7 @@
 from ..forwarding.repeats import Repeats
 from ..forwarding.sender import Sender
 from ..forwarding.stream_origins import StreamOrigins
+from ..forwarding.suspect_part_links import link_suspect_parts
 from ..limits.known_limits import KnownLimits
 from ..limits.messages import LimitsInForce
 from ..observability.json_logs import start_logs
@@ -101,10 +101,7 @@
         self._quarantine = RequestQuarantine(
             self._fleet.report, witness.has_ended, self._clock, self._rejections.rejected_since
         )
-        self._fleet.on(SuspectRequests, self._quarantine.update)
-        self._fleet.suspect_parts = self._quarantine.unsettled.to_tell
-        self._engine_selector.is_unsettled = self._quarantine.unsettled.includes_any
-        self._engine_selector.on_answered = self._quarantine.unsettled.note_answer_times
+        link_suspect_parts(self._fleet, self._engine_selector, self._quarantine)
         self._helper = self._make_helper()
         self._entry = EntryServer(
             self._make_forwarder(),
--- a/chestnutfall/quarantine/unsettled_parts.py
+++ b/chestnutfall/quarantine/unsettled_parts.py
@@ -16,7 +16,7 @@
 REMEMBERED_MS = 10_000
 """As long as reports of broken answers are sent again to a new leader, which suspects the parts.
 Also how long an answer tells that a part is sound."""
-MAX_LOGGED_PARTS = 16
+MAX_LOGGED_PARTS = 64
 MAX_REMEMBERED = 2_048
 """Parts of own broken answers and of own answers that are kept, the latest of each; 150 bytes."""
 ENDS_TO_DISTRUST = 2
