--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from ..clock import Clock
 from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
@@ -42,6 +42,7 @@
 UPSTREAM_END_RETENTION_MS = 3_600_000
 """A request that causes an end less than once an hour can't be told from coincidence."""
 MAX_LOGGED_PARTS = 16
+MAX_LOGGED_SUSPECTS = 64
 
 
 class CrashMonitor:
@@ -89,11 +90,11 @@
                 if self._state.crashes.implicates(fingerprint):
                     self._answered[fingerprint] = None
 
-    def told_suspects(self, parts: Iterable[str]) -> None:
+    def told_suspects(self, parts: tuple[str, ...]) -> None:
         """Suspect the prompt parts that a gateway has from the last leader, or saw in an end."""
-        told = self._parts.told_suspects(parts)
-        if told:
-            log.info("crashes: told of suspect parts=%s", ",".join(told[:MAX_LOGGED_PARTS]))
+        if parts:
+            log.info("crashes: told of suspect parts=%s", ",".join(parts[:MAX_LOGGED_SUSPECTS]))
+        self._parts.told_suspects(parts)
 
     def address_reused(self, address: str, instance: str) -> None:
         """Note that `instance` listens at `address`, so any other incarnation there has ended."""
@@ -199,13 +200,7 @@
         await self._commit_hold(instance, ended_ms)
         for fingerprint, run in runs.items():
             self._last_ends.note(fingerprint, run)
-            if fingerprint in broken.parts:
-                log.info(
-                    "crashes: instance=%s content=%s parts=%s",
-                    instance,
-                    fingerprint,
-                    ",".join(broken.parts[fingerprint][:MAX_LOGGED_PARTS]),
-                )
+            _log_parts(instance, fingerprint, broken.parts.get(fingerprint, ()))
 
     async def _clear_answered(self, runs: Mapping[str, RunInterval]) -> None:
         """Clear the requests that were answered in full after the last end that they were part of.
@@ -272,3 +267,9 @@
 
     async def _commit(self, command: Command) -> None:
         await self._replica.propose(COMMAND_CODEC.encode(command))
+
+
+def _log_parts(instance: str, fingerprint: str, parts: tuple[str, ...]) -> None:
+    if parts:
+        named = ",".join(parts[:MAX_LOGGED_PARTS])
+        log.info("crashes: instance=%s content=%s parts=%s", instance, fingerprint, named)
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -33,7 +33,7 @@
     ),
     Mutant(
         "a report that reaches a new leader late takes evidence away",
-        "chestnutfall/control/part_ledger.py",
+        "chestnutfall/control/part_end.py",
         "        more = [part for part in overlapping if part not in known_parts]\n",
         "        more = list(overlapping)\n",
         _EVIDENCE + "test_reports_that_reach_a_new_leader_late_take_no_evidence_away",
@@ -117,6 +117,16 @@
         "max(known.broke_ms, run.broke_ms)",
         _EVIDENCE + "test_ends_of_which_no_leader_knew_the_first_are_one_under_a_part",
     ),
+    Mutant(
+        "a part is blamed for fewer ends than another one was in",
+        _BLAME,
+        "    most = max((counts[part] for part in end.parts()), default=0)\n",
+        "    most = max(\n"
+        "        (counts[one] for one in end.parts() if _ends_to_hold(ledger, one) < math.inf),\n"
+        "        default=0,\n"
+        "    )\n",
+        "chestnutfall.tests.test_part_ledger",
+    ),
     Mutant(
         "gateways don't tell which parts were answered",
         "chestnutfall/forwarding/result_handler.py",
