--- a/chestnutfall/platform/standin/client.py
+++ b/chestnutfall/platform/standin/client.py
@@ -11,6 +11,7 @@
 
 from .. import header_names as names
 from .adapter_store import MODEL
+from .document_change import SHIFTING_STREAM
 from .operator import HOST
 from .stream_text import begins_stream, is_whole_stream
 from .tenants import KEYS, STEADY
@@ -22,6 +23,7 @@
 KEEP_S = 0.8
 """Less than the shortest limit on idle connections in documents; else the gateway could close one
 while a request is on its way."""
+STREAMED_ROUTES = ("draft", "long", SHIFTING_STREAM)
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -107,7 +109,7 @@
         """
         request_id = f"{self._rng.randrange(16**16):016x}"
         headers = self._headers(request_id, gateway, organisation)
-        streamed = route in ("draft", "long")
+        streamed = route in STREAMED_ROUTES
         if streamed:
             headers[names.MODEL] = f"{MODEL}/a{self._rng.randrange(12)}"
             headers[names.TOKEN_COUNTS] = "100,40"
--- a/chestnutfall/platform/standin/document_change.py
+++ b/chestnutfall/platform/standin/document_change.py
@@ -7,10 +7,10 @@
 from enum import Enum
 from typing import Any
 
-DESK = "desk"
-"""A second plain service, which comes and goes."""
-SHIFTING = "shift"
-"""A route that is split between the plain services, moves, comes and goes."""
+DESK, SCRIPTS = "desk", "scripts"
+"""A second plain service and a second one of engines, which come and go."""
+SHIFTING, SHIFTING_STREAM = "shift", "shift-long"
+"""Routes that are split between two services, move, come and go."""
 SHORTEST_TIMEOUT_MS = 2_200
 SHORTEST_IDLE_MS = 1_000
 
@@ -39,10 +39,10 @@
     ----------
     timeout_ms : int
         Timeout of all routes.
-    desk_weight, plain_weight : float
-        Shares of the shifting route that go to `DESK` and to the other plain service.
-    has_shifting, has_desk : bool
-        Whether the document has that route, and that service.
+    second_weight, first_weight : float
+        Shares of the shifting routes that go to the second services, and to the others.
+    has_shifting, has_second : bool
+        Whether the document has these routes, and the second services.
     max_conns : int
         Connections to one upstream of each service; 0 for no limit.
     guest_per_s : float
@@ -52,10 +52,10 @@
     """
 
     timeout_ms: int = 3_000
-    desk_weight: float = 0.0
-    plain_weight: float = 1.0
+    second_weight: float = 0.0
+    first_weight: float = 1.0
     has_shifting: bool = False
-    has_desk: bool = False
+    has_second: bool = False
     idle_timeout_ms: int = 60_000
     header_timeout_ms: int = 10_000
     max_header_bytes: int = 16_384
@@ -69,13 +69,13 @@
             case ChangeKind.TIMEOUT:
                 return replace(self, timeout_ms=rng.choice((SHORTEST_TIMEOUT_MS, 3_000, 5_000)))
             case ChangeKind.ROUTE_MOVED:
-                to_desk = self.has_desk and not self.desk_weight
-                return self._weighted(float(to_desk), float(not to_desk))
+                to_second = self.has_second and not self.second_weight
+                return self._weighted(float(to_second), float(not to_second))
             case ChangeKind.ROUTE_ADDED_OR_DROPPED:
                 return replace(self, has_shifting=not self.has_shifting)
             case ChangeKind.WEIGHTS:
                 share = rng.uniform(0.1, 0.9)
-                return self._weighted(share, 1 - share) if self.has_desk else self
+                return self._weighted(share, 1 - share) if self.has_second else self
             case ChangeKind.WEIGHT_ZERO:
                 return self._weighted(0.0, 1.0)
             case ChangeKind.IDLE_LIMIT:
@@ -88,7 +88,7 @@
                     header_timeout_ms=rng.choice((1_000, 10_000)),
                 )
             case ChangeKind.SERVICE_ADDED_OR_DROPPED:
-                return replace(self._weighted(0.0, 1.0), has_desk=not self.has_desk)
+                return replace(self._weighted(0.0, 1.0), has_second=not self.has_second)
             case ChangeKind.CONNECTIONS:
                 return replace(self, max_conns=rng.choice((0, 30, 60)))
             case ChangeKind.QUOTA:
@@ -96,8 +96,8 @@
             case ChangeKind.ORGANISATION_ADDED_OR_DROPPED:
                 return replace(self, has_guest=not self.has_guest)
 
-    def _weighted(self, desk: float, plain: float) -> DocumentState:
-        return replace(self, desk_weight=desk, plain_weight=plain)
+    def _weighted(self, second: float, first: float) -> DocumentState:
+        return replace(self, second_weight=second, first_weight=first)
 
     def limits(self) -> dict[str, Any]:
         """Return the limits of the document in its JSON form."""
@@ -109,5 +109,5 @@
 
 
 INITIAL = DocumentState()
-WHOLE = DocumentState(has_shifting=True, has_desk=True, has_guest=True)
+WHOLE = DocumentState(has_shifting=True, has_second=True, has_guest=True)
 """Has everything that changes concern."""
--- a/chestnutfall/platform/standin/operator.py
+++ b/chestnutfall/platform/standin/operator.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from .adapter_store import ADAPTER_SLOTS, MODEL
-from .document_change import DESK, INITIAL, SHIFTING, DocumentState
+from .document_change import DESK, INITIAL, SCRIPTS, SHIFTING, SHIFTING_STREAM, DocumentState
 from .tenants import tenants
 from .upstream import BATCH
 
@@ -42,9 +42,12 @@
         | {"service": PLAIN},
     ]
     if state.has_shifting:
-        routes.append(_shifting(common, state))
+        stream = {"kind": "stream", "resumable": True}
+        routes.append(common | _shifting(SHIFTING, PLAIN, DESK, state) | {"kind": "safe"})
+        routes.append(common | _shifting(SHIFTING_STREAM, ENGINES, SCRIPTS, state) | stream)
     services: list[dict[str, Any]] = [{"name": ENGINES, "engine": engine}, {"name": PLAIN}]
-    services += [{"name": DESK}] * state.has_desk
+    if state.has_second:
+        services += [{"name": DESK}, {"name": SCRIPTS, "engine": engine}]
     for service in services:
         service["max_conns"] = state.max_conns
     whole = {"version": version, "routes": routes, "services": services, "limits": state.limits()}
@@ -52,16 +55,12 @@
     return json.dumps(whole).encode()
 
 
-def _shifting(common: dict[str, Any], state: DocumentState) -> dict[str, Any]:
-    """Return the route that the changes split and move."""
-    weights = {PLAIN: state.plain_weight, DESK: state.desk_weight}
-    targets = [
-        {"service": name, "weight": weight}
-        for name, weight in weights.items()
-        if name != DESK or state.has_desk
-    ]
-    split = {"name": SHIFTING, "path_prefix": f"/{SHIFTING}/", "kind": "safe", "backends": targets}
-    return common | split
+def _shifting(name: str, first: str, second: str, state: DocumentState) -> dict[str, Any]:
+    """Return a route that the changes split and move from a service to its second one."""
+    targets = [{"service": first, "weight": state.first_weight}]
+    if state.has_second:
+        targets.append({"service": second, "weight": state.second_weight})
+    return {"name": name, "path_prefix": f"/{name}/", "backends": targets}
 
 
 class StandInOperator:
--- a/chestnutfall/tests/test_document_change.py
+++ b/chestnutfall/tests/test_document_change.py
@@ -26,7 +26,7 @@
 
     # Guards against a kind of change that is listed and never played.
     def test_each_kind_changes_a_document(self) -> None:
-        whole = replace(WHOLE, desk_weight=1.0, plain_weight=0.0)
+        whole = replace(WHOLE, second_weight=1.0, first_weight=0.0)
         for kind in ChangeKind:
             with self.subTest(kind=kind):
                 states = {whole.changed(kind, random.Random(seed)) for seed in range(20)}
--- a/soak/configuration_changes.py
+++ b/soak/configuration_changes.py
@@ -9,6 +9,7 @@
 from chestnutfall.platform.standin.client import ClientResult, StandInClient
 from chestnutfall.platform.standin.document_change import (
     SHIFTING,
+    SHIFTING_STREAM,
     SHORTEST_IDLE_MS,
     WHOLE,
     ChangeKind,
@@ -25,7 +26,7 @@
 PAIR_SHARE = 0.25
 """Part of the changes that are sent together with the next version."""
 PAUSE_S = (0.1, 0.6)
-ROUTES = ("once", "again", "draft", "long", SHIFTING, SHIFTING)
+ROUTES = ("once", "again", "draft", "long", SHIFTING, SHIFTING, SHIFTING_STREAM, SHIFTING_STREAM)
 KEEP_S = 75.0
 """Longer than any gateway keeps a connection without a request."""
 CLIENT_PAUSES_S = ((0.0, 0.05), (0.2, 0.6), (0.97 * SHORTEST_IDLE_MS / 1000, 1.03))
--- a/soak/office.py
+++ b/soak/office.py
@@ -10,7 +10,7 @@
 from contextlib import ExitStack
 from pathlib import Path
 
-from chestnutfall.platform.standin.document_change import DESK
+from chestnutfall.platform.standin.document_change import DESK, SCRIPTS
 from chestnutfall.platform.standin.node_writer import NodePlan, Ports
 from chestnutfall.platform.standin.operator import ENGINES, PLAIN
 from chestnutfall.platform.standin.run_registry import RunRegistry
@@ -44,8 +44,8 @@
         Addresses of the controllers for operators and announcements.
     upstreams, relays : list
         In the same order; empty before `start`.
-    desk : StandInUpstream
-        The only upstream of the service `DESK`, which no fault harms; it has no relay.
+    seconds : list of StandInUpstream
+        The only upstream of each second service, which no fault harms; they have no relays.
     peer_links : PeerLinks
         Links of gateways to controllers and to each other.
     disturbances : Disturbances
@@ -95,9 +95,12 @@
         self.peer_links = PeerLinks(self.gateways, self.controllers, self._ports.internal)
         self.disturbances = Disturbances()
         # With a generator of its own: draws from `rng` would change what the seeds play.
-        self.desk = StandInUpstream(
-            DESK, False, self.run_registry, random.Random(DESK), self.control_addresses
-        )
+        self.seconds = [
+            StandInUpstream(
+                name, is_engine, self.run_registry, random.Random(name), self.control_addresses
+            )
+            for name, is_engine in ((DESK, False), (SCRIPTS, True))
+        ]
         self.upstreams: list[StandInUpstream] = []
         self.relays: list[Relay] = []
 
@@ -151,9 +154,10 @@
         """Start every daemon and upstream; `builds` are the versions of the first upstreams."""
         await self.peer_links.start()
         await asyncio.gather(*(one.start(True) for one in (*self.controllers, *self.gateways)))
-        await self.desk.start()
-        self.desk.announced_address = self.desk.address
-        self.desk.announce()
+        for one in self.seconds:
+            await one.start()
+            one.announced_address = one.address
+            one.announce()
         for at, (service, is_engine) in enumerate(self._plan):
             await self._add_upstream(service, is_engine, builds[at] if at < len(builds) else "")
 
@@ -189,16 +193,15 @@
 
     def upstream_addresses(self) -> dict[str, str]:
         """Return the announced address of each upstream that there ever was, by its name."""
-        everyone = (*self.upstreams, self.desk)
+        everyone = (*self.upstreams, *self.seconds)
         return {name: one.announced_address for one in everyone for name in one.instances}
 
     async def stop(self) -> None:
         """Stop every relay, upstream and daemon that was started."""
         await self.peer_links.stop()
-        await self.desk.stop()
         for relay in self.relays:
             await relay.stop()
-        await asyncio.gather(*(one.stop() for one in self.upstreams))
+        await asyncio.gather(*(one.stop() for one in (*self.upstreams, *self.seconds)))
         await asyncio.gather(*(one.kill() for one in (*self.controllers, *self.gateways)))
 
 
