--- a/benchmarks/signals.py
+++ b/benchmarks/signals.py
@@ -6,7 +6,7 @@
 Columns: scenario; seed; fraction of calls served during the signals and afterwards; most requests
 that one gateway sent during one backoff, and after one upstream's announcement that it leaves;
 calls refused as not run; their median latency in ms; the retry times that callers got in s; calls
-without an answer.
+without an answer; calls that no gateway took a connection for, as before it listens.
 """
 
 from __future__ import annotations
@@ -110,7 +110,8 @@
     retry_after_s = [seen.retry_after_s or 0.0 for seen in refused]
     retry_range = f"{min(retry_after_s):.2f} to {max(retry_after_s):.2f}" if retry_after_s else "-"
     after_s = times.ended_s + BACKOFF_S
-    unanswered = sum(one.result.status == 0 for one in play.answers)
+    connected = [one.result for one in play.answers if one.result.connected]
+    unanswered = sum(result.status == 0 for result in connected)
     cells = (
         name,
         str(seed),
@@ -121,7 +122,8 @@
         str(len(refused)),
         f"{statistics.median(took_ms):.0f}" if took_ms else "-",
         retry_range,
-        f"{unanswered} of {len(play.answers)}",
+        f"{unanswered} of {len(connected)}",
+        str(len(play.answers) - len(connected)),
     )
     return f"| {' | '.join(cells)} |"
 
@@ -147,7 +149,7 @@
     cli.add_argument("--play", default="", help="a part of the names of plays")
     args = cli.parse_args()
     print("| play | seed | served | after | in a time asked for | after leaving | refused | in ms |"
-          " told s | no answer |")  # fmt: skip
+          " told s | no answer | no connection |")  # fmt: skip
     for name, make_script in scenarios():
         if args.play not in name:
             continue
