--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -46,6 +46,7 @@
     Regression(
         9101, 0.12, "lookups at plain upstreams that were silent for a second were answered 502"
     ),
+    Regression(9201, 0.05, "streams of engines that were silent for a second were broken off"),
     Regression(1, 0.1, "lookups at slow plain upstreams were given up, with no room elsewhere"),
     Regression(11, 0.7, "SIGHUP ended a gateway that was just being started again"),
 )
--- a/soak/silence_episodes.py
+++ b/soak/silence_episodes.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 from chestnutfall.platform.standin.operator import ENGINES, PLAIN
-from chestnutfall.platform.standin.upstream import StandInUpstream
+from chestnutfall.platform.standin.upstream import EVENT_S, StandInUpstream
 
 from .daemon import Daemon
 from .disturbances import Disturbances
@@ -26,16 +26,26 @@
     """What falls silent."""
 
     ONE = "one upstream"
-    MOST = "most of a service"
+    MOST_ENGINES = "most engines"
+    MOST_PLAIN = "most of a plain service"
     ALL = "all upstreams"
     LINK = "a link to one upstream"
     HELPER = "the links to a helper"
     LEADER = "the links to controllers"
 
 
-CALM_KINDS = (SilenceKind.MOST, SilenceKind.ONE, SilenceKind.MOST, SilenceKind.LEADER)
+CALM_KINDS = (
+    SilenceKind.MOST_ENGINES,
+    SilenceKind.MOST_PLAIN,
+    SilenceKind.MOST_ENGINES,
+    SilenceKind.ONE,
+    SilenceKind.LEADER,
+    SilenceKind.HELPER,
+)
 CALM_S = (1.0, 1.5)
 CALM_PAUSE_S = 0.7
+CALM_EVENT_S = 0.04
+"""Long enough for most streams to have begun when a silence begins."""
 
 
 class SilenceEpisodes:
@@ -54,10 +64,14 @@
 
     async def play_calm(self, rng: random.Random) -> None:
         """Play some long silences, under no fault."""
+        for upstream in self._office.upstreams:
+            upstream.unframed_share, upstream.event_s = 0.0, CALM_EVENT_S
         for kind in CALM_KINDS:
             await asyncio.sleep(CALM_PAUSE_S)
             await self.play(rng, kind, rng.uniform(*CALM_S))
         await asyncio.sleep(CALM_PAUSE_S)
+        for upstream in self._office.upstreams:
+            upstream.event_s = EVENT_S
 
     async def play(self, rng: random.Random, kind: SilenceKind, for_s: float) -> None:
         """Play one silence and wait for its end."""
@@ -65,10 +79,10 @@
         match kind:
             case SilenceKind.ONE:
                 await self.silence([rng.choice(self._office.upstreams)], rng, for_s)
-            case SilenceKind.MOST:
-                service = rng.choice((ENGINES, PLAIN))
-                same = [one for one in self._office.upstreams if one.service == service]
-                await self.silence(rng.sample(same, max(len(same) - 1, 1)), rng, for_s)
+            case SilenceKind.MOST_ENGINES:
+                await self.silence(self._most(ENGINES, rng), rng, for_s)
+            case SilenceKind.MOST_PLAIN:
+                await self.silence(self._most(PLAIN, rng), rng, for_s)
             case SilenceKind.ALL:
                 await self.silence(self._office.upstreams, rng, for_s)
             case SilenceKind.LINK:
@@ -82,6 +96,10 @@
                 with self._held(LEADERS, gateways, self._office.controllers):
                     await asyncio.sleep(for_s)
 
+    def _most(self, service: str, rng: random.Random) -> list[StandInUpstream]:
+        same = [one for one in self._office.upstreams if one.service == service]
+        return rng.sample(same, len(same) - 1)
+
     async def silence(
         self, upstreams: Sequence[StandInUpstream], rng: random.Random, for_s: float
     ) -> None:
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -34,7 +34,7 @@
 from .verdict import Verdict
 
 CLIENTS = 6
-CALM_CLIENTS = 16
+CALM_CLIENTS = 30
 LATE_RUN_S = 2.0
 """Time in which requests that were answered "not run" may still start, before runs are counted."""
 
@@ -216,8 +216,6 @@
 
     async def _check_silence(self, client: StandInClient) -> None:
         """Let most upstreams of a service be silent beside changes, under no fault."""
-        for upstream in self._office.upstreams:
-            upstream.unframed_share = 0.0
         load = [asyncio.ensure_future(self._send_load(client)) for _ in range(CALM_CLIENTS)]
         for one in (
             self._changes.play_until_cancelled(self._changes_rng),
