--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -176,7 +176,7 @@
 
     def note_silent(self, ticket: str) -> None:
         """Count the silence of an engine as a failure; its request keeps its place."""
-        engine = self.engines.get(self._places.get(ticket, ""))
+        engine = self.engines.get(self._places.instance_of(ticket))
         if engine is not None:
             engine.health.note(RunOutcome.BROKEN, self._clock.now_ms())
 
