--- a/chestnutfall/tests/test_kept_connections.py
+++ b/chestnutfall/tests/test_kept_connections.py
@@ -16,6 +16,8 @@
 from ..forwarding.call import Call
 from ..forwarding.caller_reply import CallerReply
 from ..forwarding.forwarder import Forwarder
+from ..forwarding.request_ends import RequestEnds
+from ..observability.prometheus_metrics import PrometheusMetrics
 from ..platform.entry_server import EntryServer
 from ..platform.gated_listening import GatedListener, listen_gated
 from ..platform.listening import listen
@@ -227,7 +229,10 @@
         gate = ConnectionGate(SystemClock(), lambda name: None)
         kept = KeptLimits(1_000, 1_000, SystemClock(), lambda name: None)
         served = cast(Forwarder, _Served())
-        entry = EntryServer(served, lambda: True, lambda: self.limits, gate, kept, SystemClock())
+        ends = RequestEnds(SystemClock(), PrometheusMetrics())
+        entry = EntryServer(
+            served, lambda: True, lambda: self.limits, gate, kept, SystemClock(), ends
+        )
         self.address = _free_address()
         await entry.start(f"127.0.0.1:{self.address[1]}", "127.0.0.1:0")
         self.addAsyncCleanup(entry.stop)
@@ -257,6 +262,9 @@
     async def serve(self, call: Call, reply: CallerReply) -> None:
         await reply.send_whole(200, (), b"ok")
 
+    def end_running(self) -> None:
+        """No call is running when the server stops."""
+
 
 class EndOfListeningTest(unittest.IsolatedAsyncioTestCase):
     """A listener that ends as requests come, on connections of each kind."""
