--- a/chestnutfall/paths/helper_links.py
+++ b/chestnutfall/paths/helper_links.py
@@ -16,6 +16,7 @@
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 from ..wire import RpcChannel, TlsFiles
+from .help_stream import HelpStream
 from .helper_api import HelperApi, HelperUnusable, not_sent
 from .helper_service import as_sent
 from .messages import (
@@ -70,7 +71,7 @@
         self, address: str, keys: tuple[str, ...], forwarded: ForwardedCall
     ) -> AsyncIterator[UpstreamAnswer]:
         channel = await self._connected(address)
-        stream = channel.stream(HELP_METHOD)
+        stream = HelpStream(channel.stream(HELP_METHOD))
         silent_ms = forwarded.silent_ms + HELPER_DELAY_MS
         self._busy[address] += 1
         try:
@@ -97,7 +98,7 @@
         self._used_ms[address] = self._clock.now_ms()
         try:
             await self._clock.within_ms(CONNECT_MS, channel.wait_connected())
-        except TimeoutError as exc:
+        except (TimeoutError, grpc.aio.UsageError) as exc:
             if not self._busy[address]:
                 self._close(address)
             raise HelperUnusable(f"helper {address} can't be reached") from exc
--- a/chestnutfall/tests/test_helper_links.py
+++ b/chestnutfall/tests/test_helper_links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 import unittest
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -19,6 +20,7 @@
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
 from ..forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
 from ..paths.helped_upstream_api import HelpedUpstreamApi
+from ..paths.helper_api import HelperUnusable
 from ..paths.helper_links import HelperLinks
 from ..paths.helper_service import HelperService
 from ..paths.known_helpers import KnownHelpers
@@ -143,6 +145,39 @@
         sending.cancel()
         await asyncio.wait_for(self.direct.ended.wait(), 5)
 
+    # Guards against a call whose client gets no answer: the connection to its helper is closed
+    # while the helper sends it, which gRPC reports as a cancellation of whoever waits for it.
+    async def test_a_connection_that_is_closed_before_the_answer_is_a_lost_answer(self) -> None:
+        await self._assert_lost_by_close("mute")
+
+    async def test_a_connection_that_is_closed_in_the_answer_is_a_lost_answer(self) -> None:
+        await self._assert_lost_by_close("hold")
+
+    async def _assert_lost_by_close(self, script: str) -> None:
+        self.direct.script = script
+        sending = asyncio.ensure_future(self._send())
+        while not self.service.in_progress:
+            await asyncio.sleep(0.01)
+        await self.links.close()
+        with self.assertRaises(AnswerLost):
+            await sending
+
+    # Guards against an error of the RPC library that a client gets as one of the gateway: several
+    # calls wait for a connection to a silent helper, and the first one that gives up closes it.
+    async def test_all_that_wait_for_a_silent_helper_are_not_sent(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            address = f"127.0.0.1:{silent.getsockname()[1]}"
+            results = await asyncio.gather(
+                *(self._ask_later(address, delay_s) for delay_s in (0, 0.05, 0.1)),
+                return_exceptions=True,
+            )
+        self.assertEqual([type(result) for result in results], [HelperUnusable] * 3)
+
+    async def _ask_later(self, address: str, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        async with self.links.send(address, ("key",), send_to(UPSTREAM)):
+            pass
+
     # Guards against "not run" in place of "unknown" when the helper or its link is lost.
     async def test_a_helper_that_ends_midway_leaves_the_outcome_unknown(self) -> None:
         self.direct.script = "hold"
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -130,4 +130,18 @@
         "",
         _CONNECTIONS_TEST,
     ),
+    Mutant(
+        "closed connection to a helper taken for a cancelled request",
+        "chestnutfall/paths/help_stream.py",
+        "        if is_cancelled():\n            raise\n",
+        "        raise\n",
+        "chestnutfall.tests.test_helper_links",
+    ),
+    Mutant(
+        "calls that wait for a helper get an error of the RPC library",
+        "chestnutfall/paths/helper_links.py",
+        "        except (TimeoutError, grpc.aio.UsageError) as exc:",
+        "        except TimeoutError as exc:",
+        "chestnutfall.tests.test_helper_links",
+    ),
 )
