Keep a timed-out call from cutting off others on its connection

A connection with open streams is kept; the keepalive finds a silent one. What waits for a call whose connection was closed gets ConnectionError, as the channel's callers expect, unless it is cancelled itself.

Tests over real connections; without the two safeguards (mutants) they fail: the stream ends with CancelledError, and so does the call.

--- a/chestnutfall/forwarding/faults.py
+++ b/chestnutfall/forwarding/faults.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import traceback
 from collections.abc import Awaitable
 
@@ -19,16 +18,6 @@
         raise InnerTimeout(str(exc)) from exc
 
 
-def is_cancelled() -> bool:
-    """Whether the running task is cancelled itself.
-
-    False if a `CancelledError` comes from something awaited that was cancelled, such as a future
-    that several calls share.
-    """
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 def fault_text(fault: BaseException) -> str:
     """Describe an error by its type, the place that raised it, and its message."""
     raised = fault.__cause__ or fault
--- a/chestnutfall/forwarding/request_ends.py
+++ b/chestnutfall/forwarding/request_ends.py
@@ -11,9 +11,10 @@
 from ..clock import Clock
 from ..observability.prometheus_metrics import PrometheusMetrics
 from ..requests import Executed
+from ..wire.cancellation import is_cancelled
 from .caller_reply import CallerGone, CallerReply
 from .ended_reply import EndedReply
-from .faults import fault_text, is_cancelled
+from .faults import fault_text
 from .request_end import Answered, BrokenOff, CallerLeft, Refused, RequestEnd, Stopped
 
 log = logging.getLogger(__name__)
--- a/chestnutfall/paths/help_stream.py
+++ b/chestnutfall/paths/help_stream.py
@@ -9,7 +9,7 @@
 
 import grpc
 
-from ..forwarding.faults import is_cancelled
+from ..wire.cancellation import is_cancelled
 
 
 class HelpStream:
--- a/chestnutfall/tests/test_wire.py
+++ b/chestnutfall/tests/test_wire.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+from collections.abc import AsyncIterator
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
@@ -80,5 +82,56 @@
         self.assertEqual(await self._call(client), VoteReply(1, True))
 
 
+class SharedConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Calls and streams that share one connection with a call that fails."""
+
+    async def asyncSetUp(self) -> None:
+        self.may_go_on = asyncio.Event()
+        self.arrived = asyncio.Event()
+        self.server = RpcServer("127.0.0.1:0")
+        self.server.add_unary("Hang", CONSENSUS_CODEC, self._hang)
+        self.server.add_stream("Stream", CONSENSUS_CODEC, self._stream)
+        await self.server.start()
+        self.channel = RpcChannel(f"127.0.0.1:{self.server.port}", CONSENSUS_CODEC)
+
+    async def asyncTearDown(self) -> None:
+        await self.channel.close()
+        await self.server.stop(0)
+
+    async def _hang(self, msg: Any, context: Any) -> Any:
+        self.arrived.set()
+        await asyncio.get_running_loop().create_future()
+
+    async def _stream(self, messages: Any, context: Any) -> AsyncIterator[Any]:
+        yield VoteReply(1, True)
+        await self.may_go_on.wait()
+        yield VoteReply(2, True)
+
+    # Guards against answers that are cut off since another call on their connection timed out.
+    async def test_a_stream_goes_on_after_a_call_on_its_connection_timed_out(self) -> None:
+        stream = self.channel.stream("Stream")
+        self.assertEqual(await stream.read(), VoteReply(1, True))
+        with self.assertRaises(ConnectionError):
+            await self.channel.call("Hang", VoteReply(1, True), 100)
+        self.may_go_on.set()
+        self.assertEqual(await stream.read(), VoteReply(2, True))
+
+    # Guards against a task that ends as if it were cancelled, since the connection of its call was
+    # closed for another one's sake.
+    async def test_a_call_whose_connection_is_closed_fails_as_one_that_lost_it(self) -> None:
+        calling = asyncio.ensure_future(self.channel.call("Hang", VoteReply(1, True), 60_000))
+        await self.arrived.wait()
+        await self.channel.close()
+        with self.assertRaises(ConnectionError):
+            await calling
+
+    async def test_a_call_that_is_cancelled_itself_stays_cancelled(self) -> None:
+        calling = asyncio.ensure_future(self.channel.call("Hang", VoteReply(1, True), 60_000))
+        await self.arrived.wait()
+        calling.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await calling
+
+
 async def _echo(msg: Any, context: Any) -> Any:
     return msg
--- a/chestnutfall/wire/rpc_channel.py
+++ b/chestnutfall/wire/rpc_channel.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from typing import Any
 
 import grpc
 
+from .cancellation import is_cancelled
 from .codec import Codec
 from .tls_files import TlsFiles
 
@@ -37,6 +39,8 @@
         self.address = address
         self._codec = codec
         self._tls = tls
+        # Closing a connection cancels its streams. One that is silent ends by its keepalive.
+        self._streams: set[Any] = set()
         self._open()
 
     def _open(self) -> None:
@@ -68,9 +72,14 @@
         try:
             return await self._calls[method](msg, timeout=timeout_ms / 1000)
         except grpc.aio.AioRpcError as exc:
-            if exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+            if exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED and not self._streams:
                 await self._reopen()
             raise ConnectionError(f"{self.address}: {exc.code().name} {exc.details()}") from exc
+        except asyncio.CancelledError as exc:
+            if is_cancelled():
+                raise
+            # The connection was closed, for example after another call on it had timed out.
+            raise ConnectionError(f"{self.address}: the connection was closed") from exc
 
     async def wait_connected(self) -> None:
         """Wait until a connection to the peer is established."""
@@ -78,11 +87,14 @@
 
     def stream(self, method: str) -> Any:
         """Open a stream of messages in both directions and return its gRPC call."""
-        return self._channel.stream_stream(
+        stream = self._channel.stream_stream(
             f"/chestnutfall/{method}",
             request_serializer=self._codec.encode,
             response_deserializer=self._codec.decode,
         )()
+        self._streams.add(stream)
+        stream.add_done_callback(self._streams.discard)
+        return stream
 
     async def _reopen(self) -> None:
         # A firewall, for example, may drop the state of a connection. The connection then stays
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -144,4 +144,18 @@
         "        except TimeoutError as exc:",
         "chestnutfall.tests.test_helper_links",
     ),
+    Mutant(
+        "timed-out call closes the connection of streams",
+        "chestnutfall/wire/rpc_channel.py",
+        " and not self._streams:",
+        ":",
+        "chestnutfall.tests.test_wire",
+    ),
+    Mutant(
+        "closed connection taken for a cancelled task",
+        "chestnutfall/wire/rpc_channel.py",
+        "            if is_cancelled():\n                raise\n",
+        "            raise\n",
+        "chestnutfall.tests.test_wire",
+    ),
 )
