--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -6,7 +6,6 @@
 from .connection_mutants import CONNECTION_MUTANTS
 from .consensus_mutants import CONSENSUS_MUTANTS
 from .control_mutants import CONTROL_MUTANTS
-from .end_mutants import END_MUTANTS
 from .fleet_mutants import FLEET_MUTANTS
 from .limit_mutants import LIMIT_MUTANTS
 from .part_mutants import PART_MUTANTS
@@ -14,6 +13,7 @@
 from .placement_mutants import PLACEMENT_MUTANTS
 from .quarantine_mutants import QUARANTINE_MUTANTS
 from .quota_mutants import QUOTA_MUTANTS
+from .request_end_mutants import REQUEST_END_MUTANTS
 from .room_mutants import ROOM_MUTANTS
 from .rush_mutants import RUSH_MUTANTS
 from .signal_mutants import SIGNAL_MUTANTS
@@ -37,7 +37,7 @@
     *STREAM_MUTANTS,
     *PART_MUTANTS,
     *RUSH_MUTANTS,
-    *END_MUTANTS,
+    *REQUEST_END_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/request_end_mutants.py
@@ -16,7 +16,7 @@
 _CONNECTIONS_TEST = "chestnutfall.tests.test_client_connections"
 _ENDS_TEST = "chestnutfall.tests.test_request_ends"
 
-END_MUTANTS = (
+REQUEST_END_MUTANTS = (
     Mutant(
         "end of the gateway called one of the client",
         _ENDED,
