--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/request_end_mutants.py
@@ -16,7 +16,7 @@
 _CONNECTIONS_TEST = "chestnutfall.tests.test_client_connections"
 _ENDS_TEST = "chestnutfall.tests.test_request_ends"
 
-END_MUTANTS = (
+REQUEST_END_MUTANTS = (
     Mutant(
         "end of the gateway called one of the client",
         _ENDED,
@@ -130,4 +130,32 @@
         "",
         _CONNECTIONS_TEST,
     ),
+    Mutant(
+        "closed connection to a helper taken for a cancelled request",
+        "chestnutfall/paths/help_stream.py",
+        "        if is_cancelled():\n            raise\n",
+        "        raise\n",
+        "chestnutfall.tests.test_helper_links",
+    ),
+    Mutant(
+        "calls that wait for a helper get an error of the RPC library",
+        "chestnutfall/paths/helper_links.py",
+        "        except (TimeoutError, grpc.aio.UsageError) as exc:",
+        "        except TimeoutError as exc:",
+        "chestnutfall.tests.test_helper_links",
+    ),
+    Mutant(
+        "timed-out call closes the connection of streams",
+        "chestnutfall/wire/rpc_channel.py",
+        " and not self._streams:",
+        ":",
+        "chestnutfall.tests.test_wire",
+    ),
+    Mutant(
+        "closed connection taken for a cancelled task",
+        "chestnutfall/wire/rpc_channel.py",
+        "            if is_cancelled():\n                raise\n",
+        "            raise\n",
+        "chestnutfall.tests.test_wire",
+    ),
 )
