--- a/chestnutfall/tests/test_plain_silence.py
+++ b/chestnutfall/tests/test_plain_silence.py
@@ -27,7 +27,7 @@
         self.wake = asyncio.Event()
         self.status = [200, 200]
         self.broken: list[Any] = []
-        self.gateway.quarantine.note_broken = (  # type: ignore[method-assign]
+        self.gateway.quarantine.note_broken = (  # type: ignore[method-assign, assignment]
             lambda *args: self.broken.append(args)
         )
         self.runners: list[web.ServerRunner] = []
