--- a/chestnutfall/routing/answer_race.py
+++ b/chestnutfall/routing/answer_race.py
@@ -9,6 +9,7 @@
 from typing import Generic, TypeVar
 
 from ..clock import Clock
+from .after_answer import after_answer
 from .attempt import Attempt
 
 log = logging.getLogger(__name__)
@@ -91,7 +92,7 @@
             one.begins.result()
         except (Exception, asyncio.CancelledError) as exc:
             self._failures.append(exc)
-            if one.attempt.only_others and one.attempt.sent_ms is None:
+            if one.attempt.only_others and one.attempt.heard_ms is None:
                 self._on_unsent()
             return False
         return True
@@ -107,11 +108,11 @@
             timer.cancel()
 
     def _until_silent_ms(self) -> int:
-        sent_ms = self._runners[-1].attempt.sent_ms
-        if sent_ms is None:
+        heard_ms = self._runners[-1].attempt.heard_ms
+        if heard_ms is None:
             return self._silent_ms
         # An attempt that is silent already is looked at again after as long.
-        left_ms = sent_ms + self._silent_ms - self._clock.now_ms()
+        left_ms = heard_ms + self._silent_ms - self._clock.now_ms()
         return left_ms if left_ms > 0 else self._silent_ms
 
     def _begin_another_if_silent(self) -> None:
@@ -135,19 +136,22 @@
 
     async def close(self) -> None:
         """End all attempts that still run, the one that answered included."""
-        for one in self._runners:
-            one.begins.cancel()
-        await asyncio.gather(*(one.begins for one in self._runners), return_exceptions=True)
-        for one in self._runners:
-            await one.answer.aclose()
+        await _end(self._runners)
 
     async def drop_others(self, winner: Runner[T]) -> None:
         """End all attempts but one."""
-        others = [one for one in self._runners if one is not winner]
-        self._runners = others
-        await self.close()
+        await _end([one for one in self._runners if one is not winner])
         self._runners = [winner]
 
 
+async def _end(runners: Sequence[Runner[T]]) -> None:
+    for one in runners:
+        one.begins.cancel()
+    await asyncio.gather(*(one.begins for one in runners), return_exceptions=True)
+    for one in runners:
+        with after_answer("end of an attempt"):
+            await one.answer.aclose()
+
+
 async def _first_of(answer: AsyncGenerator[T, None]) -> T:
     return await anext(answer)
--- a/chestnutfall/routing/attempts.py
+++ b/chestnutfall/routing/attempts.py
@@ -17,6 +17,7 @@
 from ..requests import CallerRequest, Refusal
 from ..signals import UpstreamSignals
 from ..signals.known_signals import KnownSignals
+from .after_answer import after_answer
 from .attempt import Attempt
 from .engine_runs import EngineRuns
 from .tickets import Tickets
@@ -85,7 +86,7 @@
             headers: dict[str, str] = {}
             _PROPAGATOR.inject(headers, trace.set_span_in_context(span, parent))
             engine_req = self._engine_request(req, engine, attempt_id, headers)
-            attempt.sent_ms = self._clock.now_ms()
+            attempt.heard_ms = self._clock.now_ms()
             async for events in self._runs.run(engine, engine_req):
                 yield events
         except EngineBroken as exc:
@@ -106,7 +107,8 @@
             raise EngineBroken(INTERNAL_ERROR, SENT) from exc
         finally:
             span.end()
-            self._links.release_ticket(engine.name, attempt_id)
+            with after_answer("release of a ticket"):
+                self._links.release_ticket(engine.name, attempt_id)
 
     async def _acquire_engine(self, req: CallerRequest, attempt: Attempt) -> Upstream:
         """Return an engine whose owner granted a ticket and that is not backing off."""
--- a/chestnutfall/tests/test_completion_silence.py
+++ b/chestnutfall/tests/test_completion_silence.py
@@ -17,7 +17,11 @@
 SILENT_MS = 1_000
 """Silence after which a service's connections count as dead, in the configuration of the office."""
 PAUSES_MS = (300, 1_000, 1_500, 4_500)
-KINDS = (("a1@1", {}), ("once@1", {}), ("a1@1", {"Idempotency_Key": "key"}))
+KINDS: tuple[tuple[str, dict[str, str]], ...] = (
+    ("a1@1", {}),
+    ("once@1", {}),
+    ("a1@1", {"Idempotency_Key": "key"}),
+)
 FOR_EVER_MS = 1_000_000
 
 
@@ -28,7 +32,7 @@
         await self.office.start(gateways=2, engines=engines)
         self.gateway = self.office.gateway()
         self.broken: list[Any] = []
-        self.gateway.quarantine.note_broken = (  # type: ignore[method-assign]
+        self.gateway.quarantine.note_broken = (  # type: ignore[method-assign, assignment]
             lambda *args: self.broken.append(args)
         )
 
@@ -176,3 +180,33 @@
         self.assertEqual((caught.exception.status, self._runs()), (502, 2))
         self.assertIs(caught.exception.executed, Executed.UNKNOWN)
         self.assertEqual(self.broken, [])
+
+    # Guards against a begun stream that ends sooner than its caller waits, or never.
+    async def test_a_stream_that_stays_silent_ends_when_its_caller_would_give_up(self) -> None:
+        await self._start(1)
+        await self._whole(self._begin("a1@1"))
+        task = self._begin("a1@1", X_Timeout_Ms="5000")
+        await self._until_sent(2)
+        await self.office.clock.advance(25)
+        self._silence(FOR_EVER_MS)
+        began_ms = self.office.clock.now_ms()
+        with self.assertRaises(Refusal) as caught:
+            await self.office.done(task)
+        waited_ms = self.office.clock.now_ms() - began_ms
+        self.assertTrue(5_000 <= waited_ms <= 5_000 + 2 * SILENT_MS, waited_ms)
+        self.assertIs(caught.exception.executed, Executed.YES)
+        self.assertEqual(self.broken, [])
+
+    # Guards against a request that waits to its deadline since the second engine hangs as well.
+    async def test_two_hung_engines_leave_a_third(self) -> None:
+        await self._start(3)
+        for engine in self._engines():
+            engine.adapters[self.gateway.request("a1@1").model] = "ready"
+        for engine in self._engines()[:2]:
+            engine.silent_until_ms = self.office.clock.now_ms() + FOR_EVER_MS
+        began_ms = self.office.clock.now_ms()
+        tasks = [self._begin("a1@1") for _ in range(3)]
+        for task in tasks:
+            await self._whole(task)
+        self.assertLessEqual(self.office.clock.now_ms() - began_ms, 4 * SILENT_MS)
+        self.assertGreaterEqual(min(len(engine.ran) for engine in self._engines()), 1)
