Let a leader go on that can't read a document

What callers would see: a document that a controller of a later release has checked, and that the leader can't read, ended the leader's replica as it was applied; the same at each next leader of the earlier release, so that there is no leader until they are replaced.

Cause: the decoder's exception came out of the replicated state's apply.

Change: the leader logs `document: unreadable` and goes on with the services of the former document. The log holds the new one, and gateways get it.

Evidence: the test on the replicated log with three controllers: without the change the document was not acknowledged. Mutant found.

--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -17,7 +17,7 @@
 from ..placement import AdapterName, Decision, Grant, Reject
 from ..placement.placer import Placer
 from ..quota.quota_ledger import QuotaLedger
-from ..routes import DocumentCodec, RouteTable, ServiceSpec
+from ..routes import DocumentCodec, RouteTable, ServiceSpec, UnreadableDocument
 from ..settings.quota_bounds import QuotaBounds
 from ..settings.repeat_bounds import RepeatBounds
 from ..signals.backoff_registry import BackoffRegistry
@@ -193,8 +193,14 @@
         # A document that is stored again, or an older one, changes nothing. Decoding one of some
         # thousand routes takes milliseconds during which no request is placed.
         if held.version > known:
-            former = self._table
-            self._table = RouteTable(self._codec.decode(decompress_document(held.content)))
+            try:
+                document = self._codec.decode(decompress_document(held.content))
+            except UnreadableDocument as exc:
+                # A controller of a later release has checked it. An exception here would end the
+                # replica, and each one that applies the document.
+                log.error("document: unreadable version=%d stays=%d: %s", held.version, known, exc)
+                return
+            former, self._table = self._table, RouteTable(document)
             if former is not None:
                 self._retired.note_change(former, self._table)
             self._quotas.apply_quotas(self._table.document.organisations)
--- a/chestnutfall/tests/fakes/document_office.py
+++ b/chestnutfall/tests/fakes/document_office.py
@@ -47,6 +47,8 @@
 ANNOUNCE_MS = 400
 HEAD_MS, GAP_MS, WHOLE_MS = 100, 150, 400
 DEADLINE_MS = 4_000
+STORED_MS = 5_000
+"""Time within which a document is acknowledged, also after the loss of a leader."""
 REPEATS = RepeatBounds(0.2, 50, 10_000)
 
 
@@ -265,12 +267,15 @@
 
     async def store(self, document: dict[str, Any]) -> None:
         """Store a document and wait for its acknowledgement."""
-        while self._leading() is None:
+        for _ in range(STORED_MS // STEP_MS):
+            if self._leading() is not None:
+                break
             await self.steps(STEP_MS)
         stored = self.begin_store(document)
-        while not stored.done():
-            await self.steps(STEP_MS)
-        assert stored.result() == Accepted(), stored.result()
+        for _ in range(STORED_MS // STEP_MS):
+            if not stored.done():
+                await self.steps(STEP_MS)
+        assert stored.done() and stored.result() == Accepted(), "not acknowledged"
 
     def put_in_force(self, document: dict[str, Any]) -> None:
         """Put a document in force at the gateway at once; leaders get it by `store`."""
--- a/chestnutfall/tests/test_document_changes.py
+++ b/chestnutfall/tests/test_document_changes.py
@@ -190,6 +190,23 @@
         self.assertGreater(office.gateway.known.version, office.document["version"])
         await office.stop()
 
+    # Guards against a leader of an earlier release that ends with a document it can't read, which
+    # another controller had checked.
+    async def test_a_leader_that_can_not_read_a_document_goes_on(self) -> None:
+        office = await self._office()
+        await _waiting_for_room(office)
+        new = changed(office.document, _touch)
+        new["routes"][0]["kind"] = "of a later release"
+        await office.store(new)
+        await office.steps(500)
+        _begin_all(office, " later")
+        await office.all_ended(ENDED_MS)
+        self.assertEqual({one.ended for one in office.replies.values()}, {"whole"})
+        await office.store(changed(first_document() | {"version": new["version"]}, _touch))
+        await office.steps(500)
+        self.assertEqual(office.gateway.known.version, office.document["version"])
+        await office.stop()
+
 
 class LaterServiceTest(_DocumentCase):
     # Guards against requests on a new route that find no upstream until each has announced itself
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -28,6 +28,13 @@
         "                pass\n",
         _DOCUMENTS + "LaterServiceTest.test_a_service_that_comes_has_its_upstreams_at_once",
     ),
+    Mutant(
+        "a document that a leader can't read ends its replica",
+        "chestnutfall/coordination/leader_term.py",
+        "            except UnreadableDocument as exc:\n",
+        "            except ZeroDivisionError as exc:\n",
+        _DOCUMENTS + "OneDocumentTest.test_a_leader_that_can_not_read_a_document_goes_on",
+    ),
     Mutant(
         "a service that a document drops serves for ever",
         "chestnutfall/coordination/retired_services.py",
