--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -87,7 +87,7 @@
     Mutant(
         "entries of services that nobody named are kept",
         "chestnutfall/coordination/leader_term.py",
-        "        return self._table is None or service in self._table.services",
+        "        return self._table is None or self._service(service) is not None",
         "        return True",
         "chestnutfall.tests.test_fleet_leader",
     ),
