--- a/chestnutfall/tests/test_kept_connections.py
+++ b/chestnutfall/tests/test_kept_connections.py
@@ -257,6 +257,9 @@
     async def serve(self, call: Call, reply: CallerReply) -> None:
         await reply.send_whole(200, (), b"ok")
 
+    def end_running(self) -> None:
+        """Called as the server stops; no call is in progress then."""
+
 
 class EndOfListeningTest(unittest.IsolatedAsyncioTestCase):
     """A listener that ends as requests come, on connections of each kind."""
