Apply changes to the usual document of the stand-in operator

The same form as the tests of the product's configuration use: a change is applied to the document, and the operator knows none of its kinds.

--- a/chestnutfall/platform/standin/document_change.py
+++ b/chestnutfall/platform/standin/document_change.py
@@ -7,10 +7,14 @@
 from enum import Enum
 from typing import Any
 
+from .operator import ENGINES, PLAIN
+from .tenants import BUSY_BURST, GUEST, KEYS
+
 DESK, SCRIPTS = "desk", "scripts"
 """A second plain service and a second one of engines, which come and go."""
 SHIFTING, SHIFTING_STREAM = "shift", "shift-long"
 """Routes that are split between two services, move, come and go."""
+COMMON_FIELDS = ("host", "timeout_ms", "slo_ms", "gap_aim_ms", "attempts")
 SHORTEST_TIMEOUT_MS = 2_200
 SHORTEST_IDLE_MS = 1_000
 
@@ -99,15 +103,37 @@
     def _weighted(self, second: float, first: float) -> DocumentState:
         return replace(self, second_weight=second, first_weight=first)
 
-    def limits(self) -> dict[str, Any]:
-        """Return the limits of the document in its JSON form."""
-        return {
+    def apply(self, whole: dict[str, Any]) -> None:
+        """Change the usual document, in its JSON form, to this state."""
+        routes, services = whole["routes"], whole["services"]
+        for route in routes:
+            route["timeout_ms"] = self.timeout_ms
+        if self.has_second:
+            engine = services[0]["engine"]
+            services += [{"name": DESK}, {"name": SCRIPTS, "engine": engine}]
+        for service in services:
+            service["max_conns"] = self.max_conns
+        if self.has_shifting:
+            common = {name: routes[0][name] for name in COMMON_FIELDS}
+            stream = {"kind": "stream", "resumable": True}
+            routes.append(common | self._shifting(SHIFTING, PLAIN, DESK) | {"kind": "safe"})
+            routes.append(common | self._shifting(SHIFTING_STREAM, ENGINES, SCRIPTS) | stream)
+        if self.has_guest:
+            guest = {"name": GUEST, "api_keys": [KEYS[GUEST]], "burst": BUSY_BURST}
+            whole["tenants"].append(guest | {"rate_per_s": self.guest_per_s})
+        whole["limits"] = {
             "idle_timeout_ms": self.idle_timeout_ms,
             "header_timeout_ms": self.header_timeout_ms,
             "max_header_bytes": self.max_header_bytes,
         }
 
+    def _shifting(self, name: str, first: str, second: str) -> dict[str, Any]:
+        """Return a route that is split between a service and its second one."""
+        targets = [{"service": first, "weight": self.first_weight}]
+        if self.has_second:
+            targets.append({"service": second, "weight": self.second_weight})
+        return {"name": name, "path_prefix": f"/{name}/", "backends": targets}
+
 
-INITIAL = DocumentState()
 WHOLE = DocumentState(has_shifting=True, has_second=True, has_guest=True)
 """Has everything that changes concern."""
--- a/chestnutfall/platform/standin/operator.py
+++ b/chestnutfall/platform/standin/operator.py
@@ -4,12 +4,12 @@
 
 import json
 import random
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
 
 from .adapter_store import ADAPTER_SLOTS, MODEL
-from .document_change import DESK, INITIAL, SCRIPTS, SHIFTING, SHIFTING_STREAM, DocumentState
 from .tenants import tenants
 from .upstream import BATCH
 
@@ -18,8 +18,8 @@
 PLAIN = "counter"
 
 
-def document(version: int, state: DocumentState = INITIAL) -> bytes:
-    """Return a valid document; each version has a route of its own."""
+def document(version: int, change: Callable[[dict[str, Any]], None] = lambda whole: None) -> bytes:
+    """Return a valid document; each version has a route of its own. `change` is applied to it."""
     engine = {
         "slots": BATCH,
         "kv_capacity": 100_000,
@@ -28,8 +28,7 @@
         "loads_per_s": 5,
         "models": [{"name": MODEL, "weights_mb": 50, "load_s": 1}],
     }
-    common = {"host": HOST, "timeout_ms": state.timeout_ms, "slo_ms": 300, "gap_aim_ms": 300}
-    common["attempts"] = 2
+    common = {"host": HOST, "timeout_ms": 3000, "slo_ms": 300, "gap_aim_ms": 300, "attempts": 2}
     routes = [
         common | {"name": "once", "path_prefix": "/once/", "kind": "unsafe", "service": PLAIN},
         common | {"name": "again", "path_prefix": "/again/", "kind": "safe", "service": PLAIN},
@@ -41,28 +40,13 @@
         | {"name": f"v{version}", "path_prefix": f"/v{version}/", "kind": "safe"}
         | {"service": PLAIN},
     ]
-    if state.has_shifting:
-        stream = {"kind": "stream", "resumable": True}
-        routes.append(common | _shifting(SHIFTING, PLAIN, DESK, state) | {"kind": "safe"})
-        routes.append(common | _shifting(SHIFTING_STREAM, ENGINES, SCRIPTS, state) | stream)
     services: list[dict[str, Any]] = [{"name": ENGINES, "engine": engine}, {"name": PLAIN}]
-    if state.has_second:
-        services += [{"name": DESK}, {"name": SCRIPTS, "engine": engine}]
-    for service in services:
-        service["max_conns"] = state.max_conns
-    whole = {"version": version, "routes": routes, "services": services, "limits": state.limits()}
-    whole["tenants"] = tenants(version, state.guest_per_s if state.has_guest else None)
+    whole = {"version": version, "routes": routes, "services": services}
+    whole["tenants"] = tenants(version)
+    change(whole)
     return json.dumps(whole).encode()
 
 
-def _shifting(name: str, first: str, second: str, state: DocumentState) -> dict[str, Any]:
-    """Return a route that the changes split and move from a service to its second one."""
-    targets = [{"service": first, "weight": state.first_weight}]
-    if state.has_second:
-        targets.append({"service": second, "weight": state.second_weight})
-    return {"name": name, "path_prefix": f"/{name}/", "backends": targets}
-
-
 class StandInOperator:
     """Sends documents to random controllers and reads them back."""
 
@@ -71,10 +55,18 @@
         self._rng = rng
         self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.5))
 
-    async def put(self, version: int, state: DocumentState = INITIAL) -> bool:
-        """Send version `version` once, without a repeat; return whether it was acknowledged."""
+    async def put(
+        self, version: int, change: Callable[[dict[str, Any]], None] = lambda whole: None
+    ) -> bool:
+        """Send version `version` once, without a repeat; return whether it was acknowledged.
+
+        Parameters
+        ----------
+        change : callable
+            Changes the usual document of this version.
+        """
         try:
-            call = self._session.put(self._url(), data=document(version, state))
+            call = self._session.put(self._url(), data=document(version, change))
             async with call as resp:
                 return resp.status == 200
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/chestnutfall/platform/standin/tenants.py
+++ b/chestnutfall/platform/standin/tenants.py
@@ -20,21 +20,13 @@
 BUSY_BURST = 10.0
 
 
-def tenants(version: int, guest_per_s: float | None = None) -> list[dict[str, Any]]:
+def tenants(version: int) -> list[dict[str, Any]]:
     """Return the organisations in version `version` of the document, in its JSON form.
 
-    Parameters
-    ----------
-    guest_per_s : float or None
-        Quota of `GUEST`; None if the document has no such organisation.
+    `GUEST` is not among them; changes add it.
     """
-    keys = {name: [key] for name, key in KEYS.items()}
+    keys = {name: [key] for name, key in KEYS.items() if name != GUEST}
     if version >= LEAVES_AT_VERSION:
         keys[LEAVING] = []
-    if guest_per_s is None:
-        keys.pop(GUEST)
-    limits: dict[str, dict[str, Any]] = {
-        BUSY: {"rate_per_s": BUSY_PER_S, "burst": BUSY_BURST},
-        GUEST: {"rate_per_s": guest_per_s, "burst": BUSY_BURST},
-    }
+    limits = {BUSY: {"rate_per_s": BUSY_PER_S, "burst": BUSY_BURST}}
     return [{"name": name, "api_keys": held, **limits.get(name, {})} for name, held in keys.items()]
--- a/chestnutfall/tests/test_document_change.py
+++ b/chestnutfall/tests/test_document_change.py
@@ -21,7 +21,7 @@
         state = WHOLE
         for version in range(CHANGES):
             state = state.changed(rng.choice(list(ChangeKind)), rng)
-            decoded = DocumentJson().decode(document(version, state))
+            decoded = DocumentJson().decode(document(version, state.apply))
             self.assertEqual(list(check_document(decoded)), [], state)
 
     # Guards against a kind of change that is listed and never played.
@@ -30,5 +30,5 @@
         for kind in ChangeKind:
             with self.subTest(kind=kind):
                 states = {whole.changed(kind, random.Random(seed)) for seed in range(20)}
-                contents = {document(1, state) for state in states}
-                self.assertTrue(contents - {document(1, whole)})
+                contents = {document(1, state.apply) for state in states}
+                self.assertTrue(contents - {document(1, whole.apply)})
--- a/soak/configuration_changes.py
+++ b/soak/configuration_changes.py
@@ -84,7 +84,7 @@
         await self._put(self._version, self._state)
 
     async def _put(self, version: int, state: DocumentState) -> bool:
-        is_stored = await self._operator.put(version, state)
+        is_stored = await self._operator.put(version, state.apply)
         if is_stored:
             self.acknowledged = max(self.acknowledged, version)
         return is_stored
