Excuse a lost send that never arrived beside one that did

Its first send went out on a connection that the soak closed just then; the second one arrived, so that the judge took the first for one that had arrived too. Sends are counted now.

--- a/chestnutfall/platform/standin/run_registry.py
+++ b/chestnutfall/platform/standin/run_registry.py
@@ -30,8 +30,8 @@
 
     Attributes
     ----------
-    reached : dict of str to set of str
-        Upstreams that each request id reached.
+    reached : dict of str to Counter of str
+        How often each request id reached which upstream.
     broken_off : set of str
         Request ids whose answers upstreams broke off, without a crash.
     runs : Counter of str
@@ -60,7 +60,7 @@
         Times in seconds at which engines crashed under such a part.
     """
 
-    reached: dict[str, set[str]] = field(default_factory=dict)
+    reached: dict[str, Counter[str]] = field(default_factory=dict)
     broken_off: set[str] = field(default_factory=set)
     runs: Counter[str] = field(default_factory=Counter)
     ends: Counter[bytes] = field(default_factory=Counter)
@@ -83,7 +83,7 @@
 
     def note_arrival(self, instance: str, gateway: str, request_id: str = "") -> None:
         """Record that a request of `gateway` reached an upstream, whether or not it is refused."""
-        self.reached.setdefault(request_id, set()).add(instance)
+        self.reached.setdefault(request_id, Counter())[instance] += 1
         self.arrival_times_s.setdefault(instance, []).append(time.monotonic())
         self.signals_of(instance).note_arrival(gateway)
 
--- a/chestnutfall/tests/test_end_judge.py
+++ b/chestnutfall/tests/test_end_judge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from collections import Counter
 from dataclasses import replace
 
 from soak.cause import Cause
@@ -119,8 +120,10 @@
     # Guards against a loss that is excused by a connection which the request wasn't sent on.
     def test_an_idle_connection_explains_no_request_that_arrived_or_was_given_up(self) -> None:
         self.disturbances.record(closed_idle(UPSTREAM), 100.5, 100.5)
-        self.registry.reached["a1"] = {"i1"}
+        self.registry.reached["a1"] = Counter(i1=1)
         self.assertIsNone(self._cause(GIVEN_UP))
+        self.log += SEND.format(code="full", helped=0).replace("Lost", "Refused")
+        self.assertIs(self._cause(GIVEN_UP), Cause.CONNECTION_HARMED)
         self.registry.reached.clear()
         self.log = SEND.format(code="silent", helped=0)
         self.assertIsNone(self._cause(GIVEN_UP))
--- a/soak/end_judge.py
+++ b/soak/end_judge.py
@@ -166,7 +166,7 @@
             if cut or self._was(links_harmed(address), one):
                 return Explanation(Cause.CONNECTION_HARMED)
             is_closed = self._was(closed_idle(address), one)
-            if is_closed and self._never_arrived(one, send):
+            if is_closed and self._never_arrived(one, send, sends):
                 return Explanation(Cause.CONNECTION_HARMED)
             if self._was(ended(address), one) or one.request_id in self._registry.broken_off:
                 return Explanation(Cause.UPSTREAM_ENDED)
@@ -187,9 +187,13 @@
             return A_SECOND_OF_SILENCE
         return SLOWNESS if any(self._was_lately(slow(name), one) for name in upstreams) else ""
 
-    def _never_arrived(self, one: RequestEnd, send: LoggedSend) -> bool:
-        arrived = send.instance in self._registry.reached.get(one.request_id, ())
-        return not arrived and not send.was_given_up
+    def _never_arrived(
+        self, one: RequestEnd, send: LoggedSend, sends: Sequence[LoggedSend]
+    ) -> bool:
+        """Whether fewer sends reached an upstream than were sent, and this one was not given up."""
+        sent = sum(other.instance == send.instance for other in sends)
+        arrived = self._registry.reached.get(one.request_id, {}).get(send.instance, 0)
+        return arrived < sent and not send.was_given_up
 
     def _was_lately(self, name: str, one: RequestEnd) -> bool:
         from_s, until_s = one.sent_s - SETTLE_S, one.ended_s + SETTLE_S
