--- a/soak/end_judge.py
+++ b/soak/end_judge.py
@@ -192,7 +192,8 @@
     ) -> bool:
         """Whether fewer sends reached an upstream than were sent, and this one was not given up."""
         sent = sum(other.instance == send.instance for other in sends)
-        arrived = self._registry.reached.get(one.request_id, {}).get(send.instance, 0)
+        arrivals = self._registry.reached.get(one.request_id)
+        arrived = arrivals[send.instance] if arrivals is not None else 0
         return arrived < sent and not send.was_given_up
 
     def _was_lately(self, name: str, one: RequestEnd) -> bool:
