Tell a fatal part from a common one that was answered before

Cause: sound requests with a common part that is suspect share the engine of the fatal ones with it, so with few engines and callers the common part is in as many ends as the fatal one, and no answer comes between them. Two parts in the same ends were left to the next end for as long as that went on; or held together, since the requests of the last end had both, which refused no other fatal request and explained all ends that ran both, also in different requests, so the evidence was gone.

Gateways tell with a broken answer which of its parts they had an answer to in the last ten seconds; the log keeps that. Such a part ranks two ends behind one that nothing is known of, and needs no more ends than before where it leads. Parts are held together only if the same requests have them at every end, and a hold explains the ends of requests with all its parts.

The tests fail on the code before or with the safeguard taken away (mutants).

--- a/chestnutfall/control/broken_upstream.py
+++ b/chestnutfall/control/broken_upstream.py
@@ -35,6 +35,8 @@
         Fingerprints of the requests that are in the log already.
     parts : dict of str to tuple of str
         Shared parts of the prompts of its broken runs, by fingerprint.
+    answered_parts : set of str
+        Those of them that a gateway had an answer to shortly before.
     """
 
     address: str
@@ -44,8 +46,15 @@
     uncommitted: dict[str, RunInterval] = field(default_factory=dict)
     committed: set[str] = field(default_factory=set)
     parts: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    answered_parts: set[str] = field(default_factory=set)
 
-    def add(self, fingerprint: str, run: RunInterval, parts: tuple[str, ...] = ()) -> None:
+    def add(
+        self,
+        fingerprint: str,
+        run: RunInterval,
+        parts: tuple[str, ...] = (),
+        answered_parts: Iterable[str] = (),
+    ) -> None:
         """Add a broken run, and drop uncommitted ones that broke off long before it.
 
         At most `MAX_SUSPECTS` uncommitted requests are kept; further ones are ignored.
@@ -57,6 +66,7 @@
         }
         if parts and len(self.parts) < MAX_SUSPECTS:
             self.parts[fingerprint] = parts
+            self.answered_parts.update(answered_parts)
         known = self.uncommitted.get(fingerprint)
         if known is not None:
             self.uncommitted[fingerprint] = known.with_run(run)
--- a/chestnutfall/control/commands.py
+++ b/chestnutfall/control/commands.py
@@ -267,6 +267,8 @@
     unplaced : bool
         Whether it ended before the term of the leader that stores it, so that no leader that knew
         the ends before may have placed what it ran. Only the first command for it counts.
+    known_parts : tuple of str
+        Parts of `runs` that were answered in full shortly before the end.
     """
 
     instance: str
@@ -278,6 +280,7 @@
     cleared_parts: tuple[str, ...] = ()
     answered: tuple[str, ...] = ()
     unplaced: bool = False
+    known_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/control/control_state.py
+++ b/chestnutfall/control/control_state.py
@@ -218,6 +218,7 @@
                         command.unplaced,
                     )
                 self.crashes.parts.note_cleared(instance, command.cleared_parts)
+                self.crashes.parts.note_known(command.known_parts)
                 return Done()
             case HoldParts(parts):
                 self.crashes.hold_parts(parts)
--- a/chestnutfall/control/crash_messages.py
+++ b/chestnutfall/control/crash_messages.py
@@ -37,6 +37,8 @@
         Names of the shared parts of the request's prompt; see `part_keys`.
     answered_ago_ms : int or None
         Age of this gateway's latest complete answer to the same request; None if it knows of none.
+    answered_parts : tuple of str
+        Those of `parts` that this gateway had a complete answer to in the last ten seconds.
     """
 
     fingerprint: str
@@ -48,6 +50,7 @@
     rejecting: bool = False
     parts: tuple[str, ...] = ()
     answered_ago_ms: int | None = None
+    answered_parts: tuple[str, ...] = ()
 
     def delayed_by(self, by_ms: int) -> BrokenRun:
         """Return the report with ages for sending it `by_ms` later."""
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -138,7 +138,7 @@
             now_ms - report.broke_ago_ms,
             None if answered_ago_ms is None else now_ms - answered_ago_ms,
         )
-        broken.add(report.fingerprint, run, report.parts)
+        broken.add(report.fingerprint, run, report.parts, report.answered_parts)
         if report.rejecting:
             broken.note_rejecting(run.broke_ms)
         if report.refuses:
@@ -193,6 +193,7 @@
                     tuple(one for one, run in runs.items() if run.answered_ms is not None),
                     # Without a leader, or under one that ended before it stored the end.
                     all(run.broke_ms < self._began_ms for run in runs.values()),
+                    found.known,
                 )
             )
         broken.mark_committed(runs)
--- a/chestnutfall/control/part_blame.py
+++ b/chestnutfall/control/part_blame.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 
 from .part_end import PartEnd
 from .part_ledger import PartLedger
@@ -51,7 +52,8 @@
 def most_suspect_parts(ledger: PartLedger, instance: str) -> frozenset[str]:
     """Return the parts of one end that were in most separate ends, if the same requests have them.
 
-    Empty if there are fewer than `ENDS_TO_HOLD`, or different requests have them.
+    Empty if there are fewer than `ENDS_TO_HOLD`, or different requests have them, at this end or at
+    another one.
     """
     end = ledger.ends.get(instance)
     return _most_suspect(ledger, end) if end is not None else frozenset()
@@ -60,11 +62,19 @@
 def _most_suspect(ledger: PartLedger, end: PartEnd) -> frozenset[str]:
     counts = ledger.counts()
     counts.subtract(dict.fromkeys(ledger.answered, ENDS_BY_CHANCE))
+    # A common part runs on most engines, also where a rare one ends them.
+    ranks = Counter(counts)
+    ranks.subtract(dict.fromkeys(ledger.known, ENDS_BY_CHANCE))
     # A part that was in fewer ends than another is not to blame, even where one request may be the
     # cause of those: chance brought it there.
-    most = max((counts[part] for part in end.parts()), default=0)
-    worst = {part for part in end.parts() if counts[part] == most >= _ends_to_hold(ledger, part)}
-    by_run = {frozenset(worst.intersection(run.parts)) for run in end.runs} - {frozenset()}
+    most = max((ranks[part] for part in end.parts()), default=0)
+    worst = {
+        part
+        for part in end.parts()
+        if ranks[part] == most and counts[part] >= _ends_to_hold(ledger, part)
+    }
+    runs = (run for one in ledger.ends.values() for run in one.runs)
+    by_run = {frozenset(worst.intersection(run.parts)) for run in runs} - {frozenset()}
     return next(iter(by_run)) if len(by_run) == 1 else frozenset()
 
 
--- a/chestnutfall/control/part_end.py
+++ b/chestnutfall/control/part_end.py
@@ -36,6 +36,11 @@
         """Return the parts of all its requests."""
         return {part for run in self.runs for part in run.parts}
 
+    def ran_together(self, parts: Iterable[str]) -> bool:
+        """Whether one of its requests has all of these parts."""
+        wanted = set(parts)
+        return any(wanted.issubset(run.parts) for run in self.runs)
+
     def with_runs(self, runs: Iterable[RunParts], overlapping: Iterable[str]) -> PartEnd:
         """Return the end with more requests; known ones, and known parts, stay as they are.
 
--- a/chestnutfall/control/part_findings.py
+++ b/chestnutfall/control/part_findings.py
@@ -19,8 +19,11 @@
         Suspect parts for which the end overlaps an earlier one.
     cleared : tuple of str
         Parts that are not the cause.
+    known : tuple of str
+        Suspect parts that were answered shortly before the end.
     """
 
     runs: tuple[RunParts, ...]
     overlapping: tuple[str, ...]
     cleared: tuple[str, ...]
+    known: tuple[str, ...] = ()
--- a/chestnutfall/control/part_ledger.py
+++ b/chestnutfall/control/part_ledger.py
@@ -46,6 +46,8 @@
         Parts that an incarnation ran at its end and that are not the cause, oldest first.
     answered : dict of str to None
         Parts that were suspect and then answered in full, oldest first.
+    known : dict of str to None
+        Parts that were answered shortly before an end that they were in.
     """
 
     ends: dict[str, PartEnd] = field(default_factory=dict)
@@ -54,6 +56,7 @@
     explained: dict[str, None] = field(default_factory=dict)
     cleared: dict[str, tuple[str, ...]] = field(default_factory=dict)
     answered: dict[str, None] = field(default_factory=dict)
+    known: dict[str, None] = field(default_factory=dict)
 
     def note_end(
         self,
@@ -102,8 +105,8 @@
             self.offences[name] = self.offences.get(name, 0) + 1
         _drop_oldest(self.held, MAX_HELD)
         _drop_oldest(self.offences, MAX_PART_OFFENDERS)
-        wanted = set(parts)
-        explained = tuple(one for one, end in self.ends.items() if wanted <= end.parts())
+        # An end that ran the parts in different requests has another cause, or one of them alone.
+        explained = tuple(one for one, end in self.ends.items() if end.ran_together(parts))
         for instance in explained:
             del self.ends[instance]
             self.cleared.pop(instance, None)
@@ -124,6 +127,11 @@
         for name in [one for one in self.offences if cleared & set(parts_of(one))]:
             self._shrink(name, cleared)
 
+    def note_known(self, parts: Iterable[str]) -> None:
+        """Record that parts were answered shortly before an end."""
+        self.known.update(dict.fromkeys(parts))
+        _drop_oldest(self.known, MAX_ANSWERED)
+
     def note_cleared(self, instance: str, parts: Collection[str]) -> None:
         """Record that parts that an engine ran at its end are not the cause."""
         if parts and instance not in self.explained:
--- a/chestnutfall/control/part_monitor.py
+++ b/chestnutfall/control/part_monitor.py
@@ -112,7 +112,8 @@
         )
         all_parts = {part for one in runs for part in broken.parts.get(one, ())}
         cleared = tuple(sorted(all_parts.difference(by_part)))
-        return PartFindings(found, overlapping, cleared)
+        known = tuple(sorted(broken.answered_parts.intersection(by_part)))
+        return PartFindings(found, overlapping, cleared, known)
 
     def _is_suspect(self, part: str, broke_ms: int) -> bool:
         """Whether a part of a run that broke off was not answered since.
--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -235,6 +235,7 @@
                 broken.rejecting,
                 broken.parts,
                 None if answered_ms is None else now_ms - answered_ms,
+                self.unsettled.answered_lately(broken.parts),
             )
         )
 
--- a/chestnutfall/quarantine/unsettled_parts.py
+++ b/chestnutfall/quarantine/unsettled_parts.py
@@ -105,6 +105,11 @@
         """Record when a request with these parts was answered, whether any of them is suspect."""
         self._answers.note(parts, self._clock.now_ms())
 
+    def answered_lately(self, parts: Iterable[str]) -> tuple[str, ...]:
+        """Return those parts that this gateway had an answer to in the last ten seconds."""
+        oldest_ms = self._clock.now_ms() - REMEMBERED_MS
+        return tuple(one for one in parts if self._answers.last_ms(one) >= oldest_ms)
+
     def note_answered(self, parts: Collection[str]) -> tuple[str, ...]:
         """Settle the parts of an answered request, and return those that the leader suspected."""
         found = []
@@ -126,7 +131,7 @@
         ends = self._ends.get(part)
         if ends is not None and ends.count >= ENDS_TO_DISTRUST:
             return True
-        return self._answers.last_ms(part) < self._clock.now_ms() - REMEMBERED_MS
+        return not self.answered_lately((part,))
 
     def to_tell(self) -> tuple[str, ...]:
         """Return the parts that a new leader has to suspect, the latest if there are many."""
--- a/chestnutfall/tests/test_part_evidence.py
+++ b/chestnutfall/tests/test_part_evidence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from ..clock import ManualClock
 from ..control.control_state import ControlState
@@ -27,14 +28,19 @@
         self.monitor = CrashMonitor(AppliedLog(state), state, clock, self.suspects)  # type: ignore[arg-type]
 
     def report(
-        self, end: str, request: str, broke_ms: int, *parts: str, run_ms: int = RUN_MS
+        self,
+        end: str,
+        request: str,
+        broke_ms: int,
+        *parts: str,
+        run_ms: int = RUN_MS,
+        known: str = "",
     ) -> None:
         """Hear of a request that ran for a time until its engine ended."""
         ago_ms = self.clock.now_ms() - broke_ms
         address = f"{end}:1"
-        self.monitor.handle_report(
-            BrokenRun(request, end, address, True, ago_ms + run_ms, ago_ms, parts=parts)
-        )
+        report = BrokenRun(request, end, address, True, ago_ms + run_ms, ago_ms, parts=parts)
+        self.monitor.handle_report(replace(report, answered_parts=tuple(known.split())))
 
     def answer(self, *names: str, times: int = MIN_OTHER_ANSWERS) -> None:
         """Hear of answers to requests with these shared parts."""
@@ -158,6 +164,19 @@
         await term.judge()
         self.assertEqual(self._held(), set())
 
+    # Guards against what gateways tell of parts that they had answers to, and that is not kept.
+    async def test_the_log_keeps_which_parts_were_answered_before_an_end(self) -> None:
+        term = self._begin_term()
+        for at in range(2):
+            term.report(f"e{at}", f"r{at}", self.clock.now_ms(), "/common", FATAL, known="/common")
+            await term.judge()
+        last_ms = self.clock.now_ms()
+        term = self._begin_term()
+        term.answer()
+        term.report("e1", "r1", last_ms, "/common", FATAL)
+        await term.judge()
+        self.assertEqual(self._held(), {(FATAL,)})
+
     # Guards against sound callers who wait for a judgement that a failed service can't give.
     async def test_a_part_waits_for_other_answers_for_a_second_at_most(self) -> None:
         term = self._begin_term()
--- a/chestnutfall/tests/test_part_ledger.py
+++ b/chestnutfall/tests/test_part_ledger.py
@@ -56,6 +56,34 @@
         self.assertIsNone(self._end("e2", r1="c b1", r2="c b2"))
         self.assertIsNone(self._end("e3", r1="c b1", r2="c b2"))
 
+    # Guards against a hold of two parts together that refuses none of the requests that end engines
+    # under one of them beside others, and takes all ends as explained.
+    def test_parts_that_another_end_has_in_different_requests_are_not_held_together(self) -> None:
+        self._end("e1", r1="c g")
+        self._end("e2", r2="d g", r3="c b3")
+        self.assertIsNone(self._end("e3", r4="c g"))
+        self.assertEqual(self._end("e4", r5="d g"), ("g",))
+
+    def test_a_hold_explains_ends_of_requests_with_all_its_parts_only(self) -> None:
+        self._end("e1", r1="c g")
+        self._end("e2", r2="g", r3="c")
+        self.assertEqual(self.ledger.hold(("c", "g")), ("e1",))
+
+    # Guards against a common part in all ends that keeps the fatal one beside it from being held:
+    # few callers, whose requests run beside the fatal ones as they share that part.
+    def test_of_parts_in_the_same_ends_the_one_that_was_answered_before_is_not_to_blame(
+        self,
+    ) -> None:
+        self.ledger.note_known(("c",))
+        self._end("e1", r1="c g")
+        self.assertEqual(self._end("e2", r2="d g", r3="c b3"), ("g",))
+
+    def test_a_part_that_was_answered_before_is_held_after_one_end_more(self) -> None:
+        self.ledger.note_known(("g",))
+        self._end("e1", r1="g b1")
+        self.assertIsNone(self._end("e2", r2="g b2"))
+        self.assertEqual(self._end("e3", r3="g b3"), ("g",))
+
     # Guards against a rare sound part that is held, and explains ends that it did not cause: chance
     # brought it into two of the three ends under a fatal one, which one request was in each time.
     def test_a_part_in_fewer_ends_than_another_is_not_to_blame(self) -> None:
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -120,13 +120,41 @@
     Mutant(
         "a part is blamed for fewer ends than another one was in",
         _BLAME,
-        "    most = max((counts[part] for part in end.parts()), default=0)\n",
+        "    most = max((ranks[part] for part in end.parts()), default=0)\n",
         "    most = max(\n"
-        "        (counts[one] for one in end.parts() if _ends_to_hold(ledger, one) < math.inf),\n"
+        "        (ranks[one] for one in end.parts() if _ends_to_hold(ledger, one) < math.inf),\n"
         "        default=0,\n"
         "    )\n",
         "chestnutfall.tests.test_part_ledger",
     ),
+    Mutant(
+        "parts are held together for one end that has them in the same requests",
+        _BLAME,
+        "    runs = (run for one in ledger.ends.values() for run in one.runs)\n",
+        "    runs = iter(end.runs)\n",
+        "chestnutfall.tests.test_part_ledger",
+    ),
+    Mutant(
+        "a hold explains ends of requests with a part of it",
+        "chestnutfall/control/part_end.py",
+        "        return any(wanted.issubset(run.parts) for run in self.runs)\n",
+        "        return wanted <= self.parts()\n",
+        "chestnutfall.tests.test_part_ledger",
+    ),
+    Mutant(
+        "a part that was answered shortly before is as suspect as one that never was",
+        _BLAME,
+        "    ranks.subtract(dict.fromkeys(ledger.known, ENDS_BY_CHANCE))\n",
+        "",
+        "chestnutfall.tests.test_part_ledger",
+    ),
+    Mutant(
+        "the log does not keep which parts were answered before an end",
+        "chestnutfall/control/control_state.py",
+        "                self.crashes.parts.note_known(command.known_parts)\n",
+        "",
+        _EVIDENCE + "test_the_log_keeps_which_parts_were_answered_before_an_end",
+    ),
     Mutant(
         "gateways don't tell which parts were answered",
         "chestnutfall/forwarding/result_handler.py",
