--- a/chestnutfall/tests/part_scenario.py
+++ b/chestnutfall/tests/part_scenario.py
@@ -15,6 +15,8 @@
 CALM_S = 2.0
 SETTLED_S = 3.0
 """Time after the fifth end from which no more engine may end under the part."""
+MEASURED_S = 2.0
+"""Shortest time after that in which it is seen what sound requests get."""
 KNOWN_S = 0.1
 """Time after an end in which the leader is told of it; it stores it later."""
 FATAL, COMPANION = "dead0001", "dead0002"
@@ -27,6 +29,8 @@
 
     Attributes
     ----------
+    length_s : float
+        Shortest time for which fatal requests are sent; longer if `settled_s` comes late.
     parts : tuple of str
         Parts that the fatal requests have beside those of sound ones.
     ends_leaders : bool
@@ -87,8 +91,8 @@
         await leaders
         if self.all_leaders_down_s:
             await self._end_all_controllers(play)
-        left_s = self.began_s + self.length_s - time.monotonic()
-        await asyncio.sleep(max(left_s, 0.0))
+        while time.monotonic() < max(self.began_s + self.length_s, self.settled_s + MEASURED_S):
+            await asyncio.sleep(0.1)
         for task in fatal:
             task.cancel()
         await asyncio.gather(*fatal, return_exceptions=True)
