Settle parts also where the check of an engine fails

A check of a port that raised would have left the parts of its request suspect at that gateway for good, so that it sent none of them without a leader. And with a clock under ten seconds a part that was never answered counted as answered lately. Found by reading and by the tests, which fail on the code before.

--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -210,11 +210,14 @@
 
     async def _check_and_report(self, broken: BrokenAnswer) -> bool:
         self._being_checked.add(broken)
-        refuses = await self._has_ended(broken.address)
-        ended = refuses or broken not in self._being_checked
-        self._being_checked.discard(broken)
-        # Rejections explain the end of an upstream that bears few.
-        self.unsettled.check_ends(broken.parts, ended and not broken.rejecting, broken.began_ms)
+        ended = False
+        try:
+            refuses = await self._has_ended(broken.address)
+            ended = refuses or broken not in self._being_checked
+        finally:
+            self._being_checked.discard(broken)
+            # Rejections explain the end of an upstream that bears few.
+            self.unsettled.check_ends(broken.parts, ended and not broken.rejecting, broken.began_ms)
         if not ended:
             self._still_open.append(broken)
         self._report_broken(broken, ended)
--- a/chestnutfall/quarantine/unsettled_parts.py
+++ b/chestnutfall/quarantine/unsettled_parts.py
@@ -10,7 +10,7 @@
 
 from ..clock import Clock
 from ..control.crash_messages import MAX_SUSPECT_PARTS
-from ..control.latest_times import LatestTimes
+from ..control.latest_times import NEVER_MS, LatestTimes
 
 log = logging.getLogger(__name__)
 REMEMBERED_MS = 10_000
@@ -107,7 +107,7 @@
 
     def answered_lately(self, parts: Iterable[str]) -> tuple[str, ...]:
         """Return those parts that this gateway had an answer to in the last ten seconds."""
-        oldest_ms = self._clock.now_ms() - REMEMBERED_MS
+        oldest_ms = max(self._clock.now_ms() - REMEMBERED_MS, NEVER_MS + 1)
         return tuple(one for one in parts if self._answers.last_ms(one) >= oldest_ms)
 
     def note_answered(self, parts: Collection[str]) -> tuple[str, ...]:
--- a/chestnutfall/tests/test_request_quarantine.py
+++ b/chestnutfall/tests/test_request_quarantine.py
@@ -34,6 +34,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         self.reports: list[CrashReport] = []
+        self.rejecting = False
         self.asked: list[str] = []
         self.quarantine = RequestQuarantine(self.reports.append, self._refuses, self.clock)
 
@@ -42,6 +43,39 @@
         await self.clock.sleep_ms(10)
         return address.endswith("1")
 
+    # Guards against parts that no gateway sends without a leader since a check never ended.
+    async def test_parts_are_settled_where_a_check_fails_or_rejections_explain_the_end(
+        self,
+    ) -> None:
+        async def fails(address: str) -> bool:
+            raise RuntimeError(address)
+
+        self.quarantine = RequestQuarantine(self.reports.append, fails, self.clock)
+        checking = self.quarantine.note_broken("r", "i1", "127.0.0.1:1", -70, ("a",))
+        self.assertTrue(self.quarantine.unsettled.includes_any(["a"]))
+        with self.assertRaises(RuntimeError):
+            await checking
+        self.assertFalse(self.quarantine.unsettled.includes_any(["a"]))
+        for self.rejecting in (False, True):
+            self.quarantine = RequestQuarantine(
+                self.reports.append,
+                self._refuses,
+                self.clock,
+                lambda instance, since_ms: self.rejecting,
+            )
+            self.quarantine.note_broken("r", "i1", "127.0.0.1:1", -70, ("a",))
+            await self.clock.advance(10)
+            self.assertEqual(self.quarantine.unsettled.includes_any(["a"]), not self.rejecting)
+
+    # What a gateway tells of parts that it had answers to.
+    async def test_a_report_names_the_parts_that_were_answered_lately(self) -> None:
+        self.quarantine.unsettled.note_answer_times(["common"])
+        self.quarantine.note_broken("r", "i1", "127.0.0.1:1", -70, ("common", "rare"))
+        await self.clock.advance(10)
+        (report,) = self.reports
+        assert isinstance(report, BrokenRun)
+        self.assertEqual(report.answered_parts, ("common",))
+
     async def test_answers_that_break_off_together_check_the_port_once(self) -> None:
         for number in range(40):
             self.quarantine.note_broken(f"r{number}", "i1", "127.0.0.1:1", -70)
