--- a/chestnutfall/tests/test_fatal_parts.py
+++ b/chestnutfall/tests/test_fatal_parts.py
@@ -13,6 +13,9 @@
 LENGTH_S = 9.0
 MAX_ENDS = 5
 MAX_LATER_ARRIVALS = 3
+TOLD = ("crashes: ", "quarantine: ", "leader: ", "result=Lost", "place: ticket")
+MAX_TOLD = 600
+"""Lines of logs in the message of a failure, which can be traced by them."""
 MIN_SHARE = 0.95
 """Of what was served before, for sound requests with the same first part."""
 
@@ -37,11 +40,9 @@
     # Guards against gateways that send a part on while there is no leader, and a next leader that
     # places it before it hears of the end. Asks the logs, since the parts may not be wired.
     def test_a_part_costs_no_more_engines_without_any_controller(self) -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            scenario = PartScenario(74, ENGINES, LENGTH_S, keep=Path(folder))
-            scenario.all_leaders_down_s = 2.0
-            self._check(scenario)
-            logs = {one.parent.name: one.read_text() for one in Path(folder).glob("*/log")}
+        scenario = PartScenario(74, ENGINES, LENGTH_S)
+        scenario.all_leaders_down_s = 2.0
+        logs = self._check(scenario)
         gateways = "".join(log for name, log in logs.items() if name.startswith("g"))
         controllers = "".join(log for name, log in logs.items() if name.startswith("c"))
         # One call connects both with what a gateway sends without a leader.
@@ -51,9 +52,21 @@
         ):
             self.assertTrue(re.search(pattern, log), pattern)
 
-    def _check(self, scenario: PartScenario) -> None:
-        scenario.run()
-        seen = scenario.describe()
+    def _check(self, scenario: PartScenario) -> dict[str, str]:
+        """Play and judge a scenario; return the log of each program."""
+        with tempfile.TemporaryDirectory() as folder:
+            scenario.keep = Path(folder)
+            scenario.run()
+            logs = {one.parent.name: one.read_text() for one in Path(folder).glob("*/log")}
+        seen = "\n".join((scenario.describe(), *_told_lines(logs)))
         self.assertLessEqual(len(scenario.ends_s), MAX_ENDS, seen)
         self.assertLessEqual(scenario.late_arrivals, MAX_LATER_ARRIVALS, seen)
         self.assertGreaterEqual(scenario.share_after, MIN_SHARE * scenario.share_before, seen)
+        return logs
+
+
+def _told_lines(logs: dict[str, str]) -> list[str]:
+    """Return what the programs logged of ends, suspects and leaders, in order of time."""
+    lines = (line for log in logs.values() for line in log.splitlines())
+    told = sorted(line for line in lines if any(one in line for one in TOLD))
+    return told[:MAX_TOLD]
