Let no call end a port check that others await

Callers with an idempotent request got 502 gateway_fault after their engine's answer was lost, and the lost answer was never reported to the leader; the parts of the prompt looked unsettled for ever.

Cause: checks of one address are shared, and whoever awaited the shared task awaited it bare. The search of a silent call checks the port too and is cancelled as the upstream speaks again, which cancelled the check and with it the report of every other call that waited for it. The report that the search itself makes was cancelled in the same way.

Both are shielded now, so that a cancelled search stops waiting only. What a report holds while it waits (the checked parts, the broken answer that is being checked) is let go whichever way the check ends.

Four tests failed before: a check that one stops waiting for was cancelled for the others ("False is not true"); a check that raised left its part unsettled; the second call was refused instead of repeated ("(b'', 'refused') != (b'id: 1...', 'whole')"); an end found by a stopped search gave no report ("[] != [('i0', True)]"). Both new mutants fail their tests.

--- a/chestnutfall/forwarding/other_place.py
+++ b/chestnutfall/forwarding/other_place.py
@@ -97,13 +97,15 @@
         progress, upstream = sending.progress, sending.place.upstream
         # Sent at once, a prompt may end the next engine before the leader knows what both ran.
         if progress.part_keys and await self._quarantine.has_ended(upstream.address):
-            await self._quarantine.note_broken(
+            ending = self._quarantine.note_broken(
                 progress.fingerprint,
                 upstream.instance,
                 upstream.address,
                 sending.sent_ms,
                 progress.part_keys,
             )
+            # The report goes out even if the search is stopped.
+            await asyncio.shield(ending)
             progress.ended_upstream = True
         criteria = self._criteria()
         avoid = (*criteria.avoid, *(one.place.upstream.instance for one in live))
--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -214,11 +214,14 @@
 
     async def _check_and_report(self, broken: BrokenAnswer) -> bool:
         self._being_checked.add(broken)
-        refuses = await self.has_ended(broken.address)
-        ended = refuses or broken not in self._being_checked
-        self._being_checked.discard(broken)
-        # Rejections explain the end of an upstream that bears few.
-        self.unsettled.check_ends(broken.parts, ended and not broken.rejecting, broken.began_ms)
+        ended = False
+        try:
+            refuses = await self.has_ended(broken.address)
+            ended = refuses or broken not in self._being_checked
+        finally:
+            self._being_checked.discard(broken)
+            # Rejections explain the end of an upstream that bears few.
+            self.unsettled.check_ends(broken.parts, ended and not broken.rejecting, broken.began_ms)
         if not ended:
             self._still_open.append(broken)
         if ended or not broken.is_silent:
@@ -250,4 +253,5 @@
             check = asyncio.ensure_future(self._refuses_connections(address))
             self._checks[address] = check
             check.add_done_callback(lambda _: self._checks.pop(address, None))
-        return await check
+        # Whoever stops waiting must not take the check from the others.
+        return await asyncio.shield(check)
--- a/chestnutfall/tests/fakes/silence_case.py
+++ b/chestnutfall/tests/fakes/silence_case.py
@@ -57,6 +57,8 @@
         Number of the last event that clients have.
     ended_addresses : set of str
         Addresses that refuse connections.
+    check_ms : int
+        How long the check of an address takes.
     """
 
     def setUp(self) -> None:
@@ -66,10 +68,13 @@
         self.resume_after: int | None = None
         self.reports: list[CrashReport] = []
         self.ended_addresses: set[str] = set()
+        self.check_ms = 0
         self.parts: tuple[str, ...] = ()
         self.metrics = PrometheusMetrics()
 
     async def _refuses_connections(self, address: str) -> bool:
+        if self.check_ms:
+            await self.clock.sleep_ms(self.check_ms)
         return address in self.ended_addresses
 
     async def _borrow(self, service: str) -> bool:
--- a/chestnutfall/tests/test_request_quarantine.py
+++ b/chestnutfall/tests/test_request_quarantine.py
@@ -105,6 +105,35 @@
             await self.clock.advance(10)
         self.assertEqual(len(self.asked), 2)
 
+    # Guards against a check that fails for all who wait for it, since one of them stops waiting.
+    async def test_a_check_goes_on_for_the_others_when_one_stops_waiting(self) -> None:
+        for upstream_ends in (True, False):
+            address = "127.0.0.1:1" if upstream_ends else "127.0.0.1:2"
+            waiting = asyncio.ensure_future(self.quarantine.has_ended(address))
+            await self.clock.settle()
+            found = self.quarantine.note_broken("r", "i1", address, -70, ("p",))
+            await self.clock.settle()
+            waiting.cancel()
+            await self.clock.advance(10)
+            self.assertTrue(found.done() and not found.cancelled())
+            self.assertEqual(found.result(), upstream_ends)
+        self.assertEqual((len(self.asked), len(self.reports)), (2, 2))
+
+    # Guards against parts that look unsettled for ever.
+    async def test_a_check_that_fails_is_over(self) -> None:
+        async def fail(address: str) -> bool:
+            await self.clock.sleep_ms(10)
+            raise ValueError(address)
+
+        self.quarantine = RequestQuarantine(self.reports.append, fail, self.clock)
+        await self.clock.advance(60_000)
+        found = self.quarantine.note_broken("r", "i1", "127.0.0.1:1", -70, ("p",))
+        await self.clock.settle()
+        self.assertTrue(self.quarantine.unsettled.includes_any(("p",)))
+        await self.clock.advance(10)
+        self.assertIsInstance(found.exception(), ValueError)
+        self.assertFalse(self.quarantine.unsettled.includes_any(("p",)))
+
     def test_only_answers_to_watched_requests_are_reported_and_once(self) -> None:
         held = QuarantinedRequest("held", 60_000)
         self.quarantine.update(SuspectRequests(4, ("watched",), (held,)))
--- a/chestnutfall/tests/test_silent_services.py
+++ b/chestnutfall/tests/test_silent_services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..control.crash_messages import BrokenRun
+from ..forwarding.upstream_api import AnswerLost
 from .fakes.fake_upstreams import RecordedReply
 from .fakes.forwarder_case import event
 from .fakes.silence_case import SILENT_MS, SilenceCase
@@ -50,6 +51,36 @@
         self.assertEqual([one.needs_leader for one in self.selector.criteria], [False, True])
         self.assertTrue(self.reports)
 
+    # Guards against a call that fails, and a break that nobody reports, as the search of another
+    # call ends.
+    async def test_a_search_that_ends_leaves_the_port_check_to_others(self) -> None:
+        self.parts = ("p1", "p2")
+        self._begin(HUNG, SOUND)
+        self.upstreams.scripts["i0"] = [
+            (50, event(1), SILENT_MS + 50, event(2), event(3)),
+            (180, AnswerLost),
+        ]
+        self.check_ms = 150
+        searching, _ = self._call(RESUMABLE, "searching")
+        await self.clock.advance(200)
+        other, _ = self._call(RESUMABLE, "other")
+        await self.clock.advance(3_000)
+        for reply in (searching, other):
+            self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
+        broken = [one for one in self.reports if isinstance(one, BrokenRun)]
+        self.assertEqual([(one.instance, one.refuses) for one in broken], [("i0", False)])
+
+    # Guards against an engine that ended, of which nobody tells since its answer went on.
+    async def test_an_end_that_a_search_found_is_reported_though_the_search_ends(self) -> None:
+        self.parts = ("p1", "p2")
+        self.ended_addresses = {"127.0.0.1:1"}
+        self.check_ms = 20
+        self._begin((50, event(1), SILENT_MS + 30, event(2), event(3)), SOUND)
+        reply = await self._serve(RESUMABLE)
+        self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
+        broken = [one for one in self.reports if isinstance(one, BrokenRun)]
+        self.assertEqual([(one.instance, one.refuses) for one in broken], [("i0", True)])
+
 
 class ManySilentTest(SilenceCase):
     """Many calls at once, each of which begins at the next upstream."""
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -349,4 +349,20 @@
         "        least_ms = window_ms\n",
         f"{_TESTS}.test_silent_upstreams",
     ),
+    Mutant(
+        "a call that stops waiting for a port check ends it for others",
+        _QUARANTINE,
+        "        return await asyncio.shield(check)\n",
+        "        return await check\n",
+        f"{_TESTS}.test_silent_services.SilentEndTest."
+        "test_a_search_that_ends_leaves_the_port_check_to_others",
+    ),
+    Mutant(
+        "an end that a search found is lost with the search",
+        _OTHER_PLACE,
+        "            await asyncio.shield(ending)\n",
+        "            await ending\n",
+        f"{_TESTS}.test_silent_services.SilentEndTest."
+        "test_an_end_that_a_search_found_is_reported_though_the_search_ends",
+    ),
 )
