Count no silence while a client reads its answer's end

Clients that took longer than the usual silence to read a whole answer, or the end of a stream, got it cut off: the call was sent a second time, the second answer met one that had been given (AssertionError at ended_reply), and the request had no end. A sound engine counted as broken if such a client left, or read until its deadline.

Cause: only the writing of events stopped the clock of the upstream's silence. While send_whole and finish waited for the client it ran on, so that the sound upstream looked silent, was left and was reported.

Both stop it now, and it stays stopped: the upstream has nothing more to write, so no search begins and outcome_if_abandoned blames nobody.

Both new mutants fail their tests.

--- a/chestnutfall/forwarding/relayed_send.py
+++ b/chestnutfall/forwarding/relayed_send.py
@@ -115,7 +115,10 @@
 
     @property
     def silent_ms(self) -> int:
-        """How long the upstream has been silent; 0 while a part is written to the client."""
+        """How long the upstream has been silent; 0 while a part is written to the client.
+
+        It stays 0 once the whole answer is there, however slowly the client reads the end of it.
+        """
         since_ms = self._waits_since_ms
         return 0 if since_ms is None else self._clock.now_ms() - since_ms
 
@@ -172,6 +175,7 @@
         self._lock.acquire(self)
         self._note_first_byte()
         self.progress.note_part(self._clock.now_ms())
+        self._waits_since_ms = None
         await self._reply.send_whole(answer.status, answer.headers, body)
         return Delivered()
 
@@ -190,6 +194,7 @@
         if not splitter.at_event_boundary:
             return Lost("cut_in_event")
         self._lock.acquire(self)
+        self._waits_since_ms = None
         await self._start(answer)
         await self._reply.finish()
         return Delivered()
--- a/chestnutfall/tests/test_second_send_bounds.py
+++ b/chestnutfall/tests/test_second_send_bounds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..clock import ManualClock
 from ..control.crash_messages import QuarantinedRequest, SuspectRequests
 from ..forwarding.call import Headers
 from ..forwarding.upstream_answer import NotRun
@@ -24,6 +25,23 @@
 from .fakes.timed_upstreams import HANG, Head, Status
 
 
+class _SlowEndReply(RecordedReply):
+    """A client that takes a time to read the end of its answer."""
+
+    def __init__(self, clock: ManualClock, reads_ms: int) -> None:
+        super().__init__()
+        self._clock = clock
+        self._reads_ms = reads_ms
+
+    async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        await self._clock.sleep_ms(self._reads_ms)
+        await super().send_whole(status, headers, body)
+
+    async def finish(self) -> None:
+        await self._clock.sleep_ms(self._reads_ms)
+        await super().finish()
+
+
 class SecondSendBoundsTest(SilenceCase):
     # Guards against a call that runs twice though it may run once.
     async def test_a_call_that_may_run_once_is_never_sent_twice(self) -> None:
@@ -43,6 +61,34 @@
             await self._serve(kind)
             self.assertEqual(self.selector.outcomes, {"i0": [RunOutcome.BROKEN]})
 
+    # Guards against a sound engine that counts as silent while the client reads slowly.
+    async def test_a_client_that_reads_slowly_is_no_silence(self) -> None:
+        for kind in (RESUMABLE, RouteKind.IDEMPOTENT):
+            for reads_ms in (1_500, TIMEOUT_MS * 2):
+                with self.subTest(kind=kind, reads_ms=reads_ms):
+                    self.setUp()
+                    self._begin((50, EVENTS), SOUND)
+                    reply, _ = self._call(kind, reply=_SlowEndReply(self.clock, reads_ms))
+                    await self.clock.advance(TIMEOUT_MS)
+                    if reads_ms < TIMEOUT_MS:
+                        self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
+                    self.assertEqual(
+                        (len(self.upstreams.sends), len(self.selector.criteria)), (1, 1)
+                    )
+                    self.assertNotIn(RunOutcome.BROKEN, self.selector.outcomes["i0"])
+
+    # Guards against a sound engine that is blamed as a client leaves before it has read the end.
+    async def test_a_client_that_leaves_a_whole_answer_blames_no_engine(self) -> None:
+        for kind in RouteKind:
+            with self.subTest(kind):
+                self.setUp()
+                self._begin((50, EVENTS), SOUND)
+                _, task = self._call(kind, reply=_SlowEndReply(self.clock, TIMEOUT_MS))
+                await self.clock.advance(SILENT_MS * 4)
+                task.cancel()
+                await self.clock.advance(1)
+                self.assertEqual(self.selector.outcomes, {"i0": [RunOutcome.LEFT]})
+
     # Guards against more engines for one call than its route allows.
     async def test_silent_sends_keep_to_the_attempts_of_the_route(self) -> None:
         for attempts in (1, 2, 3):
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -365,4 +365,22 @@
         f"{_TESTS}.test_silent_services.SilentEndTest."
         "test_an_end_that_a_search_found_is_reported_though_the_search_ends",
     ),
+    Mutant(
+        "a client that reads a whole answer slowly makes its engine look silent",
+        _RELAYED_SEND,
+        "        self._waits_since_ms = None\n" "        await self._reply.send_whole(",
+        "        await self._reply.send_whole(",
+        f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
+        "test_a_client_that_reads_slowly_is_no_silence",
+    ),
+    Mutant(
+        "a client that reads the end of a stream slowly makes its engine look silent",
+        _RELAYED_SEND,
+        "        self._waits_since_ms = None\n"
+        "        await self._start(answer)\n"
+        "        await self._reply.finish()\n",
+        "        await self._start(answer)\n" "        await self._reply.finish()\n",
+        f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
+        "test_a_client_that_leaves_a_whole_answer_blames_no_engine",
+    ),
 )
