Take an unexpected error of a send for a lost answer

Callers whose engine was silent lost a living answer as well: if the second send met an error that nothing expects (a ValueError, a cancelled inner future), the first one was cancelled with it, and the client got 502 or a stream that broke off. With one send, an idempotent call ended with the first such error though another engine could have run it.

Cause: the error came out of the task of the one send, and whoever took its result ended the whole call.

The sender makes it `Lost("gateway_fault")`, with the `fault=` line, so that it is treated as any lost answer: true of what ran (it may have), left alone by the other send, repeated if the call may run again. The upstream isn't blamed. CallerGone, the call's own cancellation, what the client's connection raises in a write, and assertions pass as before. A TimeoutError of the client's connection was taken for a silent upstream and repeated behind a begun answer; it passes now too.

`faults.is_cancelled` did the same as `clock.cancelled.was_cancelled`, which stays.

--- a/chestnutfall/forwarding/faults.py
+++ b/chestnutfall/forwarding/faults.py
@@ -6,6 +6,13 @@
 import traceback
 from collections.abc import Awaitable
 
+from ..clock.cancelled import was_cancelled
+from .caller_reply import CallerGone
+from .reply_lock import ReplyTaken
+
+FAULT = "gateway_fault"
+"""Reason of an end, and of the loss of an answer, after an error that nothing expects."""
+
 
 class InnerTimeout(Exception):
     """Something that a call waited for timed out by itself, before the call's own time was up."""
@@ -19,14 +26,18 @@
         raise InnerTimeout(str(exc)) from exc
 
 
-def is_cancelled() -> bool:
-    """Whether the running task is cancelled itself.
+def is_fault(exc: BaseException) -> bool:
+    """Whether an error is one that nothing expects, and that another send may not meet.
 
-    False if a `CancelledError` comes from something awaited that was cancelled, such as a future
-    that several calls share.
+    The end of the call itself is none, nor is an assertion, which would fail again.
     """
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
+    match exc:
+        case CallerGone() | ReplyTaken() | AssertionError():
+            return False
+        case asyncio.CancelledError():
+            return not was_cancelled()
+        case _:
+            return isinstance(exc, Exception)
 
 
 def fault_text(fault: BaseException) -> str:
--- a/chestnutfall/forwarding/relayed_send.py
+++ b/chestnutfall/forwarding/relayed_send.py
@@ -122,6 +122,11 @@
         since_ms = self._waits_since_ms
         return 0 if since_ms is None else self._clock.now_ms() - since_ms
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether a part is written to the client, or the end of its answer was."""
+        return self._waits_since_ms is None
+
     @property
     def usual_ms(self) -> float:
         """How long a sound upstream is usually silent at most."""
--- a/chestnutfall/forwarding/request_ends.py
+++ b/chestnutfall/forwarding/request_ends.py
@@ -9,16 +9,15 @@
 from typing import Any
 
 from ..clock import Clock
+from ..clock.cancelled import was_cancelled
 from ..observability.prometheus_metrics import PrometheusMetrics
 from ..requests import Executed
 from .caller_reply import CallerGone, CallerReply
 from .ended_reply import EndedReply
-from .faults import fault_text, is_cancelled
+from .faults import FAULT, fault_text
 from .request_end import Answered, BrokenOff, CallerLeft, Refused, RequestEnd, Stopped
 
 log = logging.getLogger(__name__)
-FAULT = "gateway_fault"
-"""Reason of an end after an error that nothing on the call's way expects."""
 READ_WITHIN_MS = 10_000
 """Time to read the end of an answer beyond the call's own time. The answer stays in memory so long,
 and a client that hasn't read it by then has given up."""
@@ -98,7 +97,7 @@
             raise
         except (Exception, asyncio.CancelledError) as exc:
             # Whoever awaits a cancelled future is raised the same error as by its own end.
-            if isinstance(exc, asyncio.CancelledError) and is_cancelled():
+            if isinstance(exc, asyncio.CancelledError) and was_cancelled():
                 if not self._stopping or answer.is_gone():
                     raise
                 await answer.refuse(_refusal(answer, STOPPING, STOPPING_RETRY_MS))
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import logging
+
 from ..clock import Clock
 from ..observability.prometheus_metrics import PrometheusMetrics
 from ..placement import RunOutcome
@@ -9,6 +12,7 @@
 from ..routes import Route
 from ..signals.known_signals import KnownSignals
 from .caller_reply import CallerReply
+from .faults import FAULT, fault_text, is_fault
 from .place import Place, UpstreamSelector
 from .progress import Progress
 from .relayed_send import RelayedSend
@@ -19,6 +23,7 @@
 from .upstream_answer import NotRun, UpstreamAnswer
 from .upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 
+log = logging.getLogger(__name__)
 _OUTCOMES = {
     NotRun.FULL: RunOutcome.FULL,
     NotRun.REPLACED: RunOutcome.REPLACED,
@@ -76,12 +81,15 @@
         """Send the call once, relay the answer and release the place.
 
         Nothing is sent if the upstream has started to back off since it was selected, or if it is
-        not known any more to run what the call's stream needs.
+        not known any more to run what the call's stream needs. An error that nothing expects is the
+        loss of the answer, since the call may have run.
 
         Raises
         ------
         ReplyTaken
             When another send of the call answers the client.
+        CallerGone
+            When the client has left.
         """
         progress, place = sending.progress, sending.place
         may_send = self._signals.may_send(place.upstream.instance)
@@ -103,9 +111,16 @@
         except AnswerLost as exc:
             outcome = RunOutcome.BROKEN
             return Lost(str(exc))
-        except TimeoutError:
-            outcome = RunOutcome.BROKEN
-            return Lost(SILENT)
+        except (Exception, asyncio.CancelledError) as exc:
+            # What the client's connection raises is no loss: its answer has begun, or may have.
+            if sending.is_writing or not is_fault(exc):
+                raise
+            if isinstance(exc, TimeoutError):
+                outcome = RunOutcome.BROKEN
+                return Lost(SILENT)
+            # It says nothing of the upstream, so that the outcome is that of a send that was left.
+            log.error("call: id=%s fault=%s", progress.call.request_id, fault_text(exc))
+            return Lost(FAULT)
         finally:
             if outcome is None:
                 outcome = sending.outcome_if_abandoned()
--- a/chestnutfall/tests/fakes/timed_upstreams.py
+++ b/chestnutfall/tests/fakes/timed_upstreams.py
@@ -32,7 +32,7 @@
     status: int
 
 
-Step = int | bytes | Head | Status | NotRun | type[Exception]
+Step = int | bytes | Head | Status | NotRun | type[BaseException]
 """One step of an answer: an int is a wait in ms, bytes are a part, an exception ends it."""
 
 
--- a/chestnutfall/tests/test_call_faults.py
+++ b/chestnutfall/tests/test_call_faults.py
@@ -8,15 +8,15 @@
 from unittest.mock import patch
 
 from ..forwarding.admission import Admission
+from ..forwarding.faults import FAULT
 from ..forwarding.repeats import Repeats
-from ..forwarding.request_ends import FAULT
 from ..forwarding.stream_origins import StreamOrigins
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
 from ..forwarding.upstream_api import AnswerLost
 from ..quarantine import RequestQuarantine
 from ..routes import RouteKind
 from ..signals import NO_SIGNALS
-from .fakes.fake_upstreams import ListedSelector
+from .fakes.fake_upstreams import ListedSelector, RecordedReply
 from .fakes.forwarder_case import ForwarderCase, event
 
 FAULTS: tuple[type[BaseException], ...] = (
@@ -80,6 +80,29 @@
                     await self._serve_fault(kind, fault)
                     self._assert_refused(502, None)
 
+    # Guards against a call that may run twice and ends with the first error of a connection.
+    async def test_a_fault_of_a_send_is_repeated_as_the_loss_of_its_answer(self) -> None:
+        for fault in FAULTS:
+            with self.subTest(fault=fault.__name__):
+                self.setUp()
+                with self.assertLogs("chestnutfall.forwarding", "INFO") as logs:
+                    await self._serve(RouteKind.IDEMPOTENT, [fault, (b"second",)])
+                self.assertEqual((self.reply.ended, self.reply.body), ("whole", b"second"))
+                # The transports' own timeouts are known, and those of a call are its end.
+                if fault is not TimeoutError:
+                    self.assertIn(f"fault={fault.__name__} at=", " ".join(logs.output))
+
+    # Guards against a second answer behind a part of the first one: an error of the client's
+    # connection is none of the upstream's.
+    async def test_a_fault_of_the_reply_is_never_repeated(self) -> None:
+        for fault in FAULTS:
+            with (
+                self.subTest(fault=fault.__name__),
+                patch.object(RecordedReply, "send_whole", side_effect=fault("scripted")),
+            ):
+                await self._serve_fault(RouteKind.IDEMPOTENT, (b"first",), (b"second",))
+                self.assertEqual((len(self.upstreams.sends), self.reply.body), (1, b""))
+
     # Guards against a stream that stops without its end and stays open, or that a second answer
     # follows: an error comes out of the body of the relayed answer.
     async def test_a_fault_in_a_stream_breaks_it_off(self) -> None:
--- a/chestnutfall/tests/test_second_sends.py
+++ b/chestnutfall/tests/test_second_sends.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 from collections.abc import AsyncIterator
 from dataclasses import replace
@@ -33,6 +34,9 @@
 )
 from .fakes.timed_upstreams import HANG, Status
 
+FAULTS = (ValueError, asyncio.CancelledError)
+"""Errors of a send that nothing expects."""
+
 
 async def _parts(*parts: bytes) -> AsyncIterator[bytes]:
     for part in parts:
@@ -147,7 +151,7 @@
 
     # Guards against a second send that takes the living first one with it.
     async def test_a_second_send_that_fails_leaves_the_first_alone(self) -> None:
-        ends = (NotRun.FULL, NotRun.ABSENT, NotSent, AnswerLost, Status(500), Status(503))
+        ends = (NotRun.FULL, NotRun.ABSENT, NotSent, AnswerLost, Status(500), Status(503), *FAULTS)
         for end, (where, script) in itertools.product(ends, streams(1_500).items()):
             with self.subTest(end=end, where=where):
                 self._begin(script, (20, end))
@@ -159,7 +163,7 @@
 
     # Guards against a first send that ends and takes the second one with it.
     async def test_a_first_send_that_fails_leaves_the_second_alone(self) -> None:
-        for end in (NotRun.FULL, NotSent, AnswerLost, Status(500)):
+        for end in (NotRun.FULL, NotSent, AnswerLost, Status(500), *FAULTS):
             with self.subTest(end=end):
                 self._begin((SILENT_MS + 100, end), (200, *SOUND))
                 reply = await self._serve(RESUMABLE)
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -41,7 +41,7 @@
     Mutant(
         "cancelled future taken for a cancelled request",
         _ENDS,
-        "            if isinstance(exc, asyncio.CancelledError) and is_cancelled():",
+        "            if isinstance(exc, asyncio.CancelledError) and was_cancelled():",
         "            if isinstance(exc, asyncio.CancelledError):",
         _FAULTS_TEST,
     ),
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -383,4 +383,19 @@
         f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
         "test_a_client_that_leaves_a_whole_answer_blames_no_engine",
     ),
+    Mutant(
+        "an unexpected error of one send ends a living other one",
+        f"{_FORWARDING}/sender.py",
+        "            if sending.is_writing or not is_fault(exc):\n",
+        "            if True:\n",
+        f"{_TESTS}.test_second_sends.SecondSendTest."
+        "test_a_second_send_that_fails_leaves_the_first_alone",
+    ),
+    Mutant(
+        "an error of the client's connection is taken for a lost answer",
+        f"{_FORWARDING}/sender.py",
+        "            if sending.is_writing or not is_fault(exc):\n",
+        "            if not is_fault(exc):\n",
+        f"{_TESTS}.test_call_faults.CallFaultsTest.test_a_fault_of_the_reply_is_never_repeated",
+    ),
 )
