Take a stream up again where its run was left

Clients whose engine paused for 1.2 s in a begun stream lost it: 300 ms after the second send the living run was cancelled, though the second engine had not answered. If that one then hung, refused or was lost, the stream was broken off ("id: 1", "broken off") with no send left to make.

Cause: the silent run's upstream was put among those that failed the call, and its run used up an attempt, as did that of a second one which was left because the first spoke again.

The overlap stays at 300 ms at most, and ends sooner, as the second upstream's head is there. What is overtaken is no failure: its upstream is second choice, behind those that were not tried, as soon as the newest send refuses, fails or is lost, or has been silent for 2 s, from when an upstream counts as hung. Before that two slow upstreams would take the stream from each other. `attempts` bounds the upstreams that may have run the call, so that going back is none; it costs a repeat and one of the six sends. Where the attempts are used up, selectors are told which upstreams may run the call, and a place elsewhere is given back.

--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from ..routes import Route
 from .caller_reply import CallerReply
 from .live_sends import LiveSends
 from .other_place import OtherPlace
+from .overtaken_upstreams import has_attempt, overtaken
 from .place import Place, SelectionCriteria, UpstreamSelector
 from .progress import Progress
 from .relayed_send import RelayedSend
@@ -18,18 +19,20 @@
 from .send_log import log_send
 from .send_parts import SendParts
 from .send_result import HeldBack, SendResult
+from .silent_upstreams import LASTING_MS
 
 OVERLAP_MS = 300
-"""How long the run of a begun stream goes on after another one was sent; by then that one was
-refused or is at work, and two engines must not work side by side on a stream that goes on."""
+"""How long the run of a begun stream goes on after another one was sent, whatever has become of
+that one: two engines must not work side by side on a stream that goes on."""
 
 
 class CallSends:
     """Sends a call, and sends it to another upstream too while its upstream is silent.
 
-    A sound upstream may write nothing for a second or so. Its send ends only when another one has
-    the next part of the answer, or is at work on the rest of a stream; until then, whichever
-    answers first is relayed.
+    A sound upstream may write nothing for a second or so. Its send goes on until another one has
+    the next part of the answer; whichever answers first is relayed. The run of a begun stream ends
+    once another one is at work on the rest, or has been for `OVERLAP_MS`; where that one fails or
+    hangs, the stream may be taken up again at the first upstream.
 
     Parameters
     ----------
@@ -59,8 +62,8 @@
 
     async def run(self, place: Place) -> tuple[RelayedSend, SendResult]:
         """Send the call to `place`, and return its last send with the result."""
-        may_move = place.has_other and self._may_add()
         first = self._prepare(place)
+        may_move = place.has_other and self._may_look([first])
         sending, result = await (self._watch(first) if may_move else self._send_once(first))
         if isinstance(result, HeldBack):
             self._progress.holds_repeat = sending.took_repeat
@@ -72,6 +75,7 @@
             self._progress, self._route, place, self._selector, self._reply, self._lock
         )
         self._progress.holds_repeat = False
+        sending.on_at_work = self._wake_up
         return sending
 
     async def _send_once(self, sending: RelayedSend) -> tuple[RelayedSend, SendResult]:
@@ -79,17 +83,26 @@
         log_send(sending, self._clock.now_ms(), result)
         return sending, result
 
-    def _may_add(self) -> bool:
-        """Whether the call may be sent to one more upstream beside those that work on it."""
+    def _may_look(self, sends: Sequence[RelayedSend]) -> bool:
+        """Whether the call may be sent once more beside these sends, now or as they stay silent."""
         progress = self._progress
         if not self._route.kind.idempotent or progress.sends >= MAX_SENDS:
             return False
         # Without the number of the last event, no other run could go on behind it.
         if progress.started and progress.last_event is None:
             return False
-        if progress.resumes and len(self._live) > 1:
+        if progress.resumes and len(sends) > 1:
             return False
-        return progress.runs + max(len(self._live), 1) < self._route.attempts
+        live = [one.place.upstream.instance for one in sends]
+        return has_attempt(progress, self._route, live) or bool(overtaken(progress, live))
+
+    def _patience_ms(self) -> int:
+        """Return how long the sends are silent until the call is sent once more."""
+        sends = self._live.sends
+        live = [one.place.upstream.instance for one in sends]
+        # Those that are left were silent as well.
+        is_spent = not has_attempt(self._progress, self._route, live)
+        return LASTING_MS if is_spent else math.ceil(sends[-1].usual_ms)
 
     async def _watch(self, first: RelayedSend) -> tuple[RelayedSend, SendResult]:
         self._live.start(first)
@@ -111,21 +124,22 @@
     def _end_overlap(self) -> None:
         if not self._progress.resumes or len(self._live) == 1:
             return
-        if self._clock.now_ms() >= self._live.sends[-1].sent_ms + OVERLAP_MS:
+        newest = self._live.sends[-1]
+        if newest.is_at_work or self._clock.now_ms() >= newest.sent_ms + OVERLAP_MS:
             self._live.leave_older()
 
     def _send_too(self) -> None:
         """Look for another upstream, or send the call to the one that was found."""
         other, sends = self._other, self._live.sends
         if other.search is not None and other.search.done():
-            place = other.take(sends, self._may_add())
+            place = other.take(sends, self._may_look(sends))
             self._parts.origins.confirm(self._progress)
             if place is not None:
                 self._progress.holds_repeat = True
                 self._live.start(self._prepare(place))
                 self._parts.metrics.count("silent_sends")
-        elif self._may_add() or other.search is not None:
-            other.update(sends)
+        elif self._may_look(sends) or other.search is not None:
+            other.update(sends, self._patience_ms())
 
     async def _wait(self) -> None:
         """Wait until a send or the search ends, a send is the first, or a time is reached."""
@@ -150,8 +164,7 @@
         now_ms, sends, due_ms = self._clock.now_ms(), self._live.sends, []
         if self._progress.resumes and len(sends) > 1:
             due_ms.append(sends[-1].sent_ms + OVERLAP_MS)
-        if self._may_add() and self._other.search is None:
-            usual_ms = math.ceil(sends[-1].usual_ms)
+        if self._may_look(sends) and self._other.search is None:
             silent_ms = min(one.silent_ms for one in sends)
-            due_ms.append(max(now_ms + usual_ms - silent_ms, self._other.next_ms))
+            due_ms.append(max(now_ms + self._patience_ms() - silent_ms, self._other.next_ms))
         return min(due_ms, default=None)
--- a/chestnutfall/forwarding/engine_upstream_selector.py
+++ b/chestnutfall/forwarding/engine_upstream_selector.py
@@ -5,7 +5,7 @@
 import itertools
 import logging
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 
 from ..clock import Clock
 from ..coordination.messages import PlaceStream, Release, SilentRun, Withdraw
@@ -149,11 +149,18 @@
             max(call.arrived_ms + criteria.route.objective_ms - now_ms, 0),
             max(min(criteria.until_ms, _caller_deadline_ms(criteria)) - now_ms, 0),
             self._data_centre,
-            criteria.avoid,
+            (*criteria.avoid, *self._others(criteria)),
             criteria.route.pause_objective_ms,
             criteria.organisation,
         )
 
+    def _others(self, criteria: SelectionCriteria) -> Iterable[str]:
+        """Return the engines that may not run the call, as only certain ones may."""
+        if not criteria.only:
+            return ()
+        known = self._fleet.knowledge.upstreams(criteria.service.name)
+        return (one.instance for one in known if one.instance not in criteria.only)
+
     def _from_last_holdings(self, req: PlaceRequest, criteria: SelectionCriteria) -> Place | None:
         """Select the least used engine among the last known holders of the adapter.
 
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from .faults import keep_timeouts_apart
 from .final_answers import FinalAnswers
 from .organisation_counts import OrganisationCounts
+from .overtaken_upstreams import select_place
 from .place import NoPlace, SelectionCriteria, UpstreamSelector
 from .progress import Progress
 from .quarantine_hold import quarantine_hold
@@ -217,7 +218,8 @@
                 selector = self._plain_selector if service.engine is None else self._engine_selector
                 if not self._reaches(service.name):
                     raise NoPlace("unreachable", NO_PATH_RETRY_MS)
-                place = await selector.select(self._criteria(progress, route, service))
+                criteria = self._criteria(progress, route, service)
+                place = await select_place(selector, criteria, progress)
             except NoPlace as exc:
                 if progress.holds_repeat:
                     self._repeats.refund(progress.service)
@@ -228,8 +230,14 @@
             if await self._refuse_if_quarantined(progress, reply):
                 selector.release(place, RunOutcome.WITHDRAWN, NO_TIMES, None)
                 return
-            criteria = partial(self._criteria, progress, route, service)
-            sends = CallSends(self._send_parts, progress, route, selector, reply, criteria)
+            sends = CallSends(
+                self._send_parts,
+                progress,
+                route,
+                selector,
+                reply,
+                partial(self._criteria, progress, route, service),
+            )
             sending, result = await sends.run(place)
             if await self._result_handler.handle(
                 progress, route, sending.place, selector, sending.sent_ms, reply, result
--- a/chestnutfall/forwarding/other_place.py
+++ b/chestnutfall/forwarding/other_place.py
@@ -5,14 +5,15 @@
 import asyncio
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import replace
 
 from ..placement import RunOutcome
 from ..placement.run_times import NO_TIMES
+from .overtaken_upstreams import select_place
 from .place import NoPlace, Place, SelectionCriteria, UpstreamSelector
 from .quarantine_hold import quarantine_hold
 from .relayed_send import RelayedSend
 from .send_parts import SendParts
+from .silent_upstreams import LASTING_MS
 
 log = logging.getLogger(__name__)
 RECHECK_MS = 100
@@ -53,14 +54,21 @@
         self.search: asyncio.Task[Place] | None = None
         self.next_ms = 0
 
-    def update(self, live: Sequence[RelayedSend]) -> None:
-        """Begin a search if the sends are silent and another may help; end it if one speaks."""
+    def update(self, live: Sequence[RelayedSend], patience_ms: float) -> None:
+        """Begin a search if the sends are silent and another may help; end it if one speaks.
+
+        Parameters
+        ----------
+        patience_ms : float
+            How long the sends must be silent.
+        """
         if any(not one.is_silent for one in live):
             if self.search is not None:
                 self.search.cancel()
             self._note_resumed(live[0])
         elif self.search is None and self._clock.now_ms() >= self.next_ms:
-            self._begin(live)
+            if min(one.silent_ms for one in live) >= patience_ms:
+                self._begin(live)
 
     def _begin(self, live: Sequence[RelayedSend]) -> None:
         reason = self._reason_to_wait(live)
@@ -107,9 +115,14 @@
             # The report goes out even if the search is stopped.
             await asyncio.shield(ending)
             progress.ended_upstream = True
-        criteria = self._criteria()
-        avoid = (*criteria.avoid, *(one.place.upstream.instance for one in live))
-        return await sending.selector.select(replace(criteria, avoid=avoid))
+        return await select_place(
+            sending.selector,
+            self._criteria(),
+            progress,
+            [one.place.upstream.instance for one in live],
+            # It was silent as well, and another change may lose what this one is about to write.
+            goes_back=all(one.silent_ms >= LASTING_MS for one in live),
+        )
 
     def take(self, live: Sequence[RelayedSend], may_add: bool) -> Place | None:
         """Return the place that an ended search found, with a repeat for it; None if it has none.
--- a/chestnutfall/forwarding/place.py
+++ b/chestnutfall/forwarding/place.py
@@ -85,6 +85,8 @@
     needs_leader : bool
         Whether only a leader may select, as without one it is not sure that any build will do, or
         which other engines run what an engine ended under.
+    only : tuple of str
+        Instances that may run the call, as no further one may; empty for any.
     """
 
     call: Call
@@ -100,9 +102,12 @@
     origin: StreamOrigin | None = None
     is_mixed: bool = False
     needs_leader: bool = False
+    only: tuple[str, ...] = ()
 
     def allows(self, upstream: UpstreamRecord) -> bool:
-        """Whether an upstream runs what the call needs."""
+        """Whether an upstream runs what the call needs, and may run the call."""
+        if self.only and upstream.instance not in self.only:
+            return False
         return self.origin is None or self.origin.includes(upstream)
 
 
--- a/chestnutfall/forwarding/plain_upstream_selector.py
+++ b/chestnutfall/forwarding/plain_upstream_selector.py
@@ -138,7 +138,7 @@
 
     def _with_others_avoided(self, criteria: SelectionCriteria) -> SelectionCriteria:
         """Avoid the upstreams that can't go on with a stream; the leader doesn't know of it."""
-        if criteria.origin is None:
+        if criteria.origin is None and not criteria.only:
             return criteria
         others = self._upstreams(criteria.service.name)
         avoid = (one.instance for one in others if not criteria.allows(one))
@@ -162,7 +162,8 @@
             raise NoPlace("no_upstream", NO_UPSTREAM_RETRY_MS)
         upstreams = [one for one in upstreams if criteria.allows(one)]
         if not upstreams:
-            raise NoPlace(BUILD_GONE, BEGIN_ANEW_MS)
+            reason = BUILD_GONE if criteria.origin is not None else "no_upstream"
+            raise NoPlace(reason, BEGIN_ANEW_MS)
         accepting = [one for one in upstreams if self._signals.may_send(one.instance)]
         if accepting:
             return accepting
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -35,6 +35,9 @@
         Sends of which it is proven that nothing ran.
     runs : int
         Ended sends that may have run.
+    attempts : int
+        Upstreams that may have run it, as far as their sends ended. To take the call up where it
+        was overtaken is not one more.
     started : bool
         Whether the client has the beginning of an answer.
     last_event : int or None
@@ -45,6 +48,8 @@
         Longest time between two parts of the answer.
     avoid : list of str
         Instances that failed the call.
+    overtaken : list of str
+        Instances whose run was left for another one, and at which the call may go on.
     lacked_adapter : list of str
         Instances that refused the call once, since its adapter was not loaded yet.
     holds_repeat : bool
@@ -70,11 +75,13 @@
     helped: int = 0
     refusals: int = 0
     runs: int = 0
+    attempts: int = 0
     started: bool = False
     last_event: int | None = None
     first_ms: int = -1
     pause_ms: int = 0
     avoid: list[str] = field(default_factory=list)
+    overtaken: list[str] = field(default_factory=list)
     lacked_adapter: list[str] = field(default_factory=list)
     holds_repeat: bool = False
     gaps_ms: list[int] = field(default_factory=list)
@@ -114,8 +121,23 @@
         """
         if lacks_adapter and instance not in self.lacked_adapter:
             self.lacked_adapter.append(instance)
+            return
+        self.avoid.append(instance)
+        if instance in self.overtaken:
+            self.overtaken.remove(instance)
+
+    def note_run(self, instance: str) -> None:
+        """Record the end of a send that may have run the call."""
+        self.runs += 1
+        if instance in self.overtaken:
+            self.overtaken.remove(instance)
         else:
-            self.avoid.append(instance)
+            self.attempts += 1
+
+    def note_overtaken(self, instance: str) -> None:
+        """Record that a send which may have run the call was left for another one."""
+        self.note_run(instance)
+        self.overtaken.append(instance)
 
     def note_part(self, now_ms: int) -> None:
         """Record that a part of the answer is sent to the client at `now_ms`."""
--- a/chestnutfall/forwarding/result_handler.py
+++ b/chestnutfall/forwarding/result_handler.py
@@ -14,6 +14,7 @@
 from ..signals.known_signals import KnownSignals
 from .caller_reply import CallerReply
 from .final_answers import FinalAnswers
+from .overtaken_upstreams import has_attempt, overtaken
 from .place import Place, UpstreamSelector
 from .progress import Progress
 from .relayed_send import RelayedSend
@@ -122,7 +123,7 @@
             return True
         is_full = code == NotRun.FULL.value
         # Without another upstream of the service, a repeat would reach the same full one again.
-        is_useless = is_full and not place.has_other
+        is_useless = is_full and not place.has_other and not progress.overtaken
         if not is_useless and await self._take_repeat(progress, upstream_is_busy=is_full):
             progress.note_refusal(place.upstream.instance, code == NotRun.ABSENT.value)
             return False
@@ -153,14 +154,14 @@
 
     def _note_loss(self, progress: Progress, place: Place, sent_ms: int) -> asyncio.Task[bool]:
         upstream = place.upstream
-        progress.runs += 1
+        progress.note_run(upstream.instance)
         progress.avoid.append(upstream.instance)
         return self._quarantine.note_broken(
             progress.fingerprint, upstream.instance, upstream.address, sent_ms, progress.part_keys
         )
 
     def _note_failure(self, progress: Progress, place: Place, failed: Failed) -> None:
-        progress.runs += 1
+        progress.note_run(place.upstream.instance)
         progress.avoid.append(place.upstream.instance)
         if failed.status not in NOT_RUN_STATUSES:
             self._quarantine.note_answered(progress.fingerprint)
@@ -198,9 +199,8 @@
             self._note_not_sent(sending)
             return
         progress, upstream = sending.progress, sending.place.upstream
-        progress.runs += 1
+        progress.note_overtaken(upstream.instance)
         if sending.is_silent:
-            progress.avoid.append(upstream.instance)
             self._quarantine.note_broken(
                 progress.fingerprint,
                 upstream.instance,
@@ -238,7 +238,8 @@
         return True
 
     def _may_run_again(self, progress: Progress, route: Route) -> bool:
-        return route.kind.idempotent and progress.runs < route.attempts
+        may_go = has_attempt(progress, route) or overtaken(progress)
+        return route.kind.idempotent and bool(may_go)
 
     async def _take_repeat(self, progress: Progress, upstream_is_busy: bool) -> bool:
         if progress.sends >= MAX_SENDS or self._clock.now_ms() >= progress.until_ms:
--- a/chestnutfall/tests/fakes/timed_upstreams.py
+++ b/chestnutfall/tests/fakes/timed_upstreams.py
@@ -151,8 +151,12 @@
 
     Attributes
     ----------
+    has_others : bool
+        Whether places say that another upstream could take the call.
     is_spread : bool
         Whether each selection begins with the next upstream.
+    forced : callable
+        Returns the upstream to select whatever the criteria say; None to go by them.
     obeys_avoid : bool
         Whether calls never get an upstream that they avoid.
     failure : Exception or None
@@ -176,7 +180,9 @@
         self._clock = clock
         self._number = 0
         self.no_place = ""
+        self.has_others = True
         self.is_spread = False
+        self.forced: Callable[[SelectionCriteria], UpstreamRecord | None] = lambda criteria: None
         self.obeys_avoid = True
         self.failure: Exception | None = None
         self.on_found: Callable[[], None] = lambda: None
@@ -197,6 +203,9 @@
             raise NoPlace(self.no_place, 700)
         if criteria.avoid and self.failure is not None:
             raise self.failure
+        forced = self.forced(criteria)
+        if forced is not None:
+            return self._place(forced, criteria)
         self._at += 1
         at = self._at % len(self.upstreams) if self.is_spread else 0
         for upstream in (*self.upstreams[at:], *self.upstreams[:at]):
@@ -210,7 +219,7 @@
         self.open_places += 1
         if criteria.avoid:
             self.on_found()
-        has_other = len(self.upstreams) > 1
+        has_other = self.has_others and len(self.upstreams) > 1
         ticket = f"t{self._number}"
         return Place(ticket, upstream, 0, has_other=has_other, is_recorded=self.records)
 
--- a/chestnutfall/tests/test_upstream_selectors.py
+++ b/chestnutfall/tests/test_upstream_selectors.py
@@ -58,8 +58,10 @@
     ) -> None:
         super().__init__(fleet, clock)
         self._answers = list(answers)
+        self.asked: list[PlaceRequest | PlaceStream] = []
 
     async def place(self, asked: PlaceRequest | PlaceStream) -> Grant | Reject:
+        self.asked.append(asked)
         answer = self._answers.pop(0) if self._answers else None
         if answer is None:
             raise LeaderLost("scripted")
@@ -122,6 +124,17 @@
         taken = [await selector.select(_criteria()) for _ in range(4)]
         self.assertEqual({one.upstream.instance for one in taken}, {"2"})
 
+    # Guards against a further engine for a call that only certain engines may run.
+    async def test_a_call_that_certain_engines_may_run_gets_these(self) -> None:
+        fleet = _Fleet(self.clock, Grant("t", "1", 3, 0, 0))
+        fleet.hold(ReadyAdapter("1", NAME, 3), ReadyAdapter("2", NAME, 3))
+        selector = self._selector(fleet)
+        criteria = dataclasses.replace(_criteria(avoid=("3",)), only=("2",))
+        await selector.select(criteria)
+        self.assertEqual([one.avoid for one in fleet.questions.asked], [("3", "1")])
+        without_leader = [await selector.select(criteria) for _ in range(3)]
+        self.assertEqual({one.upstream.instance for one in without_leader}, {"2"})
+
     async def test_without_leader_and_holder_it_waits_for_the_next_leader(self) -> None:
         fleet = _Fleet(self.clock, None, Grant("t", "1", 2, 0, 0))
         taking = asyncio.ensure_future(self._selector(fleet).select(_criteria()))
@@ -305,6 +318,14 @@
             has_open,
         )
 
+    # Guards against a further upstream for a call that only certain ones may run.
+    async def test_a_call_that_certain_upstreams_may_run_gets_these(self) -> None:
+        criteria = dataclasses.replace(_criteria(), only=("2",))
+        taken = [await self.selector.select(criteria) for _ in range(4)]
+        self.assertEqual({one.upstream.instance for one in taken}, {"2"})
+        with self.assertRaises(NoPlace):
+            await self.selector.select(dataclasses.replace(_criteria(), only=("gone",)))
+
     async def test_near_upstreams_go_first(self) -> None:
         self.upstreams = [_upstream("far", "other"), _upstream("near")]
         self.assertEqual((await self._take()).upstream.instance, "near")
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -150,8 +150,8 @@
     Mutant(
         "the last upstream of a service is left when it is slow",
         "chestnutfall/forwarding/call_sends.py",
-        "        may_move = place.has_other and self._may_add()\n",
-        "        may_move = self._may_add()\n",
+        "        may_move = place.has_other and self._may_look([first])\n",
+        "        may_move = self._may_look([first])\n",
         "chestnutfall.tests.test_silence.SilenceTest.test_the_only_upstream_is_waited_for",
     ),
     Mutant(
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -10,6 +10,7 @@
 _CALL_SENDS = f"{_FORWARDING}/call_sends.py"
 _LIVE_SENDS = f"{_FORWARDING}/live_sends.py"
 _OTHER_PLACE = f"{_FORWARDING}/other_place.py"
+_OVERTAKEN = f"{_FORWARDING}/overtaken_upstreams.py"
 _RELAYED_SEND = f"{_FORWARDING}/relayed_send.py"
 _REPEATS = f"{_FORWARDING}/repeats.py"
 _REPLY_LOCK = f"{_FORWARDING}/reply_lock.py"
@@ -81,9 +82,9 @@
     ),
     Mutant(
         "sends in progress do not count as attempts",
-        _CALL_SENDS,
-        "        return progress.runs + max(len(self._live), 1) < self._route.attempts\n",
-        "        return progress.runs < self._route.attempts\n",
+        _OVERTAKEN,
+        "    return progress.attempts + added < route.attempts\n",
+        "    return progress.attempts < route.attempts\n",
         f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
         "test_silent_sends_keep_to_the_attempts_of_the_route",
     ),
@@ -398,4 +399,76 @@
         "            if not is_fault(exc):\n",
         f"{_TESTS}.test_call_faults.CallFaultsTest.test_a_fault_of_the_reply_is_never_repeated",
     ),
+    Mutant(
+        "an upstream that was overtaken is not gone back to",
+        f"{_FORWARDING}/progress.py",
+        "        self.note_run(instance)\n" "        self.overtaken.append(instance)\n",
+        "        self.note_run(instance)\n" "        self.avoid.append(instance)\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "to go back to an upstream is one more attempt",
+        f"{_FORWARDING}/progress.py",
+        "            self.overtaken.remove(instance)\n"
+        "        else:\n"
+        "            self.attempts += 1\n",
+        "            self.overtaken.remove(instance)\n" "        self.attempts += 1\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "a stream goes to and fro between silent upstreams",
+        _CALL_SENDS,
+        "        return LASTING_MS if is_spent else math.ceil(sends[-1].usual_ms)\n",
+        "        return math.ceil(sends[-1].usual_ms)\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "a stream goes back while the next upstream may be sound",
+        _OTHER_PLACE,
+        "            goes_back=all(one.silent_ms >= LASTING_MS for one in live),\n",
+        "            goes_back=True,\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "a place beyond the attempts is used",
+        _OVERTAKEN,
+        "    if place.upstream.instance in again:\n" "        return place\n",
+        "    if True:\n" "        return place\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "an upstream that failed is preferred to one that was left",
+        _OVERTAKEN,
+        "    if place.upstream.instance not in all_avoided.avoid:\n",
+        "    if True:\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "a stream that another engine is at work on runs on for the overlap",
+        _CALL_SENDS,
+        "        if newest.is_at_work or self._clock",
+        "        if self._clock",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "a stream ends as the only other upstream is full",
+        _RESULT_HANDLER,
+        "        is_useless = is_full and not place.has_other and not progress.overtaken\n",
+        "        is_useless = is_full and not place.has_other\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "the leader is not told which engines may run a call",
+        "chestnutfall/forwarding/engine_upstream_selector.py",
+        "            (*criteria.avoid, *self._others(criteria)),\n",
+        "            criteria.avoid,\n",
+        f"{_TESTS}.test_upstream_selectors.EngineUpstreamSelectorTest",
+    ),
+    Mutant(
+        "a call that certain upstreams may run gets any other",
+        f"{_FORWARDING}/place.py",
+        "        if self.only and upstream.instance not in self.only:\n",
+        "        if False:\n",
+        f"{_TESTS}.test_upstream_selectors.PlainUpstreamSelectorTest",
+    ),
 )
