Give places back though a call is cancelled twice

A place that a silent call had found stayed taken for ever if the call was cancelled a second time, as its time ran out behind the client's leaving or the gateway stopped: the engine had a place less until the leader's own bound.

Cause: the sends' and the search's places were given back by the code behind the waiting for their ends, which a second cancellation skips.

Each is given back by the callback of its own task's end now, which comes whatever becomes of whoever waits. The waiting stays, so that places are back before the call goes on.

--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -117,9 +117,9 @@
                 self._end_overlap()
                 self._send_too()
         finally:
-            self._other.stop()
+            self._other.stop(first.selector)
             await self._live.end_all()
-            await self._other.close(first.selector)
+            await self._other.close()
 
     def _end_overlap(self) -> None:
         if not self._progress.resumes or len(self._live) == 1:
--- a/chestnutfall/forwarding/live_sends.py
+++ b/chestnutfall/forwarding/live_sends.py
@@ -63,9 +63,17 @@
         """Start a send; any of them may answer the client from now on."""
         self._lock.release()
         task = asyncio.ensure_future(self._parts.sender.send(sending))
-        task.add_done_callback(lambda _: self._on_ended())
+        task.add_done_callback(lambda _: self._note_ended(sending, task))
         self._live.append(_Live(sending, task))
 
+    def _note_ended(self, sending: RelayedSend, task: asyncio.Task[SendResult]) -> None:
+        # A task that is cancelled before its first step never runs.
+        if not sending.is_released:
+            sending.release(RunOutcome.WITHDRAWN, NO_TIMES)
+        if not task.cancelled():
+            task.exception()
+        self._on_ended()
+
     def leave_losers(self) -> None:
         """Cancel the other sends once one of them has the next part of the answer."""
         if self._lock.is_free or len(self._live) == 1:
@@ -138,15 +146,12 @@
         )
 
     async def end_all(self) -> None:
-        """Cancel what still runs, and give back each place that no send gave back."""
+        """Cancel what still runs, and wait for its end.
+
+        Each place is given back as its send ends, also if the waiting is cancelled.
+        """
         ending = [*self._live, *self._left]
         for one in ending:
             one.task.cancel()
         if ending:
             await asyncio.wait({one.task for one in ending})
-        for one in ending:
-            # A task that is cancelled before its first step never runs.
-            if not one.sending.is_released:
-                one.sending.release(RunOutcome.WITHDRAWN, NO_TIMES)
-            if not one.task.cancelled():
-                one.task.exception()
--- a/chestnutfall/forwarding/other_place.py
+++ b/chestnutfall/forwarding/other_place.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Sequence
+from functools import partial
 
 from ..placement import RunOutcome
 from ..placement.run_times import NO_TIMES
@@ -164,18 +165,16 @@
             return "no_budget"
         return ""
 
-    def stop(self) -> None:
-        """Begin to end a search that is under way."""
+    def stop(self, selector: UpstreamSelector) -> None:
+        """Begin to end a search that is under way; what it finds is given back as it ends."""
         if self.search is not None:
             self.search.cancel()
+            self.search.add_done_callback(partial(_give_back, selector))
 
-    async def close(self, selector: UpstreamSelector) -> None:
-        """Wait for the end of a stopped search, and give back what it had found."""
-        if self.search is None:
-            return
-        await asyncio.wait({self.search})
-        if not self.search.cancelled() and self.search.exception() is None:
-            selector.release(self.search.result(), RunOutcome.WITHDRAWN, NO_TIMES, None)
+    async def close(self) -> None:
+        """Wait for the end of a stopped search."""
+        if self.search is not None:
+            await asyncio.wait({self.search})
 
     def _note_failed(self, sending: RelayedSend, exc: BaseException) -> None:
         if isinstance(exc, NoPlace):
@@ -218,3 +217,8 @@
             sending.progress.last_event,
             sending.silent_ms,
         )
+
+
+def _give_back(selector: UpstreamSelector, search: asyncio.Task[Place]) -> None:
+    if not search.cancelled() and search.exception() is None:
+        selector.release(search.result(), RunOutcome.WITHDRAWN, NO_TIMES, None)
--- a/chestnutfall/tests/test_second_send_bounds.py
+++ b/chestnutfall/tests/test_second_send_bounds.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+import itertools
+from collections.abc import Callable, Coroutine
+from functools import partial
+from typing import Any, TypeVar
+
 from ..clock import ManualClock
 from ..control.crash_messages import QuarantinedRequest, SuspectRequests
 from ..forwarding.call import Headers
+from ..forwarding.live_sends import LiveSends
+from ..forwarding.progress import Progress
+from ..forwarding.reply_lock import ReplyLock
 from ..forwarding.upstream_answer import NotRun
 from ..forwarding.upstream_api import AnswerLost, NotSent
 from ..placement import RunOutcome
@@ -24,6 +33,8 @@
 )
 from .fakes.timed_upstreams import HANG, Head, Status
 
+T = TypeVar("T")
+
 
 class _SlowEndReply(RecordedReply):
     """A client that takes a time to read the end of its answer."""
@@ -42,6 +53,20 @@
         await super().finish()
 
 
+async def _cancel_twice(task: asyncio.Task[None], *steps: int) -> None:
+    """Cancel a task after a number of steps of the loop, and once more after some others."""
+    for count in steps:
+        for _ in range(count):
+            await asyncio.sleep(0)
+        task.cancel()
+
+
+def _start(
+    work: Callable[[], Coroutine[Any, Any, None]], started: list[asyncio.Task[None]]
+) -> None:
+    started.append(asyncio.ensure_future(work()))
+
+
 class SecondSendBoundsTest(SilenceCase):
     # Guards against a call that runs twice though it may run once.
     async def test_a_call_that_may_run_once_is_never_sent_twice(self) -> None:
@@ -208,6 +233,48 @@
         self.assertEqual((len(self.selector.criteria), len(self.upstreams.sends)), (2, 1))
         self.assertEqual(self.selector.open_places, 0)
 
+    # Guards against the same where the connection's end and the call's time come one after the
+    # other, in any step of the send to the place that was found.
+    async def test_a_call_that_is_cancelled_twice_gives_its_places_back(self) -> None:
+        for first, second in itertools.product(range(8), range(8)):
+            with self.subTest(first=first, second=second):
+                self.setUp()
+                self._begin(HUNG, HUNG)
+                # As the system's clock does: the cancelled task is the one that gives places back.
+                self.clock.within_ms = self._in_this_task  # type: ignore[method-assign]
+                _, task = self._call(RESUMABLE)
+                cancelling: list[asyncio.Task[None]] = []
+                cancel = partial(_cancel_twice, task, first, second)
+                self.selector.on_found = partial(_start, cancel, cancelling)
+                await self.clock.advance(TIMEOUT_MS)
+                self.assertTrue(task.done() and cancelling)
+                self.assertEqual(self.selector.open_places, 0)
+
+    # Guards against a place that nobody gives back, of a send that ends before its first step.
+    async def test_the_place_of_a_send_that_never_began_is_given_back(self) -> None:
+        self._begin(SOUND)
+        progress = Progress(self._new_call(RESUMABLE), TIMEOUT_MS, "s", streamed=True)
+        parts, table = self.forwarder._send_parts, self.forwarder._routes.table
+        route = table.match("a.example", f"/{RESUMABLE.value}/x")
+        criteria = self.forwarder._criteria(progress, route, table.services["s"])
+        place, lock = await self.selector.select(criteria), ReplyLock()
+        sending = parts.sender.prepare(progress, route, place, self.selector, RecordedReply(), lock)
+        live = LiveSends(parts, progress, lock, lambda: None)
+
+        async def begin_and_end() -> None:
+            live.start(sending)
+            await live.end_all()
+
+        task = asyncio.ensure_future(begin_and_end())
+        await asyncio.sleep(0)
+        task.cancel()
+        await self.clock.settle()
+        self.assertTrue(task.cancelled())
+        self.assertEqual((self.upstreams.sends, self.selector.open_places), ([], 0))
+
+    async def _in_this_task(self, ms: float, work: Coroutine[Any, Any, T]) -> T:
+        return await work
+
     def _quarantine_all(self) -> None:
         path = f"/{RESUMABLE.value}/x"
         fingerprint = fingerprint_of("a.example", f"POST {path}", b"")
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -107,9 +107,8 @@
     Mutant(
         "a place that a stopped search found stays taken",
         _OTHER_PLACE,
-        "            selector.release(self.search.result(), "
-        "RunOutcome.WITHDRAWN, NO_TIMES, None)\n",
-        "            pass\n",
+        "            self.search.add_done_callback(partial(_give_back, selector))\n",
+        "",
         f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
         "test_a_place_found_as_the_client_leaves_is_given_back",
     ),
@@ -300,8 +299,8 @@
     Mutant(
         "the end of a send is not noticed",
         _LIVE_SENDS,
-        "        task.add_done_callback(lambda _: self._on_ended())\n",
-        "",
+        "            task.exception()\n" "        self._on_ended()\n",
+        "            task.exception()\n",
         f"{_TESTS}.test_second_sends.SecondSendTest."
         "test_a_call_moves_to_another_upstream_as_soon_as_before",
     ),
@@ -471,4 +470,12 @@
         "        if False:\n",
         f"{_TESTS}.test_upstream_selectors.PlainUpstreamSelectorTest",
     ),
+    Mutant(
+        "the place of a send that never began stays taken",
+        _LIVE_SENDS,
+        "        if not sending.is_released:\n",
+        "        if False:\n",
+        f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
+        "test_the_place_of_a_send_that_never_began_is_given_back",
+    ),
 )
