Take slow clients for no silence of their upstreams

A call at a hung engine stayed there, past the time after which it would look for another, while clients of other calls read their streams slowly: with two of them nothing had come 400 ms after it began, though a sound engine was free.

Cause: what a gateway compares, the time since each upstream was heard, ran on while a write to a client blocked the relay, and so the sound upstreams of slow clients looked silent together with the hung one.

A send says when its write begins and ends. An upstream of which all sends write is not silent, and begins to wait anew afterwards; where another send of it waits meanwhile, its silence counts as before.

The call at the hung engine failed before, "(b'', '') != (b'id: 1...', 'whole')"; both new mutants fail their tests, and so do two whose text moved.

--- a/chestnutfall/forwarding/relayed_send.py
+++ b/chestnutfall/forwarding/relayed_send.py
@@ -114,6 +114,8 @@
 
     def release(self, outcome: RunOutcome, times: RunTimes) -> None:
         """Give the place back."""
+        if self.is_writing:
+            self._silent.write_ends(self.place.upstream.instance)
         if self.is_sent:
             self._silent.ended(self.place.upstream.instance, self.usual_ms, self.is_silent)
         self.is_released = True
@@ -188,7 +190,7 @@
         self._lock.acquire(self)
         self._note_first_byte()
         self.progress.note_part(self._clock.now_ms())
-        self._waits_since_ms = None
+        self._begin_writing()
         await self._reply.send_whole(answer.status, answer.headers, body)
         return Delivered()
 
@@ -203,19 +205,24 @@
                 await self._write(answer, b"".join(in_order))
             if self._misses_event:
                 return Lost("event_missing")
-            self._waits_since_ms = self._clock.now_ms()
         if not splitter.at_event_boundary:
             return Lost("cut_in_event")
         self._lock.acquire(self)
-        self._waits_since_ms = None
+        self._begin_writing()
         await self._start(answer)
         await self._reply.finish()
         return Delivered()
 
     async def _write(self, answer: UpstreamAnswer, data: bytes) -> None:
-        self._waits_since_ms = None
+        self._begin_writing()
         await self._start(answer)
         await self._reply.write(data)
+        self._silent.write_ends(self.place.upstream.instance)
+        self._waits_since_ms = self._clock.now_ms()
+
+    def _begin_writing(self) -> None:
+        self._waits_since_ms = None
+        self._silent.write_begins(self.place.upstream.instance)
 
     async def _start(self, answer: UpstreamAnswer) -> None:
         """Send the head to the client, once: that of the upstream which wrote the first event."""
--- a/chestnutfall/forwarding/silent_upstreams.py
+++ b/chestnutfall/forwarding/silent_upstreams.py
@@ -38,6 +38,8 @@
     ----------
     usual_ms : list of float
         How long it is silent at most for each send in progress, if it is sound.
+    writing : int
+        Sends in progress that wait for their clients and not for the upstream.
     quiet_since_ms : int or None
         Clock time since which a send has waited and nothing was heard; None if none waits.
     heard_ms : int
@@ -48,6 +50,7 @@
 
     service: str
     usual_ms: list[float] = field(default_factory=list)
+    writing: int = 0
     quiet_since_ms: int | None = None
     heard_ms: int = -REMEMBERED_MS
     ended_ms: int = 0
@@ -57,7 +60,7 @@
 
     def is_paused(self, window_ms: float, now_ms: int) -> bool:
         """Whether it is silent, by itself or with others, and does not hang yet."""
-        if not self.usual_ms:
+        if len(self.usual_ms) <= self.writing:
             return False
         least_ms = max(window_ms, WINDOW_SHARE * min(self.usual_ms))
         return least_ms <= self.quiet_ms(now_ms) < LASTING_MS
@@ -121,6 +124,22 @@
         if known is not None:
             known.heard_ms = known.quiet_since_ms = self._clock.now_ms()
 
+    def write_begins(self, instance: str) -> None:
+        """Record that a send writes to its client, and hears nothing until that has read it."""
+        known = self._upstreams.get(instance)
+        if known is not None:
+            known.writing += 1
+
+    def write_ends(self, instance: str) -> None:
+        """Record that a send waits for its upstream again."""
+        known = self._upstreams.get(instance)
+        if known is None:
+            return
+        # Otherwise another send waited meanwhile.
+        if known.writing >= len(known.usual_ms):
+            known.quiet_since_ms = self._clock.now_ms()
+        known.writing -= 1
+
     def ended(self, instance: str, usual_ms: float, was_silent: bool) -> None:
         """Record the end of a send.
 
--- a/chestnutfall/tests/test_silent_services.py
+++ b/chestnutfall/tests/test_silent_services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..clock import ManualClock
 from ..control.crash_messages import BrokenRun
 from ..forwarding.upstream_api import AnswerLost
 from .fakes.fake_upstreams import RecordedReply
@@ -16,6 +17,18 @@
 from .fakes.timed_upstreams import HANG
 
 
+class _SlowReply(RecordedReply):
+    """A client that takes a second to read each part of its answer."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__()
+        self._clock = clock
+
+    async def write(self, data: bytes) -> None:
+        await self._clock.sleep_ms(1_000)
+        await super().write(data)
+
+
 class SilentEndTest(SilenceCase):
     # Guards against a request that counts as the end of engines, since one was silent as it ran.
     async def test_a_silent_second_is_not_reported_as_an_end(self) -> None:
@@ -112,6 +125,19 @@
         self._assert_whole(await self._serve_many(500, 4))
         self.assertLessEqual(len(self.upstreams.sends), 500 + 8)
 
+    # Guards against hung upstreams that hold their calls while clients of others read slowly.
+    async def test_a_hung_upstream_is_left_as_quickly_beside_slow_clients(self) -> None:
+        self._begin(HUNG, SOUND, SOUND)
+        self.selector.is_spread = True
+        self.selector.upstreams.append(self.selector.upstreams.pop(0))
+        slow = [self._call(RESUMABLE, f"slow-{at}", _SlowReply(self.clock))[0] for at in range(2)]
+        await self.clock.advance(400)
+        reply, _ = self._call(RESUMABLE, "hung")
+        await self.clock.advance(SILENT_MS + 100)
+        self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
+        await self.clock.advance(5_000)
+        self._assert_whole(slow)
+
     # Guards against hung upstreams that hold their calls, as the others are not known to be well.
     async def test_one_hung_of_five_is_left_as_quickly_as_before(self) -> None:
         self._begin(HUNG, SOUND, SOUND, SOUND, SOUND)
--- a/chestnutfall/tests/test_silent_upstreams.py
+++ b/chestnutfall/tests/test_silent_upstreams.py
@@ -134,6 +134,29 @@
         self.assertEqual(self._reason(), SERVICE_SILENT)
 
     # Guards against memory that grows with each upstream that ever was.
+    # Guards against clients that read slowly and make their upstreams look silent.
+    async def test_an_upstream_whose_clients_read_tells_nothing(self) -> None:
+        await self._begin("i0", "i1", "i2")
+        for instance in ("i1", "i2"):
+            self.silent.write_begins(instance)
+        await self.clock.advance(USUAL_MS)
+        self.assertEqual(self._reason(), "")
+        for instance in ("i1", "i2"):
+            self.silent.write_ends(instance)
+        self.assertEqual(self._reason(silent_ms=2 * USUAL_MS), "")
+        await self.clock.advance(USUAL_MS)
+        self.assertTrue(self._reason())
+
+    # Guards against one slow client that hides the silence which another send meets.
+    async def test_a_client_that_reads_hides_no_silence_from_other_sends(self) -> None:
+        await self._begin("i0", "i1", "i1")
+        self.silent.write_begins("i1")
+        await self.clock.advance(USUAL_MS)
+        self.assertEqual(self._reason(), SERVICE_SILENT)
+        self.silent.write_ends("i1")
+        await self.clock.advance(VERDICT_MS)
+        self.assertEqual(self._reason(), SERVICE_SILENT)
+
     async def test_upstreams_that_are_gone_are_forgotten(self) -> None:
         for number in range(4 * MAX_IDLE):
             await self._begin(f"u{number}")
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -368,7 +368,7 @@
     Mutant(
         "a client that reads a whole answer slowly makes its engine look silent",
         _RELAYED_SEND,
-        "        self._waits_since_ms = None\n" "        await self._reply.send_whole(",
+        "        self._begin_writing()\n" "        await self._reply.send_whole(",
         "        await self._reply.send_whole(",
         f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
         "test_a_client_that_reads_slowly_is_no_silence",
@@ -376,7 +376,7 @@
     Mutant(
         "a client that reads the end of a stream slowly makes its engine look silent",
         _RELAYED_SEND,
-        "        self._waits_since_ms = None\n"
+        "        self._begin_writing()\n"
         "        await self._start(answer)\n"
         "        await self._reply.finish()\n",
         "        await self._start(answer)\n" "        await self._reply.finish()\n",
@@ -478,4 +478,19 @@
         f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
         "test_the_place_of_a_send_that_never_began_is_given_back",
     ),
+    Mutant(
+        "clients that read slowly keep calls from leaving hung upstreams",
+        _SILENT_UPSTREAMS,
+        "        if len(self.usual_ms) <= self.writing:\n",
+        "        if not self.usual_ms:\n",
+        f"{_TESTS}.test_silent_services.ManySilentTest."
+        "test_a_hung_upstream_is_left_as_quickly_beside_slow_clients",
+    ),
+    Mutant(
+        "a client that reads slowly hides a silence from other sends",
+        _SILENT_UPSTREAMS,
+        "        if known.writing >= len(known.usual_ms):\n",
+        "        if True:\n",
+        f"{_TESTS}.test_silent_upstreams",
+    ),
 )
