Name sends and silences by what they are

"Losers", "winner" and "spell" were read as metaphors; the docstring of CallSends said that a run goes on until another is at work.

A run is overtaken, the send that answers holds the lock, and a common silence is a span. Nothing else changes: the tests of sends and silence pass as before.

--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -31,8 +31,8 @@
 
     A sound upstream may write nothing for a second or so. Its send goes on until another one has
     the next part of the answer; whichever answers first is relayed. The run of a begun stream ends
-    once another one is at work on the rest, or has been for `OVERLAP_MS`; where that one fails or
-    hangs, the stream may be taken up again at the first upstream.
+    as another upstream begins to answer, and `OVERLAP_MS` after the call was sent there at the
+    latest; where that one fails or hangs, the stream may be taken up again at the first upstream.
 
     Parameters
     ----------
@@ -109,7 +109,7 @@
         try:
             while True:
                 await self._wait()
-                self._live.leave_losers()
+                self._live.leave_overtaken()
                 last = self._live.take_ended()
                 if last is not None:
                     self._other.note_last(last[0])
--- a/chestnutfall/forwarding/live_sends.py
+++ b/chestnutfall/forwarding/live_sends.py
@@ -74,14 +74,14 @@
             task.exception()
         self._on_ended()
 
-    def leave_losers(self) -> None:
+    def leave_overtaken(self) -> None:
         """Cancel the other sends once one of them has the next part of the answer."""
         if self._lock.is_free or len(self._live) == 1:
             return
-        winner = next(one for one in self._live if self._lock.is_held_by(one.sending))
+        holder = next(one for one in self._live if self._lock.is_held_by(one.sending))
         for one in list(self._live):
-            if one is not winner and not self._drop_if_ended(one):
-                self._leave(one, winner)
+            if one is not holder and not self._drop_if_ended(one):
+                self._leave(one, holder)
 
     def leave_older(self) -> None:
         """Cancel all sends but the newest."""
@@ -98,7 +98,7 @@
             result = one.task.result()
             if self._is_answer(result) and self._lock.is_free:
                 self._lock.acquire(one.sending)
-                self.leave_losers()
+                self.leave_overtaken()
             if len(self._live) == 1:
                 log_send(one.sending, self._parts.clock.now_ms(), result)
                 return one.sending, result
@@ -128,7 +128,7 @@
         self._live.remove(one)
         self._parts.results.note_dropped(one.sending, result)
 
-    def _leave(self, one: _Live, winner: _Live) -> None:
+    def _leave(self, one: _Live, other: _Live) -> None:
         """Cancel a send that another one has overtaken."""
         one.task.cancel()
         self._live.remove(one)
@@ -140,7 +140,7 @@
             self._progress.call.request_id,
             one.sending.number,
             one.sending.place.upstream.instance,
-            winner.sending.place.upstream.instance,
+            other.sending.place.upstream.instance,
             self._progress.last_event,
             one.sending.silent_ms,
         )
--- a/chestnutfall/forwarding/silent_upstreams.py
+++ b/chestnutfall/forwarding/silent_upstreams.py
@@ -26,7 +26,7 @@
 VERDICT_MS = 20
 """How long a common silence that one call found holds for the others, so that many silent calls do
 not each compare all upstreams."""
-SPELL_GAP_MS = 200
+SPAN_GAP_MS = 200
 """A common silence that was not seen for so long is over."""
 
 
@@ -67,7 +67,7 @@
 
 
 @dataclass(slots=True)
-class _Spell:
+class _SilentSpan:
     """A time in which most upstreams of a service were silent, as far as calls asked.
 
     Attributes
@@ -94,7 +94,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._upstreams: dict[str, _Upstream] = {}
-        self._spells: dict[str, _Spell] = {}
+        self._spans: dict[str, _SilentSpan] = {}
 
     def __len__(self) -> int:
         return len(self._upstreams)
@@ -169,19 +169,17 @@
             How long sound upstreams are silent at most, if they are not silent together.
         """
         now_ms = self._clock.now_ms()
-        spell = self._spells.get(service)
-        if spell is not None and now_ms - spell.last_ms < VERDICT_MS:
-            return spell.reason
+        span = self._spans.get(service)
+        if span is not None and now_ms - span.last_ms < VERDICT_MS:
+            return span.reason
         reason = self._common_silence(service, instances, silent_ms)
         if reason:
-            if spell is None or now_ms - spell.last_ms > SPELL_GAP_MS:
-                spell = self._spells[service] = _Spell(now_ms, now_ms, reason)
-            spell.last_ms, spell.reason = now_ms, reason
+            if span is None or now_ms - span.last_ms > SPAN_GAP_MS:
+                span = self._spans[service] = _SilentSpan(now_ms, now_ms, reason)
+            span.last_ms, span.reason = now_ms, reason
             return reason
         # The first parts after a common silence come from some upstreams only.
-        if spell is not None and now_ms - spell.last_ms < min(
-            spell.last_ms - spell.since_ms, usual_ms
-        ):
+        if span is not None and now_ms - span.last_ms < min(span.last_ms - span.since_ms, usual_ms):
             return SERVICE_RESUMES
         return ""
 
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -65,7 +65,7 @@
         "test_of_two_runs_without_an_event_both_go_on_until_one_begins",
     ),
     Mutant(
-        "a loser runs on beside the answer",
+        "a run that was overtaken goes on beside the answer",
         _LIVE_SENDS,
         "        one.task.cancel()\n" "        self._live.remove(one)\n",
         "        self._live.remove(one)\n",
