--- a/chestnutfall/forwarding/live_sends.py
+++ b/chestnutfall/forwarding/live_sends.py
@@ -63,17 +63,25 @@
         """Start a send; any of them may answer the client from now on."""
         self._lock.release()
         task = asyncio.ensure_future(self._parts.sender.send(sending))
-        task.add_done_callback(lambda _: self._on_ended())
+        task.add_done_callback(lambda _: self._note_ended(sending, task))
         self._live.append(_Live(sending, task))
 
-    def leave_losers(self) -> None:
+    def _note_ended(self, sending: RelayedSend, task: asyncio.Task[SendResult]) -> None:
+        # A task that is cancelled before its first step never runs.
+        if not sending.is_released:
+            sending.release(RunOutcome.WITHDRAWN, NO_TIMES)
+        if not task.cancelled():
+            task.exception()
+        self._on_ended()
+
+    def leave_overtaken(self) -> None:
         """Cancel the other sends once one of them has the next part of the answer."""
         if self._lock.is_free or len(self._live) == 1:
             return
-        winner = next(one for one in self._live if self._lock.is_held_by(one.sending))
+        holder = next(one for one in self._live if self._lock.is_held_by(one.sending))
         for one in list(self._live):
-            if one is not winner and not self._drop_if_ended(one):
-                self._leave(one, winner)
+            if one is not holder and not self._drop_if_ended(one):
+                self._leave(one, holder)
 
     def leave_older(self) -> None:
         """Cancel all sends but the newest."""
@@ -90,7 +98,7 @@
             result = one.task.result()
             if self._is_answer(result) and self._lock.is_free:
                 self._lock.acquire(one.sending)
-                self.leave_losers()
+                self.leave_overtaken()
             if len(self._live) == 1:
                 log_send(one.sending, self._parts.clock.now_ms(), result)
                 return one.sending, result
@@ -120,7 +128,7 @@
         self._live.remove(one)
         self._parts.results.note_dropped(one.sending, result)
 
-    def _leave(self, one: _Live, winner: _Live) -> None:
+    def _leave(self, one: _Live, other: _Live) -> None:
         """Cancel a send that another one has overtaken."""
         one.task.cancel()
         self._live.remove(one)
@@ -132,21 +140,18 @@
             self._progress.call.request_id,
             one.sending.number,
             one.sending.place.upstream.instance,
-            winner.sending.place.upstream.instance,
+            other.sending.place.upstream.instance,
             self._progress.last_event,
             one.sending.silent_ms,
         )
 
     async def end_all(self) -> None:
-        """Cancel what still runs, and give back each place that no send gave back."""
+        """Cancel what still runs, and wait for its end.
+
+        Each place is given back as its send ends, also if the waiting is cancelled.
+        """
         ending = [*self._live, *self._left]
         for one in ending:
             one.task.cancel()
         if ending:
             await asyncio.wait({one.task for one in ending})
-        for one in ending:
-            # A task that is cancelled before its first step never runs.
-            if not one.sending.is_released:
-                one.sending.release(RunOutcome.WITHDRAWN, NO_TIMES)
-            if not one.task.cancelled():
-                one.task.exception()
--- a/chestnutfall/forwarding/other_place.py
+++ b/chestnutfall/forwarding/other_place.py
@@ -5,14 +5,16 @@
 import asyncio
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import replace
+from functools import partial
 
 from ..placement import RunOutcome
 from ..placement.run_times import NO_TIMES
+from .overtaken_upstreams import select_place
 from .place import NoPlace, Place, SelectionCriteria, UpstreamSelector
 from .quarantine_hold import quarantine_hold
 from .relayed_send import RelayedSend
 from .send_parts import SendParts
+from .silent_upstreams import LASTING_MS
 
 log = logging.getLogger(__name__)
 RECHECK_MS = 100
@@ -53,14 +55,21 @@
         self.search: asyncio.Task[Place] | None = None
         self.next_ms = 0
 
-    def update(self, live: Sequence[RelayedSend]) -> None:
-        """Begin a search if the sends are silent and another may help; end it if one speaks."""
+    def update(self, live: Sequence[RelayedSend], patience_ms: float) -> None:
+        """Begin a search if the sends are silent and another may help; end it if one speaks.
+
+        Parameters
+        ----------
+        patience_ms : float
+            How long the sends must be silent.
+        """
         if any(not one.is_silent for one in live):
             if self.search is not None:
                 self.search.cancel()
             self._note_resumed(live[0])
         elif self.search is None and self._clock.now_ms() >= self.next_ms:
-            self._begin(live)
+            if min(one.silent_ms for one in live) >= patience_ms:
+                self._begin(live)
 
     def _begin(self, live: Sequence[RelayedSend]) -> None:
         reason = self._reason_to_wait(live)
@@ -97,17 +106,24 @@
         progress, upstream = sending.progress, sending.place.upstream
         # Sent at once, a prompt may end the next engine before the leader knows what both ran.
         if progress.part_keys and await self._quarantine.has_ended(upstream.address):
-            await self._quarantine.note_broken(
+            ending = self._quarantine.note_broken(
                 progress.fingerprint,
                 upstream.instance,
                 upstream.address,
                 sending.sent_ms,
                 progress.part_keys,
             )
+            # The report goes out even if the search is stopped.
+            await asyncio.shield(ending)
             progress.ended_upstream = True
-        criteria = self._criteria()
-        avoid = (*criteria.avoid, *(one.place.upstream.instance for one in live))
-        return await sending.selector.select(replace(criteria, avoid=avoid))
+        return await select_place(
+            sending.selector,
+            self._criteria(),
+            progress,
+            [one.place.upstream.instance for one in live],
+            # It was silent as well, and another change may lose what this one is about to write.
+            goes_back=all(one.silent_ms >= LASTING_MS for one in live),
+        )
 
     def take(self, live: Sequence[RelayedSend], may_add: bool) -> Place | None:
         """Return the place that an ended search found, with a repeat for it; None if it has none.
@@ -149,18 +165,16 @@
             return "no_budget"
         return ""
 
-    def stop(self) -> None:
-        """Begin to end a search that is under way."""
+    def stop(self, selector: UpstreamSelector) -> None:
+        """Begin to end a search that is under way; what it finds is given back as it ends."""
         if self.search is not None:
             self.search.cancel()
+            self.search.add_done_callback(partial(_give_back, selector))
 
-    async def close(self, selector: UpstreamSelector) -> None:
-        """Wait for the end of a stopped search, and give back what it had found."""
-        if self.search is None:
-            return
-        await asyncio.wait({self.search})
-        if not self.search.cancelled() and self.search.exception() is None:
-            selector.release(self.search.result(), RunOutcome.WITHDRAWN, NO_TIMES, None)
+    async def close(self) -> None:
+        """Wait for the end of a stopped search."""
+        if self.search is not None:
+            await asyncio.wait({self.search})
 
     def _note_failed(self, sending: RelayedSend, exc: BaseException) -> None:
         if isinstance(exc, NoPlace):
@@ -203,3 +217,8 @@
             sending.progress.last_event,
             sending.silent_ms,
         )
+
+
+def _give_back(selector: UpstreamSelector, search: asyncio.Task[Place]) -> None:
+    if not search.cancelled() and search.exception() is None:
+        selector.release(search.result(), RunOutcome.WITHDRAWN, NO_TIMES, None)
--- a/chestnutfall/forwarding/relayed_send.py
+++ b/chestnutfall/forwarding/relayed_send.py
@@ -49,8 +49,12 @@
         Whether its place was given back.
     took_repeat : bool
         Whether a repeat was taken from the budget for it.
+    is_at_work : bool
+        Whether the upstream has begun to answer with a stream.
     on_heard : callable or None
         Called at each part of the answer.
+    on_at_work : callable
+        Called as `is_at_work` becomes true.
     """
 
     def __init__(
@@ -80,7 +84,9 @@
         self.signals: UpstreamSignals = NO_SIGNALS
         self.is_sent = self.is_released = False
         self.took_repeat = progress.holds_repeat
+        self.is_at_work = False
         self.on_heard: Callable[[], None] | None = None
+        self.on_at_work: Callable[[], None] = lambda: None
         self._is_noted = self._misses_event = False
         self._waits_since_ms: int | None = self.sent_ms
         self.load: UpstreamLoad | None = None
@@ -108,6 +114,8 @@
 
     def release(self, outcome: RunOutcome, times: RunTimes) -> None:
         """Give the place back."""
+        if self.is_writing:
+            self._silent.write_ends(self.place.upstream.instance)
         if self.is_sent:
             self._silent.ended(self.place.upstream.instance, self.usual_ms, self.is_silent)
         self.is_released = True
@@ -115,10 +123,18 @@
 
     @property
     def silent_ms(self) -> int:
-        """How long the upstream has been silent; 0 while a part is written to the client."""
+        """How long the upstream has been silent; 0 while a part is written to the client.
+
+        It stays 0 once the whole answer is there, however slowly the client reads the end of it.
+        """
         since_ms = self._waits_since_ms
         return 0 if since_ms is None else self._clock.now_ms() - since_ms
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether a part is written to the client, or the end of its answer was."""
+        return self._waits_since_ms is None
+
     @property
     def usual_ms(self) -> float:
         """How long a sound upstream is usually silent at most."""
@@ -167,11 +183,14 @@
         if self.route.kind.streamed:
             if answer.written_by not in ("", self.place.upstream.announced_name):
                 return Lost("answer_of_another_instance")
+            self.is_at_work = True
+            self.on_at_work()
             return await self._relay_events(answer)
         body = await self._read_whole(answer)
         self._lock.acquire(self)
         self._note_first_byte()
         self.progress.note_part(self._clock.now_ms())
+        self._begin_writing()
         await self._reply.send_whole(answer.status, answer.headers, body)
         return Delivered()
 
@@ -186,18 +205,24 @@
                 await self._write(answer, b"".join(in_order))
             if self._misses_event:
                 return Lost("event_missing")
-            self._waits_since_ms = self._clock.now_ms()
         if not splitter.at_event_boundary:
             return Lost("cut_in_event")
         self._lock.acquire(self)
+        self._begin_writing()
         await self._start(answer)
         await self._reply.finish()
         return Delivered()
 
     async def _write(self, answer: UpstreamAnswer, data: bytes) -> None:
-        self._waits_since_ms = None
+        self._begin_writing()
         await self._start(answer)
         await self._reply.write(data)
+        self._silent.write_ends(self.place.upstream.instance)
+        self._waits_since_ms = self._clock.now_ms()
+
+    def _begin_writing(self) -> None:
+        self._waits_since_ms = None
+        self._silent.write_begins(self.place.upstream.instance)
 
     async def _start(self, answer: UpstreamAnswer) -> None:
         """Send the head to the client, once: that of the upstream which wrote the first event."""
--- a/chestnutfall/forwarding/silent_upstreams.py
+++ b/chestnutfall/forwarding/silent_upstreams.py
@@ -26,7 +26,7 @@
 VERDICT_MS = 20
 """How long a common silence that one call found holds for the others, so that many silent calls do
 not each compare all upstreams."""
-SPELL_GAP_MS = 200
+SPAN_GAP_MS = 200
 """A common silence that was not seen for so long is over."""
 
 
@@ -38,6 +38,8 @@
     ----------
     usual_ms : list of float
         How long it is silent at most for each send in progress, if it is sound.
+    writing : int
+        Sends in progress that wait for their clients and not for the upstream.
     quiet_since_ms : int or None
         Clock time since which a send has waited and nothing was heard; None if none waits.
     heard_ms : int
@@ -48,6 +50,7 @@
 
     service: str
     usual_ms: list[float] = field(default_factory=list)
+    writing: int = 0
     quiet_since_ms: int | None = None
     heard_ms: int = -REMEMBERED_MS
     ended_ms: int = 0
@@ -57,14 +60,14 @@
 
     def is_paused(self, window_ms: float, now_ms: int) -> bool:
         """Whether it is silent, by itself or with others, and does not hang yet."""
-        if not self.usual_ms:
+        if len(self.usual_ms) <= self.writing:
             return False
         least_ms = max(window_ms, WINDOW_SHARE * min(self.usual_ms))
         return least_ms <= self.quiet_ms(now_ms) < LASTING_MS
 
 
 @dataclass(slots=True)
-class _Spell:
+class _SilentSpan:
     """A time in which most upstreams of a service were silent, as far as calls asked.
 
     Attributes
@@ -91,7 +94,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._upstreams: dict[str, _Upstream] = {}
-        self._spells: dict[str, _Spell] = {}
+        self._spans: dict[str, _SilentSpan] = {}
 
     def __len__(self) -> int:
         return len(self._upstreams)
@@ -121,6 +124,22 @@
         if known is not None:
             known.heard_ms = known.quiet_since_ms = self._clock.now_ms()
 
+    def write_begins(self, instance: str) -> None:
+        """Record that a send writes to its client, and hears nothing until that has read it."""
+        known = self._upstreams.get(instance)
+        if known is not None:
+            known.writing += 1
+
+    def write_ends(self, instance: str) -> None:
+        """Record that a send waits for its upstream again."""
+        known = self._upstreams.get(instance)
+        if known is None:
+            return
+        # Otherwise another send waited meanwhile.
+        if known.writing >= len(known.usual_ms):
+            known.quiet_since_ms = self._clock.now_ms()
+        known.writing -= 1
+
     def ended(self, instance: str, usual_ms: float, was_silent: bool) -> None:
         """Record the end of a send.
 
@@ -150,19 +169,17 @@
             How long sound upstreams are silent at most, if they are not silent together.
         """
         now_ms = self._clock.now_ms()
-        spell = self._spells.get(service)
-        if spell is not None and now_ms - spell.last_ms < VERDICT_MS:
-            return spell.reason
+        span = self._spans.get(service)
+        if span is not None and now_ms - span.last_ms < VERDICT_MS:
+            return span.reason
         reason = self._common_silence(service, instances, silent_ms)
         if reason:
-            if spell is None or now_ms - spell.last_ms > SPELL_GAP_MS:
-                spell = self._spells[service] = _Spell(now_ms, now_ms, reason)
-            spell.last_ms, spell.reason = now_ms, reason
+            if span is None or now_ms - span.last_ms > SPAN_GAP_MS:
+                span = self._spans[service] = _SilentSpan(now_ms, now_ms, reason)
+            span.last_ms, span.reason = now_ms, reason
             return reason
         # The first parts after a common silence come from some upstreams only.
-        if spell is not None and now_ms - spell.last_ms < min(
-            spell.last_ms - spell.since_ms, usual_ms
-        ):
+        if span is not None and now_ms - span.last_ms < min(span.last_ms - span.since_ms, usual_ms):
             return SERVICE_RESUMES
         return ""
 
--- a/chestnutfall/paths/help_stream.py
+++ b/chestnutfall/paths/help_stream.py
@@ -9,7 +9,7 @@
 
 import grpc
 
-from ..wire.cancellation import is_cancelled
+from ..clock.cancelled import was_cancelled
 
 
 class HelpStream:
@@ -53,7 +53,7 @@
     try:
         yield
     except asyncio.CancelledError as exc:
-        if is_cancelled():
+        if was_cancelled():
             raise
         raise asyncio.InvalidStateError("the connection was closed") from exc
     except grpc.aio.UsageError as exc:
--- a/chestnutfall/quarantine/request_quarantine.py
+++ b/chestnutfall/quarantine/request_quarantine.py
@@ -254,4 +254,5 @@
             check = asyncio.ensure_future(self._refuses_connections(address))
             self._checks[address] = check
             check.add_done_callback(lambda _: self._checks.pop(address, None))
-        return await check
+        # Whoever stops waiting must not take the check from the others.
+        return await asyncio.shield(check)
--- a/chestnutfall/wire/rpc_channel.py
+++ b/chestnutfall/wire/rpc_channel.py
@@ -8,7 +8,7 @@
 
 import grpc
 
-from .cancellation import is_cancelled
+from ..clock.cancelled import was_cancelled
 from .codec import Codec
 from .keepalive import MAX_SILENCE_MS, keepalive_options
 from .tls_files import TlsFiles
@@ -85,7 +85,7 @@
                 await self._reopen()
             raise ConnectionError(f"{self.address}: {exc.code().name} {exc.details()}") from exc
         except asyncio.CancelledError as exc:
-            if is_cancelled():
+            if was_cancelled():
                 raise
             # The connection was closed, for example after another call on it had timed out.
             raise ConnectionError(f"{self.address}: the connection was closed") from exc
--- a/properties/safeguards/request_end_mutants.py
+++ b/properties/safeguards/request_end_mutants.py
@@ -41,7 +41,7 @@
     Mutant(
         "cancelled future taken for a cancelled request",
         _ENDS,
-        "            if isinstance(exc, asyncio.CancelledError) and is_cancelled():",
+        "            if isinstance(exc, asyncio.CancelledError) and was_cancelled():",
         "            if isinstance(exc, asyncio.CancelledError):",
         _FAULTS_TEST,
     ),
@@ -133,7 +133,7 @@
     Mutant(
         "closed connection to a helper taken for a cancelled request",
         "chestnutfall/paths/help_stream.py",
-        "        if is_cancelled():\n            raise\n",
+        "        if was_cancelled():\n            raise\n",
         "        raise\n",
         "chestnutfall.tests.test_helper_links",
     ),
@@ -154,7 +154,7 @@
     Mutant(
         "closed connection taken for a cancelled task",
         "chestnutfall/wire/rpc_channel.py",
-        "            if is_cancelled():\n                raise\n",
+        "            if was_cancelled():\n                raise\n",
         "            raise\n",
         "chestnutfall.tests.test_wire",
     ),
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -10,6 +10,7 @@
 _CALL_SENDS = f"{_FORWARDING}/call_sends.py"
 _LIVE_SENDS = f"{_FORWARDING}/live_sends.py"
 _OTHER_PLACE = f"{_FORWARDING}/other_place.py"
+_OVERTAKEN = f"{_FORWARDING}/overtaken_upstreams.py"
 _RELAYED_SEND = f"{_FORWARDING}/relayed_send.py"
 _REPEATS = f"{_FORWARDING}/repeats.py"
 _REPLY_LOCK = f"{_FORWARDING}/reply_lock.py"
@@ -64,7 +65,7 @@
         "test_of_two_runs_without_an_event_both_go_on_until_one_begins",
     ),
     Mutant(
-        "a loser runs on beside the answer",
+        "a run that was overtaken goes on beside the answer",
         _LIVE_SENDS,
         "        one.task.cancel()\n" "        self._live.remove(one)\n",
         "        self._live.remove(one)\n",
@@ -81,9 +82,9 @@
     ),
     Mutant(
         "sends in progress do not count as attempts",
-        _CALL_SENDS,
-        "        return progress.runs + max(len(self._live), 1) < self._route.attempts\n",
-        "        return progress.runs < self._route.attempts\n",
+        _OVERTAKEN,
+        "    return progress.attempts + added < route.attempts\n",
+        "    return progress.attempts < route.attempts\n",
         f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
         "test_silent_sends_keep_to_the_attempts_of_the_route",
     ),
@@ -106,9 +107,8 @@
     Mutant(
         "a place that a stopped search found stays taken",
         _OTHER_PLACE,
-        "            selector.release(self.search.result(), "
-        "RunOutcome.WITHDRAWN, NO_TIMES, None)\n",
-        "            pass\n",
+        "            self.search.add_done_callback(partial(_give_back, selector))\n",
+        "",
         f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
         "test_a_place_found_as_the_client_leaves_is_given_back",
     ),
@@ -299,8 +299,8 @@
     Mutant(
         "the end of a send is not noticed",
         _LIVE_SENDS,
-        "        task.add_done_callback(lambda _: self._on_ended())\n",
-        "",
+        "            task.exception()\n" "        self._on_ended()\n",
+        "            task.exception()\n",
         f"{_TESTS}.test_second_sends.SecondSendTest."
         "test_a_call_moves_to_another_upstream_as_soon_as_before",
     ),
@@ -349,4 +349,148 @@
         "        least_ms = window_ms\n",
         f"{_TESTS}.test_silent_upstreams",
     ),
+    Mutant(
+        "a call that stops waiting for a port check ends it for others",
+        _QUARANTINE,
+        "        return await asyncio.shield(check)\n",
+        "        return await check\n",
+        f"{_TESTS}.test_silent_services.SilentEndTest."
+        "test_a_search_that_ends_leaves_the_port_check_to_others",
+    ),
+    Mutant(
+        "an end that a search found is lost with the search",
+        _OTHER_PLACE,
+        "            await asyncio.shield(ending)\n",
+        "            await ending\n",
+        f"{_TESTS}.test_silent_services.SilentEndTest."
+        "test_an_end_that_a_search_found_is_reported_though_the_search_ends",
+    ),
+    Mutant(
+        "a client that reads a whole answer slowly makes its engine look silent",
+        _RELAYED_SEND,
+        "        self._begin_writing()\n" "        await self._reply.send_whole(",
+        "        await self._reply.send_whole(",
+        f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
+        "test_a_client_that_reads_slowly_is_no_silence",
+    ),
+    Mutant(
+        "a client that reads the end of a stream slowly makes its engine look silent",
+        _RELAYED_SEND,
+        "        self._begin_writing()\n"
+        "        await self._start(answer)\n"
+        "        await self._reply.finish()\n",
+        "        await self._start(answer)\n" "        await self._reply.finish()\n",
+        f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
+        "test_a_client_that_leaves_a_whole_answer_blames_no_engine",
+    ),
+    Mutant(
+        "an unexpected error of one send ends a living other one",
+        f"{_FORWARDING}/sender.py",
+        "            if sending.is_writing or not is_fault(exc):\n",
+        "            if True:\n",
+        f"{_TESTS}.test_second_sends.SecondSendTest."
+        "test_a_second_send_that_fails_leaves_the_first_alone",
+    ),
+    Mutant(
+        "an error of the client's connection is taken for a lost answer",
+        f"{_FORWARDING}/sender.py",
+        "            if sending.is_writing or not is_fault(exc):\n",
+        "            if not is_fault(exc):\n",
+        f"{_TESTS}.test_call_faults.CallFaultsTest.test_a_fault_of_the_reply_is_never_repeated",
+    ),
+    Mutant(
+        "an upstream that was overtaken is not gone back to",
+        f"{_FORWARDING}/progress.py",
+        "        self.note_run(instance)\n" "        self.overtaken.append(instance)\n",
+        "        self.note_run(instance)\n" "        self.avoid.append(instance)\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "to go back to an upstream is one more attempt",
+        f"{_FORWARDING}/progress.py",
+        "            self.overtaken.remove(instance)\n"
+        "        else:\n"
+        "            self.attempts += 1\n",
+        "            self.overtaken.remove(instance)\n" "        self.attempts += 1\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "a stream goes to and fro between silent upstreams",
+        _CALL_SENDS,
+        "        return LASTING_MS if is_spent else math.ceil(sends[-1].usual_ms)\n",
+        "        return math.ceil(sends[-1].usual_ms)\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "a stream goes back while the next upstream may be sound",
+        _OTHER_PLACE,
+        "            goes_back=all(one.silent_ms >= LASTING_MS for one in live),\n",
+        "            goes_back=True,\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "a place beyond the attempts is used",
+        _OVERTAKEN,
+        "    if place.upstream.instance in again:\n" "        return place\n",
+        "    if True:\n" "        return place\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "an upstream that failed is preferred to one that was left",
+        _OVERTAKEN,
+        "    if place.upstream.instance not in all_avoided.avoid:\n",
+        "    if True:\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "a stream that another engine is at work on runs on for the overlap",
+        _CALL_SENDS,
+        "        if newest.is_at_work or self._clock",
+        "        if self._clock",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "a stream ends as the only other upstream is full",
+        _RESULT_HANDLER,
+        "        is_useless = is_full and not place.has_other and not progress.overtaken\n",
+        "        is_useless = is_full and not place.has_other\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
+    Mutant(
+        "the leader is not told which engines may run a call",
+        "chestnutfall/forwarding/engine_upstream_selector.py",
+        "            (*criteria.avoid, *self._others(criteria)),\n",
+        "            criteria.avoid,\n",
+        f"{_TESTS}.test_upstream_selectors.EngineUpstreamSelectorTest",
+    ),
+    Mutant(
+        "a call that certain upstreams may run gets any other",
+        f"{_FORWARDING}/place.py",
+        "        if self.only and upstream.instance not in self.only:\n",
+        "        if False:\n",
+        f"{_TESTS}.test_upstream_selectors.PlainUpstreamSelectorTest",
+    ),
+    Mutant(
+        "the place of a send that never began stays taken",
+        _LIVE_SENDS,
+        "        if not sending.is_released:\n",
+        "        if False:\n",
+        f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
+        "test_the_place_of_a_send_that_never_began_is_given_back",
+    ),
+    Mutant(
+        "clients that read slowly keep calls from leaving hung upstreams",
+        _SILENT_UPSTREAMS,
+        "        if len(self.usual_ms) <= self.writing:\n",
+        "        if not self.usual_ms:\n",
+        f"{_TESTS}.test_silent_services.ManySilentTest."
+        "test_a_hung_upstream_is_left_as_quickly_beside_slow_clients",
+    ),
+    Mutant(
+        "a client that reads slowly hides a silence from other sends",
+        _SILENT_UPSTREAMS,
+        "        if known.writing >= len(known.usual_ms):\n",
+        "        if True:\n",
+        f"{_TESTS}.test_silent_upstreams",
+    ),
 )
