End no stream with another's silence on its connection

A check without an answer for 600 ms made RpcChannel open a new connection and close the old one a second later, which cancels each call on it; the same after one failed send, ten seconds later. gRPC raises CancelledError then, and the read of the helped stream let it through as if the call itself had been cancelled.

A connection that is found silent now takes no new calls and closes behind its last user: the others have their own deadlines, and keepalive ends a connection that is dead. So it holds for the controllers' clients, replicas and relays, too. A CancelledError is the own one only if the running task is cancelled; else a helped call has lost its answer, a call has failed, and the streams to the leader and to other gateways are opened again (a gateway without the first had no leader until its restart).

The mutants of these safeguards and both whose text moved fail their tests.

--- a/chestnutfall/forwarding/leader_stream.py
+++ b/chestnutfall/forwarding/leader_stream.py
@@ -14,6 +14,7 @@
 from ..clock import Clock
 from ..coordination.messages import FLEET_CODEC, FLEET_METHOD, PULSE_MS, NotLeading
 from ..wire import RpcChannel
+from .faults import is_cancelled
 from .first_message_timeouts import FirstMessageTimeouts
 
 log = logging.getLogger(__name__)
@@ -67,7 +68,9 @@
             turn += 1
             try:
                 hint = await self._follow(address)
-            except Exception:
+            except (Exception, asyncio.CancelledError) as exc:
+                if isinstance(exc, asyncio.CancelledError) and is_cancelled():
+                    raise
                 # No other task awaits this one. If an unexpected message or an error of the RPC
                 # library ended it, the gateway would stay without a leader until its restart.
                 log.exception("leader: address=%s stream failed unexpectedly", address)
--- a/chestnutfall/paths/helper_links.py
+++ b/chestnutfall/paths/helper_links.py
@@ -6,12 +6,13 @@
 import logging
 from collections import Counter
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from typing import Any
 
 import grpc
 
 from ..clock import Clock
+from ..forwarding.faults import is_cancelled
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
@@ -41,10 +42,12 @@
 """How much later than over an own link an answer may come: the helper's own try to connect, and two
 more hops."""
 CLOSE_GRACE_S = 10.0
-"""Longest time for which the sends of a connection that is no longer used may go on."""
+"""Longest time for which sends may go on as this gateway ends."""
 IDLE_MS = 10_000
 """A connection without a send for so long is closed."""
 
+_STREAM_ERRORS = (grpc.aio.AioRpcError, asyncio.InvalidStateError, asyncio.CancelledError)
+
 
 class _ConnectionLost(AnswerLost):
     """The connection to a helper has ended, with all calls on it."""
@@ -68,7 +71,7 @@
         self._channels: dict[str, RpcChannel] = {}
         self._used_ms: dict[str, int] = {}
         self._busy: Counter[str] = Counter()
-        self._closing: set[asyncio.Task[None]] = set()
+        self._dropped: list[RpcChannel] = []
         self._sweeper: asyncio.Task[None] | None = None
 
     @asynccontextmanager
@@ -125,8 +128,8 @@
         try:
             await stream.write(msg)
             await stream.done_writing()
-        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
-            raise _ConnectionLost("helper_lost") from exc
+        except _STREAM_ERRORS as exc:
+            raise _lost(exc) from exc
         return await self._read(stream, silent_ms)
 
     async def _read(self, stream: Any, silent_ms: float) -> Any:
@@ -134,8 +137,8 @@
             msg = await self._clock.within_ms(silent_ms, stream.read())
         except TimeoutError as exc:
             raise AnswerLost(SILENT) from exc
-        except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
-            raise _ConnectionLost("helper_lost") from exc
+        except _STREAM_ERRORS as exc:
+            raise _lost(exc) from exc
         if msg is grpc.aio.EOF:
             raise AnswerLost("helper_lost")
         return msg
@@ -198,7 +201,7 @@
             self._drop(address, channel)
 
     def _drop(self, address: str, channel: RpcChannel) -> None:
-        """Close a connection, so that the next send opens another one.
+        """Use a connection for no further sends, so that the next one opens another.
 
         One that has ended looks open for some ms more, and a send would be lost on it. If only a
         part of its sends was lost, the others go on.
@@ -206,9 +209,8 @@
         if self._channels.get(address) is not channel:
             return
         del self._channels[address]
-        task = asyncio.ensure_future(_close_quietly(channel))
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
+        channel.retire()
+        self._dropped = [one for one in (*self._dropped, channel) if not one.is_closed]
 
     async def close(self) -> None:
         """Close every connection."""
@@ -216,10 +218,13 @@
             self._sweeper.cancel()
         for address in list(self._channels):
             self._close(address)
-        await asyncio.gather(*self._closing)
+        closing = (channel.close(CLOSE_GRACE_S) for channel in self._dropped)
+        # Nothing waits for the end of a connection that is no longer used.
+        await asyncio.gather(*closing, return_exceptions=True)
 
 
-async def _close_quietly(channel: RpcChannel) -> None:
-    # Nothing waits for the end of a connection that is no longer used.
-    with suppress(Exception):
-        await channel.close(CLOSE_GRACE_S)
+def _lost(error: BaseException) -> BaseException:
+    """Return what a failure of a stream means; a cancellation of the own task stays one."""
+    if isinstance(error, asyncio.CancelledError) and is_cancelled():
+        return error
+    return _ConnectionLost("helper_lost")
--- a/chestnutfall/peers/peer_link.py
+++ b/chestnutfall/peers/peer_link.py
@@ -9,6 +9,7 @@
 import grpc
 
 from ..clock import Clock
+from ..clock.cancelled import was_cancelled
 from ..ownership import (
     TICKET_CODEC,
     EngineView,
@@ -55,6 +56,10 @@
                     await self._run_stream()
                 except grpc.aio.AioRpcError as exc:
                     log.info("peers: stream to %s ended: %s", self.address, exc.code().name)
+                except asyncio.CancelledError:
+                    if was_cancelled():
+                        raise
+                    log.info("peers: stream to %s was cancelled", self.address)
                 finally:
                     self._on_disconnect()
                 await self._clock.sleep_ms(RECONNECT_MS)
--- a/chestnutfall/tests/test_helper_links.py
+++ b/chestnutfall/tests/test_helper_links.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from unittest.mock import patch
 
 from soak.relay import ConnectionFault, Relay
 
@@ -18,9 +19,10 @@
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
 from ..forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
+from ..paths import helper_links
 from ..paths.helped_upstream_api import HelpedUpstreamApi
 from ..paths.helper_api import HELPER_SILENCE_MS
-from ..paths.helper_links import HelperLinks
+from ..paths.helper_links import CHECK_MS, HelperLinks
 from ..paths.helper_service import HelperService
 from ..paths.known_helpers import KnownHelpers
 from ..paths.leader_messages import HelperGateways
@@ -62,6 +64,8 @@
         self.sends.append(forwarded)
         if self.script == "closed":
             raise NotSent("refused")
+        if self.script == "fault":
+            raise ZeroDivisionError
         if self.script == "lost":
             raise AnswerLost("reset")
         if self.script == "mute":
@@ -89,6 +93,7 @@
         helpers = KnownHelpers(clock, rng)
         helpers.apply(HelperGateways((), "key"))
         self.links = HelperLinks(self.direct, clock)
+        self.port_s = 0.0
         api = HelpedUpstreamApi(
             self.direct, self.links, helpers, PathTable(clock), _opens, lambda: False, clock
         )
@@ -99,7 +104,7 @@
             {UPSTREAM.instance: UPSTREAM}.get,
             lambda: [UPSTREAM],
             _opens,
-            _opens,
+            self._refuses,
             clock,
             rng,
         )
@@ -113,6 +118,10 @@
         await self.links.close()
         await self.server.stop(0)
 
+    async def _refuses(self, address: str) -> bool:
+        await asyncio.sleep(self.port_s)
+        return True
+
     async def _send(self, forwarded: ForwardedCall | None = None) -> bytes:
         call = forwarded or send_to(UPSTREAM)
         async with self.links.send(self.address, ("key",), call) as answer:
@@ -120,6 +129,14 @@
             self.assertTrue(answer.is_helped)
             return b"".join([data async for data in answer.body])
 
+    async def _begin(self, forwarded: ForwardedCall) -> asyncio.Future[bytes]:
+        """Begin a send, and return once the helper has it, however long it takes to connect."""
+        with patch.object(helper_links, "CONNECT_MS", KEEPALIVE_MS):
+            sending = asyncio.ensure_future(self._send(forwarded))
+            while not self.service.in_progress:
+                await asyncio.sleep(0.01)
+        return sending
+
     # Guards against a helper that knows of another build at an engine and sends a stream there.
     async def test_a_call_for_an_upstream_of_another_build_is_not_sent(self) -> None:
         with self.assertRaises(NotSent):
@@ -201,6 +218,41 @@
         self.assertEqual(await sending, b"".join(PARTS))
         await relay.stop()
 
+    # Guards against a check of a port, which the helper leaves without an answer, that ends the
+    # living answers of all calls that go through it.
+    async def test_answers_outlive_a_port_check_that_the_helper_does_not_answer(self) -> None:
+        self.direct.script, self.direct.hold_s = "hold", CHECK_MS / 1000 + SILENT_S
+        forwarded = replace(send_to(UPSTREAM), silent_ms=KEEPALIVE_MS)
+        sending = await self._begin(forwarded)
+        self.port_s = 60.0
+        self.assertIsNone(await self.links.refuses(self.address, ("key",), UPSTREAM.address))
+        self.assertEqual(await sending, b"".join(PARTS))
+
+    # Guards against one send that fails at the helper and ends the others that go through it.
+    async def test_answers_outlive_a_send_that_fails_on_their_connection(self) -> None:
+        self.direct.script, self.direct.hold_s = "hold", SILENT_S
+        forwarded = replace(send_to(UPSTREAM), silent_ms=KEEPALIVE_MS)
+        sending = await self._begin(forwarded)
+        self.direct.script = "fault"
+        with patch.object(helper_links, "CLOSE_GRACE_S", 0.1):
+            with self.assertRaises(AnswerLost):
+                await self._send()
+            self.assertNotIn(self.address, self.links._channels)
+            self.assertEqual(await sending, b"".join(PARTS))
+
+    # Guards against the end of a connection that is taken for the cancellation of the call: its
+    # client was said to have left.
+    async def test_a_stream_that_is_cancelled_by_others_is_a_loss(self) -> None:
+        for script in ("mute", "hold"):
+            with self.subTest(script=script):
+                self.direct.script = script
+                sending = await self._begin(send_to(UPSTREAM))
+                await self.links._channels[self.address].close()
+                with self.assertRaises(AnswerLost):
+                    await sending
+                while self.service.in_progress:
+                    await asyncio.sleep(0.01)
+
     # Guards against calls that are lost on a connection to a helper that is silent for good.
     async def test_a_helper_whose_connection_is_silent_is_found_out_and_not_asked(self) -> None:
         relay = Relay(self.address)
--- a/chestnutfall/tests/test_peer_link.py
+++ b/chestnutfall/tests/test_peer_link.py
@@ -9,6 +9,7 @@
 import asyncio
 import unittest
 from typing import Any
+from unittest.mock import patch
 
 from ..clock import SystemClock
 from ..ownership import (
@@ -22,7 +23,8 @@
 )
 from ..peers import PeerLink
 from ..peers.peer_server import METHOD
-from ..wire import RpcServer
+from ..wire import RpcChannel, RpcServer
+from .fakes.cancelled_stream import CancelledStream
 
 
 class PeerLinkTest(unittest.IsolatedAsyncioTestCase):
@@ -67,6 +69,16 @@
         req = TicketRequest(attempt_id, "engine-1", "a@1+00", 1, wait_ms)
         return asyncio.ensure_future(self.link.acquire(req))
 
+    # Guards against the end of a stream that is taken for the end of the link.
+    async def test_a_stream_that_is_cancelled_by_others_is_followed_by_the_next(self) -> None:
+        self.task.cancel()
+        await asyncio.wait([self.task])
+        link = PeerLink("entry#1", f"127.0.0.1:{self.server.port}", SystemClock(), None)
+        with patch.object(RpcChannel, "stream", return_value=CancelledStream()):
+            self.task = asyncio.ensure_future(link.run())
+            await asyncio.sleep(0.05)
+        await self._until(lambda: self.streams == 2)
+
     async def test_answers_find_their_requests_in_any_order(self) -> None:
         first, second = self._request("one"), self._request("two")
         await self._until(lambda: len(self.received) == 3)
--- a/chestnutfall/tests/test_wire.py
+++ b/chestnutfall/tests/test_wire.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+from collections.abc import AsyncIterator
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
@@ -21,6 +23,10 @@
 from ..wire import Codec, RpcChannel, RpcServer, TlsFiles
 from ..wire.certificate_authority import CertificateAuthority
 
+_MESSAGE = VoteReply(1, True)
+SLOW_S = 2.0
+"""Longer than a connection with a silent call was kept open for others once."""
+
 
 class CodecTest(unittest.TestCase):
     @given(st.binary(max_size=200))
@@ -80,5 +86,84 @@
         self.assertEqual(await self._call(client), VoteReply(1, True))
 
 
+class SharedChannelTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.server = RpcServer("127.0.0.1:0")
+        self.server.add_unary("Slow", CONSENSUS_CODEC, _answer_late)
+        self.server.add_unary("Mute", CONSENSUS_CODEC, _answer_never)
+        self.server.add_stream("Stream", CONSENSUS_CODEC, _echo_all)
+        await self.server.start()
+        self.channel = RpcChannel(f"127.0.0.1:{self.server.port}", CONSENSUS_CODEC)
+
+    async def asyncTearDown(self) -> None:
+        await self.channel.close()
+        await self.server.stop(0)
+
+    # Guards against one call whose peer is silent that ends the streams and calls of others.
+    async def test_a_call_without_an_answer_ends_no_other(self) -> None:
+        stream = self.channel.stream("Stream")
+        await stream.write(_MESSAGE)
+        self.assertEqual(await stream.read(), _MESSAGE)
+        slow = asyncio.ensure_future(self.channel.call("Slow", _MESSAGE, 10_000))
+        await asyncio.sleep(0.1)
+        with self.assertRaises(ConnectionError):
+            await self.channel.call("Mute", _MESSAGE, 200)
+        self.assertEqual(await slow, _MESSAGE)
+        await stream.write(_MESSAGE)
+        self.assertEqual(await stream.read(), _MESSAGE)
+        stream.cancel()
+
+    # Guards against connections that were found silent and stay open for ever, and against one
+    # that closes between the wait for it and its stream.
+    async def test_a_connection_that_is_not_used_any_more_closes_behind_its_last_stream(
+        self,
+    ) -> None:
+        await self.channel.wait_connected()
+        stream = self.channel.stream("Stream")
+        with self.assertRaises(ConnectionError):
+            await self.channel.call("Mute", _MESSAGE, 100)
+        self.assertEqual([one.is_closing for one in self.channel._retired], [False])
+        former = self.channel._retired[0]
+        stream.cancel()
+        await asyncio.sleep(0.1)
+        self.assertTrue(former.is_closing)
+        opening = asyncio.ensure_future(self._connect_and_open())
+        await asyncio.sleep(0)
+        self.channel.retire()
+        stream = await opening
+        await stream.write(_MESSAGE)
+        self.assertEqual(await stream.read(), _MESSAGE)
+        self.assertFalse(self.channel.is_closed)
+        stream.cancel()
+        await asyncio.sleep(0.1)
+        self.assertTrue(self.channel.is_closed)
+
+    async def _connect_and_open(self) -> Any:
+        await self.channel.wait_connected()
+        return self.channel.stream("Stream")
+
+    # Guards against the end of a connection that a call takes for its own cancellation.
+    async def test_a_call_on_a_connection_that_is_closed_has_failed(self) -> None:
+        calling = asyncio.ensure_future(self.channel.call("Mute", _MESSAGE, 10_000))
+        await asyncio.sleep(0.1)
+        await self.channel.close()
+        with self.assertRaises(ConnectionError):
+            await calling
+
+
 async def _echo(msg: Any, context: Any) -> Any:
     return msg
+
+
+async def _answer_late(msg: Any, context: Any) -> Any:
+    await asyncio.sleep(SLOW_S)
+    return msg
+
+
+async def _answer_never(msg: Any, context: Any) -> Any:
+    await asyncio.sleep(60)
+
+
+async def _echo_all(messages: AsyncIterator[Any], context: Any) -> AsyncIterator[Any]:
+    async for msg in messages:
+        yield msg
--- a/chestnutfall/wire/rpc_channel.py
+++ b/chestnutfall/wire/rpc_channel.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import grpc
 
+from ..clock.cancelled import was_cancelled
 from .codec import Codec
 from .keepalive import MAX_SILENCE_MS, keepalive_options
 from .tls_files import TlsFiles
@@ -24,6 +28,56 @@
 )
 
 
+class _Connection:
+    """A gRPC channel with the number of its users: calls, streams and waits for a connection.
+
+    Once it is retired it takes no new ones and closes behind the last: a user for whom the peer is
+    silent or lost doesn't end the others, whose own deadlines and keepalive end them.
+    """
+
+    def __init__(self, channel: grpc.aio.Channel) -> None:
+        self.channel = channel
+        self.calls: dict[str, Any] = {}
+        self._users = 0
+        self._retired = False
+        self._closing: asyncio.Task[None] | None = None
+
+    def begin_use(self) -> None:
+        self._users += 1
+
+    def end_use(self, ended: object = None) -> None:
+        self._users -= 1
+        self._close_if_unused()
+
+    @contextmanager
+    def in_use(self) -> Iterator[None]:
+        self.begin_use()
+        try:
+            yield
+        finally:
+            self.end_use()
+
+    def retire(self) -> None:
+        self._retired = True
+        self._close_if_unused()
+
+    @property
+    def is_closing(self) -> bool:
+        return self._closing is not None
+
+    def _close_if_unused(self) -> None:
+        if self._retired and not self._users and self._closing is None:
+            self._closing = asyncio.ensure_future(self._close_unused())
+
+    async def _close_unused(self) -> None:
+        if self._users:
+            # A wait for the connection ended, and its stream began in the same step.
+            self._closing = None
+            return
+        with contextlib.suppress(Exception):
+            await self.channel.close()
+
+
 class RpcChannel:
     """Sends unary calls and opens message streams to `address`, an IP and port.
 
@@ -46,18 +100,17 @@
         self._options = (*_OPTIONS, *keepalive_options(max_silence_ms))
         self._codec = codec
         self._tls = tls
-        self._open()
+        self._connection = self._open()
+        self._retired: list[_Connection] = []
 
-    def _open(self) -> None:
+    def _open(self) -> _Connection:
         target = f"ipv4:{self.address}"
         if self._tls is None:
-            self._channel = grpc.aio.insecure_channel(target, options=self._options)
-        else:
-            # All certificates carry the same DNS name instead of the IP address of a host.
-            options = (*self._options, ("grpc.ssl_target_name_override", "chestnutfall"))
-            creds = self._tls.channel_credentials()
-            self._channel = grpc.aio.secure_channel(target, creds, options=options)
-        self._calls: dict[str, Any] = {}
+            return _Connection(grpc.aio.insecure_channel(target, options=self._options))
+        # All certificates carry the same DNS name instead of the IP address of a host.
+        options = (*self._options, ("grpc.ssl_target_name_override", "chestnutfall"))
+        creds = self._tls.channel_credentials()
+        return _Connection(grpc.aio.secure_channel(target, creds, options=options))
 
     async def call(self, method: str, msg: Any, timeout_ms: float) -> Any:
         """Send `msg` and return the reply.
@@ -68,41 +121,66 @@
             When the call fails or there is no reply within `timeout_ms`; the peer may or may not
             have executed it.
         """
-        if method not in self._calls:
-            self._calls[method] = self._channel.unary_unary(
+        connection = self._connection
+        if method not in connection.calls:
+            connection.calls[method] = connection.channel.unary_unary(
                 f"/chestnutfall/{method}",
                 request_serializer=self._codec.encode,
                 response_deserializer=self._codec.decode,
             )
         try:
-            return await self._calls[method](msg, timeout=timeout_ms / 1000)
+            with connection.in_use():
+                return await connection.calls[method](msg, timeout=timeout_ms / 1000)
         except grpc.aio.AioRpcError as exc:
             if exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
-                await self._reopen()
+                self._reopen(connection)
             raise ConnectionError(f"{self.address}: {exc.code().name} {exc.details()}") from exc
+        except asyncio.CancelledError as exc:
+            if was_cancelled():
+                raise
+            raise ConnectionError(f"{self.address}: the connection was closed") from exc
 
     async def wait_connected(self) -> None:
         """Wait until a connection to the peer is established."""
-        await self._channel.channel_ready()
+        with self._connection.in_use():
+            await self._connection.channel.channel_ready()
 
     def stream(self, method: str) -> Any:
         """Open a stream of messages in both directions and return its gRPC call."""
-        return self._channel.stream_stream(
+        connection = self._connection
+        stream = connection.channel.stream_stream(
             f"/chestnutfall/{method}",
             request_serializer=self._codec.encode,
             response_deserializer=self._codec.decode,
         )()
+        connection.begin_use()
+        stream.add_done_callback(connection.end_use)
+        return stream
 
-    async def _reopen(self) -> None:
+    def _reopen(self, silent: _Connection) -> None:
         # A firewall, for example, may drop the state of a connection. The connection then stays
         # open but silent, and every call on it times out although the peer is reachable. A new
         # connection costs little compared with a timed-out call, so each timeout opens one for
-        # the next call.
-        old = self._channel
-        self._open()
-        with contextlib.suppress(Exception):
-            await old.close(grace=1.0)
+        # the next call. The peer may also be silent to this call only.
+        if silent is not self._connection:
+            return
+        self._connection = self._open()
+        self._retire(silent)
+
+    def _retire(self, connection: _Connection) -> None:
+        connection.retire()
+        self._retired = [one for one in (*self._retired, connection) if not one.is_closing]
+
+    def retire(self) -> None:
+        """Close the connection once the calls and streams in progress have ended."""
+        self._retire(self._connection)
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether it was retired, and all that was in progress has ended."""
+        return self._connection.is_closing
 
     async def close(self, grace_s: float | None = None) -> None:
         """Close the connection; calls and streams that are in progress after `grace_s` fail."""
-        await self._channel.close(grace_s)
+        connections = (self._connection, *self._retired)
+        await asyncio.gather(*(one.channel.close(grace_s) for one in connections))
--- a/properties/safeguards/path_mutants.py
+++ b/properties/safeguards/path_mutants.py
@@ -140,9 +140,8 @@
     Mutant(
         "a lost helper counts as not sent",
         "chestnutfall/paths/helper_links.py",
-        '            raise _ConnectionLost("helper_lost") from exc\n'
-        "        if msg is grpc.aio.EOF:",
-        '            raise NotSent("helper_lost") from exc\n        if msg is grpc.aio.EOF:',
+        '    return _ConnectionLost("helper_lost")\n',
+        '    return NotSent("helper_lost")\n',
         "chestnutfall.tests.test_helper_links",
     ),
     Mutant(
@@ -153,6 +152,36 @@
         "chestnutfall.tests.test_helper_links.HelperLinksTest."
         "test_a_helper_whose_connection_is_silent_is_found_out_and_not_asked",
     ),
+    Mutant(
+        "a call without an answer ends the streams beside it",
+        "chestnutfall/wire/rpc_channel.py",
+        "        self._retire(silent)\n",
+        "        asyncio.ensure_future(silent.channel.close(grace=1.0))\n",
+        "chestnutfall.tests.test_wire.SharedChannelTest.test_a_call_without_an_answer_ends_no_other",
+    ),
+    Mutant(
+        "a connection that was found silent stays open",
+        "chestnutfall/wire/rpc_channel.py",
+        "        stream.add_done_callback(connection.end_use)\n",
+        "",
+        "chestnutfall.tests.test_wire.SharedChannelTest."
+        "test_a_connection_that_is_not_used_any_more_closes_behind_its_last_stream",
+    ),
+    Mutant(
+        "the end of a connection is taken for the call's own cancellation",
+        "chestnutfall/paths/helper_links.py",
+        "    if isinstance(error, asyncio.CancelledError) and is_cancelled():",
+        "    if isinstance(error, asyncio.CancelledError):",
+        "chestnutfall.tests.test_helper_links.HelperLinksTest."
+        "test_a_stream_that_is_cancelled_by_others_is_a_loss",
+    ),
+    Mutant(
+        "the end of a stream ends the search for the leader",
+        "chestnutfall/forwarding/leader_stream.py",
+        "                if isinstance(exc, asyncio.CancelledError) and is_cancelled():",
+        "                if isinstance(exc, asyncio.CancelledError):",
+        "chestnutfall.tests.test_leader_stream",
+    ),
     Mutant(
         "a silent second of the link to a helper ends its answers",
         "chestnutfall/paths/helper_links.py",
