Keep a service that goes soon after its routes

Callers whose requests waited for a place at a service were refused 503 queue_too_long, if a document moved the route away from the service, or set its weight to 0, and a later one dropped the service while they waited. How long a dropped service is kept was read from the document before only, and that one led nothing there any more.

For each service to which a document led, the leader now keeps until when requests may still come to it or wait there: the latest over all documents. An entry goes at the first change of the document behind its time, a minute at most. A service to which no document led is never kept, as before.

test_what_is_kept_and_for_how_long said of this very case that nothing is kept, which was wrong: it looked at the document before as the code did, not at the requests of the one before that. It now says that the service is kept to the millisecond for the longest wait from its last route on, not from its end on, and that a service without any route isn't kept, even between two that are; the bound on what is remembered is checked, too.

test_a_service_goes_soon_after_its_routes is new and plays both pairs, 30 and 300 ms apart, for requests in four states.

--- a/chestnutfall/tests/fakes/document_parts.py
+++ b/chestnutfall/tests/fakes/document_parts.py
@@ -134,6 +134,15 @@
     doc["limits"] |= {"header_timeout_ms": 1, "idle_timeout_ms": 1}
 
 
+def drop_unused_services(doc: Document) -> None:
+    """Drop the services to which no route of those that changed leads any more."""
+    for one in doc["routes"]:
+        shares = one.get("backends", [])
+        if shares:
+            one["backends"] = [share for share in shares if share["weight"] > 0]
+    _drop_services(doc)
+
+
 CHANGES: dict[str, Callable[[Document], None]] = {
     "a route is added": _add_route,
     "routes are dropped": _without_routes,
--- a/chestnutfall/tests/test_document_changes.py
+++ b/chestnutfall/tests/test_document_changes.py
@@ -28,10 +28,13 @@
     Document,
     add_service,
     changed,
+    drop_unused_services,
     first_document,
 )
 
 PATHS = (CHANGED, KEPT, CHANGED_PLAIN, KEPT_PLAIN)
+UNUSED = "unused"
+"""A service to which no document leads a route."""
 ENDED_MS = 5_000
 """Time within which each request ends."""
 TAKEN_IN_MS = 150
@@ -246,6 +249,26 @@
 
         await self._each_case(play, ("begun",))
 
+    # Guards against a service that goes at once, since the document before already led no route to
+    # it, while requests of the one before that wait or run there.
+    async def test_a_service_goes_soon_after_its_routes(self) -> None:
+        for change in ("routes move to another service", "the weight of the old service is 0"):
+            for apart_ms in SERIES_MS:
+                for state in ("read", "waiting for room", "sent", "begun"):
+                    with self.subTest(f"{state}: {change}, {apart_ms} ms"):
+                        await self._play_services_go(state, change, apart_ms)
+
+    async def _play_services_go(self, state: str, change: str, apart_ms: int) -> None:
+        office = await self._office()
+        try:
+            await STATES[state](office)
+            await self._store_apart(office, self._next(office, change), apart_ms)
+            await self._store_apart(office, changed(office.document, drop_unused_services), 500)
+            await office.all_ended(ENDED_MS)
+            self._assert_ended_well(office, state, change)
+        finally:
+            await office.stop()
+
     # Guards against what is dropped by one document and comes back with the next.
     async def test_a_change_that_is_taken_back(self) -> None:
         for apart_ms in SERIES_MS:
@@ -328,18 +351,37 @@
             retired.note_change(table, new)
             self.assertEqual(retired.get(CHANGED) is not None, is_kept)
             self.assertIsNone(retired.get(KEPT))
-        unused = changed(first_document(), CHANGES["routes move to another service"])
-        retired.note_change(
-            _table(unused), _table(changed(unused, CHANGES["routes move and their services go"]))
-        )
-        self.assertIsNone(retired.get(CHANGED))
+        self._assert_kept_from_the_last_route(clock)
         for at in range(50):
             doc = first_document()
             doc["services"].append(doc["services"][0] | {"name": f"s{at}"})
             doc["routes"].append(doc["routes"][0] | {"service": f"s{at}", "path_prefix": "/s/"})
             retired.note_change(_table(doc), table)
             clock._now_ms += 1_000
-        self.assertLessEqual(len(retired), (IN_FORCE_MS + TIMEOUT_MS) // 1_000 + 1)
+        most = (IN_FORCE_MS + TIMEOUT_MS) // 1_000 + 1
+        self.assertLessEqual(len(retired), most)
+        self.assertLessEqual(len(retired._until_ms), most + len(table.services))
+
+    def _assert_kept_from_the_last_route(self, clock: ManualClock) -> None:
+        """Check a service that goes 300 ms after its routes, and one that never had a route."""
+        retired = RetiredServices(clock)
+        first = changed(first_document(), add_service)
+        first["services"].append({"name": UNUSED})
+        unused = changed(first, CHANGES["routes move to another service"])
+        dropped = changed(unused, drop_unused_services)
+        dropped["services"] = [one for one in dropped["services"] if one["name"] != UNUSED]
+        retired.note_change(_table(first), _table(unused))
+        self.assertIsNone(retired.get(CHANGED))
+        clock._now_ms += 300
+        retired.note_change(_table(unused), _table(dropped))
+        self.assertIsNone(retired.get(UNUSED))
+        clock._now_ms += IN_FORCE_MS + TIMEOUT_MS - 301
+        self.assertIsNotNone(retired.get(CHANGED))
+        clock._now_ms += 1
+        self.assertIsNone(retired.get(CHANGED))
+        # Nothing can come to it after that, so a document that drops it once more keeps nothing.
+        retired.note_change(_table(unused), _table(dropped))
+        self.assertIsNone(retired.get(CHANGED))
 
 
 def _table(doc: Document) -> RouteTable:
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -31,10 +31,17 @@
     Mutant(
         "a service that a document drops serves for ever",
         "chestnutfall/coordination/retired_services.py",
-        "        return spec if until_ms > self._clock.now_ms() else None\n",
-        "        return spec\n",
+        "        return self._retired.get(service) if until_ms > self._clock.now_ms() else None\n",
+        "        return self._retired.get(service)\n",
         _DOCUMENTS + "RetiredServicesTest.test_a_service_that_went_ends_with_its_last_requests",
     ),
+    Mutant(
+        "a service ends at once if the document before led no route to it",
+        "chestnutfall/coordination/retired_services.py",
+        "        self._until_ms = {one: ms for one, ms in self._until_ms.items() if ms > now_ms}\n",
+        "        self._until_ms = {}\n",
+        _DOCUMENTS + "SeriesTest.test_a_service_goes_soon_after_its_routes",
+    ),
     Mutant(
         "SIGHUP ends a program that starts",
         "chestnutfall/programs/launch.py",
