Warn of a claim's end that is cancelled by others

Callers that sent a request once more were told that its state is unknown, and the gateway's log had no line about it, if the connection to the controllers was closed while the end of the claim was on its way: gRPC raises CancelledError then, which is no Exception.

Only a cancellation of the own task ends the recording without a word now; each other error writes the warning. The new test raises each kind of error at the end of a claim; for CancelledError it failed before, without a warning. Its mutant was checked to apply, and is the code from before.

--- a/chestnutfall/routing/claim_client.py
+++ b/chestnutfall/routing/claim_client.py
@@ -104,7 +104,9 @@
     async def _end(self, msg: EndClaim) -> None:
         try:
             await self._client.ask(msg, END_DEADLINE_MS)
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError) as exc:
+            if isinstance(exc, asyncio.CancelledError) and was_cancelled():
+                raise
             log.warning(
                 "claims: the end of attempt %s was not recorded, its state stays unknown: %r",
                 msg.attempt_id,
--- a/chestnutfall/tests/test_completion_errors.py
+++ b/chestnutfall/tests/test_completion_errors.py
@@ -78,6 +78,26 @@
                 await self.office.clock.advance(1_000)
                 self._assert_whole(await self.finish(self.post(**key)))
 
+    # Guards against the end of a claim that is lost without a word, since a connection to a
+    # controller was closed.
+    async def test_while_the_end_of_a_claim_is_recorded(self) -> None:
+        ask = self.gateway.client.ask
+        for number, error in enumerate(ERRORS):
+            with self.subTest(error=error):
+
+                async def fail_ends(msg: Any, ms: float, error: BaseException = error) -> Any:
+                    if type(msg).__name__ == "EndClaim":
+                        raise error
+                    return await ask(msg, ms)
+
+                self.gateway.client.ask = fail_ends  # type: ignore[method-assign]
+                with self.assertLogs("chestnutfall.routing.claim_client", "WARNING") as logs:
+                    key = {"Idempotency-Key": f"ended-{number}"}
+                    self._assert_whole(await self.finish(self.post(**key)))
+                    await self.office.clock.advance(1_000)
+                self.assertEqual(len(logs.output), 1)
+                self.assertIn("was not recorded", logs.output[0])
+
     # Guards against an error of a link to an owner that ends a request of which nothing was sent.
     async def test_while_a_ticket_is_awaited(self) -> None:
         for model in ("a1@1", "once@1"):
--- a/properties/safeguards/completion_end_mutants.py
+++ b/properties/safeguards/completion_end_mutants.py
@@ -71,8 +71,15 @@
     Mutant(
         "claim left behind by an unexpected error",
         "chestnutfall/routing/claim_client.py",
-        "        except (Exception, asyncio.CancelledError) as exc:",
-        "        except (NoController, asyncio.CancelledError) as exc:",
+        "        except (Exception, asyncio.CancelledError) as exc:\n            # The claim",
+        "        except (NoController, asyncio.CancelledError) as exc:\n            # The claim",
+        _ERRORS_TEST,
+    ),
+    Mutant(
+        "end of a claim lost without a word",
+        "chestnutfall/routing/claim_client.py",
+        "        except (Exception, asyncio.CancelledError) as exc:\n            if isinstance",
+        "        except Exception as exc:\n            if isinstance",
         _ERRORS_TEST,
     ),
     Mutant(
