Note calls that reach a service which their route never leads to

Both services have adapters of the same names. The ends of the second services' upstreams are recorded too.

--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -93,6 +93,8 @@
         Share of its answers that have neither a length nor chunks.
     down_s : float
         Time from its end to its restart.
+    foreign_routes : tuple of str
+        Routes that lead to other services only.
     event_s : float
         Time from one event of a stream to the next, for an engine of the usual speed.
     silence : Silence
@@ -139,6 +141,7 @@
         self.down_s = DOWN_S
         self.silence = Silence()
         self.event_s = EVENT_S
+        self.foreign_routes: tuple[str, ...] = ()
         self._ending: asyncio.Task[None] | None = None
         self._server: web.Server | None = None
         self._announcing: asyncio.Task[None] | None = None
@@ -331,6 +334,9 @@
         return self._answer(request_id, 503, {names.NOT_EXECUTED: "1"})
 
     def _note_run(self, request: web.BaseRequest, request_id: str, body: bytes) -> None:
+        if request.path.split("/")[1] in self.foreign_routes:
+            finding = f"{self.instance} of {self.service}: ran {request_id} of another service"
+            self._registry.note_violation(finding)
         if names.KEY in request.headers:
             self._registry.note_violation(f"{self.instance}: got the key of {request_id}")
         self._registry.note_run(request_id, request.headers.get(names.ORGANISATION, ""))
--- a/soak/office.py
+++ b/soak/office.py
@@ -29,6 +29,8 @@
 """How many times as long the work of the first engine takes, beside spells of other work."""
 UPSTREAMS = ((ENGINES, True), (ENGINES, True), (ENGINES, True), (PLAIN, False), (PLAIN, False))
 """Service of each upstream, and whether it is an engine."""
+FIRST_ROUTES = ("once", "again", "draft", "long")
+"""Routes that never lead to a second service."""
 
 
 class Office:
@@ -163,6 +165,8 @@
         for one in self.seconds:
             await one.start()
             one.announced_address = one.address
+            one.foreign_routes = FIRST_ROUTES
+            self._record_ends(one, None)
             one.announce()
         for at, (service, is_engine) in enumerate(self._plan):
             await self._add_upstream(service, is_engine, builds[at] if at < len(builds) else "")
@@ -183,16 +187,19 @@
         self.upstreams.append(upstream)
         self.relays.append(relay)
 
-    def _record_ends(self, upstream: StandInUpstream, relay: Relay) -> None:
+    def _record_ends(self, upstream: StandInUpstream, relay: Relay | None) -> None:
         """Let the relay of an upstream refuse connections while it is down, and record when."""
         periods = ExitStack()
 
         def on_end() -> None:
-            periods.enter_context(self.disturbances.recorded(ended(relay.address)))
-            relay.refuse()
+            name = ended(upstream.announced_address)
+            periods.enter_context(self.disturbances.recorded(name))
+            if relay is not None:
+                relay.refuse()
 
         async def on_start() -> None:
-            await relay.start()
+            if relay is not None:
+                await relay.start()
             periods.close()
 
         upstream.on_end, upstream.on_start = on_end, on_start
