--- a/chestnutfall/tests/test_upstream_selectors.py
+++ b/chestnutfall/tests/test_upstream_selectors.py
@@ -112,6 +112,17 @@
         taken = [await selector.select(criteria) for _ in range(3)]
         self.assertEqual({one.upstream.instance for one in taken}, {"2"})
 
+    # Guards against a call that another service's engine runs, since it holds an adapter of the
+    # same name: adapters are named within their service.
+    async def test_without_a_leader_an_engine_of_another_service_is_not_selected(self) -> None:
+        fleet = _Fleet(self.clock)
+        other = dataclasses.replace(_upstream("3"), service="other")
+        fleet.knowledge.apply(UpstreamsChange((other,), ()))
+        fleet.hold(ReadyAdapter("1", NAME, 3), ReadyAdapter("3", NAME, 3))
+        selector = self._selector(fleet)
+        taken = [await selector.select(_criteria()) for _ in range(4)]
+        self.assertEqual({one.upstream.instance for one in taken}, {"1"})
+
     # Guards against a call that tries one engine after another while all are backing off.
     async def test_without_a_leader_an_engine_that_backs_off_is_not_selected(self) -> None:
         fleet = _Fleet(self.clock)
