--- a/chestnutfall/tests/test_helper_links.py
+++ b/chestnutfall/tests/test_helper_links.py
@@ -119,6 +119,21 @@
             await self._send(send_to(replace(UPSTREAM, build="v2")))
         self.assertEqual(self.direct.sends, [])
 
+    # Guards against an error of the library that ends a client's request without a word of ours:
+    # one call that gives up connecting closed the channel on which another one still waited.
+    async def test_calls_that_wait_for_one_connection_fail_as_not_sent(self) -> None:
+        address = free_address()
+
+        async def send() -> None:
+            async with self.links.send(address, ("key",), send_to(UPSTREAM)):
+                self.fail("nothing listens there")
+
+        first = asyncio.ensure_future(send())
+        await asyncio.sleep(0.08)
+        second = asyncio.ensure_future(send())
+        for ended in await asyncio.gather(first, second, return_exceptions=True):
+            self.assertIsInstance(ended, NotSent)
+
     async def test_an_answer_arrives_byte_for_byte(self) -> None:
         self.assertEqual(await self._send(), b"".join(PARTS))
         self.assertEqual(self.direct.sends[0].call.body, b"body")
