Count an event that is too long as a lost answer

An upstream that wrote more than 1 MB without the end of an event raised ValueError through the call, whose client then saw the server's own 500, and which took a second, living send of the call with it. It is a loss now, code event_too_large. The test failed before with that ValueError.

--- a/chestnutfall/forwarding/event_splitter.py
+++ b/chestnutfall/forwarding/event_splitter.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from .upstream_api import AnswerLost
+
 _END = b"\n\n"
 _ID = b"id:"
 _ID_LINE = b"\n" + _ID
@@ -49,14 +51,14 @@
 
         Raises
         ------
-        ValueError
+        AnswerLost
             When an incomplete event exceeds `MAX_EVENT_BYTES`.
         """
         *whole, self._rest = (self._rest + data).split(_END)
         for text in whole:
             yield StreamEvent(text + _END, _number(text))
         if len(self._rest) > MAX_EVENT_BYTES:
-            raise ValueError(f"an event has more than {MAX_EVENT_BYTES} bytes")
+            raise AnswerLost("event_too_large")
 
 
 def _number(text: bytes) -> int | None:
--- a/chestnutfall/tests/test_second_send_bounds.py
+++ b/chestnutfall/tests/test_second_send_bounds.py
@@ -4,6 +4,7 @@
 
 from ..control.crash_messages import QuarantinedRequest, SuspectRequests
 from ..forwarding.call import Headers
+from ..forwarding.event_splitter import MAX_EVENT_BYTES
 from ..forwarding.upstream_answer import NotRun
 from ..forwarding.upstream_api import AnswerLost, NotSent
 from ..placement import RunOutcome
@@ -111,6 +112,17 @@
         await self.clock.advance(1_000)
         self.assertEqual((len(self.upstreams.sends), self.selector.open_places), (1, 0))
 
+    # Guards against a faulty upstream that ends the call with an internal error, and with it the
+    # living send.
+    async def test_an_event_without_end_is_a_lost_answer(self) -> None:
+        endless = (20, b"x" * (MAX_EVENT_BYTES + 1), HANG)
+        self._begin(streams(1_500)["before the first event"], endless)
+        reply = await self._serve(RESUMABLE)
+        self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
+        self._begin(endless, SOUND)
+        reply = await self._serve(RESUMABLE)
+        self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
+
     # Guards against a search that fails and takes the living call with it.
     async def test_a_search_that_fails_leaves_the_call_alone(self) -> None:
         self._begin(streams(1_500)["between events"], SOUND)
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -349,4 +349,12 @@
         "        least_ms = window_ms\n",
         f"{_TESTS}.test_silent_upstreams",
     ),
+    Mutant(
+        "an event without end ends the call with an internal error",
+        f"{_FORWARDING}/event_splitter.py",
+        '            raise AnswerLost("event_too_large")\n',
+        '            raise ValueError("event_too_large")\n',
+        f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
+        "test_an_event_without_end_is_a_lost_answer",
+    ),
 )
