Give the fake of prompt parts the sender and quarantine of all sends

The fake put its own upstream interface and quarantine into a forwarder by fields that have moved, so that all 25 tests of test_suspect_parts ended with AttributeError since the sends of a call were put side by side. They pass, unchanged.

--- a/chestnutfall/tests/fakes/part_office.py
+++ b/chestnutfall/tests/fakes/part_office.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 from collections.abc import AsyncIterator, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from ...clock import Clock
@@ -174,7 +174,8 @@
         quarantine = RequestQuarantine(gateway.fleet.report, self._refuses, self.clock)
         gateway.fleet.on(SuspectRequests, quarantine.update)
         forwarder._quarantine = forwarder._result_handler._quarantine = quarantine
-        forwarder._sender._api = self.apis[name] = _FatalApi(self, name, self.clock)
+        forwarder._send_parts = replace(forwarder._send_parts, quarantine=quarantine)
+        forwarder._send_parts.sender._api = self.apis[name] = _FatalApi(self, name, self.clock)
         return gateway
 
     async def _refuses(self, address: str) -> bool:
