--- a/chestnutfall/tests/fakes/part_office.py
+++ b/chestnutfall/tests/fakes/part_office.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 from collections.abc import AsyncIterator, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from ...clock import Clock
@@ -189,6 +189,7 @@
         assert isinstance(selector, EngineUpstreamSelector)
         link_suspect_parts(gateway.fleet, selector, quarantine)
         forwarder._quarantine = forwarder._result_handler._quarantine = quarantine
+        forwarder._send_parts = replace(forwarder._send_parts, quarantine=quarantine)
         forwarder._send_parts.sender._api = self.apis[name] = _FatalApi(self, name, self.clock)
         return gateway
 
