Keep a silent completion while nothing better is to be had

Callers whose engine paused for longer than the service's `silent_ms` and went on got 502 (`executed: unknown`) if the request may run only once or the budget was empty, a second run on the same engine otherwise, and streams broke off after the fourth pause, or one pause of four times `silent_ms`. Each such answer was reported as an end of the engine, and each cost a repeat of the budget.

Cause: silence ended the connection before it was known whether another engine takes the request, and the resumes of a stream counted pauses like lost connections.

Now an answer may begin until its caller's deadline (`begin_ms`). After `silent_ms` a request that may run twice asks another engine for a ticket and is sent there beside the first attempt (`AnswerRace`): whichever begins first is passed on, the other is cancelled. Without a ticket, a repeat in the budget or another engine it waits on. The budget gets back what wasn't needed, so a pause of all engines leaves it as it was. A third attempt, when two are silent, may go to any engine, since the connections alone may be silent. A begun stream asks the same engine for the rest over a new connection after each silence, as before, but without a count, for as long as its caller would have waited from the last event on; that starts no second run. Silence is no end of an engine.

The answer to a hung engine's request comes from a sound one within two silences; before, it was refused with 502 `silent` in this play.

--- a/chestnutfall/engine_edge/engine_request.py
+++ b/chestnutfall/engine_edge/engine_request.py
@@ -37,7 +37,9 @@
     fresh_connection : bool
         Whether the request must have a new connection instead of a pooled one.
     silent_ms : int
-        Longest time without data from the engine before the attempt fails.
+        Longest time without data in a stream that has begun; its connection then counts as dead.
+    begin_ms : int
+        Longest time without data before the answer begins.
     trace : dict
         W3C trace context headers.
     on_signals : callable
@@ -52,5 +54,6 @@
     priority: int
     fresh_connection: bool
     silent_ms: int
+    begin_ms: int
     trace: dict[str, str]
     on_signals: OnSignals = _ignore_signals
--- a/chestnutfall/engine_edge/errors.py
+++ b/chestnutfall/engine_edge/errors.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+ENGINE_SILENT = "engine_silent"
+"""Code of an answer that was given up since its engine was silent for too long."""
+
 
 class EngineRefused(Exception):
     """The engine provably did not run the request: no connection, or the engine's own refusal.
@@ -32,3 +35,8 @@
     def __init__(self, code: str, message: str) -> None:
         super().__init__(message)
         self.code = code
+
+    @property
+    def is_silence(self) -> bool:
+        """Whether the connection was still open; the engine may be sound, and go on."""
+        return self.code == ENGINE_SILENT
--- a/chestnutfall/engine_edge/http_engine_api.py
+++ b/chestnutfall/engine_edge/http_engine_api.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import logging
+from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
 from typing import Any
 
@@ -22,7 +24,7 @@
 from .engine_api import Batches, EngineApi
 from .engine_request import EngineRequest
 from .engine_state import EngineState
-from .errors import EngineBroken, EngineRefused
+from .errors import ENGINE_SILENT, EngineBroken, EngineRefused
 from .order import Order
 
 log = logging.getLogger(__name__)
@@ -58,7 +60,7 @@
             **req.trace,
         }
         call = _call("POST", req.path, headers, req.attempt_id, req.body)
-        sent = _forwarded(call, engine, req.silent_ms, req.fresh_connection)
+        sent = _forwarded(call, engine, req.begin_ms, req.fresh_connection)
         return _read_answer(self._upstreams.send(sent), req)
 
     def resume(self, engine: UpstreamRecord, req: EngineRequest, after: int) -> Batches:
@@ -128,7 +130,7 @@
                 yield (AnswerEvent(1, await _read_body(answer, MAX_ANSWER_BYTES), last=True),)
                 return
             rest = b""
-            async for chunk in answer.body:
+            async for chunk in _without_gaps(answer.body, req.silent_ms):
                 *texts, rest = (rest + chunk).split(_EVENT_END)
                 if len(rest) > MAX_EVENT_BYTES:
                     raise EngineBroken("engine_event_too_large", f"over {MAX_EVENT_BYTES} bytes")
@@ -138,10 +140,31 @@
         raise EngineRefused("engine_unreachable", str(exc)) from exc
     except AnswerLost as exc:
         if str(exc) == SILENT:
-            raise EngineBroken("engine_silent", "the engine fell silent") from exc
+            raise EngineBroken(ENGINE_SILENT, "the engine fell silent") from exc
         raise EngineBroken("engine_connection_lost", str(exc)) from exc
 
 
+async def _without_gaps(body: AsyncIterator[bytes], silent_ms: float) -> AsyncIterator[bytes]:
+    """Yield the parts of a body; after the first one, each within `silent_ms`.
+
+    Raises
+    ------
+    AnswerLost
+        When the next part did not come in time.
+    """
+    limit_s: float | None = None
+    while True:
+        try:
+            async with asyncio.timeout(limit_s):
+                part = await anext(body)
+        except StopAsyncIteration:
+            return
+        except TimeoutError as exc:
+            raise AnswerLost(SILENT) from exc
+        limit_s = silent_ms / 1000
+        yield part
+
+
 async def _raise_refusal(answer: UpstreamAnswer) -> None:
     status = answer.status
     try:
--- /dev/null
+++ b/chestnutfall/routing/answer_race.py
@@ -0,0 +1,153 @@
+"""A request's attempt, and another one beside it while the first is silent."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import AsyncGenerator, Callable, Sequence
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from ..clock import Clock
+from .attempt import Attempt
+
+log = logging.getLogger(__name__)
+T = TypeVar("T")
+MAX_SENT = 3
+"""Attempts that may be under way at once; the third shows whether the upstreams or only the
+connections of the first two are silent."""
+
+
+@dataclass(slots=True, eq=False)
+class Runner(Generic[T]):
+    """An attempt that runs: its answer, and the task that waits for the answer's first part."""
+
+    attempt: Attempt
+    answer: AsyncGenerator[T, None]
+    begins: asyncio.Task[T]
+
+
+class AnswerRace(Generic[T]):
+    """Waits for the first attempt that begins to answer.
+
+    A sound upstream may be silent for a second and go on. So a silent attempt is not given up:
+    another one is begun beside it, at another upstream, and whichever answers first is passed on.
+
+    Parameters
+    ----------
+    begin : callable
+        Begins an attempt; the parts of its answer are yielded.
+    another_id : callable
+        Returns the id of an attempt that may be begun beside a silent one, or None; called each
+        time.
+    on_unsent : callable
+        Called when an attempt that was begun beside another one ended before it was sent.
+    silent_ms : int
+        Silence after which it is.
+    """
+
+    def __init__(
+        self,
+        begin: Callable[[Attempt], AsyncGenerator[T, None]],
+        another_id: Callable[[], str | None],
+        on_unsent: Callable[[], None],
+        clock: Clock,
+        silent_ms: int,
+    ) -> None:
+        self._begin = begin
+        self._another_id = another_id
+        self._on_unsent = on_unsent
+        self._clock = clock
+        self._silent_ms = silent_ms
+        self._runners: list[Runner[T]] = []
+        self._failures: list[BaseException] = []
+
+    def start(self, attempt: Attempt) -> None:
+        """Begin an attempt."""
+        answer = self._begin(attempt)
+        self._runners.append(Runner(attempt, answer, asyncio.ensure_future(_first_of(answer))))
+
+    async def first(self) -> Runner[T] | None:
+        """Return the attempt that answers first; None if all failed."""
+        while self._runners:
+            for one in self._runners:
+                if one.begins.done() and self._has_begun(one):
+                    return one
+            self._runners = [one for one in self._runners if not one.begins.done()]
+            if self._runners:
+                # Only after a whole silence: an attempt that is refused at once would otherwise be
+                # followed by the next one at once.
+                if await self._wait():
+                    self._begin_another_if_silent()
+        return None
+
+    @property
+    def failures(self) -> Sequence[BaseException]:
+        """What the attempts that failed raised, in this order."""
+        return self._failures
+
+    def _has_begun(self, one: Runner[T]) -> bool:
+        try:
+            one.begins.result()
+        except (Exception, asyncio.CancelledError) as exc:
+            self._failures.append(exc)
+            if one.attempt.only_others and one.attempt.sent_ms is None:
+                self._on_unsent()
+            return False
+        return True
+
+    async def _wait(self) -> bool:
+        """Wait until an attempt begins to answer or fails; return False, or True after silence."""
+        timer = asyncio.ensure_future(self._clock.sleep_ms(self._until_silent_ms()))
+        try:
+            waiting = [one.begins for one in self._runners]
+            done, _ = await asyncio.wait([*waiting, timer], return_when=asyncio.FIRST_COMPLETED)
+            return timer in done
+        finally:
+            timer.cancel()
+
+    def _until_silent_ms(self) -> int:
+        sent_ms = self._runners[-1].attempt.sent_ms
+        if sent_ms is None:
+            return self._silent_ms
+        # An attempt that is silent already is looked at again after as long.
+        left_ms = sent_ms + self._silent_ms - self._clock.now_ms()
+        return left_ms if left_ms > 0 else self._silent_ms
+
+    def _begin_another_if_silent(self) -> None:
+        now_ms = self._clock.now_ms()
+        waiting = [one.attempt for one in self._runners if not one.begins.done()]
+        silent = waiting and all(one.is_silent(now_ms, self._silent_ms) for one in waiting)
+        if not silent or len(waiting) >= MAX_SENT:
+            return
+        attempt_id = self._another_id()
+        if attempt_id is None:
+            return
+        first = waiting[0]
+        log.info(
+            "dispatch: id=%s upstream=%s silent, id=%s begins beside it",
+            first.attempt_id,
+            first.upstream,
+            attempt_id,
+        )
+        avoid = frozenset(one.upstream for one in waiting)
+        self.start(Attempt(attempt_id, avoid, only_others=len(waiting) == 1))
+
+    async def close(self) -> None:
+        """End all attempts that still run, the one that answered included."""
+        for one in self._runners:
+            one.begins.cancel()
+        await asyncio.gather(*(one.begins for one in self._runners), return_exceptions=True)
+        for one in self._runners:
+            await one.answer.aclose()
+
+    async def drop_others(self, winner: Runner[T]) -> None:
+        """End all attempts but one."""
+        others = [one for one in self._runners if one is not winner]
+        self._runners = others
+        await self.close()
+        self._runners = [winner]
+
+
+async def _first_of(answer: AsyncGenerator[T, None]) -> T:
+    return await anext(answer)
--- /dev/null
+++ b/chestnutfall/routing/attempts.py
@@ -0,0 +1,153 @@
+"""Attempts of requests: a ticket, the send, and the checked answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from opentelemetry import trace
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+from ..clock import Clock
+from ..clock.cancelled import was_cancelled
+from ..engine_edge import Batches, EngineBroken, EngineRefused, EngineRequest
+from ..membership import GatewayAgent, Upstream
+from ..peers import PeerLinks
+from ..quarantine import RequestQuarantine
+from ..requests import CallerRequest, Refusal
+from ..signals import UpstreamSignals
+from ..signals.known_signals import KnownSignals
+from .attempt import Attempt
+from .engine_runs import EngineRuns
+from .tickets import Tickets
+
+log = logging.getLogger(__name__)
+INTERNAL_ERROR = "internal_error"
+NOT_SENT = "a part of the gateway failed before the request was sent"
+SENT = "a part of the gateway failed after the request was sent"
+_PROPAGATOR = TraceContextTextMapPropagator()
+
+
+class Attempts:
+    """Runs single attempts; each ends with an answer, or an error that says what may have run."""
+
+    def __init__(
+        self,
+        agent: GatewayAgent,
+        links: PeerLinks,
+        tickets: Tickets,
+        runs: EngineRuns,
+        quarantine: RequestQuarantine,
+        signals: KnownSignals,
+        clock: Clock,
+        tracer: trace.Tracer,
+    ) -> None:
+        self._agent = agent
+        self._links = links
+        self._tickets = tickets
+        self._runs = runs
+        self._quarantine = quarantine
+        self._signals = signals
+        self._clock = clock
+        self._tracer = tracer
+
+    async def run(self, req: CallerRequest, attempt: Attempt, fingerprint: str) -> Batches:
+        """Get a ticket, send the request, and yield the checked events of its answer.
+
+        Raises
+        ------
+        Refusal
+            When no engine takes the request; nothing ran.
+        EngineRefused
+            When it provably did not run.
+        EngineBroken
+            When the answer broke off; it may have run.
+        """
+        attempt_id = attempt.attempt_id
+        parent = _PROPAGATOR.extract(req.trace)
+        with self._tracer.start_span("admission", context=parent) as span:
+            try:
+                engine = await self._acquire_engine(req, attempt)
+            except (Exception, asyncio.CancelledError) as exc:
+                _raise_expected(exc)
+                raise EngineRefused(INTERNAL_ERROR, NOT_SENT) from exc
+            span.set_attribute("engine", engine.name)
+        span = self._tracer.start_span("dispatch", context=parent)
+        began_ms = self._clock.now_ms()
+        try:
+            # The request waited for its ticket. Meanwhile another copy of it may have ended enough
+            # engines to be quarantined.
+            self._quarantine.check(fingerprint)
+            # A gateway that was suspended for a while may have lost its session since it got the
+            # ticket. The engine's owner then ignores the ticket and may have evicted the adapter.
+            if not self._agent.has_session():
+                raise EngineRefused("session_lost", "this gateway lost its session")
+            headers: dict[str, str] = {}
+            _PROPAGATOR.inject(headers, trace.set_span_in_context(span, parent))
+            engine_req = self._engine_request(req, engine, attempt_id, headers)
+            attempt.sent_ms = self._clock.now_ms()
+            async for events in self._runs.run(engine, engine_req):
+                yield events
+        except EngineBroken as exc:
+            instance = engine.instance
+            log.info(
+                "dispatch: id=%s content=%s instance=%s answer lost or invalid: %s",
+                attempt_id,
+                fingerprint,
+                instance,
+                exc.code,
+            )
+            # A connection that is open and silent tells nothing of the engine's process.
+            if not exc.is_silence:
+                self._quarantine.note_broken(fingerprint, instance, engine.address, began_ms)
+            raise
+        except (Exception, asyncio.CancelledError) as exc:
+            _raise_expected(exc)
+            raise EngineBroken(INTERNAL_ERROR, SENT) from exc
+        finally:
+            span.end()
+            self._links.release_ticket(engine.name, attempt_id)
+
+    async def _acquire_engine(self, req: CallerRequest, attempt: Attempt) -> Upstream:
+        """Return an engine whose owner granted a ticket and that is not backing off."""
+        engine = await self._tickets.acquire(req, attempt)
+        while not self._signals.may_send(engine.instance):
+            # The engine started to back off while the ticket was awaited. Nothing was sent, so
+            # another ticket costs no repeat.
+            self._links.release_ticket(engine.name, attempt.attempt_id)
+            engine = await self._tickets.acquire(req, attempt)
+        attempt.upstream = engine.name
+        return engine
+
+    def _engine_request(
+        self, req: CallerRequest, engine: Upstream, attempt_id: str, headers: dict[str, str]
+    ) -> EngineRequest:
+        sent_ms = self._clock.now_ms()
+
+        def on_signals(signals: UpstreamSignals, succeeded: bool, rejected: bool) -> None:
+            self._signals.observe(engine.instance, signals, sent_ms, succeeded, rejected)
+
+        # A pooled connection may have died while it was idle. A request lost on it may have run and
+        # could not be repeated. A failure to open a new connection proves that the request did not
+        # run.
+        return EngineRequest(
+            attempt_id,
+            req.path,
+            req.model,
+            req.body,
+            req.stream,
+            req.priority.rank,
+            req.non_idempotent,
+            req.silent_ms,
+            max(req.deadline_ms - sent_ms, req.silent_ms),
+            headers,
+            on_signals,
+        )
+
+
+def _raise_expected(exc: BaseException) -> None:
+    """Raise `exc` again unless it is an error that no part expects, which is logged."""
+    cancelled = isinstance(exc, asyncio.CancelledError) and was_cancelled()
+    if cancelled or isinstance(exc, Refusal | EngineRefused | EngineBroken):
+        raise exc
+    log.error("dispatch: an attempt failed", exc_info=exc)
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -2,29 +2,28 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import random
+from collections.abc import Sequence
 
 from opentelemetry import trace
-from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 from ..clock import Clock
-from ..clock.cancelled import was_cancelled
 from ..engine_edge import (
     Batches,
     EngineApi,
     EngineBroken,
     EngineRefused,
-    EngineRequest,
 )
-from ..membership import GatewayAgent, Upstream, UpstreamRegistry
+from ..membership import GatewayAgent, UpstreamRegistry
 from ..observability.metrics import Metrics
 from ..peers import PeerLinks
 from ..quarantine import RequestQuarantine
 from ..requests import NOT_RUN_STATUSES, CallerRequest, Executed, Refusal, fingerprint_of
-from ..signals import UpstreamSignals
 from ..signals.known_signals import KnownSignals
+from .answer_race import AnswerRace
+from .attempt import Attempt
+from .attempts import Attempts
 from .engine_runs import EngineRuns
 from .retry_budget import RetryBudget
 from .tickets import RETRY_AFTER_MS, Tickets
@@ -33,10 +32,6 @@
 MAX_ATTEMPTS = 4
 BACKOFF_MS = 50
 """Base of the delay before a retry, which doubles with each attempt."""
-INTERNAL_ERROR = "internal_error"
-NOT_SENT = "a part of the gateway failed before the request was sent"
-SENT = "a part of the gateway failed after the request was sent"
-_PROPAGATOR = TraceContextTextMapPropagator()
 
 
 class Dispatcher:
@@ -56,16 +51,15 @@
         rng: random.Random,
         data_centre: str,
     ) -> None:
-        self._agent = agent
-        self._links = links
-        self._runs = EngineRuns(api, links, signals, clock, metrics)
         self._quarantine = quarantine
-        self._signals = signals
         self._clock = clock
         self._metrics = metrics
-        self._tracer = tracer
         self._rng = rng
         self._tickets = Tickets(agent, registry, links, signals, clock, metrics, data_centre)
+        runs = EngineRuns(api, links, signals, clock, metrics)
+        self._attempts = Attempts(
+            agent, links, self._tickets, runs, quarantine, signals, clock, tracer
+        )
         self._budget = RetryBudget()
 
     async def answer(self, req: CallerRequest) -> Batches:
@@ -85,8 +79,7 @@
             self._quarantine.check(fingerprint, executed)
             started = False
             try:
-                attempt_id = f"{req.request_id}-{attempt}"
-                async for events in self._attempt(req, attempt_id, fingerprint):
+                async for events in self._race(req, attempt, fingerprint):
                     started = True
                     yield events
                 self._quarantine.note_answered(fingerprint)
@@ -109,6 +102,43 @@
             await self._before_retry(req, attempt, failure, executed)
         raise AssertionError("the last attempt returns or raises")
 
+    async def _race(self, req: CallerRequest, number: int, fingerprint: str) -> Batches:
+        """Yield the events of an attempt, or of one that began beside it while it was silent."""
+        first = Attempt(f"{req.request_id}-{number}")
+        beside = unsent = 0
+
+        def another_id() -> str | None:
+            nonlocal beside
+            if req.non_idempotent or not self._budget.spend():
+                return None
+            self._metrics.count("attempts_beside")
+            beside += 1
+            return f"{req.request_id}-b{number}{beside}"
+
+        def on_unsent() -> None:
+            nonlocal unsent
+            unsent += 1
+            self._budget.give_back()
+
+        def begin(attempt: Attempt) -> Batches:
+            return self._attempts.run(req, attempt, fingerprint)
+
+        race = AnswerRace(begin, another_id, on_unsent, self._clock, req.silent_ms)
+        race.start(first)
+        try:
+            winner = await race.first()
+            if winner is None:
+                raise _most_telling(race.failures)
+            # A pause of all engines would otherwise take the budget from failures that follow it.
+            for _ in range(beside - unsent - (winner.attempt is not first)):
+                self._budget.give_back()
+            await race.drop_others(winner)
+            yield winner.begins.result()
+            async for events in winner.answer:
+                yield events
+        finally:
+            await race.close()
+
     async def _before_retry(
         self,
         req: CallerRequest,
@@ -128,89 +158,10 @@
         self._metrics.count("retries")
         await self._clock.sleep_ms(wait_ms)
 
-    async def _attempt(self, req: CallerRequest, attempt_id: str, fingerprint: str) -> Batches:
-        parent = _PROPAGATOR.extract(req.trace)
-        with self._tracer.start_span("admission", context=parent) as span:
-            try:
-                engine = await self._acquire_engine(req, attempt_id)
-            except (Exception, asyncio.CancelledError) as exc:
-                _raise_expected(exc)
-                raise EngineRefused(INTERNAL_ERROR, NOT_SENT) from exc
-            span.set_attribute("engine", engine.name)
-        span = self._tracer.start_span("dispatch", context=parent)
-        began_ms = self._clock.now_ms()
-        try:
-            # The request waited for its ticket. Meanwhile another copy of it may have ended enough
-            # engines to be quarantined.
-            self._quarantine.check(fingerprint)
-            # A gateway that was suspended for a while may have lost its session since it got the
-            # ticket. The engine's owner then ignores the ticket and may have evicted the adapter.
-            if not self._agent.has_session():
-                raise EngineRefused("session_lost", "this gateway lost its session")
-            headers: dict[str, str] = {}
-            _PROPAGATOR.inject(headers, trace.set_span_in_context(span, parent))
-            engine_req = self._engine_request(req, engine, attempt_id, headers)
-            async for events in self._runs.run(engine, engine_req):
-                yield events
-        except EngineBroken as exc:
-            instance = engine.instance
-            log.info(
-                "dispatch: id=%s content=%s instance=%s answer lost or invalid: %s",
-                attempt_id,
-                fingerprint,
-                instance,
-                exc.code,
-            )
-            self._quarantine.note_broken(fingerprint, instance, engine.address, began_ms)
-            raise
-        except (Exception, asyncio.CancelledError) as exc:
-            _raise_expected(exc)
-            raise EngineBroken(INTERNAL_ERROR, SENT) from exc
-        finally:
-            span.end()
-            self._links.release_ticket(engine.name, attempt_id)
-
-    async def _acquire_engine(self, req: CallerRequest, attempt_id: str) -> Upstream:
-        """Return an engine whose owner granted a ticket and that is not backing off."""
-        engine = await self._tickets.acquire(req, attempt_id)
-        while not self._signals.may_send(engine.instance):
-            # The engine started to back off while the ticket was awaited. Nothing was sent, so
-            # another ticket costs no repeat.
-            self._links.release_ticket(engine.name, attempt_id)
-            engine = await self._tickets.acquire(req, attempt_id)
-        return engine
-
-    def _engine_request(
-        self, req: CallerRequest, engine: Upstream, attempt_id: str, headers: dict[str, str]
-    ) -> EngineRequest:
-        sent_ms = self._clock.now_ms()
-
-        def on_signals(signals: UpstreamSignals, succeeded: bool, rejected: bool) -> None:
-            self._signals.observe(engine.instance, signals, sent_ms, succeeded, rejected)
-
-        # A pooled connection may have died while it was idle. A request lost on it may have run and
-        # could not be repeated. A failure to open a new connection proves that the request did not
-        # run.
-        return EngineRequest(
-            attempt_id,
-            req.path,
-            req.model,
-            req.body,
-            req.stream,
-            req.priority.rank,
-            req.non_idempotent,
-            req.silent_ms,
-            headers,
-            on_signals,
-        )
-
 
-def _raise_expected(exc: BaseException) -> None:
-    """Raise `exc` again unless it is an error that no part expects, which is logged."""
-    cancelled = isinstance(exc, asyncio.CancelledError) and was_cancelled()
-    if cancelled or isinstance(exc, Refusal | EngineRefused | EngineBroken):
-        raise exc
-    log.error("dispatch: an attempt failed", exc_info=exc)
+def _most_telling(failures: Sequence[BaseException]) -> BaseException:
+    """Return the failure after which the request may have run, if there is one."""
+    return next((one for one in failures if isinstance(one, EngineBroken)), failures[0])
 
 
 def _with_executed(refusal: Refusal, executed: Executed) -> Refusal:
--- a/chestnutfall/routing/engine_runs.py
+++ b/chestnutfall/routing/engine_runs.py
@@ -55,25 +55,28 @@
             When the answer broke off and can't be resumed.
         """
         validator = AnswerValidator(req.attempt_id, req.model)
-        resumes = 0
+        lost = 0
+        heard_ms = self._clock.now_ms()
         batches = self._api.run(engine.record, req)
         try:
             while not validator.whole:
                 try:
                     async for events in self._checked_batches(batches, validator):
+                        heard_ms = self._clock.now_ms()
                         yield events
                 except (EngineBroken, EngineRefused) as exc:
-                    if (
-                        resumes == 0
-                        and validator.last_number == 0
-                        and isinstance(exc, EngineRefused)
-                    ):
+                    if validator.last_number == 0 and isinstance(exc, EngineRefused):
                         raise
-                    resumes += 1
-                    if resumes > MAX_RESUMES or not _may_resume(exc, req, validator.last_number):
+                    # A silent engine still has the run, and may go on for as long as its caller
+                    # waits; only connections that ended are counted.
+                    silent = isinstance(exc, EngineBroken) and exc.is_silence
+                    lost += not silent
+                    over = self._clock.now_ms() >= heard_ms + req.begin_ms if silent else False
+                    over = over or lost > MAX_RESUMES
+                    if over or not _may_resume(exc, req, validator.last_number):
                         self._raise_broken(exc)
                     self._metrics.count("resumes")
-                    await self._clock.sleep_ms(self._resume_wait_ms(engine, req, resumes))
+                    await self._clock.sleep_ms(self._resume_wait_ms(engine, req, lost))
                     self._links.report_resume(engine.name)
                     batches = self._api.resume(engine.record, req, validator.last_number)
         finally:
@@ -96,7 +99,7 @@
         if failure is not None:
             raise failure
 
-    def _resume_wait_ms(self, engine: Upstream, req: EngineRequest, resumes: int) -> float:
+    def _resume_wait_ms(self, engine: Upstream, req: EngineRequest, lost: int) -> float:
         """Return how long to wait before resuming a run, in ms.
 
         An engine that is leaving is asked without its backoff, since no other engine has the run.
@@ -111,7 +114,7 @@
             left_ms = 0.0
         if left_ms > req.silent_ms:
             raise EngineBroken(BACKING_OFF, "the engine wants nothing for longer than it may")
-        return max(left_ms, RESUME_BACKOFF_MS * resumes)
+        return max(left_ms, RESUME_BACKOFF_MS * max(lost, 1))
 
     @staticmethod
     def _raise_broken(exc: EngineBroken | EngineRefused) -> NoReturn:
--- a/chestnutfall/routing/retry_budget.py
+++ b/chestnutfall/routing/retry_budget.py
@@ -26,3 +26,7 @@
             return False
         self._tokens -= 1
         return True
+
+    def give_back(self) -> None:
+        """Return a retry that turned out not to be needed."""
+        self._tokens = min(self._tokens + 1, MAX_TOKENS)
--- a/chestnutfall/routing/tickets.py
+++ b/chestnutfall/routing/tickets.py
@@ -11,6 +11,7 @@
 from ..requests import CallerRequest, Executed, Refusal
 from ..signals import BACKING_OFF
 from ..signals.known_signals import KnownSignals
+from .attempt import Attempt
 from .engine_choice import engine_candidates
 
 OWNER_WAIT_MS = 5000
@@ -43,7 +44,7 @@
         self._metrics = metrics
         self._data_centre = data_centre
 
-    async def acquire(self, req: CallerRequest, attempt_id: str) -> Upstream:
+    async def acquire(self, req: CallerRequest, attempt: Attempt) -> Upstream:
         """Return the engine whose owner granted a ticket.
 
         Raises
@@ -52,10 +53,11 @@
             When no engine takes the request in time; nothing ran.
         """
         asked_ms = self._clock.now_ms()
+        attempt_id = attempt.attempt_id
         while True:
             self.refuse_if_held_back(req, Executed.NO)
             refusal = TicketRefusal(attempt_id, "no_engine", RETRY_AFTER_MS)
-            for engine in self._candidates(req):
+            for engine in self._candidates(req, attempt):
                 outcome = await self._ask(req, attempt_id, engine)
                 if isinstance(outcome, TicketGrant):
                     return engine
@@ -67,7 +69,12 @@
             # are retried. All other refusals are final, and the caller gets a retry time at once.
             moving = refusal.code in _OWNER_CODES or refusal.code == "no_engine"
             late = self._clock.now_ms() + OWNER_POLL_MS >= req.deadline_ms
-            if not moving or waited_ms > OWNER_WAIT_MS or late or not self._any_engine(req):
+            if (
+                not moving
+                or waited_ms > OWNER_WAIT_MS
+                or late
+                or not self._any_engine(req, attempt)
+            ):
                 self._metrics.count(f"refused.{refusal.code}")
                 message = f"no engine took the request: {refusal.code}"
                 wait_ms = refusal.retry_after_ms or RETRY_AFTER_MS
@@ -96,11 +103,15 @@
         wait_ms = self._signals.caller_retry_ms(req.service, held_back_ms)
         raise Refusal(status, BACKING_OFF, "no engine wants work now", executed, wait_ms)
 
-    def _any_engine(self, req: CallerRequest) -> bool:
-        return any(True for _ in self._registry.serving(req.service))
+    def _any_engine(self, req: CallerRequest, attempt: Attempt) -> bool:
+        return any(True for _ in self._serving(req, attempt))
 
-    def _candidates(self, req: CallerRequest) -> list[Upstream]:
+    def _serving(self, req: CallerRequest, attempt: Attempt) -> list[Upstream]:
         serving = self._registry.serving(req.service)
+        return [one for one in serving if not attempt.only_others or one.name not in attempt.avoid]
+
+    def _candidates(self, req: CallerRequest, attempt: Attempt) -> list[Upstream]:
+        serving = self._serving(req, attempt)
         found = engine_candidates(
             (one for one in serving if self._signals.may_send(one.instance)),
             self._links.views(),
@@ -108,7 +119,7 @@
             self._data_centre,
             self._agent.config.limits.running_per_engine,
         )
-        return list(found)
+        return sorted(found, key=lambda one: one.name in attempt.avoid)
 
     async def _ask(
         self, req: CallerRequest, attempt_id: str, engine: Upstream
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -17,6 +17,7 @@
 from .room_mutants import ROOM_MUTANTS
 from .rush_mutants import RUSH_MUTANTS
 from .signal_mutants import SIGNAL_MUTANTS
+from .silence_mutants import SILENCE_MUTANTS
 from .speed_mutants import SPEED_MUTANTS
 from .stream_mutants import STREAM_MUTANTS
 
@@ -31,6 +32,7 @@
     *QUARANTINE_MUTANTS,
     *QUOTA_MUTANTS,
     *SIGNAL_MUTANTS,
+    *SILENCE_MUTANTS,
     *LIMIT_MUTANTS,
     *ROOM_MUTANTS,
     *CONNECTION_MUTANTS,
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -6,6 +6,7 @@
 
 _ENDING = "chestnutfall/caller_edge/request_ending.py"
 _DISPATCHER = "chestnutfall/routing/dispatcher.py"
+_ATTEMPTS = "chestnutfall/routing/attempts.py"
 _FAULTS_TEST = "chestnutfall.tests.test_request_faults"
 _ERRORS_TEST = "chestnutfall.tests.test_completion_errors"
 _ENDS_TEST = "chestnutfall.tests.test_completion_ends"
@@ -55,14 +56,14 @@
     ),
     Mutant(
         "error before the send taken for one after it",
-        _DISPATCHER,
+        _ATTEMPTS,
         "                raise EngineRefused(INTERNAL_ERROR, NOT_SENT) from exc",
         "                raise EngineBroken(INTERNAL_ERROR, NOT_SENT) from exc",
         _ERRORS_TEST,
     ),
     Mutant(
         "cancelled future ends the request that waits for it",
-        _DISPATCHER,
+        _ATTEMPTS,
         "    cancelled = isinstance(exc, asyncio.CancelledError) and was_cancelled()",
         "    cancelled = isinstance(exc, asyncio.CancelledError)",
         _ERRORS_TEST,
--- a/properties/safeguards/signal_mutants.py
+++ b/properties/safeguards/signal_mutants.py
@@ -63,7 +63,7 @@
     ),
     Mutant(
         "a ticket in hand is not checked",
-        "chestnutfall/routing/dispatcher.py",
+        "chestnutfall/routing/attempts.py",
         "        while not self._signals.may_send(engine.instance):",
         "        while False:",
         f"{_COMPLETIONS_TEST}.test_a_ticket_in_hand_is_not_used_when_its_engine_asked_for_time",
@@ -79,8 +79,8 @@
     Mutant(
         "a resumed run does not wait for the end of the time",
         "chestnutfall/routing/engine_runs.py",
-        "        return max(left_ms, RESUME_BACKOFF_MS * resumes)",
-        "        return RESUME_BACKOFF_MS * resumes",
+        "        return max(left_ms, RESUME_BACKOFF_MS * max(lost, 1))",
+        "        return RESUME_BACKOFF_MS * max(lost, 1)",
         f"{_COMPLETIONS_TEST}.test_a_run_is_resumed_when_the_time_is_over",
     ),
     Mutant(
--- /dev/null
+++ b/properties/safeguards/silence_mutants.py
@@ -0,0 +1,68 @@
+"""Mutants of the safeguards of requests whose engine falls silent and goes on."""
+
+from __future__ import annotations
+
+from ..mutant import Mutant
+
+_ATTEMPTS = "chestnutfall/routing/attempts.py"
+_DISPATCHER = "chestnutfall/routing/dispatcher.py"
+_SILENCE_TEST = "chestnutfall.tests.test_completion_silence"
+
+SILENCE_MUTANTS = (
+    Mutant(
+        "silent completion given up before another engine has it",
+        _ATTEMPTS,
+        "            max(req.deadline_ms - sent_ms, req.silent_ms),",
+        "            req.silent_ms,",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "hung engine waited for although another one is sound",
+        "chestnutfall/routing/answer_race.py",
+        "                if await self._wait():",
+        "                if await self._wait() and False:",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "silence counts as an end of the engine",
+        _ATTEMPTS,
+        "            if not exc.is_silence:",
+        "            if True:",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "pauses count as lost connections",
+        "chestnutfall/routing/engine_runs.py",
+        "                    lost += not silent",
+        "                    lost += 1",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "non-idempotent completion begins beside a silent one",
+        _DISPATCHER,
+        "            if req.non_idempotent or not self._budget.spend():",
+        "            if not self._budget.spend():",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "a pause of all engines empties the budget",
+        _DISPATCHER,
+        "            for _ in range(beside - unsent - (winner.attempt is not first)):",
+        "            for _ in range(0):",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "attempt beside the one that answered goes on",
+        _DISPATCHER,
+        "            await race.drop_others(winner)",
+        "            pass",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "begun stream waits for ever on a silent connection",
+        "chestnutfall/engine_edge/http_engine_api.py",
+        "_without_gaps(answer.body, req.silent_ms)",
+        "answer.body",
+        "chestnutfall.tests.test_http_engine_api",
+    ),
+)
