Keep a silent plain call while nothing better is to be had

A plain call whose upstream paused for longer than the service's `silent_ms` (also in the middle of its answer) was cut: 502 `unknown` for one that may run once, a run on the next upstream for the others, and a report of each as an end of the upstream.

Cause: as for completions, silence ended the connection before another upstream was known to take the call. An answer now has the configured `request_ms` for each part. A call that may run twice is sent to another upstream beside the silent one (`PlainRace`, the same `AnswerRace`), whichever is whole first is passed on; each part that comes counts as heard, so a long answer isn't sent for again. An upstream that turns the call away ends none beside it. Silence is no end of an upstream.

--- a/chestnutfall/plain_edge/plain_calls.py
+++ b/chestnutfall/plain_edge/plain_calls.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
 
 from ..clock import Clock
 from ..clock.cancelled import was_cancelled
-from ..config.service import Service
 from ..forwarding.call import Call
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import UpstreamAnswer
@@ -18,6 +18,7 @@
 from ..membership import Upstream
 from ..signals.known_signals import KnownSignals
 from .plain_answer import EXECUTED_HEADER, EXECUTED_NO, PlainAnswer
+from .plain_call import PlainCall
 
 log = logging.getLogger(__name__)
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -51,10 +52,15 @@
         self._clock = clock
 
     async def call(
-        self, request: web.Request, upstream: Upstream, service: Service, body: bytes
+        self, call: PlainCall, upstream: Upstream, on_heard: Callable[[], None]
     ) -> PlainAnswer:
         """Send a call to an upstream and return its whole answer.
 
+        Parameters
+        ----------
+        on_heard : callable
+            Called for each part of the answer.
+
         Raises
         ------
         NotSent
@@ -65,7 +71,7 @@
             When a part of the gateway failed.
         """
         try:
-            return await self._call(request, upstream, service, body)
+            return await self._call(call, upstream, on_heard)
         except (NotSent, AnswerLost):
             raise
         except (Exception, asyncio.CancelledError) as exc:
@@ -75,14 +81,15 @@
             raise CallFailed("a part of the gateway failed") from exc
 
     async def _call(
-        self, request: web.Request, upstream: Upstream, service: Service, body: bytes
+        self, plain: PlainCall, upstream: Upstream, on_heard: Callable[[], None]
     ) -> PlainAnswer:
+        request = plain.request
         headers = tuple(_forwarded_headers(request.headers).items())
         target = request.path_qs
-        call = Call("", request.method, target, request.path, "", headers, body, 0, 0)
+        call = Call("", request.method, target, request.path, "", headers, plain.body, 0, 0)
         # A connection may have died while it was idle, and whether the call ran would be unknown.
         sent = ForwardedCall(
-            call, upstream.record, 0, 0, 0, None, runs_once=True, silent_ms=service.silent_ms
+            call, upstream.record, 0, 0, 0, None, runs_once=True, silent_ms=plain.wait_ms
         )
         sent_ms = self._clock.now_ms()
         async with self._upstreams.send(sent) as answer:
@@ -90,14 +97,16 @@
             rejected = answer.status == 503 and by_name.get(EXECUTED_HEADER) == EXECUTED_NO
             succeeded = answer.status < 300
             self._signals.observe(upstream.instance, answer.signals, sent_ms, succeeded, rejected)
-            data = await _read_whole(answer)
+            data = await _read_whole(answer, on_heard)
             response = web.Response(status=answer.status, body=data, headers=by_name)
             return PlainAnswer(response, answer.signals)
 
 
-async def _read_whole(answer: UpstreamAnswer) -> bytes:
+async def _read_whole(answer: UpstreamAnswer, on_heard: Callable[[], None]) -> bytes:
     body = bytearray()
+    on_heard()
     async for data in answer.body:
+        on_heard()
         body += data
         if len(body) > MAX_ANSWER_BYTES:
             raise AnswerLost("the answer is too large")
--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -17,7 +17,9 @@
 from ..routing import ClaimClient, ClaimRequest
 from ..signals import BACKING_OFF
 from ..signals.known_signals import KnownSignals
+from .plain_call import PlainCall
 from .plain_calls import CallFailed, PlainCalls
+from .plain_race import PlainRace
 
 MAX_ATTEMPTS = 3
 
@@ -46,10 +48,10 @@
         self._claims = claims
         self._quarantine = quarantine
         self._signals = signals
-        self._clock = clock
         self._metrics = metrics
         self._data_centre = data_centre
-        self._calls = PlainCalls(upstreams, signals, clock)
+        calls = PlainCalls(upstreams, signals, clock)
+        self._race = PlainRace(calls, quarantine, clock, metrics)
         self._round_robin = 0
 
     async def answer(self, request: web.Request, caller_name: str, body: bytes) -> web.Response:
@@ -75,17 +77,20 @@
             raise Refusal(400, "idempotency_key_required", "this call needs an Idempotency-Key")
         target = f"{request.method} {request.path_qs}"
         fingerprint = fingerprint_of(caller_name, target, body)
+        limits = self._agent.config.limits
+        wait_ms = max(limits.request_ms, service.silent_ms)
+        call = PlainCall(request, name, service, body, fingerprint, at_most_once, wait_ms)
         if not key:
-            return await self._relay(request, name, service, body, fingerprint, at_most_once)
+            return await self._relay(call)
         wanted = ClaimRequest(
             caller_name,
             key,
             digest_of(target, body),
             uuid.uuid4().hex,
-            self._agent.config.limits.claim_retention_ms,
+            limits.claim_retention_ms,
         )
         async with self._claims.held(wanted):
-            return await self._relay(request, name, service, body, fingerprint, at_most_once=True)
+            return await self._relay(call)
 
     def _find_service(self, path: str, caller: Caller) -> tuple[str, Service]:
         for name, service in self._agent.config.services.items():
@@ -94,32 +99,25 @@
                 return name, service
         raise Refusal(404, "not_found", f"no service at {path} for this caller")
 
-    async def _relay(
-        self,
-        request: web.Request,
-        name: str,
-        service: Service,
-        body: bytes,
-        fingerprint: str,
-        at_most_once: bool,
-    ) -> web.Response:
+    async def _relay(self, call: PlainCall) -> web.Response:
+        at_most_once = call.at_most_once
         tried: set[str] = set()
         executed = Executed.NO
         message = "no upstream announces itself"
         last_response: web.Response | None = None
         broke = False
         for _ in range(MAX_ATTEMPTS):
-            self._quarantine.check(fingerprint, executed)
-            upstream = self._choose(name, tried)
+            self._quarantine.check(call.fingerprint, executed)
+            upstream = self._choose(call.service_name, tried)
             if upstream is None:
                 break
-            tried.add(upstream.name)
-            began_ms = self._clock.now_ms()
             try:
-                answer = await self._calls.call(request, upstream, service, body)
+                answer = await self._race.answer(
+                    call, upstream, lambda: self._choose(call.service_name, tried)
+                )
                 last_response = answer.response
                 if last_response.status not in NOT_RUN_STATUSES:
-                    self._quarantine.note_answered(fingerprint)
+                    self._quarantine.note_answered(call.fingerprint)
                 if not answer.turned_away or (at_most_once and not answer.not_run):
                     break
                 executed = executed if answer.not_run else Executed.UNKNOWN
@@ -128,9 +126,6 @@
             except AnswerLost as exc:
                 message = f"{upstream.name} broke off: {exc}"
                 executed, broke = Executed.UNKNOWN, True
-                self._quarantine.note_broken(
-                    fingerprint, upstream.instance, upstream.address, began_ms
-                )
                 if at_most_once:
                     break
             except CallFailed as exc:
@@ -150,6 +145,8 @@
     def _choose(self, service: str, tried: set[str]) -> Upstream | None:
         """Choose the next upstream, round robin, those in this data centre first.
 
+        It is added to `tried`.
+
         Returns
         -------
         Upstream or None
@@ -175,6 +172,7 @@
         ]
         for up in candidates:
             if self._signals.limits.may_send_without_leader(up.instance):
+                tried.add(up.name)
                 return up
         if serving and not tried:
             raise (
--- a/chestnutfall/routing/answer_race.py
+++ b/chestnutfall/routing/answer_race.py
@@ -91,7 +91,7 @@
             one.begins.result()
         except (Exception, asyncio.CancelledError) as exc:
             self._failures.append(exc)
-            if one.attempt.only_others and one.attempt.sent_ms is None:
+            if one.attempt.only_others and one.attempt.heard_ms is None:
                 self._on_unsent()
             return False
         return True
@@ -107,11 +107,11 @@
             timer.cancel()
 
     def _until_silent_ms(self) -> int:
-        sent_ms = self._runners[-1].attempt.sent_ms
-        if sent_ms is None:
+        heard_ms = self._runners[-1].attempt.heard_ms
+        if heard_ms is None:
             return self._silent_ms
         # An attempt that is silent already is looked at again after as long.
-        left_ms = sent_ms + self._silent_ms - self._clock.now_ms()
+        left_ms = heard_ms + self._silent_ms - self._clock.now_ms()
         return left_ms if left_ms > 0 else self._silent_ms
 
     def _begin_another_if_silent(self) -> None:
--- a/chestnutfall/routing/attempt.py
+++ b/chestnutfall/routing/attempt.py
@@ -19,16 +19,16 @@
         Whether those are not asked at all, instead of last.
     upstream : str
         Name of the upstream; empty until it is chosen.
-    sent_ms : int or None
-        Clock time at which it was sent; None before.
+    heard_ms : int or None
+        Clock time at which it was sent, or a part of the answer came; None before it was sent.
     """
 
     attempt_id: str
     avoid: frozenset[str] = frozenset()
     only_others: bool = False
     upstream: str = ""
-    sent_ms: int | None = None
+    heard_ms: int | None = None
 
     def is_silent(self, now_ms: int, silent_ms: int) -> bool:
-        """Whether it was sent at least `silent_ms` ago; for an answer that has not begun."""
-        return self.sent_ms is not None and now_ms >= self.sent_ms + silent_ms
+        """Whether it was sent and nothing has been heard for `silent_ms`."""
+        return self.heard_ms is not None and now_ms >= self.heard_ms + silent_ms
--- a/chestnutfall/routing/attempts.py
+++ b/chestnutfall/routing/attempts.py
@@ -85,7 +85,7 @@
             headers: dict[str, str] = {}
             _PROPAGATOR.inject(headers, trace.set_span_in_context(span, parent))
             engine_req = self._engine_request(req, engine, attempt_id, headers)
-            attempt.sent_ms = self._clock.now_ms()
+            attempt.heard_ms = self._clock.now_ms()
             async for events in self._runs.run(engine, engine_req):
                 yield events
         except EngineBroken as exc:
--- a/chestnutfall/tests/test_http_engine_api.py
+++ b/chestnutfall/tests/test_http_engine_api.py
@@ -61,7 +61,7 @@
     ) -> EngineRequest:
         body = json.dumps({"model": MODEL, "stream": stream, "max_tokens": 5}).encode()
         return EngineRequest(
-            attempt_id, "/v1/completions", MODEL, body, stream, 1, False, 300, 300, {}
+            attempt_id, "/v1/completions", MODEL, body, stream, 1, False, 300, begin_ms, {}
         )
 
     async def _read(self, batches: Any, validator: AnswerValidator) -> list[bytes]:
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -7,6 +7,7 @@
 _ATTEMPTS = "chestnutfall/routing/attempts.py"
 _DISPATCHER = "chestnutfall/routing/dispatcher.py"
 _SILENCE_TEST = "chestnutfall.tests.test_completion_silence"
+_PLAIN_TEST = "chestnutfall.tests.test_plain_silence"
 
 SILENCE_MUTANTS = (
     Mutant(
@@ -65,4 +66,32 @@
         "answer.body",
         "chestnutfall.tests.test_http_engine_api",
     ),
+    Mutant(
+        "silent plain call given up before another upstream has it",
+        "chestnutfall/plain_edge/plain_calls.py",
+        "silent_ms=plain.wait_ms",
+        "silent_ms=plain.service.silent_ms",
+        _PLAIN_TEST,
+    ),
+    Mutant(
+        "non-idempotent plain call begins beside a silent one",
+        "chestnutfall/plain_edge/plain_race.py",
+        "            return None if call.at_most_once else f",
+        "            return f",
+        _PLAIN_TEST,
+    ),
+    Mutant(
+        "silence counts as an end of a plain upstream",
+        "chestnutfall/plain_edge/plain_race.py",
+        "            if str(exc) != SILENT:",
+        "            if True:",
+        _PLAIN_TEST,
+    ),
+    Mutant(
+        "plain call turned away ends the one beside it",
+        "chestnutfall/plain_edge/plain_race.py",
+        "        if answer.turned_away or answer.response.status in NOT_RUN_STATUSES:",
+        "        if False:",
+        _PLAIN_TEST,
+    ),
 )
