--- a/chestnutfall/config/service.py
+++ b/chestnutfall/config/service.py
@@ -30,7 +30,8 @@
     key_required : bool
         Whether non-idempotent requests without an `Idempotency-Key` are refused.
     silent_ms : int
-        Longest time without data in an answer before its connection counts as dead.
+        Time without data after which a request that may run twice is also sent elsewhere, and the
+        connection of a stream that has begun counts as dead.
     """
 
     kind: Literal["engine", "plain"]
--- a/chestnutfall/requests/caller_request.py
+++ b/chestnutfall/requests/caller_request.py
@@ -36,7 +36,7 @@
     deadline_ms : int
         Clock time by which the answer must have begun.
     silent_ms : int
-        Longest time without data from the engine while it answers.
+        Time without data from the engine after which it counts as silent.
     trace : dict
         W3C trace context headers, passed on to the engine.
     """
