Keep a whole answer whatever fails after it

A stream whose events had all come, `[DONE]` included, ended with an error event and a break if the release of its ticket or the report that its request was answered failed: both run before the transfer is ended, and their error took the place of the answer's end. They are logged now and change nothing any more; likewise the end of an attempt that another one overtook, and the report after a plain answer. A race that is cancelled while it ends the others ends the winner as well.

--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -15,6 +15,7 @@
 from ..quarantine import RequestQuarantine
 from ..requests import NOT_RUN_STATUSES, Executed, Refusal, digest_of, fingerprint_of, unknown_key
 from ..routing import ClaimClient, ClaimRequest
+from ..routing.after_answer import after_answer
 from ..signals import BACKING_OFF
 from ..signals.known_signals import KnownSignals
 from .plain_call import PlainCall
@@ -117,7 +118,8 @@
                 )
                 last_response = answer.response
                 if last_response.status not in NOT_RUN_STATUSES:
-                    self._quarantine.note_answered(call.fingerprint)
+                    with after_answer("report of an answer"):
+                        self._quarantine.note_answered(call.fingerprint)
                 if not answer.turned_away or (at_most_once and not answer.not_run):
                     break
                 executed = executed if answer.not_run else Executed.UNKNOWN
--- a/chestnutfall/routing/answer_race.py
+++ b/chestnutfall/routing/answer_race.py
@@ -9,6 +9,7 @@
 from typing import Generic, TypeVar
 
 from ..clock import Clock
+from .after_answer import after_answer
 from .attempt import Attempt
 
 log = logging.getLogger(__name__)
@@ -135,19 +136,22 @@
 
     async def close(self) -> None:
         """End all attempts that still run, the one that answered included."""
-        for one in self._runners:
-            one.begins.cancel()
-        await asyncio.gather(*(one.begins for one in self._runners), return_exceptions=True)
-        for one in self._runners:
-            await one.answer.aclose()
+        await _end(self._runners)
 
     async def drop_others(self, winner: Runner[T]) -> None:
         """End all attempts but one."""
-        others = [one for one in self._runners if one is not winner]
-        self._runners = others
-        await self.close()
+        await _end([one for one in self._runners if one is not winner])
         self._runners = [winner]
 
 
+async def _end(runners: Sequence[Runner[T]]) -> None:
+    for one in runners:
+        one.begins.cancel()
+    await asyncio.gather(*(one.begins for one in runners), return_exceptions=True)
+    for one in runners:
+        with after_answer("end of an attempt"):
+            await one.answer.aclose()
+
+
 async def _first_of(answer: AsyncGenerator[T, None]) -> T:
     return await anext(answer)
--- a/chestnutfall/routing/attempts.py
+++ b/chestnutfall/routing/attempts.py
@@ -17,6 +17,7 @@
 from ..requests import CallerRequest, Refusal
 from ..signals import UpstreamSignals
 from ..signals.known_signals import KnownSignals
+from .after_answer import after_answer
 from .attempt import Attempt
 from .engine_runs import EngineRuns
 from .tickets import Tickets
@@ -106,7 +107,8 @@
             raise EngineBroken(INTERNAL_ERROR, SENT) from exc
         finally:
             span.end()
-            self._links.release_ticket(engine.name, attempt_id)
+            with after_answer("release of a ticket"):
+                self._links.release_ticket(engine.name, attempt_id)
 
     async def _acquire_engine(self, req: CallerRequest, attempt: Attempt) -> Upstream:
         """Return an engine whose owner granted a ticket and that is not backing off."""
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -21,6 +21,7 @@
 from ..quarantine import RequestQuarantine
 from ..requests import NOT_RUN_STATUSES, CallerRequest, Executed, Refusal, fingerprint_of
 from ..signals.known_signals import KnownSignals
+from .after_answer import after_answer
 from .answer_race import AnswerRace
 from .attempt import Attempt
 from .attempts import Attempts
@@ -82,7 +83,8 @@
                 async for events in self._race(req, attempt, fingerprint):
                     started = True
                     yield events
-                self._quarantine.note_answered(fingerprint)
+                with after_answer("report of an answer"):
+                    self._quarantine.note_answered(fingerprint)
                 return
             except Refusal as refusal:
                 # A refused ticket for a repeat proves nothing about the previous attempt.
--- a/chestnutfall/tests/test_completion_errors.py
+++ b/chestnutfall/tests/test_completion_errors.py
@@ -34,6 +34,13 @@
     return fail
 
 
+def _failing(error: BaseException) -> Any:
+    def fail(*args: Any, **kwargs: Any) -> Any:
+        raise error
+
+    return fail
+
+
 class CompletionErrorTest(CallerEdgeCase):
     def _assert_refused(self, reply: Reply, status: int, executed: str) -> None:
         error = json.loads(reply[1])["error"]
@@ -132,6 +139,19 @@
             await self.finish(self.post())
         self.assertEqual(broken, [])
 
+    # Guards against a whole answer that is broken off by what the gateway does after it.
+    async def test_after_the_whole_answer(self) -> None:
+        links, quarantine = self.gateway.links, self.gateway.quarantine
+        for part, name in ((links, "release_ticket"), (quarantine, "note_answered")):
+            for error in (ConnectionError("lost"), RuntimeError("closed"), KeyError("gone")):
+                with self.subTest(name, error=error):
+                    sound = getattr(part, name)
+                    setattr(part, name, _failing(error))
+                    reply = await self.finish(self.post())
+                    setattr(part, name, sound)
+                    self._assert_whole(reply)
+        self.assertEqual(set(self.ends()), {"answered"})
+
     # Guards against a plain call that ends without a refusal.
     async def test_of_plain_calls(self) -> None:
         self.announce_plain("127.0.0.1:1", "127.0.0.1:2")
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -96,4 +96,11 @@
         "            raise KeyError(caller_name)",
         "chestnutfall.tests.test_completion_config",
     ),
+    Mutant(
+        "whole answer broken off by what comes after it",
+        "chestnutfall/routing/after_answer.py",
+        "    except Exception as exc:",
+        "    except NotImplementedError as exc:",
+        _ERRORS_TEST,
+    ),
 )
