Test streams that stay silent, and a second hung engine

A begun stream of an engine that never goes on ends, visibly, when its caller would have given up waiting; a request whose second engine hangs as well is served by a third; a stream that breaks after its caller has left has one end and one line.

--- a/chestnutfall/tests/test_completion_ends.py
+++ b/chestnutfall/tests/test_completion_ends.py
@@ -154,6 +154,21 @@
                 self.assertIn(f"reason={reason} ", logs.output[0])
                 self.assertEqual(self.metrics.counts[f"ends.{reason}"], 1)
 
+    # Guards against an error event that can't be written and raises out of the handler unlogged.
+    async def test_a_stream_that_breaks_after_its_caller_left_has_one_end(self) -> None:
+        async def break_off(progress: RequestProgress) -> web.StreamResponse:
+            progress.stream = web.StreamResponse()
+            await progress.stream.prepare(self.request)
+            assert self.request.transport is not None
+            self.request.transport.abort()
+            raise Refusal(502, "engine_connection_lost", "lost", Executed.YES)
+
+        self.work = break_off
+        with self.assertLogs(ending_log, "INFO") as logs, self.assertNoLogs("aiohttp", "ERROR"):
+            await self._get()
+        self.assertEqual(len(logs.output), 1)
+        self.assertIn("reason=caller_left", logs.output[0])
+
     # Guards against "not run" for a request that an upstream may have run.
     async def test_an_unexpected_error_is_refused_with_what_may_have_run(self) -> None:
         for executed, status in ((Executed.NO, b" 503 "), (Executed.UNKNOWN, b" 502 ")):
--- a/chestnutfall/tests/test_completion_silence.py
+++ b/chestnutfall/tests/test_completion_silence.py
@@ -176,3 +176,33 @@
         self.assertEqual((caught.exception.status, self._runs()), (502, 2))
         self.assertIs(caught.exception.executed, Executed.UNKNOWN)
         self.assertEqual(self.broken, [])
+
+    # Guards against a begun stream that ends sooner than its caller waits, or never.
+    async def test_a_stream_that_stays_silent_ends_when_its_caller_would_give_up(self) -> None:
+        await self._start(1)
+        await self._whole(self._begin("a1@1"))
+        task = self._begin("a1@1", X_Timeout_Ms="5000")
+        await self._until_sent(2)
+        await self.office.clock.advance(25)
+        self._silence(FOR_EVER_MS)
+        began_ms = self.office.clock.now_ms()
+        with self.assertRaises(Refusal) as caught:
+            await self.office.done(task)
+        waited_ms = self.office.clock.now_ms() - began_ms
+        self.assertTrue(5_000 <= waited_ms <= 5_000 + 2 * SILENT_MS, waited_ms)
+        self.assertIs(caught.exception.executed, Executed.YES)
+        self.assertEqual(self.broken, [])
+
+    # Guards against a request that waits to its deadline since the second engine hangs as well.
+    async def test_two_hung_engines_leave_a_third(self) -> None:
+        await self._start(3)
+        for engine in self._engines():
+            engine.adapters[self.gateway.request("a1@1").model] = "ready"
+        for engine in self._engines()[:2]:
+            engine.silent_until_ms = self.office.clock.now_ms() + FOR_EVER_MS
+        began_ms = self.office.clock.now_ms()
+        tasks = [self._begin("a1@1") for _ in range(3)]
+        for task in tasks:
+            await self._whole(task)
+        self.assertLessEqual(self.office.clock.now_ms() - began_ms, 4 * SILENT_MS)
+        self.assertGreaterEqual(min(len(engine.ran) for engine in self._engines()), 1)
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -94,4 +94,11 @@
         "        if False:",
         _PLAIN_TEST,
     ),
+    Mutant(
+        "begun stream of a silent engine never ends",
+        "chestnutfall/routing/engine_runs.py",
+        "self._clock.now_ms() >= heard_ms + req.begin_ms if silent else False",
+        "False",
+        _SILENCE_TEST,
+    ),
 )
