--- a/chestnutfall/tests/test_completion_errors.py
+++ b/chestnutfall/tests/test_completion_errors.py
@@ -68,7 +68,7 @@
         for number, error in enumerate(ERRORS):
             with self.subTest(error=error):
                 key = {"Idempotency-Key": f"key-{number}"}
-                taken = []
+                taken: list[Any] = []
 
                 async def ask_and_fail(
                     msg: Any, ms: float, error: BaseException = error, taken: Any = taken
@@ -79,11 +79,11 @@
                         raise error
                     return reply
 
-                self.gateway.client.ask = ask_and_fail  # type: ignore[method-assign]
-                reply = await self.finish(self.post(**key))
+                self.gateway.client.ask = ask_and_fail  # type: ignore[method-assign, assignment]
+                reply = await self.finish(self.post("a1@1", True, **key))
                 self._assert_refused(reply, 503, "no")
                 await self.office.clock.advance(1_000)
-                self._assert_whole(await self.finish(self.post(**key)))
+                self._assert_whole(await self.finish(self.post("a1@1", True, **key)))
 
     # Guards against an error of a link to an owner that ends a request of which nothing was sent.
     async def test_while_a_ticket_is_awaited(self) -> None:
--- a/chestnutfall/tests/test_completion_silence.py
+++ b/chestnutfall/tests/test_completion_silence.py
@@ -17,7 +17,11 @@
 SILENT_MS = 1_000
 """Silence after which a service's connections count as dead, in the configuration of the office."""
 PAUSES_MS = (300, 1_000, 1_500, 4_500)
-KINDS = (("a1@1", {}), ("once@1", {}), ("a1@1", {"Idempotency_Key": "key"}))
+KINDS: tuple[tuple[str, dict[str, str]], ...] = (
+    ("a1@1", {}),
+    ("once@1", {}),
+    ("a1@1", {"Idempotency_Key": "key"}),
+)
 FOR_EVER_MS = 1_000_000
 
 
@@ -28,9 +32,8 @@
         await self.office.start(gateways=2, engines=engines)
         self.gateway = self.office.gateway()
         self.broken: list[Any] = []
-        self.gateway.quarantine.note_broken = (  # type: ignore[method-assign]
-            lambda *args: self.broken.append(args)
-        )
+        quarantine: Any = self.gateway.quarantine
+        quarantine.note_broken = lambda *args: self.broken.append(args)
 
     async def asyncTearDown(self) -> None:
         await self.office.stop()
--- a/chestnutfall/tests/test_plain_silence.py
+++ b/chestnutfall/tests/test_plain_silence.py
@@ -27,9 +27,8 @@
         self.wake = asyncio.Event()
         self.status = [200, 200]
         self.broken: list[Any] = []
-        self.gateway.quarantine.note_broken = (  # type: ignore[method-assign]
-            lambda *args: self.broken.append(args)
-        )
+        quarantine: Any = self.gateway.quarantine
+        quarantine.note_broken = lambda *args: self.broken.append(args)
         self.runners: list[web.ServerRunner] = []
 
     async def asyncTearDown(self) -> None:
