--- a/chestnutfall/routing/attempts.py
+++ b/chestnutfall/routing/attempts.py
@@ -64,15 +64,8 @@
         EngineBroken
             When the answer broke off; it may have run.
         """
-        attempt_id = attempt.attempt_id
         parent = _PROPAGATOR.extract(req.trace)
-        with self._tracer.start_span("admission", context=parent) as span:
-            try:
-                engine = await self._acquire_engine(req, attempt)
-            except (Exception, asyncio.CancelledError) as exc:
-                _raise_expected(exc)
-                raise EngineRefused(INTERNAL_ERROR, NOT_SENT) from exc
-            span.set_attribute("engine", engine.name)
+        engine = await self._admitted_engine(req, attempt)
         span = self._tracer.start_span("dispatch", context=parent)
         began_ms = self._clock.now_ms()
         try:
@@ -85,22 +78,12 @@
                 raise EngineRefused("session_lost", "this gateway lost its session")
             headers: dict[str, str] = {}
             _PROPAGATOR.inject(headers, trace.set_span_in_context(span, parent))
-            engine_req = self._engine_request(req, engine, attempt_id, headers)
+            engine_req = self._engine_request(req, engine, attempt.attempt_id, headers)
             attempt.heard_ms = self._clock.now_ms()
             async for events in self._runs.run(engine, engine_req):
                 yield events
         except EngineBroken as exc:
-            instance = engine.instance
-            log.info(
-                "dispatch: id=%s content=%s instance=%s answer lost or invalid: %s",
-                attempt_id,
-                fingerprint,
-                instance,
-                exc.code,
-            )
-            # A connection that is open and silent tells nothing of the engine's process.
-            if not exc.is_silence:
-                self._quarantine.note_broken(fingerprint, instance, engine.address, began_ms)
+            self._note_broken(exc, attempt, fingerprint, engine, began_ms)
             raise
         except (Exception, asyncio.CancelledError) as exc:
             _raise_expected(exc)
@@ -108,7 +91,32 @@
         finally:
             span.end()
             with after_answer("release of a ticket"):
-                self._links.release_ticket(engine.name, attempt_id)
+                self._links.release_ticket(engine.name, attempt.attempt_id)
+
+    def _note_broken(
+        self, exc: EngineBroken, attempt: Attempt, fingerprint: str, engine: Upstream, began_ms: int
+    ) -> None:
+        log.info(
+            "dispatch: id=%s content=%s instance=%s answer lost or invalid: %s",
+            attempt.attempt_id,
+            fingerprint,
+            engine.instance,
+            exc.code,
+        )
+        # A connection that is open and silent tells nothing of the engine's process.
+        if not exc.is_silence:
+            self._quarantine.note_broken(fingerprint, engine.instance, engine.address, began_ms)
+
+    async def _admitted_engine(self, req: CallerRequest, attempt: Attempt) -> Upstream:
+        parent = _PROPAGATOR.extract(req.trace)
+        with self._tracer.start_span("admission", context=parent) as span:
+            try:
+                engine = await self._acquire_engine(req, attempt)
+            except (Exception, asyncio.CancelledError) as exc:
+                _raise_expected(exc)
+                raise EngineRefused(INTERNAL_ERROR, NOT_SENT) from exc
+            span.set_attribute("engine", engine.name)
+            return engine
 
     async def _acquire_engine(self, req: CallerRequest, attempt: Attempt) -> Upstream:
         """Return an engine whose owner granted a ticket and that is not backing off."""
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -27,8 +27,8 @@
     Mutant(
         "silence counts as an end of the engine",
         _ATTEMPTS,
-        "            if not exc.is_silence:",
-        "            if True:",
+        "        if not exc.is_silence:",
+        "        if True:",
         _SILENCE_TEST,
     ),
     Mutant(
