--- a/chestnutfall/tests/test_completion_silence.py
+++ b/chestnutfall/tests/test_completion_silence.py
@@ -32,9 +32,8 @@
         await self.office.start(gateways=2, engines=engines)
         self.gateway = self.office.gateway()
         self.broken: list[Any] = []
-        self.gateway.quarantine.note_broken = (  # type: ignore[method-assign, assignment]
-            lambda *args: self.broken.append(args)
-        )
+        quarantine: Any = self.gateway.quarantine
+        quarantine.note_broken = lambda *args: self.broken.append(args)
 
     async def asyncTearDown(self) -> None:
         await self.office.stop()
