Repeat a begun stream whose next engine calls it wrong

A stream whose engine had paused was broken off as the second engine answered 404 just after the overlap, though the first one would go on.

Cause: failures below 500 are the request's own and are not repeated, also for a stream that has begun, of which the client can't be given a failure any more.

A request of which a stream has begun isn't wrong, so such a failure is repeated as any other, within the attempts and the budget; mostly where the stream was left.

The test failed before, "(b'id: 1...', 'broken off') != (..., 'whole')" for status 404; the new mutant fails it.

--- a/chestnutfall/forwarding/result_handler.py
+++ b/chestnutfall/forwarding/result_handler.py
@@ -220,8 +220,9 @@
         failed: Failed,
     ) -> bool:
         self._note_failure(progress, place, failed)
+        # A request of which a stream has begun is not wrong, whatever this upstream says.
         if (
-            failed.status >= 500
+            (failed.status >= 500 or progress.started)
             and self._may_run_again(progress, route)
             and not selector.held_back_ms(progress.service)
             and await self._take_repeat(progress, upstream_is_busy=False)
--- a/chestnutfall/tests/test_overtaken_runs.py
+++ b/chestnutfall/tests/test_overtaken_runs.py
@@ -23,7 +23,10 @@
 """A sound upstream that is silent once for longer than the overlap."""
 SECOND_MS = 50 + SILENT_MS
 """When the second send goes out."""
-ENDS = (NotRun.FULL, NotRun.REPLACED, NotSent, AnswerLost, Status(500), ValueError)
+ENDS = (
+    *(NotRun.FULL, NotRun.REPLACED, NotSent),
+    *(AnswerLost, Status(500), Status(404), ValueError),
+)
 
 
 class OvertakenRunTest(SilenceCase):
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -493,4 +493,11 @@
         "        if True:\n",
         f"{_TESTS}.test_silent_upstreams",
     ),
+    Mutant(
+        "a begun stream ends as another engine calls its request wrong",
+        _RESULT_HANDLER,
+        "            (failed.status >= 500 or progress.started)\n",
+        "            failed.status >= 500\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
 )
