--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -501,4 +501,11 @@
         f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
         "test_an_event_without_end_is_a_lost_answer",
     ),
+    Mutant(
+        "a begun stream ends as another engine calls its request wrong",
+        _RESULT_HANDLER,
+        "            (failed.status >= 500 or progress.started)\n",
+        "            failed.status >= 500\n",
+        f"{_TESTS}.test_overtaken_runs",
+    ),
 )
