Wake lingering connections instead of polling them

A drain closes each kept connection of a client behind its last answer, and each looked every 20 ms for up to 2 s whether its client had closed it: 1,000 connections set 50,000 timers a second, in the seconds in which the gateway should serve its last requests.

The end of a connection cancels the handler of its request, which is in this wait, so nothing has to look for it; the stop of the server sets an event. One timer a connection is left, the bound of the wait.

It also checks that connections end with their clients and with the server. The mutants of the lingering, one of them new, fail their tests.

--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -77,7 +77,7 @@
         self._ends = ends
         self._in_progress = 0
         self._leaving = False
-        self._stopping = False
+        self._stopping = asyncio.Event()
         self._caller_runner: GatedListener | None = None
         self._ready_runner: Listener | None = None
 
@@ -117,14 +117,11 @@
         until_ms = self._clock.now_ms() + END_WITHIN_MS
         while self._in_progress and self._clock.now_ms() < until_ms:
             await self._clock.sleep_ms(POLL_MS)
-        self._stopping = True
+        self._stopping.set()
         for runner in (self._caller_runner, self._ready_runner):
             if runner is not None:
                 await runner.cleanup()
 
-    def _is_stopping(self) -> bool:
-        return self._stopping
-
     async def _on_ready(self, request: BaseRequest) -> StreamResponse:
         ready = request.path == READY_PATH and not self._leaving and self._is_ready()
         return Response(status=200 if ready else 503)
@@ -137,11 +134,11 @@
         finally:
             self._in_progress -= 1
         if not response.keep_alive:
-            await linger(request, self._clock, self._is_stopping)
+            await linger(request, self._clock, self._stopping)
         return response
 
     async def _answer(self, request: BaseRequest, arrived_ms: int) -> StreamResponse:
-        reply = ClientReply(request, self._leaving, self._is_stopping)
+        reply = ClientReply(request, self._leaving, self._stopping.is_set)
         try:
             call = await self._read(request, reply, arrived_ms)
         except (Exception, asyncio.CancelledError) as exc:
--- a/chestnutfall/platform/lingering_close.py
+++ b/chestnutfall/platform/lingering_close.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+from contextlib import suppress
 
 from aiohttp.web_request import BaseRequest
 
@@ -10,15 +11,16 @@
 
 LINGER_MS = 2_000
 """Time for a client to read its last answer and to close the connection."""
-POLL_MS = 20
 
 
-async def linger(request: BaseRequest, clock: Clock, is_stopping: Callable[[], bool]) -> None:
+async def linger(request: BaseRequest, clock: Clock, stopping: asyncio.Event) -> None:
     """End the sending half of a connection, and drop what comes until the client closes it.
 
     A connection that is closed with bytes unread is reset, and the reset destroys the part of the
     last answer that the client has not received. A client may have sent its next request before it
     saw that the connection ends.
+
+    The end of the connection cancels the handler of its request, and with it this wait.
     """
     transport = request.transport
     if transport is None or transport.is_closing() or not request.content.is_eof():
@@ -27,6 +29,9 @@
     request.protocol.close()
     transport.resume_reading()
     transport.write_eof()
-    until_ms = clock.now_ms() + LINGER_MS
-    while not is_stopping() and not transport.is_closing() and clock.now_ms() < until_ms:
-        await clock.sleep_ms(POLL_MS)
+    with suppress(TimeoutError):
+        await clock.within_ms(LINGER_MS, _wait_for(stopping))
+
+
+async def _wait_for(event: asyncio.Event) -> None:
+    await event.wait()
--- a/chestnutfall/tests/fakes/served_entry.py
+++ b/chestnutfall/tests/fakes/served_entry.py
@@ -15,7 +15,7 @@
 from ...observability.prometheus_metrics import PrometheusMetrics
 from ...platform.entry_server import EntryServer
 from ...routes import DocumentLimits
-from ...rush import ConnectionGate, KeptLimits
+from ...rush import ConnectionGate, GatedServer, KeptLimits
 
 Work = Callable[[Call, EndedReply], Awaitable[None]]
 
@@ -52,6 +52,12 @@
         assert listener is not None
         self._port = listener._acceptor._sock.getsockname()[1]
 
+    def client_server(self) -> GatedServer:
+        """Return the HTTP server of the clients' connections."""
+        listener = self.server._caller_runner
+        assert listener is not None
+        return listener._server
+
     async def stop(self) -> None:
         """Close every connection; may be called more than once."""
         if not self._stopped:
--- a/chestnutfall/tests/test_client_connections.py
+++ b/chestnutfall/tests/test_client_connections.py
@@ -5,12 +5,14 @@
 import asyncio
 import gzip
 import unittest
+from unittest.mock import patch
 
 from ..clock import SystemClock
 from ..forwarding.call import Call
 from ..forwarding.ended_reply import EndedReply
 from ..forwarding.progress import Progress
 from ..forwarding.request_end import BrokenOff, Refused
+from ..platform.lingering_close import LINGER_MS
 from ..routes import DocumentLimits
 from .fakes.served_entry import ServedEntry, Work
 
@@ -20,6 +22,8 @@
 LARGE = b"x" * 300_000
 """More than a client's end of a connection holds at first."""
 SHORT_MS = 50
+LINGERING = 50
+"""Connections that wait for their clients to close them."""
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -271,6 +275,32 @@
         self.assertEqual((len(await reader.read()), len(entry.calls)), (len(LARGE), 1))
         writer.close()
 
+    # Guards against a drain that keeps the processor busy with connections that wait for their
+    # clients to close them, and against one that notices the ends of these late.
+    async def test_connections_that_linger_set_one_timer_each_and_end_with_their_clients(
+        self,
+    ) -> None:
+        entry = await self._start(answer_whole)
+        entry.server.announce_leaving()
+        conns = [await entry.connect() for _ in range(LINGERING)]
+        for _, writer in conns:
+            writer.write(request(b"x"))
+        for reader, _ in conns:
+            self.assertTrue((await reader.read()).endswith(b"answer to x"))
+        loop = asyncio.get_running_loop()
+        with patch.object(loop, "call_at", wraps=loop.call_at) as timers:
+            await asyncio.sleep(LINGER_MS / 4_000)
+        self.assertLessEqual(timers.call_count, LINGERING)
+        server = entry.client_server()
+        self.assertEqual(len(server.connections), LINGERING)
+        for _, writer in conns[:-1]:
+            writer.close()
+        async with asyncio.timeout(LINGER_MS / 4_000):
+            while len(server.connections) > 1:
+                await asyncio.sleep(0.001)
+            await entry.stop()
+        self.assertEqual(len(server.connections), 0)
+
 
 async def _until_blocked(writer: asyncio.StreamWriter) -> None:
     """Wait until the other end reads no more."""
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/end_mutants.py
@@ -102,6 +102,13 @@
         "        if False:",
         _CONNECTIONS_TEST,
     ),
+    Mutant(
+        "lingering connection holds up the end of the process",
+        _LINGER,
+        "_wait_for(stopping))",
+        "clock.sleep_ms(LINGER_MS))",
+        _CONNECTIONS_TEST,
+    ),
     Mutant(
         "lingering connection reads nothing",
         _LINGER,
