--- a/properties/safeguards/completion_end_mutants.py
+++ b/properties/safeguards/completion_end_mutants.py
@@ -72,7 +72,8 @@
         "claim left behind by an unexpected error",
         "chestnutfall/routing/claim_client.py",
         "        except (Exception, asyncio.CancelledError) as exc:\n            # The claim may",
-        "        except (NoController, asyncio.CancelledError) as exc:\n            # The claim may",
+        "        except (NoController, asyncio.CancelledError) as exc:\n"
+        "            # The claim may",
         _ERRORS_TEST,
     ),
     Mutant(
