Break off a stream although its caller reads nothing

Where a stream of the product's own interface couldn't go on, the gateway wrote its last event without a time limit. A caller that had stopped reading held the request for as long as it liked, and the drain with it. Where the stream's time had been up in a write, the request ended at once, but as failed: aiohttp has the next write wait for the future of the cancelled one. And the connection stayed open until the caller had read all of it, since a transport closes behind what it has still to send.

The write has ten seconds, as in the platform's dialect, and a connection that is closed behind it ten more; then both are cut. A CancelledError that isn't the own task's is the same as no time left.

The three new tests failed before (counts 0 != 1, and a connection that was still there). Both new mutants and that whose text moved fail their tests.

--- a/chestnutfall/caller_edge/request_ending.py
+++ b/chestnutfall/caller_edge/request_ending.py
@@ -27,6 +27,9 @@
 
 log = logging.getLogger(__name__)
 INTERNAL_RETRY_MS = 1000
+READ_WITHIN_MS = 10_000
+"""Time for a caller to read what precedes the last event of a broken stream, and as much again for
+that event and what else is on its way."""
 Work = Callable[[RequestProgress], Awaitable[web.StreamResponse]]
 """Serves one request, and returns its response or raises."""
 
@@ -65,13 +68,40 @@
                 return await _write_response(request, _error_response(refusal, progress))
             case BrokenOff(refusal, stream):
                 self._metrics.count(f"broken_streams.{refusal.code}")
-                return await _break_off(request, progress, refusal, stream)
+                return await self._break_off(request, progress, refusal, stream)
             case Failed():
                 refusal = _internal_refusal(progress.executed)
                 return await self._write(request, progress, _end_by(refusal, progress))
             case CallerLeft(error) | Cancelled(error):
                 raise error
 
+    async def _break_off(
+        self,
+        request: web.Request,
+        progress: RequestProgress,
+        refusal: Refusal,
+        stream: web.StreamResponse,
+    ) -> web.StreamResponse:
+        # A regular end of the transfer would make a truncated answer look complete. Clients that
+        # parse events see the error event; all others see the broken transfer.
+        event = b"data: " + error_text(refusal, progress.request_id).encode() + b"\n\n"
+        transport = request.transport
+        try:
+            await self._clock.within_ms(READ_WITHIN_MS, stream.write(event))
+        except (TimeoutError, asyncio.CancelledError) as exc:
+            # A caller that reads nothing lets no event through. Where a write before was cancelled,
+            # aiohttp has the next one wait for the same future, which is cancelled.
+            if isinstance(exc, asyncio.CancelledError) and was_cancelled():
+                raise
+            if transport is not None:
+                transport.abort()
+            return stream
+        if transport is not None:
+            transport.close()
+            # It stays open until all is sent.
+            asyncio.get_running_loop().call_later(READ_WITHIN_MS / 1000, transport.abort)
+        return stream
+
     def _record(self, request: web.Request, progress: RequestProgress, end: RequestEnd) -> None:
         reason = reason_of(end)
         self._metrics.count(f"ends.{reason}")
@@ -169,14 +199,3 @@
         content_type="application/json",
         headers=error_headers(refusal),
     )
-
-
-async def _break_off(
-    request: web.Request, progress: RequestProgress, refusal: Refusal, stream: web.StreamResponse
-) -> web.StreamResponse:
-    # A regular end of the transfer would make a truncated answer look complete. Clients that parse
-    # events see the error event; all others see the broken transfer.
-    await stream.write(b"data: " + error_text(refusal, progress.request_id).encode() + b"\n\n")
-    if request.transport is not None:
-        request.transport.close()
-    return stream
--- a/chestnutfall/tests/test_completion_ends.py
+++ b/chestnutfall/tests/test_completion_ends.py
@@ -9,10 +9,13 @@
 import asyncio
 import json
 import unittest
+from contextlib import suppress
 from typing import Any, get_args
+from unittest.mock import patch
 
 from aiohttp import web
 
+from ..caller_edge import request_ending
 from ..caller_edge.request_end import (
     Answered,
     BrokenOff,
@@ -22,7 +25,7 @@
     Refused,
     RequestEnd,
 )
-from ..caller_edge.request_ending import RequestEnding
+from ..caller_edge.request_ending import READ_WITHIN_MS, RequestEnding
 from ..caller_edge.request_ending import log as ending_log
 from ..caller_edge.request_progress import RequestProgress
 from ..clock import ManualClock
@@ -30,6 +33,12 @@
 from ..requests import Executed, Refusal
 from .fakes.caller_edge_case import BROKEN, CallerEdgeCase
 
+HUGE = b"x" * 16_000_000
+"""More than the buffers of both ends of a connection hold."""
+UNREAD_S = 0.1
+UNSENT_BYTES = 0x10000
+"""Bytes that aiohttp takes from writes before one waits until the connection takes more."""
+
 
 class CompletionEndTest(CallerEdgeCase):
     async def test_a_whole_answer_ends_as_answered(self) -> None:
@@ -83,7 +92,8 @@
 
     async def asyncSetUp(self) -> None:
         self.metrics = Metrics(None, "gateway")
-        self.ending = RequestEnding(ManualClock(), self.metrics)
+        self.clock = ManualClock()
+        self.ending = RequestEnding(self.clock, self.metrics)
         self.work: Any = None
         app = web.Application()
         app.router.add_get("/", self._serve)
@@ -154,6 +164,61 @@
                 self.assertIn(f"reason={reason} ", logs.output[0])
                 self.assertEqual(self.metrics.counts[f"ends.{reason}"], 1)
 
+    async def _begin_unread(self, fill: Any) -> tuple[Any, asyncio.StreamWriter]:
+        """Begin a stream whose caller reads nothing; return some time after `fill`."""
+        blocked = asyncio.Event()
+
+        async def stream_and_fail(progress: RequestProgress) -> web.StreamResponse:
+            progress.stream = web.StreamResponse()
+            await progress.stream.prepare(self.request)
+            await fill(progress.stream)
+            blocked.set()
+            raise Refusal(502, "engine_connection_lost", "lost", Executed.YES)
+
+        self.work = stream_and_fail
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await blocked.wait()
+        await asyncio.sleep(UNREAD_S)
+        return reader, writer
+
+    # Guards against a request that is held for as long as its caller reads nothing.
+    async def test_a_stream_is_broken_off_though_its_caller_reads_nothing(self) -> None:
+        reader, writer = await self._begin_unread(_write_without_waiting)
+        await self.clock.advance(READ_WITHIN_MS - 1)
+        self.assertEqual(self.metrics.counts["ends.broken_off"], 0)
+        await self.clock.advance(1)
+        await asyncio.sleep(UNREAD_S)
+        self.assertEqual(self.metrics.counts["ends.broken_off"], 1)
+        got = b""
+        with suppress(ConnectionError):
+            got = await reader.read()
+        self.assertLess(len(got), len(HUGE))
+        self.assertNotIn(b"engine_connection_lost", got)
+        writer.close()
+
+    # Guards against a stream whose time was up in a write, and which ends as failed.
+    async def test_a_stream_is_broken_off_after_a_write_that_was_cancelled(self) -> None:
+        _, writer = await self._begin_unread(_write_until_cancelled)
+        self.assertEqual(self.metrics.counts["ends.broken_off"], 1)
+        writer.close()
+
+    # Guards against connections of such callers that stay open for ever.
+    async def test_the_connection_of_a_caller_that_reads_nothing_is_closed(self) -> None:
+        async def fill(stream: web.StreamResponse) -> None:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(stream.write(HUGE), UNREAD_S)
+
+        with patch.object(request_ending, "READ_WITHIN_MS", UNREAD_S * 5_000):
+            _, writer = await self._begin_unread(fill)
+            self.assertEqual(self.metrics.counts["ends.broken_off"], 1)
+            assert self.runner.server is not None
+            self.assertEqual(len(self.runner.server.connections), 1)
+            async with asyncio.timeout(UNREAD_S * 50):
+                while self.runner.server.connections:
+                    await asyncio.sleep(UNREAD_S)
+        writer.close()
+
     # Guards against "not run" for a request that an upstream may have run.
     async def test_an_unexpected_error_is_refused_with_what_may_have_run(self) -> None:
         for executed, status in ((Executed.NO, b" 503 "), (Executed.UNKNOWN, b" 502 ")):
@@ -167,3 +232,15 @@
             self.assertIn(status, got)
             self.assertIn(b"X-Executed: " + executed.value.encode(), got)
         self.assertEqual(self.metrics.counts["ends.failed"], 2)
+
+
+async def _write_without_waiting(stream: web.StreamResponse) -> None:
+    assert stream._payload_writer is not None
+    await stream._payload_writer.write(HUGE, drain=False)  # type: ignore[call-arg]
+
+
+async def _write_until_cancelled(stream: web.StreamResponse) -> None:
+    with suppress(TimeoutError):
+        await asyncio.wait_for(stream.write(HUGE), UNREAD_S)
+    # The next write waits.
+    await stream.write(b"x" * (UNSENT_BYTES - 100))
--- a/properties/safeguards/completion_end_mutants.py
+++ b/properties/safeguards/completion_end_mutants.py
@@ -36,8 +36,22 @@
     Mutant(
         "broken stream ends as a whole one",
         _ENDING,
-        "    if request.transport is not None:\n        request.transport.close()",
-        "    await stream.write_eof()",
+        "            transport.close()\n",
+        "            await stream.write_eof()\n",
+        _ENDS_TEST,
+    ),
+    Mutant(
+        "request held by a caller that reads no end of its stream",
+        _ENDING,
+        "            await self._clock.within_ms(READ_WITHIN_MS, stream.write(event))",
+        "            await stream.write(event)",
+        _ENDS_TEST,
+    ),
+    Mutant(
+        "connection held by a caller that reads nothing",
+        _ENDING,
+        "call_later(READ_WITHIN_MS / 1000, transport.abort)",
+        "call_later(READ_WITHIN_MS / 1000, transport.close)",
         _ENDS_TEST,
     ),
     Mutant(
