--- a/chestnutfall/standin/silence.py
+++ b/chestnutfall/standin/silence.py
@@ -9,8 +9,9 @@
 
 
 class SilentMoment(Enum):
-    """What an upstream was about to write when it fell silent."""
+    """What an upstream was about to do when it fell silent."""
 
+    RUN = "run"
     WHOLE = "whole"
     HEAD = "head"
     EVENT = "event"
@@ -25,7 +26,7 @@
     Attributes
     ----------
     held : Counter of SilentMoment
-        Number of writes that were held back.
+        Number of writes, and of steps of runs, that were held back.
     """
 
     def __init__(self) -> None:
@@ -58,6 +59,8 @@
 
     async def before_running(self) -> None:
         """Wait until runs may go on."""
+        if self._pauses_runs and self.is_on:
+            self.held[SilentMoment.RUN] += 1
         while self._pauses_runs and self.is_on:
             await self._sleep()
 
