--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -48,5 +48,9 @@
     ),
     Regression(9201, 0.05, "streams of engines that were silent for a second were broken off"),
     Regression(1, 0.1, "lookups at slow plain upstreams were given up, with no room elsewhere"),
+    Regression(
+        1, 0.1, "a call still waited for a helper's connection that another one's timeout closed"
+    ),
+    Regression(1, 0.1, "a call without a leader was sent to an engine of another service"),
     Regression(11, 0.7, "SIGHUP ended a gateway that was just being started again"),
 )
