--- a/chestnutfall/forwarding/leader_stream.py
+++ b/chestnutfall/forwarding/leader_stream.py
@@ -12,9 +12,9 @@
 import grpc
 
 from ..clock import Clock
+from ..clock.cancelled import was_cancelled
 from ..coordination.messages import FLEET_CODEC, FLEET_METHOD, PULSE_MS, NotLeading
 from ..wire import RpcChannel
-from .faults import is_cancelled
 from .first_message_timeouts import FirstMessageTimeouts
 
 log = logging.getLogger(__name__)
@@ -69,7 +69,7 @@
             try:
                 hint = await self._follow(address)
             except (Exception, asyncio.CancelledError) as exc:
-                if isinstance(exc, asyncio.CancelledError) and is_cancelled():
+                if isinstance(exc, asyncio.CancelledError) and was_cancelled():
                     raise
                 # No other task awaits this one. If an unexpected message or an error of the RPC
                 # library ended it, the gateway would stay without a leader until its restart.
--- a/chestnutfall/paths/helper_links.py
+++ b/chestnutfall/paths/helper_links.py
@@ -12,11 +12,11 @@
 import grpc
 
 from ..clock import Clock
-from ..forwarding.faults import is_cancelled
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 from ..wire import RpcChannel, TlsFiles
+from .help_stream import HelpStream
 from .helper_api import HELPER_SILENCE_MS, HelperApi, HelperUnusable, not_sent
 from .helper_service import as_sent
 from .messages import (
@@ -46,7 +46,7 @@
 IDLE_MS = 10_000
 """A connection without a send for so long is closed."""
 
-_STREAM_ERRORS = (grpc.aio.AioRpcError, asyncio.InvalidStateError, asyncio.CancelledError)
+_STREAM_ERRORS = (grpc.aio.AioRpcError, asyncio.InvalidStateError)
 
 
 class _ConnectionLost(AnswerLost):
@@ -79,7 +79,7 @@
         self, address: str, keys: tuple[str, ...], forwarded: ForwardedCall
     ) -> AsyncIterator[UpstreamAnswer]:
         channel = await self._connected(address)
-        stream = channel.stream(HELP_METHOD)
+        stream = HelpStream(channel.stream(HELP_METHOD))
         silent_ms = forwarded.silent_ms + HELPER_DELAY_MS
         self._busy[address] += 1
         try:
@@ -111,7 +111,7 @@
         self._used_ms[address] = self._clock.now_ms()
         try:
             await self._clock.within_ms(CONNECT_MS, channel.wait_connected())
-        except TimeoutError as exc:
+        except (TimeoutError, grpc.aio.UsageError) as exc:
             if not self._busy[address]:
                 self._close(address)
             raise HelperUnusable(f"helper {address} can't be reached") from exc
@@ -129,7 +129,7 @@
             await stream.write(msg)
             await stream.done_writing()
         except _STREAM_ERRORS as exc:
-            raise _lost(exc) from exc
+            raise _ConnectionLost("helper_lost") from exc
         return await self._read(stream, silent_ms)
 
     async def _read(self, stream: Any, silent_ms: float) -> Any:
@@ -138,7 +138,7 @@
         except TimeoutError as exc:
             raise AnswerLost(SILENT) from exc
         except _STREAM_ERRORS as exc:
-            raise _lost(exc) from exc
+            raise _ConnectionLost("helper_lost") from exc
         if msg is grpc.aio.EOF:
             raise AnswerLost("helper_lost")
         return msg
@@ -221,10 +221,3 @@
         closing = (channel.close(CLOSE_GRACE_S) for channel in self._dropped)
         # Nothing waits for the end of a connection that is no longer used.
         await asyncio.gather(*closing, return_exceptions=True)
-
-
-def _lost(error: BaseException) -> BaseException:
-    """Return what a failure of a stream means; a cancellation of the own task stays one."""
-    if isinstance(error, asyncio.CancelledError) and is_cancelled():
-        return error
-    return _ConnectionLost("helper_lost")
--- a/chestnutfall/tests/test_request_quarantine.py
+++ b/chestnutfall/tests/test_request_quarantine.py
@@ -34,6 +34,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         self.reports: list[CrashReport] = []
+        self.rejecting = False
         self.asked: list[str] = []
         self.quarantine = RequestQuarantine(self.reports.append, self._refuses, self.clock)
 
@@ -42,6 +43,39 @@
         await self.clock.sleep_ms(10)
         return address.endswith("1")
 
+    # Guards against parts that no gateway sends without a leader since a check never ended.
+    async def test_parts_are_settled_where_a_check_fails_or_rejections_explain_the_end(
+        self,
+    ) -> None:
+        async def fails(address: str) -> bool:
+            raise RuntimeError(address)
+
+        self.quarantine = RequestQuarantine(self.reports.append, fails, self.clock)
+        checking = self.quarantine.note_broken("r", "i1", "127.0.0.1:1", -70, ("a",))
+        self.assertTrue(self.quarantine.unsettled.includes_any(["a"]))
+        with self.assertRaises(RuntimeError):
+            await checking
+        self.assertFalse(self.quarantine.unsettled.includes_any(["a"]))
+        for self.rejecting in (False, True):
+            self.quarantine = RequestQuarantine(
+                self.reports.append,
+                self._refuses,
+                self.clock,
+                lambda instance, since_ms: self.rejecting,
+            )
+            self.quarantine.note_broken("r", "i1", "127.0.0.1:1", -70, ("a",))
+            await self.clock.advance(10)
+            self.assertEqual(self.quarantine.unsettled.includes_any(["a"]), not self.rejecting)
+
+    # What a gateway tells of parts that it had answers to.
+    async def test_a_report_names_the_parts_that_were_answered_lately(self) -> None:
+        self.quarantine.unsettled.note_answer_times(["common"])
+        self.quarantine.note_broken("r", "i1", "127.0.0.1:1", -70, ("common", "rare"))
+        await self.clock.advance(10)
+        (report,) = self.reports
+        assert isinstance(report, BrokenRun)
+        self.assertEqual(report.answered_parts, ("common",))
+
     async def test_answers_that_break_off_together_check_the_port_once(self) -> None:
         for number in range(40):
             self.quarantine.note_broken(f"r{number}", "i1", "127.0.0.1:1", -70)
@@ -105,6 +139,35 @@
             await self.clock.advance(10)
         self.assertEqual(len(self.asked), 2)
 
+    # Guards against a check that fails for all who wait for it, since one of them stops waiting.
+    async def test_a_check_goes_on_for_the_others_when_one_stops_waiting(self) -> None:
+        for upstream_ends in (True, False):
+            address = "127.0.0.1:1" if upstream_ends else "127.0.0.1:2"
+            waiting = asyncio.ensure_future(self.quarantine.has_ended(address))
+            await self.clock.settle()
+            found = self.quarantine.note_broken("r", "i1", address, -70, ("p",))
+            await self.clock.settle()
+            waiting.cancel()
+            await self.clock.advance(10)
+            self.assertTrue(found.done() and not found.cancelled())
+            self.assertEqual(found.result(), upstream_ends)
+        self.assertEqual((len(self.asked), len(self.reports)), (2, 2))
+
+    # Guards against parts that look unsettled for ever.
+    async def test_a_check_that_fails_is_over(self) -> None:
+        async def fail(address: str) -> bool:
+            await self.clock.sleep_ms(10)
+            raise ValueError(address)
+
+        self.quarantine = RequestQuarantine(self.reports.append, fail, self.clock)
+        await self.clock.advance(60_000)
+        found = self.quarantine.note_broken("r", "i1", "127.0.0.1:1", -70, ("p",))
+        await self.clock.settle()
+        self.assertTrue(self.quarantine.unsettled.includes_any(("p",)))
+        await self.clock.advance(10)
+        self.assertIsInstance(found.exception(), ValueError)
+        self.assertFalse(self.quarantine.unsettled.includes_any(("p",)))
+
     def test_only_answers_to_watched_requests_are_reported_and_once(self) -> None:
         held = QuarantinedRequest("held", 60_000)
         self.quarantine.update(SuspectRequests(4, ("watched",), (held,)))
--- a/chestnutfall/tests/test_silent_services.py
+++ b/chestnutfall/tests/test_silent_services.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from ..clock import ManualClock
 from ..control.crash_messages import BrokenRun
+from ..forwarding.upstream_api import AnswerLost
 from .fakes.fake_upstreams import RecordedReply
 from .fakes.forwarder_case import event
 from .fakes.silence_case import SILENT_MS, SilenceCase
@@ -15,6 +17,18 @@
 from .fakes.timed_upstreams import HANG
 
 
+class _SlowReply(RecordedReply):
+    """A client that takes a second to read each part of its answer."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__()
+        self._clock = clock
+
+    async def write(self, data: bytes) -> None:
+        await self._clock.sleep_ms(1_000)
+        await super().write(data)
+
+
 class SilentEndTest(SilenceCase):
     # Guards against a request that counts as the end of engines, since one was silent as it ran.
     async def test_a_silent_second_is_not_reported_as_an_end(self) -> None:
@@ -50,6 +64,36 @@
         self.assertEqual([one.needs_leader for one in self.selector.criteria], [False, True])
         self.assertTrue(self.reports)
 
+    # Guards against a call that fails, and a break that nobody reports, as the search of another
+    # call ends.
+    async def test_a_search_that_ends_leaves_the_port_check_to_others(self) -> None:
+        self.parts = ("p1", "p2")
+        self._begin(HUNG, SOUND)
+        self.upstreams.scripts["i0"] = [
+            (50, event(1), SILENT_MS + 50, event(2), event(3)),
+            (180, AnswerLost),
+        ]
+        self.check_ms = 150
+        searching, _ = self._call(RESUMABLE, "searching")
+        await self.clock.advance(200)
+        other, _ = self._call(RESUMABLE, "other")
+        await self.clock.advance(3_000)
+        for reply in (searching, other):
+            self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
+        broken = [one for one in self.reports if isinstance(one, BrokenRun)]
+        self.assertEqual([(one.instance, one.refuses) for one in broken], [("i0", False)])
+
+    # Guards against an engine that ended, of which nobody tells since its answer went on.
+    async def test_an_end_that_a_search_found_is_reported_though_the_search_ends(self) -> None:
+        self.parts = ("p1", "p2")
+        self.ended_addresses = {"127.0.0.1:1"}
+        self.check_ms = 20
+        self._begin((50, event(1), SILENT_MS + 30, event(2), event(3)), SOUND)
+        reply = await self._serve(RESUMABLE)
+        self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
+        broken = [one for one in self.reports if isinstance(one, BrokenRun)]
+        self.assertEqual([(one.instance, one.refuses) for one in broken], [("i0", True)])
+
 
 class ManySilentTest(SilenceCase):
     """Many calls at once, each of which begins at the next upstream."""
@@ -81,6 +125,19 @@
         self._assert_whole(await self._serve_many(500, 4))
         self.assertLessEqual(len(self.upstreams.sends), 500 + 8)
 
+    # Guards against hung upstreams that hold their calls while clients of others read slowly.
+    async def test_a_hung_upstream_is_left_as_quickly_beside_slow_clients(self) -> None:
+        self._begin(HUNG, SOUND, SOUND)
+        self.selector.is_spread = True
+        self.selector.upstreams.append(self.selector.upstreams.pop(0))
+        slow = [self._call(RESUMABLE, f"slow-{at}", _SlowReply(self.clock))[0] for at in range(2)]
+        await self.clock.advance(400)
+        reply, _ = self._call(RESUMABLE, "hung")
+        await self.clock.advance(SILENT_MS + 100)
+        self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
+        await self.clock.advance(5_000)
+        self._assert_whole(slow)
+
     # Guards against hung upstreams that hold their calls, as the others are not known to be well.
     async def test_one_hung_of_five_is_left_as_quickly_as_before(self) -> None:
         self._begin(HUNG, SOUND, SOUND, SOUND, SOUND)
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -8,7 +8,6 @@
 from .connection_mutants import CONNECTION_MUTANTS
 from .consensus_mutants import CONSENSUS_MUTANTS
 from .control_mutants import CONTROL_MUTANTS
-from .end_mutants import END_MUTANTS
 from .fleet_mutants import FLEET_MUTANTS
 from .limit_mutants import LIMIT_MUTANTS
 from .part_mutants import PART_MUTANTS
@@ -16,6 +15,7 @@
 from .placement_mutants import PLACEMENT_MUTANTS
 from .quarantine_mutants import QUARANTINE_MUTANTS
 from .quota_mutants import QUOTA_MUTANTS
+from .request_end_mutants import REQUEST_END_MUTANTS
 from .room_mutants import ROOM_MUTANTS
 from .rush_mutants import RUSH_MUTANTS
 from .signal_mutants import SIGNAL_MUTANTS
@@ -43,7 +43,7 @@
     *PART_MUTANTS,
     *RUSH_MUTANTS,
     *SILENCE_MUTANTS,
-    *END_MUTANTS,
+    *REQUEST_END_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -28,6 +28,13 @@
         "                pass\n",
         _DOCUMENTS + "LaterServiceTest.test_a_service_that_comes_has_its_upstreams_at_once",
     ),
+    Mutant(
+        "a document that a leader can't read ends its replica",
+        "chestnutfall/coordination/leader_term.py",
+        "            except UnreadableDocument as exc:\n",
+        "            except ZeroDivisionError as exc:\n",
+        _DOCUMENTS + "OneDocumentTest.test_a_leader_that_can_not_read_a_document_goes_on",
+    ),
     Mutant(
         "a service that a document drops serves for ever",
         "chestnutfall/coordination/retired_services.py",
@@ -157,8 +164,8 @@
     Mutant(
         "the last upstream of a service is left when it is slow",
         "chestnutfall/forwarding/call_sends.py",
-        "        may_move = place.has_other and self._may_add()\n",
-        "        may_move = self._may_add()\n",
+        "        may_move = place.has_other and self._may_look([first])\n",
+        "        may_move = self._may_look([first])\n",
         "chestnutfall.tests.test_silence.SilenceTest.test_the_only_upstream_is_waited_for",
     ),
     Mutant(
--- a/properties/safeguards/end_mutants.py
+++ b/properties/safeguards/request_end_mutants.py
@@ -16,7 +16,7 @@
 _CONNECTIONS_TEST = "chestnutfall.tests.test_client_connections"
 _ENDS_TEST = "chestnutfall.tests.test_request_ends"
 
-END_MUTANTS = (
+REQUEST_END_MUTANTS = (
     Mutant(
         "end of the gateway called one of the client",
         _ENDED,
@@ -41,7 +41,7 @@
     Mutant(
         "cancelled future taken for a cancelled request",
         _ENDS,
-        "            if isinstance(exc, asyncio.CancelledError) and is_cancelled():",
+        "            if isinstance(exc, asyncio.CancelledError) and was_cancelled():",
         "            if isinstance(exc, asyncio.CancelledError):",
         _FAULTS_TEST,
     ),
@@ -137,4 +137,25 @@
         "",
         _CONNECTIONS_TEST,
     ),
+    Mutant(
+        "closed connection to a helper taken for a cancelled request",
+        "chestnutfall/paths/help_stream.py",
+        "        if was_cancelled():\n            raise\n",
+        "        raise\n",
+        "chestnutfall.tests.test_helper_links",
+    ),
+    Mutant(
+        "calls that wait for a helper get an error of the RPC library",
+        "chestnutfall/paths/helper_links.py",
+        "        except (TimeoutError, grpc.aio.UsageError) as exc:",
+        "        except TimeoutError as exc:",
+        "chestnutfall.tests.test_helper_links",
+    ),
+    Mutant(
+        "closed connection taken for a cancelled task",
+        "chestnutfall/wire/rpc_channel.py",
+        "            if was_cancelled():\n                raise\n",
+        "            raise\n",
+        "chestnutfall.tests.test_wire",
+    ),
 )
--- a/soak/office.py
+++ b/soak/office.py
@@ -29,6 +29,8 @@
 """How many times as long the work of the first engine takes, beside spells of other work."""
 UPSTREAMS = ((ENGINES, True), (ENGINES, True), (ENGINES, True), (PLAIN, False), (PLAIN, False))
 """Service of each upstream, and whether it is an engine."""
+FIRST_ROUTES = ("once", "again", "draft", "long")
+"""Routes that never lead to a second service."""
 
 
 class Office:
@@ -55,6 +57,8 @@
     ----------
     upstreams : sequence of tuple
         Service of each upstream, and whether it is an engine.
+    is_whole : bool
+        Whether it has the second services, and relays between its daemons.
     """
 
     def __init__(
@@ -62,9 +66,11 @@
         folder: Path,
         rng: random.Random,
         upstreams: Sequence[tuple[str, bool]] = UPSTREAMS,
+        is_whole: bool = False,
     ) -> None:
         self._rng = rng
         self._plan = upstreams
+        self._is_whole = is_whole
         # Two unused draws. Without them, the seeds in `REGRESSIONS` would play differently, since
         # addresses were drawn here when they failed.
         rng.randrange(20, 120), rng.randrange(1, 250)
@@ -100,6 +106,7 @@
                 name, is_engine, self.run_registry, random.Random(name), self.control_addresses
             )
             for name, is_engine in ((DESK, False), (SCRIPTS, True))
+            if is_whole
         ]
         self.upstreams: list[StandInUpstream] = []
         self.relays: list[Relay] = []
@@ -152,11 +159,14 @@
 
     async def start(self, builds: Sequence[str] = ()) -> None:
         """Start every daemon and upstream; `builds` are the versions of the first upstreams."""
-        await self.peer_links.start()
+        if self._is_whole:
+            await self.peer_links.start()
         await asyncio.gather(*(one.start(True) for one in (*self.controllers, *self.gateways)))
         for one in self.seconds:
             await one.start()
             one.announced_address = one.address
+            one.foreign_routes = FIRST_ROUTES
+            self._record_ends(one, None)
             one.announce()
         for at, (service, is_engine) in enumerate(self._plan):
             await self._add_upstream(service, is_engine, builds[at] if at < len(builds) else "")
@@ -177,16 +187,19 @@
         self.upstreams.append(upstream)
         self.relays.append(relay)
 
-    def _record_ends(self, upstream: StandInUpstream, relay: Relay) -> None:
+    def _record_ends(self, upstream: StandInUpstream, relay: Relay | None) -> None:
         """Let the relay of an upstream refuse connections while it is down, and record when."""
         periods = ExitStack()
 
         def on_end() -> None:
-            periods.enter_context(self.disturbances.recorded(ended(relay.address)))
-            relay.refuse()
+            name = ended(upstream.announced_address)
+            periods.enter_context(self.disturbances.recorded(name))
+            if relay is not None:
+                relay.refuse()
 
         async def on_start() -> None:
-            await relay.start()
+            if relay is not None:
+                await relay.start()
             periods.close()
 
         upstream.on_end, upstream.on_start = on_end, on_start
