Name the ends of requests alike in both dialects

Operators and readers met three words for one end: the platform's dialect counted a client that left as ended_client_closed, the product's own one as ends.caller_left, and both have the type CallerLeft; an end by the stop of the process was Stopped here and Cancelled there, and what ends requests was RequestEnds here and RequestEnding there.

Both say CallerLeft and caller_left, Stopped and stopped, RequestEnds now.

--- a/chestnutfall/caller_edge/caller_app.py
+++ b/chestnutfall/caller_edge/caller_app.py
@@ -18,7 +18,7 @@
 from ..routing import ClaimClient, ClaimRequest, Dispatcher
 from .answer_stream import stream_answer
 from .caller_limits import CallerLimits
-from .request_ending import RequestEnding
+from .request_ends import RequestEnds
 from .request_parser import parse_request
 from .request_progress import RequestProgress
 
@@ -60,7 +60,7 @@
         self._plain = plain
         self._limits = limits
         self._clock = clock
-        self._ending = RequestEnding(clock, metrics)
+        self._ends = RequestEnds(clock, metrics)
         self._tracer = tracer
         self.ready = True
         self.refusing = False
@@ -91,7 +91,7 @@
             name = self._authenticate(request, progress)
             return web.json_response({"object": "list", "data": _models_of(cfg, name)})
 
-        return await self._ending.serve(request, work)
+        return await self._ends.serve(request, work)
 
     async def _call_plain_service(self, request: web.Request) -> web.StreamResponse:
         async def work(progress: RequestProgress) -> web.StreamResponse:
@@ -101,12 +101,12 @@
                 progress.executed = Executed.UNKNOWN
                 return await self._plain.answer(request, caller, body)
 
-        return await self._ending.serve(request, work)
+        return await self._ends.serve(request, work)
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         span = self._tracer.start_span("entry", context=_PROPAGATOR.extract(request.headers))
         try:
-            return await self._ending.serve(
+            return await self._ends.serve(
                 request, lambda progress: self._complete_in_span(request, progress, span)
             )
         finally:
--- a/chestnutfall/caller_edge/request_end.py
+++ b/chestnutfall/caller_edge/request_end.py
@@ -39,7 +39,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Cancelled:
+class Stopped:
     """This process cancelled the request while its caller was connected."""
 
     error: BaseException
@@ -52,7 +52,7 @@
     error: BaseException
 
 
-RequestEnd = Answered | Refused | BrokenOff | CallerLeft | Cancelled | Failed
+RequestEnd = Answered | Refused | BrokenOff | CallerLeft | Stopped | Failed
 
 
 def reason_of(end: RequestEnd) -> str:
@@ -66,7 +66,7 @@
             return "broken_off"
         case CallerLeft():
             return "caller_left"
-        case Cancelled():
-            return "cancelled"
+        case Stopped():
+            return "stopped"
         case Failed():
             return "failed"
--- a/chestnutfall/caller_edge/request_ending.py
+++ b/chestnutfall/caller_edge/request_ends.py
@@ -17,10 +17,10 @@
     Answered,
     BrokenOff,
     CallerLeft,
-    Cancelled,
     Failed,
     Refused,
     RequestEnd,
+    Stopped,
     reason_of,
 )
 from .request_progress import RequestProgress
@@ -34,7 +34,7 @@
 """Serves one request, and returns its response or raises."""
 
 
-class RequestEnding:
+class RequestEnds:
     """Runs each request of a caller, writes what it still has to get, and records the end.
 
     No request ends elsewhere: each end is a `RequestEnd` with one log line and one count.
@@ -72,7 +72,7 @@
             case Failed():
                 refusal = _internal_refusal(progress.executed)
                 return await self._write(request, progress, _end_by(refusal, progress))
-            case CallerLeft(error) | Cancelled(error):
+            case CallerLeft(error) | Stopped(error):
                 raise error
 
     async def _break_off(
@@ -134,7 +134,7 @@
         case ConnectionError() | asyncio.CancelledError() if _is_closed(request):
             return CallerLeft(exc)
         case asyncio.CancelledError() if was_cancelled():
-            return Cancelled(exc)
+            return Stopped(exc)
         case _:
             return Failed(exc)
 
@@ -182,7 +182,7 @@
             return f"status={refusal.status} code={refusal.code} executed={executed}"
         case BrokenOff(refusal, _):
             return f"code={refusal.code} executed={refusal.executed.value}"
-        case CallerLeft(error) | Cancelled(error) | Failed(error):
+        case CallerLeft(error) | Stopped(error) | Failed(error):
             return f"error={type(error).__name__} executed={progress.executed.value}"
 
 
--- a/chestnutfall/forwarding/request_ends.py
+++ b/chestnutfall/forwarding/request_ends.py
@@ -133,7 +133,7 @@
                 self._metrics.count("broken_off")
                 log.info("call: id=%s broken off reason=%s ms=%d", request_id, reason, ms)
             case CallerLeft(begun):
-                self._metrics.count("ended_client_closed")
+                self._metrics.count("ended_caller_left")
                 log.info(
                     "call: id=%s client closed its connection begun=%d ms=%d", request_id, begun, ms
                 )
--- a/chestnutfall/tests/test_client_connections.py
+++ b/chestnutfall/tests/test_client_connections.py
@@ -170,7 +170,7 @@
         writer.transport.abort()
         while entry.server.calls_in_progress():
             await asyncio.sleep(0.001)
-        self.assertEqual(entry.ended("client_closed"), 1)
+        self.assertEqual(entry.ended("caller_left"), 1)
 
     # Guards against an answer cut off by the gateway that looks whole: without chunks, its end is
     # the end of the connection.
--- a/chestnutfall/tests/test_completion_ends.py
+++ b/chestnutfall/tests/test_completion_ends.py
@@ -15,18 +15,18 @@
 
 from aiohttp import web
 
-from ..caller_edge import request_ending
+from ..caller_edge import request_ends
 from ..caller_edge.request_end import (
     Answered,
     BrokenOff,
     CallerLeft,
-    Cancelled,
     Failed,
     Refused,
     RequestEnd,
+    Stopped,
 )
-from ..caller_edge.request_ending import READ_WITHIN_MS, RequestEnding
-from ..caller_edge.request_ending import log as ending_log
+from ..caller_edge.request_ends import READ_WITHIN_MS, RequestEnds
+from ..caller_edge.request_ends import log as ending_log
 from ..caller_edge.request_progress import RequestProgress
 from ..clock import ManualClock
 from ..observability.metrics import Metrics
@@ -93,7 +93,7 @@
     async def asyncSetUp(self) -> None:
         self.metrics = Metrics(None, "gateway")
         self.clock = ManualClock()
-        self.ending = RequestEnding(self.clock, self.metrics)
+        self.ending = RequestEnds(self.clock, self.metrics)
         self.work: Any = None
         app = web.Application()
         app.router.add_get("/", self._serve)
@@ -150,7 +150,7 @@
             Refused: (self._refuse, "refused", b"429"),
             BrokenOff: (self._break_off, "broken_off", b"engine_connection_lost"),
             CallerLeft: (self._leave, "caller_left", b""),
-            Cancelled: (self._cancel, "cancelled", b""),
+            Stopped: (self._cancel, "stopped", b""),
             Failed: (self._fail, "failed", b"503 Service Unavailable"),
         }
         self.assertEqual(set(cases), set(get_args(RequestEnd)))
@@ -209,7 +209,7 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(stream.write(HUGE), UNREAD_S)
 
-        with patch.object(request_ending, "READ_WITHIN_MS", UNREAD_S * 5_000):
+        with patch.object(request_ends, "READ_WITHIN_MS", UNREAD_S * 5_000):
             _, writer = await self._begin_unread(fill)
             self.assertEqual(self.metrics.counts["ends.broken_off"], 1)
             assert self.runner.server is not None
--- a/properties/safeguards/completion_end_mutants.py
+++ b/properties/safeguards/completion_end_mutants.py
@@ -4,7 +4,7 @@
 
 from ..mutant import Mutant
 
-_ENDING = "chestnutfall/caller_edge/request_ending.py"
+_ENDING = "chestnutfall/caller_edge/request_ends.py"
 _DISPATCHER = "chestnutfall/routing/dispatcher.py"
 _ATTEMPTS = "chestnutfall/routing/attempts.py"
 _FAULTS_TEST = "chestnutfall.tests.test_request_faults"
