Tie unread connections to the moment of a limit in the soak

The soak excused any request without an answer on a new connection, if no gateway had logged it and its own gateway had limited new connections at any time of the play: a request that got lost minutes later wasn't found.

The periods between `connections: limited` and `connections: no longer limited` are now read from the gateways' logs with their times, and a request is excused only if it was under way in one.

The test of the excuse now has limits shortly before and after the request, and at another gateway; the judge from before had no times to be given. The reading of periods is tested on lines in the gateways' format, a torn one among them. No soak was run for this.

--- a/chestnutfall/tests/test_end_judge.py
+++ b/chestnutfall/tests/test_end_judge.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import json
+import time
 import unittest
 from collections import Counter
 from dataclasses import replace
+from datetime import datetime
 
 from soak.cause import Cause
 from soak.disturbances import Disturbances
@@ -17,11 +20,13 @@
     gateway_killed,
     gateway_paused,
     gateway_restarted,
+    limited,
     links_cut,
     links_harmed,
     silent,
     slow,
 )
+from soak.limited_periods import LIMITED, LONGEST_S, NOT_LIMITED, STARTED, limited_periods
 from soak.request_end import Ending, RequestEnd
 from soak.send_log import SendLog
 from soak.verdict import Verdict
@@ -41,7 +46,6 @@
         self.disturbances = Disturbances()
         self.registry = RunRegistry()
         self.log = SEND.format(code="reset", helped=0)
-        self.limited: set[str] = set()
 
     def _judge(self) -> EndJudge:
         return EndJudge(
@@ -49,7 +53,6 @@
             self.registry,
             SendLog([self.log]),
             {"i1": UPSTREAM},
-            self.limited,
             (GATEWAY, OTHER),
         )
 
@@ -141,7 +144,12 @@
         self.assertIsNone(self._cause(UNANSWERED))
         self.assertIs(self._cause(replace(UNANSWERED, connected=False)), Cause.NOT_READ)
         self.assertIs(self._cause(replace(kept, idle_s=1.0)), Cause.NOT_READ)
-        self.limited = {GATEWAY}
+        # A gateway that limits its connections at some other time explains nothing.
+        self.disturbances.record(limited(GATEWAY), 98.0, 99.5)
+        self.disturbances.record(limited(GATEWAY), 101.5, 103.0)
+        self.disturbances.record(limited(OTHER), 100.2, 100.9)
+        self.assertIsNone(self._cause(UNANSWERED))
+        self.disturbances.record(limited(GATEWAY), 100.9, 102.0)
         self.assertIs(self._cause(UNANSWERED), Cause.NOT_READ)
         self.assertIsNone(self._cause(kept))
         self.disturbances.record(gateway_restarted(GATEWAY), 100.2, 100.9)
@@ -149,6 +157,26 @@
         self.log = LEFT
         self.assertIsNone(self._cause(kept))
 
+    # Guards against a moment in the log that is taken for another one of the play.
+    def test_the_periods_of_a_limit_are_read_from_the_log(self) -> None:
+        ahead_s = time.time() - time.monotonic()
+        said = (
+            (100.0, LIMITED + " calls=9"),
+            (102.5, NOT_LIMITED),
+            (200.0, LIMITED + " calls=9"),
+            (201.0, "call: id=a1"),
+            (300.0, LIMITED + " calls=8"),
+            (301.0, STARTED + " name=g"),
+        )
+        text = '{"time": "2026-' + LIMITED + "\n"
+        for at_s, message in said:
+            at = f"{datetime.fromtimestamp(at_s + ahead_s):%Y-%m-%d %H:%M:%S,%f}"[:-3]
+            text += json.dumps({"time": at, "message": message}) + "\n"
+        wanted = ((100.0, 102.5), (200.0, 200.0 + LONGEST_S), (300.0, 301.0))
+        for period, (began_s, ended_s) in zip(limited_periods(text), wanted, strict=True):
+            self.assertAlmostEqual(period[0], began_s, delta=0.05)
+            self.assertAlmostEqual(period[1], ended_s, delta=0.05)
+
     def test_the_report_counts_the_ends_by_cause(self) -> None:
         verdict = Verdict()
         self.disturbances.record(gateway_killed(GATEWAY), 100.2, 100.9)
--- a/soak/end_judge.py
+++ b/soak/end_judge.py
@@ -18,6 +18,7 @@
     gateway_killed,
     gateway_paused,
     gateway_restarted,
+    limited,
     links_cut,
     links_harmed,
     silent,
@@ -62,8 +63,6 @@
     ----------
     addresses : dict of str to str
         The announced address of each upstream that there ever was, by its name.
-    limited : set of str
-        Addresses of gateways that closed new connections unread at some time.
     gateways : iterable of str
         Addresses of all gateways.
     """
@@ -74,14 +73,12 @@
         registry: RunRegistry,
         log: SendLog,
         addresses: dict[str, str],
-        limited: set[str],
         gateways: Iterable[str],
     ) -> None:
         self._disturbances = disturbances
         self._registry = registry
         self._log = log
         self._addresses = addresses
-        self._limited = limited
         self._gateways = tuple(gateways)
 
     def check(self, ends: Iterable[RequestEnd], verdict: Verdict) -> None:
@@ -152,7 +149,7 @@
         if self._was(gateway_restarted(one.gateway), one):
             return True
         if one.idle_s is None:
-            return one.gateway in self._limited
+            return self._was(limited(one.gateway), one)
         return one.idle_s * 1000 >= SHORTEST_IDLE_MS
 
     def _explain_loss(self, one: RequestEnd) -> Explanation:
--- a/soak/harm.py
+++ b/soak/harm.py
@@ -48,6 +48,11 @@
     return f"slow: {upstream}"
 
 
+def limited(gateway: str) -> str:
+    """Return the name of the periods in which a gateway closes new connections unread."""
+    return f"limited: {gateway}"
+
+
 def links_held(gateway: str) -> str:
     """Return the name of the periods in which a link of a gateway to an upstream is silent."""
     return f"links held: {gateway}"
--- a/soak/request_checks.py
+++ b/soak/request_checks.py
@@ -7,14 +7,14 @@
 from chestnutfall.platform.standin.client import ClientResult
 
 from .end_judge import EndJudge
+from .harm import limited
+from .limited_periods import limited_periods
 from .office import Office
 from .request_end import Ending, RequestEnd
 from .send_log import SendLog
 from .verdict import Verdict
 
 NON_IDEMPOTENT_ROUTES = ("once", "draft")
-LIMITED = "connections: limited"
-"""Logged by a gateway that closes new connections unread."""
 
 
 def check_answers(office: Office, seen: Iterable[ClientResult], verdict: Verdict) -> None:
@@ -41,6 +41,9 @@
     """Note requests that ended without an answer, or streams before their end, for no cause."""
     logs = {office.client_address(one): one.log_text() for one in office.gateways}
     send_log = SendLog(logs.values())
+    for address, text in logs.items():
+        for began_s, ended_s in limited_periods(text):
+            office.disturbances.record(limited(address), began_s, ended_s)
     all_ends = list(ends)
     # Without its sends, no end could be told from one that a fault explains.
     is_unread = not any(
@@ -52,7 +55,6 @@
         office.run_registry,
         send_log,
         office.upstream_addresses(),
-        {address for address, text in logs.items() if LIMITED in text},
         logs,
     )
     judge.check(all_ends, verdict)
