Find streams whose living upstream a gateway left in the soak

The soak read only the log lines of sends that ended, not `overtaken`, which tells that a gateway cancelled one send since another was to go on. A stream that broke off afterwards was excused by the failure of the second upstream, or by its deadline, though the first lived and the gateway itself left it.

Such a line now counts as a send with the result Overtaken. If nothing was done to the upstream that was left, or to its connections, the end is explained only by a harm to what the gateway went on with: neither failures of that one nor the deadline excuse it. It is a finding of its own, `leaving a living upstream`. An upstream that was harmed meanwhile wasn't a living one, and the former causes hold.

Both new tests failed before: Failed 503 and the deadline explained the end, a harm of before the cancelling did, and the finding named no such send. No soak was run for this.

--- a/chestnutfall/tests/test_end_judge.py
+++ b/chestnutfall/tests/test_end_judge.py
@@ -33,11 +33,13 @@
 
 from ..platform.standin.run_registry import RunRegistry
 
-GATEWAY, OTHER, UPSTREAM = "g:1", "g:2", "u:1"
+GATEWAY, OTHER, UPSTREAM, SECOND = "g:1", "g:2", "u:1", "u:2"
 BROKEN = RequestEnd("a1", "long", GATEWAY, 100.0, 101.0, 2.5, Ending.BROKEN_OFF, 200)
 GIVEN_UP = replace(BROKEN, ending=Ending.REFUSED, status=502)
 UNANSWERED = replace(BROKEN, ending=Ending.NO_ANSWER, status=0)
 SEND = "call: id=a1 content=x instance=i1~17 version=1 result=Lost {code} first=1 helped={helped}\n"
+OVERTAKEN = "call: id=a1 overtaken send=1 instance=i1~17 by=i2~3 last_event=4 silent=1\n"
+LATER = "call: id=a1 content=x instance=i2~3 version=1 result={result} first=1 helped=0\n"
 LEFT = "call: id=a1 client closed its connection ms=3\n"
 
 
@@ -52,7 +54,7 @@
             self.disturbances,
             self.registry,
             SendLog([self.log]),
-            {"i1": UPSTREAM},
+            {"i1": UPSTREAM, "i2": SECOND},
             (GATEWAY, OTHER),
         )
 
@@ -131,6 +133,36 @@
         self.log = SEND.format(code="silent", helped=0)
         self.assertIsNone(self._cause(GIVEN_UP))
 
+    # Guards against a gateway that leaves an engine that lives for one that fails or is too slow.
+    def test_a_stream_whose_living_upstream_was_left_is_a_finding(self) -> None:
+        late = replace(BROKEN, ended_s=102.5)
+        for result, one in (("Failed 503", BROKEN), ("Lost silent", BROKEN), ("Lost reset", late)):
+            with self.subTest(result=result):
+                self.setUp()
+                self.log = OVERTAKEN + LATER.format(result=result)
+                told = f"i1 Overtaken', 'i2 {result}'"
+                self.assertIsNone(self._cause(one))
+                self.assertIn("leaving a living upstream ended 1 requests", self._findings(one)[0])
+                self.assertIn(told, self._findings(one)[0])
+                self.assertEqual(self._findings(replace(one, ending=Ending.WHOLE)), [])
+        self.log = OVERTAKEN
+        self.assertIsNone(self._cause(late))
+
+    # Guards against findings where what the gateway left had ended, or what it went on with did.
+    def test_a_harm_explains_a_stream_whose_upstream_was_left(self) -> None:
+        self.log = OVERTAKEN + LATER.format(result="Failed 503")
+        self.disturbances.record(ended(UPSTREAM), 100.2, 100.9)
+        self.assertIs(self._cause(BROKEN), Cause.UPSTREAM_FAILED)
+        self.assertIs(self._cause(replace(BROKEN, ended_s=102.5)), Cause.DEADLINE)
+        self.setUp()
+        self.log = OVERTAKEN + LATER.format(result="Lost reset")
+        self.disturbances.record(links_harmed(SECOND), 100.2, 100.9)
+        self.assertIs(self._cause(BROKEN), Cause.CONNECTION_HARMED)
+        self.assertIsNone(self._cause(replace(GIVEN_UP, status=500)))
+        # A harm of before it was left isn't one of what the gateway went on with.
+        self.log = LATER.format(result="Lost reset") + OVERTAKEN
+        self.assertIsNone(self._cause(BROKEN))
+
     def test_a_helper_that_was_killed_explains_only_what_it_helped(self) -> None:
         self.disturbances.record(gateway_killed(OTHER), 100.2, 100.9)
         self.assertIsNone(self._cause(BROKEN))
--- a/soak/end_judge.py
+++ b/soak/end_judge.py
@@ -25,7 +25,7 @@
     slow,
 )
 from .request_end import MARGIN_S, Ending, RequestEnd
-from .send_log import LOST, LoggedSend, SendLog
+from .send_log import LOST, OVERTAKEN, LoggedSend, SendLog
 from .verdict import Verdict
 
 BEFORE_S = 0.1
@@ -35,6 +35,7 @@
 GAVE_UP_STATUS = 502
 INTERNAL_ERROR_STATUS = 500
 A_SECOND_OF_SILENCE, SLOWNESS = "a second of silence", "a slow upstream"
+LEFT_LIVING = "leaving a living upstream"
 UNEXPLAINED = "what nothing explains"
 MAX_FINDINGS = 5
 """Findings of one kind that are printed whole."""
@@ -48,8 +49,8 @@
     cause : Cause or None
         One of the list; None if nothing of it does.
     sound : str
-        What a sound part was meanwhile, silent or slow, if nothing of the list explains the end;
-        empty for neither.
+        What a sound part was meanwhile, silent, slow or left by the gateway, if nothing of the list
+        explains the end; empty for none of these.
     """
 
     cause: Cause | None
@@ -129,10 +130,14 @@
             return Explanation(Cause.GATEWAY_KILLED)
         if one.ending is Ending.NO_ANSWER:
             return Explanation(self._explain_no_answer(one))
-        if one.ending is Ending.BROKEN_OFF and self._is_past_deadline(one):
-            return Explanation(Cause.DEADLINE)
         if one.status == INTERNAL_ERROR_STATUS:
             return Explanation(None)
+        left_at = self._left_living_at(one)
+        if left_at is not None:
+            cause = self._explain_by_harm(one, self._log.sends(one.request_id)[left_at + 1 :])
+            return Explanation(cause, "" if cause else LEFT_LIVING)
+        if one.ending is Ending.BROKEN_OFF and self._is_past_deadline(one):
+            return Explanation(Cause.DEADLINE)
         return self._explain_loss(one)
 
     def _explain_no_answer(self, one: RequestEnd) -> Cause | None:
@@ -154,22 +159,35 @@
 
     def _explain_loss(self, one: RequestEnd) -> Explanation:
         """Return what explains that the sends of a request failed."""
-        sends = [send for send in self._log.sends(one.request_id) if send.result != "HeldBack"]
+        all_sends = self._log.sends(one.request_id)
+        sends = [send for send in all_sends if send.result not in ("HeldBack", OVERTAKEN)]
         if sends and not any(send.result == LOST for send in sends):
             return Explanation(Cause.UPSTREAM_FAILED)
+        cause = self._explain_by_harm(one, sends)
+        return Explanation(cause, "" if cause else self._what_was_sound(one, sends))
+
+    def _left_living_at(self, one: RequestEnd) -> int | None:
+        """Return which send, the last such one, its gateway cancelled at a sound upstream."""
+        for at, send in reversed(list(enumerate(self._log.sends(one.request_id)))):
+            if send.result == OVERTAKEN and self._explain_by_harm(one, [send]) is None:
+                return at
+        return None
+
+    def _explain_by_harm(self, one: RequestEnd, sends: Sequence[LoggedSend]) -> Cause | None:
+        """Return what was done to the upstreams or connections of sends; None if nothing was."""
         cut = self._was(links_cut(one.gateway), one)
         for send in reversed(sends):
             address = self._addresses.get(send.instance, "")
             if cut or self._was(links_harmed(address), one):
-                return Explanation(Cause.CONNECTION_HARMED)
+                return Cause.CONNECTION_HARMED
             is_closed = self._was(closed_idle(address), one)
             if is_closed and self._never_arrived(one, send, sends):
-                return Explanation(Cause.CONNECTION_HARMED)
+                return Cause.CONNECTION_HARMED
             if self._was(ended(address), one) or one.request_id in self._registry.broken_off:
-                return Explanation(Cause.UPSTREAM_ENDED)
+                return Cause.UPSTREAM_ENDED
         if any(send.is_helped for send in sends) and self._was_helper_killed(one):
-            return Explanation(Cause.GATEWAY_KILLED)
-        return Explanation(None, self._what_was_sound(one, sends))
+            return Cause.GATEWAY_KILLED
+        return None
 
     def _was_helper_killed(self, one: RequestEnd) -> bool:
         return any(self._was(gateway_killed(address), one) for address in self._gateways)
--- a/soak/send_log.py
+++ b/soak/send_log.py
@@ -7,11 +7,14 @@
 from dataclasses import dataclass
 
 _SEND = re.compile(
-    r"call: id=(\w+) [^\n]*? instance=([^\s~]+)\S* [^\n]*? result=(\w+) (\S*) first="
-    r"[^\n]*? helped=(\d+)"
+    r"call: id=(?P<overtaken>\w+) overtaken send=\d+ instance=(?P<left>[^\s~]+)"
+    r"|call: id=(?P<id>\w+) [^\n]*? instance=(?P<instance>[^\s~]+)\S* [^\n]*? "
+    r"result=(?P<result>\w+) (?P<code>\S*) first=[^\n]*? helped=(?P<helped>\d+)"
 )
 _NAMED = re.compile(r"call: id=(\w+)")
 LOST = "Lost"
+OVERTAKEN = "Overtaken"
+"""Result of a send that a gateway cancelled, since another one was to go on in its place."""
 SILENT = "silent"
 """Code of a send that a gateway gave up since nothing came."""
 
@@ -60,8 +63,9 @@
         self._named: set[str] = set()
         for text in logs:
             self._named.update(_NAMED.findall(text))
-            for request_id, *send in _SEND.findall(text):
-                self._sends.setdefault(request_id, []).append(LoggedSend(*send))
+            for found in _SEND.finditer(text):
+                request_id, send = _read(found)
+                self._sends.setdefault(request_id, []).append(send)
 
     def was_read(self, request_id: str) -> bool:
         """Return whether a gateway logged anything of a request."""
@@ -70,3 +74,11 @@
     def sends(self, request_id: str) -> list[LoggedSend]:
         """Return the sends of a request that ended, in order."""
         return self._sends.get(request_id, [])
+
+
+def _read(found: re.Match[str]) -> tuple[str, LoggedSend]:
+    if found["overtaken"]:
+        return found["overtaken"], LoggedSend(found["left"], OVERTAKEN, "")
+    return found["id"], LoggedSend(
+        found["instance"], found["result"], found["code"], found["helped"]
+    )
