--- a/chestnutfall/tests/test_completion_ends.py
+++ b/chestnutfall/tests/test_completion_ends.py
@@ -15,18 +15,18 @@
 
 from aiohttp import web
 
-from ..caller_edge import request_ending
+from ..caller_edge import request_ends
 from ..caller_edge.request_end import (
     Answered,
     BrokenOff,
     CallerLeft,
-    Cancelled,
     Failed,
     Refused,
     RequestEnd,
+    Stopped,
 )
-from ..caller_edge.request_ending import READ_WITHIN_MS, RequestEnding
-from ..caller_edge.request_ending import log as ending_log
+from ..caller_edge.request_ends import READ_WITHIN_MS, RequestEnds
+from ..caller_edge.request_ends import log as ending_log
 from ..caller_edge.request_progress import RequestProgress
 from ..clock import ManualClock
 from ..observability.metrics import Metrics
@@ -93,7 +93,7 @@
     async def asyncSetUp(self) -> None:
         self.metrics = Metrics(None, "gateway")
         self.clock = ManualClock()
-        self.ending = RequestEnding(self.clock, self.metrics)
+        self.ending = RequestEnds(self.clock, self.metrics)
         self.work: Any = None
         app = web.Application()
         app.router.add_get("/", self._serve)
@@ -150,7 +150,7 @@
             Refused: (self._refuse, "refused", b"429"),
             BrokenOff: (self._break_off, "broken_off", b"engine_connection_lost"),
             CallerLeft: (self._leave, "caller_left", b""),
-            Cancelled: (self._cancel, "cancelled", b""),
+            Stopped: (self._cancel, "stopped", b""),
             Failed: (self._fail, "failed", b"503 Service Unavailable"),
         }
         self.assertEqual(set(cases), set(get_args(RequestEnd)))
@@ -164,21 +164,6 @@
                 self.assertIn(f"reason={reason} ", logs.output[0])
                 self.assertEqual(self.metrics.counts[f"ends.{reason}"], 1)
 
-    # Guards against an error event that can't be written and raises out of the handler unlogged.
-    async def test_a_stream_that_breaks_after_its_caller_left_has_one_end(self) -> None:
-        async def break_off(progress: RequestProgress) -> web.StreamResponse:
-            progress.stream = web.StreamResponse()
-            await progress.stream.prepare(self.request)
-            assert self.request.transport is not None
-            self.request.transport.abort()
-            raise Refusal(502, "engine_connection_lost", "lost", Executed.YES)
-
-        self.work = break_off
-        with self.assertLogs(ending_log, "INFO") as logs, self.assertNoLogs("aiohttp", "ERROR"):
-            await self._get()
-        self.assertEqual(len(logs.output), 1)
-        self.assertIn("reason=caller_left", logs.output[0])
-
     async def _begin_unread(self, fill: Any) -> tuple[Any, asyncio.StreamWriter]:
         """Begin a stream whose caller reads nothing; return some time after `fill`."""
         blocked = asyncio.Event()
@@ -224,7 +209,7 @@
             with suppress(TimeoutError):
                 await asyncio.wait_for(stream.write(HUGE), UNREAD_S)
 
-        with patch.object(request_ending, "READ_WITHIN_MS", UNREAD_S * 5_000):
+        with patch.object(request_ends, "READ_WITHIN_MS", UNREAD_S * 5_000):
             _, writer = await self._begin_unread(fill)
             self.assertEqual(self.metrics.counts["ends.broken_off"], 1)
             assert self.runner.server is not None
@@ -234,6 +219,21 @@
                     await asyncio.sleep(UNREAD_S)
         writer.close()
 
+    # Guards against an error event that can't be written and raises out of the handler unlogged.
+    async def test_a_stream_that_breaks_after_its_caller_left_has_one_end(self) -> None:
+        async def break_off(progress: RequestProgress) -> web.StreamResponse:
+            progress.stream = web.StreamResponse()
+            await progress.stream.prepare(self.request)
+            assert self.request.transport is not None
+            self.request.transport.abort()
+            raise Refusal(502, "engine_connection_lost", "lost", Executed.YES)
+
+        self.work = break_off
+        with self.assertLogs(ending_log, "INFO") as logs, self.assertNoLogs("aiohttp", "ERROR"):
+            await self._get()
+        self.assertEqual(len(logs.output), 1)
+        self.assertIn("reason=caller_left", logs.output[0])
+
     # Guards against "not run" for a request that an upstream may have run.
     async def test_an_unexpected_error_is_refused_with_what_may_have_run(self) -> None:
         for executed, status in ((Executed.NO, b" 503 "), (Executed.UNKNOWN, b" 502 ")):
--- a/chestnutfall/tests/test_end_judge.py
+++ b/chestnutfall/tests/test_end_judge.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import json
+import time
 import unittest
 from collections import Counter
 from dataclasses import replace
+from datetime import datetime
 
 from soak.cause import Cause
 from soak.disturbances import Disturbances
@@ -17,22 +20,26 @@
     gateway_killed,
     gateway_paused,
     gateway_restarted,
+    limited,
     links_cut,
     links_harmed,
     silent,
     slow,
 )
+from soak.limited_periods import LIMITED, LONGEST_S, NOT_LIMITED, STARTED, limited_periods
 from soak.request_end import Ending, RequestEnd
 from soak.send_log import SendLog
 from soak.verdict import Verdict
 
 from ..platform.standin.run_registry import RunRegistry
 
-GATEWAY, OTHER, UPSTREAM = "g:1", "g:2", "u:1"
+GATEWAY, OTHER, UPSTREAM, SECOND = "g:1", "g:2", "u:1", "u:2"
 BROKEN = RequestEnd("a1", "long", GATEWAY, 100.0, 101.0, 2.5, Ending.BROKEN_OFF, 200)
 GIVEN_UP = replace(BROKEN, ending=Ending.REFUSED, status=502)
 UNANSWERED = replace(BROKEN, ending=Ending.NO_ANSWER, status=0)
 SEND = "call: id=a1 content=x instance=i1~17 version=1 result=Lost {code} first=1 helped={helped}\n"
+OVERTAKEN = "call: id=a1 overtaken send=1 instance=i1~17 by=i2~3 last_event=4 silent=1\n"
+LATER = "call: id=a1 content=x instance=i2~3 version=1 result={result} first=1 helped=0\n"
 LEFT = "call: id=a1 client closed its connection ms=3\n"
 
 
@@ -41,15 +48,13 @@
         self.disturbances = Disturbances()
         self.registry = RunRegistry()
         self.log = SEND.format(code="reset", helped=0)
-        self.limited: set[str] = set()
 
     def _judge(self) -> EndJudge:
         return EndJudge(
             self.disturbances,
             self.registry,
             SendLog([self.log]),
-            {"i1": UPSTREAM},
-            self.limited,
+            {"i1": UPSTREAM, "i2": SECOND},
             (GATEWAY, OTHER),
         )
 
@@ -128,6 +133,36 @@
         self.log = SEND.format(code="silent", helped=0)
         self.assertIsNone(self._cause(GIVEN_UP))
 
+    # Guards against a gateway that leaves an engine that lives for one that fails or is too slow.
+    def test_a_stream_whose_living_upstream_was_left_is_a_finding(self) -> None:
+        late = replace(BROKEN, ended_s=102.5)
+        for result, one in (("Failed 503", BROKEN), ("Lost silent", BROKEN), ("Lost reset", late)):
+            with self.subTest(result=result):
+                self.setUp()
+                self.log = OVERTAKEN + LATER.format(result=result)
+                told = f"i1 Overtaken', 'i2 {result}'"
+                self.assertIsNone(self._cause(one))
+                self.assertIn("leaving a living upstream ended 1 requests", self._findings(one)[0])
+                self.assertIn(told, self._findings(one)[0])
+                self.assertEqual(self._findings(replace(one, ending=Ending.WHOLE)), [])
+        self.log = OVERTAKEN
+        self.assertIsNone(self._cause(late))
+
+    # Guards against findings where what the gateway left had ended, or what it went on with did.
+    def test_a_harm_explains_a_stream_whose_upstream_was_left(self) -> None:
+        self.log = OVERTAKEN + LATER.format(result="Failed 503")
+        self.disturbances.record(ended(UPSTREAM), 100.2, 100.9)
+        self.assertIs(self._cause(BROKEN), Cause.UPSTREAM_FAILED)
+        self.assertIs(self._cause(replace(BROKEN, ended_s=102.5)), Cause.DEADLINE)
+        self.setUp()
+        self.log = OVERTAKEN + LATER.format(result="Lost reset")
+        self.disturbances.record(links_harmed(SECOND), 100.2, 100.9)
+        self.assertIs(self._cause(BROKEN), Cause.CONNECTION_HARMED)
+        self.assertIsNone(self._cause(replace(GIVEN_UP, status=500)))
+        # A harm of before it was left isn't one of what the gateway went on with.
+        self.log = LATER.format(result="Lost reset") + OVERTAKEN
+        self.assertIsNone(self._cause(BROKEN))
+
     def test_a_helper_that_was_killed_explains_only_what_it_helped(self) -> None:
         self.disturbances.record(gateway_killed(OTHER), 100.2, 100.9)
         self.assertIsNone(self._cause(BROKEN))
@@ -141,7 +176,12 @@
         self.assertIsNone(self._cause(UNANSWERED))
         self.assertIs(self._cause(replace(UNANSWERED, connected=False)), Cause.NOT_READ)
         self.assertIs(self._cause(replace(kept, idle_s=1.0)), Cause.NOT_READ)
-        self.limited = {GATEWAY}
+        # A gateway that limits its connections at some other time explains nothing.
+        self.disturbances.record(limited(GATEWAY), 98.0, 99.5)
+        self.disturbances.record(limited(GATEWAY), 101.5, 103.0)
+        self.disturbances.record(limited(OTHER), 100.2, 100.9)
+        self.assertIsNone(self._cause(UNANSWERED))
+        self.disturbances.record(limited(GATEWAY), 100.9, 102.0)
         self.assertIs(self._cause(UNANSWERED), Cause.NOT_READ)
         self.assertIsNone(self._cause(kept))
         self.disturbances.record(gateway_restarted(GATEWAY), 100.2, 100.9)
@@ -149,6 +189,26 @@
         self.log = LEFT
         self.assertIsNone(self._cause(kept))
 
+    # Guards against a moment in the log that is taken for another one of the play.
+    def test_the_periods_of_a_limit_are_read_from_the_log(self) -> None:
+        ahead_s = time.time() - time.monotonic()
+        said = (
+            (100.0, LIMITED + " calls=9"),
+            (102.5, NOT_LIMITED),
+            (200.0, LIMITED + " calls=9"),
+            (201.0, "call: id=a1"),
+            (300.0, LIMITED + " calls=8"),
+            (301.0, STARTED + " name=g"),
+        )
+        text = '{"time": "2026-' + LIMITED + "\n"
+        for at_s, message in said:
+            at = f"{datetime.fromtimestamp(at_s + ahead_s):%Y-%m-%d %H:%M:%S,%f}"[:-3]
+            text += json.dumps({"time": at, "message": message}) + "\n"
+        wanted = ((100.0, 102.5), (200.0, 200.0 + LONGEST_S), (300.0, 301.0))
+        for period, (began_s, ended_s) in zip(limited_periods(text), wanted, strict=True):
+            self.assertAlmostEqual(period[0], began_s, delta=0.05)
+            self.assertAlmostEqual(period[1], ended_s, delta=0.05)
+
     def test_the_report_counts_the_ends_by_cause(self) -> None:
         verdict = Verdict()
         self.disturbances.record(gateway_killed(GATEWAY), 100.2, 100.9)
--- a/properties/safeguards/completion_end_mutants.py
+++ b/properties/safeguards/completion_end_mutants.py
@@ -4,7 +4,7 @@
 
 from ..mutant import Mutant
 
-_ENDING = "chestnutfall/caller_edge/request_ending.py"
+_ENDING = "chestnutfall/caller_edge/request_ends.py"
 _DISPATCHER = "chestnutfall/routing/dispatcher.py"
 _ATTEMPTS = "chestnutfall/routing/attempts.py"
 _FAULTS_TEST = "chestnutfall.tests.test_request_faults"
@@ -85,9 +85,8 @@
     Mutant(
         "claim left behind by an unexpected error",
         "chestnutfall/routing/claim_client.py",
-        "        except (Exception, asyncio.CancelledError) as exc:\n            # The claim may",
-        "        except (NoController, asyncio.CancelledError) as exc:\n"
-        "            # The claim may",
+        "        except (Exception, asyncio.CancelledError) as exc:\n            # The claim",
+        "        except (NoController, asyncio.CancelledError) as exc:\n            # The claim",
         _ERRORS_TEST,
     ),
     Mutant(
