Send no call to another service's engine without a leader

Callers could get an answer of a service that their route never led to: the soak saw a call of one service run on the engine of another, and a fatal request end that engine. Adapters are named within their service, and without a leader a gateway chose among all engines that hold one of the name. It takes those of the call's service now. The test failed before: engine 3 of another service was selected in turn with engine 1.

--- a/chestnutfall/forwarding/engine_upstream_selector.py
+++ b/chestnutfall/forwarding/engine_upstream_selector.py
@@ -179,6 +179,7 @@
             (held, upstream)
             for held in self._fleet.knowledge.holders(req.adapter)
             if (upstream := self._fleet.knowledge.upstream(held.instance)) is not None
+            and upstream.service == req.service
             and held.instance not in (*req.avoid, *criteria.lacked_adapter)
             and criteria.allows(upstream)
             and self._signals.may_send(held.instance)
--- a/properties/safeguards/placement_mutants.py
+++ b/properties/safeguards/placement_mutants.py
@@ -206,4 +206,11 @@
         "        _ = [one.prefill_wait_ms(now_ms) for one in engines]\n",
         "chestnutfall.tests.test_load_options",
     ),
+    Mutant(
+        "without a leader another service's engine gets a call",
+        "chestnutfall/forwarding/engine_upstream_selector.py",
+        "            and upstream.service == req.service\n",
+        "",
+        "chestnutfall.tests.test_upstream_selectors",
+    ),
 )
