Decide which of the new modules with real programs run alone

The scenario of silent seconds judges what is served and runs alone; the test of paused engines judges only that streams are whole, and runs beside others as test_processes does.

--- a/chestnutfall/tests/suite.py
+++ b/chestnutfall/tests/suite.py
@@ -22,7 +22,9 @@
 FOLDERS = ("chestnutfall/tests", "properties")
 PARALLEL = 4
 """Modules that run at once; each keeps about one core busy."""
-RUNS_ALONE = re.compile(r"^from (soak\b|\.(office|stream|part|rush)_scenario)", re.MULTILINE)
+RUNS_ALONE = re.compile(
+    r"^from (soak\b|\.(office|stream|part|rush|silence)_scenario)", re.MULTILINE
+)
 """Imports of modules whose tests judge what a deployment of real programs serves, or listen on
 ports that were free a moment before. Other modules would take processor time, or the port."""
 STARTS_PROGRAMS = re.compile(r"^from \.process_office", re.MULTILINE)
--- a/chestnutfall/tests/test_suite.py
+++ b/chestnutfall/tests/test_suite.py
@@ -65,7 +65,8 @@
 
     # Guards against a deployment of processes beside other tests, which take its processor time.
     def test_modules_that_judge_what_programs_serve_run_alone(self) -> None:
-        for name in ("test_soak", "test_rush", "test_named_signals", "test_fatal_processes"):
+        alone = ("test_soak", "test_rush", "test_named_signals", "test_fatal_processes")
+        for name in (*alone, "test_silent_second"):
             self.assertIn(name, self.alone)
         self.assertNotIn("test_paths", self.alone)
 
@@ -74,4 +75,5 @@
     def test_only_certain_modules_with_programs_run_beside_others(self) -> None:
         start = {name for name, text in self.sources.items() if STARTS_PROGRAMS.search(text)}
         beside = {"test_control_server", "test_http_engine_api", "test_processes"}
-        self.assertEqual(start - self.alone, {*beside, "test_helped_completions"})
+        beside |= {"test_helped_completions", "test_silent_processes"}
+        self.assertEqual(start - self.alone, beside)
