--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -26,6 +26,7 @@
 from .organisation_counts import OrganisationCounts
 from .overtaken_upstreams import select_place
 from .place import NoPlace, SelectionCriteria, UpstreamSelector
+from .place_wait import NoPlaceInTime, within_place_time
 from .progress import Progress
 from .quarantine_hold import quarantine_hold
 from .repeats import Repeats
@@ -218,8 +219,15 @@
                 selector = self._plain_selector if service.engine is None else self._engine_selector
                 if not self._reaches(service.name):
                     raise NoPlace("unreachable", NO_PATH_RETRY_MS)
-                criteria = self._criteria(progress, route, service)
-                place = await select_place(selector, criteria, progress)
+                selecting = select_place(
+                    selector, self._criteria(progress, route, service), progress
+                )
+                place = await within_place_time(self._clock, progress, selecting)
+            except NoPlaceInTime:
+                if progress.holds_repeat:
+                    self._repeats.refund(progress.service)
+                await self._answers.give_up(progress, reply, 504, "out_of_time", None)
+                return
             except NoPlace as exc:
                 if progress.holds_repeat:
                     self._repeats.refund(progress.service)
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -508,4 +508,11 @@
         "            failed.status >= 500\n",
         f"{_TESTS}.test_overtaken_runs",
     ),
+    Mutant(
+        "a call waits for a place until its client has left",
+        f"{_FORWARDING}/place_wait.py",
+        "    by_ms = progress.until_ms - place_margin_ms(progress)\n",
+        "    by_ms = progress.until_ms + 1_000\n",
+        f"{_TESTS}.test_place_wait",
+    ),
 )
