Run two deployments of real programs at a time in the tests

They run two at a time now, the soak first; test_rush, which judges how a busy processor is used, has the host to itself as before.

--- a/chestnutfall/tests/suite.py
+++ b/chestnutfall/tests/suite.py
@@ -27,6 +27,12 @@
 )
 """Imports of modules whose tests judge what a deployment of real programs serves, or listen on
 ports that were free a moment before. Other modules would take processor time, or the port."""
+DEPLOYMENTS = 2
+"""Deployments that run at once, each on addresses of its own; one keeps about two cores busy."""
+NEEDS_HOST = re.compile(r"^from \.rush_scenario", re.MULTILINE)
+"""Import of modules whose tests judge how a busy processor is used: each has the host to itself."""
+PLAYS_SOAK = re.compile(r"^from soak\.soak_run", re.MULTILINE)
+"""Import of the module that takes longest."""
 STARTS_PROGRAMS = re.compile(r"^from \.process_office", re.MULTILINE)
 """Import of modules that wait for real programs, on ports that the system gives to no one else;
 they take longest and are begun first."""
@@ -74,7 +80,11 @@
     beside.sort(key=lambda path: (not STARTS_PROGRAMS.search(sources[path]), -len(sources[path])))
     with ThreadPoolExecutor(PARALLEL) as pool:
         yield from pool.map(_run, beside)
-    yield from map(_run, alone)
+    deployments = [path for path in alone if not NEEDS_HOST.search(sources[path])]
+    deployments.sort(key=lambda path: not PLAYS_SOAK.search(sources[path]))
+    with ThreadPoolExecutor(DEPLOYMENTS) as pool:
+        yield from pool.map(_run, deployments)
+    yield from (_run(path) for path in alone if NEEDS_HOST.search(sources[path]))
 
 
 def _run(path: Path) -> ModuleRun:
--- a/chestnutfall/tests/test_suite.py
+++ b/chestnutfall/tests/test_suite.py
@@ -10,7 +10,7 @@
 
 from .known_red import known_red, report
 from .outcomes import Outcomes
-from .suite import ROOT, RUNS_ALONE, STARTS_PROGRAMS
+from .suite import NEEDS_HOST, ROOT, RUNS_ALONE, STARTS_PROGRAMS
 
 
 def _report(outcomes: Outcomes, known: dict[str, str]) -> tuple[bool, list[str]]:
@@ -70,6 +70,12 @@
             self.assertIn(name, self.alone)
         self.assertNotIn("test_paths", self.alone)
 
+    # Guards against another deployment beside a test that judges how a busy processor is used.
+    def test_modules_that_need_the_host_are_known(self) -> None:
+        needing = {name for name, text in self.sources.items() if NEEDS_HOST.search(text)}
+        self.assertEqual(needing, {"test_rush"})
+        self.assertLess(needing, self.alone)
+
     # Guards against a new module that starts programs and runs beside others without a decision:
     # these judge no share of what is served, and wait for programs on ports of their own.
     def test_only_certain_modules_with_programs_run_beside_others(self) -> None:
