--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -224,14 +224,11 @@
                 )
                 place = await within_place_time(self._clock, progress, selecting)
             except NoPlaceInTime:
-                if progress.holds_repeat:
-                    self._repeats.refund(progress.service)
-                await self._answers.give_up(progress, reply, 504, "out_of_time", None)
+                await self._give_up_unplaced(progress, reply, 504, "out_of_time", None)
                 return
             except NoPlace as exc:
-                if progress.holds_repeat:
-                    self._repeats.refund(progress.service)
-                await self._answers.give_up(progress, reply, 503, exc.reason, exc.retry_after_ms)
+                retry_ms = exc.retry_after_ms
+                await self._give_up_unplaced(progress, reply, 503, exc.reason, retry_ms)
                 return
             # The call may have waited for its adapter. Meanwhile another copy of it may have ended
             # enough upstreams to be quarantined.
@@ -252,6 +249,14 @@
             ):
                 return
 
+    async def _give_up_unplaced(
+        self, progress: Progress, reply: CallerReply, status: int, reason: str, retry_ms: int | None
+    ) -> None:
+        """End a call that gets no place, and return the repeat that it took for one."""
+        if progress.holds_repeat:
+            self._repeats.refund(progress.service)
+        await self._answers.give_up(progress, reply, status, reason, retry_ms)
+
     def _criteria(
         self, progress: Progress, route: Route, service: ServiceSpec
     ) -> SelectionCriteria:
--- a/properties/safeguards/signal_mutants.py
+++ b/properties/safeguards/signal_mutants.py
@@ -218,8 +218,8 @@
     Mutant(
         "a repeat that found no place is spent",
         "chestnutfall/forwarding/forwarder.py",
-        "                if progress.holds_repeat:",
-        "                if False:",
+        "        if progress.holds_repeat:",
+        "        if False:",
         f"{_CHECK_TEST}.test_a_repeat_that_found_no_place_is_given_back",
     ),
     Mutant(
