Explain in the soak an answer that crossed its client's deadline

By its gateway's line it waited 2,300 ms for room, was sent, and its answer was passed on 2,467 ms after it had been read, as its client left; both waited for a processor. The deadline of a request is one of the causes that the users name; for an end without any answer the judge asked for none but a paused gateway. It explains such an end now only if the client had waited out its time and the gateway's log has the answer passed on.

--- a/chestnutfall/tests/test_end_judge.py
+++ b/chestnutfall/tests/test_end_judge.py
@@ -122,6 +122,19 @@
         self.disturbances.record(silent(UPSTREAM), 100.2, 100.9)
         self.assertIs(self._cause(GIVEN_UP), Cause.UPSTREAM_FAILED)
 
+    # Guards against a finding about a client that left as its late answer was on its way.
+    def test_an_answer_that_crosses_the_end_of_its_deadline_is_explained_by_it(self) -> None:
+        waited = replace(UNANSWERED, waited_out=True, ended_s=104.0)
+        for log, cause in (
+            (LATER.format(result="Delivered "), Cause.DEADLINE),
+            (LATER.format(result="Refused full"), None),
+            ("", None),
+        ):
+            with self.subTest(log=log):
+                self.log = log
+                self.assertIs(self._cause(waited), cause)
+                self.assertIsNot(self._cause(UNANSWERED), Cause.DEADLINE)
+
     # Guards against a loss that is excused by a connection which the request wasn't sent on.
     def test_an_idle_connection_explains_no_request_that_arrived_or_was_given_up(self) -> None:
         self.disturbances.record(closed_idle(UPSTREAM), 100.5, 100.5)
--- a/soak/end_judge.py
+++ b/soak/end_judge.py
@@ -145,6 +145,9 @@
             return Cause.NOT_READ
         if one.waited_out and self._was(gateway_paused(one.gateway), one):
             return Cause.GATEWAY_PAUSED
+        # The answer and the client's leaving crossed each other.
+        if one.waited_out and self._log.was_answered(one.request_id):
+            return Cause.DEADLINE
         return None
 
     def _may_be_unread(self, one: RequestEnd) -> bool:
--- a/soak/send_log.py
+++ b/soak/send_log.py
@@ -12,6 +12,7 @@
     r"result=(?P<result>\w+) (?P<code>\S*) first=[^\n]*? helped=(?P<helped>\d+)"
 )
 _NAMED = re.compile(r"call: id=(\w+)")
+DELIVERED = "Delivered"
 LOST = "Lost"
 OVERTAKEN = "Overtaken"
 """Result of a send that a gateway cancelled, since another one was to go on in its place."""
@@ -71,6 +72,10 @@
         """Return whether a gateway logged anything of a request."""
         return request_id in self._named
 
+    def was_answered(self, request_id: str) -> bool:
+        """Return whether a gateway passed the answer of an upstream on to the request's client."""
+        return any(send.result == DELIVERED for send in self.sends(request_id))
+
     def sends(self, request_id: str) -> list[LoggedSend]:
         """Return the sends of a request that ended, in order."""
         return self._sends.get(request_id, [])
