Log the send that a call still has as it ends

What callers saw: a stream that was broken off at its deadline. Each send that ends with its call has a line now ("unfinished"), the soak reads it, and the message of the scenario has the lines of the streams that were broken off. The new line explains no end that the soak called a finding, except one whose second upstream was harmed, as its failure would have.

--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -16,7 +16,7 @@
 from .relayed_send import RelayedSend
 from .reply_lock import ReplyLock
 from .result_handler import MAX_SENDS
-from .send_log import log_send
+from .send_log import log_send, log_unfinished
 from .send_parts import SendParts
 from .send_result import HeldBack, SendResult
 from .silent_upstreams import LASTING_MS
@@ -79,7 +79,11 @@
         return sending
 
     async def _send_once(self, sending: RelayedSend) -> tuple[RelayedSend, SendResult]:
-        result = await self._parts.sender.send(sending)
+        try:
+            result = await self._parts.sender.send(sending)
+        except BaseException:
+            log_unfinished(sending)
+            raise
         log_send(sending, self._clock.now_ms(), result)
         return sending, result
 
--- a/chestnutfall/forwarding/live_sends.py
+++ b/chestnutfall/forwarding/live_sends.py
@@ -13,7 +13,7 @@
 from .progress import Progress
 from .relayed_send import RelayedSend
 from .reply_lock import ReplyLock
-from .send_log import log_send
+from .send_log import log_send, log_unfinished
 from .send_parts import SendParts
 from .send_result import Delivered, Failed, SendResult
 
@@ -150,6 +150,9 @@
 
         Each place is given back as its send ends, also if the waiting is cancelled.
         """
+        for one in self._live:
+            if not one.task.done():
+                log_unfinished(one.sending)
         ending = [*self._live, *self._left]
         for one in ending:
             one.task.cancel()
--- a/chestnutfall/forwarding/send_log.py
+++ b/chestnutfall/forwarding/send_log.py
@@ -1,4 +1,4 @@
-"""The log line of one send."""
+"""The log lines of one send."""
 
 from __future__ import annotations
 
@@ -49,6 +49,19 @@
     )
 
 
+def log_unfinished(sending: RelayedSend) -> None:
+    """Log a send that ends with its call, before its answer was whole."""
+    log.info(
+        "call: id=%s unfinished send=%d instance=%s last_event=%s at_work=%d silent=%d",
+        sending.progress.call.request_id,
+        sending.number,
+        sending.place.upstream.instance,
+        sending.progress.last_event,
+        sending.is_at_work,
+        sending.silent_ms,
+    )
+
+
 def _code(result: SendResult) -> str:
     match result:
         case Refused(code) | Lost(code):
--- a/chestnutfall/tests/silence_scenario.py
+++ b/chestnutfall/tests/silence_scenario.py
@@ -29,6 +29,8 @@
 SILENT_S = (1.0, 1.5)
 PAUSE_S = 0.5
 GAVE_UP_STATUS = 502
+MAX_TOLD = 200
+"""Lines of logs in the message of a failure, which can be traced by them."""
 
 Choose = Callable[[list[StandInUpstream], random.Random], list[StandInUpstream]]
 
@@ -47,6 +49,8 @@
         What the soak's judgement says of all requests.
     ends : list of RequestEnd
         How they ended.
+    broken_off_lines : list of str
+        What gateways logged of streams that were broken off.
     """
 
     seed: int
@@ -54,6 +58,7 @@
     has_changes: bool = True
     verdict: Verdict = field(default_factory=Verdict)
     ends: list[RequestEnd] = field(default_factory=list)
+    broken_off_lines: list[str] = field(default_factory=list)
 
     def run(self) -> None:
         """Play it."""
@@ -83,6 +88,13 @@
         silences.check(self.verdict)
         self.ends = [of_client(one) for one in (*seen, *(one.result for one in play.answers))]
         check_ends(play.office, self.ends, self.verdict)
+        broken_off = {one.request_id for one in self.ends if one.ending is Ending.BROKEN_OFF}
+        self.broken_off_lines = [
+            line
+            for gateway in play.office.gateways
+            for line in gateway.log_text().splitlines()
+            if any(request_id in line for request_id in broken_off)
+        ]
 
     @property
     def given_up(self) -> list[str]:
@@ -97,7 +109,8 @@
     def describe(self) -> str:
         """Return how requests ended, for messages."""
         ends = Counter(f"{one.ending.value} {one.status} {one.reason}".strip() for one in self.ends)
-        return f"{dict(ends)}; {self.verdict.lines()}"
+        told = "\n".join(self.broken_off_lines[:MAX_TOLD])
+        return f"{dict(ends)}; {self.verdict.lines()}\n{told}"
 
 
 def one_engine(upstreams: list[StandInUpstream], rng: random.Random) -> list[StandInUpstream]:
--- a/chestnutfall/tests/test_end_judge.py
+++ b/chestnutfall/tests/test_end_judge.py
@@ -38,6 +38,7 @@
 GIVEN_UP = replace(BROKEN, ending=Ending.REFUSED, status=502)
 UNANSWERED = replace(BROKEN, ending=Ending.NO_ANSWER, status=0)
 SEND = "call: id=a1 content=x instance=i1~17 version=1 result=Lost {code} first=1 helped={helped}\n"
+UNFINISHED = "call: id=a1 unfinished send=2 instance=i2~3 last_event=4 at_work=1 silent=9\n"
 OVERTAKEN = "call: id=a1 overtaken send=1 instance=i1~17 by=i2~3 last_event=4 silent=1\n"
 LATER = "call: id=a1 content=x instance=i2~3 version=1 result={result} first=1 helped=0\n"
 LEFT = "call: id=a1 client closed its connection ms=3\n"
@@ -160,6 +161,9 @@
                 self.assertEqual(self._findings(replace(one, ending=Ending.WHOLE)), [])
         self.log = OVERTAKEN
         self.assertIsNone(self._cause(late))
+        self.log += UNFINISHED
+        self.assertIsNone(self._cause(late))
+        self.assertIn("i1 Overtaken', 'i2 Unfinished'", self._findings(late)[0])
 
     # Guards against findings where what the gateway left had ended, or what it went on with did.
     def test_a_harm_explains_a_stream_whose_upstream_was_left(self) -> None:
@@ -172,6 +176,8 @@
         self.disturbances.record(links_harmed(SECOND), 100.2, 100.9)
         self.assertIs(self._cause(BROKEN), Cause.CONNECTION_HARMED)
         self.assertIsNone(self._cause(replace(GIVEN_UP, status=500)))
+        self.log = OVERTAKEN + UNFINISHED
+        self.assertIs(self._cause(replace(BROKEN, ended_s=102.5)), Cause.CONNECTION_HARMED)
         # A harm of before it was left isn't one of what the gateway went on with.
         self.log = LATER.format(result="Lost reset") + OVERTAKEN
         self.assertIsNone(self._cause(BROKEN))
--- a/chestnutfall/tests/test_second_send_bounds.py
+++ b/chestnutfall/tests/test_second_send_bounds.py
@@ -319,3 +319,14 @@
             await self._serve(RESUMABLE)
         for what in ("stays at its silent upstream reason=no_budget", "speaks again"):
             self.assertEqual(sum(what in line for line in logs.output), 1, what)
+
+    # Guards against a call that ends at its deadline without a line of where it waited.
+    async def test_a_send_that_ends_with_its_call_is_logged(self) -> None:
+        for scripts in ([(50, event(1), HANG)], [(50, event(1), HANG), HUNG]):
+            with self.subTest(upstreams=len(scripts)):
+                self._begin(*scripts)
+                with self.assertLogs("chestnutfall.forwarding", "INFO") as logs:
+                    await self._serve(RESUMABLE)
+                lines = [line for line in logs.output if " unfinished " in line]
+                self.assertEqual(len(lines), 1, logs.output)
+                self.assertIn("last_event=1", lines[0])
--- a/soak/end_judge.py
+++ b/soak/end_judge.py
@@ -25,7 +25,7 @@
     slow,
 )
 from .request_end import MARGIN_S, Ending, RequestEnd
-from .send_log import LOST, OVERTAKEN, LoggedSend, SendLog
+from .send_log import LOST, OVERTAKEN, UNFINISHED, LoggedSend, SendLog
 from .verdict import Verdict
 
 BEFORE_S = 0.1
@@ -37,6 +37,8 @@
 A_SECOND_OF_SILENCE, SLOWNESS = "a second of silence", "a slow upstream"
 LEFT_LIVING = "leaving a living upstream"
 UNEXPLAINED = "what nothing explains"
+NO_FAILURES = ("HeldBack", OVERTAKEN, UNFINISHED)
+"""Results of sends that did not fail by what their upstream did."""
 MAX_FINDINGS = 5
 """Findings of one kind that are printed whole."""
 
@@ -163,7 +165,7 @@
     def _explain_loss(self, one: RequestEnd) -> Explanation:
         """Return what explains that the sends of a request failed."""
         all_sends = self._log.sends(one.request_id)
-        sends = [send for send in all_sends if send.result not in ("HeldBack", OVERTAKEN)]
+        sends = [send for send in all_sends if send.result not in NO_FAILURES]
         if sends and not any(send.result == LOST for send in sends):
             return Explanation(Cause.UPSTREAM_FAILED)
         cause = self._explain_by_harm(one, sends)
--- a/soak/send_log.py
+++ b/soak/send_log.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 _SEND = re.compile(
-    r"call: id=(?P<overtaken>\w+) overtaken send=\d+ instance=(?P<left>[^\s~]+)"
+    r"call: id=(?P<early>\w+) (?P<how>overtaken|unfinished) send=\d+ instance=(?P<left>[^\s~]+)"
     r"|call: id=(?P<id>\w+) [^\n]*? instance=(?P<instance>[^\s~]+)\S* [^\n]*? "
     r"result=(?P<result>\w+) (?P<code>\S*) first=[^\n]*? helped=(?P<helped>\d+)"
 )
@@ -16,6 +16,8 @@
 LOST = "Lost"
 OVERTAKEN = "Overtaken"
 """Result of a send that a gateway cancelled, since another one was to go on in its place."""
+UNFINISHED = "Unfinished"
+"""Result of a send that ended with its call, at the call's deadline or as its client left."""
 SILENT = "silent"
 """Code of a send that a gateway gave up since nothing came."""
 
@@ -82,8 +84,9 @@
 
 
 def _read(found: re.Match[str]) -> tuple[str, LoggedSend]:
-    if found["overtaken"]:
-        return found["overtaken"], LoggedSend(found["left"], OVERTAKEN, "")
+    if found["early"]:
+        result = OVERTAKEN if found["how"] == "overtaken" else UNFINISHED
+        return found["early"], LoggedSend(found["left"], result, "")
     return found["id"], LoggedSend(
         found["instance"], found["result"], found["code"], found["helped"]
     )
