Log whether a send was overtaken by one that had the next event

A send is left either as another one has the next part of the answer, or 300 ms after the call was sent elsewhere, whatever became of that. The line of both was the same, so that a stream which then ended at its deadline couldn't be told from one that was left for nothing. `ahead=` tells them apart; the soak's findings print it, and whether the last send was at work.

--- a/chestnutfall/forwarding/live_sends.py
+++ b/chestnutfall/forwarding/live_sends.py
@@ -136,13 +136,14 @@
         self._parts.results.note_overtaken(one.sending)
         self._parts.metrics.count("sends_overtaken")
         log.info(
-            "call: id=%s overtaken send=%d instance=%s by=%s last_event=%s silent=%d",
+            "call: id=%s overtaken send=%d instance=%s by=%s last_event=%s silent=%d ahead=%d",
             self._progress.call.request_id,
             one.sending.number,
             one.sending.place.upstream.instance,
             other.sending.place.upstream.instance,
             self._progress.last_event,
             one.sending.silent_ms,
+            self._lock.is_held_by(other.sending),
         )
 
     async def end_all(self) -> None:
--- a/chestnutfall/tests/test_end_judge.py
+++ b/chestnutfall/tests/test_end_judge.py
@@ -39,7 +39,7 @@
 UNANSWERED = replace(BROKEN, ending=Ending.NO_ANSWER, status=0)
 SEND = "call: id=a1 content=x instance=i1~17 version=1 result=Lost {code} first=1 helped={helped}\n"
 UNFINISHED = "call: id=a1 unfinished send=2 instance=i2~3 last_event=4 at_work=1 silent=9\n"
-OVERTAKEN = "call: id=a1 overtaken send=1 instance=i1~17 by=i2~3 last_event=4 silent=1\n"
+OVERTAKEN = "call: id=a1 overtaken send=1 instance=i1~17 by=i2~3 last_event=4 silent=1 ahead=0\n"
 LATER = "call: id=a1 content=x instance=i2~3 version=1 result={result} first=1 helped=0\n"
 LEFT = "call: id=a1 client closed its connection ms=3\n"
 
@@ -163,7 +163,7 @@
         self.assertIsNone(self._cause(late))
         self.log += UNFINISHED
         self.assertIsNone(self._cause(late))
-        self.assertIn("i1 Overtaken', 'i2 Unfinished'", self._findings(late)[0])
+        self.assertIn("i1 Overtaken', 'i2 Unfinished at_work'", self._findings(late)[0])
 
     # Guards against findings where what the gateway left had ended, or what it went on with did.
     def test_a_harm_explains_a_stream_whose_upstream_was_left(self) -> None:
--- a/soak/end_judge.py
+++ b/soak/end_judge.py
@@ -25,7 +25,7 @@
     slow,
 )
 from .request_end import MARGIN_S, Ending, RequestEnd
-from .send_log import LOST, OVERTAKEN, UNFINISHED, LoggedSend, SendLog
+from .send_log import AHEAD, AT_WORK, LOST, OVERTAKEN, UNFINISHED, LoggedSend, SendLog
 from .verdict import Verdict
 
 BEFORE_S = 0.1
--- a/soak/send_log.py
+++ b/soak/send_log.py
@@ -8,6 +8,7 @@
 
 _SEND = re.compile(
     r"call: id=(?P<early>\w+) (?P<how>overtaken|unfinished) send=\d+ instance=(?P<left>[^\s~]+)"
+    r"[^\n]*? (?P<state>ahead|at_work)=(?P<is_state>\d)"
     r"|call: id=(?P<id>\w+) [^\n]*? instance=(?P<instance>[^\s~]+)\S* [^\n]*? "
     r"result=(?P<result>\w+) (?P<code>\S*) first=[^\n]*? helped=(?P<helped>\d+)"
 )
@@ -18,6 +19,10 @@
 """Result of a send that a gateway cancelled, since another one was to go on in its place."""
 UNFINISHED = "Unfinished"
 """Result of a send that ended with its call, at the call's deadline or as its client left."""
+AHEAD = "ahead"
+"""Code of an overtaken send: the other one had already written the next part of the answer."""
+AT_WORK = "at_work"
+"""Code of an unfinished send whose upstream had begun to answer."""
 SILENT = "silent"
 """Code of a send that a gateway gave up since nothing came."""
 
@@ -86,7 +91,8 @@
 def _read(found: re.Match[str]) -> tuple[str, LoggedSend]:
     if found["early"]:
         result = OVERTAKEN if found["how"] == "overtaken" else UNFINISHED
-        return found["early"], LoggedSend(found["left"], result, "")
+        code = found["state"] if found["is_state"] == "1" else ""
+        return found["early"], LoggedSend(found["left"], result, code)
     return found["id"], LoggedSend(
         found["instance"], found["result"], found["code"], found["helped"]
     )
