Explain in the soak a stream whose deadline came at the upstream that was ahead

The trace of the play (load 8): the stream had its third event of four and then 900 ms of silence; it was sent elsewhere, that engine wrote the fourth event while the first had been silent for 1,219 ms, and the route's timeout of 2.2 s ended the call 81 ms later, before the end of the answer. Nothing was let go before something better was there, and a stream that ends at its own deadline is allowed. The check passes over just that: past the deadline, each upstream left for one that had the next event, the last send still at work. All else stays a finding: a run left after the overlap, a second upstream that fails or hasn't begun.

--- a/chestnutfall/tests/test_end_judge.py
+++ b/chestnutfall/tests/test_end_judge.py
@@ -165,6 +165,25 @@
         self.assertIsNone(self._cause(late))
         self.assertIn("i1 Overtaken', 'i2 Unfinished at_work'", self._findings(late)[0])
 
+    # Guards against a finding about a stream that its own deadline ended, at an upstream that had
+    # written the next event while the one that was left was still silent.
+    def test_a_stream_that_its_deadline_ends_at_the_upstream_ahead_is_no_finding(self) -> None:
+        late = replace(BROKEN, ended_s=102.5)
+        ahead = OVERTAKEN.replace("ahead=0", "ahead=1")
+        self.log = ahead + UNFINISHED
+        self.assertIs(self._cause(late), Cause.DEADLINE)
+        self.assertIsNone(self._cause(BROKEN))
+        for log in (
+            OVERTAKEN + UNFINISHED,
+            OVERTAKEN + ahead.replace("i1", "i2") + UNFINISHED,
+            ahead + UNFINISHED.replace("at_work=1", "at_work=0"),
+            ahead + LATER.format(result="Lost silent"),
+            ahead,
+        ):
+            with self.subTest(log=log):
+                self.log = log
+                self.assertIsNone(self._cause(late))
+
     # Guards against findings where what the gateway left had ended, or what it went on with did.
     def test_a_harm_explains_a_stream_whose_upstream_was_left(self) -> None:
         self.log = OVERTAKEN + LATER.format(result="Failed 503")
--- a/soak/end_judge.py
+++ b/soak/end_judge.py
@@ -134,9 +134,12 @@
             return Explanation(self._explain_no_answer(one))
         if one.status == INTERNAL_ERROR_STATUS:
             return Explanation(None)
-        left_at = self._left_living_at(one)
-        if left_at is not None:
-            cause = self._explain_by_harm(one, self._log.sends(one.request_id)[left_at + 1 :])
+        sends = self._log.sends(one.request_id)
+        left_at = self._left_living_at(one, sends)
+        if left_at:
+            if self._is_past_deadline(one) and _goes_on_ahead(sends, left_at):
+                return Explanation(Cause.DEADLINE)
+            cause = self._explain_by_harm(one, sends[left_at[-1] + 1 :])
             return Explanation(cause, "" if cause else LEFT_LIVING)
         if one.ending is Ending.BROKEN_OFF and self._is_past_deadline(one):
             return Explanation(Cause.DEADLINE)
@@ -171,12 +174,13 @@
         cause = self._explain_by_harm(one, sends)
         return Explanation(cause, "" if cause else self._what_was_sound(one, sends))
 
-    def _left_living_at(self, one: RequestEnd) -> int | None:
-        """Return which send, the last such one, its gateway cancelled at a sound upstream."""
-        for at, send in reversed(list(enumerate(self._log.sends(one.request_id)))):
-            if send.result == OVERTAKEN and self._explain_by_harm(one, [send]) is None:
-                return at
-        return None
+    def _left_living_at(self, one: RequestEnd, sends: Sequence[LoggedSend]) -> list[int]:
+        """Return which sends its gateway cancelled at a sound upstream."""
+        return [
+            at
+            for at, send in enumerate(sends)
+            if send.result == OVERTAKEN and self._explain_by_harm(one, [send]) is None
+        ]
 
     def _explain_by_harm(self, one: RequestEnd, sends: Sequence[LoggedSend]) -> Cause | None:
         """Return what was done to the upstreams or connections of sends; None if nothing was."""
@@ -225,3 +229,10 @@
 
     def _was(self, name: str, one: RequestEnd) -> bool:
         return self._disturbances.overlaps(name, one.sent_s - BEFORE_S, one.ended_s)
+
+
+def _goes_on_ahead(sends: Sequence[LoggedSend], left_at: Sequence[int]) -> bool:
+    """Whether each upstream was left for one that had the next event, and the last one works on."""
+    last = sends[-1]
+    is_at_work = (last.result, last.code) == (UNFINISHED, AT_WORK)
+    return is_at_work and all(sends[at].code == AHEAD for at in left_at)
