Excuse in the soak a gateway whose link held up the answer that an upstream leaves

By the gateway's log two calls were sent at 46.02 s; its links to that upstream hung from then to 49.25 (path: cut at 46.376, restored at 49.246), and both ended at their deadlines without an answer. So g1 had passed on no answer that said so, which the rule asks for; the first one that it got (49.277) it obeyed. The check of backoffs passed over cut links already; that of leaving now does so for a cut at the moment of the answer. The new test failed before: g0 was blamed as well as g1.

--- a/chestnutfall/tests/test_soak_parts.py
+++ b/chestnutfall/tests/test_soak_parts.py
@@ -205,6 +205,23 @@
         SignalEpisodes(office, disturbances).check(verdict)
         self.assertEqual(verdict.violations, ["i1: g1 sent 3 within 2.0 s that it asked for"])
 
+    # Guards against a gateway that is blamed for not knowing that an upstream leaves, though a cut
+    # of its links held up the answer that said so.
+    def test_an_answer_that_a_cut_held_up_told_nothing_of_leaving(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            office = Office(Path(folder), random.Random(1))
+        disturbances = Disturbances()
+        disturbances.record(links_cut("g0"), 99.0, 100.2)
+        disturbances.record(links_cut("g1"), 101.0, 102.0)
+        history = office.run_registry.signals_of("i1")
+        for gateway in ("g0", "g1"):
+            history.leaving_answers_s[gateway] = [100.0]
+            history.arrivals.append(Arrival(103.0, gateway))
+        verdict = Verdict()
+        SignalEpisodes(office, disturbances).check(verdict)
+        told = "i1: g1 sent 1 later than 2.0 s after it said that it leaves"
+        self.assertEqual(verdict.violations, [told])
+
 
 async def _write_and_reset(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     writer.write(b"part")
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -52,5 +52,10 @@
         1, 0.1, "a call still waited for a helper's connection that another one's timeout closed"
     ),
     Regression(1, 0.1, "a call without a leader was sent to an engine of another service"),
+    Regression(
+        9502,
+        0.12,
+        "the check took an answer that a cut held up for one that said an upstream leaves",
+    ),
     Regression(11, 0.7, "SIGHUP ended a gateway that was just being started again"),
 )
--- a/soak/signal_episodes.py
+++ b/soak/signal_episodes.py
@@ -115,10 +115,7 @@
             until_s = one.at_s + one.backoff_s
             got = history.count_between(one.gateway, one.at_s + SETTLE_S, until_s)
             # Requests that a cut held up arrive after it, and a helper may have got the refusal.
-            was_cut = any(
-                self._disturbances.overlaps(name, one.at_s, until_s)
-                for name in (links_cut(one.gateway), links_held(one.gateway))
-            )
+            was_cut = self._was_cut(one.gateway, one.at_s, until_s)
             is_excused = was_cut or self._is_explained_by_fault(
                 history, one.gateway, one.at_s, until_s
             )
@@ -132,10 +129,22 @@
     ) -> Iterator[str]:
         for signalled_s in moments_s:
             got = history.count_between(gateway, signalled_s + DRAIN_S + SETTLE_S, NO_END_S)
-            if got and not self._is_explained_by_fault(history, gateway, signalled_s, NO_END_S):
+            # An answer that a cut held up may never have reached the gateway.
+            was_cut = self._was_cut(gateway, signalled_s - SETTLE_S, signalled_s + SETTLE_S)
+            is_excused = was_cut or self._is_explained_by_fault(
+                history, gateway, signalled_s, NO_END_S
+            )
+            if got and not is_excused:
                 yield f"{gateway} sent {got} later than {DRAIN_S} s after it said that it leaves"
                 return
 
+    def _was_cut(self, gateway: str, from_s: float, until_s: float) -> bool:
+        """Return whether a link of a gateway to an upstream was cut or silent in the period."""
+        return any(
+            self._disturbances.overlaps(name, from_s, until_s)
+            for name in (links_cut(gateway), links_held(gateway))
+        )
+
     def _is_explained_by_fault(
         self, history: SignalHistory, gateway: str, from_s: float, until_s: float
     ) -> bool:
