Judge whether an upstream hangs by how long it is usually silent

Cause: 2 s was the bound from which an upstream hangs, whatever is usual there. A common silence was never found where the usual one is as long, and the call's alarm was due (2 s) before its search was (the usual silence), so that it was set again without pause.

--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -19,7 +19,7 @@
 from .send_log import log_send, log_unfinished
 from .send_parts import SendParts
 from .send_result import HeldBack, SendResult
-from .silent_upstreams import LASTING_MS
+from .silent_upstreams import lasting_ms
 
 OVERLAP_MS = 300
 """How long the run of a begun stream goes on after another one was sent, whatever has become of
@@ -104,9 +104,10 @@
         """Return how long the sends are silent until the call is sent once more."""
         sends = self._live.sends
         live = [one.place.upstream.instance for one in sends]
+        usual_ms = sends[-1].usual_ms
         # Those that are left were silent as well.
         is_spent = not has_attempt(self._progress, self._route, live)
-        return LASTING_MS if is_spent else math.ceil(sends[-1].usual_ms)
+        return lasting_ms(usual_ms) if is_spent else math.ceil(usual_ms)
 
     async def _watch(self, first: RelayedSend) -> tuple[RelayedSend, SendResult]:
         self._live.start(first)
--- a/chestnutfall/forwarding/other_place.py
+++ b/chestnutfall/forwarding/other_place.py
@@ -14,7 +14,7 @@
 from .quarantine_hold import quarantine_hold
 from .relayed_send import RelayedSend
 from .send_parts import SendParts
-from .silent_upstreams import LASTING_MS
+from .silent_upstreams import lasting_ms
 
 log = logging.getLogger(__name__)
 RECHECK_MS = 100
@@ -122,7 +122,7 @@
             progress,
             [one.place.upstream.instance for one in live],
             # It was silent as well, and another change may lose what this one is about to write.
-            goes_back=all(one.silent_ms >= LASTING_MS for one in live),
+            goes_back=all(one.silent_ms >= lasting_ms(one.usual_ms) for one in live),
         )
 
     def take(self, live: Sequence[RelayedSend], may_add: bool) -> Place | None:
--- a/chestnutfall/forwarding/silent_upstreams.py
+++ b/chestnutfall/forwarding/silent_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -9,6 +10,8 @@
 
 LASTING_MS = 2_000
 """A sound upstream is silent for a second or so; one that is silent for longer hangs."""
+BEYOND_USUAL_MS = 1_000
+"""The same beyond what is usual, where an upstream usually works for longer before it writes."""
 WINDOW_MS = 500
 """Longest time in which another upstream must have been heard to count as speaking."""
 WINDOW_SHARE = 0.5
@@ -30,6 +33,17 @@
 """A common silence that was not seen for so long is over."""
 
 
+def lasting_ms(usual_ms: float) -> int:
+    """Return how long an upstream is silent that hangs, in ms.
+
+    Parameters
+    ----------
+    usual_ms : float
+        How long a sound one is usually silent at most.
+    """
+    return max(LASTING_MS, math.ceil(usual_ms) + BEYOND_USUAL_MS)
+
+
 @dataclass(slots=True)
 class _Upstream:
     """What this gateway heard of one upstream.
@@ -62,8 +76,9 @@
         """Whether it is silent, by itself or with others, and does not hang yet."""
         if len(self.usual_ms) <= self.writing:
             return False
-        least_ms = max(window_ms, WINDOW_SHARE * min(self.usual_ms))
-        return least_ms <= self.quiet_ms(now_ms) < LASTING_MS
+        usual_ms = min(self.usual_ms)
+        least_ms = max(window_ms, WINDOW_SHARE * usual_ms)
+        return least_ms <= self.quiet_ms(now_ms) < lasting_ms(usual_ms)
 
 
 @dataclass(slots=True)
@@ -172,7 +187,7 @@
         span = self._spans.get(service)
         if span is not None and now_ms - span.last_ms < VERDICT_MS:
             return span.reason
-        reason = self._common_silence(service, instances, silent_ms)
+        reason = self._common_silence(service, instances, silent_ms, usual_ms)
         if reason:
             if span is None or now_ms - span.last_ms > SPAN_GAP_MS:
                 span = self._spans[service] = _SilentSpan(now_ms, now_ms, reason)
@@ -183,7 +198,9 @@
             return SERVICE_RESUMES
         return ""
 
-    def _common_silence(self, service: str, instances: Sequence[str], silent_ms: float) -> str:
+    def _common_silence(
+        self, service: str, instances: Sequence[str], silent_ms: float, usual_ms: float
+    ) -> str:
         """Return what is silent as a whole; empty if it is the upstream alone."""
         now_ms = self._clock.now_ms()
         window_ms = min(WINDOW_SHARE * silent_ms, WINDOW_MS)
@@ -196,7 +213,7 @@
         if not alike:
             return ""
         # One that hangs does not count, so that it keeps no other call from leaving it.
-        hangs = self._upstreams[instances[-1]].quiet_ms(now_ms) >= LASTING_MS
+        hangs = self._upstreams[instances[-1]].quiet_ms(now_ms) >= lasting_ms(usual_ms)
         silent = len(alike) + (not hangs)
         return SERVICE_SILENT if silent > sum(one.service == service for one in speaking) else ""
 
--- a/chestnutfall/tests/test_silent_upstreams.py
+++ b/chestnutfall/tests/test_silent_upstreams.py
@@ -17,6 +17,7 @@
     SERVICE_SILENT,
     VERDICT_MS,
     SilentUpstreams,
+    lasting_ms,
 )
 from ..settings.repeat_bounds import RepeatBounds
 
@@ -113,6 +114,23 @@
         await self.clock.advance(1 + USUAL_MS)
         self.assertEqual(self._reason(silent_ms=LASTING_MS), "")
 
+    # Guards against a second send of each call to upstreams that usually write nothing for longer
+    # than others hang, and that are silent together.
+    async def test_a_common_silence_of_slow_upstreams_is_awaited(self) -> None:
+        for usual_ms in (300, 1_500, 2_000, 3_000, 10_000):
+            with self.subTest(usual_ms=usual_ms):
+                self.setUp()
+                for instance in ("i0", "i1", "i2"):
+                    self.silent.began("s", instance, usual_ms)
+                await self.clock.advance(usual_ms)
+                reason = self.silent.reason_to_wait("s", ["i0"], usual_ms, usual_ms)
+                self.assertTrue(reason)
+                await self.clock.advance(lasting_ms(usual_ms) - 1 - usual_ms)
+                silent_ms = lasting_ms(usual_ms) - 1
+                self.assertTrue(self.silent.reason_to_wait("s", ["i0"], silent_ms, usual_ms))
+                await self.clock.advance(1 + usual_ms)
+                self.assertEqual(self.silent.reason_to_wait("s", ["i0"], silent_ms, usual_ms), "")
+
     # Guards against a new call at a hung upstream that waits as if it had just fallen silent.
     async def test_the_silence_of_an_upstream_outlasts_its_sends(self) -> None:
         await self._begin("i0", "i1", "i2", "i3")
