Keep a call that goes back within its attempts, and a stream's beginning single

A refusal asked for no attempt, and a search without anything to go back to checked none. Both do now, before a repeat is spent; the search also for a send that was held back. - A resumable stream whose events bear no numbers was sent again from its start after a loss: the client got 'a b a b' as whole. It is broken off now, as its silence was no reason for another send before.

--- a/chestnutfall/forwarding/overtaken_upstreams.py
+++ b/chestnutfall/forwarding/overtaken_upstreams.py
@@ -60,9 +60,12 @@
     """
     again = overtaken(progress, live)
     criteria = replace(criteria, avoid=(*criteria.avoid, *live))
+    may_be_new = has_attempt(progress, criteria.route, live)
+    if not again and not may_be_new:
+        raise NoPlace(NO_ATTEMPT, NO_ATTEMPT_RETRY_MS)
     if not again:
         return await selector.select(criteria)
-    if has_attempt(progress, criteria.route, live):
+    if may_be_new:
         place = await _select_new(selector, criteria, again, goes_back)
         if place is not None:
             return place
--- a/chestnutfall/forwarding/result_handler.py
+++ b/chestnutfall/forwarding/result_handler.py
@@ -83,7 +83,7 @@
             case HeldBack():
                 return await self._handle_held_back(progress, selector, reply)
             case Refused(code):
-                return await self._handle_refusal(progress, place, selector, reply, code)
+                return await self._handle_refusal(progress, route, place, selector, reply, code)
             case Lost(code):
                 return await self._handle_loss(progress, route, place, sent_ms, reply, code)
             case Failed():
@@ -111,6 +111,7 @@
     async def _handle_refusal(
         self,
         progress: Progress,
+        route: Route,
         place: Place,
         selector: UpstreamSelector,
         reply: CallerReply,
@@ -122,10 +123,11 @@
             await self._refuse_backing_off(progress, reply, held_back_ms)
             return True
         is_full = code == NotRun.FULL.value
+        progress.note_refusal(place.upstream.instance, code == NotRun.ABSENT.value)
         # Without another upstream of the service, a repeat would reach the same full one again.
         is_useless = is_full and not place.has_other and not progress.overtaken
-        if not is_useless and await self._take_repeat(progress, upstream_is_busy=is_full):
-            progress.note_refusal(place.upstream.instance, code == NotRun.ABSENT.value)
+        may_go = not is_useless and self._may_go(progress, route)
+        if may_go and await self._take_repeat(progress, upstream_is_busy=is_full):
             return False
         await self._answers.give_up(progress, reply, 503, code, BROKEN_RETRY_MS)
         return True
@@ -239,8 +241,13 @@
         return True
 
     def _may_run_again(self, progress: Progress, route: Route) -> bool:
-        may_go = has_attempt(progress, route) or overtaken(progress)
-        return route.kind.idempotent and bool(may_go)
+        # Without the number of the last event, the client would get the beginning twice.
+        may_go_on = not progress.started or progress.last_event is not None
+        return route.kind.idempotent and may_go_on and self._may_go(progress, route)
+
+    def _may_go(self, progress: Progress, route: Route) -> bool:
+        """Whether one more upstream may run the call, or one at which it may be taken up again."""
+        return has_attempt(progress, route) or bool(overtaken(progress))
 
     async def _take_repeat(self, progress: Progress, upstream_is_busy: bool) -> bool:
         if progress.sends >= MAX_SENDS or self._clock.now_ms() >= progress.until_ms:
--- a/chestnutfall/tests/test_overtaken_runs.py
+++ b/chestnutfall/tests/test_overtaken_runs.py
@@ -8,7 +8,8 @@
 import itertools
 
 from ..forwarding.call_sends import OVERLAP_MS
-from ..forwarding.overtaken_upstreams import NO_ATTEMPT
+from ..forwarding.overtaken_upstreams import NO_ATTEMPT, select_place
+from ..forwarding.place import NoPlace
 from ..forwarding.progress import Progress
 from ..forwarding.result_handler import MAX_SENDS
 from ..forwarding.silent_upstreams import LASTING_MS
@@ -96,6 +97,37 @@
                 self._begin(PAUSES, lost, SOUND)
                 await self._assert_whole(*tried)
 
+    # Guards against a third upstream that runs a call of two attempts, as the one that it goes back
+    # to refuses it.
+    async def test_a_refusal_where_it_goes_back_to_opens_no_attempt(self) -> None:
+        for refusal in (NotRun.FULL, NotRun.REPLACED, NotSent):
+            with self.subTest(refusal=refusal):
+                self.setUp()
+                self.attempts = 2
+                self._begin(SOUND)
+                before = self._repeats_left()
+                self._begin(PAUSES, (400, AnswerLost), SOUND)
+                self.upstreams.scripts["i0"].append((10, refusal))
+                reply = await self._serve(RESUMABLE)
+                self.assertEqual(reply.ended, "broken off")
+                self.assertEqual([one.instance for one in self.upstreams.sends], ["i0", "i1", "i0"])
+                self.assertEqual(self.selector.open_places, 0)
+                self.assertEqual(before - self._repeats_left(), 2)
+
+    # Guards against the same where nothing was sent to the one that it goes back to.
+    async def test_a_call_that_has_used_its_attempts_selects_no_upstream(self) -> None:
+        self._begin(SOUND, SOUND)
+        progress = Progress(self._new_call(RESUMABLE), self.clock.now_ms() + 1_000, "s")
+        for instance in ("i1", "i2", "i3"):
+            progress.note_run(instance)
+        table = self.forwarder._routes.table
+        assert table is not None
+        route = next(one for one in table.document.routes if one.kind is RESUMABLE)
+        criteria = self.forwarder._criteria(progress, route, table.services["s"])
+        with self.assertRaises(NoPlace) as raised:
+            await select_place(self.selector, criteria, progress)
+        self.assertEqual(raised.exception.reason, NO_ATTEMPT)
+
     # Guards against a run that gave nothing, was left, and used up the attempt of the rest.
     async def test_a_stream_goes_on_at_an_upstream_that_was_left_as_another_spoke(self) -> None:
         self.attempts = 2
--- a/chestnutfall/tests/test_second_send_bounds.py
+++ b/chestnutfall/tests/test_second_send_bounds.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine
 from functools import partial
 from typing import Any, TypeVar
+from unittest import mock
 
 from ..clock import ManualClock
 from ..control.crash_messages import QuarantinedRequest, SuspectRequests
@@ -21,6 +22,7 @@
 from ..requests import fingerprint_of
 from ..routes import RouteKind
 from ..signals import AskedBackoff, UpstreamSignals
+from .fakes import silence_case
 from .fakes.fake_upstreams import RecordedReply
 from .fakes.forwarder_case import event
 from .fakes.silence_case import SILENT_MS, TIMEOUT_MS, SilenceCase
@@ -54,6 +56,18 @@
         await super().finish()
 
 
+def _at_most(count: int, action: Callable[..., T]) -> Callable[..., T]:
+    """Return an action that may be taken so many times, so that no test goes on for ever."""
+    left = iter(range(count))
+
+    def act(*args: Any) -> T:
+        if next(left, None) is None:
+            raise AssertionError(f"taken more than {count} times")
+        return action(*args)
+
+    return act
+
+
 async def _cancel_twice(task: asyncio.Task[None], *steps: int) -> None:
     """Cancel a task after a number of steps of the loop, and once more after some others."""
     for count in steps:
@@ -320,6 +334,31 @@
         for what in ("stays at its silent upstream reason=no_budget", "speaks again"):
             self.assertEqual(sum(what in line for line in logs.output), 1, what)
 
+    # Guards against a call that keeps the processor busy while it waits for upstreams that usually
+    # write nothing for longer than others hang.
+    async def test_a_call_at_slow_upstreams_wakes_up_a_few_times(self) -> None:
+        for objective_ms, pause_ms in ((500, 80), (500, 800), (4_000, 80)):
+            with (
+                self.subTest(objective_ms=objective_ms, pause_ms=pause_ms),
+                mock.patch.object(silence_case, "OBJECTIVE_MS", objective_ms),
+                mock.patch.object(silence_case, "PAUSE_MS", pause_ms),
+            ):
+                self.setUp()
+                self.attempts = 2
+                self._begin((50, event(1), HANG), HUNG)
+                alarms = self.forwarder._send_parts.alarms
+                with mock.patch.object(alarms, "set", wraps=_at_most(100, alarms.set)) as asked:
+                    await self._serve(RESUMABLE)
+                self.assertLessEqual(asked.call_count, 100)
+
+    # Guards against a stream whose beginning a client gets twice, as its events have no numbers.
+    async def test_a_begun_stream_without_numbers_is_not_sent_again(self) -> None:
+        unnumbered = (50, b"data: a\n\n", 20, b"data: b\n\n")
+        self._begin((*unnumbered, AnswerLost), unnumbered)
+        reply = await self._serve(RESUMABLE)
+        self.assertEqual((reply.body, reply.ended), (b"data: a\n\ndata: b\n\n", "broken off"))
+        self.assertEqual(len(self.upstreams.sends), 1)
+
     # Guards against a call that ends at its deadline without a line of where it waited.
     async def test_a_send_that_ends_with_its_call_is_logged(self) -> None:
         for scripts in ([(50, event(1), HANG)], [(50, event(1), HANG), HUNG]):
