Split the placer into state, assignments and decisions

placer.py kept the state of engines and requests, assigned waiting requests to engines, and decided what becomes of each one in a round. Assignments now assigns a waiting request and undoes it, RequestDecisions refuses, assigns or grants one request in a round, and Placer keeps the state and the order of a round.

--- a/chestnutfall/placement/placer.py
+++ b/chestnutfall/placement/placer.py
@@ -10,28 +10,26 @@
 from ..routes import EngineSpec
 from ..signals.backoff_registry import BackoffRegistry
 from .adapter_name import AdapterName
+from .assignments import Assignments
 from .awaited_load import only_awaits_load
 from .build_reservations import BuildReservations
-from .decisions import Decision, Grant, LoadAdapter, Order, Reject, UnloadAdapter
+from .decisions import Decision, LoadAdapter, Order
 from .demand import Demand
 from .engine_report import EngineReport
 from .engine_table import EngineTable
 from .granted_places import GrantedPlaces
 from .model_loads import ModelLoads
-from .place_option import PlaceOption
 from .place_request import PlaceRequest
-from .prefill_turns import PrefillTurns, Turn
 from .queue import Queue
 from .queue_rounds import QueueRounds
 from .refusals import Refusals
 from .request_classes import RequestClasses
+from .request_decisions import RequestDecisions
 from .request_order import in_order
 from .run_outcome import RunOutcome
 from .run_times import NO_TIMES, RunTimes
-from .service_round import ServiceRound
 from .slowed_engines import SlowedEngines
-from .stale_assignment import is_stale
-from .suspect_parts import PART_ENDS_UPSTREAMS, SuspectParts
+from .suspect_parts import SuspectParts
 from .waiting_request import WaitingRequest
 from .waiting_requests import WaitingRequests
 from .wanted_versions import WantedVersions
@@ -79,12 +77,24 @@
         self._model_loads = ModelLoads()
         self._classes = RequestClasses()
         self._shares = FairShare()
-        self._turns = PrefillTurns()
-        self._refusals = Refusals(clock)
         self._reservations = BuildReservations()
         self.suspects = SuspectParts()
         self._places = GrantedPlaces(self.engines, self.suspects, clock)
         self._rounds = QueueRounds(self.table, self._demand, self._versions, self._classes)
+        self._assignments = Assignments(
+            self.table, self._waiting, self._versions, self._shares, self.suspects, self._classes
+        )
+        self._decisions = RequestDecisions(
+            self.engines,
+            self._waiting,
+            self._assignments,
+            self._places,
+            self._rounds,
+            Refusals(clock),
+            self._versions,
+            self.suspects,
+            self._classes,
+        )
 
     # Engines
 
@@ -122,12 +132,12 @@
         self.table.note_report(engine, report)
         for waiting in self._waiting.at(instance):
             if waiting.req.adapter not in engine.holdings:
-                self._unassign(waiting)
+                self._assignments.clear(waiting)
 
     def limit_changed(self, instance: str) -> None:
         """Place anew the requests that wait for an engine whose limit changed."""
         for waiting in self._waiting.at(instance):
-            self._unassign(waiting)
+            self._assignments.clear(waiting)
 
     def order_failed(self, order: Order) -> None:
         """Record that an order may not have taken effect; the engine's report is needed next."""
@@ -138,7 +148,7 @@
         if isinstance(order, LoadAdapter):
             for waiting in self._waiting.at(order.instance):
                 if waiting.req.adapter == order.adapter:
-                    self._unassign(waiting)
+                    self._assignments.clear(waiting)
 
     def name_version(self, adapter: AdapterName, version: int) -> None:
         """Require this version of the adapter, or a newer one, for all requests from now on."""
@@ -166,7 +176,7 @@
         """Drop a request, whether it waits or has a place."""
         waiting = self._waiting.get(ticket)
         if waiting is not None:
-            self._unassign(waiting)
+            self._assignments.clear(waiting)
             self._waiting.remove(waiting)
         self.release(ticket, RunOutcome.WITHDRAWN)
 
@@ -201,7 +211,7 @@
     def decide(self) -> Iterator[Decision]:
         """Yield the grants, refusals and orders of one decision round."""
         now_ms = self._clock.now_ms()
-        self._turns.begin_round()
+        self._decisions.begin_round()
         self._classes.begin_round(self._waiting, now_ms)
         self.slowed.refresh(now_ms)
         yield from self._model_loads.decide(self.engines.values(), now_ms)
@@ -210,126 +220,10 @@
         queues = {one.queue for one in to_decide}
         rounds = self._rounds.begin(queues, self._waiting, now_ms)
         for waiting in in_order(to_decide, rounds):
-            yield from self._place(waiting, rounds[waiting.queue], now_ms)
+            yield from self._decisions.decide(waiting, rounds[waiting.queue], now_ms)
 
     def _is_to_decide(self, waiting: WaitingRequest, now_ms: int) -> bool:
         if not self.suspects.is_empty:
             return True
         engine = self.engines.get(waiting.instance)
         return not only_awaits_load(waiting, engine, self._versions, now_ms)
-
-    def _place(
-        self, waiting: WaitingRequest, service_round: ServiceRound, now_ms: int
-    ) -> Iterator[Decision]:
-        engine = self.engines.get(waiting.instance)
-        if is_stale(waiting, engine, self._versions, self.suspects, now_ms):
-            self._unassign(waiting)
-        if waiting.build_key and not service_round.selector.is_known:
-            yield self._drop(waiting, self._refusals.refuse_without_build(waiting.req))
-        elif (held_ms := self._held_ms(waiting)) is not None:
-            yield self._drop(waiting, Reject(waiting.req.ticket, PART_ENDS_UPSTREAMS, held_ms))
-        elif (
-            now_ms + service_round.selector.first_event_ms(waiting.req)
-            > waiting.since_ms + waiting.req.wait_ms
-        ):
-            yield self._drop(
-                waiting, self._refusals.refuse_expired(waiting.req, service_round, now_ms)
-            )
-        elif waiting.instance:
-            service_round.selector.keep(self.engines[waiting.instance])
-            yield from self._grant_when_ready(waiting, service_round, now_ms)
-        elif (option := self._best(waiting, service_round, now_ms)) is not None:
-            yield from self._assign(waiting, option, service_round, now_ms)
-            yield from self._grant_when_ready(waiting, service_round, now_ms)
-            self._rounds.refresh(option.engine)
-        elif (
-            refusal := self._refusals.refuse_unservable(waiting, service_round, now_ms)
-        ) is not None:
-            yield self._drop(waiting, refusal)
-        else:
-            self._classes.note_kept_waiting(waiting.req)
-
-    def _held_ms(self, waiting: WaitingRequest) -> int | None:
-        """Return the retry time of a request whose prompt parts are held, else None."""
-        if self.suspects.is_empty:
-            return None
-        return self.suspects.retry_ms(waiting.part_keys)
-
-    def _best(
-        self, waiting: WaitingRequest, service_round: ServiceRound, now_ms: int
-    ) -> PlaceOption | None:
-        """Return the best place now, apart from what other suspect parts may end."""
-        if self.suspects.is_empty:
-            return service_round.best(waiting)
-        engines = [one.instance for one in service_round.selector.engines]
-        barred = self.suspects.barred(waiting.part_keys, engines, now_ms)
-        return service_round.best(waiting, barred) if barred is not None else None
-
-    def _assign(
-        self,
-        waiting: WaitingRequest,
-        option: PlaceOption,
-        service_round: ServiceRound,
-        now_ms: int,
-    ) -> Iterator[Decision]:
-        req, engine = waiting.req, option.engine
-        if option.victim is not None:
-            engine.note_dropped(option.victim)
-            yield UnloadAdapter(engine.instance, option.victim)
-        if option.load_ms is not None:
-            version = self._versions.of(req.adapter)
-            engine.begin_load(req.adapter, version, option.load_ms, now_ms)
-            self.table.index.add(req.adapter, engine.instance)
-            yield LoadAdapter(engine.instance, req.adapter, version)
-        self._shares.served(waiting.tag)
-        self._waiting.assign(waiting, engine.instance)
-        waiting.assigned_ms = now_ms
-        if not self.suspects.is_empty:
-            self.suspects.assigned(req.ticket, waiting.part_keys, engine.instance)
-        engine.start(req, waiting.prefixes)
-        in_time = service_round.can_be_in_time(waiting)
-        self._classes.note_assigned(waiting, engine, in_time, option.load_ms or 0.0, now_ms)
-        if req.adapter.adapter:
-            engine.holdings[req.adapter].tickets.add(req.ticket)
-
-    def _unassign(self, waiting: WaitingRequest) -> None:
-        engine = self.engines.get(waiting.instance)
-        self._waiting.assign(waiting, "")
-        self.suspects.ended(waiting.req.ticket)
-        self._classes.note_unassigned(waiting.req.ticket)
-        if engine is None:
-            return
-        engine.end(waiting.req.ticket)
-        holding = engine.holdings.get(waiting.req.adapter)
-        if holding is not None:
-            holding.tickets.discard(waiting.req.ticket)
-
-    def _grant_when_ready(
-        self, waiting: WaitingRequest, service_round: ServiceRound, now_ms: int
-    ) -> Iterator[Decision]:
-        engine = self.engines[waiting.instance]
-        holding = engine.holdings.get(waiting.req.adapter)
-        if holding is not None and not holding.is_ready(now_ms):
-            return
-        turn = self._turns.turn(engine, waiting, service_round, now_ms)
-        if turn is not Turn.NOW:
-            if turn is Turn.ELSEWHERE:
-                self._unassign(waiting)
-            self._classes.note_kept_waiting(waiting.req)
-            return
-        self._classes.note_granted(waiting, now_ms)
-        self._waiting.remove(waiting)
-        self._places.note_granted(waiting.req.ticket, engine)
-        yield Grant(
-            waiting.req.ticket,
-            engine.instance,
-            holding.version if holding else 0,
-            waiting.assigned_ms - waiting.since_ms,
-            now_ms - waiting.assigned_ms,
-        )
-
-    def _drop(self, waiting: WaitingRequest, refusal: Reject) -> Reject:
-        self._unassign(waiting)
-        self._waiting.remove(waiting)
-        self._classes.note_refused(waiting.req)
-        return refusal
--- a/properties/safeguards/limit_mutants.py
+++ b/properties/safeguards/limit_mutants.py
@@ -47,7 +47,7 @@
     Mutant(
         "calls that wait for an engine's load keep their place when it names a limit",
         "chestnutfall/placement/placer.py",
-        "            self._unassign(waiting)\n\n    def order_failed",
+        "            self._assignments.clear(waiting)\n\n    def order_failed",
         "            pass\n\n    def order_failed",
         "chestnutfall.tests.test_limited_placement",
     ),
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -13,7 +13,7 @@
 _SUSPECTS = "chestnutfall/placement/suspect_parts.py"
 _BLAME = "chestnutfall/control/part_blame.py"
 _MONITOR = "chestnutfall/control/part_monitor.py"
-_PLACER = "chestnutfall/placement/placer.py"
+_DECISIONS = "chestnutfall/placement/request_decisions.py"
 _HOLD = "chestnutfall/forwarding/quarantine_hold.py"
 
 PART_MUTANTS = (
@@ -235,7 +235,7 @@
     ),
     Mutant(
         "a request that waits for its adapter is placed in spite of a hold",
-        _PLACER,
+        _DECISIONS,
         "        elif (held_ms := self._held_ms(waiting)) is not None:\n",
         "        elif (held_ms := None) is not None:\n",
         _HELD + "test_requests_that_wait_as_the_hold_begins_are_refused",
--- a/properties/safeguards/placement_mutants.py
+++ b/properties/safeguards/placement_mutants.py
@@ -32,7 +32,7 @@
     ),
     Mutant(
         "what a round gave an engine is not counted in it",
-        "chestnutfall/placement/placer.py",
+        "chestnutfall/placement/request_decisions.py",
         "            self._rounds.refresh(option.engine)\n",
         "",
         _SELECTOR_TEST,
--- a/properties/safeguards/quota_mutants.py
+++ b/properties/safeguards/quota_mutants.py
@@ -116,8 +116,8 @@
     ),
     Mutant(
         "a load that has just begun is not found again",
-        "chestnutfall/placement/placer.py",
-        "            self.table.index.add(req.adapter, engine.instance)\n",
+        "chestnutfall/placement/assignments.py",
+        "            self._table.index.add(req.adapter, engine.instance)\n",
         "            pass\n",
         "chestnutfall.tests.test_candidate_engines",
     ),
--- a/properties/safeguards/stream_mutants.py
+++ b/properties/safeguards/stream_mutants.py
@@ -9,7 +9,7 @@
 _PLACEMENT = "chestnutfall.tests.test_build_placement.BuildPlacementTest."
 _GATEWAY = "chestnutfall/forwarding/stream_origins.py"
 _LEADER = "chestnutfall/coordination/origin_coordinator.py"
-_PLACER = "chestnutfall/placement/placer.py"
+_DECISIONS = "chestnutfall/placement/request_decisions.py"
 
 STREAM_MUTANTS = (
     Mutant(
@@ -154,7 +154,7 @@
     ),
     Mutant(
         "a stream waits for a build that has no engine left",
-        _PLACER,
+        _DECISIONS,
         "        if waiting.build_key and not service_round.selector.is_known:\n",
         "        if False:\n",
         _PLACEMENT + "test_a_stream_whose_last_engine_is_gone_is_refused_at_once",
