Split the engine owner into state, loads and decisions

engine_owner.py followed the engine's state and the tickets, decided for each waiting request, and selected the slots of loads. SlotLoads now begins loads, evicts and applies how they ended, TicketDecisions grants, refuses or starts a load, and EngineOwner keeps the engine's state and its queue.

The four mutants of moved text went along. They, and six others of ownership, are found with the same counts of failed tests as docs/PROMISES.md has. test_ownership and the eleven modules of completions and faults that were run pass.

--- a/chestnutfall/ownership/engine_owner.py
+++ b/chestnutfall/ownership/engine_owner.py
@@ -13,10 +13,9 @@
 from ..membership import UpstreamRegistry
 from ..observability.metrics import Metrics
 from ..signals.messages import HeardBackoff
-from .adapter_loader import STATE_TIMEOUT_MS, AdapterLoader, LoadOutcome
+from .adapter_loader import STATE_TIMEOUT_MS, AdapterLoader
 from .engine_send_limit import EngineSendLimit
 from .engine_slots import EngineSlots
-from .load_failures import LoadFailures
 from .load_permits import LoadPermits
 from .messages import (
     MAX_DISPATCH_DELAY_MS,
@@ -26,19 +25,16 @@
     TicketRefusal,
     TicketRequest,
 )
-from .slot import Slot
+from .slot_loads import REFRESH_MS, SlotLoads
+from .ticket_decisions import TicketDecisions
 from .ticket_queue import FULL, FULL_RETRY_MS, TicketQueue
 from .ticket_waiter import TicketWaiter
 
 log = logging.getLogger(__name__)
-REFRESH_MS = 1000
-"""Interval between reads of the engine's state."""
 POLL_MS = 250
 """Longest time between two passes over the queue."""
 MIN_POLL_MS = 5
 """Bounds the polling of a queue that waits for something other than the engine's limit."""
-RETRY_MS = 1000
-"""Retry time of requests that waited in vain for a ticket."""
 
 
 class EngineOwner:
@@ -74,15 +70,20 @@
         self._api = api
         self._config = config
         self._clock = clock
-        self._metrics = metrics
         self._slots = EngineSlots(clock, is_gone)
         self._incarnation = ""
         self._queue = TicketQueue()
-        self._failures = LoadFailures()
-        self._loads: dict[str, asyncio.Task[None]] = {}
-        self._no_loads_before_ms = 0
         self._send_limit = EngineSendLimit(engine, clock)
         self._loader = AdapterLoader(engine, current_epoch, registry, api, permits, clock, metrics)
+        self._loads = SlotLoads(
+            self._slots,
+            self._loader,
+            config,
+            clock,
+            self._queue.has_request_for,
+            self._process_queue,
+        )
+        self._decisions = TicketDecisions(self._slots, self._loads, config, metrics)
 
     async def run(self) -> None:
         """Take over the engine, then refresh its state and process the queue until cancelled."""
@@ -117,10 +118,7 @@
 
     async def close(self) -> None:
         """Cancel loads and wait for their orders, so that none is sent after the hand-over."""
-        loads = list(self._loads.values())
-        for task in loads:
-            task.cancel()
-        await asyncio.gather(*loads, return_exceptions=True)
+        await self._loads.close()
 
     # Tickets
 
@@ -204,89 +202,7 @@
             self._queue.refuse_all("engine_leaving", 0)
             return
         for waiting in self._queue.by_urgency(now_ms, self._config().policy.aging_ms):
-            self._grant_refuse_or_load(waiting, now_ms)
-
-    def _grant_refuse_or_load(self, waiting: TicketWaiter, now_ms: int) -> None:
-        """Grant the ticket, refuse the request or start a load for it, or let it wait on."""
-        adapter = waiting.req.adapter
-        if waiting.is_expired(now_ms):
-            waiting.refuse("no_capacity_in_time", RETRY_MS)
-            return
-        backoff_ms = self._failures.wait_ms(adapter, now_ms)
-        slot = self._slots.get(adapter)
-        if slot is None and backoff_ms > 0:
-            waiting.refuse("adapter_load_failed", backoff_ms)
-        elif slot is None:
-            waiting.needed_load = True
-            self._make_room_and_load(waiting, now_ms)
-        elif slot.takes_work:
-            self._grant(waiting, slot, now_ms)
-        else:
-            waiting.needed_load = True
-
-    def _grant(self, waiting: TicketWaiter, slot: Slot, now_ms: int) -> None:
-        if self._slots.running() >= self._config().limits.running_per_engine:
-            return
-        if self._send_limit.wait_ms(0):
-            return
-        self._send_limit.note_sent()
-        slot.pins[waiting.req.attempt_id] = waiting.session
-        slot.used_ms = now_ms
-        waited_ms = now_ms - waiting.since_ms
-        stalled_ms = waited_ms if waiting.needed_load else 0
-        self._metrics.timing("queue_ms", waited_ms)
-        if waiting.needed_load:
-            self._metrics.timing("load_stall_ms", stalled_ms)
-        waiting.fut.set_result(TicketGrant(waiting.req.attempt_id, stalled_ms))
-
-    def _make_room_and_load(self, waiting: TicketWaiter, now_ms: int) -> None:
-        if not self._slots.count or now_ms < self._no_loads_before_ms:
-            return
-        victim: Slot | None = None
-        if self._slots.is_full():
-            victim = self._slots.victim(now_ms)
-            if victim is None:
-                self._drain_one_slot(waiting, now_ms)
-                return
-            victim.evicting = True
-        adapter = waiting.req.adapter
-        self._slots.begin_load(adapter, now_ms)
-        task = asyncio.ensure_future(self._load(adapter, victim))
-        self._loads[adapter] = task
-        task.add_done_callback(lambda _: self._loads.pop(adapter, None))
-
-    def _drain_one_slot(self, waiting: TicketWaiter, now_ms: int) -> None:
-        # Under steady load a popular adapter always has pins, and a request for another adapter
-        # would wait for ever. After a while one slot accepts no new tickets until it is evicted.
-        if now_ms - waiting.since_ms < self._config().policy.drain_after_ms:
-            return
-        self._slots.drain_one()
-
-    # Loads
-
-    async def _load(self, adapter: str, victim: Slot | None) -> None:
-        outcome = LoadOutcome.NOT_STARTED
-        try:
-            outcome = await self._loader.load(
-                adapter, victim, lambda: self._queue.has_request_for(adapter), self._slots.remove
-            )
-        finally:
-            self._apply_outcome(adapter, outcome)
-            if victim is not None:
-                victim.evicting = victim.draining = False
-        self._process_queue()
-
-    def _apply_outcome(self, adapter: str, outcome: LoadOutcome) -> None:
-        now_ms = self._clock.now_ms()
-        if self._slots.end_load(adapter, outcome is LoadOutcome.LOADED):
-            self._failures.loaded(adapter)
-            return
-        if outcome is LoadOutcome.FAILED:
-            self._failures.failed(adapter, now_ms, self._config().policy.load_backoff_ms)
-        else:
-            # The engine refused, or was not reached. An immediate retry would use up the shared
-            # load permits in a tight loop; the engine's state is refreshed first.
-            self._no_loads_before_ms = now_ms + REFRESH_MS
+            self._decisions.decide(waiting, self._send_limit, now_ms)
 
     # State of the engine
 
--- a/properties/safeguards/caller_mutants.py
+++ b/properties/safeguards/caller_mutants.py
@@ -4,7 +4,8 @@
 
 from ..mutant import Mutant
 
-_OWNER = "chestnutfall/ownership/engine_owner.py"
+_LOADS = "chestnutfall/ownership/slot_loads.py"
+_DECISIONS = "chestnutfall/ownership/ticket_decisions.py"
 _SLOTS = "chestnutfall/ownership/engine_slots.py"
 _LOADER = "chestnutfall/ownership/adapter_loader.py"
 _DISPATCHER = "chestnutfall/routing/dispatcher.py"
@@ -30,7 +31,7 @@
     ),
     Mutant(
         "ticket does not pin",
-        _OWNER,
+        _DECISIONS,
         "        slot.pins[waiting.req.attempt_id] = waiting.session",
         "        pass",
         _OWNERSHIP_TEST,
@@ -55,7 +56,7 @@
     ),
     Mutant(
         "no turn for a cold adapter",
-        _OWNER,
+        _LOADS,
         "                self._drain_one_slot(waiting, now_ms)",
         "                pass",
         _OWNERSHIP_TEST,
@@ -188,7 +189,7 @@
     ),
     Mutant(
         "refused load tried again at once",
-        _OWNER,
+        _LOADS,
         "            self._no_loads_before_ms = now_ms + REFRESH_MS",
         "            pass",
         _OWNERSHIP_TEST,
--- a/properties/safeguards/limit_mutants.py
+++ b/properties/safeguards/limit_mutants.py
@@ -117,8 +117,8 @@
     ),
     Mutant(
         "owners give tickets without regard to the limit",
-        "chestnutfall/ownership/engine_owner.py",
-        "        if self._send_limit.wait_ms(0):\n            return\n",
+        "chestnutfall/ownership/ticket_decisions.py",
+        "        if send_limit.wait_ms(0):\n            return\n",
         "",
         _COMPLETIONS_TEST,
     ),
