--- a/chestnutfall/coordination/gateway_duties.py
+++ b/chestnutfall/coordination/gateway_duties.py
@@ -14,8 +14,8 @@
 from ..resumption.messages import AskOrigin, HeardOrigins
 from ..signals.engine_loads import EngineLoads
 from ..signals.messages import HeardBackoff, HeardRejections
-from .gateway_parts import GatewayParts
 from .gateway_session import GatewaySession
+from .leader_parts import LeaderParts
 from .messages import (
     AnswerRepeat,
     AskRepeat,
@@ -37,7 +37,7 @@
         Whether this controller is still the only leader.
     """
 
-    def __init__(self, parts: GatewayParts, leads: Callable[[], bool]) -> None:
+    def __init__(self, parts: LeaderParts, leads: Callable[[], bool]) -> None:
         self._parts = parts
         self._leads = leads
 
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -9,9 +9,9 @@
 FLEET_MUTANTS = (
     Mutant(
         "a service that a document drops ends at once",
-        "chestnutfall/coordination/leader_term.py",
-        "                self._retired.note_change(former, self._table)\n",
-        "                pass\n",
+        "chestnutfall/coordination/term_document.py",
+        "            self._retired.note_change(former, self._table)\n",
+        "            pass\n",
         _DOCUMENTS + "SeriesTest.test_requests_between_a_change_and_the_document",
     ),
     Mutant(
@@ -30,9 +30,9 @@
     ),
     Mutant(
         "a document that a leader can't read ends its replica",
-        "chestnutfall/coordination/leader_term.py",
-        "            except UnreadableDocument as exc:\n",
-        "            except ZeroDivisionError as exc:\n",
+        "chestnutfall/coordination/term_document.py",
+        "        except UnreadableDocument as exc:\n",
+        "        except ZeroDivisionError as exc:\n",
         _DOCUMENTS + "OneDocumentTest.test_a_leader_that_can_not_read_a_document_goes_on",
     ),
     Mutant(
@@ -93,7 +93,7 @@
     ),
     Mutant(
         "entries of services that nobody named are kept",
-        "chestnutfall/coordination/leader_term.py",
+        "chestnutfall/coordination/term_document.py",
         "        return self._table is None or self._service(service) is not None",
         "        return True",
         "chestnutfall.tests.test_fleet_leader",
