Take the capacity of a service out of the choice of an engine

engine_selector.py chose the engine of a request, and told what the engines of the service can take together: their rate, room and waits, which the round and refusals ask for. ServiceCapacity has these now.

The fifteen modules of tests of placement that were run pass.

--- a/chestnutfall/placement/engine_selector.py
+++ b/chestnutfall/placement/engine_selector.py
@@ -14,6 +14,7 @@
 from .place_option import PlaceOption
 from .place_request import PlaceRequest
 from .prompt_cache import Prefixes
+from .service_capacity import ServiceCapacity
 from .wanted_versions import WantedVersions
 
 WAIT_MARGIN_MS = 40.0
@@ -37,8 +38,8 @@
 
     Attributes
     ----------
-    limit_per_s : float or None
-        Sum of the engines' own limits, in requests a second; None unless each of them has a limit.
+    capacity : ServiceCapacity
+        What the engines can take together.
     barred : Collection of str
         Instances that the request of the next choice may not use.
     is_known : bool
@@ -56,21 +57,16 @@
         self._versions = versions
         self.is_known = bool(engines)
         self._engines = [one for one in engines if not one.is_ejected(now_ms)]
-        self._fraction = len(engines) / engine_count if engine_count else 1.0
         self._backoffs = ActiveBackoffs(self._engines, now_ms)
-        limits = [one.limit.per_s for one in self._accepting()]
-        limit_per_s = sum(one or 0.0 for one in limits) / self._fraction
-        self.limit_per_s = None if None in limits else limit_per_s
         self._demand = demand
         self._now_ms = now_ms
         self.barred: Collection[str] = ()
         self._available: set[AdapterName] | None = None
         self._costs = EngineCosts(self._engines, self._backoffs, now_ms)
-
-    @cached_property
-    def starts_per_s(self) -> float:
-        """Requests a second that all engines of the service together can start."""
-        return sum(one.starts_per_s() for one in self._accepting()) / self._fraction
+        fraction = len(engines) / engine_count if engine_count else 1.0
+        self.capacity = ServiceCapacity(
+            self._engines, self._backoffs, self._costs, now_ms, fraction
+        )
 
     @cached_property
     def _least_load_ms(self) -> float:
@@ -83,10 +79,6 @@
         engines = ((one, self._costs.least_with_load_ms(one)) for one in self._engines)
         return LoadOptions(engines, self._demand, self._versions, self._now_ms)
 
-    def _accepting(self) -> Iterator[Engine]:
-        """Yield the engines that would probably not reject a request."""
-        return (one for one in self._engines if not self._backoffs.probably_rejects(one))
-
     @property
     def engines(self) -> Collection[Engine]:
         """Engines that the round considers."""
@@ -154,39 +146,6 @@
             )
         return self._available
 
-    def has_room(self, req: PlaceRequest) -> bool:
-        """Whether any engine could start one more request."""
-        return any(
-            engine.has_room(req) and not engine.send_wait_ms(self._now_ms)
-            for engine in self._engines
-        )
-
-    def has_prefill_room(self, in_time: bool) -> bool:
-        """Whether any engine has time for one more prompt, of a request in time or a late one."""
-        return any(self._costs.standing(one)[1].admits(in_time) for one in self._engines)
-
-    def least_sent_ms(self) -> float:
-        """Time until an engine with time for one more prompt has processed those it was sent."""
-        sent_ms = (
-            engine.prefill.sent_ms(self._now_ms)
-            for engine in self._engines
-            if self._costs.standing(engine)[1].in_time
-        )
-        return min(sent_ms, default=0.0)
-
-    def next_send_ms(self) -> int:
-        """Time until the limit of at least one engine allows one more request."""
-        waits_ms = (one.limit.wait_ms(0, self._now_ms) for one in self._engines)
-        return min(waits_ms, default=0)
-
-    def unavailable_ms(self, req: PlaceRequest) -> float:
-        """Time until the first engine accepts requests of this gateway; 0 if one does now."""
-        if not self._backoffs:
-            return 0.0
-        model = req.adapter.model
-        usable = (one for one in self._engines if not model or model in one.models)
-        return self._backoffs.unavailable_ms(req, usable)
-
     def keep(self, engine: Engine) -> None:
         """Compute the costs of an engine before it is sent a prompt that has waited for its turn.
 
--- a/chestnutfall/placement/refusals.py
+++ b/chestnutfall/placement/refusals.py
@@ -35,7 +35,7 @@
 
     def refuse_expired(self, req: PlaceRequest, service_round: ServiceRound, now_ms: int) -> Reject:
         """Refuse a request whose time is over."""
-        backoff_ms = service_round.selector.unavailable_ms(req)
+        backoff_ms = service_round.selector.capacity.unavailable_ms(req)
         if backoff_ms:
             return self._reject_backing_off(req, backoff_ms)
         if service_round.limit_interval_ms is None:
@@ -47,7 +47,7 @@
     ) -> Reject | None:
         """Refuse a request that will find no place in time; None keeps it waiting."""
         req = waiting.req
-        backoff_ms = service_round.selector.unavailable_ms(req)
+        backoff_ms = service_round.selector.capacity.unavailable_ms(req)
         if backoff_ms and not service_round.selector.can_be_in_time(
             req, waiting.objective_ms(now_ms) - backoff_ms
         ):
@@ -64,7 +64,7 @@
         self, req: PlaceRequest, interval_ms: float, service_round: ServiceRound, now_ms: int
     ) -> Reject:
         """Refuse a request beyond the sum of all limits; no engine is free sooner."""
-        free_ms = service_round.selector.next_send_ms() + service_round.kept * interval_ms
+        free_ms = service_round.selector.capacity.next_send_ms() + service_round.kept * interval_ms
         retry_ms = self._retry_schedule.wait_ms(req.service, free_ms, interval_ms, now_ms)
         return _reject(req, "limited", retry_ms, MAX_WAIT_MS)
 
--- a/chestnutfall/placement/service_round.py
+++ b/chestnutfall/placement/service_round.py
@@ -51,7 +51,7 @@
         self.kept = 0
         self._queue_ms = 0.0
         self._late: Counter[int] = Counter()
-        per_s = selector.limit_per_s
+        per_s = selector.capacity.limit_per_s
         self.limit_interval_ms = 1000 / per_s if per_s else None
         self._intervals_ms: dict[tuple[int, bool], float] = {}
 
@@ -129,7 +129,7 @@
         if not self.shares_prefill(waiting):
             return False
         if self._open_ms is None:
-            self._open_ms = self.selector.least_sent_ms()
+            self._open_ms = self.selector.capacity.least_sent_ms()
         first_event_ms = self.selector.first_event_ms(waiting.req)
         return self._open_ms + first_event_ms > waiting.objective_ms(self._now_ms)
 
@@ -151,8 +151,8 @@
 
     def _note_shortage(self, waiting: WaitingRequest, in_time: bool) -> None:
         """Spare the requests behind one that found no engine a search that will find none."""
-        self._full = not self.selector.has_room(waiting.req)
-        if not self.selector.has_prefill_room(in_time):
+        self._full = not self.selector.capacity.has_room(waiting.req)
+        if not self.selector.capacity.has_prefill_room(in_time):
             self._without_prefill.add(in_time)
 
     def queue_ms(self, waiting: WaitingRequest) -> float:
@@ -179,7 +179,7 @@
         known = self._intervals_ms.get((rank, in_time))
         if known is not None:
             return known
-        starts_per_s = self.selector.starts_per_s
+        starts_per_s = self.selector.capacity.starts_per_s
         if in_time:
             interval_ms = self._rate.interval_ms(self._service, starts_per_s, self._now_ms, rank)
         else:
