Take the reading of reports out of the orders to an engine

engine_orders.py sent orders and read the engine's reports with regard to their delay. ReportReader reads them now: once, until one includes the last order, or until an adapter is dropped.

The mutant of the moved text is found; test_engine_orders, test_fleet_leader, test_placer and test_gateway_observations pass.

--- a/chestnutfall/coordination/engine_orders.py
+++ b/chestnutfall/coordination/engine_orders.py
@@ -8,17 +8,13 @@
 
 from ..clock import Clock
 from ..control.upstream_record import UpstreamRecord
-from ..placement import EngineReport, LoadAdapter, Order, UnloadAdapter
+from ..placement import LoadAdapter, Order, UnloadAdapter
 from ..placement.placer import Placer
 from .answer_timer import AnswerTimer
 from .engine_control import EngineControl, OrderResult
+from .report_reader import REPORT_LAG_MS, ReportReader
 
 log = logging.getLogger(__name__)
-MAX_REPORT_RETRY_MS = 4_000
-"""Longest interval of report attempts while an engine is down; it announces itself when it is
-back."""
-REPORT_RETRY_MS = 500
-"""Reports lag by about 100 ms and each costs a request; engines that need a resync are rare."""
 BUSY_RETRY_MS = 25
 """A tenth of a load, so that a free load slot is used soon."""
 MAX_RETRIES = 12
@@ -28,13 +24,8 @@
 """After an unanswered order, a conflict still most likely means that the engine is busy. A busy
 engine has a free load slot again within this many retries; only after them is reading the report
 worth the wait."""
-MAX_DROP_POLLS = 20
-"""Four seconds; most requests end within one."""
 STRAY_ORDER_MS = 15_000
 """Unanswered orders have been carried out up to twelve seconds later."""
-REPORT_LAG_MS = 200
-"""A report shows the engine's state about 100 ms ago; one that is read earlier than this after an
-order may not include it."""
 
 
 class EngineOrders:
@@ -76,6 +67,7 @@
         self.instance = record.instance
         self._record = record
         self._control = control
+        self._reports = ReportReader(record, control, clock)
         self._placer = placer
         self._clock = clock
         self._fencing_token = fencing_token
@@ -222,11 +214,8 @@
         unknown here. While the adapter still occupies its slot, the load that follows this order
         would be one too many, and an engine that is ordered to hold too much crashes.
         """
-        for _ in range(MAX_DROP_POLLS):
-            await self._clock.sleep_ms(REPORT_LAG_MS)
-            report = await self._report()
-            if report is not None and order.adapter not in report.adapters:
-                return
+        if await self._reports.wait_until_dropped(order.adapter):
+            return
         log.warning("orders: instance=%s has not dropped %s in time", self.instance, order.adapter)
         self._count_is_certain = False
         self._placer.order_failed(order)
@@ -245,42 +234,10 @@
             recent = self._clock.now_ms() - self._unanswered_ms < STRAY_ORDER_MS
             engine.has_stray_order = recent and self._unanswered_count > self._orders_taken
 
-    async def _report(self) -> EngineReport | None:
-        try:
-            report = await self._control.report(self._record)
-        except ConnectionError as exc:
-            log.warning("orders: instance=%s no report: %s", self.instance, exc)
-            return None
-        if report.started_ms != self._record.started_ms:
-            # The engine restarted under the same name and has not announced that yet. It lost its
-            # adapters, and its order count started again. If the new count were taken for the old
-            # one, one load too many could be ordered, which crashes the engine.
-            log.info("orders: instance=%s restarted at %d", self.instance, report.started_ms)
-            return None
-        return report
-
     async def _read_report(self) -> None:
-        read_twice = False
-        retry_ms = REPORT_RETRY_MS
-        while True:
-            wait_ms = self._ordered_ms + REPORT_LAG_MS - self._clock.now_ms()
-            if wait_ms > 0:
-                await self._clock.sleep_ms(wait_ms)
-            report = await self._report()
-            if report is None:
-                await self._clock.sleep_ms(retry_ms)
-                retry_ms = min(2 * retry_ms, MAX_REPORT_RETRY_MS)
-                continue
-            if report.orders_taken < self._orders_taken and not read_twice:
-                # The report may be older than the last order and show occupied slots as free. If a
-                # second report has the same count, it is right: an unload that had nothing to drop
-                # is answered like one that was taken, but not counted.
-                read_twice = True
-                await self._clock.sleep_ms(REPORT_LAG_MS)
-                continue
-            self._orders_taken = report.orders_taken
-            self._count_is_certain = True
-            self._placer.engine_reported(self.instance, report)
-            self._update_stray_order()
-            self._on_change()
-            return
+        report = await self._reports.read_settled(self._ordered_ms, self._orders_taken)
+        self._orders_taken = report.orders_taken
+        self._count_is_certain = True
+        self._placer.engine_reported(self.instance, report)
+        self._update_stray_order()
+        self._on_change()
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -100,7 +100,7 @@
     ),
     Mutant(
         "the report of another life is taken",
-        "chestnutfall/coordination/engine_orders.py",
+        "chestnutfall/coordination/report_reader.py",
         "        if report.started_ms != self._record.started_ms:",
         "        if False:",
         "chestnutfall.tests.test_engine_orders",
