Let the tests' leader use the program's wiring

PlacingLeader linked placement and coordinators by itself and had its own copy of what GatewayDuties does, so that a part which tests wire could be missing in the programs: with the calls taken out of GatewayDuties and LeaderParts that record limits, backoffs, ends, silences, origins and grants to streams, test_limits_together, test_backoff_together, test_suspect_parts, test_silent_runs and test_stream_origins passed. It uses LeaderParts and GatewayDuties now, on a replicated state that outlives it, and gateways are sent what a leader sends.

A leader with few upstreams sends them as an empty list and a change, in which gateways see that a service has got a second build, and tell it all for that reason. The test stays as it is, and a second one plays the same with as many upstreams as are sent as one list, where the mutant is found.

--- a/chestnutfall/tests/fakes/part_office.py
+++ b/chestnutfall/tests/fakes/part_office.py
@@ -9,15 +9,8 @@
 from typing import Any
 
 from ...clock import Clock
-from ...control.control_state import ControlState
-from ...control.crash_messages import (
-    NO_SUSPECTS,
-    AnsweredParts,
-    AnsweredRun,
-    BrokenRun,
-    SuspectRequests,
-)
-from ...control.crash_monitor import POLL_MS, CrashMonitor
+from ...control.crash_messages import BrokenRun
+from ...control.crash_monitor import POLL_MS
 from ...forwarding.call import Call
 from ...forwarding.engine_upstream_selector import EngineUpstreamSelector
 from ...forwarding.forwarded_call import ForwardedCall
@@ -39,57 +32,26 @@
 """Time from the first event of a fatal request to the end of its engine."""
 
 
-class AppliedLog:
-    """A log that applies each command at once, as that of a group whose members are all up."""
-
-    def __init__(self, state: ControlState) -> None:
-        self._state = state
-        self._index = 0
-
-    async def propose(self, data: bytes) -> Any:
-        """Apply a command."""
-        self._index += 1
-        return self._state.apply(self._index, data)
-
-
 class PartLeader(PlacingLeader):
     """A leader that also finds out what ends engines."""
 
     def __init__(self, office: PartOffice) -> None:
-        self._office = office
-        super().__init__(office.upstreams.values, office.on_order, office.clock)
+        super().__init__(office.upstreams.values, office.on_order, office.state, office.clock)
+        self._clock = office.clock
         self._crashes_due_ms = 0
-        self._sent = NO_SUSPECTS
-        log = AppliedLog(office.state)
-        self.crashes = CrashMonitor(log, office.state, office.clock, self.placer.suspects)  # type: ignore[arg-type]
-
-    def add_gateway(self, name: str) -> None:
-        self.crashes.told_suspects(self._office.gateways[name].fleet.suspect_parts())
-        super().add_gateway(name)
-        self._by_gateway[name].send(self._suspects())
-
-    def _suspects(self) -> SuspectRequests:
-        parts = self.placer.suspects.lasting(self._office.clock.now_ms())
-        return dataclasses.replace(self._office.state.crashes.suspects(), suspect_parts=parts)
+        self.crashes = self._parts.crashes
 
     def handle(self, name: str, msg: Any) -> None:
-        if isinstance(msg, BrokenRun | AnsweredRun | AnsweredParts):
-            self.crashes.handle_report(msg)
-            if isinstance(msg, BrokenRun) and msg.refuses:
-                self.update_upstreams()
-            return
         super().handle(name, msg)
+        if isinstance(msg, BrokenRun) and msg.refuses:
+            self.update_upstreams()
 
     async def commit_due(self) -> None:
-        """Commit what is due, and tell all gateways of changes."""
-        now_ms = self._office.clock.now_ms()
+        """Commit what is due."""
+        now_ms = self._clock.now_ms()
         if now_ms >= self._crashes_due_ms:
             self._crashes_due_ms = now_ms + POLL_MS
             await self.crashes.commit_due()
-        suspects = self._suspects()
-        if suspects != self._sent:
-            self._sent = suspects
-            self._sessions.broadcast(suspects)
 
 
 class _FatalApi(SignallingApi):
@@ -149,8 +111,6 @@
         Clock times of ends under fatal parts, and of requests with one that reached engines.
     runs : list
         Time, instance and call of each run.
-    state : ControlState
-        The replicated state, which outlives leaders.
     run_ms : int
         Time that an answer takes.
     check_ms : int
@@ -165,7 +125,6 @@
         self.ends_ms: list[int] = []
         self.fatal_arrivals_ms: list[int] = []
         self.runs: list[tuple[int, str, Call]] = []
-        self.state = ControlState()
         self.run_ms = RUN_MS
         self.check_ms = CHECK_MS
         self.sent: list[PartCall] = []
--- a/chestnutfall/tests/fakes/placing_gateway.py
+++ b/chestnutfall/tests/fakes/placing_gateway.py
@@ -104,7 +104,7 @@
 
     def join(self, leader: PlacingLeader) -> None:
         """Connect to a leader."""
-        leader.add_gateway(self.name)
+        leader.add_gateway(self.name, self.known.version, self.fleet.suspect_parts())
         for report in self.fleet.signals_to_resend():
             leader.handle(self.name, report)
         for crash in self.fleet._reports.to_resend():
--- a/chestnutfall/tests/fakes/placing_office.py
+++ b/chestnutfall/tests/fakes/placing_office.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 
 from ...clock import ManualClock
+from ...control.control_state import ControlState
 from ...control.upstream_record import UpstreamRecord
 from ...forwarding.call import Call
 from ...forwarding.place import SelectionCriteria
@@ -32,6 +33,8 @@
         The gateways by name.
     leader : PlacingLeader or None
         The present leader, if any.
+    state : ControlState
+        The replicated state, which outlives leaders.
     """
 
     def __init__(self, gateways: int, engines: int = 3, plain: int = 3, seed: int = 1) -> None:
@@ -51,6 +54,7 @@
         for at in range(gateways):
             self.gateways[f"g{at}"] = self._gateway(f"g{at}")
         self.leader: PlacingLeader | None = None
+        self.state = ControlState()
         self._calls: set[asyncio.Task[None]] = set()
         self._due: dict[str, float] = {}
         self.begin_leader()
@@ -66,7 +70,7 @@
     def begin_leader(self) -> None:
         """Start a leader without state of the previous one; gateways that aren't cut connect."""
         self.lose_leader()
-        self.leader = PlacingLeader(self.upstreams.values, self.on_order, self.clock)
+        self.leader = PlacingLeader(self.upstreams.values, self.on_order, self.state, self.clock)
         for gateway in self.gateways.values():
             if not gateway.cut:
                 gateway.join(self.leader)
--- a/chestnutfall/tests/test_part_evidence.py
+++ b/chestnutfall/tests/test_part_evidence.py
@@ -13,7 +13,7 @@
 from ..control.part_monitor import UNDECIDED_MS
 from ..placement import AdapterName, PlaceRequest, PromptPart
 from ..placement.suspect_parts import JUDGING_MS, SuspectParts
-from .fakes.part_office import AppliedLog
+from .fakes.applied_log import AppliedLog
 
 RUN_MS = 30
 FATAL = "fatal"
--- a/chestnutfall/tests/test_stream_origins.py
+++ b/chestnutfall/tests/test_stream_origins.py
@@ -7,6 +7,7 @@
 import unittest
 
 from ..coordination.messages import PlaceRequest
+from ..coordination.upstream_views import REBASE_CHANGES
 from ..placement import AdapterName
 from ..requests import fingerprint_of
 from ..resumption import (
@@ -23,6 +24,7 @@
 
 ROUNDS = 12
 HALVES = ("v1", "v2") * 3
+MANY = ("v1", "v2") * (REBASE_CHANGES // 2 + 1)
 ONE_OTHER = ("v1", "v2", "v2", "v2", "v1")
 """One other engine of the build of the first one, and more of another build."""
 
@@ -225,7 +227,15 @@
 class LeaderTest(_StreamCase):
     # Guards against a new leader that does not know what its gateways have begun.
     async def test_a_stream_goes_on_after_a_change_of_leader(self) -> None:
-        office = await self._office(3, HALVES)
+        await self._check_that_streams_go_on(HALVES)
+
+    # Guards against the same where a new leader sends its upstreams as one list: gateways see no
+    # service get a second build then, which would let them tell what they know.
+    async def test_a_stream_goes_on_after_a_change_of_leader_with_many_upstreams(self) -> None:
+        await self._check_that_streams_go_on(MANY)
+
+    async def _check_that_streams_go_on(self, builds: tuple[str, ...]) -> None:
+        office = await self._office(3, builds)
         begun = await office.begun_on_each("g0", "first")
         office.begin_leader()
         sent = {one: office.begin("g1", f"again {one}", one, 1) for one in begun}
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -112,6 +112,53 @@
         "        self._from_ms = clock.now_ms()",
         "chestnutfall.tests.test_repeats",
     ),
+    Mutant(
+        "the leader does not pass on what gateways hear of limits",
+        "chestnutfall/coordination/gateway_duties.py",
+        "                parts.limits.record_limit(session, msg)\n",
+        "                pass\n",
+        "chestnutfall.tests.test_limits_together.LimitsTogetherTest."
+        "test_any_number_of_gateways_keeps_a_limit_and_uses_it",
+    ),
+    Mutant(
+        "the leader does not pass on what gateways hear of backoffs",
+        "chestnutfall/coordination/gateway_duties.py",
+        "                parts.backoffs.record_backoff(session, msg)\n",
+        "                pass\n",
+        "chestnutfall.tests.test_backoff_together.BackoffTogetherTest."
+        "test_any_number_of_gateways_respects_a_backoff_and_callers_lose_nothing",
+    ),
+    Mutant(
+        "the leader does not pass on what gateways report of ends",
+        "chestnutfall/coordination/gateway_duties.py",
+        "                parts.observations.reported(session.gateway, msg)\n",
+        "                pass\n",
+        "chestnutfall.tests.test_suspect_parts.HeldPartTest."
+        "test_requests_that_wait_as_the_hold_begins_are_refused",
+    ),
+    Mutant(
+        "the leader does not pass on what streams began on",
+        "chestnutfall/coordination/gateway_duties.py",
+        "                parts.origins.record(session, msg)\n",
+        "                pass\n",
+        "chestnutfall.tests.test_stream_origins.LeaderTest."
+        "test_a_stream_goes_on_after_a_change_of_leader",
+    ),
+    Mutant(
+        "the leader does not pass on that an engine is silent",
+        "chestnutfall/coordination/gateway_duties.py",
+        "                parts.placer.note_silent(ticket)\n",
+        "                pass\n",
+        "chestnutfall.tests.test_silent_runs",
+    ),
+    Mutant(
+        "grants to streams are not passed on to what knows their builds",
+        "chestnutfall/coordination/leader_parts.py",
+        "                    self.origins.granted(decision)\n",
+        "                    pass\n",
+        "chestnutfall.tests.test_stream_origins.ResumedElsewhereTest."
+        "test_a_stream_goes_on_at_its_build_at_any_gateway",
+    ),
     Mutant(
         "a leader that was cut off gives out repeats",
         "chestnutfall/coordination/gateway_duties.py",
--- a/properties/safeguards/stream_mutants.py
+++ b/properties/safeguards/stream_mutants.py
@@ -59,7 +59,7 @@
         _GATEWAY,
         "        return (self._all_known(),)\n",
         "        return ()\n",
-        _TESTS + "LeaderTest.test_a_stream_goes_on_after_a_change_of_leader",
+        _TESTS + "LeaderTest.test_a_stream_goes_on_after_a_change_of_leader_with_many_upstreams",
     ),
     Mutant(
         "the leader is not told of a stream that it did not place as one",
