--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -9,9 +9,9 @@
 FLEET_MUTANTS = (
     Mutant(
         "a service that a document drops ends at once",
-        "chestnutfall/coordination/leader_term.py",
-        "                self._retired.note_change(former, self._table)\n",
-        "                pass\n",
+        "chestnutfall/coordination/term_document.py",
+        "            self._retired.note_change(former, self._table)\n",
+        "            pass\n",
         _DOCUMENTS + "SeriesTest.test_requests_between_a_change_and_the_document",
     ),
     Mutant(
@@ -30,9 +30,9 @@
     ),
     Mutant(
         "a document that a leader can't read ends its replica",
-        "chestnutfall/coordination/leader_term.py",
-        "            except UnreadableDocument as exc:\n",
-        "            except ZeroDivisionError as exc:\n",
+        "chestnutfall/coordination/term_document.py",
+        "        except UnreadableDocument as exc:\n",
+        "        except ZeroDivisionError as exc:\n",
         _DOCUMENTS + "OneDocumentTest.test_a_leader_that_can_not_read_a_document_goes_on",
     ),
     Mutant(
@@ -93,14 +93,14 @@
     ),
     Mutant(
         "entries of services that nobody named are kept",
-        "chestnutfall/coordination/leader_term.py",
+        "chestnutfall/coordination/term_document.py",
         "        return self._table is None or self._service(service) is not None",
         "        return True",
         "chestnutfall.tests.test_fleet_leader",
     ),
     Mutant(
         "the report of another life is taken",
-        "chestnutfall/coordination/engine_orders.py",
+        "chestnutfall/coordination/report_reader.py",
         "        if report.started_ms != self._record.started_ms:",
         "        if False:",
         "chestnutfall.tests.test_engine_orders",
@@ -112,6 +112,53 @@
         "        self._from_ms = clock.now_ms()",
         "chestnutfall.tests.test_repeats",
     ),
+    Mutant(
+        "the leader does not pass on what gateways hear of limits",
+        "chestnutfall/coordination/gateway_duties.py",
+        "                parts.limits.record_limit(session, msg)\n",
+        "                pass\n",
+        "chestnutfall.tests.test_limits_together.LimitsTogetherTest."
+        "test_any_number_of_gateways_keeps_a_limit_and_uses_it",
+    ),
+    Mutant(
+        "the leader does not pass on what gateways hear of backoffs",
+        "chestnutfall/coordination/gateway_duties.py",
+        "                parts.backoffs.record_backoff(session, msg)\n",
+        "                pass\n",
+        "chestnutfall.tests.test_backoff_together.BackoffTogetherTest."
+        "test_any_number_of_gateways_respects_a_backoff_and_callers_lose_nothing",
+    ),
+    Mutant(
+        "the leader does not pass on what gateways report of ends",
+        "chestnutfall/coordination/gateway_duties.py",
+        "                parts.observations.reported(session.gateway, msg)\n",
+        "                pass\n",
+        "chestnutfall.tests.test_suspect_parts.HeldPartTest."
+        "test_requests_that_wait_as_the_hold_begins_are_refused",
+    ),
+    Mutant(
+        "the leader does not pass on what streams began on",
+        "chestnutfall/coordination/gateway_duties.py",
+        "                parts.origins.record(session, msg)\n",
+        "                pass\n",
+        "chestnutfall.tests.test_stream_origins.LeaderTest."
+        "test_a_stream_goes_on_after_a_change_of_leader",
+    ),
+    Mutant(
+        "the leader does not pass on that an engine is silent",
+        "chestnutfall/coordination/gateway_duties.py",
+        "                parts.placer.note_silent(ticket)\n",
+        "                pass\n",
+        "chestnutfall.tests.test_silent_runs",
+    ),
+    Mutant(
+        "grants to streams are not passed on to what knows their builds",
+        "chestnutfall/coordination/leader_parts.py",
+        "                    self.origins.granted(decision)\n",
+        "                    pass\n",
+        "chestnutfall.tests.test_stream_origins.ResumedElsewhereTest."
+        "test_a_stream_goes_on_at_its_build_at_any_gateway",
+    ),
     Mutant(
         "a leader that was cut off gives out repeats",
         "chestnutfall/coordination/gateway_duties.py",
--- a/properties/safeguards/limit_mutants.py
+++ b/properties/safeguards/limit_mutants.py
@@ -47,7 +47,7 @@
     Mutant(
         "calls that wait for an engine's load keep their place when it names a limit",
         "chestnutfall/placement/placer.py",
-        "            self._unassign(waiting)\n\n    def order_failed",
+        "            self._assignments.clear(waiting)\n\n    def order_failed",
         "            pass\n\n    def order_failed",
         "chestnutfall.tests.test_limited_placement",
     ),
@@ -117,8 +117,8 @@
     ),
     Mutant(
         "owners give tickets without regard to the limit",
-        "chestnutfall/ownership/engine_owner.py",
-        "        if self._send_limit.wait_ms(0):\n            return\n",
+        "chestnutfall/ownership/ticket_decisions.py",
+        "        if send_limit.wait_ms(0):\n            return\n",
         "",
         _COMPLETIONS_TEST,
     ),
