Count the time for a port's answer only while the process runs

Callers saw an engine that had ended count as alive until it was back, and a link that was sound as cut, where a busy host kept the gateway from running.

Where the process doesn't run for that long after it began to connect, the timer falls due in the same turn of the loop as the answer, before the connection's task sees it: "no answer" for a port that refused at once.

The wait is ten parts, each of which the loop sees end, so a pause takes one of them. A port that never answers takes as long as before.

--- a/chestnutfall/tests/test_request_quarantine.py
+++ b/chestnutfall/tests/test_request_quarantine.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import unittest
+from unittest.mock import patch
 
 from ..clock import ManualClock
 from ..control.crash_messages import (
@@ -24,11 +25,13 @@
 from ..quarantine.broken_parts import MAX_REMEMBERED as MAX_BROKEN_PARTS
 from ..quarantine.broken_parts import REMEMBERED_MS as BROKEN_PARTS_MS
 from ..quarantine.broken_parts import BrokenParts
+from ..quarantine.port_check import ANSWER_S, WAITS, opens_connection
 from ..quarantine.request_quarantine import MAX_ANSWERED
 from ..requests import Executed, Refusal, fingerprint_of
 from ..signals.known_rejections import WINDOW_MS, KnownRejections
 from ..signals.messages import HeardRejections, RejectionsInForce
 from ..signals.rejection_signal import DeclaredRejections
+from .fakes.shifted_loop import ShiftedLoop
 
 
 class RequestQuarantineTest(unittest.IsolatedAsyncioTestCase):
@@ -250,3 +253,36 @@
         server.close()
         await server.wait_closed()
         self.assertTrue(await refuses_connections(f"{host}:{port}"))
+
+    # Guards against an end that counts as none, and a live port as closed, since a busy host kept
+    # the gateway from running for longer than a look at a port may take.
+    async def test_an_answer_that_came_while_the_process_did_not_run_counts(self) -> None:
+        server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        address = f"{host}:{port}"
+        loop = ShiftedLoop()
+        for look, is_up in ((opens_connection, True), (refuses_connections, False)):
+            if not is_up:
+                server.close()
+                await server.wait_closed()
+            for turns in range(6):
+                with self.subTest(look.__name__, turns=turns):
+                    looking = asyncio.ensure_future(look(address))
+                    for _ in range(turns):
+                        await asyncio.sleep(0)
+                    loop.skip(10 * ANSWER_S)
+                    self.assertTrue(await looking)
+
+    # Guards against looks that go on at a host that never answers.
+    async def test_a_port_that_never_answers_neither_opens_nor_refuses(self) -> None:
+        async def hangs(host: str, port: int) -> None:
+            await asyncio.Event().wait()
+
+        loop = ShiftedLoop()
+        with patch("asyncio.open_connection", hangs):
+            for look in (opens_connection, refuses_connections):
+                looking = asyncio.ensure_future(look("127.0.0.1:1"))
+                for _ in range(WAITS):
+                    self.assertFalse(looking.done())
+                    await loop.pass_s(ANSWER_S / WAITS)
+                self.assertFalse(await looking)
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -465,4 +465,13 @@
         "",
         _EVIDENCE + "test_a_common_part_in_two_unsure_ends_waits_like_others",
     ),
+    Mutant(
+        "an answer that a busy gateway has not read yet counts as none",
+        "chestnutfall/quarantine/port_check.py",
+        "        for _ in range(WAITS):\n"
+        "            done, _ = await asyncio.wait({opening}, timeout=ANSWER_S / WAITS)\n",
+        "        if True:\n"
+        "            done, _ = await asyncio.wait({opening}, timeout=ANSWER_S)\n",
+        "chestnutfall.tests.test_request_quarantine.PortCheckTest",
+    ),
 )
