--- a/chestnutfall/plain_edge/plain_calls.py
+++ b/chestnutfall/plain_edge/plain_calls.py
@@ -114,4 +114,8 @@
 
 
 def _forwarded_headers(headers: Any) -> dict[str, str]:
-    return {name: value for name, value in headers.items() if name.lower() not in _NOT_FORWARDED}
+    # aiohttp's names of headers are a subclass of str, which the codec between gateways doesn't
+    # encode.
+    return {
+        str(name): value for name, value in headers.items() if name.lower() not in _NOT_FORWARDED
+    }
--- a/chestnutfall/tests/fakes/caller_edge_case.py
+++ b/chestnutfall/tests/fakes/caller_edge_case.py
@@ -16,6 +16,7 @@
 from ...caller_edge import CallerApp, CallerLimits, ControlQuotaClient
 from ...config.layered_config import BASE_LAYER
 from ...engine_edge.own_upstream_http import OwnUpstreamHttp
+from ...forwarding.upstream_api import UpstreamApi
 from ...membership import Announcement
 from ...plain_edge import PlainProxy
 from ...quota.quota_enforcer import QuotaEnforcer
@@ -82,7 +83,7 @@
             clock,
             self.metrics,
             SITE,
-            self.upstreams,
+            self._upstream_api(),
         )
         quotas = QuotaEnforcer(
             ControlQuotaClient(gateway.client, clock),
@@ -103,6 +104,10 @@
             trace.get_tracer("test"),
         )
 
+    def _upstream_api(self) -> UpstreamApi:
+        """What sends calls to plain upstreams."""
+        return self.upstreams
+
     async def asyncTearDown(self) -> None:
         await self.session.close()
         await self.runner.cleanup()
--- a/chestnutfall/tests/fakes/fake_engine.py
+++ b/chestnutfall/tests/fakes/fake_engine.py
@@ -45,6 +45,8 @@
         `slow_state`.
     ran : list of str
         Attempt ids of all runs, oldest first.
+    ended : set of str
+        Attempt ids of runs that ended whole, whose events are still held for who lost some.
     crashes : int
         Crashes caused by requests with `FATAL_TEXT`.
     limit, backoff : str or None
@@ -66,6 +68,7 @@
         self.running: dict[str, str] = {}
         self.events: dict[str, list[bytes]] = {}
         self.ran: list[str] = []
+        self.ended: set[str] = set()
         self.evicted_while_serving = 0
         self.loads = 0
         self.refused_orders = 0
@@ -121,11 +124,16 @@
         await self.clock.sleep_ms(DOWN_MS)
         self.reachable = True
 
+    def holds(self, attempt_id: str) -> bool:
+        """Whether the events of a run can be had."""
+        return attempt_id in self.running or attempt_id in self.ended
+
     def restart_empty(self) -> None:
         """Replace the process by a new one that holds nothing."""
         self.incarnation += "+"
         self.adapters.clear()
         self.running.clear()
+        self.ended.clear()
         self.events.clear()
         self.epoch = 0
 
@@ -184,7 +192,7 @@
             await engine.clock.sleep_ms(TOKEN_MS)
             await engine.be_silent(limit_ms)
             limit_ms = req.silent_ms
-            if engine.incarnation != incarnation or req.attempt_id not in engine.running:
+            if engine.incarnation != incarnation or not engine.holds(req.attempt_id):
                 raise EngineBroken("engine_connection_lost", "gone")
             if number == 3 and engine.take_fault("mid_reset"):
                 raise EngineBroken("engine_connection_lost", "reset")
@@ -201,6 +209,7 @@
             last = number == len(events)
             if last:
                 engine.running.pop(req.attempt_id, None)
+                engine.ended.add(req.attempt_id)
             yield [AnswerEvent(number, data, last)]
             if number == 3 and engine.take_fault("duplicate"):
                 yield [AnswerEvent(number, data, last)]
@@ -212,7 +221,7 @@
             raise EngineRefused("engine_unreachable", "no connection")
         engine.arrivals.append(engine.clock.now_ms())
         engine.resumed += 1
-        if req.attempt_id not in engine.running:
+        if not engine.holds(req.attempt_id):
             raise EngineRefused("run_unknown", "no such run")
         async for event in self._events_after(engine, req, after):
             yield event
--- a/properties/safeguards/completion_end_mutants.py
+++ b/properties/safeguards/completion_end_mutants.py
@@ -96,6 +96,13 @@
         "            raise",
         _ERRORS_TEST,
     ),
+    Mutant(
+        "plain call that no helper gets for the type of its headers",
+        "chestnutfall/plain_edge/plain_calls.py",
+        "        str(name): value for name",
+        "        name: value for name",
+        "chestnutfall.tests.test_helped_silence",
+    ),
     Mutant(
         "completion fails when its caller has gone meanwhile",
         "chestnutfall/caller_edge/request_parser.py",
