--- a/properties/safeguards/completion_silence_mutants.py
+++ b/properties/safeguards/completion_silence_mutants.py
@@ -94,6 +94,13 @@
         "        if False:",
         _PLAIN_TEST,
     ),
+    Mutant(
+        "stream through a helper given up while the helper is silent",
+        "chestnutfall/routing/engine_runs.py",
+        "                    lost += not silent",
+        "                    lost += 1",
+        "chestnutfall.tests.test_helped_silence",
+    ),
     Mutant(
         "begun stream of a silent engine never ends",
         "chestnutfall/routing/engine_runs.py",
