--- a/chestnutfall/tests/fakes/engine_links.py
+++ b/chestnutfall/tests/fakes/engine_links.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 
 from ...clock import Clock
@@ -104,7 +104,7 @@
 
 
 async def _written(
-    first: list[AnswerEvent], batches: Batches, stream: bool
+    first: Sequence[AnswerEvent], batches: Batches, stream: bool
 ) -> AsyncIterator[bytes]:
     try:
         yield _text(first, stream)
@@ -114,7 +114,7 @@
         raise AnswerLost(str(exc)) from exc
 
 
-def _text(events: list[AnswerEvent], stream: bool) -> bytes:
+def _text(events: Sequence[AnswerEvent], stream: bool) -> bytes:
     if not stream:
         return events[0].data
     return b"".join(b"id: %d\ndata: %s\n\n" % (one.number, one.data) for one in events)
