Let a begun stream wait for an engine that is not reached

Callers of the product's own interface saw a stream broken off with 502 engine_unreachable 1.4 s after its link was cut, of which 1 s was the silence of its connection, although the engine lived and had the run.

Cause: a connection that doesn't open was counted like one that the engine ended, four of them in 0.36 s, so what is alive was let go. Evidence: test_cut_streams on the code before: broken after 1,360 ms where the caller's own deadline was 8 s, and no stream outlived the cuts of 1.5 s and more.

A connection that doesn't open is now held like silence: the run is asked for again, with a growing delay of a second at most, until nothing came for as long as the caller would have waited. It ends sooner if its engine is known to have ended: another process has its name, or its port refuses connections and another gateway confirms it, which is asked after each try that fails and shared by all streams of the engine. The counts stand in RunLosses.

--- a/chestnutfall/engine_edge/errors.py
+++ b/chestnutfall/engine_edge/errors.py
@@ -5,6 +5,9 @@
 ENGINE_SILENT = "engine_silent"
 """Code of an answer that was given up since its engine was silent for too long."""
 
+ENGINE_UNREACHABLE = "engine_unreachable"
+"""Code of a request that was not sent since no connection to the engine opened."""
+
 
 class EngineRefused(Exception):
     """The engine provably did not run the request: no connection, or the engine's own refusal.
@@ -22,6 +25,11 @@
         self.code = code
         self.final = final
 
+    @property
+    def is_unreached(self) -> bool:
+        """Whether no connection opened; the engine may be sound, and its link be cut."""
+        return self.code == ENGINE_UNREACHABLE
+
 
 class EngineBroken(Exception):
     """The answer broke off, was wrong, or stalled; the request may have run.
--- a/chestnutfall/engine_edge/http_engine_api.py
+++ b/chestnutfall/engine_edge/http_engine_api.py
@@ -24,7 +24,7 @@
 from .engine_api import Batches, EngineApi
 from .engine_request import EngineRequest
 from .engine_state import EngineState
-from .errors import ENGINE_SILENT, EngineBroken, EngineRefused
+from .errors import ENGINE_SILENT, ENGINE_UNREACHABLE, EngineBroken, EngineRefused
 from .order import Order
 
 log = logging.getLogger(__name__)
@@ -137,7 +137,7 @@
                 if texts:
                     yield [event for event in map(_parse_event, texts) if event is not None]
     except NotSent as exc:
-        raise EngineRefused("engine_unreachable", str(exc)) from exc
+        raise EngineRefused(ENGINE_UNREACHABLE, str(exc)) from exc
     except AnswerLost as exc:
         if str(exc) == SILENT:
             raise EngineBroken(ENGINE_SILENT, "the engine fell silent") from exc
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -15,7 +15,7 @@
     EngineBroken,
     EngineRefused,
 )
-from ..membership import GatewayAgent, UpstreamRegistry
+from ..membership import GatewayAgent, Upstream, UpstreamRegistry
 from ..observability.metrics import Metrics
 from ..peers import PeerLinks
 from ..quarantine import RequestQuarantine
@@ -52,12 +52,13 @@
         rng: random.Random,
         data_centre: str,
     ) -> None:
+        self._registry = registry
         self._quarantine = quarantine
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
         self._tickets = Tickets(agent, registry, links, signals, clock, metrics, data_centre)
-        runs = EngineRuns(api, links, signals, clock, metrics)
+        runs = EngineRuns(api, links, signals, self._has_ended, clock, metrics)
         self._attempts = Attempts(
             agent, links, self._tickets, runs, quarantine, signals, clock, tracer
         )
@@ -141,6 +142,13 @@
         finally:
             await race.close()
 
+    async def _has_ended(self, engine: Upstream) -> bool:
+        """Whether another process has the engine's name, or its port is known to be closed."""
+        known = self._registry.get(engine.name)
+        if known is not None and known.instance != engine.instance:
+            return True
+        return await self._quarantine.has_ended(engine.address)
+
     async def _before_retry(
         self,
         req: CallerRequest,
--- a/chestnutfall/routing/engine_runs.py
+++ b/chestnutfall/routing/engine_runs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from collections.abc import Awaitable, Callable
 from typing import NoReturn
 
 from ..clock import Clock
@@ -20,24 +21,29 @@
 from ..peers import PeerLinks
 from ..signals import BACKING_OFF
 from ..signals.known_signals import KnownSignals
-
-MAX_RESUMES = 3
-RESUME_BACKOFF_MS = 50
-"""Delay before the first resume; each further one waits longer by as much."""
+from .run_losses import RunLosses
 
 
 class EngineRuns:
-    """Runs requests on engines, and resumes runs whose connection is lost."""
+    """Runs requests on engines, and resumes runs whose connection is lost.
+
+    Parameters
+    ----------
+    has_ended : callable
+        Whether an engine's process is known to have ended, and its runs with it.
+    """
 
     def __init__(
         self,
         api: EngineApi,
         links: PeerLinks,
         signals: KnownSignals,
+        has_ended: Callable[[Upstream], Awaitable[bool]],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._api = api
+        self._has_ended = has_ended
         self._links = links
         self._signals = signals
         self._clock = clock
@@ -55,28 +61,25 @@
             When the answer broke off and can't be resumed.
         """
         validator = AnswerValidator(req.attempt_id, req.model)
-        lost = 0
-        heard_ms = self._clock.now_ms()
+        losses = RunLosses(self._clock.now_ms())
         batches = self._api.run(engine.record, req)
         try:
             while not validator.whole:
                 try:
                     async for events in self._checked_batches(batches, validator):
-                        heard_ms = self._clock.now_ms()
+                        losses.note_heard(self._clock.now_ms())
                         yield events
                 except (EngineBroken, EngineRefused) as exc:
                     if validator.last_number == 0 and isinstance(exc, EngineRefused):
                         raise
-                    # A silent engine still has the run, and may go on for as long as its caller
-                    # waits; only connections that ended are counted.
-                    silent = isinstance(exc, EngineBroken) and exc.is_silence
-                    lost += not silent
-                    over = self._clock.now_ms() >= heard_ms + req.begin_ms if silent else False
-                    over = over or lost > MAX_RESUMES
+                    losses.note(exc)
+                    over = losses.is_over(exc, self._clock.now_ms(), req.begin_ms)
                     if over or not _may_resume(exc, req, validator.last_number):
                         self._raise_broken(exc)
+                    if losses.unreached and await self._has_ended(engine):
+                        self._raise_broken(exc)
                     self._metrics.count("resumes")
-                    await self._clock.sleep_ms(self._resume_wait_ms(engine, req, lost))
+                    await self._clock.sleep_ms(self._resume_wait_ms(engine, req, losses))
                     self._links.report_resume(engine.name)
                     batches = self._api.resume(engine.record, req, validator.last_number)
         finally:
@@ -99,7 +102,7 @@
         if failure is not None:
             raise failure
 
-    def _resume_wait_ms(self, engine: Upstream, req: EngineRequest, lost: int) -> float:
+    def _resume_wait_ms(self, engine: Upstream, req: EngineRequest, losses: RunLosses) -> float:
         """Return how long to wait before resuming a run, in ms.
 
         An engine that is leaving is asked without its backoff, since no other engine has the run.
@@ -114,7 +117,7 @@
             left_ms = 0.0
         if left_ms > req.silent_ms:
             raise EngineBroken(BACKING_OFF, "the engine wants nothing for longer than it may")
-        return max(left_ms, RESUME_BACKOFF_MS * max(lost, 1))
+        return max(left_ms, losses.wait_ms)
 
     @staticmethod
     def _raise_broken(exc: EngineBroken | EngineRefused) -> NoReturn:
--- a/chestnutfall/tests/fakes/fake_engine.py
+++ b/chestnutfall/tests/fakes/fake_engine.py
@@ -53,10 +53,14 @@
         Values of the limit and `Retry-After` headers of its answers.
     turned_away, arrivals : list of int
         Clock times in ms of requests refused with a backoff, and of all requests.
+    tries : int
+        Runs and resumes for which no connection opened while it was cut off.
     head_ms : int
         Time until it begins an answer.
     silent_until_ms : int
         Clock time until which it sends nothing, and after which it goes on as if nothing had been.
+    cut_until_ms : int
+        Clock time until which no connection to it opens or is refused, and open ones are silent.
     """
 
     def __init__(self, clock: Clock, slots: int = 2, checked: bool = True) -> None:
@@ -85,6 +89,13 @@
         self.arrivals: list[int] = []
         self.head_ms = 0
         self.silent_until_ms = 0
+        self.cut_until_ms = 0
+        self.tries = 0
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether no connection to it opens."""
+        return self.clock.now_ms() < self.cut_until_ms
 
     def take_fault(self, fault: str) -> bool:
         """Whether `fault` is due; counts it as used if so."""
@@ -101,7 +112,7 @@
         EngineBroken
             When `limit_ms` are over before; the run goes on.
         """
-        left_ms = self.silent_until_ms - self.clock.now_ms()
+        left_ms = max(self.silent_until_ms, self.cut_until_ms) - self.clock.now_ms()
         if left_ms > limit_ms:
             await self.clock.sleep_ms(limit_ms)
             raise EngineBroken("engine_silent", "silent")
@@ -147,7 +158,7 @@
 
     def _engine(self, address: str) -> FakeEngine:
         engine = self.by_address[address]
-        if not engine.reachable:
+        if not engine.reachable or engine.is_cut:
             raise ConnectionError(f"cannot connect to {address}")
         return engine
 
@@ -158,7 +169,8 @@
     async def run(self, engine: UpstreamRecord, req: EngineRequest) -> Batches:
         address = engine.address
         engine = self.by_address[address]
-        if not engine.reachable or engine.take_fault("unreachable"):
+        engine.tries += engine.is_cut
+        if not engine.reachable or engine.is_cut or engine.take_fault("unreachable"):
             raise EngineRefused("engine_unreachable", "no connection")
         engine.arrivals.append(engine.clock.now_ms())
         if engine.backoff is not None:
@@ -217,7 +229,8 @@
     async def resume(self, engine: UpstreamRecord, req: EngineRequest, after: int) -> Batches:
         address = engine.address
         engine = self.by_address[address]
-        if not engine.reachable:
+        engine.tries += engine.is_cut
+        if not engine.reachable or engine.is_cut:
             raise EngineRefused("engine_unreachable", "no connection")
         engine.arrivals.append(engine.clock.now_ms())
         engine.resumed += 1
@@ -229,7 +242,8 @@
     async def cancel(self, engine: UpstreamRecord, attempt_id: str) -> None:
         address = engine.address
         self.cancelled.append(attempt_id)
-        self.by_address[address].running.pop(attempt_id, None)
+        if not self.by_address[address].is_cut:
+            self.by_address[address].running.pop(attempt_id, None)
 
     async def state(self, address: str, timeout_ms: float) -> EngineState:
         engine = self._engine(address)
--- a/properties/safeguards/completion_silence_mutants.py
+++ b/properties/safeguards/completion_silence_mutants.py
@@ -7,6 +7,8 @@
 _ATTEMPTS = "chestnutfall/routing/attempts.py"
 _DISPATCHER = "chestnutfall/routing/dispatcher.py"
 _SILENCE_TEST = "chestnutfall.tests.test_completion_silence"
+_LOSSES = "chestnutfall/routing/run_losses.py"
+_CUT_TEST = "chestnutfall.tests.test_cut_streams"
 _PLAIN_TEST = "chestnutfall.tests.test_plain_silence"
 
 COMPLETION_SILENCE_MUTANTS = (
@@ -33,9 +35,9 @@
     ),
     Mutant(
         "pauses count as lost connections",
-        "chestnutfall/routing/engine_runs.py",
-        "                    lost += not silent",
-        "                    lost += 1",
+        _LOSSES,
+        "        elif not _is_silence(exc):",
+        "        else:",
         _SILENCE_TEST,
     ),
     Mutant(
@@ -96,16 +98,51 @@
     ),
     Mutant(
         "stream through a helper given up while the helper is silent",
-        "chestnutfall/routing/engine_runs.py",
-        "                    lost += not silent",
-        "                    lost += 1",
+        _LOSSES,
+        "        elif not _is_silence(exc):",
+        "        else:",
         "chestnutfall.tests.test_helped_silence",
     ),
     Mutant(
         "begun stream of a silent engine never ends",
-        "chestnutfall/routing/engine_runs.py",
-        "self._clock.now_ms() >= heard_ms + req.begin_ms if silent else False",
-        "False",
+        _LOSSES,
+        "        late = held and now_ms >= self.heard_ms + begin_ms",
+        "        late = False",
         _SILENCE_TEST,
     ),
+    Mutant(
+        "stream broken off after a few connections that don't open",
+        _LOSSES,
+        "        if _is_unreached(exc):",
+        "        if False:",
+        _CUT_TEST,
+    ),
+    Mutant(
+        "stream of a host that vanished never ends",
+        _LOSSES,
+        "        late = held and now_ms",
+        "        late = _is_silence(exc) and now_ms",
+        _CUT_TEST,
+    ),
+    Mutant(
+        "engine that is not reached tried twenty times a second",
+        _LOSSES,
+        "            self.unreached += 1",
+        "            self.unreached = 1",
+        _CUT_TEST,
+    ),
+    Mutant(
+        "stream waits for an engine that has ended",
+        "chestnutfall/routing/engine_runs.py",
+        "if losses.unreached and await self._has_ended(engine):",
+        "if False:",
+        _CUT_TEST,
+    ),
+    Mutant(
+        "stream waits for an engine that another process has replaced",
+        _DISPATCHER,
+        "        if known is not None and known.instance != engine.instance:",
+        "        if False:",
+        _CUT_TEST,
+    ),
 )
--- a/properties/safeguards/signal_mutants.py
+++ b/properties/safeguards/signal_mutants.py
@@ -79,8 +79,8 @@
     Mutant(
         "a resumed run does not wait for the end of the time",
         "chestnutfall/routing/engine_runs.py",
-        "        return max(left_ms, RESUME_BACKOFF_MS * max(lost, 1))",
-        "        return RESUME_BACKOFF_MS * max(lost, 1)",
+        "        return max(left_ms, losses.wait_ms)",
+        "        return losses.wait_ms",
         f"{_COMPLETIONS_TEST}.test_a_run_is_resumed_when_the_time_is_over",
     ),
     Mutant(
