--- a/chestnutfall/tests/fakes/fake_engine.py
+++ b/chestnutfall/tests/fakes/fake_engine.py
@@ -45,16 +45,22 @@
         `slow_state`.
     ran : list of str
         Attempt ids of all runs, oldest first.
+    ended : set of str
+        Attempt ids of runs that ended whole, whose events are still held for who lost some.
     crashes : int
         Crashes caused by requests with `FATAL_TEXT`.
     limit, backoff : str or None
         Values of the limit and `Retry-After` headers of its answers.
     turned_away, arrivals : list of int
         Clock times in ms of requests refused with a backoff, and of all requests.
+    tries : int
+        Runs and resumes for which no connection opened while it was cut off.
     head_ms : int
         Time until it begins an answer.
     silent_until_ms : int
         Clock time until which it sends nothing, and after which it goes on as if nothing had been.
+    cut_until_ms : int
+        Clock time until which no connection to it opens or is refused, and open ones are silent.
     """
 
     def __init__(self, clock: Clock, slots: int = 2, checked: bool = True) -> None:
@@ -66,6 +72,7 @@
         self.running: dict[str, str] = {}
         self.events: dict[str, list[bytes]] = {}
         self.ran: list[str] = []
+        self.ended: set[str] = set()
         self.evicted_while_serving = 0
         self.loads = 0
         self.refused_orders = 0
@@ -82,6 +89,13 @@
         self.arrivals: list[int] = []
         self.head_ms = 0
         self.silent_until_ms = 0
+        self.cut_until_ms = 0
+        self.tries = 0
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether no connection to it opens."""
+        return self.clock.now_ms() < self.cut_until_ms
 
     def take_fault(self, fault: str) -> bool:
         """Whether `fault` is due; counts it as used if so."""
@@ -98,7 +112,7 @@
         EngineBroken
             When `limit_ms` are over before; the run goes on.
         """
-        left_ms = self.silent_until_ms - self.clock.now_ms()
+        left_ms = max(self.silent_until_ms, self.cut_until_ms) - self.clock.now_ms()
         if left_ms > limit_ms:
             await self.clock.sleep_ms(limit_ms)
             raise EngineBroken("engine_silent", "silent")
@@ -121,11 +135,16 @@
         await self.clock.sleep_ms(DOWN_MS)
         self.reachable = True
 
+    def holds(self, attempt_id: str) -> bool:
+        """Whether the events of a run can be had."""
+        return attempt_id in self.running or attempt_id in self.ended
+
     def restart_empty(self) -> None:
         """Replace the process by a new one that holds nothing."""
         self.incarnation += "+"
         self.adapters.clear()
         self.running.clear()
+        self.ended.clear()
         self.events.clear()
         self.epoch = 0
 
@@ -139,7 +158,7 @@
 
     def _engine(self, address: str) -> FakeEngine:
         engine = self.by_address[address]
-        if not engine.reachable:
+        if not engine.reachable or engine.is_cut:
             raise ConnectionError(f"cannot connect to {address}")
         return engine
 
@@ -150,7 +169,8 @@
     async def run(self, engine: UpstreamRecord, req: EngineRequest) -> Batches:
         address = engine.address
         engine = self.by_address[address]
-        if not engine.reachable or engine.take_fault("unreachable"):
+        engine.tries += engine.is_cut
+        if not engine.reachable or engine.is_cut or engine.take_fault("unreachable"):
             raise EngineRefused("engine_unreachable", "no connection")
         engine.arrivals.append(engine.clock.now_ms())
         if engine.backoff is not None:
@@ -184,7 +204,7 @@
             await engine.clock.sleep_ms(TOKEN_MS)
             await engine.be_silent(limit_ms)
             limit_ms = req.silent_ms
-            if engine.incarnation != incarnation or req.attempt_id not in engine.running:
+            if engine.incarnation != incarnation or not engine.holds(req.attempt_id):
                 raise EngineBroken("engine_connection_lost", "gone")
             if number == 3 and engine.take_fault("mid_reset"):
                 raise EngineBroken("engine_connection_lost", "reset")
@@ -201,6 +221,7 @@
             last = number == len(events)
             if last:
                 engine.running.pop(req.attempt_id, None)
+                engine.ended.add(req.attempt_id)
             yield [AnswerEvent(number, data, last)]
             if number == 3 and engine.take_fault("duplicate"):
                 yield [AnswerEvent(number, data, last)]
@@ -208,11 +229,12 @@
     async def resume(self, engine: UpstreamRecord, req: EngineRequest, after: int) -> Batches:
         address = engine.address
         engine = self.by_address[address]
-        if not engine.reachable:
+        engine.tries += engine.is_cut
+        if not engine.reachable or engine.is_cut:
             raise EngineRefused("engine_unreachable", "no connection")
         engine.arrivals.append(engine.clock.now_ms())
         engine.resumed += 1
-        if req.attempt_id not in engine.running:
+        if not engine.holds(req.attempt_id):
             raise EngineRefused("run_unknown", "no such run")
         async for event in self._events_after(engine, req, after):
             yield event
@@ -220,7 +242,8 @@
     async def cancel(self, engine: UpstreamRecord, attempt_id: str) -> None:
         address = engine.address
         self.cancelled.append(attempt_id)
-        self.by_address[address].running.pop(attempt_id, None)
+        if not self.by_address[address].is_cut:
+            self.by_address[address].running.pop(attempt_id, None)
 
     async def state(self, address: str, timeout_ms: float) -> EngineState:
         engine = self._engine(address)
