Write once what unreadable headers keep and stand-ins announce

The limit, backoff and rejection signals each had the bound of an unreadable header value and its form in logs; limits.unreadable_value has both. The stand-in engine and plain service each built the seven members that announcements share; standin.announced_fields builds them, in the same order. test_signals and test_limit_parts read the bound from its new place and are otherwise the same.

test_signals, test_limit_parts, test_backoff_parts, test_rejection_parts, test_named_signals and test_processes pass.

--- a/chestnutfall/limits/limit_signal.py
+++ b/chestnutfall/limits/limit_signal.py
@@ -5,6 +5,8 @@
 import math
 from dataclasses import dataclass
 
+from .unreadable_value import kept_of, unreadable_text
+
 
 @dataclass(frozen=True, slots=True)
 class DeclaredLimit:
@@ -26,8 +28,6 @@
 
 
 LimitSignal = DeclaredLimit | UndeclaredLimit | UnreadableLimit
-MAX_UNREADABLE_CHARS = 40
-"""Characters kept of an unreadable header value, since it is logged."""
 
 
 def read_limit(text: str | None) -> LimitSignal:
@@ -43,9 +43,9 @@
     try:
         per_s = float(text)
     except ValueError:
-        return UnreadableLimit(text[:MAX_UNREADABLE_CHARS])
+        return UnreadableLimit(kept_of(text))
     if not math.isfinite(per_s) or per_s < 0:
-        return UnreadableLimit(text[:MAX_UNREADABLE_CHARS])
+        return UnreadableLimit(kept_of(text))
     return DeclaredLimit(per_s)
 
 
@@ -55,6 +55,6 @@
         case DeclaredLimit(per_s):
             return f"{per_s:g}"
         case UnreadableLimit(text):
-            return f"?{text!r}"
+            return unreadable_text(text)
         case UndeclaredLimit():
             return ""
--- a/chestnutfall/programs/engine.py
+++ b/chestnutfall/programs/engine.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from ..settings.engine_settings import EngineSettings
+from ..standin.announced_fields import announced_fields
 from ..standin.announcer import Announcer
 from ..standin.engine_app import EngineApp
 from ..standin.engine_core import EngineCore
@@ -26,13 +27,7 @@
 
 def _announcement(settings: EngineSettings, core: EngineCore, leaving: bool) -> dict[str, Any]:
     return {
-        "name": settings.name,
-        "service": settings.service,
-        "data_centre": settings.data_centre,
-        "address": settings.listen,
-        "incarnation": core.incarnation,
-        "ttl_ms": settings.ttl_ms,
-        "state": "leaving" if leaving else "serving",
+        **announced_fields(settings, core.incarnation, settings.ttl_ms, leaving),
         "fencing": settings.fencing,
         "slots": settings.slots,
         "running": len(core.running()),
--- a/chestnutfall/programs/plain.py
+++ b/chestnutfall/programs/plain.py
@@ -5,13 +5,13 @@
 import asyncio
 import uuid
 from collections import Counter
-from typing import Any
 
 import aiohttp
 from aiohttp import web
 
 from ..plain_edge.plain_answer import EXECUTED_HEADER, EXECUTED_NO
 from ..settings.plain_settings import PlainSettings
+from ..standin.announced_fields import announced_fields
 from ..standin.announcer import Announcer
 from ..standin.scripted_headers import ScriptedHeaders
 from ..standin.scripted_silence import ScriptedSilence
@@ -33,18 +33,6 @@
     run(lambda stop: _serve(settings, stop))
 
 
-def _announcement(settings: PlainSettings, incarnation: str, leaving: bool) -> dict[str, Any]:
-    return {
-        "name": settings.name,
-        "service": settings.service,
-        "data_centre": settings.data_centre,
-        "address": settings.listen,
-        "incarnation": incarnation,
-        "ttl_ms": TTL_MS,
-        "state": "leaving" if leaving else "serving",
-    }
-
-
 async def _serve(settings: PlainSettings, stop: asyncio.Event) -> int:
     """Serve until `stop`, then announce the departure.
 
@@ -72,7 +60,7 @@
     announcer = Announcer(
         settings.announce_to,
         settings.announce_key_file,
-        lambda: _announcement(settings, incarnation, stop.is_set()),
+        lambda: announced_fields(settings, incarnation, TTL_MS, stop.is_set()),
     )
     task = asyncio.ensure_future(announcer.run(ANNOUNCE_MS))
     await stop.wait()
--- a/chestnutfall/signals/backoff_signal.py
+++ b/chestnutfall/signals/backoff_signal.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from email.utils import parsedate_to_datetime
 
+from ..limits.unreadable_value import kept_of, unreadable_text
+
 BACKOFF_HEADER = "Retry-After"
 """Standard HTTP, and so the same in every dialect."""
 BACKING_OFF = "backing_off"
@@ -15,8 +17,6 @@
 MAX_BACKOFF_MS = 86_400_000
 """A day; longer backoffs are cut to it. By then the upstream or this gateway has been restarted,
 and a mistaken unit does not remove an upstream for good."""
-MAX_UNREADABLE_CHARS = 40
-"""Characters kept of an unreadable header value, since it is logged."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +59,7 @@
     if seconds is None:
         seconds = _seconds_until(text, date)
     if seconds is None:
-        return UnreadableBackoff(text[:MAX_UNREADABLE_CHARS])
+        return UnreadableBackoff(kept_of(text))
     return AskedBackoff(math.ceil(min(seconds * 1000, MAX_BACKOFF_MS)))
 
 
@@ -87,6 +87,6 @@
         case AskedBackoff(ms):
             return f"{ms}"
         case UnreadableBackoff(text):
-            return f"?{text!r}"
+            return unreadable_text(text)
         case NoBackoff():
             return ""
--- a/chestnutfall/signals/rejection_signal.py
+++ b/chestnutfall/signals/rejection_signal.py
@@ -4,8 +4,7 @@
 
 from dataclasses import dataclass
 
-MAX_UNREADABLE_CHARS = 40
-"""Characters kept of an unreadable header value, since it is logged."""
+from ..limits.unreadable_value import kept_of, unreadable_text
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +35,7 @@
         return UndeclaredRejections()
     digits = text.strip()
     if not digits.isascii() or not digits.isdigit():
-        return UnreadableRejections(text[:MAX_UNREADABLE_CHARS])
+        return UnreadableRejections(kept_of(text))
     return DeclaredRejections(int(digits))
 
 
@@ -46,6 +45,6 @@
         case DeclaredRejections(per_s):
             return f"{per_s}"
         case UnreadableRejections(text):
-            return f"?{text!r}"
+            return unreadable_text(text)
         case UndeclaredRejections():
             return ""
--- a/chestnutfall/tests/test_limit_parts.py
+++ b/chestnutfall/tests/test_limit_parts.py
@@ -12,10 +12,10 @@
 from ..limits import DeclaredLimit, UndeclaredLimit, UnreadableLimit, read_limit
 from ..limits.latest_limit import LatestLimit
 from ..limits.limit_registry import MAX_ABSENT_UPSTREAMS, LimitRegistry
-from ..limits.limit_signal import MAX_UNREADABLE_CHARS
 from ..limits.messages import HeardLimit, LimitsInForce, RequestLimit
 from ..limits.plain_send_queues import PlainSendQueues
 from ..limits.turn_round import NO_UPSTREAM_RETRY_MS
+from ..limits.unreadable_value import MAX_UNREADABLE_CHARS
 from ..limits.upstream_limit import BURST_MS, MIN_PER_S, RECENT_MS, UpstreamLimit
 from .fakes.limit_parts import known_limits
 
--- a/chestnutfall/tests/test_signals.py
+++ b/chestnutfall/tests/test_signals.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from ..limits import DeclaredLimit, UndeclaredLimit
+from ..limits.unreadable_value import MAX_UNREADABLE_CHARS
 from ..signals import (
     NO_SIGNALS,
     AskedBackoff,
@@ -19,7 +20,7 @@
     UpstreamLoad,
     read_signals,
 )
-from ..signals.backoff_signal import MAX_BACKOFF_MS, MAX_UNREADABLE_CHARS, read_backoff
+from ..signals.backoff_signal import MAX_BACKOFF_MS, read_backoff
 from ..signals.unread_headers import MAX_NAME_CHARS, MAX_NAMES
 from ..signals.upstream_load import MAX_SLOWDOWN, MIN_SLOWDOWN
 
