Test what the leader tells a gateway that connects

The calls that tell a new gateway of limits, backoffs and few rejections, and the one that tells the leader's knowledge of streams that a service got a second build, could be taken out of GatewayDuties and LeaderParts with test_limits_together, test_backoff_together and test_stream_origins passing. Each has a test with the program's wiring now, and a mutant that it finds.

--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -5,6 +5,7 @@
 from ..mutant import Mutant
 
 _DOCUMENTS = "chestnutfall.tests.test_document_changes."
+_DUTIES = "chestnutfall.tests.test_gateway_duties.GatewayDutiesTest."
 
 FLEET_MUTANTS = (
     Mutant(
@@ -159,6 +160,34 @@
         "chestnutfall.tests.test_stream_origins.ResumedElsewhereTest."
         "test_a_stream_goes_on_at_its_build_at_any_gateway",
     ),
+    Mutant(
+        "a gateway that connects is not told of limits",
+        "chestnutfall/coordination/gateway_duties.py",
+        "        parts.limits.send_initial_state(session)\n",
+        "",
+        _DUTIES + "test_a_gateway_that_connects_is_told_of_limits",
+    ),
+    Mutant(
+        "a gateway that connects is not told of backoffs",
+        "chestnutfall/coordination/gateway_duties.py",
+        "        parts.backoffs.send_initial_state(session)\n",
+        "",
+        _DUTIES + "test_a_gateway_that_connects_is_told_of_backoffs",
+    ),
+    Mutant(
+        "a gateway that connects is not told of few rejections",
+        "chestnutfall/coordination/gateway_duties.py",
+        "        parts.rejections.add_gateway(session)\n",
+        "",
+        _DUTIES + "test_a_gateway_that_connects_is_told_of_few_rejections",
+    ),
+    Mutant(
+        "gateways are not waited for when a service gets a second build",
+        "chestnutfall/coordination/leader_parts.py",
+        "        self.origins.set_mixed(self._state.roster.mixed_services())\n",
+        "",
+        _DUTIES + "test_gateways_are_waited_for_when_a_service_gets_a_second_build",
+    ),
     Mutant(
         "a leader that was cut off gives out repeats",
         "chestnutfall/coordination/gateway_duties.py",
