Give back the repeat of a last send that did not go out

Callers: a stream whose second send found no connection after the overlap was broken off as `unreachable` if no further repeat was left, and else cost two repeats, though one send went out. Cause: a send that was dropped beside another one gives its repeat back, the one that ends alone did not: `_handle_refusal` took a new one. Change: the repeat is held as for a send that was held back, returned as the refusal is handled, and taken again by the next send. Evidence: test_a_send_that_finds_no_connection_costs_no_repeat failed before, 138 repeats left and not 139; its mutant is found.

--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -18,7 +18,7 @@
 from .result_handler import MAX_SENDS
 from .send_log import log_send, log_unfinished
 from .send_parts import SendParts
-from .send_result import HeldBack, SendResult
+from .send_result import UNREACHABLE, HeldBack, Refused, SendResult
 from .silent_upstreams import LASTING_MS
 
 OVERLAP_MS = 300
@@ -65,7 +65,7 @@
         first = self._prepare(place)
         may_move = place.has_other and self._may_look([first])
         sending, result = await (self._watch(first) if may_move else self._send_once(first))
-        if isinstance(result, HeldBack):
+        if isinstance(result, HeldBack) or result == Refused(UNREACHABLE):
             self._progress.holds_repeat = sending.took_repeat
         return sending, result
 
--- a/chestnutfall/forwarding/result_handler.py
+++ b/chestnutfall/forwarding/result_handler.py
@@ -117,6 +117,8 @@
         code: str,
     ) -> bool:
         progress.refusals += 1
+        if progress.holds_repeat:
+            self._give_repeat_back(progress)
         held_back_ms = selector.held_back_ms(progress.service)
         if held_back_ms:
             await self._refuse_backing_off(progress, reply, held_back_ms)
@@ -190,6 +192,11 @@
         if sending.took_repeat:
             self._repeats.refund(sending.progress.service)
 
+    def _give_repeat_back(self, progress: Progress) -> None:
+        """Return the repeat of a send that did not go out."""
+        progress.holds_repeat = False
+        self._repeats.refund(progress.service)
+
     def note_overtaken(self, sending: RelayedSend) -> None:
         """Record that a send is cancelled, as another one of its call goes on with the answer.
 
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -515,4 +515,12 @@
         "    by_ms = progress.until_ms + 1_000\n",
         f"{_TESTS}.test_place_wait",
     ),
+    Mutant(
+        "the last send of a call costs a repeat though nothing went out",
+        _RESULT_HANDLER,
+        "            self._give_repeat_back(progress)\n",
+        "            pass\n",
+        f"{_TESTS}.test_left_runs.LeftRunTest."
+        "test_a_send_that_finds_no_connection_costs_no_repeat",
+    ),
 )
