Leave the run of a begun stream for an event, not for a head

Callers: an engine that paused for 0.4 to 1.2 s was left as another one wrote its head; where nothing came behind that, the stream stood still, or was broken off without a further repeat, though the first would have gone on within the 300 ms in which both may work. Cause: `_end_overlap` took the beginning of an answer for its next part. Change: an event of the second run ends the first one (as the lock on the reply is acquired), else the end of the overlap; both work together for 300 ms at most, as before.

--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -31,7 +31,7 @@
 
     A sound upstream may write nothing for a second or so. Its send goes on until another one has
     the next part of the answer; whichever answers first is relayed. The run of a begun stream ends
-    as another upstream begins to answer, and `OVERLAP_MS` after the call was sent there at the
+    with the next event of another upstream, and `OVERLAP_MS` after the call was sent there at the
     latest; where that one fails or hangs, the stream may be taken up again at the first upstream.
 
     Parameters
@@ -75,7 +75,6 @@
             self._progress, self._route, place, self._selector, self._reply, self._lock
         )
         self._progress.holds_repeat = False
-        sending.on_at_work = self._wake_up
         return sending
 
     async def _send_once(self, sending: RelayedSend) -> tuple[RelayedSend, SendResult]:
@@ -129,7 +128,7 @@
         if not self._progress.resumes or len(self._live) == 1:
             return
         newest = self._live.sends[-1]
-        if newest.is_at_work or self._clock.now_ms() >= newest.sent_ms + OVERLAP_MS:
+        if self._clock.now_ms() >= newest.sent_ms + OVERLAP_MS:
             self._live.leave_older()
 
     def _send_too(self) -> None:
--- a/chestnutfall/forwarding/relayed_send.py
+++ b/chestnutfall/forwarding/relayed_send.py
@@ -53,8 +53,6 @@
         Whether the upstream has begun to answer with a stream.
     on_heard : callable or None
         Called at each part of the answer.
-    on_at_work : callable
-        Called as `is_at_work` becomes true.
     """
 
     def __init__(
@@ -86,7 +84,6 @@
         self.took_repeat = progress.holds_repeat
         self.is_at_work = False
         self.on_heard: Callable[[], None] | None = None
-        self.on_at_work: Callable[[], None] = lambda: None
         self._is_noted = self._misses_event = False
         self._waits_since_ms: int | None = self.sent_ms
         self.load: UpstreamLoad | None = None
@@ -184,7 +181,6 @@
             if answer.written_by not in ("", self.place.upstream.announced_name):
                 return Lost("answer_of_another_instance")
             self.is_at_work = True
-            self.on_at_work()
             return await self._relay_events(answer)
         body = await self._read_whole(answer)
         self._lock.acquire(self)
