--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -18,7 +18,7 @@
 from .result_handler import MAX_SENDS
 from .send_log import log_send, log_unfinished
 from .send_parts import SendParts
-from .send_result import HeldBack, SendResult
+from .send_result import UNREACHABLE, HeldBack, Refused, SendResult
 from .silent_upstreams import lasting_ms
 
 OVERLAP_MS = 300
@@ -31,7 +31,7 @@
 
     A sound upstream may write nothing for a second or so. Its send goes on until another one has
     the next part of the answer; whichever answers first is relayed. The run of a begun stream ends
-    as another upstream begins to answer, and `OVERLAP_MS` after the call was sent there at the
+    with the next event of another upstream, and `OVERLAP_MS` after the call was sent there at the
     latest; where that one fails or hangs, the stream may be taken up again at the first upstream.
 
     Parameters
@@ -65,7 +65,7 @@
         first = self._prepare(place)
         may_move = place.has_other and self._may_look([first])
         sending, result = await (self._watch(first) if may_move else self._send_once(first))
-        if isinstance(result, HeldBack):
+        if isinstance(result, HeldBack) or result == Refused(UNREACHABLE):
             self._progress.holds_repeat = sending.took_repeat
         return sending, result
 
@@ -75,7 +75,6 @@
             self._progress, self._route, place, self._selector, self._reply, self._lock
         )
         self._progress.holds_repeat = False
-        sending.on_at_work = self._wake_up
         return sending
 
     async def _send_once(self, sending: RelayedSend) -> tuple[RelayedSend, SendResult]:
@@ -130,7 +129,7 @@
         if not self._progress.resumes or len(self._live) == 1:
             return
         newest = self._live.sends[-1]
-        if newest.is_at_work or self._clock.now_ms() >= newest.sent_ms + OVERLAP_MS:
+        if self._clock.now_ms() >= newest.sent_ms + OVERLAP_MS:
             self._live.leave_older()
 
     def _send_too(self) -> None:
