Find the mutant by which an answer between two ends clears nothing

Callers would see a frequent request refused for a minute that ran on five upstreams as they ended in turn and was answered between them.

The mutant survived, since in each test the request was in four ends at most, and one that was answered before is allowed two ends by chance. The new test has six ends, alone, with an answer after each, and asks that each end is the only one that the ledger has of it. It fails with the mutant (at the second end) and passes without.

--- a/chestnutfall/tests/test_crash_monitor.py
+++ b/chestnutfall/tests/test_crash_monitor.py
@@ -178,6 +178,17 @@
         await self._end(gateway, 3, "fatal")
         self.assertEqual(self._quarantined(), {"fatal"})
 
+    # Guards against a frequent request that is refused for a minute: it runs on five upstreams that
+    # end in turn, alone, and is answered between them before any gateway watches it.
+    async def test_answers_between_ends_clear_a_request_of_each_end_before(self) -> None:
+        gateway = self._gateway()
+        for number in range(ENDS_TO_QUARANTINE + ENDS_BY_CHANCE + 1):
+            await self._end(gateway, number, "usual")
+            ran_at = [at for at, end in self._state().crashes.ends.items() if end.ran("usual")]
+            self.assertEqual(ran_at, [f"i{number}"])
+            gateway.note_answered("usual")
+        self.assertEqual(self._quarantined(), set())
+
     async def test_an_answer_before_an_end_clears_no_request_of_it(self) -> None:
         # A release of an upstream can make a request fatal that was answered until then.
         gateway = self._gateway()
