Bound the attempts beside a hung engine, and avoid those that failed

With one hung engine and one that resets among five, a caller got 502 reset at its deadline although three sound engines were idle: its request went 19 times to the engine that resets, and the gateway's budget of repeats was gone.

Cause: a race avoided, and counted, only the attempts that still waited. One that had failed left no trace, so the same engine was the best candidate each time; a round of repeats went back to it too.

RequestTries keeps, over all rounds of a request, the attempts that may still be sent, those beside included, and the engines that failed, which are asked last. What wasn't sent doesn't count.

--- a/chestnutfall/plain_edge/plain_race.py
+++ b/chestnutfall/plain_edge/plain_race.py
@@ -65,7 +65,7 @@
             return self._attempt(call, attempt, upstream if attempt is first else choose())
 
         first = Attempt(call.fingerprint)
-        race = AnswerRace(begin, another_id, _ignore, self._clock, call.service.silent_ms)
+        race = AnswerRace(begin, another_id, _ignore, set(), self._clock, call.service.silent_ms)
         race.start(first)
         try:
             winner = await race.first()
@@ -83,7 +83,7 @@
     ) -> AsyncGenerator[PlainAnswer, None]:
         if upstream is None:
             raise _NoOther
-        if attempt.avoid:
+        if attempt.beside:
             self._metrics.count("plain.beside")
 
         def on_heard() -> None:
--- a/chestnutfall/routing/answer_race.py
+++ b/chestnutfall/routing/answer_race.py
@@ -43,6 +43,8 @@
         time.
     on_unsent : callable
         Called when an attempt that was begun beside another one ended before it was sent.
+    failed : set of str
+        Names of upstreams that failed; those that fail meanwhile are added.
     silent_ms : int
         Silence after which it is.
     """
@@ -52,12 +54,14 @@
         begin: Callable[[Attempt], AsyncGenerator[T, None]],
         another_id: Callable[[], str | None],
         on_unsent: Callable[[], None],
+        failed: set[str],
         clock: Clock,
         silent_ms: int,
     ) -> None:
         self._begin = begin
         self._another_id = another_id
         self._on_unsent = on_unsent
+        self._failed = failed
         self._clock = clock
         self._silent_ms = silent_ms
         self._runners: list[Runner[T]] = []
@@ -91,12 +95,17 @@
         try:
             one.begins.result()
         except (Exception, asyncio.CancelledError) as exc:
-            self._failures.append(exc)
-            if one.attempt.only_others and one.attempt.heard_ms is None:
-                self._on_unsent()
+            self._note_failed(one.attempt, exc)
             return False
         return True
 
+    def _note_failed(self, attempt: Attempt, exc: BaseException) -> None:
+        self._failures.append(exc)
+        if attempt.beside and attempt.heard_ms is None:
+            self._on_unsent()
+        if attempt.upstream:
+            self._failed.add(attempt.upstream)
+
     async def _wait(self) -> bool:
         """Wait until an attempt begins to answer or fails; return False, or True after silence."""
         timer = asyncio.ensure_future(self._clock.sleep_ms(self._until_silent_ms()))
@@ -118,8 +127,8 @@
     def _begin_another_if_silent(self) -> None:
         now_ms = self._clock.now_ms()
         waiting = [one.attempt for one in self._runners if not one.begins.done()]
-        silent = waiting and all(one.is_silent(now_ms, self._silent_ms) for one in waiting)
-        if not silent or len(waiting) >= MAX_SENT:
+        all_silent = waiting and all(one.is_silent(now_ms, self._silent_ms) for one in waiting)
+        if not all_silent or len(waiting) >= MAX_SENT:
             return
         attempt_id = self._another_id()
         if attempt_id is None:
@@ -131,8 +140,9 @@
             first.upstream,
             attempt_id,
         )
-        avoid = frozenset(one.upstream for one in waiting)
-        self.start(Attempt(attempt_id, avoid, only_others=len(waiting) == 1))
+        silent = frozenset(one.upstream for one in waiting)
+        excluded = silent if len(waiting) == 1 else frozenset()
+        self.start(Attempt(attempt_id, silent | self._failed, excluded, beside=True))
 
     async def close(self) -> None:
         """End all attempts that still run, the one that answered included."""
--- a/chestnutfall/routing/attempt.py
+++ b/chestnutfall/routing/attempt.py
@@ -14,9 +14,11 @@
     attempt_id : str
         Unique for each attempt.
     avoid : frozenset of str
-        Names of upstreams that are silent.
-    only_others : bool
-        Whether those are not asked at all, instead of last.
+        Names of upstreams that are asked last; they are silent, or failed.
+    excluded : frozenset of str
+        Names of upstreams that are not asked at all.
+    beside : bool
+        Whether it was begun beside another one that is silent.
     upstream : str
         Name of the upstream; empty until it is chosen.
     heard_ms : int or None
@@ -25,7 +27,8 @@
 
     attempt_id: str
     avoid: frozenset[str] = frozenset()
-    only_others: bool = False
+    excluded: frozenset[str] = frozenset()
+    beside: bool = False
     upstream: str = ""
     heard_ms: int | None = None
 
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -26,11 +26,11 @@
 from .attempt import Attempt
 from .attempts import Attempts
 from .engine_runs import EngineRuns
+from .request_tries import RequestTries
 from .retry_budget import RetryBudget
 from .tickets import RETRY_AFTER_MS, Tickets
 
 log = logging.getLogger(__name__)
-MAX_ATTEMPTS = 4
 BACKOFF_MS = 50
 """Base of the delay before a retry, which doubles with each attempt."""
 
@@ -77,11 +77,12 @@
         self._budget.earn()
         executed = Executed.NO
         fingerprint = fingerprint_of(req.caller, req.path, req.body)
-        for attempt in range(1, MAX_ATTEMPTS + 1):
+        tries = RequestTries()
+        while True:
             self._quarantine.check(fingerprint, executed)
             started = False
             try:
-                async for events in self._race(req, attempt, fingerprint):
+                async for events in self._race(req, tries, fingerprint):
                     started = True
                     yield events
                 with after_answer("report of an answer"):
@@ -102,31 +103,35 @@
                 self._metrics.count(f"broken.{exc.code}")
                 if started or req.non_idempotent:
                     raise Refusal(502, exc.code, str(exc), executed) from exc
-            await self._before_retry(req, attempt, failure, executed)
-        raise AssertionError("the last attempt returns or raises")
+            await self._before_retry(req, tries, failure, executed)
 
-    async def _race(self, req: CallerRequest, number: int, fingerprint: str) -> Batches:
+    async def _race(self, req: CallerRequest, tries: RequestTries, fingerprint: str) -> Batches:
         """Yield the events of an attempt, or of one that began beside it while it was silent."""
-        first = Attempt(f"{req.request_id}-{number}")
+        tries.begin_round()
+        number = tries.rounds
+        first = Attempt(f"{req.request_id}-{number}", frozenset(tries.failed))
         beside = unsent = 0
 
         def another_id() -> str | None:
             nonlocal beside
-            if req.non_idempotent or not self._budget.spend():
+            if req.non_idempotent or tries.left == 0 or not self._budget.spend():
                 return None
             self._metrics.count("attempts_beside")
+            tries.left -= 1
             beside += 1
             return f"{req.request_id}-b{number}{beside}"
 
         def on_unsent() -> None:
             nonlocal unsent
             unsent += 1
+            tries.left += 1
             self._budget.give_back()
 
         def begin(attempt: Attempt) -> Batches:
             return self._attempts.run(req, attempt, fingerprint)
 
-        race = AnswerRace(begin, another_id, on_unsent, self._clock, req.silent_ms)
+        failed = tries.failed
+        race = AnswerRace(begin, another_id, on_unsent, failed, self._clock, req.silent_ms)
         race.start(first)
         try:
             winner = await race.first()
@@ -152,14 +157,14 @@
     async def _before_retry(
         self,
         req: CallerRequest,
-        attempt: int,
+        tries: RequestTries,
         failure: EngineRefused | EngineBroken,
         executed: Executed,
     ) -> None:
         self._tickets.refuse_if_held_back(req, executed)
-        wait_ms = self._rng.uniform(0.5, 1.5) * BACKOFF_MS * 2**attempt
+        wait_ms = self._rng.uniform(0.5, 1.5) * BACKOFF_MS * 2**tries.rounds
         late = self._clock.now_ms() + wait_ms >= req.deadline_ms
-        if attempt == MAX_ATTEMPTS or late or not self._budget.spend():
+        if tries.left == 0 or late or not self._budget.spend():
             retry_after_ms = (
                 RETRY_AFTER_MS if not req.non_idempotent or executed is Executed.NO else None
             )
--- a/chestnutfall/routing/tickets.py
+++ b/chestnutfall/routing/tickets.py
@@ -108,7 +108,7 @@
 
     def _serving(self, req: CallerRequest, attempt: Attempt) -> list[Upstream]:
         serving = self._registry.serving(req.service)
-        return [one for one in serving if not attempt.only_others or one.name not in attempt.avoid]
+        return [one for one in serving if one.name not in attempt.excluded]
 
     def _candidates(self, req: CallerRequest, attempt: Attempt) -> list[Upstream]:
         serving = self._serving(req, attempt)
--- a/chestnutfall/tests/test_completion_silence.py
+++ b/chestnutfall/tests/test_completion_silence.py
@@ -209,3 +209,54 @@
             await self._whole(task)
         self.assertLessEqual(self.office.clock.now_ms() - began_ms, 4 * SILENT_MS)
         self.assertGreaterEqual(min(len(engine.ran) for engine in self._engines()), 1)
+
+    async def _begin_at_hung(
+        self, engines: int, hung_ms: int = FOR_EVER_MS
+    ) -> tuple[asyncio.Task[list[bytes]], FakeEngine]:
+        """Begin a request at an engine that hangs; all hold its adapter."""
+        await self._start(engines)
+        for engine in self._engines():
+            engine.adapters[self.gateway.request("a1@1").model] = "ready"
+        task = self._begin("a1@1", X_Timeout_Ms="20000")
+        await self._until_sent(1)
+        hung = next(engine for engine in self._engines() if engine.ran)
+        hung.silent_until_ms = self.office.clock.now_ms() + hung_ms
+        return task, hung
+
+    # Guards against a request that goes to an engine that fails again and again, beside one that
+    # hangs, while sound ones are not asked.
+    async def test_an_engine_that_failed_beside_a_hung_one_is_not_asked_again(self) -> None:
+        for number in range(4):
+            with self.subTest(failing=number):
+                task, hung = await self._begin_at_hung(5)
+                began_ms = self.office.clock.now_ms()
+                failing = [engine for engine in self._engines() if engine is not hung][number]
+                failing.faults["reset"] = 1_000
+                await self._whole(task)
+                self.assertLessEqual(self.office.clock.now_ms() - began_ms, 4 * SILENT_MS)
+                self.assertLessEqual(len(failing.ran), 1)
+                await self.office.stop()
+
+    # Guards against a request that reaches one engine after the other beside one that hangs.
+    async def test_attempts_beside_a_hung_engine_are_bounded(self) -> None:
+        task, hung = await self._begin_at_hung(8, 16 * SILENT_MS)
+        for engine in self._engines():
+            if engine is not hung:
+                engine.faults["reset"] = 1_000
+        await self.office.clock.advance(15 * SILENT_MS)
+        self.assertFalse(task.done())
+        self.assertEqual((len(hung.ran), self._runs()), (1, 4))
+        await self._whole(task)
+        self.assertEqual(self._runs(), 4)
+
+    # Guards against a repeat that goes back to the engine that failed, while sound ones are idle.
+    async def test_a_repeat_avoids_the_engine_that_failed(self) -> None:
+        await self._start(3)
+        for engine in self._engines():
+            engine.adapters[self.gateway.request("a1@1").model] = "ready"
+        failing = self._engines()[0]
+        failing.faults["reset"] = 1_000
+        for _ in range(3):
+            await self._whole(self._begin("a1@1"))
+        self.assertGreaterEqual(len(failing.ran), 1)
+        self.assertEqual(self.gateway.metrics.counts["retries"], len(failing.ran))
--- a/properties/safeguards/completion_silence_mutants.py
+++ b/properties/safeguards/completion_silence_mutants.py
@@ -43,8 +43,29 @@
     Mutant(
         "non-idempotent completion begins beside a silent one",
         _DISPATCHER,
+        "            if req.non_idempotent or tries.left == 0 or not self._budget.spend():",
+        "            if tries.left == 0 or not self._budget.spend():",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "attempts beside a hung engine without a bound",
+        _DISPATCHER,
+        "            if req.non_idempotent or tries.left == 0 or not self._budget.spend():",
         "            if req.non_idempotent or not self._budget.spend():",
-        "            if not self._budget.spend():",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "engine that failed asked again beside a hung one",
+        "chestnutfall/routing/answer_race.py",
+        "        self.start(Attempt(attempt_id, silent | self._failed, excluded, beside=True))",
+        "        self.start(Attempt(attempt_id, silent, excluded, beside=True))",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "repeat goes back to the engine that failed",
+        _DISPATCHER,
+        "frozenset(tries.failed)",
+        "frozenset()",
         _SILENCE_TEST,
     ),
     Mutant(
