Bound the sends of a plain call beside a hung upstream

A plain call that ends the upstreams that read it, beside one that hangs, reached all ten upstreams of its service, and ended nine, while its caller waited; one that is quarantined meanwhile went on from one to the next.

Cause: the bound of three counted rounds, and a round sent the call beside a silent upstream to each one that was left; the quarantine was asked once a round.

The upstreams that a call was sent to are counted over all rounds as they are chosen, and the quarantine is asked before each send beside a silent one; the upstream is chosen before such a send is logged and begun, so it no longer begins with none.

--- a/chestnutfall/plain_edge/plain_proxy.py
+++ b/chestnutfall/plain_edge/plain_proxy.py
@@ -23,6 +23,7 @@
 from .plain_race import PlainRace
 
 MAX_ATTEMPTS = 3
+"""Upstreams that a call is sent to, those beside a silent one included."""
 
 
 class PlainProxy:
@@ -152,13 +153,15 @@
         Returns
         -------
         Upstream or None
-            None when no upstream is left to send to.
+            None when no upstream is left to send to, or no attempt.
 
         Raises
         ------
         Refusal
             On the first attempt, when every upstream is backing off or at its limit.
         """
+        if len(tried) >= MAX_ATTEMPTS:
+            return None
         serving = list(self._registry.serving(service))
         untried = [up for up in serving if up.name not in tried]
         # The call is sent right after this choice, so no later check of the signals is needed.
--- a/chestnutfall/plain_edge/plain_race.py
+++ b/chestnutfall/plain_edge/plain_race.py
@@ -26,10 +26,6 @@
         self.answer = answer
 
 
-class _NoOther(Exception):
-    """No other upstream is left to send to."""
-
-
 class PlainRace:
     """Sends calls, and reports the ends of upstreams that these show."""
 
@@ -49,7 +45,7 @@
         Parameters
         ----------
         choose : callable
-            Returns an upstream that the call was not sent to, or None.
+            Returns an upstream that the call was not sent to, or None if it may go to no other.
 
         Raises
         ------
@@ -59,14 +55,20 @@
         numbers = itertools.count(1)
 
         def another_id() -> str | None:
-            return None if call.at_most_once else f"beside-{next(numbers)}"
+            nonlocal upstream
+            # The sends so far may have ended their upstreams, and another copy of the call more.
+            held = self._quarantine.retry_ms(call.fingerprint) is not None
+            other = None if call.at_most_once or held else choose()
+            if other is None:
+                return None
+            upstream = other
+            return f"beside-{next(numbers)}"
 
         def begin(attempt: Attempt) -> AsyncGenerator[PlainAnswer, None]:
-            return self._attempt(call, attempt, upstream if attempt is first else choose())
+            return self._attempt(call, attempt, upstream)
 
-        first = Attempt(call.fingerprint)
         race = AnswerRace(begin, another_id, _ignore, set(), self._clock, call.service.silent_ms)
-        race.start(first)
+        race.start(Attempt(call.fingerprint))
         try:
             winner = await race.first()
             if winner is not None:
@@ -79,10 +81,8 @@
         raise failure
 
     async def _attempt(
-        self, call: PlainCall, attempt: Attempt, upstream: Upstream | None
+        self, call: PlainCall, attempt: Attempt, upstream: Upstream
     ) -> AsyncGenerator[PlainAnswer, None]:
-        if upstream is None:
-            raise _NoOther
         if attempt.beside:
             self._metrics.count("plain.beside")
 
@@ -117,8 +117,6 @@
             return 3
         case _TurnedAway(answer=answer):
             return 1 if answer.not_run else 2
-        case _NoOther():
-            return -1
         case NotSent():
             return 0
         case _:
--- a/chestnutfall/tests/test_plain_silence.py
+++ b/chestnutfall/tests/test_plain_silence.py
@@ -14,6 +14,7 @@
 
 PAUSE_S = 0.3
 """Several times the silence that the service bears, also while the machine is busy."""
+MAX_UPSTREAMS = 10
 
 
 class PlainSilenceTest(CallerEdgeCase):
@@ -23,9 +24,10 @@
         await super().asyncSetUp()
         self.ran: list[int] = []
         self.ended: list[int] = []
-        self.pause_s = [0.0, 0.0]
+        self.pause_s = [0.0] * MAX_UPSTREAMS
         self.wake = asyncio.Event()
-        self.status = [200, 200]
+        self.status = [200] * MAX_UPSTREAMS
+        self.hangs_first = False
         self.broken: list[Any] = []
         quarantine: Any = self.gateway.quarantine
         quarantine.note_broken = lambda *args: self.broken.append(args)
@@ -53,6 +55,11 @@
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             await request.read()
             self.ran.append(number)
+            if self.hangs_first:
+                if len(self.ran) == 1:
+                    await self.wake.wait()
+                elif request.transport is not None:
+                    request.transport.abort()
             try:
                 if self.pause_s[number] < 0:
                     await self.wake.wait()
@@ -121,3 +128,56 @@
         reply = await self.finish(self.send("POST", "/counter/x", b"body"))
         self.assertEqual((reply[0], reply[2]["X-Executed"]), (502, "unknown"))
         self.assertEqual(self.broken, [])
+
+    # Guards against a call that ends one upstream after the other beside one that hangs.
+    async def test_sends_beside_a_hung_upstream_are_bounded(self) -> None:
+        await self._start(MAX_UPSTREAMS)
+        self.hangs_first = True
+        task = asyncio.ensure_future(self.send("GET", "/counter/x"))
+        for _ in range(200):
+            await self.step()
+        self.assertFalse(task.done())
+        self.assertEqual((len(self.ran), len(self.broken)), (3, 2))
+        self.wake.set()
+        reply = await self.finish(_result(task))
+        self.assertEqual((reply[0], len(self.ran)), (200, 3))
+
+    # Guards against more sends of a call over the rounds than it has in one.
+    async def test_sends_are_bounded_over_all_rounds(self) -> None:
+        await self._start(MAX_UPSTREAMS)
+        self.pause_s = [-1.0] + [PAUSE_S] * (MAX_UPSTREAMS - 1)
+        self.status = [503] * MAX_UPSTREAMS
+        for first in range(3):
+            with self.subTest(first=first):
+                self.plain._round_robin = first - 2
+                self.ran.clear()
+                await self.change({"limits": {"default": {"request_ms": 1_000}}})
+                await self.finish(self.send("GET", f"/counter/{first}"))
+                self.assertLessEqual(len(self.ran), 3)
+
+    # Guards against a call that is sent beside a silent one although it is quarantined by then.
+    async def test_a_quarantined_call_is_not_sent_beside_a_silent_one(self) -> None:
+        await self._start(3)
+        self.pause_s = [-1.0] * 3
+        checked: list[str] = []
+        quarantine: Any = self.gateway.quarantine
+
+        def retry_ms(fingerprint: str) -> int | None:
+            checked.append(fingerprint)
+            return None if len(checked) == 1 else 1_000
+
+        quarantine.retry_ms = retry_ms
+        task = asyncio.ensure_future(self.send("GET", "/counter/x"))
+        for _ in range(60):
+            await self.step()
+        self.assertFalse(task.done())
+        self.assertEqual(len(self.ran), 1)
+        self.assertGreater(len(checked), 1)
+        self.wake.set()
+        self.pause_s = [0.0] * 3
+        reply = await self.finish(_result(task))
+        self.assertEqual((reply[0], len(self.ran)), (200, 1))
+
+
+async def _result(task: asyncio.Task[Any]) -> Any:
+    return await task
--- a/properties/safeguards/completion_silence_mutants.py
+++ b/properties/safeguards/completion_silence_mutants.py
@@ -99,8 +99,22 @@
     Mutant(
         "non-idempotent plain call begins beside a silent one",
         "chestnutfall/plain_edge/plain_race.py",
-        "            return None if call.at_most_once else f",
-        "            return f",
+        "None if call.at_most_once or held else choose()",
+        "None if held else choose()",
+        _PLAIN_TEST,
+    ),
+    Mutant(
+        "quarantined plain call begins beside a silent one",
+        "chestnutfall/plain_edge/plain_race.py",
+        "None if call.at_most_once or held else choose()",
+        "None if call.at_most_once else choose()",
+        _PLAIN_TEST,
+    ),
+    Mutant(
+        "plain call goes to all upstreams beside a hung one",
+        "chestnutfall/plain_edge/plain_proxy.py",
+        "        if len(tried) >= MAX_ATTEMPTS:",
+        "        if False:",
         _PLAIN_TEST,
     ),
     Mutant(
