--- a/properties/safeguards/completion_silence_mutants.py
+++ b/properties/safeguards/completion_silence_mutants.py
@@ -43,8 +43,29 @@
     Mutant(
         "non-idempotent completion begins beside a silent one",
         _DISPATCHER,
+        "            if req.non_idempotent or tries.left == 0 or not self._budget.spend():",
+        "            if tries.left == 0 or not self._budget.spend():",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "attempts beside a hung engine without a bound",
+        _DISPATCHER,
+        "            if req.non_idempotent or tries.left == 0 or not self._budget.spend():",
         "            if req.non_idempotent or not self._budget.spend():",
-        "            if not self._budget.spend():",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "engine that failed asked again beside a hung one",
+        "chestnutfall/routing/answer_race.py",
+        "        self.start(Attempt(attempt_id, silent | self._failed, excluded, beside=True))",
+        "        self.start(Attempt(attempt_id, silent, excluded, beside=True))",
+        _SILENCE_TEST,
+    ),
+    Mutant(
+        "repeat goes back to the engine that failed",
+        _DISPATCHER,
+        "frozenset(tries.failed)",
+        "frozenset()",
         _SILENCE_TEST,
     ),
     Mutant(
@@ -78,8 +99,22 @@
     Mutant(
         "non-idempotent plain call begins beside a silent one",
         "chestnutfall/plain_edge/plain_race.py",
-        "            return None if call.at_most_once else f",
-        "            return f",
+        "None if call.at_most_once or held else choose()",
+        "None if held else choose()",
+        _PLAIN_TEST,
+    ),
+    Mutant(
+        "quarantined plain call begins beside a silent one",
+        "chestnutfall/plain_edge/plain_race.py",
+        "None if call.at_most_once or held else choose()",
+        "None if call.at_most_once else choose()",
+        _PLAIN_TEST,
+    ),
+    Mutant(
+        "plain call goes to all upstreams beside a hung one",
+        "chestnutfall/plain_edge/plain_proxy.py",
+        "        if len(tried) >= MAX_ATTEMPTS:",
+        "        if False:",
         _PLAIN_TEST,
     ),
     Mutant(
