Give few second runs to engines that are silent together

With engines that begin an answer after 3.5 s, each request ran on three of them, for ever: 300 runs of 100 requests one after another, 200 where they begin after 1.5 s; and when all engines paused, each of 8 requests ran twice.

Cause: each repeat that lost the race was given back to the budget, so none was ever spent, and nothing saw that the engine that was tried instead was as silent as the first.

The sends that wait for their first event are compared by SilentUpstreams, as the platform's are: while most are silent together nothing is begun beside them, for two seconds at most, and they are looked at again every 100 ms. The budget gets back what was not sent, also where it waits for a ticket as another attempt answers, and what lost to an attempt that paused: for less than two seconds, and no sooner than ten seconds after the pause before (ShortPauses). A part of an answer whose send is no longer compared begins no silence.

--- a/chestnutfall/forwarding/silent_upstreams.py
+++ b/chestnutfall/forwarding/silent_upstreams.py
@@ -122,7 +122,9 @@
         """Record that an upstream wrote a part of an answer."""
         known = self._upstreams.get(instance)
         if known is not None:
-            known.heard_ms = known.quiet_since_ms = self._clock.now_ms()
+            known.heard_ms = self._clock.now_ms()
+            # A part of an answer that is no longer compared begins no silence of the next send.
+            known.quiet_since_ms = known.heard_ms if known.usual_ms else None
 
     def write_begins(self, instance: str) -> None:
         """Record that a send writes to its client, and hears nothing until that has read it."""
--- a/chestnutfall/plain_edge/plain_race.py
+++ b/chestnutfall/plain_edge/plain_race.py
@@ -67,7 +67,9 @@
         def begin(attempt: Attempt) -> AsyncGenerator[PlainAnswer, None]:
             return self._attempt(call, attempt, upstream)
 
-        race = AnswerRace(begin, another_id, _ignore, set(), self._clock, call.service.silent_ms)
+        race = AnswerRace(
+            begin, another_id, lambda _: False, _ignore, set(), self._clock, call.service.silent_ms
+        )
         race.start(Attempt(call.fingerprint))
         try:
             winner = await race.first()
--- a/chestnutfall/routing/answer_race.py
+++ b/chestnutfall/routing/answer_race.py
@@ -17,6 +17,8 @@
 MAX_SENT = 3
 """Attempts that may be under way at once; the third shows whether the upstreams or only the
 connections of the first two are silent."""
+RECHECK_MS = 100
+"""Time until silent attempts that had to wait are looked at again; it costs no message."""
 
 
 @dataclass(slots=True, eq=False)
@@ -41,6 +43,8 @@
     another_id : callable
         Returns the id of an attempt that may be begun beside a silent one, or None; called each
         time.
+    must_wait : callable
+        Whether these silent attempts, the newest last, tell nothing of their own upstreams.
     on_unsent : callable
         Called when an attempt that was begun beside another one ended before it was sent.
     failed : set of str
@@ -53,6 +57,7 @@
         self,
         begin: Callable[[Attempt], AsyncGenerator[T, None]],
         another_id: Callable[[], str | None],
+        must_wait: Callable[[Sequence[Attempt]], bool],
         on_unsent: Callable[[], None],
         failed: set[str],
         clock: Clock,
@@ -60,10 +65,12 @@
     ) -> None:
         self._begin = begin
         self._another_id = another_id
+        self._must_wait = must_wait
         self._on_unsent = on_unsent
         self._failed = failed
         self._clock = clock
         self._silent_ms = silent_ms
+        self._is_kept = False
         self._runners: list[Runner[T]] = []
         self._failures: list[BaseException] = []
 
@@ -75,10 +82,10 @@
     async def first(self) -> Runner[T] | None:
         """Return the attempt that answers first; None if all failed."""
         while self._runners:
-            for one in self._runners:
-                if one.begins.done() and self._has_begun(one):
+            for one in [one for one in self._runners if one.begins.done()]:
+                if self._has_begun(one):
                     return one
-            self._runners = [one for one in self._runners if not one.begins.done()]
+                self._runners.remove(one)
             if self._runners:
                 # Only after a whole silence: an attempt that is refused at once would otherwise be
                 # followed by the next one at once.
@@ -101,11 +108,14 @@
 
     def _note_failed(self, attempt: Attempt, exc: BaseException) -> None:
         self._failures.append(exc)
-        if attempt.beside and attempt.heard_ms is None:
-            self._on_unsent()
+        self._note_unsent(attempt)
         if attempt.upstream:
             self._failed.add(attempt.upstream)
 
+    def _note_unsent(self, attempt: Attempt) -> None:
+        if attempt.beside and attempt.heard_ms is None:
+            self._on_unsent()
+
     async def _wait(self) -> bool:
         """Wait until an attempt begins to answer or fails; return False, or True after silence."""
         timer = asyncio.ensure_future(self._clock.sleep_ms(self._until_silent_ms()))
@@ -122,7 +132,9 @@
             return self._silent_ms
         # An attempt that is silent already is looked at again after as long.
         left_ms = heard_ms + self._silent_ms - self._clock.now_ms()
-        return left_ms if left_ms > 0 else self._silent_ms
+        if left_ms > 0:
+            return left_ms
+        return min(RECHECK_MS, self._silent_ms) if self._is_kept else self._silent_ms
 
     def _begin_another_if_silent(self) -> None:
         now_ms = self._clock.now_ms()
@@ -130,6 +142,9 @@
         all_silent = waiting and all(one.is_silent(now_ms, self._silent_ms) for one in waiting)
         if not all_silent or len(waiting) >= MAX_SENT:
             return
+        self._is_kept = self._must_wait(waiting)
+        if self._is_kept:
+            return
         attempt_id = self._another_id()
         if attempt_id is None:
             return
@@ -146,21 +161,24 @@
 
     async def close(self) -> None:
         """End all attempts that still run, the one that answered included."""
-        await _end(self._runners)
+        runners, self._runners = self._runners, []
+        await self._end(runners)
 
-    async def drop_others(self, winner: Runner[T]) -> None:
-        """End all attempts but one."""
-        await _end([one for one in self._runners if one is not winner])
+    async def drop_others(self, winner: Runner[T]) -> int:
+        """End all attempts but one; return how many were begun beside another one and sent."""
+        others = [one for one in self._runners if one is not winner]
         self._runners = [winner]
-
-
-async def _end(runners: Sequence[Runner[T]]) -> None:
-    for one in runners:
-        one.begins.cancel()
-    await asyncio.gather(*(one.begins for one in runners), return_exceptions=True)
-    for one in runners:
-        with after_answer("end of an attempt"):
-            await one.answer.aclose()
+        await self._end(others)
+        return sum(one.attempt.beside and one.attempt.heard_ms is not None for one in others)
+
+    async def _end(self, runners: Sequence[Runner[T]]) -> None:
+        for one in runners:
+            one.begins.cancel()
+        await asyncio.gather(*(one.begins for one in runners), return_exceptions=True)
+        for one in runners:
+            self._note_unsent(one.attempt)
+            with after_answer("end of an attempt"):
+                await one.answer.aclose()
 
 
 async def _first_of(answer: AsyncGenerator[T, None]) -> T:
--- a/chestnutfall/routing/attempt.py
+++ b/chestnutfall/routing/attempt.py
@@ -21,6 +21,8 @@
         Whether it was begun beside another one that is silent.
     upstream : str
         Name of the upstream; empty until it is chosen.
+    instance : str
+        The upstream's process; empty until it is chosen.
     heard_ms : int or None
         Clock time at which it was sent, or a part of the answer came; None before it was sent.
     """
@@ -30,6 +32,7 @@
     excluded: frozenset[str] = frozenset()
     beside: bool = False
     upstream: str = ""
+    instance: str = ""
     heard_ms: int | None = None
 
     def is_silent(self, now_ms: int, silent_ms: int) -> bool:
--- a/chestnutfall/routing/attempts.py
+++ b/chestnutfall/routing/attempts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Sequence
 
 from opentelemetry import trace
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
@@ -11,6 +12,7 @@
 from ..clock import Clock
 from ..clock.cancelled import was_cancelled
 from ..engine_edge import Batches, EngineBroken, EngineRefused, EngineRequest
+from ..forwarding.silent_upstreams import LASTING_MS, SilentUpstreams
 from ..membership import GatewayAgent, Upstream
 from ..peers import PeerLinks
 from ..quarantine import RequestQuarantine
@@ -51,6 +53,7 @@
         self._signals = signals
         self._clock = clock
         self._tracer = tracer
+        self._silent = SilentUpstreams(clock)
 
     async def run(self, req: CallerRequest, attempt: Attempt, fingerprint: str) -> Batches:
         """Get a ticket, send the request, and yield the checked events of its answer.
@@ -80,7 +83,7 @@
             _PROPAGATOR.inject(headers, trace.set_span_in_context(span, parent))
             engine_req = self._engine_request(req, engine, attempt.attempt_id, headers)
             attempt.heard_ms = self._clock.now_ms()
-            async for events in self._runs.run(engine, engine_req):
+            async for events in self._heard(req, attempt, self._runs.run(engine, engine_req)):
                 yield events
         except EngineBroken as exc:
             self._note_broken(exc, attempt, fingerprint, engine, began_ms)
@@ -93,6 +96,39 @@
             with after_answer("release of a ticket"):
                 self._links.release_ticket(engine.name, attempt.attempt_id)
 
+    def reason_to_wait(self, req: CallerRequest, silent: Sequence[Attempt]) -> str:
+        """Return why a request should wait for its silent attempts; empty if it should not.
+
+        Parameters
+        ----------
+        silent : sequence of Attempt
+            Attempts that were sent, the newest last.
+        """
+        newest = silent[-1]
+        # One that is silent for longer than a pause hangs, whatever the others do.
+        now_ms = self._clock.now_ms()
+        if newest.heard_ms is None or newest.is_silent(now_ms, LASTING_MS):
+            return ""
+        silent_ms = now_ms - newest.heard_ms
+        instances = [one.instance for one in silent]
+        return self._silent.reason_to_wait(req.service, instances, silent_ms, req.silent_ms)
+
+    async def _heard(self, req: CallerRequest, attempt: Attempt, answer: Batches) -> Batches:
+        """Yield the events of an answer, and note when its engine is silent before the first."""
+        instance, waits = attempt.instance, True
+        self._silent.began(req.service, instance, req.silent_ms)
+        try:
+            async for events in answer:
+                self._silent.heard(instance)
+                if waits:
+                    waits = False
+                    self._silent.ended(instance, req.silent_ms, was_silent=False)
+                yield events
+        finally:
+            if waits:
+                was_silent = attempt.is_silent(self._clock.now_ms(), req.silent_ms)
+                self._silent.ended(instance, req.silent_ms, was_silent)
+
     def _note_broken(
         self, exc: EngineBroken, attempt: Attempt, fingerprint: str, engine: Upstream, began_ms: int
     ) -> None:
@@ -126,7 +162,7 @@
             # another ticket costs no repeat.
             self._links.release_ticket(engine.name, attempt.attempt_id)
             engine = await self._tickets.acquire(req, attempt)
-        attempt.upstream = engine.name
+        attempt.upstream, attempt.instance = engine.name, engine.instance
         return engine
 
     def _engine_request(
--- a/chestnutfall/routing/dispatcher.py
+++ b/chestnutfall/routing/dispatcher.py
@@ -28,6 +28,7 @@
 from .engine_runs import EngineRuns
 from .request_tries import RequestTries
 from .retry_budget import RetryBudget
+from .short_pauses import ShortPauses
 from .tickets import RETRY_AFTER_MS, Tickets
 
 log = logging.getLogger(__name__)
@@ -63,6 +64,7 @@
             agent, links, self._tickets, runs, quarantine, signals, clock, tracer
         )
         self._budget = RetryBudget()
+        self._pauses = ShortPauses(clock)
 
     async def answer(self, req: CallerRequest) -> Batches:
         """Run a request and yield the events of its answer.
@@ -110,7 +112,7 @@
         tries.begin_round()
         number = tries.rounds
         first = Attempt(f"{req.request_id}-{number}", frozenset(tries.failed))
-        beside = unsent = 0
+        beside = 0
 
         def another_id() -> str | None:
             nonlocal beside
@@ -121,32 +123,41 @@
             beside += 1
             return f"{req.request_id}-b{number}{beside}"
 
+        def must_wait(silent: Sequence[Attempt]) -> bool:
+            return not req.non_idempotent and bool(self._attempts.reason_to_wait(req, silent))
+
         def on_unsent() -> None:
-            nonlocal unsent
-            unsent += 1
             tries.left += 1
             self._budget.give_back()
 
         def begin(attempt: Attempt) -> Batches:
             return self._attempts.run(req, attempt, fingerprint)
 
-        failed = tries.failed
-        race = AnswerRace(begin, another_id, on_unsent, failed, self._clock, req.silent_ms)
+        race = AnswerRace(
+            begin, another_id, must_wait, on_unsent, tries.failed, self._clock, req.silent_ms
+        )
         race.start(first)
         try:
             winner = await race.first()
             if winner is None:
                 raise _most_telling(race.failures)
+            paused = self._has_paused(req, winner.attempt)
+            lost = await race.drop_others(winner)
             # A pause of all engines would otherwise take the budget from failures that follow it.
-            for _ in range(beside - unsent - (winner.attempt is not first)):
+            for _ in range(lost if paused else 0):
                 self._budget.give_back()
-            await race.drop_others(winner)
             yield winner.begins.result()
             async for events in winner.answer:
                 yield events
         finally:
             await race.close()
 
+    def _has_paused(self, req: CallerRequest, attempt: Attempt) -> bool:
+        """Whether an attempt that answers now was silent for a pause of its service."""
+        silent = attempt.is_silent(self._clock.now_ms(), req.silent_ms)
+        since_ms = attempt.heard_ms if silent else None
+        return since_ms is not None and self._pauses.explains(req.service, since_ms)
+
     async def _has_ended(self, engine: Upstream) -> bool:
         """Whether another process has the engine's name, or its port is known to be closed."""
         known = self._registry.get(engine.name)
--- a/chestnutfall/tests/test_completion_silence.py
+++ b/chestnutfall/tests/test_completion_silence.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from ..requests import Executed, Refusal
+from ..routing.retry_budget import MAX_TOKENS, PER_REQUEST
 from .fakes.fake_engine import FakeEngine
 from .fakes.fake_office import FakeOffice
 
@@ -260,3 +261,56 @@
             await self._whole(self._begin("a1@1"))
         self.assertGreaterEqual(len(failing.ran), 1)
         self.assertEqual(self.gateway.metrics.counts["retries"], len(failing.ran))
+
+    # Guards against a second and third run of each request, for ever, of engines that begin late.
+    async def test_slow_engines_get_few_second_runs(self) -> None:
+        for head_ms in (1_500, 3_500):
+            with self.subTest(head_ms=head_ms):
+                await self._start(3)
+                for engine in self._engines():
+                    engine.adapters[self.gateway.request("a1@1").model] = "ready"
+                    engine.head_ms = head_ms
+                for _ in range(100):
+                    await self._whole(self._begin("a1@1"))
+                self.assertLessEqual(self._runs(), self._most_runs(100))
+                await self.office.stop()
+
+    @staticmethod
+    def _most_runs(requests: int) -> float:
+        """Runs of the requests, repeats of the budget, and some that pauses give back."""
+        return requests * 1.2 + MAX_TOKENS + PER_REQUEST * requests
+
+    # Guards against second runs of all requests of a service whose engines pause together.
+    async def test_a_pause_of_all_engines_gets_no_second_run(self) -> None:
+        await self._start(4)
+        for engine in self._engines():
+            engine.adapters[self.gateway.request("a1@1").model] = "ready"
+        self._silence(1_500)
+        tasks = [self._begin("a1@1") for _ in range(8)]
+        await self._until_sent(8)
+        for task in tasks:
+            await self._whole(task)
+        self.assertEqual(self._runs(), 8)
+
+    # Guards against a request that is kept at a hung engine since others paused before.
+    async def test_engines_that_hang_together_are_left(self) -> None:
+        await self._start(4)
+        for engine in self._engines():
+            engine.adapters[self.gateway.request("a1@1").model] = "ready"
+        for engine in self._engines()[:2]:
+            engine.silent_until_ms = self.office.clock.now_ms() + FOR_EVER_MS
+        began_ms = self.office.clock.now_ms()
+        for task in [self._begin("a1@1") for _ in range(4)]:
+            await self._whole(task)
+        self.assertLessEqual(self.office.clock.now_ms() - began_ms, 4 * SILENT_MS)
+
+    # Guards against a budget that attempts empty which waited for a ticket and were never sent.
+    async def test_what_was_not_sent_costs_no_repeat(self) -> None:
+        await self._start(1)
+        await self._whole(self._begin("a1@1"))
+        before = self.gateway.dispatcher._budget._tokens
+        for _ in range(3):
+            self._silence(4_500)
+            await self._whole(self._begin("a1@1"))
+        self.assertGreater(self.gateway.metrics.counts["attempts_beside"], 0)
+        self.assertGreaterEqual(self.gateway.dispatcher._budget._tokens, before)
--- a/chestnutfall/tests/test_silent_upstreams.py
+++ b/chestnutfall/tests/test_silent_upstreams.py
@@ -56,6 +56,17 @@
         await self.clock.advance(USUAL_MS)
         self.assertEqual(self._reason(), SERVICE_SILENT)
 
+    # Guards against a new send that counts as silent since the last part of an earlier answer.
+    async def test_a_part_that_comes_after_a_send_has_ended_begins_no_silence(self) -> None:
+        await self._begin("i1")
+        self._hear("i1")
+        self.silent.ended("i1", USUAL_MS, was_silent=False)
+        self._hear("i1")
+        await self._begin("i0")
+        await self.clock.advance(USUAL_MS)
+        await self._begin("i1")
+        self.assertEqual(self._reason(), "")
+
     async def test_no_call_leaves_while_more_upstreams_are_silent_than_speak(self) -> None:
         await self._begin("i0", "i1", "i2", "i3", "i4")
         await self.clock.advance(USUAL_MS)
