Tell callers of the failure of what was sent, not of what wasn't

A request whose silent engine then turned it away, provably not run, was refused with 503 no_engine at once, although a repeat was allowed.

Cause: the attempt beside it, which found no other engine and was never sent, came first among the failures of the race.

An attempt that was begun beside another one and not sent is reported as unsent only.

--- a/chestnutfall/routing/answer_race.py
+++ b/chestnutfall/routing/answer_race.py
@@ -46,7 +46,8 @@
     must_wait : callable
         Whether these silent attempts, the newest last, tell nothing of their own upstreams.
     on_unsent : callable
-        Called when an attempt that was begun beside another one ended before it was sent.
+        Called when an attempt that was begun beside another one ended before it was sent, which is
+        no failure.
     failed : set of str
         Names of upstreams that failed; those that fail meanwhile are added.
     silent_ms : int
@@ -107,14 +108,17 @@
         return True
 
     def _note_failed(self, attempt: Attempt, exc: BaseException) -> None:
+        if self._is_unsent(attempt):
+            self._on_unsent()
+            return
         self._failures.append(exc)
-        self._note_unsent(attempt)
         if attempt.upstream:
             self._failed.add(attempt.upstream)
 
-    def _note_unsent(self, attempt: Attempt) -> None:
-        if attempt.beside and attempt.heard_ms is None:
-            self._on_unsent()
+    @staticmethod
+    def _is_unsent(attempt: Attempt) -> bool:
+        """Whether it was begun beside another one and not sent."""
+        return attempt.beside and attempt.heard_ms is None
 
     async def _wait(self) -> bool:
         """Wait until an attempt begins to answer or fails; return False, or True after silence."""
@@ -176,7 +180,8 @@
             one.begins.cancel()
         await asyncio.gather(*(one.begins for one in runners), return_exceptions=True)
         for one in runners:
-            self._note_unsent(one.attempt)
+            if self._is_unsent(one.attempt):
+                self._on_unsent()
             with after_answer("end of an attempt"):
                 await one.answer.aclose()
 
--- a/properties/safeguards/completion_silence_mutants.py
+++ b/properties/safeguards/completion_silence_mutants.py
@@ -106,10 +106,17 @@
     Mutant(
         "attempt that ended before it was sent costs a repeat",
         "chestnutfall/routing/answer_race.py",
-        "        if attempt.beside and attempt.heard_ms is None:",
-        "        if False:",
+        "        return attempt.beside and attempt.heard_ms is None",
+        "        return False",
         _SILENCE_TEST,
     ),
+    Mutant(
+        "attempt that was not sent hides why the request failed",
+        "chestnutfall/routing/answer_race.py",
+        "            self._on_unsent()\n            return\n",
+        "            self._on_unsent()\n",
+        "chestnutfall.tests.test_answer_race",
+    ),
     Mutant(
         "new send counts as silent since the last part of an earlier answer",
         "chestnutfall/forwarding/silent_upstreams.py",
