Leave the run of a begun stream only with a way back

Callers: a sound engine that paused for 1.2 s was left 300 ms after the second send; where that one then refused, failed, was not reached or hung, and no repeat was left, or the deadline was within 2 s, the stream was broken off, though the first engine would have gone on. Cause: the run was let go before it was known that there is a way back: a repeat that nobody reserved, and 2 s of silence that had no room before the deadline. Change: at the end of the overlap a repeat is taken and kept to go back with, if a send is left and the deadline is far enough. Otherwise the newer send ends and the older goes on; the call tries again once that hangs (2 s), and leaves it then in any case, so that there are two such sends a silence at most. The kept repeat is used only to go back, also for the last of the six sends, and is taken out of the window again with the next event or the end of the call. Withdrawing a send is no failure of its upstream. Costs: a stream whose first engine hangs, without a further repeat or within some 2.3 s of its deadline, no longer moves for good to a second one that needs more than 300 ms to begin.

--- a/chestnutfall/clock/sliding_window.py
+++ b/chestnutfall/clock/sliding_window.py
@@ -31,6 +31,13 @@
         """Remove the oldest event."""
         self._event_times_ms.popleft()
 
+    def remove(self, at_ms: int) -> bool:
+        """Remove an event at `at_ms`; return False if there is none."""
+        if at_ms not in self._event_times_ms:
+            return False
+        self._event_times_ms.remove(at_ms)
+        return True
+
     def _drop_expired(self, now_ms: int) -> None:
         while self._event_times_ms and self._event_times_ms[0] <= now_ms - self._length_ms:
             self._event_times_ms.popleft()
--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -12,10 +12,9 @@
 from .other_place import OtherPlace
 from .overtaken_upstreams import has_attempt, overtaken
 from .place import Place, SelectionCriteria, UpstreamSelector
-from .progress import Progress
+from .progress import MAX_SENDS, Progress
 from .relayed_send import RelayedSend
 from .reply_lock import ReplyLock
-from .result_handler import MAX_SENDS
 from .send_log import log_send, log_unfinished
 from .send_parts import SendParts
 from .send_result import UNREACHABLE, HeldBack, Refused, SendResult
@@ -33,6 +32,7 @@
     the next part of the answer; whichever answers first is relayed. The run of a begun stream ends
     with the next event of another upstream, and `OVERLAP_MS` after the call was sent there at the
     latest; where that one fails or hangs, the stream may be taken up again at the first upstream.
+    Without such a way back the second run ends with the overlap, unless the first one hangs.
 
     Parameters
     ----------
@@ -64,6 +64,8 @@
         """Send the call to `place`, and return its last send with the result."""
         first = self._prepare(place)
         may_move = place.has_other and self._may_look([first])
+        # Otherwise the repeat for the way back would be kept until the stream ends.
+        may_move |= self._progress.way_back_ms is not None
         sending, result = await (self._watch(first) if may_move else self._send_once(first))
         if isinstance(result, HeldBack) or result == Refused(UNREACHABLE):
             self._progress.holds_repeat = sending.took_repeat
@@ -74,7 +76,7 @@
         sending = self._parts.sender.prepare(
             self._progress, self._route, place, self._selector, self._reply, self._lock
         )
-        self._progress.holds_repeat = False
+        self._progress.holds_repeat = self._progress.goes_back = False
         return sending
 
     async def _send_once(self, sending: RelayedSend) -> tuple[RelayedSend, SendResult]:
@@ -113,6 +115,8 @@
             while True:
                 await self._wait()
                 self._live.leave_overtaken()
+                if not self._lock.is_free:
+                    self._parts.way_back.give_back(self._progress)
                 last = self._live.take_ended()
                 if last is not None:
                     self._other.note_last(last[0])
@@ -127,9 +131,15 @@
     def _end_overlap(self) -> None:
         if not self._progress.resumes or len(self._live) == 1:
             return
-        newest = self._live.sends[-1]
-        if self._clock.now_ms() >= newest.sent_ms + OVERLAP_MS:
+        oldest, newest = self._live.sends[0], self._live.sends[-1]
+        if self._clock.now_ms() < newest.sent_ms + OVERLAP_MS:
+            return
+        hangs = oldest.silent_ms >= LASTING_MS
+        if hangs or self._parts.way_back.keep(self._progress, newest):
             self._live.leave_older()
+        else:
+            self._live.leave_newest()
+            self._other.note_no_way_back(oldest)
 
     def _send_too(self) -> None:
         """Look for another upstream, or send the call to the one that was found."""
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -37,6 +37,7 @@
 from .send_parts import SendParts
 from .sender import Sender
 from .stream_origins import StreamOrigins
+from .way_back import WayBack
 
 NOT_READY_RETRY_MS = 500
 """Retry delay without a document; a gateway has its document within half a second of a leader."""
@@ -90,8 +91,9 @@
         self._metrics = metrics
         self._answers = FinalAnswers()
         self._ends = RequestEnds(clock, metrics)
+        self._way_back = WayBack(repeats, clock)
         self._result_handler = ResultHandler(
-            repeats, signals, quarantine, self._answers, clock, metrics
+            repeats, self._way_back, signals, quarantine, self._answers, clock, metrics
         )
         self._send_parts = SendParts(
             sender,
@@ -99,6 +101,7 @@
             origins,
             quarantine,
             self._result_handler,
+            self._way_back,
             Alarms(clock),
             clock,
             metrics,
@@ -196,6 +199,7 @@
             await self._answers.give_up(progress, reply, 504, "out_of_time", None)
         finally:
             self._origins.ended(progress)
+            self._way_back.give_back(progress)
             if not progress.may_have_run:
                 self._admission.refund(admitted)
 
--- a/chestnutfall/forwarding/live_sends.py
+++ b/chestnutfall/forwarding/live_sends.py
@@ -89,6 +89,14 @@
         for one in self._live[:-1]:
             self._leave(one, newest)
 
+    def leave_newest(self) -> None:
+        """Cancel the newest send, as the call could not go back from it."""
+        newest = self._live[-1]
+        # Otherwise its silence, no longer than the overlap, would count as a failure.
+        if newest.sending.is_silent:
+            newest.sending.note_silent()
+        self._leave(newest, self._live[0])
+
     def take_ended(self) -> tuple[RelayedSend, SendResult] | None:
         """Drop the sends that ended; return the one that ends the call, or the last one left.
 
--- a/chestnutfall/forwarding/other_place.py
+++ b/chestnutfall/forwarding/other_place.py
@@ -44,6 +44,7 @@
         wake_up: Callable[[], None],
     ) -> None:
         self._repeats = parts.repeats
+        self._way_back = parts.way_back
         self._quarantine = parts.quarantine
         self._silent = parts.sender.silent
         self._clock = parts.clock
@@ -77,9 +78,11 @@
             self._note_kept(live[0], reason)
             self.next_ms = self._clock.now_ms() + RECHECK_MS
             return
+        progress = live[0].progress
+        progress.goes_back = self._way_back.is_all(progress)
         for one in live:
             one.on_heard = self._wake_up
-        live[0].progress.is_searched = True
+        progress.is_searched = True
         self._note_silent(live[0])
         for one in live:
             one.note_silent()
@@ -92,7 +95,11 @@
         upstream = newest.place.upstream
         if quarantine_hold(self._quarantine, newest.progress):
             return "quarantined"
-        if not self._repeats.has_for_silence(upstream.service):
+        if self._way_back.is_all(newest.progress):
+            may_go = _hang(live)
+        else:
+            may_go = self._repeats.has_for_silence(upstream.service)
+        if not may_go:
             return "no_budget"
         return self._silent.reason_to_wait(
             upstream.service,
@@ -122,7 +129,7 @@
             progress,
             [one.place.upstream.instance for one in live],
             # It was silent as well, and another change may lose what this one is about to write.
-            goes_back=all(one.silent_ms >= LASTING_MS for one in live),
+            goes_back=_hang(live),
         )
 
     def take(self, live: Sequence[RelayedSend], may_add: bool) -> Place | None:
@@ -134,6 +141,7 @@
             Whether the call may still be sent to one more upstream.
         """
         search, self.search = self.search, None
+        live[0].progress.goes_back = False
         assert search is not None
         for one in live:
             one.on_heard = None
@@ -161,10 +169,21 @@
             return "no_other"
         if quarantine_hold(self._quarantine, live[0].progress):
             return "quarantined"
+        progress = live[0].progress
+        if place.upstream.instance in progress.overtaken and self._way_back.use(progress):
+            return ""
         if not self._repeats.spend_for_silence(place.upstream.service):
             return "no_budget"
         return ""
 
+    def note_no_way_back(self, sending: RelayedSend) -> None:
+        """Record that a silent send goes on, as the call could not go back from another one.
+
+        Once the upstream hangs, the call may leave it without a way back.
+        """
+        self.next_ms = self._clock.now_ms() + LASTING_MS - sending.silent_ms
+        self._note_kept(sending, "no_way_back")
+
     def stop(self, selector: UpstreamSelector) -> None:
         """Begin to end a search that is under way; what it finds is given back as it ends."""
         if self.search is not None:
@@ -219,6 +238,10 @@
         )
 
 
+def _hang(live: Sequence[RelayedSend]) -> bool:
+    return all(one.silent_ms >= LASTING_MS for one in live)
+
+
 def _give_back(selector: UpstreamSelector, search: asyncio.Task[Place]) -> None:
     if not search.cancelled() and search.exception() is None:
         selector.release(search.result(), RunOutcome.WITHDRAWN, NO_TIMES, None)
--- a/chestnutfall/forwarding/overtaken_upstreams.py
+++ b/chestnutfall/forwarding/overtaken_upstreams.py
@@ -28,6 +28,8 @@
     live : collection of str
         Instances that work on the call.
     """
+    if progress.goes_back:
+        return False
     added = sum(one not in progress.overtaken for one in live)
     return progress.attempts + added < route.attempts
 
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -8,6 +8,9 @@
 from ..resumption import StreamOrigin
 from .call import Call
 
+MAX_SENDS = 6
+"""Upper bound on the sends of one call. Refused sends are cheap, but each one counts as a repeat
+for the upstream that refuses."""
 MAX_GAPS = 256
 """Limit on the recorded gaps of an endless stream. Most streams have fewer events, and a median
 needs no more."""
@@ -54,6 +57,11 @@
         Instances that refused the call once, since its adapter was not loaded yet.
     holds_repeat : bool
         Whether a repeat was taken from the budget for a send that has not begun.
+    way_back_ms : int or None
+        Clock time at which a repeat was taken to go back to an upstream that was overtaken; None if
+        none is kept.
+    goes_back : bool
+        Whether the next send may only go to an upstream that was overtaken.
     gaps_ms : list of int
         The first `MAX_GAPS` times between two parts of the answer.
     streamed : bool
@@ -84,6 +92,8 @@
     overtaken: list[str] = field(default_factory=list)
     lacked_adapter: list[str] = field(default_factory=list)
     holds_repeat: bool = False
+    way_back_ms: int | None = None
+    goes_back: bool = False
     gaps_ms: list[int] = field(default_factory=list)
     streamed: bool = False
     ended_upstream: bool = False
--- a/chestnutfall/forwarding/repeats.py
+++ b/chestnutfall/forwarding/repeats.py
@@ -51,6 +51,18 @@
         """Return a repeat that was taken but not sent."""
         self._unsent.setdefault(service, SlidingWindow(UNSENT_LIFE_MS)).note(self._clock.now_ms())
 
+    def refund_kept(self, service: str, taken_ms: int) -> None:
+        """Return a repeat that was kept since `taken_ms` and not sent.
+
+        It is as if it had not been taken. Once it is out of the window, the budget has another one
+        in its place.
+        """
+        if self._clock.now_ms() - taken_ms >= self._bounds.window_ms:
+            return
+        # What is not in the window was one that another call returned.
+        if not self._budget(service).give_back(taken_ms):
+            self.refund(service)
+
     def unsent(self, service: str) -> int:
         """Return the number of repeats that were returned unsent and can still be used."""
         unsent = self._unsent.get(service)
--- a/chestnutfall/forwarding/result_handler.py
+++ b/chestnutfall/forwarding/result_handler.py
@@ -16,16 +16,14 @@
 from .final_answers import FinalAnswers
 from .overtaken_upstreams import has_attempt, overtaken
 from .place import Place, UpstreamSelector
-from .progress import Progress
+from .progress import MAX_SENDS, Progress
 from .relayed_send import RelayedSend
 from .repeats import Repeats
 from .send_result import UNREACHABLE, Delivered, Failed, HeldBack, Lost, Refused, SendResult
 from .upstream_answer import NotRun
 from .upstream_api import SILENT
+from .way_back import WayBack
 
-MAX_SENDS = 6
-"""Upper bound on the sends of one call. Refused sends are cheap, but each one counts as a repeat
-for the upstream that refuses."""
 BROKEN_RETRY_MS = 500
 """Retry delay for clients after a refusal. Within this time calls stop going to an upstream that
 refuses or fails."""
@@ -37,6 +35,7 @@
     def __init__(
         self,
         repeats: Repeats,
+        way_back: WayBack,
         signals: KnownSignals,
         quarantine: RequestQuarantine,
         answers: FinalAnswers,
@@ -44,6 +43,7 @@
         metrics: PrometheusMetrics,
     ) -> None:
         self._repeats = repeats
+        self._way_back = way_back
         self._signals = signals
         self._quarantine = quarantine
         self._answers = answers
@@ -252,7 +252,7 @@
     async def _take_repeat(self, progress: Progress, upstream_is_busy: bool) -> bool:
         if progress.sends >= MAX_SENDS or self._clock.now_ms() >= progress.until_ms:
             return False
-        if await self._repeats.spend(progress.service, upstream_is_busy):
+        if await self._way_back.spend(progress, upstream_is_busy):
             progress.holds_repeat = True
             return True
         self._metrics.count("repeats_over_budget")
--- a/chestnutfall/forwarding/send_parts.py
+++ b/chestnutfall/forwarding/send_parts.py
@@ -12,6 +12,7 @@
 from .result_handler import ResultHandler
 from .sender import Sender
 from .stream_origins import StreamOrigins
+from .way_back import WayBack
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +24,7 @@
     origins: StreamOrigins
     quarantine: RequestQuarantine
     results: ResultHandler
+    way_back: WayBack
     alarms: Alarms
     clock: Clock
     metrics: PrometheusMetrics
--- a/chestnutfall/forwarding/shared_retry_budget.py
+++ b/chestnutfall/forwarding/shared_retry_budget.py
@@ -52,3 +52,7 @@
             return False
         self._repeats.note(self._clock.now_ms())
         return True
+
+    def give_back(self, taken_ms: int) -> bool:
+        """Return a repeat that was taken at `taken_ms`; False if none is in the window."""
+        return self._repeats.remove(taken_ms)
--- a/chestnutfall/tests/test_overtaken_runs.py
+++ b/chestnutfall/tests/test_overtaken_runs.py
@@ -9,8 +9,7 @@
 
 from ..forwarding.call_sends import OVERLAP_MS
 from ..forwarding.overtaken_upstreams import NO_ATTEMPT
-from ..forwarding.progress import Progress
-from ..forwarding.result_handler import MAX_SENDS
+from ..forwarding.progress import MAX_SENDS, Progress
 from ..forwarding.silent_upstreams import LASTING_MS
 from ..forwarding.upstream_answer import NotRun
 from ..forwarding.upstream_api import AnswerLost, NotSent
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -16,6 +16,7 @@
 _REPLY_LOCK = f"{_FORWARDING}/reply_lock.py"
 _RESULT_HANDLER = f"{_FORWARDING}/result_handler.py"
 _SILENT_UPSTREAMS = f"{_FORWARDING}/silent_upstreams.py"
+_WAY_BACK = f"{_FORWARDING}/way_back.py"
 
 SILENCE_MUTANTS = (
     Mutant(
@@ -424,7 +425,7 @@
     Mutant(
         "a stream goes back while the next upstream may be sound",
         _OTHER_PLACE,
-        "            goes_back=all(one.silent_ms >= LASTING_MS for one in live),\n",
+        "            goes_back=_hang(live),\n",
         "            goes_back=True,\n",
         f"{_TESTS}.test_overtaken_runs",
     ),
@@ -530,4 +531,96 @@
         f"{_TESTS}.test_left_runs.LeftRunTest."
         "test_a_send_that_finds_no_connection_costs_no_repeat",
     ),
+    Mutant(
+        "a run is left though the call can't go back to it",
+        _CALL_SENDS,
+        "        if hangs or self._parts.way_back.keep(self._progress, newest):\n",
+        "        if True:\n",
+        f"{_TESTS}.test_left_runs",
+    ),
+    Mutant(
+        "a run that hangs is left only with a way back",
+        _CALL_SENDS,
+        "        if hangs or self._parts.way_back.keep(self._progress, newest):\n",
+        "        if self._parts.way_back.keep(self._progress, newest):\n",
+        f"{_TESTS}.test_left_runs",
+    ),
+    Mutant(
+        "a call without a way back is sent to and fro",
+        _OTHER_PLACE,
+        "        self.next_ms = self._clock.now_ms() + LASTING_MS - sending.silent_ms\n",
+        "",
+        f"{_TESTS}.test_left_runs",
+    ),
+    Mutant(
+        "no repeat is kept for the way back",
+        _WAY_BACK,
+        "            if not self._repeats.spend_for_silence(progress.service):\n",
+        "            if False:\n",
+        f"{_TESTS}.test_left_runs",
+    ),
+    Mutant(
+        "a run is left too late to go back to it",
+        _WAY_BACK,
+        "        if progress.sends >= MAX_SENDS or now_ms + back_ms > progress.until_ms:\n",
+        "        if progress.sends >= MAX_SENDS:\n",
+        f"{_TESTS}.test_left_runs",
+    ),
+    Mutant(
+        "the repeat for the way back is used to go elsewhere",
+        _OVERTAKEN,
+        "    if progress.goes_back:\n",
+        "    if False:\n",
+        f"{_TESTS}.test_left_runs",
+    ),
+    Mutant(
+        "a call that hangs can't use its way back",
+        _OTHER_PLACE,
+        "            may_go = _hang(live)\n",
+        "            may_go = False\n",
+        f"{_TESTS}.test_left_runs",
+    ),
+    Mutant(
+        "the way back costs another repeat",
+        _OTHER_PLACE,
+        "        if place.upstream.instance in progress.overtaken and "
+        "self._way_back.use(progress):\n",
+        "        if False:\n",
+        f"{_TESTS}.test_left_runs",
+    ),
+    Mutant(
+        "a repeat for the way back is kept beside an answer that goes on",
+        _CALL_SENDS,
+        "                    self._parts.way_back.give_back(self._progress)\n",
+        "                    pass\n",
+        f"{_TESTS}.test_left_runs",
+    ),
+    Mutant(
+        "a repeat for the way back is lost with its call",
+        f"{_FORWARDING}/forwarder.py",
+        "            self._way_back.give_back(progress)\n",
+        "",
+        f"{_TESTS}.test_left_runs",
+    ),
+    Mutant(
+        "a repeat is returned after it left the window",
+        _REPEATS,
+        "        if self._clock.now_ms() - taken_ms >= self._bounds.window_ms:\n",
+        "        if False:\n",
+        f"{_TESTS}.test_left_runs",
+    ),
+    Mutant(
+        "the last send goes elsewhere",
+        _WAY_BACK,
+        "    return progress.sends + 1 >= MAX_SENDS\n",
+        "    return False\n",
+        f"{_TESTS}.test_left_runs",
+    ),
+    Mutant(
+        "a silence of the length of the overlap is a failure",
+        _LIVE_SENDS,
+        "            newest.sending.note_silent()\n",
+        "            pass\n",
+        f"{_TESTS}.test_left_runs",
+    ),
 )
--- a/properties/test_sends.py
+++ b/properties/test_sends.py
@@ -21,7 +21,7 @@
 from chestnutfall.forwarding.call import Headers
 from chestnutfall.forwarding.call_sends import OVERLAP_MS
 from chestnutfall.forwarding.caller_reply import CallerGone
-from chestnutfall.forwarding.result_handler import MAX_SENDS
+from chestnutfall.forwarding.progress import MAX_SENDS
 from chestnutfall.forwarding.upstream_answer import NotRun
 from chestnutfall.forwarding.upstream_api import AnswerLost, NotSent
 from chestnutfall.routes import RouteKind
@@ -144,6 +144,18 @@
         assert task.done()
         return reply
 
+    async def serve_beside(self, kind: RouteKind, search_ms: int, used_ms: int) -> RecordedReply:
+        """Serve a call, and use the budget of repeats up at a clock time."""
+        self._begin(*self.given)
+        self.selector.obeys_avoid = self.obeys_avoid
+        self.selector.delays_ms = [0, search_ms]
+        reply, task = self._call(kind)
+        await self.clock.advance(used_ms)
+        self._repeats_left()
+        await self.clock.advance(TIMEOUT_MS + AFTERWARDS_MS)
+        assert task.done()
+        return reply
+
     def may_have_run(self) -> list[TimedSend]:
         """Return the sends of which nothing shows that they ran nothing."""
         given = {f"i{at}": script for at, script in enumerate(self.given)}
@@ -227,3 +239,26 @@
         reply = asyncio.run(gateway.serve(RouteKind.RESUMABLE_STREAM, search_ms=search_ms))
         self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
         self._assert_bounds(gateway)
+
+    @given(
+        sound_answers(),
+        st.lists(st.one_of(ends, hung), min_size=1, max_size=3),
+        st.integers(2, 6),
+        st.booleans(),
+        st.sampled_from((0, 50, 200)),
+        st.integers(0, 4_000),
+    )
+    @settings(max_examples=200)
+    def test_a_stream_goes_on_if_its_first_engine_does_though_other_calls_use_the_budget(
+        self,
+        sound: Script,
+        others: list[Script],
+        attempts: int,
+        obeys_avoid: bool,
+        search_ms: int,
+        used_ms: int,
+    ) -> None:
+        gateway = _Gateway(attempts, [sound, *others], obeys_avoid)
+        reply = asyncio.run(gateway.serve_beside(RouteKind.RESUMABLE_STREAM, search_ms, used_ms))
+        self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
+        self._assert_bounds(gateway)
