Move a begun stream once for an upstream that has no event

Callers: with sound engines that need 1 to 1.8 s for the next event, a stream came later with repeats than without: each hop ended a run shortly before it began (third send 400 ms after the second). Cause: a run that the stream had moved to was let go as quickly as the first one, and for no more than a send. Change: a call that left one run without an event since stays at the next one, `has_moved`, until that has been silent for 2 s. A third upstream is asked as soon as before, and has the stream if it writes the next event within the overlap; else its send ends with that. Weighed: a patience that doubles with each hop: a third sound engine beside two hung ones would be asked 300 ms later, and engines that need 1.2 s would still be left (not tried). To stay at the first one instead would keep calls at a hung engine. Costs: behind two hung engines, a third one that needs more than 300 ms to begin gets the stream only 2 s after the second send. A stream of slow engines still comes 300 ms later than without repeats, the time of its one move. Evidence: test_a_stream_of_slow_upstreams_moves_once failed before in six of eight cases; test_a_second_hung_upstream_is_left_as_quickly_for_one_that_ begins passed before and does.

--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -32,7 +32,8 @@
     the next part of the answer; whichever answers first is relayed. The run of a begun stream ends
     with the next event of another upstream, and `OVERLAP_MS` after the call was sent there at the
     latest; where that one fails or hangs, the stream may be taken up again at the first upstream.
-    Without such a way back the second run ends with the overlap, unless the first one hangs.
+    Without such a way back, or if the stream has moved before without an event since, the second
+    run ends with the overlap, unless the first one hangs.
 
     Parameters
     ----------
@@ -135,11 +136,12 @@
         if self._clock.now_ms() < newest.sent_ms + OVERLAP_MS:
             return
         hangs = oldest.silent_ms >= LASTING_MS
-        if hangs or self._parts.way_back.keep(self._progress, newest):
-            self._live.leave_older()
-        else:
+        reason = "" if hangs else self._parts.way_back.keep(self._progress, newest)
+        if reason:
             self._live.leave_newest()
-            self._other.note_no_way_back(oldest)
+            self._other.stay(oldest, reason)
+        else:
+            self._live.leave_older()
 
     def _send_too(self) -> None:
         """Look for another upstream, or send the call to the one that was found."""
--- a/chestnutfall/forwarding/other_place.py
+++ b/chestnutfall/forwarding/other_place.py
@@ -176,13 +176,13 @@
             return "no_budget"
         return ""
 
-    def note_no_way_back(self, sending: RelayedSend) -> None:
-        """Record that a silent send goes on, as the call could not go back from another one.
+    def stay(self, sending: RelayedSend, reason: str) -> None:
+        """Let the call stay at a silent upstream until that hangs.
 
-        Once the upstream hangs, the call may leave it without a way back.
+        Once it hangs, the call may leave it without a way back.
         """
         self.next_ms = self._clock.now_ms() + LASTING_MS - sending.silent_ms
-        self._note_kept(sending, "no_way_back")
+        self._note_kept(sending, reason)
 
     def stop(self, selector: UpstreamSelector) -> None:
         """Begin to end a search that is under way; what it finds is given back as it ends."""
--- a/chestnutfall/forwarding/way_back.py
+++ b/chestnutfall/forwarding/way_back.py
@@ -8,6 +8,10 @@
 from .repeats import Repeats
 from .silent_upstreams import LASTING_MS
 
+NO_WAY_BACK = "no_way_back"
+HAS_MOVED = "has_moved"
+"""Reasons to stay at a silent upstream."""
+
 
 class WayBack:
     """Keeps a repeat with which a stream can go back to an upstream that it leaves.
@@ -21,21 +25,24 @@
         self._repeats = repeats
         self._clock = clock
 
-    def keep(self, progress: Progress, newest: RelayedSend) -> bool:
-        """Keep a repeat for a way back from `newest`; return False if there is no such way.
+    def keep(self, progress: Progress, newest: RelayedSend) -> str:
+        """Keep a repeat to go back from `newest`; return why none is kept, empty if it is.
 
-        There is none if the call has no send left, or if its deadline may come before `newest` is
-        known to hang and the upstream that is gone back to has written its first part.
+        There is no way back if the call has no send left, or if its deadline may come before
+        `newest` is known to hang and the upstream that is gone back to has written its first part.
+        A call that kept one and got no event since does not move again: of upstreams that are all
+        slow, each would be left shortly before it begins.
         """
+        if progress.way_back_ms is not None:
+            return HAS_MOVED
         now_ms = self._clock.now_ms()
         back_ms = LASTING_MS - newest.silent_ms + newest.usual_ms
         if progress.sends >= MAX_SENDS or now_ms + back_ms > progress.until_ms:
-            return False
-        if progress.way_back_ms is None:
-            if not self._repeats.spend_for_silence(progress.service):
-                return False
-            progress.way_back_ms = now_ms
-        return True
+            return NO_WAY_BACK
+        if not self._repeats.spend_for_silence(progress.service):
+            return NO_WAY_BACK
+        progress.way_back_ms = now_ms
+        return ""
 
     def is_all(self, progress: Progress) -> bool:
         """Whether the call can go nowhere but back: it has no other repeat, or one send left."""
--- a/chestnutfall/tests/test_left_runs.py
+++ b/chestnutfall/tests/test_left_runs.py
@@ -145,6 +145,34 @@
         first, _, again = self.upstreams.sends
         self.assertEqual((again.at_ms, first.ended_ms), (50 + LASTING_MS, again.at_ms + OVERLAP_MS))
 
+    # Guards against a stream that goes from one slow upstream to the next, each of which is left
+    # shortly before it would have begun.
+    async def test_a_stream_of_slow_upstreams_moves_once(self) -> None:
+        for is_taken_up in (False, True):
+            for begins_ms in (700, 1_000, 1_500, 1_800):
+                with self.subTest(is_taken_up=is_taken_up, begins_ms=begins_ms):
+                    self.setUp()
+                    self.resume_after = 1 if is_taken_up else None
+                    slow: tuple[Step, ...] = (begins_ms, event(2), event(3))
+                    first: tuple[Step, ...] = slow if is_taken_up else (50, event(1), *slow)
+                    self._begin(first, slow, slow, slow)
+                    reply, _ = self._call(RESUMABLE)
+                    second_ms = SILENT_MS if is_taken_up else SECOND_MS
+                    await self.clock.advance(second_ms + begins_ms)
+                    self.assertEqual(reply.ended, "whole")
+                    sends = self.upstreams.sends
+                    self.assertEqual([one.is_whole for one in sends], [False, True, False])
+
+    # Guards against a stream that waits at a second hung upstream while a third one is sound.
+    async def test_a_second_hung_upstream_is_left_as_quickly_for_one_that_begins(self) -> None:
+        self._begin((50, event(1), HANG), HUNG, (OVERLAP_MS - 10, event(2), event(3)))
+        reply = await self._serve(RESUMABLE)
+        self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
+        third = self.upstreams.sends[2]
+        # The call may look again 250 ms after its last search, and checks each 100 ms.
+        self.assertEqual((third.instance, third.at_ms), ("i2", SECOND_MS + SILENT_MS + 100))
+        self.assertEqual(third.ended_ms, third.at_ms + OVERLAP_MS - 10)
+
     # Guards against a way back that is lost with the last send of the call.
     async def test_the_last_send_goes_back(self) -> None:
         self.attempts = 10
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -534,15 +534,15 @@
     Mutant(
         "a run is left though the call can't go back to it",
         _CALL_SENDS,
-        "        if hangs or self._parts.way_back.keep(self._progress, newest):\n",
-        "        if True:\n",
+        "        if reason:\n",
+        "        if False:\n",
         f"{_TESTS}.test_left_runs",
     ),
     Mutant(
         "a run that hangs is left only with a way back",
         _CALL_SENDS,
-        "        if hangs or self._parts.way_back.keep(self._progress, newest):\n",
-        "        if self._parts.way_back.keep(self._progress, newest):\n",
+        '        reason = "" if hangs else self._parts.way_back.keep(self._progress, newest)\n',
+        "        reason = self._parts.way_back.keep(self._progress, newest)\n",
         f"{_TESTS}.test_left_runs",
     ),
     Mutant(
@@ -555,8 +555,8 @@
     Mutant(
         "no repeat is kept for the way back",
         _WAY_BACK,
-        "            if not self._repeats.spend_for_silence(progress.service):\n",
-        "            if False:\n",
+        "        if not self._repeats.spend_for_silence(progress.service):\n",
+        "        if False:\n",
         f"{_TESTS}.test_left_runs",
     ),
     Mutant(
@@ -623,4 +623,11 @@
         "            pass\n",
         f"{_TESTS}.test_left_runs",
     ),
+    Mutant(
+        "a stream moves from one slow upstream to the next",
+        _WAY_BACK,
+        "            return HAS_MOVED\n",
+        '            return ""\n',
+        f"{_TESTS}.test_left_runs",
+    ),
 )
