Look through the parts in question only when one may be old

Each request that waits asks whether its parts are in question, and each of these looked through all of them, 4,096 at most: a rack that ends while looks at its ports don't tell would keep the leader busy. Read in the code, not shown by a run. The earliest end of a question is kept, and nothing is looked through before. test_questions_end_in_any_order guards the order.

--- a/chestnutfall/placement/open_questions.py
+++ b/chestnutfall/placement/open_questions.py
@@ -23,12 +23,15 @@
     def __init__(self) -> None:
         # By part and engine; the part whose latest question was asked first comes first.
         self._by_part: dict[str, dict[str, _Question]] = {}
+        # No question ends before this clock time.
+        self._old_from_ms = 0
 
     def __len__(self) -> int:
         return len(self._by_part)
 
     def ask(self, parts: Iterable[str], instance: str, since_ms: int, until_ms: int) -> None:
         """Record that it is not known whether an engine that ran these parts has ended."""
+        self._old_from_ms = min(self._old_from_ms, until_ms) if self._by_part else until_ms
         for part in parts:
             asked = self._by_part.pop(part, {})
             self._by_part[part] = asked | {instance: _Question(since_ms, until_ms)}
@@ -50,12 +53,19 @@
             self._by_part.pop(part, None)
 
     def take_old(self, now_ms: int) -> Iterator[tuple[str, str]]:
-        """Yield and drop the questions that stayed open for too long, each as part and engine."""
+        """Yield and drop the questions that stayed open for too long, each as part and engine.
+
+        Called for each request that waits, so it looks at them only when one may be old.
+        """
+        if not self._by_part or now_ms < self._old_from_ms:
+            return
         for part, asked in list(self._by_part.items()):
             old = [instance for instance, one in asked.items() if now_ms >= one.until_ms]
             for instance in old:
                 yield part, instance
             self.settle([part], *old)
+        left = (one.until_ms for asked in self._by_part.values() for one in asked.values())
+        self._old_from_ms = min(left, default=0)
 
     def includes_any(self, parts: Collection[str]) -> bool:
         """Whether one of these parts is in question."""
--- a/chestnutfall/tests/test_open_questions.py
+++ b/chestnutfall/tests/test_open_questions.py
@@ -38,6 +38,15 @@
         self.assertEqual(list(self.questions.take_old(1_500)), [("a", "i2"), ("b", "i2")])
         self.assertEqual(len(self.questions), 0)
 
+    # Guards against a question that never ends, as one that ends earlier was asked after it.
+    def test_questions_end_in_any_order(self) -> None:
+        self.questions.ask(["a"], "i1", 0, 1_500)
+        self.questions.ask(["b"], "i2", 0, 1_000)
+        self.questions.ask(["c"], "i3", 0, 2_000)
+        for now_ms, part in ((1_000, "b"), (1_500, "a"), (2_000, "c")):
+            self.assertEqual(list(self.questions.take_old(now_ms - 1)), [])
+            self.assertEqual([one for one, _ in self.questions.take_old(now_ms)], [part])
+
     def test_those_that_were_asked_long_ago_are_lasting(self) -> None:
         self.questions.ask(["a"], "i1", 100, 1_000)
         self.questions.ask(["a", "b"], "i2", 200, 1_000)
