--- a/chestnutfall/routing/engine_runs.py
+++ b/chestnutfall/routing/engine_runs.py
@@ -116,7 +116,7 @@
         if math.isinf(left_ms):
             left_ms = 0.0
         # For the caller, a backoff is a silence of the engine, which still has the run.
-        if left_ms > losses.heard_ms + req.begin_ms - self._clock.now_ms():
+        if left_ms > max(losses.heard_ms + req.begin_ms - self._clock.now_ms(), 0):
             raise EngineBroken(BACKING_OFF, "the engine wants nothing before the caller gives up")
         return max(left_ms, losses.wait_ms)
 
