Let a begun stream wait for an engine that asked for time

A begun stream whose connection was lost, or was let go after silent_ms, was broken off at once, backing_off, if its engine had meanwhile asked any caller for more time than silent_ms, although its run went on and its own deadline was later.

Cause: the backoff was held against silent_ms, which since silence ends no answer is only the time after which a connection counts as dead.

The run is asked for when the backoff is over, as before for shorter ones, unless that is later than its caller waits for an event. The engine gets nothing before. test_backoff_completions: after 3 s of backoff the stream of a caller that waits a minute was refused, 0 resumed, now 1 and whole; one for 100 s is refused at once, as before. Two mutants, both found.

--- a/chestnutfall/routing/engine_runs.py
+++ b/chestnutfall/routing/engine_runs.py
@@ -110,13 +110,14 @@
         Raises
         ------
         EngineBroken
-            When the engine backs off for longer than it may be silent.
+            When the engine backs off for longer than the caller waits for an event.
         """
         left_ms = self._signals.backoffs.left_ms(engine.instance)
         if math.isinf(left_ms):
             left_ms = 0.0
-        if left_ms > req.silent_ms:
-            raise EngineBroken(BACKING_OFF, "the engine wants nothing for longer than it may")
+        # For the caller, a backoff is a silence of the engine, which still has the run.
+        if left_ms > max(losses.heard_ms + req.begin_ms - self._clock.now_ms(), 0):
+            raise EngineBroken(BACKING_OFF, "the engine wants nothing before the caller gives up")
         return max(left_ms, losses.wait_ms)
 
     @staticmethod
--- a/chestnutfall/tests/test_backoff_completions.py
+++ b/chestnutfall/tests/test_backoff_completions.py
@@ -152,6 +152,37 @@
         self.assertGreaterEqual(engine.arrivals[-1], asked_ms + 400)
         self.assertEqual(self.refusals, [])
 
+    # Guards against a stream that is broken off although its engine wants work before its deadline.
+    async def test_a_run_is_resumed_after_a_time_longer_than_a_silence(self) -> None:
+        engine = await self._begin_and_ask_for("3")
+        asked_ms = self.office.clock.now_ms()
+        await self.office.clock.advance(6_000)
+        self.assertEqual((engine.resumed, self.refusals), (1, []))
+        self.assertGreaterEqual(engine.arrivals[-1], asked_ms + 3_000)
+
+    # Guards against a stream that waits for what is later than its own deadline.
+    async def test_a_run_is_given_up_for_a_time_beyond_its_deadline(self) -> None:
+        engine = await self._begin_and_ask_for("100")
+        await self.office.clock.advance(2_000)
+        self.assertEqual(engine.resumed, 0)
+        self.assertEqual([refusal.code for refusal in self.refusals], ["backing_off"])
+
+    async def _begin_and_ask_for(self, backoff: str) -> FakeEngine:
+        """Begin a stream that will lose its connection, while its engine asks for time."""
+        await self.office.start(gateways=1, engines=1)
+        await self._load(400)
+        await self.office.clock.advance(2_000)  # all calls are served
+        engine = self.office.engine()
+        gateway = self.office.gateway()
+        up = next(iter(gateway.registry.serving()))
+        engine.faults["mid_reset"] = 1
+        self._begin(0)
+        await self.office.clock.advance(10)
+        engine.backoff = backoff
+        gateway.signals.observe(up.instance, engine.signals(503), 0, succeeded=False)
+        engine.backoff = None
+        return engine
+
     # Guards against applying the signals of an earlier process to its successor of the same name.
     async def test_a_restarted_engine_gets_work(self) -> None:
         await self.office.start(gateways=2, engines=1)
--- a/properties/safeguards/signal_mutants.py
+++ b/properties/safeguards/signal_mutants.py
@@ -83,6 +83,20 @@
         "        return losses.wait_ms",
         f"{_COMPLETIONS_TEST}.test_a_run_is_resumed_when_the_time_is_over",
     ),
+    Mutant(
+        "a run is given up for a backoff that its caller would wait for",
+        "chestnutfall/routing/engine_runs.py",
+        "        if left_ms > max(losses.heard_ms + req.begin_ms - self._clock.now_ms(), 0):",
+        "        if left_ms > req.silent_ms:",
+        f"{_COMPLETIONS_TEST}.test_a_run_is_resumed_after_a_time_longer_than_a_silence",
+    ),
+    Mutant(
+        "a stream waits for a backoff beyond its deadline",
+        "chestnutfall/routing/engine_runs.py",
+        "        if left_ms > max(losses.heard_ms + req.begin_ms - self._clock.now_ms(), 0):",
+        "        if False:",
+        f"{_COMPLETIONS_TEST}.test_a_run_is_given_up_for_a_time_beyond_its_deadline",
+    ),
     Mutant(
         "a run at an engine that leaves is given up",
         "chestnutfall/routing/engine_runs.py",
