Tell a second send that is withdrawn from a run that is left

The line of both was `overtaken`, so the soak took a stream whose first run went on to the call's deadline for one whose living upstream had been left: a finding for what is meant. The second send has a line and a count of its own now (`withdrawn`, `sends_withdrawn`); the judge counts no such send as left, and what becomes of the first one is judged as before. The new test of the judge failed before.

Nothing else that it checks changes.

--- a/chestnutfall/forwarding/live_sends.py
+++ b/chestnutfall/forwarding/live_sends.py
@@ -95,7 +95,16 @@
         # Otherwise its silence, no longer than the overlap, would count as a failure.
         if newest.sending.is_silent:
             newest.sending.note_silent()
-        self._leave(newest, self._live[0])
+        self._end(newest)
+        self._parts.metrics.count("sends_withdrawn")
+        log.info(
+            "call: id=%s withdrawn send=%d instance=%s last_event=%s silent=%d",
+            self._progress.call.request_id,
+            newest.sending.number,
+            newest.sending.place.upstream.instance,
+            self._progress.last_event,
+            newest.sending.silent_ms,
+        )
 
     def take_ended(self) -> tuple[RelayedSend, SendResult] | None:
         """Drop the sends that ended; return the one that ends the call, or the last one left.
@@ -138,10 +147,7 @@
 
     def _leave(self, one: _Live, other: _Live) -> None:
         """Cancel a send that another one has overtaken."""
-        one.task.cancel()
-        self._live.remove(one)
-        self._left.append(one)
-        self._parts.results.note_overtaken(one.sending)
+        self._end(one)
         self._parts.metrics.count("sends_overtaken")
         log.info(
             "call: id=%s overtaken send=%d instance=%s by=%s last_event=%s silent=%d ahead=%d",
@@ -154,6 +160,13 @@
             self._lock.is_held_by(other.sending),
         )
 
+    def _end(self, one: _Live) -> None:
+        """Cancel a send while another one of its call goes on."""
+        one.task.cancel()
+        self._live.remove(one)
+        self._left.append(one)
+        self._parts.results.note_overtaken(one.sending)
+
     async def end_all(self) -> None:
         """Cancel what still runs, and wait for its end.
 
--- a/chestnutfall/tests/test_end_judge.py
+++ b/chestnutfall/tests/test_end_judge.py
@@ -184,6 +184,13 @@
                 self.log = log
                 self.assertIsNone(self._cause(late))
 
+    # Guards against a finding about a second send that was withdrawn while the first went on.
+    def test_a_second_send_that_was_withdrawn_leaves_no_living_upstream(self) -> None:
+        withdrawn = "call: id=a1 withdrawn send=2 instance=i2~3 last_event=4 silent=300\n"
+        self.log = withdrawn + UNFINISHED.replace("i2~3", "i1~17")
+        self.assertIs(self._cause(replace(BROKEN, ended_s=102.5)), Cause.DEADLINE)
+        self.assertIsNone(self._cause(BROKEN))
+
     # Guards against findings where what the gateway left had ended, or what it went on with did.
     def test_a_harm_explains_a_stream_whose_upstream_was_left(self) -> None:
         self.log = OVERTAKEN + LATER.format(result="Failed 503")
--- a/chestnutfall/tests/test_left_runs.py
+++ b/chestnutfall/tests/test_left_runs.py
@@ -62,6 +62,9 @@
                 first, other = self.upstreams.sends
                 self.assertTrue(first.is_whole)
                 self.assertEqual((other.instance, other.ended_ms), ("i1", LEFT_MS))
+                if (other.instance, second) == ("i1", HUNG):
+                    self.assertIn("sends_withdrawn_total 1", self.metrics.text())
+                    self.assertNotIn("sends_overtaken_total", self.metrics.text())
                 # A silence no longer than the overlap is no failure.
                 self.assertEqual(self.selector.outcomes["i1"], [RunOutcome.LEFT])
 
