--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -198,8 +198,8 @@
     Mutant(
         "a silent second is reported as an end",
         "chestnutfall/quarantine/broken_answer_checks.py",
-        "        if ended or not broken.is_silent:\n",
-        "        if True:\n",
+        "        if is_known and (ended or not broken.is_silent):\n",
+        "        if is_known:\n",
         f"{_TESTS}.test_silent_services.SilentEndTest",
     ),
     Mutant(
