--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -346,7 +346,7 @@
     Mutant(
         "upstreams that take their usual time keep calls from leaving others",
         _SILENT_UPSTREAMS,
-        "        least_ms = max(window_ms, WINDOW_SHARE * min(self.usual_ms))\n",
+        "        least_ms = max(window_ms, WINDOW_SHARE * usual_ms)\n",
         "        least_ms = window_ms\n",
         f"{_TESTS}.test_silent_upstreams",
     ),
