Tell two answers alike apart that broke off at one moment

What callers saw: an engine that lives counted as ended, and what ran there as suspect, if the same request broke off there twice within a millisecond (a cut link, two gateways' copies at one). Read in the code by a newcomer, then shown: answers were compared by value, so the first check took both out of those in progress, and the second took its absence for a replacement. Each is itself now. test_two_answers_alike_that_broke_off_at_once_are_two failed before: (True, True) was reported.

--- a/chestnutfall/quarantine/broken_answer.py
+++ b/chestnutfall/quarantine/broken_answer.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class BrokenAnswer:
-    """An answer that broke off.
+    """An answer that broke off. Two of one request that broke off at one moment are not the same.
 
     Attributes
     ----------
--- a/chestnutfall/tests/test_broken_answer_checks.py
+++ b/chestnutfall/tests/test_broken_answer_checks.py
@@ -54,6 +54,15 @@
         self.assertEqual(self.asked, 4)
         self.assertEqual(len(self.quarantine._checks), 0)
 
+    # Guards against a living upstream that counts as replaced, since the same request broke off
+    # there twice in one moment.
+    async def test_two_answers_alike_that_broke_off_at_once_are_two(self) -> None:
+        self.looks = [False]
+        self._break()
+        self._break()
+        await self.clock.advance(LOOKED_AT_MS)
+        self.assertEqual(self._told(), [(False, True), (False, True)])
+
     # Guards against looks that go on for ever at a process that nobody can tell of.
     async def test_looks_that_never_tell_end(self) -> None:
         self._break()
