--- a/chestnutfall/forwarding/call_sends.py
+++ b/chestnutfall/forwarding/call_sends.py
@@ -107,7 +107,8 @@
         sends = self._live.sends
         live = [one.place.upstream.instance for one in sends]
         usual_ms = sends[-1].usual_ms
-        # Those that are left were silent as well.
+        # If no new upstream may run the call, it could only go back to one that was overtaken. That
+        # one was silent as well, so the call leaves the present ones only once they hang.
         is_spent = not has_attempt(self._progress, self._route, live)
         return lasting_ms(usual_ms) if is_spent else math.ceil(usual_ms)
 
--- a/chestnutfall/forwarding/silent_upstreams.py
+++ b/chestnutfall/forwarding/silent_upstreams.py
@@ -183,7 +183,7 @@
         silent_ms : float
             How long the newest one has been silent.
         usual_ms : float
-            How long sound upstreams are silent at most, if they are not silent together.
+            How long a sound upstream is usually silent at most, for the newest send.
         """
         now_ms = self._clock.now_ms()
         span = self._spans.get(service)
@@ -195,7 +195,8 @@
                 span = self._spans[service] = _SilentSpan(now_ms, now_ms, reason)
             span.last_ms, span.reason = now_ms, reason
             return reason
-        # The first parts after a common silence come from some upstreams only.
+        # The first parts after a common silence come from some upstreams only. The others get as
+        # long as the silence lasted, but no longer than a sound one is usually silent.
         if span is not None and now_ms - span.last_ms < min(span.last_ms - span.since_ms, usual_ms):
             return SERVICE_RESUMES
         return ""
--- a/chestnutfall/forwarding/way_back.py
+++ b/chestnutfall/forwarding/way_back.py
@@ -28,8 +28,10 @@
     def keep(self, progress: Progress, newest: RelayedSend) -> str:
         """Keep a repeat to go back from `newest`; return why none is kept, empty if it is.
 
-        There is no way back if the call has no send left, or if its deadline may come before
-        `newest` is known to hang and the upstream that is gone back to has written its first part.
+        Called before the older run ends, so that the call can go back from `newest` to its
+        upstream. There is no way back if the budget has no repeat or the call no send left, or if
+        the deadline comes before `newest` would be known to hang, and then the other upstream would
+        usually have written.
         A call that kept one and got no event since does not move again: of upstreams that are all
         slow, each would be left shortly before it begins.
         """
@@ -45,7 +47,10 @@
         return ""
 
     def is_all(self, progress: Progress) -> bool:
-        """Whether the call can go nowhere but back: it has no other repeat, or one send left."""
+        """Whether the kept repeat is all that the call has: it may only go back with its next send.
+
+        So it is if the budget has no other repeat, or if the next send is the last.
+        """
         if not _has_way_back(progress):
             return False
         return _is_last(progress) or not self._repeats.has_for_silence(progress.service)
@@ -62,7 +67,7 @@
         """
         if not _has_way_back(progress):
             return await self._repeats.spend(progress.service, upstream_is_busy)
-        # A call that can go back asks no leader for a repeat to go elsewhere.
+        # True: the leader is not asked. A call that can go back borrows no repeat to go elsewhere.
         if not _is_last(progress) and await self._repeats.spend(progress.service, True):
             return True
         progress.goes_back = self.use(progress)
--- a/chestnutfall/ownership/slot_loads.py
+++ b/chestnutfall/ownership/slot_loads.py
@@ -25,7 +25,7 @@
     is_wanted : callable
         Whether a request waits for an adapter.
     on_end : callable
-        Called after each load, whether or not it succeeded.
+        Called after each load, whether or not it succeeded; not after one that `close` cancelled.
     """
 
     def __init__(
--- a/chestnutfall/placement/open_questions.py
+++ b/chestnutfall/placement/open_questions.py
@@ -11,7 +11,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _Question:
-    """Since when, and until when at the latest, it is open whether an engine ended."""
+    """Clock times of a broken answer, and after which its question is no longer open.
+
+    Until it is settled, nobody knows whether the engine of that answer has ended.
+    """
 
     since_ms: int
     until_ms: int
@@ -21,9 +24,10 @@
     """Which prompt parts may have ended an engine that gateways still look at."""
 
     def __init__(self) -> None:
-        # By part and engine; the part whose latest question was asked first comes first.
+        # By part and engine. A part moves to the end with each question, so that the one that was
+        # asked about longest ago is dropped first.
         self._by_part: dict[str, dict[str, _Question]] = {}
-        # No question ends before this clock time.
+        # Clock time before which no question can be old, so that none has to be looked at.
         self._old_from_ms = 0
 
     def __len__(self) -> int:
--- a/chestnutfall/quarantine/broken_answer_checks.py
+++ b/chestnutfall/quarantine/broken_answer_checks.py
@@ -36,7 +36,8 @@
     Parameters
     ----------
     report : callable
-        Called with a broken answer, whether its upstream has ended, and whether that is known.
+        Called with a broken answer, whether its upstream has ended, and whether that is known. If
+        it is not known, it may be called again for the same answer.
     unsettled : UnsettledParts
         Hears which prompt parts are looked at.
     """
@@ -62,7 +63,11 @@
         return len(self._first) + len(self._repeated)
 
     def begin(self, broken: BrokenAnswer) -> asyncio.Task[bool]:
-        """Start the check, and return the task of its first look: whether that shows an end."""
+        """Start the check, and return the task of its first look.
+
+        Its result is whether the look shows an end. False if the upstream lives, and also if the
+        look does not tell: further looks then follow by themselves.
+        """
         self._unsettled.check_begins(broken.parts)
         task = asyncio.ensure_future(self._check_and_report(broken))
         self._first.add(task)
--- a/chestnutfall/quarantine/port_looks.py
+++ b/chestnutfall/quarantine/port_looks.py
@@ -43,10 +43,17 @@
     async def look_until_ended(
         self, address: str, until_ms: int, is_decided: Callable[[], bool]
     ) -> bool:
-        """Look again until a look shows an end, something else decides, or a time has passed.
+        """Return whether a look shows an end before `until_ms` and before `is_decided`.
 
-        A port that was closed and is open again may be that of the next incarnation, so it shows
-        nothing of the process that was there before.
+        Each look follows a pause. A look that finds the port open ends nothing: it may be that of
+        the next incarnation.
+
+        Parameters
+        ----------
+        until_ms : int
+            Clock time after which no look begins.
+        is_decided : callable
+            Whether it is known by other means whether the process ended.
         """
         while not is_decided() and self._clock.now_ms() < until_ms:
             await self._clock.sleep_ms(AGAIN_MS)
--- a/chestnutfall/routing/answer_race.py
+++ b/chestnutfall/routing/answer_race.py
@@ -51,7 +51,7 @@
     failed : set of str
         Names of upstreams that failed; those that fail meanwhile are added.
     silent_ms : int
-        Silence after which it is.
+        How long nothing is heard of an attempt that was sent until it counts as silent.
     """
 
     def __init__(
@@ -159,6 +159,8 @@
             first.upstream,
             attempt_id,
         )
+        # The second attempt goes to another upstream. The third may go to a silent one again, over
+        # another connection, if there is no other.
         silent = frozenset(one.upstream for one in waiting)
         excluded = silent if len(waiting) == 1 else frozenset()
         self.start(Attempt(attempt_id, silent | self._failed, excluded, beside=True))
--- a/chestnutfall/routing/run_losses.py
+++ b/chestnutfall/routing/run_losses.py
@@ -53,7 +53,8 @@
         Parameters
         ----------
         begin_ms : int
-            Longest time without an event; the caller would have waited as long for the first one.
+            Longest time without an event while the engine is silent or not reached. It is the time
+            that the caller allows for the first event.
         """
         held = _is_silence(exc) or _is_unreached(exc)
         late = held and now_ms >= self.heard_ms + begin_ms
--- a/chestnutfall/routing/short_pauses.py
+++ b/chestnutfall/routing/short_pauses.py
@@ -21,7 +21,7 @@
         self._since_ms: dict[str, int] = {}
 
     def explains(self, service: str, since_ms: int) -> bool:
-        """Whether the silence of an upstream that answers now was a pause, which is remembered.
+        """Whether a pause explains the silence of an upstream that answers now; remember the pause.
 
         Parameters
         ----------
@@ -34,5 +34,5 @@
         if last_ms is None or since_ms - last_ms >= PAUSES_APART_MS:
             self._since_ms[service] = since_ms
             return True
-        # Requests that were sent before and during the same pause.
+        # The silences of all requests that one pause holds up begin at about the same time.
         return since_ms - last_ms < LASTING_MS
