Log what was sent for clients that left, and how late the event loop is

Needed to tell the hypotheses of the incident apart: the line of a client that left says how often its request was sent and how long before, and a gateway logs and measures how late its event loop is, on both interfaces. The exact lines in test_request_ends gained the two fields.

--- a/chestnutfall/forwarding/ended_reply.py
+++ b/chestnutfall/forwarding/ended_reply.py
@@ -98,7 +98,11 @@
     def note_gone(self) -> None:
         """Record that the client left before it had the end of its answer."""
         if not isinstance(self.end, BrokenOff):
-            self.end = CallerLeft(self._begun)
+            progress = self.progress
+            if progress is None:
+                self.end = CallerLeft(self._begun)
+            else:
+                self.end = CallerLeft(self._begun, progress.sends, progress.last_sent_ms)
 
     async def _end(self, end: RequestEnd, sending: Awaitable[None]) -> None:
         """Send the end of an answer; cancelled, it goes on and stays the end."""
--- a/chestnutfall/forwarding/progress.py
+++ b/chestnutfall/forwarding/progress.py
@@ -32,6 +32,8 @@
         Organisation that sent the call; empty if the route needs no key.
     sends : int
         Sends so far, including one in progress.
+    last_sent_ms : int
+        Clock time at which the last one went out; -1 before the first.
     helped : int
         Sends that another gateway made for this one.
     refusals : int
@@ -80,6 +82,7 @@
     fingerprint: str = ""
     organisation: str = ""
     sends: int = 0
+    last_sent_ms: int = -1
     helped: int = 0
     refusals: int = 0
     runs: int = 0
--- a/chestnutfall/forwarding/relayed_send.py
+++ b/chestnutfall/forwarding/relayed_send.py
@@ -106,6 +106,7 @@
     def begin(self) -> None:
         """Record that the request goes out now."""
         self.is_sent = True
+        self.progress.last_sent_ms = self._clock.now_ms()
         upstream = self.place.upstream
         self._silent.began(upstream.service, upstream.instance, self.usual_ms)
 
--- a/chestnutfall/forwarding/request_end.py
+++ b/chestnutfall/forwarding/request_end.py
@@ -53,9 +53,21 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLeft:
-    """The client closed its connection; `begun` if it had a part of its answer."""
+    """The client closed its connection.
+
+    Attributes
+    ----------
+    begun : bool
+        Whether it had a part of its answer.
+    sends : int
+        How often the request was sent before.
+    last_sent_ms : int
+        Clock time of the last send; -1 if there was none.
+    """
 
     begun: bool
+    sends: int = 0
+    last_sent_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/forwarding/request_ends.py
+++ b/chestnutfall/forwarding/request_ends.py
@@ -116,7 +116,8 @@
             self._running.discard(task)
 
     def _note(self, request_id: str, arrived_ms: int, end: RequestEnd) -> None:
-        ms = self._clock.now_ms() - arrived_ms
+        now_ms = self._clock.now_ms()
+        ms = now_ms - arrived_ms
         match end:
             case Answered(status, is_late):
                 self._metrics.count("ended_answered")
@@ -132,10 +133,15 @@
                 self._metrics.count("ended_broken_off")
                 self._metrics.count("broken_off")
                 log.info("call: id=%s broken off reason=%s ms=%d", request_id, reason, ms)
-            case CallerLeft(begun):
+            case CallerLeft(begun, sends, last_sent_ms):
                 self._metrics.count("ended_caller_left")
                 log.info(
-                    "call: id=%s client closed its connection begun=%d ms=%d", request_id, begun, ms
+                    "call: id=%s client closed its connection begun=%d sends=%d sent=%d ms=%d",
+                    request_id,
+                    begun,
+                    sends,
+                    now_ms - last_sent_ms if sends else -1,
+                    ms,
                 )
             case Stopped(begun):
                 self._metrics.count("ended_stopped")
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -32,6 +32,7 @@
 from ..limits.known_limits import KnownLimits
 from ..limits.messages import LimitsInForce
 from ..observability.json_logs import start_logs
+from ..observability.loop_delay import LoopDelay
 from ..observability.prometheus_metrics import PrometheusMetrics
 from ..observability.stdout_logs import StdoutHandler
 from ..paths.drained_gateway import DrainedGateway
@@ -285,7 +286,8 @@
             settings, self._clock, lambda new: fleet.use_controllers(new.controllers)
         )
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, watch.reload)
-        tasks = [asyncio.ensure_future(one.run()) for one in (fleet, watch, self._quotas)]
+        delay = LoopDelay(self._clock, self._metrics.observe)
+        tasks = [asyncio.ensure_future(one.run()) for one in (fleet, watch, self._quotas, delay)]
         metrics_runner = await serve_metrics(
             self._metrics, f"{settings.ip}:{settings.metrics_port}", self._refresh_gauges
         )
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -21,6 +21,7 @@
 from ..membership.announce_app import AnnounceApp
 from ..membership.peer_helpers import PeerHelpers
 from ..observability.json_logs import start_logs
+from ..observability.loop_delay import LoopDelay
 from ..observability.metrics import Metrics
 from ..observability.tracing import start_tracing
 from ..ownership import TICKET_CODEC, EngineOwners
@@ -277,10 +278,12 @@
         agent = asyncio.ensure_future(self._agent.run())
         lease_watch = asyncio.ensure_future(self._watch_leases())
         quotas = asyncio.ensure_future(self._quotas.run())
+        delay = asyncio.ensure_future(LoopDelay(self._clock, self._metrics.timing).run())
         await stop.wait()
         await self._drain(agent)
         lease_watch.cancel()
         quotas.cancel()
+        delay.cancel()
         await callers.cleanup()
         await announced.cleanup()
         await self._links.close()
--- a/chestnutfall/tests/test_request_ends.py
+++ b/chestnutfall/tests/test_request_ends.py
@@ -86,9 +86,23 @@
         cases: tuple[tuple[type[RequestEnd], Work, bool, bool, str, str], ...] = (
             (Refused, _refused, False, False, refusal, "refused"),
             (BrokenOff, _broken_off, False, False, "broken off reason=silent", "broken_off"),
-            (CallerLeft, _left, False, False, f"{left} begun=0", "caller_left"),
-            (CallerLeft, _left_in_stream, False, False, f"{left} begun=1", "caller_left"),
-            (CallerLeft, _wait_for_ever, True, True, f"{left} begun=0", "caller_left"),
+            (CallerLeft, _left, False, False, f"{left} begun=0 sends=0 sent=-1", "caller_left"),
+            (
+                CallerLeft,
+                _left_in_stream,
+                False,
+                False,
+                f"{left} begun=1 sends=0 sent=-1",
+                "caller_left",
+            ),
+            (
+                CallerLeft,
+                _wait_for_ever,
+                True,
+                True,
+                f"{left} begun=0 sends=0 sent=-1",
+                "caller_left",
+            ),
             (Stopped, _wait_for_ever, True, False, "ended as the gateway stops begun=0", "stopped"),
             (Answered, _answered_late, False, False, "answered late status=200", "answered"),
         )
