Send nothing for a client that has left, also if its leaving is unread

What callers saw: nothing; what upstreams saw: requests that run for clients who had left, after any time for which the gateway was late. An event loop reads a request, and the end of its connection a turn or more later; in between the request was selected for and written to a kept connection.

Now there is one look before each send, whichever path it takes (first, repeat, beside a silent one, resumed; both interfaces and plain services), once more after a connection to the upstream has opened. It asks the socket, so a close counts that the event loop has not read. The task that serves a request says who waits for it, and what it starts inherits that, so that no path can forget it; a cancellation on an engine is sent for nobody and says so. A request whose client is gone when it is read isn't served at all.

In the own interface a claim is given back if the request wasn't sent for this reason.

--- a/chestnutfall/caller_edge/request_ends.py
+++ b/chestnutfall/caller_edge/request_ends.py
@@ -12,6 +12,8 @@
 from ..clock.cancelled import was_cancelled
 from ..observability.metrics import Metrics
 from ..requests import Executed, Refusal
+from ..requests.awaited import Unawaited, check_awaited, send_while
+from ..wire.peer_closed import is_closed_by_peer
 from .error_body import error_headers, error_text
 from .request_end import (
     Answered,
@@ -47,12 +49,16 @@
     async def serve(self, request: web.Request, work: Work) -> web.StreamResponse:
         """Run `work` and return the response, which has been written."""
         progress = RequestProgress(self._clock.now_ms())
+        send_while(lambda: not is_closed_by_peer(request.transport))
         end = await _run(request, progress, work)
         try:
             resp = await self._write(request, progress, end)
         except (Exception, asyncio.CancelledError) as exc:
             end = _end_after(exc, request, progress)
             self._record(request, progress, end)
+            if isinstance(end, CallerLeft) and request.transport is not None:
+                # The event loop may not have read yet that it is closed.
+                request.transport.abort()
             return _unwritten(end, progress, exc)
         self._record(request, progress, end)
         return resp
@@ -120,6 +126,8 @@
 
 async def _run(request: web.Request, progress: RequestProgress, work: Work) -> RequestEnd:
     try:
+        # Whatever is done for a client that has left would delay those who still wait.
+        check_awaited()
         return Answered(await work(progress))
     except (Exception, asyncio.CancelledError) as exc:
         return _end_after(exc, request, progress)
@@ -131,7 +139,9 @@
             return _end_by(exc, progress)
         # Connections to engines, gateways and controllers raise the same errors, so only the state
         # of the caller's transport shows that the caller has left.
-        case ConnectionError() | asyncio.CancelledError() if _is_closed(request):
+        case ConnectionError() | asyncio.CancelledError() if is_closed_by_peer(request.transport):
+            return CallerLeft(exc)
+        case Unawaited():
             return CallerLeft(exc)
         case asyncio.CancelledError() if was_cancelled():
             return Stopped(exc)
@@ -143,7 +153,7 @@
     end: RequestEnd, progress: RequestProgress, exc: BaseException
 ) -> web.StreamResponse:
     match end:
-        case CallerLeft(ConnectionError()):
+        case CallerLeft(ConnectionError() | Unawaited()):
             # aiohttp finds its transport closed and drops the response; raised, the error would be
             # logged once more, as one of ours.
             return progress.stream or web.Response()
@@ -168,11 +178,6 @@
     )
 
 
-def _is_closed(request: web.Request) -> bool:
-    transport = request.transport
-    return transport is None or transport.is_closing()
-
-
 def _details(end: RequestEnd, progress: RequestProgress) -> str:
     match end:
         case Answered(resp):
--- a/chestnutfall/engine_edge/own_upstream_http.py
+++ b/chestnutfall/engine_edge/own_upstream_http.py
@@ -4,8 +4,10 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any
 
 import aiohttp
+from aiohttp.connector import Connection
 from multidict import CIMultiDict
 
 from ..forwarding.answer_head import AnswerHead
@@ -13,6 +15,7 @@
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
+from ..requests.awaited import Unawaited, check_awaited
 from ..signals import UnreadHeaders, read_signals
 from ..signals.own_headers import OWN_SIGNALS
 from ..wire.direct_connector import DirectConnector
@@ -22,6 +25,19 @@
 IDLE_CONNECTION_S = 2.0
 
 
+class _LastLookConnector(DirectConnector):
+    """Sends nothing for clients that have left by the time that a connection is open."""
+
+    async def connect(self, req: Any, traces: Any, timeout: Any) -> Connection:
+        conn = await super().connect(req, traces, timeout)
+        try:
+            check_awaited()
+        except Unawaited:
+            conn.close()
+            raise
+        return conn
+
+
 class OwnUpstreamHttp(UpstreamApi):
     """Sends calls to engines and to upstreams of plain services.
 
@@ -33,9 +49,9 @@
     def __init__(self, unread: UnreadHeaders) -> None:
         self._unread = unread
         self._pool = single_send_session(
-            DirectConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
+            _LastLookConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
         )
-        self._fresh = single_send_session(DirectConnector(limit=0, force_close=True))
+        self._fresh = single_send_session(_LastLookConnector(limit=0, force_close=True))
 
     @asynccontextmanager
     async def send(self, forwarded: ForwardedCall) -> AsyncIterator[UpstreamAnswer]:
@@ -59,7 +75,7 @@
                 headers = tuple(resp.headers.items())
                 head = self.interpret(resp.status, headers, forwarded)
                 yield UpstreamAnswer(resp.status, headers, head.not_run, head.signals, _body(resp))
-        except (NotSent, AnswerLost):
+        except (NotSent, AnswerLost, Unawaited):
             raise
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise NotSent(f"no connection: {exc}") from exc
--- a/chestnutfall/forwarding/caller_reply.py
+++ b/chestnutfall/forwarding/caller_reply.py
@@ -25,7 +25,10 @@
 
     @abstractmethod
     def is_gone(self) -> bool:
-        """Whether the client's connection is closed, other than by this gateway."""
+        """Whether the client's connection is closed, other than by this gateway.
+
+        It is also if the event loop has not read its end yet.
+        """
 
     @abstractmethod
     async def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -19,7 +19,7 @@
 from .alarms import Alarms
 from .call import Call
 from .call_sends import CallSends
-from .caller_reply import CallerReply
+from .caller_reply import CallerGone, CallerReply
 from .ended_reply import EndedReply
 from .faults import keep_timeouts_apart
 from .final_answers import FinalAnswers
@@ -130,6 +130,9 @@
         )
 
     async def _serve(self, call: Call, reply: EndedReply) -> None:
+        if reply.is_gone():
+            # Whatever is done for a client that has left would delay those who still wait.
+            raise CallerGone("the client left before its request was served")
         if self._refusing:
             await reply.refuse(Refused(503, "leaving", retry_after_ms=LEAVING_RETRY_MS))
             return
--- a/chestnutfall/forwarding/request_ends.py
+++ b/chestnutfall/forwarding/request_ends.py
@@ -12,6 +12,7 @@
 from ..clock.cancelled import was_cancelled
 from ..observability.prometheus_metrics import PrometheusMetrics
 from ..requests import Executed
+from ..requests.awaited import send_while
 from .caller_reply import CallerGone, CallerReply
 from .ended_reply import EndedReply
 from .faults import FAULT, fault_text
@@ -61,6 +62,7 @@
         that calls this is passed on.
         """
         answer = EndedReply(reply)
+        send_while(lambda: not answer.is_gone())
         try:
             await self._answer(request_id, answer, work)
             if answer.is_sending:
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -9,9 +9,10 @@
 from ..observability.prometheus_metrics import PrometheusMetrics
 from ..placement import RunOutcome
 from ..placement.run_times import NO_TIMES
+from ..requests.awaited import Unawaited, check_awaited
 from ..routes import Route
 from ..signals.known_signals import KnownSignals
-from .caller_reply import CallerReply
+from .caller_reply import CallerGone, CallerReply
 from .faults import FAULT, fault_text, is_fault
 from .place import Place, UpstreamSelector
 from .progress import Progress
@@ -80,9 +81,9 @@
     async def send(self, sending: RelayedSend) -> SendResult:
         """Send the call once, relay the answer and release the place.
 
-        Nothing is sent if the upstream has started to back off since it was selected, or if it is
-        not known any more to run what the call's stream needs. An error that nothing expects is the
-        loss of the answer, since the call may have run.
+        Nothing is sent if the client has left, if the upstream has started to back off since it was
+        selected, or if it is not known any more to run what the call's stream needs. An error that
+        nothing expects is the loss of the answer, since the call may have run.
 
         Raises
         ------
@@ -92,19 +93,25 @@
             When the client has left.
         """
         progress, place = sending.progress, sending.place
-        may_send = self._signals.may_send(place.upstream.instance)
-        if not may_send or not self._origins.may_send(progress, place.upstream):
-            sending.release(RunOutcome.WITHDRAWN, NO_TIMES)
-            return HeldBack()
         outcome: RunOutcome | None = None
-        sending.begin()
         try:
+            check_awaited()
+            may_send = self._signals.may_send(place.upstream.instance)
+            if not may_send or not self._origins.may_send(progress, place.upstream):
+                outcome = RunOutcome.WITHDRAWN
+                return HeldBack()
+            sending.begin()
             async with self._api.send(sending.forwarded()) as answer:
                 progress.helped += answer.is_helped
                 self._record_signals(place, answer, sending)
                 result = await sending.relay(answer)
             outcome = _outcome(answer, result)
             return result
+        except Unawaited as exc:
+            outcome = RunOutcome.WITHDRAWN
+            progress.refusals += 1
+            self._metrics.count("sends_unawaited")
+            raise CallerGone(str(exc)) from exc
         except NotSent as exc:
             outcome = RunOutcome.UNREACHABLE if exc.is_confirmed else RunOutcome.NO_PATH
             return Refused(UNREACHABLE)
@@ -126,7 +133,9 @@
                 outcome = sending.outcome_if_abandoned()
             if sending.first_byte_ms is not None:
                 self._metrics.observe("first_byte_ms", sending.first_byte_ms)
-            sending.release(outcome, sending.times())
+            sending.release(
+                outcome, NO_TIMES if outcome is RunOutcome.WITHDRAWN else sending.times()
+            )
 
     def _record_signals(self, place: Place, answer: UpstreamAnswer, sending: RelayedSend) -> None:
         load = answer.signals.load
--- a/chestnutfall/plain_edge/plain_calls.py
+++ b/chestnutfall/plain_edge/plain_calls.py
@@ -16,6 +16,7 @@
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
 from ..membership import Upstream
+from ..requests.awaited import Unawaited
 from ..signals.known_signals import KnownSignals
 from .plain_answer import EXECUTED_HEADER, EXECUTED_NO, PlainAnswer
 from .plain_call import PlainCall
@@ -72,7 +73,7 @@
         """
         try:
             return await self._call(call, upstream, on_heard)
-        except (NotSent, AnswerLost):
+        except (NotSent, AnswerLost, Unawaited):
             raise
         except (Exception, asyncio.CancelledError) as exc:
             if isinstance(exc, asyncio.CancelledError) and was_cancelled():
--- a/chestnutfall/platform/client_reply.py
+++ b/chestnutfall/platform/client_reply.py
@@ -16,6 +16,7 @@
 from ..forwarding.call import Headers
 from ..forwarding.caller_reply import CallerGone, CallerReply
 from ..forwarding.request_end import BrokenOff, Refused
+from ..wire.peer_closed import is_closed_by_peer
 from . import header_names as names
 
 EXPECTS = "100-continue"
@@ -53,8 +54,7 @@
     def is_gone(self) -> bool:
         if self._broken_off or self._is_stopping():
             return False
-        transport = self._request.transport
-        return transport is None or transport.is_closing()
+        return is_closed_by_peer(self._request.transport)
 
     async def ask_for_body(self) -> None:
         """Tell a client that waits for it to send the body of its request."""
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -146,7 +146,7 @@
             await self._ends.run(request_id, arrived_ms, reply, partial(_end_unread, exc))
         else:
             await self._forwarder.serve(call, reply)
-        return reply.response or Response(status=503)
+        return reply.response or _unanswered(request)
 
     async def _read(self, request: BaseRequest, reply: ClientReply, arrived_ms: int) -> Call:
         """Read and decode a request.
@@ -185,6 +185,14 @@
         raise _malformed_header(exc) from exc
 
 
+def _unanswered(request: BaseRequest) -> Response:
+    """Close the connection of a client that left, and return a response that isn't written."""
+    # A client that only closed its own direction would take the response for an answer.
+    if request.transport is not None:
+        request.transport.abort()
+    return Response(status=503)
+
+
 def _malformed_header(exc: ValueError) -> UnreadableRequest:
     return UnreadableRequest(400, "malformed_header", f"malformed header: {exc}")
 
--- a/chestnutfall/platform/upstream_connector.py
+++ b/chestnutfall/platform/upstream_connector.py
@@ -12,6 +12,7 @@
 
 from ..clock import Clock
 from ..connections import ConnectionPool
+from ..requests.awaited import Unawaited, check_awaited
 from ..wire.direct_connector import DirectConnector
 from .upstream_connection import UpstreamConnection
 from .upstream_send import CURRENT_SEND
@@ -55,6 +56,11 @@
             conn.close()
             reset = OSError(errno.ECONNRESET, "reset before the request was written")
             raise aiohttp.ClientConnectorError(req.connection_key, reset)
+        try:
+            check_awaited()
+        except Unawaited:
+            conn.close()
+            raise
         return conn
 
     def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -17,6 +17,7 @@
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
+from ..requests.awaited import Unawaited
 from ..signals import SignalHeaders, UnreadHeaders, read_signals
 from ..wire.single_send_session import single_send_session
 from . import header_names as names
@@ -84,7 +85,7 @@
                     self._body(resp, send),
                     written_by=head.written_by,
                 )
-        except (NotSent, AnswerLost):
+        except (NotSent, AnswerLost, Unawaited):
             raise
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise NotSent(str(exc)) from exc
--- a/chestnutfall/routing/attempts.py
+++ b/chestnutfall/routing/attempts.py
@@ -17,6 +17,7 @@
 from ..peers import PeerLinks
 from ..quarantine import RequestQuarantine
 from ..requests import CallerRequest, Refusal
+from ..requests.awaited import Unawaited
 from ..signals import UpstreamSignals
 from ..signals.known_signals import KnownSignals
 from .after_answer import after_answer
@@ -194,6 +195,6 @@
 def _raise_expected(exc: BaseException) -> None:
     """Raise `exc` again unless it is an error that no part expects, which is logged."""
     cancelled = isinstance(exc, asyncio.CancelledError) and was_cancelled()
-    if cancelled or isinstance(exc, Refusal | EngineRefused | EngineBroken):
+    if cancelled or isinstance(exc, Refusal | EngineRefused | EngineBroken | Unawaited):
         raise exc
     log.error("dispatch: an attempt failed", exc_info=exc)
--- a/chestnutfall/routing/claim_client.py
+++ b/chestnutfall/routing/claim_client.py
@@ -12,6 +12,7 @@
 from ..control.commands import ClaimHeld, ClaimTaken, EndClaim, TakeClaim
 from ..control.control_client import ControlClient, NoController
 from ..requests import Executed, Refusal
+from ..requests.awaited import Unawaited
 from .claim_request import ClaimRequest
 
 log = logging.getLogger(__name__)
@@ -32,7 +33,8 @@
     async def held(self, req: ClaimRequest) -> AsyncIterator[None]:
         """Hold a claim while the request runs inside the context, and record how the run ended.
 
-        The claim is released if the run ends with a Refusal that states that nothing ran.
+        The claim is released if the run ends with a Refusal that states that nothing ran, or if the
+        request wasn't sent since its client had left.
 
         Raises
         ------
@@ -48,6 +50,9 @@
             if refusal.executed is Executed.NO:
                 status = None
             raise
+        except Unawaited:
+            status = None
+            raise
         finally:
             self.end(req, status)
 
--- a/chestnutfall/routing/engine_runs.py
+++ b/chestnutfall/routing/engine_runs.py
@@ -19,6 +19,7 @@
 from ..membership import Upstream
 from ..observability.metrics import Metrics
 from ..peers import PeerLinks
+from ..requests.awaited import send_always
 from ..signals import BACKING_OFF
 from ..signals.known_signals import KnownSignals
 from .run_losses import RunLosses
@@ -129,10 +130,14 @@
 
     def _cancel(self, engine: Upstream, attempt_id: str) -> None:
         """Cancel the run on the engine in the background; the caller may be gone."""
-        task = asyncio.ensure_future(self._api.cancel(engine.record, attempt_id))
+        task = asyncio.ensure_future(self._send_cancel(engine, attempt_id))
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
+    async def _send_cancel(self, engine: Upstream, attempt_id: str) -> None:
+        send_always()
+        await self._api.cancel(engine.record, attempt_id)
+
 
 def _may_resume(exc: EngineBroken | EngineRefused, req: EngineRequest, seen: int) -> bool:
     """Whether the run may be resumed to get the rest of its answer.
--- a/chestnutfall/tests/fakes/served_gateway.py
+++ b/chestnutfall/tests/fakes/served_gateway.py
@@ -55,14 +55,15 @@
     ----------
     arrived : list of str
         Ids of the requests that reached the upstream, in order.
-    api : UpstreamApi
-        What sends to the upstream; a test may replace it before `start`.
+    selector : ListedSelector
+        Selects the upstream; its `on_select` is called before each send.
     """
 
     def __init__(self, kind: RouteKind) -> None:
         self.clock: Clock = SystemClock()
         self.metrics = PrometheusMetrics()
         self.arrived: list[str] = []
+        self.selector: ListedSelector
         self._kind = kind
         self._upstream: Listener
         self._entry: EntryServer
@@ -75,11 +76,11 @@
         pool = ConnectionPool(lambda service, instance: KEPT, lambda name: None, self.clock)
         unread = UnreadHeaders(names.ANSWER_HEADERS, lambda name: None)
         self._http = UpstreamHttp(unread, pool, self.clock)
-        selector = _OneUpstream(f"127.0.0.1:{self._upstream.addresses[0][1]}")
+        self.selector = _OneUpstream(f"127.0.0.1:{self._upstream.addresses[0][1]}")
         limits = DocumentLimits()
         count = self.metrics.count
         self._entry = EntryServer(
-            self._make_forwarder(self._http, selector),
+            self._make_forwarder(self._http, self.selector),
             lambda: True,
             lambda: limits,
             ConnectionGate(self.clock, count),
@@ -162,6 +163,7 @@
         self._upstream = UpstreamRecord("i0", SERVICE, address, "dc")
 
     async def select(self, criteria: SelectionCriteria) -> Place:
+        self.on_select()
         return Place(criteria.call.request_id, self._upstream, 0, has_other=self.has_other)
 
 
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -9,6 +9,7 @@
 from .consensus_mutants import CONSENSUS_MUTANTS
 from .control_mutants import CONTROL_MUTANTS
 from .fleet_mutants import FLEET_MUTANTS
+from .left_client_mutants import LEFT_CLIENT_MUTANTS
 from .limit_mutants import LIMIT_MUTANTS
 from .part_mutants import PART_MUTANTS
 from .path_mutants import PATH_MUTANTS
@@ -44,6 +45,7 @@
     *RUSH_MUTANTS,
     *SILENCE_MUTANTS,
     *REQUEST_END_MUTANTS,
+    *LEFT_CLIENT_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
--- a/properties/safeguards/completion_end_mutants.py
+++ b/properties/safeguards/completion_end_mutants.py
@@ -15,8 +15,8 @@
     Mutant(
         "caller blamed for the error of another connection",
         _ENDING,
-        "        case ConnectionError() | asyncio.CancelledError() if _is_closed(request):",
-        "        case ConnectionError() | asyncio.CancelledError():",
+        "asyncio.CancelledError() if is_closed_by_peer(request.transport):",
+        "asyncio.CancelledError():",
         _ENDS_TEST,
     ),
     Mutant(
