--- a/chestnutfall/paths/helper_links.py
+++ b/chestnutfall/paths/helper_links.py
@@ -15,6 +15,7 @@
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
+from ..requests.awaited import check_awaited
 from ..wire import RpcChannel, TlsFiles
 from .help_stream import HelpStream
 from .helper_api import HELPER_SILENCE_MS, HelperApi, HelperUnusable, not_sent
@@ -79,6 +80,7 @@
         self, address: str, keys: tuple[str, ...], forwarded: ForwardedCall
     ) -> AsyncIterator[UpstreamAnswer]:
         channel = await self._connected(address)
+        check_awaited()
         stream = HelpStream(channel.stream(HELP_METHOD))
         silent_ms = forwarded.silent_ms + HELPER_DELAY_MS
         self._busy[address] += 1
--- a/chestnutfall/tests/test_helper_links.py
+++ b/chestnutfall/tests/test_helper_links.py
@@ -29,8 +29,9 @@
 from ..paths.leader_messages import HelperGateways
 from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD
 from ..paths.path_table import PathTable
+from ..requests.awaited import Unawaited, send_while
 from ..signals import NO_SIGNALS
-from ..wire import RpcServer
+from ..wire import RpcChannel, RpcServer
 from .fakes.limit_parts import known_signals
 from .fakes.path_office import send_to
 from .process_office import free_address
@@ -183,6 +184,44 @@
         sending.cancel()
         await asyncio.wait_for(self.direct.ended.wait(), 5)
 
+    # Guards against a call that is passed on though its client left as the connection to the helper
+    # opened.
+    async def test_a_call_that_was_left_while_connecting_is_not_passed_on(self) -> None:
+        is_awaited = True
+        connected = self.links._connected
+
+        async def connect_and_leave(address: str) -> RpcChannel:
+            nonlocal is_awaited
+            is_awaited = False
+            return await connected(address)
+
+        send_while(lambda: is_awaited)
+        with patch.object(self.links, "_connected", connect_and_leave):
+            with self.assertRaises(Unawaited):
+                await self._send()
+        self.assertEqual(self.direct.sends, [])
+
+    # Guards against a helper that sends what was left long ago: on a link that was silent for a
+    # while, a call and its cancellation arrive together.
+    async def test_a_call_that_was_left_on_a_silent_link_is_not_sent_by_the_helper(self) -> None:
+        relay = Relay(self.address)
+        await relay.start()
+        self.address = relay.address
+        await self._send()
+        self.direct.sends.clear()
+        relay.cut["127.0.0.1"] = ConnectionFault.SILENCE
+        calls = [asyncio.ensure_future(self._send(send_to(UPSTREAM, at))) for at in range(20)]
+        await asyncio.sleep(0.2)
+        for one in calls:
+            one.cancel()
+        await asyncio.wait(calls)
+        relay.cut.clear()
+        # The last call is read behind those that were left.
+        await self._send(send_to(UPSTREAM, len(calls)))
+        sent = [one.call.request_id for one in self.direct.sends]
+        self.assertEqual(sent, [f"id-{len(calls)}"])
+        await relay.stop()
+
     # Guards against a call whose client gets no answer: the connection to its helper is closed
     # while the helper sends it, which gRPC reports as a cancellation of whoever waits for it.
     async def test_a_connection_that_is_closed_before_the_answer_is_a_lost_answer(self) -> None:
--- a/chestnutfall/tests/test_left_clients.py
+++ b/chestnutfall/tests/test_left_clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import socket
 import unittest
 from collections.abc import Callable
 from dataclasses import replace
@@ -18,7 +19,7 @@
 from ..control.upstream_record import UpstreamRecord
 from ..engine_edge.own_upstream_http import OwnUpstreamHttp
 from ..forwarding.upstream_answer import NotRun
-from ..forwarding.upstream_api import AnswerLost, NotSent
+from ..forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
 from ..placement import RunOutcome
 from ..platform.listening import listen
 from ..platform.upstream_http import UpstreamHttp
@@ -36,6 +37,9 @@
 
 CLIENTS = 50
 WHOLE = (b"whole",)
+LONG_BODY = b"x" * 16_000_000
+"""More than the buffers of both ends of a connection hold."""
+READ_BYTES = 65_536
 POLL_S = 0.001
 KINDS = (RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT)
 
@@ -177,10 +181,7 @@
 
     # Guards against a request that is written to a connection which opened too late.
     async def test_a_call_is_not_sent_once_a_connection_is_open(self) -> None:
-        clock = SystemClock()
-        unread = UnreadHeaders(frozenset(), lambda name: None)
-        pool = ConnectionPool(lambda service, instance: KEPT, lambda name: None, clock)
-        apis = (UpstreamHttp(unread, pool, clock), OwnUpstreamHttp(unread))
+        apis = (_api(is_own=False), _api(is_own=True))
         sent = send_to(UpstreamRecord("i0", "s", self.address, "dc"))
         for api, runs_once in itertools.product(apis, (False, True)):
             with self.subTest(api=type(api).__name__, runs_once=runs_once):
@@ -203,3 +204,55 @@
             return await connector._loop.create_connection(*args, **options)
 
         return open_connection
+
+
+async def _leave_in_body(is_own: bool) -> tuple[int, bool]:
+    """Let a client leave whose long body an upstream has read in part.
+
+    Returns the bytes that the upstream gets in all, and whether its connection is reset.
+    """
+    loop = asyncio.get_running_loop()
+    api = _api(is_own)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        server.setblocking(False)
+        upstream = UpstreamRecord("i0", "s", f"127.0.0.1:{server.getsockname()[1]}", "dc")
+        sending = asyncio.ensure_future(_send_long(api, upstream))
+        conn, _ = await loop.sock_accept(server)
+    with conn:
+        conn.setblocking(False)
+        got = len(await loop.sock_recv(conn, READ_BYTES))
+        sending.cancel()
+        await asyncio.wait({sending})
+        try:
+            while data := await loop.sock_recv(conn, READ_BYTES):
+                got += len(data)
+        except ConnectionResetError:
+            return got, True
+        finally:
+            await api.close()
+    return got, False
+
+
+def _api(is_own: bool) -> UpstreamHttp | OwnUpstreamHttp:
+    unread, clock = UnreadHeaders(frozenset(), lambda name: None), SystemClock()
+    if is_own:
+        return OwnUpstreamHttp(unread)
+    pool = ConnectionPool(lambda service, instance: KEPT, lambda name: None, clock)
+    return UpstreamHttp(unread, pool, clock)
+
+
+async def _send_long(api: UpstreamApi, upstream: UpstreamRecord) -> None:
+    sent = send_to(upstream)
+    async with api.send(replace(sent, call=replace(sent.call, body=LONG_BODY))):
+        pass
+
+
+class LeftInBodyTest(unittest.TestCase):
+    # Guards against a request that arrives whole though its client has left: the rest of it waits
+    # in a buffer for an upstream that reads slowly, or a link that is slow or cut.
+    def test_the_rest_of_a_request_that_was_left_is_not_sent(self) -> None:
+        for is_own in (False, True):
+            with self.subTest(is_own=is_own):
+                got, is_reset = uvloop.run(_leave_in_body(is_own))
+                self.assertLess(got, len(LONG_BODY))
+                self.assertTrue(is_reset)
--- a/properties/safeguards/left_client_mutants.py
+++ b/properties/safeguards/left_client_mutants.py
@@ -38,6 +38,13 @@
         "            pass\n",
         _CONNECTING_TEST,
     ),
+    Mutant(
+        "call of a client that left is passed on to a helper",
+        "chestnutfall/paths/helper_links.py",
+        "        check_awaited()\n",
+        "",
+        "chestnutfall.tests.test_helper_links",
+    ),
     Mutant(
         "completion of a caller that left is written to its connection",
         "chestnutfall/engine_edge/own_upstream_http.py",
