Reset the connection of a send that is given up

What callers and upstreams saw: a request reaches its upstream, and runs, seconds after its client left or had its 504: it was written to a connection over a link that was cut, or to an upstream that read slowly, and the connection was closed in order, so that TCP delivered it when it could.

A reset drops what isn't sent, in the gateway and in its host, and the upstream learns of it at once. Connections whose answer was read whole, and those on which nothing was written, are closed as before. The stand-ins' reset moved to wire, which client_reply uses too.

--- a/chestnutfall/platform/client_reply.py
+++ b/chestnutfall/platform/client_reply.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -17,12 +15,11 @@
 from ..forwarding.caller_reply import CallerGone, CallerReply
 from ..forwarding.request_end import BrokenOff, Refused
 from ..wire.peer_closed import is_closed_by_peer
+from ..wire.resets import reset
 from . import header_names as names
 
 EXPECTS = "100-continue"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER: what is unsent is dropped, and the peer gets a reset."""
 
 
 class ClientReply(CallerReply):
@@ -93,9 +90,9 @@
         # Without its last chunk, the client can't take a chunked answer for complete. The end of
         # one with neither chunks nor a length is the end of its connection, unless it is a reset.
         if self.response is not None and not _is_framed(self.response):
-            sock = transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_CLOSE)
-        transport.abort()
+            reset(transport)
+        else:
+            transport.abort()
 
     async def refuse(self, end: Refused) -> None:
         headers = {"Content-Type": "text/plain"}
--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -14,11 +14,11 @@
 from aiohttp import web
 
 from ...standin.silence import Silence, SilentMoment
+from ...wire.resets import reset
 from .. import header_names as names
 from ..listening import Listener, listen
 from .adapter_store import AdapterStore
 from .idle_connections import IdleConnections
-from .resets import reset
 from .room import NoRoom, StandInRoom
 from .run_registry import RunRegistry
 from .stream_text import event_text
--- a/chestnutfall/platform/upstream_connector.py
+++ b/chestnutfall/platform/upstream_connector.py
@@ -53,13 +53,13 @@
         if not handler.is_quiet():
             # The upstream has ended the connection before a byte of the request was written.
             self._pool.note_over_limit(send.need)
-            conn.close()
+            _close_unused(conn)
             reset = OSError(errno.ECONNRESET, "reset before the request was written")
             raise aiohttp.ClientConnectorError(req.connection_key, reset)
         try:
             check_awaited()
         except Unawaited:
-            conn.close()
+            _close_unused(conn)
             raise
         return conn
 
@@ -67,8 +67,10 @@
         handler = protocol
         assert isinstance(handler, UpstreamConnection)
         send = handler.send
-        if self._closed or should_close or handler.should_close or not (send and send.may_keep):
-            super()._release(key, protocol, should_close=True)
+        if not (send and send.may_keep):
+            handler.force_close()
+        if self._closed or should_close or handler.should_close:
+            super()._release(key, protocol, should_close=should_close)
             return
         self._release_acquired(key, protocol)
         handler.end_send()
@@ -86,3 +88,10 @@
             self._sweeper.cancel()
         self._pool.close()
         return super()._close(abort_ssl=abort_ssl)
+
+
+def _close_unused(conn: Connection) -> None:
+    """Close a connection on which nothing was written; a reset would tell of a request given up."""
+    assert conn.protocol is not None
+    conn.protocol.force_close()
+    conn.release()
--- a/chestnutfall/tests/test_soak_parts.py
+++ b/chestnutfall/tests/test_soak_parts.py
@@ -21,8 +21,8 @@
 from soak.verdict import Verdict
 
 from ..platform.standin.node_writer import NodePlan
-from ..platform.standin.resets import reset
 from ..platform.standin.signal_history import Arrival, BackoffRefusal
+from ..wire.resets import reset
 
 ROOT = Path(__file__).resolve().parents[2]
 SIGNALLED = """
--- a/chestnutfall/wire/direct_connector.py
+++ b/chestnutfall/wire/direct_connector.py
@@ -10,6 +10,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from .reset_aware import ResetAwareHandler
+from .resets import reset
 
 
 class DirectConnector(aiohttp.TCPConnector):
@@ -21,8 +22,10 @@
     is cut, or gets what was written for the first one. A socket that the loop opened is closed by
     it alone, once.
 
-    Its connections tell a reset from the end of an answer. It must be created in a running event
-    loop.
+    Its connections tell a reset from the end of an answer. One whose request is given up is reset:
+    what the upstream has not got of it by then never arrives, however slow or cut its link is.
+
+    It must be created in a running event loop.
     """
 
     def __init__(self, **options: Any) -> None:
@@ -52,3 +55,14 @@
     async def open_connection(self, *args: Any, **kwargs: Any) -> Any:
         """Open a connection; takes and returns what the event loop's function does."""
         return await self._loop.create_connection(*args, **kwargs)
+
+    def _release(self, key: Any, protocol: Any, *, should_close: bool = False) -> None:
+        if (should_close or _awaits_answer(protocol)) and protocol.transport is not None:
+            reset(protocol.transport)
+        super()._release(key, protocol, should_close=should_close)
+
+
+def _awaits_answer(protocol: ResponseHandler) -> bool:
+    """Whether an answer has begun and is not whole."""
+    payload = protocol._payload
+    return payload is not None and not payload.is_eof()
--- a/chestnutfall/platform/standin/resets.py
+++ b/chestnutfall/wire/resets.py
@@ -1,4 +1,4 @@
-"""Resets of connections, as when the process at the other end has crashed."""
+"""Resets of connections."""
 
 from __future__ import annotations
 
@@ -10,9 +10,10 @@
 
 
 def reset(transport: asyncio.BaseTransport) -> None:
-    """Reset a connection.
+    """Reset a connection, and drop what was written to it and isn't sent.
 
-    `abort` alone ends it with an end of file, which ends an answer without a length as whole.
+    `abort` alone drops what the event loop still has, and not what the system has. The other end
+    gets an end of file then, which ends an answer without a length as whole.
     """
     sock = transport.get_extra_info("socket")
     if sock is not None and sock.fileno() >= 0:
--- a/properties/safeguards/left_client_mutants.py
+++ b/properties/safeguards/left_client_mutants.py
@@ -38,6 +38,13 @@
         "            pass\n",
         _CONNECTING_TEST,
     ),
+    Mutant(
+        "request that was given up is sent to its end",
+        "chestnutfall/wire/direct_connector.py",
+        "            reset(protocol.transport)\n",
+        "            pass\n",
+        f"{_TEST}.LeftInBodyTest",
+    ),
     Mutant(
         "call of a client that left is passed on to a helper",
         "chestnutfall/paths/helper_links.py",
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from enum import Enum
 
-from chestnutfall.platform.standin.resets import reset
+from chestnutfall.wire.resets import reset
 
 CHUNK_BYTES = 16 * 1024
 """Largest number of bytes that are forwarded at once."""
