Bound what is read of an answer that never ends

What callers saw: all requests of a gateway stand still while one upstream writes interim heads at full speed. 10,000 of them come with one read and are parsed at once: the event loop stood for 2.1 s at a time, and the process grew by 61 MB (a trial with the real client, one connection). Empty lines, the extension of a chunk and chunks of one byte kept a whole processor busy until the deadline.

Bytes of an answer beside its body are counted now and parsed in small parts; beyond 64 KB and as many as the body has, or eight heads that wait, the connection is reset and the answer is lost. An extra answer on a kept connection is skipped up to 64 KB. Reports and states of engines are read up to a bound instead of to their end.

--- a/chestnutfall/platform/engine_http.py
+++ b/chestnutfall/platform/engine_http.py
@@ -10,6 +10,7 @@
 from ..control.upstream_record import UpstreamRecord
 from ..coordination.engine_control import EngineControl, OrderResult
 from ..placement import EngineReport, LoadAdapter, LoadModel, Order, UnloadAdapter
+from ..wire.bounded_body import read_at_most
 from ..wire.direct_connector import DirectConnector
 from . import header_names as names
 from .upstream_json import UnreadableUpstream, read_report
@@ -19,6 +20,9 @@
 requests at once, most time out and are repeated, and each takes a file descriptor."""
 REPORT_TIMEOUT_S = 0.5
 """An engine reports without queueing the request; after this time the caller asks again."""
+MAX_REPORT_BYTES = 256 * 1024
+"""Several times the report of an engine with hundreds of runs. One in trouble may write for ever,
+and `MAX_CONCURRENT_REPORTS` are read at once."""
 _RESULT_BY_STATUS = {
     200: OrderResult.IN_EFFECT,
     202: OrderResult.TAKEN,
@@ -77,7 +81,7 @@
                     raise ConnectionError(
                         f"{engine.address}: request for a report answered {resp.status}"
                     )
-                return read_report(await resp.read())
+                return read_report(await read_at_most(resp, MAX_REPORT_BYTES))
         except (aiohttp.ClientError, TimeoutError, UnreadableUpstream) as exc:
             raise ConnectionError(f"{engine.address}: {exc!r}") from exc
 
--- a/chestnutfall/platform/upstream_connection.py
+++ b/chestnutfall/platform/upstream_connection.py
@@ -11,6 +11,7 @@
 from contextlib import suppress
 from typing import Any
 
+import aiohttp
 from aiohttp.http_exceptions import HttpProcessingError
 
 from ..connections import ConnectionPool, KeptConnection
@@ -22,6 +23,8 @@
 ACKNOWLEDGED_WITHIN_S = 0.3
 """Time after which the upstream's host should have acknowledged a request. A round trip takes a few
 ms; a request that was lost on its way once is sent again after 0.2 s."""
+MAX_EXTRA_BYTES = 64 * 1024
+"""Longest extra answer that is skipped; usual answers are shorter, and it may have no end."""
 _ARRIVED = select.POLLIN | select.POLLPRI | select.POLLRDHUP
 
 
@@ -84,8 +87,11 @@
                     return
                 send.extra_answers += 1
                 send.may_keep = False
-                async for _ in payload.iter_any():
-                    pass
+                skipped = 0
+                async for data in payload.iter_any():
+                    skipped += len(data)
+                    if skipped > MAX_EXTRA_BYTES:
+                        raise aiohttp.ClientPayloadError("an extra answer that does not end")
                 self.start_timeout()
 
     def data_received(self, data: bytes) -> None:
--- a/chestnutfall/tests/fakes/served_gateway.py
+++ b/chestnutfall/tests/fakes/served_gateway.py
@@ -9,8 +9,8 @@
 from aiohttp import web
 
 from ...clock import Clock, SystemClock
-from ...connections import ConnectionPool
 from ...control.upstream_record import UpstreamRecord
+from ...engine_edge.own_upstream_http import OwnUpstreamHttp
 from ...forwarding.admission import Admission
 from ...forwarding.forwarder import Forwarder
 from ...forwarding.place import Place, SelectionCriteria
@@ -37,14 +37,12 @@
 from ...rush import ConnectionGate, KeptLimits
 from ...settings.quota_bounds import STRICT_QUOTA_BOUNDS
 from ...settings.repeat_bounds import RepeatBounds
-from ...signals import UnreadHeaders
 from .fake_upstreams import FixedRoutes, ListedSelector, ScriptedQuotaClient
 from .limit_parts import known_signals
 from .stream_origins import origins_of_one_build
+from .upstream_clients import upstream_client
 
 SERVICE = "s"
-KEPT = 1_000
-"""Idle connections that the gateway keeps to its upstream, more than a test has requests."""
 WHOLE = b"answer"
 
 
@@ -67,15 +65,13 @@
         self._kind = kind
         self._upstream: Listener
         self._entry: EntryServer
-        self._http: UpstreamHttp
+        self._http: UpstreamHttp | OwnUpstreamHttp
         self._port = 0
 
     async def start(self) -> None:
         """Listen on free ports."""
         self._upstream = await listen(web.Server(self._on_call), "127.0.0.1:0")
-        pool = ConnectionPool(lambda service, instance: KEPT, lambda name: None, self.clock)
-        unread = UnreadHeaders(names.ANSWER_HEADERS, lambda name: None)
-        self._http = UpstreamHttp(unread, pool, self.clock)
+        self._http = upstream_client(is_own=False)
         self.selector = _OneUpstream(f"127.0.0.1:{self._upstream.addresses[0][1]}")
         limits = DocumentLimits()
         count = self.metrics.count
--- a/chestnutfall/tests/test_left_clients.py
+++ b/chestnutfall/tests/test_left_clients.py
@@ -14,26 +14,22 @@
 import uvloop
 from aiohttp import web
 
-from ..clock import SystemClock
-from ..connections import ConnectionPool
 from ..control.upstream_record import UpstreamRecord
-from ..engine_edge.own_upstream_http import OwnUpstreamHttp
 from ..forwarding.upstream_answer import NotRun
 from ..forwarding.upstream_api import AnswerLost, NotSent, UpstreamApi
 from ..placement import RunOutcome
 from ..platform.listening import listen
-from ..platform.upstream_http import UpstreamHttp
 from ..requests.awaited import Unawaited, send_while
 from ..routes import RouteKind
-from ..signals import UnreadHeaders
 from ..wire.direct_connector import DirectConnector
 from .fakes.fake_upstreams import Cut
 from .fakes.forwarder_case import ForwarderCase, event
 from .fakes.path_office import send_to
-from .fakes.served_gateway import KEPT, ServedGateway, request
+from .fakes.served_gateway import ServedGateway, request
 from .fakes.silence_case import SILENT_MS, SilenceCase
 from .fakes.silence_scripts import SOUND
 from .fakes.timed_upstreams import HANG
+from .fakes.upstream_clients import upstream_client
 
 CLIENTS = 50
 WHOLE = (b"whole",)
@@ -181,7 +177,7 @@
 
     # Guards against a request that is written to a connection which opened too late.
     async def test_a_call_is_not_sent_once_a_connection_is_open(self) -> None:
-        apis = (_api(is_own=False), _api(is_own=True))
+        apis = (upstream_client(is_own=False), upstream_client(is_own=True))
         sent = send_to(UpstreamRecord("i0", "s", self.address, "dc"))
         for api, runs_once in itertools.product(apis, (False, True)):
             with self.subTest(api=type(api).__name__, runs_once=runs_once):
@@ -212,7 +208,7 @@
     Returns the bytes that the upstream gets in all, and whether its connection is reset.
     """
     loop = asyncio.get_running_loop()
-    api = _api(is_own)
+    api = upstream_client(is_own)
     with socket.create_server(("127.0.0.1", 0)) as server:
         server.setblocking(False)
         upstream = UpstreamRecord("i0", "s", f"127.0.0.1:{server.getsockname()[1]}", "dc")
@@ -233,14 +229,6 @@
     return got, False
 
 
-def _api(is_own: bool) -> UpstreamHttp | OwnUpstreamHttp:
-    unread, clock = UnreadHeaders(frozenset(), lambda name: None), SystemClock()
-    if is_own:
-        return OwnUpstreamHttp(unread)
-    pool = ConnectionPool(lambda service, instance: KEPT, lambda name: None, clock)
-    return UpstreamHttp(unread, pool, clock)
-
-
 async def _send_long(api: UpstreamApi, upstream: UpstreamRecord) -> None:
     sent = send_to(upstream)
     async with api.send(replace(sent, call=replace(sent.call, body=LONG_BODY))):
--- a/chestnutfall/wire/reset_aware.py
+++ b/chestnutfall/wire/reset_aware.py
@@ -7,10 +7,10 @@
 import aiohttp
 from aiohttp.helpers import set_exception
 
-from .lazy_read_timeout import LazyReadTimeout
+from .bounded_handler import BoundedHandler
 
 
-class ResetAwareHandler(LazyReadTimeout):
+class ResetAwareHandler(BoundedHandler):
     """Fails an incomplete answer before aiohttp takes the end of the connection for its end.
 
     An answer without a length ends with its connection. aiohttp does not check how the connection
