Take progress of an answer, not bytes, for a sign of life

What callers saw: a call at an upstream that writes 64 bytes each 20 ms behind a good head, and no event, waits until its deadline, as any bytes kept the upstream from looking silent; comments were passed on as the beginning of the answer, so that no other upstream could give it any more.

Progress is a head, an event, or the end of a whole answer. What brings the client nothing, comments and empty blocks, is held back and goes with the next event, so that the answer's bytes stay the upstream's. A call then looks for another place as beside any silent upstream. All answers that a gateway holds share a budget of memory, in which the largest gives way. The same on the own interface: streams, whole answers, refusals and plain calls had no bound on time at all while bytes came. Its event splitting is that of the platform now, which costs no square of an event's length.

--- a/chestnutfall/engine_edge/gap_limit.py
+++ b/chestnutfall/engine_edge/gap_limit.py
@@ -25,7 +25,7 @@
         From the context, when the next part did not come in time.
     """
 
-    __slots__ = ("_cancelling", "_due_s", "_loop", "_silent_s", "_task", "_timer")
+    __slots__ = ("_cancelling", "_due_s", "_loop", "_silent_s", "_task", "_timer", "_timer_s")
 
     def __init__(self, silent_ms: float) -> None:
         self._loop = asyncio.get_running_loop()
@@ -34,15 +34,23 @@
         self._cancelling = 0
         self._task: asyncio.Task[object] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_s = 0.0
 
-    def begin_wait(self) -> None:
-        """Limit the wait of the present task that begins now."""
+    def begin_wait(self, silent_ms: float | None = None) -> None:
+        """Limit the wait of the present task that begins now, by `silent_ms` if that is given."""
         self._task = task = asyncio.current_task()
         assert task is not None
         self._cancelling = task.cancelling()
-        self._due_s = self._loop.time() + self._silent_s
-        if self._timer is None:
-            self._timer = self._loop.call_at(self._due_s, self._fall_due)
+        silent_s = self._silent_s if silent_ms is None else silent_ms / 1000
+        self._due_s = self._loop.time() + silent_s
+        if self._timer is None or self._timer_s > self._due_s:
+            self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_s = self._due_s
+        self._timer = self._loop.call_at(self._due_s, self._fall_due)
 
     def end_wait(self) -> None:
         """Record that a part came; what its receiver does with it takes as long as it takes."""
@@ -53,7 +61,7 @@
         if self._task is None:
             return
         if self._loop.time() < self._due_s:
-            self._timer = self._loop.call_at(self._due_s, self._fall_due)
+            self._set_timer()
             return
         self._due_s = -1.0
         self._task.cancel()
--- a/chestnutfall/engine_edge/http_engine_api.py
+++ b/chestnutfall/engine_edge/http_engine_api.py
@@ -11,10 +11,13 @@
 
 from ..control.upstream_record import UpstreamRecord
 from ..forwarding.call import Call
+from ..forwarding.event_splitter import EventSplitter, StreamEvent
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import UpstreamAnswer
 from ..forwarding.upstream_api import SILENT, AnswerLost, NotSent, UpstreamApi
 from ..signals import NoBackoff
+from ..wire.bounded_body import read_at_most
+from ..wire.buffer_budget import Buffer, BufferBudget, BuffersFull
 from ..wire.direct_connector import DirectConnector
 from ..wire.single_send_session import single_send_session
 from .answer_event import AnswerEvent
@@ -30,11 +33,13 @@
 CANCEL_MS = 500
 """Longest wait for the answer to a cancellation, which nobody needs."""
 IDLE_CONNECTION_S = 2.0
-MAX_EVENT_BYTES = 1024 * 1024
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_STATE_BYTES = 1024 * 1024
+"""Longest state of an engine, or answer to an order; one in trouble may write without end."""
+MAX_REFUSAL_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+TOO_LARGE = "engine_answer_too_large"
 ATTEMPT_HEADER = "X-Request-Id"
 PRIORITY_HEADER = "X-Priority"
-_EVENT_END = b"\n\n"
 _BAD_REQUEST_STATUSES = (400, 413, 422)
 
 
@@ -43,6 +48,7 @@
 
     def __init__(self, upstreams: UpstreamApi) -> None:
         self._upstreams = upstreams
+        self._buffers = BufferBudget()
         self._pool = single_send_session(
             DirectConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
         )
@@ -60,13 +66,13 @@
         }
         call = _call("POST", req.path, headers, req.attempt_id, req.body)
         sent = _forwarded(call, engine, req.begin_ms, req.fresh_connection)
-        return _read_answer(self._upstreams.send(sent), req)
+        return _read_answer(self._upstreams.send(sent), req, self._buffers)
 
     def resume(self, engine: UpstreamRecord, req: EngineRequest, after: int) -> Batches:
         headers = {"Last-Event-ID": str(after)}
         call = _call("GET", f"/v1/runs/{req.attempt_id}", headers, req.attempt_id)
         sent = _forwarded(call, engine, req.silent_ms, True)
-        return _read_answer(self._upstreams.send(sent), req)
+        return _read_answer(self._upstreams.send(sent), req, self._buffers)
 
     async def cancel(self, engine: UpstreamRecord, attempt_id: str) -> None:
         call = _call("DELETE", f"/v1/runs/{attempt_id}", {}, attempt_id)
@@ -97,7 +103,7 @@
             # State reads and orders may be repeated without harm, so a pooled connection is safe:
             # if it is dead, this call times out and the next one gets another connection.
             async with self._pool.request(method, url, json=body, timeout=timeout) as resp:
-                return await resp.json()
+                return json.loads(await read_at_most(resp, MAX_STATE_BYTES))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as exc:
             raise ConnectionError(f"{url}: {exc!r}") from exc
 
@@ -117,42 +123,47 @@
 
 
 async def _read_answer(
-    sending: AbstractAsyncContextManager[UpstreamAnswer], req: EngineRequest
+    sending: AbstractAsyncContextManager[UpstreamAnswer],
+    req: EngineRequest,
+    buffers: BufferBudget,
 ) -> Batches:
     try:
         async with sending as answer:
             rejected = answer.status == 503 and isinstance(answer.signals.backoff, NoBackoff)
             req.on_signals(answer.signals, answer.status == 200, rejected)
             if answer.status != 200:
-                await _raise_refusal(answer)
+                await _raise_refusal(answer, req, buffers)
             if not req.stream:
-                yield (AnswerEvent(1, await _read_body(answer, MAX_ANSWER_BYTES), last=True),)
+                body = await _read_body(answer, MAX_ANSWER_BYTES, req, buffers)
+                yield (AnswerEvent(1, body, last=True),)
                 return
-            rest = b""
-            # The first part may take as long as the answer's head.
-            with GapLimit(req.silent_ms) as gap:
+            splitter = EventSplitter()
+            with GapLimit(req.silent_ms) as gap, Buffer(buffers) as held:
+                # The first part may take as long as the answer's head.
+                gap.begin_wait(req.begin_ms)
                 async for chunk in answer.body:
-                    gap.end_wait()
-                    *texts, rest = (rest + chunk).split(_EVENT_END)
-                    if len(rest) > MAX_EVENT_BYTES:
-                        raise EngineBroken(
-                            "engine_event_too_large", f"over {MAX_EVENT_BYTES} bytes"
-                        )
-                    if texts:
-                        yield [event for event in map(_parse_event, texts) if event is not None]
-                    gap.begin_wait()
+                    found = map(_parse_event, splitter.feed(chunk))
+                    events = [event for event in found if event is not None]
+                    held.resize(len(splitter))
+                    # An engine in trouble may write without end; bytes alone are no progress.
+                    if events:
+                        gap.end_wait()
+                        yield events
+                        gap.begin_wait()
     except NotSent as exc:
         raise EngineRefused(ENGINE_UNREACHABLE, str(exc)) from exc
+    except BuffersFull as exc:
+        raise EngineBroken(TOO_LARGE, str(exc)) from exc
     except AnswerLost as exc:
         if str(exc) == SILENT:
             raise EngineBroken(ENGINE_SILENT, "the engine fell silent") from exc
         raise EngineBroken("engine_connection_lost", str(exc)) from exc
 
 
-async def _raise_refusal(answer: UpstreamAnswer) -> None:
+async def _raise_refusal(answer: UpstreamAnswer, req: EngineRequest, buffers: BufferBudget) -> None:
     status = answer.status
     try:
-        error = json.loads(await _read_body(answer, MAX_EVENT_BYTES))["error"]
+        error = json.loads(await _read_body(answer, MAX_REFUSAL_BYTES, req, buffers))["error"]
         code, message, ran = str(error["code"]), str(error["message"]), error.get("ran", True)
     except (ValueError, KeyError, TypeError):
         code, message, ran = "engine_error", f"status {status}", True
@@ -163,19 +174,25 @@
     raise EngineBroken(code, message)
 
 
-async def _read_body(answer: UpstreamAnswer, max_bytes: int) -> bytes:
+async def _read_body(
+    answer: UpstreamAnswer, max_bytes: int, req: EngineRequest, buffers: BufferBudget
+) -> bytes:
+    """Return the whole body of an answer, for which the engine has as long as for its head."""
     body = bytearray()
-    async for chunk in answer.body:
-        body += chunk
-        if len(body) > max_bytes:
-            raise EngineBroken("engine_answer_too_large", f"more than {max_bytes} bytes")
+    with GapLimit(req.begin_ms) as gap, Buffer(buffers) as held:
+        gap.begin_wait()
+        async for chunk in answer.body:
+            body += chunk
+            if len(body) > max_bytes:
+                raise EngineBroken(TOO_LARGE, f"more than {max_bytes} bytes")
+            held.resize(len(body))
     return bytes(body)
 
 
-def _parse_event(text: bytes) -> AnswerEvent | None:
+def _parse_event(event: StreamEvent) -> AnswerEvent | None:
     number = 0
     data = b""
-    for line in text.split(b"\n"):
+    for line in event.data.split(b"\n"):
         if line.startswith(b"data:"):
             data = line[5:].lstrip()
         elif line.startswith(b"id:"):
--- a/chestnutfall/forwarding/relayed_send.py
+++ b/chestnutfall/forwarding/relayed_send.py
@@ -10,6 +10,7 @@
 from ..placement.run_times import RunTimes
 from ..routes import Route
 from ..signals import NO_SIGNALS, UpstreamLoad, UpstreamSignals
+from ..wire.buffer_budget import Buffer, BufferBudget
 from .answer_timeouts import patience_ms
 from .caller_reply import CallerReply
 from .event_splitter import EventSplitter, StreamEvent
@@ -23,8 +24,10 @@
 from .upstream_answer import UpstreamAnswer
 from .upstream_api import AnswerLost
 
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-"""Limit on one buffered answer; usual ones are below 100 KB."""
+TOO_LARGE = "answer_too_large"
+"""Code of an answer lost because it takes too much memory."""
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Limit on one buffered answer; usual ones are below 100 KB. Those of all calls share a budget."""
 PAST_DEADLINE_MS = 1_000
 """How much later than the call's deadline a silent connection counts as lost. The deadline ends the
 call first: silence alone is no reason to."""
@@ -52,7 +55,7 @@
     is_at_work : bool
         Whether the upstream has begun to answer with a stream.
     on_heard : callable or None
-        Called at each part of the answer.
+        Called at each progress of the answer.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         lock: ReplyLock,
         silent: SilentUpstreams,
         origins: StreamOrigins,
+        buffers: BufferBudget,
         clock: Clock,
     ) -> None:
         self.progress = progress
@@ -75,6 +79,7 @@
         self._lock = lock
         self._silent = silent
         self._origins = origins
+        self._buffers = buffers
         self._clock = clock
         self.number = progress.sends
         self.sent_ms = clock.now_ms()
@@ -173,7 +178,7 @@
         """
         self.load = answer.signals.load
         self.signals = answer.signals
-        self._note_heard()
+        self._note_progress()
         if answer.not_run is not None:
             return Refused(TURNED_AWAY if answer.asks_backoff else answer.not_run.value)
         if not answer.ok:
@@ -193,20 +198,24 @@
 
     async def _relay_events(self, answer: UpstreamAnswer) -> SendResult:
         splitter = EventSplitter()
-        async for data in answer.body:
-            self._note_heard()
-            in_order = self._take_in_order(splitter.feed(data))
-            if in_order:
-                # Events that arrived together go out together: a write for each would be a third
-                # of what an event costs.
-                await self._write(answer, b"".join(in_order))
-            if self._misses_event:
-                return Lost("event_missing")
+        with Buffer(self._buffers) as held:
+            async for data in answer.body:
+                in_order = self._take_in_order(splitter.feed(data))
+                held.resize(len(splitter))
+                if in_order:
+                    self._note_progress()
+                    # Events that arrived together go out together: a write for each would be a
+                    # third of what an event costs.
+                    await self._write(answer, b"".join(in_order))
+                if self._misses_event:
+                    return Lost("event_missing")
         if not splitter.at_event_boundary:
             return Lost("cut_in_event")
         self._lock.acquire(self)
         self._begin_writing()
         await self._start(answer)
+        if rest := splitter.take_rest():
+            await self._reply.write(rest)
         await self._reply.finish()
         return Delivered()
 
@@ -254,14 +263,21 @@
 
     async def _read_whole(self, answer: UpstreamAnswer) -> bytes:
         body = bytearray()
-        async for data in answer.body:
-            self._note_heard()
-            body += data
-            if len(body) > MAX_ANSWER_BYTES:
-                raise AnswerLost("answer_too_large")
+        with Buffer(self._buffers) as held:
+            async for data in answer.body:
+                body += data
+                if len(body) > MAX_ANSWER_BYTES:
+                    raise AnswerLost(TOO_LARGE)
+                held.resize(len(body))
+        self._note_progress()
         return bytes(body)
 
-    def _note_heard(self) -> None:
+    def _note_progress(self) -> None:
+        """Note what an answer consists of: its head, an event, or the end of a whole one.
+
+        Bytes alone are none. An upstream in trouble may write them without end, and its call would
+        wait for it until its deadline.
+        """
         self._waits_since_ms = self._clock.now_ms()
         self._silent.heard(self.place.upstream.instance)
         if self.on_heard is not None:
--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -12,11 +12,12 @@
 from ..requests.awaited import Unawaited, check_awaited
 from ..routes import Route
 from ..signals.known_signals import KnownSignals
+from ..wire.buffer_budget import BufferBudget, BuffersFull
 from .caller_reply import CallerGone, CallerReply
 from .faults import FAULT, fault_text, is_fault
 from .place import Place, UpstreamSelector
 from .progress import Progress
-from .relayed_send import RelayedSend
+from .relayed_send import TOO_LARGE, RelayedSend
 from .reply_lock import ReplyLock
 from .send_result import UNREACHABLE, Failed, HeldBack, Lost, Refused, SendResult
 from .silent_upstreams import SilentUpstreams
@@ -54,6 +55,7 @@
         self._origins = origins
         self._clock = clock
         self._metrics = metrics
+        self._buffers = BufferBudget()
         self.silent = SilentUpstreams(clock)
 
     def prepare(
@@ -75,6 +77,7 @@
             lock,
             self.silent,
             self._origins,
+            self._buffers,
             self._clock,
         )
 
@@ -118,6 +121,10 @@
         except AnswerLost as exc:
             outcome = RunOutcome.BROKEN
             return Lost(str(exc))
+        except BuffersFull as exc:
+            log.warning("call: id=%s answer dropped: %s", progress.call.request_id, exc)
+            outcome = RunOutcome.BROKEN
+            return Lost(TOO_LARGE)
         except (Exception, asyncio.CancelledError) as exc:
             # What the client's connection raises is no loss: its answer has begun, or may have.
             if sending.is_writing or not is_fault(exc):
--- a/chestnutfall/plain_edge/plain_calls.py
+++ b/chestnutfall/plain_edge/plain_calls.py
@@ -11,6 +11,7 @@
 
 from ..clock import Clock
 from ..clock.cancelled import was_cancelled
+from ..engine_edge.gap_limit import GapLimit
 from ..forwarding.call import Call
 from ..forwarding.forwarded_call import ForwardedCall
 from ..forwarding.upstream_answer import UpstreamAnswer
@@ -18,11 +19,13 @@
 from ..membership import Upstream
 from ..requests.awaited import Unawaited
 from ..signals.known_signals import KnownSignals
+from ..wire.buffer_budget import Buffer, BufferBudget, BuffersFull
 from .plain_answer import EXECUTED_HEADER, EXECUTED_NO, PlainAnswer
 from .plain_call import PlainCall
 
 log = logging.getLogger(__name__)
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+TOO_LARGE = "the answer is too large"
 _NOT_FORWARDED = frozenset(
     {
         "authorization",
@@ -51,6 +54,7 @@
         self._upstreams = upstreams
         self._signals = signals
         self._clock = clock
+        self._buffers = BufferBudget()
 
     async def call(
         self, call: PlainCall, upstream: Upstream, on_heard: Callable[[], None]
@@ -60,7 +64,7 @@
         Parameters
         ----------
         on_heard : callable
-            Called for each part of the answer.
+            Called as the answer begins, and as it is whole.
 
         Raises
         ------
@@ -75,6 +79,8 @@
             return await self._call(call, upstream, on_heard)
         except (NotSent, AnswerLost, Unawaited):
             raise
+        except BuffersFull as exc:
+            raise AnswerLost(TOO_LARGE) from exc
         except (Exception, asyncio.CancelledError) as exc:
             if isinstance(exc, asyncio.CancelledError) and was_cancelled():
                 raise
@@ -98,20 +104,27 @@
             rejected = answer.status == 503 and by_name.get(EXECUTED_HEADER) == EXECUTED_NO
             succeeded = answer.status < 300
             self._signals.observe(upstream.instance, answer.signals, sent_ms, succeeded, rejected)
-            data = await _read_whole(answer, on_heard)
+            on_heard()
+            data = await self._read_whole(answer, plain.wait_ms)
+            on_heard()
             response = web.Response(status=answer.status, body=data, headers=by_name)
             return PlainAnswer(response, answer.signals)
 
+    async def _read_whole(self, answer: UpstreamAnswer, within_ms: float) -> bytes:
+        """Return the whole body of an answer.
 
-async def _read_whole(answer: UpstreamAnswer, on_heard: Callable[[], None]) -> bytes:
-    body = bytearray()
-    on_heard()
-    async for data in answer.body:
-        on_heard()
-        body += data
-        if len(body) > MAX_ANSWER_BYTES:
-            raise AnswerLost("the answer is too large")
-    return bytes(body)
+        An upstream in trouble may write without end, so that bytes alone are no progress.
+        """
+        body = bytearray()
+        # One wait for all of it.
+        with GapLimit(within_ms) as gap, Buffer(self._buffers) as held:
+            gap.begin_wait()
+            async for data in answer.body:
+                body += data
+                if len(body) > MAX_ANSWER_BYTES:
+                    raise AnswerLost(TOO_LARGE)
+                held.resize(len(body))
+        return bytes(body)
 
 
 def _forwarded_headers(headers: Any) -> dict[str, str]:
--- a/chestnutfall/tests/test_endless_answers.py
+++ b/chestnutfall/tests/test_endless_answers.py
@@ -4,6 +4,8 @@
 
 import itertools
 
+from ..forwarding.event_splitter import MAX_EVENT_BYTES, EventSplitter
+from ..forwarding.upstream_api import AnswerLost
 from ..routes import RouteKind
 from .fakes.forwarder_case import event
 from .fakes.silence_case import SILENT_MS, TIMEOUT_MS, SilenceCase
@@ -53,3 +55,19 @@
         await self._serve(RouteKind.RESUMABLE_STREAM, IN_TIME_MS)
         self.assertEqual(self.selector.noted_silent, ["i0"])
         self.assertEqual(self.reports, [])
+
+    # Guards against an answer whose bytes differ from the upstream's.
+    async def test_comments_reach_the_client_with_the_event_that_follows(self) -> None:
+        parts = (b": a\n\n", event(1), b"\n\n", b": b\n\n", event(2) + b": c\n", b"\n")
+        self._begin((EACH_MS, Head(), *parts))
+        reply = await self._serve(RouteKind.RESUMABLE_STREAM)
+        self.assertEqual((reply.ended, reply.body), ("whole", b"".join(parts)))
+
+    # Guards against an event without end that takes the memory of the gateway.
+    def test_what_is_held_for_one_event_is_bounded(self) -> None:
+        for data in BYTES.values():
+            with self.subTest(data), self.assertRaises(AnswerLost):
+                splitter = EventSplitter()
+                for _ in range(MAX_EVENT_BYTES // len(data) + 1):
+                    list(splitter.feed(data))
+                    self.assertLessEqual(len(splitter), MAX_EVENT_BYTES)
--- a/chestnutfall/tests/test_silence.py
+++ b/chestnutfall/tests/test_silence.py
@@ -131,7 +131,7 @@
             prepared.append(prepare(*args))
             return prepared[-1]
 
-        self.selector.on_found = lambda: prepared[0]._note_heard()
+        self.selector.on_found = lambda: prepared[0]._note_progress()
         with mock.patch.object(sender, "prepare", record):
             reply = await self._serve(RESUMABLE)
         self.assertEqual((reply.body, reply.ended), (EVENTS, "whole"))
--- a/properties/safeguards/__init__.py
+++ b/properties/safeguards/__init__.py
@@ -8,6 +8,7 @@
 from .connection_mutants import CONNECTION_MUTANTS
 from .consensus_mutants import CONSENSUS_MUTANTS
 from .control_mutants import CONTROL_MUTANTS
+from .endless_answer_mutants import ENDLESS_ANSWER_MUTANTS
 from .fleet_mutants import FLEET_MUTANTS
 from .left_client_mutants import LEFT_CLIENT_MUTANTS
 from .limit_mutants import LIMIT_MUTANTS
@@ -46,6 +47,7 @@
     *SILENCE_MUTANTS,
     *REQUEST_END_MUTANTS,
     *LEFT_CLIENT_MUTANTS,
+    *ENDLESS_ANSWER_MUTANTS,
 )
 
 __all__ = ["MUTANTS"]
--- a/properties/safeguards/completion_silence_mutants.py
+++ b/properties/safeguards/completion_silence_mutants.py
@@ -136,15 +136,15 @@
     Mutant(
         "begun stream waits for ever on a silent connection",
         "chestnutfall/engine_edge/http_engine_api.py",
-        "                    gap.begin_wait()",
-        "                    pass",
+        "yield events\n                        gap.begin_wait()",
+        "yield events",
         "chestnutfall.tests.test_http_engine_api",
     ),
     Mutant(
         "begun stream waits for ever after a part that came before its timer was due",
         _GAP,
-        "        if self._loop.time() < self._due_s:\n            self._timer =",
-        "        if self._loop.time() < self._due_s:\n            _ =",
+        "        if self._loop.time() < self._due_s:\n            self._set_timer()",
+        "        if self._loop.time() < self._due_s:\n            pass",
         _GAP_TEST,
     ),
     Mutant(
@@ -164,8 +164,8 @@
     Mutant(
         "timer of an answer cancels what follows it",
         _GAP,
-        "            self._timer.cancel()",
-        "            pass",
+        "            self._timer.cancel()\n        if self._due_s >= 0",
+        "            pass\n        if self._due_s >= 0",
         _GAP_TEST,
     ),
     Mutant(
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -377,10 +377,8 @@
     Mutant(
         "a client that reads the end of a stream slowly makes its engine look silent",
         _RELAYED_SEND,
-        "        self._begin_writing()\n"
-        "        await self._start(answer)\n"
-        "        await self._reply.finish()\n",
-        "        await self._start(answer)\n" "        await self._reply.finish()\n",
+        "        self._begin_writing()\n        await self._start(answer)\n        if rest",
+        "        await self._start(answer)\n        if rest",
         f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
         "test_a_client_that_leaves_a_whole_answer_blames_no_engine",
     ),
@@ -542,8 +540,8 @@
         f"{_FORWARDING}/event_splitter.py",
         '            raise AnswerLost("event_too_large")\n',
         '            raise ValueError("event_too_large")\n',
-        f"{_TESTS}.test_second_send_bounds.SecondSendBoundsTest."
-        "test_an_event_without_end_is_a_lost_answer",
+        f"{_TESTS}.test_endless_answers.EndlessAnswerTest."
+        "test_what_is_held_for_one_event_is_bounded",
     ),
     Mutant(
         "a begun stream ends as another engine calls its request wrong",
