Bound what clients, operators and upstreams send without end

What callers saw: three connections that write chunks of one byte kept a gateway's whole processor busy, and a call beside them waited for 2.4 s; empty lines 0.65 s, chunk extensions 0.28 s (a trial over loopback, two seconds). A body that trickles to a controller held its connection for ever, and bodies of 32 MB each were read for announcements of a few KB, as many at once as came.

Announcements have a bound of their own, bodies to controllers a time, and all bodies that a process reads at once share a budget, beyond which the largest is refused: 503 gateway_full at a gateway, not run, and 503 at a controller.

--- a/chestnutfall/platform/control_server.py
+++ b/chestnutfall/platform/control_server.py
@@ -8,8 +8,8 @@
 
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, json_response
-from aiohttp.web_server import Server
 
+from ..clock import Clock
 from ..coordination.controller_runner import CurrentRelay
 from ..coordination.document_compression import compress_document, decompress_document
 from ..coordination.relay_messages import (
@@ -22,6 +22,8 @@
     Unavailable,
 )
 from ..routes import DocumentCodec, UnreadableDocument, check_document
+from ..wire.bounded_connection import BoundedServer
+from ..wire.buffer_budget import BufferBudget, BuffersFull
 from .body import read_body
 from .listening import Listener, listen
 from .upstream_json import read_announcement, read_departure
@@ -29,6 +31,12 @@
 log = logging.getLogger(__name__)
 MAX_BODY_BYTES = 32 * 1024 * 1024
 """A configuration document of 1,400 routes takes a hundredth of it."""
+MAX_ANNOUNCEMENT_BYTES = 256 * 1024
+"""Announcements name what an upstream holds, a few KB."""
+MAX_BODIES_BYTES = 40 * 1024 * 1024
+"""What is read at a time: the longest document, and announcements beside it."""
+BODY_WITHIN_MS = 10_000
+"""Time for a body to come; senders turn to another controller long before."""
 INSTANCES_PATH = "/v1/instances/"
 IDLE_TIMEOUT_S = 10.0
 """Several heartbeat intervals. Upstreams may move on to another controller; their idle connections
@@ -43,16 +51,18 @@
     The relay forwards messages to the leader, so that any controller can be called.
     """
 
-    def __init__(self, relay: CurrentRelay, codec: DocumentCodec) -> None:
+    def __init__(self, relay: CurrentRelay, codec: DocumentCodec, clock: Clock) -> None:
         self._relay = relay
         self._codec = codec
+        self._clock = clock
+        self._bodies = BufferBudget(MAX_BODIES_BYTES)
         self._runner: Listener | None = None
         self._address = ""
 
     async def start(self, address: str) -> None:
         """Listen on `address`, which answers to heartbeats name as well."""
         self._address = address
-        server = Server(self._on_request, access_log=None, keepalive_timeout=IDLE_TIMEOUT_S)
+        server = BoundedServer(self._on_request, access_log=None, keepalive_timeout=IDLE_TIMEOUT_S)
         self._runner = await listen(server, address)
 
     async def stop(self) -> None:
@@ -61,9 +71,18 @@
             await self._runner.cleanup()
 
     async def _on_request(self, request: BaseRequest) -> Response:
-        body = await read_body(request, MAX_BODY_BYTES)
+        of_upstream = request.path.startswith(INSTANCES_PATH)
+        max_bytes = MAX_ANNOUNCEMENT_BYTES if of_upstream else MAX_BODY_BYTES
+        try:
+            reading = read_body(request, max_bytes, self._bodies)
+            body = await self._clock.within_ms(BODY_WITHIN_MS, reading)
+        except TimeoutError:
+            return json_response({"error": f"no body in {BODY_WITHIN_MS} ms"}, status=408)
+        except BuffersFull as exc:
+            log.warning("control: %s not read: %s", request.method, exc)
+            return json_response({"error": "too much is being read"}, status=503)
         if body is None:
-            return json_response({"error": f"over {MAX_BODY_BYTES} bytes"}, status=413)
+            return json_response({"error": f"over {max_bytes} bytes"}, status=413)
         instance = request.path.removeprefix(INSTANCES_PATH)
         try:
             match request.method, request.path:
--- a/chestnutfall/platform/controller.py
+++ b/chestnutfall/platform/controller.py
@@ -36,7 +36,7 @@
     codec = DocumentJson()
     engines = EngineHttp(settings.name)
     controller = ControllerRunner(settings, codec, engines, clock, metrics)
-    server = ControlServer(controller.relay, codec)
+    server = ControlServer(controller.relay, codec, clock)
     watch = SettingsWatch(settings, clock, controller.use_settings)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, watch.reload)
     tasks = [asyncio.ensure_future(controller.run(stop)), asyncio.ensure_future(watch.run())]
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -23,6 +23,7 @@
 from ..forwarding.request_ends import RequestEnds
 from ..routes import DocumentLimits
 from ..rush import ConnectionGate, GatedServer, KeptLimits
+from ..wire.buffer_budget import BufferBudget, BuffersFull
 from . import header_names as names
 from .body import read_body
 from .call_reader import deadline_ms, read_call
@@ -37,6 +38,8 @@
 """Time for the ends of requests that are still in progress to reach their clients, a part of the
 time that the drain leaves for closing connections."""
 POLL_MS = 10
+FULL_RETRY_MS = 500
+"""Retry delay while the bodies of requests take too much memory; another gateway may have room."""
 READY_PATH = "/v1/ready"
 
 
@@ -75,6 +78,7 @@
         self._kept = kept
         self._clock = clock
         self._ends = ends
+        self._bodies = BufferBudget()
         self._in_progress = 0
         self._leaving = False
         self._stopping = asyncio.Event()
@@ -161,7 +165,10 @@
         max_bytes = self._limits().max_body_bytes
         await reply.ask_for_body()
         try:
-            body = await self._clock.within_ms(_deadline_ms(request), read_body(request, max_bytes))
+            reading = read_body(request, max_bytes, self._bodies)
+            body = await self._clock.within_ms(_deadline_ms(request), reading)
+        except BuffersFull as exc:
+            raise UnreadableRequest(503, "gateway_full", str(exc), FULL_RETRY_MS) from exc
         except TimeoutError as exc:
             raise UnreadableRequest(408, "body_late", "no whole body before the deadline") from exc
         except (RequestPayloadError, HttpProcessingError) as exc:
@@ -202,4 +209,4 @@
     if not isinstance(exc, UnreadableRequest):
         raise exc
     log.info("call: not readable: %s", exc)
-    await answer.refuse(Refused(exc.status, exc.reason))
+    await answer.refuse(Refused(exc.status, exc.reason, retry_after_ms=exc.retry_after_ms))
--- a/chestnutfall/rush/gated_connection.py
+++ b/chestnutfall/rush/gated_connection.py
@@ -5,9 +5,9 @@
 import logging
 from typing import Any
 
-from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_server import Server
 
+from ..wire.bounded_connection import BoundedConnection
 from .connection_gate import ConnectionGate
 from .kept_limits import KeptLimits
 from .opening import Opening
@@ -21,7 +21,7 @@
 request that has come while the event loop or the process stood still."""
 
 
-class GatedConnection(RequestHandler):
+class GatedConnection(BoundedConnection):
     """aiohttp's protocol of a connection, which tells a gate of its first call.
 
     Attributes
--- a/chestnutfall/tests/test_bounded_answers.py
+++ b/chestnutfall/tests/test_bounded_answers.py
@@ -13,7 +13,6 @@
 from ..forwarding.upstream_api import AnswerLost
 from ..wire.buffer_budget import (
     FREE_BYTES,
-    HARD_MAX_BYTES,
     MAX_BYTES,
     Buffer,
     BufferBudget,
@@ -100,7 +99,7 @@
                     one.__exit__(None, None, None)
                     del sizes[one]
             self.assertLessEqual(self.budget.held_bytes, MAX_BYTES + len(buffers) * step)
-            self.assertLessEqual(self.budget.held_bytes, HARD_MAX_BYTES)
+            self.assertLessEqual(self.budget.held_bytes, 2 * MAX_BYTES)
 
     # Guards against sound answers that are lost for those that never end.
     def test_the_largest_gives_way(self) -> None:
@@ -112,7 +111,7 @@
 
     def test_usual_answers_are_never_refused(self) -> None:
         with Buffer(self.budget) as large:
-            large.resize(HARD_MAX_BYTES // 2)
+            large.resize(MAX_BYTES)
             usual = [Buffer(self.budget) for _ in range(1_000)]
             for one in usual:
                 one.resize(FREE_BYTES)
--- a/chestnutfall/tests/test_control_server.py
+++ b/chestnutfall/tests/test_control_server.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 
+from ..clock import SystemClock
 from ..coordination.controller_runner import CurrentRelay
 from ..coordination.document_compression import compress_document, decompress_document
 from ..coordination.relay_messages import (
@@ -62,7 +63,7 @@
 class ControlServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.relay = _FakeRelay()
-        self.server = ControlServer(self.relay, DocumentJson())
+        self.server = ControlServer(self.relay, DocumentJson(), SystemClock())
         self.address = free_address()
         await self.server.start(self.address)
         self.session = aiohttp.ClientSession()
--- a/chestnutfall/wire/buffer_budget.py
+++ b/chestnutfall/wire/buffer_budget.py
@@ -7,9 +7,7 @@
 FREE_BYTES = 128 * 1024
 """What each may hold whatever the others do; usual answers and requests are smaller."""
 MAX_BYTES = 12 * 1024 * 1024
-"""Beyond this, the largest may not grow: a twentieth of the memory of a small host."""
-HARD_MAX_BYTES = 2 * MAX_BYTES
-"""Beyond this, none may grow."""
+"""A twentieth of the memory of a small host."""
 
 
 class BuffersFull(Exception):
@@ -22,9 +20,15 @@
     A limit for each alone doesn't: an upstream in trouble may write without end to all calls at
     once. The largest buffer gives way first, so that a sound answer is not lost for those that
     never end.
+
+    Parameters
+    ----------
+    max_bytes : int
+        What all may hold until the largest may not grow; at twice as much, none may.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = MAX_BYTES) -> None:
+        self._max_bytes = max_bytes
         self._held: dict[Buffer, int] = {}
 
     @property
@@ -46,7 +50,7 @@
         self._held[buffer] = size - FREE_BYTES
         held_bytes = self.held_bytes
         is_largest = size - FREE_BYTES >= max(self._held.values())
-        if held_bytes > HARD_MAX_BYTES or (held_bytes > MAX_BYTES and is_largest):
+        if held_bytes > 2 * self._max_bytes or (held_bytes > self._max_bytes and is_largest):
             raise BuffersFull(f"{size} bytes, and {held_bytes} in all buffers")
 
 
--- a/properties/safeguards/endless_answer_mutants.py
+++ b/properties/safeguards/endless_answer_mutants.py
@@ -11,6 +11,7 @@
 _TEST = "chestnutfall.tests.test_endless_answers"
 _BOUNDED_TEST = "chestnutfall.tests.test_bounded_answers"
 _BYTES_TEST = f"{_BOUNDED_TEST}.EndlessBytesTest"
+_REQUEST_TEST = "chestnutfall.tests.test_endless_requests"
 _COMPLETION_TEST = "chestnutfall.tests.test_endless_completions"
 
 ENDLESS_ANSWER_MUTANTS = (
@@ -73,10 +74,31 @@
     Mutant(
         "sound answer is lost for one without end",
         "chestnutfall/wire/buffer_budget.py",
-        "(held_bytes > MAX_BYTES and is_largest)",
-        "held_bytes > MAX_BYTES",
+        "(held_bytes > self._max_bytes and is_largest)",
+        "held_bytes > self._max_bytes",
         f"{_BOUNDED_TEST}.BufferBudgetTest",
     ),
+    Mutant(
+        "bytes beside a request are read without end",
+        "chestnutfall/wire/bounded_connection.py",
+        "        return self._received_bytes - 2 * body_bytes > self._max_beside_bytes",
+        "        return False",
+        _REQUEST_TEST,
+    ),
+    Mutant(
+        "controller waits for ever for a body",
+        "chestnutfall/platform/control_server.py",
+        "self._clock.within_ms(BODY_WITHIN_MS, reading)",
+        "reading",
+        _REQUEST_TEST,
+    ),
+    Mutant(
+        "bodies of all requests have no bound",
+        "chestnutfall/platform/body.py",
+        "            held.resize(len(body))\n",
+        "",
+        _REQUEST_TEST,
+    ),
     Mutant(
         "bytes of a completion count as progress",
         _ENGINE_API,
--- a/properties/safeguards/request_end_mutants.py
+++ b/properties/safeguards/request_end_mutants.py
@@ -90,9 +90,8 @@
     Mutant(
         "request held for a body that does not come",
         _ENTRY,
-        "            body = await self._clock.within_ms("
-        "_deadline_ms(request), read_body(request, max_bytes))",
-        "            body = await read_body(request, max_bytes)",
+        "            body = await self._clock.within_ms(_deadline_ms(request), reading)",
+        "            body = await reading",
         _CONNECTIONS_TEST,
     ),
     Mutant(
