Take the sending of a call apart, and write down clients that left

Sender.send had grown to 62 lines: what is asked before a send, the exchange and what its errors mean are apart now, with nothing changed; its mutants are found.

--- a/chestnutfall/forwarding/sender.py
+++ b/chestnutfall/forwarding/sender.py
@@ -95,54 +95,66 @@
         CallerGone
             When the client has left.
         """
-        progress, place = sending.progress, sending.place
         outcome: RunOutcome | None = None
         try:
-            check_awaited()
-            may_send = self._signals.may_send(place.upstream.instance)
-            if not may_send or not self._origins.may_send(progress, place.upstream):
-                outcome = RunOutcome.WITHDRAWN
-                return HeldBack()
-            sending.begin()
-            async with self._api.send(sending.forwarded()) as answer:
-                progress.helped += answer.is_helped
-                self._record_signals(place, answer, sending)
-                result = await sending.relay(answer)
-            outcome = _outcome(answer, result)
+            result, outcome = await self._try(sending)
             return result
         except Unawaited as exc:
             outcome = RunOutcome.WITHDRAWN
-            progress.refusals += 1
+            sending.progress.refusals += 1
             self._metrics.count("sends_unawaited")
             raise CallerGone(str(exc)) from exc
+        finally:
+            if outcome is None:
+                outcome = sending.outcome_if_abandoned()
+            if sending.first_byte_ms is not None:
+                self._metrics.observe("first_byte_ms", sending.first_byte_ms)
+            is_withdrawn = outcome is RunOutcome.WITHDRAWN
+            sending.release(outcome, NO_TIMES if is_withdrawn else sending.times())
+
+    async def _try(self, sending: RelayedSend) -> tuple[SendResult, RunOutcome]:
+        """Send the call if that is still wanted, and return what that means for the upstream.
+
+        Raises
+        ------
+        Unawaited
+            When the client has left before anything was sent.
+        """
+        check_awaited()
+        if not self._may_send(sending):
+            return HeldBack(), RunOutcome.WITHDRAWN
+        sending.begin()
+        try:
+            return await self._exchange(sending)
+        except Unawaited:
+            raise
         except NotSent as exc:
-            outcome = RunOutcome.UNREACHABLE if exc.is_confirmed else RunOutcome.NO_PATH
-            return Refused(UNREACHABLE)
+            down = RunOutcome.UNREACHABLE if exc.is_confirmed else RunOutcome.NO_PATH
+            return Refused(UNREACHABLE), down
         except AnswerLost as exc:
-            outcome = RunOutcome.BROKEN
-            return Lost(str(exc))
+            return Lost(str(exc)), RunOutcome.BROKEN
         except BuffersFull as exc:
-            log.warning("call: id=%s answer dropped: %s", progress.call.request_id, exc)
-            outcome = RunOutcome.BROKEN
-            return Lost(TOO_LARGE)
+            call = sending.progress.call
+            log.warning("call: id=%s answer dropped: %s", call.request_id, exc)
+            return Lost(TOO_LARGE), RunOutcome.BROKEN
         except (Exception, asyncio.CancelledError) as exc:
             # What the client's connection raises is no loss: its answer has begun, or may have.
             if sending.is_writing or not is_fault(exc):
                 raise
-            if isinstance(exc, TimeoutError):
-                outcome = RunOutcome.BROKEN
-                return Lost(SILENT)
-            # It says nothing of the upstream, so that the outcome is that of a send that was left.
-            log.error("call: id=%s fault=%s", progress.call.request_id, fault_text(exc))
-            return Lost(FAULT)
-        finally:
-            if outcome is None:
-                outcome = sending.outcome_if_abandoned()
-            if sending.first_byte_ms is not None:
-                self._metrics.observe("first_byte_ms", sending.first_byte_ms)
-            sending.release(
-                outcome, NO_TIMES if outcome is RunOutcome.WITHDRAWN else sending.times()
-            )
+            return _lost_by_fault(sending, exc)
+
+    def _may_send(self, sending: RelayedSend) -> bool:
+        """Whether the upstream still takes work, and runs what the call's stream needs."""
+        progress, place = sending.progress, sending.place
+        may_send = self._signals.may_send(place.upstream.instance)
+        return may_send and self._origins.may_send(progress, place.upstream)
+
+    async def _exchange(self, sending: RelayedSend) -> tuple[SendResult, RunOutcome]:
+        async with self._api.send(sending.forwarded()) as answer:
+            sending.progress.helped += answer.is_helped
+            self._record_signals(sending.place, answer, sending)
+            result = await sending.relay(answer)
+        return result, _outcome(answer, result)
 
     def _record_signals(self, place: Place, answer: UpstreamAnswer, sending: RelayedSend) -> None:
         load = answer.signals.load
@@ -172,3 +184,12 @@
             return RunOutcome.BROKEN
         case _:
             return RunOutcome.DONE
+
+
+def _lost_by_fault(sending: RelayedSend, exc: BaseException) -> tuple[SendResult, RunOutcome]:
+    """Return the loss of an answer by an error that nothing expects."""
+    if isinstance(exc, TimeoutError):
+        return Lost(SILENT), RunOutcome.BROKEN
+    # It says nothing of the upstream, so that the outcome is that of a send that was left.
+    log.error("call: id=%s fault=%s", sending.progress.call.request_id, fault_text(exc))
+    return Lost(FAULT), sending.outcome_if_abandoned()
--- a/properties/safeguards/left_client_mutants.py
+++ b/properties/safeguards/left_client_mutants.py
@@ -20,7 +20,7 @@
     Mutant(
         "call of a client that left is sent",
         "chestnutfall/forwarding/sender.py",
-        "            check_awaited()\n",
+        "        check_awaited()\n",
         "",
         _CALL_TEST,
     ),
