--- a/soak/daemon.py
+++ b/soak/daemon.py
@@ -96,6 +96,13 @@
         found = re.search(r"VmHWM:\s*(\d+) kB", status)
         return int(found[1]) / 1024 if found else 0.0
 
+    def processor_s(self) -> float:
+        """Return the processor time that the process has used since its start."""
+        if self._process is None:
+            return 0.0
+        schedule = Path(f"/proc/{self._process.pid}/schedstat").read_text()
+        return int(schedule.split()[0]) / 1e9
+
     @property
     def is_running(self) -> bool:
         """Whether the process was started and has not ended."""
