Count upstreams without work as sound when a service seems silent

What callers saw: beside two engines of six that trickle bytes without an answer, streams ended 504 out_of_time though four engines were sound.

Cause: each such call logs 'stays at its silent upstream reason=service_silent'. A gateway compared the silent upstreams with those that it had heard within half a second. Callers who wait for an answer send nothing else, so after 0.9 s all of them stood behind the two silent engines; the sound ones had nothing to write and counted for nothing: two against none or one. The calls stayed until the silence was taken for a hang, after 2 s, and ended at 2.5 s. It has been so since silence ends no send; it has nothing to do with what is written. A class that is known here: no news taken for bad news.

Now an upstream that has answered all that it was sent, the last of it within ten seconds, and isn't remembered as silent, counts as sound.

test_sound_upstreams_without_sends_are_not_silent failed before.

--- a/chestnutfall/forwarding/silent_upstreams.py
+++ b/chestnutfall/forwarding/silent_upstreams.py
@@ -80,6 +80,11 @@
         least_ms = max(window_ms, WINDOW_SHARE * usual_ms)
         return least_ms <= self.quiet_ms(now_ms) < lasting_ms(usual_ms)
 
+    def is_at_rest(self, now_ms: int) -> bool:
+        """Whether it has answered all that it was sent, the last of it not long ago."""
+        is_idle = not self.usual_ms and self.quiet_since_ms is None
+        return is_idle and now_ms - self.heard_ms <= REMEMBERED_MS
+
 
 @dataclass(slots=True)
 class _SilentSpan:
@@ -218,7 +223,11 @@
         # One that hangs does not count, so that it keeps no other call from leaving it.
         hangs = self._upstreams[instances[-1]].quiet_ms(now_ms) >= lasting_ms(usual_ms)
         silent = len(alike) + (not hangs)
-        return SERVICE_SILENT if silent > sum(one.service == service for one in speaking) else ""
+        # Callers wait behind the silent ones, so the sound ones may have nothing to write.
+        sound = sum(
+            one.service == service and (one in speaking or one.is_at_rest(now_ms)) for one in others
+        )
+        return SERVICE_SILENT if silent > sound else ""
 
     def _forget_idle(self, now_ms: int) -> None:
         if len(self._upstreams) < MAX_IDLE:
--- a/chestnutfall/tests/test_silent_upstreams.py
+++ b/chestnutfall/tests/test_silent_upstreams.py
@@ -33,6 +33,12 @@
         for instance in instances:
             self.silent.began(service, instance, USUAL_MS)
 
+    async def _answer(self, *instances: str, service: str = "s") -> None:
+        await self._begin(*instances, service=service)
+        self._hear(*instances)
+        for instance in instances:
+            self.silent.ended(instance, USUAL_MS, was_silent=False)
+
     def _hear(self, *instances: str) -> None:
         for instance in instances:
             self.silent.heard(instance)
@@ -77,6 +83,43 @@
         self._hear("i2")
         self.assertEqual(self._reason(), "")
 
+    # Guards against calls that stay at two silent upstreams since the callers of all others wait
+    # behind these too, so that the sound ones have nothing to write.
+    async def test_sound_upstreams_without_sends_are_not_silent(self) -> None:
+        await self._answer("i2", "i3")
+        await self._begin("i0", "i1")
+        await self.clock.advance(LASTING_MS / 2)
+        self.assertEqual(self._reason(silent_ms=LASTING_MS / 2), "")
+
+    async def test_more_silent_upstreams_than_sound_ones_are_a_silent_service(self) -> None:
+        await self._answer("i2", "i3")
+        await self._begin("i0", "i1", "i4")
+        await self.clock.advance(LASTING_MS / 2)
+        await self._answer("another", service="t")
+        self.assertEqual(self._reason(silent_ms=LASTING_MS / 2), SERVICE_SILENT)
+
+    async def test_an_upstream_that_was_left_for_its_silence_is_not_sound(self) -> None:
+        await self._answer("i2", "i3")
+        await self._begin("i2")
+        await self.clock.advance(USUAL_MS)
+        self.silent.ended("i2", USUAL_MS, was_silent=True)
+        await self._begin("i0", "i1")
+        await self.clock.advance(LASTING_MS / 2)
+        self.assertEqual(self._reason(silent_ms=LASTING_MS / 2), SERVICE_SILENT)
+
+    async def test_what_was_heard_long_ago_tells_nothing(self) -> None:
+        await self._answer("i2", "i3")
+        await self.clock.advance(REMEMBERED_MS)
+        await self._begin("i0", "i1")
+        await self.clock.advance(LASTING_MS / 2)
+        self.assertEqual(self._reason(silent_ms=LASTING_MS / 2), SERVICE_SILENT)
+
+    async def test_other_services_are_no_sound_upstreams_of_this_one(self) -> None:
+        await self._answer("i2", "i3", service="t")
+        await self._begin("i0", "i1")
+        await self.clock.advance(LASTING_MS / 2)
+        self.assertEqual(self._reason(silent_ms=LASTING_MS / 2), SERVICE_SILENT)
+
     # Guards against calls that are kept by others whose upstreams take their usual time.
     async def test_upstreams_that_are_no_longer_silent_than_usual_tell_nothing(self) -> None:
         await self._begin("i0")
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -174,6 +174,27 @@
         "        if False:\n",
         f"{_TESTS}.test_silent_upstreams.SilentUpstreamsTest",
     ),
+    Mutant(
+        "sound upstreams without sends count as silent",
+        _SILENT_UPSTREAMS,
+        "(one in speaking or one.is_at_rest(now_ms))",
+        "one in speaking",
+        f"{_TESTS}.test_silent_upstreams.SilentUpstreamsTest",
+    ),
+    Mutant(
+        "what was heard long ago counts as sound",
+        _SILENT_UPSTREAMS,
+        "        return is_idle and now_ms - self.heard_ms <= REMEMBERED_MS\n",
+        "        return is_idle\n",
+        f"{_TESTS}.test_silent_upstreams.SilentUpstreamsTest",
+    ),
+    Mutant(
+        "an upstream that is remembered as silent counts as sound",
+        _SILENT_UPSTREAMS,
+        "        is_idle = not self.usual_ms and self.quiet_since_ms is None\n",
+        "        is_idle = not self.usual_ms\n",
+        f"{_TESTS}.test_silent_upstreams.SilentUpstreamsTest",
+    ),
     Mutant(
         "calls leave as a silent service begins to speak",
         _SILENT_UPSTREAMS,
