Always take the only call of a gateway

Cause, likely: a gateway whose turns are late limits new connections and spreads them by the time that calls took. After slow calls a quick caller that sends one request after another comes sooner than the pace allows, and was closed out though nothing else was in progress. Evidence: on the manual clock, twelve calls of 400 ms and six of 5 ms, one at a time, turns of 30 ms: four of the six were refused with no other call there.

The limit is there so that calls which are taken are answered in time. A call that is alone waits for no other. test_the_only_call_is_always_taken failed before; all others of the module pass.

--- a/chestnutfall/rush/connection_gate.py
+++ b/chestnutfall/rush/connection_gate.py
@@ -74,6 +74,9 @@
         return opening
 
     def _has_room(self, now_ms: int, limit: float) -> bool:
+        if not self._openings:
+            # The pace follows how long calls took; alone, a quick one after slow ones is no load.
+            return True
         return len(self._openings) < limit and self._pace.admits(now_ms, limit)
 
     def arrived(self, opening: Opening) -> None:
--- a/chestnutfall/tests/test_connection_gate.py
+++ b/chestnutfall/tests/test_connection_gate.py
@@ -141,6 +141,20 @@
         loop.run(LENGTH_MS, 2 * loop.capacity_per_s)
         self.assertGreaterEqual(loop.used, MIN_USED)
 
+    # Guards against a caller that is closed out of a late gateway that has nothing else to do: the
+    # pace follows calls that took long, and the next quick ones come sooner.
+    def test_the_only_call_is_always_taken(self) -> None:
+        for took_ms in (400,) * 12 + (5,) * 6:
+            opening = self.gate.admit()
+            assert opening is not None
+            self.gate.arrived(opening)
+            self.clock.advance(30)
+            self.gate.began(opening)
+            self.clock.advance(took_ms)
+            self.gate.ended(opening)
+            self.clock.advance(10)
+        self.assertIsNotNone(self.gate.limit)
+
     def test_refusals_are_counted(self) -> None:
         loop = self._loop(0.25)
         self._rush(loop, 3.0)
