Abort no connection whose client is still there

Read in the change: a request that ended without any response had its connection aborted, so that a client who half-closes takes nothing for an answer. It was also done to one who still waits. No path is known on which a living client gets no response; if there is one, it gets 503 again, as before.

--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -24,6 +24,7 @@
 from ..routes import DocumentLimits
 from ..rush import ConnectionGate, GatedServer, KeptLimits
 from ..wire.buffer_budget import BufferBudget, BuffersFull
+from ..wire.peer_closed import is_closed_by_peer
 from . import header_names as names
 from .body import read_body
 from .call_reader import deadline_ms, read_call
@@ -193,10 +194,11 @@
 
 
 def _unanswered(request: BaseRequest) -> Response:
-    """Close the connection of a client that left, and return a response that isn't written."""
+    """Return the response to a request that got none; it isn't written for a client that left."""
+    transport = request.transport
     # A client that only closed its own direction would take the response for an answer.
-    if request.transport is not None:
-        request.transport.abort()
+    if transport is not None and is_closed_by_peer(transport):
+        transport.abort()
     return Response(status=503)
 
 
