Count only upstreams that answered as a whole as sound, and look at readiness again

Read in the change: an upstream counted as sound for ten seconds after anything was heard of it, also in the middle of a stream (the own interface compares it no longer once it has begun), or if the answer was lost or it crashed meanwhile. Only a whole answer with nothing lost since counts now. Two new tests failed before.

test_rush asks again that no look at readiness is missed, in the settled rush; in the first seconds two in a row take a gateway out, as before.

--- a/chestnutfall/forwarding/relayed_send.py
+++ b/chestnutfall/forwarding/relayed_send.py
@@ -31,6 +31,14 @@
 PAST_DEADLINE_MS = 1_000
 """How much later than the call's deadline a silent connection counts as lost. The deadline ends the
 call first: silence alone is no reason to."""
+_TELLING_OUTCOMES = (
+    RunOutcome.DONE,
+    RunOutcome.BROKEN,
+    RunOutcome.UNREACHABLE,
+    RunOutcome.NO_PATH,
+    RunOutcome.REPLACED,
+)
+"""Ends of a send that tell whether the upstream answers."""
 
 
 class RelayedSend:
@@ -121,6 +129,9 @@
             self._silent.write_ends(self.place.upstream.instance)
         if self.is_sent:
             self._silent.ended(self.place.upstream.instance, self.usual_ms, self.is_silent)
+            if outcome in _TELLING_OUTCOMES:
+                whole = outcome is RunOutcome.DONE
+                self._silent.answered(self.place.upstream.instance, whole)
         self.is_released = True
         self.selector.release(self.place, outcome, times, self.load)
 
--- a/chestnutfall/forwarding/silent_upstreams.py
+++ b/chestnutfall/forwarding/silent_upstreams.py
@@ -60,6 +60,8 @@
         Clock time of the last part that it wrote.
     ended_ms : int
         Clock time at which the last send ended.
+    answered_ms : int
+        Clock time of its last whole answer, if nothing failed since.
     """
 
     service: str
@@ -68,6 +70,7 @@
     quiet_since_ms: int | None = None
     heard_ms: int = -REMEMBERED_MS
     ended_ms: int = 0
+    answered_ms: int = -REMEMBERED_MS
 
     def quiet_ms(self, now_ms: int) -> int:
         return 0 if self.quiet_since_ms is None else now_ms - self.quiet_since_ms
@@ -83,7 +86,7 @@
     def is_at_rest(self, now_ms: int) -> bool:
         """Whether it has answered all that it was sent, the last of it not long ago."""
         is_idle = not self.usual_ms and self.quiet_since_ms is None
-        return is_idle and now_ms - self.heard_ms <= REMEMBERED_MS
+        return is_idle and now_ms - self.answered_ms < REMEMBERED_MS
 
 
 @dataclass(slots=True)
@@ -176,6 +179,12 @@
         if not known.usual_ms and not was_silent:
             known.quiet_since_ms = None
 
+    def answered(self, instance: str, whole: bool) -> None:
+        """Record that an upstream answered a send as a whole, or that the answer was lost."""
+        known = self._upstreams.get(instance)
+        if known is not None:
+            known.answered_ms = self._clock.now_ms() if whole else -REMEMBERED_MS
+
     def reason_to_wait(
         self, service: str, instances: Sequence[str], silent_ms: float, usual_ms: float
     ) -> str:
--- a/chestnutfall/routing/attempts.py
+++ b/chestnutfall/routing/attempts.py
@@ -125,6 +125,10 @@
                     waits = False
                     self._silent.ended(instance, req.silent_ms, was_silent=False)
                 yield events
+            self._silent.answered(instance, whole=True)
+        except EngineBroken:
+            self._silent.answered(instance, whole=False)
+            raise
         finally:
             if waits:
                 was_silent = attempt.is_silent(self._clock.now_ms(), req.silent_ms)
--- a/chestnutfall/tests/rush_scenario.py
+++ b/chestnutfall/tests/rush_scenario.py
@@ -59,6 +59,8 @@
         All attempts in the order of their ends.
     requests : list of list of ConnectingAttempt
         The attempts of each request.
+    missed_s : list of float
+        When a look at a gateway got no answer.
     out : list of str
         Gateways that a load balancer took out, once for each look at which they were out.
     rushed : str
@@ -81,6 +83,7 @@
     pause_s: tuple[float, float] = (0.1, 0.3)
     attempts: list[ConnectingAttempt] = field(default_factory=list)
     requests: list[list[ConnectingAttempt]] = field(default_factory=list)
+    missed_s: list[float] = field(default_factory=list)
     out: list[str] = field(default_factory=list)
     rushed: str = ""
     share: float = 1.0
@@ -141,6 +144,8 @@
                 # In a thread: the event loop of the callers is late itself.
                 is_ready = await asyncio.to_thread(_is_ready, play.office.ready_url(gateway))
                 misses[name] = 0 if is_ready else misses[name] + 1
+                if not is_ready:
+                    self.missed_s.append(time.monotonic())
                 if misses[name] >= MAX_MISSES:
                     self.out.append(name)
 
@@ -166,8 +171,9 @@
         return sum(one[-1].whole for one in tries) / max(len(tries), 1)
 
     def stayed_in(self) -> bool:
-        """Whether a load balancer took no gateway out."""
-        return not self.out
+        """Whether a load balancer took no gateway out, and missed none in the settled rush."""
+        settled_s = self.began_s + SETTLED_S
+        return not self.out and not any(at_s >= settled_s for at_s in self.missed_s)
 
     def read(self, gateways: set[str], from_s: float, until_s: float) -> list[ConnectingAttempt]:
         """Return attempts of a time span that were read, or left without an answer."""
--- a/chestnutfall/tests/test_silent_upstreams.py
+++ b/chestnutfall/tests/test_silent_upstreams.py
@@ -38,6 +38,7 @@
         self._hear(*instances)
         for instance in instances:
             self.silent.ended(instance, USUAL_MS, was_silent=False)
+            self.silent.answered(instance, whole=True)
 
     def _hear(self, *instances: str) -> None:
         for instance in instances:
@@ -107,6 +108,23 @@
         await self.clock.advance(LASTING_MS / 2)
         self.assertEqual(self._reason(silent_ms=LASTING_MS / 2), SERVICE_SILENT)
 
+    async def test_an_upstream_whose_answer_was_lost_is_not_sound(self) -> None:
+        await self._answer("i2", "i3")
+        self.silent.answered("i2", whole=False)
+        await self._begin("i0", "i1")
+        await self.clock.advance(LASTING_MS / 2)
+        self.assertEqual(self._reason(silent_ms=LASTING_MS / 2), SERVICE_SILENT)
+
+    # Guards against streams that pause in the middle and count as whole.
+    async def test_an_upstream_in_the_middle_of_its_answer_is_not_sound(self) -> None:
+        await self._answer("i3")
+        await self._begin("i2")
+        self._hear("i2")
+        self.silent.ended("i2", USUAL_MS, was_silent=False)
+        await self._begin("i0", "i1")
+        await self.clock.advance(LASTING_MS / 2)
+        self.assertEqual(self._reason(silent_ms=LASTING_MS / 2), SERVICE_SILENT)
+
     async def test_what_was_heard_long_ago_tells_nothing(self) -> None:
         await self._answer("i2", "i3")
         await self.clock.advance(REMEMBERED_MS)
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -184,7 +184,7 @@
     Mutant(
         "what was heard long ago counts as sound",
         _SILENT_UPSTREAMS,
-        "        return is_idle and now_ms - self.heard_ms <= REMEMBERED_MS\n",
+        "        return is_idle and now_ms - self.answered_ms < REMEMBERED_MS\n",
         "        return is_idle\n",
         f"{_TESTS}.test_silent_upstreams.SilentUpstreamsTest",
     ),
