Check the safeguards of the last two mends by mutants

Whole answers, not anything heard, make an upstream sound; the only call is taken. Both mutants are found, as are the others of their files.

--- a/properties/safeguards/rush_mutants.py
+++ b/properties/safeguards/rush_mutants.py
@@ -14,6 +14,13 @@
 _TAKEN = "chestnutfall.tests.test_acceptor.AcceptorTest."
 
 RUSH_MUTANTS = (
+    Mutant(
+        "the only call is closed out",
+        _GATE,
+        "        if not self._openings:\n",
+        "        if False:\n",
+        _GATED + "test_the_only_call_is_always_taken",
+    ),
     Mutant(
         "a gateway takes all connections",
         _GATE,
--- a/properties/safeguards/silence_mutants.py
+++ b/properties/safeguards/silence_mutants.py
@@ -181,6 +181,13 @@
         "one in speaking",
         f"{_TESTS}.test_silent_upstreams.SilentUpstreamsTest",
     ),
+    Mutant(
+        "what was heard counts as a whole answer",
+        _SILENT_UPSTREAMS,
+        "now_ms - self.answered_ms < REMEMBERED_MS",
+        "now_ms - self.heard_ms < REMEMBERED_MS",
+        f"{_TESTS}.test_silent_upstreams.SilentUpstreamsTest",
+    ),
     Mutant(
         "what was heard long ago counts as sound",
         _SILENT_UPSTREAMS,
