Let a drain wait until the system has taken the ends of answers

Cause: a request counts as answered once its end lies in the buffer of its connection, up to 16 KB; the drain then ended, and the process with that buffer.

--- a/chestnutfall/platform/accepted_listening.py
+++ b/chestnutfall/platform/accepted_listening.py
@@ -4,6 +4,7 @@
 
 from ..rush.acceptor import Acceptor, open_listening
 from ..wire.accepting_server import AcceptingServer
+from ..wire.bounded_connection import BoundedConnection
 from .listening import BACKLOG, end_connections
 
 CLOSE_TIMEOUT_S = 0.25
@@ -25,6 +26,14 @@
         self._acceptor = acceptor
         self.address: tuple[str, int] = acceptor.address
 
+    @property
+    def undelivered(self) -> int:
+        """Number of connections with answers that the system hasn't taken yet."""
+        return sum(
+            isinstance(conn, BoundedConnection) and conn.unsent_bytes > 0
+            for conn in self._server.connections
+        )
+
     async def cleanup(self) -> None:
         """Stop listening, close idle connections, and wait for the requests in progress."""
         await self._acceptor.close()
--- a/chestnutfall/platform/entry_server.py
+++ b/chestnutfall/platform/entry_server.py
@@ -89,7 +89,11 @@
         self._ready_runner: AcceptedListener | None = None
 
     def calls_in_progress(self) -> int:
-        return self._in_progress
+        if self._in_progress or self._caller_runner is None:
+            return self._in_progress
+        # The end of an answer may lie here for a client that reads slowly; it would go with the
+        # process.
+        return self._caller_runner.undelivered
 
     def announce_leaving(self) -> None:
         self._leaving = True
--- a/chestnutfall/tests/test_client_connections.py
+++ b/chestnutfall/tests/test_client_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gzip
+import socket
 import unittest
 from unittest.mock import patch
 
@@ -14,6 +15,7 @@
 from ..forwarding.request_end import BrokenOff, Refused
 from ..platform.lingering_close import LINGER_MS
 from ..routes import DocumentLimits
+from ..wire.bounded_connection import BoundedConnection
 from .fakes.served_entry import ServedEntry, Work
 
 MAX_BODY_BYTES = 100_000
@@ -108,6 +110,28 @@
         writer.close()
         await stopping
 
+    # Guards against a process that ends while the end of an answer lies in it, for a client that
+    # reads slowly: the request itself counts as answered.
+    async def test_an_answer_is_in_progress_until_the_system_has_taken_all_of_it(self) -> None:
+        async def answer_until_some_is_unsent(call: Call, answer: EndedReply) -> None:
+            (conn,) = entry.client_server().connections
+            assert isinstance(conn, BoundedConnection)
+            await answer.start(200, ())
+            while not conn.unsent_bytes:
+                await answer.write(b"x" * 4_000)
+            await answer.finish()
+
+        entry = await self._start(answer_until_some_is_unsent)
+        loop = asyncio.get_running_loop()
+        with socket.create_connection(("127.0.0.1", entry._port)) as client:
+            client.setblocking(False)
+            await loop.sock_sendall(client, request())
+            while not entry.ended("answered"):
+                await asyncio.sleep(0.001)
+            self.assertEqual(entry.server.calls_in_progress(), 1)
+            while entry.server.calls_in_progress():
+                await loop.sock_recv(client, 65_536)
+
     # Guards against a request that is held for ever: the rest of its body never comes, or breaks
     # the protocol, which the HTTP library doesn't tell whoever reads the body.
     async def test_a_body_that_does_not_come_is_refused_at_the_deadline(self) -> None:
--- a/chestnutfall/wire/bounded_connection.py
+++ b/chestnutfall/wire/bounded_connection.py
@@ -91,6 +91,7 @@
         "_received_bytes",
         "_seen",
         "_seen_ms",
+        "_socket",
         "_unparsed",
         "_waits_for_turn",
         "held",
@@ -109,6 +110,7 @@
         self._head_cost = self._partial_bytes = self._call_head_cost = 0
         self._queued_costs: deque[int] = deque()
         self._seen, self._seen_ms = 0, 0
+        self._socket: asyncio.WriteTransport | None = None
         self._max_beside_bytes = MAX_BESIDE_BYTES + self.max_line_size
         self._noted_requests = 0
         self._received_bytes = 0
@@ -117,14 +119,21 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        cast(asyncio.Transport, transport).set_write_buffer_limits(high=WRITE_BYTES)
+        self._socket = cast(asyncio.WriteTransport, transport)
+        self._socket.set_write_buffer_limits(high=WRITE_BYTES)
         self._account.descriptors.clients += 1
         self._is_counted = True
         self.held = self._account.memory.holder(self._give_way)
         self._account.peers.add(self)
         self._draw()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the system hasn't taken, also of a connection that is closing."""
+        return 0 if self._socket is None else self._socket.get_write_buffer_size()
+
     def connection_lost(self, exc: BaseException | None) -> None:
+        self._socket = None
         self._leave()
         super().connection_lost(exc)
 
