Let no value in a client's header end what other requests need

What callers saw (review): one request with an X-Model that isn't UTF-8, or with a count of over 64 bits, ended its gateway's stream to the leader; until it was open again, requests for adapters of all other callers had no leader.

Cause: such a value can't be encoded, and gRPC ends the stream on which it is written. Headers were decoded to Python's strings and numbers, which hold anything.

The id of an attempt is remembered if it is plain text of up to 256 characters, at gateways and at the leader; each kept connection to an upstream remembered eight ids of any length, so one behind a longer id isn't kept.

--- a/chestnutfall/forwarding/engine_upstream_selector.py
+++ b/chestnutfall/forwarding/engine_upstream_selector.py
@@ -12,7 +12,7 @@
 from ..placement import AdapterName, Grant, PlaceRequest, Reject, RunOutcome
 from ..placement.run_times import RunTimes
 from ..placement.suspect_parts import keys_of
-from ..resumption import stream_owner
+from ..resumption import remembered_attempt, stream_owner
 from ..routes import RouteKind
 from ..signals import BACKING_OFF, UpstreamLoad
 from ..signals.known_signals import KnownSignals
@@ -211,7 +211,8 @@
     left_ms = max(call.deadline_ms - now_ms, 1)
     build_key = criteria.origin.build_key if criteria.origin else ""
     owner = stream_owner(criteria.organisation, call.host)
-    return PlaceStream(req, call.request_id, owner, left_ms, build_key)
+    attempt = remembered_attempt(call.request_id)
+    return PlaceStream(req, attempt, owner, left_ms, build_key)
 
 
 def _caller_deadline_ms(criteria: SelectionCriteria) -> int:
--- a/chestnutfall/forwarding/leader_stream.py
+++ b/chestnutfall/forwarding/leader_stream.py
@@ -110,7 +110,11 @@
         out = self._listener.on_opened()
         try:
             while True:
-                await stream.write(await out.get())
+                msg = await out.get()
+                if FLEET_CODEC.can_encode(msg):
+                    await stream.write(msg)
+                else:
+                    log.error("leader: a message can't be encoded: %s", type(msg).__name__)
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError) as exc:
             log.debug("leader: writing ended: %s", _describe(exc))
 
--- a/chestnutfall/forwarding/stream_origins.py
+++ b/chestnutfall/forwarding/stream_origins.py
@@ -12,6 +12,7 @@
     UNKNOWN_STREAM,
     OriginBook,
     StreamOrigin,
+    remembered_attempt,
     stream_owner,
 )
 from ..resumption.messages import HeardOrigin, HeardOrigins
@@ -89,8 +90,9 @@
         call = progress.call
         left_ms = max(call.deadline_ms - self._clock.now_ms(), 1)
         owner = stream_owner(progress.organisation, call.host)
-        self._book.note(call.request_id, owner, origin, left_ms)
-        return HeardOrigin(call.request_id, owner, origin, left_ms)
+        attempt = remembered_attempt(call.request_id)
+        self._book.note(attempt, owner, origin, left_ms)
+        return HeardOrigin(attempt, owner, origin, left_ms)
 
     def update(self) -> None:
         """Process a change of the services with several builds."""
--- a/chestnutfall/paths/helper_links.py
+++ b/chestnutfall/paths/helper_links.py
@@ -79,13 +79,16 @@
     async def send(
         self, address: str, keys: tuple[str, ...], forwarded: ForwardedCall
     ) -> AsyncIterator[UpstreamAnswer]:
+        msg = SendCall(keys, as_sent(forwarded))
+        if not HELP_CODEC.can_encode(msg):
+            raise NotSent("its headers can't be passed on to a helper")
         channel = await self._connected(address)
         check_awaited()
         stream = HelpStream(channel.stream(HELP_METHOD))
         silent_ms = forwarded.silent_ms + HELPER_DELAY_MS
         self._busy[address] += 1
         try:
-            first = await self._exchange(stream, SendCall(keys, as_sent(forwarded)), silent_ms)
+            first = await self._exchange(stream, msg, silent_ms)
             yield self._answer(stream, first, forwarded, silent_ms)
         except _ConnectionLost:
             self._drop(address, channel)
--- a/chestnutfall/platform/call_reader.py
+++ b/chestnutfall/platform/call_reader.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from aiohttp.web_request import BaseRequest
 
 from ..forwarding.call import Call, Headers
 from ..placement import AdapterName, PromptPart
 from ..requests import key_digest
+from ..resumption import remembered_attempt
 from . import header_names as names
 
 DEFAULT_DEADLINE_MS = 3_600_000
 """Used without the header; the timeout of the route then bounds the request."""
+MAX_SHOWN = 64
+"""Characters of a value that an error message shows."""
+MAX_TOKENS = 2**31 - 1
+"""More than any model reads; the messages between gateways and the leader hold it."""
+MAX_EVENT_ID = 2**63 - 1
+"""The same, of the number of an event."""
 MAX_KEY_CHARACTERS = 1_024
 """Longer than any key in use; a request with a longer one is malformed."""
-MAX_ID_CHARACTERS = 256
-"""Several times the longest id in use. A longer one names no attempt that is remembered."""
 
 
 def read_call(request: BaseRequest, body: bytes, arrived_ms: int) -> Call:
@@ -29,7 +36,6 @@
     headers = request.headers
     counts = headers.get(names.TOKEN_COUNTS, "")
     prompt_tokens, output_tokens = _token_counts(counts)
-    last_event = headers.get(names.LAST_EVENT)
     return Call(
         request_id=headers.get(names.REQUEST_ID, ""),
         method=request.method,
@@ -43,8 +49,8 @@
         adapter=_adapter(headers.get(names.MODEL)),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
-        parts=_prompt_parts(headers.get(names.PROMPT_PARTS, "")),
-        resume_after=int(last_event) if last_event is not None else None,
+        parts=tuple(_prompt_parts(headers.get(names.PROMPT_PARTS, ""))),
+        resume_after=_event_id(headers.get(names.LAST_EVENT)),
         tokens=prompt_tokens + output_tokens if counts else None,
         key_digest=_key_digest(headers.getall(names.KEY, [])),
         resumes=_resumed_attempt(headers.getall(names.RESUMES, [])),
@@ -59,7 +65,8 @@
     ValueError
         If the header that states it is malformed.
     """
-    return int(request.headers.get(names.DEADLINE, DEFAULT_DEADLINE_MS))
+    stated_ms = int(request.headers.get(names.DEADLINE, DEFAULT_DEADLINE_MS))
+    return min(max(stated_ms, 0), DEFAULT_DEADLINE_MS)
 
 
 def _resumed_attempt(named: list[str]) -> str:
@@ -67,9 +74,7 @@
 
     A malformed name is no error of the request: its stream is one that began unknown to us.
     """
-    if len(named) != 1 or len(named[0]) > MAX_ID_CHARACTERS:
-        return ""
-    return named[0].strip()
+    return remembered_attempt(named[0].strip()) if len(named) == 1 else ""
 
 
 def _key_digest(keys: list[str]) -> str | None:
@@ -99,6 +104,7 @@
     """Decode `MODEL/ADAPTER`; the adapter may be missing."""
     if text is None:
         return None
+    _check_text(names.MODEL, text)
     model, _, adapter = text.partition("/")
     return AdapterName(model, adapter)
 
@@ -108,10 +114,35 @@
     if not text:
         return 0, 0
     prompt, _, output = text.partition(",")
-    return int(prompt), int(output or 0)
+    return _tokens(names.TOKEN_COUNTS, prompt), _tokens(names.TOKEN_COUNTS, output or "0")
 
 
-def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
+def _prompt_parts(text: str) -> Iterator[PromptPart]:
     """Decode `ID:TOKENS,...`: the parts of the prompt in order; equal ids mean equal text."""
     pairs = (pair.partition(":") for pair in text.split(",") if pair)
-    return tuple(PromptPart(part_id.strip(), int(tokens)) for part_id, _, tokens in pairs)
+    for part_id, _, tokens in pairs:
+        yield PromptPart(part_id.strip(), _tokens(names.PROMPT_PARTS, tokens))
+
+
+def _event_id(text: str | None) -> int | None:
+    return None if text is None else _whole_number(names.LAST_EVENT, text, MAX_EVENT_ID)
+
+
+def _tokens(header: str, text: str) -> int:
+    return _whole_number(header, text, MAX_TOKENS)
+
+
+def _whole_number(header: str, text: str, most: int) -> int:
+    # What no message between processes holds would end the stream to the leader, and with it the
+    # questions of all other requests.
+    number = int(text)
+    if not 0 <= number <= most:
+        raise ValueError(f"{header}: found {text[:MAX_SHOWN]!r}, allowed are 0 to {most}")
+    return number
+
+
+def _check_text(header: str, text: str) -> None:
+    try:
+        text.encode()
+    except UnicodeEncodeError as exc:
+        raise ValueError(f"{header}: found {text[:MAX_SHOWN]!r}, allowed is UTF-8") from exc
--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -34,6 +34,8 @@
 MAX_BODY_FOR_REUSE_BYTES = 16 * 1024
 """Longest request body whose connection is kept: a longer one may not be sent entirely when the
 answer ends."""
+MAX_ID_FOR_REUSE_CHARACTERS = 256
+"""Longest request id whose connection is kept: each kept one remembers its last ids."""
 ANSWER_OF_ANOTHER = "answer_of_another"
 """Code of an answer lost because another request's came instead."""
 _SIGNALS = SignalHeaders(names.REQUEST_LIMIT, names.LEAVING, names.LOAD, names.REJECTION_LIMIT)
@@ -148,7 +150,8 @@
 def _new_send(forwarded: ForwardedCall) -> UpstreamSend:
     call, upstream = forwarded.call, forwarded.upstream
     need = ConnectionNeed(upstream.instance, upstream.service, call.request_id, forwarded.runs_once)
-    return UpstreamSend(need, len(call.body) <= MAX_BODY_FOR_REUSE_BYTES)
+    is_short = len(call.request_id) <= MAX_ID_FOR_REUSE_CHARACTERS
+    return UpstreamSend(need, is_short and len(call.body) <= MAX_BODY_FOR_REUSE_BYTES)
 
 
 def _headers(forwarded: ForwardedCall) -> CIMultiDict[str]:
--- a/chestnutfall/resumption/__init__.py
+++ b/chestnutfall/resumption/__init__.py
@@ -4,6 +4,7 @@
 
 from .origin_book import OriginBook
 from .refusals import BEGIN_ANEW_MS, BUILD_GONE, STREAM_MOVED, UNKNOWN_STREAM
+from .remembered_attempt import remembered_attempt
 from .stream_origin import StreamOrigin
 from .stream_owner import stream_owner
 
@@ -14,5 +15,6 @@
     "UNKNOWN_STREAM",
     "OriginBook",
     "StreamOrigin",
+    "remembered_attempt",
     "stream_owner",
 ]
--- a/chestnutfall/resumption/origin_book.py
+++ b/chestnutfall/resumption/origin_book.py
@@ -47,9 +47,14 @@
 
         Parameters
         ----------
+        attempt : str
+            Id of the attempt; empty if it has none by which it is remembered.
         left_ms : int
             Time until its client gives the stream up.
         """
+        if not attempt:
+            # Several streams may have none that is remembered, and began on different builds.
+            return
         now_ms = self._clock.now_ms()
         # Attempts of two callers may bear the same id.
         key = (attempt, owner)
--- a/chestnutfall/tests/test_leader_stream.py
+++ b/chestnutfall/tests/test_leader_stream.py
@@ -8,6 +8,7 @@
 from unittest.mock import patch
 
 from ..clock import SystemClock
+from ..coordination.messages import FLEET_CODEC, AskRepeat
 from ..forwarding import leader_stream
 from ..forwarding.leader_stream import LeaderStream, StreamListener
 from .fakes.cancelled_stream import CancelledStream
@@ -34,6 +35,30 @@
         self.lost += 1
 
 
+class _WritingListener(_Listener):
+    """Has messages to send, the first of which can't be encoded."""
+
+    def on_opened(self) -> asyncio.Queue[Any]:
+        out: asyncio.Queue[Any] = asyncio.Queue()
+        for number in (2**64, 1):
+            out.put_nowait(AskRepeat(number, "drafts"))
+        return out
+
+
+class _WrittenStream(CancelledStream):
+    """Encodes what is written, as gRPC does, and answers nothing."""
+
+    def __init__(self, written: list[Any]) -> None:
+        self._written = written
+
+    async def write(self, msg: Any) -> None:
+        FLEET_CODEC.encode(msg)
+        self._written.append(msg)
+
+    async def read(self) -> Any:
+        await asyncio.Event().wait()
+
+
 class _Channel:
     def __init__(self, *args: Any) -> None:
         pass
@@ -62,3 +87,20 @@
             running.cancel()
             await asyncio.wait([running])
         self.assertTrue(running.cancelled())
+
+    # Guards against a message that ends the stream to the leader, and with it all questions.
+    async def test_a_message_that_cannot_be_encoded_is_passed_over(self) -> None:
+        written: list[Any] = []
+        with (
+            patch.object(leader_stream, "RpcChannel", _Channel),
+            patch.object(_Channel, "stream", lambda self, method: _WrittenStream(written)),
+            self.assertLogs(leader_stream.log, "ERROR"),
+        ):
+            listener = _WritingListener()
+            running = asyncio.ensure_future(LeaderStream(listener, SystemClock()).run())
+            async with asyncio.timeout(WITHIN_S):
+                while not written:
+                    await asyncio.sleep(0.001)
+            running.cancel()
+            await asyncio.wait([running])
+        self.assertEqual(written, [AskRepeat(1, "drafts")])
--- a/chestnutfall/tests/test_platform.py
+++ b/chestnutfall/tests/test_platform.py
@@ -25,11 +25,12 @@
 from ..limits import DeclaredLimit
 from ..placement import AdapterName, PromptPart
 from ..platform import header_names as names
-from ..platform.call_reader import MAX_ID_CHARACTERS, read_call
+from ..platform.call_reader import read_call
 from ..platform.listening import listen
 from ..platform.node_file import to_settings
 from ..platform.standin.node_writer import NodePlan, Ports, write_node_file
 from ..platform.upstream_http import UpstreamHttp
+from ..resumption.remembered_attempt import MAX_ID_CHARACTERS
 from ..signals import AskedBackoff, UnreadHeaders, UpstreamLoad, UpstreamSignals
 
 HEADERS = {
@@ -99,6 +100,7 @@
     async def asyncSetUp(self) -> None:
         self.status = 200
         self.named = True
+        self.request_id = "id-1"
         self.aborts = False
         self.method = "GET"
         self.headers: dict[str, str] = {}
@@ -118,15 +120,15 @@
         self.seen.append(request)
         if self.aborts and request.transport is not None:
             request.transport.abort()
-        named = {"X-Request-Id": "id-1"} if self.named else {}
+        named = {"X-Request-Id": self.request_id} if self.named else {}
         headers = {"X-Instance-Load": "2,1,6"} | named | self.headers
         return web.Response(status=self.status, headers=headers, body=b"answer")
 
     def _forwarded(self, port: int = 0) -> ForwardedCall:
         now_ms = SystemClock().now_ms()
         call = Call(
-            "id-1", self.method, "/a/x?y=%2F", "/a/x", "a.example", (("X-Custom", "kept"),), b"",
-            now_ms, now_ms + 1000, AdapterName("base", "a1"),
+            self.request_id, self.method, "/a/x?y=%2F", "/a/x", "a.example",
+            (("X-Custom", "kept"),), b"", now_ms, now_ms + 1000, AdapterName("base", "a1"),
         )  # fmt: skip
         upstream = UpstreamRecord("i1", "s", f"127.0.0.1:{port or self.port}", "dc")
         return ForwardedCall(call, upstream, 3, 1, 700, 5, True, 500)
@@ -152,6 +154,13 @@
         self.assertEqual({name: request.headers[name] for name in expected}, expected)
         self.assertNotIn("User-Agent", request.headers)
 
+    # Guards against hundreds of kept connections that remember ids of many kilobytes.
+    async def test_a_connection_is_kept_behind_a_request_with_a_short_id(self) -> None:
+        for characters, kept in ((4, 1), (4_000, 0)):
+            self.request_id = "x" * characters
+            await self._send()
+            self.assertEqual(len(self.pool), kept)
+
     async def test_answers_that_prove_that_the_request_did_not_run(self) -> None:
         cases = (
             (503, {"X-Not-Executed": "1"}, NotRun.FULL),
--- a/chestnutfall/wire/codec.py
+++ b/chestnutfall/wire/codec.py
@@ -31,13 +31,28 @@
 
     def encode(self, msg: Any) -> bytes:
         """Return `msg` encoded, and count it as sent."""
+        encoded = self._encoded(msg)
+        self.traffic.record_sent(type(msg).__name__, len(encoded))
+        return encoded
+
+    def can_encode(self, msg: Any) -> bool:
+        """Whether a message can be sent; it can't hold numbers of over 64 bits or broken text.
+
+        gRPC ends the stream on which such a message is written.
+        """
+        try:
+            self._encoded(msg)
+        except (ValueError, TypeError, OverflowError, msgspec.MsgspecError):
+            return False
+        return True
+
+    def _encoded(self, msg: Any) -> bytes:
         # The same message is often sent to many peers in a row: a view of 32 upstreams to 90
         # gateways, for example. Messages are frozen, so the last encoding can be reused.
         last, encoded = self._last
         if msg is not last:
             encoded = self._encoder.encode((type(msg).__name__, msg))
             self._last = (msg, encoded)
-        self.traffic.record_sent(type(msg).__name__, len(encoded))
         return encoded
 
     def decode(self, data: bytes) -> Any:
