Take no more memory for the parts of a prompt than for the rest of its request

What callers would see: no leader, again and again.

Cause: small things that cost more than their bytes. The key of each prefix held all ids before it, so that a prompt of n parts took n squared; an engine's cache forgot by tokens, so that parts without tokens stayed for good; a gateway held some 170 bytes for a part of 8, and its account counted 24.

A prefix is named by a hash now, at most 64 of a prompt and 4,096 of an engine are kept, and a gateway tells parts apart as far as quarantine does: the first 62, the last, and all between as one; long ids by their digests. The header goes to engines as it came.

--- a/chestnutfall/placement/prompt_cache.py
+++ b/chestnutfall/placement/prompt_cache.py
@@ -3,20 +3,27 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from itertools import islice
 
 from .adapter_name import AdapterName
 from .place_request import PlaceRequest
 
-_Key = tuple[AdapterName, tuple[str, ...]]
+MAX_PREFIXES = 64
+"""Prefixes of one prompt that are told apart; a prompt has a few parts."""
+MAX_HELD = 4_096
+"""Prefixes of one engine; some 200 bytes each. Engines have room for a tenth of this in usual
+parts."""
+_Key = tuple[AdapterName, int]
 Prefixes = tuple[tuple[_Key, int], ...]
 
 
 def prefixes_of(req: PlaceRequest) -> Prefixes:
     """Return each prefix of the prompt, keyed with its adapter, and the tokens of its last part."""
     found: list[tuple[_Key, int]] = []
-    prefix: tuple[str, ...] = ()
-    for part in req.parts:
-        prefix = (*prefix, part.part_id)
+    # A key that holds all ids before it would take memory with the square of their number.
+    prefix = 0
+    for part in islice(req.parts, MAX_PREFIXES):
+        prefix = hash((prefix, part.part_id))
         found.append(((req.adapter, prefix), part.tokens))
     return tuple(found)
 
@@ -32,6 +39,9 @@
         self._held: OrderedDict[_Key, int] = OrderedDict()
         self._tokens = 0
 
+    def __len__(self) -> int:
+        return len(self._held)
+
     def missing_tokens(self, prompt_tokens: int, prefixes: Prefixes) -> int:
         """Prompt tokens that are not cached, for which the engine needs prefill."""
         known = 0
@@ -48,7 +58,8 @@
                 self._held[key] = tokens
                 self._tokens += tokens
             self._held.move_to_end(key)
-        while self._tokens > self._kv_tokens and self._held:
+        # Parts may have no tokens at all.
+        while (self._tokens > self._kv_tokens and self._held) or len(self._held) > MAX_HELD:
             _, tokens = self._held.popitem(last=False)
             self._tokens -= tokens
 
--- a/chestnutfall/platform/call_reader.py
+++ b/chestnutfall/platform/call_reader.py
@@ -8,6 +8,7 @@
 
 from ..forwarding.call import Call, Headers
 from ..placement import AdapterName, PromptPart
+from ..placement.told_parts import told_parts
 from ..requests import key_digest
 from ..resumption import remembered_attempt
 from . import header_names as names
@@ -49,7 +50,7 @@
         adapter=_adapter(headers.get(names.MODEL)),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
-        parts=tuple(_prompt_parts(headers.get(names.PROMPT_PARTS, ""))),
+        parts=told_parts(_prompt_parts(headers.get(names.PROMPT_PARTS, ""))),
         resume_after=_event_id(headers.get(names.LAST_EVENT)),
         tokens=prompt_tokens + output_tokens if counts else None,
         key_digest=_key_digest(headers.getall(names.KEY, [])),
--- a/chestnutfall/requests/__init__.py
+++ b/chestnutfall/requests/__init__.py
@@ -6,7 +6,7 @@
 from .digest import digest_of, fingerprint_of
 from .executed import NOT_RUN_STATUSES, Executed
 from .key_digest import key_digest
-from .part_keys import part_keys
+from .part_keys import part_keys, short_id
 from .refusal import Refusal
 from .unknown_key import unknown_key
 
@@ -19,5 +19,6 @@
     "fingerprint_of",
     "key_digest",
     "part_keys",
+    "short_id",
     "unknown_key",
 ]
--- a/chestnutfall/requests/part_keys.py
+++ b/chestnutfall/requests/part_keys.py
@@ -24,11 +24,12 @@
         Ids of all parts in order; the last one is the request's own and has no name.
     """
     shared = tuple(part_ids)[:-1]
-    names = (f"{quote(organisation, safe='')}/{_short(part_id)}" for part_id in shared)
+    names = (f"{quote(organisation, safe='')}/{short_id(part_id)}" for part_id in shared)
     return tuple(dict.fromkeys(names))[:MAX_KEYS]
 
 
-def _short(part_id: str) -> str:
-    if len(part_id) <= MAX_ID_CHARACTERS:
+def short_id(part_id: str) -> str:
+    """Return the id of a part, or its digest if it is long or no plain text."""
+    if len(part_id) <= MAX_ID_CHARACTERS and part_id.isascii():
         return part_id
     return hashlib.sha256(part_id.encode("utf-8", "surrogateescape")).hexdigest()
--- a/chestnutfall/tests/crowd.py
+++ b/chestnutfall/tests/crowd.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import socket
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from ..platform import header_names as names
@@ -29,18 +29,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Crowd:
-    """Clients that all write the same.
+    """Clients that all write the same, or each its own.
 
     Attributes
     ----------
     clients : int
         Number of connections.
-    parts : iterable of bytes
-        What one client writes, in parts.
+    parts : iterable of bytes, or callable
+        What one client writes, in parts; a callable is given the number of the client.
     """
 
     clients: int
-    parts: Iterable[bytes]
+    parts: Iterable[bytes] | Callable[[int], Iterable[bytes]]
+
+    def by_client(self) -> Iterator[Iterable[bytes]]:
+        """Yield what each client writes."""
+        if callable(self.parts):
+            yield from map(self.parts, range(self.clients))
+        else:
+            yield from itertools.repeat(tuple(self.parts), self.clients)
 
 
 class CrowdClients:
@@ -70,8 +77,7 @@
         """Open all connections, and return once no server takes any more of them."""
         loop = asyncio.get_running_loop()
         began_s = self._last_s = loop.time()
-        parts = tuple(crowd.parts)
-        for _ in range(crowd.clients):
+        for parts in crowd.by_client():
             self._tasks.append(asyncio.ensure_future(self._write(parts)))
         while loop.time() - self._last_s < QUIET_S and loop.time() - began_s < MAX_ENTER_S:
             await asyncio.sleep(0.05)
--- a/chestnutfall/tests/test_call_reader.py
+++ b/chestnutfall/tests/test_call_reader.py
@@ -46,11 +46,12 @@
         call = _read(
             (names.TOKEN_COUNTS, f"{MAX_TOKENS},{MAX_TOKENS}"),
             (names.LAST_EVENT, f"{MAX_EVENT_ID}"),
-            (names.PROMPT_PARTS, f"aa:{MAX_TOKENS}"),
+            (names.PROMPT_PARTS, f"aa:{MAX_TOKENS},\udcff:1"),
             (names.RESUMES, "\udcff"),
         )
         self.assertEqual((call.prompt_tokens, call.output_tokens), (MAX_TOKENS, MAX_TOKENS))
         self.assertTrue(FLEET_CODEC.encode(AskOrigin(call.resume_after or 0, call.resumes, "")))
+        self.assertTrue(all(one.part_id.isascii() for one in call.parts))
 
     # Guards against times that no clock or message holds.
     def test_a_deadline_beyond_all_requests_is_the_longest_one(self) -> None:
