--- a/chestnutfall/placement/demand.py
+++ b/chestnutfall/placement/demand.py
@@ -11,6 +11,8 @@
 demand."""
 MAX_ADAPTERS = 20_000
 """About 3 MB of counters; beyond it the whole table is thinned out."""
+MAX_NAME_CHARACTERS = 256
+"""Longer than the name of any adapter that is made; requests for others name anything."""
 _FORGET_BELOW = 0.02
 
 
@@ -20,8 +22,13 @@
     def __init__(self) -> None:
         self._counts: dict[AdapterName, tuple[float, int]] = {}
 
+    def __len__(self) -> int:
+        return len(self._counts)
+
     def note(self, adapter: AdapterName, now_ms: int) -> None:
         """Count one request."""
+        if len(adapter.model) + len(adapter.adapter) > MAX_NAME_CHARACTERS:
+            return
         self._counts[adapter] = (self.level(adapter, now_ms) + 1, now_ms)
         if len(self._counts) > MAX_ADAPTERS:
             self._thin_out(now_ms)
--- a/chestnutfall/tests/test_crowds_names.py
+++ b/chestnutfall/tests/test_crowds_names.py
@@ -13,6 +13,9 @@
 PARTS = 1_900
 """Parts of a prompt, each with an id of its own, that one head has room for within the usual limit
 on it."""
+NAME_CHARACTERS = 12_000
+ADAPTERS = 400
+"""Adapters that one client asks for."""
 
 
 class CrowdsOfNamesTest(CrowdTestCase):
@@ -24,6 +27,10 @@
     def test_parts_that_have_no_tokens(self) -> None:
         self.play(Crowd(60, _prompts(40, tokens=0)))
 
+    # Guards against a leader that keeps the names of adapters that nobody ever made.
+    def test_adapters_with_very_long_names(self) -> None:
+        self.play(Crowd(40, _adapters))
+
 
 def _prompts(count: int, tokens: int) -> Iterator[bytes]:
     """Yield whole requests one behind the other, no two of which share a part."""
@@ -33,6 +40,16 @@
         yield _request(f"{MODEL}/a1", f"{names.PROMPT_PARTS}: {parts}")
 
 
+def _adapters(client: int) -> Iterator[bytes]:
+    """Yield whole requests of a client one behind the other, each for another adapter.
+
+    They can't wait for one to be loaded, and are refused at once.
+    """
+    for at in range(ADAPTERS):
+        name = f"{client * ADAPTERS + at:05d}{'a' * NAME_CHARACTERS}"
+        yield _request(f"{MODEL}/{name}", f"{names.DEADLINE}: 400")
+
+
 def _request(adapter: str, *lines: str) -> bytes:
     named = (f"{names.MODEL}: {adapter}", f"{names.TOKEN_COUNTS}: 100,40")
     return head(CALL, "Content-Length: 0", *named, *lines)
--- a/chestnutfall/tests/test_told_parts.py
+++ b/chestnutfall/tests/test_told_parts.py
@@ -1,4 +1,4 @@
-"""What is kept of the parts of a prompt."""
+"""What is kept of the parts of a prompt, and of the names in a request."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 
 from ..placement import AdapterName, PlaceRequest, PromptPart
+from ..placement.demand import MAX_NAME_CHARACTERS, Demand
 from ..placement.prompt_cache import MAX_HELD, PromptCache, prefixes_of
 from ..placement.told_parts import told_parts
 from ..requests.part_keys import MAX_ID_CHARACTERS, MAX_KEYS
@@ -71,3 +72,14 @@
         for at in range(MANY):
             cache.note(prefixes_of(_request(_parts((f"{at:x}", f"{at:x}.own"), tokens=0))))
         self.assertLessEqual(len(cache), MAX_HELD)
+
+
+class DemandTest(unittest.TestCase):
+    # Guards against a leader that keeps the names of thousands of adapters that nobody ever made.
+    def test_an_adapter_with_a_very_long_name_is_not_counted(self) -> None:
+        demand = Demand()
+        for at in range(100):
+            demand.note(AdapterName("base", f"{at}{'a' * MAX_NAME_CHARACTERS}"), 0)
+        demand.note(ADAPTER, 0)
+        self.assertEqual(len(demand), 1)
+        self.assertEqual(demand.level(ADAPTER, 0), 1)
