Draw what a leader holds for requests from the account of its process

What callers would see: a leader that ends under a crowd of whole requests that wait for a place. Nothing of what gateways sent was counted there.

Requests that wait draw from the controller's account now and give way to others, those first that take most for longest; they are refused, 503 leader_full, not run.

--- a/chestnutfall/coordination/controller_runner.py
+++ b/chestnutfall/coordination/controller_runner.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from ..accounts import MemoryAccount
 from ..clock import Clock
 from ..clock.process_start import PROCESS_START_MS
 from ..consensus import Member, Replica, Timing
@@ -67,6 +68,11 @@
 class ControllerRunner:
     """Runs a replica on the host's disk, and restarts it after storage failures.
 
+    Parameters
+    ----------
+    memory : MemoryAccount
+        What the requests of gateways draw from.
+
     Attributes
     ----------
     relay : CurrentRelay
@@ -80,12 +86,14 @@
         engines: EngineControl,
         clock: Clock,
         metrics: PrometheusMetrics,
+        memory: MemoryAccount,
     ) -> None:
         self._settings = settings
         self._codec = codec
         self._engines = engines
         self._clock = clock
         self._metrics = metrics
+        self._memory = memory
         self._replica: Replica | None = None
         self._leader: FleetLeader | None = None
         self._joiner: GroupJoiner | None = None
@@ -181,6 +189,7 @@
             settings.heartbeat_ms,
             settings.repeats,
             settings.quotas,
+            self._memory,
         )
         group = GroupManager(replica, state, clock, settings.tolerated_losses)
         relay = LeaderRelay(replica, state, leader, group, clock)
--- a/chestnutfall/coordination/fleet_leader.py
+++ b/chestnutfall/coordination/fleet_leader.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 
+from ..accounts import MemoryAccount
 from ..clock import Clock
 from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
 from ..control.commands import Command
@@ -39,6 +40,7 @@
         heartbeat_ms: int,
         repeats: RepeatBounds,
         quotas: QuotaBounds,
+        memory: MemoryAccount,
     ) -> None:
         self._replica = replica
         self._state = state
@@ -48,6 +50,7 @@
         self._heartbeat_ms = heartbeat_ms
         self._repeats = repeats
         self._quotas = quotas
+        self._memory = memory
         self.term: LeaderTerm | None = None
         state.on_apply = self._on_apply
 
@@ -74,6 +77,7 @@
                 self._heartbeat_ms,
                 self._repeats,
                 self._quotas,
+                self._memory,
             )
             log.info("leader: started term=%d", self.term.term)
             try:
--- a/chestnutfall/coordination/gateway_duties.py
+++ b/chestnutfall/coordination/gateway_duties.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
+from ..accounts import AccountFull
 from ..concurrency.messages import EndTurn, RunningCalls, ShortageReport
 from ..concurrency.turn_messages import AskTurn
 from ..control.crash_messages import AnsweredParts, AnsweredRun, BrokenRun
 from ..limits.messages import HeardLimit
 from ..paths.leader_messages import CanHelp, LinkReport
-from ..placement import PlaceRequest, RunOutcome
+from ..placement import PlaceRequest, Reject, RunOutcome
 from ..quota.messages import AskQuota, UsedQuota, WasShort
 from ..resumption.messages import AskOrigin, HeardOrigins
 from ..signals.engine_loads import EngineLoads
@@ -27,6 +29,11 @@
     Withdraw,
 )
 
+FULL = "leader_full"
+"""Reason of a leader that has no memory for one more request."""
+FULL_RETRY_MS = 500
+"""Retry delay then; the requests that wait are served or refused within a few seconds."""
+
 
 class GatewayDuties:
     """Passes what gateways tell and ask to the leader's parts.
@@ -122,12 +129,8 @@
             case BrokenRun() | AnsweredRun() | AnsweredParts():
                 parts.observations.reported(session.gateway, msg)
                 return False
-            case PlaceRequest():
-                parts.sessions.assign_ticket(msg.ticket, session)
-                parts.placer.submit(msg)
-            case PlaceStream():
-                parts.sessions.assign_ticket(msg.req.ticket, session)
-                parts.origins.place(msg)
+            case PlaceRequest() | PlaceStream():
+                return self._place(session, msg)
             case Release(ticket, outcome, times):
                 parts.observations.released(session.gateway, ticket, RunOutcome(outcome), times)
                 parts.sessions.release_ticket(ticket)
@@ -139,3 +142,27 @@
                 parts.origins.not_granted(ticket)
                 parts.sessions.release_ticket(ticket)
         return True
+
+    def _place(self, session: GatewaySession, msg: PlaceRequest | PlaceStream) -> bool:
+        """Queue a request for a place, and return whether there was memory for it."""
+        parts = self._parts
+        req = msg.req if isinstance(msg, PlaceStream) else msg
+        try:
+            parts.sessions.assign_ticket(req, session, partial(self._give_way, req.ticket))
+        except AccountFull:
+            # The account counts it.
+            session.send(Reject(req.ticket, FULL, FULL_RETRY_MS))
+            return False
+        if isinstance(msg, PlaceStream):
+            parts.origins.place(msg)
+        else:
+            parts.placer.submit(req)
+        return True
+
+    def _give_way(self, ticket: str) -> None:
+        """Refuse a request that waits, as others need its memory."""
+        parts = self._parts
+        parts.sessions.send_to_holder(ticket, Reject(ticket, FULL, FULL_RETRY_MS))
+        parts.placer.withdraw(ticket)
+        parts.origins.not_granted(ticket)
+        parts.sessions.release_ticket(ticket)
--- a/chestnutfall/coordination/gateway_sessions.py
+++ b/chestnutfall/coordination/gateway_sessions.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
+from ..accounts import MemoryAccount
+from ..placement import PlaceRequest
 from .gateway_session import GatewaySession
+from .held_requests import HeldRequests
 
 
 class GatewaySessions:
-    """Sends messages to all gateways, or to the gateway that holds a ticket."""
+    """Sends messages to all gateways, or to the gateway that holds a ticket.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    memory : MemoryAccount
+        What the requests of tickets draw from.
+    """
+
+    def __init__(self, memory: MemoryAccount) -> None:
+        self._requests = HeldRequests(memory)
         self._sessions: set[GatewaySession] = set()
         self._by_ticket: dict[str, GatewaySession] = {}
 
@@ -33,13 +44,40 @@
             self.release_ticket(ticket)
         return tickets
 
-    def assign_ticket(self, ticket: str, session: GatewaySession) -> None:
-        """Record that a gateway holds a ticket."""
+    def assign_ticket(
+        self, req: PlaceRequest, session: GatewaySession, give_way: Callable[[], None]
+    ) -> None:
+        """Record that a gateway holds the ticket of a request that waits for a place.
+
+        Parameters
+        ----------
+        give_way : callable
+            Refuses the request, as others need its memory.
+
+        Raises
+        ------
+        AccountFull
+            When there is no memory for one more request; nothing has changed then.
+        """
+        self._requests.hold(req, give_way)
+        self._assign(req.ticket, session)
+
+    def adopt_ticket(self, req: PlaceRequest, session: GatewaySession) -> None:
+        """Record that a gateway holds the ticket of a request that an engine runs already."""
+        self._requests.hold_running(req)
+        self._assign(req.ticket, session)
+
+    def note_granted(self, ticket: str) -> None:
+        """Record that the request of a ticket has its place, and can't be refused any more."""
+        self._requests.note_granted(ticket)
+
+    def _assign(self, ticket: str, session: GatewaySession) -> None:
         session.tickets.add(ticket)
         self._by_ticket[ticket] = session
 
     def release_ticket(self, ticket: str) -> None:
         """Forget a ticket."""
+        self._requests.drop(ticket)
         session = self._by_ticket.pop(ticket, None)
         if session is not None:
             session.tickets.discard(ticket)
--- a/chestnutfall/coordination/leader_parts.py
+++ b/chestnutfall/coordination/leader_parts.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable, Iterator
 
+from ..accounts import MemoryAccount
 from ..clock import Clock
 from ..consensus import Replica
 from ..control.control_state import ControlState
@@ -40,6 +41,8 @@
 
     Parameters
     ----------
+    memory : MemoryAccount
+        What the requests of gateways draw from.
     is_configured_service, on_serving, wake : callable
         See `UpstreamTracker`.
     """
@@ -52,6 +55,7 @@
         heartbeat_ms: int,
         repeats: RepeatBounds,
         quotas: QuotaBounds,
+        memory: MemoryAccount,
         is_configured_service: Callable[[str], bool],
         on_serving: Callable[[list[UpstreamRecord]], None],
         wake: Callable[[], None],
@@ -62,7 +66,7 @@
         self.quotas = QuotaLedger(quotas, clock)
         self.repeats = RepeatPool(repeats, clock)
         self.crashes = CrashMonitor(replica, state, clock, self.placer.suspects)
-        self.sessions = GatewaySessions()
+        self.sessions = GatewaySessions(memory)
         self.limits = LimitCoordinator(limits, backoffs, self.placer, self.sessions, clock)
         self.backoffs = BackoffCoordinator(backoffs, self.placer, self.sessions, clock)
         self.helpers = HelperDirectory(clock)
@@ -115,6 +119,7 @@
             match decision:
                 case Grant(ticket):
                     self.origins.granted(decision)
+                    self.sessions.note_granted(ticket)
                     self.sessions.send_to_holder(ticket, decision)
                 case Reject(ticket, reason):
                     log.info("place: ticket=%s rejected reason=%s", ticket, reason)
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 
+from ..accounts import MemoryAccount
 from ..clock import Clock
 from ..consensus import Replica
 from ..control.commands import Command, NameVersion, PutDocument
@@ -53,6 +54,7 @@
         heartbeat_ms: int,
         repeats: RepeatBounds,
         quotas: QuotaBounds,
+        memory: MemoryAccount,
     ) -> None:
         self.term = replica.term
         self._replica = replica
@@ -68,6 +70,7 @@
             heartbeat_ms,
             repeats,
             quotas,
+            memory,
             self._document.is_configured,
             self._on_serving,
             self._wake.set,
--- a/chestnutfall/coordination/rejection_coordinator.py
+++ b/chestnutfall/coordination/rejection_coordinator.py
@@ -116,7 +116,7 @@
                 self._unplaced[session] = running
                 continue
             self._placer.adopt(one.req, one.instance)
-            self._sessions.assign_ticket(one.req.ticket, session)
+            self._sessions.adopt_ticket(one.req, session)
         self._adopted[session] = now
         session.has_told_running = True
         self._be_careful()
--- a/chestnutfall/tests/fakes/document_office.py
+++ b/chestnutfall/tests/fakes/document_office.py
@@ -135,6 +135,7 @@
             1000,
             REPEATS,
             STRICT_QUOTA_BOUNDS,
+            usual_memory(),
         )
         group = GroupManager(replica, state, self.clock, 1)
         self._leaders[name] = leader
--- a/chestnutfall/tests/fakes/placing_leader.py
+++ b/chestnutfall/tests/fakes/placing_leader.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from ...accounts import MemoryAccount
 from ...clock import Clock
 from ...control.control_state import ControlState
 from ...control.upstream_record import UpstreamRecord
@@ -14,6 +15,7 @@
 from ...placement import EngineReport, LoadAdapter, Order
 from ...settings.quota_bounds import STRICT_QUOTA_BOUNDS
 from ...settings.repeat_bounds import RepeatBounds
+from .accounts import usual_memory
 from .applied_log import AppliedLog
 from .signalling_upstream import ENGINES, SPEC, SignallingUpstream
 
@@ -34,6 +36,8 @@
         Called with each order to an engine.
     state : ControlState
         The replicated state, which outlives leaders.
+    memory : MemoryAccount, optional
+        What requests draw from; by default there is room.
     """
 
     def __init__(
@@ -42,6 +46,7 @@
         on_order: Callable[[Order], None],
         state: ControlState,
         clock: Clock,
+        memory: MemoryAccount | None = None,
     ) -> None:
         self._upstreams = upstreams
         self._on_order = on_order
@@ -53,6 +58,7 @@
             HEARTBEAT_MS,
             NO_REPEATS,
             STRICT_QUOTA_BOUNDS,
+            usual_memory(clock) if memory is None else memory,
             lambda service: True,
             lambda serving: None,
             lambda: None,
--- a/chestnutfall/tests/fakes/rejecting_office.py
+++ b/chestnutfall/tests/fakes/rejecting_office.py
@@ -18,6 +18,7 @@
 from ...routes import EngineSpec, ModelSpec
 from ...signals.known_rejections import KnownRejections
 from ...signals.messages import HeardRejections, RejectionsInForce
+from .accounts import usual_memory
 
 BATCH = 8
 ENGINES = 3
@@ -85,7 +86,7 @@
 
     def begin_leader(self, delay_ms: int) -> None:
         """Replace the leader by one that knows nothing; gateways find it within `delay_ms`."""
-        self.placer, self._sessions = Placer(self.clock), GatewaySessions()
+        self.placer, self._sessions = Placer(self.clock), GatewaySessions(usual_memory())
         turns: PlainSendQueues[GatewaySession] = PlainSendQueues(
             LimitRegistry(self.clock), lambda service: [], lambda *_: True, self.clock
         )
@@ -137,7 +138,7 @@
         )
         self._requests[req.ticket] = req
         if at in self._joined:
-            self._sessions.assign_ticket(req.ticket, self._joined[at])
+            self._sessions.assign_ticket(req, self._joined[at], lambda: None)
             self.placer.submit(req)
             return
         for name in self.engines:
--- a/chestnutfall/tests/fakes/room_leader.py
+++ b/chestnutfall/tests/fakes/room_leader.py
@@ -13,6 +13,7 @@
 from ...limits.limit_registry import LimitRegistry
 from ...placement.placer import Placer
 from ...signals.backoff_registry import BackoffRegistry
+from .accounts import usual_memory
 from .room_load import SERVICE
 
 if TYPE_CHECKING:
@@ -39,7 +40,7 @@
         limits, backoffs = LimitRegistry(clock), BackoffRegistry(clock)
         self._pace = RoundPace(clock)
         self._is_due = False
-        self._sessions = GatewaySessions()
+        self._sessions = GatewaySessions(usual_memory())
         self._coordinator = LimitCoordinator(
             limits, backoffs, Placer(clock, limits), self._sessions, clock
         )
--- a/chestnutfall/tests/test_backoff_parts.py
+++ b/chestnutfall/tests/test_backoff_parts.py
@@ -23,6 +23,7 @@
 from ..signals.messages import BackoffHints, HeardBackoff
 from ..signals.retry_spread import LEAVING_RETRY_MS, MAX_RETRY_MS, RetrySpread
 from ..signals.upstream_backoff import PROBE_MS, RAMP_MS, RAMP_STEPS, UpstreamBackoff
+from .fakes.accounts import usual_memory
 from .fakes.limit_parts import known_signals
 
 LEAVING = UpstreamSignals(leaving=True)
@@ -190,7 +191,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock(60_000)
         self.registry = BackoffRegistry(self.clock)
-        self.sessions = GatewaySessions()
+        self.sessions = GatewaySessions(usual_memory())
         placer = Placer(self.clock, backoffs=self.registry)
         self.coordinator = BackoffCoordinator(self.registry, placer, self.sessions, self.clock)
         self.reporting, self.other = self._join("g1"), self._join("g2")
--- a/chestnutfall/tests/test_crash_monitor.py
+++ b/chestnutfall/tests/test_crash_monitor.py
@@ -28,6 +28,7 @@
 from ..settings.quota_bounds import STRICT_QUOTA_BOUNDS
 from .fakes import FakeCluster
 from .fakes.accepting_engines import AcceptingEngines
+from .fakes.accounts import usual_memory
 from .test_fleet_leader import REPEATS
 
 KNOWN_MS = 1_000
@@ -252,6 +253,7 @@
                 1000,
                 REPEATS,
                 STRICT_QUOTA_BOUNDS,
+                usual_memory(),
             )
             self.leaders[name] = leader
             self.tasks.append(asyncio.ensure_future(leader.run()))
--- a/chestnutfall/tests/test_fleet_leader.py
+++ b/chestnutfall/tests/test_fleet_leader.py
@@ -51,6 +51,7 @@
 from ..signals.engine_loads import EngineLoads
 from .fakes import FakeCluster
 from .fakes.accepting_engines import AcceptingEngines
+from .fakes.accounts import usual_memory
 
 REPEATS = RepeatBounds(0.2, 20, 1_000)
 ENGINE = {
@@ -92,6 +93,7 @@
                 1000,
                 REPEATS,
                 STRICT_QUOTA_BOUNDS,
+                usual_memory(),
             )
             group = GroupManager(replica, state, clock, 1)
             self.leaders[name] = leader
--- a/chestnutfall/tests/test_gateway_broadcaster.py
+++ b/chestnutfall/tests/test_gateway_broadcaster.py
@@ -23,6 +23,7 @@
 from ..quota.quota_ledger import QuotaLedger
 from ..routes import EngineSpec, ModelSpec
 from ..settings.quota_bounds import STRICT_QUOTA_BOUNDS
+from .fakes.accounts import usual_memory
 
 ENGINES, SLOTS = 31, 7
 SPEC = EngineSpec(8, 177_283, (ModelSpec("base", 50),), 66_000, SLOTS, 27)
@@ -32,7 +33,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         self.placer = Placer(self.clock)
-        self.sessions = GatewaySessions()
+        self.sessions = GatewaySessions(usual_memory())
         self.session = GatewaySession("g1")
         self.sessions.add(self.session)
         self.holders = Holders()
--- a/chestnutfall/tests/test_leader_rush.py
+++ b/chestnutfall/tests/test_leader_rush.py
@@ -35,6 +35,7 @@
 from ..settings.repeat_bounds import RepeatBounds
 from .fakes import FakeCluster
 from .fakes.accepting_engines import AcceptingEngines
+from .fakes.accounts import usual_memory
 
 GATEWAYS = 40
 
@@ -54,6 +55,7 @@
             1000,
             RepeatBounds(0.2, 50, 10_000),
             STRICT_QUOTA_BOUNDS,
+            usual_memory(),
         )
         self.task = replica.spawn(leader.run())
         await self.cluster.clock.advance(500)
--- a/chestnutfall/tests/test_limit_coordinator.py
+++ b/chestnutfall/tests/test_limit_coordinator.py
@@ -13,13 +13,14 @@
 from ..limits.messages import HeardLimit, LimitsInForce, RequestLimit
 from ..placement.placer import Placer
 from ..signals.backoff_registry import BackoffRegistry
+from .fakes.accounts import usual_memory
 
 
 class LimitCoordinatorTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock(60_000)
         limits = LimitRegistry(self.clock)
-        self.sessions = GatewaySessions()
+        self.sessions = GatewaySessions(usual_memory())
         placer = Placer(self.clock, limits)
         backoffs = BackoffRegistry(self.clock)
         self.coordinator = LimitCoordinator(limits, backoffs, placer, self.sessions, self.clock)
--- a/chestnutfall/tests/test_rejection_parts.py
+++ b/chestnutfall/tests/test_rejection_parts.py
@@ -33,6 +33,7 @@
 )
 from ..signals.upstream_load import UpstreamLoad
 from ..signals.upstream_signals import UpstreamSignals
+from .fakes.accounts import usual_memory
 from .fakes.rejecting_office import RejectingOffice
 
 BATCH = 8
@@ -201,7 +202,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         self.placer = Placer(self.clock)
-        self.sessions = GatewaySessions()
+        self.sessions = GatewaySessions(usual_memory())
         turns: PlainSendQueues[GatewaySession] = PlainSendQueues(
             LimitRegistry(self.clock), lambda service: [], lambda *_: True, self.clock
         )
--- a/chestnutfall/tests/test_room_gateway.py
+++ b/chestnutfall/tests/test_room_gateway.py
@@ -38,6 +38,7 @@
 from ..platform.document_json import DocumentJson
 from ..signals import UpstreamLoad
 from ..signals.backoff_registry import BackoffRegistry
+from .fakes.accounts import usual_memory
 
 FULL_LOAD = UpstreamLoad(6, 12, 6)
 ANY = Pace(0.0, 0.1)
@@ -131,7 +132,7 @@
 class RoomMessagesTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock(60_000)
-        self.sessions = GatewaySessions()
+        self.sessions = GatewaySessions(usual_memory())
         self.serving = ["u"]
         self.queues: PlainSendQueues[GatewaySession] = PlainSendQueues(
             LimitRegistry(self.clock),
--- a/properties/safeguards/account_mutants.py
+++ b/properties/safeguards/account_mutants.py
@@ -11,9 +11,14 @@
 _BYTE_TURNS = "chestnutfall/accounts/byte_turns.py"
 _CONNECTION = "chestnutfall/wire/bounded_connection.py"
 _BODY = "chestnutfall/wire/request_body.py"
+_TOLD = "chestnutfall/placement/told_parts.py"
+_PROMPTS = "chestnutfall/placement/prompt_cache.py"
+_DUTIES = "chestnutfall/coordination/gateway_duties.py"
 _TESTS = "chestnutfall.tests"
 _MEMORY_TEST = f"{_TESTS}.test_memory_account.MemoryAccountTest."
 _PROCESS_TEST = f"{_TESTS}.test_process_account."
+_TOLD_TEST = f"{_TESTS}.test_told_parts."
+_HELD_TEST = f"{_TESTS}.test_held_requests.HeldRequestsTest."
 _CONNECTION_TEST = f"{_TESTS}.test_bounded_connections.BoundedConnectionTest."
 
 ACCOUNT_MUTANTS = (
@@ -189,4 +194,106 @@
         f"{_TESTS}.test_connection_gate.ConnectionGateTest."
         "test_calls_that_do_not_come_whole_are_forgotten",
     ),
+    Mutant(
+        "the key of a prefix holds all ids before it",
+        _PROMPTS,
+        "        prefix = hash((prefix, part.part_id))",
+        "        prefix = (*(prefix or ()), part.part_id)",
+        _TOLD_TEST + "PromptCacheTest.test_a_prefix_takes_no_more_memory_than_its_last_part",
+    ),
+    Mutant(
+        "parts without tokens stay for good",
+        _PROMPTS,
+        " or len(self._held) > MAX_HELD",
+        "",
+        _TOLD_TEST + "PromptCacheTest.test_parts_without_tokens_are_dropped_too",
+    ),
+    Mutant(
+        "all parts of a prompt are told",
+        _TOLD,
+        "    if len(told) <= MAX_KEYS:",
+        "    if True:",
+        _TOLD_TEST + "ToldPartsTest.test_many_parts_become_few",
+    ),
+    Mutant(
+        "parts are told by ids of any length",
+        _TOLD,
+        "PromptPart(short_id(one.part_id), one.tokens)",
+        "PromptPart(one.part_id, one.tokens)",
+        _TOLD_TEST + "ToldPartsTest.test_ids_are_short",
+    ),
+    Mutant(
+        "names of any length are counted as in demand",
+        "chestnutfall/placement/demand.py",
+        "        if len(adapter.model) + len(adapter.adapter) > MAX_NAME_CHARACTERS:",
+        "        if False:",
+        _TOLD_TEST + "DemandTest.test_an_adapter_with_a_very_long_name_is_not_counted",
+    ),
+    Mutant(
+        "requests that wait at a leader are not drawn",
+        "chestnutfall/coordination/gateway_sessions.py",
+        "        self._requests.hold(req, give_way)\n",
+        "",
+        _HELD_TEST + "test_requests_beyond_the_memory_are_refused",
+    ),
+    Mutant(
+        "requests that wait at a leader never give way",
+        "chestnutfall/coordination/held_requests.py",
+        "        holder = self._memory.holder(give_way)",
+        "        holder = self._memory.holder()",
+        _HELD_TEST + "test_ordinary_requests_find_room_beside_them",
+    ),
+    Mutant(
+        "a request whose place was granted gives way",
+        "chestnutfall/coordination/leader_parts.py",
+        "                    self.sessions.note_granted(ticket)\n",
+        "",
+        _HELD_TEST + "test_a_request_with_a_place_never_gives_way",
+    ),
+    Mutant(
+        "memory of a request that ended stays drawn",
+        "chestnutfall/coordination/gateway_sessions.py",
+        "        self._requests.drop(ticket)\n",
+        "",
+        _HELD_TEST + "test_nothing_is_held_of_requests_that_ended",
+    ),
+    Mutant(
+        "a request that gives way is not refused",
+        _DUTIES,
+        "        parts.sessions.send_to_holder(ticket, Reject(ticket, FULL, FULL_RETRY_MS))\n",
+        "",
+        _HELD_TEST + "test_requests_beyond_the_memory_are_refused",
+    ),
+    Mutant(
+        "numbers that no message holds are read",
+        "chestnutfall/platform/call_reader.py",
+        "    if not 0 <= number <= most:",
+        "    if False:",
+        f"{_TESTS}.test_call_reader.CallReaderTest."
+        "test_values_that_no_message_holds_are_malformed",
+    ),
+    Mutant(
+        "a message that can't be encoded ends the stream to the leader",
+        "chestnutfall/forwarding/leader_stream.py",
+        "                if FLEET_CODEC.can_encode(msg):",
+        "                if True:",
+        f"{_TESTS}.test_leader_stream.LeaderStreamTest."
+        "test_a_message_that_cannot_be_encoded_is_passed_over",
+    ),
+    Mutant(
+        "a connection is kept behind an id of any length",
+        "chestnutfall/platform/upstream_http.py",
+        "UpstreamSend(need, is_short and len(",
+        "UpstreamSend(need, len(",
+        f"{_TESTS}.test_platform.UpstreamHttpTest."
+        "test_a_connection_is_kept_behind_a_request_with_a_short_id",
+    ),
+    Mutant(
+        "the end of an answer that the system hasn't taken is not in progress",
+        "chestnutfall/platform/entry_server.py",
+        "        return self._caller_runner.undelivered",
+        "        return 0",
+        f"{_TESTS}.test_client_connections.ClientConnectionsTest."
+        "test_an_answer_is_in_progress_until_the_system_has_taken_all_of_it",
+    ),
 )
--- a/properties/safeguards/connection_mutants.py
+++ b/properties/safeguards/connection_mutants.py
@@ -154,8 +154,8 @@
     Mutant(
         "a connection is kept after a body that may not have been read",
         _HTTP,
-        "    return UpstreamSend(need, len(call.body) <= MAX_BODY_FOR_REUSE_BYTES)",
-        "    return UpstreamSend(need, True)",
+        "is_short and len(call.body) <= MAX_BODY_FOR_REUSE_BYTES)",
+        "is_short)",
         f"{_SOCKET_TEST}.KeptTest.test_a_connection_is_not_kept_after_a_long_body",
     ),
     Mutant(
--- a/properties/safeguards/part_mutants.py
+++ b/properties/safeguards/part_mutants.py
@@ -261,8 +261,8 @@
     Mutant(
         "equal parts of two organisations count as one",
         "chestnutfall/requests/part_keys.py",
-        "f\"{quote(organisation, safe='')}/{_short(part_id)}\"",
-        'f"/{_short(part_id)}"',
+        "f\"{quote(organisation, safe='')}/{short_id(part_id)}\"",
+        'f"/{short_id(part_id)}"',
         _FATAL + "test_a_part_is_held_for_the_organisation_whose_requests_ended_engines",
     ),
     Mutant(
