--- a/benchmarks/crowds.py
+++ b/benchmarks/crowds.py
@@ -14,7 +14,7 @@
 import unittest
 from collections.abc import Iterator
 
-MODULES = ("bodies", "heads", "answers", "ports", "moments", "own")
+MODULES = ("bodies", "heads", "answers", "names", "mixed", "ports", "moments", "own")
 
 
 def main() -> int:
--- a/chestnutfall/tests/crowd.py
+++ b/chestnutfall/tests/crowd.py
@@ -162,11 +162,16 @@
 
 
 def requests_ahead(
-    count: int, body: bytes = b"", path: str = "/again/x", method: str = "POST", adapter: str = ""
+    count: int,
+    body: bytes = b"",
+    path: str = "/again/x",
+    method: str = "POST",
+    adapter: str = "",
+    lines: tuple[str, ...] = (),
 ) -> Iterator[bytes]:
     """Yield whole requests one behind the other; those to engines name an adapter."""
     named = (f"{names.MODEL}: {MODEL}/{adapter}", f"{names.TOKEN_COUNTS}: 100,40")
-    lines = (f"Content-Length: {len(body)}", *(named if adapter else ()))
+    lines = (f"Content-Length: {len(body)}", *(named if adapter else ()), *lines)
     for _ in range(count):
         yield head(f"{method} {path}", *lines) + body
 
