--- a/benchmarks/crowds.py
+++ b/benchmarks/crowds.py
@@ -14,7 +14,7 @@
 import unittest
 from collections.abc import Iterator
 
-MODULES = ("bodies", "heads", "answers", "names", "mixed", "ports", "moments", "own")
+MODULES = ("bodies", "heads", "answers", "names", "mixed", "ports", "moments", "helpers", "own")
 
 
 def main() -> int:
--- a/chestnutfall/paths/helper_links.py
+++ b/chestnutfall/paths/helper_links.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any
 
 import grpc
@@ -21,17 +22,22 @@
 from .helper_api import HELPER_SILENCE_MS, HelperApi, HelperUnusable, not_sent
 from .helper_service import as_sent
 from .messages import (
+    BODY_PART_BYTES,
     CHECK_METHOD,
     HELP_CODEC,
     HELP_METHOD,
+    MAX_INLINE_BYTES,
     AnswerBegins,
     AnswerBroken,
     AnswerEnds,
     AnswerPart,
+    BodyPart,
+    BodyWanted,
     CheckPort,
     NotSentByHelper,
     PortChecked,
     SendCall,
+    SendLongCall,
 )
 
 log = logging.getLogger(__name__)
@@ -54,6 +60,10 @@
     """The connection to a helper has ended, with all calls on it."""
 
 
+class _BodyNotSent(HelperUnusable):
+    """The connection to a helper has ended before it had the body of the call."""
+
+
 class HelperLinks(HelperApi):
     """Sends calls and port checks to helpers over gRPC.
 
@@ -79,7 +89,8 @@
     async def send(
         self, address: str, keys: tuple[str, ...], forwarded: ForwardedCall
     ) -> AsyncIterator[UpstreamAnswer]:
-        msg = SendCall(keys, as_sent(forwarded))
+        body = forwarded.call.body
+        msg = _message(keys, as_sent(forwarded))
         if not HELP_CODEC.can_encode(msg):
             raise NotSent("its headers can't be passed on to a helper")
         channel = await self._connected(address)
@@ -89,8 +100,10 @@
         self._busy[address] += 1
         try:
             first = await self._exchange(stream, msg, silent_ms)
+            if isinstance(first, BodyWanted):
+                first = await self._send_body(stream, body, silent_ms)
             yield self._answer(stream, first, forwarded, silent_ms)
-        except _ConnectionLost:
+        except (_ConnectionLost, _BodyNotSent):
             self._drop(address, channel)
             raise
         finally:
@@ -122,16 +135,40 @@
             raise HelperUnusable(f"helper {address} can't be reached") from exc
         return channel
 
-    async def _exchange(self, stream: Any, msg: SendCall, silent_ms: float) -> Any:
+    async def _exchange(
+        self, stream: HelpStream, msg: SendCall | SendLongCall, silent_ms: float
+    ) -> Any:
         """Ask a helper and return its first message.
 
         Raises
         ------
         AnswerLost
             When there is none: the helper may have sent the call.
+        _BodyNotSent
+            When there is none, and the helper hasn't had the body of the call.
         """
+        is_whole = isinstance(msg, SendCall)
         try:
             await stream.write(msg)
+            if is_whole:
+                await stream.done_writing()
+        except _STREAM_ERRORS as exc:
+            if not is_whole:
+                raise _BodyNotSent("the helper is lost, and had no body to send") from exc
+            raise _ConnectionLost("helper_lost") from exc
+        try:
+            return await self._read(stream, silent_ms)
+        except AnswerLost as exc:
+            if is_whole:
+                raise
+            raise _BodyNotSent("the helper gave no answer, and had no body to send") from exc
+
+    async def _send_body(self, stream: HelpStream, body: bytes, silent_ms: float) -> Any:
+        """Send the body of a call, for which the helper has room, and return what it answers."""
+        whole = memoryview(body)
+        try:
+            for at in range(0, len(body), BODY_PART_BYTES):
+                await stream.write(BodyPart(bytes(whole[at : at + BODY_PART_BYTES])))
             await stream.done_writing()
         except _STREAM_ERRORS as exc:
             raise _ConnectionLost("helper_lost") from exc
@@ -226,3 +263,12 @@
         closing = (channel.close(CLOSE_GRACE_S) for channel in self._dropped)
         # Nothing waits for the end of a connection that is no longer used.
         await asyncio.gather(*closing, return_exceptions=True)
+
+
+def _message(keys: tuple[str, ...], forwarded: ForwardedCall) -> SendCall | SendLongCall:
+    """Return the question to a helper, which holds the body of the call if that is short."""
+    call = forwarded.call
+    if len(call.body) <= MAX_INLINE_BYTES:
+        return SendCall(keys, forwarded)
+    without_body = replace(forwarded, call=replace(call, body=b""))
+    return SendLongCall(keys, without_body, len(call.body))
--- a/chestnutfall/paths/helper_service.py
+++ b/chestnutfall/paths/helper_service.py
@@ -16,6 +16,7 @@
 from ..forwarding.upstream_answer import NotRun, UpstreamAnswer
 from ..forwarding.upstream_api import AnswerLost, NotSent
 from ..signals.known_signals import KnownSignals
+from ..wire.incoming_body import IncomingBody
 from ..wire.request_cost import CALL_BYTES, SEND_BYTES
 from .helped_upstream_api import HelpedUpstreamApi
 from .messages import (
@@ -26,10 +27,13 @@
     AnswerBroken,
     AnswerEnds,
     AnswerPart,
+    BodyPart,
+    BodyWanted,
     CheckPort,
     NotSentByHelper,
     PortChecked,
     SendCall,
+    SendLongCall,
 )
 
 log = logging.getLogger(__name__)
@@ -40,6 +44,8 @@
 """A body is there as it came, as a part of its message, and decoded."""
 FULL = "helper_full"
 """Reason of a helper that has no room for one more call."""
+NO_BODY = "no_body"
+"""Reason of a helper that didn't get the body of a call in time."""
 SAME_MOMENT_MS = 50
 """An upstream reached so shortly before counts as reached now."""
 MAX_OTHERS_TRIED = 2
@@ -104,7 +110,7 @@
     async def serve(self, messages: AsyncIterator[Any], context: Any) -> AsyncIterator[Any]:
         """Serve one call of another gateway; the end of the stream cancels it."""
         asked = await anext(messages, None)
-        if not isinstance(asked, SendCall):
+        if not isinstance(asked, SendCall | SendLongCall):
             return
         refused = self._reason_to_refuse(asked)
         if refused:
@@ -113,8 +119,15 @@
         self.in_progress += 1
         try:
             with self._memory.holder() as held:
-                held.resize(CALL_BYTES + SEND_BYTES + BODY_COPIES * len(asked.forwarded.call.body))
-                async for msg in self._send(asked.forwarded):
+                held.resize(CALL_BYTES + SEND_BYTES + BODY_COPIES * _body_bytes(asked))
+                forwarded: ForwardedCall | None = asked.forwarded
+                if isinstance(asked, SendLongCall):
+                    yield BodyWanted()
+                    forwarded = await self._with_body(asked, messages)
+                if forwarded is None:
+                    yield NotSentByHelper(NO_BODY)
+                    return
+                async for msg in self._send(forwarded):
                     yield msg
         except AccountFull as exc:
             log.warning("help: refused, %s", exc)
@@ -122,7 +135,22 @@
         finally:
             self.in_progress -= 1
 
-    def _reason_to_refuse(self, asked: SendCall) -> str:
+    async def _with_body(
+        self, asked: SendLongCall, messages: AsyncIterator[Any]
+    ) -> ForwardedCall | None:
+        """Return a call with the body that follows; None if it doesn't come whole in time."""
+        began_ms = self._clock.now_ms()
+        forwarded = asked.forwarded
+        try:
+            body = await self._clock.within_ms(forwarded.left_ms, _read_body(messages))
+        except TimeoutError:
+            return None
+        if len(body) != asked.body_bytes:
+            return None
+        left_ms = max(forwarded.left_ms - (self._clock.now_ms() - began_ms), 1)
+        return replace(forwarded, call=replace(forwarded.call, body=body), left_ms=left_ms)
+
+    def _reason_to_refuse(self, asked: SendCall | SendLongCall) -> str:
         """Return why nothing is sent; empty if the call may be sent."""
         instance = asked.forwarded.upstream.instance
         known = self._upstream(instance)
@@ -193,6 +221,20 @@
         return False
 
 
+def _body_bytes(asked: SendCall | SendLongCall) -> int:
+    if isinstance(asked, SendLongCall):
+        return asked.body_bytes
+    return len(asked.forwarded.call.body)
+
+
+async def _read_body(messages: AsyncIterator[Any]) -> bytes:
+    parts = IncomingBody()
+    async for msg in messages:
+        if isinstance(msg, BodyPart):
+            parts.append(msg.data)
+    return parts.whole()
+
+
 async def _body_messages(answer: UpstreamAnswer) -> AsyncIterator[Any]:
     try:
         async for data in answer.body:
--- a/chestnutfall/paths/messages.py
+++ b/chestnutfall/paths/messages.py
@@ -16,6 +16,12 @@
 """Reason of a helper to which the asking gateway is a stranger."""
 LEAVING = "leaving"
 """Reason of a helper that is about to end."""
+MAX_INLINE_BYTES = 16 * 1024
+"""Longest body that goes with its call; a helper has a longer one sent once it has room for it."""
+BODY_PART_BYTES = 128 * 1024
+MAX_MESSAGE_BYTES = 512 * 1024
+"""Longest message to a helper: a call with the longest head and body that goes with it, or a part
+of a longer one. gRPC takes a message whole before anything here sees it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +38,37 @@
     forwarded: ForwardedCall
 
 
+@dataclass(frozen=True, slots=True)
+class SendLongCall:
+    """A gateway asks a helper for room for a call, whose body follows once there is.
+
+    Attributes
+    ----------
+    keys : tuple of str
+        Keys of the fleet that the asking gateway has from the last leaders.
+    forwarded : ForwardedCall
+        The call, without its body.
+    body_bytes : int
+        Length of the body.
+    """
+
+    keys: tuple[str, ...]
+    forwarded: ForwardedCall
+    body_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class BodyWanted:
+    """The helper has room for the body."""
+
+
+@dataclass(frozen=True, slots=True)
+class BodyPart:
+    """Bytes of the body; nothing is sent to the upstream before the last of them."""
+
+    data: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class NotSentByHelper:
     """Nothing was sent, so the call did not run.
@@ -102,8 +139,11 @@
     AnswerBroken,
     AnswerEnds,
     AnswerPart,
+    BodyPart,
+    BodyWanted,
     CheckPort,
     NotSentByHelper,
     PortChecked,
     SendCall,
+    SendLongCall,
 )
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -46,7 +46,7 @@
 from ..paths.leader_messages import CanHelp, HelperGateways, HelpersByUpstream
 from ..paths.link_prober import LinkProber
 from ..paths.link_reporter import LinkReporter, report_for_new_leader
-from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD
+from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD, MAX_MESSAGE_BYTES
 from ..paths.path_table import PathTable
 from ..paths.port_witness import PortWitness
 from ..programs.event_loop import run
@@ -327,7 +327,11 @@
         return 0
 
     def _make_helper_server(self) -> RpcServer:
-        server = RpcServer(self._settings.peer_address, max_silence_ms=HELPER_SILENCE_MS)
+        server = RpcServer(
+            self._settings.peer_address,
+            max_silence_ms=HELPER_SILENCE_MS,
+            max_message_bytes=MAX_MESSAGE_BYTES,
+        )
         server.add_stream(HELP_METHOD, HELP_CODEC, self._helper.serve)
         server.add_unary(CHECK_METHOD, HELP_CODEC, self._helper.check_port)
         return server
--- a/chestnutfall/programs/gateway.py
+++ b/chestnutfall/programs/gateway.py
@@ -31,7 +31,7 @@
 from ..paths.helper_service import HelperService
 from ..paths.known_helpers import KnownHelpers
 from ..paths.link_prober import LinkProber
-from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD
+from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD, MAX_MESSAGE_BYTES
 from ..paths.path_table import PathTable
 from ..paths.port_witness import PortWitness
 from ..peers import PeerLinks, PeerServer
@@ -263,7 +263,9 @@
 
     async def serve(self, stop: asyncio.Event) -> int:
         """Serve until `stop`, then drain; return the exit code of the process."""
-        peers = RpcServer(self._settings.peer_listen, self._tls, HELPER_SILENCE_MS)
+        peers = RpcServer(
+            self._settings.peer_listen, self._tls, HELPER_SILENCE_MS, MAX_MESSAGE_BYTES
+        )
         peers.add_stream(TICKETS_METHOD, TICKET_CODEC, self._peer_server.serve)
         peers.add_stream(HELP_METHOD, HELP_CODEC, self._helper.serve)
         peers.add_unary(CHECK_METHOD, HELP_CODEC, self._helper.check_port)
--- a/chestnutfall/tests/test_helper_links.py
+++ b/chestnutfall/tests/test_helper_links.py
@@ -27,7 +27,7 @@
 from ..paths.helper_service import HelperService
 from ..paths.known_helpers import KnownHelpers
 from ..paths.leader_messages import HelperGateways
-from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD
+from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD, MAX_MESSAGE_BYTES, BodyPart
 from ..paths.path_table import PathTable
 from ..requests.awaited import Unawaited, send_while
 from ..signals import NO_SIGNALS
@@ -50,6 +50,11 @@
 PARTS = (b"id: 1\r\n", LONG_BODY, b"\x00\xff end")
 
 
+def _with_body(body: bytes) -> ForwardedCall:
+    forwarded = send_to(UPSTREAM)
+    return replace(forwarded, call=replace(forwarded.call, body=body))
+
+
 class _ScriptedLink(UpstreamApi):
     """Answers with `PARTS`; `script` may hold parts back for `hold_s`, break it off or fail it."""
 
@@ -107,6 +112,7 @@
             clock,
             usual_memory(),
         )
+        self.memory = usual_memory()
         self.service = HelperService(
             api,
             helpers.accepts,
@@ -117,10 +123,12 @@
             self._refuses,
             clock,
             rng,
-            usual_memory(),
+            self.memory,
         )
         self.address = free_address()
-        self.server = RpcServer(self.address, max_silence_ms=HELPER_SILENCE_MS)
+        self.server = RpcServer(
+            self.address, max_silence_ms=HELPER_SILENCE_MS, max_message_bytes=MAX_MESSAGE_BYTES
+        )
         self.server.add_stream(HELP_METHOD, HELP_CODEC, self.service.serve)
         self.server.add_unary(CHECK_METHOD, HELP_CODEC, self.service.check_port)
         await self.server.start()
@@ -174,6 +182,38 @@
         self.assertEqual(self.direct.sends[0].call.body, b"body")
         self.assertEqual(self.service.in_progress, 0)
 
+    async def test_a_long_body_arrives_byte_for_byte(self) -> None:
+        await self._send(_with_body(LONG_BODY))
+        self.assertEqual(self.direct.sends[0].call.body, LONG_BODY)
+        self.assertEqual(self.service.in_progress, 0)
+        self.assertEqual(self.memory.held_bytes, 0)
+
+    # Guards against a helper that ends by the bodies of many gateways: each had sent its own whole
+    # before the helper could refuse it.
+    async def test_a_helper_without_room_gets_no_long_body(self) -> None:
+        before = HELP_CODEC.traffic.received["BodyPart"]
+        with self.memory.holder() as held:
+            held.force(self.memory.capacity_bytes)
+            with self.assertRaises(NotSent):
+                await self._send(_with_body(LONG_BODY))
+        self.assertEqual(HELP_CODEC.traffic.received["BodyPart"], before)
+        self.assertEqual(self.direct.sends, [])
+
+    # Guards against "unknown" in place of "not run", and against a call that no other helper gets.
+    async def test_a_helper_that_is_lost_before_the_body_has_sent_nothing(self) -> None:
+        with patch.object(self.service, "_reason_to_refuse", side_effect=ZeroDivisionError):
+            with self.assertRaises(HelperUnusable):
+                await self._send(_with_body(LONG_BODY))
+        self.assertEqual(self.direct.sends, [])
+
+    # Guards against a part of a body that is sent for the whole.
+    async def test_a_body_that_does_not_come_whole_is_not_sent(self) -> None:
+        with patch.object(helper_links, "BodyPart", lambda data: BodyPart(data[:-1])):
+            with self.assertRaises(NotSent):
+                await self._send(_with_body(LONG_BODY))
+        self.assertEqual(self.direct.sends, [])
+        self.assertEqual(self.memory.held_bytes, 0)
+
     # Guards against a stream that starts again from its first event at another gateway.
     async def test_a_resumed_stream_its_deadline_and_its_organisation_reach_the_upstream(
         self,
--- a/chestnutfall/tests/test_suite.py
+++ b/chestnutfall/tests/test_suite.py
@@ -84,7 +84,7 @@
     def test_modules_that_need_the_host_are_known(self) -> None:
         needing = {name for name, text in self.sources.items() if NEEDS_HOST.search(text)}
         crowds = {name for name in self.sources if name.startswith("test_crowds_")}
-        self.assertEqual(len(crowds), 8)
+        self.assertEqual(len(crowds), 9)
         self.assertEqual(needing, {"test_rush"} | crowds)
         self.assertLess(needing, self.alone)
 
--- a/chestnutfall/wire/rpc_server.py
+++ b/chestnutfall/wire/rpc_server.py
@@ -13,10 +13,11 @@
 from .tls_files import TlsFiles
 
 MAX_CONCURRENT_CALLS = 4096
+UNREAD_BYTES = 64 * 1024
+"""What a stream may have sent ahead of what is read, where messages are bounded."""
 Handler = Callable[[Any, Any], Awaitable[Any]]
 _OPTIONS = (
     ("grpc.so_reuseport", 0),
-    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
     ("grpc.http2.max_ping_strikes", 0),
@@ -32,6 +33,10 @@
     ----------
     max_silence_ms : int
         How long a client may leave a keepalive ping without an answer.
+    max_message_bytes : int
+        Longest message that is taken. With less than the usual length, no stream sends ahead of
+        what is read either: gRPC lets it send as much as fits the connection's speed otherwise,
+        megabytes that belong to no account.
 
     Attributes
     ----------
@@ -44,9 +49,14 @@
         address: str,
         tls: TlsFiles | None = None,
         max_silence_ms: int = MAX_SILENCE_MS,
+        max_message_bytes: int = MAX_MESSAGE_BYTES,
     ) -> None:
         self._server = grpc.aio.server(
-            options=(*_OPTIONS, *keepalive_options(max_silence_ms)),
+            options=(
+                *_OPTIONS,
+                *keepalive_options(max_silence_ms),
+                *_size_options(max_message_bytes),
+            ),
             maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS,
         )
         if tls is None:
@@ -83,3 +93,10 @@
     async def stop(self, grace_ms: float = 500) -> None:
         """Stop accepting calls, let those in progress run for `grace_ms`, then cancel them."""
         await self._server.stop(grace_ms / 1000)
+
+
+def _size_options(max_message_bytes: int) -> tuple[tuple[str, int], ...]:
+    longest = ("grpc.max_receive_message_length", max_message_bytes)
+    if max_message_bytes >= MAX_MESSAGE_BYTES:
+        return (longest,)
+    return (longest, ("grpc.http2.bdp_probe", 0), ("grpc.http2.lookahead_bytes", UNREAD_BYTES))
--- a/properties/safeguards/account_mutants.py
+++ b/properties/safeguards/account_mutants.py
@@ -19,6 +19,7 @@
 _PROCESS_TEST = f"{_TESTS}.test_process_account."
 _TOLD_TEST = f"{_TESTS}.test_told_parts."
 _HELD_TEST = f"{_TESTS}.test_held_requests.HeldRequestsTest."
+_HELPER_TEST = f"{_TESTS}.test_helper_links.HelperLinksTest."
 _CONNECTION_TEST = f"{_TESTS}.test_bounded_connections.BoundedConnectionTest."
 
 ACCOUNT_MUTANTS = (
@@ -296,4 +297,25 @@
         f"{_TESTS}.test_client_connections.ClientConnectionsTest."
         "test_an_answer_is_in_progress_until_the_system_has_taken_all_of_it",
     ),
+    Mutant(
+        "a helper gets bodies that it didn't ask for",
+        "chestnutfall/paths/helper_links.py",
+        "    if len(call.body) <= MAX_INLINE_BYTES:",
+        "    if True:",
+        _HELPER_TEST + "test_a_helper_without_room_gets_no_long_body",
+    ),
+    Mutant(
+        "a part of a body is sent for the whole",
+        "chestnutfall/paths/helper_service.py",
+        "        if len(body) != asked.body_bytes:",
+        "        if False:",
+        _HELPER_TEST + "test_a_body_that_does_not_come_whole_is_not_sent",
+    ),
+    Mutant(
+        "a call whose helper had no body counts as perhaps run",
+        "chestnutfall/paths/helper_links.py",
+        "            if is_whole:\n                raise\n",
+        "            raise\n",
+        _HELPER_TEST + "test_a_helper_that_is_lost_before_the_body_has_sent_nothing",
+    ),
 )
--- a/soak/peer_links.py
+++ b/soak/peer_links.py
@@ -27,14 +27,15 @@
         self._gateways = gateways
         self._port = port
         self._relays = {
-            (gateway.plan.name, target.plan.name): Relay(self._address(target))
+            (gateway.plan.name, target.plan.name): Relay(self.address_of(target))
             for gateway in gateways
             for target in (*controllers, *gateways)
             if target is not gateway
         }
         self._targets = {one.plan.name: one for one in (*controllers, *gateways)}
 
-    def _address(self, daemon: Daemon) -> str:
+    def address_of(self, daemon: Daemon) -> str:
+        """Return the address at which a daemon takes calls of others."""
         return f"{daemon.plan.ip}:{self._port}"
 
     async def start(self) -> None:
@@ -45,7 +46,7 @@
             gateway.write_peers(
                 json.dumps(
                     {
-                        self._address(self._targets[target]): relay.address
+                        self.address_of(self._targets[target]): relay.address
                         for (name, target), relay in self._relays.items()
                         if name == gateway.plan.name
                     }
