Let an entry of the log that can't be read have no effect

A command of a type that this release doesn't know still ends the replica: the release that wrote it applies it.

test_unreadable_entries and the properties over any bytes and any value in a field; two mutants, found.

--- a/chestnutfall/control/control_state.py
+++ b/chestnutfall/control/control_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -13,6 +14,7 @@
 from ..config.site_config import SiteConfig
 from ..consensus import StateMachine
 from ..placement.engine_kind import EngineKind
+from ..wire import UnknownMessage
 from .audit_record import FIRST_HASH, AuditRecord
 from .claim import Claim
 from .claim_table import ClaimTable
@@ -50,6 +52,8 @@
 from .ownership import Ownership
 from .upstream_roster import UpstreamRoster
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class _Dump:
@@ -160,7 +164,19 @@
         return self._changes.get(change_id)
 
     def apply(self, index: int, data: bytes) -> Any:
-        command = COMMAND_CODEC.decode(data)
+        try:
+            command = COMMAND_CODEC.decode(data)
+        except UnknownMessage:
+            # Replicas of the release that wrote it apply it. One that went on without it would hold
+            # another state than they.
+            raise
+        except ValueError as exc:
+            # Every replica holds the same bytes and passes over them alike. One that failed would
+            # fail again at each start, and with all others: no leader, and nothing to be read.
+            log.error(
+                "log: the command at index=%d can't be read, and has no effect: %s", index, exc
+            )
+            return Done()
         outcome = self._apply(index, command)
         self.on_apply(command)
         return outcome
--- a/chestnutfall/tests/fakes/fake_cluster.py
+++ b/chestnutfall/tests/fakes/fake_cluster.py
@@ -122,7 +122,11 @@
 
     async def propose(self, replica: Replica, command: str) -> bool:
         """Propose `command`, wait up to 1 s and return whether it was acknowledged."""
-        task = asyncio.ensure_future(replica.propose(command.encode()))
+        return await self.propose_bytes(replica, command.encode())
+
+    async def propose_bytes(self, replica: Replica, data: bytes) -> bool:
+        """Propose an encoded command, as `propose` does."""
+        task = asyncio.ensure_future(replica.propose(data))
         for _ in range(40):
             await self.clock.advance(25)
             if task.done():
--- a/chestnutfall/wire/codec.py
+++ b/chestnutfall/wire/codec.py
@@ -9,6 +9,10 @@
 from .traffic import Traffic
 
 
+class UnknownMessage(ValueError):
+    """A message of a type that this release doesn't know."""
+
+
 class Codec:
     """Encodes and decodes the messages of one closed union.
 
@@ -60,6 +64,8 @@
 
         Raises
         ------
+        UnknownMessage
+            When `data` is a message of another release.
         ValueError
             When `data` is not a message of this union.
         """
@@ -68,8 +74,8 @@
             decoder = self._decoders.get(name) or self._add_decoder(name)
             msg = decoder.decode(fields)
         except KeyError as exc:
-            raise ValueError(f"unknown message {exc}; known: {sorted(self._types)}") from exc
-        except msgspec.MsgspecError as exc:
+            raise UnknownMessage(f"unknown message {exc}; known: {sorted(self._types)}") from exc
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
             raise ValueError(f"not a message of this union: {exc}") from exc
         self.traffic.record_received(name, len(data))
         return msg
--- a/properties/safeguards/control_mutants.py
+++ b/properties/safeguards/control_mutants.py
@@ -111,4 +111,20 @@
         "    return name",
         "chestnutfall.tests.test_fleet_leader",
     ),
+    Mutant(
+        "an entry that can't be read ends each replica",
+        "chestnutfall/control/control_state.py",
+        "            return Done()\n        outcome = self._apply(index, command)",
+        "            raise\n        outcome = self._apply(index, command)",
+        "chestnutfall.tests.test_unreadable_entries.UnreadableEntriesTest."
+        "test_a_group_goes_on_behind_them_and_starts_with_them",
+    ),
+    Mutant(
+        "a command of a later release is passed over",
+        "chestnutfall/control/control_state.py",
+        "        except UnknownMessage:",
+        "        except ZeroDivisionError:",
+        "properties.test_control_state.UnreadableEntriesTest."
+        "test_a_command_of_a_later_release_ends_the_replica",
+    ),
 )
--- a/properties/test_control_state.py
+++ b/properties/test_control_state.py
@@ -10,8 +10,10 @@
 
 import json
 import unittest
+from contextlib import suppress
 from typing import Any
 
+import msgspec
 from hypothesis import example, given
 from hypothesis import strategies as st
 
@@ -19,6 +21,7 @@
 from chestnutfall.config.layered_config import BASE_LAYER, LayeredConfig
 from chestnutfall.config.merge_diff import merge_diff
 from chestnutfall.config.site_config import SiteConfig
+from chestnutfall.control import control_state
 from chestnutfall.control.claim import ClaimStatus
 from chestnutfall.control.commands import (
     COMMAND_CODEC,
@@ -27,6 +30,7 @@
     Changed,
     ClaimTaken,
     Conflict,
+    Done,
     EndClaim,
     EndPermit,
     NoPermit,
@@ -35,6 +39,7 @@
     TakePermit,
 )
 from chestnutfall.control.control_state import ControlState
+from chestnutfall.wire import UnknownMessage
 
 change_numbers = st.integers(0, 3)
 entry = st.recursive(
@@ -51,6 +56,20 @@
 patches = st.fixed_dictionaries({BASE_LAYER: sections}, optional={"site:one": sections})
 
 
+FIELDS = {
+    "NameVersion": {"model": "base", "adapter": "a1", "version": 2},
+    "PutDocument": {"version": 3, "content": b"document"},
+    "AdvanceTime": {"ms": 7},
+    "EndPermit": {"permit_id": "p"},
+}
+"""Commands, and fields with which they can be read."""
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.floats() | st.text(),
+    lambda inner: st.lists(inner, max_size=2) | st.dictionaries(st.text(), inner, max_size=2),
+    max_leaves=3,
+)
+
+
 def _apply(state: ControlState, command: Any, index: int = 1) -> Any:
     return state.apply(index, COMMAND_CODEC.encode(command))
 
@@ -71,6 +90,38 @@
     return copy
 
 
+class UnreadableEntriesTest(unittest.TestCase):
+    # Guards against an entry that ends each replica which applies it, again at each start, and with
+    # them the group and all that was acknowledged.
+    @given(st.binary(max_size=40))
+    def test_bytes_that_are_no_command_have_no_effect(self, data: bytes) -> None:
+        self._assert_passed_over(data)
+
+    @given(st.sampled_from(sorted(FIELDS)), json_values, st.integers(0, 2))
+    def test_a_command_with_a_value_of_another_type_has_no_effect(
+        self, name: str, value: Any, at: int
+    ) -> None:
+        fields = FIELDS[name] | {sorted(FIELDS[name])[at % len(FIELDS[name])]: value}
+        data = msgspec.msgpack.encode((name, fields))
+        with suppress(ValueError):
+            COMMAND_CODEC.decode(data)
+            return
+        self._assert_passed_over(data)
+
+    # Guards against replicas of two releases that hold different states after the same entries.
+    def test_a_command_of_a_later_release_ends_the_replica(self) -> None:
+        with self.assertRaises(UnknownMessage):
+            _state().apply(2, msgspec.msgpack.encode(("CommandOfLater", {})))
+
+    def _assert_passed_over(self, data: bytes) -> None:
+        state = _state()
+        before = state.dump()
+        with self.assertLogs(control_state.log, "ERROR"):
+            state.apply(2, data)
+        self.assertEqual(state.dump(), before)
+        self.assertIsInstance(_apply(state, AdvanceTime(5), 3), Done)
+
+
 class ConfigurationTest(unittest.TestCase):
     @given(
         st.lists(st.tuples(change_numbers, st.integers(0, 5), patches), max_size=12),
