Propose nothing to the log that its replicas couldn't read back

A null in place of a text was replicated, committed, and could be read by nobody.

A command is decoded before it is proposed (some microseconds beside a sync of the disk).

--- a/chestnutfall/control/commands.py
+++ b/chestnutfall/control/commands.py
@@ -377,3 +377,26 @@
     ClearParts,
     ForgetParts,
 )
+
+
+class UnreadableCommand(ValueError):
+    """A command that replicas could not read back."""
+
+
+def encode_command(command: Command) -> bytes:
+    """Return a command as it is proposed to the log.
+
+    Raises
+    ------
+    UnreadableCommand
+        When it can't be encoded, or could not be read back. The encoder doesn't check the types of
+        fields, and a committed entry stays.
+    """
+    if not COMMAND_CODEC.can_encode(command):
+        raise UnreadableCommand(f"{type(command).__name__} can't be encoded")
+    data = COMMAND_CODEC.encode(command)
+    try:
+        COMMAND_CODEC.decode(data)
+    except ValueError as exc:
+        raise UnreadableCommand(f"{type(command).__name__}: {exc}") from exc
+    return data
--- a/chestnutfall/control/control_service.py
+++ b/chestnutfall/control/control_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 from dataclasses import replace
 from typing import Any
 
@@ -17,7 +18,6 @@
 from ..quota.messages import AskQuota, UsedQuota, WasShort
 from .claim import ClaimStatus
 from .commands import (
-    COMMAND_CODEC,
     ClaimHeld,
     Command,
     Done,
@@ -26,6 +26,8 @@
     NoPermit,
     TakeClaim,
     TakePermit,
+    UnreadableCommand,
+    encode_command,
 )
 from .control_state import ControlState
 from .crash_messages import AnsweredRun, BrokenRun, SuspectRequests
@@ -45,6 +47,8 @@
 from .operator_service import OperatorService
 from .sessions import SESSION_LEASE_MS
 
+log = logging.getLogger(__name__)
+
 MAX_DELTAS = 100
 """Most revisions sent as deltas; a gateway that is further behind gets the whole configuration."""
 MAX_CLAIM_KEY_CHARS = 512
@@ -79,6 +83,9 @@
             return TryElsewhere(self._replica.leader_address())
         try:
             return await self._answer(msg)
+        except UnreadableCommand as exc:
+            log.error("control: %s not proposed: %s", type(msg).__name__, exc)
+            return Refused((str(exc),))
         except (NotLeader, Busy):
             return TryElsewhere(self._replica.leader_address())
         except (LeadershipLost, StorageFailed):
@@ -107,7 +114,7 @@
                 return Refused((f"{type(msg).__name__} is not a request",))
 
     async def _commit(self, command: Command) -> Any:
-        return await self._replica.propose(COMMAND_CODEC.encode(command))
+        return await self._replica.propose(encode_command(command))
 
     # Gateways
 
--- a/chestnutfall/control/crash_monitor.py
+++ b/chestnutfall/control/crash_monitor.py
@@ -10,7 +10,6 @@
 from ..placement.suspect_parts import SuspectParts
 from .broken_upstream import BrokenUpstream
 from .commands import (
-    COMMAND_CODEC,
     ClearParts,
     ClearSuspect,
     Command,
@@ -18,6 +17,7 @@
     ForgetParts,
     HoldParts,
     NoteUpstreamEnd,
+    encode_command,
 )
 from .control_state import ControlState
 from .crash_messages import AnsweredParts, AnsweredRun, BrokenRun, CrashReport
@@ -277,7 +277,7 @@
             log.info("crashes: dropped instances=%s, held parts=%s", part_ends, holds)
 
     async def _commit(self, command: Command) -> None:
-        await self._replica.propose(COMMAND_CODEC.encode(command))
+        await self._replica.propose(encode_command(command))
 
 
 def _log_parts(instance: str, fingerprint: str, parts: tuple[str, ...]) -> None:
--- a/chestnutfall/control/leader_duties.py
+++ b/chestnutfall/control/leader_duties.py
@@ -7,7 +7,7 @@
 from ..clock import Clock
 from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
 from .caller_quotas import CallerQuotas
-from .commands import COMMAND_CODEC, AdvanceTime, AssignEngines, Command, EndPermit
+from .commands import AdvanceTime, AssignEngines, Command, EndPermit, encode_command
 from .control_state import ControlState
 from .crash_monitor import CrashMonitor
 from .directory import Directory
@@ -206,4 +206,4 @@
             await self._commit(AdvanceTime(passed_ms))
 
     async def _commit(self, command: Command) -> None:
-        await self._replica.propose(COMMAND_CODEC.encode(command))
+        await self._replica.propose(encode_command(command))
--- a/chestnutfall/control/operator_service.py
+++ b/chestnutfall/control/operator_service.py
@@ -18,7 +18,7 @@
 from ..findings.finding import Finding
 from ..findings.json_document import read_json_text
 from ..requests import key_digest
-from .commands import COMMAND_CODEC, ChangeConfig, Changed, Conflict
+from .commands import ChangeConfig, Changed, Conflict, encode_command
 from .control_state import ControlState
 from .leader_duties import LeaderDuties
 from .messages import (
@@ -114,7 +114,7 @@
                 return Refused(reasons)
         if msg.dry_run:
             return Changed(self._state.revision + 1)
-        outcome: Changed | Conflict = await self._replica.propose(COMMAND_CODEC.encode(change))
+        outcome: Changed | Conflict = await self._replica.propose(encode_command(change))
         return outcome
 
     def _validation_errors(self, patches: dict[str, Any]) -> Iterator[str]:
--- a/chestnutfall/coordination/engine_kind_recorder.py
+++ b/chestnutfall/coordination/engine_kind_recorder.py
@@ -6,7 +6,7 @@
 
 from ..clock import Clock
 from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
-from ..control.commands import COMMAND_CODEC, NoteEngineKind
+from ..control.commands import NoteEngineKind, encode_command
 from ..control.control_state import ControlState
 from ..placement.placer import Placer
 from .speed_log import SpeedLog
@@ -44,7 +44,7 @@
 
     async def _commit(self, command: NoteEngineKind) -> None:
         try:
-            await self._replica.propose(COMMAND_CODEC.encode(command))
+            await self._replica.propose(encode_command(command))
         except (NotLeader, Busy, LeadershipLost, StorageFailed) as exc:
             # The next round tries again. Without the entry, a new leader only has to measure again.
             log.info("kinds: service=%s not committed: %r", command.service, exc)
--- a/chestnutfall/coordination/group_manager.py
+++ b/chestnutfall/coordination/group_manager.py
@@ -7,7 +7,7 @@
 
 from ..clock import Clock
 from ..consensus import Busy, LeadershipLost, Member, NotLeader, Replica, StorageFailed
-from ..control.commands import COMMAND_CODEC, CompleteGroup
+from ..control.commands import CompleteGroup, encode_command
 from ..control.control_state import ControlState
 from .relay_messages import JoinGroup
 
@@ -66,7 +66,7 @@
 
     async def _step(self) -> None:
         if not self._state.group_complete and self._is_complete():
-            await self._replica.propose(COMMAND_CODEC.encode(CompleteGroup()))
+            await self._replica.propose(encode_command(CompleteGroup()))
             log.info("group: complete with %s", [m.replica_id for m in self._replica.members])
         members = self._next_members()
         if members is not None:
--- a/chestnutfall/coordination/leader_relay.py
+++ b/chestnutfall/coordination/leader_relay.py
@@ -7,7 +7,13 @@
 
 from ..clock import Clock
 from ..consensus import Busy, LeadershipLost, NotLeader, Replica, StorageFailed
-from ..control.commands import COMMAND_CODEC, NameVersion, PutDocument, VersionTaken
+from ..control.commands import (
+    NameVersion,
+    PutDocument,
+    UnreadableCommand,
+    VersionTaken,
+    encode_command,
+)
 from ..control.control_state import ControlState
 from ..wire import RpcChannel
 from .fleet_leader import FleetLeader
@@ -91,6 +97,9 @@
             return Unavailable(self._replica.leader_address())
         try:
             return await self._answer(term, msg)
+        except UnreadableCommand as exc:
+            log.error("relay: %s not proposed: %s", type(msg).__name__, exc)
+            return Rejected(str(exc))
         except (NotLeader, Busy, LeadershipLost, StorageFailed) as exc:
             log.warning("relay: outcome of %s is unknown: %r", type(msg).__name__, exc)
             return Unavailable()
@@ -118,7 +127,7 @@
                 return await self._store(version, content)
             case StoreVersion(model, adapter, version):
                 command = NameVersion(model, adapter, version)
-                await self._replica.propose(COMMAND_CODEC.encode(command))
+                await self._replica.propose(encode_command(command))
                 return Accepted()
             case ReadDocument():
                 return HeldDocument(self._state.document.version, self._state.document.content)
@@ -126,7 +135,7 @@
                 return Rejected(f"{type(msg).__name__} is not a call")
 
     async def _store(self, version: int, content: bytes) -> Accepted | Rejected:
-        outcome = await self._replica.propose(COMMAND_CODEC.encode(PutDocument(version, content)))
+        outcome = await self._replica.propose(encode_command(PutDocument(version, content)))
         if isinstance(outcome, VersionTaken):
             return Rejected(f"version {outcome.version} is in force with other content")
         log.info("document: version=%d held=%d", version, outcome.version)
--- a/chestnutfall/coordination/upstream_tracker.py
+++ b/chestnutfall/coordination/upstream_tracker.py
@@ -8,11 +8,11 @@
 from ..clock import Clock
 from ..consensus import Replica
 from ..control.commands import (
-    COMMAND_CODEC,
     AddUpstream,
     Command,
     ForgetUpstream,
     UpstreamLeaves,
+    encode_command,
 )
 from ..control.control_state import ControlState
 from ..control.crash_monitor import CrashMonitor
@@ -186,4 +186,4 @@
         self._liveness.answered(instance)
 
     async def _commit(self, command: Command) -> None:
-        await self._replica.propose(COMMAND_CODEC.encode(command))
+        await self._replica.propose(encode_command(command))
--- a/properties/safeguards/control_mutants.py
+++ b/properties/safeguards/control_mutants.py
@@ -127,4 +127,12 @@
         "properties.test_control_state.UnreadableEntriesTest."
         "test_a_command_of_a_later_release_ends_the_replica",
     ),
+    Mutant(
+        "a command that can't be read back is proposed",
+        "chestnutfall/control/commands.py",
+        "        COMMAND_CODEC.decode(data)\n",
+        "        pass\n",
+        "chestnutfall.tests.test_encoded_commands.EncodeCommandTest."
+        "test_a_command_that_could_not_be_read_back_is_not_encoded",
+    ),
 )
