Decode the call that names a version into checked types

Values of another type, out of range or too long are answered 400 now with their place and what is allowed; names of upstreams that aren't UTF-8, too.

"adapter": null means the same as a missing or empty one, the weights of the model itself: the users' page says that the call is repeated until it is acknowledged, and an operator's library writes null for a member that it leaves open. docs/operators says so.

--- a/chestnutfall/platform/control_server.py
+++ b/chestnutfall/platform/control_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 from collections.abc import Sequence
 from typing import Any
@@ -20,7 +19,6 @@
     ReadDocument,
     Rejected,
     StoreDocument,
-    StoreVersion,
     Unavailable,
 )
 from ..findings.finding import Finding
@@ -29,6 +27,7 @@
 from ..wire.request_body import read_body
 from .accepted_listening import AcceptedListener, listen_accepted
 from .upstream_json import read_announcement, read_departure
+from .version_json import read_version
 
 log = logging.getLogger(__name__)
 MAX_BODY_BYTES = 32 * 1024 * 1024
@@ -101,7 +100,7 @@
                 case "PUT", "/v1/config":
                     return await self._put(body)
                 case "POST", "/v1/version-put":
-                    return _empty_answer(await self._relay.ask(_read_version(json.loads(body))))
+                    return _empty_answer(await self._relay.ask(read_version(body)))
                 case "PUT", path if path.startswith(INSTANCES_PATH):
                     return self._heartbeat_answer(
                         await self._relay.ask(read_announcement(instance, body))
@@ -110,7 +109,7 @@
                     return _empty_answer(await self._relay.ask(read_departure(instance, body)))
                 case _:
                     return json_response({"error": "no such call"}, status=404)
-        except (ValueError, KeyError, TypeError) as exc:
+        except ValueError as exc:
             reason = repr(exc)[:MAX_REASON_CHARACTERS]
             path = request.path[:MAX_REASON_CHARACTERS]
             # Not a warning: these are written however many there are.
@@ -172,7 +171,3 @@
             return json_response({"error": reason}, status=409)
         case Unavailable() | _:
             return json_response({"error": "no leader"}, status=503)
-
-
-def _read_version(wire: dict[str, Any]) -> StoreVersion:
-    return StoreVersion(wire["model"], wire.get("adapter", ""), int(wire["version"]))
--- a/chestnutfall/platform/upstream_json.py
+++ b/chestnutfall/platform/upstream_json.py
@@ -154,6 +154,10 @@
         raise UnreadableUpstream(
             f"a name has 1 to {MAX_NAME_CHARACTERS} characters, not {len(name)}"
         )
+    try:
+        name.encode()
+    except UnicodeEncodeError as exc:
+        raise UnreadableUpstream("a name is UTF-8") from exc
     return name
 
 
