Let a gateway's share of repeats grow from nothing at each start

Cause: a count that a restart sets to zero though others still remember it. What a gateway had spent was known to it alone; each start had its share of the slack once more, and one repeat or none by rounding. The part that follows its own requests was no fault: both ends of it are lost alike.

A share now grows to half over the first window (10 s) and is whole from then on. What was spent before a kill and what is spent after all further starts of a window stay within one and a half shares then, however many there are; with the leader's part that is 0.875 of the slack. Before the system's first start nothing was spent, so that one begins with the whole share. The leader's pool, which waits for a window after each change of leader, goes on as gateways are killed.

Tests about something else start their gateways long ago.

--- a/chestnutfall/forwarding/repeats.py
+++ b/chestnutfall/forwarding/repeats.py
@@ -25,6 +25,8 @@
         Returns the number of gateways that share the bound.
     borrow : callable
         Asks the leader for one repeat for a service; False if it gives none.
+    started_ms : int
+        Clock time at which this gateway may have been killed and begun anew.
     """
 
     def __init__(
@@ -34,12 +36,14 @@
         borrow: Callable[[str], Awaitable[bool]],
         clock: Clock,
         rng: random.Random,
+        started_ms: int,
     ) -> None:
         self._bounds = bounds
         self._gateways = gateways
         self._borrow = borrow
         self._clock = clock
         self._rng = rng
+        self._started_ms = started_ms
         self._own: dict[str, SharedRetryBudget] = {}
         self._unsent: dict[str, SlidingWindow] = {}
 
@@ -104,5 +108,7 @@
 
     def _budget(self, service: str) -> SharedRetryBudget:
         if service not in self._own:
-            self._own[service] = SharedRetryBudget(self._bounds, self._clock, self._rng)
+            self._own[service] = SharedRetryBudget(
+                self._bounds, self._clock, self._rng, self._started_ms
+            )
         return self._own[service]
--- a/chestnutfall/platform/gateway.py
+++ b/chestnutfall/platform/gateway.py
@@ -213,12 +213,15 @@
         )
 
     def _make_forwarder(self) -> Forwarder:
+        bounds, now_ms = self._settings.repeats, self._clock.now_ms()
         repeats = Repeats(
-            self._settings.repeats,
+            bounds,
             self._gateways,
             self._fleet.questions.borrow_repeat,
             self._clock,
             self._rng,
+            # Before the system's first start nothing was spent.
+            now_ms - bounds.window_ms if self._settings.first_start else now_ms,
         )
         return Forwarder(
             self._known,
--- a/chestnutfall/tests/fakes/document_office.py
+++ b/chestnutfall/tests/fakes/document_office.py
@@ -40,6 +40,7 @@
 from .document_parts import ENGINE_SERVICES, HOST, PLAIN_SERVICES, SLOTS
 from .fake_cluster import FakeCluster
 from .fake_upstreams import RecordedReply
+from .long_ago import LONG_AGO_MS
 from .placing_gateway import PlacingGateway
 from .signal_office import EVENTS, SignallingApi
 from .signalling_upstream import ENGINES, PLAIN, SignallingUpstream
@@ -160,7 +161,14 @@
         self._forwarder = Forwarder(
             gateway.known,
             Admission(quotas),
-            Repeats(REPEATS, lambda: 1, gateway.fleet.questions.borrow_repeat, self.clock, rng),
+            Repeats(
+                REPEATS,
+                lambda: 1,
+                gateway.fleet.questions.borrow_repeat,
+                self.clock,
+                rng,
+                LONG_AGO_MS,
+            ),
             gateway.selectors[ENGINES],
             gateway.selectors[PLAIN],
             Sender(api, gateway.signals, gateway.origins, self.clock, metrics, usual_memory()),
--- a/chestnutfall/tests/fakes/forwarder_case.py
+++ b/chestnutfall/tests/fakes/forwarder_case.py
@@ -40,6 +40,7 @@
     ScriptedUpstreams,
 )
 from .limit_parts import known_signals
+from .long_ago import LONG_AGO_MS
 from .stream_origins import origins_of_one_build
 
 
@@ -123,7 +124,12 @@
         metrics = PrometheusMetrics()
         self.signals = known_signals(self.clock)
         self.repeats = Repeats(
-            RepeatBounds(0.2, slack, 10_000), lambda: 1, self._borrow, self.clock, self.rng
+            RepeatBounds(0.2, slack, 10_000),
+            lambda: 1,
+            self._borrow,
+            self.clock,
+            self.rng,
+            LONG_AGO_MS,
         )
         origins = origins_of_one_build(self.clock)
         forwarder = Forwarder(
--- a/chestnutfall/tests/fakes/served_gateway.py
+++ b/chestnutfall/tests/fakes/served_gateway.py
@@ -40,6 +40,7 @@
 from .accounts import usual_account, usual_memory
 from .fake_upstreams import FixedRoutes, ListedSelector, ScriptedQuotaClient
 from .limit_parts import known_signals
+from .long_ago import LONG_AGO_MS
 from .stream_origins import origins_of_one_build
 from .upstream_clients import upstream_client
 
@@ -110,7 +111,7 @@
         return Forwarder(
             FixedRoutes(table, clock),
             Admission(QuotaEnforcer(ScriptedQuotaClient(), _one, STRICT_QUOTA_BOUNDS, clock, rng)),
-            Repeats(RepeatBounds(0.2, 100, 10_000), _one, _borrow_none, clock, rng),
+            Repeats(RepeatBounds(0.2, 100, 10_000), _one, _borrow_none, clock, rng, LONG_AGO_MS),
             selector,
             selector,
             Sender(api, signals, origins, clock, self.metrics, usual_memory()),
--- a/chestnutfall/tests/fakes/signal_office.py
+++ b/chestnutfall/tests/fakes/signal_office.py
@@ -38,6 +38,7 @@
 from ...signals import AskedBackoff
 from .accounts import usual_memory
 from .fake_upstreams import FixedRoutes, RecordedReply, ScriptedQuotaClient
+from .long_ago import LONG_AGO_MS
 from .placing_gateway import PlacingGateway
 from .placing_office import DEADLINE_MS, PlacingOffice
 from .signalling_upstream import ADAPTERS, ENGINES, PLAIN, SPEC, BackoffRequest, SignallingUpstream
@@ -210,6 +211,7 @@
                 gateway.fleet.questions.borrow_repeat,
                 self.clock,
                 rng,
+                LONG_AGO_MS,
             ),
             gateway.selectors[ENGINES],
             gateway.selectors[PLAIN],
--- a/chestnutfall/tests/fakes/silence_case.py
+++ b/chestnutfall/tests/fakes/silence_case.py
@@ -33,6 +33,7 @@
 from .accounts import usual_memory
 from .fake_upstreams import FixedRoutes, RecordedReply, ScriptedQuotaClient
 from .limit_parts import known_signals
+from .long_ago import LONG_AGO_MS
 from .stream_origins import origins_of_one_build
 from .timed_upstreams import Step, TimedSelector, TimedUpstreams
 
@@ -99,6 +100,7 @@
             self._borrow,
             self.clock,
             random.Random(0),
+            LONG_AGO_MS,
         )
         self.repeats._budget("s")._rounding_offset = 0.0
         for _ in range(REQUESTS_IN_WINDOW):
--- a/chestnutfall/tests/test_backoff_parts.py
+++ b/chestnutfall/tests/test_backoff_parts.py
@@ -25,6 +25,7 @@
 from ..signals.upstream_backoff import PROBE_MS, RAMP_MS, RAMP_STEPS, UpstreamBackoff
 from .fakes.accounts import usual_memory
 from .fakes.limit_parts import known_signals
+from .fakes.long_ago import LONG_AGO_MS
 
 LEAVING = UpstreamSignals(leaving=True)
 
@@ -286,7 +287,9 @@
         async def lend(service: str) -> bool:
             return False
 
-        repeats = Repeats(RepeatBounds(0.0, 20, 10_000), lambda: 1, lend, clock, random.Random(1))
+        repeats = Repeats(
+            RepeatBounds(0.0, 20, 10_000), lambda: 1, lend, clock, random.Random(1), LONG_AGO_MS
+        )
         spent = 0
         while await repeats.spend("s", upstream_is_busy=False):
             spent += 1
--- a/chestnutfall/tests/test_organisations.py
+++ b/chestnutfall/tests/test_organisations.py
@@ -50,6 +50,7 @@
     ScriptedUpstreams,
 )
 from .fakes.limit_parts import known_signals
+from .fakes.long_ago import LONG_AGO_MS
 from .fakes.stream_origins import origins_of_one_build
 
 PERMITS = {"name": "permits", "api_keys": ["key-of-permits"], "priority": 0}
@@ -178,7 +179,7 @@
         forwarder = Forwarder(
             FixedRoutes(table, self.clock),
             Admission(self.quotas),
-            Repeats(bounds, lambda: 1, self._borrow, self.clock, rng),
+            Repeats(bounds, lambda: 1, self._borrow, self.clock, rng, LONG_AGO_MS),
             self.selector,
             self.selector,
             Sender(self.upstreams, signals, origins, self.clock, self.metrics, usual_memory()),
--- a/chestnutfall/tests/test_repeats.py
+++ b/chestnutfall/tests/test_repeats.py
@@ -23,8 +23,11 @@
 from ..forwarding.repeats import Repeats
 from ..platform.document_json import DocumentJson
 from ..settings.repeat_bounds import RepeatBounds
+from .fakes.long_ago import LONG_AGO_MS
 
 BOUNDS = RepeatBounds(0.2, 50, 10_000)
+KILLS = 16
+"""Times that each gateway is killed within one window."""
 
 
 class _Fleet:
@@ -33,13 +36,20 @@
     def __init__(self, gateways: int, bounds: RepeatBounds = BOUNDS) -> None:
         self.clock = ManualClock()
         self._bounds = bounds
-        rng = random.Random(1)
+        self._rng = random.Random(1)
         self.gateways = [
-            Repeats(bounds, lambda: gateways, self._borrow, self.clock, rng)
+            Repeats(bounds, lambda: gateways, self._borrow, self.clock, self._rng, LONG_AGO_MS)
             for _ in range(gateways)
         ]
         self.change_leader()
 
+    def restart(self, gateway: int) -> None:
+        """Kill a gateway and start it anew."""
+        count = len(self.gateways)
+        self.gateways[gateway] = Repeats(
+            self._bounds, lambda: count, self._borrow, self.clock, self._rng, self.clock.now_ms()
+        )
+
     def change_leader(self) -> None:
         self._pool = RepeatPool(self._bounds, self.clock)
 
@@ -53,7 +63,7 @@
 
 
 class RepeatsTest(unittest.IsolatedAsyncioTestCase):
-    @given(st.lists(st.tuples(st.integers(0, 4), st.integers(0, 2_000)), max_size=60))
+    @given(st.lists(st.tuples(st.integers(0, 8), st.integers(0, 2_000)), max_size=60))
     def test_all_gateways_together_keep_the_bound_in_every_window(
         self, steps: list[tuple[int, int]]
     ) -> None:
@@ -68,6 +78,9 @@
             if step == 4:
                 fleet.change_leader()
                 continue
+            if step > 4:
+                fleet.restart(step - 5)
+                continue
             fleet.gateways[step].note_request("s")
             requests.append(fleet.clock.now_ms())
             repeats += [fleet.clock.now_ms()] * await fleet.repeats_of(step, 60)
@@ -101,6 +114,30 @@
         await fleet.clock.advance(1_000)
         self.assertEqual(await fleet.repeats_of(0, 50), 7 + 14)
 
+    # Guards against gateways that are killed again and again while engines fail, and have their
+    # share of the slack anew at each start.
+    async def test_gateways_that_are_killed_keep_the_bound(self) -> None:
+        for gateways in (2, 9, 87, 410):
+            with self.subTest(gateways=gateways):
+                fleet = _Fleet(gateways, RepeatBounds(0.0, 58, 10_000))
+                spent = [await fleet.repeats_of(at, 60) for at in range(gateways)]
+                for _ in range(KILLS):
+                    fleet.clock._now_ms += 600
+                    for at in range(gateways):
+                        spent.append(await fleet.repeats_of(at, 60))
+                        fleet.restart(at)
+                self.assertLessEqual(sum(spent), 58)
+
+    # Guards against gateways that never get their share back.
+    async def test_a_gateway_that_started_has_its_share_after_a_window(self) -> None:
+        fleet = _Fleet(2, RepeatBounds(0.0, 40, 10_000))
+        fleet.restart(0)
+        self.assertEqual(await fleet.repeats_of(0, 50), 0)
+        await fleet.clock.advance(9_000)
+        self.assertIn(await fleet.repeats_of(0, 50), (2, 3))
+        await fleet.clock.advance(10_000)
+        self.assertEqual(await fleet.repeats_of(0, 50), 7 + 14)
+
     async def test_without_a_leader_each_gateway_has_its_own_share(self) -> None:
         fleet = _Fleet(2, RepeatBounds(0.0, 40, 10_000))
         self.assertEqual([await fleet.repeats_of(at, 50) for at in (0, 1)], [7, 7])
--- a/chestnutfall/tests/test_silent_upstreams.py
+++ b/chestnutfall/tests/test_silent_upstreams.py
@@ -20,6 +20,7 @@
     lasting_ms,
 )
 from ..settings.repeat_bounds import RepeatBounds
+from .fakes.long_ago import LONG_AGO_MS
 
 USUAL_MS = 300
 
@@ -263,7 +264,9 @@
         async def borrow(service: str) -> bool:
             return False
 
-        repeats = Repeats(RepeatBounds(0.2, 0, 10_000), lambda: 1, borrow, clock, random.Random(1))
+        repeats = Repeats(
+            RepeatBounds(0.2, 0, 10_000), lambda: 1, borrow, clock, random.Random(1), LONG_AGO_MS
+        )
         for _ in range(1_000):
             repeats.note_request("s")
         for_silence = 0
@@ -284,7 +287,9 @@
         async def borrow(service: str) -> bool:
             return False
 
-        repeats = Repeats(RepeatBounds(0.0, 0, 10_000), lambda: 1, borrow, clock, random.Random(0))
+        repeats = Repeats(
+            RepeatBounds(0.0, 0, 10_000), lambda: 1, borrow, clock, random.Random(0), LONG_AGO_MS
+        )
         repeats._budget("s")._rounding_offset = 0.0
         self.assertFalse(repeats.has_for_silence("s"))
         repeats.refund("s")
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -247,10 +247,17 @@
     Mutant(
         "shares of less than one repeat are none",
         "chestnutfall/forwarding/shared_retry_budget.py",
-        "SAFETY_FACTOR * own + self._rounding_offset\n",
+        "SAFETY_FACTOR * own + grown * self._rounding_offset\n",
         "SAFETY_FACTOR * own\n",
         "chestnutfall.tests.test_repeats",
     ),
+    Mutant(
+        "a gateway has its share of the slack anew at each start",
+        "chestnutfall/forwarding/shared_retry_budget.py",
+        "        return 1.0 if running >= 1 else STARTING_SHARE * running",
+        "        return 1.0",
+        "chestnutfall.tests.test_repeats.RepeatsTest.test_gateways_that_are_killed_keep_the_bound",
+    ),
     Mutant(
         "the leader decides anew for each message",
         "chestnutfall/coordination/leader_term.py",
