Begin loads of base models one by one

Found while listing the counts that a restart sets to zero (docs/design/counts.md): a leader began as many loads at once as the weight store allows in five seconds, and the next leader as many again. What upstreams would see: 48 loads of 29 in a window as two leaders follow one another while many engines are empty.

The rate holds as a pace now, with one load to make up for a late round: leaders in turn keep it, and rounds each 100 ms keep up with 4.9 a second. test_model_loads failed before.

--- a/chestnutfall/placement/model_loads.py
+++ b/chestnutfall/placement/model_loads.py
@@ -4,19 +4,22 @@
 
 from collections.abc import Collection, Iterable, Iterator
 
-from ..clock import SlidingWindow
 from .decisions import LoadModel
 from .engine import Engine
 
-WINDOW_MS = 5_000
-"""The weight store's rate holds in every window of this length."""
+MAX_INTERVAL_MS = 5_000
+"""Longest time between two loads, however low the weight store's rate."""
 
 
 class ModelLoads:
-    """Decides which base models to load over all engines, within the weight store's rate."""
+    """Decides which base models to load over all engines, within the weight store's rate.
+
+    Loads begin one by one. A leader that began as many at once as the store allows in some seconds
+    could be followed by another one that does the same.
+    """
 
     def __init__(self) -> None:
-        self._started = SlidingWindow(WINDOW_MS)
+        self._next_ms = 0.0
 
     def decide(self, engines: Collection[Engine], now_ms: int) -> Iterator[LoadModel]:
         """Yield the loads that are due, and count them."""
@@ -31,9 +34,11 @@
 
     def _may_start(self, per_s: float, now_ms: int) -> bool:
         """Whether the rate allows one more load; counts the load if so."""
-        if self._started.count(now_ms) >= max(per_s * WINDOW_MS / 1000, 1):
+        if now_ms < self._next_ms:
             return False
-        self._started.note(now_ms)
+        interval_ms = min(1000 / per_s, MAX_INTERVAL_MS) if per_s > 0 else MAX_INTERVAL_MS
+        # What a decision round comes too late for is made up for by one load at most.
+        self._next_ms = max(self._next_ms, now_ms - interval_ms) + interval_ms
         return True
 
 
--- a/properties/safeguards/placement_mutants.py
+++ b/properties/safeguards/placement_mutants.py
@@ -213,4 +213,11 @@
         "",
         "chestnutfall.tests.test_upstream_selectors",
     ),
+    Mutant(
+        "a leader begins the loads of some seconds at once",
+        "chestnutfall/placement/model_loads.py",
+        "        self._next_ms = max(self._next_ms, now_ms - interval_ms) + interval_ms",
+        "        self._next_ms = max(self._next_ms, now_ms - 5_000) + interval_ms",
+        "chestnutfall.tests.test_model_loads.ModelLoadsTest.test_leaders_in_turn_keep_the_rate",
+    ),
 )
