--- a/chestnutfall/platform/standin/upstream.py
+++ b/chestnutfall/platform/standin/upstream.py
@@ -20,6 +20,7 @@
 from .adapter_store import AdapterStore
 from .endless import Endless, write_endless
 from .idle_connections import IdleConnections
+from .malformed import Malformed, write_malformed
 from .room import NoRoom, StandInRoom
 from .run_registry import RunRegistry
 from .stream_text import event_text
@@ -108,6 +109,8 @@
         Times in which it writes nothing, though it is sound and announces itself.
     endless : Endless or None
         What it writes without end in place of each answer of 200; None for its answers.
+    malformed : Malformed or None
+        What is wrong with the heads of its answers of 200; None for sound ones.
     long_answer_bytes : int
         Length of its answers to requests whose path ends with `LONG_PATH`.
     reads_slowly : bool
@@ -154,6 +157,7 @@
         self.down_s = DOWN_S
         self.silence = Silence()
         self.endless: Endless | None = None
+        self.malformed: Malformed | None = None
         self.long_answer_bytes = ANSWER_BYTES
         self.reads_slowly = False
         self.event_s = EVENT_S
@@ -211,7 +215,7 @@
         self.backoff, self.leaving, self.announces_draining = None, False, False
         self._adapters = self._new_store()
         self.silence.end()
-        self.endless = None
+        self.endless = self.malformed = None
         refused, self.room = self.room.refused, StandInRoom()
         self.room.refused = refused
         await self._listen(self.address)
@@ -340,6 +344,8 @@
         if self.endless is not None:
             return await write_endless(request, self._headers(request_id), self.endless)
         body = answer_body(request_id)
+        if self.malformed is not None:
+            return write_malformed(request, self._headers(request_id), self.malformed, body)
         if request.path.endswith(LONG_PATH):
             body = b"p" * self.long_answer_bytes
         if self._rng_of_answers.random() >= self.unframed_share:
@@ -413,6 +419,9 @@
     ) -> web.StreamResponse:
         if self.endless is not None:
             return await write_endless(request, self._headers(request_id), self.endless)
+        if self.malformed is not None:
+            event = event_text(1, request_id, self.build)
+            return write_malformed(request, self._headers(request_id), self.malformed, event)
         after = int(request.headers.get(names.LAST_EVENT, "0"))
         breaks_at = self._break_after(after)
         build = self.build
--- a/soak/request_checks.py
+++ b/soak/request_checks.py
@@ -15,6 +15,9 @@
 from .verdict import Verdict
 
 NON_IDEMPOTENT_ROUTES = ("once", "draft")
+STATUSES = range(200, 600)
+UNREADABLE = "ClientResponseError"
+"""Error of the HTTP library for bytes that are no answer."""
 
 
 def check_answers(office: Office, seen: Iterable[ClientResult], verdict: Verdict) -> None:
@@ -28,6 +31,8 @@
         runs = run_registry.runs[one.request_id]
         what = f"{one.route} {one.request_id} status {one.status}, {runs} runs"
         verdict.note_violation(not one.correct, f"wrong bytes: {what}")
+        is_none = UNREADABLE in one.reason if one.status == 0 else one.status not in STATUSES
+        verdict.note_violation(is_none, f"no answer in the protocol: {what} {one.reason[:40]}")
         runs_once = one.route in NON_IDEMPOTENT_ROUTES
         verdict.note_violation(runs_once and runs > 1, f"ran more than once: {what}")
         verdict.note_violation(one.says_not_run and runs > 0, f"called not run: {what}")
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -21,6 +21,7 @@
 from .flood_episodes import FloodEpisodes
 from .leave_episodes import LeaveEpisodes
 from .limit_episodes import LimitEpisodes
+from .malformed_episodes import MalformedEpisodes
 from .office import Office
 from .organisation_load import OrganisationLoad
 from .part_episodes import PartEpisodes
@@ -75,6 +76,7 @@
         self._power_rng = random.Random(f"power {seed}")
         self._leaves_rng = random.Random(f"leaves {seed}")
         self._endless_rng = random.Random(f"endless {seed}")
+        self._malformed_rng = random.Random(f"malformed {seed}")
         self._folder = folder
         self._length_s = length_s
         self._office = Office(folder, self._rng, is_whole=True)
@@ -92,6 +94,7 @@
         self._floods = FloodEpisodes(self._office, self._disturbances)
         self._leaves = LeaveEpisodes(self._office, self._disturbances)
         self._endless = EndlessEpisodes(self._office, self._disturbances)
+        self._malformed = MalformedEpisodes(self._office, self._disturbances)
         self._seen: list[ClientResult] = []
         self.verdict = Verdict()
 
@@ -126,6 +129,7 @@
         self._changes.check(self.verdict)
         self._leaves.check(self.verdict)
         self._endless.check(self.verdict)
+        self._malformed.check(self.verdict)
         return self.verdict
 
     async def _wait_until_in_force(self) -> None:
@@ -185,6 +189,7 @@
         yield self._silences.play_until_cancelled(self._silences_rng)
         yield self._leaves.play_until_cancelled(self._leaves_rng)
         yield self._endless.play_until_cancelled(self._endless_rng)
+        yield self._malformed.play_until_cancelled(self._malformed_rng)
 
     async def _end(self, load: list[asyncio.Task[None]]) -> None:
         """End what goes on; note what has ended by itself, since it plays nothing any more."""
