Send a request on for exactly the target that its client named

What upstreams saw (review): /path? and /path#x arrived as /path. Cause: the HTTP client builds its first line from a URL, which knows no difference between an empty query and none, and takes a fragment off. It is written as it came now; the own interface writes its targets as before. test_platform, seven targets; it fails without the change (a mutant).

--- a/chestnutfall/platform/upstream_http.py
+++ b/chestnutfall/platform/upstream_http.py
@@ -23,6 +23,7 @@
 from ..wire.single_send_session import single_send_session
 from . import header_names as names
 from .upstream_connector import UpstreamConnector
+from .upstream_request import UpstreamRequest
 from .upstream_response import UpstreamResponse
 from .upstream_send import CURRENT_SEND, UpstreamSend
 
@@ -55,6 +56,7 @@
             UpstreamConnector(pool, clock),
             cookie_jar=aiohttp.DummyCookieJar(),
             read_bufsize=READ_BYTES,
+            request_class=UpstreamRequest,
             response_class=UpstreamResponse,
         )
 
@@ -151,7 +153,7 @@
     call, upstream = forwarded.call, forwarded.upstream
     need = ConnectionNeed(upstream.instance, upstream.service, call.request_id, forwarded.runs_once)
     is_short = len(call.request_id) <= MAX_ID_FOR_REUSE_CHARACTERS
-    return UpstreamSend(need, is_short and len(call.body) <= MAX_BODY_FOR_REUSE_BYTES)
+    return UpstreamSend(need, call.target, is_short and len(call.body) <= MAX_BODY_FOR_REUSE_BYTES)
 
 
 def _headers(forwarded: ForwardedCall) -> CIMultiDict[str]:
--- a/chestnutfall/platform/upstream_send.py
+++ b/chestnutfall/platform/upstream_send.py
@@ -16,6 +16,8 @@
     ----------
     need : ConnectionNeed
         The send as the pool sees it.
+    target : str
+        Path and query as the client named them.
     may_keep : bool
         Whether the connection may serve another request afterwards.
     sent_ms : int
@@ -29,6 +31,7 @@
     """
 
     need: ConnectionNeed
+    target: str
     may_keep: bool
     sent_ms: int = 0
     reused: bool = False
--- a/chestnutfall/tests/test_platform.py
+++ b/chestnutfall/tests/test_platform.py
@@ -33,6 +33,8 @@
 from ..resumption.remembered_attempt import MAX_ID_CHARACTERS
 from ..signals import AskedBackoff, UnreadHeaders, UpstreamLoad, UpstreamSignals
 
+TARGETS = ("/a/x?", "/a/x", "/a/x#y", "/a//x/../y", "/a/x?y=1&&z", "/a/%2f%7E?q=a+b", "/a/x?#")
+
 HEADERS = {
     "Host": "a.example",
     "X-Request-Id": "id-1",
@@ -101,6 +103,7 @@
         self.status = 200
         self.named = True
         self.request_id = "id-1"
+        self.target = "/a/x?y=%2F"
         self.aborts = False
         self.method = "GET"
         self.headers: dict[str, str] = {}
@@ -127,7 +130,7 @@
     def _forwarded(self, port: int = 0) -> ForwardedCall:
         now_ms = SystemClock().now_ms()
         call = Call(
-            self.request_id, self.method, "/a/x?y=%2F", "/a/x", "a.example",
+            self.request_id, self.method, self.target, "/a/x", "a.example",
             (("X-Custom", "kept"),), b"", now_ms, now_ms + 1000, AdapterName("base", "a1"),
         )  # fmt: skip
         upstream = UpstreamRecord("i1", "s", f"127.0.0.1:{port or self.port}", "dc")
@@ -154,6 +157,13 @@
         self.assertEqual({name: request.headers[name] for name in expected}, expected)
         self.assertNotIn("User-Agent", request.headers)
 
+    # Guards against an upstream that runs another request than its client sent.
+    async def test_the_target_arrives_as_the_client_named_it(self) -> None:
+        for target in TARGETS:
+            self.target = target
+            await self._send()
+            self.assertEqual(self.seen[-1].raw_path, target)
+
     # Guards against hundreds of kept connections that remember ids of many kilobytes.
     async def test_a_connection_is_kept_behind_a_request_with_a_short_id(self) -> None:
         for characters, kept in ((4, 1), (4_000, 0)):
--- a/chestnutfall/tests/test_reset_aware.py
+++ b/chestnutfall/tests/test_reset_aware.py
@@ -41,7 +41,7 @@
         served = asyncio.ensure_future(_serve_one(listener, reset))
         port = listener.getsockname()[1]
         pool = ConnectionPool(lambda *_: 4, lambda _: None, ManualClock())
-        CURRENT_SEND.set(UpstreamSend(ConnectionNeed("i1", "s", "a", True), may_keep=True))
+        CURRENT_SEND.set(UpstreamSend(ConnectionNeed("i1", "s", "a", True), "/", may_keep=True))
         connector = UpstreamConnector(pool, ManualClock())
         async with aiohttp.ClientSession(connector=connector) as session:
             async with session.get(f"http://127.0.0.1:{port}/") as resp:
--- a/properties/safeguards/account_mutants.py
+++ b/properties/safeguards/account_mutants.py
@@ -284,8 +284,8 @@
     Mutant(
         "a connection is kept behind an id of any length",
         "chestnutfall/platform/upstream_http.py",
-        "UpstreamSend(need, is_short and len(",
-        "UpstreamSend(need, len(",
+        "call.target, is_short and len(",
+        "call.target, len(",
         f"{_TESTS}.test_platform.UpstreamHttpTest."
         "test_a_connection_is_kept_behind_a_request_with_a_short_id",
     ),
--- a/properties/safeguards/connection_mutants.py
+++ b/properties/safeguards/connection_mutants.py
@@ -172,4 +172,12 @@
         "            pass",
         f"{_SOCKET_TEST}.EndedTest.test_after_a_loss_the_next_request_opens_a_connection",
     ),
+    Mutant(
+        "the target of a request is written anew",
+        _HTTP,
+        "            request_class=UpstreamRequest,\n",
+        "",
+        "chestnutfall.tests.test_platform.UpstreamHttpTest."
+        "test_the_target_arrives_as_the_client_named_it",
+    ),
 )
