--- a/chestnutfall/coordination/upstream_liveness.py
+++ b/chestnutfall/coordination/upstream_liveness.py
@@ -41,6 +41,15 @@
         self._suspected.discard(instance)
         return True
 
+    def forget(self, instance: str) -> None:
+        """Forget an incarnation whose record was dropped."""
+        self._last_seen_ms.pop(instance, None)
+        self._newest_number.pop(instance, None)
+        self._suspected.discard(instance)
+
+    def __len__(self) -> int:
+        return len(self._last_seen_ms)
+
     def answered(self, instance: str) -> None:
         """Note an answer as a sign of life; unlike an announcement, it does not end a suspicion."""
         self._last_seen_ms[instance] = self._clock.now_ms()
--- a/chestnutfall/coordination/upstream_tracker.py
+++ b/chestnutfall/coordination/upstream_tracker.py
@@ -77,6 +77,7 @@
             return
         for instance in list(self._liveness.long_silent(self._state.roster.all_known())):
             await self._commit(ForgetUpstream(instance))
+            self._liveness.forget(instance)
         for msg in self._unconfigured.take(self._is_configured_service):
             await self.announce(msg)
         self._update_serving()
--- a/chestnutfall/tests/test_document_changes.py
+++ b/chestnutfall/tests/test_document_changes.py
@@ -12,7 +12,8 @@
 from ..control.upstream_record import UpstreamRecord
 from ..coordination.relay_messages import Accepted, Announce
 from ..coordination.retired_services import IN_FORCE_MS, RetiredServices
-from ..coordination.unconfigured_upstreams import MAX_KEPT, UnconfiguredUpstreams
+from ..coordination.unconfigured_upstreams import MAX_KEPT, MAX_NAMES, UnconfiguredUpstreams
+from ..placement import AdapterName, EngineReport
 from ..platform.document_json import DocumentJson
 from ..routes import RouteTable
 from .fakes.document_office import DocumentOffice
@@ -240,6 +241,18 @@
         self.assertEqual([msg.record.instance for msg in taken], ["new"])
         self.assertEqual(len(kept), 0)
 
+    # Guards against a leader that ends by few announcements, each of which names thousands of
+    # adapters.
+    def test_announcements_that_name_very_much_are_few(self) -> None:
+        kept = UnconfiguredUpstreams(ManualClock(), 500)
+        holds = EngineReport({}, {AdapterName("m", f"a{at}"): 1 for at in range(4_000)}, {}, 0)
+        for at in range(100):
+            kept.note(Announce(UpstreamRecord(f"i{at}", LATER, "1:1", "dc"), 1, holds))
+        self.assertEqual(len(kept), MAX_NAMES // 4_000)
+        self.assertEqual(len(kept.take(lambda service: True)), MAX_NAMES // 4_000)
+        kept.note(Announce(UpstreamRecord("next", LATER, "1:1", "dc"), 1, holds))
+        self.assertEqual(len(kept), 1)
+
 
 class SeriesTest(_DocumentCase):
     # Guards against a document that comes as the one before is taken in: gateways get the second
--- a/chestnutfall/tests/test_fleet_parts.py
+++ b/chestnutfall/tests/test_fleet_parts.py
@@ -79,6 +79,15 @@
         self.assertEqual(list(liveness.serving((old, new))), [new])
         self.assertFalse(liveness.record_announcement("new", 0))
 
+    # Guards against a leader that remembers each incarnation that there ever was.
+    async def test_an_incarnation_whose_record_is_dropped_is_forgotten(self) -> None:
+        liveness = UpstreamLiveness(ManualClock(), 1000)
+        for at in range(10):
+            liveness.record_announcement(f"i{at}", 1)
+            liveness.ended(f"i{at}")
+            liveness.forget(f"i{at}")
+        self.assertEqual(len(liveness), 0)
+
     async def test_a_failed_connection_and_one_missing_heartbeat_make_it_silent(self) -> None:
         clock = ManualClock()
         liveness = UpstreamLiveness(clock, 1000)
