--- a/chestnutfall/paths/helper_service.py
+++ b/chestnutfall/paths/helper_service.py
@@ -142,7 +142,8 @@
         began_ms = self._clock.now_ms()
         forwarded = asked.forwarded
         try:
-            body = await self._clock.within_ms(forwarded.left_ms, _read_body(messages))
+            reading = _read_body(messages, asked.body_bytes)
+            body = await self._clock.within_ms(forwarded.left_ms, reading)
         except TimeoutError:
             return None
         if len(body) != asked.body_bytes:
@@ -227,11 +228,14 @@
     return len(asked.forwarded.call.body)
 
 
-async def _read_body(messages: AsyncIterator[Any]) -> bytes:
+async def _read_body(messages: AsyncIterator[Any], size: int) -> bytes:
+    """Return the body that comes in parts; of one that is longer than `size`, not much more."""
     parts = IncomingBody()
     async for msg in messages:
         if isinstance(msg, BodyPart):
             parts.append(msg.data)
+        if len(parts) > size:
+            break
     return parts.whole()
 
 
--- a/chestnutfall/tests/test_helper_links.py
+++ b/chestnutfall/tests/test_helper_links.py
@@ -27,7 +27,15 @@
 from ..paths.helper_service import HelperService
 from ..paths.known_helpers import KnownHelpers
 from ..paths.leader_messages import HelperGateways
-from ..paths.messages import CHECK_METHOD, HELP_CODEC, HELP_METHOD, MAX_MESSAGE_BYTES, BodyPart
+from ..paths.messages import (
+    CHECK_METHOD,
+    HELP_CODEC,
+    HELP_METHOD,
+    MAX_INLINE_BYTES,
+    MAX_MESSAGE_BYTES,
+    BodyPart,
+    SendLongCall,
+)
 from ..paths.path_table import PathTable
 from ..requests.awaited import Unawaited, send_while
 from ..signals import NO_SIGNALS
@@ -214,6 +222,19 @@
         self.assertEqual(self.direct.sends, [])
         self.assertEqual(self.memory.held_bytes, 0)
 
+    # Guards against a helper that holds more of a body than it has drawn for.
+    async def test_of_a_body_that_is_longer_than_announced_little_is_read(self) -> None:
+        before = HELP_CODEC.traffic.received["BodyPart"]
+        longer = patch.object(
+            helper_links,
+            "SendLongCall",
+            lambda keys, forwarded, size: SendLongCall(keys, forwarded, MAX_INLINE_BYTES + 1),
+        )
+        with longer, self.assertRaises((NotSent, AnswerLost)):
+            await self._send(_with_body(LONG_BODY * 8))
+        self.assertLess(HELP_CODEC.traffic.received["BodyPart"] - before, 4)
+        self.assertEqual(self.direct.sends, [])
+
     # Guards against a stream that starts again from its first event at another gateway.
     async def test_a_resumed_stream_its_deadline_and_its_organisation_reach_the_upstream(
         self,
--- a/properties/safeguards/account_mutants.py
+++ b/properties/safeguards/account_mutants.py
@@ -318,4 +318,11 @@
         "            raise\n",
         _HELPER_TEST + "test_a_helper_that_is_lost_before_the_body_has_sent_nothing",
     ),
+    Mutant(
+        "a helper reads more of a body than it has drawn for",
+        "chestnutfall/paths/helper_service.py",
+        "        if len(parts) > size:\n            break\n",
+        "",
+        _HELPER_TEST + "test_of_a_body_that_is_longer_than_announced_little_is_read",
+    ),
 )
