--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -13,6 +13,7 @@
 import subprocess
 import tempfile
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -25,7 +26,7 @@
 machine_class = "{kind}"
 serves = ["{serves}"]
 ip = "{ip}"
-zone = "zone-1"
+zone = "{zone}"
 region = "region-1"
 internal_ports = [{internal},{last}]
 seeds = [{seeds}]
@@ -39,6 +40,8 @@
 {data}
 [zones]
 zone-1 = "region-1"
+zone-2 = "region-1"
+zone-3 = "region-1"
 [listen]
 {listen}
 [limits]
@@ -50,7 +53,7 @@
 disk_mb = 128
 [tolerate]
 machines = {tolerate}
-zones = 0
+zones = {tolerate_zones}
 regions = 0
 [bounds]
 seed_lag_s = 3
@@ -101,9 +104,12 @@
 class Machine:
     """One machine of the system, with its process."""
 
-    def __init__(self, deployment: Deployment, role: str, number: int) -> None:
+    def __init__(
+        self, deployment: Deployment, role: str, number: int, zone: str = "zone-1"
+    ) -> None:
         self._deployment = deployment
         self.role = role
+        self.zone = zone
         self.is_front = role == "gateway"
         self.name = f"{'front' if self.is_front else 'core'}-{number + 1}"
         self.ip = deployment.address(number + (20 if self.is_front else 10))
@@ -137,6 +143,8 @@
                 data=data,
                 listen=listen,
                 tolerate=all_of_it.tolerate,
+                tolerate_zones=all_of_it.tolerate_zones,
+                zone=self.zone,
             )
         )
         env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
@@ -172,14 +180,33 @@
 
 
 class Deployment:
-    """Controllers and gateways; the first three controllers are the seeds."""
-
-    def __init__(self, record: Record, cores: int, fronts: int, tolerate: int) -> None:
+    """Controllers and gateways; the first three controllers are the seeds.
+
+    Parameters
+    ----------
+    tolerate, tolerate_zones : int
+        Machines, or zones, whose loss at the same time is to be borne.
+    zones : sequence of str
+        Zone of each controller; by default all are in one.
+    """
+
+    def __init__(
+        self,
+        record: Record,
+        cores: int,
+        fronts: int,
+        tolerate: int,
+        tolerate_zones: int = 0,
+        zones: Sequence[str] = (),
+    ) -> None:
         self.record = record
-        self.tolerate = tolerate
+        self.tolerate, self.tolerate_zones = tolerate, tolerate_zones
         self._choose_network(cores, fronts)
         self.folder = Path(tempfile.mkdtemp())
-        self.cores = [Machine(self, "controller", number) for number in range(cores)]
+        of_cores = zones or ["zone-1"] * cores
+        self.cores = [
+            Machine(self, "controller", number, zone) for number, zone in enumerate(of_cores)
+        ]
         self.fronts = [Machine(self, "gateway", number) for number in range(fronts)]
         self.seeds = ",".join(f'"{one.ip}:{self.control}"' for one in self.cores[:3])
 
