Elect and commit by what may be lost, not by a majority alone

What callers saw: two controllers lost their disks 0.8 s after the first start, and no controller ever led again: each change was answered 503, and gateways never became ready. And: a configuration that was acknowledged while two of five controllers were down was gone once two others lost their disks, as many as are to be borne.

Cause: the group begins with the three controllers that the settings name. A majority of them can be lost where two losses are tolerated, and what has no majority has no leader, though only a leader adds voters. A majority of three is also two copies, which two lost disks take away.

Why it works: an entry counts as committed only once its copies can't all be lost at the same time, or once each voter that has its disk holds it. A host that lost its disk answers at its old address under another identity, which proves that the old one never votes again; as long as those proven lost are no more than is tolerated, all others together elect. One of them then has each committed entry, and votes for no log that lacks it. Until a change of the membership is committed this holds for the voters before it too; a member that is removed is still asked. Where a majority outlives each loss, as in every group that has grown to its size, nothing changes. Beyond what is tolerated nobody leads, as before, instead of a leader without the entries.

test_quorum fails without each of the four rules (mutants).

--- a/chestnutfall/consensus/__init__.py
+++ b/chestnutfall/consensus/__init__.py
@@ -10,6 +10,7 @@
 from .state_machine import StateMachine
 from .storage import Storage, StoredState
 from .timing import Timing
+from .tolerance import Tolerance
 from .transport import Transport
 
 __all__ = [
@@ -25,5 +26,6 @@
     "StorageFailed",
     "StoredState",
     "Timing",
+    "Tolerance",
     "Transport",
 ]
--- a/chestnutfall/consensus/leadership.py
+++ b/chestnutfall/consensus/leadership.py
@@ -8,7 +8,7 @@
 from .entry import Entry
 from .errors import LeadershipLost
 from .member import Member
-from .messages import AppendReply, AppendRequest, SnapshotRequest, TakeOver
+from .messages import AppendReply, AppendRequest, SnapshotRequest, TakeOver, WrongReplica
 from .progress import Progress
 
 if TYPE_CHECKING:
@@ -42,7 +42,7 @@
         self._replica = replica
         self.term = replica.term
         self.start_index = replica.log.last_index + 1
-        self.progress = Progress()
+        self.progress = Progress(replica.lost)
         self.waiters: dict[int, asyncio.Future[Any]] = {}
         self.transferring = False
         self._peers: dict[str, tuple[Member, asyncio.Task[None], asyncio.Event]] = {}
@@ -66,7 +66,7 @@
         """Return when the lease expires; no other leader is elected before, except by transfer."""
         replica = self._replica
         self.progress.record_answer(replica.replica_id, replica.clock.now_ms())
-        return self.progress.quorum_answered_ms(replica.members) + replica.timing.lease_ms
+        return self.progress.quorum_answered_ms(replica.quorum()) + replica.timing.lease_ms
 
     async def append_and_wait(self, entry: Entry) -> Any:
         """Append `entry`, wait until it is applied and return the state machine's outcome."""
@@ -92,11 +92,16 @@
             wake.set()
 
     def advance_commit(self) -> None:
-        """Commit and apply the entries that a majority of the voters has synced."""
+        """Commit and apply the entries that a quorum of the voters has synced."""
         replica = self._replica
         if replica.leadership is not self:
             return
-        index = self.progress.quorum_match_index(replica.members)
+        index = self.progress.commit_index(replica.quorum())
+        # Until a change of the membership is committed, the voters before it may elect a leader
+        # that doesn't know of it. One of those who do has to hold it, whatever is lost.
+        before = replica.quorum_before()
+        if before is not None and not before.is_sufficient:
+            index = min(index, self.progress.commit_index(before))
         # An entry of an earlier term may still be replaced by a later leader even if a majority
         # holds it. It is committed only through an entry of the current term after it (Raft
         # paper, section 5.4.2).
@@ -133,7 +138,11 @@
 
     def _reconcile_peers(self) -> None:
         own_id = self._replica.replica_id
-        wanted = {m.replica_id: m for m in self._replica.members if m.replica_id != own_id}
+        members = [*self._replica.members]
+        if self._replica.quorum_before() is not None:
+            # A member that is removed may be needed to commit its removal.
+            members = [*self._replica.log.previous_members, *members]
+        wanted = {m.replica_id: m for m in members if m.replica_id != own_id}
         for replica_id, (member, task, _) in list(self._peers.items()):
             known = wanted.get(replica_id)
             if known is None or known.address != member.address:
@@ -175,6 +184,8 @@
             reply = await replica.transport.call(member, msg, replica.timing.call_timeout_ms)
         except ConnectionError:
             return None
+        if isinstance(reply, WrongReplica):
+            replica.note_lost(member, reply.replica_id)
         if not isinstance(reply, AppendReply) or reply.term < self.term:
             return None
         if reply.term == self.term:
--- a/chestnutfall/consensus/member.py
+++ b/chestnutfall/consensus/member.py
@@ -17,8 +17,15 @@
         IP and port.
     voter : bool
         False for a learner, which receives the log but does not count towards any quorum.
+    data_centre, region : str
+        Where its host stands; empty if unknown.
+    counts : bool
+        Whether the loss of its host counts; any number of others may be lost at any time.
     """
 
     replica_id: str
     address: str
     voter: bool = True
+    data_centre: str = ""
+    region: str = ""
+    counts: bool = True
--- a/chestnutfall/consensus/progress.py
+++ b/chestnutfall/consensus/progress.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-
-from .member import Member
+from .quorum import Quorum
 
 NEVER_MS = -(10**12)
 """Time that stands for "no call answered yet", earlier than any clock reading."""
 
 
 class Progress:
-    """The match index and the last answered call of each replica, during one leadership."""
+    """The match index and the last answered call of each replica, during one leadership.
+
+    Parameters
+    ----------
+    lost : set of str
+        Replicas whose disks are proven to be lost; the replica adds to it.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, lost: set[str]) -> None:
+        self._lost = lost
         self._match: dict[str, int] = {}
         self._answered_ms: dict[str, int] = {}
 
@@ -33,20 +38,10 @@
         """Return when the newest call that the replica answered was sent; `NEVER_MS` if none."""
         return self._answered_ms.get(replica_id, NEVER_MS)
 
-    def quorum_match_index(self, members: Sequence[Member]) -> int:
-        """Return the highest index that a majority of the voters has synced."""
-        return _majority_value(
-            [self.match_index(member.replica_id) for member in members if member.voter], 0
-        )
-
-    def quorum_answered_ms(self, members: Sequence[Member]) -> int:
-        """Return the latest time such that a majority of the voters answered calls sent since."""
-        times = [self.answered_ms(member.replica_id) for member in members if member.voter]
-        return _majority_value(times, NEVER_MS)
-
+    def commit_index(self, quorum: Quorum) -> int:
+        """Return the highest index that is committed under `quorum`."""
+        return quorum.commit_index(self._match, self._lost)
 
-def _majority_value(values: list[int], default: int) -> int:
-    """Return the largest value that a majority of `values` reaches; `default` if empty."""
-    if not values:
-        return default
-    return sorted(values, reverse=True)[len(values) // 2]
+    def quorum_answered_ms(self, quorum: Quorum) -> int:
+        """Return the latest time such that a quorum answered calls sent since."""
+        return quorum.answered_ms(self._answered_ms, self._lost, NEVER_MS)
--- a/chestnutfall/consensus/raft_log.py
+++ b/chestnutfall/consensus/raft_log.py
@@ -58,6 +58,11 @@
         """The newest membership, committed or not."""
         return self._memberships[-1][1] if self._memberships else self.snapshot.members
 
+    @property
+    def previous_members(self) -> tuple[Member, ...]:
+        """The membership before the newest one; committed, as changes are made one by one."""
+        return self._memberships[-2][1] if len(self._memberships) > 1 else self.snapshot.members
+
     @property
     def members_index(self) -> int:
         """Index of the entry, or of the snapshot, that holds the newest membership."""
--- a/chestnutfall/consensus/replica.py
+++ b/chestnutfall/consensus/replica.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 from typing import Any
 
@@ -27,19 +28,24 @@
     WrongReplica,
 )
 from .progress import Progress
+from .quorum import Quorum
 from .raft_log import RaftLog
 from .role import Role
 from .snapshot import Snapshot
 from .state_machine import StateMachine
 from .storage import HardState, Storage, StoredState
 from .timing import Timing
+from .tolerance import NO_TOLERANCE, Tolerance
 from .transport import Transport
 
+log = logging.getLogger(__name__)
 MAX_WAITING_PROPOSALS = 4096
 """Proposals in progress at a leader; further ones fail with `Busy`."""
 SNAPSHOT_EVERY_ENTRIES = 4000
 KEEP_ENTRIES = 1000
 """Entries before a snapshot that stay in memory for followers that are slightly behind."""
+MAX_KEPT_QUORUMS = 4
+"""Memberships whose quorum is kept; two are in use at a time."""
 
 
 class Replica:
@@ -65,6 +71,8 @@
         Entries applied between two snapshots.
     keep_entries : int
         Entries before a snapshot that stay in memory.
+    tolerance : Tolerance
+        What may be lost at the same time.
 
     Attributes
     ----------
@@ -78,6 +86,10 @@
         State of the leader role; None on any other replica.
     commit_index, applied_index : int
         Last entry known to be committed, and last entry applied to the state machine.
+    lost : set of str
+        Replicas whose disks are proven to be lost.
+    successors : dict of str to str
+        Identity that answers now at the address of a replica that is lost, by address.
     failed : Future
         Done, with the exception as its result, once a task of the replica failed; the process
         must then stop.
@@ -94,6 +106,7 @@
         timing: Timing,
         snapshot_every_entries: int = SNAPSHOT_EVERY_ENTRIES,
         keep_entries: int = KEEP_ENTRIES,
+        tolerance: Tolerance = NO_TOLERANCE,
     ) -> None:
         self.replica_id = replica_id
         self.machine = machine
@@ -103,6 +116,10 @@
         self._storage = storage
         self._snapshot_every_entries = snapshot_every_entries
         self._keep_entries = keep_entries
+        self._tolerance = tolerance
+        self._quorums: list[tuple[tuple[Member, ...], Quorum]] = []
+        self.lost: set[str] = set()
+        self.successors: dict[str, str] = {}
         self.role = Role.FOLLOWER
         self.leader_id = ""
         self.leadership: Leadership | None = None
@@ -163,6 +180,35 @@
         """The newest membership in the log, committed or not."""
         return self.log.members
 
+    def quorum(self) -> Quorum:
+        """Return the quorum of the newest membership."""
+        return self._quorum_of(self.members)
+
+    def quorum_before(self) -> Quorum | None:
+        """Return the quorum of the membership before the newest one, until that is committed."""
+        if self.log.members_index <= self.commit_index:
+            return None
+        return self._quorum_of(self.log.previous_members)
+
+    def _quorum_of(self, members: tuple[Member, ...]) -> Quorum:
+        for known, quorum in self._quorums:
+            if known is members:
+                return quorum
+        quorum = Quorum(members, self._tolerance)
+        self._quorums = [(members, quorum), *self._quorums[: MAX_KEPT_QUORUMS - 1]]
+        return quorum
+
+    def note_lost(self, member: Member, successor: str) -> None:
+        """Record that another identity answers at a member's address, as its disk was lost.
+
+        An identity lives and dies with its disk, and the host keeps its address: the lost replica
+        can never answer again, and what it voted for or synced is gone.
+        """
+        if member.replica_id not in self.lost:
+            log.warning("replica: %s lost its disk, now %s", member.replica_id, successor)
+        self.lost.add(member.replica_id)
+        self.successors[member.address] = successor
+
     def leader_address(self) -> str:
         """Return the address of the leader; empty if it is unknown or this replica itself."""
         for member in self.members:
@@ -230,7 +276,7 @@
     @property
     def progress(self) -> Progress:
         """Replication progress of each replica; empty unless this replica is the leader."""
-        return self.leadership.progress if self.leadership is not None else Progress()
+        return self.leadership.progress if self.leadership is not None else Progress(self.lost)
 
     def _check_membership_change(self, members: tuple[Member, ...]) -> None:
         # With two uncommitted changes, two majorities might have no voter in common, and two
--- a/chestnutfall/coordination/controller_runner.py
+++ b/chestnutfall/coordination/controller_runner.py
@@ -11,7 +11,7 @@
 from ..accounts import MemoryAccount
 from ..clock import Clock
 from ..clock.process_start import PROCESS_START_MS
-from ..consensus import Member, Replica, Timing
+from ..consensus import Member, Replica, Timing, Tolerance
 from ..consensus.disk_folder import DiskFolder
 from ..consensus.disk_identity import assign_new_identity, bootstrap_founder, read_identity
 from ..consensus.file_storage import FileStorage
@@ -177,6 +177,7 @@
             TIMING,
             SNAPSHOT_EVERY_ENTRIES,
             KEEP_ENTRIES,
+            Tolerance(settings.tolerated_losses),
         )
         replica.start(self._process_start_ms)
         self._process_start_ms = None
--- a/properties/safeguards/consensus_mutants.py
+++ b/properties/safeguards/consensus_mutants.py
@@ -138,4 +138,32 @@
         "",
         _REPLICA_TEST,
     ),
+    Mutant(
+        "a small group commits what may be lost with all its copies",
+        "chestnutfall/consensus/quorum.py",
+        "        return not self._tolerance.may_lose(",
+        "        return True or self._tolerance.may_lose(",
+        "chestnutfall.tests.test_quorum",
+    ),
+    Mutant(
+        "only a majority ever elects a leader",
+        "chestnutfall/consensus/quorum.py",
+        "        return self._is_majority(len(held)) or self._are_all_left(held, lost)",
+        "        return self._is_majority(len(held))",
+        "chestnutfall.tests.test_quorum",
+    ),
+    Mutant(
+        "those that are left elect a leader after any loss",
+        "chestnutfall/consensus/quorum.py",
+        "            return False\n        return self._tolerance.may_lose(",
+        "            return False\n        return True or self._tolerance.may_lose(",
+        "chestnutfall.tests.test_quorum",
+    ),
+    Mutant(
+        "some of those that are left elect a leader",
+        "chestnutfall/consensus/quorum.py",
+        "        if not gone or not left or not left <= set(held):",
+        "        if not gone or not left:",
+        "chestnutfall.tests.test_quorum",
+    ),
 )
