Choose voters by all that may be lost, not by the number of hosts alone

What callers saw: a configuration that had been acknowledged long after all five controllers had joined was answered 503 for ever once a zone, whose loss `tolerate` allows, had lost its disks and was back. No leader was ever elected again.

Cause: of `tolerate` only the machines were read. The group had three voters, two of them in the zone that was lost. Nothing read the zone, the region or `loss_counts` of a controller, nor knew where the others stand.

A small group writes a silent voter off after eight seconds, so that a founder that was removed for good doesn't stop it.

--- a/chestnutfall/consensus/leadership.py
+++ b/chestnutfall/consensus/leadership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 from typing import TYPE_CHECKING, Any
 
 from .entry import Entry
@@ -45,6 +46,7 @@
         self.progress = Progress(replica.lost)
         self.waiters: dict[int, asyncio.Future[Any]] = {}
         self.transferring = False
+        self._since_ms = replica.clock.now_ms()
         self._peers: dict[str, tuple[Member, asyncio.Task[None], asyncio.Event]] = {}
 
     def begin(self) -> None:
@@ -96,18 +98,43 @@
         replica = self._replica
         if replica.leadership is not self:
             return
-        index = self.progress.commit_index(replica.quorum())
+        quorum, before = replica.quorum(), replica.quorum_before()
+        written_off = () if quorum.is_sufficient and before is None else self._written_off()
+        index = self.progress.commit_index(quorum, written_off)
         # Until a change of the membership is committed, the voters before it may elect a leader
         # that doesn't know of it. One of those who do has to hold it, whatever is lost.
-        before = replica.quorum_before()
         if before is not None and not before.is_sufficient:
-            index = min(index, self.progress.commit_index(before))
+            index = min(index, self.progress.commit_index(before, written_off))
         # An entry of an earlier term may still be replaced by a later leader even if a majority
         # holds it. It is committed only through an entry of the current term after it (Raft
         # paper, section 5.4.2).
         if index > replica.commit_index and replica.log.term_at(index) == self.term:
             replica.commit_to(index)
 
+    def _written_off(self) -> Collection[str]:
+        """Return the voters that have been silent for too long to wait for their copies.
+
+        A small group waits for copies that can't all be lost. A host that was removed for good
+        would otherwise stop it for ever, and one that is down for as long as it is down.
+        """
+        replica = self._replica
+        least_ms = replica.clock.now_ms() - replica.timing.write_off_ms
+        if self._since_ms > least_ms:
+            return set()
+        others = {one.replica_id for one in self._peers_to_commit() if one.voter}
+        return {
+            one
+            for one in others - {replica.replica_id}
+            if self.progress.answered_ms(one) < least_ms
+        }
+
+    def _peers_to_commit(self) -> list[Member]:
+        """Return the members, and those before a change that is not committed yet."""
+        members = [*self._replica.members]
+        if self._replica.quorum_before() is not None:
+            members = [*self._replica.log.previous_members, *members]
+        return members
+
     async def transfer_to_successor(self) -> None:
         """Ask the voter with the longest matching log to campaign at once.
 
@@ -138,11 +165,9 @@
 
     def _reconcile_peers(self) -> None:
         own_id = self._replica.replica_id
-        members = [*self._replica.members]
-        if self._replica.quorum_before() is not None:
-            # A member that is removed may be needed to commit its removal.
-            members = [*self._replica.log.previous_members, *members]
-        wanted = {m.replica_id: m for m in members if m.replica_id != own_id}
+        # A member that is removed may be needed to commit its removal.
+        members = self._peers_to_commit()
+        wanted = {one.replica_id: one for one in members if one.replica_id != own_id}
         for replica_id, (member, task, _) in list(self._peers.items()):
             known = wanted.get(replica_id)
             if known is None or known.address != member.address:
@@ -161,6 +186,8 @@
             wake.clear()
             reply = await self._send(member, next_index)
             if reply is None:
+                # What is left may be all that is needed, once this voter is lost or written off.
+                self.advance_commit()
                 await replica.clock.sleep_ms(replica.timing.heartbeat_ms)
                 continue
             if reply.term > self.term:
--- a/chestnutfall/consensus/progress.py
+++ b/chestnutfall/consensus/progress.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from .quorum import Quorum
 
 NEVER_MS = -(10**12)
@@ -38,9 +40,15 @@
         """Return when the newest call that the replica answered was sent; `NEVER_MS` if none."""
         return self._answered_ms.get(replica_id, NEVER_MS)
 
-    def commit_index(self, quorum: Quorum) -> int:
-        """Return the highest index that is committed under `quorum`."""
-        return quorum.commit_index(self._match, self._lost)
+    def commit_index(self, quorum: Quorum, written_off: Collection[str] = ()) -> int:
+        """Return the highest index that is committed under `quorum`.
+
+        Parameters
+        ----------
+        written_off : collection of str
+            Replicas that are not waited for any longer, beside those that are lost.
+        """
+        return quorum.commit_index(self._match, self._lost, written_off)
 
     def quorum_answered_ms(self, quorum: Quorum) -> int:
         """Return the latest time such that a quorum answered calls sent since."""
--- a/chestnutfall/consensus/quorum.py
+++ b/chestnutfall/consensus/quorum.py
@@ -47,25 +47,42 @@
         held = self._voters.keys() & granted
         return self._is_majority(len(held)) or self._are_all_left(held, lost)
 
-    def commits(self, synced: Collection[str], lost: Collection[str]) -> bool:
-        """Whether an entry that the replicas `synced` have on disk is committed."""
+    def commits(
+        self, synced: Collection[str], lost: Collection[str], written_off: Collection[str] = ()
+    ) -> bool:
+        """Whether an entry that the replicas `synced` have on disk is committed.
+
+        Parameters
+        ----------
+        lost : collection of str
+            Replicas whose disks are proven to be lost.
+        written_off : collection of str
+            Replicas that have been silent for so long that their copies are not waited for; a
+            majority is needed all the same.
+        """
         held = self._voters.keys() & synced
         if not self._is_majority(len(held)) and not self._are_all_left(held, lost):
             return False
         if self.is_sufficient:
             return True
-        gone = held | (self._voters.keys() & lost)
+        gone = held | (self._voters.keys() & {*lost, *written_off})
         if len(gone) == len(self._voters):
             return True
         return not self._tolerance.may_lose(self._voters[one] for one in gone)
 
-    def commit_index(self, match: Mapping[str, int], lost: Collection[str]) -> int:
+    def commit_index(
+        self,
+        match: Mapping[str, int],
+        lost: Collection[str],
+        written_off: Collection[str] = (),
+    ) -> int:
         """Return the highest index that is committed by what the replicas have synced."""
         if self.is_sufficient:
             return self._majority_value(match, 0)
         indexes = {match.get(one, 0) for one in self._voters}
         for index in sorted(indexes, reverse=True):
-            if self.commits([one for one in self._voters if match.get(one, 0) >= index], lost):
+            synced = [one for one in self._voters if match.get(one, 0) >= index]
+            if self.commits(synced, lost, written_off):
                 return index
         return 0
 
--- a/chestnutfall/consensus/timing.py
+++ b/chestnutfall/consensus/timing.py
@@ -21,12 +21,16 @@
         Range of the randomised election timeout.
     call_timeout_ms : int
         Deadline of a call to another replica.
+    write_off_ms : int
+        How long a leader of a small group waits for the copy of a voter that is silent; longer than
+        a restart takes.
     """
 
     heartbeat_ms: int = 100
     election_min_ms: int = 600
     election_max_ms: int = 1000
     call_timeout_ms: int = 500
+    write_off_ms: int = 8_000
 
     @property
     def lease_ms(self) -> int:
--- a/chestnutfall/coordination/controller_runner.py
+++ b/chestnutfall/coordination/controller_runner.py
@@ -165,6 +165,7 @@
 
     async def _serve(self, replica_id: str, storage: FileStorage, stop: asyncio.Event) -> None:
         settings, clock = self._settings, self._clock
+        tolerance = _tolerance(settings)
         state = ControlState()
         transport = RpcTransport(None)
         replica = Replica(
@@ -177,7 +178,7 @@
             TIMING,
             SNAPSHOT_EVERY_ENTRIES,
             KEEP_ENTRIES,
-            Tolerance(settings.tolerated_losses),
+            tolerance,
         )
         replica.start(self._process_start_ms)
         self._process_start_ms = None
@@ -192,9 +193,18 @@
             settings.quotas,
             self._memory,
         )
-        group = GroupManager(replica, state, clock, settings.tolerated_losses)
+        place = settings.place
+        group = GroupManager(replica, state, clock, tolerance, place)
         relay = LeaderRelay(replica, state, leader, group, clock)
-        joiner = GroupJoiner(replica, relay, clock, settings.peer_address, settings.controllers)
+        joiner = GroupJoiner(
+            replica,
+            relay,
+            clock,
+            settings.peer_address,
+            settings.controllers,
+            place,
+            tolerance,
+        )
         server = _server(settings.peer_address, replica, leader, relay, clock)
         await server.start()
         log.info("replica: started id=%s index=%d", replica_id, replica.log.last_index)
@@ -220,6 +230,12 @@
             log.error("replica: failed id=%s: %r", replica_id, replica.failed.result())
 
 
+def _tolerance(settings: FleetSettings) -> Tolerance:
+    return Tolerance(
+        settings.tolerated_losses, settings.tolerated_data_centres, settings.tolerated_regions
+    )
+
+
 def _founder_id(address: str) -> str:
     return f"founder-{address}"
 
--- a/chestnutfall/coordination/relay_messages.py
+++ b/chestnutfall/coordination/relay_messages.py
@@ -6,6 +6,7 @@
 
 from ..control.upstream_record import UpstreamRecord
 from ..placement import EngineReport
+from ..settings.host_place import UNKNOWN_PLACE, HostPlace
 from ..wire import Codec
 
 
@@ -100,7 +101,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JoinGroup:
-    """A controller that is not a member, or was removed, asks to join the group.
+    """A controller that is no member, or whose place is not known yet, names itself to the group.
 
     Attributes
     ----------
@@ -108,10 +109,13 @@
         Identity of its replica.
     address : str
         IP and port for other controllers.
+    place : HostPlace
+        Where its host stands.
     """
 
     replica_id: str
     address: str
+    place: HostPlace = UNKNOWN_PLACE
 
 
 @dataclass(frozen=True, slots=True)
--- a/chestnutfall/platform/node_file.py
+++ b/chestnutfall/platform/node_file.py
@@ -59,7 +59,7 @@
     KeyError, ValueError
         If a field is missing or invalid.
     """
-    listen, bounds = node["listen"], node["bounds"]
+    listen, bounds, tolerate = node["listen"], node["bounds"], node["tolerate"]
     # `internal_ports` is a range; the protocol between daemons uses its first port.
     peer_port = int(node["internal_ports"][0])
     # `seeds` are addresses of the first controllers' HTTP servers for operators. The protocol
@@ -77,7 +77,11 @@
         control_listen=listen.get("control", ""),
         first_start=bool(node["bootstrap"]),
         data_folder=node.get("data_dir", ""),
-        tolerated_losses=int(node["tolerate"]["machines"]),
+        region=_region(node),
+        loss_counts=bool(node.get("loss_counts", True)),
+        tolerated_losses=int(tolerate["machines"]),
+        tolerated_data_centres=int(tolerate.get("zones", 0)),
+        tolerated_regions=int(tolerate.get("regions", 0)),
         heartbeat_ms=int(node["heartbeat_ms"]),
         grace_ms=int(bounds["grace_s"] * 1000),
         repeats=RepeatBounds(
@@ -90,6 +94,11 @@
     )
 
 
+def _region(node: dict[str, Any]) -> str:
+    """Return the region of this host; `zones` maps each data centre to its region."""
+    return str(node.get("region") or node.get("zones", {}).get(node["zone"], ""))
+
+
 def _host_limits(limits: dict[str, Any]) -> HostLimits:
     return HostLimits(
         memory_mb=int(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
--- a/chestnutfall/settings/fleet_settings.py
+++ b/chestnutfall/settings/fleet_settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from .host_limits import HostLimits
+from .host_place import HostPlace
 from .quota_bounds import QuotaBounds
 from .repeat_bounds import RepeatBounds
 
@@ -28,8 +29,13 @@
         Whether the system starts for the first time, with empty disks on all hosts.
     data_folder : str
         Folder on the host's disk; empty when there is none.
-    tolerated_losses : int
-        Number of controllers that may fail at the same time.
+    region : str
+        Region of this host's data centre; empty if unknown.
+    loss_counts : bool
+        Whether the loss of this host counts as one of those that are tolerated.
+    tolerated_losses, tolerated_data_centres, tolerated_regions : int
+        Number of controllers that may fail at the same time, wherever they stand, or of data
+        centres or regions with all their controllers.
     heartbeat_ms : int
         Time between two announcements of an upstream.
     grace_ms : int
@@ -53,13 +59,22 @@
     control_listen: str
     first_start: bool
     data_folder: str
+    region: str
+    loss_counts: bool
     tolerated_losses: int
+    tolerated_data_centres: int
+    tolerated_regions: int
     heartbeat_ms: int
     grace_ms: int
     repeats: RepeatBounds
     quotas: QuotaBounds
     limits: HostLimits
 
+    @property
+    def place(self) -> HostPlace:
+        """Where this host stands."""
+        return HostPlace(self.data_centre, self.region, self.loss_counts)
+
     @property
     def peer_address(self) -> str:
         """Address at which other daemons reach this one."""
--- a/chestnutfall/tests/fakes/document_office.py
+++ b/chestnutfall/tests/fakes/document_office.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+from ...consensus import Tolerance
 from ...control.control_state import ControlState
 from ...control.upstream_record import UpstreamRecord
 from ...coordination.document_compression import compress_document
@@ -33,6 +34,7 @@
 from ...quota.messages import QuotaNews
 from ...quota.quota_enforcer import QuotaEnforcer
 from ...requests import key_digest
+from ...settings.host_place import UNKNOWN_PLACE
 from ...settings.quota_bounds import STRICT_QUOTA_BOUNDS
 from ...settings.repeat_bounds import RepeatBounds
 from .accepting_engines import AcceptingEngines
@@ -138,7 +140,7 @@
             STRICT_QUOTA_BOUNDS,
             usual_memory(),
         )
-        group = GroupManager(replica, state, self.clock, 1)
+        group = GroupManager(replica, state, self.clock, Tolerance(1), UNKNOWN_PLACE)
         self._leaders[name] = leader
         self._relays[name] = LeaderRelay(replica, state, leader, group, self.clock)
         for one in (leader, group):
--- a/chestnutfall/tests/test_fleet_leader.py
+++ b/chestnutfall/tests/test_fleet_leader.py
@@ -12,6 +12,7 @@
 import unittest
 from typing import Any
 
+from ..consensus import Tolerance
 from ..control.control_state import ControlState
 from ..control.crash_messages import BrokenRun
 from ..control.upstream_record import UpstreamRecord, incarnation_key
@@ -46,6 +47,7 @@
 from ..placement.reported_slowdown import FRESH_MS
 from ..placement.run_times import RunTimes
 from ..platform.document_json import DocumentJson
+from ..settings.host_place import UNKNOWN_PLACE
 from ..settings.quota_bounds import STRICT_QUOTA_BOUNDS
 from ..settings.repeat_bounds import RepeatBounds
 from ..signals.engine_loads import EngineLoads
@@ -95,7 +97,7 @@
                 STRICT_QUOTA_BOUNDS,
                 usual_memory(),
             )
-            group = GroupManager(replica, state, clock, 1)
+            group = GroupManager(replica, state, clock, Tolerance(1), UNKNOWN_PLACE)
             self.leaders[name] = leader
             self.relays[name] = LeaderRelay(replica, state, leader, group, clock)
             self.tasks += [asyncio.ensure_future(one.run()) for one in (leader, group)]
--- a/chestnutfall/tests/test_group_manager.py
+++ b/chestnutfall/tests/test_group_manager.py
@@ -10,10 +10,11 @@
 import asyncio
 import unittest
 
-from ..consensus import Member, Replica
+from ..consensus import Member, Replica, Tolerance
 from ..control.control_state import ControlState
 from ..coordination.group_manager import REPLACE_AFTER_MS, GroupManager
 from ..coordination.relay_messages import JoinGroup
+from ..settings.host_place import HostPlace
 from .fakes import FakeCluster
 
 
@@ -33,7 +34,9 @@
         name = replica.replica_id
         state = replica.machine
         assert isinstance(state, ControlState)
-        self.managers[name] = GroupManager(replica, state, self.cluster.clock, 2)
+        self.managers[name] = GroupManager(
+            replica, state, self.cluster.clock, Tolerance(2), HostPlace()
+        )
         self.tasks[name] = asyncio.ensure_future(self.managers[name].run())
 
     def _add(self, *names: str) -> None:
--- a/chestnutfall/tests/test_platform.py
+++ b/chestnutfall/tests/test_platform.py
@@ -31,6 +31,7 @@
 from ..platform.standin.node_writer import NodePlan, Ports, write_node_file
 from ..platform.upstream_http import UpstreamHttp
 from ..resumption.remembered_attempt import MAX_ID_CHARACTERS
+from ..settings.host_place import HostPlace
 from ..signals import AskedBackoff, UnreadHeaders, UpstreamLoad, UpstreamSignals
 
 TARGETS = ("/a/x?", "/a/x", "/a/x#y", "/a//x/../y", "/a/x?y=1&&z", "/a/%2f%7E?q=a+b", "/a/x?#")
@@ -95,6 +96,21 @@
         self.assertEqual(settings.control_listen, "127.0.0.9:3")
         self.assertEqual((settings.tolerated_losses, settings.grace_ms), (1, 8000))
 
+    def test_losses_that_are_tolerated_and_the_place_of_the_host_are_read(self) -> None:
+        # Only the machines were read, so that a tolerated zone took all acknowledged changes along.
+        plan = NodePlan("127.0.0.9", "c1", "/data", ("127.0.0.9", "127.0.0.8"), True)
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "node.toml"
+            write_node_file(path, plan, Ports(1, 2, 3, 4))
+            node = tomllib.loads(path.read_text("utf-8"))
+        node["tolerate"] |= {"zones": 1, "regions": 2}
+        settings = to_settings(node | {"region": "south", "loss_counts": False})
+        losses = (settings.tolerated_data_centres, settings.tolerated_regions)
+        self.assertEqual(losses, (1, 2))
+        self.assertEqual(settings.place, HostPlace("dc", "south", counts=False))
+        settings = to_settings(node | {"zones": {"dc": "north"}})
+        self.assertEqual(settings.place, HostPlace("dc", "north", counts=True))
+
 
 class UpstreamHttpTest(unittest.IsolatedAsyncioTestCase):
     """Requests to upstreams, and what the gateway concludes from their answers."""
--- a/properties/safeguards/consensus_mutants.py
+++ b/properties/safeguards/consensus_mutants.py
@@ -8,6 +8,7 @@
 _ELECTION = "chestnutfall/consensus/election.py"
 _FOLLOWER = "chestnutfall/consensus/follower.py"
 _REPLICA_TEST = "chestnutfall.tests.test_replica"
+_VOTERS_TEST = "chestnutfall.tests.test_voters"
 _STORAGE_TEST = "chestnutfall.tests.test_file_storage"
 
 CONSENSUS_MUTANTS = (
@@ -166,4 +167,74 @@
         "        if not gone or not left:",
         "chestnutfall.tests.test_quorum",
     ),
+    Mutant(
+        "voters are not spread over data centres",
+        "chestnutfall/coordination/voter_plan.py",
+        "data_centres[one.data_centre] if self.tolerance.data_centres else 0",
+        "0",
+        _VOTERS_TEST,
+    ),
+    Mutant(
+        "the data centres that may be lost are not read",
+        "chestnutfall/platform/node_file.py",
+        'int(tolerate.get("zones", 0))',
+        "0",
+        "chestnutfall.tests.test_platform",
+    ),
+    Mutant(
+        "the places of founders stay unknown",
+        "chestnutfall/coordination/group_joiner.py",
+        "        if not all(is_known_at(one, self._place, self._tolerance) for one in own):",
+        "        if False:",
+        _VOTERS_TEST,
+    ),
+    Mutant(
+        "hosts without disks are found by their own requests only",
+        "chestnutfall/coordination/joiners.py",
+        "            if successor and member.replica_id in self._replica.lost:",
+        "            if False:",
+        _VOTERS_TEST,
+    ),
+    Mutant(
+        "the voters before a change are not asked to commit it",
+        "chestnutfall/consensus/leadership.py",
+        "        if before is not None and not before.is_sufficient:",
+        "        if False:",
+        _VOTERS_TEST,
+    ),
+    Mutant(
+        "a removed member is not asked to commit its removal",
+        "chestnutfall/consensus/leadership.py",
+        "            members = [*self._replica.log.previous_members, *members]",
+        "            pass",
+        _VOTERS_TEST,
+    ),
+    Mutant(
+        "a lost disk is proven to candidates only",
+        "chestnutfall/consensus/leadership.py",
+        "            replica.note_lost(member, reply.replica_id)\n",
+        "            pass\n",
+        _VOTERS_TEST,
+    ),
+    Mutant(
+        "hosts whose loss does not count vote",
+        "chestnutfall/coordination/voter_plan.py",
+        "        eligible = [one for one in candidates if one.counts or one.replica_id == first]",
+        "        eligible = list(candidates)",
+        _VOTERS_TEST,
+    ),
+    Mutant(
+        "what a proven loss commits is not looked at again",
+        "chestnutfall/consensus/leadership.py",
+        "                self.advance_commit()\n                await",
+        "                await",
+        "properties.test_group_losses",
+    ),
+    Mutant(
+        "a small group waits for ever for a host that is gone",
+        "chestnutfall/consensus/leadership.py",
+        "        if self._since_ms > least_ms:",
+        "        if True:",
+        _VOTERS_TEST,
+    ),
 )
