Let a gateway that is out of step ask before a stream goes on

What callers saw (reported of another system, shown here for plain services): while upstreams of a second software version joined, a gateway that was cut off from the controllers, or that had stood still, took up streams that had begun on the second version at other gateways, and let them go on at the first.

Cause: whether a service has several versions is known from the leader's last message. A gateway that has heard nothing for some seconds, with its connection still open, or that reads its client's request before the messages that wait behind it, takes the service for one of a single version. A leader that selects the upstream answers behind its own news, so for engines the last look before the send stops such a stream. An upstream of a plain service is selected by the gateway itself.

Evidence: OutOfStepTest on the code before: streams of the plain service go on at another version both while cut off and after waking; those of engines do not, as the new tests show too.

Mend: before it selects the upstream itself, such a gateway asks the leader about the stream, once a take-up. The answer comes behind all news of versions. With one version the stream is bound to that one from then on. Without an answer the call is refused, not run. The leader answers at once while no service has several versions; nothing is sent or kept for streams that nobody takes up.

--- a/chestnutfall/coordination/origin_coordinator.py
+++ b/chestnutfall/coordination/origin_coordinator.py
@@ -116,7 +116,7 @@
         """Answer the questions that are known or for which nothing more is expected."""
         if not self._questions:
             return
-        all_told = self._all_told()
+        all_told = not self._mixed or self._all_told()
         left = []
         for question in self._questions:
             asked = question.asked
--- a/chestnutfall/forwarding/forwarder.py
+++ b/chestnutfall/forwarding/forwarder.py
@@ -221,7 +221,8 @@
     ) -> None:
         while not await self._refuse_if_quarantined(progress, reply):
             try:
-                await self._origins.find(progress, route)
+                leader_places = table.services[progress.service].engine is not None
+                await self._origins.find(progress, route, leader_places)
                 service = table.services[progress.service]
                 selector = self._plain_selector if service.engine is None else self._engine_selector
                 if not self._reaches(service.name):
--- a/chestnutfall/forwarding/stream_origins.py
+++ b/chestnutfall/forwarding/stream_origins.py
@@ -122,9 +122,14 @@
 
     # Streams that go on here
 
-    async def find(self, progress: Progress, route: Route) -> None:
+    async def find(self, progress: Progress, route: Route, leader_places: bool = True) -> None:
         """Find out what the stream began on that a call resumes, and which service goes on with it.
 
+        Parameters
+        ----------
+        leader_places : bool
+            Whether the leader selects the upstream. It has told of a second build before.
+
         Raises
         ------
         NoPlace
@@ -136,7 +141,15 @@
         await self._wait_for_leader(progress)
         services = [target.service for target in route.targets if target.weight > 0]
         if not any(self.is_mixed(service) for service in services):
-            return
+            if leader_places or not progress.call.resumes:
+                return
+            # A gateway that was cut off or stood still may not have heard of a second build, on
+            # which another gateway began the stream. It would go on at the first one. What the
+            # leader told before it answers has been read by then.
+            origin = await self._find(progress) or self._only_origin(progress.service)
+            if not any(self.is_mixed(service) for service in services):
+                progress.origin = origin
+                return
         origin = await self._find(progress)
         if origin is None:
             raise NoPlace(UNKNOWN_STREAM, BEGIN_ANEW_MS)
@@ -145,6 +158,12 @@
         progress.origin = origin
         progress.service = origin.service
 
+    def _only_origin(self, service: str) -> StreamOrigin | None:
+        """Return what all streams of a service begin on; None if its upstreams name no version."""
+        origins = {StreamOrigin.of(one) for one in self._fleet.knowledge.upstreams(service)}
+        only = origins.pop() if len(origins) == 1 else None
+        return only if only is not None and not only.is_anonymous else None
+
     async def _find(self, progress: Progress) -> StreamOrigin | None:
         attempt = progress.call.resumes
         # A stream of this call itself, the first event of which came from an unknown build.
--- a/chestnutfall/tests/test_stream_origins.py
+++ b/chestnutfall/tests/test_stream_origins.py
@@ -389,6 +389,83 @@
         self.assertEqual(again.builds, {build})
 
 
+class OutOfStepTest(_StreamCase):
+    """A gateway gets no messages for seconds, while upstreams with a second build join."""
+
+    async def _mixed_but_at_one(self, path: str) -> tuple[StreamOffice, str]:
+        """Begin a stream on a second build that one gateway has not heard of; return its id."""
+        office = await self._office(2, ("v1",) * 3, ("v1",) * 3)
+        late = office.gateways["g1"]
+        late.frozen = True
+        for at in range(2):
+            for service in (ENGINES, PLAIN):
+                _restart_as(office, office.upstreams[f"{service}-{at}"], "v2")
+        leader = office.leader
+        assert leader is not None
+        leader.update_upstreams()
+        office.gateways["g0"].set_upstreams(office.upstreams.values())
+        sent = [office.begin("g0", f"first-{at}", path=path) for at in range(ROUNDS)]
+        while not all(one.numbers for one in sent):
+            await office.step()
+        for one in sent:
+            one.task.cancel()
+        await office.step()
+        begun = [one.attempt for one in sent if one.builds == {"v2"}]
+        return office, begun[0]
+
+    async def _resumed(self, path: str, wakes: bool) -> StreamAttempt:
+        office, attempt = await self._mixed_but_at_one(path)
+        late = office.gateways["g1"]
+        sent = office.begin("g1", "second", attempt, 1, path)
+        await office.steps(50)
+        if wakes:
+            # What was sent meanwhile is read only now, behind the client's request.
+            late.frozen = False
+            late.set_upstreams(office.upstreams.values())
+        await office.steps(1_500)
+        self.assertLessEqual(sent.builds, {"v2"})
+        self.assertTrue(sent.reply.ended)
+        return sent
+
+    # Guards against a stream that goes on at another build, at a gateway that is cut off.
+    async def test_a_gateway_that_is_cut_off_lets_no_stream_go_on(self) -> None:
+        for path in (ENGINES, STREAMS):
+            with self.subTest(path):
+                sent = await self._resumed(path, wakes=False)
+                self.assertEqual(sent.numbers, [])
+                self.assertIn(sent.reply.status, (503, 504))
+
+    # Guards against a stream that goes on at another build, at a gateway that stood still and reads
+    # the client's request before the news of the second build.
+    async def test_a_gateway_that_stood_still_goes_on_at_the_build_that_began(self) -> None:
+        for path in (ENGINES, STREAMS):
+            with self.subTest(path):
+                sent = await self._resumed(path, wakes=True)
+                self.assertEqual(sent.builds, {"v2"})
+
+    # Guards against a stream that nobody knows and that goes on at the build that was the only one.
+    async def test_a_gateway_that_stood_still_refuses_a_stream_that_nobody_knows(self) -> None:
+        for path in (ENGINES, STREAMS):
+            with self.subTest(path):
+                office, _ = await self._mixed_but_at_one(path)
+                runs = office.runs
+                sent = office.begin("g1", "second", "never seen", 1, path)
+                await office.steps(50)
+                office.gateways["g1"].frozen = False
+                office.gateways["g1"].set_upstreams(office.upstreams.values())
+                await office.steps(1_500)
+                self._assert_refused(sent, UNKNOWN_STREAM)
+                self.assertEqual(office.runs, runs)
+
+    # Guards against a service of one build whose clients' streams don't go on.
+    async def test_a_stream_of_the_only_build_goes_on(self) -> None:
+        for path in (ENGINES, STREAMS):
+            office = await self._office(2, ("v1",) * 3, ("v1",) * 3)
+            await office.begun_at("g0", "first", path)
+            sent = await office.resume("g1", "first", path=path)
+            self.assertTrue(office.goes_on(sent), sent.reply)
+
+
 class GoneBuildTest(_StreamCase):
     # Guards against a stream that waits until its deadline for a build that has no engine left.
     async def test_a_stream_whose_build_has_no_engine_left_is_refused_at_once(self) -> None:
--- a/properties/safeguards/stream_mutants.py
+++ b/properties/safeguards/stream_mutants.py
@@ -211,4 +211,19 @@
         "        if not added and not dropped:\n",
         _PARTS + "MixedNewsTest.test_gateways_learn_which_services_are_mixed",
     ),
+    Mutant(
+        "a gateway trusts what it knew of builds before it was cut off",
+        "chestnutfall/forwarding/stream_origins.py",
+        "            if leader_places or not progress.call.resumes:",
+        "            if True:",
+        "chestnutfall.tests.test_stream_origins",
+    ),
+    Mutant(
+        "what the leader told before its answer is not looked at",
+        "chestnutfall/forwarding/stream_origins.py",
+        "            if not any(self.is_mixed(service) for service in services):\n"
+        "                progress.origin = origin\n                return",
+        "            progress.origin = origin\n            return",
+        "chestnutfall.tests.test_stream_origins",
+    ),
 )
