Show that heads which stop midway are lost answers

Reported of other systems: an engine stopped in the middle of its head and closed, and clients got a 200 with an empty or short body, framed as whole. Here it isn't so: each cut of four heads, closed or reset, behind an interim head and while an upload is written, on both interfaces, both loops, for calls that may run once and others, is a lost answer. The library does take the lines that have come for a head, but only as the reason of the end that it reports. The other two reports, early answers to uploads and a status of 000, are held by the tests that are here already.

--- a/chestnutfall/tests/test_malformed_answers.py
+++ b/chestnutfall/tests/test_malformed_answers.py
@@ -125,6 +125,42 @@
 
                     self._play(play)
 
+    # Guards against a client that gets a 200 with an empty body, or part of a head as its body: the
+    # library takes the lines that have come for the whole head when the connection ends.
+    def test_a_head_that_stops_midway_is_a_lost_answer(self) -> None:
+        for fields in (NAMED, NAMED + LENGTH, NAMED + b"Transfer-Encoding: chunked\r\n"):
+            head = b"HTTP/1.1 200 OK\r\n" + fields + b"\r\n"
+            self._assert_lost_at_each_cut(head)
+
+    def test_a_head_that_stops_midway_behind_an_interim_one_is_a_lost_answer(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\n" + NAMED + b"\r\n"
+        self._assert_lost_at_each_cut(head, b"HTTP/1.1 102 X\r\n\r\n")
+
+    def test_an_early_head_that_stops_midway_in_the_upload_is_lost(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\n" + NAMED + LENGTH + b"\r\n"
+        for cut in (len(head) - 2, len(head) - len(LENGTH) - 2, 17, 4):
+            for end in (socket.socket.close, reset):
+
+                async def play(
+                    case: _Case, cut: int = cut, end: Callable[[socket.socket], None] = end
+                ) -> None:
+                    with self.subTest(cut=head[:cut], end=end.__name__):
+                        with self.assertRaises(AnswerLost):
+                            await case.send(UPLOAD, head[:cut], end, 0.02)
+
+                self._play(play)
+
+    def _assert_lost_at_each_cut(self, head: bytes, before: bytes = b"") -> None:
+        for end in (socket.socket.close, reset):
+
+            async def play(case: _Case, end: Callable[[socket.socket], None] = end) -> None:
+                for cut in range(len(head)):
+                    with self.subTest(cut=head[:cut][-20:], end=end.__name__):
+                        with self.assertRaises(AnswerLost):
+                            await case.send(b"", before + head[:cut], end)
+
+            self._play(play)
+
     def _assert_lost(self, head: bytes) -> None:
         async def play(case: _Case) -> None:
             with self.subTest(head=head), self.assertRaises(AnswerLost):
