--- a/chestnutfall/tests/fakes/signal_office.py
+++ b/chestnutfall/tests/fakes/signal_office.py
@@ -258,11 +258,15 @@
 
     def see(self) -> None:
         """Tell the leader and all gateways which upstreams exist."""
-        if self.leader is not None:
-            self.leader.update_upstreams()
+        self.see_leader()
         for gateway in self.gateways.values():
             gateway.set_upstreams(self.upstreams.values())
 
+    def see_leader(self) -> None:
+        """Tell the leader alone which upstreams exist."""
+        if self.leader is not None:
+            self.leader.update_upstreams()
+
     def replace(self, instance: str, successor: str) -> SignallingUpstream:
         """Replace an upstream by another incarnation at the same address, and return that."""
         old = self.upstreams.pop(instance)
--- a/chestnutfall/tests/test_stream_origins.py
+++ b/chestnutfall/tests/test_stream_origins.py
@@ -400,9 +400,7 @@
         for at in range(2):
             for service in (ENGINES, PLAIN):
                 _restart_as(office, office.upstreams[f"{service}-{at}"], "v2")
-        leader = office.leader
-        assert leader is not None
-        leader.update_upstreams()
+        office.see_leader()
         office.gateways["g0"].set_upstreams(office.upstreams.values())
         sent = [office.begin("g0", f"first-{at}", path=path) for at in range(ROUNDS)]
         while not all(one.numbers for one in sent):
@@ -443,11 +441,14 @@
                 sent = await self._resumed(path, wakes=True)
                 self.assertEqual(sent.builds, {"v2"})
 
-    # Guards against a stream that nobody knows and that goes on at the build that was the only one.
+    # Guards against a stream that nobody knows and that goes on at the only build that is left.
     async def test_a_gateway_that_stood_still_refuses_a_stream_that_nobody_knows(self) -> None:
         for path in (ENGINES, STREAMS):
             with self.subTest(path):
                 office, _ = await self._mixed_but_at_one(path)
+                for service in (ENGINES, PLAIN):
+                    _restart_as(office, office.upstreams[f"{service}-2"], "v2")
+                office.see_leader()
                 runs = office.runs
                 sent = office.begin("g1", "second", "never seen", 1, path)
                 await office.steps(50)
