End a lead whose tasks end by an error that nothing expects

The controller goes on to lead without its work, and no other takes over. No input is known that raises one.

Mend: a controller's tasks are watched. One that ends before it is cancelled is logged with its place, leadership is handed over and the replica starts again. The tasks of a term end the term. An unexpected error of the runner is logged, and the replica starts again too.

test_task_watch raises an error in each of six tasks of a real controller; without the mend it doesn't end (two mutants).

--- a/chestnutfall/coordination/controller_runner.py
+++ b/chestnutfall/coordination/controller_runner.py
@@ -33,6 +33,7 @@
 from .messages import FLEET_CODEC, FLEET_METHOD
 from .relay_messages import RELAY_CODEC, Unavailable
 from .session_server import SessionServer
+from .task_watch import TaskWatch
 
 log = logging.getLogger(__name__)
 RESTART_DELAY_MS = 400
@@ -116,7 +117,11 @@
         self._metrics.gauge("leads", self._replica.is_active_leader())
         self._metrics.gauge("term", self._replica.term)
         self._metrics.gauge("commit_index", self._replica.commit_index)
-        self._metrics.gauge("members", len(self._replica.members))
+        members = self._replica.members
+        self._metrics.gauge("members", len(members))
+        self._metrics.gauge("voters", sum(member.voter for member in members))
+        self._metrics.gauge("losses_borne", self._replica.quorum().is_sufficient)
+        self._metrics.gauge("disks_lost", len(self._replica.lost))
         term = self._leader.leading() if self._leader is not None else None
         self._metrics.gauge("engines_slow", term.slow_engines if term is not None else 0)
         self._metrics.gauge("engines_slowed_now", term.slowed_engines if term is not None else 0)
@@ -133,6 +138,9 @@
                 await self._run_once(stop)
             except (CorruptFile, OSError) as exc:
                 log.error("storage: %s", exc)
+            except Exception:
+                # The process would go on without a replica, and nothing would start it again.
+                log.exception("replica: interrupted by an unexpected error")
             if not stop.is_set():
                 await self._clock.sleep_ms(RESTART_DELAY_MS)
 
@@ -208,20 +216,23 @@
         server = _server(settings.peer_address, replica, leader, relay, clock)
         await server.start()
         log.info("replica: started id=%s index=%d", replica_id, replica.log.last_index)
-        work = [
-            asyncio.ensure_future(one.run()) for one in (leader, group, joiner, relay.heartbeats)
-        ]
+        tasks = TaskWatch()
+        for name, work in (
+            ("leader", leader),
+            ("group", group),
+            ("joiner", joiner),
+            ("heartbeats", relay.heartbeats),
+        ):
+            tasks.start(name, work.run())
         self._replica, self._joiner, self.relay.present = replica, joiner, relay
         self._leader = leader
         try:
-            await _first_of(stop, replica.failed)
+            await _first_of(stop, replica.failed, tasks.ended)
             if not replica.failed.done():
                 await replica.transfer_leadership()
         finally:
             self._replica = self._leader = self._joiner = self.relay.present = None
-            for task in work:
-                task.cancel()
-            await asyncio.gather(*work, return_exceptions=True)
+            await tasks.stop()
             await server.stop(200)
             await replica.stop()
             await relay.close()
@@ -257,9 +268,10 @@
     return server
 
 
-async def _first_of(stop: asyncio.Event, failed: asyncio.Future[BaseException]) -> None:
+async def _first_of(stop: asyncio.Event, *ends: asyncio.Future[Any]) -> None:
     either = asyncio.Event()
-    failed.add_done_callback(lambda _: either.set())
+    for end in ends:
+        end.add_done_callback(lambda _: either.set())
     stopping = asyncio.ensure_future(_pass_on(stop, either))
     try:
         await either.wait()
--- a/chestnutfall/coordination/leader_term.py
+++ b/chestnutfall/coordination/leader_term.py
@@ -101,6 +101,10 @@
                 self._carry_out_decisions()
                 self._pace.end()
                 await self._wait_for_tick()
+                for task in tasks:
+                    if task.done():
+                        # Its error ends the term, so that the next one has the task again.
+                        task.result()
         finally:
             for task in tasks:
                 task.cancel()
--- a/properties/safeguards/fleet_mutants.py
+++ b/properties/safeguards/fleet_mutants.py
@@ -308,4 +308,18 @@
         "chestnutfall.tests.test_unframed_answers.UnframedAnswerTest."
         "test_a_reset_with_the_last_bytes_breaks_the_answer",
     ),
+    Mutant(
+        "a controller leads on without one of its tasks",
+        "chestnutfall/coordination/controller_runner.py",
+        "await _first_of(stop, replica.failed, tasks.ended)",
+        "await _first_of(stop, replica.failed)",
+        "chestnutfall.tests.test_task_watch",
+    ),
+    Mutant(
+        "a term goes on without one of its tasks",
+        "chestnutfall/coordination/leader_term.py",
+        "                    if task.done():",
+        "                    if False:",
+        "chestnutfall.tests.test_task_watch",
+    ),
 )
