Let voters that bear all losses stay

A voter is demoted only where the voters don't bear a loss that is tolerated. A leader whose loss doesn't count stays beside those who vote until another one leads. Both tests fail without it (mutants).

--- a/chestnutfall/coordination/group_manager.py
+++ b/chestnutfall/coordination/group_manager.py
@@ -152,11 +152,19 @@
         wanted = self._wanted(members)
         missing = next((one for one in members if one in wanted and not one.voter), None)
         voters = [one for one in members if one.voter]
-        surplus = [one for one in voters if one not in wanted and not self._is_silent(one)]
-        if missing is None or (len(voters) >= len(wanted) and not surplus):
+        if missing is None or (len(voters) >= len(wanted) and not self._misplaced(voters, wanted)):
             return None
         return tuple(replace(one, voter=True) if one is missing else one for one in members)
 
+    def _misplaced(self, voters: list[Member], wanted: tuple[Member, ...]) -> list[Member]:
+        """Return voters that others are to replace though they are up.
+
+        Voters that bear all losses stay, also if fewer of them would.
+        """
+        if self._tolerance.is_borne_by(voters):
+            return []
+        return [one for one in voters if one not in wanted and not self._is_silent(one)]
+
     def _wanted(self, members: tuple[Member, ...]) -> tuple[Member, ...]:
         """Return the voters to aim for, among those that are up and have all entries.
 
@@ -187,10 +195,11 @@
         silent = [one for one in unwanted if self._is_silent(one)]
         if silent and not all(one.voter for one in wanted):
             return tuple(one for one in members if one is not silent[0])
-        alive = [one for one in unwanted if not self._is_silent(one)]
-        if alive and all(one.voter for one in wanted):
-            return tuple(replace(one, voter=False) if one is alive[0] else one for one in members)
-        return None
+        misplaced = self._misplaced([one for one in members if one.voter], wanted)
+        if not misplaced or not all(one.voter for one in wanted):
+            return None
+        demoted = misplaced[0]
+        return tuple(replace(one, voter=False) if one is demoted else one for one in members)
 
     def _is_replaced(self, member: Member) -> bool:
         # A host that lost its disk comes back at the same address under a new identity. The old
--- a/chestnutfall/coordination/voter_plan.py
+++ b/chestnutfall/coordination/voter_plan.py
@@ -37,12 +37,17 @@
         silent : sequence of Member
             Voters that are down; they are chosen only where others are missing.
         """
-        eligible = [one for one in candidates if one.counts or one.replica_id == first]
+        eligible = [one for one in candidates if one.counts]
         order = [*self._spread(eligible, first), *(one for one in silent if one.counts)]
-        for size in range(self.least_voters, len(order) + 1, 2):
-            if self.tolerance.is_borne_by(order[:size]):
-                return tuple(order[:size])
-        return tuple(order[: self.least_voters])
+        # A leader whose loss does not count is beside the others until another one leads.
+        extra = (one for one in candidates if one.replica_id == first and not one.counts)
+        return (*order[: self._size(order)], *extra)
+
+    def _size(self, order: Sequence[Member]) -> int:
+        """Return how many of the candidates bear every loss, or how many vote if none do."""
+        sizes = range(self.least_voters, len(order) + 1, 2)
+        bearing = (size for size in sizes if self.tolerance.is_borne_by(order[:size]))
+        return next(bearing, self.least_voters)
 
     def _spread(self, eligible: Collection[Member], first: str) -> list[Member]:
         """Return the candidates in an order of which each beginning is spread widely."""
--- a/chestnutfall/tests/test_voters.py
+++ b/chestnutfall/tests/test_voters.py
@@ -144,6 +144,28 @@
         await self.office.start(names[0])
         self.assertTrue(await self.office.acknowledge(12_000))
 
+    async def test_voters_that_bear_all_losses_stay(self) -> None:
+        # Where no loss is to be borne, one voter would do, and its death would end the service.
+        await self._begin(dict.fromkeys("abcd", "dc1"), Tolerance(0))
+        self.assertTrue(await self.office.acknowledge())
+        await self.office.pass_ms(5_000)
+        leader = await self.office.leader()
+        voters = [one.address for one in leader.replica.members if one.voter]
+        self.assertEqual(sorted(voters), ["a", "b", "c"])
+
+    async def test_a_voter_whose_loss_does_not_count_is_replaced(self) -> None:
+        self.office = ControllerOffice(1, dict.fromkeys("abcd", "dc1"), Tolerance(1))
+        uncounted = self.office.hosts["b"]
+        uncounted.place = type(uncounted.place)("dc1", "region", counts=False)
+        await self.office.first_start()
+        self.assertTrue(await self.office.acknowledge())
+        await self.office.pass_ms(5_000)
+        leader = await self.office.leader()
+        voters = {one.address for one in leader.replica.members if one.voter}
+        self.assertEqual(voters - {"b"}, set("acd"))
+        # The leader itself stays until another one leads.
+        self.assertLessEqual(voters & {"b"}, {_own(leader).pop()})
+
     async def test_a_founder_that_never_comes_back_does_not_stop_the_group_for_ever(self) -> None:
         await self._begin(FIVE_IN_ONE, Tolerance(2))
         await self.office.kill("c")
--- a/properties/safeguards/consensus_mutants.py
+++ b/properties/safeguards/consensus_mutants.py
@@ -219,7 +219,7 @@
     Mutant(
         "hosts whose loss does not count vote",
         "chestnutfall/coordination/voter_plan.py",
-        "        eligible = [one for one in candidates if one.counts or one.replica_id == first]",
+        "        eligible = [one for one in candidates if one.counts]",
         "        eligible = list(candidates)",
         _VOTERS_TEST,
     ),
@@ -237,4 +237,11 @@
         "        if True:",
         _VOTERS_TEST,
     ),
+    Mutant(
+        "voters are demoted though all of them bear the losses",
+        "chestnutfall/coordination/group_manager.py",
+        "        if self._tolerance.is_borne_by(voters):\n            return []",
+        "        if False:\n            return []",
+        _VOTERS_TEST,
+    ),
 )
