Bound a controller's log by its bytes, not by the number of entries

What callers would see: hundreds of changes of a large configuration fill a controller's disk, which then refuses every write, or take its process over the memory of its host.

--- a/chestnutfall/consensus/raft_log.py
+++ b/chestnutfall/consensus/raft_log.py
@@ -122,9 +122,28 @@
                 found = members
         return found
 
-    def compact(self, snapshot: Snapshot, keep: int) -> None:
-        """Install a newer `snapshot` and discard all entries but the last `keep` before it."""
+    def _index_before(self, index: int, size_bytes: int) -> int:
+        """Return the index behind which the entries up to `index` have at most `size_bytes`."""
+        while index > self._base_index and size_bytes >= 0:
+            size_bytes -= self.size_at(index)
+            if size_bytes >= 0:
+                index -= 1
+        return index
+
+    def size_at(self, index: int) -> int:
+        """Return the approximate size of the entry at `index`, in bytes."""
+        return len(self.entry_at(index).data) + ENTRY_OVERHEAD_BYTES
+
+    def compact(self, snapshot: Snapshot, keep: int, keep_bytes: int) -> None:
+        """Install a newer `snapshot` and discard all entries before it but the last ones.
+
+        Parameters
+        ----------
+        keep, keep_bytes : int
+            Number of entries before the snapshot that stay, and their size in bytes, at most.
+        """
         base_index = max(self._base_index, snapshot.index - keep)
+        base_index = max(base_index, self._index_before(snapshot.index, keep_bytes))
         base_term = self.term_at(base_index)
         assert base_term is not None
         del self._entries[: base_index - self._base_index]
--- a/chestnutfall/consensus/replica.py
+++ b/chestnutfall/consensus/replica.py
@@ -44,6 +44,7 @@
 SNAPSHOT_EVERY_ENTRIES = 4000
 KEEP_ENTRIES = 1000
 """Entries before a snapshot that stay in memory for followers that are slightly behind."""
+SNAPSHOT_EVERY_BYTES = 64 * 1024 * 1024
 MAX_KEPT_QUORUMS = 4
 """Memberships whose quorum is kept; two are in use at a time."""
 
@@ -73,6 +74,8 @@
         Entries before a snapshot that stay in memory.
     tolerance : Tolerance
         What may be lost at the same time.
+    snapshot_every_bytes : int
+        Bytes of entries applied between two snapshots at most, and half as many kept before one.
 
     Attributes
     ----------
@@ -107,6 +110,7 @@
         snapshot_every_entries: int = SNAPSHOT_EVERY_ENTRIES,
         keep_entries: int = KEEP_ENTRIES,
         tolerance: Tolerance = NO_TOLERANCE,
+        snapshot_every_bytes: int = SNAPSHOT_EVERY_BYTES,
     ) -> None:
         self.replica_id = replica_id
         self.machine = machine
@@ -116,6 +120,8 @@
         self._storage = storage
         self._snapshot_every_entries = snapshot_every_entries
         self._keep_entries = keep_entries
+        self._snapshot_every_bytes = snapshot_every_bytes
+        self._applied_bytes = 0
         self._tolerance = tolerance
         self._quorums: list[tuple[tuple[Member, ...], Quorum]] = []
         self.lost: set[str] = set()
@@ -378,7 +384,8 @@
     def commit_to(self, index: int) -> None:
         """Mark all entries up to `index` as committed and apply them.
 
-        Takes a snapshot once `snapshot_every_entries` entries were applied since the last one.
+        Takes a snapshot once enough entries, or bytes of them, were applied since the last one. A
+        few hundred entries may be more than the host's disk holds.
         """
         self.commit_index = max(self.commit_index, min(index, self.log.last_index))
         while self.applied_index < self.commit_index:
@@ -386,7 +393,12 @@
             entry = self.log.entry_at(self.applied_index)
             outcome = self.machine.apply(entry.index, entry.data) if entry.data else None
             self._complete_proposal(entry.index, outcome)
-        if self.applied_index - self.log.snapshot.index >= self._snapshot_every_entries:
+            self._applied_bytes += self.log.size_at(entry.index)
+        applied = self.applied_index - self.log.snapshot.index
+        if (
+            applied >= self._snapshot_every_entries
+            or self._applied_bytes >= self._snapshot_every_bytes
+        ):
             self._take_snapshot()
 
     def _complete_proposal(self, index: int, outcome: Any) -> None:
@@ -402,7 +414,8 @@
         assert term is not None
         members = self.log.members_at(index)
         snapshot = Snapshot(index, term, members, self.machine.dump())
-        self.log.compact(snapshot, self._keep_entries)
+        self.log.compact(snapshot, self._keep_entries, self._snapshot_every_bytes // 2)
+        self._applied_bytes = 0
         self.journal.write([self.stored_state()])
 
     def stored_state(self) -> StoredState:
--- a/chestnutfall/coordination/controller_runner.py
+++ b/chestnutfall/coordination/controller_runner.py
@@ -23,6 +23,7 @@
 from ..observability.prometheus_metrics import PrometheusMetrics
 from ..routes import DocumentCodec
 from ..settings.fleet_settings import FleetSettings
+from ..settings.host_limits import HostLimits
 from ..wire import RpcServer
 from .engine_control import EngineControl
 from .fleet_leader import FleetLeader
@@ -45,6 +46,12 @@
 SNAPSHOT_EVERY_ENTRIES = 500
 KEEP_ENTRIES = 200
 """With documents of about 30 KB each, 700 entries stay below 25 MB of memory and disk."""
+LOG_DISK_SHARE = 8
+LOG_MEMORY_SHARE = 16
+"""Parts of the host's disk, and of the process's memory, that entries between two snapshots take at
+most. On the disk the old log and the new one stand side by side for a moment; in memory half as
+many bytes stay before a snapshot."""
+MIB = 1024 * 1024
 
 
 class CurrentRelay:
@@ -187,6 +194,7 @@
             SNAPSHOT_EVERY_ENTRIES,
             KEEP_ENTRIES,
             tolerance,
+            _snapshot_every_bytes(settings.limits),
         )
         replica.start(self._process_start_ms)
         self._process_start_ms = None
@@ -247,6 +255,12 @@
     )
 
 
+def _snapshot_every_bytes(limits: HostLimits) -> int:
+    by_memory = limits.memory_mb * MIB // LOG_MEMORY_SHARE
+    by_disk = limits.disk_mb * MIB // LOG_DISK_SHARE
+    return min(by_memory, by_disk) if by_disk else by_memory
+
+
 def _founder_id(address: str) -> str:
     return f"founder-{address}"
 
--- a/chestnutfall/platform/node_file.py
+++ b/chestnutfall/platform/node_file.py
@@ -8,7 +8,12 @@
 from typing import Any
 
 from ..settings.fleet_settings import FleetSettings
-from ..settings.host_limits import DEFAULT_MAX_FDS, DEFAULT_MEMORY_MB, HostLimits
+from ..settings.host_limits import (
+    DEFAULT_DISK_MB,
+    DEFAULT_MAX_FDS,
+    DEFAULT_MEMORY_MB,
+    HostLimits,
+)
 from ..settings.host_port import split_address
 from ..settings.quota_bounds import STRICT_QUOTA_BOUNDS, QuotaBounds
 from ..settings.repeat_bounds import RepeatBounds
@@ -103,6 +108,7 @@
     return HostLimits(
         memory_mb=int(limits.get("memory_mb", DEFAULT_MEMORY_MB)),
         max_fds=int(limits.get("max_fds", DEFAULT_MAX_FDS)),
+        disk_mb=int(limits.get("disk_mb", DEFAULT_DISK_MB)),
     )
 
 
--- a/chestnutfall/settings/host_limits.py
+++ b/chestnutfall/settings/host_limits.py
@@ -7,6 +7,7 @@
 DEFAULT_MEMORY_MB = 512
 """Several times what a process holds that serves its usual load."""
 DEFAULT_MAX_FDS = 4_096
+DEFAULT_DISK_MB = 1_024
 MIN_MEMORY_MB = 96
 """Less leaves nothing beside the program itself."""
 MIN_MAX_FDS = 256
@@ -22,6 +23,8 @@
         Memory in MiB, with what has arrived at its sockets and is unread.
     max_fds : int
         Open descriptors, sockets included.
+    disk_mb : int
+        Space on the disk in MiB; 0 on hosts without one.
 
     Raises
     ------
@@ -31,6 +34,7 @@
 
     memory_mb: int = DEFAULT_MEMORY_MB
     max_fds: int = DEFAULT_MAX_FDS
+    disk_mb: int = DEFAULT_DISK_MB
 
     def __post_init__(self) -> None:
         if self.memory_mb < MIN_MEMORY_MB:
--- a/chestnutfall/tests/fakes/controller_office.py
+++ b/chestnutfall/tests/fakes/controller_office.py
@@ -32,7 +32,8 @@
 from .node_clock import NodeClock
 
 TIMING = Timing(heartbeat_ms=60, election_min_ms=320, election_max_ms=560, call_timeout_ms=250)
-SNAPSHOT_EVERY_ENTRIES, KEEP_ENTRIES = 16, 8
+SNAPSHOT_EVERY = (16, 1_000_000)
+KEEP_ENTRIES = 8
 STEP_MS = 50
 
 
@@ -93,6 +94,8 @@
         Data centre by host; the hosts named first are those in everybody's settings.
     first : int
         Number of hosts in the settings.
+    snapshot_every : tuple of int
+        Entries, and bytes of them, between two snapshots.
 
     Attributes
     ----------
@@ -101,8 +104,14 @@
     """
 
     def __init__(
-        self, seed: int, places: dict[str, str], tolerance: Tolerance, first: int = 3
+        self,
+        seed: int,
+        places: dict[str, str],
+        tolerance: Tolerance,
+        first: int = 3,
+        snapshot_every: tuple[int, int] = SNAPSHOT_EVERY,
     ) -> None:
+        self._snapshot_every = snapshot_every
         self.clock = ManualClock()
         self.rng = random.Random(seed)
         self.network = FakeNetwork(self.clock, self.rng)
@@ -138,9 +147,10 @@
             clock,
             random.Random(self.rng.random()),
             TIMING,
-            SNAPSHOT_EVERY_ENTRIES,
+            self._snapshot_every[0],
             KEEP_ENTRIES,
             self.tolerance,
+            self._snapshot_every[1],
         )
         replica.start()
         self.network.connect(name, replica.handle, clock)
@@ -233,7 +243,7 @@
             await self.pass_ms(STEP_MS)
         raise AssertionError(f"no controller leads within {within_ms} ms")
 
-    async def acknowledge(self, within_ms: int = 20_000) -> bool:
+    async def acknowledge(self, within_ms: int = 20_000, size_bytes: int = 4) -> bool:
         """Send the next document until it is acknowledged, as an operator does."""
         self.sent += 1
         until_ms = self.clock.now_ms() + within_ms
@@ -241,13 +251,13 @@
             leaders = [one for one in self.leaders() if one.state.group_complete]
             if not leaders:
                 await self.pass_ms(STEP_MS)
-            elif await self._propose(leaders[0].replica, self.sent):
+            elif await self._propose(leaders[0].replica, self.sent, size_bytes):
                 self.acknowledged = self.sent
                 return True
         return False
 
-    async def _propose(self, replica: Replica, version: int) -> bool:
-        content = version.to_bytes(4, "big")
+    async def _propose(self, replica: Replica, version: int, size_bytes: int) -> bool:
+        content = version.to_bytes(size_bytes, "big")
         proposed = asyncio.ensure_future(
             replica.propose(encode_command(PutDocument(version, content)))
         )
--- a/properties/safeguards/consensus_mutants.py
+++ b/properties/safeguards/consensus_mutants.py
@@ -244,4 +244,18 @@
         "        if False:\n            return []",
         _VOTERS_TEST,
     ),
+    Mutant(
+        "snapshots are due by the number of entries only",
+        _REPLICA,
+        "            or self._applied_bytes >= self._snapshot_every_bytes\n",
+        "",
+        "chestnutfall.tests.test_log_size",
+    ),
+    Mutant(
+        "as many entries stay before a snapshot, however large",
+        "chestnutfall/consensus/raft_log.py",
+        "        base_index = max(base_index, self._index_before(snapshot.index, keep_bytes))\n",
+        "",
+        "chestnutfall.tests.test_log_size",
+    ),
 )
